--- /dev/null
+++ b/cmake/libraries.cmake
@@ -0,0 +1,21 @@
+# Every library is found by pkg-config; Random123 is headers only.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+pkg_check_modules(CK REQUIRED IMPORTED_TARGET ck)
+pkg_check_modules(MSGPACK REQUIRED IMPORTED_TARGET msgpack)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(CURL REQUIRED IMPORTED_TARGET libcurl)
+pkg_check_modules(ARGTABLE REQUIRED IMPORTED_TARGET argtable2)
+pkg_check_modules(JANSSON REQUIRED IMPORTED_TARGET jansson)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CRYPTO REQUIRED IMPORTED_TARGET libcrypto)
+pkg_check_modules(GTEST REQUIRED IMPORTED_TARGET gtest_main)
+find_path(RANDOM123_INCLUDE Random123/philox.h REQUIRED)
+
+# One package: a static library of the folder's sources over the packages below it.
+function(wl_package name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.c)
+  add_library(${name} STATIC ${sources})
+  target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${name} PUBLIC ${ARGN})
+endfunction()
--- /dev/null
+++ b/libwlbase/counter.c
@@ -0,0 +1,148 @@
+/* Counters and histograms with labels, printed as Prometheus text. */
+
+#include "counter.h"
+
+#include <stdlib.h>
+
+/*
+ * wl_metrics_init - make an empty set
+ */
+void wl_metrics_init(wl_metrics_t *metrics)
+{
+	wl_map_init(&metrics->by_id);
+	TAILQ_INIT(&metrics->all);
+}
+
+static void metric_free(wl_metric_t *metric)
+{
+	wl_buf_free(&metric->name);
+	wl_buf_free(&metric->labels);
+	wl_buf_free(&metric->id);
+	free(metric->hist);
+	free(metric);
+}
+
+/*
+ * wl_metrics_free - release a set and all in it
+ */
+void wl_metrics_free(wl_metrics_t *metrics)
+{
+	wl_metric_t *metric;
+
+	while ((metric = TAILQ_FIRST(&metrics->all))) {
+		TAILQ_REMOVE(&metrics->all, metric, link);
+		metric_free(metric);
+	}
+	wl_map_free(&metrics->by_id);
+}
+
+static void metric_id(const char *name, const char *labels, wl_buf_t *id)
+{
+	wl_buf_append(id, wl_str_from(name));
+	wl_buf_append(id, WL_STR("{"));
+	wl_buf_append(id, wl_str_from(labels));
+}
+
+/* Keeps lines of one name together, as the text format asks. */
+static void metric_insert(wl_metrics_t *metrics, wl_metric_t *metric)
+{
+	wl_metric_t *other;
+
+	TAILQ_FOREACH_REVERSE (other, &metrics->all, wl_metric_list, link) {
+		if (!wl_str_equal(wl_buf_str(&other->name), wl_buf_str(&metric->name)))
+			continue;
+		TAILQ_INSERT_AFTER(&metrics->all, other, metric, link);
+		return;
+	}
+	TAILQ_INSERT_TAIL(&metrics->all, metric, link);
+}
+
+static wl_metric_t *metric_get(wl_metrics_t *metrics, const char *name, const char *labels)
+{
+	wl_buf_t id = {0};
+	wl_metric_t *metric;
+
+	metric_id(name, labels, &id);
+	metric = wl_map_get(&metrics->by_id, wl_buf_str(&id));
+	if (metric) {
+		wl_buf_free(&id);
+		return metric;
+	}
+
+	metric = wl_alloc(sizeof(*metric));
+	wl_buf_set(&metric->name, wl_str_from(name));
+	wl_buf_set(&metric->labels, wl_str_from(labels));
+	wl_buf_move(&metric->id, &id);
+	metric->key = wl_buf_str(&metric->id);
+	wl_map_put(&metrics->by_id, metric);
+	metric_insert(metrics, metric);
+	return metric;
+}
+
+/*
+ * wl_metrics_add - count
+ * @name: metric name, "wisterialead_requests_total"
+ * @labels: inner text of the labels, "customer=\"norrlamp\"", or ""
+ * @more: how many
+ */
+void wl_metrics_add(wl_metrics_t *metrics, const char *name, const char *labels, uint64_t more)
+{
+	metric_get(metrics, name, labels)->value += more;
+}
+
+/*
+ * wl_metrics_set - set a gauge
+ */
+void wl_metrics_set(wl_metrics_t *metrics, const char *name, const char *labels, uint64_t value)
+{
+	metric_get(metrics, name, labels)->value = value;
+}
+
+/*
+ * wl_metrics_observe - count a time in a histogram
+ */
+void wl_metrics_observe(wl_metrics_t *metrics, const char *name, const char *labels,
+			uint64_t value_ns)
+{
+	wl_metric_t *metric = metric_get(metrics, name, labels);
+
+	if (!metric->hist)
+		metric->hist = wl_alloc(sizeof(*metric->hist));
+	wl_hist_add(metric->hist, value_ns);
+}
+
+/*
+ * wl_metrics_get - read a counter
+ *
+ * Return: its value; zero if it was never counted.
+ */
+uint64_t wl_metrics_get(const wl_metrics_t *metrics, const char *name, const char *labels)
+{
+	wl_buf_t id = {0};
+	const wl_metric_t *metric;
+
+	metric_id(name, labels, &id);
+	metric = wl_map_get(&metrics->by_id, wl_buf_str(&id));
+	wl_buf_free(&id);
+	return metric ? metric->value : 0;
+}
+
+/*
+ * wl_metrics_print - write all as Prometheus text
+ */
+void wl_metrics_print(const wl_metrics_t *metrics, wl_buf_t *out)
+{
+	const wl_metric_t *metric;
+
+	TAILQ_FOREACH (metric, &metrics->all, link) {
+		if (metric->hist) {
+			wl_hist_print(metric->hist, wl_buf_str(&metric->name),
+				      wl_buf_str(&metric->labels), out);
+			continue;
+		}
+		wl_buf_printf(out, WL_STR_FMT "{" WL_STR_FMT "} %llu\n",
+			      WL_STR_ARG(wl_buf_str(&metric->name)),
+			      WL_STR_ARG(wl_buf_str(&metric->labels)),
+			      (unsigned long long)metric->value);
+	}
+}
--- /dev/null
+++ b/libwlbase/counter.h
@@ -0,0 +1,37 @@
+#ifndef WL_COUNTER_H
+#define WL_COUNTER_H
+
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include <libwlbase/hist.h>
+#include <libwlbase/map.h>
+#include <libwlbase/str.h>
+
+/* A named counter with Prometheus labels, or a histogram with them. */
+typedef struct wl_metric {
+	wl_str_t key;
+	wl_buf_t name;
+	wl_buf_t labels;
+	wl_buf_t id;
+	uint64_t value;
+	wl_hist_t *hist;
+	TAILQ_ENTRY(wl_metric) link;
+} wl_metric_t;
+
+/* The counters and histograms of one owner; not thread-safe. */
+typedef struct wl_metrics {
+	wl_map_t by_id;
+	TAILQ_HEAD(wl_metric_list, wl_metric) all;
+} wl_metrics_t;
+
+void wl_metrics_init(wl_metrics_t *metrics);
+void wl_metrics_free(wl_metrics_t *metrics);
+void wl_metrics_add(wl_metrics_t *metrics, const char *name, const char *labels, uint64_t more);
+void wl_metrics_set(wl_metrics_t *metrics, const char *name, const char *labels, uint64_t value);
+void wl_metrics_observe(wl_metrics_t *metrics, const char *name, const char *labels,
+			uint64_t value_ns);
+uint64_t wl_metrics_get(const wl_metrics_t *metrics, const char *name, const char *labels);
+void wl_metrics_print(const wl_metrics_t *metrics, wl_buf_t *out);
+
+#endif
--- /dev/null
+++ b/libwlbase/option.h
@@ -0,0 +1,44 @@
+#ifndef WL_OPTION_H
+#define WL_OPTION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <libwlbase/err.h>
+#include <libwlbase/str.h>
+
+typedef enum wl_option_kind {
+	WL_OPTION_TEXT,	   /* wl_buf_t */
+	WL_OPTION_NUMBER,  /* uint64_t within least..most */
+	WL_OPTION_FLAG,	   /* bool */
+	WL_OPTION_CHOICE,  /* wl_buf_t, one of choices */
+	WL_OPTION_ADDRESS, /* wl_buf_t, IP:port */
+} wl_option_kind_t;
+
+/* One setting: a flag and the environment variable of the same name. */
+typedef struct wl_option {
+	const char *flag; /* "data-dir": --data-dir, WISTERIALEAD_DATA_DIR */
+	wl_option_kind_t kind;
+	size_t offset;	    /* in the struct that wl_options_read() fills */
+	const char *preset; /* value when neither flag nor variable is given; NULL: empty */
+	const char *unit;   /* shown by help: "ms", "IP:port", ... */
+	const char *help;
+	uint64_t least;
+	uint64_t most;
+	const char *const *choices; /* NULL-terminated */
+} wl_option_t;
+
+/*
+ * Flags go before variables.  Words that are not flags are returned in rest
+ * (at most rest_room of them) when rest is not NULL, else refused.
+ */
+bool wl_options_read(const wl_option_t *options, size_t count, int argc, char **argv,
+		     void *settings, const char **rest, size_t rest_room, size_t *rest_count,
+		     wl_err_t *err);
+void wl_options_print(const wl_option_t *options, size_t count, const void *settings, FILE *to);
+void wl_options_help(const wl_option_t *options, size_t count, const char *program, FILE *to);
+void wl_options_free(const wl_option_t *options, size_t count, void *settings);
+
+#endif
--- /dev/null
+++ b/libwlbase/record.h
@@ -0,0 +1,94 @@
+#ifndef WL_RECORD_H
+#define WL_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <libwlbase/err.h>
+#include <libwlbase/str.h>
+
+/*
+ * One description of a struct gives its msgpack form (peer link, log,
+ * snapshot), its JSON form (callers, targets, operators) and its release.
+ */
+
+typedef enum wl_field_kind {
+	WL_FIELD_U64,	  /* uint64_t */
+	WL_FIELD_BOOL,	  /* bool */
+	WL_FIELD_BYTES,	  /* wl_buf_t; text in JSON */
+	WL_FIELD_ENUM,	  /* uint64_t, an index into names */
+	WL_FIELD_RECORD,  /* a nested struct */
+	WL_FIELD_LIST,	  /* wl_list_t of structs */
+	WL_FIELD_STRINGS, /* wl_list_t of wl_buf_t */
+} wl_field_kind_t;
+
+struct wl_schema;
+
+typedef struct wl_field {
+	const char *name;
+	wl_field_kind_t kind;
+	size_t offset;
+	const struct wl_schema *schema; /* of a nested record or a list's items */
+	const char *const *names;	/* of an enum, NULL-terminated */
+	bool required;			/* must stand in JSON input */
+	uint64_t max;			/* largest number, bytes or items; 0: the default limit */
+} wl_field_t;
+
+typedef struct wl_schema {
+	const char *name;
+	size_t size;
+	const wl_field_t *fields;
+	size_t count;
+} wl_schema_t;
+
+/* A growing array of structs of one schema; zero is an empty list. */
+typedef struct wl_list {
+	void *items;
+	size_t count;
+	size_t room;
+} wl_list_t;
+
+#define WL_FIELD(type, member, field_kind)                                              \
+	{                                                                               \
+		.name = #member, .kind = (field_kind), .offset = offsetof(type, member) \
+	}
+#define WL_FIELD_MUST(type, member, field_kind, most)                                    \
+	{                                                                                \
+		.name = #member, .kind = (field_kind), .offset = offsetof(type, member), \
+		.required = true, .max = (most)                                          \
+	}
+#define WL_FIELD_NAMES(type, member, table)                                               \
+	{                                                                                 \
+		.name = #member, .kind = WL_FIELD_ENUM, .offset = offsetof(type, member), \
+		.names = (table)                                                          \
+	}
+#define WL_FIELD_NEST(type, member, nested)                                                 \
+	{                                                                                   \
+		.name = #member, .kind = WL_FIELD_RECORD, .offset = offsetof(type, member), \
+		.schema = (nested)                                                          \
+	}
+#define WL_FIELD_MANY(type, member, nested)                                               \
+	{                                                                                 \
+		.name = #member, .kind = WL_FIELD_LIST, .offset = offsetof(type, member), \
+		.schema = (nested)                                                        \
+	}
+#define WL_SCHEMA(type, table)                                          \
+	{                                                               \
+		.name = #type, .size = sizeof(type), .fields = (table), \
+		.count = sizeof(table) / sizeof((table)[0])             \
+	}
+
+void wl_record_free(const wl_schema_t *schema, void *record);
+void wl_record_copy(const wl_schema_t *schema, void *to, const void *from);
+void wl_record_pack(const wl_schema_t *schema, const void *record, wl_buf_t *out);
+bool wl_record_unpack(const wl_schema_t *schema, wl_str_t bytes, void *record, wl_err_t *err);
+void wl_record_to_json(const wl_schema_t *schema, const void *record, wl_buf_t *out);
+bool wl_record_from_json(const wl_schema_t *schema, wl_str_t text, void *record, wl_err_t *err);
+
+void *wl_list_add(const wl_schema_t *schema, wl_list_t *list);
+void wl_list_free(const wl_schema_t *schema, wl_list_t *list);
+void wl_strings_add(wl_list_t *list, wl_str_t s);
+bool wl_strings_have(const wl_list_t *list, wl_str_t s);
+
+#endif
--- /dev/null
+++ b/libwlbase/record_json.c
@@ -0,0 +1,279 @@
+/* Structs by schema: their JSON form. */
+
+#include "record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "record_internal.h"
+
+#define PATH_BYTES 128
+
+/* Where in the input the reader is, for messages: "plans[3].weight". */
+typedef struct path {
+	char text[PATH_BYTES];
+} path_t;
+
+static path_t path_field(const path_t *path, const char *name)
+{
+	path_t next;
+
+	snprintf(next.text, sizeof(next.text), "%.100s%s%.24s", path->text,
+		 path->text[0] ? "." : "", name);
+	return next;
+}
+
+static path_t path_item(const path_t *path, size_t i)
+{
+	path_t next;
+
+	snprintf(next.text, sizeof(next.text), "%.100s[%zu]", path->text, i);
+	return next;
+}
+
+static json_t *json_of(const wl_schema_t *schema, const void *record);
+
+static json_t *json_text(const wl_buf_t *buf)
+{
+	json_t *text = json_stringn(buf->at ? buf->at : "", buf->len);
+
+	/* Bytes that are not UTF-8 have no JSON text. */
+	return text ? text : json_null();
+}
+
+static json_t *json_of_list(const wl_field_t *field, const wl_list_t *list)
+{
+	json_t *array = json_array();
+	const wl_buf_t *strings = list->items;
+
+	for (size_t i = 0; i < list->count; i++) {
+		if (field->kind == WL_FIELD_STRINGS)
+			json_array_append_new(array, json_text(&strings[i]));
+		else
+			json_array_append_new(
+				array, json_of(field->schema, (const char *)list->items +
+								      i * field->schema->size));
+	}
+	return array;
+}
+
+static json_t *json_of_field(const wl_field_t *field, const void *at)
+{
+	switch (field->kind) {
+	case WL_FIELD_U64:
+		return json_integer((json_int_t)(*(const uint64_t *)at & INT64_MAX));
+	case WL_FIELD_BOOL:
+		return json_boolean(*(const bool *)at);
+	case WL_FIELD_BYTES:
+		return json_text(at);
+	case WL_FIELD_ENUM:
+		return json_string(field->names[*(const uint64_t *)at]);
+	case WL_FIELD_RECORD:
+		return json_of(field->schema, at);
+	case WL_FIELD_LIST:
+	case WL_FIELD_STRINGS:
+		return json_of_list(field, at);
+	}
+	return json_null();
+}
+
+static json_t *json_of(const wl_schema_t *schema, const void *record)
+{
+	json_t *object = json_object();
+
+	for (size_t i = 0; i < schema->count; i++) {
+		const wl_field_t *field = &schema->fields[i];
+
+		json_object_set_new(object, field->name,
+				    json_of_field(field, wl_record_field(record, field)));
+	}
+	return object;
+}
+
+/*
+ * wl_record_to_json - add a struct's JSON form, on one line, to a buffer
+ */
+void wl_record_to_json(const wl_schema_t *schema, const void *record, wl_buf_t *out)
+{
+	json_t *json = json_of(schema, record);
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	wl_buf_append(out, wl_str_from(text));
+	free(text);
+	json_decref(json);
+}
+
+static bool read_object(const wl_schema_t *schema, const json_t *json, const path_t *path,
+			void *record, wl_err_t *err);
+
+static bool wrong(const path_t *path, const char *want, wl_err_t *err)
+{
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: must be %s", path->text, want);
+}
+
+static bool read_text(const wl_field_t *field, const json_t *json, const path_t *path, wl_buf_t *to,
+		      wl_err_t *err)
+{
+	wl_str_t text;
+
+	if (!json_is_string(json))
+		return wrong(path, "a string", err);
+	text = (wl_str_t){json_string_value(json), json_string_length(json)};
+	if (text.len > wl_field_most(field))
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: longer than %llu bytes",
+				  path->text, (unsigned long long)wl_field_most(field));
+	if (field->required && text.len == 0)
+		return wrong(path, "a string that is not empty", err);
+	wl_buf_set(to, text);
+	return true;
+}
+
+static bool read_number(const wl_field_t *field, const json_t *json, const path_t *path,
+			uint64_t *to, wl_err_t *err)
+{
+	if (!json_is_integer(json) || json_integer_value(json) < 0)
+		return wrong(path, "a whole number, not negative", err);
+	if ((uint64_t)json_integer_value(json) > wl_field_most(field))
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: more than %llu", path->text,
+				  (unsigned long long)wl_field_most(field));
+	*to = (uint64_t)json_integer_value(json);
+	return true;
+}
+
+static bool read_enum(const wl_field_t *field, const json_t *json, const path_t *path, uint64_t *to,
+		      wl_err_t *err)
+{
+	wl_buf_t known = {0};
+
+	for (size_t i = 0; field->names[i]; i++) {
+		if (json_is_string(json) && strcmp(field->names[i], json_string_value(json)) == 0) {
+			*to = i;
+			wl_buf_free(&known);
+			return true;
+		}
+		wl_buf_printf(&known, "%s%s", i ? ", " : "", field->names[i]);
+	}
+	wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: must be one of %s", path->text, known.at);
+	wl_buf_free(&known);
+	return false;
+}
+
+static bool read_list(const wl_field_t *field, const json_t *json, const path_t *path,
+		      wl_list_t *to, wl_err_t *err)
+{
+	static const wl_field_t string_field = {.name = "", .kind = WL_FIELD_BYTES, .max = 4096};
+	const wl_schema_t *schema = wl_field_items(field);
+
+	if (!json_is_array(json))
+		return wrong(path, "a list", err);
+	if (json_array_size(json) > wl_field_most(field))
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: more than %llu items",
+				  path->text, (unsigned long long)wl_field_most(field));
+	for (size_t i = 0; i < json_array_size(json); i++) {
+		const json_t *item = json_array_get(json, i);
+		path_t at = path_item(path, i);
+		void *record = wl_list_add(schema, to);
+		bool ok = field->kind == WL_FIELD_STRINGS
+				  ? read_text(&string_field, item, &at, record, err)
+				  : read_object(schema, item, &at, record, err);
+
+		if (!ok)
+			return false;
+	}
+	return true;
+}
+
+static bool read_field(const wl_field_t *field, const json_t *json, const path_t *path, void *to,
+		       wl_err_t *err)
+{
+	switch (field->kind) {
+	case WL_FIELD_U64:
+		return read_number(field, json, path, to, err);
+	case WL_FIELD_BOOL:
+		if (!json_is_boolean(json))
+			return wrong(path, "true or false", err);
+		*(bool *)to = json_is_true(json);
+		return true;
+	case WL_FIELD_BYTES:
+		return read_text(field, json, path, to, err);
+	case WL_FIELD_ENUM:
+		return read_enum(field, json, path, to, err);
+	case WL_FIELD_RECORD:
+		return read_object(field->schema, json, path, to, err);
+	case WL_FIELD_LIST:
+	case WL_FIELD_STRINGS:
+		return read_list(field, json, path, to, err);
+	}
+	return wrong(path, "of a known kind", err);
+}
+
+static bool known_keys(const wl_schema_t *schema, const json_t *json, const path_t *path,
+		       wl_err_t *err)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)json, key, value)
+	{
+		bool known = false;
+
+		for (size_t i = 0; i < schema->count && !known; i++)
+			known = strcmp(schema->fields[i].name, key) == 0;
+		if (!known) {
+			path_t at = path_field(path, key);
+
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: unknown field",
+					  at.text);
+		}
+	}
+	return true;
+}
+
+static bool read_object(const wl_schema_t *schema, const json_t *json, const path_t *path,
+			void *record, wl_err_t *err)
+{
+	if (!json_is_object(json))
+		return wrong(path, "an object", err);
+	if (!known_keys(schema, json, path, err))
+		return false;
+	for (size_t i = 0; i < schema->count; i++) {
+		const wl_field_t *field = &schema->fields[i];
+		const json_t *value = json_object_get(json, field->name);
+		path_t at = path_field(path, field->name);
+
+		if (!value && field->required)
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: missing", at.text);
+		if (value && !read_field(field, value, &at, (char *)record + field->offset, err))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * wl_record_from_json - read a struct's JSON form
+ * @text: one JSON object; unknown and missing fields are errors
+ * @record: overwritten without release; empty after a failure
+ * @err: WL_E_BAD_INPUT, naming the field
+ */
+bool wl_record_from_json(const wl_schema_t *schema, wl_str_t text, void *record, wl_err_t *err)
+{
+	json_error_t at;
+	json_t *json = json_loadb(text.len ? text.at : "", text.len, JSON_REJECT_DUPLICATES, &at);
+	path_t path = {""};
+	bool ok;
+
+	memset(record, 0, schema->size);
+	if (!json)
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "JSON, line %d: %.160s", at.line,
+				  at.text);
+	if (!json_is_object(json))
+		ok = wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "JSON: must be an object");
+	else
+		ok = read_object(schema, json, &path, record, err);
+	json_decref(json);
+	if (!ok)
+		wl_record_free(schema, record);
+	return ok;
+}
--- /dev/null
+++ b/libwlbase/ring.c
@@ -0,0 +1,151 @@
+/* Bounded ring of pointers over Concurrency Kit, with an eventfd to sleep on. */
+
+#include "ring.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+#include <ck_ring.h>
+
+struct wl_ring {
+	struct ck_ring ring;
+	struct ck_ring_buffer *buffer;
+	uint32_t slots;
+	unsigned int asleep; /* the receiver waits on the descriptor */
+	int fd;
+};
+
+/*
+ * wl_ring_new - make a ring
+ * @slots: a power of two; the ring holds one less
+ * @err: WL_E_BAD_INPUT, WL_E_IO
+ *
+ * Return: the ring, or NULL.
+ */
+wl_ring_t *wl_ring_new(uint32_t slots, wl_err_t *err)
+{
+	wl_ring_t *ring;
+	int fd;
+
+	if (slots < 4 || (slots & (slots - 1)) != 0) {
+		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "ring of %u slots: not a power of two",
+			   slots);
+		return NULL;
+	}
+	fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (fd < 0) {
+		wl_err_set(err, WL_E_IO, WL_NOT_RUN, "eventfd: %s", strerror(errno));
+		return NULL;
+	}
+
+	ring = wl_alloc(sizeof(*ring));
+	ring->buffer = wl_alloc(slots * sizeof(*ring->buffer));
+	ring->slots = slots;
+	ring->asleep = 1;
+	ring->fd = fd;
+	ck_ring_init(&ring->ring, slots);
+	return ring;
+}
+
+/*
+ * wl_ring_free - release a ring; what it holds is the caller's to release first
+ */
+void wl_ring_free(wl_ring_t *ring)
+{
+	if (!ring)
+		return;
+	close(ring->fd);
+	free(ring->buffer);
+	free(ring);
+}
+
+/*
+ * wl_ring_push - put in an item, from any thread
+ *
+ * Return: false if the ring is full; the item stays the caller's.
+ */
+bool wl_ring_push(wl_ring_t *ring, void *item)
+{
+	uint64_t one = 1;
+
+	if (!ck_ring_enqueue_mpsc(&ring->ring, ring->buffer, item))
+		return false;
+	ck_pr_fence_memory();
+	if (ck_pr_load_uint(&ring->asleep) == 0)
+		return true;
+	if (ck_pr_fas_uint(&ring->asleep, 0) == 0)
+		return true;
+	while (write(ring->fd, &one, sizeof(one)) < 0 && errno == EINTR)
+		;
+	return true;
+}
+
+/*
+ * wl_ring_pop - take an item out, from the receiver's thread
+ *
+ * Return: the oldest item, or NULL if there is none.
+ */
+void *wl_ring_pop(wl_ring_t *ring)
+{
+	void *item;
+
+	return ck_ring_dequeue_mpsc(&ring->ring, ring->buffer, &item) ? item : NULL;
+}
+
+/*
+ * wl_ring_rearm - make the descriptor readable at the next push
+ *
+ * Call it before the wl_ring_pop() that finds the ring empty, then poll
+ * wl_ring_fd().
+ */
+void wl_ring_rearm(wl_ring_t *ring)
+{
+	uint64_t count;
+
+	while (read(ring->fd, &count, sizeof(count)) < 0 && errno == EINTR)
+		;
+	ck_pr_store_uint(&ring->asleep, 1);
+	ck_pr_fence_memory();
+}
+
+/*
+ * wl_ring_wait - take an item out, waiting for one
+ * @timeout_ms: longest wait, milliseconds
+ *
+ * Return: the oldest item, or NULL if none came in time.
+ */
+void *wl_ring_wait(wl_ring_t *ring, int timeout_ms)
+{
+	struct pollfd wait = {.fd = ring->fd, .events = POLLIN};
+	void *item = wl_ring_pop(ring);
+
+	if (item)
+		return item;
+	wl_ring_rearm(ring);
+	item = wl_ring_pop(ring);
+	if (item)
+		return item;
+	poll(&wait, 1, timeout_ms);
+	return wl_ring_pop(ring);
+}
+
+/*
+ * wl_ring_fd - a descriptor that turns readable when an item comes in
+ */
+int wl_ring_fd(const wl_ring_t *ring)
+{
+	return ring->fd;
+}
+
+/*
+ * wl_ring_room - how many items more the ring takes now
+ */
+uint32_t wl_ring_room(const wl_ring_t *ring)
+{
+	return ring->slots - 1 - ck_ring_size(&ring->ring);
+}
--- /dev/null
+++ b/libwlbase/str.c
@@ -0,0 +1,247 @@
+/* Length-counted strings, owned buffers, allocation. */
+
+#include "str.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#define BUF_LEAST_BYTES 32
+
+/*
+ * wl_alloc - allocate zeroed memory
+ * @size: bytes
+ *
+ * Return: the memory; the process ends when there is none.
+ */
+void *wl_alloc(size_t size)
+{
+	void *at = calloc(1, size ? size : 1);
+
+	if (!at)
+		abort();
+	return at;
+}
+
+/*
+ * wl_realloc - change the size of an allocation
+ * @at: from wl_alloc() or wl_realloc(), or NULL
+ * @size: bytes
+ *
+ * Return: the memory; the process ends when there is none.
+ */
+void *wl_realloc(void *at, size_t size)
+{
+	void *more = realloc(at, size ? size : 1);
+
+	if (!more)
+		abort();
+	return more;
+}
+
+/*
+ * wl_str_from - view a NUL-terminated text as a string
+ * @text: the text, or NULL for an empty string
+ */
+wl_str_t wl_str_from(const char *text)
+{
+	return (wl_str_t){text, text ? strlen(text) : 0};
+}
+
+/*
+ * wl_str_equal - compare two strings for equality
+ */
+bool wl_str_equal(wl_str_t a, wl_str_t b)
+{
+	if (a.len != b.len)
+		return false;
+	return a.len == 0 || memcmp(a.at, b.at, a.len) == 0;
+}
+
+/*
+ * wl_str_compare - order two strings by their bytes
+ *
+ * Return: below, equal to or above zero, as memcmp().
+ */
+int wl_str_compare(wl_str_t a, wl_str_t b)
+{
+	size_t len = a.len < b.len ? a.len : b.len;
+	int order = len ? memcmp(a.at, b.at, len) : 0;
+
+	if (order)
+		return order;
+	return (a.len > b.len) - (a.len < b.len);
+}
+
+/*
+ * wl_str_starts - tell whether a string begins with a prefix
+ */
+bool wl_str_starts(wl_str_t s, wl_str_t prefix)
+{
+	if (s.len < prefix.len)
+		return false;
+	return wl_str_equal((wl_str_t){s.at, prefix.len}, prefix);
+}
+
+/*
+ * wl_str_split - split a string at the first occurrence of a byte
+ * @s: the string
+ * @at: the byte
+ * @head: what stands before it; all of @s when there is none
+ * @tail: what stands after it; empty when there is none
+ *
+ * Return: whether the byte was found.
+ */
+bool wl_str_split(wl_str_t s, char at, wl_str_t *head, wl_str_t *tail)
+{
+	const char *found = s.len ? memchr(s.at, at, s.len) : NULL;
+
+	if (!found) {
+		*head = s;
+		*tail = (wl_str_t){NULL, 0};
+		return false;
+	}
+	*head = (wl_str_t){s.at, (size_t)(found - s.at)};
+	*tail = (wl_str_t){found + 1, s.len - head->len - 1};
+	return true;
+}
+
+/*
+ * wl_str_u64 - read a whole string as a decimal number
+ * @s: digits only
+ * @value: the number
+ *
+ * Return: false, with @value as it was, if @s is empty, holds anything but
+ * digits, or is too large.
+ */
+bool wl_str_u64(wl_str_t s, uint64_t *value)
+{
+	uint64_t sum = 0;
+
+	if (s.len == 0)
+		return false;
+	for (size_t i = 0; i < s.len; i++) {
+		if (s.at[i] < '0' || s.at[i] > '9')
+			return false;
+		if (__builtin_mul_overflow(sum, 10, &sum) ||
+		    __builtin_add_overflow(sum, (uint64_t)(s.at[i] - '0'), &sum))
+			return false;
+	}
+	*value = sum;
+	return true;
+}
+
+/*
+ * wl_str_hash - hash a string; the same on every machine
+ */
+uint64_t wl_str_hash(wl_str_t s, uint64_t seed)
+{
+	return XXH64(s.len ? s.at : "", s.len, seed);
+}
+
+/*
+ * wl_buf_init - make an empty buffer
+ */
+void wl_buf_init(wl_buf_t *buf)
+{
+	*buf = (wl_buf_t){0};
+}
+
+/*
+ * wl_buf_free - release a buffer's bytes and make it empty
+ */
+void wl_buf_free(wl_buf_t *buf)
+{
+	free(buf->at);
+	*buf = (wl_buf_t){0};
+}
+
+static void buf_reserve(wl_buf_t *buf, size_t more)
+{
+	size_t need = buf->len + more + 1;
+	size_t room = buf->room ? buf->room : BUF_LEAST_BYTES;
+
+	if (need <= buf->room)
+		return;
+	while (room < need)
+		room *= 2;
+	buf->at = wl_realloc(buf->at, room);
+	buf->room = room;
+}
+
+/*
+ * wl_buf_set - replace a buffer's bytes by a copy of a string
+ */
+void wl_buf_set(wl_buf_t *buf, wl_str_t s)
+{
+	wl_buf_clear(buf);
+	wl_buf_append(buf, s);
+}
+
+/*
+ * wl_buf_append - add a copy of a string, which may not be part of the buffer
+ */
+void wl_buf_append(wl_buf_t *buf, wl_str_t s)
+{
+	buf_reserve(buf, s.len);
+	if (s.len)
+		memcpy(buf->at + buf->len, s.at, s.len);
+	buf->len += s.len;
+	buf->at[buf->len] = '\0';
+}
+
+/*
+ * wl_buf_printf - add formatted text
+ */
+void wl_buf_printf(wl_buf_t *buf, const char *format, ...)
+{
+	va_list args;
+	int len;
+
+	va_start(args, format);
+	len = vsnprintf(NULL, 0, format, args);
+	va_end(args);
+	if (len < 0)
+		return;
+
+	buf_reserve(buf, (size_t)len);
+	va_start(args, format);
+	vsnprintf(buf->at + buf->len, (size_t)len + 1, format, args);
+	va_end(args);
+	buf->len += (size_t)len;
+}
+
+/*
+ * wl_buf_clear - make a buffer empty, keeping its memory
+ */
+void wl_buf_clear(wl_buf_t *buf)
+{
+	buf->len = 0;
+	if (buf->at)
+		buf->at[0] = '\0';
+}
+
+/*
+ * wl_buf_move - give the bytes of one buffer to another
+ * @to: loses its old bytes
+ * @from: becomes empty
+ */
+void wl_buf_move(wl_buf_t *to, wl_buf_t *from)
+{
+	if (to == from)
+		return;
+	wl_buf_free(to);
+	*to = *from;
+	*from = (wl_buf_t){0};
+}
+
+/*
+ * wl_buf_str - view a buffer as a string, valid until the buffer changes
+ */
+wl_str_t wl_buf_str(const wl_buf_t *buf)
+{
+	return (wl_str_t){buf->at, buf->len};
+}
--- /dev/null
+++ b/libwlcore/cmd.h
@@ -0,0 +1,187 @@
+#ifndef WL_CMD_H
+#define WL_CMD_H
+
+#include <libwlcore/model.h>
+
+/* Commands: the records of the replicated log.  Each one is idempotent, so a resend is safe. */
+
+typedef enum wl_cmd_kind {
+	WL_CMD_NONE,
+	WL_CMD_LIST_PUT,
+	WL_CMD_SESSION_OPEN,
+	WL_CMD_SESSION_END,
+	WL_CMD_TARGET_OWN,
+	WL_CMD_TARGET_FORGET,
+	WL_CMD_TASK_ADD,
+	WL_CMD_TASK_CANCEL,
+	WL_CMD_TASK_ASSIGN,
+	WL_CMD_TASK_REPORT,
+	WL_CMD_KEY_BEGIN,
+	WL_CMD_KEY_END,
+	WL_CMD_KINDS
+} wl_cmd_kind_t;
+
+typedef enum wl_list_name {
+	WL_LIST_CUSTOMERS,
+	WL_LIST_PLANS,
+} wl_list_name_t;
+
+/* Replaces a list; wins only if base is the list's version, or repeats the answer of an equal
+ * change. */
+typedef struct wl_cmd_list_put {
+	uint64_t list;	 /* wl_list_name_t */
+	uint64_t base;	 /* version that the change was made from */
+	wl_buf_t digest; /* sha256 of text, hex */
+	wl_buf_t text;	 /* JSON */
+} wl_cmd_list_put_t;
+
+typedef struct wl_cmd_session_open {
+	wl_buf_t entry;	  /* name of the daemon */
+	uint64_t boot;	  /* random, new at each start of the daemon */
+	wl_buf_t address; /* peer address, IP:port */
+	wl_buf_t availability_zone;
+} wl_cmd_session_open_t;
+
+typedef struct wl_cmd_session_end {
+	uint64_t session;
+} wl_cmd_session_end_t;
+
+/* Grants a target to a session; the index of the command is the epoch. */
+typedef struct wl_cmd_target_own {
+	wl_buf_t target;
+	wl_buf_t address;
+	wl_buf_t availability_zone;
+	wl_buf_t rack;
+	wl_list_t services; /* strings */
+	uint64_t session;
+	uint64_t from_epoch; /* refused unless this is its present epoch; 0: not yet owned */
+} wl_cmd_target_own_t;
+
+typedef struct wl_cmd_target_forget {
+	wl_buf_t target;
+	uint64_t epoch;
+} wl_cmd_target_forget_t;
+
+typedef struct wl_cmd_task_add {
+	wl_buf_t customer;
+	wl_buf_t key;	/* Idempotency-Key; empty: none */
+	uint64_t nonce; /* of the call that made it, so that its resends add one task */
+	wl_task_spec_t spec;
+} wl_cmd_task_add_t;
+
+typedef struct wl_cmd_task_cancel {
+	wl_buf_t customer; /* only this customer's tasks */
+	wl_list_t tasks;   /* strings */
+} wl_cmd_task_cancel_t;
+
+typedef struct wl_assignment {
+	wl_buf_t task;
+	uint64_t attempt; /* the attempt that this assignment makes */
+	wl_buf_t target;
+	uint64_t epoch; /* of the target's ownership */
+} wl_assignment_t;
+
+typedef struct wl_cmd_task_assign {
+	wl_list_t assignments; /* wl_assignment_t */
+} wl_cmd_task_assign_t;
+
+typedef enum wl_report_kind {
+	WL_REPORT_STARTED,
+	WL_REPORT_REFUSED, /* the attempt never started and never will */
+	WL_REPORT_FINISHED,
+	WL_REPORT_FAILED,     /* the target ran it and it failed */
+	WL_REPORT_CHECKPOINT, /* taken for an eviction; the task still runs */
+	WL_REPORT_STOPPED,    /* it ran and is confirmed stopped: evicted or cancelled */
+	WL_REPORT_LOST,	      /* out of reach past every possible lease: it can't run any more */
+	WL_REPORT_KINDS
+} wl_report_kind_t;
+
+/* What happened to an attempt. */
+typedef struct wl_report {
+	wl_buf_t task;
+	uint64_t attempt;
+	wl_buf_t target;
+	uint64_t epoch;
+	uint64_t kind; /* wl_report_kind_t */
+	wl_buf_t result;
+	wl_buf_t checkpoint;
+	wl_buf_t reason;
+	uint64_t ran_ms;     /* how long the attempt ran, for learning run times */
+	uint64_t cpu_millis; /* most that was seen in use */
+	uint64_t memory_mib;
+} wl_report_t;
+
+typedef struct wl_cmd_task_report {
+	wl_list_t reports; /* wl_report_t */
+} wl_cmd_task_report_t;
+
+typedef struct wl_cmd_key_begin {
+	wl_buf_t customer;
+	wl_buf_t key;
+	wl_buf_t digest; /* of method, path and body: a key used for another request is an error */
+	uint64_t session;
+	uint64_t nonce; /* of the call: its own resends begin the same run */
+} wl_cmd_key_begin_t;
+
+typedef struct wl_cmd_key_end {
+	wl_buf_t customer;
+	wl_buf_t key;
+	uint64_t nonce;
+	uint64_t verdict; /* wl_verdict_t; not-run frees the key */
+	uint64_t status;  /* HTTP status of the answer */
+	wl_buf_t content_type;
+	wl_buf_t body;
+} wl_cmd_key_end_t;
+
+typedef struct wl_cmd {
+	uint64_t kind;	/* wl_cmd_kind_t */
+	uint64_t at_ms; /* the group's clock, stamped by the leader */
+	union {
+		wl_cmd_list_put_t list_put;
+		wl_cmd_session_open_t session_open;
+		wl_cmd_session_end_t session_end;
+		wl_cmd_target_own_t target_own;
+		wl_cmd_target_forget_t target_forget;
+		wl_cmd_task_add_t task_add;
+		wl_cmd_task_cancel_t task_cancel;
+		wl_cmd_task_assign_t task_assign;
+		wl_cmd_task_report_t task_report;
+		wl_cmd_key_begin_t key_begin;
+		wl_cmd_key_end_t key_end;
+	} u;
+} wl_cmd_t;
+
+typedef enum wl_key_state {
+	WL_KEY_FRESH,	/* begun by this call: send the request */
+	WL_KEY_RUNNING, /* begun by another call that has no outcome yet */
+	WL_KEY_DONE,	/* outcome in the result */
+	WL_KEY_LOST,	/* its run may have happened; no outcome will come */
+} wl_key_state_t;
+
+/* What applying a command, or a query, gave; goes back to whoever sent it. */
+typedef struct wl_result {
+	uint64_t code;	    /* wl_code_t */
+	uint64_t verdict;   /* wl_verdict_t of the command, or of the kept outcome of a key */
+	wl_buf_t text;	    /* of an error */
+	uint64_t index;	    /* log index: session id, epoch, revision */
+	uint64_t version;   /* list: the version now */
+	wl_buf_t id;	    /* task */
+	uint64_t key_state; /* wl_key_state_t */
+	uint64_t status;    /* kept HTTP status of a key */
+	wl_buf_t content_type;
+	wl_buf_t body; /* kept body of a key; JSON of a query */
+} wl_result_t;
+
+extern const wl_schema_t wl_report_schema;
+extern const wl_schema_t wl_assignment_schema;
+extern const wl_schema_t wl_result_schema;
+
+void wl_cmd_free(wl_cmd_t *cmd);
+void wl_cmd_copy(wl_cmd_t *to, const wl_cmd_t *from);
+void wl_cmd_pack(const wl_cmd_t *cmd, wl_buf_t *out);
+bool wl_cmd_unpack(wl_str_t bytes, wl_cmd_t *cmd, wl_err_t *err);
+const char *wl_cmd_name(uint64_t kind);
+void wl_result_free(wl_result_t *result);
+void wl_result_error(wl_result_t *result, const wl_err_t *err);
+
+#endif
--- /dev/null
+++ b/libwlcore/model.h
@@ -0,0 +1,153 @@
+#ifndef WL_MODEL_H
+#define WL_MODEL_H
+
+#include <libwlbase/record.h>
+
+/* The words of the interface: lists, tasks, targets.  docs/API.md gives the shapes. */
+
+typedef enum wl_class {
+	WL_CLASS_URGENT,
+	WL_CLASS_BATCH,
+} wl_class_t;
+
+typedef struct wl_customer {
+	wl_buf_t name;
+	wl_buf_t plan;
+	wl_buf_t token_sha256; /* hex; empty: no token is asked for */
+} wl_customer_t;
+
+typedef struct wl_customers {
+	wl_list_t customers; /* wl_customer_t */
+} wl_customers_t;
+
+typedef struct wl_plan {
+	wl_buf_t name;
+	uint64_t weight;
+	wl_list_t services; /* strings */
+	wl_list_t classes;  /* strings: "urgent", "batch" */
+	uint64_t max_concurrent;
+	uint64_t requests_per_second;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+} wl_plan_t;
+
+typedef struct wl_plans {
+	wl_list_t plans; /* wl_plan_t */
+} wl_plans_t;
+
+/* What a piece of work takes, or what a target has. */
+typedef struct wl_need {
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+	uint64_t slots;
+	uint64_t connections;
+} wl_need_t;
+
+typedef struct wl_task_spec {
+	wl_buf_t kind;
+	wl_buf_t service;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+	uint64_t run_ms;     /* declared run time */
+	uint64_t work_class; /* wl_class_t */
+	bool restartable;
+	wl_buf_t payload;
+} wl_task_spec_t;
+
+/* One task as a target reports it in an announce or an adoption. */
+typedef struct wl_task_usage {
+	wl_buf_t id;
+	uint64_t attempt;
+	wl_buf_t kind;
+	uint64_t state; /* wl_run_state_t */
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t progress_permille;
+	uint64_t slowdown_permille; /* run time so far over run time alone; 1000: no slowdown */
+	bool throttled;
+	wl_buf_t result;     /* of a finished one, kept until acknowledged */
+	wl_buf_t reason;     /* of a failed one */
+	wl_buf_t checkpoint; /* the newest, if any */
+} wl_task_usage_t;
+
+typedef enum wl_run_state {
+	WL_RUN_RUNNING,
+	WL_RUN_FINISHED,
+	WL_RUN_FAILED,
+	WL_RUN_STOPPED,
+} wl_run_state_t;
+
+typedef struct wl_usage {
+	uint64_t taken_ms_ago;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t running_requests;
+} wl_usage_t;
+
+typedef enum wl_announce_state {
+	WL_ANNOUNCE_READY,
+	WL_ANNOUNCE_LEAVING,
+} wl_announce_state_t;
+
+typedef struct wl_announce {
+	wl_buf_t name;
+	wl_buf_t address;   /* IP:port of its HTTP listener */
+	uint64_t boot;	    /* random, new at each start of the target */
+	uint64_t seq;	    /* grows with each announce of one boot */
+	wl_list_t services; /* strings */
+	wl_buf_t availability_zone;
+	wl_buf_t rack;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+	uint64_t slots;
+	uint64_t connections;
+	uint64_t state; /* wl_announce_state_t */
+	wl_usage_t usage;
+	wl_list_t tasks; /* wl_task_usage_t: all it runs or keeps a result of */
+} wl_announce_t;
+
+/* Fields of each command to a target; extra ones are set by the kind of command. */
+typedef struct wl_target_command {
+	uint64_t epoch;
+	uint64_t boot;
+	uint64_t seq; /* the newest announce that the owner has seen */
+	wl_buf_t task;
+	uint64_t attempt;
+	uint64_t lease_ms;     /* counted by the target from its announce seq */
+	uint64_t cpu_permille; /* throttle: share of its cpu_millis that it may use */
+	wl_task_spec_t spec;   /* start */
+	wl_buf_t checkpoint;   /* start: resume from here */
+} wl_target_command_t;
+
+/* Answer of a target to a command. */
+typedef struct wl_target_answer {
+	uint64_t epoch; /* the highest the target has seen */
+	uint64_t boot;
+	uint64_t seq;
+	uint64_t running_requests;
+	wl_list_t tasks;     /* wl_task_usage_t; adopt: all */
+	wl_buf_t checkpoint; /* checkpoint */
+	wl_buf_t error;
+} wl_target_answer_t;
+
+extern const char *const wl_class_names[];
+extern const char *const wl_run_state_names[];
+extern const char *const wl_announce_state_names[];
+
+extern const wl_schema_t wl_customer_schema;
+extern const wl_schema_t wl_customers_schema;
+extern const wl_schema_t wl_plan_schema;
+extern const wl_schema_t wl_plans_schema;
+extern const wl_schema_t wl_need_schema;
+extern const wl_schema_t wl_task_spec_schema;
+extern const wl_schema_t wl_task_usage_schema;
+extern const wl_schema_t wl_usage_schema;
+extern const wl_schema_t wl_announce_schema;
+extern const wl_schema_t wl_target_command_schema;
+extern const wl_schema_t wl_target_answer_schema;
+
+#endif
--- /dev/null
+++ b/libwlcore/msg.h
@@ -0,0 +1,303 @@
+#ifndef WL_MSG_H
+#define WL_MSG_H
+
+#include <libwlcore/cmd.h>
+#include <libwlcore/model.h>
+#include <libwlcore/raft_msg.h>
+
+/* Messages between daemons, one per frame of the peer link. */
+
+typedef enum wl_msg_kind {
+	WL_MSG_NONE,
+	WL_MSG_RAFT,	 /* replica to replica */
+	WL_MSG_RENEW,	 /* entry to leader */
+	WL_MSG_RENEWED,	 /* leader to entry */
+	WL_MSG_VIEW,	 /* leader to entry */
+	WL_MSG_COMMAND,	 /* entry to leader: propose this */
+	WL_MSG_QUERY,	 /* entry to leader: read this */
+	WL_MSG_RESULT,	 /* leader to entry, for COMMAND and QUERY */
+	WL_MSG_ANNOUNCE, /* entry to owner, or to the leader when there is no owner */
+	WL_MSG_REQUEST,	 /* entry to owner: run a caller's request */
+	WL_MSG_ANSWER,	 /* owner to entry */
+	WL_MSG_CANCEL,	 /* entry to owner: the caller went away */
+	WL_MSG_ROOM,	 /* entry to entry: free room by service */
+	WL_MSG_OFFER,	 /* owner to leader: free room by target */
+	WL_MSG_ASSIGN,	 /* leader to owner: start this attempt */
+	WL_MSG_STOP,	 /* leader to owner: stop this attempt */
+	WL_MSG_REPORT,	 /* owner to leader */
+	WL_MSG_REPORTED, /* leader to owner: those reports are committed */
+	WL_MSG_KINDS
+} wl_msg_kind_t;
+
+typedef struct wl_msg_renew {
+	wl_buf_t entry;
+	uint64_t boot;
+	uint64_t session; /* 0: open one */
+	wl_buf_t address;
+	wl_buf_t availability_zone;
+	uint64_t group;	       /* group id that the entry holds to; 0: none yet */
+	uint64_t sent_ns;      /* entry's clock; echoed */
+	uint64_t revision;     /* of the lists that are in use at the entry */
+	uint64_t owners_index; /* newest ownership change that the entry has */
+	bool draining;
+} wl_msg_renew_t;
+
+typedef struct wl_msg_renewed {
+	uint64_t boot;
+	uint64_t session;
+	uint64_t group;
+	uint64_t term;
+	uint64_t sent_ns;     /* of the renewal */
+	uint64_t validity_ms; /* counted by the entry from sent_ns */
+	uint64_t code;	      /* WL_OK, WL_E_NO_LEADER, WL_E_NO_SESSION: open a new one */
+	wl_buf_t leader;      /* its name, where known */
+} wl_msg_renewed_t;
+
+/* An entry as the others see it. */
+typedef struct wl_member {
+	wl_buf_t entry;
+	uint64_t session;
+	wl_buf_t address;
+	wl_buf_t availability_zone;
+	bool draining;
+} wl_member_t;
+
+/* Who owns a target. */
+typedef struct wl_owner_row {
+	wl_buf_t target;
+	uint64_t epoch;
+	uint64_t session;
+	wl_buf_t entry;	  /* empty: nobody now */
+	wl_buf_t address; /* of the target */
+	wl_buf_t availability_zone;
+	wl_buf_t rack;
+	wl_list_t services; /* strings */
+	bool forgotten;	    /* the row leaves the table */
+	wl_list_t
+		running; /* wl_assignment_t: attempts that are assigned there, for the new owner */
+} wl_owner_row_t;
+
+/* State that every entry keeps: the lists, and the ownership changes since owners_from. */
+typedef struct wl_msg_view {
+	uint64_t group;
+	uint64_t term;
+	uint64_t revision;
+	bool has_lists; /* customers and plans are those of the revision */
+	uint64_t customers_version;
+	uint64_t plans_version;
+	wl_buf_t customers;   /* JSON */
+	wl_buf_t plans;	      /* JSON */
+	uint64_t owners_from; /* 0: the whole table */
+	uint64_t owners_to;
+	wl_list_t owners;  /* wl_owner_row_t */
+	wl_list_t members; /* wl_member_t: all */
+} wl_msg_view_t;
+
+typedef struct wl_msg_command {
+	uint64_t call;
+	uint64_t cmd_kind;
+	wl_buf_t cmd; /* packed wl_cmd_t */
+} wl_msg_command_t;
+
+typedef enum wl_query_kind {
+	WL_QUERY_LIST,	/* name: "customers" or "plans" */
+	WL_QUERY_TASK,	/* name: task id */
+	WL_QUERY_TASKS, /* name: customer, or empty for all */
+	WL_QUERY_TARGETS,
+	WL_QUERY_MEMBERS,
+	WL_QUERY_STATUS,
+	WL_QUERY_IN_FORCE, /* number: revision; result code WL_OK once it is in force */
+} wl_query_kind_t;
+
+typedef struct wl_msg_query {
+	uint64_t call;
+	uint64_t kind; /* wl_query_kind_t */
+	wl_buf_t name;
+	wl_buf_t customer; /* only what this customer may see; empty: an operator */
+	uint64_t number;
+} wl_msg_query_t;
+
+typedef struct wl_msg_result {
+	uint64_t call;
+	wl_result_t result;
+} wl_msg_result_t;
+
+typedef struct wl_msg_announce {
+	wl_announce_t announce;
+} wl_msg_announce_t;
+
+typedef struct wl_header {
+	wl_buf_t name;
+	wl_buf_t value;
+} wl_header_t;
+
+typedef struct wl_msg_request {
+	uint64_t id;	  /* never used twice in a session of the sender */
+	uint64_t session; /* of the sender */
+	wl_buf_t customer;
+	wl_buf_t service;
+	wl_buf_t method;
+	wl_buf_t path;	   /* as the target gets it, query included */
+	wl_list_t headers; /* wl_header_t */
+	wl_buf_t body;
+	uint64_t timeout_ms; /* left of the caller's deadline */
+	uint64_t work_class;
+	bool idempotent;
+	wl_buf_t avoid; /* target that failed this request before */
+} wl_msg_request_t;
+
+typedef struct wl_msg_answer {
+	uint64_t id;
+	uint64_t session; /* of the asker, echoed */
+	uint64_t code;	  /* wl_code_t */
+	uint64_t verdict;
+	wl_buf_t text;
+	uint64_t status;
+	wl_list_t headers; /* wl_header_t */
+	wl_buf_t body;
+	wl_buf_t target; /* that ran it, or failed it */
+	uint64_t room;	 /* free room for the service at the sender, requests */
+} wl_msg_answer_t;
+
+typedef struct wl_msg_cancel {
+	uint64_t id;
+	uint64_t session;
+} wl_msg_cancel_t;
+
+typedef struct wl_room_row {
+	wl_buf_t service;
+	wl_buf_t availability_zone;
+	uint64_t room; /* requests that could start now */
+	uint64_t slowdown_permille;
+	uint64_t targets;
+} wl_room_row_t;
+
+typedef struct wl_use_row {
+	wl_buf_t customer;
+	uint64_t running;    /* requests accepted and not yet answered */
+	uint64_t rate_milli; /* accepted per second, thousandths */
+} wl_use_row_t;
+
+typedef struct wl_msg_room {
+	uint64_t session;
+	wl_list_t rooms; /* wl_room_row_t */
+	wl_list_t uses;	 /* wl_use_row_t */
+} wl_msg_room_t;
+
+typedef struct wl_offer_kind {
+	wl_buf_t kind;
+	uint64_t running;
+} wl_offer_kind_t;
+
+typedef struct wl_offer_row {
+	wl_buf_t target;
+	uint64_t epoch;
+	bool open;  /* adopted, ready, not aside */
+	bool aside; /* put aside: work fails there */
+	wl_buf_t availability_zone;
+	wl_buf_t rack;
+	wl_list_t services; /* strings */
+	wl_need_t capacity;
+	wl_need_t free;
+	wl_need_t evictable; /* held by batch tasks that could be evicted */
+	uint64_t slowdown_permille;
+	wl_list_t kinds; /* wl_offer_kind_t */
+} wl_offer_row_t;
+
+/* Learnt slowdown of one kind beside another. */
+typedef struct wl_pair_row {
+	wl_buf_t kind;
+	wl_buf_t beside;
+	uint64_t slowdown_permille;
+	uint64_t weight_milli; /* how much was seen, thousandths of a sample */
+} wl_pair_row_t;
+
+typedef struct wl_msg_offer {
+	uint64_t session;
+	bool whole;	  /* all targets of the owner; else only changed ones */
+	wl_list_t offers; /* wl_offer_row_t */
+	wl_list_t pairs;  /* wl_pair_row_t, changed ones */
+} wl_msg_offer_t;
+
+typedef struct wl_msg_assign {
+	wl_buf_t task;
+	uint64_t attempt;
+	wl_buf_t target;
+	uint64_t epoch;
+	wl_buf_t customer;
+	wl_task_spec_t spec;
+	wl_need_t need; /* to reserve: the larger of declared and learnt */
+	wl_buf_t checkpoint;
+	uint64_t expected_ms; /* learnt run time */
+	bool may_evict;	      /* batch work may be evicted to make room */
+} wl_msg_assign_t;
+
+typedef struct wl_msg_stop {
+	wl_buf_t task;
+	uint64_t attempt;
+	wl_buf_t target;
+	uint64_t epoch;
+	bool checkpoint; /* evict: checkpoint first; else cancel */
+} wl_msg_stop_t;
+
+typedef struct wl_msg_report {
+	uint64_t session;
+	wl_list_t reports; /* wl_report_t; sent again until reported */
+} wl_msg_report_t;
+
+typedef struct wl_reported_row {
+	wl_buf_t task;
+	uint64_t attempt;
+	uint64_t kind; /* wl_report_kind_t */
+} wl_reported_row_t;
+
+typedef struct wl_msg_reported {
+	wl_list_t rows; /* wl_reported_row_t */
+} wl_msg_reported_t;
+
+typedef struct wl_msg {
+	uint64_t kind; /* wl_msg_kind_t */
+	union {
+		wl_raft_msg_t raft;
+		wl_msg_renew_t renew;
+		wl_msg_renewed_t renewed;
+		wl_msg_view_t view;
+		wl_msg_command_t command;
+		wl_msg_query_t query;
+		wl_msg_result_t result;
+		wl_msg_announce_t announce;
+		wl_msg_request_t request;
+		wl_msg_answer_t answer;
+		wl_msg_cancel_t cancel;
+		wl_msg_room_t room;
+		wl_msg_offer_t offer;
+		wl_msg_assign_t assign;
+		wl_msg_stop_t stop;
+		wl_msg_report_t report;
+		wl_msg_reported_t reported;
+	} u;
+} wl_msg_t;
+
+extern const wl_schema_t wl_header_schema;
+extern const wl_schema_t wl_member_schema;
+extern const wl_schema_t wl_owner_row_schema;
+extern const wl_schema_t wl_room_row_schema;
+extern const wl_schema_t wl_use_row_schema;
+extern const wl_schema_t wl_offer_row_schema;
+extern const wl_schema_t wl_offer_kind_schema;
+extern const wl_schema_t wl_pair_row_schema;
+extern const wl_schema_t wl_reported_row_schema;
+extern const wl_schema_t wl_msg_view_schema;
+extern const wl_schema_t wl_msg_assign_schema;
+
+void wl_msg_init(wl_msg_t *msg, wl_msg_kind_t kind);
+void wl_msg_free(wl_msg_t *msg);
+void wl_msg_copy(wl_msg_t *to, const wl_msg_t *from);
+void wl_msg_pack(const wl_msg_t *msg, wl_buf_t *out);
+bool wl_msg_unpack(wl_str_t bytes, wl_msg_t *msg, wl_err_t *err);
+const char *wl_msg_name(uint64_t kind);
+
+const wl_buf_t *wl_headers_find(const wl_list_t *headers, wl_str_t name);
+void wl_headers_add(wl_list_t *headers, wl_str_t name, wl_str_t value);
+
+#endif
--- /dev/null
+++ b/libwlcore/node.h
@@ -0,0 +1,65 @@
+#ifndef WL_NODE_H
+#define WL_NODE_H
+
+#include <libwlcore/event.h>
+
+/* All decisions of one daemon behind one step function. */
+
+typedef struct wl_node_peer {
+	wl_str_t name;
+	wl_str_t address; /* IP:port of its peer listener */
+} wl_node_peer_t;
+
+typedef struct wl_node_options {
+	wl_str_t name;
+	wl_str_t availability_zone;
+	wl_str_t rack;
+	wl_str_t peer_address; /* that others dial */
+	bool entry;	       /* roles */
+	bool store;
+	const wl_node_peer_t *stores;
+	size_t store_count;
+	uint64_t boot;		/* random, new at each start */
+	uint64_t store_id;	/* of the data folder */
+	wl_raft_saved_t *saved; /* store: what the disk held; taken over */
+	wl_str_t task_chart;	/* JSON text */
+	wl_str_t target_chart;
+	wl_str_t operator_token; /* empty: none is asked for */
+	wl_str_t target_token;
+	wl_str_t routing; /* policies by name; empty: the default */
+	wl_str_t queueing;
+	wl_str_t placement;
+	wl_str_t eviction;
+	uint64_t session_ms; /* zero numbers mean the default */
+	uint64_t renew_ms;
+	uint64_t election_ms;
+	uint64_t heartbeat_ms;
+	uint64_t lease_ms;
+	uint64_t grace_ms;
+	uint64_t drift_ms;
+	uint64_t announce_ms;
+	uint64_t silence_ms;
+	uint64_t room_ms;
+	uint64_t drain_ms;
+	uint64_t default_timeout_ms;
+	uint64_t max_timeout_ms;
+	uint64_t max_queued;
+	uint64_t retry_permille;
+	uint64_t request_cpu_millis; /* what one request is reckoned to take */
+	uint64_t request_memory_mib;
+	uint64_t long_ms;
+	uint64_t long_share_permille;
+	uint64_t key_keep_ms;
+	uint64_t task_keep_ms;
+	uint64_t compact_entries;
+	uint64_t seed;
+} wl_node_options_t;
+
+typedef struct wl_node wl_node_t;
+
+wl_node_t *wl_node_new(const wl_node_options_t *options, uint64_t now_ns, wl_err_t *err);
+void wl_node_free(wl_node_t *node);
+void wl_node_step(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+uint64_t wl_node_tick_ns(const wl_node_t *node);
+
+#endif
--- /dev/null
+++ b/libwlcore/owner.h
@@ -0,0 +1,47 @@
+#ifndef WL_OWNER_H
+#define WL_OWNER_H
+
+#include <libwlbase/chart.h>
+#include <libwlcore/event.h>
+#include <libwlcore/ledger.h>
+#include <libwlcore/session.h>
+#include <libwlcore/view.h>
+
+/*
+ * The owner's side of targets: announces, adoption, leases, starts,
+ * throttles, evictions, results.
+ */
+
+typedef struct wl_owner_options {
+	wl_str_t entry; /* own daemon name */
+	wl_ledger_t *ledger;
+	const wl_view_t *view;
+	const wl_session_t *session;
+	wl_metrics_t *metrics;
+	const wl_chart_t *chart; /* "target" */
+	wl_str_t eviction;	 /* name of the eviction policy */
+	uint64_t announce_ms;	 /* interval that targets are told */
+	uint64_t silence_ms;	 /* no announce for so long: no new work */
+	uint64_t lease_ms;	 /* of a task, from the announce that a renewal echoes */
+	uint64_t grace_ms;	 /* renewals after the own session ended */
+	uint64_t drift_ms;
+	uint64_t offer_ms;
+	uint64_t seed;
+} wl_owner_options_t;
+
+typedef struct wl_owner wl_owner_t;
+
+wl_owner_t *wl_owner_new(const wl_owner_options_t *options, uint64_t now_ns, wl_err_t *err);
+void wl_owner_free(wl_owner_t *owner);
+void wl_owner_step(wl_owner_t *owner, uint64_t now_ns, const wl_event_t *event, wl_out_t *out);
+
+/* Urgent work found no room: make some by throttling or evicting batch work. */
+void wl_owner_press(wl_owner_t *owner, wl_str_t service, uint64_t now_ns, wl_out_t *out);
+
+/* A request on a target ended; teaches latency, slowdown and failure. */
+void wl_owner_observe(wl_owner_t *owner, wl_target_t *target, wl_str_t service, bool ok,
+		      uint64_t took_ns, uint64_t now_ns, wl_out_t *out);
+
+extern const wl_chart_binding_t wl_target_chart_binding;
+
+#endif
--- /dev/null
+++ b/libwlnet/http_client.h
@@ -0,0 +1,29 @@
+#ifndef WL_HTTP_CLIENT_H
+#define WL_HTTP_CLIENT_H
+
+#include <libwlbase/ring.h>
+#include <libwlcore/event.h>
+
+/* HTTP calls of ours, many at a time on one thread, each ending in one FETCHED event. */
+
+typedef struct wl_http_client_options {
+	wl_ring_t *events; /* gets wl_event_t *, FETCHED */
+	uint32_t queue_slots;
+	uint64_t max_body_bytes;
+	uint64_t connect_ms;
+	uint64_t max_connections_per_host;
+} wl_http_client_options_t;
+
+typedef struct wl_http_client wl_http_client_t;
+
+wl_http_client_t *wl_http_client_start(const wl_http_client_options_t *options, wl_err_t *err);
+bool wl_http_client_fetch(wl_http_client_t *client, wl_fetch_t *fetch);
+void wl_http_client_cancel(wl_http_client_t *client, uint64_t id);
+void wl_http_client_stop(wl_http_client_t *client);
+
+/* One call, waited for; for programs without events. */
+bool wl_http_call(const wl_fetch_t *fetch, uint64_t max_body_bytes, wl_fetched_t *fetched,
+		  wl_err_t *err);
+void wl_fetched_free(wl_fetched_t *fetched);
+
+#endif
--- /dev/null
+++ b/libwlnet/http_server.h
@@ -0,0 +1,29 @@
+#ifndef WL_HTTP_SERVER_H
+#define WL_HTTP_SERVER_H
+
+#include <libwlbase/ring.h>
+#include <libwlcore/event.h>
+
+/* HTTP listener: requests become events, replies answer them. */
+
+typedef struct wl_http_server_options {
+	wl_str_t listen; /* IP:port; port 0: any */
+	wl_listener_t listener;
+	uint64_t max_body_bytes;
+	uint64_t max_header_bytes;
+	uint64_t max_connections;
+	uint64_t idle_ms;
+	wl_ring_t *events;   /* gets wl_event_t *, CALL and CALL_GONE */
+	uint64_t first_call; /* ids count up from here, in steps of call_step */
+	uint64_t call_step;
+} wl_http_server_options_t;
+
+typedef struct wl_http_server wl_http_server_t;
+
+wl_http_server_t *wl_http_server_start(const wl_http_server_options_t *options, wl_err_t *err);
+void wl_http_server_reply(wl_http_server_t *server, wl_reply_t *reply);
+void wl_http_server_quiesce(wl_http_server_t *server);
+void wl_http_server_stop(wl_http_server_t *server);
+uint16_t wl_http_server_port(const wl_http_server_t *server);
+
+#endif
--- /dev/null
+++ b/libwlnet/peer.h
@@ -0,0 +1,33 @@
+#ifndef WL_PEER_H
+#define WL_PEER_H
+
+#include <libwlbase/ring.h>
+#include <libwlcore/event.h>
+
+/*
+ * Links between daemons: TCP, frames of a 4-byte length and a msgpack
+ * message, mutual proof of the shared secret before anything else.
+ */
+
+typedef struct wl_peer_options {
+	wl_str_t name;	 /* own daemon name */
+	wl_str_t listen; /* IP:port; port 0: any */
+	wl_str_t secret;
+	wl_ring_t *events; /* gets wl_event_t *, PEER, PEER_UP, PEER_DOWN */
+	uint32_t queue_slots;
+	uint64_t max_frame_bytes;
+	uint64_t handshake_ms;
+	uint64_t idle_ms; /* a link silent for so long is closed; pings keep it */
+	uint64_t seed;
+} wl_peer_options_t;
+
+typedef struct wl_peers wl_peers_t;
+
+wl_peers_t *wl_peers_start(const wl_peer_options_t *options, wl_err_t *err);
+void wl_peers_dial(wl_peers_t *peers, wl_str_t name, wl_str_t address);
+bool wl_peers_send(wl_peers_t *peers, wl_str_t name, const wl_msg_t *msg);
+void wl_peers_stop(wl_peers_t *peers);
+uint16_t wl_peers_port(const wl_peers_t *peers);
+uint64_t wl_peers_refused(const wl_peers_t *peers);
+
+#endif
--- /dev/null
+++ b/tests/support/script.h
@@ -0,0 +1,42 @@
+#ifndef TESTS_SCRIPT_H
+#define TESTS_SCRIPT_H
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+/*
+ * A scripted run: a text file of commands, one a line, "#" for comments.  A
+ * part's test gives a function for each command word; what they print is
+ * compared with the file of the same name ending in ".out".  Lines that begin
+ * with "at 1200ms" set the time before their command.
+ */
+class Script
+{
+      public:
+	using Words = std::vector<std::string>;
+	using Command = std::function<void(const Words &)>;
+
+	void on(const std::string &word, Command command);
+	void print(const char *format, ...) __attribute__((format(printf, 2, 3)));
+	void run(const std::string &path);
+
+	uint64_t now_ns = 0;
+
+      private:
+	void run_line(const std::string &line, size_t number);
+
+	std::map<std::string, Command> commands;
+	std::string output;
+};
+
+/* Paths of the scripts in tests/scripts/PART, sorted. */
+std::vector<std::string> script_paths(const std::string &part);
+
+/* Word "key=value" among words, or the preset. */
+std::string script_value(const Script::Words &words, const std::string &key,
+			 const std::string &preset = "");
+uint64_t script_number(const Script::Words &words, const std::string &key, uint64_t preset = 0);
+
+#endif
