--- /dev/null
+++ b/libwlcore/auth.h
@@ -0,0 +1,13 @@
+#ifndef WL_AUTH_H
+#define WL_AUTH_H
+
+#include <libwlcore/lists.h>
+#include <libwlcore/msg.h>
+
+/* Who is calling: tokens and customers. */
+
+bool wl_auth_bearer(const wl_list_t *headers, wl_str_t token, wl_err_t *err);
+const wl_customer_t *wl_auth_customer(const wl_lists_t *lists, const wl_list_t *headers,
+				      wl_err_t *err);
+
+#endif
--- /dev/null
+++ b/libwlcore/session.c
@@ -0,0 +1,154 @@
+/* An entry's lease with the leader: renewed each second, counted from the sending of the renewal.
+ */
+
+#include "session.h"
+
+#include <string.h>
+
+#define NS_PER_MS	 1000000ull
+#define RENEW_MS_DEFAULT 1000
+#define ANSWER_MS	 700 /* a replica that takes longer is passed over for the next one */
+#define RETRY_MS	 100
+
+/*
+ * wl_session_init - make a session that is not yet open
+ * @options: its strings must outlive the session
+ * @now_ns: monotonic time, nanoseconds
+ */
+void wl_session_init(wl_session_t *session, const wl_session_options_t *options, uint64_t now_ns)
+{
+	memset(session, 0, sizeof(*session));
+	session->options = *options;
+	if (session->options.renew_ms == 0)
+		session->options.renew_ms = RENEW_MS_DEFAULT;
+	session->next_renew_ns = now_ns;
+	session->answered_ns = now_ns;
+}
+
+/*
+ * wl_session_free - release a session
+ */
+void wl_session_free(wl_session_t *session)
+{
+	wl_buf_free(&session->leader);
+}
+
+/*
+ * wl_session_valid - tell whether new work may be taken
+ * @now_ns: monotonic time, nanoseconds
+ */
+bool wl_session_valid(const wl_session_t *session, uint64_t now_ns)
+{
+	return session->id != 0 && now_ns < session->valid_until_ns;
+}
+
+/* The leader where known, else the replicas in turn. */
+static wl_str_t session_peer(wl_session_t *session, uint64_t now_ns)
+{
+	const wl_session_options_t *options = &session->options;
+	uint64_t silent_ns = now_ns - session->answered_ns;
+
+	if (session->leader.len &&
+	    silent_ns > ANSWER_MS * NS_PER_MS + options->renew_ms * NS_PER_MS)
+		wl_buf_clear(&session->leader);
+	if (session->leader.len)
+		return wl_buf_str(&session->leader);
+	if (options->store_count == 0)
+		return WL_STR("");
+	return options->stores[session->next_store++ % options->store_count];
+}
+
+static void session_renew(wl_session_t *session, const wl_view_t *view, uint64_t now_ns,
+			  wl_out_t *out)
+{
+	const wl_session_options_t *options = &session->options;
+	wl_str_t peer = session_peer(session, now_ns);
+	wl_msg_renew_t *renew;
+	bool known = session->leader.len > 0;
+
+	session->next_renew_ns = now_ns + (known ? options->renew_ms : RETRY_MS) * NS_PER_MS;
+	if (peer.len == 0)
+		return;
+	renew = &wl_out_send(out, peer, WL_MSG_RENEW)->u.renew;
+	wl_buf_set(&renew->entry, options->entry);
+	wl_buf_set(&renew->address, options->address);
+	wl_buf_set(&renew->availability_zone, options->availability_zone);
+	renew->boot = options->boot;
+	renew->session = session->id;
+	renew->group = view->group;
+	renew->sent_ns = now_ns;
+	renew->revision = view->revision;
+	renew->owners_index = view->owners_index;
+	renew->draining = session->draining;
+}
+
+static void session_granted(wl_session_t *session, const wl_msg_renewed_t *renewed, wl_str_t peer,
+			    uint64_t now_ns, wl_out_t *out)
+{
+	uint64_t until_ns = renewed->sent_ns + renewed->validity_ms * NS_PER_MS;
+
+	if (session->id != renewed->session) {
+		wl_out_log(out, WL_INFO, "session-open", "session=%llu leader=" WL_STR_FMT,
+			   (unsigned long long)renewed->session, WL_STR_ARG(peer));
+		session->id = renewed->session;
+		session->valid_until_ns = 0;
+	}
+	if (until_ns > session->valid_until_ns)
+		session->valid_until_ns = until_ns;
+	session->answered_ns = now_ns;
+	wl_buf_set(&session->leader, peer);
+}
+
+static void session_redirected(wl_session_t *session, const wl_msg_renewed_t *renewed,
+			       uint64_t now_ns)
+{
+	wl_buf_clear(&session->leader);
+	if (renewed->leader.len == 0)
+		return;
+	wl_buf_set(&session->leader, wl_buf_str(&renewed->leader));
+	session->answered_ns = now_ns;
+	session->next_renew_ns = now_ns;
+}
+
+static void session_answered(wl_session_t *session, const wl_view_t *view,
+			     const wl_msg_renewed_t *renewed, wl_str_t peer, uint64_t now_ns,
+			     wl_out_t *out)
+{
+	if (renewed->boot != session->options.boot || renewed->sent_ns > now_ns)
+		return;
+	if (view->group != 0 && renewed->group != 0 && renewed->group != view->group) {
+		wl_out_log(out, WL_ERROR, "session-other-group", "leader=" WL_STR_FMT,
+			   WL_STR_ARG(peer));
+		return;
+	}
+	if (renewed->code == WL_OK) {
+		session_granted(session, renewed, peer, now_ns, out);
+		return;
+	}
+	if (renewed->code == WL_E_NO_SESSION) {
+		session->id = 0;
+		session->valid_until_ns = 0;
+		session->next_renew_ns = now_ns;
+		return;
+	}
+	session_redirected(session, renewed, now_ns);
+}
+
+/*
+ * wl_session_step - let an event happen
+ * @view: what the renewals say of the entry's state
+ * @event: TICK, PEER with WL_MSG_RENEWED, VIEW (acknowledged at once), DRAIN
+ */
+void wl_session_step(wl_session_t *session, wl_view_t *view, uint64_t now_ns,
+		     const wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind == WL_EVENT_PEER && event->msg.kind == WL_MSG_RENEWED)
+		session_answered(session, view, &event->msg.u.renewed, wl_buf_str(&event->peer),
+				 now_ns, out);
+	if (event->kind == WL_EVENT_DRAIN)
+		session->draining = true;
+	if (event->kind == WL_EVENT_DRAIN || event->kind == WL_EVENT_VIEW)
+		session->next_renew_ns = now_ns;
+	if (now_ns >= session->next_renew_ns)
+		session_renew(session, view, now_ns, out);
+}
