model: let a target report what its tasks hold

An owner that adopts a target knows the attempts there but not what was reserved for them, their class or which requests came from an earlier owner. The target echoes these from the start command, so the new ledger begins complete. renew carries all leases of a target in one call.

--- a/libwlcore/model.c
+++ b/libwlcore/model.c
@@ -97,6 +97,12 @@
 	WL_FIELD(wl_task_usage_t, result, WL_FIELD_BYTES),
 	WL_FIELD(wl_task_usage_t, reason, WL_FIELD_BYTES),
 	WL_FIELD(wl_task_usage_t, checkpoint, WL_FIELD_BYTES),
+	WL_FIELD_NEST(wl_task_usage_t, need, &wl_need_schema),
+	{.name = "class",
+	 .kind = WL_FIELD_ENUM,
+	 .offset = offsetof(wl_task_usage_t, work_class),
+	 .names = wl_class_names},
+	WL_FIELD(wl_task_usage_t, ran_ms, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_task_usage_schema = WL_SCHEMA(wl_task_usage_t, task_usage_fields);
@@ -106,6 +112,7 @@
 	WL_FIELD(wl_usage_t, cpu_millis, WL_FIELD_U64),
 	WL_FIELD(wl_usage_t, memory_mib, WL_FIELD_U64),
 	WL_FIELD(wl_usage_t, running_requests, WL_FIELD_U64),
+	WL_FIELD(wl_usage_t, earlier_requests, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_usage_schema = WL_SCHEMA(wl_usage_t, usage_fields);
@@ -130,6 +137,13 @@
 
 const wl_schema_t wl_announce_schema = WL_SCHEMA(wl_announce_t, announce_fields);
 
+static const wl_field_t target_lease_fields[] = {
+	WL_FIELD(wl_target_lease_t, task, WL_FIELD_BYTES),
+	WL_FIELD(wl_target_lease_t, attempt, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_target_lease_schema = WL_SCHEMA(wl_target_lease_t, target_lease_fields);
+
 static const wl_field_t target_command_fields[] = {
 	WL_FIELD(wl_target_command_t, epoch, WL_FIELD_U64),
 	WL_FIELD(wl_target_command_t, boot, WL_FIELD_U64),
@@ -140,6 +154,8 @@
 	WL_FIELD(wl_target_command_t, cpu_permille, WL_FIELD_U64),
 	WL_FIELD_NEST(wl_target_command_t, spec, &wl_task_spec_schema),
 	WL_FIELD(wl_target_command_t, checkpoint, WL_FIELD_BYTES),
+	WL_FIELD_NEST(wl_target_command_t, need, &wl_need_schema),
+	WL_FIELD_MANY(wl_target_command_t, leases, &wl_target_lease_schema),
 };
 
 const wl_schema_t wl_target_command_schema = WL_SCHEMA(wl_target_command_t, target_command_fields);
@@ -152,6 +168,7 @@
 	WL_FIELD_MANY(wl_target_answer_t, tasks, &wl_task_usage_schema),
 	WL_FIELD(wl_target_answer_t, checkpoint, WL_FIELD_BYTES),
 	WL_FIELD(wl_target_answer_t, error, WL_FIELD_BYTES),
+	WL_FIELD(wl_target_answer_t, earlier_requests, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_target_answer_schema = WL_SCHEMA(wl_target_answer_t, target_answer_fields);
--- a/libwlcore/model.h
+++ b/libwlcore/model.h
@@ -71,6 +71,9 @@
 	wl_buf_t result;     /* of a finished one, kept until acknowledged */
 	wl_buf_t reason;     /* of a failed one */
 	wl_buf_t checkpoint; /* the newest, if any */
+	wl_need_t need;	     /* reserved for it by the owner that started it */
+	uint64_t work_class; /* wl_class_t */
+	uint64_t ran_ms;
 } wl_task_usage_t;
 
 typedef enum wl_run_state {
@@ -85,6 +88,7 @@
 	uint64_t cpu_millis;
 	uint64_t memory_mib;
 	uint64_t running_requests;
+	uint64_t earlier_requests; /* those of them that came with a lower epoch than the newest */
 } wl_usage_t;
 
 typedef enum wl_announce_state {
@@ -110,6 +114,12 @@
 	wl_list_t tasks; /* wl_task_usage_t: all it runs or keeps a result of */
 } wl_announce_t;
 
+/* An attempt whose lease is renewed. */
+typedef struct wl_target_lease {
+	wl_buf_t task;
+	uint64_t attempt;
+} wl_target_lease_t;
+
 /* Fields of each command to a target; extra ones are set by the kind of command. */
 typedef struct wl_target_command {
 	uint64_t epoch;
@@ -121,6 +131,8 @@
 	uint64_t cpu_permille; /* throttle: share of its cpu_millis that it may use */
 	wl_task_spec_t spec;   /* start */
 	wl_buf_t checkpoint;   /* start: resume from here */
+	wl_need_t need;	       /* start: reserved for it; the target reports it back */
+	wl_list_t leases;      /* renew: wl_target_lease_t */
 } wl_target_command_t;
 
 /* Answer of a target to a command. */
@@ -132,6 +144,7 @@
 	wl_list_t tasks;     /* wl_task_usage_t; adopt: all */
 	wl_buf_t checkpoint; /* checkpoint */
 	wl_buf_t error;
+	uint64_t earlier_requests; /* running ones that came with a lower epoch */
 } wl_target_answer_t;
 
 extern const char *const wl_class_names[];
@@ -147,6 +160,7 @@
 extern const wl_schema_t wl_task_usage_schema;
 extern const wl_schema_t wl_usage_schema;
 extern const wl_schema_t wl_announce_schema;
+extern const wl_schema_t wl_target_lease_schema;
 extern const wl_schema_t wl_target_command_schema;
 extern const wl_schema_t wl_target_answer_schema;
 
