--- /dev/null
+++ b/libwlcore/ledger.c
@@ -0,0 +1,321 @@
+/*
+ * Ledger of the targets that this entry owns.
+ *
+ * The only place where room is given away: each request and each task
+ * reserves before it is sent, and releases once it certainly runs no more.
+ */
+
+#include "ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <libwlbase/record_internal.h>
+
+#define SERVICE_LEAST_ROOM 8
+
+/*
+ * wl_need_add - grow a need by another
+ */
+void wl_need_add(wl_need_t *to, const wl_need_t *more)
+{
+	to->cpu_millis += more->cpu_millis;
+	to->memory_mib += more->memory_mib;
+	to->accelerators += more->accelerators;
+	to->slots += more->slots;
+	to->connections += more->connections;
+}
+
+static uint64_t minus(uint64_t from, uint64_t by)
+{
+	return from > by ? from - by : 0;
+}
+
+/*
+ * wl_need_take - shrink a need by another; no part goes below zero
+ */
+void wl_need_take(wl_need_t *from, const wl_need_t *less)
+{
+	from->cpu_millis = minus(from->cpu_millis, less->cpu_millis);
+	from->memory_mib = minus(from->memory_mib, less->memory_mib);
+	from->accelerators = minus(from->accelerators, less->accelerators);
+	from->slots = minus(from->slots, less->slots);
+	from->connections = minus(from->connections, less->connections);
+}
+
+/*
+ * wl_need_within - tell whether no part of a need is above that of a room
+ */
+bool wl_need_within(const wl_need_t *need, const wl_need_t *room)
+{
+	return need->cpu_millis <= room->cpu_millis && need->memory_mib <= room->memory_mib &&
+	       need->accelerators <= room->accelerators && need->slots <= room->slots &&
+	       need->connections <= room->connections;
+}
+
+/*
+ * wl_ledger_init - make an empty ledger
+ * @request: what one request takes on a target
+ */
+void wl_ledger_init(wl_ledger_t *ledger, const wl_need_t *request)
+{
+	memset(ledger, 0, sizeof(*ledger));
+	wl_map_init(&ledger->by_name);
+	TAILQ_INIT(&ledger->targets);
+	wl_map_init(&ledger->by_service);
+	TAILQ_INIT(&ledger->services);
+	ledger->request = *request;
+}
+
+static void target_free(wl_target_t *target)
+{
+	wl_buf_free(&target->name);
+	wl_buf_free(&target->address);
+	wl_buf_free(&target->availability_zone);
+	wl_buf_free(&target->rack);
+	wl_list_free(&wl_string_schema, &target->services);
+	free(target);
+}
+
+static void service_free(wl_ledger_service_t *service)
+{
+	wl_buf_free(&service->name);
+	free(service->targets);
+	free(service);
+}
+
+/*
+ * wl_ledger_free - release the ledger with its targets
+ */
+void wl_ledger_free(wl_ledger_t *ledger)
+{
+	wl_target_t *target;
+	wl_ledger_service_t *service;
+
+	while ((target = TAILQ_FIRST(&ledger->targets))) {
+		TAILQ_REMOVE(&ledger->targets, target, link);
+		target_free(target);
+	}
+	while ((service = TAILQ_FIRST(&ledger->services))) {
+		TAILQ_REMOVE(&ledger->services, service, link);
+		service_free(service);
+	}
+	wl_map_free(&ledger->by_name);
+	wl_map_free(&ledger->by_service);
+}
+
+/*
+ * wl_ledger_add - take a target in, closed and without capacity
+ * @name: its name, not in the ledger yet
+ * @epoch: of this entry's ownership
+ */
+wl_target_t *wl_ledger_add(wl_ledger_t *ledger, wl_str_t name, uint64_t epoch)
+{
+	wl_target_t *target = wl_alloc(sizeof(*target));
+
+	wl_buf_set(&target->name, name);
+	target->key = wl_buf_str(&target->name);
+	target->epoch = epoch;
+	wl_map_put(&ledger->by_name, target);
+	TAILQ_INSERT_TAIL(&ledger->targets, target, link);
+	return target;
+}
+
+/*
+ * wl_ledger_remove - forget a target, on which nothing of ours may be reserved any more
+ */
+void wl_ledger_remove(wl_ledger_t *ledger, wl_target_t *target)
+{
+	wl_ledger_open(ledger, target, false);
+	wl_map_remove(&ledger->by_name, target->key);
+	TAILQ_REMOVE(&ledger->targets, target, link);
+	target_free(target);
+}
+
+/*
+ * wl_ledger_find - the target of a name, or NULL
+ */
+wl_target_t *wl_ledger_find(const wl_ledger_t *ledger, wl_str_t name)
+{
+	return wl_map_get(&ledger->by_name, name);
+}
+
+/*
+ * wl_ledger_service - the open targets of a service, or NULL if it never had any
+ */
+wl_ledger_service_t *wl_ledger_service(const wl_ledger_t *ledger, wl_str_t service)
+{
+	return wl_map_get(&ledger->by_service, service);
+}
+
+static wl_ledger_service_t *service_get(wl_ledger_t *ledger, wl_str_t name)
+{
+	wl_ledger_service_t *service = wl_map_get(&ledger->by_service, name);
+
+	if (service)
+		return service;
+	service = wl_alloc(sizeof(*service));
+	wl_buf_set(&service->name, name);
+	service->key = wl_buf_str(&service->name);
+	wl_map_put(&ledger->by_service, service);
+	TAILQ_INSERT_TAIL(&ledger->services, service, link);
+	return service;
+}
+
+static void service_add(wl_ledger_service_t *service, wl_target_t *target)
+{
+	if (service->count == service->room) {
+		service->room = service->room ? 2 * service->room : SERVICE_LEAST_ROOM;
+		service->targets =
+			wl_realloc(service->targets, service->room * sizeof(wl_target_t *));
+	}
+	service->targets[service->count++] = target;
+}
+
+static void service_drop(wl_ledger_service_t *service, const wl_target_t *target)
+{
+	for (size_t i = 0; i < service->count; i++) {
+		if (service->targets[i] != target)
+			continue;
+		service->targets[i] = service->targets[--service->count];
+		return;
+	}
+}
+
+/* Adds or takes a target's present room in the sums of its services. */
+static void services_count(wl_ledger_t *ledger, const wl_target_t *target, bool add)
+{
+	uint64_t room = wl_ledger_request_room(ledger, target);
+	const wl_buf_t *names = target->services.items;
+
+	for (size_t i = 0; target->open && i < target->services.count; i++) {
+		wl_ledger_service_t *service = service_get(ledger, wl_buf_str(&names[i]));
+
+		service->free_requests =
+			add ? service->free_requests + room : minus(service->free_requests, room);
+	}
+}
+
+/*
+ * wl_ledger_open - let a target have new work, or not
+ *
+ * Its services may change only while it is closed.
+ */
+void wl_ledger_open(wl_ledger_t *ledger, wl_target_t *target, bool open)
+{
+	const wl_buf_t *names = target->services.items;
+
+	if (target->open == open)
+		return;
+	if (!open)
+		services_count(ledger, target, false);
+	for (size_t i = 0; i < target->services.count; i++) {
+		wl_ledger_service_t *service = service_get(ledger, wl_buf_str(&names[i]));
+
+		if (open)
+			service_add(service, target);
+		else
+			service_drop(service, target);
+	}
+	target->open = open;
+	if (open)
+		services_count(ledger, target, true);
+}
+
+/*
+ * wl_ledger_fits - tell whether a need fits on a target beside what is reserved
+ */
+bool wl_ledger_fits(const wl_target_t *target, const wl_need_t *need)
+{
+	wl_need_t sum = target->reserved;
+
+	wl_need_add(&sum, need);
+	return wl_need_within(&sum, &target->capacity);
+}
+
+/*
+ * wl_ledger_hold - reserve for work that runs already, whether it fits or not
+ */
+void wl_ledger_hold(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need)
+{
+	services_count(ledger, target, false);
+	wl_need_add(&target->reserved, need);
+	services_count(ledger, target, true);
+}
+
+/*
+ * wl_ledger_reserve - reserve room for new work
+ * @need: one with connections is a request
+ *
+ * Return: false, with nothing reserved, if the target is closed or has no room.
+ */
+bool wl_ledger_reserve(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need)
+{
+	if (!target->open || !wl_ledger_fits(target, need))
+		return false;
+
+	wl_ledger_hold(ledger, target, need);
+	if (need->connections)
+		target->running_requests++;
+	return true;
+}
+
+/*
+ * wl_ledger_drop - give back what wl_ledger_hold() took
+ */
+void wl_ledger_drop(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need)
+{
+	services_count(ledger, target, false);
+	wl_need_take(&target->reserved, need);
+	services_count(ledger, target, true);
+}
+
+/*
+ * wl_ledger_release - give back what wl_ledger_reserve() took
+ */
+void wl_ledger_release(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need)
+{
+	wl_ledger_drop(ledger, target, need);
+	if (need->connections)
+		target->running_requests = minus(target->running_requests, 1);
+}
+
+/*
+ * wl_ledger_resize - set what a target has
+ */
+void wl_ledger_resize(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *capacity)
+{
+	services_count(ledger, target, false);
+	target->capacity = *capacity;
+	services_count(ledger, target, true);
+}
+
+static uint64_t times(uint64_t capacity, uint64_t reserved, uint64_t need, uint64_t best)
+{
+	uint64_t count;
+
+	if (need == 0)
+		return best;
+	count = minus(capacity, reserved) / need;
+	return count < best ? count : best;
+}
+
+/*
+ * wl_ledger_request_room - how many requests could start on a target now
+ *
+ * Return: as if the target was open; zero when a request takes nothing at all.
+ */
+uint64_t wl_ledger_request_room(const wl_ledger_t *ledger, const wl_target_t *target)
+{
+	const wl_need_t *one = &ledger->request;
+	const wl_need_t *has = &target->capacity;
+	const wl_need_t *used = &target->reserved;
+	uint64_t room = UINT64_MAX;
+
+	room = times(has->cpu_millis, used->cpu_millis, one->cpu_millis, room);
+	room = times(has->memory_mib, used->memory_mib, one->memory_mib, room);
+	room = times(has->accelerators, used->accelerators, one->accelerators, room);
+	room = times(has->slots, used->slots, one->slots, room);
+	room = times(has->connections, used->connections, one->connections, room);
+	return room == UINT64_MAX ? 0 : room;
+}
--- a/libwlcore/ledger.h
+++ b/libwlcore/ledger.h
@@ -59,6 +59,8 @@
 wl_ledger_service_t *wl_ledger_service(const wl_ledger_t *ledger, wl_str_t service);
 void wl_ledger_open(wl_ledger_t *ledger, wl_target_t *target, bool open);
 bool wl_ledger_fits(const wl_target_t *target, const wl_need_t *need);
+void wl_ledger_hold(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need);
+void wl_ledger_drop(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need);
 bool wl_ledger_reserve(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need);
 void wl_ledger_release(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *need);
 void wl_ledger_resize(wl_ledger_t *ledger, wl_target_t *target, const wl_need_t *capacity);
