event: add the daemon's own gauges as a kind of event

The daemon counts things that the decisions never see (full rings, lost log lines, refused links). A GAUGE event carries one name and value to the node, which keeps the metrics; nothing else in the node reads it.

--- a/libwlcore/event.h
+++ b/libwlcore/event.h
@@ -26,6 +26,8 @@
 	WL_EVENT_DROPPED, /* to the leader part: a proposal's outcome is not known */
 	WL_EVENT_RESULT,  /* to whoever made a call to the leader */
 	WL_EVENT_VIEW,	  /* the view changed */
+	/* from the daemon's threads */
+	WL_EVENT_GAUGE, /* a count of the daemon's own for the metrics */
 	WL_EVENT_KINDS
 } wl_event_kind_t;
 
@@ -58,14 +60,14 @@
 
 typedef struct wl_event {
 	wl_event_kind_t kind;
-	wl_buf_t peer;	      /* PEER, PEER_UP, PEER_DOWN: daemon name */
+	wl_buf_t peer;	      /* PEER, PEER_UP, PEER_DOWN: daemon name; GAUGE: its name */
 	wl_msg_t msg;	      /* PEER */
 	wl_call_t call;	      /* CALL; CALL_GONE: id */
 	wl_fetched_t fetched; /* FETCHED */
 	uint64_t ticket;      /* PERSISTED */
 	/* APPLIED, DROPPED, RESULT */
-	uint64_t tag; /* proposal, or call to the leader; 0: not ours */
-	uint64_t index;
+	uint64_t tag;		   /* proposal, or call to the leader; 0: not ours */
+	uint64_t index;		   /* GAUGE: its value */
 	uint64_t term;		   /* LEAD, FOLLOW too */
 	const wl_cmd_t *cmd;	   /* APPLIED: borrowed */
 	const wl_result_t *result; /* APPLIED, RESULT: borrowed */
