msg: tell what customers ask for in room messages

An entry at its share of a plan's limit accepts no more than that share, so what it accepts says nothing of what it is asked for. Shares by demand need the demand; two fields are added at the end of wl_use_row_t.

--- a/libwlcore/msg.c
+++ b/libwlcore/msg.c
@@ -169,6 +169,8 @@
 	WL_FIELD(wl_use_row_t, customer, WL_FIELD_BYTES),
 	WL_FIELD(wl_use_row_t, running, WL_FIELD_U64),
 	WL_FIELD(wl_use_row_t, rate_milli, WL_FIELD_U64),
+	WL_FIELD(wl_use_row_t, wanted, WL_FIELD_U64),
+	WL_FIELD(wl_use_row_t, wanted_milli, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_use_row_schema = WL_SCHEMA(wl_use_row_t, use_row_fields);
--- a/libwlcore/msg.h
+++ b/libwlcore/msg.h
@@ -174,8 +174,10 @@
 
 typedef struct wl_use_row {
 	wl_buf_t customer;
-	uint64_t running;    /* requests accepted and not yet answered */
-	uint64_t rate_milli; /* accepted per second, thousandths */
+	uint64_t running;      /* requests accepted and not yet answered */
+	uint64_t rate_milli;   /* accepted per second, thousandths */
+	uint64_t wanted;       /* running, and refused lately for want of a share */
+	uint64_t wanted_milli; /* asked for per second, thousandths */
 } wl_use_row_t;
 
 typedef struct wl_msg_room {
