core: the node joins the parts; operators' calls

Cause: one step function for all decisions of a daemon, so that a scripted run drives what the daemon drives. Renewals and reads are answered only under the leader's read lease: a new leader counts a full session validity from its own beginning, so an older one may grant none after that. Ruled out: gating on the role alone, which a leader cut off with a minority keeps for an election time.

--- /dev/null
+++ b/libwlcore/api.c
@@ -0,0 +1,376 @@
+/* HTTP calls of operators and of callers about tasks: routes, tokens, waiting for the leader. */
+
+#include "api_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <libwlcore/auth.h>
+
+#define NS_PER_MS  1000000ull
+#define CALL_MS	   10000 /* longest wait for the leader's answer */
+#define API_STREAM 0x617069
+
+typedef enum who {
+	WHO_ANY,
+	WHO_OPERATOR,
+	WHO_CALLER, /* the handler checks the customer */
+} who_t;
+
+typedef struct route {
+	const char *method;
+	const char *path; /* "*" at the end takes the rest as the argument */
+	wl_listener_t listener;
+	bool both; /* on the other listener too */
+	who_t who;
+	wl_api_handler_t handle;
+} route_t;
+
+/*
+ * wl_api_reply_json - answer with a JSON text
+ */
+void wl_api_reply_json(wl_out_t *out, uint64_t call, uint64_t status, wl_str_t body)
+{
+	wl_reply_t *reply = wl_out_reply(out, call, status);
+
+	wl_headers_add(&reply->headers, WL_STR("Content-Type"), WL_STR("application/json"));
+	wl_buf_set(&reply->body, body);
+}
+
+/*
+ * wl_api_reply_result - answer with the leader's error
+ */
+void wl_api_reply_result(wl_out_t *out, uint64_t call, const wl_result_t *result)
+{
+	wl_err_t err;
+
+	wl_err_set(&err, (wl_code_t)result->code, (wl_verdict_t)result->verdict, WL_STR_FMT,
+		   WL_STR_ARG(wl_buf_str(&result->text)));
+	wl_out_reply_error(out, call, &err);
+}
+
+/*
+ * wl_api_wait - remember an HTTP call whose answer needs the leader
+ */
+wl_wait_t *wl_api_wait(wl_api_t *api, const wl_call_t *call, wl_wait_kind_t kind)
+{
+	wl_wait_t *wait = wl_alloc(sizeof(*wait));
+
+	wait->id = WL_PART_ID(WL_PART_API, api->next_id++);
+	wait->call = call->id;
+	wait->kind = kind;
+	wait->key = (wl_str_t){(const char *)&wait->id, sizeof(wait->id)};
+	wl_map_put(&api->by_id, wait);
+	TAILQ_INSERT_TAIL(&api->waits, wait, link);
+	return wait;
+}
+
+/*
+ * wl_api_wait_end - forget an HTTP call that is answered
+ */
+void wl_api_wait_end(wl_api_t *api, wl_wait_t *wait)
+{
+	wl_map_remove(&api->by_id, wait->key);
+	TAILQ_REMOVE(&api->waits, wait, link);
+	free(wait);
+}
+
+static void healthz(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		    wl_out_t *out)
+{
+	(void)api;
+	(void)now_ns;
+	(void)arg;
+	wl_api_reply_json(out, call->id, 200, WL_STR("{\"status\":\"ok\"}\n"));
+}
+
+static void readyz(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		   wl_out_t *out)
+{
+	bool session = !api->options.entry || wl_session_valid(api->options.session, now_ns);
+
+	(void)arg;
+	if (api->draining)
+		wl_api_reply_json(out, call->id, 503, WL_STR("{\"status\":\"draining\"}\n"));
+	else if (!session)
+		wl_api_reply_json(out, call->id, 503, WL_STR("{\"status\":\"no-session\"}\n"));
+	else
+		wl_api_reply_json(out, call->id, 200, WL_STR("{\"status\":\"ready\"}\n"));
+}
+
+static void metrics(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		    wl_out_t *out)
+{
+	wl_reply_t *reply = wl_out_reply(out, call->id, 200);
+
+	(void)now_ns;
+	(void)arg;
+	wl_headers_add(&reply->headers, WL_STR("Content-Type"),
+		       WL_STR("text/plain; version=0.0.4"));
+	wl_metrics_print(api->options.metrics, &reply->body);
+}
+
+static void ask_leader(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_query_kind_t kind,
+		       wl_str_t name, wl_out_t *out)
+{
+	wl_wait_t *wait = wl_api_wait(api, call, WL_WAIT_PASS);
+	wl_msg_query_t *query =
+		wl_out_leader_query(out, wait->id, kind, now_ns + CALL_MS * NS_PER_MS);
+
+	wl_buf_set(&query->name, name);
+}
+
+static void status(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		   wl_out_t *out)
+{
+	ask_leader(api, now_ns, call, WL_QUERY_STATUS, arg, out);
+}
+
+static void targets(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		    wl_out_t *out)
+{
+	ask_leader(api, now_ns, call, WL_QUERY_TARGETS, arg, out);
+}
+
+static void tasks(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		  wl_out_t *out)
+{
+	ask_leader(api, now_ns, call, WL_QUERY_TASKS, arg, out);
+}
+
+static void task(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg, wl_out_t *out)
+{
+	ask_leader(api, now_ns, call, WL_QUERY_TASK, arg, out);
+}
+
+static void members(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		    wl_out_t *out)
+{
+	ask_leader(api, now_ns, call, WL_QUERY_MEMBERS, arg, out);
+}
+
+/* Body of POST /v1/members. */
+typedef struct replace_body {
+	wl_buf_t replace; /* name of the daemon whose disk is lost */
+} replace_body_t;
+
+static const wl_field_t replace_fields[] = {
+	WL_FIELD_MUST(replace_body_t, replace, WL_FIELD_BYTES, 128),
+};
+
+static const wl_schema_t replace_schema = WL_SCHEMA(replace_body_t, replace_fields);
+
+static void replace(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		    wl_out_t *out)
+{
+	replace_body_t body;
+	wl_err_t err;
+
+	(void)arg;
+	if (!wl_record_from_json(&replace_schema, wl_buf_str(&call->body), &body, &err)) {
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	ask_leader(api, now_ns, call, WL_QUERY_REPLACE, wl_buf_str(&body.replace), out);
+	wl_record_free(&replace_schema, &body);
+}
+
+static void drain(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		  wl_out_t *out)
+{
+	(void)now_ns;
+	(void)arg;
+	api->drain_asked = true;
+	wl_api_reply_json(out, call->id, 202, WL_STR("{\"status\":\"draining\"}\n"));
+}
+
+/* Sorted by path, then method. */
+static const route_t routes[] = {
+	{"GET", "/healthz", WL_LISTENER_CONTROL, true, WHO_ANY, healthz},
+	{"GET", "/metrics", WL_LISTENER_CONTROL, false, WHO_ANY, metrics},
+	{"GET", "/readyz", WL_LISTENER_CONTROL, true, WHO_ANY, readyz},
+	{"GET", "/v1/config/*", WL_LISTENER_CONTROL, false, WHO_OPERATOR, wl_api_list_get},
+	{"PUT", "/v1/config/*", WL_LISTENER_CONTROL, false, WHO_OPERATOR, wl_api_list_put},
+	{"POST", "/v1/drain", WL_LISTENER_CONTROL, false, WHO_OPERATOR, drain},
+	{"GET", "/v1/members", WL_LISTENER_CONTROL, false, WHO_OPERATOR, members},
+	{"POST", "/v1/members", WL_LISTENER_CONTROL, false, WHO_OPERATOR, replace},
+	{"GET", "/v1/status", WL_LISTENER_CONTROL, false, WHO_OPERATOR, status},
+	{"GET", "/v1/targets", WL_LISTENER_CONTROL, false, WHO_OPERATOR, targets},
+	{"GET", "/v1/tasks", WL_LISTENER_CONTROL, false, WHO_OPERATOR, tasks},
+	{"POST", "/v1/tasks", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_task_add},
+	{"GET", "/v1/tasks/*", WL_LISTENER_CONTROL, false, WHO_OPERATOR, task},
+	{"DELETE", "/v1/tasks/*", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_task_cancel},
+	{"GET", "/v1/tasks/*", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_task_get},
+	{"POST", "/v1/tasks/cancel", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_tasks_cancel},
+};
+
+static bool path_matches(const char *pattern, wl_str_t path, wl_str_t *arg)
+{
+	wl_str_t want = wl_str_from(pattern);
+
+	*arg = (wl_str_t){NULL, 0};
+	if (want.len == 0 || want.at[want.len - 1] != '*')
+		return wl_str_equal(want, path);
+	want.len--;
+	if (!wl_str_starts(path, want) || path.len == want.len)
+		return false;
+	*arg = (wl_str_t){path.at + want.len, path.len - want.len};
+	return true;
+}
+
+static const route_t *route_find(const wl_call_t *call, wl_str_t *arg, bool *path_known)
+{
+	*path_known = false;
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		const route_t *route = &routes[i];
+
+		if (route->listener != call->listener && !route->both)
+			continue;
+		if (!path_matches(route->path, wl_buf_str(&call->path), arg))
+			continue;
+		*path_known = true;
+		if (wl_str_equal(wl_buf_str(&call->method), wl_str_from(route->method)))
+			return route;
+	}
+	return NULL;
+}
+
+static void api_call(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_out_t *out)
+{
+	const route_t *route;
+	bool path_known;
+	wl_str_t arg;
+	wl_err_t err;
+
+	route = route_find(call, &arg, &path_known);
+	if (!route) {
+		wl_err_set(&err, WL_E_NOT_FOUND, WL_NOT_RUN, "no such %s",
+			   path_known ? "method on this path" : "path");
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	if (route->who == WHO_OPERATOR &&
+	    !wl_auth_bearer(&call->headers, api->options.operator_token, &err)) {
+		wl_metrics_add(api->options.metrics, "wisterialead_unauthorized_total",
+			       "listener=\"control\"", 1);
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	route->handle(api, now_ns, call, arg, out);
+}
+
+static void pass_result(wl_api_t *api, wl_wait_t *wait, const wl_result_t *result, wl_out_t *out)
+{
+	if (result->code != WL_OK)
+		wl_api_reply_result(out, wait->call, result);
+	else if (result->body.len == 0)
+		wl_api_reply_json(out, wait->call, 200, WL_STR("{\"status\":\"ok\"}\n"));
+	else
+		wl_api_reply_json(out, wait->call, 200, wl_buf_str(&result->body));
+	wl_api_wait_end(api, wait);
+}
+
+static void api_result(wl_api_t *api, uint64_t now_ns, uint64_t id, const wl_result_t *result,
+		       wl_out_t *out)
+{
+	wl_wait_t *wait = wl_map_get(&api->by_id, (wl_str_t){(const char *)&id, sizeof(id)});
+
+	if (!wait)
+		return;
+	switch (wait->kind) {
+	case WL_WAIT_PASS:
+	case WL_WAIT_TASK_CANCEL:
+		pass_result(api, wait, result, out);
+		return;
+	case WL_WAIT_LIST_GET:
+		wl_api_list_got(api, wait, result, out);
+		return;
+	case WL_WAIT_LIST_PUT:
+		wl_api_list_accepted(api, now_ns, wait, result, out);
+		return;
+	case WL_WAIT_IN_FORCE:
+		wl_api_list_in_force(api, now_ns, wait, result, out);
+		return;
+	case WL_WAIT_TASK_ADD:
+		wl_api_task_added(api, wait, result, out);
+		return;
+	}
+}
+
+static void api_tick(wl_api_t *api, uint64_t now_ns, wl_out_t *out)
+{
+	wl_wait_t *wait;
+
+	TAILQ_FOREACH (wait, &api->waits, link)
+		if (wait->poll_ns && now_ns >= wait->poll_ns)
+			wl_api_list_poll(api, now_ns, wait, out);
+}
+
+/*
+ * wl_api_new - make the part
+ * @options: its strings and parts must outlive it
+ */
+wl_api_t *wl_api_new(const wl_api_options_t *options)
+{
+	wl_api_t *api = wl_alloc(sizeof(*api));
+
+	api->options = *options;
+	api->next_id = 1;
+	wl_rng_init(&api->rng, options->boot, API_STREAM);
+	wl_map_init(&api->by_id);
+	TAILQ_INIT(&api->waits);
+	return api;
+}
+
+/*
+ * wl_api_free - release the part; calls that wait get no answer
+ */
+void wl_api_free(wl_api_t *api)
+{
+	wl_wait_t *wait;
+
+	if (!api)
+		return;
+	while ((wait = TAILQ_FIRST(&api->waits)))
+		wl_api_wait_end(api, wait);
+	wl_map_free(&api->by_id);
+	free(api);
+}
+
+/*
+ * wl_api_step - let an event happen
+ * @event: CALL, RESULT of a call with WL_PART_API, TICK
+ */
+void wl_api_step(wl_api_t *api, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind == WL_EVENT_CALL)
+		api_call(api, now_ns, &event->call, out);
+	else if (event->kind == WL_EVENT_RESULT)
+		api_result(api, now_ns, event->tag, event->result, out);
+	else if (event->kind == WL_EVENT_TICK)
+		api_tick(api, now_ns, out);
+}
+
+/*
+ * wl_api_drain - answer not ready and take no new tasks
+ */
+void wl_api_drain(wl_api_t *api)
+{
+	api->draining = true;
+}
+
+/*
+ * wl_api_open - how many HTTP calls wait for the leader
+ */
+size_t wl_api_open(const wl_api_t *api)
+{
+	return wl_map_count(&api->by_id);
+}
+
+/*
+ * wl_api_drain_asked - whether an operator asked this daemon to stop
+ */
+bool wl_api_drain_asked(const wl_api_t *api)
+{
+	return api->drain_asked;
+}
--- /dev/null
+++ b/libwlcore/api_internal.h
@@ -0,0 +1,70 @@
+#ifndef WL_API_INTERNAL_H
+#define WL_API_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include <libwlbase/rng.h>
+#include <libwlcore/api.h>
+
+/* Something that an HTTP call waits for at the leader. */
+typedef enum wl_wait_kind {
+	WL_WAIT_PASS, /* the result's body is the answer */
+	WL_WAIT_LIST_GET,
+	WL_WAIT_LIST_PUT, /* the change itself */
+	WL_WAIT_IN_FORCE, /* the change is accepted; is it in force? */
+	WL_WAIT_TASK_ADD,
+	WL_WAIT_TASK_CANCEL,
+} wl_wait_kind_t;
+
+typedef struct wl_wait {
+	wl_str_t key;  /* over id */
+	uint64_t id;   /* WL_PART_ID() of the call to the leader */
+	uint64_t call; /* HTTP call */
+	wl_wait_kind_t kind;
+	uint64_t version; /* of the accepted list */
+	uint64_t revision;
+	uint64_t until_ns; /* in force is awaited so long */
+	uint64_t poll_ns;  /* next question; 0: one is on its way */
+	TAILQ_ENTRY(wl_wait) link;
+} wl_wait_t;
+
+struct wl_api {
+	wl_api_options_t options;
+	uint64_t next_id;
+	wl_rng_t rng; /* nonces of tasks */
+	bool draining;
+	bool drain_asked;
+	wl_map_t by_id;
+	TAILQ_HEAD(wl_waits, wl_wait) waits;
+};
+
+typedef void (*wl_api_handler_t)(wl_api_t *api, uint64_t now_ns, const wl_call_t *call,
+				 wl_str_t arg, wl_out_t *out);
+
+wl_wait_t *wl_api_wait(wl_api_t *api, const wl_call_t *call, wl_wait_kind_t kind);
+void wl_api_wait_end(wl_api_t *api, wl_wait_t *wait);
+void wl_api_reply_json(wl_out_t *out, uint64_t call, uint64_t status, wl_str_t body);
+void wl_api_reply_result(wl_out_t *out, uint64_t call, const wl_result_t *result);
+
+void wl_api_list_get(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		     wl_out_t *out);
+void wl_api_list_put(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		     wl_out_t *out);
+void wl_api_list_got(wl_api_t *api, wl_wait_t *wait, const wl_result_t *result, wl_out_t *out);
+void wl_api_list_accepted(wl_api_t *api, uint64_t now_ns, wl_wait_t *wait,
+			  const wl_result_t *result, wl_out_t *out);
+void wl_api_list_in_force(wl_api_t *api, uint64_t now_ns, wl_wait_t *wait,
+			  const wl_result_t *result, wl_out_t *out);
+void wl_api_list_poll(wl_api_t *api, uint64_t now_ns, wl_wait_t *wait, wl_out_t *out);
+
+void wl_api_task_add(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		     wl_out_t *out);
+void wl_api_task_get(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		     wl_out_t *out);
+void wl_api_task_cancel(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+			wl_out_t *out);
+void wl_api_tasks_cancel(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+			 wl_out_t *out);
+void wl_api_task_added(wl_api_t *api, wl_wait_t *wait, const wl_result_t *result, wl_out_t *out);
+
+#endif
--- /dev/null
+++ b/libwlcore/api_lists.c
@@ -0,0 +1,208 @@
+/* Operators' calls on the two lists. */
+
+#include "api_internal.h"
+
+#include <libwlbase/digest.h>
+
+#define NS_PER_MS   1000000ull
+#define CALL_MS	    10000 /* longest wait for the leader's answer */
+#define POLL_MS	    50
+#define MAX_WAIT_MS 120000
+
+static bool list_named(wl_str_t name, uint64_t *list, wl_err_t *err)
+{
+	if (wl_str_equal(name, WL_STR("customers"))) {
+		*list = WL_LIST_CUSTOMERS;
+		return true;
+	}
+	if (wl_str_equal(name, WL_STR("plans"))) {
+		*list = WL_LIST_PLANS;
+		return true;
+	}
+	return wl_err_set(err, WL_E_NOT_FOUND, WL_NOT_RUN, "no list of this name");
+}
+
+/*
+ * wl_api_list_get - GET /v1/config/NAME
+ */
+void wl_api_list_get(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		     wl_out_t *out)
+{
+	wl_msg_query_t *query;
+	wl_wait_t *wait;
+	wl_err_t err;
+	uint64_t list;
+
+	if (!list_named(arg, &list, &err)) {
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	wait = wl_api_wait(api, call, WL_WAIT_LIST_GET);
+	query = wl_out_leader_query(out, wait->id, WL_QUERY_LIST, now_ns + CALL_MS * NS_PER_MS);
+	wl_buf_set(&query->name, arg);
+}
+
+static void add_version(wl_reply_t *reply, uint64_t version)
+{
+	wl_buf_t etag = {0};
+
+	wl_buf_printf(&etag, "\"%llu\"", (unsigned long long)version);
+	wl_headers_add(&reply->headers, WL_STR("ETag"), wl_buf_str(&etag));
+	wl_buf_free(&etag);
+}
+
+/*
+ * wl_api_list_got - the leader sent a list
+ */
+void wl_api_list_got(wl_api_t *api, wl_wait_t *wait, const wl_result_t *result, wl_out_t *out)
+{
+	wl_reply_t *reply;
+
+	if (result->code != WL_OK) {
+		wl_api_reply_result(out, wait->call, result);
+		wl_api_wait_end(api, wait);
+		return;
+	}
+	reply = wl_out_reply(out, wait->call, 200);
+	wl_headers_add(&reply->headers, WL_STR("Content-Type"), WL_STR("application/json"));
+	add_version(reply, result->version);
+	wl_buf_set(&reply->body, wl_buf_str(&result->body));
+	wl_api_wait_end(api, wait);
+}
+
+/* If-Match: "3", the version that the change was made from. */
+static bool read_base(const wl_list_t *headers, uint64_t *base, wl_err_t *err)
+{
+	const wl_buf_t *match = wl_headers_find(headers, WL_STR("If-Match"));
+
+	if (match && match->len > 2 && match->at[0] == '"' && match->at[match->len - 1] == '"' &&
+	    wl_str_u64((wl_str_t){match->at + 1, match->len - 2}, base))
+		return true;
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+			  "If-Match: must be the list's version in quotes");
+}
+
+/* wait_ms=N among the query's parameters. */
+static bool read_wait(wl_str_t query, uint64_t *wait_ms, wl_err_t *err)
+{
+	wl_str_t rest = query;
+
+	*wait_ms = 0;
+	while (rest.len) {
+		wl_str_t pair;
+		wl_str_t name;
+		wl_str_t value;
+
+		wl_str_split(rest, '&', &pair, &rest);
+		wl_str_split(pair, '=', &name, &value);
+		if (!wl_str_equal(name, WL_STR("wait_ms")))
+			continue;
+		if (!wl_str_u64(value, wait_ms) || *wait_ms > MAX_WAIT_MS)
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+					  "wait_ms: must be a number up to %d", MAX_WAIT_MS);
+	}
+	return true;
+}
+
+/*
+ * wl_api_list_put - PUT /v1/config/NAME
+ */
+void wl_api_list_put(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+		     wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_LIST_PUT};
+	char digest[WL_SHA256_HEX + 1];
+	wl_wait_t *wait;
+	uint64_t wait_ms;
+	wl_err_t err;
+
+	if (!list_named(arg, &cmd.u.list_put.list, &err) ||
+	    !read_base(&call->headers, &cmd.u.list_put.base, &err) ||
+	    !read_wait(wl_buf_str(&call->query), &wait_ms, &err)) {
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	wl_sha256_hex(wl_buf_str(&call->body), digest);
+	wl_buf_set(&cmd.u.list_put.digest, wl_str_from(digest));
+	wl_buf_set(&cmd.u.list_put.text, wl_buf_str(&call->body));
+
+	wait = wl_api_wait(api, call, WL_WAIT_LIST_PUT);
+	wait->until_ns = now_ns + wait_ms * NS_PER_MS;
+	wl_out_leader_command(out, wait->id, &cmd, now_ns + CALL_MS * NS_PER_MS);
+	wl_cmd_free(&cmd);
+}
+
+static void reply_accepted(wl_out_t *out, const wl_wait_t *wait, bool in_force)
+{
+	wl_reply_t *reply = wl_out_reply(out, wait->call, 200);
+
+	wl_headers_add(&reply->headers, WL_STR("Content-Type"), WL_STR("application/json"));
+	add_version(reply, wait->version);
+	wl_buf_printf(&reply->body, "{\"version\":\"%llu\",\"revision\":%llu,\"in_force\":%s}\n",
+		      (unsigned long long)wait->version, (unsigned long long)wait->revision,
+		      in_force ? "true" : "false");
+}
+
+static void reply_conflict(wl_out_t *out, uint64_t call, const wl_result_t *result)
+{
+	wl_reply_t *reply = wl_out_reply(out, call, 412);
+
+	reply->has_verdict = true;
+	reply->verdict = WL_NOT_RUN;
+	wl_headers_add(&reply->headers, WL_STR("Content-Type"), WL_STR("application/json"));
+	add_version(reply, result->version);
+	wl_buf_printf(&reply->body,
+		      "{\"error\":\"conflict\",\"message\":\"the list is at version %llu\","
+		      "\"verdict\":\"not-run\",\"version\":\"%llu\"}\n",
+		      (unsigned long long)result->version, (unsigned long long)result->version);
+}
+
+/*
+ * wl_api_list_poll - ask the leader whether an accepted change is in force
+ */
+void wl_api_list_poll(wl_api_t *api, uint64_t now_ns, wl_wait_t *wait, wl_out_t *out)
+{
+	wl_msg_query_t *query;
+
+	(void)api;
+	wait->poll_ns = 0;
+	query = wl_out_leader_query(out, wait->id, WL_QUERY_IN_FORCE, now_ns + CALL_MS * NS_PER_MS);
+	query->number = wait->revision;
+}
+
+/*
+ * wl_api_list_accepted - the leader answered a change
+ */
+void wl_api_list_accepted(wl_api_t *api, uint64_t now_ns, wl_wait_t *wait,
+			  const wl_result_t *result, wl_out_t *out)
+{
+	if (result->code == WL_E_CONFLICT)
+		reply_conflict(out, wait->call, result);
+	else if (result->code != WL_OK)
+		wl_api_reply_result(out, wait->call, result);
+	if (result->code != WL_OK) {
+		wl_api_wait_end(api, wait);
+		return;
+	}
+
+	wait->kind = WL_WAIT_IN_FORCE;
+	wait->version = result->version;
+	wait->revision = result->index;
+	wl_api_list_poll(api, now_ns, wait, out);
+}
+
+/*
+ * wl_api_list_in_force - the leader said whether a change is in force
+ */
+void wl_api_list_in_force(wl_api_t *api, uint64_t now_ns, wl_wait_t *wait,
+			  const wl_result_t *result, wl_out_t *out)
+{
+	bool in_force = result->code == WL_OK;
+
+	if (!in_force && now_ns < wait->until_ns) {
+		wait->poll_ns = now_ns + POLL_MS * NS_PER_MS;
+		return;
+	}
+	reply_accepted(out, wait, in_force);
+	wl_api_wait_end(api, wait);
+}
--- a/libwlcore/event.h
+++ b/libwlcore/event.h
@@ -93,6 +93,7 @@
 	WL_PART_REQUEST = 1,
 	WL_PART_OWNER = 2,
 	WL_PART_API = 3,
+	WL_PART_NODE = 4,
 } wl_part_t;
 
 #define WL_PART_SHIFT	    56
--- a/libwlcore/msg.h
+++ b/libwlcore/msg.h
@@ -107,6 +107,7 @@
 	WL_QUERY_MEMBERS,
 	WL_QUERY_STATUS,
 	WL_QUERY_IN_FORCE, /* number: revision; result code WL_OK once it is in force */
+	WL_QUERY_REPLACE,  /* name: daemon whose lost replica may be replaced */
 } wl_query_kind_t;
 
 typedef struct wl_msg_query {
--- /dev/null
+++ b/libwlcore/node_internal.h
@@ -0,0 +1,64 @@
+#ifndef WL_NODE_INTERNAL_H
+#define WL_NODE_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include <libwlcore/api.h>
+#include <libwlcore/auth.h>
+#include <libwlcore/calls.h>
+#include <libwlcore/leader.h>
+#include <libwlcore/node.h>
+#include <libwlcore/owner.h>
+#include <libwlcore/request.h>
+#include <libwlcore/session.h>
+#include <libwlcore/state.h>
+#include <libwlcore/view.h>
+
+typedef struct wl_queued_event {
+	wl_event_t event;
+	TAILQ_ENTRY(wl_queued_event) link;
+} wl_queued_event_t;
+
+struct wl_node {
+	wl_node_options_t options;
+	wl_str_t *store_names;
+	wl_metrics_t metrics;
+	wl_chart_t *task_chart;
+	wl_chart_t *target_chart;
+
+	/* role entry */
+	wl_view_t view;
+	wl_session_t session;
+	wl_ledger_t ledger;
+	wl_owner_t *owner;
+	wl_requests_t *requests;
+
+	/* role store */
+	wl_raft_t *raft;
+	wl_state_t *state;
+	wl_leader_t *leader;
+	uint64_t applied; /* index */
+	bool leading;
+
+	wl_api_t *api;
+	wl_calls_t calls;
+
+	uint64_t drain_ns; /* when the planned stop began; 0: none */
+	bool session_ending;
+	bool session_ended;
+	bool exiting;
+
+	TAILQ_HEAD(wl_queued_events, wl_queued_event) queue;
+	wl_out_t scratch;
+	wl_out_t deferred; /* actions made while others are being sorted */
+};
+
+bool wl_node_make_state(wl_node_t *node, uint64_t now_ns, wl_err_t *err);
+void wl_node_propose(wl_node_t *node, uint64_t now_ns, wl_action_t *action, wl_out_t *out);
+void wl_node_raft_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+void wl_node_raft_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
+void wl_node_persisted(wl_node_t *node, uint64_t now_ns, uint64_t ticket, wl_out_t *out);
+void wl_node_hand_over(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
+void wl_node_leader_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+
+#endif
--- /dev/null
+++ b/libwlcore/node_store.c
@@ -0,0 +1,357 @@
+/* The store's side of a daemon: the log's actions, the applied state, the leader's events. */
+
+#include "node_internal.h"
+
+#include <string.h>
+
+static void raft_event(wl_node_t *node, uint64_t now_ns, const wl_raft_event_t *event,
+		       wl_out_t *out);
+
+static void fatal(wl_out_t *out, const char *what, const wl_err_t *err)
+{
+	wl_action_t *action = wl_out_add(out, WL_ACTION_FATAL);
+
+	wl_buf_printf(&action->line, "%s: %s", what, err->text);
+}
+
+static void leader_event(wl_node_t *node, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+{
+	if (node->leading)
+		wl_leader_step(node->leader, now_ns, event, out);
+}
+
+static void applied(wl_node_t *node, uint64_t now_ns, const wl_raft_entry_t *entry,
+		    const wl_cmd_t *cmd, wl_out_t *out)
+{
+	wl_result_t result;
+	wl_event_t event;
+
+	memset(&result, 0, sizeof(result));
+	wl_state_apply(node->state, entry->index, cmd, &result);
+	wl_event_init(&event, WL_EVENT_APPLIED);
+	event.tag = entry->tag;
+	event.index = entry->index;
+	event.term = entry->term;
+	event.cmd = cmd;
+	event.result = &result;
+	leader_event(node, now_ns, &event, out);
+	wl_result_free(&result);
+}
+
+static void do_commit(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_cmd_t cmd;
+	wl_err_t err;
+
+	node->applied = action->entry.index;
+	if (action->entry.kind != WL_RAFT_DATA)
+		return;
+	if (!wl_cmd_unpack(wl_buf_str(&action->entry.data), &cmd, &err)) {
+		fatal(out, "committed command", &err);
+		return;
+	}
+	applied(node, now_ns, &action->entry, &cmd, out);
+	wl_cmd_free(&cmd);
+}
+
+static void do_restore(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_err_t err;
+
+	(void)now_ns;
+	node->applied = action->index;
+	if (!wl_state_unpack(node->state, wl_buf_str(&action->data), &err))
+		fatal(out, "snapshot", &err);
+}
+
+static void do_snapshot(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_raft_event_t event = {.kind = WL_RAFT_EV_SNAPSHOT, .index = node->applied};
+	wl_buf_t packed = {0};
+
+	(void)action;
+	wl_state_pack(node->state, &packed);
+	event.data = wl_buf_str(&packed);
+	raft_event(node, now_ns, &event, out);
+	wl_buf_free(&packed);
+}
+
+static void do_lead(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_event_t event;
+
+	node->leading = true;
+	wl_event_init(&event, WL_EVENT_LEAD);
+	event.term = action->term;
+	wl_out_log(out, WL_INFO, "lead", "term=%llu index=%llu", (unsigned long long)action->term,
+		   (unsigned long long)node->applied);
+	wl_leader_step(node->leader, now_ns, &event, out);
+}
+
+static void do_follow(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_event_t event;
+
+	if (!node->leading)
+		return;
+	wl_event_init(&event, WL_EVENT_FOLLOW);
+	event.term = action->term;
+	wl_out_log(out, WL_INFO, "follow", "term=%llu", (unsigned long long)action->term);
+	wl_leader_step(node->leader, now_ns, &event, out);
+	node->leading = false;
+}
+
+static void do_drop(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_DROPPED);
+	event.tag = action->tag;
+	event.verdict = action->verdict;
+	wl_leader_step(node->leader, now_ns, &event, out);
+}
+
+static void do_send(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	wl_msg_t *msg = wl_out_send(out, wl_buf_str(&action->name), WL_MSG_RAFT);
+
+	(void)node;
+	(void)now_ns;
+	msg->u.raft = action->msg;
+	memset(&action->msg, 0, sizeof(action->msg));
+}
+
+static void do_persist(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
+{
+	(void)node;
+	(void)now_ns;
+	wl_out_add(out, WL_ACTION_PERSIST)->persist = action->persist;
+	memset(&action->persist, 0, sizeof(action->persist));
+}
+
+typedef void (*raft_handler_t)(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action,
+			       wl_out_t *out);
+
+static const raft_handler_t raft_handlers[] = {
+	[WL_RAFT_DO_SEND] = do_send,	 [WL_RAFT_DO_PERSIST] = do_persist,
+	[WL_RAFT_DO_COMMIT] = do_commit, [WL_RAFT_DO_RESTORE] = do_restore,
+	[WL_RAFT_DO_LEAD] = do_lead,	 [WL_RAFT_DO_FOLLOW] = do_follow,
+	[WL_RAFT_DO_DROP] = do_drop,	 [WL_RAFT_DO_SNAPSHOT] = do_snapshot,
+};
+
+static void raft_event(wl_node_t *node, uint64_t now_ns, const wl_raft_event_t *event,
+		       wl_out_t *out)
+{
+	wl_raft_out_t actions;
+
+	wl_raft_out_init(&actions);
+	wl_raft_step(node->raft, now_ns, event, &actions);
+	for (size_t i = 0; i < actions.count; i++)
+		raft_handlers[actions.actions[i].kind](node, now_ns, &actions.actions[i], out);
+	wl_raft_out_free(&actions);
+}
+
+/*
+ * wl_node_make_state - make the replicated state and the leader's part of a replica
+ */
+bool wl_node_make_state(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
+{
+	const wl_node_options_t *o = &node->options;
+	wl_state_options_t state = {
+		.task_chart = node->task_chart,
+		.key_keep_ms = o->key_keep_ms,
+		.task_keep_ms = o->task_keep_ms,
+	};
+	wl_leader_options_t leader = {
+		.entry = o->name,
+		.metrics = &node->metrics,
+		.placement = o->placement,
+		.session_ms = o->session_ms,
+		.drift_ms = o->drift_ms,
+		.grace_ms = o->grace_ms,
+		.lease_ms = o->lease_ms,
+		.long_share_permille = o->long_share_permille,
+		.long_ms = o->long_ms,
+		.seed = o->seed,
+	};
+
+	node->state = wl_state_new(&state, err);
+	if (!node->state)
+		return false;
+	leader.state = node->state;
+	node->leader = wl_leader_new(&leader, now_ns, err);
+	return node->leader != NULL;
+}
+
+/*
+ * wl_node_propose - hand a command of the leader part to the log
+ * @action: WL_ACTION_PROPOSE
+ */
+void wl_node_propose(wl_node_t *node, uint64_t now_ns, wl_action_t *action, wl_out_t *out)
+{
+	wl_raft_event_t event = {.kind = WL_RAFT_EV_PROPOSE, .tag = action->tag};
+	wl_buf_t packed = {0};
+
+	(void)out;
+	wl_cmd_pack(&action->cmd, &packed);
+	event.data = wl_buf_str(&packed);
+	raft_event(node, now_ns, &event, &node->deferred);
+	wl_buf_free(&packed);
+}
+
+/*
+ * wl_node_raft_message - a message of another replica
+ */
+void wl_node_raft_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	wl_raft_event_t raft = {
+		.kind = WL_RAFT_EV_MSG,
+		.msg = &event->msg.u.raft,
+		.name = wl_buf_str(&event->peer),
+	};
+
+	if (node->raft)
+		raft_event(node, now_ns, &raft, out);
+}
+
+/*
+ * wl_node_raft_tick - let time pass for the log
+ */
+void wl_node_raft_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
+{
+	wl_raft_event_t event = {.kind = WL_RAFT_EV_TICK};
+
+	if (node->raft)
+		raft_event(node, now_ns, &event, out);
+}
+
+/*
+ * wl_node_persisted - a change to stored state is synced
+ */
+void wl_node_persisted(wl_node_t *node, uint64_t now_ns, uint64_t ticket, wl_out_t *out)
+{
+	wl_raft_event_t event = {.kind = WL_RAFT_EV_PERSISTED, .ticket = ticket};
+
+	if (node->raft)
+		raft_event(node, now_ns, &event, out);
+}
+
+/*
+ * wl_node_hand_over - give leadership away, for a planned stop
+ */
+void wl_node_hand_over(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
+{
+	wl_raft_event_t event = {.kind = WL_RAFT_EV_HAND_OVER};
+
+	if (node->raft && wl_raft_leads(node->raft))
+		raft_event(node, now_ns, &event, out);
+}
+
+static void not_leading(wl_node_t *node, wl_event_t *event, uint64_t call, wl_out_t *out)
+{
+	wl_msg_result_t *answer =
+		&wl_out_send(out, wl_buf_str(&event->peer), WL_MSG_RESULT)->u.result;
+
+	(void)node;
+	answer->call = call;
+	answer->result.code = WL_E_NO_LEADER;
+	answer->result.verdict = WL_NOT_RUN;
+	wl_buf_set(&answer->result.text, WL_STR("this replica does not lead"));
+}
+
+static void not_leading_renew(wl_node_t *node, wl_event_t *event, wl_out_t *out)
+{
+	const wl_msg_renew_t *renew = &event->msg.u.renew;
+	wl_msg_renewed_t *answer =
+		&wl_out_send(out, wl_buf_str(&event->peer), WL_MSG_RENEWED)->u.renewed;
+	wl_str_t leader = node->raft ? wl_raft_leader_name(node->raft) : WL_STR("");
+
+	answer->boot = renew->boot;
+	answer->sent_ns = renew->sent_ns;
+	answer->code = WL_E_NO_LEADER;
+	/* Naming itself would send the entry round in circles until its first entry is committed.
+	 */
+	if (!wl_str_equal(leader, node->options.name))
+		wl_buf_set(&answer->leader, leader);
+}
+
+static void refuse(wl_node_t *node, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind != WL_EVENT_PEER)
+		return;
+	if (event->msg.kind == WL_MSG_COMMAND)
+		not_leading(node, event, event->msg.u.command.call, out);
+	else if (event->msg.kind == WL_MSG_QUERY)
+		not_leading(node, event, event->msg.u.query.call, out);
+	else if (event->msg.kind == WL_MSG_RENEW)
+		not_leading_renew(node, event, out);
+}
+
+static void query_members(wl_node_t *node, wl_event_t *event, wl_out_t *out)
+{
+	wl_msg_result_t *answer =
+		&wl_out_send(out, wl_buf_str(&event->peer), WL_MSG_RESULT)->u.result;
+
+	answer->call = event->msg.u.query.call;
+	wl_buf_append(&answer->result.body, WL_STR("{\"replicas\":"));
+	wl_raft_members_json(node->raft, &answer->result.body);
+	wl_buf_printf(&answer->result.body, ",\"leader\":\"" WL_STR_FMT "\",\"term\":%llu}\n",
+		      WL_STR_ARG(node->options.name), (unsigned long long)wl_raft_term(node->raft));
+}
+
+static void query_replace(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	wl_raft_event_t replace = {
+		.kind = WL_RAFT_EV_REPLACE,
+		.name = wl_buf_str(&event->msg.u.query.name),
+	};
+	wl_msg_result_t *answer =
+		&wl_out_send(out, wl_buf_str(&event->peer), WL_MSG_RESULT)->u.result;
+
+	answer->call = event->msg.u.query.call;
+	raft_event(node, now_ns, &replace, out);
+}
+
+/*
+ * Reads and renewals must not come from a leader that others have replaced:
+ * a new leader counts a full validity from its own beginning, so none may be
+ * granted after that by an older one.
+ */
+static bool lease_refuses(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind != WL_EVENT_PEER)
+		return false;
+	if (event->msg.kind != WL_MSG_QUERY && event->msg.kind != WL_MSG_RENEW)
+		return false;
+	if (wl_raft_lease_holds(node->raft, now_ns))
+		return false;
+	refuse(node, event, out);
+	return true;
+}
+
+static bool query_replicas(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind != WL_EVENT_PEER || event->msg.kind != WL_MSG_QUERY)
+		return false;
+	if (event->msg.u.query.kind == WL_QUERY_MEMBERS)
+		query_members(node, event, out);
+	else if (event->msg.u.query.kind == WL_QUERY_REPLACE)
+		query_replace(node, now_ns, event, out);
+	else
+		return false;
+	return true;
+}
+
+/*
+ * wl_node_leader_event - give an event to the leader part, or say that this daemon does not lead
+ */
+void wl_node_leader_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (!node->leading) {
+		refuse(node, event, out);
+		return;
+	}
+	if (lease_refuses(node, now_ns, event, out) || query_replicas(node, now_ns, event, out))
+		return;
+	wl_leader_step(node->leader, now_ns, event, out);
+}
