--- a/libwlcore/cmd.h
+++ b/libwlcore/cmd.h
@@ -89,10 +89,11 @@
 	WL_REPORT_STARTED,
 	WL_REPORT_REFUSED, /* the attempt never started and never will */
 	WL_REPORT_FINISHED,
-	WL_REPORT_FAILED,     /* the target ran it and it failed */
-	WL_REPORT_CHECKPOINT, /* taken for an eviction; the task still runs */
-	WL_REPORT_STOPPED,    /* it ran and is confirmed stopped: evicted or cancelled */
-	WL_REPORT_LOST,	      /* out of reach past every possible lease: it can't run any more */
+	WL_REPORT_FAILED,      /* the target ran it and it failed */
+	WL_REPORT_CHECKPOINT,  /* taken for an eviction; the task still runs */
+	WL_REPORT_STOPPED,     /* it ran and is confirmed stopped: evicted or cancelled */
+	WL_REPORT_LOST,	       /* out of reach past every possible lease: it can't run any more */
+	WL_REPORT_UNPLACEABLE, /* from the leader: no target can ever carry the task */
 	WL_REPORT_KINDS
 } wl_report_kind_t;
 
--- a/libwlcore/event.h
+++ b/libwlcore/event.h
@@ -69,6 +69,7 @@
 	uint64_t tag;		   /* proposal, or call to the leader; 0: not ours */
 	uint64_t index;		   /* GAUGE: its value */
 	uint64_t term;		   /* LEAD, FOLLOW too */
+	uint64_t group;		   /* LEAD: id of the replicated log's group */
 	const wl_cmd_t *cmd;	   /* APPLIED: borrowed */
 	const wl_result_t *result; /* APPLIED, RESULT: borrowed */
 	wl_verdict_t verdict;	   /* DROPPED */
--- /dev/null
+++ b/libwlcore/state.c
@@ -0,0 +1,265 @@
+/*
+ * The replicated state: what the log's commands make, the same on each replica.
+ *
+ * Each kind of command has its file; this one holds the whole, the group's
+ * clock and the view that entries get.
+ */
+
+#include "state_internal.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEEP_MS_DEFAULT	     (24 * 3600 * 1000ULL)
+#define CHANGE_KEEP_DEFAULT  4096
+#define MAX_ATTEMPTS_DEFAULT 3
+#define MAX_TASKS_DEFAULT    200000
+#define RESULT_TEXT_BYTES    320
+
+static void options_default(uint64_t *option, uint64_t preset)
+{
+	if (*option == 0)
+		*option = preset;
+}
+
+void wl_state_init_empty(wl_state_t *state)
+{
+	wl_err_t err;
+
+	state->lists = wl_lists_new((wl_str_t){0}, (wl_str_t){0}, &err);
+	wl_map_init(&state->by_change);
+	TAILQ_INIT(&state->changes);
+	TAILQ_INIT(&state->sessions);
+	wl_map_init(&state->by_target);
+	TAILQ_INIT(&state->targets);
+	wl_map_init(&state->by_task);
+	wl_map_init(&state->by_alias);
+	TAILQ_INIT(&state->live);
+	TAILQ_INIT(&state->ended);
+	wl_map_init(&state->by_customer);
+	TAILQ_INIT(&state->customers);
+	wl_map_init(&state->by_key);
+	TAILQ_INIT(&state->keys_running);
+	TAILQ_INIT(&state->keys_ended);
+	wl_map_init(&state->by_kind);
+	TAILQ_INIT(&state->kinds);
+}
+
+/* Releases all that was applied; the options stay. */
+void wl_state_clear(wl_state_t *state)
+{
+	wl_state_options_t options = state->options;
+
+	wl_state_tasks_clear(state);
+	wl_state_targets_clear(state);
+	wl_state_sessions_clear(state);
+	wl_state_keys_clear(state);
+	wl_state_kinds_clear(state);
+	wl_state_changes_clear(state);
+	for (size_t i = 0; i < WL_LISTS; i++)
+		wl_buf_free(&state->list[i].text);
+	wl_lists_free(state->lists);
+	memset(state, 0, sizeof(*state));
+	state->options = options;
+}
+
+/*
+ * wl_state_new - make an empty state
+ * @options: zero numbers mean the default; the chart must outlive the state
+ * @err: WL_E_BAD_INPUT without a chart
+ *
+ * Return: the state, or NULL.
+ */
+wl_state_t *wl_state_new(const wl_state_options_t *options, wl_err_t *err)
+{
+	wl_state_t *state;
+
+	if (!options->task_chart) {
+		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "state: no task chart");
+		return NULL;
+	}
+
+	state = wl_alloc(sizeof(*state));
+	state->options = *options;
+	options_default(&state->options.key_keep_ms, KEEP_MS_DEFAULT);
+	options_default(&state->options.task_keep_ms, KEEP_MS_DEFAULT);
+	options_default(&state->options.change_keep, CHANGE_KEEP_DEFAULT);
+	options_default(&state->options.max_attempts, MAX_ATTEMPTS_DEFAULT);
+	options_default(&state->options.max_tasks, MAX_TASKS_DEFAULT);
+	wl_state_init_empty(state);
+	return state;
+}
+
+/*
+ * wl_state_free - release a state
+ */
+void wl_state_free(wl_state_t *state)
+{
+	if (!state)
+		return;
+	wl_state_clear(state);
+	free(state);
+}
+
+void wl_result_ok(wl_result_t *result, uint64_t index)
+{
+	result->code = WL_OK;
+	result->verdict = WL_RAN;
+	result->index = index;
+}
+
+/* A command that changed nothing. */
+void wl_result_fail(wl_result_t *result, wl_code_t code, const char *format, ...)
+{
+	char text[RESULT_TEXT_BYTES];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(text, sizeof(text), format, args);
+	va_end(args);
+	result->code = code;
+	result->verdict = WL_NOT_RUN;
+	wl_buf_set(&result->text, wl_str_from(text));
+}
+
+/*
+ * wl_state_apply - apply one committed command
+ * @index: its place in the log; each is applied once, in order
+ * @cmd: the command
+ * @result: overwritten without release; verdict not-run says that nothing changed
+ */
+void wl_state_apply(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result)
+{
+	memset(result, 0, sizeof(*result));
+	state->index = index;
+	if (cmd->at_ms > state->clock_ms)
+		state->clock_ms = cmd->at_ms;
+	wl_state_tasks_expire(state);
+	wl_state_keys_expire(state);
+
+	switch ((wl_cmd_kind_t)cmd->kind) {
+	case WL_CMD_LIST_PUT:
+		wl_state_list_put(state, index, &cmd->u.list_put, result);
+		break;
+	case WL_CMD_SESSION_OPEN:
+		wl_state_session_open(state, index, &cmd->u.session_open, result);
+		break;
+	case WL_CMD_SESSION_END:
+		wl_state_session_end(state, index, &cmd->u.session_end, result);
+		break;
+	case WL_CMD_TARGET_OWN:
+		wl_state_target_own(state, index, &cmd->u.target_own, result);
+		break;
+	case WL_CMD_TARGET_FORGET:
+		wl_state_target_forget(state, index, &cmd->u.target_forget, result);
+		break;
+	case WL_CMD_TASK_ADD:
+		wl_state_task_add(state, index, &cmd->u.task_add, result);
+		break;
+	case WL_CMD_TASK_CANCEL:
+		wl_state_task_cancel(state, index, &cmd->u.task_cancel, result);
+		break;
+	case WL_CMD_TASK_ASSIGN:
+		wl_state_task_assign(state, index, &cmd->u.task_assign, result);
+		break;
+	case WL_CMD_TASK_REPORT:
+		wl_state_task_report(state, index, &cmd->u.task_report, result);
+		break;
+	case WL_CMD_KEY_BEGIN:
+		wl_state_key_begin(state, &cmd->u.key_begin, result);
+		break;
+	case WL_CMD_KEY_END:
+		wl_state_key_end(state, &cmd->u.key_end, result);
+		break;
+	case WL_CMD_NONE:
+	case WL_CMD_KINDS:
+		wl_result_fail(result, WL_E_BAD_INPUT, "unknown command");
+		break;
+	}
+}
+
+/*
+ * wl_state_clock_ms - the group's clock as of the newest command
+ */
+uint64_t wl_state_clock_ms(const wl_state_t *state)
+{
+	return state->clock_ms;
+}
+
+/*
+ * wl_state_revision - log index of the newest accepted list change; 0: none
+ */
+uint64_t wl_state_revision(const wl_state_t *state)
+{
+	return state->revision;
+}
+
+static void view_row(const wl_state_target_t *target, wl_msg_view_t *view)
+{
+	wl_owner_row_t *row = wl_list_add(&wl_owner_row_schema, &view->owners);
+	const wl_task_t *task;
+
+	wl_record_copy(&wl_owner_row_schema, row, &target->row);
+	TAILQ_FOREACH (task, &target->assigned, on) {
+		wl_assignment_t *running = wl_list_add(&wl_assignment_schema, &row->running);
+
+		wl_buf_set(&running->task, wl_buf_str(&task->id));
+		wl_buf_set(&running->target, target->key);
+		running->attempt = task->record.attempt;
+		running->epoch = task->record.epoch;
+	}
+}
+
+static void view_owners(const wl_state_t *state, uint64_t from, wl_msg_view_t *view)
+{
+	const wl_state_target_t *target;
+	const wl_state_target_t *first = TAILQ_FIRST(&state->targets);
+	bool whole = from == 0 || from < state->owners_floor || from > state->owners_index;
+
+	view->owners_from = whole ? 0 : from;
+	view->owners_to = state->owners_index;
+	if (!whole) {
+		first = NULL;
+		TAILQ_FOREACH_REVERSE (target, &state->targets, wl_state_targets, link) {
+			if (target->changed <= from)
+				break;
+			first = target;
+		}
+	}
+	for (target = first; target; target = TAILQ_NEXT(target, link))
+		if (!whole || !target->row.forgotten)
+			view_row(target, view);
+}
+
+/*
+ * wl_state_view - what an entry lacks of the state
+ * @revision_have: revision of the lists that it has
+ * @owners_have: newest ownership change that it has; 0: none
+ * @view: overwritten without release; group and term are left to the caller
+ */
+void wl_state_view(const wl_state_t *state, uint64_t revision_have, uint64_t owners_have,
+		   wl_msg_view_t *view)
+{
+	const wl_state_session_t *session;
+
+	memset(view, 0, sizeof(*view));
+	view->revision = state->revision;
+	view->customers_version = state->list[WL_LIST_CUSTOMERS].version;
+	view->plans_version = state->list[WL_LIST_PLANS].version;
+	view->has_lists = revision_have != state->revision;
+	if (view->has_lists) {
+		wl_buf_set(&view->customers, wl_buf_str(&state->list[WL_LIST_CUSTOMERS].text));
+		wl_buf_set(&view->plans, wl_buf_str(&state->list[WL_LIST_PLANS].text));
+	}
+	view_owners(state, owners_have, view);
+	TAILQ_FOREACH (session, &state->sessions, link) {
+		wl_member_t *member = wl_list_add(&wl_member_schema, &view->members);
+
+		member->session = session->id;
+		wl_buf_set(&member->entry, wl_buf_str(&session->entry));
+		wl_buf_set(&member->address, wl_buf_str(&session->address));
+		wl_buf_set(&member->availability_zone, wl_buf_str(&session->availability_zone));
+	}
+}
--- /dev/null
+++ b/libwlcore/state_keys.c
@@ -0,0 +1,177 @@
+/* Idempotency keys of requests: committed before the request is sent, their outcome after. */
+
+#include "state_internal.h"
+
+#include <stdlib.h>
+
+#define KEY_BODY_BYTES 65536
+
+static void key_text(wl_str_t customer, wl_str_t key, wl_buf_t *text)
+{
+	wl_buf_set(text, customer);
+	wl_buf_append(text, (wl_str_t){"", 1});
+	wl_buf_append(text, key);
+}
+
+static wl_state_key_t *key_find(const wl_state_t *state, const wl_buf_t *customer,
+				const wl_buf_t *key)
+{
+	wl_buf_t text = {0};
+	wl_state_key_t *found;
+
+	key_text(wl_buf_str(customer), wl_buf_str(key), &text);
+	found = wl_map_get(&state->by_key, wl_buf_str(&text));
+	wl_buf_free(&text);
+	return found;
+}
+
+static struct wl_state_keys *key_list(wl_state_t *state, const wl_state_key_t *key)
+{
+	return key->state == WL_KEY_RUNNING ? &state->keys_running : &state->keys_ended;
+}
+
+/* Adds a key by its text, customer and key joined, as a snapshot holds it. */
+wl_state_key_t *wl_state_key_restore(wl_state_t *state, wl_str_t text, uint64_t key_state)
+{
+	wl_state_key_t *key = wl_alloc(sizeof(*key));
+
+	wl_buf_set(&key->text, text);
+	key->key = wl_buf_str(&key->text);
+	key->state = key_state;
+	wl_map_put(&state->by_key, key);
+	TAILQ_INSERT_TAIL(key_list(state, key), key, link);
+	return key;
+}
+
+static void key_drop(wl_state_t *state, wl_state_key_t *key)
+{
+	wl_map_remove(&state->by_key, key->key);
+	TAILQ_REMOVE(key_list(state, key), key, link);
+	wl_buf_free(&key->text);
+	wl_buf_free(&key->digest);
+	wl_buf_free(&key->content_type);
+	wl_buf_free(&key->body);
+	free(key);
+}
+
+static void key_end(wl_state_t *state, wl_state_key_t *key, uint64_t key_state)
+{
+	TAILQ_REMOVE(key_list(state, key), key, link);
+	key->state = key_state;
+	key->ended_ms = state->clock_ms;
+	TAILQ_INSERT_TAIL(key_list(state, key), key, link);
+}
+
+/* What a second request with a key gets. */
+static void key_answer(const wl_state_key_t *key, uint64_t nonce, wl_result_t *result)
+{
+	wl_result_ok(result, 0);
+	result->key_state = key->state;
+	if (key->state == WL_KEY_RUNNING && key->nonce == nonce)
+		result->key_state = WL_KEY_FRESH;
+	if (key->state == WL_KEY_LOST)
+		result->verdict = WL_UNKNOWN;
+	if (key->state != WL_KEY_DONE)
+		return;
+	result->verdict = key->verdict;
+	result->status = key->status;
+	wl_buf_set(&result->content_type, wl_buf_str(&key->content_type));
+	wl_buf_set(&result->body, wl_buf_str(&key->body));
+}
+
+/* Begins the one run of a key, or says what became of it. */
+void wl_state_key_begin(wl_state_t *state, const wl_cmd_key_begin_t *cmd, wl_result_t *result)
+{
+	wl_state_key_t *key = key_find(state, &cmd->customer, &cmd->key);
+	wl_buf_t text = {0};
+
+	if (key && !wl_str_equal(wl_buf_str(&key->digest), wl_buf_str(&cmd->digest))) {
+		wl_result_fail(result, WL_E_CONFLICT, "the key belongs to another request");
+		return;
+	}
+	if (key) {
+		key_answer(key, cmd->nonce, result);
+		return;
+	}
+	if (!wl_state_session(state, cmd->session)) {
+		wl_result_fail(result, WL_E_NO_SESSION, "session %llu is over",
+			       (unsigned long long)cmd->session);
+		return;
+	}
+	key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
+	key = wl_state_key_restore(state, wl_buf_str(&text), WL_KEY_RUNNING);
+	wl_buf_free(&text);
+	wl_buf_set(&key->digest, wl_buf_str(&cmd->digest));
+	key->session = cmd->session;
+	key->nonce = cmd->nonce;
+	wl_result_ok(result, 0);
+	result->key_state = WL_KEY_FRESH;
+}
+
+static void key_keep(wl_state_t *state, wl_state_key_t *key, const wl_cmd_key_end_t *cmd)
+{
+	if (cmd->body.len > KEY_BODY_BYTES || cmd->verdict == WL_UNKNOWN) {
+		key_end(state, key, WL_KEY_LOST);
+		return;
+	}
+	key->verdict = cmd->verdict;
+	key->status = cmd->status;
+	wl_buf_set(&key->content_type, wl_buf_str(&cmd->content_type));
+	wl_buf_set(&key->body, wl_buf_str(&cmd->body));
+	key_end(state, key, WL_KEY_DONE);
+}
+
+/*
+ * Ends the run of a key; only the call that began it may, also after its
+ * session ended.  A run that never happened frees the key; an outcome that is
+ * not known, or too large to keep, leaves it lost.
+ */
+void wl_state_key_end(wl_state_t *state, const wl_cmd_key_end_t *cmd, wl_result_t *result)
+{
+	wl_state_key_t *key = key_find(state, &cmd->customer, &cmd->key);
+
+	if (key && key->nonce != cmd->nonce) {
+		wl_result_fail(result, WL_E_STALE, "the key was begun by another call");
+		return;
+	}
+	if (key && key->state != WL_KEY_DONE) {
+		if (cmd->verdict == WL_NOT_RUN)
+			key_drop(state, key);
+		else
+			key_keep(state, key, cmd);
+	}
+	wl_result_ok(result, 0);
+}
+
+/* Keys that a session began and did not end have no outcome to wait for. */
+void wl_state_keys_lose(wl_state_t *state, uint64_t session)
+{
+	wl_state_key_t *key;
+	wl_state_key_t *next;
+
+	for (key = TAILQ_FIRST(&state->keys_running); key; key = next) {
+		next = TAILQ_NEXT(key, link);
+		if (key->session == session)
+			key_end(state, key, WL_KEY_LOST);
+	}
+}
+
+void wl_state_keys_expire(wl_state_t *state)
+{
+	wl_state_key_t *key;
+
+	while ((key = TAILQ_FIRST(&state->keys_ended))) {
+		if (key->ended_ms + state->options.key_keep_ms > state->clock_ms)
+			return;
+		key_drop(state, key);
+	}
+}
+
+void wl_state_keys_clear(wl_state_t *state)
+{
+	while (!TAILQ_EMPTY(&state->keys_running))
+		key_drop(state, TAILQ_FIRST(&state->keys_running));
+	while (!TAILQ_EMPTY(&state->keys_ended))
+		key_drop(state, TAILQ_FIRST(&state->keys_ended));
+	wl_map_free(&state->by_key);
+}
--- /dev/null
+++ b/libwlcore/state_reports.c
@@ -0,0 +1,127 @@
+/*
+ * Reports of attempts: which ones count, and what they mean to the task.
+ *
+ * Only the newest attempt counts.  What a target itself said (it started,
+ * ended, failed, was stopped) is true whoever passes it on; what an owner
+ * concludes from silence counts from the present owner only, because another
+ * one may be renewing the work's lease.
+ */
+
+#include "state_internal.h"
+
+#define FAILURES_PER_TARGET 2
+
+static bool conclusion_of_owner(uint64_t kind)
+{
+	return kind == WL_REPORT_REFUSED || kind == WL_REPORT_LOST || kind == WL_REPORT_CHECKPOINT;
+}
+
+static bool report_counts(const wl_state_t *state, const wl_task_t *task, const wl_report_t *report)
+{
+	const wl_state_target_t *target = wl_state_target(state, wl_buf_str(&report->target));
+
+	if (report->kind == WL_REPORT_UNPLACEABLE)
+		return task->record.attempt == report->attempt;
+	if (task->record.attempt == 0 || task->record.attempt != report->attempt ||
+	    !wl_str_equal(wl_buf_str(&task->record.target), wl_buf_str(&report->target)))
+		return false;
+	if (!conclusion_of_owner(report->kind))
+		return true;
+	return target && report->epoch >= target->row.epoch;
+}
+
+/* Work that may not run twice goes on from a checkpoint or not at all. */
+static bool resumable(const wl_task_t *task, const wl_report_t *report)
+{
+	return task->record.spec.restartable || report->checkpoint.len > 0;
+}
+
+static wl_task_event_t refused_event(const wl_task_t *task)
+{
+	uint64_t state = task->record.state;
+
+	if (state != WL_TASK_RUNNING && state != WL_TASK_EVICTING)
+		return WL_TASK_EV_REFUSE;
+	return task->record.spec.restartable ? WL_TASK_EV_LOSE : WL_TASK_EV_LOSE_FOR_GOOD;
+}
+
+/* Failures on one and the same target also come to an end, for want of another. */
+static wl_task_event_t failed_event(const wl_state_t *state, const wl_task_t *task,
+				    const wl_report_t *report)
+{
+	const wl_task_record_t *record = &task->record;
+	uint64_t most = state->options.max_attempts;
+	uint64_t targets = record->failed_on.count;
+
+	if (!wl_strings_have(&record->failed_on, wl_buf_str(&report->target)))
+		targets++;
+	if (!record->spec.restartable || targets >= most ||
+	    record->failures + 1 >= most * FAILURES_PER_TARGET)
+		return WL_TASK_EV_GIVE_UP;
+	return WL_TASK_EV_FAIL;
+}
+
+static void failure_note(wl_task_t *task, const wl_report_t *report)
+{
+	wl_str_t target = wl_buf_str(&report->target);
+
+	task->record.failures++;
+	if (!wl_strings_have(&task->record.failed_on, target))
+		wl_strings_add(&task->record.failed_on, target);
+}
+
+static wl_task_event_t report_event(const wl_state_t *state, const wl_task_t *task,
+				    const wl_report_t *report)
+{
+	switch ((wl_report_kind_t)report->kind) {
+	case WL_REPORT_STARTED:
+		return WL_TASK_EV_START;
+	case WL_REPORT_REFUSED:
+		return refused_event(task);
+	case WL_REPORT_FINISHED:
+		return WL_TASK_EV_FINISH;
+	case WL_REPORT_FAILED:
+		return failed_event(state, task, report);
+	case WL_REPORT_CHECKPOINT:
+		return WL_TASK_EV_CHECKPOINT;
+	case WL_REPORT_STOPPED:
+		return resumable(task, report) ? WL_TASK_EV_STOP : WL_TASK_EV_STOP_FOR_GOOD;
+	case WL_REPORT_LOST:
+		return task->record.spec.restartable ? WL_TASK_EV_LOSE : WL_TASK_EV_LOSE_FOR_GOOD;
+	case WL_REPORT_UNPLACEABLE:
+	case WL_REPORT_KINDS:
+		break;
+	}
+	return WL_TASK_EV_REJECT;
+}
+
+static bool report_apply(wl_state_t *state, const wl_report_t *report)
+{
+	wl_task_t *task = wl_state_task(state, wl_buf_str(&report->task));
+	wl_task_move_t move = {.state = state, .task = task, .report = report};
+
+	if (!task || report->kind >= WL_REPORT_KINDS || !report_counts(state, task, report))
+		return false;
+	if (wl_task_move(&move, report_event(state, task, report)) != WL_CHART_MOVED)
+		return false;
+	if (report->kind == WL_REPORT_FINISHED)
+		wl_state_kind_learn(state, wl_buf_str(&task->record.spec.kind), report);
+	if (report->kind == WL_REPORT_FAILED)
+		failure_note(task, report);
+	return true;
+}
+
+/* Applies reports; the result's text says how many were of no use any more. */
+void wl_state_task_report(wl_state_t *state, uint64_t index, const wl_cmd_task_report_t *cmd,
+			  wl_result_t *result)
+{
+	const wl_report_t *reports = cmd->reports.items;
+	uint64_t stale = 0;
+
+	for (size_t i = 0; i < cmd->reports.count; i++)
+		if (!report_apply(state, &reports[i]))
+			stale++;
+	wl_result_ok(result, index);
+	if (stale > 0)
+		wl_buf_printf(&result->text, "ignored=%llu", (unsigned long long)stale);
+}
--- /dev/null
+++ b/libwlcore/state_sessions.c
@@ -0,0 +1,91 @@
+/* Sessions of entries: opened once for a start of a daemon, ended by the leader. */
+
+#include "state_internal.h"
+
+#include <stdlib.h>
+
+wl_state_session_t *wl_state_session(const wl_state_t *state, uint64_t id)
+{
+	wl_state_session_t *session;
+
+	TAILQ_FOREACH (session, &state->sessions, link)
+		if (session->id == id)
+			return session;
+	return NULL;
+}
+
+wl_state_session_t *wl_state_session_of(const wl_state_t *state, wl_str_t entry)
+{
+	wl_state_session_t *session;
+
+	TAILQ_FOREACH (session, &state->sessions, link)
+		if (wl_str_equal(wl_buf_str(&session->entry), entry))
+			return session;
+	return NULL;
+}
+
+wl_state_session_t *wl_state_session_add(wl_state_t *state, uint64_t id)
+{
+	wl_state_session_t *session = wl_alloc(sizeof(*session));
+
+	session->id = id;
+	TAILQ_INSERT_TAIL(&state->sessions, session, link);
+	return session;
+}
+
+static void session_free(wl_state_t *state, wl_state_session_t *session)
+{
+	TAILQ_REMOVE(&state->sessions, session, link);
+	wl_buf_free(&session->entry);
+	wl_buf_free(&session->address);
+	wl_buf_free(&session->availability_zone);
+	free(session);
+}
+
+static void session_close(wl_state_t *state, uint64_t index, wl_state_session_t *session)
+{
+	wl_state_owners_release(state, index, session->id);
+	wl_state_keys_lose(state, session->id);
+	session_free(state, session);
+}
+
+/* Opens a session; the same start of a daemon gets the same one, a later start ends it. */
+void wl_state_session_open(wl_state_t *state, uint64_t index, const wl_cmd_session_open_t *cmd,
+			   wl_result_t *result)
+{
+	wl_state_session_t *session = wl_state_session_of(state, wl_buf_str(&cmd->entry));
+
+	if (cmd->entry.len == 0) {
+		wl_result_fail(result, WL_E_BAD_INPUT, "a session needs the name of its entry");
+		return;
+	}
+	if (session && session->boot == cmd->boot) {
+		wl_result_ok(result, session->id);
+		return;
+	}
+	if (session)
+		session_close(state, index, session);
+	session = wl_state_session_add(state, index);
+	session->boot = cmd->boot;
+	wl_buf_set(&session->entry, wl_buf_str(&cmd->entry));
+	wl_buf_set(&session->address, wl_buf_str(&cmd->address));
+	wl_buf_set(&session->availability_zone, wl_buf_str(&cmd->availability_zone));
+	wl_result_ok(result, index);
+}
+
+/* Ends a session: its targets have no owner now, its unfinished keys no outcome. */
+void wl_state_session_end(wl_state_t *state, uint64_t index, const wl_cmd_session_end_t *cmd,
+			  wl_result_t *result)
+{
+	wl_state_session_t *session = wl_state_session(state, cmd->session);
+
+	if (session)
+		session_close(state, index, session);
+	wl_result_ok(result, index);
+}
+
+void wl_state_sessions_clear(wl_state_t *state)
+{
+	while (!TAILQ_EMPTY(&state->sessions))
+		session_free(state, TAILQ_FIRST(&state->sessions));
+}
