net: add the HTTP listener, the HTTP client and the peer link

First version of the three threads that carry a daemon's traffic. The listener suspends a whole request and goes on when its reply comes; the client reports each call once; peers prove the shared secret both ways and tag each frame.

--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -1,7 +1,349 @@
-/* HTTP calls by libcurl. */
+/*
+ * HTTP calls by libcurl's multi interface, on one thread.
+ *
+ * Calls come in through a ring, whose descriptor also wakes the thread.  Each
+ * call ends in one FETCHED event; while the event ring is full, events wait
+ * here.
+ */
 
 #include "http_client.h"
 
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "http_transfer.h"
+
+#define POLL_MS		1000
+#define RETRY_MS	5
+#define CALL_CONNECT_MS 3000
+#define IDLE_CACHE	256 /* connections kept open over all hosts */
+
+TAILQ_HEAD(transfer_list, wl_transfer);
+
+/* What the ring carries. */
+typedef struct order {
+	bool cancel;
+	wl_fetch_t fetch; /* cancel: id */
+} order_t;
+
+struct wl_http_client {
+	wl_http_client_options_t options;
+	wl_ring_t *orders;
+	pthread_t thread;
+	unsigned int stopping;
+	/* the thread's own */
+	CURLM *multi;
+	wl_map_t by_id;
+	struct transfer_list running;
+	struct transfer_list ended; /* their events did not fit the ring yet */
+};
+
+static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
+
+static void curl_begin(void)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+static bool transfer_report(wl_http_client_t *client, wl_transfer_t *transfer)
+{
+	wl_event_t *event = wl_alloc(sizeof(*event));
+
+	wl_event_init(event, WL_EVENT_FETCHED);
+	event->fetched = transfer->fetched;
+	memset(&transfer->fetched, 0, sizeof(transfer->fetched));
+	if (wl_ring_push(client->options.events, event))
+		return true;
+	transfer->fetched = event->fetched;
+	free(event);
+	return false;
+}
+
+static void client_report(wl_http_client_t *client)
+{
+	wl_transfer_t *transfer;
+
+	while ((transfer = TAILQ_FIRST(&client->ended)) != NULL) {
+		if (!transfer_report(client, transfer))
+			return;
+		TAILQ_REMOVE(&client->ended, transfer, link);
+		wl_transfer_free(transfer);
+	}
+}
+
+static void client_end(wl_http_client_t *client, wl_transfer_t *transfer, CURLcode code,
+		       const char *error)
+{
+	wl_transfer_finish(transfer, code, error);
+	curl_multi_remove_handle(client->multi, transfer->easy);
+	wl_map_remove(&client->by_id, transfer->key);
+	TAILQ_REMOVE(&client->running, transfer, link);
+	TAILQ_INSERT_TAIL(&client->ended, transfer, link);
+}
+
+/* A call that can't even be begun still ends in its event. */
+static void client_refuse(wl_http_client_t *client, uint64_t id, const char *error)
+{
+	wl_transfer_t *transfer = wl_alloc(sizeof(*transfer));
+
+	memset(transfer, 0, sizeof(*transfer));
+	transfer->fetched.id = id;
+	wl_buf_set(&transfer->fetched.error, wl_str_from(error));
+	TAILQ_INSERT_TAIL(&client->ended, transfer, link);
+}
+
+static void client_begin(wl_http_client_t *client, wl_fetch_t *fetch)
+{
+	wl_transfer_options_t options = {.max_body_bytes = client->options.max_body_bytes,
+					 .connect_ms = client->options.connect_ms};
+	uint64_t id = fetch->id;
+	wl_err_t err;
+	wl_transfer_t *transfer = wl_transfer_new(fetch, &options, &err);
+
+	if (!transfer) {
+		client_refuse(client, id, err.text);
+		return;
+	}
+	if (!wl_map_put(&client->by_id, transfer)) {
+		wl_transfer_free(transfer);
+		client_refuse(client, id, "id is in use");
+		return;
+	}
+	TAILQ_INSERT_TAIL(&client->running, transfer, link);
+	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
+		client_end(client, transfer, CURLE_FAILED_INIT, NULL);
+}
+
+static void client_order(wl_http_client_t *client, order_t *order)
+{
+	wl_str_t key = {(const char *)&order->fetch.id, sizeof(order->fetch.id)};
+	wl_transfer_t *transfer;
+
+	if (!order->cancel) {
+		client_begin(client, &order->fetch);
+		return;
+	}
+	transfer = wl_map_get(&client->by_id, key);
+	if (transfer)
+		client_end(client, transfer, CURLE_ABORTED_BY_CALLBACK, "cancelled");
+}
+
+static void client_orders(wl_http_client_t *client)
+{
+	order_t *order;
+
+	wl_ring_rearm(client->orders);
+	while ((order = wl_ring_pop(client->orders)) != NULL) {
+		client_order(client, order);
+		wl_fetch_free(&order->fetch);
+		free(order);
+	}
+}
+
+static void client_ended(wl_http_client_t *client)
+{
+	wl_transfer_t *transfer;
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+		CURLcode code = message->data.result;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+		client_end(client, transfer, code, NULL);
+	}
+}
+
+static void client_abort(wl_http_client_t *client)
+{
+	wl_transfer_t *transfer;
+
+	while ((transfer = TAILQ_FIRST(&client->running)) != NULL)
+		client_end(client, transfer, CURLE_ABORTED_BY_CALLBACK, "stopped");
+	client_report(client);
+	while ((transfer = TAILQ_FIRST(&client->ended)) != NULL) {
+		TAILQ_REMOVE(&client->ended, transfer, link);
+		wl_transfer_free(transfer);
+	}
+}
+
+static void *client_main(void *arg)
+{
+	wl_http_client_t *client = arg;
+	struct curl_waitfd wake = {.fd = wl_ring_fd(client->orders), .events = CURL_WAIT_POLLIN};
+	int running;
+
+	pthread_setname_np(pthread_self(), "wl-http-out");
+	while (!ck_pr_load_uint(&client->stopping)) {
+		client_orders(client);
+		curl_multi_perform(client->multi, &running);
+		client_ended(client);
+		client_report(client);
+		curl_multi_poll(client->multi, &wake, 1,
+				TAILQ_EMPTY(&client->ended) ? POLL_MS : RETRY_MS, NULL);
+	}
+	client_orders(client);
+	client_abort(client);
+	return NULL;
+}
+
+static void client_free(wl_http_client_t *client)
+{
+	if (client->multi)
+		curl_multi_cleanup(client->multi);
+	wl_map_free(&client->by_id);
+	wl_ring_free(client->orders);
+	free(client);
+}
+
+static bool client_open(wl_http_client_t *client, wl_err_t *err)
+{
+	client->orders = wl_ring_new(client->options.queue_slots, err);
+	if (!client->orders)
+		return false;
+	client->multi = curl_multi_init();
+	if (!client->multi)
+		return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP client: no start");
+	curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)client->options.max_connections_per_host);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CACHE);
+	if (pthread_create(&client->thread, NULL, client_main, client) == 0)
+		return true;
+	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP client: no thread");
+}
+
+/*
+ * wl_http_client_start - start the client's thread
+ * @options: the ring must outlive the client
+ * @err: WL_E_BAD_INPUT, WL_E_IO
+ *
+ * Return: the client, or NULL.
+ */
+wl_http_client_t *wl_http_client_start(const wl_http_client_options_t *options, wl_err_t *err)
+{
+	wl_http_client_t *client = wl_alloc(sizeof(*client));
+
+	pthread_once(&curl_once, curl_begin);
+	memset(client, 0, sizeof(*client));
+	client->options = *options;
+	wl_map_init(&client->by_id);
+	TAILQ_INIT(&client->running);
+	TAILQ_INIT(&client->ended);
+	if (client_open(client, err))
+		return client;
+	client_free(client);
+	return NULL;
+}
+
+static bool client_push(wl_http_client_t *client, bool cancel, wl_fetch_t *fetch)
+{
+	order_t *order = wl_alloc(sizeof(*order));
+
+	order->cancel = cancel;
+	order->fetch = *fetch;
+	if (wl_ring_push(client->orders, order)) {
+		memset(fetch, 0, sizeof(*fetch));
+		return true;
+	}
+	free(order);
+	return false;
+}
+
+/*
+ * wl_http_client_fetch - begin a call; it ends in one FETCHED event
+ * @fetch: moved from
+ *
+ * Return: false if the queue is full; nothing was sent, no event comes and @fetch is kept.
+ */
+bool wl_http_client_fetch(wl_http_client_t *client, wl_fetch_t *fetch)
+{
+	return client_push(client, false, fetch);
+}
+
+/*
+ * wl_http_client_cancel - give a call up; it still ends in its one event
+ *
+ * With a full queue the call goes on to its timeout.
+ */
+void wl_http_client_cancel(wl_http_client_t *client, uint64_t id)
+{
+	wl_fetch_t fetch = {.id = id};
+
+	client_push(client, true, &fetch);
+}
+
+/*
+ * wl_http_client_stop - cut what still runs and end the thread
+ */
+void wl_http_client_stop(wl_http_client_t *client)
+{
+	wl_fetch_t wake = {0};
+
+	if (!client)
+		return;
+	ck_pr_store_uint(&client->stopping, 1);
+	client_push(client, true, &wake);
+	pthread_join(client->thread, NULL);
+	client_free(client);
+}
+
+static void fetch_copy(wl_fetch_t *to, const wl_fetch_t *from)
+{
+	const wl_header_t *headers = from->headers.items;
+
+	memset(to, 0, sizeof(*to));
+	to->id = from->id;
+	to->timeout_ms = from->timeout_ms;
+	wl_buf_set(&to->address, wl_buf_str(&from->address));
+	wl_buf_set(&to->method, wl_buf_str(&from->method));
+	wl_buf_set(&to->path, wl_buf_str(&from->path));
+	wl_buf_set(&to->body, wl_buf_str(&from->body));
+	for (size_t i = 0; i < from->headers.count; i++)
+		wl_headers_add(&to->headers, wl_buf_str(&headers[i].name),
+			       wl_buf_str(&headers[i].value));
+}
+
+/*
+ * wl_http_call - make one call and wait for its end
+ * @fetch: copied
+ * @max_body_bytes: limit of the response's body
+ * @fetched: overwritten; the caller releases it, also after a failure
+ * @err: WL_E_BAD_INPUT, WL_E_TARGET_FAILED with verdict not-run or unknown
+ *
+ * Return: true if a whole response came.
+ */
+bool wl_http_call(const wl_fetch_t *fetch, uint64_t max_body_bytes, wl_fetched_t *fetched,
+		  wl_err_t *err)
+{
+	wl_transfer_options_t options = {.max_body_bytes = max_body_bytes,
+					 .connect_ms = CALL_CONNECT_MS};
+	wl_transfer_t *transfer;
+	wl_fetch_t copy;
+
+	pthread_once(&curl_once, curl_begin);
+	memset(fetched, 0, sizeof(*fetched));
+	fetch_copy(&copy, fetch);
+	transfer = wl_transfer_new(&copy, &options, err);
+	wl_fetch_free(&copy);
+	if (!transfer)
+		return false;
+
+	wl_transfer_finish(transfer, curl_easy_perform(transfer->easy), NULL);
+	*fetched = transfer->fetched;
+	memset(&transfer->fetched, 0, sizeof(transfer->fetched));
+	wl_transfer_free(transfer);
+	if (fetched->whole)
+		return true;
+	return wl_err_set(err, WL_E_TARGET_FAILED, fetched->sent ? WL_UNKNOWN : WL_NOT_RUN, "%s",
+			  fetched->error.at);
+}
+
 /*
  * wl_fetched_free - release what the end of a call owns
  */
--- /dev/null
+++ b/libwlnet/http_exchange.h
@@ -0,0 +1,40 @@
+#ifndef WL_HTTP_EXCHANGE_H
+#define WL_HTTP_EXCHANGE_H
+
+#include <sys/queue.h>
+
+#include <microhttpd.h>
+
+#include "http_server.h"
+
+/* One request of a listener and its reply; internal to the HTTP server. */
+
+typedef enum wl_exchange_state {
+	WL_EXCHANGE_READING,   /* headers and body come in */
+	WL_EXCHANGE_WAITING,   /* suspended; the event is out */
+	WL_EXCHANGE_ANSWERED,  /* reply is ready to be queued */
+	WL_EXCHANGE_ABANDONED, /* the caller went away */
+	WL_EXCHANGE_QUEUED,    /* handed to libmicrohttpd */
+} wl_exchange_state_t;
+
+typedef struct wl_exchange {
+	wl_str_t key; /* over id, for wl_map_t */
+	uint64_t id;  /* 0: not published yet */
+	wl_exchange_state_t state;
+	struct MHD_Connection *connection;
+	wl_call_t call;
+	wl_reply_t reply;
+	bool begun;	    /* the headers were taken */
+	wl_code_t refusal;  /* WL_OK: none; answered once the body is read */
+	uint64_t discarded; /* body bytes over the limit, read and dropped */
+	bool head;	    /* the method is HEAD */
+	TAILQ_ENTRY(wl_exchange) link;
+} wl_exchange_t;
+
+wl_exchange_t *wl_exchange_new(const char *uri, struct MHD_Connection *connection);
+void wl_exchange_free(wl_exchange_t *exchange);
+uint64_t wl_exchange_take_headers(wl_exchange_t *exchange);
+void wl_exchange_refuse(wl_exchange_t *exchange, wl_code_t code, const char *text);
+struct MHD_Response *wl_exchange_response(wl_exchange_t *exchange, bool close);
+
+#endif
--- /dev/null
+++ b/libwlnet/http_server.c
@@ -0,0 +1,511 @@
+/*
+ * HTTP listener over libmicrohttpd.
+ *
+ * One thread of the library reads requests and writes replies.  A request
+ * that is whole is suspended and goes out as a CALL event; its reply resumes
+ * it.  The library does not watch a suspended connection, so that a thread
+ * of our own waits for callers that hang up meanwhile.
+ */
+
+#include "http_server.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "address.h"
+#include "http_exchange.h"
+
+#define DISCARD_BYTES	 (1 << 20) /* read past the body limit, so that the refusal arrives */
+#define POOL_SPARE_BYTES 8192
+#define WATCH_EVENTS	 64
+#define RETRY_MS	 5
+#define MS_PER_S	 1000
+
+TAILQ_HEAD(exchange_list, wl_exchange);
+
+struct wl_http_server {
+	wl_http_server_options_t options;
+	struct MHD_Daemon *daemon;
+	int listen_fd;
+	int watch_fd; /* epoll over suspended connections */
+	int stop_fd;
+	pthread_t watcher;
+	uint16_t port;
+	uint64_t next_call; /* used by the library's thread alone */
+	pthread_mutex_t lock;
+	/* under the lock */
+	wl_map_t waiting;
+	struct exchange_list all;
+	uint64_t open;
+	uint64_t refused;
+	bool quiescing;
+	bool stopping;
+};
+
+static size_t uri_keep(void *arg, struct MHD_Connection *connection, char *text)
+{
+	(void)arg;
+	(void)connection;
+	return strlen(text);
+}
+
+static void *uri_begin(void *arg, const char *uri, struct MHD_Connection *connection)
+{
+	wl_http_server_t *server = arg;
+	wl_exchange_t *exchange = wl_exchange_new(uri, connection);
+
+	pthread_mutex_lock(&server->lock);
+	TAILQ_INSERT_TAIL(&server->all, exchange, link);
+	server->open++;
+	pthread_mutex_unlock(&server->lock);
+	return exchange;
+}
+
+static wl_event_t *event_new(wl_event_kind_t kind)
+{
+	wl_event_t *event = wl_alloc(sizeof(*event));
+
+	wl_event_init(event, kind);
+	return event;
+}
+
+static bool event_push(wl_http_server_t *server, wl_event_t *event)
+{
+	if (wl_ring_push(server->options.events, event))
+		return true;
+	wl_event_free(event);
+	free(event);
+	return false;
+}
+
+static bool event_push_gone(wl_http_server_t *server, uint64_t id)
+{
+	wl_event_t *event = event_new(WL_EVENT_CALL_GONE);
+
+	event->call.id = id;
+	event->call.listener = server->options.listener;
+	return event_push(server, event);
+}
+
+static void watch_connection(wl_http_server_t *server, const wl_exchange_t *exchange)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct epoll_event want = {.events = EPOLLRDHUP | EPOLLONESHOT, .data.u64 = exchange->id};
+
+	if (epoll_ctl(server->watch_fd, EPOLL_CTL_ADD, info->connect_fd, &want) == 0)
+		return;
+	if (errno == EEXIST)
+		epoll_ctl(server->watch_fd, EPOLL_CTL_MOD, info->connect_fd, &want);
+}
+
+static wl_event_t *exchange_event(wl_http_server_t *server, wl_exchange_t *exchange)
+{
+	wl_event_t *event = event_new(WL_EVENT_CALL);
+
+	exchange->id = server->next_call;
+	server->next_call += server->options.call_step;
+	exchange->key = (wl_str_t){(const char *)&exchange->id, sizeof(exchange->id)};
+	event->call = exchange->call;
+	event->call.id = exchange->id;
+	event->call.listener = server->options.listener;
+	memset(&exchange->call, 0, sizeof(exchange->call));
+	return event;
+}
+
+/* The connection is suspended before the event is out: its reply may come at once. */
+static enum MHD_Result exchange_publish(wl_http_server_t *server, wl_exchange_t *exchange)
+{
+	wl_event_t *event = exchange_event(server, exchange);
+	bool stopping;
+
+	pthread_mutex_lock(&server->lock);
+	stopping = server->stopping;
+	if (!stopping) {
+		exchange->state = WL_EXCHANGE_WAITING;
+		MHD_suspend_connection(exchange->connection);
+		watch_connection(server, exchange);
+		wl_map_put(&server->waiting, exchange);
+		if (!wl_ring_push(server->options.events, event)) {
+			wl_map_remove(&server->waiting, exchange->key);
+			wl_exchange_refuse(exchange, WL_E_OVERLOADED, "event queue is full");
+			server->refused++;
+			MHD_resume_connection(exchange->connection);
+			stopping = true;
+		}
+	}
+	pthread_mutex_unlock(&server->lock);
+	if (!stopping)
+		return MHD_YES;
+
+	wl_event_free(event);
+	free(event);
+	return exchange->state == WL_EXCHANGE_ANSWERED ? MHD_YES : MHD_NO;
+}
+
+static enum MHD_Result exchange_queue(wl_http_server_t *server, wl_exchange_t *exchange)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	bool close;
+
+	pthread_mutex_lock(&server->lock);
+	close = server->quiescing;
+	exchange->state = WL_EXCHANGE_QUEUED;
+	pthread_mutex_unlock(&server->lock);
+
+	response = wl_exchange_response(exchange, close);
+	if (!response)
+		return MHD_NO;
+	result = MHD_queue_response(exchange->connection, (unsigned int)exchange->reply.status,
+				    response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result exchange_begin(wl_http_server_t *server, wl_exchange_t *exchange,
+				      const char *method)
+{
+	const wl_http_server_options_t *options = &server->options;
+	const wl_buf_t *length;
+	uint64_t bytes = 0;
+
+	exchange->begun = true;
+	exchange->head = strcmp(method, MHD_HTTP_METHOD_HEAD) == 0;
+	wl_buf_set(&exchange->call.method, wl_str_from(method));
+	if (wl_exchange_take_headers(exchange) > options->max_header_bytes) {
+		wl_exchange_refuse(exchange, WL_E_BAD_INPUT, "headers are too large");
+		exchange->reply.status = MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE;
+		return exchange_queue(server, exchange);
+	}
+	length = wl_headers_find(&exchange->call.headers, WL_STR("Content-Length"));
+	if (length)
+		wl_str_u64(wl_buf_str(length), &bytes);
+	if (bytes <= options->max_body_bytes)
+		return MHD_YES;
+
+	exchange->refusal = WL_E_TOO_LARGE;
+	if (bytes <= options->max_body_bytes + DISCARD_BYTES)
+		return MHD_YES;
+	wl_exchange_refuse(exchange, WL_E_TOO_LARGE, "body is too large");
+	return exchange_queue(server, exchange);
+}
+
+static enum MHD_Result exchange_read(wl_http_server_t *server, wl_exchange_t *exchange,
+				     const char *data, size_t *len)
+{
+	wl_buf_t *body = &exchange->call.body;
+	size_t taken = *len;
+
+	*len = 0;
+	if (body->len + taken > server->options.max_body_bytes)
+		exchange->refusal = WL_E_TOO_LARGE;
+	if (exchange->refusal == WL_OK) {
+		wl_buf_append(body, (wl_str_t){data, taken});
+		return MHD_YES;
+	}
+	exchange->discarded += taken;
+	return exchange->discarded <= server->options.max_body_bytes + DISCARD_BYTES ? MHD_YES
+										     : MHD_NO;
+}
+
+static enum MHD_Result exchange_handle(void *arg, struct MHD_Connection *connection,
+				       const char *url, const char *method, const char *version,
+				       const char *data, size_t *data_len, void **context)
+{
+	wl_http_server_t *server = arg;
+	wl_exchange_t *exchange = *context;
+	wl_exchange_state_t state;
+
+	(void)connection;
+	(void)url;
+	(void)version;
+	if (!exchange->begun)
+		return exchange_begin(server, exchange, method);
+	if (*data_len > 0)
+		return exchange_read(server, exchange, data, data_len);
+
+	pthread_mutex_lock(&server->lock);
+	state = exchange->state;
+	pthread_mutex_unlock(&server->lock);
+	switch (state) {
+	case WL_EXCHANGE_READING:
+		break;
+	case WL_EXCHANGE_ANSWERED:
+		return exchange_queue(server, exchange);
+	case WL_EXCHANGE_ABANDONED:
+		return MHD_NO;
+	case WL_EXCHANGE_WAITING:
+	case WL_EXCHANGE_QUEUED:
+		return MHD_YES;
+	}
+	if (exchange->refusal == WL_OK)
+		return exchange_publish(server, exchange);
+	wl_exchange_refuse(exchange, exchange->refusal, "body is too large");
+	return exchange_queue(server, exchange);
+}
+
+static void exchange_end(void *arg, struct MHD_Connection *connection, void **context,
+			 enum MHD_RequestTerminationCode why)
+{
+	wl_http_server_t *server = arg;
+	wl_exchange_t *exchange = *context;
+	bool unanswered;
+
+	(void)connection;
+	(void)why;
+	if (!exchange)
+		return;
+	*context = NULL;
+	pthread_mutex_lock(&server->lock);
+	unanswered = wl_map_remove(&server->waiting, exchange->key) != NULL;
+	TAILQ_REMOVE(&server->all, exchange, link);
+	server->open--;
+	pthread_mutex_unlock(&server->lock);
+	if (unanswered)
+		event_push_gone(server, exchange->id);
+	wl_exchange_free(exchange);
+}
+
+/* Takes a waiting exchange out of the table and lets the library's thread end it. */
+static bool exchange_abandon(wl_http_server_t *server, uint64_t id)
+{
+	wl_str_t key = {(const char *)&id, sizeof(id)};
+	wl_exchange_t *exchange;
+
+	pthread_mutex_lock(&server->lock);
+	exchange = wl_map_remove(&server->waiting, key);
+	if (exchange) {
+		exchange->state = WL_EXCHANGE_ABANDONED;
+		MHD_resume_connection(exchange->connection);
+	}
+	pthread_mutex_unlock(&server->lock);
+	return exchange != NULL;
+}
+
+static bool watch_stopped(const wl_http_server_t *server, int timeout_ms)
+{
+	struct pollfd wait = {.fd = server->stop_fd, .events = POLLIN};
+
+	return poll(&wait, 1, timeout_ms) > 0;
+}
+
+static void *watch_main(void *arg)
+{
+	wl_http_server_t *server = arg;
+	struct epoll_event events[WATCH_EVENTS];
+
+	pthread_setname_np(pthread_self(), "wl-http-watch");
+	while (!watch_stopped(server, 0)) {
+		int count = epoll_wait(server->watch_fd, events, WATCH_EVENTS, -1);
+
+		for (int i = 0; i < count; i++) {
+			uint64_t id = events[i].data.u64;
+
+			if (id == UINT64_MAX || !exchange_abandon(server, id))
+				continue;
+			while (!event_push_gone(server, id) && !watch_stopped(server, RETRY_MS))
+				;
+		}
+	}
+	return NULL;
+}
+
+static bool server_watch(wl_http_server_t *server, wl_err_t *err)
+{
+	struct epoll_event stop = {.events = EPOLLIN, .data.u64 = UINT64_MAX};
+
+	server->watch_fd = epoll_create1(EPOLL_CLOEXEC);
+	server->stop_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (server->watch_fd >= 0 && server->stop_fd >= 0 &&
+	    epoll_ctl(server->watch_fd, EPOLL_CTL_ADD, server->stop_fd, &stop) == 0 &&
+	    pthread_create(&server->watcher, NULL, watch_main, server) == 0)
+		return true;
+	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP listener: %s", strerror(errno));
+}
+
+static bool server_listen(wl_http_server_t *server, wl_err_t *err)
+{
+	const wl_http_server_options_t *options = &server->options;
+	unsigned int idle_s = (unsigned int)((options->idle_ms + MS_PER_S - 1) / MS_PER_S);
+
+	server->listen_fd = wl_address_listen(options->listen, &server->port, err);
+	if (server->listen_fd < 0)
+		return false;
+	server->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL,
+		NULL, exchange_handle, server, MHD_OPTION_LISTEN_SOCKET, server->listen_fd,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)options->max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)(2 * options->max_header_bytes + POOL_SPARE_BYTES),
+		MHD_OPTION_UNESCAPE_CALLBACK, uri_keep, NULL, MHD_OPTION_URI_LOG_CALLBACK,
+		uri_begin, server, MHD_OPTION_NOTIFY_COMPLETED, exchange_end, server,
+		MHD_OPTION_END);
+	if (server->daemon)
+		return true;
+	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP listener on " WL_STR_FMT ": no start",
+			  WL_STR_ARG(options->listen));
+}
+
+static void server_close(int fd)
+{
+	if (fd >= 0)
+		close(fd);
+}
+
+static void server_free(wl_http_server_t *server)
+{
+	server_close(server->listen_fd);
+	server_close(server->watch_fd);
+	server_close(server->stop_fd);
+	wl_map_free(&server->waiting);
+	pthread_mutex_destroy(&server->lock);
+	free(server);
+}
+
+static void watch_stop(wl_http_server_t *server)
+{
+	uint64_t one = 1;
+
+	while (write(server->stop_fd, &one, sizeof(one)) < 0 && errno == EINTR)
+		;
+	pthread_join(server->watcher, NULL);
+}
+
+/*
+ * wl_http_server_start - listen, with the threads that it takes
+ * @options: the listen text need not outlive the call, the ring must
+ * @err: WL_E_BAD_INPUT, WL_E_IO
+ *
+ * Return: the server, or NULL.
+ */
+wl_http_server_t *wl_http_server_start(const wl_http_server_options_t *options, wl_err_t *err)
+{
+	wl_http_server_t *server = wl_alloc(sizeof(*server));
+
+	memset(server, 0, sizeof(*server));
+	server->options = *options;
+	server->next_call = options->first_call;
+	server->listen_fd = server->watch_fd = server->stop_fd = -1;
+	pthread_mutex_init(&server->lock, NULL);
+	wl_map_init(&server->waiting);
+	TAILQ_INIT(&server->all);
+	if (server_watch(server, err)) {
+		if (server_listen(server, err))
+			return server;
+		watch_stop(server);
+	}
+	server_free(server);
+	return NULL;
+}
+
+/*
+ * wl_http_server_reply - answer a call, from any thread
+ * @reply: moved from; dropped if its caller is gone
+ */
+void wl_http_server_reply(wl_http_server_t *server, wl_reply_t *reply)
+{
+	wl_str_t key = {(const char *)&reply->call, sizeof(reply->call)};
+	wl_exchange_t *exchange;
+
+	pthread_mutex_lock(&server->lock);
+	exchange = wl_map_remove(&server->waiting, key);
+	if (exchange) {
+		exchange->reply = *reply;
+		memset(reply, 0, sizeof(*reply));
+		exchange->state = WL_EXCHANGE_ANSWERED;
+		MHD_resume_connection(exchange->connection);
+	}
+	pthread_mutex_unlock(&server->lock);
+
+	wl_list_free(&wl_header_schema, &reply->headers);
+	wl_buf_free(&reply->body);
+	memset(reply, 0, sizeof(*reply));
+}
+
+/*
+ * wl_http_server_quiesce - take no new connections; open ones close after their answer
+ */
+void wl_http_server_quiesce(wl_http_server_t *server)
+{
+	bool again;
+
+	pthread_mutex_lock(&server->lock);
+	again = server->quiescing;
+	server->quiescing = true;
+	pthread_mutex_unlock(&server->lock);
+	if (again)
+		return;
+	/* Shut down, not closed: the number stays taken until the library has let go of it. */
+	shutdown(MHD_quiesce_daemon(server->daemon), SHUT_RDWR);
+}
+
+static void server_refuse_waiting(wl_http_server_t *server)
+{
+	wl_exchange_t *exchange;
+
+	pthread_mutex_lock(&server->lock);
+	server->stopping = true;
+	TAILQ_FOREACH (exchange, &server->all, link) {
+		if (exchange->state != WL_EXCHANGE_WAITING)
+			continue;
+		wl_map_remove(&server->waiting, exchange->key);
+		exchange->state = WL_EXCHANGE_ABANDONED;
+		MHD_resume_connection(exchange->connection);
+	}
+	pthread_mutex_unlock(&server->lock);
+}
+
+/*
+ * wl_http_server_stop - end at once; connections still open are cut
+ */
+void wl_http_server_stop(wl_http_server_t *server)
+{
+	if (!server)
+		return;
+	wl_http_server_quiesce(server);
+	server_refuse_waiting(server);
+	MHD_stop_daemon(server->daemon);
+	watch_stop(server);
+	server_free(server);
+}
+
+/*
+ * wl_http_server_port - the port listened on
+ */
+uint16_t wl_http_server_port(const wl_http_server_t *server)
+{
+	return server->port;
+}
+
+/*
+ * wl_http_server_open_calls - requests begun and not yet written out whole
+ */
+uint64_t wl_http_server_open_calls(wl_http_server_t *server)
+{
+	uint64_t open;
+
+	pthread_mutex_lock(&server->lock);
+	open = server->open;
+	pthread_mutex_unlock(&server->lock);
+	return open;
+}
+
+/*
+ * wl_http_server_refused - requests refused because the event ring was full
+ */
+uint64_t wl_http_server_refused(wl_http_server_t *server)
+{
+	uint64_t refused;
+
+	pthread_mutex_lock(&server->lock);
+	refused = server->refused;
+	pthread_mutex_unlock(&server->lock);
+	return refused;
+}
--- a/libwlnet/http_server.h
+++ b/libwlnet/http_server.h
@@ -25,5 +25,7 @@
 void wl_http_server_quiesce(wl_http_server_t *server);
 void wl_http_server_stop(wl_http_server_t *server);
 uint16_t wl_http_server_port(const wl_http_server_t *server);
+uint64_t wl_http_server_open_calls(wl_http_server_t *server);
+uint64_t wl_http_server_refused(wl_http_server_t *server);
 
 #endif
--- a/libwlnet/peer.h
+++ b/libwlnet/peer.h
@@ -16,6 +16,7 @@
 	wl_ring_t *events; /* gets wl_event_t *, PEER, PEER_UP, PEER_DOWN */
 	uint32_t queue_slots;
 	uint64_t max_frame_bytes;
+	uint64_t max_queue_bytes; /* waiting to be sent, each peer */
 	uint64_t handshake_ms;
 	uint64_t idle_ms; /* a link silent for so long is closed; pings keep it */
 	uint64_t seed;
--- /dev/null
+++ b/libwlnet/peer_link.h
@@ -0,0 +1,60 @@
+#ifndef WL_PEER_LINK_H
+#define WL_PEER_LINK_H
+
+#include <sys/queue.h>
+
+#include "peer.h"
+#include "peer_proof.h"
+
+/* One TCP connection between two daemons; internal to the peer link, used by its thread alone. */
+
+struct wl_peer;
+
+typedef enum wl_link_state {
+	WL_LINK_CONNECTING,
+	WL_LINK_HELLO, /* waits for the other side's hello */
+	WL_LINK_PROOF, /* waits for the other side's proof */
+	WL_LINK_UP,
+	WL_LINK_CLOSED,
+} wl_link_state_t;
+
+typedef struct wl_link {
+	int fd;
+	wl_link_state_t state;
+	wl_proof_t proof;
+	wl_seal_t seal_out;
+	wl_seal_t seal_in;
+	wl_buf_t in;
+	size_t in_done; /* bytes of in that were taken */
+	wl_buf_t out;
+	size_t out_done; /* bytes of out that were written */
+	uint64_t max_frame_bytes;
+	uint64_t begun_ns;
+	uint64_t up_ns;
+	uint64_t heard_ns;
+	uint64_t sent_ns;
+	bool wants_write;
+	const char *fault;    /* why it was closed, when the other side is to blame */
+	struct wl_peer *peer; /* dialled: from the start; accepted: once it is up */
+	TAILQ_ENTRY(wl_link) link;
+} wl_link_t;
+
+typedef struct wl_link_options {
+	wl_str_t name;
+	wl_str_t secret;
+	uint64_t boot;
+	uint64_t max_frame_bytes;
+	bool dialled;
+} wl_link_options_t;
+
+wl_link_t *wl_link_new(int fd, const wl_link_options_t *options, uint64_t now_ns);
+void wl_link_free(wl_link_t *link);
+void wl_link_connected(wl_link_t *link);
+void wl_link_read(wl_link_t *link, uint64_t now_ns);
+bool wl_link_take(wl_link_t *link, uint64_t now_ns, wl_str_t *payload);
+void wl_link_put(wl_link_t *link, wl_str_t payload);
+void wl_link_write(wl_link_t *link, uint64_t now_ns);
+void wl_link_fail(wl_link_t *link, const char *fault);
+size_t wl_link_unsent(const wl_link_t *link);
+
+#endif
--- /dev/null
+++ b/libwlnet/peer_proof.c
@@ -0,0 +1,162 @@
+/*
+ * Proof of the shared secret between two daemons.
+ *
+ * Each side sends a nonce, then a keyed digest over both nonces, both names
+ * and its direction, so that a digest can be neither replayed nor reflected.
+ * The frames that follow carry a tag over a counter, under a key of that link
+ * and direction.
+ */
+
+#include "peer_proof.h"
+
+#include <endian.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define HELLO_MAGIC   "wlp1"
+#define COUNTER_BYTES 8
+
+static void put_u64(wl_buf_t *out, uint64_t value)
+{
+	uint64_t big = htobe64(value);
+
+	wl_buf_append(out, (wl_str_t){(const char *)&big, sizeof(big)});
+}
+
+/*
+ * wl_hello_make - begin a handshake with a new nonce
+ * @err: WL_E_IO
+ */
+bool wl_hello_make(wl_hello_t *hello, wl_str_t name, uint64_t boot, wl_err_t *err)
+{
+	if (getrandom(hello->nonce, sizeof(hello->nonce), 0) != sizeof(hello->nonce))
+		return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "getrandom: %s", strerror(errno));
+	hello->boot = boot;
+	wl_buf_set(&hello->name, name);
+	return true;
+}
+
+/*
+ * wl_hello_pack - add a hello to a buffer
+ */
+void wl_hello_pack(const wl_hello_t *hello, wl_buf_t *out)
+{
+	wl_buf_append(out, WL_STR(HELLO_MAGIC));
+	wl_buf_append(out, (wl_str_t){(const char *)hello->nonce, sizeof(hello->nonce)});
+	put_u64(out, hello->boot);
+	wl_buf_append(out, wl_buf_str(&hello->name));
+}
+
+/*
+ * wl_hello_unpack - read a hello
+ *
+ * Return: false if it is none.
+ */
+bool wl_hello_unpack(wl_str_t bytes, wl_hello_t *hello)
+{
+	const size_t fixed = sizeof(HELLO_MAGIC) - 1 + WL_NONCE_BYTES + sizeof(uint64_t);
+	const char *at = bytes.at;
+	uint64_t boot;
+
+	if (bytes.len <= fixed || bytes.len > fixed + WL_PEER_NAME_BYTES ||
+	    !wl_str_starts(bytes, WL_STR(HELLO_MAGIC)))
+		return false;
+	at += sizeof(HELLO_MAGIC) - 1;
+	memcpy(hello->nonce, at, WL_NONCE_BYTES);
+	memcpy(&boot, at + WL_NONCE_BYTES, sizeof(boot));
+	hello->boot = be64toh(boot);
+	wl_buf_set(&hello->name, (wl_str_t){bytes.at + fixed, bytes.len - fixed});
+	return true;
+}
+
+static void hello_digest(const wl_hello_t *hello, wl_buf_t *text)
+{
+	put_u64(text, hello->name.len);
+	wl_hello_pack(hello, text);
+}
+
+/* The same on both sides: the dialling side's hello stands first. */
+static void proof_digest(const wl_proof_t *proof, const char *label, bool by_dialler,
+			 uint8_t out[WL_SHA256_BYTES])
+{
+	wl_buf_t text = {0};
+
+	wl_buf_printf(&text, "wisterialead %s %s ", label, by_dialler ? "dialler" : "acceptor");
+	hello_digest(proof->dialled ? &proof->own : &proof->other, &text);
+	hello_digest(proof->dialled ? &proof->other : &proof->own, &text);
+	wl_hmac_sha256(proof->secret, wl_buf_str(&text), out);
+	wl_buf_free(&text);
+}
+
+/*
+ * wl_proof_own - the digest that this side sends
+ */
+void wl_proof_own(const wl_proof_t *proof, uint8_t out[WL_SHA256_BYTES])
+{
+	proof_digest(proof, "proof", proof->dialled, out);
+}
+
+/*
+ * wl_proof_check - does the other side hold the secret?
+ * @bytes: the digest that it sent
+ */
+bool wl_proof_check(const wl_proof_t *proof, wl_str_t bytes)
+{
+	uint8_t want[WL_SHA256_BYTES];
+
+	proof_digest(proof, "proof", !proof->dialled, want);
+	return bytes.len == sizeof(want) &&
+	       wl_digest_equal(want, (const uint8_t *)bytes.at, sizeof(want));
+}
+
+/*
+ * wl_proof_seals - the keys of a proven link
+ * @out, @in: what this side sends and receives
+ */
+void wl_proof_seals(const wl_proof_t *proof, wl_seal_t *out, wl_seal_t *in)
+{
+	proof_digest(proof, "session", proof->dialled, out->key);
+	proof_digest(proof, "session", !proof->dialled, in->key);
+	out->counter = 0;
+	in->counter = 0;
+}
+
+/* The counter stands where the tag's end goes, just before the payload. */
+static void seal_digest(wl_seal_t *seal, char *frame, size_t len, uint8_t out[WL_SHA256_BYTES])
+{
+	const size_t start = WL_TAG_BYTES - COUNTER_BYTES;
+	uint64_t counter = htobe64(seal->counter++);
+
+	memcpy(frame + start, &counter, sizeof(counter));
+	wl_hmac_sha256((wl_str_t){(const char *)seal->key, sizeof(seal->key)},
+		       (wl_str_t){frame + start, len - start}, out);
+}
+
+/*
+ * wl_seal_put - write the tag of the next frame
+ * @frame: room for the tag, then the payload
+ * @len: of both
+ */
+void wl_seal_put(wl_seal_t *seal, char *frame, size_t len)
+{
+	uint8_t digest[WL_SHA256_BYTES];
+
+	seal_digest(seal, frame, len, digest);
+	memcpy(frame, digest, WL_TAG_BYTES);
+}
+
+/*
+ * wl_seal_check - is this the next frame of the link? Overwrites the tag.
+ */
+bool wl_seal_check(wl_seal_t *seal, char *frame, size_t len)
+{
+	uint8_t digest[WL_SHA256_BYTES];
+	uint8_t tag[WL_TAG_BYTES];
+
+	if (len < WL_TAG_BYTES)
+		return false;
+	memcpy(tag, frame, sizeof(tag));
+	seal_digest(seal, frame, len, digest);
+	return wl_digest_equal(tag, digest, sizeof(tag));
+}
--- /dev/null
+++ b/libwlnet/peer_table.c
@@ -0,0 +1,186 @@
+/*
+ * The daemons known by name and what waits to be sent to them.
+ *
+ * The sending thread has to learn at once whether a message was taken, so that
+ * the queues stand under a lock and not behind a ring.
+ */
+
+#include "peer_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * wl_peer_table_init - make an empty table
+ * @max_queued, @max_queued_bytes: limits of what waits for one peer
+ */
+void wl_peer_table_init(wl_peer_table_t *table, uint64_t max_queued, uint64_t max_queued_bytes)
+{
+	memset(table, 0, sizeof(*table));
+	pthread_mutex_init(&table->lock, NULL);
+	wl_map_init(&table->by_name);
+	TAILQ_INIT(&table->all);
+	table->max_queued = max_queued;
+	table->max_queued_bytes = max_queued_bytes;
+}
+
+/*
+ * wl_frame_free - release a frame
+ */
+void wl_frame_free(wl_frame_t *frame)
+{
+	wl_buf_free(&frame->bytes);
+	free(frame);
+}
+
+static void queue_clear(wl_peer_t *peer)
+{
+	wl_frame_t *frame;
+
+	while ((frame = STAILQ_FIRST(&peer->queue)) != NULL) {
+		STAILQ_REMOVE_HEAD(&peer->queue, link);
+		wl_frame_free(frame);
+	}
+	peer->queued = 0;
+	peer->queued_bytes = 0;
+}
+
+/*
+ * wl_peer_table_free - release a table that no other thread uses any more
+ */
+void wl_peer_table_free(wl_peer_table_t *table)
+{
+	wl_peer_t *peer;
+
+	while ((peer = TAILQ_FIRST(&table->all)) != NULL) {
+		TAILQ_REMOVE(&table->all, peer, link);
+		queue_clear(peer);
+		wl_buf_free(&peer->name);
+		wl_buf_free(&peer->address);
+		free(peer);
+	}
+	wl_map_free(&table->by_name);
+	pthread_mutex_destroy(&table->lock);
+}
+
+static wl_peer_t *table_get(wl_peer_table_t *table, wl_str_t name)
+{
+	wl_peer_t *peer = wl_map_get(&table->by_name, name);
+
+	if (peer)
+		return peer;
+	peer = wl_alloc(sizeof(*peer));
+	memset(peer, 0, sizeof(*peer));
+	wl_buf_set(&peer->name, name);
+	peer->key = wl_buf_str(&peer->name);
+	STAILQ_INIT(&peer->queue);
+	wl_map_put(&table->by_name, peer);
+	TAILQ_INSERT_TAIL(&table->all, peer, link);
+	return peer;
+}
+
+/*
+ * wl_peer_table_get - find a peer, made when it is new
+ */
+wl_peer_t *wl_peer_table_get(wl_peer_table_t *table, wl_str_t name)
+{
+	wl_peer_t *peer;
+
+	pthread_mutex_lock(&table->lock);
+	peer = table_get(table, name);
+	pthread_mutex_unlock(&table->lock);
+	return peer;
+}
+
+/*
+ * wl_peer_table_dial - note where a peer is to be dialled
+ */
+void wl_peer_table_dial(wl_peer_table_t *table, wl_str_t name, wl_str_t address)
+{
+	wl_peer_t *peer;
+
+	pthread_mutex_lock(&table->lock);
+	peer = table_get(table, name);
+	if (!wl_str_equal(wl_buf_str(&peer->address), address)) {
+		wl_buf_set(&peer->address, address);
+		peer->address_new = true;
+	}
+	pthread_mutex_unlock(&table->lock);
+}
+
+/*
+ * wl_peer_table_queue - queue a frame
+ * @bytes: moved from when it is taken
+ *
+ * Return: false if there is no link to the peer or too much waits for it.
+ */
+bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes)
+{
+	wl_frame_t *frame;
+	wl_peer_t *peer;
+	bool taken;
+
+	pthread_mutex_lock(&table->lock);
+	peer = wl_map_get(&table->by_name, name);
+	taken = peer && peer->up && peer->queued < table->max_queued &&
+		peer->queued_bytes + bytes->len <= table->max_queued_bytes;
+	if (taken) {
+		frame = wl_alloc(sizeof(*frame));
+		frame->bytes = *bytes;
+		*bytes = (wl_buf_t){0};
+		STAILQ_INSERT_TAIL(&peer->queue, frame, link);
+		peer->queued++;
+		peer->queued_bytes += frame->bytes.len;
+	}
+	pthread_mutex_unlock(&table->lock);
+	return taken;
+}
+
+/*
+ * wl_peer_table_next - take the oldest frame that waits for a peer
+ *
+ * Return: the frame, the caller's to release, or NULL.
+ */
+wl_frame_t *wl_peer_table_next(wl_peer_table_t *table, wl_peer_t *peer)
+{
+	wl_frame_t *frame;
+
+	pthread_mutex_lock(&table->lock);
+	frame = STAILQ_FIRST(&peer->queue);
+	if (frame) {
+		STAILQ_REMOVE_HEAD(&peer->queue, link);
+		peer->queued--;
+		peer->queued_bytes -= frame->bytes.len;
+	}
+	pthread_mutex_unlock(&table->lock);
+	return frame;
+}
+
+/*
+ * wl_peer_table_set_up - a peer's link has come up or gone; what waits goes with it
+ */
+void wl_peer_table_set_up(wl_peer_table_t *table, wl_peer_t *peer, bool up)
+{
+	pthread_mutex_lock(&table->lock);
+	peer->up = up;
+	queue_clear(peer);
+	pthread_mutex_unlock(&table->lock);
+}
+
+/*
+ * wl_peer_table_address - copy where a peer is to be dialled
+ * @address: empty when it is not
+ *
+ * Return: whether the address is new since the last call.
+ */
+bool wl_peer_table_address(wl_peer_table_t *table, wl_peer_t *peer, wl_buf_t *address)
+{
+	bool is_new;
+
+	pthread_mutex_lock(&table->lock);
+	wl_buf_set(address, wl_buf_str(&peer->address));
+	is_new = peer->address_new;
+	peer->address_new = false;
+	pthread_mutex_unlock(&table->lock);
+	return is_new;
+}
--- /dev/null
+++ b/libwlnet/peer_table.h
@@ -0,0 +1,59 @@
+#ifndef WL_PEER_TABLE_H
+#define WL_PEER_TABLE_H
+
+#include <pthread.h>
+#include <sys/queue.h>
+
+#include <libwlbase/map.h>
+#include <libwlbase/rng.h>
+
+#include "peer_link.h"
+
+/* The daemons known by name and what waits to be sent to them; internal to the peer link. */
+
+typedef struct wl_frame {
+	wl_buf_t bytes;
+	STAILQ_ENTRY(wl_frame) link;
+} wl_frame_t;
+
+STAILQ_HEAD(wl_frame_list, wl_frame);
+
+typedef struct wl_peer {
+	wl_str_t key; /* over name, for wl_map_t */
+	wl_buf_t name;
+	/* under the table's lock */
+	wl_buf_t address; /* empty: not to be dialled */
+	bool address_new;
+	bool up;
+	struct wl_frame_list queue;
+	uint64_t queued;
+	uint64_t queued_bytes;
+	/* the thread's own */
+	wl_link_t *current;
+	wl_link_t *dialling;
+	uint64_t next_dial_ns;
+	uint64_t backoff_ms;
+	TAILQ_ENTRY(wl_peer) link;
+} wl_peer_t;
+
+TAILQ_HEAD(wl_peer_list, wl_peer);
+
+typedef struct wl_peer_table {
+	pthread_mutex_t lock;
+	wl_map_t by_name;
+	struct wl_peer_list all;
+	uint64_t max_queued;
+	uint64_t max_queued_bytes;
+} wl_peer_table_t;
+
+void wl_peer_table_init(wl_peer_table_t *table, uint64_t max_queued, uint64_t max_queued_bytes);
+void wl_peer_table_free(wl_peer_table_t *table);
+wl_peer_t *wl_peer_table_get(wl_peer_table_t *table, wl_str_t name);
+void wl_peer_table_dial(wl_peer_table_t *table, wl_str_t name, wl_str_t address);
+bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes);
+wl_frame_t *wl_peer_table_next(wl_peer_table_t *table, wl_peer_t *peer);
+void wl_peer_table_set_up(wl_peer_table_t *table, wl_peer_t *peer, bool up);
+bool wl_peer_table_address(wl_peer_table_t *table, wl_peer_t *peer, wl_buf_t *address);
+void wl_frame_free(wl_frame_t *frame);
+
+#endif
