--- /dev/null
+++ b/cli/load_schedule.c
@@ -0,0 +1,140 @@
+/* Arrival times of an open-loop load: random with a rate that changes over time. */
+
+#include "load.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#define NS_PER_MS   1000000ull
+#define NS_PER_S    1000000000.0
+#define LOAD_STREAM 1
+#define CREST_SHARE 0.8 /* of the way from rest to crest */
+
+static bool schedule_read(wl_schedule_t *schedule, wl_str_t path)
+{
+	wl_buf_t text = {0};
+	wl_str_t rest;
+
+	if (!wl_cli_read_file(path, &text))
+		return false;
+	rest = wl_buf_str(&text);
+	while (rest.len) {
+		wl_schedule_point_t point;
+		wl_str_t line;
+		wl_str_t at;
+		wl_str_t rate;
+
+		wl_str_split(rest, '\n', &line, &rest);
+		if (line.len == 0 || line.at[0] == '#')
+			continue;
+		wl_str_split(line, ' ', &at, &rate);
+		if (!wl_str_u64(at, &point.at_ms) || !wl_str_u64(rate, &point.rate_per_s) ||
+		    (schedule->count &&
+		     point.at_ms <= schedule->points[schedule->count - 1].at_ms)) {
+			fprintf(stderr,
+				"wisteriactl: schedule: \"" WL_STR_FMT "\": MS RATE, in order\n",
+				WL_STR_ARG(line));
+			wl_buf_free(&text);
+			return false;
+		}
+		schedule->points =
+			wl_realloc(schedule->points, (schedule->count + 1) * sizeof(point));
+		schedule->points[schedule->count++] = point;
+	}
+	wl_buf_free(&text);
+	return schedule->count > 0;
+}
+
+/*
+ * wl_schedule_init - read a schedule, or make a swing from the settings
+ *
+ * Return: false, with a message printed, for a bad file.
+ */
+bool wl_schedule_init(wl_schedule_t *schedule, const wl_cli_settings_t *settings)
+{
+	*schedule = (wl_schedule_t){
+		.rest_per_s = settings->rate_per_s,
+		.crest_per_s = settings->crest_per_s,
+		.period_ms = settings->period_ms,
+		.length_ms = settings->seconds * 1000,
+	};
+	wl_rng_init(&schedule->rng, settings->seed, LOAD_STREAM);
+	if (settings->schedule.len == 0)
+		return true;
+	if (!schedule_read(schedule, wl_buf_str(&settings->schedule)))
+		return false;
+	schedule->length_ms = schedule->points[schedule->count - 1].at_ms;
+	return true;
+}
+
+/*
+ * wl_schedule_free - release a schedule
+ */
+void wl_schedule_free(wl_schedule_t *schedule)
+{
+	free(schedule->points);
+	schedule->points = NULL;
+}
+
+static double rate_of_points(const wl_schedule_t *schedule, double at_ms)
+{
+	const wl_schedule_point_t *points = schedule->points;
+
+	for (size_t i = 1; i < schedule->count; i++) {
+		double span = (double)(points[i].at_ms - points[i - 1].at_ms);
+		double part = (at_ms - (double)points[i - 1].at_ms) / span;
+
+		if (at_ms > (double)points[i].at_ms)
+			continue;
+		return (double)points[i - 1].rate_per_s * (1 - part) +
+		       (double)points[i].rate_per_s * part;
+	}
+	return (double)points[schedule->count - 1].rate_per_s;
+}
+
+/* 0 at rest, 1 at the crest. */
+static double swing(const wl_schedule_t *schedule, double at_ms)
+{
+	return 0.5 - 0.5 * cos(2 * M_PI * at_ms / (double)schedule->period_ms);
+}
+
+/*
+ * wl_schedule_rate - requests per second at a time
+ * @at_ns: from the start
+ */
+double wl_schedule_rate(const wl_schedule_t *schedule, uint64_t at_ns)
+{
+	double at_ms = (double)at_ns / NS_PER_MS;
+	double rest = (double)schedule->rest_per_s;
+
+	if (schedule->count)
+		return rate_of_points(schedule, at_ms);
+	if (schedule->crest_per_s == 0)
+		return rest;
+	return rest + ((double)schedule->crest_per_s - rest) * swing(schedule, at_ms);
+}
+
+/*
+ * wl_schedule_crest - tell whether a time is at the crest of a swing
+ */
+bool wl_schedule_crest(const wl_schedule_t *schedule, uint64_t at_ns)
+{
+	if (schedule->count || schedule->crest_per_s == 0)
+		return false;
+	return swing(schedule, (double)at_ns / NS_PER_MS) >= CREST_SHARE;
+}
+
+/*
+ * wl_schedule_next - the next arrival
+ * @at_ns: the arrival before, from the start; becomes the next one
+ *
+ * Return: false at the end of the schedule.
+ */
+bool wl_schedule_next(wl_schedule_t *schedule, uint64_t *at_ns)
+{
+	double rate = wl_schedule_rate(schedule, *at_ns);
+	double gap_s = rate > 0 ? -log(1 - wl_rng_unit(&schedule->rng)) / rate : 0.1;
+
+	*at_ns += (uint64_t)(gap_s * NS_PER_S) + 1;
+	return *at_ns < schedule->length_ms * NS_PER_MS;
+}
