--- /dev/null
+++ b/tests/unit/base_test.cc
@@ -0,0 +1,178 @@
+extern "C" {
+#include <libwlbase/counter.h>
+#include <libwlbase/digest.h>
+#include <libwlbase/hist.h>
+#include <libwlbase/log.h>
+#include <libwlbase/map.h>
+#include <libwlbase/ring.h>
+#include <libwlbase/rng.h>
+}
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+TEST(Str, NumbersAreReadWholeOrNotAtAll)
+{
+	uint64_t value = 7;
+
+	EXPECT_TRUE(wl_str_u64(wl_str_from("18446744073709551615"), &value));
+	EXPECT_EQ(value, UINT64_MAX);
+	for (const char *bad : {"", "-1", "1 ", "0x1", "18446744073709551616"})
+		EXPECT_FALSE(wl_str_u64(wl_str_from(bad), &value)) << bad;
+}
+
+TEST(Hist, QuantilesAreWithinAnEighth)
+{
+	wl_hist_t hist;
+
+	wl_hist_init(&hist);
+	for (uint64_t i = 1; i <= 10000; i++)
+		wl_hist_add(&hist, i * 1000);
+	for (uint32_t share : {5000u, 9900u, 9990u}) {
+		double exact = share * 1000.0;
+		double got = static_cast<double>(wl_hist_quantile(&hist, share));
+
+		EXPECT_GE(got, exact);
+		EXPECT_LE(got, exact * 1.125);
+	}
+	EXPECT_EQ(wl_hist_quantile(&hist, 10000), 10000000u);
+}
+
+TEST(Rng, SameSeedAndStreamGiveTheSameNumbers)
+{
+	wl_rng_t a;
+	wl_rng_t b;
+	wl_rng_t other;
+
+	wl_rng_init(&a, 1, 2);
+	wl_rng_init(&b, 1, 2);
+	wl_rng_init(&other, 1, 3);
+	for (int i = 0; i < 100; i++) {
+		uint64_t value = wl_rng_next(&a);
+
+		EXPECT_EQ(value, wl_rng_next(&b));
+		EXPECT_NE(value, wl_rng_next(&other));
+		EXPECT_LT(wl_rng_below(&a, 10), 10u);
+		wl_rng_below(&b, 10);
+	}
+}
+
+TEST(Map, HoldsManyThroughRemovals)
+{
+	struct Item {
+		wl_str_t key;
+		std::string name;
+	};
+	std::vector<Item> items(5000);
+	wl_map_t map;
+
+	wl_map_init(&map);
+	for (size_t i = 0; i < items.size(); i++) {
+		items[i].name = "item" + std::to_string(i);
+		items[i].key = {items[i].name.data(), items[i].name.size()};
+		EXPECT_TRUE(wl_map_put(&map, &items[i]));
+	}
+	EXPECT_FALSE(wl_map_put(&map, &items[7]));
+	for (size_t i = 0; i < items.size(); i += 2)
+		EXPECT_EQ(wl_map_remove(&map, items[i].key), &items[i]);
+	for (size_t i = 0; i < items.size(); i++)
+		EXPECT_EQ(wl_map_get(&map, items[i].key), i % 2 ? &items[i] : nullptr);
+	EXPECT_EQ(wl_map_count(&map), items.size() / 2);
+	wl_map_free(&map);
+}
+
+TEST(Ring, ManySendersLoseNothing)
+{
+	const uintptr_t each = 20000;
+	wl_err_t err = {};
+	wl_ring_t *ring = wl_ring_new(64, &err);
+	std::vector<std::thread> senders;
+	uintptr_t sum = 0;
+
+	for (uintptr_t s = 0; s < 4; s++)
+		senders.emplace_back([ring, each] {
+			for (uintptr_t i = 1; i <= each; i++)
+				while (!wl_ring_push(ring, reinterpret_cast<void *>(i)))
+					std::this_thread::yield();
+		});
+	for (uintptr_t got = 0; got < 4 * each;) {
+		void *item = wl_ring_wait(ring, 1000);
+
+		if (!item)
+			continue;
+		sum += reinterpret_cast<uintptr_t>(item);
+		got++;
+	}
+	for (auto &sender : senders)
+		sender.join();
+	EXPECT_EQ(sum, 4 * each * (each + 1) / 2);
+	EXPECT_EQ(wl_ring_pop(ring), nullptr);
+	wl_ring_free(ring);
+}
+
+TEST(Ring, FullRingRefuses)
+{
+	wl_err_t err = {};
+	wl_ring_t *ring = wl_ring_new(4, &err);
+	int item;
+
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(wl_ring_push(ring, &item));
+	EXPECT_FALSE(wl_ring_push(ring, &item));
+	EXPECT_EQ(wl_ring_room(ring), 0u);
+	wl_ring_free(ring);
+	EXPECT_EQ(wl_ring_new(5, &err), nullptr);
+}
+
+TEST(Digest, KnownAnswers)
+{
+	char hex[WL_SHA256_HEX + 1];
+
+	wl_sha256_hex(wl_str_from("abc"), hex);
+	EXPECT_STREQ(hex, "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST(Metrics, LinesOfOneNameStayTogether)
+{
+	wl_metrics_t metrics;
+	wl_buf_t out = {};
+
+	wl_metrics_init(&metrics);
+	wl_metrics_add(&metrics, "a_total", "x=\"1\"", 1);
+	wl_metrics_add(&metrics, "b_total", "", 2);
+	wl_metrics_add(&metrics, "a_total", "x=\"2\"", 3);
+	wl_metrics_print(&metrics, &out);
+	EXPECT_STREQ(out.at, "a_total{x=\"1\"} 1\na_total{x=\"2\"} 3\nb_total{} 2\n");
+	wl_buf_free(&out);
+	wl_metrics_free(&metrics);
+}
+
+TEST(Log, OneLineAnEventAndQuotedValues)
+{
+	int ends[2];
+	char text[1024] = "";
+	wl_err_t err = {};
+	wl_buf_t quoted = {};
+
+	ASSERT_EQ(pipe(ends), 0);
+	ASSERT_TRUE(wl_log_start(ends[1], WL_INFO, wl_str_from("e1"), &err));
+	wl_log_event(WL_DEBUG, "hidden", "%s", "");
+	wl_log_event(WL_WARN, "shown", "count=%d", 3);
+	wl_log_stop();
+	close(ends[1]);
+	ASSERT_GT(read(ends[0], text, sizeof(text) - 1), 0);
+	close(ends[0]);
+	EXPECT_EQ(std::string(text).find("hidden"), std::string::npos);
+	EXPECT_NE(std::string(text).find(" level=warn source=e1 event=shown count=3\n"),
+		  std::string::npos);
+
+	wl_log_quote(&quoted, wl_str_from("a \"b\"\n"));
+	EXPECT_STREQ(quoted.at, "\"a \\\"b\\\"\\x0a\"");
+	wl_buf_free(&quoted);
+}
