--- a/libwlcore/model.c
+++ b/libwlcore/model.c
@@ -102,6 +102,7 @@
 	 .kind = WL_FIELD_ENUM,
 	 .offset = offsetof(wl_task_usage_t, work_class),
 	 .names = wl_class_names},
+	WL_FIELD(wl_task_usage_t, restartable, WL_FIELD_BOOL),
 	WL_FIELD(wl_task_usage_t, ran_ms, WL_FIELD_U64),
 };
 
--- a/libwlcore/model.h
+++ b/libwlcore/model.h
@@ -73,6 +73,7 @@
 	wl_buf_t checkpoint; /* the newest, if any */
 	wl_need_t need;	     /* reserved for it by the owner that started it */
 	uint64_t work_class; /* wl_class_t */
+	bool restartable;
 	uint64_t ran_ms;
 } wl_task_usage_t;
 
