owner: adopt targets, run attempts of tasks there, tell the leader

Each target follows charts/target.json; due times are kept in a heap, so that a tick looks only at targets for which something is due. A new boot id is a claim until an adoption answers with it: an old announce that was long on its way must not end the attempts of the present boot.

--- /dev/null
+++ b/libwlcore/attempt.c
@@ -0,0 +1,195 @@
+/* Attempts of tasks on this entry's targets: found by name, what they hold, their end. */
+
+#include "owner_internal.h"
+
+#include <stdlib.h>
+
+/* How long an attempt that is over is remembered against repeated assignments. */
+#define CLOSED_KEEP_MS 300000
+
+static void key_print(wl_buf_t *key, wl_str_t task, uint64_t number)
+{
+	wl_buf_printf(key, WL_STR_FMT "/%llu", WL_STR_ARG(task), (unsigned long long)number);
+}
+
+/*
+ * wl_attempt_find - the attempt of a task, or NULL
+ */
+wl_attempt_t *wl_attempt_find(const wl_owner_t *owner, wl_str_t task, uint64_t number)
+{
+	wl_buf_t key = {0};
+	wl_attempt_t *attempt;
+
+	key_print(&key, task, number);
+	attempt = wl_map_get(&owner->attempts, wl_buf_str(&key));
+	wl_buf_free(&key);
+	return attempt;
+}
+
+/*
+ * wl_attempt_add - take an attempt in that is not known yet
+ * @owned: where it is to run; NULL: on none of ours
+ */
+wl_attempt_t *wl_attempt_add(wl_owner_t *owner, wl_owned_t *owned, wl_str_t task, uint64_t number)
+{
+	wl_attempt_t *attempt = wl_alloc(sizeof(*attempt));
+
+	key_print(&attempt->key_text, task, number);
+	attempt->key = wl_buf_str(&attempt->key_text);
+	wl_buf_set(&attempt->task, task);
+	attempt->number = number;
+	attempt->next_ns = WL_DUE_NEVER;
+	attempt->owned = owned;
+	wl_map_put(&owner->attempts, attempt);
+	if (!owned)
+		return attempt;
+	wl_buf_set(&attempt->target, owned->key);
+	attempt->epoch = owned->target->epoch;
+	TAILQ_INSERT_TAIL(&owned->attempts, attempt, of_target);
+	return attempt;
+}
+
+/* What batch work on a target holds that could be evicted. */
+static void evictable_count(wl_owned_t *owned)
+{
+	const wl_attempt_t *attempt;
+
+	owned->target->evictable = (wl_need_t){0};
+	TAILQ_FOREACH (attempt, &owned->attempts, of_target)
+		if (attempt->phase == WL_ATTEMPT_RUNNING && attempt->restartable &&
+		    attempt->work_class == WL_CLASS_BATCH)
+			wl_need_add(&owned->target->evictable, &attempt->held);
+}
+
+/*
+ * wl_attempt_enter - go to the next phase, to be acted on in this turn
+ */
+void wl_attempt_enter(const wl_turn_t *turn, wl_attempt_t *attempt, wl_attempt_phase_t phase)
+{
+	attempt->phase = phase;
+	attempt->begun_ns = turn->now_ns;
+	attempt->next_ns = turn->now_ns;
+	attempt->tries = 0;
+	attempt->call = 0;
+	if (!attempt->owned)
+		return;
+	evictable_count(attempt->owned);
+	wl_owned_touch(turn, attempt->owned);
+}
+
+/*
+ * wl_attempt_hold - change what an attempt holds in the ledger
+ */
+void wl_attempt_hold(wl_attempt_t *attempt, const wl_need_t *need)
+{
+	wl_ledger_t *ledger;
+
+	if (!attempt->owned)
+		return;
+	ledger = attempt->owned->owner->options.ledger;
+	wl_ledger_drop(ledger, attempt->owned->target, &attempt->held);
+	attempt->held = *need;
+	wl_ledger_hold(ledger, attempt->owned->target, &attempt->held);
+	evictable_count(attempt->owned);
+}
+
+/*
+ * wl_attempt_release - give back all that an attempt holds
+ */
+void wl_attempt_release(wl_attempt_t *attempt)
+{
+	wl_need_t none = {0};
+
+	wl_attempt_hold(attempt, &none);
+}
+
+/*
+ * wl_attempt_leave - take an attempt off its target; nothing of it runs there any more
+ */
+void wl_attempt_leave(wl_attempt_t *attempt)
+{
+	wl_owned_t *owned = attempt->owned;
+
+	if (!owned)
+		return;
+	wl_attempt_release(attempt);
+	TAILQ_REMOVE(&owned->attempts, attempt, of_target);
+	attempt->owned = NULL;
+	evictable_count(owned);
+}
+
+static void assign_drop(wl_attempt_t *attempt)
+{
+	if (!attempt->assign)
+		return;
+	wl_record_free(&wl_msg_assign_schema, attempt->assign);
+	free(attempt->assign);
+	attempt->assign = NULL;
+}
+
+/*
+ * wl_attempt_free - forget an attempt
+ */
+void wl_attempt_free(wl_owner_t *owner, wl_attempt_t *attempt)
+{
+	wl_attempt_leave(attempt);
+	if (attempt->in_reports)
+		TAILQ_REMOVE(&owner->reports, attempt, of_reports);
+	if (attempt->phase == WL_ATTEMPT_CLOSED)
+		TAILQ_REMOVE(&owner->closed, attempt, of_closed);
+	wl_map_remove(&owner->attempts, attempt->key);
+	assign_drop(attempt);
+	wl_buf_free(&attempt->key_text);
+	wl_buf_free(&attempt->task);
+	wl_buf_free(&attempt->target);
+	wl_buf_free(&attempt->kind);
+	wl_buf_free(&attempt->result);
+	wl_buf_free(&attempt->checkpoint);
+	wl_record_free(&wl_report_schema, &attempt->report);
+	free(attempt);
+}
+
+/*
+ * wl_attempt_close - nothing is left to do for an attempt; remember only that it was
+ */
+void wl_attempt_close(const wl_turn_t *turn, wl_attempt_t *attempt)
+{
+	wl_attempt_leave(attempt);
+	assign_drop(attempt);
+	wl_buf_free(&attempt->result);
+	wl_buf_free(&attempt->checkpoint);
+	wl_buf_free(&attempt->report.result);
+	wl_buf_free(&attempt->report.checkpoint);
+	wl_attempt_enter(turn, attempt, WL_ATTEMPT_CLOSED);
+	TAILQ_INSERT_TAIL(&turn->owner->closed, attempt, of_closed);
+}
+
+/*
+ * wl_attempt_end - an attempt runs no more, for certain
+ * @kind: how it ended
+ */
+void wl_attempt_end(const wl_turn_t *turn, wl_attempt_t *attempt, wl_report_kind_t kind,
+		    wl_str_t reason)
+{
+	wl_attempt_release(attempt);
+	wl_attempt_enter(turn, attempt, WL_ATTEMPT_ENDED);
+	attempt->next_ns = WL_DUE_NEVER;
+	if (kind == WL_REPORT_LOST)
+		wl_metrics_add(turn->owner->options.metrics, "wisterialead_attempts_lost_total", "",
+			       1);
+	wl_attempt_report(turn, attempt, kind, reason);
+	assign_drop(attempt);
+}
+
+/*
+ * wl_owner_forget_closed - forget attempts that were over long ago
+ */
+void wl_owner_forget_closed(const wl_turn_t *turn)
+{
+	uint64_t keep_ns = CLOSED_KEEP_MS * (uint64_t)WL_NS_PER_MS;
+	wl_attempt_t *attempt;
+
+	while ((attempt = TAILQ_FIRST(&turn->owner->closed)) &&
+	       attempt->begun_ns + keep_ns < turn->now_ns)
+		wl_attempt_free(turn->owner, attempt);
+}
--- /dev/null
+++ b/libwlcore/evict.h
@@ -0,0 +1,24 @@
+#ifndef WL_EVICT_H
+#define WL_EVICT_H
+
+#include <libwlcore/model.h>
+
+/* Which batch work gives way on a target. */
+
+typedef struct wl_evict_candidate {
+	void *subject;
+	wl_need_t held;
+	uint64_t lost_ms; /* work since its newest checkpoint */
+	uint64_t ran_ms;
+	uint64_t progress_permille;
+	bool chosen;
+} wl_evict_candidate_t;
+
+typedef struct wl_evict_policy {
+	const char *name;
+	bool (*choose)(wl_evict_candidate_t *candidates, size_t count, const wl_need_t *missing);
+} wl_evict_policy_t;
+
+const wl_evict_policy_t *wl_evict_policy_find(wl_str_t name, wl_err_t *err);
+
+#endif
--- a/libwlcore/ledger.h
+++ b/libwlcore/ledger.h
@@ -8,7 +8,7 @@
 
 /* Targets that this entry owns and the room on them.  Room is reserved before work is sent. */
 
-struct wl_ledger_service;
+struct wl_ledger_service_row;
 
 typedef struct wl_target {
 	wl_str_t key; /* its name */
@@ -33,21 +33,21 @@
 } wl_target_t;
 
 /* Open targets of one service, for a choice that does not look at all of them. */
-typedef struct wl_ledger_service {
+typedef struct wl_ledger_service_row {
 	wl_str_t key;
 	wl_buf_t name;
 	wl_target_t **targets;
 	size_t count;
 	size_t room;
 	uint64_t free_requests; /* requests that could start now on all of them */
-	TAILQ_ENTRY(wl_ledger_service) link;
+	TAILQ_ENTRY(wl_ledger_service_row) link;
 } wl_ledger_service_t;
 
 typedef struct wl_ledger {
 	wl_map_t by_name;
 	TAILQ_HEAD(wl_ledger_targets, wl_target) targets;
 	wl_map_t by_service;
-	TAILQ_HEAD(wl_ledger_services, wl_ledger_service) services;
+	TAILQ_HEAD(wl_ledger_services, wl_ledger_service_row) services;
 	wl_need_t request; /* what one request takes: one slot, one connection, and a share */
 } wl_ledger_t;
 
--- /dev/null
+++ b/libwlcore/owner_internal.h
@@ -0,0 +1,284 @@
+#ifndef WL_OWNER_INTERNAL_H
+#define WL_OWNER_INTERNAL_H
+
+#include <libwlbase/rng.h>
+#include <libwlcore/due.h>
+#include <libwlcore/evict.h>
+#include <libwlcore/health.h>
+#include <libwlcore/owner.h>
+#include <libwlcore/pairs.h>
+
+/* What the files of the owner share. */
+
+#define WL_NS_PER_MS	     1000000
+#define WL_THROTTLE_PERMILLE 300
+
+typedef enum wl_target_state {
+	WL_TARGET_UNADOPTED, /* ours, not heard yet */
+	WL_TARGET_ADOPTING,
+	WL_TARGET_READY,
+	WL_TARGET_SILENT,
+	WL_TARGET_LEAVING,
+	WL_TARGET_ASIDE,
+	WL_TARGET_GONE, /* no longer ours; requests of ours may still run there */
+	WL_TARGET_STATES
+} wl_target_state_t;
+
+typedef enum wl_target_event {
+	WL_TARGET_HEARD,
+	WL_TARGET_ADOPTED,
+	WL_TARGET_REBOOT, /* it announced another boot id than the adopted one */
+	WL_TARGET_SILENCE,
+	WL_TARGET_LEAVE,
+	WL_TARGET_STAY,
+	WL_TARGET_FAIL,
+	WL_TARGET_PROBE,
+	WL_TARGET_GRANT, /* ours under a new epoch */
+	WL_TARGET_MOVED,
+	WL_TARGET_EVENTS
+} wl_target_event_t;
+
+extern const char *const wl_target_state_names[];
+
+/* One event being handled. */
+typedef struct wl_turn {
+	wl_owner_t *owner;
+	uint64_t now_ns;
+	wl_out_t *out;
+} wl_turn_t;
+
+typedef enum wl_attempt_phase {
+	WL_ATTEMPT_WAITING, /* for room that is being made; nothing reserved */
+	WL_ATTEMPT_STARTING,
+	WL_ATTEMPT_RUNNING,
+	WL_ATTEMPT_CHECKPOINTING,
+	WL_ATTEMPT_CHECKPOINTED, /* stopped once the checkpoint is committed */
+	WL_ATTEMPT_STOPPING,
+	WL_ATTEMPT_ENDED, /* its last report is not committed yet */
+	WL_ATTEMPT_ACKING,
+	WL_ATTEMPT_CLOSED, /* kept so that a repeated assignment starts nothing */
+} wl_attempt_phase_t;
+
+/* One attempt of a task on one of the targets. */
+typedef struct wl_attempt {
+	wl_str_t key; /* "task/attempt" */
+	wl_buf_t key_text;
+	wl_buf_t task;
+	uint64_t number;
+	struct wl_owned *owned; /* NULL: on no target of ours */
+	wl_buf_t target;
+	uint64_t epoch;
+	wl_attempt_phase_t phase;
+	wl_msg_assign_t *assign; /* until it has started */
+	wl_buf_t kind;
+	uint64_t work_class;
+	bool restartable;
+	wl_need_t need; /* full size */
+	wl_need_t held; /* in the ledger now */
+	bool uncertain; /* a start may have reached the target */
+	bool started;	/* the target is known to have run it */
+	bool stop_wanted;
+	bool evict_wanted; /* with stop_wanted: checkpoint first */
+	bool throttled;
+	uint64_t call;	  /* in flight; 0: none */
+	uint64_t next_ns; /* when to call next */
+	uint64_t tries;
+	uint64_t sent_seq; /* newest announce that a start echoed */
+	uint64_t seen_seq; /* newest announce that listed it */
+	uint64_t begun_ns; /* of this phase */
+	uint64_t progress_permille;
+	uint64_t saved_ms; /* run time at the newest checkpoint */
+	uint64_t slowdown_permille;
+	uint64_t ran_ms;
+	uint64_t most_cpu_millis; /* seen in use */
+	uint64_t most_memory_mib;
+	wl_buf_t result;
+	wl_buf_t checkpoint;
+	wl_report_t report; /* the newest */
+	bool report_sent;
+	bool in_reports;
+	TAILQ_ENTRY(wl_attempt) of_target;
+	TAILQ_ENTRY(wl_attempt) of_reports;
+	TAILQ_ENTRY(wl_attempt) of_closed;
+} wl_attempt_t;
+
+TAILQ_HEAD(wl_attempts, wl_attempt);
+
+/* A target of this entry, beside its room in the ledger. */
+typedef struct wl_owned {
+	wl_str_t key;
+	wl_owner_t *owner;
+	wl_target_t *target;
+	wl_due_t due;
+	uint64_t session;      /* that it is owned under */
+	uint64_t granted_ns;   /* when the present epoch came */
+	uint64_t adopted_boot; /* of the adoption under the present epoch; 0: none */
+	wl_list_t assigned;    /* wl_assignment_t: attempts there when the epoch was granted */
+	uint64_t adopt_call;
+	uint64_t adopt_next_ns;
+	uint64_t adopt_tries;
+	wl_need_t capacity; /* as announced */
+	bool admitted;	    /* by the chart */
+	bool leaving;
+	bool overloaded;  /* holds more than it can carry */
+	bool lost;	  /* every possible lease has ended */
+	uint64_t earlier; /* requests of earlier owners, held in the ledger */
+	uint64_t renew_call;
+	uint64_t renew_seq;
+	uint64_t renew_next_ns;
+	uint64_t usage_ns;   /* when the newest usage was taken */
+	uint64_t acted_ns;   /* newest throttle or eviction */
+	uint64_t pressed_ns; /* newest wish for room */
+	uint64_t served_ns;  /* newest request */
+	wl_buf_t served;     /* its service */
+	uint64_t request_slowdown_permille;
+	wl_health_t health;
+	wl_offer_row_t offered; /* as the leader has it */
+	uint64_t offered_ns;
+	struct wl_attempts attempts;
+	TAILQ_ENTRY(wl_owned) link;
+} wl_owned_t;
+
+typedef enum wl_owner_call_kind {
+	WL_CALL_ADOPT,
+	WL_CALL_START,
+	WL_CALL_RENEW,
+	WL_CALL_THROTTLE,
+	WL_CALL_CHECKPOINT,
+	WL_CALL_STOP,
+	WL_CALL_ACK,
+	WL_CALL_KINDS
+} wl_owner_call_kind_t;
+
+/* A command that is on its way to a target. */
+typedef struct wl_owner_call {
+	wl_str_t key; /* the bytes of id */
+	uint64_t id;
+	wl_owner_call_kind_t kind;
+	wl_buf_t target;
+	wl_buf_t attempt; /* key; empty: none */
+	uint64_t epoch;
+	uint64_t boot;
+	uint64_t seq;
+	uint64_t cpu_permille;
+	TAILQ_ENTRY(wl_owner_call) link;
+} wl_owner_call_t;
+
+struct wl_owner {
+	wl_owner_options_t options;
+	wl_rng_t rng;
+	wl_map_t by_name;
+	TAILQ_HEAD(wl_owneds, wl_owned) owned;
+	wl_due_heap_t due;
+	wl_map_t attempts;
+	struct wl_attempts reports; /* with one that is not committed */
+	struct wl_attempts closed;  /* oldest first */
+	wl_map_t calls;
+	TAILQ_HEAD(wl_owner_calls, wl_owner_call) calls_open;
+	uint64_t next_call;
+	uint64_t view_index;	   /* ownership changes taken in */
+	uint64_t session;	   /* the newest that was valid */
+	uint64_t session_until_ns; /* and till when */
+	uint64_t past_session;
+	uint64_t past_until_ns;
+	bool session_ok;
+	bool reports_fresh;
+	uint64_t report_next_ns;
+	uint64_t offer_next_ns;
+	uint64_t offer_whole_ns;
+	wl_buf_t offer_leader;
+	uint64_t states[WL_TARGET_STATES]; /* targets in each */
+	const wl_evict_policy_t *eviction;
+	wl_pairs_t pairs;
+	wl_kinds_t kinds;
+	wl_map_t presses;
+	TAILQ_HEAD(wl_presses, wl_press) press_list;
+};
+
+/* owner.c */
+wl_owned_t *wl_owner_find(const wl_owner_t *owner, wl_str_t target);
+bool wl_owned_mine(const wl_owned_t *owned, uint64_t now_ns);
+bool wl_owned_may_renew(const wl_owned_t *owned, uint64_t now_ns);
+void wl_owned_event(const wl_turn_t *turn, wl_owned_t *owned, wl_target_event_t event);
+void wl_owned_settle(const wl_turn_t *turn, wl_owned_t *owned);
+void wl_owned_touch(const wl_turn_t *turn, wl_owned_t *owned);
+
+/* owned.c */
+wl_owned_t *wl_owned_add(const wl_turn_t *turn, const wl_owner_row_t *row);
+void wl_owned_grant(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_row_t *row);
+void wl_owned_move(const wl_turn_t *turn, wl_owned_t *owned);
+void wl_owned_free(wl_owner_t *owner, wl_owned_t *owned);
+void wl_owned_run(const wl_turn_t *turn, wl_owned_t *owned);
+
+/* owner_announce.c */
+void wl_owner_take_call(const wl_turn_t *turn, const wl_call_t *call);
+void wl_owner_take_announce(const wl_turn_t *turn, const wl_announce_t *announce);
+
+/* owner_adopt.c */
+void wl_owned_adopt(const wl_turn_t *turn, wl_owned_t *owned);
+void wl_owned_adopt_ended(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_call_t *call,
+			  const wl_target_answer_t *answer);
+void wl_owned_earlier(wl_owned_t *owned, uint64_t requests);
+uint64_t wl_owned_reach_ns(const wl_owned_t *owned);
+void wl_owned_reach(const wl_turn_t *turn, wl_owned_t *owned);
+
+/* owner_call.c */
+uint64_t wl_owned_call(const wl_turn_t *turn, wl_owned_t *owned, wl_owner_call_kind_t kind,
+		       const wl_attempt_t *attempt, wl_target_command_t *command);
+void wl_owned_call_named(const wl_turn_t *turn, wl_owned_t *owned, wl_owner_call_kind_t kind,
+			 wl_str_t task, uint64_t number);
+void wl_owner_take_fetched(const wl_turn_t *turn, const wl_fetched_t *fetched);
+void wl_owner_calls_free(wl_owner_t *owner);
+
+/* attempt.c */
+wl_attempt_t *wl_attempt_find(const wl_owner_t *owner, wl_str_t task, uint64_t number);
+wl_attempt_t *wl_attempt_add(wl_owner_t *owner, wl_owned_t *owned, wl_str_t task, uint64_t number);
+void wl_attempt_leave(wl_attempt_t *attempt);
+void wl_attempt_enter(const wl_turn_t *turn, wl_attempt_t *attempt, wl_attempt_phase_t phase);
+void wl_attempt_hold(wl_attempt_t *attempt, const wl_need_t *need);
+void wl_attempt_release(wl_attempt_t *attempt);
+void wl_attempt_free(wl_owner_t *owner, wl_attempt_t *attempt);
+void wl_attempt_close(const wl_turn_t *turn, wl_attempt_t *attempt);
+void wl_attempt_end(const wl_turn_t *turn, wl_attempt_t *attempt, wl_report_kind_t kind,
+		    wl_str_t reason);
+void wl_owner_forget_closed(const wl_turn_t *turn);
+
+/* owner_tasks.c */
+void wl_owner_take_assign(const wl_turn_t *turn, const wl_msg_assign_t *assign);
+void wl_owner_take_stop(const wl_turn_t *turn, const wl_msg_stop_t *stop);
+void wl_attempt_stop(const wl_turn_t *turn, wl_attempt_t *attempt, bool evict);
+void wl_attempt_run(const wl_turn_t *turn, wl_attempt_t *attempt);
+void wl_attempt_started(const wl_turn_t *turn, wl_attempt_t *attempt);
+void wl_attempt_call_ended(const wl_turn_t *turn, wl_attempt_t *attempt,
+			   const wl_owner_call_t *call, const wl_fetched_t *fetched,
+			   const wl_target_answer_t *answer);
+
+/* owner_usage.c */
+void wl_owned_seen(const wl_turn_t *turn, wl_owned_t *owned, const wl_list_t *tasks, uint64_t seq);
+void wl_attempt_seen(const wl_turn_t *turn, wl_attempt_t *attempt, const wl_task_usage_t *usage);
+void wl_owned_renew(const wl_turn_t *turn, wl_owned_t *owned);
+
+/* owner_report.c */
+void wl_attempt_report(const wl_turn_t *turn, wl_attempt_t *attempt, wl_report_kind_t kind,
+		       wl_str_t reason);
+void wl_attempt_repeat(const wl_turn_t *turn, wl_attempt_t *attempt);
+void wl_owner_take_reported(const wl_turn_t *turn, const wl_msg_reported_t *reported);
+void wl_owner_send_reports(const wl_turn_t *turn, bool all);
+
+/* owner_offer.c */
+void wl_owner_send_offers(const wl_turn_t *turn);
+bool wl_owned_serves(const wl_owned_t *owned, uint64_t now_ns);
+void wl_owned_reserve_for_urgent(const wl_turn_t *turn, const wl_owned_t *owned, wl_need_t *need);
+
+/* owner_press.c */
+bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned, const wl_need_t *need);
+uint64_t wl_owned_relieve_ns(const wl_owned_t *owned);
+void wl_owned_relieve(const wl_turn_t *turn, wl_owned_t *owned);
+void wl_attempt_throttle(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille);
+void wl_attempt_throttled(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille);
+void wl_owner_presses_free(wl_owner_t *owner);
+
+/* owner_observe.c */
+void wl_owned_note(const wl_turn_t *turn, wl_owned_t *owned, wl_str_t kind, bool ok);
+
+#endif
