--- /dev/null
+++ b/libwlcore/raft.c
@@ -0,0 +1,291 @@
+/*
+ * Replicated log.
+ *
+ * wl_raft_step() takes one event and adds the actions that follow from it.
+ * Messages whose truth depends on stored state are held until the event that
+ * says that this state is synced.
+ */
+
+#include "raft_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define NS_PER_MS		     1000000
+#define ELECTION_MS_DEFAULT	     1000
+#define HEARTBEAT_MS_DEFAULT	     150
+#define MAX_APPEND_BYTES_DEFAULT     (256 * 1024)
+#define SNAPSHOT_PIECE_BYTES_DEFAULT (256 * 1024)
+#define COMPACT_ENTRIES_DEFAULT	     10000
+
+static uint64_t preset(uint64_t value, uint64_t otherwise)
+{
+	return value ? value : otherwise;
+}
+
+static bool saved_check(const wl_raft_saved_t *saved, wl_err_t *err)
+{
+	const wl_raft_entry_t *entries = saved->entries.items;
+
+	if (saved->members.group == 0 &&
+	    (saved->entries.count || saved->snapshot_index || saved->term))
+		return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
+				  "log: entries or a term without a group");
+	for (size_t i = 0; i < saved->entries.count; i++)
+		if (entries[i].index != saved->snapshot_index + 1 + i)
+			return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
+					  "log: entry %llu where %llu was due",
+					  (unsigned long long)entries[i].index,
+					  (unsigned long long)(saved->snapshot_index + 1 + i));
+	return true;
+}
+
+static void options_take(wl_raft_t *raft, const wl_raft_options_t *options)
+{
+	raft->id = options->id;
+	wl_buf_set(&raft->name, options->name);
+	raft->election_ns = preset(options->election_ms, ELECTION_MS_DEFAULT) * NS_PER_MS;
+	raft->heartbeat_ns = preset(options->heartbeat_ms, HEARTBEAT_MS_DEFAULT) * NS_PER_MS;
+	raft->max_append_bytes = preset(options->max_append_bytes, MAX_APPEND_BYTES_DEFAULT);
+	raft->snapshot_piece_bytes =
+		preset(options->snapshot_piece_bytes, SNAPSHOT_PIECE_BYTES_DEFAULT);
+	raft->compact_entries = preset(options->compact_entries, COMPACT_ENTRIES_DEFAULT);
+	raft->known = wl_alloc(options->peer_count * sizeof(*raft->known));
+	for (size_t i = 0; i < options->peer_count; i++)
+		if (!wl_str_equal(options->peers[i], options->name))
+			wl_buf_set(&raft->known[raft->known_count++].name, options->peers[i]);
+}
+
+static void saved_take(wl_raft_t *raft, wl_raft_saved_t *saved, uint64_t now_ns)
+{
+	wl_raft_members_t members;
+	uint64_t index;
+
+	raft->term = saved->term;
+	raft->vote = saved->vote;
+	raft->base = saved->members;
+	raft->snapshot_index = saved->snapshot_index;
+	raft->snapshot_term = saved->snapshot_term;
+	raft->snapshot = saved->snapshot;
+	raft->log = saved->entries;
+	*saved = (wl_raft_saved_t){0};
+
+	raft->commit = raft->snapshot_index;
+	raft->synced_index = wl_raft_last_index(raft);
+	raft->issued_index = raft->synced_index;
+	raft->unsaved_from = raft->synced_index + 1;
+	wl_raft_members_before(raft, raft->unsaved_from, &members, &index);
+	wl_raft_members_use(raft, &members, index, now_ns);
+	wl_record_free(&wl_raft_members_schema, &members);
+}
+
+/*
+ * wl_raft_new - make a replica
+ * @options: copied
+ * @saved: what its disk held; taken over
+ * @now_ns: monotonic time, nanoseconds
+ * @err: WL_E_BAD_INPUT for a missing id or name, WL_E_DAMAGED for a log with a gap
+ *
+ * Return: the replica, to be freed by wl_raft_free(), or NULL.
+ */
+wl_raft_t *wl_raft_new(const wl_raft_options_t *options, wl_raft_saved_t *saved, uint64_t now_ns,
+		       wl_err_t *err)
+{
+	wl_raft_t *raft;
+
+	if (options->id == 0 || options->name.len == 0) {
+		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "replica: id and name are needed");
+		return NULL;
+	}
+	if (!saved_check(saved, err))
+		return NULL;
+
+	raft = wl_alloc(sizeof(*raft));
+	options_take(raft, options);
+	wl_rng_init(&raft->rng, options->seed ^ now_ns, options->id);
+	saved_take(raft, saved, now_ns);
+	raft->probe_round = wl_rng_next(&raft->rng);
+	raft->probe_at_ns = now_ns;
+	wl_raft_set_election(raft, now_ns, raft->election_ns);
+	if (raft->members.group)
+		raft->quiet_until_ns = now_ns + raft->election_ns;
+	if (wl_raft_votes(raft) && wl_raft_voters(raft) == 1)
+		raft->election_at_ns = now_ns;
+	return raft;
+}
+
+/*
+ * wl_raft_free - release a replica
+ */
+void wl_raft_free(wl_raft_t *raft)
+{
+	if (!raft)
+		return;
+	for (size_t i = 0; i < raft->held_count; i++) {
+		wl_buf_free(&raft->held[i].name);
+		wl_record_free(&wl_raft_msg_schema, &raft->held[i].msg);
+	}
+	for (size_t i = 0; i < raft->known_count; i++)
+		wl_buf_free(&raft->known[i].name);
+	free(raft->held);
+	free(raft->known);
+	free(raft->peers);
+	wl_buf_free(&raft->name);
+	wl_buf_free(&raft->snapshot);
+	wl_buf_free(&raft->incoming);
+	wl_record_free(&wl_raft_members_schema, &raft->base);
+	wl_record_free(&wl_raft_members_schema, &raft->members);
+	wl_list_free(&wl_raft_entry_schema, &raft->log);
+	free(raft);
+}
+
+typedef void (*msg_handler_t)(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+
+static const struct {
+	msg_handler_t handle;
+	bool any_group; /* handled though the group differs or is not known yet */
+	bool blank;	/* handled by a replica without a group */
+} handlers[WL_RAFT_MSG_KINDS] = {
+	[WL_RAFT_PROBE] = {wl_raft_on_probe, true, true},
+	[WL_RAFT_PROBED] = {wl_raft_on_probed, true, true},
+	[WL_RAFT_FOUND] = {wl_raft_on_found, true, true},
+	[WL_RAFT_FOUNDED] = {wl_raft_on_founded, false, false},
+	[WL_RAFT_PREVOTE] = {wl_raft_on_prevote, false, false},
+	[WL_RAFT_PREVOTED] = {wl_raft_on_prevoted, false, false},
+	[WL_RAFT_VOTE] = {wl_raft_on_vote, false, false},
+	[WL_RAFT_VOTED] = {wl_raft_on_voted, false, false},
+	[WL_RAFT_APPEND] = {wl_raft_on_append, false, true},
+	[WL_RAFT_APPENDED] = {wl_raft_on_appended, false, false},
+	[WL_RAFT_SNAPSHOT] = {wl_raft_on_snapshot, false, true},
+	[WL_RAFT_SNAPPED] = {wl_raft_on_snapped, false, false},
+	[WL_RAFT_TIMEOUT_NOW] = {wl_raft_on_timeout_now, false, false},
+};
+
+/* A message for an id that this folder does not have was meant for a lost one of the same name. */
+static void on_msg(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	bool blank = raft->members.group == 0;
+
+	if (msg->kind >= WL_RAFT_MSG_KINDS || (msg->to && msg->to != raft->id) ||
+	    msg->from == raft->id)
+		return;
+	if (blank && !handlers[msg->kind].blank)
+		return;
+	if (!blank && !handlers[msg->kind].any_group && msg->group != raft->members.group)
+		return;
+	handlers[msg->kind].handle(raft, now_ns, name, msg);
+}
+
+static void on_tick(wl_raft_t *raft, uint64_t now_ns)
+{
+	wl_raft_found_tick(raft, now_ns);
+	wl_raft_election_tick(raft, now_ns);
+	wl_raft_leader_tick(raft, now_ns);
+	wl_raft_members_tick(raft, now_ns);
+	wl_raft_ask_snapshot(raft, now_ns);
+}
+
+static void on_persisted(wl_raft_t *raft, uint64_t now_ns, uint64_t ticket)
+{
+	if (!wl_raft_persist_done(raft, ticket))
+		return;
+	wl_raft_election_tick(raft, now_ns);
+	wl_raft_election_synced(raft, now_ns);
+	wl_raft_count_commit(raft);
+}
+
+static void restore_first(wl_raft_t *raft)
+{
+	wl_raft_action_t *action;
+
+	raft->started = true;
+	if (raft->snapshot_index == 0)
+		return;
+	action = wl_raft_out_add(raft, WL_RAFT_DO_RESTORE);
+	action->index = raft->snapshot_index;
+	wl_buf_set(&action->data, wl_buf_str(&raft->snapshot));
+}
+
+/*
+ * wl_raft_step - take one event
+ * @now_ns: monotonic time, nanoseconds; never less than before
+ * @event: its message may be taken from
+ * @out: actions are added, to be carried out in order
+ */
+void wl_raft_step(wl_raft_t *raft, uint64_t now_ns, const wl_raft_event_t *event,
+		  wl_raft_out_t *out)
+{
+	raft->out = out;
+	if (!raft->started)
+		restore_first(raft);
+	switch (event->kind) {
+	case WL_RAFT_EV_TICK:
+		on_tick(raft, now_ns);
+		break;
+	case WL_RAFT_EV_MSG:
+		on_msg(raft, now_ns, event->name, event->msg);
+		break;
+	case WL_RAFT_EV_PROPOSE:
+		wl_raft_propose(raft, now_ns, WL_RAFT_DATA, event->data, event->tag);
+		break;
+	case WL_RAFT_EV_PERSISTED:
+		on_persisted(raft, now_ns, event->ticket);
+		break;
+	case WL_RAFT_EV_SNAPSHOT:
+		wl_raft_take_snapshot(raft, event->index, event->data);
+		break;
+	case WL_RAFT_EV_REPLACE:
+		wl_raft_replace(raft, event->name);
+		break;
+	case WL_RAFT_EV_HAND_OVER:
+		wl_raft_hand_over(raft, now_ns);
+		break;
+	}
+	wl_raft_feed(raft, now_ns);
+	wl_raft_persist_flush(raft);
+	raft->out = NULL;
+}
+
+/*
+ * wl_raft_leads - tell whether this replica leads and its first entry is applied
+ */
+bool wl_raft_leads(const wl_raft_t *raft)
+{
+	return raft->role == WL_RAFT_LEADER && raft->told_lead;
+}
+
+/*
+ * wl_raft_term - the present term
+ */
+uint64_t wl_raft_term(const wl_raft_t *raft)
+{
+	return raft->term;
+}
+
+/*
+ * wl_raft_group - id of the group, zero while none is known
+ */
+uint64_t wl_raft_group(const wl_raft_t *raft)
+{
+	return raft->members.group;
+}
+
+/*
+ * wl_raft_commit_index - index of the last entry handed out as committed
+ */
+uint64_t wl_raft_commit_index(const wl_raft_t *raft)
+{
+	return raft->commit;
+}
+
+/*
+ * wl_raft_leader_name - the daemon that leads, as far as is known here
+ *
+ * Return: an empty string if none is known; valid until the next step.
+ */
+wl_str_t wl_raft_leader_name(const wl_raft_t *raft)
+{
+	const wl_raft_peer_t *peer = raft->leader ? wl_raft_peer_find(raft, raft->leader) : NULL;
+
+	return peer ? wl_raft_peer_name(raft, peer) : (wl_str_t){0};
+}
--- /dev/null
+++ b/libwlcore/raft_found.c
@@ -0,0 +1,194 @@
+/*
+ * Founding of a group, and what a replica with a blank folder does.
+ *
+ * A blank replica probes those that the settings name.  Only the one of the
+ * lowest name may found, and only while every other one answers as blank: a
+ * replica restarted on an empty disk therefore never begins a second group.
+ * All others wait for the founding record or for a leader that admits them.
+ */
+
+#include "raft_internal.h"
+
+#include <string.h>
+
+#define FRESH_ELECTIONS 1 /* how lately every peer must have answered */
+
+static bool blank(const wl_raft_t *raft)
+{
+	return raft->members.group == 0;
+}
+
+static bool lowest_name(const wl_raft_t *raft)
+{
+	for (size_t i = 0; i < raft->known_count; i++)
+		if (wl_str_compare(wl_buf_str(&raft->known[i].name), wl_buf_str(&raft->name)) < 0)
+			return false;
+	return true;
+}
+
+static bool all_blank(const wl_raft_t *raft, uint64_t now_ns)
+{
+	for (size_t i = 0; i < raft->known_count; i++) {
+		const wl_raft_sighting_t *seen = &raft->known[i].answer;
+
+		if (!seen->blank || !seen->heard_ns || seen->id == raft->id ||
+		    now_ns - seen->heard_ns > FRESH_ELECTIONS * raft->election_ns)
+			return false;
+	}
+	return true;
+}
+
+static void member_add(wl_raft_members_t *members, uint64_t id, wl_str_t name)
+{
+	wl_raft_member_t *member = wl_list_add(&wl_raft_member_schema, &members->members);
+
+	member->id = id;
+	member->voter = true;
+	wl_buf_set(&member->name, name);
+}
+
+/*
+ * wl_raft_join - take a group's record as the start of the own log
+ * @members: copied
+ */
+void wl_raft_join(wl_raft_t *raft, wl_raft_members_t *members, uint64_t now_ns)
+{
+	wl_record_free(&wl_raft_members_schema, &raft->base);
+	wl_record_copy(&wl_raft_members_schema, &raft->base, members);
+	wl_raft_members_use(raft, members, 0, now_ns);
+	raft->group_dirty = true;
+	raft->group_ticket = raft->issued_ticket + 1;
+}
+
+static void found_group(wl_raft_t *raft, uint64_t now_ns)
+{
+	wl_raft_members_t members = {0};
+
+	while (members.group == 0)
+		members.group = wl_rng_next(&raft->rng);
+	member_add(&members, raft->id, wl_buf_str(&raft->name));
+	for (size_t i = 0; i < raft->known_count; i++)
+		member_add(&members, raft->known[i].answer.id, wl_buf_str(&raft->known[i].name));
+	wl_raft_join(raft, &members, now_ns);
+	wl_record_free(&wl_raft_members_schema, &members);
+	raft->election_at_ns = now_ns;
+}
+
+static void send_probes(wl_raft_t *raft)
+{
+	for (size_t i = 0; i < raft->known_count; i++) {
+		wl_raft_msg_t msg = {.kind = WL_RAFT_PROBE, .round = raft->probe_round};
+
+		msg.blank = blank(raft);
+		wl_raft_send(raft, wl_buf_str(&raft->known[i].name), &msg);
+	}
+}
+
+/* Until there is a first entry only the founding record says who is a member. */
+static void send_record(wl_raft_t *raft)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		wl_raft_msg_t msg = {.kind = WL_RAFT_FOUND, .to = raft->peers[i].id};
+
+		if (msg.to == raft->id)
+			continue;
+		wl_record_copy(&wl_raft_members_schema, &msg.members, &raft->base);
+		wl_raft_send_after(raft, raft->group_ticket,
+				   wl_raft_peer_name(raft, &raft->peers[i]), &msg);
+	}
+}
+
+/*
+ * wl_raft_found_tick - probe, found, or finish a founding that was begun
+ */
+void wl_raft_found_tick(wl_raft_t *raft, uint64_t now_ns)
+{
+	if (now_ns < raft->probe_at_ns)
+		return;
+	raft->probe_at_ns = now_ns + raft->heartbeat_ns;
+
+	if (!blank(raft)) {
+		if (wl_raft_last_index(raft) == 0 && lowest_name(raft))
+			send_record(raft);
+		return;
+	}
+	if (lowest_name(raft) && all_blank(raft, now_ns)) {
+		found_group(raft, now_ns);
+		send_record(raft);
+		return;
+	}
+	send_probes(raft);
+}
+
+/*
+ * wl_raft_on_probe - tell a replica who this one is
+ * @name: of the sender, as the link proved it
+ */
+void wl_raft_on_probe(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_known_t *known = wl_raft_known_find(raft, name);
+	wl_raft_msg_t answer = {.kind = WL_RAFT_PROBED, .to = msg->from, .round = msg->round};
+
+	if (!known || !wl_str_equal(name, wl_buf_str(&msg->name)))
+		return;
+	known->probe = (wl_raft_sighting_t){msg->from, msg->blank, now_ns};
+	answer.blank = blank(raft);
+	wl_raft_send_after(raft, raft->group_ticket, name, &answer);
+}
+
+/*
+ * wl_raft_on_probed - a replica says who it is
+ */
+void wl_raft_on_probed(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_known_t *known = wl_raft_known_find(raft, name);
+
+	if (!known || msg->round != raft->probe_round)
+		return;
+	known->answer = (wl_raft_sighting_t){msg->from, msg->blank, now_ns};
+}
+
+static bool record_lists(const wl_raft_t *raft, const wl_raft_members_t *record)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < record->members.count; i++)
+		found = found || wl_raft_member_at(record, i)->id == raft->id;
+	return found && record->group;
+}
+
+/*
+ * wl_raft_on_found - a founder sends the record of the group
+ *
+ * A record from an id that the founder's name no longer has is an old one.
+ */
+void wl_raft_on_found(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	const wl_raft_known_t *known = wl_raft_known_find(raft, name);
+	wl_raft_msg_t answer = {.kind = WL_RAFT_FOUNDED, .to = msg->from};
+
+	if (msg->to != raft->id || !record_lists(raft, &msg->members))
+		return;
+	if (blank(raft)) {
+		if (!known || (known->probe.heard_ns && known->probe.id != msg->from))
+			return;
+		wl_raft_join(raft, &msg->members, now_ns);
+		wl_raft_set_election(raft, now_ns, raft->election_ns);
+	}
+	if (raft->members.group != msg->members.group)
+		return;
+	wl_raft_send_after(raft, raft->group_ticket, name, &answer);
+}
+
+/*
+ * wl_raft_on_founded - a listed replica holds the record
+ */
+void wl_raft_on_founded(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_peer_t *peer = wl_raft_peer_find(raft, msg->from);
+
+	(void)name;
+	if (!peer || msg->group != raft->members.group || raft->leader || raft->term)
+		return;
+	raft->election_at_ns = now_ns;
+}
--- /dev/null
+++ b/libwlcore/raft_internal.h
@@ -0,0 +1,210 @@
+#ifndef WL_RAFT_INTERNAL_H
+#define WL_RAFT_INTERNAL_H
+
+#include <libwlbase/rng.h>
+#include <libwlcore/raft.h>
+
+/* Shared by the files of the replicated log only. */
+
+typedef enum wl_raft_role {
+	WL_RAFT_FOLLOWER,
+	WL_RAFT_PRECANDIDATE, /* asks whether an election could be won */
+	WL_RAFT_CANDIDATE,
+	WL_RAFT_LEADER,
+} wl_raft_role_t;
+
+/* How a leader feeds one member. */
+typedef enum wl_raft_feed {
+	WL_RAFT_FEED_PROBE,    /* the common prefix is not known: one message at a time */
+	WL_RAFT_FEED_STREAM,   /* messages follow each other without waiting for answers */
+	WL_RAFT_FEED_SNAPSHOT, /* the log it needs is gone */
+} wl_raft_feed_t;
+
+/* What this replica knows of the member at the same place of the members list. */
+typedef struct wl_raft_peer {
+	uint64_t id;
+	wl_raft_feed_t feed;
+	uint64_t match; /* synced there, same as here */
+	uint64_t next;	/* first entry to send */
+	uint64_t sent;	/* append messages sent, and answered */
+	uint64_t answered;
+	uint64_t heard_ns; /* any answer */
+	uint64_t lease_ns; /* when the newest answered round was sent */
+	uint64_t snapshot_index;
+	uint64_t snapshot_offset;
+	uint64_t snapshot_sent_ns;
+	bool granted; /* its vote or pre-vote */
+} wl_raft_peer_t;
+
+/* What a replica said of itself. */
+typedef struct wl_raft_sighting {
+	uint64_t id;
+	bool blank;
+	uint64_t heard_ns; /* 0: never */
+} wl_raft_sighting_t;
+
+/* Another replica named in the settings. */
+typedef struct wl_raft_known {
+	wl_buf_t name;
+	wl_raft_sighting_t probe;  /* its newest probe */
+	wl_raft_sighting_t answer; /* its newest answer to a probe of this run */
+	bool replace;		   /* an operator asked to replace the member of this name */
+} wl_raft_known_t;
+
+/* A message that waits for a sync. */
+typedef struct wl_raft_held {
+	uint64_t ticket;
+	wl_buf_t name;
+	wl_raft_msg_t msg;
+} wl_raft_held_t;
+
+struct wl_raft {
+	uint64_t id;
+	wl_buf_t name;
+	uint64_t election_ns;
+	uint64_t heartbeat_ns;
+	uint64_t max_append_bytes;
+	uint64_t snapshot_piece_bytes;
+	uint64_t compact_entries;
+	wl_rng_t rng;
+	wl_raft_out_t *out; /* of the present step */
+
+	/* Stored state; what is not yet synced is told by the fields under "persistence". */
+	uint64_t term;
+	uint64_t vote;
+	wl_raft_members_t base; /* membership at the snapshot, or the founding record */
+	uint64_t snapshot_index;
+	uint64_t snapshot_term;
+	wl_buf_t snapshot;
+	wl_list_t log; /* wl_raft_entry_t from snapshot_index + 1 */
+
+	/* Membership: the newest in the log, committed or not. */
+	wl_raft_members_t members;
+	uint64_t members_index;
+	wl_raft_peer_t *peers; /* as many as members */
+
+	/* Persistence: at most one PERSIST is under way. */
+	uint64_t issued_ticket;
+	uint64_t synced_ticket;
+	uint64_t vote_ticket;  /* syncs the present term and vote */
+	uint64_t group_ticket; /* syncs the group's record */
+	uint64_t log_ticket;   /* syncs the present end of the log */
+	bool vote_dirty;
+	bool group_dirty;
+	bool snapshot_dirty;
+	uint64_t truncate_from; /* 0: none */
+	uint64_t unsaved_from;	/* first entry in no PERSIST yet */
+	uint64_t issued_index;	/* last entry of the PERSIST under way */
+	uint64_t synced_index;
+	wl_raft_held_t *held;
+	size_t held_count;
+	size_t held_room;
+
+	/* Role. */
+	wl_raft_role_t role;
+	uint64_t leader; /* store id; 0: not known */
+	uint64_t commit;
+	uint64_t leader_heard_ns;
+	uint64_t quiet_until_ns; /* no votes before: an earlier run may have backed a lease */
+	uint64_t election_at_ns;
+	uint64_t campaign_ticket;
+	bool handed;	   /* candidate: told to by the leader */
+	bool started;	   /* the stored snapshot was handed out */
+	bool told_lead;	   /* LEAD was given */
+	uint64_t led_from; /* index of the first entry of the own term */
+	uint64_t heartbeat_at_ns;
+	uint64_t hand_over_to; /* store id; 0: none */
+	uint64_t hand_over_end_ns;
+	bool lease_over; /* a hand-over began in this term */
+	bool snapshot_asked;
+
+	/* Snapshot that is coming in. */
+	uint64_t incoming_from;
+	uint64_t incoming_index;
+	uint64_t incoming_term;
+	wl_buf_t incoming;
+
+	/* Founding and replacement. */
+	wl_raft_known_t *known;
+	size_t known_count;
+	uint64_t probe_at_ns;
+	uint64_t probe_round;
+};
+
+/* raft_out.c */
+wl_raft_action_t *wl_raft_out_add(wl_raft_t *raft, wl_raft_action_kind_t kind);
+void wl_raft_send(wl_raft_t *raft, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_send_after(wl_raft_t *raft, uint64_t ticket, wl_str_t name, wl_raft_msg_t *msg);
+
+/* raft_persist.c */
+void wl_raft_persist_flush(wl_raft_t *raft);
+bool wl_raft_persist_done(wl_raft_t *raft, uint64_t ticket);
+void wl_raft_set_term(wl_raft_t *raft, uint64_t term, uint64_t vote);
+
+/* raft_log.c */
+uint64_t wl_raft_last_index(const wl_raft_t *raft);
+uint64_t wl_raft_last_term(const wl_raft_t *raft);
+bool wl_raft_log_term(const wl_raft_t *raft, uint64_t index, uint64_t *term);
+wl_raft_entry_t *wl_raft_log_at(const wl_raft_t *raft, uint64_t index);
+uint64_t wl_raft_log_back_up(const wl_raft_t *raft, uint64_t index, uint64_t term);
+void wl_raft_log_append(wl_raft_t *raft, wl_raft_entry_t *entry, uint64_t now_ns);
+void wl_raft_log_truncate(wl_raft_t *raft, uint64_t from, uint64_t now_ns);
+void wl_raft_log_compact(wl_raft_t *raft, uint64_t index, uint64_t term, wl_raft_members_t *members,
+			 wl_buf_t *state);
+void wl_raft_commit_to(wl_raft_t *raft, uint64_t index);
+
+/* raft_members.c */
+wl_raft_member_t *wl_raft_member_at(const wl_raft_members_t *members, size_t i);
+void wl_raft_members_use(wl_raft_t *raft, const wl_raft_members_t *members, uint64_t index,
+			 uint64_t now_ns);
+void wl_raft_members_before(const wl_raft_t *raft, uint64_t end, wl_raft_members_t *members,
+			    uint64_t *index);
+wl_raft_peer_t *wl_raft_peer_find(const wl_raft_t *raft, uint64_t id);
+wl_str_t wl_raft_peer_name(const wl_raft_t *raft, const wl_raft_peer_t *peer);
+bool wl_raft_votes(const wl_raft_t *raft);
+size_t wl_raft_voters(const wl_raft_t *raft);
+bool wl_raft_quorum_granted(const wl_raft_t *raft);
+uint64_t wl_raft_quorum_value(const wl_raft_t *raft,
+			      uint64_t (*value)(const wl_raft_t *raft, const wl_raft_peer_t *peer));
+wl_raft_known_t *wl_raft_known_find(const wl_raft_t *raft, wl_str_t name);
+void wl_raft_members_tick(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_replace(wl_raft_t *raft, wl_str_t name);
+
+/* raft_found.c */
+void wl_raft_found_tick(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_on_probe(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_probed(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_found(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_founded(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_join(wl_raft_t *raft, wl_raft_members_t *members, uint64_t now_ns);
+
+/* raft_election.c */
+void wl_raft_follow(wl_raft_t *raft, uint64_t term, uint64_t leader, uint64_t now_ns);
+void wl_raft_set_election(wl_raft_t *raft, uint64_t now_ns, uint64_t least_ns);
+void wl_raft_election_tick(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_election_synced(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_on_prevote(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_prevoted(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_vote(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_voted(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_timeout_now(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+
+/* raft_replicate.c */
+void wl_raft_lead(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_propose(wl_raft_t *raft, uint64_t now_ns, wl_raft_entry_kind_t kind, wl_str_t data,
+		     uint64_t tag);
+void wl_raft_feed(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_leader_tick(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_count_commit(wl_raft_t *raft);
+void wl_raft_hand_over(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_on_append(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+
+/* raft_snapshot.c */
+void wl_raft_send_piece(wl_raft_t *raft, uint64_t now_ns, wl_raft_peer_t *peer);
+void wl_raft_ask_snapshot(wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_take_snapshot(wl_raft_t *raft, uint64_t index, wl_str_t state);
+void wl_raft_on_snapshot(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+void wl_raft_on_snapped(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+
+#endif
--- /dev/null
+++ b/libwlcore/raft_members.c
@@ -0,0 +1,330 @@
+/*
+ * Membership: store ids, not addresses.
+ *
+ * One change at a time, each an entry of the log that counts from the moment
+ * it is appended.  A lost replica is replaced in three changes: the newcomer
+ * enters as a learner, votes once it has synced all that stood in the log
+ * when it entered, and then the lost id leaves.
+ */
+
+#include "raft_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define REPLACE_SILENCE_ELECTIONS 5 /* silence after which a member may be replaced */
+#define KNOWN_FRESH_ELECTIONS	  2 /* a newcomer must have probed as lately as this */
+
+/*
+ * wl_raft_member_at - one member of a list
+ */
+wl_raft_member_t *wl_raft_member_at(const wl_raft_members_t *members, size_t i)
+{
+	return (wl_raft_member_t *)members->members.items + i;
+}
+
+static wl_raft_peer_t peer_new(const wl_raft_t *raft, uint64_t id, uint64_t now_ns)
+{
+	return (wl_raft_peer_t){
+		.id = id,
+		.next = wl_raft_last_index(raft) + 1,
+		.heard_ns = now_ns,
+	};
+}
+
+/*
+ * wl_raft_members_use - make a list of members the one in use
+ * @members: copied
+ * @index: of its entry, or of the snapshot that holds it
+ */
+void wl_raft_members_use(wl_raft_t *raft, const wl_raft_members_t *members, uint64_t index,
+			 uint64_t now_ns)
+{
+	wl_raft_peer_t *peers = wl_alloc(members->members.count * sizeof(*peers));
+
+	for (size_t i = 0; i < members->members.count; i++) {
+		uint64_t id = wl_raft_member_at(members, i)->id;
+		const wl_raft_peer_t *before = wl_raft_peer_find(raft, id);
+
+		peers[i] = before ? *before : peer_new(raft, id, now_ns);
+	}
+	free(raft->peers);
+	raft->peers = peers;
+	wl_record_free(&wl_raft_members_schema, &raft->members);
+	wl_record_copy(&wl_raft_members_schema, &raft->members, members);
+	raft->members_index = index;
+}
+
+/*
+ * wl_raft_members_before - the newest membership below an index
+ * @end: entries from here on are passed over
+ * @members: a copy for the caller to free
+ * @index: where it stands
+ */
+void wl_raft_members_before(const wl_raft_t *raft, uint64_t end, wl_raft_members_t *members,
+			    uint64_t *index)
+{
+	for (uint64_t i = end - 1; i > raft->snapshot_index; i--) {
+		const wl_raft_entry_t *entry = wl_raft_log_at(raft, i);
+
+		if (entry->kind != WL_RAFT_MEMBERS)
+			continue;
+		*index = i;
+		if (wl_record_unpack(&wl_raft_members_schema, wl_buf_str(&entry->data), members,
+				     NULL))
+			return;
+	}
+	*index = raft->snapshot_index;
+	wl_record_copy(&wl_raft_members_schema, members, &raft->base);
+}
+
+/*
+ * wl_raft_peer_find - what is known of a member, own id included
+ *
+ * Return: NULL if the id is no member.
+ */
+wl_raft_peer_t *wl_raft_peer_find(const wl_raft_t *raft, uint64_t id)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (raft->peers[i].id == id)
+			return &raft->peers[i];
+	return NULL;
+}
+
+/*
+ * wl_raft_peer_name - the daemon's name of a member
+ */
+wl_str_t wl_raft_peer_name(const wl_raft_t *raft, const wl_raft_peer_t *peer)
+{
+	return wl_buf_str(&wl_raft_member_at(&raft->members, (size_t)(peer - raft->peers))->name);
+}
+
+/*
+ * wl_raft_votes - tell whether this replica is a voter
+ */
+bool wl_raft_votes(const wl_raft_t *raft)
+{
+	const wl_raft_peer_t *own = wl_raft_peer_find(raft, raft->id);
+
+	return own && wl_raft_member_at(&raft->members, (size_t)(own - raft->peers))->voter;
+}
+
+/*
+ * wl_raft_voters - count the voters
+ */
+size_t wl_raft_voters(const wl_raft_t *raft)
+{
+	size_t voters = 0;
+
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		voters += wl_raft_member_at(&raft->members, i)->voter;
+	return voters;
+}
+
+/*
+ * wl_raft_quorum_granted - tell whether a majority of the voters granted its vote
+ */
+bool wl_raft_quorum_granted(const wl_raft_t *raft)
+{
+	size_t granted = 0;
+
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		granted += wl_raft_member_at(&raft->members, i)->voter && raft->peers[i].granted;
+	return granted > wl_raft_voters(raft) / 2;
+}
+
+/*
+ * wl_raft_quorum_value - the largest value that a majority of the voters reaches
+ * @value: of one member
+ *
+ * Return: zero when there are no voters.
+ */
+uint64_t wl_raft_quorum_value(const wl_raft_t *raft,
+			      uint64_t (*value)(const wl_raft_t *raft, const wl_raft_peer_t *peer))
+{
+	size_t quorum = wl_raft_voters(raft) / 2 + 1;
+	uint64_t best = 0;
+
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		uint64_t candidate = value(raft, &raft->peers[i]);
+		size_t reached = 0;
+
+		for (size_t k = 0; k < raft->members.members.count; k++)
+			reached += wl_raft_member_at(&raft->members, k)->voter &&
+				   value(raft, &raft->peers[k]) >= candidate;
+		if (reached >= quorum && candidate > best)
+			best = candidate;
+	}
+	return best;
+}
+
+/*
+ * wl_raft_known_find - a replica named in the settings
+ *
+ * Return: NULL if the settings do not name it.
+ */
+wl_raft_known_t *wl_raft_known_find(const wl_raft_t *raft, wl_str_t name)
+{
+	for (size_t i = 0; i < raft->known_count; i++)
+		if (wl_str_equal(wl_buf_str(&raft->known[i].name), name))
+			return &raft->known[i];
+	return NULL;
+}
+
+static void members_propose(wl_raft_t *raft, uint64_t now_ns, wl_raft_members_t *members)
+{
+	wl_buf_t data = {0};
+
+	wl_record_pack(&wl_raft_members_schema, members, &data);
+	wl_raft_propose(raft, now_ns, WL_RAFT_MEMBERS, wl_buf_str(&data), 0);
+	wl_buf_free(&data);
+	wl_record_free(&wl_raft_members_schema, members);
+}
+
+/* The present members, without the learners of a name and without one id. */
+static void members_without(const wl_raft_t *raft, wl_str_t name, uint64_t id,
+			    wl_raft_members_t *members)
+{
+	*members = (wl_raft_members_t){.group = raft->members.group};
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		const wl_raft_member_t *member = wl_raft_member_at(&raft->members, i);
+
+		if (member->id == id)
+			continue;
+		if (!member->voter && wl_str_equal(wl_buf_str(&member->name), name))
+			continue;
+		wl_record_copy(&wl_raft_member_schema,
+			       wl_list_add(&wl_raft_member_schema, &members->members), member);
+	}
+}
+
+static void members_admit(wl_raft_t *raft, uint64_t now_ns, wl_raft_known_t *known)
+{
+	wl_raft_members_t members;
+	wl_raft_member_t *member;
+
+	members_without(raft, wl_buf_str(&known->name), 0, &members);
+	member = wl_list_add(&wl_raft_member_schema, &members.members);
+	member->id = known->probe.id;
+	wl_buf_set(&member->name, wl_buf_str(&known->name));
+	known->replace = false;
+	members_propose(raft, now_ns, &members);
+}
+
+static bool promote_learner(wl_raft_t *raft, uint64_t now_ns)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		wl_raft_members_t members;
+
+		if (wl_raft_member_at(&raft->members, i)->voter ||
+		    raft->peers[i].match < raft->members_index)
+			continue;
+		wl_record_copy(&wl_raft_members_schema, &members, &raft->members);
+		wl_raft_member_at(&members, i)->voter = true;
+		members_propose(raft, now_ns, &members);
+		return true;
+	}
+	return false;
+}
+
+/* Members are in the order in which they came: of two voters of a name the first is the lost one.
+ */
+static bool remove_replaced(wl_raft_t *raft, uint64_t now_ns)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		const wl_raft_member_t *old = wl_raft_member_at(&raft->members, i);
+
+		for (size_t k = i + 1; k < raft->members.members.count; k++) {
+			const wl_raft_member_t *new = wl_raft_member_at(&raft->members, k);
+			wl_raft_members_t members;
+
+			if (!new->voter || old->id == raft->id ||
+			    !wl_str_equal(wl_buf_str(&old->name), wl_buf_str(&new->name)))
+				continue;
+			members_without(raft, wl_buf_str(&old->name), old->id, &members);
+			members_propose(raft, now_ns, &members);
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Whether every member of the name has been silent, so that the newcomer takes its place. */
+static bool name_is_lost(const wl_raft_t *raft, wl_str_t name, uint64_t now_ns)
+{
+	uint64_t silence_ns = REPLACE_SILENCE_ELECTIONS * raft->election_ns;
+
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (wl_str_equal(wl_buf_str(&wl_raft_member_at(&raft->members, i)->name), name) &&
+		    now_ns - raft->peers[i].heard_ns < silence_ns)
+			return false;
+	return true;
+}
+
+static bool admit_newcomer(wl_raft_t *raft, uint64_t now_ns)
+{
+	uint64_t fresh_ns = KNOWN_FRESH_ELECTIONS * raft->election_ns;
+
+	for (size_t i = 0; i < raft->known_count; i++) {
+		wl_raft_known_t *known = &raft->known[i];
+
+		if (!known->probe.blank || !known->probe.heard_ns ||
+		    now_ns - known->probe.heard_ns > fresh_ns ||
+		    wl_raft_peer_find(raft, known->probe.id) ||
+		    wl_str_equal(wl_buf_str(&known->name), wl_buf_str(&raft->name)))
+			continue;
+		if (!known->replace && !name_is_lost(raft, wl_buf_str(&known->name), now_ns))
+			continue;
+		members_admit(raft, now_ns, known);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * wl_raft_members_tick - leader: take the next step of a replacement, if any is due
+ */
+void wl_raft_members_tick(wl_raft_t *raft, uint64_t now_ns)
+{
+	if (raft->role != WL_RAFT_LEADER || raft->hand_over_to || !raft->told_lead ||
+	    raft->members_index > raft->commit)
+		return;
+	if (remove_replaced(raft, now_ns))
+		return;
+	if (promote_learner(raft, now_ns))
+		return;
+	admit_newcomer(raft, now_ns);
+}
+
+/*
+ * wl_raft_replace - an operator says that the member of a name is lost for good
+ */
+void wl_raft_replace(wl_raft_t *raft, wl_str_t name)
+{
+	wl_raft_known_t *known = wl_raft_known_find(raft, name);
+
+	if (known)
+		known->replace = true;
+}
+
+/*
+ * wl_raft_members_json - add the members as a JSON array, for operators
+ */
+void wl_raft_members_json(const wl_raft_t *raft, wl_buf_t *out)
+{
+	wl_buf_append(out, WL_STR("["));
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		const wl_raft_member_t *member = wl_raft_member_at(&raft->members, i);
+		const wl_raft_peer_t *peer = &raft->peers[i];
+		bool own = member->id == raft->id;
+
+		wl_buf_printf(out, "%s{\"name\":\"" WL_STR_FMT "\",\"id\":\"%016llx\"",
+			      i ? "," : "", WL_STR_ARG(member->name),
+			      (unsigned long long)member->id);
+		wl_buf_printf(out, ",\"voter\":%s,\"leader\":%s,\"synced\":%llu}",
+			      member->voter ? "true" : "false",
+			      member->id == raft->leader ? "true" : "false",
+			      (unsigned long long)(own ? raft->synced_index : peer->match));
+	}
+	wl_buf_append(out, WL_STR("]"));
+}
--- a/libwlcore/raft_out.c
+++ b/libwlcore/raft_out.c
@@ -1,8 +1,12 @@
-/* Actions of the replicated log: construction and release. */
+/* Actions of the replicated log: construction, sending and release. */
 
-#include "raft.h"
+#include "raft_internal.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+#define OUT_LEAST_ROOM	8
+#define HELD_LEAST_ROOM 8
 
 /*
  * wl_raft_persist_free - release what a change to stored state owns and zero it
@@ -14,3 +18,113 @@
 	wl_list_free(&wl_raft_entry_schema, &persist->entries);
 	*persist = (wl_raft_persist_t){0};
 }
+
+/*
+ * wl_raft_saved_free - release what was read from the disk and zero it
+ */
+void wl_raft_saved_free(wl_raft_saved_t *saved)
+{
+	wl_record_free(&wl_raft_members_schema, &saved->members);
+	wl_buf_free(&saved->snapshot);
+	wl_list_free(&wl_raft_entry_schema, &saved->entries);
+	*saved = (wl_raft_saved_t){0};
+}
+
+/*
+ * wl_raft_out_init - make an empty list of actions
+ */
+void wl_raft_out_init(wl_raft_out_t *out)
+{
+	*out = (wl_raft_out_t){0};
+}
+
+/*
+ * wl_raft_out_clear - release all actions; the list is empty and holds no memory
+ */
+void wl_raft_out_clear(wl_raft_out_t *out)
+{
+	for (size_t i = 0; i < out->count; i++) {
+		wl_raft_action_t *action = &out->actions[i];
+
+		wl_buf_free(&action->name);
+		wl_record_free(&wl_raft_msg_schema, &action->msg);
+		wl_raft_persist_free(&action->persist);
+		wl_record_free(&wl_raft_entry_schema, &action->entry);
+		wl_buf_free(&action->data);
+	}
+	free(out->actions);
+	*out = (wl_raft_out_t){0};
+}
+
+/*
+ * wl_raft_out_add - add an action to those of the present step
+ *
+ * Return: the zeroed action, valid until the next one is added.
+ */
+wl_raft_action_t *wl_raft_out_add(wl_raft_t *raft, wl_raft_action_kind_t kind)
+{
+	wl_raft_out_t *out = raft->out;
+	wl_raft_action_t *action;
+
+	if (out->count == out->room) {
+		out->room = out->room ? 2 * out->room : OUT_LEAST_ROOM;
+		out->actions = wl_realloc(out->actions, out->room * sizeof(*out->actions));
+	}
+	action = &out->actions[out->count++];
+	memset(action, 0, sizeof(*action));
+	action->kind = kind;
+	return action;
+}
+
+static void msg_sign(const wl_raft_t *raft, wl_raft_msg_t *msg)
+{
+	msg->from = raft->id;
+	if (!msg->group)
+		msg->group = raft->members.group;
+	if (!msg->term)
+		msg->term = raft->term;
+	wl_buf_set(&msg->name, wl_buf_str(&raft->name));
+}
+
+static void send_signed(wl_raft_t *raft, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_action_t *action = wl_raft_out_add(raft, WL_RAFT_DO_SEND);
+
+	wl_buf_set(&action->name, name);
+	action->msg = *msg;
+	*msg = (wl_raft_msg_t){0};
+}
+
+/*
+ * wl_raft_send - send a message at once
+ * @name: of the daemon
+ * @msg: taken over; sender, group and term are filled in where zero
+ */
+void wl_raft_send(wl_raft_t *raft, wl_str_t name, wl_raft_msg_t *msg)
+{
+	msg_sign(raft, msg);
+	send_signed(raft, name, msg);
+}
+
+/*
+ * wl_raft_send_after - send a message once a sync is done
+ * @ticket: of the sync that the message's truth depends on
+ */
+void wl_raft_send_after(wl_raft_t *raft, uint64_t ticket, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_held_t *held;
+
+	if (ticket <= raft->synced_ticket) {
+		wl_raft_send(raft, name, msg);
+		return;
+	}
+	if (raft->held_count == raft->held_room) {
+		raft->held_room = raft->held_room ? 2 * raft->held_room : HELD_LEAST_ROOM;
+		raft->held = wl_realloc(raft->held, raft->held_room * sizeof(*raft->held));
+	}
+	msg_sign(raft, msg);
+	held = &raft->held[raft->held_count++];
+	*held = (wl_raft_held_t){.ticket = ticket, .msg = *msg};
+	wl_buf_set(&held->name, name);
+	*msg = (wl_raft_msg_t){0};
+}
--- /dev/null
+++ b/libwlcore/raft_replicate.c
@@ -0,0 +1,425 @@
+/* Replication: the leader's side of the log, and the follower's answers. */
+
+#include "raft_internal.h"
+
+#include <string.h>
+
+#define STREAM_WINDOW	 8  /* append messages on the way to one member */
+#define DRIFT_PERCENT	 10 /* by which two clocks may differ in a lease */
+#define LEASE_PERCENT	 (100 - DRIFT_PERCENT)
+#define ENTRY_HEAD_BYTES 32 /* of an entry beside its data */
+
+static bool is_own(const wl_raft_t *raft, const wl_raft_peer_t *peer)
+{
+	return peer->id == raft->id;
+}
+
+static uint64_t peer_synced(const wl_raft_t *raft, const wl_raft_peer_t *peer)
+{
+	return is_own(raft, peer) ? raft->synced_index : peer->match;
+}
+
+static uint64_t peer_lease(const wl_raft_t *raft, const wl_raft_peer_t *peer)
+{
+	return is_own(raft, peer) ? UINT64_MAX : peer->lease_ns;
+}
+
+/*
+ * wl_raft_count_commit - commit what a majority has synced
+ *
+ * Only an entry of the own term commits by counting; earlier ones commit with it.
+ */
+void wl_raft_count_commit(wl_raft_t *raft)
+{
+	uint64_t index = wl_raft_quorum_value(raft, peer_synced);
+	uint64_t term;
+
+	if (raft->role != WL_RAFT_LEADER || index <= raft->commit)
+		return;
+	if (!wl_raft_log_term(raft, index, &term) || term != raft->term)
+		return;
+	wl_raft_commit_to(raft, index);
+	if (raft->told_lead || raft->commit < raft->led_from)
+		return;
+	raft->told_lead = true;
+	wl_raft_out_add(raft, WL_RAFT_DO_LEAD)->term = raft->term;
+}
+
+static void append_entry(wl_raft_t *raft, uint64_t now_ns, wl_raft_entry_kind_t kind, wl_str_t data,
+			 uint64_t tag)
+{
+	wl_raft_entry_t entry = {
+		.index = wl_raft_last_index(raft) + 1,
+		.term = raft->term,
+		.kind = kind,
+		.tag = tag,
+	};
+
+	wl_buf_set(&entry.data, data);
+	wl_raft_log_append(raft, &entry, now_ns);
+}
+
+/*
+ * wl_raft_lead - begin to lead the present term
+ */
+void wl_raft_lead(wl_raft_t *raft, uint64_t now_ns)
+{
+	uint64_t last = wl_raft_last_index(raft);
+
+	raft->role = WL_RAFT_LEADER;
+	raft->leader = raft->id;
+	raft->told_lead = false;
+	raft->lease_over = false;
+	raft->hand_over_to = 0;
+	raft->led_from = last + 1;
+	raft->heartbeat_at_ns = now_ns;
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		uint64_t id = raft->peers[i].id;
+
+		raft->peers[i] = (wl_raft_peer_t){
+			.id = id,
+			.next = last + 1,
+			.heard_ns = now_ns,
+			.lease_ns = now_ns,
+		};
+	}
+	append_entry(raft, now_ns, WL_RAFT_NOOP, (wl_str_t){0}, 0);
+	wl_raft_leader_tick(raft, now_ns);
+}
+
+static void drop_not_run(wl_raft_t *raft, uint64_t tag)
+{
+	wl_raft_action_t *action = wl_raft_out_add(raft, WL_RAFT_DO_DROP);
+
+	action->tag = tag;
+	action->verdict = WL_NOT_RUN;
+}
+
+/*
+ * wl_raft_propose - append an entry, or drop it as not-run where it cannot be
+ * @tag: of the proposal; zero asks for no answer
+ */
+void wl_raft_propose(wl_raft_t *raft, uint64_t now_ns, wl_raft_entry_kind_t kind, wl_str_t data,
+		     uint64_t tag)
+{
+	if (raft->role != WL_RAFT_LEADER || raft->hand_over_to) {
+		if (tag)
+			drop_not_run(raft, tag);
+		return;
+	}
+	append_entry(raft, now_ns, kind, data, tag);
+}
+
+static void fill_entries(const wl_raft_t *raft, uint64_t next, wl_raft_msg_t *msg)
+{
+	uint64_t bytes = 0;
+
+	for (uint64_t i = next; i <= wl_raft_last_index(raft); i++) {
+		const wl_raft_entry_t *entry = wl_raft_log_at(raft, i);
+
+		bytes += entry->data.len + ENTRY_HEAD_BYTES;
+		if (msg->entries.count && bytes > raft->max_append_bytes)
+			return;
+		wl_record_copy(&wl_raft_entry_schema,
+			       wl_list_add(&wl_raft_entry_schema, &msg->entries), entry);
+	}
+}
+
+/* round is the time of sending, for the lease; offset numbers the messages to this member. */
+static void send_append(wl_raft_t *raft, uint64_t now_ns, wl_raft_peer_t *peer, bool entries)
+{
+	wl_raft_msg_t msg = {.kind = WL_RAFT_APPEND, .to = peer->id, .round = now_ns};
+
+	msg.commit = raft->commit;
+	msg.offset = ++peer->sent;
+	if (peer->feed != WL_RAFT_FEED_SNAPSHOT) {
+		msg.index = peer->next - 1;
+		wl_raft_log_term(raft, msg.index, &msg.index_term);
+	}
+	if (entries && peer->feed != WL_RAFT_FEED_SNAPSHOT)
+		fill_entries(raft, peer->next, &msg);
+	if (peer->feed == WL_RAFT_FEED_STREAM)
+		peer->next += msg.entries.count;
+	wl_raft_send(raft, wl_raft_peer_name(raft, peer), &msg);
+}
+
+static void feed_peer(wl_raft_t *raft, uint64_t now_ns, wl_raft_peer_t *peer)
+{
+	uint64_t window = peer->feed == WL_RAFT_FEED_STREAM ? STREAM_WINDOW : 1;
+
+	if (peer->feed != WL_RAFT_FEED_SNAPSHOT && peer->next <= raft->snapshot_index) {
+		peer->feed = WL_RAFT_FEED_SNAPSHOT;
+		peer->snapshot_index = UINT64_MAX;
+	}
+	if (peer->feed == WL_RAFT_FEED_SNAPSHOT) {
+		wl_raft_send_piece(raft, now_ns, peer);
+		return;
+	}
+	while (peer->next <= wl_raft_last_index(raft) && peer->sent - peer->answered < window)
+		send_append(raft, now_ns, peer, true);
+}
+
+/*
+ * wl_raft_feed - leader: send each member what it lacks, within its window
+ */
+void wl_raft_feed(wl_raft_t *raft, uint64_t now_ns)
+{
+	if (raft->role != WL_RAFT_LEADER)
+		return;
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (!is_own(raft, &raft->peers[i]))
+			feed_peer(raft, now_ns, &raft->peers[i]);
+}
+
+static void heartbeat(wl_raft_t *raft, uint64_t now_ns)
+{
+	if (now_ns < raft->heartbeat_at_ns)
+		return;
+	raft->heartbeat_at_ns = now_ns + raft->heartbeat_ns;
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		wl_raft_peer_t *peer = &raft->peers[i];
+
+		if (!is_own(raft, peer))
+			send_append(raft, now_ns, peer, peer->feed == WL_RAFT_FEED_PROBE);
+	}
+}
+
+static void hand_over_step(wl_raft_t *raft, uint64_t now_ns)
+{
+	const wl_raft_peer_t *peer = wl_raft_peer_find(raft, raft->hand_over_to);
+	wl_raft_msg_t msg = {.kind = WL_RAFT_TIMEOUT_NOW, .to = raft->hand_over_to};
+
+	if (!raft->hand_over_to)
+		return;
+	if (!peer || now_ns >= raft->hand_over_end_ns) {
+		raft->hand_over_to = 0;
+		return;
+	}
+	if (peer->match == wl_raft_last_index(raft))
+		wl_raft_send(raft, wl_raft_peer_name(raft, peer), &msg);
+}
+
+/*
+ * wl_raft_hand_over - leader: bring the most advanced voter up to date and let it take over
+ *
+ * No proposals are taken meanwhile.  Given up after the least election time.
+ */
+void wl_raft_hand_over(wl_raft_t *raft, uint64_t now_ns)
+{
+	const wl_raft_peer_t *best = NULL;
+
+	if (raft->role != WL_RAFT_LEADER || raft->hand_over_to)
+		return;
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		const wl_raft_peer_t *peer = &raft->peers[i];
+
+		if (is_own(raft, peer) || !wl_raft_member_at(&raft->members, i)->voter ||
+		    now_ns - peer->heard_ns > raft->election_ns)
+			continue;
+		if (!best || peer->match > best->match)
+			best = peer;
+	}
+	if (!best)
+		return;
+	raft->hand_over_to = best->id;
+	raft->hand_over_end_ns = now_ns + raft->election_ns;
+	raft->lease_over = true;
+	hand_over_step(raft, now_ns);
+}
+
+/*
+ * wl_raft_lease_holds - tell whether no other leader can have been elected yet
+ *
+ * A majority answered a round sent within the least election time, less what
+ * clocks may drift, and refuses its votes for that time.
+ */
+bool wl_raft_lease_holds(const wl_raft_t *raft, uint64_t now_ns)
+{
+	uint64_t sent_ns;
+
+	if (raft->role != WL_RAFT_LEADER || !raft->told_lead || raft->lease_over)
+		return false;
+	sent_ns = wl_raft_quorum_value(raft, peer_lease);
+	return sent_ns >= now_ns || now_ns - sent_ns < raft->election_ns / 100 * LEASE_PERCENT;
+}
+
+static bool quorum_silent(const wl_raft_t *raft, uint64_t now_ns)
+{
+	uint64_t sent_ns = wl_raft_quorum_value(raft, peer_lease);
+
+	return sent_ns < now_ns && now_ns - sent_ns > raft->election_ns;
+}
+
+/*
+ * wl_raft_leader_tick - heartbeats, the next messages, and the end of a leadership without quorum
+ */
+void wl_raft_leader_tick(wl_raft_t *raft, uint64_t now_ns)
+{
+	if (raft->role != WL_RAFT_LEADER)
+		return;
+	if (quorum_silent(raft, now_ns)) {
+		wl_raft_follow(raft, raft->term, 0, now_ns);
+		return;
+	}
+	heartbeat(raft, now_ns);
+	hand_over_step(raft, now_ns);
+}
+
+/* Store what the message brings beyond the common prefix. */
+static void take_entries(wl_raft_t *raft, uint64_t now_ns, wl_raft_msg_t *msg)
+{
+	wl_raft_entry_t *entries = msg->entries.items;
+
+	for (size_t i = 0; i < msg->entries.count; i++) {
+		uint64_t term;
+
+		if (entries[i].index <= raft->commit)
+			continue;
+		if (wl_raft_log_term(raft, entries[i].index, &term)) {
+			if (term == entries[i].term)
+				continue;
+			wl_raft_log_truncate(raft, entries[i].index, now_ns);
+		}
+		wl_raft_log_append(raft, &entries[i], now_ns);
+	}
+}
+
+static bool entries_in_order(const wl_raft_msg_t *msg)
+{
+	const wl_raft_entry_t *entries = msg->entries.items;
+
+	for (size_t i = 0; i < msg->entries.count; i++)
+		if (entries[i].index != msg->index + 1 + i || entries[i].term > msg->term)
+			return false;
+	return true;
+}
+
+static bool prefix_agrees(const wl_raft_t *raft, const wl_raft_msg_t *msg)
+{
+	uint64_t term;
+
+	if (msg->index <= raft->commit)
+		return true;
+	return wl_raft_log_term(raft, msg->index, &term) && term == msg->index_term;
+}
+
+static void refuse_append(wl_raft_t *raft, wl_str_t name, const wl_raft_msg_t *msg,
+			  wl_raft_msg_t *answer)
+{
+	answer->index = wl_raft_log_back_up(raft, msg->index - 1, msg->index_term);
+	wl_raft_log_term(raft, answer->index, &answer->index_term);
+	answer->total = msg->index;
+	wl_raft_send_after(raft, raft->vote_ticket, name, answer);
+}
+
+/*
+ * A heartbeat is answered at once with what is synced, so that a slow disk
+ * does not look like a dead replica; entries are answered once they are synced.
+ */
+static void accept_append(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg,
+			  wl_raft_msg_t *answer)
+{
+	uint64_t match = msg->index + msg->entries.count;
+	uint64_t ticket = raft->vote_ticket;
+
+	take_entries(raft, now_ns, msg);
+	if (msg->commit > raft->commit)
+		wl_raft_commit_to(raft, msg->commit < match ? msg->commit : match);
+
+	answer->ok = true;
+	answer->index = match;
+	if (msg->entries.count && match > raft->synced_index)
+		ticket = raft->log_ticket > ticket ? raft->log_ticket : ticket;
+	else if (match > raft->synced_index)
+		answer->index = raft->synced_index;
+	wl_raft_send_after(raft, ticket, name, answer);
+}
+
+/*
+ * wl_raft_on_append - entries or a heartbeat from the leader of a term
+ */
+void wl_raft_on_append(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_msg_t answer = {.kind = WL_RAFT_APPENDED, .to = msg->from, .round = msg->round};
+
+	answer.offset = msg->offset;
+	if (raft->members.group == 0) {
+		answer.blank = true;
+		answer.group = msg->group;
+		answer.term = msg->term;
+		wl_raft_send(raft, name, &answer);
+		return;
+	}
+	if (msg->term < raft->term) {
+		wl_raft_send_after(raft, raft->vote_ticket, name, &answer);
+		return;
+	}
+	if (!entries_in_order(msg))
+		return;
+	wl_raft_follow(raft, msg->term, msg->from, now_ns);
+	raft->leader_heard_ns = now_ns;
+	wl_raft_set_election(raft, now_ns, raft->election_ns);
+	if (prefix_agrees(raft, msg))
+		accept_append(raft, now_ns, name, msg, &answer);
+	else
+		refuse_append(raft, name, msg, &answer);
+}
+
+static void peer_refused(wl_raft_t *raft, wl_raft_peer_t *peer, const wl_raft_msg_t *msg)
+{
+	uint64_t next;
+
+	if (msg->total <= peer->match || msg->total >= peer->next)
+		return;
+	next = wl_raft_log_back_up(raft, msg->index, msg->index_term) + 1;
+	if (msg->index < raft->snapshot_index)
+		next = msg->index + 1;
+	if (next <= peer->match)
+		next = peer->match + 1;
+	peer->next = next;
+	peer->feed = WL_RAFT_FEED_PROBE;
+}
+
+static void peer_accepted(wl_raft_t *raft, wl_raft_peer_t *peer, const wl_raft_msg_t *msg)
+{
+	if (msg->index > peer->match && msg->index <= wl_raft_last_index(raft))
+		peer->match = msg->index;
+	if (peer->feed == WL_RAFT_FEED_SNAPSHOT)
+		return;
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+	peer->feed = WL_RAFT_FEED_STREAM;
+}
+
+/*
+ * wl_raft_on_appended - a member's answer to entries or a heartbeat
+ */
+void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_peer_t *peer = wl_raft_peer_find(raft, msg->from);
+
+	(void)name;
+	if (msg->term > raft->term) {
+		wl_raft_follow(raft, msg->term, 0, now_ns);
+		return;
+	}
+	if (raft->role != WL_RAFT_LEADER || !peer || msg->term != raft->term)
+		return;
+	peer->heard_ns = now_ns;
+	if (msg->offset > peer->answered && msg->offset <= peer->sent)
+		peer->answered = msg->offset;
+	if (msg->blank) {
+		if (peer->feed != WL_RAFT_FEED_SNAPSHOT)
+			peer->snapshot_index = UINT64_MAX;
+		peer->feed = WL_RAFT_FEED_SNAPSHOT;
+		return;
+	}
+	if (msg->round > peer->lease_ns && msg->round <= now_ns)
+		peer->lease_ns = msg->round;
+	if (msg->ok)
+		peer_accepted(raft, peer, msg);
+	else
+		peer_refused(raft, peer, msg);
+	wl_raft_count_commit(raft);
+	hand_over_step(raft, now_ns);
+}
--- /dev/null
+++ b/libwlcore/raft_snapshot.c
@@ -0,0 +1,202 @@
+/* Snapshots: compaction of the own log, and transfer in pieces to a member that needs a gone one.
+ */
+
+#include "raft_internal.h"
+
+#include <string.h>
+
+#define RESEND_ELECTIONS_PERMILLE 500 /* wait for the answer to a piece */
+#define COMPACT_LIMIT		  4 /* times compact_entries, where a transfer holds compaction up */
+
+/*
+ * wl_raft_send_piece - send the next piece of the snapshot unless one is on its way
+ *
+ * With no snapshot yet, the one piece holds the founding record at index zero.
+ */
+void wl_raft_send_piece(wl_raft_t *raft, uint64_t now_ns, wl_raft_peer_t *peer)
+{
+	wl_raft_msg_t msg = {.kind = WL_RAFT_SNAPSHOT, .to = peer->id};
+	uint64_t len;
+
+	if (peer->snapshot_index != raft->snapshot_index) {
+		peer->snapshot_index = raft->snapshot_index;
+		peer->snapshot_offset = 0;
+		peer->snapshot_sent_ns = 0;
+	}
+	if (peer->snapshot_sent_ns &&
+	    now_ns - peer->snapshot_sent_ns < raft->election_ns / 1000 * RESEND_ELECTIONS_PERMILLE)
+		return;
+
+	len = raft->snapshot.len - peer->snapshot_offset;
+	if (len > raft->snapshot_piece_bytes)
+		len = raft->snapshot_piece_bytes;
+	msg.index = raft->snapshot_index;
+	msg.index_term = raft->snapshot_term;
+	msg.offset = peer->snapshot_offset;
+	msg.total = raft->snapshot.len;
+	if (len)
+		wl_buf_set(&msg.data, (wl_str_t){raft->snapshot.at + peer->snapshot_offset, len});
+	wl_record_copy(&wl_raft_members_schema, &msg.members, &raft->base);
+	peer->snapshot_sent_ns = now_ns;
+	wl_raft_send(raft, wl_raft_peer_name(raft, peer), &msg);
+}
+
+static bool transfer_going(const wl_raft_t *raft, uint64_t now_ns)
+{
+	if (raft->role != WL_RAFT_LEADER)
+		return false;
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (raft->peers[i].feed == WL_RAFT_FEED_SNAPSHOT &&
+		    now_ns - raft->peers[i].heard_ns < raft->election_ns)
+			return true;
+	return false;
+}
+
+/*
+ * wl_raft_ask_snapshot - ask for the state when the log has grown long
+ *
+ * A new snapshot would make a transfer begin again, so it waits for one.
+ */
+void wl_raft_ask_snapshot(wl_raft_t *raft, uint64_t now_ns)
+{
+	uint64_t length = raft->commit - raft->snapshot_index;
+
+	if (raft->snapshot_asked || length < raft->compact_entries)
+		return;
+	if (length < COMPACT_LIMIT * raft->compact_entries && transfer_going(raft, now_ns))
+		return;
+	raft->snapshot_asked = true;
+	wl_raft_out_add(raft, WL_RAFT_DO_SNAPSHOT)->index = raft->commit;
+}
+
+/*
+ * wl_raft_take_snapshot - let the applied state take the place of the log
+ * @index: of the last entry applied in @state
+ */
+void wl_raft_take_snapshot(wl_raft_t *raft, uint64_t index, wl_str_t state)
+{
+	wl_raft_members_t members;
+	wl_buf_t copy = {0};
+	uint64_t members_index;
+	uint64_t term;
+
+	raft->snapshot_asked = false;
+	if (index <= raft->snapshot_index || index > raft->commit ||
+	    !wl_raft_log_term(raft, index, &term))
+		return;
+	wl_raft_members_before(raft, index + 1, &members, &members_index);
+	wl_buf_set(&copy, state);
+	wl_raft_log_compact(raft, index, term, &members, &copy);
+}
+
+/* An own log that does not hold the snapshot's last entry has nothing to keep above its commit. */
+static void install(wl_raft_t *raft, uint64_t now_ns, wl_raft_msg_t *msg)
+{
+	wl_raft_members_t members;
+	wl_raft_action_t *action;
+	uint64_t index;
+	uint64_t term;
+
+	if (raft->commit < wl_raft_last_index(raft) &&
+	    (!wl_raft_log_term(raft, msg->index, &term) || term != msg->index_term))
+		wl_raft_log_truncate(raft, raft->commit + 1, now_ns);
+	wl_raft_log_compact(raft, msg->index, msg->index_term, &msg->members, &raft->incoming);
+	wl_raft_members_before(raft, wl_raft_last_index(raft) + 1, &members, &index);
+	wl_raft_members_use(raft, &members, index, now_ns);
+	wl_record_free(&wl_raft_members_schema, &members);
+
+	raft->commit = msg->index;
+	raft->snapshot_asked = false;
+	action = wl_raft_out_add(raft, WL_RAFT_DO_RESTORE);
+	action->index = msg->index;
+	wl_buf_set(&action->data, wl_buf_str(&raft->snapshot));
+}
+
+static bool take_piece(wl_raft_t *raft, const wl_raft_msg_t *msg)
+{
+	if (raft->incoming_from != msg->from || raft->incoming_index != msg->index ||
+	    raft->incoming_term != msg->index_term) {
+		raft->incoming_from = msg->from;
+		raft->incoming_index = msg->index;
+		raft->incoming_term = msg->index_term;
+		wl_buf_clear(&raft->incoming);
+	}
+	if (msg->offset == raft->incoming.len)
+		wl_buf_append(&raft->incoming, wl_buf_str(&msg->data));
+	return raft->incoming.len == msg->total;
+}
+
+/* A blank replica takes the group's record only from a leader whose members list its id. */
+static bool may_join(const wl_raft_t *raft, const wl_raft_msg_t *msg)
+{
+	return msg->to == raft->id && msg->group && msg->members.group == msg->group;
+}
+
+/*
+ * wl_raft_on_snapshot - a piece of the leader's snapshot
+ */
+void wl_raft_on_snapshot(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_msg_t answer = {.kind = WL_RAFT_SNAPPED, .to = msg->from, .index = msg->index};
+	bool blank = raft->members.group == 0;
+
+	if (blank && !may_join(raft, msg))
+		return;
+	if (msg->term < raft->term) {
+		wl_raft_send_after(raft, raft->vote_ticket, name, &answer);
+		return;
+	}
+	answer.group = msg->group;
+	answer.term = msg->term;
+	if (!blank) {
+		wl_raft_follow(raft, msg->term, msg->from, now_ns);
+		raft->leader_heard_ns = now_ns;
+		wl_raft_set_election(raft, now_ns, raft->election_ns);
+	}
+	if ((blank || msg->index > raft->commit) && !take_piece(raft, msg)) {
+		answer.offset = raft->incoming.len;
+		wl_raft_send_after(raft, raft->vote_ticket, name, &answer);
+		return;
+	}
+	if (blank) {
+		wl_raft_join(raft, &msg->members, now_ns);
+		wl_raft_follow(raft, msg->term, msg->from, now_ns);
+		raft->leader_heard_ns = now_ns;
+	}
+	if (msg->index > raft->commit)
+		install(raft, now_ns, msg);
+	answer.ok = true;
+	wl_raft_send_after(
+		raft, raft->log_ticket > raft->group_ticket ? raft->log_ticket : raft->group_ticket,
+		name, &answer);
+}
+
+/*
+ * wl_raft_on_snapped - a member's answer to a piece
+ */
+void wl_raft_on_snapped(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_peer_t *peer = wl_raft_peer_find(raft, msg->from);
+
+	(void)name;
+	if (msg->term > raft->term) {
+		wl_raft_follow(raft, msg->term, 0, now_ns);
+		return;
+	}
+	if (raft->role != WL_RAFT_LEADER || !peer || msg->term != raft->term)
+		return;
+	peer->heard_ns = now_ns;
+	if (peer->feed != WL_RAFT_FEED_SNAPSHOT || msg->index != peer->snapshot_index)
+		return;
+	if (!msg->ok) {
+		if (msg->offset <= raft->snapshot.len && msg->index == raft->snapshot_index)
+			peer->snapshot_offset = msg->offset;
+		peer->snapshot_sent_ns = 0;
+		return;
+	}
+	if (msg->index > peer->match)
+		peer->match = msg->index;
+	peer->next = peer->match + 1;
+	peer->feed = WL_RAFT_FEED_STREAM;
+	wl_raft_count_commit(raft);
+}
--- a/libwlstore/store.c
+++ b/libwlstore/store.c
@@ -1,12 +1,326 @@
-/* Files of one replica. */
+/*
+ * Files of one replica.
+ *
+ * identity: the replica's id.  group: the founding record.  vote: term and
+ * vote.  snapshot: state and membership at an index.  log-N: segments.
+ */
 
 #include "store.h"
 
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "store_file.h"
+#include "store_log.h"
+
+#define FILE_IDENTITY "identity"
+#define FILE_GROUP    "group"
+#define FILE_VOTE     "vote"
+#define FILE_SNAPSHOT "snapshot"
+#define FILE_LOCK     "lock"
+
+#define SEGMENT_BYTES_DEFAULT (16 * 1024 * 1024)
+#define FOLDER_MODE	      0700
+#define LOCK_MODE	      0600
+
+typedef struct store_identity {
+	uint64_t id;
+} store_identity_t;
+
+typedef struct store_vote {
+	uint64_t term;
+	uint64_t vote;
+} store_vote_t;
+
+typedef struct store_snapshot {
+	uint64_t index;
+	uint64_t term;
+	wl_raft_members_t members;
+	wl_buf_t state;
+} store_snapshot_t;
+
+static const wl_field_t identity_fields[] = {
+	WL_FIELD(store_identity_t, id, WL_FIELD_U64),
+};
+static const wl_schema_t identity_schema = WL_SCHEMA(store_identity_t, identity_fields);
+
+static const wl_field_t vote_fields[] = {
+	WL_FIELD(store_vote_t, term, WL_FIELD_U64),
+	WL_FIELD(store_vote_t, vote, WL_FIELD_U64),
+};
+static const wl_schema_t vote_schema = WL_SCHEMA(store_vote_t, vote_fields);
+
+static const wl_field_t snapshot_fields[] = {
+	WL_FIELD(store_snapshot_t, index, WL_FIELD_U64),
+	WL_FIELD(store_snapshot_t, term, WL_FIELD_U64),
+	WL_FIELD_NEST(store_snapshot_t, members, &wl_raft_members_schema),
+	WL_FIELD(store_snapshot_t, state, WL_FIELD_BYTES),
+};
+static const wl_schema_t snapshot_schema = WL_SCHEMA(store_snapshot_t, snapshot_fields);
+
+struct wl_store {
+	wl_buf_t folder;
+	int folder_fd;
+	int lock_fd;
+	uint64_t id;
+	wl_store_log_t log;
+	bool failed; /* a write failed: what is on the disk is not known */
+	wl_err_t why;
+};
+
+static wl_str_t folder_name(const wl_store_t *store)
+{
+	return wl_buf_str(&store->folder);
+}
+
+static bool folder_open(wl_store_t *store, wl_err_t *err)
+{
+	if (mkdir(store->folder.at, FOLDER_MODE) != 0 && errno != EEXIST)
+		return wl_store_io_failed(folder_name(store), ".", "create", err);
+	store->folder_fd = open(store->folder.at, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (store->folder_fd < 0)
+		return wl_store_io_failed(folder_name(store), ".", "open", err);
+	store->lock_fd =
+		openat(store->folder_fd, FILE_LOCK, O_RDWR | O_CREAT | O_CLOEXEC, LOCK_MODE);
+	if (store->lock_fd < 0)
+		return wl_store_io_failed(folder_name(store), FILE_LOCK, "open", err);
+	if (flock(store->lock_fd, LOCK_EX | LOCK_NB) != 0)
+		return wl_err_set(err, WL_E_CONFLICT, WL_NOT_RUN,
+				  WL_STR_FMT "/" FILE_LOCK ": another process has the folder",
+				  WL_STR_ARG(store->folder));
+	return true;
+}
+
+static bool identity_make(wl_store_t *store, wl_err_t *err)
+{
+	store_identity_t identity = {0};
+
+	while (identity.id == 0)
+		if (getrandom(&identity.id, sizeof(identity.id), 0) != sizeof(identity.id))
+			return wl_store_io_failed(folder_name(store), FILE_IDENTITY, "random", err);
+	store->id = identity.id;
+	return wl_sealed_write(store->folder_fd, folder_name(store), FILE_IDENTITY,
+			       &identity_schema, &identity, err);
+}
+
+static bool sealed_read(wl_store_t *store, const char *file, const wl_schema_t *schema,
+			void *record, bool *exists, wl_err_t *err)
+{
+	return wl_sealed_read(store->folder_fd, folder_name(store), file, schema, record, exists,
+			      err);
+}
+
+static bool snapshot_read(wl_store_t *store, wl_raft_saved_t *saved, bool *exists, wl_err_t *err)
+{
+	store_snapshot_t snapshot;
+
+	if (!sealed_read(store, FILE_SNAPSHOT, &snapshot_schema, &snapshot, exists, err))
+		return false;
+	if (!*exists)
+		return true;
+	saved->snapshot_index = snapshot.index;
+	saved->snapshot_term = snapshot.term;
+	wl_buf_move(&saved->snapshot, &snapshot.state);
+	wl_record_free(&wl_raft_members_schema, &saved->members);
+	saved->members = snapshot.members;
+	return true;
+}
+
+static uint64_t saved_last_term(const wl_raft_saved_t *saved)
+{
+	const wl_raft_entry_t *entries = saved->entries.items;
+
+	return saved->entries.count ? entries[saved->entries.count - 1].term : saved->snapshot_term;
+}
+
+/* A file that others depend on is written before them, so without it they cannot be. */
+static bool files_agree(wl_store_t *store, const wl_raft_saved_t *saved, bool identity, bool group,
+			bool vote, wl_err_t *err)
+{
+	bool state = store->log.count || saved->snapshot_index;
+	const char *missing = NULL;
+
+	if (!identity && (group || vote || state))
+		missing = FILE_IDENTITY;
+	else if (!group && (vote || state))
+		missing = FILE_GROUP;
+	else if (!vote && state)
+		missing = FILE_VOTE;
+	if (missing)
+		return wl_store_damaged(folder_name(store), missing, 0, "missing", err);
+	if (saved_last_term(saved) > saved->term)
+		return wl_store_damaged(folder_name(store), FILE_VOTE, 0,
+					"term older than the log's", err);
+	return true;
+}
+
+static bool files_read(wl_store_t *store, wl_raft_saved_t *saved, wl_err_t *err)
+{
+	store_identity_t identity;
+	store_vote_t vote;
+	bool has_identity;
+	bool has_group;
+	bool has_vote;
+	bool has_snapshot;
+
+	if (!sealed_read(store, FILE_IDENTITY, &identity_schema, &identity, &has_identity, err) ||
+	    !sealed_read(store, FILE_GROUP, &wl_raft_members_schema, &saved->members, &has_group,
+			 err) ||
+	    !sealed_read(store, FILE_VOTE, &vote_schema, &vote, &has_vote, err) ||
+	    !snapshot_read(store, saved, &has_snapshot, err) ||
+	    !wl_store_log_open(&store->log, saved->snapshot_index, &saved->entries, err))
+		return false;
+	store->id = identity.id;
+	saved->term = vote.term;
+	saved->vote = vote.vote;
+	if (!files_agree(store, saved, has_identity, has_group, has_vote, err))
+		return false;
+	return has_identity || identity_make(store, err);
+}
+
+/*
+ * wl_store_open - open a data folder, made if there is none
+ * @options: copied
+ * @saved: receives what the folder holds; empty after a failure
+ * @err: WL_E_DAMAGED naming file and offset, WL_E_CONFLICT if another process has it, WL_E_IO
+ *
+ * A torn last frame of the log, which was never synced, is cut.
+ *
+ * Return: the store, to be released by wl_store_close(), or NULL.
+ */
+wl_store_t *wl_store_open(const wl_store_options_t *options, wl_raft_saved_t *saved, wl_err_t *err)
+{
+	wl_store_t *store = wl_alloc(sizeof(*store));
+
+	*saved = (wl_raft_saved_t){0};
+	wl_buf_set(&store->folder, options->folder);
+	store->folder_fd = -1;
+	store->lock_fd = -1;
+	store->log.fd = -1;
+	store->log.folder = folder_name(store);
+	store->log.segment_bytes =
+		options->segment_bytes ? options->segment_bytes : SEGMENT_BYTES_DEFAULT;
+	if (folder_open(store, err)) {
+		store->log.folder_fd = store->folder_fd;
+		if (files_read(store, saved, err))
+			return store;
+	}
+	wl_raft_saved_free(saved);
+	wl_store_close(store);
+	return NULL;
+}
+
+/*
+ * wl_store_close - release a store; what was not synced may be lost
+ */
+void wl_store_close(wl_store_t *store)
+{
+	if (!store)
+		return;
+	wl_store_log_close(&store->log);
+	if (store->lock_fd >= 0)
+		close(store->lock_fd);
+	if (store->folder_fd >= 0)
+		close(store->folder_fd);
+	wl_buf_free(&store->folder);
+	free(store);
+}
+
 /*
  * wl_store_id - the replica's random id, made once for each data folder
  */
 uint64_t wl_store_id(const wl_store_t *store)
 {
-	(void)store;
-	return 0;
+	return store->id;
+}
+
+static bool snapshot_write(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
+{
+	/* Borrowed for packing only. */
+	store_snapshot_t snapshot = {
+		.index = persist->snapshot_index,
+		.term = persist->snapshot_term,
+		.members = persist->members,
+		.state = persist->snapshot,
+	};
+
+	if (!wl_sealed_write(store->folder_fd, folder_name(store), FILE_SNAPSHOT, &snapshot_schema,
+			     &snapshot, err))
+		return false;
+	return wl_store_log_compact(&store->log, persist->snapshot_index, err);
+}
+
+/* The cut of a log that a snapshot contradicts must be durable before the snapshot is. */
+static bool write_parts(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
+{
+	store_vote_t vote = {persist->term, persist->vote};
+
+	if (persist->has_members &&
+	    !wl_sealed_write(store->folder_fd, folder_name(store), FILE_GROUP,
+			     &wl_raft_members_schema, &persist->members, err))
+		return false;
+	if (persist->has_vote && !wl_sealed_write(store->folder_fd, folder_name(store), FILE_VOTE,
+						  &vote_schema, &vote, err))
+		return false;
+	if (persist->truncate_from)
+		wl_store_log_truncate(&store->log, persist->truncate_from);
+	if (persist->has_snapshot && persist->truncate_from && !wl_store_log_sync(&store->log, err))
+		return false;
+	if (persist->has_snapshot && !snapshot_write(store, persist, err))
+		return false;
+	return wl_store_log_append(&store->log, &persist->entries, err);
+}
+
+static bool still_usable(const wl_store_t *store, wl_err_t *err)
+{
+	if (store->failed && err)
+		*err = store->why;
+	return !store->failed;
+}
+
+static bool note_failure(wl_store_t *store, bool ok, const wl_err_t *why, wl_err_t *err)
+{
+	if (ok)
+		return true;
+	store->failed = true;
+	store->why = *why;
+	if (err)
+		*err = *why;
+	return false;
+}
+
+/*
+ * wl_store_write - make a change to stored state
+ * @persist: durable only after wl_store_sync()
+ * @err: WL_E_IO naming the file, WL_E_BAD_INPUT for entries that leave a gap
+ *
+ * After any failure the store refuses all further writes: the disk's content
+ * is not known until the folder is opened again.
+ */
+bool wl_store_write(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
+{
+	wl_err_t why = {0};
+
+	if (!still_usable(store, err))
+		return false;
+	return note_failure(store, write_parts(store, persist, &why), &why, err);
+}
+
+/*
+ * wl_store_sync - make all earlier writes durable
+ * @err: WL_E_IO, naming the file; nothing may be acknowledged then
+ */
+bool wl_store_sync(wl_store_t *store, wl_err_t *err)
+{
+	wl_err_t why = {0};
+
+	if (!still_usable(store, err))
+		return false;
+	return note_failure(store, wl_store_log_sync(&store->log, &why), &why, err);
 }
--- /dev/null
+++ b/libwlstore/store_file.c
@@ -0,0 +1,211 @@
+/*
+ * Files with a checksum.
+ *
+ * A sealed file is a head (magic, version, length and checksum of the rest)
+ * and one packed record.  It is only ever replaced whole: written beside,
+ * synced, renamed, and the folder synced.
+ */
+
+#include "store_file.h"
+
+#include <endian.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define SEALED_MAGIC   0x31464c57u /* "WLF1" */
+#define SEALED_VERSION 1
+#define FILE_MODE      0600
+#define NAME_BYTES     64
+
+typedef struct sealed_head {
+	uint32_t magic;
+	uint32_t version;
+	uint64_t len;
+	uint64_t sum;
+} sealed_head_t;
+
+/*
+ * wl_store_io_failed - fill an error for a failed call, from errno
+ *
+ * Return: false.
+ */
+bool wl_store_io_failed(wl_str_t folder, const char *file, const char *what, wl_err_t *err)
+{
+	return wl_err_set(err, WL_E_IO, WL_UNKNOWN, WL_STR_FMT "/%s: %s: %s", WL_STR_ARG(folder),
+			  file, what, strerrordesc_np(errno));
+}
+
+/*
+ * wl_store_damaged - fill an error for stored data that fails its check
+ * @offset: in the file, bytes
+ *
+ * Return: false.
+ */
+bool wl_store_damaged(wl_str_t folder, const char *file, uint64_t offset, const char *what,
+		      wl_err_t *err)
+{
+	return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN, WL_STR_FMT "/%s: offset %llu: %s",
+			  WL_STR_ARG(folder), file, (unsigned long long)offset, what);
+}
+
+/*
+ * wl_store_write_all - write all bytes at an offset
+ *
+ * Return: false, with errno set, if any of them could not be written.
+ */
+bool wl_store_write_all(int fd, wl_str_t bytes, uint64_t offset)
+{
+	size_t done = 0;
+
+	while (done < bytes.len) {
+		ssize_t wrote =
+			pwrite(fd, bytes.at + done, bytes.len - done, (off_t)(offset + done));
+
+		if (wrote < 0 && errno == EINTR)
+			continue;
+		if (wrote < 0)
+			return false;
+		if (wrote == 0) {
+			errno = ENOSPC;
+			return false;
+		}
+		done += (size_t)wrote;
+	}
+	return true;
+}
+
+static bool read_all(int fd, wl_buf_t *bytes)
+{
+	char chunk[65536];
+
+	for (;;) {
+		ssize_t got = read(fd, chunk, sizeof(chunk));
+
+		if (got < 0 && errno == EINTR)
+			continue;
+		if (got <= 0)
+			return got == 0;
+		wl_buf_append(bytes, (wl_str_t){chunk, (size_t)got});
+	}
+}
+
+/*
+ * wl_store_read_file - read a whole file
+ * @bytes: appended to
+ * @exists: whether there is such a file
+ *
+ * Return: false, with errno set, on a failure other than a missing file.
+ */
+bool wl_store_read_file(int folder_fd, const char *file, wl_buf_t *bytes, bool *exists)
+{
+	int fd = openat(folder_fd, file, O_RDONLY | O_CLOEXEC);
+	bool ok;
+
+	*exists = fd >= 0;
+	if (fd < 0)
+		return errno == ENOENT;
+	ok = read_all(fd, bytes);
+	close(fd);
+	return ok;
+}
+
+/*
+ * wl_store_replace - give a file a new content, durably and all at once
+ *
+ * Return: false, with errno set, on failure.
+ */
+bool wl_store_replace(int folder_fd, const char *file, wl_str_t bytes)
+{
+	char beside[NAME_BYTES];
+	bool ok;
+	int fd;
+
+	snprintf(beside, sizeof(beside), "%s.tmp", file);
+	fd = openat(folder_fd, beside, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+	if (fd < 0)
+		return false;
+	ok = wl_store_write_all(fd, bytes, 0) && fsync(fd) == 0;
+	if (close(fd) != 0)
+		ok = false;
+	return ok && renameat(folder_fd, beside, folder_fd, file) == 0 && fsync(folder_fd) == 0;
+}
+
+/* The length is part of what is summed, so that a flipped bit there shows as well. */
+static uint64_t sealed_sum(wl_str_t payload)
+{
+	return wl_str_hash(payload, payload.len ^ SEALED_VERSION);
+}
+
+/*
+ * wl_sealed_write - replace a sealed file
+ * @err: WL_E_IO, naming the file
+ */
+bool wl_sealed_write(int folder_fd, wl_str_t folder, const char *file, const wl_schema_t *schema,
+		     const void *record, wl_err_t *err)
+{
+	wl_buf_t payload = {0};
+	wl_buf_t bytes = {0};
+	sealed_head_t head;
+	bool ok;
+
+	wl_record_pack(schema, record, &payload);
+	head.magic = htole32(SEALED_MAGIC);
+	head.version = htole32(SEALED_VERSION);
+	head.len = htole64(payload.len);
+	head.sum = htole64(sealed_sum(wl_buf_str(&payload)));
+	wl_buf_append(&bytes, (wl_str_t){(const char *)&head, sizeof(head)});
+	wl_buf_append(&bytes, wl_buf_str(&payload));
+	ok = wl_store_replace(folder_fd, file, wl_buf_str(&bytes));
+	wl_buf_free(&payload);
+	wl_buf_free(&bytes);
+	return ok || wl_store_io_failed(folder, file, "replace", err);
+}
+
+static bool sealed_check(wl_str_t folder, const char *file, wl_str_t bytes, wl_str_t *payload,
+			 wl_err_t *err)
+{
+	sealed_head_t head;
+
+	if (bytes.len < sizeof(head))
+		return wl_store_damaged(folder, file, bytes.len, "cut short", err);
+	memcpy(&head, bytes.at, sizeof(head));
+	if (le32toh(head.magic) != SEALED_MAGIC || le32toh(head.version) != SEALED_VERSION)
+		return wl_store_damaged(folder, file, 0, "unknown format", err);
+	*payload = (wl_str_t){bytes.at + sizeof(head), bytes.len - sizeof(head)};
+	if (le64toh(head.len) != payload->len)
+		return wl_store_damaged(folder, file, bytes.len, "wrong length", err);
+	if (le64toh(head.sum) != sealed_sum(*payload))
+		return wl_store_damaged(folder, file, sizeof(head), "wrong checksum", err);
+	return true;
+}
+
+/*
+ * wl_sealed_read - read a sealed file
+ * @record: overwritten; empty if there is no such file
+ * @exists: whether there is one
+ * @err: WL_E_IO, or WL_E_DAMAGED naming file and offset
+ */
+bool wl_sealed_read(int folder_fd, wl_str_t folder, const char *file, const wl_schema_t *schema,
+		    void *record, bool *exists, wl_err_t *err)
+{
+	wl_buf_t bytes = {0};
+	wl_str_t payload = {0};
+	bool ok;
+
+	memset(record, 0, schema->size);
+	if (!wl_store_read_file(folder_fd, file, &bytes, exists)) {
+		wl_buf_free(&bytes);
+		return wl_store_io_failed(folder, file, "read", err);
+	}
+	if (!*exists)
+		return true;
+	ok = sealed_check(folder, file, wl_buf_str(&bytes), &payload, err);
+	if (ok && !wl_record_unpack(schema, payload, record, NULL))
+		ok = wl_store_damaged(folder, file, sizeof(sealed_head_t), "not well-formed", err);
+	wl_buf_free(&bytes);
+	return ok;
+}
--- /dev/null
+++ b/libwlstore/store_log.c
@@ -0,0 +1,230 @@
+/*
+ * Segments of the log: writing and removal.
+ *
+ * A segment is only appended to.  One sync appends one frame: a head with
+ * length and checksum, then a packed record of the entries and of the index
+ * from which older ones are void.  So whatever a crash tears is one frame,
+ * the last, and a truncation can never be seen without what follows it.
+ */
+
+#include "store_log_internal.h"
+
+#include <endian.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "store_file.h"
+
+static const wl_field_t frame_fields[] = {
+	WL_FIELD(wl_store_frame_t, truncate_from, WL_FIELD_U64),
+	WL_FIELD_MANY(wl_store_frame_t, entries, &wl_raft_entry_schema),
+};
+
+const wl_schema_t wl_store_frame_schema = WL_SCHEMA(wl_store_frame_t, frame_fields);
+
+/*
+ * wl_segment_name - file name of a segment
+ */
+void wl_segment_name(uint64_t seq, char name[WL_SEGMENT_NAME_BYTES])
+{
+	snprintf(name, WL_SEGMENT_NAME_BYTES, WL_SEGMENT_PREFIX "%016llx", (unsigned long long)seq);
+}
+
+/*
+ * wl_frame_sum - checksum of a frame; differs between segments, so that old blocks never pass
+ */
+uint64_t wl_frame_sum(uint64_t seq, wl_str_t payload)
+{
+	return wl_str_hash(payload, seq ^ (uint64_t)payload.len << 32);
+}
+
+/*
+ * wl_segment_add - note a segment as the last one
+ */
+wl_segment_t *wl_segment_add(wl_store_log_t *log, uint64_t seq)
+{
+	if (log->count == log->room) {
+		log->room = log->room ? 2 * log->room : 4;
+		log->segments = wl_realloc(log->segments, log->room * sizeof(*log->segments));
+	}
+	log->segments[log->count] = (wl_segment_t){.seq = seq};
+	log->next_seq = seq + 1;
+	return &log->segments[log->count++];
+}
+
+/*
+ * wl_segment_open - open the last segment for appending
+ * @size: of its valid part, bytes
+ * @err: WL_E_IO
+ */
+bool wl_segment_open(wl_store_log_t *log, uint64_t size, wl_err_t *err)
+{
+	char name[WL_SEGMENT_NAME_BYTES];
+
+	wl_segment_name(log->segments[log->count - 1].seq, name);
+	log->fd = openat(log->folder_fd, name, O_WRONLY | O_CLOEXEC);
+	log->size = size;
+	return log->fd >= 0 || wl_store_io_failed(log->folder, name, "open", err);
+}
+
+static void segment_close(wl_store_log_t *log)
+{
+	if (log->fd >= 0)
+		close(log->fd);
+	log->fd = -1;
+}
+
+static bool segment_begin(wl_store_log_t *log, wl_err_t *err)
+{
+	char name[WL_SEGMENT_NAME_BYTES];
+	wl_segment_head_t head = {
+		.magic = htole32(WL_SEGMENT_MAGIC),
+		.version = htole32(WL_SEGMENT_VERSION),
+		.seq = htole64(log->next_seq),
+	};
+
+	segment_close(log);
+	wl_segment_name(log->next_seq, name);
+	if (!wl_store_replace(log->folder_fd, name, (wl_str_t){(const char *)&head, sizeof(head)}))
+		return wl_store_io_failed(log->folder, name, "create", err);
+	wl_segment_add(log, log->next_seq);
+	return wl_segment_open(log, sizeof(head), err);
+}
+
+/* Each removal is synced before the next, so that no later segment is missed by a crash. */
+static bool segment_remove_first(wl_store_log_t *log, wl_err_t *err)
+{
+	char name[WL_SEGMENT_NAME_BYTES];
+
+	wl_segment_name(log->segments[0].seq, name);
+	if (unlinkat(log->folder_fd, name, 0) != 0 || fsync(log->folder_fd) != 0)
+		return wl_store_io_failed(log->folder, name, "remove", err);
+	log->count--;
+	memmove(log->segments, log->segments + 1, log->count * sizeof(*log->segments));
+	return true;
+}
+
+/*
+ * wl_store_log_close - release a log; what is pending is lost
+ */
+void wl_store_log_close(wl_store_log_t *log)
+{
+	segment_close(log);
+	free(log->segments);
+	wl_record_free(&wl_store_frame_schema, &log->pending);
+}
+
+/*
+ * wl_store_log_truncate - make the entries from an index on void with the next sync
+ */
+void wl_store_log_truncate(wl_store_log_t *log, uint64_t from)
+{
+	wl_store_frame_t *pending = &log->pending;
+	wl_raft_entry_t *entries = pending->entries.items;
+
+	while (pending->entries.count && entries[pending->entries.count - 1].index >= from)
+		wl_record_free(&wl_raft_entry_schema, &entries[--pending->entries.count]);
+	if (from <= log->stored_index) {
+		pending->truncate_from = from;
+		log->stored_index = from - 1;
+	}
+	if (from <= log->last_index)
+		log->last_index = from - 1;
+}
+
+/*
+ * wl_store_log_append - add entries with the next sync
+ * @err: WL_E_BAD_INPUT if their indexes leave a gap
+ */
+bool wl_store_log_append(wl_store_log_t *log, const wl_list_t *entries, wl_err_t *err)
+{
+	const wl_raft_entry_t *items = entries->items;
+
+	for (size_t i = 0; i < entries->count; i++) {
+		if (items[i].index != log->last_index + 1)
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+					  "log: entry %llu given where %llu was due",
+					  (unsigned long long)items[i].index,
+					  (unsigned long long)(log->last_index + 1));
+		wl_record_copy(&wl_raft_entry_schema,
+			       wl_list_add(&wl_raft_entry_schema, &log->pending.entries),
+			       &items[i]);
+		log->last_index++;
+	}
+	return true;
+}
+
+static bool frame_write(wl_store_log_t *log, wl_err_t *err)
+{
+	char name[WL_SEGMENT_NAME_BYTES];
+	wl_buf_t payload = {0};
+	wl_buf_t bytes = {0};
+	wl_frame_head_t head;
+	bool ok;
+
+	wl_record_pack(&wl_store_frame_schema, &log->pending, &payload);
+	head.magic = htole32(WL_FRAME_MAGIC);
+	head.len = htole32((uint32_t)payload.len);
+	head.sum = htole64(wl_frame_sum(log->next_seq - 1, wl_buf_str(&payload)));
+	wl_buf_append(&bytes, (wl_str_t){(const char *)&head, sizeof(head)});
+	wl_buf_append(&bytes, wl_buf_str(&payload));
+	ok = wl_store_write_all(log->fd, wl_buf_str(&bytes), log->size) && fdatasync(log->fd) == 0;
+	log->size += bytes.len;
+	wl_buf_free(&payload);
+	wl_buf_free(&bytes);
+	if (ok)
+		return true;
+	wl_segment_name(log->next_seq - 1, name);
+	return wl_store_io_failed(log->folder, name, "write", err);
+}
+
+/*
+ * wl_store_log_sync - write and sync what is pending
+ * @err: WL_E_IO, naming the file
+ */
+bool wl_store_log_sync(wl_store_log_t *log, wl_err_t *err)
+{
+	wl_segment_t *segment;
+
+	if (log->pending.entries.count == 0 && log->pending.truncate_from == 0)
+		return true;
+	if ((log->fd < 0 || log->size >= log->segment_bytes) && !segment_begin(log, err))
+		return false;
+	if (!frame_write(log, err))
+		return false;
+
+	segment = &log->segments[log->count - 1];
+	if (log->last_index > segment->last_index)
+		segment->last_index = log->last_index;
+	log->stored_index = log->last_index;
+	wl_record_free(&wl_store_frame_schema, &log->pending);
+	return true;
+}
+
+/*
+ * wl_store_log_compact - remove the segments that a durable snapshot stands for
+ * @snapshot_index: a log that ends before it begins anew after it
+ * @err: WL_E_IO, naming the file
+ */
+bool wl_store_log_compact(wl_store_log_t *log, uint64_t snapshot_index, wl_err_t *err)
+{
+	log->snapshot_index = snapshot_index;
+	if (log->last_index < snapshot_index) {
+		wl_record_free(&wl_store_frame_schema, &log->pending);
+		log->last_index = snapshot_index;
+		log->stored_index = snapshot_index;
+		segment_close(log);
+		while (log->count)
+			if (!segment_remove_first(log, err))
+				return false;
+		return true;
+	}
+	while (log->count > 1 && log->segments[0].last_index <= snapshot_index)
+		if (!segment_remove_first(log, err))
+			return false;
+	return true;
+}
--- /dev/null
+++ b/tests/support/raft_bus.cc
@@ -0,0 +1,413 @@
+#include "raft_bus.h"
+
+#include <algorithm>
+#include <sstream>
+
+static const uint64_t TICK_NS = 10 * MS;
+
+static wl_str_t view(const std::string &text)
+{
+	return {text.data(), text.size()};
+}
+
+static std::string text(const wl_buf_t &buf)
+{
+	return buf.at ? std::string(buf.at, buf.len) : std::string();
+}
+
+FakeDisk::~FakeDisk()
+{
+	wl_raft_saved_free(&held);
+}
+
+uint64_t FakeDisk::last_index() const
+{
+	return held.snapshot_index + held.entries.count;
+}
+
+const wl_raft_entry_t *FakeDisk::entry(uint64_t index) const
+{
+	if (index <= held.snapshot_index || index > last_index())
+		return nullptr;
+	return static_cast<wl_raft_entry_t *>(held.entries.items) +
+	       (index - held.snapshot_index - 1);
+}
+
+void FakeDisk::compact(const wl_raft_persist_t &persist)
+{
+	wl_list_t kept = {};
+
+	for (uint64_t i = persist.snapshot_index + 1; i <= last_index(); i++)
+		wl_record_copy(&wl_raft_entry_schema, wl_list_add(&wl_raft_entry_schema, &kept),
+			       entry(i));
+	wl_list_free(&wl_raft_entry_schema, &held.entries);
+	held.entries = kept;
+	held.snapshot_index = persist.snapshot_index;
+	held.snapshot_term = persist.snapshot_term;
+	wl_buf_set(&held.snapshot, wl_buf_str(&persist.snapshot));
+}
+
+void FakeDisk::apply(const wl_raft_persist_t &persist)
+{
+	auto *added = static_cast<const wl_raft_entry_t *>(persist.entries.items);
+
+	if (persist.has_members || persist.has_snapshot) {
+		wl_record_free(&wl_raft_members_schema, &held.members);
+		wl_record_copy(&wl_raft_members_schema, &held.members, &persist.members);
+	}
+	if (persist.has_vote) {
+		held.term = persist.term;
+		held.vote = persist.vote;
+	}
+	while (persist.truncate_from && last_index() >= persist.truncate_from &&
+	       held.entries.count) {
+		auto *items = static_cast<wl_raft_entry_t *>(held.entries.items);
+		wl_record_free(&wl_raft_entry_schema, &items[--held.entries.count]);
+	}
+	if (persist.has_snapshot)
+		compact(persist);
+	for (size_t i = 0; i < persist.entries.count; i++)
+		wl_record_copy(&wl_raft_entry_schema,
+			       wl_list_add(&wl_raft_entry_schema, &held.entries), &added[i]);
+}
+
+void FakeDisk::copy_to(wl_raft_saved_t *saved) const
+{
+	*saved = {};
+	saved->term = held.term;
+	saved->vote = held.vote;
+	wl_record_copy(&wl_raft_members_schema, &saved->members, &held.members);
+	saved->snapshot_index = held.snapshot_index;
+	saved->snapshot_term = held.snapshot_term;
+	if (held.snapshot.len)
+		wl_buf_set(&saved->snapshot, wl_buf_str(&held.snapshot));
+	for (uint64_t i = held.snapshot_index + 1; i <= last_index(); i++)
+		wl_record_copy(&wl_raft_entry_schema,
+			       wl_list_add(&wl_raft_entry_schema, &saved->entries), entry(i));
+}
+
+RaftBus::RaftBus(uint64_t seed) : random(seed)
+{
+}
+
+RaftBus::~RaftBus()
+{
+	for (auto &item : nodes)
+		crash(item.first);
+}
+
+void RaftBus::broken(const std::string &what)
+{
+	if (fault.empty())
+		fault = "at " + std::to_string(now_ns / MS) + "ms: " + what;
+}
+
+BusNode &RaftBus::node(const std::string &name)
+{
+	return nodes.at(name);
+}
+
+void RaftBus::add(const std::vector<std::string> &all)
+{
+	names = all;
+	for (const auto &name : all) {
+		nodes[name].name = name;
+		wipe(name);
+	}
+}
+
+void RaftBus::wipe(const std::string &name)
+{
+	nodes[name].disk = std::make_unique<FakeDisk>();
+	nodes[name].disk->id = next_id++ * 1000 + name.back();
+}
+
+void RaftBus::start(const std::string &name)
+{
+	BusNode &it = node(name);
+	std::vector<wl_str_t> peers;
+	wl_raft_options_t options = {};
+	wl_raft_saved_t saved;
+	wl_err_t err = {};
+
+	for (const auto &peer : names)
+		peers.push_back(view(peer));
+	options.id = it.disk->id;
+	options.name = view(name);
+	options.peers = peers.data();
+	options.peer_count = peers.size();
+	options.compact_entries = compact_entries;
+	options.snapshot_piece_bytes = piece_bytes;
+	options.seed = random();
+	it.disk->copy_to(&saved);
+	it.state.clear();
+	it.applied = 0;
+	it.raft = wl_raft_new(&options, &saved, now_ns, &err);
+	if (!it.raft)
+		broken(name + " does not start: " + err.text);
+	wl_raft_saved_free(&saved);
+}
+
+void RaftBus::crash(const std::string &name)
+{
+	BusNode &it = node(name);
+
+	wl_raft_free(it.raft);
+	it.raft = nullptr;
+	for (auto &persist : it.persists)
+		wl_raft_persist_free(&persist.second);
+	it.persists.clear();
+	flying.erase(std::remove_if(flying.begin(), flying.end(),
+				    [&](const Flying &m) { return m.to == name; }),
+		     flying.end());
+}
+
+void RaftBus::cut(const std::string &a, const std::string &b)
+{
+	cuts.insert({std::min(a, b), std::max(a, b)});
+}
+
+void RaftBus::heal()
+{
+	cuts.clear();
+}
+
+bool RaftBus::is_cut(const std::string &a, const std::string &b) const
+{
+	return cuts.count({std::min(a, b), std::max(a, b)}) != 0;
+}
+
+void RaftBus::send(const BusNode &from, const wl_raft_action_t &action)
+{
+	std::string to = text(action.name);
+	wl_buf_t bytes = {};
+	uint32_t copies = 1;
+
+	if (random() % 1000 < drop_permille)
+		copies = 0;
+	else if (random() % 1000 < double_permille)
+		copies = 2;
+	wl_record_pack(&wl_raft_msg_schema, &action.msg, &bytes);
+	for (uint32_t i = 0; i < copies; i++) {
+		uint64_t late = jitter_ns ? random() % jitter_ns : 0;
+		flying.push_back({now_ns + delay_ns + late, order++, from.name, to, text(bytes)});
+	}
+	wl_buf_free(&bytes);
+}
+
+void RaftBus::on_commit(BusNode &at, const wl_raft_entry_t &entry)
+{
+	std::pair<uint64_t, std::string> value(entry.term, text(entry.data));
+	auto found = committed.find(entry.index);
+
+	if (entry.index != at.applied + 1)
+		broken(at.name + " applies " + std::to_string(entry.index) + " after " +
+		       std::to_string(at.applied));
+	at.applied = entry.index;
+	if (found == committed.end())
+		committed[entry.index] = value;
+	else if (found->second != value)
+		broken(at.name + " commits another entry at " + std::to_string(entry.index));
+	if (entry.kind == WL_RAFT_DATA)
+		at.state.push_back(value.second);
+	if (entry.tag)
+		outcomes[entry.tag] = "committed";
+}
+
+void RaftBus::on_restore(BusNode &at, const wl_raft_action_t &action)
+{
+	std::istringstream lines(text(action.data));
+	std::string line;
+
+	if (action.index < at.applied)
+		broken(at.name + " goes back to " + std::to_string(action.index));
+	at.state.clear();
+	while (std::getline(lines, line))
+		at.state.push_back(line);
+	at.applied = action.index;
+}
+
+void RaftBus::on_lead(const BusNode &at, uint64_t term)
+{
+	auto found = leaders.find(term);
+
+	groups.insert(wl_raft_group(at.raft));
+	if (groups.size() > 1)
+		broken(at.name + " leads a second group");
+	if (found != leaders.end() && found->second != at.disk->id)
+		broken(at.name + " is a second leader of term " + std::to_string(term));
+	leaders[term] = at.disk->id;
+	if (!committed.empty() && wl_raft_commit_index(at.raft) < committed.rbegin()->first)
+		broken(at.name + " leads without what was committed");
+}
+
+void RaftBus::act(BusNode &at, wl_raft_action_t &action)
+{
+	switch (action.kind) {
+	case WL_RAFT_DO_SEND:
+		send(at, action);
+		break;
+	case WL_RAFT_DO_PERSIST:
+		at.persists.emplace_back(now_ns + at.sync_ns, action.persist);
+		action.persist = {};
+		break;
+	case WL_RAFT_DO_COMMIT:
+		on_commit(at, action.entry);
+		break;
+	case WL_RAFT_DO_RESTORE:
+		on_restore(at, action);
+		break;
+	case WL_RAFT_DO_LEAD:
+		on_lead(at, action.term);
+		break;
+	case WL_RAFT_DO_FOLLOW:
+		break;
+	case WL_RAFT_DO_DROP:
+		outcomes[action.tag] = wl_verdict_name(action.verdict);
+		break;
+	case WL_RAFT_DO_SNAPSHOT: {
+		std::string state;
+		wl_raft_event_t back = {};
+
+		for (const auto &line : at.state)
+			state += line + "\n";
+		back.kind = WL_RAFT_EV_SNAPSHOT;
+		back.index = at.applied;
+		back.data = view(state);
+		step(at, back);
+		break;
+	}
+	}
+}
+
+void RaftBus::step(BusNode &at, const wl_raft_event_t &event)
+{
+	wl_raft_out_t out;
+
+	if (!at.raft)
+		return;
+	wl_raft_out_init(&out);
+	wl_raft_step(at.raft, now_ns, &event, &out);
+	for (size_t i = 0; i < out.count; i++)
+		act(at, out.actions[i]);
+	wl_raft_out_clear(&out);
+}
+
+void RaftBus::event(const std::string &name, const wl_raft_event_t &event)
+{
+	step(node(name), event);
+}
+
+void RaftBus::propose(const std::string &name, const std::string &data)
+{
+	wl_raft_event_t event = {};
+
+	event.kind = WL_RAFT_EV_PROPOSE;
+	event.data = view(data);
+	event.tag = next_tag++;
+	outcomes[event.tag] = "waiting";
+	step(node(name), event);
+}
+
+void RaftBus::sync_due(BusNode &at)
+{
+	while (!at.persists.empty() && at.persists.front().first <= now_ns) {
+		wl_raft_event_t event = {};
+		wl_raft_persist_t persist = at.persists.front().second;
+
+		at.persists.pop_front();
+		at.disk->apply(persist);
+		event.kind = WL_RAFT_EV_PERSISTED;
+		event.ticket = persist.ticket;
+		wl_raft_persist_free(&persist);
+		step(at, event);
+	}
+}
+
+void RaftBus::deliver_due()
+{
+	std::vector<Flying> due;
+
+	for (const auto &m : flying)
+		if (m.due <= now_ns)
+			due.push_back(m);
+	flying.erase(std::remove_if(flying.begin(), flying.end(),
+				    [&](const Flying &m) { return m.due <= now_ns; }),
+		     flying.end());
+	std::sort(due.begin(), due.end(), [](const Flying &a, const Flying &b) {
+		return std::make_pair(a.due, a.order) < std::make_pair(b.due, b.order);
+	});
+	for (const auto &m : due) {
+		wl_raft_msg_t msg;
+		wl_raft_event_t event = {};
+
+		if (is_cut(m.from, m.to) || !nodes.count(m.to) || !node(m.to).raft)
+			continue;
+		if (!wl_record_unpack(&wl_raft_msg_schema, view(m.bytes), &msg, nullptr)) {
+			broken("a message does not unpack");
+			continue;
+		}
+		event.kind = WL_RAFT_EV_MSG;
+		event.msg = &msg;
+		event.name = view(m.from);
+		step(node(m.to), event);
+		wl_record_free(&wl_raft_msg_schema, &msg);
+	}
+}
+
+void RaftBus::run(uint64_t ms)
+{
+	wl_raft_event_t tick = {};
+
+	for (uint64_t end = now_ns + ms * MS; now_ns < end;) {
+		now_ns += MS;
+		deliver_due();
+		for (auto &item : nodes) {
+			sync_due(item.second);
+			if (now_ns % TICK_NS == 0)
+				step(item.second, tick);
+		}
+	}
+}
+
+std::string RaftBus::leader() const
+{
+	uint64_t term = 0;
+	std::string name;
+
+	for (const auto &item : nodes)
+		if (item.second.raft && wl_raft_leads(item.second.raft) &&
+		    wl_raft_term(item.second.raft) >= term) {
+			term = wl_raft_term(item.second.raft);
+			name = item.first;
+		}
+	return name;
+}
+
+/* Two logs that agree on the term at an index agree on all before it. */
+void RaftBus::check_logs()
+{
+	for (const auto &a : nodes) {
+		for (const auto &b : nodes) {
+			const FakeDisk &x = *a.second.disk;
+			const FakeDisk &y = *b.second.disk;
+			bool same = false;
+
+			if (x.held.members.group != y.held.members.group)
+				continue;
+			for (uint64_t i = std::min(x.last_index(), y.last_index()); i > 0; i--) {
+				const wl_raft_entry_t *p = x.entry(i);
+				const wl_raft_entry_t *q = y.entry(i);
+
+				if (!p || !q)
+					break;
+				if (p->term == q->term && text(p->data) != text(q->data))
+					broken("logs differ at " + std::to_string(i));
+				if (same && p->term != q->term)
+					broken("logs match after they differ at " +
+					       std::to_string(i));
+				same = same || p->term == q->term;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/tests/support/raft_bus.h
@@ -0,0 +1,117 @@
+#ifndef TESTS_RAFT_BUS_H
+#define TESTS_RAFT_BUS_H
+
+extern "C" {
+#include <libwlcore/raft.h>
+}
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+static const uint64_t MS = 1000000;
+
+/* What a replica's folder holds; only synced changes are ever applied to it. */
+class FakeDisk
+{
+      public:
+	FakeDisk() = default;
+	~FakeDisk();
+	FakeDisk(const FakeDisk &) = delete;
+	FakeDisk &operator=(const FakeDisk &) = delete;
+
+	void apply(const wl_raft_persist_t &persist);
+	void copy_to(wl_raft_saved_t *saved) const;
+	const wl_raft_entry_t *entry(uint64_t index) const;
+	uint64_t last_index() const;
+
+	uint64_t id = 0;
+	wl_raft_saved_t held = {};
+
+      private:
+	void compact(const wl_raft_persist_t &persist);
+};
+
+struct BusNode {
+	std::string name;
+	std::unique_ptr<FakeDisk> disk;
+	wl_raft_t *raft = nullptr;
+	std::deque<std::pair<uint64_t, wl_raft_persist_t>> persists; /* due, change */
+	std::vector<std::string> state;				     /* data entries applied */
+	uint64_t applied = 0;
+	uint64_t sync_ns = MS;
+};
+
+/* Replicas joined by a fake network and fake disks, with the rules of the log checked as they run.
+ */
+class RaftBus
+{
+      public:
+	explicit RaftBus(uint64_t seed);
+	~RaftBus();
+
+	void add(const std::vector<std::string> &names);
+	void start(const std::string &name);
+	void crash(const std::string &name);
+	void wipe(const std::string &name);
+	void cut(const std::string &a, const std::string &b);
+	void heal();
+	void run(uint64_t ms);
+	void propose(const std::string &name, const std::string &data);
+	void event(const std::string &name, const wl_raft_event_t &event);
+	void check_logs();
+
+	BusNode &node(const std::string &name);
+	std::string leader() const;
+
+	std::map<std::string, BusNode> nodes;
+	std::vector<std::string> names;
+	uint64_t now_ns = 1000 * MS;
+	uint64_t delay_ns = MS;
+	uint32_t drop_permille = 0;
+	uint32_t double_permille = 0;
+	uint64_t jitter_ns = 0;
+	uint64_t compact_entries = 0;
+	uint64_t piece_bytes = 0;
+
+	std::map<uint64_t, std::pair<uint64_t, std::string>> committed; /* index: term, data */
+	std::set<uint64_t> groups;					/* that ever had a leader */
+	std::map<uint64_t, std::string> outcomes;			/* by tag */
+	std::string fault;						/* first broken rule */
+
+      private:
+	struct Flying {
+		uint64_t due;
+		uint64_t order;
+		std::string from;
+		std::string to;
+		std::string bytes;
+	};
+
+	void step(BusNode &node, const wl_raft_event_t &event);
+	void act(BusNode &node, wl_raft_action_t &action);
+	void send(const BusNode &node, const wl_raft_action_t &action);
+	void on_commit(BusNode &node, const wl_raft_entry_t &entry);
+	void on_restore(BusNode &node, const wl_raft_action_t &action);
+	void on_lead(const BusNode &node, uint64_t term);
+	void sync_due(BusNode &node);
+	void deliver_due();
+	bool is_cut(const std::string &a, const std::string &b) const;
+	void broken(const std::string &what);
+
+	std::mt19937_64 random;
+	std::vector<Flying> flying;
+	std::set<std::pair<std::string, std::string>> cuts;
+	std::map<uint64_t, uint64_t> leaders; /* of each term */
+	uint64_t order = 0;
+	uint64_t next_id = 1;
+	uint64_t next_tag = 1;
+};
+
+#endif
--- /dev/null
+++ b/tests/unit/store_test.cc
@@ -0,0 +1,479 @@
+extern "C" {
+#include <libwlstore/store.h>
+}
+
+#include <sys/resource.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace fs = std::filesystem;
+
+/* A data folder of its own for each test, removed after it. */
+class Store : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		std::string path = fs::temp_directory_path() / "wl-store-XXXXXX";
+
+		ASSERT_NE(mkdtemp(path.data()), nullptr);
+		folder = path;
+	}
+
+	void TearDown() override
+	{
+		close();
+		fs::remove_all(folder);
+	}
+
+	bool open(uint64_t segment_bytes = 0)
+	{
+		wl_store_options_t options = {};
+
+		close();
+		err = {};
+		options.folder = {folder.data(), folder.size()};
+		options.segment_bytes = segment_bytes;
+		store = wl_store_open(&options, &saved, &err);
+		return store != nullptr;
+	}
+
+	void close()
+	{
+		wl_raft_saved_free(&saved);
+		wl_store_close(store);
+		store = nullptr;
+	}
+
+	/* A change that holds a vote of the term and entries from..to, each with the text. */
+	bool write(uint64_t term, uint64_t from, uint64_t to, const std::string &text,
+		   uint64_t truncate_from = 0)
+	{
+		wl_raft_persist_t persist = {};
+
+		persist.has_vote = true;
+		persist.term = term;
+		persist.truncate_from = truncate_from;
+		for (uint64_t i = from; i <= to; i++) {
+			auto *entry = static_cast<wl_raft_entry_t *>(
+				wl_list_add(&wl_raft_entry_schema, &persist.entries));
+
+			entry->index = i;
+			entry->term = term;
+			entry->kind = WL_RAFT_DATA;
+			wl_buf_set(&entry->data, {text.data(), text.size()});
+		}
+		return put(&persist);
+	}
+
+	bool found()
+	{
+		wl_raft_persist_t persist = {};
+
+		persist.has_members = true;
+		persist.members.group = 77;
+		return put(&persist);
+	}
+
+	bool snapshot(uint64_t index, uint64_t term, const std::string &state,
+		      uint64_t truncate_from = 0)
+	{
+		wl_raft_persist_t persist = {};
+
+		persist.has_snapshot = true;
+		persist.members.group = 77;
+		persist.snapshot_index = index;
+		persist.snapshot_term = term;
+		persist.truncate_from = truncate_from;
+		wl_buf_set(&persist.snapshot, {state.data(), state.size()});
+		return put(&persist);
+	}
+
+	bool put(wl_raft_persist_t *persist)
+	{
+		bool ok = wl_store_write(store, persist, &err) && wl_store_sync(store, &err);
+
+		wl_raft_persist_free(persist);
+		return ok;
+	}
+
+	/* The entries as "index/term/text". */
+	std::string log() const
+	{
+		auto *entries = static_cast<wl_raft_entry_t *>(saved.entries.items);
+		std::ostringstream out;
+
+		for (size_t i = 0; i < saved.entries.count; i++)
+			out << (i ? " " : "") << entries[i].index << "/" << entries[i].term << "/"
+			    << (entries[i].data.at ? entries[i].data.at : "");
+		return out.str();
+	}
+
+	std::string path(const std::string &file) const
+	{
+		return folder + "/" + file;
+	}
+
+	std::string content(const std::string &file) const
+	{
+		std::ifstream in(path(file), std::ios::binary);
+		std::ostringstream out;
+
+		out << in.rdbuf();
+		return out.str();
+	}
+
+	void set_content(const std::string &file, const std::string &bytes) const
+	{
+		std::ofstream out(path(file), std::ios::binary | std::ios::trunc);
+
+		out << bytes;
+	}
+
+	std::vector<std::string> segments() const
+	{
+		std::vector<std::string> names;
+
+		for (const auto &entry : fs::directory_iterator(folder))
+			if (entry.path().filename().string().compare(0, 4, "log-") == 0)
+				names.push_back(entry.path().filename());
+		std::sort(names.begin(), names.end());
+		return names;
+	}
+
+	void expect_damaged(const std::string &file, const std::string &what)
+	{
+		EXPECT_FALSE(open()) << file << " " << what;
+		EXPECT_EQ(err.code, WL_E_DAMAGED) << err.text;
+		EXPECT_NE(std::string(err.text).find("/" + file + ": offset "), std::string::npos)
+			<< err.text;
+	}
+
+	std::string folder;
+	wl_store_t *store = nullptr;
+	wl_raft_saved_t saved = {};
+	wl_err_t err = {};
+};
+
+static const char *const FIRST_LOG = "log-0000000000000001";
+
+TEST_F(Store, BlankFolderGetsAnIdentityOnce)
+{
+	uint64_t id;
+
+	ASSERT_TRUE(open()) << err.text;
+	id = wl_store_id(store);
+	EXPECT_NE(id, 0u);
+	EXPECT_EQ(saved.term, 0u);
+	EXPECT_EQ(saved.members.group, 0u);
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(wl_store_id(store), id);
+}
+
+TEST_F(Store, SyncedChangesComeBack)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(3, 1, 2, "x"));
+	ASSERT_TRUE(write(4, 3, 3, "y"));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(saved.members.group, 77u);
+	EXPECT_EQ(saved.term, 4u);
+	EXPECT_EQ(log(), "1/3/x 2/3/x 3/4/y");
+}
+
+TEST_F(Store, TruncatedSuffixStaysGone)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 5, "old"));
+	ASSERT_TRUE(write(2, 3, 3, "new", 3));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "1/1/old 2/1/old 3/2/new");
+	ASSERT_TRUE(write(3, 1, 0, "", 2));
+	ASSERT_TRUE(write(3, 2, 2, "again"));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "1/1/old 2/3/again");
+}
+
+TEST_F(Store, GapInAppendedEntriesIsRefused)
+{
+	ASSERT_TRUE(open());
+	EXPECT_FALSE(write(1, 2, 2, "x"));
+	EXPECT_EQ(err.code, WL_E_BAD_INPUT);
+}
+
+TEST_F(Store, TornLastRecordIsCutAtEveryByte)
+{
+	std::string whole;
+	size_t before;
+
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 2, "kept"));
+	before = content(FIRST_LOG).size();
+	ASSERT_TRUE(write(1, 3, 4, "torn"));
+	close();
+	whole = content(FIRST_LOG);
+	for (size_t len = before; len < whole.size(); len++) {
+		set_content(FIRST_LOG, whole.substr(0, len));
+		ASSERT_TRUE(open()) << len << ": " << err.text;
+		EXPECT_EQ(log(), "1/1/kept 2/1/kept") << len;
+		close();
+		EXPECT_EQ(content(FIRST_LOG).size(), before) << len;
+	}
+	/* What follows the cut is read again. */
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(write(2, 3, 3, "after"));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "1/1/kept 2/1/kept 3/2/after");
+}
+
+TEST_F(Store, TornRecordOfFullLengthIsCut)
+{
+	std::string whole;
+
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 1, "kept"));
+	ASSERT_TRUE(write(1, 2, 2, "torn"));
+	close();
+	whole = content(FIRST_LOG);
+	whole.replace(whole.size() - 4, 4, 4, '\0');
+	set_content(FIRST_LOG, whole);
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "1/1/kept");
+}
+
+TEST_F(Store, FlippedByteBeforeTheLastRecordIsDamage)
+{
+	std::string whole;
+	size_t last;
+
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 2, "first"));
+	ASSERT_TRUE(write(1, 3, 3, "second"));
+	last = content(FIRST_LOG).size();
+	ASSERT_TRUE(write(1, 4, 4, "last"));
+	close();
+	whole = content(FIRST_LOG);
+	for (size_t at = 0; at < last; at++) {
+		for (int bit : {0, 7}) {
+			std::string flipped = whole;
+
+			flipped[at] = static_cast<char>(flipped[at] ^ (1 << bit));
+			set_content(FIRST_LOG, flipped);
+			expect_damaged(FIRST_LOG, std::to_string(at));
+		}
+	}
+	EXPECT_EQ(content(FIRST_LOG).size(), whole.size());
+}
+
+TEST_F(Store, FlippedByteInAnEarlierSegmentIsDamage)
+{
+	std::string whole;
+
+	ASSERT_TRUE(open(1));
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 1, "first"));
+	ASSERT_TRUE(write(1, 2, 2, "second"));
+	close();
+	ASSERT_EQ(segments().size(), 2u);
+	whole = content(FIRST_LOG);
+	for (size_t at = 0; at < whole.size(); at++) {
+		std::string flipped = whole;
+
+		flipped[at] = static_cast<char>(flipped[at] ^ 1);
+		set_content(FIRST_LOG, flipped);
+		expect_damaged(FIRST_LOG, std::to_string(at));
+	}
+	set_content(FIRST_LOG, whole.substr(0, whole.size() - 1));
+	expect_damaged(FIRST_LOG, "cut");
+}
+
+TEST_F(Store, FlippedByteInASealedFileIsDamage)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 3, "x"));
+	ASSERT_TRUE(snapshot(2, 1, "state"));
+	close();
+	for (const std::string file : {"identity", "group", "vote", "snapshot"}) {
+		std::string whole = content(file);
+
+		for (size_t at = 0; at < whole.size(); at++) {
+			std::string flipped = whole;
+
+			flipped[at] = static_cast<char>(flipped[at] ^ 1);
+			set_content(file, flipped);
+			expect_damaged(file, std::to_string(at));
+		}
+		for (size_t len = 0; len < whole.size(); len++) {
+			set_content(file, whole.substr(0, len));
+			expect_damaged(file, "cut");
+		}
+		set_content(file, whole);
+	}
+	ASSERT_TRUE(open()) << err.text;
+}
+
+TEST_F(Store, MissingFileIsDamage)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 3, "x"));
+	close();
+	for (const std::string file : {"identity", "group", "vote"}) {
+		std::string whole = content(file);
+
+		fs::remove(path(file));
+		expect_damaged(file, "missing");
+		set_content(file, whole);
+	}
+	ASSERT_TRUE(open()) << err.text;
+}
+
+TEST_F(Store, MissingSegmentIsDamage)
+{
+	std::string middle;
+	std::string first;
+
+	ASSERT_TRUE(open(1));
+	ASSERT_TRUE(found());
+	for (uint64_t i = 1; i <= 3; i++)
+		ASSERT_TRUE(write(1, i, i, "x"));
+	close();
+	ASSERT_EQ(segments().size(), 3u);
+	middle = content(segments()[1]);
+	fs::remove(path("log-0000000000000002"));
+	expect_damaged("log-0000000000000003", "gap");
+	set_content("log-0000000000000002", middle);
+	fs::remove(path(FIRST_LOG));
+	expect_damaged("log-0000000000000002", "gap at the start");
+}
+
+TEST_F(Store, SnapshotTakesTheLogsPlace)
+{
+	ASSERT_TRUE(open(1));
+	ASSERT_TRUE(found());
+	for (uint64_t i = 1; i <= 6; i++)
+		ASSERT_TRUE(write(1, i, i, "x"));
+	ASSERT_TRUE(snapshot(4, 1, "state of four"));
+	EXPECT_EQ(segments().size(), 2u);
+	ASSERT_TRUE(open(1)) << err.text;
+	EXPECT_EQ(saved.snapshot_index, 4u);
+	EXPECT_EQ(saved.snapshot_term, 1u);
+	EXPECT_STREQ(saved.snapshot.at, "state of four");
+	EXPECT_EQ(log(), "5/1/x 6/1/x");
+	ASSERT_TRUE(write(1, 7, 7, "y"));
+	ASSERT_TRUE(open(1)) << err.text;
+	EXPECT_EQ(log(), "5/1/x 6/1/x 7/1/y");
+}
+
+TEST_F(Store, SnapshotBeyondTheLogBeginsItAnew)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 3, "x"));
+	ASSERT_TRUE(snapshot(10, 1, "ten"));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "");
+	ASSERT_TRUE(write(1, 11, 11, "y"));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(saved.snapshot_index, 10u);
+	EXPECT_EQ(log(), "11/1/y");
+}
+
+TEST_F(Store, SnapshotThatContradictsTheLogEndsIt)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(2, 1, 9, "x"));
+	ASSERT_TRUE(snapshot(5, 2, "five", 3));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(saved.snapshot_index, 5u);
+	EXPECT_EQ(log(), "");
+}
+
+/* However many of the segments a crash left, the snapshot stands for them. */
+TEST_F(Store, CrashBetweenSnapshotAndRemovalIsHarmless)
+{
+	std::vector<std::string> before;
+
+	ASSERT_TRUE(open(1));
+	ASSERT_TRUE(found());
+	for (uint64_t i = 1; i <= 4; i++)
+		ASSERT_TRUE(write(1, i, i, "x"));
+	for (const auto &name : segments())
+		before.push_back(content(name));
+	ASSERT_TRUE(snapshot(3, 1, "three"));
+	ASSERT_EQ(segments().size(), 1u);
+	for (size_t left = 1; left <= 3; left++) {
+		close();
+		for (size_t i = 3 - left; i < 3; i++)
+			set_content("log-000000000000000" + std::to_string(i + 1), before[i]);
+		ASSERT_TRUE(open(1)) << left << ": " << err.text;
+		EXPECT_EQ(log(), "4/1/x") << left;
+		EXPECT_EQ(segments().size(), 1u) << left;
+	}
+}
+
+TEST_F(Store, FolderIsLocked)
+{
+	wl_store_options_t options = {};
+	wl_raft_saved_t other = {};
+
+	ASSERT_TRUE(open());
+	options.folder = {folder.data(), folder.size()};
+	EXPECT_EQ(wl_store_open(&options, &other, &err), nullptr);
+	EXPECT_EQ(err.code, WL_E_CONFLICT) << err.text;
+}
+
+/* Sets the largest size of a file, so that the next write beyond it is short or fails. */
+class FileLimit
+{
+      public:
+	explicit FileLimit(rlim_t bytes)
+	{
+		getrlimit(RLIMIT_FSIZE, &before);
+		handler = signal(SIGXFSZ, SIG_IGN);
+		struct rlimit limit = {bytes, before.rlim_max};
+		setrlimit(RLIMIT_FSIZE, &limit);
+	}
+	~FileLimit()
+	{
+		setrlimit(RLIMIT_FSIZE, &before);
+		signal(SIGXFSZ, handler);
+	}
+
+      private:
+	struct rlimit before;
+	void (*handler)(int);
+};
+
+TEST_F(Store, ShortWriteIsAnErrorAndTheLastWrite)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 1, "kept"));
+	{
+		FileLimit limit(200);
+
+		EXPECT_FALSE(write(1, 2, 2, std::string(500, 'x')));
+		EXPECT_EQ(err.code, WL_E_IO);
+		EXPECT_NE(std::string(err.text).find(FIRST_LOG), std::string::npos) << err.text;
+	}
+	EXPECT_FALSE(write(1, 2, 2, "y"));
+	EXPECT_EQ(err.code, WL_E_IO);
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "1/1/kept");
+}
