--- /dev/null
+++ b/libwlcore/admit.c
@@ -0,0 +1,355 @@
+/*
+ * Admission by plan over all entries of a cell, without a call to anybody.
+ *
+ * Entries tell each other every exchange interval what each customer runs and
+ * asks for.  Each one takes the part of a limit that its demand has in the
+ * sum; as all reckon from the same numbers, the parts add up to the limit.
+ * A part that grows counts one exchange later, a part that shrinks at once, so
+ * numbers that are one message old don't add up to more either.
+ *
+ * Bounds, for N entries: requests admitted in any T seconds are at most
+ * rate * (T + BURST) + N.  Concurrent ones exceed the limit by at most N, and
+ * by what entries still run of a part that went elsewhere; in both cases for
+ * one exchange interval, as nothing is admitted while the told sum is at the limit.
+ * An entry that is silent counts with its last numbers until its session ends.
+ */
+
+#include "admit.h"
+
+#include <stdlib.h>
+
+#define MILLI	       1000ull
+#define NS_PER_S       1000000000ull
+#define TOKEN_NANO     NS_PER_S
+#define BURST_DIVISOR  4  /* bucket depth: a quarter of a second of the rate */
+#define FLOOR_DIVISOR  16 /* of a limit in short supply, kept for entries that are idle */
+#define FILL_MOST_NS   (4 * NS_PER_S)
+#define LEAST_INTERVAL 1000000ull
+
+/*
+ * wl_admit_init - know of no customer
+ * @budget: retry budget of each customer
+ * @now_ns: monotonic time, nanoseconds
+ */
+void wl_admit_init(wl_admit_t *admit, const wl_budget_options_t *budget, uint64_t now_ns)
+{
+	*admit = (wl_admit_t){.budget = *budget, .members = 1, .exchanged_ns = now_ns};
+	wl_map_init(&admit->by_name);
+	TAILQ_INIT(&admit->customers);
+	TAILQ_INIT(&admit->peers);
+}
+
+static void customer_free(wl_admit_customer_t *customer)
+{
+	wl_admit_told_t *told;
+
+	while ((told = TAILQ_FIRST(&customer->told))) {
+		TAILQ_REMOVE(&customer->told, told, link);
+		free(told);
+	}
+	wl_buf_free(&customer->name);
+	wl_buf_free(&customer->labels);
+	free(customer);
+}
+
+/*
+ * wl_admit_free - release all customers
+ */
+void wl_admit_free(wl_admit_t *admit)
+{
+	wl_admit_customer_t *customer;
+	wl_admit_peer_t *peer;
+
+	while ((customer = TAILQ_FIRST(&admit->customers))) {
+		TAILQ_REMOVE(&admit->customers, customer, link);
+		customer_free(customer);
+	}
+	while ((peer = TAILQ_FIRST(&admit->peers))) {
+		TAILQ_REMOVE(&admit->peers, peer, link);
+		wl_buf_free(&peer->name);
+		free(peer);
+	}
+	wl_map_free(&admit->by_name);
+}
+
+/*
+ * The part of @limit of an entry that wants @mine of @total.  What nobody wants
+ * is split evenly; when all is wanted, a little is kept for entries that
+ * want nothing yet.
+ */
+static uint64_t share_of(uint64_t limit, uint64_t mine, uint64_t total, uint64_t members)
+{
+	uint64_t floor = limit / FLOOR_DIVISOR;
+
+	if (total <= limit)
+		return mine + (limit - total) / members;
+	return floor / members + (uint64_t)((unsigned __int128)(limit - floor) * mine / total);
+}
+
+static void share_turn(wl_admit_share_t *share, uint64_t part)
+{
+	share->before = share->now;
+	share->now = part;
+}
+
+static uint64_t share_least(const wl_admit_share_t *share)
+{
+	return share->now < share->before ? share->now : share->before;
+}
+
+static void customer_share(const wl_admit_t *admit, wl_admit_customer_t *customer)
+{
+	uint64_t wanted = customer->wanted;
+	uint64_t wanted_milli = customer->wanted_milli;
+	const wl_admit_told_t *told;
+
+	customer->elsewhere = 0;
+	TAILQ_FOREACH (told, &customer->told, link) {
+		if (told->generation != told->peer->generation)
+			continue;
+		wanted += told->wanted;
+		wanted_milli += told->wanted_milli;
+		customer->elsewhere += told->running;
+	}
+	share_turn(&customer->concurrent,
+		   share_of(customer->max_concurrent, customer->wanted, wanted, admit->members));
+	share_turn(&customer->rate, share_of(customer->rate_milli, customer->wanted_milli,
+					     wanted_milli, admit->members));
+}
+
+static uint64_t bucket_depth_nano(const wl_admit_customer_t *customer)
+{
+	uint64_t depth = share_least(&customer->rate) * (TOKEN_NANO / MILLI) / BURST_DIVISOR;
+
+	return depth > TOKEN_NANO ? depth : TOKEN_NANO;
+}
+
+/* Takes the limits of the plan as it is now; an edit of the list counts at once. */
+static void customer_plan(const wl_admit_t *admit, wl_admit_customer_t *customer,
+			  const wl_plan_t *plan)
+{
+	uint64_t rate_milli = plan->requests_per_second * MILLI;
+
+	customer->weight = plan->weight;
+	if (customer->max_concurrent == plan->max_concurrent && customer->rate_milli == rate_milli)
+		return;
+	customer->max_concurrent = plan->max_concurrent;
+	customer->rate_milli = rate_milli;
+	customer_share(admit, customer);
+	customer->concurrent.before = customer->concurrent.now;
+	customer->rate.before = customer->rate.now;
+}
+
+/*
+ * wl_admit_customer - find a customer, with the limits of its plan
+ * @name: must stand in the list of customers, as it is kept from now on
+ * @plan: its plan now
+ * @now_ns: monotonic time, nanoseconds
+ */
+wl_admit_customer_t *wl_admit_customer(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
+				       uint64_t now_ns)
+{
+	wl_admit_customer_t *customer = wl_map_get(&admit->by_name, name);
+
+	if (!customer) {
+		customer = wl_alloc(sizeof(*customer));
+		wl_buf_set(&customer->name, name);
+		wl_buf_printf(&customer->labels, "customer=\"" WL_STR_FMT "\"", WL_STR_ARG(name));
+		customer->key = wl_buf_str(&customer->name);
+		TAILQ_INIT(&customer->told);
+		wl_budget_init(&customer->budget, &admit->budget, now_ns);
+		wl_map_put(&admit->by_name, customer);
+		TAILQ_INSERT_TAIL(&admit->customers, customer, link);
+		customer_plan(admit, customer, plan);
+		customer->filled_ns = now_ns;
+		customer->tokens_nano = bucket_depth_nano(customer);
+		return customer;
+	}
+	customer_plan(admit, customer, plan);
+	return customer;
+}
+
+static void customer_fill(wl_admit_customer_t *customer, uint64_t now_ns)
+{
+	uint64_t passed = now_ns - customer->filled_ns;
+	uint64_t depth = bucket_depth_nano(customer);
+
+	if (passed > FILL_MOST_NS)
+		passed = FILL_MOST_NS;
+	customer->tokens_nano += share_least(&customer->rate) * passed / MILLI;
+	if (customer->tokens_nano > depth)
+		customer->tokens_nano = depth;
+	customer->filled_ns = now_ns;
+}
+
+/* At least one, so that a limit below the number of entries shuts none of them out. */
+static uint64_t concurrent_most(const wl_admit_customer_t *customer)
+{
+	uint64_t share = share_least(&customer->concurrent);
+
+	return share ? share : 1;
+}
+
+/*
+ * wl_admit_enter - admit one request
+ * @now_ns: monotonic time, nanoseconds
+ * @err: WL_E_OVER_PLAN, not-run, naming the limit
+ *
+ * Return: true if it is admitted; wl_admit_leave() must follow.
+ */
+bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err)
+{
+	uint64_t limit = customer->max_concurrent;
+
+	customer->asked++;
+	customer_fill(customer, now_ns);
+	if (!customer->rate_milli || customer->tokens_nano < TOKEN_NANO)
+		return wl_err_set(err, WL_E_OVER_PLAN, WL_NOT_RUN,
+				  "over requests_per_second of customer " WL_STR_FMT,
+				  WL_STR_ARG(customer->key));
+	if (customer->running >= concurrent_most(customer) ||
+	    customer->running + customer->elsewhere >= limit) {
+		customer->refused++;
+		return wl_err_set(err, WL_E_OVER_PLAN, WL_NOT_RUN,
+				  "over max_concurrent of customer " WL_STR_FMT,
+				  WL_STR_ARG(customer->key));
+	}
+	customer->tokens_nano -= TOKEN_NANO;
+	customer->admitted++;
+	customer->running++;
+	return true;
+}
+
+/*
+ * wl_admit_leave - an admitted request was answered
+ */
+void wl_admit_leave(wl_admit_customer_t *customer)
+{
+	customer->running--;
+}
+
+static wl_admit_peer_t *admit_peer(wl_admit_t *admit, wl_str_t name)
+{
+	wl_admit_peer_t *peer;
+
+	TAILQ_FOREACH (peer, &admit->peers, link)
+		if (wl_str_equal(wl_buf_str(&peer->name), name))
+			return peer;
+	peer = wl_alloc(sizeof(*peer));
+	wl_buf_set(&peer->name, name);
+	TAILQ_INSERT_TAIL(&admit->peers, peer, link);
+	return peer;
+}
+
+static wl_admit_told_t *customer_told(wl_admit_customer_t *customer, wl_admit_peer_t *peer)
+{
+	wl_admit_told_t *told;
+
+	TAILQ_FOREACH (told, &customer->told, link)
+		if (told->peer == peer)
+			return told;
+	told = wl_alloc(sizeof(*told));
+	told->peer = peer;
+	TAILQ_INSERT_TAIL(&customer->told, told, link);
+	return told;
+}
+
+/*
+ * wl_admit_hear - take in what a peer told of customers; it replaces what it told before
+ *
+ * Customers that this entry never served are passed over: the peer tells of
+ * them again by the time they matter here.
+ */
+void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg)
+{
+	wl_admit_peer_t *from = admit_peer(admit, peer);
+	const wl_use_row_t *rows = msg->uses.items;
+
+	if (msg->session < from->session)
+		return;
+	from->session = msg->session;
+	from->generation++;
+	for (size_t i = 0; i < msg->uses.count; i++) {
+		wl_admit_customer_t *customer =
+			wl_map_get(&admit->by_name, wl_buf_str(&rows[i].customer));
+		wl_admit_told_t *told;
+
+		if (!customer)
+			continue;
+		told = customer_told(customer, from);
+		told->generation = from->generation;
+		told->running = rows[i].running;
+		told->wanted = rows[i].wanted;
+		told->wanted_milli = rows[i].wanted_milli;
+	}
+}
+
+/*
+ * wl_admit_view - take the number of entries, and forget those whose session ended
+ */
+void wl_admit_view(wl_admit_t *admit, const wl_view_t *view)
+{
+	wl_admit_peer_t *peer;
+
+	admit->members = view->members.count ? view->members.count : 1;
+	TAILQ_FOREACH (peer, &admit->peers, link) {
+		const wl_member_t *member = wl_view_member(view, wl_buf_str(&peer->name));
+
+		if (!member || member->session != peer->session)
+			peer->generation++;
+	}
+}
+
+/* Follows growth at once and a fall by halves, so that a short pause gives no share away. */
+static uint64_t follow(uint64_t before, uint64_t now)
+{
+	return now > before ? now : (before + now) / 2;
+}
+
+static void customer_measure(wl_admit_customer_t *customer, uint64_t passed_ns)
+{
+	uint64_t asked_milli = customer->asked * MILLI * NS_PER_S / passed_ns;
+	uint64_t admitted_milli = customer->admitted * MILLI * NS_PER_S / passed_ns;
+
+	customer->wanted = follow(customer->wanted, customer->running + customer->refused);
+	customer->wanted_milli = follow(customer->wanted_milli, asked_milli);
+	customer->admitted_milli = follow(customer->admitted_milli, admitted_milli);
+	customer->asked = 0;
+	customer->admitted = 0;
+	customer->refused = 0;
+}
+
+static void customer_tell(const wl_admit_customer_t *customer, wl_list_t *uses)
+{
+	wl_use_row_t *row;
+
+	if (!customer->running && !customer->wanted && !customer->wanted_milli)
+		return;
+	row = wl_list_add(&wl_use_row_schema, uses);
+	wl_buf_set(&row->customer, customer->key);
+	row->running = customer->running;
+	row->rate_milli = customer->admitted_milli;
+	row->wanted = customer->wanted;
+	row->wanted_milli = customer->wanted_milli;
+}
+
+/*
+ * wl_admit_exchange - end an exchange interval: measure, reckon shares, tell
+ * @now_ns: monotonic time, nanoseconds
+ * @uses: of wl_use_row_t; rows are added
+ */
+void wl_admit_exchange(wl_admit_t *admit, uint64_t now_ns, wl_list_t *uses)
+{
+	uint64_t passed = now_ns - admit->exchanged_ns;
+	wl_admit_customer_t *customer;
+
+	if (passed < LEAST_INTERVAL)
+		passed = LEAST_INTERVAL;
+	admit->exchanged_ns = now_ns;
+	TAILQ_FOREACH (customer, &admit->customers, link) {
+		customer_fill(customer, now_ns);
+		customer_measure(customer, passed);
+		customer_share(admit, customer);
+		customer_tell(customer, uses);
+	}
+}
--- /dev/null
+++ b/libwlcore/admit.h
@@ -0,0 +1,78 @@
+#ifndef WL_ADMIT_H
+#define WL_ADMIT_H
+
+#include <sys/queue.h>
+
+#include <libwlcore/budget.h>
+#include <libwlcore/view.h>
+
+/* Admission by plan: limits that hold over all entries of the cell. */
+
+typedef struct wl_admit_peer {
+	wl_buf_t name;
+	uint64_t session;
+	uint64_t generation; /* of its newest message; rows of an older one don't count */
+	TAILQ_ENTRY(wl_admit_peer) link;
+} wl_admit_peer_t;
+
+/* What one peer told of one customer. */
+typedef struct wl_admit_told {
+	wl_admit_peer_t *peer;
+	uint64_t generation;
+	uint64_t running;
+	uint64_t wanted;
+	uint64_t wanted_milli;
+	TAILQ_ENTRY(wl_admit_told) link;
+} wl_admit_told_t;
+
+/* Own part of a limit, now and one exchange ago; the lesser one counts. */
+typedef struct wl_admit_share {
+	uint64_t now;
+	uint64_t before;
+} wl_admit_share_t;
+
+typedef struct wl_admit_customer {
+	wl_str_t key;
+	wl_buf_t name;
+	wl_buf_t labels;  /* customer="NAME", for counters */
+	uint64_t running; /* admitted and not yet answered */
+	uint64_t queued;
+	uint64_t weight;
+	uint64_t max_concurrent; /* of the plan, whole cell */
+	uint64_t rate_milli;	 /* of the plan, whole cell, thousandths per second */
+	wl_admit_share_t concurrent;
+	wl_admit_share_t rate;
+	uint64_t elsewhere; /* running at peers, as told */
+	uint64_t tokens_nano;
+	uint64_t filled_ns;
+	uint64_t asked;	   /* in this exchange interval */
+	uint64_t admitted; /* in this exchange interval */
+	uint64_t refused;  /* in this exchange interval, by max_concurrent */
+	uint64_t wanted;
+	uint64_t wanted_milli;
+	uint64_t admitted_milli;
+	wl_budget_t budget;
+	TAILQ_HEAD(wl_admit_tolds, wl_admit_told) told;
+	TAILQ_ENTRY(wl_admit_customer) link;
+} wl_admit_customer_t;
+
+typedef struct wl_admit {
+	wl_budget_options_t budget;
+	uint64_t members; /* entries in the cell, this one among them */
+	uint64_t exchanged_ns;
+	wl_map_t by_name;
+	TAILQ_HEAD(wl_admit_customers, wl_admit_customer) customers;
+	TAILQ_HEAD(wl_admit_peers, wl_admit_peer) peers;
+} wl_admit_t;
+
+void wl_admit_init(wl_admit_t *admit, const wl_budget_options_t *budget, uint64_t now_ns);
+void wl_admit_free(wl_admit_t *admit);
+wl_admit_customer_t *wl_admit_customer(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
+				       uint64_t now_ns);
+bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err);
+void wl_admit_leave(wl_admit_customer_t *customer);
+void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg);
+void wl_admit_view(wl_admit_t *admit, const wl_view_t *view);
+void wl_admit_exchange(wl_admit_t *admit, uint64_t now_ns, wl_list_t *uses);
+
+#endif
--- /dev/null
+++ b/libwlcore/request_fetched.c
@@ -0,0 +1,88 @@
+/* The end of a try on an own target: room given back, verdict read. */
+
+#include "request_internal.h"
+
+#include <string.h>
+
+#define STATUS_CONFLICT 409
+
+/* The target refused under the contract: it runs nothing of this request. */
+static bool fetched_refused(const wl_fetched_t *fetched)
+{
+	const wl_buf_t *value = wl_headers_find(&fetched->headers, WL_STR("Wisterialead-Verdict"));
+
+	return fetched->whole && fetched->status == STATUS_CONFLICT && value &&
+	       wl_str_equal(wl_buf_str(value), WL_STR("not-run"));
+}
+
+static wl_verdict_t fetched_verdict(const wl_fetched_t *fetched)
+{
+	if (!fetched->sent || fetched_refused(fetched))
+		return WL_NOT_RUN;
+	return fetched->whole ? WL_RAN : WL_UNKNOWN;
+}
+
+static void fetched_outcome(wl_fetched_t *fetched, const wl_request_t *request, wl_str_t target,
+			    uint64_t now_ns, wl_outcome_t *outcome)
+{
+	outcome->verdict = fetched_verdict(fetched);
+	if (outcome->verdict == WL_RAN) {
+		outcome->status = fetched->status;
+		wl_headers_to_caller(&outcome->headers, &fetched->headers);
+		wl_buf_move(&outcome->body, &fetched->body);
+		return;
+	}
+	outcome->code = now_ns < request->deadline_ns ? WL_E_TARGET_FAILED : WL_E_DEADLINE;
+	wl_buf_printf(&outcome->text, "target " WL_STR_FMT ": " WL_STR_FMT, WL_STR_ARG(target),
+		      WL_STR_ARG(fetched_refused(fetched) ? WL_STR("refused")
+							  : wl_buf_str(&fetched->error)));
+}
+
+/* A try that was given up, or refused for being stale, says nothing of the target's health. */
+static void fetched_observe(wl_requests_t *requests, const wl_try_t *one, wl_target_t *target,
+			    const wl_fetched_t *fetched, uint64_t now_ns, wl_out_t *out)
+{
+	bool ok = fetched->whole;
+
+	if (ok)
+		wl_latency_add(&one->service->latency, fetched->took_ns, now_ns);
+	if (!target || !requests->options.owner || fetched_refused(fetched))
+		return;
+	if (ok || one->request)
+		wl_owner_observe(requests->options.owner, target, one->service->key, ok,
+				 fetched->took_ns, now_ns, out);
+}
+
+/*
+ * wl_requests_fetched - a try on an own target ended
+ * @fetched: moved from
+ */
+void wl_requests_fetched(wl_requests_t *requests, uint64_t now_ns, wl_fetched_t *fetched,
+			 wl_out_t *out)
+{
+	wl_ledger_t *ledger = requests->options.ledger;
+	wl_try_t *one = wl_id_get(&requests->tries_by_id, fetched->id);
+	wl_request_service_t *service;
+	wl_outcome_t outcome = {0};
+	wl_request_t *request;
+	wl_target_t *target;
+
+	if (!one || !one->target.len)
+		return;
+	target = wl_ledger_find(ledger, wl_buf_str(&one->target));
+	if (target)
+		wl_ledger_release(ledger, target, &ledger->request);
+	fetched_observe(requests, one, target, fetched, now_ns, out);
+
+	request = one->request;
+	service = one->service;
+	if (request) {
+		fetched_outcome(fetched, request, wl_buf_str(&one->target), now_ns, &outcome);
+		wl_buf_move(&request->avoid_target, &one->target);
+	}
+	wl_try_end(requests, one);
+	if (request)
+		wl_request_tried(requests, request, &outcome, true, now_ns, out);
+	wl_outcome_free(&outcome);
+	wl_requests_pump(requests, service, now_ns, out);
+}
--- /dev/null
+++ b/libwlcore/request_internal.h
@@ -0,0 +1,217 @@
+#ifndef WL_REQUEST_INTERNAL_H
+#define WL_REQUEST_INTERNAL_H
+
+#include <libwlcore/admit.h>
+#include <libwlcore/fairq.h>
+#include <libwlcore/ids.h>
+#include <libwlcore/latency.h>
+#include <libwlcore/request.h>
+#include <libwlcore/route.h>
+
+/* What the files of the request part share. */
+
+#define WL_NS_PER_MS 1000000ull
+
+/*
+ * Life of a request at an entry:
+ *
+ *	keying -> queued <-> sent -> keeping -> answered
+ *
+ * keying and keeping are for requests with a key only.  A request of a peer
+ * goes to sent at once or is refused.
+ */
+typedef enum wl_request_state {
+	WL_REQUEST_KEYING,  /* its key is being committed; nothing was sent */
+	WL_REQUEST_QUEUED,  /* waits for room */
+	WL_REQUEST_SENT,    /* one try or more in flight */
+	WL_REQUEST_KEEPING, /* its outcome is being committed */
+} wl_request_state_t;
+
+/* What is known of a service here. */
+typedef struct wl_request_service {
+	wl_str_t key;
+	wl_buf_t name;
+	wl_fairq_t queue;
+	wl_latency_t latency;
+	uint64_t known_ns; /* when some target offered it last */
+	uint64_t press_ns; /* when room was asked for last */
+	TAILQ_ENTRY(wl_request_service) link;
+} wl_request_service_t;
+
+/* How a request, or one try of it, ended. */
+typedef struct wl_outcome {
+	wl_code_t code;
+	wl_verdict_t verdict;
+	wl_buf_t text;
+	uint64_t status;   /* of the service's answer; 0: there is none */
+	wl_list_t headers; /* wl_header_t */
+	wl_buf_t body;
+	bool replayed; /* kept from an earlier request with the same key */
+} wl_outcome_t;
+
+/* The other end of a request: a caller's HTTP call, or a peer's message. */
+typedef struct wl_request_origin {
+	wl_str_t key;
+	wl_buf_t bytes;
+	struct wl_request *request;
+	uint64_t call;
+	wl_buf_t peer; /* empty: a caller */
+	uint64_t id;   /* of the peer's message */
+	uint64_t session;
+	bool gone; /* nobody waits for the answer */
+} wl_request_origin_t;
+
+/* One sending of a request.  It outlives the request until its room is given back. */
+typedef struct wl_try {
+	wl_id_node_t node;
+	struct wl_request *request; /* NULL: given up */
+	wl_request_service_t *service;
+	wl_buf_t target;  /* own target, reserved */
+	wl_buf_t peer;	  /* else the peer that it was forwarded to */
+	uint64_t session; /* own one, as told to the peer */
+	uint64_t sent_ns;
+	TAILQ_ENTRY(wl_try) of_request;
+	TAILQ_ENTRY(wl_try) link;
+} wl_try_t;
+
+typedef struct wl_request {
+	wl_request_state_t state;
+	wl_request_origin_t origin;
+	wl_admit_customer_t *customer; /* NULL: of a peer, which admitted it */
+	wl_buf_t customer_name;
+	wl_request_service_t *service;
+	wl_buf_t method;
+	wl_buf_t path;
+	wl_list_t headers; /* wl_header_t, what goes to the target */
+	wl_buf_t body;
+	uint64_t work_class;
+	bool idempotent;
+	uint64_t arrived_ns;
+	uint64_t queued_ns;
+	uint64_t deadline_ns;
+	uint64_t hedge_ns; /* when to send a second try; UINT64_MAX: never */
+	wl_fairq_item_t waiting;
+	wl_heap_node_t timer;
+	TAILQ_HEAD(wl_request_tries, wl_try) tries;
+	bool maybe_ran; /* a try ended with verdict unknown */
+	wl_buf_t avoid_target;
+	wl_buf_t avoid_peer;
+	bool has_outcome;
+	wl_outcome_t outcome; /* the best so far; of a keeping request, the one that is kept */
+	wl_buf_t key;	      /* Idempotency-Key; empty: none */
+	uint64_t nonce;
+	wl_id_node_t leader_call;
+	TAILQ_ENTRY(wl_request) link;
+} wl_request_t;
+
+/* Requests that a peer sent: its newest id, so that none runs twice. */
+typedef struct wl_request_peer {
+	wl_buf_t name;
+	uint64_t session;
+	uint64_t last_id;
+	TAILQ_ENTRY(wl_request_peer) link;
+} wl_request_peer_t;
+
+TAILQ_HEAD(wl_request_list, wl_request);
+TAILQ_HEAD(wl_try_list, wl_try);
+
+struct wl_requests {
+	wl_request_options_t options;
+	wl_buf_t entry;
+	wl_buf_t queueing;
+	wl_router_t router;
+	wl_rooms_t rooms;
+	wl_admit_t admit;
+	wl_map_t by_origin;
+	wl_map_t tries_by_id;
+	wl_map_t by_leader_call;
+	wl_map_t services_by_name;
+	TAILQ_HEAD(wl_request_services, wl_request_service) services;
+	TAILQ_HEAD(wl_request_peers, wl_request_peer) peers;
+	struct wl_request_list open;
+	struct wl_try_list tries;
+	wl_heap_t timers;
+	size_t open_count;
+	size_t queued;
+	uint64_t session; /* the newest that this daemon had */
+	uint64_t next_id;
+	uint64_t told_ns;   /* when room was told last */
+	uint64_t told_hash; /* of what was told */
+	bool draining;
+};
+
+/* request.c */
+wl_request_service_t *wl_requests_service(wl_requests_t *requests, wl_str_t name, uint64_t now_ns);
+uint64_t wl_requests_id(wl_requests_t *requests);
+void wl_requests_timer(wl_requests_t *requests, wl_request_t *request, uint64_t at_ns);
+void wl_requests_add(wl_requests_t *requests, wl_request_t *request);
+void wl_requests_remove(wl_requests_t *requests, wl_request_t *request);
+wl_request_t *wl_requests_find(const wl_requests_t *requests, const wl_request_origin_t *origin);
+void wl_request_origin_key(wl_request_origin_t *origin);
+void wl_request_free(wl_request_t *request);
+
+/* request_check.c */
+bool wl_requests_ready(const wl_requests_t *requests, uint64_t now_ns, wl_err_t *err);
+wl_request_t *wl_request_accept(wl_requests_t *requests, uint64_t now_ns, wl_call_t *call,
+				wl_err_t *err);
+
+/* request_queue.c */
+void wl_request_queue(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		      wl_out_t *out);
+void wl_request_unqueue(wl_requests_t *requests, wl_request_t *request);
+void wl_requests_pump(wl_requests_t *requests, wl_request_service_t *service, uint64_t now_ns,
+		      wl_out_t *out);
+void wl_requests_pump_all(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
+
+/* request_send.c */
+bool wl_request_send(wl_requests_t *requests, wl_request_t *request, const wl_route_place_t *place,
+		     uint64_t now_ns, wl_out_t *out);
+void wl_request_hedge(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		      wl_out_t *out);
+void wl_request_cancel_tries(wl_requests_t *requests, wl_request_t *request, wl_out_t *out);
+void wl_try_end(wl_requests_t *requests, wl_try_t *one);
+uint64_t wl_request_left_ms(const wl_request_t *request, uint64_t now_ns);
+
+/* request_fetched.c */
+void wl_requests_fetched(wl_requests_t *requests, uint64_t now_ns, wl_fetched_t *fetched,
+			 wl_out_t *out);
+
+/* request_peer.c */
+void wl_requests_peer(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+void wl_requests_peer_down(wl_requests_t *requests, wl_str_t peer, uint64_t now_ns, wl_out_t *out);
+void wl_requests_tell(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
+void wl_requests_peers_free(wl_requests_t *requests);
+
+/* request_outcome.c */
+void wl_outcome_free(wl_outcome_t *outcome);
+void wl_outcome_error(wl_outcome_t *outcome, wl_code_t code, wl_verdict_t verdict,
+		      const char *text);
+void wl_request_tried(wl_requests_t *requests, wl_request_t *request, wl_outcome_t *outcome,
+		      bool reached, uint64_t now_ns, wl_out_t *out);
+void wl_request_fail(wl_requests_t *requests, wl_request_t *request, wl_code_t code,
+		     const char *text, uint64_t now_ns, wl_out_t *out);
+void wl_request_expired(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+			wl_out_t *out);
+void wl_request_end(wl_requests_t *requests, wl_request_t *request, wl_outcome_t *outcome,
+		    uint64_t now_ns, wl_out_t *out);
+
+/* request_reply.c */
+void wl_request_reply(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		      wl_out_t *out);
+void wl_requests_refused(wl_requests_t *requests, wl_str_t customer, const wl_err_t *err);
+
+/* request_key.c */
+void wl_request_key_begin(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+			  wl_out_t *out);
+void wl_request_key_end(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+			wl_out_t *out);
+void wl_request_key_free(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+			 wl_out_t *out);
+void wl_requests_result(wl_requests_t *requests, uint64_t tag, const wl_result_t *result,
+			uint64_t now_ns, wl_out_t *out);
+
+/* request_headers.c */
+void wl_headers_to_target(wl_list_t *to, const wl_list_t *from);
+void wl_headers_to_caller(wl_list_t *to, const wl_list_t *from);
+
+#endif
--- /dev/null
+++ b/libwlcore/request_peer.c
@@ -0,0 +1,286 @@
+/*
+ * Requests between entries: one hop at most.
+ *
+ * A peer's request runs on an own target now or is refused.  Its id must be
+ * above all earlier ones of the peer's session, so that a message that comes
+ * twice runs once; an answer must match a try in flight, its peer and session.
+ */
+
+#include "request_internal.h"
+
+#include <stdlib.h>
+
+#define TELL_MOST_NS (1000 * WL_NS_PER_MS) /* room is told so often even if nothing changed */
+
+/*
+ * wl_requests_peers_free - forget the peers
+ */
+void wl_requests_peers_free(wl_requests_t *requests)
+{
+	wl_request_peer_t *peer;
+
+	while ((peer = TAILQ_FIRST(&requests->peers))) {
+		TAILQ_REMOVE(&requests->peers, peer, link);
+		wl_buf_free(&peer->name);
+		free(peer);
+	}
+}
+
+static wl_request_peer_t *peer_get(wl_requests_t *requests, wl_str_t name)
+{
+	wl_request_peer_t *peer;
+
+	TAILQ_FOREACH (peer, &requests->peers, link)
+		if (wl_str_equal(wl_buf_str(&peer->name), name))
+			return peer;
+	peer = wl_alloc(sizeof(*peer));
+	wl_buf_set(&peer->name, name);
+	TAILQ_INSERT_TAIL(&requests->peers, peer, link);
+	return peer;
+}
+
+static bool peer_fresh(wl_requests_t *requests, wl_str_t name, const wl_msg_request_t *msg)
+{
+	wl_request_peer_t *peer = peer_get(requests, name);
+
+	if (msg->session < peer->session ||
+	    (msg->session == peer->session && msg->id <= peer->last_id))
+		return false;
+	peer->session = msg->session;
+	peer->last_id = msg->id;
+	return true;
+}
+
+static wl_request_t *peer_request(wl_requests_t *requests, wl_str_t peer, wl_msg_request_t *msg,
+				  uint64_t now_ns)
+{
+	wl_request_t *request = wl_alloc(sizeof(*request));
+
+	wl_buf_set(&request->origin.peer, peer);
+	request->origin.id = msg->id;
+	request->origin.session = msg->session;
+	request->service = wl_requests_service(requests, wl_buf_str(&msg->service), now_ns);
+	request->work_class = msg->work_class;
+	request->idempotent = msg->idempotent;
+	request->arrived_ns = now_ns;
+	request->deadline_ns = now_ns + msg->timeout_ms * WL_NS_PER_MS;
+	request->headers = msg->headers;
+	msg->headers = (wl_list_t){0};
+	wl_buf_move(&request->customer_name, &msg->customer);
+	wl_buf_move(&request->method, &msg->method);
+	wl_buf_move(&request->path, &msg->path);
+	wl_buf_move(&request->body, &msg->body);
+	wl_buf_move(&request->avoid_target, &msg->avoid);
+	return request;
+}
+
+static void peer_refuse(wl_requests_t *requests, wl_request_t *request, const wl_err_t *err,
+			uint64_t now_ns, wl_out_t *out)
+{
+	wl_outcome_error(&request->outcome, err->code, err->verdict, err->text);
+	wl_buf_clear(&request->avoid_target);
+	wl_request_reply(requests, request, now_ns, out);
+}
+
+static void take_request(wl_requests_t *requests, wl_str_t peer, wl_msg_request_t *msg,
+			 uint64_t now_ns, wl_out_t *out)
+{
+	wl_route_query_t query = {.own_only = true};
+	wl_route_place_t place;
+	wl_request_t *request;
+	wl_err_t err = {0};
+
+	if (!peer_fresh(requests, peer, msg)) {
+		wl_metrics_add(requests->options.metrics,
+			       "wisterialead_peer_requests_dropped_total", "", 1);
+		return;
+	}
+	request = peer_request(requests, peer, msg, now_ns);
+	wl_requests_add(requests, request);
+	wl_metrics_add(requests->options.metrics, "wisterialead_peer_requests_total", "", 1);
+	if (!wl_requests_ready(requests, now_ns, &err)) {
+		peer_refuse(requests, request, &err, now_ns, out);
+		return;
+	}
+	query.service = request->service->key;
+	query.avoid_target = wl_buf_str(&request->avoid_target);
+	query.latency_ns = wl_latency_mean(&request->service->latency, now_ns);
+	if (!wl_router_pick(&requests->router, &query, now_ns, &place) ||
+	    !wl_request_send(requests, request, &place, now_ns, out)) {
+		wl_err_set(&err, WL_E_OVERLOADED, WL_NOT_RUN, "no room at this entry");
+		peer_refuse(requests, request, &err, now_ns, out);
+	}
+}
+
+/* A peer that refuses before it tries a target costs nothing but the way. */
+static bool answer_reached(const wl_msg_answer_t *answer)
+{
+	if (answer->verdict != WL_NOT_RUN)
+		return true;
+	return answer->code != WL_E_OVERLOADED && answer->code != WL_E_DRAINING &&
+	       answer->code != WL_E_NO_SESSION;
+}
+
+static void answer_outcome(wl_msg_answer_t *answer, wl_outcome_t *outcome)
+{
+	outcome->code = (wl_code_t)answer->code;
+	outcome->verdict =
+		answer->verdict <= WL_UNKNOWN ? (wl_verdict_t)answer->verdict : WL_UNKNOWN;
+	outcome->status = answer->status;
+	outcome->headers = answer->headers;
+	answer->headers = (wl_list_t){0};
+	wl_buf_move(&outcome->text, &answer->text);
+	wl_buf_move(&outcome->body, &answer->body);
+}
+
+static wl_try_t *answer_try(wl_requests_t *requests, wl_str_t peer, const wl_msg_answer_t *answer)
+{
+	wl_try_t *one = wl_id_get(&requests->tries_by_id, answer->id);
+
+	if (one && wl_str_equal(wl_buf_str(&one->peer), peer) && one->session == answer->session)
+		return one;
+	wl_metrics_add(requests->options.metrics, "wisterialead_answers_dropped_total", "", 1);
+	return NULL;
+}
+
+static void take_answer(wl_requests_t *requests, wl_str_t peer, wl_msg_answer_t *answer,
+			uint64_t now_ns, wl_out_t *out)
+{
+	wl_try_t *one = answer_try(requests, peer, answer);
+	bool reached = answer_reached(answer);
+	wl_outcome_t outcome = {0};
+	wl_request_t *request;
+
+	if (!one)
+		return;
+	request = one->request;
+	if (!reached)
+		wl_rooms_limit(&requests->rooms, peer, one->service->key,
+			       answer->code == WL_E_OVERLOADED ? answer->room : 0);
+	if (answer->verdict == WL_RAN)
+		wl_latency_add(&one->service->latency, now_ns - one->sent_ns, now_ns);
+	if (reached)
+		wl_buf_move(&request->avoid_target, &answer->target);
+	answer_outcome(answer, &outcome);
+	wl_try_end(requests, one);
+	wl_request_tried(requests, request, &outcome, reached, now_ns, out);
+	wl_outcome_free(&outcome);
+}
+
+static void take_cancel(wl_requests_t *requests, wl_str_t peer, const wl_msg_cancel_t *msg,
+			wl_out_t *out)
+{
+	wl_request_origin_t origin = {.id = msg->id, .session = msg->session};
+	wl_request_t *request;
+
+	wl_buf_set(&origin.peer, peer);
+	wl_request_origin_key(&origin);
+	request = wl_requests_find(requests, &origin);
+	wl_buf_free(&origin.bytes);
+	wl_buf_free(&origin.peer);
+	if (!request)
+		return;
+	wl_request_cancel_tries(requests, request, out);
+	wl_requests_remove(requests, request);
+}
+
+static void take_room(wl_requests_t *requests, wl_str_t peer, const wl_msg_room_t *msg,
+		      uint64_t now_ns, wl_out_t *out)
+{
+	wl_rooms_hear(&requests->rooms, peer, msg, now_ns);
+	wl_admit_hear(&requests->admit, peer, msg);
+	wl_requests_pump_all(requests, now_ns, out);
+}
+
+/*
+ * wl_requests_peer - take in a message of another entry
+ */
+void wl_requests_peer(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	wl_str_t peer = wl_buf_str(&event->peer);
+
+	switch (event->msg.kind) {
+	case WL_MSG_REQUEST:
+		take_request(requests, peer, &event->msg.u.request, now_ns, out);
+		break;
+	case WL_MSG_ANSWER:
+		take_answer(requests, peer, &event->msg.u.answer, now_ns, out);
+		break;
+	case WL_MSG_CANCEL:
+		take_cancel(requests, peer, &event->msg.u.cancel, out);
+		break;
+	case WL_MSG_ROOM:
+		take_room(requests, peer, &event->msg.u.room, now_ns, out);
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * wl_requests_peer_down - a link broke: what was sent on it may have run
+ */
+void wl_requests_peer_down(wl_requests_t *requests, wl_str_t peer, uint64_t now_ns, wl_out_t *out)
+{
+	wl_try_t *one;
+	wl_try_t *next;
+
+	wl_rooms_lost(&requests->rooms, peer);
+	for (one = TAILQ_FIRST(&requests->tries); one; one = next) {
+		wl_request_t *request = one->request;
+		wl_outcome_t outcome = {0};
+
+		next = TAILQ_NEXT(one, link);
+		if (!one->peer.len || !wl_str_equal(wl_buf_str(&one->peer), peer))
+			continue;
+		wl_outcome_error(&outcome, WL_E_TARGET_FAILED, WL_UNKNOWN,
+				 "the link to the owner of the target broke");
+		wl_buf_move(&request->avoid_peer, &one->peer);
+		wl_try_end(requests, one);
+		wl_request_tried(requests, request, &outcome, true, now_ns, out);
+		wl_outcome_free(&outcome);
+	}
+}
+
+static void tell_all(wl_requests_t *requests, const wl_msg_t *msg, wl_out_t *out)
+{
+	const wl_list_t *list = &requests->options.view->members;
+	const wl_member_t *members = list->items;
+
+	for (size_t i = 0; i < list->count; i++)
+		if (!wl_str_equal(wl_buf_str(&members[i].entry), wl_buf_str(&requests->entry)))
+			wl_msg_copy(wl_out_send(out, wl_buf_str(&members[i].entry), WL_MSG_NONE),
+				    msg);
+}
+
+/*
+ * wl_requests_tell - end the exchange interval if it is over, and tell peers room and uses
+ *
+ * They are told when something changed, and now and then without.
+ */
+void wl_requests_tell(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out)
+{
+	uint64_t interval_ns = requests->options.room_ms * WL_NS_PER_MS;
+	wl_err_t err;
+	wl_buf_t bytes = {0};
+	uint64_t hash;
+	wl_msg_t msg;
+
+	if (now_ns < requests->admit.exchanged_ns + interval_ns)
+		return;
+	wl_msg_init(&msg, WL_MSG_ROOM);
+	msg.u.room.session = requests->session;
+	wl_admit_exchange(&requests->admit, now_ns, &msg.u.room.uses);
+	if (wl_requests_ready(requests, now_ns, &err))
+		wl_rooms_tell(requests->options.ledger, &msg.u.room.rooms);
+	wl_msg_pack(&msg, &bytes);
+	hash = wl_str_hash(wl_buf_str(&bytes), 0);
+	wl_buf_free(&bytes);
+	if (msg.u.room.session &&
+	    (hash != requests->told_hash || now_ns >= requests->told_ns + TELL_MOST_NS)) {
+		requests->told_hash = hash;
+		requests->told_ns = now_ns;
+		tell_all(requests, &msg, out);
+	}
+	wl_msg_free(&msg);
+}
--- /dev/null
+++ b/libwlcore/request_send.c
@@ -0,0 +1,220 @@
+/* Sending a request: to an own target, after reserving room there, or to a peer. */
+
+#include "request_internal.h"
+
+#include <stdlib.h>
+
+#define ANSWER_GRACE_NS (100 * WL_NS_PER_MS) /* past the deadline, for the true verdict to come */
+#define LEAST_HEDGE_NS	WL_NS_PER_MS
+
+/*
+ * wl_request_left_ms - time left of the caller's deadline
+ *
+ * Return: milliseconds, at least 1.
+ */
+uint64_t wl_request_left_ms(const wl_request_t *request, uint64_t now_ns)
+{
+	uint64_t left = 0;
+
+	if (request->deadline_ns > now_ns)
+		left = (request->deadline_ns - now_ns) / WL_NS_PER_MS;
+	return left ? left : 1;
+}
+
+static wl_try_t *try_new(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns)
+{
+	wl_try_t *one = wl_alloc(sizeof(*one));
+
+	one->request = request;
+	one->service = request->service;
+	one->sent_ns = now_ns;
+	wl_id_put(&requests->tries_by_id, &one->node, wl_requests_id(requests), one);
+	TAILQ_INSERT_TAIL(&request->tries, one, of_request);
+	TAILQ_INSERT_TAIL(&requests->tries, one, link);
+	return one;
+}
+
+/*
+ * wl_try_end - forget a try that ended, or whose answer is of no use any more
+ */
+void wl_try_end(wl_requests_t *requests, wl_try_t *one)
+{
+	if (one->request)
+		TAILQ_REMOVE(&one->request->tries, one, of_request);
+	TAILQ_REMOVE(&requests->tries, one, link);
+	wl_id_remove(&requests->tries_by_id, &one->node);
+	wl_buf_free(&one->target);
+	wl_buf_free(&one->peer);
+	free(one);
+}
+
+static void header_number(wl_list_t *headers, wl_str_t name, uint64_t number)
+{
+	wl_buf_t text = {0};
+
+	wl_buf_printf(&text, "%llu", (unsigned long long)number);
+	wl_headers_add(headers, name, wl_buf_str(&text));
+	wl_buf_free(&text);
+}
+
+static void headers_copy(wl_list_t *to, const wl_list_t *from)
+{
+	const wl_header_t *items = from->items;
+
+	for (size_t i = 0; i < from->count; i++)
+		wl_headers_add(to, wl_buf_str(&items[i].name), wl_buf_str(&items[i].value));
+}
+
+static bool send_to_target(wl_requests_t *requests, wl_request_t *request, wl_target_t *target,
+			   uint64_t now_ns, wl_out_t *out)
+{
+	wl_ledger_t *ledger = requests->options.ledger;
+	wl_fetch_t *fetch;
+	wl_try_t *one;
+
+	if (!wl_ledger_reserve(ledger, target, &ledger->request))
+		return false;
+	one = try_new(requests, request, now_ns);
+	wl_buf_set(&one->target, wl_buf_str(&target->name));
+
+	fetch = wl_out_fetch(out, one->node.id, wl_buf_str(&target->address),
+			     wl_buf_str(&request->method), wl_buf_str(&request->path),
+			     wl_request_left_ms(request, now_ns));
+	headers_copy(&fetch->headers, &request->headers);
+	header_number(&fetch->headers, WL_STR("Wisterialead-Epoch"), target->epoch);
+	header_number(&fetch->headers, WL_STR("Wisterialead-Boot"), target->boot);
+	header_number(&fetch->headers, WL_STR("Wisterialead-Seq"), target->seq);
+	wl_headers_add(&fetch->headers, WL_STR("Wisterialead-Service"), request->service->key);
+	wl_headers_add(&fetch->headers, WL_STR("Wisterialead-Customer"),
+		       wl_buf_str(&request->customer_name));
+	wl_buf_set(&fetch->body, wl_buf_str(&request->body));
+	return true;
+}
+
+static void send_to_peer(wl_requests_t *requests, wl_request_t *request, wl_room_entry_t *entry,
+			 uint64_t now_ns, wl_out_t *out)
+{
+	wl_try_t *one = try_new(requests, request, now_ns);
+	wl_msg_request_t *msg;
+
+	entry->room--;
+	one->session = requests->session;
+	wl_buf_set(&one->peer, wl_buf_str(&entry->peer->name));
+
+	msg = &wl_out_send(out, wl_buf_str(&one->peer), WL_MSG_REQUEST)->u.request;
+	msg->id = one->node.id;
+	msg->session = one->session;
+	wl_buf_set(&msg->customer, wl_buf_str(&request->customer_name));
+	wl_buf_set(&msg->service, request->service->key);
+	wl_buf_set(&msg->method, wl_buf_str(&request->method));
+	wl_buf_set(&msg->path, wl_buf_str(&request->path));
+	headers_copy(&msg->headers, &request->headers);
+	wl_buf_set(&msg->body, wl_buf_str(&request->body));
+	msg->timeout_ms = wl_request_left_ms(request, now_ns);
+	msg->work_class = request->work_class;
+	msg->idempotent = request->idempotent;
+	wl_buf_set(&msg->avoid, wl_buf_str(&request->avoid_target));
+	wl_metrics_add(requests->options.metrics, "wisterialead_forwards_total",
+		       request->customer->labels.at, 1);
+}
+
+/* Only the first try of a caller's idempotent request sets a time for a second one. */
+static void send_plan_hedge(const wl_requests_t *requests, wl_request_t *request, uint64_t now_ns)
+{
+	uint64_t p95 = wl_latency_p95(&request->service->latency);
+
+	request->hedge_ns = UINT64_MAX;
+	if (!request->customer || !request->idempotent || !p95 || !requests->options.retry_permille)
+		return;
+	request->hedge_ns = now_ns + (p95 > LEAST_HEDGE_NS ? p95 : LEAST_HEDGE_NS);
+}
+
+static void send_timer(wl_requests_t *requests, wl_request_t *request)
+{
+	uint64_t end_ns = request->deadline_ns + ANSWER_GRACE_NS;
+
+	wl_requests_timer(requests, request,
+			  request->hedge_ns < end_ns ? request->hedge_ns : end_ns);
+}
+
+static bool send_try(wl_requests_t *requests, wl_request_t *request, const wl_route_place_t *place,
+		     uint64_t now_ns, wl_out_t *out)
+{
+	if (place->target)
+		return send_to_target(requests, request, place->target, now_ns, out);
+	send_to_peer(requests, request, place->peer, now_ns, out);
+	return true;
+}
+
+/*
+ * wl_request_send - send a request
+ * @request: not in a queue, with no try in flight
+ * @place: from wl_router_pick(), just now
+ *
+ * Return: false if the target has no room after all; nothing was sent then.
+ */
+bool wl_request_send(wl_requests_t *requests, wl_request_t *request, const wl_route_place_t *place,
+		     uint64_t now_ns, wl_out_t *out)
+{
+	if (!send_try(requests, request, place, now_ns, out))
+		return false;
+	request->state = WL_REQUEST_SENT;
+	send_plan_hedge(requests, request, now_ns);
+	send_timer(requests, request);
+	return true;
+}
+
+/*
+ * wl_request_hedge - send a second try elsewhere, if there is room and budget
+ * @request: one try in flight
+ */
+void wl_request_hedge(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		      wl_out_t *out)
+{
+	const wl_try_t *first = TAILQ_FIRST(&request->tries);
+	wl_route_query_t query = {
+		.service = request->service->key,
+		.avoid_target = wl_buf_str(&first->target),
+		.avoid_peer = wl_buf_str(&first->peer),
+		.latency_ns = wl_latency_mean(&request->service->latency, now_ns),
+		.strict = true,
+	};
+	wl_route_place_t place;
+
+	request->hedge_ns = UINT64_MAX;
+	send_timer(requests, request);
+	/* whoever waits for a first try goes first */
+	if (now_ns >= request->deadline_ns || request->service->queue.count ||
+	    TAILQ_NEXT(first, of_request))
+		return;
+	if (!wl_router_pick(&requests->router, &query, now_ns, &place) ||
+	    !wl_budget_take(&request->customer->budget, now_ns))
+		return;
+	if (send_try(requests, request, &place, now_ns, out))
+		wl_metrics_add(requests->options.metrics, "wisterialead_hedges_total",
+			       request->customer->labels.at, 1);
+}
+
+/*
+ * wl_request_cancel_tries - give up what is in flight
+ *
+ * A try on an own target keeps its room until its end is told.
+ */
+void wl_request_cancel_tries(wl_requests_t *requests, wl_request_t *request, wl_out_t *out)
+{
+	wl_try_t *one;
+
+	while ((one = TAILQ_FIRST(&request->tries))) {
+		if (one->target.len) {
+			wl_out_fetch_cancel(out, one->node.id);
+			TAILQ_REMOVE(&request->tries, one, of_request);
+			one->request = NULL;
+		} else {
+			wl_msg_t *msg = wl_out_send(out, wl_buf_str(&one->peer), WL_MSG_CANCEL);
+
+			msg->u.cancel.id = one->node.id;
+			msg->u.cancel.session = one->session;
+			wl_try_end(requests, one);
+		}
+	}
+}
--- /dev/null
+++ b/libwlcore/room.c
@@ -0,0 +1,232 @@
+/* Free room at peers: what they told lately, and what is told to them. */
+
+#include "room.h"
+
+#include <stdlib.h>
+
+#define SILENCE_NS 1000000000ull /* room told longer ago doesn't count */
+
+/*
+ * wl_rooms_init - know of no peer
+ */
+void wl_rooms_init(wl_rooms_t *rooms)
+{
+	TAILQ_INIT(&rooms->peers);
+	TAILQ_INIT(&rooms->services);
+	wl_map_init(&rooms->by_service);
+}
+
+static void service_free(wl_room_service_t *service)
+{
+	wl_room_entry_t *entry;
+
+	while ((entry = TAILQ_FIRST(&service->entries))) {
+		TAILQ_REMOVE(&service->entries, entry, link);
+		wl_buf_free(&entry->availability_zone);
+		free(entry);
+	}
+	wl_buf_free(&service->name);
+	free(service);
+}
+
+/*
+ * wl_rooms_free - release all
+ */
+void wl_rooms_free(wl_rooms_t *rooms)
+{
+	wl_room_service_t *service;
+	wl_room_peer_t *peer;
+
+	while ((service = TAILQ_FIRST(&rooms->services))) {
+		TAILQ_REMOVE(&rooms->services, service, link);
+		service_free(service);
+	}
+	while ((peer = TAILQ_FIRST(&rooms->peers))) {
+		TAILQ_REMOVE(&rooms->peers, peer, link);
+		wl_buf_free(&peer->name);
+		free(peer);
+	}
+	wl_map_free(&rooms->by_service);
+}
+
+static wl_room_peer_t *rooms_peer(const wl_rooms_t *rooms, wl_str_t name)
+{
+	wl_room_peer_t *peer;
+
+	TAILQ_FOREACH (peer, &rooms->peers, link)
+		if (wl_str_equal(wl_buf_str(&peer->name), name))
+			return peer;
+	return NULL;
+}
+
+static wl_room_peer_t *rooms_peer_add(wl_rooms_t *rooms, wl_str_t name)
+{
+	wl_room_peer_t *peer = rooms_peer(rooms, name);
+
+	if (peer)
+		return peer;
+	peer = wl_alloc(sizeof(*peer));
+	wl_buf_set(&peer->name, name);
+	TAILQ_INSERT_TAIL(&rooms->peers, peer, link);
+	return peer;
+}
+
+static wl_room_service_t *rooms_service_add(wl_rooms_t *rooms, wl_str_t name)
+{
+	wl_room_service_t *service = wl_rooms_service(rooms, name);
+
+	if (service)
+		return service;
+	service = wl_alloc(sizeof(*service));
+	wl_buf_set(&service->name, name);
+	service->key = wl_buf_str(&service->name);
+	TAILQ_INIT(&service->entries);
+	wl_map_put(&rooms->by_service, service);
+	TAILQ_INSERT_TAIL(&rooms->services, service, link);
+	return service;
+}
+
+static wl_room_entry_t *service_entry(wl_room_service_t *service, wl_room_peer_t *peer,
+				      wl_str_t zone)
+{
+	wl_room_entry_t *entry;
+
+	TAILQ_FOREACH (entry, &service->entries, link)
+		if (entry->peer == peer &&
+		    wl_str_equal(wl_buf_str(&entry->availability_zone), zone))
+			return entry;
+	entry = wl_alloc(sizeof(*entry));
+	entry->peer = peer;
+	wl_buf_set(&entry->availability_zone, zone);
+	TAILQ_INSERT_TAIL(&service->entries, entry, link);
+	return entry;
+}
+
+/*
+ * wl_rooms_hear - take in what a peer told; it replaces all that it told before
+ * @peer: its name
+ * @now_ns: monotonic time, nanoseconds
+ */
+void wl_rooms_hear(wl_rooms_t *rooms, wl_str_t peer, const wl_msg_room_t *msg, uint64_t now_ns)
+{
+	wl_room_peer_t *from = rooms_peer_add(rooms, peer);
+	const wl_room_row_t *rows = msg->rooms.items;
+
+	if (msg->session < from->session)
+		return;
+	from->session = msg->session;
+	from->heard_ns = now_ns;
+	from->generation++;
+	for (size_t i = 0; i < msg->rooms.count; i++) {
+		wl_room_service_t *service = rooms_service_add(rooms, wl_buf_str(&rows[i].service));
+		wl_room_entry_t *entry =
+			service_entry(service, from, wl_buf_str(&rows[i].availability_zone));
+
+		entry->generation = from->generation;
+		entry->room = rows[i].room;
+		entry->targets = rows[i].targets;
+		entry->slowdown_permille = rows[i].slowdown_permille;
+	}
+}
+
+/*
+ * wl_rooms_view - forget the room of peers whose session ended
+ */
+void wl_rooms_view(wl_rooms_t *rooms, const wl_view_t *view)
+{
+	wl_room_peer_t *peer;
+
+	TAILQ_FOREACH (peer, &rooms->peers, link) {
+		const wl_member_t *member = wl_view_member(view, wl_buf_str(&peer->name));
+
+		if (!member || member->session != peer->session || member->draining)
+			peer->generation++;
+	}
+}
+
+/*
+ * wl_rooms_lost - forget the room of a peer whose link broke, until it tells again
+ */
+void wl_rooms_lost(wl_rooms_t *rooms, wl_str_t peer)
+{
+	wl_room_peer_t *lost = rooms_peer(rooms, peer);
+
+	if (lost)
+		lost->generation++;
+}
+
+/*
+ * wl_rooms_limit - a peer refused for want of room: believe no more than it said
+ * @room: its free room for the service
+ */
+void wl_rooms_limit(wl_rooms_t *rooms, wl_str_t peer, wl_str_t service, uint64_t room)
+{
+	const wl_room_service_t *rows = wl_rooms_service(rooms, service);
+	wl_room_entry_t *entry;
+
+	if (!rows)
+		return;
+	TAILQ_FOREACH (entry, &rows->entries, link)
+		if (wl_str_equal(wl_buf_str(&entry->peer->name), peer) && entry->room > room)
+			entry->room = room;
+}
+
+/*
+ * wl_rooms_service - what peers told of a service
+ *
+ * Return: its entries, or NULL if no peer named it yet.
+ */
+wl_room_service_t *wl_rooms_service(const wl_rooms_t *rooms, wl_str_t service)
+{
+	return wl_map_get(&rooms->by_service, service);
+}
+
+/*
+ * wl_room_live - tell whether an entry was told lately and not replaced since
+ * @now_ns: monotonic time, nanoseconds
+ */
+bool wl_room_live(const wl_room_entry_t *entry, uint64_t now_ns)
+{
+	return entry->generation == entry->peer->generation &&
+	       now_ns < entry->peer->heard_ns + SILENCE_NS;
+}
+
+static wl_room_row_t *row_of(wl_list_t *rows, size_t first, const wl_target_t *target)
+{
+	wl_room_row_t *items = rows->items;
+	wl_room_row_t *row;
+
+	for (size_t i = first; i < rows->count; i++)
+		if (wl_str_equal(wl_buf_str(&items[i].availability_zone),
+				 wl_buf_str(&target->availability_zone)))
+			return &items[i];
+	row = wl_list_add(&wl_room_row_schema, rows);
+	wl_buf_set(&row->availability_zone, wl_buf_str(&target->availability_zone));
+	return row;
+}
+
+/*
+ * wl_rooms_tell - sum up the own free room for the peers
+ * @rows: of wl_room_row_t; rows are added
+ */
+void wl_rooms_tell(const wl_ledger_t *ledger, wl_list_t *rows)
+{
+	const wl_ledger_service_t *service;
+
+	TAILQ_FOREACH (service, &ledger->services, link) {
+		size_t first = rows->count;
+
+		for (size_t i = 0; i < service->count; i++) {
+			const wl_target_t *target = service->targets[i];
+			wl_room_row_t *row = row_of(rows, first, target);
+
+			if (!row->service.len)
+				wl_buf_set(&row->service, wl_buf_str(&service->name));
+			row->room += wl_ledger_request_room(ledger, target);
+			row->slowdown_permille = (row->slowdown_permille * row->targets +
+						  target->slowdown_permille) /
+						 (row->targets + 1);
+			row->targets++;
+		}
+	}
+}
--- /dev/null
+++ b/libwlcore/route.c
@@ -0,0 +1,256 @@
+/*
+ * Routing: own targets first, those of the own availability zone before the
+ * others, then a peer with room.
+ *
+ * Nothing here looks at all targets: a choice looks at a few picked at random,
+ * and scans a bounded window when none of those has room.
+ */
+
+#include "route.h"
+
+#include <stdlib.h>
+
+#define SAMPLES	       4  /* targets compared for one choice */
+#define SCAN_MOST      32 /* targets looked at when no sample had room */
+#define EXPLORE_ONE_IN 64 /* choices that go anywhere, so that an old bad latency is corrected */
+#define ZONE_WEIGHT    4  /* room in the own availability zone counts so many times */
+#define PERMILLE       1000
+#define LATENCY_NONE   1000000ull /* nothing known: all alike, by queue alone */
+
+typedef struct wl_route_policy {
+	const char *name;
+	wl_target_t *(*target)(wl_router_t *router, const wl_ledger_service_t *service,
+			       const wl_route_query_t *query);
+	wl_room_entry_t *(*peer)(wl_router_t *router, const wl_room_service_t *service,
+				 const wl_route_query_t *query, uint64_t now_ns);
+} wl_route_policy_t;
+
+static bool target_usable(const wl_router_t *router, const wl_target_t *target,
+			  const wl_route_query_t *query)
+{
+	if (query->avoid_target.len && wl_str_equal(wl_buf_str(&target->name), query->avoid_target))
+		return false;
+	return target->open && wl_ledger_fits(target, &router->ledger->request);
+}
+
+static bool peer_usable(const wl_room_entry_t *entry, const wl_route_query_t *query,
+			uint64_t now_ns)
+{
+	if (query->avoid_peer.len &&
+	    wl_str_equal(wl_buf_str(&entry->peer->name), query->avoid_peer))
+		return false;
+	return entry->room > 0 && wl_room_live(entry, now_ns);
+}
+
+/* Looks at a bounded window from @first on. */
+static wl_target_t *target_scan(const wl_router_t *router, const wl_ledger_service_t *service,
+				const wl_route_query_t *query, uint64_t first)
+{
+	size_t most = service->count < SCAN_MOST ? service->count : SCAN_MOST;
+
+	for (size_t i = 0; i < most; i++) {
+		wl_target_t *target = service->targets[(first + i) % service->count];
+
+		if (target_usable(router, target, query))
+			return target;
+	}
+	return NULL;
+}
+
+/* Expected latency there: what it took lately, slowed by neighbours, behind those in progress. */
+static uint64_t target_expected(const wl_target_t *target, const wl_route_query_t *query)
+{
+	uint64_t latency = target->latency_ns ? target->latency_ns : query->latency_ns;
+	uint64_t slowdown = target->slowdown_permille;
+	uint64_t slots = target->capacity.slots ? target->capacity.slots : 1;
+
+	if (!latency)
+		latency = LATENCY_NONE;
+	if (slowdown < PERMILLE)
+		slowdown = PERMILLE;
+	return latency / PERMILLE * slowdown * (slots + target->running_requests) / slots;
+}
+
+static bool target_better(const wl_router_t *router, const wl_target_t *a, const wl_target_t *b,
+			  const wl_route_query_t *query)
+{
+	wl_str_t zone = wl_buf_str(&router->availability_zone);
+	bool near_a = wl_str_equal(wl_buf_str(&a->availability_zone), zone);
+	bool near_b = wl_str_equal(wl_buf_str(&b->availability_zone), zone);
+
+	if (near_a != near_b)
+		return near_a;
+	return target_expected(a, query) < target_expected(b, query);
+}
+
+static wl_target_t *target_least(wl_router_t *router, const wl_ledger_service_t *service,
+				 const wl_route_query_t *query)
+{
+	wl_target_t *best = NULL;
+	uint64_t first = wl_rng_below(&router->rng, service->count);
+	uint64_t tries = wl_rng_below(&router->rng, EXPLORE_ONE_IN) ? SAMPLES : 1;
+
+	for (uint64_t i = 0; i < tries; i++) {
+		uint64_t at = wl_rng_below(&router->rng, service->count);
+		wl_target_t *target = service->targets[at];
+
+		if (!target_usable(router, target, query))
+			continue;
+		if (!best || target_better(router, target, best, query))
+			best = target;
+	}
+	return best ? best : target_scan(router, service, query, first);
+}
+
+/* At random, in proportion to room: entries that choose at once don't all choose the same. */
+static wl_room_entry_t *peer_weighted(wl_router_t *router, const wl_room_service_t *service,
+				      const wl_route_query_t *query, uint64_t now_ns)
+{
+	wl_str_t zone = wl_buf_str(&router->availability_zone);
+	wl_room_entry_t *chosen = NULL;
+	uint64_t total = 0;
+	wl_room_entry_t *entry;
+
+	TAILQ_FOREACH (entry, &service->entries, link) {
+		uint64_t weight = entry->room;
+
+		if (!peer_usable(entry, query, now_ns))
+			continue;
+		if (wl_str_equal(wl_buf_str(&entry->availability_zone), zone))
+			weight *= ZONE_WEIGHT;
+		total += weight;
+		if (wl_rng_below(&router->rng, total) < weight)
+			chosen = entry;
+	}
+	return chosen;
+}
+
+static wl_target_t *target_next(wl_router_t *router, const wl_ledger_service_t *service,
+				const wl_route_query_t *query)
+{
+	return target_scan(router, service, query, router->cursor++);
+}
+
+static wl_room_entry_t *peer_next(wl_router_t *router, const wl_room_service_t *service,
+				  const wl_route_query_t *query, uint64_t now_ns)
+{
+	wl_room_entry_t *first = NULL;
+	wl_room_entry_t *entry;
+	uint64_t skip = router->cursor++;
+	uint64_t usable = 0;
+
+	TAILQ_FOREACH (entry, &service->entries, link)
+		usable += peer_usable(entry, query, now_ns);
+	if (!usable)
+		return NULL;
+	skip %= usable;
+	TAILQ_FOREACH (entry, &service->entries, link) {
+		if (!peer_usable(entry, query, now_ns))
+			continue;
+		first = entry;
+		if (skip-- == 0)
+			break;
+	}
+	return first;
+}
+
+static const wl_route_policy_t policies[] = {
+	{"least-slowdown", target_least, peer_weighted},
+	{"round-robin", target_next, peer_next},
+};
+
+/*
+ * wl_router_init - make a router
+ * @options: ledger and rooms must outlive it
+ * @err: WL_E_BAD_INPUT for an unknown policy
+ */
+bool wl_router_init(wl_router_t *router, const wl_route_options_t *options, wl_err_t *err)
+{
+	*router = (wl_router_t){.ledger = options->ledger, .rooms = options->rooms};
+	for (size_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++)
+		if (!options->policy.len ||
+		    wl_str_equal(options->policy, wl_str_from(policies[i].name))) {
+			router->policy = &policies[i];
+			break;
+		}
+	if (!router->policy)
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+				  "unknown routing policy " WL_STR_FMT,
+				  WL_STR_ARG(options->policy));
+	wl_buf_set(&router->availability_zone, options->availability_zone);
+	wl_rng_init(&router->rng, options->seed, 0);
+	return true;
+}
+
+/*
+ * wl_router_free - release a router
+ */
+void wl_router_free(wl_router_t *router)
+{
+	wl_buf_free(&router->availability_zone);
+}
+
+static bool router_try(wl_router_t *router, const wl_route_query_t *query, uint64_t now_ns,
+		       wl_route_place_t *place)
+{
+	const wl_ledger_service_t *own = wl_ledger_service(router->ledger, query->service);
+	const wl_room_service_t *peers = wl_rooms_service(router->rooms, query->service);
+
+	*place = (wl_route_place_t){0};
+	if (own && own->count)
+		place->target = router->policy->target(router, own, query);
+	if (!place->target && peers && !query->own_only)
+		place->peer = router->policy->peer(router, peers, query, now_ns);
+	return place->target || place->peer;
+}
+
+/*
+ * wl_router_pick - choose where a request goes
+ * @now_ns: monotonic time, nanoseconds
+ * @place: the choice; nothing is reserved yet
+ *
+ * Return: false if there is no room now.
+ */
+bool wl_router_pick(wl_router_t *router, const wl_route_query_t *query, uint64_t now_ns,
+		    wl_route_place_t *place)
+{
+	wl_route_query_t any = *query;
+
+	if (router_try(router, query, now_ns, place))
+		return true;
+	if (query->strict || (!query->avoid_target.len && !query->avoid_peer.len))
+		return false;
+	any.avoid_target = WL_STR("");
+	any.avoid_peer = WL_STR("");
+	return router_try(router, &any, now_ns, place);
+}
+
+/*
+ * wl_router_knows - tell whether any target, here or at a peer, offers a service now
+ * @now_ns: monotonic time, nanoseconds
+ */
+bool wl_router_knows(const wl_router_t *router, wl_str_t service, uint64_t now_ns)
+{
+	const wl_ledger_service_t *own = wl_ledger_service(router->ledger, service);
+	const wl_room_service_t *peers = wl_rooms_service(router->rooms, service);
+	const wl_room_entry_t *entry;
+
+	if (own && own->count)
+		return true;
+	if (!peers)
+		return false;
+	TAILQ_FOREACH (entry, &peers->entries, link)
+		if (entry->targets && wl_room_live(entry, now_ns))
+			return true;
+	return false;
+}
+
+/*
+ * wl_router_room - requests for a service that own targets could start now
+ */
+uint64_t wl_router_room(const wl_router_t *router, wl_str_t service)
+{
+	const wl_ledger_service_t *own = wl_ledger_service(router->ledger, service);
+
+	return own ? own->free_requests : 0;
+}
--- /dev/null
+++ b/libwlcore/route.h
@@ -0,0 +1,51 @@
+#ifndef WL_ROUTE_H
+#define WL_ROUTE_H
+
+#include <libwlbase/rng.h>
+#include <libwlcore/room.h>
+
+/* Where a request goes: an own target, or a peer that has room. */
+
+struct wl_route_policy;
+
+typedef struct wl_route_options {
+	wl_str_t policy; /* by name; "" means the default */
+	wl_str_t availability_zone;
+	wl_ledger_t *ledger;
+	wl_rooms_t *rooms;
+	uint64_t seed;
+} wl_route_options_t;
+
+typedef struct wl_router {
+	const struct wl_route_policy *policy;
+	wl_buf_t availability_zone;
+	wl_ledger_t *ledger;
+	wl_rooms_t *rooms;
+	wl_rng_t rng;
+	uint64_t cursor; /* round-robin */
+} wl_router_t;
+
+/* What is asked of a route. */
+typedef struct wl_route_query {
+	wl_str_t service;
+	wl_str_t avoid_target; /* only if nothing else has room */
+	wl_str_t avoid_peer;
+	uint64_t latency_ns; /* expected on a target that has served nothing yet */
+	bool own_only;	     /* it came from a peer: no second hop */
+	bool strict;	     /* nothing rather than what is to be avoided */
+} wl_route_query_t;
+
+/* Either a target or an entry of a peer. */
+typedef struct wl_route_place {
+	wl_target_t *target;
+	wl_room_entry_t *peer;
+} wl_route_place_t;
+
+bool wl_router_init(wl_router_t *router, const wl_route_options_t *options, wl_err_t *err);
+void wl_router_free(wl_router_t *router);
+bool wl_router_pick(wl_router_t *router, const wl_route_query_t *query, uint64_t now_ns,
+		    wl_route_place_t *place);
+bool wl_router_knows(const wl_router_t *router, wl_str_t service, uint64_t now_ns);
+uint64_t wl_router_room(const wl_router_t *router, wl_str_t service);
+
+#endif
