--- a/libwlbase/record.c
+++ b/libwlbase/record.c
@@ -77,6 +77,14 @@
 	wl_buf_set(wl_list_add(&wl_string_schema, list), s);
 }
 
+/*
+ * wl_strings_free - release a list of strings and make it empty
+ */
+void wl_strings_free(wl_list_t *list)
+{
+	wl_list_free(&wl_string_schema, list);
+}
+
 /*
  * wl_strings_have - tell whether a list of strings holds a string
  */
--- a/libwlbase/record.h
+++ b/libwlbase/record.h
@@ -89,6 +89,7 @@
 void *wl_list_add(const wl_schema_t *schema, wl_list_t *list);
 void wl_list_free(const wl_schema_t *schema, wl_list_t *list);
 void wl_strings_add(wl_list_t *list, wl_str_t s);
+void wl_strings_free(wl_list_t *list);
 bool wl_strings_have(const wl_list_t *list, wl_str_t s);
 
 #endif
