--- a/libwlcore/node_store.c
+++ b/libwlcore/node_store.c
@@ -83,6 +83,7 @@
 	node->leading = true;
 	wl_event_init(&event, WL_EVENT_LEAD);
 	event.term = action->term;
+	event.group = wl_raft_group(node->raft);
 	wl_out_log(out, WL_INFO, "lead", "term=%llu index=%llu", (unsigned long long)action->term,
 		   (unsigned long long)node->applied);
 	wl_leader_step(node->leader, now_ns, &event, out);
