--- /dev/null
+++ b/libwlcore/fair.c
@@ -0,0 +1,130 @@
+/*
+ * Fair share between customers: the one whose processors in use, divided by
+ * the weight of its plan, are the fewest has the next turn.
+ */
+
+#include "fair.h"
+
+#include <stdlib.h>
+
+#include <libwlcore/ledger.h>
+
+#define MISSES_MOST 16 /* tasks without room, after which a customer waits for the next round */
+
+static void entry_init(wl_fair_entry_t *entry, const wl_state_t *state,
+		       wl_state_customer_t *customer, wl_class_t work_class)
+{
+	entry->customer = customer;
+	entry->plan = wl_lists_plan_of(state->lists, customer->key);
+	entry->held = customer->held[WL_CLASS_URGENT];
+	wl_need_add(&entry->held, &customer->held[WL_CLASS_BATCH]);
+	entry->held_count = customer->held_count;
+	entry->used = customer->held[work_class].cpu_millis;
+	entry->next = TAILQ_FIRST(&customer->queued[work_class]);
+	entry->misses = 0;
+}
+
+/*
+ * wl_fair_init - begin a round over the customers that have queued tasks of a class
+ */
+void wl_fair_init(wl_fair_t *fair, const wl_state_t *state, wl_class_t work_class)
+{
+	wl_state_customer_t *customer;
+	size_t count = 0;
+
+	TAILQ_FOREACH (customer, &state->customers, link)
+		count += customer->queued_count[work_class] > 0;
+	fair->work_class = work_class;
+	fair->count = 0;
+	fair->entries = wl_alloc(count * sizeof(*fair->entries));
+	TAILQ_FOREACH (customer, &state->customers, link)
+		if (customer->queued_count[work_class] > 0)
+			entry_init(&fair->entries[fair->count++], state, customer, work_class);
+}
+
+/*
+ * wl_fair_free - end a round
+ */
+void wl_fair_free(wl_fair_t *fair)
+{
+	free(fair->entries);
+	*fair = (wl_fair_t){0};
+}
+
+static bool before(const wl_fair_entry_t *a, const wl_fair_entry_t *b)
+{
+	uint64_t weight_a = a->plan ? a->plan->weight : 1;
+	uint64_t weight_b = b->plan ? b->plan->weight : 1;
+
+	return (double)a->used * (double)weight_b < (double)b->used * (double)weight_a;
+}
+
+/*
+ * wl_fair_next - whose turn it is
+ *
+ * Return: an entry whose next task is to be taken, passed or closed; NULL at the end.
+ */
+wl_fair_entry_t *wl_fair_next(wl_fair_t *fair)
+{
+	wl_fair_entry_t *best = NULL;
+
+	for (size_t i = 0; i < fair->count; i++) {
+		wl_fair_entry_t *entry = &fair->entries[i];
+
+		if (entry->next && (!best || before(entry, best)))
+			best = entry;
+	}
+	return best;
+}
+
+static bool under(uint64_t held, uint64_t need, uint64_t most)
+{
+	/* Learnt use above the whole plan must not lock a task out that the plan admitted. */
+	return held == 0 || held + need <= most;
+}
+
+/*
+ * wl_fair_within_plan - tell whether a customer may hold more
+ * @need: on top of what it holds
+ */
+bool wl_fair_within_plan(const wl_fair_entry_t *entry, const wl_need_t *need)
+{
+	return entry->held_count < entry->plan->max_concurrent &&
+	       under(entry->held.cpu_millis, need->cpu_millis, entry->plan->cpu_millis) &&
+	       under(entry->held.memory_mib, need->memory_mib, entry->plan->memory_mib) &&
+	       under(entry->held.accelerators, need->accelerators, entry->plan->accelerators);
+}
+
+static void step(wl_fair_entry_t *entry)
+{
+	entry->next = TAILQ_NEXT(entry->next, queue);
+}
+
+/*
+ * wl_fair_take - the customer's next task got a target
+ */
+void wl_fair_take(wl_fair_entry_t *entry, const wl_need_t *need)
+{
+	wl_need_add(&entry->held, need);
+	entry->held_count++;
+	entry->used += need->cpu_millis > 0 ? need->cpu_millis : 1;
+	step(entry);
+}
+
+/*
+ * wl_fair_pass - the customer's next task found no target; its later ones are looked at
+ */
+void wl_fair_pass(wl_fair_entry_t *entry)
+{
+	step(entry);
+	if (++entry->misses >= MISSES_MOST)
+		entry->next = NULL;
+}
+
+/*
+ * wl_fair_close - the customer waits for the next round
+ */
+void wl_fair_close(wl_fair_entry_t *entry)
+{
+	entry->next = NULL;
+}
--- /dev/null
+++ b/libwlcore/fair.h
@@ -0,0 +1,32 @@
+#ifndef WL_FAIR_H
+#define WL_FAIR_H
+
+#include "state_internal.h"
+
+/* One round of choosing whose queued task of a class is next: by use over weight. */
+
+typedef struct wl_fair_entry {
+	wl_state_customer_t *customer;
+	const wl_plan_t *plan; /* NULL: the customer is gone from the list */
+	wl_need_t held;	       /* of both classes, what the round took included */
+	uint64_t held_count;
+	uint64_t used; /* processors held by the class */
+	wl_task_t *next;
+	size_t misses;
+} wl_fair_entry_t;
+
+typedef struct wl_fair {
+	wl_fair_entry_t *entries;
+	size_t count;
+	wl_class_t work_class;
+} wl_fair_t;
+
+void wl_fair_init(wl_fair_t *fair, const wl_state_t *state, wl_class_t work_class);
+void wl_fair_free(wl_fair_t *fair);
+wl_fair_entry_t *wl_fair_next(wl_fair_t *fair);
+bool wl_fair_within_plan(const wl_fair_entry_t *entry, const wl_need_t *need);
+void wl_fair_take(wl_fair_entry_t *entry, const wl_need_t *need);
+void wl_fair_pass(wl_fair_entry_t *entry);
+void wl_fair_close(wl_fair_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/libwlcore/leader_internal.h
@@ -0,0 +1,184 @@
+#ifndef WL_LEADER_INTERNAL_H
+#define WL_LEADER_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include <libwlbase/rng.h>
+
+#include "leader.h"
+#include "place.h"
+#include "state_internal.h"
+
+#define WL_NS_PER_MS 1000000ULL
+
+/* What the leader knows of a session beyond the replicated state. */
+typedef struct wl_leader_session {
+	uint64_t id;
+	wl_buf_t entry;
+	wl_buf_t availability_zone;
+	uint64_t heard_ns;     /* receipt of its newest renewal */
+	uint64_t acked;	       /* revision that it said it uses */
+	uint64_t revision;     /* that it has, or was sent */
+	uint64_t owners_index; /* that it has, or was sent */
+	bool draining;
+	bool push;    /* its members changed */
+	bool ending;  /* its end is proposed */
+	size_t owned; /* targets, grants in flight included */
+	TAILQ_ENTRY(wl_leader_session) link;
+} wl_leader_session_t;
+
+typedef enum wl_proposal_kind {
+	WL_PROPOSAL_COMMAND, /* of an entry */
+	WL_PROPOSAL_CANCEL,
+	WL_PROPOSAL_OPEN,
+	WL_PROPOSAL_END,
+	WL_PROPOSAL_OWN,
+	WL_PROPOSAL_FORGET,
+	WL_PROPOSAL_ASSIGN,
+	WL_PROPOSAL_REPORT,
+	WL_PROPOSAL_REJECT,
+	WL_PROPOSAL_KINDS
+} wl_proposal_kind_t;
+
+/* A call that waits for a proposal. */
+typedef struct wl_waiter {
+	wl_buf_t peer;
+	uint64_t call;
+	wl_buf_t customer; /* CANCEL */
+	wl_list_t tasks;   /* CANCEL: strings */
+	TAILQ_ENTRY(wl_waiter) link;
+} wl_waiter_t;
+
+TAILQ_HEAD(wl_waiters, wl_waiter);
+
+/* Something proposed whose outcome is awaited. */
+typedef struct wl_proposal {
+	wl_str_t key; /* over tag */
+	uint64_t tag;
+	wl_proposal_kind_t kind;
+	wl_buf_t name; /* OPEN: entry; OWN, FORGET: target */
+	wl_msg_renew_t renew;
+	uint64_t session; /* END, OWN */
+	struct wl_waiters waiters;
+	wl_list_t reports; /* REPORT: wl_report_head_t */
+	TAILQ_ENTRY(wl_proposal) link;
+} wl_proposal_t;
+
+/* A report that waits for its commit, for the answer to its sender. */
+typedef struct wl_report_head {
+	wl_buf_t peer;
+	wl_buf_t task;
+	uint64_t attempt;
+	uint64_t kind;
+} wl_report_head_t;
+
+extern const wl_schema_t wl_report_head_schema;
+
+/* A list change whose time to in-force is measured. */
+typedef struct wl_leader_change {
+	uint64_t revision;
+	uint64_t applied_ns;
+	TAILQ_ENTRY(wl_leader_change) link;
+} wl_leader_change_t;
+
+/* A task's newest attempt, from the choice of its target to its end. */
+typedef struct wl_attempt {
+	wl_str_t key; /* task id */
+	wl_buf_t task;
+	uint64_t attempt;
+	bool proposed; /* its assignment is not committed yet */
+	bool quiet;    /* nothing is to be sent about it */
+	bool may_evict;
+	uint64_t sent_ns;
+	wl_place_load_t load;
+	TAILQ_ENTRY(wl_attempt) link; /* least recently sent first */
+} wl_attempt_t;
+
+struct wl_leader {
+	wl_leader_options_t options;
+	wl_buf_t entry;
+	wl_state_t *state;
+	bool leading;
+	uint64_t term;
+	uint64_t group;
+	uint64_t led_ns;
+	uint64_t clock_base_ms; /* group's clock when leadership began */
+	uint64_t next_tag;
+	wl_map_t by_tag;
+	TAILQ_HEAD(wl_proposals, wl_proposal) proposals;
+	uint64_t in_flight[WL_PROPOSAL_KINDS];
+
+	TAILQ_HEAD(wl_leader_sessions, wl_leader_session) sessions;
+	TAILQ_HEAD(wl_leader_changes, wl_leader_change) changes;
+
+	bool orphans;	  /* a target may lack an owner */
+	bool counts_due;  /* the sessions' counts of targets are to be made again */
+	bool balance_due; /* a session came since targets were last found level */
+	uint64_t next_balance_ns;
+	uint64_t next_forget_ns;
+
+	struct wl_waiters cancels;
+	wl_cmd_task_report_t reports; /* to be proposed at the next tick */
+	wl_list_t report_heads;	      /* wl_report_head_t, in the order of reports */
+
+	wl_place_t *place;
+	wl_map_t by_attempt;
+	TAILQ_HEAD(wl_attempts, wl_attempt) attempts; /* with something to send */
+	struct wl_attempts quiet;		      /* known to run */
+	bool place_due; /* room or queues changed since the last placement */
+	uint64_t next_place_ns;
+};
+
+/* leader.c */
+uint64_t wl_leader_clock_ms(const wl_leader_t *leader, uint64_t now_ns);
+wl_proposal_t *wl_leader_propose(wl_leader_t *leader, uint64_t now_ns, wl_proposal_kind_t kind,
+				 wl_cmd_t *cmd, wl_out_t *out);
+void wl_waiter_add(struct wl_waiters *waiters, wl_str_t peer, uint64_t call);
+void wl_waiters_clear(struct wl_waiters *waiters);
+
+/* leader_sessions.c */
+void wl_leader_sessions_sync(wl_leader_t *leader, uint64_t now_ns);
+void wl_leader_sessions_clear(wl_leader_t *leader);
+wl_leader_session_t *wl_leader_session(wl_leader_t *leader, uint64_t id);
+void wl_leader_renew(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
+		     const wl_msg_renew_t *renew, wl_out_t *out);
+void wl_leader_opened(wl_leader_t *leader, uint64_t now_ns, const wl_proposal_t *proposal,
+		      const wl_result_t *result, wl_out_t *out);
+void wl_leader_sessions_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
+uint64_t wl_leader_acked(const wl_leader_t *leader);
+bool wl_leader_in_force(const wl_leader_t *leader, uint64_t revision);
+void wl_leader_change_applied(wl_leader_t *leader, uint64_t now_ns, uint64_t revision);
+
+/* leader_owners.c */
+void wl_leader_announce(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
+			const wl_announce_t *announce, wl_out_t *out);
+void wl_leader_owners_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
+
+/* leader_tasks.c */
+void wl_leader_tasks_rebuild(wl_leader_t *leader, uint64_t now_ns);
+void wl_leader_tasks_clear(wl_leader_t *leader);
+void wl_leader_report(wl_leader_t *leader, wl_str_t peer, const wl_msg_report_t *report,
+		      wl_out_t *out);
+void wl_leader_cancel(wl_leader_t *leader, wl_str_t peer, uint64_t call,
+		      const wl_cmd_task_cancel_t *cancel);
+void wl_leader_tasks_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
+void wl_leader_assigned(wl_leader_t *leader);
+void wl_leader_reported(wl_leader_t *leader, const wl_cmd_task_report_t *cmd);
+void wl_leader_reports_answer(const wl_proposal_t *proposal, wl_out_t *out);
+void wl_leader_cancelled(wl_leader_t *leader, const wl_cmd_task_cancel_t *cmd);
+
+/* leader_place.c */
+void wl_leader_offer(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
+		     const wl_msg_offer_t *offer);
+void wl_leader_place_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
+wl_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task);
+wl_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task, uint64_t number,
+				    wl_str_t target, const wl_need_t *need);
+void wl_leader_attempt_drop(wl_leader_t *leader, wl_attempt_t *attempt);
+void wl_leader_attempt_quiet(wl_leader_t *leader, wl_attempt_t *attempt, bool quiet);
+
+/* leader_query.c */
+void wl_leader_query(const wl_leader_t *leader, uint64_t now_ns, const wl_msg_query_t *query,
+		     wl_result_t *result);
+
+#endif
--- /dev/null
+++ b/libwlcore/leader_place.c
@@ -0,0 +1,264 @@
+/*
+ * Assignments: in each round urgent tasks first, then batch, each class by
+ * fair share; all of a round are committed in one command.  The next round
+ * waits for that commit, so no task is chosen twice.
+ */
+
+#include "fair.h"
+#include "leader_internal.h"
+
+#include <stdlib.h>
+
+#define ROUND_MOST	   256 /* assignments in one command */
+#define ROUND_INTERVAL_NS  (100 * WL_NS_PER_MS)
+#define TOO_LARGE_AFTER_MS 10000
+#define SHORT_WINDOW	   32 /* tasks of a queue that are looked at for short ones */
+
+wl_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task)
+{
+	return wl_map_get(&leader->by_attempt, task);
+}
+
+static bool is_long(const wl_leader_t *leader, const wl_task_t *task)
+{
+	return wl_state_expected_ms(leader->state, &task->record.spec) >= leader->options.long_ms;
+}
+
+wl_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task, uint64_t number,
+				    wl_str_t target, const wl_need_t *need)
+{
+	wl_attempt_t *attempt = wl_alloc(sizeof(*attempt));
+
+	wl_buf_set(&attempt->task, task->key);
+	attempt->key = wl_buf_str(&attempt->task);
+	attempt->attempt = number;
+	wl_buf_set(&attempt->load.kind, wl_buf_str(&task->record.spec.kind));
+	attempt->load.need = *need;
+	attempt->load.is_long = is_long(leader, task);
+	wl_place_load_add(wl_place_target(leader->place, target), &attempt->load);
+	wl_map_put(&leader->by_attempt, attempt);
+	TAILQ_INSERT_HEAD(&leader->attempts, attempt, link);
+	return attempt;
+}
+
+static void attempt_unlink(wl_leader_t *leader, wl_attempt_t *attempt)
+{
+	if (attempt->quiet)
+		TAILQ_REMOVE(&leader->quiet, attempt, link);
+	else
+		TAILQ_REMOVE(&leader->attempts, attempt, link);
+}
+
+/* Sets whether there is something to send about an attempt; what there is, is due at once. */
+void wl_leader_attempt_quiet(wl_leader_t *leader, wl_attempt_t *attempt, bool quiet)
+{
+	attempt_unlink(leader, attempt);
+	attempt->quiet = quiet;
+	attempt->sent_ns = 0;
+	if (quiet)
+		TAILQ_INSERT_TAIL(&leader->quiet, attempt, link);
+	else
+		TAILQ_INSERT_HEAD(&leader->attempts, attempt, link);
+}
+
+void wl_leader_attempt_drop(wl_leader_t *leader, wl_attempt_t *attempt)
+{
+	wl_place_load_remove(&attempt->load);
+	wl_map_remove(&leader->by_attempt, attempt->key);
+	attempt_unlink(leader, attempt);
+	wl_buf_free(&attempt->task);
+	wl_buf_free(&attempt->load.kind);
+	free(attempt);
+}
+
+static bool owned_by(const wl_leader_t *leader, const wl_offer_row_t *row, wl_str_t peer)
+{
+	const wl_state_target_t *target = wl_state_target(leader->state, wl_buf_str(&row->target));
+
+	return target && target->row.session != 0 && target->row.epoch == row->epoch &&
+	       wl_str_equal(wl_buf_str(&target->row.entry), peer);
+}
+
+/* Takes an owner's room in; offers under an epoch that is over are passed over. */
+void wl_leader_offer(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
+		     const wl_msg_offer_t *offer)
+{
+	const wl_offer_row_t *rows = offer->offers.items;
+	const wl_pair_row_t *pairs = offer->pairs.items;
+
+	for (size_t i = 0; i < offer->offers.count; i++)
+		if (owned_by(leader, &rows[i], peer))
+			wl_place_offer(leader->place, now_ns, &rows[i]);
+	for (size_t i = 0; i < offer->pairs.count; i++)
+		wl_place_pair(leader->place, now_ns, &pairs[i]);
+	leader->place_due = true;
+}
+
+/* One round of placement. */
+typedef struct round {
+	wl_leader_t *leader;
+	uint64_t now_ns;
+	wl_cmd_task_assign_t assign;
+	wl_cmd_task_report_t reject;
+	wl_list_t short_services; /* strings: services that short batch work waits for */
+} round_t;
+
+static void short_services_find(round_t *round)
+{
+	const wl_state_customer_t *customer;
+
+	TAILQ_FOREACH (customer, &round->leader->state->customers, link) {
+		const wl_task_t *task = TAILQ_FIRST(&customer->queued[WL_CLASS_BATCH]);
+
+		for (size_t i = 0; task && i < SHORT_WINDOW; i++) {
+			wl_str_t service = wl_buf_str(&task->record.spec.service);
+
+			if (!is_long(round->leader, task) &&
+			    !wl_strings_have(&round->short_services, service))
+				wl_strings_add(&round->short_services, service);
+			task = TAILQ_NEXT(task, queue);
+		}
+	}
+}
+
+static void ask_of(const round_t *round, const wl_task_t *task, wl_place_ask_t *ask)
+{
+	const wl_task_spec_t *spec = &task->record.spec;
+
+	*ask = (wl_place_ask_t){.service = wl_buf_str(&spec->service),
+				.kind = wl_buf_str(&spec->kind),
+				.avoid = &task->record.failed_on,
+				.urgent = spec->work_class == WL_CLASS_URGENT,
+				.is_long = is_long(round->leader, task)};
+	ask->declared = (wl_need_t){.cpu_millis = spec->cpu_millis,
+				    .memory_mib = spec->memory_mib,
+				    .accelerators = spec->accelerators,
+				    .slots = 1};
+	wl_state_need(round->leader->state, spec, &ask->need);
+	ask->short_waits = wl_strings_have(&round->short_services, ask->service);
+}
+
+static void reject(round_t *round, const wl_task_t *task, wl_str_t reason)
+{
+	wl_report_t *report = wl_list_add(&wl_report_schema, &round->reject.reports);
+
+	wl_buf_set(&report->task, task->key);
+	report->attempt = task->record.attempt;
+	report->kind = WL_REPORT_UNPLACEABLE;
+	wl_buf_set(&report->reason, reason);
+}
+
+/* Gives targets time to announce themselves before work is called too large for all. */
+static bool too_large(const round_t *round, const wl_task_t *task, const wl_place_ask_t *ask)
+{
+	const wl_leader_t *leader = round->leader;
+	uint64_t clock_ms = wl_leader_clock_ms(leader, round->now_ns);
+
+	return clock_ms >= task->record.added_ms + TOO_LARGE_AFTER_MS &&
+	       clock_ms >= leader->clock_base_ms + TOO_LARGE_AFTER_MS &&
+	       wl_place_too_large(leader->place, ask);
+}
+
+/* The room table may lag behind the grants: an epoch that is over gets no work. */
+static bool choose(round_t *round, const wl_place_ask_t *ask, wl_place_choice_t *choice)
+{
+	wl_leader_t *leader = round->leader;
+
+	while (wl_place_choose(leader->place, ask, choice)) {
+		const wl_state_target_t *target =
+			wl_state_target(leader->state, choice->target->key);
+
+		if (target && target->row.session != 0 &&
+		    target->row.epoch == choice->target->row.epoch)
+			return true;
+		wl_place_close(leader->place, round->now_ns, choice->target->key);
+	}
+	return false;
+}
+
+static void assign(round_t *round, const wl_task_t *task, const wl_place_choice_t *choice)
+{
+	wl_assignment_t *assignment =
+		wl_list_add(&wl_assignment_schema, &round->assign.assignments);
+	wl_attempt_t *attempt;
+
+	wl_buf_set(&assignment->task, task->key);
+	wl_buf_set(&assignment->target, choice->target->key);
+	assignment->attempt = task->record.attempt + 1;
+	assignment->epoch = choice->target->row.epoch;
+	attempt = wl_leader_attempt_add(round->leader, task, assignment->attempt,
+					choice->target->key, &choice->need);
+	attempt->proposed = true;
+	attempt->may_evict = choice->may_evict;
+}
+
+static bool plan_allows(const wl_fair_entry_t *entry, const wl_task_spec_t *spec)
+{
+	return entry->plan && wl_plan_allows(entry->plan, wl_buf_str(&spec->service),
+					     (wl_class_t)spec->work_class);
+}
+
+static void place_next(round_t *round, wl_fair_entry_t *entry)
+{
+	const wl_task_t *task = entry->next;
+	wl_place_choice_t choice = {0};
+	wl_place_ask_t ask;
+
+	ask_of(round, task, &ask);
+	if (!plan_allows(entry, &task->record.spec)) {
+		reject(round, task, WL_STR("the plan of the customer does not allow it any more"));
+		wl_fair_pass(entry);
+	} else if (too_large(round, task, &ask)) {
+		reject(round, task, WL_STR("larger than every target of its service"));
+		wl_fair_pass(entry);
+	} else if (!wl_fair_within_plan(entry, &ask.need)) {
+		wl_fair_pass(entry);
+	} else if (choose(round, &ask, &choice)) {
+		assign(round, task, &choice);
+		wl_fair_take(entry, &choice.need);
+	} else {
+		wl_fair_pass(entry);
+	}
+}
+
+static void place_class(round_t *round, wl_class_t work_class)
+{
+	wl_fair_t fair;
+	wl_fair_entry_t *entry;
+
+	wl_fair_init(&fair, round->leader->state, work_class);
+	while (round->assign.assignments.count < ROUND_MOST && (entry = wl_fair_next(&fair)))
+		place_next(round, entry);
+	wl_fair_free(&fair);
+}
+
+static void round_propose(round_t *round, wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_TASK_ASSIGN, .u.task_assign = round->assign};
+
+	if (round->assign.assignments.count > 0)
+		wl_leader_propose(round->leader, round->now_ns, WL_PROPOSAL_ASSIGN, &cmd, out);
+	if (round->reject.reports.count == 0)
+		return;
+	cmd = (wl_cmd_t){.kind = WL_CMD_TASK_REPORT, .u.task_report = round->reject};
+	wl_leader_propose(round->leader, round->now_ns, WL_PROPOSAL_REJECT, &cmd, out);
+}
+
+/* Places what can be placed, when something changed or the interval is over. */
+void wl_leader_place_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
+{
+	round_t round = {.leader = leader, .now_ns = now_ns};
+
+	if (leader->in_flight[WL_PROPOSAL_ASSIGN] + leader->in_flight[WL_PROPOSAL_REJECT] > 0)
+		return;
+	if (!leader->place_due && now_ns < leader->next_place_ns)
+		return;
+	leader->place_due = false;
+	leader->next_place_ns = now_ns + ROUND_INTERVAL_NS;
+	wl_place_begin(leader->place);
+	short_services_find(&round);
+	place_class(&round, WL_CLASS_URGENT);
+	place_class(&round, WL_CLASS_BATCH);
+	round_propose(&round, out);
+	wl_strings_free(&round.short_services);
+}
--- /dev/null
+++ b/libwlcore/leader_sessions.c
@@ -0,0 +1,275 @@
+/*
+ * Sessions of entries: renewals, ends, views, and which revision is in force.
+ *
+ * A session that is silent for its validity and the drift margin, counted
+ * from the receipt of its last renewal, or from the start of leadership when
+ * that is later, can't be valid on the entry's clock any more and is ended.
+ */
+
+#include "leader_internal.h"
+
+#include <stdlib.h>
+
+wl_leader_session_t *wl_leader_session(wl_leader_t *leader, uint64_t id)
+{
+	wl_leader_session_t *session;
+
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		if (session->id == id)
+			return session;
+	return NULL;
+}
+
+static void session_drop(wl_leader_t *leader, wl_leader_session_t *session)
+{
+	TAILQ_REMOVE(&leader->sessions, session, link);
+	wl_buf_free(&session->entry);
+	wl_buf_free(&session->availability_zone);
+	free(session);
+}
+
+void wl_leader_sessions_clear(wl_leader_t *leader)
+{
+	while (!TAILQ_EMPTY(&leader->sessions))
+		session_drop(leader, TAILQ_FIRST(&leader->sessions));
+}
+
+static void session_know(wl_leader_t *leader, uint64_t now_ns, const wl_state_session_t *known)
+{
+	wl_leader_session_t *session = wl_alloc(sizeof(*session));
+
+	session->id = known->id;
+	wl_buf_set(&session->entry, wl_buf_str(&known->entry));
+	wl_buf_set(&session->availability_zone, wl_buf_str(&known->availability_zone));
+	session->heard_ns = now_ns;
+	TAILQ_INSERT_TAIL(&leader->sessions, session, link);
+}
+
+/* Follows the sessions of the replicated state; all members get the new list of members. */
+void wl_leader_sessions_sync(wl_leader_t *leader, uint64_t now_ns)
+{
+	const wl_state_session_t *known;
+	wl_leader_session_t *session;
+	wl_leader_session_t *next;
+
+	for (session = TAILQ_FIRST(&leader->sessions); session; session = next) {
+		next = TAILQ_NEXT(session, link);
+		session->push = true;
+		if (!wl_state_session(leader->state, session->id))
+			session_drop(leader, session);
+	}
+	TAILQ_FOREACH (known, &leader->state->sessions, link)
+		if (!wl_leader_session(leader, known->id))
+			session_know(leader, now_ns, known);
+	leader->counts_due = true;
+	leader->balance_due = true;
+}
+
+static wl_msg_renewed_t *renewed(const wl_leader_t *leader, wl_str_t peer,
+				 const wl_msg_renew_t *renew, wl_code_t code, wl_out_t *out)
+{
+	wl_msg_renewed_t *answer = &wl_out_send(out, peer, WL_MSG_RENEWED)->u.renewed;
+
+	answer->boot = renew->boot;
+	answer->group = leader->group;
+	answer->term = leader->term;
+	answer->sent_ns = renew->sent_ns;
+	answer->code = code;
+	wl_buf_set(&answer->leader, wl_buf_str(&leader->entry));
+	return answer;
+}
+
+static void session_grant(const wl_leader_t *leader, wl_str_t peer, uint64_t id,
+			  const wl_msg_renew_t *renew, wl_out_t *out)
+{
+	wl_msg_renewed_t *answer = renewed(leader, peer, renew, WL_OK, out);
+
+	answer->session = id;
+	answer->validity_ms = leader->options.session_ms;
+}
+
+static void push_members(wl_leader_t *leader)
+{
+	wl_leader_session_t *session;
+
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		session->push = true;
+}
+
+static void session_heard(wl_leader_t *leader, uint64_t now_ns, wl_leader_session_t *session,
+			  const wl_msg_renew_t *renew)
+{
+	session->heard_ns = now_ns;
+	session->acked = renew->revision;
+	session->revision = renew->revision;
+	session->owners_index = renew->owners_index;
+	if (session->draining == renew->draining)
+		return;
+	session->draining = renew->draining;
+	push_members(leader);
+}
+
+static bool open_in_flight(const wl_leader_t *leader, const wl_msg_renew_t *renew)
+{
+	const wl_proposal_t *proposal;
+
+	TAILQ_FOREACH (proposal, &leader->proposals, link)
+		if (proposal->kind == WL_PROPOSAL_OPEN && proposal->renew.boot == renew->boot &&
+		    wl_str_equal(wl_buf_str(&proposal->name), wl_buf_str(&renew->entry)))
+			return true;
+	return false;
+}
+
+static void session_open(wl_leader_t *leader, uint64_t now_ns, const wl_msg_renew_t *renew,
+			 wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_SESSION_OPEN};
+	wl_cmd_session_open_t *open = &cmd.u.session_open;
+	wl_msg_t from = {.kind = WL_MSG_RENEW, .u.renew = *renew};
+	wl_proposal_t *proposal;
+	wl_msg_t copy;
+
+	if (open_in_flight(leader, renew))
+		return;
+	open->boot = renew->boot;
+	wl_buf_set(&open->entry, wl_buf_str(&renew->entry));
+	wl_buf_set(&open->address, wl_buf_str(&renew->address));
+	wl_buf_set(&open->availability_zone, wl_buf_str(&renew->availability_zone));
+	proposal = wl_leader_propose(leader, now_ns, WL_PROPOSAL_OPEN, &cmd, out);
+	wl_buf_set(&proposal->name, wl_buf_str(&renew->entry));
+	wl_msg_copy(&copy, &from);
+	proposal->renew = copy.u.renew;
+}
+
+/* A committed session: its entry hears of it, its validity counts from the renewal that asked. */
+void wl_leader_opened(wl_leader_t *leader, uint64_t now_ns, const wl_proposal_t *proposal,
+		      const wl_result_t *result, wl_out_t *out)
+{
+	wl_leader_session_t *session = wl_leader_session(leader, result->index);
+
+	if (result->code != WL_OK || !session)
+		return;
+	session_heard(leader, now_ns, session, &proposal->renew);
+	session->push = true;
+	session_grant(leader, wl_buf_str(&proposal->name), session->id, &proposal->renew, out);
+}
+
+/* A renewal: granted at once for a live session, through the log for a new one. */
+void wl_leader_renew(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
+		     const wl_msg_renew_t *renew, wl_out_t *out)
+{
+	const wl_state_session_t *known =
+		wl_state_session_of(leader->state, wl_buf_str(&renew->entry));
+	wl_leader_session_t *session;
+
+	if (renew->entry.len == 0 || !wl_str_equal(peer, wl_buf_str(&renew->entry)))
+		return;
+	if (renew->group != 0 && renew->group != leader->group) {
+		renewed(leader, peer, renew, WL_E_CONFLICT, out);
+		return;
+	}
+	if (!known || known->boot != renew->boot) {
+		session_open(leader, now_ns, renew, out);
+		return;
+	}
+	session = wl_leader_session(leader, known->id);
+	if (!session || session->ending)
+		return;
+	session_heard(leader, now_ns, session, renew);
+	session_grant(leader, peer, session->id, renew, out);
+}
+
+static void session_end(wl_leader_t *leader, uint64_t now_ns, wl_leader_session_t *session,
+			wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_SESSION_END};
+	wl_proposal_t *proposal;
+
+	cmd.u.session_end.session = session->id;
+	session->ending = true;
+	wl_out_log(out, WL_WARN, "session-end", "entry=" WL_STR_FMT " session=%llu",
+		   WL_STR_ARG(wl_buf_str(&session->entry)), (unsigned long long)session->id);
+	wl_metrics_add(leader->options.metrics, "wisterialead_sessions_ended_total", "", 1);
+	proposal = wl_leader_propose(leader, now_ns, WL_PROPOSAL_END, &cmd, out);
+	proposal->session = session->id;
+}
+
+static void view_send(wl_leader_t *leader, wl_leader_session_t *session, wl_out_t *out)
+{
+	wl_msg_view_t *view = &wl_out_send(out, wl_buf_str(&session->entry), WL_MSG_VIEW)->u.view;
+	wl_member_t *members;
+
+	wl_state_view(leader->state, session->revision, session->owners_index, view);
+	view->group = leader->group;
+	view->term = leader->term;
+	members = view->members.items;
+	for (size_t i = 0; i < view->members.count; i++) {
+		const wl_leader_session_t *member = wl_leader_session(leader, members[i].session);
+
+		members[i].draining = member && member->draining;
+	}
+	session->revision = view->revision;
+	session->owners_index = view->owners_to;
+	session->push = false;
+}
+
+/* The lowest revision that every live session uses; that of the lists when there are none. */
+uint64_t wl_leader_acked(const wl_leader_t *leader)
+{
+	const wl_leader_session_t *session;
+	uint64_t lowest = wl_state_revision(leader->state);
+
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		if (session->acked < lowest)
+			lowest = session->acked;
+	return lowest;
+}
+
+/* Whether each entry that may still take work uses the lists of a revision, or newer ones. */
+bool wl_leader_in_force(const wl_leader_t *leader, uint64_t revision)
+{
+	return revision <= wl_leader_acked(leader);
+}
+
+void wl_leader_change_applied(wl_leader_t *leader, uint64_t now_ns, uint64_t revision)
+{
+	wl_leader_change_t *change = wl_alloc(sizeof(*change));
+
+	change->revision = revision;
+	change->applied_ns = now_ns;
+	TAILQ_INSERT_TAIL(&leader->changes, change, link);
+}
+
+static void changes_measure(wl_leader_t *leader, uint64_t now_ns)
+{
+	wl_leader_change_t *change;
+
+	while ((change = TAILQ_FIRST(&leader->changes))) {
+		if (!wl_leader_in_force(leader, change->revision))
+			return;
+		wl_metrics_observe(leader->options.metrics, "wisterialead_list_in_force_seconds",
+				   "", now_ns - change->applied_ns);
+		TAILQ_REMOVE(&leader->changes, change, link);
+		free(change);
+	}
+}
+
+/* Ends silent sessions; sends views to those that lack something. */
+void wl_leader_sessions_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
+{
+	uint64_t silence_ns =
+		(leader->options.session_ms + leader->options.drift_ms) * WL_NS_PER_MS;
+	wl_leader_session_t *session;
+
+	TAILQ_FOREACH (session, &leader->sessions, link) {
+		uint64_t from =
+			session->heard_ns > leader->led_ns ? session->heard_ns : leader->led_ns;
+
+		if (!session->ending && now_ns >= from + silence_ns)
+			session_end(leader, now_ns, session, out);
+		if (session->push || session->revision != wl_state_revision(leader->state) ||
+		    session->owners_index != leader->state->owners_index)
+			view_send(leader, session, out);
+	}
+	changes_measure(leader, now_ns);
+}
--- /dev/null
+++ b/libwlcore/leader_tasks.c
@@ -0,0 +1,324 @@
+/*
+ * Messages about attempts: assignments and stops to owners until they answer,
+ * reports from them committed together, cancellations committed together.
+ */
+
+#include "leader_internal.h"
+
+#define RESEND_NS	(500 * WL_NS_PER_MS)
+#define REPORTS_AT_ONCE 512
+
+static bool placed(const wl_task_t *task, uint64_t attempt)
+{
+	return task && task->target && task->record.attempt == attempt;
+}
+
+/* Takes over how far an attempt came: from its start on its owner includes it in offers. */
+static void attempt_follow(wl_leader_t *leader, wl_attempt_t *attempt, const wl_task_t *task)
+{
+	if (task->record.state == WL_TASK_ASSIGNED)
+		return;
+	wl_place_load_started(&attempt->load);
+	wl_leader_attempt_quiet(leader, attempt, task->record.state != WL_TASK_STOPPING);
+}
+
+/* Follows the attempts that the replicated state holds, after a change of leader. */
+void wl_leader_tasks_rebuild(wl_leader_t *leader, uint64_t now_ns)
+{
+	const wl_task_t *task;
+
+	TAILQ_FOREACH (task, &leader->state->live, link) {
+		wl_attempt_t *attempt;
+
+		if (!task->target)
+			continue;
+		wl_place_know(leader->place, now_ns, task->target->key);
+		attempt = wl_leader_attempt_add(leader, task, task->record.attempt,
+						task->target->key, &task->record.held);
+		attempt->may_evict = task->record.spec.work_class == WL_CLASS_URGENT;
+		attempt_follow(leader, attempt, task);
+	}
+}
+
+void wl_leader_tasks_clear(wl_leader_t *leader)
+{
+	while (!TAILQ_EMPTY(&leader->attempts))
+		wl_leader_attempt_drop(leader, TAILQ_FIRST(&leader->attempts));
+	while (!TAILQ_EMPTY(&leader->quiet))
+		wl_leader_attempt_drop(leader, TAILQ_FIRST(&leader->quiet));
+	wl_list_free(&wl_report_schema, &leader->reports.reports);
+	wl_list_free(&wl_report_head_schema, &leader->report_heads);
+}
+
+static void reported_row(wl_out_t *out, wl_str_t peer, wl_msg_t **msg, const wl_buf_t *task,
+			 uint64_t attempt, uint64_t kind)
+{
+	wl_reported_row_t *row;
+
+	if (!*msg)
+		*msg = wl_out_send(out, peer, WL_MSG_REPORTED);
+	row = wl_list_add(&wl_reported_row_schema, &(*msg)->u.reported.rows);
+	wl_buf_set(&row->task, wl_buf_str(task));
+	row->attempt = attempt;
+	row->kind = kind;
+}
+
+/* A report that can't change anything any more needs no commit. */
+static bool stale(const wl_leader_t *leader, const wl_report_t *report)
+{
+	const wl_task_t *task = wl_state_task(leader->state, wl_buf_str(&report->task));
+
+	if (!task || report->attempt < task->record.attempt)
+		return true;
+	return wl_task_ended(task) && task->record.state != WL_TASK_UNKNOWN;
+}
+
+/* Takes reports of an owner in; they are committed at the next tick. */
+void wl_leader_report(wl_leader_t *leader, wl_str_t peer, const wl_msg_report_t *report,
+		      wl_out_t *out)
+{
+	const wl_report_t *reports = report->reports.items;
+	wl_msg_t *reported = NULL;
+
+	for (size_t i = 0; i < report->reports.count; i++) {
+		const wl_report_t *one = &reports[i];
+		wl_report_head_t *head;
+
+		if (one->kind >= WL_REPORT_UNPLACEABLE || stale(leader, one)) {
+			reported_row(out, peer, &reported, &one->task, one->attempt, one->kind);
+			continue;
+		}
+		wl_record_copy(&wl_report_schema,
+			       wl_list_add(&wl_report_schema, &leader->reports.reports), one);
+		head = wl_list_add(&wl_report_head_schema, &leader->report_heads);
+		wl_buf_set(&head->peer, peer);
+		wl_buf_set(&head->task, wl_buf_str(&one->task));
+		head->attempt = one->attempt;
+		head->kind = one->kind;
+	}
+}
+
+static void reports_propose(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_TASK_REPORT};
+	wl_proposal_t *proposal;
+
+	if (leader->reports.reports.count == 0)
+		return;
+	cmd.u.task_report = leader->reports;
+	leader->reports = (wl_cmd_task_report_t){0};
+	proposal = wl_leader_propose(leader, now_ns, WL_PROPOSAL_REPORT, &cmd, out);
+	proposal->reports = leader->report_heads;
+	leader->report_heads = (wl_list_t){0};
+}
+
+/* Tells the senders of committed reports; reports of one sender that follow each other share a
+ * message. */
+void wl_leader_reports_answer(const wl_proposal_t *proposal, wl_out_t *out)
+{
+	const wl_report_head_t *heads = proposal->reports.items;
+	wl_msg_t *msg = NULL;
+
+	for (size_t i = 0; i < proposal->reports.count; i++) {
+		if (i > 0 &&
+		    !wl_str_equal(wl_buf_str(&heads[i].peer), wl_buf_str(&heads[i - 1].peer)))
+			msg = NULL;
+		reported_row(out, wl_buf_str(&heads[i].peer), &msg, &heads[i].task,
+			     heads[i].attempt, heads[i].kind);
+	}
+}
+
+/* Follows an applied command of reports. */
+void wl_leader_reported(wl_leader_t *leader, const wl_cmd_task_report_t *cmd)
+{
+	const wl_report_t *reports = cmd->reports.items;
+
+	for (size_t i = 0; i < cmd->reports.count; i++) {
+		wl_str_t id = wl_buf_str(&reports[i].task);
+		wl_attempt_t *attempt = wl_leader_attempt(leader, id);
+		const wl_task_t *task = wl_state_task(leader->state, id);
+
+		if (!attempt || attempt->attempt != reports[i].attempt || attempt->proposed)
+			continue;
+		if (!placed(task, attempt->attempt)) {
+			wl_leader_attempt_drop(leader, attempt);
+			continue;
+		}
+		attempt_follow(leader, attempt, task);
+	}
+	leader->place_due = true;
+}
+
+/* Holds a cancellation back until the tick, so that a wave of them costs one commit. */
+void wl_leader_cancel(wl_leader_t *leader, wl_str_t peer, uint64_t call,
+		      const wl_cmd_task_cancel_t *cancel)
+{
+	const wl_buf_t *ids = cancel->tasks.items;
+	wl_waiter_t *waiter;
+
+	wl_waiter_add(&leader->cancels, peer, call);
+	waiter = TAILQ_LAST(&leader->cancels, wl_waiters);
+	wl_buf_set(&waiter->customer, wl_buf_str(&cancel->customer));
+	for (size_t i = 0; i < cancel->tasks.count; i++)
+		wl_strings_add(&waiter->tasks, wl_buf_str(&ids[i]));
+}
+
+static void cancels_take(wl_leader_t *leader, wl_cmd_task_cancel_t *cancel,
+			 struct wl_waiters *taken)
+{
+	wl_waiter_t *waiter;
+	wl_waiter_t *next;
+
+	for (waiter = TAILQ_FIRST(&leader->cancels); waiter; waiter = next) {
+		const wl_buf_t *ids = waiter->tasks.items;
+
+		next = TAILQ_NEXT(waiter, link);
+		if (!wl_str_equal(wl_buf_str(&waiter->customer), wl_buf_str(&cancel->customer)))
+			continue;
+		for (size_t i = 0; i < waiter->tasks.count; i++)
+			wl_strings_add(&cancel->tasks, wl_buf_str(&ids[i]));
+		TAILQ_REMOVE(&leader->cancels, waiter, link);
+		TAILQ_INSERT_TAIL(taken, waiter, link);
+	}
+}
+
+/* One command for each customer that cancelled since the last tick. */
+static void cancels_propose(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
+{
+	while (!TAILQ_EMPTY(&leader->cancels)) {
+		wl_cmd_t cmd = {.kind = WL_CMD_TASK_CANCEL};
+		struct wl_waiters taken = TAILQ_HEAD_INITIALIZER(taken);
+		wl_proposal_t *proposal;
+
+		wl_buf_set(&cmd.u.task_cancel.customer,
+			   wl_buf_str(&TAILQ_FIRST(&leader->cancels)->customer));
+		cancels_take(leader, &cmd.u.task_cancel, &taken);
+		proposal = wl_leader_propose(leader, now_ns, WL_PROPOSAL_CANCEL, &cmd, out);
+		TAILQ_CONCAT(&proposal->waiters, &taken, link);
+	}
+}
+
+/* Attempts of cancelled tasks are to be stopped at once. */
+void wl_leader_cancelled(wl_leader_t *leader, const wl_cmd_task_cancel_t *cmd)
+{
+	const wl_buf_t *ids = cmd->tasks.items;
+
+	for (size_t i = 0; i < cmd->tasks.count; i++) {
+		wl_attempt_t *attempt = wl_leader_attempt(leader, wl_buf_str(&ids[i]));
+
+		if (attempt)
+			wl_leader_attempt_quiet(leader, attempt, false);
+	}
+	leader->place_due = true;
+}
+
+static void wait_measure(const wl_leader_t *leader, const wl_task_t *task)
+{
+	const wl_task_record_t *record = &task->record;
+	wl_buf_t labels = {0};
+
+	if (record->attempt != 1)
+		return;
+	wl_buf_printf(&labels, "customer=\"" WL_STR_FMT "\",class=\"%s\"",
+		      WL_STR_ARG(wl_buf_str(&record->customer)),
+		      wl_class_names[record->spec.work_class]);
+	wl_metrics_observe(leader->options.metrics, "wisterialead_task_wait_seconds", labels.at,
+			   (record->assigned_ms - record->added_ms) * WL_NS_PER_MS);
+	wl_buf_free(&labels);
+}
+
+/* Follows an applied command of assignments, or the loss of a proposed one. */
+void wl_leader_assigned(wl_leader_t *leader)
+{
+	wl_attempt_t *attempt;
+	wl_attempt_t *next;
+
+	for (attempt = TAILQ_FIRST(&leader->attempts); attempt && attempt->sent_ns == 0;
+	     attempt = next) {
+		const wl_task_t *task = wl_state_task(leader->state, attempt->key);
+
+		next = TAILQ_NEXT(attempt, link);
+		if (!attempt->proposed)
+			continue;
+		if (!placed(task, attempt->attempt)) {
+			wl_leader_attempt_drop(leader, attempt);
+			continue;
+		}
+		attempt->proposed = false;
+		wait_measure(leader, task);
+	}
+	leader->place_due = true;
+}
+
+static void send_assign(const wl_leader_t *leader, const wl_task_t *task,
+			const wl_attempt_t *attempt, wl_out_t *out)
+{
+	const wl_task_record_t *record = &task->record;
+	wl_str_t owner = wl_buf_str(&task->target->row.entry);
+	wl_msg_assign_t *assign = &wl_out_send(out, owner, WL_MSG_ASSIGN)->u.assign;
+
+	wl_buf_set(&assign->task, task->key);
+	wl_buf_set(&assign->target, task->target->key);
+	wl_buf_set(&assign->customer, wl_buf_str(&record->customer));
+	wl_buf_set(&assign->checkpoint, wl_buf_str(&record->checkpoint));
+	wl_record_copy(&wl_task_spec_schema, &assign->spec, &record->spec);
+	assign->attempt = record->attempt;
+	assign->epoch = record->epoch;
+	assign->need = attempt->load.need;
+	assign->expected_ms = wl_state_expected_ms(leader->state, &record->spec);
+	assign->may_evict = attempt->may_evict;
+}
+
+static void send_stop(const wl_task_t *task, wl_out_t *out)
+{
+	wl_str_t owner = wl_buf_str(&task->target->row.entry);
+	wl_msg_stop_t *stop = &wl_out_send(out, owner, WL_MSG_STOP)->u.stop;
+
+	wl_buf_set(&stop->task, task->key);
+	wl_buf_set(&stop->target, task->target->key);
+	stop->attempt = task->record.attempt;
+	stop->epoch = task->target->row.epoch;
+}
+
+/* A new owner learns of its attempts from its view; only the one that was granted them gets starts.
+ */
+static void attempt_send(const wl_leader_t *leader, const wl_attempt_t *attempt, wl_out_t *out)
+{
+	const wl_task_t *task = wl_state_task(leader->state, attempt->key);
+
+	if (attempt->proposed || !placed(task, attempt->attempt) || task->target->row.session == 0)
+		return;
+	if (task->record.state == WL_TASK_STOPPING)
+		send_stop(task, out);
+	else if (task->record.state == WL_TASK_ASSIGNED &&
+		 task->target->row.epoch == task->record.epoch)
+		send_assign(leader, task, attempt, out);
+}
+
+static void attempts_send(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
+{
+	wl_attempt_t *attempt = TAILQ_FIRST(&leader->attempts);
+	wl_attempt_t *last = TAILQ_LAST(&leader->attempts, wl_attempts);
+
+	while (attempt) {
+		wl_attempt_t *next = attempt == last ? NULL : TAILQ_NEXT(attempt, link);
+
+		if (attempt->sent_ns != 0 && now_ns < attempt->sent_ns + RESEND_NS)
+			return;
+		if (!attempt->proposed) {
+			attempt_send(leader, attempt, out);
+			attempt->sent_ns = now_ns;
+			TAILQ_REMOVE(&leader->attempts, attempt, link);
+			TAILQ_INSERT_TAIL(&leader->attempts, attempt, link);
+		}
+		attempt = next;
+	}
+}
+
+/* Commits what came in since the last tick; sends what is due. */
+void wl_leader_tasks_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
+{
+	reports_propose(leader, now_ns, out);
+	cancels_propose(leader, now_ns, out);
+	attempts_send(leader, now_ns, out);
+}
--- /dev/null
+++ b/libwlcore/place.c
@@ -0,0 +1,379 @@
+/* Room on targets: offers of owners, less what was assigned since; indexed by service and rack. */
+
+#include "place_internal.h"
+
+#include <stdlib.h>
+
+#include <libwlcore/ledger.h>
+
+#define STREAM_PLACE	   0x706c61
+#define SERVICE_LEAST_ROOM 8
+
+/*
+ * wl_place_new - make an empty table of room
+ * @err: WL_E_BAD_INPUT for an unknown policy
+ *
+ * Return: the table, or NULL.
+ */
+wl_place_t *wl_place_new(const wl_place_options_t *options, wl_err_t *err)
+{
+	const wl_place_policy_t *policy = wl_place_policy(options->policy);
+	wl_place_t *place;
+
+	if (!policy) {
+		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "no placement policy " WL_STR_FMT,
+			   WL_STR_ARG(options->policy));
+		return NULL;
+	}
+	place = wl_alloc(sizeof(*place));
+	place->options = *options;
+	place->policy = policy;
+	wl_rng_init(&place->rng, options->seed, STREAM_PLACE);
+	wl_map_init(&place->by_target);
+	TAILQ_INIT(&place->targets);
+	wl_map_init(&place->by_service);
+	TAILQ_INIT(&place->services);
+	wl_map_init(&place->by_rack);
+	TAILQ_INIT(&place->racks);
+	wl_map_init(&place->by_pair);
+	TAILQ_INIT(&place->pairs);
+	return place;
+}
+
+static wl_place_service_t *service_get(wl_place_t *place, wl_str_t name)
+{
+	wl_place_service_t *service = wl_map_get(&place->by_service, name);
+
+	if (service)
+		return service;
+	service = wl_alloc(sizeof(*service));
+	wl_buf_set(&service->name, name);
+	service->key = wl_buf_str(&service->name);
+	wl_map_put(&place->by_service, service);
+	TAILQ_INSERT_TAIL(&place->services, service, link);
+	return service;
+}
+
+static void service_add(wl_place_service_t *service, wl_place_target_t *target)
+{
+	if (service->count == service->room) {
+		service->room = service->room ? 2 * service->room : SERVICE_LEAST_ROOM;
+		service->targets =
+			wl_realloc(service->targets, service->room * sizeof(wl_place_target_t *));
+	}
+	service->targets[service->count++] = target;
+}
+
+static void service_take(wl_place_service_t *service, const wl_place_target_t *target)
+{
+	for (size_t i = 0; i < service->count; i++) {
+		if (service->targets[i] != target)
+			continue;
+		service->targets[i] = service->targets[--service->count];
+		return;
+	}
+}
+
+static void services_join(wl_place_t *place, wl_place_target_t *target)
+{
+	const wl_buf_t *names = target->row.services.items;
+
+	for (size_t i = 0; i < target->row.services.count; i++)
+		service_add(service_get(place, wl_buf_str(&names[i])), target);
+}
+
+static void services_leave(wl_place_t *place, wl_place_target_t *target)
+{
+	const wl_buf_t *names = target->row.services.items;
+
+	for (size_t i = 0; i < target->row.services.count; i++)
+		service_take(service_get(place, wl_buf_str(&names[i])), target);
+}
+
+static wl_place_rack_t *rack_get(wl_place_t *place, wl_str_t name)
+{
+	wl_place_rack_t *rack = wl_map_get(&place->by_rack, name);
+
+	if (rack)
+		return rack;
+	rack = wl_alloc(sizeof(*rack));
+	wl_buf_set(&rack->name, name);
+	rack->key = wl_buf_str(&rack->name);
+	wl_map_put(&place->by_rack, rack);
+	TAILQ_INSERT_TAIL(&place->racks, rack, link);
+	return rack;
+}
+
+static uint64_t long_loads(const wl_place_target_t *target)
+{
+	const wl_place_load_t *load;
+	uint64_t count = 0;
+
+	TAILQ_FOREACH (load, &target->loads, link)
+		count += load->is_long;
+	return count;
+}
+
+static void rack_join(wl_place_t *place, wl_place_target_t *target)
+{
+	target->rack = rack_get(place, wl_buf_str(&target->row.rack));
+	target->rack->long_held += long_loads(target);
+	if (target->row.open)
+		target->rack->slots += target->row.capacity.slots;
+}
+
+static void rack_leave(wl_place_target_t *target)
+{
+	if (!target->rack)
+		return;
+	target->rack->long_held -= long_loads(target);
+	if (target->row.open)
+		target->rack->slots -= target->row.capacity.slots;
+	target->rack = NULL;
+}
+
+wl_place_target_t *wl_place_target(const wl_place_t *place, wl_str_t name)
+{
+	return wl_map_get(&place->by_target, name);
+}
+
+/*
+ * wl_place_know - find a target, or add one that has offered nothing yet
+ * @now_ns: monotonic time; since when it counts as closed
+ */
+wl_place_target_t *wl_place_know(wl_place_t *place, uint64_t now_ns, wl_str_t name)
+{
+	wl_place_target_t *target = wl_place_target(place, name);
+
+	if (target)
+		return target;
+	target = wl_alloc(sizeof(*target));
+	wl_buf_set(&target->row.target, name);
+	target->key = wl_buf_str(&target->row.target);
+	target->closed_ns = now_ns ? now_ns : 1;
+	TAILQ_INIT(&target->loads);
+	wl_map_put(&place->by_target, target);
+	TAILQ_INSERT_TAIL(&place->targets, target, link);
+	return target;
+}
+
+/* The owner reserved what it was told to start; its row includes that from now on. */
+static void loads_include(wl_place_target_t *target)
+{
+	wl_place_load_t *load;
+
+	TAILQ_FOREACH (load, &target->loads, link) {
+		if (!load->started || load->included)
+			continue;
+		load->included = true;
+		wl_need_take(&target->pending, &load->need);
+	}
+}
+
+/*
+ * wl_place_offer - take in an owner's newest word on a target
+ * @now_ns: monotonic time
+ * @row: copied
+ */
+void wl_place_offer(wl_place_t *place, uint64_t now_ns, const wl_offer_row_t *row)
+{
+	wl_place_target_t *target = wl_place_know(place, now_ns, wl_buf_str(&row->target));
+
+	services_leave(place, target);
+	rack_leave(target);
+	wl_record_free(&wl_offer_row_schema, &target->row);
+	wl_record_copy(&wl_offer_row_schema, &target->row, row);
+	target->key = wl_buf_str(&target->row.target);
+	services_join(place, target);
+	rack_join(place, target);
+	loads_include(target);
+	if (target->row.open)
+		target->closed_ns = 0;
+	else if (target->closed_ns == 0)
+		target->closed_ns = now_ns ? now_ns : 1;
+}
+
+/*
+ * wl_place_close - give a target no work until its next offer
+ */
+void wl_place_close(wl_place_t *place, uint64_t now_ns, wl_str_t name)
+{
+	wl_place_target_t *target = wl_place_know(place, now_ns, name);
+
+	rack_leave(target);
+	if (target->row.open)
+		target->closed_ns = now_ns ? now_ns : 1;
+	target->row.open = false;
+	rack_join(place, target);
+}
+
+/*
+ * wl_place_remove - forget a target
+ */
+void wl_place_remove(wl_place_t *place, wl_str_t name)
+{
+	wl_place_target_t *target = wl_place_target(place, name);
+
+	if (!target)
+		return;
+	services_leave(place, target);
+	rack_leave(target);
+	while (!TAILQ_EMPTY(&target->loads))
+		wl_place_load_remove(TAILQ_FIRST(&target->loads));
+	wl_map_remove(&place->by_target, target->key);
+	TAILQ_REMOVE(&place->targets, target, link);
+	wl_record_free(&wl_offer_row_schema, &target->row);
+	free(target);
+}
+
+/*
+ * wl_place_begin - begin a round of placement: failures of the last one are void
+ */
+void wl_place_begin(wl_place_t *place)
+{
+	wl_place_service_t *service;
+
+	TAILQ_FOREACH (service, &place->services, link)
+		for (size_t i = 0; i < WL_LANES; i++)
+			service->failed[i] = false;
+}
+
+static wl_place_lane_t lane_of(const wl_place_ask_t *ask)
+{
+	if (ask->urgent)
+		return WL_LANE_URGENT;
+	return ask->is_long ? WL_LANE_LONG : WL_LANE_SHORT;
+}
+
+/* Room only shrinks within a round, so what is no smaller than a failure fails too. */
+static bool failed_before(const wl_place_service_t *service, const wl_place_ask_t *ask)
+{
+	wl_place_lane_t lane = lane_of(ask);
+
+	return service->failed[lane] && wl_need_within(&service->failed_need[lane], &ask->need);
+}
+
+/*
+ * wl_place_choose - choose a target for a task
+ * @ask: the task; targets that failed it are avoided unless there are no others
+ * @choice: target and need; may_evict if room is to be made first
+ *
+ * Return: false if no target has room now.
+ */
+bool wl_place_choose(wl_place_t *place, const wl_place_ask_t *ask, wl_place_choice_t *choice)
+{
+	wl_place_service_t *service = wl_map_get(&place->by_service, ask->service);
+	wl_place_ask_t any = *ask;
+
+	if (!service || failed_before(service, ask))
+		return false;
+	if (ask->avoid && ask->avoid->count >= service->count)
+		any.avoid = NULL;
+	choice->may_evict = false;
+	if (place->policy->choose(place, service, &any, false, choice))
+		return true;
+	choice->may_evict = true;
+	if (ask->urgent && place->policy->choose(place, service, &any, true, choice))
+		return true;
+	if (!any.avoid || any.avoid->count == 0) {
+		service->failed[lane_of(ask)] = true;
+		service->failed_need[lane_of(ask)] = ask->need;
+	}
+	return false;
+}
+
+/*
+ * wl_place_too_large - tell whether a task is larger than every target of its service
+ *
+ * Return: false also while no target of the service is known.
+ */
+bool wl_place_too_large(const wl_place_t *place, const wl_place_ask_t *ask)
+{
+	const wl_place_service_t *service = wl_map_get(&place->by_service, ask->service);
+
+	if (!service || service->count == 0)
+		return false;
+	for (size_t i = 0; i < service->count; i++)
+		if (wl_need_within(&ask->declared, &service->targets[i]->row.capacity))
+			return false;
+	return true;
+}
+
+/*
+ * wl_place_load_add - count an attempt on a target
+ * @load: kind, need and is_long are set; stays the caller's
+ */
+void wl_place_load_add(wl_place_target_t *target, wl_place_load_t *load)
+{
+	load->target = target;
+	TAILQ_INSERT_TAIL(&target->loads, load, link);
+	wl_need_add(&target->pending, &load->need);
+	if (target->rack && load->is_long)
+		target->rack->long_held++;
+}
+
+/*
+ * wl_place_load_started - from the next offer on, the target's row includes the attempt
+ */
+void wl_place_load_started(wl_place_load_t *load)
+{
+	load->started = true;
+}
+
+/*
+ * wl_place_load_remove - the attempt is over
+ */
+void wl_place_load_remove(wl_place_load_t *load)
+{
+	wl_place_target_t *target = load->target;
+
+	if (!target)
+		return;
+	TAILQ_REMOVE(&target->loads, load, link);
+	if (!load->included)
+		wl_need_take(&target->pending, &load->need);
+	if (target->rack && load->is_long)
+		target->rack->long_held--;
+	load->target = NULL;
+}
+
+static void services_clear(wl_place_t *place)
+{
+	wl_place_service_t *service;
+
+	while ((service = TAILQ_FIRST(&place->services))) {
+		TAILQ_REMOVE(&place->services, service, link);
+		wl_buf_free(&service->name);
+		free(service->targets);
+		free(service);
+	}
+	wl_map_free(&place->by_service);
+}
+
+static void racks_clear(wl_place_t *place)
+{
+	wl_place_rack_t *rack;
+
+	while ((rack = TAILQ_FIRST(&place->racks))) {
+		TAILQ_REMOVE(&place->racks, rack, link);
+		wl_buf_free(&rack->name);
+		free(rack);
+	}
+	wl_map_free(&place->by_rack);
+}
+
+/*
+ * wl_place_free - release a table of room; loads that are left belong to no target then
+ */
+void wl_place_free(wl_place_t *place)
+{
+	if (!place)
+		return;
+	while (!TAILQ_EMPTY(&place->targets))
+		wl_place_remove(place, TAILQ_FIRST(&place->targets)->key);
+	wl_map_free(&place->by_target);
+	services_clear(place);
+	racks_clear(place);
+	wl_place_pairs_clear(place);
+	free(place);
+}
--- /dev/null
+++ b/libwlcore/place.h
@@ -0,0 +1,88 @@
+#ifndef WL_PLACE_H
+#define WL_PLACE_H
+
+#include <sys/queue.h>
+
+#include <libwlbase/map.h>
+#include <libwlbase/rng.h>
+#include <libwlcore/msg.h>
+
+/*
+ * Room on targets as their owners offered it, less what was assigned since,
+ * and the choice of a target for a task.
+ */
+
+typedef struct wl_place_rack {
+	wl_str_t key;
+	wl_buf_t name;
+	uint64_t slots;	    /* of its open targets */
+	uint64_t long_held; /* by long work */
+	TAILQ_ENTRY(wl_place_rack) link;
+} wl_place_rack_t;
+
+struct wl_place_load;
+TAILQ_HEAD(wl_place_loads, wl_place_load);
+
+typedef struct wl_place_target {
+	wl_str_t key;
+	wl_offer_row_t row;
+	wl_need_t pending; /* loads that the row does not include yet */
+	struct wl_place_loads loads;
+	wl_place_rack_t *rack;
+	uint64_t closed_ns; /* since when it is not open; 0: it is */
+	TAILQ_ENTRY(wl_place_target) link;
+} wl_place_target_t;
+
+/* An attempt as the room table sees it. */
+typedef struct wl_place_load {
+	wl_place_target_t *target;
+	wl_buf_t kind;
+	wl_need_t need;
+	bool is_long;
+	bool started;  /* the next offer includes it */
+	bool included; /* in the target's row */
+	TAILQ_ENTRY(wl_place_load) link;
+} wl_place_load_t;
+
+/* Work that needs a target. */
+typedef struct wl_place_ask {
+	wl_str_t service;
+	wl_str_t kind;
+	wl_need_t declared;
+	wl_need_t need;		/* the larger of declared and learnt */
+	const wl_list_t *avoid; /* strings: targets that failed it */
+	bool urgent;
+	bool is_long;
+	bool short_waits;
+} wl_place_ask_t;
+
+typedef struct wl_place_choice {
+	wl_place_target_t *target;
+	wl_need_t need; /* on that target */
+	bool may_evict;
+} wl_place_choice_t;
+
+typedef struct wl_place_options {
+	wl_str_t policy;
+	uint64_t long_share_permille;
+	uint64_t seed;
+} wl_place_options_t;
+
+typedef struct wl_place wl_place_t;
+
+wl_place_t *wl_place_new(const wl_place_options_t *options, wl_err_t *err);
+void wl_place_free(wl_place_t *place);
+void wl_place_offer(wl_place_t *place, uint64_t now_ns, const wl_offer_row_t *row);
+void wl_place_pair(wl_place_t *place, uint64_t now_ns, const wl_pair_row_t *row);
+void wl_place_close(wl_place_t *place, uint64_t now_ns, wl_str_t target);
+void wl_place_remove(wl_place_t *place, wl_str_t target);
+wl_place_target_t *wl_place_target(const wl_place_t *place, wl_str_t name);
+wl_place_target_t *wl_place_know(wl_place_t *place, uint64_t now_ns, wl_str_t name);
+void wl_place_begin(wl_place_t *place);
+bool wl_place_choose(wl_place_t *place, const wl_place_ask_t *ask, wl_place_choice_t *choice);
+bool wl_place_too_large(const wl_place_t *place, const wl_place_ask_t *ask);
+void wl_place_load_add(wl_place_target_t *target, wl_place_load_t *load);
+void wl_place_load_started(wl_place_load_t *load);
+void wl_place_load_remove(wl_place_load_t *load);
+
+#endif
--- /dev/null
+++ b/libwlcore/place_internal.h
@@ -0,0 +1,64 @@
+#ifndef WL_PLACE_INTERNAL_H
+#define WL_PLACE_INTERNAL_H
+
+#include "place.h"
+
+/* Kinds of asks whose failures are remembered apart within one round of placement. */
+typedef enum wl_place_lane {
+	WL_LANE_URGENT,
+	WL_LANE_SHORT,
+	WL_LANE_LONG,
+	WL_LANES
+} wl_place_lane_t;
+
+typedef struct wl_place_service {
+	wl_str_t key;
+	wl_buf_t name;
+	wl_place_target_t **targets;
+	size_t count;
+	size_t room;
+	bool failed[WL_LANES];		 /* in this round */
+	wl_need_t failed_need[WL_LANES]; /* found no room */
+	TAILQ_ENTRY(wl_place_service) link;
+} wl_place_service_t;
+
+typedef struct wl_place_pair {
+	wl_str_t key;
+	wl_buf_t text; /* kind and beside */
+	uint64_t slowdown_permille;
+	uint64_t weight_milli;
+	uint64_t at_ns;
+	TAILQ_ENTRY(wl_place_pair) link;
+} wl_place_pair_t;
+
+/* Chooses among the targets of a service; evict: also from room that eviction can make. */
+typedef struct wl_place_policy {
+	const char *name;
+	bool (*choose)(wl_place_t *place, const wl_place_service_t *service,
+		       const wl_place_ask_t *ask, bool evict, wl_place_choice_t *choice);
+} wl_place_policy_t;
+
+struct wl_place {
+	wl_place_options_t options;
+	const wl_place_policy_t *policy;
+	wl_rng_t rng;
+	wl_map_t by_target;
+	TAILQ_HEAD(wl_place_targets, wl_place_target) targets;
+	wl_map_t by_service;
+	TAILQ_HEAD(wl_place_services, wl_place_service) services;
+	wl_map_t by_rack;
+	TAILQ_HEAD(wl_place_racks, wl_place_rack) racks;
+	wl_map_t by_pair;
+	TAILQ_HEAD(wl_place_pairs, wl_place_pair) pairs;
+};
+
+/* place_policy.c */
+const wl_place_policy_t *wl_place_policy(wl_str_t name);
+bool wl_place_fits(const wl_place_t *place, const wl_place_target_t *target,
+		   const wl_place_ask_t *ask, bool evict, wl_need_t *need);
+
+/* place_pairs.c */
+uint64_t wl_place_slowdown(const wl_place_t *place, wl_str_t kind, wl_str_t beside);
+void wl_place_pairs_clear(wl_place_t *place);
+
+#endif
