ring: tell the thread sanitizer what a push and a pop order

Every thread-sanitizer run that goes through a ring reported a race: the kit orders its slots by inline assembly that the sanitizer does not see. Ruled out a suppression file, which would have hidden races on the items too. A push now releases the item and a pop acquires it, in sanitizer builds only, and the kit's own slots are passed over. Races on an item that is used after its push are still reported.

--- a/libwlbase/ring.c
+++ b/libwlbase/ring.c
@@ -12,6 +12,60 @@
 #include <ck_pr.h>
 #include <ck_ring.h>
 
+/*
+ * Concurrency Kit orders memory by inline assembly, which the thread sanitizer
+ * can't see: it is told that what was written before a push is seen after the
+ * pop of that item, and to pass over the kit's own slots.
+ */
+#ifdef __SANITIZE_THREAD__
+void AnnotateIgnoreReadsBegin(const char *file, int line);
+void AnnotateIgnoreReadsEnd(const char *file, int line);
+void AnnotateIgnoreWritesBegin(const char *file, int line);
+void AnnotateIgnoreWritesEnd(const char *file, int line);
+void __tsan_acquire(void *at);
+void __tsan_release(void *at);
+
+static void slots_begin(void)
+{
+	AnnotateIgnoreReadsBegin(__FILE__, __LINE__);
+	AnnotateIgnoreWritesBegin(__FILE__, __LINE__);
+}
+
+static void slots_end(void)
+{
+	AnnotateIgnoreWritesEnd(__FILE__, __LINE__);
+	AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
+}
+
+static void item_release(void *item)
+{
+	__tsan_release(item);
+}
+
+static void item_acquire(void *item)
+{
+	__tsan_acquire(item);
+}
+#else
+static void slots_begin(void)
+{
+}
+
+static void slots_end(void)
+{
+}
+
+static void item_release(void *item)
+{
+	(void)item;
+}
+
+static void item_acquire(void *item)
+{
+	(void)item;
+}
+#endif
+
 struct wl_ring {
 	struct ck_ring ring;
 	struct ck_ring_buffer *buffer;
@@ -72,8 +126,13 @@
 bool wl_ring_push(wl_ring_t *ring, void *item)
 {
 	uint64_t one = 1;
+	bool taken;
 
-	if (!ck_ring_enqueue_mpsc(&ring->ring, ring->buffer, item))
+	item_release(item);
+	slots_begin();
+	taken = ck_ring_enqueue_mpsc(&ring->ring, ring->buffer, item);
+	slots_end();
+	if (!taken)
 		return false;
 	ck_pr_fence_memory();
 	if (ck_pr_load_uint(&ring->asleep) == 0)
@@ -93,8 +152,15 @@
 void *wl_ring_pop(wl_ring_t *ring)
 {
 	void *item;
+	bool taken;
 
-	return ck_ring_dequeue_mpsc(&ring->ring, ring->buffer, &item) ? item : NULL;
+	slots_begin();
+	taken = ck_ring_dequeue_mpsc(&ring->ring, ring->buffer, &item);
+	slots_end();
+	if (!taken)
+		return NULL;
+	item_acquire(item);
+	return item;
 }
 
 /*
