raft: a listed replica that missed the founding may join by any member's record; random fault runs

Change: any member answers the probe of a blank replica that its stored membership lists as a voter with the record; such a replica has acknowledged nothing, so its vote is safe.

--- a/libwlcore/raft_found.c
+++ b/libwlcore/raft_found.c
@@ -84,18 +84,20 @@
 	}
 }
 
-/* Until there is a first entry only the founding record says who is a member. */
-static void send_record(wl_raft_t *raft)
+static void send_record(wl_raft_t *raft, wl_str_t name, uint64_t id)
 {
-	for (size_t i = 0; i < raft->members.members.count; i++) {
-		wl_raft_msg_t msg = {.kind = WL_RAFT_FOUND, .to = raft->peers[i].id};
+	wl_raft_msg_t msg = {.kind = WL_RAFT_FOUND, .to = id};
 
-		if (msg.to == raft->id)
-			continue;
-		wl_record_copy(&wl_raft_members_schema, &msg.members, &raft->base);
-		wl_raft_send_after(raft, raft->group_ticket,
-				   wl_raft_peer_name(raft, &raft->peers[i]), &msg);
-	}
+	wl_record_copy(&wl_raft_members_schema, &msg.members, &raft->base);
+	wl_raft_send_after(raft, raft->group_ticket, name, &msg);
+}
+
+static void send_record_to_all(wl_raft_t *raft)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (raft->peers[i].id != raft->id)
+			send_record(raft, wl_raft_peer_name(raft, &raft->peers[i]),
+				    raft->peers[i].id);
 }
 
 /*
@@ -109,19 +111,32 @@
 
 	if (!blank(raft)) {
 		if (wl_raft_last_index(raft) == 0 && lowest_name(raft))
-			send_record(raft);
+			send_record_to_all(raft);
 		return;
 	}
 	if (lowest_name(raft) && all_blank(raft, now_ns)) {
 		found_group(raft, now_ns);
-		send_record(raft);
+		send_record_to_all(raft);
 		return;
 	}
 	send_probes(raft);
 }
 
+static bool base_has_voter(const wl_raft_t *raft, uint64_t id)
+{
+	for (size_t i = 0; i < raft->base.members.count; i++)
+		if (wl_raft_member_at(&raft->base, i)->id == id)
+			return wl_raft_member_at(&raft->base, i)->voter;
+	return false;
+}
+
 /*
  * wl_raft_on_probe - tell a replica who this one is
+ *
+ * A blank replica whose id is listed as a voter missed the founding.  It has
+ * acknowledged nothing, so it may vote as soon as it holds the record; the
+ * group may need just its vote when another member is lost.
+ *
  * @name: of the sender, as the link proved it
  */
 void wl_raft_on_probe(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
@@ -134,6 +149,8 @@
 	known->probe = (wl_raft_sighting_t){msg->from, msg->blank, now_ns};
 	answer.blank = blank(raft);
 	wl_raft_send_after(raft, raft->group_ticket, name, &answer);
+	if (msg->blank && base_has_voter(raft, msg->from))
+		send_record(raft, name, msg->from);
 }
 
 /*
@@ -158,9 +175,9 @@
 }
 
 /*
- * wl_raft_on_found - a founder sends the record of the group
+ * wl_raft_on_found - a member sends the record of the group
  *
- * A record from an id that the founder's name no longer has is an old one.
+ * A record from an id that the sender's name no longer has is an old one.
  */
 void wl_raft_on_found(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
 {
@@ -170,7 +187,7 @@
 	if (msg->to != raft->id || !record_lists(raft, &msg->members))
 		return;
 	if (blank(raft)) {
-		if (!known || (known->probe.heard_ns && known->probe.id != msg->from))
+		if (!known || (known->answer.heard_ns && known->answer.id != msg->from))
 			return;
 		wl_raft_join(raft, &msg->members, now_ns);
 		wl_raft_set_election(raft, now_ns, raft->election_ns);
--- a/tests/support/raft_bus.cc
+++ b/tests/support/raft_bus.cc
@@ -306,6 +306,7 @@
 	event.data = view(data);
 	event.tag = next_tag++;
 	outcomes[event.tag] = "waiting";
+	proposed[event.tag] = data;
 	step(node(name), event);
 }
 
@@ -367,6 +368,36 @@
 			if (now_ns % TICK_NS == 0)
 				step(item.second, tick);
 		}
+		check_lease();
+	}
+}
+
+/* While one replica may serve reads on its lease, nobody leads a later term. */
+void RaftBus::check_lease()
+{
+	for (const auto &a : nodes) {
+		if (!a.second.raft || !wl_raft_lease_holds(a.second.raft, now_ns))
+			continue;
+		for (const auto &b : nodes)
+			if (b.second.raft && wl_raft_leads(b.second.raft) &&
+			    wl_raft_term(b.second.raft) > wl_raft_term(a.second.raft))
+				broken(b.first + " leads while the lease of " + a.first + " holds");
+	}
+}
+
+/* What was dropped as not-run is never committed; what was answered as committed is. */
+void RaftBus::check_verdicts()
+{
+	std::set<std::string> all;
+
+	for (const auto &item : committed)
+		all.insert(item.second.second);
+	for (const auto &item : outcomes) {
+		bool there = all.count(proposed[item.first]) != 0;
+
+		if (there ? item.second == "not-run" : item.second == "committed")
+			broken("proposal " + std::to_string(item.first) + " is " + item.second +
+			       " but " + (there ? "committed" : "lost"));
 	}
 }
 
--- a/tests/support/raft_bus.h
+++ b/tests/support/raft_bus.h
@@ -66,6 +66,7 @@
 	void propose(const std::string &name, const std::string &data);
 	void event(const std::string &name, const wl_raft_event_t &event);
 	void check_logs();
+	void check_verdicts();
 
 	BusNode &node(const std::string &name);
 	std::string leader() const;
@@ -83,6 +84,7 @@
 	std::map<uint64_t, std::pair<uint64_t, std::string>> committed; /* index: term, data */
 	std::set<uint64_t> groups;					/* that ever had a leader */
 	std::map<uint64_t, std::string> outcomes;			/* by tag */
+	std::map<uint64_t, std::string> proposed;			/* data by tag */
 	std::string fault;						/* first broken rule */
 
       private:
@@ -101,6 +103,7 @@
 	void on_restore(BusNode &node, const wl_raft_action_t &action);
 	void on_lead(const BusNode &node, uint64_t term);
 	void sync_due(BusNode &node);
+	void check_lease();
 	void deliver_due();
 	bool is_cut(const std::string &a, const std::string &b) const;
 	void broken(const std::string &what);
