net: prove the HTTP listener, the HTTP client and the peer link by tests

At most once: libcurl sends a request again by itself when a reused connection ends without a byte of an answer. Ruled out a new connection for each request (one round trip more each, 3 ms between availability zones) and a look at the idle connection before use (still a race).

A call that waited for a free connection outlived its timeout: libcurl does not time those. Seen as a 300 ms call that was still there after 5 s; the client now keeps the deadlines itself.

--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -11,12 +11,16 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <ck_pr.h>
 
 #include "http_transfer.h"
 
 #define POLL_MS		1000
+#define DEADLINE_MS	50 /* between two looks at the deadlines */
+#define NS_PER_MS	1000000ull
+#define NS_PER_S	1000000000ull
 #define RETRY_MS	5
 #define CALL_CONNECT_MS 3000
 #define IDLE_CACHE	256 /* connections kept open over all hosts */
@@ -39,6 +43,7 @@
 	wl_map_t by_id;
 	struct transfer_list running;
 	struct transfer_list ended; /* their events did not fit the ring yet */
+	uint64_t looked_ns;	    /* when the deadlines were last looked at */
 };
 
 static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
@@ -48,6 +53,14 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
+static uint64_t now_read(void)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_MONOTONIC, &at);
+	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+}
+
 static bool transfer_report(wl_http_client_t *client, wl_transfer_t *transfer)
 {
 	wl_event_t *event = wl_alloc(sizeof(*event));
@@ -112,6 +125,8 @@
 		client_refuse(client, id, "id is in use");
 		return;
 	}
+	if (transfer->fetch.timeout_ms)
+		transfer->deadline_ns = now_read() + transfer->fetch.timeout_ms * NS_PER_MS;
 	TAILQ_INSERT_TAIL(&client->running, transfer, link);
 	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
 		client_end(client, transfer, CURLE_FAILED_INIT, NULL);
@@ -159,6 +174,30 @@
 	}
 }
 
+/* libcurl does not time a call that waits for a free connection. */
+static void client_deadlines(wl_http_client_t *client, uint64_t now_ns)
+{
+	wl_transfer_t *transfer = TAILQ_FIRST(&client->running);
+
+	if (now_ns - client->looked_ns < DEADLINE_MS * NS_PER_MS)
+		return;
+	client->looked_ns = now_ns;
+	while (transfer) {
+		wl_transfer_t *next = TAILQ_NEXT(transfer, link);
+
+		if (transfer->deadline_ns && now_ns > transfer->deadline_ns)
+			client_end(client, transfer, CURLE_OPERATION_TIMEDOUT, NULL);
+		transfer = next;
+	}
+}
+
+static int client_poll_ms(const wl_http_client_t *client)
+{
+	if (!TAILQ_EMPTY(&client->ended))
+		return RETRY_MS;
+	return TAILQ_EMPTY(&client->running) ? POLL_MS : DEADLINE_MS;
+}
+
 static void client_abort(wl_http_client_t *client)
 {
 	wl_transfer_t *transfer;
@@ -183,9 +222,9 @@
 		client_orders(client);
 		curl_multi_perform(client->multi, &running);
 		client_ended(client);
+		client_deadlines(client, now_read());
 		client_report(client);
-		curl_multi_poll(client->multi, &wake, 1,
-				TAILQ_EMPTY(&client->ended) ? POLL_MS : RETRY_MS, NULL);
+		curl_multi_poll(client->multi, &wake, 1, client_poll_ms(client), NULL);
 	}
 	client_orders(client);
 	client_abort(client);
--- a/libwlnet/http_transfer.h
+++ b/libwlnet/http_transfer.h
@@ -16,6 +16,7 @@
 	struct curl_slist *headers;
 	wl_fetch_t fetch;
 	wl_fetched_t fetched;
+	uint64_t deadline_ns; /* 0: none */
 	uint64_t max_body_bytes;
 	uint64_t header_bytes;
 	bool too_large;
--- /dev/null
+++ b/tests/support/relay.h
@@ -0,0 +1,75 @@
+#ifndef TESTS_RELAY_H
+#define TESTS_RELAY_H
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+
+/* What a relay does to the bytes that pass; "up" is towards the upstream. */
+struct RelayFaults {
+	bool refuse = false;  /* new connections are closed at once */
+	bool hold_up = false; /* bytes wait in silence until the hold ends */
+	bool hold_down = false;
+	uint64_t delay_ms = 0;	/* each piece waits so long */
+	uint64_t jitter_ms = 0; /* and up to so long more, by connection */
+	int64_t cut_after = -1; /* reset a connection once so many bytes came down on it */
+};
+
+/* A TCP relay to one upstream that brings about faults, on a thread of its own. */
+class Relay
+{
+      public:
+	/* Changes bytes on their way. */
+	using Filter = std::function<void(bool up, std::string &bytes)>;
+
+	/* listen: 127.0.0.1:port or port 0. */
+	Relay(const std::string &listen, const std::string &upstream);
+	~Relay();
+	Relay(const Relay &) = delete;
+	Relay &operator=(const Relay &) = delete;
+
+	uint16_t port() const
+	{
+		return listen_port;
+	}
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(listen_port);
+	}
+	void set(const RelayFaults &faults);
+	void set_filter(Filter filter);
+	void set_upstream(const std::string &upstream);
+	/* Resets every connection. */
+	void reset();
+	size_t connections();
+
+      private:
+	struct Pipe;
+	struct Link;
+
+	void run();
+	void wake();
+	void accept_one();
+	void pump(Link &link);
+	bool pump_way(Link &link, bool up);
+	int wait_ms(const Link &link) const;
+
+	int listen_fd = -1;
+	int wake_fd = -1;
+	uint16_t listen_port = 0;
+	uint64_t accepted = 0;
+	std::atomic<bool> stopping{false};
+	std::mutex lock;
+	/* under the lock */
+	std::string upstream_address;
+	RelayFaults faults;
+	Filter change;
+	std::list<Link> links;
+	std::thread thread;
+};
+
+#endif
--- /dev/null
+++ b/tests/support/tcp.h
@@ -0,0 +1,61 @@
+#ifndef TESTS_TCP_H
+#define TESTS_TCP_H
+
+#include <cstdint>
+#include <string>
+
+/* A blocking TCP connection on loopback for tests, closed with the object. */
+class Tcp
+{
+      public:
+	explicit Tcp(int descriptor = -1) : fd(descriptor)
+	{
+	}
+	Tcp(Tcp &&other) noexcept;
+	Tcp &operator=(Tcp &&other) noexcept;
+	Tcp(const Tcp &) = delete;
+	Tcp &operator=(const Tcp &) = delete;
+	~Tcp();
+
+	static Tcp connect(uint16_t port);
+	bool open() const
+	{
+		return fd >= 0;
+	}
+	bool send(const std::string &bytes);
+	/* Bytes up to and with the mark; what came so far at the end of the connection or of the
+	 * wait. */
+	std::string read_until(const std::string &mark, int timeout_ms = 5000);
+	std::string read_bytes(size_t count, int timeout_ms = 5000);
+	/* True once the other side has closed. */
+	bool wait_closed(int timeout_ms = 5000);
+	void close(bool reset = false);
+
+	int fd;
+
+      private:
+	bool more(int timeout_ms);
+
+	std::string have;
+};
+
+/* A listening socket on a port of the kernel's choice. */
+class TcpListener
+{
+      public:
+	TcpListener();
+	~TcpListener();
+	TcpListener(const TcpListener &) = delete;
+	TcpListener &operator=(const TcpListener &) = delete;
+
+	Tcp accept(int timeout_ms = 5000);
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(port);
+	}
+
+	int fd;
+	uint16_t port;
+};
+
+#endif
--- /dev/null
+++ b/tests/unit/http_client_test.cc
@@ -0,0 +1,303 @@
+#include "../support/events.h"
+#include "../support/tcp.h"
+
+extern "C" {
+#include <libwlnet/http_client.h>
+}
+
+#include <atomic>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+class HttpClient : public ::testing::Test
+{
+      protected:
+	HttpClient()
+	{
+		wl_http_client_options_t options = {};
+		wl_err_t err = {};
+
+		options.events = events.ring;
+		options.queue_slots = 64;
+		options.max_body_bytes = 1000;
+		options.connect_ms = 2000;
+		options.max_connections_per_host = 2;
+		client = wl_http_client_start(&options, &err);
+	}
+	~HttpClient() override
+	{
+		wl_http_client_stop(client);
+	}
+
+	bool fetch(uint64_t id, const std::string &address, const std::string &method = "GET",
+		   const std::string &body = "", uint64_t timeout_ms = 5000,
+		   const std::string &header = "")
+	{
+		wl_fetch_t call = {};
+
+		call.id = id;
+		call.timeout_ms = timeout_ms;
+		wl_buf_set(&call.address, str(address));
+		wl_buf_set(&call.method, str(method));
+		wl_buf_set(&call.path, str("/a/../b%2F?q"));
+		wl_buf_set(&call.body, str(body));
+		if (!header.empty())
+			wl_headers_add(&call.headers, str("X-Test"), str(header));
+		return wl_http_client_fetch(client, &call);
+	}
+
+	Event fetched(uint64_t id)
+	{
+		Event event = events.next(10000);
+
+		EXPECT_TRUE(event);
+		if (!event)
+			abort();
+		EXPECT_EQ(event->kind, WL_EVENT_FETCHED);
+		EXPECT_EQ(event->fetched.id, id);
+		return event;
+	}
+
+	/* What a server that answers with these bytes and closes makes of a GET. */
+	Event answered(const std::string &bytes, const std::string &method = "GET")
+	{
+		EXPECT_TRUE(fetch(1, listener.address(), method));
+		Tcp tcp = listener.accept();
+		request = tcp.read_until("\r\n\r\n");
+		tcp.send(bytes);
+		tcp.close();
+		return fetched(1);
+	}
+
+	Events events;
+	TcpListener listener;
+	wl_http_client_t *client = nullptr;
+	std::string request;
+};
+
+TEST_F(HttpClient, ResponseIsTakenAsItCame)
+{
+	Event event =
+		answered("HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\n"
+			 "Content-Encoding: gzip\r\nX-Empty:\r\nContent-Length: 3\r\n\r\nabc");
+
+	EXPECT_TRUE(event->fetched.whole);
+	EXPECT_TRUE(event->fetched.sent);
+	EXPECT_EQ(event->fetched.status, 302u);
+	EXPECT_EQ(text(event->fetched.body), "abc");
+	EXPECT_EQ(event->fetched.headers.count, 4u);
+	EXPECT_EQ(request.substr(0, request.find('\r')), "GET /a/../b%2F?q HTTP/1.1");
+	EXPECT_EQ(request.find("Accept"), std::string::npos) << request;
+	EXPECT_EQ(request.find("User-Agent"), std::string::npos) << request;
+}
+
+TEST_F(HttpClient, ChunkedResponseIsWholeOnlyToItsEnd)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+	EXPECT_TRUE(answered(head + "3\r\nabc\r\n0\r\n\r\n")->fetched.whole);
+	EXPECT_FALSE(answered(head + "3\r\nabc\r\n")->fetched.whole);
+}
+
+TEST_F(HttpClient, ShortBodyIsNotWhole)
+{
+	Event event = answered("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+
+	EXPECT_FALSE(event->fetched.whole);
+	EXPECT_TRUE(event->fetched.sent);
+	EXPECT_NE(event->fetched.error.len, 0u);
+}
+
+TEST_F(HttpClient, BodyWithoutAStatedEndIsNotWhole)
+{
+	EXPECT_FALSE(answered("HTTP/1.1 200 OK\r\n\r\nabc")->fetched.whole);
+	EXPECT_TRUE(answered("HTTP/1.1 204 No Content\r\n\r\n")->fetched.whole);
+	EXPECT_TRUE(answered("HTTP/1.1 200 OK\r\n\r\n", "HEAD")->fetched.whole);
+}
+
+TEST_F(HttpClient, ContinueIsNoAnswer)
+{
+	Event event = answered("HTTP/1.1 100 Continue\r\nX-Early: 1\r\n\r\n"
+			       "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+
+	EXPECT_TRUE(event->fetched.whole);
+	EXPECT_EQ(event->fetched.status, 200u);
+	EXPECT_EQ(event->fetched.headers.count, 1u);
+}
+
+TEST_F(HttpClient, ResponseOverTheLimitIsNotWhole)
+{
+	Event event = answered("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" +
+			       std::string(1001, 'x'));
+
+	EXPECT_FALSE(event->fetched.whole);
+	EXPECT_EQ(text(event->fetched.error), "response is too large");
+}
+
+TEST_F(HttpClient, RefusedConnectionSentNothing)
+{
+	uint16_t port;
+	{
+		TcpListener closed;
+		port = closed.port;
+	}
+	ASSERT_TRUE(fetch(1, "127.0.0.1:" + std::to_string(port), "POST", "body"));
+	Event event = fetched(1);
+	EXPECT_FALSE(event->fetched.sent);
+	EXPECT_FALSE(event->fetched.whole);
+}
+
+TEST_F(HttpClient, SilentServerMayHaveRunIt)
+{
+	ASSERT_TRUE(fetch(1, listener.address(), "POST", "body", 200));
+	Tcp tcp = listener.accept();
+	Event event = fetched(1);
+	EXPECT_TRUE(event->fetched.sent);
+	EXPECT_FALSE(event->fetched.whole);
+}
+
+/*
+ * A server that reads a request on a connection kept open and closes it without an answer may
+ * have run that request: it must not come a second time.
+ */
+TEST_F(HttpClient, RequestOnAReusedConnectionArrivesOnce)
+{
+	for (const char *method : {"POST", "GET", "PUT"}) {
+		std::atomic<int> arrived{0};
+		std::thread server([this, &arrived] {
+			Tcp tcp = listener.accept();
+
+			tcp.read_until("\r\n\r\n");
+			tcp.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+			for (;;) {
+				if (tcp.read_until("\r\n\r\n").find("HTTP/1.1\r\n") !=
+				    std::string::npos)
+					arrived++;
+				tcp.close();
+				tcp = listener.accept(300);
+				if (!tcp.open())
+					return;
+			}
+		});
+		ASSERT_TRUE(fetch(1, listener.address()));
+		EXPECT_TRUE(fetched(1)->fetched.whole);
+		ASSERT_TRUE(fetch(2, listener.address(), method));
+		Event event = fetched(2);
+		EXPECT_TRUE(event->fetched.sent);
+		EXPECT_FALSE(event->fetched.whole);
+		server.join();
+		EXPECT_EQ(arrived, 1) << method;
+	}
+}
+
+TEST_F(HttpClient, ConnectionIsReused)
+{
+	std::thread server([this] {
+		Tcp tcp = listener.accept();
+
+		for (int i = 0; i < 5; i++) {
+			tcp.read_until("\r\n\r\n");
+			tcp.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+		}
+	});
+	for (uint64_t id = 1; id <= 5; id++) {
+		ASSERT_TRUE(fetch(id, listener.address(), "POST"));
+		EXPECT_TRUE(fetched(id)->fetched.whole) << id;
+	}
+	server.join();
+}
+
+TEST_F(HttpClient, CancelledCallEndsOnce)
+{
+	ASSERT_TRUE(fetch(7, listener.address()));
+	Tcp tcp = listener.accept();
+	tcp.read_until("\r\n\r\n");
+	wl_http_client_cancel(client, 7);
+	Event event = fetched(7);
+	EXPECT_EQ(text(event->fetched.error), "cancelled");
+	EXPECT_TRUE(event->fetched.sent);
+	wl_http_client_cancel(client, 7);
+	EXPECT_FALSE(events.next(50));
+	EXPECT_TRUE(tcp.wait_closed());
+}
+
+TEST_F(HttpClient, CallsOverTheConnectionLimitWaitUnsent)
+{
+	for (uint64_t id = 1; id <= 3; id++)
+		ASSERT_TRUE(fetch(id, listener.address(), "POST", "", id == 3 ? 300 : 5000));
+	Tcp first = listener.accept();
+	Tcp second = listener.accept();
+	EXPECT_FALSE(listener.accept(50).open());
+	Event event = fetched(3);
+	EXPECT_FALSE(event->fetched.sent);
+}
+
+TEST_F(HttpClient, LineBreaksInHeadersAreRefused)
+{
+	ASSERT_TRUE(fetch(1, listener.address(), "GET", "", 5000, "a\r\nX-Evil: 1"));
+	Event event = fetched(1);
+	EXPECT_FALSE(event->fetched.sent);
+	EXPECT_FALSE(event->fetched.whole);
+}
+
+TEST_F(HttpClient, EndsSurviveAFullRing)
+{
+	Events few(4);
+	wl_http_client_options_t options = {};
+	wl_err_t err = {};
+	options.events = few.ring;
+	options.queue_slots = 64;
+	options.max_body_bytes = 10;
+	options.connect_ms = 2000;
+	options.max_connections_per_host = 2;
+	wl_http_client_t *slow = wl_http_client_start(&options, &err);
+	for (uint64_t id = 1; id <= 20; id++) {
+		wl_fetch_t call = {};
+
+		call.id = id;
+		wl_buf_set(&call.address, str("not an address"));
+		ASSERT_TRUE(wl_http_client_fetch(slow, &call));
+	}
+	for (uint64_t id = 1; id <= 20; id++) {
+		Event event = few.next();
+		ASSERT_TRUE(event);
+		EXPECT_EQ(event->fetched.id, id);
+	}
+	wl_http_client_stop(slow);
+}
+
+TEST_F(HttpClient, OneCallIsWaitedFor)
+{
+	wl_fetch_t call = {};
+	wl_fetched_t end;
+	wl_err_t err = {};
+	std::thread server([this] {
+		Tcp tcp = listener.accept();
+
+		tcp.read_until("\r\n\r\nhello");
+		tcp.send("HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok");
+	});
+	call.timeout_ms = 5000;
+	wl_buf_set(&call.address, str(listener.address()));
+	wl_buf_set(&call.method, str("POST"));
+	wl_buf_set(&call.path, str("/"));
+	wl_buf_set(&call.body, str("hello"));
+	EXPECT_TRUE(wl_http_call(&call, 100, &end, &err)) << err.text;
+	EXPECT_EQ(end.status, 201u);
+	EXPECT_EQ(text(end.body), "ok");
+	wl_fetched_free(&end);
+	server.join();
+
+	wl_buf_set(&call.address, str("127.0.0.1:1"));
+	EXPECT_FALSE(wl_http_call(&call, 100, &end, &err));
+	EXPECT_EQ(err.verdict, WL_NOT_RUN);
+	wl_fetched_free(&end);
+	wl_buf_free(&call.address);
+	wl_buf_free(&call.method);
+	wl_buf_free(&call.path);
+	wl_buf_free(&call.body);
+}
+} // namespace
--- /dev/null
+++ b/tests/unit/peer_test.cc
@@ -0,0 +1,333 @@
+#include "../support/events.h"
+#include "../support/relay.h"
+#include "../support/tcp.h"
+
+extern "C" {
+#include <libwlnet/peer.h>
+}
+
+#include <arpa/inet.h>
+
+#include <cstring>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+struct Daemon {
+	explicit Daemon(const std::string &daemon_name, const std::string &secret = "open sesame",
+			uint32_t slots = 1024, uint64_t queue_bytes = 1 << 20)
+	    : name(daemon_name), events(slots)
+	{
+		wl_peer_options_t options = {};
+		wl_err_t err = {};
+
+		options.name = str(name);
+		options.listen = str("127.0.0.1:0");
+		options.secret = str(secret);
+		options.events = events.ring;
+		options.queue_slots = 4096;
+		options.max_frame_bytes = 1 << 20;
+		options.max_queue_bytes = queue_bytes;
+		options.handshake_ms = 1000;
+		options.idle_ms = 400;
+		options.seed = 1;
+		peers = wl_peers_start(&options, &err);
+		EXPECT_TRUE(peers) << err.text;
+	}
+	~Daemon()
+	{
+		stop();
+	}
+	void stop()
+	{
+		wl_peers_stop(peers);
+		peers = nullptr;
+	}
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(wl_peers_port(peers));
+	}
+	void dial(const Daemon &other)
+	{
+		dial(other.name, other.address());
+	}
+	void dial(const std::string &peer, const std::string &at)
+	{
+		wl_peers_dial(peers, str(peer), str(at));
+	}
+	bool send(const std::string &to, uint64_t id, size_t bytes = 0)
+	{
+		wl_msg_t msg;
+
+		wl_msg_init(&msg, WL_MSG_ANSWER);
+		msg.u.answer.id = id;
+		wl_buf_set(&msg.u.answer.body, str(std::string(bytes, 'x')));
+		bool taken = wl_peers_send(peers, str(to), &msg);
+		wl_msg_free(&msg);
+		return taken;
+	}
+	/* The next event's kind; for a message its id goes to got. */
+	int next(int timeout_ms = 5000)
+	{
+		Event event = events.next(timeout_ms);
+
+		if (!event)
+			return -1;
+		from = text(event->peer);
+		if (event->kind == WL_EVENT_PEER)
+			got = event->msg.u.answer.id;
+		return event->kind;
+	}
+
+	std::string name;
+	Events events;
+	wl_peers_t *peers;
+	std::string from;
+	uint64_t got = 0;
+};
+
+void wait_refused(const Daemon &daemon, uint64_t count)
+{
+	for (int i = 0; i < 5000 && wl_peers_refused(daemon.peers) < count; i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(1));
+	EXPECT_GE(wl_peers_refused(daemon.peers), count);
+}
+
+TEST(Peer, MessagesGoBothWays)
+{
+	Daemon a("a");
+	Daemon b("b");
+
+	EXPECT_FALSE(a.send("b", 1));
+	a.dial(b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_UP);
+	EXPECT_EQ(b.from, "a");
+	EXPECT_TRUE(a.send("b", 7, 100000));
+	EXPECT_TRUE(b.send("a", 8));
+	ASSERT_EQ(b.next(), WL_EVENT_PEER);
+	EXPECT_EQ(b.got, 7u);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER);
+	EXPECT_EQ(a.got, 8u);
+	EXPECT_EQ(a.from, "b");
+}
+
+TEST(Peer, WrongSecretIsRefusedOnBothSides)
+{
+	Daemon a("a", "one");
+	Daemon b("b", "two");
+
+	a.dial(b);
+	wait_refused(a, 1);
+	wait_refused(b, 1);
+	EXPECT_EQ(a.next(0), -1);
+	EXPECT_EQ(b.next(0), -1);
+}
+
+TEST(Peer, PeerThatBearsAnotherNameIsRefused)
+{
+	Daemon a("a");
+	Daemon b("b");
+
+	a.dial("c", b.address());
+	wait_refused(a, 1);
+	EXPECT_EQ(a.next(0), -1);
+}
+
+TEST(Peer, LongFrameBeforeTheProofIsRefused)
+{
+	Daemon a("a");
+	Tcp tcp = Tcp::connect(wl_peers_port(a.peers));
+
+	tcp.send(std::string("\0\0\1\1", 4));
+	EXPECT_TRUE(tcp.wait_closed());
+	wait_refused(a, 1);
+}
+
+TEST(Peer, SilentHandshakeIsClosed)
+{
+	Daemon a("a");
+	Tcp tcp = Tcp::connect(wl_peers_port(a.peers));
+
+	EXPECT_TRUE(tcp.wait_closed());
+	wait_refused(a, 1);
+}
+
+TEST(Peer, OwnProofSentBackIsRefused)
+{
+	Daemon a("a");
+	Tcp tcp = Tcp::connect(wl_peers_port(a.peers));
+	uint32_t len;
+	std::string head = tcp.read_bytes(4);
+	memcpy(&len, head.data(), 4);
+	std::string hello = tcp.read_bytes(ntohl(len));
+
+	/* Another name of the same length, else all as it was sent. */
+	hello.back() = 'z';
+	tcp.send(head + hello);
+	head = tcp.read_bytes(4);
+	std::string proof = tcp.read_bytes(32);
+	ASSERT_EQ(proof.size(), 32u);
+	tcp.send(head + proof);
+	EXPECT_TRUE(tcp.wait_closed());
+	wait_refused(a, 1);
+	EXPECT_EQ(a.next(0), -1);
+}
+
+TEST(Peer, BothDialingAtOnceEndWithOneLink)
+{
+	for (int round = 0; round < 20; round++) {
+		Daemon a("a");
+		Daemon b("b");
+		bool up_a = false;
+		bool up_b = false;
+		uint64_t got_a = 0;
+		uint64_t got_b = 0;
+
+		std::thread dial([&a, &b] { a.dial(b); });
+		b.dial(a);
+		dial.join();
+		for (uint64_t id = 1; got_a < 5 || got_b < 5; id++) {
+			ASSERT_LT(id, 1000u);
+			if (up_a)
+				a.send("b", id);
+			if (up_b)
+				b.send("a", id);
+			for (int kind; (kind = a.next(5)) >= 0;) {
+				up_a = kind == WL_EVENT_PEER_UP ||
+				       (up_a && kind != WL_EVENT_PEER_DOWN);
+				got_a += kind == WL_EVENT_PEER;
+			}
+			for (int kind; (kind = b.next(5)) >= 0;) {
+				up_b = kind == WL_EVENT_PEER_UP ||
+				       (up_b && kind != WL_EVENT_PEER_DOWN);
+				got_b += kind == WL_EVENT_PEER;
+			}
+		}
+		EXPECT_EQ(wl_peers_refused(a.peers), 0u);
+		EXPECT_EQ(wl_peers_refused(b.peers), 0u);
+	}
+}
+
+TEST(Peer, RestartedPeerIsFoundAtItsNewAddress)
+{
+	Daemon a("a");
+	auto b = std::make_unique<Daemon>("b");
+
+	a.dial(*b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	b = std::make_unique<Daemon>("b");
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_DOWN);
+	EXPECT_FALSE(a.send("b", 1));
+	a.dial(*b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	EXPECT_TRUE(a.send("b", 2));
+	ASSERT_EQ(b->next(), WL_EVENT_PEER_UP);
+	ASSERT_EQ(b->next(), WL_EVENT_PEER);
+	EXPECT_EQ(b->got, 2u);
+}
+
+TEST(Peer, LinkThatFallsSilentIsFoundAndReplaced)
+{
+	Daemon a("a");
+	Daemon b("b");
+	Relay relay("127.0.0.1:0", b.address());
+	RelayFaults silent;
+
+	a.dial("b", relay.address());
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_UP);
+	silent.hold_down = true;
+	relay.set(silent);
+	EXPECT_TRUE(a.send("b", 1));
+	ASSERT_EQ(b.next(), WL_EVENT_PEER);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_DOWN);
+	relay.set(RelayFaults());
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_DOWN);
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_UP);
+}
+
+/* Without tags on frames a changed byte reaches the decisions as a message. */
+TEST(Peer, ChangedByteClosesTheLink)
+{
+	Daemon a("a");
+	Daemon b("b");
+	Relay relay("127.0.0.1:0", b.address());
+
+	a.dial("b", relay.address());
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_UP);
+	relay.set_filter([](bool up, std::string &bytes) {
+		if (up && bytes.size() > 100)
+			bytes.back() ^= 1;
+	});
+	EXPECT_TRUE(a.send("b", 1, 200));
+	EXPECT_EQ(b.next(), WL_EVENT_PEER_DOWN);
+	wait_refused(b, 1);
+}
+
+TEST(Peer, FrameSentAgainClosesTheLink)
+{
+	Daemon a("a");
+	Daemon b("b");
+	Relay relay("127.0.0.1:0", b.address());
+
+	a.dial("b", relay.address());
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_UP);
+	relay.set_filter([](bool up, std::string &bytes) {
+		if (up && bytes.size() > 100)
+			bytes += bytes;
+	});
+	EXPECT_TRUE(a.send("b", 1, 200));
+	ASSERT_EQ(b.next(), WL_EVENT_PEER);
+	EXPECT_EQ(b.next(), WL_EVENT_PEER_DOWN);
+	wait_refused(b, 1);
+}
+
+TEST(Peer, FullEventRingHoldsMessagesBack)
+{
+	constexpr uint64_t count = 3000;
+	Daemon a("a");
+	Daemon b("b", "open sesame", 4);
+
+	a.dial(b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	std::thread sender([&a] {
+		for (uint64_t id = 1; id <= count; id++)
+			while (!a.send("b", id, 500))
+				std::this_thread::yield();
+	});
+	ASSERT_EQ(b.next(), WL_EVENT_PEER_UP);
+	for (uint64_t id = 1; id <= count; id++) {
+		int kind = b.next();
+
+		EXPECT_EQ(kind, WL_EVENT_PEER);
+		EXPECT_EQ(b.got, id);
+		if (kind != WL_EVENT_PEER || b.got != id)
+			break;
+	}
+	sender.join();
+}
+
+TEST(Peer, FullQueueIsSaidToTheSender)
+{
+	Daemon a("a", "open sesame", 1024, 100000);
+	Daemon b("b");
+	Relay relay("127.0.0.1:0", b.address());
+	RelayFaults silent;
+
+	a.dial("b", relay.address());
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	silent.hold_up = true;
+	relay.set(silent);
+	bool full = false;
+	for (int i = 0; i < 100000 && !full; i++)
+		full = !a.send("b", 1, 50000);
+	EXPECT_TRUE(full);
+	EXPECT_FALSE(a.send("b", 1, 2 << 20));
+}
+} // namespace
