leader: count room by what offers say runs; stamp starts and stops with the term

An offer may come before the commit of a start's report, and the next one seconds later, so room was counted twice meanwhile; the kinds in the offer say which attempts it includes. A start delayed on the way from a leader that was replaced can now be told from one of the present leader.

--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -289,7 +289,7 @@
 		wl_leader_assigned(leader);
 		break;
 	case WL_CMD_TASK_REPORT:
-		wl_leader_reported(leader, &cmd->u.task_report);
+		wl_leader_reported(leader, now_ns, &cmd->u.task_report);
 		break;
 	case WL_CMD_KEY_BEGIN:
 	case WL_CMD_KEY_END:
@@ -371,6 +371,7 @@
 	leader->clock_base_ms = wl_state_clock_ms(leader->state);
 	leader->orphans = true;
 	leader->place_due = true;
+	wl_place_clear(leader->place);
 	wl_leader_sessions_sync(leader, now_ns);
 	wl_leader_tasks_rebuild(leader, now_ns);
 	wl_out_log(out, WL_INFO, "lead", "term=%llu", (unsigned long long)leader->term);
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -21,7 +21,8 @@
 	uint64_t revision;     /* that it has, or was sent */
 	uint64_t owners_index; /* that it has, or was sent */
 	bool draining;
-	bool push;    /* its members changed */
+	bool renewed; /* with this leader, so that what it has is known */
+	bool push;    /* its members, or its leader, changed */
 	bool ending;  /* its end is proposed */
 	size_t owned; /* targets, grants in flight included */
 	TAILQ_ENTRY(wl_leader_session) link;
@@ -82,7 +83,7 @@
 } wl_leader_change_t;
 
 /* A task's newest attempt, from the choice of its target to its end. */
-typedef struct wl_attempt {
+typedef struct wl_leader_attempt {
 	wl_str_t key; /* task id */
 	wl_buf_t task;
 	uint64_t attempt;
@@ -91,8 +92,8 @@
 	bool may_evict;
 	uint64_t sent_ns;
 	wl_place_load_t load;
-	TAILQ_ENTRY(wl_attempt) link; /* least recently sent first */
-} wl_attempt_t;
+	TAILQ_ENTRY(wl_leader_attempt) link; /* least recently sent first */
+} wl_leader_attempt_t;
 
 struct wl_leader {
 	wl_leader_options_t options;
@@ -123,8 +124,8 @@
 
 	wl_place_t *place;
 	wl_map_t by_attempt;
-	TAILQ_HEAD(wl_attempts, wl_attempt) attempts; /* with something to send */
-	struct wl_attempts quiet;		      /* known to run */
+	TAILQ_HEAD(wl_leader_attempts, wl_leader_attempt) attempts; /* with something to send */
+	struct wl_leader_attempts quiet;			    /* known to run */
 	bool place_due; /* room or queues changed since the last placement */
 	uint64_t next_place_ns;
 };
@@ -163,7 +164,7 @@
 		      const wl_cmd_task_cancel_t *cancel);
 void wl_leader_tasks_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
 void wl_leader_assigned(wl_leader_t *leader);
-void wl_leader_reported(wl_leader_t *leader, const wl_cmd_task_report_t *cmd);
+void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd);
 void wl_leader_reports_answer(const wl_proposal_t *proposal, wl_out_t *out);
 void wl_leader_cancelled(wl_leader_t *leader, const wl_cmd_task_cancel_t *cmd);
 
@@ -171,11 +172,11 @@
 void wl_leader_offer(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
 		     const wl_msg_offer_t *offer);
 void wl_leader_place_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
-wl_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task);
-wl_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task, uint64_t number,
-				    wl_str_t target, const wl_need_t *need);
-void wl_leader_attempt_drop(wl_leader_t *leader, wl_attempt_t *attempt);
-void wl_leader_attempt_quiet(wl_leader_t *leader, wl_attempt_t *attempt, bool quiet);
+wl_leader_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task);
+wl_leader_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task,
+					   uint64_t number, wl_str_t target, const wl_need_t *need);
+void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt);
+void wl_leader_attempt_quiet(wl_leader_t *leader, wl_leader_attempt_t *attempt, bool quiet);
 
 /* leader_query.c */
 void wl_leader_query(const wl_leader_t *leader, uint64_t now_ns, const wl_msg_query_t *query,
--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader_place.c
@@ -14,7 +14,7 @@
 #define TOO_LARGE_AFTER_MS 10000
 #define SHORT_WINDOW	   32 /* tasks of a queue that are looked at for short ones */
 
-wl_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task)
+wl_leader_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task)
 {
 	return wl_map_get(&leader->by_attempt, task);
 }
@@ -24,10 +24,10 @@
 	return wl_state_expected_ms(leader->state, &task->record.spec) >= leader->options.long_ms;
 }
 
-wl_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task, uint64_t number,
-				    wl_str_t target, const wl_need_t *need)
+wl_leader_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task,
+					   uint64_t number, wl_str_t target, const wl_need_t *need)
 {
-	wl_attempt_t *attempt = wl_alloc(sizeof(*attempt));
+	wl_leader_attempt_t *attempt = wl_alloc(sizeof(*attempt));
 
 	wl_buf_set(&attempt->task, task->key);
 	attempt->key = wl_buf_str(&attempt->task);
@@ -41,7 +41,7 @@
 	return attempt;
 }
 
-static void attempt_unlink(wl_leader_t *leader, wl_attempt_t *attempt)
+static void attempt_unlink(wl_leader_t *leader, wl_leader_attempt_t *attempt)
 {
 	if (attempt->quiet)
 		TAILQ_REMOVE(&leader->quiet, attempt, link);
@@ -50,7 +50,7 @@
 }
 
 /* Sets whether there is something to send about an attempt; what there is, is due at once. */
-void wl_leader_attempt_quiet(wl_leader_t *leader, wl_attempt_t *attempt, bool quiet)
+void wl_leader_attempt_quiet(wl_leader_t *leader, wl_leader_attempt_t *attempt, bool quiet)
 {
 	attempt_unlink(leader, attempt);
 	attempt->quiet = quiet;
@@ -61,7 +61,7 @@
 		TAILQ_INSERT_HEAD(&leader->attempts, attempt, link);
 }
 
-void wl_leader_attempt_drop(wl_leader_t *leader, wl_attempt_t *attempt)
+void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt)
 {
 	wl_place_load_remove(&attempt->load);
 	wl_map_remove(&leader->by_attempt, attempt->key);
@@ -180,7 +180,7 @@
 {
 	wl_assignment_t *assignment =
 		wl_list_add(&wl_assignment_schema, &round->assign.assignments);
-	wl_attempt_t *attempt;
+	wl_leader_attempt_t *attempt;
 
 	wl_buf_set(&assignment->task, task->key);
 	wl_buf_set(&assignment->target, choice->target->key);
@@ -255,7 +255,7 @@
 		return;
 	leader->place_due = false;
 	leader->next_place_ns = now_ns + ROUND_INTERVAL_NS;
-	wl_place_begin(leader->place);
+	wl_place_begin(leader->place, now_ns);
 	short_services_find(&round);
 	place_class(&round, WL_CLASS_URGENT);
 	place_class(&round, WL_CLASS_BATCH);
--- a/libwlcore/leader_sessions.c
+++ b/libwlcore/leader_sessions.c
@@ -99,6 +99,9 @@
 static void session_heard(wl_leader_t *leader, uint64_t now_ns, wl_leader_session_t *session,
 			  const wl_msg_renew_t *renew)
 {
+	if (!session->renewed)
+		session->push = true;
+	session->renewed = true;
 	session->heard_ns = now_ns;
 	session->acked = renew->revision;
 	session->revision = renew->revision;
@@ -150,7 +153,6 @@
 	if (result->code != WL_OK || !session)
 		return;
 	session_heard(leader, now_ns, session, &proposal->renew);
-	session->push = true;
 	session_grant(leader, wl_buf_str(&proposal->name), session->id, &proposal->renew, out);
 }
 
@@ -267,6 +269,8 @@
 
 		if (!session->ending && now_ns >= from + silence_ns)
 			session_end(leader, now_ns, session, out);
+		if (!session->renewed)
+			continue;
 		if (session->push || session->revision != wl_state_revision(leader->state) ||
 		    session->owners_index != leader->state->owners_index)
 			view_send(leader, session, out);
--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader_tasks.c
@@ -5,6 +5,7 @@
 
 #include "leader_internal.h"
 
+#define REFUSED_HOLD_NS (500 * WL_NS_PER_MS)
 #define RESEND_NS	(500 * WL_NS_PER_MS)
 #define REPORTS_AT_ONCE 512
 
@@ -13,12 +14,11 @@
 	return task && task->target && task->record.attempt == attempt;
 }
 
-/* Takes over how far an attempt came: from its start on its owner includes it in offers. */
-static void attempt_follow(wl_leader_t *leader, wl_attempt_t *attempt, const wl_task_t *task)
+/* What runs needs no message until it is to be stopped. */
+static void attempt_follow(wl_leader_t *leader, wl_leader_attempt_t *attempt, const wl_task_t *task)
 {
 	if (task->record.state == WL_TASK_ASSIGNED)
 		return;
-	wl_place_load_started(&attempt->load);
 	wl_leader_attempt_quiet(leader, attempt, task->record.state != WL_TASK_STOPPING);
 }
 
@@ -28,7 +28,7 @@
 	const wl_task_t *task;
 
 	TAILQ_FOREACH (task, &leader->state->live, link) {
-		wl_attempt_t *attempt;
+		wl_leader_attempt_t *attempt;
 
 		if (!task->target)
 			continue;
@@ -129,17 +129,20 @@
 }
 
 /* Follows an applied command of reports. */
-void wl_leader_reported(wl_leader_t *leader, const wl_cmd_task_report_t *cmd)
+void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd)
 {
 	const wl_report_t *reports = cmd->reports.items;
 
 	for (size_t i = 0; i < cmd->reports.count; i++) {
 		wl_str_t id = wl_buf_str(&reports[i].task);
-		wl_attempt_t *attempt = wl_leader_attempt(leader, id);
+		wl_leader_attempt_t *attempt = wl_leader_attempt(leader, id);
 		const wl_task_t *task = wl_state_task(leader->state, id);
 
 		if (!attempt || attempt->attempt != reports[i].attempt || attempt->proposed)
 			continue;
+		if (reports[i].kind == WL_REPORT_REFUSED)
+			wl_place_hold(leader->place, now_ns + REFUSED_HOLD_NS,
+				      wl_buf_str(&reports[i].target));
 		if (!placed(task, attempt->attempt)) {
 			wl_leader_attempt_drop(leader, attempt);
 			continue;
@@ -204,7 +207,7 @@
 	const wl_buf_t *ids = cmd->tasks.items;
 
 	for (size_t i = 0; i < cmd->tasks.count; i++) {
-		wl_attempt_t *attempt = wl_leader_attempt(leader, wl_buf_str(&ids[i]));
+		wl_leader_attempt_t *attempt = wl_leader_attempt(leader, wl_buf_str(&ids[i]));
 
 		if (attempt)
 			wl_leader_attempt_quiet(leader, attempt, false);
@@ -230,8 +233,8 @@
 /* Follows an applied command of assignments, or the loss of a proposed one. */
 void wl_leader_assigned(wl_leader_t *leader)
 {
-	wl_attempt_t *attempt;
-	wl_attempt_t *next;
+	wl_leader_attempt_t *attempt;
+	wl_leader_attempt_t *next;
 
 	for (attempt = TAILQ_FIRST(&leader->attempts); attempt && attempt->sent_ns == 0;
 	     attempt = next) {
@@ -251,7 +254,7 @@
 }
 
 static void send_assign(const wl_leader_t *leader, const wl_task_t *task,
-			const wl_attempt_t *attempt, wl_out_t *out)
+			const wl_leader_attempt_t *attempt, wl_out_t *out)
 {
 	const wl_task_record_t *record = &task->record;
 	wl_str_t owner = wl_buf_str(&task->target->row.entry);
@@ -262,6 +265,7 @@
 	wl_buf_set(&assign->customer, wl_buf_str(&record->customer));
 	wl_buf_set(&assign->checkpoint, wl_buf_str(&record->checkpoint));
 	wl_record_copy(&wl_task_spec_schema, &assign->spec, &record->spec);
+	assign->term = leader->term;
 	assign->attempt = record->attempt;
 	assign->epoch = record->epoch;
 	assign->need = attempt->load.need;
@@ -269,27 +273,29 @@
 	assign->may_evict = attempt->may_evict;
 }
 
-static void send_stop(const wl_task_t *task, wl_out_t *out)
+static void send_stop(const wl_leader_t *leader, const wl_task_t *task, wl_out_t *out)
 {
 	wl_str_t owner = wl_buf_str(&task->target->row.entry);
 	wl_msg_stop_t *stop = &wl_out_send(out, owner, WL_MSG_STOP)->u.stop;
 
 	wl_buf_set(&stop->task, task->key);
 	wl_buf_set(&stop->target, task->target->key);
+	stop->term = leader->term;
 	stop->attempt = task->record.attempt;
 	stop->epoch = task->target->row.epoch;
 }
 
 /* A new owner learns of its attempts from its view; only the one that was granted them gets starts.
  */
-static void attempt_send(const wl_leader_t *leader, const wl_attempt_t *attempt, wl_out_t *out)
+static void attempt_send(const wl_leader_t *leader, const wl_leader_attempt_t *attempt,
+			 wl_out_t *out)
 {
 	const wl_task_t *task = wl_state_task(leader->state, attempt->key);
 
 	if (attempt->proposed || !placed(task, attempt->attempt) || task->target->row.session == 0)
 		return;
 	if (task->record.state == WL_TASK_STOPPING)
-		send_stop(task, out);
+		send_stop(leader, task, out);
 	else if (task->record.state == WL_TASK_ASSIGNED &&
 		 task->target->row.epoch == task->record.epoch)
 		send_assign(leader, task, attempt, out);
@@ -297,11 +303,11 @@
 
 static void attempts_send(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
 {
-	wl_attempt_t *attempt = TAILQ_FIRST(&leader->attempts);
-	wl_attempt_t *last = TAILQ_LAST(&leader->attempts, wl_attempts);
+	wl_leader_attempt_t *attempt = TAILQ_FIRST(&leader->attempts);
+	wl_leader_attempt_t *last = TAILQ_LAST(&leader->attempts, wl_leader_attempts);
 
 	while (attempt) {
-		wl_attempt_t *next = attempt == last ? NULL : TAILQ_NEXT(attempt, link);
+		wl_leader_attempt_t *next = attempt == last ? NULL : TAILQ_NEXT(attempt, link);
 
 		if (attempt->sent_ns != 0 && now_ns < attempt->sent_ns + RESEND_NS)
 			return;
--- a/libwlcore/msg.c
+++ b/libwlcore/msg.c
@@ -236,6 +236,7 @@
 	WL_FIELD(wl_msg_assign_t, checkpoint, WL_FIELD_BYTES),
 	WL_FIELD(wl_msg_assign_t, expected_ms, WL_FIELD_U64),
 	WL_FIELD(wl_msg_assign_t, may_evict, WL_FIELD_BOOL),
+	WL_FIELD(wl_msg_assign_t, term, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_msg_assign_schema = WL_SCHEMA(wl_msg_assign_t, msg_assign_fields);
@@ -246,6 +247,7 @@
 	WL_FIELD(wl_msg_stop_t, target, WL_FIELD_BYTES),
 	WL_FIELD(wl_msg_stop_t, epoch, WL_FIELD_U64),
 	WL_FIELD(wl_msg_stop_t, checkpoint, WL_FIELD_BOOL),
+	WL_FIELD(wl_msg_stop_t, term, WL_FIELD_U64),
 };
 
 static const wl_schema_t msg_stop_schema = WL_SCHEMA(wl_msg_stop_t, msg_stop_fields);
--- a/libwlcore/msg.h
+++ b/libwlcore/msg.h
@@ -233,6 +233,7 @@
 	wl_buf_t checkpoint;
 	uint64_t expected_ms; /* learnt run time */
 	bool may_evict;	      /* batch work may be evicted to make room */
+	uint64_t term;	      /* of the leader: one from before a newer leader is void */
 } wl_msg_assign_t;
 
 typedef struct wl_msg_stop {
@@ -241,6 +242,7 @@
 	wl_buf_t target;
 	uint64_t epoch;
 	bool checkpoint; /* evict: checkpoint first; else cancel */
+	uint64_t term;	 /* of the leader */
 } wl_msg_stop_t;
 
 typedef struct wl_msg_report {
--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -157,16 +157,42 @@
 	return target;
 }
 
-/* The owner reserved what it was told to start; its row includes that from now on. */
+static uint64_t running_of(const wl_offer_row_t *row, wl_str_t kind)
+{
+	const wl_offer_kind_t *kinds = row->kinds.items;
+
+	for (size_t i = 0; i < row->kinds.count; i++)
+		if (wl_str_equal(wl_buf_str(&kinds[i].kind), kind))
+			return kinds[i].running;
+	return 0;
+}
+
+static uint64_t included_of(const wl_place_target_t *target, const wl_place_load_t *before)
+{
+	const wl_place_load_t *load;
+	uint64_t count = 0;
+
+	TAILQ_FOREACH (load, &target->loads, link) {
+		if (load == before)
+			break;
+		count += load->included &&
+			 wl_str_equal(wl_buf_str(&load->kind), wl_buf_str(&before->kind));
+	}
+	return count;
+}
+
+/* The row counts what it runs by kind: the oldest loads of each kind are those, newer ones are not.
+ */
 static void loads_include(wl_place_target_t *target)
 {
 	wl_place_load_t *load;
 
+	target->pending = (wl_need_t){0};
 	TAILQ_FOREACH (load, &target->loads, link) {
-		if (!load->started || load->included)
-			continue;
-		load->included = true;
-		wl_need_take(&target->pending, &load->need);
+		load->included = included_of(target, load) <
+				 running_of(&target->row, wl_buf_str(&load->kind));
+		if (!load->included)
+			wl_need_add(&target->pending, &load->need);
 	}
 }
 
@@ -226,13 +252,36 @@
 	free(target);
 }
 
+/*
+ * wl_place_clear - forget all targets; what was learnt of kinds stays
+ */
+void wl_place_clear(wl_place_t *place)
+{
+	while (!TAILQ_EMPTY(&place->targets))
+		wl_place_remove(place, TAILQ_FIRST(&place->targets)->key);
+}
+
+/*
+ * wl_place_hold - give a target no work for a while, as its owner just refused some
+ * @until_ns: monotonic time
+ */
+void wl_place_hold(wl_place_t *place, uint64_t until_ns, wl_str_t name)
+{
+	wl_place_target_t *target = wl_place_target(place, name);
+
+	if (target)
+		target->hold_ns = until_ns;
+}
+
 /*
  * wl_place_begin - begin a round of placement: failures of the last one are void
+ * @now_ns: monotonic time
  */
-void wl_place_begin(wl_place_t *place)
+void wl_place_begin(wl_place_t *place, uint64_t now_ns)
 {
 	wl_place_service_t *service;
 
+	place->now_ns = now_ns;
 	TAILQ_FOREACH (service, &place->services, link)
 		for (size_t i = 0; i < WL_LANES; i++)
 			service->failed[i] = false;
@@ -312,14 +361,6 @@
 		target->rack->long_held++;
 }
 
-/*
- * wl_place_load_started - from the next offer on, the target's row includes the attempt
- */
-void wl_place_load_started(wl_place_load_t *load)
-{
-	load->started = true;
-}
-
 /*
  * wl_place_load_remove - the attempt is over
  */
@@ -369,8 +410,7 @@
 {
 	if (!place)
 		return;
-	while (!TAILQ_EMPTY(&place->targets))
-		wl_place_remove(place, TAILQ_FIRST(&place->targets)->key);
+	wl_place_clear(place);
 	wl_map_free(&place->by_target);
 	services_clear(place);
 	racks_clear(place);
--- a/libwlcore/place.h
+++ b/libwlcore/place.h
@@ -30,6 +30,7 @@
 	struct wl_place_loads loads;
 	wl_place_rack_t *rack;
 	uint64_t closed_ns; /* since when it is not open; 0: it is */
+	uint64_t hold_ns;   /* gets no work before; its owner refused some */
 	TAILQ_ENTRY(wl_place_target) link;
 } wl_place_target_t;
 
@@ -39,8 +40,7 @@
 	wl_buf_t kind;
 	wl_need_t need;
 	bool is_long;
-	bool started;  /* the next offer includes it */
-	bool included; /* in the target's row */
+	bool included; /* the target's row counts it as held */
 	TAILQ_ENTRY(wl_place_load) link;
 } wl_place_load_t;
 
@@ -74,15 +74,16 @@
 void wl_place_free(wl_place_t *place);
 void wl_place_offer(wl_place_t *place, uint64_t now_ns, const wl_offer_row_t *row);
 void wl_place_pair(wl_place_t *place, uint64_t now_ns, const wl_pair_row_t *row);
+void wl_place_clear(wl_place_t *place);
+void wl_place_hold(wl_place_t *place, uint64_t until_ns, wl_str_t target);
 void wl_place_close(wl_place_t *place, uint64_t now_ns, wl_str_t target);
 void wl_place_remove(wl_place_t *place, wl_str_t target);
 wl_place_target_t *wl_place_target(const wl_place_t *place, wl_str_t name);
 wl_place_target_t *wl_place_know(wl_place_t *place, uint64_t now_ns, wl_str_t name);
-void wl_place_begin(wl_place_t *place);
+void wl_place_begin(wl_place_t *place, uint64_t now_ns);
 bool wl_place_choose(wl_place_t *place, const wl_place_ask_t *ask, wl_place_choice_t *choice);
 bool wl_place_too_large(const wl_place_t *place, const wl_place_ask_t *ask);
 void wl_place_load_add(wl_place_target_t *target, wl_place_load_t *load);
-void wl_place_load_started(wl_place_load_t *load);
 void wl_place_load_remove(wl_place_load_t *load);
 
 #endif
--- a/libwlcore/place_internal.h
+++ b/libwlcore/place_internal.h
@@ -42,6 +42,7 @@
 	wl_place_options_t options;
 	const wl_place_policy_t *policy;
 	wl_rng_t rng;
+	uint64_t now_ns; /* of the round */
 	wl_map_t by_target;
 	TAILQ_HEAD(wl_place_targets, wl_place_target) targets;
 	wl_map_t by_service;
--- a/libwlcore/state_reports.c
+++ b/libwlcore/state_reports.c
@@ -2,20 +2,16 @@
  * Reports of attempts: which ones count, and what they mean to the task.
  *
  * Only the newest attempt counts.  What a target itself said (it started,
- * ended, failed, was stopped) is true whoever passes it on; what an owner
- * concludes from silence counts from the present owner only, because another
- * one may be renewing the work's lease.
+ * ended, failed, was stopped) is true whoever passes it on, and a refusal too,
+ * because only the owner that an attempt was assigned to can have started it.
+ * What an owner concludes from silence, and what it plans, counts from the
+ * present owner only: another one may be renewing the work's lease.
  */
 
 #include "state_internal.h"
 
 #define FAILURES_PER_TARGET 2
 
-static bool conclusion_of_owner(uint64_t kind)
-{
-	return kind == WL_REPORT_REFUSED || kind == WL_REPORT_LOST || kind == WL_REPORT_CHECKPOINT;
-}
-
 static bool report_counts(const wl_state_t *state, const wl_task_t *task, const wl_report_t *report)
 {
 	const wl_state_target_t *target = wl_state_target(state, wl_buf_str(&report->target));
@@ -23,9 +19,10 @@
 	if (report->kind == WL_REPORT_UNPLACEABLE)
 		return task->record.attempt == report->attempt;
 	if (task->record.attempt == 0 || task->record.attempt != report->attempt ||
+	    report->epoch < task->record.epoch ||
 	    !wl_str_equal(wl_buf_str(&task->record.target), wl_buf_str(&report->target)))
 		return false;
-	if (!conclusion_of_owner(report->kind))
+	if (report->kind != WL_REPORT_LOST && report->kind != WL_REPORT_CHECKPOINT)
 		return true;
 	return target && report->epoch >= target->row.epoch;
 }
