request: scripts and tests of the request path; bound retries of one request

The scripts showed a request that fails everywhere spending a rich budget alone; it now gets three retries at most. A try cut by a deadline shorter than the service's latency no longer counts against its target.

--- a/libwlcore/admit.c
+++ b/libwlcore/admit.c
@@ -141,13 +141,13 @@
 }
 
 /*
- * wl_admit_customer - find a customer, with the limits of its plan
+ * wl_admit_get - find a customer, with the limits of its plan
  * @name: must stand in the list of customers, as it is kept from now on
  * @plan: its plan now
  * @now_ns: monotonic time, nanoseconds
  */
-wl_admit_customer_t *wl_admit_customer(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
-				       uint64_t now_ns)
+wl_admit_customer_t *wl_admit_get(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
+				  uint64_t now_ns)
 {
 	wl_admit_customer_t *customer = wl_map_get(&admit->by_name, name);
 
--- a/libwlcore/admit.h
+++ b/libwlcore/admit.h
@@ -67,8 +67,8 @@
 
 void wl_admit_init(wl_admit_t *admit, const wl_budget_options_t *budget, uint64_t now_ns);
 void wl_admit_free(wl_admit_t *admit);
-wl_admit_customer_t *wl_admit_customer(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
-				       uint64_t now_ns);
+wl_admit_customer_t *wl_admit_get(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
+				  uint64_t now_ns);
 bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err);
 void wl_admit_leave(wl_admit_customer_t *customer);
 void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg);
--- a/libwlcore/request_check.c
+++ b/libwlcore/request_check.c
@@ -173,7 +173,7 @@
 	plan = check_plan(requests, wl_buf_str(&customer->name), service, err);
 	if (!plan || !check_headers(requests, call, &wishes, err))
 		return NULL;
-	admitted = wl_admit_customer(&requests->admit, wl_buf_str(&customer->name), plan, now_ns);
+	admitted = wl_admit_get(&requests->admit, wl_buf_str(&customer->name), plan, now_ns);
 	if (!wl_admit_enter(admitted, now_ns, err))
 		return NULL;
 
--- a/libwlcore/request_fetched.c
+++ b/libwlcore/request_fetched.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define STATUS_CONFLICT 409
+#define PATIENCE	4 /* times the service's latency */
+#define PATIENCE_NS	(1000 * WL_NS_PER_MS)
 
 /* The target refused under the contract: it runs nothing of this request. */
 static bool fetched_refused(const wl_fetched_t *fetched)
@@ -38,6 +40,16 @@
 							  : wl_buf_str(&fetched->error)));
 }
 
+/* Whether a try had so long that its failure is the target's, not that of a short deadline. */
+static bool fetched_had_time(const wl_try_t *one, const wl_fetched_t *fetched, uint64_t now_ns)
+{
+	uint64_t mean = wl_latency_mean(&one->service->latency, now_ns);
+
+	if (now_ns < one->request->deadline_ns)
+		return true;
+	return fetched->took_ns >= (mean ? mean * PATIENCE : PATIENCE_NS);
+}
+
 /* A try that was given up, or refused for being stale, says nothing of the target's health. */
 static void fetched_observe(wl_requests_t *requests, const wl_try_t *one, wl_target_t *target,
 			    const wl_fetched_t *fetched, uint64_t now_ns, wl_out_t *out)
@@ -48,7 +60,7 @@
 		wl_latency_add(&one->service->latency, fetched->took_ns, now_ns);
 	if (!target || !requests->options.owner || fetched_refused(fetched))
 		return;
-	if (ok || one->request)
+	if (ok || (one->request && fetched_had_time(one, fetched, now_ns)))
 		wl_owner_observe(requests->options.owner, target, one->service->key, ok,
 				 fetched->took_ns, now_ns, out);
 }
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request_internal.h
@@ -93,6 +93,7 @@
 	wl_fairq_item_t waiting;
 	wl_heap_node_t timer;
 	TAILQ_HEAD(wl_request_tries, wl_try) tries;
+	uint64_t retries;
 	bool maybe_ran; /* a try ended with verdict unknown */
 	wl_buf_t avoid_target;
 	wl_buf_t avoid_peer;
--- a/libwlcore/request_outcome.c
+++ b/libwlcore/request_outcome.c
@@ -12,6 +12,7 @@
 
 #define STATUS_BAD_GATEWAY     502
 #define STATUS_GATEWAY_TIMEOUT 504
+#define RETRIES_MOST	       3 /* of one request: what fails everywhere takes no more of a budget */
 
 /*
  * wl_outcome_free - release what an outcome owns and make it empty
@@ -57,6 +58,8 @@
 
 static bool request_may_retry(const wl_request_t *request, wl_verdict_t verdict, uint64_t now_ns)
 {
+	if (request->retries >= RETRIES_MOST)
+		return false;
 	if (verdict != WL_NOT_RUN && !request->idempotent)
 		return false;
 	return now_ns < request->deadline_ns;
@@ -108,6 +111,7 @@
 	}
 	if (request_may_retry(request, verdict, now_ns) &&
 	    wl_budget_take(&request->customer->budget, now_ns)) {
+		request->retries++;
 		wl_metrics_add(requests->options.metrics, "wisterialead_retries_total",
 			       request->customer->labels.at, 1);
 		wl_request_queue(requests, request, now_ns, out);
--- a/libwlcore/route.c
+++ b/libwlcore/route.c
@@ -197,7 +197,7 @@
 	const wl_room_service_t *peers = wl_rooms_service(router->rooms, query->service);
 
 	*place = (wl_route_place_t){0};
-	if (own && own->count)
+	if (own && own->count && own->free_requests)
 		place->target = router->policy->target(router, own, query);
 	if (!place->target && peers && !query->own_only)
 		place->peer = router->policy->peer(router, peers, query, now_ns);
--- a/tests/support/request_owner.h
+++ b/tests/support/request_owner.h
@@ -19,7 +19,8 @@
 	reinterpret_cast<RequestRun *>(owner)->owner_calls.push_back(
 		"observe " + std::string(target->name.at, target->name.len) +
 		(ok ? " ok" : " failed"));
-	target->latency_ns = took_ns;
+	if (ok)
+		target->latency_ns = took_ns;
 }
 
 #endif
--- a/tests/support/request_run.cc
+++ b/tests/support/request_run.cc
@@ -270,6 +270,7 @@
 			break;
 		case WL_ACTION_FETCH:
 			fetches.push_back(fetch.id & ID_MASK);
+			fetched_from.push_back(text(fetch.address).substr(sizeof("10.0.0.1:") - 1));
 			lines.push_back(
 				format("fetch #%llu %s %s %s timeout=%llu",
 				       (unsigned long long)(fetch.id & ID_MASK),
--- a/tests/support/request_run.h
+++ b/tests/support/request_run.h
@@ -39,7 +39,8 @@
 	uint64_t counter(const std::string &name, const std::string &labels);
 
 	std::vector<std::string> lines; /* of the newest steps; whoever prints them clears them */
-	std::vector<uint64_t> fetches;	/* ids of the newest steps, in order */
+	std::vector<uint64_t> fetches;	/* ids, in order */
+	std::vector<std::string> fetched_from; /* their targets */
 	uint64_t now_ns = 0;
 	wl_request_options_t options = {};
 	wl_ledger_t ledger = {};
--- /dev/null
+++ b/tests/unit/admit_test.cc
@@ -0,0 +1,245 @@
+/* Shares of a plan's limits among the entries of a cell. */
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include <libwlbase/rng.h>
+#include <libwlcore/admit.h>
+}
+
+static const uint64_t MS = 1000000;
+static const uint64_t INTERVAL_MS = 100;
+
+static wl_str_t str(const std::string &text)
+{
+	return {text.data(), text.size()};
+}
+
+/* Some entries that exchange uses, each at a time of its own, with a delay on the way. */
+class Cell
+{
+      public:
+	Cell(size_t count, uint64_t concurrent, uint64_t rate);
+	~Cell();
+
+	/* One millisecond passes. */
+	void pass();
+	bool enter(size_t entry, uint64_t hold_ms);
+
+	uint64_t now_ms = 0;
+	uint64_t running = 0;
+	std::vector<uint64_t> admitted; /* by entry */
+	std::vector<bool> cut;		/* entries whose messages are lost */
+
+      private:
+	struct Sent {
+		uint64_t at_ms;
+		size_t from;
+		wl_msg_t msg;
+	};
+	struct Held {
+		uint64_t until_ms;
+		size_t entry;
+	};
+
+	void exchange(size_t entry);
+	void deliver(Sent *sent);
+
+	wl_plan_t plan = {};
+	std::vector<wl_admit_t> entries;
+	std::deque<Sent> sent;
+	std::vector<Held> held;
+	wl_rng_t rng;
+};
+
+Cell::Cell(size_t count, uint64_t concurrent, uint64_t rate)
+    : admitted(count), cut(count), entries(count)
+{
+	wl_budget_options_t budget = {};
+
+	wl_rng_init(&rng, 3, 3);
+	plan.weight = 1;
+	plan.max_concurrent = concurrent;
+	plan.requests_per_second = rate;
+	for (auto &entry : entries) {
+		wl_admit_init(&entry, &budget, 0);
+		entry.members = count;
+		wl_admit_get(&entry, str("c"), &plan, 0);
+	}
+}
+
+Cell::~Cell()
+{
+	for (auto &one : sent)
+		wl_msg_free(&one.msg);
+	for (auto &entry : entries)
+		wl_admit_free(&entry);
+}
+
+bool Cell::enter(size_t entry, uint64_t hold_ms)
+{
+	wl_err_t err = {};
+	wl_admit_customer_t *customer = wl_admit_get(&entries[entry], str("c"), &plan, now_ms * MS);
+
+	if (!wl_admit_enter(customer, now_ms * MS, &err)) {
+		EXPECT_EQ(err.code, WL_E_OVER_PLAN);
+		EXPECT_EQ(err.verdict, WL_NOT_RUN);
+		return false;
+	}
+	held.push_back({now_ms + hold_ms, entry});
+	running++;
+	admitted[entry]++;
+	return true;
+}
+
+void Cell::exchange(size_t entry)
+{
+	Sent one = {now_ms + 1 + wl_rng_below(&rng, 5), entry, {}};
+
+	wl_msg_init(&one.msg, WL_MSG_ROOM);
+	one.msg.u.room.session = entry + 1;
+	wl_admit_exchange(&entries[entry], now_ms * MS, &one.msg.u.room.uses);
+	if (cut[entry])
+		wl_msg_free(&one.msg);
+	else
+		sent.push_back(one);
+}
+
+void Cell::deliver(Sent *one)
+{
+	for (size_t to = 0; to < entries.size(); to++)
+		if (to != one->from && !cut[to])
+			wl_admit_hear(&entries[to], str("e" + std::to_string(one->from)),
+				      &one->msg.u.room);
+	wl_msg_free(&one->msg);
+}
+
+void Cell::pass()
+{
+	now_ms++;
+	for (size_t i = 0; i < held.size();) {
+		if (held[i].until_ms > now_ms) {
+			i++;
+			continue;
+		}
+		wl_admit_leave(wl_admit_get(&entries[held[i].entry], str("c"), &plan, now_ms * MS));
+		running--;
+		held[i] = held.back();
+		held.pop_back();
+	}
+	for (size_t i = 0; i < sent.size();) {
+		if (sent[i].at_ms > now_ms) {
+			i++;
+			continue;
+		}
+		deliver(&sent[i]);
+		sent.erase(sent.begin() + i);
+	}
+	for (size_t i = 0; i < entries.size(); i++)
+		if ((now_ms + i * INTERVAL_MS / entries.size()) % INTERVAL_MS == 0)
+			exchange(i);
+}
+
+static uint64_t sum(const std::vector<uint64_t> &values)
+{
+	uint64_t total = 0;
+
+	for (uint64_t value : values)
+		total += value;
+	return total;
+}
+
+TEST(Admit, ConcurrentLimitHoldsWhileDemandMoves)
+{
+	const size_t ENTRIES = 7;
+	const uint64_t LIMIT = 70;
+	Cell cell(ENTRIES, LIMIT, 1000000);
+	uint64_t most = 0;
+	wl_rng_t rng;
+
+	wl_rng_init(&rng, 11, 0);
+	for (int ms = 0; ms < 60000; ms++) {
+		/* the crowd goes to other entries every 700 ms */
+		size_t first = ms / 700 * 3 % ENTRIES;
+
+		for (int i = 0; i < 4; i++)
+			cell.enter((first + wl_rng_below(&rng, 2)) % ENTRIES,
+				   20 + wl_rng_below(&rng, 400));
+		cell.pass();
+		most = std::max(most, cell.running);
+	}
+	EXPECT_LE(most, LIMIT + ENTRIES);
+	EXPECT_GE(most, LIMIT * 9 / 10) << "the limit is left unused";
+}
+
+TEST(Admit, OneEntryGetsNearlyTheWholeLimitWhenTheOthersWantNothing)
+{
+	Cell cell(7, 70, 1000);
+
+	for (int ms = 0; ms < 3000; ms++) {
+		cell.enter(2, 100000);
+		cell.pass();
+	}
+	EXPECT_GE(cell.running, 60u);
+	EXPECT_LE(cell.running, 70u);
+}
+
+TEST(Admit, RateHoldsInEveryWindow)
+{
+	const size_t ENTRIES = 5;
+	const uint64_t RATE = 500;
+	Cell cell(ENTRIES, 100000, RATE);
+	std::vector<uint64_t> seen = {0};
+	wl_rng_t rng;
+
+	wl_rng_init(&rng, 12, 0);
+	for (int ms = 0; ms < 30000; ms++) {
+		size_t first = ms / 3000 * 2 % ENTRIES;
+
+		for (int i = 0; i < 3; i++)
+			cell.enter((first + wl_rng_below(&rng, 2)) % ENTRIES, 1);
+		cell.pass();
+		seen.push_back(sum(cell.admitted));
+	}
+	for (size_t window_ms : {1000u, 5000u, 20000u})
+		for (size_t at = window_ms; at < seen.size(); at += 50) {
+			uint64_t got = seen[at] - seen[at - window_ms];
+
+			ASSERT_LE(got, RATE * (window_ms + 250) / 1000 + ENTRIES)
+				<< window_ms << " ms up to " << at;
+		}
+	EXPECT_GE(seen.back(), RATE * 30 * 8 / 10) << "the rate is left unused";
+}
+
+TEST(Admit, AnEntryInSilenceCountsWithItsLastNumbers)
+{
+	Cell cell(3, 30, 1000);
+
+	for (int ms = 0; ms < 1000; ms++) {
+		cell.enter(0, 100000);
+		cell.pass();
+	}
+	uint64_t before = cell.running;
+	cell.cut[0] = true;
+	for (int ms = 0; ms < 2000; ms++) {
+		cell.enter(1, 100000);
+		cell.pass();
+	}
+	EXPECT_GE(before, 20u);
+	EXPECT_LE(cell.running, 30u + 3u);
+}
+
+TEST(Admit, ALimitBelowTheNumberOfEntriesShutsNoneOut)
+{
+	Cell cell(7, 2, 1000);
+
+	for (size_t entry = 0; entry < 7; entry++) {
+		EXPECT_TRUE(cell.enter(entry, 10));
+		for (int ms = 0; ms < 300; ms++)
+			cell.pass();
+	}
+}
--- a/tests/unit/request_test.cc
+++ b/tests/unit/request_test.cc
@@ -6,8 +6,6 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
-static const uint64_t ID_MASK = (1ull << WL_PART_SHIFT) - 1;
-
 class RequestScript
 {
       public:
@@ -36,6 +34,7 @@
 	void session(const Script::Words &words);
 	void drain(const Script::Words &words);
 	void tick(const Script::Words &words);
+	void repeat(const Script::Words &words);
 	void show(const Script::Words &words);
 
 	Script script;
@@ -84,6 +83,7 @@
 	on("session", &RequestScript::session);
 	on("drain", &RequestScript::drain);
 	on("tick", &RequestScript::tick);
+	on("repeat", &RequestScript::repeat);
 	on("show", &RequestScript::show);
 }
 
@@ -332,6 +332,19 @@
 	part.tick();
 }
 
+/* repeat COUNT MS: so many requests, each answered after MS, one after the other */
+void RequestScript::repeat(const Script::Words &words)
+{
+	for (uint64_t i = 0; i < number(words[1]); i++) {
+		part.call(1000000 + i, "GET", "/s/sort/a", {{"Wisterialead-Customer", "norrlamp"}},
+			  "");
+		part.now_ns += number(words[2]) * 1000000;
+		part.fetched(part.fetches.back(), 200, true, true, false, "", number(words[2]));
+	}
+	part.lines.clear();
+	part.owner_calls.clear();
+}
+
 /* show open | reserved TARGET | NAME LABELS */
 void RequestScript::show(const Script::Words &words)
 {
