--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -158,7 +158,8 @@
 		bool found = waiter->tasks.count == 0;
 
 		for (size_t i = 0; i < waiter->tasks.count && !found; i++) {
-			const wl_task_t *task = wl_state_task(leader->state, wl_buf_str(&ids[i]));
+			const wl_task_t *task =
+				wl_state_task_find(leader->state, wl_buf_str(&ids[i]));
 
 			found = task && wl_str_equal(wl_buf_str(&task->record.customer),
 						     wl_buf_str(&waiter->customer));
@@ -178,7 +179,7 @@
 	const wl_state_session_t *session;
 
 	if (cmd->kind == WL_CMD_SESSION_END) {
-		session = wl_state_session(leader->state, cmd->u.session_end.session);
+		session = wl_state_session_find(leader->state, cmd->u.session_end.session);
 		return !session || wl_str_equal(wl_buf_str(&session->entry), peer);
 	}
 	return cmd->kind == WL_CMD_LIST_PUT || cmd->kind == WL_CMD_TASK_ADD ||
@@ -335,7 +336,7 @@
 	wl_result_error(&result, &err);
 	answer_waiters(proposal, &result, out);
 	wl_result_free(&result);
-	session = wl_leader_session(leader, proposal->session);
+	session = wl_leader_session_find(leader, proposal->session);
 	if (proposal->kind == WL_PROPOSAL_END && session)
 		session->ending = false;
 	if (proposal->kind == WL_PROPOSAL_ASSIGN)
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -140,7 +140,7 @@
 /* leader_sessions.c */
 void wl_leader_sessions_sync(wl_leader_t *leader, uint64_t now_ns);
 void wl_leader_sessions_clear(wl_leader_t *leader);
-wl_leader_session_t *wl_leader_session(wl_leader_t *leader, uint64_t id);
+wl_leader_session_t *wl_leader_session_find(wl_leader_t *leader, uint64_t id);
 void wl_leader_renew(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
 		     const wl_msg_renew_t *renew, wl_out_t *out);
 void wl_leader_opened(wl_leader_t *leader, uint64_t now_ns, const wl_proposal_t *proposal,
@@ -172,7 +172,7 @@
 void wl_leader_offer(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
 		     const wl_msg_offer_t *offer);
 void wl_leader_place_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
-wl_leader_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task);
+wl_leader_attempt_t *wl_leader_attempt_find(const wl_leader_t *leader, wl_str_t task);
 wl_leader_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task,
 					   uint64_t number, wl_str_t target, const wl_need_t *need);
 void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt);
--- a/libwlcore/leader_owners.c
+++ b/libwlcore/leader_owners.c
@@ -66,7 +66,8 @@
 			wl_leader_session_t *session, wl_out_t *out)
 {
 	wl_cmd_target_own_t *own = &cmd->u.target_own;
-	const wl_state_target_t *target = wl_state_target(leader->state, wl_buf_str(&own->target));
+	const wl_state_target_t *target =
+		wl_state_target_find(leader->state, wl_buf_str(&own->target));
 	wl_buf_t name = {0};
 	wl_proposal_t *proposal;
 
@@ -135,7 +136,7 @@
 			const wl_announce_t *announce, wl_out_t *out)
 {
 	const wl_state_target_t *target =
-		wl_state_target(leader->state, wl_buf_str(&announce->name));
+		wl_state_target_find(leader->state, wl_buf_str(&announce->name));
 	wl_leader_session_t *session = NULL;
 
 	if (announce->name.len == 0 || leader->in_flight[WL_PROPOSAL_OWN] >= GRANTS_IN_FLIGHT ||
@@ -145,7 +146,7 @@
 		if (!wl_str_equal(peer, wl_buf_str(&target->row.entry)) ||
 		    described(&target->row, announce))
 			return;
-		session = wl_leader_session(leader, target->row.session);
+		session = wl_leader_session_find(leader, target->row.session);
 	} else if (announce->state == WL_ANNOUNCE_READY) {
 		session = pick(leader, now_ns, &announce->availability_zone);
 	}
@@ -163,12 +164,12 @@
 	TAILQ_FOREACH (session, &leader->sessions, link)
 		session->owned = 0;
 	TAILQ_FOREACH (target, &leader->state->targets, link) {
-		session = wl_leader_session(leader, target->row.session);
+		session = wl_leader_session_find(leader, target->row.session);
 		if (session)
 			session->owned++;
 	}
 	TAILQ_FOREACH (proposal, &leader->proposals, link) {
-		session = wl_leader_session(leader, proposal->session);
+		session = wl_leader_session_find(leader, proposal->session);
 		if (proposal->kind == WL_PROPOSAL_OWN && session)
 			session->owned++;
 	}
@@ -223,7 +224,7 @@
 					 const wl_state_target_t *target)
 {
 	const wl_buf_t *zone = &target->row.availability_zone;
-	const wl_leader_session_t *owner = wl_leader_session(leader, target->row.session);
+	const wl_leader_session_t *owner = wl_leader_session_find(leader, target->row.session);
 	wl_leader_session_t *to = pick(leader, now_ns, zone);
 
 	if (!owner || !to || to == owner)
@@ -251,7 +252,7 @@
 		session = better_owner(leader, now_ns, target);
 		if (!session || in_flight(leader, target->key))
 			continue;
-		wl_leader_session(leader, target->row.session)->owned--;
+		wl_leader_session_find(leader, target->row.session)->owned--;
 		regrant(leader, now_ns, target, session, out);
 		moves++;
 	}
--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader_place.c
@@ -14,7 +14,7 @@
 #define TOO_LARGE_AFTER_MS 10000
 #define SHORT_WINDOW	   32 /* tasks of a queue that are looked at for short ones */
 
-wl_leader_attempt_t *wl_leader_attempt(const wl_leader_t *leader, wl_str_t task)
+wl_leader_attempt_t *wl_leader_attempt_find(const wl_leader_t *leader, wl_str_t task)
 {
 	return wl_map_get(&leader->by_attempt, task);
 }
@@ -35,7 +35,7 @@
 	wl_buf_set(&attempt->load.kind, wl_buf_str(&task->record.spec.kind));
 	attempt->load.need = *need;
 	attempt->load.is_long = is_long(leader, task);
-	wl_place_load_add(wl_place_target(leader->place, target), &attempt->load);
+	wl_place_load_add(wl_place_target_find(leader->place, target), &attempt->load);
 	wl_map_put(&leader->by_attempt, attempt);
 	TAILQ_INSERT_HEAD(&leader->attempts, attempt, link);
 	return attempt;
@@ -73,7 +73,8 @@
 
 static bool owned_by(const wl_leader_t *leader, const wl_offer_row_t *row, wl_str_t peer)
 {
-	const wl_state_target_t *target = wl_state_target(leader->state, wl_buf_str(&row->target));
+	const wl_state_target_t *target =
+		wl_state_target_find(leader->state, wl_buf_str(&row->target));
 
 	return target && target->row.session != 0 && target->row.epoch == row->epoch &&
 	       wl_str_equal(wl_buf_str(&target->row.entry), peer);
@@ -90,7 +91,7 @@
 		if (owned_by(leader, &rows[i], peer))
 			wl_place_offer(leader->place, now_ns, &rows[i]);
 	for (size_t i = 0; i < offer->pairs.count; i++)
-		wl_place_pair(leader->place, now_ns, &pairs[i]);
+		wl_place_pair_learn(leader->place, now_ns, &pairs[i]);
 	leader->place_due = true;
 }
 
@@ -166,7 +167,7 @@
 
 	while (wl_place_choose(leader->place, ask, choice)) {
 		const wl_state_target_t *target =
-			wl_state_target(leader->state, choice->target->key);
+			wl_state_target_find(leader->state, choice->target->key);
 
 		if (target && target->row.session != 0 &&
 		    target->row.epoch == choice->target->row.epoch)
--- a/libwlcore/leader_query.c
+++ b/libwlcore/leader_query.c
@@ -202,7 +202,7 @@
 
 static void query_task(const wl_leader_t *leader, const wl_msg_query_t *query, wl_result_t *result)
 {
-	const wl_task_t *task = wl_state_task(leader->state, wl_buf_str(&query->name));
+	const wl_task_t *task = wl_state_task_find(leader->state, wl_buf_str(&query->name));
 	bool first = true;
 	task_view_t view;
 
@@ -244,7 +244,7 @@
 static void target_view(const wl_leader_t *leader, const wl_state_target_t *target,
 			target_view_t *view)
 {
-	const wl_place_target_t *room = wl_place_target(leader->place, target->key);
+	const wl_place_target_t *room = wl_place_target_find(leader->place, target->key);
 	const wl_buf_t *services = target->row.services.items;
 
 	*view = (target_view_t){.epoch = target->row.epoch, .assigned = target->assigned_count};
@@ -286,7 +286,7 @@
 static void member_view(const wl_leader_t *leader, const wl_leader_session_t *session,
 			uint64_t now_ns, member_view_t *view)
 {
-	const wl_state_session_t *known = wl_state_session(leader->state, session->id);
+	const wl_state_session_t *known = wl_state_session_find(leader->state, session->id);
 
 	*view = (member_view_t){.session = session->id,
 				.draining = session->draining,
--- a/libwlcore/leader_sessions.c
+++ b/libwlcore/leader_sessions.c
@@ -10,7 +10,7 @@
 
 #include <stdlib.h>
 
-wl_leader_session_t *wl_leader_session(wl_leader_t *leader, uint64_t id)
+wl_leader_session_t *wl_leader_session_find(wl_leader_t *leader, uint64_t id)
 {
 	wl_leader_session_t *session;
 
@@ -55,11 +55,11 @@
 	for (session = TAILQ_FIRST(&leader->sessions); session; session = next) {
 		next = TAILQ_NEXT(session, link);
 		session->push = true;
-		if (!wl_state_session(leader->state, session->id))
+		if (!wl_state_session_find(leader->state, session->id))
 			session_drop(leader, session);
 	}
 	TAILQ_FOREACH (known, &leader->state->sessions, link)
-		if (!wl_leader_session(leader, known->id))
+		if (!wl_leader_session_find(leader, known->id))
 			session_know(leader, now_ns, known);
 	leader->counts_due = true;
 	leader->balance_due = true;
@@ -148,7 +148,7 @@
 void wl_leader_opened(wl_leader_t *leader, uint64_t now_ns, const wl_proposal_t *proposal,
 		      const wl_result_t *result, wl_out_t *out)
 {
-	wl_leader_session_t *session = wl_leader_session(leader, result->index);
+	wl_leader_session_t *session = wl_leader_session_find(leader, result->index);
 
 	if (result->code != WL_OK || !session)
 		return;
@@ -161,7 +161,7 @@
 		     const wl_msg_renew_t *renew, wl_out_t *out)
 {
 	const wl_state_session_t *known =
-		wl_state_session_of(leader->state, wl_buf_str(&renew->entry));
+		wl_state_session_of_entry(leader->state, wl_buf_str(&renew->entry));
 	wl_leader_session_t *session;
 
 	if (renew->entry.len == 0 || !wl_str_equal(peer, wl_buf_str(&renew->entry)))
@@ -174,7 +174,7 @@
 		session_open(leader, now_ns, renew, out);
 		return;
 	}
-	session = wl_leader_session(leader, known->id);
+	session = wl_leader_session_find(leader, known->id);
 	if (!session || session->ending)
 		return;
 	session_heard(leader, now_ns, session, renew);
@@ -206,7 +206,8 @@
 	view->term = leader->term;
 	members = view->members.items;
 	for (size_t i = 0; i < view->members.count; i++) {
-		const wl_leader_session_t *member = wl_leader_session(leader, members[i].session);
+		const wl_leader_session_t *member =
+			wl_leader_session_find(leader, members[i].session);
 
 		members[i].draining = member && member->draining;
 	}
--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader_tasks.c
@@ -66,7 +66,7 @@
 /* A report that can't change anything any more needs no commit. */
 static bool stale(const wl_leader_t *leader, const wl_report_t *report)
 {
-	const wl_task_t *task = wl_state_task(leader->state, wl_buf_str(&report->task));
+	const wl_task_t *task = wl_state_task_find(leader->state, wl_buf_str(&report->task));
 
 	if (!task || report->attempt < task->record.attempt)
 		return true;
@@ -135,8 +135,8 @@
 
 	for (size_t i = 0; i < cmd->reports.count; i++) {
 		wl_str_t id = wl_buf_str(&reports[i].task);
-		wl_leader_attempt_t *attempt = wl_leader_attempt(leader, id);
-		const wl_task_t *task = wl_state_task(leader->state, id);
+		wl_leader_attempt_t *attempt = wl_leader_attempt_find(leader, id);
+		const wl_task_t *task = wl_state_task_find(leader->state, id);
 
 		if (!attempt || attempt->attempt != reports[i].attempt || attempt->proposed)
 			continue;
@@ -207,7 +207,7 @@
 	const wl_buf_t *ids = cmd->tasks.items;
 
 	for (size_t i = 0; i < cmd->tasks.count; i++) {
-		wl_leader_attempt_t *attempt = wl_leader_attempt(leader, wl_buf_str(&ids[i]));
+		wl_leader_attempt_t *attempt = wl_leader_attempt_find(leader, wl_buf_str(&ids[i]));
 
 		if (attempt)
 			wl_leader_attempt_quiet(leader, attempt, false);
@@ -238,7 +238,7 @@
 
 	for (attempt = TAILQ_FIRST(&leader->attempts); attempt && attempt->sent_ns == 0;
 	     attempt = next) {
-		const wl_task_t *task = wl_state_task(leader->state, attempt->key);
+		const wl_task_t *task = wl_state_task_find(leader->state, attempt->key);
 
 		next = TAILQ_NEXT(attempt, link);
 		if (!attempt->proposed)
@@ -290,7 +290,7 @@
 static void attempt_send(const wl_leader_t *leader, const wl_leader_attempt_t *attempt,
 			 wl_out_t *out)
 {
-	const wl_task_t *task = wl_state_task(leader->state, attempt->key);
+	const wl_task_t *task = wl_state_task_find(leader->state, attempt->key);
 
 	if (attempt->proposed || !placed(task, attempt->attempt) || task->target->row.session == 0)
 		return;
--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -17,7 +17,7 @@
  */
 wl_place_t *wl_place_new(const wl_place_options_t *options, wl_err_t *err)
 {
-	const wl_place_policy_t *policy = wl_place_policy(options->policy);
+	const wl_place_policy_t *policy = wl_place_policy_find(options->policy);
 	wl_place_t *place;
 
 	if (!policy) {
@@ -132,7 +132,7 @@
 	target->rack = NULL;
 }
 
-wl_place_target_t *wl_place_target(const wl_place_t *place, wl_str_t name)
+wl_place_target_t *wl_place_target_find(const wl_place_t *place, wl_str_t name)
 {
 	return wl_map_get(&place->by_target, name);
 }
@@ -143,7 +143,7 @@
  */
 wl_place_target_t *wl_place_know(wl_place_t *place, uint64_t now_ns, wl_str_t name)
 {
-	wl_place_target_t *target = wl_place_target(place, name);
+	wl_place_target_t *target = wl_place_target_find(place, name);
 
 	if (target)
 		return target;
@@ -238,7 +238,7 @@
  */
 void wl_place_remove(wl_place_t *place, wl_str_t name)
 {
-	wl_place_target_t *target = wl_place_target(place, name);
+	wl_place_target_t *target = wl_place_target_find(place, name);
 
 	if (!target)
 		return;
@@ -267,7 +267,7 @@
  */
 void wl_place_hold(wl_place_t *place, uint64_t until_ns, wl_str_t name)
 {
-	wl_place_target_t *target = wl_place_target(place, name);
+	wl_place_target_t *target = wl_place_target_find(place, name);
 
 	if (target)
 		target->hold_ns = until_ns;
--- a/libwlcore/place_internal.h
+++ b/libwlcore/place_internal.h
@@ -54,7 +54,7 @@
 };
 
 /* place_policy.c */
-const wl_place_policy_t *wl_place_policy(wl_str_t name);
+const wl_place_policy_t *wl_place_policy_find(wl_str_t name);
 bool wl_place_fits(const wl_place_t *place, const wl_place_target_t *target,
 		   const wl_place_ask_t *ask, bool evict, wl_need_t *need);
 
--- a/libwlcore/place_pairs.c
+++ b/libwlcore/place_pairs.c
@@ -48,10 +48,10 @@
 }
 
 /*
- * wl_place_pair - take in what an owner learnt of a pair of kinds
+ * wl_place_pair_learn - take in what an owner learnt of a pair of kinds
  * @now_ns: monotonic time; what is older counts half every ten minutes
  */
-void wl_place_pair(wl_place_t *place, uint64_t now_ns, const wl_pair_row_t *row)
+void wl_place_pair_learn(wl_place_t *place, uint64_t now_ns, const wl_pair_row_t *row)
 {
 	wl_str_t kind = wl_buf_str(&row->kind);
 	wl_str_t beside = wl_buf_str(&row->beside);
--- a/libwlcore/place_policy.c
+++ b/libwlcore/place_policy.c
@@ -144,7 +144,7 @@
 
 #define POLICY_DEFAULT "interference-fair"
 
-const wl_place_policy_t *wl_place_policy(wl_str_t name)
+const wl_place_policy_t *wl_place_policy_find(wl_str_t name)
 {
 	if (name.len == 0)
 		name = WL_STR(POLICY_DEFAULT);
--- a/libwlcore/state_chart.c
+++ b/libwlcore/state_chart.c
@@ -158,7 +158,7 @@
 };
 
 /* Lets an event happen to a task. */
-wl_chart_outcome_t wl_task_move(wl_task_move_t *move, wl_task_event_t event)
+wl_chart_outcome_t wl_task_step(wl_task_move_t *move, wl_task_event_t event)
 {
 	wl_task_record_t *record = &move->task->record;
 	uint64_t before = record->state;
--- a/libwlcore/state_internal.h
+++ b/libwlcore/state_internal.h
@@ -214,8 +214,8 @@
 void wl_state_changes_clear(wl_state_t *state);
 
 /* state_sessions.c */
-wl_state_session_t *wl_state_session(const wl_state_t *state, uint64_t id);
-wl_state_session_t *wl_state_session_of(const wl_state_t *state, wl_str_t entry);
+wl_state_session_t *wl_state_session_find(const wl_state_t *state, uint64_t id);
+wl_state_session_t *wl_state_session_of_entry(const wl_state_t *state, wl_str_t entry);
 wl_state_session_t *wl_state_session_add(wl_state_t *state, uint64_t id);
 void wl_state_session_open(wl_state_t *state, uint64_t index, const wl_cmd_session_open_t *cmd,
 			   wl_result_t *result);
@@ -224,7 +224,7 @@
 void wl_state_sessions_clear(wl_state_t *state);
 
 /* state_owners.c */
-wl_state_target_t *wl_state_target(const wl_state_t *state, wl_str_t name);
+wl_state_target_t *wl_state_target_find(const wl_state_t *state, wl_str_t name);
 wl_state_target_t *wl_state_target_add(wl_state_t *state, wl_str_t name);
 void wl_state_owners_release(wl_state_t *state, uint64_t index, uint64_t session);
 void wl_state_target_own(wl_state_t *state, uint64_t index, const wl_cmd_target_own_t *cmd,
@@ -234,7 +234,7 @@
 void wl_state_targets_clear(wl_state_t *state);
 
 /* state_tasks.c */
-wl_task_t *wl_state_task(const wl_state_t *state, wl_str_t id);
+wl_task_t *wl_state_task_find(const wl_state_t *state, wl_str_t id);
 void wl_state_task_add(wl_state_t *state, uint64_t index, const wl_cmd_task_add_t *cmd,
 		       wl_result_t *result);
 void wl_state_task_cancel(wl_state_t *state, uint64_t index, const wl_cmd_task_cancel_t *cmd,
@@ -245,7 +245,7 @@
 wl_task_t *wl_state_task_restore(wl_state_t *state, wl_task_record_t *record);
 void wl_state_tasks_expire(wl_state_t *state);
 void wl_state_tasks_clear(wl_state_t *state);
-wl_state_customer_t *wl_state_customer(wl_state_t *state, wl_str_t name);
+wl_state_customer_t *wl_state_customer_get(wl_state_t *state, wl_str_t name);
 
 /* state_chart.c */
 typedef struct wl_task_move {
@@ -256,7 +256,7 @@
 	uint64_t epoch;		   /* assign */
 } wl_task_move_t;
 
-wl_chart_outcome_t wl_task_move(wl_task_move_t *move, wl_task_event_t event);
+wl_chart_outcome_t wl_task_step(wl_task_move_t *move, wl_task_event_t event);
 void wl_task_queue_in(wl_task_t *task);
 void wl_task_place_on(wl_task_t *task, wl_state_target_t *target);
 
@@ -265,7 +265,7 @@
 			  wl_result_t *result);
 
 /* state_kinds.c */
-wl_state_kind_t *wl_state_kind(const wl_state_t *state, wl_str_t name);
+wl_state_kind_t *wl_state_kind_find(const wl_state_t *state, wl_str_t name);
 wl_state_kind_t *wl_state_kind_add(wl_state_t *state, wl_str_t name);
 void wl_state_kind_learn(wl_state_t *state, wl_str_t name, const wl_report_t *report);
 void wl_state_kinds_clear(wl_state_t *state);
--- a/libwlcore/state_keys.c
+++ b/libwlcore/state_keys.c
@@ -93,7 +93,7 @@
 		key_answer(key, cmd->nonce, result);
 		return;
 	}
-	if (!wl_state_session(state, cmd->session)) {
+	if (!wl_state_session_find(state, cmd->session)) {
 		wl_result_fail(result, WL_E_NO_SESSION, "session %llu is over",
 			       (unsigned long long)cmd->session);
 		return;
--- a/libwlcore/state_kinds.c
+++ b/libwlcore/state_kinds.c
@@ -6,7 +6,7 @@
 
 #define LEARN_SHARE 8 /* a sample moves an average by one in so many */
 
-wl_state_kind_t *wl_state_kind(const wl_state_t *state, wl_str_t name)
+wl_state_kind_t *wl_state_kind_find(const wl_state_t *state, wl_str_t name)
 {
 	return wl_map_get(&state->by_kind, name);
 }
@@ -37,7 +37,7 @@
 /* Learns from an attempt that ran to its end. */
 void wl_state_kind_learn(wl_state_t *state, wl_str_t name, const wl_report_t *report)
 {
-	wl_state_kind_t *kind = wl_state_kind(state, name);
+	wl_state_kind_t *kind = wl_state_kind_find(state, name);
 
 	if (!kind)
 		kind = wl_state_kind_add(state, name);
@@ -63,7 +63,7 @@
 /* What a task takes on a target: the larger of declared and learnt, and one slot. */
 void wl_state_need(const wl_state_t *state, const wl_task_spec_t *spec, wl_need_t *need)
 {
-	const wl_state_kind_t *kind = wl_state_kind(state, wl_buf_str(&spec->kind));
+	const wl_state_kind_t *kind = wl_state_kind_find(state, wl_buf_str(&spec->kind));
 
 	*need = (wl_need_t){.cpu_millis = spec->cpu_millis,
 			    .memory_mib = spec->memory_mib,
@@ -78,7 +78,7 @@
 /* How long a task is expected to run: learnt, or declared when nothing is learnt; 0: not known. */
 uint64_t wl_state_expected_ms(const wl_state_t *state, const wl_task_spec_t *spec)
 {
-	const wl_state_kind_t *kind = wl_state_kind(state, wl_buf_str(&spec->kind));
+	const wl_state_kind_t *kind = wl_state_kind_find(state, wl_buf_str(&spec->kind));
 
 	return kind && kind->run_ms ? kind->run_ms : spec->run_ms;
 }
--- a/libwlcore/state_owners.c
+++ b/libwlcore/state_owners.c
@@ -6,7 +6,7 @@
 
 #define FORGOTTEN_KEEP 1024
 
-wl_state_target_t *wl_state_target(const wl_state_t *state, wl_str_t name)
+wl_state_target_t *wl_state_target_find(const wl_state_t *state, wl_str_t name)
 {
 	return wl_map_get(&state->by_target, name);
 }
@@ -80,8 +80,8 @@
 void wl_state_target_own(wl_state_t *state, uint64_t index, const wl_cmd_target_own_t *cmd,
 			 wl_result_t *result)
 {
-	const wl_state_session_t *session = wl_state_session(state, cmd->session);
-	wl_state_target_t *target = wl_state_target(state, wl_buf_str(&cmd->target));
+	const wl_state_session_t *session = wl_state_session_find(state, cmd->session);
+	wl_state_target_t *target = wl_state_target_find(state, wl_buf_str(&cmd->target));
 	uint64_t epoch = target && !target->row.forgotten ? target->row.epoch : 0;
 
 	if (cmd->target.len == 0) {
@@ -129,7 +129,7 @@
 void wl_state_target_forget(wl_state_t *state, uint64_t index, const wl_cmd_target_forget_t *cmd,
 			    wl_result_t *result)
 {
-	wl_state_target_t *target = wl_state_target(state, wl_buf_str(&cmd->target));
+	wl_state_target_t *target = wl_state_target_find(state, wl_buf_str(&cmd->target));
 
 	if (!target || target->row.forgotten) {
 		wl_result_ok(result, index);
--- a/libwlcore/state_reports.c
+++ b/libwlcore/state_reports.c
@@ -14,7 +14,7 @@
 
 static bool report_counts(const wl_state_t *state, const wl_task_t *task, const wl_report_t *report)
 {
-	const wl_state_target_t *target = wl_state_target(state, wl_buf_str(&report->target));
+	const wl_state_target_t *target = wl_state_target_find(state, wl_buf_str(&report->target));
 
 	if (report->kind == WL_REPORT_UNPLACEABLE)
 		return task->record.attempt == report->attempt;
@@ -94,12 +94,12 @@
 
 static bool report_apply(wl_state_t *state, const wl_report_t *report)
 {
-	wl_task_t *task = wl_state_task(state, wl_buf_str(&report->task));
+	wl_task_t *task = wl_state_task_find(state, wl_buf_str(&report->task));
 	wl_task_move_t move = {.state = state, .task = task, .report = report};
 
 	if (!task || report->kind >= WL_REPORT_KINDS || !report_counts(state, task, report))
 		return false;
-	if (wl_task_move(&move, report_event(state, task, report)) != WL_CHART_MOVED)
+	if (wl_task_step(&move, report_event(state, task, report)) != WL_CHART_MOVED)
 		return false;
 	if (report->kind == WL_REPORT_FINISHED)
 		wl_state_kind_learn(state, wl_buf_str(&task->record.spec.kind), report);
--- a/libwlcore/state_sessions.c
+++ b/libwlcore/state_sessions.c
@@ -4,7 +4,7 @@
 
 #include <stdlib.h>
 
-wl_state_session_t *wl_state_session(const wl_state_t *state, uint64_t id)
+wl_state_session_t *wl_state_session_find(const wl_state_t *state, uint64_t id)
 {
 	wl_state_session_t *session;
 
@@ -14,7 +14,7 @@
 	return NULL;
 }
 
-wl_state_session_t *wl_state_session_of(const wl_state_t *state, wl_str_t entry)
+wl_state_session_t *wl_state_session_of_entry(const wl_state_t *state, wl_str_t entry)
 {
 	wl_state_session_t *session;
 
@@ -53,7 +53,7 @@
 void wl_state_session_open(wl_state_t *state, uint64_t index, const wl_cmd_session_open_t *cmd,
 			   wl_result_t *result)
 {
-	wl_state_session_t *session = wl_state_session_of(state, wl_buf_str(&cmd->entry));
+	wl_state_session_t *session = wl_state_session_of_entry(state, wl_buf_str(&cmd->entry));
 
 	if (cmd->entry.len == 0) {
 		wl_result_fail(result, WL_E_BAD_INPUT, "a session needs the name of its entry");
@@ -77,7 +77,7 @@
 void wl_state_session_end(wl_state_t *state, uint64_t index, const wl_cmd_session_end_t *cmd,
 			  wl_result_t *result)
 {
-	wl_state_session_t *session = wl_state_session(state, cmd->session);
+	wl_state_session_t *session = wl_state_session_find(state, cmd->session);
 
 	if (session)
 		session_close(state, index, session);
--- a/libwlcore/state_tasks.c
+++ b/libwlcore/state_tasks.c
@@ -11,12 +11,12 @@
 	return task->record.ended_ms > 0;
 }
 
-wl_task_t *wl_state_task(const wl_state_t *state, wl_str_t id)
+wl_task_t *wl_state_task_find(const wl_state_t *state, wl_str_t id)
 {
 	return wl_map_get(&state->by_task, id);
 }
 
-wl_state_customer_t *wl_state_customer(wl_state_t *state, wl_str_t name)
+wl_state_customer_t *wl_state_customer_get(wl_state_t *state, wl_str_t name)
 {
 	wl_state_customer_t *customer = wl_map_get(&state->by_customer, name);
 
@@ -125,7 +125,7 @@
 	*record = (wl_task_record_t){0};
 	wl_buf_printf(&task->id, "t%llu", (unsigned long long)task->record.number);
 	task->key = wl_buf_str(&task->id);
-	task->customer = wl_state_customer(state, wl_buf_str(&task->record.customer));
+	task->customer = wl_state_customer_get(state, wl_buf_str(&task->record.customer));
 	wl_map_put(&state->by_task, task);
 	aliases_add(state, task);
 	if (wl_task_ended(task)) {
@@ -134,7 +134,7 @@
 	}
 	TAILQ_INSERT_TAIL(&state->live, task, link);
 	state->live_count++;
-	target = wl_state_target(state, wl_buf_str(&task->record.target));
+	target = wl_state_target_find(state, wl_buf_str(&task->record.target));
 	if (task->record.state == WL_TASK_QUEUED)
 		wl_task_queue_in(task);
 	else if (target)
@@ -236,14 +236,14 @@
 	uint64_t found = 0;
 
 	for (size_t i = 0; i < cmd->tasks.count; i++) {
-		wl_task_t *task = wl_state_task(state, wl_buf_str(&ids[i]));
+		wl_task_t *task = wl_state_task_find(state, wl_buf_str(&ids[i]));
 		wl_task_move_t move = {.state = state, .task = task};
 
 		if (!task ||
 		    !wl_str_equal(wl_buf_str(&task->record.customer), wl_buf_str(&cmd->customer)))
 			continue;
 		found++;
-		wl_task_move(&move, WL_TASK_EV_CANCEL);
+		wl_task_step(&move, WL_TASK_EV_CANCEL);
 	}
 	if (cmd->tasks.count > 0 && found == 0) {
 		wl_result_fail(result, WL_E_NOT_FOUND, "no such task");
@@ -255,8 +255,8 @@
 static bool assignment_holds(const wl_state_t *state, const wl_assignment_t *assignment,
 			     wl_task_move_t *move)
 {
-	move->task = wl_state_task(state, wl_buf_str(&assignment->task));
-	move->target = wl_state_target(state, wl_buf_str(&assignment->target));
+	move->task = wl_state_task_find(state, wl_buf_str(&assignment->task));
+	move->target = wl_state_target_find(state, wl_buf_str(&assignment->target));
 	move->epoch = assignment->epoch;
 	return move->task && move->target && !move->target->row.forgotten &&
 	       move->target->row.session != 0 && move->target->row.epoch == assignment->epoch &&
@@ -273,7 +273,7 @@
 		wl_task_move_t move = {.state = state};
 
 		if (assignment_holds(state, &assignments[i], &move))
-			wl_task_move(&move, WL_TASK_EV_ASSIGN);
+			wl_task_step(&move, WL_TASK_EV_ASSIGN);
 	}
 	wl_result_ok(result, index);
 }
