owner: void old leaders' messages; report anew what an old epoch made void

A report of LOST counts only under the present epoch, yet its sender is told REPORTED: a regrant then lists the attempt again, and its owner says again what it knows. The time after which a target that was never heard is lost now holds the validity of its earlier owner's session too.

--- a/libwlcore/node.c
+++ b/libwlcore/node.c
@@ -493,6 +493,7 @@
 		.announce_ms = o->announce_ms,
 		.silence_ms = o->silence_ms,
 		.lease_ms = o->lease_ms,
+		.session_ms = o->session_ms,
 		.grace_ms = o->grace_ms,
 		.drift_ms = o->drift_ms,
 		.offer_ms = o->room_ms,
--- a/libwlcore/owner.c
+++ b/libwlcore/owner.c
@@ -136,17 +136,31 @@
 	}
 }
 
+/* What an earlier leader sent may have been overtaken by what a later one committed. */
+static bool term_current(wl_owner_t *owner, uint64_t term)
+{
+	if (owner->options.view->term > owner->term)
+		owner->term = owner->options.view->term;
+	if (term > owner->term)
+		owner->term = term;
+	return term == owner->term;
+}
+
 static void take_peer(const wl_turn_t *turn, const wl_event_t *event)
 {
+	wl_owner_t *owner = turn->owner;
+
 	switch (event->msg.kind) {
 	case WL_MSG_ANNOUNCE:
 		wl_owner_take_announce(turn, &event->msg.u.announce.announce);
 		break;
 	case WL_MSG_ASSIGN:
-		wl_owner_take_assign(turn, &event->msg.u.assign);
+		if (term_current(owner, event->msg.u.assign.term))
+			wl_owner_take_assign(turn, &event->msg.u.assign);
 		break;
 	case WL_MSG_STOP:
-		wl_owner_take_stop(turn, &event->msg.u.stop);
+		if (term_current(owner, event->msg.u.stop.term))
+			wl_owner_take_stop(turn, &event->msg.u.stop);
 		break;
 	case WL_MSG_REPORTED:
 		wl_owner_take_reported(turn, &event->msg.u.reported);
--- a/libwlcore/owner.h
+++ b/libwlcore/owner.h
@@ -23,6 +23,7 @@
 	uint64_t announce_ms;	 /* interval that targets are told */
 	uint64_t silence_ms;	 /* no announce for so long: no new work */
 	uint64_t lease_ms;	 /* of a task, from the announce that a renewal echoes */
+	uint64_t session_ms;	 /* longest validity of a session */
 	uint64_t grace_ms;	 /* renewals after the own session ended */
 	uint64_t drift_ms;
 	uint64_t offer_ms;
--- a/libwlcore/owner_adopt.c
+++ b/libwlcore/owner_adopt.c
@@ -78,6 +78,16 @@
 	}
 }
 
+/* A report under an earlier epoch did not count: what it says holds still. */
+static void report_anew(const wl_turn_t *turn, const wl_owned_t *owned, wl_attempt_t *attempt)
+{
+	if (attempt->phase < WL_ATTEMPT_ENDED)
+		return;
+	attempt->epoch = owned->target->epoch;
+	attempt->report.epoch = attempt->epoch;
+	wl_attempt_repeat(turn, attempt);
+}
+
 /* Attempts of earlier epochs that the target does not know can't start any more. */
 static void assigned_check(const wl_turn_t *turn, wl_owned_t *owned,
 			   const wl_target_answer_t *answer, wl_str_t reason)
@@ -86,11 +96,14 @@
 
 	for (size_t i = 0; i < owned->assigned.count; i++) {
 		wl_str_t task = wl_buf_str(&assigned[i].task);
-		wl_attempt_t *attempt;
+		wl_attempt_t *attempt = wl_attempt_find(turn->owner, task, assigned[i].attempt);
 
-		if (assigned[i].epoch >= owned->target->epoch ||
-		    wl_attempt_find(turn->owner, task, assigned[i].attempt))
+		if (assigned[i].epoch >= owned->target->epoch)
+			continue;
+		if (attempt) {
+			report_anew(turn, owned, attempt);
 			continue;
+		}
 		attempt = wl_attempt_add(turn->owner, owned, task, assigned[i].attempt);
 		wl_attempt_enter(turn, attempt, WL_ATTEMPT_RUNNING);
 		if (answer && listed(answer, task, assigned[i].attempt))
@@ -147,14 +160,16 @@
  * wl_owned_reach_ns - when nothing can run on a target any more unless it is heard again
  *
  * Before the adoption an earlier owner may have renewed leases by announces
- * that this entry did not get.
+ * that this entry did not get: until it learnt of the grant, at the latest by
+ * the end of its session, and for the grace after that.
  */
 uint64_t wl_owned_reach_ns(const wl_owned_t *owned)
 {
 	const wl_owner_options_t *options = &owned->owner->options;
 	uint64_t lease_ns = (options->lease_ms + options->drift_ms) * WL_NS_PER_MS;
 	uint64_t heard = owned->target->heard_ns + lease_ns;
-	uint64_t granted = owned->granted_ns + options->grace_ms * WL_NS_PER_MS + lease_ns;
+	uint64_t granted = owned->granted_ns +
+			   (options->session_ms + options->grace_ms) * WL_NS_PER_MS + lease_ns;
 
 	return owned->adopted_boot || heard > granted ? heard : granted;
 }
--- a/libwlcore/owner_announce.c
+++ b/libwlcore/owner_announce.c
@@ -48,6 +48,27 @@
 	owned->leaving = announce->state == WL_ANNOUNCE_LEAVING;
 }
 
+static bool same(const wl_buf_t *a, const wl_buf_t *b)
+{
+	return wl_str_equal(wl_buf_str(a), wl_buf_str(b));
+}
+
+/* The leader grants a target that changed anew, so that its next owner can reach it. */
+static void tell_change(const wl_turn_t *turn, const wl_announce_t *announce)
+{
+	const wl_owner_options_t *options = &turn->owner->options;
+	const wl_owner_row_t *row = wl_view_owner(options->view, wl_buf_str(&announce->name));
+	wl_msg_t *msg;
+
+	if (!row || options->session->leader.len == 0 ||
+	    (same(&row->address, &announce->address) && same(&row->rack, &announce->rack) &&
+	     same(&row->availability_zone, &announce->availability_zone) &&
+	     services_same(&row->services, &announce->services)))
+		return;
+	msg = wl_out_send(turn->out, wl_buf_str(&options->session->leader), WL_MSG_ANNOUNCE);
+	wl_record_copy(&wl_announce_schema, &msg->u.announce.announce, announce);
+}
+
 /*
  * A different boot id is only a claim: the announce may be an old one that was
  * long on its way.  The adoption that follows proves it or not.
@@ -65,6 +86,7 @@
 	owned->lost = false;
 	owned->usage_ns = ago_ns < turn->now_ns ? turn->now_ns - ago_ns : 0;
 	take_facts(owned, announce);
+	tell_change(turn, announce);
 	if (owned->adopted_boot && owned->adopted_boot != announce->boot)
 		wl_owned_event(turn, owned, WL_TARGET_REBOOT);
 	else if (owned->adopted_boot) {
--- a/libwlcore/owner_internal.h
+++ b/libwlcore/owner_internal.h
@@ -176,6 +176,7 @@
 	wl_map_t calls;
 	TAILQ_HEAD(wl_owner_calls, wl_owner_call) calls_open;
 	uint64_t next_call;
+	uint64_t term;		   /* newest of a leader heard of */
 	uint64_t view_index;	   /* ownership changes taken in */
 	uint64_t session;	   /* the newest that was valid */
 	uint64_t session_until_ns; /* and till when */
