--- a/libwlcore/owned.c
+++ b/libwlcore/owned.c
@@ -286,6 +286,8 @@
 		wl_owned_free(turn->owner, owned);
 		return;
 	}
+	if (!wl_view_owner(turn->owner->options.view, owned->key))
+		wl_owned_move(turn, owned); /* the group has forgotten it */
 	if (turn->now_ns >= silence_at(owned))
 		wl_owned_event(turn, owned, WL_TARGET_SILENCE);
 	wl_owned_reach(turn, owned);
--- a/libwlcore/owner_adopt.c
+++ b/libwlcore/owner_adopt.c
@@ -136,12 +136,31 @@
 		wl_owned_event(turn, owned, WL_TARGET_FAIL);
 }
 
+/* A refusal tells the boot and announce that are current: what was heard last was an old one. */
+static bool adopt_corrected(const wl_turn_t *turn, wl_owned_t *owned,
+			    const wl_target_answer_t *answer)
+{
+	wl_target_t *target = owned->target;
+
+	if (answer->epoch > target->epoch || answer->boot == 0 || answer->boot == target->boot ||
+	    owned->adopt_tries > 0)
+		return false;
+	target->boot = answer->boot;
+	target->seq = answer->seq;
+	target->heard_ns = turn->now_ns;
+	owned->adopt_tries++;
+	owned->adopt_next_ns = turn->now_ns;
+	wl_owned_touch(turn, owned);
+	return true;
+}
+
 /*
  * wl_owned_adopt_ended - take in how an adoption ended
- * @answer: NULL unless the target took the command
+ * @taken: whether the target took the command
+ * @answer: NULL if none could be read
  */
 void wl_owned_adopt_ended(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_call_t *call,
-			  const wl_target_answer_t *answer)
+			  bool taken, const wl_target_answer_t *answer)
 {
 	if (owned->adopt_call != call->id)
 		return;
@@ -149,11 +168,10 @@
 	/* The target restarted, or went silent, while the call was on its way. */
 	if (owned->target->state != WL_TARGET_ADOPTING)
 		return;
-	if (!answer || answer->boot != owned->target->boot || answer->boot != call->boot) {
+	if (taken && answer && answer->boot == owned->target->boot && answer->boot == call->boot)
+		adopted(turn, owned, answer);
+	else if (!answer || !adopt_corrected(turn, owned, answer))
 		adopt_again(turn, owned);
-		return;
-	}
-	adopted(turn, owned, answer);
 }
 
 /*
--- a/libwlcore/owner_announce.c
+++ b/libwlcore/owner_announce.c
@@ -117,16 +117,15 @@
 		take_own(turn, owned, announce);
 }
 
-/* Moves the announce to whoever is to have it. */
-static void pass_on(const wl_turn_t *turn, wl_announce_t *announce)
+/* Moves the announce to its owner, or to the leader when it has none. */
+static void pass_on(const wl_turn_t *turn, const wl_owner_row_t *row, wl_announce_t *announce)
 {
 	const wl_owner_options_t *options = &turn->owner->options;
-	const wl_owner_row_t *row = wl_view_owner(options->view, wl_buf_str(&announce->name));
 	wl_str_t to = row && row->entry.len ? wl_buf_str(&row->entry)
 					    : wl_buf_str(&options->session->leader);
 	wl_msg_t *msg;
 
-	if (to.len == 0 || (row && wl_str_equal(to, options->entry) && row->entry.len))
+	if (to.len == 0)
 		return;
 	msg = wl_out_send(turn->out, to, WL_MSG_ANNOUNCE);
 	msg->u.announce.announce = *announce;
@@ -141,7 +140,8 @@
 	wl_announce_t announce;
 	wl_reply_t *reply;
 	wl_err_t err = {0};
-	const wl_owned_t *owned;
+	const wl_owner_options_t *options = &turn->owner->options;
+	const wl_owner_row_t *row;
 
 	if (!wl_record_from_json(&wl_announce_schema, wl_buf_str(&call->body), &announce, &err)) {
 		wl_out_reply_error(turn->out, call->id, &err);
@@ -151,11 +151,11 @@
 	reply = wl_out_reply(turn->out, call->id, 200);
 	wl_headers_add(&reply->headers, WL_STR("Content-Type"), WL_STR("application/json"));
 	wl_buf_printf(&reply->body, "{\"interval_ms\":%llu}\n",
-		      (unsigned long long)turn->owner->options.announce_ms);
-	owned = wl_owner_find(turn->owner, wl_buf_str(&announce.name));
-	if (owned && owned->target->state != WL_TARGET_GONE)
+		      (unsigned long long)options->announce_ms);
+	row = wl_view_owner(options->view, wl_buf_str(&announce.name));
+	if (row && wl_str_equal(wl_buf_str(&row->entry), options->entry))
 		wl_owner_take_announce(turn, &announce);
 	else
-		pass_on(turn, &announce);
+		pass_on(turn, row, &announce);
 	wl_record_free(&wl_announce_schema, &announce);
 }
--- a/libwlcore/owner_call.c
+++ b/libwlcore/owner_call.c
@@ -132,11 +132,10 @@
 static void dispatch(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_call_t *call,
 		     const wl_fetched_t *fetched, const wl_target_answer_t *answer)
 {
-	const wl_target_answer_t *taken = fetched->status == 200 ? answer : NULL;
 	wl_attempt_t *attempt;
 
 	if (call->kind == WL_CALL_ADOPT) {
-		wl_owned_adopt_ended(turn, owned, call, taken);
+		wl_owned_adopt_ended(turn, owned, call, fetched->status == 200, answer);
 	} else if (call->kind == WL_CALL_RENEW) {
 		if (owned->renew_call == call->id)
 			owned->renew_call = 0;
--- a/libwlcore/owner_internal.h
+++ b/libwlcore/owner_internal.h
@@ -218,7 +218,7 @@
 /* owner_adopt.c */
 void wl_owned_adopt(const wl_turn_t *turn, wl_owned_t *owned);
 void wl_owned_adopt_ended(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_call_t *call,
-			  const wl_target_answer_t *answer);
+			  bool taken, const wl_target_answer_t *answer);
 void wl_owned_earlier(wl_owned_t *owned, uint64_t requests);
 uint64_t wl_owned_reach_ns(const wl_owned_t *owned);
 void wl_owned_reach(const wl_turn_t *turn, wl_owned_t *owned);
@@ -272,7 +272,8 @@
 void wl_owned_reserve_for_urgent(const wl_turn_t *turn, const wl_owned_t *owned, wl_need_t *need);
 
 /* owner_press.c */
-bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned, const wl_need_t *need);
+void wl_owned_waiting(const wl_owned_t *owned, const wl_attempt_t *before, wl_need_t *need);
+bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned);
 uint64_t wl_owned_relieve_ns(const wl_owned_t *owned);
 void wl_owned_relieve(const wl_turn_t *turn, wl_owned_t *owned);
 void wl_attempt_throttle(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille);
--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -204,14 +204,33 @@
 }
 
 /*
- * wl_owned_make_room - begin to make room for urgent work that is assigned to a target
+ * wl_owned_waiting - add to a need what attempts on a target wait for
+ * @before: only those that came before this one; NULL: all
+ */
+void wl_owned_waiting(const wl_owned_t *owned, const wl_attempt_t *before, wl_need_t *need)
+{
+	const wl_attempt_t *attempt;
+
+	TAILQ_FOREACH (attempt, &owned->attempts, of_target) {
+		if (attempt == before)
+			return;
+		if (attempt->phase == WL_ATTEMPT_WAITING)
+			wl_need_add(need, &attempt->need);
+	}
+}
+
+/*
+ * wl_owned_make_room - begin to make room for the urgent work that waits on a target
  *
  * Return: false if all batch work there would not be enough.
  */
-bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned, const wl_need_t *need)
+bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned)
 {
-	wl_need_t missing = missing_for(owned, need);
+	wl_need_t need = {0};
+	wl_need_t missing;
 
+	wl_owned_waiting(owned, NULL, &need);
+	missing = missing_for(owned, &need);
 	if (nothing(&missing))
 		return true;
 	if (only_cpu(&missing) && throttle_frees(owned) >= missing.cpu_millis &&
--- a/libwlcore/owner_tasks.c
+++ b/libwlcore/owner_tasks.c
@@ -49,11 +49,13 @@
 	return attempt;
 }
 
+/* An attempt takes room only beside what those before it wait for. */
 static bool room_take(const wl_turn_t *turn, wl_attempt_t *attempt)
 {
 	wl_owned_t *owned = attempt->owned;
 	wl_need_t need = attempt->need;
 
+	wl_owned_waiting(owned, attempt, &need);
 	if (attempt->work_class == WL_CLASS_BATCH)
 		wl_owned_reserve_for_urgent(turn, owned, &need);
 	if (!owned->target->open || !wl_ledger_fits(owned->target, &need))
@@ -83,7 +85,7 @@
 		wl_attempt_end(turn, attempt, WL_REPORT_REFUSED, wl_str_from(refused));
 	else if (room_take(turn, attempt))
 		wl_attempt_enter(turn, attempt, WL_ATTEMPT_STARTING);
-	else if (assign->may_evict && wl_owned_make_room(turn, owned, &attempt->need))
+	else if (assign->may_evict && wl_owned_make_room(turn, owned))
 		wl_attempt_enter(turn, attempt, WL_ATTEMPT_WAITING);
 	else
 		wl_attempt_end(turn, attempt, WL_REPORT_REFUSED, WL_STR("no room"));
@@ -100,7 +102,7 @@
 	else if (turn->now_ns >= until_ns)
 		wl_attempt_end(turn, attempt, WL_REPORT_REFUSED, WL_STR("no room"));
 	else
-		call_again(turn, attempt);
+		attempt->next_ns = until_ns;
 }
 
 static void start_send(const wl_turn_t *turn, wl_attempt_t *attempt)
@@ -147,8 +149,9 @@
  */
 void wl_attempt_run(const wl_turn_t *turn, wl_attempt_t *attempt)
 {
-	if (attempt->call || turn->now_ns < attempt->next_ns ||
-	    !wl_owned_mine(attempt->owned, turn->now_ns))
+	bool due = attempt->phase == WL_ATTEMPT_WAITING || turn->now_ns >= attempt->next_ns;
+
+	if (attempt->call || !due || !wl_owned_mine(attempt->owned, turn->now_ns))
 		return;
 	switch (attempt->phase) {
 	case WL_ATTEMPT_WAITING:
