--- /dev/null
+++ b/daemon/daemon.c
@@ -0,0 +1,467 @@
+/*
+ * The daemon: its threads, joined by rings, from start to the planned stop.
+ *
+ * The main thread waits for signals and for the outcome of the node.
+ */
+
+#include "daemon.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "decide.h"
+
+#define NS_PER_MS    1000000ull
+#define NS_PER_S     1000000000ull
+#define OPEN_POLL_MS 10	 /* between two looks whether the last answers are out */
+#define LAST_LOG_MS  100 /* for the logger, before an end at once */
+
+typedef struct wl_daemon {
+	wl_settings_t *settings;
+	uint64_t boot;
+	int notice_fd;
+	int signal_fd;
+	wl_ring_t *events;
+	wl_store_t *store;
+	wl_raft_saved_t saved;
+	wl_disk_t *disk;
+	wl_peers_t *peers;
+	wl_http_client_t *client;
+	wl_http_server_t *caller;
+	wl_http_server_t *control;
+	wl_buf_t peer_address;
+	wl_node_t *node;
+	wl_decide_t *decide;
+	bool storage_failed;
+} wl_daemon_t;
+
+static uint64_t now_read(void)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_MONOTONIC, &at);
+	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+}
+
+static void node_options(const wl_settings_t *s, wl_node_options_t *o)
+{
+	*o = (wl_node_options_t){
+		.name = wl_buf_str(&s->name),
+		.availability_zone = wl_buf_str(&s->availability_zone),
+		.rack = wl_buf_str(&s->rack),
+		.entry = s->entry,
+		.store = s->store,
+		.stores = s->stores,
+		.store_count = s->store_count,
+		.task_chart = wl_buf_str(&s->task_chart),
+		.target_chart = wl_buf_str(&s->target_chart),
+		.operator_token = wl_buf_str(&s->operator_token),
+		.target_token = wl_buf_str(&s->target_token),
+		.routing = wl_buf_str(&s->routing),
+		.queueing = wl_buf_str(&s->queueing),
+		.placement = wl_buf_str(&s->placement),
+		.eviction = wl_buf_str(&s->eviction),
+		.session_ms = s->session_ms,
+		.renew_ms = s->renew_ms,
+		.election_ms = s->election_ms,
+		.heartbeat_ms = s->heartbeat_ms,
+		.lease_ms = s->lease_ms,
+		.grace_ms = s->grace_ms,
+		.drift_ms = s->drift_ms,
+		.announce_ms = s->announce_ms,
+		.silence_ms = s->silence_ms,
+		.room_ms = s->room_ms,
+		.drain_ms = s->drain_ms,
+		.default_timeout_ms = s->default_timeout_ms,
+		.max_timeout_ms = s->max_timeout_ms,
+		.max_queued = s->max_queued,
+		.retry_permille = s->retry_permille,
+		.request_cpu_millis = s->request_cpu_millis,
+		.request_memory_mib = s->request_memory_mib,
+		.long_ms = s->long_ms,
+		.long_share_permille = s->long_share_permille,
+		.key_keep_ms = s->key_keep_ms,
+		.task_keep_ms = s->task_keep_ms,
+		.compact_entries = s->compact_entries,
+		.seed = s->seed,
+	};
+}
+
+/*
+ * wl_daemon_check - are the charts and policies sound? Touches neither disk nor network.
+ * @settings: checked and loaded
+ * @err: WL_E_BAD_INPUT
+ */
+bool wl_daemon_check(wl_settings_t *settings, wl_err_t *err)
+{
+	wl_node_options_t options;
+	wl_node_t *node;
+
+	node_options(settings, &options);
+	options.store = false;
+	options.boot = 1;
+	node = wl_node_new(&options, now_read(), err);
+	wl_node_free(node);
+	return node != NULL;
+}
+
+static bool random_make(wl_daemon_t *daemon, wl_err_t *err)
+{
+	uint64_t numbers[2];
+
+	if (getrandom(numbers, sizeof(numbers), 0) != sizeof(numbers))
+		return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "getrandom: %s", strerror(errno));
+	daemon->boot = numbers[0] ? numbers[0] : 1;
+	if (daemon->settings->seed == 0)
+		daemon->settings->seed = numbers[1];
+	return true;
+}
+
+/* Before any thread starts, the logger's too: a thread that does not block them dies of them. */
+static bool signals_take(wl_daemon_t *daemon, wl_err_t *err)
+{
+	sigset_t wanted;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&wanted);
+	sigaddset(&wanted, SIGTERM);
+	sigaddset(&wanted, SIGINT);
+	daemon->notice_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (pthread_sigmask(SIG_BLOCK, &wanted, NULL) == 0)
+		daemon->signal_fd = signalfd(-1, &wanted, SFD_CLOEXEC | SFD_NONBLOCK);
+	if (daemon->notice_fd >= 0 && daemon->signal_fd >= 0)
+		return true;
+	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "signals: %s", strerror(errno));
+}
+
+static bool storage_open(wl_daemon_t *daemon, wl_err_t *err)
+{
+	const wl_settings_t *s = daemon->settings;
+	wl_store_options_t store = {.folder = wl_buf_str(&s->data_dir)};
+	wl_disk_options_t disk = {.events = daemon->events,
+				  .queue_slots = (uint32_t)s->queue_slots};
+
+	if (!s->store)
+		return true;
+	daemon->store = wl_store_open(&store, &daemon->saved, err);
+	daemon->storage_failed = !daemon->store;
+	if (!daemon->store)
+		return false;
+	disk.store = daemon->store;
+	daemon->disk = wl_disk_start(&disk, err);
+	return daemon->disk != NULL;
+}
+
+static void address_advertised(wl_daemon_t *daemon)
+{
+	const wl_settings_t *s = daemon->settings;
+	wl_str_t ip = wl_buf_str(&s->peer_listen);
+
+	if (s->peer_advertise.len > 0) {
+		wl_buf_set(&daemon->peer_address, wl_buf_str(&s->peer_advertise));
+		return;
+	}
+	while (ip.len > 0 && ip.at[ip.len - 1] != ':')
+		ip.len--;
+	wl_buf_set(&daemon->peer_address, ip);
+	wl_buf_printf(&daemon->peer_address, "%u", wl_peers_port(daemon->peers));
+}
+
+static bool peers_open(wl_daemon_t *daemon, wl_err_t *err)
+{
+	const wl_settings_t *s = daemon->settings;
+	wl_peer_options_t options = {
+		.name = wl_buf_str(&s->name),
+		.listen = wl_buf_str(&s->peer_listen),
+		.secret = wl_buf_str(&s->peer_secret),
+		.events = daemon->events,
+		.queue_slots = (uint32_t)s->queue_slots,
+		.max_frame_bytes = s->max_frame_bytes,
+		.max_queue_bytes = s->max_peer_queue_bytes,
+		.handshake_ms = s->handshake_ms,
+		.idle_ms = s->peer_idle_ms,
+		.seed = s->seed,
+	};
+
+	daemon->peers = wl_peers_start(&options, err);
+	if (!daemon->peers)
+		return false;
+	address_advertised(daemon);
+	return true;
+}
+
+static bool node_open(wl_daemon_t *daemon, wl_err_t *err)
+{
+	wl_node_options_t options;
+
+	node_options(daemon->settings, &options);
+	options.boot = daemon->boot;
+	options.peer_address = wl_buf_str(&daemon->peer_address);
+	if (daemon->store) {
+		options.store_id = wl_store_id(daemon->store);
+		options.saved = &daemon->saved;
+	}
+	daemon->node = wl_node_new(&options, now_read(), err);
+	if (!daemon->node)
+		daemon->storage_failed = err->code == WL_E_DAMAGED;
+	return daemon->node != NULL;
+}
+
+static wl_http_server_t *server_open(wl_daemon_t *daemon, wl_listener_t listener, wl_err_t *err)
+{
+	const wl_settings_t *s = daemon->settings;
+	bool caller = listener == WL_LISTENER_CALLER;
+	wl_http_server_options_t options = {
+		.listen = wl_buf_str(caller ? &s->caller_listen : &s->control_listen),
+		.listener = listener,
+		.max_body_bytes = s->max_body_bytes,
+		.max_header_bytes = s->max_header_bytes,
+		.max_connections = s->max_connections,
+		.idle_ms = s->http_idle_ms,
+		.events = daemon->events,
+		.first_call = caller ? WL_CALLER_FIRST : WL_CONTROL_FIRST,
+		.call_step = WL_CALL_STEP,
+	};
+
+	return wl_http_server_start(&options, err);
+}
+
+static bool http_open(wl_daemon_t *daemon, wl_err_t *err)
+{
+	const wl_settings_t *s = daemon->settings;
+	wl_http_client_options_t client = {
+		.events = daemon->events,
+		.queue_slots = (uint32_t)s->queue_slots,
+		.max_body_bytes = s->max_response_bytes,
+		.connect_ms = s->connect_ms,
+		.max_connections_per_host = s->max_target_connections,
+	};
+
+	daemon->client = wl_http_client_start(&client, err);
+	if (!daemon->client)
+		return false;
+	daemon->control = server_open(daemon, WL_LISTENER_CONTROL, err);
+	if (!daemon->control)
+		return false;
+	if (s->entry)
+		daemon->caller = server_open(daemon, WL_LISTENER_CALLER, err);
+	return daemon->caller || !s->entry;
+}
+
+static bool decide_open(wl_daemon_t *daemon, wl_err_t *err)
+{
+	wl_decide_options_t options = {
+		.node = daemon->node,
+		.events = daemon->events,
+		.peers = daemon->peers,
+		.client = daemon->client,
+		.caller = daemon->caller,
+		.control = daemon->control,
+		.disk = daemon->disk,
+		.notice_fd = daemon->notice_fd,
+	};
+
+	daemon->decide = wl_decide_start(&options, err);
+	return daemon->decide != NULL;
+}
+
+static bool daemon_open(wl_daemon_t *daemon, wl_err_t *err)
+{
+	daemon->events = wl_ring_new((uint32_t)daemon->settings->queue_slots, err);
+	return daemon->events && random_make(daemon, err) && storage_open(daemon, err) &&
+	       peers_open(daemon, err) && node_open(daemon, err) && http_open(daemon, err) &&
+	       decide_open(daemon, err);
+}
+
+/* Whoever reads the file sees it whole or not at all. */
+static bool ready_write(const wl_daemon_t *daemon, wl_err_t *err)
+{
+	const wl_buf_t *path = &daemon->settings->ready_file;
+	wl_buf_t part = {0};
+	FILE *file;
+	bool ok;
+
+	if (path->len == 0)
+		return true;
+	wl_buf_printf(&part, "%s.part", path->at);
+	file = fopen(part.at, "we");
+	ok = file &&
+	     fprintf(file,
+		     "{\"name\":\"%s\",\"pid\":%d,\"caller\":%u,\"control\":%u,"
+		     "\"peer\":%u}\n",
+		     daemon->settings->name.at, (int)getpid(),
+		     daemon->caller ? wl_http_server_port(daemon->caller) : 0,
+		     wl_http_server_port(daemon->control), wl_peers_port(daemon->peers)) > 0;
+	if (file)
+		ok = fclose(file) == 0 && ok;
+	ok = ok && rename(part.at, path->at) == 0;
+	wl_buf_free(&part);
+	return ok || wl_err_set(err, WL_E_IO, WL_NOT_RUN, "--ready-file: %.200s: %s", path->at,
+				strerror(errno));
+}
+
+static void ready_log(const wl_daemon_t *daemon)
+{
+	wl_log_event(WL_INFO, "ready",
+		     "version=" WL_VERSION " role=%s availability_zone=%s caller_port=%u "
+		     "control_port=%u peer_port=%u peer_address=%s",
+		     daemon->settings->role.at, daemon->settings->availability_zone.at,
+		     daemon->caller ? wl_http_server_port(daemon->caller) : 0,
+		     wl_http_server_port(daemon->control), wl_peers_port(daemon->peers),
+		     daemon->peer_address.at);
+	if (daemon->settings->operator_token.len == 0 || daemon->settings->target_token.len == 0)
+		wl_log_event(WL_WARN, "open-control", "operator_token=%s target_token=%s",
+			     daemon->settings->operator_token.len ? "set" : "none",
+			     daemon->settings->target_token.len ? "set" : "none");
+}
+
+static void exit_now(const char *why)
+{
+	wl_log_event(WL_ERROR, "stopped", "outcome=late reason=\"%s\"", why);
+	poll(NULL, 0, LAST_LOG_MS);
+	_exit(WL_EXIT_LATE);
+}
+
+/* Waits for a signal or an outcome; true if a signal came. */
+static bool daemon_wait(const wl_daemon_t *daemon, int timeout_ms)
+{
+	struct pollfd wait[] = {{.fd = daemon->signal_fd, .events = POLLIN},
+				{.fd = daemon->notice_fd, .events = POLLIN}};
+	struct signalfd_siginfo signal;
+
+	if (poll(wait, 2, timeout_ms) <= 0 || !wait[0].revents)
+		return false;
+	return read(daemon->signal_fd, &signal, sizeof(signal)) == sizeof(signal);
+}
+
+static wl_outcome_t daemon_serve(wl_daemon_t *daemon)
+{
+	uint64_t deadline_ns = 0;
+	wl_outcome_t outcome;
+
+	while ((outcome = wl_decide_outcome(daemon->decide)) == WL_OUTCOME_NONE) {
+		uint64_t now_ns = now_read();
+
+		if (deadline_ns && now_ns > deadline_ns)
+			return WL_OUTCOME_LATE;
+		if (!daemon_wait(daemon, deadline_ns ? OPEN_POLL_MS : -1))
+			continue;
+		if (deadline_ns)
+			exit_now("second signal");
+		wl_log_event(WL_INFO, "stopping", "drain_ms=%llu",
+			     (unsigned long long)daemon->settings->drain_ms);
+		deadline_ns = now_ns + daemon->settings->drain_ms * NS_PER_MS;
+		wl_decide_drain(daemon->decide);
+	}
+	return outcome;
+}
+
+static uint64_t calls_open(const wl_daemon_t *daemon)
+{
+	return wl_http_server_open_calls(daemon->control) +
+	       (daemon->caller ? wl_http_server_open_calls(daemon->caller) : 0);
+}
+
+/* New connections are refused from now on; requests that are open still get their answers. */
+static bool daemon_quiesce(wl_daemon_t *daemon)
+{
+	uint64_t deadline_ns = now_read() + daemon->settings->drain_ms * NS_PER_MS;
+
+	if (daemon->caller)
+		wl_http_server_quiesce(daemon->caller);
+	wl_http_server_quiesce(daemon->control);
+	while (calls_open(daemon) > 0) {
+		if (now_read() > deadline_ns)
+			return false;
+		if (daemon_wait(daemon, OPEN_POLL_MS))
+			exit_now("second signal");
+		if (wl_decide_outcome(daemon->decide) == WL_OUTCOME_DRAINED)
+			poll(NULL, 0, OPEN_POLL_MS);
+	}
+	return true;
+}
+
+static void events_free(wl_ring_t *events)
+{
+	wl_event_t *event;
+
+	while (events && (event = wl_ring_pop(events)) != NULL) {
+		wl_event_free(event);
+		free(event);
+	}
+	wl_ring_free(events);
+}
+
+/* What makes events ends before the ring; what the deciding thread uses ends after it. */
+static void daemon_close(wl_daemon_t *daemon)
+{
+	wl_decide_stop(daemon->decide);
+	wl_http_server_stop(daemon->caller);
+	wl_http_server_stop(daemon->control);
+	wl_http_client_stop(daemon->client);
+	wl_peers_stop(daemon->peers);
+	wl_disk_stop(daemon->disk);
+	wl_node_free(daemon->node);
+	if (daemon->store)
+		wl_store_close(daemon->store);
+	events_free(daemon->events);
+	wl_buf_free(&daemon->peer_address);
+	if (daemon->notice_fd >= 0)
+		close(daemon->notice_fd);
+	if (daemon->signal_fd >= 0)
+		close(daemon->signal_fd);
+}
+
+static int daemon_finish(wl_daemon_t *daemon, wl_outcome_t outcome)
+{
+	int code = WL_EXIT_OK;
+
+	if (outcome == WL_OUTCOME_FATAL)
+		code = WL_EXIT_DAMAGED;
+	else if (!daemon_quiesce(daemon) || outcome == WL_OUTCOME_LATE)
+		code = WL_EXIT_LATE;
+	daemon_close(daemon);
+	wl_log_event(code == WL_EXIT_OK ? WL_INFO : WL_ERROR, "stopped", "outcome=%s",
+		     code == WL_EXIT_OK	       ? "drained"
+		     : code == WL_EXIT_DAMAGED ? "fatal"
+					       : "late");
+	return code;
+}
+
+/*
+ * wl_daemon_run - run a daemon to its end
+ * @settings: checked and loaded
+ *
+ * Return: the exit code.
+ */
+int wl_daemon_run(wl_settings_t *settings)
+{
+	wl_daemon_t daemon = {.settings = settings, .notice_fd = -1, .signal_fd = -1};
+	wl_err_t err = {0};
+	int code;
+
+	if (!signals_take(&daemon, &err) ||
+	    !wl_log_start(STDERR_FILENO, settings->level, wl_buf_str(&settings->name), &err)) {
+		fprintf(stderr, "wisterialeadd: %s\n", err.text);
+		return WL_EXIT_START;
+	}
+	if (daemon_open(&daemon, &err) && ready_write(&daemon, &err)) {
+		ready_log(&daemon);
+		code = daemon_finish(&daemon, daemon_serve(&daemon));
+	} else {
+		wl_log_event(WL_ERROR, "no-start", "reason=\"%s\"", err.text);
+		code = daemon.storage_failed ? WL_EXIT_DAMAGED : WL_EXIT_START;
+		daemon_close(&daemon);
+	}
+	wl_log_stop();
+	return code;
+}
--- /dev/null
+++ b/daemon/disk.h
@@ -0,0 +1,24 @@
+#ifndef WL_DISK_H
+#define WL_DISK_H
+
+#include <libwlbase/ring.h>
+#include <libwlcore/event.h>
+#include <libwlstore/store.h>
+
+/* The thread that writes the store's files: groups of changes, one sync each. */
+
+typedef struct wl_disk_options {
+	wl_store_t *store;
+	wl_ring_t *events; /* gets wl_event_t *, PERSISTED, in order */
+	uint32_t queue_slots;
+} wl_disk_options_t;
+
+typedef struct wl_disk wl_disk_t;
+
+wl_disk_t *wl_disk_start(const wl_disk_options_t *options, wl_err_t *err);
+bool wl_disk_persist(wl_disk_t *disk, wl_raft_persist_t *persist);
+bool wl_disk_failed(const wl_disk_t *disk);
+uint64_t wl_disk_syncs(const wl_disk_t *disk);
+void wl_disk_stop(wl_disk_t *disk);
+
+#endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,9 +1,50 @@
-/* wisterialeadd: the daemon. */
+/* wisterialeadd: the daemon's command line. */
 
 #include <stdio.h>
 
-int main(void)
+#include "daemon.h"
+
+static int refuse(const wl_err_t *err)
 {
-	puts("wisterialeadd " WL_VERSION);
-	return 0;
+	fprintf(stderr, "wisterialeadd: %s\n", err->text);
+	return WL_EXIT_USAGE;
+}
+
+static int run(wl_settings_t *settings)
+{
+	wl_err_t err = {0};
+
+	if (settings->help) {
+		wl_settings_help();
+		return WL_EXIT_OK;
+	}
+	if (settings->version) {
+		puts("wisterialeadd " WL_VERSION);
+		return WL_EXIT_OK;
+	}
+	if (!wl_settings_check(settings, &err))
+		return refuse(&err);
+	if (settings->print_settings) {
+		wl_settings_print(settings);
+		return WL_EXIT_OK;
+	}
+	if (!wl_settings_load(settings, &err))
+		return refuse(&err);
+	if (!settings->check)
+		return wl_daemon_run(settings);
+	if (!wl_daemon_check(settings, &err))
+		return refuse(&err);
+	puts("settings, files and charts are sound");
+	return WL_EXIT_OK;
+}
+
+int main(int argc, char **argv)
+{
+	wl_settings_t settings = {0};
+	wl_err_t err = {0};
+	int code;
+
+	code = wl_settings_read(argc, argv, &settings, &err) ? run(&settings) : refuse(&err);
+	wl_settings_free(&settings);
+	return code;
 }
--- /dev/null
+++ b/daemon/settings_check.c
@@ -0,0 +1,234 @@
+/* What a single setting's limits can't say: settings that must fit each other, and the files. */
+
+#include "settings.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <libwlnet/address.h>
+
+#define NAME_MOST    64
+#define SECRET_LEAST 16
+#define FILE_MOST    (1 << 20)
+#define FRAME_SPARE  65536 /* headers and names beside a body */
+
+static bool wrong(wl_err_t *err, const char *flag, const char *why)
+{
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "--%s: %s", flag, why);
+}
+
+static bool name_valid(wl_str_t name)
+{
+	static const char known[] =
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
+
+	if (name.len == 0 || name.len > NAME_MOST)
+		return false;
+	for (size_t i = 0; i < name.len; i++)
+		if (name.at[i] == '\0' || !strchr(known, name.at[i]))
+			return false;
+	return true;
+}
+
+static bool store_add(wl_settings_t *settings, wl_str_t item, wl_err_t *err)
+{
+	wl_node_peer_t *store = &settings->stores[settings->store_count];
+	wl_address_t address;
+
+	if (settings->store_count == WL_STORES_MOST)
+		return wrong(err, "store-peers", "at most 5 replicas");
+	if (!wl_str_split(item, '=', &store->name, &store->address) || !name_valid(store->name) ||
+	    !wl_address_parse(store->address, &address, err))
+		return wrong(err, "store-peers", "must be NAME=IP:port,...");
+	for (size_t i = 0; i < settings->store_count; i++)
+		if (wl_str_equal(settings->stores[i].name, store->name))
+			return wrong(err, "store-peers", "a name stands there twice");
+	settings->store_count++;
+	return true;
+}
+
+static bool stores_check(wl_settings_t *settings, wl_err_t *err)
+{
+	wl_str_t left = wl_buf_str(&settings->store_peers);
+	wl_str_t item;
+	bool listed = false;
+
+	while (left.len > 0) {
+		wl_str_split(left, ',', &item, &left);
+		if (!store_add(settings, item, err))
+			return false;
+	}
+	if (settings->store_count % 2 == 0)
+		return wrong(err, "store-peers", "must name 1, 3 or 5 replicas");
+	for (size_t i = 0; i < settings->store_count; i++)
+		listed |= wl_str_equal(settings->stores[i].name, wl_buf_str(&settings->name));
+	if (settings->store && !listed)
+		return wrong(err, "store-peers", "must name this daemon, which has the role store");
+	if (!settings->store && listed)
+		return wrong(err, "role", "must hold store: --store-peers names this daemon");
+	return true;
+}
+
+static bool places_check(wl_settings_t *settings, wl_err_t *err)
+{
+	wl_str_t listen = wl_buf_str(&settings->peer_listen);
+
+	if (!name_valid(wl_buf_str(&settings->name)))
+		return wrong(err, "name", "must be 1 to 64 letters, digits, '.', '_' or '-'");
+	if (!name_valid(wl_buf_str(&settings->availability_zone)))
+		return wrong(err, "availability-zone",
+			     "must be 1 to 64 letters, digits, '.', '_' or '-'");
+	if (settings->store && settings->data_dir.len == 0)
+		return wrong(err, "data-dir", "the role store needs one");
+	if (settings->entry && settings->caller_listen.len == 0)
+		return wrong(err, "caller-listen", "the role entry needs one");
+	if (settings->control_listen.len == 0)
+		return wrong(err, "control-listen", "must be IP:port");
+	if (listen.len == 0)
+		return wrong(err, "peer-listen", "must be IP:port");
+	if (settings->peer_advertise.len == 0 &&
+	    (wl_str_starts(listen, WL_STR("0.0.0.0:")) || wl_str_starts(listen, WL_STR("[::]:"))))
+		return wrong(err, "peer-advertise",
+			     "must be set where --peer-listen is every address");
+	return true;
+}
+
+static bool times_check(const wl_settings_t *s, wl_err_t *err)
+{
+	if (s->session_ms < 2 * s->renew_ms)
+		return wrong(err, "session-ms", "must be twice --renew-ms or more");
+	if (s->session_ms < 2 * s->election_ms + s->renew_ms)
+		return wrong(err, "session-ms",
+			     "must outlast an election: twice --election-ms and --renew-ms");
+	if (s->election_ms < 3 * s->heartbeat_ms)
+		return wrong(err, "election-ms", "must be three times --heartbeat-ms or more");
+	if (s->silence_ms < 2 * s->announce_ms)
+		return wrong(err, "silence-ms", "must be twice --announce-ms or more");
+	if (s->lease_ms < 3 * s->announce_ms)
+		return wrong(err, "lease-ms", "must be three times --announce-ms or more");
+	if (s->drift_ms >= s->session_ms || s->drift_ms >= s->lease_ms)
+		return wrong(err, "drift-ms", "must be below --session-ms and --lease-ms");
+	if (s->default_timeout_ms > s->max_timeout_ms)
+		return wrong(err, "default-timeout-ms", "must not be above --max-timeout-ms");
+	return true;
+}
+
+static bool sizes_check(const wl_settings_t *s, wl_err_t *err)
+{
+	if (s->max_frame_bytes < s->max_body_bytes + s->max_header_bytes + FRAME_SPARE)
+		return wrong(err, "max-frame-bytes",
+			     "must hold --max-body-bytes, --max-header-bytes and 64 KiB");
+	if (s->max_frame_bytes < s->max_response_bytes + FRAME_SPARE)
+		return wrong(err, "max-frame-bytes", "must hold --max-response-bytes and 64 KiB");
+	if (s->max_peer_queue_bytes < s->max_frame_bytes)
+		return wrong(err, "max-peer-queue-bytes", "must hold --max-frame-bytes");
+	if (s->queue_slots & (s->queue_slots - 1))
+		return wrong(err, "queue-slots", "must be a power of two");
+	return true;
+}
+
+/*
+ * wl_settings_check - check the settings against each other and work out what follows
+ * @err: WL_E_BAD_INPUT, naming the setting
+ */
+bool wl_settings_check(wl_settings_t *settings, wl_err_t *err)
+{
+	wl_str_t head;
+	wl_str_t tail;
+
+	wl_str_split(wl_buf_str(&settings->role), ',', &head, &tail);
+	settings->entry = wl_str_equal(head, WL_STR("entry"));
+	settings->store =
+		wl_str_equal(head, WL_STR("store")) || wl_str_equal(tail, WL_STR("store"));
+	wl_level_parse(wl_buf_str(&settings->log_level), &settings->level);
+	if (settings->peer_secret_file.len == 0)
+		return wrong(err, "peer-secret-file", "must name a file");
+	return places_check(settings, err) && stores_check(settings, err) &&
+	       times_check(settings, err) && sizes_check(settings, err);
+}
+
+static bool file_failed(wl_err_t *err, const char *path)
+{
+	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "%.200s: %s", path, strerror(errno));
+}
+
+static bool file_read(const char *path, wl_buf_t *to, wl_err_t *err)
+{
+	FILE *file = fopen(path, "re");
+	char bytes[4096];
+	size_t n;
+
+	if (!file)
+		return file_failed(err, path);
+	wl_buf_clear(to);
+	while (to->len <= FILE_MOST && (n = fread(bytes, 1, sizeof(bytes), file)) > 0)
+		wl_buf_append(to, (wl_str_t){bytes, n});
+	explicit_bzero(bytes, sizeof(bytes));
+	if (ferror(file)) {
+		fclose(file);
+		return file_failed(err, path);
+	}
+	fclose(file);
+	if (to->len > FILE_MOST)
+		return wl_err_set(err, WL_E_TOO_LARGE, WL_NOT_RUN, "%.200s: too long", path);
+	return true;
+}
+
+static void secret_warn(const char *path)
+{
+	struct stat status;
+
+	if (stat(path, &status) == 0 && (status.st_mode & (S_IRWXG | S_IRWXO)))
+		fprintf(stderr, "wisterialeadd: warning: %s is open to others\n", path);
+}
+
+static bool secret_read(const char *flag, const wl_buf_t *path, size_t least, wl_buf_t *to,
+			wl_err_t *err)
+{
+	size_t start = 0;
+
+	if (path->len == 0)
+		return true;
+	if (!file_read(path->at, to, err))
+		return false;
+	secret_warn(path->at);
+	while (to->len > 0 && strchr(" \t\r\n", to->at[to->len - 1]))
+		to->len--;
+	while (start < to->len && strchr(" \t\r\n", to->at[start]))
+		start++;
+	if (start > 0)
+		memmove(to->at, to->at + start, to->len - start);
+	to->len -= start;
+	if (to->len >= least)
+		return true;
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "--%s: %.160s holds less than %zu bytes",
+			  flag, path->at, least);
+}
+
+static bool chart_read(const wl_settings_t *settings, const char *name, wl_buf_t *to, wl_err_t *err)
+{
+	wl_buf_t path = {0};
+	bool ok;
+
+	wl_buf_printf(&path, "%s/%s", settings->chart_dir.at ? settings->chart_dir.at : ".", name);
+	ok = file_read(path.at, to, err);
+	wl_buf_free(&path);
+	return ok;
+}
+
+/*
+ * wl_settings_load - read the files that the settings name
+ * @err: WL_E_BAD_INPUT, WL_E_IO, WL_E_TOO_LARGE, naming the file
+ */
+bool wl_settings_load(wl_settings_t *s, wl_err_t *err)
+{
+	return secret_read("peer-secret-file", &s->peer_secret_file, SECRET_LEAST, &s->peer_secret,
+			   err) &&
+	       secret_read("operator-token-file", &s->operator_token_file, 1, &s->operator_token,
+			   err) &&
+	       secret_read("target-token-file", &s->target_token_file, 1, &s->target_token, err) &&
+	       chart_read(s, "task.json", &s->task_chart, err) &&
+	       chart_read(s, "target.json", &s->target_chart, err);
+}
--- a/libwlcore/node_store.c
+++ b/libwlcore/node_store.c
@@ -149,7 +149,7 @@
 	wl_raft_step(node->raft, now_ns, event, &actions);
 	for (size_t i = 0; i < actions.count; i++)
 		raft_handlers[actions.actions[i].kind](node, now_ns, &actions.actions[i], out);
-	wl_raft_out_free(&actions);
+	wl_raft_out_clear(&actions);
 }
 
 /*
--- a/libwlcore/raft.h
+++ b/libwlcore/raft.h
@@ -114,7 +114,6 @@
 
 void wl_raft_out_init(wl_raft_out_t *out);
 void wl_raft_out_clear(wl_raft_out_t *out);
-void wl_raft_out_free(wl_raft_out_t *out);
 void wl_raft_persist_free(wl_raft_persist_t *persist);
 void wl_raft_saved_free(wl_raft_saved_t *saved);
 
--- a/libwlcore/raft_internal.h
+++ b/libwlcore/raft_internal.h
@@ -108,10 +108,9 @@
 	uint64_t quiet_until_ns; /* no votes before: an earlier run may have backed a lease */
 	uint64_t election_at_ns;
 	uint64_t campaign_ticket;
-	bool handed;	   /* candidate: told to by the leader */
-	bool started;	   /* the stored snapshot was handed out */
-	bool told_lead;	   /* LEAD was given */
-	uint64_t led_from; /* index of the first entry of the own term */
+	bool handed;	/* candidate: told to by the leader */
+	bool started;	/* the stored snapshot was handed out */
+	bool told_lead; /* LEAD was given: an entry of the own term is committed */
 	uint64_t heartbeat_at_ns;
 	uint64_t hand_over_to; /* store id; 0: none */
 	uint64_t hand_over_end_ns;
--- a/libwlcore/raft_members.c
+++ b/libwlcore/raft_members.c
@@ -14,6 +14,7 @@
 
 #define REPLACE_SILENCE_ELECTIONS 5 /* silence after which a member may be replaced */
 #define KNOWN_FRESH_ELECTIONS	  2 /* a newcomer must have probed as lately as this */
+#define ANSWER_HEARTBEATS	  2 /* a member that answered as lately as this is there */
 
 /*
  * wl_raft_member_at - one member of a list
@@ -211,13 +212,35 @@
 	members_propose(raft, now_ns, &members);
 }
 
+static bool answers(const wl_raft_t *raft, const wl_raft_peer_t *peer, uint64_t now_ns)
+{
+	return peer->id == raft->id ||
+	       now_ns - peer->heard_ns < ANSWER_HEARTBEATS * raft->heartbeat_ns;
+}
+
+/*
+ * A voter that is lost just as it enters would count towards a majority that
+ * cannot be reached any more, so it enters only while that majority answers.
+ */
+static bool may_promote(const wl_raft_t *raft, const wl_raft_peer_t *learner, uint64_t now_ns)
+{
+	size_t answering = 0;
+
+	if (learner->match < raft->members_index || !answers(raft, learner, now_ns))
+		return false;
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		answering += wl_raft_member_at(&raft->members, i)->voter &&
+			     answers(raft, &raft->peers[i], now_ns);
+	return answering + 1 > (wl_raft_voters(raft) + 1) / 2;
+}
+
 static bool promote_learner(wl_raft_t *raft, uint64_t now_ns)
 {
 	for (size_t i = 0; i < raft->members.members.count; i++) {
 		wl_raft_members_t members;
 
 		if (wl_raft_member_at(&raft->members, i)->voter ||
-		    raft->peers[i].match < raft->members_index)
+		    !may_promote(raft, &raft->peers[i], now_ns))
 			continue;
 		wl_record_copy(&wl_raft_members_schema, &members, &raft->members);
 		wl_raft_member_at(&members, i)->voter = true;
--- a/libwlcore/raft_out.c
+++ b/libwlcore/raft_out.c
@@ -56,6 +56,14 @@
 	*out = (wl_raft_out_t){0};
 }
 
+/*
+ * wl_raft_out_free - release all actions and the list
+ */
+void wl_raft_out_free(wl_raft_out_t *out)
+{
+	wl_raft_out_clear(out);
+}
+
 /*
  * wl_raft_out_add - add an action to those of the present step
  *
--- a/libwlcore/raft_replicate.c
+++ b/libwlcore/raft_replicate.c
@@ -39,7 +39,7 @@
 	if (!wl_raft_log_term(raft, index, &term) || term != raft->term)
 		return;
 	wl_raft_commit_to(raft, index);
-	if (raft->told_lead || raft->commit < raft->led_from)
+	if (raft->told_lead)
 		return;
 	raft->told_lead = true;
 	wl_raft_out_add(raft, WL_RAFT_DO_LEAD)->term = raft->term;
@@ -71,7 +71,6 @@
 	raft->told_lead = false;
 	raft->lease_over = false;
 	raft->hand_over_to = 0;
-	raft->led_from = last + 1;
 	raft->heartbeat_at_ns = now_ns;
 	for (size_t i = 0; i < raft->members.members.count; i++) {
 		uint64_t id = raft->peers[i].id;
--- a/libwlnet/address.c
+++ b/libwlnet/address.c
@@ -53,16 +53,20 @@
 
 static bool address_bind(int fd, const wl_address_t *address, uint16_t *port)
 {
-	struct sockaddr_storage bound;
+	union {
+		struct sockaddr any;
+		struct sockaddr_in in;
+		struct sockaddr_in6 in6;
+	} bound;
 	socklen_t len = sizeof(bound);
 	int one = 1;
 
+	memset(&bound, 0, sizeof(bound));
 	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) < 0 ||
 	    bind(fd, (const struct sockaddr *)&address->at, address->len) < 0 ||
-	    listen(fd, LISTEN_BACKLOG) < 0 || getsockname(fd, (struct sockaddr *)&bound, &len) < 0)
+	    listen(fd, LISTEN_BACKLOG) < 0 || getsockname(fd, &bound.any, &len) < 0)
 		return false;
-	*port = ntohs(bound.ss_family == AF_INET6 ? ((struct sockaddr_in6 *)&bound)->sin6_port
-						  : ((struct sockaddr_in *)&bound)->sin_port);
+	*port = ntohs(bound.any.sa_family == AF_INET6 ? bound.in6.sin6_port : bound.in.sin_port);
 	return true;
 }
 
@@ -76,7 +80,7 @@
  */
 int wl_address_listen(wl_str_t text, uint16_t *port, wl_err_t *err)
 {
-	wl_address_t address;
+	wl_address_t address = {0};
 	int fd;
 
 	if (!wl_address_parse(text, &address, err))
--- a/tests/support/raft_bus.cc
+++ b/tests/support/raft_bus.cc
@@ -139,6 +139,8 @@
 	options.compact_entries = compact_entries;
 	options.snapshot_piece_bytes = piece_bytes;
 	options.seed = random();
+	if (on_start)
+		on_start(it);
 	it.disk->copy_to(&saved);
 	it.state.clear();
 	it.applied = 0;
@@ -152,6 +154,8 @@
 {
 	BusNode &it = node(name);
 
+	if (it.raft && on_crash)
+		on_crash(it);
 	wl_raft_free(it.raft);
 	it.raft = nullptr;
 	for (auto &persist : it.persists)
@@ -318,6 +322,8 @@
 
 		at.persists.pop_front();
 		at.disk->apply(persist);
+		if (on_persist)
+			on_persist(at, persist);
 		event.kind = WL_RAFT_EV_PERSISTED;
 		event.ticket = persist.ticket;
 		wl_raft_persist_free(&persist);
--- a/tests/support/raft_bus.h
+++ b/tests/support/raft_bus.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -73,6 +74,11 @@
 
 	std::map<std::string, BusNode> nodes;
 	std::vector<std::string> names;
+	/* Let a test keep real files beside the fake disks. */
+	std::function<void(const BusNode &, const wl_raft_persist_t &)> on_persist;
+	std::function<void(const BusNode &)> on_start;
+	std::function<void(const BusNode &)> on_crash;
+
 	uint64_t now_ns = 1000 * MS;
 	uint64_t delay_ns = MS;
 	uint32_t drop_permille = 0;
