--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -65,7 +65,8 @@
 	TAILQ_INIT(&leader->changes);
 	TAILQ_INIT(&leader->cancels);
 	wl_map_init(&leader->by_attempt);
-	TAILQ_INIT(&leader->attempts);
+	TAILQ_INIT(&leader->fresh);
+	TAILQ_INIT(&leader->sent);
 	TAILQ_INIT(&leader->quiet);
 	return leader;
 }
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -82,17 +82,19 @@
 	TAILQ_ENTRY(wl_leader_change) link;
 } wl_leader_change_t;
 
+TAILQ_HEAD(wl_leader_attempts, wl_leader_attempt);
+
 /* A task's newest attempt, from the choice of its target to its end. */
 typedef struct wl_leader_attempt {
 	wl_str_t key; /* task id */
 	wl_buf_t task;
 	uint64_t attempt;
 	bool proposed; /* its assignment is not committed yet */
-	bool quiet;    /* nothing is to be sent about it */
 	bool may_evict;
 	uint64_t sent_ns;
 	wl_place_load_t load;
-	TAILQ_ENTRY(wl_leader_attempt) link; /* least recently sent first */
+	struct wl_leader_attempts *list;
+	TAILQ_ENTRY(wl_leader_attempt) link;
 } wl_leader_attempt_t;
 
 struct wl_leader {
@@ -124,9 +126,10 @@
 
 	wl_place_t *place;
 	wl_map_t by_attempt;
-	TAILQ_HEAD(wl_leader_attempts, wl_leader_attempt) attempts; /* with something to send */
-	struct wl_leader_attempts quiet;			    /* known to run */
-	bool place_due; /* room or queues changed since the last placement */
+	struct wl_leader_attempts fresh; /* something is to be sent about them now */
+	struct wl_leader_attempts sent;	 /* and again; least recently sent first */
+	struct wl_leader_attempts quiet; /* nothing is to be sent about them */
+	bool place_due;			 /* room or queues changed since the last placement */
 	uint64_t next_place_ns;
 };
 
@@ -176,7 +179,7 @@
 wl_leader_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task,
 					   uint64_t number, wl_str_t target, const wl_need_t *need);
 void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt);
-void wl_leader_attempt_quiet(wl_leader_t *leader, wl_leader_attempt_t *attempt, bool quiet);
+void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list);
 
 /* leader_query.c */
 void wl_leader_query(const wl_leader_t *leader, uint64_t now_ns, const wl_msg_query_t *query,
--- a/libwlcore/leader_owners.c
+++ b/libwlcore/leader_owners.c
@@ -229,7 +229,7 @@
 
 	if (!owner || !to || to == owner)
 		return NULL;
-	if (!same(&to->availability_zone, &owner->availability_zone))
+	if (same(&to->availability_zone, zone) != same(&owner->availability_zone, zone))
 		return same(&to->availability_zone, zone) ? to : NULL;
 	if (owner->owned < to->owned + 2 || owner->owned * 100 <= to->owned * BALANCE_PERCENT)
 		return NULL;
--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader_place.c
@@ -37,35 +37,23 @@
 	attempt->load.is_long = is_long(leader, task);
 	wl_place_load_add(wl_place_target_find(leader->place, target), &attempt->load);
 	wl_map_put(&leader->by_attempt, attempt);
-	TAILQ_INSERT_HEAD(&leader->attempts, attempt, link);
+	attempt->list = &leader->fresh;
+	TAILQ_INSERT_TAIL(attempt->list, attempt, link);
 	return attempt;
 }
 
-static void attempt_unlink(wl_leader_t *leader, wl_leader_attempt_t *attempt)
+void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list)
 {
-	if (attempt->quiet)
-		TAILQ_REMOVE(&leader->quiet, attempt, link);
-	else
-		TAILQ_REMOVE(&leader->attempts, attempt, link);
-}
-
-/* Sets whether there is something to send about an attempt; what there is, is due at once. */
-void wl_leader_attempt_quiet(wl_leader_t *leader, wl_leader_attempt_t *attempt, bool quiet)
-{
-	attempt_unlink(leader, attempt);
-	attempt->quiet = quiet;
-	attempt->sent_ns = 0;
-	if (quiet)
-		TAILQ_INSERT_TAIL(&leader->quiet, attempt, link);
-	else
-		TAILQ_INSERT_HEAD(&leader->attempts, attempt, link);
+	TAILQ_REMOVE(attempt->list, attempt, link);
+	attempt->list = list;
+	TAILQ_INSERT_TAIL(list, attempt, link);
 }
 
 void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt)
 {
 	wl_place_load_remove(&attempt->load);
 	wl_map_remove(&leader->by_attempt, attempt->key);
-	attempt_unlink(leader, attempt);
+	TAILQ_REMOVE(attempt->list, attempt, link);
 	wl_buf_free(&attempt->task);
 	wl_buf_free(&attempt->load.kind);
 	free(attempt);
@@ -199,27 +187,37 @@
 					     (wl_class_t)spec->work_class);
 }
 
+/* Why a task can't ever run, or an empty string. */
+static wl_str_t refusal(const round_t *round, const wl_fair_entry_t *entry,
+			const wl_place_ask_t *ask)
+{
+	if (!plan_allows(entry, &entry->next->record.spec))
+		return WL_STR("the plan of the customer does not allow it any more");
+	if (too_large(round, entry->next, ask))
+		return WL_STR("larger than every target of its service");
+	return (wl_str_t){0};
+}
+
 static void place_next(round_t *round, wl_fair_entry_t *entry)
 {
 	const wl_task_t *task = entry->next;
 	wl_place_choice_t choice = {0};
 	wl_place_ask_t ask;
+	wl_str_t refused;
 
 	ask_of(round, task, &ask);
-	if (!plan_allows(entry, &task->record.spec)) {
-		reject(round, task, WL_STR("the plan of the customer does not allow it any more"));
+	refused = refusal(round, entry, &ask);
+	if (refused.len > 0) {
+		reject(round, task, refused);
 		wl_fair_pass(entry);
-	} else if (too_large(round, task, &ask)) {
-		reject(round, task, WL_STR("larger than every target of its service"));
-		wl_fair_pass(entry);
-	} else if (!wl_fair_within_plan(entry, &ask.need)) {
-		wl_fair_pass(entry);
-	} else if (choose(round, &ask, &choice)) {
-		assign(round, task, &choice);
-		wl_fair_take(entry, &choice.need);
-	} else {
+		return;
+	}
+	if (!wl_fair_within_plan(entry, &ask.need) || !choose(round, &ask, &choice)) {
 		wl_fair_pass(entry);
+		return;
 	}
+	assign(round, task, &choice);
+	wl_fair_take(entry, &choice.need);
 }
 
 static void place_class(round_t *round, wl_class_t work_class)
--- a/libwlcore/leader_sessions.c
+++ b/libwlcore/leader_sessions.c
@@ -20,9 +20,8 @@
 	return NULL;
 }
 
-static void session_drop(wl_leader_t *leader, wl_leader_session_t *session)
+static void session_free(wl_leader_session_t *session)
 {
-	TAILQ_REMOVE(&leader->sessions, session, link);
 	wl_buf_free(&session->entry);
 	wl_buf_free(&session->availability_zone);
 	free(session);
@@ -30,8 +29,14 @@
 
 void wl_leader_sessions_clear(wl_leader_t *leader)
 {
-	while (!TAILQ_EMPTY(&leader->sessions))
-		session_drop(leader, TAILQ_FIRST(&leader->sessions));
+	wl_leader_session_t *session;
+	wl_leader_session_t *next;
+
+	for (session = TAILQ_FIRST(&leader->sessions); session; session = next) {
+		next = TAILQ_NEXT(session, link);
+		session_free(session);
+	}
+	TAILQ_INIT(&leader->sessions);
 }
 
 static void session_know(wl_leader_t *leader, uint64_t now_ns, const wl_state_session_t *known)
@@ -55,8 +60,10 @@
 	for (session = TAILQ_FIRST(&leader->sessions); session; session = next) {
 		next = TAILQ_NEXT(session, link);
 		session->push = true;
-		if (!wl_state_session_find(leader->state, session->id))
-			session_drop(leader, session);
+		if (wl_state_session_find(leader->state, session->id))
+			continue;
+		TAILQ_REMOVE(&leader->sessions, session, link);
+		session_free(session);
 	}
 	TAILQ_FOREACH (known, &leader->state->sessions, link)
 		if (!wl_leader_session_find(leader, known->id))
@@ -246,8 +253,10 @@
 static void changes_measure(wl_leader_t *leader, uint64_t now_ns)
 {
 	wl_leader_change_t *change;
+	wl_leader_change_t *next;
 
-	while ((change = TAILQ_FIRST(&leader->changes))) {
+	for (change = TAILQ_FIRST(&leader->changes); change; change = next) {
+		next = TAILQ_NEXT(change, link);
 		if (!wl_leader_in_force(leader, change->revision))
 			return;
 		wl_metrics_observe(leader->options.metrics, "wisterialead_list_in_force_seconds",
--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader_tasks.c
@@ -17,9 +17,8 @@
 /* What runs needs no message until it is to be stopped. */
 static void attempt_follow(wl_leader_t *leader, wl_leader_attempt_t *attempt, const wl_task_t *task)
 {
-	if (task->record.state == WL_TASK_ASSIGNED)
-		return;
-	wl_leader_attempt_quiet(leader, attempt, task->record.state != WL_TASK_STOPPING);
+	if (task->record.state != WL_TASK_ASSIGNED && task->record.state != WL_TASK_STOPPING)
+		wl_leader_attempt_move(attempt, &leader->quiet);
 }
 
 /* Follows the attempts that the replicated state holds, after a change of leader. */
@@ -40,12 +39,17 @@
 	}
 }
 
+static void list_clear(wl_leader_t *leader, struct wl_leader_attempts *list)
+{
+	while (!TAILQ_EMPTY(list))
+		wl_leader_attempt_drop(leader, TAILQ_FIRST(list));
+}
+
 void wl_leader_tasks_clear(wl_leader_t *leader)
 {
-	while (!TAILQ_EMPTY(&leader->attempts))
-		wl_leader_attempt_drop(leader, TAILQ_FIRST(&leader->attempts));
-	while (!TAILQ_EMPTY(&leader->quiet))
-		wl_leader_attempt_drop(leader, TAILQ_FIRST(&leader->quiet));
+	list_clear(leader, &leader->fresh);
+	list_clear(leader, &leader->sent);
+	list_clear(leader, &leader->quiet);
 	wl_list_free(&wl_report_schema, &leader->reports.reports);
 	wl_list_free(&wl_report_head_schema, &leader->report_heads);
 }
@@ -210,7 +214,7 @@
 		wl_leader_attempt_t *attempt = wl_leader_attempt_find(leader, wl_buf_str(&ids[i]));
 
 		if (attempt)
-			wl_leader_attempt_quiet(leader, attempt, false);
+			wl_leader_attempt_move(attempt, &leader->fresh);
 	}
 	leader->place_due = true;
 }
@@ -236,8 +240,7 @@
 	wl_leader_attempt_t *attempt;
 	wl_leader_attempt_t *next;
 
-	for (attempt = TAILQ_FIRST(&leader->attempts); attempt && attempt->sent_ns == 0;
-	     attempt = next) {
+	for (attempt = TAILQ_FIRST(&leader->fresh); attempt; attempt = next) {
 		const wl_task_t *task = wl_state_task_find(leader->state, attempt->key);
 
 		next = TAILQ_NEXT(attempt, link);
@@ -292,7 +295,7 @@
 {
 	const wl_task_t *task = wl_state_task_find(leader->state, attempt->key);
 
-	if (attempt->proposed || !placed(task, attempt->attempt) || task->target->row.session == 0)
+	if (!placed(task, attempt->attempt) || task->target->row.session == 0)
 		return;
 	if (task->record.state == WL_TASK_STOPPING)
 		send_stop(leader, task, out);
@@ -303,21 +306,18 @@
 
 static void attempts_send(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
 {
-	wl_leader_attempt_t *attempt = TAILQ_FIRST(&leader->attempts);
-	wl_leader_attempt_t *last = TAILQ_LAST(&leader->attempts, wl_leader_attempts);
-
-	while (attempt) {
-		wl_leader_attempt_t *next = attempt == last ? NULL : TAILQ_NEXT(attempt, link);
-
-		if (attempt->sent_ns != 0 && now_ns < attempt->sent_ns + RESEND_NS)
-			return;
-		if (!attempt->proposed) {
-			attempt_send(leader, attempt, out);
-			attempt->sent_ns = now_ns;
-			TAILQ_REMOVE(&leader->attempts, attempt, link);
-			TAILQ_INSERT_TAIL(&leader->attempts, attempt, link);
-		}
-		attempt = next;
+	wl_leader_attempt_t *attempt;
+	wl_leader_attempt_t *next;
+
+	while ((attempt = TAILQ_FIRST(&leader->sent)) && now_ns >= attempt->sent_ns + RESEND_NS)
+		wl_leader_attempt_move(attempt, &leader->fresh);
+	for (attempt = TAILQ_FIRST(&leader->fresh); attempt; attempt = next) {
+		next = TAILQ_NEXT(attempt, link);
+		if (attempt->proposed)
+			continue;
+		attempt_send(leader, attempt, out);
+		attempt->sent_ns = now_ns;
+		wl_leader_attempt_move(attempt, &leader->sent);
 	}
 }
 
--- a/libwlcore/state.c
+++ b/libwlcore/state.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEEP_MS_DEFAULT	     (24 * 3600 * 1000ULL)
+#define KEEP_MS_DEFAULT	     86400000ULL /* a day */
 #define CHANGE_KEEP_DEFAULT  4096
 #define MAX_ATTEMPTS_DEFAULT 3
 #define MAX_TASKS_DEFAULT    200000
--- a/libwlcore/state_sessions.c
+++ b/libwlcore/state_sessions.c
@@ -33,9 +33,8 @@
 	return session;
 }
 
-static void session_free(wl_state_t *state, wl_state_session_t *session)
+static void session_free(wl_state_session_t *session)
 {
-	TAILQ_REMOVE(&state->sessions, session, link);
 	wl_buf_free(&session->entry);
 	wl_buf_free(&session->address);
 	wl_buf_free(&session->availability_zone);
@@ -46,7 +45,8 @@
 {
 	wl_state_owners_release(state, index, session->id);
 	wl_state_keys_lose(state, session->id);
-	session_free(state, session);
+	TAILQ_REMOVE(&state->sessions, session, link);
+	session_free(session);
 }
 
 /* Opens a session; the same start of a daemon gets the same one, a later start ends it. */
@@ -86,6 +86,12 @@
 
 void wl_state_sessions_clear(wl_state_t *state)
 {
-	while (!TAILQ_EMPTY(&state->sessions))
-		session_free(state, TAILQ_FIRST(&state->sessions));
+	wl_state_session_t *session;
+	wl_state_session_t *next;
+
+	for (session = TAILQ_FIRST(&state->sessions); session; session = next) {
+		next = TAILQ_NEXT(session, link);
+		session_free(session);
+	}
+	TAILQ_INIT(&state->sessions);
 }
