tests: run real processes behind relays that bring about faults

A cluster of daemons and fake targets, each daemon reachable by the others through a relay only. The relay knows who dials by the hello's name, so that one daemon can be cut off in silence both ways.

--- /dev/null
+++ b/tests/integration/path_test.cc
@@ -0,0 +1,59 @@
+#include "../support/cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+/* The whole path with real processes: lists, requests, a task. */
+TEST(Path, ListsRequestsAndATask)
+{
+	ClusterOptions options;
+	options.targets = 1;
+	Cluster cluster(options);
+	ASSERT_NO_FATAL_FAILURE(cluster.begin());
+
+	/* In force at every entry. */
+	ASSERT_TRUE(eventually([&] {
+		Answer status = cluster.status();
+		size_t same = 0;
+
+		for (size_t i = 0; i < cluster.members.size(); i++)
+			same += status.at("entries." + std::to_string(i) + ".revision") ==
+				status.at("revision");
+		return same == cluster.members.size() &&
+		       status.at("revision") == status.at("in_force");
+	})) << cluster.status().body;
+
+	/* One entry owns the one target: the others hand the request over. */
+	for (auto &member : cluster.members) {
+		std::string id = "get-" + member->name;
+		Answer answer = cluster.request(*member, id);
+
+		EXPECT_TRUE(answer.whole) << answer.error;
+		EXPECT_EQ(answer.status, 200u) << answer.body;
+		EXPECT_EQ(answer.verdict, "ran");
+		EXPECT_NE(answer.body.find(id), std::string::npos) << answer.body;
+		EXPECT_EQ(cluster.runs(id), 1);
+
+		id = "post-" + member->name;
+		answer = cluster.request(*member, id, "POST", {{"Idempotency-Key", id}});
+		EXPECT_EQ(answer.status, 200u) << answer.body;
+		EXPECT_EQ(answer.verdict, "ran");
+		EXPECT_EQ(cluster.runs(id), 1);
+	}
+
+	Answer added = http(cluster.members.back()->caller_address(), "POST", "/v1/tasks",
+			    "{\"kind\":\"report\",\"service\":\"tube-sort\",\"cpu_millis\":1000,"
+			    "\"memory_mib\":100,\"accelerators\":0,\"run_ms\":200,"
+			    "\"class\":\"batch\",\"restartable\":true,\"payload\":\"p\"}",
+			    {{"Wisterialead-Customer", "norrlamp"}, {"Idempotency-Key", "t1"}});
+	ASSERT_EQ(added.status, 202u) << added.body << added.error;
+	Answer task;
+	EXPECT_TRUE(eventually([&] {
+		task = http(cluster.members.front()->caller_address(), "GET",
+			    "/v1/tasks/" + added.at("id"), "",
+			    {{"Wisterialead-Customer", "norrlamp"}});
+		return task.at("state") == "done";
+	})) << task.body;
+}
+} // namespace
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -55,6 +55,8 @@
 	uint64_t jitter = 0;
 	int64_t came_down = 0;
 	bool dead = false;
+	bool tagged = false;
+	std::string caller_name;
 	Pipe up;
 	Pipe down;
 };
@@ -108,6 +110,13 @@
 	change = std::move(filter);
 }
 
+void Relay::set_tagger(Tagger tagger)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	tag = std::move(tagger);
+}
+
 void Relay::set_upstream(const std::string &upstream)
 {
 	std::lock_guard<std::mutex> guard(lock);
@@ -158,6 +167,12 @@
 	link.jitter = ++accepted * 7919;
 }
 
+bool Relay::held(const Link &link, bool up) const
+{
+	return (up ? faults.hold_up : faults.hold_down) ||
+	       (link.tagged && faults.hold_callers.count(link.caller_name) > 0);
+}
+
 /* Takes what has come on one way and hands on what is due; false ends the connection. */
 bool Relay::pump_way(Link &link, bool up)
 {
@@ -177,12 +192,16 @@
 			break;
 		}
 		std::string piece(bytes, static_cast<size_t>(n));
+		if (up && tag && !link.tagged) {
+			link.caller_name = tag(piece);
+			link.tagged = true;
+		}
 		if (change)
 			change(up, piece);
 		pipe.waiting_bytes += piece.size();
 		pipe.waiting.push_back({now_ms() + faults.delay_ms + extra, std::move(piece)});
 	}
-	if (up ? faults.hold_up : faults.hold_down)
+	if (held(link, up))
 		return true;
 	while (!pipe.waiting.empty() && pipe.waiting.front().due_ms <= now_ms()) {
 		std::string &piece = pipe.waiting.front().bytes;
@@ -223,9 +242,7 @@
 	uint64_t least = IDLE_MS;
 
 	for (const Pipe *pipe : {&link.up, &link.down}) {
-		bool held = pipe == &link.up ? faults.hold_up : faults.hold_down;
-
-		if (held || pipe->waiting.empty())
+		if (held(link, pipe == &link.up) || pipe->waiting.empty())
 			continue;
 		uint64_t due = pipe->waiting.front().due_ms;
 		least = std::min(least, due > now ? due - now : uint64_t{1});
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -17,6 +18,7 @@
 	uint64_t delay_ms = 0;	/* each piece waits so long */
 	uint64_t jitter_ms = 0; /* and up to so long more, by connection */
 	int64_t cut_after = -1; /* reset a connection once so many bytes came down on it */
+	std::set<std::string> hold_callers; /* connections of these callers are held both ways */
 };
 
 /* A TCP relay to one upstream that brings about faults, on a thread of its own. */
@@ -25,6 +27,8 @@
       public:
 	/* Changes bytes on their way. */
 	using Filter = std::function<void(bool up, std::string &bytes)>;
+	/* Tells from a connection's first bytes who the caller is. */
+	using Tagger = std::function<std::string(const std::string &first)>;
 
 	/* listen: 127.0.0.1:port or port 0. */
 	Relay(const std::string &listen, const std::string &upstream);
@@ -42,6 +46,7 @@
 	}
 	void set(const RelayFaults &faults);
 	void set_filter(Filter filter);
+	void set_tagger(Tagger tagger);
 	void set_upstream(const std::string &upstream);
 	/* Resets every connection. */
 	void reset();
@@ -56,6 +61,7 @@
 	void accept_one();
 	void pump(Link &link);
 	bool pump_way(Link &link, bool up);
+	bool held(const Link &link, bool up) const;
 	int wait_ms(const Link &link) const;
 
 	int listen_fd = -1;
@@ -68,6 +74,7 @@
 	std::string upstream_address;
 	RelayFaults faults;
 	Filter change;
+	Tagger tag;
 	std::list<Link> links;
 	std::thread thread;
 };
