--- a/libwlcore/heap.c
+++ b/libwlcore/heap.c
@@ -76,7 +76,8 @@
 	if (!node->place) {
 		if (heap->count == heap->room) {
 			heap->room = heap->room ? 2 * heap->room : HEAP_LEAST_ROOM;
-			heap->nodes = wl_realloc(heap->nodes, heap->room * sizeof(heap->nodes[0]));
+			heap->nodes =
+				wl_realloc(heap->nodes, heap->room * sizeof(wl_heap_node_t *));
 		}
 		heap_set(heap, heap->count++, node);
 	}
--- a/libwlcore/request_check.c
+++ b/libwlcore/request_check.c
@@ -161,9 +161,9 @@
 	const wl_plan_t *plan;
 	wl_admit_customer_t *admitted;
 	wl_request_t *request;
-	call_wishes_t wishes;
-	wl_str_t service;
-	wl_str_t rest;
+	call_wishes_t wishes = {0};
+	wl_str_t service = {0};
+	wl_str_t rest = {0};
 
 	if (!wl_requests_ready(requests, now_ns, err))
 		return NULL;
--- a/libwlcore/request_send.c
+++ b/libwlcore/request_send.c
@@ -195,6 +195,15 @@
 			       request->customer->labels.at, 1);
 }
 
+static void try_cancel_at_peer(wl_requests_t *requests, wl_try_t *one, wl_out_t *out)
+{
+	wl_msg_t *msg = wl_out_send(out, wl_buf_str(&one->peer), WL_MSG_CANCEL);
+
+	msg->u.cancel.id = one->node.id;
+	msg->u.cancel.session = one->session;
+	wl_try_end(requests, one);
+}
+
 /*
  * wl_request_cancel_tries - give up what is in flight
  *
@@ -205,16 +214,11 @@
 	wl_try_t *one;
 
 	while ((one = TAILQ_FIRST(&request->tries))) {
-		if (one->target.len) {
+		TAILQ_REMOVE(&request->tries, one, of_request);
+		one->request = NULL;
+		if (one->target.len)
 			wl_out_fetch_cancel(out, one->node.id);
-			TAILQ_REMOVE(&request->tries, one, of_request);
-			one->request = NULL;
-		} else {
-			wl_msg_t *msg = wl_out_send(out, wl_buf_str(&one->peer), WL_MSG_CANCEL);
-
-			msg->u.cancel.id = one->node.id;
-			msg->u.cancel.session = one->session;
-			wl_try_end(requests, one);
-		}
+		else
+			try_cancel_at_peer(requests, one, out);
 	}
 }
--- a/tests/support/request_run.cc
+++ b/tests/support/request_run.cc
@@ -264,6 +264,11 @@
 		const wl_action_t *action = &out->actions[i];
 		const wl_fetch_t &fetch = action->fetch;
 
+		if (on_action) {
+			on_action(action);
+			continue;
+		}
+
 		switch (action->kind) {
 		case WL_ACTION_REPLY:
 			lines.push_back(reply_line(action->reply));
--- a/tests/support/request_run.h
+++ b/tests/support/request_run.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_REQUEST_RUN_H
 #define TESTS_REQUEST_RUN_H
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
 	wl_requests_t *requests = nullptr;
 	std::vector<std::string> owner_calls; /* room asked for, requests observed */
 	bool show_rooms = false;
+	std::function<void(const wl_action_t *)> on_action; /* sees each action, if set */
 
       private:
 	void take(const wl_out_t *out);
--- a/tests/unit/admit_test.cc
+++ b/tests/unit/admit_test.cc
@@ -47,7 +47,7 @@
 	};
 
 	void exchange(size_t entry);
-	void deliver(Sent *sent);
+	void deliver(Sent *one);
 
 	wl_plan_t plan = {};
 	std::vector<wl_admit_t> entries;
@@ -137,7 +137,7 @@
 			continue;
 		}
 		deliver(&sent[i]);
-		sent.erase(sent.begin() + i);
+		sent.erase(sent.begin() + static_cast<std::ptrdiff_t>(i));
 	}
 	for (size_t i = 0; i < entries.size(); i++)
 		if ((now_ms + i * INTERVAL_MS / entries.size()) % INTERVAL_MS == 0)
@@ -162,7 +162,7 @@
 	wl_rng_t rng;
 
 	wl_rng_init(&rng, 11, 0);
-	for (int ms = 0; ms < 60000; ms++) {
+	for (size_t ms = 0; ms < 60000; ms++) {
 		/* the crowd goes to other entries every 700 ms */
 		size_t first = ms / 700 * 3 % ENTRIES;
 
@@ -197,7 +197,7 @@
 	wl_rng_t rng;
 
 	wl_rng_init(&rng, 12, 0);
-	for (int ms = 0; ms < 30000; ms++) {
+	for (size_t ms = 0; ms < 30000; ms++) {
 		size_t first = ms / 3000 * 2 % ENTRIES;
 
 		for (int i = 0; i < 3; i++)
--- a/tests/unit/fairq_test.cc
+++ b/tests/unit/fairq_test.cc
@@ -110,13 +110,13 @@
 {
 	wl_fairq_t queue;
 	wl_rng_t rng;
-	std::vector<Waiting *> all;
+	std::vector<Waiting *> all(1000);
 	uint64_t last_ns = 0;
 
 	wl_rng_init(&rng, 1, 1);
 	ASSERT_TRUE(wl_fairq_init(&queue, str(""), nullptr));
 	for (int i = 0; i < 1000; i++)
-		all.push_back(push(&queue, "one", 1, wl_rng_below(&rng, 5000)));
+		all[i] = push(&queue, "one", 1, wl_rng_below(&rng, 5000));
 	for (int i = 0; i < 1000; i += 2) {
 		wl_fairq_remove(&queue, &all[i]->item);
 		wl_fairq_remove(&queue, &all[i]->item);
--- a/tests/unit/request_budget_test.cc
+++ b/tests/unit/request_budget_test.cc
@@ -49,6 +49,18 @@
 	EXPECT_GE(run.fetches.size(), 500u + 40u) << "the floor gave no retries";
 }
 
+TEST(RequestBudget, FailuresAloneEarnFew)
+{
+	RequestRun run;
+
+	run.start();
+	for (const char *name : {"bad1", "bad2"})
+		run.target(name, "sort", "a", 8);
+	run_failing(&run, 2000, 1);
+	/* the floor: ten failures a second earn a tenth each */
+	EXPECT_LE(run.fetches.size(), 2000u + 3u);
+}
+
 TEST(RequestBudget, NoneWithoutAShare)
 {
 	RequestRun run;
