--- a/libwlcore/raft.c
+++ b/libwlcore/raft.c
@@ -14,8 +14,8 @@
 #define NS_PER_MS		     1000000
 #define ELECTION_MS_DEFAULT	     1000
 #define HEARTBEAT_MS_DEFAULT	     150
-#define MAX_APPEND_BYTES_DEFAULT     (256 * 1024)
-#define SNAPSHOT_PIECE_BYTES_DEFAULT (256 * 1024)
+#define MAX_APPEND_BYTES_DEFAULT     (256UL * 1024)
+#define SNAPSHOT_PIECE_BYTES_DEFAULT (256UL * 1024)
 #define COMPACT_ENTRIES_DEFAULT	     10000
 
 static uint64_t preset(uint64_t value, uint64_t otherwise)
@@ -31,12 +31,14 @@
 	    (saved->entries.count || saved->snapshot_index || saved->term))
 		return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
 				  "log: entries or a term without a group");
-	for (size_t i = 0; i < saved->entries.count; i++)
-		if (entries[i].index != saved->snapshot_index + 1 + i)
+	for (size_t i = 0; i < saved->entries.count; i++) {
+		unsigned long long due = saved->snapshot_index + 1 + i;
+
+		if (entries[i].index != due)
 			return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
 					  "log: entry %llu where %llu was due",
-					  (unsigned long long)entries[i].index,
-					  (unsigned long long)(saved->snapshot_index + 1 + i));
+					  (unsigned long long)entries[i].index, due);
+	}
 	return true;
 }
 
--- a/libwlstore/store.c
+++ b/libwlstore/store.c
@@ -25,7 +25,7 @@
 #define FILE_SNAPSHOT "snapshot"
 #define FILE_LOCK     "lock"
 
-#define SEGMENT_BYTES_DEFAULT (16 * 1024 * 1024)
+#define SEGMENT_BYTES_DEFAULT (16UL * 1024 * 1024)
 #define FOLDER_MODE	      0700
 #define LOCK_MODE	      0600
 
@@ -79,13 +79,28 @@
 	return wl_buf_str(&store->folder);
 }
 
+/* A folder that is lost in a crash would come back as that of a new replica. */
+static bool parent_sync(const wl_store_t *store)
+{
+	int parent = openat(store->folder_fd, "..", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	bool ok = parent >= 0 && fsync(parent) == 0;
+
+	if (parent >= 0)
+		close(parent);
+	return ok;
+}
+
 static bool folder_open(wl_store_t *store, wl_err_t *err)
 {
-	if (mkdir(store->folder.at, FOLDER_MODE) != 0 && errno != EEXIST)
+	bool made = mkdir(store->folder.at, FOLDER_MODE) == 0;
+
+	if (!made && errno != EEXIST)
 		return wl_store_io_failed(folder_name(store), ".", "create", err);
 	store->folder_fd = open(store->folder.at, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	if (store->folder_fd < 0)
 		return wl_store_io_failed(folder_name(store), ".", "open", err);
+	if (made && !parent_sync(store))
+		return wl_store_io_failed(folder_name(store), "..", "sync", err);
 	store->lock_fd =
 		openat(store->folder_fd, FILE_LOCK, O_RDWR | O_CREAT | O_CLOEXEC, LOCK_MODE);
 	if (store->lock_fd < 0)
--- a/libwlstore/store_log.c
+++ b/libwlstore/store_log.c
@@ -145,11 +145,12 @@
 	const wl_raft_entry_t *items = entries->items;
 
 	for (size_t i = 0; i < entries->count; i++) {
-		if (items[i].index != log->last_index + 1)
+		unsigned long long due = log->last_index + 1;
+
+		if (items[i].index != due)
 			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 					  "log: entry %llu given where %llu was due",
-					  (unsigned long long)items[i].index,
-					  (unsigned long long)(log->last_index + 1));
+					  (unsigned long long)items[i].index, due);
 		wl_record_copy(&wl_raft_entry_schema,
 			       wl_list_add(&wl_raft_entry_schema, &log->pending.entries),
 			       &items[i]);
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -361,6 +361,29 @@
 	expect_damaged("log-0000000000000002", "gap at the start");
 }
 
+/* Without the segment in the middle the indexes would still follow each other. */
+TEST_F(Store, MissingTruncationIsDamage)
+{
+	ASSERT_TRUE(open(1));
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 2, "old"));
+	ASSERT_TRUE(write(2, 2, 2, "new", 2));
+	ASSERT_TRUE(write(2, 3, 3, "new"));
+	close();
+	fs::remove(path("log-0000000000000002"));
+	expect_damaged("log-0000000000000003", "gap");
+}
+
+TEST_F(Store, FolderIsMade)
+{
+	folder += "/data";
+	ASSERT_TRUE(open()) << err.text;
+	folder += "/no/such";
+	EXPECT_FALSE(open());
+	EXPECT_EQ(err.code, WL_E_IO);
+	folder = fs::path(folder).parent_path().parent_path().parent_path();
+}
+
 TEST_F(Store, SnapshotTakesTheLogsPlace)
 {
 	ASSERT_TRUE(open(1));
