--- a/libwlcore/node.c
+++ b/libwlcore/node.c
@@ -12,6 +12,7 @@
 #define TICK_MS		10
 #define DRAIN_NOTICE_MS 1000 /* not ready, yet still serving: the balancer needs a moment */
 #define SESSION_END_MS	2000 /* longest wait for the end of the own session to be committed */
+#define HAND_OVER_MS	3000 /* longest wait for another replica to lead */
 
 static uint64_t preset(uint64_t value, uint64_t otherwise)
 {
@@ -338,6 +339,17 @@
 	return false;
 }
 
+/* When every entry stops, nobody is left to take targets over. */
+static bool all_draining(const wl_node_t *node)
+{
+	const wl_member_t *members = node->view.members.items;
+
+	for (size_t i = 0; i < node->view.members.count; i++)
+		if (!members[i].draining && members[i].session != node->session.id)
+			return false;
+	return true;
+}
+
 static void end_session(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_SESSION_END};
@@ -349,28 +361,35 @@
 	wl_cmd_free(&cmd);
 }
 
-/* What still has to end before the daemon may. */
-static bool drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
+/* The entry's part of a planned stop: requests first, then targets, then the session. */
+static bool entry_drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
 {
-	bool leads = node->raft && wl_raft_leads(node->raft);
-
-	if (now_ns < node->drain_ns + DRAIN_NOTICE_MS * NS_PER_MS)
-		return false;
-	if (node->options.entry)
-		wl_requests_drain(node->requests);
-	if (leads)
-		wl_node_hand_over(node, now_ns, out);
-	if (leads || wl_api_open(node->api) > 0)
+	wl_requests_drain(node->requests);
+	if (wl_requests_open(node->requests) > 0)
 		return false;
-	if (!node->options.entry || node->session.id == 0)
+	if (!node->session_ending && !wl_session_valid(&node->session, now_ns))
 		return true;
-	if (wl_requests_open(node->requests) > 0 || owns_targets(node))
+	if (owns_targets(node) && !all_draining(node))
 		return false;
 	if (!node->session_ending)
 		end_session(node, now_ns, out);
 	return node->session_ended;
 }
 
+/* What still has to end before the daemon may. */
+static bool drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
+{
+	uint64_t since_ms = (now_ns - node->drain_ns) / NS_PER_MS;
+	bool leads = node->raft && wl_raft_leads(node->raft);
+
+	if (since_ms < DRAIN_NOTICE_MS || wl_api_open(node->api) > 0)
+		return false;
+	/* One that leads again because the others have gone must not wait for them. */
+	if (leads && since_ms < HAND_OVER_MS)
+		return false;
+	return !node->options.entry || entry_drained(node, now_ns, out);
+}
+
 static void drain_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
 {
 	bool late = now_ns >= node->drain_ns + node->options.drain_ms * NS_PER_MS;
--- a/libwlcore/node_store.c
+++ b/libwlcore/node_store.c
@@ -84,8 +84,6 @@
 	wl_event_init(&event, WL_EVENT_LEAD);
 	event.term = action->term;
 	event.group = wl_raft_group(node->raft);
-	wl_out_log(out, WL_INFO, "lead", "term=%llu index=%llu", (unsigned long long)action->term,
-		   (unsigned long long)node->applied);
 	wl_leader_step(node->leader, now_ns, &event, out);
 }
 
@@ -97,7 +95,6 @@
 		return;
 	wl_event_init(&event, WL_EVENT_FOLLOW);
 	event.term = action->term;
-	wl_out_log(out, WL_INFO, "follow", "term=%llu", (unsigned long long)action->term);
 	wl_leader_step(node->leader, now_ns, &event, out);
 	node->leading = false;
 }
