leader: bear late renewals and its own pauses; gauges and counters

A renewal from before a restart, late on its way, ended the session of the daemon's present start; now it is told to ask anew. After a pause of the leader all sessions looked silent, as their renewals still waited to be read; the count begins anew then. A listing of tasks has a limit.

--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -370,6 +370,8 @@
 	leader->term = event->term;
 	leader->group = event->group;
 	leader->led_ns = now_ns;
+	leader->counted_ns = now_ns;
+	leader->tick_ns = now_ns;
 	leader->clock_base_ms = wl_state_clock_ms(leader->state);
 	leader->orphans = true;
 	leader->place_due = true;
@@ -407,6 +409,7 @@
 	wl_leader_tasks_tick(leader, now_ns, out);
 	wl_leader_place_tick(leader, now_ns, out);
 	wl_leader_sessions_tick(leader, now_ns, out);
+	wl_leader_status_tick(leader, now_ns);
 }
 
 /*
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -105,6 +105,9 @@
 	uint64_t term;
 	uint64_t group;
 	uint64_t led_ns;
+	uint64_t counted_ns; /* silence of sessions counts from here at the earliest */
+	uint64_t tick_ns;    /* of the last tick */
+	uint64_t next_gauges_ns;
 	uint64_t clock_base_ms; /* group's clock when leadership began */
 	uint64_t next_tag;
 	wl_map_t by_tag;
@@ -181,6 +184,21 @@
 void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt);
 void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list);
 
+/* leader_status.c */
+typedef struct wl_leader_counts {
+	uint64_t sessions;
+	uint64_t targets;
+	uint64_t targets_without_owner;
+	uint64_t queued[WL_CLASSES];
+	uint64_t placed;
+	uint64_t ended;
+} wl_leader_counts_t;
+
+void wl_leader_count(const wl_leader_t *leader, wl_leader_counts_t *counts);
+void wl_leader_count_wait(const wl_leader_t *leader, const wl_task_t *task);
+void wl_leader_count_end(const wl_leader_t *leader, const wl_task_t *task);
+void wl_leader_status_tick(wl_leader_t *leader, uint64_t now_ns);
+
 /* leader_query.c */
 void wl_leader_query(const wl_leader_t *leader, uint64_t now_ns, const wl_msg_query_t *query,
 		     wl_result_t *result);
--- a/libwlcore/leader_query.c
+++ b/libwlcore/leader_query.c
@@ -4,7 +4,8 @@
  *   LIST     the list as it was put
  *   TASK     one task: {"id", "customer", "kind", "service", "class", "state", "attempt",
  *            "target", "result", "reason", "evictions", "added_ms", "ended_ms"}
- *   TASKS    {"tasks": [task, ...]}, waiting and running ones first
+ *   TASKS    {"tasks": [task, ...], "more": N}: waiting and running ones first, at most
+ *            number of them (0: 1000), and how many are left out
  *   TARGETS  {"targets": [{"target", "address", "availability_zone", "rack", "services",
  *            "epoch", "owner", "assigned", "open", "aside", "capacity", "free"}]}
  *   STATUS   {"leader", "term", "group", "revision", "in_force", "customers_version",
@@ -17,6 +18,8 @@
 
 #include <stdlib.h>
 
+#define TASKS_DEFAULT 1000
+
 typedef struct task_view {
 	wl_buf_t id;
 	wl_buf_t customer;
@@ -215,30 +218,47 @@
 	item(&result->body, &first, &task_schema, &view);
 }
 
-static void tasks_add(const wl_task_list_t *list, const wl_msg_query_t *query, bool *first,
-		      wl_buf_t *body)
+/* Tasks being listed. */
+typedef struct listing {
+	const wl_msg_query_t *query;
+	wl_buf_t *body;
+	uint64_t left; /* rows that may still be added */
+	uint64_t more;
+	bool first;
+} listing_t;
+
+static void tasks_add(listing_t *listing, const wl_task_list_t *list)
 {
 	const wl_task_t *task;
 
 	TAILQ_FOREACH (task, list, link) {
 		task_view_t view;
 
-		if (!visible(task, &query->customer) || !visible(task, &query->name))
+		if (!visible(task, &listing->query->customer) ||
+		    !visible(task, &listing->query->name))
 			continue;
+		if (listing->left == 0) {
+			listing->more++;
+			continue;
+		}
+		listing->left--;
 		task_view(task, &view);
-		item(body, first, &task_schema, &view);
+		item(listing->body, &listing->first, &task_schema, &view);
 	}
 }
 
 static void query_tasks(const wl_leader_t *leader, const wl_msg_query_t *query, wl_result_t *result)
 {
-	bool first = true;
+	listing_t listing = {.query = query,
+			     .body = &result->body,
+			     .left = query->number ? query->number : TASKS_DEFAULT,
+			     .first = true};
 
 	wl_result_ok(result, wl_state_revision(leader->state));
 	wl_buf_append(&result->body, WL_STR("{\"tasks\":["));
-	tasks_add(&leader->state->live, query, &first, &result->body);
-	tasks_add(&leader->state->ended, query, &first, &result->body);
-	wl_buf_append(&result->body, WL_STR("]}"));
+	tasks_add(&listing, &leader->state->live);
+	tasks_add(&listing, &leader->state->ended);
+	wl_buf_printf(&result->body, "],\"more\":%llu}", (unsigned long long)listing.more);
 }
 
 static void target_view(const wl_leader_t *leader, const wl_state_target_t *target,
@@ -307,26 +327,6 @@
 		member_view(leader, session, now_ns, wl_list_add(&member_schema, entries));
 }
 
-static void status_count(const wl_leader_t *leader, status_view_t *view)
-{
-	const wl_state_customer_t *customer;
-	const wl_state_target_t *target;
-	const wl_leader_session_t *session;
-
-	TAILQ_FOREACH (session, &leader->sessions, link)
-		view->sessions++;
-	TAILQ_FOREACH (target, &leader->state->targets, link) {
-		view->targets += !target->row.forgotten;
-		view->targets_without_owner += !target->row.forgotten && target->row.session == 0;
-	}
-	TAILQ_FOREACH (customer, &leader->state->customers, link) {
-		view->queued_urgent += customer->queued_count[WL_CLASS_URGENT];
-		view->queued_batch += customer->queued_count[WL_CLASS_BATCH];
-		view->placed += customer->held_count;
-	}
-	view->ended = wl_map_count(&leader->state->by_task) - leader->state->live_count;
-}
-
 static void query_status(const wl_leader_t *leader, uint64_t now_ns, wl_result_t *result)
 {
 	status_view_t view = {.term = leader->term,
@@ -335,11 +335,19 @@
 			      .in_force = wl_leader_acked(leader),
 			      .customers_version = leader->state->list[WL_LIST_CUSTOMERS].version,
 			      .plans_version = leader->state->list[WL_LIST_PLANS].version};
+	wl_leader_counts_t counts;
 	bool first = true;
 
 	wl_result_ok(result, view.revision);
 	wl_buf_set(&view.leader, wl_buf_str(&leader->entry));
-	status_count(leader, &view);
+	wl_leader_count(leader, &counts);
+	view.sessions = counts.sessions;
+	view.targets = counts.targets;
+	view.targets_without_owner = counts.targets_without_owner;
+	view.queued_urgent = counts.queued[WL_CLASS_URGENT];
+	view.queued_batch = counts.queued[WL_CLASS_BATCH];
+	view.placed = counts.placed;
+	view.ended = counts.ended;
 	entries_add(leader, now_ns, &view.entries);
 	item(&result->body, &first, &status_schema, &view);
 }
--- a/libwlcore/leader_sessions.c
+++ b/libwlcore/leader_sessions.c
@@ -4,12 +4,16 @@
  * A session that is silent for its validity and the drift margin, counted
  * from the receipt of its last renewal, or from the start of leadership when
  * that is later, can't be valid on the entry's clock any more and is ended.
+ * After a pause of the leader itself the count begins anew: renewals may be
+ * waiting to be read.
  */
 
 #include "leader_internal.h"
 
 #include <stdlib.h>
 
+#define PAUSE_NS (1000 * WL_NS_PER_MS)
+
 wl_leader_session_t *wl_leader_session_find(wl_leader_t *leader, uint64_t id)
 {
 	wl_leader_session_t *session;
@@ -110,7 +114,8 @@
 		session->push = true;
 	session->renewed = true;
 	session->heard_ns = now_ns;
-	session->acked = renew->revision;
+	if (renew->revision > session->acked)
+		session->acked = renew->revision;
 	session->revision = renew->revision;
 	session->owners_index = renew->owners_index;
 	if (session->draining == renew->draining)
@@ -177,6 +182,12 @@
 		renewed(leader, peer, renew, WL_E_CONFLICT, out);
 		return;
 	}
+	if (known && known->boot != renew->boot && renew->session != 0) {
+		/* Perhaps late, from before a restart; a daemon that lives asks again for a new
+		 * one. */
+		renewed(leader, peer, renew, WL_E_NO_SESSION, out);
+		return;
+	}
 	if (!known || known->boot != renew->boot) {
 		session_open(leader, now_ns, renew, out);
 		return;
@@ -273,9 +284,12 @@
 		(leader->options.session_ms + leader->options.drift_ms) * WL_NS_PER_MS;
 	wl_leader_session_t *session;
 
+	if (now_ns > leader->tick_ns + PAUSE_NS)
+		leader->counted_ns = now_ns;
+	leader->tick_ns = now_ns;
 	TAILQ_FOREACH (session, &leader->sessions, link) {
-		uint64_t from =
-			session->heard_ns > leader->led_ns ? session->heard_ns : leader->led_ns;
+		uint64_t from = session->heard_ns > leader->counted_ns ? session->heard_ns
+								       : leader->counted_ns;
 
 		if (!session->ending && now_ns >= from + silence_ns)
 			session_end(leader, now_ns, session, out);
--- /dev/null
+++ b/libwlcore/leader_status.c
@@ -0,0 +1,81 @@
+/* What the leader counts: gauges of the group, waits and ends of tasks. */
+
+#include "leader_internal.h"
+
+#define GAUGES_NS (1000 * WL_NS_PER_MS)
+
+/* Counts what there is; costs the number of targets and customers. */
+void wl_leader_count(const wl_leader_t *leader, wl_leader_counts_t *counts)
+{
+	const wl_state_customer_t *customer;
+	const wl_state_target_t *target;
+	const wl_leader_session_t *session;
+
+	*counts = (wl_leader_counts_t){0};
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		counts->sessions++;
+	TAILQ_FOREACH (target, &leader->state->targets, link) {
+		counts->targets += !target->row.forgotten;
+		counts->targets_without_owner += !target->row.forgotten && target->row.session == 0;
+	}
+	TAILQ_FOREACH (customer, &leader->state->customers, link) {
+		counts->queued[WL_CLASS_URGENT] += customer->queued_count[WL_CLASS_URGENT];
+		counts->queued[WL_CLASS_BATCH] += customer->queued_count[WL_CLASS_BATCH];
+		counts->placed += customer->held_count;
+	}
+	counts->ended = wl_map_count(&leader->state->by_task) - leader->state->live_count;
+}
+
+/* How long a task waited for its first target, by customer and class. */
+void wl_leader_count_wait(const wl_leader_t *leader, const wl_task_t *task)
+{
+	const wl_task_record_t *record = &task->record;
+	wl_buf_t labels = {0};
+
+	if (record->attempt != 1)
+		return;
+	wl_buf_printf(&labels, "customer=\"" WL_STR_FMT "\",class=\"%s\"",
+		      WL_STR_ARG(wl_buf_str(&record->customer)),
+		      wl_class_names[record->spec.work_class]);
+	wl_metrics_observe(leader->options.metrics, "wisterialead_task_wait_seconds", labels.at,
+			   (record->assigned_ms - record->added_ms) * WL_NS_PER_MS);
+	wl_buf_free(&labels);
+}
+
+/* An attempt that is over: its task ended, or is queued again. */
+void wl_leader_count_end(const wl_leader_t *leader, const wl_task_t *task)
+{
+	const wl_task_record_t *record = &task->record;
+	wl_buf_t labels = {0};
+
+	wl_buf_printf(&labels, "customer=\"" WL_STR_FMT "\",state=\"%s\"",
+		      WL_STR_ARG(wl_buf_str(&record->customer)),
+		      wl_task_state_names[record->state]);
+	wl_metrics_add(leader->options.metrics, "wisterialead_attempts_ended_total", labels.at, 1);
+	wl_buf_free(&labels);
+}
+
+static void gauge(const wl_leader_t *leader, const char *name, const char *labels, uint64_t value)
+{
+	wl_metrics_set(leader->options.metrics, name, labels, value);
+}
+
+/* Keeps the gauges of the group current. */
+void wl_leader_status_tick(wl_leader_t *leader, uint64_t now_ns)
+{
+	wl_leader_counts_t counts;
+
+	if (now_ns < leader->next_gauges_ns)
+		return;
+	leader->next_gauges_ns = now_ns + GAUGES_NS;
+	wl_leader_count(leader, &counts);
+	gauge(leader, "wisterialead_sessions", "", counts.sessions);
+	gauge(leader, "wisterialead_targets", "", counts.targets);
+	gauge(leader, "wisterialead_targets_without_owner", "", counts.targets_without_owner);
+	gauge(leader, "wisterialead_tasks_queued", "class=\"urgent\"",
+	      counts.queued[WL_CLASS_URGENT]);
+	gauge(leader, "wisterialead_tasks_queued", "class=\"batch\"",
+	      counts.queued[WL_CLASS_BATCH]);
+	gauge(leader, "wisterialead_tasks_placed", "", counts.placed);
+	gauge(leader, "wisterialead_revision_in_force", "", wl_leader_acked(leader));
+}
--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader_tasks.c
@@ -148,6 +148,8 @@
 			wl_place_hold(leader->place, now_ns + REFUSED_HOLD_NS,
 				      wl_buf_str(&reports[i].target));
 		if (!placed(task, attempt->attempt)) {
+			if (task)
+				wl_leader_count_end(leader, task);
 			wl_leader_attempt_drop(leader, attempt);
 			continue;
 		}
@@ -219,21 +221,6 @@
 	leader->place_due = true;
 }
 
-static void wait_measure(const wl_leader_t *leader, const wl_task_t *task)
-{
-	const wl_task_record_t *record = &task->record;
-	wl_buf_t labels = {0};
-
-	if (record->attempt != 1)
-		return;
-	wl_buf_printf(&labels, "customer=\"" WL_STR_FMT "\",class=\"%s\"",
-		      WL_STR_ARG(wl_buf_str(&record->customer)),
-		      wl_class_names[record->spec.work_class]);
-	wl_metrics_observe(leader->options.metrics, "wisterialead_task_wait_seconds", labels.at,
-			   (record->assigned_ms - record->added_ms) * WL_NS_PER_MS);
-	wl_buf_free(&labels);
-}
-
 /* Follows an applied command of assignments, or the loss of a proposed one. */
 void wl_leader_assigned(wl_leader_t *leader)
 {
@@ -251,7 +238,7 @@
 			continue;
 		}
 		attempt->proposed = false;
-		wait_measure(leader, task);
+		wl_leader_count_wait(leader, task);
 	}
 	leader->place_due = true;
 }
--- a/tests/unit/leader_script_test.cc
+++ b/tests/unit/leader_script_test.cc
@@ -213,7 +213,7 @@
 	wl_buf_set(&renew->entry, str(words[1]));
 	wl_buf_set(&renew->availability_zone, str(script_value(words, "zone", "a")));
 	renew->boot = script_number(words, "boot", 1);
-	renew->session = session_of(rig, words[1]);
+	renew->session = script_number(words, "session", session_of(rig, words[1]));
 	renew->group = script_number(words, "group", 77);
 	renew->revision = script_value(words, "revision") == "now"
 				  ? wl_state_revision(rig.state)
