request: believe the room in answers; judge deadlines by the typical latency

A service that answers some calls in milliseconds and others in seconds has a mean far above its short calls, which were refused for deadlines they would have met: the median decides now. A peer's answer told its room but only refusals were believed, so that waiting requests stood up to an exchange interval beside free room: the answer's room counts both ways now. An outcome larger than 256 KiB went into the log whole: it is kept as unknown now, which is what a resend is told. Peers that are slowed down get less; customers that left the list are forgotten.

--- a/libwlcore/admit.c
+++ b/libwlcore/admit.c
@@ -284,8 +284,25 @@
 	}
 }
 
+/* A customer that left the list is forgotten once nothing of it runs. */
+static void admit_drop_gone(wl_admit_t *admit, const wl_lists_t *lists)
+{
+	wl_admit_customer_t *customer;
+	wl_admit_customer_t *next;
+
+	for (customer = TAILQ_FIRST(&admit->customers); customer; customer = next) {
+		next = TAILQ_NEXT(customer, link);
+		if (customer->running || wl_lists_customer(lists, customer->key))
+			continue;
+		TAILQ_REMOVE(&admit->customers, customer, link);
+		wl_map_remove(&admit->by_name, customer->key);
+		customer_free(customer);
+	}
+}
+
 /*
- * wl_admit_view - take the number of entries, and forget those whose session ended
+ * wl_admit_view - take the number of entries; forget those whose session ended, and customers
+ * that are gone
  */
 void wl_admit_view(wl_admit_t *admit, const wl_view_t *view)
 {
@@ -298,6 +315,8 @@
 		if (!member || member->session != peer->session)
 			peer->generation++;
 	}
+	if (view->lists)
+		admit_drop_gone(admit, view->lists);
 }
 
 /* Follows growth at once and a fall by halves, so that a short pause gives no share away. */
--- a/libwlcore/latency.h
+++ b/libwlcore/latency.h
@@ -7,6 +7,7 @@
 typedef struct wl_latency {
 	uint64_t mean_ns; /* moving average */
 	uint64_t last_ns; /* time of the newest sample */
+	uint64_t p50_ns;  /* 0: too little is known */
 	uint64_t p95_ns;
 	wl_hist_t now;
 	wl_hist_t before;
@@ -14,6 +15,7 @@
 
 void wl_latency_add(wl_latency_t *latency, uint64_t took_ns, uint64_t now_ns);
 uint64_t wl_latency_mean(const wl_latency_t *latency, uint64_t now_ns);
+uint64_t wl_latency_typical(const wl_latency_t *latency, uint64_t now_ns);
 uint64_t wl_latency_p95(const wl_latency_t *latency);
 
 #endif
--- a/libwlcore/request.c
+++ b/libwlcore/request.c
@@ -254,7 +254,7 @@
 		return;
 	}
 	if (request->key.len)
-		wl_request_key_begin(requests, request, now_ns, out);
+		wl_request_key_begin(requests, request, out);
 	else
 		wl_request_queue(requests, request, now_ns, out);
 }
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request_internal.h
@@ -202,8 +202,7 @@
 void wl_requests_refused(wl_requests_t *requests, wl_str_t customer, const wl_err_t *err);
 
 /* request_key.c */
-void wl_request_key_begin(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
-			  wl_out_t *out);
+void wl_request_key_begin(wl_requests_t *requests, wl_request_t *request, wl_out_t *out);
 void wl_request_key_end(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
 			wl_out_t *out);
 void wl_request_key_free(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
--- a/libwlcore/request_key.c
+++ b/libwlcore/request_key.c
@@ -9,8 +9,9 @@
 
 #include <libwlbase/digest.h>
 
-#define GRACE_NS    (100 * WL_NS_PER_MS)
-#define KEY_KEEP_NS (30000 * WL_NS_PER_MS) /* how long a commit of an outcome is tried */
+#define KEEP_MOST_BYTES (256 * 1024)
+#define GRACE_NS	(100 * WL_NS_PER_MS)
+#define KEY_KEEP_NS	(30000 * WL_NS_PER_MS) /* how long a commit of an outcome is tried */
 
 /* Each part goes in with its length, so that no two requests run together. */
 static void digest_part(wl_buf_t *text, wl_str_t part)
@@ -42,14 +43,12 @@
 /*
  * wl_request_key_begin - have a request's key committed
  */
-void wl_request_key_begin(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
-			  wl_out_t *out)
+void wl_request_key_begin(wl_requests_t *requests, wl_request_t *request, wl_out_t *out)
 {
 	uint64_t id = wl_requests_id(requests);
 	char digest[WL_SHA256_HEX + 1];
 	wl_cmd_t cmd = {.kind = WL_CMD_KEY_BEGIN};
 
-	(void)now_ns;
 	request->state = WL_REQUEST_KEYING;
 	request->nonce = request_nonce(requests, id);
 	request_digest(request, digest);
@@ -65,14 +64,13 @@
 	wl_requests_timer(requests, request, request->deadline_ns + GRACE_NS);
 }
 
-static void key_end_command(wl_requests_t *requests, const wl_request_t *request, uint64_t id,
-			    wl_verdict_t verdict, uint64_t now_ns, wl_out_t *out)
+static void key_end_command(const wl_request_t *request, uint64_t id, wl_verdict_t verdict,
+			    uint64_t now_ns, wl_out_t *out)
 {
 	const wl_outcome_t *outcome = &request->outcome;
 	const wl_buf_t *type = wl_headers_find(&outcome->headers, WL_STR("Content-Type"));
 	wl_cmd_t cmd = {.kind = WL_CMD_KEY_END};
 
-	(void)requests;
 	wl_buf_set(&cmd.u.key_end.customer, wl_buf_str(&request->customer_name));
 	wl_buf_set(&cmd.u.key_end.key, wl_buf_str(&request->key));
 	cmd.u.key_end.nonce = request->nonce;
@@ -87,6 +85,12 @@
 	wl_cmd_free(&cmd);
 }
 
+/* An answer too large to keep is not kept in part: a resend is told that it may have run. */
+static wl_verdict_t key_verdict(const wl_outcome_t *outcome)
+{
+	return outcome->body.len <= KEEP_MOST_BYTES ? outcome->verdict : WL_UNKNOWN;
+}
+
 /*
  * wl_request_key_end - have a request's outcome committed; its answer follows
  *
@@ -101,7 +105,7 @@
 	request->state = WL_REQUEST_KEEPING;
 	wl_id_remove(&requests->by_leader_call, &request->leader_call);
 	wl_id_put(&requests->by_leader_call, &request->leader_call, id, request);
-	key_end_command(requests, request, id, request->outcome.verdict, now_ns, out);
+	key_end_command(request, id, key_verdict(&request->outcome), now_ns, out);
 	wl_requests_timer(requests, request, request->deadline_ns);
 }
 
@@ -116,7 +120,7 @@
 {
 	if (!request->key.len)
 		return;
-	key_end_command(requests, request, wl_requests_id(requests), WL_NOT_RUN, now_ns, out);
+	key_end_command(request, wl_requests_id(requests), WL_NOT_RUN, now_ns, out);
 	wl_buf_clear(&request->key);
 }
 
--- a/libwlcore/request_peer.c
+++ b/libwlcore/request_peer.c
@@ -121,6 +121,14 @@
 	       answer->code != WL_E_NO_SESSION;
 }
 
+/* An entry that takes no new work has no room, whatever its targets have. */
+static uint64_t answer_room(const wl_msg_answer_t *answer)
+{
+	if (answer->code == WL_E_DRAINING || answer->code == WL_E_NO_SESSION)
+		return 0;
+	return answer->room;
+}
+
 static void answer_outcome(wl_msg_answer_t *answer, wl_outcome_t *outcome)
 {
 	outcome->code = (wl_code_t)answer->code;
@@ -149,22 +157,23 @@
 	wl_try_t *one = answer_try(requests, peer, answer);
 	bool reached = answer_reached(answer);
 	wl_outcome_t outcome = {0};
+	wl_request_service_t *service;
 	wl_request_t *request;
 
 	if (!one)
 		return;
 	request = one->request;
-	if (!reached)
-		wl_rooms_limit(&requests->rooms, peer, one->service->key,
-			       answer->code == WL_E_OVERLOADED ? answer->room : 0);
+	service = one->service;
+	wl_rooms_answer(&requests->rooms, peer, service->key, answer_room(answer));
 	if (answer->verdict == WL_RAN)
-		wl_latency_add(&one->service->latency, now_ns - one->sent_ns, now_ns);
+		wl_latency_add(&service->latency, now_ns - one->sent_ns, now_ns);
 	if (reached)
 		wl_buf_move(&request->avoid_target, &answer->target);
 	answer_outcome(answer, &outcome);
 	wl_try_end(requests, one);
 	wl_request_tried(requests, request, &outcome, reached, now_ns, out);
 	wl_outcome_free(&outcome);
+	wl_requests_pump(requests, service, now_ns, out);
 }
 
 static void take_cancel(wl_requests_t *requests, wl_str_t peer, const wl_msg_cancel_t *msg,
--- a/libwlcore/request_queue.c
+++ b/libwlcore/request_queue.c
@@ -9,7 +9,8 @@
 /* Whether the time left is less than what the service takes nowadays. */
 static bool request_too_late(const wl_request_t *request, uint64_t now_ns)
 {
-	return now_ns + wl_latency_mean(&request->service->latency, now_ns) >= request->deadline_ns;
+	return now_ns + wl_latency_typical(&request->service->latency, now_ns) >=
+	       request->deadline_ns;
 }
 
 static bool queue_full(const wl_requests_t *requests, const wl_request_t *request)
--- a/libwlcore/request_reply.c
+++ b/libwlcore/request_reply.c
@@ -66,8 +66,10 @@
 	wl_buf_move(&reply->body, &outcome->body);
 }
 
-static void reply_peer(wl_requests_t *requests, wl_request_t *request, wl_out_t *out)
+static void reply_peer(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		       wl_out_t *out)
 {
+	wl_err_t err;
 	wl_outcome_t *outcome = &request->outcome;
 	wl_msg_answer_t *answer =
 		&wl_out_send(out, wl_buf_str(&request->origin.peer), WL_MSG_ANSWER)->u.answer;
@@ -82,7 +84,8 @@
 	wl_buf_move(&answer->text, &outcome->text);
 	wl_buf_move(&answer->body, &outcome->body);
 	wl_buf_set(&answer->target, wl_buf_str(&request->avoid_target));
-	answer->room = wl_router_room(&requests->router, request->service->key);
+	if (wl_requests_ready(requests, now_ns, &err))
+		answer->room = wl_router_room(&requests->router, request->service->key);
 }
 
 /*
@@ -94,7 +97,7 @@
 	if (request->customer)
 		reply_count(requests, request, now_ns);
 	if (request->origin.peer.len)
-		reply_peer(requests, request, out);
+		reply_peer(requests, request, now_ns, out);
 	else if (!request->origin.gone)
 		reply_caller(request, out);
 	wl_requests_remove(requests, request);
--- a/libwlcore/room.c
+++ b/libwlcore/room.c
@@ -156,19 +156,29 @@
 }
 
 /*
- * wl_rooms_limit - a peer refused for want of room: believe no more than it said
- * @room: its free room for the service
+ * wl_rooms_answer - take in the present room for a service that came with a peer's answer
+ * @room: requests that the peer could start, in all availability zones
  */
-void wl_rooms_limit(wl_rooms_t *rooms, wl_str_t peer, wl_str_t service, uint64_t room)
+void wl_rooms_answer(wl_rooms_t *rooms, wl_str_t peer, wl_str_t service, uint64_t room)
 {
 	const wl_room_service_t *rows = wl_rooms_service(rooms, service);
+	wl_room_entry_t *last = NULL;
 	wl_room_entry_t *entry;
 
 	if (!rows)
 		return;
-	TAILQ_FOREACH (entry, &rows->entries, link)
-		if (wl_str_equal(wl_buf_str(&entry->peer->name), peer) && entry->room > room)
+	TAILQ_FOREACH (entry, &rows->entries, link) {
+		if (entry->generation != entry->peer->generation ||
+		    !wl_str_equal(wl_buf_str(&entry->peer->name), peer))
+			continue;
+		if (entry->room > room)
 			entry->room = room;
+		room -= entry->room;
+		last = entry;
+	}
+	/* which zone the rest is in was not said */
+	if (last)
+		last->room += room;
 }
 
 /*
--- a/libwlcore/room.h
+++ b/libwlcore/room.h
@@ -45,7 +45,7 @@
 void wl_rooms_hear(wl_rooms_t *rooms, wl_str_t peer, const wl_msg_room_t *msg, uint64_t now_ns);
 void wl_rooms_view(wl_rooms_t *rooms, const wl_view_t *view);
 void wl_rooms_lost(wl_rooms_t *rooms, wl_str_t peer);
-void wl_rooms_limit(wl_rooms_t *rooms, wl_str_t peer, wl_str_t service, uint64_t room);
+void wl_rooms_answer(wl_rooms_t *rooms, wl_str_t peer, wl_str_t service, uint64_t room);
 wl_room_service_t *wl_rooms_service(const wl_rooms_t *rooms, wl_str_t service);
 bool wl_room_live(const wl_room_entry_t *entry, uint64_t now_ns);
 void wl_rooms_tell(const wl_ledger_t *ledger, wl_list_t *rows);
--- a/libwlcore/route.c
+++ b/libwlcore/route.c
@@ -15,6 +15,7 @@
 #define EXPLORE_ONE_IN 64 /* choices that go anywhere, so that an old bad latency is corrected */
 #define ZONE_WEIGHT    4  /* room in the own availability zone counts so many times */
 #define PERMILLE       1000
+#define SLOWDOWN_SCALE 64	  /* so that a weight of little room survives a slowdown */
 #define LATENCY_NONE   1000000ull /* nothing known: all alike, by queue alone */
 
 typedef struct wl_route_policy {
@@ -102,7 +103,8 @@
 	return best ? best : target_scan(router, service, query, first);
 }
 
-/* At random, in proportion to room: entries that choose at once don't all choose the same. */
+/* At random, in proportion to room and speed: entries that choose at once don't all choose the
+ * same. */
 static wl_room_entry_t *peer_weighted(wl_router_t *router, const wl_room_service_t *service,
 				      const wl_route_query_t *query, uint64_t now_ns)
 {
@@ -112,12 +114,15 @@
 	wl_room_entry_t *entry;
 
 	TAILQ_FOREACH (entry, &service->entries, link) {
-		uint64_t weight = entry->room;
+		uint64_t weight = entry->room * SLOWDOWN_SCALE;
 
 		if (!peer_usable(entry, query, now_ns))
 			continue;
 		if (wl_str_equal(wl_buf_str(&entry->availability_zone), zone))
 			weight *= ZONE_WEIGHT;
+		if (entry->slowdown_permille > PERMILLE)
+			weight = weight * PERMILLE / entry->slowdown_permille;
+		weight = weight ? weight : 1;
 		total += weight;
 		if (wl_rng_below(&router->rng, total) < weight)
 			chosen = entry;
--- a/tests/unit/admit_test.cc
+++ b/tests/unit/admit_test.cc
@@ -243,3 +243,29 @@
 			cell.pass();
 	}
 }
+
+TEST(Admit, ACustomerThatLeftTheListIsForgottenOnceNothingOfItRuns)
+{
+	wl_budget_options_t budget = {};
+	wl_plan_t plan = {};
+	wl_admit_t admit;
+	wl_view_t view;
+	wl_err_t err = {};
+
+	wl_admit_init(&admit, &budget, 0);
+	wl_view_init(&view);
+	view.lists = wl_lists_new(str(R"({"customers":[]})"), str(R"({"plans":[]})"), &err);
+	ASSERT_NE(view.lists, nullptr) << err.text;
+	plan.weight = 1;
+	plan.max_concurrent = 5;
+	plan.requests_per_second = 5;
+	wl_admit_customer_t *customer = wl_admit_get(&admit, str("c"), &plan, 0);
+	ASSERT_TRUE(wl_admit_enter(customer, 0, &err));
+	wl_admit_view(&admit, &view);
+	EXPECT_EQ(wl_map_count(&admit.by_name), 1u);
+	wl_admit_leave(customer);
+	wl_admit_view(&admit, &view);
+	EXPECT_EQ(wl_map_count(&admit.by_name), 0u);
+	wl_view_free(&view);
+	wl_admit_free(&admit);
+}
--- a/tests/unit/route_test.cc
+++ b/tests/unit/route_test.cc
@@ -167,8 +167,10 @@
 	auto seen = picks(1000);
 	EXPECT_NEAR(seen["e2"], 800, 60);
 	EXPECT_NEAR(seen["e3"], 200, 60);
-	wl_rooms_limit(&rooms, wl_str_from("e2"), wl_str_from("sort"), 0);
+	wl_rooms_answer(&rooms, wl_str_from("e2"), wl_str_from("sort"), 0);
 	EXPECT_EQ(pick(), "e3");
+	wl_rooms_answer(&rooms, wl_str_from("e2"), wl_str_from("sort"), 10);
+	EXPECT_GT(picks(100)["e2"], 60);
 	now_ns = 1001 * MS;
 	EXPECT_EQ(pick(), "none");
 	EXPECT_FALSE(wl_router_knows(&router, query.service, now_ns));
