--- a/libwlcore/raft_internal.h
+++ b/libwlcore/raft_internal.h
@@ -196,9 +196,11 @@
 void wl_raft_leader_tick(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_count_commit(wl_raft_t *raft);
 void wl_raft_hand_over(wl_raft_t *raft, uint64_t now_ns);
-void wl_raft_on_append(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 
+/* raft_append.c */
+void wl_raft_on_append(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
+
 /* raft_snapshot.c */
 void wl_raft_send_piece(wl_raft_t *raft, uint64_t now_ns, wl_raft_peer_t *peer);
 void wl_raft_ask_snapshot(wl_raft_t *raft, uint64_t now_ns);
