--- a/cli/cli.h
+++ b/cli/cli.h
@@ -66,7 +66,7 @@
 wl_exit_t wl_cli_error(const wl_fetched_t *fetched);
 bool wl_cli_read_file(wl_str_t path, wl_buf_t *text);
 bool wl_cli_etag(const wl_fetched_t *fetched, wl_buf_t *etag);
-void wl_cli_print(const wl_cli_settings_t *settings, wl_str_t json);
+void wl_cli_print(const wl_cli_settings_t *settings, wl_str_t text);
 
 wl_exit_t wl_cmd_apply(const wl_cli_settings_t *settings, const char **words, size_t count);
 wl_exit_t wl_cmd_diff(const wl_cli_settings_t *settings, const char **words, size_t count);
--- a/cli/print.c
+++ b/cli/print.c
@@ -101,6 +101,13 @@
 	}
 }
 
+static wl_str_t trimmed(wl_str_t text)
+{
+	while (text.len && text.at && text.at[text.len - 1] == '\n')
+		text.len--;
+	return text;
+}
+
 /*
  * wl_cli_print - print an answer: as it is with --json, else for people
  */
@@ -110,9 +117,7 @@
 		settings->json ? NULL : json_loadb(text.at ? text.at : "", text.len, 0, NULL);
 
 	if (!json) {
-		fwrite(text.at ? text.at : "", 1, text.len, stdout);
-		if (text.len == 0 || text.at[text.len - 1] != '\n')
-			putchar('\n');
+		printf(WL_STR_FMT "\n", WL_STR_ARG(trimmed(text)));
 		return;
 	}
 	if (json_is_array(json))
