tests: planned stops and faults with real processes under load

Callers behind a balancer send unique requests while daemons are stopped, killed, frozen, cut off in silence, restarted as a whole group or stripped of their disk. Each request's answer is then held against the targets' record: not-run never ran, a POST ran at most once, and each 200 bears the caller's own id.

--- /dev/null
+++ b/tests/support/load.cc
@@ -0,0 +1,142 @@
+#include "load.h"
+
+#include <chrono>
+#include <map>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+constexpr int BALANCE_MS = 100;
+constexpr uint64_t TIMEOUT_MS = 10000;
+
+std::map<std::string, int> runs_by_id(const std::string &record)
+{
+	std::map<std::string, int> runs;
+	std::istringstream lines(record);
+
+	for (std::string line; std::getline(lines, line);) {
+		size_t at = line.find(" id=");
+
+		if (at == std::string::npos ||
+		    line.find("event=request_begin") == std::string::npos)
+			continue;
+		at += 4;
+		runs[line.substr(at, line.find(' ', at) - at)]++;
+	}
+	return runs;
+}
+} // namespace
+
+Load::Load(Cluster &of, int callers) : cluster(of)
+{
+	for (auto &member : cluster.members)
+		ready.push_back(member.get());
+	threads.emplace_back([this] { balance(); });
+	for (int i = 0; i < callers; i++)
+		threads.emplace_back([this, i] { call(i); });
+}
+
+Load::~Load()
+{
+	stopping = true;
+	for (std::thread &thread : threads)
+		thread.join();
+}
+
+void Load::balance()
+{
+	while (!stopping) {
+		std::vector<Member *> now;
+
+		for (auto &member : cluster.members)
+			if (http(member->caller_address(), "GET", "/readyz", "", {}, 500).status ==
+			    200)
+				now.push_back(member.get());
+		{
+			std::lock_guard<std::mutex> guard(lock);
+			ready = now;
+		}
+		std::this_thread::sleep_for(std::chrono::milliseconds(BALANCE_MS));
+	}
+}
+
+Member *Load::pick(size_t turn)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	return ready.empty() ? nullptr : ready[turn % ready.size()];
+}
+
+void Load::call(int caller)
+{
+	for (size_t turn = 0; !stopping; turn++) {
+		Member *member = pick(turn * 7 + static_cast<size_t>(caller));
+		Sent sent;
+
+		if (!member) {
+			std::this_thread::sleep_for(std::chrono::milliseconds(BALANCE_MS));
+			continue;
+		}
+		sent.id = "c" + std::to_string(caller) + "-" + std::to_string(turn);
+		sent.entry = member->name;
+		sent.post = turn % 2 == 1;
+		sent.answer = cluster.request(*member, sent.id, sent.post ? "POST" : "GET", {},
+					      TIMEOUT_MS);
+		count_200 += sent.answer.whole && sent.answer.status == 200;
+		if (!sent.answer.whole || sent.answer.status != 200)
+			std::this_thread::sleep_for(std::chrono::milliseconds(10));
+		std::lock_guard<std::mutex> guard(lock);
+		all.push_back(std::move(sent));
+	}
+}
+
+bool Load::progress(size_t more, int timeout_ms)
+{
+	size_t from = count_200;
+
+	return eventually([&] { return count_200 >= from + more; }, timeout_ms);
+}
+
+void Load::check(const Sent &sent, int runs)
+{
+	const Answer &answer = sent.answer;
+	std::string what = sent.id + (sent.post ? " POST" : " GET") + " at " + sent.entry + ": " +
+			   std::to_string(answer.status) + " " + answer.verdict + " " +
+			   answer.body.substr(0, 300) + answer.error;
+
+	if (sent.post) {
+		EXPECT_LE(runs, 1) << "ran more than once: " << what;
+	}
+	if (answer.whole && answer.status == 200) {
+		EXPECT_GE(runs, 1) << what;
+		EXPECT_EQ(answer.at("id"), sent.id) << "another's answer: " << what;
+		return;
+	}
+	if (answer.verdict == "not-run" || (!answer.whole && !answer.sent)) {
+		EXPECT_EQ(runs, 0) << "said not-run, but ran: " << what;
+		refused += answer.verdict == "not-run";
+		return;
+	}
+	unknown++;
+	cut += !answer.whole;
+	if (answer.whole) {
+		EXPECT_EQ(answer.verdict, "unknown") << what;
+	}
+}
+
+void Load::finish()
+{
+	stopping = true;
+	for (std::thread &thread : threads)
+		thread.join();
+	threads.clear();
+	/* The record is flushed now and then. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	std::map<std::string, int> runs = runs_by_id(cluster.record());
+	for (const Sent &sent : all)
+		check(sent, runs.count(sent.id) ? runs[sent.id] : 0);
+	printf("load: %zu requests, %zu answered 200, %zu not-run, %zu unknown, %zu of them cut\n",
+	       all.size(), served(), refused, unknown, cut);
+}
