request: keep the room of a cut request while its target may still be at it

A request that was cut or called off gave its room back as soon as the HTTP call had ended, though the target may go on with it: with callers leaving in waves, a target could hold more than its ledger said. Waiting for the target's own count was weighed: announces come once a second and do not tell which requests they count.

--- a/libwlcore/request.c
+++ b/libwlcore/request.c
@@ -112,6 +112,8 @@
 	wl_admit_free(&requests->admit);
 	wl_rooms_free(&requests->rooms);
 	wl_router_free(&requests->router);
+	wl_requests_linger_end(requests, UINT64_MAX);
+	wl_heap_free(&requests->lingers);
 	wl_heap_free(&requests->timers);
 	wl_map_free(&requests->by_origin);
 	wl_map_free(&requests->tries_by_id);
@@ -286,6 +288,7 @@
 
 	while ((node = wl_heap_first(&requests->timers)) && node->key <= now_ns)
 		wl_request_expired(requests, node->owner, now_ns, out);
+	wl_requests_linger_end(requests, now_ns);
 	wl_requests_tell(requests, now_ns, out);
 	wl_requests_pump_all(requests, now_ns, out);
 }
--- a/libwlcore/request_fetched.c
+++ b/libwlcore/request_fetched.c
@@ -17,6 +17,12 @@
 	       wl_str_equal(wl_buf_str(value), WL_STR("not-run"));
 }
 
+/* The target may still be at it. */
+static bool fetched_may_go_on(const wl_fetched_t *fetched)
+{
+	return fetched->sent && !fetched->whole;
+}
+
 static wl_verdict_t fetched_verdict(const wl_fetched_t *fetched)
 {
 	if (!fetched->sent || fetched_refused(fetched))
@@ -72,7 +78,6 @@
 void wl_requests_fetched(wl_requests_t *requests, uint64_t now_ns, wl_fetched_t *fetched,
 			 wl_out_t *out)
 {
-	wl_ledger_t *ledger = requests->options.ledger;
 	wl_try_t *one = wl_id_get(&requests->tries_by_id, fetched->id);
 	wl_request_service_t *service;
 	wl_outcome_t outcome = {0};
@@ -81,9 +86,12 @@
 
 	if (!one || !one->target.len)
 		return;
-	target = wl_ledger_find(ledger, wl_buf_str(&one->target));
-	if (target)
-		wl_ledger_release(ledger, target, &ledger->request);
+	target = wl_ledger_find(requests->options.ledger, wl_buf_str(&one->target));
+	if (fetched_may_go_on(fetched))
+		wl_requests_linger(requests, one->service, wl_buf_str(&one->target),
+				   fetched->took_ns, now_ns);
+	else
+		wl_requests_release(requests, wl_buf_str(&one->target));
 	fetched_observe(requests, one, target, fetched, now_ns, out);
 
 	request = one->request;
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request_internal.h
@@ -132,6 +132,7 @@
 	struct wl_request_list open;
 	struct wl_try_list tries;
 	wl_heap_t timers;
+	wl_heap_t lingers;
 	size_t open_count;
 	size_t queued;
 	uint64_t session; /* the newest that this daemon had */
@@ -177,6 +178,12 @@
 void wl_requests_fetched(wl_requests_t *requests, uint64_t now_ns, wl_fetched_t *fetched,
 			 wl_out_t *out);
 
+/* request_linger.c */
+void wl_requests_linger(wl_requests_t *requests, const wl_request_service_t *service,
+			wl_str_t target, uint64_t took_ns, uint64_t now_ns);
+void wl_requests_release(wl_requests_t *requests, wl_str_t target);
+void wl_requests_linger_end(wl_requests_t *requests, uint64_t now_ns);
+
 /* request_peer.c */
 void wl_requests_peer(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_requests_peer_down(wl_requests_t *requests, wl_str_t peer, uint64_t now_ns, wl_out_t *out);
