--- a/tests/support/raft_bus.cc
+++ b/tests/support/raft_bus.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 
 static const uint64_t TICK_NS = 10 * MS;
+static const uint64_t LATE_NS = 6000 * MS;
 
 static wl_str_t view(const std::string &text)
 {
@@ -161,14 +162,17 @@
 	for (auto &persist : it.persists)
 		wl_raft_persist_free(&persist.second);
 	it.persists.clear();
-	flying.erase(std::remove_if(flying.begin(), flying.end(),
-				    [&](const Flying &m) { return m.to == name; }),
-		     flying.end());
 }
 
 void RaftBus::cut(const std::string &a, const std::string &b)
 {
-	cuts.insert({std::min(a, b), std::max(a, b)});
+	cut_one_way(a, b);
+	cut_one_way(b, a);
+}
+
+void RaftBus::cut_one_way(const std::string &from, const std::string &to)
+{
+	cuts.insert({from, to});
 }
 
 void RaftBus::heal()
@@ -176,9 +180,9 @@
 	cuts.clear();
 }
 
-bool RaftBus::is_cut(const std::string &a, const std::string &b) const
+bool RaftBus::is_cut(const std::string &from, const std::string &to) const
 {
-	return cuts.count({std::min(a, b), std::max(a, b)}) != 0;
+	return cuts.count({from, to}) != 0;
 }
 
 void RaftBus::send(const BusNode &from, const wl_raft_action_t &action)
@@ -194,6 +198,9 @@
 	wl_record_pack(&wl_raft_msg_schema, &action.msg, &bytes);
 	for (uint32_t i = 0; i < copies; i++) {
 		uint64_t late = jitter_ns ? random() % jitter_ns : 0;
+
+		if (late_permille && random() % 1000 < late_permille)
+			late = random() % LATE_NS;
 		flying.push_back({now_ns + delay_ns + late, order++, from.name, to, text(bytes)});
 	}
 	wl_buf_free(&bytes);
--- a/tests/support/raft_bus.h
+++ b/tests/support/raft_bus.h
@@ -62,6 +62,7 @@
 	void crash(const std::string &name);
 	void wipe(const std::string &name);
 	void cut(const std::string &a, const std::string &b);
+	void cut_one_way(const std::string &from, const std::string &to);
 	void heal();
 	void run(uint64_t ms);
 	void propose(const std::string &name, const std::string &data);
@@ -84,6 +85,7 @@
 	uint32_t drop_permille = 0;
 	uint32_t double_permille = 0;
 	uint64_t jitter_ns = 0;
+	uint32_t late_permille = 0; /* messages that take up to LATE_NS */
 	uint64_t compact_entries = 0;
 	uint64_t piece_bytes = 0;
 
@@ -111,7 +113,7 @@
 	void sync_due(BusNode &node);
 	void check_lease();
 	void deliver_due();
-	bool is_cut(const std::string &a, const std::string &b) const;
+	bool is_cut(const std::string &from, const std::string &to) const;
 	void broken(const std::string &what);
 
 	std::mt19937_64 random;
--- a/tests/unit/raft_random_test.cc
+++ b/tests/unit/raft_random_test.cc
@@ -25,6 +25,7 @@
 		bus.drop_permille = static_cast<uint32_t>(below(120));
 		bus.double_permille = static_cast<uint32_t>(below(120));
 		bus.jitter_ns = below(40) * MS;
+		bus.late_permille = static_cast<uint32_t>(below(3) * 10);
 		names = {"a", "b", "c"};
 		if (seed % 4 == 0)
 			names.insert(names.end(), {"d", "e"});
@@ -100,7 +101,7 @@
 	{
 		wl_raft_event_t event = {};
 
-		switch (below(9)) {
+		switch (below(10)) {
 		case 0:
 		case 1:
 			bus.crash(any());
@@ -125,6 +126,9 @@
 			event.kind = WL_RAFT_EV_HAND_OVER;
 			bus.event(any(), event);
 			break;
+		case 9:
+			bus.cut_one_way(any(), any());
+			break;
 		}
 	}
 
@@ -152,6 +156,7 @@
 	{
 		bus.drop_permille = 0;
 		bus.double_permille = 0;
+		bus.late_permille = 0;
 		bus.heal();
 		start_down();
 		for (auto &item : bus.nodes)
--- a/tests/unit/raft_script_test.cc
+++ b/tests/unit/raft_script_test.cc
@@ -63,6 +63,9 @@
 			if (words.size() > 2)
 				bus.cut(words[1], words[2]);
 		});
+		script.on("cut-one-way", [this](const Script::Words &words) {
+			bus.cut_one_way(words.at(1), words.at(2));
+		});
 		script.on("heal", [this](const Script::Words &) { bus.heal(); });
 	}
 
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -500,3 +500,20 @@
 	ASSERT_TRUE(open()) << err.text;
 	EXPECT_EQ(log(), "1/1/kept");
 }
+
+TEST_F(Store, FullDiskLeavesTheOldVote)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 1, "kept"));
+	{
+		FileLimit limit(10);
+
+		EXPECT_FALSE(write(2, 2, 2, "x"));
+		EXPECT_EQ(err.code, WL_E_IO);
+		EXPECT_NE(std::string(err.text).find("/vote: "), std::string::npos) << err.text;
+	}
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(saved.term, 1u);
+	EXPECT_EQ(log(), "1/1/kept");
+}
