leader: bound what placement costs; pass tasks of one size together

With a backlog and no room every offer or report brought a round that looked at 16 tasks of each customer again.

--- a/libwlcore/fair.c
+++ b/libwlcore/fair.c
@@ -9,7 +9,8 @@
 
 #include <libwlcore/ledger.h>
 
-#define MISSES_MOST 16 /* tasks without room, after which a customer waits for the next round */
+#define MISSES_MOST 16 /* sizes without room, after which a customer waits for the next round */
+#define SKIPS_MOST  64 /* tasks of one size that are passed with the one that found no room */
 
 static void entry_init(wl_fair_entry_t *entry, const wl_state_t *state,
 		       wl_state_customer_t *customer, wl_class_t work_class)
@@ -62,7 +63,7 @@
 /*
  * wl_fair_next - whose turn it is
  *
- * Return: an entry whose next task is to be taken, passed or closed; NULL at the end.
+ * Return: an entry whose next task is to be taken, passed or dropped; NULL at the end.
  */
 wl_fair_entry_t *wl_fair_next(wl_fair_t *fair)
 {
@@ -112,19 +113,42 @@
 }
 
 /*
- * wl_fair_pass - the customer's next task found no target; its later ones are looked at
+ * wl_fair_same_size - tell whether two tasks are alike to placement
+ */
+bool wl_fair_same_size(const wl_task_t *a, const wl_task_t *b)
+{
+	const wl_task_spec_t *x = &a->record.spec;
+	const wl_task_spec_t *y = &b->record.spec;
+
+	return x->cpu_millis == y->cpu_millis && x->memory_mib == y->memory_mib &&
+	       x->run_ms == y->run_ms && x->accelerators == y->accelerators &&
+	       wl_str_equal(wl_buf_str(&x->kind), wl_buf_str(&y->kind)) &&
+	       wl_str_equal(wl_buf_str(&x->service), wl_buf_str(&y->service));
+}
+
+/*
+ * wl_fair_pass - the customer's next task found no target; later ones of other sizes are looked at
  */
 void wl_fair_pass(wl_fair_entry_t *entry)
 {
-	step(entry);
-	if (++entry->misses >= MISSES_MOST)
+	const wl_task_t *missed = entry->next;
+
+	if (++entry->misses >= MISSES_MOST) {
 		entry->next = NULL;
+		return;
+	}
+	for (size_t i = 0; i < SKIPS_MOST; i++) {
+		step(entry);
+		if (!entry->next || !wl_fair_same_size(missed, entry->next))
+			return;
+	}
+	entry->next = NULL;
 }
 
 /*
- * wl_fair_close - the customer waits for the next round
+ * wl_fair_drop - the customer's next task is to be refused
  */
-void wl_fair_close(wl_fair_entry_t *entry)
+void wl_fair_drop(wl_fair_entry_t *entry)
 {
-	entry->next = NULL;
+	step(entry);
 }
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -134,6 +134,7 @@
 	struct wl_leader_attempts quiet; /* nothing is to be sent about them */
 	bool place_due;			 /* room or queues changed since the last placement */
 	uint64_t next_place_ns;
+	uint64_t next_batch_ns;
 };
 
 /* leader.c */
--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader_place.c
@@ -9,10 +9,11 @@
 
 #include <stdlib.h>
 
-#define ROUND_MOST	   256 /* assignments in one command */
-#define ROUND_INTERVAL_NS  (100 * WL_NS_PER_MS)
+#define ROUND_MOST	   256			/* assignments, and refusals, in one command */
+#define ROUND_INTERVAL_NS  (100 * WL_NS_PER_MS) /* with nothing changed */
+#define TRY_PAUSE_NS	   100000ULL /* pause after a round for each task that it looked at */
 #define TOO_LARGE_AFTER_MS 10000
-#define SHORT_WINDOW	   32 /* tasks of a queue that are looked at for short ones */
+#define SHORT_WINDOW	   64 /* tasks of a queue that are looked at for short ones */
 
 wl_leader_attempt_t *wl_leader_attempt_find(const wl_leader_t *leader, wl_str_t task)
 {
@@ -90,21 +91,29 @@
 	wl_cmd_task_assign_t assign;
 	wl_cmd_task_report_t reject;
 	wl_list_t short_services; /* strings: services that short batch work waits for */
+	uint64_t tries;
 } round_t;
 
+static void short_services_add(round_t *round, const wl_task_t *task)
+{
+	wl_str_t service = wl_buf_str(&task->record.spec.service);
+
+	if (!is_long(round->leader, task) && !wl_strings_have(&round->short_services, service))
+		wl_strings_add(&round->short_services, service);
+}
+
 static void short_services_find(round_t *round)
 {
 	const wl_state_customer_t *customer;
 
 	TAILQ_FOREACH (customer, &round->leader->state->customers, link) {
 		const wl_task_t *task = TAILQ_FIRST(&customer->queued[WL_CLASS_BATCH]);
+		const wl_task_t *before = NULL;
 
 		for (size_t i = 0; task && i < SHORT_WINDOW; i++) {
-			wl_str_t service = wl_buf_str(&task->record.spec.service);
-
-			if (!is_long(round->leader, task) &&
-			    !wl_strings_have(&round->short_services, service))
-				wl_strings_add(&round->short_services, service);
+			if (!before || !wl_fair_same_size(before, task))
+				short_services_add(round, task);
+			before = task;
 			task = TAILQ_NEXT(task, queue);
 		}
 	}
@@ -205,11 +214,12 @@
 	wl_place_ask_t ask;
 	wl_str_t refused;
 
+	round->tries++;
 	ask_of(round, task, &ask);
 	refused = refusal(round, entry, &ask);
 	if (refused.len > 0) {
 		reject(round, task, refused);
-		wl_fair_pass(entry);
+		wl_fair_drop(entry);
 		return;
 	}
 	if (!wl_fair_within_plan(entry, &ask.need) || !choose(round, &ask, &choice)) {
@@ -226,7 +236,8 @@
 	wl_fair_entry_t *entry;
 
 	wl_fair_init(&fair, round->leader->state, work_class);
-	while (round->assign.assignments.count < ROUND_MOST && (entry = wl_fair_next(&fair)))
+	while (round->assign.assignments.count < ROUND_MOST &&
+	       round->reject.reports.count < ROUND_MOST && (entry = wl_fair_next(&fair)))
 		place_next(round, entry);
 	wl_fair_free(&fair);
 }
@@ -243,21 +254,38 @@
 	wl_leader_propose(round->leader, round->now_ns, WL_PROPOSAL_REJECT, &cmd, out);
 }
 
-/* Places what can be placed, when something changed or the interval is over. */
+static bool urgent_waits(const wl_leader_t *leader)
+{
+	const wl_state_customer_t *customer;
+
+	TAILQ_FOREACH (customer, &leader->state->customers, link)
+		if (customer->queued_count[WL_CLASS_URGENT] > 0)
+			return true;
+	return false;
+}
+
+/* Places what can be placed: urgent tasks at once, batch tasks in rounds that cost a bounded share.
+ */
 void wl_leader_place_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out)
 {
 	round_t round = {.leader = leader, .now_ns = now_ns};
+	bool batch = now_ns >= leader->next_batch_ns;
 
 	if (leader->in_flight[WL_PROPOSAL_ASSIGN] + leader->in_flight[WL_PROPOSAL_REJECT] > 0)
 		return;
 	if (!leader->place_due && now_ns < leader->next_place_ns)
 		return;
-	leader->place_due = false;
-	leader->next_place_ns = now_ns + ROUND_INTERVAL_NS;
+	if (!batch && !urgent_waits(leader))
+		return;
 	wl_place_begin(leader->place, now_ns);
-	short_services_find(&round);
 	place_class(&round, WL_CLASS_URGENT);
-	place_class(&round, WL_CLASS_BATCH);
+	if (batch) {
+		leader->place_due = false;
+		leader->next_place_ns = now_ns + ROUND_INTERVAL_NS;
+		short_services_find(&round);
+		place_class(&round, WL_CLASS_BATCH);
+		leader->next_batch_ns = now_ns + round.tries * TRY_PAUSE_NS;
+	}
 	round_propose(&round, out);
 	wl_strings_free(&round.short_services);
 }
