tests: tasks end once, in one place, through kills, cut-offs and crashes

Tasks are added with one key and resent while the leader, an entry, the whole group or a target goes. The targets' record is then read for two places at once, a second run of work that may not be run again, a second end, and more than a target can carry.

--- /dev/null
+++ b/tests/integration/tasks_test.cc
@@ -0,0 +1,165 @@
+#include "../support/cluster.h"
+#include "../support/record.h"
+
+#include <signal.h>
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+class Tasks : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ASSERT_NO_FATAL_FAILURE(cluster.begin());
+	}
+
+	/* Sends until the task is accepted, with one key: a resend must not make a second task. */
+	void add(int number, bool restartable, int run_ms)
+	{
+		std::string body =
+			"{\"kind\":\"report\",\"service\":\"tube-sort\","
+			"\"cpu_millis\":2000,\"memory_mib\":1000,\"accelerators\":0,"
+			"\"run_ms\":" +
+			std::to_string(run_ms) +
+			",\"class\":\"batch\",\"restartable\":" + (restartable ? "true" : "false") +
+			",\"payload\":\"\"}";
+		Answer answer;
+
+		ASSERT_TRUE(eventually([&] {
+			Member &entry = *cluster.members[static_cast<size_t>(turn++) %
+							 cluster.members.size()];
+
+			answer = http(entry.caller_address(), "POST", "/v1/tasks", body,
+				      {{"Wisterialead-Customer", "norrlamp"},
+				       {"Idempotency-Key", "task-" + std::to_string(number)}},
+				      5000);
+			return answer.status == 202;
+		})) << answer.status
+		    << answer.body << answer.error;
+		ids.insert(answer.at("id"));
+		(restartable ? restartables : others).insert(answer.at("id"));
+	}
+
+	void add_many(int count)
+	{
+		for (int i = 0; i < count; i++)
+			ASSERT_NO_FATAL_FAILURE(add(added++, i % 4 != 0, 300 + 100 * (i % 10)));
+	}
+
+	std::string state(const std::string &id)
+	{
+		for (auto &member : cluster.members) {
+			if (!member->process.running())
+				continue;
+			Answer answer = cluster.operate(*member, "GET", "/v1/tasks/" + id);
+			if (answer.status == 200)
+				return answer.at("state");
+		}
+		return "";
+	}
+
+	/* Every accepted task ended; each ended as done, once, and never ran in two places. */
+	void check(bool all_done)
+	{
+		std::string last;
+
+		for (const std::string &id : ids) {
+			EXPECT_TRUE(eventually(
+				[&] {
+					last = state(id);
+					return last == "done" || (!all_done && (last == "unknown" ||
+										last == "failed"));
+				},
+				60000))
+				<< id << " is " << last;
+		}
+		Record record(cluster.record());
+		std::map<std::string, int> begun = record.begun("task_begin", "task");
+		for (const std::string &one : record.overlaps())
+			ADD_FAILURE() << "in two places at once: " << one;
+		for (const std::string &one : record.overfull(8, 32000, 125000))
+			ADD_FAILURE() << "more than the target can carry: " << one;
+		for (const std::string &id : others)
+			EXPECT_LE(begun[id], 1) << id << " is not restartable";
+		for (const auto &task : record.ended("finished"))
+			EXPECT_EQ(task.second, 1) << task.first << " finished twice";
+		for (const std::string &id : ids)
+			if (state(id) == "done") {
+				EXPECT_EQ(record.ended("finished")[id], 1) << id;
+			}
+		EXPECT_EQ(ids.size(), static_cast<size_t>(added)) << "a resend made another task";
+	}
+
+	Cluster cluster;
+	std::set<std::string> ids;
+	std::set<std::string> restartables;
+	std::set<std::string> others;
+	int added = 0;
+	int turn = 0;
+};
+
+TEST_F(Tasks, EachIsDoneOnceWhileLeaderAndOwnersAreKilled)
+{
+	ASSERT_NO_FATAL_FAILURE(add_many(20));
+	Member *leader = cluster.leader();
+	ASSERT_TRUE(leader);
+	leader->process.kill();
+	ASSERT_NO_FATAL_FAILURE(add_many(20));
+	ASSERT_NO_FATAL_FAILURE(cluster.start(*leader));
+	ASSERT_TRUE(eventually([this] { return cluster.all_ready(); }));
+	Member *entry = cluster.members.back().get();
+	entry->process.kill();
+	ASSERT_NO_FATAL_FAILURE(add_many(20));
+	ASSERT_NO_FATAL_FAILURE(cluster.start(*entry));
+	check(true);
+}
+
+TEST_F(Tasks, EachIsDoneOnceWhileAnEntryIsCutOff)
+{
+	Member &victim = *cluster.members.back();
+
+	ASSERT_NO_FATAL_FAILURE(add_many(20));
+	cluster.cut_off(victim);
+	ASSERT_NO_FATAL_FAILURE(add_many(20));
+	EXPECT_TRUE(eventually(
+		[&] { return http(victim.control_address(), "GET", "/readyz").status == 503; }));
+	cluster.heal();
+	check(true);
+}
+
+TEST_F(Tasks, WholeGroupIsKilledWhileTasksRun)
+{
+	ASSERT_NO_FATAL_FAILURE(add_many(30));
+	for (auto &member : cluster.members)
+		member->process.kill();
+	for (auto &member : cluster.members)
+		ASSERT_NO_FATAL_FAILURE(cluster.start(*member));
+	ASSERT_TRUE(eventually([this] { return cluster.all_ready(); }));
+	check(true);
+}
+
+/* A target that crashes loses its tasks: those that may be run again are, the others are not. */
+TEST_F(Tasks, TargetCrashes)
+{
+	ASSERT_NO_FATAL_FAILURE(add_many(30));
+	std::string control;
+	ASSERT_TRUE(eventually([&] {
+		std::string log = file_read(cluster.folder + "/targets.log");
+		size_t at = log.find("control port=");
+
+		if (at != std::string::npos)
+			control = "127.0.0.1:" + log.substr(at + 13, log.find('\n', at) - at - 13);
+		return !control.empty();
+	}));
+	EXPECT_EQ(http(control, "POST", "/fake/w1/crash").status, 200u);
+	EXPECT_TRUE(eventually([this] { return cluster.open_targets() == 1; }));
+	EXPECT_EQ(http(control, "POST", "/fake/w1/heal").status, 200u);
+	check(false);
+	for (const std::string &id : restartables)
+		EXPECT_EQ(state(id), "done") << id;
+}
+} // namespace
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -14,6 +14,7 @@
 #include <gtest/gtest.h>
 
 #include "events.h"
+#include "record.h"
 
 namespace
 {
@@ -356,13 +357,7 @@
 
 int Cluster::runs(const std::string &id) const
 {
-	std::istringstream lines(record());
-	int count = 0;
-
-	for (std::string line; std::getline(lines, line);)
-		count += line.find("event=request_begin") != std::string::npos &&
-			 line.find(" id=" + id + " ") != std::string::npos;
-	return count;
+	return Record(record()).begun("request_begin", "id")[id];
 }
 
 std::string Cluster::logs() const
--- a/tests/support/load.cc
+++ b/tests/support/load.cc
@@ -2,31 +2,15 @@
 
 #include <chrono>
 #include <map>
-#include <sstream>
 
 #include <gtest/gtest.h>
 
+#include "record.h"
+
 namespace
 {
 constexpr int BALANCE_MS = 100;
 constexpr uint64_t TIMEOUT_MS = 10000;
-
-std::map<std::string, int> runs_by_id(const std::string &record)
-{
-	std::map<std::string, int> runs;
-	std::istringstream lines(record);
-
-	for (std::string line; std::getline(lines, line);) {
-		size_t at = line.find(" id=");
-
-		if (at == std::string::npos ||
-		    line.find("event=request_begin") == std::string::npos)
-			continue;
-		at += 4;
-		runs[line.substr(at, line.find(' ', at) - at)]++;
-	}
-	return runs;
-}
 } // namespace
 
 Load::Load(Cluster &of, int callers) : cluster(of)
@@ -134,9 +118,12 @@
 	threads.clear();
 	/* The record is flushed now and then. */
 	std::this_thread::sleep_for(std::chrono::milliseconds(500));
-	std::map<std::string, int> runs = runs_by_id(cluster.record());
+	Record record(cluster.record());
+	std::map<std::string, int> runs = record.begun("request_begin", "id");
 	for (const Sent &sent : all)
 		check(sent, runs.count(sent.id) ? runs[sent.id] : 0);
+	for (const std::string &one : record.overfull(8, 32000, 125000))
+		ADD_FAILURE() << "more than the target can carry: " << one;
 	printf("load: %zu requests, %zu answered 200, %zu not-run, %zu unknown, %zu of them cut\n",
 	       all.size(), served(), refused, unknown, cut);
 }
--- /dev/null
+++ b/tests/support/record.cc
@@ -0,0 +1,87 @@
+#include "record.h"
+
+#include <set>
+#include <sstream>
+
+Record::Record(const std::string &text)
+{
+	std::istringstream all(text);
+
+	for (std::string one; std::getline(all, one);) {
+		std::istringstream words(one);
+		Line line;
+
+		for (std::string word; words >> word;) {
+			size_t at = word.find('=');
+
+			if (at != std::string::npos)
+				line[word.substr(0, at)] = word.substr(at + 1);
+		}
+		lines.push_back(line);
+	}
+}
+
+std::map<std::string, int> Record::begun(const std::string &event, const std::string &key) const
+{
+	std::map<std::string, int> counts;
+
+	for (const Line &line : lines)
+		if (line.at("event") == event && line.count(key))
+			counts[line.at(key)]++;
+	return counts;
+}
+
+std::vector<std::string> Record::overlaps() const
+{
+	std::map<std::string, std::set<std::string>> running;
+	std::vector<std::string> found;
+
+	for (const Line &line : lines) {
+		if (line.at("event") == "crash") {
+			for (auto &task : running)
+				task.second.erase(line.at("target"));
+			continue;
+		}
+		if (line.at("event") == "task_begin") {
+			auto &places = running[line.at("task")];
+
+			if (!places.empty())
+				found.push_back(line.at("task") + " attempt " + line.at("attempt") +
+						" began on " + line.at("target") + " while on " +
+						*places.begin());
+			places.insert(line.at("target"));
+		} else if (line.at("event") == "task_end") {
+			running[line.at("task")].erase(line.at("target"));
+		}
+	}
+	return found;
+}
+
+std::vector<std::string> Record::overfull(uint64_t slots, uint64_t cpu_millis,
+					  uint64_t memory_mib) const
+{
+	std::vector<std::string> found;
+
+	for (const Line &line : lines) {
+		if (!line.count("slots"))
+			continue;
+		if (std::stoull(line.at("slots")) > slots ||
+		    std::stoull(line.at("cpu_millis")) > cpu_millis ||
+		    std::stoull(line.at("memory_mib")) > memory_mib)
+			found.push_back(line.at("target") + " at " + line.at("ns") + ": slots " +
+					line.at("slots") + " cpu " + line.at("cpu_millis") +
+					" memory " + line.at("memory_mib"));
+	}
+	return found;
+}
+
+std::map<std::string, int> Record::ended(const std::string &state) const
+{
+	std::map<std::string, int> counts;
+
+	for (const Line &line : lines)
+		if (line.at("event") == "task_end" && line.count("state") &&
+		    line.at("state") == state)
+			counts[line.at("task")]++;
+	return counts;
+}
