--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -20,10 +20,11 @@
 
 #include "decide.h"
 
-#define NS_PER_MS    1000000ull
-#define NS_PER_S     1000000000ull
-#define OPEN_POLL_MS 10	 /* between two looks whether the last answers are out */
-#define LAST_LOG_MS  100 /* for the logger, before an end at once */
+#define NS_PER_MS	1000000ull
+#define NS_PER_S	1000000000ull
+#define OPEN_POLL_MS	10   /* between two looks whether the last answers are out */
+#define LAST_ANSWERS_MS 1000 /* least time for them, even when the stop is late */
+#define LAST_LOG_MS	100  /* for the logger, before an end at once */
 
 typedef struct wl_daemon {
 	wl_settings_t *settings;
@@ -42,6 +43,7 @@
 	wl_node_t *node;
 	wl_decide_t *decide;
 	bool storage_failed;
+	uint64_t deadline_ns; /* of the planned stop; 0: none began */
 } wl_daemon_t;
 
 static uint64_t now_read(void)
@@ -331,36 +333,48 @@
 	_exit(WL_EXIT_LATE);
 }
 
+/* Waits; true if a signal came. */
+static bool daemon_wait_signal(const wl_daemon_t *daemon, int timeout_ms)
+{
+	struct pollfd wait = {.fd = daemon->signal_fd, .events = POLLIN};
+	struct signalfd_siginfo signal;
+
+	if (poll(&wait, 1, timeout_ms) <= 0)
+		return false;
+	return read(daemon->signal_fd, &signal, sizeof(signal)) == sizeof(signal);
+}
+
 /* Waits for a signal or an outcome; true if a signal came. */
 static bool daemon_wait(const wl_daemon_t *daemon, int timeout_ms)
 {
 	struct pollfd wait[] = {{.fd = daemon->signal_fd, .events = POLLIN},
 				{.fd = daemon->notice_fd, .events = POLLIN}};
-	struct signalfd_siginfo signal;
 
-	if (poll(wait, 2, timeout_ms) <= 0 || !wait[0].revents)
+	if (poll(wait, 2, timeout_ms) <= 0)
 		return false;
-	return read(daemon->signal_fd, &signal, sizeof(signal)) == sizeof(signal);
+	return daemon_wait_signal(daemon, 0);
+}
+
+static void daemon_stop_begin(wl_daemon_t *daemon)
+{
+	wl_log_event(WL_INFO, "stopping", "drain_ms=%llu",
+		     (unsigned long long)daemon->settings->drain_ms);
+	daemon->deadline_ns = now_read() + daemon->settings->drain_ms * NS_PER_MS;
+	wl_decide_drain(daemon->decide);
 }
 
 static wl_outcome_t daemon_serve(wl_daemon_t *daemon)
 {
-	uint64_t deadline_ns = 0;
 	wl_outcome_t outcome;
 
 	while ((outcome = wl_decide_outcome(daemon->decide)) == WL_OUTCOME_NONE) {
-		uint64_t now_ns = now_read();
-
-		if (deadline_ns && now_ns > deadline_ns)
+		if (daemon->deadline_ns && now_read() > daemon->deadline_ns)
 			return WL_OUTCOME_LATE;
-		if (!daemon_wait(daemon, deadline_ns ? OPEN_POLL_MS : -1))
+		if (!daemon_wait(daemon, daemon->deadline_ns ? OPEN_POLL_MS : -1))
 			continue;
-		if (deadline_ns)
+		if (daemon->deadline_ns)
 			exit_now("second signal");
-		wl_log_event(WL_INFO, "stopping", "drain_ms=%llu",
-			     (unsigned long long)daemon->settings->drain_ms);
-		deadline_ns = now_ns + daemon->settings->drain_ms * NS_PER_MS;
-		wl_decide_drain(daemon->decide);
+		daemon_stop_begin(daemon);
 	}
 	return outcome;
 }
@@ -371,10 +385,14 @@
 	       (daemon->caller ? wl_http_server_open_calls(daemon->caller) : 0);
 }
 
-/* New connections are refused from now on; requests that are open still get their answers. */
+/*
+ * New connections are refused from now on; requests that are open still get
+ * their answers, as long as the planned stop lasts.
+ */
 static bool daemon_quiesce(wl_daemon_t *daemon)
 {
-	uint64_t deadline_ns = now_read() + daemon->settings->drain_ms * NS_PER_MS;
+	uint64_t least_ns = now_read() + LAST_ANSWERS_MS * NS_PER_MS;
+	uint64_t deadline_ns = daemon->deadline_ns > least_ns ? daemon->deadline_ns : least_ns;
 
 	if (daemon->caller)
 		wl_http_server_quiesce(daemon->caller);
@@ -382,10 +400,8 @@
 	while (calls_open(daemon) > 0) {
 		if (now_read() > deadline_ns)
 			return false;
-		if (daemon_wait(daemon, OPEN_POLL_MS))
+		if (daemon_wait_signal(daemon, OPEN_POLL_MS))
 			exit_now("second signal");
-		if (wl_decide_outcome(daemon->decide) == WL_OUTCOME_DRAINED)
-			poll(NULL, 0, OPEN_POLL_MS);
 	}
 	return true;
 }
--- a/libwlbase/option.c
+++ b/libwlbase/option.c
@@ -10,6 +10,7 @@
 
 #define MAX_OPTIONS   64
 #define MAX_REST      64
+#define MAX_ERRORS    16 /* kept; only the first is told */
 #define VARIABLE_ROOM 96
 #define PORT_MOST     65535
 
@@ -144,7 +145,7 @@
 					 option->help);
 	}
 	flags->rest = arg_strn(NULL, NULL, "WORD", 0, MAX_REST, NULL);
-	flags->end = arg_end(1);
+	flags->end = arg_end(MAX_ERRORS);
 	flags->table[count] = flags->rest;
 	flags->table[count + 1] = flags->end;
 	flags->count = count + 2;
@@ -160,8 +161,8 @@
 		arg_print_errors(memory, flags->end, program);
 		fclose(memory);
 	}
-	while (len > 0 && text[len - 1] == '\n')
-		text[--len] = '\0';
+	if (text)
+		text[strcspn(text, "\n")] = '\0';
 	wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%.200s", text ? text : "bad flags");
 	free(text);
 	return false;
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -207,9 +207,11 @@
 		},
 		READY_MS));
 	ASSERT_FALSE(ports.body.empty()) << file_read(member.process.log);
-	member.caller = static_cast<uint16_t>(std::stoul(ports.at("caller")));
-	member.control = static_cast<uint16_t>(std::stoul(ports.at("control")));
-	member.peer = static_cast<uint16_t>(std::stoul(ports.at("peer")));
+	if (member.control == 0) {
+		member.caller = static_cast<uint16_t>(std::stoul(ports.at("caller")));
+		member.control = static_cast<uint16_t>(std::stoul(ports.at("control")));
+		member.peer = static_cast<uint16_t>(std::stoul(ports.at("peer")));
+	}
 	member.relay->set_upstream("127.0.0.1:" + std::to_string(member.peer));
 }
 
--- /dev/null
+++ b/tests/unit/daemon_settings_test.cc
@@ -0,0 +1,171 @@
+#include "../support/events.h"
+#include "../support/process.h"
+
+extern "C" {
+#include <daemon/settings.h>
+}
+
+#include <cstdlib>
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+class Settings : public ::testing::Test
+{
+      protected:
+	~Settings() override
+	{
+		wl_settings_free(&settings);
+	}
+
+	/* Reads and checks the flags of a sound daemon, some of them changed. */
+	bool read(const std::vector<std::string> &changes)
+	{
+		std::map<std::string, std::string> flags = {
+			{"--availability-zone", "a"},
+			{"--peer-secret-file", "secret"},
+			{"--name", "e1"},
+			{"--store-peers", "s1=127.0.0.1:1"},
+		};
+		std::vector<std::string> words = {"wisterialeadd"};
+		std::vector<char *> argv;
+
+		for (size_t i = 0; i + 1 < changes.size(); i += 2)
+			flags[changes[i]] = changes[i + 1];
+		for (const auto &flag : flags) {
+			words.push_back(flag.first);
+			words.push_back(flag.second);
+		}
+		for (std::string &word : words)
+			argv.push_back(word.data());
+		argv.push_back(nullptr);
+		wl_settings_free(&settings);
+		settings = {};
+		err = {};
+		return wl_settings_read(static_cast<int>(words.size()), argv.data(), &settings,
+					&err) &&
+		       wl_settings_check(&settings, &err);
+	}
+
+	void refused(const std::vector<std::string> &changes, const std::string &flag)
+	{
+		EXPECT_FALSE(read(changes)) << flag;
+		EXPECT_EQ(std::string(err.text).rfind("--" + flag + ": ", 0), 0u) << err.text;
+	}
+
+	wl_settings_t settings = {};
+	wl_err_t err = {};
+};
+
+TEST_F(Settings, EntryNeedsNoDisk)
+{
+	ASSERT_TRUE(
+		read({"--name", "e1", "--store-peers", "s1=127.0.0.1:1,s2=127.0.0.1:2,s3=[::1]:3"}))
+		<< err.text;
+	EXPECT_TRUE(settings.entry);
+	EXPECT_FALSE(settings.store);
+	EXPECT_EQ(settings.store_count, 3u);
+	EXPECT_EQ(std::string(settings.stores[2].address.at, settings.stores[2].address.len),
+		  "[::1]:3");
+	EXPECT_EQ(settings.session_ms, 5000u);
+}
+
+TEST_F(Settings, StoreAndEntryInOne)
+{
+	ASSERT_TRUE(read({"--name", "s1", "--store-peers", "s1=127.0.0.1:1", "--role",
+			  "entry,store", "--data-dir", "/data"}))
+		<< err.text;
+	EXPECT_TRUE(settings.entry);
+	EXPECT_TRUE(settings.store);
+}
+
+TEST_F(Settings, VariablesGiveWhatFlagsDoNot)
+{
+	setenv("WISTERIALEAD_SESSION_MS", "7000", 1);
+	setenv("WISTERIALEAD_LOG_LEVEL", "debug", 1);
+	bool ok = read({"--name", "e1", "--store-peers", "s1=127.0.0.1:1", "--log-level", "error"});
+	unsetenv("WISTERIALEAD_SESSION_MS");
+	unsetenv("WISTERIALEAD_LOG_LEVEL");
+	ASSERT_TRUE(ok) << err.text;
+	EXPECT_EQ(settings.session_ms, 7000u);
+	EXPECT_EQ(settings.level, WL_ERROR);
+}
+
+TEST_F(Settings, EachFaultNamesItsSetting)
+{
+	refused({"--session-ms", "abc"}, "session-ms");
+	refused({"--session-ms", "99"}, "session-ms");
+	refused({"--routing", "best"}, "routing");
+	refused({"--caller-listen", "localhost:1"}, "caller-listen");
+	refused({"--control-listen", "127.0.0.1:65536"}, "control-listen");
+	refused({"--peer-listen", "0.0.0.0:1"}, "peer-advertise");
+	refused({"--name", std::string(65, 'x')}, "name");
+	refused({"--name", "a b"}, "name");
+	refused({"--availability-zone", "a/b"}, "availability-zone");
+	refused({"--role", "store", "--name", "s1"}, "data-dir");
+	refused({"--role", "store", "--data-dir", "/d"}, "store-peers");
+	refused({"--name", "s1"}, "role");
+	refused({"--store-peers", ","}, "store-peers");
+	refused({"--store-peers", "a=127.0.0.1:1,b=127.0.0.1:2"}, "store-peers");
+	refused({"--store-peers", "a=127.0.0.1:1,a=127.0.0.1:2,b=127.0.0.1:3"}, "store-peers");
+	refused({"--store-peers", "a=nowhere"}, "store-peers");
+}
+
+TEST_F(Settings, SettingsThatDoNotFitEachOtherAreRefused)
+{
+	refused({"--session-ms", "1500"}, "session-ms");
+	refused({"--election-ms", "2500"}, "session-ms");
+	refused({"--heartbeat-ms", "400"}, "election-ms");
+	refused({"--silence-ms", "1500"}, "silence-ms");
+	refused({"--lease-ms", "2000"}, "lease-ms");
+	refused({"--drift-ms", "5000"}, "drift-ms");
+	refused({"--default-timeout-ms", "600001"}, "default-timeout-ms");
+	refused({"--max-body-bytes", "17000000"}, "max-frame-bytes");
+	refused({"--max-response-bytes", "17000000"}, "max-frame-bytes");
+	refused({"--max-peer-queue-bytes", "1000000"}, "max-peer-queue-bytes");
+	refused({"--queue-slots", "1000"}, "queue-slots");
+}
+
+/* argtable's own faults are told as the first of them. */
+TEST_F(Settings, FaultyFlagIsNamed)
+{
+	EXPECT_FALSE(read({"--bogus", "1", "--more", "2"}));
+	EXPECT_NE(std::string(err.text).find("--bogus"), std::string::npos) << err.text;
+}
+
+TEST_F(Settings, SecretsAreReadTrimmedAndChecked)
+{
+	std::string folder = folder_make();
+	std::vector<std::string> words = {"--name",
+					  "e1",
+					  "--store-peers",
+					  "s1=127.0.0.1:1",
+					  "--chart-dir",
+					  PROJECT_DIR "/charts",
+					  "--peer-secret-file",
+					  folder + "/secret",
+					  "--operator-token-file",
+					  folder + "/token"};
+
+	file_write(folder + "/secret", "\n 0123456789abcdef \r\n");
+	file_write(folder + "/token", " t \n");
+	ASSERT_TRUE(read(words));
+	ASSERT_TRUE(wl_settings_load(&settings, &err)) << err.text;
+	EXPECT_EQ(text(settings.peer_secret), "0123456789abcdef");
+	EXPECT_EQ(text(settings.operator_token), "t");
+	EXPECT_NE(settings.task_chart.len, 0u);
+
+	file_write(folder + "/token", " \n");
+	ASSERT_TRUE(read(words));
+	EXPECT_FALSE(wl_settings_load(&settings, &err));
+	EXPECT_EQ(std::string(err.text).rfind("--operator-token-file: ", 0), 0u) << err.text;
+
+	file_write(folder + "/secret", "0123456789abcde\n");
+	ASSERT_TRUE(read(words));
+	EXPECT_FALSE(wl_settings_load(&settings, &err));
+	EXPECT_EQ(std::string(err.text).rfind("--peer-secret-file: ", 0), 0u) << err.text;
+	EXPECT_EQ(std::string(err.text).find("0123"), std::string::npos);
+}
+} // namespace
