--- /dev/null
+++ b/tests/support/leader_world.cc
@@ -0,0 +1,511 @@
+#include "leader_world.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+static const uint64_t ns_per_ms = 1000000;
+static const uint64_t lease_ms = 800;
+static const uint64_t drift_ms = 200;
+static const uint64_t session_ms = 1000;
+static const uint64_t slots = 4;
+
+LeaderWorld::LeaderWorld(uint64_t seed)
+{
+	wl_metrics_init(&metrics);
+	wl_rng_init(&rng, seed, 3);
+	for (const char *name : {"e1", "e2", "e3"})
+		entries[name].name = name;
+	for (const char *name : {"w1", "w2", "w3", "w4"})
+		targets[name] = {};
+	lead();
+	wl_cmd_t plans = list_put(WL_LIST_PLANS, 0, plans_json("p:1"));
+	rig.apply(&plans);
+	wl_cmd_t customers = list_put(WL_LIST_CUSTOMERS, 0, customers_json("norrlamp:p"));
+	rig.apply(&customers);
+}
+
+LeaderWorld::~LeaderWorld()
+{
+	for (auto &entry : log)
+		wl_cmd_free(&entry.first);
+	for (auto &letter : letters)
+		wl_msg_free(&letter.msg);
+	for (auto &letter : inbox)
+		wl_msg_free(&letter.msg);
+	wl_leader_free(leader);
+	wl_metrics_free(&metrics);
+}
+
+/* A new leader, in another process: it knows what is committed, nothing else. */
+void LeaderWorld::lead()
+{
+	wl_leader_options_t options = {};
+	wl_err_t err = {};
+	wl_event_t event;
+
+	/* what the old one proposed is committed in part */
+	for (auto &entry : log) {
+		wl_result_t result = {};
+		if (pick(2))
+			wl_state_apply(rig.state, ++rig.index, &entry.first, &result);
+		wl_result_free(&result);
+		wl_cmd_free(&entry.first);
+	}
+	log.clear();
+	rig.restore(rig.pack());
+	wl_leader_free(leader);
+	options.entry = WL_STR("s0");
+	options.state = rig.state;
+	options.metrics = &metrics;
+	options.session_ms = session_ms;
+	options.drift_ms = drift_ms;
+	options.seed = ++term;
+	leader = wl_leader_new(&options, now_ms * ns_per_ms, &err);
+	wl_event_init(&event, WL_EVENT_LEAD);
+	event.term = term;
+	event.group = 1;
+	leader_step(&event);
+}
+
+void LeaderWorld::leader_step(wl_event_t *event)
+{
+	wl_out_t out;
+
+	wl_out_init(&out);
+	wl_leader_step(leader, now_ms * ns_per_ms, event, &out);
+	for (size_t i = 0; i < out.count; i++) {
+		wl_action_t *action = &out.actions[i];
+
+		if (action->kind == WL_ACTION_PROPOSE) {
+			log.emplace_back(action->cmd, action->tag);
+			action->cmd = {};
+		} else if (action->kind == WL_ACTION_SEND) {
+			if (faulty && pick(12) == 0)
+				continue;
+			uint64_t late = faulty && pick(30) == 0 ? 3000 : 1 + pick(5);
+			letters.push_back({now_ms + late, action->peer.at, action->msg});
+			action->msg = {};
+		}
+	}
+	wl_out_free(&out);
+}
+
+wl_event_t LeaderWorld::message(const std::string &entry, wl_msg_kind_t kind)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, str(entry));
+	wl_msg_init(&event.msg, kind);
+	return event;
+}
+
+/* Lost, late by seconds, or both in time and late. */
+void LeaderWorld::to_leader(const std::string &entry, wl_event_t *event)
+{
+	bool lost = entries[entry].cut_until_ms > now_ms || (faulty && pick(12) == 0);
+	bool late = faulty && pick(8) == 0;
+
+	if (late && event->msg.kind != WL_MSG_ANNOUNCE) {
+		Letter letter = {now_ms + pick(6000), entry, {}};
+		wl_msg_copy(&letter.msg, &event->msg);
+		inbox.push_back(letter);
+	}
+	if (!lost)
+		leader_step(event);
+	wl_event_free(event);
+}
+
+void LeaderWorld::inbox_tick()
+{
+	for (size_t i = inbox.size(); i > 0; i--) {
+		Letter letter = inbox.front();
+		wl_event_t event;
+
+		inbox.pop_front();
+		if (letter.at_ms > now_ms) {
+			inbox.push_back(letter);
+			continue;
+		}
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_buf_set(&event.peer, str(letter.entry));
+		event.msg = letter.msg;
+		leader_step(&event);
+		wl_event_free(&event);
+	}
+}
+
+void LeaderWorld::take_view(Entry &entry, const wl_msg_view_t &view)
+{
+	if (view.owners_from > entry.owners_index || view.owners_to < entry.owners_index)
+		return;
+	entry.term = std::max(entry.term, view.term);
+	entry.owners_index = view.owners_to;
+	auto *rows = static_cast<const wl_owner_row_t *>(view.owners.items);
+	for (size_t i = 0; i < view.owners.count; i++) {
+		std::string name(rows[i].target.at, rows[i].target.len);
+		bool mine = rows[i].session == entry.session && rows[i].entry.len;
+
+		if (!mine) {
+			entry.owned.erase(name);
+			continue;
+		}
+		Owned &owned = entry.owned[name];
+		if (owned.epoch == rows[i].epoch)
+			continue;
+		owned = {};
+		owned.epoch = rows[i].epoch;
+		owned.granted_ms = now_ms;
+		auto *running = static_cast<const wl_assignment_t *>(rows[i].running.items);
+		for (size_t k = 0; k < rows[i].running.count; k++)
+			if (running[k].epoch < owned.epoch)
+				owned.assigned.insert({running[k].task.at, running[k].attempt});
+	}
+}
+
+void LeaderWorld::take_assign(Entry &entry, const wl_msg_assign_t &assign)
+{
+	std::string name(assign.target.at, assign.target.len);
+	auto found = entry.owned.find(name);
+	Attempt attempt = {assign.task.at, assign.attempt};
+
+	if (assign.term < entry.term || entry.valid_until_ms <= now_ms ||
+	    found == entry.owned.end() || found->second.epoch != assign.epoch ||
+	    !found->second.adopted || found->second.held.count(attempt))
+		return;
+	Held &held = found->second.held[attempt];
+	Target &target = targets[name];
+	uint64_t running = 0;
+	for (const auto &run : target.runs)
+		running += run.second.first == Run::running;
+	if (!reach(name) || target.epoch != assign.epoch || running >= slots) {
+		held.set(WL_REPORT_REFUSED);
+		return;
+	}
+	starts[attempt.task]++;
+	target.runs[attempt] = {Run::running, now_ms + lease_ms};
+	held.set(WL_REPORT_STARTED);
+}
+
+void LeaderWorld::take_stop(Entry &entry, const wl_msg_stop_t &stop)
+{
+	std::string name(stop.target.at, stop.target.len);
+	auto found = entry.owned.find(name);
+	Attempt attempt = {stop.task.at, stop.attempt};
+
+	if (stop.term < entry.term || entry.valid_until_ms <= now_ms ||
+	    found == entry.owned.end() || found->second.epoch != stop.epoch ||
+	    !found->second.adopted || !reach(name) || targets[name].epoch != stop.epoch)
+		return;
+	Held &held = found->second.held[attempt];
+	auto run = targets[name].runs.find(attempt);
+	if (run == targets[name].runs.end())
+		held.set(held.over ? held.report : WL_REPORT_REFUSED);
+	else if (run->second.first == Run::running)
+		run->second.first = Run::stopped;
+}
+
+/* Only after its checkpoint is committed an evicted attempt is stopped; ends are acknowledged. */
+void LeaderWorld::reported(const std::string &name, const Owned &owned, const Attempt &attempt,
+			   uint64_t kind)
+{
+	auto &runs = targets[name].runs;
+	auto run = runs.find(attempt);
+
+	if (!reach(name) || targets[name].epoch != owned.epoch || run == runs.end())
+		return;
+	if (kind == WL_REPORT_CHECKPOINT && run->second.first == Run::running) {
+		run->second.first = Run::stopped;
+		evictions++;
+	} else if (kind != WL_REPORT_STARTED && kind != WL_REPORT_CHECKPOINT) {
+		runs.erase(run);
+	}
+}
+
+void LeaderWorld::deliver(Entry &entry, const wl_msg_t &msg)
+{
+	if (msg.kind == WL_MSG_RENEWED && msg.u.renewed.code == WL_OK &&
+	    msg.u.renewed.boot == entry.boot) {
+		if (entry.session != msg.u.renewed.session) {
+			entry.session = msg.u.renewed.session;
+			entry.owned.clear();
+			entry.owners_index = 0;
+		}
+		entry.valid_until_ms = std::max(entry.valid_until_ms,
+						msg.u.renewed.sent_ns / ns_per_ms + session_ms);
+	} else if (msg.kind == WL_MSG_RENEWED && msg.u.renewed.code == WL_E_NO_SESSION) {
+		entry.session = 0;
+	} else if (msg.kind == WL_MSG_VIEW) {
+		take_view(entry, msg.u.view);
+	} else if (msg.kind == WL_MSG_ASSIGN) {
+		take_assign(entry, msg.u.assign);
+	} else if (msg.kind == WL_MSG_STOP) {
+		take_stop(entry, msg.u.stop);
+	} else if (msg.kind == WL_MSG_REPORTED) {
+		auto *rows = static_cast<const wl_reported_row_t *>(msg.u.reported.rows.items);
+		for (size_t i = 0; i < msg.u.reported.rows.count; i++)
+			for (auto &owned : entry.owned) {
+				auto held =
+					owned.second.held.find({rows[i].task.at, rows[i].attempt});
+				if (held == owned.second.held.end() ||
+				    held->second.report != rows[i].kind)
+					continue;
+				held->second.over = true;
+				reported(owned.first, owned.second, held->first, rows[i].kind);
+			}
+	}
+}
+
+/* The answer of the target says what it runs; what it does not know can't start any more. */
+void LeaderWorld::adopt(Owned &owned, const std::string &name)
+{
+	Target &target = targets[name];
+
+	if (!reach(name) || target.epoch > owned.epoch)
+		return;
+	target.epoch = owned.epoch;
+	owned.adopted = true;
+	for (const auto &attempt : owned.assigned)
+		if (!target.runs.count(attempt))
+			owned.held[attempt].set(WL_REPORT_LOST);
+	for (const auto &run : target.runs)
+		owned.held[run.first];
+	owned.assigned.clear();
+}
+
+void LeaderWorld::owner_tick(Entry &entry, const std::string &name, Owned &owned)
+{
+	Target &target = targets[name];
+	uint64_t out_of_reach = std::max(owned.heard_ms, owned.adopted ? 0 : owned.granted_ms) +
+				lease_ms + drift_ms;
+
+	if (!owned.adopted)
+		adopt(owned, name);
+	if (reach(name) && owned.adopted && target.epoch == owned.epoch) {
+		owned.heard_ms = now_ms;
+		for (auto &run : target.runs) {
+			Held &held = owned.held[run.first];
+			if (run.second.first == Run::running)
+				run.second.second = now_ms + lease_ms;
+			else if (run.second.first == Run::finished)
+				held.set(WL_REPORT_FINISHED);
+			else
+				held.set(WL_REPORT_STOPPED);
+			if (run.second.first == Run::running && held.report == WL_REPORT_KINDS)
+				held.set(WL_REPORT_STARTED);
+			else if (faulty && run.second.first == Run::running && held.over &&
+				 !once.count(run.first.task) && pick(20) == 0)
+				held.set(WL_REPORT_CHECKPOINT);
+		}
+	} else if (now_ms >= out_of_reach) {
+		for (const auto &attempt : owned.assigned)
+			owned.held[attempt].set(WL_REPORT_LOST);
+		for (auto &held : owned.held)
+			if (held.second.report == WL_REPORT_STARTED ||
+			    held.second.report == WL_REPORT_CHECKPOINT)
+				held.second.set(WL_REPORT_LOST);
+		owned.assigned.clear();
+	}
+	report(entry, name, owned);
+}
+
+void LeaderWorld::report(Entry &entry, const std::string &name, Owned &owned)
+{
+	wl_event_t event = message(entry.name, WL_MSG_REPORT);
+
+	for (auto &held : owned.held) {
+		if (held.second.report == WL_REPORT_KINDS || held.second.over)
+			continue;
+		auto *row = static_cast<wl_report_t *>(
+			wl_list_add(&wl_report_schema, &event.msg.u.report.reports));
+		wl_buf_set(&row->task, str(held.first.task));
+		wl_buf_set(&row->target, str(name));
+		row->attempt = held.first.number;
+		row->epoch = owned.epoch;
+		row->kind = held.second.report;
+	}
+	to_leader(entry.name, &event);
+}
+
+void LeaderWorld::entry_tick(Entry &entry)
+{
+	wl_event_t renew = message(entry.name, WL_MSG_RENEW);
+
+	wl_buf_set(&renew.msg.u.renew.entry, str(entry.name));
+	renew.msg.u.renew.boot = entry.boot;
+	renew.msg.u.renew.session = entry.session;
+	renew.msg.u.renew.sent_ns = now_ms * ns_per_ms;
+	renew.msg.u.renew.owners_index = entry.owners_index;
+	renew.msg.u.renew.revision = wl_state_revision(rig.state);
+	to_leader(entry.name, &renew);
+	if (entry.valid_until_ms <= now_ms)
+		return;
+	for (auto &target : targets) {
+		wl_event_t announce = message(entry.name, WL_MSG_ANNOUNCE);
+		wl_announce_t *words = &announce.msg.u.announce.announce;
+		wl_buf_set(&words->name, str(target.first));
+		wl_buf_set(&words->rack, WL_STR("r"));
+		wl_strings_add(&words->services, WL_STR("tube-sort"));
+		to_leader(entry.name, &announce);
+	}
+	for (auto &owned : entry.owned) {
+		owner_tick(entry, owned.first, owned.second);
+		wl_event_t offer = message(entry.name, WL_MSG_OFFER);
+		auto *row = static_cast<wl_offer_row_t *>(
+			wl_list_add(&wl_offer_row_schema, &offer.msg.u.offer.offers));
+		uint64_t used = targets[owned.first].runs.size();
+		wl_buf_set(&row->target, str(owned.first));
+		wl_buf_set(&row->rack, WL_STR("r"));
+		wl_strings_add(&row->services, WL_STR("tube-sort"));
+		row->epoch = owned.second.epoch;
+		row->open = owned.second.adopted && reach(owned.first);
+		row->capacity = {8000, 8000, 0, slots, 0};
+		row->free = row->capacity;
+		row->free.slots = used < slots ? slots - used : 0;
+		auto *kind = static_cast<wl_offer_kind_t *>(
+			wl_list_add(&wl_offer_kind_schema, &row->kinds));
+		wl_buf_set(&kind->kind, WL_STR("balance"));
+		kind->running = used;
+		to_leader(entry.name, &offer);
+	}
+}
+
+void LeaderWorld::targets_tick()
+{
+	for (auto &target : targets)
+		for (auto &run : target.second.runs) {
+			if (run.second.first != Run::running)
+				continue;
+			if (now_ms >= run.second.second) {
+				run.second.first = Run::stopped;
+			} else if (pick(40) == 0) {
+				run.second.first = Run::finished;
+				completions[run.first.task]++;
+			}
+		}
+}
+
+void LeaderWorld::check_single()
+{
+	std::map<std::string, std::string> where;
+
+	for (const auto &target : targets)
+		for (const auto &run : target.second.runs) {
+			if (run.second.first != Run::running)
+				continue;
+			ASSERT_EQ(where.count(run.first.task), 0u)
+				<< run.first.task << " runs on " << target.first << " and "
+				<< where[run.first.task] << " at " << now_ms;
+			where[run.first.task] = target.first;
+		}
+	for (const auto &task : once)
+		ASSERT_LE(starts[task], 1u) << task << " was started twice";
+}
+
+void LeaderWorld::run(uint64_t until_ms, bool faults)
+{
+	faulty = faults;
+	for (; now_ms < until_ms && !testing::Test::HasFatalFailure(); now_ms += 10) {
+		for (size_t i = letters.size(); i > 0; i--) {
+			Letter letter = letters.front();
+			letters.pop_front();
+			if (letter.at_ms > now_ms) {
+				letters.push_back(letter);
+				continue;
+			}
+			if (entries[letter.entry].cut_until_ms <= now_ms)
+				deliver(entries[letter.entry], letter.msg);
+			wl_msg_free(&letter.msg);
+		}
+		if (faulty && pick(400) == 0)
+			lead();
+		if (faulty && pick(150) == 0)
+			entries["e" + std::to_string(1 + pick(3))].cut_until_ms =
+				now_ms + pick(4000);
+		if (faulty && pick(150) == 0)
+			target_cut["w" + std::to_string(1 + pick(4))] = now_ms + pick(3000);
+		if (faulty && pick(600) == 0) {
+			Entry &entry = entries["e" + std::to_string(1 + pick(3))];
+			std::string name = entry.name;
+			uint64_t boot = entry.boot + 1;
+			entry = {};
+			entry.name = name;
+			entry.boot = boot;
+		}
+		if (faulty && pick(10) == 0) {
+			wl_cmd_t add = task_add("norrlamp", 1000 + rig.index);
+			add.u.task_add.spec.restartable = pick(3) > 0;
+			bool restartable = add.u.task_add.spec.restartable;
+			rig.clock_ms = 0;
+			const wl_result_t &result = rig.apply(&add);
+			if (!restartable)
+				once.insert(std::string(result.id.at, result.id.len));
+		}
+		const wl_task_t *first = TAILQ_FIRST(&rig.state->live);
+		if (faulty && first && pick(60) == 0) {
+			cancelled.insert(first->id.at);
+			log.emplace_back(task_cancel("norrlamp", first->id.at), 0);
+		}
+		inbox_tick();
+		targets_tick();
+		for (auto &entry : entries)
+			if (now_ms % 100 < 10)
+				entry_tick(entry.second);
+		wl_event_t tick;
+		wl_event_init(&tick, WL_EVENT_TICK);
+		leader_step(&tick);
+		while (!log.empty() && !(faulty && pick(3) == 0)) {
+			auto next = log.front();
+			wl_result_t result = {};
+			wl_event_t applied;
+			log.pop_front();
+			wl_state_apply(rig.state, ++rig.index, &next.first, &result);
+			wl_event_init(&applied, WL_EVENT_APPLIED);
+			applied.tag = next.second;
+			applied.index = rig.index;
+			applied.cmd = &next.first;
+			applied.result = &result;
+			leader_step(&applied);
+			wl_cmd_free(&next.first);
+			wl_result_free(&result);
+		}
+		check_single();
+	}
+}
+
+std::string LeaderWorld::left() const
+{
+	const wl_task_t *task;
+	std::string text;
+
+	TAILQ_FOREACH (task, &rig.state->live, link)
+		text += std::string(task->id.at) + " " + wl_task_state_names[task->record.state] +
+			" on=" + (task->target ? task->record.target.at : "-") +
+			" epoch=" + std::to_string(task->record.epoch) + "\n";
+	return text;
+}
+
+void LeaderWorld::check_ends()
+{
+	const wl_task_t *task;
+	size_t done = 0;
+
+	TAILQ_FOREACH (task, &rig.state->ended, link) {
+		uint64_t state = task->record.state;
+
+		EXPECT_TRUE(state == WL_TASK_DONE || state == WL_TASK_UNKNOWN ||
+			    state == WL_TASK_CANCELLED)
+			<< task->id.at << " " << wl_task_state_names[state];
+		done += state == WL_TASK_DONE;
+		if (state == WL_TASK_UNKNOWN)
+			EXPECT_EQ(once.count(task->id.at), 1u) << task->id.at;
+		else if (state == WL_TASK_CANCELLED)
+			EXPECT_EQ(cancelled.count(task->id.at), 1u) << task->id.at;
+		else
+			EXPECT_GE(completions[task->id.at], 1u) << task->id.at;
+	}
+	EXPECT_GT(done, 50u) << "the run did too little";
+	EXPECT_GT(evictions, 5u) << "the run evicted too little";
+	EXPECT_GT(cancelled.size(), 5u) << "the run cancelled too little";
+}
--- /dev/null
+++ b/tests/unit/leader_random_test.cc
@@ -0,0 +1,19 @@
+#include <gtest/gtest.h>
+
+#include "../support/leader_world.h"
+
+class LeaderRandom : public testing::TestWithParam<uint64_t>
+{
+};
+
+TEST_P(LeaderRandom, NothingRunsTwiceAndEverythingEnds)
+{
+	LeaderWorld world(GetParam());
+
+	world.run(30000, true);
+	world.run(60000, false);
+	EXPECT_EQ(world.left(), "");
+	world.check_ends();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LeaderRandom, testing::Range<uint64_t>(1, 21));
