request: tell peers before they forget

Room was told every second if nothing changed, and forgotten after a second of silence: between the two an idle entry was taken for full, for up to an exchange interval each second. It is told every 400 ms now, so that one message may be lost too.

Seen: the new test, with ticks every 13 ms, fails with 1000 ms and passes with 400 ms.

--- a/libwlcore/request_peer.c
+++ b/libwlcore/request_peer.c
@@ -10,7 +10,7 @@
 
 #include <stdlib.h>
 
-#define TELL_MOST_NS (1000 * WL_NS_PER_MS) /* room is told so often even if nothing changed */
+#define TELL_MOST_NS (400 * WL_NS_PER_MS) /* room is told again, before peers forget it */
 
 /*
  * wl_requests_peers_free - forget the peers
--- a/tests/unit/request_cell_test.cc
+++ b/tests/unit/request_cell_test.cc
@@ -421,3 +421,43 @@
 	EXPECT_GT(total[WL_UNKNOWN], 100u);
 	EXPECT_GT(replays, 50u);
 }
+
+TEST(RequestCell, AnIdlePeerIsNotForgotten)
+{
+	RequestRun owner;
+	RequestRun asker;
+	uint64_t forwards = 0;
+	uint64_t calls = 0;
+
+	owner.options.entry = wl_str_from("e2");
+	owner.session.id = 2;
+	owner.start();
+	owner.target("w1", "sort", "a", 1000);
+	asker.start();
+	owner.on_action = [&](const wl_action_t *action) {
+		wl_event_t event;
+
+		if (action->kind != WL_ACTION_SEND)
+			return;
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_buf_set(&event.peer, wl_str_from("e2"));
+		wl_msg_copy(&event.msg, &action->msg);
+		asker.step(&event);
+	};
+	asker.on_action = [&](const wl_action_t *action) {
+		forwards += action->kind == WL_ACTION_SEND && action->msg.kind == WL_MSG_REQUEST;
+	};
+	owner.members({"e1", "e2"});
+	asker.members({"e1", "e2"});
+
+	/* ticks don't come at the times that were asked for */
+	for (uint64_t ms = 110; ms <= 5000; ms += 13) {
+		owner.now_ns = asker.now_ns = ms * MS;
+		owner.tick();
+		if (ms < 300)
+			continue;
+		calls++;
+		asker.call(ms, "GET", "/s/sort/a", {{"Wisterialead-Customer", "norrlamp"}}, "");
+		ASSERT_EQ(forwards, calls) << "at " << ms << " ms";
+	}
+}
