--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -9,11 +9,13 @@
 
 #include <stdlib.h>
 
-#define PRESS_EVERY_MS	250  /* between actions for one service */
-#define PRESS_LASTS_MS	1000 /* pressure that ended so long ago begins anew */
-#define EVICT_AFTER_MS	1000 /* of pressure that throttling did not end */
-#define CALM_MS		3000 /* without pressure throttles are lifted */
-#define USAGE_MARGIN_MS 50   /* usage may be older than it says by its way here */
+#define PRESS_EVERY_MS	250   /* between actions for one service */
+#define PRESS_LASTS_MS	1000  /* pressure that ended so long ago begins anew */
+#define EVICT_AFTER_MS	1000  /* of pressure that throttling did not end */
+#define CALM_MS		3000  /* without pressure throttles are lifted */
+#define KEEP_MS		10000 /* that batch work gets no room after pressure */
+#define SLOW_PERMILLE	1250  /* slowdown from which throttling may help */
+#define USAGE_MARGIN_MS 50    /* usage may be older than it says by its way here */
 #define FULL_PERMILLE	1000
 
 /* Urgent work of one service that finds no room. */
@@ -254,6 +256,16 @@
 	return last_ns;
 }
 
+/*
+ * wl_owned_pressed - tell whether urgent work that a target serves lacked room lately
+ */
+bool wl_owned_pressed(const wl_owned_t *owned, uint64_t now_ns)
+{
+	uint64_t last_ns = pressed_last(owned);
+
+	return last_ns && now_ns < last_ns + KEEP_MS * (uint64_t)WL_NS_PER_MS;
+}
+
 /*
  * wl_owned_relieve_ns - when throttles on a target may be lifted
  */
@@ -323,6 +335,16 @@
 	lift(turn, owned);
 }
 
+/* What throttling frees, where processor time or interference is what stands in the way. */
+static uint64_t throttle_helps(const wl_owned_t *owned)
+{
+	wl_need_t missing = missing_for(owned, &owned->owner->options.ledger->request);
+
+	if (missing.cpu_millis == 0 && owned->target->slowdown_permille < SLOW_PERMILLE)
+		return 0;
+	return throttle_frees(owned);
+}
+
 /* The target with most batch work to act on; usage must show the newest action there. */
 static wl_owned_t *press_pick(const wl_owner_t *owner, const wl_ledger_service_t *service,
 			      bool evict)
@@ -336,7 +358,7 @@
 
 		if (!owned || !action_shows(owned))
 			continue;
-		frees = evict ? owned->target->evictable.slots : throttle_frees(owned);
+		frees = evict ? owned->target->evictable.slots : throttle_helps(owned);
 		if (frees <= most)
 			continue;
 		most = frees;
--- a/tests/target/fake.c
+++ b/tests/target/fake.c
@@ -26,23 +26,31 @@
 	return fake;
 }
 
+static void task_release(fake_task_t *task)
+{
+	wl_record_free(&wl_task_usage_schema, &task->usage);
+	free(task);
+}
+
 /*
  * fake_task_free - forget a task
  */
 void fake_task_free(fake_t *fake, fake_task_t *task)
 {
 	TAILQ_REMOVE(&fake->tasks, task, link);
-	wl_record_free(&wl_task_usage_schema, &task->usage);
-	free(task);
+	task_release(task);
 }
 
 static void work_drop(fake_t *fake)
 {
+	fake_task_t *task;
 	fake_request_t *request;
 	fake_barred_t *barred;
 
-	while (!TAILQ_EMPTY(&fake->tasks))
-		fake_task_free(fake, TAILQ_FIRST(&fake->tasks));
+	while ((task = TAILQ_FIRST(&fake->tasks))) {
+		TAILQ_REMOVE(&fake->tasks, task, link);
+		task_release(task);
+	}
 	while ((request = TAILQ_FIRST(&fake->requests))) {
 		TAILQ_REMOVE(&fake->requests, request, link);
 		wl_buf_free(&request->name);
