--- a/libwlcore/msg.c
+++ b/libwlcore/msg.c
@@ -179,6 +179,7 @@
 	WL_FIELD(wl_msg_room_t, session, WL_FIELD_U64),
 	WL_FIELD_MANY(wl_msg_room_t, rooms, &wl_room_row_schema),
 	WL_FIELD_MANY(wl_msg_room_t, uses, &wl_use_row_schema),
+	WL_FIELD(wl_msg_room_t, whole, WL_FIELD_BOOL),
 };
 
 static const wl_schema_t msg_room_schema = WL_SCHEMA(wl_msg_room_t, msg_room_fields);
--- a/libwlcore/msg.h
+++ b/libwlcore/msg.h
@@ -185,6 +185,7 @@
 	uint64_t session;
 	wl_list_t rooms; /* wl_room_row_t */
 	wl_list_t uses;	 /* wl_use_row_t */
+	bool whole;	 /* all rows, in place of those told before; else changed ones */
 } wl_msg_room_t;
 
 typedef struct wl_offer_kind {
