request: tell peers what changed, within a share of the bytes for control

Cause: each entry told all rows of room and use to every peer at each 100 ms under load.

Now changed rows are told, everything to a peer whose link broke or whose session is new, and a message without rows each 400 ms. Uses are told if they moved by a step of limit/16/entries; shares are reckoned from told numbers only, the own ones too, so that they still add up to the limit. A peer's room is used only while it is a member under the session that it told of.

Ruled out: a fixed longer interval, which makes room stale for small cells as well; dropping uses far from their limits, which needs each entry to know the others' demand to tell what is far.

--- a/libwlcore/admit.c
+++ b/libwlcore/admit.c
@@ -3,9 +3,10 @@
  *
  * Entries tell each other every exchange interval what each customer runs and
  * asks for.  Each one takes the part of a limit that its demand has in the
- * sum; as all reckon from the same numbers, the parts add up to the limit.
- * A part that grows counts one exchange later, a part that shrinks at once, so
- * numbers that are one message old don't add up to more either.
+ * sum; as all reckon from the same told numbers, the own ones too, the parts
+ * add up to the limit.  A part that grows counts one exchange later, a part
+ * that shrinks at once, so numbers that are one message old don't add up to
+ * more either.
  *
  * Bounds, for N entries: requests admitted in any T seconds are at most
  * rate * (T + BURST) + N.  Concurrent ones exceed the limit by at most N, and
@@ -81,7 +82,7 @@
 {
 	uint64_t floor = limit / FLOOR_DIVISOR;
 
-	if (total <= limit)
+	if (total == 0 || total <= limit)
 		return mine + (limit - total) / members;
 	return floor / members + (uint64_t)((unsigned __int128)(limit - floor) * mine / total);
 }
@@ -99,22 +100,23 @@
 
 static void customer_share(const wl_admit_t *admit, wl_admit_customer_t *customer)
 {
-	uint64_t wanted = customer->wanted;
-	uint64_t wanted_milli = customer->wanted_milli;
+	const wl_admit_use_t *mine = &customer->use_told;
+	uint64_t wanted = mine->wanted;
+	uint64_t wanted_milli = mine->wanted_milli;
 	const wl_admit_told_t *told;
 
 	customer->elsewhere = 0;
 	TAILQ_FOREACH (told, &customer->told, link) {
 		if (told->generation != told->peer->generation)
 			continue;
-		wanted += told->wanted;
-		wanted_milli += told->wanted_milli;
-		customer->elsewhere += told->running;
+		wanted += told->use.wanted;
+		wanted_milli += told->use.wanted_milli;
+		customer->elsewhere += told->use.running;
 	}
 	share_turn(&customer->concurrent,
-		   share_of(customer->max_concurrent, customer->wanted, wanted, admit->members));
-	share_turn(&customer->rate, share_of(customer->rate_milli, customer->wanted_milli,
-					     wanted_milli, admit->members));
+		   share_of(customer->max_concurrent, mine->wanted, wanted, admit->members));
+	share_turn(&customer->rate, share_of(customer->rate_milli, mine->wanted_milli, wanted_milli,
+					     admit->members));
 }
 
 static uint64_t bucket_depth_nano(const wl_admit_customer_t *customer)
@@ -126,18 +128,41 @@
 
 /* Takes the limits of the plan as it is now; an edit of the list counts at once. */
 static void customer_plan(const wl_admit_t *admit, wl_admit_customer_t *customer,
-			  const wl_plan_t *plan)
+			  const wl_plan_t *plan, uint64_t now_ns)
 {
 	uint64_t rate_milli = plan->requests_per_second * MILLI;
 
 	customer->weight = plan->weight;
-	if (customer->max_concurrent == plan->max_concurrent && customer->rate_milli == rate_milli)
+	if (customer->planned && customer->max_concurrent == plan->max_concurrent &&
+	    customer->rate_milli == rate_milli)
 		return;
 	customer->max_concurrent = plan->max_concurrent;
 	customer->rate_milli = rate_milli;
 	customer_share(admit, customer);
 	customer->concurrent.before = customer->concurrent.now;
 	customer->rate.before = customer->rate.now;
+	if (customer->planned)
+		return;
+	customer->planned = true;
+	customer->filled_ns = now_ns;
+	customer->tokens_nano = bucket_depth_nano(customer);
+}
+
+static wl_admit_customer_t *customer_get(wl_admit_t *admit, wl_str_t name, uint64_t now_ns)
+{
+	wl_admit_customer_t *customer = wl_map_get(&admit->by_name, name);
+
+	if (customer)
+		return customer;
+	customer = wl_alloc(sizeof(*customer));
+	wl_buf_set(&customer->name, name);
+	wl_buf_printf(&customer->labels, "customer=\"" WL_STR_FMT "\"", WL_STR_ARG(name));
+	customer->key = wl_buf_str(&customer->name);
+	TAILQ_INIT(&customer->told);
+	wl_budget_init(&customer->budget, &admit->budget, now_ns);
+	wl_map_put(&admit->by_name, customer);
+	TAILQ_INSERT_TAIL(&admit->customers, customer, link);
+	return customer;
 }
 
 /*
@@ -149,23 +174,9 @@
 wl_admit_customer_t *wl_admit_get(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
 				  uint64_t now_ns)
 {
-	wl_admit_customer_t *customer = wl_map_get(&admit->by_name, name);
+	wl_admit_customer_t *customer = customer_get(admit, name, now_ns);
 
-	if (!customer) {
-		customer = wl_alloc(sizeof(*customer));
-		wl_buf_set(&customer->name, name);
-		wl_buf_printf(&customer->labels, "customer=\"" WL_STR_FMT "\"", WL_STR_ARG(name));
-		customer->key = wl_buf_str(&customer->name);
-		TAILQ_INIT(&customer->told);
-		wl_budget_init(&customer->budget, &admit->budget, now_ns);
-		wl_map_put(&admit->by_name, customer);
-		TAILQ_INSERT_TAIL(&admit->customers, customer, link);
-		customer_plan(admit, customer, plan);
-		customer->filled_ns = now_ns;
-		customer->tokens_nano = bucket_depth_nano(customer);
-		return customer;
-	}
-	customer_plan(admit, customer, plan);
+	customer_plan(admit, customer, plan, now_ns);
 	return customer;
 }
 
@@ -255,32 +266,27 @@
 }
 
 /*
- * wl_admit_hear - take in what a peer told of customers; it replaces what it told before
- *
- * Customers that this entry never served are passed over: the peer tells of
- * them again by the time they matter here.
+ * wl_admit_hear - take in what a peer told of customers
+ * @msg: a whole one replaces all that the peer told before, else it adds to it
+ * @now_ns: monotonic time, nanoseconds
  */
-void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg)
+void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg, uint64_t now_ns)
 {
 	wl_admit_peer_t *from = admit_peer(admit, peer);
 	const wl_use_row_t *rows = msg->uses.items;
 
 	if (msg->session < from->session)
 		return;
+	if (msg->whole || msg->session > from->session)
+		from->generation++;
 	from->session = msg->session;
-	from->generation++;
 	for (size_t i = 0; i < msg->uses.count; i++) {
 		wl_admit_customer_t *customer =
-			wl_map_get(&admit->by_name, wl_buf_str(&rows[i].customer));
-		wl_admit_told_t *told;
+			customer_get(admit, wl_buf_str(&rows[i].customer), now_ns);
+		wl_admit_told_t *told = customer_told(customer, from);
 
-		if (!customer)
-			continue;
-		told = customer_told(customer, from);
 		told->generation = from->generation;
-		told->running = rows[i].running;
-		told->wanted = rows[i].wanted;
-		told->wanted_milli = rows[i].wanted_milli;
+		told->use = (wl_admit_use_t){rows[i].running, rows[i].wanted, rows[i].wanted_milli};
 	}
 }
 
@@ -330,34 +336,61 @@
 	uint64_t asked_milli = customer->asked * MILLI * NS_PER_S / passed_ns;
 	uint64_t admitted_milli = customer->admitted * MILLI * NS_PER_S / passed_ns;
 
-	customer->wanted = follow(customer->wanted, customer->running + customer->refused);
-	customer->wanted_milli = follow(customer->wanted_milli, asked_milli);
+	customer->use.running = customer->running;
+	customer->use.wanted = follow(customer->use.wanted, customer->running + customer->refused);
+	customer->use.wanted_milli = follow(customer->use.wanted_milli, asked_milli);
 	customer->admitted_milli = follow(customer->admitted_milli, admitted_milli);
 	customer->asked = 0;
 	customer->admitted = 0;
 	customer->refused = 0;
 }
 
+/*
+ * A use below its step need not be told: what is kept for idle entries covers
+ * it.  A use that ended is.
+ */
+static bool use_moved(uint64_t now, uint64_t told, uint64_t limit, uint64_t members)
+{
+	uint64_t step = limit / FLOOR_DIVISOR / members;
+	uint64_t change = now > told ? now - told : told - now;
+
+	return change > 0 && (change >= step || now == 0);
+}
+
+static bool customer_moved(const wl_admit_t *admit, const wl_admit_customer_t *customer)
+{
+	const wl_admit_use_t *now = &customer->use;
+	const wl_admit_use_t *told = &customer->use_told;
+
+	return use_moved(now->running, told->running, customer->max_concurrent, admit->members) ||
+	       use_moved(now->wanted, told->wanted, customer->max_concurrent, admit->members) ||
+	       use_moved(now->wanted_milli, told->wanted_milli, customer->rate_milli,
+			 admit->members);
+}
+
 static void customer_tell(const wl_admit_customer_t *customer, wl_list_t *uses)
 {
-	wl_use_row_t *row;
+	wl_use_row_t *row = wl_list_add(&wl_use_row_schema, uses);
 
-	if (!customer->running && !customer->wanted && !customer->wanted_milli)
-		return;
-	row = wl_list_add(&wl_use_row_schema, uses);
 	wl_buf_set(&row->customer, customer->key);
-	row->running = customer->running;
+	row->running = customer->use_told.running;
 	row->rate_milli = customer->admitted_milli;
-	row->wanted = customer->wanted;
-	row->wanted_milli = customer->wanted_milli;
+	row->wanted = customer->use_told.wanted;
+	row->wanted_milli = customer->use_told.wanted_milli;
+}
+
+static bool use_none(const wl_admit_use_t *use)
+{
+	return !use->running && !use->wanted && !use->wanted_milli;
 }
 
 /*
- * wl_admit_exchange - end an exchange interval: measure, reckon shares, tell
+ * wl_admit_exchange - end an exchange interval: measure, tell, reckon shares
  * @now_ns: monotonic time, nanoseconds
- * @uses: of wl_use_row_t; rows are added
+ * @changes: of wl_use_row_t; what peers must be told
+ * @all: of wl_use_row_t; what a peer must be told that knows nothing
  */
-void wl_admit_exchange(wl_admit_t *admit, uint64_t now_ns, wl_list_t *uses)
+void wl_admit_exchange(wl_admit_t *admit, uint64_t now_ns, wl_list_t *changes, wl_list_t *all)
 {
 	uint64_t passed = now_ns - admit->exchanged_ns;
 	wl_admit_customer_t *customer;
@@ -366,9 +399,16 @@
 		passed = LEAST_INTERVAL;
 	admit->exchanged_ns = now_ns;
 	TAILQ_FOREACH (customer, &admit->customers, link) {
+		if (!customer->planned)
+			continue;
 		customer_fill(customer, now_ns);
 		customer_measure(customer, passed);
+		if (customer_moved(admit, customer)) {
+			customer->use_told = customer->use;
+			customer_tell(customer, changes);
+		}
+		if (!use_none(&customer->use_told))
+			customer_tell(customer, all);
 		customer_share(admit, customer);
-		customer_tell(customer, uses);
 	}
 }
--- a/libwlcore/admit.h
+++ b/libwlcore/admit.h
@@ -11,17 +11,22 @@
 typedef struct wl_admit_peer {
 	wl_buf_t name;
 	uint64_t session;
-	uint64_t generation; /* of its newest message; rows of an older one don't count */
+	uint64_t generation; /* of its newest whole message; rows of an older one don't count */
 	TAILQ_ENTRY(wl_admit_peer) link;
 } wl_admit_peer_t;
 
+/* What is told of a customer: one entry's use of its limits. */
+typedef struct wl_admit_use {
+	uint64_t running;
+	uint64_t wanted;       /* running, and refused by max_concurrent */
+	uint64_t wanted_milli; /* asked for per second, thousandths */
+} wl_admit_use_t;
+
 /* What one peer told of one customer. */
 typedef struct wl_admit_told {
 	wl_admit_peer_t *peer;
 	uint64_t generation;
-	uint64_t running;
-	uint64_t wanted;
-	uint64_t wanted_milli;
+	wl_admit_use_t use;
 	TAILQ_ENTRY(wl_admit_told) link;
 } wl_admit_told_t;
 
@@ -48,9 +53,10 @@
 	uint64_t asked;	   /* in this exchange interval */
 	uint64_t admitted; /* in this exchange interval */
 	uint64_t refused;  /* in this exchange interval, by max_concurrent */
-	uint64_t wanted;
-	uint64_t wanted_milli;
 	uint64_t admitted_milli;
+	wl_admit_use_t use;
+	wl_admit_use_t use_told; /* to all peers; shares are reckoned from this one */
+	bool planned;		 /* served here: its plan is known */
 	wl_budget_t budget;
 	TAILQ_HEAD(wl_admit_tolds, wl_admit_told) told;
 	TAILQ_ENTRY(wl_admit_customer) link;
@@ -71,8 +77,8 @@
 				  uint64_t now_ns);
 bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err);
 void wl_admit_leave(wl_admit_customer_t *customer);
-void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg);
+void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg, uint64_t now_ns);
 void wl_admit_view(wl_admit_t *admit, const wl_view_t *view);
-void wl_admit_exchange(wl_admit_t *admit, uint64_t now_ns, wl_list_t *uses);
+void wl_admit_exchange(wl_admit_t *admit, uint64_t now_ns, wl_list_t *changes, wl_list_t *all);
 
 #endif
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request_internal.h
@@ -7,6 +7,7 @@
 #include <libwlcore/latency.h>
 #include <libwlcore/request.h>
 #include <libwlcore/route.h>
+#include <libwlcore/tell.h>
 
 /* What the files of the request part share. */
 
@@ -105,11 +106,14 @@
 	TAILQ_ENTRY(wl_request) link;
 } wl_request_t;
 
-/* Requests that a peer sent: its newest id, so that none runs twice. */
+/* A peer: the newest id of its requests, so that none runs twice; what it was told. */
 typedef struct wl_request_peer {
 	wl_buf_t name;
 	uint64_t session;
 	uint64_t last_id;
+	uint64_t told_session; /* of the peer, when it was told everything; 0: not yet */
+	uint64_t told_as;      /* own session then */
+	uint64_t whole_ns;
 	TAILQ_ENTRY(wl_request_peer) link;
 } wl_request_peer_t;
 
@@ -137,8 +141,9 @@
 	size_t queued;
 	uint64_t session; /* the newest that this daemon had */
 	uint64_t next_id;
-	uint64_t told_ns;   /* when room was told last */
-	uint64_t told_hash; /* of what was told */
+	wl_tell_t tell;
+	uint64_t told_ns; /* when peers were told last */
+	uint64_t tell_ns; /* when the exchange interval ends */
 	bool draining;
 };
 
@@ -187,8 +192,12 @@
 /* request_peer.c */
 void wl_requests_peer(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_requests_peer_down(wl_requests_t *requests, wl_str_t peer, uint64_t now_ns, wl_out_t *out);
-void wl_requests_tell(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
 void wl_requests_peers_free(wl_requests_t *requests);
+wl_request_peer_t *wl_requests_peer_get(wl_requests_t *requests, wl_str_t name);
+
+/* request_tell.c */
+void wl_requests_tell(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
+void wl_requests_owe(wl_requests_t *requests, wl_str_t peer);
 
 /* request_outcome.c */
 void wl_outcome_free(wl_outcome_t *outcome);
--- a/libwlcore/request_peer.c
+++ b/libwlcore/request_peer.c
@@ -10,8 +10,6 @@
 
 #include <stdlib.h>
 
-#define TELL_MOST_NS (400 * WL_NS_PER_MS) /* room is told again, before peers forget it */
-
 /*
  * wl_requests_peers_free - forget the peers
  */
@@ -26,7 +24,10 @@
 	}
 }
 
-static wl_request_peer_t *peer_get(wl_requests_t *requests, wl_str_t name)
+/*
+ * wl_requests_peer_get - what is known of a peer; nothing at first
+ */
+wl_request_peer_t *wl_requests_peer_get(wl_requests_t *requests, wl_str_t name)
 {
 	wl_request_peer_t *peer;
 
@@ -41,7 +42,7 @@
 
 static bool peer_fresh(wl_requests_t *requests, wl_str_t name, const wl_msg_request_t *msg)
 {
-	wl_request_peer_t *peer = peer_get(requests, name);
+	wl_request_peer_t *peer = wl_requests_peer_get(requests, name);
 
 	if (msg->session < peer->session ||
 	    (msg->session == peer->session && msg->id <= peer->last_id))
@@ -197,7 +198,8 @@
 		      uint64_t now_ns, wl_out_t *out)
 {
 	wl_rooms_hear(&requests->rooms, peer, msg, now_ns);
-	wl_admit_hear(&requests->admit, peer, msg);
+	wl_rooms_view(&requests->rooms, requests->options.view);
+	wl_admit_hear(&requests->admit, peer, msg, now_ns);
 	wl_requests_pump_all(requests, now_ns, out);
 }
 
@@ -235,6 +237,7 @@
 	wl_try_t *next;
 
 	wl_rooms_lost(&requests->rooms, peer);
+	wl_requests_owe(requests, peer);
 	for (one = TAILQ_FIRST(&requests->tries); one; one = next) {
 		wl_request_t *request = one->request;
 		wl_outcome_t outcome = {0};
@@ -250,46 +253,3 @@
 		wl_outcome_free(&outcome);
 	}
 }
-
-static void tell_all(wl_requests_t *requests, const wl_msg_t *msg, wl_out_t *out)
-{
-	const wl_list_t *list = &requests->options.view->members;
-	const wl_member_t *members = list->items;
-
-	for (size_t i = 0; i < list->count; i++)
-		if (!wl_str_equal(wl_buf_str(&members[i].entry), wl_buf_str(&requests->entry)))
-			wl_msg_copy(wl_out_send(out, wl_buf_str(&members[i].entry), WL_MSG_NONE),
-				    msg);
-}
-
-/*
- * wl_requests_tell - end the exchange interval if it is over, and tell peers room and uses
- *
- * They are told when something changed, and now and then without.
- */
-void wl_requests_tell(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out)
-{
-	uint64_t interval_ns = requests->options.room_ms * WL_NS_PER_MS;
-	wl_err_t err;
-	wl_buf_t bytes = {0};
-	uint64_t hash;
-	wl_msg_t msg;
-
-	if (now_ns < requests->admit.exchanged_ns + interval_ns)
-		return;
-	wl_msg_init(&msg, WL_MSG_ROOM);
-	msg.u.room.session = requests->session;
-	wl_admit_exchange(&requests->admit, now_ns, &msg.u.room.uses);
-	if (wl_requests_ready(requests, now_ns, &err))
-		wl_rooms_tell(requests->options.ledger, &msg.u.room.rooms);
-	wl_msg_pack(&msg, &bytes);
-	hash = wl_str_hash(wl_buf_str(&bytes), 0);
-	wl_buf_free(&bytes);
-	if (msg.u.room.session &&
-	    (hash != requests->told_hash || now_ns >= requests->told_ns + TELL_MOST_NS)) {
-		requests->told_hash = hash;
-		requests->told_ns = now_ns;
-		tell_all(requests, &msg, out);
-	}
-	wl_msg_free(&msg);
-}
--- a/libwlcore/room.c
+++ b/libwlcore/room.c
@@ -1,4 +1,4 @@
-/* Free room at peers: what they told lately, and what is told to them. */
+/* Free room at peers, as they told it lately. */
 
 #include "room.h"
 
@@ -103,9 +103,12 @@
 }
 
 /*
- * wl_rooms_hear - take in what a peer told; it replaces all that it told before
+ * wl_rooms_hear - take in what a peer told
  * @peer: its name
+ * @msg: a whole one replaces all that the peer told before, else it adds to it
  * @now_ns: monotonic time, nanoseconds
+ *
+ * wl_rooms_view() must follow, before the peer's room is used.
  */
 void wl_rooms_hear(wl_rooms_t *rooms, wl_str_t peer, const wl_msg_room_t *msg, uint64_t now_ns)
 {
@@ -114,9 +117,11 @@
 
 	if (msg->session < from->session)
 		return;
+	if (msg->whole || msg->session > from->session)
+		from->generation++;
 	from->session = msg->session;
 	from->heard_ns = now_ns;
-	from->generation++;
+	from->silent = false;
 	for (size_t i = 0; i < msg->rooms.count; i++) {
 		wl_room_service_t *service = rooms_service_add(rooms, wl_buf_str(&rows[i].service));
 		wl_room_entry_t *entry =
@@ -130,7 +135,7 @@
 }
 
 /*
- * wl_rooms_view - forget the room of peers whose session ended
+ * wl_rooms_view - use the room of those peers only that are members under the session they told
  */
 void wl_rooms_view(wl_rooms_t *rooms, const wl_view_t *view)
 {
@@ -139,20 +144,19 @@
 	TAILQ_FOREACH (peer, &rooms->peers, link) {
 		const wl_member_t *member = wl_view_member(view, wl_buf_str(&peer->name));
 
-		if (!member || member->session != peer->session || member->draining)
-			peer->generation++;
+		peer->member = member && member->session == peer->session && !member->draining;
 	}
 }
 
 /*
- * wl_rooms_lost - forget the room of a peer whose link broke, until it tells again
+ * wl_rooms_lost - a link broke: don't use the peer's room until it tells something again
  */
 void wl_rooms_lost(wl_rooms_t *rooms, wl_str_t peer)
 {
 	wl_room_peer_t *lost = rooms_peer(rooms, peer);
 
 	if (lost)
-		lost->generation++;
+		lost->silent = true;
 }
 
 /*
@@ -192,51 +196,13 @@
 }
 
 /*
- * wl_room_live - tell whether an entry was told lately and not replaced since
+ * wl_room_live - tell whether an entry holds still, and its peer lives
  * @now_ns: monotonic time, nanoseconds
  */
 bool wl_room_live(const wl_room_entry_t *entry, uint64_t now_ns)
 {
-	return entry->generation == entry->peer->generation &&
-	       now_ns < entry->peer->heard_ns + SILENCE_NS;
-}
-
-static wl_room_row_t *row_of(wl_list_t *rows, size_t first, const wl_target_t *target)
-{
-	wl_room_row_t *items = rows->items;
-	wl_room_row_t *row;
-
-	for (size_t i = first; i < rows->count; i++)
-		if (wl_str_equal(wl_buf_str(&items[i].availability_zone),
-				 wl_buf_str(&target->availability_zone)))
-			return &items[i];
-	row = wl_list_add(&wl_room_row_schema, rows);
-	wl_buf_set(&row->availability_zone, wl_buf_str(&target->availability_zone));
-	return row;
-}
+	const wl_room_peer_t *peer = entry->peer;
 
-/*
- * wl_rooms_tell - sum up the own free room for the peers
- * @rows: of wl_room_row_t; rows are added
- */
-void wl_rooms_tell(const wl_ledger_t *ledger, wl_list_t *rows)
-{
-	const wl_ledger_service_t *service;
-
-	TAILQ_FOREACH (service, &ledger->services, link) {
-		size_t first = rows->count;
-
-		for (size_t i = 0; i < service->count; i++) {
-			const wl_target_t *target = service->targets[i];
-			wl_room_row_t *row = row_of(rows, first, target);
-
-			if (!row->service.len)
-				wl_buf_set(&row->service, wl_buf_str(&service->name));
-			row->room += wl_ledger_request_room(ledger, target);
-			row->slowdown_permille = (row->slowdown_permille * row->targets +
-						  target->slowdown_permille) /
-						 (row->targets + 1);
-			row->targets++;
-		}
-	}
+	return entry->generation == peer->generation && peer->member && !peer->silent &&
+	       now_ns < peer->heard_ns + SILENCE_NS;
 }
--- a/libwlcore/room.h
+++ b/libwlcore/room.h
@@ -13,7 +13,9 @@
 	wl_buf_t name;
 	uint64_t session;
 	uint64_t heard_ns;
-	uint64_t generation; /* of its newest message; rows of an older one don't count */
+	uint64_t generation; /* of its newest whole message; rows of an older one don't count */
+	bool member;	     /* in the view, under that session, and not stopping */
+	bool silent;	     /* its link broke since it was heard */
 	TAILQ_ENTRY(wl_room_peer) link;
 } wl_room_peer_t;
 
@@ -48,6 +50,5 @@
 void wl_rooms_answer(wl_rooms_t *rooms, wl_str_t peer, wl_str_t service, uint64_t room);
 wl_room_service_t *wl_rooms_service(const wl_rooms_t *rooms, wl_str_t service);
 bool wl_room_live(const wl_room_entry_t *entry, uint64_t now_ns);
-void wl_rooms_tell(const wl_ledger_t *ledger, wl_list_t *rows);
 
 #endif
--- a/tests/support/request_run.cc
+++ b/tests/support/request_run.cc
@@ -83,7 +83,6 @@
 void RequestRun::members(const std::vector<std::string> &names)
 {
 	wl_event_t event;
-	uint64_t session_id = 0;
 
 	wl_list_free(&wl_member_schema, &view.members);
 	for (const auto &name : names) {
@@ -91,7 +90,7 @@
 			static_cast<wl_member_t *>(wl_list_add(&wl_member_schema, &view.members));
 
 		wl_buf_set(&member->entry, str(name));
-		member->session = ++session_id;
+		member->session = strtoull(name.c_str() + 1, nullptr, 10);
 	}
 	wl_event_init(&event, WL_EVENT_VIEW);
 	step(&event);
@@ -206,7 +205,7 @@
 		lines.push_back(format("send %s cancel #%llu", to.c_str(),
 				       (unsigned long long)(msg.u.cancel.id & ID_MASK)));
 	} else if (msg.kind == WL_MSG_ROOM && show_rooms) {
-		std::string line = "send " + to + " room";
+		std::string line = "send " + to + (msg.u.room.whole ? " room whole:" : " room");
 		const auto *rooms = static_cast<const wl_room_row_t *>(msg.u.room.rooms.items);
 		const auto *uses = static_cast<const wl_use_row_t *>(msg.u.room.uses.items);
 
--- a/tests/unit/admit_test.cc
+++ b/tests/unit/admit_test.cc
@@ -99,10 +99,12 @@
 void Cell::exchange(size_t entry)
 {
 	Sent one = {now_ms + 1 + wl_rng_below(&rng, 5), entry, {}};
+	wl_list_t all = {};
 
 	wl_msg_init(&one.msg, WL_MSG_ROOM);
 	one.msg.u.room.session = entry + 1;
-	wl_admit_exchange(&entries[entry], now_ms * MS, &one.msg.u.room.uses);
+	wl_admit_exchange(&entries[entry], now_ms * MS, &one.msg.u.room.uses, &all);
+	wl_list_free(&wl_use_row_schema, &all);
 	if (cut[entry])
 		wl_msg_free(&one.msg);
 	else
@@ -114,7 +116,7 @@
 	for (size_t to = 0; to < entries.size(); to++)
 		if (to != one->from && !cut[to])
 			wl_admit_hear(&entries[to], str("e" + std::to_string(one->from)),
-				      &one->msg.u.room);
+				      &one->msg.u.room, now_ms * MS);
 	wl_msg_free(&one->msg);
 }
 
--- a/tests/unit/request_test.cc
+++ b/tests/unit/request_test.cc
@@ -200,6 +200,7 @@
 	peer_event(&event, words[1], WL_MSG_ROOM);
 	wl_msg_room_t &msg = event.msg.u.room;
 	msg.session = script_number(words, "session", session_of(words[1]));
+	msg.whole = script_value(words, "whole", "yes") == "yes";
 	if (!script_value(words, "room").empty()) {
 		auto *row =
 			static_cast<wl_room_row_t *>(wl_list_add(&wl_room_row_schema, &msg.rooms));
--- a/tests/unit/route_test.cc
+++ b/tests/unit/route_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -23,6 +24,7 @@
 	void TearDown() override;
 	void use(const std::string &policy);
 	wl_target_t *target(const std::string &name, const std::string &zone, uint64_t slots);
+	void member(const std::string &name, uint64_t session);
 	void peer(const std::string &name, uint64_t session, const std::string &zone,
 		  uint64_t room);
 	std::string pick();
@@ -30,6 +32,7 @@
 
 	wl_ledger_t ledger = {};
 	wl_rooms_t rooms = {};
+	wl_view_t view = {};
 	wl_router_t router = {};
 	wl_route_query_t query = {};
 	uint64_t now_ns = 0;
@@ -41,6 +44,7 @@
 
 	wl_ledger_init(&ledger, &one);
 	wl_rooms_init(&rooms);
+	wl_view_init(&view);
 	use("");
 	query.service = wl_str_from("sort");
 	query.latency_ns = 10 * MS;
@@ -50,6 +54,7 @@
 {
 	wl_router_free(&router);
 	wl_rooms_free(&rooms);
+	wl_view_free(&view);
 	wl_ledger_free(&ledger);
 }
 
@@ -74,6 +79,18 @@
 	return target;
 }
 
+void Route::member(const std::string &name, uint64_t session)
+{
+	auto *found = const_cast<wl_member_t *>(wl_view_member(&view, str(name)));
+
+	if (!found) {
+		found = static_cast<wl_member_t *>(wl_list_add(&wl_member_schema, &view.members));
+		wl_buf_set(&found->entry, str(name));
+	}
+	found->session = std::max(found->session, session);
+	wl_rooms_view(&rooms, &view);
+}
+
 void Route::peer(const std::string &name, uint64_t session, const std::string &zone, uint64_t room)
 {
 	wl_msg_t msg;
@@ -86,7 +103,9 @@
 	wl_buf_set(&row->availability_zone, str(zone));
 	row->room = room;
 	row->targets = 1;
+	msg.u.room.whole = true;
 	wl_rooms_hear(&rooms, str(name), &msg.u.room, now_ns);
+	member(name, session);
 	wl_msg_free(&msg);
 }
 
