raft: elections end sooner where disks stall

Cause: three real replicas on a disk with stalls of up to 0.9 s took 3.8 and 5.9 s and up to five terms to a leader: a candidate gave up and began anew before its own vote was synced, and replicas that had just granted a pre-vote campaigned beside it. Ruled out: a longer least election time, which every election would pay. Change: a campaign counts its time from its own sync and gets a full election time; who grants a pre-vote gives way for half of one; split votes are tried again after a quarter.

--- a/libwlcore/raft_election.c
+++ b/libwlcore/raft_election.c
@@ -72,27 +72,31 @@
 	}
 }
 
-static void clear_granted(wl_raft_t *raft)
+static void clear_votes(wl_raft_t *raft)
 {
 	for (size_t i = 0; i < raft->members.members.count; i++)
 		raft->peers[i].granted = false;
 }
 
-/* The own vote counts, and is asked for elsewhere, only once it is synced. */
+/*
+ * The own vote counts, and is asked for elsewhere, only once it is synced.  A
+ * disk may be slow here and at the voters, so the campaign gets a full
+ * election time, and that from the moment when its requests leave.
+ */
 static void campaign(wl_raft_t *raft, uint64_t now_ns)
 {
-	clear_granted(raft);
+	clear_votes(raft);
 	raft->role = WL_RAFT_CANDIDATE;
 	raft->leader = 0;
 	wl_raft_set_term(raft, raft->term + 1, raft->id);
 	raft->campaign_ticket = raft->vote_ticket;
-	wl_raft_set_election(raft, now_ns, raft->election_ns / 2);
+	wl_raft_set_election(raft, now_ns, raft->election_ns);
 	ask_votes(raft, WL_RAFT_VOTE, raft->term, raft->vote_ticket);
 }
 
 static void ask_election(wl_raft_t *raft, uint64_t now_ns)
 {
-	clear_granted(raft);
+	clear_votes(raft);
 	raft->handed = false;
 	raft->role = WL_RAFT_PRECANDIDATE;
 	raft->leader = 0;
@@ -114,6 +118,8 @@
 		return;
 	if (raft->group_ticket > raft->synced_ticket)
 		return;
+	if (raft->role == WL_RAFT_CANDIDATE && raft->campaign_ticket > raft->synced_ticket)
+		return;
 	ask_election(raft, now_ns);
 }
 
@@ -126,6 +132,8 @@
 
 	if (raft->role != WL_RAFT_CANDIDATE || raft->campaign_ticket > raft->synced_ticket || !own)
 		return;
+	if (!own->granted)
+		wl_raft_set_election(raft, now_ns, raft->election_ns);
 	own->granted = true;
 	if (wl_raft_quorum_granted(raft))
 		wl_raft_lead(raft, now_ns);
@@ -148,6 +156,13 @@
 	return msg->index >= wl_raft_last_index(raft);
 }
 
+/* Gives way to a replica that is about to campaign, else both might and split the votes. */
+static void give_way(wl_raft_t *raft, uint64_t now_ns)
+{
+	if (raft->role == WL_RAFT_FOLLOWER && raft->election_at_ns < now_ns + raft->election_ns / 2)
+		wl_raft_set_election(raft, now_ns, raft->election_ns / 2);
+}
+
 /*
  * wl_raft_on_prevote - tell whether this replica would vote; promises nothing
  */
@@ -158,8 +173,10 @@
 	if (backs_lease(raft, now_ns) && msg->term > raft->term)
 		return;
 	answer.ok = msg->term > raft->term && up_to_date(raft, msg);
-	if (answer.ok)
+	if (answer.ok) {
 		answer.term = msg->term;
+		give_way(raft, now_ns);
+	}
 	wl_raft_send_after(raft, raft->vote_ticket, name, &answer);
 }
 
@@ -220,8 +237,13 @@
 		wl_raft_follow(raft, msg->term, 0, now_ns);
 		return;
 	}
-	if (!peer || raft->role != WL_RAFT_CANDIDATE || msg->term != raft->term || !msg->ok)
+	if (!peer || raft->role != WL_RAFT_CANDIDATE || msg->term != raft->term)
 		return;
+	if (!msg->ok) {
+		/* Another candidate has this vote: the votes are split, so try again soon. */
+		wl_raft_set_election(raft, now_ns, raft->election_ns / 4);
+		return;
+	}
 	peer->granted = true;
 	if (wl_raft_quorum_granted(raft))
 		wl_raft_lead(raft, now_ns);
--- a/tests/unit/raft_rule_test.cc
+++ b/tests/unit/raft_rule_test.cc
@@ -241,7 +241,7 @@
 		return text.empty() ? "-" : text;
 	}
 
-	void win_election(size_t size)
+	void win_prevotes(size_t size)
 	{
 		uint64_t term = wl_raft_term(raft) + 1;
 
@@ -258,6 +258,13 @@
 			if (action(WL_RAFT_DO_PERSIST))
 				break;
 		}
+	}
+
+	void win_election(size_t size)
+	{
+		uint64_t term = wl_raft_term(raft) + 1;
+
+		win_prevotes(size);
 		sync();
 		for (uint64_t id = 1; id <= size && !action(WL_RAFT_DO_PERSIST); id++) {
 			wl_raft_msg_t msg = make(WL_RAFT_VOTED, id, term);
@@ -377,6 +384,44 @@
 	EXPECT_TRUE(action(WL_RAFT_DO_PERSIST));
 }
 
+TEST_F(RaftRule, CampaignLastsUntilItsOwnVoteIsSynced)
+{
+	start(3, 1, {1});
+	win_prevotes(3);
+	EXPECT_EQ(sent(WL_RAFT_VOTE), nullptr);
+	tick(5000);
+	EXPECT_EQ(out.count, 0u);
+	sync();
+	EXPECT_TRUE(sent(WL_RAFT_VOTE));
+	EXPECT_EQ(wl_raft_term(raft), 2u);
+	tick(900);
+	EXPECT_EQ(out.count, 0u) << "the voters' disks may be slow as well";
+}
+
+TEST_F(RaftRule, SplitVoteIsTriedAgainSoon)
+{
+	start(3, 1, {1});
+	win_prevotes(3);
+	sync();
+	give(make(WL_RAFT_VOTED, 1, 2));
+	tick(500);
+	ASSERT_TRUE(sent(WL_RAFT_PREVOTE));
+	EXPECT_EQ(sent(WL_RAFT_PREVOTE)->term, 3u);
+}
+
+TEST_F(RaftRule, PreVoterGivesWay)
+{
+	start(3, 1, {1});
+	now += 2500 * MS;
+	ask_vote(1, 2, 1, 1, false, WL_RAFT_PREVOTE);
+	ASSERT_TRUE(sent(WL_RAFT_PREVOTED));
+	EXPECT_TRUE(sent(WL_RAFT_PREVOTED)->ok);
+	tick(490);
+	EXPECT_EQ(sent(WL_RAFT_PREVOTE), nullptr);
+	tick(510);
+	EXPECT_TRUE(sent(WL_RAFT_PREVOTE));
+}
+
 TEST_F(RaftRule, MessagesForAnotherIdOrGroupAreDropped)
 {
 	wl_raft_msg_t msg;
