store: write the vote with the sync, once however often it changed

Cause: each change with a vote cost two syncs of its own even in a group; 200 of them outlasted a test's patience on a stalling disk (unit.disk_test failed once in a landing). Change: the vote waits for the sync and goes out before the log, the group's record before both.

--- a/libwlstore/store.c
+++ b/libwlstore/store.c
@@ -70,7 +70,9 @@
 	int lock_fd;
 	uint64_t id;
 	wl_store_log_t log;
-	bool failed; /* a write failed: what is on the disk is not known */
+	store_vote_t vote;
+	bool vote_dirty; /* written with the next sync, however often it changed */
+	bool failed;	 /* a write failed: what is on the disk is not known */
 	wl_err_t why;
 };
 
@@ -255,6 +257,21 @@
 	return store->id;
 }
 
+static bool vote_write(wl_store_t *store, wl_err_t *err)
+{
+	if (!store->vote_dirty)
+		return true;
+	store->vote_dirty = false;
+	return wl_sealed_write(store->folder_fd, folder_name(store), FILE_VOTE, &vote_schema,
+			       &store->vote, err);
+}
+
+/* No entry or snapshot is stored before the term that it belongs to. */
+static bool sync_parts(wl_store_t *store, wl_err_t *err)
+{
+	return vote_write(store, err) && wl_store_log_sync(&store->log, err);
+}
+
 static bool snapshot_write(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
 {
 	/* Borrowed for packing only. */
@@ -274,20 +291,18 @@
 /* The cut of a log that a snapshot contradicts must be durable before the snapshot is. */
 static bool write_parts(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
 {
-	store_vote_t vote = {persist->term, persist->vote};
-
 	if (persist->has_members &&
 	    !wl_sealed_write(store->folder_fd, folder_name(store), FILE_GROUP,
 			     &wl_raft_members_schema, &persist->members, err))
 		return false;
-	if (persist->has_vote && !wl_sealed_write(store->folder_fd, folder_name(store), FILE_VOTE,
-						  &vote_schema, &vote, err))
-		return false;
+	if (persist->has_vote) {
+		store->vote = (store_vote_t){persist->term, persist->vote};
+		store->vote_dirty = true;
+	}
 	if (persist->truncate_from)
 		wl_store_log_truncate(&store->log, persist->truncate_from);
-	if (persist->has_snapshot && persist->truncate_from && !wl_store_log_sync(&store->log, err))
-		return false;
-	if (persist->has_snapshot && !snapshot_write(store, persist, err))
+	if (persist->has_snapshot &&
+	    (!sync_parts(store, err) || !snapshot_write(store, persist, err)))
 		return false;
 	return wl_store_log_append(&store->log, &persist->entries, err);
 }
@@ -337,5 +352,5 @@
 
 	if (!still_usable(store, err))
 		return false;
-	return note_failure(store, wl_store_log_sync(&store->log, &why), &why, err);
+	return note_failure(store, sync_parts(store, &why), &why, err);
 }
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -190,6 +190,24 @@
 	EXPECT_EQ(log(), "1/3/x 2/3/x 3/4/y");
 }
 
+TEST_F(Store, NewestVoteOfASyncComesBack)
+{
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	for (uint64_t term = 2; term <= 4; term++) {
+		wl_raft_persist_t persist = {};
+
+		persist.has_vote = true;
+		persist.term = term;
+		persist.vote = 10 * term;
+		ASSERT_TRUE(wl_store_write(store, &persist, &err)) << err.text;
+	}
+	ASSERT_TRUE(wl_store_sync(store, &err)) << err.text;
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(saved.term, 4u);
+	EXPECT_EQ(saved.vote, 40u);
+}
+
 TEST_F(Store, TruncatedSuffixStaysGone)
 {
 	ASSERT_TRUE(open());
