tests: faults two at a time, drawn from a seed

Kills, freezes, silent cut-offs, planned stops, resets and slow links of daemons and frozen targets, two in a round, with load and tasks going on.

--- /dev/null
+++ b/tests/integration/chaos_test.cc
@@ -0,0 +1,204 @@
+#include "../support/load.h"
+#include "../support/record.h"
+
+extern "C" {
+#include <libwlbase/rng.h>
+}
+
+#include <signal.h>
+
+#include <cstdlib>
+#include <set>
+
+#include <gtest/gtest.h>
+
+/*
+ * Faults of every kind, two at a time, drawn from a seed.  CHAOS_SEED and CHAOS_ROUNDS choose
+ * another run.
+ */
+namespace
+{
+uint64_t number(const char *variable, uint64_t preset)
+{
+	const char *value = getenv(variable);
+
+	return value ? strtoull(value, nullptr, 10) : preset;
+}
+
+class Chaos : public ::testing::Test
+{
+      protected:
+	Chaos()
+	{
+		wl_rng_init(&rng, seed, 0);
+	}
+
+	uint64_t below(uint64_t bound)
+	{
+		return wl_rng_below(&rng, bound);
+	}
+
+	Member &any()
+	{
+		return *cluster.members[below(cluster.members.size())];
+	}
+
+	void pause(uint64_t ms)
+	{
+		std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+	}
+
+	void target(const std::string &action)
+	{
+		std::string log = file_read(cluster.folder + "/targets.log");
+		size_t at = log.find("control port=") + 13;
+
+		http("127.0.0.1:" + log.substr(at, log.find('\n', at) - at), "POST",
+		     "/fake/w" + std::to_string(1 + below(2)) + "/" + action);
+	}
+
+	void fault()
+	{
+		Member &member = any();
+		RelayFaults slow;
+
+		switch (below(7)) {
+		case 0:
+			printf("kill %s\n", member.name.c_str());
+			member.process.kill();
+			break;
+		case 1:
+			printf("freeze %s\n", member.name.c_str());
+			member.process.signal(SIGSTOP);
+			frozen.insert(&member);
+			break;
+		case 2:
+			printf("cut off %s\n", member.name.c_str());
+			cluster.cut_off(member);
+			break;
+		case 3:
+			printf("planned stop of %s\n", member.name.c_str());
+			member.process.signal(SIGTERM);
+			break;
+		case 4:
+			printf("reset links to %s\n", member.name.c_str());
+			member.relay->reset();
+			break;
+		case 5:
+			printf("slow links to %s\n", member.name.c_str());
+			slow.delay_ms = 20;
+			slow.jitter_ms = 60;
+			member.relay->set(slow);
+			break;
+		default:
+			printf("freeze a target\n");
+			target("freeze");
+			break;
+		}
+	}
+
+	void heal()
+	{
+		cluster.heal();
+		for (Member *member : frozen)
+			member->process.signal(SIGCONT);
+		frozen.clear();
+		for (int i = 0; i < 8; i++)
+			target("heal");
+		for (auto &member : cluster.members) {
+			if (member->process.running() && member->process.wait(100) < 0)
+				continue;
+			ASSERT_NO_FATAL_FAILURE(cluster.start(*member));
+		}
+	}
+
+	void add_task(int index)
+	{
+		std::string body =
+			"{\"kind\":\"report\",\"service\":\"tube-sort\",\"cpu_millis\":1000,"
+			"\"memory_mib\":500,\"accelerators\":0,\"run_ms\":1500,\"class\":\"batch\","
+			"\"restartable\":" +
+			std::string(index % 3 ? "true" : "false") + ",\"payload\":\"\"}";
+
+		for (int i = 0; i < 3; i++) {
+			Answer answer = http(any().caller_address(), "POST", "/v1/tasks", body,
+					     {{"Wisterialead-Customer", "norrlamp"},
+					      {"Idempotency-Key", "t" + std::to_string(index)}},
+					     2000);
+
+			if (answer.status != 202)
+				continue;
+			tasks[answer.at("id")] = index % 3 != 0;
+			return;
+		}
+	}
+
+	std::string state(const std::string &id)
+	{
+		for (auto &member : cluster.members) {
+			Answer answer = cluster.operate(*member, "GET", "/v1/tasks/" + id);
+
+			if (answer.status == 200)
+				return answer.at("state");
+		}
+		return "";
+	}
+
+	void check_tasks()
+	{
+		std::string last;
+
+		for (const auto &task : tasks)
+			EXPECT_TRUE(eventually(
+				[&] {
+					last = state(task.first);
+					return last == "done" ||
+					       (!task.second && last == "unknown");
+				},
+				90000))
+				<< task.first << " is " << last;
+		Record record(cluster.record());
+		auto begun = record.begun("task_begin", "task");
+		for (const std::string &one : record.overlaps())
+			ADD_FAILURE() << "in two places at once: " << one;
+		for (const auto &task : tasks)
+			if (!task.second) {
+				EXPECT_LE(begun[task.first], 1) << task.first;
+			}
+	}
+
+	uint64_t seed = number("CHAOS_SEED", 1);
+	wl_rng_t rng;
+	Cluster cluster;
+	std::set<Member *> frozen;
+	std::map<std::string, bool> tasks; /* id: restartable */
+};
+
+TEST_F(Chaos, FaultsTwoAtATime)
+{
+	uint64_t rounds = number("CHAOS_ROUNDS", 4);
+	int added = 0;
+
+	ASSERT_NO_FATAL_FAILURE(cluster.begin());
+	Load load(cluster);
+	for (uint64_t round = 0; round < rounds; round++) {
+		for (int i = 0; i < 6; i++)
+			add_task(added++);
+		pause(below(1000));
+		fault();
+		pause(below(3000));
+		fault();
+		for (int i = 0; i < 3; i++)
+			add_task(added++);
+		pause(below(8000));
+		ASSERT_NO_FATAL_FAILURE(heal());
+		ASSERT_TRUE(eventually(
+			[this] { return cluster.all_ready() && cluster.open_targets() == 2; },
+			60000))
+			<< cluster.status().body;
+		ASSERT_TRUE(load.progress(50));
+	}
+	check_tasks();
+	load.finish();
+}
+} // namespace
