--- a/tests/unit/disk_test.cc
+++ b/tests/unit/disk_test.cc
@@ -11,6 +11,8 @@
 
 namespace
 {
+constexpr int SYNC_MS = 60000; /* a sync of a shared, busy disk may take seconds */
+
 class Disk : public ::testing::Test
 {
       protected:
@@ -75,9 +77,9 @@
 	for (uint64_t ticket = 1; ticket <= 200; ticket++)
 		ASSERT_TRUE(vote(ticket));
 	for (uint64_t ticket = 1; ticket <= 200; ticket++) {
-		Event event = events.next();
+		Event event = events.next(SYNC_MS);
 
-		ASSERT_TRUE(event);
+		ASSERT_TRUE(event) << ticket << (wl_disk_failed(disk) ? ": the disk failed" : "");
 		EXPECT_EQ(event->kind, WL_EVENT_PERSISTED);
 		EXPECT_EQ(event->ticket, ticket);
 	}
@@ -97,7 +99,7 @@
 		taken++;
 	EXPECT_LT(taken, 100000u);
 	for (uint64_t ticket = 1; ticket <= taken; ticket++) {
-		Event event = events.next();
+		Event event = events.next(SYNC_MS);
 
 		ASSERT_TRUE(event);
 		EXPECT_EQ(event->ticket, ticket);
