owner: settle throttles whose answer is lost; refuse what was never sent

A lift that may have been taken holds the full size; a throttle that may have been taken frees nothing until usage shows it. What only waited when its target changed owners is reported as refused, not left to be lost. Starts that a target answers with 5xx count against its health. A leader whose link came up anew is told all offers.

--- a/libwlcore/node.c
+++ b/libwlcore/node.c
@@ -432,6 +432,9 @@
 		node_message(node, now_ns, event, out);
 		return;
 	case WL_EVENT_PEER_UP:
+		if (node->options.entry)
+			wl_owner_step(node->owner, now_ns, event, out);
+		/* fall through */
 	case WL_EVENT_PEER_DOWN:
 	case WL_EVENT_CALL_GONE:
 		if (node->options.entry)
--- a/libwlcore/owned.c
+++ b/libwlcore/owned.c
@@ -135,32 +135,37 @@
 	return owned;
 }
 
+/* Nothing of it can be on its way to the target. */
+static bool never_sent(const wl_attempt_t *attempt)
+{
+	return attempt->phase == WL_ATTEMPT_WAITING ||
+	       (attempt->phase == WL_ATTEMPT_STARTING && !attempt->uncertain && !attempt->call);
+}
+
 /* Attempts whose end is not known are found again by the adoption, or by their new owner. */
-static void attempts_drop(wl_owner_t *owner, wl_owned_t *owned)
+static void attempts_drop(const wl_turn_t *turn, wl_owned_t *owned)
 {
 	wl_attempt_t *attempt;
 	wl_attempt_t *next;
 
 	for (attempt = TAILQ_FIRST(&owned->attempts); attempt; attempt = next) {
 		next = TAILQ_NEXT(attempt, of_target);
-		if (attempt->phase < WL_ATTEMPT_ENDED)
-			wl_attempt_free(owner, attempt);
+		if (never_sent(attempt))
+			wl_attempt_end(turn, attempt, WL_REPORT_REFUSED,
+				       WL_STR("the target changed owners"));
+		else if (attempt->phase < WL_ATTEMPT_ENDED)
+			wl_attempt_free(turn->owner, attempt);
 	}
 }
 
-static void earlier_drop(wl_owned_t *owned)
-{
-	wl_owned_earlier(owned, 0);
-}
-
 /*
  * wl_owned_grant - go on with a target under a new epoch
  */
 void wl_owned_grant(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_row_t *row)
 {
 	wl_owned_event(turn, owned, WL_TARGET_GRANT);
-	attempts_drop(turn->owner, owned);
-	earlier_drop(owned);
+	attempts_drop(turn, owned);
+	wl_owned_earlier(owned, 0);
 	owned->target->epoch = row->epoch;
 	owned->session = row->session;
 	owned->granted_ns = turn->now_ns;
@@ -187,8 +192,8 @@
 	if (owned->target->state == WL_TARGET_GONE)
 		return;
 	wl_owned_event(turn, owned, WL_TARGET_MOVED);
-	attempts_drop(turn->owner, owned);
-	earlier_drop(owned);
+	attempts_drop(turn, owned);
+	wl_owned_earlier(owned, 0);
 	wl_owned_touch(turn, owned);
 }
 
--- a/libwlcore/owner.c
+++ b/libwlcore/owner.c
@@ -211,6 +211,11 @@
 	case WL_EVENT_PEER:
 		take_peer(&turn, event);
 		break;
+	case WL_EVENT_PEER_UP:
+		/* Offers on the link before may be lost. */
+		if (wl_str_equal(wl_buf_str(&event->peer), wl_buf_str(&owner->offer_leader)))
+			wl_buf_clear(&owner->offer_leader);
+		break;
 	case WL_EVENT_CALL:
 		wl_owner_take_call(&turn, &event->call);
 		break;
--- a/libwlcore/owner_internal.h
+++ b/libwlcore/owner_internal.h
@@ -281,7 +281,9 @@
 uint64_t wl_owned_relieve_ns(const wl_owned_t *owned);
 void wl_owned_relieve(const wl_turn_t *turn, wl_owned_t *owned);
 void wl_attempt_throttle(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille);
-void wl_attempt_throttled(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille);
+void wl_attempt_throttled(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille,
+			  bool certain);
+void wl_attempt_throttle_seen(const wl_turn_t *turn, wl_attempt_t *attempt, bool throttled);
 void wl_owner_presses_free(wl_owner_t *owner);
 
 /* owner_observe.c */
--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -86,20 +86,36 @@
 }
 
 /*
- * wl_attempt_throttled - the target has taken a throttle
+ * wl_attempt_throttled - the target has, or may have, taken a throttle
+ * @certain: false if its answer was lost: the larger size is held until usage tells
  */
-void wl_attempt_throttled(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille)
+void wl_attempt_throttled(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille,
+			  bool certain)
 {
 	wl_need_t held = attempt->need;
 
 	if (!attempt->owned || attempt->phase >= WL_ATTEMPT_ENDED)
 		return;
+	attempt->owned->acted_ns = turn->now_ns;
+	if (!certain && cpu_permille < FULL_PERMILLE)
+		return;
 	attempt->throttled = cpu_permille < FULL_PERMILLE;
 	held.cpu_millis = held.cpu_millis * cpu_permille / 1000;
 	if (held.memory_mib < attempt->held.memory_mib)
 		held.memory_mib = attempt->held.memory_mib;
 	wl_attempt_hold(attempt, &held);
-	attempt->owned->acted_ns = turn->now_ns;
+}
+
+/*
+ * wl_attempt_throttle_seen - take in whether the target says that an attempt is throttled
+ */
+void wl_attempt_throttle_seen(const wl_turn_t *turn, wl_attempt_t *attempt, bool throttled)
+{
+	if (attempt->call || !action_shows(attempt->owned))
+		return;
+	attempt->throttled = throttled;
+	if (throttled && !attempt->owned->pressed_ns)
+		attempt->owned->pressed_ns = turn->now_ns;
 }
 
 static bool throttle_all(const wl_turn_t *turn, wl_owned_t *owned)
--- a/libwlcore/owner_tasks.c
+++ b/libwlcore/owner_tasks.c
@@ -248,10 +248,14 @@
 	return NULL;
 }
 
+static bool refused(const wl_fetched_t *fetched)
+{
+	return fetched->whole && fetched->status == 409;
+}
+
 static void start_ended(const wl_turn_t *turn, wl_attempt_t *attempt, const wl_fetched_t *fetched,
 			const wl_target_answer_t *answer)
 {
-	bool refused = fetched->whole && fetched->status == 409;
 	wl_str_t reason = answer ? wl_buf_str(&answer->error) : WL_STR("target refused the start");
 
 	if (attempt->phase != WL_ATTEMPT_STARTING)
@@ -260,12 +264,14 @@
 		wl_attempt_started(turn, attempt);
 		return;
 	}
-	if (!attempt->uncertain && (refused || !fetched->sent)) {
+	if (!attempt->uncertain && (refused(fetched) || !fetched->sent)) {
 		wl_attempt_end(turn, attempt, WL_REPORT_REFUSED,
 			       fetched->sent ? reason : WL_STR("target could not be reached"));
 		return;
 	}
-	attempt->uncertain = attempt->uncertain || (fetched->sent && !refused);
+	if (fetched->whole && fetched->status >= 500)
+		wl_owned_note(turn, attempt->owned, wl_buf_str(&attempt->kind), false);
+	attempt->uncertain = attempt->uncertain || (fetched->sent && !refused(fetched));
 	call_again(turn, attempt);
 }
 
@@ -336,8 +342,8 @@
 		ack_ended(turn, attempt, taken);
 		break;
 	case WL_CALL_THROTTLE:
-		if (taken)
-			wl_attempt_throttled(turn, attempt, call->cpu_permille);
+		if (taken || (fetched->sent && !refused(fetched)))
+			wl_attempt_throttled(turn, attempt, call->cpu_permille, taken != NULL);
 		break;
 	default:
 		break;
--- a/libwlcore/owner_usage.c
+++ b/libwlcore/owner_usage.c
@@ -28,13 +28,10 @@
 	wl_buf_set(&attempt->kind, wl_buf_str(&usage->kind));
 	attempt->work_class = usage->work_class;
 	attempt->restartable = usage->restartable;
-	attempt->throttled = usage->throttled;
 	attempt->need = usage->need;
 	if (attempt->need.slots == 0)
 		attempt->need.slots = 1;
 	attempt->started = true;
-	if (attempt->throttled)
-		attempt->owned->pressed_ns = turn->now_ns;
 	if (usage->state == WL_RUN_RUNNING)
 		wl_attempt_report(turn, attempt, WL_REPORT_STARTED, WL_STR("adopted"));
 }
@@ -45,6 +42,7 @@
 		wl_attempt_started(turn, attempt);
 	if (attempt->kind.len == 0)
 		adopt_attempt(turn, attempt, usage);
+	wl_attempt_throttle_seen(turn, attempt, usage->throttled);
 	held_update(attempt, usage);
 	if (usage->slowdown_permille)
 		attempt->slowdown_permille = usage->slowdown_permille;
