--- a/libwlcore/health.h
+++ b/libwlcore/health.h
@@ -17,7 +17,7 @@
 	uint64_t ok_ns;	    /* newest success; 0: none */
 	uint64_t failed_on; /* hash of the first target that failed it; 0: none */
 	bool failed_widely; /* on a second target too */
-	uint64_t base_ns;   /* shortest usual latency of requests; 0: not known */
+	uint64_t base_ns;   /* lowest average latency of its requests; 0: not known */
 	TAILQ_ENTRY(wl_kind) link;
 } wl_kind_t;
 
--- a/libwlcore/owner_observe.c
+++ b/libwlcore/owner_observe.c
@@ -3,7 +3,7 @@
 #include "owner_internal.h"
 
 #define LATENCY_SHARE  8    /* of a new sample in the moving averages */
-#define BASE_RISE      1024 /* how slowly the shortest latency is forgotten */
+#define BASE_RISE      1024 /* how slowly the lowest average is forgotten */
 #define MOST_PERMILLE  100000
 #define PEAK_WINDOW_NS 10000000000ull
 #define NO_SLOWDOWN    1000
@@ -36,21 +36,21 @@
 	wl_owned_event(turn, owned, WL_TARGET_FAIL);
 }
 
+/* Single latencies vary with the requests themselves, so that averages are compared. */
 static void latency_note(wl_owned_t *owned, wl_kind_t *kind, uint64_t took_ns)
 {
+	uint64_t latency_ns = average(owned->target->latency_ns, took_ns);
 	uint64_t slowdown;
 
-	if (kind->base_ns == 0 || took_ns < kind->base_ns)
-		kind->base_ns = took_ns ? took_ns : 1;
+	owned->target->latency_ns = latency_ns;
+	if (kind->base_ns == 0 || latency_ns < kind->base_ns)
+		kind->base_ns = latency_ns ? latency_ns : 1;
 	else
-		kind->base_ns += (took_ns - kind->base_ns) / BASE_RISE;
-	owned->target->latency_ns = average(owned->target->latency_ns, took_ns);
-	slowdown = took_ns / (kind->base_ns / NO_SLOWDOWN + 1);
+		kind->base_ns += (latency_ns - kind->base_ns) / BASE_RISE;
+	slowdown = latency_ns / (kind->base_ns / NO_SLOWDOWN + 1);
 	if (slowdown < NO_SLOWDOWN)
 		slowdown = NO_SLOWDOWN;
-	if (slowdown > MOST_PERMILLE)
-		slowdown = MOST_PERMILLE;
-	owned->request_slowdown_permille = average(owned->request_slowdown_permille, slowdown);
+	owned->request_slowdown_permille = slowdown < MOST_PERMILLE ? slowdown : MOST_PERMILLE;
 }
 
 static void peak_note(wl_owned_t *owned, uint64_t now_ns)
--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -14,7 +14,7 @@
 #define EVICT_AFTER_MS	1000  /* of pressure that throttling did not end */
 #define CALM_MS		3000  /* without pressure throttles are lifted */
 #define KEEP_MS		10000 /* that batch work gets no room after pressure */
-#define SLOW_PERMILLE	1250  /* slowdown from which throttling may help */
+#define SLOW_PERMILLE	1500  /* slowdown of requests from which throttling may help */
 #define USAGE_MARGIN_MS 50    /* usage may be older than it says by its way here */
 #define FULL_PERMILLE	1000
 
@@ -356,7 +356,7 @@
 {
 	wl_need_t missing = missing_for(owned, &owned->owner->options.ledger->request);
 
-	if (missing.cpu_millis == 0 && owned->target->slowdown_permille < SLOW_PERMILLE)
+	if (missing.cpu_millis == 0 && owned->request_slowdown_permille < SLOW_PERMILLE)
 		return 0;
 	return throttle_frees(owned);
 }
--- a/tests/target/owner_run.h
+++ b/tests/target/owner_run.h
@@ -16,6 +16,19 @@
 #include "fake.h"
 }
 
+static const uint64_t MS = 1000000;
+static const uint64_t ANNOUNCE_MS = 1000;
+
+inline wl_str_t str(const std::string &text)
+{
+	return {text.data(), text.size()};
+}
+
+inline std::string text(const wl_buf_t &buf)
+{
+	return std::string(buf.at ? buf.at : "", buf.len);
+}
+
 /* One entry's owner part with its ledger, view and session. */
 struct OwnerEntry {
 	std::string name;
@@ -63,6 +76,7 @@
 	void stop(const Words &words);
 	void fault(const Words &words);
 	void request(const Words &words);
+	void call(const Words &words);
 	void serve(const Words &words);
 	void served(const Words &words);
 	void show(const Words &words);
