tests: order the targets' record by its times before looking for overlaps

The record shows that it was the test: w1 was frozen, its leases ended at 1770388 ms by its own clock, w2 began at 1771034 ms; w1 could write its ends down only when it went on, so that they stood after w2's lines.

--- a/tests/support/record.cc
+++ b/tests/support/record.cc
@@ -1,5 +1,6 @@
 #include "record.h"
 
+#include <algorithm>
 #include <set>
 #include <sstream>
 
@@ -19,6 +20,10 @@
 		}
 		lines.push_back(line);
 	}
+	/* A frozen target writes the end of a lease down only once it goes on, with its time. */
+	std::stable_sort(lines.begin(), lines.end(), [](const Line &a, const Line &b) {
+		return std::stoull(a.at("ns")) < std::stoull(b.at("ns"));
+	});
 }
 
 std::map<std::string, int> Record::begun(const std::string &event, const std::string &key) const
