net: split the links' thread, the hang-up watch and the late events out

Events that wait for room in the ring had two homes, in the peer link and in the HTTP client; they have one now. No change of behaviour; unit tests plain and under the thread sanitizer.

--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -16,6 +16,7 @@
 #include <ck_pr.h>
 
 #include "http_transfer.h"
+#include "late.h"
 
 #define POLL_MS		1000
 #define DEADLINE_MS	50 /* between two looks at the deadlines */
@@ -42,8 +43,8 @@
 	CURLM *multi;
 	wl_map_t by_id;
 	struct transfer_list running;
-	struct transfer_list ended; /* their events did not fit the ring yet */
-	uint64_t looked_ns;	    /* when the deadlines were last looked at */
+	wl_late_t events;   /* on their way to the ring */
+	uint64_t looked_ns; /* when the deadlines were last looked at */
 };
 
 static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
@@ -61,30 +62,14 @@
 	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
-static bool transfer_report(wl_http_client_t *client, wl_transfer_t *transfer)
+static void client_report(wl_http_client_t *client, wl_fetched_t *fetched)
 {
 	wl_event_t *event = wl_alloc(sizeof(*event));
 
 	wl_event_init(event, WL_EVENT_FETCHED);
-	event->fetched = transfer->fetched;
-	memset(&transfer->fetched, 0, sizeof(transfer->fetched));
-	if (wl_ring_push(client->options.events, event))
-		return true;
-	transfer->fetched = event->fetched;
-	free(event);
-	return false;
-}
-
-static void client_report(wl_http_client_t *client)
-{
-	wl_transfer_t *transfer;
-
-	while ((transfer = TAILQ_FIRST(&client->ended)) != NULL) {
-		if (!transfer_report(client, transfer))
-			return;
-		TAILQ_REMOVE(&client->ended, transfer, link);
-		wl_transfer_free(transfer);
-	}
+	event->fetched = *fetched;
+	memset(fetched, 0, sizeof(*fetched));
+	wl_late_push(&client->events, event);
 }
 
 static void client_end(wl_http_client_t *client, wl_transfer_t *transfer, CURLcode code,
@@ -94,18 +79,17 @@
 	curl_multi_remove_handle(client->multi, transfer->easy);
 	wl_map_remove(&client->by_id, transfer->key);
 	TAILQ_REMOVE(&client->running, transfer, link);
-	TAILQ_INSERT_TAIL(&client->ended, transfer, link);
+	client_report(client, &transfer->fetched);
+	wl_transfer_free(transfer);
 }
 
 /* A call that can't even be begun still ends in its event. */
 static void client_refuse(wl_http_client_t *client, uint64_t id, const char *error)
 {
-	wl_transfer_t *transfer = wl_alloc(sizeof(*transfer));
+	wl_fetched_t fetched = {.id = id};
 
-	memset(transfer, 0, sizeof(*transfer));
-	transfer->fetched.id = id;
-	wl_buf_set(&transfer->fetched.error, wl_str_from(error));
-	TAILQ_INSERT_TAIL(&client->ended, transfer, link);
+	wl_buf_set(&fetched.error, wl_str_from(error));
+	client_report(client, &fetched);
 }
 
 static void client_begin(wl_http_client_t *client, wl_fetch_t *fetch)
@@ -193,7 +177,7 @@
 
 static int client_poll_ms(const wl_http_client_t *client)
 {
-	if (!TAILQ_EMPTY(&client->ended))
+	if (!wl_late_empty(&client->events))
 		return RETRY_MS;
 	return TAILQ_EMPTY(&client->running) ? POLL_MS : DEADLINE_MS;
 }
@@ -204,11 +188,7 @@
 
 	while ((transfer = TAILQ_FIRST(&client->running)) != NULL)
 		client_end(client, transfer, CURLE_ABORTED_BY_CALLBACK, "stopped");
-	client_report(client);
-	while ((transfer = TAILQ_FIRST(&client->ended)) != NULL) {
-		TAILQ_REMOVE(&client->ended, transfer, link);
-		wl_transfer_free(transfer);
-	}
+	wl_late_flush(&client->events);
 }
 
 static void *client_main(void *arg)
@@ -223,7 +203,7 @@
 		curl_multi_perform(client->multi, &running);
 		client_ended(client);
 		client_deadlines(client, now_read());
-		client_report(client);
+		wl_late_flush(&client->events);
 		curl_multi_poll(client->multi, &wake, 1, client_poll_ms(client), NULL);
 	}
 	client_orders(client);
@@ -235,6 +215,7 @@
 {
 	if (client->multi)
 		curl_multi_cleanup(client->multi);
+	wl_late_free(&client->events);
 	wl_map_free(&client->by_id);
 	wl_ring_free(client->orders);
 	free(client);
@@ -273,7 +254,7 @@
 	client->options = *options;
 	wl_map_init(&client->by_id);
 	TAILQ_INIT(&client->running);
-	TAILQ_INIT(&client->ended);
+	wl_late_init(&client->events, options->events);
 	if (client_open(client, err))
 		return client;
 	client_free(client);
--- a/libwlnet/http_server.c
+++ b/libwlnet/http_server.c
@@ -9,21 +9,17 @@
 
 #include "http_server.h"
 
-#include <errno.h>
-#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/eventfd.h>
 #include <unistd.h>
 
 #include "address.h"
 #include "http_exchange.h"
+#include "http_watch.h"
 
 #define DISCARD_BYTES	 (1 << 20) /* read past the body limit, so that the refusal arrives */
 #define POOL_SPARE_BYTES 8192
-#define WATCH_EVENTS	 64
 #define RETRY_MS	 5
 #define MS_PER_S	 1000
 
@@ -33,9 +29,7 @@
 	wl_http_server_options_t options;
 	struct MHD_Daemon *daemon;
 	int listen_fd;
-	int watch_fd; /* epoll over suspended connections */
-	int stop_fd;
-	pthread_t watcher;
+	wl_http_watch_t *watch; /* over suspended connections */
 	uint16_t port;
 	uint64_t next_call; /* used by the library's thread alone */
 	pthread_mutex_t lock;
@@ -97,12 +91,8 @@
 {
 	const union MHD_ConnectionInfo *info =
 		MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-	struct epoll_event want = {.events = EPOLLRDHUP | EPOLLONESHOT, .data.u64 = exchange->id};
 
-	if (epoll_ctl(server->watch_fd, EPOLL_CTL_ADD, info->connect_fd, &want) == 0)
-		return;
-	if (errno == EEXIST)
-		epoll_ctl(server->watch_fd, EPOLL_CTL_MOD, info->connect_fd, &want);
+	wl_http_watch_add(server->watch, info->connect_fd, exchange->id);
 }
 
 static wl_event_t *exchange_event(wl_http_server_t *server, wl_exchange_t *exchange)
@@ -289,45 +279,14 @@
 	return exchange != NULL;
 }
 
-static bool watch_stopped(const wl_http_server_t *server, int timeout_ms)
-{
-	struct pollfd wait = {.fd = server->stop_fd, .events = POLLIN};
-
-	return poll(&wait, 1, timeout_ms) > 0;
-}
-
-static void *watch_main(void *arg)
+static void caller_gone(void *arg, uint64_t id)
 {
 	wl_http_server_t *server = arg;
-	struct epoll_event events[WATCH_EVENTS];
-
-	pthread_setname_np(pthread_self(), "wl-http-watch");
-	while (!watch_stopped(server, 0)) {
-		int count = epoll_wait(server->watch_fd, events, WATCH_EVENTS, -1);
-
-		for (int i = 0; i < count; i++) {
-			uint64_t id = events[i].data.u64;
-
-			if (id == UINT64_MAX || !exchange_abandon(server, id))
-				continue;
-			while (!event_push_gone(server, id) && !watch_stopped(server, RETRY_MS))
-				;
-		}
-	}
-	return NULL;
-}
-
-static bool server_watch(wl_http_server_t *server, wl_err_t *err)
-{
-	struct epoll_event stop = {.events = EPOLLIN, .data.u64 = UINT64_MAX};
 
-	server->watch_fd = epoll_create1(EPOLL_CLOEXEC);
-	server->stop_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-	if (server->watch_fd >= 0 && server->stop_fd >= 0 &&
-	    epoll_ctl(server->watch_fd, EPOLL_CTL_ADD, server->stop_fd, &stop) == 0 &&
-	    pthread_create(&server->watcher, NULL, watch_main, server) == 0)
-		return true;
-	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP listener: %s", strerror(errno));
+	if (!exchange_abandon(server, id))
+		return;
+	while (!event_push_gone(server, id) && !wl_http_watch_stopping(server->watch, RETRY_MS))
+		;
 }
 
 static bool server_listen(wl_http_server_t *server, wl_err_t *err)
@@ -353,31 +312,16 @@
 			  WL_STR_ARG(options->listen));
 }
 
-static void server_close(int fd)
-{
-	if (fd >= 0)
-		close(fd);
-}
-
 static void server_free(wl_http_server_t *server)
 {
-	server_close(server->listen_fd);
-	server_close(server->watch_fd);
-	server_close(server->stop_fd);
+	wl_http_watch_stop(server->watch);
+	if (server->listen_fd >= 0)
+		close(server->listen_fd);
 	wl_map_free(&server->waiting);
 	pthread_mutex_destroy(&server->lock);
 	free(server);
 }
 
-static void watch_stop(wl_http_server_t *server)
-{
-	uint64_t one = 1;
-
-	while (write(server->stop_fd, &one, sizeof(one)) < 0 && errno == EINTR)
-		;
-	pthread_join(server->watcher, NULL);
-}
-
 /*
  * wl_http_server_start - listen, with the threads that it takes
  * @options: the listen text need not outlive the call, the ring must
@@ -392,15 +336,13 @@
 	memset(server, 0, sizeof(*server));
 	server->options = *options;
 	server->next_call = options->first_call;
-	server->listen_fd = server->watch_fd = server->stop_fd = -1;
+	server->listen_fd = -1;
 	pthread_mutex_init(&server->lock, NULL);
 	wl_map_init(&server->waiting);
 	TAILQ_INIT(&server->all);
-	if (server_watch(server, err)) {
-		if (server_listen(server, err))
-			return server;
-		watch_stop(server);
-	}
+	server->watch = wl_http_watch_start(caller_gone, server, err);
+	if (server->watch && server_listen(server, err))
+		return server;
 	server_free(server);
 	return NULL;
 }
@@ -472,7 +414,6 @@
 	wl_http_server_quiesce(server);
 	server_refuse_waiting(server);
 	MHD_stop_daemon(server->daemon);
-	watch_stop(server);
 	server_free(server);
 }
 
--- /dev/null
+++ b/libwlnet/http_watch.h
@@ -0,0 +1,18 @@
+#ifndef WL_HTTP_WATCH_H
+#define WL_HTTP_WATCH_H
+
+#include <libwlbase/err.h>
+
+/* A thread that waits for the other sides of sockets to hang up; internal to the HTTP server. */
+
+typedef struct wl_http_watch wl_http_watch_t;
+
+/* Called on the watch's thread. */
+typedef void (*wl_http_gone_t)(void *context, uint64_t id);
+
+wl_http_watch_t *wl_http_watch_start(wl_http_gone_t gone, void *context, wl_err_t *err);
+void wl_http_watch_add(wl_http_watch_t *watch, int fd, uint64_t id);
+bool wl_http_watch_stopping(const wl_http_watch_t *watch, int timeout_ms);
+void wl_http_watch_stop(wl_http_watch_t *watch);
+
+#endif
--- /dev/null
+++ b/libwlnet/late.c
@@ -0,0 +1,75 @@
+/* Events on their way to a ring, kept in order while it is full. */
+
+#include "late.h"
+
+#include <stdlib.h>
+
+struct wl_late_event {
+	wl_event_t *event;
+	STAILQ_ENTRY(wl_late_event) link;
+};
+
+/*
+ * wl_late_init - make an empty queue before a ring
+ */
+void wl_late_init(wl_late_t *late, wl_ring_t *ring)
+{
+	late->ring = ring;
+	STAILQ_INIT(&late->events);
+}
+
+/*
+ * wl_late_free - release the events that did not get into the ring
+ */
+void wl_late_free(wl_late_t *late)
+{
+	struct wl_late_event *first;
+
+	while ((first = STAILQ_FIRST(&late->events)) != NULL) {
+		STAILQ_REMOVE_HEAD(&late->events, link);
+		wl_event_free(first->event);
+		free(first->event);
+		free(first);
+	}
+}
+
+/*
+ * wl_late_push - put an event into the ring, or keep it until there is room
+ * @event: taken over
+ */
+void wl_late_push(wl_late_t *late, wl_event_t *event)
+{
+	struct wl_late_event *last;
+
+	if (STAILQ_EMPTY(&late->events) && wl_ring_push(late->ring, event))
+		return;
+	last = wl_alloc(sizeof(*last));
+	last->event = event;
+	STAILQ_INSERT_TAIL(&late->events, last, link);
+}
+
+/*
+ * wl_late_flush - put the kept events into the ring
+ *
+ * Return: false if some are left.
+ */
+bool wl_late_flush(wl_late_t *late)
+{
+	struct wl_late_event *first;
+
+	while ((first = STAILQ_FIRST(&late->events)) != NULL) {
+		if (!wl_ring_push(late->ring, first->event))
+			return false;
+		STAILQ_REMOVE_HEAD(&late->events, link);
+		free(first);
+	}
+	return true;
+}
+
+/*
+ * wl_late_empty - is nothing kept?
+ */
+bool wl_late_empty(const wl_late_t *late)
+{
+	return STAILQ_EMPTY(&late->events);
+}
--- /dev/null
+++ b/libwlnet/late.h
@@ -0,0 +1,24 @@
+#ifndef WL_LATE_H
+#define WL_LATE_H
+
+#include <sys/queue.h>
+
+#include <libwlbase/ring.h>
+#include <libwlcore/event.h>
+
+/* Events on their way to a ring, kept in order while it is full; used by one thread. */
+
+struct wl_late_event;
+
+typedef struct wl_late {
+	wl_ring_t *ring;
+	STAILQ_HEAD(wl_late_list, wl_late_event) events;
+} wl_late_t;
+
+void wl_late_init(wl_late_t *late, wl_ring_t *ring);
+void wl_late_free(wl_late_t *late);
+void wl_late_push(wl_late_t *late, wl_event_t *event);
+bool wl_late_flush(wl_late_t *late);
+bool wl_late_empty(const wl_late_t *late);
+
+#endif
--- a/libwlnet/peer.c
+++ b/libwlnet/peer.c
@@ -1,445 +1,18 @@
-/*
- * Links between daemons, on one epoll thread.
- *
- * Either side may dial.  Two daemons that dial each other at once end with
- * the link that the lower name dialled; otherwise the newest proven link takes
- * the older one's place.  A link that ends gives a PEER_DOWN event before any
- * PEER_UP of the next.
- */
+/* Links between daemons: start, stop, and what other threads may ask of them. */
 
-#include "peer.h"
+#include "peer_internal.h"
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/random.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <ck_pr.h>
 
-#include <libwlbase/log.h>
-
 #include "address.h"
-#include "peer_table.h"
-
-#define NS_PER_MS	 1000000ull
-#define NS_PER_S	 1000000000ull
-#define TIMER_MS	 50
-#define STALL_MS	 2 /* between two tries to put events into a full ring */
-#define BACKOFF_LEAST_MS 50
-#define BACKOFF_MOST_MS	 2000
-#define UNPROVEN_MOST	 64 /* accepted links whose handshake is not over */
-#define WRITE_AHEAD	 (256 << 10)
-#define EPOLL_EVENTS	 64
-#define LAST_WRITES	 20
-#define LAST_WRITE_MS	 10
-#define PINGS_PER_IDLE	 3
-
-TAILQ_HEAD(link_list, wl_link);
-
-typedef struct late_event {
-	wl_event_t *event;
-	STAILQ_ENTRY(late_event) link;
-} late_event_t;
-
-struct wl_peers {
-	wl_peer_options_t options;
-	wl_buf_t name;
-	wl_buf_t secret;
-	uint64_t boot;
-	wl_peer_table_t table;
-	pthread_t thread;
-	int listen_fd;
-	int epoll_fd;
-	int wake_fd;
-	uint16_t port;
-	unsigned int stopping;
-	uint64_t refused;
-	/* the thread's own */
-	wl_rng_t rng;
-	struct link_list links;
-	uint64_t unproven;
-	STAILQ_HEAD(, late_event) late; /* events that did not fit the ring */
-};
-
-static uint64_t now_read(void)
-{
-	struct timespec at;
-
-	clock_gettime(CLOCK_MONOTONIC, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
-}
-
-static void emit(wl_peers_t *peers, wl_event_t *event)
-{
-	late_event_t *late;
-
-	if (STAILQ_EMPTY(&peers->late) && wl_ring_push(peers->options.events, event))
-		return;
-	late = wl_alloc(sizeof(*late));
-	late->event = event;
-	STAILQ_INSERT_TAIL(&peers->late, late, link);
-}
-
-static bool emit_late(wl_peers_t *peers)
-{
-	late_event_t *late;
-
-	while ((late = STAILQ_FIRST(&peers->late)) != NULL) {
-		if (!wl_ring_push(peers->options.events, late->event))
-			return false;
-		STAILQ_REMOVE_HEAD(&peers->late, link);
-		free(late);
-	}
-	return true;
-}
-
-static void emit_peer(wl_peers_t *peers, wl_event_kind_t kind, const wl_peer_t *peer)
-{
-	wl_event_t *event = wl_alloc(sizeof(*event));
-
-	wl_event_init(event, kind);
-	wl_buf_set(&event->peer, wl_buf_str(&peer->name));
-	emit(peers, event);
-}
-
-static void emit_message(wl_peers_t *peers, wl_link_t *link, wl_str_t payload)
-{
-	wl_event_t *event = wl_alloc(sizeof(*event));
-	wl_err_t err;
-
-	wl_event_init(event, WL_EVENT_PEER);
-	if (!wl_msg_unpack(payload, &event->msg, &err)) {
-		wl_link_fail(link, "message does not unpack");
-		wl_event_free(event);
-		free(event);
-		return;
-	}
-	wl_buf_set(&event->peer, wl_buf_str(&link->peer->name));
-	emit(peers, event);
-}
-
-static void link_want(wl_peers_t *peers, wl_link_t *link, int operation)
-{
-	bool write = link->state == WL_LINK_CONNECTING || wl_link_unsent(link) > 0;
-	struct epoll_event want = {.events = EPOLLIN | (write ? EPOLLOUT : 0), .data.ptr = link};
-
-	if (operation == EPOLL_CTL_MOD && write == link->wants_write)
-		return;
-	link->wants_write = write;
-	if (epoll_ctl(peers->epoll_fd, operation, link->fd, &want) < 0)
-		wl_link_fail(link, NULL);
-}
-
-static wl_link_t *link_begin(wl_peers_t *peers, int fd, bool dialled, uint64_t now_ns)
-{
-	wl_link_options_t options = {.name = wl_buf_str(&peers->name),
-				     .secret = wl_buf_str(&peers->secret),
-				     .boot = peers->boot,
-				     .max_frame_bytes = peers->options.max_frame_bytes,
-				     .dialled = dialled};
-	wl_link_t *link = wl_link_new(fd, &options, now_ns);
-	int one = 1;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	TAILQ_INSERT_TAIL(&peers->links, link, link);
-	peers->unproven += !dialled;
-	if (!dialled)
-		wl_link_connected(link);
-	link_want(peers, link, EPOLL_CTL_ADD);
-	return link;
-}
-
-static void links_accept(wl_peers_t *peers, uint64_t now_ns)
-{
-	int fd;
-
-	while ((fd = accept4(peers->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		if (peers->unproven >= UNPROVEN_MOST) {
-			ck_pr_inc_64(&peers->refused);
-			close(fd);
-			continue;
-		}
-		link_begin(peers, fd, false, now_ns);
-	}
-}
-
-static void peer_back_off(wl_peers_t *peers, wl_peer_t *peer, uint64_t now_ns)
-{
-	uint64_t least = peer->backoff_ms ? peer->backoff_ms : BACKOFF_LEAST_MS;
-	uint64_t wait_ms = least / 2 + wl_rng_below(&peers->rng, least);
-
-	peer->next_dial_ns = now_ns + wait_ms * NS_PER_MS;
-	peer->backoff_ms = least * 2 < BACKOFF_MOST_MS ? least * 2 : BACKOFF_MOST_MS;
-}
-
-static void peer_dial(wl_peers_t *peers, wl_peer_t *peer, wl_str_t text, uint64_t now_ns)
-{
-	wl_address_t address;
-	wl_err_t err;
-	int fd = -1;
-
-	peer_back_off(peers, peer, now_ns);
-	if (!wl_address_parse(text, &address, &err)) {
-		wl_log_event(WL_WARN, "peer_address", "peer=%s", peer->name.at);
-		return;
-	}
-	fd = socket(address.at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return;
-	if (connect(fd, (struct sockaddr *)&address.at, address.len) < 0 && errno != EINPROGRESS) {
-		close(fd);
-		return;
-	}
-	peer->dialling = link_begin(peers, fd, true, now_ns);
-	peer->dialling->peer = peer;
-}
-
-static void peer_down(wl_peers_t *peers, wl_peer_t *peer, uint64_t now_ns)
-{
-	peer->current = NULL;
-	peer->backoff_ms = 0;
-	peer_back_off(peers, peer, now_ns);
-	wl_peer_table_set_up(&peers->table, peer, false);
-	emit_peer(peers, WL_EVENT_PEER_DOWN, peer);
-	wl_log_event(WL_INFO, "peer_down", "peer=%s", peer->name.at);
-}
-
-/* Both ends come to the same choice between two links that were dialled at once. */
-static bool link_yields(const wl_peers_t *peers, const wl_link_t *link, const wl_link_t *current)
-{
-	bool own_is_lower =
-		wl_str_compare(wl_buf_str(&peers->name), wl_buf_str(&link->proof.other.name)) < 0;
-	bool recent = link->up_ns - current->up_ns < peers->options.handshake_ms * NS_PER_MS;
-
-	if (link->proof.other.boot != current->proof.other.boot || !recent)
-		return false;
-	return current->proof.dialled == own_is_lower && link->proof.dialled != own_is_lower;
-}
-
-static void link_up(wl_peers_t *peers, wl_link_t *link, uint64_t now_ns)
-{
-	wl_str_t name = wl_buf_str(&link->proof.other.name);
-	wl_peer_t *peer = link->peer ? link->peer : wl_peer_table_get(&peers->table, name);
-	wl_link_t *current = peer->current;
-
-	peers->unproven -= !link->proof.dialled;
-	if (!wl_str_equal(wl_buf_str(&peer->name), name)) {
-		wl_link_fail(link, "peer bears another name");
-		return;
-	}
-	link->peer = peer;
-	if (peer->dialling == link)
-		peer->dialling = NULL;
-	if (current && link_yields(peers, link, current)) {
-		wl_link_fail(link, NULL);
-		return;
-	}
-	if (current) {
-		wl_link_fail(current, NULL);
-		peer_down(peers, peer, now_ns);
-	}
-	peer->current = link;
-	peer->backoff_ms = 0;
-	wl_peer_table_set_up(&peers->table, peer, true);
-	emit_peer(peers, WL_EVENT_PEER_UP, peer);
-	wl_log_event(WL_INFO, "peer_up", "peer=%s dialled=%s", peer->name.at,
-		     link->proof.dialled ? "yes" : "no");
-}
-
-static void link_receive(wl_peers_t *peers, wl_link_t *link, uint64_t now_ns)
-{
-	wl_link_state_t before;
-	wl_str_t payload;
-
-	wl_link_read(link, now_ns);
-	for (;;) {
-		before = link->state;
-		if (wl_link_take(link, now_ns, &payload)) {
-			emit_message(peers, link, payload);
-			continue;
-		}
-		if (before == WL_LINK_UP || link->state != WL_LINK_UP)
-			return;
-		link_up(peers, link, now_ns);
-	}
-}
-
-static void link_handle(wl_peers_t *peers, wl_link_t *link, uint32_t events, uint64_t now_ns)
-{
-	int error = 0;
-	socklen_t len = sizeof(error);
-
-	if (link->state == WL_LINK_CLOSED)
-		return;
-	if (link->state == WL_LINK_CONNECTING) {
-		if (getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &len) < 0 || error != 0) {
-			wl_link_fail(link, NULL);
-			return;
-		}
-		wl_link_connected(link);
-	}
-	if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) && STAILQ_EMPTY(&peers->late))
-		link_receive(peers, link, now_ns);
-}
-
-/* Moves queued frames to the link and writes. */
-static void link_flush(wl_peers_t *peers, wl_link_t *link, uint64_t now_ns)
-{
-	wl_frame_t *frame;
-
-	if (link->state == WL_LINK_CLOSED || link->state == WL_LINK_CONNECTING)
-		return;
-	do {
-		while (link->peer && link->peer->current == link &&
-		       wl_link_unsent(link) < WRITE_AHEAD &&
-		       (frame = wl_peer_table_next(&peers->table, link->peer)) != NULL) {
-			wl_link_put(link, wl_buf_str(&frame->bytes));
-			wl_frame_free(frame);
-		}
-		if (wl_link_unsent(link) == 0)
-			break;
-		wl_link_write(link, now_ns);
-	} while (link->state != WL_LINK_CLOSED && wl_link_unsent(link) == 0);
-	if (link->state != WL_LINK_CLOSED)
-		link_want(peers, link, EPOLL_CTL_MOD);
-}
-
-static void link_timers(const wl_peers_t *peers, wl_link_t *link, uint64_t now_ns)
-{
-	uint64_t idle_ns = peers->options.idle_ms * NS_PER_MS;
-
-	if (link->state == WL_LINK_CLOSED)
-		return;
-	if (link->state != WL_LINK_UP) {
-		if (now_ns - link->begun_ns > peers->options.handshake_ms * NS_PER_MS)
-			wl_link_fail(link, link->state == WL_LINK_CONNECTING
-						   ? NULL
-						   : "handshake takes too long");
-		return;
-	}
-	if (now_ns > link->heard_ns && now_ns - link->heard_ns > idle_ns) {
-		wl_log_event(WL_WARN, "peer_silent", "peer=%s", link->peer->name.at);
-		wl_link_fail(link, NULL);
-		return;
-	}
-	if (now_ns - link->sent_ns > idle_ns / PINGS_PER_IDLE && wl_link_unsent(link) == 0)
-		wl_link_put(link, (wl_str_t){0});
-}
-
-static void link_end(wl_peers_t *peers, wl_link_t *link, uint64_t now_ns)
-{
-	wl_peer_t *peer = link->peer;
-	wl_buf_t name = {0};
-
-	if (link->fault) {
-		ck_pr_inc_64(&peers->refused);
-		wl_log_quote(&name, wl_buf_str(&link->proof.other.name));
-		wl_log_event(WL_WARN, "peer_refused", "peer=%s why=\"%s\"", name.at, link->fault);
-		wl_buf_free(&name);
-	}
-	if (peer && peer->dialling == link)
-		peer->dialling = NULL;
-	if (peer && peer->current == link)
-		peer_down(peers, peer, now_ns);
-	if (link->up_ns == 0 && !link->proof.dialled)
-		peers->unproven--;
-	TAILQ_REMOVE(&peers->links, link, link);
-	wl_link_free(link);
-}
-
-static void links_tend(wl_peers_t *peers, uint64_t now_ns)
-{
-	wl_link_t *link = TAILQ_FIRST(&peers->links);
-
-	while (link) {
-		wl_link_t *next = TAILQ_NEXT(link, link);
-
-		link_timers(peers, link, now_ns);
-		link_flush(peers, link, now_ns);
-		if (link->state == WL_LINK_CLOSED)
-			link_end(peers, link, now_ns);
-		link = next;
-	}
-}
-
-static void peers_dial_due(wl_peers_t *peers, uint64_t now_ns)
-{
-	wl_buf_t address = {0};
-	wl_peer_t *peer;
-
-	pthread_mutex_lock(&peers->table.lock);
-	peer = TAILQ_FIRST(&peers->table.all);
-	pthread_mutex_unlock(&peers->table.lock);
-	while (peer) {
-		if (wl_peer_table_address(&peers->table, peer, &address))
-			peer->next_dial_ns = now_ns;
-		if (address.len > 0 && !peer->current && !peer->dialling &&
-		    now_ns >= peer->next_dial_ns)
-			peer_dial(peers, peer, wl_buf_str(&address), now_ns);
-		pthread_mutex_lock(&peers->table.lock);
-		peer = TAILQ_NEXT(peer, link);
-		pthread_mutex_unlock(&peers->table.lock);
-	}
-	wl_buf_free(&address);
-}
-
-static void peers_wait(wl_peers_t *peers)
-{
-	struct epoll_event events[EPOLL_EVENTS];
-	int count = epoll_wait(peers->epoll_fd, events, EPOLL_EVENTS, TIMER_MS);
-	uint64_t now_ns = now_read();
-	uint64_t woken;
-
-	for (int i = 0; i < count; i++) {
-		if (events[i].data.ptr == &peers->wake_fd)
-			(void)!read(peers->wake_fd, &woken, sizeof(woken));
-		else if (events[i].data.ptr == &peers->listen_fd)
-			links_accept(peers, now_ns);
-		else
-			link_handle(peers, events[i].data.ptr, events[i].events, now_ns);
-	}
-	links_tend(peers, now_ns);
-	peers_dial_due(peers, now_ns);
-}
-
-/* What was taken to be sent before the stop still goes out, as far as the sockets take it. */
-static void peers_flush(wl_peers_t *peers)
-{
-	for (int i = 0; i < LAST_WRITES; i++) {
-		uint64_t left = 0;
-		wl_link_t *link;
-
-		TAILQ_FOREACH (link, &peers->links, link) {
-			link_flush(peers, link, now_read());
-			left += link->state == WL_LINK_UP ? wl_link_unsent(link) : 0;
-		}
-		if (left == 0)
-			return;
-		poll(NULL, 0, LAST_WRITE_MS);
-	}
-}
-
-static void *peers_main(void *arg)
-{
-	wl_peers_t *peers = arg;
-
-	pthread_setname_np(pthread_self(), "wl-peer");
-	while (!ck_pr_load_uint(&peers->stopping)) {
-		if (emit_late(peers))
-			peers_wait(peers);
-		else
-			poll(NULL, 0, STALL_MS);
-	}
-	peers_flush(peers);
-	return NULL;
-}
 
 static bool peers_watch(wl_peers_t *peers, int *fd)
 {
@@ -461,7 +34,7 @@
 	if (peers->epoll_fd >= 0 && peers->wake_fd >= 0 &&
 	    getrandom(&peers->boot, sizeof(peers->boot), 0) == sizeof(peers->boot) &&
 	    peers_watch(peers, &peers->listen_fd) && peers_watch(peers, &peers->wake_fd) &&
-	    pthread_create(&peers->thread, NULL, peers_main, peers) == 0)
+	    pthread_create(&peers->thread, NULL, wl_peers_main, peers) == 0)
 		return true;
 	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "peer link: %s", strerror(errno));
 }
@@ -474,19 +47,13 @@
 
 static void peers_free(wl_peers_t *peers)
 {
-	late_event_t *late;
 	wl_link_t *link;
 
 	while ((link = TAILQ_FIRST(&peers->links)) != NULL) {
 		TAILQ_REMOVE(&peers->links, link, link);
 		wl_link_free(link);
 	}
-	while ((late = STAILQ_FIRST(&peers->late)) != NULL) {
-		STAILQ_REMOVE_HEAD(&peers->late, link);
-		wl_event_free(late->event);
-		free(late->event);
-		free(late);
-	}
+	wl_late_free(&peers->events);
 	peers_close(peers->listen_fd);
 	peers_close(peers->epoll_fd);
 	peers_close(peers->wake_fd);
@@ -515,7 +82,7 @@
 	wl_rng_init(&peers->rng, options->seed, wl_str_hash(options->name, 0));
 	wl_peer_table_init(&peers->table, options->queue_slots, options->max_queue_bytes);
 	TAILQ_INIT(&peers->links);
-	STAILQ_INIT(&peers->late);
+	wl_late_init(&peers->events, options->events);
 	if (peers_open(peers, err))
 		return peers;
 	peers_free(peers);
