raft: a hand-over that is given up ends the leadership

Cause: a leader has no lease after it began a hand-over, since the other's vote request may still be on its way. Given up, it went on without one: reads and session renewals refused for the rest of the term. Ruled out: giving the lease back after a while; no while is long enough for a late message. Change: it steps down, and the next term has a lease again.

--- a/libwlcore/raft_replicate.c
+++ b/libwlcore/raft_replicate.c
@@ -191,7 +191,7 @@
 	if (!raft->hand_over_to)
 		return;
 	if (!peer || now_ns >= raft->hand_over_end_ns) {
-		raft->hand_over_to = 0;
+		wl_raft_follow(raft, raft->term, 0, now_ns);
 		return;
 	}
 	if (peer->match == wl_raft_last_index(raft))
@@ -201,7 +201,10 @@
 /*
  * wl_raft_hand_over - leader: bring the most advanced voter up to date and let it take over
  *
- * No proposals are taken meanwhile.  Given up after the least election time.
+ * No proposals are taken meanwhile.  A hand-over that is not done within the
+ * least election time ends the leadership all the same: without its lease the
+ * leader would be of no use, and it cannot have that back, since the vote
+ * request of the other may still be on its way.
  */
 void wl_raft_hand_over(wl_raft_t *raft, uint64_t now_ns)
 {
