--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -9,13 +9,13 @@
 
 #include <stdlib.h>
 
-#define PRESS_EVERY_MS	250   /* between actions for one service */
-#define PRESS_LASTS_MS	1000  /* pressure that ended so long ago begins anew */
-#define EVICT_AFTER_MS	1000  /* of pressure that throttling did not end */
-#define CALM_MS		3000  /* without pressure throttles are lifted */
-#define KEEP_MS		10000 /* that batch work gets no room after pressure */
-#define SLOW_PERMILLE	1500  /* slowdown of requests from which throttling may help */
-#define USAGE_MARGIN_MS 50    /* usage may be older than it says by its way here */
+#define PRESS_EVERY_MS	250  /* between actions for one service */
+#define PRESS_LASTS_MS	1000 /* pressure that ended so long ago begins anew */
+#define EVICT_AFTER_MS	1000 /* of pressure that throttling did not end */
+#define CALM_MS		3000 /* without pressure throttles are lifted */
+#define KEEP_MS		5000 /* that batch work gets no room after pressure */
+#define SLOW_PERMILLE	1500 /* slowdown of requests from which throttling may help */
+#define USAGE_MARGIN_MS 50   /* usage may be older than it says by its way here */
 #define FULL_PERMILLE	1000
 
 /* Urgent work of one service that finds no room. */
@@ -384,7 +384,10 @@
 }
 
 /*
- * wl_owner_press - urgent work of a service found no room
+ * wl_owner_press - urgent work of a service waits
+ *
+ * It may wait for other things than room: nothing gives way while a target of
+ * the service has room left.
  *
  * Throttles batch work on one target at a time; evicts only when pressure has
  * lasted and nothing is left to throttle.
@@ -396,7 +399,7 @@
 	wl_press_t *press;
 	wl_owned_t *owned;
 
-	if (!targets)
+	if (!targets || targets->free_requests > 0)
 		return;
 	press = press_get(owner, service);
 	if (!press->last_ns || press->last_ns + PRESS_LASTS_MS * (uint64_t)WL_NS_PER_MS < now_ns)
