tests: faults between an owner and its target

Half a response, resets, late answers that cross, and a silent cut, by a relay in front of the target.

--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -15,6 +15,7 @@
 
 #include "events.h"
 #include "record.h"
+#include "tcp.h"
 
 namespace
 {
@@ -245,6 +246,13 @@
 		folder + "/target.token",
 		"--record",
 		folder + "/record"};
+	if (options.relay_target) {
+		std::string port = std::to_string(TcpListener().port);
+
+		target_relay = std::make_unique<Relay>("127.0.0.1:0", "127.0.0.1:" + port);
+		args.insert(args.end(), {"--base-port", port, "--advertise-base-port",
+					 std::to_string(target_relay->port())});
+	}
 	args.insert(args.end(), options.target_args.begin(), options.target_args.end());
 	targets.start(args, folder + "/targets.log");
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -38,6 +38,7 @@
 	int stores = 3;	 /* store and entry */
 	int entries = 2; /* entry only */
 	int targets = 2;
+	bool relay_target = false; /* one target, which the daemons reach through target_relay */
 	std::vector<std::string> daemon_args;
 	std::vector<std::string> target_args;
 };
@@ -100,6 +101,7 @@
 	std::string folder;
 	std::vector<std::unique_ptr<Member>> members;
 	Process targets;
+	std::unique_ptr<Relay> target_relay;
 
       private:
 	std::vector<std::string> arguments(const Member &member) const;
