state: a late beginning of a key that was freed begins nothing

A beginning that was committed after the end of its own call, which had given up and freed the key, left the key running with nobody to end it until the session of its entry ended: no resend could run. Freed keys now keep the nonce that was theirs for ten minutes, also when the end comes first.

--- a/libwlcore/state.c
+++ b/libwlcore/state.c
@@ -43,6 +43,7 @@
 	wl_map_init(&state->by_key);
 	TAILQ_INIT(&state->keys_running);
 	TAILQ_INIT(&state->keys_ended);
+	TAILQ_INIT(&state->keys_freed);
 	wl_map_init(&state->by_kind);
 	TAILQ_INIT(&state->kinds);
 }
--- a/libwlcore/state_internal.h
+++ b/libwlcore/state_internal.h
@@ -136,7 +136,7 @@
 	wl_buf_t digest;
 	uint64_t session;
 	uint64_t nonce;
-	uint64_t state; /* wl_key_state_t: RUNNING, DONE or LOST */
+	uint64_t state; /* wl_key_state_t; FRESH: its run never happened, another may begin */
 	uint64_t ended_ms;
 	uint64_t verdict;
 	uint64_t status;
@@ -195,6 +195,7 @@
 	wl_map_t by_key;
 	struct wl_state_keys keys_running;
 	struct wl_state_keys keys_ended;
+	struct wl_state_keys keys_freed;
 
 	wl_map_t by_kind;
 	TAILQ_HEAD(wl_state_kinds, wl_state_kind) kinds;
--- a/libwlcore/state_keys.c
+++ b/libwlcore/state_keys.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #define KEY_BODY_BYTES 65536
+#define FREED_KEEP_MS  600000 /* longer than a command can be late */
 
 static void key_text(wl_str_t customer, wl_str_t key, wl_buf_t *text)
 {
@@ -27,6 +28,8 @@
 
 static struct wl_state_keys *key_list(wl_state_t *state, const wl_state_key_t *key)
 {
+	if (key->state == WL_KEY_FRESH)
+		return &state->keys_freed;
 	return key->state == WL_KEY_RUNNING ? &state->keys_running : &state->keys_ended;
 }
 
@@ -54,7 +57,7 @@
 	free(key);
 }
 
-static void key_end(wl_state_t *state, wl_state_key_t *key, uint64_t key_state)
+static void key_enter(wl_state_t *state, wl_state_key_t *key, uint64_t key_state)
 {
 	TAILQ_REMOVE(key_list(state, key), key, link);
 	key->state = key_state;
@@ -79,17 +82,38 @@
 	wl_buf_set(&result->body, wl_buf_str(&key->body));
 }
 
+/* The one run of a key begins; a key that was freed has kept nothing of the request before. */
+static void key_run(wl_state_t *state, wl_state_key_t *key, const wl_cmd_key_begin_t *cmd)
+{
+	wl_buf_t text = {0};
+
+	if (key) {
+		key_enter(state, key, WL_KEY_RUNNING);
+	} else {
+		key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
+		key = wl_state_key_restore(state, wl_buf_str(&text), WL_KEY_RUNNING);
+		wl_buf_free(&text);
+	}
+	wl_buf_set(&key->digest, wl_buf_str(&cmd->digest));
+	key->session = cmd->session;
+	key->nonce = cmd->nonce;
+}
+
 /* Begins the one run of a key, or says what became of it. */
 void wl_state_key_begin(wl_state_t *state, const wl_cmd_key_begin_t *cmd, wl_result_t *result)
 {
 	wl_state_key_t *key = key_find(state, &cmd->customer, &cmd->key);
-	wl_buf_t text = {0};
+	bool freed = key && key->state == WL_KEY_FRESH;
 
-	if (key && !wl_str_equal(wl_buf_str(&key->digest), wl_buf_str(&cmd->digest))) {
+	if (freed && key->nonce == cmd->nonce) {
+		wl_result_fail(result, WL_E_STALE, "the call that began the key is over");
+		return;
+	}
+	if (key && !freed && !wl_str_equal(wl_buf_str(&key->digest), wl_buf_str(&cmd->digest))) {
 		wl_result_fail(result, WL_E_CONFLICT, "the key belongs to another request");
 		return;
 	}
-	if (key) {
+	if (key && !freed) {
 		key_answer(key, cmd->nonce, result);
 		return;
 	}
@@ -98,12 +122,7 @@
 			       (unsigned long long)cmd->session);
 		return;
 	}
-	key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
-	key = wl_state_key_restore(state, wl_buf_str(&text), WL_KEY_RUNNING);
-	wl_buf_free(&text);
-	wl_buf_set(&key->digest, wl_buf_str(&cmd->digest));
-	key->session = cmd->session;
-	key->nonce = cmd->nonce;
+	key_run(state, key, cmd);
 	wl_result_ok(result, 0);
 	result->key_state = WL_KEY_FRESH;
 }
@@ -111,20 +130,33 @@
 static void key_keep(wl_state_t *state, wl_state_key_t *key, const wl_cmd_key_end_t *cmd)
 {
 	if (cmd->body.len > KEY_BODY_BYTES || cmd->verdict == WL_UNKNOWN) {
-		key_end(state, key, WL_KEY_LOST);
+		key_enter(state, key, WL_KEY_LOST);
 		return;
 	}
 	key->verdict = cmd->verdict;
 	key->status = cmd->status;
 	wl_buf_set(&key->content_type, wl_buf_str(&cmd->content_type));
 	wl_buf_set(&key->body, wl_buf_str(&cmd->body));
-	key_end(state, key, WL_KEY_DONE);
+	key_enter(state, key, WL_KEY_DONE);
+}
+
+/* The end came before the beginning, which may be late: it must begin nothing then. */
+static void key_bar(wl_state_t *state, const wl_cmd_key_end_t *cmd)
+{
+	wl_state_key_t *key;
+	wl_buf_t text = {0};
+
+	key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
+	key = wl_state_key_restore(state, wl_buf_str(&text), WL_KEY_FRESH);
+	wl_buf_free(&text);
+	key->nonce = cmd->nonce;
+	key->ended_ms = state->clock_ms;
 }
 
 /*
  * Ends the run of a key; only the call that began it may, also after its
- * session ended.  A run that never happened frees the key; an outcome that is
- * not known, or too large to keep, leaves it lost.
+ * session ended.  A run that never happened frees the key for other calls; an
+ * outcome that is not known, or too large to keep, leaves it lost.
  */
 void wl_state_key_end(wl_state_t *state, const wl_cmd_key_end_t *cmd, wl_result_t *result)
 {
@@ -134,9 +166,11 @@
 		wl_result_fail(result, WL_E_STALE, "the key was begun by another call");
 		return;
 	}
-	if (key && key->state != WL_KEY_DONE) {
+	if (!key && cmd->verdict == WL_NOT_RUN)
+		key_bar(state, cmd);
+	if (key && key->state != WL_KEY_DONE && key->state != WL_KEY_FRESH) {
 		if (cmd->verdict == WL_NOT_RUN)
-			key_drop(state, key);
+			key_enter(state, key, WL_KEY_FRESH);
 		else
 			key_keep(state, key, cmd);
 	}
@@ -152,26 +186,34 @@
 	for (key = TAILQ_FIRST(&state->keys_running); key; key = next) {
 		next = TAILQ_NEXT(key, link);
 		if (key->session == session)
-			key_end(state, key, WL_KEY_LOST);
+			key_enter(state, key, WL_KEY_LOST);
 	}
 }
 
-void wl_state_keys_expire(wl_state_t *state)
+static void expire(wl_state_t *state, struct wl_state_keys *keys, uint64_t keep_ms)
 {
 	wl_state_key_t *key;
 
-	while ((key = TAILQ_FIRST(&state->keys_ended))) {
-		if (key->ended_ms + state->options.key_keep_ms > state->clock_ms)
-			return;
+	while ((key = TAILQ_FIRST(keys)) && key->ended_ms + keep_ms <= state->clock_ms)
 		key_drop(state, key);
-	}
+}
+
+void wl_state_keys_expire(wl_state_t *state)
+{
+	expire(state, &state->keys_ended, state->options.key_keep_ms);
+	expire(state, &state->keys_freed, FREED_KEEP_MS);
+}
+
+static void list_clear(wl_state_t *state, struct wl_state_keys *keys)
+{
+	while (!TAILQ_EMPTY(keys))
+		key_drop(state, TAILQ_FIRST(keys));
 }
 
 void wl_state_keys_clear(wl_state_t *state)
 {
-	while (!TAILQ_EMPTY(&state->keys_running))
-		key_drop(state, TAILQ_FIRST(&state->keys_running));
-	while (!TAILQ_EMPTY(&state->keys_ended))
-		key_drop(state, TAILQ_FIRST(&state->keys_ended));
+	list_clear(state, &state->keys_running);
+	list_clear(state, &state->keys_ended);
+	list_clear(state, &state->keys_freed);
 	wl_map_free(&state->by_key);
 }
--- a/libwlcore/state_snapshot.c
+++ b/libwlcore/state_snapshot.c
@@ -199,6 +199,7 @@
 	tasks_pack(&state->ended, out);
 	keys_pack(&state->keys_running, out);
 	keys_pack(&state->keys_ended, out);
+	keys_pack(&state->keys_freed, out);
 	TAILQ_FOREACH (kind, &state->kinds, link)
 		item_pack(out, ITEM_KIND, &kind_schema, kind);
 }
