request: hold what is over a plan's limits for a moment before refusing it

An entry's part of a small limit is a few requests, some of which come together by chance; peaks that entries saw in turn added up to more than was wanted, and refused requests of a whole interval counted as concurrent demand.

Deeper buckets were ruled out: they let more than the limit through.

Bounds of admit_test are as they were.

--- a/libwlcore/admit.c
+++ b/libwlcore/admit.c
@@ -24,6 +24,7 @@
 #define TOKEN_NANO     NS_PER_S
 #define BURST_DIVISOR  4  /* bucket depth: a quarter of a second of the rate */
 #define FLOOR_DIVISOR  16 /* of a limit in short supply, kept for entries that are idle */
+#define FOLLOW_DIVISOR 4
 #define FILL_MOST_NS   (4 * NS_PER_S)
 #define LEAST_INTERVAL 1000000ull
 
@@ -48,6 +49,7 @@
 		TAILQ_REMOVE(&customer->told, told, link);
 		free(told);
 	}
+	wl_heap_free(&customer->waiting);
 	wl_buf_free(&customer->name);
 	wl_buf_free(&customer->labels);
 	free(customer);
@@ -202,35 +204,68 @@
 }
 
 /*
- * wl_admit_enter - admit one request
+ * wl_admit_retry - admit a request that was not admitted before
  * @now_ns: monotonic time, nanoseconds
  * @err: WL_E_OVER_PLAN, not-run, naming the limit
  *
  * Return: true if it is admitted; wl_admit_leave() must follow.
  */
-bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err)
+bool wl_admit_retry(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err)
 {
-	uint64_t limit = customer->max_concurrent;
-
-	customer->asked++;
 	customer_fill(customer, now_ns);
 	if (!customer->rate_milli || customer->tokens_nano < TOKEN_NANO)
 		return wl_err_set(err, WL_E_OVER_PLAN, WL_NOT_RUN,
 				  "over requests_per_second of customer " WL_STR_FMT,
 				  WL_STR_ARG(customer->key));
 	if (customer->running >= concurrent_most(customer) ||
-	    customer->running + customer->elsewhere >= limit) {
-		customer->refused++;
+	    customer->running + customer->elsewhere >= customer->max_concurrent)
 		return wl_err_set(err, WL_E_OVER_PLAN, WL_NOT_RUN,
 				  "over max_concurrent of customer " WL_STR_FMT,
 				  WL_STR_ARG(customer->key));
-	}
 	customer->tokens_nano -= TOKEN_NANO;
 	customer->admitted++;
 	customer->running++;
 	return true;
 }
 
+/*
+ * wl_admit_enter - admit a new request, unless others of its customer wait
+ * @now_ns: monotonic time, nanoseconds
+ * @err: WL_E_OVER_PLAN, not-run, naming the limit
+ *
+ * Return: true if it is admitted; wl_admit_leave() must follow.  Else it may
+ * wait and be tried by wl_admit_retry(); wl_admit_refuse() ends that.
+ */
+bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err)
+{
+	customer->asked++;
+	if (customer->waiting.count)
+		return wl_err_set(err, WL_E_OVER_PLAN, WL_NOT_RUN,
+				  "over the limits of customer " WL_STR_FMT,
+				  WL_STR_ARG(customer->key));
+	return wl_admit_retry(customer, now_ns, err);
+}
+
+/*
+ * wl_admit_refuse - a request is refused for the limits: more is wanted than runs
+ */
+void wl_admit_refuse(wl_admit_customer_t *customer)
+{
+	customer->refused++;
+}
+
+/*
+ * wl_admit_spacing - time between two requests at the own part of the rate
+ *
+ * Return: nanoseconds; UINT64_MAX if the part is none.
+ */
+uint64_t wl_admit_spacing(const wl_admit_customer_t *customer)
+{
+	uint64_t rate_milli = share_least(&customer->rate);
+
+	return rate_milli ? NS_PER_S * MILLI / rate_milli : UINT64_MAX;
+}
+
 /*
  * wl_admit_leave - an admitted request was answered
  */
@@ -298,7 +333,8 @@
 
 	for (customer = TAILQ_FIRST(&admit->customers); customer; customer = next) {
 		next = TAILQ_NEXT(customer, link);
-		if (customer->running || wl_lists_customer(lists, customer->key))
+		if (customer->running || customer->waiting.count ||
+		    wl_lists_customer(lists, customer->key))
 			continue;
 		TAILQ_REMOVE(&admit->customers, customer, link);
 		wl_map_remove(&admit->by_name, customer->key);
@@ -325,10 +361,25 @@
 		admit_drop_gone(admit, view->lists);
 }
 
-/* Follows growth at once and a fall by halves, so that a short pause gives no share away. */
+/*
+ * Smooths a measure over several intervals: a single one holds few requests of a
+ * small customer, and peaks that entries see in turn would add up to more than
+ * is wanted.
+ */
 static uint64_t follow(uint64_t before, uint64_t now)
 {
-	return now > before ? now : (before + now) / 2;
+	if (now > before)
+		return before + (now - before + FOLLOW_DIVISOR - 1) / FOLLOW_DIVISOR;
+	return before - (before - now + FOLLOW_DIVISOR - 1) / FOLLOW_DIVISOR;
+}
+
+/* Where some are refused, up to twice of what runs is wanted: how much more is not known. */
+static uint64_t customer_wants(const wl_admit_customer_t *customer)
+{
+	uint64_t runs = customer->running + customer->waiting.count;
+	uint64_t more = customer->refused < runs + 1 ? customer->refused : runs + 1;
+
+	return runs + more;
 }
 
 static void customer_measure(wl_admit_customer_t *customer, uint64_t passed_ns)
@@ -337,7 +388,7 @@
 	uint64_t admitted_milli = customer->admitted * MILLI * NS_PER_S / passed_ns;
 
 	customer->use.running = customer->running;
-	customer->use.wanted = follow(customer->use.wanted, customer->running + customer->refused);
+	customer->use.wanted = follow(customer->use.wanted, customer_wants(customer));
 	customer->use.wanted_milli = follow(customer->use.wanted_milli, asked_milli);
 	customer->admitted_milli = follow(customer->admitted_milli, admitted_milli);
 	customer->asked = 0;
--- a/libwlcore/admit.h
+++ b/libwlcore/admit.h
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlcore/budget.h>
+#include <libwlcore/heap.h>
 #include <libwlcore/view.h>
 
 /* Admission by plan: limits that hold over all entries of the cell. */
@@ -18,7 +19,7 @@
 /* What is told of a customer: one entry's use of its limits. */
 typedef struct wl_admit_use {
 	uint64_t running;
-	uint64_t wanted;       /* running, and refused by max_concurrent */
+	uint64_t wanted;       /* running, waiting, and more if some were refused */
 	uint64_t wanted_milli; /* asked for per second, thousandths */
 } wl_admit_use_t;
 
@@ -42,6 +43,7 @@
 	wl_buf_t labels;  /* customer="NAME", for counters */
 	uint64_t running; /* admitted and not yet answered */
 	uint64_t queued;
+	wl_heap_t waiting; /* requests over the limits, by arrival */
 	uint64_t weight;
 	uint64_t max_concurrent; /* of the plan, whole cell */
 	uint64_t rate_milli;	 /* of the plan, whole cell, thousandths per second */
@@ -52,7 +54,7 @@
 	uint64_t filled_ns;
 	uint64_t asked;	   /* in this exchange interval */
 	uint64_t admitted; /* in this exchange interval */
-	uint64_t refused;  /* in this exchange interval, by max_concurrent */
+	uint64_t refused;  /* in this exchange interval */
 	uint64_t admitted_milli;
 	wl_admit_use_t use;
 	wl_admit_use_t use_told; /* to all peers; shares are reckoned from this one */
@@ -76,6 +78,9 @@
 wl_admit_customer_t *wl_admit_get(wl_admit_t *admit, wl_str_t name, const wl_plan_t *plan,
 				  uint64_t now_ns);
 bool wl_admit_enter(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err);
+bool wl_admit_retry(wl_admit_customer_t *customer, uint64_t now_ns, wl_err_t *err);
+void wl_admit_refuse(wl_admit_customer_t *customer);
+uint64_t wl_admit_spacing(const wl_admit_customer_t *customer);
 void wl_admit_leave(wl_admit_customer_t *customer);
 void wl_admit_hear(wl_admit_t *admit, wl_str_t peer, const wl_msg_room_t *msg, uint64_t now_ns);
 void wl_admit_view(wl_admit_t *admit, const wl_view_t *view);
--- a/libwlcore/request.c
+++ b/libwlcore/request.c
@@ -242,11 +242,26 @@
 	wl_map_remove(&requests->by_origin, request->origin.key);
 	TAILQ_REMOVE(&requests->open, request, link);
 	requests->open_count--;
-	if (request->customer)
+	wl_request_unhold(requests, request);
+	if (request->admitted) {
 		wl_admit_leave(request->customer);
+		requests->left = request->customer;
+	}
 	wl_request_free(request);
 }
 
+/*
+ * wl_request_begin - go on with a request that its plan admits
+ */
+void wl_request_begin(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		      wl_out_t *out)
+{
+	if (request->key.len)
+		wl_request_key_begin(requests, request, out);
+	else
+		wl_request_queue(requests, request, now_ns, out);
+}
+
 static void requests_call(wl_requests_t *requests, uint64_t now_ns, wl_call_t *call, wl_out_t *out)
 {
 	const wl_buf_t *name = wl_headers_find(&call->headers, WL_STR("Wisterialead-Customer"));
@@ -258,10 +273,10 @@
 		wl_out_reply_error(out, call->id, &err);
 		return;
 	}
-	if (request->key.len)
-		wl_request_key_begin(requests, request, out);
+	if (request->admitted)
+		wl_request_begin(requests, request, now_ns, out);
 	else
-		wl_request_queue(requests, request, now_ns, out);
+		wl_request_hold(requests, request, now_ns);
 }
 
 /*
@@ -279,7 +294,7 @@
 	if (!request)
 		return;
 	request->origin.gone = true;
-	if (request->key.len)
+	if (request->key.len && request->state != WL_REQUEST_HELD)
 		return;
 	wl_request_cancel_tries(requests, request, out);
 	wl_requests_remove(requests, request);
@@ -293,6 +308,7 @@
 		wl_request_expired(requests, node->owner, now_ns, out);
 	wl_requests_linger_end(requests, now_ns);
 	wl_requests_tell(requests, now_ns, out);
+	wl_requests_admit_all(requests, now_ns, out);
 	wl_requests_pump_all(requests, now_ns, out);
 }
 
@@ -303,17 +319,9 @@
 	wl_requests_pump_all(requests, now_ns, out);
 }
 
-/*
- * wl_requests_step - take in one event
- * @now_ns: monotonic time, nanoseconds
- * @event: may be moved from
- * @out: actions are added
- */
-void wl_requests_step(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+static void requests_event(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event,
+			   wl_out_t *out)
 {
-	/* kept when a session ends: what is open then goes on under it */
-	if (requests->options.session->id)
-		requests->session = requests->options.session->id;
 	switch (event->kind) {
 	case WL_EVENT_TICK:
 		requests_tick(requests, now_ns, out);
@@ -350,6 +358,23 @@
 	}
 }
 
+/*
+ * wl_requests_step - take in one event
+ * @now_ns: monotonic time, nanoseconds
+ * @event: may be moved from
+ * @out: actions are added
+ */
+void wl_requests_step(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	/* kept when a session ends: what is open then goes on under it */
+	if (requests->options.session->id)
+		requests->session = requests->options.session->id;
+	requests->left = NULL;
+	requests_event(requests, now_ns, event, out);
+	if (requests->left)
+		wl_requests_admit(requests, requests->left, now_ns, out);
+}
+
 /*
  * wl_requests_drain - refuse new requests from now on; open ones go on to their end
  */
--- a/libwlcore/request_check.c
+++ b/libwlcore/request_check.c
@@ -151,7 +151,7 @@
  * @err: why it is refused, always not-run: WL_E_DRAINING, WL_E_NO_SESSION,
  *	WL_E_BAD_INPUT, WL_E_FORBIDDEN, WL_E_UNAUTHORIZED, WL_E_NOT_FOUND, WL_E_OVER_PLAN
  *
- * Return: the request, open, in no state yet; or NULL.
+ * Return: the request, open, in no state yet, perhaps not admitted yet; or NULL.
  */
 wl_request_t *wl_request_accept(wl_requests_t *requests, uint64_t now_ns, wl_call_t *call,
 				wl_err_t *err)
@@ -161,6 +161,7 @@
 	const wl_plan_t *plan;
 	wl_admit_customer_t *admitted;
 	wl_request_t *request;
+	bool enters;
 	call_wishes_t wishes = {0};
 	wl_str_t service = {0};
 	wl_str_t rest = {0};
@@ -174,10 +175,14 @@
 	if (!plan || !check_headers(requests, call, &wishes, err))
 		return NULL;
 	admitted = wl_admit_get(&requests->admit, wl_buf_str(&customer->name), plan, now_ns);
-	if (!wl_admit_enter(admitted, now_ns, err))
+	enters = wl_admit_enter(admitted, now_ns, err);
+	if (!enters && !wl_request_may_hold(requests, admitted)) {
+		wl_admit_refuse(admitted);
 		return NULL;
+	}
 
 	request = request_new(&wishes, call, rest, now_ns);
+	request->admitted = enters;
 	request->customer = admitted;
 	wl_buf_set(&request->customer_name, admitted->key);
 	request->service = wl_requests_service(requests, service, now_ns);
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request_internal.h
@@ -16,12 +16,14 @@
 /*
  * Life of a request at an entry:
  *
- *	keying -> queued <-> sent -> keeping -> answered
+ *	held -> keying -> queued <-> sent -> keeping -> answered
  *
- * keying and keeping are for requests with a key only.  A request of a peer
+ * held is for requests over the limits of the plan, keying and keeping are for
+ * those with a key.  A request of a peer
  * goes to sent at once or is refused.
  */
 typedef enum wl_request_state {
+	WL_REQUEST_HELD,    /* waits for its customer's limits */
 	WL_REQUEST_KEYING,  /* its key is being committed; nothing was sent */
 	WL_REQUEST_QUEUED,  /* waits for room */
 	WL_REQUEST_SENT,    /* one try or more in flight */
@@ -91,6 +93,8 @@
 	uint64_t queued_ns;
 	uint64_t deadline_ns;
 	uint64_t hedge_ns; /* when to send a second try; UINT64_MAX: never */
+	bool admitted;	   /* counts against its customer's limits */
+	wl_heap_node_t held;
 	wl_fairq_item_t waiting;
 	wl_heap_node_t timer;
 	TAILQ_HEAD(wl_request_tries, wl_try) tries;
@@ -139,7 +143,9 @@
 	wl_heap_t lingers;
 	size_t open_count;
 	size_t queued;
-	uint64_t session; /* the newest that this daemon had */
+	size_t held;
+	wl_admit_customer_t *left; /* one of its requests ended in this step */
+	uint64_t session;	   /* the newest that this daemon had */
 	uint64_t next_id;
 	wl_tell_t tell;
 	uint64_t told_ns; /* when peers were told last */
@@ -156,12 +162,24 @@
 wl_request_t *wl_requests_find(const wl_requests_t *requests, const wl_request_origin_t *origin);
 void wl_request_origin_key(wl_request_origin_t *origin);
 void wl_request_free(wl_request_t *request);
+void wl_request_begin(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+		      wl_out_t *out);
 
 /* request_check.c */
 bool wl_requests_ready(const wl_requests_t *requests, uint64_t now_ns, wl_err_t *err);
 wl_request_t *wl_request_accept(wl_requests_t *requests, uint64_t now_ns, wl_call_t *call,
 				wl_err_t *err);
 
+/* request_hold.c */
+bool wl_request_may_hold(const wl_requests_t *requests, const wl_admit_customer_t *customer);
+void wl_request_hold(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns);
+void wl_request_unhold(wl_requests_t *requests, wl_request_t *request);
+void wl_request_hold_expired(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
+			     wl_out_t *out);
+void wl_requests_admit(wl_requests_t *requests, wl_admit_customer_t *customer, uint64_t now_ns,
+		       wl_out_t *out);
+void wl_requests_admit_all(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
+
 /* request_queue.c */
 void wl_request_queue(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
 		      wl_out_t *out);
--- a/libwlcore/request_outcome.c
+++ b/libwlcore/request_outcome.c
@@ -155,6 +155,9 @@
 			wl_out_t *out)
 {
 	switch (request->state) {
+	case WL_REQUEST_HELD:
+		wl_request_hold_expired(requests, request, now_ns, out);
+		break;
 	case WL_REQUEST_KEYING:
 		wl_request_key_free(requests, request, now_ns, out);
 		wl_request_fail(requests, request, WL_E_NO_LEADER, "the key could not be committed",
--- a/tests/unit/admit_test.cc
+++ b/tests/unit/admit_test.cc
@@ -88,6 +88,7 @@
 	if (!wl_admit_enter(customer, now_ms * MS, &err)) {
 		EXPECT_EQ(err.code, WL_E_OVER_PLAN);
 		EXPECT_EQ(err.verdict, WL_NOT_RUN);
+		wl_admit_refuse(customer);
 		return false;
 	}
 	held.push_back({now_ms + hold_ms, entry});
