owner: answer assignments of the own session only

Trace: attempt 1 began under epoch 9; the whole group was killed before its start was reported; the restarted e3, same name, no memory, got the leader's repeated assignment while its old session still stood in the state, and answered refused (never started, never will), since it did not own the target yet. The task was queued again and began as attempt 2 under epoch 105. Ruled out: the adoption, which was right about what it was told, and the view's list of assigned attempts, which no longer held t80 by then. Change: an assignment names the session that owns the target; an entry drops one for another session. The adoption by the next owner tells what became of it.

--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader_tasks.c
@@ -256,6 +256,7 @@
 	wl_buf_set(&assign->checkpoint, wl_buf_str(&record->checkpoint));
 	wl_record_copy(&wl_task_spec_schema, &assign->spec, &record->spec);
 	assign->term = leader->term;
+	assign->session = task->target->row.session;
 	assign->attempt = record->attempt;
 	assign->epoch = record->epoch;
 	assign->need = attempt->load.need;
--- a/libwlcore/msg.c
+++ b/libwlcore/msg.c
@@ -238,6 +238,7 @@
 	WL_FIELD(wl_msg_assign_t, expected_ms, WL_FIELD_U64),
 	WL_FIELD(wl_msg_assign_t, may_evict, WL_FIELD_BOOL),
 	WL_FIELD(wl_msg_assign_t, term, WL_FIELD_U64),
+	WL_FIELD(wl_msg_assign_t, session, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_msg_assign_schema = WL_SCHEMA(wl_msg_assign_t, msg_assign_fields);
--- a/libwlcore/msg.h
+++ b/libwlcore/msg.h
@@ -235,6 +235,7 @@
 	uint64_t expected_ms; /* learnt run time */
 	bool may_evict;	      /* batch work may be evicted to make room */
 	uint64_t term;	      /* of the leader: one from before a newer leader is void */
+	uint64_t session;     /* that owns the target: an earlier life of the entry has its own */
 } wl_msg_assign_t;
 
 typedef struct wl_msg_stop {
--- a/libwlcore/owner_tasks.c
+++ b/libwlcore/owner_tasks.c
@@ -67,7 +67,9 @@
 /*
  * wl_owner_take_assign - the leader has committed an assignment to a target
  *
- * A repeated one is answered by the newest report, if there is one yet.
+ * A repeated one is answered by the newest report, if there is one yet.  One
+ * for another session is not answered at all: an earlier life of this daemon
+ * may have started it, and only the next owner's adoption can tell.
  */
 void wl_owner_take_assign(const wl_turn_t *turn, const wl_msg_assign_t *assign)
 {
@@ -76,6 +78,8 @@
 	wl_owned_t *owned = wl_owner_find(owner, wl_buf_str(&assign->target));
 	const char *refused = refusal(turn, owned, assign);
 
+	if (assign->session != owner->options.session->id)
+		return;
 	if (attempt) {
 		wl_attempt_repeat(turn, attempt);
 		return;
--- a/tests/target/owner_words.cc
+++ b/tests/target/owner_words.cc
@@ -152,7 +152,7 @@
 }
 
 /* assign ENTRY TASK ATTEMPT TARGET epoch=N [cpu=] [memory=] [accelerators=] [class=] [evict=yes]
- * [run=MS] */
+ * [run=MS] [session=N] */
 void OwnerRun::assign(const Words &words)
 {
 	wl_event_t event;
@@ -166,6 +166,7 @@
 	wl_buf_set(&in.target, str(words.at(4)));
 	in.epoch = script_number(words, "epoch", 1);
 	in.term = script_number(words, "term", 1);
+	in.session = script_number(words, "session", entry(words.at(1)).session.id);
 	in.may_evict = script_value(words, "evict") == "yes";
 	in.need = {script_number(words, "cpu", 1000), script_number(words, "memory", 100),
 		   script_number(words, "accelerators", 0), 1, 0};
