--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -71,6 +71,7 @@
 	return leader;
 }
 
+/* Adds a call that waits for a proposal. */
 void wl_waiter_add(struct wl_waiters *waiters, wl_str_t peer, uint64_t call)
 {
 	wl_waiter_t *waiter = wl_alloc(sizeof(*waiter));
@@ -80,6 +81,7 @@
 	TAILQ_INSERT_TAIL(waiters, waiter, link);
 }
 
+/* Releases the calls that wait for a proposal. */
 void wl_waiters_clear(struct wl_waiters *waiters)
 {
 	wl_waiter_t *waiter;
--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader_place.c
@@ -15,6 +15,7 @@
 #define TOO_LARGE_AFTER_MS 10000
 #define SHORT_WINDOW	   64 /* tasks of a queue that are looked at for short ones */
 
+/* The newest attempt of a task, or NULL when it has none. */
 wl_leader_attempt_t *wl_leader_attempt_find(const wl_leader_t *leader, wl_str_t task)
 {
 	return wl_map_get(&leader->by_attempt, task);
@@ -25,6 +26,7 @@
 	return wl_state_expected_ms(leader->state, &task->record.spec) >= leader->options.long_ms;
 }
 
+/* Counts an attempt on its target, from the choice on; the target is known to the room table. */
 wl_leader_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task,
 					   uint64_t number, wl_str_t target, const wl_need_t *need)
 {
@@ -43,6 +45,7 @@
 	return attempt;
 }
 
+/* Moves an attempt to the end of another list of what is to be sent. */
 void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list)
 {
 	TAILQ_REMOVE(attempt->list, attempt, link);
@@ -50,6 +53,7 @@
 	TAILQ_INSERT_TAIL(list, attempt, link);
 }
 
+/* Forgets an attempt that is over. */
 void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt)
 {
 	wl_place_load_remove(&attempt->load);
--- a/libwlcore/leader_sessions.c
+++ b/libwlcore/leader_sessions.c
@@ -14,6 +14,7 @@
 
 #define PAUSE_NS (1000 * WL_NS_PER_MS)
 
+/* What the leader knows of a session, or NULL. */
 wl_leader_session_t *wl_leader_session_find(wl_leader_t *leader, uint64_t id)
 {
 	wl_leader_session_t *session;
@@ -31,6 +32,7 @@
 	free(session);
 }
 
+/* Forgets what is known of all sessions. */
 void wl_leader_sessions_clear(wl_leader_t *leader)
 {
 	wl_leader_session_t *session;
@@ -252,6 +254,7 @@
 	return revision <= wl_leader_acked(leader);
 }
 
+/* Begins to measure how long a list change takes to be in force. */
 void wl_leader_change_applied(wl_leader_t *leader, uint64_t now_ns, uint64_t revision)
 {
 	wl_leader_change_t *change = wl_alloc(sizeof(*change));
--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader_tasks.c
@@ -45,6 +45,7 @@
 		wl_leader_attempt_drop(leader, TAILQ_FIRST(list));
 }
 
+/* Forgets all attempts, and reports that are not proposed yet. */
 void wl_leader_tasks_clear(wl_leader_t *leader)
 {
 	list_clear(leader, &leader->fresh);
--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -145,6 +145,7 @@
 	target->rack = NULL;
 }
 
+/* A target by its name, or NULL. */
 wl_place_target_t *wl_place_target_find(const wl_place_t *place, wl_str_t name)
 {
 	return wl_map_get(&place->by_target, name);
--- a/libwlcore/place_pairs.c
+++ b/libwlcore/place_pairs.c
@@ -81,6 +81,7 @@
 	return pair->slowdown_permille;
 }
 
+/* Releases all that was learnt of pairs. */
 void wl_place_pairs_clear(wl_place_t *place)
 {
 	wl_place_pair_t *pair;
--- a/libwlcore/place_policy.c
+++ b/libwlcore/place_policy.c
@@ -144,6 +144,7 @@
 
 #define POLICY_DEFAULT "interference-fair"
 
+/* A policy by its name, the default for an empty one, or NULL. */
 const wl_place_policy_t *wl_place_policy_find(wl_str_t name)
 {
 	if (name.len == 0)
--- a/libwlcore/state.c
+++ b/libwlcore/state.c
@@ -24,6 +24,7 @@
 		*option = preset;
 }
 
+/* Makes a zeroed state an empty one. */
 void wl_state_init_empty(wl_state_t *state)
 {
 	wl_err_t err;
@@ -104,6 +105,7 @@
 	free(state);
 }
 
+/* A command that was applied. */
 void wl_result_ok(wl_result_t *result, uint64_t index)
 {
 	result->code = WL_OK;
@@ -125,21 +127,29 @@
 	wl_buf_set(&result->text, wl_str_from(text));
 }
 
-/*
- * wl_state_apply - apply one committed command
- * @index: its place in the log; each is applied once, in order
- * @cmd: the command
- * @result: overwritten without release; verdict not-run says that nothing changed
- */
-void wl_state_apply(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result)
+static void apply_task(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result)
 {
-	memset(result, 0, sizeof(*result));
-	state->index = index;
-	if (cmd->at_ms > state->clock_ms)
-		state->clock_ms = cmd->at_ms;
-	wl_state_tasks_expire(state);
-	wl_state_keys_expire(state);
+	switch ((wl_cmd_kind_t)cmd->kind) {
+	case WL_CMD_TASK_ADD:
+		wl_state_task_add(state, index, &cmd->u.task_add, result);
+		break;
+	case WL_CMD_TASK_CANCEL:
+		wl_state_task_cancel(state, index, &cmd->u.task_cancel, result);
+		break;
+	case WL_CMD_TASK_ASSIGN:
+		wl_state_task_assign(state, index, &cmd->u.task_assign, result);
+		break;
+	case WL_CMD_TASK_REPORT:
+		wl_state_task_report(state, index, &cmd->u.task_report, result);
+		break;
+	default:
+		wl_result_fail(result, WL_E_BAD_INPUT, "unknown command");
+		break;
+	}
+}
 
+static void apply(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result)
+{
 	switch ((wl_cmd_kind_t)cmd->kind) {
 	case WL_CMD_LIST_PUT:
 		wl_state_list_put(state, index, &cmd->u.list_put, result);
@@ -156,31 +166,35 @@
 	case WL_CMD_TARGET_FORGET:
 		wl_state_target_forget(state, index, &cmd->u.target_forget, result);
 		break;
-	case WL_CMD_TASK_ADD:
-		wl_state_task_add(state, index, &cmd->u.task_add, result);
-		break;
-	case WL_CMD_TASK_CANCEL:
-		wl_state_task_cancel(state, index, &cmd->u.task_cancel, result);
-		break;
-	case WL_CMD_TASK_ASSIGN:
-		wl_state_task_assign(state, index, &cmd->u.task_assign, result);
-		break;
-	case WL_CMD_TASK_REPORT:
-		wl_state_task_report(state, index, &cmd->u.task_report, result);
-		break;
 	case WL_CMD_KEY_BEGIN:
 		wl_state_key_begin(state, &cmd->u.key_begin, result);
 		break;
 	case WL_CMD_KEY_END:
 		wl_state_key_end(state, &cmd->u.key_end, result);
 		break;
-	case WL_CMD_NONE:
-	case WL_CMD_KINDS:
-		wl_result_fail(result, WL_E_BAD_INPUT, "unknown command");
+	default:
+		apply_task(state, index, cmd, result);
 		break;
 	}
 }
 
+/*
+ * wl_state_apply - apply one committed command
+ * @index: its place in the log; each is applied once, in order
+ * @cmd: the command
+ * @result: overwritten without release; verdict not-run says that nothing changed
+ */
+void wl_state_apply(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result)
+{
+	memset(result, 0, sizeof(*result));
+	state->index = index;
+	if (cmd->at_ms > state->clock_ms)
+		state->clock_ms = cmd->at_ms;
+	wl_state_tasks_expire(state);
+	wl_state_keys_expire(state);
+	apply(state, index, cmd, result);
+}
+
 /*
  * wl_state_clock_ms - the group's clock as of the newest command
  */
--- a/libwlcore/state_keys.c
+++ b/libwlcore/state_keys.c
@@ -198,6 +198,7 @@
 		key_drop(state, key);
 }
 
+/* Drops keys that have been kept long enough. */
 void wl_state_keys_expire(wl_state_t *state)
 {
 	expire(state, &state->keys_ended, state->options.key_keep_ms);
@@ -210,6 +211,7 @@
 		key_drop(state, TAILQ_FIRST(keys));
 }
 
+/* Releases all keys. */
 void wl_state_keys_clear(wl_state_t *state)
 {
 	list_clear(state, &state->keys_running);
--- a/libwlcore/state_kinds.c
+++ b/libwlcore/state_kinds.c
@@ -6,11 +6,13 @@
 
 #define LEARN_SHARE 8 /* a sample moves an average by one in so many */
 
+/* What is learnt of a kind, or NULL. */
 wl_state_kind_t *wl_state_kind_find(const wl_state_t *state, wl_str_t name)
 {
 	return wl_map_get(&state->by_kind, name);
 }
 
+/* Adds a kind of which nothing is learnt. */
 wl_state_kind_t *wl_state_kind_add(wl_state_t *state, wl_str_t name)
 {
 	wl_state_kind_t *kind = wl_alloc(sizeof(*kind));
@@ -47,6 +49,7 @@
 	average_move(&kind->memory_mib, report->memory_mib);
 }
 
+/* Releases all that was learnt of kinds. */
 void wl_state_kinds_clear(wl_state_t *state)
 {
 	wl_state_kind_t *kind;
--- a/libwlcore/state_lists.c
+++ b/libwlcore/state_lists.c
@@ -42,6 +42,7 @@
 		change_drop(state, TAILQ_FIRST(&state->changes));
 }
 
+/* Releases the answers that are kept. */
 void wl_state_changes_clear(wl_state_t *state)
 {
 	while (!TAILQ_EMPTY(&state->changes))
--- a/libwlcore/state_owners.c
+++ b/libwlcore/state_owners.c
@@ -6,11 +6,13 @@
 
 #define FORGOTTEN_KEEP 1024
 
+/* A target by its name, forgotten ones included, or NULL. */
 wl_state_target_t *wl_state_target_find(const wl_state_t *state, wl_str_t name)
 {
 	return wl_map_get(&state->by_target, name);
 }
 
+/* Adds a target as the newest change, with an empty row. */
 wl_state_target_t *wl_state_target_add(wl_state_t *state, wl_str_t name)
 {
 	wl_state_target_t *target = wl_alloc(sizeof(*target));
@@ -151,6 +153,7 @@
 	wl_result_ok(result, index);
 }
 
+/* Releases all targets; no attempt may be on one. */
 void wl_state_targets_clear(wl_state_t *state)
 {
 	while (!TAILQ_EMPTY(&state->targets))
--- a/libwlcore/state_sessions.c
+++ b/libwlcore/state_sessions.c
@@ -4,6 +4,7 @@
 
 #include <stdlib.h>
 
+/* A session that has not ended, by its id, or NULL. */
 wl_state_session_t *wl_state_session_find(const wl_state_t *state, uint64_t id)
 {
 	wl_state_session_t *session;
@@ -14,6 +15,7 @@
 	return NULL;
 }
 
+/* The session of an entry, or NULL. */
 wl_state_session_t *wl_state_session_of_entry(const wl_state_t *state, wl_str_t entry)
 {
 	wl_state_session_t *session;
@@ -24,6 +26,7 @@
 	return NULL;
 }
 
+/* Adds a session of which only the id is set. */
 wl_state_session_t *wl_state_session_add(wl_state_t *state, uint64_t id)
 {
 	wl_state_session_t *session = wl_alloc(sizeof(*session));
@@ -84,6 +87,7 @@
 	wl_result_ok(result, index);
 }
 
+/* Releases all sessions. */
 void wl_state_sessions_clear(wl_state_t *state)
 {
 	wl_state_session_t *session;
--- a/libwlcore/state_tasks.c
+++ b/libwlcore/state_tasks.c
@@ -6,16 +6,19 @@
 
 #include <libwlbase/digest.h>
 
+/* Whether a task waits for nothing any more. */
 bool wl_task_ended(const wl_task_t *task)
 {
 	return task->record.ended_ms > 0;
 }
 
+/* A task by its id, or NULL. */
 wl_task_t *wl_state_task_find(const wl_state_t *state, wl_str_t id)
 {
 	return wl_map_get(&state->by_task, id);
 }
 
+/* The tasks of a customer; an empty set for a new one. */
 wl_state_customer_t *wl_state_customer_get(wl_state_t *state, wl_str_t name)
 {
 	wl_state_customer_t *customer = wl_map_get(&state->by_customer, name);
@@ -278,6 +281,7 @@
 	wl_result_ok(result, index);
 }
 
+/* Drops tasks that ended long enough ago. */
 void wl_state_tasks_expire(wl_state_t *state)
 {
 	wl_task_t *task;
@@ -300,6 +304,7 @@
 	}
 }
 
+/* Releases all tasks. */
 void wl_state_tasks_clear(wl_state_t *state)
 {
 	wl_state_customer_t *customer;
