--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -14,17 +14,19 @@
 #include <string.h>
 #include <sys/eventfd.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <time.h>
 #include <unistd.h>
 
 #include "decide.h"
 
-#define NS_PER_MS	1000000ull
-#define NS_PER_S	1000000000ull
-#define OPEN_POLL_MS	10   /* between two looks whether the last answers are out */
-#define LAST_ANSWERS_MS 1000 /* least time for them, even when the stop is late */
-#define LAST_LOG_MS	100  /* for the logger, before an end at once */
+#define NS_PER_MS	  1000000ull
+#define NS_PER_S	  1000000000ull
+#define OPEN_POLL_MS	  10   /* between two looks whether the last answers are out */
+#define LAST_ANSWERS_MS	  1000 /* least time for them, even when the stop is late */
+#define SPARE_DESCRIPTORS 1024 /* beside those of callers: targets, peers, files */
+#define LAST_LOG_MS	  100  /* for the logger, before an end at once */
 
 typedef struct wl_daemon {
 	wl_settings_t *settings;
@@ -54,50 +56,6 @@
 	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
-static void node_options(const wl_settings_t *s, wl_node_options_t *o)
-{
-	*o = (wl_node_options_t){
-		.name = wl_buf_str(&s->name),
-		.availability_zone = wl_buf_str(&s->availability_zone),
-		.rack = wl_buf_str(&s->rack),
-		.entry = s->entry,
-		.store = s->store,
-		.stores = s->stores,
-		.store_count = s->store_count,
-		.task_chart = wl_buf_str(&s->task_chart),
-		.target_chart = wl_buf_str(&s->target_chart),
-		.operator_token = wl_buf_str(&s->operator_token),
-		.target_token = wl_buf_str(&s->target_token),
-		.routing = wl_buf_str(&s->routing),
-		.queueing = wl_buf_str(&s->queueing),
-		.placement = wl_buf_str(&s->placement),
-		.eviction = wl_buf_str(&s->eviction),
-		.session_ms = s->session_ms,
-		.renew_ms = s->renew_ms,
-		.election_ms = s->election_ms,
-		.heartbeat_ms = s->heartbeat_ms,
-		.lease_ms = s->lease_ms,
-		.grace_ms = s->grace_ms,
-		.drift_ms = s->drift_ms,
-		.announce_ms = s->announce_ms,
-		.silence_ms = s->silence_ms,
-		.room_ms = s->room_ms,
-		.drain_ms = s->drain_ms,
-		.default_timeout_ms = s->default_timeout_ms,
-		.max_timeout_ms = s->max_timeout_ms,
-		.max_queued = s->max_queued,
-		.retry_permille = s->retry_permille,
-		.request_cpu_millis = s->request_cpu_millis,
-		.request_memory_mib = s->request_memory_mib,
-		.long_ms = s->long_ms,
-		.long_share_permille = s->long_share_permille,
-		.key_keep_ms = s->key_keep_ms,
-		.task_keep_ms = s->task_keep_ms,
-		.compact_entries = s->compact_entries,
-		.seed = s->seed,
-	};
-}
-
 /*
  * wl_daemon_check - are the charts and policies sound? Touches neither disk nor network.
  * @settings: checked and loaded
@@ -108,7 +66,7 @@
 	wl_node_options_t options;
 	wl_node_t *node;
 
-	node_options(settings, &options);
+	wl_settings_node(settings, &options);
 	options.store = false;
 	options.boot = 1;
 	node = wl_node_new(&options, now_read(), err);
@@ -205,7 +163,7 @@
 {
 	wl_node_options_t options;
 
-	node_options(daemon->settings, &options);
+	wl_settings_node(daemon->settings, &options);
 	options.boot = daemon->boot;
 	options.peer_address = wl_buf_str(&daemon->peer_address);
 	if (daemon->store) {
@@ -311,6 +269,17 @@
 				strerror(errno));
 }
 
+/* The limit is the machine's to set; too low a one shows only under load. */
+static void descriptors_log(const wl_settings_t *settings)
+{
+	uint64_t wanted = 2 * settings->max_connections + SPARE_DESCRIPTORS;
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < wanted)
+		wl_log_event(WL_WARN, "few-descriptors", "limit=%llu wanted=%llu",
+			     (unsigned long long)limit.rlim_cur, (unsigned long long)wanted);
+}
+
 static void ready_log(const wl_daemon_t *daemon)
 {
 	wl_log_event(WL_INFO, "ready",
@@ -320,6 +289,7 @@
 		     daemon->caller ? wl_http_server_port(daemon->caller) : 0,
 		     wl_http_server_port(daemon->control), wl_peers_port(daemon->peers),
 		     daemon->peer_address.at);
+	descriptors_log(daemon->settings);
 	if (daemon->settings->operator_token.len == 0 || daemon->settings->target_token.len == 0)
 		wl_log_event(WL_WARN, "open-control", "operator_token=%s target_token=%s",
 			     daemon->settings->operator_token.len ? "set" : "none",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -85,6 +85,7 @@
 bool wl_settings_read(int argc, char **argv, wl_settings_t *settings, wl_err_t *err);
 bool wl_settings_check(wl_settings_t *settings, wl_err_t *err);
 bool wl_settings_load(wl_settings_t *settings, wl_err_t *err);
+void wl_settings_node(const wl_settings_t *s, wl_node_options_t *o);
 void wl_settings_print(const wl_settings_t *settings);
 void wl_settings_help(void);
 void wl_settings_free(wl_settings_t *settings);
--- /dev/null
+++ b/daemon/settings_node.c
@@ -0,0 +1,52 @@
+/* The node's options, as the settings give them. */
+
+#include "settings.h"
+
+/*
+ * wl_settings_node - fill in the node's options
+ * @s: checked and loaded; must outlive the options
+ * @o: boot, addresses and what the disk held are left zero
+ */
+void wl_settings_node(const wl_settings_t *s, wl_node_options_t *o)
+{
+	*o = (wl_node_options_t){
+		.name = wl_buf_str(&s->name),
+		.availability_zone = wl_buf_str(&s->availability_zone),
+		.rack = wl_buf_str(&s->rack),
+		.entry = s->entry,
+		.store = s->store,
+		.stores = s->stores,
+		.store_count = s->store_count,
+		.task_chart = wl_buf_str(&s->task_chart),
+		.target_chart = wl_buf_str(&s->target_chart),
+		.operator_token = wl_buf_str(&s->operator_token),
+		.target_token = wl_buf_str(&s->target_token),
+		.routing = wl_buf_str(&s->routing),
+		.queueing = wl_buf_str(&s->queueing),
+		.placement = wl_buf_str(&s->placement),
+		.eviction = wl_buf_str(&s->eviction),
+		.session_ms = s->session_ms,
+		.renew_ms = s->renew_ms,
+		.election_ms = s->election_ms,
+		.heartbeat_ms = s->heartbeat_ms,
+		.lease_ms = s->lease_ms,
+		.grace_ms = s->grace_ms,
+		.drift_ms = s->drift_ms,
+		.announce_ms = s->announce_ms,
+		.silence_ms = s->silence_ms,
+		.room_ms = s->room_ms,
+		.drain_ms = s->drain_ms,
+		.default_timeout_ms = s->default_timeout_ms,
+		.max_timeout_ms = s->max_timeout_ms,
+		.max_queued = s->max_queued,
+		.retry_permille = s->retry_permille,
+		.request_cpu_millis = s->request_cpu_millis,
+		.request_memory_mib = s->request_memory_mib,
+		.long_ms = s->long_ms,
+		.long_share_permille = s->long_share_permille,
+		.key_keep_ms = s->key_keep_ms,
+		.task_keep_ms = s->task_keep_ms,
+		.compact_entries = s->compact_entries,
+		.seed = s->seed,
+	};
+}
--- a/libwlnet/peer_loop.c
+++ b/libwlnet/peer_loop.c
@@ -113,6 +113,9 @@
 		}
 		link_begin(peers, fd, false, now_ns);
 	}
+	/* Out of descriptors the listener stays readable: do not spin on it. */
+	if (errno == EMFILE || errno == ENFILE)
+		poll(NULL, 0, STALL_MS);
 }
 
 static void peer_back_off(wl_peers_t *peers, wl_peer_t *peer, uint64_t now_ns)
