admit: keep what a peer told before the view shows it

A view change forgot the uses of every peer that the view does not show, among them one whose session is too new to be shown; as only changes are told after that, its use stayed unknown until the next whole message. Now they are forgotten when a session that was shown is not shown any more.

--- a/libwlcore/admit.c
+++ b/libwlcore/admit.c
@@ -314,6 +314,8 @@
 		return;
 	if (msg->whole || msg->session > from->session)
 		from->generation++;
+	if (msg->session > from->session)
+		from->member = false;
 	from->session = msg->session;
 	for (size_t i = 0; i < msg->uses.count; i++) {
 		wl_admit_customer_t *customer =
@@ -353,9 +355,12 @@
 	admit->members = view->members.count ? view->members.count : 1;
 	TAILQ_FOREACH (peer, &admit->peers, link) {
 		const wl_member_t *member = wl_view_member(view, wl_buf_str(&peer->name));
+		bool holds = member && member->session == peer->session;
 
-		if (!member || member->session != peer->session)
+		/* one that the view does not show yet is no ended one */
+		if (peer->member && !holds)
 			peer->generation++;
+		peer->member = holds;
 	}
 	if (view->lists)
 		admit_drop_gone(admit, view->lists);
--- a/libwlcore/admit.h
+++ b/libwlcore/admit.h
@@ -13,6 +13,7 @@
 	wl_buf_t name;
 	uint64_t session;
 	uint64_t generation; /* of its newest whole message; rows of an older one don't count */
+	bool member;	     /* the view showed that session */
 	TAILQ_ENTRY(wl_admit_peer) link;
 } wl_admit_peer_t;
 
--- a/tests/unit/admit_test.cc
+++ b/tests/unit/admit_test.cc
@@ -272,3 +272,76 @@
 	wl_view_free(&view);
 	wl_admit_free(&admit);
 }
+
+static void hear(wl_admit_t *admit, uint64_t session, uint64_t running, bool whole)
+{
+	wl_msg_t msg;
+
+	wl_msg_init(&msg, WL_MSG_ROOM);
+	msg.u.room.session = session;
+	msg.u.room.whole = whole;
+	if (running) {
+		auto *row = static_cast<wl_use_row_t *>(
+			wl_list_add(&wl_use_row_schema, &msg.u.room.uses));
+
+		wl_buf_set(&row->customer, str("c"));
+		row->running = row->wanted = running;
+	}
+	wl_admit_hear(admit, str("e2"), &msg.u.room, 0);
+	wl_msg_free(&msg);
+}
+
+static void show_member(wl_view_t *view, uint64_t session)
+{
+	wl_list_free(&wl_member_schema, &view->members);
+	auto *member = static_cast<wl_member_t *>(wl_list_add(&wl_member_schema, &view->members));
+
+	wl_buf_set(&member->entry, str("e2"));
+	member->session = session;
+}
+
+static uint64_t elsewhere(wl_admit_t *admit)
+{
+	wl_plan_t plan = {};
+	wl_list_t changes = {};
+	wl_list_t all = {};
+
+	plan.max_concurrent = 10;
+	wl_admit_customer_t *customer = wl_admit_get(admit, str("c"), &plan, 0);
+	wl_admit_exchange(admit, 0, &changes, &all);
+	wl_list_free(&wl_use_row_schema, &changes);
+	wl_list_free(&wl_use_row_schema, &all);
+	return customer->elsewhere;
+}
+
+TEST(Admit, WhatAPeerToldCountsFromTheFirstWordToTheEndOfItsSession)
+{
+	wl_budget_options_t budget = {};
+	wl_admit_t admit;
+	wl_view_t view;
+
+	wl_admit_init(&admit, &budget, 0);
+	wl_view_init(&view);
+	/* heard before the view shows it */
+	hear(&admit, 5, 4, true);
+	wl_admit_view(&admit, &view);
+	EXPECT_EQ(elsewhere(&admit), 4u);
+	show_member(&view, 5);
+	wl_admit_view(&admit, &view);
+	hear(&admit, 5, 0, false);
+	EXPECT_EQ(elsewhere(&admit), 4u);
+	/* its next session, before the view shows that one */
+	hear(&admit, 8, 2, true);
+	wl_admit_view(&admit, &view);
+	EXPECT_EQ(elsewhere(&admit), 2u);
+	hear(&admit, 5, 9, true);
+	EXPECT_EQ(elsewhere(&admit), 2u);
+	show_member(&view, 8);
+	wl_admit_view(&admit, &view);
+	EXPECT_EQ(elsewhere(&admit), 2u);
+	wl_list_free(&wl_member_schema, &view.members);
+	wl_admit_view(&admit, &view);
+	EXPECT_EQ(elsewhere(&admit), 0u);
+	wl_view_free(&view);
+	wl_admit_free(&admit);
+}
