--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -402,6 +402,7 @@
 		answer_waiters(proposal, &result, out);
 	wl_result_free(&result);
 	leader_clear(leader);
+	wl_leader_status_clear(leader);
 	leader->leading = false;
 }
 
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -199,6 +199,7 @@
 void wl_leader_count_wait(const wl_leader_t *leader, const wl_task_t *task);
 void wl_leader_count_end(const wl_leader_t *leader, const wl_task_t *task);
 void wl_leader_status_tick(wl_leader_t *leader, uint64_t now_ns);
+void wl_leader_status_clear(wl_leader_t *leader);
 
 /* leader_query.c */
 void wl_leader_query(const wl_leader_t *leader, uint64_t now_ns, const wl_msg_query_t *query,
--- a/libwlcore/leader_status.c
+++ b/libwlcore/leader_status.c
@@ -60,6 +60,20 @@
 	wl_metrics_set(leader->options.metrics, name, labels, value);
 }
 
+static void gauges_set(const wl_leader_t *leader, const wl_leader_counts_t *counts,
+		       uint64_t in_force)
+{
+	gauge(leader, "wisterialead_sessions", "", counts->sessions);
+	gauge(leader, "wisterialead_targets", "", counts->targets);
+	gauge(leader, "wisterialead_targets_without_owner", "", counts->targets_without_owner);
+	gauge(leader, "wisterialead_tasks_queued", "class=\"urgent\"",
+	      counts->queued[WL_CLASS_URGENT]);
+	gauge(leader, "wisterialead_tasks_queued", "class=\"batch\"",
+	      counts->queued[WL_CLASS_BATCH]);
+	gauge(leader, "wisterialead_tasks_placed", "", counts->placed);
+	gauge(leader, "wisterialead_revision_in_force", "", in_force);
+}
+
 /* Keeps the gauges of the group current. */
 void wl_leader_status_tick(wl_leader_t *leader, uint64_t now_ns)
 {
@@ -69,13 +83,14 @@
 		return;
 	leader->next_gauges_ns = now_ns + GAUGES_NS;
 	wl_leader_count(leader, &counts);
-	gauge(leader, "wisterialead_sessions", "", counts.sessions);
-	gauge(leader, "wisterialead_targets", "", counts.targets);
-	gauge(leader, "wisterialead_targets_without_owner", "", counts.targets_without_owner);
-	gauge(leader, "wisterialead_tasks_queued", "class=\"urgent\"",
-	      counts.queued[WL_CLASS_URGENT]);
-	gauge(leader, "wisterialead_tasks_queued", "class=\"batch\"",
-	      counts.queued[WL_CLASS_BATCH]);
-	gauge(leader, "wisterialead_tasks_placed", "", counts.placed);
-	gauge(leader, "wisterialead_revision_in_force", "", wl_leader_acked(leader));
+	gauges_set(leader, &counts, wl_leader_acked(leader));
+}
+
+/* Only the leader shows gauges of the group, so that sums over daemons count once. */
+void wl_leader_status_clear(wl_leader_t *leader)
+{
+	wl_leader_counts_t none = {0};
+
+	leader->next_gauges_ns = 0;
+	gauges_set(leader, &none, 0);
 }
--- a/tests/unit/leader_script_test.cc
+++ b/tests/unit/leader_script_test.cc
@@ -458,6 +458,11 @@
 				     (unsigned long long)(customer->queued_count[0] +
 							  customer->queued_count[1]));
 	});
+	script.on("metric", [this](const Words &w) {
+		const char *labels = w.size() > 2 ? w[2].c_str() : "";
+		script.print("%llu",
+			     (unsigned long long)wl_metrics_get(&metrics, w[1].c_str(), labels));
+	});
 	script.on("task", [this](const Words &w) {
 		const wl_task_t *task = rig.task(w[1]);
 		script.print("%s on=%s reason=%s",
