--- a/cli/cli.h
+++ b/cli/cli.h
@@ -43,6 +43,9 @@
 	uint64_t deadline_ms;
 	uint64_t tasks_per_s;
 	uint64_t task_run_ms;
+	uint64_t long_permille;
+	uint64_t long_run_ms;
+	uint64_t urgent_permille;
 	uint64_t connections;
 	wl_buf_t csv;
 	bool check;
--- a/cli/load.c
+++ b/cli/load.c
@@ -16,6 +16,7 @@
 #define MAX_CUSTOMERS 64
 #define EVENT_SLOTS   65536
 #define LATE_NS	      (2 * NS_PER_S)
+#define PERMILLE      1000
 #define CHECK_BYTES   64
 
 /* One request or task on its way. */
@@ -23,7 +24,7 @@
 	uint64_t due_ns; /* intended time, monotonic */
 	size_t customer;
 	bool task;
-	bool crest;
+	wl_load_phase_t phase;
 	bool done;
 } shot_t;
 
@@ -151,7 +152,7 @@
 		.due_ns = due_ns,
 		.customer = customer,
 		.task = task,
-		.crest = wl_schedule_crest(&load->schedule, due_ns - load->start_ns),
+		.phase = wl_schedule_phase(&load->schedule, due_ns - load->start_ns),
 	};
 	return load->shot_count++;
 }
@@ -171,7 +172,11 @@
 
 static void fill_task(load_t *load, size_t index, wl_fetch_t *fetch)
 {
+	const wl_cli_settings_t *settings = load->settings;
 	const wl_load_customer_t *customer = &load->customers[load->shots[index].customer];
+	bool is_long = wl_rng_below(&load->rng, PERMILLE) < settings->long_permille;
+	bool urgent = wl_rng_below(&load->rng, PERMILLE) < settings->urgent_permille;
+	uint64_t run_ms = is_long ? settings->long_run_ms : settings->task_run_ms;
 	char mark[CHECK_BYTES];
 
 	shot_mark(load, index, mark);
@@ -179,12 +184,12 @@
 	wl_buf_set(&fetch->path, WL_STR("/v1/tasks"));
 	wl_headers_add(&fetch->headers, WL_STR("Idempotency-Key"), wl_str_from(mark));
 	wl_buf_printf(&fetch->body,
-		      "{\"kind\":\"load\",\"service\":\"" WL_STR_FMT "\",\"class\":\"batch\","
+		      "{\"kind\":\"%s\",\"service\":\"" WL_STR_FMT "\",\"class\":\"%s\","
 		      "\"cpu_millis\":1000,\"memory_mib\":1024,\"accelerators\":0,\"run_ms\":%llu,"
 		      "\"restartable\":true,\"payload\":\"run_ms=%llu\"}",
-		      WL_STR_ARG(wl_buf_str(&customer->service)),
-		      (unsigned long long)load->settings->task_run_ms,
-		      (unsigned long long)load->settings->task_run_ms);
+		      is_long ? "long" : "short", WL_STR_ARG(wl_buf_str(&customer->service)),
+		      urgent ? "urgent" : "batch", (unsigned long long)run_ms,
+		      (unsigned long long)run_ms);
 }
 
 static void fetch_release(wl_fetch_t *fetch)
@@ -206,8 +211,7 @@
 	}
 	customer->whole.sent++;
 	customer->second.sent++;
-	if (shot->crest)
-		customer->crest.sent++;
+	customer->phases[shot->phase].sent++;
 }
 
 static void shoot(load_t *load, uint64_t due_ns, bool task)
@@ -296,8 +300,7 @@
 	}
 	tally_add(&customer->whole, verdict, wrong, took_ns);
 	tally_add(&customer->second, verdict, wrong, took_ns);
-	if (shot->crest)
-		tally_add(&customer->crest, verdict, wrong, took_ns);
+	tally_add(&customer->phases[shot->phase], verdict, wrong, took_ns);
 }
 
 static void rows(load_t *load, uint64_t at_ns)
--- a/cli/load.h
+++ b/cli/load.h
@@ -8,6 +8,14 @@
 
 #include "cli.h"
 
+/* Where in a swing of demand a request is meant to be sent. */
+typedef enum wl_load_phase {
+	WL_PHASE_REST,
+	WL_PHASE_MIDDLE,
+	WL_PHASE_CREST,
+	WL_PHASES
+} wl_load_phase_t;
+
 /* When requests are meant to be sent. */
 
 typedef struct wl_schedule_point {
@@ -28,7 +36,7 @@
 bool wl_schedule_init(wl_schedule_t *schedule, const wl_cli_settings_t *settings);
 void wl_schedule_free(wl_schedule_t *schedule);
 double wl_schedule_rate(const wl_schedule_t *schedule, uint64_t at_ns);
-bool wl_schedule_crest(const wl_schedule_t *schedule, uint64_t at_ns);
+wl_load_phase_t wl_schedule_phase(const wl_schedule_t *schedule, uint64_t at_ns);
 bool wl_schedule_next(wl_schedule_t *schedule, uint64_t *at_ns);
 
 /* What came of the requests, by customer. */
@@ -46,7 +54,7 @@
 	wl_buf_t name;
 	wl_buf_t service;
 	wl_load_tally_t whole;
-	wl_load_tally_t crest;	/* requests meant for the crest of a swing */
+	wl_load_tally_t phases[WL_PHASES];
 	wl_load_tally_t second; /* of the current row */
 } wl_load_customer_t;
 
--- a/cli/load_report.c
+++ b/cli/load_report.c
@@ -57,8 +57,10 @@
 		wl_str_t name = wl_buf_str(&customers[i].name);
 
 		print_tally(settings, name, "all", &customers[i].whole);
-		if (customers[i].crest.sent)
-			print_tally(settings, name, "crest", &customers[i].crest);
+		if (customers[i].phases[WL_PHASE_REST].sent)
+			print_tally(settings, name, "rest", &customers[i].phases[WL_PHASE_REST]);
+		if (customers[i].phases[WL_PHASE_CREST].sent)
+			print_tally(settings, name, "crest", &customers[i].phases[WL_PHASE_CREST]);
 	}
 	if (tasks->sent)
 		print_tally(settings, WL_STR("tasks"), "accept", tasks);
--- a/cli/load_schedule.c
+++ b/cli/load_schedule.c
@@ -9,6 +9,7 @@
 #define NS_PER_S    1000000000.0
 #define LOAD_STREAM 1
 #define CREST_SHARE 0.8 /* of the way from rest to crest */
+#define REST_SHARE  0.2
 
 static bool schedule_read(wl_schedule_t *schedule, wl_str_t path)
 {
@@ -115,13 +116,21 @@
 }
 
 /*
- * wl_schedule_crest - tell whether a time is at the crest of a swing
+ * wl_schedule_phase - where in a swing a time is
+ * @at_ns: from the start
+ *
+ * Return: WL_PHASE_MIDDLE for a schedule that does not swing.
  */
-bool wl_schedule_crest(const wl_schedule_t *schedule, uint64_t at_ns)
+wl_load_phase_t wl_schedule_phase(const wl_schedule_t *schedule, uint64_t at_ns)
 {
+	double height;
+
 	if (schedule->count || schedule->crest_per_s == 0)
-		return false;
-	return swing(schedule, (double)at_ns / NS_PER_MS) >= CREST_SHARE;
+		return WL_PHASE_MIDDLE;
+	height = swing(schedule, (double)at_ns / NS_PER_MS);
+	if (height >= CREST_SHARE)
+		return WL_PHASE_CREST;
+	return height <= REST_SHARE ? WL_PHASE_REST : WL_PHASE_MIDDLE;
 }
 
 /*
--- a/libwlcore/api.c
+++ b/libwlcore/api.c
@@ -9,6 +9,7 @@
 
 #define NS_PER_MS  1000000ull
 #define CALL_MS	   10000 /* longest wait for the leader's answer */
+#define MAX_TASKS  10000 /* in one answer */
 #define API_STREAM 0x617069
 
 typedef enum who {
@@ -49,6 +50,30 @@
 	wl_out_reply_error(out, call, &err);
 }
 
+/*
+ * wl_api_param - find a parameter of a URL's query
+ * @query: without "?"; names and values stand as they came, percent-encoded
+ * @value: of the first parameter of that name
+ *
+ * Return: false if there is none.
+ */
+bool wl_api_param(wl_str_t query, wl_str_t name, wl_str_t *value)
+{
+	wl_str_t rest = query;
+
+	while (rest.len) {
+		wl_str_t pair;
+		wl_str_t found;
+
+		wl_str_split(rest, '&', &pair, &rest);
+		wl_str_split(pair, '=', &found, value);
+		if (wl_str_equal(found, name))
+			return true;
+	}
+	*value = (wl_str_t){NULL, 0};
+	return false;
+}
+
 /*
  * wl_api_wait - remember an HTTP call whose answer needs the leader
  */
@@ -110,14 +135,15 @@
 	wl_metrics_print(api->options.metrics, &reply->body);
 }
 
-static void ask_leader(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_query_kind_t kind,
-		       wl_str_t name, wl_out_t *out)
+static wl_msg_query_t *ask_leader(wl_api_t *api, uint64_t now_ns, const wl_call_t *call,
+				  wl_query_kind_t kind, wl_str_t name, wl_out_t *out)
 {
 	wl_wait_t *wait = wl_api_wait(api, call, WL_WAIT_PASS);
 	wl_msg_query_t *query =
 		wl_out_leader_query(out, wait->id, kind, now_ns + CALL_MS * NS_PER_MS);
 
 	wl_buf_set(&query->name, name);
+	return query;
 }
 
 static void status(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
@@ -132,10 +158,28 @@
 	ask_leader(api, now_ns, call, WL_QUERY_TARGETS, arg, out);
 }
 
+/* GET /v1/tasks, of all customers or ?customer=NAME, at most ?max=N of them. */
 static void tasks(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
 		  wl_out_t *out)
 {
-	ask_leader(api, now_ns, call, WL_QUERY_TASKS, arg, out);
+	wl_str_t query = wl_buf_str(&call->query);
+	wl_msg_query_t *ask;
+	uint64_t most = 0;
+	wl_str_t customer;
+	wl_str_t max;
+	wl_err_t err;
+
+	(void)arg;
+	wl_api_param(query, WL_STR("customer"), &customer);
+	if (wl_api_param(query, WL_STR("max"), &max) &&
+	    (!wl_str_u64(max, &most) || most > MAX_TASKS)) {
+		wl_err_set(&err, WL_E_BAD_INPUT, WL_NOT_RUN, "max: must be a number up to %d",
+			   MAX_TASKS);
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	ask = ask_leader(api, now_ns, call, WL_QUERY_TASKS, customer, out);
+	ask->number = most;
 }
 
 static void task(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg, wl_out_t *out)
--- a/libwlcore/api_internal.h
+++ b/libwlcore/api_internal.h
@@ -43,6 +43,7 @@
 
 wl_wait_t *wl_api_wait(wl_api_t *api, const wl_call_t *call, wl_wait_kind_t kind);
 void wl_api_wait_end(wl_api_t *api, wl_wait_t *wait);
+bool wl_api_param(wl_str_t query, wl_str_t name, wl_str_t *value);
 void wl_api_reply_json(wl_out_t *out, uint64_t call, uint64_t status, wl_str_t body);
 void wl_api_reply_result(wl_out_t *out, uint64_t call, const wl_result_t *result);
 
--- a/libwlcore/api_lists.c
+++ b/libwlcore/api_lists.c
@@ -82,26 +82,17 @@
 			  "If-Match: must be the list's version in quotes");
 }
 
-/* wait_ms=N among the query's parameters. */
 static bool read_wait(wl_str_t query, uint64_t *wait_ms, wl_err_t *err)
 {
-	wl_str_t rest = query;
+	wl_str_t value;
 
 	*wait_ms = 0;
-	while (rest.len) {
-		wl_str_t pair;
-		wl_str_t name;
-		wl_str_t value;
-
-		wl_str_split(rest, '&', &pair, &rest);
-		wl_str_split(pair, '=', &name, &value);
-		if (!wl_str_equal(name, WL_STR("wait_ms")))
-			continue;
-		if (!wl_str_u64(value, wait_ms) || *wait_ms > MAX_WAIT_MS)
-			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
-					  "wait_ms: must be a number up to %d", MAX_WAIT_MS);
-	}
-	return true;
+	if (!wl_api_param(query, WL_STR("wait_ms"), &value))
+		return true;
+	if (wl_str_u64(value, wait_ms) && *wait_ms <= MAX_WAIT_MS)
+		return true;
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "wait_ms: must be a number up to %d",
+			  MAX_WAIT_MS);
 }
 
 /*
