--- a/cli/cli.h
+++ b/cli/cli.h
@@ -30,6 +30,7 @@
 	bool wait;
 	uint64_t wait_ms;
 	wl_buf_t customer;
+	uint64_t max;	  /* tasks */
 	wl_buf_t replace; /* members */
 	wl_buf_t service; /* load */
 	wl_buf_t path;
--- a/cli/main.c
+++ b/cli/main.c
@@ -48,6 +48,8 @@
 	 120000, NULL},
 	{"customer", WL_OPTION_TEXT, AT(customer), NULL, "NAME,...",
 	 "tasks, load: customer; load takes several, NAME:SERVICE for its own service", 0, 0, NULL},
+	{"max", WL_OPTION_NUMBER, AT(max), "1000", "count", "tasks: most that are shown", 1, 10000,
+	 NULL},
 	{"replace", WL_OPTION_TEXT, AT(replace), NULL, "NAME",
 	 "members: replica whose disk is lost", 0, 0, NULL},
 	{"service", WL_OPTION_TEXT, AT(service), "tube-sort", "NAME", "load: service", 0, 0, NULL},
--- a/cli/show.c
+++ b/cli/show.c
@@ -112,8 +112,9 @@
 	wl_buf_set(&path, WL_STR("/v1/tasks"));
 	if (count > 0)
 		wl_buf_printf(&path, "/%s", words[0]);
-	else if (settings->customer.len)
-		wl_buf_printf(&path, "?customer=" WL_STR_FMT,
+	else
+		wl_buf_printf(&path, "?max=%llu&customer=" WL_STR_FMT,
+			      (unsigned long long)settings->max,
 			      WL_STR_ARG(wl_buf_str(&settings->customer)));
 	code = show(settings, path.at);
 	wl_buf_free(&path);
