lists, auth: names that are safe in labels and logs; digests in either case

Cause: found in review. A customer's name went unescaped into metric labels, and a token digest written in capitals was accepted by the list and refused at the door. Ruled out: escaping at each use, which leaves logs and headers open. Change: names in the lists have no space, quote, backslash or control character; digests are compared in lower case. Tests: auth_test.

--- a/libwlcore/auth.c
+++ b/libwlcore/auth.c
@@ -36,16 +36,27 @@
 			  "Authorization: missing or wrong bearer token");
 }
 
+static void lower_hex(wl_str_t hex, char out[WL_SHA256_HEX])
+{
+	for (size_t i = 0; i < WL_SHA256_HEX; i++) {
+		char c = hex.at[i];
+
+		out[i] = c >= 'A' && c <= 'F' ? (char)(c - 'A' + 'a') : c;
+	}
+}
+
 static bool token_right(const wl_customer_t *customer, const wl_list_t *headers)
 {
 	char shown[WL_SHA256_HEX + 1];
+	char right[WL_SHA256_HEX];
 
 	if (customer->token_sha256.len == 0)
 		return true;
+	if (customer->token_sha256.len != WL_SHA256_HEX)
+		return false;
 	wl_sha256_hex(bearer(headers), shown);
-	return customer->token_sha256.len == WL_SHA256_HEX &&
-	       wl_digest_equal((const uint8_t *)shown, (const uint8_t *)customer->token_sha256.at,
-			       WL_SHA256_HEX);
+	lower_hex(wl_buf_str(&customer->token_sha256), right);
+	return wl_digest_equal((const uint8_t *)shown, (const uint8_t *)right, WL_SHA256_HEX);
 }
 
 /*
--- a/libwlcore/lists.c
+++ b/libwlcore/lists.c
@@ -51,6 +51,25 @@
 	return true;
 }
 
+/* Names stand in logs, counters' labels and headers as they are. */
+static bool name_valid(wl_str_t name)
+{
+	for (size_t i = 0; i < name.len; i++) {
+		unsigned char c = (unsigned char)name.at[i];
+
+		if (c <= ' ' || c == '"' || c == '\\' || c == 0x7f)
+			return false;
+	}
+	return name.len > 0;
+}
+
+static bool name_wrong(const char *list, size_t i, const char *field, wl_err_t *err)
+{
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+			  "%s[%zu].%s: must have no space, quote, backslash or control character",
+			  list, i, field);
+}
+
 static bool check_classes(const wl_plan_t *plan, size_t i, wl_err_t *err)
 {
 	const wl_buf_t *classes = plan->classes.items;
@@ -70,10 +89,13 @@
 {
 	const wl_buf_t *services = plan->services.items;
 
-	for (size_t k = 0; k < plan->services.count; k++)
+	for (size_t k = 0; k < plan->services.count; k++) {
 		if (services[k].len == 0)
 			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 					  "plans[%zu].services[%zu]: must not be empty", i, k);
+		if (!name_valid(wl_buf_str(&services[k])))
+			return name_wrong("plans", i, "services", err);
+	}
 	return true;
 }
 
@@ -86,6 +108,8 @@
 		const wl_plan_t *plan = plan_at(lists, i);
 		plan_ref_t *ref = &lists->plan_refs[i];
 
+		if (!name_valid(wl_buf_str(&plan->name)))
+			return name_wrong("plans", i, "name", err);
 		*ref = (plan_ref_t){wl_buf_str(&plan->name), plan};
 		if (!wl_map_put(&lists->by_plan, ref))
 			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
@@ -110,6 +134,8 @@
 		customer_ref_t *ref = &lists->customer_refs[i];
 		wl_str_t plan = wl_buf_str(&customer->plan);
 
+		if (!name_valid(wl_buf_str(&customer->name)))
+			return name_wrong("customers", i, "name", err);
 		*ref = (customer_ref_t){wl_buf_str(&customer->name), customer,
 					wl_lists_plan(lists, plan)};
 		if (!wl_map_put(&lists->by_customer, ref))
