place: choose by net loss; keep room for short work that comes and goes

Short tasks of 0.2 s beside long ones of 20 s waited 4.1 s at p99, as long work took the last slots in the moments when nothing short was queued.

--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader_place.c
@@ -94,19 +94,11 @@
 	uint64_t now_ns;
 	wl_cmd_task_assign_t assign;
 	wl_cmd_task_report_t reject;
-	wl_list_t short_services; /* strings: services that short batch work waits for */
 	uint64_t tries;
 } round_t;
 
-static void short_services_add(round_t *round, const wl_task_t *task)
-{
-	wl_str_t service = wl_buf_str(&task->record.spec.service);
-
-	if (!is_long(round->leader, task) && !wl_strings_have(&round->short_services, service))
-		wl_strings_add(&round->short_services, service);
-}
-
-static void short_services_find(round_t *round)
+/* Tells the room table which services short work waits for. */
+static void short_work_find(round_t *round)
 {
 	const wl_state_customer_t *customer;
 
@@ -115,8 +107,10 @@
 		const wl_task_t *before = NULL;
 
 		for (size_t i = 0; task && i < SHORT_WINDOW; i++) {
-			if (!before || !wl_fair_same_size(before, task))
-				short_services_add(round, task);
+			if ((!before || !wl_fair_same_size(before, task)) &&
+			    !is_long(round->leader, task))
+				wl_place_short_waits(round->leader->place,
+						     wl_buf_str(&task->record.spec.service));
 			before = task;
 			task = TAILQ_NEXT(task, queue);
 		}
@@ -137,7 +131,7 @@
 				    .accelerators = spec->accelerators,
 				    .slots = 1};
 	wl_state_need(round->leader->state, spec, &ask->need);
-	ask->short_waits = wl_strings_have(&round->short_services, ask->service);
+	ask->waited_ms = wl_leader_clock_ms(round->leader, round->now_ns) - task->record.added_ms;
 }
 
 static void reject(round_t *round, const wl_task_t *task, wl_str_t reason)
@@ -286,10 +280,9 @@
 	if (batch) {
 		leader->place_due = false;
 		leader->next_place_ns = now_ns + ROUND_INTERVAL_NS;
-		short_services_find(&round);
+		short_work_find(&round);
 		place_class(&round, WL_CLASS_BATCH);
 		leader->next_batch_ns = now_ns + round.tries * TRY_PAUSE_NS;
 	}
 	round_propose(&round, out);
-	wl_strings_free(&round.short_services);
 }
--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -8,6 +8,8 @@
 
 #define STREAM_PLACE	   0x706c61
 #define SERVICE_LEAST_ROOM 8
+#define SHORT_MEMORY_NS	   30000000000ULL
+#define ALL_PERMILLE	   1000
 
 /*
  * wl_place_new - make an empty table of room
@@ -320,6 +322,30 @@
 	return service->failed[lane] && wl_need_within(&service->failed_need[lane], &ask->need);
 }
 
+/*
+ * wl_place_short_waits - short batch work for a service is queued in this round
+ */
+void wl_place_short_waits(wl_place_t *place, wl_str_t service)
+{
+	wl_place_service_t *found = wl_map_get(&place->by_service, service);
+
+	if (found)
+		found->short_ns = place->now_ns ? place->now_ns : 1;
+}
+
+/*
+ * Short work that came lately comes again: between its tasks long work may
+ * not take the last slots, or the next one stands behind it after all.
+ */
+static uint64_t long_permille(const wl_place_t *place, const wl_place_service_t *service)
+{
+	uint64_t share = place->options.long_share_permille;
+
+	if (service->short_ns == 0 || place->now_ns > service->short_ns + SHORT_MEMORY_NS)
+		return ALL_PERMILLE;
+	return service->short_ns == place->now_ns ? share : (share + ALL_PERMILLE) / 2;
+}
+
 /*
  * wl_place_choose - choose a target for a task
  * @ask: the task; targets that failed it are avoided unless there are no others
@@ -334,15 +360,17 @@
 
 	if (!service || failed_before(service, ask))
 		return false;
+	any.long_permille = long_permille(place, service);
 	if (ask->avoid && ask->avoid->count >= service->count)
 		any.avoid = NULL;
 	choice->may_evict = false;
+	choice->spared = false;
 	if (place->policy->choose(place, service, &any, false, choice))
 		return true;
 	choice->may_evict = true;
 	if (ask->urgent && place->policy->choose(place, service, &any, true, choice))
 		return true;
-	if (!any.avoid || any.avoid->count == 0) {
+	if (!choice->spared && (!any.avoid || any.avoid->count == 0)) {
 		service->failed[lane_of(ask)] = true;
 		service->failed_need[lane_of(ask)] = ask->need;
 	}
--- a/libwlcore/place.h
+++ b/libwlcore/place.h
@@ -51,15 +51,17 @@
 	wl_need_t declared;
 	wl_need_t need;		/* the larger of declared and learnt */
 	const wl_list_t *avoid; /* strings: targets that failed it */
+	uint64_t waited_ms;
 	bool urgent;
 	bool is_long;
-	bool short_waits;
+	uint64_t long_permille; /* set by the choice: slots of a rack that long work may hold */
 } wl_place_ask_t;
 
 typedef struct wl_place_choice {
 	wl_place_target_t *target;
 	wl_need_t need; /* on that target */
 	bool may_evict;
+	bool spared; /* there was room, but work there would lose more than the task gains */
 } wl_place_choice_t;
 
 typedef struct wl_place_options {
@@ -81,6 +83,7 @@
 wl_place_target_t *wl_place_target_find(const wl_place_t *place, wl_str_t name);
 wl_place_target_t *wl_place_know(wl_place_t *place, uint64_t now_ns, wl_str_t name);
 void wl_place_begin(wl_place_t *place, uint64_t now_ns);
+void wl_place_short_waits(wl_place_t *place, wl_str_t service);
 bool wl_place_choose(wl_place_t *place, const wl_place_ask_t *ask, wl_place_choice_t *choice);
 bool wl_place_too_large(const wl_place_t *place, const wl_place_ask_t *ask);
 void wl_place_load_add(wl_place_target_t *target, wl_place_load_t *load);
--- a/libwlcore/place_internal.h
+++ b/libwlcore/place_internal.h
@@ -19,6 +19,7 @@
 	size_t room;
 	bool failed[WL_LANES];		 /* in this round */
 	wl_need_t failed_need[WL_LANES]; /* found no room */
+	uint64_t short_ns;		 /* when short work waited last; 0: never */
 	TAILQ_ENTRY(wl_place_service) link;
 } wl_place_service_t;
 
@@ -51,6 +52,7 @@
 	TAILQ_HEAD(wl_place_racks, wl_place_rack) racks;
 	wl_map_t by_pair;
 	TAILQ_HEAD(wl_place_pairs, wl_place_pair) pairs;
+	wl_list_t foes; /* strings: kinds that are known to slow another or be slowed */
 };
 
 /* place_policy.c */
--- a/libwlcore/place_pairs.c
+++ b/libwlcore/place_pairs.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #define UNKNOWN_PERMILLE 1000
+#define FOE_PERMILLE	 1250
 #define WEIGHT_MOST	 100000
 #define HALF_LIFE_NS	 600000000000ULL
 
@@ -47,6 +48,12 @@
 		pair->at_ns = now_ns;
 }
 
+static void foe_note(wl_place_t *place, wl_str_t kind)
+{
+	if (!wl_strings_have(&place->foes, kind))
+		wl_strings_add(&place->foes, kind);
+}
+
 /*
  * wl_place_pair_learn - take in what an owner learnt of a pair of kinds
  * @now_ns: monotonic time; what is older counts half every ten minutes
@@ -69,6 +76,10 @@
 		(pair->slowdown_permille * pair->weight_milli + row->slowdown_permille * more) /
 		sum;
 	pair->weight_milli = sum < WEIGHT_MOST ? sum : WEIGHT_MOST;
+	if (pair->slowdown_permille >= FOE_PERMILLE) {
+		foe_note(place, kind);
+		foe_note(place, beside);
+	}
 }
 
 /* Expected slowdown of a kind beside another, thousandths; 1000 when nothing is learnt. */
@@ -92,4 +103,5 @@
 		free(pair);
 	}
 	wl_map_free(&place->by_pair);
+	wl_strings_free(&place->foes);
 }
--- a/libwlcore/place_policy.c
+++ b/libwlcore/place_policy.c
@@ -5,7 +5,9 @@
 #include <libwlcore/ledger.h>
 
 #define CANDIDATES	 24 /* targets with room that are compared */
-#define ALONE_PERMILLE	 1000
+#define ALONE_PERMILLE	 1000ULL
+#define KINDS_MOST	 16   /* kinds of one target that are looked at */
+#define PATIENCE_MS	 3000 /* that a batch task waits for a place where it does no harm */
 #define LEAST_LONG_SLOTS 1
 
 static uint64_t larger(uint64_t a, uint64_t b)
@@ -30,10 +32,10 @@
 		larger(need->memory_mib, smaller(ask->need.memory_mib, capacity->memory_mib));
 }
 
-static bool long_share_left(const wl_place_t *place, const wl_place_target_t *target)
+static bool long_share_left(const wl_place_target_t *target, const wl_place_ask_t *ask)
 {
 	const wl_place_rack_t *rack = target->rack;
-	uint64_t most = rack->slots * place->options.long_share_permille / ALONE_PERMILLE;
+	uint64_t most = rack->slots * ask->long_permille / ALONE_PERMILLE;
 
 	return rack->long_held < larger(most, LEAST_LONG_SLOTS);
 }
@@ -49,7 +51,7 @@
 		return false;
 	if (!wl_need_within(&ask->declared, &target->row.capacity))
 		return false;
-	if (ask->is_long && ask->short_waits && !ask->urgent && !long_share_left(place, target))
+	if (ask->is_long && !ask->urgent && !long_share_left(target, ask))
 		return false;
 	if (ask->avoid && wl_strings_have(ask->avoid, target->key))
 		return false;
@@ -72,31 +74,85 @@
 	return false;
 }
 
-/* Worst slowdown that the ask would suffer, times the worst that it would cause. */
-static uint64_t interference(const wl_place_t *place, const wl_place_target_t *target,
-			     const wl_place_ask_t *ask)
+/* A kind of work on a target, and how many of it. */
+typedef struct present {
+	wl_str_t kind;
+	uint64_t count;
+} present_t;
+
+typedef struct presence {
+	present_t kinds[KINDS_MOST];
+	size_t count;
+} presence_t;
+
+static void presence_add(presence_t *presence, wl_str_t kind, uint64_t count)
+{
+	for (size_t i = 0; i < presence->count; i++) {
+		if (!wl_str_equal(presence->kinds[i].kind, kind))
+			continue;
+		presence->kinds[i].count += count;
+		return;
+	}
+	if (presence->count < KINDS_MOST)
+		presence->kinds[presence->count++] = (present_t){kind, count};
+}
+
+static void presence_of(const wl_place_target_t *target, presence_t *presence)
 {
 	const wl_offer_kind_t *kinds = target->row.kinds.items;
 	const wl_place_load_t *load;
-	uint64_t suffered = ALONE_PERMILLE;
-	uint64_t caused = ALONE_PERMILLE;
 
-	for (size_t i = 0; i < target->row.kinds.count; i++) {
-		wl_str_t kind = wl_buf_str(&kinds[i].kind);
+	presence->count = 0;
+	for (size_t i = 0; i < target->row.kinds.count; i++)
+		presence_add(presence, wl_buf_str(&kinds[i].kind), kinds[i].running);
+	TAILQ_FOREACH (load, &target->loads, link)
+		if (!load->included)
+			presence_add(presence, wl_buf_str(&load->kind), 1);
+}
 
-		suffered = larger(suffered, wl_place_slowdown(place, ask->kind, kind));
-		caused = larger(caused, wl_place_slowdown(place, kind, ask->kind));
-	}
-	TAILQ_FOREACH (load, &target->loads, link) {
-		wl_str_t kind = wl_buf_str(&load->kind);
+/* Worst slowdown of a kind beside the others that are there. */
+static uint64_t suffered(const wl_place_t *place, const presence_t *presence, wl_str_t kind)
+{
+	uint64_t worst = ALONE_PERMILLE;
 
-		if (load->included)
-			continue;
-		suffered = larger(suffered, wl_place_slowdown(place, ask->kind, kind));
-		caused = larger(caused, wl_place_slowdown(place, kind, ask->kind));
+	for (size_t i = 0; i < presence->count; i++)
+		worst = larger(worst, wl_place_slowdown(place, kind, presence->kinds[i].kind));
+	return worst;
+}
+
+static int64_t speed(uint64_t slowdown_permille)
+{
+	return (int64_t)(ALONE_PERMILLE * ALONE_PERMILLE / slowdown_permille);
+}
+
+/*
+ * Speed that the work there would lose, less the speed that the task would
+ * have, in thousandths of a task alone; below zero the target does more work
+ * with the task than without.
+ */
+static int64_t net_loss(const wl_place_t *place, const wl_place_target_t *target,
+			const wl_place_ask_t *ask, const presence_t *presence)
+{
+	uint64_t own = suffered(place, presence, ask->kind);
+	int64_t loss = 0;
+
+	own = own * larger(target->row.slowdown_permille, ALONE_PERMILLE) / ALONE_PERMILLE;
+	for (size_t i = 0; i < presence->count; i++) {
+		const present_t *there = &presence->kinds[i];
+		uint64_t now = suffered(place, presence, there->kind);
+		uint64_t then = larger(now, wl_place_slowdown(place, there->kind, ask->kind));
+
+		loss += (int64_t)there->count * (speed(now) - speed(then));
 	}
-	return suffered * caused / ALONE_PERMILLE *
-	       larger(target->row.slowdown_permille, ALONE_PERMILLE) / ALONE_PERMILLE;
+	return loss - speed(own);
+}
+
+static uint64_t count_of(const presence_t *presence, wl_str_t kind)
+{
+	for (size_t i = 0; i < presence->count; i++)
+		if (wl_str_equal(presence->kinds[i].kind, kind))
+			return presence->kinds[i].count;
+	return 0;
 }
 
 static uint64_t free_slots(const wl_place_target_t *target)
@@ -107,33 +163,63 @@
 	return room.slots;
 }
 
+/* How good a target is: less loss, then its own kind if that kind has foes, then free slots. */
+typedef struct rank {
+	int64_t loss;
+	uint64_t kin;
+	uint64_t slots;
+} rank_t;
+
+static bool better(const rank_t *a, const rank_t *b)
+{
+	if (a->loss != b->loss)
+		return a->loss < b->loss;
+	if (a->kin != b->kin)
+		return a->kin > b->kin;
+	return a->slots > b->slots;
+}
+
+static rank_t rank_of(const wl_place_t *place, const wl_place_target_t *target,
+		      const wl_place_ask_t *ask, bool has_foes)
+{
+	presence_t presence;
+	rank_t rank;
+
+	presence_of(target, &presence);
+	rank.loss = net_loss(place, target, ask, &presence);
+	rank.kin = has_foes && count_of(&presence, ask->kind) > 0;
+	rank.slots = free_slots(target);
+	return rank;
+}
+
 /* Compares a bounded number of targets with room, from a random place in the table on. */
 static bool least_interference(wl_place_t *place, const wl_place_service_t *service,
 			       const wl_place_ask_t *ask, bool evict, wl_place_choice_t *choice)
 {
 	size_t from = service->count ? wl_rng_below(&place->rng, service->count) : 0;
-	uint64_t best = UINT64_MAX;
+	bool has_foes = wl_strings_have(&place->foes, ask->kind);
+	rank_t best = {0};
 	size_t seen = 0;
 
 	choice->target = NULL;
 	for (size_t i = 0; i < service->count && seen < CANDIDATES; i++) {
 		wl_place_target_t *target = service->targets[(from + i) % service->count];
-		uint64_t score;
+		rank_t rank;
 		wl_need_t need;
 
 		if (!wl_place_fits(place, target, ask, evict, &need))
 			continue;
 		seen++;
-		score = interference(place, target, ask);
-		if (choice->target &&
-		    (score > best ||
-		     (score == best && free_slots(target) <= free_slots(choice->target))))
+		rank = rank_of(place, target, ask, has_foes);
+		if (choice->target && !better(&rank, &best))
 			continue;
-		best = score;
+		best = rank;
 		choice->target = target;
 		choice->need = need;
 	}
-	return choice->target != NULL;
+	choice->spared =
+		choice->target && best.loss > 0 && !ask->urgent && ask->waited_ms < PATIENCE_MS;
+	return choice->target && !choice->spared;
 }
 
 /* Sorted by name. */
--- a/tests/unit/place_test.cc
+++ b/tests/unit/place_test.cc
@@ -230,7 +230,7 @@
 			} else {
 				wl_place_ask_t ask = ask_of();
 				ask.is_long = wl_rng_below(&rng, 2) == 0;
-				ask.short_waits = true;
+				wl_place_short_waits(place, ask.service);
 				if (!wl_place_choose(place, &ask, &choice))
 					continue;
 				auto load = std::make_unique<Load>();
