--- a/libwlcore/node.c
+++ b/libwlcore/node.c
@@ -8,50 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NS_PER_MS	1000000ull
-#define TICK_MS		10
-#define DRAIN_NOTICE_MS 1000 /* not ready, yet still serving: the balancer needs a moment */
-#define SESSION_END_MS	2000 /* longest wait for the end of the own session to be committed */
-#define HAND_OVER_MS	3000 /* longest wait for another replica to lead */
-
-static uint64_t preset(uint64_t value, uint64_t otherwise)
-{
-	return value ? value : otherwise;
-}
-
-static wl_str_t preset_name(wl_str_t value, wl_str_t otherwise)
-{
-	return value.len ? value : otherwise;
-}
-
-static void options_fill(wl_node_options_t *options)
-{
-	options->routing = preset_name(options->routing, WL_STR("least-slowdown"));
-	options->queueing = preset_name(options->queueing, WL_STR("fair-deadline"));
-	options->placement = preset_name(options->placement, WL_STR("interference-fair"));
-	options->eviction = preset_name(options->eviction, WL_STR("least-lost"));
-	options->session_ms = preset(options->session_ms, 5000);
-	options->renew_ms = preset(options->renew_ms, 1000);
-	options->election_ms = preset(options->election_ms, 1000);
-	options->heartbeat_ms = preset(options->heartbeat_ms, 150);
-	options->lease_ms = preset(options->lease_ms, 8000);
-	options->grace_ms = preset(options->grace_ms, 5000);
-	options->drift_ms = preset(options->drift_ms, 500);
-	options->announce_ms = preset(options->announce_ms, 1000);
-	options->silence_ms = preset(options->silence_ms, 3000);
-	options->room_ms = preset(options->room_ms, 100);
-	options->drain_ms = preset(options->drain_ms, 30000);
-	options->default_timeout_ms = preset(options->default_timeout_ms, 30000);
-	options->max_timeout_ms = preset(options->max_timeout_ms, 600000);
-	options->max_queued = preset(options->max_queued, 10000);
-	options->request_cpu_millis = preset(options->request_cpu_millis, 1000);
-	options->request_memory_mib = preset(options->request_memory_mib, 512);
-	options->long_ms = preset(options->long_ms, 60000);
-	options->long_share_permille = preset(options->long_share_permille, 500);
-	options->key_keep_ms = preset(options->key_keep_ms, 24ull * 3600 * 1000);
-	options->task_keep_ms = preset(options->task_keep_ms, 24ull * 3600 * 1000);
-	options->compact_entries = preset(options->compact_entries, 8192);
-}
+#define NS_PER_MS 1000000ull
+#define TICK_MS	  10
 
 static void queue_event(wl_node_t *node, wl_event_t *event)
 {
@@ -136,7 +94,10 @@
 	from->count = 0;
 }
 
-static void dial(wl_out_t *out, wl_str_t name, wl_str_t address)
+/*
+ * wl_node_dial - keep a link to a daemon
+ */
+void wl_node_dial(wl_out_t *out, wl_str_t name, wl_str_t address)
 {
 	wl_action_t *action = wl_out_add(out, WL_ACTION_DIAL);
 
@@ -144,17 +105,10 @@
 	wl_buf_set(&action->address, address);
 }
 
-static void dial_stores(wl_node_t *node, wl_out_t *out)
-{
-	for (size_t i = 0; i < node->options.store_count; i++) {
-		const wl_node_peer_t *store = &node->options.stores[i];
-
-		if (!wl_str_equal(store->name, node->options.name))
-			dial(out, store->name, store->address);
-	}
-}
-
-static bool is_store(const wl_node_t *node, wl_str_t name)
+/*
+ * wl_node_is_store - whether the settings name a replica so
+ */
+bool wl_node_is_store(const wl_node_t *node, wl_str_t name)
 {
 	for (size_t i = 0; i < node->options.store_count; i++)
 		if (wl_str_equal(node->options.stores[i].name, name))
@@ -170,8 +124,8 @@
 	for (size_t i = 0; i < node->view.members.count; i++) {
 		wl_str_t name = wl_buf_str(&members[i].entry);
 
-		if (!wl_str_equal(name, node->options.name) && !is_store(node, name))
-			dial(out, name, wl_buf_str(&members[i].address));
+		if (!wl_str_equal(name, node->options.name) && !wl_node_is_store(node, name))
+			wl_node_dial(out, name, wl_buf_str(&members[i].address));
 	}
 }
 
@@ -316,93 +270,6 @@
 		wl_owner_step(node->owner, now_ns, event, out);
 }
 
-static void node_drain(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
-{
-	if (node->drain_ns)
-		return;
-	node->drain_ns = now_ns ? now_ns : 1;
-	wl_out_log(out, WL_INFO, "drain-begin", "open_requests=%zu",
-		   node->options.entry ? wl_requests_open(node->requests) : 0);
-	wl_api_drain(node->api);
-	if (node->options.entry)
-		wl_session_step(&node->session, &node->view, now_ns, event, out);
-	wl_node_hand_over(node, now_ns, out);
-}
-
-static bool owns_targets(const wl_node_t *node)
-{
-	const wl_view_target_t *target;
-
-	TAILQ_FOREACH (target, &node->view.targets, link)
-		if (target->row.session == node->session.id && target->row.entry.len)
-			return true;
-	return false;
-}
-
-/* When every entry stops, nobody is left to take targets over. */
-static bool all_draining(const wl_node_t *node)
-{
-	const wl_member_t *members = node->view.members.items;
-
-	for (size_t i = 0; i < node->view.members.count; i++)
-		if (!members[i].draining && members[i].session != node->session.id)
-			return false;
-	return true;
-}
-
-static void end_session(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
-{
-	wl_cmd_t cmd = {.kind = WL_CMD_SESSION_END};
-
-	node->session_ending = true;
-	cmd.u.session_end.session = node->session.id;
-	wl_out_leader_command(out, WL_PART_ID(WL_PART_NODE, 1), &cmd,
-			      now_ns + SESSION_END_MS * NS_PER_MS);
-	wl_cmd_free(&cmd);
-}
-
-/* The entry's part of a planned stop: requests first, then targets, then the session. */
-static bool entry_drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
-{
-	wl_requests_drain(node->requests);
-	if (wl_requests_open(node->requests) > 0)
-		return false;
-	if (!node->session_ending && !wl_session_valid(&node->session, now_ns))
-		return true;
-	if (owns_targets(node) && !all_draining(node))
-		return false;
-	if (!node->session_ending)
-		end_session(node, now_ns, out);
-	return node->session_ended;
-}
-
-/* What still has to end before the daemon may. */
-static bool drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
-{
-	uint64_t since_ms = (now_ns - node->drain_ns) / NS_PER_MS;
-	bool leads = node->raft && wl_raft_leads(node->raft);
-
-	if (since_ms < DRAIN_NOTICE_MS || wl_api_open(node->api) > 0)
-		return false;
-	/* One that leads again because the others have gone must not wait for them. */
-	if (leads && since_ms < HAND_OVER_MS)
-		return false;
-	return !node->options.entry || entry_drained(node, now_ns, out);
-}
-
-static void drain_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
-{
-	bool late = now_ns >= node->drain_ns + node->options.drain_ms * NS_PER_MS;
-	wl_action_t *action;
-
-	if (node->exiting || !(drained(node, now_ns, out) || late))
-		return;
-	node->exiting = true;
-	wl_out_log(out, late ? WL_WARN : WL_INFO, "drain-end", "late=%s", late ? "yes" : "no");
-	action = wl_out_add(out, WL_ACTION_EXIT);
-	wl_buf_set(&action->line, late ? WL_STR("drain-late") : WL_STR("drained"));
-}
-
 static void node_tick(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	wl_call_end_t end;
@@ -419,7 +286,7 @@
 		call_ended(node, now_ns, &end, out);
 	wl_calls_resend(&node->calls, node_leader(node), now_ns, out);
 	if (node->drain_ns)
-		drain_tick(node, now_ns, out);
+		wl_node_drain_tick(node, now_ns, out);
 }
 
 static void node_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
@@ -451,7 +318,7 @@
 		wl_node_persisted(node, now_ns, event->ticket, out);
 		return;
 	case WL_EVENT_DRAIN:
-		node_drain(node, now_ns, event, out);
+		wl_node_drain(node, now_ns, event, out);
 		return;
 	case WL_EVENT_GAUGE:
 		wl_metrics_set(&node->metrics, event->peer.at, "", event->index);
@@ -499,179 +366,3 @@
 	(void)node;
 	return TICK_MS * NS_PER_MS;
 }
-
-static bool node_make_entry(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
-{
-	const wl_node_options_t *o = &node->options;
-	wl_need_t request = {o->request_cpu_millis, o->request_memory_mib, 0, 1, 1};
-	wl_owner_options_t owner = {
-		.entry = o->name,
-		.ledger = &node->ledger,
-		.view = &node->view,
-		.session = &node->session,
-		.metrics = &node->metrics,
-		.chart = node->target_chart,
-		.eviction = o->eviction,
-		.announce_ms = o->announce_ms,
-		.silence_ms = o->silence_ms,
-		.lease_ms = o->lease_ms,
-		.session_ms = o->session_ms,
-		.grace_ms = o->grace_ms,
-		.drift_ms = o->drift_ms,
-		.offer_ms = o->room_ms,
-		.seed = o->seed,
-	};
-	wl_request_options_t requests = {
-		.entry = o->name,
-		.availability_zone = o->availability_zone,
-		.ledger = &node->ledger,
-		.view = &node->view,
-		.session = &node->session,
-		.metrics = &node->metrics,
-		.routing = o->routing,
-		.queueing = o->queueing,
-		.default_timeout_ms = o->default_timeout_ms,
-		.max_timeout_ms = o->max_timeout_ms,
-		.max_queued = o->max_queued,
-		.retry_permille = o->retry_permille,
-		.room_ms = o->room_ms,
-		.seed = o->seed,
-	};
-
-	wl_ledger_init(&node->ledger, &request);
-	node->owner = wl_owner_new(&owner, now_ns, err);
-	if (!node->owner)
-		return false;
-	requests.owner = node->owner;
-	node->requests = wl_requests_new(&requests, now_ns, err);
-	return node->requests != NULL;
-}
-
-static bool node_make_store(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
-{
-	const wl_node_options_t *o = &node->options;
-	wl_str_t *peers = wl_alloc(o->store_count * sizeof(*peers));
-	wl_raft_options_t raft = {
-		.id = o->store_id,
-		.name = o->name,
-		.peers = peers,
-		.peer_count = o->store_count,
-		.election_ms = o->election_ms,
-		.heartbeat_ms = o->heartbeat_ms,
-		.compact_entries = o->compact_entries,
-		.seed = o->seed ^ o->boot,
-	};
-
-	for (size_t i = 0; i < o->store_count; i++)
-		peers[i] = o->stores[i].name;
-	node->raft = wl_raft_new(&raft, o->saved, now_ns, err);
-	free(peers);
-	return node->raft && wl_node_make_state(node, now_ns, err);
-}
-
-static void node_make_session(wl_node_t *node, uint64_t now_ns)
-{
-	const wl_node_options_t *o = &node->options;
-	wl_session_options_t session = {
-		.entry = o->name,
-		.address = o->peer_address,
-		.availability_zone = o->availability_zone,
-		.boot = o->boot,
-		.store_count = o->store_count,
-		.renew_ms = o->renew_ms,
-	};
-
-	node->store_names = wl_alloc(o->store_count * sizeof(*node->store_names));
-	for (size_t i = 0; i < o->store_count; i++)
-		node->store_names[i] = o->stores[i].name;
-	session.stores = node->store_names;
-	wl_session_init(&node->session, &session, now_ns);
-}
-
-static void node_make_api(wl_node_t *node)
-{
-	wl_api_options_t api = {
-		.name = node->options.name,
-		.view = &node->view,
-		.session = &node->session,
-		.metrics = &node->metrics,
-		.operator_token = node->options.operator_token,
-		.entry = node->options.entry,
-		.boot = node->options.boot,
-	};
-
-	node->api = wl_api_new(&api);
-}
-
-/*
- * wl_node_new - make the decisions of one daemon
- * @options: its strings must outlive the node; the saved state is taken over
- * @now_ns: monotonic time, nanoseconds
- * @err: WL_E_BAD_INPUT for a chart or a policy's name, WL_E_DAMAGED for saved state
- *
- * Return: the node, or NULL.
- */
-wl_node_t *wl_node_new(const wl_node_options_t *options, uint64_t now_ns, wl_err_t *err)
-{
-	wl_node_t *node = wl_alloc(sizeof(*node));
-	bool ok = true;
-
-	node->options = *options;
-	options_fill(&node->options);
-	TAILQ_INIT(&node->queue);
-	wl_metrics_init(&node->metrics);
-	wl_view_init(&node->view);
-	wl_calls_init(&node->calls, options->boot);
-	node_make_session(node, now_ns);
-	node_make_api(node);
-
-	node->task_chart = wl_chart_load(&wl_task_chart_binding, options->task_chart, err);
-	node->target_chart = node->task_chart ? wl_chart_load(&wl_target_chart_binding,
-							      options->target_chart, err)
-					      : NULL;
-	ok = node->target_chart != NULL;
-	if (ok && options->entry)
-		ok = node_make_entry(node, now_ns, err);
-	if (ok && options->store)
-		ok = node_make_store(node, now_ns, err);
-	if (!ok) {
-		wl_node_free(node);
-		return NULL;
-	}
-	dial_stores(node, &node->deferred);
-	return node;
-}
-
-/*
- * wl_node_free - release a node
- */
-void wl_node_free(wl_node_t *node)
-{
-	wl_queued_event_t *queued;
-
-	if (!node)
-		return;
-	while ((queued = TAILQ_FIRST(&node->queue))) {
-		TAILQ_REMOVE(&node->queue, queued, link);
-		wl_event_free(&queued->event);
-		free(queued);
-	}
-	wl_requests_free(node->requests);
-	wl_owner_free(node->owner);
-	if (node->options.entry && node->target_chart)
-		wl_ledger_free(&node->ledger);
-	wl_leader_free(node->leader);
-	wl_state_free(node->state);
-	wl_raft_free(node->raft);
-	wl_api_free(node->api);
-	wl_calls_free(&node->calls);
-	wl_session_free(&node->session);
-	wl_view_free(&node->view);
-	wl_chart_free(node->task_chart);
-	wl_chart_free(node->target_chart);
-	wl_metrics_free(&node->metrics);
-	wl_out_free(&node->scratch);
-	wl_out_free(&node->deferred);
-	free(node->store_names);
-	free(node);
-}
--- a/libwlcore/node_internal.h
+++ b/libwlcore/node_internal.h
@@ -39,6 +39,7 @@
 	wl_leader_t *leader;
 	uint64_t applied; /* index */
 	bool leading;
+	uint64_t blank_log_ns; /* next line about a replica without a group */
 
 	wl_api_t *api;
 	wl_calls_t calls;
@@ -53,6 +54,10 @@
 	wl_out_t deferred; /* actions made while others are being sorted */
 };
 
+bool wl_node_is_store(const wl_node_t *node, wl_str_t name);
+void wl_node_dial(wl_out_t *out, wl_str_t name, wl_str_t address);
+void wl_node_drain(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+void wl_node_drain_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 bool wl_node_make_state(wl_node_t *node, uint64_t now_ns, wl_err_t *err);
 void wl_node_propose(wl_node_t *node, uint64_t now_ns, wl_action_t *action, wl_out_t *out);
 void wl_node_raft_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
--- /dev/null
+++ b/libwlcore/node_new.c
@@ -0,0 +1,230 @@
+/* Making and releasing the decisions of one daemon. */
+
+#include "node_internal.h"
+
+#include <stdlib.h>
+
+static uint64_t preset(uint64_t value, uint64_t otherwise)
+{
+	return value ? value : otherwise;
+}
+
+static wl_str_t preset_name(wl_str_t value, wl_str_t otherwise)
+{
+	return value.len ? value : otherwise;
+}
+
+static void options_fill(wl_node_options_t *options)
+{
+	options->routing = preset_name(options->routing, WL_STR("least-slowdown"));
+	options->queueing = preset_name(options->queueing, WL_STR("fair-deadline"));
+	options->placement = preset_name(options->placement, WL_STR("interference-fair"));
+	options->eviction = preset_name(options->eviction, WL_STR("least-lost"));
+	options->session_ms = preset(options->session_ms, 5000);
+	options->renew_ms = preset(options->renew_ms, 1000);
+	options->election_ms = preset(options->election_ms, 1000);
+	options->heartbeat_ms = preset(options->heartbeat_ms, 150);
+	options->lease_ms = preset(options->lease_ms, 8000);
+	options->grace_ms = preset(options->grace_ms, 5000);
+	options->drift_ms = preset(options->drift_ms, 500);
+	options->announce_ms = preset(options->announce_ms, 1000);
+	options->silence_ms = preset(options->silence_ms, 3000);
+	options->room_ms = preset(options->room_ms, 100);
+	options->drain_ms = preset(options->drain_ms, 30000);
+	options->default_timeout_ms = preset(options->default_timeout_ms, 30000);
+	options->max_timeout_ms = preset(options->max_timeout_ms, 600000);
+	options->max_queued = preset(options->max_queued, 10000);
+	options->request_cpu_millis = preset(options->request_cpu_millis, 1000);
+	options->request_memory_mib = preset(options->request_memory_mib, 512);
+	options->long_ms = preset(options->long_ms, 60000);
+	options->long_share_permille = preset(options->long_share_permille, 500);
+	options->key_keep_ms = preset(options->key_keep_ms, 24ull * 3600 * 1000);
+	options->task_keep_ms = preset(options->task_keep_ms, 24ull * 3600 * 1000);
+	options->compact_entries = preset(options->compact_entries, 8192);
+}
+
+static void dial_stores(wl_node_t *node, wl_out_t *out)
+{
+	for (size_t i = 0; i < node->options.store_count; i++) {
+		const wl_node_peer_t *store = &node->options.stores[i];
+
+		if (!wl_str_equal(store->name, node->options.name))
+			wl_node_dial(out, store->name, store->address);
+	}
+}
+
+static bool node_make_entry(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
+{
+	const wl_node_options_t *o = &node->options;
+	wl_need_t request = {o->request_cpu_millis, o->request_memory_mib, 0, 1, 1};
+	wl_owner_options_t owner = {
+		.entry = o->name,
+		.ledger = &node->ledger,
+		.view = &node->view,
+		.session = &node->session,
+		.metrics = &node->metrics,
+		.chart = node->target_chart,
+		.eviction = o->eviction,
+		.announce_ms = o->announce_ms,
+		.silence_ms = o->silence_ms,
+		.lease_ms = o->lease_ms,
+		.session_ms = o->session_ms,
+		.grace_ms = o->grace_ms,
+		.drift_ms = o->drift_ms,
+		.offer_ms = o->room_ms,
+		.seed = o->seed,
+	};
+	wl_request_options_t requests = {
+		.entry = o->name,
+		.availability_zone = o->availability_zone,
+		.ledger = &node->ledger,
+		.view = &node->view,
+		.session = &node->session,
+		.metrics = &node->metrics,
+		.routing = o->routing,
+		.queueing = o->queueing,
+		.default_timeout_ms = o->default_timeout_ms,
+		.max_timeout_ms = o->max_timeout_ms,
+		.max_queued = o->max_queued,
+		.retry_permille = o->retry_permille,
+		.room_ms = o->room_ms,
+		.seed = o->seed,
+	};
+
+	wl_ledger_init(&node->ledger, &request);
+	node->owner = wl_owner_new(&owner, now_ns, err);
+	if (!node->owner)
+		return false;
+	requests.owner = node->owner;
+	node->requests = wl_requests_new(&requests, now_ns, err);
+	return node->requests != NULL;
+}
+
+static bool node_make_store(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
+{
+	const wl_node_options_t *o = &node->options;
+	wl_str_t *peers = wl_alloc(o->store_count * sizeof(*peers));
+	wl_raft_options_t raft = {
+		.id = o->store_id,
+		.name = o->name,
+		.peers = peers,
+		.peer_count = o->store_count,
+		.election_ms = o->election_ms,
+		.heartbeat_ms = o->heartbeat_ms,
+		.compact_entries = o->compact_entries,
+		.seed = o->seed ^ o->boot,
+	};
+
+	for (size_t i = 0; i < o->store_count; i++)
+		peers[i] = o->stores[i].name;
+	node->raft = wl_raft_new(&raft, o->saved, now_ns, err);
+	free(peers);
+	return node->raft && wl_node_make_state(node, now_ns, err);
+}
+
+static void node_make_session(wl_node_t *node, uint64_t now_ns)
+{
+	const wl_node_options_t *o = &node->options;
+	wl_session_options_t session = {
+		.entry = o->name,
+		.address = o->peer_address,
+		.availability_zone = o->availability_zone,
+		.boot = o->boot,
+		.store_count = o->store_count,
+		.renew_ms = o->renew_ms,
+	};
+
+	node->store_names = wl_alloc(o->store_count * sizeof(*node->store_names));
+	for (size_t i = 0; i < o->store_count; i++)
+		node->store_names[i] = o->stores[i].name;
+	session.stores = node->store_names;
+	wl_session_init(&node->session, &session, now_ns);
+}
+
+static void node_make_api(wl_node_t *node)
+{
+	wl_api_options_t api = {
+		.name = node->options.name,
+		.view = &node->view,
+		.session = &node->session,
+		.metrics = &node->metrics,
+		.operator_token = node->options.operator_token,
+		.entry = node->options.entry,
+		.boot = node->options.boot,
+	};
+
+	node->api = wl_api_new(&api);
+}
+
+/*
+ * wl_node_new - make the decisions of one daemon
+ * @options: its strings must outlive the node; the saved state is taken over
+ * @now_ns: monotonic time, nanoseconds
+ * @err: WL_E_BAD_INPUT for a chart or a policy's name, WL_E_DAMAGED for saved state
+ *
+ * Return: the node, or NULL.
+ */
+wl_node_t *wl_node_new(const wl_node_options_t *options, uint64_t now_ns, wl_err_t *err)
+{
+	wl_node_t *node = wl_alloc(sizeof(*node));
+	bool ok = true;
+
+	node->options = *options;
+	options_fill(&node->options);
+	TAILQ_INIT(&node->queue);
+	wl_metrics_init(&node->metrics);
+	wl_view_init(&node->view);
+	wl_calls_init(&node->calls, options->boot);
+	node_make_session(node, now_ns);
+	node_make_api(node);
+
+	node->task_chart = wl_chart_load(&wl_task_chart_binding, options->task_chart, err);
+	node->target_chart = node->task_chart ? wl_chart_load(&wl_target_chart_binding,
+							      options->target_chart, err)
+					      : NULL;
+	ok = node->target_chart != NULL;
+	if (ok && options->entry)
+		ok = node_make_entry(node, now_ns, err);
+	if (ok && options->store)
+		ok = node_make_store(node, now_ns, err);
+	if (!ok) {
+		wl_node_free(node);
+		return NULL;
+	}
+	dial_stores(node, &node->deferred);
+	return node;
+}
+
+/*
+ * wl_node_free - release a node
+ */
+void wl_node_free(wl_node_t *node)
+{
+	wl_queued_event_t *queued;
+
+	if (!node)
+		return;
+	while ((queued = TAILQ_FIRST(&node->queue))) {
+		TAILQ_REMOVE(&node->queue, queued, link);
+		wl_event_free(&queued->event);
+		free(queued);
+	}
+	wl_requests_free(node->requests);
+	wl_owner_free(node->owner);
+	if (node->options.entry && node->target_chart)
+		wl_ledger_free(&node->ledger);
+	wl_leader_free(node->leader);
+	wl_state_free(node->state);
+	wl_raft_free(node->raft);
+	wl_api_free(node->api);
+	wl_calls_free(&node->calls);
+	wl_session_free(&node->session);
+	wl_view_free(&node->view);
+	wl_chart_free(node->task_chart);
+	wl_chart_free(node->target_chart);
+	wl_metrics_free(&node->metrics);
+	wl_out_free(&node->scratch);
+	wl_out_free(&node->deferred);
+	free(node->store_names);
+	free(node);
+}
--- a/libwlcore/node_store.c
+++ b/libwlcore/node_store.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+#define NS_PER_MS    1000000ull
+#define BLANK_LOG_MS 10000 /* between two lines about a replica that belongs to no group */
+
 static void raft_event(wl_node_t *node, uint64_t now_ns, const wl_raft_event_t *event,
 		       wl_out_t *out);
 
@@ -38,12 +41,36 @@
 	wl_result_free(&result);
 }
 
+/* One pair a member: NAME:ID, with "+learner" while it has no vote. */
+static void members_log(const wl_raft_entry_t *entry, wl_out_t *out)
+{
+	wl_raft_members_t members;
+	wl_buf_t list = {0};
+	wl_err_t err;
+
+	if (!wl_record_unpack(&wl_raft_members_schema, wl_buf_str(&entry->data), &members, &err))
+		return;
+	for (size_t i = 0; i < members.members.count; i++) {
+		const wl_raft_member_t *member = (wl_raft_member_t *)members.members.items + i;
+
+		wl_buf_printf(&list, "%s" WL_STR_FMT ":%016llx%s", i ? "," : "",
+			      WL_STR_ARG(wl_buf_str(&member->name)), (unsigned long long)member->id,
+			      member->voter ? "" : "+learner");
+	}
+	wl_out_log(out, WL_INFO, "members", "index=%llu members=" WL_STR_FMT,
+		   (unsigned long long)entry->index, WL_STR_ARG(wl_buf_str(&list)));
+	wl_buf_free(&list);
+	wl_record_free(&wl_raft_members_schema, &members);
+}
+
 static void do_commit(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
 {
 	wl_cmd_t cmd;
 	wl_err_t err;
 
 	node->applied = action->entry.index;
+	if (action->entry.kind == WL_RAFT_MEMBERS)
+		members_log(&action->entry, out);
 	if (action->entry.kind != WL_RAFT_DATA)
 		return;
 	if (!wl_cmd_unpack(wl_buf_str(&action->entry.data), &cmd, &err)) {
@@ -219,8 +246,14 @@
 {
 	wl_raft_event_t event = {.kind = WL_RAFT_EV_TICK};
 
-	if (node->raft)
-		raft_event(node, now_ns, &event, out);
+	if (!node->raft)
+		return;
+	raft_event(node, now_ns, &event, out);
+	if (wl_raft_group(node->raft) != 0 || now_ns < node->blank_log_ns)
+		return;
+	if (node->blank_log_ns)
+		wl_out_log(out, WL_WARN, "store-blank", "waiting=admission-or-founding");
+	node->blank_log_ns = now_ns + BLANK_LOG_MS * NS_PER_MS;
 }
 
 /*
@@ -307,6 +340,11 @@
 		&wl_out_send(out, wl_buf_str(&event->peer), WL_MSG_RESULT)->u.result;
 
 	answer->call = event->msg.u.query.call;
+	if (!wl_node_is_store(node, replace.name)) {
+		answer->result.code = WL_E_NOT_FOUND;
+		wl_buf_set(&answer->result.text, WL_STR("replace: no replica of this name"));
+		return;
+	}
 	raft_event(node, now_ns, &replace, out);
 }
 
