--- a/libwlcore/leader.c
+++ b/libwlcore/leader.c
@@ -11,10 +11,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SESSION_MS_DEFAULT	    4000
-#define DRIFT_MS_DEFAULT	    200
+#define SESSION_MS_DEFAULT	    5000
+#define DRIFT_MS_DEFAULT	    500
 #define LONG_MS_DEFAULT		    60000
-#define LONG_SHARE_PERMILLE_DEFAULT 600
+#define LONG_SHARE_PERMILLE_DEFAULT 500
 
 static const wl_field_t report_head_fields[] = {
 	WL_FIELD(wl_report_head_t, peer, WL_FIELD_BYTES),
