tests: a daemon that ends by itself fails the test

A restart, and chaos' heal() most of all, hid a daemon that had crashed: it was started again as if it had been killed. Before each start and at the end the exit code must be that of a kill, a planned stop or a late one. Chaos also waits for the planned stops that it began.

--- a/tests/integration/chaos_test.cc
+++ b/tests/integration/chaos_test.cc
@@ -18,6 +18,8 @@
  */
 namespace
 {
+constexpr int STOP_MS = 40000;
+
 uint64_t number(const char *variable, uint64_t preset)
 {
 	const char *value = getenv(variable);
@@ -79,6 +81,7 @@
 		case 3:
 			printf("planned stop of %s\n", member.name.c_str());
 			member.process.signal(SIGTERM);
+			stopping.insert(&member);
 			break;
 		case 4:
 			printf("reset links to %s\n", member.name.c_str());
@@ -105,11 +108,13 @@
 		frozen.clear();
 		for (int i = 0; i < 8; i++)
 			target("heal");
-		for (auto &member : cluster.members) {
-			if (member->process.running() && member->process.wait(100) < 0)
-				continue;
-			ASSERT_NO_FATAL_FAILURE(cluster.start(*member));
-		}
+		for (Member *member : stopping)
+			EXPECT_GE(member->process.wait(STOP_MS), 0) << member->name;
+		stopping.clear();
+		for (auto &member : cluster.members)
+			if (!member->process.running()) {
+				ASSERT_NO_FATAL_FAILURE(cluster.start(*member));
+			}
 	}
 
 	void add_task(int index)
@@ -171,6 +176,7 @@
 	wl_rng_t rng;
 	Cluster cluster;
 	std::set<Member *> frozen;
+	std::set<Member *> stopping;
 	std::map<std::string, bool> tasks; /* id: restartable */
 };
 
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -5,6 +5,7 @@
 }
 
 #include <jansson.h>
+#include <signal.h>
 
 #include <chrono>
 #include <filesystem>
@@ -148,6 +149,8 @@
 
 Cluster::~Cluster()
 {
+	for (auto &member : members)
+		check_end(*member);
 	if (testing::Test::HasFailure())
 		fprintf(stderr, "%s\n", logs().c_str());
 	for (auto &member : members)
@@ -199,12 +202,28 @@
 	return args;
 }
 
+/* A daemon ends when it is told to or is killed, never by itself. */
+void Cluster::check_end(Member &member)
+{
+	constexpr int not_ended = -1;
+	constexpr int drained = 0;
+	constexpr int late = 3;
+	constexpr int killed = 128 + SIGKILL;
+	int code = member.process.wait(0);
+
+	EXPECT_TRUE(code == not_ended || code == drained || code == late || code == killed)
+		<< member.name << " ended with " << code << ":\n"
+		<< file_read(member.process.log);
+}
+
 /* The first start takes any ports, a later one the same as before. */
 void Cluster::start(Member &member)
 {
 	std::string ready = member.folder + "/ready";
 	Answer ports;
 
+	check_end(member);
+	ASSERT_FALSE(member.process.running());
 	std::filesystem::remove(ready);
 	if (member.store)
 		std::filesystem::create_directories(member.folder + "/data");
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -104,6 +104,7 @@
 	std::unique_ptr<Relay> target_relay;
 
       private:
+	void check_end(Member &member);
 	std::vector<std::string> arguments(const Member &member) const;
 
 	ClusterOptions options;
