--- a/tests/integration/chaos_test.cc
+++ b/tests/integration/chaos_test.cc
@@ -126,7 +126,9 @@
 			std::string(index % 3 ? "true" : "false") + ",\"payload\":\"\"}";
 
 		for (int i = 0; i < 3; i++) {
-			Answer answer = http(any().caller_address(), "POST", "/v1/tasks", body,
+			Member &entry = *cluster.members[static_cast<size_t>(index + i) %
+							 cluster.members.size()];
+			Answer answer = http(entry.caller_address(), "POST", "/v1/tasks", body,
 					     {{"Wisterialead-Customer", "norrlamp"},
 					      {"Idempotency-Key", "t" + std::to_string(index)}},
 					     2000);
