owner: give batch work its room back slowly after an eviction

Change: a fixed share is kept; while urgent work lacks room batch work gets none, and after an eviction it may hold what it then held on that target, with one slot more for each 4 to 8 s of calm. With the limit switched off in a trial, scripts/owner/press fails. evict: a policy given no candidates no longer sorts a null array (found by the undefined-behaviour sanitizer).

--- a/libwlcore/evict.c
+++ b/libwlcore/evict.c
@@ -52,6 +52,8 @@
 	int best_size = MOST_CANDIDATES + 1;
 	uint32_t best = 0;
 
+	if (count == 0)
+		return false;
 	qsort(candidates, count, sizeof(*candidates), by_lost);
 	if (count > MOST_CANDIDATES)
 		count = MOST_CANDIDATES;
@@ -77,6 +79,8 @@
 {
 	wl_need_t freed = {0};
 
+	if (count == 0)
+		return false;
 	qsort(candidates, count, sizeof(*candidates), by_age);
 	for (size_t i = 0; i < count; i++) {
 		candidates[i].chosen = true;
--- a/libwlcore/owner_internal.h
+++ b/libwlcore/owner_internal.h
@@ -132,9 +132,9 @@
 	uint64_t served_ns;  /* newest request */
 	wl_buf_t served;     /* its service */
 	uint64_t request_slowdown_permille;
-	uint64_t peak;	    /* most requests at a time, in this window */
-	uint64_t last_peak; /* and in the one before */
-	uint64_t peak_ns;   /* beginning of the window */
+	uint64_t batch_slots; /* that batch work may hold since the newest eviction */
+	uint64_t evicted_ns;  /* when that was; 0: no limit */
+	uint64_t grow_ns;     /* calm that then gives batch work one slot more */
 	wl_health_t health;
 	wl_offer_row_t offered; /* as the leader has it */
 	uint64_t offered_ns;
@@ -277,7 +277,7 @@
 /* owner_press.c */
 void wl_owned_waiting(const wl_owned_t *owned, const wl_attempt_t *before, wl_need_t *need);
 bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned);
-bool wl_owned_pressed(const wl_owned_t *owned, uint64_t now_ns);
+uint64_t wl_owned_batch_room(const wl_owned_t *owned, uint64_t now_ns);
 uint64_t wl_owned_relieve_ns(const wl_owned_t *owned);
 void wl_owned_relieve(const wl_turn_t *turn, wl_owned_t *owned);
 void wl_attempt_throttle(const wl_turn_t *turn, wl_attempt_t *attempt, uint64_t cpu_permille);
--- a/libwlcore/owner_observe.c
+++ b/libwlcore/owner_observe.c
@@ -2,11 +2,10 @@
 
 #include "owner_internal.h"
 
-#define LATENCY_SHARE  8    /* of a new sample in the moving averages */
-#define BASE_RISE      1024 /* how slowly the lowest average is forgotten */
-#define MOST_PERMILLE  100000
-#define PEAK_WINDOW_NS 10000000000ull
-#define NO_SLOWDOWN    1000
+#define LATENCY_SHARE 8	   /* of a new sample in the moving averages */
+#define BASE_RISE     1024 /* how slowly the lowest average is forgotten */
+#define MOST_PERMILLE 100000
+#define NO_SLOWDOWN   1000
 
 static uint64_t average(uint64_t before, uint64_t sample)
 {
@@ -53,19 +52,6 @@
 	owned->request_slowdown_permille = slowdown < MOST_PERMILLE ? slowdown : MOST_PERMILLE;
 }
 
-static void peak_note(wl_owned_t *owned, uint64_t now_ns)
-{
-	uint64_t running = owned->target->running_requests + 1;
-
-	if (now_ns >= owned->peak_ns + PEAK_WINDOW_NS) {
-		owned->last_peak = now_ns < owned->peak_ns + 2 * PEAK_WINDOW_NS ? owned->peak : 0;
-		owned->peak = 0;
-		owned->peak_ns = now_ns;
-	}
-	if (running > owned->peak)
-		owned->peak = running;
-}
-
 /*
  * wl_owner_observe - take in how a request on a target ended
  * @service: of the request
@@ -81,7 +67,6 @@
 	if (!owned)
 		return;
 	owned->served_ns = now_ns;
-	peak_note(owned, now_ns);
 	if (!wl_str_equal(service, wl_buf_str(&owned->served)))
 		wl_buf_set(&owned->served, service);
 	if (ok)
--- a/libwlcore/owner_offer.c
+++ b/libwlcore/owner_offer.c
@@ -18,41 +18,32 @@
 	return owned->served_ns && owned->served_ns + URGENT_NS > now_ns;
 }
 
-/* Requests that a target keeps room for: a share of it, or as many as there were lately. */
-static uint64_t kept_for_urgent(const wl_owned_t *owned)
-{
-	uint64_t kept = owned->target->capacity.slots * URGENT_PERMILLE / 1000;
-
-	if (owned->peak > kept)
-		kept = owned->peak;
-	if (owned->last_peak > kept)
-		kept = owned->last_peak;
-	return kept;
-}
-
 /*
  * wl_owned_reserve_for_urgent - add to a need of batch work what must stay free beside it
  *
- * Requests that run now are part of what is kept.  While urgent work lacks
- * room, all that is free is kept, else evicted work would take it again.
+ * Where requests are served a share is kept; those that run now are part of
+ * it.  After an eviction batch work gets its room back slot by slot.
  */
 void wl_owned_reserve_for_urgent(const wl_turn_t *turn, const wl_owned_t *owned, wl_need_t *need)
 {
+	const wl_target_t *target = owned->target;
 	wl_need_t requests = turn->owner->options.ledger->request;
-	uint64_t running = owned->target->running_requests;
-	uint64_t kept;
-
-	if (wl_owned_pressed(owned, turn->now_ns)) {
-		wl_need_add(need, &owned->target->capacity);
-		return;
-	}
-	if (!wl_owned_serves(owned, turn->now_ns))
-		return;
-	kept = kept_for_urgent(owned);
-	kept = kept > running ? kept - running : 0;
-	need->slots += kept * requests.slots;
+	uint64_t kept = target->capacity.slots * URGENT_PERMILLE / 1000;
+	uint64_t room = wl_owned_batch_room(owned, turn->now_ns);
+	uint64_t free_slots = target->capacity.slots > target->reserved.slots
+				      ? target->capacity.slots - target->reserved.slots
+				      : 0;
+
+	if (!wl_owned_serves(owned, turn->now_ns) || kept <= target->running_requests)
+		kept = 0;
+	else
+		kept -= target->running_requests;
 	need->cpu_millis += kept * requests.cpu_millis;
 	need->memory_mib += kept * requests.memory_mib;
+	kept *= requests.slots;
+	if (room < free_slots && free_slots - room > kept)
+		kept = free_slots - room;
+	need->slots += kept;
 }
 
 static void kind_add(wl_list_t *kinds, wl_str_t name)
--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -9,13 +9,16 @@
 
 #include <stdlib.h>
 
-#define PRESS_EVERY_MS	250  /* between actions for one service */
-#define PRESS_LASTS_MS	1000 /* pressure that ended so long ago begins anew */
-#define EVICT_AFTER_MS	1000 /* of pressure that throttling did not end */
-#define CALM_MS		3000 /* without pressure throttles are lifted */
-#define KEEP_MS		5000 /* that batch work gets no room after pressure */
-#define SLOW_PERMILLE	1500 /* slowdown of requests from which throttling may help */
-#define USAGE_MARGIN_MS 50   /* usage may be older than it says by its way here */
+#define PRESS_EVERY_MS	250    /* between actions for one service */
+#define PRESS_LASTS_MS	1000   /* pressure that ended so long ago begins anew */
+#define EVICT_AFTER_MS	1000   /* of pressure that throttling did not end */
+#define CALM_MS		3000   /* without pressure throttles are lifted */
+#define KEEP_MS		1000   /* that batch work gets no room after pressure */
+#define GROW_LEAST_MS	4000   /* without pressure give batch work one slot more */
+#define GROW_MOST_MS	8000   /* when evictions follow each other */
+#define FORGET_MS	120000 /* after which an eviction slows nothing down */
+#define SLOW_PERMILLE	1500   /* slowdown of requests from which throttling may help */
+#define USAGE_MARGIN_MS 50     /* usage may be older than it says by its way here */
 #define FULL_PERMILLE	1000
 
 /* Urgent work of one service that finds no room. */
@@ -155,6 +158,68 @@
 	return count;
 }
 
+static uint64_t batch_held(const wl_owned_t *owned)
+{
+	const wl_attempt_t *attempt;
+	uint64_t slots = 0;
+
+	TAILQ_FOREACH (attempt, &owned->attempts, of_target)
+		if (attempt->work_class == WL_CLASS_BATCH && !attempt->stop_wanted)
+			slots += attempt->held.slots;
+	return slots;
+}
+
+static uint64_t pressed_last(const wl_owned_t *owned)
+{
+	const wl_buf_t *services = owned->target->services.items;
+	uint64_t last_ns = owned->pressed_ns;
+
+	for (size_t i = 0; i < owned->target->services.count; i++) {
+		const wl_press_t *press =
+			wl_map_get(&owned->owner->presses, wl_buf_str(&services[i]));
+
+		if (press && press->last_ns > last_ns)
+			last_ns = press->last_ns;
+	}
+	return last_ns;
+}
+
+/*
+ * Slots that batch work has regained since the newest eviction.  The stretch
+ * of calm that a slot takes halves with each slot.
+ */
+static uint64_t slots_regained(const wl_owned_t *owned, uint64_t now_ns)
+{
+	uint64_t least_ns = GROW_LEAST_MS * (uint64_t)WL_NS_PER_MS;
+	uint64_t grow_ns = owned->grow_ns;
+	uint64_t since_ns = pressed_last(owned);
+	uint64_t slots = 0;
+
+	if (owned->evicted_ns > since_ns)
+		since_ns = owned->evicted_ns;
+	while (now_ns >= since_ns + grow_ns && slots < owned->capacity.slots) {
+		since_ns += grow_ns;
+		slots++;
+		grow_ns = grow_ns / 2 > least_ns ? grow_ns / 2 : least_ns;
+	}
+	return slots;
+}
+
+/* Evictions that follow each other make batch work come back more slowly. */
+static void batch_limit(wl_owned_t *owned, uint64_t now_ns)
+{
+	uint64_t least_ns = GROW_LEAST_MS * (uint64_t)WL_NS_PER_MS;
+	uint64_t most_ns = GROW_MOST_MS * (uint64_t)WL_NS_PER_MS;
+	uint64_t ago_ns = now_ns - owned->evicted_ns;
+
+	if (!owned->evicted_ns || ago_ns > FORGET_MS * (uint64_t)WL_NS_PER_MS)
+		owned->grow_ns = least_ns;
+	else if (ago_ns > KEEP_MS * (uint64_t)WL_NS_PER_MS)
+		owned->grow_ns = 2 * owned->grow_ns < most_ns ? 2 * owned->grow_ns : most_ns;
+	owned->evicted_ns = now_ns;
+	owned->batch_slots = batch_held(owned);
+}
+
 static bool evict_for(const wl_turn_t *turn, wl_owned_t *owned, const wl_need_t *missing)
 {
 	wl_evict_candidate_t candidates[32];
@@ -175,6 +240,7 @@
 		wl_attempt_stop(turn, attempt, true);
 	}
 	owned->acted_ns = turn->now_ns;
+	batch_limit(owned, turn->now_ns);
 	return true;
 }
 
@@ -257,29 +323,26 @@
 	return evict_for(turn, owned, &missing);
 }
 
-static uint64_t pressed_last(const wl_owned_t *owned)
-{
-	const wl_buf_t *services = owned->target->services.items;
-	uint64_t last_ns = owned->pressed_ns;
-
-	for (size_t i = 0; i < owned->target->services.count; i++) {
-		const wl_press_t *press =
-			wl_map_get(&owned->owner->presses, wl_buf_str(&services[i]));
-
-		if (press && press->last_ns > last_ns)
-			last_ns = press->last_ns;
-	}
-	return last_ns;
-}
-
 /*
- * wl_owned_pressed - tell whether urgent work that a target serves lacked room lately
+ * wl_owned_batch_room - how many more slots batch work may take on a target
+ *
+ * None while urgent work lacks room; else what it held after the newest
+ * eviction, and one more for each stretch of time without pressure.
+ *
+ * Return: UINT64_MAX if nothing limits it.
  */
-bool wl_owned_pressed(const wl_owned_t *owned, uint64_t now_ns)
+uint64_t wl_owned_batch_room(const wl_owned_t *owned, uint64_t now_ns)
 {
 	uint64_t last_ns = pressed_last(owned);
+	uint64_t held = batch_held(owned);
+	uint64_t allowed;
 
-	return last_ns && now_ns < last_ns + KEEP_MS * (uint64_t)WL_NS_PER_MS;
+	if (last_ns && now_ns < last_ns + KEEP_MS * (uint64_t)WL_NS_PER_MS)
+		return 0;
+	if (!owned->evicted_ns)
+		return UINT64_MAX;
+	allowed = owned->batch_slots + slots_regained(owned, now_ns);
+	return allowed > held ? allowed - held : 0;
 }
 
 /*
