--- a/libwlcore/auth.c
+++ b/libwlcore/auth.c
@@ -41,7 +41,9 @@
 	for (size_t i = 0; i < WL_SHA256_HEX; i++) {
 		char c = hex.at[i];
 
-		out[i] = c >= 'A' && c <= 'F' ? (char)(c - 'A' + 'a') : c;
+		out[i] = c;
+		if (c >= 'A' && c <= 'F')
+			out[i] = (char)(c - 'A' + 'a');
 	}
 }
 
--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -60,8 +60,10 @@
 
 static void flip(wl_buf_t *input, wl_rng_t *rng)
 {
+	unsigned char *bytes = (unsigned char *)input->at;
+
 	if (input->len)
-		input->at[wl_rng_below(rng, input->len)] ^= (char)(1u << wl_rng_below(rng, 8));
+		bytes[wl_rng_below(rng, input->len)] ^= (unsigned char)(1u << wl_rng_below(rng, 8));
 }
 
 static void overwrite(wl_buf_t *input, wl_rng_t *rng)
