--- a/cli/main.c
+++ b/cli/main.c
@@ -32,7 +32,7 @@
 #define AT(member) offsetof(wl_cli_settings_t, member)
 
 static const wl_option_t options[] = {
-	{"server", WL_OPTION_TEXT, AT(server), "127.0.0.1:7001", "IP:port,...",
+	{"server", WL_OPTION_TEXT, AT(server), "127.0.0.1:8081", "IP:port,...",
 	 "daemons, tried in turn", 0, 0, NULL},
 	{"token-file", WL_OPTION_TEXT, AT(token_file), NULL, "FILE", "bearer token", 0, 0, NULL},
 	{"timeout-ms", WL_OPTION_NUMBER, AT(timeout_ms), "15000", "ms",
--- a/libwlcore/node.c
+++ b/libwlcore/node.c
@@ -175,14 +175,18 @@
 	wl_owner_step(node->owner, now_ns, event, out);
 }
 
-/* The leader takes announces of targets that nobody owns; the owner takes the others. */
+/*
+ * The owner takes announces of its targets.  What an entry sends to itself is
+ * for its leader part: a target that nobody owns, or that has moved.
+ */
 static void announce_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	wl_str_t target = wl_buf_str(&event->msg.u.announce.announce.name);
 	const wl_owner_row_t *row = node->options.entry ? wl_view_owner(&node->view, target) : NULL;
+	bool from_self = wl_str_equal(wl_buf_str(&event->peer), node->options.name);
 	bool ours = row && wl_str_equal(wl_buf_str(&row->entry), node->options.name);
 
-	if (ours)
+	if (ours && !from_self)
 		wl_owner_step(node->owner, now_ns, event, out);
 	else
 		wl_node_leader_event(node, now_ns, event, out);
--- a/libwlcore/owned.c
+++ b/libwlcore/owned.c
@@ -46,7 +46,7 @@
 
 	owner->states[state] += more ? 1 : -1;
 	snprintf(labels, sizeof(labels), "state=\"%s\"", wl_target_state_names[state]);
-	wl_metrics_set(owner->options.metrics, "wisterialead_targets", labels,
+	wl_metrics_set(owner->options.metrics, "wisterialead_owned_targets", labels,
 		       owner->states[state]);
 }
 
@@ -129,7 +129,7 @@
 	wl_map_put(&owner->by_name, owned);
 	row_copy(owned, row);
 	state_count(owner, owned->target->state, true);
-	wl_out_log(turn->out, WL_INFO, "target_granted", "target=" WL_STR_FMT " epoch=%llu",
+	wl_out_log(turn->out, WL_INFO, "target-granted", "target=" WL_STR_FMT " epoch=%llu",
 		   WL_STR_ARG(owned->key), (unsigned long long)row->epoch);
 	wl_owned_touch(turn, owned);
 	return owned;
--- a/libwlcore/owner_adopt.c
+++ b/libwlcore/owner_adopt.c
@@ -215,6 +215,6 @@
 				       WL_STR("target out of reach"));
 	}
 	assigned_check(turn, owned, NULL, WL_STR("target out of reach"));
-	wl_out_log(turn->out, WL_WARN, "target_lost", "target=" WL_STR_FMT " epoch=%llu",
+	wl_out_log(turn->out, WL_WARN, "target-lost", "target=" WL_STR_FMT " epoch=%llu",
 		   WL_STR_ARG(owned->key), (unsigned long long)owned->target->epoch);
 }
--- a/libwlcore/owner_call.c
+++ b/libwlcore/owner_call.c
@@ -123,7 +123,7 @@
 	if (!fetched->whole || fetched->status != 409)
 		return;
 	wl_metrics_add(turn->owner->options.metrics, "wisterialead_stale_commands_total", "", 1);
-	wl_out_log(turn->out, WL_INFO, "command_refused",
+	wl_out_log(turn->out, WL_INFO, "command-refused",
 		   "target=" WL_STR_FMT " path=%s epoch=%llu its_epoch=%llu",
 		   WL_STR_ARG(wl_buf_str(&call->target)), paths[call->kind],
 		   (unsigned long long)call->epoch, (unsigned long long)answer->epoch);
--- a/libwlcore/owner_observe.c
+++ b/libwlcore/owner_observe.c
@@ -29,7 +29,7 @@
 			wl_owned_settle(turn, owned);
 		return;
 	}
-	wl_out_log(turn->out, WL_WARN, "target_aside", "target=" WL_STR_FMT " pauses=%llu",
+	wl_out_log(turn->out, WL_WARN, "target-aside", "target=" WL_STR_FMT " pauses=%llu",
 		   WL_STR_ARG(owned->key), (unsigned long long)owned->health.pauses);
 	wl_metrics_add(owner->options.metrics, "wisterialead_asides_total", "", 1);
 	wl_owned_event(turn, owned, WL_TARGET_FAIL);
--- a/libwlnet/peer_link.c
+++ b/libwlnet/peer_link.c
@@ -186,6 +186,8 @@
 static void take_proof(wl_link_t *link, wl_str_t frame, uint64_t now_ns)
 {
 	if (!wl_proof_check(&link->proof, frame)) {
+		/* The other side is to find out too, and not just to see a close. */
+		wl_link_write(link, now_ns);
 		wl_link_fail(link, "wrong proof of the secret");
 		return;
 	}
--- a/libwlnet/peer_loop.c
+++ b/libwlnet/peer_loop.c
@@ -135,7 +135,7 @@
 
 	peer_back_off(peers, peer, now_ns);
 	if (!wl_address_parse(text, &address, &err)) {
-		wl_log_event(WL_WARN, "peer_address", "peer=%s", peer->name.at);
+		wl_log_event(WL_WARN, "peer-address", "peer=%s", peer->name.at);
 		return;
 	}
 	fd = socket(address.at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -156,7 +156,7 @@
 	peer_back_off(peers, peer, now_ns);
 	wl_peer_table_set_up(&peers->table, peer, false);
 	emit_peer(peers, WL_EVENT_PEER_DOWN, peer);
-	wl_log_event(WL_INFO, "peer_down", "peer=%s", peer->name.at);
+	wl_log_event(WL_INFO, "peer-down", "peer=%s", peer->name.at);
 }
 
 /* Both ends come to the same choice between two links that were dialled at once. */
@@ -197,7 +197,7 @@
 	peer->backoff_ms = 0;
 	wl_peer_table_set_up(&peers->table, peer, true);
 	emit_peer(peers, WL_EVENT_PEER_UP, peer);
-	wl_log_event(WL_INFO, "peer_up", "peer=%s dialled=%s", peer->name.at,
+	wl_log_event(WL_INFO, "peer-up", "peer=%s dialled=%s", peer->name.at,
 		     link->proof.dialled ? "yes" : "no");
 }
 
@@ -273,7 +273,7 @@
 		return;
 	}
 	if (now_ns > link->heard_ns && now_ns - link->heard_ns > idle_ns) {
-		wl_log_event(WL_WARN, "peer_silent", "peer=%s", link->peer->name.at);
+		wl_log_event(WL_WARN, "peer-silent", "peer=%s", link->peer->name.at);
 		wl_link_fail(link, NULL);
 		return;
 	}
@@ -289,7 +289,7 @@
 	if (link->fault) {
 		ck_pr_inc_64(&peers->refused);
 		wl_log_quote(&name, wl_buf_str(&link->proof.other.name));
-		wl_log_event(WL_WARN, "peer_refused", "peer=%s why=\"%s\"", name.at, link->fault);
+		wl_log_event(WL_WARN, "peer-refused", "peer=%s why=\"%s\"", name.at, link->fault);
 		wl_buf_free(&name);
 	}
 	if (peer && peer->dialling == link)
