--- a/tests/experiment/run.sh
+++ b/tests/experiment/run.sh
@@ -12,9 +12,9 @@
 scenario=$2 policy=$3 seed=$4 fault=$5 result=$6 base=$7
 root=$(cd "$(dirname "$0")/../.." && pwd)
 run=$build/experiment/$scenario.$policy.$seed.$fault
-ctl=$build/cli/wisteriactl
 entries=7 stores=3 seconds=${SECONDS_OF_LOAD:-18}
 zones=(a b c)
+. "$root/tests/support/system.sh"
 
 case $scenario in
 norrlamp)     targets=65 racks=6 customer=norrlamp:tube-sort service=tube-sort rest=200 crest=900 tasks_per_s=45 long=150 ;;
@@ -33,76 +33,23 @@
 *) echo "unknown policy $policy" >&2; exit 2 ;;
 esac
 
-rm -rf "$run"
-mkdir -p "$run"
-umask 077
-echo "experiment-peer-secret-$seed" >"$run/peer.secret"
-echo operator >"$run/operator.token"
-echo target >"$run/target.token"
-pids=()
-cleanup() { for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done; }
-trap cleanup EXIT
-
-# Ports of instance i: 1 caller, 2 control, 3 peer, 4 proxied caller, 5 proxied peer.
-port() { echo $((base + $1 * 10 + $2)); }
-list() { local i out=; for ((i = 1; i <= entries; i++)); do out+=",127.0.0.1:$(port "$i" "$1")"; done; echo "${out#,}"; }
-
-routes= peers=
-for ((i = 1; i <= entries; i++)); do
-	routes+=",c$i=127.0.0.1:$(port "$i" 4)>127.0.0.1:$(port "$i" 1),p$i=127.0.0.1:$(port "$i" 5)>127.0.0.1:$(port "$i" 3)"
-	[ "$i" -le $stores ] && peers+=",e$i=127.0.0.1:$(port "$i" 5)"
-done
-proxy_control=127.0.0.1:$((base + 1))
-"$build/tests/proxy/wl-fault-proxy" --control-listen $proxy_control --routes "${routes#,}" >"$run/proxy.log" 2>&1 &
-pids+=($!)
-sleep 0.3
-for ((i = 1; i <= entries; i++)); do
-	curl -fsS -m 5 -X POST "http://$proxy_control/routes/c$i/delay?1" >/dev/null
-	curl -fsS -m 5 -X POST "http://$proxy_control/routes/p$i/delay?2" >/dev/null
-done
-
-for ((i = 1; i <= entries; i++)); do
-	role=entry dir=()
-	if [ "$i" -le $stores ]; then
-		role=entry,store dir=(--data-dir "$run/e$i")
-		mkdir -p "$run/e$i"
-	fi
-	"$build/daemon/wisterialeadd" --name "e$i" --availability-zone "${zones[$((i % 3))]}" --rack "r$i" --role $role \
-		"${dir[@]}" --caller-listen "127.0.0.1:$(port "$i" 1)" --control-listen "127.0.0.1:$(port "$i" 2)" \
-		--peer-listen "127.0.0.1:$(port "$i" 3)" --peer-advertise "127.0.0.1:$(port "$i" 5)" \
-		--store-peers "${peers#,}" --chart-dir "$root/charts" --peer-secret-file "$run/peer.secret" \
-		--operator-token-file "$run/operator.token" --target-token-file "$run/target.token" --seed "$seed" \
-		--long-ms 3000 "${flags[@]}" >"$run/e$i.log" 2>&1 &
-	pids+=($!)
-done
-daemon_pids=("${pids[@]:1}")
-
-fake_control=127.0.0.1:$((base + 2))
-"$build/tests/target/wl-fake-target" --targets $targets --name-prefix w --listen-ip 127.0.0.1 --base-port $((base + 100)) \
-	--control-listen $fake_control --racks $racks --availability-zones a,b,c --services $service --service-ms 40 \
-	--straggler-permille 10 --usage-lag-ms 1500 --interference-permille 1000 --announce-to "$(list 2)" \
-	--token-file "$run/target.token" --record "$run/record" --seed "$seed" >"$run/targets.log" 2>&1 &
-pids+=($!)
-
-operate() { "$ctl" "$@" --server "$(list 2)" --token-file "$run/operator.token"; }
-for _ in $(seq 100); do
-	curl -fsS -m 2 "http://127.0.0.1:$(port 7 1)/readyz" >/dev/null 2>&1 && break
-	sleep 0.2
-done
+system_prepare
+start_proxy 1 2
+start_daemons 5 --seed "$seed" --long-ms 3000 "${flags[@]}"
+wait_for 30 all_ready
+start_targets $targets $racks $service --service-ms 40 --straggler-permille 10 --usage-lag-ms 1500 \
+	--interference-permille 1000 --seed "$seed"
 sed 's/"cpu_millis": 64000/"cpu_millis": 2000000/; s/"max_concurrent": 400/"max_concurrent": 4000/' \
 	"$root/tests/fixtures/plans.json" >"$run/plans.json"
 operate apply --wait --plans "$run/plans.json" --customers "$root/tests/fixtures/customers.json" >"$run/apply.log" 2>&1
-for _ in $(seq 100); do
-	[ "$(operate targets --json 2>/dev/null | jq '[.targets[] | select(.open)] | length')" = $targets ] && break
-	sleep 0.2
-done
+wait_for 30 targets_open $targets
 
 if [ "$fault" = zone ]; then
 	(
 		sleep $((seconds / 2))
 		for ((t = 1; t <= targets; t++)); do
 			if operate targets --json | jq -e --arg t "w$t" '.targets[] | select(.target == $t and .availability_zone == "b")' >/dev/null; then
-				curl -fsS -m 2 -X POST "http://$fake_control/fake/w$t/crash" >/dev/null || true
+				curl -fsS -m 2 -X POST "http://127.0.0.1:$((base + 2))/fake/w$t/crash" >/dev/null || true
 			fi
 		done
 	) &
@@ -111,16 +58,15 @@
 
 load=(--customer $customer --rate-per-s "$rest" --crest-per-s "$crest" --period-ms 6000 --seconds "$seconds")
 load+=(--tasks-per-s $tasks_per_s --task-run-ms 600 --long-permille $long --long-run-ms 6000 --urgent-permille 50)
-"$ctl" load --server "$(list 4)" "${load[@]}" --json --csv "$run/seconds.csv" --seed "$seed" >"$run/load.json" || true
+"$build/cli/wisteriactl" load --server "$(list 4)" "${load[@]}" --json --csv "$run/seconds.csv" --seed "$seed" >"$run/load.json" || true
 [ "$fault" = zone ] && wait "$fault_pid" || true
-operate tasks --json --max 10000 >"$run/tasks.json" 2>/dev/null || operate tasks --json >"$run/tasks.json"
+operate tasks --json --max 10000 >"$run/tasks.json"
 : >"$run/metrics"
 for ((i = 1; i <= entries; i++)); do
 	curl -fsS -m 5 "http://127.0.0.1:$(port "$i" 2)/metrics" >>"$run/metrics"
 done
 ps -o cputimes=,rss= -p "$(IFS=,; echo "${daemon_pids[*]}")" >"$run/ps"
-for pid in "${daemon_pids[@]}"; do kill -TERM "$pid"; done
-for pid in "${daemon_pids[@]}"; do wait "$pid" || true; done
+stop_daemons
 
 total() { awk -v name="$1" 'index($1, name "{") == 1 { sum += $NF } END { printf "%d", sum }' "$run/metrics"; }
 part() { jq -rs --arg part "$1" --arg field "$2" '[.[] | select(.part == $part) | .[$field]] | add // 0' "$run/load.json"; }
