core: one heap, one header of units, one comparison of lists of strings

Logic that stood twice, found by reading and by duplicates: due.c and heap.c were two binary heaps; services_same stood in owner_announce.c and place.c; nanoseconds per millisecond were defined in 30 files with five types.

--- a/cli/load.c
+++ b/cli/load.c
@@ -9,13 +9,12 @@
 #include <string.h>
 #include <time.h>
 
+#include <libwlbase/units.h>
 #include <libwlnet/http_client.h>
 
-#define NS_PER_MS     1000000ull
-#define NS_PER_S      1000000000ull
 #define MAX_CUSTOMERS 64
 #define EVENT_SLOTS   65536
-#define LATE_NS	      (2 * NS_PER_S)
+#define LATE_NS	      (2 * WL_NS_PER_S)
 #define PERMILLE      1000
 #define CHECK_BYTES   64
 
@@ -54,7 +53,7 @@
 	struct timespec at;
 
 	clock_gettime(CLOCK_MONOTONIC, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
 static bool load_customers(load_t *load)
@@ -305,7 +304,7 @@
 
 static void rows(load_t *load, uint64_t at_ns)
 {
-	while (at_ns >= load->start_ns + (load->row + 1) * NS_PER_S) {
+	while (at_ns >= load->start_ns + (load->row + 1) * WL_NS_PER_S) {
 		for (size_t i = 0; i < load->customer_count; i++)
 			wl_load_report_row(load->csv, load->row, &load->customers[i]);
 		load->row++;
@@ -317,7 +316,7 @@
 {
 	for (;;) {
 		uint64_t at_ns = now_ns();
-		int wait_ms = at_ns < until_ns ? (int)((until_ns - at_ns) / NS_PER_MS) : 0;
+		int wait_ms = at_ns < until_ns ? (int)((until_ns - at_ns) / WL_NS_PER_MS) : 0;
 		wl_event_t *event = wait_ms > 0 ? wl_ring_wait(load->events, wait_ms)
 						: wl_ring_pop(load->events);
 
@@ -337,9 +336,9 @@
 {
 	uint64_t request_ns = 0;
 	uint64_t task_gap_ns =
-		load->settings->tasks_per_s ? NS_PER_S / load->settings->tasks_per_s : 0;
+		load->settings->tasks_per_s ? WL_NS_PER_S / load->settings->tasks_per_s : 0;
 	uint64_t task_ns = task_gap_ns;
-	uint64_t end_ns = load->schedule.length_ms * NS_PER_MS;
+	uint64_t end_ns = load->schedule.length_ms * WL_NS_PER_MS;
 	bool more = wl_schedule_next(&load->schedule, &request_ns);
 
 	load->start_ns = now_ns();
@@ -354,10 +353,10 @@
 		else
 			more = wl_schedule_next(&load->schedule, &request_ns);
 	}
-	for (uint64_t limit = now_ns() + load->settings->deadline_ms * NS_PER_MS + LATE_NS;
+	for (uint64_t limit = now_ns() + load->settings->deadline_ms * WL_NS_PER_MS + LATE_NS;
 	     load->open > 0 && now_ns() < limit;)
-		collect_until(load, now_ns() + 20 * NS_PER_MS);
-	rows(load, now_ns() + NS_PER_S);
+		collect_until(load, now_ns() + 20 * WL_NS_PER_MS);
+	rows(load, now_ns() + WL_NS_PER_S);
 }
 
 static wl_exit_t load_verdict(const load_t *load)
--- a/cli/load_schedule.c
+++ b/cli/load_schedule.c
@@ -5,8 +5,8 @@
 #include <math.h>
 #include <stdlib.h>
 
-#define NS_PER_MS   1000000ull
-#define NS_PER_S    1000000000.0
+#include <libwlbase/units.h>
+
 #define LOAD_STREAM 1
 #define CREST_SHARE 0.8 /* of the way from rest to crest */
 #define REST_SHARE  0.2
@@ -105,7 +105,7 @@
  */
 double wl_schedule_rate(const wl_schedule_t *schedule, uint64_t at_ns)
 {
-	double at_ms = (double)at_ns / NS_PER_MS;
+	double at_ms = (double)at_ns / WL_NS_PER_MS;
 	double rest = (double)schedule->rest_per_s;
 
 	if (schedule->count)
@@ -127,7 +127,7 @@
 
 	if (schedule->count || schedule->crest_per_s == 0)
 		return WL_PHASE_MIDDLE;
-	height = swing(schedule, (double)at_ns / NS_PER_MS);
+	height = swing(schedule, (double)at_ns / WL_NS_PER_MS);
 	if (height >= CREST_SHARE)
 		return WL_PHASE_CREST;
 	return height <= REST_SHARE ? WL_PHASE_REST : WL_PHASE_MIDDLE;
@@ -144,6 +144,6 @@
 	double rate = wl_schedule_rate(schedule, *at_ns);
 	double gap_s = rate > 0 ? -log(1 - wl_rng_unit(&schedule->rng)) / rate : 0.1;
 
-	*at_ns += (uint64_t)(gap_s * NS_PER_S) + 1;
-	return *at_ns < schedule->length_ms * NS_PER_MS;
+	*at_ns += (uint64_t)(gap_s * (double)WL_NS_PER_S) + 1;
+	return *at_ns < schedule->length_ms * WL_NS_PER_MS;
 }
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -21,8 +21,8 @@
 
 #include "decide.h"
 
-#define NS_PER_MS	  1000000ull
-#define NS_PER_S	  1000000000ull
+#include <libwlbase/units.h>
+
 #define OPEN_POLL_MS	  10   /* between two looks whether the last answers are out */
 #define LAST_ANSWERS_MS	  1000 /* least time for them, even when the stop is late */
 #define SPARE_DESCRIPTORS 1024 /* beside those of callers: targets, peers, files */
@@ -53,7 +53,7 @@
 	struct timespec at;
 
 	clock_gettime(CLOCK_MONOTONIC, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
 /*
@@ -329,7 +329,7 @@
 {
 	wl_log_event(WL_INFO, "stopping", "drain_ms=%llu",
 		     (unsigned long long)daemon->settings->drain_ms);
-	daemon->deadline_ns = now_read() + daemon->settings->drain_ms * NS_PER_MS;
+	daemon->deadline_ns = now_read() + daemon->settings->drain_ms * WL_NS_PER_MS;
 	wl_decide_drain(daemon->decide);
 }
 
@@ -361,7 +361,7 @@
  */
 static bool daemon_quiesce(wl_daemon_t *daemon)
 {
-	uint64_t least_ns = now_read() + LAST_ANSWERS_MS * NS_PER_MS;
+	uint64_t least_ns = now_read() + LAST_ANSWERS_MS * WL_NS_PER_MS;
 	uint64_t deadline_ns = daemon->deadline_ns > least_ns ? daemon->deadline_ns : least_ns;
 
 	if (daemon->caller)
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -19,11 +19,10 @@
 
 #include <ck_pr.h>
 
+#include <libwlbase/units.h>
 #include <libwlbase/log.h>
 
-#define NS_PER_MS  1000000ull
-#define NS_PER_S   1000000000ull
-#define GAUGE_NS   NS_PER_S
+#define GAUGE_NS   WL_NS_PER_S
 #define BATCH_MOST 256 /* events between two looks at the clock for a tick */
 
 typedef struct own_event {
@@ -59,7 +58,7 @@
 	struct timespec at;
 
 	clock_gettime(CLOCK_MONOTONIC, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
 static wl_event_t *own_add(wl_decide_t *decide, wl_event_kind_t kind)
@@ -291,7 +290,7 @@
 {
 	if (now_ns >= decide->next_tick_ns)
 		return 0;
-	return (int)((decide->next_tick_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS);
+	return (int)((decide->next_tick_ns - now_ns + WL_NS_PER_MS - 1) / WL_NS_PER_MS);
 }
 
 static void decide_events(wl_decide_t *decide)
--- a/libwlbase/record.c
+++ b/libwlbase/record.c
@@ -98,6 +98,34 @@
 	return false;
 }
 
+/*
+ * wl_strings_set - replace a list of strings by a copy of another
+ */
+void wl_strings_set(wl_list_t *list, const wl_list_t *from)
+{
+	const wl_buf_t *items = from->items;
+
+	wl_strings_free(list);
+	for (size_t i = 0; i < from->count; i++)
+		wl_strings_add(list, wl_buf_str(&items[i]));
+}
+
+/*
+ * wl_strings_equal - tell whether two lists hold the same strings in the same order
+ */
+bool wl_strings_equal(const wl_list_t *a, const wl_list_t *b)
+{
+	const wl_buf_t *x = a->items;
+	const wl_buf_t *y = b->items;
+
+	if (a->count != b->count)
+		return false;
+	for (size_t i = 0; i < a->count; i++)
+		if (!wl_str_equal(wl_buf_str(&x[i]), wl_buf_str(&y[i])))
+			return false;
+	return true;
+}
+
 const wl_schema_t *wl_field_items(const wl_field_t *field)
 {
 	return field->kind == WL_FIELD_STRINGS ? &wl_string_schema : field->schema;
--- a/libwlbase/record.h
+++ b/libwlbase/record.h
@@ -90,6 +90,8 @@
 void wl_list_free(const wl_schema_t *schema, wl_list_t *list);
 void wl_strings_add(wl_list_t *list, wl_str_t s);
 void wl_strings_free(wl_list_t *list);
+void wl_strings_set(wl_list_t *list, const wl_list_t *from);
+bool wl_strings_equal(const wl_list_t *a, const wl_list_t *b);
 bool wl_strings_have(const wl_list_t *list, wl_str_t s);
 
 #endif
--- /dev/null
+++ b/libwlbase/units.h
@@ -0,0 +1,9 @@
+#ifndef WL_UNITS_H
+#define WL_UNITS_H
+
+#include <stdint.h>
+
+#define WL_NS_PER_MS UINT64_C(1000000)
+#define WL_NS_PER_S  UINT64_C(1000000000)
+
+#endif
--- a/libwlcore/admit.c
+++ b/libwlcore/admit.c
@@ -19,13 +19,14 @@
 
 #include <stdlib.h>
 
+#include <libwlbase/units.h>
+
 #define MILLI	       1000ull
-#define NS_PER_S       1000000000ull
-#define TOKEN_NANO     NS_PER_S
+#define TOKEN_NANO     WL_NS_PER_S
 #define BURST_DIVISOR  4  /* bucket depth: a quarter of a second of the rate */
 #define FLOOR_DIVISOR  16 /* of a limit in short supply, kept for entries that are idle */
 #define FOLLOW_DIVISOR 4
-#define FILL_MOST_NS   (4 * NS_PER_S)
+#define FILL_MOST_NS   (4 * WL_NS_PER_S)
 #define LEAST_INTERVAL 1000000ull
 
 /*
@@ -263,7 +264,7 @@
 {
 	uint64_t rate_milli = share_least(&customer->rate);
 
-	return rate_milli ? NS_PER_S * MILLI / rate_milli : UINT64_MAX;
+	return rate_milli ? WL_NS_PER_S * MILLI / rate_milli : UINT64_MAX;
 }
 
 /*
@@ -389,8 +390,8 @@
 
 static void customer_measure(wl_admit_customer_t *customer, uint64_t passed_ns)
 {
-	uint64_t asked_milli = customer->asked * MILLI * NS_PER_S / passed_ns;
-	uint64_t admitted_milli = customer->admitted * MILLI * NS_PER_S / passed_ns;
+	uint64_t asked_milli = customer->asked * MILLI * WL_NS_PER_S / passed_ns;
+	uint64_t admitted_milli = customer->admitted * MILLI * WL_NS_PER_S / passed_ns;
 
 	customer->use.running = customer->running;
 	customer->use.wanted = follow(customer->use.wanted, customer_wants(customer));
--- a/libwlcore/api_lists.c
+++ b/libwlcore/api_lists.c
@@ -2,9 +2,9 @@
 
 #include "api_internal.h"
 
+#include <libwlbase/units.h>
 #include <libwlbase/digest.h>
 
-#define NS_PER_MS   1000000ull
 #define CALL_MS	    10000 /* longest wait for the leader's answer */
 #define POLL_MS	    50
 #define MAX_WAIT_MS 120000
@@ -38,7 +38,7 @@
 		return;
 	}
 	wait = wl_api_wait(api, call, WL_WAIT_LIST_GET);
-	query = wl_out_leader_query(out, wait->id, WL_QUERY_LIST, now_ns + CALL_MS * NS_PER_MS);
+	query = wl_out_leader_query(out, wait->id, WL_QUERY_LIST, now_ns + CALL_MS * WL_NS_PER_MS);
 	wl_buf_set(&query->name, arg);
 }
 
@@ -118,8 +118,8 @@
 	wl_buf_set(&cmd.u.list_put.text, wl_buf_str(&call->body));
 
 	wait = wl_api_wait(api, call, WL_WAIT_LIST_PUT);
-	wait->until_ns = now_ns + wait_ms * NS_PER_MS;
-	wl_out_leader_command(out, wait->id, &cmd, now_ns + CALL_MS * NS_PER_MS);
+	wait->until_ns = now_ns + wait_ms * WL_NS_PER_MS;
+	wl_out_leader_command(out, wait->id, &cmd, now_ns + CALL_MS * WL_NS_PER_MS);
 	wl_cmd_free(&cmd);
 }
 
@@ -157,7 +157,8 @@
 
 	(void)api;
 	wait->poll_ns = 0;
-	query = wl_out_leader_query(out, wait->id, WL_QUERY_IN_FORCE, now_ns + CALL_MS * NS_PER_MS);
+	query = wl_out_leader_query(out, wait->id, WL_QUERY_IN_FORCE,
+				    now_ns + CALL_MS * WL_NS_PER_MS);
 	query->number = wait->revision;
 }
 
@@ -191,7 +192,7 @@
 	bool in_force = result->code == WL_OK;
 
 	if (!in_force && now_ns < wait->until_ns) {
-		wait->poll_ns = now_ns + POLL_MS * NS_PER_MS;
+		wait->poll_ns = now_ns + POLL_MS * WL_NS_PER_MS;
 		return;
 	}
 	reply_accepted(out, wait, in_force);
--- a/libwlcore/attempt.c
+++ b/libwlcore/attempt.c
@@ -38,7 +38,7 @@
 	attempt->key = wl_buf_str(&attempt->key_text);
 	wl_buf_set(&attempt->task, task);
 	attempt->number = number;
-	attempt->next_ns = WL_DUE_NEVER;
+	attempt->next_ns = WL_NEVER_NS;
 	attempt->owned = owned;
 	wl_map_put(&owner->attempts, attempt);
 	if (!owned)
@@ -173,7 +173,7 @@
 {
 	wl_attempt_release(attempt);
 	wl_attempt_enter(turn, attempt, WL_ATTEMPT_ENDED);
-	attempt->next_ns = WL_DUE_NEVER;
+	attempt->next_ns = WL_NEVER_NS;
 	if (kind == WL_REPORT_LOST)
 		wl_metrics_add(turn->owner->options.metrics, "wisterialead_attempts_lost_total", "",
 			       1);
--- a/libwlcore/budget.c
+++ b/libwlcore/budget.c
@@ -8,9 +8,10 @@
 
 #include "budget.h"
 
+#include <libwlbase/units.h>
+
 #define TOKEN_MILLI	1000
-#define NS_PER_S	1000000000ull
-#define DEFAULT_WINDOW	(10 * NS_PER_S)
+#define DEFAULT_WINDOW	(10 * WL_NS_PER_S)
 #define DEFAULT_FLOOR_S 10
 
 /*
@@ -26,7 +27,7 @@
 	if (!budget->options.floor_per_s)
 		budget->options.floor_per_s = DEFAULT_FLOOR_S;
 	budget->window_end_ns = now_ns + budget->options.window_ns;
-	budget->floor_end_ns = now_ns + NS_PER_S;
+	budget->floor_end_ns = now_ns + WL_NS_PER_S;
 }
 
 /* What was earned two windows ago and not spent is lost. */
@@ -49,7 +50,7 @@
 static bool budget_floor(wl_budget_t *budget, uint64_t now_ns)
 {
 	if (now_ns >= budget->floor_end_ns) {
-		budget->floor_end_ns = now_ns + NS_PER_S;
+		budget->floor_end_ns = now_ns + WL_NS_PER_S;
 		budget->floor_used = 0;
 	}
 	if (budget->floor_used >= budget->options.floor_per_s)
--- a/libwlcore/calls.c
+++ b/libwlcore/calls.c
@@ -10,7 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NS_PER_MS 1000000ull
+#include <libwlbase/units.h>
+
 #define RESEND_MS 1000
 #define RETRY_MS  100
 
@@ -49,7 +50,7 @@
 
 static void call_send(wl_leader_call_t *call, wl_str_t leader, uint64_t now_ns, wl_out_t *out)
 {
-	call->resend_ns = now_ns + (leader.len ? RESEND_MS : RETRY_MS) * NS_PER_MS;
+	call->resend_ns = now_ns + (leader.len ? RESEND_MS : RETRY_MS) * WL_NS_PER_MS;
 	if (leader.len == 0)
 		return;
 	wl_msg_copy(wl_out_send(out, leader, WL_MSG_NONE), &call->msg);
@@ -98,7 +99,7 @@
 	if (!call)
 		return false;
 	if (answer->result.code == WL_E_NO_LEADER) {
-		call->resend_ns = now_ns + RETRY_MS * NS_PER_MS;
+		call->resend_ns = now_ns + RETRY_MS * WL_NS_PER_MS;
 		return false;
 	}
 	end->id = call->id;
--- a/libwlcore/heap.c
+++ b/libwlcore/heap.c
@@ -115,3 +115,19 @@
 {
 	return heap->count ? heap->nodes[0] : NULL;
 }
+
+/*
+ * wl_heap_pop - take out the node with the least key
+ * @most: largest key that is taken; with times as keys, the present time
+ *
+ * Return: the node, or NULL if the heap is empty or its least key is above @most.
+ */
+wl_heap_node_t *wl_heap_pop(wl_heap_t *heap, uint64_t most)
+{
+	wl_heap_node_t *node = wl_heap_first(heap);
+
+	if (!node || node->key > most)
+		return NULL;
+	wl_heap_remove(heap, node);
+	return node;
+}
--- a/libwlcore/heap.h
+++ b/libwlcore/heap.h
@@ -24,5 +24,6 @@
 void wl_heap_put(wl_heap_t *heap, wl_heap_node_t *node, uint64_t key);
 void wl_heap_remove(wl_heap_t *heap, wl_heap_node_t *node);
 wl_heap_node_t *wl_heap_first(const wl_heap_t *heap);
+wl_heap_node_t *wl_heap_pop(wl_heap_t *heap, uint64_t most);
 
 #endif
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader_internal.h
@@ -3,14 +3,13 @@
 
 #include <sys/queue.h>
 
+#include <libwlbase/units.h>
 #include <libwlbase/rng.h>
 
 #include "leader.h"
 #include "place.h"
 #include "state_internal.h"
 
-#define WL_NS_PER_MS 1000000ULL
-
 /* What the leader knows of a session beyond the replicated state. */
 typedef struct wl_leader_session {
 	uint64_t id;
--- a/libwlcore/ledger.c
+++ b/libwlcore/ledger.c
@@ -10,8 +10,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <libwlbase/record_internal.h>
-
 #define SERVICE_LEAST_ROOM 8
 
 /*
@@ -73,7 +71,7 @@
 	wl_buf_free(&target->address);
 	wl_buf_free(&target->availability_zone);
 	wl_buf_free(&target->rack);
-	wl_list_free(&wl_string_schema, &target->services);
+	wl_strings_free(&target->services);
 	free(target);
 }
 
--- a/libwlcore/node.c
+++ b/libwlcore/node.c
@@ -8,8 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NS_PER_MS 1000000ull
-#define TICK_MS	  10
+#include <libwlbase/units.h>
+
+#define TICK_MS 10
 
 static void queue_event(wl_node_t *node, wl_event_t *event)
 {
@@ -368,5 +369,5 @@
 uint64_t wl_node_tick_ns(const wl_node_t *node)
 {
 	(void)node;
-	return TICK_MS * NS_PER_MS;
+	return TICK_MS * WL_NS_PER_MS;
 }
--- a/libwlcore/node_drain.c
+++ b/libwlcore/node_drain.c
@@ -5,7 +5,8 @@
 
 #include "node_internal.h"
 
-#define NS_PER_MS	1000000ull
+#include <libwlbase/units.h>
+
 #define DRAIN_NOTICE_MS 1000 /* not ready, yet still serving: the balancer needs a moment */
 #define SESSION_END_MS	2000 /* longest wait for the end of the own session to be committed */
 #define HAND_OVER_MS	3000 /* longest wait for another replica to lead */
@@ -54,7 +55,7 @@
 	node->session_ending = true;
 	cmd.u.session_end.session = node->session.id;
 	wl_out_leader_command(out, WL_PART_ID(WL_PART_NODE, 1), &cmd,
-			      now_ns + SESSION_END_MS * NS_PER_MS);
+			      now_ns + SESSION_END_MS * WL_NS_PER_MS);
 	wl_cmd_free(&cmd);
 }
 
@@ -76,7 +77,7 @@
 /* What still has to end before the daemon may. */
 static bool drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
 {
-	uint64_t since_ms = (now_ns - node->drain_ns) / NS_PER_MS;
+	uint64_t since_ms = (now_ns - node->drain_ns) / WL_NS_PER_MS;
 	bool leads = node->raft && wl_raft_leads(node->raft);
 
 	if (since_ms < DRAIN_NOTICE_MS || wl_api_open(node->api) > 0)
@@ -92,7 +93,7 @@
  */
 void wl_node_drain_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
 {
-	bool late = now_ns >= node->drain_ns + node->options.drain_ms * NS_PER_MS;
+	bool late = now_ns >= node->drain_ns + node->options.drain_ms * WL_NS_PER_MS;
 	wl_action_t *action;
 
 	if (node->exiting || !(drained(node, now_ns, out) || late))
--- a/libwlcore/node_store.c
+++ b/libwlcore/node_store.c
@@ -4,7 +4,8 @@
 
 #include <string.h>
 
-#define NS_PER_MS    1000000ull
+#include <libwlbase/units.h>
+
 #define BLANK_LOG_MS 10000 /* between two lines about a replica that belongs to no group */
 
 static void raft_event(wl_node_t *node, uint64_t now_ns, const wl_raft_event_t *event,
@@ -253,7 +254,7 @@
 		return;
 	if (node->blank_log_ns)
 		wl_out_log(out, WL_WARN, "store-blank", "waiting=admission-or-founding");
-	node->blank_log_ns = now_ns + BLANK_LOG_MS * NS_PER_MS;
+	node->blank_log_ns = now_ns + BLANK_LOG_MS * WL_NS_PER_MS;
 }
 
 /*
--- a/libwlcore/owned.c
+++ b/libwlcore/owned.c
@@ -121,7 +121,7 @@
 	owned->target = wl_ledger_add(owner->options.ledger, wl_buf_str(&row->target), row->epoch);
 	owned->target->state = wl_chart_initial(owner->options.chart);
 	owned->key = owned->target->key;
-	owned->due.subject = owned;
+	owned->due.owner = owned;
 	owned->session = row->session;
 	owned->granted_ns = turn->now_ns;
 	TAILQ_INIT(&owned->attempts);
@@ -211,7 +211,7 @@
 			wl_attempt_free(owner, attempt);
 	}
 	state_count(owner, owned->target->state, false);
-	wl_due_unset(&owner->due, &owned->due);
+	wl_heap_remove(&owner->due, &owned->due);
 	wl_map_remove(&owner->by_name, owned->key);
 	TAILQ_REMOVE(&owner->owned, owned, link);
 	wl_list_free(&wl_assignment_schema, &owned->assigned);
@@ -230,7 +230,7 @@
 	case WL_TARGET_ASIDE:
 		return owned->target->heard_ns + owned->owner->options.silence_ms * WL_NS_PER_MS;
 	default:
-		return WL_DUE_NEVER;
+		return WL_NEVER_NS;
 	}
 }
 
@@ -243,13 +243,13 @@
 {
 	if (owned->renew_call || owned->renew_seq >= owned->target->seq ||
 	    TAILQ_EMPTY(&owned->attempts) || !wl_owned_may_renew(owned, turn->now_ns))
-		return WL_DUE_NEVER;
+		return WL_NEVER_NS;
 	return owned->renew_next_ns;
 }
 
 static uint64_t attempts_at(const wl_owned_t *owned)
 {
-	uint64_t at_ns = WL_DUE_NEVER;
+	uint64_t at_ns = WL_NEVER_NS;
 	const wl_attempt_t *attempt;
 
 	TAILQ_FOREACH (attempt, &owned->attempts, of_target)
@@ -274,7 +274,7 @@
 			at_ns = earliest(at_ns, wl_owned_reach_ns(owned));
 		at_ns = earliest(at_ns, wl_owned_relieve_ns(owned));
 	}
-	if (at_ns == WL_DUE_NEVER)
+	if (at_ns == WL_NEVER_NS)
 		return at_ns;
 	return at_ns > turn->now_ns ? at_ns : turn->now_ns + LEAST_PAUSE_NS;
 }
@@ -306,5 +306,10 @@
 		next = TAILQ_NEXT(attempt, of_target);
 		wl_attempt_run(turn, attempt);
 	}
-	wl_due_set(&turn->owner->due, &owned->due, next_due(turn, owned));
+	uint64_t at_ns = next_due(turn, owned);
+
+	if (at_ns == WL_NEVER_NS)
+		wl_heap_remove(&turn->owner->due, &owned->due);
+	else
+		wl_heap_put(&turn->owner->due, &owned->due, at_ns);
 }
--- a/libwlcore/owner.c
+++ b/libwlcore/owner.c
@@ -72,7 +72,7 @@
  */
 void wl_owned_touch(const wl_turn_t *turn, wl_owned_t *owned)
 {
-	wl_due_set(&turn->owner->due, &owned->due, turn->now_ns);
+	wl_heap_put(&turn->owner->due, &owned->due, turn->now_ns);
 }
 
 static bool row_mine(const wl_owner_t *owner, const wl_owner_row_t *row)
@@ -187,10 +187,10 @@
 
 static void run_due(const wl_turn_t *turn)
 {
-	wl_due_t *due;
+	wl_heap_node_t *due;
 
-	while ((due = wl_due_pop(&turn->owner->due, turn->now_ns)))
-		wl_owned_run(turn, due->subject);
+	while ((due = wl_heap_pop(&turn->owner->due, turn->now_ns)))
+		wl_owned_run(turn, due->owner);
 }
 
 /*
@@ -285,7 +285,7 @@
 	wl_owner_presses_free(owner);
 	wl_pairs_free(&owner->pairs);
 	wl_kinds_free(&owner->kinds);
-	wl_due_heap_free(&owner->due);
+	wl_heap_free(&owner->due);
 	wl_buf_free(&owner->offer_leader);
 	wl_map_free(&owner->by_name);
 	wl_map_free(&owner->attempts);
--- a/libwlcore/owner_announce.c
+++ b/libwlcore/owner_announce.c
@@ -2,32 +2,14 @@
 
 #include "owner_internal.h"
 
-#include <libwlbase/record_internal.h>
-
-static bool services_same(const wl_list_t *a, const wl_list_t *b)
-{
-	const wl_buf_t *x = a->items;
-	const wl_buf_t *y = b->items;
-
-	if (a->count != b->count)
-		return false;
-	for (size_t i = 0; i < a->count; i++)
-		if (!wl_str_equal(wl_buf_str(&x[i]), wl_buf_str(&y[i])))
-			return false;
-	return true;
-}
-
 static void take_services(wl_owned_t *owned, const wl_list_t *services)
 {
 	wl_target_t *target = owned->target;
-	const wl_buf_t *names = services->items;
 
-	if (services_same(&target->services, services))
+	if (wl_strings_equal(&target->services, services))
 		return;
 	wl_ledger_open(owned->owner->options.ledger, target, false);
-	wl_list_free(&wl_string_schema, &target->services);
-	for (size_t i = 0; i < services->count; i++)
-		wl_strings_add(&target->services, wl_buf_str(&names[i]));
+	wl_strings_set(&target->services, services);
 }
 
 static void take_facts(wl_owned_t *owned, const wl_announce_t *announce)
@@ -63,7 +45,7 @@
 	if (!row || options->session->leader.len == 0 ||
 	    (same(&row->address, &announce->address) && same(&row->rack, &announce->rack) &&
 	     same(&row->availability_zone, &announce->availability_zone) &&
-	     services_same(&row->services, &announce->services)))
+	     wl_strings_equal(&row->services, &announce->services)))
 		return;
 	msg = wl_out_send(turn->out, wl_buf_str(&options->session->leader), WL_MSG_ANNOUNCE);
 	wl_record_copy(&wl_announce_schema, &msg->u.announce.announce, announce);
--- a/libwlcore/owner_internal.h
+++ b/libwlcore/owner_internal.h
@@ -1,8 +1,9 @@
 #ifndef WL_OWNER_INTERNAL_H
 #define WL_OWNER_INTERNAL_H
 
+#include <libwlbase/units.h>
 #include <libwlbase/rng.h>
-#include <libwlcore/due.h>
+#include <libwlcore/heap.h>
 #include <libwlcore/evict.h>
 #include <libwlcore/health.h>
 #include <libwlcore/owner.h>
@@ -10,7 +11,7 @@
 
 /* What the files of the owner share. */
 
-#define WL_NS_PER_MS	     1000000
+#define WL_NEVER_NS	     UINT64_MAX /* a time that does not come */
 #define WL_THROTTLE_PERMILLE 300
 
 typedef enum wl_target_state {
@@ -109,7 +110,7 @@
 	wl_str_t key;
 	wl_owner_t *owner;
 	wl_target_t *target;
-	wl_due_t due;
+	wl_heap_node_t due;
 	uint64_t session;      /* that it is owned under */
 	uint64_t granted_ns;   /* when the present epoch came */
 	uint64_t adopted_boot; /* of the adoption under the present epoch; 0: none */
@@ -172,7 +173,7 @@
 	wl_rng_t rng;
 	wl_map_t by_name;
 	TAILQ_HEAD(wl_owneds, wl_owned) owned;
-	wl_due_heap_t due;
+	wl_heap_t due;
 	wl_map_t attempts;
 	struct wl_attempts reports; /* with one that is not committed */
 	struct wl_attempts closed;  /* oldest first */
--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner_press.c
@@ -351,7 +351,7 @@
 uint64_t wl_owned_relieve_ns(const wl_owned_t *owned)
 {
 	if (!owned->pressed_ns)
-		return WL_DUE_NEVER;
+		return WL_NEVER_NS;
 	return pressed_last(owned) + CALM_MS * (uint64_t)WL_NS_PER_MS;
 }
 
--- a/libwlcore/owner_tasks.c
+++ b/libwlcore/owner_tasks.c
@@ -177,7 +177,7 @@
 	case WL_ATTEMPT_CHECKPOINTED:
 	case WL_ATTEMPT_ENDED:
 	case WL_ATTEMPT_CLOSED:
-		attempt->next_ns = WL_DUE_NEVER;
+		attempt->next_ns = WL_NEVER_NS;
 		break;
 	}
 }
--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -92,19 +92,6 @@
 		service_take(service_get(place, wl_buf_str(&names[i])), target);
 }
 
-static bool services_same(const wl_list_t *a, const wl_list_t *b)
-{
-	const wl_buf_t *x = a->items;
-	const wl_buf_t *y = b->items;
-
-	if (a->count != b->count)
-		return false;
-	for (size_t i = 0; i < a->count; i++)
-		if (!wl_str_equal(wl_buf_str(&x[i]), wl_buf_str(&y[i])))
-			return false;
-	return true;
-}
-
 static wl_place_rack_t *rack_get(wl_place_t *place, wl_str_t name)
 {
 	wl_place_rack_t *rack = wl_map_get(&place->by_rack, name);
@@ -221,7 +208,7 @@
 {
 	wl_place_target_t *target = wl_place_know(place, now_ns, wl_buf_str(&row->target));
 
-	bool moved = !services_same(&target->row.services, &row->services);
+	bool moved = !wl_strings_equal(&target->row.services, &row->services);
 
 	if (moved)
 		services_leave(place, target);
--- a/libwlcore/raft.c
+++ b/libwlcore/raft.c
@@ -11,7 +11,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NS_PER_MS		     1000000
+#include <libwlbase/units.h>
+
 #define ELECTION_MS_DEFAULT	     1000
 #define HEARTBEAT_MS_DEFAULT	     150
 #define MAX_APPEND_BYTES_DEFAULT     (256UL * 1024)
@@ -46,8 +47,8 @@
 {
 	raft->id = options->id;
 	wl_buf_set(&raft->name, options->name);
-	raft->election_ns = preset(options->election_ms, ELECTION_MS_DEFAULT) * NS_PER_MS;
-	raft->heartbeat_ns = preset(options->heartbeat_ms, HEARTBEAT_MS_DEFAULT) * NS_PER_MS;
+	raft->election_ns = preset(options->election_ms, ELECTION_MS_DEFAULT) * WL_NS_PER_MS;
+	raft->heartbeat_ns = preset(options->heartbeat_ms, HEARTBEAT_MS_DEFAULT) * WL_NS_PER_MS;
 	raft->max_append_bytes = preset(options->max_append_bytes, MAX_APPEND_BYTES_DEFAULT);
 	raft->snapshot_piece_bytes =
 		preset(options->snapshot_piece_bytes, SNAPSHOT_PIECE_BYTES_DEFAULT);
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request_internal.h
@@ -1,6 +1,7 @@
 #ifndef WL_REQUEST_INTERNAL_H
 #define WL_REQUEST_INTERNAL_H
 
+#include <libwlbase/units.h>
 #include <libwlcore/admit.h>
 #include <libwlcore/fairq.h>
 #include <libwlcore/ids.h>
@@ -11,8 +12,6 @@
 
 /* What the files of the request part share. */
 
-#define WL_NS_PER_MS 1000000ull
-
 /*
  * Life of a request at an entry:
  *
--- a/libwlcore/request_tell.c
+++ b/libwlcore/request_tell.c
@@ -9,13 +9,13 @@
 
 #include "request_internal.h"
 
+#include <libwlbase/units.h>
+
 #define REMIND_NS \
 	(400 * WL_NS_PER_MS) /* a message is sent at least so often: peers forget in 1 s */
 #define PACED_MOST_NS (4000 * WL_NS_PER_MS)
 #define WHOLE_NS      (10000 * WL_NS_PER_MS)
 #define BYTES_PER_S   12000
-#define NS_PER_S      1000000000ull
-
 /*
  * wl_requests_owe - have a peer told everything next time
  */
@@ -89,7 +89,7 @@
 static void tell_plan(wl_requests_t *requests, uint64_t sent_bytes, uint64_t now_ns)
 {
 	uint64_t interval_ns = requests->options.room_ms * WL_NS_PER_MS;
-	uint64_t paced_ns = sent_bytes * NS_PER_S / BYTES_PER_S;
+	uint64_t paced_ns = sent_bytes * WL_NS_PER_S / BYTES_PER_S;
 
 	if (paced_ns > PACED_MOST_NS)
 		paced_ns = PACED_MOST_NS;
--- a/libwlcore/session.c
+++ b/libwlcore/session.c
@@ -5,7 +5,8 @@
 
 #include <string.h>
 
-#define NS_PER_MS	 1000000ull
+#include <libwlbase/units.h>
+
 #define RENEW_MS_DEFAULT 1000
 #define ANSWER_MS	 700 /* a replica that takes longer is passed over for the next one */
 #define RETRY_MS	 100
@@ -49,7 +50,7 @@
 	uint64_t silent_ns = now_ns - session->answered_ns;
 
 	if (session->leader.len &&
-	    silent_ns > ANSWER_MS * NS_PER_MS + options->renew_ms * NS_PER_MS)
+	    silent_ns > ANSWER_MS * WL_NS_PER_MS + options->renew_ms * WL_NS_PER_MS)
 		wl_buf_clear(&session->leader);
 	if (session->leader.len)
 		return wl_buf_str(&session->leader);
@@ -66,7 +67,7 @@
 	wl_msg_renew_t *renew;
 	bool known = session->leader.len > 0;
 
-	session->next_renew_ns = now_ns + (known ? options->renew_ms : RETRY_MS) * NS_PER_MS;
+	session->next_renew_ns = now_ns + (known ? options->renew_ms : RETRY_MS) * WL_NS_PER_MS;
 	if (peer.len == 0)
 		return;
 	renew = &wl_out_send(out, peer, WL_MSG_RENEW)->u.renew;
@@ -85,7 +86,7 @@
 static void session_granted(wl_session_t *session, const wl_msg_renewed_t *renewed, wl_str_t peer,
 			    uint64_t now_ns, wl_out_t *out)
 {
-	uint64_t until_ns = renewed->sent_ns + renewed->validity_ms * NS_PER_MS;
+	uint64_t until_ns = renewed->sent_ns + renewed->validity_ms * WL_NS_PER_MS;
 
 	if (session->id != renewed->session) {
 		wl_out_log(out, WL_INFO, "session-open", "session=%llu leader=" WL_STR_FMT,
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -18,10 +18,10 @@
 #include "http_transfer.h"
 #include "late.h"
 
+#include <libwlbase/units.h>
+
 #define POLL_MS		1000
 #define DEADLINE_MS	50 /* between two looks at the deadlines */
-#define NS_PER_MS	1000000ull
-#define NS_PER_S	1000000000ull
 #define RETRY_MS	5
 #define CALL_CONNECT_MS 3000
 #define IDLE_CACHE	256 /* connections kept open over all hosts */
@@ -59,7 +59,7 @@
 	struct timespec at;
 
 	clock_gettime(CLOCK_MONOTONIC, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
 static void client_report(wl_http_client_t *client, wl_fetched_t *fetched)
@@ -110,7 +110,7 @@
 		return;
 	}
 	if (transfer->fetch.timeout_ms)
-		transfer->deadline_ns = now_read() + transfer->fetch.timeout_ms * NS_PER_MS;
+		transfer->deadline_ns = now_read() + transfer->fetch.timeout_ms * WL_NS_PER_MS;
 	TAILQ_INSERT_TAIL(&client->running, transfer, link);
 	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
 		client_end(client, transfer, CURLE_FAILED_INIT, NULL);
@@ -163,7 +163,7 @@
 {
 	wl_transfer_t *transfer = TAILQ_FIRST(&client->running);
 
-	if (now_ns - client->looked_ns < DEADLINE_MS * NS_PER_MS)
+	if (now_ns - client->looked_ns < DEADLINE_MS * WL_NS_PER_MS)
 		return;
 	client->looked_ns = now_ns;
 	while (transfer) {
--- a/libwlnet/peer_loop.c
+++ b/libwlnet/peer_loop.c
@@ -20,12 +20,11 @@
 
 #include <ck_pr.h>
 
+#include <libwlbase/units.h>
 #include <libwlbase/log.h>
 
 #include "address.h"
 
-#define NS_PER_MS	 1000000ull
-#define NS_PER_S	 1000000000ull
 #define TIMER_MS	 50
 #define STALL_MS	 2 /* between two tries to put events into a full ring */
 #define BACKOFF_LEAST_MS 50
@@ -42,7 +41,7 @@
 	struct timespec at;
 
 	clock_gettime(CLOCK_MONOTONIC, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
 static void emit_peer(wl_peers_t *peers, wl_event_kind_t kind, const wl_peer_t *peer)
@@ -123,7 +122,7 @@
 	uint64_t least = peer->backoff_ms ? peer->backoff_ms : BACKOFF_LEAST_MS;
 	uint64_t wait_ms = least / 2 + wl_rng_below(&peers->rng, least);
 
-	peer->next_dial_ns = now_ns + wait_ms * NS_PER_MS;
+	peer->next_dial_ns = now_ns + wait_ms * WL_NS_PER_MS;
 	peer->backoff_ms = least * 2 < BACKOFF_MOST_MS ? least * 2 : BACKOFF_MOST_MS;
 }
 
@@ -164,7 +163,7 @@
 {
 	bool own_is_lower =
 		wl_str_compare(wl_buf_str(&peers->name), wl_buf_str(&link->proof.other.name)) < 0;
-	bool recent = link->up_ns - current->up_ns < peers->options.handshake_ms * NS_PER_MS;
+	bool recent = link->up_ns - current->up_ns < peers->options.handshake_ms * WL_NS_PER_MS;
 
 	if (link->proof.other.boot != current->proof.other.boot || !recent)
 		return false;
@@ -261,12 +260,12 @@
 
 static void link_timers(const wl_peers_t *peers, wl_link_t *link, uint64_t now_ns)
 {
-	uint64_t idle_ns = peers->options.idle_ms * NS_PER_MS;
+	uint64_t idle_ns = peers->options.idle_ms * WL_NS_PER_MS;
 
 	if (link->state == WL_LINK_CLOSED)
 		return;
 	if (link->state != WL_LINK_UP) {
-		if (now_ns - link->begun_ns > peers->options.handshake_ms * NS_PER_MS)
+		if (now_ns - link->begun_ns > peers->options.handshake_ms * WL_NS_PER_MS)
 			wl_link_fail(link, link->state == WL_LINK_CONNECTING
 						   ? NULL
 						   : "handshake takes too long");
--- a/tests/bench/world.c
+++ b/tests/bench/world.c
@@ -7,8 +7,8 @@
 #include <string.h>
 #include <time.h>
 
-#define NS_PER_MS 1000000ull
-#define NS_PER_S  1000000000ull
+#include <libwlbase/units.h>
+
 #define SETTLE_MS 4000
 
 static uint64_t cpu_ns(void)
@@ -16,7 +16,7 @@
 	struct timespec at;
 
 	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
-	return (uint64_t)at.tv_sec * NS_PER_S + (uint64_t)at.tv_nsec;
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
 static wl_buf_t read_whole(const char *path)
@@ -102,7 +102,7 @@
 	event.fetched.sent = true;
 	event.fetched.whole = true;
 	event.fetched.status = 200;
-	event.fetched.took_ns = 5 * NS_PER_MS;
+	event.fetched.took_ns = 5 * WL_NS_PER_MS;
 	if (wl_str_starts(wl_buf_str(&fetch->path), WL_STR("/v1/")))
 		command_answer(world, fetch, &event.fetched.body);
 	else
@@ -180,7 +180,7 @@
  */
 void world_tick(world_t *world, uint64_t ms)
 {
-	uint64_t end_ns = world->now_ns + ms * NS_PER_MS;
+	uint64_t end_ns = world->now_ns + ms * WL_NS_PER_MS;
 	wl_event_t event;
 
 	while (world->now_ns < end_ns) {
@@ -333,7 +333,7 @@
 	target_chart = read_whole(PROJECT_DIR "/charts/target.json");
 	options.task_chart = wl_buf_str(&task_chart);
 	options.target_chart = wl_buf_str(&target_chart);
-	world->now_ns = NS_PER_S;
+	world->now_ns = WL_NS_PER_S;
 	world->node = wl_node_new(&options, world->now_ns, &err);
 	if (!world->node) {
 		fprintf(stderr, "node: %s\n", err.text);
--- a/tests/target/fake.c
+++ b/tests/target/fake.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define NS_PER_MS 1000000
+#include <libwlbase/units.h>
 
 /*
  * fake_new - make a target that has announced nothing yet
@@ -188,7 +188,7 @@
 {
 	wl_need_t used = fake_used(fake);
 
-	if (fake->usage_ns && now_ns < fake->usage_ns + fake->options.usage_lag_ms * NS_PER_MS)
+	if (fake->usage_ns && now_ns < fake->usage_ns + fake->options.usage_lag_ms * WL_NS_PER_MS)
 		return;
 	fake->usage = (wl_usage_t){
 		.cpu_millis = used.cpu_millis,
@@ -228,7 +228,8 @@
 	announce->connections = options->capacity.connections;
 	announce->state = fake->leaving ? WL_ANNOUNCE_LEAVING : WL_ANNOUNCE_READY;
 	announce->usage = fake->usage;
-	announce->usage.taken_ms_ago = fake->usage_ns ? (now_ns - fake->usage_ns) / NS_PER_MS : 0;
+	announce->usage.taken_ms_ago =
+		fake->usage_ns ? (now_ns - fake->usage_ns) / WL_NS_PER_MS : 0;
 	announce->usage.earlier_requests = fake_earlier_requests(fake);
 	usage_take(fake, now_ns);
 	TAILQ_FOREACH (task, &fake->tasks, link)
--- a/tests/target/fake_command.c
+++ b/tests/target/fake_command.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NS_PER_MS   1000000
+#include <libwlbase/units.h>
+
 #define MOST_BARRED 10000
 
 typedef struct command {
@@ -82,7 +83,7 @@
 {
 	const fake_t *fake = command->fake;
 
-	return fake->sent_ns[command->in->seq % FAKE_SEQS] + command->in->lease_ms * NS_PER_MS;
+	return fake->sent_ns[command->in->seq % FAKE_SEQS] + command->in->lease_ms * WL_NS_PER_MS;
 }
 
 static bool room_for(const fake_t *fake, const wl_need_t *need)
--- a/tests/target/fake_request.c
+++ b/tests/target/fake_request.c
@@ -4,10 +4,9 @@
 
 #include <stdlib.h>
 
+#include <libwlbase/units.h>
 #include <libwlbase/digest.h>
 
-#define NS_PER_MS 1000000
-
 static wl_str_t header(const fake_call_t *call, wl_str_t name)
 {
 	const wl_buf_t *value = wl_headers_find(call->headers, name);
@@ -99,7 +98,7 @@
 	}
 
 	took_ns = number(call, WL_STR("Fake-Service-Ms"), UINT64_MAX);
-	took_ns = took_ns == UINT64_MAX ? fake_request_ns(fake, service) : took_ns * NS_PER_MS;
+	took_ns = took_ns == UINT64_MAX ? fake_request_ns(fake, service) : took_ns * WL_NS_PER_MS;
 	if (fake->failing || fake_chance(fake, fake->options.fail_permille)) {
 		reply->status = 500;
 		took_ns = 0;
--- a/tests/target/fake_work.c
+++ b/tests/target/fake_work.c
@@ -8,7 +8,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define NS_PER_MS     1000000
+#include <libwlbase/units.h>
+
 #define STRAGGLER     10
 #define TASK_RUN_MS   1000 /* of a task that declares nothing */
 #define PAIR_SEED     7
@@ -104,7 +105,7 @@
 {
 	const fake_options_t *options = &fake->options;
 	uint64_t hash = wl_str_hash(service, SERVICE_SEED + options->seed);
-	uint64_t ns = options->service_ms * NS_PER_MS;
+	uint64_t ns = options->service_ms * WL_NS_PER_MS;
 
 	ns = ns / 2 + ns * (hash % 101) / 100;
 	ns = ns * (500 + wl_rng_below(&fake->rng, 1001)) / FULL_PERMILLE;
@@ -130,7 +131,7 @@
 		run_ms *= STRAGGLER;
 	run_ms = fake_hint(payload, WL_STR("run_ms"), run_ms);
 	task->work_ns =
-		(double)run_ms * NS_PER_MS * (double)fake->options.time_permille / FULL_PERMILLE;
+		(double)run_ms * WL_NS_PER_MS * (double)fake->options.time_permille / FULL_PERMILLE;
 	wl_str_u64(checkpoint, &done);
 	task->done_ns = task->work_ns * (double)done / FULL_PERMILLE;
 	task->usage.progress_permille = done;
@@ -171,7 +172,7 @@
 	uint64_t permille;
 
 	task->usage.slowdown_permille = slow;
-	task->usage.ran_ms = (until_ns - task->begun_ns) / NS_PER_MS;
+	task->usage.ran_ms = (until_ns - task->begun_ns) / WL_NS_PER_MS;
 	task->done_ns += spent * (double)task->cpu_permille / (double)slow;
 	task->counted_ns = now_ns;
 	permille = task->work_ns > 0 ? (uint64_t)(task->done_ns / task->work_ns * FULL_PERMILLE)
--- a/tests/target/host.c
+++ b/tests/target/host.c
@@ -12,11 +12,11 @@
 #include <sys/random.h>
 #include <time.h>
 
+#include <libwlbase/units.h>
 #include <libwlbase/record_internal.h>
 
 #include "host_internal.h"
 
-#define NS_PER_S	  1000000000ull
 #define RING_SLOTS	  65536
 #define MOST_BODY	  (16u << 20)
 #define MOST_HEADERS	  32768
@@ -33,7 +33,7 @@
 	struct timespec now;
 
 	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * NS_PER_S + (uint64_t)now.tv_nsec;
+	return (uint64_t)now.tv_sec * WL_NS_PER_S + (uint64_t)now.tv_nsec;
 }
 
 /*
@@ -161,7 +161,7 @@
 		      (unsigned long long)port);
 	target_fake(host, target);
 	target->announce_to = index;
-	target->announce_ns = now_ns() + index * ANNOUNCE_MS * NS_PER_MS / host->count;
+	target->announce_ns = now_ns() + index * ANNOUNCE_MS * WL_NS_PER_MS / host->count;
 	printf("target=%s listen=%s announced=%s\n", target->name.at, target->listen.at,
 	       target->address.at);
 	return true;
@@ -297,7 +297,7 @@
 			       wl_buf_str(&host->authorization));
 	wl_record_to_json(&wl_announce_schema, &announce, &fetch.body);
 	wl_record_free(&wl_announce_schema, &announce);
-	target->announce_ns = now + ANNOUNCE_MS * NS_PER_MS;
+	target->announce_ns = now + ANNOUNCE_MS * WL_NS_PER_MS;
 	target->announcing = wl_http_client_fetch(host->client, &fetch);
 	if (target->announcing)
 		return;
@@ -319,14 +319,14 @@
 	target->announcing = false;
 	if (!fetched->whole || fetched->status != 200) {
 		target->announce_to++;
-		target->announce_ns = now + ANNOUNCE_MS * NS_PER_MS / 5;
+		target->announce_ns = now + ANNOUNCE_MS * WL_NS_PER_MS / 5;
 		return;
 	}
 	if (wl_str_split(wl_buf_str(&fetched->body), ':', &head, &tail)) {
 		wl_str_split(tail, '}', &head, &tail);
 		wl_str_u64(head, &interval_ms);
 	}
-	target->announce_ns = now + interval_ms * NS_PER_MS;
+	target->announce_ns = now + interval_ms * WL_NS_PER_MS;
 }
 
 static void event_take(host_t *host, wl_event_t *event, uint64_t now)
--- a/tests/target/host_internal.h
+++ b/tests/target/host_internal.h
@@ -3,13 +3,13 @@
 
 #include <stdio.h>
 
+#include <libwlbase/units.h>
 #include <libwlnet/http_client.h>
 #include <libwlnet/http_server.h>
 
 #include "fake.h"
 #include "host.h"
 
-#define NS_PER_MS      1000000ull
 #define MOST_ADDRESSES 64
 
 /* A reply that is ready later. */
