--- a/cli/cli.h
+++ b/cli/cli.h
@@ -44,6 +44,7 @@
 	uint64_t deadline_ms;
 	uint64_t tasks_per_s;
 	uint64_t task_run_ms;
+	uint64_t task_cpu_millis;
 	uint64_t long_permille;
 	uint64_t long_run_ms;
 	uint64_t urgent_permille;
--- a/cli/load.c
+++ b/cli/load.c
@@ -184,11 +184,11 @@
 	wl_headers_add(&fetch->headers, WL_STR("Idempotency-Key"), wl_str_from(mark));
 	wl_buf_printf(&fetch->body,
 		      "{\"kind\":\"%s\",\"service\":\"" WL_STR_FMT "\",\"class\":\"%s\","
-		      "\"cpu_millis\":1000,\"memory_mib\":1024,\"accelerators\":0,\"run_ms\":%llu,"
+		      "\"cpu_millis\":%llu,\"memory_mib\":1024,\"accelerators\":0,\"run_ms\":%llu,"
 		      "\"restartable\":true,\"payload\":\"run_ms=%llu\"}",
 		      is_long ? "long" : "short", WL_STR_ARG(wl_buf_str(&customer->service)),
-		      urgent ? "urgent" : "batch", (unsigned long long)run_ms,
-		      (unsigned long long)run_ms);
+		      urgent ? "urgent" : "batch", (unsigned long long)settings->task_cpu_millis,
+		      (unsigned long long)run_ms, (unsigned long long)run_ms);
 }
 
 static void fetch_release(wl_fetch_t *fetch)
--- a/cli/main.c
+++ b/cli/main.c
@@ -73,6 +73,8 @@
 	 NULL},
 	{"task-run-ms", WL_OPTION_NUMBER, AT(task_run_ms), "1000", "ms",
 	 "load: a task's declared run time", 1, 3600000, NULL},
+	{"task-cpu-millis", WL_OPTION_NUMBER, AT(task_cpu_millis), "1000", "millis",
+	 "load: a task's declared processors, thousandths", 1, 1000000, NULL},
 	{"long-permille", WL_OPTION_NUMBER, AT(long_permille), "0", "permille",
 	 "load: tasks that run long", 0, 1000, NULL},
 	{"long-run-ms", WL_OPTION_NUMBER, AT(long_run_ms), "10000", "ms",
--- a/tests/experiment/run.sh
+++ b/tests/experiment/run.sh
@@ -17,8 +17,8 @@
 . "$root/tests/support/system.sh"
 
 case $scenario in
-norrlamp)     targets=65 racks=6 customer=norrlamp:tube-sort service=tube-sort rest=200 crest=900 tasks_per_s=45 long=150 ;;
-lanternlight) targets=50 racks=7 customer=lanternlight:booking service=booking rest=150 crest=1000 tasks_per_s=20 long=100 ;;
+norrlamp)     targets=65 racks=6 customer=norrlamp:tube-sort service=tube-sort rest=200 crest=900 tasks_per_s=100 long=500 ;;
+lanternlight) targets=50 racks=7 customer=lanternlight:booking service=booking rest=150 crest=1000 tasks_per_s=70 long=400 ;;
 *) echo "unknown scenario $scenario" >&2; exit 2 ;;
 esac
 
@@ -39,7 +39,7 @@
 wait_for 30 all_ready
 start_targets $targets $racks $service --service-ms 40 --straggler-permille 10 --usage-lag-ms 1500 \
 	--interference-permille 1000 --seed "$seed"
-sed 's/"cpu_millis": 64000/"cpu_millis": 2000000/; s/"max_concurrent": 400/"max_concurrent": 4000/' \
+sed 's/"cpu_millis": 64000/"cpu_millis": 20000000/; s/"memory_mib": 262144/"memory_mib": 100000000/; s/"max_concurrent": 400/"max_concurrent": 4000/' \
 	"$root/tests/fixtures/plans.json" >"$run/plans.json"
 operate apply --wait --plans "$run/plans.json" --customers "$root/tests/fixtures/customers.json" >"$run/apply.log" 2>&1
 wait_for 30 targets_open $targets
@@ -57,7 +57,7 @@
 fi
 
 load=(--customer $customer --rate-per-s "$rest" --crest-per-s "$crest" --period-ms 6000 --seconds "$seconds")
-load+=(--tasks-per-s $tasks_per_s --task-run-ms 600 --long-permille $long --long-run-ms 6000 --urgent-permille 50)
+load+=(--tasks-per-s $tasks_per_s --task-run-ms 600 --task-cpu-millis 6000 --long-permille $long --long-run-ms 6000 --urgent-permille 50)
 "$build/cli/wisteriactl" load --server "$(list 4)" "${load[@]}" --json --csv "$run/seconds.csv" --seed "$seed" >"$run/load.json" || true
 [ "$fault" = zone ] && wait "$fault_pid" || true
 operate tasks --json --max 10000 >"$run/tasks.json"
