node: a planned stop whose session has ended waits for nothing more

Log: e5 had ended its session, then its view changed once more and showed a target as its own and an entry that was not draining, and it waited for that target to be taken over by a group that had gone. Ruled out: the daemon's own timer and a second signal (one 'stopping', no 'second'). Change: once the session is being ended it is not renewed any more, and only its end is waited for.

--- a/libwlcore/node_drain.c
+++ b/libwlcore/node_drain.c
@@ -53,6 +53,7 @@
 	wl_cmd_t cmd = {.kind = WL_CMD_SESSION_END};
 
 	node->session_ending = true;
+	wl_session_close(&node->session);
 	cmd.u.session_end.session = node->session.id;
 	wl_out_leader_command(out, WL_PART_ID(WL_PART_NODE, 1), &cmd,
 			      now_ns + SESSION_END_MS * WL_NS_PER_MS);
@@ -62,16 +63,18 @@
 /* The entry's part of a planned stop: requests first, then targets, then the session. */
 static bool entry_drained(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
 {
+	if (node->session_ended)
+		return true;
 	wl_requests_drain(node->requests);
 	if (wl_requests_open(node->requests) > 0)
 		return false;
-	if (!node->session_ending && !wl_session_valid(&node->session, now_ns))
-		return true;
-	if (owns_targets(node) && !all_draining(node))
+	if (node->session_ending)
 		return false;
-	if (!node->session_ending)
+	if (!wl_session_valid(&node->session, now_ns))
+		return true;
+	if (!owns_targets(node) || all_draining(node))
 		end_session(node, now_ns, out);
-	return node->session_ended;
+	return false;
 }
 
 /* What still has to end before the daemon may. */
--- a/libwlcore/session.c
+++ b/libwlcore/session.c
@@ -43,6 +43,15 @@
 	return session->id != 0 && now_ns < session->valid_until_ns;
 }
 
+/*
+ * wl_session_close - take no new work and renew no more: the session is being ended
+ */
+void wl_session_close(wl_session_t *session)
+{
+	session->closed = true;
+	session->valid_until_ns = 0;
+}
+
 /* The leader where known, else the replicas in turn. */
 static wl_str_t session_peer(wl_session_t *session, uint64_t now_ns)
 {
@@ -115,7 +124,7 @@
 			     const wl_msg_renewed_t *renewed, wl_str_t peer, uint64_t now_ns,
 			     wl_out_t *out)
 {
-	if (renewed->boot != session->options.boot || renewed->sent_ns > now_ns)
+	if (session->closed || renewed->boot != session->options.boot || renewed->sent_ns > now_ns)
 		return;
 	if (view->group != 0 && renewed->group != 0 && renewed->group != view->group) {
 		wl_out_log(out, WL_ERROR, "session-other-group", "leader=" WL_STR_FMT,
@@ -150,6 +159,6 @@
 		session->draining = true;
 	if (event->kind == WL_EVENT_DRAIN || event->kind == WL_EVENT_VIEW)
 		session->next_renew_ns = now_ns;
-	if (now_ns >= session->next_renew_ns)
+	if (now_ns >= session->next_renew_ns && !session->closed)
 		session_renew(session, view, now_ns, out);
 }
--- a/libwlcore/session.h
+++ b/libwlcore/session.h
@@ -25,12 +25,14 @@
 	size_t next_store;
 	wl_buf_t leader; /* name; empty: not known */
 	bool draining;
+	bool closed; /* not renewed any more */
 } wl_session_t;
 
 void wl_session_init(wl_session_t *session, const wl_session_options_t *options, uint64_t now_ns);
 void wl_session_free(wl_session_t *session);
 void wl_session_step(wl_session_t *session, wl_view_t *view, uint64_t now_ns,
 		     const wl_event_t *event, wl_out_t *out);
+void wl_session_close(wl_session_t *session);
 bool wl_session_valid(const wl_session_t *session, uint64_t now_ns);
 
 #endif
