--- a/libwlbase/record.h
+++ b/libwlbase/record.h
@@ -83,6 +83,7 @@
 void wl_record_copy(const wl_schema_t *schema, void *to, const void *from);
 void wl_record_pack(const wl_schema_t *schema, const void *record, wl_buf_t *out);
 bool wl_record_unpack(const wl_schema_t *schema, wl_str_t bytes, void *record, wl_err_t *err);
+void wl_record_to_json_sparse(const wl_schema_t *schema, const void *record, wl_buf_t *out);
 void wl_record_to_json(const wl_schema_t *schema, const void *record, wl_buf_t *out);
 bool wl_record_from_json(const wl_schema_t *schema, wl_str_t text, void *record, wl_err_t *err);
 
--- a/libwlbase/record_json.c
+++ b/libwlbase/record_json.c
@@ -38,7 +38,7 @@
 	return text;
 }
 
-static json_t *json_of(const wl_schema_t *schema, const void *record);
+static json_t *json_of(const wl_schema_t *schema, const void *record, bool sparse);
 
 static json_t *json_text(const wl_buf_t *buf)
 {
@@ -48,7 +48,7 @@
 	return text ? text : json_null();
 }
 
-static json_t *json_of_list(const wl_field_t *field, const wl_list_t *list)
+static json_t *json_of_list(const wl_field_t *field, const wl_list_t *list, bool sparse)
 {
 	json_t *array = json_array();
 	const wl_buf_t *strings = list->items;
@@ -58,13 +58,14 @@
 			json_array_append_new(array, json_text(&strings[i]));
 		else
 			json_array_append_new(
-				array, json_of(field->schema, (const char *)list->items +
-								      i * field->schema->size));
+				array, json_of(field->schema,
+					       (const char *)list->items + i * field->schema->size,
+					       sparse));
 	}
 	return array;
 }
 
-static json_t *json_of_field(const wl_field_t *field, const void *at)
+static json_t *json_of_field(const wl_field_t *field, const void *at, bool sparse)
 {
 	switch (field->kind) {
 	case WL_FIELD_U64:
@@ -76,33 +77,50 @@
 	case WL_FIELD_ENUM:
 		return json_string(field->names[*(const uint64_t *)at]);
 	case WL_FIELD_RECORD:
-		return json_of(field->schema, at);
+		return json_of(field->schema, at, sparse);
 	case WL_FIELD_LIST:
 	case WL_FIELD_STRINGS:
-		return json_of_list(field, at);
+		return json_of_list(field, at, sparse);
 	}
 	return json_null();
 }
 
-static json_t *json_of(const wl_schema_t *schema, const void *record)
+/* Reads back as zero, so that a sparse text may leave it out. */
+static bool field_zero(const wl_field_t *field, const void *at)
+{
+	switch (field->kind) {
+	case WL_FIELD_U64:
+	case WL_FIELD_ENUM:
+		return *(const uint64_t *)at == 0;
+	case WL_FIELD_BOOL:
+		return !*(const bool *)at;
+	case WL_FIELD_BYTES:
+		return ((const wl_buf_t *)at)->len == 0;
+	case WL_FIELD_RECORD:
+		return false;
+	case WL_FIELD_LIST:
+	case WL_FIELD_STRINGS:
+		return ((const wl_list_t *)at)->count == 0;
+	}
+	return false;
+}
+
+static json_t *json_of(const wl_schema_t *schema, const void *record, bool sparse)
 {
 	json_t *object = json_object();
 
 	for (size_t i = 0; i < schema->count; i++) {
 		const wl_field_t *field = &schema->fields[i];
+		const void *at = wl_record_field(record, field);
 
-		json_object_set_new(object, field->name,
-				    json_of_field(field, wl_record_field(record, field)));
+		if (!sparse || field->required || !field_zero(field, at))
+			json_object_set_new(object, field->name, json_of_field(field, at, sparse));
 	}
 	return object;
 }
 
-/*
- * wl_record_to_json - add a struct's JSON form, on one line, to a buffer
- */
-void wl_record_to_json(const wl_schema_t *schema, const void *record, wl_buf_t *out)
+static void json_write(json_t *json, wl_buf_t *out)
 {
-	json_t *json = json_of(schema, record);
 	char *text = json_dumps(json, JSON_COMPACT);
 
 	wl_buf_append(out, wl_str_from(text));
@@ -110,6 +128,24 @@
 	json_decref(json);
 }
 
+/*
+ * wl_record_to_json - add a struct's JSON form, on one line, to a buffer
+ */
+void wl_record_to_json(const wl_schema_t *schema, const void *record, wl_buf_t *out)
+{
+	json_write(json_of(schema, record, false), out);
+}
+
+/*
+ * wl_record_to_json_sparse - as wl_record_to_json(), without fields that are zero or empty
+ *
+ * wl_record_from_json() reads the same struct from it.
+ */
+void wl_record_to_json_sparse(const wl_schema_t *schema, const void *record, wl_buf_t *out)
+{
+	json_write(json_of(schema, record, true), out);
+}
+
 static bool read_object(const wl_schema_t *schema, const json_t *json, const path_t *path,
 			void *record, wl_err_t *err);
 
--- a/tests/target/host.c
+++ b/tests/target/host.c
@@ -295,7 +295,7 @@
 	if (host->authorization.len)
 		wl_headers_add(&fetch.headers, WL_STR("Authorization"),
 			       wl_buf_str(&host->authorization));
-	wl_record_to_json(&wl_announce_schema, &announce, &fetch.body);
+	wl_record_to_json_sparse(&wl_announce_schema, &announce, &fetch.body);
 	wl_record_free(&wl_announce_schema, &announce);
 	target->announce_ns = now + ANNOUNCE_MS * WL_NS_PER_MS;
 	target->announcing = wl_http_client_fetch(host->client, &fetch);
--- a/tests/unit/record_test.cc
+++ b/tests/unit/record_test.cc
@@ -74,3 +74,36 @@
 	EXPECT_FALSE(wl_record_from_json(&wl_plans_schema, str("{\"plan\":[]}"), &plans, &err));
 	EXPECT_STREQ(err.text, "plan: unknown field");
 }
+
+TEST(Record, SparseJsonReadsBackAsTheSame)
+{
+	wl_announce_t announce = {};
+	wl_announce_t back = {};
+	wl_buf_t whole = {};
+	wl_buf_t sparse = {};
+	wl_buf_t again = {};
+	wl_err_t err = {};
+
+	wl_buf_set(&announce.name, str("w1"));
+	wl_buf_set(&announce.address, str("127.0.0.1:1"));
+	wl_strings_add(&announce.services, str("tube-sort"));
+	announce.slots = 8;
+	auto *task =
+		static_cast<wl_task_usage_t *>(wl_list_add(&wl_task_usage_schema, &announce.tasks));
+	wl_buf_set(&task->id, str("t7"));
+	task->attempt = 1;
+
+	wl_record_to_json(&wl_announce_schema, &announce, &whole);
+	wl_record_to_json_sparse(&wl_announce_schema, &announce, &sparse);
+	EXPECT_LT(sparse.len, whole.len / 2);
+	ASSERT_TRUE(wl_record_from_json(&wl_announce_schema, wl_buf_str(&sparse), &back, &err))
+		<< err.text;
+	wl_record_to_json(&wl_announce_schema, &back, &again);
+	EXPECT_STREQ(again.at, whole.at);
+
+	wl_record_free(&wl_announce_schema, &announce);
+	wl_record_free(&wl_announce_schema, &back);
+	wl_buf_free(&whole);
+	wl_buf_free(&sparse);
+	wl_buf_free(&again);
+}
