place: count long work by what it takes most of

Long work may hold half of a rack's slots while short work waits, but the tasks take 6,000 of 32,000 thousandths of processors, so a target is full with five tasks in its eight slots, and half of the slots is four fifths of the processors. Ruled out: the fair queues (lanes of short and long are apart). Change: a long task counts by the resource of which it takes the largest part. Test: Place.LongWorkIsCountedByWhatItTakesMostOf, fails with the parts left out (3 placed).

--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -10,6 +10,7 @@
 #define SERVICE_LEAST_ROOM 8
 #define SHORT_MEMORY_NS	   30000000000ULL
 #define ALL_PERMILLE	   1000
+#define SLOT_MILLI	   1000
 
 /*
  * wl_place_new - make an empty table of room
@@ -106,20 +107,54 @@
 	return rack;
 }
 
-static uint64_t long_loads(const wl_place_target_t *target)
+/* Slots' worth of a part of a capacity, thousandths; nothing is known of a capacity of zero. */
+static uint64_t part_milli(uint64_t part, uint64_t whole, uint64_t slots)
+{
+	return whole ? part * slots * SLOT_MILLI / whole : 0;
+}
+
+/*
+ * Work that takes four slots' worth of processors blocks as much as four
+ * tasks of one: what counts is the resource of which it takes the largest part.
+ */
+static uint64_t load_slots_milli(const wl_need_t *need, const wl_need_t *capacity)
+{
+	uint64_t parts[] = {
+		part_milli(need->cpu_millis, capacity->cpu_millis, capacity->slots),
+		part_milli(need->memory_mib, capacity->memory_mib, capacity->slots),
+		part_milli(need->accelerators, capacity->accelerators, capacity->slots),
+	};
+	uint64_t most = SLOT_MILLI;
+
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
+		if (parts[i] > most)
+			most = parts[i];
+	return most;
+}
+
+static void load_weigh(wl_place_load_t *load, const wl_place_target_t *target)
+{
+	load->slots_milli = load_slots_milli(&load->need, &target->row.capacity);
+}
+
+static uint64_t long_loads_milli(const wl_place_target_t *target)
 {
 	const wl_place_load_t *load;
-	uint64_t count = 0;
+	uint64_t sum = 0;
 
 	TAILQ_FOREACH (load, &target->loads, link)
-		count += load->is_long;
-	return count;
+		sum += load->is_long ? load->slots_milli : 0;
+	return sum;
 }
 
 static void rack_join(wl_place_t *place, wl_place_target_t *target)
 {
+	wl_place_load_t *load;
+
+	TAILQ_FOREACH (load, &target->loads, link)
+		load_weigh(load, target);
 	target->rack = rack_get(place, wl_buf_str(&target->row.rack));
-	target->rack->long_held += long_loads(target);
+	target->rack->long_held_milli += long_loads_milli(target);
 	if (target->row.open)
 		target->rack->slots += target->row.capacity.slots;
 }
@@ -128,7 +163,7 @@
 {
 	if (!target->rack)
 		return;
-	target->rack->long_held -= long_loads(target);
+	target->rack->long_held_milli -= long_loads_milli(target);
 	if (target->row.open)
 		target->rack->slots -= target->row.capacity.slots;
 	target->rack = NULL;
@@ -388,10 +423,11 @@
 void wl_place_load_add(wl_place_target_t *target, wl_place_load_t *load)
 {
 	load->target = target;
+	load_weigh(load, target);
 	TAILQ_INSERT_TAIL(&target->loads, load, link);
 	wl_need_add(&target->pending, &load->need);
 	if (target->rack && load->is_long)
-		target->rack->long_held++;
+		target->rack->long_held_milli += load->slots_milli;
 }
 
 /*
@@ -407,7 +443,7 @@
 	if (!load->included)
 		wl_need_take(&target->pending, &load->need);
 	if (target->rack && load->is_long)
-		target->rack->long_held--;
+		target->rack->long_held_milli -= load->slots_milli;
 	load->target = NULL;
 }
 
--- a/libwlcore/place.h
+++ b/libwlcore/place.h
@@ -15,8 +15,8 @@
 typedef struct wl_place_rack {
 	wl_str_t key;
 	wl_buf_t name;
-	uint64_t slots;	    /* of its open targets */
-	uint64_t long_held; /* by long work */
+	uint64_t slots;		  /* of its open targets */
+	uint64_t long_held_milli; /* by long work, thousandths of a slot */
 	TAILQ_ENTRY(wl_place_rack) link;
 } wl_place_rack_t;
 
@@ -40,7 +40,8 @@
 	wl_buf_t kind;
 	wl_need_t need;
 	bool is_long;
-	bool included; /* the target's row counts it as held */
+	bool included;	      /* the target's row counts it as held */
+	uint64_t slots_milli; /* by what it takes most of; 1000: one slot's worth */
 	TAILQ_ENTRY(wl_place_load) link;
 } wl_place_load_t;
 
--- a/tests/unit/place_test.cc
+++ b/tests/unit/place_test.cc
@@ -86,6 +86,36 @@
 	wl_place_free(place);
 }
 
+/* Head-of-line blocking of short work behind long work: by processors as well as by slots. */
+TEST(Place, LongWorkIsCountedByWhatItTakesMostOf)
+{
+	wl_place_t *place = place_new("first-fit", 500);
+	wl_place_ask_t ask = ask_of(2000);
+	wl_place_load_t loads[3] = {};
+	int placed = 0;
+
+	offer(place, "w1", 8);
+	wl_place_begin(place, 1);
+	wl_place_short_waits(place, ask.service);
+	ask.is_long = true;
+	for (auto &load : loads) {
+		wl_place_choice_t choice = {};
+
+		if (!wl_place_choose(place, &ask, &choice))
+			break;
+		load.is_long = true;
+		load.need = choice.need;
+		wl_place_load_add(choice.target, &load);
+		placed++;
+	}
+	EXPECT_EQ(placed, 2) << "two tasks of two slots' worth hold half of eight";
+	ask.is_long = false;
+	EXPECT_EQ(chosen(place, ask), "w1");
+	for (auto &load : loads)
+		wl_place_load_remove(&load);
+	wl_place_free(place);
+}
+
 TEST(Place, LearntNeedNeverExceedsATargetButDeclaredMay)
 {
 	wl_place_t *place = place_new("");
@@ -190,9 +220,9 @@
 				continue;
 			slots += target->row.open ? target->row.capacity.slots : 0;
 			TAILQ_FOREACH (load, &target->loads, link)
-				held += load->is_long;
+				held += load->is_long ? load->slots_milli : 0;
 		}
-		ASSERT_EQ(rack->long_held, held);
+		ASSERT_EQ(rack->long_held_milli, held);
 		ASSERT_EQ(rack->slots, slots);
 	}
 }
