--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	.ci/purity $(BUILD)/libwlcore/libwlcore.a
 
 install: build
-	cmake --install $(BUILD)
+	cmake --install $(BUILD) $(if $(PREFIX),--prefix $(PREFIX))
 
 clean:
 	rm -rf $(BUILD) build-asan build-tsan build-fuzz
--- /dev/null
+++ b/tests/unit/node_test.cc
@@ -0,0 +1,207 @@
+extern "C" {
+#include <libwlcore/node.h>
+}
+
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+constexpr uint64_t SESSION = 7;
+
+std::string chart(const char *name)
+{
+	std::ifstream in(std::string(PROJECT_DIR "/charts/") + name + ".json");
+	std::stringstream text;
+
+	text << in.rdbuf();
+	return text.str();
+}
+
+/* One entry without a store; the test plays the leader "s1". */
+class Node : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		wl_node_options_t options = {};
+		wl_err_t err = {};
+
+		options.name = wl_str_from("e1");
+		options.availability_zone = wl_str_from("a");
+		options.peer_address = wl_str_from("127.0.0.1:1");
+		options.entry = true;
+		options.stores = &store;
+		options.store_count = 1;
+		options.boot = 1;
+		options.task_chart = {task.data(), task.size()};
+		options.target_chart = {target.data(), target.size()};
+		node = wl_node_new(&options, now, &err);
+		ASSERT_NE(node, nullptr) << err.text;
+		pass(10);
+		renew();
+	}
+
+	~Node() override
+	{
+		wl_node_free(node);
+	}
+
+	void step(wl_event_t *event)
+	{
+		wl_out_t out = {};
+
+		wl_node_step(node, now, event, &out);
+		for (size_t i = 0; i < out.count; i++) {
+			const wl_action_t &action = out.actions[i];
+
+			exited = exited || action.kind == WL_ACTION_EXIT;
+			if (action.kind == WL_ACTION_SEND && action.msg.kind == WL_MSG_COMMAND) {
+				call = action.msg.u.command.call;
+				command = action.msg.u.command.cmd_kind;
+			}
+			if (action.kind == WL_ACTION_SEND && action.msg.kind == WL_MSG_ANNOUNCE)
+				announces_to.emplace_back(action.peer.at);
+		}
+		wl_out_free(&out);
+		wl_event_free(event);
+	}
+
+	void pass(uint64_t ms)
+	{
+		for (uint64_t end = now + ms * MS; now < end;) {
+			wl_event_t event;
+
+			now += 10 * MS;
+			wl_event_init(&event, WL_EVENT_TICK);
+			step(&event);
+		}
+	}
+
+	wl_event_t from_leader(wl_msg_kind_t kind)
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_buf_set(&event.peer, wl_str_from("s1"));
+		wl_msg_init(&event.msg, kind);
+		return event;
+	}
+
+	void renew()
+	{
+		wl_event_t event = from_leader(WL_MSG_RENEWED);
+		wl_msg_renewed_t &renewed = event.msg.u.renewed;
+
+		renewed.boot = 1;
+		renewed.session = SESSION;
+		renewed.group = 5;
+		renewed.sent_ns = now;
+		renewed.validity_ms = 5000;
+		step(&event);
+	}
+
+	/* Own target w1; e2 draining or not. */
+	void view(bool own_draining, bool other_draining)
+	{
+		wl_event_t event = from_leader(WL_MSG_VIEW);
+		wl_msg_view_t &msg = event.msg.u.view;
+		auto *row = static_cast<wl_owner_row_t *>(
+			wl_list_add(&wl_owner_row_schema, &msg.owners));
+
+		msg.group = 5;
+		msg.owners_to = ++owners;
+		wl_buf_set(&row->target, wl_str_from("w1"));
+		wl_buf_set(&row->entry, wl_str_from("e1"));
+		wl_buf_set(&row->address, wl_str_from("127.0.0.1:9"));
+		row->epoch = 3;
+		row->session = SESSION;
+		member(&msg.members, "e1", SESSION, own_draining);
+		member(&msg.members, "e2", SESSION + 1, other_draining);
+		step(&event);
+	}
+
+	static void member(wl_list_t *list, const char *name, uint64_t session, bool draining)
+	{
+		auto *one = static_cast<wl_member_t *>(wl_list_add(&wl_member_schema, list));
+
+		wl_buf_set(&one->entry, wl_str_from(name));
+		one->session = session;
+		one->draining = draining;
+	}
+
+	void drain()
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_DRAIN);
+		step(&event);
+	}
+
+	void answer()
+	{
+		wl_event_t event = from_leader(WL_MSG_RESULT);
+
+		event.msg.u.result.call = call;
+		step(&event);
+	}
+
+	std::string task = chart("task");
+	std::string target = chart("target");
+	wl_node_peer_t store = {wl_str_from("s1"), wl_str_from("127.0.0.1:2")};
+	wl_node_t *node = nullptr;
+	uint64_t now = 1000 * MS;
+	uint64_t owners = 0;
+	uint64_t call = 0;
+	uint64_t command = 0;
+	bool exited = false;
+	std::vector<std::string> announces_to;
+};
+} // namespace
+
+/* A planned stop waits for its targets to be taken over, then ends its session, then ends. */
+TEST_F(Node, StopWaitsForTargetsWhileOthersGoOn)
+{
+	view(false, false);
+	drain();
+	pass(3000);
+	EXPECT_EQ(command, 0u);
+	renew();
+	view(true, true);
+	pass(20);
+	EXPECT_EQ(command, static_cast<uint64_t>(WL_CMD_SESSION_END));
+	EXPECT_FALSE(exited);
+	answer();
+	pass(20);
+	EXPECT_TRUE(exited);
+}
+
+/* Once the session has ended, a late view must not hold the stop up. */
+TEST_F(Node, StopWhoseSessionHasEndedWaitsForNothingMore)
+{
+	view(true, true);
+	drain();
+	pass(1100);
+	ASSERT_EQ(command, static_cast<uint64_t>(WL_CMD_SESSION_END));
+	view(true, false);
+	answer();
+	pass(20);
+	EXPECT_TRUE(exited);
+}
+
+/* A group that has gone answers nothing: the stop ends with the session's validity. */
+TEST_F(Node, StopWithoutALeaderEndsWithTheSession)
+{
+	view(false, false);
+	drain();
+	pass(4900);
+	EXPECT_FALSE(exited);
+	pass(200);
+	EXPECT_TRUE(exited);
+}
