--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -96,10 +96,11 @@
 
 std::string folder_make()
 {
+	const char *wanted = getenv("WL_TEST_FOLDER");
+	std::string runs = wanted ? wanted : std::string(BUILD_DIR) + "/runs";
 	const auto *test = testing::UnitTest::GetInstance()->current_test_info();
 	std::string name = std::string(test->test_suite_name()) + "." + test->name();
-	std::string path =
-		std::string(BUILD_DIR) + "/runs/" + name + "." + std::to_string(getpid());
+	std::string path = runs + "/" + name + "." + std::to_string(getpid());
 
 	std::filesystem::remove_all(path);
 	std::filesystem::create_directories(path);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -35,7 +35,7 @@
 /* A whole file, or nothing. */
 std::string file_read(const std::string &path);
 void file_write(const std::string &path, const std::string &text);
-/* A new empty folder under the build folder, named after the running test. */
+/* A new empty folder under WL_TEST_FOLDER or the build folder, named after the running test. */
 std::string folder_make();
 
 #endif
