raft, place, api: one place for what stood twice

The opening of on_appended and on_snapped was the same ten lines: wl_raft_answerer() serves both. SLOT_MILLI stood in place.c and place_policy.c, CALL_MS in three files of the api part: each in their internal header now. Behaviour as before, no test touched.

--- a/libwlcore/api.c
+++ b/libwlcore/api.c
@@ -8,7 +8,6 @@
 #include <libwlbase/units.h>
 #include <libwlcore/auth.h>
 
-#define CALL_MS	   10000 /* longest wait for the leader's answer */
 #define MAX_TASKS  10000 /* in one answer */
 #define API_STREAM 0x617069
 
@@ -140,7 +139,7 @@
 {
 	wl_wait_t *wait = wl_api_wait(api, call, WL_WAIT_PASS);
 	wl_msg_query_t *query =
-		wl_out_leader_query(out, wait->id, kind, now_ns + CALL_MS * WL_NS_PER_MS);
+		wl_out_leader_query(out, wait->id, kind, now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 
 	wl_buf_set(&query->name, name);
 	return query;
--- a/libwlcore/api_internal.h
+++ b/libwlcore/api_internal.h
@@ -6,6 +6,8 @@
 #include <libwlbase/rng.h>
 #include <libwlcore/api.h>
 
+#define WL_API_CALL_MS 10000 /* longest wait for the leader's answer */
+
 /* Something that an HTTP call waits for at the leader. */
 typedef enum wl_wait_kind {
 	WL_WAIT_PASS, /* the result's body is the answer */
--- a/libwlcore/api_lists.c
+++ b/libwlcore/api_lists.c
@@ -5,7 +5,6 @@
 #include <libwlbase/units.h>
 #include <libwlbase/digest.h>
 
-#define CALL_MS	    10000 /* longest wait for the leader's answer */
 #define POLL_MS	    50
 #define MAX_WAIT_MS 120000
 
@@ -38,7 +37,8 @@
 		return;
 	}
 	wait = wl_api_wait(api, call, WL_WAIT_LIST_GET);
-	query = wl_out_leader_query(out, wait->id, WL_QUERY_LIST, now_ns + CALL_MS * WL_NS_PER_MS);
+	query = wl_out_leader_query(out, wait->id, WL_QUERY_LIST,
+				    now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 	wl_buf_set(&query->name, arg);
 }
 
@@ -119,7 +119,7 @@
 
 	wait = wl_api_wait(api, call, WL_WAIT_LIST_PUT);
 	wait->until_ns = now_ns + wait_ms * WL_NS_PER_MS;
-	wl_out_leader_command(out, wait->id, &cmd, now_ns + CALL_MS * WL_NS_PER_MS);
+	wl_out_leader_command(out, wait->id, &cmd, now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 	wl_cmd_free(&cmd);
 }
 
@@ -158,7 +158,7 @@
 	(void)api;
 	wait->poll_ns = 0;
 	query = wl_out_leader_query(out, wait->id, WL_QUERY_IN_FORCE,
-				    now_ns + CALL_MS * WL_NS_PER_MS);
+				    now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 	query->number = wait->revision;
 }
 
--- a/libwlcore/api_tasks.c
+++ b/libwlcore/api_tasks.c
@@ -5,7 +5,6 @@
 #include <libwlbase/units.h>
 #include <libwlcore/auth.h>
 
-#define CALL_MS	      10000 /* longest wait for the leader's answer */
 #define MAX_KEY_BYTES 256
 #define MAX_CANCEL    10000
 
@@ -70,7 +69,7 @@
 		wl_out_reply_error(out, call->id, &err);
 	} else {
 		wait = wl_api_wait(api, call, WL_WAIT_TASK_ADD);
-		wl_out_leader_command(out, wait->id, &cmd, now_ns + CALL_MS * WL_NS_PER_MS);
+		wl_out_leader_command(out, wait->id, &cmd, now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 	}
 	wl_cmd_free(&cmd);
 }
@@ -111,7 +110,8 @@
 		return;
 	}
 	wait = wl_api_wait(api, call, WL_WAIT_PASS);
-	query = wl_out_leader_query(out, wait->id, WL_QUERY_TASK, now_ns + CALL_MS * WL_NS_PER_MS);
+	query = wl_out_leader_query(out, wait->id, WL_QUERY_TASK,
+				    now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 	wl_buf_set(&query->name, arg);
 	wl_buf_set(&query->customer, wl_buf_str(&customer->name));
 }
@@ -121,7 +121,7 @@
 {
 	wl_wait_t *wait = wl_api_wait(api, call, WL_WAIT_TASK_CANCEL);
 
-	wl_out_leader_command(out, wait->id, cmd, now_ns + CALL_MS * WL_NS_PER_MS);
+	wl_out_leader_command(out, wait->id, cmd, now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
 }
 
 /*
--- a/libwlcore/place.c
+++ b/libwlcore/place.c
@@ -10,7 +10,6 @@
 #define SERVICE_LEAST_ROOM 8
 #define SHORT_MEMORY_NS	   30000000000ULL
 #define ALL_PERMILLE	   1000
-#define SLOT_MILLI	   1000
 
 /*
  * wl_place_new - make an empty table of room
@@ -110,7 +109,7 @@
 /* Slots' worth of a part of a capacity, thousandths; nothing is known of a capacity of zero. */
 static uint64_t part_milli(uint64_t part, uint64_t whole, uint64_t slots)
 {
-	return whole ? part * slots * SLOT_MILLI / whole : 0;
+	return whole ? part * slots * WL_SLOT_MILLI / whole : 0;
 }
 
 /*
@@ -124,7 +123,7 @@
 		part_milli(need->memory_mib, capacity->memory_mib, capacity->slots),
 		part_milli(need->accelerators, capacity->accelerators, capacity->slots),
 	};
-	uint64_t most = SLOT_MILLI;
+	uint64_t most = WL_SLOT_MILLI;
 
 	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
 		if (parts[i] > most)
--- a/libwlcore/place_internal.h
+++ b/libwlcore/place_internal.h
@@ -3,6 +3,8 @@
 
 #include "place.h"
 
+#define WL_SLOT_MILLI 1000 /* thousandths of a slot in one */
+
 /* Kinds of asks whose failures are remembered apart within one round of placement. */
 typedef enum wl_place_lane {
 	WL_LANE_URGENT,
--- a/libwlcore/place_policy.c
+++ b/libwlcore/place_policy.c
@@ -9,7 +9,6 @@
 #define KINDS_MOST	 16   /* kinds of one target that are looked at */
 #define PATIENCE_MS	 3000 /* that a batch task waits for a place where it does no harm */
 #define LEAST_LONG_SLOTS 1
-#define SLOT_MILLI	 1000
 
 static uint64_t larger(uint64_t a, uint64_t b)
 {
@@ -38,7 +37,7 @@
 	const wl_place_rack_t *rack = target->rack;
 	uint64_t most = rack->slots * ask->long_permille / ALONE_PERMILLE;
 
-	return rack->long_held_milli < larger(most, LEAST_LONG_SLOTS) * SLOT_MILLI;
+	return rack->long_held_milli < larger(most, LEAST_LONG_SLOTS) * WL_SLOT_MILLI;
 }
 
 /* Whether a target has room for an ask, and how much it would take there. */
--- a/libwlcore/raft_internal.h
+++ b/libwlcore/raft_internal.h
@@ -196,6 +196,7 @@
 void wl_raft_leader_tick(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_count_commit(wl_raft_t *raft);
 void wl_raft_hand_over(wl_raft_t *raft, uint64_t now_ns);
+wl_raft_peer_t *wl_raft_answerer(wl_raft_t *raft, uint64_t now_ns, const wl_raft_msg_t *msg);
 void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 
 /* raft_append.c */
--- a/libwlcore/raft_replicate.c
+++ b/libwlcore/raft_replicate.c
@@ -294,20 +294,36 @@
 }
 
 /*
- * wl_raft_on_appended - a member's answer to entries or a heartbeat
+ * wl_raft_answerer - the member that answered this leader in its present term
+ *
+ * A newer term ends the leadership.
+ *
+ * Return: the member, noted as heard, or NULL if the answer does not count.
  */
-void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+wl_raft_peer_t *wl_raft_answerer(wl_raft_t *raft, uint64_t now_ns, const wl_raft_msg_t *msg)
 {
 	wl_raft_peer_t *peer = wl_raft_peer_find(raft, msg->from);
 
-	(void)name;
 	if (msg->term > raft->term) {
 		wl_raft_follow(raft, msg->term, 0, now_ns);
-		return;
+		return NULL;
 	}
 	if (raft->role != WL_RAFT_LEADER || !peer || msg->term != raft->term)
-		return;
+		return NULL;
 	peer->heard_ns = now_ns;
+	return peer;
+}
+
+/*
+ * wl_raft_on_appended - a member's answer to entries or a heartbeat
+ */
+void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
+{
+	wl_raft_peer_t *peer = wl_raft_answerer(raft, now_ns, msg);
+
+	(void)name;
+	if (!peer)
+		return;
 	if (msg->offset > peer->answered && msg->offset <= peer->sent)
 		peer->answered = msg->offset;
 	if (msg->blank) {
--- a/libwlcore/raft_snapshot.c
+++ b/libwlcore/raft_snapshot.c
@@ -176,16 +176,11 @@
  */
 void wl_raft_on_snapped(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
 {
-	wl_raft_peer_t *peer = wl_raft_peer_find(raft, msg->from);
+	wl_raft_peer_t *peer = wl_raft_answerer(raft, now_ns, msg);
 
 	(void)name;
-	if (msg->term > raft->term) {
-		wl_raft_follow(raft, msg->term, 0, now_ns);
+	if (!peer)
 		return;
-	}
-	if (raft->role != WL_RAFT_LEADER || !peer || msg->term != raft->term)
-		return;
-	peer->heard_ns = now_ns;
 	if (peer->feed != WL_RAFT_FEED_SNAPSHOT || msg->index != peer->snapshot_index)
 		return;
 	if (!msg->ok) {
