libwlcore: a folder a noun, files lose the prefix the folder says

Cause: 90 files stood in one folder, and jobs, a dialect and a scheduler are about to join them.

The old names linger, tell and leader_place become grace, peer_notify and placement.

--- a/bench/world.h
+++ b/bench/world.h
@@ -1,7 +1,7 @@
 #ifndef WL_BENCH_WORLD_H
 #define WL_BENCH_WORLD_H
 
-#include <libwlcore/node.h>
+#include <libwlcore/node/node.h>
 
 /*
  * One daemon's decisions with everything around them answered at once: disk,
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -3,7 +3,7 @@
 
 #include <stdio.h>
 
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* How a command ended; the process' exit code. */
 typedef enum wl_exit {
--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -12,9 +12,9 @@
 pkg_check_modules(GTEST REQUIRED IMPORTED_TARGET gtest_main)
 find_path(RANDOM123_INCLUDE Random123/philox.h REQUIRED)
 
-# One package: a static library of the folder's sources over the packages below it.
+# One package: a static library of the sources in the folder and its subfolders over the packages below it.
 function(wl_package name)
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.c)
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.c)
   add_library(${name} STATIC ${sources})
   target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR})
   target_link_libraries(${name} PUBLIC ${ARGN})
--- a/daemon/decide.h
+++ b/daemon/decide.h
@@ -1,7 +1,7 @@
 #ifndef WL_DECIDE_H
 #define WL_DECIDE_H
 
-#include <libwlcore/node.h>
+#include <libwlcore/node/node.h>
 #include <libwlnet/http_client.h>
 #include <libwlnet/http_server.h>
 #include <libwlnet/peer.h>
--- a/daemon/disk.h
+++ b/daemon/disk.h
@@ -2,7 +2,7 @@
 #define WL_DISK_H
 
 #include <libwlbase/ring.h>
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 #include <libwlstore/store.h>
 
 /* The thread that writes the store's files: groups of changes, one sync each. */
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -3,7 +3,7 @@
 
 #include <libwlbase/log.h>
 #include <libwlbase/option.h>
-#include <libwlcore/node.h>
+#include <libwlcore/node/node.h>
 
 /* The settings of a daemon, and what is read from the files that they name. */
 
--- a/libwlcore/api.c
+++ b/libwlcore/api/api.c
@@ -1,12 +1,12 @@
 /* HTTP calls of operators and of callers about tasks: routes, tokens, waiting for the leader. */
 
-#include "api_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include <libwlbase/units.h>
-#include <libwlcore/auth.h>
+#include <libwlcore/api/auth.h>
 
 #define MAX_TASKS  10000 /* in one answer */
 #define API_STREAM 0x617069
--- a/libwlcore/api.h
+++ b/libwlcore/api/api.h
@@ -1,9 +1,9 @@
 #ifndef WL_API_H
 #define WL_API_H
 
-#include <libwlcore/event.h>
-#include <libwlcore/session.h>
-#include <libwlcore/view.h>
+#include <libwlcore/model/event.h>
+#include <libwlcore/node/session.h>
+#include <libwlcore/node/view.h>
 
 /* HTTP calls of operators, and of callers about tasks: checked, carried to the leader, answered. */
 
--- a/libwlcore/auth.h
+++ b/libwlcore/api/auth.h
@@ -1,8 +1,8 @@
 #ifndef WL_AUTH_H
 #define WL_AUTH_H
 
-#include <libwlcore/lists.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/lists.h>
+#include <libwlcore/model/msg.h>
 
 /* Who is calling: tokens and customers. */
 
--- a/libwlcore/api_internal.h
+++ b/libwlcore/api/internal.h
@@ -4,7 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlbase/rng.h>
-#include <libwlcore/api.h>
+#include <libwlcore/api/api.h>
 
 #define WL_API_CALL_MS 10000 /* longest wait for the leader's answer */
 
--- a/libwlcore/api_lists.c
+++ b/libwlcore/api/lists.c
@@ -1,6 +1,6 @@
 /* Operators' calls on the two lists. */
 
-#include "api_internal.h"
+#include "internal.h"
 
 #include <libwlbase/units.h>
 #include <libwlbase/digest.h>
--- a/libwlcore/api_tasks.c
+++ b/libwlcore/api/tasks.c
@@ -1,9 +1,9 @@
 /* Callers' calls on tasks. */
 
-#include "api_internal.h"
+#include "internal.h"
 
 #include <libwlbase/units.h>
-#include <libwlcore/auth.h>
+#include <libwlcore/api/auth.h>
 
 #define MAX_KEY_BYTES 256
 #define MAX_CANCEL    10000
--- a/libwlcore/leader_internal.h
+++ b/libwlcore/leader/internal.h
@@ -7,8 +7,8 @@
 #include <libwlbase/rng.h>
 
 #include "leader.h"
-#include "place.h"
-#include "state_internal.h"
+#include <libwlcore/place/place.h>
+#include <libwlcore/state/internal.h>
 
 /* What the leader knows of a session beyond the replicated state. */
 typedef struct wl_leader_session {
--- a/libwlcore/leader.c
+++ b/libwlcore/leader/leader.c
@@ -6,7 +6,7 @@
  * stamped with the group's clock, which goes on from where the log left it.
  */
 
-#include "leader_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/libwlcore/leader.h
+++ b/libwlcore/leader/leader.h
@@ -1,8 +1,8 @@
 #ifndef WL_LEADER_H
 #define WL_LEADER_H
 
-#include <libwlcore/event.h>
-#include <libwlcore/state.h>
+#include <libwlcore/model/event.h>
+#include <libwlcore/state/state.h>
 
 /* What only the leader does: sessions, in-force, ownership, placement. */
 
--- a/libwlcore/leader_owners.c
+++ b/libwlcore/leader/owners.c
@@ -3,7 +3,7 @@
  * then by count; moves away from draining entries and towards new ones.
  */
 
-#include "leader_internal.h"
+#include "internal.h"
 
 #define GRANTS_IN_FLIGHT    64
 #define DRAIN_MOVES_A_TICK  8
--- a/libwlcore/leader_place.c
+++ b/libwlcore/leader/placement.c
@@ -4,8 +4,8 @@
  * waits for that commit, so no task is chosen twice.
  */
 
-#include "fair.h"
-#include "leader_internal.h"
+#include <libwlcore/place/fair.h>
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/leader_query.c
+++ b/libwlcore/leader/query.c
@@ -14,7 +14,7 @@
  *            "availability_zone", "draining", "revision", "owned", "heard_ms_ago"}]}
  */
 
-#include "leader_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/leader_sessions.c
+++ b/libwlcore/leader/sessions.c
@@ -8,7 +8,7 @@
  * waiting to be read.
  */
 
-#include "leader_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/leader_status.c
+++ b/libwlcore/leader/status.c
@@ -1,6 +1,6 @@
 /* What the leader counts: gauges of the group, waits and ends of tasks. */
 
-#include "leader_internal.h"
+#include "internal.h"
 
 #define GAUGES_NS (1000 * WL_NS_PER_MS)
 
--- a/libwlcore/leader_tasks.c
+++ b/libwlcore/leader/tasks.c
@@ -3,7 +3,7 @@
  * reports from them committed together, cancellations committed together.
  */
 
-#include "leader_internal.h"
+#include "internal.h"
 
 #define REFUSED_HOLD_NS (500 * WL_NS_PER_MS)
 #define RESEND_NS	(500 * WL_NS_PER_MS)
--- a/libwlcore/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -1,7 +1,7 @@
 #ifndef WL_CMD_H
 #define WL_CMD_H
 
-#include <libwlcore/model.h>
+#include <libwlcore/model/model.h>
 
 /* Commands: the records of the replicated log.  Each one is idempotent, so a resend is safe. */
 
--- a/libwlcore/event.h
+++ b/libwlcore/model/event.h
@@ -3,8 +3,8 @@
 
 #include <libwlbase/counter.h>
 #include <libwlbase/log.h>
-#include <libwlcore/msg.h>
-#include <libwlcore/raft.h>
+#include <libwlcore/model/msg.h>
+#include <libwlcore/raft/raft.h>
 
 /* What reaches the decisions, and what they ask for. */
 
--- a/libwlcore/lists.h
+++ b/libwlcore/model/lists.h
@@ -2,7 +2,7 @@
 #define WL_LISTS_H
 
 #include <libwlbase/map.h>
-#include <libwlcore/model.h>
+#include <libwlcore/model/model.h>
 
 /* The two lists, checked whole and ready for look-ups. */
 typedef struct wl_lists wl_lists_t;
--- a/libwlcore/msg.h
+++ b/libwlcore/model/msg.h
@@ -1,9 +1,9 @@
 #ifndef WL_MSG_H
 #define WL_MSG_H
 
-#include <libwlcore/cmd.h>
-#include <libwlcore/model.h>
-#include <libwlcore/raft_msg.h>
+#include <libwlcore/model/cmd.h>
+#include <libwlcore/model/model.h>
+#include <libwlcore/raft/msg.h>
 
 /* Messages between daemons, one per frame of the peer link. */
 
--- a/libwlcore/calls.h
+++ b/libwlcore/node/calls.h
@@ -3,7 +3,7 @@
 
 #include <sys/queue.h>
 
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* Calls of a daemon's parts to the leader: repeated to whoever leads until answered or given up. */
 
--- a/libwlcore/node_drain.c
+++ b/libwlcore/node/drain.c
@@ -3,7 +3,7 @@
  * targets and the session, in this order, and never a request cut off.
  */
 
-#include "node_internal.h"
+#include "internal.h"
 
 #include <libwlbase/units.h>
 
--- a/libwlcore/node_internal.h
+++ b/libwlcore/node/internal.h
@@ -3,16 +3,16 @@
 
 #include <sys/queue.h>
 
-#include <libwlcore/api.h>
-#include <libwlcore/auth.h>
-#include <libwlcore/calls.h>
-#include <libwlcore/leader.h>
-#include <libwlcore/node.h>
-#include <libwlcore/owner.h>
-#include <libwlcore/request.h>
-#include <libwlcore/session.h>
-#include <libwlcore/state.h>
-#include <libwlcore/view.h>
+#include <libwlcore/api/api.h>
+#include <libwlcore/api/auth.h>
+#include <libwlcore/node/calls.h>
+#include <libwlcore/leader/leader.h>
+#include <libwlcore/node/node.h>
+#include <libwlcore/owner/owner.h>
+#include <libwlcore/request/request.h>
+#include <libwlcore/node/session.h>
+#include <libwlcore/state/state.h>
+#include <libwlcore/node/view.h>
 
 typedef struct wl_queued_event {
 	wl_event_t event;
--- a/libwlcore/node_new.c
+++ b/libwlcore/node/new.c
@@ -1,6 +1,6 @@
 /* Making and releasing the decisions of one daemon. */
 
-#include "node_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/node.c
+++ b/libwlcore/node/node.c
@@ -3,7 +3,7 @@
  * leader's duties and the entry's parts, and carries what one asks of another.
  */
 
-#include "node_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/libwlcore/node.h
+++ b/libwlcore/node/node.h
@@ -1,7 +1,7 @@
 #ifndef WL_NODE_H
 #define WL_NODE_H
 
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* All decisions of one daemon behind one step function. */
 
--- a/libwlcore/session.h
+++ b/libwlcore/node/session.h
@@ -1,8 +1,8 @@
 #ifndef WL_SESSION_H
 #define WL_SESSION_H
 
-#include <libwlcore/event.h>
-#include <libwlcore/view.h>
+#include <libwlcore/model/event.h>
+#include <libwlcore/node/view.h>
 
 /* An entry's lease with the leader: only while it is valid is new work taken. */
 
--- a/libwlcore/node_store.c
+++ b/libwlcore/node/store.c
@@ -1,6 +1,6 @@
 /* The store's side of a daemon: the log's actions, the applied state, the leader's events. */
 
-#include "node_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/view.h
+++ b/libwlcore/node/view.h
@@ -4,8 +4,8 @@
 #include <sys/queue.h>
 
 #include <libwlbase/map.h>
-#include <libwlcore/lists.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/lists.h>
+#include <libwlcore/model/msg.h>
 
 /* A target as every entry knows it. */
 typedef struct wl_view_target {
--- a/libwlcore/owner_adopt.c
+++ b/libwlcore/owner/adopt.c
@@ -5,7 +5,7 @@
  * refuses lower ones.  Only then is its room used, less what it runs already.
  */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #define RETRY_LEAST_MS 100
 #define RETRY_MOST_MS  2000
--- a/libwlcore/owner_announce.c
+++ b/libwlcore/owner/announce.c
@@ -1,6 +1,6 @@
 /* Announces of targets: passed on to their owner, or taken in. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 static void take_services(wl_owned_t *owned, const wl_list_t *services)
 {
--- a/libwlcore/attempt.c
+++ b/libwlcore/owner/attempt.c
@@ -1,6 +1,6 @@
 /* Attempts of tasks on this entry's targets: found by name, what they hold, their end. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/owner_call.c
+++ b/libwlcore/owner/call.c
@@ -1,6 +1,6 @@
 /* Commands to targets, and their answers. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/evict.c
+++ b/libwlcore/owner/evict.c
@@ -4,7 +4,7 @@
 
 #include <stdlib.h>
 
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 
 /* Sets of more candidates are not tried; a target has about 8 slots. */
 #define MOST_CANDIDATES 12
--- a/libwlcore/evict.h
+++ b/libwlcore/owner/evict.h
@@ -1,7 +1,7 @@
 #ifndef WL_EVICT_H
 #define WL_EVICT_H
 
-#include <libwlcore/model.h>
+#include <libwlcore/model/model.h>
 
 /* Which batch work gives way on a target. */
 
--- a/libwlcore/owner_internal.h
+++ b/libwlcore/owner/internal.h
@@ -3,11 +3,11 @@
 
 #include <libwlbase/units.h>
 #include <libwlbase/rng.h>
-#include <libwlcore/heap.h>
-#include <libwlcore/evict.h>
-#include <libwlcore/health.h>
-#include <libwlcore/owner.h>
-#include <libwlcore/pairs.h>
+#include <libwlbase/heap.h>
+#include <libwlcore/owner/evict.h>
+#include <libwlcore/owner/health.h>
+#include <libwlcore/owner/owner.h>
+#include <libwlcore/owner/pairs.h>
 
 /* What the files of the owner share. */
 
--- a/libwlcore/ledger.h
+++ b/libwlcore/owner/ledger.h
@@ -4,7 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlbase/map.h>
-#include <libwlcore/model.h>
+#include <libwlcore/model/model.h>
 
 /* Targets that this entry owns and the room on them.  Room is reserved before work is sent. */
 
--- a/libwlcore/owner_observe.c
+++ b/libwlcore/owner/observe.c
@@ -1,6 +1,6 @@
 /* What the ends of work teach: failures, latency, slowdown. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #define LATENCY_SHARE 8	   /* of a new sample in the moving averages */
 #define BASE_RISE     1024 /* how slowly the lowest average is forgotten */
--- a/libwlcore/owner_offer.c
+++ b/libwlcore/owner/offer.c
@@ -1,6 +1,6 @@
 /* Offers: the room on this entry's targets, told to the leader as it changes. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #define WHOLE_EVERY_MS	5000
 #define SMALL_EVERY_MS	500  /* for a change of room by an eighth or more */
--- a/libwlcore/owned.c
+++ b/libwlcore/owner/owned.c
@@ -1,6 +1,6 @@
 /* One target of this entry: its chart, what is due for it, its beginning and end. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/libwlcore/owner.c
+++ b/libwlcore/owner/owner.c
@@ -5,7 +5,7 @@
  * commanded, under the epoch of that grant.
  */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/owner.h
+++ b/libwlcore/owner/owner.h
@@ -2,10 +2,10 @@
 #define WL_OWNER_H
 
 #include <libwlbase/chart.h>
-#include <libwlcore/event.h>
-#include <libwlcore/ledger.h>
-#include <libwlcore/session.h>
-#include <libwlcore/view.h>
+#include <libwlcore/model/event.h>
+#include <libwlcore/owner/ledger.h>
+#include <libwlcore/node/session.h>
+#include <libwlcore/node/view.h>
 
 /*
  * The owner's side of targets: announces, adoption, leases, starts,
--- a/libwlcore/pairs.h
+++ b/libwlcore/owner/pairs.h
@@ -4,7 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlbase/map.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/msg.h>
 
 /* Slowdown of one kind of work beside another, learnt and decayed. */
 
--- a/libwlcore/owner_press.c
+++ b/libwlcore/owner/press.c
@@ -5,7 +5,7 @@
  * was taken after the first one has come in.
  */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/owner_report.c
+++ b/libwlcore/owner/report.c
@@ -1,6 +1,6 @@
 /* Reports of attempts to the leader, repeated until they are committed. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #define MOST_REPORTS 64
 
--- a/libwlcore/owner_tasks.c
+++ b/libwlcore/owner/tasks.c
@@ -1,6 +1,6 @@
 /* Starts and stops of attempts: assignments in, commands to the target out. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 #define ROOM_WAIT_MS	 2000 /* for room that evictions make */
 #define RETRY_MS	 300
--- a/libwlcore/tell.h
+++ b/libwlcore/owner/tell.h
@@ -3,8 +3,8 @@
 
 #include <sys/queue.h>
 
-#include <libwlcore/ledger.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/owner/ledger.h>
+#include <libwlcore/model/msg.h>
 
 /* The own free room as it was told to peers, so that only changes are told. */
 
--- a/libwlcore/owner_usage.c
+++ b/libwlcore/owner/usage.c
@@ -1,6 +1,6 @@
 /* What targets say of the work on them, and the leases that keep it running. */
 
-#include "owner_internal.h"
+#include "internal.h"
 
 /* A start that echoes an announce so many back is refused. */
 #define SEQ_WINDOW 3
--- a/libwlcore/fair.c
+++ b/libwlcore/place/fair.c
@@ -7,7 +7,7 @@
 
 #include <stdlib.h>
 
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 
 #define MISSES_MOST 16 /* sizes without room, after which a customer waits for the next round */
 #define SKIPS_MOST  64 /* tasks of one size that are passed with the one that found no room */
--- a/libwlcore/fair.h
+++ b/libwlcore/place/fair.h
@@ -1,7 +1,7 @@
 #ifndef WL_FAIR_H
 #define WL_FAIR_H
 
-#include "state_internal.h"
+#include <libwlcore/state/internal.h>
 
 /* One round of choosing whose queued task of a class is next: by use over weight. */
 
--- a/libwlcore/place_pairs.c
+++ b/libwlcore/place/pairs.c
@@ -1,6 +1,6 @@
 /* How much kinds of work slow each other down, merged from what the owners learnt. */
 
-#include "place_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/place.c
+++ b/libwlcore/place/place.c
@@ -1,10 +1,10 @@
 /* Room on targets: offers of owners, less what was assigned since; indexed by service and rack. */
 
-#include "place_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 
 #define STREAM_PLACE	   0x706c61
 #define SERVICE_LEAST_ROOM 8
--- a/libwlcore/place.h
+++ b/libwlcore/place/place.h
@@ -5,7 +5,7 @@
 
 #include <libwlbase/map.h>
 #include <libwlbase/rng.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/msg.h>
 
 /*
  * Room on targets as their owners offered it, less what was assigned since,
--- a/libwlcore/place_policy.c
+++ b/libwlcore/place/policy.c
@@ -1,8 +1,8 @@
 /* Placement policies, found by name: the baseline and the one that avoids interference. */
 
-#include "place_internal.h"
+#include "internal.h"
 
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 
 #define CANDIDATES	 24 /* targets with room that are compared */
 #define ALONE_PERMILLE	 1000ULL
--- a/libwlcore/raft_append.c
+++ b/libwlcore/raft/append.c
@@ -1,6 +1,6 @@
 /* Replication: the follower's side of the log. */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 /* Store what the message brings beyond the common prefix. */
 static void take_entries(wl_raft_t *raft, uint64_t now_ns, wl_raft_msg_t *msg)
--- a/libwlcore/raft_election.c
+++ b/libwlcore/raft/election.c
@@ -3,7 +3,7 @@
  * within the least election time grants neither.
  */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/raft_found.c
+++ b/libwlcore/raft/found.c
@@ -7,7 +7,7 @@
  * All others wait for the founding record or for a leader that admits them.
  */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/raft_internal.h
+++ b/libwlcore/raft/internal.h
@@ -2,7 +2,7 @@
 #define WL_RAFT_INTERNAL_H
 
 #include <libwlbase/rng.h>
-#include <libwlcore/raft.h>
+#include <libwlcore/raft/raft.h>
 
 /* Shared by the files of the replicated log only. */
 
--- a/libwlcore/raft_log.c
+++ b/libwlcore/raft/log.c
@@ -1,6 +1,6 @@
 /* The log in memory: entries after the snapshot. */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/libwlcore/raft_members.c
+++ b/libwlcore/raft/members.c
@@ -7,7 +7,7 @@
  * when it entered, and then the lost id leaves.
  */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/libwlcore/raft_msg.c
+++ b/libwlcore/raft/msg.c
@@ -1,6 +1,6 @@
 /* Schemas of the replicated log's messages. */
 
-#include "raft_msg.h"
+#include "msg.h"
 
 static const wl_field_t raft_entry_fields[] = {
 	WL_FIELD(wl_raft_entry_t, index, WL_FIELD_U64),
--- a/libwlcore/raft_out.c
+++ b/libwlcore/raft/out.c
@@ -1,6 +1,6 @@
 /* Actions of the replicated log: construction, sending and release. */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/libwlcore/raft_persist.c
+++ b/libwlcore/raft/persist.c
@@ -5,7 +5,7 @@
  * next, so that a slow disk makes the groups larger, not the queue longer.
  */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/raft.c
+++ b/libwlcore/raft/raft.c
@@ -6,7 +6,7 @@
  * says that this state is synced.
  */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/libwlcore/raft.h
+++ b/libwlcore/raft/raft.h
@@ -2,7 +2,7 @@
 #define WL_RAFT_H
 
 #include <libwlbase/err.h>
-#include <libwlcore/raft_msg.h>
+#include <libwlcore/raft/msg.h>
 
 /* Replicated log: elections, replication, snapshots and membership.  Pure. */
 
--- a/libwlcore/raft_replicate.c
+++ b/libwlcore/raft/replicate.c
@@ -1,6 +1,6 @@
 /* Replication: the leader's side of the log. */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/raft_snapshot.c
+++ b/libwlcore/raft/snapshot.c
@@ -1,7 +1,7 @@
 /* Snapshots: compaction of the own log, and transfer in pieces to a member that needs a gone one.
  */
 
-#include "raft_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/admit.h
+++ b/libwlcore/request/admit.h
@@ -3,9 +3,9 @@
 
 #include <sys/queue.h>
 
-#include <libwlcore/budget.h>
-#include <libwlcore/heap.h>
-#include <libwlcore/view.h>
+#include <libwlcore/request/budget.h>
+#include <libwlbase/heap.h>
+#include <libwlcore/node/view.h>
 
 /* Admission by plan: limits that hold over all entries of the cell. */
 
--- a/libwlcore/request_check.c
+++ b/libwlcore/request/check.c
@@ -1,10 +1,10 @@
 /* Checks of a caller's request, in order, before anything is done for it. */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
-#include <libwlcore/auth.h>
+#include <libwlcore/api/auth.h>
 
 #define PATH_PREFIX    "/s/"
 #define KEY_MOST_BYTES 256
--- a/libwlcore/fairq.h
+++ b/libwlcore/request/fairq.h
@@ -5,7 +5,7 @@
 
 #include <libwlbase/err.h>
 #include <libwlbase/map.h>
-#include <libwlcore/heap.h>
+#include <libwlbase/heap.h>
 
 /* A queue of waiting requests, fair among customers. */
 
--- a/libwlcore/request_fetched.c
+++ b/libwlcore/request/fetched.c
@@ -1,6 +1,6 @@
 /* The end of a try on an own target: room given back, verdict read. */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/request_linger.c
+++ b/libwlcore/request/grace.c
@@ -6,7 +6,7 @@
  * takes, so that the target is not given more than it can carry meanwhile.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/request_headers.c
+++ b/libwlcore/request/headers.c
@@ -1,6 +1,6 @@
 /* Which HTTP headers go on, to a target or back to a caller. */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <strings.h>
 
--- a/libwlcore/request_hold.c
+++ b/libwlcore/request/hold.c
@@ -6,7 +6,7 @@
  * pass in the time that a request is held, in which it counts for nothing.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #define HOLD_LEAST_NS	 (200 * WL_NS_PER_MS)
 #define HOLD_MOST_NS	 (1000 * WL_NS_PER_MS) /* as Retry-After says */
--- a/libwlcore/request_internal.h
+++ b/libwlcore/request/internal.h
@@ -2,13 +2,13 @@
 #define WL_REQUEST_INTERNAL_H
 
 #include <libwlbase/units.h>
-#include <libwlcore/admit.h>
-#include <libwlcore/fairq.h>
-#include <libwlcore/ids.h>
-#include <libwlcore/latency.h>
-#include <libwlcore/request.h>
-#include <libwlcore/route.h>
-#include <libwlcore/tell.h>
+#include <libwlcore/request/admit.h>
+#include <libwlcore/request/fairq.h>
+#include <libwlcore/model/ids.h>
+#include <libwlcore/request/latency.h>
+#include <libwlcore/request/request.h>
+#include <libwlcore/request/route.h>
+#include <libwlcore/owner/tell.h>
 
 /* What the files of the request part share. */
 
--- a/libwlcore/request_key.c
+++ b/libwlcore/request/key.c
@@ -3,7 +3,7 @@
  * sent, the outcome before the caller is answered.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/request_outcome.c
+++ b/libwlcore/request/outcome.c
@@ -6,7 +6,7 @@
  * a peer's refusal, which reached no target.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/request_peer.c
+++ b/libwlcore/request/peer.c
@@ -6,7 +6,7 @@
  * twice runs once; an answer must match a try in flight, its peer and session.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/request_tell.c
+++ b/libwlcore/request/peer_notify.c
@@ -7,7 +7,7 @@
  * part of the bytes that a daemon may spend.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <libwlbase/units.h>
 
--- a/libwlcore/request_queue.c
+++ b/libwlcore/request/queue.c
@@ -1,6 +1,6 @@
 /* Waiting for room: bounded, fair, and never past the deadline. */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #define PRESS_NS	 (50 * WL_NS_PER_MS)
 #define UNKNOWN_NS	 (3000 * WL_NS_PER_MS) /* a service without targets is waited for so long */
--- a/libwlcore/request_reply.c
+++ b/libwlcore/request/reply.c
@@ -1,6 +1,6 @@
 /* Answers to callers and peers, and what is counted of them. */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <stdio.h>
 
--- a/libwlcore/request.c
+++ b/libwlcore/request/request.c
@@ -4,7 +4,7 @@
  * Each request ends in exactly one answer to its origin, a caller or a peer.
  */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/request.h
+++ b/libwlcore/request/request.h
@@ -1,8 +1,8 @@
 #ifndef WL_REQUEST_H
 #define WL_REQUEST_H
 
-#include <libwlcore/event.h>
-#include <libwlcore/owner.h>
+#include <libwlcore/model/event.h>
+#include <libwlcore/owner/owner.h>
 
 /* Callers' requests: admission, queueing, routing, forwarding, retries, keys. */
 
--- a/libwlcore/room.h
+++ b/libwlcore/request/room.h
@@ -4,8 +4,8 @@
 #include <sys/queue.h>
 
 #include <libwlbase/map.h>
-#include <libwlcore/ledger.h>
-#include <libwlcore/view.h>
+#include <libwlcore/owner/ledger.h>
+#include <libwlcore/node/view.h>
 
 /* What peers told of their free room, by service and availability zone. */
 
--- a/libwlcore/route.h
+++ b/libwlcore/request/route.h
@@ -2,7 +2,7 @@
 #define WL_ROUTE_H
 
 #include <libwlbase/rng.h>
-#include <libwlcore/room.h>
+#include <libwlcore/request/room.h>
 
 /* Where a request goes: an own target, or a peer that has room. */
 
--- a/libwlcore/request_send.c
+++ b/libwlcore/request/send.c
@@ -1,6 +1,6 @@
 /* Sending a request: to an own target, after reserving room there, or to a peer. */
 
-#include "request_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/state_chart.c
+++ b/libwlcore/state/chart.c
@@ -1,8 +1,8 @@
 /* What the transitions of the chart "task" do to a task and to what is counted of it. */
 
-#include "state_internal.h"
+#include "internal.h"
 
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 
 const char *const wl_task_state_names[] = {"queued",   "assigned", "running", "evicting",
 					   "stopping", "done",	   "failed",  "cancelled",
--- a/libwlcore/state_keys.c
+++ b/libwlcore/state/keys.c
@@ -1,6 +1,6 @@
 /* Idempotency keys of requests: committed before the request is sent, their outcome after. */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/state_kinds.c
+++ b/libwlcore/state/kinds.c
@@ -1,6 +1,6 @@
 /* What kinds of work really take: moving averages that all replicas hold alike. */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/state_lists.c
+++ b/libwlcore/state/list_put.c
@@ -1,7 +1,7 @@
 /* Changes of the two lists: one winner for a base version, and the first answer again for a resend.
  */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/state_owners.c
+++ b/libwlcore/state/owners.c
@@ -1,6 +1,6 @@
 /* Ownership of targets: one session at a time, each grant with a higher epoch. */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/state_reports.c
+++ b/libwlcore/state/reports.c
@@ -8,7 +8,7 @@
  * present owner only: another one may be renewing the work's lease.
  */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #define FAILURES_PER_TARGET 2
 
--- a/libwlcore/state_sessions.c
+++ b/libwlcore/state/sessions.c
@@ -1,6 +1,6 @@
 /* Sessions of entries: opened once for a start of a daemon, ended by the leader. */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlcore/state_snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -3,7 +3,7 @@
  * length and one record.  Equal states give equal bytes.
  */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <string.h>
 
--- a/libwlcore/state.c
+++ b/libwlcore/state/state.c
@@ -5,7 +5,7 @@
  * clock and the view that entries get.
  */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/libwlcore/state.h
+++ b/libwlcore/state/state.h
@@ -2,9 +2,9 @@
 #define WL_STATE_H
 
 #include <libwlbase/chart.h>
-#include <libwlcore/cmd.h>
-#include <libwlcore/lists.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/cmd.h>
+#include <libwlcore/model/lists.h>
+#include <libwlcore/model/msg.h>
 
 /* The replicated state: lists, sessions, ownership, tasks, keys.  Same commands, same state. */
 
--- a/libwlcore/state_tasks.c
+++ b/libwlcore/state/tasks.c
@@ -1,6 +1,6 @@
 /* Tasks: added once, cancelled, assigned, forgotten some time after their end. */
 
-#include "state_internal.h"
+#include "internal.h"
 
 #include <stdlib.h>
 
--- a/libwlnet/http_client.h
+++ b/libwlnet/http_client.h
@@ -2,7 +2,7 @@
 #define WL_HTTP_CLIENT_H
 
 #include <libwlbase/ring.h>
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* HTTP calls of ours, many at a time on one thread, each ending in one FETCHED event. */
 
--- a/libwlnet/http_server.h
+++ b/libwlnet/http_server.h
@@ -2,7 +2,7 @@
 #define WL_HTTP_SERVER_H
 
 #include <libwlbase/ring.h>
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* HTTP listener: requests become events, replies answer them. */
 
--- a/libwlnet/http_transfer.h
+++ b/libwlnet/http_transfer.h
@@ -5,7 +5,7 @@
 
 #include <curl/curl.h>
 
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* One HTTP call on one libcurl handle; internal to the HTTP client. */
 
--- a/libwlnet/late.h
+++ b/libwlnet/late.h
@@ -4,7 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlbase/ring.h>
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /* Events on their way to a ring, kept in order while it is full; used by one thread. */
 
--- a/libwlnet/peer.h
+++ b/libwlnet/peer.h
@@ -2,7 +2,7 @@
 #define WL_PEER_H
 
 #include <libwlbase/ring.h>
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 
 /*
  * Links between daemons: TCP, frames of a 4-byte length and a msgpack
--- a/libwlstore/store.h
+++ b/libwlstore/store.h
@@ -2,7 +2,7 @@
 #define WL_STORE_H
 
 #include <libwlbase/err.h>
-#include <libwlcore/raft.h>
+#include <libwlcore/raft/raft.h>
 
 /* Files of one replica under its data folder: identity, vote, log, snapshot. */
 
--- a/libwlstore/store_log.h
+++ b/libwlstore/store_log.h
@@ -1,7 +1,7 @@
 #ifndef WL_STORE_LOG_H
 #define WL_STORE_LOG_H
 
-#include <libwlcore/raft.h>
+#include <libwlcore/raft/raft.h>
 
 /* Segments of the log; used by the store only. */
 
--- a/tests/fuzz/fuzz_chart.c
+++ b/tests/fuzz/fuzz_chart.c
@@ -1,6 +1,6 @@
 /* State charts: a chart that loads must take every event in every state. */
 
-#include <libwlcore/state.h>
+#include <libwlcore/state/state.h>
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/tests/fuzz/fuzz_lists.c
+++ b/tests/fuzz/fuzz_lists.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#include <libwlcore/lists.h>
+#include <libwlcore/model/lists.h>
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/tests/fuzz/fuzz_msg.c
+++ b/tests/fuzz/fuzz_msg.c
@@ -2,8 +2,8 @@
 
 #include <stdlib.h>
 
-#include <libwlcore/cmd.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/cmd.h>
+#include <libwlcore/model/msg.h>
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/tests/support/events.h
+++ b/tests/support/events.h
@@ -3,7 +3,7 @@
 
 extern "C" {
 #include <libwlbase/ring.h>
-#include <libwlcore/event.h>
+#include <libwlcore/model/event.h>
 }
 
 #include <chrono>
--- a/tests/support/leader_world.h
+++ b/tests/support/leader_world.h
@@ -10,7 +10,7 @@
 
 extern "C" {
 #include <libwlbase/rng.h>
-#include <libwlcore/leader.h>
+#include <libwlcore/leader/leader.h>
 }
 
 /*
--- a/tests/support/raft_bus.h
+++ b/tests/support/raft_bus.h
@@ -2,7 +2,7 @@
 #define TESTS_RAFT_BUS_H
 
 extern "C" {
-#include <libwlcore/raft.h>
+#include <libwlcore/raft/raft.h>
 }
 
 #include <cstdint>
--- a/tests/support/request_run.h
+++ b/tests/support/request_run.h
@@ -8,7 +8,7 @@
 #include "script.h"
 
 extern "C" {
-#include <libwlcore/request.h>
+#include <libwlcore/request/request.h>
 }
 
 /*
--- a/tests/support/state_rig.h
+++ b/tests/support/state_rig.h
@@ -2,7 +2,7 @@
 #define TESTS_STATE_RIG_H
 
 extern "C" {
-#include <libwlcore/state_internal.h>
+#include <libwlcore/state/internal.h>
 }
 
 #include <string>
--- a/tests/target/fake.h
+++ b/tests/target/fake.h
@@ -5,8 +5,8 @@
 
 #include <libwlbase/map.h>
 #include <libwlbase/rng.h>
-#include <libwlcore/model.h>
-#include <libwlcore/msg.h>
+#include <libwlcore/model/model.h>
+#include <libwlcore/model/msg.h>
 
 /* One fake target: keeps the contract of docs/TARGETS.md; time is an argument. */
 
--- a/tests/target/owner_run.h
+++ b/tests/target/owner_run.h
@@ -11,7 +11,7 @@
 #include "support/script.h"
 
 extern "C" {
-#include <libwlcore/owner.h>
+#include <libwlcore/owner/owner.h>
 
 #include "fake.h"
 }
--- a/tests/unit/admit_test.cc
+++ b/tests/unit/admit_test.cc
@@ -8,7 +8,7 @@
 
 extern "C" {
 #include <libwlbase/rng.h>
-#include <libwlcore/admit.h>
+#include <libwlcore/request/admit.h>
 }
 
 static const uint64_t MS = 1000000;
--- a/tests/unit/auth_test.cc
+++ b/tests/unit/auth_test.cc
@@ -1,5 +1,5 @@
 extern "C" {
-#include <libwlcore/auth.h>
+#include <libwlcore/api/auth.h>
 }
 
 #include <string>
--- a/tests/unit/evict_test.cc
+++ b/tests/unit/evict_test.cc
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
-#include <libwlcore/evict.h>
+#include <libwlcore/owner/evict.h>
 }
 
 struct Candidate {
--- a/tests/unit/fairq_test.cc
+++ b/tests/unit/fairq_test.cc
@@ -8,7 +8,7 @@
 
 extern "C" {
 #include <libwlbase/rng.h>
-#include <libwlcore/fairq.h>
+#include <libwlcore/request/fairq.h>
 }
 
 struct Waiting {
--- a/tests/unit/health_test.cc
+++ b/tests/unit/health_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
-#include <libwlcore/health.h>
+#include <libwlcore/owner/health.h>
 }
 
 static const uint64_t S = 1000000000ull;
--- a/tests/unit/heap_test.cc
+++ b/tests/unit/heap_test.cc
@@ -7,7 +7,7 @@
 
 extern "C" {
 #include <libwlbase/rng.h>
-#include <libwlcore/heap.h>
+#include <libwlbase/heap.h>
 }
 
 TEST(Heap, GivesTheLeastOfManyThroughChanges)
--- a/tests/unit/leader_script_test.cc
+++ b/tests/unit/leader_script_test.cc
@@ -8,7 +8,7 @@
 #include "../support/state_rig.h"
 
 extern "C" {
-#include <libwlcore/leader.h>
+#include <libwlcore/leader/leader.h>
 }
 
 using Words = Script::Words;
--- a/tests/unit/ledger_test.cc
+++ b/tests/unit/ledger_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 }
 
 class Ledger : public ::testing::Test
--- a/tests/unit/lists_test.cc
+++ b/tests/unit/lists_test.cc
@@ -1,5 +1,5 @@
 extern "C" {
-#include <libwlcore/lists.h>
+#include <libwlcore/model/lists.h>
 }
 
 #include <string>
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -1,5 +1,5 @@
 extern "C" {
-#include <libwlcore/node.h>
+#include <libwlcore/node/node.h>
 }
 
 #include <cstring>
--- a/tests/unit/place_policy_test.cc
+++ b/tests/unit/place_policy_test.cc
@@ -9,7 +9,7 @@
 
 extern "C" {
 #include <libwlbase/rng.h>
-#include <libwlcore/leader.h>
+#include <libwlcore/leader/leader.h>
 }
 
 static const uint64_t step_ms = 10;
--- a/tests/unit/place_test.cc
+++ b/tests/unit/place_test.cc
@@ -1,7 +1,7 @@
 extern "C" {
-#include <libwlcore/ledger.h>
+#include <libwlcore/owner/ledger.h>
 #include <libwlbase/rng.h>
-#include <libwlcore/place_internal.h>
+#include <libwlcore/place/internal.h>
 }
 
 #include <memory>
--- a/tests/unit/raft_rule_test.cc
+++ b/tests/unit/raft_rule_test.cc
@@ -1,5 +1,5 @@
 extern "C" {
-#include <libwlcore/raft.h>
+#include <libwlcore/raft/raft.h>
 }
 
 #include <string>
--- a/tests/unit/record_test.cc
+++ b/tests/unit/record_test.cc
@@ -1,5 +1,5 @@
 extern "C" {
-#include <libwlcore/msg.h>
+#include <libwlcore/model/msg.h>
 }
 
 #include <cstring>
--- a/tests/unit/route_test.cc
+++ b/tests/unit/route_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 
 extern "C" {
-#include <libwlcore/route.h>
+#include <libwlcore/request/route.h>
 }
 
 static const uint64_t MS = 1000000;
