--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -9,7 +9,7 @@
 pkg_check_modules(JANSSON REQUIRED IMPORTED_TARGET jansson)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(CRYPTO REQUIRED IMPORTED_TARGET libcrypto)
-pkg_check_modules(GTEST REQUIRED IMPORTED_TARGET gtest_main)
+pkg_check_modules(GTEST IMPORTED_TARGET gtest_main) # tests only
 find_path(RANDOM123_INCLUDE Random123/philox.h REQUIRED)
 
 # One package: a static library of the sources in the folder and its subfolders over the packages below it.
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -16,6 +16,7 @@
 #include <sys/random.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -24,6 +25,7 @@
 #include <libwlbase/units.h>
 
 #define OPEN_POLL_MS	  10   /* between two looks whether the last answers are out */
+#define FILE_LOOK_MS	  1000 /* between two looks whether the settings file changed */
 #define LAST_ANSWERS_MS	  1000 /* least time for them, even when the stop is late */
 #define SPARE_DESCRIPTORS 1024 /* beside those of callers: targets, peers, files */
 #define LAST_LOG_MS	  100  /* for the logger, before an end at once */
@@ -45,7 +47,9 @@
 	wl_node_t *node;
 	wl_decide_t *decide;
 	bool storage_failed;
-	uint64_t deadline_ns; /* of the planned stop; 0: none began */
+	struct timespec file_changed; /* when the settings file did; zero: not looked yet */
+	bool look_again;	      /* what it said could not be handed on */
+	uint64_t deadline_ns;	      /* of the planned stop; 0: none began */
 } wl_daemon_t;
 
 static uint64_t now_read(void)
@@ -95,6 +99,7 @@
 	sigemptyset(&wanted);
 	sigaddset(&wanted, SIGTERM);
 	sigaddset(&wanted, SIGINT);
+	sigaddset(&wanted, SIGHUP);
 	daemon->notice_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	if (pthread_sigmask(SIG_BLOCK, &wanted, NULL) == 0)
 		daemon->signal_fd = signalfd(-1, &wanted, SFD_CLOEXEC | SFD_NONBLOCK);
@@ -303,19 +308,81 @@
 	_exit(WL_EXIT_LATE);
 }
 
-/* Waits; true if a signal came. */
-static bool daemon_wait_signal(const wl_daemon_t *daemon, int timeout_ms)
+static void seeds_tell(wl_daemon_t *daemon, wl_settings_t *fresh)
+{
+	wl_event_t *event = wl_alloc(sizeof(*event));
+
+	wl_event_init(event, WL_EVENT_SEEDS);
+	wl_strings_set(&event->names, &fresh->seeds);
+	if (wl_ring_push(daemon->events, event)) {
+		wl_strings_set(&daemon->settings->seeds, &fresh->seeds);
+		wl_buf_set(&daemon->settings->store_seeds, wl_buf_str(&fresh->store_seeds));
+		return;
+	}
+	/* They still differ from those in use, so that the next look tries again. */
+	daemon->look_again = true;
+	wl_event_free(event);
+	free(event);
+}
+
+/* Seeds take effect at once; every other setting at the next start, and the log says so. */
+static void settings_reload(wl_daemon_t *daemon, const char *cause)
+{
+	wl_settings_t fresh = {0};
+	wl_buf_t changes = {0};
+	wl_err_t err = {0};
+
+	daemon->look_again = false;
+	if (!wl_settings_reread(daemon->settings, &fresh, &err)) {
+		wl_log_event(WL_ERROR, "reload-refused", "cause=%s reason=\"%s\"", cause, err.text);
+		wl_settings_free(&fresh);
+		return;
+	}
+	wl_settings_changes(daemon->settings, &fresh, &changes);
+	wl_log_event(WL_INFO, "reload", "cause=%s changed=%s applied=%s", cause,
+		     changes.len ? changes.at : "none",
+		     wl_strings_equal(&fresh.seeds, &daemon->settings->seeds) ? "none"
+									      : "store-seeds");
+	if (!wl_strings_equal(&fresh.seeds, &daemon->settings->seeds))
+		seeds_tell(daemon, &fresh);
+	wl_buf_free(&changes);
+	wl_settings_free(&fresh);
+}
+
+/* The file may change without a signal. */
+static void file_look(wl_daemon_t *daemon)
+{
+	struct stat status;
+	bool first = daemon->file_changed.tv_sec == 0;
+	bool changed;
+
+	if (!daemon->settings->file || stat(daemon->settings->file, &status) < 0)
+		return;
+	changed = status.st_mtim.tv_sec != daemon->file_changed.tv_sec ||
+		  status.st_mtim.tv_nsec != daemon->file_changed.tv_nsec;
+	daemon->file_changed = status.st_mtim;
+	if ((changed && !first) || daemon->look_again)
+		settings_reload(daemon, "file");
+}
+
+/* Waits; true if a signal to stop came. */
+static bool daemon_wait_signal(wl_daemon_t *daemon, int timeout_ms)
 {
 	struct pollfd wait = {.fd = daemon->signal_fd, .events = POLLIN};
 	struct signalfd_siginfo signal;
 
 	if (poll(&wait, 1, timeout_ms) <= 0)
 		return false;
-	return read(daemon->signal_fd, &signal, sizeof(signal)) == sizeof(signal);
+	if (read(daemon->signal_fd, &signal, sizeof(signal)) != sizeof(signal))
+		return false;
+	if (signal.ssi_signo != SIGHUP)
+		return true;
+	settings_reload(daemon, "signal");
+	return false;
 }
 
-/* Waits for a signal or an outcome; true if a signal came. */
-static bool daemon_wait(const wl_daemon_t *daemon, int timeout_ms)
+/* Waits for a signal or an outcome; true if a signal to stop came. */
+static bool daemon_wait(wl_daemon_t *daemon, int timeout_ms)
 {
 	struct pollfd wait[] = {{.fd = daemon->signal_fd, .events = POLLIN},
 				{.fd = daemon->notice_fd, .events = POLLIN}};
@@ -340,7 +407,8 @@
 	while ((outcome = wl_decide_outcome(daemon->decide)) == WL_OUTCOME_NONE) {
 		if (daemon->deadline_ns && now_read() > daemon->deadline_ns)
 			return WL_OUTCOME_LATE;
-		if (!daemon_wait(daemon, daemon->deadline_ns ? OPEN_POLL_MS : -1))
+		file_look(daemon);
+		if (!daemon_wait(daemon, daemon->deadline_ns ? OPEN_POLL_MS : FILE_LOOK_MS))
 			continue;
 		if (daemon->deadline_ns)
 			exit_now("second signal");
@@ -436,7 +504,7 @@
 	int code;
 
 	if (!signals_take(&daemon, &err) ||
-	    !wl_log_start(STDERR_FILENO, settings->level, wl_buf_str(&settings->name), &err)) {
+	    !wl_log_start(STDOUT_FILENO, settings->level, wl_buf_str(&settings->name), &err)) {
 		fprintf(stderr, "wisterialeadd: %s\n", err.text);
 		return WL_EXIT_START;
 	}
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -2,6 +2,7 @@
 
 #include "settings.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define TEXT(flag_, member, preset_, unit_, help_)                                          \
@@ -43,6 +44,8 @@
 static const char *const routing_names[] = {"least-slowdown", "round-robin", NULL};
 static const char *const queueing_names[] = {"fair-deadline", "fifo", NULL};
 static const char *const placement_names[] = {"first-fit", "interference-fair", NULL};
+static const char *const yes_no_names[] = {"no", "yes", NULL};
+static const char *const dialect_names[] = {"own", "platform", NULL};
 static const char *const eviction_names[] = {"least-lost", "youngest-first", NULL};
 
 static const wl_option_t options[] = {
@@ -58,6 +61,12 @@
 		"what other daemons dial, where it is not the peer listener"),
 	TEXT("store-peers", store_peers, NULL, "NAME=IP:port,...",
 	     "the store replicas, the same on every daemon"),
+	TEXT("store-seeds", store_seeds, NULL, "IP:port,...",
+	     "some replicas, each named by its IP address; the others join by themselves"),
+	CHOICE("found-group", found_group, "yes", yes_no_names,
+	       "whether a blank replica may take part in founding a group"),
+	CHOICE("dialect", dialect, "own", dialect_names,
+	       "what callers, targets and operators speak"),
 	TEXT("data-dir", data_dir, NULL, "FOLDER", "folder of the store replica"),
 	TEXT("chart-dir", chart_dir, WL_CHART_DIR, "FOLDER", "folder of the state charts"),
 	TEXT("peer-secret-file", peer_secret_file, NULL, "FILE",
@@ -113,6 +122,10 @@
 	       "how long an ended task is kept"),
 	NUMBER("compact-entries", compact_entries, "8192", "entries", 16, 10000000,
 	       "log length that makes a snapshot"),
+	NUMBER("voters", voters, "5", "replicas", 1, 9,
+	       "replicas that vote, where --store-seeds lets others join"),
+	NUMBER("replace-ms", replace_ms, "5000", "ms", 100, 10 * MINUTE_MS,
+	       "silence after which a newcomer may take a replica's place"),
 	NUMBER("seed", seed, "0", "NUMBER", 0, 0, "seed of random choices; 0: a new one"),
 
 	NUMBER("max-body-bytes", max_body_bytes, "1048576", "bytes", 1, GIB,
@@ -148,14 +161,67 @@
 
 #define OPTION_COUNT (sizeof(options) / sizeof(options[0]))
 
+#define FILE_VARIABLE "WISTERIALEAD_SETTINGS" /* names a file of further variables */
+
 /*
- * wl_settings_read - read flags and environment variables
+ * wl_settings_read - read flags, environment variables and the file of variables
+ * @argv: must outlive the settings
  * @settings: zeroed; the caller frees it, also after a failure
- * @err: WL_E_BAD_INPUT, naming the setting
+ * @err: WL_E_BAD_INPUT, naming the setting; WL_E_IO, WL_E_TOO_LARGE for the file
  */
 bool wl_settings_read(int argc, char **argv, wl_settings_t *settings, wl_err_t *err)
 {
-	return wl_options_read(options, OPTION_COUNT, argc, argv, settings, NULL, 0, NULL, err);
+	wl_variables_t file = {0};
+	bool ok = true;
+
+	settings->argc = argc;
+	settings->argv = argv;
+	settings->file = getenv(FILE_VARIABLE);
+	if (settings->file)
+		ok = wl_variables_read(settings->file, &file, err);
+	ok = ok && wl_options_read_file(options, OPTION_COUNT, argc, argv, &file, settings, err);
+	wl_variables_free(&file);
+	return ok;
+}
+
+/*
+ * wl_settings_reread - read the settings again from where they came
+ * @fresh: zeroed; the caller frees it, also after a failure
+ * @err: as of wl_settings_read() and wl_settings_check()
+ */
+bool wl_settings_reread(const wl_settings_t *settings, wl_settings_t *fresh, wl_err_t *err)
+{
+	return wl_settings_read(settings->argc, settings->argv, fresh, err) &&
+	       wl_settings_check(fresh, err);
+}
+
+static bool option_equal(const wl_option_t *option, const wl_settings_t *a, const wl_settings_t *b)
+{
+	const void *in_a = (const char *)a + option->offset;
+	const void *in_b = (const char *)b + option->offset;
+
+	switch (option->kind) {
+	case WL_OPTION_NUMBER:
+		return *(const uint64_t *)in_a == *(const uint64_t *)in_b;
+	case WL_OPTION_FLAG:
+		return *(const bool *)in_a == *(const bool *)in_b;
+	case WL_OPTION_TEXT:
+	case WL_OPTION_CHOICE:
+	case WL_OPTION_ADDRESS:
+		break;
+	}
+	return wl_str_equal(wl_buf_str(in_a), wl_buf_str(in_b));
+}
+
+/*
+ * wl_settings_changes - name the settings that differ
+ * @names: gets the flags, joined by commas
+ */
+void wl_settings_changes(const wl_settings_t *before, const wl_settings_t *after, wl_buf_t *names)
+{
+	for (size_t i = 0; i < OPTION_COUNT; i++)
+		if (!option_equal(&options[i], before, after))
+			wl_buf_printf(names, "%s%s", names->len ? "," : "", options[i].flag);
 }
 
 /*
@@ -187,6 +253,7 @@
 			explicit_bzero(secrets[i]->at, secrets[i]->len);
 		wl_buf_free(secrets[i]);
 	}
+	wl_strings_free(&settings->seeds);
 	wl_buf_free(&settings->task_chart);
 	wl_buf_free(&settings->target_chart);
 	wl_options_free(options, OPTION_COUNT, settings);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -19,6 +19,9 @@
 	wl_buf_t peer_listen;
 	wl_buf_t peer_advertise;
 	wl_buf_t store_peers;
+	wl_buf_t store_seeds;
+	wl_buf_t found_group;
+	wl_buf_t dialect;
 	wl_buf_t data_dir;
 	wl_buf_t chart_dir;
 	wl_buf_t peer_secret_file;
@@ -52,6 +55,8 @@
 	uint64_t key_keep_ms;
 	uint64_t task_keep_ms;
 	uint64_t compact_entries;
+	uint64_t voters;
+	uint64_t replace_ms;
 	uint64_t seed;
 	uint64_t max_body_bytes;
 	uint64_t max_header_bytes;
@@ -69,12 +74,18 @@
 	bool check;
 	bool help;
 	bool version;
+	/* where it was read from, to be read again */
+	int argc;
+	char **argv;
+	const char *file; /* NULL: none */
 	/* worked out from the above */
 	bool entry;
 	bool store;
 	wl_level_t level;
 	wl_node_peer_t stores[WL_STORES_MOST]; /* point into store_peers */
 	size_t store_count;
+	wl_list_t seeds;       /* strings: names of the replicas in store_seeds */
+	uint16_t replica_port; /* with seeds: where each replica listens for daemons */
 	wl_buf_t peer_secret;
 	wl_buf_t operator_token;
 	wl_buf_t target_token;
@@ -83,6 +94,8 @@
 } wl_settings_t;
 
 bool wl_settings_read(int argc, char **argv, wl_settings_t *settings, wl_err_t *err);
+bool wl_settings_reread(const wl_settings_t *settings, wl_settings_t *fresh, wl_err_t *err);
+void wl_settings_changes(const wl_settings_t *before, const wl_settings_t *after, wl_buf_t *names);
 bool wl_settings_check(wl_settings_t *settings, wl_err_t *err);
 bool wl_settings_load(wl_settings_t *settings, wl_err_t *err);
 void wl_settings_node(const wl_settings_t *s, wl_node_options_t *o);
--- a/daemon/settings_check.c
+++ b/daemon/settings_check.c
@@ -71,6 +71,51 @@
 	return true;
 }
 
+/* The IP address without the port; a replica that is known by a seed bears it as its name. */
+static wl_str_t address_ip(wl_str_t address)
+{
+	while (address.len > 0 && address.at[address.len - 1] != ':')
+		address.len--;
+	if (address.len > 0)
+		address.len--;
+	return address;
+}
+
+static bool seeds_check(wl_settings_t *settings, wl_err_t *err)
+{
+	wl_str_t left = wl_buf_str(&settings->store_seeds);
+	wl_str_t peer = wl_buf_str(&settings->peer_listen);
+	wl_address_t address;
+	wl_str_t item;
+	uint64_t port = 0;
+	size_t ip_len;
+
+	while (left.len > 0) {
+		wl_str_split(left, ',', &item, &left);
+		if (!wl_address_parse(item, &address, err) || !name_valid(address_ip(item)))
+			return wrong(err, "store-seeds", "must be IP:port,...");
+		if (!wl_strings_have(&settings->seeds, address_ip(item)))
+			wl_strings_add(&settings->seeds, address_ip(item));
+	}
+	if (settings->store_peers.len > 0)
+		return wrong(err, "store-peers", "must be empty where --store-seeds is given");
+	if (!wl_str_equal(wl_buf_str(&settings->name), address_ip(peer)))
+		return wrong(err, "name", "must be the IP address of --peer-listen with seeds");
+	ip_len = address_ip(peer).len;
+	if (!wl_str_u64((wl_str_t){peer.at + ip_len + 1, peer.len - ip_len - 1}, &port) ||
+	    port == 0)
+		return wrong(err, "peer-listen", "must have a fixed port with --store-seeds");
+	settings->replica_port = (uint16_t)port;
+	return true;
+}
+
+static bool replicas_check(wl_settings_t *settings, wl_err_t *err)
+{
+	if (settings->store_seeds.len > 0)
+		return seeds_check(settings, err);
+	return stores_check(settings, err);
+}
+
 static bool places_check(wl_settings_t *settings, wl_err_t *err)
 {
 	wl_str_t listen = wl_buf_str(&settings->peer_listen);
@@ -145,7 +190,7 @@
 	wl_level_parse(wl_buf_str(&settings->log_level), &settings->level);
 	if (settings->peer_secret_file.len == 0)
 		return wrong(err, "peer-secret-file", "must name a file");
-	return places_check(settings, err) && stores_check(settings, err) &&
+	return places_check(settings, err) && replicas_check(settings, err) &&
 	       times_check(settings, err) && sizes_check(settings, err);
 }
 
--- a/libwlbase/option.c
+++ b/libwlbase/option.c
@@ -8,7 +8,7 @@
 
 #include <argtable2.h>
 
-#define MAX_OPTIONS   64
+#define MAX_OPTIONS   96
 #define MAX_REST      64
 #define MAX_ERRORS    16 /* kept; only the first is told */
 #define VARIABLE_ROOM 96
@@ -168,8 +168,8 @@
 	return false;
 }
 
-static bool option_take(const flags_t *flags, const wl_option_t *option, size_t i, void *settings,
-			wl_err_t *err)
+static bool option_take(const flags_t *flags, const wl_option_t *option, size_t i,
+			const wl_variables_t *file, void *settings, wl_err_t *err)
 {
 	char name[VARIABLE_ROOM];
 	const struct arg_lit *lit = flags->table[i];
@@ -183,6 +183,8 @@
 
 	option_variable(option, name);
 	variable = getenv(name);
+	if (!variable && file)
+		variable = wl_variables_get(file, name);
 	if (variable)
 		return option_set(option, variable, settings, err);
 	if (option->preset)
@@ -207,17 +209,9 @@
 	return true;
 }
 
-/*
- * wl_options_read - fill settings from flags, then variables, then presets
- * @options, @count: the settings known
- * @argc, @argv: the command line, program name first; must outlive @rest
- * @settings: zeroed struct that the options' offsets point into
- * @rest, @rest_room, @rest_count: words that are no flags; NULL refuses them
- * @err: WL_E_BAD_INPUT, naming the setting
- */
-bool wl_options_read(const wl_option_t *options, size_t count, int argc, char **argv,
-		     void *settings, const char **rest, size_t rest_room, size_t *rest_count,
-		     wl_err_t *err)
+static bool options_take(const wl_option_t *options, size_t count, int argc, char **argv,
+			 const wl_variables_t *file, void *settings, const char **rest,
+			 size_t rest_room, size_t *rest_count, wl_err_t *err)
 {
 	flags_t flags;
 	bool ok = true;
@@ -228,13 +222,40 @@
 	if (arg_parse(argc, argv, flags.table) > 0)
 		ok = flags_error(&flags, argv[0], err);
 	for (size_t i = 0; ok && i < count; i++)
-		ok = option_take(&flags, &options[i], i, settings, err);
+		ok = option_take(&flags, &options[i], i, file, settings, err);
 	if (ok)
 		ok = flags_rest(&flags, rest, rest_room, rest_count, err);
 	arg_freetable(flags.table, flags.count);
 	return ok;
 }
 
+/*
+ * wl_options_read - fill settings from flags, then variables, then presets
+ * @options, @count: the settings known
+ * @argc, @argv: the command line, program name first; must outlive @rest
+ * @settings: zeroed struct that the options' offsets point into
+ * @rest, @rest_room, @rest_count: words that are no flags; NULL refuses them
+ * @err: WL_E_BAD_INPUT, naming the setting
+ */
+bool wl_options_read(const wl_option_t *options, size_t count, int argc, char **argv,
+		     void *settings, const char **rest, size_t rest_room, size_t *rest_count,
+		     wl_err_t *err)
+{
+	return options_take(options, count, argc, argv, NULL, settings, rest, rest_room, rest_count,
+			    err);
+}
+
+/*
+ * wl_options_read_file - the same, with a file of variables behind the environment
+ * @file: NULL: none
+ * @err: WL_E_BAD_INPUT, naming the setting
+ */
+bool wl_options_read_file(const wl_option_t *options, size_t count, int argc, char **argv,
+			  const wl_variables_t *file, void *settings, wl_err_t *err)
+{
+	return options_take(options, count, argc, argv, file, settings, NULL, 0, NULL, err);
+}
+
 /*
  * wl_options_print - write the settings in force, one "flag=value" a line
  */
--- a/libwlbase/option.h
+++ b/libwlbase/option.h
@@ -8,6 +8,7 @@
 
 #include <libwlbase/err.h>
 #include <libwlbase/str.h>
+#include <libwlbase/variable.h>
 
 typedef enum wl_option_kind {
 	WL_OPTION_TEXT,	   /* wl_buf_t */
@@ -37,6 +38,9 @@
 bool wl_options_read(const wl_option_t *options, size_t count, int argc, char **argv,
 		     void *settings, const char **rest, size_t rest_room, size_t *rest_count,
 		     wl_err_t *err);
+/* The same without other words; variables of a file go behind those of the environment. */
+bool wl_options_read_file(const wl_option_t *options, size_t count, int argc, char **argv,
+			  const wl_variables_t *file, void *settings, wl_err_t *err);
 void wl_options_print(const wl_option_t *options, size_t count, const void *settings, FILE *to);
 void wl_options_help(const wl_option_t *options, size_t count, const char *program, FILE *to);
 void wl_options_free(const wl_option_t *options, size_t count, void *settings);
--- a/libwlcore/leader/internal.h
+++ b/libwlcore/leader/internal.h
@@ -99,6 +99,7 @@
 struct wl_leader {
 	wl_leader_options_t options;
 	wl_buf_t entry;
+	wl_list_t replicas; /* strings: names of the store's members */
 	wl_state_t *state;
 	bool leading;
 	uint64_t term;
--- a/libwlcore/leader/leader.c
+++ b/libwlcore/leader/leader.c
@@ -427,6 +427,7 @@
 	wl_map_free(&leader->by_attempt);
 	wl_place_free(leader->place);
 	wl_buf_free(&leader->entry);
+	wl_strings_free(&leader->replicas);
 	free(leader);
 }
 
--- a/libwlcore/leader/sessions.c
+++ b/libwlcore/leader/sessions.c
@@ -109,6 +109,18 @@
 		session->push = true;
 }
 
+/*
+ * wl_leader_replicas_set - the members of the store, which every entry is told
+ * @names: strings, copied
+ */
+void wl_leader_replicas_set(wl_leader_t *leader, const wl_list_t *names)
+{
+	if (wl_strings_equal(&leader->replicas, names))
+		return;
+	wl_strings_set(&leader->replicas, names);
+	push_members(leader);
+}
+
 static void session_heard(wl_leader_t *leader, uint64_t now_ns, wl_leader_session_t *session,
 			  const wl_msg_renew_t *renew)
 {
@@ -224,6 +236,7 @@
 	wl_state_view(leader->state, session->revision, session->owners_index, view);
 	view->group = leader->group;
 	view->term = leader->term;
+	wl_strings_set(&view->replicas, &leader->replicas);
 	members = view->members.items;
 	for (size_t i = 0; i < view->members.count; i++) {
 		const wl_leader_session_t *member =
--- a/libwlcore/model/event.c
+++ b/libwlcore/model/event.c
@@ -33,6 +33,7 @@
 	wl_list_free(&wl_header_schema, &event->fetched.headers);
 	wl_buf_free(&event->fetched.body);
 	wl_buf_free(&event->fetched.error);
+	wl_strings_free(&event->names);
 }
 
 /*
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -27,6 +27,7 @@
 	WL_EVENT_RESULT,  /* to whoever made a call to the leader */
 	WL_EVENT_VIEW,	  /* the view changed */
 	/* from the daemon's threads */
+	WL_EVENT_SEEDS, /* the settings name other seeds */
 	WL_EVENT_GAUGE, /* a count of the daemon's own for the metrics */
 	WL_EVENT_KINDS
 } wl_event_kind_t;
@@ -65,6 +66,7 @@
 	wl_call_t call;	      /* CALL; CALL_GONE: id */
 	wl_fetched_t fetched; /* FETCHED */
 	uint64_t ticket;      /* PERSISTED */
+	wl_list_t names;      /* SEEDS: strings */
 	/* APPLIED, DROPPED, RESULT */
 	uint64_t tag;		   /* proposal, or call to the leader; 0: not ours */
 	uint64_t index;		   /* GAUGE: its value */
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -71,6 +71,7 @@
 	WL_FIELD(wl_msg_view_t, owners_to, WL_FIELD_U64),
 	WL_FIELD_MANY(wl_msg_view_t, owners, &wl_owner_row_schema),
 	WL_FIELD_MANY(wl_msg_view_t, members, &wl_member_schema),
+	WL_FIELD(wl_msg_view_t, replicas, WL_FIELD_STRINGS),
 };
 
 const wl_schema_t wl_msg_view_schema = WL_SCHEMA(wl_msg_view_t, msg_view_fields);
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -89,8 +89,9 @@
 	wl_buf_t plans;	      /* JSON */
 	uint64_t owners_from; /* 0: the whole table */
 	uint64_t owners_to;
-	wl_list_t owners;  /* wl_owner_row_t */
-	wl_list_t members; /* wl_member_t: all */
+	wl_list_t owners;   /* wl_owner_row_t */
+	wl_list_t members;  /* wl_member_t: all */
+	wl_list_t replicas; /* strings: names of the store's members */
 } wl_msg_view_t;
 
 typedef struct wl_msg_command {
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -21,7 +21,9 @@
 
 struct wl_node {
 	wl_node_options_t options;
-	wl_str_t *store_names;
+	wl_list_t seeds;       /* strings */
+	wl_list_t replicas;    /* strings: seeds and members, as far as this daemon knows them */
+	wl_str_t *store_names; /* of replicas */
 	wl_metrics_t metrics;
 	wl_chart_t *task_chart;
 	wl_chart_t *target_chart;
@@ -39,6 +41,7 @@
 	wl_leader_t *leader;
 	uint64_t applied; /* index */
 	bool leading;
+	uint64_t seek_ns;      /* next look for replicas to dial */
 	uint64_t blank_log_ns; /* next line about a replica without a group */
 
 	wl_api_t *api;
@@ -56,6 +59,8 @@
 
 bool wl_node_is_store(const wl_node_t *node, wl_str_t name);
 void wl_node_dial(wl_out_t *out, wl_str_t name, wl_str_t address);
+void wl_node_seeds_set(wl_node_t *node, const wl_list_t *seeds, wl_out_t *out);
+void wl_node_replicas_update(wl_node_t *node, wl_out_t *out);
 void wl_node_drain(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_node_drain_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 bool wl_node_make_state(wl_node_t *node, uint64_t now_ns, wl_err_t *err);
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -41,16 +41,7 @@
 	options->key_keep_ms = preset(options->key_keep_ms, 24ull * 3600 * 1000);
 	options->task_keep_ms = preset(options->task_keep_ms, 24ull * 3600 * 1000);
 	options->compact_entries = preset(options->compact_entries, 8192);
-}
-
-static void dial_stores(wl_node_t *node, wl_out_t *out)
-{
-	for (size_t i = 0; i < node->options.store_count; i++) {
-		const wl_node_peer_t *store = &node->options.stores[i];
-
-		if (!wl_str_equal(store->name, node->options.name))
-			wl_node_dial(out, store->name, store->address);
-	}
+	options->voters_most = preset(options->voters_most, 5);
 }
 
 static bool node_make_entry(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
@@ -103,20 +94,25 @@
 static bool node_make_store(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
 {
 	const wl_node_options_t *o = &node->options;
-	wl_str_t *peers = wl_alloc(o->store_count * sizeof(*peers));
+	size_t count = o->replica_port ? node->seeds.count : o->store_count;
+	wl_str_t *peers = wl_alloc((count + 1) * sizeof(*peers));
 	wl_raft_options_t raft = {
 		.id = o->store_id,
 		.name = o->name,
 		.peers = peers,
-		.peer_count = o->store_count,
+		.peer_count = count,
 		.election_ms = o->election_ms,
 		.heartbeat_ms = o->heartbeat_ms,
 		.compact_entries = o->compact_entries,
+		.voters_most = o->replica_port ? o->voters_most : 0,
+		.never_found = o->never_found,
+		.replace_ms = o->replace_ms,
 		.seed = o->seed ^ o->boot,
 	};
 
-	for (size_t i = 0; i < o->store_count; i++)
-		peers[i] = o->stores[i].name;
+	for (size_t i = 0; i < count; i++)
+		peers[i] = o->replica_port ? wl_buf_str((const wl_buf_t *)node->seeds.items + i)
+					   : o->stores[i].name;
 	node->raft = wl_raft_new(&raft, o->saved, now_ns, err);
 	free(peers);
 	return node->raft && wl_node_make_state(node, now_ns, err);
@@ -130,14 +126,9 @@
 		.address = o->peer_address,
 		.availability_zone = o->availability_zone,
 		.boot = o->boot,
-		.store_count = o->store_count,
 		.renew_ms = o->renew_ms,
 	};
 
-	node->store_names = wl_alloc(o->store_count * sizeof(*node->store_names));
-	for (size_t i = 0; i < o->store_count; i++)
-		node->store_names[i] = o->stores[i].name;
-	session.stores = node->store_names;
 	wl_session_init(&node->session, &session, now_ns);
 }
 
@@ -171,6 +162,9 @@
 
 	node->options = *options;
 	options_fill(&node->options);
+	if (options->seeds)
+		wl_strings_set(&node->seeds, options->seeds);
+	node->options.seeds = NULL;
 	TAILQ_INIT(&node->queue);
 	wl_metrics_init(&node->metrics);
 	wl_view_init(&node->view);
@@ -191,7 +185,7 @@
 		wl_node_free(node);
 		return NULL;
 	}
-	dial_stores(node, &node->deferred);
+	wl_node_replicas_update(node, &node->deferred);
 	return node;
 }
 
@@ -225,6 +219,8 @@
 	wl_metrics_free(&node->metrics);
 	wl_out_free(&node->scratch);
 	wl_out_free(&node->deferred);
+	wl_strings_free(&node->seeds);
+	wl_strings_free(&node->replicas);
 	free(node->store_names);
 	free(node);
 }
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -107,14 +107,11 @@
 }
 
 /*
- * wl_node_is_store - whether the settings name a replica so
+ * wl_node_is_store - whether a replica that this daemon knows bears a name
  */
 bool wl_node_is_store(const wl_node_t *node, wl_str_t name)
 {
-	for (size_t i = 0; i < node->options.store_count; i++)
-		if (wl_str_equal(node->options.stores[i].name, name))
-			return true;
-	return false;
+	return wl_strings_have(&node->replicas, name);
 }
 
 /* Entries are dialled where their sessions say; replicas where the settings say. */
@@ -146,6 +143,7 @@
 			   (unsigned long long)node->view.revision,
 			   (unsigned long long)node->view.customers_version,
 			   (unsigned long long)node->view.plans_version);
+	wl_node_replicas_update(node, out);
 	dial_members(node, out);
 	wl_event_init(&changed, WL_EVENT_VIEW);
 	wl_session_step(&node->session, &node->view, now_ns, &changed, out);
@@ -325,6 +323,9 @@
 	case WL_EVENT_DRAIN:
 		wl_node_drain(node, now_ns, event, out);
 		return;
+	case WL_EVENT_SEEDS:
+		wl_node_seeds_set(node, &event->names, out);
+		return;
 	case WL_EVENT_GAUGE:
 		wl_metrics_set(&node->metrics, event->peer.at, "", event->index);
 		return;
--- a/libwlcore/node/node.h
+++ b/libwlcore/node/node.h
@@ -17,8 +17,14 @@
 	wl_str_t peer_address; /* that others dial */
 	bool entry;	       /* roles */
 	bool store;
-	const wl_node_peer_t *stores;
+	const wl_node_peer_t *stores; /* the replicas, where the settings name all of them */
 	size_t store_count;
+	const wl_list_t *seeds; /* strings: else names of some of them, copied */
+	/* With seeds a replica's name is its IP address; it listens for daemons on this port. */
+	uint16_t replica_port;
+	uint64_t voters_most;
+	bool never_found;
+	uint64_t replace_ms;
 	uint64_t boot;		/* random, new at each start */
 	uint64_t store_id;	/* of the data folder */
 	wl_raft_saved_t *saved; /* store: what the disk held; taken over */
--- a/libwlcore/node/session.c
+++ b/libwlcore/node/session.c
@@ -52,6 +52,16 @@
 	session->valid_until_ns = 0;
 }
 
+/*
+ * wl_session_stores_set - the replicas to ask while no leader is known
+ * @stores: must outlive the session, or its next setting
+ */
+void wl_session_stores_set(wl_session_t *session, const wl_str_t *stores, size_t count)
+{
+	session->options.stores = stores;
+	session->options.store_count = count;
+}
+
 /* The leader where known, else the replicas in turn. */
 static wl_str_t session_peer(wl_session_t *session, uint64_t now_ns)
 {
--- a/libwlcore/node/session.h
+++ b/libwlcore/node/session.h
@@ -32,6 +32,7 @@
 void wl_session_free(wl_session_t *session);
 void wl_session_step(wl_session_t *session, wl_view_t *view, uint64_t now_ns,
 		     const wl_event_t *event, wl_out_t *out);
+void wl_session_stores_set(wl_session_t *session, const wl_str_t *stores, size_t count);
 void wl_session_close(wl_session_t *session);
 bool wl_session_valid(const wl_session_t *session, uint64_t now_ns);
 
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -6,6 +6,7 @@
 
 #include <libwlbase/units.h>
 
+#define SEEK_MS	     100   /* between two looks for replicas to dial, while no leader is known */
 #define BLANK_LOG_MS 10000 /* between two lines about a replica that belongs to no group */
 
 static void raft_event(wl_node_t *node, uint64_t now_ns, const wl_raft_event_t *event,
@@ -64,14 +65,27 @@
 	wl_record_free(&wl_raft_members_schema, &members);
 }
 
+/* The members in use: they count from the moment they are appended. */
+static void members_follow(wl_node_t *node, wl_out_t *out)
+{
+	wl_list_t names = {0};
+
+	wl_raft_member_names(node->raft, &names);
+	wl_leader_replicas_set(node->leader, &names);
+	wl_strings_free(&names);
+	wl_node_replicas_update(node, out);
+}
+
 static void do_commit(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
 {
 	wl_cmd_t cmd;
 	wl_err_t err;
 
 	node->applied = action->entry.index;
-	if (action->entry.kind == WL_RAFT_MEMBERS)
+	if (action->entry.kind == WL_RAFT_MEMBERS) {
 		members_log(&action->entry, out);
+		members_follow(node, out);
+	}
 	if (action->entry.kind != WL_RAFT_DATA)
 		return;
 	if (!wl_cmd_unpack(wl_buf_str(&action->entry.data), &cmd, &err)) {
@@ -90,6 +104,7 @@
 	node->applied = action->index;
 	if (!wl_state_unpack(node->state, wl_buf_str(&action->data), &err))
 		fatal(out, "snapshot", &err);
+	members_follow(node, out);
 }
 
 static void do_snapshot(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
@@ -109,6 +124,7 @@
 	wl_event_t event;
 
 	node->leading = true;
+	members_follow(node, out);
 	wl_event_init(&event, WL_EVENT_LEAD);
 	event.term = action->term;
 	event.group = wl_raft_group(node->raft);
@@ -250,6 +266,11 @@
 	if (!node->raft)
 		return;
 	raft_event(node, now_ns, &event, out);
+	if (node->options.replica_port && wl_raft_seeks(node->raft, now_ns) &&
+	    now_ns >= node->seek_ns) {
+		node->seek_ns = now_ns + SEEK_MS * WL_NS_PER_MS;
+		wl_node_replicas_update(node, out);
+	}
 	if (wl_raft_group(node->raft) != 0 || now_ns < node->blank_log_ns)
 		return;
 	if (node->blank_log_ns)
--- a/libwlcore/node/view.c
+++ b/libwlcore/node/view.c
@@ -35,6 +35,7 @@
 	wl_map_free(&view->by_target);
 	wl_lists_free(view->lists);
 	wl_list_free(&wl_member_schema, &view->members);
+	wl_strings_free(&view->replicas);
 }
 
 static void view_put_row(wl_view_t *view, const wl_owner_row_t *row, uint64_t changed)
@@ -130,6 +131,7 @@
 	for (size_t i = 0; i < msg->members.count; i++)
 		wl_record_copy(&wl_member_schema, wl_list_add(&wl_member_schema, &view->members),
 			       (const wl_member_t *)msg->members.items + i);
+	wl_strings_set(&view->replicas, &msg->replicas);
 	view->group = msg->group;
 	if (msg->term > view->term)
 		view->term = msg->term;
--- a/libwlcore/node/view.h
+++ b/libwlcore/node/view.h
@@ -23,8 +23,9 @@
 	uint64_t owners_index;
 	uint64_t customers_version;
 	uint64_t plans_version;
-	wl_lists_t *lists; /* NULL before the first view */
-	wl_list_t members; /* wl_member_t */
+	wl_lists_t *lists;  /* NULL before the first view */
+	wl_list_t members;  /* wl_member_t */
+	wl_list_t replicas; /* strings: names of the store's members */
 	wl_map_t by_target;
 	TAILQ_HEAD(wl_view_targets, wl_view_target) targets; /* newest change last */
 } wl_view_t;
--- a/libwlcore/raft/found.c
+++ b/libwlcore/raft/found.c
@@ -11,7 +11,8 @@
 
 #include <string.h>
 
-#define FRESH_ELECTIONS 1 /* how lately every peer must have answered */
+#define FRESH_ELECTIONS	   1 /* how lately every peer must have answered */
+#define FORSAKEN_ELECTIONS 2 /* time without a leader after which a member asks for admission */
 
 static bool blank(const wl_raft_t *raft)
 {
@@ -21,9 +22,10 @@
 static bool lowest_name(const wl_raft_t *raft)
 {
 	for (size_t i = 0; i < raft->known_count; i++)
-		if (wl_str_compare(wl_buf_str(&raft->known[i].name), wl_buf_str(&raft->name)) < 0)
+		if (raft->known[i].seed &&
+		    wl_str_compare(wl_buf_str(&raft->known[i].name), wl_buf_str(&raft->name)) < 0)
 			return false;
-	return true;
+	return raft->may_found;
 }
 
 static bool all_blank(const wl_raft_t *raft, uint64_t now_ns)
@@ -31,6 +33,8 @@
 	for (size_t i = 0; i < raft->known_count; i++) {
 		const wl_raft_sighting_t *seen = &raft->known[i].answer;
 
+		if (!raft->known[i].seed)
+			continue;
 		if (!seen->blank || !seen->heard_ns || seen->id == raft->id ||
 		    now_ns - seen->heard_ns > FRESH_ELECTIONS * raft->election_ns)
 			return false;
@@ -68,7 +72,9 @@
 		members.group = wl_rng_next(&raft->rng);
 	member_add(&members, raft->id, wl_buf_str(&raft->name));
 	for (size_t i = 0; i < raft->known_count; i++)
-		member_add(&members, raft->known[i].answer.id, wl_buf_str(&raft->known[i].name));
+		if (raft->known[i].seed)
+			member_add(&members, raft->known[i].answer.id,
+				   wl_buf_str(&raft->known[i].name));
 	wl_raft_join(raft, &members, now_ns);
 	wl_record_free(&wl_raft_members_schema, &members);
 	raft->election_at_ns = now_ns;
@@ -84,6 +90,33 @@
 	}
 }
 
+/* Members that the settings do not name are asked too: the seeds may all have gone. */
+static void send_probes_to_members(wl_raft_t *raft)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		wl_str_t name = wl_buf_str(&wl_raft_member_at(&raft->members, i)->name);
+		wl_raft_msg_t msg = {.kind = WL_RAFT_PROBE, .round = raft->probe_round};
+
+		if (!wl_str_equal(name, wl_buf_str(&raft->name)) && !wl_raft_known_find(raft, name))
+			wl_raft_send(raft, name, &msg);
+	}
+}
+
+/* Without a leader for so long this replica may have been removed while it was away. */
+static bool forsaken(const wl_raft_t *raft, uint64_t now_ns)
+{
+	return !blank(raft) && raft->voters_most && raft->role != WL_RAFT_LEADER &&
+	       now_ns - raft->leader_heard_ns > FORSAKEN_ELECTIONS * raft->election_ns;
+}
+
+/*
+ * wl_raft_seeks - tell whether this replica looks for a group, or for the leader of its own
+ */
+bool wl_raft_seeks(const wl_raft_t *raft, uint64_t now_ns)
+{
+	return blank(raft) || forsaken(raft, now_ns);
+}
+
 static void send_record(wl_raft_t *raft, wl_str_t name, uint64_t id)
 {
 	wl_raft_msg_t msg = {.kind = WL_RAFT_FOUND, .to = id};
@@ -112,6 +145,10 @@
 	if (!blank(raft)) {
 		if (wl_raft_last_index(raft) == 0 && lowest_name(raft))
 			send_record_to_all(raft);
+		if (forsaken(raft, now_ns)) {
+			send_probes(raft);
+			send_probes_to_members(raft);
+		}
 		return;
 	}
 	if (lowest_name(raft) && all_blank(raft, now_ns)) {
@@ -141,18 +178,35 @@
  */
 void wl_raft_on_probe(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
 {
-	wl_raft_known_t *known = wl_raft_known_find(raft, name);
+	wl_raft_known_t *known = wl_raft_known_add(raft, name);
 	wl_raft_msg_t answer = {.kind = WL_RAFT_PROBED, .to = msg->from, .round = msg->round};
 
 	if (!known || !wl_str_equal(name, wl_buf_str(&msg->name)))
 		return;
+	if (!msg->blank && msg->group != raft->members.group)
+		return;
 	known->probe = (wl_raft_sighting_t){msg->from, msg->blank, now_ns};
 	answer.blank = blank(raft);
+	if (raft->voters_most && !blank(raft))
+		wl_record_copy(&wl_raft_members_schema, &answer.members, &raft->members);
 	wl_raft_send_after(raft, raft->group_ticket, name, &answer);
 	if (msg->blank && base_has_voter(raft, msg->from))
 		send_record(raft, name, msg->from);
 }
 
+/* Only the leader admits, and the settings may not name it. */
+static void members_learn(wl_raft_t *raft, const wl_raft_members_t *members)
+{
+	if (!blank(raft) && raft->members.group != members->group)
+		return;
+	for (size_t i = 0; i < members->members.count; i++) {
+		wl_str_t name = wl_buf_str(&wl_raft_member_at(members, i)->name);
+
+		if (!wl_str_equal(name, wl_buf_str(&raft->name)))
+			wl_raft_known_add(raft, name);
+	}
+}
+
 /*
  * wl_raft_on_probed - a replica says who it is
  */
@@ -163,6 +217,8 @@
 	if (!known || msg->round != raft->probe_round)
 		return;
 	known->answer = (wl_raft_sighting_t){msg->from, msg->blank, now_ns};
+	if (!msg->blank)
+		members_learn(raft, &msg->members);
 }
 
 static bool record_lists(const wl_raft_t *raft, const wl_raft_members_t *record)
--- a/libwlcore/raft/internal.h
+++ b/libwlcore/raft/internal.h
@@ -43,9 +43,10 @@
 	uint64_t heard_ns; /* 0: never */
 } wl_raft_sighting_t;
 
-/* Another replica named in the settings. */
+/* Another replica: named in the settings, or one that probed this one. */
 typedef struct wl_raft_known {
 	wl_buf_t name;
+	bool seed;		   /* the settings name it */
 	wl_raft_sighting_t probe;  /* its newest probe */
 	wl_raft_sighting_t answer; /* its newest answer to a probe of this run */
 	bool replace;		   /* an operator asked to replace the member of this name */
@@ -66,6 +67,9 @@
 	uint64_t max_append_bytes;
 	uint64_t snapshot_piece_bytes;
 	uint64_t compact_entries;
+	uint64_t voters_most; /* 0: as many as the settings name */
+	uint64_t replace_ns;
+	bool may_found;
 	wl_rng_t rng;
 	wl_raft_out_t *out; /* of the present step */
 
@@ -126,6 +130,7 @@
 	/* Founding and replacement. */
 	wl_raft_known_t *known;
 	size_t known_count;
+	size_t known_room;
 	uint64_t probe_at_ns;
 	uint64_t probe_round;
 };
@@ -166,6 +171,7 @@
 uint64_t wl_raft_quorum_value(const wl_raft_t *raft,
 			      uint64_t (*value)(const wl_raft_t *raft, const wl_raft_peer_t *peer));
 wl_raft_known_t *wl_raft_known_find(const wl_raft_t *raft, wl_str_t name);
+wl_raft_known_t *wl_raft_known_add(wl_raft_t *raft, wl_str_t name);
 void wl_raft_members_tick(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_replace(wl_raft_t *raft, wl_str_t name);
 
--- a/libwlcore/raft/members.c
+++ b/libwlcore/raft/members.c
@@ -12,9 +12,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define REPLACE_SILENCE_ELECTIONS 5 /* silence after which a member may be replaced */
-#define KNOWN_FRESH_ELECTIONS	  2 /* a newcomer must have probed as lately as this */
-#define ANSWER_HEARTBEATS	  2 /* a member that answered as lately as this is there */
+#define KNOWN_FRESH_ELECTIONS 2	 /* a newcomer must have probed as lately as this */
+#define MEMBERS_MOST	      9	 /* voters and learners; further newcomers wait */
+#define KNOWN_MOST	      32 /* replicas remembered by name */
+#define ANSWER_HEARTBEATS     2	 /* a member that answered as lately as this is there */
 
 /*
  * wl_raft_member_at - one member of a list
@@ -160,9 +161,9 @@
 }
 
 /*
- * wl_raft_known_find - a replica named in the settings
+ * wl_raft_known_find - a replica named in the settings, or one that probed this one
  *
- * Return: NULL if the settings do not name it.
+ * Return: NULL if it is not known.
  */
 wl_raft_known_t *wl_raft_known_find(const wl_raft_t *raft, wl_str_t name)
 {
@@ -172,6 +173,94 @@
 	return NULL;
 }
 
+static wl_raft_known_t *known_new(wl_raft_t *raft, wl_str_t name)
+{
+	wl_raft_known_t *known;
+
+	if (raft->known_count == raft->known_room) {
+		raft->known_room = raft->known_room ? 2 * raft->known_room : 4;
+		raft->known = wl_realloc(raft->known, raft->known_room * sizeof(*raft->known));
+	}
+	known = &raft->known[raft->known_count++];
+	*known = (wl_raft_known_t){0};
+	wl_buf_set(&known->name, name);
+	return known;
+}
+
+/*
+ * wl_raft_known_add - remember a replica by name
+ *
+ * Return: the replica, or NULL where the settings name all, or too many are known.
+ */
+wl_raft_known_t *wl_raft_known_add(wl_raft_t *raft, wl_str_t name)
+{
+	wl_raft_known_t *known = wl_raft_known_find(raft, name);
+
+	if (known || raft->voters_most == 0 || raft->known_count >= KNOWN_MOST)
+		return known;
+	return known_new(raft, name);
+}
+
+/* The settings no longer name it and it has not probed: there is nothing to remember. */
+static void known_forget(wl_raft_t *raft)
+{
+	for (size_t i = 0; i < raft->known_count;) {
+		wl_raft_known_t *known = &raft->known[i];
+
+		if (known->seed || known->probe.heard_ns) {
+			i++;
+			continue;
+		}
+		wl_buf_free(&known->name);
+		*known = raft->known[--raft->known_count];
+	}
+}
+
+/*
+ * wl_raft_seeds_set - the settings name these replicas from now on
+ * @names: own name is passed over
+ */
+void wl_raft_seeds_set(wl_raft_t *raft, const wl_str_t *names, size_t count)
+{
+	for (size_t i = 0; i < raft->known_count; i++)
+		raft->known[i].seed = false;
+	for (size_t i = 0; i < count; i++) {
+		wl_raft_known_t *known = wl_raft_known_find(raft, names[i]);
+
+		if (wl_str_equal(names[i], wl_buf_str(&raft->name)))
+			continue;
+		if (!known)
+			known = known_new(raft, names[i]);
+		known->seed = true;
+	}
+	known_forget(raft);
+}
+
+/*
+ * wl_raft_member_names - add the names of all members, learners too
+ * @names: list of strings
+ */
+void wl_raft_member_names(const wl_raft_t *raft, wl_list_t *names)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		wl_str_t name = wl_buf_str(&wl_raft_member_at(&raft->members, i)->name);
+
+		if (!wl_strings_have(names, name))
+			wl_strings_add(names, name);
+	}
+}
+
+/*
+ * wl_raft_known_names - add the names of the replicas that may lead to the group
+ * @names: list of strings
+ */
+void wl_raft_known_names(const wl_raft_t *raft, wl_list_t *names)
+{
+	for (size_t i = 0; i < raft->known_count; i++)
+		if (!wl_strings_have(names, wl_buf_str(&raft->known[i].name)))
+			wl_strings_add(names, wl_buf_str(&raft->known[i].name));
+}
+
 static void members_propose(wl_raft_t *raft, uint64_t now_ns, wl_raft_members_t *members)
 {
 	wl_buf_t data = {0};
@@ -234,13 +323,52 @@
 	return answering + 1 > (wl_raft_voters(raft) + 1) / 2;
 }
 
+static bool is_lost(const wl_raft_t *raft, const wl_raft_peer_t *peer, uint64_t now_ns)
+{
+	return peer->id != raft->id && now_ns - peer->heard_ns >= raft->replace_ns;
+}
+
+/* A voter that has been silent for too long, or NULL. */
+static const wl_raft_member_t *lost_voter(const wl_raft_t *raft, uint64_t now_ns)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (wl_raft_member_at(&raft->members, i)->voter &&
+		    is_lost(raft, &raft->peers[i], now_ns))
+			return wl_raft_member_at(&raft->members, i);
+	return NULL;
+}
+
+static bool name_votes(const wl_raft_t *raft, wl_str_t name)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		const wl_raft_member_t *member = wl_raft_member_at(&raft->members, i);
+
+		if (member->voter && wl_str_equal(wl_buf_str(&member->name), name))
+			return true;
+	}
+	return false;
+}
+
+/* Whether one more may vote: there is a place, it replaces a namesake, or one has gone. */
+static bool voter_wanted(const wl_raft_t *raft, const wl_raft_member_t *learner, uint64_t now_ns)
+{
+	size_t voters = wl_raft_voters(raft);
+
+	if (raft->voters_most == 0 || voters < raft->voters_most)
+		return true;
+	if (name_votes(raft, wl_buf_str(&learner->name)))
+		return true;
+	return voters == raft->voters_most && lost_voter(raft, now_ns);
+}
+
 static bool promote_learner(wl_raft_t *raft, uint64_t now_ns)
 {
 	for (size_t i = 0; i < raft->members.members.count; i++) {
 		wl_raft_members_t members;
 
 		if (wl_raft_member_at(&raft->members, i)->voter ||
-		    !may_promote(raft, &raft->peers[i], now_ns))
+		    !may_promote(raft, &raft->peers[i], now_ns) ||
+		    !voter_wanted(raft, wl_raft_member_at(&raft->members, i), now_ns))
 			continue;
 		wl_record_copy(&wl_raft_members_schema, &members, &raft->members);
 		wl_raft_member_at(&members, i)->voter = true;
@@ -272,18 +400,53 @@
 	return false;
 }
 
+/* With one voter more than are wanted, a silent one leaves. */
+static bool remove_lost(wl_raft_t *raft, uint64_t now_ns)
+{
+	const wl_raft_member_t *lost = lost_voter(raft, now_ns);
+	wl_raft_members_t members;
+
+	if (raft->voters_most == 0 || wl_raft_voters(raft) <= raft->voters_most || !lost)
+		return false;
+	members_without(raft, (wl_str_t){0}, lost->id, &members);
+	members_propose(raft, now_ns, &members);
+	return true;
+}
+
+/* A learner that has gone for good would keep its place from the next newcomer. */
+static bool remove_lost_learner(wl_raft_t *raft, uint64_t now_ns)
+{
+	for (size_t i = 0; raft->voters_most && i < raft->members.members.count; i++) {
+		const wl_raft_member_t *member = wl_raft_member_at(&raft->members, i);
+		wl_raft_members_t members;
+
+		if (member->voter || !is_lost(raft, &raft->peers[i], now_ns))
+			continue;
+		members_without(raft, (wl_str_t){0}, member->id, &members);
+		members_propose(raft, now_ns, &members);
+		return true;
+	}
+	return false;
+}
+
 /* Whether every member of the name has been silent, so that the newcomer takes its place. */
 static bool name_is_lost(const wl_raft_t *raft, wl_str_t name, uint64_t now_ns)
 {
-	uint64_t silence_ns = REPLACE_SILENCE_ELECTIONS * raft->election_ns;
-
 	for (size_t i = 0; i < raft->members.members.count; i++)
 		if (wl_str_equal(wl_buf_str(&wl_raft_member_at(&raft->members, i)->name), name) &&
-		    now_ns - raft->peers[i].heard_ns < silence_ns)
+		    now_ns - raft->peers[i].heard_ns < raft->replace_ns)
 			return false;
 	return true;
 }
 
+/* A replica that was removed while it was away holds the group's log and may come back. */
+static bool may_enter(const wl_raft_t *raft, const wl_raft_known_t *known)
+{
+	if (raft->voters_most && raft->members.members.count >= MEMBERS_MOST)
+		return false;
+	return known->probe.blank || (raft->voters_most && known->probe.id);
+}
+
 static bool admit_newcomer(wl_raft_t *raft, uint64_t now_ns)
 {
 	uint64_t fresh_ns = KNOWN_FRESH_ELECTIONS * raft->election_ns;
@@ -291,7 +454,7 @@
 	for (size_t i = 0; i < raft->known_count; i++) {
 		wl_raft_known_t *known = &raft->known[i];
 
-		if (!known->probe.blank || !known->probe.heard_ns ||
+		if (!may_enter(raft, known) || !known->probe.heard_ns ||
 		    now_ns - known->probe.heard_ns > fresh_ns ||
 		    wl_raft_peer_find(raft, known->probe.id) ||
 		    wl_str_equal(wl_buf_str(&known->name), wl_buf_str(&raft->name)))
@@ -312,7 +475,8 @@
 	if (raft->role != WL_RAFT_LEADER || raft->hand_over_to || !raft->told_lead ||
 	    raft->members_index > raft->commit)
 		return;
-	if (remove_replaced(raft, now_ns))
+	if (remove_replaced(raft, now_ns) || remove_lost(raft, now_ns) ||
+	    remove_lost_learner(raft, now_ns))
 		return;
 	if (promote_learner(raft, now_ns))
 		return;
--- a/libwlcore/raft/raft.c
+++ b/libwlcore/raft/raft.c
@@ -18,6 +18,7 @@
 #define MAX_APPEND_BYTES_DEFAULT     (256UL * 1024)
 #define SNAPSHOT_PIECE_BYTES_DEFAULT (256UL * 1024)
 #define COMPACT_ENTRIES_DEFAULT	     10000
+#define REPLACE_MS_DEFAULT	     5000
 
 static uint64_t preset(uint64_t value, uint64_t otherwise)
 {
@@ -43,6 +44,15 @@
 	return true;
 }
 
+/* Where the settings name seeds only, the others never found a group. */
+static bool own_name_listed(const wl_raft_options_t *options)
+{
+	for (size_t i = 0; i < options->peer_count; i++)
+		if (wl_str_equal(options->peers[i], options->name))
+			return true;
+	return options->voters_most == 0;
+}
+
 static void options_take(wl_raft_t *raft, const wl_raft_options_t *options)
 {
 	raft->id = options->id;
@@ -53,10 +63,10 @@
 	raft->snapshot_piece_bytes =
 		preset(options->snapshot_piece_bytes, SNAPSHOT_PIECE_BYTES_DEFAULT);
 	raft->compact_entries = preset(options->compact_entries, COMPACT_ENTRIES_DEFAULT);
-	raft->known = wl_alloc(options->peer_count * sizeof(*raft->known));
-	for (size_t i = 0; i < options->peer_count; i++)
-		if (!wl_str_equal(options->peers[i], options->name))
-			wl_buf_set(&raft->known[raft->known_count++].name, options->peers[i]);
+	raft->voters_most = options->voters_most;
+	raft->replace_ns = preset(options->replace_ms, REPLACE_MS_DEFAULT) * WL_NS_PER_MS;
+	raft->may_found = !options->never_found && own_name_listed(options);
+	wl_raft_seeds_set(raft, options->peers, options->peer_count);
 }
 
 static void saved_take(wl_raft_t *raft, wl_raft_saved_t *saved, uint64_t now_ns)
--- a/libwlcore/raft/raft.h
+++ b/libwlcore/raft/raft.h
@@ -9,8 +9,15 @@
 typedef struct wl_raft_options {
 	uint64_t id;	       /* own store id */
 	wl_str_t name;	       /* own daemon name */
-	const wl_str_t *peers; /* names of all replicas in the settings, own one included */
+	const wl_str_t *peers; /* names of the replicas in the settings */
 	size_t peer_count;
+	/*
+	 * Zero: the settings name all replicas, own one included.  Else they name seeds, others
+	 * join by themselves, and so many of the members vote.
+	 */
+	uint64_t voters_most;
+	bool never_found;     /* a blank replica waits to be admitted to a group that exists */
+	uint64_t replace_ms;  /* silence after which a member may be replaced; 0: default */
 	uint64_t election_ms; /* least time without a leader before an election; 0: default */
 	uint64_t heartbeat_ms;
 	uint64_t max_append_bytes; /* of one append message */
@@ -110,6 +117,10 @@
 uint64_t wl_raft_group(const wl_raft_t *raft);
 uint64_t wl_raft_commit_index(const wl_raft_t *raft);
 wl_str_t wl_raft_leader_name(const wl_raft_t *raft);
+bool wl_raft_seeks(const wl_raft_t *raft, uint64_t now_ns);
+void wl_raft_known_names(const wl_raft_t *raft, wl_list_t *names);
+void wl_raft_member_names(const wl_raft_t *raft, wl_list_t *names);
+void wl_raft_seeds_set(wl_raft_t *raft, const wl_str_t *names, size_t count);
 void wl_raft_members_json(const wl_raft_t *raft, wl_buf_t *out);
 
 void wl_raft_out_init(wl_raft_out_t *out);
--- a/tests/support/raft_bus.cc
+++ b/tests/support/raft_bus.cc
@@ -131,8 +131,11 @@
 	wl_raft_saved_t saved;
 	wl_err_t err = {};
 
-	for (const auto &peer : names)
+	for (const auto &peer : seeds.empty() ? names : seeds)
 		peers.push_back(view(peer));
+	options.voters_most = voters_most;
+	options.never_found = never_found.count(name) > 0;
+	options.replace_ms = replace_ms;
 	options.id = it.disk->id;
 	options.name = view(name);
 	options.peers = peers.data();
--- a/tests/unit/daemon_settings_test.cc
+++ b/tests/unit/daemon_settings_test.cc
@@ -168,4 +168,82 @@
 	EXPECT_EQ(std::string(err.text).rfind("--peer-secret-file: ", 0), 0u) << err.text;
 	EXPECT_EQ(std::string(err.text).find("0123"), std::string::npos);
 }
+
+class SeedSettings : public Settings
+{
+      protected:
+	/* Reads a file of variables alone, as a platform renders it. */
+	bool read_file(const std::string &text)
+	{
+		file_write(path, text);
+		setenv("WISTERIALEAD_SETTINGS", path.c_str(), 1);
+		wl_settings_free(&settings);
+		settings = {};
+		err = {};
+		bool ok = wl_settings_read(1, argv, &settings, &err) &&
+			  wl_settings_check(&settings, &err);
+		unsetenv("WISTERIALEAD_SETTINGS");
+		return ok;
+	}
+
+	std::string word = "wisterialeadd";
+	char *argv[2] = {word.data(), nullptr};
+	std::string path = folder_make() + "/node.env";
+	std::string sound = "# rendered\nWISTERIALEAD_NAME=10.1.0.16\n"
+			    "WISTERIALEAD_AVAILABILITY_ZONE=a\n"
+			    "WISTERIALEAD_PEER_SECRET_FILE=secret\nWISTERIALEAD_ROLE=store\n"
+			    "WISTERIALEAD_DATA_DIR=/data\nWISTERIALEAD_FOUND_GROUP=no\n"
+			    "WISTERIALEAD_PEER_LISTEN=10.1.0.16:7720\n"
+			    "WISTERIALEAD_STORE_SEEDS=10.1.0.16:8166,10.2.0.32:8166\n";
+};
+
+TEST_F(SeedSettings, FileOfVariablesGivesSeeds)
+{
+	ASSERT_TRUE(read_file(sound)) << err.text;
+	EXPECT_EQ(settings.replica_port, 7720);
+	EXPECT_EQ(settings.store_count, 0u);
+	ASSERT_EQ(settings.seeds.count, 2u);
+	EXPECT_EQ(text(static_cast<wl_buf_t *>(settings.seeds.items)[1]), "10.2.0.32");
+}
+
+TEST_F(SeedSettings, EnvironmentGoesBeforeTheFile)
+{
+	setenv("WISTERIALEAD_AVAILABILITY_ZONE", "b", 1);
+	bool ok = read_file(sound);
+	unsetenv("WISTERIALEAD_AVAILABILITY_ZONE");
+	ASSERT_TRUE(ok) << err.text;
+	EXPECT_EQ(text(settings.availability_zone), "b");
+}
+
+TEST_F(SeedSettings, FaultsAreNamed)
+{
+	EXPECT_FALSE(read_file(sound + "nonsense\n"));
+	EXPECT_NE(std::string(err.text).find("line 10"), std::string::npos) << err.text;
+	EXPECT_FALSE(read_file(sound + "WISTERIALEAD_NAME=core-1\n"));
+	EXPECT_EQ(std::string(err.text).rfind("--name: ", 0), 0u) << err.text;
+	EXPECT_FALSE(read_file(sound + "WISTERIALEAD_STORE_SEEDS=nowhere\n"));
+	EXPECT_EQ(std::string(err.text).rfind("--store-seeds: ", 0), 0u) << err.text;
+	EXPECT_FALSE(read_file(sound + "WISTERIALEAD_STORE_PEERS=s1=127.0.0.1:1\n"));
+	EXPECT_EQ(std::string(err.text).rfind("--store-peers: ", 0), 0u) << err.text;
+	EXPECT_FALSE(read_file(sound + "WISTERIALEAD_VOTERS=0\n"));
+	EXPECT_EQ(std::string(err.text).rfind("--voters: ", 0), 0u) << err.text;
+}
+
+TEST_F(SeedSettings, RereadTellsWhatChanged)
+{
+	wl_settings_t fresh = {};
+	wl_buf_t names = {};
+
+	ASSERT_TRUE(read_file(sound)) << err.text;
+	file_write(path, sound + "WISTERIALEAD_STORE_SEEDS=10.3.0.1:8166\n"
+				 "WISTERIALEAD_VOTERS=3\n");
+	setenv("WISTERIALEAD_SETTINGS", path.c_str(), 1);
+	bool ok = wl_settings_reread(&settings, &fresh, &err);
+	unsetenv("WISTERIALEAD_SETTINGS");
+	ASSERT_TRUE(ok) << err.text;
+	wl_settings_changes(&settings, &fresh, &names);
+	EXPECT_EQ(text(names), "store-seeds,voters");
+	wl_buf_free(&names);
+	wl_settings_free(&fresh);
+}
 } // namespace
