--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -22,6 +22,8 @@
 
 #include "decide.h"
 
+#include <platform/platform.h>
+
 #include <libwlbase/units.h>
 
 #define OPEN_POLL_MS	  10   /* between two looks whether the last answers are out */
@@ -56,7 +58,7 @@
 {
 	struct timespec at;
 
-	clock_gettime(CLOCK_MONOTONIC, &at);
+	clock_gettime(CLOCK_BOOTTIME, &at);
 	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
@@ -164,12 +166,36 @@
 	return true;
 }
 
+static const wl_dialect_t *dialect_of(const wl_settings_t *settings)
+{
+	if (wl_str_equal(wl_buf_str(&settings->dialect), wl_str_from(wl_platform_dialect.name)))
+		return &wl_platform_dialect;
+	return NULL;
+}
+
+/* The same on every replica where they are found by seeds. */
+static uint16_t control_port(const wl_settings_t *settings)
+{
+	wl_str_t listen = wl_buf_str(&settings->control_listen);
+	uint64_t port = 0;
+	size_t at = listen.len;
+
+	if (!settings->store || settings->replica_port == 0)
+		return 0;
+	while (at > 0 && listen.at[at - 1] != ':')
+		at--;
+	wl_str_u64((wl_str_t){listen.at + at, listen.len - at}, &port);
+	return (uint16_t)port;
+}
+
 static bool node_open(wl_daemon_t *daemon, wl_err_t *err)
 {
 	wl_node_options_t options;
 
 	wl_settings_node(daemon->settings, &options);
 	options.boot = daemon->boot;
+	options.dialect = dialect_of(daemon->settings);
+	options.control_port = control_port(daemon->settings);
 	options.peer_address = wl_buf_str(&daemon->peer_address);
 	if (daemon->store) {
 		options.store_id = wl_store_id(daemon->store);
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -53,14 +53,20 @@
 	STAILQ_HEAD(, late_persist) late;
 };
 
-static uint64_t now_read(void)
+static uint64_t clock_read(clockid_t clock)
 {
 	struct timespec at;
 
-	clock_gettime(CLOCK_MONOTONIC, &at);
+	clock_gettime(clock, &at);
 	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
 }
 
+/* Counts the time for which the machine was suspended: leases do not wait for it. */
+static uint64_t now_read(void)
+{
+	return clock_read(CLOCK_BOOTTIME);
+}
+
 static wl_event_t *own_add(wl_decide_t *decide, wl_event_kind_t kind)
 {
 	own_event_t *own = wl_alloc(sizeof(*own));
@@ -282,6 +288,7 @@
 		decide_gauges(decide);
 	}
 	wl_event_init(&tick, WL_EVENT_TICK);
+	tick.wall_ms = clock_read(CLOCK_REALTIME) / WL_NS_PER_MS;
 	decide_step(decide, &tick);
 	decide_own(decide);
 }
--- a/libwlbase/err.c
+++ b/libwlbase/err.c
@@ -16,6 +16,7 @@
 	[WL_E_UNAUTHORIZED] = {"unauthorized", 401},
 	[WL_E_FORBIDDEN] = {"forbidden", 403},
 	[WL_E_NOT_FOUND] = {"not-found", 404},
+	[WL_E_GONE] = {"gone", 410},
 	[WL_E_CONFLICT] = {"conflict", 409},
 	[WL_E_OVER_PLAN] = {"over-plan", 429},
 	[WL_E_OVERLOADED] = {"overloaded", 503},
--- a/libwlbase/err.h
+++ b/libwlbase/err.h
@@ -18,6 +18,7 @@
 	WL_E_UNAUTHORIZED, /* token missing or wrong */
 	WL_E_FORBIDDEN,	   /* unknown customer, or the plan does not allow it */
 	WL_E_NOT_FOUND,
+	WL_E_GONE,	 /* it is not there, or not any more */
 	WL_E_CONFLICT,	 /* version or key differs; current version in the message */
 	WL_E_OVER_PLAN,	 /* over a limit of the customer's plan */
 	WL_E_OVERLOADED, /* no room now; try later */
--- a/libwlbase/record.c
+++ b/libwlbase/record.c
@@ -27,7 +27,8 @@
 {
 	if (field->max)
 		return field->max;
-	if (field->kind == WL_FIELD_U64)
+	if (field->kind == WL_FIELD_U64 || field->kind == WL_FIELD_MILLIS ||
+	    field->kind == WL_FIELD_BITS)
 		return UINT64_MAX;
 	return field->kind == WL_FIELD_BYTES ? UINT32_MAX : MAX_LIST_DEFAULT;
 }
@@ -67,7 +68,8 @@
 	{.name = "value", .kind = WL_FIELD_BYTES, .offset = 0},
 };
 
-const wl_schema_t wl_string_schema = {"string", sizeof(wl_buf_t), string_fields, 1};
+const wl_schema_t wl_string_schema = {
+	.name = "string", .size = sizeof(wl_buf_t), .fields = string_fields, .count = 1};
 
 /*
  * wl_strings_add - add a copy of a string to a list of strings
@@ -143,6 +145,8 @@
 		case WL_FIELD_U64:
 		case WL_FIELD_BOOL:
 		case WL_FIELD_ENUM:
+		case WL_FIELD_MILLIS:
+		case WL_FIELD_BITS:
 			break;
 		case WL_FIELD_BYTES:
 			wl_buf_free(field_at(record, field));
@@ -180,6 +184,8 @@
 		switch (field->kind) {
 		case WL_FIELD_U64:
 		case WL_FIELD_ENUM:
+		case WL_FIELD_MILLIS:
+		case WL_FIELD_BITS:
 			memcpy(field_at(to, field), source, sizeof(uint64_t));
 			break;
 		case WL_FIELD_BOOL:
@@ -221,6 +227,8 @@
 	switch (field->kind) {
 	case WL_FIELD_U64:
 	case WL_FIELD_ENUM:
+	case WL_FIELD_MILLIS:
+	case WL_FIELD_BITS:
 		msgpack_pack_uint64(packer, *(const uint64_t *)at);
 		break;
 	case WL_FIELD_BOOL:
@@ -312,6 +320,8 @@
 	switch (field->kind) {
 	case WL_FIELD_U64:
 	case WL_FIELD_ENUM:
+	case WL_FIELD_MILLIS:
+	case WL_FIELD_BITS:
 		return unpack_number(field, object, at, err);
 	case WL_FIELD_BOOL:
 		if (object->type != MSGPACK_OBJECT_BOOLEAN)
--- a/libwlbase/record.h
+++ b/libwlbase/record.h
@@ -21,6 +21,8 @@
 	WL_FIELD_RECORD,  /* a nested struct */
 	WL_FIELD_LIST,	  /* wl_list_t of structs */
 	WL_FIELD_STRINGS, /* wl_list_t of wl_buf_t */
+	WL_FIELD_MILLIS,  /* uint64_t, thousandths; a decimal number in JSON */
+	WL_FIELD_BITS,	  /* uint64_t; the numbers of the bits set in JSON, as a list */
 } wl_field_kind_t;
 
 struct wl_schema;
@@ -40,6 +42,8 @@
 	size_t size;
 	const wl_field_t *fields;
 	size_t count;
+	bool open; /* JSON: fields that are not known are passed over */
+	bool row;  /* JSON: an array of the fields in order; those at the end may be missing */
 } wl_schema_t;
 
 /* A growing array of structs of one schema; zero is an empty list. */
@@ -73,6 +77,31 @@
 		.name = #member, .kind = WL_FIELD_LIST, .offset = offsetof(type, member), \
 		.schema = (nested)                                                        \
 	}
+/* For a wire name that is not the member's. */
+#define WL_FIELD_AS(text, type, member, field_kind)                                    \
+	{                                                                              \
+		.name = (text), .kind = (field_kind), .offset = offsetof(type, member) \
+	}
+#define WL_FIELD_MUST_AS(text, type, member, field_kind, most)                          \
+	{                                                                               \
+		.name = (text), .kind = (field_kind), .offset = offsetof(type, member), \
+		.required = true, .max = (most)                                         \
+	}
+#define WL_FIELD_MANY_AS(text, type, member, nested)                                     \
+	{                                                                                \
+		.name = (text), .kind = WL_FIELD_LIST, .offset = offsetof(type, member), \
+		.schema = (nested)                                                       \
+	}
+#define WL_SCHEMA_OPEN(type, table)                                       \
+	{                                                                 \
+		.name = #type, .size = sizeof(type), .fields = (table),   \
+		.count = sizeof(table) / sizeof((table)[0]), .open = true \
+	}
+#define WL_SCHEMA_ROW(type, table)                                       \
+	{                                                                \
+		.name = #type, .size = sizeof(type), .fields = (table),  \
+		.count = sizeof(table) / sizeof((table)[0]), .row = true \
+	}
 #define WL_SCHEMA(type, table)                                          \
 	{                                                               \
 		.name = #type, .size = sizeof(type), .fields = (table), \
--- a/libwlbase/record_json.c
+++ b/libwlbase/record_json.c
@@ -9,7 +9,9 @@
 
 #include "record_internal.h"
 
-#define PATH_BYTES 128
+#define PATH_BYTES	128
+#define WHOLE_REAL_MOST 9007199254740992.0 /* 2^53: above it not every whole number has a double \
+					    */
 
 /* Where in the input the reader is; made a text only for a message: "plans[3].weight". */
 typedef struct path {
@@ -65,6 +67,25 @@
 	return array;
 }
 
+#define MILLIS 1000
+
+static json_t *json_of_millis(uint64_t millis)
+{
+	if (millis % MILLIS == 0)
+		return json_integer((json_int_t)(millis / MILLIS));
+	return json_real((double)millis / MILLIS);
+}
+
+static json_t *json_of_bits(uint64_t bits)
+{
+	json_t *array = json_array();
+
+	for (unsigned int bit = 0; bit < 64; bit++)
+		if (bits >> bit & 1)
+			json_array_append_new(array, json_integer(bit));
+	return array;
+}
+
 static json_t *json_of_field(const wl_field_t *field, const void *at, bool sparse)
 {
 	switch (field->kind) {
@@ -81,6 +102,10 @@
 	case WL_FIELD_LIST:
 	case WL_FIELD_STRINGS:
 		return json_of_list(field, at, sparse);
+	case WL_FIELD_MILLIS:
+		return json_of_millis(*(const uint64_t *)at);
+	case WL_FIELD_BITS:
+		return json_of_bits(*(const uint64_t *)at);
 	}
 	return json_null();
 }
@@ -91,6 +116,8 @@
 	switch (field->kind) {
 	case WL_FIELD_U64:
 	case WL_FIELD_ENUM:
+	case WL_FIELD_MILLIS:
+	case WL_FIELD_BITS:
 		return *(const uint64_t *)at == 0;
 	case WL_FIELD_BOOL:
 		return !*(const bool *)at;
@@ -105,9 +132,24 @@
 	return false;
 }
 
+static json_t *json_of_row(const wl_schema_t *schema, const void *record, bool sparse)
+{
+	json_t *row = json_array();
+
+	for (size_t i = 0; i < schema->count; i++)
+		json_array_append_new(
+			row, json_of_field(&schema->fields[i],
+					   wl_record_field(record, &schema->fields[i]), sparse));
+	return row;
+}
+
 static json_t *json_of(const wl_schema_t *schema, const void *record, bool sparse)
 {
-	json_t *object = json_object();
+	json_t *object;
+
+	if (schema->row)
+		return json_of_row(schema, record, sparse);
+	object = json_object();
 
 	for (size_t i = 0; i < schema->count; i++) {
 		const wl_field_t *field = &schema->fields[i];
@@ -175,12 +217,46 @@
 static bool read_number(const wl_field_t *field, const json_t *json, const path_t *path,
 			uint64_t *to, wl_err_t *err)
 {
-	if (!json_is_integer(json) || json_integer_value(json) < 0)
+	double real = json_is_real(json) ? json_real_value(json) : 0;
+	json_int_t number = json_is_real(json) ? (json_int_t)real : json_integer_value(json);
+
+	/* "250.0" is whole too; the bound keeps the conversion defined. */
+	if (!json_is_number(json) || real < 0 || real > WHOLE_REAL_MOST || number < 0 ||
+	    (json_is_real(json) && (double)number != real))
 		return wrong(path, "a whole number, not negative", err);
-	if ((uint64_t)json_integer_value(json) > wl_field_most(field))
+	if ((uint64_t)number > wl_field_most(field))
 		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: more than %llu",
 				  path_text(path).at, (unsigned long long)wl_field_most(field));
-	*to = (uint64_t)json_integer_value(json);
+	*to = (uint64_t)number;
+	return true;
+}
+
+static bool read_millis(const wl_field_t *field, const json_t *json, const path_t *path,
+			uint64_t *to, wl_err_t *err)
+{
+	double number = json_number_value(json);
+
+	if (!json_is_number(json) || number < 0)
+		return wrong(path, "a number, not negative", err);
+	if (number * MILLIS > (double)(field->max ? field->max : INT64_MAX / 2))
+		return wrong(path, "a smaller number", err);
+	*to = (uint64_t)(number * MILLIS + 0.5);
+	return true;
+}
+
+static bool read_bits(const json_t *json, const path_t *path, uint64_t *to, wl_err_t *err)
+{
+	*to = 0;
+	if (!json_is_array(json))
+		return wrong(path, "a list", err);
+	for (size_t i = 0; i < json_array_size(json); i++) {
+		const json_t *item = json_array_get(json, i);
+
+		if (!json_is_integer(item) || json_integer_value(item) < 0 ||
+		    json_integer_value(item) > 63)
+			return wrong(path, "a list of whole numbers from 0 to 63", err);
+		*to |= UINT64_C(1) << json_integer_value(item);
+	}
 	return true;
 }
 
@@ -248,6 +324,10 @@
 	case WL_FIELD_LIST:
 	case WL_FIELD_STRINGS:
 		return read_list(field, json, path, to, err);
+	case WL_FIELD_MILLIS:
+		return read_millis(field, json, path, to, err);
+	case WL_FIELD_BITS:
+		return read_bits(json, path, to, err);
 	}
 	return wrong(path, "of a known kind", err);
 }
@@ -274,12 +354,33 @@
 	return true;
 }
 
+static bool read_row(const wl_schema_t *schema, const json_t *json, const path_t *path,
+		     void *record, wl_err_t *err)
+{
+	if (!json_is_array(json))
+		return wrong(path, "a list", err);
+	for (size_t i = 0; i < schema->count; i++) {
+		const wl_field_t *field = &schema->fields[i];
+		const json_t *value = json_array_get(json, i);
+		path_t at = {path, field->name, 0};
+
+		if (!value && field->required)
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: missing",
+					  path_text(&at).at);
+		if (value && !read_field(field, value, &at, (char *)record + field->offset, err))
+			return false;
+	}
+	return true;
+}
+
 static bool read_object(const wl_schema_t *schema, const json_t *json, const path_t *path,
 			void *record, wl_err_t *err)
 {
+	if (schema->row)
+		return read_row(schema, json, path, record, err);
 	if (!json_is_object(json))
 		return wrong(path, "an object", err);
-	if (!known_keys(schema, json, path, err))
+	if (!schema->open && !known_keys(schema, json, path, err))
 		return false;
 	for (size_t i = 0; i < schema->count; i++) {
 		const wl_field_t *field = &schema->fields[i];
@@ -297,7 +398,7 @@
 
 /*
  * wl_record_from_json - read a struct's JSON form
- * @text: one JSON object; unknown and missing fields are errors
+ * @text: one JSON object; missing fields are errors, unknown ones too unless the schema is open
  * @record: overwritten without release; empty after a failure
  * @err: WL_E_BAD_INPUT, naming the field
  */
--- /dev/null
+++ b/libwlcore/gate/gate.c
@@ -0,0 +1,249 @@
+/*
+ * HTTP calls in a dialect.
+ *
+ * The leader holds the configuration and the jobs, so that a call is carried
+ * to it and no daemon can answer from something older.  Commands are
+ * idempotent: they go to the next leader when one is lost, until the caller's
+ * time is over.
+ */
+
+#include "gate.h"
+
+#include <stdlib.h>
+
+#include <libwlbase/units.h>
+
+#define CALLER_MS  3000 /* where a caller does not say how long it waits */
+#define CONTROL_MS 900	/* operators and targets turn to the next daemon after a second */
+#define MARGIN_MS  100	/* for the way of the answer */
+
+typedef struct wl_gate_wait {
+	wl_str_t key; /* over id */
+	uint64_t id;  /* WL_PART_ID() of the call to the leader */
+	uint64_t call;
+	wl_operation_kind_t kind;
+	TAILQ_ENTRY(wl_gate_wait) link;
+} wl_gate_wait_t;
+
+struct wl_gate {
+	wl_gate_options_t options;
+	uint64_t next_id;
+	bool draining;
+	wl_map_t by_id;
+	TAILQ_HEAD(wl_gate_waits, wl_gate_wait) waits;
+};
+
+/*
+ * wl_gate_new - make the part
+ * @options: what it points to must outlive it
+ */
+wl_gate_t *wl_gate_new(const wl_gate_options_t *options)
+{
+	wl_gate_t *gate = wl_alloc(sizeof(*gate));
+
+	gate->options = *options;
+	gate->next_id = 1;
+	wl_map_init(&gate->by_id);
+	TAILQ_INIT(&gate->waits);
+	return gate;
+}
+
+static void wait_end(wl_gate_t *gate, wl_gate_wait_t *wait)
+{
+	wl_map_remove(&gate->by_id, wait->key);
+	TAILQ_REMOVE(&gate->waits, wait, link);
+	free(wait);
+}
+
+/*
+ * wl_gate_free - release the part; calls that wait get no answer
+ */
+void wl_gate_free(wl_gate_t *gate)
+{
+	if (!gate)
+		return;
+	while (!TAILQ_EMPTY(&gate->waits))
+		wait_end(gate, TAILQ_FIRST(&gate->waits));
+	wl_map_free(&gate->by_id);
+	free(gate);
+}
+
+static void reply(wl_gate_t *gate, wl_operation_kind_t kind, uint64_t call,
+		  const wl_result_t *result, wl_out_t *out)
+{
+	wl_buf_t control = {0};
+
+	if (result->leader.len && gate->options.control_port)
+		wl_buf_printf(&control, "%s:%u", result->leader.at, gate->options.control_port);
+	gate->options.dialect->reply_write(kind, result, wl_buf_str(&control),
+					   wl_out_reply(out, call, 0));
+	wl_buf_free(&control);
+}
+
+static void reply_code(wl_gate_t *gate, wl_operation_kind_t kind, uint64_t call, wl_code_t code,
+		       wl_out_t *out)
+{
+	wl_result_t result = {.code = code, .verdict = code == WL_OK ? WL_RAN : WL_NOT_RUN};
+
+	reply(gate, kind, call, &result, out);
+}
+
+static void reply_ready(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call, wl_out_t *out)
+{
+	bool ready = !gate->draining &&
+		     (!gate->options.entry || wl_session_valid(gate->options.session, now_ns));
+
+	reply_code(gate, WL_OPERATION_READY, call->id, ready ? WL_OK : WL_E_NO_SESSION, out);
+}
+
+static uint64_t wait_add(wl_gate_t *gate, const wl_call_t *call, wl_operation_kind_t kind)
+{
+	wl_gate_wait_t *wait = wl_alloc(sizeof(*wait));
+
+	wait->id = WL_PART_ID(WL_PART_GATE, gate->next_id++);
+	wait->key = (wl_str_t){(const char *)&wait->id, sizeof(wait->id)};
+	wait->call = call->id;
+	wait->kind = kind;
+	wl_map_put(&gate->by_id, wait);
+	TAILQ_INSERT_TAIL(&gate->waits, wait, link);
+	return wait->id;
+}
+
+static uint64_t deadline_ns(const wl_call_t *call, const wl_operation_t *operation, uint64_t now_ns)
+{
+	uint64_t ms = call->listener == WL_LISTENER_CALLER ? CALLER_MS : CONTROL_MS;
+
+	if (operation->timeout_ms)
+		ms = operation->timeout_ms;
+	if (ms > MARGIN_MS)
+		ms -= MARGIN_MS;
+	return now_ns + ms * WL_NS_PER_MS;
+}
+
+/* The command of an operation, which it moves from; false: the operation is a read. */
+static bool command_make(wl_operation_t *operation, wl_cmd_t *cmd)
+{
+	switch (operation->kind) {
+	case WL_OPERATION_JOB_ADD:
+		cmd->kind = WL_CMD_JOB_ADD;
+		wl_buf_move(&cmd->u.job_add.host, &operation->host);
+		wl_buf_move(&cmd->u.job_add.path, &operation->path);
+		cmd->u.job_add.spec = operation->spec;
+		operation->spec = (wl_job_spec_t){0};
+		return true;
+	case WL_OPERATION_JOB_CANCEL:
+		cmd->kind = WL_CMD_JOB_CANCEL;
+		wl_buf_move(&cmd->u.job_cancel.host, &operation->host);
+		wl_buf_move(&cmd->u.job_cancel.path, &operation->path);
+		return true;
+	case WL_OPERATION_CATALOG_PUT:
+		cmd->kind = WL_CMD_CATALOG_PUT;
+		cmd->u.catalog_put.catalog = operation->catalog;
+		operation->catalog = (wl_catalog_t){0};
+		wl_buf_move(&cmd->u.catalog_put.text, &operation->text);
+		return true;
+	case WL_OPERATION_RUNNER_REPORT:
+		cmd->kind = WL_CMD_RUNNER_PUT;
+		cmd->u.runner_put = operation->report;
+		operation->report = (wl_runner_report_t){0};
+		return true;
+	case WL_OPERATION_NONE:
+	case WL_OPERATION_READY:
+	case WL_OPERATION_JOB_GET:
+	case WL_OPERATION_CATALOG_GET:
+		break;
+	}
+	return false;
+}
+
+static void operation_carry(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
+			    wl_operation_t *operation, wl_out_t *out)
+{
+	uint64_t until_ns = deadline_ns(call, operation, now_ns);
+	uint64_t id = wait_add(gate, call, operation->kind);
+	wl_msg_query_t *query;
+	wl_cmd_t cmd = {0};
+
+	if (command_make(operation, &cmd)) {
+		wl_out_leader_command(out, id, &cmd, until_ns);
+		wl_cmd_free(&cmd);
+		return;
+	}
+	query = wl_out_leader_query(
+		out, id, operation->kind == WL_OPERATION_JOB_GET ? WL_QUERY_JOB : WL_QUERY_CATALOG,
+		until_ns);
+	wl_buf_move(&query->customer, &operation->host);
+	wl_buf_move(&query->name, &operation->path);
+}
+
+static void call_wrong(wl_gate_t *gate, const wl_call_t *call, wl_operation_kind_t kind,
+		       const wl_err_t *err, wl_out_t *out)
+{
+	wl_buf_t path = {0};
+
+	wl_log_quote(&path, wl_buf_str(&call->path));
+	wl_metrics_add(gate->options.metrics, "wisterialead_gate_bad_calls_total", "", 1);
+	wl_out_log(out, WL_WARN, "call-bad", "path=%s reason=\"%s\"", path.at, err->text);
+	wl_buf_free(&path);
+	reply_code(gate, kind, call->id, err->code, out);
+}
+
+static void gate_call(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call, wl_out_t *out)
+{
+	wl_operation_t operation = {0};
+	wl_err_t err = {0};
+
+	if (!gate->options.dialect->call_read(call, &operation, &err))
+		call_wrong(gate, call, operation.kind, &err, out);
+	else if (operation.kind == WL_OPERATION_NONE)
+		reply_code(gate, operation.kind, call->id, WL_E_NOT_FOUND, out);
+	else if (operation.kind == WL_OPERATION_READY)
+		reply_ready(gate, now_ns, call, out);
+	else
+		operation_carry(gate, now_ns, call, &operation, out);
+	wl_operation_free(&operation);
+}
+
+static void gate_result(wl_gate_t *gate, uint64_t id, const wl_result_t *result, wl_out_t *out)
+{
+	wl_gate_wait_t *wait = wl_map_get(&gate->by_id, (wl_str_t){(const char *)&id, sizeof(id)});
+
+	if (!wait)
+		return;
+	if (result->code != WL_OK && result->code != WL_E_GONE)
+		wl_out_log(out, WL_INFO, "call-refused",
+			   "operation=%d code=%s verdict=%s reason=\"" WL_STR_FMT "\"", wait->kind,
+			   wl_code_name((wl_code_t)result->code),
+			   wl_verdict_name((wl_verdict_t)result->verdict),
+			   WL_STR_ARG(wl_buf_str(&result->text)));
+	reply(gate, wait->kind, wait->call, result, out);
+	wait_end(gate, wait);
+}
+
+/*
+ * wl_gate_step - let an event happen
+ * @event: CALL, RESULT of a call with WL_PART_GATE
+ */
+void wl_gate_step(wl_gate_t *gate, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind == WL_EVENT_CALL)
+		gate_call(gate, now_ns, &event->call, out);
+	else if (event->kind == WL_EVENT_RESULT)
+		gate_result(gate, event->tag, event->result, out);
+}
+
+/*
+ * wl_gate_drain - answer not ready; calls are served as long as they come
+ */
+void wl_gate_drain(wl_gate_t *gate)
+{
+	gate->draining = true;
+}
+
+/*
+ * wl_gate_open - how many calls wait for the leader
+ */
+size_t wl_gate_open(const wl_gate_t *gate)
+{
+	return wl_map_count(&gate->by_id);
+}
--- /dev/null
+++ b/libwlcore/job/internal.h
@@ -0,0 +1,30 @@
+#ifndef WL_JOB_INTERNAL_H
+#define WL_JOB_INTERNAL_H
+
+#include "jobs.h"
+
+/* Shared by the files of the replicated state of jobs only. */
+
+extern const wl_schema_t wl_job_task_row_schema;
+
+/* jobs.c */
+void wl_jobs_add(wl_jobs_t *jobs, const wl_cmd_job_add_t *cmd, uint64_t clock_ms,
+		 wl_result_t *result);
+void wl_jobs_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
+		    wl_result_t *result);
+void wl_job_end(wl_jobs_t *jobs, wl_job_t *job, wl_job_state_t state, uint64_t clock_ms);
+
+/* runs.c */
+void wl_task_done(wl_job_t *job, uint64_t task);
+void wl_run_remove(wl_jobs_t *jobs, wl_run_t *run);
+void wl_jobs_runs_start(wl_jobs_t *jobs, const wl_cmd_runs_start_t *cmd, wl_result_t *result);
+void wl_jobs_runs_end(wl_jobs_t *jobs, const wl_cmd_runs_end_t *cmd, uint64_t clock_ms,
+		      wl_result_t *result);
+
+/* runners.c */
+void wl_runner_drop(wl_jobs_t *jobs, wl_runner_t *runner);
+void wl_runners_expire(wl_jobs_t *jobs, uint64_t clock_ms);
+void wl_jobs_runner_put(wl_jobs_t *jobs, const wl_runner_report_t *report, uint64_t clock_ms,
+			wl_result_t *result);
+
+#endif
--- /dev/null
+++ b/libwlcore/job/jobs.c
@@ -0,0 +1,382 @@
+/* The replicated state of jobs: finding, adding, cancelling and ending jobs. */
+
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_ATTEMPTS_DEFAULT 3 /* where the queue names none */
+#define ID_BYTES_MOST	     128
+
+/*
+ * wl_jobs_init - make an empty state
+ * @keep_ms: how long an ended job is kept
+ */
+void wl_jobs_init(wl_jobs_t *jobs, uint64_t keep_ms)
+{
+	memset(jobs, 0, sizeof(*jobs));
+	jobs->keep_ms = keep_ms;
+	wl_map_init(&jobs->by_id);
+	TAILQ_INIT(&jobs->live);
+	TAILQ_INIT(&jobs->ended);
+	wl_map_init(&jobs->by_runner);
+	TAILQ_INIT(&jobs->runners);
+}
+
+static void job_free(wl_job_t *job)
+{
+	for (uint64_t i = 0; i < job->task_count; i++)
+		wl_buf_free(&job->tasks[i].checkpoint);
+	wl_record_free(&wl_job_record_schema, &job->record);
+	free(job->tasks);
+	free(job->step_first);
+	free(job->step_left);
+	free(job);
+}
+
+static void job_drop(wl_jobs_t *jobs, struct wl_job_list *list, wl_job_t *job)
+{
+	for (uint64_t i = 0; i < job->task_count; i++)
+		while (!TAILQ_EMPTY(&job->tasks[i].runs))
+			wl_run_remove(jobs, TAILQ_FIRST(&job->tasks[i].runs));
+	wl_map_remove(&jobs->by_id, job->key);
+	TAILQ_REMOVE(list, job, link);
+	job_free(job);
+}
+
+/*
+ * wl_jobs_clear - release everything; the state is to be initialized again before use
+ */
+void wl_jobs_clear(wl_jobs_t *jobs)
+{
+	wl_runner_t *runner;
+
+	while (!TAILQ_EMPTY(&jobs->live))
+		job_drop(jobs, &jobs->live, TAILQ_FIRST(&jobs->live));
+	while (!TAILQ_EMPTY(&jobs->ended))
+		job_drop(jobs, &jobs->ended, TAILQ_FIRST(&jobs->ended));
+	while ((runner = TAILQ_FIRST(&jobs->runners)))
+		wl_runner_drop(jobs, runner);
+	wl_map_free(&jobs->by_id);
+	wl_map_free(&jobs->by_runner);
+	wl_record_free(&wl_catalog_schema, &jobs->catalog);
+	wl_buf_free(&jobs->catalog_text);
+}
+
+/*
+ * wl_jobs_find - a job by id, or NULL
+ */
+wl_job_t *wl_jobs_find(const wl_jobs_t *jobs, wl_str_t id)
+{
+	return wl_map_get(&jobs->by_id, id);
+}
+
+/*
+ * wl_job_step - a step's description
+ */
+const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step)
+{
+	return (const wl_step_spec_t *)job->record.spec.steps.items + step;
+}
+
+/*
+ * wl_job_place - occurrence, step and index of a task
+ * @ref: its job stays as it is
+ */
+void wl_job_place(const wl_job_t *job, uint64_t task, wl_task_ref_t *ref)
+{
+	uint64_t each = job->step_first[job->record.spec.steps.count];
+	uint64_t within = task % each;
+	uint64_t step = 0;
+
+	while (job->step_first[step + 1] <= within)
+		step++;
+	ref->occurrence = task / each;
+	ref->step = step;
+	ref->index = within - job->step_first[step];
+}
+
+/*
+ * wl_job_task_at - the place of a task among all of the job's
+ *
+ * Return: false if the job has no such task.
+ */
+bool wl_job_task_at(const wl_job_t *job, const wl_task_ref_t *ref, uint64_t *task)
+{
+	size_t steps = job->record.spec.steps.count;
+
+	if (ref->occurrence >= job->occurrences || ref->step >= steps ||
+	    ref->index >= wl_job_step(job, ref->step)->count)
+		return false;
+	*task = ref->occurrence * job->step_first[steps] + job->step_first[ref->step] + ref->index;
+	return true;
+}
+
+/*
+ * wl_job_step_left - count of a step's tasks that are not done
+ */
+uint64_t *wl_job_step_left(const wl_job_t *job, uint64_t occurrence, uint64_t step)
+{
+	return &job->step_left[occurrence * job->record.spec.steps.count + step];
+}
+
+/*
+ * wl_job_step_open - are all steps done that a step depends on
+ */
+bool wl_job_step_open(const wl_job_t *job, uint64_t occurrence, uint64_t step)
+{
+	uint64_t after = wl_job_step(job, step)->after;
+
+	for (uint64_t i = 0; i < step; i++)
+		if ((after >> i & 1) && *wl_job_step_left(job, occurrence, i) > 0)
+			return false;
+	return true;
+}
+
+/*
+ * wl_job_due_ms - when an occurrence may begin, Unix ms; 0: at once
+ */
+uint64_t wl_job_due_ms(const wl_job_t *job, uint64_t occurrence)
+{
+	const wl_job_spec_t *spec = &job->record.spec;
+
+	return spec->repeat ? spec->first_ms + occurrence * spec->every_ms : 0;
+}
+
+/*
+ * wl_job_ended - has it completed, failed or been cancelled
+ */
+bool wl_job_ended(const wl_job_t *job)
+{
+	return job->record.state >= WL_JOB_COMPLETED;
+}
+
+/*
+ * wl_jobs_pending - accepted jobs of a queue that have no times and no task of which has started
+ */
+uint64_t wl_jobs_pending(const wl_jobs_t *jobs, wl_str_t queue)
+{
+	const wl_job_t *job;
+	uint64_t pending = 0;
+
+	TAILQ_FOREACH (job, &jobs->live, link)
+		pending += job->record.state == WL_JOB_QUEUED && job->record.spec.repeat == 0 &&
+			   wl_str_equal(wl_buf_str(&job->record.queue), queue);
+	return pending;
+}
+
+/* What follows the queue's prefix. */
+static wl_str_t path_id(const wl_queue_t *queue, wl_str_t path)
+{
+	return (wl_str_t){path.at + queue->path_prefix.len, path.len - queue->path_prefix.len};
+}
+
+/*
+ * wl_jobs_by_path - the queue and the job that a call names
+ * @queue: NULL if no queue has this host and path
+ *
+ * Return: the job, or NULL.
+ */
+wl_job_t *wl_jobs_by_path(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path,
+			  const wl_queue_t **queue)
+{
+	wl_job_t *job;
+
+	*queue = wl_catalog_route(&jobs->catalog, host, path);
+	if (!*queue)
+		return NULL;
+	job = wl_jobs_find(jobs, path_id(*queue, path));
+	if (!job || !wl_str_equal(wl_buf_str(&job->record.queue), wl_buf_str(&(*queue)->name)))
+		return NULL;
+	return job;
+}
+
+/* Works out what follows from the record: places, counts, empty tasks. */
+static void job_lay_out(wl_job_t *job)
+{
+	const wl_job_spec_t *spec = &job->record.spec;
+	size_t steps = spec->steps.count;
+
+	job->key = wl_buf_str(&job->record.id);
+	job->occurrences = spec->repeat ? spec->repeat : 1;
+	job->step_first = wl_alloc((steps + 1) * sizeof(*job->step_first));
+	job->step_first[0] = 0;
+	for (size_t i = 0; i < steps; i++)
+		job->step_first[i + 1] = job->step_first[i] + wl_job_step(job, i)->count;
+	job->task_count = job->occurrences * job->step_first[steps];
+	job->left = job->task_count;
+	job->tasks = wl_alloc(job->task_count * sizeof(*job->tasks));
+	for (uint64_t i = 0; i < job->task_count; i++)
+		TAILQ_INIT(&job->tasks[i].runs);
+	job->step_left = wl_alloc(job->occurrences * steps * sizeof(*job->step_left));
+	for (uint64_t k = 0; k < job->occurrences; k++)
+		for (size_t i = 0; i < steps; i++)
+			*wl_job_step_left(job, k, i) = wl_job_step(job, i)->count;
+}
+
+static wl_job_t *job_insert(wl_jobs_t *jobs, wl_job_record_t *record)
+{
+	wl_job_t *job = wl_alloc(sizeof(*job));
+
+	job->record = *record;
+	memset(record, 0, sizeof(*record));
+	job_lay_out(job);
+	wl_map_put(&jobs->by_id, job);
+	TAILQ_INSERT_TAIL(job->record.ended_ms ? &jobs->ended : &jobs->live, job, link);
+	return job;
+}
+
+static void job_add(wl_jobs_t *jobs, const wl_cmd_job_add_t *cmd, const wl_queue_t *queue,
+		    uint64_t clock_ms)
+{
+	wl_job_record_t record = {
+		.accepted_ms = clock_ms,
+		.priority = queue->priority,
+		.max_attempts = queue->max_attempts ? queue->max_attempts : MAX_ATTEMPTS_DEFAULT,
+		.target_latency_ms = queue->target_latency_ms,
+		.slack_millis = queue->slack_millis,
+	};
+
+	wl_buf_set(&record.id, path_id(queue, wl_buf_str(&cmd->path)));
+	wl_buf_set(&record.queue, wl_buf_str(&queue->name));
+	wl_buf_set(&record.service, wl_buf_str(&queue->service));
+	wl_record_copy(&wl_job_spec_schema, &record.spec, &cmd->spec);
+	job_insert(jobs, &record);
+}
+
+static bool id_valid(wl_str_t id)
+{
+	return id.len > 0 && id.len <= ID_BYTES_MOST && !memchr(id.at, '/', id.len);
+}
+
+void wl_jobs_add(wl_jobs_t *jobs, const wl_cmd_job_add_t *cmd, uint64_t clock_ms,
+		 wl_result_t *result)
+{
+	wl_str_t path = wl_buf_str(&cmd->path);
+	const wl_queue_t *queue;
+	wl_job_t *job;
+	wl_err_t err;
+
+	if (!jobs->configured) {
+		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+		return;
+	}
+	job = wl_jobs_by_path(jobs, wl_buf_str(&cmd->host), path, &queue);
+	if (job) {
+		wl_result_ok(result, 0);
+		return;
+	}
+	if (!queue) {
+		wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
+		return;
+	}
+	if (!id_valid(path_id(queue, path)) || wl_jobs_find(jobs, path_id(queue, path))) {
+		wl_result_fail(result, WL_E_BAD_INPUT,
+			       "id is not valid, or of another queue's job");
+		return;
+	}
+	if (!wl_job_spec_check(&cmd->spec, &err)) {
+		wl_result_fail(result, err.code, "%s", err.text);
+		return;
+	}
+	job_add(jobs, cmd, queue, clock_ms);
+	wl_result_ok(result, 0);
+}
+
+void wl_job_end(wl_jobs_t *jobs, wl_job_t *job, wl_job_state_t state, uint64_t clock_ms)
+{
+	job->record.state = state;
+	job->record.ended_ms = clock_ms ? clock_ms : 1;
+	TAILQ_REMOVE(&jobs->live, job, link);
+	TAILQ_INSERT_TAIL(&jobs->ended, job, link);
+}
+
+void wl_jobs_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
+		    wl_result_t *result)
+{
+	const wl_queue_t *queue;
+	wl_job_t *job =
+		wl_jobs_by_path(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path), &queue);
+
+	if (!jobs->configured) {
+		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+		return;
+	}
+	if (!job) {
+		wl_result_fail(result, queue ? WL_E_GONE : WL_E_NOT_FOUND, "no such %s",
+			       queue ? "job" : "queue");
+		return;
+	}
+	if (!wl_job_ended(job))
+		wl_job_end(jobs, job, WL_JOB_CANCELLED, clock_ms);
+	wl_result_ok(result, 0);
+}
+
+/*
+ * wl_jobs_expire - forget jobs that ended long ago, and runners that left
+ */
+void wl_jobs_expire(wl_jobs_t *jobs, uint64_t clock_ms)
+{
+	wl_job_t *job = TAILQ_FIRST(&jobs->ended);
+
+	while (job && clock_ms - job->record.ended_ms > jobs->keep_ms) {
+		wl_job_t *next = TAILQ_NEXT(job, link);
+
+		/* One whose last run is not known to have ended stays in the way of a reuse of its
+		 * id. */
+		if (job->active == 0)
+			job_drop(jobs, &jobs->ended, job);
+		job = next;
+	}
+	wl_runners_expire(jobs, clock_ms);
+}
+
+/*
+ * wl_job_rows_fill - put the tasks of a job into the record for a snapshot
+ * @record: a copy whose tasks are empty
+ */
+void wl_job_rows_fill(const wl_job_t *job, wl_job_record_t *record)
+{
+	for (uint64_t i = 0; i < job->task_count; i++) {
+		wl_job_task_row_t *row = wl_list_add(&wl_job_task_row_schema, &record->tasks);
+
+		row->run = job->tasks[i].run;
+		row->failures = job->tasks[i].failures;
+		row->failed_run = job->tasks[i].failed_run;
+		row->done = job->tasks[i].done;
+		wl_buf_set(&row->checkpoint, wl_buf_str(&job->tasks[i].checkpoint));
+	}
+}
+
+static void task_restore(wl_job_t *job, uint64_t task, wl_job_task_row_t *row)
+{
+	wl_job_task_t *to = &job->tasks[task];
+
+	to->run = row->run;
+	to->failures = row->failures;
+	to->failed_run = row->failed_run;
+	wl_buf_move(&to->checkpoint, &row->checkpoint);
+	if (row->done)
+		wl_task_done(job, task);
+}
+
+/*
+ * wl_jobs_restore - add a job of a snapshot
+ * @record: moved from
+ *
+ * Return: the job, or NULL if its tasks are not as many as its steps say.
+ */
+wl_job_t *wl_jobs_restore(wl_jobs_t *jobs, wl_job_record_t *record)
+{
+	wl_list_t rows = record->tasks;
+	wl_job_t *job;
+	bool whole;
+
+	record->tasks = (wl_list_t){0};
+	job = job_insert(jobs, record);
+	whole = rows.count == job->task_count;
+	for (uint64_t i = 0; whole && i < job->task_count; i++)
+		task_restore(job, i, (wl_job_task_row_t *)rows.items + i);
+	wl_list_free(&wl_job_task_row_schema, &rows);
+	return whole ? job : NULL;
+}
--- /dev/null
+++ b/libwlcore/job/jobs.h
@@ -0,0 +1,146 @@
+#ifndef WL_JOBS_H
+#define WL_JOBS_H
+
+#include <sys/queue.h>
+
+#include <libwlbase/map.h>
+#include <libwlcore/model/cmd.h>
+
+/*
+ * The replicated state of jobs: the configuration, the targets that run
+ * tasks, jobs and their runs.  Only commands change it.
+ */
+
+struct wl_job;
+struct wl_runner;
+
+/* A start of a task that has not ended, as far as is committed. */
+typedef struct wl_run {
+	struct wl_job *job;
+	uint64_t task;
+	uint64_t number;
+	struct wl_runner *runner;
+	uint64_t life; /* of the runner */
+	void *note;    /* the leader's */
+	TAILQ_ENTRY(wl_run) of_task;
+	TAILQ_ENTRY(wl_run) of_runner;
+} wl_run_t;
+
+TAILQ_HEAD(wl_run_list, wl_run);
+
+typedef struct wl_job_task {
+	uint64_t run; /* number of its newest run; 0: none yet */
+	uint64_t failures;
+	uint64_t failed_run; /* newest run that counted as a failure */
+	bool done;
+	wl_buf_t checkpoint;
+	struct wl_run_list runs; /* more than one only for copies */
+} wl_job_task_t;
+
+/* What is committed of a job and stands in snapshots; tasks beside it. */
+typedef struct wl_job_record {
+	wl_buf_t id;
+	wl_buf_t queue;
+	wl_job_spec_t spec;
+	uint64_t accepted_ms;
+	uint64_t ended_ms; /* 0: it has not */
+	uint64_t state;	   /* wl_job_state_t */
+	/* of the queue, as it was when the job came */
+	wl_buf_t service;
+	uint64_t priority;
+	uint64_t max_attempts;
+	uint64_t target_latency_ms;
+	uint64_t slack_millis;
+	wl_list_t tasks; /* wl_job_task_row_t, in snapshots only */
+} wl_job_record_t;
+
+typedef struct wl_job {
+	wl_str_t key; /* its id */
+	wl_job_record_t record;
+	wl_job_task_t *tasks;
+	uint64_t task_count;
+	uint64_t *step_first; /* place of each step's first task in an occurrence; one more at the
+				 end */
+	uint64_t *step_left;  /* tasks not done, by occurrence and step */
+	uint64_t occurrences;
+	uint64_t left;	 /* tasks not done */
+	uint64_t active; /* runs */
+	void *note;	 /* the leader's */
+	TAILQ_ENTRY(wl_job) link;
+} wl_job_t;
+
+TAILQ_HEAD(wl_job_list, wl_job);
+
+/* A target that runs tasks of jobs. */
+typedef struct wl_runner {
+	wl_str_t key;		   /* its id */
+	wl_runner_report_t report; /* newest that was committed */
+	uint64_t left_ms;	   /* when it left; 0: it has not */
+	struct wl_run_list runs;
+	uint64_t run_count;
+	void *note; /* the leader's */
+	TAILQ_ENTRY(wl_runner) link;
+} wl_runner_t;
+
+TAILQ_HEAD(wl_runner_list, wl_runner);
+
+typedef struct wl_jobs {
+	uint64_t keep_ms; /* how long an ended job is kept */
+	bool configured;
+	wl_catalog_t catalog;
+	wl_buf_t catalog_text;
+	wl_map_t by_id;
+	struct wl_job_list live;
+	struct wl_job_list ended; /* in the order in which they ended */
+	wl_map_t by_runner;
+	struct wl_runner_list runners;
+	uint64_t run_count;
+} wl_jobs_t;
+
+/* A run that a command removed, for the leader. */
+typedef void (*wl_run_gone_t)(void *arg, wl_run_t *run);
+
+void wl_jobs_init(wl_jobs_t *jobs, uint64_t keep_ms);
+void wl_jobs_clear(wl_jobs_t *jobs);
+bool wl_jobs_knows(const wl_cmd_t *cmd);
+void wl_jobs_apply(wl_jobs_t *jobs, const wl_cmd_t *cmd, uint64_t clock_ms, wl_result_t *result);
+void wl_jobs_expire(wl_jobs_t *jobs, uint64_t clock_ms);
+
+wl_job_t *wl_jobs_find(const wl_jobs_t *jobs, wl_str_t id);
+wl_runner_t *wl_jobs_runner(const wl_jobs_t *jobs, wl_str_t id);
+wl_run_t *wl_job_run(const wl_job_t *job, uint64_t task, uint64_t number);
+const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step);
+void wl_job_place(const wl_job_t *job, uint64_t task, wl_task_ref_t *ref);
+bool wl_job_task_at(const wl_job_t *job, const wl_task_ref_t *ref, uint64_t *task);
+uint64_t *wl_job_step_left(const wl_job_t *job, uint64_t occurrence, uint64_t step);
+bool wl_job_step_open(const wl_job_t *job, uint64_t occurrence, uint64_t step);
+uint64_t wl_job_due_ms(const wl_job_t *job, uint64_t occurrence);
+bool wl_job_ended(const wl_job_t *job);
+uint64_t wl_jobs_pending(const wl_jobs_t *jobs, wl_str_t queue);
+wl_job_t *wl_jobs_by_path(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path,
+			  const wl_queue_t **queue);
+bool wl_runner_newer(const wl_runner_t *runner, const wl_runner_report_t *report);
+
+/* Snapshots. */
+typedef struct wl_job_task_row {
+	uint64_t run;
+	uint64_t failures;
+	uint64_t failed_run;
+	bool done;
+	wl_buf_t checkpoint;
+} wl_job_task_row_t;
+
+typedef struct wl_runner_record {
+	wl_runner_report_t report;
+	uint64_t left_ms;
+} wl_runner_record_t;
+
+extern const wl_schema_t wl_job_record_schema;
+extern const wl_schema_t wl_runner_record_schema;
+
+void wl_job_rows_fill(const wl_job_t *job, wl_job_record_t *record);
+wl_job_t *wl_jobs_restore(wl_jobs_t *jobs, wl_job_record_t *record);
+wl_runner_t *wl_jobs_restore_runner(wl_jobs_t *jobs, wl_runner_record_t *record);
+bool wl_jobs_restore_run(wl_jobs_t *jobs, const wl_run_start_t *row);
+
+#endif
--- /dev/null
+++ b/libwlcore/job/record.c
@@ -0,0 +1,37 @@
+/* How the state of jobs stands in snapshots. */
+
+#include "internal.h"
+
+static const wl_field_t job_task_row_fields[] = {
+	WL_FIELD(wl_job_task_row_t, run, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, failures, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, failed_run, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, done, WL_FIELD_BOOL),
+	WL_FIELD(wl_job_task_row_t, checkpoint, WL_FIELD_BYTES),
+};
+
+const wl_schema_t wl_job_task_row_schema = WL_SCHEMA(wl_job_task_row_t, job_task_row_fields);
+
+static const wl_field_t job_record_fields[] = {
+	WL_FIELD(wl_job_record_t, id, WL_FIELD_BYTES),
+	WL_FIELD(wl_job_record_t, queue, WL_FIELD_BYTES),
+	WL_FIELD_NEST(wl_job_record_t, spec, &wl_job_spec_schema),
+	WL_FIELD(wl_job_record_t, accepted_ms, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, ended_ms, WL_FIELD_U64),
+	WL_FIELD_NAMES(wl_job_record_t, state, wl_job_state_names),
+	WL_FIELD(wl_job_record_t, service, WL_FIELD_BYTES),
+	WL_FIELD(wl_job_record_t, priority, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, max_attempts, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, target_latency_ms, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, slack_millis, WL_FIELD_U64),
+	WL_FIELD_MANY(wl_job_record_t, tasks, &wl_job_task_row_schema),
+};
+
+const wl_schema_t wl_job_record_schema = WL_SCHEMA(wl_job_record_t, job_record_fields);
+
+static const wl_field_t runner_record_fields[] = {
+	WL_FIELD_NEST(wl_runner_record_t, report, &wl_runner_report_schema),
+	WL_FIELD(wl_runner_record_t, left_ms, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_runner_record_schema = WL_SCHEMA(wl_runner_record_t, runner_record_fields);
--- /dev/null
+++ b/libwlcore/job/runners.c
@@ -0,0 +1,161 @@
+/* Targets that run tasks, and the configuration. */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+#define LEFT_KEEP_MS 60000 /* a late report of one that left must not bring it back */
+
+/*
+ * wl_jobs_runner - a runner by id, or NULL
+ */
+wl_runner_t *wl_jobs_runner(const wl_jobs_t *jobs, wl_str_t id)
+{
+	return wl_map_get(&jobs->by_runner, id);
+}
+
+static void runs_clear(wl_jobs_t *jobs, wl_runner_t *runner)
+{
+	while (!TAILQ_EMPTY(&runner->runs))
+		wl_run_remove(jobs, TAILQ_FIRST(&runner->runs));
+}
+
+void wl_runner_drop(wl_jobs_t *jobs, wl_runner_t *runner)
+{
+	runs_clear(jobs, runner);
+	wl_map_remove(&jobs->by_runner, runner->key);
+	TAILQ_REMOVE(&jobs->runners, runner, link);
+	wl_record_free(&wl_runner_report_schema, &runner->report);
+	free(runner);
+}
+
+void wl_runners_expire(wl_jobs_t *jobs, uint64_t clock_ms)
+{
+	wl_runner_t *runner = TAILQ_FIRST(&jobs->runners);
+
+	while (runner) {
+		wl_runner_t *next = TAILQ_NEXT(runner, link);
+
+		if (runner->left_ms && clock_ms - runner->left_ms > LEFT_KEEP_MS)
+			wl_runner_drop(jobs, runner);
+		runner = next;
+	}
+}
+
+static wl_runner_t *runner_add(wl_jobs_t *jobs, const wl_runner_report_t *report)
+{
+	wl_runner_t *runner = wl_alloc(sizeof(*runner));
+
+	wl_record_copy(&wl_runner_report_schema, &runner->report, report);
+	runner->key = wl_buf_str(&runner->report.id);
+	TAILQ_INIT(&runner->runs);
+	wl_map_put(&jobs->by_runner, runner);
+	TAILQ_INSERT_TAIL(&jobs->runners, runner, link);
+	return runner;
+}
+
+/*
+ * wl_runner_newer - does a report say more than what is committed of a runner
+ */
+bool wl_runner_newer(const wl_runner_t *runner, const wl_runner_report_t *report)
+{
+	if (report->life != runner->report.life)
+		return report->life > runner->report.life;
+	return !runner->left_ms && (report->left || report->sequence > runner->report.sequence);
+}
+
+/* Whoever left has ended all that it ran. */
+static void runner_left(wl_jobs_t *jobs, wl_runner_t *runner, uint64_t clock_ms)
+{
+	runner->left_ms = clock_ms ? clock_ms : 1;
+	runs_clear(jobs, runner);
+}
+
+void wl_jobs_runner_put(wl_jobs_t *jobs, const wl_runner_report_t *report, uint64_t clock_ms,
+			wl_result_t *result)
+{
+	wl_runner_t *runner = wl_jobs_runner(jobs, wl_buf_str(&report->id));
+
+	wl_result_ok(result, 0);
+	if (!runner) {
+		if (!report->left)
+			runner_add(jobs, report);
+		return;
+	}
+	if (!wl_runner_newer(runner, report))
+		return;
+	if (report->left) {
+		runner_left(jobs, runner, clock_ms);
+		return;
+	}
+	wl_record_free(&wl_runner_report_schema, &runner->report);
+	wl_record_copy(&wl_runner_report_schema, &runner->report, report);
+	runner->key = wl_buf_str(&runner->report.id);
+	runner->left_ms = 0;
+}
+
+static void catalog_put(wl_jobs_t *jobs, const wl_cmd_catalog_put_t *cmd, wl_result_t *result)
+{
+	wl_result_ok(result, 0);
+	result->version = jobs->catalog.version;
+	if (jobs->configured && cmd->catalog.version <= jobs->catalog.version)
+		return;
+	wl_record_free(&wl_catalog_schema, &jobs->catalog);
+	wl_record_copy(&wl_catalog_schema, &jobs->catalog, &cmd->catalog);
+	wl_buf_set(&jobs->catalog_text, wl_buf_str(&cmd->text));
+	jobs->configured = true;
+	result->version = jobs->catalog.version;
+}
+
+/*
+ * wl_jobs_knows - is it a command of this state
+ */
+bool wl_jobs_knows(const wl_cmd_t *cmd)
+{
+	return cmd->kind >= WL_CMD_CATALOG_PUT && cmd->kind <= WL_CMD_RUNNER_PUT;
+}
+
+/*
+ * wl_jobs_apply - apply a committed command
+ * @clock_ms: the group's clock
+ * @result: zeroed; verdict not-run says that nothing changed
+ */
+void wl_jobs_apply(wl_jobs_t *jobs, const wl_cmd_t *cmd, uint64_t clock_ms, wl_result_t *result)
+{
+	switch ((wl_cmd_kind_t)cmd->kind) {
+	case WL_CMD_CATALOG_PUT:
+		catalog_put(jobs, &cmd->u.catalog_put, result);
+		break;
+	case WL_CMD_JOB_ADD:
+		wl_jobs_add(jobs, &cmd->u.job_add, clock_ms, result);
+		break;
+	case WL_CMD_JOB_CANCEL:
+		wl_jobs_cancel(jobs, &cmd->u.job_cancel, clock_ms, result);
+		break;
+	case WL_CMD_RUNS_START:
+		wl_jobs_runs_start(jobs, &cmd->u.runs_start, result);
+		break;
+	case WL_CMD_RUNS_END:
+		wl_jobs_runs_end(jobs, &cmd->u.runs_end, clock_ms, result);
+		break;
+	case WL_CMD_RUNNER_PUT:
+		wl_jobs_runner_put(jobs, &cmd->u.runner_put, clock_ms, result);
+		break;
+	default:
+		wl_result_fail(result, WL_E_BAD_INPUT, "not a command of jobs");
+		break;
+	}
+}
+
+/*
+ * wl_jobs_restore_runner - add a runner of a snapshot
+ * @record: moved from
+ */
+wl_runner_t *wl_jobs_restore_runner(wl_jobs_t *jobs, wl_runner_record_t *record)
+{
+	wl_runner_t *runner = runner_add(jobs, &record->report);
+
+	runner->left_ms = record->left_ms;
+	wl_record_free(&wl_runner_record_schema, record);
+	return runner;
+}
--- /dev/null
+++ b/libwlcore/job/runs.c
@@ -0,0 +1,179 @@
+/* Runs: begun and ended by commands, and what the end of one means for its task and its job. */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+/*
+ * wl_job_run - a run that has not ended, by its task and number, or NULL
+ */
+wl_run_t *wl_job_run(const wl_job_t *job, uint64_t task, uint64_t number)
+{
+	wl_run_t *run;
+
+	if (task >= job->task_count)
+		return NULL;
+	TAILQ_FOREACH (run, &job->tasks[task].runs, of_task)
+		if (run->number == number)
+			return run;
+	return NULL;
+}
+
+void wl_run_remove(wl_jobs_t *jobs, wl_run_t *run)
+{
+	TAILQ_REMOVE(&run->job->tasks[run->task].runs, run, of_task);
+	TAILQ_REMOVE(&run->runner->runs, run, of_runner);
+	run->job->active--;
+	run->runner->run_count--;
+	jobs->run_count--;
+	free(run);
+}
+
+static void run_insert(wl_jobs_t *jobs, wl_job_t *job, wl_runner_t *runner,
+		       const wl_run_start_t *row)
+{
+	wl_run_t *run = wl_alloc(sizeof(*run));
+
+	run->job = job;
+	run->task = row->task;
+	run->number = row->run;
+	run->runner = runner;
+	run->life = row->life;
+	TAILQ_INSERT_TAIL(&job->tasks[row->task].runs, run, of_task);
+	TAILQ_INSERT_TAIL(&runner->runs, run, of_runner);
+	job->active++;
+	runner->run_count++;
+	jobs->run_count++;
+}
+
+/* Cancellations and ends of copies may have come between the choice and the commit. */
+static bool start_allowed(const wl_job_t *job, const wl_run_start_t *row)
+{
+	const wl_job_task_t *task;
+	wl_task_ref_t at;
+
+	if (!job || wl_job_ended(job) || row->task >= job->task_count)
+		return false;
+	task = &job->tasks[row->task];
+	wl_job_place(job, row->task, &at);
+	if (task->done || row->run <= task->run || !wl_job_step_open(job, at.occurrence, at.step))
+		return false;
+	return TAILQ_EMPTY(&task->runs) || wl_job_step(job, at.step)->copies;
+}
+
+void wl_jobs_runs_start(wl_jobs_t *jobs, const wl_cmd_runs_start_t *cmd, wl_result_t *result)
+{
+	const wl_run_start_t *rows = cmd->runs.items;
+
+	for (size_t i = 0; i < cmd->runs.count; i++) {
+		wl_job_t *job = wl_jobs_find(jobs, wl_buf_str(&rows[i].job));
+		wl_runner_t *runner = wl_jobs_runner(jobs, wl_buf_str(&rows[i].runner));
+
+		if (!runner || runner->left_ms || !start_allowed(job, &rows[i]))
+			continue;
+		run_insert(jobs, job, runner, &rows[i]);
+		job->tasks[rows[i].task].run = rows[i].run;
+		if (job->record.state == WL_JOB_QUEUED)
+			job->record.state = WL_JOB_RUNNING;
+	}
+	wl_result_ok(result, 0);
+}
+
+void wl_task_done(wl_job_t *job, uint64_t task)
+{
+	wl_task_ref_t at;
+
+	if (job->tasks[task].done)
+		return;
+	wl_job_place(job, task, &at);
+	job->tasks[task].done = true;
+	(*wl_job_step_left(job, at.occurrence, at.step))--;
+	job->left--;
+}
+
+/* Members of a gang end together: one end stands for all. */
+static void gang_done(wl_job_t *job, const wl_task_ref_t *at)
+{
+	wl_task_ref_t member = *at;
+	uint64_t task;
+
+	for (member.index = 0; wl_job_task_at(job, &member, &task); member.index++)
+		wl_task_done(job, task);
+}
+
+/* A failed run of a gang is one failure, of its first member. */
+static bool task_failed(wl_job_t *job, uint64_t task, const wl_task_ref_t *at, uint64_t run)
+{
+	wl_task_ref_t first = *at;
+	wl_job_task_t *counted = &job->tasks[task];
+
+	if (wl_job_step(job, at->step)->gang) {
+		first.index = 0;
+		wl_job_task_at(job, &first, &task);
+		counted = &job->tasks[task];
+	}
+	if (counted->failed_run >= run)
+		return false;
+	counted->failed_run = run;
+	counted->failures++;
+	return !wl_job_step(job, at->step)->lasting &&
+	       counted->failures >= job->record.max_attempts;
+}
+
+static void run_ended(wl_jobs_t *jobs, wl_run_t *run, const wl_run_end_t *end, uint64_t clock_ms)
+{
+	wl_job_t *job = run->job;
+	uint64_t task = run->task;
+	bool fails = false;
+	wl_task_ref_t at;
+
+	wl_job_place(job, task, &at);
+	if (end->checkpoint.len)
+		wl_buf_set(&job->tasks[task].checkpoint, wl_buf_str(&end->checkpoint));
+	wl_run_remove(jobs, run);
+	if (wl_job_ended(job))
+		return;
+	if (end->how == WL_END_DONE && !wl_job_step(job, at.step)->lasting) {
+		if (wl_job_step(job, at.step)->gang)
+			gang_done(job, &at);
+		else
+			wl_task_done(job, task);
+	}
+	if (end->how == WL_END_FAILED)
+		fails = task_failed(job, task, &at, end->run);
+	if (fails)
+		wl_job_end(jobs, job, WL_JOB_FAILED, clock_ms);
+	else if (job->left == 0)
+		wl_job_end(jobs, job, WL_JOB_COMPLETED, clock_ms);
+}
+
+void wl_jobs_runs_end(wl_jobs_t *jobs, const wl_cmd_runs_end_t *cmd, uint64_t clock_ms,
+		      wl_result_t *result)
+{
+	const wl_run_end_t *ends = cmd->ends.items;
+
+	for (size_t i = 0; i < cmd->ends.count; i++) {
+		wl_job_t *job = wl_jobs_find(jobs, wl_buf_str(&ends[i].job));
+		wl_run_t *run = job ? wl_job_run(job, ends[i].task, ends[i].run) : NULL;
+
+		if (run && wl_str_equal(run->runner->key, wl_buf_str(&ends[i].runner)))
+			run_ended(jobs, run, &ends[i], clock_ms);
+	}
+	wl_result_ok(result, 0);
+}
+
+/*
+ * wl_jobs_restore_run - add a run of a snapshot
+ *
+ * Return: false if its job, task or runner is not there.
+ */
+bool wl_jobs_restore_run(wl_jobs_t *jobs, const wl_run_start_t *row)
+{
+	wl_job_t *job = wl_jobs_find(jobs, wl_buf_str(&row->job));
+	wl_runner_t *runner = wl_jobs_runner(jobs, wl_buf_str(&row->runner));
+
+	if (!job || !runner || row->task >= job->task_count)
+		return false;
+	run_insert(jobs, job, runner, row);
+	return true;
+}
--- a/libwlcore/leader/internal.h
+++ b/libwlcore/leader/internal.h
@@ -138,7 +138,6 @@
 };
 
 /* leader.c */
-uint64_t wl_leader_clock_ms(const wl_leader_t *leader, uint64_t now_ns);
 wl_proposal_t *wl_leader_propose(wl_leader_t *leader, uint64_t now_ns, wl_proposal_kind_t kind,
 				 wl_cmd_t *cmd, wl_out_t *out);
 void wl_waiter_add(struct wl_waiters *waiters, wl_str_t peer, uint64_t call);
--- a/libwlcore/leader/leader.c
+++ b/libwlcore/leader/leader.c
@@ -297,6 +297,12 @@
 		break;
 	case WL_CMD_KEY_BEGIN:
 	case WL_CMD_KEY_END:
+	case WL_CMD_CATALOG_PUT: /* jobs are the scheduler's */
+	case WL_CMD_JOB_ADD:
+	case WL_CMD_JOB_CANCEL:
+	case WL_CMD_RUNS_START:
+	case WL_CMD_RUNS_END:
+	case WL_CMD_RUNNER_PUT:
 	case WL_CMD_NONE:
 	case WL_CMD_KINDS:
 		break;
@@ -374,7 +380,10 @@
 	leader->led_ns = now_ns;
 	leader->counted_ns = now_ns;
 	leader->tick_ns = now_ns;
+	/* Unix time where it is known; never back, and never ahead by a jump while it leads. */
 	leader->clock_base_ms = wl_state_clock_ms(leader->state);
+	if (event->wall_ms > leader->clock_base_ms)
+		leader->clock_base_ms = event->wall_ms;
 	leader->orphans = true;
 	leader->place_due = true;
 	wl_place_clear(leader->place);
--- a/libwlcore/leader/leader.h
+++ b/libwlcore/leader/leader.h
@@ -26,6 +26,7 @@
 wl_leader_t *wl_leader_new(const wl_leader_options_t *options, uint64_t now_ns, wl_err_t *err);
 void wl_leader_free(wl_leader_t *leader);
 void wl_leader_replicas_set(wl_leader_t *leader, const wl_list_t *names);
+uint64_t wl_leader_clock_ms(const wl_leader_t *leader, uint64_t now_ns);
 void wl_leader_step(wl_leader_t *leader, uint64_t now_ns, const wl_event_t *event, wl_out_t *out);
 
 #endif
--- a/libwlcore/leader/query.c
+++ b/libwlcore/leader/query.c
@@ -386,6 +386,8 @@
 		return;
 	case WL_QUERY_MEMBERS:
 	case WL_QUERY_REPLACE:
+	case WL_QUERY_JOB:
+	case WL_QUERY_CATALOG:
 		break;
 	}
 	wl_result_fail(result, WL_E_BAD_INPUT, "not a query of the leader part");
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -2,8 +2,12 @@
 
 #include "cmd.h"
 
+#include <stdarg.h>
+#include <stdio.h>
 #include <string.h>
 
+#define RESULT_TEXT_BYTES 320
+
 static const wl_field_t cmd_list_put_fields[] = {
 	WL_FIELD(wl_cmd_list_put_t, list, WL_FIELD_U64),
 	WL_FIELD(wl_cmd_list_put_t, base, WL_FIELD_U64),
@@ -129,6 +133,64 @@
 
 static const wl_schema_t cmd_key_end_schema = WL_SCHEMA(wl_cmd_key_end_t, cmd_key_end_fields);
 
+static const wl_field_t cmd_catalog_put_fields[] = {
+	WL_FIELD_NEST(wl_cmd_catalog_put_t, catalog, &wl_catalog_schema),
+	WL_FIELD(wl_cmd_catalog_put_t, text, WL_FIELD_BYTES),
+};
+
+static const wl_schema_t cmd_catalog_put_schema =
+	WL_SCHEMA(wl_cmd_catalog_put_t, cmd_catalog_put_fields);
+
+static const wl_field_t cmd_job_add_fields[] = {
+	WL_FIELD(wl_cmd_job_add_t, host, WL_FIELD_BYTES),
+	WL_FIELD(wl_cmd_job_add_t, path, WL_FIELD_BYTES),
+	WL_FIELD_NEST(wl_cmd_job_add_t, spec, &wl_job_spec_schema),
+};
+
+static const wl_schema_t cmd_job_add_schema = WL_SCHEMA(wl_cmd_job_add_t, cmd_job_add_fields);
+
+static const wl_field_t cmd_job_cancel_fields[] = {
+	WL_FIELD(wl_cmd_job_cancel_t, host, WL_FIELD_BYTES),
+	WL_FIELD(wl_cmd_job_cancel_t, path, WL_FIELD_BYTES),
+};
+
+static const wl_schema_t cmd_job_cancel_schema =
+	WL_SCHEMA(wl_cmd_job_cancel_t, cmd_job_cancel_fields);
+
+static const wl_field_t run_start_fields[] = {
+	WL_FIELD(wl_run_start_t, job, WL_FIELD_BYTES),
+	WL_FIELD(wl_run_start_t, task, WL_FIELD_U64),
+	WL_FIELD(wl_run_start_t, run, WL_FIELD_U64),
+	WL_FIELD(wl_run_start_t, runner, WL_FIELD_BYTES),
+	WL_FIELD(wl_run_start_t, life, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_run_start_schema = WL_SCHEMA(wl_run_start_t, run_start_fields);
+
+static const wl_field_t cmd_runs_start_fields[] = {
+	WL_FIELD_MANY(wl_cmd_runs_start_t, runs, &wl_run_start_schema),
+};
+
+static const wl_schema_t cmd_runs_start_schema =
+	WL_SCHEMA(wl_cmd_runs_start_t, cmd_runs_start_fields);
+
+static const wl_field_t run_end_fields[] = {
+	WL_FIELD(wl_run_end_t, job, WL_FIELD_BYTES),
+	WL_FIELD(wl_run_end_t, task, WL_FIELD_U64),
+	WL_FIELD(wl_run_end_t, run, WL_FIELD_U64),
+	WL_FIELD(wl_run_end_t, runner, WL_FIELD_BYTES),
+	WL_FIELD_NAMES(wl_run_end_t, how, wl_run_how_names),
+	WL_FIELD(wl_run_end_t, checkpoint, WL_FIELD_BYTES),
+};
+
+const wl_schema_t wl_run_end_schema = WL_SCHEMA(wl_run_end_t, run_end_fields);
+
+static const wl_field_t cmd_runs_end_fields[] = {
+	WL_FIELD_MANY(wl_cmd_runs_end_t, ends, &wl_run_end_schema),
+};
+
+static const wl_schema_t cmd_runs_end_schema = WL_SCHEMA(wl_cmd_runs_end_t, cmd_runs_end_fields);
+
 static const wl_field_t result_fields[] = {
 	WL_FIELD(wl_result_t, code, WL_FIELD_U64),
 	WL_FIELD(wl_result_t, verdict, WL_FIELD_U64),
@@ -140,6 +202,11 @@
 	WL_FIELD(wl_result_t, status, WL_FIELD_U64),
 	WL_FIELD(wl_result_t, content_type, WL_FIELD_BYTES),
 	WL_FIELD(wl_result_t, body, WL_FIELD_BYTES),
+	WL_FIELD(wl_result_t, job_state, WL_FIELD_U64),
+	WL_FIELD(wl_result_t, is_queue, WL_FIELD_BOOL),
+	WL_FIELD(wl_result_t, pending, WL_FIELD_U64),
+	WL_FIELD(wl_result_t, retry_ms, WL_FIELD_U64),
+	WL_FIELD(wl_result_t, leader, WL_FIELD_BYTES),
 };
 
 const wl_schema_t wl_result_schema = WL_SCHEMA(wl_result_t, result_fields);
@@ -161,6 +228,12 @@
 	[WL_CMD_TASK_REPORT] = {"task-report", &cmd_task_report_schema},
 	[WL_CMD_KEY_BEGIN] = {"key-begin", &cmd_key_begin_schema},
 	[WL_CMD_KEY_END] = {"key-end", &cmd_key_end_schema},
+	[WL_CMD_CATALOG_PUT] = {"catalog-put", &cmd_catalog_put_schema},
+	[WL_CMD_JOB_ADD] = {"job-add", &cmd_job_add_schema},
+	[WL_CMD_JOB_CANCEL] = {"job-cancel", &cmd_job_cancel_schema},
+	[WL_CMD_RUNS_START] = {"runs-start", &cmd_runs_start_schema},
+	[WL_CMD_RUNS_END] = {"runs-end", &cmd_runs_end_schema},
+	[WL_CMD_RUNNER_PUT] = {"runner-put", &wl_runner_report_schema},
 };
 
 /* What stands before the command's record. */
@@ -272,3 +345,29 @@
 	result->verdict = err->verdict;
 	wl_buf_set(&result->text, wl_str_from(err->text));
 }
+
+/*
+ * wl_result_ok - a command that was applied
+ */
+void wl_result_ok(wl_result_t *result, uint64_t index)
+{
+	result->code = WL_OK;
+	result->verdict = WL_RAN;
+	result->index = index;
+}
+
+/*
+ * wl_result_fail - a command that changed nothing
+ */
+void wl_result_fail(wl_result_t *result, wl_code_t code, const char *format, ...)
+{
+	char text[RESULT_TEXT_BYTES];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(text, sizeof(text), format, args);
+	va_end(args);
+	result->code = code;
+	result->verdict = WL_NOT_RUN;
+	wl_buf_set(&result->text, wl_str_from(text));
+}
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -1,6 +1,7 @@
 #ifndef WL_CMD_H
 #define WL_CMD_H
 
+#include <libwlcore/model/job.h>
 #include <libwlcore/model/model.h>
 
 /* Commands: the records of the replicated log.  Each one is idempotent, so a resend is safe. */
@@ -18,6 +19,12 @@
 	WL_CMD_TASK_REPORT,
 	WL_CMD_KEY_BEGIN,
 	WL_CMD_KEY_END,
+	WL_CMD_CATALOG_PUT,
+	WL_CMD_JOB_ADD,
+	WL_CMD_JOB_CANCEL,
+	WL_CMD_RUNS_START,
+	WL_CMD_RUNS_END,
+	WL_CMD_RUNNER_PUT,
 	WL_CMD_KINDS
 } wl_cmd_kind_t;
 
@@ -134,6 +141,51 @@
 	wl_buf_t body;
 } wl_cmd_key_end_t;
 
+/* Replaces the configuration if its version is higher; else it is acknowledged, and nothing
+ * changes. */
+typedef struct wl_cmd_catalog_put {
+	wl_catalog_t catalog;
+	wl_buf_t text; /* as the operator sent it, for reading back */
+} wl_cmd_catalog_put_t;
+
+/* Adds a job; one of the same id is the same job. */
+typedef struct wl_cmd_job_add {
+	wl_buf_t host; /* host and path choose the queue; what follows its prefix is the job's id */
+	wl_buf_t path;
+	wl_job_spec_t spec;
+} wl_cmd_job_add_t;
+
+typedef struct wl_cmd_job_cancel {
+	wl_buf_t host;
+	wl_buf_t path;
+} wl_cmd_job_cancel_t;
+
+/* Committed before the target is told to start it, so that every later leader knows of it. */
+typedef struct wl_run_start {
+	wl_buf_t job;
+	uint64_t task; /* its place in the job, over occurrences and steps */
+	uint64_t run;  /* rises for a task; the same for all members of a gang */
+	wl_buf_t runner;
+	uint64_t life; /* of the runner */
+} wl_run_start_t;
+
+typedef struct wl_cmd_runs_start {
+	wl_list_t runs; /* wl_run_start_t */
+} wl_cmd_runs_start_t;
+
+typedef struct wl_run_end {
+	wl_buf_t job;
+	uint64_t task;
+	uint64_t run;
+	wl_buf_t runner;
+	uint64_t how;	     /* wl_run_how_t */
+	wl_buf_t checkpoint; /* empty: none */
+} wl_run_end_t;
+
+typedef struct wl_cmd_runs_end {
+	wl_list_t ends; /* wl_run_end_t */
+} wl_cmd_runs_end_t;
+
 typedef struct wl_cmd {
 	uint64_t kind;	/* wl_cmd_kind_t */
 	uint64_t at_ms; /* the group's clock, stamped by the leader */
@@ -149,6 +201,12 @@
 		wl_cmd_task_report_t task_report;
 		wl_cmd_key_begin_t key_begin;
 		wl_cmd_key_end_t key_end;
+		wl_cmd_catalog_put_t catalog_put;
+		wl_cmd_job_add_t job_add;
+		wl_cmd_job_cancel_t job_cancel;
+		wl_cmd_runs_start_t runs_start;
+		wl_cmd_runs_end_t runs_end;
+		wl_runner_report_t runner_put;
 	} u;
 } wl_cmd_t;
 
@@ -170,9 +228,16 @@
 	uint64_t key_state; /* wl_key_state_t */
 	uint64_t status;    /* kept HTTP status of a key */
 	wl_buf_t content_type;
-	wl_buf_t body; /* kept body of a key; JSON of a query */
+	wl_buf_t body;	    /* kept body of a key; JSON of a query */
+	uint64_t job_state; /* wl_job_state_t */
+	bool is_queue;	    /* the path named a queue: pending holds its jobs that have not begun */
+	uint64_t pending;
+	uint64_t retry_ms; /* a refusal: when to come again; 0: not said */
+	wl_buf_t leader;   /* name of the daemon that leads */
 } wl_result_t;
 
+extern const wl_schema_t wl_run_start_schema;
+extern const wl_schema_t wl_run_end_schema;
 extern const wl_schema_t wl_report_schema;
 extern const wl_schema_t wl_assignment_schema;
 extern const wl_schema_t wl_result_schema;
@@ -184,5 +249,8 @@
 const char *wl_cmd_name(uint64_t kind);
 void wl_result_free(wl_result_t *result);
 void wl_result_error(wl_result_t *result, const wl_err_t *err);
+void wl_result_ok(wl_result_t *result, uint64_t index);
+void wl_result_fail(wl_result_t *result, wl_code_t code, const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
 
 #endif
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -66,6 +66,7 @@
 	wl_call_t call;	      /* CALL; CALL_GONE: id */
 	wl_fetched_t fetched; /* FETCHED */
 	uint64_t ticket;      /* PERSISTED */
+	uint64_t wall_ms;     /* TICK, LEAD: Unix time; 0: not known */
 	wl_list_t names;      /* SEEDS: strings */
 	/* APPLIED, DROPPED, RESULT */
 	uint64_t tag;		   /* proposal, or call to the leader; 0: not ours */
@@ -97,6 +98,8 @@
 	WL_PART_OWNER = 2,
 	WL_PART_API = 3,
 	WL_PART_NODE = 4,
+	WL_PART_SCHED = 5,
+	WL_PART_GATE = 6,
 } wl_part_t;
 
 #define WL_PART_SHIFT	    56
--- /dev/null
+++ b/libwlcore/model/job.c
@@ -0,0 +1,244 @@
+/* Jobs: schemas, and what a job or a configuration must fulfil to be taken. */
+
+#include "job.h"
+
+const char *const wl_run_how_names[] = {"done",	 "failed", "stopped", "lapsed", "broken",
+					"alone", "lost",   "absent",  NULL};
+
+const char *const wl_job_state_names[] = {"queued", "running",	 "completed",
+					  "failed", "cancelled", NULL};
+
+static const wl_field_t step_spec_fields[] = {
+	WL_FIELD_MUST(wl_step_spec_t, count, WL_FIELD_U64, WL_JOB_TASKS_MOST),
+	WL_FIELD(wl_step_spec_t, cpu_millis, WL_FIELD_U64),
+	WL_FIELD(wl_step_spec_t, memory_mib, WL_FIELD_U64),
+	WL_FIELD(wl_step_spec_t, accelerators, WL_FIELD_U64),
+	WL_FIELD(wl_step_spec_t, estimated_ms, WL_FIELD_U64),
+	WL_FIELD(wl_step_spec_t, after, WL_FIELD_BITS),
+	WL_FIELD(wl_step_spec_t, checkpoints, WL_FIELD_BOOL),
+	WL_FIELD(wl_step_spec_t, gang, WL_FIELD_BOOL),
+	WL_FIELD(wl_step_spec_t, same_rack, WL_FIELD_BOOL),
+	WL_FIELD(wl_step_spec_t, lasting, WL_FIELD_BOOL),
+	WL_FIELD(wl_step_spec_t, copies, WL_FIELD_BOOL),
+	WL_FIELD(wl_step_spec_t, best_effort, WL_FIELD_BOOL),
+	WL_FIELD(wl_step_spec_t, label, WL_FIELD_BYTES),
+	WL_FIELD(wl_step_spec_t, data_rack, WL_FIELD_BYTES),
+	WL_FIELD(wl_step_spec_t, max_per_target, WL_FIELD_U64),
+	WL_FIELD(wl_step_spec_t, max_away, WL_FIELD_U64),
+	WL_FIELD(wl_step_spec_t, image, WL_FIELD_BYTES),
+	WL_FIELD(wl_step_spec_t, tail_target_us, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_step_spec_schema = WL_SCHEMA(wl_step_spec_t, step_spec_fields);
+
+static const wl_field_t job_spec_fields[] = {
+	WL_FIELD(wl_job_spec_t, payload, WL_FIELD_BYTES),
+	WL_FIELD_MANY(wl_job_spec_t, steps, &wl_step_spec_schema),
+	WL_FIELD(wl_job_spec_t, repeat, WL_FIELD_U64),
+	WL_FIELD(wl_job_spec_t, first_ms, WL_FIELD_U64),
+	WL_FIELD(wl_job_spec_t, every_ms, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_job_spec_schema = WL_SCHEMA(wl_job_spec_t, job_spec_fields);
+
+static const wl_field_t advice_spec_fields[] = {
+	WL_FIELD(wl_advice_spec_t, decision_ms, WL_FIELD_U64),
+	WL_FIELD(wl_advice_spec_t, per_target_ms, WL_FIELD_U64),
+	WL_FIELD(wl_advice_spec_t, validity_ms, WL_FIELD_U64),
+};
+
+static const wl_schema_t advice_spec_schema = WL_SCHEMA(wl_advice_spec_t, advice_spec_fields);
+
+static const wl_field_t queue_fields[] = {
+	WL_FIELD_MUST(wl_queue_t, name, WL_FIELD_BYTES, 256),
+	WL_FIELD(wl_queue_t, host, WL_FIELD_BYTES),
+	WL_FIELD_MUST(wl_queue_t, path_prefix, WL_FIELD_BYTES, 1024),
+	WL_FIELD_MUST(wl_queue_t, service, WL_FIELD_BYTES, 256),
+	WL_FIELD(wl_queue_t, timeout_ms, WL_FIELD_U64),
+	WL_FIELD(wl_queue_t, target_latency_ms, WL_FIELD_U64),
+	WL_FIELD(wl_queue_t, priority, WL_FIELD_U64),
+	WL_FIELD(wl_queue_t, max_attempts, WL_FIELD_U64),
+	WL_FIELD(wl_queue_t, slack_millis, WL_FIELD_U64),
+	WL_FIELD_NEST(wl_queue_t, advice, &advice_spec_schema),
+};
+
+const wl_schema_t wl_queue_schema = WL_SCHEMA(wl_queue_t, queue_fields);
+
+static const wl_field_t service_fields[] = {
+	WL_FIELD_MUST(wl_service_t, name, WL_FIELD_BYTES, 256),
+	WL_FIELD(wl_service_t, health_path, WL_FIELD_BYTES),
+	WL_FIELD(wl_service_t, max_connections, WL_FIELD_U64),
+	WL_FIELD(wl_service_t, enforces_capacity, WL_FIELD_BOOL),
+	WL_FIELD(wl_service_t, standby, WL_FIELD_BOOL),
+};
+
+const wl_schema_t wl_service_schema = WL_SCHEMA(wl_service_t, service_fields);
+
+static const wl_field_t catalog_fields[] = {
+	WL_FIELD_MUST(wl_catalog_t, version, WL_FIELD_U64, INT64_MAX),
+	WL_FIELD_MANY(wl_catalog_t, queues, &wl_queue_schema),
+	WL_FIELD_MANY(wl_catalog_t, services, &wl_service_schema),
+};
+
+const wl_schema_t wl_catalog_schema = WL_SCHEMA(wl_catalog_t, catalog_fields);
+
+static const wl_field_t runner_report_fields[] = {
+	WL_FIELD(wl_runner_report_t, id, WL_FIELD_BYTES),
+	WL_FIELD(wl_runner_report_t, service, WL_FIELD_BYTES),
+	WL_FIELD(wl_runner_report_t, address, WL_FIELD_BYTES),
+	WL_FIELD(wl_runner_report_t, availability_zone, WL_FIELD_BYTES),
+	WL_FIELD(wl_runner_report_t, labels, WL_FIELD_STRINGS),
+	WL_FIELD(wl_runner_report_t, rack, WL_FIELD_BYTES),
+	WL_FIELD(wl_runner_report_t, cpu_millis, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, memory_mib, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, accelerators, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, life, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, sequence, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, clock_ms, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, cold_ms, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, leaves_ms, WL_FIELD_U64),
+	WL_FIELD(wl_runner_report_t, draining, WL_FIELD_BOOL),
+	WL_FIELD(wl_runner_report_t, left, WL_FIELD_BOOL),
+	WL_FIELD(wl_runner_report_t, machine, WL_FIELD_BYTES),
+};
+
+const wl_schema_t wl_runner_report_schema = WL_SCHEMA(wl_runner_report_t, runner_report_fields);
+
+static const wl_field_t task_ref_fields[] = {
+	WL_FIELD(wl_task_ref_t, job, WL_FIELD_BYTES),
+	WL_FIELD(wl_task_ref_t, occurrence, WL_FIELD_U64),
+	WL_FIELD(wl_task_ref_t, step, WL_FIELD_U64),
+	WL_FIELD(wl_task_ref_t, index, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_task_ref_schema = WL_SCHEMA(wl_task_ref_t, task_ref_fields);
+
+/*
+ * wl_job_spec_tasks - tasks of a job over all its occurrences
+ *
+ * Return: the number, or WL_JOB_TASKS_MOST + 1 when there are more than may be.
+ */
+uint64_t wl_job_spec_tasks(const wl_job_spec_t *spec)
+{
+	const wl_step_spec_t *steps = spec->steps.items;
+	uint64_t occurrences = spec->repeat ? spec->repeat : 1;
+	uint64_t tasks = 0;
+
+	for (size_t i = 0; i < spec->steps.count; i++) {
+		if (steps[i].count > WL_JOB_TASKS_MOST)
+			return WL_JOB_TASKS_MOST + 1;
+		tasks += steps[i].count;
+	}
+	if (occurrences > WL_JOB_TASKS_MOST || tasks * occurrences > WL_JOB_TASKS_MOST)
+		return WL_JOB_TASKS_MOST + 1;
+	return tasks * occurrences;
+}
+
+static bool step_check(const wl_step_spec_t *step, size_t number, wl_err_t *err)
+{
+	if (step->count == 0)
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "steps[%zu]: no tasks", number);
+	if (step->after >> number)
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+				  "steps[%zu]: depends on itself or on a later step", number);
+	return true;
+}
+
+/*
+ * wl_job_spec_check - can a job be taken at all
+ * @err: WL_E_BAD_INPUT, naming the step at fault
+ */
+bool wl_job_spec_check(const wl_job_spec_t *spec, wl_err_t *err)
+{
+	const wl_step_spec_t *steps = spec->steps.items;
+
+	if (spec->steps.count == 0 || spec->steps.count > WL_JOB_STEPS_MOST)
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "steps: must be 1 to %d",
+				  WL_JOB_STEPS_MOST);
+	for (size_t i = 0; i < spec->steps.count; i++)
+		if (!step_check(&steps[i], i, err))
+			return false;
+	if (wl_job_spec_tasks(spec) > WL_JOB_TASKS_MOST)
+		return wl_err_set(err, WL_E_TOO_LARGE, WL_NOT_RUN, "more than %d tasks",
+				  WL_JOB_TASKS_MOST);
+	return true;
+}
+
+static bool queue_check(const wl_catalog_t *catalog, size_t number, wl_err_t *err)
+{
+	const wl_queue_t *queues = catalog->queues.items;
+	const wl_queue_t *queue = &queues[number];
+
+	if (queue->timeout_ms == 0)
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+				  "queues[%zu]: its time limit is 0", number);
+	if (!wl_catalog_service(catalog, wl_buf_str(&queue->service)))
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "queues[%zu]: unknown service",
+				  number);
+	for (size_t i = 0; i < number; i++)
+		if (wl_str_equal(wl_buf_str(&queues[i].host), wl_buf_str(&queue->host)) &&
+		    wl_str_equal(wl_buf_str(&queues[i].path_prefix),
+				 wl_buf_str(&queue->path_prefix)))
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+					  "queues[%zu] and queues[%zu]: same host and prefix", i,
+					  number);
+	return true;
+}
+
+/*
+ * wl_catalog_check - can a configuration be put in force
+ * @err: WL_E_BAD_INPUT, naming the queue at fault
+ */
+bool wl_catalog_check(const wl_catalog_t *catalog, wl_err_t *err)
+{
+	for (size_t i = 0; i < catalog->queues.count; i++)
+		if (!queue_check(catalog, i, err))
+			return false;
+	return true;
+}
+
+/*
+ * wl_catalog_route - the queue of a call: same host, longest prefix
+ *
+ * Return: NULL if there is none.
+ */
+const wl_queue_t *wl_catalog_route(const wl_catalog_t *catalog, wl_str_t host, wl_str_t path)
+{
+	const wl_queue_t *queues = catalog->queues.items;
+	const wl_queue_t *best = NULL;
+
+	for (size_t i = 0; i < catalog->queues.count; i++) {
+		if (!wl_str_equal(wl_buf_str(&queues[i].host), host) ||
+		    !wl_str_starts(path, wl_buf_str(&queues[i].path_prefix)))
+			continue;
+		if (!best || queues[i].path_prefix.len > best->path_prefix.len)
+			best = &queues[i];
+	}
+	return best;
+}
+
+/*
+ * wl_catalog_queue - a queue by name, or NULL
+ */
+const wl_queue_t *wl_catalog_queue(const wl_catalog_t *catalog, wl_str_t name)
+{
+	const wl_queue_t *queues = catalog->queues.items;
+
+	for (size_t i = 0; i < catalog->queues.count; i++)
+		if (wl_str_equal(wl_buf_str(&queues[i].name), name))
+			return &queues[i];
+	return NULL;
+}
+
+/*
+ * wl_catalog_service - a service by name, or NULL
+ */
+const wl_service_t *wl_catalog_service(const wl_catalog_t *catalog, wl_str_t name)
+{
+	const wl_service_t *services = catalog->services.items;
+
+	for (size_t i = 0; i < catalog->services.count; i++)
+		if (wl_str_equal(wl_buf_str(&services[i].name), name))
+			return &services[i];
+	return NULL;
+}
--- /dev/null
+++ b/libwlcore/model/job.h
@@ -0,0 +1,152 @@
+#ifndef WL_JOB_H
+#define WL_JOB_H
+
+#include <libwlbase/record.h>
+
+/*
+ * The words of jobs: what callers hand in, what operators configure, what
+ * targets that run tasks say.
+ *
+ * A job has steps, a step has tasks, and each start of a task is a run.  A
+ * job that repeats has occurrences, each of which runs all steps.
+ */
+
+#define WL_JOB_STEPS_MOST 64 /* so that a step's dependencies fit into 64 bits */
+#define WL_JOB_TASKS_MOST \
+	20000 /* over all occurrences: bounds what one call can make the group hold */
+
+typedef struct wl_step_spec {
+	uint64_t count; /* tasks */
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+	uint64_t estimated_ms; /* of a task's run; rough */
+	uint64_t after;	       /* bit N: all tasks of step N must be done before */
+	bool checkpoints;      /* its tasks save their progress */
+	bool gang;	       /* its tasks work only while all of them are present */
+	bool same_rack;	       /* slower when spread over racks */
+	bool lasting;	       /* its tasks run until the job is cancelled */
+	bool copies;	       /* several runs of a task may overlap; the first to finish counts */
+	bool best_effort;      /* its processors are those that others leave unused */
+	wl_buf_t label;	       /* that the target must have; empty: any */
+	wl_buf_t data_rack;    /* slower on any other rack; empty: any */
+	uint64_t max_per_target; /* tasks of an occurrence on one target; 0: no limit */
+	uint64_t max_away;	 /* lasting: tasks that we may have away at once; 0: no limit */
+	wl_buf_t image;		 /* tasks of one image behave alike */
+	uint64_t tail_target_us; /* lasting: bound of their users' tail latency; 0: none */
+} wl_step_spec_t;
+
+typedef struct wl_job_spec {
+	wl_buf_t payload;  /* handed to every run as it came */
+	wl_list_t steps;   /* wl_step_spec_t */
+	uint64_t repeat;   /* occurrences with times; 0: one, at once */
+	uint64_t first_ms; /* Unix time of the first */
+	uint64_t every_ms;
+} wl_job_spec_t;
+
+/* What a service needs for a decision on where a queue's steps may run; see docs/design/jobs.md. */
+typedef struct wl_advice_spec {
+	uint64_t decision_ms;	/* of one question */
+	uint64_t per_target_ms; /* and for each target in it */
+	uint64_t validity_ms;	/* of a ticket */
+} wl_advice_spec_t;
+
+/* A queue of jobs, chosen by the host and the longest path prefix of a call. */
+typedef struct wl_queue {
+	wl_buf_t name;
+	wl_buf_t host;
+	wl_buf_t path_prefix;
+	wl_buf_t service; /* whose targets run its tasks */
+	uint64_t timeout_ms;
+	uint64_t target_latency_ms;
+	uint64_t priority;	 /* 0 first */
+	uint64_t max_attempts;	 /* failed runs of a task that fail the job */
+	uint64_t slack_millis;	 /* a job is on time within this many thousandths of its own work */
+	wl_advice_spec_t advice; /* all zero: its tasks need no ticket */
+} wl_queue_t;
+
+typedef struct wl_service {
+	wl_buf_t name;
+	wl_buf_t health_path;
+	uint64_t max_connections;
+	bool enforces_capacity; /* its targets refuse what does not fit */
+	bool standby;		/* its machines are off */
+} wl_service_t;
+
+/* Both lists of the operator under one version. */
+typedef struct wl_catalog {
+	uint64_t version;
+	wl_list_t queues;   /* wl_queue_t */
+	wl_list_t services; /* wl_service_t */
+} wl_catalog_t;
+
+/* What a target that runs tasks says of itself. */
+typedef struct wl_runner_report {
+	wl_buf_t id;
+	wl_buf_t service;
+	wl_buf_t address; /* IP:port */
+	wl_buf_t availability_zone;
+	wl_list_t labels; /* strings */
+	wl_buf_t rack;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+	uint64_t accelerators;
+	uint64_t life;	    /* Unix ms of its start; tells one life of an id from the next */
+	uint64_t sequence;  /* rises in a life */
+	uint64_t clock_ms;  /* its steady clock */
+	uint64_t cold_ms;   /* how much longer it is slow after its start */
+	uint64_t leaves_ms; /* draining: least time that is left; 0: not said */
+	bool draining;
+	bool left; /* it ends now */
+	wl_buf_t machine;
+} wl_runner_report_t;
+
+/* A task: occurrence, step and index count from 0. */
+typedef struct wl_task_ref {
+	wl_buf_t job;
+	uint64_t occurrence;
+	uint64_t step;
+	uint64_t index;
+} wl_task_ref_t;
+
+typedef enum wl_run_how {
+	WL_END_DONE,
+	WL_END_FAILED,
+	WL_END_STOPPED,
+	WL_END_LAPSED, /* its lease did */
+	WL_END_BROKEN, /* another member of its gang ended */
+	WL_END_ALONE,  /* the other members of its gang did not come in time */
+	WL_END_LOST,   /* its target ended or is out of reach past every lease */
+	WL_END_ABSENT, /* it never began and never will */
+	WL_END_HOWS
+} wl_run_how_t;
+
+extern const char *const wl_run_how_names[];
+
+typedef enum wl_job_state {
+	WL_JOB_QUEUED, /* no task has started */
+	WL_JOB_RUNNING,
+	WL_JOB_COMPLETED,
+	WL_JOB_FAILED,
+	WL_JOB_CANCELLED,
+	WL_JOB_STATES
+} wl_job_state_t;
+
+extern const char *const wl_job_state_names[];
+
+extern const wl_schema_t wl_step_spec_schema;
+extern const wl_schema_t wl_job_spec_schema;
+extern const wl_schema_t wl_queue_schema;
+extern const wl_schema_t wl_service_schema;
+extern const wl_schema_t wl_catalog_schema;
+extern const wl_schema_t wl_runner_report_schema;
+extern const wl_schema_t wl_task_ref_schema;
+
+uint64_t wl_job_spec_tasks(const wl_job_spec_t *spec);
+bool wl_job_spec_check(const wl_job_spec_t *spec, wl_err_t *err);
+bool wl_catalog_check(const wl_catalog_t *catalog, wl_err_t *err);
+const wl_queue_t *wl_catalog_route(const wl_catalog_t *catalog, wl_str_t host, wl_str_t path);
+const wl_queue_t *wl_catalog_queue(const wl_catalog_t *catalog, wl_str_t name);
+const wl_service_t *wl_catalog_service(const wl_catalog_t *catalog, wl_str_t name);
+
+#endif
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -109,6 +109,8 @@
 	WL_QUERY_STATUS,
 	WL_QUERY_IN_FORCE, /* number: revision; result code WL_OK once it is in force */
 	WL_QUERY_REPLACE,  /* name: daemon whose lost replica may be replaced */
+	WL_QUERY_JOB,	   /* customer: host; name: path, of a job or of its queue */
+	WL_QUERY_CATALOG,  /* body: the configuration as it was sent */
 } wl_query_kind_t;
 
 typedef struct wl_msg_query {
--- /dev/null
+++ b/libwlcore/model/order.c
@@ -0,0 +1,53 @@
+/* Operations and orders: schemas and release. */
+
+#include "dialect.h"
+
+const char *const wl_order_outcome_names[] = {
+	"done",	   "not-sent",	"no-answer",  "fenced",	   "old",     "late",
+	"no-room", "no-ticket", "other-life", "unhealthy", "refused", NULL,
+};
+
+static const wl_field_t run_view_fields[] = {
+	WL_FIELD(wl_run_view_t, task, WL_FIELD_BYTES),
+	WL_FIELD_NEST(wl_run_view_t, ref, &wl_task_ref_schema),
+	WL_FIELD(wl_run_view_t, run, WL_FIELD_U64),
+	WL_FIELD(wl_run_view_t, checkpoint, WL_FIELD_BYTES),
+	WL_FIELD(wl_run_view_t, percent, WL_FIELD_U64),
+	WL_FIELD(wl_run_view_t, load, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_run_view_schema = WL_SCHEMA(wl_run_view_t, run_view_fields);
+
+static const wl_field_t end_view_fields[] = {
+	WL_FIELD(wl_end_view_t, number, WL_FIELD_U64),
+	WL_FIELD(wl_end_view_t, task, WL_FIELD_BYTES),
+	WL_FIELD_NEST(wl_end_view_t, ref, &wl_task_ref_schema),
+	WL_FIELD(wl_end_view_t, run, WL_FIELD_U64),
+	WL_FIELD_NAMES(wl_end_view_t, how, wl_run_how_names),
+	WL_FIELD(wl_end_view_t, checkpoint, WL_FIELD_BYTES),
+};
+
+const wl_schema_t wl_end_view_schema = WL_SCHEMA(wl_end_view_t, end_view_fields);
+
+/*
+ * wl_order_end_free - release what the end of an order owns
+ */
+void wl_order_end_free(wl_order_end_t *end)
+{
+	wl_list_free(&wl_run_view_schema, &end->runs);
+	wl_list_free(&wl_end_view_schema, &end->ends);
+}
+
+/*
+ * wl_operation_free - release what an operation owns and make it empty
+ */
+void wl_operation_free(wl_operation_t *operation)
+{
+	wl_buf_free(&operation->host);
+	wl_buf_free(&operation->path);
+	wl_buf_free(&operation->text);
+	wl_record_free(&wl_job_spec_schema, &operation->spec);
+	wl_record_free(&wl_catalog_schema, &operation->catalog);
+	wl_record_free(&wl_runner_report_schema, &operation->report);
+	operation->kind = WL_OPERATION_NONE;
+}
--- /dev/null
+++ b/libwlcore/model/order.h
@@ -0,0 +1,82 @@
+#ifndef WL_ORDER_H
+#define WL_ORDER_H
+
+#include <libwlcore/model/job.h>
+
+/* What the leader tells targets that run tasks, and how that ended. */
+
+typedef enum wl_order_kind {
+	WL_ORDER_START,
+	WL_ORDER_STOP,
+	WL_ORDER_HOLD, /* renew the lease of all runs there; report them */
+	WL_ORDER_PACE, /* let a run work at a share of its speed */
+} wl_order_kind_t;
+
+typedef struct wl_order {
+	wl_order_kind_t kind;
+	wl_str_t runner; /* id */
+	wl_str_t address;
+	uint64_t epoch; /* of the leader; a target does nothing for a lower one than it has seen */
+	uint64_t lease_ms;  /* until when runs may go on, on the target's clock; 0: not said */
+	wl_task_ref_t task; /* START, STOP, PACE; borrowed */
+	uint64_t run;
+	wl_str_t payload;    /* START */
+	wl_str_t checkpoint; /* START */
+	uint64_t percent;    /* PACE */
+	uint64_t seen;	     /* HOLD: ends up to this number are committed */
+	uint64_t wait_ms;    /* HOLD: the answer may wait so long for an end */
+	uint64_t timeout_ms;
+} wl_order_t;
+
+typedef enum wl_order_outcome {
+	WL_ORDER_DONE,
+	WL_ORDER_NOT_SENT,  /* no byte left */
+	WL_ORDER_NO_ANSWER, /* it may be carried out, also later */
+	WL_ORDER_FENCED,    /* the target has seen a higher epoch */
+	WL_ORDER_OLD,	    /* this run, or a later one, has ended or was stopped there */
+	WL_ORDER_LATE,	    /* its lease is over on the target's clock */
+	WL_ORDER_NO_ROOM,
+	WL_ORDER_NO_TICKET,
+	WL_ORDER_OTHER_LIFE, /* another target answers at this address */
+	WL_ORDER_UNHEALTHY,  /* nothing was done */
+	WL_ORDER_REFUSED,    /* the order itself is wrong */
+	WL_ORDER_OUTCOMES
+} wl_order_outcome_t;
+
+extern const char *const wl_order_outcome_names[];
+
+/* A run that a target says is there. */
+typedef struct wl_run_view {
+	wl_buf_t task; /* text, as the dialect names tasks; ref says the same */
+	wl_task_ref_t ref;
+	uint64_t run;
+	wl_buf_t checkpoint;
+	uint64_t percent;
+	uint64_t load; /* serving: tail latency in ms; else processors in use, millis */
+} wl_run_view_t;
+
+/* The end of a run, numbered by its target from 1 in each life. */
+typedef struct wl_end_view {
+	uint64_t number;
+	wl_buf_t task;
+	wl_task_ref_t ref;
+	uint64_t run;
+	uint64_t how; /* wl_run_how_t */
+	wl_buf_t checkpoint;
+} wl_end_view_t;
+
+typedef struct wl_order_end {
+	wl_order_outcome_t outcome;
+	bool has_clock;
+	uint64_t clock_ms;
+	uint64_t life;	/* HOLD; 0: not said */
+	wl_list_t runs; /* wl_run_view_t */
+	wl_list_t ends; /* wl_end_view_t */
+} wl_order_end_t;
+
+extern const wl_schema_t wl_run_view_schema;
+extern const wl_schema_t wl_end_view_schema;
+
+void wl_order_end_free(wl_order_end_t *end);
+
+#endif
--- a/libwlcore/node/drain.c
+++ b/libwlcore/node/drain.c
@@ -22,6 +22,8 @@
 	wl_out_log(out, WL_INFO, "drain-begin", "open_requests=%zu",
 		   node->options.entry ? wl_requests_open(node->requests) : 0);
 	wl_api_drain(node->api);
+	if (node->gate)
+		wl_gate_drain(node->gate);
 	if (node->options.entry)
 		wl_session_step(&node->session, &node->view, now_ns, event, out);
 	wl_node_hand_over(node, now_ns, out);
@@ -83,7 +85,8 @@
 	uint64_t since_ms = (now_ns - node->drain_ns) / WL_NS_PER_MS;
 	bool leads = node->raft && wl_raft_leads(node->raft);
 
-	if (since_ms < DRAIN_NOTICE_MS || wl_api_open(node->api) > 0)
+	if (since_ms < DRAIN_NOTICE_MS || wl_api_open(node->api) > 0 ||
+	    (node->gate && wl_gate_open(node->gate) > 0))
 		return false;
 	/* One that leads again because the others have gone must not wait for them. */
 	if (leads && since_ms < HAND_OVER_MS)
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -5,12 +5,14 @@
 
 #include <libwlcore/api/api.h>
 #include <libwlcore/api/auth.h>
+#include <libwlcore/gate/gate.h>
 #include <libwlcore/node/calls.h>
 #include <libwlcore/leader/leader.h>
 #include <libwlcore/node/node.h>
 #include <libwlcore/owner/owner.h>
 #include <libwlcore/request/request.h>
 #include <libwlcore/node/session.h>
+#include <libwlcore/sched/sched.h>
 #include <libwlcore/state/state.h>
 #include <libwlcore/node/view.h>
 
@@ -39,12 +41,15 @@
 	wl_raft_t *raft;
 	wl_state_t *state;
 	wl_leader_t *leader;
+	wl_sched_t *sched;
 	uint64_t applied; /* index */
 	bool leading;
 	uint64_t seek_ns;      /* next look for replicas to dial */
 	uint64_t blank_log_ns; /* next line about a replica without a group */
 
 	wl_api_t *api;
+	wl_gate_t *gate;  /* NULL without a dialect */
+	uint64_t wall_ms; /* Unix time, as the last tick said */
 	wl_calls_t calls;
 
 	uint64_t drain_ns; /* when the planned stop began; 0: none */
@@ -69,6 +74,7 @@
 void wl_node_raft_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_persisted(wl_node_t *node, uint64_t now_ns, uint64_t ticket, wl_out_t *out);
 void wl_node_hand_over(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
+void wl_node_order_ended(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_node_leader_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 
 #endif
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -147,6 +147,20 @@
 	node->api = wl_api_new(&api);
 }
 
+static void node_make_gate(wl_node_t *node)
+{
+	wl_gate_options_t gate = {
+		.dialect = node->options.dialect,
+		.session = &node->session,
+		.metrics = &node->metrics,
+		.entry = node->options.entry,
+		.control_port = node->options.control_port,
+	};
+
+	if (node->options.dialect)
+		node->gate = wl_gate_new(&gate);
+}
+
 /*
  * wl_node_new - make the decisions of one daemon
  * @options: its strings must outlive the node; the saved state is taken over
@@ -171,6 +185,7 @@
 	wl_calls_init(&node->calls, options->boot);
 	node_make_session(node, now_ns);
 	node_make_api(node);
+	node_make_gate(node);
 
 	node->task_chart = wl_chart_load(&wl_task_chart_binding, options->task_chart, err);
 	node->target_chart = node->task_chart ? wl_chart_load(&wl_target_chart_binding,
@@ -207,10 +222,12 @@
 	wl_owner_free(node->owner);
 	if (node->options.entry && node->target_chart)
 		wl_ledger_free(&node->ledger);
+	wl_sched_free(node->sched);
 	wl_leader_free(node->leader);
 	wl_state_free(node->state);
 	wl_raft_free(node->raft);
 	wl_api_free(node->api);
+	wl_gate_free(node->gate);
 	wl_calls_free(&node->calls);
 	wl_session_free(&node->session);
 	wl_view_free(&node->view);
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -61,6 +61,11 @@
 	case WL_PART_NODE:
 		node->session_ended = true;
 		break;
+	case WL_PART_GATE:
+		wl_gate_step(node->gate, now_ns, &event, out);
+		break;
+	case WL_PART_SCHED: /* asks nobody */
+		break;
 	}
 	wl_result_free(&end->result);
 }
@@ -243,13 +248,29 @@
 	wl_out_reply_error(out, event->call.id, &err);
 }
 
+/* Our own paths stay on the control listener; every other call there is in the dialect. */
+static bool is_own_path(const wl_call_t *call)
+{
+	static const char *const own[] = {"/healthz", "/metrics", "/readyz"};
+	wl_str_t path = wl_buf_str(&call->path);
+
+	if (call->listener != WL_LISTENER_CONTROL)
+		return false;
+	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++)
+		if (wl_str_equal(path, wl_str_from(own[i])))
+			return true;
+	return wl_str_starts(path, WL_STR("/v1/"));
+}
+
 static void node_call(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	const wl_call_t *call = &event->call;
 	bool caller = call->listener == WL_LISTENER_CALLER;
 	wl_str_t path = wl_buf_str(&call->path);
 
-	if (node->options.entry && caller && wl_str_starts(path, WL_STR("/s/")))
+	if (node->gate && !is_own_path(call))
+		wl_gate_step(node->gate, now_ns, event, out);
+	else if (node->options.entry && caller && wl_str_starts(path, WL_STR("/s/")))
 		wl_requests_step(node->requests, now_ns, event, out);
 	else if (node->options.entry && !caller &&
 		 wl_str_equal(path, WL_STR("/v1/targets/announce")) &&
@@ -277,6 +298,7 @@
 {
 	wl_call_end_t end;
 
+	node->wall_ms = event->wall_ms;
 	wl_node_raft_tick(node, now_ns, out);
 	wl_node_leader_event(node, now_ns, event, out);
 	if (node->options.entry) {
@@ -314,7 +336,9 @@
 		node_call(node, now_ns, event, out);
 		return;
 	case WL_EVENT_FETCHED:
-		if (node->options.entry)
+		if (WL_PART_OF(event->fetched.id) == WL_PART_SCHED)
+			wl_node_order_ended(node, now_ns, event, out);
+		else if (node->options.entry)
 			node_fetched(node, now_ns, event, out);
 		return;
 	case WL_EVENT_PERSISTED:
--- a/libwlcore/node/node.h
+++ b/libwlcore/node/node.h
@@ -1,6 +1,7 @@
 #ifndef WL_NODE_H
 #define WL_NODE_H
 
+#include <libwlcore/model/dialect.h>
 #include <libwlcore/model/event.h>
 
 /* All decisions of one daemon behind one step function. */
@@ -25,10 +26,13 @@
 	uint64_t voters_most;
 	bool never_found;
 	uint64_t replace_ms;
-	uint64_t boot;		/* random, new at each start */
-	uint64_t store_id;	/* of the data folder */
-	wl_raft_saved_t *saved; /* store: what the disk held; taken over */
-	wl_str_t task_chart;	/* JSON text */
+	uint64_t boot;		     /* random, new at each start */
+	uint64_t store_id;	     /* of the data folder */
+	wl_raft_saved_t *saved;	     /* store: what the disk held; taken over */
+	const wl_dialect_t *dialect; /* beside our own interface; NULL: none */
+	uint16_t control_port;	     /* of every replica, for targets; 0: not told */
+	wl_str_t job_placement;	     /* policy by name; empty: the default */
+	wl_str_t task_chart;	     /* JSON text */
 	wl_str_t target_chart;
 	wl_str_t operator_token; /* empty: none is asked for */
 	wl_str_t target_token;
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -19,10 +19,13 @@
 	wl_buf_printf(&action->line, "%s: %s", what, err->text);
 }
 
-static void leader_event(wl_node_t *node, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+static void leader_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
-	if (node->leading)
-		wl_leader_step(node->leader, now_ns, event, out);
+	if (!node->leading)
+		return;
+	wl_leader_step(node->leader, now_ns, event, out);
+	if (node->sched)
+		wl_sched_step(node->sched, now_ns, event, out);
 }
 
 static void applied(wl_node_t *node, uint64_t now_ns, const wl_raft_entry_t *entry,
@@ -128,7 +131,8 @@
 	wl_event_init(&event, WL_EVENT_LEAD);
 	event.term = action->term;
 	event.group = wl_raft_group(node->raft);
-	wl_leader_step(node->leader, now_ns, &event, out);
+	event.wall_ms = node->wall_ms;
+	leader_event(node, now_ns, &event, out);
 }
 
 static void do_follow(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
@@ -193,6 +197,21 @@
 	wl_raft_out_clear(&actions);
 }
 
+static bool make_sched(wl_node_t *node, wl_err_t *err)
+{
+	wl_sched_options_t sched = {
+		.name = node->options.name,
+		.leader = node->leader,
+		.jobs = wl_state_jobs(node->state),
+		.dialect = node->options.dialect,
+		.metrics = &node->metrics,
+		.placement = node->options.job_placement,
+	};
+
+	node->sched = wl_sched_new(&sched, err);
+	return node->sched != NULL;
+}
+
 /*
  * wl_node_make_state - make the replicated state and the leader's part of a replica
  */
@@ -222,7 +241,7 @@
 		return false;
 	leader.state = node->state;
 	node->leader = wl_leader_new(&leader, now_ns, err);
-	return node->leader != NULL;
+	return node->leader && (!o->dialect || make_sched(node, err));
 }
 
 /*
@@ -379,7 +398,8 @@
 {
 	if (event->kind != WL_EVENT_PEER)
 		return false;
-	if (event->msg.kind != WL_MSG_QUERY && event->msg.kind != WL_MSG_RENEW)
+	if (event->msg.kind != WL_MSG_QUERY && event->msg.kind != WL_MSG_RENEW &&
+	    !wl_sched_takes(event))
 		return false;
 	if (wl_raft_lease_holds(node->raft, now_ns))
 		return false;
@@ -411,5 +431,18 @@
 	}
 	if (lease_refuses(node, now_ns, event, out) || query_replicas(node, now_ns, event, out))
 		return;
-	wl_leader_step(node->leader, now_ns, event, out);
+	if (node->sched && wl_sched_takes(event)) {
+		wl_sched_step(node->sched, now_ns, event, out);
+		return;
+	}
+	leader_event(node, now_ns, event, out);
+}
+
+/*
+ * wl_node_order_ended - an order to a target has ended
+ */
+void wl_node_order_ended(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (node->leading && node->sched)
+		wl_sched_step(node->sched, now_ns, event, out);
 }
--- /dev/null
+++ b/libwlcore/sched/calls.c
@@ -0,0 +1,203 @@
+/* What daemons ask of the scheduler: commands that are checked and committed, and reads. */
+
+#include "internal.h"
+
+/*
+ * wl_sched_answer - answer a call of a daemon
+ */
+void wl_sched_answer(wl_out_t *out, wl_str_t peer, uint64_t call, const wl_result_t *result)
+{
+	wl_msg_t *msg = wl_out_send(out, peer, WL_MSG_RESULT);
+
+	msg->u.result.call = call;
+	wl_record_copy(&wl_result_schema, &msg->u.result.result, result);
+}
+
+/* Commits a command, moved from, and answers once it is applied. */
+static void propose_for(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
+			wl_cmd_t *cmd, wl_out_t *out)
+{
+	wl_sched_proposal_t *proposal = wl_sched_propose(sched, now_ns, cmd, out);
+
+	wl_buf_set(&proposal->peer, peer);
+	proposal->call = call;
+}
+
+static bool report_differs(const wl_runner_report_t *a, const wl_runner_report_t *b)
+{
+	return a->life != b->life || a->draining != b->draining || a->left != b->left ||
+	       a->cpu_millis != b->cpu_millis || a->memory_mib != b->memory_mib ||
+	       a->accelerators != b->accelerators ||
+	       !wl_str_equal(wl_buf_str(&a->address), wl_buf_str(&b->address)) ||
+	       !wl_str_equal(wl_buf_str(&a->service), wl_buf_str(&b->service)) ||
+	       !wl_str_equal(wl_buf_str(&a->machine), wl_buf_str(&b->machine)) ||
+	       !wl_strings_equal(&a->labels, &b->labels);
+}
+
+/* Whether the report has to be committed; fills the answer where it need not. */
+static bool report_take(wl_sched_t *sched, uint64_t now_ns, wl_runner_report_t *report,
+			wl_result_t *result)
+{
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&report->id));
+
+	wl_result_ok(result, 0);
+	wl_buf_set(&result->leader, sched->options.name);
+	if (report->left) {
+		if (runner && report->life == 0)
+			report->life = runner->state->report.life;
+		return runner != NULL;
+	}
+	if (sched->jobs->configured &&
+	    !wl_catalog_service(&sched->jobs->catalog, wl_buf_str(&report->service))) {
+		wl_result_fail(result, WL_E_BAD_INPUT, "unknown service");
+		return false;
+	}
+	if (!runner) {
+		const wl_runner_t *known = wl_jobs_runner(sched->jobs, wl_buf_str(&report->id));
+
+		return !known || wl_runner_newer(known, report);
+	}
+	wl_sched_runner_heard(runner, now_ns, report);
+	return wl_runner_newer(runner->state, report) &&
+	       report_differs(&runner->state->report, report);
+}
+
+static void command_report(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
+			   wl_cmd_t *cmd, wl_out_t *out)
+{
+	wl_result_t result = {0};
+
+	if (report_take(sched, now_ns, &cmd->u.runner_put, &result)) {
+		propose_for(sched, now_ns, peer, call, cmd, out);
+	} else {
+		wl_sched_answer(out, peer, call, &result);
+		wl_cmd_free(cmd);
+	}
+	wl_result_free(&result);
+}
+
+/* A resent or older configuration is acknowledged without a commit: what is newer is in force. */
+static bool catalog_known(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
+{
+	if (!sched->jobs->configured ||
+	    cmd->u.catalog_put.catalog.version > sched->jobs->catalog.version)
+		return false;
+	wl_result_ok(result, 0);
+	result->version = sched->jobs->catalog.version;
+	return true;
+}
+
+static bool job_known(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
+{
+	const wl_cmd_job_add_t *add = &cmd->u.job_add;
+	const wl_queue_t *queue;
+
+	if (!sched->jobs->configured) {
+		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+		return true;
+	}
+	if (wl_jobs_by_path(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path), &queue)) {
+		wl_result_ok(result, 0);
+		return true;
+	}
+	if (queue)
+		return false;
+	wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
+	return true;
+}
+
+/* Answers what needs no commit; false: it does. */
+static bool command_known(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
+{
+	if (cmd->kind == WL_CMD_CATALOG_PUT)
+		return catalog_known(sched, cmd, result);
+	if (cmd->kind == WL_CMD_JOB_ADD)
+		return job_known(sched, cmd, result);
+	if (cmd->kind == WL_CMD_JOB_CANCEL)
+		return false;
+	wl_result_fail(result, WL_E_BAD_INPUT, "%s: not a command for entries",
+		       wl_cmd_name(cmd->kind));
+	return true;
+}
+
+/*
+ * wl_sched_command - a daemon asks for a change
+ */
+void wl_sched_command(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer,
+		      const wl_msg_command_t *command, wl_out_t *out)
+{
+	wl_result_t result = {0};
+	wl_err_t err = {0};
+	wl_cmd_t cmd;
+
+	if (!wl_cmd_unpack(wl_buf_str(&command->cmd), &cmd, &err)) {
+		wl_result_error(&result, &err);
+		wl_sched_answer(out, peer, command->call, &result);
+		wl_result_free(&result);
+		return;
+	}
+	if (cmd.kind == WL_CMD_RUNNER_PUT) {
+		command_report(sched, now_ns, peer, command->call, &cmd, out);
+		return;
+	}
+	if (command_known(sched, &cmd, &result)) {
+		wl_sched_answer(out, peer, command->call, &result);
+		wl_cmd_free(&cmd);
+	} else {
+		propose_for(sched, now_ns, peer, command->call, &cmd, out);
+	}
+	wl_result_free(&result);
+}
+
+static void query_job(const wl_sched_t *sched, const wl_msg_query_t *query, wl_result_t *result)
+{
+	wl_str_t path = wl_buf_str(&query->name);
+	const wl_queue_t *queue;
+	const wl_job_t *job;
+
+	if (!sched->jobs->configured) {
+		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+		return;
+	}
+	job = wl_jobs_by_path(sched->jobs, wl_buf_str(&query->customer), path, &queue);
+	if (!queue) {
+		wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
+		return;
+	}
+	if (!job && path.len > queue->path_prefix.len) {
+		wl_result_fail(result, WL_E_GONE, "no such job");
+		return;
+	}
+	wl_result_ok(result, 0);
+	result->is_queue = !job;
+	if (job)
+		result->job_state = job->record.state;
+	else
+		result->pending = wl_jobs_pending(sched->jobs, wl_buf_str(&queue->name));
+}
+
+static void query_catalog(const wl_sched_t *sched, wl_result_t *result)
+{
+	if (!sched->jobs->configured) {
+		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+		return;
+	}
+	wl_result_ok(result, 0);
+	wl_buf_set(&result->body, wl_buf_str(&sched->jobs->catalog_text));
+	result->version = sched->jobs->catalog.version;
+}
+
+/*
+ * wl_sched_query - a daemon asks for a read
+ */
+void wl_sched_query(wl_sched_t *sched, wl_str_t peer, const wl_msg_query_t *query, wl_out_t *out)
+{
+	wl_result_t result = {0};
+
+	if (query->kind == WL_QUERY_JOB)
+		query_job(sched, query, &result);
+	else
+		query_catalog(sched, &result);
+	wl_sched_answer(out, peer, query->call, &result);
+	wl_result_free(&result);
+}
--- /dev/null
+++ b/libwlcore/sched/fit.c
@@ -0,0 +1,126 @@
+/*
+ * Which target a task goes to.
+ *
+ * Answers the load of many small tasks of several widths on a fleet that is
+ * two thirds full, with bursts above what it holds: room must stay where wide
+ * tasks fit, and a lost target must not take a whole step with it.
+ */
+
+#include "fit.h"
+
+#define FAR_PENALTY (INT64_C(1) << 40) /* above any difference in free room, millis */
+
+static bool labelled(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	wl_str_t label = wl_buf_str(&question->step->label);
+
+	return label.len == 0 || (runner->labels && wl_strings_have(runner->labels, label));
+}
+
+static uint64_t cpu_of(const wl_step_spec_t *step)
+{
+	return step->best_effort ? 0 : step->cpu_millis;
+}
+
+/*
+ * wl_fit_ever - could the target run a task of the step if it ran nothing else
+ */
+bool wl_fit_ever(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	const wl_step_spec_t *step = question->step;
+
+	return wl_str_equal(question->service, runner->service) && labelled(question, runner) &&
+	       cpu_of(step) <= runner->capacity.cpu_millis &&
+	       step->memory_mib <= runner->capacity.memory_mib &&
+	       step->accelerators <= runner->capacity.accelerators;
+}
+
+static bool room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+{
+	return runner->used.cpu_millis + cpu_of(step) <= runner->capacity.cpu_millis &&
+	       runner->used.memory_mib + step->memory_mib <= runner->capacity.memory_mib &&
+	       runner->used.accelerators + step->accelerators <= runner->capacity.accelerators;
+}
+
+/* Best-effort work disturbs what serves users, and needs processors that are left over. */
+static bool best_effort_room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+{
+	uint64_t taken = runner->used.cpu_millis + runner->best_effort_millis;
+
+	if (!step->best_effort)
+		return true;
+	return runner->serving == 0 && taken + step->cpu_millis <= runner->capacity.cpu_millis;
+}
+
+/*
+ * wl_fit_fits - may a task of the step start on the target now
+ */
+bool wl_fit_fits(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	const wl_step_spec_t *step = question->step;
+
+	if (!runner->usable || !wl_fit_ever(question, runner) || !room(step, runner) ||
+	    !best_effort_room(step, runner))
+		return false;
+	return step->max_per_target == 0 || runner->same_step < step->max_per_target;
+}
+
+static int64_t free_millis(const wl_fit_runner_t *runner)
+{
+	return (int64_t)runner->capacity.cpu_millis - (int64_t)runner->used.cpu_millis -
+	       (int64_t)runner->best_effort_millis;
+}
+
+static bool far(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	wl_str_t data = wl_buf_str(&question->step->data_rack);
+
+	if (data.len && !wl_str_equal(data, runner->rack))
+		return true;
+	return question->step->same_rack && question->rack.len &&
+	       !wl_str_equal(question->rack, runner->rack);
+}
+
+/* Fills targets up, so that room for wide tasks stays elsewhere. */
+static int64_t score_best_fit(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	return -free_millis(runner) - (far(question, runner) ? FAR_PENALTY : 0);
+}
+
+static int64_t score_first_fit(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	(void)question;
+	(void)runner;
+	return 0;
+}
+
+/* Spreads work evenly, so that a lost or slow target takes little with it. */
+static int64_t score_spread(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	return free_millis(runner) - (far(question, runner) ? FAR_PENALTY : 0);
+}
+
+/* Sorted by name; the last is the default. */
+static const wl_fit_policy_t policies[] = {
+	{"best-fit", score_best_fit},
+	{"first-fit", score_first_fit},
+	{"spread", score_spread},
+};
+
+#define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
+
+/*
+ * wl_fit_policy - find a policy
+ * @name: empty: the default
+ *
+ * Return: NULL if there is none of that name.
+ */
+const wl_fit_policy_t *wl_fit_policy(wl_str_t name)
+{
+	if (name.len == 0)
+		return &policies[POLICY_COUNT - 1];
+	for (size_t i = 0; i < POLICY_COUNT; i++)
+		if (wl_str_equal(wl_str_from(policies[i].name), name))
+			return &policies[i];
+	return NULL;
+}
--- /dev/null
+++ b/libwlcore/sched/fit.h
@@ -0,0 +1,39 @@
+#ifndef WL_FIT_H
+#define WL_FIT_H
+
+#include <libwlcore/model/job.h>
+#include <libwlcore/model/model.h>
+
+/* Which target a task goes to: pure, and compared by policies. */
+
+/* A target as placement sees it. */
+typedef struct wl_fit_runner {
+	wl_str_t service;
+	wl_str_t rack;
+	const wl_list_t *labels; /* strings */
+	wl_need_t capacity;
+	wl_need_t used;		     /* reserved, best effort's processors left out */
+	uint64_t best_effort_millis; /* processors that best-effort tasks ask for */
+	uint64_t serving;	     /* lasting tasks with a bound on their tail latency */
+	uint64_t same_step;	     /* tasks of the step in question that run here */
+	bool usable;		     /* heard of lately, not draining, not put aside */
+} wl_fit_runner_t;
+
+/* What is asked for. */
+typedef struct wl_fit_question {
+	const wl_step_spec_t *step;
+	wl_str_t service;
+	wl_str_t rack; /* same_rack: where the first one went; empty: none yet */
+} wl_fit_question_t;
+
+typedef struct wl_fit_policy {
+	const char *name;
+	/* Higher is better; both fit. */
+	int64_t (*score)(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
+} wl_fit_policy_t;
+
+const wl_fit_policy_t *wl_fit_policy(wl_str_t name);
+bool wl_fit_fits(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
+bool wl_fit_ever(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
+
+#endif
--- /dev/null
+++ b/libwlcore/sched/internal.h
@@ -0,0 +1,220 @@
+#ifndef WL_SCHED_INTERNAL_H
+#define WL_SCHED_INTERNAL_H
+
+#include <sys/queue.h>
+
+#include <libwlbase/units.h>
+
+#include "fit.h"
+#include "sched.h"
+
+/* What the leader knows of a run beyond the replicated state. */
+typedef enum wl_run_phase {
+	WL_RUN_PROPOSED,  /* its start is not committed */
+	WL_RUN_STARTING,  /* the order is on its way */
+	WL_RUN_PRESENT,	  /* the target said that it has begun */
+	WL_RUN_INHERITED, /* of an earlier leader: whether it has begun is not known */
+	WL_RUN_UNSURE,	  /* its order got no answer; its target is told to stop it */
+	WL_RUN_ENDING,	  /* its end is proposed */
+} wl_run_phase_t;
+
+struct wl_sched_runner;
+struct wl_bundle;
+
+typedef struct wl_sched_run {
+	wl_str_t key;  /* over text */
+	wl_buf_t text; /* job, task and number */
+	wl_buf_t job;
+	uint64_t task;
+	uint64_t number;
+	wl_run_phase_t phase;
+	uint64_t life; /* of the target that it was placed on */
+	struct wl_sched_runner *runner;
+	wl_need_t need; /* reserved for it */
+	bool best_effort;
+	bool lasting;
+	bool serving; /* lasting, with a bound on its users' tail latency */
+	uint64_t placed_ns;
+	uint64_t answered_ns; /* when the newest order for it was answered */
+	uint64_t stop_sent_ns;
+	uint64_t stop_done_ns; /* when a stop was answered; 0: none */
+	bool stop_wanted;
+	bool listed; /* in the answer that is being read */
+	uint64_t percent;
+	uint64_t load;
+	wl_buf_t checkpoint;
+	TAILQ_ENTRY(wl_sched_run) link; /* of its runner */
+} wl_sched_run_t;
+
+TAILQ_HEAD(wl_sched_runs, wl_sched_run);
+
+/* What the leader knows of a target beyond the replicated state. */
+typedef struct wl_sched_runner {
+	wl_str_t key; /* over id */
+	wl_buf_t id;
+	wl_runner_t *state;
+	struct wl_sched_runs runs;
+	wl_fit_runner_t fit; /* what placement looks at */
+	/* its clock: at least clock_ms at clock_ns on ours; 0: never heard */
+	uint64_t clock_ms;
+	uint64_t clock_ns;
+	uint64_t lease_until_ms; /* on its clock; latest that any order of ours named */
+	uint64_t life;		 /* as its last answer said */
+	uint64_t sequence;	 /* of its newest report */
+	uint64_t reported_ns;
+	uint64_t answered_ns; /* any order */
+	uint64_t hold_id;     /* under way; 0: none */
+	uint64_t hold_sent_ns;
+	uint64_t hold_due_ns;
+	uint64_t seen;	 /* ends up to here are committed */
+	uint64_t listed; /* ends up to here are proposed */
+	bool ack_due;
+	uint64_t aside_until_ns; /* no starts before; 0: any time */
+	uint64_t failures;	 /* runs of different jobs that failed here in a row */
+	uint64_t failed_job;	 /* hash of the newest job among them */
+	bool gone_proposed;
+	TAILQ_ENTRY(wl_sched_runner) link;
+} wl_sched_runner_t;
+
+TAILQ_HEAD(wl_sched_runner_list, wl_sched_runner);
+
+/* The waiting tasks of one step of one occurrence. */
+typedef struct wl_bundle {
+	wl_job_t *job;
+	uint64_t occurrence;
+	uint64_t step;
+	uint64_t *tasks; /* places in the job; the next one is the last */
+	size_t count;
+	size_t room;
+	uint64_t key; /* order of the queue: lowest first */
+	uint64_t ready_ns;
+	wl_str_t rack; /* where its first task went; empty: none yet */
+	bool queued;   /* among those that wait */
+	TAILQ_ENTRY(wl_bundle) link;
+} wl_bundle_t;
+
+TAILQ_HEAD(wl_bundle_list, wl_bundle);
+
+/* What the leader keeps with a job. */
+typedef struct wl_sched_job {
+	wl_bundle_t **bundles; /* by occurrence and step; NULL: not open */
+	uint64_t accepted_ns;
+	uint64_t next_occurrence; /* that has not come due */
+	TAILQ_ENTRY(wl_sched_job) timed;
+	wl_job_t *job;
+} wl_sched_job_t;
+
+TAILQ_HEAD(wl_sched_timed, wl_sched_job);
+
+/* An order under way. */
+typedef struct wl_sched_call {
+	wl_str_t key; /* over id */
+	uint64_t id;
+	wl_order_kind_t kind;
+	wl_buf_t runner;
+	uint64_t life; /* of the runner, when it was sent */
+	wl_buf_t run;  /* key of the run; empty: a hold */
+	uint64_t sent_ns;
+	TAILQ_ENTRY(wl_sched_call) link;
+} wl_sched_call_t;
+
+/* A call of a daemon that waits for a commit, or the ends that one commits. */
+typedef struct wl_sched_proposal {
+	wl_str_t key; /* over tag */
+	uint64_t tag;
+	wl_buf_t peer; /* empty: nobody waits */
+	uint64_t call;
+	wl_buf_t runner; /* ends: of this target */
+	uint64_t listed; /* ends: up to this number */
+	TAILQ_ENTRY(wl_sched_proposal) link;
+} wl_sched_proposal_t;
+
+struct wl_sched {
+	wl_sched_options_t options;
+	wl_jobs_t *jobs;
+	const wl_fit_policy_t *fit;
+	bool leading;
+	uint64_t epoch; /* term of the log */
+	uint64_t led_ns;
+	uint64_t next_id;
+	uint64_t next_tag;
+	wl_map_t by_call;
+	TAILQ_HEAD(wl_sched_calls, wl_sched_call) calls;
+	wl_map_t by_tag;
+	TAILQ_HEAD(wl_sched_proposals, wl_sched_proposal) proposals;
+	wl_map_t by_runner;
+	struct wl_sched_runner_list runners;
+	wl_map_t by_run;
+	struct wl_bundle_list waiting; /* by key */
+	struct wl_sched_timed timed;
+	wl_cmd_runs_start_t starts; /* to be proposed at the end of the step */
+	bool place_due;
+	uint64_t next_gauges_ns;
+};
+
+/* sched.c */
+wl_sched_proposal_t *wl_sched_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_t *cmd,
+				      wl_out_t *out);
+uint64_t wl_sched_clock_ms(const wl_sched_t *sched, uint64_t now_ns);
+
+/* calls.c */
+void wl_sched_command(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer,
+		      const wl_msg_command_t *command, wl_out_t *out);
+void wl_sched_query(wl_sched_t *sched, wl_str_t peer, const wl_msg_query_t *query, wl_out_t *out);
+void wl_sched_answer(wl_out_t *out, wl_str_t peer, uint64_t call, const wl_result_t *result);
+
+/* queue.c */
+void wl_sched_job_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job);
+void wl_sched_bundle_settle(wl_sched_t *sched, wl_bundle_t *bundle);
+void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job);
+void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task);
+void wl_sched_steps_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence);
+void wl_sched_timed_tick(wl_sched_t *sched, uint64_t now_ns);
+
+/* place.c */
+void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+
+/* runs.c */
+wl_sched_run_t *wl_sched_run_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_job_t *job,
+				 uint64_t task, uint64_t number);
+void wl_sched_run_drop(wl_sched_t *sched, wl_sched_run_t *run);
+wl_sched_run_t *wl_sched_run_find(const wl_sched_t *sched, wl_str_t job, uint64_t task,
+				  uint64_t number);
+void wl_sched_starts_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_start_t *cmd,
+			     wl_out_t *out);
+void wl_sched_ends_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_end_t *cmd,
+			   wl_out_t *out);
+void wl_sched_run_answered(wl_sched_t *sched, uint64_t now_ns, const wl_sched_call_t *call,
+			   const wl_order_end_t *end, wl_out_t *out);
+void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
+		       wl_out_t *out);
+void wl_sched_run_end(wl_sched_t *sched, wl_sched_run_t *run, wl_run_how_t how,
+		      wl_cmd_runs_end_t *ends);
+void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
+			   wl_out_t *out);
+void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out);
+bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns,
+			 wl_out_t *out);
+void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
+
+/* runners.c */
+wl_sched_runner_t *wl_sched_runner_follow(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
+wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
+void wl_sched_runner_heard(wl_sched_runner_t *runner, uint64_t now_ns,
+			   const wl_runner_report_t *report);
+void wl_sched_runner_left(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_runners_clear(wl_sched_t *sched);
+uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
+void wl_sched_hold_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			    const wl_sched_call_t *call, const wl_order_end_t *end, wl_out_t *out);
+void wl_sched_hold_soon(wl_sched_runner_t *runner, uint64_t now_ns);
+void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+
+/* orders.c */
+void wl_sched_order(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+		    wl_order_t *order, const wl_sched_run_t *run, wl_out_t *out);
+void wl_sched_fetched(wl_sched_t *sched, uint64_t now_ns, const wl_fetched_t *fetched,
+		      wl_out_t *out);
+void wl_sched_calls_clear(wl_sched_t *sched);
+
+#endif
--- /dev/null
+++ b/libwlcore/sched/place.c
@@ -0,0 +1,167 @@
+/* Gives waiting tasks to targets and gathers the starts of a step into one commit. */
+
+#include "internal.h"
+
+#define MISSES_MOST 64 /* bundles that fit nowhere before the rest has to wait for the next look \
+			*/
+
+static uint64_t same_step(const wl_sched_runner_t *runner, const wl_bundle_t *bundle)
+{
+	const wl_sched_run_t *run;
+	uint64_t count = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		wl_task_ref_t at;
+
+		if (!wl_str_equal(wl_buf_str(&run->job), bundle->job->key))
+			continue;
+		wl_job_place(bundle->job, run->task, &at);
+		count += at.occurrence == bundle->occurrence && at.step == bundle->step;
+	}
+	return count;
+}
+
+static wl_sched_runner_t *runner_choose(wl_sched_t *sched, const wl_bundle_t *bundle,
+					const wl_fit_question_t *question)
+{
+	wl_sched_runner_t *runner;
+	wl_sched_runner_t *best = NULL;
+	int64_t best_score = 0;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		int64_t score;
+
+		runner->fit.same_step = question->step->max_per_target && runner->fit.usable
+						? same_step(runner, bundle)
+						: 0;
+		if (!wl_fit_fits(question, &runner->fit))
+			continue;
+		score = sched->fit->score(question, &runner->fit);
+		if (best && score <= best_score)
+			continue;
+		best = runner;
+		best_score = score;
+	}
+	return best;
+}
+
+static void start_add(wl_sched_t *sched, const wl_sched_run_t *run)
+{
+	wl_run_start_t *row = wl_list_add(&wl_run_start_schema, &sched->starts.runs);
+
+	wl_buf_set(&row->job, wl_buf_str(&run->job));
+	row->task = run->task;
+	row->run = run->number;
+	wl_buf_set(&row->runner, run->runner->key);
+	row->life = run->runner->state->report.life;
+}
+
+/* All members of a gang bear the number above every one of theirs. */
+static uint64_t next_number(const wl_bundle_t *bundle, uint64_t task)
+{
+	wl_task_ref_t at = {.occurrence = bundle->occurrence, .step = bundle->step};
+	uint64_t highest = bundle->job->tasks[task].run;
+	uint64_t member;
+
+	if (!wl_job_step(bundle->job, bundle->step)->gang)
+		return highest + 1;
+	for (at.index = 0; wl_job_task_at(bundle->job, &at, &member); at.index++)
+		if (bundle->job->tasks[member].run > highest)
+			highest = bundle->job->tasks[member].run;
+	return highest + 1;
+}
+
+static void task_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle, uint64_t number,
+		       wl_sched_runner_t *runner)
+{
+	uint64_t task = bundle->tasks[--bundle->count];
+	wl_sched_run_t *run = wl_sched_run_add(sched, runner, bundle->job, task, number);
+
+	run->phase = WL_RUN_PROPOSED;
+	run->placed_ns = now_ns;
+	if (bundle->rack.len == 0)
+		bundle->rack = wl_buf_str(&runner->state->report.rack);
+	start_add(sched, run);
+}
+
+/* Members of a gang start together or not at all: what was reserved is given back. */
+static bool gang_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle,
+		       const wl_fit_question_t *question)
+{
+	size_t members = wl_job_step(bundle->job, bundle->step)->count;
+	size_t first_row = sched->starts.runs.count;
+	wl_run_start_t *rows;
+	uint64_t number;
+
+	if (bundle->count < members)
+		return false;
+	number = next_number(bundle, bundle->tasks[0]);
+	while (bundle->count > 0) {
+		wl_sched_runner_t *runner = runner_choose(sched, bundle, question);
+
+		if (!runner)
+			break;
+		task_place(sched, now_ns, bundle, number, runner);
+	}
+	if (bundle->count == 0)
+		return true;
+	rows = sched->starts.runs.items;
+	for (size_t i = sched->starts.runs.count; i-- > first_row;) {
+		wl_sched_run_drop(sched, wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
+							   rows[i].task, rows[i].run));
+		bundle->tasks[bundle->count++] = rows[i].task;
+		wl_record_free(&wl_run_start_schema, &rows[i]);
+	}
+	sched->starts.runs.count = first_row;
+	bundle->rack = (wl_str_t){0};
+	return false;
+}
+
+/* False when a task of it fits nowhere. */
+static bool bundle_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle)
+{
+	const wl_queue_t *queue =
+		wl_catalog_queue(&sched->jobs->catalog, wl_buf_str(&bundle->job->record.queue));
+	wl_fit_question_t question = {
+		.step = wl_job_step(bundle->job, bundle->step),
+		.service = wl_buf_str(queue ? &queue->service : &bundle->job->record.service),
+	};
+
+	if (question.step->gang)
+		return gang_place(sched, now_ns, bundle, &question);
+	while (bundle->count > 0) {
+		wl_sched_runner_t *runner;
+
+		question.rack = bundle->rack;
+		runner = runner_choose(sched, bundle, &question);
+		if (!runner)
+			return false;
+		task_place(sched, now_ns, bundle,
+			   next_number(bundle, bundle->tasks[bundle->count - 1]), runner);
+	}
+	return true;
+}
+
+/*
+ * wl_sched_place - place what can be placed, and propose the starts
+ */
+void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
+	wl_bundle_t *bundle = TAILQ_FIRST(&sched->waiting);
+	size_t misses = 0;
+
+	sched->place_due = false;
+	while (bundle && misses < MISSES_MOST) {
+		wl_bundle_t *next = TAILQ_NEXT(bundle, link);
+
+		misses += !bundle_place(sched, now_ns, bundle);
+		wl_sched_bundle_settle(sched, bundle);
+		bundle = next;
+	}
+	if (sched->starts.runs.count == 0)
+		return;
+	cmd.u.runs_start = sched->starts;
+	sched->starts = (wl_cmd_runs_start_t){0};
+	wl_sched_propose(sched, now_ns, &cmd, out);
+}
--- /dev/null
+++ b/libwlcore/sched/queue.c
@@ -0,0 +1,206 @@
+/*
+ * Tasks that wait for a target, in the order in which they are to be placed.
+ *
+ * Answers bursts: what is urgent goes first, and of equal urgency what came
+ * first; a task that fits nowhere does not hold up those behind it.
+ */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+#define TASKS_LEAST_ROOM 8
+#define PRIORITY_SHIFT	 56 /* priorities above, time below */
+#define PRIORITY_MOST	 127
+
+static uint64_t bundle_key(const wl_job_t *job, uint64_t due_ms)
+{
+	uint64_t priority = job->record.priority;
+	uint64_t from_ms = due_ms ? due_ms : job->record.accepted_ms;
+
+	if (priority > PRIORITY_MOST)
+		priority = PRIORITY_MOST;
+	return priority << PRIORITY_SHIFT | from_ms;
+}
+
+static wl_bundle_t **bundle_slot(const wl_job_t *job, uint64_t occurrence, uint64_t step)
+{
+	wl_sched_job_t *note = job->note;
+
+	return &note->bundles[occurrence * job->record.spec.steps.count + step];
+}
+
+static void bundle_insert(wl_sched_t *sched, wl_bundle_t *bundle)
+{
+	wl_bundle_t *before = TAILQ_LAST(&sched->waiting, wl_bundle_list);
+
+	bundle->queued = true;
+	while (before && before->key > bundle->key)
+		before = TAILQ_PREV(before, wl_bundle_list, link);
+	if (before)
+		TAILQ_INSERT_AFTER(&sched->waiting, before, bundle, link);
+	else
+		TAILQ_INSERT_HEAD(&sched->waiting, bundle, link);
+}
+
+static wl_bundle_t *bundle_get(uint64_t now_ns, wl_job_t *job, uint64_t occurrence, uint64_t step)
+{
+	wl_bundle_t **slot = bundle_slot(job, occurrence, step);
+
+	if (*slot)
+		return *slot;
+	*slot = wl_alloc(sizeof(**slot));
+	(*slot)->job = job;
+	(*slot)->occurrence = occurrence;
+	(*slot)->step = step;
+	(*slot)->key = bundle_key(job, wl_job_due_ms(job, occurrence));
+	(*slot)->ready_ns = now_ns;
+	return *slot;
+}
+
+static void bundle_free(wl_sched_t *sched, wl_bundle_t *bundle)
+{
+	if (bundle->queued)
+		TAILQ_REMOVE(&sched->waiting, bundle, link);
+	free(bundle->tasks);
+	free(bundle);
+}
+
+static void bundle_add(wl_sched_t *sched, wl_bundle_t *bundle, uint64_t task)
+{
+	if (!bundle->queued)
+		bundle_insert(sched, bundle);
+	if (bundle->count == bundle->room) {
+		bundle->room = bundle->room ? 2 * bundle->room : TASKS_LEAST_ROOM;
+		bundle->tasks = wl_realloc(bundle->tasks, bundle->room * sizeof(*bundle->tasks));
+	}
+	bundle->tasks[bundle->count++] = task;
+}
+
+/*
+ * wl_sched_bundle_settle - one of which no task waits leaves the queue until another does
+ */
+void wl_sched_bundle_settle(wl_sched_t *sched, wl_bundle_t *bundle)
+{
+	if (bundle->count > 0)
+		return;
+	TAILQ_REMOVE(&sched->waiting, bundle, link);
+	bundle->queued = false;
+}
+
+/*
+ * wl_sched_task_wait - a task that is not done and has no run waits for a target
+ */
+void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task)
+{
+	wl_task_ref_t at;
+
+	if (wl_job_ended(job) || job->tasks[task].done || !TAILQ_EMPTY(&job->tasks[task].runs))
+		return;
+	wl_job_place(job, task, &at);
+	bundle_add(sched, bundle_get(now_ns, job, at.occurrence, at.step), task);
+	sched->place_due = true;
+}
+
+static void step_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence,
+		      uint64_t step)
+{
+	wl_task_ref_t at = {.occurrence = occurrence, .step = step};
+	uint64_t task;
+
+	bundle_get(now_ns, job, occurrence, step);
+	/* The last one added is placed first. */
+	for (at.index = wl_job_step(job, step)->count; at.index-- > 0;) {
+		wl_job_task_at(job, &at, &task);
+		wl_sched_task_wait(sched, now_ns, job, task);
+	}
+}
+
+/*
+ * wl_sched_steps_open - let the tasks of those steps wait whose dependencies are done
+ */
+void wl_sched_steps_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence)
+{
+	for (uint64_t step = 0; step < job->record.spec.steps.count; step++)
+		if (!*bundle_slot(job, occurrence, step) &&
+		    *wl_job_step_left(job, occurrence, step) > 0 &&
+		    wl_job_step_open(job, occurrence, step))
+			step_open(sched, now_ns, job, occurrence, step);
+}
+
+/* Opens the occurrences that have come due; true when all have. */
+static bool occurrences_open(wl_sched_t *sched, uint64_t now_ns, wl_sched_job_t *note)
+{
+	uint64_t clock_ms = wl_sched_clock_ms(sched, now_ns);
+
+	while (note->next_occurrence < note->job->occurrences) {
+		if (wl_job_due_ms(note->job, note->next_occurrence) > clock_ms)
+			return false;
+		wl_sched_steps_open(sched, now_ns, note->job, note->next_occurrence++);
+	}
+	return true;
+}
+
+/*
+ * wl_sched_job_open - begin to schedule a job
+ */
+void wl_sched_job_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job)
+{
+	wl_sched_job_t *note;
+
+	if (job->note || wl_job_ended(job))
+		return;
+	note = wl_alloc(sizeof(*note));
+	note->job = job;
+	note->accepted_ns = now_ns;
+	note->bundles =
+		wl_alloc(job->occurrences * job->record.spec.steps.count * sizeof(wl_bundle_t *));
+	job->note = note;
+	if (!occurrences_open(sched, now_ns, note))
+		TAILQ_INSERT_TAIL(&sched->timed, note, timed);
+}
+
+static bool is_timed(const wl_sched_t *sched, const wl_sched_job_t *note)
+{
+	const wl_sched_job_t *timed;
+
+	TAILQ_FOREACH (timed, &sched->timed, timed)
+		if (timed == note)
+			return true;
+	return false;
+}
+
+/*
+ * wl_sched_job_close - none of a job's tasks waits any more
+ */
+void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job)
+{
+	wl_sched_job_t *note = job->note;
+
+	if (!note)
+		return;
+	for (uint64_t i = 0; i < job->occurrences * job->record.spec.steps.count; i++)
+		if (note->bundles[i])
+			bundle_free(sched, note->bundles[i]);
+	if (job->record.spec.repeat && is_timed(sched, note))
+		TAILQ_REMOVE(&sched->timed, note, timed);
+	free(note->bundles);
+	free(note);
+	job->note = NULL;
+}
+
+/*
+ * wl_sched_timed_tick - open what has come due
+ */
+void wl_sched_timed_tick(wl_sched_t *sched, uint64_t now_ns)
+{
+	wl_sched_job_t *note = TAILQ_FIRST(&sched->timed);
+
+	while (note) {
+		wl_sched_job_t *next = TAILQ_NEXT(note, timed);
+
+		if (occurrences_open(sched, now_ns, note))
+			TAILQ_REMOVE(&sched->timed, note, timed);
+		note = next;
+	}
+}
--- /dev/null
+++ b/libwlcore/sched/runners.c
@@ -0,0 +1,418 @@
+/*
+ * Targets that run tasks: their clocks, the leases of their runs, and what
+ * they list.
+ *
+ * A hold renews the lease of all that a target runs and waits there for the
+ * next end.  Leases are times on the target's own clock, which may be slow by
+ * CLOCK_SLOW_PERCENT; they are certainly over once even such a clock has
+ * passed them.
+ */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+#define HOLD_WAIT_MS	   1000	 /* several renewals within a lease */
+#define HOLD_TIMEOUT_MS	   800	 /* beyond the wait */
+#define HOLD_AGAIN_MS	   200	 /* after a hold that failed */
+#define SILENT_MS	   3500	 /* without a word for so long a target gets no starts */
+#define GONE_MS		   20000 /* and after so long it is forgotten, if it runs nothing */
+#define CLOCK_SLOW_PERCENT 2	 /* as the targets' contract says */
+#define LAPSE_MARGIN_MS	   300	 /* for the way of the last order and a late timer */
+#define ENDS_WHOLE_MOST \
+	500 /* a target lists at most so many ends: with as many, there may be more */
+
+/*
+ * wl_sched_runner_find - what is known of a target, or NULL
+ */
+wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id)
+{
+	return wl_map_get(&sched->by_runner, id);
+}
+
+static void fit_follow(wl_sched_runner_t *runner)
+{
+	const wl_runner_report_t *report = &runner->state->report;
+
+	runner->fit.service = wl_buf_str(&report->service);
+	runner->fit.rack = wl_buf_str(&report->rack);
+	runner->fit.labels = &report->labels;
+	runner->fit.capacity = (wl_need_t){.cpu_millis = report->cpu_millis,
+					   .memory_mib = report->memory_mib,
+					   .accelerators = report->accelerators};
+}
+
+static void usable_follow(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	uint64_t heard_ns = runner->reported_ns > runner->answered_ns ? runner->reported_ns
+								      : runner->answered_ns;
+	bool usable = !runner->state->left_ms && !runner->state->report.draining &&
+		      runner->clock_ns && heard_ns &&
+		      now_ns - heard_ns < SILENT_MS * WL_NS_PER_MS &&
+		      now_ns >= runner->aside_until_ns;
+
+	if (usable && !runner->fit.usable)
+		sched->place_due = true;
+	runner->fit.usable = usable;
+}
+
+/*
+ * wl_sched_runner_follow - keep up with a target of the replicated state
+ */
+wl_sched_runner_t *wl_sched_runner_follow(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state)
+{
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, state->key);
+
+	if (!runner) {
+		runner = wl_alloc(sizeof(*runner));
+		wl_buf_set(&runner->id, state->key);
+		runner->key = wl_buf_str(&runner->id);
+		runner->hold_due_ns = now_ns;
+		TAILQ_INIT(&runner->runs);
+		wl_map_put(&sched->by_runner, runner);
+		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
+	}
+	runner->state = state;
+	fit_follow(runner);
+	usable_follow(sched, runner, now_ns);
+	return runner;
+}
+
+static void life_begin(wl_sched_runner_t *runner, uint64_t life)
+{
+	if (life == 0 || life == runner->life)
+		return;
+	runner->life = life;
+	runner->clock_ms = 0;
+	runner->clock_ns = 0;
+	runner->sequence = 0;
+	runner->seen = 0;
+	runner->listed = 0;
+	runner->ack_due = false;
+	runner->failures = 0;
+}
+
+/*
+ * wl_sched_runner_heard - a target has reported
+ */
+void wl_sched_runner_heard(wl_sched_runner_t *runner, uint64_t now_ns,
+			   const wl_runner_report_t *report)
+{
+	if (report->life < runner->life || runner->state->left_ms)
+		return;
+	if (report->life > runner->life) {
+		life_begin(runner, report->life);
+		wl_sched_hold_soon(runner, now_ns);
+	}
+	if (report->sequence <= runner->sequence)
+		return;
+	runner->sequence = report->sequence;
+	runner->reported_ns = now_ns;
+	if (report->clock_ms <= runner->clock_ms)
+		return;
+	runner->clock_ms = report->clock_ms;
+	runner->clock_ns = now_ns;
+}
+
+static void runner_free(wl_sched_t *sched, wl_sched_runner_t *runner)
+{
+	while (!TAILQ_EMPTY(&runner->runs))
+		wl_sched_run_drop(sched, TAILQ_FIRST(&runner->runs));
+	wl_map_remove(&sched->by_runner, runner->key);
+	TAILQ_REMOVE(&sched->runners, runner, link);
+	wl_buf_free(&runner->id);
+	free(runner);
+}
+
+/*
+ * wl_sched_runners_clear - forget all targets and their runs
+ */
+void wl_sched_runners_clear(wl_sched_t *sched)
+{
+	while (!TAILQ_EMPTY(&sched->runners))
+		runner_free(sched, TAILQ_FIRST(&sched->runners));
+}
+
+/*
+ * wl_sched_runner_left - a target has left, and with it all that it ran
+ */
+void wl_sched_runner_left(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	wl_sched_run_t *run;
+
+	while ((run = TAILQ_FIRST(&runner->runs))) {
+		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+		uint64_t task = run->task;
+
+		wl_sched_run_drop(sched, run);
+		if (job)
+			wl_sched_task_wait(sched, now_ns, job, task);
+	}
+	runner_free(sched, runner);
+}
+
+/*
+ * wl_sched_runner_clock_ms - what a target's clock shows now, at the least and if it is not slow
+ */
+uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return runner->clock_ms + (now_ns - runner->clock_ns) / WL_NS_PER_MS;
+}
+
+/*
+ * wl_sched_hold_soon - the target is to be asked at once
+ */
+void wl_sched_hold_soon(wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	runner->hold_due_ns = now_ns;
+}
+
+static bool has_phase(const wl_sched_runner_t *runner, wl_run_phase_t phase)
+{
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->phase == phase)
+			return true;
+	return false;
+}
+
+/* Something to learn at once, so that the answer must not wait for an end. */
+static bool asks_at_once(const wl_sched_runner_t *runner)
+{
+	return runner->clock_ns == 0 || has_phase(runner, WL_RUN_UNSURE) ||
+	       has_phase(runner, WL_RUN_INHERITED);
+}
+
+static bool holds_anything(const wl_sched_runner_t *runner)
+{
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
+			return true;
+	return false;
+}
+
+static void hold_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner, bool holds,
+		      wl_out_t *out)
+{
+	wl_order_t order = {.kind = WL_ORDER_HOLD, .seen = runner->seen};
+
+	order.wait_ms = holds && !asks_at_once(runner) ? HOLD_WAIT_MS : 0;
+	order.timeout_ms = order.wait_ms + HOLD_TIMEOUT_MS;
+	if (runner->clock_ns)
+		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
+	runner->ack_due = false;
+	wl_sched_order(sched, now_ns, runner, &order, NULL, out);
+}
+
+/* When even a slow clock has passed every lease that may have been granted. */
+static uint64_t lapse_ns(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+{
+	uint64_t margin_ns = LAPSE_MARGIN_MS * WL_NS_PER_MS;
+	uint64_t most_ns = sched->options.lease_most_ms * WL_NS_PER_MS;
+	uint64_t left_ms = runner->lease_until_ms > runner->clock_ms
+				   ? runner->lease_until_ms - runner->clock_ms
+				   : 0;
+	uint64_t own_ns =
+		runner->clock_ns + left_ms * WL_NS_PER_MS * 100 / (100 - CLOCK_SLOW_PERCENT);
+	uint64_t inherited_ns = sched->led_ns + most_ns * 100 / (100 - CLOCK_SLOW_PERCENT);
+
+	if (has_phase(runner, WL_RUN_INHERITED) && inherited_ns > own_ns)
+		return inherited_ns + margin_ns;
+	return own_ns + margin_ns;
+}
+
+static void runs_lapse(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner, wl_out_t *out)
+{
+	wl_cmd_runs_end_t ends = {0};
+	wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
+			wl_sched_run_end(sched, run, WL_END_LOST, &ends);
+	wl_out_log(out, WL_WARN, "target-lapsed",
+		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu",
+		   WL_STR_ARG(runner->key), ends.ends.count,
+		   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS),
+		   (unsigned long long)sched->options.lease_ms);
+	wl_sched_ends_propose(sched, now_ns, &ends, out);
+}
+
+static void gone_propose(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			 wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_RUNNER_PUT};
+
+	runner->gone_proposed = true;
+	wl_buf_set(&cmd.u.runner_put.id, runner->key);
+	cmd.u.runner_put.life = runner->state->report.life;
+	cmd.u.runner_put.left = true;
+	wl_out_log(out, WL_WARN, "target-gone", "target=" WL_STR_FMT " silent_ms=%d",
+		   WL_STR_ARG(runner->key), GONE_MS);
+	wl_sched_propose(sched, now_ns, &cmd, out);
+}
+
+static void runner_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			wl_out_t *out)
+{
+	bool holds = holds_anything(runner);
+	uint64_t heard_ns = runner->reported_ns > runner->answered_ns ? runner->reported_ns
+								      : runner->answered_ns;
+	wl_sched_run_t *run;
+
+	usable_follow(sched, runner, now_ns);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		wl_sched_run_tick(sched, now_ns, run, out);
+	if (holds && now_ns > lapse_ns(sched, runner))
+		runs_lapse(sched, now_ns, runner, out);
+	else if ((holds || runner->ack_due) && !runner->hold_id && now_ns >= runner->hold_due_ns)
+		hold_send(sched, now_ns, runner, holds, out);
+	if (heard_ns < sched->led_ns)
+		heard_ns = sched->led_ns;
+	if (TAILQ_EMPTY(&runner->runs) && !runner->gone_proposed &&
+	    now_ns - heard_ns > GONE_MS * WL_NS_PER_MS)
+		gone_propose(sched, now_ns, runner, out);
+}
+
+/*
+ * wl_sched_runners_tick - holds that are due, leases that are over, targets that are gone
+ */
+void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
+{
+	wl_sched_runner_t *runner;
+
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		runner_tick(sched, now_ns, runner, out);
+}
+
+static wl_sched_run_t *run_named(const wl_sched_t *sched, const wl_task_ref_t *ref, uint64_t number)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&ref->job));
+	uint64_t task;
+
+	if (!job || !wl_job_task_at(job, ref, &task))
+		return NULL;
+	return wl_sched_run_find(sched, job->key, task, number);
+}
+
+/* A run that we know nothing of has no use: its task has ended, or runs elsewhere. */
+static void stranger_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			  const wl_run_view_t *view, wl_out_t *out)
+{
+	wl_order_t order = {
+		.kind = WL_ORDER_STOP,
+		.task = view->ref,
+		.run = view->run,
+		.timeout_ms = HOLD_TIMEOUT_MS,
+	};
+
+	wl_out_log(out, WL_WARN, "run-unknown", "target=" WL_STR_FMT " task=%s run=%llu",
+		   WL_STR_ARG(runner->key), view->task.at, (unsigned long long)view->run);
+	wl_sched_order(sched, now_ns, runner, &order, NULL, out);
+}
+
+static void views_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			 const wl_order_end_t *end, wl_out_t *out)
+{
+	const wl_run_view_t *views = end->runs.items;
+
+	for (size_t i = 0; i < end->runs.count; i++) {
+		wl_sched_run_t *run = run_named(sched, &views[i].ref, views[i].run);
+
+		if (!run || run->runner != runner) {
+			stranger_stop(sched, now_ns, runner, &views[i], out);
+			continue;
+		}
+		run->listed = true;
+		run->percent = views[i].percent;
+		run->load = views[i].load;
+		if (views[i].checkpoint.len)
+			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
+		if (run->phase != WL_RUN_INHERITED && run->phase != WL_RUN_UNSURE)
+			continue;
+		run->phase = WL_RUN_PRESENT;
+		run->answered_ns = now_ns;
+	}
+}
+
+static void ends_follow(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_order_end_t *end,
+			wl_cmd_runs_end_t *ends)
+{
+	const wl_end_view_t *views = end->ends.items;
+
+	for (size_t i = 0; i < end->ends.count; i++) {
+		wl_sched_run_t *run = run_named(sched, &views[i].ref, views[i].run);
+
+		if (views[i].number <= runner->listed)
+			continue;
+		runner->listed = views[i].number;
+		if (!run || run->runner != runner || run->phase == WL_RUN_ENDING ||
+		    run->phase == WL_RUN_PROPOSED)
+			continue;
+		if (views[i].checkpoint.len)
+			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
+		wl_sched_run_end(sched, run, (wl_run_how_t)views[i].how, ends);
+	}
+}
+
+static void absent_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			  uint64_t sent_ns, wl_cmd_runs_end_t *ends, wl_out_t *out)
+{
+	wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns, out))
+			wl_sched_run_end(sched, run, WL_END_LOST, ends);
+}
+
+/* Ends are committed before the target is told that they were seen. */
+static void ends_commit(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			wl_cmd_runs_end_t *ends, wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_END, .u.runs_end = *ends};
+	wl_sched_proposal_t *proposal;
+
+	if (ends->ends.count == 0) {
+		runner->ack_due = runner->ack_due || runner->seen < runner->listed;
+		runner->seen = runner->listed;
+		return;
+	}
+	proposal = wl_sched_propose(sched, now_ns, &cmd, out);
+	wl_buf_set(&proposal->runner, runner->key);
+	proposal->listed = runner->listed;
+	runner->hold_due_ns = now_ns + HOLD_WAIT_MS * WL_NS_PER_MS; /* or the commit, before that */
+}
+
+/*
+ * wl_sched_hold_answered - a hold has ended
+ */
+void wl_sched_hold_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			    const wl_sched_call_t *call, const wl_order_end_t *end, wl_out_t *out)
+{
+	wl_cmd_runs_end_t ends = {0};
+	wl_sched_run_t *run;
+
+	if (runner->hold_id == call->id)
+		runner->hold_id = 0;
+	if (end->outcome != WL_ORDER_DONE) {
+		wl_sched_hold_soon(runner, now_ns + HOLD_AGAIN_MS * WL_NS_PER_MS);
+		return;
+	}
+	if (end->life && end->life < runner->life)
+		return;
+	if (end->life > runner->life) {
+		life_begin(runner, end->life);
+		runner->clock_ms = end->clock_ms;
+		runner->clock_ns = now_ns;
+	}
+	wl_sched_hold_soon(runner, now_ns);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		run->listed = false;
+	views_follow(sched, now_ns, runner, end, out);
+	ends_follow(sched, runner, end, &ends);
+	if (end->ends.count < ENDS_WHOLE_MOST)
+		absent_follow(sched, now_ns, runner, call->sent_ns, &ends, out);
+	ends_commit(sched, now_ns, runner, &ends, out);
+}
--- /dev/null
+++ b/libwlcore/sched/runs.c
@@ -0,0 +1,435 @@
+/*
+ * Runs: from the committed start to the committed end.
+ *
+ * A run is over only once its target lists its end, or can't have it: the
+ * target began a new life, every lease there has certainly lapsed, or the
+ * start was barred.  Until then its room stays reserved and its task waits.
+ */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+#define START_TIMEOUT_MS 1000 /* several times a round trip and a busy target's answer */
+#define STOP_TIMEOUT_MS	 1000
+#define STOP_AGAIN_MS	 300 /* between two stops of a run whose target did not answer */
+#define NO_ROOM_MS	 300 /* pause after a target refused: its room is counted anew by then */
+#define UNHEALTHY_MS	 1000
+#define FAILED_MOST	 3 /* failures in a row of different jobs that put a target aside */
+#define FAILED_PAUSE_MS	 4000
+
+static void run_text(wl_str_t job, uint64_t task, uint64_t number, wl_buf_t *text)
+{
+	wl_buf_clear(text);
+	wl_buf_printf(text, WL_STR_FMT "/%llu/%llu", WL_STR_ARG(job), (unsigned long long)task,
+		      (unsigned long long)number);
+}
+
+/*
+ * wl_sched_run_find - what is known of a run, or NULL
+ */
+wl_sched_run_t *wl_sched_run_find(const wl_sched_t *sched, wl_str_t job, uint64_t task,
+				  uint64_t number)
+{
+	wl_buf_t text = {0};
+	wl_sched_run_t *run;
+
+	run_text(job, task, number, &text);
+	run = wl_map_get(&sched->by_run, wl_buf_str(&text));
+	wl_buf_free(&text);
+	return run;
+}
+
+static void need_add(wl_sched_runner_t *runner, const wl_sched_run_t *run)
+{
+	runner->fit.used.cpu_millis += run->best_effort ? 0 : run->need.cpu_millis;
+	runner->fit.used.memory_mib += run->need.memory_mib;
+	runner->fit.used.accelerators += run->need.accelerators;
+	runner->fit.best_effort_millis += run->best_effort ? run->need.cpu_millis : 0;
+	runner->fit.serving += run->serving;
+}
+
+static void need_take(wl_sched_runner_t *runner, const wl_sched_run_t *run)
+{
+	runner->fit.used.cpu_millis -= run->best_effort ? 0 : run->need.cpu_millis;
+	runner->fit.used.memory_mib -= run->need.memory_mib;
+	runner->fit.used.accelerators -= run->need.accelerators;
+	runner->fit.best_effort_millis -= run->best_effort ? run->need.cpu_millis : 0;
+	runner->fit.serving -= run->serving;
+}
+
+/*
+ * wl_sched_run_add - reserve room for a run
+ */
+wl_sched_run_t *wl_sched_run_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_job_t *job,
+				 uint64_t task, uint64_t number)
+{
+	wl_sched_run_t *run = wl_alloc(sizeof(*run));
+	const wl_step_spec_t *step;
+	wl_task_ref_t at;
+
+	wl_job_place(job, task, &at);
+	step = wl_job_step(job, at.step);
+	run_text(job->key, task, number, &run->text);
+	run->key = wl_buf_str(&run->text);
+	wl_buf_set(&run->job, job->key);
+	run->task = task;
+	run->number = number;
+	run->runner = runner;
+	run->life = runner->state->report.life;
+	run->best_effort = step->best_effort;
+	run->lasting = step->lasting;
+	run->serving = step->lasting && step->tail_target_us > 0;
+	run->need = (wl_need_t){.cpu_millis = step->cpu_millis,
+				.memory_mib = step->memory_mib,
+				.accelerators = step->accelerators};
+	need_add(runner, run);
+	wl_map_put(&sched->by_run, run);
+	TAILQ_INSERT_TAIL(&runner->runs, run, link);
+	return run;
+}
+
+/*
+ * wl_sched_run_drop - forget a run and give back its room
+ */
+void wl_sched_run_drop(wl_sched_t *sched, wl_sched_run_t *run)
+{
+	need_take(run->runner, run);
+	wl_map_remove(&sched->by_run, run->key);
+	TAILQ_REMOVE(&run->runner->runs, run, link);
+	wl_buf_free(&run->text);
+	wl_buf_free(&run->job);
+	wl_buf_free(&run->checkpoint);
+	free(run);
+	sched->place_due = true;
+}
+
+static void task_of(const wl_sched_run_t *run, const wl_job_t *job, wl_task_ref_t *ref)
+{
+	wl_job_place(job, run->task, ref);
+	ref->job = run->job; /* borrowed */
+}
+
+static void start_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const wl_job_t *job,
+		       wl_out_t *out)
+{
+	wl_order_t order = {
+		.kind = WL_ORDER_START,
+		.run = run->number,
+		.payload = wl_buf_str(&job->record.spec.payload),
+		.checkpoint = wl_buf_str(&job->tasks[run->task].checkpoint),
+		.timeout_ms = START_TIMEOUT_MS,
+	};
+
+	task_of(run, job, &order.task);
+	order.lease_ms =
+		wl_sched_runner_clock_ms(run->runner, now_ns) + sched->options.start_lease_ms;
+	run->phase = WL_RUN_STARTING;
+	wl_sched_order(sched, now_ns, run->runner, &order, run, out);
+	wl_out_log(out, WL_INFO, "run-start",
+		   "job=" WL_STR_FMT " task=%llu.%llu.%llu run=%llu target=" WL_STR_FMT
+		   " waited_ms=%llu cpu_used=%llu",
+		   WL_STR_ARG(job->key), (unsigned long long)order.task.occurrence,
+		   (unsigned long long)order.task.step, (unsigned long long)order.task.index,
+		   (unsigned long long)run->number, WL_STR_ARG(run->runner->key),
+		   (unsigned long long)((now_ns - run->placed_ns) / WL_NS_PER_MS),
+		   (unsigned long long)run->runner->fit.used.cpu_millis);
+}
+
+/*
+ * wl_sched_starts_applied - starts are committed: give the orders
+ *
+ * One that the state did not take, since its job was cancelled meanwhile, is given up.
+ */
+void wl_sched_starts_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_start_t *cmd,
+			     wl_out_t *out)
+{
+	const wl_run_start_t *rows = cmd->runs.items;
+
+	for (size_t i = 0; i < cmd->runs.count; i++) {
+		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&rows[i].job));
+		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
+							rows[i].task, rows[i].run);
+
+		if (!run || run->phase != WL_RUN_PROPOSED)
+			continue;
+		if (job && wl_job_run(job, rows[i].task, rows[i].run)) {
+			start_send(sched, now_ns, run, job, out);
+			continue;
+		}
+		wl_sched_run_drop(sched, run);
+		if (job)
+			wl_sched_task_wait(sched, now_ns, job, rows[i].task);
+	}
+}
+
+static void stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	wl_order_t order = {
+		.kind = WL_ORDER_STOP, .run = run->number, .timeout_ms = STOP_TIMEOUT_MS};
+
+	run->stop_sent_ns = now_ns;
+	if (!job)
+		return;
+	task_of(run, job, &order.task);
+	wl_sched_order(sched, now_ns, run->runner, &order, run, out);
+}
+
+/*
+ * wl_sched_run_stop - have a run stopped
+ * @reason: for the log
+ */
+void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
+		       wl_out_t *out)
+{
+	if (run->stop_wanted || run->phase == WL_RUN_ENDING)
+		return;
+	run->stop_wanted = true;
+	wl_out_log(out, WL_INFO, "run-stop", "run=" WL_STR_FMT " target=" WL_STR_FMT " reason=%s",
+		   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key), reason);
+	if (run->phase != WL_RUN_PROPOSED)
+		stop_send(sched, now_ns, run, out);
+}
+
+/*
+ * wl_sched_run_end - add the end of a run to those that are to be committed
+ */
+void wl_sched_run_end(wl_sched_t *sched, wl_sched_run_t *run, wl_run_how_t how,
+		      wl_cmd_runs_end_t *ends)
+{
+	wl_run_end_t *row = wl_list_add(&wl_run_end_schema, &ends->ends);
+
+	(void)sched;
+	wl_buf_set(&row->job, wl_buf_str(&run->job));
+	row->task = run->task;
+	row->run = run->number;
+	wl_buf_set(&row->runner, run->runner->key);
+	row->how = how;
+	wl_buf_set(&row->checkpoint, wl_buf_str(&run->checkpoint));
+	run->phase = WL_RUN_ENDING;
+}
+
+/*
+ * wl_sched_ends_propose - commit the ends of runs, moved from
+ */
+void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
+			   wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_END, .u.runs_end = *ends};
+
+	*ends = (wl_cmd_runs_end_t){0};
+	if (cmd.u.runs_end.ends.count > 0)
+		wl_sched_propose(sched, now_ns, &cmd, out);
+}
+
+static void run_end_alone(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_run_how_t how,
+			  wl_out_t *out)
+{
+	wl_cmd_runs_end_t ends = {0};
+
+	wl_sched_run_end(sched, run, how, &ends);
+	wl_sched_ends_propose(sched, now_ns, &ends, out);
+}
+
+static void runner_pause(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t ms)
+{
+	uint64_t until_ns = now_ns + ms * WL_NS_PER_MS;
+
+	if (until_ns > runner->aside_until_ns)
+		runner->aside_until_ns = until_ns;
+	runner->fit.usable = false;
+}
+
+static void start_refused(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			  wl_order_outcome_t outcome, wl_out_t *out)
+{
+	if (outcome == WL_ORDER_NO_ROOM)
+		runner_pause(run->runner, now_ns, NO_ROOM_MS);
+	if (outcome == WL_ORDER_UNHEALTHY || outcome == WL_ORDER_NOT_SENT ||
+	    outcome == WL_ORDER_OTHER_LIFE)
+		runner_pause(run->runner, now_ns, UNHEALTHY_MS);
+	run_end_alone(sched, now_ns, run, WL_END_ABSENT, out);
+}
+
+static void start_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			   wl_order_outcome_t outcome, wl_out_t *out)
+{
+	if (run->phase != WL_RUN_STARTING)
+		return;
+	if (outcome != WL_ORDER_DONE)
+		wl_out_log(out, WL_WARN, "run-start-refused",
+			   "run=" WL_STR_FMT " target=" WL_STR_FMT " outcome=%s",
+			   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key),
+			   wl_order_outcome_names[outcome]);
+	switch (outcome) {
+	case WL_ORDER_DONE:
+	case WL_ORDER_OLD: /* it was there before, and its end is listed */
+		run->phase = WL_RUN_PRESENT;
+		run->answered_ns = now_ns;
+		if (run->stop_wanted)
+			stop_send(sched, now_ns, run, out);
+		break;
+	case WL_ORDER_NO_ANSWER:
+		run->phase = WL_RUN_UNSURE;
+		break;
+	default:
+		start_refused(sched, now_ns, run, outcome, out);
+		return;
+	}
+	wl_sched_hold_soon(run->runner, now_ns);
+}
+
+/*
+ * wl_sched_run_answered - a start or a stop has ended
+ */
+void wl_sched_run_answered(wl_sched_t *sched, uint64_t now_ns, const wl_sched_call_t *call,
+			   const wl_order_end_t *end, wl_out_t *out)
+{
+	wl_sched_run_t *run = wl_map_get(&sched->by_run, wl_buf_str(&call->run));
+
+	if (!run)
+		return;
+	if (call->kind == WL_ORDER_START) {
+		start_answered(sched, now_ns, run, end->outcome, out);
+		return;
+	}
+	if (end->outcome == WL_ORDER_DONE || end->outcome == WL_ORDER_OLD) {
+		run->stop_done_ns = now_ns;
+		wl_sched_hold_soon(run->runner, now_ns);
+	}
+}
+
+/* Failures of one job alone say nothing of the target. */
+static void runner_judge(wl_sched_runner_t *runner, uint64_t now_ns, const wl_run_end_t *end,
+			 wl_out_t *out)
+{
+	uint64_t job = wl_str_hash(wl_buf_str(&end->job), 0);
+
+	if (end->how == WL_END_DONE)
+		runner->failures = 0;
+	if (end->how != WL_END_FAILED || runner->failed_job == job)
+		return;
+	runner->failed_job = job;
+	if (++runner->failures < FAILED_MOST)
+		return;
+	runner_pause(runner, now_ns, FAILED_PAUSE_MS);
+	wl_out_log(out, WL_WARN, "target-aside", "target=" WL_STR_FMT " failures=%llu pause_ms=%d",
+		   WL_STR_ARG(runner->key), (unsigned long long)runner->failures, FAILED_PAUSE_MS);
+}
+
+static void end_log(const wl_run_end_t *end, wl_out_t *out)
+{
+	wl_out_log(out, WL_INFO, "run-end",
+		   "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT " how=%s",
+		   WL_STR_ARG(wl_buf_str(&end->job)), (unsigned long long)end->task,
+		   (unsigned long long)end->run, WL_STR_ARG(wl_buf_str(&end->runner)),
+		   wl_run_how_names[end->how]);
+}
+
+/* What is still running of a job that has ended has no use. */
+static void job_stop(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, const char *reason,
+		     wl_out_t *out)
+{
+	for (uint64_t i = 0; i < job->task_count && job->active > 0; i++) {
+		const wl_run_t *run;
+
+		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
+			wl_sched_run_t *known = wl_sched_run_find(sched, job->key, i, run->number);
+
+			if (known)
+				wl_sched_run_stop(sched, now_ns, known, reason, out);
+		}
+	}
+}
+
+/*
+ * wl_sched_job_ended - a job has ended: nothing of it waits, what runs is stopped
+ */
+void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out)
+{
+	wl_out_log(out, WL_INFO, "job-end", "job=" WL_STR_FMT " state=%s age_ms=%llu running=%llu",
+		   WL_STR_ARG(job->key), wl_job_state_names[job->record.state],
+		   (unsigned long long)(job->record.ended_ms - job->record.accepted_ms),
+		   (unsigned long long)job->active);
+	wl_sched_job_close(sched, job);
+	job_stop(sched, now_ns, job, wl_job_state_names[job->record.state], out);
+}
+
+static void end_follow(wl_sched_t *sched, uint64_t now_ns, const wl_run_end_t *end, wl_out_t *out)
+{
+	wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&end->job), end->task, end->run);
+	wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&end->job));
+	wl_task_ref_t at;
+
+	if (!run)
+		return;
+	end_log(end, out);
+	runner_judge(run->runner, now_ns, end, out);
+	wl_sched_run_drop(sched, run);
+	if (!job)
+		return;
+	if (wl_job_ended(job)) {
+		if (job->note)
+			wl_sched_job_ended(sched, now_ns, job, out);
+		return;
+	}
+	wl_job_place(job, end->task, &at);
+	wl_sched_task_wait(sched, now_ns, job, end->task);
+	if (*wl_job_step_left(job, at.occurrence, at.step) == 0)
+		wl_sched_steps_open(sched, now_ns, job, at.occurrence);
+}
+
+/*
+ * wl_sched_ends_applied - ends are committed: room is free, tasks wait again, steps open
+ */
+void wl_sched_ends_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_end_t *cmd,
+			   wl_out_t *out)
+{
+	const wl_run_end_t *rows = cmd->ends.items;
+
+	for (size_t i = 0; i < cmd->ends.count; i++)
+		end_follow(sched, now_ns, &rows[i], out);
+}
+
+/*
+ * wl_sched_run_tick - stop again what should be stopped and whose target did not answer
+ */
+void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out)
+{
+	bool wanted = run->stop_wanted || run->phase == WL_RUN_UNSURE;
+
+	if (!wanted || run->stop_done_ns || run->stop_sent_ns == 0 ||
+	    run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING)
+		return;
+	if (now_ns - run->stop_sent_ns >= (STOP_TIMEOUT_MS + STOP_AGAIN_MS) * WL_NS_PER_MS)
+		stop_send(sched, now_ns, run, out);
+}
+
+/*
+ * wl_sched_run_absent - an answer of the target did not list a run
+ * @sent_ns: when the hold was sent
+ *
+ * Return: whether the run is over; else it is told to stop first, or an answer is awaited.
+ */
+bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns,
+			 wl_out_t *out)
+{
+	switch (run->phase) {
+	case WL_RUN_PRESENT:
+		return run->answered_ns < sent_ns;
+	case WL_RUN_INHERITED:
+		return true; /* the hold showed our epoch: an earlier leader's start is refused */
+	case WL_RUN_UNSURE:
+		if (run->stop_done_ns && run->stop_done_ns < sent_ns)
+			return true;
+		if (run->stop_sent_ns == 0)
+			stop_send(sched, now_ns, run, out);
+		return false;
+	case WL_RUN_PROPOSED:
+	case WL_RUN_STARTING:
+	case WL_RUN_ENDING:
+		break;
+	}
+	return false;
+}
--- /dev/null
+++ b/libwlcore/sched/sched.c
@@ -0,0 +1,401 @@
+/* The scheduler as a whole: leadership, events, proposals. */
+
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TAG_OWN (UINT64_C(1) << 63) /* tells our proposals from the leader part's */
+
+#define LEASE_MS_DEFAULT       5000
+#define LEASE_MOST_MS_DEFAULT  6000
+#define START_LEASE_MS_DEFAULT 2000
+#define GAUGES_MS	       1000
+
+static void preset(uint64_t *option, uint64_t value)
+{
+	if (*option == 0)
+		*option = value;
+}
+
+/*
+ * wl_sched_new - make a scheduler that does not lead yet
+ * @options: zero numbers mean the default; what it points to must outlive the scheduler
+ * @err: WL_E_BAD_INPUT for an unknown policy
+ *
+ * Return: the scheduler, or NULL.
+ */
+wl_sched_t *wl_sched_new(const wl_sched_options_t *options, wl_err_t *err)
+{
+	wl_sched_t *sched = wl_alloc(sizeof(*sched));
+
+	sched->options = *options;
+	preset(&sched->options.lease_ms, LEASE_MS_DEFAULT);
+	preset(&sched->options.lease_most_ms, LEASE_MOST_MS_DEFAULT);
+	preset(&sched->options.start_lease_ms, START_LEASE_MS_DEFAULT);
+	sched->jobs = options->jobs;
+	sched->fit = wl_fit_policy(options->placement);
+	if (!sched->fit) {
+		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "unknown placement of jobs");
+		free(sched);
+		return NULL;
+	}
+	wl_map_init(&sched->by_call);
+	TAILQ_INIT(&sched->calls);
+	wl_map_init(&sched->by_tag);
+	TAILQ_INIT(&sched->proposals);
+	wl_map_init(&sched->by_runner);
+	TAILQ_INIT(&sched->runners);
+	wl_map_init(&sched->by_run);
+	TAILQ_INIT(&sched->waiting);
+	TAILQ_INIT(&sched->timed);
+	return sched;
+}
+
+static void proposal_free(wl_sched_t *sched, wl_sched_proposal_t *proposal)
+{
+	wl_map_remove(&sched->by_tag, proposal->key);
+	TAILQ_REMOVE(&sched->proposals, proposal, link);
+	wl_buf_free(&proposal->peer);
+	wl_buf_free(&proposal->runner);
+	free(proposal);
+}
+
+/* Forgets all that only a leader knows. */
+static void sched_clear(wl_sched_t *sched)
+{
+	wl_job_t *job;
+
+	while (!TAILQ_EMPTY(&sched->proposals))
+		proposal_free(sched, TAILQ_FIRST(&sched->proposals));
+	wl_sched_calls_clear(sched);
+	wl_sched_runners_clear(sched);
+	TAILQ_FOREACH (job, &sched->jobs->live, link)
+		wl_sched_job_close(sched, job);
+	TAILQ_FOREACH (job, &sched->jobs->ended, link)
+		wl_sched_job_close(sched, job);
+	wl_list_free(&wl_run_start_schema, &sched->starts.runs);
+	sched->place_due = false;
+}
+
+/*
+ * wl_sched_free - release a scheduler; before the state that it schedules
+ */
+void wl_sched_free(wl_sched_t *sched)
+{
+	if (!sched)
+		return;
+	if (sched->leading)
+		sched_clear(sched);
+	wl_map_free(&sched->by_call);
+	wl_map_free(&sched->by_tag);
+	wl_map_free(&sched->by_runner);
+	wl_map_free(&sched->by_run);
+	free(sched);
+}
+
+/*
+ * wl_sched_clock_ms - the group's clock
+ */
+uint64_t wl_sched_clock_ms(const wl_sched_t *sched, uint64_t now_ns)
+{
+	return wl_leader_clock_ms(sched->options.leader, now_ns);
+}
+
+/*
+ * wl_sched_propose - commit a command
+ * @cmd: moved from
+ *
+ * Return: the proposal, for what is to follow from its commit.
+ */
+wl_sched_proposal_t *wl_sched_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_t *cmd,
+				      wl_out_t *out)
+{
+	wl_sched_proposal_t *proposal = wl_alloc(sizeof(*proposal));
+
+	proposal->tag = TAG_OWN | ++sched->next_tag;
+	proposal->key = (wl_str_t){(const char *)&proposal->tag, sizeof(proposal->tag)};
+	wl_map_put(&sched->by_tag, proposal);
+	TAILQ_INSERT_TAIL(&sched->proposals, proposal, link);
+	cmd->at_ms = wl_sched_clock_ms(sched, now_ns);
+	wl_out_propose(out, cmd, proposal->tag);
+	return proposal;
+}
+
+static void runs_inherit(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state)
+{
+	wl_sched_runner_t *runner = wl_sched_runner_follow(sched, now_ns, state);
+	const wl_run_t *run;
+
+	TAILQ_FOREACH (run, &state->runs, of_runner) {
+		wl_sched_run_t *known =
+			wl_sched_run_add(sched, runner, run->job, run->task, run->number);
+
+		known->phase = WL_RUN_INHERITED;
+		known->life = run->life;
+		known->placed_ns = now_ns;
+		known->stop_wanted = wl_job_ended(run->job);
+		known->stop_sent_ns = known->stop_wanted ? 1 : 0; /* due at the next tick */
+	}
+}
+
+static void on_lead(wl_sched_t *sched, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+{
+	wl_runner_t *runner;
+	wl_job_t *job;
+
+	sched->leading = true;
+	sched->epoch = event->term;
+	sched->led_ns = now_ns;
+	TAILQ_FOREACH (runner, &sched->jobs->runners, link)
+		if (!runner->left_ms)
+			runs_inherit(sched, now_ns, runner);
+	TAILQ_FOREACH (job, &sched->jobs->live, link)
+		wl_sched_job_open(sched, now_ns, job);
+	wl_out_log(out, WL_INFO, "sched-lead", "epoch=%llu targets=%zu runs=%llu jobs=%zu",
+		   (unsigned long long)sched->epoch, wl_map_count(&sched->by_runner),
+		   (unsigned long long)sched->jobs->run_count, wl_map_count(&sched->jobs->by_id));
+}
+
+static void proposal_dropped(wl_sched_t *sched, wl_sched_proposal_t *proposal, wl_verdict_t verdict,
+			     wl_out_t *out)
+{
+	wl_result_t result;
+	wl_err_t err;
+
+	if (proposal->peer.len > 0) {
+		wl_err_set(&err, WL_E_NO_LEADER, verdict, "leadership ended before the commit");
+		wl_result_error(&result, &err);
+		wl_sched_answer(out, wl_buf_str(&proposal->peer), proposal->call, &result);
+		wl_result_free(&result);
+	}
+	proposal_free(sched, proposal);
+}
+
+static void on_follow(wl_sched_t *sched, wl_out_t *out)
+{
+	while (!TAILQ_EMPTY(&sched->proposals))
+		proposal_dropped(sched, TAILQ_FIRST(&sched->proposals), WL_UNKNOWN, out);
+	sched_clear(sched);
+	sched->leading = false;
+}
+
+static wl_sched_proposal_t *proposal_of(const wl_sched_t *sched, uint64_t tag)
+{
+	return wl_map_get(&sched->by_tag, (wl_str_t){(const char *)&tag, sizeof(tag)});
+}
+
+static void runner_applied(wl_sched_t *sched, uint64_t now_ns, const wl_runner_report_t *report,
+			   wl_out_t *out)
+{
+	wl_runner_t *state = wl_jobs_runner(sched->jobs, wl_buf_str(&report->id));
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&report->id));
+
+	if (state && !state->left_ms) {
+		bool is_new = !runner;
+
+		runner = wl_sched_runner_follow(sched, now_ns, state);
+		wl_sched_runner_heard(runner, now_ns, report);
+		wl_out_log(out, WL_INFO, "target",
+			   "target=" WL_STR_FMT " new=%s service=%s rack=%s state=%s cpu=%llu",
+			   WL_STR_ARG(runner->key), is_new ? "yes" : "no", state->report.service.at,
+			   state->report.rack.at ? state->report.rack.at : "",
+			   state->report.draining ? "draining" : "ready",
+			   (unsigned long long)state->report.cpu_millis);
+		return;
+	}
+	if (!runner)
+		return;
+	wl_out_log(out, WL_INFO, "target-left", "target=" WL_STR_FMT, WL_STR_ARG(runner->key));
+	wl_sched_runner_left(sched, now_ns, runner);
+}
+
+static void job_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_add_t *add,
+			wl_out_t *out)
+{
+	const wl_queue_t *queue;
+	wl_job_t *job = wl_jobs_by_path(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path),
+					&queue);
+
+	if (!job || job->note || wl_job_ended(job))
+		return;
+	wl_out_log(out, WL_INFO, "job-accept",
+		   "job=" WL_STR_FMT " queue=%s priority=%llu tasks=%llu steps=%zu",
+		   WL_STR_ARG(job->key), job->record.queue.at,
+		   (unsigned long long)job->record.priority, (unsigned long long)job->task_count,
+		   job->record.spec.steps.count);
+	wl_sched_job_open(sched, now_ns, job);
+}
+
+static void cancel_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_cancel_t *cancel,
+			   wl_out_t *out)
+{
+	const wl_queue_t *queue;
+	wl_job_t *job = wl_jobs_by_path(sched->jobs, wl_buf_str(&cancel->host),
+					wl_buf_str(&cancel->path), &queue);
+
+	if (job && job->note && wl_job_ended(job))
+		wl_sched_job_ended(sched, now_ns, job, out);
+}
+
+static void catalog_applied(wl_sched_t *sched, wl_out_t *out)
+{
+	sched->place_due = true;
+	wl_out_log(out, WL_INFO, "catalog", "version=%llu queues=%zu services=%zu",
+		   (unsigned long long)sched->jobs->catalog.version,
+		   sched->jobs->catalog.queues.count, sched->jobs->catalog.services.count);
+}
+
+/* What an applied command changes in what the leader keeps, whoever proposed it. */
+static void state_follow(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_t *cmd, wl_out_t *out)
+{
+	switch ((wl_cmd_kind_t)cmd->kind) {
+	case WL_CMD_CATALOG_PUT:
+		catalog_applied(sched, out);
+		break;
+	case WL_CMD_JOB_ADD:
+		job_applied(sched, now_ns, &cmd->u.job_add, out);
+		break;
+	case WL_CMD_JOB_CANCEL:
+		cancel_applied(sched, now_ns, &cmd->u.job_cancel, out);
+		break;
+	case WL_CMD_RUNS_START:
+		wl_sched_starts_applied(sched, now_ns, &cmd->u.runs_start, out);
+		break;
+	case WL_CMD_RUNS_END:
+		wl_sched_ends_applied(sched, now_ns, &cmd->u.runs_end, out);
+		break;
+	case WL_CMD_RUNNER_PUT:
+		runner_applied(sched, now_ns, &cmd->u.runner_put, out);
+		break;
+	default:
+		break;
+	}
+}
+
+static void ends_acknowledge(wl_sched_t *sched, uint64_t now_ns,
+			     const wl_sched_proposal_t *proposal)
+{
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&proposal->runner));
+
+	if (!runner || proposal->listed > runner->listed || proposal->listed <= runner->seen)
+		return;
+	runner->seen = proposal->listed;
+	runner->ack_due = true;
+	wl_sched_hold_soon(runner, now_ns);
+}
+
+static void on_applied(wl_sched_t *sched, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+{
+	wl_sched_proposal_t *proposal = proposal_of(sched, event->tag);
+
+	state_follow(sched, now_ns, event->cmd, out);
+	if (!proposal)
+		return;
+	if (proposal->peer.len > 0) {
+		wl_result_t result;
+
+		wl_record_copy(&wl_result_schema, &result, event->result);
+		wl_buf_set(&result.leader, sched->options.name);
+		wl_sched_answer(out, wl_buf_str(&proposal->peer), proposal->call, &result);
+		wl_result_free(&result);
+	}
+	if (proposal->runner.len > 0)
+		ends_acknowledge(sched, now_ns, proposal);
+	proposal_free(sched, proposal);
+}
+
+static void on_dropped(wl_sched_t *sched, const wl_event_t *event, wl_out_t *out)
+{
+	wl_sched_proposal_t *proposal = proposal_of(sched, event->tag);
+
+	if (proposal)
+		proposal_dropped(sched, proposal, event->verdict, out);
+}
+
+static void gauges_set(wl_sched_t *sched, uint64_t now_ns)
+{
+	wl_metrics_t *metrics = sched->options.metrics;
+	const wl_bundle_t *bundle;
+	uint64_t waiting = 0;
+
+	if (now_ns < sched->next_gauges_ns)
+		return;
+	sched->next_gauges_ns = now_ns + GAUGES_MS * WL_NS_PER_MS;
+	TAILQ_FOREACH (bundle, &sched->waiting, link)
+		waiting += bundle->count;
+	wl_metrics_set(metrics, "wisterialead_job_tasks_waiting", "", waiting);
+	wl_metrics_set(metrics, "wisterialead_job_runs", "", wl_map_count(&sched->by_run));
+	wl_metrics_set(metrics, "wisterialead_job_targets", "", wl_map_count(&sched->by_runner));
+	wl_metrics_set(metrics, "wisterialead_jobs", "", wl_map_count(&sched->jobs->by_id));
+}
+
+static void on_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
+{
+	wl_sched_timed_tick(sched, now_ns);
+	wl_sched_runners_tick(sched, now_ns, out);
+	gauges_set(sched, now_ns);
+}
+
+/*
+ * wl_sched_takes - is a message of a daemon for the scheduler
+ */
+bool wl_sched_takes(const wl_event_t *event)
+{
+	const wl_msg_t *msg = &event->msg;
+
+	if (event->kind != WL_EVENT_PEER)
+		return false;
+	if (msg->kind == WL_MSG_COMMAND)
+		return msg->u.command.cmd_kind >= WL_CMD_CATALOG_PUT &&
+		       msg->u.command.cmd_kind <= WL_CMD_RUNNER_PUT;
+	return msg->kind == WL_MSG_QUERY &&
+	       (msg->u.query.kind == WL_QUERY_JOB || msg->u.query.kind == WL_QUERY_CATALOG);
+}
+
+static void on_peer(wl_sched_t *sched, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+{
+	wl_str_t peer = wl_buf_str(&event->peer);
+
+	if (event->msg.kind == WL_MSG_COMMAND)
+		wl_sched_command(sched, now_ns, peer, &event->msg.u.command, out);
+	else
+		wl_sched_query(sched, peer, &event->msg.u.query, out);
+}
+
+/*
+ * wl_sched_step - let an event happen
+ * @now_ns: monotonic time
+ * @event: LEAD, FOLLOW, APPLIED, DROPPED, TICK, FETCHED, and what wl_sched_takes()
+ */
+void wl_sched_step(wl_sched_t *sched, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind == WL_EVENT_LEAD && !sched->leading)
+		on_lead(sched, now_ns, event, out);
+	if (!sched->leading)
+		return;
+	switch (event->kind) {
+	case WL_EVENT_TICK:
+		on_tick(sched, now_ns, out);
+		break;
+	case WL_EVENT_PEER:
+		on_peer(sched, now_ns, event, out);
+		break;
+	case WL_EVENT_APPLIED:
+		on_applied(sched, now_ns, event, out);
+		break;
+	case WL_EVENT_DROPPED:
+		on_dropped(sched, event, out);
+		break;
+	case WL_EVENT_FETCHED:
+		wl_sched_fetched(sched, now_ns, &event->fetched, out);
+		break;
+	case WL_EVENT_FOLLOW:
+		on_follow(sched, out);
+		return;
+	default:
+		break;
+	}
+	if (sched->place_due)
+		wl_sched_place(sched, now_ns, out);
+}
--- /dev/null
+++ b/libwlcore/sched/sched.h
@@ -0,0 +1,35 @@
+#ifndef WL_SCHED_H
+#define WL_SCHED_H
+
+#include <libwlcore/job/jobs.h>
+#include <libwlcore/leader/leader.h>
+#include <libwlcore/model/dialect.h>
+
+/*
+ * The scheduler of jobs: what only the leader does with them.  It chooses
+ * where tasks run, commits the choice, gives the orders, follows the runs and
+ * commits their ends.
+ */
+
+typedef struct wl_sched_options {
+	wl_str_t name;		   /* own daemon name */
+	const wl_leader_t *leader; /* for the group's clock */
+	wl_jobs_t *jobs;
+	const wl_dialect_t *dialect;
+	wl_metrics_t *metrics;
+	wl_str_t placement; /* name of the policy; empty: the default */
+	wl_str_t queueing;
+	uint64_t lease_ms;	/* that a hold asks for */
+	uint64_t lease_most_ms; /* longest that a target grants */
+	uint64_t start_lease_ms;
+	uint64_t stop_ms; /* longest that a target takes to stop a run */
+} wl_sched_options_t;
+
+typedef struct wl_sched wl_sched_t;
+
+wl_sched_t *wl_sched_new(const wl_sched_options_t *options, wl_err_t *err);
+void wl_sched_free(wl_sched_t *sched);
+void wl_sched_step(wl_sched_t *sched, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+bool wl_sched_takes(const wl_event_t *event);
+
+#endif
--- a/libwlcore/state/internal.h
+++ b/libwlcore/state/internal.h
@@ -3,6 +3,8 @@
 
 #include <sys/queue.h>
 
+#include <libwlcore/job/jobs.h>
+
 #include "state.h"
 
 /* The replicated state from within; the leader part reads it, only commands change it. */
@@ -199,14 +201,13 @@
 
 	wl_map_t by_kind;
 	TAILQ_HEAD(wl_state_kinds, wl_state_kind) kinds;
+
+	wl_jobs_t jobs;
 };
 
 /* state.c */
 void wl_state_init_empty(wl_state_t *state);
 void wl_state_clear(wl_state_t *state);
-void wl_result_fail(wl_result_t *result, wl_code_t code, const char *format, ...)
-	__attribute__((format(printf, 3, 4)));
-void wl_result_ok(wl_result_t *result, uint64_t index);
 
 /* state_lists.c */
 void wl_state_list_put(wl_state_t *state, uint64_t index, const wl_cmd_list_put_t *cmd,
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -19,6 +19,10 @@
 	ITEM_TASK,
 	ITEM_KEY,
 	ITEM_KIND,
+	ITEM_CATALOG,
+	ITEM_RUNNER,
+	ITEM_JOB,
+	ITEM_RUN, /* after the runner and the job that it names */
 	ITEM_KINDS
 } item_kind_t;
 
@@ -127,6 +131,18 @@
 
 static const wl_schema_t kind_schema = WL_SCHEMA(wl_state_kind_t, kind_fields);
 
+typedef struct catalog_record {
+	wl_buf_t text;
+	wl_catalog_t catalog;
+} catalog_record_t;
+
+static const wl_field_t catalog_fields[] = {
+	WL_FIELD(catalog_record_t, text, WL_FIELD_BYTES),
+	WL_FIELD_NEST(catalog_record_t, catalog, &wl_catalog_schema),
+};
+
+static const wl_schema_t catalog_schema = WL_SCHEMA(catalog_record_t, catalog_fields);
+
 static void item_pack(wl_buf_t *out, item_kind_t kind, const wl_schema_t *schema,
 		      const void *record)
 {
@@ -158,6 +174,63 @@
 		item_pack(out, ITEM_KEY, &key_schema, key);
 }
 
+static void catalog_pack(const wl_jobs_t *jobs, wl_buf_t *out)
+{
+	/* Borrowed: packing only reads. */
+	catalog_record_t record = {.text = jobs->catalog_text, .catalog = jobs->catalog};
+
+	if (jobs->configured)
+		item_pack(out, ITEM_CATALOG, &catalog_schema, &record);
+}
+
+static void job_pack(const wl_job_t *job, wl_buf_t *out)
+{
+	wl_job_record_t record;
+
+	wl_record_copy(&wl_job_record_schema, &record, &job->record);
+	wl_job_rows_fill(job, &record);
+	item_pack(out, ITEM_JOB, &wl_job_record_schema, &record);
+	wl_record_free(&wl_job_record_schema, &record);
+}
+
+static void runner_pack(const wl_runner_t *runner, wl_buf_t *out)
+{
+	wl_runner_record_t record = {.report = runner->report, .left_ms = runner->left_ms};
+
+	item_pack(out, ITEM_RUNNER, &wl_runner_record_schema, &record);
+}
+
+static void runs_pack(const wl_runner_t *runner, wl_buf_t *out)
+{
+	const wl_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, of_runner) {
+		wl_run_start_t row = {.job = run->job->record.id,
+				      .task = run->task,
+				      .run = run->number,
+				      .runner = runner->report.id,
+				      .life = run->life};
+
+		item_pack(out, ITEM_RUN, &wl_run_start_schema, &row);
+	}
+}
+
+static void jobs_pack(const wl_jobs_t *jobs, wl_buf_t *out)
+{
+	const wl_runner_t *runner;
+	const wl_job_t *job;
+
+	catalog_pack(jobs, out);
+	TAILQ_FOREACH (runner, &jobs->runners, link)
+		runner_pack(runner, out);
+	TAILQ_FOREACH (job, &jobs->live, link)
+		job_pack(job, out);
+	TAILQ_FOREACH (job, &jobs->ended, link)
+		job_pack(job, out);
+	TAILQ_FOREACH (runner, &jobs->runners, link)
+		runs_pack(runner, out);
+}
+
 static uint64_t items_count(const wl_state_t *state)
 {
 	const wl_state_session_t *session;
@@ -165,6 +238,8 @@
 
 	TAILQ_FOREACH (session, &state->sessions, link)
 		count++;
+	count += state->jobs.configured + wl_map_count(&state->jobs.by_runner) +
+		 wl_map_count(&state->jobs.by_id) + state->jobs.run_count;
 	return count + wl_map_count(&state->by_target) + wl_map_count(&state->by_task) +
 	       wl_map_count(&state->by_key) + wl_map_count(&state->by_kind);
 }
@@ -202,6 +277,7 @@
 	keys_pack(&state->keys_freed, out);
 	TAILQ_FOREACH (kind, &state->kinds, link)
 		item_pack(out, ITEM_KIND, &kind_schema, kind);
+	jobs_pack(&state->jobs, out);
 }
 
 /* What is being read. */
@@ -327,10 +403,56 @@
 	return true;
 }
 
+static bool read_catalog(reader_t *reader, wl_str_t bytes, wl_err_t *err)
+{
+	wl_jobs_t *jobs = &reader->state->jobs;
+	catalog_record_t record;
+
+	if (!wl_record_unpack(&catalog_schema, bytes, &record, err))
+		return false;
+	jobs->catalog_text = record.text;
+	jobs->catalog = record.catalog;
+	jobs->configured = true;
+	return true;
+}
+
+static bool read_runner(reader_t *reader, wl_str_t bytes, wl_err_t *err)
+{
+	wl_runner_record_t record;
+
+	if (!wl_record_unpack(&wl_runner_record_schema, bytes, &record, err))
+		return false;
+	wl_jobs_restore_runner(&reader->state->jobs, &record);
+	return true;
+}
+
+static bool read_job(reader_t *reader, wl_str_t bytes, wl_err_t *err)
+{
+	wl_job_record_t record;
+
+	if (!wl_record_unpack(&wl_job_record_schema, bytes, &record, err))
+		return false;
+	return wl_jobs_restore(&reader->state->jobs, &record) ||
+	       wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN, "snapshot with a job that lacks tasks");
+}
+
+static bool read_run(reader_t *reader, wl_str_t bytes, wl_err_t *err)
+{
+	wl_run_start_t row;
+	bool ok;
+
+	if (!wl_record_unpack(&wl_run_start_schema, bytes, &row, err))
+		return false;
+	ok = wl_jobs_restore_run(&reader->state->jobs, &row);
+	wl_record_free(&wl_run_start_schema, &row);
+	return ok || wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN, "snapshot with a run of no job");
+}
+
 static bool (*const readers[ITEM_KINDS])(reader_t *, wl_str_t, wl_err_t *) = {
 	[ITEM_HEAD] = read_head,       [ITEM_LIST] = read_list,	    [ITEM_CHANGE] = read_change,
 	[ITEM_SESSION] = read_session, [ITEM_TARGET] = read_target, [ITEM_TASK] = read_task,
-	[ITEM_KEY] = read_key,	       [ITEM_KIND] = read_kind,
+	[ITEM_KEY] = read_key,	       [ITEM_KIND] = read_kind,	    [ITEM_CATALOG] = read_catalog,
+	[ITEM_RUNNER] = read_runner,   [ITEM_JOB] = read_job,	    [ITEM_RUN] = read_run,
 };
 
 static bool item_next(wl_str_t *bytes, item_kind_t *kind, wl_str_t *record)
--- a/libwlcore/state/state.c
+++ b/libwlcore/state/state.c
@@ -7,16 +7,14 @@
 
 #include "internal.h"
 
-#include <stdarg.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define KEEP_MS_DEFAULT	     86400000ULL /* a day */
+#define JOB_KEEP_MS_DEFAULT  600000ULL	 /* ten minutes */
 #define CHANGE_KEEP_DEFAULT  4096
 #define MAX_ATTEMPTS_DEFAULT 3
 #define MAX_TASKS_DEFAULT    200000
-#define RESULT_TEXT_BYTES    320
 
 static void options_default(uint64_t *option, uint64_t preset)
 {
@@ -47,6 +45,7 @@
 	TAILQ_INIT(&state->keys_freed);
 	wl_map_init(&state->by_kind);
 	TAILQ_INIT(&state->kinds);
+	wl_jobs_init(&state->jobs, state->options.job_keep_ms);
 }
 
 /* Releases all that was applied; the options stay. */
@@ -59,6 +58,7 @@
 	wl_state_sessions_clear(state);
 	wl_state_keys_clear(state);
 	wl_state_kinds_clear(state);
+	wl_jobs_clear(&state->jobs);
 	wl_state_changes_clear(state);
 	for (size_t i = 0; i < WL_LISTS; i++)
 		wl_buf_free(&state->list[i].text);
@@ -87,6 +87,7 @@
 	state->options = *options;
 	options_default(&state->options.key_keep_ms, KEEP_MS_DEFAULT);
 	options_default(&state->options.task_keep_ms, KEEP_MS_DEFAULT);
+	options_default(&state->options.job_keep_ms, JOB_KEEP_MS_DEFAULT);
 	options_default(&state->options.change_keep, CHANGE_KEEP_DEFAULT);
 	options_default(&state->options.max_attempts, MAX_ATTEMPTS_DEFAULT);
 	options_default(&state->options.max_tasks, MAX_TASKS_DEFAULT);
@@ -105,28 +106,6 @@
 	free(state);
 }
 
-/* A command that was applied. */
-void wl_result_ok(wl_result_t *result, uint64_t index)
-{
-	result->code = WL_OK;
-	result->verdict = WL_RAN;
-	result->index = index;
-}
-
-/* A command that changed nothing. */
-void wl_result_fail(wl_result_t *result, wl_code_t code, const char *format, ...)
-{
-	char text[RESULT_TEXT_BYTES];
-	va_list args;
-
-	va_start(args, format);
-	vsnprintf(text, sizeof(text), format, args);
-	va_end(args);
-	result->code = code;
-	result->verdict = WL_NOT_RUN;
-	wl_buf_set(&result->text, wl_str_from(text));
-}
-
 static void apply_task(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result)
 {
 	switch ((wl_cmd_kind_t)cmd->kind) {
@@ -173,7 +152,10 @@
 		wl_state_key_end(state, &cmd->u.key_end, result);
 		break;
 	default:
-		apply_task(state, index, cmd, result);
+		if (wl_jobs_knows(cmd))
+			wl_jobs_apply(&state->jobs, cmd, state->clock_ms, result);
+		else
+			apply_task(state, index, cmd, result);
 		break;
 	}
 }
@@ -192,6 +174,7 @@
 		state->clock_ms = cmd->at_ms;
 	wl_state_tasks_expire(state);
 	wl_state_keys_expire(state);
+	wl_jobs_expire(&state->jobs, state->clock_ms);
 	apply(state, index, cmd, result);
 }
 
@@ -278,3 +261,11 @@
 		wl_buf_set(&member->availability_zone, wl_buf_str(&session->availability_zone));
 	}
 }
+
+/*
+ * wl_state_jobs - the state of jobs; for the leader's scheduler
+ */
+wl_jobs_t *wl_state_jobs(wl_state_t *state)
+{
+	return &state->jobs;
+}
--- a/libwlcore/state/state.h
+++ b/libwlcore/state/state.h
@@ -12,18 +12,21 @@
 	const wl_chart_t *task_chart;
 	uint64_t key_keep_ms;  /* how long keys and their outcomes are kept */
 	uint64_t task_keep_ms; /* how long an ended task is kept */
+	uint64_t job_keep_ms;  /* how long an ended job is kept */
 	uint64_t change_keep;  /* answers to list changes that are kept for resends */
 	uint64_t max_attempts; /* failures on different targets before a task is refused */
 	uint64_t max_tasks;
 } wl_state_options_t;
 
 typedef struct wl_state wl_state_t;
+struct wl_jobs;
 
 wl_state_t *wl_state_new(const wl_state_options_t *options, wl_err_t *err);
 void wl_state_free(wl_state_t *state);
 void wl_state_apply(wl_state_t *state, uint64_t index, const wl_cmd_t *cmd, wl_result_t *result);
 void wl_state_pack(const wl_state_t *state, wl_buf_t *out);
 bool wl_state_unpack(wl_state_t *state, wl_str_t bytes, wl_err_t *err);
+struct wl_jobs *wl_state_jobs(wl_state_t *state);
 uint64_t wl_state_clock_ms(const wl_state_t *state);
 uint64_t wl_state_revision(const wl_state_t *state);
 void wl_state_view(const wl_state_t *state, uint64_t revision_have, uint64_t owners_have,
