--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -8,7 +8,9 @@
 
 #include "fit.h"
 
-#define FAR_PENALTY (INT64_C(1) << 40) /* above any difference in free room, millis */
+#define TAIL_MOST_PERMILLE 1000 /* of the bound */
+#define TAIL_WEIGHT	   20	/* processors, millis, that a thousandth of a bound weighs */
+#define FAR_PENALTY	   (INT64_C(1) << 40) /* above any difference in free room, millis */
 
 static bool labelled(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
 {
@@ -49,7 +51,8 @@
 
 	if (!step->best_effort)
 		return true;
-	return runner->serving == 0 && taken + step->cpu_millis <= runner->capacity.cpu_millis;
+	return taken + step->cpu_millis <= runner->capacity.cpu_millis &&
+	       runner->tail_permille <= TAIL_MOST_PERMILLE;
 }
 
 /*
@@ -94,10 +97,16 @@
 	return 0;
 }
 
-/* Spreads work evenly, so that a lost or slow target takes little with it. */
+/*
+ * Spreads work evenly, so that a lost or slow target takes little with it;
+ * best-effort work first goes where it disturbs least.
+ */
 static int64_t score_spread(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
 {
-	return free_millis(runner) - (far(question, runner) ? FAR_PENALTY : 0);
+	int64_t tail =
+		question->step->best_effort ? (int64_t)runner->tail_permille * TAIL_WEIGHT : 0;
+
+	return free_millis(runner) - tail - (far(question, runner) ? FAR_PENALTY : 0);
 }
 
 /* Sorted by name; the last is the default. */
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -6,6 +6,7 @@
 #include <libwlbase/units.h>
 
 #include "fit.h"
+#include "images.h"
 #include "sched.h"
 
 /* What the leader knows of a run beyond the replicated state. */
@@ -41,7 +42,11 @@
 	bool stop_wanted;
 	bool listed; /* in the answer that is being read */
 	uint64_t percent;
-	uint64_t load;
+	uint64_t load; /* serving: tail latency, ms */
+	uint64_t tail_target_us;
+	bool checkpoints;
+	unsigned int image; /* its number */
+	uint64_t begun_ns;  /* when it was first said to be there */
 	wl_buf_t checkpoint;
 	TAILQ_ENTRY(wl_sched_run) link; /* of its runner */
 } wl_sched_run_t;
@@ -69,6 +74,7 @@
 	uint64_t seen;	 /* ends up to here are committed */
 	uint64_t listed; /* ends up to here are proposed */
 	bool ack_due;
+	uint64_t relieved_ns;	 /* when best-effort work was last stopped here for a tail */
 	uint64_t aside_until_ns; /* no starts before; 0: any time */
 	uint64_t failures;	 /* runs of different jobs that failed here in a row */
 	uint64_t failed_job;	 /* hash of the newest job among them */
@@ -86,6 +92,7 @@
 	uint64_t *tasks; /* places in the job; the next one is the last */
 	size_t count;
 	size_t room;
+	unsigned int image;
 	uint64_t key; /* order of the queue: lowest first */
 	uint64_t ready_ns;
 	wl_str_t rack; /* where its first task went; empty: none yet */
@@ -148,7 +155,9 @@
 	struct wl_bundle_list waiting; /* by key */
 	struct wl_sched_timed timed;
 	wl_cmd_runs_start_t starts; /* to be proposed at the end of the step */
+	wl_images_t images;
 	bool place_due;
+	uint64_t placed_ns; /* last look */
 	uint64_t next_gauges_ns;
 };
 
@@ -197,6 +206,12 @@
 			 wl_out_t *out);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
+/* tails.c */
+void wl_sched_tails_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			   wl_out_t *out);
+uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, const wl_sched_runner_t *runner,
+				unsigned int image);
+
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_follow(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -2,8 +2,9 @@
 
 #include "internal.h"
 
-#define MISSES_MOST 64 /* bundles that fit nowhere before the rest has to wait for the next look \
-			*/
+#define MISSES_MOST                                                                  \
+	64 /* bundles that fit nowhere before the rest has to wait for the next look \
+	    */
 
 static uint64_t same_step(const wl_sched_runner_t *runner, const wl_bundle_t *bundle)
 {
@@ -34,6 +35,10 @@
 		runner->fit.same_step = question->step->max_per_target && runner->fit.usable
 						? same_step(runner, bundle)
 						: 0;
+		runner->fit.tail_permille =
+			question->step->best_effort && runner->fit.serving
+				? wl_sched_tail_forecast(sched, runner, bundle->image)
+				: 0;
 		if (!wl_fit_fits(question, &runner->fit))
 			continue;
 		score = sched->fit->score(question, &runner->fit);
@@ -142,6 +147,52 @@
 	return true;
 }
 
+/* The least need that found no target in a pass: what needs as much finds none either. */
+typedef struct floor {
+	bool any;
+	uint64_t cpu_millis;
+	uint64_t memory_mib;
+} floor_t;
+
+typedef struct pass {
+	floor_t plain;
+	floor_t best_effort[WL_IMAGES_MOST]; /* by image: they differ in what they disturb */
+	size_t misses;
+} pass_t;
+
+static floor_t *floor_of(pass_t *pass, const wl_bundle_t *bundle)
+{
+	return wl_job_step(bundle->job, bundle->step)->best_effort
+		       ? &pass->best_effort[bundle->image]
+		       : &pass->plain;
+}
+
+/* Only what may go anywhere says something of others. */
+static bool is_picky(const wl_step_spec_t *step)
+{
+	return step->label.len || step->max_per_target || step->gang || step->accelerators;
+}
+
+static bool below_floor(pass_t *pass, const wl_bundle_t *bundle)
+{
+	const wl_step_spec_t *step = wl_job_step(bundle->job, bundle->step);
+	const floor_t *floor = floor_of(pass, bundle);
+
+	return floor->any && step->cpu_millis >= floor->cpu_millis &&
+	       step->memory_mib >= floor->memory_mib;
+}
+
+static void floor_lower(pass_t *pass, const wl_bundle_t *bundle)
+{
+	const wl_step_spec_t *step = wl_job_step(bundle->job, bundle->step);
+	floor_t *floor = floor_of(pass, bundle);
+
+	pass->misses++;
+	if (is_picky(step) || (floor->any && step->cpu_millis >= floor->cpu_millis))
+		return;
+	*floor = (floor_t){true, step->cpu_millis, step->memory_mib};
+}
+
 /*
  * wl_sched_place - place what can be placed, and propose the starts
  */
@@ -149,13 +200,15 @@
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
 	wl_bundle_t *bundle = TAILQ_FIRST(&sched->waiting);
-	size_t misses = 0;
+	pass_t pass = {0};
 
 	sched->place_due = false;
-	while (bundle && misses < MISSES_MOST) {
+	sched->placed_ns = now_ns;
+	while (bundle && pass.misses < MISSES_MOST) {
 		wl_bundle_t *next = TAILQ_NEXT(bundle, link);
 
-		misses += !bundle_place(sched, now_ns, bundle);
+		if (!below_floor(&pass, bundle) && !bundle_place(sched, now_ns, bundle))
+			floor_lower(&pass, bundle);
 		wl_sched_bundle_settle(sched, bundle);
 		bundle = next;
 	}
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -43,7 +43,8 @@
 		TAILQ_INSERT_HEAD(&sched->waiting, bundle, link);
 }
 
-static wl_bundle_t *bundle_get(uint64_t now_ns, wl_job_t *job, uint64_t occurrence, uint64_t step)
+static wl_bundle_t *bundle_get(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job,
+			       uint64_t occurrence, uint64_t step)
 {
 	wl_bundle_t **slot = bundle_slot(job, occurrence, step);
 
@@ -53,6 +54,8 @@
 	(*slot)->job = job;
 	(*slot)->occurrence = occurrence;
 	(*slot)->step = step;
+	(*slot)->image =
+		wl_images_number(&sched->images, wl_buf_str(&wl_job_step(job, step)->image));
 	(*slot)->key = bundle_key(job, wl_job_due_ms(job, occurrence));
 	(*slot)->ready_ns = now_ns;
 	return *slot;
@@ -98,7 +101,7 @@
 	if (wl_job_ended(job) || job->tasks[task].done || !TAILQ_EMPTY(&job->tasks[task].runs))
 		return;
 	wl_job_place(job, task, &at);
-	bundle_add(sched, bundle_get(now_ns, job, at.occurrence, at.step), task);
+	bundle_add(sched, bundle_get(sched, now_ns, job, at.occurrence, at.step), task);
 	sched->place_due = true;
 }
 
@@ -108,7 +111,7 @@
 	wl_task_ref_t at = {.occurrence = occurrence, .step = step};
 	uint64_t task;
 
-	bundle_get(now_ns, job, occurrence, step);
+	bundle_get(sched, now_ns, job, occurrence, step);
 	/* The last one added is placed first. */
 	for (at.index = wl_job_step(job, step)->count; at.index-- > 0;) {
 		wl_job_task_at(job, &at, &task);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -12,7 +12,11 @@
 
 #include <stdlib.h>
 
-#define HOLD_WAIT_MS	   1000	 /* several renewals within a lease */
+#define HOLD_WAIT_MS 1000 /* several renewals within a lease */
+#define HOLD_TAILS_MS \
+	500 /* where best-effort work may disturb what serves: as old as its figures */
+#define HOLD_TAILS_MS \
+	500 /* where best-effort work may disturb what serves: as old as its figures */
 #define HOLD_TIMEOUT_MS	   800	 /* beyond the wait */
 #define HOLD_AGAIN_MS	   200	 /* after a hold that failed */
 #define SILENT_MS	   3500	 /* without a word for so long a target gets no starts */
@@ -200,6 +204,8 @@
 	wl_order_t order = {.kind = WL_ORDER_HOLD, .seen = runner->seen};
 
 	order.wait_ms = holds && !asks_at_once(runner) ? HOLD_WAIT_MS : 0;
+	if (order.wait_ms && runner->fit.serving && runner->fit.best_effort_millis)
+		order.wait_ms = HOLD_TAILS_MS;
 	order.timeout_ms = order.wait_ms + HOLD_TIMEOUT_MS;
 	if (runner->clock_ns)
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
@@ -326,6 +332,8 @@
 			continue;
 		}
 		run->listed = true;
+		if (run->begun_ns == 0)
+			run->begun_ns = now_ns;
 		run->percent = views[i].percent;
 		run->load = views[i].load;
 		if (views[i].checkpoint.len)
@@ -411,6 +419,7 @@
 	TAILQ_FOREACH (run, &runner->runs, link)
 		run->listed = false;
 	views_follow(sched, now_ns, runner, end, out);
+	wl_sched_tails_follow(sched, now_ns, runner, out);
 	ends_follow(sched, runner, end, &ends);
 	if (end->ends.count < ENDS_WHOLE_MOST)
 		absent_follow(sched, now_ns, runner, call->sent_ns, &ends, out);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -80,6 +80,9 @@
 	run->best_effort = step->best_effort;
 	run->lasting = step->lasting;
 	run->serving = step->lasting && step->tail_target_us > 0;
+	run->tail_target_us = step->tail_target_us;
+	run->checkpoints = step->checkpoints;
+	run->image = wl_images_number(&sched->images, wl_buf_str(&step->image));
 	run->need = (wl_need_t){.cpu_millis = step->cpu_millis,
 				.memory_mib = step->memory_mib,
 				.accelerators = step->accelerators};
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -10,6 +10,8 @@
 #define LEASE_MS_DEFAULT       5000
 #define LEASE_MOST_MS_DEFAULT  6000
 #define START_LEASE_MS_DEFAULT 2000
+#define PLACE_LEAST_US	       2000 /* between two looks: what comes together is committed together */
+#define NS_PER_US	       1000
 #define GAUGES_MS	       1000
 
 static void preset(uint64_t *option, uint64_t value)
@@ -49,6 +51,7 @@
 	wl_map_init(&sched->by_run);
 	TAILQ_INIT(&sched->waiting);
 	TAILQ_INIT(&sched->timed);
+	wl_images_init(&sched->images);
 	return sched;
 }
 
@@ -91,6 +94,7 @@
 	wl_map_free(&sched->by_tag);
 	wl_map_free(&sched->by_runner);
 	wl_map_free(&sched->by_run);
+	wl_images_free(&sched->images);
 	free(sched);
 }
 
@@ -396,6 +400,6 @@
 	default:
 		break;
 	}
-	if (sched->place_due)
+	if (sched->place_due && now_ns - sched->placed_ns >= PLACE_LEAST_US * NS_PER_US)
 		wl_sched_place(sched, now_ns, out);
 }
