node: an entry dials a leader that it learns of from a seed

Cause: after a restart of all daemons an entry knows the seeds alone. A seed that does not lead names the leader; where that was none of the seeds the entry sent its renewals to a name without a link, for good.

Ruled out: elections (the log's new line on roles shows a leader 1.5 s after the restart), storage.

--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -44,6 +44,9 @@
 	wl_sched_t *sched;
 	uint64_t applied; /* index */
 	bool leading;
+	const char *role; /* as last logged, with its term and leader */
+	uint64_t role_term;
+	wl_buf_t role_leader;
 	uint64_t seek_ns;      /* next look for replicas to dial */
 	uint64_t blank_log_ns; /* next line about a replica without a group */
 
@@ -64,6 +67,7 @@
 
 bool wl_node_is_store(const wl_node_t *node, wl_str_t name);
 void wl_node_dial(wl_out_t *out, wl_str_t name, wl_str_t address);
+void wl_node_replica_hint(wl_node_t *node, wl_str_t name, wl_out_t *out);
 void wl_node_seeds_set(wl_node_t *node, const wl_list_t *seeds, wl_out_t *out);
 void wl_node_replicas_update(wl_node_t *node, wl_out_t *out);
 void wl_node_drain(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -236,6 +236,7 @@
 	wl_metrics_free(&node->metrics);
 	wl_out_free(&node->scratch);
 	wl_out_free(&node->deferred);
+	wl_buf_free(&node->role_leader);
 	wl_strings_free(&node->seeds);
 	wl_strings_free(&node->replicas);
 	free(node->store_names);
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -158,6 +158,7 @@
 
 static void renewed_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
+	wl_node_replica_hint(node, wl_buf_str(&event->msg.u.renewed.leader), out);
 	wl_session_step(&node->session, &node->view, now_ns, event, out);
 }
 
--- a/libwlcore/node/replicas.c
+++ b/libwlcore/node/replicas.c
@@ -89,6 +89,19 @@
 		replica_dial(node, wl_buf_str((const wl_buf_t *)names.items + i), out);
 }
 
+/*
+ * wl_node_replica_hint - a replica named another one, the leader, that may not be known yet
+ * @name: empty: none
+ */
+void wl_node_replica_hint(wl_node_t *node, wl_str_t name, wl_out_t *out)
+{
+	if (node->options.replica_port == 0 || name.len == 0 ||
+	    wl_strings_have(&node->replicas, name))
+		return;
+	wl_strings_add(&node->view.replicas, name);
+	wl_node_replicas_update(node, out);
+}
+
 /*
  * wl_node_seeds_set - the settings name these seeds from now on
  * @seeds: strings, copied
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -185,6 +185,24 @@
 	[WL_RAFT_DO_DROP] = do_drop,	 [WL_RAFT_DO_SNAPSHOT] = do_snapshot,
 };
 
+/* What the replica believes of the group, whenever it changes. */
+static void role_log(wl_node_t *node, wl_out_t *out)
+{
+	const char *role = wl_raft_role_name(node->raft);
+	uint64_t term = wl_raft_term(node->raft);
+	wl_str_t leader = wl_raft_leader_name(node->raft);
+
+	if (role == node->role && term == node->role_term &&
+	    wl_str_equal(leader, wl_buf_str(&node->role_leader)))
+		return;
+	node->role = role;
+	node->role_term = term;
+	wl_buf_set(&node->role_leader, leader);
+	wl_out_log(out, WL_INFO, "replica", "role=%s term=%llu leader=" WL_STR_FMT " commit=%llu",
+		   role, (unsigned long long)term, WL_STR_ARG(leader),
+		   (unsigned long long)wl_raft_commit_index(node->raft));
+}
+
 static void raft_event(wl_node_t *node, uint64_t now_ns, const wl_raft_event_t *event,
 		       wl_out_t *out)
 {
@@ -195,6 +213,7 @@
 	for (size_t i = 0; i < actions.count; i++)
 		raft_handlers[actions.actions[i].kind](node, now_ns, &actions.actions[i], out);
 	wl_raft_out_clear(&actions);
+	role_log(node, out);
 }
 
 static bool make_sched(wl_node_t *node, wl_err_t *err)
--- a/libwlcore/raft/raft.c
+++ b/libwlcore/raft/raft.c
@@ -267,6 +267,21 @@
 	return raft->role == WL_RAFT_LEADER && raft->told_lead;
 }
 
+/*
+ * wl_raft_role_name - what this replica is in its present term, for logs
+ */
+const char *wl_raft_role_name(const wl_raft_t *raft)
+{
+	static const char *const names[] = {
+		[WL_RAFT_FOLLOWER] = "follower",
+		[WL_RAFT_PRECANDIDATE] = "precandidate",
+		[WL_RAFT_CANDIDATE] = "candidate",
+		[WL_RAFT_LEADER] = "leader",
+	};
+
+	return names[raft->role];
+}
+
 /*
  * wl_raft_term - the present term
  */
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -163,6 +163,55 @@
 	bool exited = false;
 	std::vector<std::string> announces_to;
 };
+
+/* After a restart an entry knows the seeds alone; a seed may name a leader that is none of them. */
+TEST(NodeOfSeeds, LeaderThatASeedNamesIsDialled)
+{
+	std::string task = chart("task");
+	std::string target = chart("target");
+	wl_node_options_t options = {};
+	wl_list_t seeds = {};
+	wl_err_t err = {};
+	std::vector<std::string> dialled;
+	uint64_t now = 1000 * MS;
+
+	wl_strings_add(&seeds, WL_STR("10.0.0.1"));
+	options.name = wl_str_from("10.0.0.5");
+	options.availability_zone = wl_str_from("a");
+	options.peer_address = wl_str_from("10.0.0.5:7720");
+	options.entry = true;
+	options.seeds = &seeds;
+	options.replica_port = 7720;
+	options.boot = 1;
+	options.task_chart = {task.data(), task.size()};
+	options.target_chart = {target.data(), target.size()};
+	wl_node_t *node = wl_node_new(&options, now, &err);
+	ASSERT_NE(node, nullptr) << err.text;
+
+	for (bool redirected : {false, true}) {
+		wl_out_t out = {};
+		wl_event_t event;
+
+		wl_event_init(&event, redirected ? WL_EVENT_PEER : WL_EVENT_TICK);
+		if (redirected) {
+			wl_msg_init(&event.msg, WL_MSG_RENEWED);
+			wl_buf_set(&event.peer, WL_STR("10.0.0.1"));
+			event.msg.u.renewed.boot = 1;
+			event.msg.u.renewed.code = WL_E_NO_LEADER;
+			wl_buf_set(&event.msg.u.renewed.leader, WL_STR("10.0.0.9"));
+		}
+		wl_node_step(node, now, &event, &out);
+		for (size_t i = 0; i < out.count; i++)
+			if (out.actions[i].kind == WL_ACTION_DIAL)
+				dialled.emplace_back(out.actions[i].address.at);
+		wl_out_free(&out);
+		wl_event_free(&event);
+	}
+	EXPECT_EQ(dialled,
+		  (std::vector<std::string>{"10.0.0.1:7720", "10.0.0.1:7720", "10.0.0.9:7720"}));
+	wl_node_free(node);
+	wl_strings_free(&seeds);
+}
 } // namespace
 
 /* A planned stop waits for its targets to be taken over, then ends its session, then ends. */
