store, disk: a full disk is written to again

Ruled out: a failed sync stays final, whatever it says of room: what it left behind is not known.

Change: a write without room changes nothing and is tried again every 200 ms; the others of the group carry it meanwhile.

Result: a log that is full twice in the middle of a frame comes back whole (store_test).

--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -2,8 +2,8 @@
  * The thread that writes the store's files.
  *
  * Changes that wait are written together and synced once; only then does each
- * get its PERSISTED event.  After a failure nothing more is written: what is on
- * the disk is no longer known.
+ * get its PERSISTED event.  A full disk is tried again; after any other failure
+ * nothing more is written: what is on the disk is no longer known.
  */
 
 #include "disk.h"
@@ -20,6 +20,7 @@
 #define GROUP_MOST 256 /* changes with one sync */
 #define WAIT_MS	   100
 #define RETRY_MS   1
+#define FULL_MS	   200 /* between two tries to write to a full disk */
 
 struct wl_disk {
 	wl_disk_options_t options;
@@ -43,6 +44,41 @@
 	return false;
 }
 
+/* A full disk refuses every write and may have room again: the others carry the group meanwhile. */
+static bool full_wait(wl_disk_t *disk, const wl_err_t *err, bool *said)
+{
+	if (err->code != WL_E_DISK_FULL || ck_pr_load_uint(&disk->stopping))
+		return false;
+	if (!*said)
+		wl_log_event(WL_ERROR, "disk-full", "reason=\"%s\" retry_ms=%d", err->text,
+			     FULL_MS);
+	*said = true;
+	poll(NULL, 0, FULL_MS);
+	return true;
+}
+
+static bool change_write(wl_disk_t *disk, const wl_raft_persist_t *persist, wl_err_t *err)
+{
+	bool said = false;
+
+	while (!wl_store_write(disk->options.store, persist, err))
+		if (!full_wait(disk, err, &said))
+			return false;
+	return true;
+}
+
+static bool changes_sync(wl_disk_t *disk, wl_err_t *err)
+{
+	bool said = false;
+
+	while (!wl_store_sync(disk->options.store, err))
+		if (!full_wait(disk, err, &said))
+			return false;
+	if (said)
+		wl_log_event(WL_INFO, "disk-room", "written=yes");
+	return true;
+}
+
 /* Writes the change and those that wait behind it, then syncs. */
 static bool group_write(wl_disk_t *disk, wl_raft_persist_t *persist, uint64_t *tickets,
 			size_t *count)
@@ -52,14 +88,14 @@
 
 	*count = 0;
 	while (ok && persist) {
-		ok = wl_store_write(disk->options.store, persist, &err);
+		ok = change_write(disk, persist, &err);
 		tickets[(*count)++] = persist->ticket;
 		persist_free(persist);
 		persist = *count < GROUP_MOST ? wl_ring_pop(disk->queue) : NULL;
 	}
 	if (persist)
 		persist_free(persist);
-	if (!ok || !wl_store_sync(disk->options.store, &err))
+	if (!ok || !changes_sync(disk, &err))
 		return disk_fail(disk, &err);
 	ck_pr_inc_64(&disk->syncs);
 	return true;
--- a/libwlbase/err.c
+++ b/libwlbase/err.c
@@ -30,6 +30,7 @@
 	[WL_E_DRAINING] = {"draining", 503},
 	[WL_E_DAMAGED] = {"damaged", 500},
 	[WL_E_IO] = {"io", 500},
+	[WL_E_DISK_FULL] = {"disk-full", 503},
 };
 
 static const char *const verdicts[] = {
--- a/libwlbase/err.h
+++ b/libwlbase/err.h
@@ -32,6 +32,7 @@
 	WL_E_DRAINING,
 	WL_E_DAMAGED, /* stored data fails its check */
 	WL_E_IO,
+	WL_E_DISK_FULL, /* nothing was written; the same write may succeed later */
 	WL_E_CODES
 } wl_code_t;
 
--- a/libwlstore/store.c
+++ b/libwlstore/store.c
@@ -220,6 +220,7 @@
 	store->folder_fd = -1;
 	store->lock_fd = -1;
 	store->log.fd = -1;
+	store->log.write = options->write_at ? options->write_at : pwrite;
 	store->log.folder = folder_name(store);
 	store->log.segment_bytes =
 		options->segment_bytes ? options->segment_bytes : SEGMENT_BYTES_DEFAULT;
@@ -261,9 +262,11 @@
 {
 	if (!store->vote_dirty)
 		return true;
+	if (!wl_sealed_write(store->folder_fd, folder_name(store), FILE_VOTE, &vote_schema,
+			     &store->vote, err))
+		return false;
 	store->vote_dirty = false;
-	return wl_sealed_write(store->folder_fd, folder_name(store), FILE_VOTE, &vote_schema,
-			       &store->vote, err);
+	return true;
 }
 
 /* No entry or snapshot is stored before the term that it belongs to. */
@@ -318,7 +321,7 @@
 {
 	if (ok)
 		return true;
-	store->failed = true;
+	store->failed = why->code != WL_E_DISK_FULL;
 	store->why = *why;
 	if (err)
 		*err = *why;
@@ -330,8 +333,9 @@
  * @persist: durable only after wl_store_sync()
  * @err: WL_E_IO naming the file, WL_E_BAD_INPUT for entries that leave a gap
  *
- * After any failure the store refuses all further writes: the disk's content
- * is not known until the folder is opened again.
+ * After any failure but WL_E_DISK_FULL the store refuses all further writes:
+ * the disk's content is not known until the folder is opened again.  With a
+ * full disk the same call may be made again.
  */
 bool wl_store_write(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
 {
@@ -344,7 +348,7 @@
 
 /*
  * wl_store_sync - make all earlier writes durable
- * @err: WL_E_IO, naming the file; nothing may be acknowledged then
+ * @err: WL_E_IO, WL_E_DISK_FULL, naming the file; nothing may be acknowledged then
  */
 bool wl_store_sync(wl_store_t *store, wl_err_t *err)
 {
--- a/libwlstore/store.h
+++ b/libwlstore/store.h
@@ -1,14 +1,20 @@
 #ifndef WL_STORE_H
 #define WL_STORE_H
 
+#include <sys/types.h>
+
 #include <libwlbase/err.h>
 #include <libwlcore/raft/raft.h>
 
 /* Files of one replica under its data folder: identity, vote, log, snapshot. */
 
+/* As pwrite(2); tests put disks that are full in its place. */
+typedef ssize_t (*wl_store_write_at_t)(int fd, const void *bytes, size_t len, off_t offset);
+
 typedef struct wl_store_options {
 	wl_str_t folder;
-	uint64_t segment_bytes; /* size at which a new log file begins; 0: default */
+	uint64_t segment_bytes;	      /* size at which a new log file begins; 0: default */
+	wl_store_write_at_t write_at; /* of the log; NULL: pwrite */
 } wl_store_options_t;
 
 typedef struct wl_store wl_store_t;
--- a/libwlstore/store_file.c
+++ b/libwlstore/store_file.c
@@ -35,8 +35,10 @@
  */
 bool wl_store_io_failed(wl_str_t folder, const char *file, const char *what, wl_err_t *err)
 {
-	return wl_err_set(err, WL_E_IO, WL_UNKNOWN, WL_STR_FMT "/%s: %s: %s", WL_STR_ARG(folder),
-			  file, what, strerrordesc_np(errno));
+	wl_code_t code = errno == ENOSPC || errno == EDQUOT ? WL_E_DISK_FULL : WL_E_IO;
+
+	return wl_err_set(err, code, WL_UNKNOWN, WL_STR_FMT "/%s: %s: %s", WL_STR_ARG(folder), file,
+			  what, strerrordesc_np(errno));
 }
 
 /*
@@ -57,13 +59,13 @@
  *
  * Return: false, with errno set, if any of them could not be written.
  */
-bool wl_store_write_all(int fd, wl_str_t bytes, uint64_t offset)
+bool wl_store_write_all(wl_store_write_at_t write_at, int fd, wl_str_t bytes, uint64_t offset)
 {
 	size_t done = 0;
 
 	while (done < bytes.len) {
 		ssize_t wrote =
-			pwrite(fd, bytes.at + done, bytes.len - done, (off_t)(offset + done));
+			write_at(fd, bytes.at + done, bytes.len - done, (off_t)(offset + done));
 
 		if (wrote < 0 && errno == EINTR)
 			continue;
@@ -128,7 +130,7 @@
 	fd = openat(folder_fd, beside, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
 	if (fd < 0)
 		return false;
-	ok = wl_store_write_all(fd, bytes, 0) && fsync(fd) == 0;
+	ok = wl_store_write_all(pwrite, fd, bytes, 0) && fsync(fd) == 0;
 	if (close(fd) != 0)
 		ok = false;
 	return ok && renameat(folder_fd, beside, folder_fd, file) == 0 && fsync(folder_fd) == 0;
--- a/libwlstore/store_file.h
+++ b/libwlstore/store_file.h
@@ -1,14 +1,18 @@
 #ifndef WL_STORE_FILE_H
 #define WL_STORE_FILE_H
 
+#include <sys/types.h>
+
 #include <libwlbase/record.h>
 
+#include "store.h"
+
 /* Files with a checksum, replaced whole; used by the store's own files only. */
 
 bool wl_store_io_failed(wl_str_t folder, const char *file, const char *what, wl_err_t *err);
 bool wl_store_damaged(wl_str_t folder, const char *file, uint64_t offset, const char *what,
 		      wl_err_t *err);
-bool wl_store_write_all(int fd, wl_str_t bytes, uint64_t offset);
+bool wl_store_write_all(wl_store_write_at_t write_at, int fd, wl_str_t bytes, uint64_t offset);
 bool wl_store_read_file(int folder_fd, const char *file, wl_buf_t *bytes, bool *exists);
 bool wl_store_replace(int folder_fd, const char *file, wl_str_t bytes);
 bool wl_sealed_write(int folder_fd, wl_str_t folder, const char *file, const wl_schema_t *schema,
--- a/libwlstore/store_log.c
+++ b/libwlstore/store_log.c
@@ -173,14 +173,18 @@
 	head.sum = htole64(wl_frame_sum(log->next_seq - 1, wl_buf_str(&payload)));
 	wl_buf_append(&bytes, (wl_str_t){(const char *)&head, sizeof(head)});
 	wl_buf_append(&bytes, wl_buf_str(&payload));
-	ok = wl_store_write_all(log->fd, wl_buf_str(&bytes), log->size) && fdatasync(log->fd) == 0;
-	log->size += bytes.len;
+	wl_segment_name(log->next_seq - 1, name);
+	ok = wl_store_write_all(log->write, log->fd, wl_buf_str(&bytes), log->size) ||
+	     wl_store_io_failed(log->folder, name, "write", err);
+	/* What a failed sync left behind is not known, whatever it says of room. */
+	if (ok && fdatasync(log->fd) != 0)
+		ok = wl_err_set(err, WL_E_IO, WL_UNKNOWN, WL_STR_FMT "/%s: sync: %s",
+				WL_STR_ARG(log->folder), name, strerrordesc_np(errno));
+	if (ok)
+		log->size += bytes.len;
 	wl_buf_free(&payload);
 	wl_buf_free(&bytes);
-	if (ok)
-		return true;
-	wl_segment_name(log->next_seq - 1, name);
-	return wl_store_io_failed(log->folder, name, "write", err);
+	return ok;
 }
 
 /*
--- a/libwlstore/store_log.h
+++ b/libwlstore/store_log.h
@@ -3,6 +3,8 @@
 
 #include <libwlcore/raft/raft.h>
 
+#include "store.h"
+
 /* Segments of the log; used by the store only. */
 
 typedef struct wl_segment {
@@ -18,6 +20,7 @@
 
 typedef struct wl_store_log {
 	int folder_fd;
+	wl_store_write_at_t write;
 	wl_str_t folder;
 	uint64_t segment_bytes;
 	wl_segment_t *segments;
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -3,7 +3,9 @@
 }
 
 #include <sys/resource.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -42,6 +44,7 @@
 		err = {};
 		options.folder = {folder.data(), folder.size()};
 		options.segment_bytes = segment_bytes;
+		options.write_at = write_at;
 		store = wl_store_open(&options, &saved, &err);
 		return store != nullptr;
 	}
@@ -53,6 +56,18 @@
 		store = nullptr;
 	}
 
+	/* A disk that takes half a write and is full then, for some writes. */
+	static ssize_t write_full(int fd, const void *bytes, size_t len, off_t offset)
+	{
+		if (full_writes == 0)
+			return pwrite(fd, bytes, len, offset);
+		full_writes--;
+		if (full_writes % 2)
+			return pwrite(fd, bytes, len / 2, offset);
+		errno = ENOSPC;
+		return -1;
+	}
+
 	/* A change that holds a vote of the term and entries from..to, each with the text. */
 	bool write(uint64_t term, uint64_t from, uint64_t to, const std::string &text,
 		   uint64_t truncate_from = 0)
@@ -157,6 +172,8 @@
 			<< err.text;
 	}
 
+	static int full_writes;
+	wl_store_write_at_t write_at = nullptr;
 	std::string folder;
 	wl_store_t *store = nullptr;
 	wl_raft_saved_t saved = {};
@@ -165,6 +182,8 @@
 
 static const char *const FIRST_LOG = "log-0000000000000001";
 
+int Store::full_writes = 0;
+
 TEST_F(Store, BlankFolderGetsAnIdentityOnce)
 {
 	uint64_t id;
@@ -535,3 +554,20 @@
 	EXPECT_EQ(saved.term, 1u);
 	EXPECT_EQ(log(), "1/1/kept");
 }
+
+TEST_F(Store, FullDiskIsWrittenToAgain)
+{
+	write_at = write_full;
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 1, "one"));
+	full_writes = 2;
+	EXPECT_FALSE(write(1, 2, 2, "two"));
+	EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
+	full_writes = 2;
+	EXPECT_FALSE(wl_store_sync(store, &err));
+	EXPECT_TRUE(wl_store_sync(store, &err)) << err.text;
+	ASSERT_TRUE(write(1, 3, 3, "three"));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_EQ(log(), "1/1/one 2/1/two 3/1/three");
+}
