--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -8,6 +8,8 @@
 
 #include "fit.h"
 
+#define SERVING_IDLE_PERMILLE \
+	400			/* of what serving tasks reserve: left unused at an ordinary load */
 #define TAIL_MOST_PERMILLE 1000 /* of the bound */
 #define TAIL_WEIGHT	   20	/* processors, millis, that a thousandth of a bound weighs */
 #define FAR_PENALTY	   (INT64_C(1) << 40) /* above any difference in free room, millis */
@@ -47,7 +49,8 @@
 /* Best-effort work disturbs what serves users, and needs processors that are left over. */
 static bool best_effort_room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
 {
-	uint64_t taken = runner->used.cpu_millis + runner->best_effort_millis;
+	uint64_t idle = runner->serving_millis * SERVING_IDLE_PERMILLE / 1000;
+	uint64_t taken = runner->used.cpu_millis - idle + runner->best_effort_millis;
 
 	if (!step->best_effort)
 		return true;
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -47,6 +47,7 @@
 	runner->fit.used.accelerators += run->need.accelerators;
 	runner->fit.best_effort_millis += run->best_effort ? run->need.cpu_millis : 0;
 	runner->fit.serving += run->serving;
+	runner->fit.serving_millis += run->serving ? run->need.cpu_millis : 0;
 }
 
 static void need_take(wl_sched_runner_t *runner, const wl_sched_run_t *run)
@@ -56,6 +57,7 @@
 	runner->fit.used.accelerators -= run->need.accelerators;
 	runner->fit.best_effort_millis -= run->best_effort ? run->need.cpu_millis : 0;
 	runner->fit.serving -= run->serving;
+	runner->fit.serving_millis -= run->serving ? run->need.cpu_millis : 0;
 }
 
 /*
