sched: order of the queue by what can still be on time

Change: within a priority, jobs that can still be on time go before late ones, begun ones before fresh ones; the order is looked at anew every 50 ms. fifo stays as the baseline.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -8,11 +8,11 @@
 
 #include "fit.h"
 
-#define SERVING_IDLE_PERMILLE \
-	400			/* of what serving tasks reserve: left unused at an ordinary load */
-#define TAIL_MOST_PERMILLE 1000 /* of the bound */
-#define TAIL_WEIGHT	   20	/* processors, millis, that a thousandth of a bound weighs */
-#define FAR_PENALTY	   (INT64_C(1) << 40) /* above any difference in free room, millis */
+/* Of what serving tasks reserve: left unused at an ordinary load. */
+#define SERVING_IDLE_PERMILLE 500
+#define TAIL_MOST_PERMILLE    1000 /* of the bound */
+#define TAIL_WEIGHT	      20   /* processors, millis, that a thousandth of a bound weighs */
+#define FAR_PENALTY	      (INT64_C(1) << 40) /* above any difference in free room, millis */
 
 static bool labelled(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
 {
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -7,6 +7,7 @@
 
 #include "fit.h"
 #include "images.h"
+#include "order.h"
 #include "sched.h"
 
 /* What the leader knows of a run beyond the replicated state. */
@@ -109,6 +110,7 @@
 typedef struct wl_sched_job {
 	wl_bundle_t **bundles; /* by occurrence and step; NULL: not open */
 	uint64_t accepted_ns;
+	uint64_t chain_ms;	  /* longest chain of an occurrence's steps, as estimated */
 	uint64_t next_occurrence; /* that has not come due */
 	TAILQ_ENTRY(wl_sched_job) timed;
 	wl_job_t *job;
@@ -144,6 +146,7 @@
 	wl_sched_options_t options;
 	wl_jobs_t *jobs;
 	const wl_fit_policy_t *fit;
+	const wl_ordering_policy_t *order;
 	bool leading;
 	uint64_t epoch; /* term of the log */
 	uint64_t led_ns;
@@ -162,6 +165,7 @@
 	wl_images_t images;
 	bool place_due;
 	uint64_t placed_ns; /* last look */
+	uint64_t sorted_ns; /* when the queue was last put in order */
 	uint64_t next_gauges_ns;
 };
 
@@ -178,6 +182,7 @@
 
 /* queue.c */
 void wl_sched_job_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job);
+void wl_sched_queue_sort(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_bundle_settle(wl_sched_t *sched, wl_bundle_t *bundle);
 void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job);
 void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task);
--- /dev/null
+++ b/libwlcore/sched/order.c
@@ -0,0 +1,72 @@
+/*
+ * In which order waiting work is placed.
+ *
+ * Answers bursts above what the fleet holds, when not all can be on time:
+ * what can still be goes before what can't, and begun jobs before fresh ones,
+ * so that few jobs are finished rather than many begun.
+ */
+
+#include "order.h"
+
+#define PRIORITY_SHIFT 56
+#define PRIORITY_MOST  127
+#define STAGE_SHIFT    48 /* 256 stages within a priority, then milliseconds */
+#define TIME_MASK      ((UINT64_C(1) << STAGE_SHIFT) - 1)
+#define LATE_FACTOR    3 /* a late job still counts for something up to so many times its time */
+
+typedef enum stage {
+	STAGE_ON_TIME_BEGUN,
+	STAGE_ON_TIME,
+	STAGE_LATE, /* but not worthless */
+	STAGE_HOPELESS,
+} stage_t;
+
+static uint64_t rank_of(const wl_ordering_item_t *item, stage_t stage, uint64_t ms)
+{
+	uint64_t priority = item->priority < PRIORITY_MOST ? item->priority : PRIORITY_MOST;
+
+	return priority << PRIORITY_SHIFT | (uint64_t)stage << STAGE_SHIFT | (ms & TIME_MASK);
+}
+
+static uint64_t rank_fifo(const wl_ordering_item_t *item, uint64_t now_ms)
+{
+	(void)now_ms;
+	return rank_of(item, STAGE_ON_TIME, item->since_ms);
+}
+
+static uint64_t rank_on_time(const wl_ordering_item_t *item, uint64_t now_ms)
+{
+	uint64_t done_ms = now_ms + item->left_ms;
+	uint64_t allowed_ms = item->deadline_ms - item->since_ms;
+
+	if (item->deadline_ms == 0 || done_ms <= item->deadline_ms)
+		return rank_of(item, item->started ? STAGE_ON_TIME_BEGUN : STAGE_ON_TIME,
+			       item->since_ms);
+	if (done_ms <= item->since_ms + LATE_FACTOR * allowed_ms)
+		return rank_of(item, STAGE_LATE, item->since_ms);
+	return rank_of(item, STAGE_HOPELESS, item->since_ms);
+}
+
+/* Sorted by name; the last is the default. */
+static const wl_ordering_policy_t policies[] = {
+	{"fifo", rank_fifo},
+	{"on-time", rank_on_time},
+};
+
+#define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
+
+/*
+ * wl_ordering_policy - find a policy
+ * @name: empty: the default
+ *
+ * Return: NULL if there is none of that name.
+ */
+const wl_ordering_policy_t *wl_ordering_policy(wl_str_t name)
+{
+	if (name.len == 0)
+		return &policies[POLICY_COUNT - 1];
+	for (size_t i = 0; i < POLICY_COUNT; i++)
+		if (wl_str_equal(wl_str_from(policies[i].name), name))
+			return &policies[i];
+	return NULL;
+}
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -199,11 +199,13 @@
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
-	wl_bundle_t *bundle = TAILQ_FIRST(&sched->waiting);
+	wl_bundle_t *bundle;
 	pass_t pass = {0};
 
 	sched->place_due = false;
 	sched->placed_ns = now_ns;
+	wl_sched_queue_sort(sched, now_ns);
+	bundle = TAILQ_FIRST(&sched->waiting);
 	while (bundle && pass.misses < MISSES_MOST) {
 		wl_bundle_t *next = TAILQ_NEXT(bundle, link);
 
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -10,17 +10,45 @@
 #include <stdlib.h>
 
 #define TASKS_LEAST_ROOM 8
-#define PRIORITY_SHIFT	 56 /* priorities above, time below */
-#define PRIORITY_MOST	 127
+#define SORT_MS		 50 /* between two looks at what can still be on time */
 
-static uint64_t bundle_key(const wl_job_t *job, uint64_t due_ms)
+/* Longest chain of steps from one on, as estimated; done ones count for nothing. */
+static uint64_t chain_ms(const wl_job_t *job, uint64_t occurrence, bool only_left)
 {
-	uint64_t priority = job->record.priority;
-	uint64_t from_ms = due_ms ? due_ms : job->record.accepted_ms;
+	uint64_t longest[WL_JOB_STEPS_MOST];
+	uint64_t most = 0;
 
-	if (priority > PRIORITY_MOST)
-		priority = PRIORITY_MOST;
-	return priority << PRIORITY_SHIFT | from_ms;
+	for (uint64_t step = 0; step < job->record.spec.steps.count; step++) {
+		const wl_step_spec_t *spec = wl_job_step(job, step);
+		bool done = only_left && *wl_job_step_left(job, occurrence, step) == 0;
+		uint64_t before = 0;
+
+		for (uint64_t i = 0; i < step; i++)
+			if ((spec->after >> i & 1) && longest[i] > before)
+				before = longest[i];
+		longest[step] = before + (done ? 0 : spec->estimated_ms);
+		if (longest[step] > most)
+			most = longest[step];
+	}
+	return most;
+}
+
+static uint64_t bundle_rank(const wl_sched_t *sched, const wl_bundle_t *bundle, uint64_t now_ms)
+{
+	const wl_job_t *job = bundle->job;
+	const wl_sched_job_t *note = job->note;
+	uint64_t due_ms = wl_job_due_ms(job, bundle->occurrence);
+	wl_ordering_item_t item = {
+		.priority = job->record.priority,
+		.since_ms = due_ms ? due_ms : job->record.accepted_ms,
+		.left_ms = chain_ms(job, bundle->occurrence, true),
+		.started = job->record.state != WL_JOB_QUEUED,
+	};
+
+	if (!wl_job_step(job, bundle->step)->lasting)
+		item.deadline_ms = item.since_ms + job->record.target_latency_ms +
+				   note->chain_ms * job->record.slack_millis / 1000;
+	return sched->order->rank(&item, now_ms);
 }
 
 static wl_bundle_t **bundle_slot(const wl_job_t *job, uint64_t occurrence, uint64_t step)
@@ -56,7 +84,7 @@
 	(*slot)->step = step;
 	(*slot)->image =
 		wl_images_number(&sched->images, wl_buf_str(&wl_job_step(job, step)->image));
-	(*slot)->key = bundle_key(job, wl_job_due_ms(job, occurrence));
+	(*slot)->key = bundle_rank(sched, *slot, wl_sched_clock_ms(sched, now_ns));
 	(*slot)->ready_ns = now_ns;
 	return *slot;
 }
@@ -80,6 +108,45 @@
 	bundle->tasks[bundle->count++] = task;
 }
 
+static int bundle_compare(const void *a, const void *b)
+{
+	const wl_bundle_t *one = *(const wl_bundle_t *const *)a;
+	const wl_bundle_t *other = *(const wl_bundle_t *const *)b;
+
+	if (one->key != other->key)
+		return one->key < other->key ? -1 : 1;
+	if (one->ready_ns != other->ready_ns)
+		return one->ready_ns < other->ready_ns ? -1 : 1;
+	return wl_str_compare(one->job->key, other->job->key);
+}
+
+/*
+ * wl_sched_queue_sort - put the waiting work in order, now that time has passed
+ */
+void wl_sched_queue_sort(wl_sched_t *sched, uint64_t now_ns)
+{
+	uint64_t now_ms = wl_sched_clock_ms(sched, now_ns);
+	wl_bundle_t **bundles;
+	wl_bundle_t *bundle;
+	size_t count = 0;
+
+	if (now_ns - sched->sorted_ns < SORT_MS * WL_NS_PER_MS)
+		return;
+	sched->sorted_ns = now_ns;
+	TAILQ_FOREACH (bundle, &sched->waiting, link)
+		count++;
+	bundles = wl_alloc((count + 1) * sizeof(wl_bundle_t *));
+	for (size_t i = 0; i < count; i++) {
+		bundles[i] = TAILQ_FIRST(&sched->waiting);
+		TAILQ_REMOVE(&sched->waiting, bundles[i], link);
+		bundles[i]->key = bundle_rank(sched, bundles[i], now_ms);
+	}
+	qsort(bundles, count, sizeof(wl_bundle_t *), bundle_compare);
+	for (size_t i = 0; i < count; i++)
+		TAILQ_INSERT_TAIL(&sched->waiting, bundles[i], link);
+	free(bundles);
+}
+
 /*
  * wl_sched_bundle_settle - one of which no task waits leaves the queue until another does
  */
@@ -156,6 +223,7 @@
 	note = wl_alloc(sizeof(*note));
 	note->job = job;
 	note->accepted_ns = now_ns;
+	note->chain_ms = chain_ms(job, 0, false);
 	note->bundles =
 		wl_alloc(job->occurrences * job->record.spec.steps.count * sizeof(wl_bundle_t *));
 	job->note = note;
