--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -11,7 +11,13 @@
 /* Of what serving tasks reserve: left unused at an ordinary load. */
 #define SERVING_IDLE_PERMILLE 500
 #define TAIL_MOST_PERMILLE    1000 /* of the bound */
-#define TAIL_WEIGHT	      20   /* processors, millis, that a thousandth of a bound weighs */
+/*
+ * What waits may press on a tail more and more: forecasts are rough, and only
+ * work that is there shows whether they still hold.
+ */
+#define TAIL_GROWTH_MS	      4 /* of waiting for each thousandth more */
+#define TAIL_EXTREME_PERMILLE 1800
+#define TAIL_WEIGHT	      20 /* processors, millis, that a thousandth of a bound weighs */
 #define FAR_PENALTY	      (INT64_C(1) << 40) /* above any difference in free room, millis */
 
 static bool labelled(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
@@ -46,16 +52,24 @@
 	       runner->used.accelerators + step->accelerators <= runner->capacity.accelerators;
 }
 
+static uint64_t tail_most_permille(const wl_fit_question_t *question)
+{
+	uint64_t most = TAIL_MOST_PERMILLE + question->waited_ms / TAIL_GROWTH_MS;
+
+	return most < TAIL_EXTREME_PERMILLE ? most : TAIL_EXTREME_PERMILLE;
+}
+
 /* Best-effort work disturbs what serves users, and needs processors that are left over. */
-static bool best_effort_room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+static bool best_effort_room(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
 {
+	const wl_step_spec_t *step = question->step;
 	uint64_t idle = runner->serving_millis * SERVING_IDLE_PERMILLE / 1000;
 	uint64_t taken = runner->used.cpu_millis - idle + runner->best_effort_millis;
 
 	if (!step->best_effort)
 		return true;
 	return taken + step->cpu_millis <= runner->capacity.cpu_millis &&
-	       runner->tail_permille <= TAIL_MOST_PERMILLE;
+	       runner->tail_permille <= tail_most_permille(question);
 }
 
 /*
@@ -66,7 +80,7 @@
 	const wl_step_spec_t *step = question->step;
 
 	if (!runner->usable || !wl_fit_ever(question, runner) || !room(step, runner) ||
-	    !best_effort_room(step, runner))
+	    !best_effort_room(question, runner))
 		return false;
 	return step->max_per_target == 0 || runner->same_step < step->max_per_target;
 }
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -25,7 +25,8 @@
 typedef struct wl_fit_question {
 	const wl_step_spec_t *step;
 	wl_str_t service;
-	wl_str_t rack; /* same_rack: where the first one went; empty: none yet */
+	wl_str_t rack;	    /* same_rack: where the first one went; empty: none yet */
+	uint64_t waited_ms; /* how long the step has had tasks that wait */
 } wl_fit_question_t;
 
 typedef struct wl_fit_policy {
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -129,6 +129,7 @@
 		wl_catalog_queue(&sched->jobs->catalog, wl_buf_str(&bundle->job->record.queue));
 	wl_fit_question_t question = {
 		.step = wl_job_step(bundle->job, bundle->step),
+		.waited_ms = (now_ns - bundle->ready_ns) / WL_NS_PER_MS,
 		.service = wl_buf_str(queue ? &queue->service : &bundle->job->record.service),
 	};
 
