--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -57,7 +57,7 @@
 
 		return !known || wl_runner_newer(known, report);
 	}
-	wl_sched_runner_heard(runner, now_ns, report);
+	wl_sched_runner_heard(sched, now_ns, runner, report);
 	return wl_runner_newer(runner->state, report) &&
 	       report_differs(&runner->state->report, report);
 }
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -65,6 +65,8 @@
 	uint64_t clock_ms;
 	uint64_t clock_ns;
 	uint64_t lease_until_ms; /* on its clock; latest that any order of ours named */
+	uint64_t lease_floor_ns; /* leases that others granted, or an earlier life took, may last so
+				    long */
 	uint64_t life;		 /* as its last answer said */
 	uint64_t sequence;	 /* of its newest report */
 	uint64_t reported_ns;
@@ -224,7 +226,7 @@
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_follow(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
-void wl_sched_runner_heard(wl_sched_runner_t *runner, uint64_t now_ns,
+void wl_sched_runner_heard(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   const wl_runner_report_t *report);
 void wl_sched_runner_left(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -34,6 +34,13 @@
 	return wl_map_get(&sched->by_runner, id);
 }
 
+/* How long a lease may last by our clock that its target's clock may be slow against. */
+static uint64_t slow_ns(uint64_t ms)
+{
+	return ms * WL_NS_PER_MS * 100 / (100 - CLOCK_SLOW_PERCENT) +
+	       LAPSE_MARGIN_MS * WL_NS_PER_MS;
+}
+
 static void fit_follow(wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
@@ -72,6 +79,7 @@
 		wl_buf_set(&runner->id, state->key);
 		runner->key = wl_buf_str(&runner->id);
 		runner->hold_due_ns = now_ns;
+		runner->lease_floor_ns = sched->led_ns + slow_ns(sched->options.lease_most_ms);
 		TAILQ_INIT(&runner->runs);
 		wl_map_put(&sched->by_runner, runner);
 		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
@@ -82,13 +90,16 @@
 	return runner;
 }
 
-static void life_begin(wl_sched_runner_t *runner, uint64_t life)
+static void life_begin(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+		       uint64_t life)
 {
 	if (life == 0 || life == runner->life)
 		return;
 	runner->life = life;
 	runner->clock_ms = 0;
 	runner->clock_ns = 0;
+	runner->lease_until_ms = 0;
+	runner->lease_floor_ns = now_ns + slow_ns(sched->options.lease_most_ms);
 	runner->sequence = 0;
 	runner->seen = 0;
 	runner->listed = 0;
@@ -100,13 +111,13 @@
 /*
  * wl_sched_runner_heard - a target has reported
  */
-void wl_sched_runner_heard(wl_sched_runner_t *runner, uint64_t now_ns,
+void wl_sched_runner_heard(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   const wl_runner_report_t *report)
 {
 	if (report->life < runner->life || runner->state->left_ms)
 		return;
 	if (report->life > runner->life) {
-		life_begin(runner, report->life);
+		life_begin(sched, now_ns, runner, report->life);
 		wl_sched_hold_soon(runner, now_ns);
 	}
 	if (report->sequence <= runner->sequence)
@@ -215,20 +226,14 @@
 }
 
 /* When even a slow clock has passed every lease that may have been granted. */
-static uint64_t lapse_ns(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+static uint64_t lapse_ns(const wl_sched_runner_t *runner)
 {
-	uint64_t margin_ns = LAPSE_MARGIN_MS * WL_NS_PER_MS;
-	uint64_t most_ns = sched->options.lease_most_ms * WL_NS_PER_MS;
 	uint64_t left_ms = runner->lease_until_ms > runner->clock_ms
 				   ? runner->lease_until_ms - runner->clock_ms
 				   : 0;
-	uint64_t own_ns =
-		runner->clock_ns + left_ms * WL_NS_PER_MS * 100 / (100 - CLOCK_SLOW_PERCENT);
-	uint64_t inherited_ns = sched->led_ns + most_ns * 100 / (100 - CLOCK_SLOW_PERCENT);
+	uint64_t own_ns = runner->clock_ns + slow_ns(left_ms);
 
-	if (has_phase(runner, WL_RUN_INHERITED) && inherited_ns > own_ns)
-		return inherited_ns + margin_ns;
-	return own_ns + margin_ns;
+	return own_ns > runner->lease_floor_ns ? own_ns : runner->lease_floor_ns;
 }
 
 static void runs_lapse(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner, wl_out_t *out)
@@ -272,7 +277,7 @@
 	usable_follow(sched, runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
 		wl_sched_run_tick(sched, now_ns, run, out);
-	if (holds && now_ns > lapse_ns(sched, runner))
+	if (holds && now_ns > lapse_ns(runner))
 		runs_lapse(sched, now_ns, runner, out);
 	else if ((holds || runner->ack_due) && !runner->hold_id && now_ns >= runner->hold_due_ns)
 		hold_send(sched, now_ns, runner, holds, out);
@@ -418,7 +423,7 @@
 	if (end->life && end->life < runner->life)
 		return;
 	if (end->life > runner->life) {
-		life_begin(runner, end->life);
+		life_begin(sched, now_ns, runner, end->life);
 		runner->clock_ms = end->clock_ms;
 		runner->clock_ns = now_ns;
 	}
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -201,7 +201,7 @@
 		bool is_new = !runner;
 
 		runner = wl_sched_runner_follow(sched, now_ns, state);
-		wl_sched_runner_heard(runner, now_ns, report);
+		wl_sched_runner_heard(sched, now_ns, runner, report);
 		wl_out_log(out, WL_INFO, "target",
 			   "target=" WL_STR_FMT " new=%s service=%s rack=%s state=%s cpu=%llu",
 			   WL_STR_ARG(runner->key), is_new ? "yes" : "no", state->report.service.at,
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -229,6 +229,29 @@
 	EXPECT_TRUE(rig.take(WL_ORDER_STOP).empty());
 }
 
+/*
+ * Found as TWICE 11 on scale-2 of llt-wassail, once: the new leader adopted a run, had granted no
+ * lease yet and waited for a commit; the lease of its predecessor still held.
+ */
+TEST_F(Sched, NewLeaderCountsTheLeaseOfItsPredecessor)
+{
+	SchedOrder kept = begun("kept");
+	SchedOrder ended = begun("ended");
+
+	rig.answer_hold(hold(), {SchedRig::view(kept), SchedRig::view(ended)}, {});
+	rig.follow();
+	rig.take(WL_ORDER_HOLD);
+	rig.lead(2);
+	rig.answer_hold(hold(), {SchedRig::view(kept)}, {SchedRig::end(ended, 1, WL_END_DONE)});
+	for (int i = 0; i < 10; i++) {
+		for (const auto &order : rig.take(WL_ORDER_HOLD))
+			rig.answer(order, WL_ORDER_NO_ANSWER);
+		rig.pass(100);
+	}
+	rig.commit();
+	EXPECT_EQ(rig.find("kept")->active, 1u);
+}
+
 TEST_F(Sched, CancelledJobIsStoppedAndNothingOfItStarts)
 {
 	SchedOrder start = begun("j");
