--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -68,7 +68,7 @@
 
 	if (!step->best_effort)
 		return true;
-	return taken + step->cpu_millis <= runner->capacity.cpu_millis &&
+	return !runner->strained && taken + step->cpu_millis <= runner->capacity.cpu_millis &&
 	       runner->tail_permille <= tail_most_permille(question);
 }
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -48,6 +48,7 @@
 	bool checkpoints;
 	unsigned int image; /* its number */
 	uint64_t begun_ns;  /* when it was first said to be there */
+	uint64_t near_ns;   /* serving: since when its tail is near its bound; 0: it is not */
 	wl_buf_t checkpoint;
 	TAILQ_ENTRY(wl_sched_run) link; /* of its runner */
 } wl_sched_run_t;
@@ -80,6 +81,7 @@
 	uint64_t listed;     /* ends up to here are proposed */
 	uint64_t committing; /* proposals of its ends under way */
 	bool ack_due;
+	uint64_t strained_ns;	 /* when everything was stopped here for a tail */
 	uint64_t relieved_ns;	 /* when best-effort work was last stopped here for a tail */
 	uint64_t aside_until_ns; /* no starts before; 0: any time */
 	uint64_t failures;	 /* runs of different jobs that failed here in a row */
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -11,8 +11,9 @@
 #include "internal.h"
 
 #define PERMILLE	    1000
-#define NEAR_BOUND_PERMILLE 950 /* of the bound; a task is harmed above it */
-#define PRESS_UNKNOWN	    100 /* growth, permille, that is reckoned beyond what is known */
+#define NEAR_BOUND_PERMILLE 950	 /* of the bound; a task is harmed above it */
+#define NEAR_MOST_MS	    1200 /* near its bound for so long, a tail is relieved of everything */
+#define PRESS_UNKNOWN	    100	 /* growth, permille, that is reckoned beyond what is known */
 #define SETTLE_MS	    700 /* figures are of the last half second, and a stop takes its time */
 #define SAMPLE_LEAST_MS	    400 /* a run there for less has no part in the figures yet */
 
@@ -97,19 +98,49 @@
 	return worst;
 }
 
-static void tail_relieve(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+/* The one that presses most; everything, once a tail has been near its bound for a while. */
+static size_t press_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			 const wl_sched_run_t *serving, wl_out_t *out)
 {
+	bool all = now_ns - serving->near_ns >= NEAR_MOST_MS * WL_NS_PER_MS;
 	wl_sched_run_t *worst = worst_beside(sched, runner, serving);
+	wl_sched_run_t *run;
+	size_t stopped = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		if (!is_best_effort(run) || (!all && run != worst))
+			continue;
+		wl_sched_run_stop(sched, now_ns, run, "tail", out);
+		stopped++;
+	}
+	return stopped;
+}
 
-	if (!worst)
+static void tail_relieve(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			 const wl_sched_run_t *serving, wl_out_t *out)
+{
+	size_t stopped = press_stop(sched, now_ns, runner, serving, out);
+
+	if (stopped == 0)
 		return;
 	runner->relieved_ns = now_ns;
+	if (now_ns - serving->near_ns >= NEAR_MOST_MS * WL_NS_PER_MS)
+		runner->strained_ns = now_ns;
 	wl_out_log(out, WL_INFO, "tail-near-bound",
-		   "target=" WL_STR_FMT " serving=" WL_STR_FMT " tail_ms=%llu bound_us=%llu",
+		   "target=" WL_STR_FMT " serving=" WL_STR_FMT
+		   " tail_ms=%llu bound_us=%llu near_ms=%llu stopped=%zu",
 		   WL_STR_ARG(runner->key), WL_STR_ARG(serving->key),
-		   (unsigned long long)serving->load, (unsigned long long)serving->tail_target_us);
-	wl_sched_run_stop(sched, now_ns, worst, "tail", out);
+		   (unsigned long long)serving->load, (unsigned long long)serving->tail_target_us,
+		   (unsigned long long)((now_ns - serving->near_ns) / WL_NS_PER_MS), stopped);
+}
+
+/* Since when a tail has been near its bound. */
+static void near_follow(wl_sched_run_t *serving, uint64_t now_ns)
+{
+	if (tail_permille(serving) < NEAR_BOUND_PERMILLE)
+		serving->near_ns = 0;
+	else if (serving->near_ns == 0)
+		serving->near_ns = now_ns;
 }
 
 /*
@@ -118,6 +149,7 @@
 void wl_sched_tails_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   wl_out_t *out)
 {
+	/* Figures are of the last half second, and a stop takes its time. */
 	bool settled = now_ns - runner->relieved_ns >= SETTLE_MS * WL_NS_PER_MS;
 	wl_sched_run_t *worst = NULL;
 	wl_sched_run_t *run;
@@ -127,6 +159,7 @@
 	TAILQ_FOREACH (run, &runner->runs, link) {
 		if (!run->serving || !run->listed || run->load == 0)
 			continue;
+		near_follow(run, now_ns);
 		tail_learn(sched, now_ns, runner, run);
 		if (tail_permille(run) >= NEAR_BOUND_PERMILLE &&
 		    (!worst || tail_permille(run) > tail_permille(worst)))
