--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -56,12 +56,12 @@
 #define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
 
 /*
- * wl_ordering_policy - find a policy
+ * wl_ordering_policy_find - find a policy
  * @name: empty: the default
  *
  * Return: NULL if there is none of that name.
  */
-const wl_ordering_policy_t *wl_ordering_policy(wl_str_t name)
+const wl_ordering_policy_t *wl_ordering_policy_find(wl_str_t name)
 {
 	if (name.len == 0)
 		return &policies[POLICY_COUNT - 1];
--- a/libwlcore/sched/order.h
+++ b/libwlcore/sched/order.h
@@ -23,6 +23,6 @@
 	uint64_t (*rank)(const wl_ordering_item_t *item, uint64_t now_ms);
 } wl_ordering_policy_t;
 
-const wl_ordering_policy_t *wl_ordering_policy(wl_str_t name);
+const wl_ordering_policy_t *wl_ordering_policy_find(wl_str_t name);
 
 #endif
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -36,8 +36,8 @@
 	preset(&sched->options.lease_most_ms, LEASE_MOST_MS_DEFAULT);
 	preset(&sched->options.start_lease_ms, START_LEASE_MS_DEFAULT);
 	sched->jobs = options->jobs;
-	sched->fit = wl_fit_policy(options->placement);
-	sched->order = wl_ordering_policy(options->queueing);
+	sched->fit = wl_fit_policy_find(options->placement);
+	sched->order = wl_ordering_policy_find(options->queueing);
 	if (!sched->fit || !sched->order) {
 		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 			   "unknown placement or queueing of jobs");
--- /dev/null
+++ b/tests/unit/sched_policy_test.cc
@@ -0,0 +1,220 @@
+extern "C" {
+#include <libwlcore/sched/fit.h>
+#include <libwlcore/sched/images.h>
+#include <libwlcore/sched/order.h>
+}
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+/* The decisions of the scheduler alone, each with the load that it answers. */
+
+static wl_fit_runner_t runner_of(uint64_t cpu, uint64_t used = 0)
+{
+	wl_fit_runner_t runner = {};
+
+	runner.service = WL_STR("s");
+	runner.rack = WL_STR("r1");
+	runner.capacity = {cpu, 100000, 0, 0, 0};
+	runner.used.cpu_millis = used;
+	runner.usable = true;
+	return runner;
+}
+
+static wl_step_spec_t step_of(uint64_t cpu, bool best_effort = false)
+{
+	wl_step_spec_t step = {};
+
+	step.count = 1;
+	step.cpu_millis = cpu;
+	step.memory_mib = 100;
+	step.best_effort = best_effort;
+	return step;
+}
+
+TEST(Fit, CapacityIsNeverPassed)
+{
+	wl_step_spec_t step = step_of(4000);
+	wl_fit_question_t question = {&step, WL_STR("s"), {}, 0};
+	wl_fit_runner_t runner = runner_of(32000, 28000);
+
+	EXPECT_TRUE(wl_fit_fits(&question, &runner));
+	runner.used.cpu_millis = 28001;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	runner.used.cpu_millis = 0;
+	runner.used.memory_mib = 99950;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	runner.used.memory_mib = 0;
+	step.accelerators = 1;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+}
+
+TEST(Fit, ServiceLabelAndLimitBind)
+{
+	wl_step_spec_t step = step_of(1000);
+	wl_fit_question_t question = {&step, WL_STR("t"), {}, 0};
+	wl_fit_runner_t runner = runner_of(32000);
+	wl_list_t labels = {};
+
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	question.service = WL_STR("s");
+	wl_buf_set(&step.label, WL_STR("b"));
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	wl_strings_add(&labels, WL_STR("b"));
+	runner.labels = &labels;
+	EXPECT_TRUE(wl_fit_fits(&question, &runner));
+	step.max_per_target = 2;
+	runner.same_step = 2;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	wl_strings_free(&labels);
+	wl_buf_free(&step.label);
+}
+
+TEST(Fit, DataIsWorthMoreThanRoom)
+{
+	wl_step_spec_t step = step_of(1000);
+	wl_fit_question_t question = {&step, WL_STR("s"), {}, 0};
+	wl_fit_runner_t near = runner_of(32000, 30000);
+	wl_fit_runner_t far = runner_of(32000);
+
+	far.rack = WL_STR("r2");
+	wl_buf_set(&step.data_rack, WL_STR("r1"));
+	for (const char *name : {"best-fit", "spread"}) {
+		const wl_fit_policy_t *policy = wl_fit_policy_find(wl_str_from(name));
+
+		ASSERT_NE(policy, nullptr);
+		EXPECT_GT(policy->score(&question, &near), policy->score(&question, &far)) << name;
+	}
+	wl_buf_free(&step.data_rack);
+}
+
+TEST(Fit, BestEffortUsesWhatServingTasksLeaveUnused)
+{
+	wl_step_spec_t step = step_of(4000, true);
+	wl_fit_question_t question = {&step, WL_STR("s"), {}, 0};
+	wl_fit_runner_t runner = runner_of(32000, 32000);
+
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	runner.serving = 4;
+	runner.serving_millis = 24000;
+	EXPECT_TRUE(wl_fit_fits(&question, &runner));
+	runner.strained = true;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+}
+
+TEST(Fit, ForecastOfATailBindsLessTheLongerWorkWaits)
+{
+	wl_step_spec_t step = step_of(1000, true);
+	wl_fit_question_t question = {&step, WL_STR("s"), {}, 0};
+	wl_fit_runner_t runner = runner_of(32000);
+
+	runner.serving = 1;
+	runner.tail_permille = 1400;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+	question.waited_ms = 2000;
+	EXPECT_TRUE(wl_fit_fits(&question, &runner));
+	runner.tail_permille = 5000;
+	question.waited_ms = 1000000;
+	EXPECT_FALSE(wl_fit_fits(&question, &runner));
+}
+
+TEST(Fit, UnknownPolicyIsNone)
+{
+	EXPECT_EQ(wl_fit_policy_find(WL_STR("best")), nullptr);
+	EXPECT_EQ(wl_ordering_policy_find(WL_STR("best")), nullptr);
+}
+
+TEST(Images, GuiltlessImagesAreToldFromThoseThatPress)
+{
+	wl_images_t images;
+	std::mt19937 random(1);
+
+	wl_images_init(&images);
+	unsigned int users = wl_images_number(&images, WL_STR("users"));
+	unsigned int press = wl_images_number(&images, WL_STR("press"));
+	unsigned int calm = wl_images_number(&images, WL_STR("calm"));
+	for (int i = 0; i < 200; i++) {
+		uint64_t load = 300 + random() % 200;
+
+		wl_images_learn_alone(&images, users, load);
+		wl_images_learn(&images, users, calm, load);
+		wl_images_learn(&images, users, press, load * 3);
+	}
+	EXPECT_GT(wl_images_growth(&images, users, press), 2000u);
+	EXPECT_LT(wl_images_growth(&images, users, calm), 1300u);
+	EXPECT_EQ(wl_images_growth(&images, calm, press), 1000u) << "nothing is known";
+	wl_images_free(&images);
+}
+
+TEST(Images, MoreThanCanBeToldShareANumber)
+{
+	wl_images_t images;
+
+	wl_images_init(&images);
+	for (int i = 0; i < 200; i++) {
+		std::string name = "image" + std::to_string(i);
+
+		EXPECT_LT(wl_images_number(&images, {name.data(), name.size()}), 64u);
+	}
+	wl_images_free(&images);
+}
+
+/* A burst of twice what the fleet holds: jobs of one second on ten places, each to be done in 3 s.
+ */
+static size_t served_in_time(const char *policy_name)
+{
+	const wl_ordering_policy_t *policy = wl_ordering_policy_find(wl_str_from(policy_name));
+	std::vector<wl_ordering_item_t> waiting;
+	std::vector<uint64_t> busy_until(10, 0);
+	size_t in_time = 0;
+
+	for (uint64_t now = 0; now < 60000; now += 50) {
+		if (now < 30000) {
+			wl_ordering_item_t item = {};
+
+			item.since_ms = now;
+			item.deadline_ms = now + 3000;
+			item.left_ms = 1000;
+			waiting.push_back(item);
+		}
+		for (uint64_t &until : busy_until) {
+			if (until > now || waiting.empty())
+				continue;
+			auto next = std::min_element(
+				waiting.begin(), waiting.end(),
+				[&](const wl_ordering_item_t &a, const wl_ordering_item_t &b) {
+					return policy->rank(&a, now) < policy->rank(&b, now);
+				});
+			until = now + 1000;
+			in_time += until <= next->deadline_ms;
+			waiting.erase(next);
+		}
+	}
+	return in_time;
+}
+
+TEST(Ordering, MoreCallersAreOnTimeInABurst)
+{
+	size_t fifo = served_in_time("fifo");
+	size_t on_time = served_in_time("on-time");
+
+	EXPECT_GT(on_time, 250u) << "ten places for thirty seconds can serve 300";
+	EXPECT_GT(on_time, 2 * fifo);
+}
+
+TEST(Ordering, PriorityGoesBeforeTime)
+{
+	const wl_ordering_policy_t *policy = wl_ordering_policy_find({});
+	wl_ordering_item_t urgent = {};
+	wl_ordering_item_t batch = {};
+
+	urgent.since_ms = 5000;
+	urgent.deadline_ms = 5001;
+	urgent.left_ms = 100000;
+	batch.priority = 2;
+	batch.deadline_ms = 1000000;
+	EXPECT_LT(policy->rank(&urgent, 6000), policy->rank(&batch, 6000));
+}
