--- a/libwlbase/variable.c
+++ b/libwlbase/variable.c
@@ -12,7 +12,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define FILE_MOST (64 * 1024) /* bytes; a settings file takes a few KiB */
+#define FILE_MOST 65536u /* bytes; a settings file takes a few KiB */
 
 /*
  * wl_variables_parse - read variables from a text
--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -168,7 +168,7 @@
 /* What follows the queue's prefix. */
 static wl_str_t path_id(const wl_queue_t *queue, wl_str_t path)
 {
-	return (wl_str_t){path.at + queue->path_prefix.len, path.len - queue->path_prefix.len};
+	return (wl_str_t){path.at + queue->prefix.len, path.len - queue->prefix.len};
 }
 
 /*
@@ -233,7 +233,7 @@
 		.accepted_ms = clock_ms,
 		.priority = queue->priority,
 		.max_attempts = queue->max_attempts ? queue->max_attempts : MAX_ATTEMPTS_DEFAULT,
-		.target_latency_ms = queue->target_latency_ms,
+		.objective_ms = queue->objective_ms,
 		.slack_millis = queue->slack_millis,
 	};
 
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -49,7 +49,7 @@
 	wl_buf_t service;
 	uint64_t priority;
 	uint64_t max_attempts;
-	uint64_t target_latency_ms;
+	uint64_t objective_ms;
 	uint64_t slack_millis;
 	wl_list_t tasks; /* wl_job_task_row_t, in snapshots only */
 } wl_job_record_t;
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -22,7 +22,7 @@
 	WL_FIELD(wl_job_record_t, service, WL_FIELD_BYTES),
 	WL_FIELD(wl_job_record_t, priority, WL_FIELD_U64),
 	WL_FIELD(wl_job_record_t, max_attempts, WL_FIELD_U64),
-	WL_FIELD(wl_job_record_t, target_latency_ms, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, objective_ms, WL_FIELD_U64),
 	WL_FIELD(wl_job_record_t, slack_millis, WL_FIELD_U64),
 	WL_FIELD_MANY(wl_job_record_t, tasks, &wl_job_task_row_schema),
 };
--- a/libwlcore/model/job.c
+++ b/libwlcore/model/job.c
@@ -42,7 +42,7 @@
 const wl_schema_t wl_job_spec_schema = WL_SCHEMA(wl_job_spec_t, job_spec_fields);
 
 static const wl_field_t advice_spec_fields[] = {
-	WL_FIELD(wl_advice_spec_t, decision_ms, WL_FIELD_U64),
+	WL_FIELD(wl_advice_spec_t, question_ms, WL_FIELD_U64),
 	WL_FIELD(wl_advice_spec_t, per_target_ms, WL_FIELD_U64),
 	WL_FIELD(wl_advice_spec_t, validity_ms, WL_FIELD_U64),
 };
@@ -52,10 +52,10 @@
 static const wl_field_t queue_fields[] = {
 	WL_FIELD_MUST(wl_queue_t, name, WL_FIELD_BYTES, 256),
 	WL_FIELD(wl_queue_t, host, WL_FIELD_BYTES),
-	WL_FIELD_MUST(wl_queue_t, path_prefix, WL_FIELD_BYTES, 1024),
+	WL_FIELD_MUST(wl_queue_t, prefix, WL_FIELD_BYTES, 1024),
 	WL_FIELD_MUST(wl_queue_t, service, WL_FIELD_BYTES, 256),
 	WL_FIELD(wl_queue_t, timeout_ms, WL_FIELD_U64),
-	WL_FIELD(wl_queue_t, target_latency_ms, WL_FIELD_U64),
+	WL_FIELD(wl_queue_t, objective_ms, WL_FIELD_U64),
 	WL_FIELD(wl_queue_t, priority, WL_FIELD_U64),
 	WL_FIELD(wl_queue_t, max_attempts, WL_FIELD_U64),
 	WL_FIELD(wl_queue_t, slack_millis, WL_FIELD_U64),
@@ -68,7 +68,7 @@
 	WL_FIELD_MUST(wl_service_t, name, WL_FIELD_BYTES, 256),
 	WL_FIELD(wl_service_t, health_path, WL_FIELD_BYTES),
 	WL_FIELD(wl_service_t, max_connections, WL_FIELD_U64),
-	WL_FIELD(wl_service_t, enforces_capacity, WL_FIELD_BOOL),
+	WL_FIELD(wl_service_t, refuses_overload, WL_FIELD_BOOL),
 	WL_FIELD(wl_service_t, standby, WL_FIELD_BOOL),
 };
 
@@ -177,8 +177,7 @@
 				  number);
 	for (size_t i = 0; i < number; i++)
 		if (wl_str_equal(wl_buf_str(&queues[i].host), wl_buf_str(&queue->host)) &&
-		    wl_str_equal(wl_buf_str(&queues[i].path_prefix),
-				 wl_buf_str(&queue->path_prefix)))
+		    wl_str_equal(wl_buf_str(&queues[i].prefix), wl_buf_str(&queue->prefix)))
 			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 					  "queues[%zu] and queues[%zu]: same host and prefix", i,
 					  number);
@@ -209,9 +208,9 @@
 
 	for (size_t i = 0; i < catalog->queues.count; i++) {
 		if (!wl_str_equal(wl_buf_str(&queues[i].host), host) ||
-		    !wl_str_starts(path, wl_buf_str(&queues[i].path_prefix)))
+		    !wl_str_starts(path, wl_buf_str(&queues[i].prefix)))
 			continue;
-		if (!best || queues[i].path_prefix.len > best->path_prefix.len)
+		if (!best || queues[i].prefix.len > best->prefix.len)
 			best = &queues[i];
 	}
 	return best;
--- a/libwlcore/model/job.h
+++ b/libwlcore/model/job.h
@@ -46,7 +46,7 @@
 
 /* What a service needs for a decision on where a queue's steps may run; see docs/design/jobs.md. */
 typedef struct wl_advice_spec {
-	uint64_t decision_ms;	/* of one question */
+	uint64_t question_ms;	/* of one question */
 	uint64_t per_target_ms; /* and for each target in it */
 	uint64_t validity_ms;	/* of a ticket */
 } wl_advice_spec_t;
@@ -55,10 +55,10 @@
 typedef struct wl_queue {
 	wl_buf_t name;
 	wl_buf_t host;
-	wl_buf_t path_prefix;
+	wl_buf_t prefix;
 	wl_buf_t service; /* whose targets run its tasks */
 	uint64_t timeout_ms;
-	uint64_t target_latency_ms;
+	uint64_t objective_ms;
 	uint64_t priority;	 /* 0 first */
 	uint64_t max_attempts;	 /* failed runs of a task that fail the job */
 	uint64_t slack_millis;	 /* a job is on time within this many thousandths of its own work */
@@ -69,8 +69,8 @@
 	wl_buf_t name;
 	wl_buf_t health_path;
 	uint64_t max_connections;
-	bool enforces_capacity; /* its targets refuse what does not fit */
-	bool standby;		/* its machines are off */
+	bool refuses_overload; /* its targets refuse what does not fit */
+	bool standby;	       /* its machines are off */
 } wl_service_t;
 
 /* Both lists of the operator under one version. */
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -164,7 +164,7 @@
 		wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
 		return;
 	}
-	if (!job && path.len > queue->path_prefix.len) {
+	if (!job && path.len > queue->prefix.len) {
 		wl_result_fail(result, WL_E_GONE, "no such job");
 		return;
 	}
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -10,9 +10,10 @@
 #define LEASE_MS_DEFAULT       5000
 #define LEASE_MOST_MS_DEFAULT  6000
 #define START_LEASE_MS_DEFAULT 2000
-#define PLACE_LEAST_US	       2000 /* between two looks: what comes together is committed together */
-#define NS_PER_US	       1000
-#define GAUGES_MS	       1000
+#define PLACE_LEAST_US \
+	UINT64_C(2000) /* between two looks: what comes together is committed together */
+#define NS_PER_US 1000
+#define GAUGES_MS 1000
 
 static void preset(uint64_t *option, uint64_t value)
 {
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -208,7 +208,7 @@
 	catalog.version++;
 	auto *queue = static_cast<wl_queue_t *>(wl_list_add(&wl_queue_schema, &catalog.queues));
 	wl_buf_set(&queue->name, str(name));
-	wl_buf_set(&queue->path_prefix, str("/" + name + "/"));
+	wl_buf_set(&queue->prefix, str("/" + name + "/"));
 	wl_buf_set(&queue->service, WL_STR("sort"));
 	queue->timeout_ms = 3000;
 	queue->priority = priority;
