--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -24,7 +24,9 @@
 #define DEADLINE_MS	50 /* between two looks at the deadlines */
 #define RETRY_MS	5
 #define CALL_CONNECT_MS 3000
-#define IDLE_CACHE	256 /* connections kept open over all hosts */
+#define IDLE_CACHE                                                                               \
+	1536 /* connections kept open over all hosts: two or three for each of 500 targets, well \
+		under the descriptors of a process */
 
 TAILQ_HEAD(transfer_list, wl_transfer);
 
