tests: jobs through real processes, a group from seeds, leaders lost; lint

Every task ends once, the fencing token grows, records last. The formatter gave platform_test another shape on each run; run to a fixed point.

--- a/bench/jobs.c
+++ b/bench/jobs.c
@@ -12,7 +12,7 @@
 #include <libwlcore/node/node.h>
 #include <platform/platform.h>
 
-#define SECONDS	     10
+#define RUN_MS	     10000ul /* simulated */
 #define TASK_MS	     700
 #define TASKS	     8 /* of a job */
 #define RUNS_MOST    65536
@@ -299,7 +299,7 @@
 	     "\"services\":[{\"name\":\"s\"}]}");
 	report_all(1);
 	spent_ns = 0;
-	for (uint64_t ms = 0; ms < SECONDS * 1000; ms += 10) {
+	for (uint64_t ms = 0; ms < RUN_MS; ms += 10) {
 		for (; jobs * TASKS * 1000 < per_s * ms; jobs++)
 			job_hand_in(jobs + 1);
 		if (ms % 1100 == 0)
@@ -309,7 +309,7 @@
 	}
 	printf("targets,starts,us_a_start,cores\n%zu,%llu,%.1f,%.4f\n", target_count,
 	       (unsigned long long)starts, (double)spent_ns / 1000 / (double)(starts ? starts : 1),
-	       (double)spent_ns / WL_NS_PER_S / SECONDS);
+	       (double)spent_ns / (RUN_MS * WL_NS_PER_MS));
 	wl_node_free(node);
 	return 0;
 }
--- a/libwlbase/record_json.c
+++ b/libwlbase/record_json.c
@@ -9,9 +9,10 @@
 
 #include "record_internal.h"
 
-#define PATH_BYTES	128
-#define WHOLE_REAL_MOST 9007199254740992.0 /* 2^53: above it not every whole number has a double \
-					    */
+#define PATH_BYTES 128
+#define WHOLE_REAL_MOST                                                          \
+	9007199254740992.0 /* 2^53: above it not every whole number has a double \
+			    */
 
 /* Where in the input the reader is; made a text only for a message: "plans[3].weight". */
 typedef struct path {
--- /dev/null
+++ b/tests/integration/jobs_test.cc
@@ -0,0 +1,176 @@
+#include "../support/cluster.h"
+#include "../support/runner.h"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+
+#include <gtest/gtest.h>
+
+/* Jobs through real processes that found their group from seeds. */
+
+namespace
+{
+constexpr int STORES = 3;
+constexpr int TASKS = 12;
+constexpr uint64_t TASK_MS = 150;
+
+const char *const DAEMON = BUILD_DIR "/daemon/wisterialeadd";
+const char *const SECRET = "peer secret of the tests";
+
+const char CATALOG[] =
+	R"({"version":1,"routes":[{"name":"tube-sort","host":"queue.example",)"
+	R"("path_prefix":"/tube/","type":"unsafe","timeout_ms":5000,"target_latency_ms":60000,)"
+	R"("priority":1,"backend":"workers","max_attempts":4,"slack_factor":1.5}],)"
+	R"("services":[{"name":"workers"}],"limits":{}})";
+
+/* Each daemon has a loopback address of its own, of this process alone, as machines have. */
+std::string address(int number)
+{
+	constexpr int values = 250;
+	int pid = getpid();
+
+	return "127." + std::to_string(1 + pid / values % values) + "." +
+	       std::to_string(1 + pid % values) + "." + std::to_string(number);
+}
+
+class Jobs : public testing::Test
+{
+      protected:
+	Jobs() : folder(folder_make())
+	{
+		file_write(folder + "/peer.secret", SECRET);
+	}
+
+	~Jobs() override
+	{
+		for (auto &daemon : daemons)
+			daemon.kill();
+		if (HasFailure()) {
+			for (auto &daemon : daemons)
+				fprintf(stderr, "== %s\n%s\n", daemon.log.c_str(),
+					file_read(daemon.log).c_str());
+			return;
+		}
+		std::filesystem::remove_all(folder);
+	}
+
+	/* The last daemon is an entry, the others are stores. */
+	void start(int number)
+	{
+		bool store = number <= STORES;
+		std::string ip = address(number);
+		std::string data = folder + "/" + std::to_string(number);
+
+		std::filesystem::create_directories(data);
+		daemons[number - 1].start(
+			{DAEMON,
+			 "--name",
+			 ip,
+			 "--availability-zone",
+			 "vasteras-a",
+			 "--role",
+			 store ? "store" : "entry",
+			 "--dialect",
+			 "platform",
+			 "--caller-listen",
+			 ip + ":8080",
+			 "--control-listen",
+			 ip + ":8081",
+			 "--peer-listen",
+			 ip + ":8082",
+			 "--store-seeds",
+			 address(1) + ":8082," + address(2) + ":8082," + address(3) + ":8082",
+			 "--found-group",
+			 "yes",
+			 "--voters",
+			 "3",
+			 "--data-dir",
+			 data,
+			 "--chart-dir",
+			 PROJECT_DIR "/charts",
+			 "--peer-secret-file",
+			 folder + "/peer.secret"},
+			folder + "/log-" + std::to_string(number));
+	}
+
+	static std::string control(int number)
+	{
+		return address(number) + ":8081";
+	}
+
+	static Answer call(const std::string &method, const std::string &job,
+			   const std::string &body = "")
+	{
+		return http(address(STORES + 1) + ":8080", method, "/tube/" + job, body,
+			    {{"Host", "queue.example"}, {"Request-Deadline-Ms", "5000"}});
+	}
+
+	/* Sends a job until it is accepted; the same id remains one job. */
+	static bool submit(const std::string &job)
+	{
+		return eventually([&] {
+			return call("POST", job,
+				    R"({"spec":"words","steps":[{"count":)" +
+					    std::to_string(TASKS) +
+					    R"(,"cpu":500,"mem_mb":256,"estimated_ms":150}]})")
+				       .status == 200;
+		});
+	}
+
+	/* Reports the target until the job is over; the reports go to every daemon that lives. */
+	bool completed(Runner &runner, const std::string &job)
+	{
+		return eventually([&] {
+			for (int number = 1; number <= STORES; number++)
+				if (daemons[number - 1].running())
+					runner.report(control(number));
+			return call("GET", job).at("state") == "completed";
+		});
+	}
+
+	std::string folder;
+	Process daemons[STORES + 1];
+};
+} // namespace
+
+/* Every task ends once, before and after the leader and its newest records' copy are lost. */
+TEST_F(Jobs, CompleteOnceAcrossTheLossOfALeader)
+{
+	Runner runner("i-1", TASK_MS);
+
+	for (int number = 1; number <= STORES + 1; number++)
+		start(number);
+	ASSERT_TRUE(eventually([&] {
+		return http(control(1), "POST", "/-/config/replace", CATALOG).status == 200;
+	}));
+	ASSERT_TRUE(submit("00000000000000a1"));
+	ASSERT_TRUE(completed(runner, "00000000000000a1")) << call("GET", "00000000000000a1").body;
+	EXPECT_EQ(runner.done().size(), static_cast<size_t>(TASKS));
+
+	uint64_t before = runner.token();
+	int leader = 0;
+
+	for (int number = 1; number <= STORES; number++)
+		if (file_read(daemons[number - 1].log).find("event=sched-lead") !=
+		    std::string::npos)
+			leader = number;
+	ASSERT_NE(leader, 0);
+	ASSERT_TRUE(submit("00000000000000a2"));
+	daemons[leader - 1].kill();
+	ASSERT_TRUE(submit("00000000000000a3"));
+	ASSERT_TRUE(completed(runner, "00000000000000a2")) << call("GET", "00000000000000a2").body;
+	ASSERT_TRUE(completed(runner, "00000000000000a3")) << call("GET", "00000000000000a3").body;
+	EXPECT_GT(runner.token(), before);
+	EXPECT_EQ(runner.done().size(), 3 * static_cast<size_t>(TASKS));
+	for (const auto &task : runner.done())
+		EXPECT_EQ(task.second, 1) << task.first;
+
+	/* The lost one comes back with what it had and can lead again. */
+	start(leader);
+	daemons[leader % STORES].kill();
+	ASSERT_TRUE(submit("00000000000000a4"));
+	ASSERT_TRUE(completed(runner, "00000000000000a4")) << call("GET", "00000000000000a4").body;
+	EXPECT_EQ(call("GET", "00000000000000a1").at("state"), "completed");
+}
--- a/tests/support/raft_bus.h
+++ b/tests/support/raft_bus.h
@@ -85,7 +85,7 @@
 	uint32_t drop_permille = 0;
 	uint32_t double_permille = 0;
 	uint64_t jitter_ns = 0;
-	uint32_t late_permille = 0; /* messages that take up to LATE_NS */
+	uint32_t late_permille = 0;	/* messages that take up to LATE_NS */
 	std::vector<std::string> seeds; /* none: the settings name all replicas */
 	uint64_t voters_most = 0;	/* with seeds */
 	std::set<std::string> never_found;
--- /dev/null
+++ b/tests/support/runner.cc
@@ -0,0 +1,231 @@
+#include "runner.h"
+
+#include <poll.h>
+#include <strings.h>
+
+#include <algorithm>
+
+#include "cluster.h"
+
+namespace
+{
+using Clock = std::chrono::steady_clock;
+
+constexpr int LOOK_MS = 50; /* how soon a thread sees that the test is over */
+constexpr auto TICK = std::chrono::milliseconds(5);
+constexpr const char CONTENT_LENGTH[] = "content-length:";
+
+size_t length_of(const std::string &head)
+{
+	std::string lower = head;
+
+	std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
+	size_t at = lower.find(CONTENT_LENGTH);
+	return at == std::string::npos ? 0 : std::stoul(lower.substr(at + sizeof(CONTENT_LENGTH)));
+}
+
+/* A whole number of a JSON body; 0 if there is none. */
+uint64_t number(const std::string &body, const std::string &field)
+{
+	Answer read;
+
+	read.body = body;
+	std::string found = read.at(field);
+	return found.empty() ? 0 : std::stoull(found);
+}
+
+std::string word(const std::string &body, const std::string &field)
+{
+	Answer read;
+
+	read.body = body;
+	return read.at(field);
+}
+
+std::string message(int status, const std::string &body)
+{
+	return "HTTP/1.1 " + std::to_string(status) +
+	       " X\r\nContent-Type: application/json\r\nContent-Length: " +
+	       std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+} // namespace
+
+Runner::Runner(std::string wanted, uint64_t task_ms)
+    : name(std::move(wanted)), task_time(task_ms), born(Clock::now()),
+      born_unix_ms(
+	      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+					    std::chrono::system_clock::now().time_since_epoch())
+					    .count()))
+{
+	serving = std::thread([this] { serve(); });
+	working = std::thread([this] { work(); });
+}
+
+Runner::~Runner()
+{
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		over = true;
+	}
+	ended.notify_all();
+	serving.join();
+	working.join();
+	for (auto &talk : talks)
+		talk.join();
+}
+
+uint64_t Runner::clock_ms() const
+{
+	return static_cast<uint64_t>(
+		std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - born).count());
+}
+
+uint64_t Runner::report(const std::string &control_address)
+{
+	uint64_t next;
+
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		next = ++sequence;
+	}
+	std::string body = R"({"backend":"workers","address":")" + listener.address() +
+			   R"(","zone":"vasteras-a","version":"v1","slots":8,"state":"ready",)"
+			   R"("cold_remaining_ms":0,)"
+			   R"("capacity":{"cpu":8000,"mem_mb":8192,"gpu":0},)"
+			   R"("labels":["a","r1"],"clock_ms":)" +
+			   std::to_string(clock_ms()) + R"(,"sequence":)" + std::to_string(next) +
+			   R"(,"born":)" + std::to_string(born_unix_ms) + "}";
+	return http(control_address, "POST", "/-/instances/" + name + "/heartbeat", body, {}, 1000)
+		.status;
+}
+
+std::map<std::string, int> Runner::done()
+{
+	std::lock_guard<std::mutex> guard(lock);
+	return done_counts;
+}
+
+int Runner::fenced()
+{
+	std::lock_guard<std::mutex> guard(lock);
+	return stale;
+}
+
+uint64_t Runner::token()
+{
+	std::lock_guard<std::mutex> guard(lock);
+	return highest_token;
+}
+
+void Runner::serve()
+{
+	for (;;) {
+		Tcp connection = listener.accept(LOOK_MS);
+		std::lock_guard<std::mutex> guard(lock);
+
+		if (over)
+			return;
+		if (connection.open())
+			talks.emplace_back([this, c = std::move(connection)]() mutable {
+				talk(std::move(c));
+			});
+	}
+}
+
+void Runner::talk(Tcp connection)
+{
+	std::string head;
+
+	for (;;) {
+		head += connection.read_until("\r\n\r\n", LOOK_MS);
+		if (head.find("\r\n\r\n") == std::string::npos) {
+			std::lock_guard<std::mutex> guard(lock);
+			pollfd state = {connection.fd, POLLRDHUP, 0};
+
+			if (over || (poll(&state, 1, 0) > 0 && state.revents))
+				return;
+			continue;
+		}
+		std::string body = connection.read_bytes(length_of(head));
+		size_t path = head.find(' ') + 1;
+
+		if (!connection.send(answer(head.substr(path, head.find(' ', path) - path), body)))
+			return;
+		head.clear();
+	}
+}
+
+/* Both lists, without the ends that the caller has seen. */
+std::string Runner::lists(uint64_t seen)
+{
+	std::string rows;
+	std::string completions;
+
+	for (const auto &run : running)
+		rows += (rows.empty() ? "" : ",") + ("[\"" + run.first + "\",") +
+			std::to_string(run.second.number) + R"(,"",50,0])";
+	for (const auto &end : ends)
+		if (end.number > seen)
+			completions += (completions.empty() ? "[" : ",[") +
+				       std::to_string(end.number) + ",\"" + end.task + "\"," +
+				       std::to_string(end.run) + R"(,"done",""])";
+	return R"({"clock_ms":)" + std::to_string(clock_ms()) + R"(,"born":)" +
+	       std::to_string(born_unix_ms) + R"(,"running":[)" + rows + R"(],"completions":[)" +
+	       completions + "]}";
+}
+
+std::string Runner::start(const std::string &body)
+{
+	std::string task = word(body, "task");
+
+	if (!running.count(task))
+		running[task] = {number(body, "run_id"), Clock::now() + task_time};
+	return message(200, R"({"clock_ms":)" + std::to_string(clock_ms()) + "}");
+}
+
+std::string Runner::answer(const std::string &path, const std::string &body)
+{
+	std::unique_lock<std::mutex> guard(lock);
+	uint64_t token_now = number(body, "fencing_token");
+	uint64_t seen = number(body, "last_seen");
+
+	if (token_now < highest_token) {
+		stale++;
+		return message(409, R"({"clock_ms":1,"reason":"fence"})");
+	}
+	highest_token = token_now;
+	if (path == "/-/run-start")
+		return start(body);
+	if (path == "/-/run-stop") {
+		running.erase(word(body, "task"));
+		return message(200, R"({"clock_ms":)" + std::to_string(clock_ms()) + "}");
+	}
+	if (path != "/-/hold")
+		return message(404, "{}");
+	ended.wait_for(guard, std::chrono::milliseconds(number(body, "wait_ms")),
+		       [&] { return over || (!ends.empty() && ends.back().number > seen); });
+	return message(200, lists(seen));
+}
+
+/* Ends every task once its time is over. */
+void Runner::work()
+{
+	std::unique_lock<std::mutex> guard(lock);
+
+	while (!ended.wait_for(guard, TICK, [this] { return over; })) {
+		bool any = false;
+
+		for (auto run = running.begin(); run != running.end();) {
+			if (run->second.ends > Clock::now()) {
+				run++;
+				continue;
+			}
+			ends.push_back({ends.size() + 1, run->first, run->second.number});
+			done_counts[run->first]++;
+			run = running.erase(run);
+			any = true;
+		}
+		if (any)
+			ended.notify_all();
+	}
+}
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -171,68 +171,66 @@
 			 R"("interval_ms":4000})",
 			 WL_LISTENER_CALLER))
 		<< err.text;
-		ASSERT_EQ(operation.kind, WL_OPERATION_JOB_ADD);
-		EXPECT_EQ(operation.timeout_ms, 2900u);
-		EXPECT_EQ(text(operation.host), "queue.example");
-		EXPECT_EQ(text(operation.path), "/lohu/5c0e7a21d94b36f8");
-		EXPECT_EQ(text(operation.spec.payload), "words");
-		ASSERT_EQ(operation.spec.steps.count, 2u);
-		EXPECT_EQ(text(step(0).data_rack), "r1-3");
-		EXPECT_EQ(step(1).after, 1u);
-		EXPECT_TRUE(step(1).checkpoints && step(1).gang && step(1).same_rack &&
-			    step(1).copies);
-		EXPECT_TRUE(step(1).lasting && step(1).best_effort);
-		EXPECT_EQ(step(1).tail_target_us, 50500u);
-		EXPECT_EQ(step(1).max_per_target, 2u);
-		EXPECT_EQ(step(1).max_away, 1u);
-		EXPECT_EQ(operation.spec.repeat, 3u);
+	ASSERT_EQ(operation.kind, WL_OPERATION_JOB_ADD);
+	EXPECT_EQ(operation.timeout_ms, 2900u);
+	EXPECT_EQ(text(operation.host), "queue.example");
+	EXPECT_EQ(text(operation.path), "/lohu/5c0e7a21d94b36f8");
+	EXPECT_EQ(text(operation.spec.payload), "words");
+	ASSERT_EQ(operation.spec.steps.count, 2u);
+	EXPECT_EQ(text(step(0).data_rack), "r1-3");
+	EXPECT_EQ(step(1).after, 1u);
+	EXPECT_TRUE(step(1).checkpoints && step(1).gang && step(1).same_rack && step(1).copies);
+	EXPECT_TRUE(step(1).lasting && step(1).best_effort);
+	EXPECT_EQ(step(1).tail_target_us, 50500u);
+	EXPECT_EQ(step(1).max_per_target, 2u);
+	EXPECT_EQ(step(1).max_away, 1u);
+	EXPECT_EQ(operation.spec.repeat, 3u);
 }
 
 TEST_F(Platform, JobsThatCannotBeAreRefused)
 {
-		for (const char *body :
-		     {"", "{", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
-		      R"({"steps":[{"count":1,"depends_on":[0]}]})",
-		      R"({"steps":[{"count":1},{"count":1,"depends_on":[64]}]})",
-		      R"({"steps":[{"count":9999999}]})", R"({"steps":[{"count":-1}]})",
-		      R"({"steps":[{"count":20000}],"repeat_count":2})"})
-			EXPECT_FALSE(read("POST", "/q/1", body, WL_LISTENER_CALLER)) << body;
+	for (const char *body : {"", "{", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+				 R"({"steps":[{"count":1,"depends_on":[0]}]})",
+				 R"({"steps":[{"count":1},{"count":1,"depends_on":[64]}]})",
+				 R"({"steps":[{"count":9999999}]})", R"({"steps":[{"count":-1}]})",
+				 R"({"steps":[{"count":20000}],"repeat_count":2})"})
+		EXPECT_FALSE(read("POST", "/q/1", body, WL_LISTENER_CALLER)) << body;
 }
 
 TEST_F(Platform, StateCancelAndCount)
 {
-		wl_result_t result = {};
-
-		ASSERT_TRUE(read("GET", "/q/1", "", WL_LISTENER_CALLER));
-		EXPECT_EQ(operation.kind, WL_OPERATION_JOB_GET);
-		ASSERT_TRUE(read("DELETE", "/q/1", "", WL_LISTENER_CALLER));
-		EXPECT_EQ(operation.kind, WL_OPERATION_JOB_CANCEL);
-		result.job_state = WL_JOB_RUNNING;
-		EXPECT_EQ(write(WL_OPERATION_JOB_GET, result), R"(200 {"state":"running"})");
-		result.is_queue = true;
-		result.pending = 12;
-		EXPECT_EQ(write(WL_OPERATION_JOB_GET, result), R"(200 {"pending":12})");
+	wl_result_t result = {};
+
+	ASSERT_TRUE(read("GET", "/q/1", "", WL_LISTENER_CALLER));
+	EXPECT_EQ(operation.kind, WL_OPERATION_JOB_GET);
+	ASSERT_TRUE(read("DELETE", "/q/1", "", WL_LISTENER_CALLER));
+	EXPECT_EQ(operation.kind, WL_OPERATION_JOB_CANCEL);
+	result.job_state = WL_JOB_RUNNING;
+	EXPECT_EQ(write(WL_OPERATION_JOB_GET, result), R"(200 {"state":"running"})");
+	result.is_queue = true;
+	result.pending = 12;
+	EXPECT_EQ(write(WL_OPERATION_JOB_GET, result), R"(200 {"pending":12})");
 }
 
 TEST_F(Platform, RefusalsSayWhetherTheJobMayRun)
 {
-		wl_result_t result = {};
-
-		result.code = WL_E_OVERLOADED;
-		result.verdict = WL_NOT_RUN;
-		result.retry_ms = 1200;
-		EXPECT_EQ(write(WL_OPERATION_JOB_ADD, result).substr(0, 3), "503");
-		EXPECT_EQ(text(*wl_headers_find(&reply.headers, WL_STR("Retry-After"))), "2");
-		result.code = WL_E_NO_LEADER;
-		result.verdict = WL_UNKNOWN;
-		EXPECT_EQ(write(WL_OPERATION_JOB_ADD, result).substr(0, 3), "504");
-		result.verdict = WL_NOT_RUN;
-		result.code = WL_E_NOT_FOUND;
-		EXPECT_EQ(write(WL_OPERATION_JOB_GET, result).substr(0, 3), "404");
-		result.code = WL_E_GONE;
-		EXPECT_EQ(write(WL_OPERATION_JOB_GET, result).substr(0, 3), "410");
-		result.code = WL_E_BAD_INPUT;
-		EXPECT_EQ(write(WL_OPERATION_CATALOG_PUT, result).substr(0, 3), "400");
+	wl_result_t result = {};
+
+	result.code = WL_E_OVERLOADED;
+	result.verdict = WL_NOT_RUN;
+	result.retry_ms = 1200;
+	EXPECT_EQ(write(WL_OPERATION_JOB_ADD, result).substr(0, 3), "503");
+	EXPECT_EQ(text(*wl_headers_find(&reply.headers, WL_STR("Retry-After"))), "2");
+	result.code = WL_E_NO_LEADER;
+	result.verdict = WL_UNKNOWN;
+	EXPECT_EQ(write(WL_OPERATION_JOB_ADD, result).substr(0, 3), "504");
+	result.verdict = WL_NOT_RUN;
+	result.code = WL_E_NOT_FOUND;
+	EXPECT_EQ(write(WL_OPERATION_JOB_GET, result).substr(0, 3), "404");
+	result.code = WL_E_GONE;
+	EXPECT_EQ(write(WL_OPERATION_JOB_GET, result).substr(0, 3), "410");
+	result.code = WL_E_BAD_INPUT;
+	EXPECT_EQ(write(WL_OPERATION_CATALOG_PUT, result).substr(0, 3), "400");
 }
 
 const char CATALOG[] =
@@ -243,72 +241,72 @@
 
 TEST_F(Platform, ConfigurationIsReadAndKeptAsItCame)
 {
-		wl_result_t result = {};
-
-		ASSERT_TRUE(read("POST", "/-/config/replace", CATALOG)) << err.text;
-		const auto *queue = static_cast<wl_queue_t *>(operation.catalog.queues.items);
-		EXPECT_EQ(operation.catalog.version, 7u);
-		EXPECT_EQ(queue->slack_millis, 1500u);
-		EXPECT_EQ(queue->advice.per_target_ms, 1u);
-		EXPECT_EQ(text(operation.text), CATALOG);
-		wl_buf_set(&result.body, wl_str_from(CATALOG));
-		EXPECT_EQ(write(WL_OPERATION_CATALOG_GET, result), std::string("200 ") + CATALOG);
-		wl_buf_free(&result.body);
+	wl_result_t result = {};
+
+	ASSERT_TRUE(read("POST", "/-/config/replace", CATALOG)) << err.text;
+	const auto *queue = static_cast<wl_queue_t *>(operation.catalog.queues.items);
+	EXPECT_EQ(operation.catalog.version, 7u);
+	EXPECT_EQ(queue->slack_millis, 1500u);
+	EXPECT_EQ(queue->advice.per_target_ms, 1u);
+	EXPECT_EQ(text(operation.text), CATALOG);
+	wl_buf_set(&result.body, wl_str_from(CATALOG));
+	EXPECT_EQ(write(WL_OPERATION_CATALOG_GET, result), std::string("200 ") + CATALOG);
+	wl_buf_free(&result.body);
 }
 
 TEST_F(Platform, InvalidConfigurationsAreRefused)
 {
-		std::string sound = CATALOG;
-		const std::pair<const char *, const char *> changes[] = {
-			{"\"timeout_ms\":3000", "\"timeout_ms\":0"},
-			{"\"backend\":\"s\"", "\"backend\":\"t\""},
-			{"\"version\":7,", ""},
-			{"\"limits\":{}}", "\"limits\":{}"},
-			{"\"routes\":[",
-			 "\"routes\":[{\"name\":\"x\",\"host\":\"h\",\"path_prefix\":\"/q/\","
-			 "\"timeout_ms\":1,\"backend\":\"s\"},"},
-		};
-
-		for (const auto &change : changes) {
-			std::string body = sound;
-
-			body.replace(body.find(change.first), strlen(change.first), change.second);
-			EXPECT_FALSE(read("POST", "/-/config/replace", body)) << change.second;
-		}
+	std::string sound = CATALOG;
+	const std::pair<const char *, const char *> changes[] = {
+		{"\"timeout_ms\":3000", "\"timeout_ms\":0"},
+		{"\"backend\":\"s\"", "\"backend\":\"t\""},
+		{"\"version\":7,", ""},
+		{"\"limits\":{}}", "\"limits\":{}"},
+		{"\"routes\":[",
+		 "\"routes\":[{\"name\":\"x\",\"host\":\"h\",\"path_prefix\":\"/q/\","
+		 "\"timeout_ms\":1,\"backend\":\"s\"},"},
+	};
+
+	for (const auto &change : changes) {
+		std::string body = sound;
+
+		body.replace(body.find(change.first), strlen(change.first), change.second);
+		EXPECT_FALSE(read("POST", "/-/config/replace", body)) << change.second;
+	}
 }
 
 TEST_F(Platform, ControlCallsAreNotTakenFromCallers)
 {
-		ASSERT_TRUE(read("POST", "/-/config/replace", CATALOG, WL_LISTENER_CALLER));
-		EXPECT_EQ(operation.kind, WL_OPERATION_NONE);
-		ASSERT_TRUE(read("GET", "/-/ready", ""));
-		EXPECT_EQ(operation.kind, WL_OPERATION_READY);
+	ASSERT_TRUE(read("POST", "/-/config/replace", CATALOG, WL_LISTENER_CALLER));
+	EXPECT_EQ(operation.kind, WL_OPERATION_NONE);
+	ASSERT_TRUE(read("GET", "/-/ready", ""));
+	EXPECT_EQ(operation.kind, WL_OPERATION_READY);
 }
 
 TEST_F(Platform, ReportIsAnsweredWithTheLeadersAddress)
 {
-		wl_result_t result = {};
+	wl_result_t result = {};
 
-		EXPECT_EQ(write(WL_OPERATION_RUNNER_REPORT, result, "10.0.0.4:8080"),
-			  R"(200 {"heartbeat_url":"10.0.0.4:8080"})");
-		EXPECT_EQ(write(WL_OPERATION_RUNNER_REPORT, result), "200 {}");
+	EXPECT_EQ(write(WL_OPERATION_RUNNER_REPORT, result, "10.0.0.4:8080"),
+		  R"(200 {"heartbeat_url":"10.0.0.4:8080"})");
+	EXPECT_EQ(write(WL_OPERATION_RUNNER_REPORT, result), "200 {}");
 }
 
 TEST_F(Platform, Orders)
 {
-		wl_order_t given = {};
-
-		given.kind = WL_ORDER_START;
-		given.runner = WL_STR("i-7f");
-		given.address = WL_STR("10.0.0.9:8080");
-		given.epoch = 7;
-		given.lease_ms = 486000;
-		given.run = 2;
-		given.payload = WL_STR("words");
-		given.checkpoint = WL_STR("c1");
-		wl_buf_set(&given.task.job, WL_STR("5c0e"));
-		given.task.step = 1;
-		given.task.index = 17;
+	wl_order_t given = {};
+
+	given.kind = WL_ORDER_START;
+	given.runner = WL_STR("i-7f");
+	given.address = WL_STR("10.0.0.9:8080");
+	given.epoch = 7;
+	given.lease_ms = 486000;
+	given.run = 2;
+	given.payload = WL_STR("words");
+	given.checkpoint = WL_STR("c1");
+	wl_buf_set(&given.task.job, WL_STR("5c0e"));
+	given.task.step = 1;
+	given.task.index = 17;
 	EXPECT_EQ(order(given),
 		  "POST /-/run-start "
 		  R"({"task":"5c0e.0.1.17","run_id":2,"spec":"words","deadline_ms":486000,)"
@@ -335,36 +333,34 @@
 
 TEST_F(Platform, AnswersOfTargets)
 {
-		ASSERT_EQ(
-			answered(
-				200,
-				R"({"clock_ms":9,"born":5,"running":[["5c0e.0.1.17",2,"c",41.5,812],)"
-				R"(["odd",1,"",0]],"completions":[[58,"5c0e.0.1.9",1,"done",""],)"
-				R"([59,"odd",1,"lapsed","s"]]})"),
-			WL_ORDER_DONE)
-			<< err.text;
-		const auto *runs = static_cast<wl_run_view_t *>(end.runs.items);
-		const auto *ends = static_cast<wl_end_view_t *>(end.ends.items);
-		EXPECT_EQ(end.life, 5u);
-		ASSERT_EQ(end.runs.count, 1u) << "a row that names no task of ours";
-		EXPECT_EQ(runs[0].ref.index, 17u);
-		EXPECT_EQ(runs[0].percent, 41u);
-		EXPECT_EQ(runs[0].load, 812u);
-		ASSERT_EQ(end.ends.count, 2u) << "an end is acknowledged whatever it names";
-		EXPECT_EQ(ends[0].how, WL_END_DONE);
-		EXPECT_EQ(ends[1].how, WL_END_LAPSED);
-		EXPECT_EQ(ends[1].number, 59u);
-
-		EXPECT_EQ(answered(409, R"({"clock_ms":9,"reason":"fence"})"), WL_ORDER_FENCED);
-		EXPECT_EQ(answered(409, R"({"reason":"old"})"), WL_ORDER_OLD);
-		EXPECT_EQ(answered(409, R"({"reason":"late"})"), WL_ORDER_LATE);
-		EXPECT_EQ(answered(409, R"({"reason":"room"})"), WL_ORDER_NO_ROOM);
-		EXPECT_EQ(answered(409, R"({"reason":"ticket"})"), WL_ORDER_NO_TICKET);
-		EXPECT_EQ(answered(409, R"({"reason":"whim"})"), WL_ORDER_NO_ANSWER);
-		EXPECT_EQ(answered(421, ""), WL_ORDER_OTHER_LIFE);
-		EXPECT_EQ(answered(503, ""), WL_ORDER_UNHEALTHY);
-		EXPECT_EQ(answered(400, "{}"), WL_ORDER_REFUSED);
-		EXPECT_EQ(answered(200, "not JSON"), WL_ORDER_NO_ANSWER);
-		EXPECT_EQ(answered(0, "", false, true), WL_ORDER_NO_ANSWER);
-		EXPECT_EQ(answered(0, "", false, false), WL_ORDER_NOT_SENT);
+	ASSERT_EQ(answered(200,
+			   R"({"clock_ms":9,"born":5,"running":[["5c0e.0.1.17",2,"c",41.5,812],)"
+			   R"(["odd",1,"",0]],"completions":[[58,"5c0e.0.1.9",1,"done",""],)"
+			   R"([59,"odd",1,"lapsed","s"]]})"),
+		  WL_ORDER_DONE)
+		<< err.text;
+	const auto *runs = static_cast<wl_run_view_t *>(end.runs.items);
+	const auto *ends = static_cast<wl_end_view_t *>(end.ends.items);
+	EXPECT_EQ(end.life, 5u);
+	ASSERT_EQ(end.runs.count, 1u) << "a row that names no task of ours";
+	EXPECT_EQ(runs[0].ref.index, 17u);
+	EXPECT_EQ(runs[0].percent, 41u);
+	EXPECT_EQ(runs[0].load, 812u);
+	ASSERT_EQ(end.ends.count, 2u) << "an end is acknowledged whatever it names";
+	EXPECT_EQ(ends[0].how, WL_END_DONE);
+	EXPECT_EQ(ends[1].how, WL_END_LAPSED);
+	EXPECT_EQ(ends[1].number, 59u);
+
+	EXPECT_EQ(answered(409, R"({"clock_ms":9,"reason":"fence"})"), WL_ORDER_FENCED);
+	EXPECT_EQ(answered(409, R"({"reason":"old"})"), WL_ORDER_OLD);
+	EXPECT_EQ(answered(409, R"({"reason":"late"})"), WL_ORDER_LATE);
+	EXPECT_EQ(answered(409, R"({"reason":"room"})"), WL_ORDER_NO_ROOM);
+	EXPECT_EQ(answered(409, R"({"reason":"ticket"})"), WL_ORDER_NO_TICKET);
+	EXPECT_EQ(answered(409, R"({"reason":"whim"})"), WL_ORDER_NO_ANSWER);
+	EXPECT_EQ(answered(421, ""), WL_ORDER_OTHER_LIFE);
+	EXPECT_EQ(answered(503, ""), WL_ORDER_UNHEALTHY);
+	EXPECT_EQ(answered(400, "{}"), WL_ORDER_REFUSED);
+	EXPECT_EQ(answered(200, "not JSON"), WL_ORDER_NO_ANSWER);
+	EXPECT_EQ(answered(0, "", false, true), WL_ORDER_NO_ANSWER);
+	EXPECT_EQ(answered(0, "", false, false), WL_ORDER_NOT_SENT);
 }
