--- a/bench/jobs.c
+++ b/tests/bench/jobs.c
@@ -1,6 +1,6 @@
 /*
- * Processor time of scheduling jobs: one replica that leads, targets that answer at once, one
- * second of starts at the rate given.  Prints CSV: targets, starts, microseconds a start.
+ * Processor time of scheduling jobs: one replica that leads, targets that answer at once,
+ * starts at the rate given.  Prints CSV: targets, starts, microseconds a start, cores.
  */
 
 #include <stdio.h>
