--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -7,7 +7,7 @@
 
 #define TAG_OWN (UINT64_C(1) << 63) /* tells our proposals from the leader part's */
 
-#define LEASE_MS_DEFAULT       5000
+#define LEASE_MS_DEFAULT       6000
 #define LEASE_MOST_MS_DEFAULT  6000
 #define START_LEASE_MS_DEFAULT 2000
 #define PLACE_LEAST_US \
