gate: refusals that may pass carry Retry-After; sched: a hold that fails is logged

A 503 said not run without saying when to come back; the test failed first. Holds failed without a line: seen while tracing lapsed runs. Tried and not kept: an entry without a session refuses callers at once.

--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -16,6 +16,7 @@
 #define CALLER_MS  3000 /* where a caller does not say how long it waits */
 #define CONTROL_MS 900	/* operators and targets turn to the next daemon after a second */
 #define MARGIN_MS  100	/* for the way of the answer */
+#define RETRY_MS   1000 /* an election and the links after it take about a second */
 
 typedef struct wl_gate_wait {
 	wl_str_t key; /* over id */
@@ -68,14 +69,23 @@
 	free(gate);
 }
 
+/* Refused for now, not for what the call says. */
+static bool may_retry(const wl_result_t *result)
+{
+	return result->verdict == WL_NOT_RUN && wl_code_http((wl_code_t)result->code) >= 500;
+}
+
 static void reply(wl_gate_t *gate, wl_operation_kind_t kind, uint64_t call,
 		  const wl_result_t *result, wl_out_t *out)
 {
 	wl_buf_t control = {0};
+	wl_result_t answer = *result; /* borrows */
 
+	if (may_retry(result) && answer.retry_ms == 0)
+		answer.retry_ms = RETRY_MS;
 	if (result->leader.len && gate->options.control_port)
 		wl_buf_printf(&control, "%s:%u", result->leader.at, gate->options.control_port);
-	gate->options.dialect->reply_write(kind, result, wl_buf_str(&control),
+	gate->options.dialect->reply_write(kind, &answer, wl_buf_str(&control),
 					   wl_out_reply(out, call, 0));
 	wl_buf_free(&control);
 }
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -416,6 +416,12 @@
 	if (runner->hold_id == call->id)
 		runner->hold_id = 0;
 	if (end->outcome != WL_ORDER_DONE) {
+		if (!runner->hold_failed)
+			wl_out_log(out, WL_INFO, "target-hold-failed",
+				   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
+				   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
+				   (unsigned long long)((now_ns - runner->answered_ns) /
+							WL_NS_PER_MS));
 		runner->hold_failed = true;
 		wl_sched_hold_soon(runner, now_ns + HOLD_AGAIN_MS * WL_NS_PER_MS);
 		return;
--- /dev/null
+++ b/tests/unit/gate_test.cc
@@ -0,0 +1,177 @@
+extern "C" {
+#include <libwlcore/gate/gate.h>
+#include <platform/platform.h>
+}
+
+#include <memory>
+#include <string>
+
+#include <gtest/gtest.h>
+
+/* Calls in a dialect: carried to the leader, refused with what a caller needs to go on. */
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+constexpr uint64_t NOW = 1000 * MS;
+
+const char JOB[] = R"({"spec":"words","steps":[{"count":2,"cpu":500,"mem_mb":256}]})";
+
+class Gate : public testing::Test
+{
+      protected:
+	Gate()
+	{
+		wl_gate_options_t options = {};
+
+		wl_metrics_init(&metrics);
+		options.dialect = &wl_platform_dialect;
+		options.session = &session;
+		options.metrics = &metrics;
+		options.entry = true;
+		options.control_port = 8081;
+		gate = wl_gate_new(&options);
+		wl_out_init(&out);
+	}
+
+	~Gate() override
+	{
+		wl_out_free(&out);
+		wl_gate_free(gate);
+		wl_metrics_free(&metrics);
+	}
+
+	/* Gives a call; the id under which it is carried, or 0 if it is not. */
+	uint64_t call(const std::string &method, const std::string &path, const std::string &body,
+		      wl_listener_t listener = WL_LISTENER_CALLER)
+	{
+		auto event = std::make_unique<wl_event_t>();
+
+		wl_event_init(event.get(), WL_EVENT_CALL);
+		event->call.id = 11;
+		event->call.listener = listener;
+		wl_buf_set(&event->call.method, {method.data(), method.size()});
+		wl_buf_set(&event->call.path, {path.data(), path.size()});
+		wl_buf_set(&event->call.body, {body.data(), body.size()});
+		wl_headers_add(&event->call.headers, WL_STR("Host"), WL_STR("queue.example"));
+		if (listener == WL_LISTENER_CALLER)
+			wl_headers_add(&event->call.headers, WL_STR("Request-Deadline-Ms"),
+				       WL_STR("2900"));
+		wl_out_clear(&out);
+		wl_gate_step(gate, NOW, event.get(), &out);
+		wl_event_free(event.get());
+		for (size_t i = 0; i < out.count; i++)
+			if (out.actions[i].kind == WL_ACTION_LEADER_CALL) {
+				deadline_ns = out.actions[i].deadline_ns;
+				return carried(out.actions[i].msg);
+			}
+		return 0;
+	}
+
+	static uint64_t carried(const wl_msg_t &msg)
+	{
+		return msg.kind == WL_MSG_QUERY ? msg.u.query.call : msg.u.command.call;
+	}
+
+	void result(uint64_t id, wl_code_t code, wl_verdict_t verdict, const char *leader = "")
+	{
+		auto event = std::make_unique<wl_event_t>();
+		auto answer = static_cast<wl_result_t *>(wl_alloc(sizeof(wl_result_t)));
+
+		wl_event_init(event.get(), WL_EVENT_RESULT);
+		answer->code = code;
+		answer->verdict = verdict;
+		wl_buf_set(&answer->leader, wl_str_from(leader));
+		event->tag = id;
+		event->result = answer;
+		wl_out_clear(&out);
+		wl_gate_step(gate, NOW, event.get(), &out);
+		wl_event_free(event.get());
+	}
+
+	/* "STATUS BODY RETRY-AFTER" of the one answer; empty if none was given. */
+	std::string answered() const
+	{
+		for (size_t i = 0; i < out.count; i++) {
+			const wl_reply_t &reply = out.actions[i].reply;
+			const wl_buf_t *retry =
+				wl_headers_find(&reply.headers, WL_STR("Retry-After"));
+
+			if (out.actions[i].kind == WL_ACTION_REPLY)
+				return std::to_string(reply.status) + " " + text(reply.body) +
+				       (retry ? " after " + text(*retry) : "");
+		}
+		return "";
+	}
+
+	static std::string text(const wl_buf_t &buf)
+	{
+		return std::string(buf.at ? buf.at : "", buf.len);
+	}
+
+	wl_session_t session = {};
+	wl_metrics_t metrics = {};
+	wl_gate_t *gate = nullptr;
+	wl_out_t out = {};
+	uint64_t deadline_ns = 0;
+};
+} // namespace
+
+TEST_F(Gate, IsReadyWithASession)
+{
+	call("GET", "/-/ready", "", WL_LISTENER_CONTROL);
+	EXPECT_EQ(answered().substr(0, 3), "503");
+	session.id = 1;
+	session.valid_until_ns = NOW + 1;
+	call("GET", "/-/ready", "", WL_LISTENER_CONTROL);
+	EXPECT_EQ(answered(), "200 {}");
+	wl_gate_drain(gate);
+	call("GET", "/-/ready", "", WL_LISTENER_CONTROL);
+	EXPECT_EQ(answered().substr(0, 3), "503");
+}
+
+/* A call waits for a leader as long as its caller does, less the way back. */
+TEST_F(Gate, CarriesAJobUntilTheCallersTimeIsOver)
+{
+	uint64_t id = call("POST", "/q/1", JOB);
+
+	ASSERT_NE(id, 0u);
+	EXPECT_EQ(deadline_ns, NOW + 2800 * MS);
+	EXPECT_EQ(answered(), "");
+	EXPECT_EQ(wl_gate_open(gate), 1u);
+	result(id, WL_OK, WL_RAN);
+	EXPECT_EQ(answered(), "200 {}");
+	EXPECT_EQ(wl_gate_open(gate), 0u);
+}
+
+/* Not run is said only where it is so, and with a time to come back. */
+TEST_F(Gate, RefusalsSayWhetherAndWhenToTryAgain)
+{
+	result(call("POST", "/q/1", JOB), WL_E_NO_LEADER, WL_NOT_RUN);
+	EXPECT_EQ(answered(), R"(503 {"error":"no-leader"} after 1)");
+	result(call("POST", "/q/1", JOB), WL_E_NO_LEADER, WL_UNKNOWN);
+	EXPECT_EQ(answered(), R"(504 {"error":"no-leader"})");
+	result(call("GET", "/q/1", ""), WL_E_NOT_FOUND, WL_NOT_RUN);
+	EXPECT_EQ(answered(), R"(404 {"error":"not-found"})");
+	EXPECT_EQ(call("POST", "/q/1", "{"), 0u);
+	EXPECT_EQ(answered(), R"(400 {"error":"bad-input"})");
+}
+
+TEST_F(Gate, ALateResultIsForNobody)
+{
+	uint64_t id = call("POST", "/q/1", JOB);
+
+	result(id, WL_OK, WL_RAN);
+	result(id, WL_OK, WL_RAN);
+	EXPECT_EQ(answered(), "");
+}
+
+TEST_F(Gate, TargetsLearnTheLeader)
+{
+	uint64_t id = call("POST", "/-/instances/i-1/deregister", "", WL_LISTENER_CONTROL);
+
+	ASSERT_NE(id, 0u);
+	EXPECT_EQ(deadline_ns, NOW + 800 * MS) << "targets turn elsewhere after a second";
+	result(id, WL_OK, WL_RAN, "10.0.0.4");
+	EXPECT_EQ(answered(), R"(200 {"heartbeat_url":"10.0.0.4:8081"})");
+}
