--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -222,8 +222,8 @@
 		return;
 	if (result->code != WL_OK && result->code != WL_E_GONE)
 		wl_out_log(out, WL_INFO, "call-refused",
-			   "operation=%d code=%s verdict=%s reason=\"" WL_STR_FMT "\"", wait->kind,
-			   wl_code_name((wl_code_t)result->code),
+			   "operation=%s code=%s verdict=%s reason=\"" WL_STR_FMT "\"",
+			   wl_operation_names[wait->kind], wl_code_name((wl_code_t)result->code),
 			   wl_verdict_name((wl_verdict_t)result->verdict),
 			   WL_STR_ARG(wl_buf_str(&result->text)));
 	reply(gate, wait->kind, wait->call, result, out);
--- a/libwlcore/model/dialect.h
+++ b/libwlcore/model/dialect.h
@@ -22,6 +22,8 @@
 	WL_OPERATION_RUNNER_REPORT,
 } wl_operation_kind_t;
 
+extern const char *const wl_operation_names[];
+
 /* A call, understood. */
 typedef struct wl_operation {
 	wl_operation_kind_t kind;
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -2,6 +2,11 @@
 
 #include "dialect.h"
 
+const char *const wl_operation_names[] = {
+	"none",	       "ready",	      "job-add",       "job-get", "job-cancel",
+	"catalog-put", "catalog-get", "runner-report", NULL,
+};
+
 const char *const wl_order_outcome_names[] = {
 	"done",	   "not-sent",	"no-answer",  "fenced",	   "old",     "late",
 	"no-room", "no-ticket", "other-life", "unhealthy", "refused", NULL,
