--- a/tests/unit/gate_test.cc
+++ b/tests/unit/gate_test.cc
@@ -76,17 +76,19 @@
 	void result(uint64_t id, wl_code_t code, wl_verdict_t verdict, const char *leader = "")
 	{
 		auto event = std::make_unique<wl_event_t>();
-		auto answer = static_cast<wl_result_t *>(wl_alloc(sizeof(wl_result_t)));
+		wl_result_t answer = {};
 
 		wl_event_init(event.get(), WL_EVENT_RESULT);
-		answer->code = code;
-		answer->verdict = verdict;
-		wl_buf_set(&answer->leader, wl_str_from(leader));
+		answer.code = code;
+		answer.verdict = verdict;
+		wl_buf_set(&answer.leader, wl_str_from(leader));
 		event->tag = id;
-		event->result = answer;
+		event->result = &answer;
 		wl_out_clear(&out);
 		wl_gate_step(gate, NOW, event.get(), &out);
+		event->result = nullptr;
 		wl_event_free(event.get());
+		wl_result_free(&answer);
 	}
 
 	/* "STATUS BODY RETRY-AFTER" of the one answer; empty if none was given. */
