sched, job: state that nobody reads, and what can be derived, leave

Cause: the review of the change. Fields written and never read (lasting, percent, checkpoints of a run; strained, hold sent of a target; accepted of a job; count and note of a committed target, a callback type), an unused argument. Whether a job stands among the timed ones follows from its occurrences, so that no list is searched; when a target was last heard is worked out in one place.

--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -77,8 +77,6 @@
 	wl_runner_report_t report; /* newest that was committed */
 	uint64_t left_ms;	   /* when it left; 0: it has not */
 	struct wl_run_list runs;
-	uint64_t run_count;
-	void *note; /* the leader's */
 	TAILQ_ENTRY(wl_runner) link;
 } wl_runner_t;
 
@@ -97,9 +95,6 @@
 	uint64_t run_count;
 } wl_jobs_t;
 
-/* A run that a command removed, for the leader. */
-typedef void (*wl_run_gone_t)(void *arg, wl_run_t *run);
-
 void wl_jobs_init(wl_jobs_t *jobs, uint64_t keep_ms);
 void wl_jobs_clear(wl_jobs_t *jobs);
 bool wl_jobs_knows(const wl_cmd_t *cmd);
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -24,7 +24,6 @@
 	TAILQ_REMOVE(&run->job->tasks[run->task].runs, run, of_task);
 	TAILQ_REMOVE(&run->runner->runs, run, of_runner);
 	run->job->active--;
-	run->runner->run_count--;
 	jobs->run_count--;
 	free(run);
 }
@@ -42,7 +41,6 @@
 	TAILQ_INSERT_TAIL(&job->tasks[row->task].runs, run, of_task);
 	TAILQ_INSERT_TAIL(&runner->runs, run, of_runner);
 	job->active++;
-	runner->run_count++;
 	jobs->run_count++;
 }
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -34,18 +34,15 @@
 	struct wl_sched_runner *runner;
 	wl_need_t need; /* reserved for it */
 	bool best_effort;
-	bool lasting;
 	bool serving; /* lasting, with a bound on its users' tail latency */
 	uint64_t placed_ns;
 	uint64_t answered_ns; /* when the newest order for it was answered */
 	uint64_t stop_sent_ns;
 	uint64_t stop_done_ns; /* when a stop was answered; 0: none */
 	bool stop_wanted;
-	bool listed; /* in the answer that is being read */
-	uint64_t percent;
+	bool listed;   /* in the answer that is being read */
 	uint64_t load; /* serving: tail latency, ms */
 	uint64_t tail_target_us;
-	bool checkpoints;
 	unsigned int image; /* its number */
 	uint64_t begun_ns;  /* when it was first said to be there */
 	uint64_t near_ns;   /* serving: since when its tail is near its bound; 0: it is not */
@@ -73,7 +70,6 @@
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* any order */
 	uint64_t hold_id;     /* under way; 0: none */
-	uint64_t hold_sent_ns;
 	uint64_t hold_due_ns;
 	bool hold_failed;    /* the newest got no answer: the next ones ask for no lease, so that it
 				can    lapse */
@@ -81,7 +77,6 @@
 	uint64_t listed;     /* ends up to here are proposed */
 	uint64_t committing; /* proposals of its ends under way */
 	bool ack_due;
-	uint64_t strained_ns;	 /* when everything was stopped here for a tail */
 	uint64_t relieved_ns;	 /* when best-effort work was last stopped here for a tail */
 	uint64_t aside_until_ns; /* no starts before; 0: any time */
 	uint64_t failures;	 /* runs of different jobs that failed here in a row */
@@ -112,8 +107,7 @@
 
 /* What the leader keeps with a job. */
 typedef struct wl_sched_job {
-	wl_bundle_t **bundles; /* by occurrence and step; NULL: not open */
-	uint64_t accepted_ns;
+	wl_bundle_t **bundles;	  /* by occurrence and step; NULL: not open */
 	uint64_t chain_ms;	  /* longest chain of an occurrence's steps, as estimated */
 	uint64_t next_occurrence; /* that has not come due */
 	TAILQ_ENTRY(wl_sched_job) timed;
@@ -210,8 +204,7 @@
 			   const wl_order_end_t *end, wl_out_t *out);
 void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
 		       wl_out_t *out);
-void wl_sched_run_end(wl_sched_t *sched, wl_sched_run_t *run, wl_run_how_t how,
-		      wl_cmd_runs_end_t *ends);
+void wl_sched_run_end(wl_sched_run_t *run, wl_run_how_t how, wl_cmd_runs_end_t *ends);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
 			   wl_out_t *out);
 void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -33,10 +33,8 @@
 		runner->lease_until_ms = order->lease_ms;
 	fetch->id = call->id;
 	sched->options.dialect->order_write(order, fetch);
-	if (order->kind == WL_ORDER_HOLD) {
+	if (order->kind == WL_ORDER_HOLD)
 		runner->hold_id = call->id;
-		runner->hold_sent_ns = now_ns;
-	}
 }
 
 static void call_drop(wl_sched_t *sched, wl_sched_call_t *call)
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -198,12 +198,18 @@
 			step_open(sched, now_ns, job, occurrence, step);
 }
 
+/* Every occurrence has come due; a job of which this is not so stands among the timed ones. */
+static bool all_due(const wl_sched_job_t *note)
+{
+	return note->next_occurrence == note->job->occurrences;
+}
+
 /* Opens the occurrences that have come due; true when all have. */
 static bool occurrences_open(wl_sched_t *sched, uint64_t now_ns, wl_sched_job_t *note)
 {
 	uint64_t clock_ms = wl_sched_clock_ms(sched, now_ns);
 
-	while (note->next_occurrence < note->job->occurrences) {
+	while (!all_due(note)) {
 		if (wl_job_due_ms(note->job, note->next_occurrence) > clock_ms)
 			return false;
 		wl_sched_steps_open(sched, now_ns, note->job, note->next_occurrence++);
@@ -222,7 +228,6 @@
 		return;
 	note = wl_alloc(sizeof(*note));
 	note->job = job;
-	note->accepted_ns = now_ns;
 	note->chain_ms = chain_ms(job, 0, false);
 	note->bundles =
 		wl_alloc(job->occurrences * job->record.spec.steps.count * sizeof(wl_bundle_t *));
@@ -231,16 +236,6 @@
 		TAILQ_INSERT_TAIL(&sched->timed, note, timed);
 }
 
-static bool is_timed(const wl_sched_t *sched, const wl_sched_job_t *note)
-{
-	const wl_sched_job_t *timed;
-
-	TAILQ_FOREACH (timed, &sched->timed, timed)
-		if (timed == note)
-			return true;
-	return false;
-}
-
 /*
  * wl_sched_job_close - none of a job's tasks waits any more
  */
@@ -253,7 +248,7 @@
 	for (uint64_t i = 0; i < job->occurrences * job->record.spec.steps.count; i++)
 		if (note->bundles[i])
 			bundle_free(sched, note->bundles[i]);
-	if (job->record.spec.repeat && is_timed(sched, note))
+	if (!all_due(note))
 		TAILQ_REMOVE(&sched->timed, note, timed);
 	free(note->bundles);
 	free(note);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -52,13 +52,18 @@
 					   .accelerators = report->accelerators};
 }
 
+/* When the target last said anything: a report, or an answer to an order; 0: never. */
+static uint64_t heard_ns(const wl_sched_runner_t *runner)
+{
+	return runner->reported_ns > runner->answered_ns ? runner->reported_ns
+							 : runner->answered_ns;
+}
+
 static void usable_follow(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	uint64_t heard_ns = runner->reported_ns > runner->answered_ns ? runner->reported_ns
-								      : runner->answered_ns;
+	uint64_t last_ns = heard_ns(runner);
 	bool usable = !runner->state->left_ms && !runner->state->report.draining &&
-		      runner->clock_ns && heard_ns &&
-		      now_ns - heard_ns < SILENT_MS * WL_NS_PER_MS &&
+		      runner->clock_ns && last_ns && now_ns - last_ns < SILENT_MS * WL_NS_PER_MS &&
 		      now_ns >= runner->aside_until_ns;
 
 	if (usable && !runner->fit.usable)
@@ -244,7 +249,7 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
-			wl_sched_run_end(sched, run, WL_END_LOST, &ends);
+			wl_sched_run_end(run, WL_END_LOST, &ends);
 	wl_out_log(out, WL_WARN, "target-lapsed",
 		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu",
 		   WL_STR_ARG(runner->key), ends.ends.count,
@@ -271,8 +276,7 @@
 			wl_out_t *out)
 {
 	bool holds = holds_anything(runner);
-	uint64_t heard_ns = runner->reported_ns > runner->answered_ns ? runner->reported_ns
-								      : runner->answered_ns;
+	uint64_t last_ns = heard_ns(runner);
 	wl_sched_run_t *run;
 
 	usable_follow(sched, runner, now_ns);
@@ -282,10 +286,10 @@
 		runs_lapse(sched, now_ns, runner, out);
 	else if ((holds || runner->ack_due) && !runner->hold_id && now_ns >= runner->hold_due_ns)
 		hold_send(sched, now_ns, runner, holds, out);
-	if (heard_ns < sched->led_ns)
-		heard_ns = sched->led_ns;
+	if (last_ns < sched->led_ns)
+		last_ns = sched->led_ns;
 	if (TAILQ_EMPTY(&runner->runs) && !runner->gone_proposed &&
-	    now_ns - heard_ns > GONE_MS * WL_NS_PER_MS)
+	    now_ns - last_ns > GONE_MS * WL_NS_PER_MS)
 		gone_propose(sched, now_ns, runner, out);
 }
 
@@ -341,7 +345,6 @@
 		run->listed = true;
 		if (run->begun_ns == 0)
 			run->begun_ns = now_ns;
-		run->percent = views[i].percent;
 		run->load = views[i].load;
 		if (views[i].checkpoint.len)
 			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
@@ -368,7 +371,7 @@
 			continue;
 		if (views[i].checkpoint.len)
 			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
-		wl_sched_run_end(sched, run, (wl_run_how_t)views[i].how, ends);
+		wl_sched_run_end(run, (wl_run_how_t)views[i].how, ends);
 	}
 }
 
@@ -379,7 +382,7 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns, out))
-			wl_sched_run_end(sched, run, WL_END_LOST, ends);
+			wl_sched_run_end(run, WL_END_LOST, ends);
 }
 
 /* Ends are committed before the target is told that they were seen. */
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -80,10 +80,8 @@
 	run->runner = runner;
 	run->life = runner->state->report.life;
 	run->best_effort = step->best_effort;
-	run->lasting = step->lasting;
 	run->serving = step->lasting && step->tail_target_us > 0;
 	run->tail_target_us = step->tail_target_us;
-	run->checkpoints = step->checkpoints;
 	run->image = wl_images_number(&sched->images, wl_buf_str(&step->image));
 	run->need = (wl_need_t){.cpu_millis = step->cpu_millis,
 				.memory_mib = step->memory_mib,
@@ -200,12 +198,10 @@
 /*
  * wl_sched_run_end - add the end of a run to those that are to be committed
  */
-void wl_sched_run_end(wl_sched_t *sched, wl_sched_run_t *run, wl_run_how_t how,
-		      wl_cmd_runs_end_t *ends)
+void wl_sched_run_end(wl_sched_run_t *run, wl_run_how_t how, wl_cmd_runs_end_t *ends)
 {
 	wl_run_end_t *row = wl_list_add(&wl_run_end_schema, &ends->ends);
 
-	(void)sched;
 	wl_buf_set(&row->job, wl_buf_str(&run->job));
 	row->task = run->task;
 	row->run = run->number;
@@ -233,7 +229,7 @@
 {
 	wl_cmd_runs_end_t ends = {0};
 
-	wl_sched_run_end(sched, run, how, &ends);
+	wl_sched_run_end(run, how, &ends);
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -124,8 +124,6 @@
 	if (stopped == 0)
 		return;
 	runner->relieved_ns = now_ns;
-	if (now_ns - serving->near_ns >= NEAR_MOST_MS * WL_NS_PER_MS)
-		runner->strained_ns = now_ns;
 	wl_out_log(out, WL_INFO, "tail-near-bound",
 		   "target=" WL_STR_FMT " serving=" WL_STR_FMT
 		   " tail_ms=%llu bound_us=%llu near_ms=%llu stopped=%zu",
