job: what queue a call names is found, and refused, in one place

No configuration and no such queue were checked and worded four times: when a job is added, cancelled, asked for, and before a command is committed. wl_jobs_named serves all four; the scheduler asks wl_jobs_knows for the kinds of command instead of a second range. Behaviour as before: unit tests of scheduler, state, platform, gate, integration.jobs_test pass.

--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -191,6 +191,26 @@
 	return job;
 }
 
+/*
+ * wl_jobs_named - the queue that a call names, and its job if there is one
+ * @job: NULL if there is none
+ * @result: fails where there is no configuration or no such queue
+ *
+ * Return: whether the queue was found.
+ */
+bool wl_jobs_named(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, const wl_queue_t **queue,
+		   wl_job_t **job, wl_result_t *result)
+{
+	*job = wl_jobs_by_path(jobs, host, path, queue);
+	if (*queue)
+		return true;
+	if (jobs->configured)
+		wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
+	else
+		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+	return false;
+}
+
 /* Works out what follows from the record: places, counts, empty tasks. */
 static void job_lay_out(wl_job_t *job)
 {
@@ -257,19 +277,12 @@
 	wl_job_t *job;
 	wl_err_t err;
 
-	if (!jobs->configured) {
-		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+	if (!wl_jobs_named(jobs, wl_buf_str(&cmd->host), path, &queue, &job, result))
 		return;
-	}
-	job = wl_jobs_by_path(jobs, wl_buf_str(&cmd->host), path, &queue);
 	if (job) {
 		wl_result_ok(result, 0);
 		return;
 	}
-	if (!queue) {
-		wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
-		return;
-	}
 	if (!id_valid(path_id(queue, path)) || wl_jobs_find(jobs, path_id(queue, path))) {
 		wl_result_fail(result, WL_E_BAD_INPUT,
 			       "id is not valid, or of another queue's job");
@@ -295,16 +308,13 @@
 		    wl_result_t *result)
 {
 	const wl_queue_t *queue;
-	wl_job_t *job =
-		wl_jobs_by_path(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path), &queue);
+	wl_job_t *job;
 
-	if (!jobs->configured) {
-		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+	if (!wl_jobs_named(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path), &queue, &job,
+			   result))
 		return;
-	}
 	if (!job) {
-		wl_result_fail(result, queue ? WL_E_GONE : WL_E_NOT_FOUND, "no such %s",
-			       queue ? "job" : "queue");
+		wl_result_fail(result, WL_E_GONE, "no such job");
 		return;
 	}
 	if (!wl_job_ended(job))
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -97,7 +97,7 @@
 
 void wl_jobs_init(wl_jobs_t *jobs, uint64_t keep_ms);
 void wl_jobs_clear(wl_jobs_t *jobs);
-bool wl_jobs_knows(const wl_cmd_t *cmd);
+bool wl_jobs_knows(uint64_t cmd_kind);
 void wl_jobs_apply(wl_jobs_t *jobs, const wl_cmd_t *cmd, uint64_t clock_ms, wl_result_t *result);
 void wl_jobs_expire(wl_jobs_t *jobs, uint64_t clock_ms);
 
@@ -114,6 +114,8 @@
 uint64_t wl_jobs_pending(const wl_jobs_t *jobs, wl_str_t queue);
 wl_job_t *wl_jobs_by_path(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path,
 			  const wl_queue_t **queue);
+bool wl_jobs_named(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, const wl_queue_t **queue,
+		   wl_job_t **job, wl_result_t *result);
 bool wl_runner_newer(const wl_runner_t *runner, const wl_runner_report_t *report);
 
 /* Snapshots. */
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -108,11 +108,11 @@
 }
 
 /*
- * wl_jobs_knows - is it a command of this state
+ * wl_jobs_knows - is it a kind of command of this state
  */
-bool wl_jobs_knows(const wl_cmd_t *cmd)
+bool wl_jobs_knows(uint64_t cmd_kind)
 {
-	return cmd->kind >= WL_CMD_CATALOG_PUT && cmd->kind <= WL_CMD_RUNNER_PUT;
+	return cmd_kind >= WL_CMD_CATALOG_PUT && cmd_kind <= WL_CMD_RUNNER_PUT;
 }
 
 /*
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -91,18 +91,14 @@
 {
 	const wl_cmd_job_add_t *add = &cmd->u.job_add;
 	const wl_queue_t *queue;
+	wl_job_t *job;
 
-	if (!sched->jobs->configured) {
-		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
-		return true;
-	}
-	if (wl_jobs_by_path(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path), &queue)) {
-		wl_result_ok(result, 0);
+	if (!wl_jobs_named(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path), &queue,
+			   &job, result))
 		return true;
-	}
-	if (queue)
+	if (!job)
 		return false;
-	wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
+	wl_result_ok(result, 0);
 	return true;
 }
 
@@ -153,17 +149,10 @@
 {
 	wl_str_t path = wl_buf_str(&query->name);
 	const wl_queue_t *queue;
-	const wl_job_t *job;
+	wl_job_t *job;
 
-	if (!sched->jobs->configured) {
-		wl_result_fail(result, WL_E_OVERLOADED, "no configuration yet");
+	if (!wl_jobs_named(sched->jobs, wl_buf_str(&query->customer), path, &queue, &job, result))
 		return;
-	}
-	job = wl_jobs_by_path(sched->jobs, wl_buf_str(&query->customer), path, &queue);
-	if (!queue) {
-		wl_result_fail(result, WL_E_NOT_FOUND, "no such queue");
-		return;
-	}
 	if (!job && path.len > queue->prefix.len) {
 		wl_result_fail(result, WL_E_GONE, "no such job");
 		return;
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -357,8 +357,7 @@
 	if (event->kind != WL_EVENT_PEER)
 		return false;
 	if (msg->kind == WL_MSG_COMMAND)
-		return msg->u.command.cmd_kind >= WL_CMD_CATALOG_PUT &&
-		       msg->u.command.cmd_kind <= WL_CMD_RUNNER_PUT;
+		return wl_jobs_knows(msg->u.command.cmd_kind);
 	return msg->kind == WL_MSG_QUERY &&
 	       (msg->u.query.kind == WL_QUERY_JOB || msg->u.query.kind == WL_QUERY_CATALOG);
 }
