base: one default, one look-up by name, one split at the last byte, one table of units

The pieces are wl_preset, wl_named_find, wl_str_split_last and read_member now, and the copies that stood before it call them too; thousandths and times have one name in units.h.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -131,16 +131,16 @@
 static void address_advertised(wl_daemon_t *daemon)
 {
 	const wl_settings_t *s = daemon->settings;
-	wl_str_t ip = wl_buf_str(&s->peer_listen);
+	wl_str_t ip;
+	wl_str_t port;
 
 	if (s->peer_advertise.len > 0) {
 		wl_buf_set(&daemon->peer_address, wl_buf_str(&s->peer_advertise));
 		return;
 	}
-	while (ip.len > 0 && ip.at[ip.len - 1] != ':')
-		ip.len--;
-	wl_buf_set(&daemon->peer_address, ip);
-	wl_buf_printf(&daemon->peer_address, "%u", wl_peers_port(daemon->peers));
+	wl_str_split_last(wl_buf_str(&s->peer_listen), ':', &ip, &port);
+	wl_buf_printf(&daemon->peer_address, WL_STR_FMT ":%u", WL_STR_ARG(ip),
+		      wl_peers_port(daemon->peers));
 }
 
 static bool peers_open(wl_daemon_t *daemon, wl_err_t *err)
@@ -176,15 +176,14 @@
 /* The same on every replica where they are found by seeds. */
 static uint16_t control_port(const wl_settings_t *settings)
 {
-	wl_str_t listen = wl_buf_str(&settings->control_listen);
 	uint64_t port = 0;
-	size_t at = listen.len;
+	wl_str_t ip;
+	wl_str_t text;
 
 	if (!settings->store || settings->replica_port == 0)
 		return 0;
-	while (at > 0 && listen.at[at - 1] != ':')
-		at--;
-	wl_str_u64((wl_str_t){listen.at + at, listen.len - at}, &port);
+	wl_str_split_last(wl_buf_str(&settings->control_listen), ':', &ip, &text);
+	wl_str_u64(text, &port);
 	return (uint16_t)port;
 }
 
--- a/daemon/settings_check.c
+++ b/daemon/settings_check.c
@@ -74,21 +74,21 @@
 /* The IP address without the port; a replica that is known by a seed bears it as its name. */
 static wl_str_t address_ip(wl_str_t address)
 {
-	while (address.len > 0 && address.at[address.len - 1] != ':')
-		address.len--;
-	if (address.len > 0)
-		address.len--;
-	return address;
+	wl_str_t ip;
+	wl_str_t port;
+
+	wl_str_split_last(address, ':', &ip, &port);
+	return ip;
 }
 
 static bool seeds_check(wl_settings_t *settings, wl_err_t *err)
 {
 	wl_str_t left = wl_buf_str(&settings->store_seeds);
-	wl_str_t peer = wl_buf_str(&settings->peer_listen);
 	wl_address_t address;
+	wl_str_t peer_ip;
+	wl_str_t peer_port;
 	wl_str_t item;
 	uint64_t port = 0;
-	size_t ip_len;
 
 	while (left.len > 0) {
 		wl_str_split(left, ',', &item, &left);
@@ -99,11 +99,10 @@
 	}
 	if (settings->store_peers.len > 0)
 		return wrong(err, "store-peers", "must be empty where --store-seeds is given");
-	if (!wl_str_equal(wl_buf_str(&settings->name), address_ip(peer)))
+	wl_str_split_last(wl_buf_str(&settings->peer_listen), ':', &peer_ip, &peer_port);
+	if (!wl_str_equal(wl_buf_str(&settings->name), peer_ip))
 		return wrong(err, "name", "must be the IP address of --peer-listen with seeds");
-	ip_len = address_ip(peer).len;
-	if (!wl_str_u64((wl_str_t){peer.at + ip_len + 1, peer.len - ip_len - 1}, &port) ||
-	    port == 0)
+	if (!wl_str_u64(peer_port, &port) || port == 0)
 		return wrong(err, "peer-listen", "must have a fixed port with --store-seeds");
 	settings->replica_port = (uint16_t)port;
 	return true;
--- a/libwlbase/option.c
+++ b/libwlbase/option.c
@@ -42,20 +42,20 @@
 {
 	char ip[INET6_ADDRSTRLEN + 2];
 	unsigned char parsed[16];
+	wl_str_t host;
+	wl_str_t port_text;
 	uint64_t port;
-	size_t colon = value.len;
 
-	while (colon > 0 && value.at[colon - 1] != ':')
-		colon--;
-	if (colon < 2 || colon - 1 >= sizeof(ip))
+	if (!wl_str_split_last(value, ':', &host, &port_text) || host.len == 0 ||
+	    host.len >= sizeof(ip))
 		return false;
-	if (!wl_str_u64((wl_str_t){value.at + colon, value.len - colon}, &port) || port > PORT_MOST)
+	if (!wl_str_u64(port_text, &port) || port > PORT_MOST)
 		return false;
 
-	memcpy(ip, value.at, colon - 1);
-	ip[colon - 1] = '\0';
-	if (ip[0] == '[' && ip[colon - 2] == ']') {
-		ip[colon - 2] = '\0';
+	memcpy(ip, host.at, host.len);
+	ip[host.len] = '\0';
+	if (ip[0] == '[' && ip[host.len - 1] == ']') {
+		ip[host.len - 1] = '\0';
 		return inet_pton(AF_INET6, ip + 1, parsed) == 1;
 	}
 	return inet_pton(AF_INET, ip, parsed) == 1;
--- a/libwlbase/record_json.c
+++ b/libwlbase/record_json.c
@@ -355,22 +355,26 @@
 	return true;
 }
 
+/* @value: NULL if the member is not there */
+static bool read_member(const wl_field_t *field, const json_t *value, const path_t *path,
+			void *record, wl_err_t *err)
+{
+	path_t at = {path, field->name, 0};
+
+	if (!value)
+		return !field->required || wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+						      "%s: missing", path_text(&at).at);
+	return read_field(field, value, &at, (char *)record + field->offset, err);
+}
+
 static bool read_row(const wl_schema_t *schema, const json_t *json, const path_t *path,
 		     void *record, wl_err_t *err)
 {
 	if (!json_is_array(json))
 		return wrong(path, "a list", err);
-	for (size_t i = 0; i < schema->count; i++) {
-		const wl_field_t *field = &schema->fields[i];
-		const json_t *value = json_array_get(json, i);
-		path_t at = {path, field->name, 0};
-
-		if (!value && field->required)
-			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: missing",
-					  path_text(&at).at);
-		if (value && !read_field(field, value, &at, (char *)record + field->offset, err))
+	for (size_t i = 0; i < schema->count; i++)
+		if (!read_member(&schema->fields[i], json_array_get(json, i), path, record, err))
 			return false;
-	}
 	return true;
 }
 
@@ -385,13 +389,8 @@
 		return false;
 	for (size_t i = 0; i < schema->count; i++) {
 		const wl_field_t *field = &schema->fields[i];
-		const json_t *value = json_object_get(json, field->name);
-		path_t at = {path, field->name, 0};
 
-		if (!value && field->required)
-			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: missing",
-					  path_text(&at).at);
-		if (value && !read_field(field, value, &at, (char *)record + field->offset, err))
+		if (!read_member(field, json_object_get(json, field->name), path, record, err))
 			return false;
 	}
 	return true;
--- a/libwlbase/str.c
+++ b/libwlbase/str.c
@@ -86,6 +86,18 @@
 	return wl_str_equal((wl_str_t){s.at, prefix.len}, prefix);
 }
 
+static bool split_at(wl_str_t s, const char *found, wl_str_t *head, wl_str_t *tail)
+{
+	if (!found) {
+		*head = s;
+		*tail = (wl_str_t){NULL, 0};
+		return false;
+	}
+	*head = (wl_str_t){s.at, (size_t)(found - s.at)};
+	*tail = (wl_str_t){found + 1, s.len - head->len - 1};
+	return true;
+}
+
 /*
  * wl_str_split - split a string at the first occurrence of a byte
  * @s: the string
@@ -97,16 +109,15 @@
  */
 bool wl_str_split(wl_str_t s, char at, wl_str_t *head, wl_str_t *tail)
 {
-	const char *found = s.len ? memchr(s.at, at, s.len) : NULL;
+	return split_at(s, s.len ? memchr(s.at, at, s.len) : NULL, head, tail);
+}
 
-	if (!found) {
-		*head = s;
-		*tail = (wl_str_t){NULL, 0};
-		return false;
-	}
-	*head = (wl_str_t){s.at, (size_t)(found - s.at)};
-	*tail = (wl_str_t){found + 1, s.len - head->len - 1};
-	return true;
+/*
+ * wl_str_split_last - the same at the last occurrence: "[2001:db8::1]:80" at ':'
+ */
+bool wl_str_split_last(wl_str_t s, char at, wl_str_t *head, wl_str_t *tail)
+{
+	return split_at(s, s.len ? memrchr(s.at, at, s.len) : NULL, head, tail);
 }
 
 /*
--- a/libwlbase/str.h
+++ b/libwlbase/str.h
@@ -27,6 +27,7 @@
 int wl_str_compare(wl_str_t a, wl_str_t b);
 bool wl_str_starts(wl_str_t s, wl_str_t prefix);
 bool wl_str_split(wl_str_t s, char at, wl_str_t *head, wl_str_t *tail);
+bool wl_str_split_last(wl_str_t s, char at, wl_str_t *head, wl_str_t *tail);
 bool wl_str_u64(wl_str_t s, uint64_t *value);
 uint64_t wl_str_hash(wl_str_t s, uint64_t seed);
 
--- a/libwlcore/leader/leader.c
+++ b/libwlcore/leader/leader.c
@@ -11,6 +11,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <libwlbase/preset.h>
+
 #define SESSION_MS_DEFAULT	    5000
 #define DRIFT_MS_DEFAULT	    500
 #define LONG_MS_DEFAULT		    60000
@@ -25,12 +27,6 @@
 
 const wl_schema_t wl_report_head_schema = WL_SCHEMA(wl_report_head_t, report_head_fields);
 
-static void option_default(uint64_t *option, uint64_t preset)
-{
-	if (*option == 0)
-		*option = preset;
-}
-
 /*
  * wl_leader_new - make a leader part that does not lead yet
  * @options: zero numbers mean the default; state and metrics must outlive it
@@ -45,10 +41,11 @@
 
 	leader->options = *options;
 	leader->state = options->state;
-	option_default(&leader->options.session_ms, SESSION_MS_DEFAULT);
-	option_default(&leader->options.drift_ms, DRIFT_MS_DEFAULT);
-	option_default(&leader->options.long_ms, LONG_MS_DEFAULT);
-	option_default(&leader->options.long_share_permille, LONG_SHARE_PERMILLE_DEFAULT);
+	leader->options.session_ms = wl_preset(leader->options.session_ms, SESSION_MS_DEFAULT);
+	leader->options.drift_ms = wl_preset(leader->options.drift_ms, DRIFT_MS_DEFAULT);
+	leader->options.long_ms = wl_preset(leader->options.long_ms, LONG_MS_DEFAULT);
+	leader->options.long_share_permille =
+		wl_preset(leader->options.long_share_permille, LONG_SHARE_PERMILLE_DEFAULT);
 	place = (wl_place_options_t){.policy = options->placement,
 				     .long_share_permille = leader->options.long_share_permille,
 				     .seed = options->seed};
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -4,10 +4,7 @@
 
 #include <stdlib.h>
 
-static uint64_t preset(uint64_t value, uint64_t otherwise)
-{
-	return value ? value : otherwise;
-}
+#include <libwlbase/preset.h>
 
 static wl_str_t preset_name(wl_str_t value, wl_str_t otherwise)
 {
@@ -20,28 +17,28 @@
 	options->queueing = preset_name(options->queueing, WL_STR("fair-deadline"));
 	options->placement = preset_name(options->placement, WL_STR("interference-fair"));
 	options->eviction = preset_name(options->eviction, WL_STR("least-lost"));
-	options->session_ms = preset(options->session_ms, 5000);
-	options->renew_ms = preset(options->renew_ms, 1000);
-	options->election_ms = preset(options->election_ms, 1000);
-	options->heartbeat_ms = preset(options->heartbeat_ms, 150);
-	options->lease_ms = preset(options->lease_ms, 8000);
-	options->grace_ms = preset(options->grace_ms, 5000);
-	options->drift_ms = preset(options->drift_ms, 500);
-	options->announce_ms = preset(options->announce_ms, 1000);
-	options->silence_ms = preset(options->silence_ms, 3000);
-	options->room_ms = preset(options->room_ms, 100);
-	options->drain_ms = preset(options->drain_ms, 30000);
-	options->default_timeout_ms = preset(options->default_timeout_ms, 30000);
-	options->max_timeout_ms = preset(options->max_timeout_ms, 600000);
-	options->max_queued = preset(options->max_queued, 10000);
-	options->request_cpu_millis = preset(options->request_cpu_millis, 1000);
-	options->request_memory_mib = preset(options->request_memory_mib, 512);
-	options->long_ms = preset(options->long_ms, 60000);
-	options->long_share_permille = preset(options->long_share_permille, 500);
-	options->key_keep_ms = preset(options->key_keep_ms, 24ull * 3600 * 1000);
-	options->task_keep_ms = preset(options->task_keep_ms, 24ull * 3600 * 1000);
-	options->compact_entries = preset(options->compact_entries, 8192);
-	options->voters_most = preset(options->voters_most, 5);
+	options->session_ms = wl_preset(options->session_ms, 5000);
+	options->renew_ms = wl_preset(options->renew_ms, 1000);
+	options->election_ms = wl_preset(options->election_ms, 1000);
+	options->heartbeat_ms = wl_preset(options->heartbeat_ms, 150);
+	options->lease_ms = wl_preset(options->lease_ms, 8000);
+	options->grace_ms = wl_preset(options->grace_ms, 5000);
+	options->drift_ms = wl_preset(options->drift_ms, 500);
+	options->announce_ms = wl_preset(options->announce_ms, 1000);
+	options->silence_ms = wl_preset(options->silence_ms, 3000);
+	options->room_ms = wl_preset(options->room_ms, 100);
+	options->drain_ms = wl_preset(options->drain_ms, 30000);
+	options->default_timeout_ms = wl_preset(options->default_timeout_ms, 30000);
+	options->max_timeout_ms = wl_preset(options->max_timeout_ms, 600000);
+	options->max_queued = wl_preset(options->max_queued, 10000);
+	options->request_cpu_millis = wl_preset(options->request_cpu_millis, 1000);
+	options->request_memory_mib = wl_preset(options->request_memory_mib, 512);
+	options->long_ms = wl_preset(options->long_ms, 60000);
+	options->long_share_permille = wl_preset(options->long_share_permille, 500);
+	options->key_keep_ms = wl_preset(options->key_keep_ms, 24ull * 3600 * 1000);
+	options->task_keep_ms = wl_preset(options->task_keep_ms, 24ull * 3600 * 1000);
+	options->compact_entries = wl_preset(options->compact_entries, 8192);
+	options->voters_most = wl_preset(options->voters_most, 5);
 }
 
 static bool node_make_entry(wl_node_t *node, uint64_t now_ns, wl_err_t *err)
--- a/libwlcore/owner/evict.c
+++ b/libwlcore/owner/evict.c
@@ -4,6 +4,8 @@
 
 #include <stdlib.h>
 
+#include <libwlbase/named.h>
+
 #include <libwlcore/owner/ledger.h>
 
 /* Sets of more candidates are not tried; a target has about 8 slots. */
@@ -111,12 +113,12 @@
  */
 const wl_evict_policy_t *wl_evict_policy_find(wl_str_t name, wl_err_t *err)
 {
-	if (name.len == 0)
-		return &policies[0];
-	for (size_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++)
-		if (wl_str_equal(name, wl_str_from(policies[i].name)))
-			return &policies[i];
-	wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "eviction policy: unknown: " WL_STR_FMT,
-		   WL_STR_ARG(name));
-	return NULL;
+	const wl_evict_policy_t *policy = &policies[0];
+
+	if (name.len > 0)
+		policy = WL_NAMED_FIND(policies, name);
+	if (!policy)
+		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "eviction policy: unknown: " WL_STR_FMT,
+			   WL_STR_ARG(name));
+	return policy;
 }
--- a/libwlcore/place/policy.c
+++ b/libwlcore/place/policy.c
@@ -2,6 +2,8 @@
 
 #include "internal.h"
 
+#include <libwlbase/named.h>
+
 #include <libwlcore/owner/ledger.h>
 
 #define CANDIDATES	 24 /* targets with room that are compared */
@@ -235,8 +237,5 @@
 {
 	if (name.len == 0)
 		name = WL_STR(POLICY_DEFAULT);
-	for (size_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++)
-		if (wl_str_equal(name, wl_str_from(policies[i].name)))
-			return &policies[i];
-	return NULL;
+	return WL_NAMED_FIND(policies, name);
 }
--- a/libwlcore/raft/raft.c
+++ b/libwlcore/raft/raft.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <libwlbase/preset.h>
 #include <libwlbase/units.h>
 
 #define ELECTION_MS_DEFAULT	     1000
@@ -20,11 +21,6 @@
 #define COMPACT_ENTRIES_DEFAULT	     10000
 #define REPLACE_MS_DEFAULT	     5000
 
-static uint64_t preset(uint64_t value, uint64_t otherwise)
-{
-	return value ? value : otherwise;
-}
-
 static bool saved_check(const wl_raft_saved_t *saved, wl_err_t *err)
 {
 	const wl_raft_entry_t *entries = saved->entries.items;
@@ -57,14 +53,14 @@
 {
 	raft->id = options->id;
 	wl_buf_set(&raft->name, options->name);
-	raft->election_ns = preset(options->election_ms, ELECTION_MS_DEFAULT) * WL_NS_PER_MS;
-	raft->heartbeat_ns = preset(options->heartbeat_ms, HEARTBEAT_MS_DEFAULT) * WL_NS_PER_MS;
-	raft->max_append_bytes = preset(options->max_append_bytes, MAX_APPEND_BYTES_DEFAULT);
+	raft->election_ns = wl_preset(options->election_ms, ELECTION_MS_DEFAULT) * WL_NS_PER_MS;
+	raft->heartbeat_ns = wl_preset(options->heartbeat_ms, HEARTBEAT_MS_DEFAULT) * WL_NS_PER_MS;
+	raft->max_append_bytes = wl_preset(options->max_append_bytes, MAX_APPEND_BYTES_DEFAULT);
 	raft->snapshot_piece_bytes =
-		preset(options->snapshot_piece_bytes, SNAPSHOT_PIECE_BYTES_DEFAULT);
-	raft->compact_entries = preset(options->compact_entries, COMPACT_ENTRIES_DEFAULT);
+		wl_preset(options->snapshot_piece_bytes, SNAPSHOT_PIECE_BYTES_DEFAULT);
+	raft->compact_entries = wl_preset(options->compact_entries, COMPACT_ENTRIES_DEFAULT);
 	raft->voters_most = options->voters_most;
-	raft->replace_ns = preset(options->replace_ms, REPLACE_MS_DEFAULT) * WL_NS_PER_MS;
+	raft->replace_ns = wl_preset(options->replace_ms, REPLACE_MS_DEFAULT) * WL_NS_PER_MS;
 	raft->may_found = !options->never_found && own_name_listed(options);
 	wl_raft_seeds_set(raft, options->peers, options->peer_count);
 }
--- a/libwlcore/request/fairq.c
+++ b/libwlcore/request/fairq.c
@@ -11,6 +11,8 @@
 
 #include <stdlib.h>
 
+#include <libwlbase/named.h>
+
 #define VIRTUAL_STEP (1ull << 32)
 
 typedef struct wl_fairq_policy {
@@ -55,11 +57,7 @@
 bool wl_fairq_init(wl_fairq_t *queue, wl_str_t policy, wl_err_t *err)
 {
 	*queue = (wl_fairq_t){0};
-	for (size_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++)
-		if (!policy.len || wl_str_equal(policy, wl_str_from(policies[i].name))) {
-			queue->policy = &policies[i];
-			break;
-		}
+	queue->policy = policy.len ? WL_NAMED_FIND(policies, policy) : &policies[0];
 	if (!queue->policy)
 		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 				  "unknown queueing policy " WL_STR_FMT, WL_STR_ARG(policy));
--- a/libwlcore/request/route.c
+++ b/libwlcore/request/route.c
@@ -10,12 +10,14 @@
 
 #include <stdlib.h>
 
+#include <libwlbase/named.h>
+#include <libwlbase/units.h>
+
 #define SAMPLES	       4  /* targets compared for one choice */
 #define SCAN_MOST      32 /* targets looked at when no sample had room */
 #define EXPLORE_ONE_IN 64 /* choices that go anywhere, so that an old bad latency is corrected */
 #define ZONE_WEIGHT    4  /* room in the own availability zone counts so many times */
-#define PERMILLE       1000
-#define SLOWDOWN_SCALE 64	  /* so that a weight of little room survives a slowdown */
+#define SLOWDOWN_SCALE 64 /* so that a weight of little room survives a slowdown */
 #define LATENCY_NONE   1000000ull /* nothing known: all alike, by queue alone */
 
 typedef struct wl_route_policy {
@@ -67,9 +69,9 @@
 
 	if (!latency)
 		latency = LATENCY_NONE;
-	if (slowdown < PERMILLE)
-		slowdown = PERMILLE;
-	return latency / PERMILLE * slowdown * (slots + target->running_requests) / slots;
+	if (slowdown < WL_PERMILLE)
+		slowdown = WL_PERMILLE;
+	return latency / WL_PERMILLE * slowdown * (slots + target->running_requests) / slots;
 }
 
 static bool target_better(const wl_router_t *router, const wl_target_t *a, const wl_target_t *b,
@@ -120,8 +122,8 @@
 			continue;
 		if (wl_str_equal(wl_buf_str(&entry->availability_zone), zone))
 			weight *= ZONE_WEIGHT;
-		if (entry->slowdown_permille > PERMILLE)
-			weight = weight * PERMILLE / entry->slowdown_permille;
+		if (entry->slowdown_permille > WL_PERMILLE)
+			weight = weight * WL_PERMILLE / entry->slowdown_permille;
 		weight = weight ? weight : 1;
 		total += weight;
 		if (wl_rng_below(&router->rng, total) < weight)
@@ -172,12 +174,8 @@
 bool wl_router_init(wl_router_t *router, const wl_route_options_t *options, wl_err_t *err)
 {
 	*router = (wl_router_t){.ledger = options->ledger, .rooms = options->rooms};
-	for (size_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++)
-		if (!options->policy.len ||
-		    wl_str_equal(options->policy, wl_str_from(policies[i].name))) {
-			router->policy = &policies[i];
-			break;
-		}
+	router->policy =
+		options->policy.len ? WL_NAMED_FIND(policies, options->policy) : &policies[0];
 	if (!router->policy)
 		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 				  "unknown routing policy " WL_STR_FMT,
--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -8,6 +8,9 @@
 
 #include "fit.h"
 
+#include <libwlbase/named.h>
+#include <libwlbase/units.h>
+
 /* Of what serving tasks reserve: left unused at an ordinary load. */
 #define SERVING_IDLE_PERMILLE 500
 #define TAIL_MOST_PERMILLE    1000 /* of the bound */
@@ -63,7 +66,7 @@
 static bool best_effort_room(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
 {
 	const wl_step_spec_t *step = question->step;
-	uint64_t idle = runner->serving_millis * SERVING_IDLE_PERMILLE / 1000;
+	uint64_t idle = runner->serving_millis * SERVING_IDLE_PERMILLE / WL_PERMILLE;
 	uint64_t taken = runner->used.cpu_millis - idle + runner->best_effort_millis;
 
 	if (!step->best_effort)
@@ -133,7 +136,7 @@
 	{"spread", score_spread},
 };
 
-#define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
+#define POLICY_DEFAULT (&policies[sizeof(policies) / sizeof(policies[0]) - 1])
 
 /*
  * wl_fit_policy_find - find a policy
@@ -144,9 +147,6 @@
 const wl_fit_policy_t *wl_fit_policy_find(wl_str_t name)
 {
 	if (name.len == 0)
-		return &policies[POLICY_COUNT - 1];
-	for (size_t i = 0; i < POLICY_COUNT; i++)
-		if (wl_str_equal(wl_str_from(policies[i].name), name))
-			return &policies[i];
-	return NULL;
+		return POLICY_DEFAULT;
+	return WL_NAMED_FIND(policies, name);
 }
--- a/libwlcore/sched/images.c
+++ b/libwlcore/sched/images.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include <libwlbase/units.h>
+
 #define WEIGHT_MOST   32 /* samples that a mean remembers: a swing of the load or two */
 #define SAMPLES_LEAST 4
 #define PERMILLE_MOST 100000 /* a hundred times the bound says no more than twice */
@@ -79,6 +81,6 @@
 
 	if (pair->samples < SAMPLES_LEAST || alone->samples < SAMPLES_LEAST ||
 	    pair->permille <= alone->permille || alone->permille == 0)
-		return 1000;
-	return (uint64_t)pair->permille * 1000 / alone->permille;
+		return WL_PERMILLE;
+	return (uint64_t)pair->permille * WL_PERMILLE / alone->permille;
 }
--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -8,6 +8,8 @@
 
 #include "order.h"
 
+#include <libwlbase/named.h>
+
 #define PRIORITY_SHIFT 56
 #define PRIORITY_MOST  127
 #define STAGE_SHIFT    48 /* 256 stages within a priority, then milliseconds */
@@ -53,7 +55,7 @@
 	{"on-time", rank_on_time},
 };
 
-#define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
+#define POLICY_DEFAULT (&policies[sizeof(policies) / sizeof(policies[0]) - 1])
 
 /*
  * wl_ordering_policy_find - find a policy
@@ -64,9 +66,6 @@
 const wl_ordering_policy_t *wl_ordering_policy_find(wl_str_t name)
 {
 	if (name.len == 0)
-		return &policies[POLICY_COUNT - 1];
-	for (size_t i = 0; i < POLICY_COUNT; i++)
-		if (wl_str_equal(wl_str_from(policies[i].name), name))
-			return &policies[i];
-	return NULL;
+		return POLICY_DEFAULT;
+	return WL_NAMED_FIND(policies, name);
 }
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -47,7 +47,7 @@
 
 	if (!wl_job_step(job, bundle->step)->lasting)
 		item.deadline_ms = item.since_ms + job->record.objective_ms +
-				   note->chain_ms * job->record.slack_millis / 1000;
+				   note->chain_ms * job->record.slack_millis / WL_PERMILLE;
 	return sched->order->rank(&item, now_ms);
 }
 
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <libwlbase/preset.h>
+
 #define TAG_OWN (UINT64_C(1) << 63) /* tells our proposals from the leader part's */
 
 #define LEASE_MS_DEFAULT       6000
@@ -12,15 +14,8 @@
 #define START_LEASE_MS_DEFAULT 2000
 #define PLACE_LEAST_US \
 	UINT64_C(2000) /* between two looks: what comes together is committed together */
-#define NS_PER_US 1000
 #define GAUGES_MS 1000
 
-static void preset(uint64_t *option, uint64_t value)
-{
-	if (*option == 0)
-		*option = value;
-}
-
 /*
  * wl_sched_new - make a scheduler that does not lead yet
  * @options: zero numbers mean the default; what it points to must outlive the scheduler
@@ -33,9 +28,11 @@
 	wl_sched_t *sched = wl_alloc(sizeof(*sched));
 
 	sched->options = *options;
-	preset(&sched->options.lease_ms, LEASE_MS_DEFAULT);
-	preset(&sched->options.lease_most_ms, LEASE_MOST_MS_DEFAULT);
-	preset(&sched->options.start_lease_ms, START_LEASE_MS_DEFAULT);
+	sched->options.lease_ms = wl_preset(sched->options.lease_ms, LEASE_MS_DEFAULT);
+	sched->options.lease_most_ms =
+		wl_preset(sched->options.lease_most_ms, LEASE_MOST_MS_DEFAULT);
+	sched->options.start_lease_ms =
+		wl_preset(sched->options.start_lease_ms, START_LEASE_MS_DEFAULT);
 	sched->jobs = options->jobs;
 	sched->fit = wl_fit_policy_find(options->placement);
 	sched->order = wl_ordering_policy_find(options->queueing);
@@ -405,6 +402,6 @@
 	default:
 		break;
 	}
-	if (sched->place_due && now_ns - sched->placed_ns >= PLACE_LEAST_US * NS_PER_US)
+	if (sched->place_due && now_ns - sched->placed_ns >= PLACE_LEAST_US * WL_NS_PER_US)
 		wl_sched_place(sched, now_ns, out);
 }
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -10,7 +10,6 @@
 
 #include "internal.h"
 
-#define PERMILLE	    1000
 #define NEAR_BOUND_PERMILLE 950	 /* of the bound; a task is harmed above it */
 #define NEAR_MOST_MS	    1200 /* near its bound for so long, a tail is relieved of everything */
 #define PRESS_UNKNOWN	    100	 /* growth, permille, that is reckoned beyond what is known */
@@ -29,7 +28,7 @@
 
 static uint64_t tail_permille(const wl_sched_run_t *run)
 {
-	return run->load * PERMILLE * PERMILLE / run->tail_target_us;
+	return run->load * WL_US_PER_MS * WL_PERMILLE / run->tail_target_us;
 }
 
 static void tail_learn(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
@@ -67,7 +66,7 @@
 		if (!run->serving)
 			continue;
 		tail = tail_permille(run) * wl_images_growth(&sched->images, run->image, image) /
-		       PERMILLE;
+		       WL_PERMILLE;
 		if (tail > worst)
 			worst = tail;
 	}
@@ -87,8 +86,8 @@
 
 		if (!is_best_effort(run))
 			continue;
-		press = (wl_images_growth(&sched->images, serving->image, run->image) - PERMILLE +
-			 PRESS_UNKNOWN) *
+		press = (wl_images_growth(&sched->images, serving->image, run->image) -
+			 WL_PERMILLE + PRESS_UNKNOWN) *
 			run->need.cpu_millis;
 		if (worst && press <= worst_press)
 			continue;
--- a/libwlcore/state/state.c
+++ b/libwlcore/state/state.c
@@ -10,18 +10,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <libwlbase/preset.h>
+
 #define KEEP_MS_DEFAULT	     86400000ULL /* a day */
 #define JOB_KEEP_MS_DEFAULT  600000ULL	 /* ten minutes */
 #define CHANGE_KEEP_DEFAULT  4096
 #define MAX_ATTEMPTS_DEFAULT 3
 #define MAX_TASKS_DEFAULT    200000
 
-static void options_default(uint64_t *option, uint64_t preset)
-{
-	if (*option == 0)
-		*option = preset;
-}
-
 /* Makes a zeroed state an empty one. */
 void wl_state_init_empty(wl_state_t *state)
 {
@@ -85,12 +81,12 @@
 
 	state = wl_alloc(sizeof(*state));
 	state->options = *options;
-	options_default(&state->options.key_keep_ms, KEEP_MS_DEFAULT);
-	options_default(&state->options.task_keep_ms, KEEP_MS_DEFAULT);
-	options_default(&state->options.job_keep_ms, JOB_KEEP_MS_DEFAULT);
-	options_default(&state->options.change_keep, CHANGE_KEEP_DEFAULT);
-	options_default(&state->options.max_attempts, MAX_ATTEMPTS_DEFAULT);
-	options_default(&state->options.max_tasks, MAX_TASKS_DEFAULT);
+	state->options.key_keep_ms = wl_preset(state->options.key_keep_ms, KEEP_MS_DEFAULT);
+	state->options.task_keep_ms = wl_preset(state->options.task_keep_ms, KEEP_MS_DEFAULT);
+	state->options.job_keep_ms = wl_preset(state->options.job_keep_ms, JOB_KEEP_MS_DEFAULT);
+	state->options.change_keep = wl_preset(state->options.change_keep, CHANGE_KEEP_DEFAULT);
+	state->options.max_attempts = wl_preset(state->options.max_attempts, MAX_ATTEMPTS_DEFAULT);
+	state->options.max_tasks = wl_preset(state->options.max_tasks, MAX_TASKS_DEFAULT);
 	wl_state_init_empty(state);
 	return state;
 }
--- a/libwlnet/address.c
+++ b/libwlnet/address.c
@@ -25,20 +25,19 @@
 	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&address->at;
 	struct sockaddr_in *in = (struct sockaddr_in *)&address->at;
 	char ip[INET6_ADDRSTRLEN + 2];
-	size_t colon = text.len;
+	wl_str_t host;
+	wl_str_t port_text;
 	uint64_t port;
 
-	while (colon > 0 && text.at[colon - 1] != ':')
-		colon--;
-	if (colon < 2 || colon - 1 >= sizeof(ip) ||
-	    !wl_str_u64((wl_str_t){text.at + colon, text.len - colon}, &port) || port > PORT_MOST)
+	if (!wl_str_split_last(text, ':', &host, &port_text) || host.len == 0 ||
+	    host.len >= sizeof(ip) || !wl_str_u64(port_text, &port) || port > PORT_MOST)
 		return address_wrong(text, err);
-	memcpy(ip, text.at, colon - 1);
-	ip[colon - 1] = '\0';
+	memcpy(ip, host.at, host.len);
+	ip[host.len] = '\0';
 
 	memset(address, 0, sizeof(*address));
-	if (ip[0] == '[' && ip[colon - 2] == ']') {
-		ip[colon - 2] = '\0';
+	if (ip[0] == '[' && ip[host.len - 1] == ']') {
+		ip[host.len - 1] = '\0';
 		in6->sin6_family = AF_INET6;
 		in6->sin6_port = htons((uint16_t)port);
 		address->len = sizeof(*in6);
--- a/libwlnet/http_server.c
+++ b/libwlnet/http_server.c
@@ -9,6 +9,8 @@
 
 #include "http_server.h"
 
+#include <libwlbase/units.h>
+
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,7 +23,6 @@
 #define DISCARD_BYTES	 (1 << 20) /* read past the body limit, so that the refusal arrives */
 #define POOL_SPARE_BYTES 8192
 #define RETRY_MS	 5
-#define MS_PER_S	 1000
 
 TAILQ_HEAD(exchange_list, wl_exchange);
 
@@ -292,7 +293,7 @@
 static bool server_listen(wl_http_server_t *server, wl_err_t *err)
 {
 	const wl_http_server_options_t *options = &server->options;
-	unsigned int idle_s = (unsigned int)((options->idle_ms + MS_PER_S - 1) / MS_PER_S);
+	unsigned int idle_s = (unsigned int)((options->idle_ms + WL_MS_PER_S - 1) / WL_MS_PER_S);
 
 	server->listen_fd = wl_address_listen(options->listen, &server->port, err);
 	if (server->listen_fd < 0)
--- a/libwlnet/http_transfer.c
+++ b/libwlnet/http_transfer.c
@@ -8,6 +8,8 @@
 
 #include "http_transfer.h"
 
+#include <libwlbase/units.h>
+
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -16,7 +18,6 @@
 
 #define MAX_HEADER_BYTES (256 << 10)
 #define IDLE_REUSE_S	 5 /* servers close idle connections; do not race them */
-#define NS_PER_US	 1000
 
 /* Headers that libcurl writes itself, or that belong to one connection. */
 static const char *const own_headers[] = {
@@ -300,7 +301,7 @@
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(transfer->easy, CURLINFO_TOTAL_TIME_T, &took_us);
 	fetched->status = (uint64_t)status;
-	fetched->took_ns = (uint64_t)took_us * NS_PER_US;
+	fetched->took_ns = (uint64_t)took_us * WL_NS_PER_US;
 	if (code != CURLE_OK && !error)
 		error = transfer->too_large ? "response is too large" : curl_easy_strerror(code);
 	if (!error && !transfer_framed(transfer))
--- a/tests/unit/base_test.cc
+++ b/tests/unit/base_test.cc
@@ -1,4 +1,5 @@
 extern "C" {
+#include <libwlbase/named.h>
 #include <libwlbase/counter.h>
 #include <libwlbase/digest.h>
 #include <libwlbase/hist.h>
@@ -176,3 +177,32 @@
 	EXPECT_STREQ(quoted.at, "\"a \\\"b\\\"\\x0a\"");
 	wl_buf_free(&quoted);
 }
+
+TEST(Str, SplitsAtTheLastOccurrence)
+{
+	wl_str_t head;
+	wl_str_t tail;
+
+	EXPECT_TRUE(wl_str_split_last(WL_STR("[2001:db8::1]:80"), ':', &head, &tail));
+	EXPECT_TRUE(wl_str_equal(head, WL_STR("[2001:db8::1]")));
+	EXPECT_TRUE(wl_str_equal(tail, WL_STR("80")));
+	EXPECT_TRUE(wl_str_split_last(WL_STR(":"), ':', &head, &tail));
+	EXPECT_EQ(head.len, 0u);
+	EXPECT_EQ(tail.len, 0u);
+	EXPECT_FALSE(wl_str_split_last(WL_STR("none"), ':', &head, &tail));
+	EXPECT_TRUE(wl_str_equal(head, WL_STR("none")));
+	EXPECT_FALSE(wl_str_split_last({nullptr, 0}, ':', &head, &tail));
+}
+
+TEST(Named, FindsARowByItsName)
+{
+	static const struct {
+		const char *name;
+		int value;
+	} rows[] = {{"first", 1}, {"second", 2}};
+
+	EXPECT_EQ(WL_NAMED_FIND(rows, WL_STR("first")), &rows[0]);
+	EXPECT_EQ(WL_NAMED_FIND(rows, WL_STR("second")), &rows[1]);
+	EXPECT_EQ(WL_NAMED_FIND(rows, WL_STR("third")), nullptr);
+	EXPECT_EQ(WL_NAMED_FIND(rows, WL_STR("")), nullptr);
+}
