headers, docs, client, tests: what the change left behind

Headers and design notes named files by what they were called before each part got its folder. The HTTP client asked libcurl for ended calls twice in a turn; once is enough, and once more before what is left is aborted at the stop. The replica's rule of a silent member stood twice. The tests' stand-in target read JSON in two ways and counted what nobody asked for; jobs_test and sched_test repeated their beginnings. Every assertion stands; http_client, sched, raft and jobs tests pass.

--- a/libwlcore/leader/internal.h
+++ b/libwlcore/leader/internal.h
@@ -143,7 +143,7 @@
 void wl_waiter_add(struct wl_waiters *waiters, wl_str_t peer, uint64_t call);
 void wl_waiters_clear(struct wl_waiters *waiters);
 
-/* leader_sessions.c */
+/* sessions.c */
 void wl_leader_sessions_sync(wl_leader_t *leader, uint64_t now_ns);
 void wl_leader_sessions_clear(wl_leader_t *leader);
 wl_leader_session_t *wl_leader_session_find(wl_leader_t *leader, uint64_t id);
@@ -156,12 +156,12 @@
 bool wl_leader_in_force(const wl_leader_t *leader, uint64_t revision);
 void wl_leader_change_applied(wl_leader_t *leader, uint64_t now_ns, uint64_t revision);
 
-/* leader_owners.c */
+/* owners.c */
 void wl_leader_announce(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
 			const wl_announce_t *announce, wl_out_t *out);
 void wl_leader_owners_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
 
-/* leader_tasks.c */
+/* tasks.c */
 void wl_leader_tasks_rebuild(wl_leader_t *leader, uint64_t now_ns);
 void wl_leader_tasks_clear(wl_leader_t *leader);
 void wl_leader_report(wl_leader_t *leader, wl_str_t peer, const wl_msg_report_t *report,
@@ -174,7 +174,7 @@
 void wl_leader_reports_answer(const wl_proposal_t *proposal, wl_out_t *out);
 void wl_leader_cancelled(wl_leader_t *leader, const wl_cmd_task_cancel_t *cmd);
 
-/* leader_place.c */
+/* placement.c */
 void wl_leader_offer(wl_leader_t *leader, uint64_t now_ns, wl_str_t peer,
 		     const wl_msg_offer_t *offer);
 void wl_leader_place_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
@@ -184,7 +184,7 @@
 void wl_leader_attempt_drop(wl_leader_t *leader, wl_leader_attempt_t *attempt);
 void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list);
 
-/* leader_status.c */
+/* status.c */
 typedef struct wl_leader_counts {
 	uint64_t sessions;
 	uint64_t targets;
@@ -200,7 +200,7 @@
 void wl_leader_status_tick(wl_leader_t *leader, uint64_t now_ns);
 void wl_leader_status_clear(wl_leader_t *leader);
 
-/* leader_query.c */
+/* query.c */
 void wl_leader_query(const wl_leader_t *leader, uint64_t now_ns, const wl_msg_query_t *query,
 		     wl_result_t *result);
 
--- a/libwlcore/owner/internal.h
+++ b/libwlcore/owner/internal.h
@@ -215,11 +215,11 @@
 void wl_owned_free(wl_owner_t *owner, wl_owned_t *owned);
 void wl_owned_run(const wl_turn_t *turn, wl_owned_t *owned);
 
-/* owner_announce.c */
+/* announce.c */
 void wl_owner_take_call(const wl_turn_t *turn, const wl_call_t *call);
 void wl_owner_take_announce(const wl_turn_t *turn, const wl_announce_t *announce);
 
-/* owner_adopt.c */
+/* adopt.c */
 void wl_owned_adopt(const wl_turn_t *turn, wl_owned_t *owned);
 void wl_owned_adopt_ended(const wl_turn_t *turn, wl_owned_t *owned, const wl_owner_call_t *call,
 			  bool taken, const wl_target_answer_t *answer);
@@ -227,7 +227,7 @@
 uint64_t wl_owned_reach_ns(const wl_owned_t *owned);
 void wl_owned_reach(const wl_turn_t *turn, wl_owned_t *owned);
 
-/* owner_call.c */
+/* call.c */
 uint64_t wl_owned_call(const wl_turn_t *turn, wl_owned_t *owned, wl_owner_call_kind_t kind,
 		       const wl_attempt_t *attempt, wl_target_command_t *command);
 void wl_owned_call_named(const wl_turn_t *turn, wl_owned_t *owned, wl_owner_call_kind_t kind,
@@ -248,7 +248,7 @@
 		    wl_str_t reason);
 void wl_owner_forget_closed(const wl_turn_t *turn);
 
-/* owner_tasks.c */
+/* tasks.c */
 void wl_owner_take_assign(const wl_turn_t *turn, const wl_msg_assign_t *assign);
 void wl_owner_take_stop(const wl_turn_t *turn, const wl_msg_stop_t *stop);
 void wl_attempt_stop(const wl_turn_t *turn, wl_attempt_t *attempt, bool evict);
@@ -258,24 +258,24 @@
 			   const wl_owner_call_t *call, const wl_fetched_t *fetched,
 			   const wl_target_answer_t *answer);
 
-/* owner_usage.c */
+/* usage.c */
 void wl_owned_seen(const wl_turn_t *turn, wl_owned_t *owned, const wl_list_t *tasks, uint64_t seq);
 void wl_attempt_seen(const wl_turn_t *turn, wl_attempt_t *attempt, const wl_task_usage_t *usage);
 void wl_owned_renew(const wl_turn_t *turn, wl_owned_t *owned);
 
-/* owner_report.c */
+/* report.c */
 void wl_attempt_report(const wl_turn_t *turn, wl_attempt_t *attempt, wl_report_kind_t kind,
 		       wl_str_t reason);
 void wl_attempt_repeat(const wl_turn_t *turn, wl_attempt_t *attempt);
 void wl_owner_take_reported(const wl_turn_t *turn, const wl_msg_reported_t *reported);
 void wl_owner_send_reports(const wl_turn_t *turn, bool all);
 
-/* owner_offer.c */
+/* offer.c */
 void wl_owner_send_offers(const wl_turn_t *turn);
 bool wl_owned_serves(const wl_owned_t *owned, uint64_t now_ns);
 void wl_owned_reserve_for_urgent(const wl_turn_t *turn, const wl_owned_t *owned, wl_need_t *need);
 
-/* owner_press.c */
+/* press.c */
 void wl_owned_waiting(const wl_owned_t *owned, const wl_attempt_t *before, wl_need_t *need);
 bool wl_owned_make_room(const wl_turn_t *turn, wl_owned_t *owned);
 uint64_t wl_owned_batch_room(const wl_owned_t *owned, uint64_t now_ns);
@@ -287,7 +287,7 @@
 void wl_attempt_throttle_seen(const wl_turn_t *turn, wl_attempt_t *attempt, bool throttled);
 void wl_owner_presses_free(wl_owner_t *owner);
 
-/* owner_observe.c */
+/* observe.c */
 void wl_owned_note(const wl_turn_t *turn, wl_owned_t *owned, wl_str_t kind, bool ok);
 
 #endif
--- a/libwlcore/place/internal.h
+++ b/libwlcore/place/internal.h
@@ -57,12 +57,12 @@
 	wl_list_t foes; /* strings: kinds that are known to slow another or be slowed */
 };
 
-/* place_policy.c */
+/* policy.c */
 const wl_place_policy_t *wl_place_policy_find(wl_str_t name);
 bool wl_place_fits(const wl_place_t *place, const wl_place_target_t *target,
 		   const wl_place_ask_t *ask, bool evict, wl_need_t *need);
 
-/* place_pairs.c */
+/* pairs.c */
 uint64_t wl_place_slowdown(const wl_place_t *place, wl_str_t kind, wl_str_t beside);
 void wl_place_pairs_clear(wl_place_t *place);
 
--- a/libwlcore/raft/internal.h
+++ b/libwlcore/raft/internal.h
@@ -135,17 +135,17 @@
 	uint64_t probe_round;
 };
 
-/* raft_out.c */
+/* out.c */
 wl_raft_action_t *wl_raft_out_add(wl_raft_t *raft, wl_raft_action_kind_t kind);
 void wl_raft_send(wl_raft_t *raft, wl_str_t name, wl_raft_msg_t *msg);
 void wl_raft_send_after(wl_raft_t *raft, uint64_t ticket, wl_str_t name, wl_raft_msg_t *msg);
 
-/* raft_persist.c */
+/* persist.c */
 void wl_raft_persist_flush(wl_raft_t *raft);
 bool wl_raft_persist_done(wl_raft_t *raft, uint64_t ticket);
 void wl_raft_set_term(wl_raft_t *raft, uint64_t term, uint64_t vote);
 
-/* raft_log.c */
+/* log.c */
 uint64_t wl_raft_last_index(const wl_raft_t *raft);
 uint64_t wl_raft_last_term(const wl_raft_t *raft);
 bool wl_raft_log_term(const wl_raft_t *raft, uint64_t index, uint64_t *term);
@@ -157,7 +157,7 @@
 			 wl_buf_t *state);
 void wl_raft_commit_to(wl_raft_t *raft, uint64_t index);
 
-/* raft_members.c */
+/* members.c */
 wl_raft_member_t *wl_raft_member_at(const wl_raft_members_t *members, size_t i);
 void wl_raft_members_use(wl_raft_t *raft, const wl_raft_members_t *members, uint64_t index,
 			 uint64_t now_ns);
@@ -175,7 +175,7 @@
 void wl_raft_members_tick(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_replace(wl_raft_t *raft, wl_str_t name);
 
-/* raft_found.c */
+/* found.c */
 void wl_raft_found_tick(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_on_probe(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 void wl_raft_on_probed(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
@@ -183,7 +183,7 @@
 void wl_raft_on_founded(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 void wl_raft_join(wl_raft_t *raft, wl_raft_members_t *members, uint64_t now_ns);
 
-/* raft_election.c */
+/* election.c */
 void wl_raft_follow(wl_raft_t *raft, uint64_t term, uint64_t leader, uint64_t now_ns);
 void wl_raft_set_election(wl_raft_t *raft, uint64_t now_ns, uint64_t least_ns);
 void wl_raft_election_tick(wl_raft_t *raft, uint64_t now_ns);
@@ -194,7 +194,7 @@
 void wl_raft_on_voted(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 void wl_raft_on_timeout_now(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 
-/* raft_replicate.c */
+/* replicate.c */
 void wl_raft_lead(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_propose(wl_raft_t *raft, uint64_t now_ns, wl_raft_entry_kind_t kind, wl_str_t data,
 		     uint64_t tag);
@@ -205,10 +205,10 @@
 wl_raft_peer_t *wl_raft_answerer(wl_raft_t *raft, uint64_t now_ns, const wl_raft_msg_t *msg);
 void wl_raft_on_appended(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 
-/* raft_append.c */
+/* append.c */
 void wl_raft_on_append(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg);
 
-/* raft_snapshot.c */
+/* snapshot.c */
 void wl_raft_send_piece(wl_raft_t *raft, uint64_t now_ns, wl_raft_peer_t *peer);
 void wl_raft_ask_snapshot(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_take_snapshot(wl_raft_t *raft, uint64_t index, wl_str_t state);
--- a/libwlcore/raft/members.c
+++ b/libwlcore/raft/members.c
@@ -434,7 +434,7 @@
 {
 	for (size_t i = 0; i < raft->members.members.count; i++)
 		if (wl_str_equal(wl_buf_str(&wl_raft_member_at(&raft->members, i)->name), name) &&
-		    now_ns - raft->peers[i].heard_ns < raft->replace_ns)
+		    !is_lost(raft, &raft->peers[i], now_ns))
 			return false;
 	return true;
 }
--- a/libwlcore/request/internal.h
+++ b/libwlcore/request/internal.h
@@ -164,12 +164,12 @@
 void wl_request_begin(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
 		      wl_out_t *out);
 
-/* request_check.c */
+/* check.c */
 bool wl_requests_ready(const wl_requests_t *requests, uint64_t now_ns, wl_err_t *err);
 wl_request_t *wl_request_accept(wl_requests_t *requests, uint64_t now_ns, wl_call_t *call,
 				wl_err_t *err);
 
-/* request_hold.c */
+/* hold.c */
 bool wl_request_may_hold(const wl_requests_t *requests, const wl_admit_customer_t *customer);
 void wl_request_hold(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns);
 void wl_request_unhold(wl_requests_t *requests, wl_request_t *request);
@@ -179,7 +179,7 @@
 		       wl_out_t *out);
 void wl_requests_admit_all(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
 
-/* request_queue.c */
+/* queue.c */
 void wl_request_queue(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
 		      wl_out_t *out);
 void wl_request_unqueue(wl_requests_t *requests, wl_request_t *request);
@@ -187,7 +187,7 @@
 		      wl_out_t *out);
 void wl_requests_pump_all(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
 
-/* request_send.c */
+/* send.c */
 bool wl_request_send(wl_requests_t *requests, wl_request_t *request, const wl_route_place_t *place,
 		     uint64_t now_ns, wl_out_t *out);
 void wl_request_hedge(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
@@ -196,27 +196,27 @@
 void wl_try_end(wl_requests_t *requests, wl_try_t *one);
 uint64_t wl_request_left_ms(const wl_request_t *request, uint64_t now_ns);
 
-/* request_fetched.c */
+/* fetched.c */
 void wl_requests_fetched(wl_requests_t *requests, uint64_t now_ns, wl_fetched_t *fetched,
 			 wl_out_t *out);
 
-/* request_linger.c */
+/* grace.c */
 void wl_requests_linger(wl_requests_t *requests, const wl_request_service_t *service,
 			wl_str_t target, uint64_t took_ns, uint64_t now_ns);
 void wl_requests_release(wl_requests_t *requests, wl_str_t target);
 void wl_requests_linger_end(wl_requests_t *requests, uint64_t now_ns);
 
-/* request_peer.c */
+/* peer.c */
 void wl_requests_peer(wl_requests_t *requests, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_requests_peer_down(wl_requests_t *requests, wl_str_t peer, uint64_t now_ns, wl_out_t *out);
 void wl_requests_peers_free(wl_requests_t *requests);
 wl_request_peer_t *wl_requests_peer_get(wl_requests_t *requests, wl_str_t name);
 
-/* request_tell.c */
+/* peer_notify.c */
 void wl_requests_tell(wl_requests_t *requests, uint64_t now_ns, wl_out_t *out);
 void wl_requests_owe(wl_requests_t *requests, wl_str_t peer);
 
-/* request_outcome.c */
+/* outcome.c */
 void wl_outcome_free(wl_outcome_t *outcome);
 void wl_outcome_error(wl_outcome_t *outcome, wl_code_t code, wl_verdict_t verdict,
 		      const char *text);
@@ -229,12 +229,12 @@
 void wl_request_end(wl_requests_t *requests, wl_request_t *request, wl_outcome_t *outcome,
 		    uint64_t now_ns, wl_out_t *out);
 
-/* request_reply.c */
+/* reply.c */
 void wl_request_reply(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
 		      wl_out_t *out);
 void wl_requests_refused(wl_requests_t *requests, wl_str_t customer, const wl_err_t *err);
 
-/* request_key.c */
+/* key.c */
 void wl_request_key_begin(wl_requests_t *requests, wl_request_t *request, wl_out_t *out);
 void wl_request_key_end(wl_requests_t *requests, wl_request_t *request, uint64_t now_ns,
 			wl_out_t *out);
@@ -243,7 +243,7 @@
 void wl_requests_result(wl_requests_t *requests, uint64_t tag, const wl_result_t *result,
 			uint64_t now_ns, wl_out_t *out);
 
-/* request_headers.c */
+/* headers.c */
 void wl_headers_to_target(wl_list_t *to, const wl_list_t *from);
 void wl_headers_to_caller(wl_list_t *to, const wl_list_t *from);
 
--- a/libwlcore/state/internal.h
+++ b/libwlcore/state/internal.h
@@ -209,13 +209,13 @@
 void wl_state_init_empty(wl_state_t *state);
 void wl_state_clear(wl_state_t *state);
 
-/* state_lists.c */
+/* list_put.c */
 void wl_state_list_put(wl_state_t *state, uint64_t index, const wl_cmd_list_put_t *cmd,
 		       wl_result_t *result);
 void wl_state_change_keep(wl_state_t *state, wl_str_t text, uint64_t version, uint64_t index);
 void wl_state_changes_clear(wl_state_t *state);
 
-/* state_sessions.c */
+/* sessions.c */
 wl_state_session_t *wl_state_session_find(const wl_state_t *state, uint64_t id);
 wl_state_session_t *wl_state_session_of_entry(const wl_state_t *state, wl_str_t entry);
 wl_state_session_t *wl_state_session_add(wl_state_t *state, uint64_t id);
@@ -225,7 +225,7 @@
 			  wl_result_t *result);
 void wl_state_sessions_clear(wl_state_t *state);
 
-/* state_owners.c */
+/* owners.c */
 wl_state_target_t *wl_state_target_find(const wl_state_t *state, wl_str_t name);
 wl_state_target_t *wl_state_target_add(wl_state_t *state, wl_str_t name);
 void wl_state_owners_release(wl_state_t *state, uint64_t index, uint64_t session);
@@ -235,7 +235,7 @@
 			    wl_result_t *result);
 void wl_state_targets_clear(wl_state_t *state);
 
-/* state_tasks.c */
+/* tasks.c */
 wl_task_t *wl_state_task_find(const wl_state_t *state, wl_str_t id);
 void wl_state_task_add(wl_state_t *state, uint64_t index, const wl_cmd_task_add_t *cmd,
 		       wl_result_t *result);
@@ -249,7 +249,7 @@
 void wl_state_tasks_clear(wl_state_t *state);
 wl_state_customer_t *wl_state_customer_get(wl_state_t *state, wl_str_t name);
 
-/* state_chart.c */
+/* chart.c */
 typedef struct wl_task_move {
 	wl_state_t *state;
 	wl_task_t *task;
@@ -262,11 +262,11 @@
 void wl_task_queue_in(wl_task_t *task);
 void wl_task_place_on(wl_task_t *task, wl_state_target_t *target);
 
-/* state_reports.c */
+/* reports.c */
 void wl_state_task_report(wl_state_t *state, uint64_t index, const wl_cmd_task_report_t *cmd,
 			  wl_result_t *result);
 
-/* state_kinds.c */
+/* kinds.c */
 wl_state_kind_t *wl_state_kind_find(const wl_state_t *state, wl_str_t name);
 wl_state_kind_t *wl_state_kind_add(wl_state_t *state, wl_str_t name);
 void wl_state_kind_learn(wl_state_t *state, wl_str_t name, const wl_report_t *report);
@@ -274,7 +274,7 @@
 void wl_state_need(const wl_state_t *state, const wl_task_spec_t *spec, wl_need_t *need);
 uint64_t wl_state_expected_ms(const wl_state_t *state, const wl_task_spec_t *spec);
 
-/* state_keys.c */
+/* keys.c */
 void wl_state_key_begin(wl_state_t *state, const wl_cmd_key_begin_t *cmd, wl_result_t *result);
 void wl_state_key_end(wl_state_t *state, const wl_cmd_key_end_t *cmd, wl_result_t *result);
 wl_state_key_t *wl_state_key_restore(wl_state_t *state, wl_str_t text, uint64_t key_state);
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -278,9 +278,9 @@
 		client_deadlines(client, now_read());
 		wl_late_flush(&client->events);
 		client_sockets(client);
-		client_ended(client);
 	}
 	client_orders(client);
+	client_ended(client);
 	client_abort(client);
 	return NULL;
 }
--- a/tests/integration/jobs_test.cc
+++ b/tests/integration/jobs_test.cc
@@ -95,6 +95,16 @@
 			folder + "/log-" + std::to_string(number));
 	}
 
+	/* Starts all, and waits until the configuration is in force. */
+	void begin()
+	{
+		for (int number = 1; number <= STORES + 1; number++)
+			start(number);
+		ASSERT_TRUE(eventually([&] {
+			return http(control(1), "POST", "/-/config/replace", CATALOG).status == 200;
+		}));
+	}
+
 	static std::string control(int number)
 	{
 		return address(number) + ":8081";
@@ -130,11 +140,6 @@
 		});
 	}
 
-	std::string log_of(int number)
-	{
-		return file_read(daemons[number - 1].log);
-	}
-
 	/* The daemon that began to lead last, as the logs say; 0: none yet. */
 	int leader()
 	{
@@ -143,7 +148,7 @@
 		int found = 0;
 
 		for (int number = 1; number <= STORES; number++) {
-			std::string log = log_of(number);
+			std::string log = file_read(daemons[number - 1].log);
 			size_t at = log.rfind(mark);
 			unsigned long term = at == std::string::npos
 						     ? 0
@@ -167,11 +172,7 @@
 {
 	Runner runner("i-1", TASK_MS);
 
-	for (int number = 1; number <= STORES + 1; number++)
-		start(number);
-	ASSERT_TRUE(eventually([&] {
-		return http(control(1), "POST", "/-/config/replace", CATALOG).status == 200;
-	}));
+	ASSERT_NO_FATAL_FAILURE(begin());
 	ASSERT_TRUE(submit("00000000000000a1"));
 	ASSERT_TRUE(completed(runner, "00000000000000a1")) << call("GET", "00000000000000a1").body;
 	EXPECT_EQ(runner.done().size(), static_cast<size_t>(TASKS));
@@ -207,11 +208,7 @@
 	Runner runner("i-1", TASK_MS);
 	int first;
 
-	for (int number = 1; number <= STORES + 1; number++)
-		start(number);
-	ASSERT_TRUE(eventually([&] {
-		return http(control(1), "POST", "/-/config/replace", CATALOG).status == 200;
-	}));
+	ASSERT_NO_FATAL_FAILURE(begin());
 	ASSERT_TRUE(submit("00000000000000a1"));
 	ASSERT_TRUE(completed(runner, "00000000000000a1"));
 	first = leader();
--- a/tests/support/runner.cc
+++ b/tests/support/runner.cc
@@ -24,22 +24,21 @@
 	return at == std::string::npos ? 0 : std::stoul(lower.substr(at + sizeof(CONTENT_LENGTH)));
 }
 
-/* A whole number of a JSON body; 0 if there is none. */
-uint64_t number(const std::string &body, const std::string &field)
+/* A field of a JSON body; empty if there is none. */
+std::string word(const std::string &body, const std::string &field)
 {
 	Answer read;
 
 	read.body = body;
-	std::string found = read.at(field);
-	return found.empty() ? 0 : std::stoull(found);
+	return read.at(field);
 }
 
-std::string word(const std::string &body, const std::string &field)
+/* The same as a whole number; 0 if there is none. */
+uint64_t number(const std::string &body, const std::string &field)
 {
-	Answer read;
+	std::string found = word(body, field);
 
-	read.body = body;
-	return read.at(field);
+	return found.empty() ? 0 : std::stoull(found);
 }
 
 std::string message(int status, const std::string &body)
@@ -105,12 +104,6 @@
 	return done_counts;
 }
 
-int Runner::fenced()
-{
-	std::lock_guard<std::mutex> guard(lock);
-	return stale;
-}
-
 uint64_t Runner::token()
 {
 	std::lock_guard<std::mutex> guard(lock);
@@ -179,13 +172,19 @@
 	       completions + "]}";
 }
 
+/* An order that was taken. */
+std::string Runner::taken() const
+{
+	return message(200, R"({"clock_ms":)" + std::to_string(clock_ms()) + "}");
+}
+
 std::string Runner::start(const std::string &body)
 {
 	std::string task = word(body, "task");
 
 	if (!running.count(task))
 		running[task] = {number(body, "run_id"), Clock::now() + task_time};
-	return message(200, R"({"clock_ms":)" + std::to_string(clock_ms()) + "}");
+	return taken();
 }
 
 std::string Runner::answer(const std::string &path, const std::string &body)
@@ -194,16 +193,14 @@
 	uint64_t token_now = number(body, "fencing_token");
 	uint64_t seen = number(body, "last_seen");
 
-	if (token_now < highest_token) {
-		stale++;
+	if (token_now < highest_token)
 		return message(409, R"({"clock_ms":1,"reason":"fence"})");
-	}
 	highest_token = token_now;
 	if (path == "/-/run-start")
 		return start(body);
 	if (path == "/-/run-stop") {
 		running.erase(word(body, "task"));
-		return message(200, R"({"clock_ms":)" + std::to_string(clock_ms()) + "}");
+		return taken();
 	}
 	if (path != "/-/hold")
 		return message(404, "{}");
--- a/tests/support/runner.h
+++ b/tests/support/runner.h
@@ -16,7 +16,8 @@
 
 /*
  * A target that runs tasks, in the platform's dialect: it takes starts, stops
- * and holds over HTTP, ends every task after its time, and says what it ran.
+ * and holds over HTTP, refuses older fencing tokens, ends every task after its
+ * time, and says what it ran.
  * It says so of itself only when report() is called.
  */
 class Runner
@@ -32,8 +33,6 @@
 
 	/* How often a task ended as done, by task. */
 	std::map<std::string, int> done();
-	/* How often a call came with an older fencing token than one before. */
-	int fenced();
 	/* The highest fencing token that came. */
 	uint64_t token();
 
@@ -52,6 +51,7 @@
 	void serve();
 	void talk(Tcp connection);
 	std::string answer(const std::string &path, const std::string &body);
+	std::string taken() const;
 	std::string start(const std::string &body);
 	std::string lists(uint64_t seen);
 	void work();
@@ -70,7 +70,6 @@
 	std::map<std::string, int> done_counts;
 	uint64_t highest_token = 0;
 	uint64_t sequence = 0;
-	int stale = 0;
 	std::list<std::thread> talks;
 	std::thread serving;
 	std::thread working;
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -28,6 +28,15 @@
 		return starts[0];
 	}
 
+	/* What is ordered once the ends are committed, and the starts after them. */
+	std::vector<SchedOrder> next_starts()
+	{
+		rig.commit();
+		rig.pass(10);
+		rig.commit();
+		return rig.take(WL_ORDER_START);
+	}
+
 	SchedOrder hold()
 	{
 		for (int i = 0; i < 300; i++) {
@@ -130,10 +139,7 @@
 		EXPECT_EQ(start.run, attempt);
 		EXPECT_EQ(rig.job_state("j"), "running");
 		rig.answer_hold(hold(), {}, {SchedRig::end(start, attempt, WL_END_FAILED)});
-		rig.commit();
-		rig.pass(10);
-		rig.commit();
-		auto starts = rig.take(WL_ORDER_START);
+		auto starts = next_starts();
 		if (starts.empty())
 			break;
 		start = starts[0];
@@ -171,10 +177,7 @@
 	rig.answer(stops[0], WL_ORDER_DONE);
 	rig.pass(10);
 	rig.answer_hold(hold(), {}, {});
-	rig.commit();
-	rig.pass(10);
-	rig.commit();
-	auto starts = rig.take(WL_ORDER_START);
+	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].run, 2u);
 }
@@ -204,10 +207,7 @@
 	begun("j");
 	rig.runner("i-1", 32000, 2);
 	rig.answer_hold(hold(), {}, {}, 2);
-	rig.commit();
-	rig.pass(10);
-	rig.commit();
-	auto starts = rig.take(WL_ORDER_START);
+	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].run, 2u);
 }
@@ -330,10 +330,7 @@
 
 	wl_buf_set(&stopped.checkpoint, WL_STR("c1"));
 	rig.answer_hold(hold(), {}, {stopped});
-	rig.commit();
-	rig.pass(10);
-	rig.commit();
-	auto starts = rig.take(WL_ORDER_START);
+	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].checkpoint, "c1");
 }
@@ -370,10 +367,7 @@
 	rig.job("q", "b", {1})->cpu_millis = 32000;
 	rig.hand_in();
 	rig.answer_hold(hold(), {}, {SchedRig::end(full, 1, WL_END_DONE)});
-	rig.commit();
-	rig.pass(10);
-	rig.commit();
-	auto starts = rig.take(WL_ORDER_START);
+	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].task, "b.0.0.0");
 }
@@ -402,10 +396,7 @@
 		rig.answer_hold(
 			hold(), {},
 			{SchedRig::end(start, number, number % 2 ? WL_END_FAILED : WL_END_DONE)});
-		rig.commit();
-		rig.pass(10);
-		rig.commit();
-		auto starts = rig.take(WL_ORDER_START);
+		auto starts = next_starts();
 		ASSERT_EQ(starts.size(), 1u) << number;
 		start = starts[0];
 	}
