--- a/libwlcore/raft/found.c
+++ b/libwlcore/raft/found.c
@@ -11,8 +11,8 @@
 
 #include <string.h>
 
-#define FRESH_ELECTIONS	   1 /* how lately every peer must have answered */
-#define FORSAKEN_ELECTIONS 2 /* time without a leader after which a member asks for admission */
+#define FRESH_ELECTIONS	     1 /* how lately every peer must have answered */
+#define LEADERLESS_ELECTIONS 2 /* time without a leader after which a member asks for admission */
 
 static bool blank(const wl_raft_t *raft)
 {
@@ -103,10 +103,10 @@
 }
 
 /* Without a leader for so long this replica may have been removed while it was away. */
-static bool forsaken(const wl_raft_t *raft, uint64_t now_ns)
+static bool leaderless(const wl_raft_t *raft, uint64_t now_ns)
 {
 	return !blank(raft) && raft->voters_most && raft->role != WL_RAFT_LEADER &&
-	       now_ns - raft->leader_heard_ns > FORSAKEN_ELECTIONS * raft->election_ns;
+	       now_ns - raft->leader_heard_ns > LEADERLESS_ELECTIONS * raft->election_ns;
 }
 
 /*
@@ -114,7 +114,7 @@
  */
 bool wl_raft_seeks(const wl_raft_t *raft, uint64_t now_ns)
 {
-	return blank(raft) || forsaken(raft, now_ns);
+	return blank(raft) || leaderless(raft, now_ns);
 }
 
 static void send_record(wl_raft_t *raft, wl_str_t name, uint64_t id)
@@ -145,7 +145,7 @@
 	if (!blank(raft)) {
 		if (wl_raft_last_index(raft) == 0 && lowest_name(raft))
 			send_record_to_all(raft);
-		if (forsaken(raft, now_ns)) {
+		if (leaderless(raft, now_ns)) {
 			send_probes(raft);
 			send_probes_to_members(raft);
 		}
--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -19,8 +19,8 @@
 typedef enum stage {
 	STAGE_ON_TIME_BEGUN,
 	STAGE_ON_TIME,
-	STAGE_LATE, /* but not worthless */
-	STAGE_HOPELESS,
+	STAGE_LATE,	 /* but not worthless */
+	STAGE_WORTHLESS, /* so late that its end is of no use to anybody */
 } stage_t;
 
 static uint64_t rank_of(const wl_ordering_item_t *item, stage_t stage, uint64_t ms)
@@ -46,7 +46,7 @@
 			       item->since_ms);
 	if (done_ms <= item->since_ms + LATE_FACTOR * allowed_ms)
 		return rank_of(item, STAGE_LATE, item->since_ms);
-	return rank_of(item, STAGE_HOPELESS, item->since_ms);
+	return rank_of(item, STAGE_WORTHLESS, item->since_ms);
 }
 
 /* Sorted by name; the last is the default. */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -169,7 +169,7 @@
 }
 
 /* Only what may go anywhere says something of others. */
-static bool is_picky(const wl_step_spec_t *step)
+static bool is_constrained(const wl_step_spec_t *step)
 {
 	return step->label.len || step->max_per_target || step->gang || step->accelerators;
 }
@@ -189,7 +189,7 @@
 	floor_t *floor = floor_of(pass, bundle);
 
 	pass->misses++;
-	if (is_picky(step) || (floor->any && step->cpu_millis >= floor->cpu_millis))
+	if (is_constrained(step) || (floor->any && step->cpu_millis >= floor->cpu_millis))
 		return;
 	*floor = (floor_t){true, step->cpu_millis, step->memory_mib};
 }
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -315,8 +315,8 @@
 }
 
 /* A run that we know nothing of has no use: its task has ended, or runs elsewhere. */
-static void stranger_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			  const wl_run_view_t *view, wl_out_t *out)
+static void unknown_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			     const wl_run_view_t *view, wl_out_t *out)
 {
 	wl_order_t order = {
 		.kind = WL_ORDER_STOP,
@@ -339,7 +339,7 @@
 		wl_sched_run_t *run = run_named(sched, &views[i].ref, views[i].run);
 
 		if (!run || run->runner != runner) {
-			stranger_stop(sched, now_ns, runner, &views[i], out);
+			unknown_run_stop(sched, now_ns, runner, &views[i], out);
 			continue;
 		}
 		run->listed = true;
