sched: best-effort work beside serving tasks is governed in headroom, by speed before stops

Cause: tails of serving tasks were forecast as present tail times a growth by pair of images. A growth learnt at one load is wrong at another, several runs placed within half a second did not see each other, and each relief threw work away.

Ruled out: usage of neighbours or their number as the measure (fits no better than the processors that they ask for).

Change: press.c learns headroom and weights, pace.c slows what takes most headroom for its work, what is held nearly still for a second is stopped.

Tests: unit.press_test plays such a target against no control and against stopping at the bound; unit.sched_test: slowed, then stopped, and given back.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -13,13 +13,13 @@
 
 /* Of what serving tasks reserve: left unused at an ordinary load. */
 #define SERVING_IDLE_PERMILLE 500
-#define TAIL_MOST_PERMILLE    1000 /* of the bound */
 /*
- * What waits may press on a tail more and more: forecasts are rough, and only
- * work that is there shows whether they still hold.
+ * What waits may come nearer to a bound than fresh work: a late job is worth
+ * less, and slowing the work saves a tail for which the forecast was wrong.
  */
-#define TAIL_GROWTH_MS	      4 /* of waiting for each thousandth more */
-#define TAIL_EXTREME_PERMILLE 1800
+#define TAIL_MOST_PERMILLE    750 /* of the bound */
+#define TAIL_GROWTH_MS	      10  /* of waiting for each thousandth more */
+#define TAIL_EXTREME_PERMILLE 900
 #define TAIL_WEIGHT	      20 /* processors, millis, that a thousandth of a bound weighs */
 #define FAR_PENALTY	      (INT64_C(1) << 40) /* above any difference in free room, millis */
 
@@ -71,7 +71,7 @@
 
 	if (!step->best_effort)
 		return true;
-	return !runner->strained && taken + step->cpu_millis <= runner->capacity.cpu_millis &&
+	return taken + step->cpu_millis <= runner->capacity.cpu_millis &&
 	       runner->tail_permille <= tail_most_permille(question);
 }
 
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -18,7 +18,6 @@
 	uint64_t serving_millis;     /* processors reserved for these */
 	uint64_t same_step;	     /* tasks of the step in question that run here */
 	uint64_t tail_permille; /* best effort: worst tail here if it came, permille of the bound */
-	bool strained;		/* a tail here was near its bound lately: no best-effort work */
 	bool usable;		/* heard of lately, not draining, not put aside */
 } wl_fit_runner_t;
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -8,6 +8,7 @@
 #include "fit.h"
 #include "images.h"
 #include "order.h"
+#include "pace.h"
 #include "sched.h"
 
 /* What the leader knows of a run beyond the replicated state. */
@@ -43,9 +44,16 @@
 	bool listed;   /* in the answer that is being read */
 	uint64_t load; /* serving: tail latency, ms */
 	uint64_t tail_target_us;
-	unsigned int image; /* its number */
-	uint64_t begun_ns;  /* when it was first said to be there */
-	uint64_t near_ns;   /* serving: since when its tail is near its bound; 0: it is not */
+	unsigned int image;	/* its number */
+	uint64_t begun_ns;	/* when it was first said to be there */
+	wl_press_level_t level; /* serving */
+	uint64_t figure;	/* serving: its newest tail latency that was learnt from, ms */
+	uint64_t figure_ns;	/* and when */
+	double headroom;	/* serving: most that it may have alone, by that figure by itself */
+	double pressed;		/* serving: headroom that the best-effort work beside it takes */
+	unsigned int pace;	/* best effort: percent of full speed that the target was told */
+	bool pace_sent;		/* an order on it is under way */
+	uint64_t slow_ns;	/* since when it has been held nearly still; 0: it is not */
 	wl_buf_t checkpoint;
 	TAILQ_ENTRY(wl_sched_run) link; /* of its runner */
 } wl_sched_run_t;
@@ -77,10 +85,12 @@
 	uint64_t listed;     /* ends up to here are proposed */
 	uint64_t committing; /* proposals of its ends under way */
 	bool ack_due;
-	uint64_t relieved_ns;	 /* when best-effort work was last stopped here for a tail */
-	uint64_t aside_until_ns; /* no starts before; 0: any time */
-	uint64_t failures;	 /* runs of different jobs that failed here in a row */
-	uint64_t failed_job;	 /* hash of the newest job among them */
+	wl_press_shares_t window; /* best-effort work that the newest figures average over */
+	uint64_t window_ns;	  /* when that was last brought up to date */
+	bool pressed_due;	  /* what presses on its serving tasks has changed */
+	uint64_t aside_until_ns;  /* no starts before; 0: any time */
+	uint64_t failures;	  /* runs of different jobs that failed here in a row */
+	uint64_t failed_job;	  /* hash of the newest job among them */
 	bool gone_proposed;
 	TAILQ_ENTRY(wl_sched_runner) link;
 } wl_sched_runner_t;
@@ -122,8 +132,9 @@
 	uint64_t id;
 	wl_order_kind_t kind;
 	wl_buf_t runner;
-	uint64_t life; /* of the runner, when it was sent */
-	wl_buf_t run;  /* key of the run; empty: a hold */
+	uint64_t life;	  /* of the runner, when it was sent */
+	wl_buf_t run;	  /* key of the run; empty: a hold */
+	uint64_t percent; /* PACE */
 	uint64_t sent_ns;
 	TAILQ_ENTRY(wl_sched_call) link;
 } wl_sched_call_t;
@@ -161,6 +172,7 @@
 	struct wl_sched_timed timed;
 	wl_cmd_runs_start_t starts; /* to be proposed at the end of the step */
 	wl_images_t images;
+	wl_press_t press;
 	bool place_due;
 	uint64_t placed_ns; /* last look */
 	uint64_t sorted_ns; /* when the queue was last put in order */
@@ -215,8 +227,9 @@
 /* tails.c */
 void wl_sched_tails_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   wl_out_t *out);
-uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, const wl_sched_runner_t *runner,
-				unsigned int image);
+uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, wl_sched_runner_t *runner,
+				unsigned int image, uint64_t cpu_millis);
+void wl_sched_window_follow(wl_sched_runner_t *runner, uint64_t now_ns);
 
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_follow(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -19,6 +19,7 @@
 	call->key = (wl_str_t){(const char *)&call->id, sizeof(call->id)};
 	call->kind = order->kind;
 	call->life = runner->state->report.life;
+	call->percent = order->percent;
 	call->sent_ns = now_ns;
 	wl_buf_set(&call->runner, runner->key);
 	if (run)
--- /dev/null
+++ b/libwlcore/sched/pace.c
@@ -0,0 +1,71 @@
+/*
+ * How fast best-effort work may run beside tasks that serve users.
+ *
+ * Answers swings of users' load that last seconds, shorter than a move of the
+ * work beside them is worth.  What takes most headroom for its work is slowed
+ * first, so that the most work is done within the bound.
+ */
+
+#include "pace.h"
+
+#define HEADROOM_KEPT 1.15 /* of the bound: figures come twice a second, load rises meanwhile */
+#define STEP	      10   /* percent: finer ones are lost in the figures' noise */
+
+/* The run that takes most headroom for its work and is not stopped yet, or NULL. */
+static wl_pace_run_t *heaviest(const wl_press_t *press, unsigned int serving, wl_pace_run_t *runs,
+			       size_t count)
+{
+	wl_pace_run_t *found = NULL;
+	double most = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		double weight = wl_press_weight(press, serving, runs[i].image);
+
+		if (runs[i].percent == 0 || weight <= most)
+			continue;
+		found = &runs[i];
+		most = weight;
+	}
+	return found;
+}
+
+static double pressed(const wl_press_t *press, unsigned int serving, const wl_pace_run_t *runs,
+		      size_t count)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < count; i++)
+		sum += wl_press_weight(press, serving, runs[i].image) * runs[i].share *
+		       runs[i].percent / WL_PACE_FULL;
+	return sum;
+}
+
+static void run_slow(wl_pace_run_t *run, double excess, double full)
+{
+	double percent = run->percent - excess / full * WL_PACE_FULL;
+
+	run->percent = percent > 0 ? (unsigned int)percent / STEP * STEP : 0;
+}
+
+/*
+ * wl_pace_choose - set the speed of each best-effort run on a target
+ * @serving: those that can be kept within their bound
+ * @runs: all best-effort work on the target; percent is written
+ */
+void wl_pace_choose(const wl_press_t *press, const wl_pace_serving_t *serving, size_t serving_count,
+		    wl_pace_run_t *runs, size_t run_count)
+{
+	for (size_t i = 0; i < run_count; i++)
+		runs[i].percent = WL_PACE_FULL;
+	for (size_t i = 0; i < serving_count; i++) {
+		double room = serving[i].headroom - HEADROOM_KEPT;
+		wl_pace_run_t *run;
+		double excess;
+
+		while ((excess = pressed(press, serving[i].image, runs, run_count) -
+				 (room > 0 ? room : 0)) > 0 &&
+		       (run = heaviest(press, serving[i].image, runs, run_count)))
+			run_slow(run, excess,
+				 wl_press_weight(press, serving[i].image, run->image) * run->share);
+	}
+}
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -37,7 +37,8 @@
 						: 0;
 		runner->fit.tail_permille =
 			question->step->best_effort && runner->fit.serving
-				? wl_sched_tail_forecast(sched, runner, bundle->image)
+				? wl_sched_tail_forecast(sched, runner, bundle->image,
+							 question->step->cpu_millis)
 				: 0;
 		if (!wl_fit_fits(question, &runner->fit))
 			continue;
--- /dev/null
+++ b/libwlcore/sched/press.h
@@ -0,0 +1,50 @@
+#ifndef WL_PRESS_H
+#define WL_PRESS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "images.h"
+
+/*
+ * How best-effort work slows tasks that serve users, learnt from tail latencies.
+ *
+ * A server's latency grows as 1 / (1 - utilization), so that bound / tail,
+ * called headroom here, falls by the same amount for each processor of a
+ * neighbour, whatever the load: 1 at the bound, above it while the task is
+ * sound.  The amounts (weights) differ by pair of images.
+ */
+
+/* What one image takes from the headroom of another, for all of a target's processors. */
+typedef struct wl_press_pair {
+	double weight;
+	double variance;
+	uint64_t at_ns;
+} wl_press_pair_t;
+
+typedef struct wl_press {
+	wl_press_pair_t pairs[WL_IMAGES_MOST][WL_IMAGES_MOST]; /* serving, best-effort */
+	double best[WL_IMAGES_MOST]; /* serving: most headroom that any figure showed */
+} wl_press_t;
+
+/* Headroom that a serving task would have with no best-effort work beside it. */
+typedef struct wl_press_level {
+	double headroom;
+	double variance;
+	uint64_t at_ns; /* of the newest figure; 0: none yet */
+} wl_press_level_t;
+
+/* Share of a target's processors that best-effort work of each image uses. */
+typedef struct wl_press_shares {
+	double of[WL_IMAGES_MOST];
+} wl_press_shares_t;
+
+void wl_press_init(wl_press_t *press);
+double wl_press_weight(const wl_press_t *press, unsigned int serving, unsigned int beside);
+double wl_press_sum(const wl_press_t *press, unsigned int serving, const wl_press_shares_t *shares);
+void wl_press_window(wl_press_shares_t *window, const wl_press_shares_t *present,
+		     uint64_t passed_ns);
+void wl_press_learn(wl_press_t *press, wl_press_level_t *level, unsigned int serving,
+		    const wl_press_shares_t *window, double headroom, uint64_t now_ns);
+
+#endif
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -21,7 +21,6 @@
 #define GONE_MS		   20000 /* and after so long it is forgotten, if it runs nothing */
 #define CLOCK_SLOW_PERCENT 2	 /* as the targets' contract says */
 #define LAPSE_MARGIN_MS	   300	 /* for the way of the last order and a late timer */
-#define STRAIN_MS	   1500 /* after a tail was relieved: until its figures are of the relief alone */
 #define ENDS_WHOLE_MOST \
 	500 /* a target lists at most so many ends: with as many, there may be more */
 
@@ -69,8 +68,6 @@
 	if (usable && !runner->fit.usable)
 		sched->place_due = true;
 	runner->fit.usable = usable;
-	runner->fit.strained =
-		runner->relieved_ns && now_ns - runner->relieved_ns < STRAIN_MS * WL_NS_PER_MS;
 }
 
 /*
@@ -438,6 +435,7 @@
 		runner->clock_ns = now_ns;
 	}
 	wl_sched_hold_soon(runner, now_ns);
+	wl_sched_window_follow(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
 		run->listed = false;
 	views_follow(sched, now_ns, runner, end, out);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -48,6 +48,7 @@
 	runner->fit.best_effort_millis += run->best_effort ? run->need.cpu_millis : 0;
 	runner->fit.serving += run->serving;
 	runner->fit.serving_millis += run->serving ? run->need.cpu_millis : 0;
+	runner->pressed_due = true;
 }
 
 static void need_take(wl_sched_runner_t *runner, const wl_sched_run_t *run)
@@ -58,6 +59,7 @@
 	runner->fit.best_effort_millis -= run->best_effort ? run->need.cpu_millis : 0;
 	runner->fit.serving -= run->serving;
 	runner->fit.serving_millis -= run->serving ? run->need.cpu_millis : 0;
+	runner->pressed_due = true;
 }
 
 /*
@@ -80,6 +82,7 @@
 	run->runner = runner;
 	run->life = runner->state->report.life;
 	run->best_effort = step->best_effort;
+	run->pace = WL_PACE_FULL;
 	run->serving = step->lasting && step->tail_target_us > 0;
 	run->tail_target_us = step->tail_target_us;
 	run->image = wl_images_number(&sched->images, wl_buf_str(&step->image));
@@ -189,6 +192,7 @@
 	if (run->stop_wanted || run->phase == WL_RUN_ENDING)
 		return;
 	run->stop_wanted = true;
+	run->runner->pressed_due = true;
 	wl_out_log(out, WL_INFO, "run-stop", "run=" WL_STR_FMT " target=" WL_STR_FMT " reason=%s",
 		   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key), reason);
 	if (run->phase != WL_RUN_PROPOSED)
@@ -266,6 +270,7 @@
 	switch (outcome) {
 	case WL_ORDER_DONE:
 	case WL_ORDER_OLD: /* it was there before, and its end is listed */
+		wl_sched_window_follow(run->runner, now_ns);
 		run->phase = WL_RUN_PRESENT;
 		run->answered_ns = now_ns;
 		if (run->stop_wanted)
@@ -281,6 +286,17 @@
 	wl_sched_hold_soon(run->runner, now_ns);
 }
 
+/* Without an answer the speed is not known, so that any later wish is sent. */
+static void pace_answered(wl_sched_run_t *run, uint64_t now_ns, unsigned int percent,
+			  wl_order_outcome_t outcome)
+{
+	run->pace_sent = false;
+	if (outcome != WL_ORDER_DONE && outcome != WL_ORDER_NO_ANSWER)
+		return;
+	wl_sched_window_follow(run->runner, now_ns);
+	run->pace = outcome == WL_ORDER_DONE ? percent : WL_PACE_UNKNOWN;
+}
+
 /*
  * wl_sched_run_answered - a start or a stop has ended
  */
@@ -295,6 +311,10 @@
 		start_answered(sched, now_ns, run, end->outcome, out);
 		return;
 	}
+	if (call->kind == WL_ORDER_PACE) {
+		pace_answered(run, now_ns, (unsigned int)call->percent, end->outcome);
+		return;
+	}
 	if (end->outcome == WL_ORDER_DONE || end->outcome == WL_ORDER_OLD) {
 		run->stop_done_ns = now_ns;
 		wl_sched_hold_soon(run->runner, now_ns);
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -52,6 +52,7 @@
 	TAILQ_INIT(&sched->waiting);
 	TAILQ_INIT(&sched->timed);
 	wl_images_init(&sched->images);
+	wl_press_init(&sched->press);
 	return sched;
 }
 
@@ -136,6 +137,7 @@
 			wl_sched_run_add(sched, runner, run->job, run->task, run->number);
 
 		known->phase = WL_RUN_INHERITED;
+		known->pace = WL_PACE_UNKNOWN;
 		known->life = run->life;
 		known->placed_ns = now_ns;
 		known->stop_wanted = wl_job_ended(run->job);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -20,6 +20,7 @@
 	uint64_t epoch;
 	uint64_t lease_ms;
 	uint64_t seen;
+	uint64_t percent;
 	std::string checkpoint;
 };
 
