--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -21,6 +21,7 @@
 #define TAIL_GROWTH_MS	      10  /* of waiting for each thousandth more */
 #define TAIL_EXTREME_PERMILLE 900
 #define TAIL_WEIGHT	      20 /* processors, millis, that a thousandth of a bound weighs */
+#define OTHER_IMAGE_WEIGHT    4	 /* processors left free that one of another image weighs */
 #define FAR_PENALTY	      (INT64_C(1) << 40) /* above any difference in free room, millis */
 
 static bool labelled(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
@@ -117,6 +118,17 @@
 	return 0;
 }
 
+/*
+ * Tasks that serve users fill a target up, so that wide tasks find room elsewhere,
+ * and stand with those of their image: best-effort work disturbs some images
+ * much and others not at all, and finds more targets without any of the former.
+ */
+static int64_t score_lasting(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	return score_best_fit(question, runner) -
+	       (int64_t)runner->other_image_millis * OTHER_IMAGE_WEIGHT;
+}
+
 /*
  * Spreads work evenly, so that a lost or slow target takes little with it;
  * best-effort work first goes where it disturbs least.
@@ -126,6 +138,8 @@
 	int64_t tail =
 		question->step->best_effort ? (int64_t)runner->tail_permille * TAIL_WEIGHT : 0;
 
+	if (question->step->lasting)
+		return score_lasting(question, runner);
 	return free_millis(runner) - tail - (far(question, runner) ? FAR_PENALTY : 0);
 }
 
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -16,6 +16,7 @@
 	uint64_t best_effort_millis; /* processors that best-effort tasks ask for */
 	uint64_t serving;	     /* lasting tasks with a bound on their tail latency */
 	uint64_t serving_millis;     /* processors reserved for these */
+	uint64_t other_image_millis; /* and for those of another image than the step's */
 	uint64_t same_step;	     /* tasks of the step in question that run here */
 	uint64_t tail_permille; /* best effort: worst tail here if it came, permille of the bound */
 	bool usable;		/* heard of lately, not draining, not put aside */
--- a/libwlcore/sched/pace.c
+++ b/libwlcore/sched/pace.c
@@ -8,8 +8,8 @@
 
 #include "pace.h"
 
-#define HEADROOM_KEPT 1.15 /* of the bound: figures come twice a second, load rises meanwhile */
-#define STEP	      10   /* percent: finer ones are lost in the figures' noise */
+#define HEADROOM_KEPT 1.2 /* of the bound: figures come twice a second, load rises meanwhile */
+#define STEP	      10  /* percent: finer ones are lost in the figures' noise */
 
 /* The run that takes most headroom for its work and is not stopped yet, or NULL. */
 static wl_pace_run_t *heaviest(const wl_press_t *press, unsigned int serving, wl_pace_run_t *runs,
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -22,6 +22,17 @@
 	return count;
 }
 
+static uint64_t other_image_millis(const wl_sched_runner_t *runner, unsigned int image)
+{
+	const wl_sched_run_t *run;
+	uint64_t sum = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->serving && run->image != image)
+			sum += run->need.cpu_millis;
+	return sum;
+}
+
 static wl_sched_runner_t *runner_choose(wl_sched_t *sched, const wl_bundle_t *bundle,
 					const wl_fit_question_t *question)
 {
@@ -42,6 +53,8 @@
 				: 0;
 		if (!wl_fit_fits(question, &runner->fit))
 			continue;
+		runner->fit.other_image_millis =
+			question->step->lasting ? other_image_millis(runner, bundle->image) : 0;
 		score = sched->fit->score(question, &runner->fit);
 		if (best && score <= best_score)
 			continue;
--- a/tests/unit/sched_policy_test.cc
+++ b/tests/unit/sched_policy_test.cc
@@ -5,6 +5,8 @@
 }
 
 #include <algorithm>
+#include <array>
+#include <random>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -90,6 +92,66 @@
 	wl_buf_free(&step.data_rack);
 }
 
+/* A fleet of 20 targets nearly full of serving tasks of five images, and what is left of it. */
+struct Fleet {
+	size_t one_image = 0; /* targets with tasks of one image only, or of none */
+	size_t wide = 0;      /* tasks of 12 processors that still fit */
+};
+
+static Fleet fleet_filled_by(const char *name)
+{
+	const wl_fit_policy_t *policy = wl_fit_policy_find(wl_str_from(name));
+	std::vector<wl_fit_runner_t> runners(20, runner_of(32000));
+	std::vector<std::array<uint64_t, 5>> images(20);
+	wl_step_spec_t wide = step_of(12000);
+	wl_fit_question_t wide_question = {&wide, WL_STR("s"), {}, 0};
+	std::mt19937 random(7);
+	Fleet fleet;
+
+	for (int i = 0; i < 85; i++) {
+		wl_step_spec_t step = step_of(4000 + random() % 4000);
+		wl_fit_question_t question = {&step, WL_STR("s"), {}, 0};
+		size_t image = random() % 5;
+		size_t best = runners.size();
+
+		step.lasting = true;
+		for (size_t k = 0; k < runners.size(); k++) {
+			runners[k].other_image_millis =
+				runners[k].serving_millis - images[k][image];
+			if (wl_fit_fits(&question, &runners[k]) &&
+			    (best == runners.size() ||
+			     policy->score(&question, &runners[k]) >
+				     policy->score(&question, &runners[best])))
+				best = k;
+		}
+		if (best == runners.size())
+			continue;
+		runners[best].used.cpu_millis += step.cpu_millis;
+		runners[best].serving_millis += step.cpu_millis;
+		images[best][image] += step.cpu_millis;
+	}
+	for (size_t k = 0; k < runners.size(); k++) {
+		uint64_t most = *std::max_element(images[k].begin(), images[k].end());
+
+		fleet.one_image += most == runners[k].serving_millis;
+		for (; wl_fit_fits(&wide_question, &runners[k]); fleet.wide++)
+			runners[k].used.cpu_millis += wide.cpu_millis;
+	}
+	return fleet;
+}
+
+TEST(Fit, ServingTasksStandWithTheirImageAndLeaveRoomForWideOnes)
+{
+	Fleet ours = fleet_filled_by("spread");
+	Fleet first_fit = fleet_filled_by("first-fit");
+	Fleet best_fit = fleet_filled_by("best-fit");
+
+	EXPECT_GE(ours.one_image, 14u);
+	EXPECT_GT(ours.one_image, 2 * best_fit.one_image);
+	EXPECT_GT(ours.one_image, 2 * first_fit.one_image);
+	EXPECT_GE(ours.wide, 5u);
+}
+
 TEST(Fit, BestEffortUsesWhatServingTasksLeaveUnused)
 {
 	wl_step_spec_t step = step_of(4000, true);
