sched: short work that can still be of use goes before tasks that last

Ruled out: holding room back for short work (a task that lasts must not wait while there is room for it).

--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -20,6 +20,7 @@
 	STAGE_ON_TIME_BEGUN,
 	STAGE_ON_TIME,
 	STAGE_LATE,	 /* but not worthless */
+	STAGE_LASTING,	 /* holds its room for good: short work that waits for it is gone soon */
 	STAGE_WORTHLESS, /* so late that its end is of no use to anybody */
 } stage_t;
 
@@ -41,6 +42,8 @@
 	uint64_t done_ms = now_ms + item->left_ms;
 	uint64_t allowed_ms = item->deadline_ms - item->since_ms;
 
+	if (item->lasting)
+		return rank_of(item, STAGE_LASTING, item->since_ms);
 	if (item->deadline_ms == 0 || done_ms <= item->deadline_ms)
 		return rank_of(item, item->started ? STAGE_ON_TIME_BEGUN : STAGE_ON_TIME,
 			       item->since_ms);
--- a/libwlcore/sched/order.h
+++ b/libwlcore/sched/order.h
@@ -14,6 +14,7 @@
 	uint64_t since_ms;    /* accepted, or due */
 	uint64_t deadline_ms; /* until when the job is on time; 0: it has no end */
 	uint64_t left_ms;     /* longest chain of what is not done, as estimated */
+	bool lasting;	      /* runs until it is cancelled */
 	bool started;	      /* a task of the job has begun */
 } wl_ordering_item_t;
 
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -42,10 +42,11 @@
 		.priority = job->record.priority,
 		.since_ms = due_ms ? due_ms : job->record.accepted_ms,
 		.left_ms = chain_ms(job, bundle->occurrence, true),
+		.lasting = wl_job_step(job, bundle->step)->lasting,
 		.started = job->record.state != WL_JOB_QUEUED,
 	};
 
-	if (!wl_job_step(job, bundle->step)->lasting)
+	if (!item.lasting)
 		item.deadline_ms = item.since_ms + job->record.objective_ms +
 				   note->chain_ms * job->record.slack_millis / WL_PERMILLE;
 	return sched->order->rank(&item, now_ms);
--- a/tests/unit/sched_policy_test.cc
+++ b/tests/unit/sched_policy_test.cc
@@ -255,3 +255,23 @@
 	batch.deadline_ms = 1000000;
 	EXPECT_LT(policy->rank(&urgent, 6000), policy->rank(&batch, 6000));
 }
+
+/* A fleet that is full for good: what runs for seconds finds no room behind what runs for hours. */
+TEST(Ordering, ShortWorkThatIsOfUseGoesBeforeLastingWork)
+{
+	const wl_ordering_policy_t *policy = wl_ordering_policy_find({});
+	wl_ordering_item_t lasting = {};
+	wl_ordering_item_t on_time = {};
+	wl_ordering_item_t late = {};
+	wl_ordering_item_t worthless = {};
+
+	lasting.lasting = true;
+	on_time.since_ms = late.since_ms = worthless.since_ms = 5000;
+	on_time.left_ms = late.left_ms = worthless.left_ms = 500;
+	on_time.deadline_ms = 7000;
+	late.deadline_ms = 6000;
+	worthless.deadline_ms = 5200;
+	EXPECT_LT(policy->rank(&on_time, 6000), policy->rank(&late, 6000));
+	EXPECT_LT(policy->rank(&late, 6000), policy->rank(&lasting, 6000));
+	EXPECT_LT(policy->rank(&lasting, 6000), policy->rank(&worthless, 6000));
+}
