sched: another target at an address proves that the earlier one has ended

Cause: a 421 carries the clock of whoever answers.

Ruled out: queue and room; the runs had not ended in the state.

Change: clocks and health are not read from a 421; on a hold it removes the target of that life.

Test: unit.sched_test RunsAreLostWhereAnotherTargetAnswersAtTheAddress, failed before.

--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -58,7 +58,8 @@
 
 static void runner_answered(wl_sched_runner_t *runner, uint64_t now_ns, const wl_order_end_t *end)
 {
-	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT)
+	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
+	    end->outcome == WL_ORDER_OTHER_LIFE) /* of another target, with a clock of its own */
 		return;
 	runner->answered_ns = now_ns;
 	if (!end->has_clock || end->clock_ms < runner->clock_ms)
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -109,6 +109,7 @@
 	runner->committing = 0;
 	runner->ack_due = false;
 	runner->failures = 0;
+	runner->gone_proposed = false;
 }
 
 /*
@@ -256,7 +257,7 @@
 }
 
 static void gone_propose(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			 wl_out_t *out)
+			 const char *reason, wl_out_t *out)
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNNER_PUT};
 
@@ -264,8 +265,11 @@
 	wl_buf_set(&cmd.u.runner_put.id, runner->key);
 	cmd.u.runner_put.life = runner->state->report.life;
 	cmd.u.runner_put.left = true;
-	wl_out_log(out, WL_WARN, "target-gone", "target=" WL_STR_FMT " silent_ms=%d",
-		   WL_STR_ARG(runner->key), GONE_MS);
+	wl_out_log(out, WL_WARN, "target-gone",
+		   "target=" WL_STR_FMT " reason=%s answered_ms=%llu life=%llu",
+		   WL_STR_ARG(runner->key), reason,
+		   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS),
+		   (unsigned long long)runner->life);
 	wl_sched_propose(sched, now_ns, &cmd, out);
 }
 
@@ -287,7 +291,7 @@
 		last_ns = sched->led_ns;
 	if (TAILQ_EMPTY(&runner->runs) && !runner->gone_proposed &&
 	    now_ns - last_ns > GONE_MS * WL_NS_PER_MS)
-		gone_propose(sched, now_ns, runner, out);
+		gone_propose(sched, now_ns, runner, "silent", out);
 }
 
 /*
@@ -404,6 +408,14 @@
 	runner->hold_due_ns = now_ns + HOLD_WAIT_MS * WL_NS_PER_MS; /* or the commit, before that */
 }
 
+/* Another target answers where this one was: it has ended, and with it all that it ran. */
+static bool address_taken(const wl_sched_runner_t *runner, const wl_sched_call_t *call,
+			  const wl_order_end_t *end)
+{
+	return end->outcome == WL_ORDER_OTHER_LIFE && !runner->gone_proposed &&
+	       call->life == runner->state->report.life;
+}
+
 /*
  * wl_sched_hold_answered - a hold has ended
  */
@@ -415,6 +427,10 @@
 
 	if (runner->hold_id == call->id)
 		runner->hold_id = 0;
+	if (address_taken(runner, call, end)) {
+		gone_propose(sched, now_ns, runner, "address-taken", out);
+		return;
+	}
 	if (end->outcome != WL_ORDER_DONE) {
 		if (!runner->hold_failed)
 			wl_out_log(out, WL_INFO, "target-hold-failed",
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -316,7 +316,7 @@
 {
 	read_end = {};
 	read_end.outcome = outcome;
-	read_end.has_clock = outcome == WL_ORDER_DONE;
+	read_end.has_clock = outcome != WL_ORDER_NO_ANSWER && outcome != WL_ORDER_NOT_SENT;
 	read_end.clock_ms = now / MS + clock_offset_ms;
 	fetched(order);
 }
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -212,6 +212,24 @@
 	EXPECT_EQ(starts[0].run, 2u);
 }
 
+/* Its clock says nothing of the earlier target's leases. */
+TEST_F(Sched, RunsAreLostWhereAnotherTargetAnswersAtTheAddress)
+{
+	rig.runner("i2");
+	rig.job("q", "j", {1});
+	rig.hand_in();
+	SchedOrder start = next_starts().at(0);
+	rig.answer(start, WL_ORDER_DONE);
+	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
+	SchedOrder next = hold();
+	rig.clock_offset_ms += 1000000;
+	rig.answer(next, WL_ORDER_OTHER_LIFE);
+	auto again = next_starts();
+	ASSERT_EQ(again.size(), 1u);
+	EXPECT_EQ(again[0].run, 2u);
+	EXPECT_NE(again[0].runner, start.runner);
+}
+
 TEST_F(Sched, NewLeaderAdoptsWhatRunsAndShowsItsEpochFirst)
 {
 	SchedOrder start = begun("j");
