sched: looks at a backlog take a share of the time, holds are short only near a bound

Cause: on the grown site (490 targets) the leader has no processor time left. A look at the queue asks up to 64 bundles that fit nowhere about each target, and came every 2 ms; every target with best-effort work beside serving tasks was held every 0.5 s.

Change: looks are spaced so that they take a tenth of the time, by the questions they asked; holds wait 0.5 s only where less than 1.7 of headroom is left.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -174,8 +174,8 @@
 	wl_images_t images;
 	wl_press_t press;
 	bool place_due;
-	uint64_t placed_ns; /* last look */
-	uint64_t sorted_ns; /* when the queue was last put in order */
+	uint64_t place_next_ns; /* no look before */
+	uint64_t sorted_ns;	/* when the queue was last put in order */
 	uint64_t next_gauges_ns;
 };
 
@@ -229,6 +229,7 @@
 			   wl_out_t *out);
 uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, wl_sched_runner_t *runner,
 				unsigned int image, uint64_t cpu_millis);
+bool wl_sched_tails_watched(const wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_window_follow(wl_sched_runner_t *runner, uint64_t now_ns);
 
 /* runners.c */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -2,9 +2,11 @@
 
 #include "internal.h"
 
-#define MISSES_MOST                                                                  \
-	64 /* bundles that fit nowhere before the rest has to wait for the next look \
-	    */
+#define MISSES_MOST   64   /* bundles that fit nowhere before the rest waits for the next look */
+#define LOOK_LEAST_US 2000 /* between two looks: what comes together is committed together */
+/* With a backlog on a large fleet looks would take all processor time: they get a share of it. */
+#define QUESTION_NS	     50 /* for a target and a bundle, by wl-bench-jobs */
+#define LOOKS_SHARE_PERMILLE 100
 
 static uint64_t same_step(const wl_sched_runner_t *runner, const wl_bundle_t *bundle)
 {
@@ -208,6 +210,17 @@
 	*floor = (floor_t){true, step->cpu_millis, step->memory_mib};
 }
 
+/* When to look again, by what this look has cost. */
+static uint64_t next_look_ns(const wl_sched_t *sched, const pass_t *pass, uint64_t now_ns)
+{
+	uint64_t questions = pass->misses * wl_map_count(&sched->by_runner);
+	uint64_t pause_ns = questions * QUESTION_NS * WL_PERMILLE / LOOKS_SHARE_PERMILLE;
+
+	if (pause_ns < LOOK_LEAST_US * WL_NS_PER_US)
+		pause_ns = LOOK_LEAST_US * WL_NS_PER_US;
+	return now_ns + pause_ns;
+}
+
 /*
  * wl_sched_place - place what can be placed, and propose the starts
  */
@@ -218,7 +231,6 @@
 	pass_t pass = {0};
 
 	sched->place_due = false;
-	sched->placed_ns = now_ns;
 	wl_sched_queue_sort(sched, now_ns);
 	bundle = TAILQ_FIRST(&sched->waiting);
 	while (bundle && pass.misses < MISSES_MOST) {
@@ -229,6 +241,7 @@
 		wl_sched_bundle_settle(sched, bundle);
 		bundle = next;
 	}
+	sched->place_next_ns = next_look_ns(sched, &pass, now_ns);
 	if (sched->starts.runs.count == 0)
 		return;
 	cmd.u.runs_start = sched->starts;
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -220,7 +220,7 @@
 	wl_order_t order = {.kind = WL_ORDER_HOLD, .seen = runner->seen};
 
 	order.wait_ms = holds && !asks_at_once(runner) ? HOLD_WAIT_MS : 0;
-	if (order.wait_ms && runner->fit.serving && runner->fit.best_effort_millis)
+	if (order.wait_ms && wl_sched_tails_watched(sched, runner))
 		order.wait_ms = HOLD_TAILS_MS;
 	order.timeout_ms = order.wait_ms + HOLD_TIMEOUT_MS;
 	if (runner->clock_ns && !runner->hold_failed)
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -12,9 +12,7 @@
 #define LEASE_MS_DEFAULT       6000
 #define LEASE_MOST_MS_DEFAULT  6000
 #define START_LEASE_MS_DEFAULT 2000
-#define PLACE_LEAST_US \
-	UINT64_C(2000) /* between two looks: what comes together is committed together */
-#define GAUGES_MS 1000
+#define GAUGES_MS	       1000
 
 /*
  * wl_sched_new - make a scheduler that does not lead yet
@@ -404,6 +402,6 @@
 	default:
 		break;
 	}
-	if (sched->place_due && now_ns - sched->placed_ns >= PLACE_LEAST_US * WL_NS_PER_US)
+	if (sched->place_due && now_ns >= sched->place_next_ns)
 		wl_sched_place(sched, now_ns, out);
 }
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -19,7 +19,9 @@
 #define PACE_STILL	 20	/* percent: held so low, work gets on better elsewhere */
 #define STILL_MOST_MS	 1000	/* longer than an ordinary swing of a figure */
 
-#define FIGURE_MS 500 /* a target renews its figures so often */
+#define HEADROOM_WATCHED 1.7 /* below, a swing of users' load may pass the bound within a second \
+			      */
+#define FIGURE_MS 500	     /* a target renews its figures so often */
 
 static bool is_pressing(const wl_sched_run_t *run)
 {
@@ -135,6 +137,23 @@
 	return a < b ? a : b;
 }
 
+/*
+ * wl_sched_tails_watched - may best-effort work on a target bring a tail to its bound soon
+ */
+bool wl_sched_tails_watched(const wl_sched_t *sched, wl_sched_runner_t *runner)
+{
+	const wl_sched_run_t *run;
+
+	if (!runner->fit.serving || !runner->fit.best_effort_millis)
+		return false;
+	pressed_follow(sched, runner);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->serving && (run->level.at_ns == 0 ||
+				     run->level.headroom - run->pressed < HEADROOM_WATCHED))
+			return true;
+	return false;
+}
+
 static void pace_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, unsigned int percent,
 		      wl_out_t *out)
 {
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -34,6 +34,7 @@
 	written.lease_ms = order->lease_ms;
 	written.seen = order->seen;
 	written.percent = order->percent;
+	written.wait_ms = order->wait_ms;
 	written.checkpoint = text(order->checkpoint);
 	wl_buf_set(&fetch->body, wl_str_from("x"));
 }
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -21,6 +21,7 @@
 	uint64_t lease_ms;
 	uint64_t seen;
 	uint64_t percent;
+	uint64_t wait_ms;
 	std::string checkpoint;
 };
 
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -497,3 +497,22 @@
 	ASSERT_EQ(paces.size(), 1u) << "the first got no answer, so that its speed is not known";
 	EXPECT_EQ(paces[0].percent, 100u);
 }
+
+/* Figures are asked for sooner where best-effort work may bring a tail to its bound. */
+TEST_F(Tails, HoldsAreShortOnlyWhereATailMayReachItsBound)
+{
+	begin();
+	rig.pass(500);
+	tail(10);
+	rig.pass(500);
+	tail(10);
+	EXPECT_EQ(hold().wait_ms, 1000u) << "five times its tail away from the bound";
+}
+
+TEST_F(Tails, HoldsAreShortNearTheBound)
+{
+	begin();
+	rig.pass(500);
+	tail(45);
+	EXPECT_EQ(hold().wait_ms, 500u);
+}
