http client: an answer that has come is taken, though its time is over

Change: a call is ended by its deadline only after all sockets that were ready have been read; libcurl's own timer is left out, except for the call that blocks.

--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -169,7 +169,13 @@
 	}
 }
 
-/* libcurl does not time a call that waits for a free connection. */
+/*
+ * Ends the calls whose time is over.
+ *
+ * Only once all sockets were read that had something: after a pause of this process an
+ * answer that has come is taken, though late.  libcurl's own timer would not wait, and does
+ * not time a call that waits for a free connection.
+ */
 static void client_deadlines(wl_http_client_t *client, uint64_t now_ns)
 {
 	wl_transfer_t *transfer = TAILQ_FIRST(&client->running);
@@ -240,7 +246,8 @@
 	return (int)most_ms;
 }
 
-static void client_sockets(wl_http_client_t *client)
+/* Whether all that were ready have been served. */
+static bool client_sockets(wl_http_client_t *client)
 {
 	struct epoll_event events[EVENTS_MOST];
 	int count = epoll_wait(client->epoll_fd, events, EVENTS_MOST,
@@ -255,6 +262,7 @@
 		if (events[i].data.fd != wl_ring_fd(client->orders))
 			curl_multi_socket_action(client->multi, events[i].data.fd, ready, &running);
 	}
+	return count >= 0 && count < EVENTS_MOST;
 }
 
 static void client_abort(wl_http_client_t *client)
@@ -269,15 +277,19 @@
 static void *client_main(void *arg)
 {
 	wl_http_client_t *client = arg;
+	bool all_served;
 
 	pthread_setname_np(pthread_self(), "wl-http-out");
 	while (!ck_pr_load_uint(&client->stopping)) {
 		client_orders(client);
 		client_timer(client, now_read());
 		client_ended(client);
-		client_deadlines(client, now_read());
 		wl_late_flush(&client->events);
-		client_sockets(client);
+		all_served = client_sockets(client);
+		client_ended(client);
+		if (all_served)
+			client_deadlines(client, now_read());
+		wl_late_flush(&client->events);
 	}
 	client_orders(client);
 	client_ended(client);
@@ -444,6 +456,8 @@
 	if (!transfer)
 		return false;
 
+	if (fetch->timeout_ms)
+		curl_easy_setopt(transfer->easy, CURLOPT_TIMEOUT_MS, (long)fetch->timeout_ms);
 	wl_transfer_finish(transfer, curl_easy_perform(transfer->easy), NULL);
 	*fetched = transfer->fetched;
 	memset(&transfer->fetched, 0, sizeof(transfer->fetched));
--- a/libwlnet/http_transfer.c
+++ b/libwlnet/http_transfer.c
@@ -183,8 +183,6 @@
 	}
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, fetch->method.at);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
-	if (fetch->timeout_ms)
-		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)fetch->timeout_ms);
 }
 
 static void transfer_set_rules(wl_transfer_t *transfer, uint64_t connect_ms)
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -6,8 +6,14 @@
 }
 
 #include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
+#include <sys/syscall.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 namespace
@@ -102,6 +108,75 @@
 	EXPECT_FALSE(answered(head + "3\r\nabc\r\n")->fetched.whole);
 }
 
+/* Stops a thread of this process where it is, until resume(). */
+class ThreadStop
+{
+      public:
+	explicit ThreadStop(const std::string &name)
+	{
+		struct sigaction action = {};
+
+		action.sa_handler = wait_in_handler;
+		EXPECT_EQ(pipe(gate), 0);
+		EXPECT_EQ(pipe(entered), 0);
+		sigaction(SIGUSR1, &action, nullptr);
+		EXPECT_EQ(syscall(SYS_tgkill, getpid(), find(name), SIGUSR1), 0);
+		char byte;
+		EXPECT_EQ(read(entered[0], &byte, 1), 1);
+	}
+
+	void resume()
+	{
+		EXPECT_EQ(write(gate[1], "x", 1), 1);
+	}
+
+      private:
+	static void wait_in_handler(int)
+	{
+		int saved = errno;
+		char byte = 0;
+
+		if (write(entered[1], "x", 1) == 1)
+			while (read(gate[0], &byte, 1) < 0 && errno == EINTR)
+				;
+		errno = saved;
+	}
+
+	static pid_t find(const std::string &name)
+	{
+		for (const auto &task : std::filesystem::directory_iterator("/proc/self/task")) {
+			std::ifstream in(task.path() / "comm");
+			std::string comm;
+
+			if (std::getline(in, comm) && comm == name)
+				return std::stoi(task.path().filename());
+		}
+		ADD_FAILURE() << "no thread " << name;
+		return 0;
+	}
+
+	static inline int gate[2];
+	static inline int entered[2];
+};
+
+/* A daemon without processor time for a while must not pass over what came meanwhile. */
+TEST_F(HttpClient, AnswerThatIsThereIsTakenThoughItsTimeIsOver)
+{
+	const uint64_t timeout_ms = 200;
+
+	ASSERT_TRUE(fetch(1, listener.address(), "GET", "", timeout_ms));
+	Tcp tcp = listener.accept();
+	tcp.read_until("\r\n\r\n");
+	ThreadStop stop("wl-http-out");
+	tcp.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+	std::this_thread::sleep_for(std::chrono::milliseconds(2 * timeout_ms));
+	stop.resume();
+	Event event = fetched(1);
+
+	EXPECT_TRUE(event->fetched.whole);
+	EXPECT_EQ(text(event->fetched.body), "abc");
+}
+
 TEST_F(HttpClient, ShortBodyIsNotWhole)
 {
 	Event event = answered("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
