--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -17,11 +17,12 @@
 #define PACE_TIMEOUT_MS	 500	/* a later answer is of no use: the next figures decide anew */
 #define PACE_RAISE_LEAST 20	/* percent: each order costs a call */
 #define PACE_STILL	 20	/* percent: held so low, work gets on better elsewhere */
-#define STILL_MOST_MS	 1000	/* longer than an ordinary swing of a figure */
+#define STILL_MOST_MS	 500	/* two figures that agree */
 
-#define HEADROOM_WATCHED 1.7 /* below, a swing of users' load may pass the bound within a second \
-			      */
-#define FIGURE_MS 500	     /* a target renews its figures so often */
+#define HEADROOM_WATCHED                                                                  \
+	1.7	      /* below, a swing of users' load may pass the bound within a second \
+		       */
+#define FIGURE_MS 500 /* a target renews its figures so often */
 
 static bool is_pressing(const wl_sched_run_t *run)
 {
