sched: work slowed for a tail gets its speed back when nothing serves there any more

Cause: speeds were chosen only where a target has serving tasks; when the last one left, what it had slowed stayed so, at worst at a standstill while its job counts as running.

Test: unit.sched_test SpeedIsGivenBackWhenNothingServesThereAnyMore, failed before.

--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -19,10 +19,9 @@
 #define PACE_STILL	 20	/* percent: held so low, work gets on better elsewhere */
 #define STILL_MOST_MS	 500	/* two figures that agree */
 
-#define HEADROOM_WATCHED                                                                  \
-	1.7	      /* below, a swing of users' load may pass the bound within a second \
-		       */
 #define FIGURE_MS 500 /* a target renews its figures so often */
+/* Below, a swing of users' load may pass the bound within a second. */
+#define HEADROOM_WATCHED 1.7
 
 static bool is_pressing(const wl_sched_run_t *run)
 {
@@ -253,8 +252,6 @@
 {
 	wl_sched_run_t *run;
 
-	if (!runner->fit.serving)
-		return;
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (run->serving && run->listed && run->load > 0)
 			figure_learn(sched, now_ns, run);
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -498,6 +498,23 @@
 	EXPECT_EQ(paces[0].percent, 100u);
 }
 
+TEST_F(Tails, SpeedIsGivenBackWhenNothingServesThereAnyMore)
+{
+	begin();
+	rig.pass(500);
+	tail(60);
+	rig.answer(rig.take(WL_ORDER_PACE).at(0), WL_ORDER_DONE);
+
+	rig.cancel("q", "s");
+	rig.answer_hold(hold(), {SchedRig::view(f)}, {SchedRig::end(s, 1, WL_END_STOPPED)});
+	rig.commit();
+	rig.take(WL_ORDER_PACE);
+	rig.answer_hold(hold(), {SchedRig::view(f)}, {});
+	auto paces = rig.take(WL_ORDER_PACE);
+	ASSERT_EQ(paces.size(), 1u);
+	EXPECT_EQ(paces[0].percent, 100u);
+}
+
 /* Figures are asked for sooner where best-effort work may bring a tail to its bound. */
 TEST_F(Tails, HoldsAreShortOnlyWhereATailMayReachItsBound)
 {
