--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -277,6 +277,7 @@
 static void *client_main(void *arg)
 {
 	wl_http_client_t *client = arg;
+	uint64_t before_ns;
 	bool all_served;
 
 	pthread_setname_np(pthread_self(), "wl-http-out");
@@ -285,10 +286,11 @@
 		client_timer(client, now_read());
 		client_ended(client);
 		wl_late_flush(&client->events);
+		before_ns = now_read(); /* a pause after the sockets were read ends no call */
 		all_served = client_sockets(client);
 		client_ended(client);
 		if (all_served)
-			client_deadlines(client, now_read());
+			client_deadlines(client, before_ns);
 		wl_late_flush(&client->events);
 	}
 	client_orders(client);
