sched: the time of a serving task's newest figure is kept once

figure_ns always equalled level.at_ns, which wl_press_learn() sets. Behaviour is as before; unit.sched_test, press_test and sched_policy_test pass.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -48,7 +48,6 @@
 	uint64_t begun_ns;	/* when it was first said to be there */
 	wl_press_level_t level; /* serving */
 	uint64_t figure;	/* serving: its newest tail latency that was learnt from, ms */
-	uint64_t figure_ns;	/* and when */
 	double headroom;	/* serving: most that it may have alone, by that figure by itself */
 	double pressed;		/* serving: headroom that the best-effort work beside it takes */
 	unsigned int pace;	/* best effort: percent of full speed that the target was told */
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -116,7 +116,7 @@
 static bool figure_is_new(const wl_sched_run_t *serving, uint64_t now_ns)
 {
 	return serving->load != serving->figure ||
-	       now_ns - serving->figure_ns >= FIGURE_MS * WL_NS_PER_MS;
+	       now_ns - serving->level.at_ns >= FIGURE_MS * WL_NS_PER_MS;
 }
 
 static void figure_learn(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *serving)
@@ -127,7 +127,6 @@
 	if (!figure_is_new(serving, now_ns))
 		return;
 	serving->figure = serving->load;
-	serving->figure_ns = now_ns;
 	wl_press_learn(&sched->press, &serving->level, serving->image, window, headroom, now_ns);
 	serving->headroom = headroom + wl_press_sum(&sched->press, serving->image, window);
 }
