tests: simulate a fleet of five replicas with processors and targets

Gained: what callers and targets see of the store's replicas, targets and load together can be tested without the bench, sockets or a clock. Five real nodes with the platform's dialect are joined by a simulated network; messages go through the codec. Each has a disk (4 ms a sync) and a processor that the daemon's threads (decisions, calls made, calls served) share evenly; an event and an HTTP call cost fixed times (docs/CAPACITY.md). Targets answer any replica as the protocol says, with leases on clocks up to 2% slow.

Ruled out (trials): calls and events in turns, and a call's timeout counted from its sending.

--- /dev/null
+++ b/tests/support/fleet.cc
@@ -0,0 +1,408 @@
+#include "fleet.h"
+
+#include "events.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <sstream>
+
+static const uint64_t NS_PER_MS = 1000000;
+static const uint64_t BEGIN_NS = 1000 * NS_PER_MS;
+static const uint64_t CONFIGURE_NS = 4000 * NS_PER_MS;
+static const uint64_t REPORT_NS = 5000 * NS_PER_MS;
+static const uint64_t LASTING_NS = 7000 * NS_PER_MS; /* one after the other, until the load */
+static const uint64_t LOAD_NS = 12000 * NS_PER_MS;
+static const uint64_t WAY_NS = 900000; /* one way, between any two machines */
+static const uint64_t REPORT_EVERY_NS = 1500 * NS_PER_MS;
+static const uint64_t CONTROL_TIMEOUT_MS = 1000;
+static const uint64_t CALLER_TIMEOUT_MS = 3000;
+static const uint64_t CALLER_AGAIN_NS = 300 * NS_PER_MS;
+static const uint64_t CALLER_ATTEMPTS = 5;
+static const uint64_t FAILURE_EVERY_NS = 500 * NS_PER_MS;
+static const uint64_t SWING_PERMILLE = 550;
+static const double SWING_PERIOD_NS = 15e9;
+static const size_t REPLICAS = 5;
+static const char HOST[] = "q.example";
+
+static const char CONFIGURATION[] =
+	R"({"version":1,"routes":[)"
+	R"({"name":"hold","host":"q.example","path_prefix":"/hold/","timeout_ms":3000,)"
+	R"("target_latency_ms":250,"priority":0,"backend":"booking","max_attempts":4,)"
+	R"("slack_factor":1.5},)"
+	R"({"name":"run","host":"q.example","path_prefix":"/run/","timeout_ms":3000,)"
+	R"("target_latency_ms":1000,"priority":0,"backend":"booking","max_attempts":4,)"
+	R"("slack_factor":1.5},)"
+	R"({"name":"feed","host":"q.example","path_prefix":"/feed/","timeout_ms":3000,)"
+	R"("target_latency_ms":2500,"priority":0,"backend":"booking","max_attempts":4,)"
+	R"("slack_factor":1.5}],"services":[{"name":"booking","enforces_capacity":true}]})";
+
+Fleet::Fleet(const FleetOptions &its_options) : options(its_options), random(its_options.seed)
+{
+	time.now_ns = BEGIN_NS;
+	for (size_t i = 0; i < REPLICAS; i++)
+		names.push_back("10.0.0." + std::to_string(i + 1));
+	for (size_t i = 0; i < REPLICAS; i++)
+		replica_add(i);
+	for (size_t i = 0; i < options.targets; i++)
+		targets.push_back(std::make_unique<FleetTarget>(time, record, i));
+}
+
+void Fleet::replica_add(size_t place)
+{
+	replicas.push_back(std::make_unique<FleetReplica>(time, names, place, options.costs));
+	FleetReplica *replica = replicas.back().get();
+
+	replica->on_send = [this, replica](const std::string &to, const std::string &bytes) {
+		send(replica->name, to, bytes);
+	};
+	replica->on_call = [this, replica](const FleetCall &call) {
+		call_target(replica->name, call);
+	};
+	replica->on_cancel = [this, replica](uint64_t id) { call_ended(replica->name, id, 0, ""); };
+	replica->on_unsent = [this](const FleetCall &call) {
+		record.starts_unsent += call.path == "/-/run-start";
+	};
+	replica->on_reply = [this](uint64_t call, uint64_t status, const std::string &body) {
+		time.after(WAY_NS, [this, call, status, body] { answered(call, status, body); });
+	};
+	replica->on_log = [this, replica](const std::string &line) {
+		if (on_log)
+			on_log(*replica, line);
+	};
+}
+
+/* The load and what is left of it, with what at() asked for. */
+void Fleet::play()
+{
+	for (auto &replica : replicas)
+		replica->start();
+	connect();
+	time.at(CONFIGURE_NS, [this] { configure(); });
+	for (auto &target : targets) {
+		FleetTarget *its = target.get();
+
+		target->heard_at = any_replica();
+		time.at(REPORT_NS + random() % REPORT_EVERY_NS, [this, its] { report(*its); });
+	}
+	load();
+	time.run(LOAD_NS + (options.load_ms + options.rest_ms) * NS_PER_MS);
+	record.close(time.now_ns);
+}
+
+/*
+ * Asks for something during the load.
+ * @load_ms: from its beginning
+ */
+void Fleet::at(uint64_t load_ms, std::function<void()> what)
+{
+	time.at(LOAD_NS + load_ms * NS_PER_MS, std::move(what));
+}
+
+FleetReplica *Fleet::find(const std::string &name)
+{
+	for (auto &replica : replicas)
+		if (replica->name == name)
+			return replica.get();
+	return nullptr;
+}
+
+FleetReplica *Fleet::leader()
+{
+	FleetReplica *newest = nullptr;
+
+	for (auto &replica : replicas)
+		if (replica->is_up() && replica->term && (!newest || replica->term > newest->term))
+			newest = replica.get();
+	return newest;
+}
+
+FleetReplica *Fleet::follower(size_t place)
+{
+	FleetReplica *leads = leader();
+
+	for (auto &replica : replicas)
+		if (replica.get() != leads && replica->is_up() && place-- == 0)
+			return replica.get();
+	return nullptr;
+}
+
+void Fleet::link(const std::string &of, const std::string &with, wl_event_kind_t kind)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, kind);
+	wl_buf_set(&event.peer, str(with));
+	find(of)->event(&event);
+}
+
+void Fleet::connect()
+{
+	for (const auto &one : names)
+		for (const auto &other : names)
+			if (one != other)
+				link(one, other, WL_EVENT_PEER_UP);
+}
+
+/* Its peers learn at once that their links ended. */
+void Fleet::kill(FleetReplica *replica)
+{
+	replica->kill();
+	for (const auto &other : names)
+		if (other != replica->name)
+			time.after(WAY_NS, [this, other, name = replica->name] {
+				link(other, name, WL_EVENT_PEER_DOWN);
+			});
+}
+
+/* What is sent meanwhile arrives after it, in order: the link does not end. */
+void Fleet::silence(const FleetReplica *one, const FleetReplica *other, uint64_t ms)
+{
+	uint64_t until_ns = time.now_ns + ms * NS_PER_MS;
+
+	silent_until_ns[{one->name, other->name}] = until_ns;
+	silent_until_ns[{other->name, one->name}] = until_ns;
+}
+
+void Fleet::send(const std::string &from, const std::string &to, const std::string &bytes)
+{
+	uint64_t leaves_ns = std::max(time.now_ns, silent_until_ns[{from, to}]);
+
+	time.at(leaves_ns + WAY_NS, [this, from, to, bytes] { deliver(from, to, bytes); });
+}
+
+void Fleet::deliver(const std::string &from, const std::string &to, const std::string &bytes)
+{
+	FleetReplica *replica = find(to);
+	wl_event_t event;
+	wl_err_t err;
+
+	if (!replica)
+		return;
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, str(from));
+	if (!wl_msg_unpack(str(bytes), &event.msg, &err)) {
+		fprintf(stderr, "message of %s: %s\n", from.c_str(), err.text);
+		abort();
+	}
+	replica->event(&event);
+}
+
+void Fleet::call_target(const std::string &from, const FleetCall &call)
+{
+	size_t index = std::stoul(call.address.substr(call.address.find(':') + 1));
+	uint64_t id = call.id;
+
+	record.calls_of[from]++;
+	waiting[{from, id}] = true;
+	time.after(WAY_NS, [this, from, call, index, id] {
+		targets.at(index)->call(call.path, call.body,
+					[this, from, id](uint64_t status, const std::string &body) {
+						time.after(WAY_NS, [this, from, id, status, body] {
+							call_ended(from, id, status, body);
+						});
+					});
+	});
+	time.at(call.until_ns, [this, from, id] { call_ended(from, id, 0, ""); });
+}
+
+/* The answer, or without a status the end of the time that it had. */
+void Fleet::call_ended(const std::string &from, uint64_t id, uint64_t status,
+		       const std::string &body)
+{
+	wl_event_t event;
+
+	if (waiting.erase({from, id}) == 0)
+		return;
+	wl_event_init(&event, WL_EVENT_FETCHED);
+	event.fetched.id = id;
+	event.fetched.sent = true;
+	event.fetched.whole = status > 0;
+	event.fetched.status = status;
+	wl_buf_set(&event.fetched.body, str(body));
+	find(from)->event(&event);
+}
+
+void Fleet::answered(uint64_t call, uint64_t status, const std::string &body)
+{
+	auto it = asked.find(call);
+
+	if (it == asked.end())
+		return;
+	Answer answer = std::move(it->second);
+
+	asked.erase(it);
+	answer(status, body);
+}
+
+/* A call of a caller, an operator or a target; no answer in time has the status 0. */
+void Fleet::ask(size_t place, wl_listener_t listener, const std::string &path,
+		const std::string &body, uint64_t timeout_ms, const Answer &answer)
+{
+	uint64_t id = next_call++;
+	auto give_up = [this, id] { answered(id, 0, ""); };
+
+	asked[id] = answer;
+	time.after(timeout_ms * NS_PER_MS, give_up);
+	time.after(WAY_NS, [this, id, place, listener, path, body, give_up] {
+		wl_event_t event;
+
+		if (!replicas[place]->is_up()) {
+			time.after(WAY_NS, give_up);
+			return;
+		}
+		wl_event_init(&event, WL_EVENT_CALL);
+		event.call.id = id;
+		event.call.listener = listener;
+		wl_buf_set(&event.call.method, str("POST"));
+		wl_buf_set(&event.call.path, str(path));
+		wl_buf_set(&event.call.body, str(body));
+		wl_headers_add(&event.call.headers, WL_STR("Host"), str(HOST));
+		replicas[place]->event(&event);
+	});
+}
+
+size_t Fleet::any_replica()
+{
+	return random() % REPLICAS;
+}
+
+void Fleet::configure()
+{
+	ask(any_replica(), WL_LISTENER_CONTROL, "/-/config/replace", CONFIGURATION,
+	    CONTROL_TIMEOUT_MS, [this](uint64_t status, const std::string &) {
+		    if (status != 200)
+			    configure();
+	    });
+}
+
+void Fleet::report(FleetTarget &target)
+{
+	ask(target.heard_at, WL_LISTENER_CONTROL, "/-/instances/" + target.id + "/heartbeat",
+	    target.report(), CONTROL_TIMEOUT_MS,
+	    [this, &target](uint64_t status, const std::string &body) {
+		    report_again(target, status, body);
+	    });
+}
+
+/* To the address that was named, as long as that answers; after a failure at once to another. */
+void Fleet::report_again(FleetTarget &target, uint64_t status, const std::string &body)
+{
+	const std::string named = R"("heartbeat_url":")";
+	size_t at = body.find(named);
+	size_t place = target.heard_named ? target.heard_at : any_replica();
+
+	target.heard_named = status == 200 && (target.heard_named || at != std::string::npos);
+	if (status != 200) {
+		target.heard_at = any_replica();
+		report(target);
+		return;
+	}
+	if (at != std::string::npos) {
+		size_t from = at + named.size();
+		std::string name = body.substr(from, body.find(':', from) - from);
+
+		place = std::find(names.begin(), names.end(), name) - names.begin();
+	}
+	target.heard_at = place;
+	time.after(REPORT_EVERY_NS, [this, &target] { report(target); });
+}
+
+/* A moment of the load: it swells and falls, SWING_PERMILLE about its mean. */
+uint64_t Fleet::load_moment()
+{
+	for (;;) {
+		uint64_t moment_ns = random() % (options.load_ms * NS_PER_MS);
+		double phase = 2 * M_PI * static_cast<double>(moment_ns) / SWING_PERIOD_NS;
+		double rate = 1000 + SWING_PERMILLE * std::sin(phase);
+
+		if (static_cast<double>(random() % (1000 + SWING_PERMILLE)) < rate)
+			return LOAD_NS + moment_ns;
+	}
+}
+
+void Fleet::load()
+{
+	uint64_t shorts = options.short_jobs_per_ks * options.load_ms / 1000000;
+	uint64_t longs = options.long_jobs_per_ks * options.load_ms / 1000000;
+
+	for (uint64_t i = 0; i < options.lasting_jobs; i++)
+		load_job("feed", 1, 14, "0 1500",
+			 LASTING_NS + (LOAD_NS - LASTING_NS) / 2 * i / options.lasting_jobs);
+	for (uint64_t i = 0; i < shorts; i++)
+		load_job("hold", i % 5 < 3 ? 2 : 1, 10, "540 4100", load_moment());
+	for (uint64_t i = 0; i < longs; i++)
+		load_job("run", 2, 20, "2300 3500", load_moment());
+	for (uint64_t i = 0; i < options.lasting_failures; i++)
+		time.at(LOAD_NS + i * FAILURE_EVERY_NS,
+			[this, i] { fail_lasting(i * 17 % options.targets); });
+}
+
+/*
+ * A job of steps that follow each other.
+ * @spec: what targets read: how long a task works, ms (0: it lasts), and its processors, millis
+ */
+void Fleet::load_job(const char *queue, uint64_t steps, uint64_t width, const char *spec,
+		     uint64_t due_ns)
+{
+	auto job = std::make_shared<Job>();
+	std::ostringstream body;
+	uint64_t work_ms = 0;
+	uint64_t cpu_millis = 0;
+	char id[17];
+
+	std::istringstream(spec) >> work_ms >> cpu_millis;
+	snprintf(id, sizeof(id), "%016llx", (unsigned long long)next_job++);
+	body << R"({"spec":")" << spec << R"(","steps":[)";
+	for (uint64_t i = 0; i < steps; i++) {
+		body << (i ? "," : "") << R"({"count":)" << width << R"(,"cpu":)" << cpu_millis
+		     << R"(,"mem_mb":1000)";
+		if (work_ms)
+			body << R"(,"estimated_ms":)" << work_ms;
+		else
+			body << R"(,"long_running":true)";
+		if (i)
+			body << R"(,"depends_on":[)" << i - 1 << "]";
+		body << "}";
+	}
+	body << "]}";
+	*job = {id, queue, body.str(), std::vector<uint64_t>(steps, width), work_ms == 0};
+	time.at(due_ns, [this, job] { hand_in(job); });
+}
+
+void Fleet::hand_in(const std::shared_ptr<Job> &job)
+{
+	job->attempts++;
+	ask(any_replica(), WL_LISTENER_CALLER, "/" + job->queue + "/" + job->id, job->body,
+	    CALLER_TIMEOUT_MS, [this, job](uint64_t status, const std::string &) {
+		    if (status == 200)
+			    record.job_accepted(job->id, job->widths, job->lasting, time.now_ns);
+		    else if (job->attempts < CALLER_ATTEMPTS)
+			    time.after(CALLER_AGAIN_NS, [this, job] { hand_in(job); });
+		    else
+			    record.jobs_refused++;
+	    });
+}
+
+/* One of its lasting tasks, or of the next target's that has any. */
+void Fleet::fail_lasting(size_t target)
+{
+	for (size_t i = 0; i < targets.size(); i++) {
+		if (!targets[(target + i) % targets.size()]->fail_lasting())
+			continue;
+		record.lasting_failed++;
+		return;
+	}
+}
+
+std::string Fleet::figures() const
+{
+	std::ostringstream text;
+
+	text << record.figures() << "; processor used:";
+	for (const auto &replica : replicas)
+		text << " " << replica->name << "="
+		     << replica->busy_ns() * 100 / (time.now_ns - BEGIN_NS) << "%";
+	return text.str();
+}
--- /dev/null
+++ b/tests/support/fleet_record.h
@@ -0,0 +1,59 @@
+#ifndef TESTS_FLEET_RECORD_H
+#define TESTS_FLEET_RECORD_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/* What callers and targets of a fleet saw. */
+class FleetRecord
+{
+      public:
+	void job_accepted(const std::string &job, const std::vector<uint64_t> &widths, bool lasting,
+			  uint64_t now_ns);
+	void run_began(const std::string &task, uint64_t now_ns);
+	void run_ended(const std::string &task, const std::string &how, uint64_t now_ns);
+	void end_seen(const std::string &task, const std::string &how);
+	void room_used(int64_t change_millis);
+	void close(uint64_t now_ns);
+
+	uint64_t longest_gap_ms() const;
+	size_t tasks_left() const;
+	uint64_t starts() const;
+	uint64_t calls() const;
+	uint64_t calls_most() const;
+	std::string figures() const;
+
+	uint64_t starts_begun = 0;
+	uint64_t starts_late = 0;    /* their lease was over */
+	uint64_t starts_refused = 0; /* for anything else */
+	uint64_t starts_unsent = 0;  /* given up before anything of them was sent */
+	uint64_t lapsed = 0;
+	uint64_t twice = 0;	   /* two runs of a task at one time */
+	uint64_t after_done = 0;   /* starts of a task whose end as done was acknowledged */
+	uint64_t jobs_refused = 0; /* no attempt was accepted */
+	uint64_t lasting_failed = 0;
+	uint64_t used_millis = 0;
+	uint64_t used_most_millis = 0;
+	uint64_t room_millis = 0;
+	std::map<std::string, uint64_t> calls_of; /* to targets, by replica */
+
+      private:
+	struct Task {
+		bool accepted = false;
+		bool lasting = false;
+		bool done = false;
+		bool done_seen = false;
+		uint64_t running = 0;
+		uint64_t idle_ns = 0; /* since when nothing of it runs */
+		uint64_t gap_ns = 0;
+	};
+
+	static void gap_end(Task &task, uint64_t now_ns);
+
+	std::map<std::string, Task> tasks;
+};
+
+#endif
--- /dev/null
+++ b/tests/support/fleet_replica.h
@@ -0,0 +1,124 @@
+#ifndef TESTS_FLEET_REPLICA_H
+#define TESTS_FLEET_REPLICA_H
+
+#include "timeline.h"
+
+extern "C" {
+#include <libwlcore/node/node.h>
+}
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+/* An HTTP call that a replica makes. */
+struct FleetCall {
+	uint64_t id;
+	std::string address;
+	std::string path;
+	std::string body;
+	uint64_t until_ns; /* given up then */
+};
+
+/* Processor time on a replica's machine. */
+struct FleetCosts {
+	uint64_t event_ns; /* a decision */
+	uint64_t call_ns;  /* an HTTP call, made or served */
+};
+
+/*
+ * A replica of the store: the decisions of a daemon, a simulated disk, and a simulated processor
+ * that the threads of the daemon share evenly.
+ */
+class FleetReplica
+{
+      public:
+	FleetReplica(Timeline &timeline, const std::vector<std::string> &names, size_t index,
+		     const FleetCosts &costs);
+	~FleetReplica();
+	FleetReplica(const FleetReplica &) = delete;
+	FleetReplica &operator=(const FleetReplica &) = delete;
+
+	void start();
+	void kill();
+	void freeze(uint64_t ms);
+	void event(wl_event_t *event);
+	bool is_up() const;
+	uint64_t busy_ns() const;
+
+	const std::string name;
+	uint64_t term = 0; /* in which it leads; 0: it does not */
+
+	std::function<void(const std::string &to, const std::string &bytes)> on_send;
+	std::function<void(const FleetCall &call)> on_call;
+	std::function<void(const FleetCall &call)> on_unsent;
+	std::function<void(uint64_t call)> on_cancel;
+	std::function<void(uint64_t call, uint64_t status, const std::string &body)> on_reply;
+	std::function<void(const std::string &line)> on_log;
+
+      private:
+	struct Effects {
+		std::vector<std::pair<std::string, std::string>> sends;
+		std::vector<FleetCall> calls;
+		std::vector<uint64_t> cancels; /* calls */
+		std::vector<uint64_t> tickets;
+		struct Reply {
+			uint64_t call;
+			uint64_t status;
+			std::string body;
+		};
+		std::vector<Reply> replies;
+	};
+
+	/* Each takes what waits for it one after the other. */
+	enum Thread {
+		DECIDE,
+		CALL,
+		SERVE,
+		THREADS
+	};
+
+	bool has_work(Thread thread) const;
+	void wake(Thread thread);
+	void work();
+	void work_next(Thread thread);
+	void rest();
+	void decide();
+	void calls_expire();
+	void call_unsent(const FleetCall &call);
+	void cancel(uint64_t id);
+	void call();
+	void serve();
+	void occupy(Thread thread, uint64_t ns, std::function<void()> then);
+	void finish(const std::function<void()> &then);
+	void take(wl_action_t *action, Effects *effects);
+	void log(const std::string &line);
+	void carry_out(const Effects &effects);
+	void sync();
+
+	Timeline &time;
+	const FleetCosts costs;
+	std::vector<wl_node_peer_t> stores;
+	std::string task_chart;
+	std::string target_chart;
+	wl_raft_saved_t saved = {};
+	wl_node_options_t options = {};
+	wl_node_t *node = nullptr;
+	std::deque<wl_event_t> events;
+	std::deque<FleetCall> calls;
+	std::deque<wl_event_t> served;	/* calls of others; the first is in work */
+	std::vector<uint64_t> unsynced; /* tickets */
+	bool syncing = false;
+	bool busy = false;
+	bool waking = false;
+	/* Processor time by thread; one that wakes gets no more for having slept. */
+	uint64_t used_ns[THREADS] = {};
+	uint64_t least_used_ns = 0;
+	uint64_t spent_ns = 0;
+	uint64_t next_tick_ns = 0;
+	uint64_t frozen_until_ns = 0;
+};
+
+#endif
