bench: measure a leader of five replicas under the load of a large fleet

What is gained: wl-bench-jobs measured one replica with short jobs of one step, so that replication, lasting tasks, best-effort work beside them, routes, reads of jobs and a backlog cost nothing. It now plays five replicas, messages packed and unpacked, with 245 more routes, 3.3 lasting tasks a target with a bound on their tail, steps of 10 and 20 tasks, payloads of 600 bytes, and on request waiting tasks that find no room. It counts the leader's time only, and prints a digest of its HTTP calls: a change of cost alone leaves the digest as it is.

--- a/tests/bench/jobs.c
+++ b/tests/bench/jobs.c
@@ -1,315 +1,260 @@
 /*
- * Processor time of scheduling jobs: one replica that leads, targets that answer at once,
- * starts at the rate given.  Prints CSV: targets, starts, microseconds a start, cores.
+ * Processor time of scheduling jobs: five replicas, targets that answer at once, lasting tasks
+ * with a bound on their tail, short jobs of two steps at the rate given, most of them best effort,
+ * reads of jobs, and a backlog that finds no room.
+ *
+ * Usage: wl-bench-jobs [TARGETS [STARTS_PER_S [BACKLOG_TASKS]]]
+ * Prints CSV, of the leader: time is its own, messages packed and unpacked, without calls to
+ * targets.
  */
 
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <time.h>
 
 #include <libwlbase/units.h>
-#include <libwlcore/node/node.h>
-#include <platform/platform.h>
-
-#define RUN_MS	     10000ul /* simulated */
-#define TASK_MS	     700
-#define TASKS	     8 /* of a job */
-#define RUNS_MOST    65536
-#define TARGETS_MOST 2000
-#define FETCHES_MOST 65536
-
-typedef struct run {
-	char name[64];
-	uint64_t number;
-	uint64_t until_ns;
-	size_t target;
-	bool listed;
-} run_t;
-
-typedef struct hold {
-	uint64_t id;
-	uint64_t until_ns; /* 0: none waits */
-} hold_t;
-
-static wl_node_t *node;
-static uint64_t now_ns = 5 * WL_NS_PER_S;
-static uint64_t spent_ns;
-static uint64_t next_call = 1;
-static uint64_t starts;
-static run_t runs[RUNS_MOST];
-static size_t run_count;
-static hold_t holds[TARGETS_MOST];
-static uint64_t next_end[TARGETS_MOST];
-static size_t target_count;
-static wl_fetch_t fetches[FETCHES_MOST];
-static size_t fetch_count;
-
-static uint64_t cpu_ns(void)
+
+#include "replicas.h"
+#include "targets.h"
+
+#define RUN_MS		   10000ul /* simulated */
+#define SETTLE_MS	   4000ul
+#define STEP_MS		   2ul /* of the clock */
+#define REPORT_MS	   1500ul
+#define READ_MS		   1000ul /* each job's state is read so often, the newest jobs */
+#define READ_MOST	   100	  /* jobs */
+#define ROUTES		   245
+#define LASTING_TASKS	   14	/* of a job */
+#define LASTING_PERMILLE   3300 /* tasks a target */
+#define LASTING_IMAGES	   10
+#define BEST_IMAGES	   18
+#define PLAIN_TASKS	   10 /* of a step */
+#define BEST_TASKS	   20
+#define BEST_OF_FOUR	   3 /* of four starts are best effort's */
+#define BEST_CPU_MILLIS	   3500
+#define BACKLOG_CPU_MILLIS 40000
+#define PAYLOAD_BYTES	   600
+#define PATH_BYTES	   64
+#define TARGETS_OF_A_RACK  12
+
+static size_t target_count = 66;
+static uint64_t jobs; /* handed in */
+
+static void catalog_put(size_t node)
 {
-	struct timespec at;
+	wl_buf_t body = {0};
 
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
-	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
+	wl_buf_append(&body, WL_STR("{\"version\":1,\"routes\":["));
+	for (int i = 0; i < ROUTES; i++)
+		wl_buf_printf(&body,
+			      "{\"name\":\"idle%d\",\"host\":\"h%d\",\"path_prefix\":\"/idle%d/\","
+			      "\"timeout_ms\":3000,\"backend\":\"s\",\"priority\":1},",
+			      i, i, i);
+	wl_buf_append(
+		&body,
+		WL_STR("{\"name\":\"plain\",\"host\":\"h\",\"path_prefix\":\"/p/\",\"timeout_ms\":"
+		       "3000,\"backend\":\"s\",\"target_latency_ms\":250,\"slack_factor\":1.5},"
+		       "{\"name\":\"best\",\"host\":\"h\",\"path_prefix\":\"/b/\",\"timeout_ms\":"
+		       "3000,\"backend\":\"s\",\"target_latency_ms\":1000,\"slack_factor\":2,"
+		       "\"priority\":2},"
+		       "{\"name\":\"lasting\",\"host\":\"h\",\"path_prefix\":\"/l/\",\"timeout_ms\""
+		       ":3000,\"backend\":\"s\",\"target_latency_ms\":2500,\"slack_factor\":2}],"
+		       "\"services\":[{\"name\":\"s\"}]}"));
+	replicas_call(node, WL_LISTENER_CONTROL, "POST", "/-/config/replace", wl_buf_str(&body));
+	wl_buf_free(&body);
 }
 
-static void step(wl_event_t *event);
-
-static void act(wl_out_t *out)
+static void report_all(size_t node, uint64_t sequence)
 {
-	for (size_t i = 0; i < out->count; i++) {
-		wl_action_t *action = &out->actions[i];
-
-		if (action->kind == WL_ACTION_FETCH && fetch_count < FETCHES_MOST) {
-			fetches[fetch_count++] = action->fetch;
-			memset(&action->fetch, 0, sizeof(action->fetch));
-		}
-		if (action->kind == WL_ACTION_PERSIST) {
-			wl_event_t done;
-
-			wl_event_init(&done, WL_EVENT_PERSISTED);
-			done.ticket = action->persist.ticket;
-			step(&done);
-		}
+	for (size_t i = 0; i < target_count; i++) {
+		char path[PATH_BYTES];
+		wl_buf_t body = {0};
+
+		snprintf(path, sizeof(path), "/-/instances/i-%012zx/heartbeat", i);
+		wl_buf_printf(
+			&body,
+			"{\"backend\":\"s\",\"address\":\"10.0.0.1:%zu\",\"zone\":\"a\",\"state\":"
+			"\"ready\",\"capacity\":{\"cpu\":32000,\"mem_mb\":128000},\"labels\":["
+			"\"a\",\"r%zu\"],\"clock_ms\":%llu,\"sequence\":%llu,\"born\":1}",
+			i, i / TARGETS_OF_A_RACK,
+			(unsigned long long)(replicas_now_ns() / WL_NS_PER_MS),
+			(unsigned long long)sequence);
+		replicas_call(node, WL_LISTENER_CONTROL, "POST", path, wl_buf_str(&body));
+		wl_buf_free(&body);
 	}
 }
 
-static void step(wl_event_t *event)
+/* Daemons that take jobs pass them on: here the replicas that do not lead. */
+static size_t entry_of(uint64_t job)
 {
-	uint64_t before = cpu_ns();
-	wl_out_t out;
-
-	wl_out_init(&out);
-	wl_node_step(node, now_ns, event, &out);
-	spent_ns += cpu_ns() - before;
-	act(&out);
-	wl_out_free(&out);
-	wl_event_free(event);
-}
+	size_t node = job % (REPLICAS - 1);
 
-static void call(wl_listener_t listener, const char *method, const char *path, const char *body)
-{
-	wl_event_t event;
-
-	wl_event_init(&event, WL_EVENT_CALL);
-	event.call.id = next_call++;
-	event.call.listener = listener;
-	wl_buf_set(&event.call.method, wl_str_from(method));
-	wl_buf_set(&event.call.path, wl_str_from(path));
-	wl_buf_set(&event.call.body, wl_str_from(body));
-	wl_headers_add(&event.call.headers, WL_STR("Host"), WL_STR("h"));
-	step(&event);
+	return node + (node >= replicas_leader());
 }
 
-static void tick(void)
+static void payload_write(wl_buf_t *body, const char *kind, uint64_t run_ms)
 {
-	wl_event_t event;
+	size_t until = body->len + PAYLOAD_BYTES;
 
-	now_ns += 10 * WL_NS_PER_MS;
-	wl_event_init(&event, WL_EVENT_TICK);
-	event.wall_ms = now_ns / WL_NS_PER_MS;
-	step(&event);
+	wl_buf_printf(body, "{\"spec\":\"%s run_ms=%llu ", kind, (unsigned long long)run_ms);
+	while (body->len < until)
+		wl_buf_append(body, WL_STR("0123456789abcdef"));
+	wl_buf_append(body, WL_STR("\",\"steps\":["));
 }
 
-static void answer(uint64_t id, wl_str_t body)
+static void hand_in(const char *prefix, const wl_buf_t *body)
 {
-	wl_event_t event;
-
-	wl_event_init(&event, WL_EVENT_FETCHED);
-	event.fetched.id = id;
-	event.fetched.sent = true;
-	event.fetched.whole = true;
-	event.fetched.status = 200;
-	wl_buf_set(&event.fetched.body, body);
-	step(&event);
+	char path[PATH_BYTES];
+
+	snprintf(path, sizeof(path), "%s%016llx", prefix, (unsigned long long)++jobs);
+	replicas_call(entry_of(jobs), WL_LISTENER_CALLER, "POST", path, wl_buf_str(body));
 }
 
-static void start_take(const wl_fetch_t *fetch, size_t target)
+static void lasting_hand_in(void)
 {
-	run_t *run = &runs[run_count++ % RUNS_MOST];
-	const char *name = strstr(fetch->body.at, "\"task\":\"") + 8;
-
-	memset(run, 0, sizeof(*run));
-	memcpy(run->name, name, strcspn(name, "\""));
-	run->number = 1;
-	run->until_ns = now_ns + TASK_MS * WL_NS_PER_MS;
-	run->target = target;
-	starts++;
+	wl_buf_t body = {0};
+
+	payload_write(&body, "lasting", 0);
+	wl_buf_printf(&body,
+		      "{\"count\":%d,\"cpu\":6400,\"mem_mb\":13000,\"estimated_ms\":70000,"
+		      "\"long_running\":true,\"max_unavailable\":1,\"image\":\"l%llu\","
+		      "\"target_ms\":125}]}",
+		      LASTING_TASKS, (unsigned long long)(jobs % LASTING_IMAGES));
+	hand_in("/l/", &body);
+	wl_buf_free(&body);
 }
 
-static void hold_answer(size_t target, uint64_t id)
+static void plain_hand_in(void)
 {
-	size_t from = run_count > RUNS_MOST ? run_count - RUNS_MOST : 0;
-	wl_buf_t running = {0};
-	wl_buf_t ends = {0};
 	wl_buf_t body = {0};
 
-	for (size_t i = from; i < run_count; i++) {
-		run_t *run = &runs[i % RUNS_MOST];
-
-		if (run->target != target || run->listed)
-			continue;
-		if (run->until_ns <= now_ns) {
-			run->listed = true;
-			wl_buf_printf(&ends, "%s[%llu,\"%s\",1,\"done\",\"\"]", ends.len ? "," : "",
-				      (unsigned long long)++next_end[target], run->name);
-		} else {
-			wl_buf_printf(&running, "%s[\"%s\",1,\"\",50,900]", running.len ? "," : "",
-				      run->name);
-		}
-	}
-	wl_buf_printf(&body, "{\"clock_ms\":%llu,\"born\":1,\"running\":[%s],\"completions\":[%s]}",
-		      (unsigned long long)(now_ns / WL_NS_PER_MS), running.at ? running.at : "",
-		      ends.at ? ends.at : "");
-	answer(id, wl_buf_str(&body));
-	wl_buf_free(&running);
-	wl_buf_free(&ends);
+	payload_write(&body, "plain", 540);
+	for (int i = 0; i < 2; i++)
+		wl_buf_printf(
+			&body,
+			"%s{\"count\":%d,\"cpu\":5000,\"mem_mb\":8200,\"estimated_ms\":540%s}",
+			i ? "," : "", PLAIN_TASKS, i ? ",\"depends_on\":[0]" : "");
+	wl_buf_append(&body, WL_STR("]}"));
+	hand_in("/p/", &body);
 	wl_buf_free(&body);
 }
 
-static bool has_end(size_t target)
+static void best_hand_in(uint64_t cpu_millis)
 {
-	size_t from = run_count > 4096 ? run_count - 4096 : 0;
+	wl_buf_t body = {0};
 
-	for (size_t i = from; i < run_count; i++)
-		if (runs[i % RUNS_MOST].target == target && !runs[i % RUNS_MOST].listed &&
-		    runs[i % RUNS_MOST].until_ns <= now_ns)
-			return true;
-	return false;
+	payload_write(&body, "best-effort", 1900);
+	for (int i = 0; i < 2; i++)
+		wl_buf_printf(&body,
+			      "%s{\"count\":%d,\"cpu\":%llu,\"mem_mb\":6400,\"estimated_ms\":1900,"
+			      "\"checkpointing\":true,\"fills\":true,\"image\":\"b%llu\"%s}",
+			      i ? "," : "", BEST_TASKS, (unsigned long long)cpu_millis,
+			      (unsigned long long)(jobs % BEST_IMAGES),
+			      i ? ",\"depends_on\":[0]" : "");
+	wl_buf_append(&body, WL_STR("]}"));
+	hand_in("/b/", &body);
+	wl_buf_free(&body);
 }
 
-static void targets_play(void)
+/* Each job's state once a READ_MS, spread over it. */
+static void jobs_read(uint64_t ms)
 {
-	size_t count = fetch_count;
-
-	for (size_t i = 0; i < count; i++) {
-		size_t target = strtoul(strchr(fetches[i].address.at, ':') + 1, NULL, 10);
-		bool hold = strstr(fetches[i].path.at, "hold") != NULL;
-
-		if (hold) {
-			holds[target] = (hold_t){fetches[i].id, now_ns + WL_NS_PER_S};
-		} else {
-			char body[64];
-
-			if (strstr(fetches[i].path.at, "start"))
-				start_take(&fetches[i], target);
-			snprintf(body, sizeof(body), "{\"clock_ms\":%llu}",
-				 (unsigned long long)(now_ns / WL_NS_PER_MS));
-			answer(fetches[i].id, wl_str_from(body));
-		}
-		wl_buf_free(&fetches[i].address);
-		wl_buf_free(&fetches[i].method);
-		wl_buf_free(&fetches[i].path);
-		wl_buf_free(&fetches[i].body);
-		wl_list_free(&wl_header_schema, &fetches[i].headers);
-	}
-	memmove(fetches, fetches + count, (fetch_count - count) * sizeof(*fetches));
-	fetch_count -= count;
-	for (size_t i = 0; i < target_count; i++) {
-		hold_t hold = holds[i];
+	static const char *const prefixes[] = {"/p/", "/b/"};
+	uint64_t count = READ_MOST * STEP_MS;
+	char path[PATH_BYTES];
+
+	for (uint64_t i = ms * READ_MOST / READ_MS; i < (ms * READ_MOST + count) / READ_MS; i++) {
+		uint64_t job = jobs - i % READ_MOST;
 
-		if (hold.until_ns == 0 || (now_ns < hold.until_ns && !has_end(i)))
-			continue;
-		holds[i].until_ns = 0;
-		hold_answer(i, hold.id);
+		snprintf(path, sizeof(path), "%s%016llx", prefixes[i % 2], (unsigned long long)job);
+		replicas_call(entry_of(job), WL_LISTENER_CALLER, "GET", path, (wl_str_t){0});
 	}
 }
 
-static void report_all(uint64_t sequence)
+static void load_step(uint64_t ms, uint64_t per_s)
 {
-	char path[64];
-	char body[512];
+	static uint64_t best;
+	static uint64_t plain;
+	uint64_t due = per_s * ms / 1000;
+
+	for (; best * 2 * BEST_TASKS < due * BEST_OF_FOUR / 4; best++)
+		best_hand_in(BEST_CPU_MILLIS);
+	for (; plain * 2 * PLAIN_TASKS < due * (4 - BEST_OF_FOUR) / 4; plain++)
+		plain_hand_in();
+	jobs_read(ms);
+}
 
-	for (size_t i = 0; i < target_count; i++) {
-		snprintf(path, sizeof(path), "/-/instances/i-%zu/heartbeat", i);
-		snprintf(body, sizeof(body),
-			 "{\"backend\":\"s\",\"address\":\"10.0.0.1:%zu\",\"zone\":\"a\",\"state\":"
-			 "\"ready\",\"capacity\":{\"cpu\":32000,\"mem_mb\":128000},\"labels\":["
-			 "\"a\","
-			 "\"r%zu\"],\"clock_ms\":%llu,\"sequence\":%llu,\"born\":1}",
-			 i, i / 12, (unsigned long long)(now_ns / WL_NS_PER_MS),
-			 (unsigned long long)sequence);
-		call(WL_LISTENER_CONTROL, "POST", path, body);
+static void pass(uint64_t ms)
+{
+	static uint64_t passed_ms;
+	static uint64_t sequence;
+
+	for (uint64_t i = 0; i < ms; i += STEP_MS, passed_ms += STEP_MS) {
+		if (replicas_leader() < REPLICAS && passed_ms % REPORT_MS == 0)
+			report_all(replicas_leader(), ++sequence);
+		replicas_pass(STEP_MS * WL_NS_PER_MS);
+		targets_play(replicas_now_ns());
 	}
 }
 
-static void job_hand_in(uint64_t number)
+static bool settle(uint64_t backlog)
 {
-	char path[64];
-
-	snprintf(path, sizeof(path), "/q/%016llx", (unsigned long long)number);
-	call(WL_LISTENER_CALLER, "POST", path,
-	     "{\"spec\":\"work\",\"steps\":[{\"count\":8,\"cpu\":3100,\"mem_mb\":6000,"
-	     "\"estimated_ms\":700}]}");
+	for (int i = 0; i < 10000 && replicas_leader() == REPLICAS; i++)
+		pass(STEP_MS);
+	if (replicas_leader() == REPLICAS)
+		return false;
+	catalog_put(replicas_leader());
+	pass(REPORT_MS + 500);
+	for (uint64_t i = 0; i < target_count * LASTING_PERMILLE / 1000; i += LASTING_TASKS)
+		lasting_hand_in();
+	pass(SETTLE_MS);
+	/* No target has so many processors. */
+	for (uint64_t i = 0; i < backlog; i += BEST_TASKS)
+		best_hand_in(BACKLOG_CPU_MILLIS);
+	pass(SETTLE_MS);
+	return true;
 }
 
-static bool node_make(void)
+static void answered(size_t node, uint64_t id, wl_str_t body)
 {
-	static wl_raft_saved_t saved;
-	static wl_node_peer_t store = {{"s1", 2}, {"127.0.0.1:1", 11}};
-	wl_node_options_t options = {
-		.name = WL_STR("s1"),
-		.availability_zone = WL_STR("a"),
-		.peer_address = WL_STR("127.0.0.1:1"),
-		.store = true,
-		.stores = &store,
-		.store_count = 1,
-		.boot = 1,
-		.store_id = 7,
-		.saved = &saved,
-		.dialect = &wl_platform_dialect,
-		.compact_entries = 1000000,
-	};
-	wl_buf_t charts[2] = {{0}, {0}};
-	const char *const names[2] = {PROJECT_DIR "/charts/task.json",
-				      PROJECT_DIR "/charts/target.json"};
-	wl_err_t err;
-
-	for (int i = 0; i < 2; i++) {
-		FILE *file = fopen(names[i], "re");
-		char bytes[65536];
-		size_t n = file ? fread(bytes, 1, sizeof(bytes), file) : 0;
-
-		wl_buf_set(&charts[i], (wl_str_t){bytes, n});
-		if (file)
-			fclose(file);
-	}
-	options.task_chart = wl_buf_str(&charts[0]);
-	options.target_chart = wl_buf_str(&charts[1]);
-	node = wl_node_new(&options, now_ns, &err);
-	if (!node)
-		fprintf(stderr, "%s\n", err.text);
-	return node != NULL;
+	replicas_answer(node, id, body);
 }
 
 int main(int argc, char **argv)
 {
 	uint64_t per_s = argc > 2 ? strtoul(argv[2], NULL, 10) : 180;
-	uint64_t jobs = 0;
-
-	target_count = argc > 1 ? strtoul(argv[1], NULL, 10) : 66;
-	if (target_count > TARGETS_MOST || !node_make())
+	uint64_t backlog = argc > 3 ? strtoul(argv[3], NULL, 10) : 0;
+	uint64_t starts;
+	uint64_t holds;
+	uint64_t spent_ns;
+	size_t leader;
+
+	if (argc > 1)
+		target_count = strtoul(argv[1], NULL, 10);
+	if (target_count > TARGETS_MOST || !replicas_init(targets_take))
+		return 1;
+	targets_init(target_count, answered);
+	if (!settle(backlog))
 		return 1;
-	for (int i = 0; i < 200; i++)
-		tick();
-	call(WL_LISTENER_CONTROL, "POST", "/-/config/replace",
-	     "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"h\",\"path_prefix\":\"/q/\","
-	     "\"timeout_ms\":3000,\"backend\":\"s\",\"target_latency_ms\":250,\"slack_factor\":1.5}"
-	     "],"
-	     "\"services\":[{\"name\":\"s\"}]}");
-	report_all(1);
-	spent_ns = 0;
-	for (uint64_t ms = 0; ms < RUN_MS; ms += 10) {
-		for (; jobs * TASKS * 1000 < per_s * ms; jobs++)
-			job_hand_in(jobs + 1);
-		if (ms % 1100 == 0)
-			report_all(2 + ms);
-		tick();
-		targets_play();
+	leader = replicas_leader();
+	starts = targets_starts();
+	holds = targets_holds();
+	replicas_count_anew();
+	for (uint64_t ms = 0; ms < RUN_MS; ms += STEP_MS) {
+		load_step(ms, per_s);
+		pass(STEP_MS);
 	}
-	printf("targets,starts,us_a_start,cores\n%zu,%llu,%.1f,%.4f\n", target_count,
-	       (unsigned long long)starts, (double)spent_ns / 1000 / (double)(starts ? starts : 1),
-	       (double)spent_ns / (RUN_MS * WL_NS_PER_MS));
-	wl_node_free(node);
+	starts = targets_starts() - starts;
+	spent_ns = replicas_spent_ns(leader);
+	printf("targets,starts,holds,running,us_a_start,cores,kb_sent,lines,digest\n");
+	printf("%zu,%llu,%llu,%llu,%.1f,%.4f,%llu,%llu,%016llx\n", target_count,
+	       (unsigned long long)starts, (unsigned long long)(targets_holds() - holds),
+	       (unsigned long long)targets_running(),
+	       (double)spent_ns / 1000 / (double)(starts ? starts : 1),
+	       (double)spent_ns / (RUN_MS * WL_NS_PER_MS),
+	       (unsigned long long)(replicas_sent_bytes(leader) / 1024),
+	       (unsigned long long)replicas_logged(leader),
+	       (unsigned long long)replicas_digest(leader));
+	replicas_free();
+	targets_free();
 	return 0;
 }
--- /dev/null
+++ b/tests/bench/replicas.h
@@ -0,0 +1,27 @@
+#ifndef WL_BENCH_REPLICAS_H
+#define WL_BENCH_REPLICAS_H
+
+#include <libwlcore/model/event.h>
+
+/* Five replicas in one process, on a network and disks that take one step of the clock. */
+
+#define REPLICAS 5
+
+/* Called with each HTTP call that a replica makes. */
+typedef void (*replicas_fetch_t)(size_t node, const wl_fetch_t *fetch, uint64_t now_ns);
+
+bool replicas_init(replicas_fetch_t fetch);
+void replicas_free(void);
+void replicas_pass(uint64_t ns); /* lets time pass, delivers and ticks */
+void replicas_call(size_t node, wl_listener_t listener, const char *method, const char *path,
+		   wl_str_t body);
+void replicas_answer(size_t node, uint64_t id, wl_str_t body);
+uint64_t replicas_now_ns(void);
+size_t replicas_leader(void); /* REPLICAS: none yet */
+uint64_t replicas_spent_ns(size_t node);
+uint64_t replicas_sent_bytes(size_t node);
+uint64_t replicas_logged(size_t node);
+uint64_t replicas_digest(size_t node); /* of all its HTTP calls, in order */
+void replicas_count_anew(void);
+
+#endif
