job: look for targets to forget only when one has left long enough

Change: the state remembers the earliest time at which a target left, and walks the list only once that is over the limit.

--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -92,6 +92,7 @@
 	struct wl_job_list ended; /* in the order in which they ended */
 	wl_map_t by_runner;
 	struct wl_runner_list runners;
+	uint64_t left_first_ms; /* no runner left before; 0: none has left */
 	uint64_t run_count;
 } wl_jobs_t;
 
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -29,15 +29,27 @@
 	free(runner);
 }
 
+static void left_note(wl_jobs_t *jobs, uint64_t left_ms)
+{
+	if (left_ms && (jobs->left_first_ms == 0 || left_ms < jobs->left_first_ms))
+		jobs->left_first_ms = left_ms;
+}
+
 void wl_runners_expire(wl_jobs_t *jobs, uint64_t clock_ms)
 {
 	wl_runner_t *runner = TAILQ_FIRST(&jobs->runners);
 
+	/* Called with each command: most find nothing to forget. */
+	if (jobs->left_first_ms == 0 || clock_ms - jobs->left_first_ms <= LEFT_KEEP_MS)
+		return;
+	jobs->left_first_ms = 0;
 	while (runner) {
 		wl_runner_t *next = TAILQ_NEXT(runner, link);
 
 		if (runner->left_ms && clock_ms - runner->left_ms > LEFT_KEEP_MS)
 			wl_runner_drop(jobs, runner);
+		else
+			left_note(jobs, runner->left_ms);
 		runner = next;
 	}
 }
@@ -68,6 +80,7 @@
 static void runner_left(wl_jobs_t *jobs, wl_runner_t *runner, uint64_t clock_ms)
 {
 	runner->left_ms = clock_ms ? clock_ms : 1;
+	left_note(jobs, runner->left_ms);
 	runs_clear(jobs, runner);
 }
 
@@ -156,6 +169,7 @@
 	wl_runner_t *runner = runner_add(jobs, &record->report);
 
 	runner->left_ms = record->left_ms;
+	left_note(jobs, runner->left_ms);
 	wl_record_free(&wl_runner_record_schema, record);
 	return runner;
 }
--- /dev/null
+++ b/tests/unit/jobs_test.cc
@@ -0,0 +1,95 @@
+extern "C" {
+#include <libwlcore/job/jobs.h>
+}
+
+#include <map>
+#include <random>
+#include <string>
+
+#include <gtest/gtest.h>
+
+/* The replicated state of jobs, without a log or a scheduler. */
+
+namespace
+{
+constexpr uint64_t KEEP_MS = 60000; /* for which a target that left is remembered */
+
+class Jobs : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		wl_jobs_init(&jobs, 1000);
+	}
+	void TearDown() override
+	{
+		wl_jobs_clear(&jobs);
+	}
+
+	void report(const std::string &id, uint64_t life, bool left, uint64_t clock_ms)
+	{
+		wl_result_t result = {};
+		wl_cmd_t cmd = {};
+
+		cmd.kind = WL_CMD_RUNNER_PUT;
+		wl_buf_set(&cmd.u.runner_put.id, {id.data(), id.size()});
+		cmd.u.runner_put.life = life;
+		cmd.u.runner_put.left = left;
+		wl_jobs_apply(&jobs, &cmd, clock_ms, &result);
+		wl_result_free(&result);
+		wl_cmd_free(&cmd);
+	}
+	bool known(const std::string &id) const
+	{
+		return wl_jobs_runner(&jobs, {id.data(), id.size()}) != nullptr;
+	}
+
+	wl_jobs_t jobs = {};
+};
+} // namespace
+
+TEST_F(Jobs, EachTargetThatLeftIsForgottenAtItsOwnTime)
+{
+	report("a", 1, false, 1000);
+	report("b", 1, false, 1000);
+	report("c", 1, false, 1000);
+	report("b", 1, true, 2000);
+	report("a", 1, true, 3000);
+	wl_jobs_expire(&jobs, 2000 + KEEP_MS);
+	EXPECT_TRUE(known("b"));
+	wl_jobs_expire(&jobs, 2001 + KEEP_MS);
+	EXPECT_FALSE(known("b"));
+	wl_jobs_expire(&jobs, 3000 + KEEP_MS);
+	EXPECT_TRUE(known("a"));
+	wl_jobs_expire(&jobs, 3001 + KEEP_MS);
+	EXPECT_FALSE(known("a"));
+	EXPECT_TRUE(known("c"));
+}
+
+/* Against a plain table of when each target left: targets come, leave and come back at random. */
+TEST_F(Jobs, ForgettingAgreesWithATableAtEveryMoment)
+{
+	std::mt19937 random(7);
+	std::map<std::string, uint64_t> left; /* 0: there */
+	uint64_t clock_ms = 1;
+
+	for (uint64_t i = 0; i < 20000; i++) {
+		std::string id = "t" + std::to_string(random() % 12);
+		bool leaves = random() % 2 != 0;
+
+		clock_ms += random() % 2000;
+		wl_jobs_expire(&jobs, clock_ms);
+		for (auto it = left.begin(); it != left.end();)
+			it = it->second && clock_ms - it->second > KEEP_MS ? left.erase(it)
+									   : std::next(it);
+		for (int k = 0; k < 12; k++)
+			ASSERT_EQ(known("t" + std::to_string(k)),
+				  left.count("t" + std::to_string(k)) == 1)
+				<< i;
+		report(id, i + 1, leaves, clock_ms);
+		if (!leaves)
+			left[id] = 0;
+		else if (left.count(id))
+			left[id] = clock_ms;
+	}
+}
