sched: ask what a target's room answers before what its tails answer

Change: a target keeps a list of its serving runs, and wl_fit_fits() is split into room and tails, so that the forecast is made only for targets with room.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -63,32 +63,48 @@
 	return most < TAIL_EXTREME_PERMILLE ? most : TAIL_EXTREME_PERMILLE;
 }
 
-/* Best-effort work disturbs what serves users, and needs processors that are left over. */
-static bool best_effort_room(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+/* Best-effort work needs processors that are left over. */
+static bool best_effort_room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
 {
-	const wl_step_spec_t *step = question->step;
 	uint64_t idle = runner->serving_millis * SERVING_IDLE_PERMILLE / WL_PERMILLE;
 	uint64_t taken = runner->used.cpu_millis - idle + runner->best_effort_millis;
 
-	if (!step->best_effort)
-		return true;
-	return taken + step->cpu_millis <= runner->capacity.cpu_millis &&
-	       runner->tail_permille <= tail_most_permille(question);
+	return !step->best_effort || taken + step->cpu_millis <= runner->capacity.cpu_millis;
 }
 
 /*
- * wl_fit_fits - may a task of the step start on the target now
+ * wl_fit_has_room - is the target there for the step, and has it room for one more task
  */
-bool wl_fit_fits(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+bool wl_fit_has_room(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
 {
 	const wl_step_spec_t *step = question->step;
 
-	if (!runner->usable || !wl_fit_ever(question, runner) || !room(step, runner) ||
-	    !best_effort_room(question, runner))
+	return runner->usable && room(step, runner) && best_effort_room(step, runner) &&
+	       wl_fit_ever(question, runner);
+}
+
+/*
+ * wl_fit_allows - may a task of the step start beside what runs on a target that has room
+ *
+ * Needs the target's same_step, and its tail_permille for best-effort work.
+ */
+bool wl_fit_allows(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	const wl_step_spec_t *step = question->step;
+
+	if (step->best_effort && runner->tail_permille > tail_most_permille(question))
 		return false;
 	return step->max_per_target == 0 || runner->same_step < step->max_per_target;
 }
 
+/*
+ * wl_fit_fits - may a task of the step start on the target now
+ */
+bool wl_fit_fits(const wl_fit_question_t *question, const wl_fit_runner_t *runner)
+{
+	return wl_fit_has_room(question, runner) && wl_fit_allows(question, runner);
+}
+
 static int64_t free_millis(const wl_fit_runner_t *runner)
 {
 	return (int64_t)runner->capacity.cpu_millis - (int64_t)runner->used.cpu_millis -
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -37,6 +37,8 @@
 } wl_fit_policy_t;
 
 const wl_fit_policy_t *wl_fit_policy_find(wl_str_t name);
+bool wl_fit_has_room(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
+bool wl_fit_allows(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
 bool wl_fit_fits(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
 bool wl_fit_ever(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -55,6 +55,7 @@
 	uint64_t slow_ns;	/* since when it has been held nearly still; 0: it is not */
 	wl_buf_t checkpoint;
 	TAILQ_ENTRY(wl_sched_run) link; /* of its runner */
+	TAILQ_ENTRY(wl_sched_run) serving_link;
 } wl_sched_run_t;
 
 TAILQ_HEAD(wl_sched_runs, wl_sched_run);
@@ -65,7 +66,8 @@
 	wl_buf_t id;
 	wl_runner_t *state;
 	struct wl_sched_runs runs;
-	wl_fit_runner_t fit; /* what placement looks at */
+	struct wl_sched_runs serving; /* those of them that serve */
+	wl_fit_runner_t fit;	      /* what placement looks at */
 	/* its clock: at least clock_ms at clock_ns on ours; 0: never heard */
 	uint64_t clock_ms;
 	uint64_t clock_ns;
@@ -229,6 +231,7 @@
 uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, wl_sched_runner_t *runner,
 				unsigned int image, uint64_t cpu_millis);
 bool wl_sched_tails_watched(const wl_sched_t *sched, wl_sched_runner_t *runner);
+void wl_sched_pressed_follow(const wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_window_follow(wl_sched_runner_t *runner, uint64_t now_ns);
 
 /* runners.c */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -29,12 +29,30 @@
 	const wl_sched_run_t *run;
 	uint64_t sum = 0;
 
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->serving && run->image != image)
+	TAILQ_FOREACH (run, &runner->serving, serving_link)
+		if (run->image != image)
 			sum += run->need.cpu_millis;
 	return sum;
 }
 
+/* Whether a task may start on a target; what costs most to know is worked out last. */
+static bool runner_takes(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_bundle_t *bundle,
+			 const wl_fit_question_t *question)
+{
+	const wl_step_spec_t *step = question->step;
+	bool disturbs = step->best_effort && runner->fit.serving;
+
+	if (disturbs)
+		wl_sched_pressed_follow(sched, runner);
+	if (!wl_fit_has_room(question, &runner->fit))
+		return false;
+	runner->fit.same_step = step->max_per_target ? same_step(runner, bundle) : 0;
+	runner->fit.tail_permille =
+		disturbs ? wl_sched_tail_forecast(sched, runner, bundle->image, step->cpu_millis)
+			 : 0;
+	return wl_fit_allows(question, &runner->fit);
+}
+
 static wl_sched_runner_t *runner_choose(wl_sched_t *sched, const wl_bundle_t *bundle,
 					const wl_fit_question_t *question)
 {
@@ -45,15 +63,7 @@
 	TAILQ_FOREACH (runner, &sched->runners, link) {
 		int64_t score;
 
-		runner->fit.same_step = question->step->max_per_target && runner->fit.usable
-						? same_step(runner, bundle)
-						: 0;
-		runner->fit.tail_permille =
-			question->step->best_effort && runner->fit.serving
-				? wl_sched_tail_forecast(sched, runner, bundle->image,
-							 question->step->cpu_millis)
-				: 0;
-		if (!wl_fit_fits(question, &runner->fit))
+		if (!runner_takes(sched, runner, bundle, question))
 			continue;
 		runner->fit.other_image_millis =
 			question->step->lasting ? other_image_millis(runner, bundle->image) : 0;
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -84,6 +84,7 @@
 		runner->hold_due_ns = now_ns;
 		runner->lease_floor_ns = sched->led_ns + slow_ns(sched->options.lease_most_ms);
 		TAILQ_INIT(&runner->runs);
+		TAILQ_INIT(&runner->serving);
 		wl_map_put(&sched->by_runner, runner);
 		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
 	}
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -92,6 +92,8 @@
 	need_add(runner, run);
 	wl_map_put(&sched->by_run, run);
 	TAILQ_INSERT_TAIL(&runner->runs, run, link);
+	if (run->serving)
+		TAILQ_INSERT_TAIL(&runner->serving, run, serving_link);
 	return run;
 }
 
@@ -103,6 +105,8 @@
 	need_take(run->runner, run);
 	wl_map_remove(&sched->by_run, run->key);
 	TAILQ_REMOVE(&run->runner->runs, run, link);
+	if (run->serving)
+		TAILQ_REMOVE(&run->runner->serving, run, serving_link);
 	wl_buf_free(&run->text);
 	wl_buf_free(&run->job);
 	wl_buf_free(&run->checkpoint);
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -67,7 +67,10 @@
 	runner->window_ns = now_ns;
 }
 
-static void pressed_follow(const wl_sched_t *sched, wl_sched_runner_t *runner)
+/*
+ * wl_sched_pressed_follow - bring up to date what best-effort work takes from serving tasks
+ */
+void wl_sched_pressed_follow(const wl_sched_t *sched, wl_sched_runner_t *runner)
 {
 	wl_press_shares_t planned = {0};
 	wl_sched_run_t *run;
@@ -78,9 +81,8 @@
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (is_pressing(run))
 			planned.of[run->image] += share_of(run);
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->serving)
-			run->pressed = wl_press_sum(&sched->press, run->image, &planned);
+	TAILQ_FOREACH (run, &runner->serving, serving_link)
+		run->pressed = wl_press_sum(&sched->press, run->image, &planned);
 }
 
 /*
@@ -95,12 +97,12 @@
 	const wl_sched_run_t *run;
 	uint64_t worst = 0;
 
-	pressed_follow(sched, runner);
-	TAILQ_FOREACH (run, &runner->runs, link) {
+	wl_sched_pressed_follow(sched, runner);
+	TAILQ_FOREACH (run, &runner->serving, serving_link) {
 		double headroom;
 		uint64_t tail;
 
-		if (!run->serving || run->level.at_ns == 0)
+		if (run->level.at_ns == 0)
 			continue;
 		headroom = run->level.headroom - run->pressed -
 			   share * wl_press_weight(&sched->press, run->image, image);
@@ -145,10 +147,9 @@
 
 	if (!runner->fit.serving || !runner->fit.best_effort_millis)
 		return false;
-	pressed_follow(sched, runner);
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->serving && (run->level.at_ns == 0 ||
-				     run->level.headroom - run->pressed < HEADROOM_WATCHED))
+	wl_sched_pressed_follow(sched, runner);
+	TAILQ_FOREACH (run, &runner->serving, serving_link)
+		if (run->level.at_ns == 0 || run->level.headroom - run->pressed < HEADROOM_WATCHED)
 			return true;
 	return false;
 }
@@ -251,8 +252,8 @@
 {
 	wl_sched_run_t *run;
 
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->serving && run->listed && run->load > 0)
+	TAILQ_FOREACH (run, &runner->serving, serving_link)
+		if (run->listed && run->load > 0)
 			figure_learn(sched, now_ns, run);
 	runner->pressed_due = true;
 	if (runner->fit.best_effort_millis)
