sched: score targets once for the tasks of a step

Change: the targets that fit are listed with their scores once for a step in a look; after each task only the target that took it is asked again. A step that prefers one rack asks all again once its first task has a rack. Among equals the first in the list is taken, as before.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -2,6 +2,9 @@
 
 #include "internal.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 #define MISSES_MOST   64   /* bundles that fit nowhere before the rest waits for the next look */
 #define LOOK_LEAST_US 2000 /* between two looks: what comes together is committed together */
 /* With a backlog on a large fleet looks would take all processor time: they get a share of it. */
@@ -53,29 +56,63 @@
 	return wl_fit_allows(question, &runner->fit);
 }
 
-static wl_sched_runner_t *runner_choose(wl_sched_t *sched, const wl_bundle_t *bundle,
-					const wl_fit_question_t *question)
+/* Targets that the next task of a step may start on, in the order of all targets. */
+typedef struct candidate {
+	wl_sched_runner_t *runner;
+	int64_t score;
+} candidate_t;
+
+typedef struct candidates {
+	candidate_t *items; /* room for all targets */
+	size_t count;
+} candidates_t;
+
+static bool candidate_make(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_bundle_t *bundle,
+			   const wl_fit_question_t *question, candidate_t *candidate)
+{
+	if (!runner_takes(sched, runner, bundle, question))
+		return false;
+	runner->fit.other_image_millis =
+		question->step->lasting ? other_image_millis(runner, bundle->image) : 0;
+	*candidate = (candidate_t){runner, sched->fit->score(question, &runner->fit)};
+	return true;
+}
+
+static void candidates_fill(wl_sched_t *sched, const wl_bundle_t *bundle,
+			    const wl_fit_question_t *question, candidates_t *candidates)
 {
 	wl_sched_runner_t *runner;
-	wl_sched_runner_t *best = NULL;
-	int64_t best_score = 0;
 
-	TAILQ_FOREACH (runner, &sched->runners, link) {
-		int64_t score;
+	candidates->count = 0;
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		candidates->count += candidate_make(sched, runner, bundle, question,
+						    &candidates->items[candidates->count]);
+}
 
-		if (!runner_takes(sched, runner, bundle, question))
-			continue;
-		runner->fit.other_image_millis =
-			question->step->lasting ? other_image_millis(runner, bundle->image) : 0;
-		score = sched->fit->score(question, &runner->fit);
-		if (best && score <= best_score)
-			continue;
-		best = runner;
-		best_score = score;
-	}
+/* The first of those with the highest score, or NULL. */
+static candidate_t *candidates_best(candidates_t *candidates)
+{
+	candidate_t *best = NULL;
+
+	for (size_t i = 0; i < candidates->count; i++)
+		if (!best || candidates->items[i].score > best->score)
+			best = &candidates->items[i];
 	return best;
 }
 
+/* A task of the step was given to a target: only that one has to be asked again. */
+static void candidate_follow(wl_sched_t *sched, const wl_bundle_t *bundle,
+			     const wl_fit_question_t *question, candidates_t *candidates,
+			     candidate_t *candidate)
+{
+	candidate_t *end = candidates->items + candidates->count;
+
+	if (candidate_make(sched, candidate->runner, bundle, question, candidate))
+		return;
+	memmove(candidate, candidate + 1, (size_t)(end - candidate - 1) * sizeof(*candidate));
+	candidates->count--;
+}
+
 static void start_add(wl_sched_t *sched, const wl_sched_run_t *run)
 {
 	wl_run_start_t *row = wl_list_add(&wl_run_start_schema, &sched->starts.runs);
@@ -117,22 +154,22 @@
 
 /* Members of a gang start together or not at all: what was reserved is given back. */
 static bool gang_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle,
-		       const wl_fit_question_t *question)
+		       const wl_fit_question_t *question, candidates_t *candidates)
 {
 	size_t members = wl_job_step(bundle->job, bundle->step)->count;
 	size_t first_row = sched->starts.runs.count;
 	wl_run_start_t *rows;
+	candidate_t *best;
 	uint64_t number;
 
 	if (bundle->count < members)
 		return false;
 	number = next_number(bundle, bundle->tasks[0]);
-	while (bundle->count > 0) {
-		wl_sched_runner_t *runner = runner_choose(sched, bundle, question);
-
-		if (!runner)
-			break;
-		task_place(sched, now_ns, bundle, number, runner);
+	candidates_fill(sched, bundle, question, candidates);
+	while (bundle->count > 0 && (best = candidates_best(candidates))) {
+		task_place(sched, now_ns, bundle, number, best->runner);
+		if (bundle->count > 0)
+			candidate_follow(sched, bundle, question, candidates, best);
 	}
 	if (bundle->count == 0)
 		return true;
@@ -148,8 +185,40 @@
 	return false;
 }
 
+/* A step that prefers one rack knows it once its first task has been placed. */
+static bool rack_follow(const wl_bundle_t *bundle, wl_fit_question_t *question)
+{
+	bool changes = question->step->same_rack && !wl_str_equal(question->rack, bundle->rack);
+
+	question->rack = bundle->rack;
+	return changes;
+}
+
+static bool tasks_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle,
+			wl_fit_question_t *question, candidates_t *candidates)
+{
+	question->rack = bundle->rack;
+	candidates_fill(sched, bundle, question, candidates);
+	while (bundle->count > 0) {
+		candidate_t *best = candidates_best(candidates);
+
+		if (!best)
+			return false;
+		task_place(sched, now_ns, bundle,
+			   next_number(bundle, bundle->tasks[bundle->count - 1]), best->runner);
+		if (bundle->count == 0)
+			break;
+		if (rack_follow(bundle, question))
+			candidates_fill(sched, bundle, question, candidates);
+		else
+			candidate_follow(sched, bundle, question, candidates, best);
+	}
+	return true;
+}
+
 /* False when a task of it fits nowhere. */
-static bool bundle_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle)
+static bool bundle_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle,
+			 candidates_t *candidates)
 {
 	const wl_queue_t *queue =
 		wl_catalog_queue(&sched->jobs->catalog, wl_buf_str(&bundle->job->record.queue));
@@ -160,18 +229,8 @@
 	};
 
 	if (question.step->gang)
-		return gang_place(sched, now_ns, bundle, &question);
-	while (bundle->count > 0) {
-		wl_sched_runner_t *runner;
-
-		question.rack = bundle->rack;
-		runner = runner_choose(sched, bundle, &question);
-		if (!runner)
-			return false;
-		task_place(sched, now_ns, bundle,
-			   next_number(bundle, bundle->tasks[bundle->count - 1]), runner);
-	}
-	return true;
+		return gang_place(sched, now_ns, bundle, &question, candidates);
+	return tasks_place(sched, now_ns, bundle, &question, candidates);
 }
 
 /* The least need that found no target in a pass: what needs as much finds none either. */
@@ -185,6 +244,7 @@
 	floor_t plain;
 	floor_t best_effort[WL_IMAGES_MOST]; /* by image: they differ in what they disturb */
 	size_t misses;
+	candidates_t candidates;
 } pass_t;
 
 static floor_t *floor_of(pass_t *pass, const wl_bundle_t *bundle)
@@ -242,15 +302,19 @@
 
 	sched->place_due = false;
 	wl_sched_queue_sort(sched, now_ns);
+	pass.candidates.items =
+		wl_alloc(wl_map_count(&sched->by_runner) * sizeof(*pass.candidates.items));
 	bundle = TAILQ_FIRST(&sched->waiting);
 	while (bundle && pass.misses < MISSES_MOST) {
 		wl_bundle_t *next = TAILQ_NEXT(bundle, link);
 
-		if (!below_floor(&pass, bundle) && !bundle_place(sched, now_ns, bundle))
+		if (!below_floor(&pass, bundle) &&
+		    !bundle_place(sched, now_ns, bundle, &pass.candidates))
 			floor_lower(&pass, bundle);
 		wl_sched_bundle_settle(sched, bundle);
 		bundle = next;
 	}
+	free(pass.candidates.items);
 	sched->place_next_ns = next_look_ns(sched, &pass, now_ns);
 	if (sched->starts.runs.count == 0)
 		return;
