daemon: answer GET /metrics on a listener of its own

No metric of ours was to be had while an incident was examined.

The listener serves GET /metrics through the same route as the control listener and answers every other call with 404, with a dialect too.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -30,6 +30,7 @@
 #define FILE_LOOK_MS	  1000 /* between two looks whether the settings file changed */
 #define LAST_ANSWERS_MS	  1000 /* least time for them, even when the stop is late */
 #define SPARE_DESCRIPTORS 1024 /* beside those of callers: targets, peers, files */
+#define METRICS_CALLERS	  16   /* connections of the listener for metrics */
 #define LAST_LOG_MS	  100  /* for the logger, before an end at once */
 
 typedef struct wl_daemon {
@@ -45,6 +46,7 @@
 	wl_http_client_t *client;
 	wl_http_server_t *caller;
 	wl_http_server_t *control;
+	wl_http_server_t *metrics;
 	wl_buf_t peer_address;
 	wl_node_t *node;
 	wl_decide_t *decide;
@@ -206,19 +208,29 @@
 	return daemon->node != NULL;
 }
 
+typedef struct server_place {
+	const wl_buf_t *listen;
+	uint64_t connections;
+	uint64_t first_call;
+} server_place_t;
+
 static wl_http_server_t *server_open(wl_daemon_t *daemon, wl_listener_t listener, wl_err_t *err)
 {
 	const wl_settings_t *s = daemon->settings;
-	bool caller = listener == WL_LISTENER_CALLER;
+	const server_place_t places[] = {
+		[WL_LISTENER_CALLER] = {&s->caller_listen, s->max_connections, WL_CALLER_FIRST},
+		[WL_LISTENER_CONTROL] = {&s->control_listen, s->max_connections, WL_CONTROL_FIRST},
+		[WL_LISTENER_METRICS] = {&s->metrics_listen, METRICS_CALLERS, WL_METRICS_FIRST},
+	};
 	wl_http_server_options_t options = {
-		.listen = wl_buf_str(caller ? &s->caller_listen : &s->control_listen),
+		.listen = wl_buf_str(places[listener].listen),
 		.listener = listener,
 		.max_body_bytes = s->max_body_bytes,
 		.max_header_bytes = s->max_header_bytes,
-		.max_connections = s->max_connections,
+		.max_connections = places[listener].connections,
 		.idle_ms = s->http_idle_ms,
 		.events = daemon->events,
-		.first_call = caller ? WL_CALLER_FIRST : WL_CONTROL_FIRST,
+		.first_call = places[listener].first_call,
 		.call_step = WL_CALL_STEP,
 	};
 
@@ -242,6 +254,11 @@
 	daemon->control = server_open(daemon, WL_LISTENER_CONTROL, err);
 	if (!daemon->control)
 		return false;
+	if (s->metrics_listen.len > 0) {
+		daemon->metrics = server_open(daemon, WL_LISTENER_METRICS, err);
+		if (!daemon->metrics)
+			return false;
+	}
 	if (s->entry)
 		daemon->caller = server_open(daemon, WL_LISTENER_CALLER, err);
 	return daemon->caller || !s->entry;
@@ -256,6 +273,7 @@
 		.client = daemon->client,
 		.caller = daemon->caller,
 		.control = daemon->control,
+		.metrics = daemon->metrics,
 		.disk = daemon->disk,
 		.notice_fd = daemon->notice_fd,
 	};
@@ -272,6 +290,11 @@
 	       decide_open(daemon, err);
 }
 
+static unsigned int metrics_port(const wl_daemon_t *daemon)
+{
+	return daemon->metrics ? wl_http_server_port(daemon->metrics) : 0;
+}
+
 /* Whoever reads the file sees it whole or not at all. */
 static bool ready_write(const wl_daemon_t *daemon, wl_err_t *err)
 {
@@ -284,13 +307,13 @@
 		return true;
 	wl_buf_printf(&part, "%s.part", path->at);
 	file = fopen(part.at, "we");
-	ok = file &&
-	     fprintf(file,
-		     "{\"name\":\"%s\",\"pid\":%d,\"caller\":%u,\"control\":%u,"
-		     "\"peer\":%u}\n",
-		     daemon->settings->name.at, (int)getpid(),
-		     daemon->caller ? wl_http_server_port(daemon->caller) : 0,
-		     wl_http_server_port(daemon->control), wl_peers_port(daemon->peers)) > 0;
+	ok = file && fprintf(file,
+			     "{\"name\":\"%s\",\"pid\":%d,\"caller\":%u,\"control\":%u,"
+			     "\"peer\":%u,\"metrics\":%u}\n",
+			     daemon->settings->name.at, (int)getpid(),
+			     daemon->caller ? wl_http_server_port(daemon->caller) : 0,
+			     wl_http_server_port(daemon->control), wl_peers_port(daemon->peers),
+			     metrics_port(daemon)) > 0;
 	if (file)
 		ok = fclose(file) == 0 && ok;
 	ok = ok && rename(part.at, path->at) == 0;
@@ -314,11 +337,11 @@
 {
 	wl_log_event(WL_INFO, "ready",
 		     "version=" WL_VERSION " role=%s availability_zone=%s caller_port=%u "
-		     "control_port=%u peer_port=%u peer_address=%s",
+		     "control_port=%u metrics_port=%u peer_port=%u peer_address=%s",
 		     daemon->settings->role.at, daemon->settings->availability_zone.at,
 		     daemon->caller ? wl_http_server_port(daemon->caller) : 0,
-		     wl_http_server_port(daemon->control), wl_peers_port(daemon->peers),
-		     daemon->peer_address.at);
+		     wl_http_server_port(daemon->control), metrics_port(daemon),
+		     wl_peers_port(daemon->peers), daemon->peer_address.at);
 	descriptors_log(daemon->settings);
 	if (daemon->settings->operator_token.len == 0 || daemon->settings->target_token.len == 0)
 		wl_log_event(WL_WARN, "open-control", "operator_token=%s target_token=%s",
@@ -486,6 +509,7 @@
 	wl_decide_stop(daemon->decide);
 	wl_http_server_stop(daemon->caller);
 	wl_http_server_stop(daemon->control);
+	wl_http_server_stop(daemon->metrics);
 	wl_http_client_stop(daemon->client);
 	wl_peers_stop(daemon->peers);
 	wl_disk_stop(daemon->disk);
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -117,10 +117,18 @@
 		      wl_buf_str(&action->address));
 }
 
+static wl_http_server_t *server_of(const wl_decide_t *decide, uint64_t call)
+{
+	if (call % WL_CALL_STEP == WL_CALLER_FIRST % WL_CALL_STEP)
+		return decide->options.caller;
+	if (call % WL_CALL_STEP == WL_CONTROL_FIRST % WL_CALL_STEP)
+		return decide->options.control;
+	return decide->options.metrics;
+}
+
 static void do_reply(wl_decide_t *decide, wl_action_t *action)
 {
-	bool caller = action->reply.call % WL_CALL_STEP == WL_CALLER_FIRST % WL_CALL_STEP;
-	wl_http_server_t *server = caller ? decide->options.caller : decide->options.control;
+	wl_http_server_t *server = server_of(decide, action->reply.call);
 
 	if (server)
 		wl_http_server_reply(server, &action->reply);
--- a/daemon/decide.h
+++ b/daemon/decide.h
@@ -10,10 +10,11 @@
 
 /* The thread that steps the node and carries out what it asks for. */
 
-/* Ids of HTTP calls: one sequence for both listeners, odd and even. */
+/* Ids of HTTP calls: one sequence for all listeners, each takes every third. */
 #define WL_CALLER_FIRST	 1
 #define WL_CONTROL_FIRST 2
-#define WL_CALL_STEP	 2
+#define WL_METRICS_FIRST 3
+#define WL_CALL_STEP	 3
 
 typedef enum wl_outcome {
 	WL_OUTCOME_NONE,    /* goes on */
@@ -29,8 +30,9 @@
 	wl_http_client_t *client;
 	wl_http_server_t *caller; /* NULL without the role entry */
 	wl_http_server_t *control;
-	wl_disk_t *disk; /* NULL without the role store */
-	int notice_fd;	 /* eventfd, written once there is an outcome */
+	wl_http_server_t *metrics; /* NULL without --metrics-listen */
+	wl_disk_t *disk;	   /* NULL without the role store */
+	int notice_fd;		   /* eventfd, written once there is an outcome */
 } wl_decide_options_t;
 
 typedef struct wl_decide wl_decide_t;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -56,6 +56,8 @@
 	ADDRESS("caller-listen", caller_listen, "127.0.0.1:8080", "listener for callers"),
 	ADDRESS("control-listen", control_listen, "127.0.0.1:8081",
 		"listener for operators and targets"),
+	ADDRESS("metrics-listen", metrics_listen, NULL,
+		"listener that answers GET /metrics alone; without one, there is none"),
 	ADDRESS("peer-listen", peer_listen, "127.0.0.1:8082", "listener for other daemons"),
 	ADDRESS("peer-advertise", peer_advertise, NULL,
 		"what other daemons dial, where it is not the peer listener"),
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -16,6 +16,7 @@
 	wl_buf_t role;
 	wl_buf_t caller_listen;
 	wl_buf_t control_listen;
+	wl_buf_t metrics_listen;
 	wl_buf_t peer_listen;
 	wl_buf_t peer_advertise;
 	wl_buf_t store_peers;
--- a/libwlcore/api/api.c
+++ b/libwlcore/api/api.c
@@ -17,11 +17,14 @@
 	WHO_CALLER, /* the handler checks the customer */
 } who_t;
 
+#define ON_CALLER  (1u << WL_LISTENER_CALLER)
+#define ON_CONTROL (1u << WL_LISTENER_CONTROL)
+#define ON_METRICS (1u << WL_LISTENER_METRICS)
+
 typedef struct route {
 	const char *method;
-	const char *path; /* "*" at the end takes the rest as the argument */
-	wl_listener_t listener;
-	bool both; /* on the other listener too */
+	const char *path;	/* "*" at the end takes the rest as the argument */
+	unsigned int listeners; /* a bit for each that it is on */
 	who_t who;
 	wl_api_handler_t handle;
 } route_t;
@@ -229,22 +232,22 @@
 
 /* Sorted by path, then method. */
 static const route_t routes[] = {
-	{"GET", "/healthz", WL_LISTENER_CONTROL, true, WHO_ANY, healthz},
-	{"GET", "/metrics", WL_LISTENER_CONTROL, false, WHO_ANY, metrics},
-	{"GET", "/readyz", WL_LISTENER_CONTROL, true, WHO_ANY, readyz},
-	{"GET", "/v1/config/*", WL_LISTENER_CONTROL, false, WHO_OPERATOR, wl_api_list_get},
-	{"PUT", "/v1/config/*", WL_LISTENER_CONTROL, false, WHO_OPERATOR, wl_api_list_put},
-	{"POST", "/v1/drain", WL_LISTENER_CONTROL, false, WHO_OPERATOR, drain},
-	{"GET", "/v1/members", WL_LISTENER_CONTROL, false, WHO_OPERATOR, members},
-	{"POST", "/v1/members", WL_LISTENER_CONTROL, false, WHO_OPERATOR, replace},
-	{"GET", "/v1/status", WL_LISTENER_CONTROL, false, WHO_OPERATOR, status},
-	{"GET", "/v1/targets", WL_LISTENER_CONTROL, false, WHO_OPERATOR, targets},
-	{"GET", "/v1/tasks", WL_LISTENER_CONTROL, false, WHO_OPERATOR, tasks},
-	{"POST", "/v1/tasks", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_task_add},
-	{"GET", "/v1/tasks/*", WL_LISTENER_CONTROL, false, WHO_OPERATOR, task},
-	{"DELETE", "/v1/tasks/*", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_task_cancel},
-	{"GET", "/v1/tasks/*", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_task_get},
-	{"POST", "/v1/tasks/cancel", WL_LISTENER_CALLER, false, WHO_CALLER, wl_api_tasks_cancel},
+	{"GET", "/healthz", ON_CALLER | ON_CONTROL, WHO_ANY, healthz},
+	{"GET", "/metrics", ON_CONTROL | ON_METRICS, WHO_ANY, metrics},
+	{"GET", "/readyz", ON_CALLER | ON_CONTROL, WHO_ANY, readyz},
+	{"GET", "/v1/config/*", ON_CONTROL, WHO_OPERATOR, wl_api_list_get},
+	{"PUT", "/v1/config/*", ON_CONTROL, WHO_OPERATOR, wl_api_list_put},
+	{"POST", "/v1/drain", ON_CONTROL, WHO_OPERATOR, drain},
+	{"GET", "/v1/members", ON_CONTROL, WHO_OPERATOR, members},
+	{"POST", "/v1/members", ON_CONTROL, WHO_OPERATOR, replace},
+	{"GET", "/v1/status", ON_CONTROL, WHO_OPERATOR, status},
+	{"GET", "/v1/targets", ON_CONTROL, WHO_OPERATOR, targets},
+	{"GET", "/v1/tasks", ON_CONTROL, WHO_OPERATOR, tasks},
+	{"POST", "/v1/tasks", ON_CALLER, WHO_CALLER, wl_api_task_add},
+	{"GET", "/v1/tasks/*", ON_CONTROL, WHO_OPERATOR, task},
+	{"DELETE", "/v1/tasks/*", ON_CALLER, WHO_CALLER, wl_api_task_cancel},
+	{"GET", "/v1/tasks/*", ON_CALLER, WHO_CALLER, wl_api_task_get},
+	{"POST", "/v1/tasks/cancel", ON_CALLER, WHO_CALLER, wl_api_tasks_cancel},
 };
 
 static bool path_matches(const char *pattern, wl_str_t path, wl_str_t *arg)
@@ -267,7 +270,7 @@
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
 		const route_t *route = &routes[i];
 
-		if (route->listener != call->listener && !route->both)
+		if (!(route->listeners & 1u << call->listener))
 			continue;
 		if (!path_matches(route->path, wl_buf_str(&call->path), arg))
 			continue;
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -35,6 +35,7 @@
 typedef enum wl_listener {
 	WL_LISTENER_CALLER,
 	WL_LISTENER_CONTROL,
+	WL_LISTENER_METRICS, /* GET /metrics alone */
 } wl_listener_t;
 
 typedef struct wl_call {
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -249,14 +249,17 @@
 	wl_out_reply_error(out, event->call.id, &err);
 }
 
-/* Our own paths stay on the control listener; every other call there is in the dialect. */
+/*
+ * Our own paths stay on the control listener; every other call there is in the dialect.  The
+ * listener for metrics has no others.
+ */
 static bool is_own_path(const wl_call_t *call)
 {
 	static const char *const own[] = {"/healthz", "/metrics", "/readyz"};
 	wl_str_t path = wl_buf_str(&call->path);
 
 	if (call->listener != WL_LISTENER_CONTROL)
-		return false;
+		return call->listener == WL_LISTENER_METRICS;
 	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++)
 		if (wl_str_equal(path, wl_str_from(own[i])))
 			return true;
@@ -267,13 +270,14 @@
 {
 	const wl_call_t *call = &event->call;
 	bool caller = call->listener == WL_LISTENER_CALLER;
+	bool control = call->listener == WL_LISTENER_CONTROL;
 	wl_str_t path = wl_buf_str(&call->path);
 
 	if (node->gate && !is_own_path(call))
 		wl_gate_step(node->gate, now_ns, event, out);
 	else if (node->options.entry && caller && wl_str_starts(path, WL_STR("/s/")))
 		wl_requests_step(node->requests, now_ns, event, out);
-	else if (node->options.entry && !caller &&
+	else if (node->options.entry && control &&
 		 wl_str_equal(path, WL_STR("/v1/targets/announce")) &&
 		 wl_str_equal(wl_buf_str(&call->method), WL_STR("POST")))
 		announce_call(node, now_ns, event, out);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -239,6 +239,7 @@
 		member.caller = static_cast<uint16_t>(std::stoul(ports.at("caller")));
 		member.control = static_cast<uint16_t>(std::stoul(ports.at("control")));
 		member.peer = static_cast<uint16_t>(std::stoul(ports.at("peer")));
+		member.metrics = static_cast<uint16_t>(std::stoul(ports.at("metrics")));
 	}
 	member.relay->set_upstream("127.0.0.1:" + std::to_string(member.peer));
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -53,6 +53,7 @@
 	uint16_t caller = 0;
 	uint16_t control = 0;
 	uint16_t peer = 0;
+	uint16_t metrics = 0; /* with --metrics-listen */
 
 	std::string caller_address() const
 	{
