--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -17,13 +17,13 @@
 #include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <sys/stat.h>
-#include <time.h>
 #include <unistd.h>
 
 #include "decide.h"
 
 #include <platform/platform.h>
 
+#include <libwlbase/clock.h>
 #include <libwlbase/units.h>
 
 #define OPEN_POLL_MS	  10   /* between two looks whether the last answers are out */
@@ -56,14 +56,6 @@
 	uint64_t deadline_ns;	      /* of the planned stop; 0: none began */
 } wl_daemon_t;
 
-static uint64_t now_read(void)
-{
-	struct timespec at;
-
-	clock_gettime(CLOCK_BOOTTIME, &at);
-	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
-}
-
 /*
  * wl_daemon_check - are the charts and policies sound? Touches neither disk nor network.
  * @settings: checked and loaded
@@ -77,7 +69,7 @@
 	wl_settings_node(settings, &options);
 	options.store = false;
 	options.boot = 1;
-	node = wl_node_new(&options, now_read(), err);
+	node = wl_node_new(&options, wl_clock_ns(), err);
 	wl_node_free(node);
 	return node != NULL;
 }
@@ -202,7 +194,7 @@
 		options.store_id = wl_store_id(daemon->store);
 		options.saved = &daemon->saved;
 	}
-	daemon->node = wl_node_new(&options, now_read(), err);
+	daemon->node = wl_node_new(&options, wl_clock_ns(), err);
 	if (!daemon->node)
 		daemon->storage_failed = err->code == WL_E_DAMAGED;
 	return daemon->node != NULL;
@@ -361,6 +353,7 @@
 	wl_event_t *event = wl_alloc(sizeof(*event));
 
 	wl_event_init(event, WL_EVENT_SEEDS);
+	event->made_ns = wl_clock_ns();
 	wl_strings_set(&event->names, &fresh->seeds);
 	if (wl_ring_push(daemon->events, event)) {
 		wl_strings_set(&daemon->settings->seeds, &fresh->seeds);
@@ -444,7 +437,7 @@
 {
 	wl_log_event(WL_INFO, "stopping", "drain_ms=%llu",
 		     (unsigned long long)daemon->settings->drain_ms);
-	daemon->deadline_ns = now_read() + daemon->settings->drain_ms * WL_NS_PER_MS;
+	daemon->deadline_ns = wl_clock_ns() + daemon->settings->drain_ms * WL_NS_PER_MS;
 	wl_decide_drain(daemon->decide);
 }
 
@@ -453,7 +446,7 @@
 	wl_outcome_t outcome;
 
 	while ((outcome = wl_decide_outcome(daemon->decide)) == WL_OUTCOME_NONE) {
-		if (daemon->deadline_ns && now_read() > daemon->deadline_ns)
+		if (daemon->deadline_ns && wl_clock_ns() > daemon->deadline_ns)
 			return WL_OUTCOME_LATE;
 		file_look(daemon);
 		if (!daemon_wait(daemon, daemon->deadline_ns ? OPEN_POLL_MS : FILE_LOOK_MS))
@@ -477,14 +470,14 @@
  */
 static bool daemon_quiesce(wl_daemon_t *daemon)
 {
-	uint64_t least_ns = now_read() + LAST_ANSWERS_MS * WL_NS_PER_MS;
+	uint64_t least_ns = wl_clock_ns() + LAST_ANSWERS_MS * WL_NS_PER_MS;
 	uint64_t deadline_ns = daemon->deadline_ns > least_ns ? daemon->deadline_ns : least_ns;
 
 	if (daemon->caller)
 		wl_http_server_quiesce(daemon->caller);
 	wl_http_server_quiesce(daemon->control);
 	while (calls_open(daemon) > 0) {
-		if (now_read() > deadline_ns)
+		if (wl_clock_ns() > deadline_ns)
 			return false;
 		if (daemon_wait_signal(daemon, OPEN_POLL_MS))
 			exit_now("second signal");
--- a/daemon/decide.c
+++ b/daemon/decide.c
@@ -8,6 +8,7 @@
  */
 
 #include "decide.h"
+#include "gauges.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -19,8 +20,9 @@
 
 #include <ck_pr.h>
 
-#include <libwlbase/units.h>
+#include <libwlbase/clock.h>
 #include <libwlbase/log.h>
+#include <libwlbase/units.h>
 
 #define GAUGE_NS   WL_NS_PER_S
 #define BATCH_MOST 256 /* events between two looks at the clock for a tick */
@@ -53,18 +55,12 @@
 	STAILQ_HEAD(, late_persist) late;
 };
 
-static uint64_t clock_read(clockid_t clock)
+static uint64_t wall_ms(void)
 {
 	struct timespec at;
 
-	clock_gettime(clock, &at);
-	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
-}
-
-/* Counts the time for which the machine was suspended: leases do not wait for it. */
-static uint64_t now_read(void)
-{
-	return clock_read(CLOCK_BOOTTIME);
+	clock_gettime(CLOCK_REALTIME, &at);
+	return (uint64_t)at.tv_sec * WL_MS_PER_S + (uint64_t)at.tv_nsec / WL_NS_PER_MS;
 }
 
 static wl_event_t *own_add(wl_decide_t *decide, wl_event_kind_t kind)
@@ -236,7 +232,7 @@
 {
 	if (ck_pr_load_uint(&decide->outcome) == WL_OUTCOME_FATAL)
 		return;
-	wl_node_step(decide->options.node, now_read(), event, &decide->out);
+	wl_node_step(decide->options.node, wl_clock_ns(), event, &decide->out);
 	for (size_t i = 0; i < decide->out.count; i++)
 		do_action(decide, &decide->out.actions[i]);
 	wl_out_clear(&decide->out);
@@ -254,34 +250,29 @@
 	}
 }
 
-static void gauge(wl_decide_t *decide, const char *name, uint64_t value)
-{
-	wl_event_t *event = own_add(decide, WL_EVENT_GAUGE);
-
-	wl_buf_set(&event->peer, wl_str_from(name));
-	event->index = value;
-}
-
 static void decide_gauges(wl_decide_t *decide)
 {
-	const wl_decide_options_t *o = &decide->options;
-	uint64_t refused = wl_http_server_refused(o->control);
-
-	if (o->caller)
-		refused += wl_http_server_refused(o->caller);
-	gauge(decide, "wisterialead_daemon_calls_refused_total", refused);
-	gauge(decide, "wisterialead_daemon_sends_refused_total", decide->sends_refused);
-	gauge(decide, "wisterialead_daemon_fetches_refused_total", decide->fetches_refused);
-	gauge(decide, "wisterialead_daemon_peers_refused_total", wl_peers_refused(o->peers));
-	gauge(decide, "wisterialead_daemon_log_dropped_total", wl_log_dropped());
-	if (!o->disk)
-		return;
-	gauge(decide, "wisterialead_daemon_persists_late_total", decide->persists_late);
-	gauge(decide, "wisterialead_daemon_syncs_total", wl_disk_syncs(o->disk));
+	wl_gauges_t gauges;
+	wl_event_t event;
+
+	gauges.count = 0;
+	wl_gauges_add(&gauges, "wisterialead_daemon_sends_refused_total", "",
+		      decide->sends_refused);
+	wl_gauges_add(&gauges, "wisterialead_daemon_fetches_refused_total", "",
+		      decide->fetches_refused);
+	if (decide->options.disk)
+		wl_gauges_add(&gauges, "wisterialead_daemon_persists_late_total", "",
+			      decide->persists_late);
+	wl_gauges_read(&gauges, &decide->options);
+	wl_event_init(&event, WL_EVENT_GAUGES);
+	event.gauges = gauges.rows;
+	event.gauge_count = gauges.count;
+	decide_step(decide, &event);
 }
 
 static void decide_tick(wl_decide_t *decide, uint64_t now_ns)
 {
+	uint64_t due_ns = decide->next_tick_ns;
 	wl_event_t tick;
 
 	decide->next_tick_ns = now_ns + wl_node_tick_ns(decide->options.node);
@@ -296,7 +287,8 @@
 		decide_gauges(decide);
 	}
 	wl_event_init(&tick, WL_EVENT_TICK);
-	tick.wall_ms = clock_read(CLOCK_REALTIME) / WL_NS_PER_MS;
+	tick.made_ns = due_ns;
+	tick.wall_ms = wall_ms();
 	decide_step(decide, &tick);
 	decide_own(decide);
 }
@@ -310,7 +302,7 @@
 
 static void decide_events(wl_decide_t *decide)
 {
-	wl_event_t *event = wl_ring_wait(decide->options.events, wait_ms(decide, now_read()));
+	wl_event_t *event = wl_ring_wait(decide->options.events, wait_ms(decide, wl_clock_ns()));
 
 	for (int i = 0; event; i++) {
 		decide_step(decide, event);
@@ -331,7 +323,7 @@
 		decide_events(decide);
 		if (decide->options.disk)
 			persist_late(decide);
-		now_ns = now_read();
+		now_ns = wl_clock_ns();
 		if (now_ns >= decide->next_tick_ns)
 			decide_tick(decide, now_ns);
 	}
--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -15,6 +15,7 @@
 
 #include <ck_pr.h>
 
+#include <libwlbase/clock.h>
 #include <libwlbase/log.h>
 
 #define GROUP_MOST 256 /* changes with one sync */
@@ -107,6 +108,7 @@
 
 	wl_event_init(event, WL_EVENT_PERSISTED);
 	event->ticket = ticket;
+	event->made_ns = wl_clock_ns();
 	while (!wl_ring_push(disk->options.events, event)) {
 		if (ck_pr_load_uint(&disk->stopping)) {
 			free(event);
--- /dev/null
+++ b/daemon/gauges.c
@@ -0,0 +1,110 @@
+/* Counts of the daemon's threads, read once in a while. */
+
+#include "gauges.h"
+
+#include <time.h>
+
+#include <libwlbase/log.h>
+#include <libwlbase/units.h>
+
+#define SENT(kind_) "kind=\"" kind_ "\""
+
+/* Kinds that stand here under one label are added up. */
+static const char *const sent_labels[WL_PEER_SENT_KINDS] = {
+	[WL_MSG_RENEW] = SENT("renew"),
+	[WL_MSG_RENEWED] = SENT("renewed"),
+	[WL_MSG_VIEW] = SENT("view"),
+	[WL_MSG_COMMAND] = SENT("command"),
+	[WL_MSG_QUERY] = SENT("query"),
+	[WL_MSG_RESULT] = SENT("result"),
+	[WL_MSG_ANNOUNCE] = SENT("announce"),
+	[WL_MSG_REQUEST] = SENT("request"),
+	[WL_MSG_ANSWER] = SENT("answer"),
+	[WL_MSG_ROOM] = SENT("room"),
+	[WL_MSG_OFFER] = SENT("offer"),
+	[WL_MSG_ASSIGN] = SENT("assign"),
+	[WL_MSG_STOP] = SENT("stop"),
+	[WL_MSG_REPORT] = SENT("report"),
+	[WL_PEER_KIND_RAFT + WL_RAFT_APPEND] = SENT("raft-append"),
+	[WL_PEER_KIND_RAFT + WL_RAFT_APPENDED] = SENT("raft-appended"),
+	[WL_PEER_KIND_RAFT + WL_RAFT_SNAPSHOT] = SENT("raft-snapshot"),
+};
+
+/*
+ * wl_gauges_add - add a count
+ * @name: of its metric; like @labels, it must outlive the counts
+ */
+void wl_gauges_add(wl_gauges_t *gauges, const char *name, const char *labels, uint64_t value)
+{
+	if (gauges->count == WL_GAUGES_MOST)
+		return;
+	gauges->rows[gauges->count++] = (wl_gauge_t){name, labels, value};
+}
+
+static void sent_add(wl_gauges_t *gauges, const char *labels, const wl_peer_sent_t *sent)
+{
+	if (sent->messages == 0)
+		return;
+	wl_gauges_add(gauges, "wisterialead_daemon_sent_messages_total", labels, sent->messages);
+	wl_gauges_add(gauges, "wisterialead_daemon_sent_bytes_total", labels, sent->bytes);
+}
+
+static void sent_read(wl_gauges_t *gauges, const wl_peers_t *peers)
+{
+	wl_peer_sent_t others = {0};
+
+	for (size_t kind = 0; kind < WL_PEER_SENT_KINDS; kind++) {
+		wl_peer_sent_t sent;
+
+		wl_peers_sent(peers, kind, &sent);
+		if (sent_labels[kind]) {
+			sent_add(gauges, sent_labels[kind], &sent);
+			continue;
+		}
+		others.messages += sent.messages;
+		others.bytes += sent.bytes;
+	}
+	sent_add(gauges, SENT("other"), &others);
+}
+
+static void calls_read(wl_gauges_t *gauges, const wl_http_client_t *client)
+{
+	wl_http_open_calls_t calls;
+
+	wl_http_client_calls(client, &calls);
+	wl_gauges_add(gauges, "wisterialead_daemon_http_calls", "state=\"queued\"", calls.queued);
+	wl_gauges_add(gauges, "wisterialead_daemon_http_calls", "state=\"connecting\"",
+		      calls.connecting);
+	wl_gauges_add(gauges, "wisterialead_daemon_http_calls", "state=\"sent\"", calls.sent);
+}
+
+static uint64_t processor_ms(void)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+	return (uint64_t)at.tv_sec * WL_MS_PER_S + (uint64_t)at.tv_nsec / WL_NS_PER_MS;
+}
+
+/*
+ * wl_gauges_read - add what the parts of the daemon count
+ */
+void wl_gauges_read(wl_gauges_t *gauges, const wl_decide_options_t *parts)
+{
+	uint64_t refused = wl_http_server_refused(parts->control);
+
+	if (parts->caller)
+		refused += wl_http_server_refused(parts->caller);
+	wl_gauges_add(gauges, "wisterialead_daemon_calls_refused_total", "", refused);
+	wl_gauges_add(gauges, "wisterialead_daemon_peers_refused_total", "",
+		      wl_peers_refused(parts->peers));
+	wl_gauges_add(gauges, "wisterialead_daemon_log_dropped_total", "", wl_log_dropped());
+	wl_gauges_add(gauges, "wisterialead_daemon_events_waiting", "",
+		      wl_ring_count(parts->events));
+	wl_gauges_add(gauges, "wisterialead_daemon_processor_ms_total", "", processor_ms());
+	calls_read(gauges, parts->client);
+	sent_read(gauges, parts->peers);
+	if (parts->disk)
+		wl_gauges_add(gauges, "wisterialead_daemon_syncs_total", "",
+			      wl_disk_syncs(parts->disk));
+}
--- /dev/null
+++ b/libwlbase/clock.h
@@ -0,0 +1,8 @@
+#ifndef WL_CLOCK_H
+#define WL_CLOCK_H
+
+#include <stdint.h>
+
+uint64_t wl_clock_ns(void);
+
+#endif
--- a/libwlbase/counter.c
+++ b/libwlbase/counter.c
@@ -57,7 +57,12 @@
 	TAILQ_INSERT_TAIL(&metrics->all, metric, link);
 }
 
-static wl_metric_t *metric_get(wl_metrics_t *metrics, const char *name, const char *labels)
+/*
+ * wl_metrics_find - find a metric, or make it
+ *
+ * Return: the metric, valid as long as the set, for those who count it often.
+ */
+wl_metric_t *wl_metrics_find(wl_metrics_t *metrics, const char *name, const char *labels)
 {
 	wl_buf_t id = {0};
 	wl_metric_t *metric;
@@ -87,7 +92,7 @@
  */
 void wl_metrics_add(wl_metrics_t *metrics, const char *name, const char *labels, uint64_t more)
 {
-	metric_get(metrics, name, labels)->value += more;
+	wl_metrics_find(metrics, name, labels)->value += more;
 }
 
 /*
@@ -95,22 +100,28 @@
  */
 void wl_metrics_set(wl_metrics_t *metrics, const char *name, const char *labels, uint64_t value)
 {
-	metric_get(metrics, name, labels)->value = value;
+	wl_metrics_find(metrics, name, labels)->value = value;
 }
 
 /*
- * wl_metrics_observe - count a time in a histogram
+ * wl_metric_observe - count a time in a histogram that was found before
  */
-void wl_metrics_observe(wl_metrics_t *metrics, const char *name, const char *labels,
-			uint64_t value_ns)
+void wl_metric_observe(wl_metric_t *metric, uint64_t value_ns)
 {
-	wl_metric_t *metric = metric_get(metrics, name, labels);
-
 	if (!metric->hist)
 		metric->hist = wl_alloc(sizeof(*metric->hist));
 	wl_hist_add(metric->hist, value_ns);
 }
 
+/*
+ * wl_metrics_observe - count a time in a histogram
+ */
+void wl_metrics_observe(wl_metrics_t *metrics, const char *name, const char *labels,
+			uint64_t value_ns)
+{
+	wl_metric_observe(wl_metrics_find(metrics, name, labels), value_ns);
+}
+
 /*
  * wl_metrics_get - read a counter
  *
--- a/libwlbase/ring.c
+++ b/libwlbase/ring.c
@@ -208,6 +208,14 @@
 	return ring->fd;
 }
 
+/*
+ * wl_ring_count - how many items wait in the ring now
+ */
+uint32_t wl_ring_count(const wl_ring_t *ring)
+{
+	return ck_ring_size(&ring->ring);
+}
+
 /*
  * wl_ring_room - how many items more the ring takes now
  */
--- a/libwlbase/ring.h
+++ b/libwlbase/ring.h
@@ -19,6 +19,7 @@
 void *wl_ring_wait(wl_ring_t *ring, int timeout_ms);
 int wl_ring_fd(const wl_ring_t *ring);
 void wl_ring_rearm(wl_ring_t *ring);
+uint32_t wl_ring_count(const wl_ring_t *ring);
 uint32_t wl_ring_room(const wl_ring_t *ring);
 
 #endif
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -27,8 +27,8 @@
 	WL_EVENT_RESULT,  /* to whoever made a call to the leader */
 	WL_EVENT_VIEW,	  /* the view changed */
 	/* from the daemon's threads */
-	WL_EVENT_SEEDS, /* the settings name other seeds */
-	WL_EVENT_GAUGE, /* a count of the daemon's own for the metrics */
+	WL_EVENT_SEEDS,	 /* the settings name other seeds */
+	WL_EVENT_GAUGES, /* counts of the daemon's own for the metrics */
 	WL_EVENT_KINDS
 } wl_event_kind_t;
 
@@ -60,9 +60,17 @@
 	uint64_t took_ns;
 } wl_fetched_t;
 
+/* A count that the daemon keeps itself. */
+typedef struct wl_gauge {
+	const char *name;
+	const char *labels;
+	uint64_t value;
+} wl_gauge_t;
+
 typedef struct wl_event {
 	wl_event_kind_t kind;
-	wl_buf_t peer;	      /* PEER, PEER_UP, PEER_DOWN: daemon name; GAUGE: its name */
+	uint64_t made_ns;     /* when it was made; TICK: was due; 0: not said */
+	wl_buf_t peer;	      /* PEER, PEER_UP, PEER_DOWN: daemon name */
 	wl_msg_t msg;	      /* PEER */
 	wl_call_t call;	      /* CALL; CALL_GONE: id */
 	wl_fetched_t fetched; /* FETCHED */
@@ -70,13 +78,15 @@
 	uint64_t wall_ms;     /* TICK, LEAD: Unix time; 0: not known */
 	wl_list_t names;      /* SEEDS: strings */
 	/* APPLIED, DROPPED, RESULT */
-	uint64_t tag;		   /* proposal, or call to the leader; 0: not ours */
-	uint64_t index;		   /* GAUGE: its value */
+	uint64_t tag; /* proposal, or call to the leader; 0: not ours */
+	uint64_t index;
 	uint64_t term;		   /* LEAD, FOLLOW too */
 	uint64_t group;		   /* LEAD: id of the replicated log's group */
 	const wl_cmd_t *cmd;	   /* APPLIED: borrowed */
 	const wl_result_t *result; /* APPLIED, RESULT: borrowed */
 	wl_verdict_t verdict;	   /* DROPPED */
+	const wl_gauge_t *gauges;  /* GAUGES: borrowed */
+	size_t gauge_count;
 } wl_event_t;
 
 typedef enum wl_action_kind {
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -7,6 +7,8 @@
 	"catalog-put", "catalog-get", "runner-report", NULL,
 };
 
+const char *const wl_order_kind_names[] = {"start", "stop", "hold", "pace", NULL};
+
 const char *const wl_order_outcome_names[] = {
 	"done",	   "not-sent",	"no-answer",  "fenced",	   "old",     "late",
 	"no-room", "no-ticket", "other-life", "unhealthy", "refused", NULL,
--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -10,6 +10,7 @@
 	WL_ORDER_STOP,
 	WL_ORDER_HOLD, /* renew the lease of all runs there; report them */
 	WL_ORDER_PACE, /* let a run work at a share of its speed */
+	WL_ORDER_KINDS
 } wl_order_kind_t;
 
 typedef struct wl_order {
@@ -43,6 +44,7 @@
 	WL_ORDER_OUTCOMES
 } wl_order_outcome_t;
 
+extern const char *const wl_order_kind_names[];
 extern const char *const wl_order_outcome_names[];
 
 /* A run that a target says is there. */
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -12,6 +12,7 @@
 #include <libwlcore/owner/owner.h>
 #include <libwlcore/request/request.h>
 #include <libwlcore/node/session.h>
+#include <libwlcore/node/since.h>
 #include <libwlcore/sched/sched.h>
 #include <libwlcore/state/state.h>
 #include <libwlcore/node/view.h>
@@ -21,12 +22,23 @@
 	TAILQ_ENTRY(wl_queued_event) link;
 } wl_queued_event_t;
 
+/* What is kept to time events, commits and writes; metrics are looked up at their first value. */
+typedef struct wl_measures {
+	wl_since_t proposed; /* by tag */
+	uint64_t ticket;     /* of the write under way */
+	uint64_t ticket_ns;
+	wl_metric_t *event_wait[WL_EVENT_KINDS];
+	wl_metric_t *commit;
+	wl_metric_t *persist;
+} wl_measures_t;
+
 struct wl_node {
 	wl_node_options_t options;
 	wl_list_t seeds;       /* strings */
 	wl_list_t replicas;    /* strings: seeds and members, as far as this daemon knows them */
 	wl_str_t *store_names; /* of replicas */
 	wl_metrics_t metrics;
+	wl_measures_t measures;
 	wl_chart_t *task_chart;
 	wl_chart_t *target_chart;
 
@@ -79,6 +91,9 @@
 void wl_node_persisted(wl_node_t *node, uint64_t now_ns, uint64_t ticket, wl_out_t *out);
 void wl_node_hand_over(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_order_ended(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+void wl_node_measure_event(wl_node_t *node, uint64_t now_ns, const wl_event_t *event);
+void wl_node_measure_applied(wl_node_t *node, uint64_t now_ns, uint64_t tag);
+void wl_node_measure_persisted(wl_node_t *node, uint64_t now_ns, const wl_event_t *event);
 void wl_node_leader_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 
 #endif
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -319,6 +319,13 @@
 		wl_node_drain_tick(node, now_ns, out);
 }
 
+static void gauges_set(wl_node_t *node, const wl_event_t *event)
+{
+	for (size_t i = 0; i < event->gauge_count; i++)
+		wl_metrics_set(&node->metrics, event->gauges[i].name, event->gauges[i].labels,
+			       event->gauges[i].value);
+}
+
 static void node_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	switch (event->kind) {
@@ -347,6 +354,7 @@
 			node_fetched(node, now_ns, event, out);
 		return;
 	case WL_EVENT_PERSISTED:
+		wl_node_measure_persisted(node, now_ns, event);
 		wl_node_persisted(node, now_ns, event->ticket, out);
 		return;
 	case WL_EVENT_DRAIN:
@@ -355,8 +363,8 @@
 	case WL_EVENT_SEEDS:
 		wl_node_seeds_set(node, &event->names, out);
 		return;
-	case WL_EVENT_GAUGE:
-		wl_metrics_set(&node->metrics, event->peer.at, "", event->index);
+	case WL_EVENT_GAUGES:
+		gauges_set(node, event);
 		return;
 	case WL_EVENT_APPLIED:
 	case WL_EVENT_LEAD:
@@ -378,6 +386,7 @@
 {
 	wl_queued_event_t *queued;
 
+	wl_node_measure_event(node, now_ns, event);
 	node_event(node, now_ns, event, &node->scratch);
 	node_route(node, now_ns, &node->scratch, out);
 	node_route(node, now_ns, &node->deferred, out);
--- /dev/null
+++ b/libwlcore/node/since.h
@@ -0,0 +1,27 @@
+#ifndef WL_SINCE_H
+#define WL_SINCE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* When numbered things began that end in the order in which they began. */
+
+typedef struct wl_since_row {
+	uint64_t number;
+	uint64_t began_ns;
+} wl_since_row_t;
+
+typedef struct wl_since {
+	wl_since_row_t *rows; /* a ring, oldest at first */
+	size_t first;
+	size_t count;
+	size_t room; /* a power of two, or 0 */
+} wl_since_t;
+
+void wl_since_free(wl_since_t *since);
+void wl_since_begin(wl_since_t *since, uint64_t number, uint64_t now_ns);
+bool wl_since_end(wl_since_t *since, uint64_t number, uint64_t *began_ns);
+void wl_since_clear(wl_since_t *since);
+
+#endif
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -35,6 +35,7 @@
 	wl_event_t event;
 
 	memset(&result, 0, sizeof(result));
+	wl_node_measure_applied(node, now_ns, entry->tag);
 	wl_state_apply(node->state, entry->index, cmd, &result);
 	wl_event_init(&event, WL_EVENT_APPLIED);
 	event.tag = entry->tag;
@@ -144,6 +145,7 @@
 	wl_event_init(&event, WL_EVENT_FOLLOW);
 	event.term = action->term;
 	leader_event(node, now_ns, &event, out);
+	wl_since_clear(&node->measures.proposed);
 	node->leading = false;
 }
 
@@ -169,8 +171,8 @@
 
 static void do_persist(wl_node_t *node, uint64_t now_ns, wl_raft_action_t *action, wl_out_t *out)
 {
-	(void)node;
-	(void)now_ns;
+	node->measures.ticket = action->persist.ticket;
+	node->measures.ticket_ns = now_ns;
 	wl_out_add(out, WL_ACTION_PERSIST)->persist = action->persist;
 	memset(&action->persist, 0, sizeof(action->persist));
 }
@@ -275,6 +277,7 @@
 	(void)out;
 	wl_cmd_pack(&action->cmd, &packed);
 	event.data = wl_buf_str(&packed);
+	wl_since_begin(&node->measures.proposed, action->tag, now_ns);
 	raft_event(node, now_ns, &event, &node->deferred);
 	wl_buf_free(&packed);
 }
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -35,7 +35,8 @@
 	struct wl_sched_runner *runner;
 	wl_need_t need; /* reserved for it */
 	bool best_effort;
-	bool serving; /* lasting, with a bound on its users' tail latency */
+	bool serving;	    /* lasting, with a bound on its users' tail latency */
+	uint64_t waited_ns; /* until it was placed */
 	uint64_t placed_ns;
 	uint64_t answered_ns; /* when the newest order for it was answered */
 	uint64_t stop_sent_ns;
@@ -70,6 +71,7 @@
 	uint64_t clock_ms;
 	uint64_t clock_ns;
 	uint64_t lease_until_ms; /* on its clock; latest that any order of ours named */
+	uint64_t lease_held_ms;	 /* latest that an answered order named; 0: none */
 	uint64_t lease_floor_ns; /* leases that others granted, or an earlier life took, may last so
 				    long */
 	uint64_t life;		 /* as its last answer said */
@@ -107,8 +109,9 @@
 	unsigned int image;
 	uint64_t key; /* order of the queue: lowest first */
 	uint64_t ready_ns;
-	wl_str_t rack; /* where its first task went; empty: none yet */
-	bool queued;   /* among those that wait */
+	uint64_t queued_ns; /* since when any of its tasks has been waiting */
+	wl_str_t rack;	    /* where its first task went; empty: none yet */
+	bool queued;	    /* among those that wait */
 	TAILQ_ENTRY(wl_bundle) link;
 } wl_bundle_t;
 
@@ -134,6 +137,7 @@
 	uint64_t life;	  /* of the runner, when it was sent */
 	wl_buf_t run;	  /* key of the run; empty: a hold */
 	uint64_t percent; /* PACE */
+	uint64_t lease_ms;
 	uint64_t sent_ns;
 	TAILQ_ENTRY(wl_sched_call) link;
 } wl_sched_call_t;
@@ -176,6 +180,8 @@
 	uint64_t place_next_ns; /* no look before */
 	uint64_t sorted_ns;	/* when the queue was last put in order */
 	uint64_t next_gauges_ns;
+	wl_metric_t *order_times[WL_ORDER_KINDS][WL_ORDER_OUTCOMES]; /* NULL: not counted yet */
+	wl_metric_t *wait_times[2];				     /* lasting or not */
 };
 
 /* sched.c */
@@ -241,9 +247,17 @@
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
 void wl_sched_hold_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			    const wl_sched_call_t *call, const wl_order_end_t *end, wl_out_t *out);
+bool wl_sched_runner_holds(const wl_sched_runner_t *runner);
 void wl_sched_hold_soon(wl_sched_runner_t *runner, uint64_t now_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* gauges.c */
+void wl_sched_gauges_tick(wl_sched_t *sched, uint64_t now_ns);
+void wl_sched_gauges_clear(wl_sched_t *sched);
+void wl_sched_order_measure(wl_sched_t *sched, wl_order_kind_t kind, wl_order_outcome_t outcome,
+			    uint64_t took_ns);
+void wl_sched_wait_measure(wl_sched_t *sched, bool lasting, uint64_t waited_ns);
+
 /* orders.c */
 void wl_sched_order(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 		    wl_order_t *order, const wl_sched_run_t *run, wl_out_t *out);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -21,6 +21,7 @@
 	call->life = runner->state->report.life;
 	call->percent = order->percent;
 	call->sent_ns = now_ns;
+	call->lease_ms = order->lease_ms;
 	wl_buf_set(&call->runner, runner->key);
 	if (run)
 		wl_buf_set(&call->run, run->key);
@@ -68,6 +69,13 @@
 	runner->clock_ns = now_ns;
 }
 
+static void lease_answered(wl_sched_runner_t *runner, const wl_sched_call_t *call,
+			   const wl_order_end_t *end)
+{
+	if (end->outcome == WL_ORDER_DONE && call->lease_ms > runner->lease_held_ms)
+		runner->lease_held_ms = call->lease_ms;
+}
+
 /*
  * wl_sched_fetched - an order has ended
  */
@@ -86,8 +94,10 @@
 		wl_out_log(out, WL_WARN, "order-answer-bad", "target=%s reason=\"%s\"",
 			   call->runner.at, err.text);
 	runner = wl_sched_runner_find(sched, wl_buf_str(&call->runner));
+	wl_sched_order_measure(sched, call->kind, end.outcome, now_ns - call->sent_ns);
 	if (runner) {
 		runner_answered(runner, now_ns, &end);
+		lease_answered(runner, call, &end);
 		if (call->kind == WL_ORDER_HOLD)
 			wl_sched_hold_answered(sched, now_ns, runner, call, &end, out);
 		else
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -100,6 +100,7 @@
 
 	run->phase = WL_RUN_PROPOSED;
 	run->placed_ns = now_ns;
+	run->waited_ns = now_ns - bundle->queued_ns;
 	if (bundle->rack.len == 0)
 		bundle->rack = wl_buf_str(&runner->state->report.rack);
 	start_add(sched, run);
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -98,10 +98,12 @@
 	free(bundle);
 }
 
-static void bundle_add(wl_sched_t *sched, wl_bundle_t *bundle, uint64_t task)
+static void bundle_add(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle, uint64_t task)
 {
-	if (!bundle->queued)
+	if (!bundle->queued) {
+		bundle->queued_ns = now_ns;
 		bundle_insert(sched, bundle);
+	}
 	if (bundle->count == bundle->room) {
 		bundle->room = bundle->room ? 2 * bundle->room : TASKS_LEAST_ROOM;
 		bundle->tasks = wl_realloc(bundle->tasks, bundle->room * sizeof(*bundle->tasks));
@@ -169,7 +171,7 @@
 	if (wl_job_ended(job) || job->tasks[task].done || !TAILQ_EMPTY(&job->tasks[task].runs))
 		return;
 	wl_job_place(job, task, &at);
-	bundle_add(sched, bundle_get(sched, now_ns, job, at.occurrence, at.step), task);
+	bundle_add(sched, now_ns, bundle_get(sched, now_ns, job, at.occurrence, at.step), task);
 	sched->place_due = true;
 }
 
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -102,6 +102,7 @@
 	runner->clock_ms = 0;
 	runner->clock_ns = 0;
 	runner->lease_until_ms = 0;
+	runner->lease_held_ms = 0;
 	runner->lease_floor_ns = now_ns + slow_ns(sched->options.lease_most_ms);
 	runner->sequence = 0;
 	runner->seen = 0;
@@ -204,7 +205,10 @@
 	       has_phase(runner, WL_RUN_INHERITED);
 }
 
-static bool holds_anything(const wl_sched_runner_t *runner)
+/*
+ * wl_sched_runner_holds - whether a run there needs its lease renewed
+ */
+bool wl_sched_runner_holds(const wl_sched_runner_t *runner)
 {
 	const wl_sched_run_t *run;
 
@@ -276,7 +280,7 @@
 static void runner_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			wl_out_t *out)
 {
-	bool holds = holds_anything(runner);
+	bool holds = wl_sched_runner_holds(runner);
 	uint64_t last_ns = heard_ns(runner);
 	wl_sched_run_t *run;
 
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -132,6 +132,7 @@
 		wl_sched_runner_clock_ms(run->runner, now_ns) + sched->options.start_lease_ms;
 	run->phase = WL_RUN_STARTING;
 	wl_sched_order(sched, now_ns, run->runner, &order, run, out);
+	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
 		   "job=" WL_STR_FMT " task=%llu.%llu.%llu run=%llu target=" WL_STR_FMT
 		   " waited_ms=%llu cpu_used=%llu",
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -12,7 +12,6 @@
 #define LEASE_MS_DEFAULT       6000
 #define LEASE_MOST_MS_DEFAULT  6000
 #define START_LEASE_MS_DEFAULT 2000
-#define GAUGES_MS	       1000
 
 /*
  * wl_sched_new - make a scheduler that does not lead yet
@@ -181,6 +180,7 @@
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_dropped(sched, TAILQ_FIRST(&sched->proposals), WL_UNKNOWN, out);
 	sched_clear(sched);
+	wl_sched_gauges_clear(sched);
 	sched->leading = false;
 }
 
@@ -320,28 +320,11 @@
 		proposal_dropped(sched, proposal, event->verdict, out);
 }
 
-static void gauges_set(wl_sched_t *sched, uint64_t now_ns)
-{
-	wl_metrics_t *metrics = sched->options.metrics;
-	const wl_bundle_t *bundle;
-	uint64_t waiting = 0;
-
-	if (now_ns < sched->next_gauges_ns)
-		return;
-	sched->next_gauges_ns = now_ns + GAUGES_MS * WL_NS_PER_MS;
-	TAILQ_FOREACH (bundle, &sched->waiting, link)
-		waiting += bundle->count;
-	wl_metrics_set(metrics, "wisterialead_job_tasks_waiting", "", waiting);
-	wl_metrics_set(metrics, "wisterialead_job_runs", "", wl_map_count(&sched->by_run));
-	wl_metrics_set(metrics, "wisterialead_job_targets", "", wl_map_count(&sched->by_runner));
-	wl_metrics_set(metrics, "wisterialead_jobs", "", wl_map_count(&sched->jobs->by_id));
-}
-
 static void on_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	wl_sched_timed_tick(sched, now_ns);
 	wl_sched_runners_tick(sched, now_ns, out);
-	gauges_set(sched, now_ns);
+	wl_sched_gauges_tick(sched, now_ns);
 }
 
 /*
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -46,6 +46,8 @@
 	wl_ring_t *orders;
 	pthread_t thread;
 	unsigned int stopping;
+	unsigned int begun; /* calls that have not ended */
+	unsigned int sent;  /* of those, the ones that have a connection */
 	/* the thread's own */
 	CURLM *multi;
 	int epoll_fd;	   /* over libcurl's sockets and the orders' ring */
@@ -88,6 +90,9 @@
 	wl_transfer_finish(transfer, code, error);
 	curl_multi_remove_handle(client->multi, transfer->easy);
 	wl_map_remove(&client->by_id, transfer->key);
+	ck_pr_dec_uint(&client->begun);
+	if (transfer->fetched.sent)
+		ck_pr_dec_uint(&client->sent);
 	TAILQ_REMOVE(&client->running, transfer, link);
 	client_report(client, &transfer->fetched);
 	wl_transfer_free(transfer);
@@ -106,7 +111,8 @@
 {
 	wl_transfer_options_t options = {.max_body_bytes = client->options.max_body_bytes,
 					 .connect_ms = client->options.connect_ms,
-					 .handles = &client->handles};
+					 .handles = &client->handles,
+					 .sent = &client->sent};
 	uint64_t id = fetch->id;
 	wl_err_t err;
 	wl_transfer_t *transfer = wl_transfer_new(fetch, &options, &err);
@@ -123,6 +129,7 @@
 	if (transfer->fetch.timeout_ms)
 		transfer->deadline_ns = now_read() + transfer->fetch.timeout_ms * WL_NS_PER_MS;
 	TAILQ_INSERT_TAIL(&client->running, transfer, link);
+	ck_pr_inc_uint(&client->begun);
 	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
 		client_end(client, transfer, CURLE_FAILED_INIT, NULL);
 }
@@ -402,6 +409,19 @@
 	client_push(client, true, &fetch);
 }
 
+/*
+ * wl_http_client_calls - how many calls are under way, from any thread
+ */
+void wl_http_client_calls(const wl_http_client_t *client, wl_http_open_calls_t *calls)
+{
+	uint64_t sent = ck_pr_load_uint(&client->sent);
+	uint64_t begun = ck_pr_load_uint(&client->begun);
+
+	calls->queued = wl_ring_count(client->orders);
+	calls->connecting = begun > sent ? begun - sent : 0;
+	calls->sent = sent;
+}
+
 /*
  * wl_http_client_stop - cut what still runs and end the thread
  */
--- a/libwlnet/http_client.h
+++ b/libwlnet/http_client.h
@@ -14,11 +14,19 @@
 	uint64_t max_connections_per_host;
 } wl_http_client_options_t;
 
+/* Calls that have not ended, by how far they are. */
+typedef struct wl_http_open_calls {
+	uint64_t queued;     /* not yet begun by the client's thread */
+	uint64_t connecting; /* wait for a connection */
+	uint64_t sent;
+} wl_http_open_calls_t;
+
 typedef struct wl_http_client wl_http_client_t;
 
 wl_http_client_t *wl_http_client_start(const wl_http_client_options_t *options, wl_err_t *err);
 bool wl_http_client_fetch(wl_http_client_t *client, wl_fetch_t *fetch);
 void wl_http_client_cancel(wl_http_client_t *client, uint64_t id);
+void wl_http_client_calls(const wl_http_client_t *client, wl_http_open_calls_t *calls);
 void wl_http_client_stop(wl_http_client_t *client);
 
 /* One call, waited for; for programs without events. */
--- a/libwlnet/http_server.c
+++ b/libwlnet/http_server.c
@@ -9,6 +9,7 @@
 
 #include "http_server.h"
 
+#include <libwlbase/clock.h>
 #include <libwlbase/units.h>
 
 #include <pthread.h>
@@ -67,6 +68,7 @@
 	wl_event_t *event = wl_alloc(sizeof(*event));
 
 	wl_event_init(event, kind);
+	event->made_ns = wl_clock_ns();
 	return event;
 }
 
--- a/libwlnet/http_transfer.c
+++ b/libwlnet/http_transfer.c
@@ -14,6 +14,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include <ck_pr.h>
+
 #include "http_client.h"
 
 #define MAX_HEADER_BYTES (256 << 10)
@@ -115,6 +117,8 @@
 	if (transfer->fetched.sent)
 		return CURL_PREREQFUNC_ABORT;
 	transfer->fetched.sent = true;
+	if (transfer->sent)
+		ck_pr_inc_uint(transfer->sent);
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -258,6 +262,7 @@
 	memset(transfer, 0, sizeof(*transfer));
 	transfer->easy = easy;
 	transfer->handles = options->handles;
+	transfer->sent = options->sent;
 	transfer->fetch = *fetch;
 	memset(fetch, 0, sizeof(*fetch));
 	transfer->id = transfer->fetch.id;
--- a/libwlnet/http_transfer.h
+++ b/libwlnet/http_transfer.h
@@ -22,6 +22,7 @@
 	uint64_t id;
 	CURL *easy;
 	wl_handles_t *handles; /* takes the handle back; NULL: nobody does */
+	unsigned int *sent;
 	struct curl_slist *headers;
 	wl_fetch_t fetch;
 	wl_fetched_t fetched;
@@ -36,6 +37,7 @@
 	uint64_t max_body_bytes;
 	uint64_t connect_ms;
 	wl_handles_t *handles; /* NULL: the handle is made and released with the call */
+	unsigned int *sent;    /* counts the calls that get a connection; NULL: nobody does */
 } wl_transfer_options_t;
 
 wl_transfer_t *wl_transfer_new(wl_fetch_t *fetch, const wl_transfer_options_t *options,
--- a/libwlnet/late.c
+++ b/libwlnet/late.c
@@ -4,6 +4,8 @@
 
 #include <stdlib.h>
 
+#include <libwlbase/clock.h>
+
 struct wl_late_event {
 	wl_event_t *event;
 	STAILQ_ENTRY(wl_late_event) link;
@@ -41,6 +43,7 @@
 {
 	struct wl_late_event *last;
 
+	event->made_ns = wl_clock_ns();
 	if (STAILQ_EMPTY(&late->events) && wl_ring_push(late->ring, event))
 		return;
 	last = wl_alloc(sizeof(*last));
--- a/libwlnet/peer.c
+++ b/libwlnet/peer.c
@@ -109,6 +109,13 @@
 	peers_wake(peers);
 }
 
+static size_t sent_kind(const wl_msg_t *msg)
+{
+	if (msg->kind == WL_MSG_RAFT && msg->u.raft.kind < WL_RAFT_MSG_KINDS)
+		return WL_PEER_KIND_RAFT + msg->u.raft.kind;
+	return msg->kind < WL_MSG_KINDS ? msg->kind : WL_MSG_NONE;
+}
+
 /*
  * wl_peers_send - queue a message to a daemon, from any thread
  *
@@ -118,16 +125,32 @@
  */
 bool wl_peers_send(wl_peers_t *peers, wl_str_t name, const wl_msg_t *msg)
 {
+	wl_peer_sent_t *sent = &peers->sent[sent_kind(msg)];
 	wl_buf_t bytes = {0};
+	size_t len;
 	bool taken;
 
 	wl_msg_pack(msg, &bytes);
-	taken = bytes.len + WL_TAG_BYTES <= peers->options.max_frame_bytes &&
+	len = bytes.len;
+	taken = len + WL_TAG_BYTES <= peers->options.max_frame_bytes &&
 		wl_peer_table_queue(&peers->table, name, &bytes);
 	wl_buf_free(&bytes);
-	if (taken)
-		peers_wake(peers);
-	return taken;
+	if (!taken)
+		return false;
+	ck_pr_inc_64(&sent->messages);
+	ck_pr_add_64(&sent->bytes, len);
+	peers_wake(peers);
+	return true;
+}
+
+/*
+ * wl_peers_sent - messages of a kind that were taken so far, from any thread
+ * @kind: below WL_PEER_SENT_KINDS
+ */
+void wl_peers_sent(const wl_peers_t *peers, size_t kind, wl_peer_sent_t *sent)
+{
+	sent->messages = ck_pr_load_64(&peers->sent[kind].messages);
+	sent->bytes = ck_pr_load_64(&peers->sent[kind].bytes);
 }
 
 /*
--- a/libwlnet/peer.h
+++ b/libwlnet/peer.h
@@ -22,11 +22,22 @@
 	uint64_t seed;
 } wl_peer_options_t;
 
+/* Kinds that messages are counted by: wl_msg_kind_t, and after them those of the replicas' log. */
+#define WL_PEER_KIND_RAFT  WL_MSG_KINDS
+#define WL_PEER_SENT_KINDS (WL_PEER_KIND_RAFT + WL_RAFT_MSG_KINDS)
+
+/* Messages taken for other daemons, and their size. */
+typedef struct wl_peer_sent {
+	uint64_t messages;
+	uint64_t bytes;
+} wl_peer_sent_t;
+
 typedef struct wl_peers wl_peers_t;
 
 wl_peers_t *wl_peers_start(const wl_peer_options_t *options, wl_err_t *err);
 void wl_peers_dial(wl_peers_t *peers, wl_str_t name, wl_str_t address);
 bool wl_peers_send(wl_peers_t *peers, wl_str_t name, const wl_msg_t *msg);
+void wl_peers_sent(const wl_peers_t *peers, size_t kind, wl_peer_sent_t *sent);
 void wl_peers_stop(wl_peers_t *peers);
 uint16_t wl_peers_port(const wl_peers_t *peers);
 uint64_t wl_peers_refused(const wl_peers_t *peers);
--- a/libwlnet/peer_internal.h
+++ b/libwlnet/peer_internal.h
@@ -2,6 +2,7 @@
 #define WL_PEER_INTERNAL_H
 
 #include "late.h"
+#include "peer.h"
 #include "peer_table.h"
 
 /* The links of a daemon and their thread; internal to the peer link. */
@@ -21,6 +22,7 @@
 	uint16_t port;
 	unsigned int stopping;
 	uint64_t refused;
+	wl_peer_sent_t sent[WL_PEER_SENT_KINDS];
 	/* the thread's own */
 	wl_rng_t rng;
 	struct wl_link_list links;
--- a/tests/integration/path_test.cc
+++ b/tests/integration/path_test.cc
@@ -75,8 +75,16 @@
 	ASSERT_NE(member.metrics, member.control);
 	Answer metrics = http(address, "GET", "/metrics");
 	EXPECT_EQ(metrics.status, 200u);
-	EXPECT_NE(metrics.body.find("wisterialead_daemon_syncs_total"), std::string::npos)
-		<< metrics.body;
+	EXPECT_EQ(metrics.body.find("wisterialead_daemon_sent_messages_total"), std::string::npos);
+	for (const char *name :
+	     {"wisterialead_daemon_syncs_total{}", "wisterialead_daemon_processor_ms_total{}",
+	      "wisterialead_daemon_events_waiting{}",
+	      "wisterialead_daemon_http_calls{state=\"sent\"}",
+	      "wisterialead_event_wait_seconds_count{kind=\"fetched\"}",
+	      "wisterialead_event_wait_seconds_count{kind=\"tick\"}",
+	      "wisterialead_commit_seconds_count{}", "wisterialead_persist_seconds_count{}"})
+		EXPECT_NE(metrics.body.find(name), std::string::npos) << name << "\n"
+								      << metrics.body;
 	EXPECT_EQ(http(address, "GET", "/v1/status", "", operators).status, 404u);
 	EXPECT_EQ(http(address, "POST", "/v1/drain", "", operators).status, 404u);
 	EXPECT_EQ(cluster.operate(member, "GET", "/v1/status").status, 200u);
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -401,3 +401,17 @@
 
 	return found ? wl_job_state_names[found->record.state] : "none";
 }
+
+std::string SchedRig::metric(const std::string &line) const
+{
+	wl_buf_t printed = {};
+	std::string value;
+
+	wl_metrics_print(&metrics, &printed);
+	std::istringstream lines(text(wl_buf_str(&printed)));
+	wl_buf_free(&printed);
+	for (std::string one; std::getline(lines, one);)
+		if (one.rfind(line + " ", 0) == 0)
+			value = one.substr(line.size() + 1);
+	return value;
+}
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -61,6 +61,8 @@
 	static wl_run_view_t view(const SchedOrder &start, uint64_t load = 0);
 	static wl_end_view_t end(const SchedOrder &start, uint64_t number, wl_run_how_t how);
 
+	/* A metric's line, up to its value: "NAME{LABELS}"; empty if it was never counted. */
+	std::string metric(const std::string &line) const;
 	std::string job_state(const std::string &id) const;
 	const wl_job_t *find(const std::string &id) const;
 
--- a/tests/unit/base_test.cc
+++ b/tests/unit/base_test.cc
@@ -154,6 +154,41 @@
 	wl_metrics_free(&metrics);
 }
 
+TEST(Metrics, HandleCountsWhatTheNameShows)
+{
+	wl_metrics_t metrics;
+	wl_buf_t out = {};
+
+	wl_metrics_init(&metrics);
+	wl_metric_t *metric = wl_metrics_find(&metrics, "wait_seconds", "kind=\"a\"");
+	EXPECT_EQ(wl_metrics_find(&metrics, "wait_seconds", "kind=\"a\""), metric);
+	EXPECT_NE(wl_metrics_find(&metrics, "wait_seconds", "kind=\"b\""), metric);
+	wl_metric_observe(metric, 2000000000);
+	wl_metrics_observe(&metrics, "wait_seconds", "kind=\"a\"", 1000000000);
+	wl_metrics_print(&metrics, &out);
+	EXPECT_NE(std::string(out.at).find("wait_seconds_sum{kind=\"a\"} 3.000000000\n"
+					   "wait_seconds_count{kind=\"a\"} 2\n"),
+		  std::string::npos)
+		<< out.at;
+	wl_buf_free(&out);
+	wl_metrics_free(&metrics);
+}
+
+TEST(Ring, CountsWhatWaits)
+{
+	wl_err_t err = {};
+	wl_ring_t *ring = wl_ring_new(4, &err);
+	int item;
+
+	EXPECT_EQ(wl_ring_count(ring), 0u);
+	wl_ring_push(ring, &item);
+	wl_ring_push(ring, &item);
+	EXPECT_EQ(wl_ring_count(ring), 2u);
+	wl_ring_pop(ring);
+	EXPECT_EQ(wl_ring_count(ring), 1u);
+	wl_ring_free(ring);
+}
+
 TEST(Log, OneLineAnEventAndQuotedValues)
 {
 	int ends[2];
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -2,6 +2,7 @@
 #include "../support/tcp.h"
 
 extern "C" {
+#include <libwlbase/clock.h>
 #include <libwlnet/http_client.h>
 }
 
@@ -310,6 +311,45 @@
 	EXPECT_FALSE(event->fetched.sent);
 }
 
+TEST_F(HttpClient, CallsAreCountedByHowFarTheyAre)
+{
+	wl_http_open_calls_t calls;
+	auto wait_for = [&](uint64_t connecting, uint64_t sent) {
+		for (int i = 0; i < 5000; i++) {
+			wl_http_client_calls(client, &calls);
+			if (calls.queued == 0 && calls.connecting == connecting &&
+			    calls.sent == sent)
+				return true;
+			std::this_thread::sleep_for(std::chrono::milliseconds(1));
+		}
+		return false;
+	};
+
+	for (uint64_t id = 1; id <= 5; id++)
+		ASSERT_TRUE(fetch(id, listener.address(), "POST"));
+	Tcp first = listener.accept();
+	Tcp second = listener.accept();
+	EXPECT_TRUE(wait_for(3, 2)) << calls.connecting << " " << calls.sent;
+	wl_http_client_cancel(client, 5);
+	EXPECT_TRUE(wait_for(2, 2)) << calls.connecting << " " << calls.sent;
+	first.read_until("\r\n\r\n");
+	first.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	Tcp third = listener.accept();
+	EXPECT_TRUE(wait_for(1, 2)) << calls.connecting << " " << calls.sent;
+	for (uint64_t id = 1; id <= 4; id++)
+		wl_http_client_cancel(client, id);
+	EXPECT_TRUE(wait_for(0, 0)) << calls.connecting << " " << calls.sent;
+}
+
+TEST_F(HttpClient, EventSaysWhenItWasMade)
+{
+	uint64_t before_ns = wl_clock_ns();
+
+	Event event = answered("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_GE(event->made_ns, before_ns);
+	EXPECT_LE(event->made_ns, wl_clock_ns());
+}
+
 TEST_F(HttpClient, LineBreaksInHeadersAreRefused)
 {
 	ASSERT_TRUE(fetch(1, listener.address(), "GET", "", 5000, "a\r\nX-Evil: 1"));
--- a/tests/unit/metrics_test.cc
+++ b/tests/unit/metrics_test.cc
@@ -3,6 +3,7 @@
 #include <platform/platform.h>
 }
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -81,12 +82,13 @@
 
 	void gauge(const char *name, uint64_t value)
 	{
+		wl_gauge_t row = {name, "", value};
 		wl_event_t event;
 		wl_out_t out = {};
 
-		wl_event_init(&event, WL_EVENT_GAUGE);
-		wl_buf_set(&event.peer, wl_str_from(name));
-		event.index = value;
+		wl_event_init(&event, WL_EVENT_GAUGES);
+		event.gauges = &row;
+		event.gauge_count = 1;
 		wl_node_step(node, NOW, &event, &out);
 		wl_out_free(&out);
 		wl_event_free(&event);
@@ -124,4 +126,157 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Dialects, MetricsListener, testing::Values(nullptr, &wl_platform_dialect));
+
+/* A replica alone in its group; the test plays the disk and the daemon's ring. */
+class MetricsReplica : public testing::Test
+{
+      protected:
+	MetricsReplica()
+	{
+		wl_node_options_t options = {};
+		wl_err_t err = {};
+
+		options.name = WL_STR("s1");
+		options.availability_zone = WL_STR("a");
+		options.peer_address = WL_STR("127.0.0.1:2");
+		options.store = true;
+		options.dialect = &wl_platform_dialect;
+		options.stores = &store;
+		options.store_count = 1;
+		options.boot = 1;
+		options.store_id = 7;
+		options.saved = &saved;
+		options.task_chart = {task.data(), task.size()};
+		options.target_chart = {target.data(), target.size()};
+		node = wl_node_new(&options, now, &err);
+		EXPECT_NE(node, nullptr) << err.text;
+	}
+
+	~MetricsReplica() override
+	{
+		wl_node_free(node);
+	}
+
+	void step(wl_event_t *event)
+	{
+		wl_out_t out = {};
+
+		wl_node_step(node, now, event, &out);
+		for (size_t i = 0; i < out.count; i++) {
+			const wl_action_t &action = out.actions[i];
+
+			if (action.kind == WL_ACTION_PERSIST) {
+				ticket = action.persist.ticket;
+				synced_ns = now + disk_ns;
+			}
+			if (action.kind == WL_ACTION_REPLY)
+				body = action.reply.body.at ? action.reply.body.at : "";
+		}
+		wl_out_free(&out);
+		wl_event_free(event);
+	}
+
+	void call(const char *method, const char *path, const char *text)
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_CALL);
+		event.call.id = CALL;
+		event.call.listener = WL_LISTENER_CONTROL;
+		event.made_ns = now - ring_ns;
+		wl_buf_set(&event.call.method, wl_str_from(method));
+		wl_buf_set(&event.call.path, wl_str_from(path));
+		wl_buf_set(&event.call.body, wl_str_from(text));
+		step(&event);
+	}
+
+	/* Ticks every 10 ms, each late by as much as events wait; the disk answers in its time. */
+	void pass(uint64_t ms)
+	{
+		for (uint64_t end = now + ms * MS; now < end;) {
+			wl_event_t event;
+
+			now += 10 * MS;
+			if (ticket && now >= synced_ns + ring_ns) {
+				wl_event_init(&event, WL_EVENT_PERSISTED);
+				event.ticket = ticket;
+				event.made_ns = synced_ns;
+				ticket = 0;
+				step(&event);
+			}
+			wl_event_init(&event, WL_EVENT_TICK);
+			event.made_ns = now - ring_ns;
+			step(&event);
+		}
+	}
+
+	/* The value of a line of the metrics; negative if there is none. */
+	double metric(const std::string &line)
+	{
+		call("GET", "/metrics", "");
+		size_t at = body.find("\n" + line + " ");
+
+		return at == std::string::npos ? -1 : std::stod(body.substr(at + line.size() + 2));
+	}
+
+	static constexpr uint64_t MS = 1000000;
+	std::string task = chart("task");
+	std::string target = chart("target");
+	wl_node_peer_t store = {WL_STR("s1"), WL_STR("127.0.0.1:2")};
+	wl_raft_saved_t saved = {};
+	wl_node_t *node = nullptr;
+	uint64_t now = 1000 * MS;
+	uint64_t ring_ns = 0;
+	uint64_t disk_ns = 0;
+	uint64_t ticket = 0;
+	uint64_t synced_ns = 0;
+	std::string body;
+};
+
+TEST_F(MetricsReplica, CommitsAndWritesAreTimed)
+{
+	pass(3000);
+	double commits = metric("wisterialead_commit_seconds_count{}");
+	double commit_s = metric("wisterialead_commit_seconds_sum{}");
+	double writes = metric("wisterialead_persist_seconds_count{}");
+	double write_s = metric("wisterialead_persist_seconds_sum{}");
+	ASSERT_GE(writes, 1);
+	disk_ns = 70 * MS;
+	call("POST", "/-/config/replace", R"({"version":1,"routes":[],"services":[{"name":"s"}]})");
+	pass(200);
+	EXPECT_EQ(metric("wisterialead_persist_seconds_count{}"), writes + 1);
+	EXPECT_NEAR(metric("wisterialead_persist_seconds_sum{}") - write_s, 0.07, 1e-6);
+	EXPECT_EQ(metric("wisterialead_commit_seconds_count{}"), std::max(commits, 0.0) + 1);
+	EXPECT_NEAR(metric("wisterialead_commit_seconds_sum{}") - std::max(commit_s, 0.0), 0.07,
+		    1e-6);
+}
+
+/* A write that is synced in time and read late is the ring's delay, not the disk's. */
+TEST_F(MetricsReplica, EventsThatWaitAreTimedByKind)
+{
+	pass(3000);
+	double ticks = metric("wisterialead_event_wait_seconds_sum{kind=\"tick\"}");
+	double writes = metric("wisterialead_event_wait_seconds_sum{kind=\"persisted\"}");
+	double write_s = metric("wisterialead_persist_seconds_sum{}");
+	EXPECT_EQ(ticks, 0);
+	ring_ns = 50 * MS;
+	disk_ns = 10 * MS;
+	call("POST", "/-/config/replace", R"({"version":1,"routes":[],"services":[{"name":"s"}]})");
+	pass(100);
+	EXPECT_NEAR(metric("wisterialead_event_wait_seconds_sum{kind=\"tick\"}"), 0.5, 1e-6);
+	EXPECT_NEAR(metric("wisterialead_event_wait_seconds_sum{kind=\"persisted\"}") - writes,
+		    0.05, 1e-6);
+	EXPECT_NEAR(metric("wisterialead_persist_seconds_sum{}") - write_s, 0.01, 1e-6);
+	EXPECT_GE(metric("wisterialead_event_wait_seconds_sum{kind=\"call\"}"), 0.05);
+}
+
+/* An event that does not say when it was made is not timed. */
+TEST_F(MetricsReplica, EventWithoutATimeIsNotTimed)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_TICK);
+	step(&event);
+	EXPECT_EQ(metric("wisterialead_event_wait_seconds_count{kind=\"tick\"}"), -1);
+}
 } // namespace
--- a/tests/unit/peer_test.cc
+++ b/tests/unit/peer_test.cc
@@ -114,6 +114,36 @@
 	EXPECT_EQ(a.from, "b");
 }
 
+TEST(Peer, MessagesThatAreTakenAreCountedByKind)
+{
+	Daemon a("a");
+	Daemon b("b");
+	wl_peer_sent_t answers;
+	wl_peer_sent_t appends;
+	wl_msg_t append;
+
+	EXPECT_FALSE(a.send("b", 1));
+	a.dial(b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	EXPECT_TRUE(a.send("b", 7, 100000));
+	EXPECT_TRUE(a.send("b", 8));
+	wl_msg_init(&append, WL_MSG_RAFT);
+	append.u.raft.kind = WL_RAFT_APPEND;
+	EXPECT_TRUE(wl_peers_send(a.peers, str("b"), &append));
+	wl_msg_free(&append);
+	wl_peers_sent(a.peers, WL_MSG_ANSWER, &answers);
+	wl_peers_sent(a.peers, WL_PEER_KIND_RAFT + WL_RAFT_APPEND, &appends);
+	EXPECT_EQ(answers.messages, 2u);
+	EXPECT_GT(answers.bytes, 100000u);
+	EXPECT_LT(answers.bytes, 101000u);
+	EXPECT_EQ(appends.messages, 1u);
+	EXPECT_GT(appends.bytes, 0u);
+	wl_peers_sent(a.peers, WL_MSG_RAFT, &appends);
+	EXPECT_EQ(appends.messages, 0u);
+	wl_peers_sent(b.peers, WL_MSG_ANSWER, &answers);
+	EXPECT_EQ(answers.messages, 0u);
+}
+
 TEST(Peer, WrongSecretIsRefusedOnBothSides)
 {
 	Daemon a("a", "one");
