--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -249,14 +249,17 @@
 	wl_out_reply_error(out, event->call.id, &err);
 }
 
-/* Our own paths stay on the control listener; every other call there is in the dialect. */
+/*
+ * Our own paths stay on the control listener; every other call there is in the dialect.  The
+ * listener for metrics has no others.
+ */
 static bool is_own_path(const wl_call_t *call)
 {
 	static const char *const own[] = {"/healthz", "/metrics", "/readyz"};
 	wl_str_t path = wl_buf_str(&call->path);
 
 	if (call->listener != WL_LISTENER_CONTROL)
-		return false;
+		return call->listener == WL_LISTENER_METRICS;
 	for (size_t i = 0; i < sizeof(own) / sizeof(own[0]); i++)
 		if (wl_str_equal(path, wl_str_from(own[i])))
 			return true;
@@ -267,13 +270,14 @@
 {
 	const wl_call_t *call = &event->call;
 	bool caller = call->listener == WL_LISTENER_CALLER;
+	bool control = call->listener == WL_LISTENER_CONTROL;
 	wl_str_t path = wl_buf_str(&call->path);
 
 	if (node->gate && !is_own_path(call))
 		wl_gate_step(node->gate, now_ns, event, out);
 	else if (node->options.entry && caller && wl_str_starts(path, WL_STR("/s/")))
 		wl_requests_step(node->requests, now_ns, event, out);
-	else if (node->options.entry && !caller &&
+	else if (node->options.entry && control &&
 		 wl_str_equal(path, WL_STR("/v1/targets/announce")) &&
 		 wl_str_equal(wl_buf_str(&call->method), WL_STR("POST")))
 		announce_call(node, now_ns, event, out);
@@ -315,6 +319,13 @@
 		wl_node_drain_tick(node, now_ns, out);
 }
 
+static void gauges_set(wl_node_t *node, const wl_event_t *event)
+{
+	for (size_t i = 0; i < event->gauge_count; i++)
+		wl_metrics_set(&node->metrics, event->gauges[i].name, event->gauges[i].labels,
+			       event->gauges[i].value);
+}
+
 static void node_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	switch (event->kind) {
@@ -343,6 +354,7 @@
 			node_fetched(node, now_ns, event, out);
 		return;
 	case WL_EVENT_PERSISTED:
+		wl_node_measure_persisted(node, now_ns, event);
 		wl_node_persisted(node, now_ns, event->ticket, out);
 		return;
 	case WL_EVENT_DRAIN:
@@ -351,8 +363,8 @@
 	case WL_EVENT_SEEDS:
 		wl_node_seeds_set(node, &event->names, out);
 		return;
-	case WL_EVENT_GAUGE:
-		wl_metrics_set(&node->metrics, event->peer.at, "", event->index);
+	case WL_EVENT_GAUGES:
+		gauges_set(node, event);
 		return;
 	case WL_EVENT_APPLIED:
 	case WL_EVENT_LEAD:
@@ -374,6 +386,7 @@
 {
 	wl_queued_event_t *queued;
 
+	wl_node_measure_event(node, now_ns, event);
 	node_event(node, now_ns, event, &node->scratch);
 	node_route(node, now_ns, &node->scratch, out);
 	node_route(node, now_ns, &node->deferred, out);
