--- /dev/null
+++ b/libwlcore/agent/agent.h
@@ -0,0 +1,25 @@
+#ifndef WL_AGENT_H
+#define WL_AGENT_H
+
+#include <libwlbase/counter.h>
+#include <libwlcore/model/dialect.h>
+
+/*
+ * Sends the leader's orders to targets and tells it how they ended.  Every
+ * replica has an agent; it decides nothing and keeps nothing that lasts.
+ */
+
+typedef struct wl_agent_options {
+	const wl_dialect_t *dialect;
+	const wl_raft_t *raft; /* for the present term */
+	wl_metrics_t *metrics;
+	uint64_t calls_most; /* orders under way; 0: the default */
+} wl_agent_options_t;
+
+typedef struct wl_agent wl_agent_t;
+
+wl_agent_t *wl_agent_new(const wl_agent_options_t *options);
+void wl_agent_free(wl_agent_t *agent);
+void wl_agent_step(wl_agent_t *agent, const wl_event_t *event, wl_out_t *out);
+
+#endif
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -109,7 +109,7 @@
 	WL_PART_OWNER = 2,
 	WL_PART_API = 3,
 	WL_PART_NODE = 4,
-	WL_PART_SCHED = 5,
+	WL_PART_AGENT = 5,
 	WL_PART_GATE = 6,
 } wl_part_t;
 
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -276,6 +276,19 @@
 
 static const wl_schema_t msg_reported_schema = WL_SCHEMA(wl_msg_reported_t, msg_reported_fields);
 
+static const wl_field_t msg_orders_fields[] = {
+	WL_FIELD(wl_msg_orders_t, term, WL_FIELD_U64),
+	WL_FIELD_MANY(wl_msg_orders_t, orders, &wl_order_schema),
+};
+
+static const wl_schema_t msg_orders_schema = WL_SCHEMA(wl_msg_orders_t, msg_orders_fields);
+
+static const wl_field_t msg_ordered_fields[] = {
+	WL_FIELD_MANY(wl_msg_ordered_t, ends, &wl_order_end_schema),
+};
+
+static const wl_schema_t msg_ordered_schema = WL_SCHEMA(wl_msg_ordered_t, msg_ordered_fields);
+
 typedef struct kind_row {
 	const char *name;
 	const wl_schema_t *schema;
@@ -299,6 +312,8 @@
 	[WL_MSG_STOP] = {"stop", &msg_stop_schema},
 	[WL_MSG_REPORT] = {"report", &msg_report_schema},
 	[WL_MSG_REPORTED] = {"reported", &msg_reported_schema},
+	[WL_MSG_ORDERS] = {"orders", &msg_orders_schema},
+	[WL_MSG_ORDERED] = {"ordered", &msg_ordered_schema},
 };
 
 /*
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -3,6 +3,7 @@
 
 #include <libwlcore/model/cmd.h>
 #include <libwlcore/model/model.h>
+#include <libwlcore/model/order.h>
 #include <libwlcore/raft/msg.h>
 
 /* Messages between daemons, one per frame of the peer link. */
@@ -26,6 +27,8 @@
 	WL_MSG_STOP,	 /* leader to owner: stop this attempt */
 	WL_MSG_REPORT,	 /* owner to leader */
 	WL_MSG_REPORTED, /* leader to owner: those reports are committed */
+	WL_MSG_ORDERS,	 /* leader to replica: send these orders to their targets */
+	WL_MSG_ORDERED,	 /* replica to leader: how they ended */
 	WL_MSG_KINDS
 } wl_msg_kind_t;
 
@@ -265,6 +268,15 @@
 	wl_list_t rows; /* wl_reported_row_t */
 } wl_msg_reported_t;
 
+typedef struct wl_msg_orders {
+	uint64_t term;	  /* of the leader */
+	wl_list_t orders; /* wl_order_t */
+} wl_msg_orders_t;
+
+typedef struct wl_msg_ordered {
+	wl_list_t ends; /* wl_order_end_t */
+} wl_msg_ordered_t;
+
 typedef struct wl_msg {
 	uint64_t kind; /* wl_msg_kind_t */
 	union {
@@ -285,6 +297,8 @@
 		wl_msg_stop_t stop;
 		wl_msg_report_t report;
 		wl_msg_reported_t reported;
+		wl_msg_orders_t orders;
+		wl_msg_ordered_t ordered;
 	} u;
 } wl_msg_t;
 
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -10,8 +10,8 @@
 const char *const wl_order_kind_names[] = {"start", "stop", "hold", "pace", NULL};
 
 const char *const wl_order_outcome_names[] = {
-	"done",	   "not-sent",	"no-answer",  "fenced",	   "old",     "late",
-	"no-room", "no-ticket", "other-life", "unhealthy", "refused", NULL,
+	"done",	     "not-sent",   "no-answer", "fenced",  "old",	 "late", "no-room",
+	"no-ticket", "other-life", "unhealthy", "refused", "agent-lost", NULL,
 };
 
 static const wl_field_t run_view_fields[] = {
@@ -36,13 +36,43 @@
 
 const wl_schema_t wl_end_view_schema = WL_SCHEMA(wl_end_view_t, end_view_fields);
 
+static const wl_field_t order_fields[] = {
+	WL_FIELD(wl_order_t, id, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, kind, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, runner, WL_FIELD_BYTES),
+	WL_FIELD(wl_order_t, address, WL_FIELD_BYTES),
+	WL_FIELD(wl_order_t, epoch, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, lease_ms, WL_FIELD_U64),
+	WL_FIELD_NEST(wl_order_t, task, &wl_task_ref_schema),
+	WL_FIELD(wl_order_t, run, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, payload, WL_FIELD_BYTES),
+	WL_FIELD(wl_order_t, checkpoint, WL_FIELD_BYTES),
+	WL_FIELD(wl_order_t, percent, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, seen, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, wait_ms, WL_FIELD_U64),
+	WL_FIELD(wl_order_t, timeout_ms, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_order_schema = WL_SCHEMA(wl_order_t, order_fields);
+
+static const wl_field_t order_end_fields[] = {
+	WL_FIELD(wl_order_end_t, id, WL_FIELD_U64),
+	WL_FIELD(wl_order_end_t, outcome, WL_FIELD_U64),
+	WL_FIELD(wl_order_end_t, has_clock, WL_FIELD_BOOL),
+	WL_FIELD(wl_order_end_t, clock_ms, WL_FIELD_U64),
+	WL_FIELD(wl_order_end_t, life, WL_FIELD_U64),
+	WL_FIELD_MANY(wl_order_end_t, runs, &wl_run_view_schema),
+	WL_FIELD_MANY(wl_order_end_t, ends, &wl_end_view_schema),
+};
+
+const wl_schema_t wl_order_end_schema = WL_SCHEMA(wl_order_end_t, order_end_fields);
+
 /*
  * wl_order_end_free - release what the end of an order owns
  */
 void wl_order_end_free(wl_order_end_t *end)
 {
-	wl_list_free(&wl_run_view_schema, &end->runs);
-	wl_list_free(&wl_end_view_schema, &end->ends);
+	wl_record_free(&wl_order_end_schema, end);
 }
 
 /*
--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -14,15 +14,16 @@
 } wl_order_kind_t;
 
 typedef struct wl_order {
-	wl_order_kind_t kind;
-	wl_str_t runner; /* id */
-	wl_str_t address;
+	uint64_t id;   /* unique in the leader's life; its answer bears it too */
+	uint64_t kind; /* wl_order_kind_t */
+	wl_buf_t runner;
+	wl_buf_t address;
 	uint64_t epoch; /* of the leader; a target does nothing for a lower one than it has seen */
 	uint64_t lease_ms;  /* until when runs may go on, on the target's clock; 0: not said */
-	wl_task_ref_t task; /* START, STOP, PACE; borrowed */
+	wl_task_ref_t task; /* START, STOP, PACE */
 	uint64_t run;
-	wl_str_t payload;    /* START */
-	wl_str_t checkpoint; /* START */
+	wl_buf_t payload;    /* START */
+	wl_buf_t checkpoint; /* START */
 	uint64_t percent;    /* PACE */
 	uint64_t seen;	     /* HOLD: ends up to this number are committed */
 	uint64_t wait_ms;    /* HOLD: the answer may wait so long for an end */
@@ -41,6 +42,7 @@
 	WL_ORDER_OTHER_LIFE, /* another target answers at this address */
 	WL_ORDER_UNHEALTHY,  /* nothing was done */
 	WL_ORDER_REFUSED,    /* the order itself is wrong */
+	WL_ORDER_AGENT_LOST, /* its agent is out of reach: it may be carried out, also later */
 	WL_ORDER_OUTCOMES
 } wl_order_outcome_t;
 
@@ -68,7 +70,8 @@
 } wl_end_view_t;
 
 typedef struct wl_order_end {
-	wl_order_outcome_t outcome;
+	uint64_t id;	  /* of the order */
+	uint64_t outcome; /* wl_order_outcome_t */
 	bool has_clock;
 	uint64_t clock_ms;
 	uint64_t life;	/* HOLD; 0: not said */
@@ -76,6 +79,8 @@
 	wl_list_t ends; /* wl_end_view_t */
 } wl_order_end_t;
 
+extern const wl_schema_t wl_order_schema;
+extern const wl_schema_t wl_order_end_schema;
 extern const wl_schema_t wl_run_view_schema;
 extern const wl_schema_t wl_end_view_schema;
 
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -3,6 +3,7 @@
 
 #include <sys/queue.h>
 
+#include <libwlcore/agent/agent.h>
 #include <libwlcore/api/api.h>
 #include <libwlcore/api/auth.h>
 #include <libwlcore/gate/gate.h>
@@ -54,6 +55,7 @@
 	wl_state_t *state;
 	wl_leader_t *leader;
 	wl_sched_t *sched;
+	wl_agent_t *agent;
 	uint64_t applied; /* index */
 	bool leading;
 	const char *role; /* as last logged, with its term and leader */
@@ -90,7 +92,9 @@
 void wl_node_raft_tick(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_persisted(wl_node_t *node, uint64_t now_ns, uint64_t ticket, wl_out_t *out);
 void wl_node_hand_over(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
-void wl_node_order_ended(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+void wl_node_agents_follow(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
+void wl_node_agent_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+void wl_node_link_down(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_node_measure_event(wl_node_t *node, uint64_t now_ns, const wl_event_t *event);
 void wl_node_measure_applied(wl_node_t *node, uint64_t now_ns, uint64_t tag);
 void wl_node_measure_persisted(wl_node_t *node, uint64_t now_ns, const wl_event_t *event);
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -219,6 +219,7 @@
 	wl_owner_free(node->owner);
 	if (node->options.entry && node->target_chart)
 		wl_ledger_free(&node->ledger);
+	wl_agent_free(node->agent);
 	wl_sched_free(node->sched);
 	wl_leader_free(node->leader);
 	wl_state_free(node->state);
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -64,7 +64,7 @@
 	case WL_PART_GATE:
 		wl_gate_step(node->gate, now_ns, &event, out);
 		break;
-	case WL_PART_SCHED: /* asks nobody */
+	case WL_PART_AGENT: /* asks nobody */
 		break;
 	}
 	wl_result_free(&end->result);
@@ -223,6 +223,8 @@
 	[WL_MSG_STOP] = {owner_message, true},
 	[WL_MSG_REPORT] = {wl_node_leader_event, false},
 	[WL_MSG_REPORTED] = {owner_message, true},
+	[WL_MSG_ORDERS] = {wl_node_agent_event, false},
+	[WL_MSG_ORDERED] = {wl_node_leader_event, false},
 };
 
 static void node_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
@@ -305,6 +307,8 @@
 
 	node->wall_ms = event->wall_ms;
 	wl_node_raft_tick(node, now_ns, out);
+	wl_node_agent_event(node, now_ns, event, out);
+	wl_node_agents_follow(node, now_ns, out);
 	wl_node_leader_event(node, now_ns, event, out);
 	if (node->options.entry) {
 		wl_session_step(&node->session, &node->view, now_ns, event, out);
@@ -340,6 +344,9 @@
 			wl_owner_step(node->owner, now_ns, event, out);
 		/* fall through */
 	case WL_EVENT_PEER_DOWN:
+		if (event->kind == WL_EVENT_PEER_DOWN)
+			wl_node_link_down(node, now_ns, event, out);
+		/* fall through */
 	case WL_EVENT_CALL_GONE:
 		if (node->options.entry)
 			wl_requests_step(node->requests, now_ns, event, out);
@@ -348,8 +355,8 @@
 		node_call(node, now_ns, event, out);
 		return;
 	case WL_EVENT_FETCHED:
-		if (WL_PART_OF(event->fetched.id) == WL_PART_SCHED)
-			wl_node_order_ended(node, now_ns, event, out);
+		if (WL_PART_OF(event->fetched.id) == WL_PART_AGENT)
+			wl_node_agent_event(node, now_ns, event, out);
 		else if (node->options.entry)
 			node_fetched(node, now_ns, event, out);
 		return;
--- a/libwlcore/node/node.h
+++ b/libwlcore/node/node.h
@@ -32,7 +32,8 @@
 	const wl_dialect_t *dialect; /* beside our own interface; NULL: none */
 	uint16_t control_port;	     /* of every replica, for targets; 0: not told */
 	wl_str_t job_placement;	     /* policy by name; empty: the default */
-	wl_str_t task_chart;	     /* JSON text */
+	wl_str_t job_dispatch;
+	wl_str_t task_chart; /* JSON text */
 	wl_str_t target_chart;
 	wl_str_t operator_token; /* empty: none is asked for */
 	wl_str_t target_token;
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -224,11 +224,17 @@
 		.name = node->options.name,
 		.leader = node->leader,
 		.jobs = wl_state_jobs(node->state),
-		.dialect = node->options.dialect,
 		.metrics = &node->metrics,
 		.placement = node->options.job_placement,
+		.dispatch = node->options.job_dispatch,
+	};
+	wl_agent_options_t agent = {
+		.dialect = node->options.dialect,
+		.raft = node->raft,
+		.metrics = &node->metrics,
 	};
 
+	node->agent = wl_agent_new(&agent);
 	node->sched = wl_sched_new(&sched, err);
 	return node->sched != NULL;
 }
@@ -421,7 +427,7 @@
 	if (event->kind != WL_EVENT_PEER)
 		return false;
 	if (event->msg.kind != WL_MSG_QUERY && event->msg.kind != WL_MSG_RENEW &&
-	    !wl_sched_takes(event))
+	    !(event->msg.kind == WL_MSG_COMMAND && wl_sched_takes(event)))
 		return false;
 	if (wl_raft_lease_holds(node->raft, now_ns))
 		return false;
@@ -461,9 +467,33 @@
 }
 
 /*
- * wl_node_order_ended - an order to a target has ended
+ * wl_node_agents_follow - let the leader use the replicas that answer it, and no others
+ */
+void wl_node_agents_follow(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
+{
+	wl_list_t names = {0};
+
+	if (!node->leading || !node->sched)
+		return;
+	wl_raft_answering(node->raft, now_ns, &names);
+	wl_sched_agents_set(node->sched, now_ns, &names, out);
+	wl_strings_free(&names);
+}
+
+/*
+ * wl_node_agent_event - give an event to the agent of this replica
+ */
+void wl_node_agent_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	(void)now_ns;
+	if (node->agent)
+		wl_agent_step(node->agent, event, out);
+}
+
+/*
+ * wl_node_link_down - messages that were sent to a daemon may be lost
  */
-void wl_node_order_ended(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+void wl_node_link_down(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	if (node->leading && node->sched)
 		wl_sched_step(node->sched, now_ns, event, out);
--- a/libwlcore/raft/raft.h
+++ b/libwlcore/raft/raft.h
@@ -120,6 +120,7 @@
 wl_str_t wl_raft_leader_name(const wl_raft_t *raft);
 bool wl_raft_seeks(const wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_known_names(const wl_raft_t *raft, wl_list_t *names);
+void wl_raft_answering(const wl_raft_t *raft, uint64_t now_ns, wl_list_t *names);
 void wl_raft_member_names(const wl_raft_t *raft, wl_list_t *names);
 void wl_raft_seeds_set(wl_raft_t *raft, const wl_str_t *names, size_t count);
 void wl_raft_members_json(const wl_raft_t *raft, wl_buf_t *out);
--- a/libwlcore/raft/replicate.c
+++ b/libwlcore/raft/replicate.c
@@ -341,3 +341,20 @@
 	wl_raft_count_commit(raft);
 	hand_over_step(raft, now_ns);
 }
+
+/*
+ * wl_raft_answering - the other members that answered within the least election time
+ * @names: gets their names; none where this replica does not lead
+ */
+void wl_raft_answering(const wl_raft_t *raft, uint64_t now_ns, wl_list_t *names)
+{
+	if (raft->role != WL_RAFT_LEADER)
+		return;
+	for (size_t i = 0; i < raft->members.members.count; i++) {
+		const wl_raft_peer_t *peer = &raft->peers[i];
+
+		if (!is_own(raft, peer) && peer->answered > 0 &&
+		    now_ns < peer->heard_ns + raft->election_ns)
+			wl_strings_add(names, wl_raft_peer_name(raft, peer));
+	}
+}
--- /dev/null
+++ b/libwlcore/sched/agents.c
@@ -0,0 +1,178 @@
+/*
+ * Which replica sends the orders for a target.
+ *
+ * Calls to targets cost far more than the decisions behind them, so that one
+ * processor does not carry those of a large fleet.  The leader spreads the
+ * targets over the other replicas by rendezvous hashing: when a replica is lost,
+ * only its targets move.  Leases, fences and runs stay the leader's.
+ */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+#include <libwlbase/named.h>
+
+#define RETURN_MS 1000 /* after its link went down an agent has to be heard anew */
+
+static wl_sched_agent_t *own_agent(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+{
+	(void)runner;
+	return TAILQ_FIRST(&sched->agents);
+}
+
+static wl_sched_agent_t *spread_agent(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+{
+	wl_sched_agent_t *best = NULL;
+	wl_sched_agent_t *agent;
+	uint64_t highest = 0;
+
+	TAILQ_FOREACH (agent, &sched->agents, link) {
+		uint64_t rank = wl_str_hash(runner->key, agent->seed);
+
+		if (!agent->usable || (best && rank <= highest))
+			continue;
+		best = agent;
+		highest = rank;
+	}
+	return best ? best : own_agent(sched, runner);
+}
+
+/* Sorted by name; the last is the default. */
+static const wl_dispatch_policy_t policies[] = {
+	{"leader", own_agent},
+	{"replicas", spread_agent},
+};
+
+/*
+ * wl_dispatch_policy_find - find a policy
+ * @name: empty: the default
+ *
+ * Return: NULL if there is none of that name.
+ */
+const wl_dispatch_policy_t *wl_dispatch_policy_find(wl_str_t name)
+{
+	if (name.len == 0)
+		return &policies[sizeof(policies) / sizeof(policies[0]) - 1];
+	return WL_NAMED_FIND(policies, name);
+}
+
+static wl_sched_agent_t *agent_find(const wl_sched_t *sched, wl_str_t name)
+{
+	wl_sched_agent_t *agent;
+
+	TAILQ_FOREACH (agent, &sched->agents, link)
+		if (wl_str_equal(wl_buf_str(&agent->name), name))
+			return agent;
+	return NULL;
+}
+
+static wl_sched_agent_t *agent_add(wl_sched_t *sched, wl_str_t name)
+{
+	wl_sched_agent_t *agent = wl_alloc(sizeof(*agent));
+
+	wl_buf_set(&agent->name, name);
+	agent->seed = wl_str_hash(name, 0);
+	TAILQ_INSERT_TAIL(&sched->agents, agent, link);
+	return agent;
+}
+
+/*
+ * wl_sched_agents_begin - leadership begins: the own agent takes all until others are known
+ */
+void wl_sched_agents_begin(wl_sched_t *sched)
+{
+	agent_add(sched, sched->options.name);
+}
+
+/*
+ * wl_sched_agents_clear - forget all agents and the orders that were not sent
+ */
+void wl_sched_agents_clear(wl_sched_t *sched)
+{
+	wl_sched_agent_t *agent;
+
+	while ((agent = TAILQ_FIRST(&sched->agents))) {
+		TAILQ_REMOVE(&sched->agents, agent, link);
+		wl_list_free(&wl_order_schema, &agent->orders);
+		wl_buf_free(&agent->name);
+		free(agent);
+	}
+}
+
+static void agent_use(wl_sched_t *sched, uint64_t now_ns, wl_sched_agent_t *agent, bool usable,
+		      wl_out_t *out)
+{
+	if (agent->usable == usable)
+		return;
+	agent->usable = usable;
+	wl_out_log(out, WL_INFO, "agent", "replica=" WL_STR_FMT " usable=%s",
+		   WL_STR_ARG(wl_buf_str(&agent->name)), usable ? "yes" : "no");
+	if (!usable)
+		wl_sched_calls_lose(sched, now_ns, agent, out);
+}
+
+/*
+ * wl_sched_agents_set - the other replicas that answer the leader
+ * @names: strings
+ *
+ * Orders that one of the others holds have no answer.
+ */
+void wl_sched_agents_set(wl_sched_t *sched, uint64_t now_ns, const wl_list_t *names, wl_out_t *out)
+{
+	const wl_buf_t *items = names->items;
+	wl_sched_agent_t *agent;
+
+	if (!sched->leading)
+		return;
+	for (size_t i = 0; i < names->count; i++)
+		if (!agent_find(sched, wl_buf_str(&items[i])))
+			agent_add(sched, wl_buf_str(&items[i]));
+	agent = TAILQ_FIRST(&sched->agents);
+	while ((agent = TAILQ_NEXT(agent, link)))
+		agent_use(sched, now_ns, agent,
+			  now_ns >= agent->barred_ns &&
+				  wl_strings_have(names, wl_buf_str(&agent->name)),
+			  out);
+}
+
+/*
+ * wl_sched_agent_down - the link to a daemon is down: what was sent on it may be lost
+ */
+void wl_sched_agent_down(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, wl_out_t *out)
+{
+	wl_sched_agent_t *agent = agent_find(sched, name);
+
+	if (!agent || agent == TAILQ_FIRST(&sched->agents))
+		return;
+	agent->barred_ns = now_ns + RETURN_MS * WL_NS_PER_MS;
+	agent_use(sched, now_ns, agent, false, out);
+}
+
+/*
+ * wl_sched_agent_give - add an order to those that an agent is sent at the end of the step
+ * @order: copied
+ */
+void wl_sched_agent_give(wl_sched_agent_t *agent, const wl_order_t *order)
+{
+	wl_record_copy(&wl_order_schema, wl_list_add(&wl_order_schema, &agent->orders), order);
+}
+
+/*
+ * wl_sched_agents_send - send each agent the orders of this step
+ */
+void wl_sched_agents_send(wl_sched_t *sched, wl_out_t *out)
+{
+	wl_sched_agent_t *agent;
+
+	TAILQ_FOREACH (agent, &sched->agents, link) {
+		wl_msg_orders_t *msg;
+
+		if (agent->orders.count == 0)
+			continue;
+		msg = &wl_out_send(out, wl_buf_str(&agent->name), WL_MSG_ORDERS)->u.orders;
+		msg->term = sched->epoch;
+		msg->orders = agent->orders;
+		agent->orders = (wl_list_t){0};
+	}
+}
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -130,6 +130,24 @@
 
 TAILQ_HEAD(wl_sched_timed, wl_sched_job);
 
+/* A replica that sends orders to targets. */
+typedef struct wl_sched_agent {
+	wl_buf_t name;
+	uint64_t seed;	    /* of its ranks for targets */
+	bool usable;	    /* it answers; the own one stands in where none does */
+	uint64_t barred_ns; /* not to be used before */
+	wl_list_t orders;   /* wl_order_t, sent at the end of the step */
+	TAILQ_ENTRY(wl_sched_agent) link;
+} wl_sched_agent_t;
+
+TAILQ_HEAD(wl_sched_agents, wl_sched_agent);
+
+/* Chooses the agent that sends the orders for a target. */
+typedef struct wl_dispatch_policy {
+	const char *name;
+	wl_sched_agent_t *(*choose)(const wl_sched_t *sched, const wl_sched_runner_t *runner);
+} wl_dispatch_policy_t;
+
 /* An order under way. */
 typedef struct wl_sched_call {
 	wl_str_t key; /* over id */
@@ -141,6 +159,8 @@
 	uint64_t percent; /* PACE */
 	uint64_t lease_ms;
 	uint64_t sent_ns;
+	uint64_t expires_ns; /* without a word of the agent it has no answer */
+	wl_sched_agent_t *agent;
 	TAILQ_ENTRY(wl_sched_call) link;
 } wl_sched_call_t;
 
@@ -161,13 +181,16 @@
 	wl_jobs_t *jobs;
 	const wl_fit_policy_t *fit;
 	const wl_ordering_policy_t *order;
+	const wl_dispatch_policy_t *dispatch;
 	bool leading;
 	uint64_t epoch; /* term of the log */
 	uint64_t led_ns;
 	uint64_t next_id;
 	uint64_t next_tag;
 	wl_map_t by_call;
-	TAILQ_HEAD(wl_sched_calls, wl_sched_call) calls;
+	TAILQ_HEAD(wl_sched_calls, wl_sched_call) calls; /* in the order of their giving */
+	uint64_t expiry_look_ns;
+	struct wl_sched_agents agents; /* the own one first */
 	wl_map_t by_tag;
 	TAILQ_HEAD(wl_sched_proposals, wl_sched_proposal) proposals;
 	wl_map_t by_runner;
@@ -226,9 +249,8 @@
 void wl_sched_run_end(wl_sched_run_t *run, wl_run_how_t how, wl_cmd_runs_end_t *ends);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
 			   wl_out_t *out);
-void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out);
-bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns,
-			 wl_out_t *out);
+void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
+bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
 /* tails.c */
@@ -263,9 +285,20 @@
 
 /* orders.c */
 void wl_sched_order(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-		    wl_order_t *order, const wl_sched_run_t *run, wl_out_t *out);
-void wl_sched_fetched(wl_sched_t *sched, uint64_t now_ns, const wl_fetched_t *fetched,
-		      wl_out_t *out);
+		    wl_order_t *order, const wl_sched_run_t *run);
+void wl_sched_ordered(wl_sched_t *sched, uint64_t now_ns, wl_str_t agent,
+		      const wl_msg_ordered_t *msg, wl_out_t *out);
+void wl_sched_calls_lose(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *agent,
+			 wl_out_t *out);
+void wl_sched_calls_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_calls_clear(wl_sched_t *sched);
 
+/* agents.c */
+const wl_dispatch_policy_t *wl_dispatch_policy_find(wl_str_t name);
+void wl_sched_agents_begin(wl_sched_t *sched);
+void wl_sched_agents_clear(wl_sched_t *sched);
+void wl_sched_agent_down(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, wl_out_t *out);
+void wl_sched_agent_give(wl_sched_agent_t *agent, const wl_order_t *order);
+void wl_sched_agents_send(wl_sched_t *sched, wl_out_t *out);
+
 #endif
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -1,40 +1,44 @@
-/* Orders to targets: sent with the leader's epoch, matched with their answers. */
+/* Orders to targets: given to agents with the leader's epoch, matched with their answers. */
 
 #include "internal.h"
 
 #include <stdlib.h>
 
+#define AGENT_SLACK_MS 3000 /* for an order's way to its agent and its answer's way back */
+#define EXPIRY_LOOK_MS 50
+
 /*
- * wl_sched_order - send an order
+ * wl_sched_order - give an order to the agent of its target
  * @order: kind, and what is particular to it; the rest is filled in here
  * @run: the run that it concerns; NULL: all of the target's
  */
 void wl_sched_order(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-		    wl_order_t *order, const wl_sched_run_t *run, wl_out_t *out)
+		    wl_order_t *order, const wl_sched_run_t *run)
 {
 	wl_sched_call_t *call = wl_alloc(sizeof(*call));
-	wl_fetch_t *fetch = &wl_out_add(out, WL_ACTION_FETCH)->fetch;
 
-	call->id = WL_PART_ID(WL_PART_SCHED, sched->next_id++);
+	call->id = sched->next_id++;
 	call->key = (wl_str_t){(const char *)&call->id, sizeof(call->id)};
-	call->kind = order->kind;
+	call->kind = (wl_order_kind_t)order->kind;
 	call->life = runner->state->report.life;
 	call->percent = order->percent;
 	call->sent_ns = now_ns;
 	call->lease_ms = order->lease_ms;
+	call->expires_ns = now_ns + (order->timeout_ms + AGENT_SLACK_MS) * WL_NS_PER_MS;
+	call->agent = sched->dispatch->choose(sched, runner);
 	wl_buf_set(&call->runner, runner->key);
 	if (run)
 		wl_buf_set(&call->run, run->key);
 	wl_map_put(&sched->by_call, call);
 	TAILQ_INSERT_TAIL(&sched->calls, call, link);
 
-	order->runner = runner->key;
-	order->address = wl_buf_str(&runner->state->report.address);
+	order->id = call->id;
+	order->runner = runner->id; /* borrowed, like the address */
+	order->address = runner->state->report.address;
 	order->epoch = sched->epoch;
 	if (order->lease_ms > runner->lease_until_ms)
 		runner->lease_until_ms = order->lease_ms;
-	fetch->id = call->id;
-	sched->options.dialect->order_write(order, fetch);
+	wl_sched_agent_give(call->agent, order);
 	if (order->kind == WL_ORDER_HOLD)
 		runner->hold_id = call->id;
 }
@@ -60,6 +64,7 @@
 static void runner_answered(wl_sched_runner_t *runner, uint64_t now_ns, const wl_order_end_t *end)
 {
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
+	    end->outcome == WL_ORDER_AGENT_LOST ||
 	    end->outcome == WL_ORDER_OTHER_LIFE) /* of another target, with a clock of its own */
 		return;
 	runner->answered_ns = now_ns;
@@ -76,33 +81,78 @@
 		runner->lease_held_ms = call->lease_ms;
 }
 
-/*
- * wl_sched_fetched - an order has ended
- */
-void wl_sched_fetched(wl_sched_t *sched, uint64_t now_ns, const wl_fetched_t *fetched,
-		      wl_out_t *out)
+static void call_ended(wl_sched_t *sched, uint64_t now_ns, wl_sched_call_t *call,
+		       const wl_order_end_t *end, wl_out_t *out)
 {
-	wl_str_t key = {(const char *)&fetched->id, sizeof(fetched->id)};
-	wl_sched_call_t *call = wl_map_get(&sched->by_call, key);
-	wl_sched_runner_t *runner;
-	wl_order_end_t end;
-	wl_err_t err;
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&call->runner));
 
-	if (!call)
-		return;
-	if (!sched->options.dialect->order_read(call->kind, fetched, &end, &err))
-		wl_out_log(out, WL_WARN, "order-answer-bad", "target=%s reason=\"%s\"",
-			   call->runner.at, err.text);
-	runner = wl_sched_runner_find(sched, wl_buf_str(&call->runner));
-	wl_sched_order_measure(sched, call->kind, end.outcome, now_ns - call->sent_ns);
+	wl_sched_order_measure(sched, call->kind, (wl_order_outcome_t)end->outcome,
+			       now_ns - call->sent_ns);
 	if (runner) {
-		runner_answered(runner, now_ns, &end);
-		lease_answered(runner, call, &end);
+		runner_answered(runner, now_ns, end);
+		lease_answered(runner, call, end);
 		if (call->kind == WL_ORDER_HOLD)
-			wl_sched_hold_answered(sched, now_ns, runner, call, &end, out);
+			wl_sched_hold_answered(sched, now_ns, runner, call, end, out);
 		else
-			wl_sched_run_answered(sched, now_ns, call, &end, out);
+			wl_sched_run_answered(sched, now_ns, call, end, out);
 	}
-	wl_order_end_free(&end);
 	call_drop(sched, call);
 }
+
+/*
+ * wl_sched_ordered - an agent tells how orders ended
+ */
+void wl_sched_ordered(wl_sched_t *sched, uint64_t now_ns, wl_str_t agent,
+		      const wl_msg_ordered_t *msg, wl_out_t *out)
+{
+	const wl_order_end_t *ends = msg->ends.items;
+
+	for (size_t i = 0; i < msg->ends.count; i++) {
+		wl_str_t key = {(const char *)&ends[i].id, sizeof(ends[i].id)};
+		wl_sched_call_t *call = wl_map_get(&sched->by_call, key);
+
+		if (call && ends[i].outcome < WL_ORDER_OUTCOMES &&
+		    wl_str_equal(wl_buf_str(&call->agent->name), agent))
+			call_ended(sched, now_ns, call, &ends[i], out);
+	}
+}
+
+/*
+ * wl_sched_calls_lose - an agent is out of reach, and with it how its orders end
+ */
+void wl_sched_calls_lose(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *agent,
+			 wl_out_t *out)
+{
+	const wl_order_end_t end = {.outcome = WL_ORDER_AGENT_LOST};
+	wl_sched_call_t *call = TAILQ_FIRST(&sched->calls);
+
+	while (call) {
+		wl_sched_call_t *next = TAILQ_NEXT(call, link);
+
+		if (call->agent == agent)
+			call_ended(sched, now_ns, call, &end, out);
+		call = next;
+	}
+}
+
+/*
+ * wl_sched_calls_tick - give up the orders whose agents did not say in time how they ended
+ *
+ * The own agent always says, after a pause of this process too.
+ */
+void wl_sched_calls_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
+{
+	const wl_order_end_t end = {.outcome = WL_ORDER_AGENT_LOST};
+	wl_sched_call_t *call = TAILQ_FIRST(&sched->calls);
+
+	if (now_ns < sched->expiry_look_ns)
+		return;
+	sched->expiry_look_ns = now_ns + EXPIRY_LOOK_MS * WL_NS_PER_MS;
+	while (call) {
+		wl_sched_call_t *next = TAILQ_NEXT(call, link);
+
+		if (now_ns >= call->expires_ns && call->agent != TAILQ_FIRST(&sched->agents))
+			call_ended(sched, now_ns, call, &end, out);
+		call = next;
+	}
+}
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -219,8 +219,7 @@
 	return false;
 }
 
-static void hold_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner, bool holds,
-		      wl_out_t *out)
+static void hold_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner, bool holds)
 {
 	wl_order_t order = {.kind = WL_ORDER_HOLD, .seen = runner->seen};
 
@@ -231,7 +230,7 @@
 	if (runner->clock_ns && !runner->hold_failed)
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
 	runner->ack_due = false;
-	wl_sched_order(sched, now_ns, runner, &order, NULL, out);
+	wl_sched_order(sched, now_ns, runner, &order, NULL);
 }
 
 /* When even a slow clock has passed every lease that may have been granted. */
@@ -287,11 +286,11 @@
 
 	usable_follow(sched, runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
-		wl_sched_run_tick(sched, now_ns, run, out);
+		wl_sched_run_tick(sched, now_ns, run);
 	if (holds && runner->hold_failed && now_ns > lapse_ns(runner))
 		runs_lapse(sched, now_ns, runner, out);
 	else if ((holds || runner->ack_due) && !runner->hold_id && now_ns >= runner->hold_due_ns)
-		hold_send(sched, now_ns, runner, holds, out);
+		hold_send(sched, now_ns, runner, holds);
 	if (last_ns < sched->led_ns)
 		last_ns = sched->led_ns;
 	if (TAILQ_EMPTY(&runner->runs) && !runner->gone_proposed &&
@@ -333,7 +332,7 @@
 
 	wl_out_log(out, WL_WARN, "run-unknown", "target=" WL_STR_FMT " task=%s run=%llu",
 		   WL_STR_ARG(runner->key), view->task.at, (unsigned long long)view->run);
-	wl_sched_order(sched, now_ns, runner, &order, NULL, out);
+	wl_sched_order(sched, now_ns, runner, &order, NULL);
 }
 
 static void views_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
@@ -382,12 +381,12 @@
 }
 
 static void absent_follow(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			  uint64_t sent_ns, wl_cmd_runs_end_t *ends, wl_out_t *out)
+			  uint64_t sent_ns, wl_cmd_runs_end_t *ends)
 {
 	wl_sched_run_t *run;
 
 	TAILQ_FOREACH (run, &runner->runs, link)
-		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns, out))
+		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns))
 			wl_sched_run_end(run, WL_END_LOST, ends);
 }
 
@@ -436,6 +435,10 @@
 		gone_propose(sched, now_ns, runner, "address-taken", out);
 		return;
 	}
+	if (end->outcome == WL_ORDER_AGENT_LOST) { /* says nothing of the target */
+		wl_sched_hold_soon(runner, now_ns);
+		return;
+	}
 	if (end->outcome != WL_ORDER_DONE) {
 		if (!runner->hold_failed)
 			wl_out_log(out, WL_INFO, "target-hold-failed",
@@ -463,6 +466,6 @@
 	wl_sched_tails_follow(sched, now_ns, runner, out);
 	ends_follow(sched, runner, end, &ends);
 	if (end->ends.count < ENDS_WHOLE_MOST)
-		absent_follow(sched, now_ns, runner, call->sent_ns, &ends, out);
+		absent_follow(sched, now_ns, runner, call->sent_ns, &ends);
 	ends_commit(sched, now_ns, runner, &ends, out);
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -126,8 +126,8 @@
 	wl_order_t order = {
 		.kind = WL_ORDER_START,
 		.run = run->number,
-		.payload = wl_buf_str(&job->record.spec.payload),
-		.checkpoint = wl_buf_str(&job->tasks[run->task].checkpoint),
+		.payload = job->record.spec.payload, /* borrowed, like all that follows */
+		.checkpoint = job->tasks[run->task].checkpoint,
 		.timeout_ms = START_TIMEOUT_MS,
 	};
 
@@ -135,7 +135,7 @@
 	order.lease_ms =
 		wl_sched_runner_clock_ms(run->runner, now_ns) + sched->options.start_lease_ms;
 	run->phase = WL_RUN_STARTING;
-	wl_sched_order(sched, now_ns, run->runner, &order, run, out);
+	wl_sched_order(sched, now_ns, run->runner, &order, run);
 	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
 		   "job=" WL_STR_FMT " task=%llu.%llu.%llu run=%llu target=" WL_STR_FMT
@@ -174,7 +174,7 @@
 	}
 }
 
-static void stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out)
+static void stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
 	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 	wl_order_t order = {
@@ -184,7 +184,7 @@
 	if (!job)
 		return;
 	task_of(run, job, &order.task);
-	wl_sched_order(sched, now_ns, run->runner, &order, run, out);
+	wl_sched_order(sched, now_ns, run->runner, &order, run);
 }
 
 /*
@@ -201,7 +201,7 @@
 	wl_out_log(out, WL_INFO, "run-stop", "run=" WL_STR_FMT " target=" WL_STR_FMT " reason=%s",
 		   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key), reason);
 	if (run->phase != WL_RUN_PROPOSED)
-		stop_send(sched, now_ns, run, out);
+		stop_send(sched, now_ns, run);
 }
 
 /*
@@ -279,9 +279,10 @@
 		run->phase = WL_RUN_PRESENT;
 		run->answered_ns = now_ns;
 		if (run->stop_wanted)
-			stop_send(sched, now_ns, run, out);
+			stop_send(sched, now_ns, run);
 		break;
 	case WL_ORDER_NO_ANSWER:
+	case WL_ORDER_AGENT_LOST:
 		run->phase = WL_RUN_UNSURE;
 		break;
 	default:
@@ -296,7 +297,8 @@
 			  wl_order_outcome_t outcome)
 {
 	run->pace_sent = false;
-	if (outcome != WL_ORDER_DONE && outcome != WL_ORDER_NO_ANSWER)
+	if (outcome != WL_ORDER_DONE && outcome != WL_ORDER_NO_ANSWER &&
+	    outcome != WL_ORDER_AGENT_LOST)
 		return;
 	wl_sched_window_follow(run->runner, now_ns);
 	run->pace = outcome == WL_ORDER_DONE ? percent : WL_PACE_UNKNOWN;
@@ -313,11 +315,12 @@
 	if (!run)
 		return;
 	if (call->kind == WL_ORDER_START) {
-		start_answered(sched, now_ns, run, end->outcome, out);
+		start_answered(sched, now_ns, run, (wl_order_outcome_t)end->outcome, out);
 		return;
 	}
 	if (call->kind == WL_ORDER_PACE) {
-		pace_answered(run, now_ns, (unsigned int)call->percent, end->outcome);
+		pace_answered(run, now_ns, (unsigned int)call->percent,
+			      (wl_order_outcome_t)end->outcome);
 		return;
 	}
 	if (end->outcome == WL_ORDER_DONE || end->outcome == WL_ORDER_OLD) {
@@ -421,7 +424,7 @@
 /*
  * wl_sched_run_tick - stop again what should be stopped and whose target did not answer
  */
-void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, wl_out_t *out)
+void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
 	bool wanted = run->stop_wanted || run->phase == WL_RUN_UNSURE;
 
@@ -429,7 +432,7 @@
 	    run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING)
 		return;
 	if (now_ns - run->stop_sent_ns >= (STOP_TIMEOUT_MS + STOP_AGAIN_MS) * WL_NS_PER_MS)
-		stop_send(sched, now_ns, run, out);
+		stop_send(sched, now_ns, run);
 }
 
 /*
@@ -438,8 +441,7 @@
  *
  * Return: whether the run is over; else it is told to stop first, or an answer is awaited.
  */
-bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns,
-			 wl_out_t *out)
+bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns)
 {
 	switch (run->phase) {
 	case WL_RUN_PRESENT:
@@ -450,7 +452,7 @@
 		if (run->stop_done_ns && run->stop_done_ns < sent_ns)
 			return true;
 		if (run->stop_sent_ns == 0)
-			stop_send(sched, now_ns, run, out);
+			stop_send(sched, now_ns, run);
 		return false;
 	case WL_RUN_PROPOSED:
 	case WL_RUN_STARTING:
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -33,14 +33,16 @@
 	sched->jobs = options->jobs;
 	sched->fit = wl_fit_policy_find(options->placement);
 	sched->order = wl_ordering_policy_find(options->queueing);
-	if (!sched->fit || !sched->order) {
+	sched->dispatch = wl_dispatch_policy_find(options->dispatch);
+	if (!sched->fit || !sched->order || !sched->dispatch) {
 		wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
-			   "unknown placement or queueing of jobs");
+			   "unknown placement, queueing or dispatch of jobs");
 		free(sched);
 		return NULL;
 	}
 	wl_map_init(&sched->by_call);
 	TAILQ_INIT(&sched->calls);
+	TAILQ_INIT(&sched->agents);
 	wl_map_init(&sched->by_tag);
 	TAILQ_INIT(&sched->proposals);
 	wl_map_init(&sched->by_runner);
@@ -70,6 +72,7 @@
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_free(sched, TAILQ_FIRST(&sched->proposals));
 	wl_sched_calls_clear(sched);
+	wl_sched_agents_clear(sched);
 	wl_sched_runners_clear(sched);
 	TAILQ_FOREACH (job, &sched->jobs->live, link)
 		wl_sched_job_close(sched, job);
@@ -150,6 +153,7 @@
 	sched->leading = true;
 	sched->epoch = event->term;
 	sched->led_ns = now_ns;
+	wl_sched_agents_begin(sched);
 	TAILQ_FOREACH (runner, &sched->jobs->runners, link)
 		if (!runner->left_ms)
 			runs_inherit(sched, now_ns, runner);
@@ -323,6 +327,7 @@
 static void on_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	wl_sched_timed_tick(sched, now_ns);
+	wl_sched_calls_tick(sched, now_ns, out);
 	wl_sched_runners_tick(sched, now_ns, out);
 	wl_sched_gauges_tick(sched, now_ns);
 }
@@ -338,6 +343,8 @@
 		return false;
 	if (msg->kind == WL_MSG_COMMAND)
 		return wl_jobs_knows(msg->u.command.cmd_kind);
+	if (msg->kind == WL_MSG_ORDERED)
+		return true;
 	return msg->kind == WL_MSG_QUERY &&
 	       (msg->u.query.kind == WL_QUERY_JOB || msg->u.query.kind == WL_QUERY_CATALOG);
 }
@@ -348,6 +355,8 @@
 
 	if (event->msg.kind == WL_MSG_COMMAND)
 		wl_sched_command(sched, now_ns, peer, &event->msg.u.command, out);
+	else if (event->msg.kind == WL_MSG_ORDERED)
+		wl_sched_ordered(sched, now_ns, peer, &event->msg.u.ordered, out);
 	else
 		wl_sched_query(sched, peer, &event->msg.u.query, out);
 }
@@ -355,7 +364,7 @@
 /*
  * wl_sched_step - let an event happen
  * @now_ns: monotonic time
- * @event: LEAD, FOLLOW, APPLIED, DROPPED, TICK, FETCHED, and what wl_sched_takes()
+ * @event: LEAD, FOLLOW, APPLIED, DROPPED, TICK, PEER_DOWN, and what wl_sched_takes()
  */
 void wl_sched_step(wl_sched_t *sched, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
@@ -377,8 +386,8 @@
 	case WL_EVENT_DROPPED:
 		on_dropped(sched, event, out);
 		break;
-	case WL_EVENT_FETCHED:
-		wl_sched_fetched(sched, now_ns, &event->fetched, out);
+	case WL_EVENT_PEER_DOWN:
+		wl_sched_agent_down(sched, now_ns, wl_buf_str(&event->peer), out);
 		break;
 	case WL_EVENT_FOLLOW:
 		on_follow(sched, out);
@@ -388,4 +397,5 @@
 	}
 	if (sched->place_due && now_ns >= sched->place_next_ns)
 		wl_sched_place(sched, now_ns, out);
+	wl_sched_agents_send(sched, out);
 }
--- a/libwlcore/sched/sched.h
+++ b/libwlcore/sched/sched.h
@@ -3,7 +3,8 @@
 
 #include <libwlcore/job/jobs.h>
 #include <libwlcore/leader/leader.h>
-#include <libwlcore/model/dialect.h>
+#include <libwlcore/model/event.h>
+#include <libwlcore/model/order.h>
 
 /*
  * The scheduler of jobs: what only the leader does with them.  It chooses
@@ -15,10 +16,10 @@
 	wl_str_t name;		   /* own daemon name */
 	const wl_leader_t *leader; /* for the group's clock */
 	wl_jobs_t *jobs;
-	const wl_dialect_t *dialect;
 	wl_metrics_t *metrics;
 	wl_str_t placement; /* name of the policy; empty: the default */
 	wl_str_t queueing;
+	wl_str_t dispatch;
 	uint64_t lease_ms;	/* that a hold asks for */
 	uint64_t lease_most_ms; /* longest that a target grants */
 	uint64_t start_lease_ms;
@@ -31,5 +32,6 @@
 void wl_sched_free(wl_sched_t *sched);
 void wl_sched_step(wl_sched_t *sched, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 bool wl_sched_takes(const wl_event_t *event);
+void wl_sched_agents_set(wl_sched_t *sched, uint64_t now_ns, const wl_list_t *names, wl_out_t *out);
 
 #endif
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -173,7 +173,7 @@
 		   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key), percent, run->pace);
 	wl_job_place(job, run->task, &order.task);
 	order.task.job = run->job; /* borrowed */
-	wl_sched_order(sched, now_ns, run->runner, &order, run, out);
+	wl_sched_order(sched, now_ns, run->runner, &order, run);
 }
 
 static bool pace_differs(const wl_sched_run_t *run, unsigned int percent)
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -10,52 +10,31 @@
 {
 constexpr uint64_t MS = 1000000;
 
-/* The dialect of the rig: an order goes through the body as it is, the answer comes from the test.
- */
-SchedOrder written;
-wl_order_end_t read_end;
-
-std::string text(wl_str_t s)
-{
-	return std::string(s.at ? s.at : "", s.len);
-}
-
-void order_write(const wl_order_t *order, wl_fetch_t *fetch)
-{
-	written = {};
-	written.id = fetch->id;
-	written.kind = order->kind;
-	written.runner = text(order->runner);
-	written.task = text(wl_buf_str(&order->task.job)) + "." +
-		       std::to_string(order->task.occurrence) + "." +
-		       std::to_string(order->task.step) + "." + std::to_string(order->task.index);
-	written.run = order->run;
-	written.epoch = order->epoch;
-	written.lease_ms = order->lease_ms;
-	written.seen = order->seen;
-	written.percent = order->percent;
-	written.wait_ms = order->wait_ms;
-	written.checkpoint = text(order->checkpoint);
-	wl_buf_set(&fetch->body, wl_str_from("x"));
-}
-
-std::deque<SchedOrder> *sink;
-
-void order_write_and_keep(const wl_order_t *order, wl_fetch_t *fetch)
+std::string text(const wl_buf_t &buf)
 {
-	order_write(order, fetch);
-	sink->push_back(written);
+	return std::string(buf.at ? buf.at : "", buf.len);
 }
 
-bool order_read(wl_order_kind_t, const wl_fetched_t *, wl_order_end_t *end, wl_err_t *)
-{
-	*end = read_end;
-	read_end = {};
-	return true;
+SchedOrder order_of(const std::string &agent, const wl_order_t &order)
+{
+	SchedOrder taken = {};
+
+	taken.agent = agent;
+	taken.id = order.id;
+	taken.kind = static_cast<wl_order_kind_t>(order.kind);
+	taken.runner = text(order.runner);
+	taken.task = text(order.task.job) + "." + std::to_string(order.task.occurrence) + "." +
+		     std::to_string(order.task.step) + "." + std::to_string(order.task.index);
+	taken.run = order.run;
+	taken.epoch = order.epoch;
+	taken.lease_ms = order.lease_ms;
+	taken.seen = order.seen;
+	taken.percent = order.percent;
+	taken.wait_ms = order.wait_ms;
+	taken.checkpoint = text(order.checkpoint);
+	return taken;
 }
 
-const wl_dialect_t rig_dialect = {"rig", nullptr, nullptr, order_write_and_keep, order_read};
-
 wl_str_t str(const std::string &s)
 {
 	return {s.data(), s.size()};
@@ -87,11 +66,9 @@
 	options.name = WL_STR("s1");
 	options.leader = leader;
 	options.jobs = jobs;
-	options.dialect = &rig_dialect;
 	options.metrics = &metrics;
 	sched = wl_sched_new(&options, &err);
 	EXPECT_NE(sched, nullptr) << err.text;
-	sink = &orders;
 	lead(1);
 }
 
@@ -119,13 +96,25 @@
 			action.cmd = {};
 		}
 		if (action.kind == WL_ACTION_SEND)
-			sent.push_back(static_cast<wl_msg_kind_t>(action.msg.kind));
+			message_take(action);
 		if (action.kind == WL_ACTION_LOG)
-			log.push_back(text(wl_buf_str(&action.line)));
+			log.push_back(text(action.line));
 	}
 	wl_out_free(&out);
 }
 
+void SchedRig::message_take(const wl_action_t &action)
+{
+	const wl_msg_orders_t &msg = action.msg.u.orders;
+
+	sent.push_back(static_cast<wl_msg_kind_t>(action.msg.kind));
+	if (action.msg.kind != WL_MSG_ORDERS)
+		return;
+	for (size_t i = 0; i < msg.orders.count; i++)
+		orders.push_back(order_of(text(action.peer),
+					  static_cast<const wl_order_t *>(msg.orders.items)[i]));
+}
+
 void SchedRig::lead(uint64_t term)
 {
 	wl_event_t event;
@@ -318,39 +307,67 @@
 	return taken;
 }
 
-void SchedRig::fetched(const SchedOrder &order)
+/* The agent that has the order tells how it ended. */
+void SchedRig::ordered(const SchedOrder &order, wl_order_end_t *end)
 {
 	wl_event_t event;
 
-	wl_event_init(&event, WL_EVENT_FETCHED);
-	event.fetched.id = order.id;
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, str(order.agent));
+	wl_msg_init(&event.msg, WL_MSG_ORDERED);
+	end->id = order.id;
+	end->clock_ms = now / MS + clock_offset_ms;
+	*static_cast<wl_order_end_t *>(
+		wl_list_add(&wl_order_end_schema, &event.msg.u.ordered.ends)) = *end;
 	step(&event);
+	wl_event_free(&event);
 }
 
 void SchedRig::answer(const SchedOrder &order, wl_order_outcome_t outcome)
 {
-	read_end = {};
-	read_end.outcome = outcome;
-	read_end.has_clock = outcome != WL_ORDER_NO_ANSWER && outcome != WL_ORDER_NOT_SENT;
-	read_end.clock_ms = now / MS + clock_offset_ms;
-	fetched(order);
+	wl_order_end_t end = {};
+
+	end.outcome = outcome;
+	end.has_clock = outcome != WL_ORDER_NO_ANSWER && outcome != WL_ORDER_NOT_SENT;
+	ordered(order, &end);
 }
 
 void SchedRig::answer_hold(const SchedOrder &order, const std::vector<wl_run_view_t> &runs,
 			   const std::vector<wl_end_view_t> &ends, uint64_t life)
 {
-	read_end = {};
-	read_end.outcome = WL_ORDER_DONE;
-	read_end.has_clock = true;
-	read_end.clock_ms = now / MS + clock_offset_ms;
-	read_end.life = life;
+	wl_order_end_t end = {};
+
+	end.outcome = WL_ORDER_DONE;
+	end.has_clock = true;
+	end.life = life;
 	for (const auto &run : runs)
-		*static_cast<wl_run_view_t *>(wl_list_add(&wl_run_view_schema, &read_end.runs)) =
-			run;
+		*static_cast<wl_run_view_t *>(wl_list_add(&wl_run_view_schema, &end.runs)) = run;
 	for (const auto &one : ends)
-		*static_cast<wl_end_view_t *>(wl_list_add(&wl_end_view_schema, &read_end.ends)) =
-			one;
-	fetched(order);
+		*static_cast<wl_end_view_t *>(wl_list_add(&wl_end_view_schema, &end.ends)) = one;
+	ordered(order, &end);
+}
+
+/* The other replicas that answer the leader. */
+void SchedRig::agents(const std::vector<std::string> &names)
+{
+	wl_list_t list = {};
+	wl_out_t out = {};
+
+	for (const auto &name : names)
+		wl_strings_add(&list, str(name));
+	wl_sched_agents_set(sched, now, &list, &out);
+	wl_out_free(&out);
+	wl_strings_free(&list);
+}
+
+void SchedRig::link_down(const std::string &name)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_PEER_DOWN);
+	wl_buf_set(&event.peer, str(name));
+	step(&event);
+	wl_event_free(&event);
 }
 
 static void ref_parse(const std::string &task, wl_task_ref_t *ref)
@@ -408,7 +425,7 @@
 	std::string value;
 
 	wl_metrics_print(&metrics, &printed);
-	std::istringstream lines(text(wl_buf_str(&printed)));
+	std::istringstream lines(text(printed));
 	wl_buf_free(&printed);
 	for (std::string one; std::getline(lines, one);)
 		if (one.rfind(line + " ", 0) == 0)
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -12,6 +12,7 @@
 
 /* An order as the scheduler gave it; the test answers it, or does not. */
 struct SchedOrder {
+	std::string agent; /* the replica that is to send it */
 	uint64_t id;
 	wl_order_kind_t kind;
 	std::string runner;
@@ -63,6 +64,9 @@
 
 	/* A metric's line, up to its value: "NAME{LABELS}"; empty if it was never counted. */
 	std::string metric(const std::string &line) const;
+	void agents(const std::vector<std::string> &names);
+	void link_down(const std::string &name);
+
 	std::string job_state(const std::string &id) const;
 	const wl_job_t *find(const std::string &id) const;
 
@@ -76,7 +80,8 @@
 
       private:
 	void step(wl_event_t *event);
-	void fetched(const SchedOrder &order);
+	void message_take(const wl_action_t &action);
+	void ordered(const SchedOrder &order, wl_order_end_t *end);
 
 	wl_chart_t *chart = nullptr;
 	wl_leader_t *leader = nullptr;
--- /dev/null
+++ b/tests/unit/agent_test.cc
@@ -0,0 +1,221 @@
+extern "C" {
+#include <libwlcore/agent/agent.h>
+}
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+/* The agent of a replica, with a dialect that puts the order's run into the body. */
+
+namespace
+{
+constexpr uint64_t TERM = 5;
+constexpr uint64_t CALLS_MOST = 8;
+
+void order_write(const wl_order_t *order, wl_fetch_t *fetch)
+{
+	wl_buf_printf(&fetch->body, "%llu", static_cast<unsigned long long>(order->run));
+}
+
+/* The status is the outcome; a whole answer lists one run by its name. */
+bool order_read(wl_order_kind_t, const wl_fetched_t *fetched, wl_order_end_t *end, wl_err_t *)
+{
+	*end = {};
+	end->outcome = fetched->status;
+	if (!fetched->whole)
+		return true;
+	auto *view = static_cast<wl_run_view_t *>(wl_list_add(&wl_run_view_schema, &end->runs));
+	wl_buf_set(&view->task, WL_STR("j.0.0.1"));
+	wl_buf_set(&view->ref.job, WL_STR("j"));
+	return true;
+}
+
+const wl_dialect_t dialect = {"test", nullptr, nullptr, order_write, order_read};
+
+struct Told {
+	std::string leader;
+	std::vector<std::pair<uint64_t, uint64_t>> ends; /* order, outcome */
+};
+
+class Agent : public testing::Test
+{
+      protected:
+	Agent()
+	{
+		const wl_str_t name = WL_STR("s1");
+		wl_raft_options_t raft_options = {};
+		wl_raft_saved_t saved = {};
+		wl_agent_options_t options = {};
+		wl_err_t err = {};
+
+		saved.term = TERM;
+		saved.members.group = 1;
+		raft_options.id = 1;
+		raft_options.name = name;
+		raft_options.peers = &name;
+		raft_options.peer_count = 1;
+		raft = wl_raft_new(&raft_options, &saved, 0, &err);
+		EXPECT_NE(raft, nullptr) << err.text;
+		wl_metrics_init(&metrics);
+		options.dialect = &dialect;
+		options.raft = raft;
+		options.metrics = &metrics;
+		options.calls_most = CALLS_MOST;
+		agent = wl_agent_new(&options);
+	}
+
+	~Agent() override
+	{
+		wl_agent_free(agent);
+		wl_raft_free(raft);
+		wl_metrics_free(&metrics);
+	}
+
+	void step(wl_event_t *event)
+	{
+		wl_out_t out = {};
+
+		wl_agent_step(agent, event, &out);
+		for (size_t i = 0; i < out.count; i++) {
+			const wl_action_t &action = out.actions[i];
+
+			if (action.kind == WL_ACTION_FETCH)
+				fetches.emplace_back(action.fetch.id, action.fetch.body.at);
+			if (action.kind == WL_ACTION_SEND)
+				take(action);
+		}
+		wl_out_free(&out);
+		wl_event_free(event);
+	}
+
+	void take(const wl_action_t &action)
+	{
+		const wl_msg_ordered_t &msg = action.msg.u.ordered;
+		const auto *ends = static_cast<const wl_order_end_t *>(msg.ends.items);
+		Told one = {std::string(action.peer.at, action.peer.len), {}};
+
+		ASSERT_EQ(action.msg.kind, static_cast<uint64_t>(WL_MSG_ORDERED));
+		for (size_t i = 0; i < msg.ends.count; i++) {
+			const auto *runs = static_cast<const wl_run_view_t *>(ends[i].runs.items);
+
+			one.ends.emplace_back(ends[i].id, ends[i].outcome);
+			for (size_t j = 0; j < ends[i].runs.count; j++) {
+				EXPECT_EQ(runs[j].task.len, 0u);
+				EXPECT_EQ(std::string(runs[j].ref.job.at), "j");
+			}
+		}
+		told.push_back(one);
+	}
+
+	void orders(const char *leader, uint64_t term, const std::vector<uint64_t> &ids)
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_buf_set(&event.peer, wl_str_from(leader));
+		wl_msg_init(&event.msg, WL_MSG_ORDERS);
+		event.msg.u.orders.term = term;
+		for (uint64_t id : ids) {
+			auto *order = static_cast<wl_order_t *>(
+				wl_list_add(&wl_order_schema, &event.msg.u.orders.orders));
+
+			order->id = id;
+			order->run = id * 10;
+		}
+		step(&event);
+	}
+
+	void fetched(size_t i, wl_order_outcome_t outcome)
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_FETCHED);
+		event.fetched.id = fetches[i].first;
+		event.fetched.status = outcome;
+		event.fetched.whole = outcome == WL_ORDER_DONE;
+		step(&event);
+	}
+
+	void tick()
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_TICK);
+		step(&event);
+	}
+
+	wl_raft_t *raft = nullptr;
+	wl_metrics_t metrics;
+	wl_agent_t *agent = nullptr;
+	std::vector<std::pair<uint64_t, std::string>> fetches; /* id, body */
+	std::vector<Told> told;
+};
+} // namespace
+
+TEST_F(Agent, OrdersBecomeCallsAndTheirEndsOneMessage)
+{
+	orders("s2", TERM, {7, 8});
+	ASSERT_EQ(fetches.size(), 2u);
+	EXPECT_EQ(fetches[0].second, "70");
+	EXPECT_EQ(fetches[1].second, "80");
+	fetched(1, WL_ORDER_DONE);
+	fetched(0, WL_ORDER_NO_ROOM);
+	EXPECT_TRUE(told.empty());
+	tick();
+	ASSERT_EQ(told.size(), 1u);
+	EXPECT_EQ(told[0].leader, "s2");
+	EXPECT_EQ(told[0].ends, (std::vector<std::pair<uint64_t, uint64_t>>{
+					{8, WL_ORDER_DONE}, {7, WL_ORDER_NO_ROOM}}));
+	tick();
+	EXPECT_EQ(told.size(), 1u);
+}
+
+TEST_F(Agent, OrdersOfAnEarlierTermAreNotSent)
+{
+	orders("s2", TERM - 1, {7});
+	EXPECT_TRUE(fetches.empty());
+	tick();
+	ASSERT_EQ(told.size(), 1u);
+	EXPECT_EQ(told[0].ends,
+		  (std::vector<std::pair<uint64_t, uint64_t>>{{7, WL_ORDER_NOT_SENT}}));
+}
+
+TEST_F(Agent, OrdersBeyondTheLimitAreNotSent)
+{
+	std::vector<uint64_t> ids;
+
+	for (uint64_t id = 0; id < CALLS_MOST + 2; id++)
+		ids.push_back(id);
+	orders("s2", TERM, ids);
+	EXPECT_EQ(fetches.size(), CALLS_MOST);
+	tick();
+	ASSERT_EQ(told.size(), 1u);
+	EXPECT_EQ(told[0].ends.size(), 2u);
+	EXPECT_EQ(wl_metrics_get(&metrics, "wisterialead_agent_refused_total", ""), 2u);
+	fetched(0, WL_ORDER_DONE);
+	orders("s2", TERM, {100});
+	EXPECT_EQ(fetches.size(), CALLS_MOST + 1);
+}
+
+/* After a change of leaders the earlier one's orders still end, and their ends are told to it. */
+TEST_F(Agent, EndsGoToTheLeaderThatGaveTheOrder)
+{
+	orders("s2", TERM, {7});
+	orders("s3", TERM + 1, {1});
+	fetched(0, WL_ORDER_DONE);
+	fetched(1, WL_ORDER_DONE);
+	tick();
+	ASSERT_EQ(told.size(), 2u);
+	EXPECT_EQ(told[0].leader, "s2");
+	EXPECT_EQ(told[1].leader, "s3");
+}
+
+TEST_F(Agent, CallThatIsNotItsOwnIsPassedOver)
+{
+	fetches.emplace_back(99, "");
+	fetched(0, WL_ORDER_DONE);
+	tick();
+	EXPECT_TRUE(told.empty());
+}
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -91,7 +91,7 @@
 		wl_buf_set(&fetched.body, {body.data(), body.size()});
 		wl_platform_dialect.order_read(WL_ORDER_HOLD, &fetched, &end, &err);
 		wl_buf_free(&fetched.body);
-		return end.outcome;
+		return static_cast<wl_order_outcome_t>(end.outcome);
 	}
 
 	wl_call_t call = {};
@@ -297,13 +297,13 @@
 	wl_order_t given = {};
 
 	given.kind = WL_ORDER_START;
-	given.runner = WL_STR("i-7f");
-	given.address = WL_STR("10.0.0.9:8080");
+	wl_buf_set(&given.runner, WL_STR("i-7f"));
+	wl_buf_set(&given.address, WL_STR("10.0.0.9:8080"));
 	given.epoch = 7;
 	given.lease_ms = 486000;
 	given.run = 2;
-	given.payload = WL_STR("words");
-	given.checkpoint = WL_STR("c1");
+	wl_buf_set(&given.payload, WL_STR("words"));
+	wl_buf_set(&given.checkpoint, WL_STR("c1"));
 	wl_buf_set(&given.task.job, WL_STR("5c0e"));
 	given.task.step = 1;
 	given.task.index = 17;
@@ -328,7 +328,7 @@
 	given.wait_ms = 1000;
 	EXPECT_EQ(order(given), "POST /-/hold "
 				R"({"fencing_token":7,"last_seen":0,"wait_ms":1000})");
-	wl_buf_free(&given.task.job);
+	wl_record_free(&wl_order_schema, &given);
 }
 
 TEST_F(Platform, AnswersOfTargets)
