sched: a lasting task whose run ended waits 2 s at most behind short work

Cause: lasting tasks rank after all short work that can still be of use, and a standing backlog always has some. Besides, the tasks of a step were placed last in, first out: the one that had waited longest came last.

Ruled out: targets put aside after failures (WhatFailsWhereTargetsArePutAside- RunsElsewhere passes before and after). By reckoning only: no pause of the looks makes the wait (64 misses on 490 targets pause them 16 ms by the formula in place.c).

Change: lasting tasks that had a run are a bundle of their own, longest without a run first, and go first in their priority after 2 s. Refused starts do not begin the wait anew. That holds while lasting tasks reserve under 800 permille of the usable targets' processors: above, there is no room for all of them, and short work keeps the rest. In that case a task may still wait long (28 s in the test's fleet with 960 of 640 cores asked for, as before).

Before and after, unit.sched_backlog_test, 20 targets, 48 lasting tasks, 30 s: TaskThatLastsRunsAgainSoonBehindAnyBacklog fails on in 12 of 15 loads with waits of 16 to 30 s (bound 6 s) and passes now, with 2.5 s at the most. Short jobs in time at 60 jobs a second and tasks of 4 cores 1767 and 1766 of 1799; where more lasting work than room is asked for, 232 and 232 of 239 (at 12 jobs a second and with failing tasks 334 and 271 of 360).

Short work pays where the fleet is overfull, as the lasting tasks take back the room that they had lost. In time, before and after, tasks of 8 cores: at 50 jobs a second 1452 and 887 of 1500, at 60 1661 and 729 of 1799 (the largest fall); of 4 cores: at 70 2031 and 1606 of 2099, at 90 1881 and 1473 of 2699.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -35,9 +35,11 @@
 	struct wl_sched_runner *runner;
 	wl_need_t need; /* reserved for it */
 	bool best_effort;
+	bool lasting;
 	bool serving;	    /* lasting, with a bound on its users' tail latency */
 	uint64_t waited_ns; /* until it was placed */
 	uint64_t placed_ns;
+	uint64_t before_ns;   /* when the run before it ended; 0: there was none */
 	uint64_t answered_ns; /* when the newest order for it was answered */
 	uint64_t stop_sent_ns;
 	uint64_t stop_done_ns; /* when a stop was answered; 0: none */
@@ -76,6 +78,7 @@
 	uint64_t lease_held_ms;	 /* latest that an answered order named; 0: none */
 	uint64_t lease_floor_ns; /* leases that others granted, or an earlier life took, may last so
 				    long */
+	uint64_t lasting_millis; /* processors that lasting tasks reserve */
 	uint64_t life;		 /* as its last answer said */
 	uint64_t sequence;	 /* of its newest report */
 	uint64_t reported_ns;
@@ -100,12 +103,21 @@
 
 TAILQ_HEAD(wl_sched_runner_list, wl_sched_runner);
 
-/* The waiting tasks of one step of one occurrence. */
+typedef struct wl_bundle_task {
+	uint64_t task;	   /* place in the job */
+	uint64_t ended_ns; /* when its last run ended; 0: it has had none */
+} wl_bundle_task_t;
+
+/*
+ * The waiting tasks of one step of one occurrence; those of a lasting step whose run
+ * has ended are a bundle of their own.
+ */
 typedef struct wl_bundle {
 	wl_job_t *job;
 	uint64_t occurrence;
 	uint64_t step;
-	uint64_t *tasks; /* places in the job; the next one is the last */
+	bool away;		 /* each has had a run; longest without one last */
+	wl_bundle_task_t *tasks; /* the next one is the last */
 	size_t count;
 	size_t room;
 	unsigned int image;
@@ -121,7 +133,7 @@
 
 /* What the leader keeps with a job. */
 typedef struct wl_sched_job {
-	wl_bundle_t **bundles;	  /* by occurrence and step; NULL: not open */
+	wl_bundle_t **bundles;	  /* by occurrence, step and away; NULL: none yet */
 	uint64_t chain_ms;	  /* longest chain of an occurrence's steps, as estimated */
 	uint64_t next_occurrence; /* that has not come due */
 	TAILQ_ENTRY(wl_sched_job) timed;
@@ -202,8 +214,10 @@
 	wl_images_t images;
 	wl_press_t press;
 	bool place_due;
-	uint64_t place_next_ns; /* no look before */
-	uint64_t sorted_ns;	/* when the queue was last put in order */
+	uint64_t place_next_ns;	   /* no look before */
+	uint64_t sorted_ns;	   /* when the queue was last put in order */
+	uint64_t lasting_permille; /* of usable targets' processors, reserved by lasting tasks, then
+				    */
 	uint64_t next_gauges_ns;
 	wl_metric_t *order_times[WL_ORDER_KINDS][WL_ORDER_OUTCOMES]; /* NULL: not counted yet */
 	wl_metric_t *wait_times[2];				     /* lasting or not */
@@ -225,7 +239,8 @@
 void wl_sched_queue_sort(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_bundle_settle(wl_sched_t *sched, wl_bundle_t *bundle);
 void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job);
-void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task);
+void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task,
+			uint64_t ended_ns);
 void wl_sched_steps_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence);
 void wl_sched_timed_tick(wl_sched_t *sched, uint64_t now_ns);
 
--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -14,9 +14,14 @@
 #define PRIORITY_MOST  127
 #define STAGE_SHIFT    48 /* 256 stages within a priority, then milliseconds */
 #define TIME_MASK      ((UINT64_C(1) << STAGE_SHIFT) - 1)
-#define LATE_FACTOR    3 /* a late job still counts for something up to so many times its time */
+#define LATE_FACTOR    3    /* a late job still counts for something up to so many times its time */
+#define AWAY_MOST_MS   2000 /* a lasting task whose run ended waits no longer behind short work */
+
+/* With more reserved by lasting work there is no room for all of it: short work keeps the rest. */
+#define LASTING_MOST_PERMILLE 800
 
 typedef enum stage {
+	STAGE_AWAY, /* lasting, and without a run for too long */
 	STAGE_ON_TIME_BEGUN,
 	STAGE_ON_TIME,
 	STAGE_LATE,	 /* but not worthless */
@@ -42,6 +47,9 @@
 	uint64_t done_ms = now_ms + item->left_ms;
 	uint64_t allowed_ms = item->deadline_ms - item->since_ms;
 
+	if (item->lasting && item->away_ms > AWAY_MOST_MS &&
+	    item->lasting_permille < LASTING_MOST_PERMILLE)
+		return rank_of(item, STAGE_AWAY, now_ms - item->away_ms);
 	if (item->lasting)
 		return rank_of(item, STAGE_LASTING, item->since_ms);
 	if (item->deadline_ms == 0 || done_ms <= item->deadline_ms)
--- a/libwlcore/sched/order.h
+++ b/libwlcore/sched/order.h
@@ -10,12 +10,14 @@
 
 /* Waiting tasks of one step, as the order sees them; times on the group's clock. */
 typedef struct wl_ordering_item {
-	uint64_t priority;    /* of the queue; 0 first */
-	uint64_t since_ms;    /* accepted, or due */
-	uint64_t deadline_ms; /* until when the job is on time; 0: it has no end */
-	uint64_t left_ms;     /* longest chain of what is not done, as estimated */
-	bool lasting;	      /* runs until it is cancelled */
-	bool started;	      /* a task of the job has begun */
+	uint64_t priority;	   /* of the queue; 0 first */
+	uint64_t since_ms;	   /* accepted, or due */
+	uint64_t deadline_ms;	   /* until when the job is on time; 0: it has no end */
+	uint64_t left_ms;	   /* longest chain of what is not done, as estimated */
+	uint64_t away_ms;	   /* lasting: since its last run ended; 0: it has had none */
+	uint64_t lasting_permille; /* of the targets' processors: what lasting tasks reserve */
+	bool lasting;		   /* runs until it is cancelled */
+	bool started;		   /* a task of the job has begun */
 } wl_ordering_item_t;
 
 typedef struct wl_ordering_policy {
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -142,12 +142,13 @@
 static void task_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle, uint64_t number,
 		       wl_sched_runner_t *runner)
 {
-	uint64_t task = bundle->tasks[--bundle->count];
-	wl_sched_run_t *run = wl_sched_run_add(sched, runner, bundle->job, task, number);
+	const wl_bundle_task_t *waiting = &bundle->tasks[--bundle->count];
+	wl_sched_run_t *run = wl_sched_run_add(sched, runner, bundle->job, waiting->task, number);
 
 	run->phase = WL_RUN_PROPOSED;
 	run->placed_ns = now_ns;
 	run->waited_ns = now_ns - bundle->queued_ns;
+	run->before_ns = waiting->ended_ns;
 	if (bundle->rack.len == 0)
 		bundle->rack = wl_buf_str(&runner->state->report.rack);
 	start_add(sched, run);
@@ -165,7 +166,7 @@
 
 	if (bundle->count < members)
 		return false;
-	number = next_number(bundle, bundle->tasks[0]);
+	number = next_number(bundle, bundle->tasks[0].task);
 	candidates_fill(sched, bundle, question, candidates);
 	while (bundle->count > 0 && (best = candidates_best(candidates))) {
 		task_place(sched, now_ns, bundle, number, best->runner);
@@ -178,7 +179,7 @@
 	for (size_t i = sched->starts.runs.count; i-- > first_row;) {
 		wl_sched_run_drop(sched, wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
 							   rows[i].task, rows[i].run));
-		bundle->tasks[bundle->count++] = rows[i].task;
+		bundle->count++; /* the popped one is still there */
 		wl_record_free(&wl_run_start_schema, &rows[i]);
 	}
 	sched->starts.runs.count = first_row;
@@ -206,7 +207,8 @@
 		if (!best)
 			return false;
 		task_place(sched, now_ns, bundle,
-			   next_number(bundle, bundle->tasks[bundle->count - 1]), best->runner);
+			   next_number(bundle, bundle->tasks[bundle->count - 1].task),
+			   best->runner);
 		if (bundle->count == 0)
 			break;
 		if (rack_follow(bundle, question))
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -33,7 +33,7 @@
 	return most;
 }
 
-static uint64_t bundle_rank(const wl_sched_t *sched, const wl_bundle_t *bundle, uint64_t now_ms)
+static uint64_t bundle_rank(const wl_sched_t *sched, const wl_bundle_t *bundle, uint64_t now_ns)
 {
 	const wl_job_t *job = bundle->job;
 	const wl_sched_job_t *note = job->note;
@@ -42,21 +42,29 @@
 		.priority = job->record.priority,
 		.since_ms = due_ms ? due_ms : job->record.accepted_ms,
 		.left_ms = chain_ms(job, bundle->occurrence, true),
+		.lasting_permille = sched->lasting_permille,
 		.lasting = wl_job_step(job, bundle->step)->lasting,
 		.started = job->record.state != WL_JOB_QUEUED,
 	};
 
+	if (bundle->away && bundle->count > 0)
+		item.away_ms = (now_ns - bundle->tasks[bundle->count - 1].ended_ns) / WL_NS_PER_MS;
 	if (!item.lasting)
 		item.deadline_ms = item.since_ms + job->record.objective_ms +
 				   note->chain_ms * job->record.slack_millis / WL_PERMILLE;
-	return sched->order->rank(&item, now_ms);
+	return sched->order->rank(&item, wl_sched_clock_ms(sched, now_ns));
 }
 
-static wl_bundle_t **bundle_slot(const wl_job_t *job, uint64_t occurrence, uint64_t step)
+static wl_bundle_t **bundle_slot(const wl_job_t *job, uint64_t occurrence, uint64_t step, bool away)
 {
 	wl_sched_job_t *note = job->note;
 
-	return &note->bundles[occurrence * job->record.spec.steps.count + step];
+	return &note->bundles[2 * (occurrence * job->record.spec.steps.count + step) + away];
+}
+
+static uint64_t slot_count(const wl_job_t *job)
+{
+	return 2 * job->occurrences * job->record.spec.steps.count;
 }
 
 static void bundle_insert(wl_sched_t *sched, wl_bundle_t *bundle)
@@ -73,9 +81,9 @@
 }
 
 static wl_bundle_t *bundle_get(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job,
-			       uint64_t occurrence, uint64_t step)
+			       uint64_t occurrence, uint64_t step, bool away)
 {
-	wl_bundle_t **slot = bundle_slot(job, occurrence, step);
+	wl_bundle_t **slot = bundle_slot(job, occurrence, step, away);
 
 	if (*slot)
 		return *slot;
@@ -83,10 +91,12 @@
 	(*slot)->job = job;
 	(*slot)->occurrence = occurrence;
 	(*slot)->step = step;
+	(*slot)->away = away;
 	(*slot)->image =
 		wl_images_number(&sched->images, wl_buf_str(&wl_job_step(job, step)->image));
-	(*slot)->key = bundle_rank(sched, *slot, wl_sched_clock_ms(sched, now_ns));
 	(*slot)->ready_ns = now_ns;
+	if (away && *bundle_slot(job, occurrence, step, false))
+		(*slot)->rack = (*bundle_slot(job, occurrence, step, false))->rack;
 	return *slot;
 }
 
@@ -98,17 +108,22 @@
 	free(bundle);
 }
 
-static void bundle_add(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle, uint64_t task)
+/* Of those that had a run, the longest without one is placed first; else the last one added. */
+static void bundle_add(wl_bundle_t *bundle, const wl_bundle_task_t *waiting)
 {
-	if (!bundle->queued) {
-		bundle->queued_ns = now_ns;
-		bundle_insert(sched, bundle);
-	}
+	size_t place = bundle->count;
+
 	if (bundle->count == bundle->room) {
 		bundle->room = bundle->room ? 2 * bundle->room : TASKS_LEAST_ROOM;
 		bundle->tasks = wl_realloc(bundle->tasks, bundle->room * sizeof(*bundle->tasks));
 	}
-	bundle->tasks[bundle->count++] = task;
+	while (bundle->away && place > 0 &&
+	       bundle->tasks[place - 1].ended_ns <= waiting->ended_ns) {
+		bundle->tasks[place] = bundle->tasks[place - 1];
+		place--;
+	}
+	bundle->tasks[place] = *waiting;
+	bundle->count++;
 }
 
 static int bundle_compare(const void *a, const void *b)
@@ -123,12 +138,26 @@
 	return wl_str_compare(one->job->key, other->job->key);
 }
 
+static uint64_t lasting_permille(const wl_sched_t *sched)
+{
+	const wl_sched_runner_t *runner;
+	uint64_t lasting = 0;
+	uint64_t all = 0;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		if (!runner->fit.usable)
+			continue;
+		lasting += runner->lasting_millis;
+		all += runner->fit.capacity.cpu_millis;
+	}
+	return all ? lasting * WL_PERMILLE / all : 0;
+}
+
 /*
  * wl_sched_queue_sort - put the waiting work in order, now that time has passed
  */
 void wl_sched_queue_sort(wl_sched_t *sched, uint64_t now_ns)
 {
-	uint64_t now_ms = wl_sched_clock_ms(sched, now_ns);
 	wl_bundle_t **bundles;
 	wl_bundle_t *bundle;
 	size_t count = 0;
@@ -136,13 +165,14 @@
 	if (now_ns - sched->sorted_ns < SORT_MS * WL_NS_PER_MS)
 		return;
 	sched->sorted_ns = now_ns;
+	sched->lasting_permille = lasting_permille(sched);
 	TAILQ_FOREACH (bundle, &sched->waiting, link)
 		count++;
 	bundles = wl_alloc((count + 1) * sizeof(wl_bundle_t *));
 	for (size_t i = 0; i < count; i++) {
 		bundles[i] = TAILQ_FIRST(&sched->waiting);
 		TAILQ_REMOVE(&sched->waiting, bundles[i], link);
-		bundles[i]->key = bundle_rank(sched, bundles[i], now_ms);
+		bundles[i]->key = bundle_rank(sched, bundles[i], now_ns);
 	}
 	qsort(bundles, count, sizeof(wl_bundle_t *), bundle_compare);
 	for (size_t i = 0; i < count; i++)
@@ -161,17 +191,34 @@
 	bundle->queued = false;
 }
 
+/* A gang waits as a whole. */
+static bool is_away(const wl_step_spec_t *step, uint64_t ended_ns)
+{
+	return step->lasting && !step->gang && ended_ns > 0;
+}
+
 /*
  * wl_sched_task_wait - a task that is not done and has no run waits for a target
+ * @ended_ns: when its last run ended; 0: it has had none
  */
-void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task)
+void wl_sched_task_wait(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task,
+			uint64_t ended_ns)
 {
+	wl_bundle_task_t waiting = {task, ended_ns};
+	wl_bundle_t *bundle;
 	wl_task_ref_t at;
 
 	if (wl_job_ended(job) || job->tasks[task].done || !TAILQ_EMPTY(&job->tasks[task].runs))
 		return;
 	wl_job_place(job, task, &at);
-	bundle_add(sched, now_ns, bundle_get(sched, now_ns, job, at.occurrence, at.step), task);
+	bundle = bundle_get(sched, now_ns, job, at.occurrence, at.step,
+			    is_away(wl_job_step(job, at.step), ended_ns));
+	bundle_add(bundle, &waiting);
+	if (!bundle->queued) {
+		bundle->queued_ns = now_ns;
+		bundle->key = bundle_rank(sched, bundle, now_ns);
+		bundle_insert(sched, bundle);
+	}
 	sched->place_due = true;
 }
 
@@ -181,11 +228,11 @@
 	wl_task_ref_t at = {.occurrence = occurrence, .step = step};
 	uint64_t task;
 
-	bundle_get(sched, now_ns, job, occurrence, step);
-	/* The last one added is placed first. */
+	bundle_get(sched, now_ns, job, occurrence, step, false);
+	/* The last one added is placed first.  When earlier leaders' runs ended is not known. */
 	for (at.index = wl_job_step(job, step)->count; at.index-- > 0;) {
 		wl_job_task_at(job, &at, &task);
-		wl_sched_task_wait(sched, now_ns, job, task);
+		wl_sched_task_wait(sched, now_ns, job, task, job->tasks[task].run ? now_ns : 0);
 	}
 }
 
@@ -195,7 +242,7 @@
 void wl_sched_steps_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence)
 {
 	for (uint64_t step = 0; step < job->record.spec.steps.count; step++)
-		if (!*bundle_slot(job, occurrence, step) &&
+		if (!*bundle_slot(job, occurrence, step, false) &&
 		    *wl_job_step_left(job, occurrence, step) > 0 &&
 		    wl_job_step_open(job, occurrence, step))
 			step_open(sched, now_ns, job, occurrence, step);
@@ -232,8 +279,7 @@
 	note = wl_alloc(sizeof(*note));
 	note->job = job;
 	note->chain_ms = chain_ms(job, 0, false);
-	note->bundles =
-		wl_alloc(job->occurrences * job->record.spec.steps.count * sizeof(wl_bundle_t *));
+	note->bundles = wl_alloc(slot_count(job) * sizeof(wl_bundle_t *));
 	job->note = note;
 	if (!occurrences_open(sched, now_ns, note))
 		TAILQ_INSERT_TAIL(&sched->timed, note, timed);
@@ -248,7 +294,7 @@
 
 	if (!note)
 		return;
-	for (uint64_t i = 0; i < job->occurrences * job->record.spec.steps.count; i++)
+	for (uint64_t i = 0; i < slot_count(job); i++)
 		if (note->bundles[i])
 			bundle_free(sched, note->bundles[i]);
 	if (!all_due(note))
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -165,10 +165,11 @@
 	while ((run = TAILQ_FIRST(&runner->runs))) {
 		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 		uint64_t task = run->task;
+		uint64_t ended_ns = run->phase == WL_RUN_PROPOSED ? run->before_ns : now_ns;
 
 		wl_sched_run_drop(sched, run);
 		if (job)
-			wl_sched_task_wait(sched, now_ns, job, task);
+			wl_sched_task_wait(sched, now_ns, job, task, ended_ns);
 	}
 	runner_free(sched, runner);
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -46,6 +46,7 @@
 	runner->fit.used.memory_mib += run->need.memory_mib;
 	runner->fit.used.accelerators += run->need.accelerators;
 	runner->fit.best_effort_millis += run->best_effort ? run->need.cpu_millis : 0;
+	runner->lasting_millis += run->lasting ? run->need.cpu_millis : 0;
 	runner->fit.serving += run->serving;
 	runner->fit.serving_millis += run->serving ? run->need.cpu_millis : 0;
 	runner->pressed_due = true;
@@ -57,6 +58,7 @@
 	runner->fit.used.memory_mib -= run->need.memory_mib;
 	runner->fit.used.accelerators -= run->need.accelerators;
 	runner->fit.best_effort_millis -= run->best_effort ? run->need.cpu_millis : 0;
+	runner->lasting_millis -= run->lasting ? run->need.cpu_millis : 0;
 	runner->fit.serving -= run->serving;
 	runner->fit.serving_millis -= run->serving ? run->need.cpu_millis : 0;
 	runner->pressed_due = true;
@@ -83,6 +85,7 @@
 	run->life = runner->state->report.life;
 	run->best_effort = step->best_effort;
 	run->pace = WL_PACE_FULL;
+	run->lasting = step->lasting;
 	run->serving = step->lasting && step->tail_target_us > 0;
 	run->tail_target_us = step->tail_target_us;
 	run->image = wl_images_number(&sched->images, wl_buf_str(&step->image));
@@ -161,6 +164,7 @@
 		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&rows[i].job));
 		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
 							rows[i].task, rows[i].run);
+		uint64_t before_ns;
 
 		if (!run || run->phase != WL_RUN_PROPOSED)
 			continue;
@@ -168,9 +172,10 @@
 			start_send(sched, now_ns, run, job, out);
 			continue;
 		}
+		before_ns = run->before_ns;
 		wl_sched_run_drop(sched, run);
 		if (job)
-			wl_sched_task_wait(sched, now_ns, job, rows[i].task);
+			wl_sched_task_wait(sched, now_ns, job, rows[i].task, before_ns);
 	}
 }
 
@@ -390,9 +395,11 @@
 	wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&end->job), end->task, end->run);
 	wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&end->job));
 	wl_task_ref_t at;
+	uint64_t ended_ns;
 
 	if (!run)
 		return;
+	ended_ns = end->how == WL_END_ABSENT ? run->before_ns : now_ns;
 	end_log(end, out);
 	runner_judge(run->runner, now_ns, end, out);
 	wl_sched_run_drop(sched, run);
@@ -404,7 +411,7 @@
 		return;
 	}
 	wl_job_place(job, end->task, &at);
-	wl_sched_task_wait(sched, now_ns, job, end->task);
+	wl_sched_task_wait(sched, now_ns, job, end->task, ended_ns);
 	if (*wl_job_step_left(job, at.occurrence, at.step) == 0)
 		wl_sched_steps_open(sched, now_ns, job, at.occurrence);
 }
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -218,6 +218,8 @@
 	queue->timeout_ms = 3000;
 	queue->priority = priority;
 	queue->max_attempts = max_attempts;
+	queue->objective_ms = objective_ms;
+	queue->slack_millis = slack_millis;
 	if (catalog.services.count == 0) {
 		auto *service = static_cast<wl_service_t *>(
 			wl_list_add(&wl_service_schema, &catalog.services));
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -72,6 +72,8 @@
 
 	uint64_t now = 1000000000;
 	uint64_t clock_offset_ms = 5000; /* every target's clock, ahead of ours */
+	uint64_t objective_ms = 0;	 /* of the queues that are configured next */
+	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
 	std::vector<std::string> log;
--- /dev/null
+++ b/tests/unit/sched_backlog_test.cc
@@ -0,0 +1,281 @@
+#include "../support/sched_rig.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include <gtest/gtest.h>
+
+/* Short work above what a fleet holds, beside tasks that last and fail now and then. */
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+constexpr uint64_t TICK_MS = 10;
+constexpr uint64_t AWAY_MOST_MS = 6000; /* a task that lasts runs again so soon after its end */
+
+struct LoadOptions {
+	size_t targets = 20;
+	uint64_t target_cpu = 32000;
+	size_t lasting_jobs = 8;
+	uint64_t lasting_count = 6;
+	uint64_t lasting_cpu = 4000;
+	double lasting_s = 10; /* mean time until a run of one ends */
+	wl_run_how_t lasting_how = WL_END_FAILED;
+	double short_jobs_per_s = 0;
+	uint64_t short_count = 6;
+	uint64_t short_cpu = 2300;
+	uint64_t short_ms = 540;
+	uint64_t length_ms = 30000;
+};
+
+struct LoadResult {
+	uint64_t away_most_ms = 0; /* longest time of a begun task that lasts without a run */
+	size_t lasting_ends = 0;
+	size_t short_jobs = 0;
+	size_t short_in_time = 0;
+};
+
+/* Targets that answer at once; runs end when their time is over. */
+class LoadedFleet
+{
+      public:
+	LoadedFleet(const LoadOptions &of) : options(of)
+	{
+		rig.objective_ms = OBJECTIVE_MS;
+		rig.slack_millis = SLACK_MILLIS;
+		rig.configure("q");
+		for (size_t i = 0; i < options.targets; i++) {
+			std::string id = "i-" + std::to_string(100 + i);
+
+			rig.runner(id, options.target_cpu);
+			targets[id];
+		}
+		for (size_t i = 0; i < options.lasting_jobs; i++) {
+			wl_step_spec_t *step =
+				rig.job("q", "last" + std::to_string(i), {options.lasting_count});
+
+			step->lasting = true;
+			step->cpu_millis = options.lasting_cpu;
+			rig.hand_in();
+		}
+		play(2000, 0);
+	}
+
+	LoadResult loaded()
+	{
+		play(options.length_ms, options.short_jobs_per_s);
+		for (const auto &one : away_since)
+			away(rig.now - one.second);
+		return result;
+	}
+
+      private:
+	static constexpr uint64_t OBJECTIVE_MS = 250;
+	static constexpr uint64_t SLACK_MILLIS = 1500;
+	static constexpr uint64_t REPORT_MS = 1000;
+
+	struct Run {
+		SchedOrder start;
+		uint64_t end_ns;
+		bool lasting;
+	};
+
+	struct Target {
+		std::vector<Run> runs;
+		std::vector<std::pair<uint64_t, SchedOrder>> ends; /* not acknowledged */
+		uint64_t numbers = 0;
+		uint64_t listed = 0;
+		uint64_t used = 0;
+		std::vector<SchedOrder> hold; /* none or one */
+		uint64_t hold_ns = 0;
+	};
+
+	void away(uint64_t ns)
+	{
+		result.away_most_ms = std::max(result.away_most_ms, ns / MS);
+	}
+
+	void play(uint64_t ms, double jobs_per_s)
+	{
+		for (uint64_t end = rig.now + ms * MS; rig.now < end;) {
+			for (due += jobs_per_s * TICK_MS / 1000; due >= 1; due -= 1)
+				short_job();
+			report();
+			rig.pass(TICK_MS);
+			rig.commit();
+			for (const auto &start : rig.take(WL_ORDER_START))
+				begin(start);
+			for (const auto &hold : rig.take(WL_ORDER_HOLD)) {
+				targets[hold.runner].hold = {hold};
+				targets[hold.runner].hold_ns = rig.now;
+			}
+			for (auto &target : targets)
+				follow(target.second);
+			rig.commit();
+		}
+	}
+
+	/* Each target says once a second that it is there. */
+	void report()
+	{
+		if (rig.now - reported_ns < REPORT_MS * MS)
+			return;
+		reported_ns = rig.now;
+		for (const auto &target : targets)
+			rig.runner(target.first, options.target_cpu);
+	}
+
+	void short_job()
+	{
+		std::string id = "j" + std::to_string(result.short_jobs++);
+		wl_step_spec_t *step = rig.job("q", id, {options.short_count});
+
+		step->cpu_millis = options.short_cpu;
+		step->estimated_ms = options.short_ms;
+		rig.hand_in();
+		left[id] = {options.short_count, rig.now};
+	}
+
+	uint64_t cpu(bool lasting) const
+	{
+		return lasting ? options.lasting_cpu : options.short_cpu;
+	}
+
+	void begin(const SchedOrder &start)
+	{
+		Target &target = targets[start.runner];
+		bool lasting = start.task.compare(0, 4, "last") == 0;
+		std::exponential_distribution<double> fails(1 / options.lasting_s);
+		uint64_t ms =
+			lasting ? static_cast<uint64_t>(fails(random) * 1000) : options.short_ms;
+
+		target.used += cpu(lasting);
+		EXPECT_LE(target.used, options.target_cpu);
+		target.runs.push_back({start, rig.now + ms * MS, lasting});
+		if (lasting && away_since.count(start.task)) {
+			away(rig.now - away_since[start.task]);
+			away_since.erase(start.task);
+		}
+		rig.answer(start, WL_ORDER_DONE);
+	}
+
+	void ended(Target &target, const Run &run)
+	{
+		target.used -= cpu(run.lasting);
+		target.ends.emplace_back(++target.numbers, run.start);
+		if (run.lasting) {
+			result.lasting_ends++;
+			away_since[run.start.task] = rig.now;
+			return;
+		}
+		auto &job = left[run.start.task.substr(0, run.start.task.find('.'))];
+		uint64_t allowed_ms = OBJECTIVE_MS + options.short_ms * SLACK_MILLIS / 1000;
+
+		if (--job.first == 0 && rig.now - job.second <= allowed_ms * MS)
+			result.short_in_time++;
+	}
+
+	void follow(Target &target)
+	{
+		std::vector<wl_run_view_t> views;
+		std::vector<wl_end_view_t> ends;
+
+		for (size_t i = target.runs.size(); i-- > 0;) {
+			if (target.runs[i].end_ns > rig.now)
+				continue;
+			ended(target, target.runs[i]);
+			target.runs.erase(target.runs.begin() + static_cast<long>(i));
+		}
+		if (target.hold.empty())
+			return;
+		SchedOrder hold = target.hold[0];
+		while (!target.ends.empty() && target.ends[0].first <= hold.seen)
+			target.ends.erase(target.ends.begin());
+		if (target.numbers == target.listed && rig.now - target.hold_ns < hold.wait_ms * MS)
+			return;
+		target.listed = target.numbers;
+		target.hold.clear();
+		for (const auto &run : target.runs)
+			views.push_back(SchedRig::view(run.start));
+		for (const auto &end : target.ends) {
+			bool lasting = end.second.task.compare(0, 4, "last") == 0;
+
+			ends.push_back(SchedRig::end(end.second, end.first,
+						     lasting ? options.lasting_how : WL_END_DONE));
+		}
+		rig.answer_hold(hold, views, ends);
+	}
+
+	SchedRig rig;
+	LoadOptions options;
+	LoadResult result;
+	std::mt19937 random{7};
+	std::map<std::string, Target> targets;
+	std::map<std::string, uint64_t> away_since;
+	std::map<std::string, std::pair<uint64_t, uint64_t>> left; /* tasks, since when */
+	double due = 0;
+	uint64_t reported_ns = 0;
+};
+} // namespace
+
+/* Jobs a second of short work, of which 60 fill what the tasks that last leave of the fleet. */
+static LoadResult played(double jobs_per_s, uint64_t lasting_cpu)
+{
+	LoadOptions options;
+
+	options.short_jobs_per_s = jobs_per_s;
+	options.lasting_cpu = lasting_cpu;
+	return LoadedFleet(options).loaded();
+}
+
+/*
+ * Found as LOST on llt-wassail-grown: a task whose run had ended waited 18 s and more behind short
+ * work, of which there was always some.
+ */
+TEST(SchedBacklog, TaskThatLastsRunsAgainSoonBehindAnyBacklog)
+{
+	for (double jobs_per_s : {50, 60, 70, 90, 180})
+		for (uint64_t cpu : {2000, 4000, 8000}) {
+			LoadResult result = played(jobs_per_s, cpu);
+
+			EXPECT_LE(result.away_most_ms, AWAY_MOST_MS)
+				<< jobs_per_s << " jobs a second, tasks that last on " << cpu;
+			EXPECT_GE(result.lasting_ends, 100u);
+		}
+}
+
+/* What tasks that last need is their share of the room; the rest still serves short work in time.
+ */
+TEST(SchedBacklog, ShortWorkIsServedInWhatIsLeft)
+{
+	LoadResult full = played(60, 4000);
+	LoadResult burst = played(180, 4000);
+
+	EXPECT_GE(full.short_in_time, full.short_jobs * 9 / 10);
+	EXPECT_GE(burst.short_in_time, burst.short_jobs / 5) << "a third is what fits";
+}
+
+/* More tasks that last than the fleet can hold: a fifth of it goes on serving short work. */
+TEST(SchedBacklog, ShortWorkIsServedBesideMoreLastingWorkThanThereIsRoomFor)
+{
+	LoadOptions options;
+
+	options.lasting_jobs = 40;
+	options.lasting_how = WL_END_DONE; /* of which no target is put aside */
+	options.short_jobs_per_s = 8;
+	LoadResult result = LoadedFleet(options).loaded();
+
+	EXPECT_GE(result.short_in_time, result.short_jobs / 2);
+}
+
+/* Targets on which much fails are put aside; what failed there runs on elsewhere. */
+TEST(SchedBacklog, WhatFailsWhereTargetsArePutAsideRunsElsewhere)
+{
+	for (uint64_t cpu : {2000, 4000, 8000}) {
+		LoadResult result = played(0, cpu);
+
+		EXPECT_LE(result.away_most_ms, AWAY_MOST_MS) << "tasks that last on " << cpu;
+		EXPECT_GE(result.lasting_ends, 100u);
+	}
+}
--- a/tests/unit/sched_policy_test.cc
+++ b/tests/unit/sched_policy_test.cc
@@ -275,3 +275,44 @@
 	EXPECT_LT(policy->rank(&late, 6000), policy->rank(&lasting, 6000));
 	EXPECT_LT(policy->rank(&lasting, 6000), policy->rank(&worthless, 6000));
 }
+
+/* A task that had a run keeps its place among users only if it runs again soon. */
+TEST(Ordering, LastingWorkWhoseRunEndedWaitsOnlySoLong)
+{
+	const wl_ordering_policy_t *policy = wl_ordering_policy_find({});
+	wl_ordering_item_t fresh = {};
+	wl_ordering_item_t away = {};
+	wl_ordering_item_t longer_away = {};
+	wl_ordering_item_t short_work = {};
+
+	fresh.lasting = away.lasting = longer_away.lasting = true;
+	short_work.since_ms = 60000;
+	short_work.deadline_ms = 70000;
+	away.since_ms = 50000;
+	away.away_ms = 500;
+	EXPECT_LT(policy->rank(&short_work, 61000), policy->rank(&away, 61000));
+	away.away_ms = 4000;
+	longer_away.away_ms = 5000;
+	EXPECT_LT(policy->rank(&away, 61000), policy->rank(&short_work, 61000));
+	EXPECT_LT(policy->rank(&longer_away, 61000), policy->rank(&away, 61000));
+	EXPECT_LT(policy->rank(&short_work, 61000), policy->rank(&fresh, 61000));
+	away.priority = 1;
+	EXPECT_LT(policy->rank(&short_work, 61000), policy->rank(&away, 61000));
+}
+
+/* Found on scale-1 of llt-wassail: targets leave until what is left can't hold all lasting work. */
+TEST(Ordering, ShortWorkKeepsWhatLastingWorkMayNotReserve)
+{
+	const wl_ordering_policy_t *policy = wl_ordering_policy_find({});
+	wl_ordering_item_t away = {};
+	wl_ordering_item_t short_work = {};
+
+	away.lasting = true;
+	away.away_ms = 10000;
+	short_work.since_ms = 60000;
+	short_work.deadline_ms = 70000;
+	away.lasting_permille = 799;
+	EXPECT_LT(policy->rank(&away, 61000), policy->rank(&short_work, 61000));
+	away.lasting_permille = 800;
+	EXPECT_LT(policy->rank(&short_work, 61000), policy->rank(&away, 61000));
+}
