sched: lasting tasks wait 4 s at most where there is room for all of them

Cause: the bound of 2 s holds while lasting tasks reserve under 800 permille of the usable targets.

Change: after 4 s they go first as long as what lasting tasks reserve and wait for is under 950 permille; beyond, short work keeps the rest as before.

--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -14,11 +14,18 @@
 #define PRIORITY_MOST  127
 #define STAGE_SHIFT    48 /* 256 stages within a priority, then milliseconds */
 #define TIME_MASK      ((UINT64_C(1) << STAGE_SHIFT) - 1)
-#define LATE_FACTOR    3    /* a late job still counts for something up to so many times its time */
-#define AWAY_MOST_MS   2000 /* a lasting task whose run ended waits no longer behind short work */
+#define LATE_FACTOR    3 /* a late job still counts for something up to so many times its time */
 
-/* With more reserved by lasting work there is no room for all of it: short work keeps the rest. */
-#define LASTING_MOST_PERMILLE 800
+/* A lasting task whose run ended waits no longer behind short work, as long as there is room. */
+#define AWAY_MOST_MS	      2000
+#define LASTING_MOST_PERMILLE 800 /* of the targets' processors, reserved by lasting work */
+
+/*
+ * Nor so long where there is room for all lasting work, waiting work included.  Where there is
+ * not, short work keeps the rest.
+ */
+#define AWAY_LIMIT_MS		     4000
+#define LASTING_WANTED_MOST_PERMILLE 950
 
 typedef enum stage {
 	STAGE_AWAY, /* lasting, and without a run for too long */
@@ -42,13 +49,22 @@
 	return rank_of(item, STAGE_ON_TIME, item->since_ms);
 }
 
+static bool away_too_long(const wl_ordering_item_t *item)
+{
+	if (!item->lasting)
+		return false;
+	if (item->lasting_permille < LASTING_MOST_PERMILLE)
+		return item->away_ms > AWAY_MOST_MS;
+	return item->lasting_wanted_permille < LASTING_WANTED_MOST_PERMILLE &&
+	       item->away_ms > AWAY_LIMIT_MS;
+}
+
 static uint64_t rank_on_time(const wl_ordering_item_t *item, uint64_t now_ms)
 {
 	uint64_t done_ms = now_ms + item->left_ms;
 	uint64_t allowed_ms = item->deadline_ms - item->since_ms;
 
-	if (item->lasting && item->away_ms > AWAY_MOST_MS &&
-	    item->lasting_permille < LASTING_MOST_PERMILLE)
+	if (away_too_long(item))
 		return rank_of(item, STAGE_AWAY, now_ms - item->away_ms);
 	if (item->lasting)
 		return rank_of(item, STAGE_LASTING, item->since_ms);
--- a/libwlcore/sched/order.h
+++ b/libwlcore/sched/order.h
@@ -16,8 +16,9 @@
 	uint64_t left_ms;	   /* longest chain of what is not done, as estimated */
 	uint64_t away_ms;	   /* lasting: since its last run ended; 0: it has had none */
 	uint64_t lasting_permille; /* of the targets' processors: what lasting tasks reserve */
-	bool lasting;		   /* runs until it is cancelled */
-	bool started;		   /* a task of the job has begun */
+	uint64_t lasting_wanted_permille; /* and with those that wait */
+	bool lasting;			  /* runs until it is cancelled */
+	bool started;			  /* a task of the job has begun */
 } wl_ordering_item_t;
 
 typedef struct wl_ordering_policy {
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -43,6 +43,7 @@
 		.since_ms = due_ms ? due_ms : job->record.accepted_ms,
 		.left_ms = chain_ms(job, bundle->occurrence, true),
 		.lasting_permille = sched->lasting_permille,
+		.lasting_wanted_permille = sched->lasting_wanted_permille,
 		.lasting = wl_job_step(job, bundle->step)->lasting,
 		.started = job->record.state != WL_JOB_QUEUED,
 	};
@@ -138,19 +139,28 @@
 	return wl_str_compare(one->job->key, other->job->key);
 }
 
-static uint64_t lasting_permille(const wl_sched_t *sched)
+/* The shares of the usable targets' processors that lasting tasks reserve, and want. */
+static void lasting_follow(wl_sched_t *sched)
 {
 	const wl_sched_runner_t *runner;
-	uint64_t lasting = 0;
+	const wl_bundle_t *bundle;
+	uint64_t reserved = 0;
+	uint64_t waiting = 0;
 	uint64_t all = 0;
 
 	TAILQ_FOREACH (runner, &sched->runners, link) {
 		if (!runner->fit.usable)
 			continue;
-		lasting += runner->lasting_millis;
+		reserved += runner->lasting_millis;
 		all += runner->fit.capacity.cpu_millis;
 	}
-	return all ? lasting * WL_PERMILLE / all : 0;
+	TAILQ_FOREACH (bundle, &sched->waiting, link) {
+		const wl_step_spec_t *step = wl_job_step(bundle->job, bundle->step);
+
+		waiting += step->lasting ? bundle->count * step->cpu_millis : 0;
+	}
+	sched->lasting_permille = all ? reserved * WL_PERMILLE / all : 0;
+	sched->lasting_wanted_permille = all ? (reserved + waiting) * WL_PERMILLE / all : 0;
 }
 
 /*
@@ -165,7 +175,7 @@
 	if (now_ns - sched->sorted_ns < SORT_MS * WL_NS_PER_MS)
 		return;
 	sched->sorted_ns = now_ns;
-	sched->lasting_permille = lasting_permille(sched);
+	lasting_follow(sched);
 	TAILQ_FOREACH (bundle, &sched->waiting, link)
 		count++;
 	bundles = wl_alloc((count + 1) * sizeof(wl_bundle_t *));
--- a/tests/unit/sched_backlog_test.cc
+++ b/tests/unit/sched_backlog_test.cc
@@ -245,6 +245,23 @@
 		}
 }
 
+/* Tasks that last and need more than four fifths of the fleet, which has room for all of them. */
+TEST(SchedBacklog, TaskThatLastsRunsAgainSoonWhereSuchTasksNeedMostOfTheRoom)
+{
+	LoadOptions options;
+
+	options.lasting_jobs = 16;
+	options.lasting_cpu = 6000;
+	options.lasting_s = 60;
+	for (double jobs_per_s : {20, 60, 180}) {
+		options.short_jobs_per_s = jobs_per_s;
+		LoadResult result = LoadedFleet(options).loaded();
+
+		EXPECT_LE(result.away_most_ms, AWAY_MOST_MS) << jobs_per_s << " jobs a second";
+		EXPECT_GE(result.lasting_ends, 30u);
+	}
+}
+
 /* What tasks that last need is their share of the room; the rest still serves short work in time.
  */
 TEST(SchedBacklog, ShortWorkIsServedInWhatIsLeft)
