sched: number orders from the term on

What callers could see: a task runs twice. An agent may tell a leader that was restarted and elected again how an order of its earlier life ended; the order of the new life with the same number then counted as ended. A start that the first life had refused gave up the second one's run, which was started elsewhere while the first start was still on its way. A stop told so bars nothing.

Cause: since orders go through agents, their numbers begin at 0 in each process, and a message of ends names neither term nor life. The number 0 also means "no hold under way", so that a first order that was a hold was given twice.

Change: numbers begin at the term shifted by 40 bits: no two leaderships share one, and none is 0.

Tests, failing before: SchedOrders.EndOfAnOrderOfAnEarlierLeadershipIsPassedOver (a second start), SchedOrders.FirstOrderOfALeaderIsGivenOnce (2 holds for 1).

--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -14,7 +14,7 @@
 } wl_order_kind_t;
 
 typedef struct wl_order {
-	uint64_t id;   /* unique in the leader's life; its answer bears it too */
+	uint64_t id;   /* unique among all leaderships, not 0; its end bears it too */
 	uint64_t kind; /* wl_order_kind_t */
 	wl_buf_t runner;
 	wl_buf_t address;
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -12,6 +12,7 @@
 #define LEASE_MS_DEFAULT       6000
 #define LEASE_MOST_MS_DEFAULT  6000
 #define START_LEASE_MS_DEFAULT 2000
+#define ORDER_ID_TERM_SHIFT    40 /* orders that one leadership can number, in bits */
 
 /*
  * wl_sched_new - make a scheduler that does not lead yet
@@ -152,6 +153,7 @@
 
 	sched->leading = true;
 	sched->epoch = event->term;
+	sched->next_id = event->term << ORDER_ID_TERM_SHIFT;
 	sched->led_ns = now_ns;
 	wl_sched_agents_begin(sched);
 	TAILQ_FOREACH (runner, &sched->jobs->runners, link)
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -178,3 +178,72 @@
 	rig.pass(300);
 	EXPECT_TRUE(rig.take(WL_ORDER_HOLD).empty()) << "the hold is still under way";
 }
+
+/* An agent may still tell a restarted leader how orders of its earlier life ended. */
+TEST(SchedOrders, EndOfAnOrderOfAnEarlierLeadershipIsPassedOver)
+{
+	SchedRig before;
+	SchedRig after;
+	std::vector<SchedOrder> starts;
+
+	after.follow();
+	after.lead(2);
+	for (SchedRig *rig : {&before, &after}) {
+		rig->configure("q");
+		rig->runner("i-1", 1000);
+		rig->agents({"s2"});
+		rig->job("q", "j", {1});
+		rig->hand_in();
+		rig->pass(10);
+		rig->commit();
+		auto taken = rig->take(WL_ORDER_START);
+		ASSERT_EQ(taken.size(), 1u);
+		starts.push_back(taken[0]);
+	}
+	ASSERT_EQ(starts[0].agent, starts[1].agent);
+	after.runner("i-2", 1000);
+	after.answer(starts[0], WL_ORDER_NO_ROOM);
+	for (int i = 0; i < 10; i++) {
+		after.pass(10);
+		after.commit();
+	}
+	EXPECT_TRUE(after.take(WL_ORDER_START).empty()) << "the task may run on the first target";
+}
+
+/* What is committed while this replica follows. */
+static void apply(SchedRig &rig, wl_cmd_t *cmd)
+{
+	wl_result_t result = {};
+
+	wl_jobs_apply(rig.jobs, cmd, 1, &result);
+	wl_result_free(&result);
+	wl_cmd_free(cmd);
+}
+
+/* A hold for a run of an earlier leader, asked again only when it has ended. */
+TEST(SchedOrders, FirstOrderOfALeaderIsGivenOnce)
+{
+	SchedRig rig;
+	wl_cmd_t put = {};
+	wl_cmd_t start = {};
+
+	rig.configure("q");
+	rig.job("q", "j", {1});
+	rig.hand_in();
+	rig.follow();
+	put.kind = WL_CMD_RUNNER_PUT;
+	wl_buf_set(&put.u.runner_put.id, WL_STR("i-1"));
+	put.u.runner_put.life = 1;
+	apply(rig, &put);
+	start.kind = WL_CMD_RUNS_START;
+	auto *row = static_cast<wl_run_start_t *>(
+		wl_list_add(&wl_run_start_schema, &start.u.runs_start.runs));
+	wl_buf_set(&row->job, WL_STR("j"));
+	wl_buf_set(&row->runner, WL_STR("i-1"));
+	row->run = 1;
+	row->life = 1;
+	apply(rig, &start);
+	rig.lead(2);
+	rig.pass(100);
+	EXPECT_EQ(rig.take(WL_ORDER_HOLD).size(), 1u);
+}
