sched: ask a target through another agent after a hold without an answer

Cause: hashing names the same agent again as long as that answers the leader.

Change: an agent whose hold got no answer, or could not be sent, is left out for that target for 10 s. Two in turn are tried where a target is silent itself, the leader where there is no other.

Test, failing before (no renewal for 6,000 ms): SchedAgents.TargetThatItsReplicaDoesNotReachIsAskedThroughAnother. unit.sched_agents, sched, fleet_faults, fleet_overload pass.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -13,7 +13,8 @@
 
 #include <libwlbase/named.h>
 
-#define RETURN_MS 1000 /* after its link went down an agent has to be heard anew */
+#define RETURN_MS 1000	/* after its link went down an agent has to be heard anew */
+#define AVOID_MS  10000 /* for which a target is not asked through an agent that got no answer */
 
 static wl_sched_agent_t *own_agent(const wl_sched_t *sched, const wl_sched_runner_t *runner)
 {
@@ -30,7 +31,7 @@
 	TAILQ_FOREACH (agent, &sched->agents, link) {
 		uint64_t rank = wl_str_hash(runner->key, agent->seed);
 
-		if (!agent->usable || (best && rank <= highest))
+		if (!agent->usable || agent == runner->unreached_by || (best && rank <= highest))
 			continue;
 		best = agent;
 		highest = rank;
@@ -149,6 +150,24 @@
 	agent_use(sched, now_ns, agent, false, out);
 }
 
+/*
+ * wl_sched_agent_avoid - an agent got no answer of a target: the path between them may be cut
+ */
+void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns, const wl_sched_agent_t *agent)
+{
+	runner->unreached_by = agent;
+	runner->unreached_until_ns = now_ns + AVOID_MS * WL_NS_PER_MS;
+}
+
+/*
+ * wl_sched_agent_retry - use an avoided agent again when its time is over
+ */
+void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	if (now_ns >= runner->unreached_until_ns)
+		runner->unreached_by = NULL;
+}
+
 /*
  * wl_sched_agent_give - add an order to those that an agent is sent at the end of the step
  * @order: copied
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -85,8 +85,10 @@
 	uint64_t answered_ns; /* any order */
 	uint64_t hold_id;     /* under way; 0: none */
 	uint64_t hold_due_ns;
-	bool hold_failed;    /* the newest got no answer: the next ones ask for no lease, so that it
-				can    lapse */
+	bool hold_failed; /* the newest got no answer: the next ones ask for no lease, so that it
+			     can lapse */
+	const struct wl_sched_agent *unreached_by; /* its newest hold got no answer; NULL: none */
+	uint64_t unreached_until_ns;
 	uint64_t seen;	     /* ends up to here are committed */
 	uint64_t listed;     /* ends up to here are proposed */
 	uint64_t committing; /* proposals of its ends under way */
@@ -315,5 +317,8 @@
 void wl_sched_agent_down(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, wl_out_t *out);
 void wl_sched_agent_give(wl_sched_agent_t *agent, const wl_order_t *order);
 void wl_sched_agents_send(wl_sched_t *sched, wl_out_t *out);
+void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns,
+			  const wl_sched_agent_t *agent);
+void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
 
 #endif
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -286,6 +286,7 @@
 	wl_sched_run_t *run;
 
 	usable_follow(sched, runner, now_ns);
+	wl_sched_agent_retry(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
 		wl_sched_run_tick(sched, now_ns, run);
 	if (holds && runner->hold_failed && now_ns > lapse_ns(runner))
@@ -421,6 +422,20 @@
 	       call->life == runner->state->report.life;
 }
 
+static void hold_fail(uint64_t now_ns, wl_sched_runner_t *runner, const wl_sched_call_t *call,
+		      const wl_order_end_t *end, wl_out_t *out)
+{
+	if (!runner->hold_failed)
+		wl_out_log(out, WL_INFO, "target-hold-failed",
+			   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
+			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
+			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
+	runner->hold_failed = true;
+	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT)
+		wl_sched_agent_avoid(runner, now_ns, call->agent);
+	wl_sched_hold_soon(runner, now_ns + HOLD_AGAIN_MS * WL_NS_PER_MS);
+}
+
 /*
  * wl_sched_hold_answered - a hold has ended
  */
@@ -441,14 +456,7 @@
 		return;
 	}
 	if (end->outcome != WL_ORDER_DONE) {
-		if (!runner->hold_failed)
-			wl_out_log(out, WL_INFO, "target-hold-failed",
-				   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
-				   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
-				   (unsigned long long)((now_ns - runner->answered_ns) /
-							WL_NS_PER_MS));
-		runner->hold_failed = true;
-		wl_sched_hold_soon(runner, now_ns + HOLD_AGAIN_MS * WL_NS_PER_MS);
+		hold_fail(now_ns, runner, call, end, out);
 		return;
 	}
 	runner->hold_failed = false;
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -247,3 +247,35 @@
 	rig.pass(100);
 	EXPECT_EQ(rig.take(WL_ORDER_HOLD).size(), 1u);
 }
+
+/* A replica may answer the leader and reach no target. */
+TEST_F(SchedAgents, TargetThatItsReplicaDoesNotReachIsAskedThroughAnother)
+{
+	rig.agents({"s2", "s3"});
+	fill(1);
+	rig.pass(10);
+	auto holds = rig.take(WL_ORDER_HOLD);
+	ASSERT_EQ(holds.size(), 1u);
+	std::string cut = holds[0].agent;
+	uint64_t renewed_ms = rig.now / 1000000;
+
+	for (int i = 0; i < 1000; i++) {
+		if (!holds.empty() && holds[0].agent != cut) {
+			if (holds[0].lease_ms)
+				renewed_ms = rig.now / 1000000;
+			rig.answer_hold(holds[0], {SchedRig::view(starts["i-0"])}, {});
+			holds.clear();
+		}
+		rig.pass(10);
+		if (!holds.empty() && i % 180 == 179) {
+			rig.answer(holds[0], WL_ORDER_NO_ANSWER);
+			holds.clear();
+		}
+		auto taken = rig.take(WL_ORDER_HOLD);
+		holds.insert(holds.end(), taken.begin(), taken.end());
+		EXPECT_LT(rig.now / 1000000 - renewed_ms, 6000u) << "the lease is over";
+		if (HasFailure())
+			return;
+	}
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
