sched: split the orders of a step into messages that a link takes

What callers could see: a wide job with a long payload does not start: all its starts to an agent end as agent-lost after 4 s and are tried again.

Change: a message with 1 MiB of payloads or more gets no further order.

Open: what waits for a peer is limited too (32 MiB), and a refused message of orders is still noticed only when the orders' time and 3 s are over.

Test, failing before: SchedAgents.OrdersOfAStepFitIntoFrames. The rig packs each message to measure it and takes a payload; what else it checks is as before.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -13,8 +13,9 @@
 
 #include <libwlbase/named.h>
 
-#define RETURN_MS 1000	/* after its link went down an agent has to be heard anew */
-#define AVOID_MS  10000 /* for which a target is not asked through an agent that got no answer */
+#define RETURN_MS     1000	      /* after its link went down an agent has to be heard anew */
+#define MESSAGE_BYTES (1024UL * 1024) /* payloads of a message that gets no further order */
+#define AVOID_MS      10000 /* for which a target is not asked through an agent that got no answer */
 
 static wl_sched_agent_t *own_agent(const wl_sched_t *sched, const wl_sched_runner_t *runner)
 {
@@ -177,6 +178,26 @@
 	wl_record_copy(&wl_order_schema, wl_list_add(&wl_order_schema, &agent->orders), order);
 }
 
+/* A message that is longer than the peer link takes would be lost. */
+static void orders_send(const wl_sched_t *sched, wl_sched_agent_t *agent, wl_out_t *out)
+{
+	const wl_order_t *orders = agent->orders.items;
+	wl_msg_orders_t *msg = NULL;
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < agent->orders.count; i++) {
+		if (!msg || bytes >= MESSAGE_BYTES) {
+			msg = &wl_out_send(out, wl_buf_str(&agent->name), WL_MSG_ORDERS)->u.orders;
+			msg->term = sched->epoch;
+			bytes = 0;
+		}
+		*(wl_order_t *)wl_list_add(&wl_order_schema, &msg->orders) = orders[i];
+		bytes += orders[i].payload.len + orders[i].checkpoint.len;
+	}
+	free(agent->orders.items); /* what they own has moved */
+	agent->orders = (wl_list_t){0};
+}
+
 /*
  * wl_sched_agents_send - send each agent the orders of this step
  */
@@ -184,14 +205,7 @@
 {
 	wl_sched_agent_t *agent;
 
-	TAILQ_FOREACH (agent, &sched->agents, link) {
-		wl_msg_orders_t *msg;
-
-		if (agent->orders.count == 0)
-			continue;
-		msg = &wl_out_send(out, wl_buf_str(&agent->name), WL_MSG_ORDERS)->u.orders;
-		msg->term = sched->epoch;
-		msg->orders = agent->orders;
-		agent->orders = (wl_list_t){0};
-	}
+	TAILQ_FOREACH (agent, &sched->agents, link)
+		if (agent->orders.count > 0)
+			orders_send(sched, agent, out);
 }
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -107,6 +107,11 @@
 {
 	const wl_msg_orders_t &msg = action.msg.u.orders;
 
+	wl_buf_t bytes = {};
+
+	wl_msg_pack(&action.msg, &bytes);
+	sent_bytes_most = std::max(sent_bytes_most, bytes.len);
+	wl_buf_free(&bytes);
 	sent.push_back(static_cast<wl_msg_kind_t>(action.msg.kind));
 	if (action.msg.kind != WL_MSG_ORDERS)
 		return;
@@ -262,13 +267,14 @@
 
 /* A job of steps, each after the one before; handed in by hand_in(). */
 wl_step_spec_t *SchedRig::job(const std::string &queue, const std::string &id,
-			      const std::vector<uint64_t> &counts)
+			      const std::vector<uint64_t> &counts, const std::string &payload)
 {
 	wl_job_spec_t &spec = next_job.u.job_add.spec;
 
 	next_job = {};
 	next_job.kind = WL_CMD_JOB_ADD;
 	wl_buf_set(&next_job.u.job_add.path, str("/" + queue + "/" + id));
+	wl_buf_set(&spec.payload, str(payload));
 	for (size_t i = 0; i < counts.size(); i++) {
 		auto *step_spec = static_cast<wl_step_spec_t *>(
 			wl_list_add(&wl_step_spec_schema, &spec.steps));
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -43,7 +43,7 @@
 		    const std::string &rack = "r1", bool draining = false);
 	void runner_left(const std::string &id);
 	wl_step_spec_t *job(const std::string &queue, const std::string &id,
-			    const std::vector<uint64_t> &counts);
+			    const std::vector<uint64_t> &counts, const std::string &payload = "");
 	void hand_in();
 	void cancel(const std::string &queue, const std::string &id);
 	void run_command(wl_cmd_t *cmd);
@@ -76,6 +76,7 @@
 	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
+	size_t sent_bytes_most = 0;	 /* the longest of these, packed */
 	std::vector<std::string> log;
 	wl_state_t *state = nullptr;
 	wl_jobs_t *jobs = nullptr;
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -279,3 +279,23 @@
 	}
 	EXPECT_EQ(rig.job_state("j"), "running");
 }
+
+/* A message longer than a frame of the peer link is not sent at all. */
+TEST_F(SchedAgents, OrdersOfAStepFitIntoFrames)
+{
+	const size_t targets = 40;
+	const std::string payload(1 << 20, 'x'); /* as long as a request may be by default */
+	std::set<uint64_t> ids;
+
+	rig.agents({"s2"});
+	for (size_t i = 0; i < targets; i++)
+		rig.runner("i-" + std::to_string(i), 1000);
+	rig.job("q", "j", {targets}, payload);
+	rig.hand_in();
+	rig.pass(10);
+	rig.commit();
+	for (const auto &start : rig.take(WL_ORDER_START))
+		ids.insert(start.id);
+	EXPECT_EQ(ids.size(), targets);
+	EXPECT_LT(rig.sent_bytes_most, size_t{16} << 20) << "the default of --max-frame-bytes";
+}
