--- a/tests/support/fleet_checks.h
+++ b/tests/support/fleet_checks.h
@@ -52,4 +52,34 @@
 		 [&fleet] { fleet.silence(fleet.leader(), fleet.follower(), FAULT_LASTS_MS); });
 }
 
+/* The leader's part of a cut; the replicas of the other side hear each other. */
+inline void leader_is_cut_off(Fleet &fleet, uint64_t ms)
+{
+	fleet.at(FAULT_MS, [&fleet, ms] {
+		for (size_t i = 0; i + 1 < fleet.replicas.size(); i++)
+			fleet.silence(fleet.leader(), fleet.follower(i), ms);
+	});
+}
+
+inline void leader_and_a_follower_are_cut_off(Fleet &fleet, uint64_t ms)
+{
+	fleet.at(FAULT_MS, [&fleet, ms] {
+		for (size_t i = 1; i + 1 < fleet.replicas.size(); i++) {
+			fleet.silence(fleet.leader(), fleet.follower(i), ms);
+			fleet.silence(fleet.follower(), fleet.follower(i), ms);
+		}
+	});
+}
+
+/* Most of the time it does nothing. */
+inline void follower_stutters(Fleet &fleet)
+{
+	const uint64_t period_ms = 1000;
+	const uint64_t frozen_ms = 950;
+
+	for (uint64_t i = 0; i < 8; i++)
+		fleet.at(FAULT_MS + i * period_ms,
+			 [&fleet, frozen_ms] { fleet.follower()->freeze(frozen_ms); });
+}
+
 #endif
