bench: measure processor time of messages between daemons

wl-bench-links PEERS MESSAGES_PER_S BYTES SECONDS: one daemon sends in bursts each 10 ms to several in a child process.

By strace the sender writes to the wake-up descriptor once a message.

--- /dev/null
+++ b/tests/bench/links.c
@@ -0,0 +1,203 @@
+/*
+ * Processor time of messages between daemons: one sends to several, which stand in a child
+ * process, in bursts, as a tick of the daemon does.  Prints CSV: peers, messages a second,
+ * bytes, messages that arrived, microseconds a message at the sender (thread of the links; whole
+ * process) and at the receivers (whole process).
+ */
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <libwlbase/units.h>
+#include <libwlnet/peer.h>
+
+#define PEERS_MOST 64
+#define STEP_MS	   10
+#define UP_MS	   5000
+#define RING_SLOTS 16384
+
+static uint64_t clock_of(clockid_t clock)
+{
+	struct timespec at;
+
+	clock_gettime(clock, &at);
+	return (uint64_t)at.tv_sec * WL_NS_PER_S + (uint64_t)at.tv_nsec;
+}
+
+static wl_peers_t *peers_start(const char *name, wl_ring_t **ring)
+{
+	wl_err_t err;
+	wl_peer_options_t options = {.name = wl_str_from(name),
+				     .listen = WL_STR("127.0.0.1:0"),
+				     .secret = WL_STR("open sesame"),
+				     .queue_slots = 65536,
+				     .max_frame_bytes = 16 << 20,
+				     .max_queue_bytes = 256 << 20,
+				     .handshake_ms = 5000,
+				     .idle_ms = 3000,
+				     .seed = 1};
+
+	if (!*ring)
+		*ring = wl_ring_new(RING_SLOTS, &err);
+	options.events = *ring;
+	return *ring ? wl_peers_start(&options, &err) : NULL;
+}
+
+/* What the receivers tell when they have got all. */
+typedef struct told {
+	uint64_t arrived;
+	uint64_t spent_ns;
+} told_t;
+
+static wl_event_t *taken(wl_ring_t *ring, uint64_t *arrived)
+{
+	wl_event_t *event = wl_ring_wait(ring, 100);
+
+	if (!event)
+		return NULL;
+	*arrived += event->kind == WL_EVENT_PEER;
+	wl_event_free(event);
+	free(event);
+	return event;
+}
+
+static void receive(size_t count, int ports_fd, int told_fd, int go_fd)
+{
+	wl_ring_t *ring = NULL;
+	told_t told = {0};
+	char name[16];
+	char byte;
+
+	for (size_t i = 0; i < count; i++) {
+		uint16_t port;
+
+		snprintf(name, sizeof(name), "r%zu", i);
+		port = wl_peers_port(peers_start(name, &ring));
+		if (write(ports_fd, &port, sizeof(port)) != sizeof(port))
+			_exit(1);
+	}
+	for (;;) {
+		if (taken(ring, &told.arrived))
+			continue;
+		if (read(go_fd, &byte, 1) != 1)
+			continue;
+		if (byte == 'e')
+			break;
+		told.arrived = 0;
+		told.spent_ns = clock_of(CLOCK_PROCESS_CPUTIME_ID);
+	}
+	told.spent_ns = clock_of(CLOCK_PROCESS_CPUTIME_ID) - told.spent_ns;
+	_exit(write(told_fd, &told, sizeof(told)) != sizeof(told));
+}
+
+static uint64_t sent;
+
+static void burst(wl_peers_t *peers, size_t count, uint64_t until, wl_msg_t *msg)
+{
+	char name[16];
+
+	for (; sent < until; sent++) {
+		snprintf(name, sizeof(name), "r%zu", (size_t)(sent % count));
+		msg->u.answer.id = sent;
+		if (!wl_peers_send(peers, wl_str_from(name), msg))
+			fprintf(stderr, "not taken\n");
+	}
+}
+
+static bool all_up(wl_ring_t *ring, size_t count)
+{
+	uint64_t until_ns = clock_of(CLOCK_MONOTONIC) + UP_MS * WL_NS_PER_MS;
+	uint64_t ignored = 0;
+	size_t up = 0;
+
+	while (up < count && clock_of(CLOCK_MONOTONIC) < until_ns)
+		up += taken(ring, &ignored) != NULL;
+	return up == count;
+}
+
+static void dial(wl_peers_t *peers, size_t count, int ports_fd)
+{
+	char name[16];
+	char address[32];
+	uint16_t port;
+
+	for (size_t i = 0; i < count && read(ports_fd, &port, sizeof(port)) == sizeof(port); i++) {
+		snprintf(name, sizeof(name), "r%zu", i);
+		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+		wl_peers_dial(peers, wl_str_from(name), wl_str_from(address));
+	}
+}
+
+/* Return: time of the sender's threads but this one; @all_ns: with it. */
+static uint64_t play(wl_peers_t *peers, size_t count, uint64_t per_s, size_t bytes,
+		     uint64_t seconds, uint64_t *all_ns)
+{
+	uint64_t start_ns = clock_of(CLOCK_MONOTONIC);
+	uint64_t own_ns;
+	wl_msg_t msg;
+
+	wl_msg_init(&msg, WL_MSG_ANSWER);
+	for (size_t i = 0; i < bytes; i++)
+		wl_buf_append(&msg.u.answer.body, WL_STR("x"));
+	own_ns = clock_of(CLOCK_THREAD_CPUTIME_ID);
+	*all_ns = clock_of(CLOCK_PROCESS_CPUTIME_ID);
+	for (uint64_t ms = 0; ms <= seconds * WL_MS_PER_S; ms += STEP_MS) {
+		struct timespec until = {
+			.tv_sec = (time_t)((start_ns + ms * WL_NS_PER_MS) / WL_NS_PER_S),
+			.tv_nsec = (long)((start_ns + ms * WL_NS_PER_MS) % WL_NS_PER_S)};
+
+		clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &until, NULL);
+		burst(peers, count, per_s * ms / WL_MS_PER_S, &msg);
+	}
+	usleep(200000);
+	own_ns = clock_of(CLOCK_THREAD_CPUTIME_ID) - own_ns;
+	*all_ns = clock_of(CLOCK_PROCESS_CPUTIME_ID) - *all_ns;
+	wl_msg_free(&msg);
+	return *all_ns - own_ns;
+}
+
+int main(int argc, char **argv)
+{
+	size_t count = argc > 1 ? strtoul(argv[1], NULL, 10) : 46;
+	uint64_t per_s = argc > 2 ? strtoul(argv[2], NULL, 10) : 1000;
+	size_t bytes = argc > 3 ? strtoul(argv[3], NULL, 10) : 200;
+	uint64_t seconds = argc > 4 ? strtoul(argv[4], NULL, 10) : 5;
+	wl_ring_t *ring = NULL;
+	wl_peers_t *peers;
+	told_t told = {0};
+	uint64_t link_ns;
+	uint64_t all_ns;
+	int pipes[3][2];
+	pid_t child;
+
+	if (count == 0 || count > PEERS_MOST || pipe(pipes[0]) < 0 || pipe(pipes[1]) < 0 ||
+	    pipe(pipes[2]) < 0 || fcntl(pipes[2][0], F_SETFL, O_NONBLOCK) < 0)
+		return 1;
+	child = fork();
+	if (child == 0)
+		receive(count, pipes[0][1], pipes[1][1], pipes[2][0]);
+	peers = peers_start("sender", &ring);
+	if (child < 0 || !peers)
+		return 1;
+	dial(peers, count, pipes[0][0]);
+	if (!all_up(ring, count) || write(pipes[2][1], "b", 1) != 1)
+		return 1;
+	usleep(300000);
+	link_ns = play(peers, count, per_s, bytes, seconds, &all_ns);
+	if (write(pipes[2][1], "e", 1) != 1 ||
+	    read(pipes[1][0], &told, sizeof(told)) != sizeof(told))
+		return 1;
+	printf("peers,per_s,bytes,arrived,us_link,us_sender,us_receivers\n"
+	       "%zu,%llu,%zu,%llu,%.1f,%.1f,%.1f\n",
+	       count, (unsigned long long)per_s, bytes, (unsigned long long)told.arrived,
+	       (double)link_ns / 1000 / (double)sent, (double)all_ns / 1000 / (double)sent,
+	       (double)told.spent_ns / 1000 / (double)sent);
+	wl_peers_stop(peers);
+	waitpid(child, NULL, 0);
+	return 0;
+}
