base: format text in one pass; write keys of runs without a format

The texts are as before.

Tests: Buf.NumbersAreAppendedAsPrintfWritesThem, FormattedTextOfAnyLengthIsWhole.

--- a/libwlbase/str.c
+++ b/libwlbase/str.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #define BUF_LEAST_BYTES 32
+#define U64_DIGITS_MOST 20
 
 /*
  * wl_alloc - allocate zeroed memory
@@ -209,22 +210,43 @@
  */
 void wl_buf_printf(wl_buf_t *buf, const char *format, ...)
 {
+	size_t room;
 	va_list args;
 	int len;
 
+	buf_reserve(buf, 0);
+	room = buf->room - buf->len;
 	va_start(args, format);
-	len = vsnprintf(NULL, 0, format, args);
+	len = vsnprintf(buf->at + buf->len, room, format, args);
 	va_end(args);
-	if (len < 0)
+	if (len < 0) {
+		buf->at[buf->len] = '\0';
 		return;
-
-	buf_reserve(buf, (size_t)len);
-	va_start(args, format);
-	vsnprintf(buf->at + buf->len, (size_t)len + 1, format, args);
-	va_end(args);
+	}
+	if ((size_t)len >= room) {
+		buf_reserve(buf, (size_t)len);
+		va_start(args, format);
+		vsnprintf(buf->at + buf->len, (size_t)len + 1, format, args);
+		va_end(args);
+	}
 	buf->len += (size_t)len;
 }
 
+/*
+ * wl_buf_append_u64 - add a number in decimal digits
+ */
+void wl_buf_append_u64(wl_buf_t *buf, uint64_t number)
+{
+	char digits[U64_DIGITS_MOST];
+	size_t at = sizeof(digits);
+
+	do {
+		digits[--at] = (char)('0' + number % 10);
+		number /= 10;
+	} while (number);
+	wl_buf_append(buf, (wl_str_t){digits + at, sizeof(digits) - at});
+}
+
 /*
  * wl_buf_clear - make a buffer empty, keeping its memory
  */
--- a/libwlbase/str.h
+++ b/libwlbase/str.h
@@ -35,6 +35,7 @@
 void wl_buf_free(wl_buf_t *buf);
 void wl_buf_set(wl_buf_t *buf, wl_str_t s);
 void wl_buf_append(wl_buf_t *buf, wl_str_t s);
+void wl_buf_append_u64(wl_buf_t *buf, uint64_t number);
 void wl_buf_printf(wl_buf_t *buf, const char *format, ...) __attribute__((format(printf, 2, 3)));
 void wl_buf_clear(wl_buf_t *buf);
 void wl_buf_move(wl_buf_t *to, wl_buf_t *from);
--- a/libwlcore/model/event.c
+++ b/libwlcore/model/event.c
@@ -257,5 +257,8 @@
 	vsnprintf(text, sizeof(text), pairs, args);
 	va_end(args);
 	action->level = level;
-	wl_buf_printf(&action->line, "event=%s%s%s", event, text[0] ? " " : "", text);
+	wl_buf_append(&action->line, WL_STR("event="));
+	wl_buf_append(&action->line, wl_str_from(event));
+	wl_buf_append(&action->line, wl_str_from(text[0] ? " " : ""));
+	wl_buf_append(&action->line, wl_str_from(text));
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -20,9 +20,11 @@
 
 static void run_text(wl_str_t job, uint64_t task, uint64_t number, wl_buf_t *text)
 {
-	wl_buf_clear(text);
-	wl_buf_printf(text, WL_STR_FMT "/%llu/%llu", WL_STR_ARG(job), (unsigned long long)task,
-		      (unsigned long long)number);
+	wl_buf_set(text, job);
+	wl_buf_append(text, WL_STR("/"));
+	wl_buf_append_u64(text, task);
+	wl_buf_append(text, WL_STR("/"));
+	wl_buf_append_u64(text, number);
 }
 
 /*
--- a/tests/unit/base_test.cc
+++ b/tests/unit/base_test.cc
@@ -139,6 +139,37 @@
 	EXPECT_STREQ(hex, "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+TEST(Buf, NumbersAreAppendedAsPrintfWritesThem)
+{
+	const uint64_t numbers[] = {
+		0, 9, 10, 99, 100, 4096, UINT32_MAX, 1ULL << 63, UINT64_MAX - 1, UINT64_MAX};
+
+	for (uint64_t number : numbers) {
+		wl_buf_t buf = {};
+
+		wl_buf_append(&buf, WL_STR("n="));
+		wl_buf_append_u64(&buf, number);
+		EXPECT_STREQ(buf.at, ("n=" + std::to_string(number)).c_str());
+		wl_buf_free(&buf);
+	}
+}
+
+TEST(Buf, FormattedTextOfAnyLengthIsWhole)
+{
+	for (size_t before : {0, 1, 30, 31, 32, 33, 200})
+		for (size_t len : {0, 1, 2, 30, 31, 32, 33, 63, 64, 65, 5000}) {
+			std::string text(len, 'x');
+			std::string whole = std::string(before, 'a') + text + "7";
+			wl_buf_t buf = {};
+
+			wl_buf_append(&buf, wl_str_from(std::string(before, 'a').c_str()));
+			wl_buf_printf(&buf, "%s%d", text.c_str(), 7);
+			EXPECT_EQ(std::string(buf.at, buf.len), whole) << before << " " << len;
+			EXPECT_EQ(buf.at[buf.len], '\0');
+			wl_buf_free(&buf);
+		}
+}
+
 TEST(Metrics, LinesOfOneNameStayTogether)
 {
 	wl_metrics_t metrics;
