sched: sum what presses on a tail over the images that are there only

Change: the images present are kept as bits, and the sum goes over them, in the same order, so that it is the same to the last bit.

--- a/libwlcore/sched/press.c
+++ b/libwlcore/sched/press.c
@@ -22,7 +22,8 @@
 #define FIGURE_LEAST \
 	0.25 /* below, a queue has built up and a figure says no more than "too much" */
 #define FIGURE_MOST    10.0
-#define VAGUE_VARIANCE 1.0  /* of a figure below that */
+#define VAGUE_VARIANCE 1.0 /* of a figure below that */
+#define IMAGES_ALL     (UINT64_MAX >> (64 - WL_IMAGES_MOST))
 #define WINDOW_S       0.25 /* time constant that stands for a mean over the last half second */
 
 /*
@@ -47,18 +48,32 @@
 }
 
 /*
- * wl_press_sum - headroom that a serving image loses to all that stands beside it
+ * wl_press_sum_of - headroom that a serving image loses to some of what stands beside it
+ * @shares: those of other images need not be set
+ * @images: bit N: image N stands beside it
  */
-double wl_press_sum(const wl_press_t *press, unsigned int serving, const wl_press_shares_t *shares)
+double wl_press_sum_of(const wl_press_t *press, unsigned int serving,
+		       const wl_press_shares_t *shares, uint64_t images)
 {
 	double sum = 0;
 
-	for (unsigned int i = 0; i < WL_IMAGES_MOST; i++)
+	for (; images; images &= images - 1) {
+		unsigned int i = (unsigned int)__builtin_ctzll(images);
+
 		if (shares->of[i] > 0)
 			sum += wl_press_weight(press, serving, i) * shares->of[i];
+	}
 	return sum;
 }
 
+/*
+ * wl_press_sum - headroom that a serving image loses to all that stands beside it
+ */
+double wl_press_sum(const wl_press_t *press, unsigned int serving, const wl_press_shares_t *shares)
+{
+	return wl_press_sum_of(press, serving, shares, IMAGES_ALL);
+}
+
 /*
  * wl_press_window - what a figure of the last half second averages over
  * @window: as it was at the last call; moves towards what is present
--- a/libwlcore/sched/press.h
+++ b/libwlcore/sched/press.h
@@ -42,6 +42,8 @@
 void wl_press_init(wl_press_t *press);
 double wl_press_weight(const wl_press_t *press, unsigned int serving, unsigned int beside);
 double wl_press_sum(const wl_press_t *press, unsigned int serving, const wl_press_shares_t *shares);
+double wl_press_sum_of(const wl_press_t *press, unsigned int serving,
+		       const wl_press_shares_t *shares, uint64_t images);
 void wl_press_window(wl_press_shares_t *window, const wl_press_shares_t *present,
 		     uint64_t passed_ns);
 void wl_press_learn(wl_press_t *press, wl_press_level_t *level, unsigned int serving,
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -67,22 +67,41 @@
 	runner->window_ns = now_ns;
 }
 
+/* Shares that best-effort work on a target is given, by image; bit N of the result: image N is
+ * there. */
+static uint64_t planned_fill(const wl_sched_runner_t *runner, wl_press_shares_t *planned)
+{
+	const wl_sched_run_t *run;
+	uint64_t images = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		uint64_t bit = UINT64_C(1) << run->image;
+
+		if (!is_pressing(run))
+			continue;
+		if (!(images & bit))
+			planned->of[run->image] = 0;
+		planned->of[run->image] += share_of(run);
+		images |= bit;
+	}
+	return images;
+}
+
 /*
  * wl_sched_pressed_follow - bring up to date what best-effort work takes from serving tasks
  */
 void wl_sched_pressed_follow(const wl_sched_t *sched, wl_sched_runner_t *runner)
 {
-	wl_press_shares_t planned = {0};
+	wl_press_shares_t planned;
 	wl_sched_run_t *run;
+	uint64_t images;
 
 	if (!runner->pressed_due)
 		return;
 	runner->pressed_due = false;
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (is_pressing(run))
-			planned.of[run->image] += share_of(run);
+	images = planned_fill(runner, &planned);
 	TAILQ_FOREACH (run, &runner->serving, serving_link)
-		run->pressed = wl_press_sum(&sched->press, run->image, &planned);
+		run->pressed = wl_press_sum_of(&sched->press, run->image, &planned, images);
 }
 
 /*
