sched: ask no target for a step that needs more than any has left

Change: a look first finds the most processors, processors for best-effort work and memory that any usable target has left. A step that needs more counts as a miss at once. What presses on tails is brought up to date at the same moments as before, so that choices do not change.

Test: Place.EachTaskGoesToTheBestTargetOfThatMoment now also asks the oracle whether what still waits fits anywhere; it fails if the bound is one too strict.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -63,13 +63,52 @@
 	return most < TAIL_EXTREME_PERMILLE ? most : TAIL_EXTREME_PERMILLE;
 }
 
-/* Best-effort work needs processors that are left over. */
-static bool best_effort_room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+/* Processors that best-effort work can't have: what serves leaves some of its own unused. */
+static uint64_t best_effort_taken(const wl_fit_runner_t *runner)
 {
 	uint64_t idle = runner->serving_millis * SERVING_IDLE_PERMILLE / WL_PERMILLE;
-	uint64_t taken = runner->used.cpu_millis - idle + runner->best_effort_millis;
 
-	return !step->best_effort || taken + step->cpu_millis <= runner->capacity.cpu_millis;
+	return runner->used.cpu_millis - idle + runner->best_effort_millis;
+}
+
+static bool best_effort_room(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+{
+	return !step->best_effort ||
+	       best_effort_taken(runner) + step->cpu_millis <= runner->capacity.cpu_millis;
+}
+
+static void raise_to(int64_t *most, uint64_t capacity, uint64_t taken)
+{
+	int64_t left = (int64_t)capacity - (int64_t)taken;
+
+	if (left > *most)
+		*most = left;
+}
+
+/*
+ * wl_fit_room_add - count a target in
+ * @room: starts with -1 in each field: no target has anything left
+ */
+void wl_fit_room_add(wl_fit_room_t *room, const wl_fit_runner_t *runner)
+{
+	if (!runner->usable)
+		return;
+	raise_to(&room->cpu_millis, runner->capacity.cpu_millis, runner->used.cpu_millis);
+	raise_to(&room->best_effort_millis, runner->capacity.cpu_millis, best_effort_taken(runner));
+	raise_to(&room->memory_mib, runner->capacity.memory_mib, runner->used.memory_mib);
+}
+
+/*
+ * wl_fit_room_for - may any of the targets have room for a task of the step
+ *
+ * Return: false if certainly none has.
+ */
+bool wl_fit_room_for(const wl_fit_room_t *room, const wl_step_spec_t *step)
+{
+	int64_t cpu = step->best_effort ? room->best_effort_millis : room->cpu_millis;
+
+	return room->memory_mib >= 0 && step->memory_mib <= (uint64_t)room->memory_mib &&
+	       cpu >= 0 && step->cpu_millis <= (uint64_t)cpu;
 }
 
 /*
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -30,6 +30,13 @@
 	uint64_t waited_ms; /* how long the step has had tasks that wait */
 } wl_fit_question_t;
 
+/* The most that any of some targets has left; nothing that needs more fits on one of them. */
+typedef struct wl_fit_room {
+	int64_t cpu_millis;
+	int64_t best_effort_millis;
+	int64_t memory_mib;
+} wl_fit_room_t;
+
 typedef struct wl_fit_policy {
 	const char *name;
 	/* Higher is better; both fit. */
@@ -37,6 +44,8 @@
 } wl_fit_policy_t;
 
 const wl_fit_policy_t *wl_fit_policy_find(wl_str_t name);
+void wl_fit_room_add(wl_fit_room_t *room, const wl_fit_runner_t *runner);
+bool wl_fit_room_for(const wl_fit_room_t *room, const wl_step_spec_t *step);
 bool wl_fit_has_room(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
 bool wl_fit_allows(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
 bool wl_fit_fits(const wl_fit_question_t *question, const wl_fit_runner_t *runner);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -45,7 +45,7 @@
 	const wl_step_spec_t *step = question->step;
 	bool disturbs = step->best_effort && runner->fit.serving;
 
-	if (disturbs)
+	if (disturbs && runner->pressed_due)
 		wl_sched_pressed_follow(sched, runner);
 	if (!wl_fit_has_room(question, &runner->fit))
 		return false;
@@ -63,10 +63,21 @@
 } candidate_t;
 
 typedef struct candidates {
-	candidate_t *items; /* room for all targets */
+	candidate_t *items; /* as many as there are targets */
 	size_t count;
+	wl_fit_room_t room; /* most that a target had left when the look began */
 } candidates_t;
 
+static void candidates_init(const wl_sched_t *sched, candidates_t *candidates)
+{
+	const wl_sched_runner_t *runner;
+
+	candidates->items = wl_alloc(wl_map_count(&sched->by_runner) * sizeof(*candidates->items));
+	candidates->room = (wl_fit_room_t){-1, -1, -1};
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		wl_fit_room_add(&candidates->room, &runner->fit);
+}
+
 static bool candidate_make(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_bundle_t *bundle,
 			   const wl_fit_question_t *question, candidate_t *candidate)
 {
@@ -78,12 +89,28 @@
 	return true;
 }
 
+/* No target has room for the step: what a question would have brought up to date is brought so. */
+static void targets_full(wl_sched_t *sched, const wl_step_spec_t *step)
+{
+	wl_sched_runner_t *runner;
+
+	if (!step->best_effort)
+		return;
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		if (runner->pressed_due && runner->fit.serving)
+			wl_sched_pressed_follow(sched, runner);
+}
+
 static void candidates_fill(wl_sched_t *sched, const wl_bundle_t *bundle,
 			    const wl_fit_question_t *question, candidates_t *candidates)
 {
 	wl_sched_runner_t *runner;
 
 	candidates->count = 0;
+	if (!wl_fit_room_for(&candidates->room, question->step)) {
+		targets_full(sched, question->step);
+		return;
+	}
 	TAILQ_FOREACH (runner, &sched->runners, link)
 		candidates->count += candidate_make(sched, runner, bundle, question,
 						    &candidates->items[candidates->count]);
@@ -305,8 +332,7 @@
 
 	sched->place_due = false;
 	wl_sched_queue_sort(sched, now_ns);
-	pass.candidates.items =
-		wl_alloc(wl_map_count(&sched->by_runner) * sizeof(*pass.candidates.items));
+	candidates_init(sched, &pass.candidates);
 	bundle = TAILQ_FIRST(&sched->waiting);
 	while (bundle && pass.misses < MISSES_MOST) {
 		wl_bundle_t *next = TAILQ_NEXT(bundle, link);
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -13,7 +13,7 @@
 
 /*
  * Placement against an oracle: each start must go to the first of the targets with the highest
- * score among all on which the task fits, asked anew for each task.
+ * score among all on which the task fits, asked anew for each task, and what waits fits nowhere.
  */
 
 namespace
@@ -74,6 +74,7 @@
 	}
 
 	std::map<std::string, int> seen; /* starts by shape */
+	int waited = 0;			 /* steps found to fit nowhere */
 
       private:
 	static std::string name_of(int i)
@@ -112,6 +113,19 @@
 		rig.commit();
 		for (const SchedOrder &start : rig.take(WL_ORDER_START))
 			start_check(start, start.task.substr(0, start.task.find('.')));
+		for (const auto &[job, shape] : shape_of)
+			rest_check(job, shape);
+	}
+
+	/* What still waits fits nowhere; a gang waits for all its members. */
+	void rest_check(const std::string &job, const std::string &shape)
+	{
+		const wl_step_spec_t *step = wl_job_step(rig.find(job), 0);
+
+		if (shape == "gang" || started[job] == step->count)
+			return;
+		ASSERT_EQ(best_for(step, job), -1) << job << " " << shape;
+		waited++;
 	}
 
 	void ask(Target &target, const wl_step_spec_t *step, const std::string &job)
@@ -153,6 +167,7 @@
 		ASSERT_GE(best, 0) << start.task;
 		ASSERT_EQ(start.runner, name_of(best)) << start.task << " " << shape_of[job];
 		start_add(targets[best], step, job);
+		started[job]++;
 		seen[shape_of[job]]++;
 	}
 
@@ -175,6 +190,7 @@
 	SchedRig rig;
 	std::vector<Target> targets;
 	std::map<std::string, std::string> shape_of;
+	std::map<std::string, uint64_t> started;
 	std::map<std::string, std::string> rack_of; /* of a job's first task */
 };
 } // namespace
@@ -182,6 +198,7 @@
 TEST(Place, EachTaskGoesToTheBestTargetOfThatMoment)
 {
 	std::map<std::string, int> seen;
+	int waited = 0;
 
 	for (unsigned int seed = 1; seed <= 200; seed++) {
 		Placement placement(seed);
@@ -190,7 +207,9 @@
 		ASSERT_FALSE(testing::Test::HasFatalFailure()) << "seed " << seed;
 		for (const auto &[shape, count] : placement.seen)
 			seen[shape] += count;
+		waited += placement.waited;
 	}
+	EXPECT_GT(waited, 100);
 	for (const char *shape : {"plain", "gang", "rack", "limit", "lasting", "best-effort"})
 		EXPECT_GT(seen[shape], 100) << shape;
 }
