base: compare strings and view buffers inline

What is gained: wl_str_equal() and wl_buf_str() are called from every search of a table; as functions of another file they cost more than the comparison.

Change: both are inline in str.h.

--- a/libwlbase/str.c
+++ b/libwlbase/str.c
@@ -52,16 +52,6 @@
 	return (wl_str_t){text, text ? strlen(text) : 0};
 }
 
-/*
- * wl_str_equal - compare two strings for equality
- */
-bool wl_str_equal(wl_str_t a, wl_str_t b)
-{
-	if (a.len != b.len)
-		return false;
-	return a.len == 0 || memcmp(a.at, b.at, a.len) == 0;
-}
-
 /*
  * wl_str_compare - order two strings by their bytes
  *
@@ -270,11 +260,3 @@
 	*to = *from;
 	*from = (wl_buf_t){0};
 }
-
-/*
- * wl_buf_str - view a buffer as a string, valid until the buffer changes
- */
-wl_str_t wl_buf_str(const wl_buf_t *buf)
-{
-	return (wl_str_t){buf->at, buf->len};
-}
--- a/libwlbase/str.h
+++ b/libwlbase/str.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 /* Bytes that somebody else owns; not NUL-terminated. */
 typedef struct wl_str {
@@ -23,7 +24,13 @@
 #define WL_STR_ARG(s)	(int)(s).len, (s).at ? (s).at : ""
 
 wl_str_t wl_str_from(const char *text);
-bool wl_str_equal(wl_str_t a, wl_str_t b);
+
+/* Whether two strings are equal; inline, since tables are searched with it. */
+static inline bool wl_str_equal(wl_str_t a, wl_str_t b)
+{
+	return a.len == b.len && (a.len == 0 || memcmp(a.at, b.at, a.len) == 0);
+}
+
 int wl_str_compare(wl_str_t a, wl_str_t b);
 bool wl_str_starts(wl_str_t s, wl_str_t prefix);
 bool wl_str_split(wl_str_t s, char at, wl_str_t *head, wl_str_t *tail);
@@ -39,7 +46,12 @@
 void wl_buf_printf(wl_buf_t *buf, const char *format, ...) __attribute__((format(printf, 2, 3)));
 void wl_buf_clear(wl_buf_t *buf);
 void wl_buf_move(wl_buf_t *to, wl_buf_t *from);
-wl_str_t wl_buf_str(const wl_buf_t *buf);
+
+/* A view of a buffer, valid until the buffer changes. */
+static inline wl_str_t wl_buf_str(const wl_buf_t *buf)
+{
+	return (wl_str_t){buf->at, buf->len};
+}
 
 /* Allocation that ends the process when memory is out: no caller could go on. */
 void *wl_alloc(size_t size);
