--- a/libwlcore/raft/replicate.c
+++ b/libwlcore/raft/replicate.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#define STREAM_WINDOW	 8  /* append messages on the way to one member */
+#define STREAM_WINDOW	 2 /* append messages on the way to one member: proposals gather meanwhile */
 #define DRIFT_PERCENT	 10 /* by which two clocks may differ in a lease */
 #define LEASE_PERCENT	 (100 - DRIFT_PERCENT)
 #define ENTRY_HEAD_BYTES 32 /* of an entry beside its data */
