sched: a step keeps the name of its rack itself

A step whose tasks belong on one rack would be spread over racks, each three times as slow there, or the leader would read freed memory.

Cause: the step's rack pointed into the report of the target that took its first task; a newer report of that target frees it.

Change: the bytes are copied. Looked at for the same cause: the room of a target (fit) is set again with each report.

Test: Sched.RackOfAStepOutlivesTheReportThatNamedIt failed before: the second task went to another rack.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -126,7 +126,7 @@
 	uint64_t key; /* order of the queue: lowest first */
 	uint64_t ready_ns;
 	uint64_t queued_ns; /* since when any of its tasks has been waiting */
-	wl_str_t rack;	    /* where its first task went; empty: none yet */
+	wl_buf_t rack;	    /* where its first task went; empty: none yet */
 	bool queued;	    /* among those that wait */
 	TAILQ_ENTRY(wl_bundle) link;
 } wl_bundle_t;
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -177,7 +177,7 @@
 	run->waited_ns = now_ns - bundle->queued_ns;
 	run->before_ns = waiting->ended_ns;
 	if (bundle->rack.len == 0)
-		bundle->rack = wl_buf_str(&runner->state->report.rack);
+		wl_buf_set(&bundle->rack, wl_buf_str(&runner->state->report.rack));
 	start_add(sched, run);
 }
 
@@ -210,23 +210,24 @@
 		wl_record_free(&wl_run_start_schema, &rows[i]);
 	}
 	sched->starts.runs.count = first_row;
-	bundle->rack = (wl_str_t){0};
+	wl_buf_clear(&bundle->rack);
 	return false;
 }
 
 /* A step that prefers one rack knows it once its first task has been placed. */
 static bool rack_follow(const wl_bundle_t *bundle, wl_fit_question_t *question)
 {
-	bool changes = question->step->same_rack && !wl_str_equal(question->rack, bundle->rack);
+	bool changes = question->step->same_rack &&
+		       !wl_str_equal(question->rack, wl_buf_str(&bundle->rack));
 
-	question->rack = bundle->rack;
+	question->rack = wl_buf_str(&bundle->rack);
 	return changes;
 }
 
 static bool tasks_place(wl_sched_t *sched, uint64_t now_ns, wl_bundle_t *bundle,
 			wl_fit_question_t *question, candidates_t *candidates)
 {
-	question->rack = bundle->rack;
+	question->rack = wl_buf_str(&bundle->rack);
 	candidates_fill(sched, bundle, question, candidates);
 	while (bundle->count > 0) {
 		candidate_t *best = candidates_best(candidates);
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -97,7 +97,8 @@
 		wl_images_number(&sched->images, wl_buf_str(&wl_job_step(job, step)->image));
 	(*slot)->ready_ns = now_ns;
 	if (away && *bundle_slot(job, occurrence, step, false))
-		(*slot)->rack = (*bundle_slot(job, occurrence, step, false))->rack;
+		wl_buf_set(&(*slot)->rack,
+			   wl_buf_str(&(*bundle_slot(job, occurrence, step, false))->rack));
 	return *slot;
 }
 
@@ -106,6 +107,7 @@
 	if (bundle->queued)
 		TAILQ_REMOVE(&sched->waiting, bundle, link);
 	free(bundle->tasks);
+	wl_buf_free(&bundle->rack);
 	free(bundle);
 }
 
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -534,6 +534,28 @@
 	EXPECT_EQ(hold().wait_ms, 500u);
 }
 
+/* The first task's target reports anew before the second one is placed. */
+TEST_F(Sched, RackOfAStepOutlivesTheReportThatNamedIt)
+{
+	rig.runner("i-2", 1000, 1, "rack-of-the-step");
+	rig.runner("i-1", 0);
+	wl_step_spec_t *step = rig.job("q", "j", {2});
+	step->same_rack = true;
+	rig.hand_in();
+	rig.pass(10);
+	rig.commit();
+	ASSERT_EQ(rig.take(WL_ORDER_START).size(), 1u);
+	rig.runner("i-2", 1000, 1, "rack-of-the-step", true);
+	for (const char *id : {"i-3", "i-4", "i-5"})
+		rig.runner(id, 64000, 1, "another-rack");
+	rig.runner("i-6", 1000, 1, "rack-of-the-step");
+	rig.pass(10);
+	rig.commit();
+	auto starts = rig.take(WL_ORDER_START);
+	ASSERT_EQ(starts.size(), 1u);
+	EXPECT_EQ(starts[0].runner, "i-6");
+}
+
 /* Messages for other parts of the leader pass through here too. */
 TEST_F(Sched, MessagesForOtherPartsAreNotAnswered)
 {
