sched: log the task of an unknown run by its reference

What operators saw: run-unknown without the name of the task. Cause: the agent keeps the target's name of a task (texts_drop()), the log line printed it. Change: job, task, run and target as in run-start. The rig's views carry no name any more, as those of an agent don't; with names it hid this. Test, failing before: SchedAgents.LogNamesARunThatTheStateDoesNotKnow.

--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -332,8 +332,11 @@
 		.timeout_ms = HOLD_TIMEOUT_MS,
 	};
 
-	wl_out_log(out, WL_WARN, "run-unknown", "target=" WL_STR_FMT " task=%s run=%llu",
-		   WL_STR_ARG(runner->key), view->task.at, (unsigned long long)view->run);
+	wl_out_log(out, WL_WARN, "run-unknown",
+		   "job=" WL_STR_FMT " task=%llu.%llu.%llu run=%llu target=" WL_STR_FMT,
+		   WL_STR_ARG(wl_buf_str(&view->ref.job)), (unsigned long long)view->ref.occurrence,
+		   (unsigned long long)view->ref.step, (unsigned long long)view->ref.index,
+		   (unsigned long long)view->run, WL_STR_ARG(runner->key));
 	wl_sched_order(sched, now_ns, runner, &order, NULL);
 }
 
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -396,8 +396,7 @@
 {
 	wl_run_view_t view = {};
 
-	wl_buf_set(&view.task, str(start.task));
-	ref_parse(start.task, &view.ref);
+	ref_parse(start.task, &view.ref); /* its agent keeps the target's name of the task */
 	view.run = start.run;
 	view.load = load;
 	return view;
@@ -408,7 +407,6 @@
 	wl_end_view_t view = {};
 
 	view.number = number;
-	wl_buf_set(&view.task, str(start.task));
 	ref_parse(start.task, &view.ref);
 	view.run = start.run;
 	view.how = how;
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -299,3 +299,19 @@
 	EXPECT_EQ(ids.size(), targets);
 	EXPECT_LT(rig.sent_bytes_most, size_t{16} << 20) << "the default of --max-frame-bytes";
 }
+
+TEST_F(SchedAgents, LogNamesARunThatTheStateDoesNotKnow)
+{
+	fill(1);
+	rig.pass(10);
+	auto holds = rig.take(WL_ORDER_HOLD);
+	ASSERT_EQ(holds.size(), 1u);
+	SchedOrder unknown = starts["i-0"];
+	unknown.task = "k.0.1.2";
+	unknown.run = 3;
+	rig.answer_hold(holds[0], {SchedRig::view(starts["i-0"]), SchedRig::view(unknown)}, {});
+	EXPECT_EQ(rig.take(WL_ORDER_STOP).size(), 1u);
+	EXPECT_TRUE(std::any_of(rig.log.begin(), rig.log.end(), [](const std::string &line) {
+		return line.find("job=k task=0.1.2 run=3") != std::string::npos;
+	}));
+}
