agent, gate: agents answer targets' reports without news for the leader

Change: the leader names a target's agent as the address for its later reports (wl_result_t.report_to, was leader). A replica that follows acknowledges a report without news and tells the leader of all within 50 ms in one message (WL_MSG_HEARD). The test for news is wl_runner_news() in libwlcore/job/, for both.

Ruled out: to acknowledge as long as a leader is heard. Over a link that fails in one direction a leader is heard that hears nothing: the target would be taken for gone with its life, and its later reports of that life passed over. So the leader has to have answered a carried report sent at most 1 s ago.

Limit: a target's change back to what a lagging follower still holds may be acknowledged there without a commit, until the follower has caught up and the next report comes (docs/design/agents.md); a drain never is.

Gate.TargetsLearnTheLeader is TargetsLearnWhereToReport, its checks as before.

--- a/daemon/gauges.c
+++ b/daemon/gauges.c
@@ -27,6 +27,7 @@
 	[WL_MSG_REPORT] = SENT("report"),
 	[WL_MSG_ORDERS] = SENT("orders"),
 	[WL_MSG_ORDERED] = SENT("ordered"),
+	[WL_MSG_HEARD] = SENT("heard"),
 	[WL_PEER_KIND_RAFT + WL_RAFT_APPEND] = SENT("raft-append"),
 	[WL_PEER_KIND_RAFT + WL_RAFT_APPENDED] = SENT("raft-appended"),
 	[WL_PEER_KIND_RAFT + WL_RAFT_SNAPSHOT] = SENT("raft-snapshot"),
--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -23,6 +23,7 @@
 	uint64_t id;  /* WL_PART_ID() of the call to the leader */
 	uint64_t call;
 	wl_operation_kind_t kind;
+	uint64_t sent_ns;
 	TAILQ_ENTRY(wl_gate_wait) link;
 } wl_gate_wait_t;
 
@@ -83,8 +84,8 @@
 
 	if (may_retry(result) && answer.retry_ms == 0)
 		answer.retry_ms = RETRY_MS;
-	if (result->leader.len && gate->options.control_port)
-		wl_buf_printf(&control, "%s:%u", result->leader.at, gate->options.control_port);
+	if (result->report_to.len && gate->options.control_port)
+		wl_buf_printf(&control, "%s:%u", result->report_to.at, gate->options.control_port);
 	gate->options.dialect->reply_write(kind, &answer, wl_buf_str(&control),
 					   wl_out_reply(out, call, 0));
 	wl_buf_free(&control);
@@ -106,7 +107,8 @@
 	reply_code(gate, WL_OPERATION_READY, call->id, ready ? WL_OK : WL_E_NO_SESSION, out);
 }
 
-static uint64_t wait_add(wl_gate_t *gate, const wl_call_t *call, wl_operation_kind_t kind)
+static uint64_t wait_add(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
+			 wl_operation_kind_t kind)
 {
 	wl_gate_wait_t *wait = wl_alloc(sizeof(*wait));
 
@@ -114,6 +116,7 @@
 	wait->key = (wl_str_t){(const char *)&wait->id, sizeof(wait->id)};
 	wait->call = call->id;
 	wait->kind = kind;
+	wait->sent_ns = now_ns;
 	wl_map_put(&gate->by_id, wait);
 	TAILQ_INSERT_TAIL(&gate->waits, wait, link);
 	return wait->id;
@@ -170,7 +173,7 @@
 			    wl_operation_t *operation, wl_out_t *out)
 {
 	uint64_t until_ns = deadline_ns(call, operation, now_ns);
-	uint64_t id = wait_add(gate, call, operation->kind);
+	uint64_t id = wait_add(gate, now_ns, call, operation->kind);
 	wl_msg_query_t *query;
 	wl_cmd_t cmd = {0};
 
@@ -186,6 +189,12 @@
 	wl_buf_move(&query->name, &operation->path);
 }
 
+static bool report_known(const wl_gate_t *gate, uint64_t now_ns, const wl_operation_t *operation)
+{
+	return operation->kind == WL_OPERATION_RUNNER_REPORT && gate->options.report_known &&
+	       gate->options.report_known(gate->options.context, now_ns, &operation->report);
+}
+
 static void call_wrong(wl_gate_t *gate, const wl_call_t *call, wl_operation_kind_t kind,
 		       const wl_err_t *err, wl_out_t *out)
 {
@@ -209,6 +218,8 @@
 		reply_code(gate, operation.kind, call->id, WL_E_NOT_FOUND, out);
 	else if (operation.kind == WL_OPERATION_READY)
 		reply_ready(gate, now_ns, call, out);
+	else if (report_known(gate, now_ns, &operation))
+		reply_code(gate, operation.kind, call->id, WL_OK, out);
 	else
 		operation_carry(gate, now_ns, call, &operation, out);
 	wl_operation_free(&operation);
@@ -226,6 +237,9 @@
 			   wl_operation_names[wait->kind], wl_code_name((wl_code_t)result->code),
 			   wl_verdict_name((wl_verdict_t)result->verdict),
 			   WL_STR_ARG(wl_buf_str(&result->text)));
+	if (wait->kind == WL_OPERATION_RUNNER_REPORT && result->code == WL_OK &&
+	    gate->options.report_carried)
+		gate->options.report_carried(gate->options.context, wait->sent_ns);
 	reply(gate, wait->kind, wait->call, result, out);
 	wait_end(gate, wait);
 }
--- a/libwlcore/gate/gate.h
+++ b/libwlcore/gate/gate.h
@@ -12,6 +12,11 @@
 	wl_metrics_t *metrics;
 	bool entry;	       /* else there is no session to be ready by */
 	uint16_t control_port; /* of every replica's control listener; 0: targets are not told */
+	/* True: the report says nothing new and needs no leader; NULL: all reports do. */
+	bool (*report_known)(void *context, uint64_t now_ns, const wl_runner_report_t *report);
+	/* The leader has acknowledged a report that was sent to it then; NULL: not asked for. */
+	void (*report_carried)(void *context, uint64_t sent_ns);
+	void *context; /* of both */
 } wl_gate_options_t;
 
 typedef struct wl_gate wl_gate_t;
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -76,6 +76,25 @@
 	return !runner->left_ms && (report->left || report->sequence > runner->report.sequence);
 }
 
+static bool report_differs(const wl_runner_report_t *a, const wl_runner_report_t *b)
+{
+	return a->life != b->life || a->draining != b->draining || a->left != b->left ||
+	       a->cpu_millis != b->cpu_millis || a->memory_mib != b->memory_mib ||
+	       a->accelerators != b->accelerators ||
+	       !wl_str_equal(wl_buf_str(&a->address), wl_buf_str(&b->address)) ||
+	       !wl_str_equal(wl_buf_str(&a->service), wl_buf_str(&b->service)) ||
+	       !wl_str_equal(wl_buf_str(&a->machine), wl_buf_str(&b->machine)) ||
+	       !wl_strings_equal(&a->labels, &b->labels);
+}
+
+/*
+ * wl_runner_news - does a report say anything that has to be committed
+ */
+bool wl_runner_news(const wl_runner_t *runner, const wl_runner_report_t *report)
+{
+	return wl_runner_newer(runner, report) && report_differs(&runner->report, report);
+}
+
 /* Whoever left has ended all that it ran. */
 static void runner_left(wl_jobs_t *jobs, wl_runner_t *runner, uint64_t clock_ms)
 {
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -206,7 +206,7 @@
 	WL_FIELD(wl_result_t, is_queue, WL_FIELD_BOOL),
 	WL_FIELD(wl_result_t, pending, WL_FIELD_U64),
 	WL_FIELD(wl_result_t, retry_ms, WL_FIELD_U64),
-	WL_FIELD(wl_result_t, leader, WL_FIELD_BYTES),
+	WL_FIELD(wl_result_t, report_to, WL_FIELD_BYTES),
 };
 
 const wl_schema_t wl_result_schema = WL_SCHEMA(wl_result_t, result_fields);
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -232,8 +232,8 @@
 	uint64_t job_state; /* wl_job_state_t */
 	bool is_queue;	    /* the path named a queue: pending holds its jobs that have not begun */
 	uint64_t pending;
-	uint64_t retry_ms; /* a refusal: when to come again; 0: not said */
-	wl_buf_t leader;   /* name of the daemon that leads */
+	uint64_t retry_ms;  /* a refusal: when to come again; 0: not said */
+	wl_buf_t report_to; /* a report: name of the replica that takes the target's later ones */
 } wl_result_t;
 
 extern const wl_schema_t wl_run_start_schema;
--- a/libwlcore/model/dialect.h
+++ b/libwlcore/model/dialect.h
@@ -40,7 +40,7 @@
 	const char *name;
 	/* False: the call is of this dialect but wrong; err says why. */
 	bool (*call_read)(const wl_call_t *call, wl_operation_t *operation, wl_err_t *err);
-	/* control: "IP:port" of the leader for a target's later reports; empty: not known. */
+	/* control: "IP:port" of the replica for a target's later reports; empty: not known. */
 	void (*reply_write)(wl_operation_kind_t kind, const wl_result_t *result, wl_str_t control,
 			    wl_reply_t *reply);
 	void (*order_write)(const wl_order_t *order, wl_fetch_t *fetch);
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -289,6 +289,21 @@
 
 static const wl_schema_t msg_ordered_schema = WL_SCHEMA(wl_msg_ordered_t, msg_ordered_fields);
 
+static const wl_field_t heard_row_fields[] = {
+	WL_FIELD(wl_heard_row_t, runner, WL_FIELD_BYTES),
+	WL_FIELD(wl_heard_row_t, life, WL_FIELD_U64),
+	WL_FIELD(wl_heard_row_t, sequence, WL_FIELD_U64),
+	WL_FIELD(wl_heard_row_t, clock_ms, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_heard_row_schema = WL_SCHEMA(wl_heard_row_t, heard_row_fields);
+
+static const wl_field_t msg_heard_fields[] = {
+	WL_FIELD_MANY(wl_msg_heard_t, rows, &wl_heard_row_schema),
+};
+
+static const wl_schema_t msg_heard_schema = WL_SCHEMA(wl_msg_heard_t, msg_heard_fields);
+
 typedef struct kind_row {
 	const char *name;
 	const wl_schema_t *schema;
@@ -314,6 +329,7 @@
 	[WL_MSG_REPORTED] = {"reported", &msg_reported_schema},
 	[WL_MSG_ORDERS] = {"orders", &msg_orders_schema},
 	[WL_MSG_ORDERED] = {"ordered", &msg_ordered_schema},
+	[WL_MSG_HEARD] = {"heard", &msg_heard_schema},
 };
 
 /*
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -29,6 +29,7 @@
 	WL_MSG_REPORTED, /* leader to owner: those reports are committed */
 	WL_MSG_ORDERS,	 /* leader to replica: send these orders to their targets */
 	WL_MSG_ORDERED,	 /* replica to leader: how they ended */
+	WL_MSG_HEARD,	 /* replica to leader: reports without news that it answered */
 	WL_MSG_KINDS
 } wl_msg_kind_t;
 
@@ -277,6 +278,18 @@
 	wl_list_t ends; /* wl_order_end_t */
 } wl_msg_ordered_t;
 
+/* A report of a target that says nothing new. */
+typedef struct wl_heard_row {
+	wl_buf_t runner;
+	uint64_t life;
+	uint64_t sequence;
+	uint64_t clock_ms; /* the target's */
+} wl_heard_row_t;
+
+typedef struct wl_msg_heard {
+	wl_list_t rows; /* wl_heard_row_t */
+} wl_msg_heard_t;
+
 typedef struct wl_msg {
 	uint64_t kind; /* wl_msg_kind_t */
 	union {
@@ -299,6 +312,7 @@
 		wl_msg_reported_t reported;
 		wl_msg_orders_t orders;
 		wl_msg_ordered_t ordered;
+		wl_msg_heard_t heard;
 	} u;
 } wl_msg_t;
 
@@ -311,6 +325,7 @@
 extern const wl_schema_t wl_offer_kind_schema;
 extern const wl_schema_t wl_pair_row_schema;
 extern const wl_schema_t wl_reported_row_schema;
+extern const wl_schema_t wl_heard_row_schema;
 extern const wl_schema_t wl_msg_view_schema;
 extern const wl_schema_t wl_msg_assign_schema;
 
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlcore/agent/agent.h>
+#include <libwlcore/agent/reports.h>
 #include <libwlcore/api/api.h>
 #include <libwlcore/api/auth.h>
 #include <libwlcore/gate/gate.h>
@@ -56,6 +57,7 @@
 	wl_leader_t *leader;
 	wl_sched_t *sched;
 	wl_agent_t *agent;
+	wl_reports_t *reports;
 	uint64_t applied; /* index */
 	bool leading;
 	const char *role; /* as last logged, with its term and leader */
@@ -94,6 +96,8 @@
 void wl_node_hand_over(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_agents_follow(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_agent_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
+bool wl_node_report_known(void *context, uint64_t now_ns, const wl_runner_report_t *report);
+void wl_node_report_carried(void *context, uint64_t sent_ns);
 void wl_node_link_down(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_node_measure_event(wl_node_t *node, uint64_t now_ns, const wl_event_t *event);
 void wl_node_measure_applied(wl_node_t *node, uint64_t now_ns, uint64_t tag);
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -152,6 +152,9 @@
 		.metrics = &node->metrics,
 		.entry = node->options.entry,
 		.control_port = node->options.control_port,
+		.report_known = wl_node_report_known,
+		.report_carried = wl_node_report_carried,
+		.context = node,
 	};
 
 	if (node->options.dialect)
@@ -220,6 +223,7 @@
 	if (node->options.entry && node->target_chart)
 		wl_ledger_free(&node->ledger);
 	wl_agent_free(node->agent);
+	wl_reports_free(node->reports);
 	wl_sched_free(node->sched);
 	wl_leader_free(node->leader);
 	wl_state_free(node->state);
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -225,6 +225,7 @@
 	[WL_MSG_REPORTED] = {owner_message, true},
 	[WL_MSG_ORDERS] = {wl_node_agent_event, false},
 	[WL_MSG_ORDERED] = {wl_node_leader_event, false},
+	[WL_MSG_HEARD] = {wl_node_leader_event, false},
 };
 
 static void node_message(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -233,8 +233,14 @@
 		.raft = node->raft,
 		.metrics = &node->metrics,
 	};
+	wl_reports_options_t reports = {
+		.jobs = wl_state_jobs(node->state),
+		.raft = node->raft,
+		.metrics = &node->metrics,
+	};
 
 	node->agent = wl_agent_new(&agent);
+	node->reports = wl_reports_new(&reports);
 	node->sched = wl_sched_new(&sched, err);
 	return node->sched != NULL;
 }
@@ -465,36 +471,3 @@
 	}
 	leader_event(node, now_ns, event, out);
 }
-
-/*
- * wl_node_agents_follow - let the leader use the replicas that answer it, and no others
- */
-void wl_node_agents_follow(wl_node_t *node, uint64_t now_ns, wl_out_t *out)
-{
-	wl_list_t names = {0};
-
-	if (!node->leading || !node->sched)
-		return;
-	wl_raft_answering(node->raft, now_ns, &names);
-	wl_sched_agents_set(node->sched, now_ns, &names, out);
-	wl_strings_free(&names);
-}
-
-/*
- * wl_node_agent_event - give an event to the agent of this replica
- */
-void wl_node_agent_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
-{
-	(void)now_ns;
-	if (node->agent)
-		wl_agent_step(node->agent, event, out);
-}
-
-/*
- * wl_node_link_down - messages that were sent to a daemon may be lost
- */
-void wl_node_link_down(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
-{
-	if (node->leading && node->sched)
-		wl_sched_step(node->sched, now_ns, event, out);
-}
--- a/libwlcore/raft/raft.c
+++ b/libwlcore/raft/raft.c
@@ -302,6 +302,16 @@
 	return raft->commit;
 }
 
+/*
+ * wl_raft_hears_leader - whether this replica follows a leader that it heard within the least
+ * election time
+ */
+bool wl_raft_hears_leader(const wl_raft_t *raft, uint64_t now_ns)
+{
+	return raft->role == WL_RAFT_FOLLOWER && raft->leader != 0 &&
+	       now_ns < raft->leader_heard_ns + raft->election_ns;
+}
+
 /*
  * wl_raft_leader_name - the daemon that leads, as far as is known here
  *
--- a/libwlcore/raft/raft.h
+++ b/libwlcore/raft/raft.h
@@ -112,6 +112,7 @@
 		  wl_raft_out_t *out);
 
 bool wl_raft_leads(const wl_raft_t *raft);
+bool wl_raft_hears_leader(const wl_raft_t *raft, uint64_t now_ns);
 bool wl_raft_lease_holds(const wl_raft_t *raft, uint64_t now_ns);
 const char *wl_raft_role_name(const wl_raft_t *raft);
 uint64_t wl_raft_term(const wl_raft_t *raft);
--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -209,3 +209,17 @@
 		if (agent->orders.count > 0)
 			orders_send(sched, agent, out);
 }
+
+/*
+ * wl_sched_report_to - the replica that a target is to send its reports to: its agent
+ *
+ * Return: the own name for a target that is not known; valid as long as the agents are.
+ */
+wl_str_t wl_sched_report_to(const wl_sched_t *sched, wl_str_t id)
+{
+	const wl_sched_runner_t *runner = wl_sched_runner_find(sched, id);
+
+	if (!runner)
+		return sched->options.name;
+	return wl_buf_str(&sched->dispatch->choose(sched, runner)->name);
+}
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -23,17 +23,6 @@
 	proposal->call = call;
 }
 
-static bool report_differs(const wl_runner_report_t *a, const wl_runner_report_t *b)
-{
-	return a->life != b->life || a->draining != b->draining || a->left != b->left ||
-	       a->cpu_millis != b->cpu_millis || a->memory_mib != b->memory_mib ||
-	       a->accelerators != b->accelerators ||
-	       !wl_str_equal(wl_buf_str(&a->address), wl_buf_str(&b->address)) ||
-	       !wl_str_equal(wl_buf_str(&a->service), wl_buf_str(&b->service)) ||
-	       !wl_str_equal(wl_buf_str(&a->machine), wl_buf_str(&b->machine)) ||
-	       !wl_strings_equal(&a->labels, &b->labels);
-}
-
 /* Whether the report has to be committed; fills the answer where it need not. */
 static bool report_take(wl_sched_t *sched, uint64_t now_ns, wl_runner_report_t *report,
 			wl_result_t *result)
@@ -41,7 +30,7 @@
 	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&report->id));
 
 	wl_result_ok(result, 0);
-	wl_buf_set(&result->leader, sched->options.name);
+	wl_buf_set(&result->report_to, wl_sched_report_to(sched, wl_buf_str(&report->id)));
 	if (report->left) {
 		if (runner && report->life == 0)
 			report->life = runner->state->report.life;
@@ -58,8 +47,7 @@
 		return !known || wl_runner_newer(known, report);
 	}
 	wl_sched_runner_heard(sched, now_ns, runner, report);
-	return wl_runner_newer(runner->state, report) &&
-	       report_differs(&runner->state->report, report);
+	return wl_runner_news(runner->state, report);
 }
 
 static void command_report(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
@@ -76,6 +64,27 @@
 	wl_result_free(&result);
 }
 
+/*
+ * wl_sched_heard - an agent tells of reports without news that it has answered
+ */
+void wl_sched_heard(wl_sched_t *sched, uint64_t now_ns, const wl_msg_heard_t *msg)
+{
+	const wl_heard_row_t *rows = msg->rows.items;
+
+	for (size_t i = 0; i < msg->rows.count; i++) {
+		wl_runner_report_t report = {
+			.life = rows[i].life,
+			.sequence = rows[i].sequence,
+			.clock_ms = rows[i].clock_ms,
+		};
+		wl_sched_runner_t *runner =
+			wl_sched_runner_find(sched, wl_buf_str(&rows[i].runner));
+
+		if (runner)
+			wl_sched_runner_heard(sched, now_ns, runner, &report);
+	}
+}
+
 /* A resent or older configuration is acknowledged without a commit: what is newer is in force. */
 static bool catalog_known(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
 {
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -234,6 +234,7 @@
 void wl_sched_command(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer,
 		      const wl_msg_command_t *command, wl_out_t *out);
 void wl_sched_query(wl_sched_t *sched, wl_str_t peer, const wl_msg_query_t *query, wl_out_t *out);
+void wl_sched_heard(wl_sched_t *sched, uint64_t now_ns, const wl_msg_heard_t *msg);
 void wl_sched_answer(wl_out_t *out, wl_str_t peer, uint64_t call, const wl_result_t *result);
 
 /* queue.c */
@@ -320,5 +321,6 @@
 void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns,
 			  const wl_sched_agent_t *agent);
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
+wl_str_t wl_sched_report_to(const wl_sched_t *sched, wl_str_t id);
 
 #endif
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -309,7 +309,10 @@
 		wl_result_t result;
 
 		wl_record_copy(&wl_result_schema, &result, event->result);
-		wl_buf_set(&result.leader, sched->options.name);
+		if (event->cmd->kind == WL_CMD_RUNNER_PUT)
+			wl_buf_set(&result.report_to,
+				   wl_sched_report_to(sched,
+						      wl_buf_str(&event->cmd->u.runner_put.id)));
 		wl_sched_answer(out, wl_buf_str(&proposal->peer), proposal->call, &result);
 		wl_result_free(&result);
 	}
@@ -345,7 +348,7 @@
 		return false;
 	if (msg->kind == WL_MSG_COMMAND)
 		return wl_jobs_knows(msg->u.command.cmd_kind);
-	if (msg->kind == WL_MSG_ORDERED)
+	if (msg->kind == WL_MSG_ORDERED || msg->kind == WL_MSG_HEARD)
 		return true;
 	return msg->kind == WL_MSG_QUERY &&
 	       (msg->u.query.kind == WL_QUERY_JOB || msg->u.query.kind == WL_QUERY_CATALOG);
@@ -359,6 +362,8 @@
 		wl_sched_command(sched, now_ns, peer, &event->msg.u.command, out);
 	else if (event->msg.kind == WL_MSG_ORDERED)
 		wl_sched_ordered(sched, now_ns, peer, &event->msg.u.ordered, out);
+	else if (event->msg.kind == WL_MSG_HEARD)
+		wl_sched_heard(sched, now_ns, &event->msg.u.heard);
 	else
 		wl_sched_query(sched, peer, &event->msg.u.query, out);
 }
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -113,6 +113,8 @@
 	sent_bytes_most = std::max(sent_bytes_most, bytes.len);
 	wl_buf_free(&bytes);
 	sent.push_back(static_cast<wl_msg_kind_t>(action.msg.kind));
+	if (action.msg.kind == WL_MSG_RESULT)
+		report_to = text(action.msg.u.result.result.report_to);
 	if (action.msg.kind != WL_MSG_ORDERS)
 		return;
 	for (size_t i = 0; i < msg.orders.count; i++)
@@ -368,6 +370,23 @@
 	wl_strings_free(&list);
 }
 
+void SchedRig::heard(const std::string &agent, const std::string &runner, uint64_t life)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, str(agent));
+	wl_msg_init(&event.msg, WL_MSG_HEARD);
+	auto *row = static_cast<wl_heard_row_t *>(
+		wl_list_add(&wl_heard_row_schema, &event.msg.u.heard.rows));
+	wl_buf_set(&row->runner, str(runner));
+	row->life = life;
+	row->sequence = ++sequence;
+	row->clock_ms = now / MS + clock_offset_ms;
+	step(&event);
+	wl_event_free(&event);
+}
+
 void SchedRig::link_down(const std::string &name)
 {
 	wl_event_t event;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -66,6 +66,8 @@
 	std::string metric(const std::string &line) const;
 	void agents(const std::vector<std::string> &names);
 	void link_down(const std::string &name);
+	/* An agent has answered a report of a target that says nothing new. */
+	void heard(const std::string &agent, const std::string &runner, uint64_t life = 1);
 
 	std::string job_state(const std::string &id) const;
 	const wl_job_t *find(const std::string &id) const;
@@ -78,6 +80,7 @@
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
 	size_t sent_bytes_most = 0;	 /* the longest of these, packed */
 	std::vector<std::string> log;
+	std::string report_to; /* named by the newest answer to a report */
 	wl_state_t *state = nullptr;
 	wl_jobs_t *jobs = nullptr;
 
--- a/tests/unit/gate_test.cc
+++ b/tests/unit/gate_test.cc
@@ -16,6 +16,10 @@
 constexpr uint64_t NOW = 1000 * MS;
 
 const char JOB[] = R"({"spec":"words","steps":[{"count":2,"cpu":500,"mem_mb":256}]})";
+const char BEAT[] =
+	R"({"backend":"sort","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":8,)"
+	R"("state":"ready","cold_remaining_ms":0,"born":1,"sequence":4,"clock_ms":482113,)"
+	R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"]})";
 
 class Gate : public testing::Test
 {
@@ -30,6 +34,13 @@
 		options.metrics = &metrics;
 		options.entry = true;
 		options.control_port = 8081;
+		options.report_known = [](void *context, uint64_t, const wl_runner_report_t *) {
+			return static_cast<Gate *>(context)->known;
+		};
+		options.report_carried = [](void *context, uint64_t sent_ns) {
+			static_cast<Gate *>(context)->carried_ns = sent_ns;
+		};
+		options.context = this;
 		gate = wl_gate_new(&options);
 		wl_out_init(&out);
 	}
@@ -73,7 +84,7 @@
 		return msg.kind == WL_MSG_QUERY ? msg.u.query.call : msg.u.command.call;
 	}
 
-	void result(uint64_t id, wl_code_t code, wl_verdict_t verdict, const char *leader = "")
+	void result(uint64_t id, wl_code_t code, wl_verdict_t verdict, const char *report_to = "")
 	{
 		auto event = std::make_unique<wl_event_t>();
 		wl_result_t answer = {};
@@ -81,7 +92,7 @@
 		wl_event_init(event.get(), WL_EVENT_RESULT);
 		answer.code = code;
 		answer.verdict = verdict;
-		wl_buf_set(&answer.leader, wl_str_from(leader));
+		wl_buf_set(&answer.report_to, wl_str_from(report_to));
 		event->tag = id;
 		event->result = &answer;
 		wl_out_clear(&out);
@@ -116,6 +127,8 @@
 	wl_gate_t *gate = nullptr;
 	wl_out_t out = {};
 	uint64_t deadline_ns = 0;
+	bool known = false; /* what reports say */
+	uint64_t carried_ns = 0;
 };
 } // namespace
 
@@ -168,7 +181,7 @@
 	EXPECT_EQ(answered(), "");
 }
 
-TEST_F(Gate, TargetsLearnTheLeader)
+TEST_F(Gate, TargetsLearnWhereToReport)
 {
 	uint64_t id = call("POST", "/-/instances/i-1/deregister", "", WL_LISTENER_CONTROL);
 
@@ -177,3 +190,23 @@
 	result(id, WL_OK, WL_RAN, "10.0.0.4");
 	EXPECT_EQ(answered(), R"(200 {"heartbeat_url":"10.0.0.4:8081"})");
 }
+
+TEST_F(Gate, KnownReportIsAnsweredWithoutTheLeaderOrAnAddress)
+{
+	known = true;
+	EXPECT_EQ(call("POST", "/-/instances/i-7f3a91c2/heartbeat", BEAT, WL_LISTENER_CONTROL), 0u);
+	EXPECT_EQ(answered(), "200 {}");
+	EXPECT_EQ(wl_gate_open(gate), 0u);
+	EXPECT_NE(call("GET", "/-/config/read", "", WL_LISTENER_CONTROL), 0u) << "not a report";
+}
+
+TEST_F(Gate, SaysWhenTheLeaderAcknowledgedAReport)
+{
+	uint64_t id = call("POST", "/-/instances/i-7f3a91c2/heartbeat", BEAT, WL_LISTENER_CONTROL);
+
+	result(id, WL_E_NO_LEADER, WL_UNKNOWN);
+	EXPECT_EQ(carried_ns, 0u);
+	id = call("POST", "/-/instances/i-7f3a91c2/heartbeat", BEAT, WL_LISTENER_CONTROL);
+	result(id, WL_OK, WL_RAN);
+	EXPECT_EQ(carried_ns, NOW);
+}
--- /dev/null
+++ b/tests/unit/reports_test.cc
@@ -0,0 +1,262 @@
+extern "C" {
+#include <libwlcore/agent/reports.h>
+}
+
+#include "../support/events.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+/* Reports of targets at a replica "s2" that follows "s1". */
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+constexpr uint64_t START = 100000 * MS;
+constexpr uint64_t GROUP = 9;
+constexpr uint64_t TERM = 5;
+constexpr uint64_t LIFE = 3;
+
+class Reports : public testing::Test
+{
+      protected:
+	Reports()
+	{
+		wl_raft_options_t raft_options = {};
+		wl_reports_options_t options = {};
+		wl_raft_saved_t saved = {};
+		wl_err_t err = {};
+
+		saved.members.group = GROUP;
+		saved.term = TERM;
+		for (uint64_t id : {1, 2, 3}) {
+			auto *member = static_cast<wl_raft_member_t *>(
+				wl_list_add(&wl_raft_member_schema, &saved.members.members));
+
+			member->id = id;
+			member->voter = true;
+			wl_buf_set(&member->name, str("s" + std::to_string(id)));
+		}
+		raft_options.id = 2;
+		raft_options.name = WL_STR("s2");
+		raft_options.election_ms = 1000;
+		raft = wl_raft_new(&raft_options, &saved, now, &err);
+		EXPECT_NE(raft, nullptr) << err.text;
+		wl_jobs_init(&jobs, 1000);
+		wl_metrics_init(&metrics);
+		options.jobs = &jobs;
+		options.raft = raft;
+		options.metrics = &metrics;
+		reports = wl_reports_new(&options);
+		put(report("i-0", 1));
+		put(report("i-1", 1));
+	}
+
+	~Reports() override
+	{
+		wl_reports_free(reports);
+		wl_jobs_clear(&jobs);
+		wl_metrics_free(&metrics);
+		wl_raft_free(raft);
+	}
+
+	static wl_runner_report_t report(const std::string &id, uint64_t sequence)
+	{
+		wl_runner_report_t made = {};
+
+		wl_buf_set(&made.id, str(id));
+		wl_buf_set(&made.service, WL_STR("sort"));
+		wl_buf_set(&made.address, WL_STR("10.0.0.1:80"));
+		made.life = LIFE;
+		made.sequence = sequence;
+		made.clock_ms = sequence * 1000;
+		return made;
+	}
+
+	/* A command that is committed; moved from. */
+	void put(wl_runner_report_t made)
+	{
+		wl_cmd_t cmd = {};
+		wl_result_t result = {};
+
+		cmd.kind = WL_CMD_RUNNER_PUT;
+		cmd.u.runner_put = made;
+		wl_jobs_apply(&jobs, &cmd, 1, &result);
+		wl_result_free(&result);
+		wl_cmd_free(&cmd);
+	}
+
+	bool known(wl_runner_report_t made)
+	{
+		bool answer = wl_reports_known(reports, now, &made);
+
+		wl_record_free(&wl_runner_report_schema, &made);
+		return answer;
+	}
+
+	/* The leader's heartbeat. */
+	void hear()
+	{
+		wl_raft_msg_t msg = {};
+		wl_raft_event_t event = {};
+		wl_raft_out_t out;
+
+		msg.kind = WL_RAFT_APPEND;
+		msg.group = GROUP;
+		msg.from = 1;
+		msg.to = 2;
+		msg.term = TERM;
+		event.kind = WL_RAFT_EV_MSG;
+		event.msg = &msg;
+		event.name = WL_STR("s1");
+		wl_raft_out_init(&out);
+		wl_raft_step(raft, now, &event, &out);
+		wl_raft_out_clear(&out);
+	}
+
+	/* Heard, and it has just answered a report. */
+	void reach()
+	{
+		hear();
+		wl_reports_carried(reports, now);
+	}
+
+	/* "LEADER ID:LIFE:SEQUENCE:CLOCK ..." of each message. */
+	std::vector<std::string> told()
+	{
+		std::vector<std::string> messages;
+		wl_out_t out = {};
+
+		wl_reports_tick(reports, now, &out);
+		for (size_t i = 0; i < out.count; i++) {
+			const wl_msg_t &msg = out.actions[i].msg;
+			const auto *rows =
+				static_cast<const wl_heard_row_t *>(msg.u.heard.rows.items);
+			std::string line = text(out.actions[i].peer);
+
+			EXPECT_EQ(msg.kind, static_cast<uint64_t>(WL_MSG_HEARD));
+			for (size_t j = 0; j < msg.u.heard.rows.count; j++)
+				line += " " + text(rows[j].runner) + ":" +
+					std::to_string(rows[j].life) + ":" +
+					std::to_string(rows[j].sequence) + ":" +
+					std::to_string(rows[j].clock_ms);
+			messages.push_back(line);
+		}
+		wl_out_free(&out);
+		return messages;
+	}
+
+	uint64_t now = START;
+	wl_raft_t *raft = nullptr;
+	wl_jobs_t jobs = {};
+	wl_metrics_t metrics = {};
+	wl_reports_t *reports = nullptr;
+};
+} // namespace
+
+TEST_F(Reports, WithoutNewsAreAnsweredAndToldInOneMessage)
+{
+	reach();
+	EXPECT_TRUE(known(report("i-0", 2)));
+	EXPECT_TRUE(known(report("i-1", 7)));
+	EXPECT_TRUE(told().empty());
+	now += 100 * MS;
+	EXPECT_EQ(told(), (std::vector<std::string>{"s1 i-0:3:2:2000 i-1:3:7:7000"}));
+	now += 100 * MS;
+	EXPECT_TRUE(told().empty());
+	EXPECT_EQ(wl_metrics_get(&metrics, "wisterialead_agent_reports_total", ""), 2u);
+}
+
+TEST_F(Reports, WithNewsGoToTheLeader)
+{
+	wl_runner_report_t drains = report("i-0", 2);
+	wl_runner_report_t leaves = report("i-0", 2);
+	wl_runner_report_t reborn = report("i-0", 1);
+	wl_runner_report_t earlier = report("i-0", 9);
+	wl_runner_report_t moved = report("i-0", 2);
+	wl_runner_report_t larger = report("i-0", 2);
+
+	drains.draining = true;
+	leaves.left = true;
+	reborn.life = LIFE + 1;
+	earlier.life = LIFE - 1;
+	wl_buf_set(&moved.address, WL_STR("10.0.0.2:80"));
+	larger.cpu_millis = 1;
+	reach();
+	EXPECT_FALSE(known(report("i-9", 1)));
+	EXPECT_FALSE(known(drains));
+	EXPECT_FALSE(known(leaves));
+	EXPECT_FALSE(known(reborn));
+	EXPECT_FALSE(known(earlier));
+	EXPECT_FALSE(known(moved));
+	EXPECT_FALSE(known(larger));
+	now += 100 * MS;
+	EXPECT_TRUE(told().empty());
+}
+
+/* The leader may have committed since then that it does not drain. */
+TEST_F(Reports, OfADrainGoToTheLeaderEvenIfItIsKnownHere)
+{
+	wl_runner_report_t drains = report("i-0", 2);
+	wl_runner_report_t again = report("i-0", 3);
+
+	drains.draining = true;
+	again.draining = true;
+	put(drains);
+	reach();
+	EXPECT_FALSE(known(again));
+	EXPECT_FALSE(known(report("i-0", 4)));
+}
+
+TEST_F(Reports, OfATargetThatLeftGoToTheLeader)
+{
+	wl_runner_report_t leaves = report("i-0", 2);
+
+	leaves.left = true;
+	put(leaves);
+	reach();
+	EXPECT_FALSE(known(report("i-0", 3)));
+}
+
+TEST_F(Reports, OfAServiceThatIsNotConfiguredGoToTheLeader)
+{
+	jobs.configured = true;
+	reach();
+	EXPECT_FALSE(known(report("i-0", 2)));
+}
+
+TEST_F(Reports, AreNotAnsweredWhereNoLeaderIsHeard)
+{
+	wl_reports_carried(reports, now);
+	EXPECT_FALSE(known(report("i-0", 2)));
+	hear();
+	EXPECT_TRUE(known(report("i-0", 3)));
+	now += 1000 * MS;
+	wl_reports_carried(reports, now);
+	EXPECT_FALSE(known(report("i-0", 4)));
+}
+
+/* Messages may still come from a leader that gets none from here. */
+TEST_F(Reports, AreNotAnsweredWhenTheLeaderHasNotAnsweredALateOne)
+{
+	hear();
+	EXPECT_FALSE(known(report("i-0", 2)));
+	wl_reports_carried(reports, now);
+	EXPECT_TRUE(known(report("i-0", 3)));
+	now += 1000 * MS;
+	hear();
+	EXPECT_FALSE(known(report("i-0", 4)));
+	wl_reports_carried(reports, now - 1);
+	EXPECT_TRUE(known(report("i-0", 5)));
+}
+
+TEST_F(Reports, AreForgottenWithTheLeaderThatWasToHearOfThem)
+{
+	reach();
+	EXPECT_TRUE(known(report("i-0", 2)));
+	now += 1000 * MS;
+	EXPECT_TRUE(told().empty());
+	reach();
+	EXPECT_TRUE(told().empty());
+}
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -315,3 +315,53 @@
 		return line.find("job=k task=0.1.2 run=3") != std::string::npos;
 	}));
 }
+
+TEST_F(SchedAgents, TargetsAreToldToReportToTheirAgents)
+{
+	rig.runner("i-0", 1000);
+	EXPECT_EQ(rig.report_to, "s1");
+	rig.agents({"s2"});
+	rig.runner("i-0", 1000); /* nothing new */
+	EXPECT_EQ(rig.report_to, "s2");
+	rig.runner("i-1", 1000); /* committed */
+	EXPECT_EQ(rig.report_to, "s2");
+	rig.link_down("s2");
+	rig.runner("i-1", 1000);
+	EXPECT_EQ(rig.report_to, "s1");
+}
+
+/* A target that has been silent for longer gets no starts. */
+TEST_F(SchedAgents, TargetIsAliveByWhatAnyReplicaHeardOfIt)
+{
+	rig.agents({"s2"});
+	rig.runner("i-0", 1000);
+	for (int i = 0; i < 4; i++) {
+		rig.pass(1500);
+		rig.heard("s2", "i-0");
+	}
+	rig.link_down("s2");
+	for (int i = 0; i < 4; i++) {
+		rig.pass(1500);
+		rig.heard("s3", "i-0");
+	}
+	rig.job("q", "j", {1});
+	rig.hand_in();
+	rig.pass(10);
+	rig.commit();
+	EXPECT_EQ(rig.take(WL_ORDER_START).size(), 1u);
+}
+
+TEST_F(SchedAgents, TargetOfWhichOnlyAnEarlierLifeIsHeardIsSilent)
+{
+	rig.agents({"s2"});
+	rig.runner("i-0", 1000, 2);
+	for (int i = 0; i < 4; i++) {
+		rig.pass(1500);
+		rig.heard("s2", "i-0", 1);
+	}
+	rig.job("q", "j", {1});
+	rig.hand_in();
+	rig.pass(10);
+	rig.commit();
+	EXPECT_TRUE(rig.take(WL_ORDER_START).empty());
+}
