sched: room for lasting work is reckoned by what has had a run

Cause: fresh lasting tasks that wait counted as wanted, so that what is wanted passed 950 permille and the bound of 4 s did not hold, though those that had a run all had room.

Change: what lasting tasks reserve and those away want is compared with the whole of the targets' processors; fresh ones wait behind short work as before.

Tests: Ordering.ShortWorkKeepsWhatLastingWorkMayNotReserve follows the bound, SchedBacklog (five cases) passes.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -219,7 +219,7 @@
 	uint64_t place_next_ns;	   /* no look before */
 	uint64_t sorted_ns;	   /* when the queue was last put in order */
 	uint64_t lasting_permille; /* of usable targets' processors, reserved by lasting tasks */
-	uint64_t lasting_wanted_permille; /* with those that wait */
+	uint64_t lasting_wanted_permille; /* with those whose runs ended */
 	uint64_t next_gauges_ns;
 	wl_metric_t *order_times[WL_ORDER_KINDS][WL_ORDER_OUTCOMES]; /* NULL: not counted yet */
 	wl_metric_t *wait_times[2];				     /* lasting or not */
--- a/libwlcore/sched/order.c
+++ b/libwlcore/sched/order.c
@@ -21,11 +21,11 @@
 #define LASTING_MOST_PERMILLE 800 /* of the targets' processors, reserved by lasting work */
 
 /*
- * Nor so long where there is room for all lasting work, waiting work included.  Where there is
- * not, short work keeps the rest.
+ * Nor so long where there is room for all lasting work that has had a run.  Where there is not,
+ * short work keeps the rest.
  */
 #define AWAY_LIMIT_MS		     4000
-#define LASTING_WANTED_MOST_PERMILLE 950
+#define LASTING_WANTED_MOST_PERMILLE 1000
 
 typedef enum stage {
 	STAGE_AWAY, /* lasting, and without a run for too long */
--- a/libwlcore/sched/order.h
+++ b/libwlcore/sched/order.h
@@ -16,7 +16,7 @@
 	uint64_t left_ms;	   /* longest chain of what is not done, as estimated */
 	uint64_t away_ms;	   /* lasting: since its last run ended; 0: it has had none */
 	uint64_t lasting_permille; /* of the targets' processors: what lasting tasks reserve */
-	uint64_t lasting_wanted_permille; /* and with those that wait */
+	uint64_t lasting_wanted_permille; /* and with those whose runs ended */
 	bool lasting;			  /* runs until it is cancelled */
 	bool started;			  /* a task of the job has begun */
 } wl_ordering_item_t;
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -147,7 +147,7 @@
 	const wl_sched_runner_t *runner;
 	const wl_bundle_t *bundle;
 	uint64_t reserved = 0;
-	uint64_t waiting = 0;
+	uint64_t away = 0;
 	uint64_t all = 0;
 
 	TAILQ_FOREACH (runner, &sched->runners, link) {
@@ -159,10 +159,10 @@
 	TAILQ_FOREACH (bundle, &sched->waiting, link) {
 		const wl_step_spec_t *step = wl_job_step(bundle->job, bundle->step);
 
-		waiting += step->lasting ? bundle->count * step->cpu_millis : 0;
+		away += bundle->away ? bundle->count * step->cpu_millis : 0;
 	}
 	sched->lasting_permille = all ? reserved * WL_PERMILLE / all : 0;
-	sched->lasting_wanted_permille = all ? (reserved + waiting) * WL_PERMILLE / all : 0;
+	sched->lasting_wanted_permille = all ? (reserved + away) * WL_PERMILLE / all : 0;
 }
 
 /*
