node, bench: links in a function of their own; the digest is of all replicas' calls

node_event() asked for the kind of event again behind two fall-throughs. The benchmark's digest was of the leader's calls, which it no longer makes.

--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -331,6 +331,17 @@
 			       event->gauges[i].value);
 }
 
+static void link_changed(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
+{
+	if (event->kind == WL_EVENT_PEER_DOWN)
+		wl_node_link_down(node, now_ns, event, out);
+	if (!node->options.entry)
+		return;
+	if (event->kind == WL_EVENT_PEER_UP)
+		wl_owner_step(node->owner, now_ns, event, out);
+	wl_requests_step(node->requests, now_ns, event, out);
+}
+
 static void node_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	switch (event->kind) {
@@ -341,13 +352,9 @@
 		node_message(node, now_ns, event, out);
 		return;
 	case WL_EVENT_PEER_UP:
-		if (node->options.entry)
-			wl_owner_step(node->owner, now_ns, event, out);
-		/* fall through */
 	case WL_EVENT_PEER_DOWN:
-		if (event->kind == WL_EVENT_PEER_DOWN)
-			wl_node_link_down(node, now_ns, event, out);
-		/* fall through */
+		link_changed(node, now_ns, event, out);
+		return;
 	case WL_EVENT_CALL_GONE:
 		if (node->options.entry)
 			wl_requests_step(node->requests, now_ns, event, out);
--- a/tests/bench/jobs.c
+++ b/tests/bench/jobs.c
@@ -252,8 +252,7 @@
 	       (double)spent_ns / 1000 / (double)(starts ? starts : 1),
 	       (double)spent_ns / (RUN_MS * WL_NS_PER_MS),
 	       (unsigned long long)(replicas_sent_bytes(leader) / 1024),
-	       (unsigned long long)replicas_logged(leader),
-	       (unsigned long long)replicas_digest(leader));
+	       (unsigned long long)replicas_logged(leader), (unsigned long long)replicas_digest());
 	replicas_free();
 	targets_free();
 	return 0;
--- a/tests/bench/replicas.c
+++ b/tests/bench/replicas.c
@@ -29,7 +29,6 @@
 	uint64_t spent_ns;
 	uint64_t sent_bytes;
 	uint64_t logged;
-	uint64_t digest; /* of its HTTP calls */
 } replica_t;
 
 static replica_t replicas[REPLICAS];
@@ -65,11 +64,14 @@
 	return &parcels[parcel_count++];
 }
 
-static void fetch_digest(replica_t *replica, const wl_fetch_t *fetch)
+/* Of the calls that all replicas make, in their order. */
+static uint64_t calls_digest;
+
+static void fetch_digest(const wl_fetch_t *fetch)
 {
-	replica->digest = wl_str_hash(wl_buf_str(&fetch->address), replica->digest);
-	replica->digest = wl_str_hash(wl_buf_str(&fetch->path), replica->digest);
-	replica->digest = wl_str_hash(wl_buf_str(&fetch->body), replica->digest);
+	calls_digest = wl_str_hash(wl_buf_str(&fetch->address), calls_digest);
+	calls_digest = wl_str_hash(wl_buf_str(&fetch->path), calls_digest);
+	calls_digest = wl_str_hash(wl_buf_str(&fetch->body), calls_digest);
 }
 
 static void act(size_t node, wl_out_t *out)
@@ -78,7 +80,7 @@
 		wl_action_t *action = &out->actions[i];
 
 		if (action->kind == WL_ACTION_FETCH) {
-			fetch_digest(&replicas[node], &action->fetch);
+			fetch_digest(&action->fetch);
 			fetch_to(node, &action->fetch, now_ns);
 		}
 		if (action->kind == WL_ACTION_PERSIST)
@@ -274,9 +276,9 @@
 	return replicas[node].logged;
 }
 
-uint64_t replicas_digest(size_t node)
+uint64_t replicas_digest(void)
 {
-	return replicas[node].digest;
+	return calls_digest;
 }
 
 void replicas_count_anew(void)
--- a/tests/bench/replicas.h
+++ b/tests/bench/replicas.h
@@ -21,7 +21,7 @@
 uint64_t replicas_spent_ns(size_t node);
 uint64_t replicas_sent_bytes(size_t node);
 uint64_t replicas_logged(size_t node);
-uint64_t replicas_digest(size_t node); /* of all its HTTP calls, in order */
+uint64_t replicas_digest(void); /* of all replicas' HTTP calls, in order */
 void replicas_count_anew(void);
 
 #endif
--- a/tests/bench/targets.h
+++ b/tests/bench/targets.h
@@ -10,7 +10,7 @@
 /* Called with each answer; the body is valid during the call. */
 typedef void (*targets_answer_t)(size_t node, uint64_t id, wl_str_t body);
 
-void targets_init(size_t count, targets_answer_t answer);
+void targets_init(size_t count, targets_answer_t to);
 void targets_free(void);
 void targets_take(size_t node, const wl_fetch_t *fetch, uint64_t now_ns);
 void targets_play(uint64_t now_ns);
