--- a/tests/unit/sched_backlog_test.cc
+++ b/tests/unit/sched_backlog_test.cc
@@ -229,10 +229,7 @@
 	return LoadedFleet(options).loaded();
 }
 
-/*
- * Found as LOST on llt-wassail-grown: a task whose run had ended waited 18 s and more behind short
- * work, of which there was always some.
- */
+/* A standing backlog of short work, below and above what the fleet holds. */
 TEST(SchedBacklog, TaskThatLastsRunsAgainSoonBehindAnyBacklog)
 {
 	for (double jobs_per_s : {50, 60, 70, 90, 180})
@@ -245,7 +242,7 @@
 		}
 }
 
-/* Tasks that last and need more than four fifths of the fleet, which has room for all of them. */
+/* Nine tenths of the fleet, which has room for all of them. */
 TEST(SchedBacklog, TaskThatLastsRunsAgainSoonWhereSuchTasksNeedMostOfTheRoom)
 {
 	LoadOptions options;
@@ -262,8 +259,7 @@
 	}
 }
 
-/* What tasks that last need is their share of the room; the rest still serves short work in time.
- */
+/* Beside tasks that last, which need three tenths of the room. */
 TEST(SchedBacklog, ShortWorkIsServedInWhatIsLeft)
 {
 	LoadResult full = played(60, 4000);
--- a/tests/unit/sched_policy_test.cc
+++ b/tests/unit/sched_policy_test.cc
@@ -300,7 +300,7 @@
 	EXPECT_LT(policy->rank(&short_work, 61000), policy->rank(&away, 61000));
 }
 
-/* Found on scale-1 of llt-wassail: targets leave until what is left can't hold all lasting work. */
+/* Targets may leave until those that are left can't hold all lasting work. */
 TEST(Ordering, ShortWorkKeepsWhatLastingWorkMayNotReserve)
 {
 	const wl_ordering_policy_t *policy = wl_ordering_policy_find({});
