--- a/tests/bench/links.c
+++ b/tests/bench/links.c
@@ -70,7 +70,7 @@
 {
 	wl_ring_t *ring = NULL;
 	told_t told = {0};
-	char name[16];
+	char name[32];
 	char byte;
 
 	for (size_t i = 0; i < count; i++) {
@@ -99,7 +99,7 @@
 
 static void burst(wl_peers_t *peers, size_t count, uint64_t until, wl_msg_t *msg)
 {
-	char name[16];
+	char name[32];
 
 	for (; sent < until; sent++) {
 		snprintf(name, sizeof(name), "r%zu", (size_t)(sent % count));
@@ -122,7 +122,7 @@
 
 static void dial(wl_peers_t *peers, size_t count, int ports_fd)
 {
-	char name[16];
+	char name[32];
 	char address[32];
 	uint16_t port;
 
