sched, model: one loop gives orders up; a release that only tests called leaves

wl_sched_calls_lose() and wl_sched_calls_tick() walked the orders under way by the same loop. wl_order_end_free() was left without a caller in the product when the leader stopped reading answers; wl_record_free() with the schema does the same.

--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -67,14 +67,6 @@
 
 const wl_schema_t wl_order_end_schema = WL_SCHEMA(wl_order_end_t, order_end_fields);
 
-/*
- * wl_order_end_free - release what the end of an order owns
- */
-void wl_order_end_free(wl_order_end_t *end)
-{
-	wl_record_free(&wl_order_end_schema, end);
-}
-
 /*
  * wl_operation_free - release what an operation owns and make it empty
  */
--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -84,6 +84,4 @@
 extern const wl_schema_t wl_run_view_schema;
 extern const wl_schema_t wl_end_view_schema;
 
-void wl_order_end_free(wl_order_end_t *end);
-
 #endif
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -117,24 +117,33 @@
 	}
 }
 
-/*
- * wl_sched_calls_lose - an agent is out of reach, and with it how its orders end
- */
-void wl_sched_calls_lose(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *agent,
-			 wl_out_t *out)
+/* Ends the orders of a lost agent, or with NULL those whose agents did not say in time. */
+static void calls_give_up(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *lost,
+			  wl_out_t *out)
 {
 	const wl_order_end_t end = {.outcome = WL_ORDER_AGENT_LOST};
+	const wl_sched_agent_t *own = TAILQ_FIRST(&sched->agents);
 	wl_sched_call_t *call = TAILQ_FIRST(&sched->calls);
 
 	while (call) {
 		wl_sched_call_t *next = TAILQ_NEXT(call, link);
+		bool over = now_ns >= call->expires_ns && call->agent != own;
 
-		if (call->agent == agent)
+		if (lost ? call->agent == lost : over)
 			call_ended(sched, now_ns, call, &end, out);
 		call = next;
 	}
 }
 
+/*
+ * wl_sched_calls_lose - an agent is out of reach, and with it how its orders end
+ */
+void wl_sched_calls_lose(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *agent,
+			 wl_out_t *out)
+{
+	calls_give_up(sched, now_ns, agent, out);
+}
+
 /*
  * wl_sched_calls_tick - give up the orders whose agents did not say in time how they ended
  *
@@ -142,17 +151,8 @@
  */
 void wl_sched_calls_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
-	const wl_order_end_t end = {.outcome = WL_ORDER_AGENT_LOST};
-	wl_sched_call_t *call = TAILQ_FIRST(&sched->calls);
-
 	if (now_ns < sched->expiry_look_ns)
 		return;
 	sched->expiry_look_ns = now_ns + EXPIRY_LOOK_MS * WL_NS_PER_MS;
-	while (call) {
-		wl_sched_call_t *next = TAILQ_NEXT(call, link);
-
-		if (now_ns >= call->expires_ns && call->agent != TAILQ_FIRST(&sched->agents))
-			call_ended(sched, now_ns, call, &end, out);
-		call = next;
-	}
+	calls_give_up(sched, now_ns, NULL, out);
 }
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -30,7 +30,7 @@
 		wl_buf_free(&fetch.method);
 		wl_buf_free(&fetch.path);
 		wl_buf_free(&fetch.body);
-		wl_order_end_free(&end);
+		wl_record_free(&wl_order_end_schema, &end);
 	}
 
 	void release()
@@ -84,7 +84,7 @@
 	{
 		wl_fetched_t fetched = {};
 
-		wl_order_end_free(&end);
+		wl_record_free(&wl_order_end_schema, &end);
 		fetched.status = status;
 		fetched.whole = whole;
 		fetched.sent = sent;
