state: views name the members only where entries share work

Cause: each entry dialled all entries named in a view, 10,731 links, and each session that opened sent a view with all members to all entries. Entries need each other for customers' limits and for targets with owners; a deployment whose jobs the leader schedules has neither.

Change: wl_state_entries_cooperate(). Without lists and targets with owners a view has no members, and sessions that open, end or drain send no view to others.

--- a/libwlcore/leader/sessions.c
+++ b/libwlcore/leader/sessions.c
@@ -58,7 +58,18 @@
 	TAILQ_INSERT_TAIL(&leader->sessions, session, link);
 }
 
-/* Matches the records to the sessions in the replicated state; a view becomes due for each. */
+/* The members have changed: views become due, unless they do not name them. */
+static void mark_views_due(wl_leader_t *leader)
+{
+	wl_leader_session_t *session;
+
+	if (!wl_state_entries_cooperate(leader->state))
+		return;
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		session->view_due = true;
+}
+
+/* Matches the records to the sessions in the replicated state. */
 void wl_leader_sessions_sync(wl_leader_t *leader, uint64_t now_ns)
 {
 	const wl_state_session_t *known;
@@ -67,7 +78,6 @@
 
 	for (session = TAILQ_FIRST(&leader->sessions); session; session = next) {
 		next = TAILQ_NEXT(session, link);
-		session->view_due = true;
 		if (wl_state_session_find(leader->state, session->id))
 			continue;
 		TAILQ_REMOVE(&leader->sessions, session, link);
@@ -76,6 +86,7 @@
 	TAILQ_FOREACH (known, &leader->state->sessions, link)
 		if (!wl_leader_session_find(leader, known->id))
 			session_add(leader, now_ns, known);
+	mark_views_due(leader);
 	leader->counts_due = true;
 	leader->balance_due = true;
 }
@@ -103,24 +114,19 @@
 	answer->validity_ms = leader->options.session_ms;
 }
 
-static void mark_views_due(wl_leader_t *leader)
-{
-	wl_leader_session_t *session;
-
-	TAILQ_FOREACH (session, &leader->sessions, link)
-		session->view_due = true;
-}
-
 /*
  * wl_leader_replicas_set - set the names of the group's members, which views carry to all entries
  * @names: strings, copied
  */
 void wl_leader_replicas_set(wl_leader_t *leader, const wl_list_t *names)
 {
+	wl_leader_session_t *session;
+
 	if (wl_strings_equal(&leader->replicas, names))
 		return;
 	wl_strings_set(&leader->replicas, names);
-	mark_views_due(leader);
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		session->view_due = true;
 }
 
 static void session_renewed(wl_leader_t *leader, uint64_t now_ns, wl_leader_session_t *session,
--- a/libwlcore/state/state.c
+++ b/libwlcore/state/state.c
@@ -232,6 +232,17 @@
 			view_row(target, view);
 }
 
+/*
+ * wl_state_entries_cooperate - whether entries exchange requests and usage with each other
+ *
+ * They do so for customers in the lists and for targets with owners.  Otherwise views do not name
+ * the other entries, and an entry has links to the replicas only.
+ */
+bool wl_state_entries_cooperate(const wl_state_t *state)
+{
+	return state->revision > 0 || !TAILQ_EMPTY(&state->targets);
+}
+
 /*
  * wl_state_view - fill a view with the changes that an entry lacks
  * @revision_have: revision of the lists that the entry has
@@ -253,6 +264,8 @@
 		wl_buf_set(&view->plans, wl_buf_str(&state->list[WL_LIST_PLANS].text));
 	}
 	view_owners(state, owners_have, view);
+	if (!wl_state_entries_cooperate(state))
+		return;
 	TAILQ_FOREACH (session, &state->sessions, link) {
 		wl_member_t *member = wl_list_add(&wl_member_schema, &view->members);
 
--- a/libwlcore/state/state.h
+++ b/libwlcore/state/state.h
@@ -32,6 +32,7 @@
 struct wl_jobs *wl_state_jobs(wl_state_t *state);
 uint64_t wl_state_clock_ms(const wl_state_t *state);
 uint64_t wl_state_revision(const wl_state_t *state);
+bool wl_state_entries_cooperate(const wl_state_t *state);
 void wl_state_view(const wl_state_t *state, uint64_t revision_have, uint64_t owners_have,
 		   wl_msg_view_t *view);
 
