libwlnet: peer thread serves the links that have something to do

Change: a list of peers with new frames or addresses, a list of links with events; all links and dials are checked every 50 ms, as before at the latest. A sender wakes the thread only if the list was empty.

Test: existing unit.peer_test.

--- a/libwlnet/peer.c
+++ b/libwlnet/peer.c
@@ -83,6 +83,7 @@
 	wl_rng_init(&peers->rng, options->seed, wl_str_hash(options->name, 0));
 	wl_peer_table_init(&peers->table, options->queue_slots, options->max_queue_bytes);
 	TAILQ_INIT(&peers->links);
+	TAILQ_INIT(&peers->touched);
 	wl_event_backlog_init(&peers->backlog, options->events);
 	if (peers_open(peers, err))
 		return peers;
@@ -106,8 +107,8 @@
 {
 	if (wl_str_equal(name, wl_buf_str(&peers->name)))
 		return;
-	wl_peer_table_set_address(&peers->table, name, address);
-	peers_wake(peers);
+	if (wl_peer_table_set_address(&peers->table, name, address))
+		peers_wake(peers);
 }
 
 static size_t sent_kind(const wl_msg_t *msg)
@@ -130,17 +131,19 @@
 	wl_buf_t bytes = {0};
 	size_t len;
 	bool accepted;
+	bool wake = false;
 
 	wl_msg_pack(msg, &bytes);
 	len = bytes.len;
 	accepted = len + WL_TAG_BYTES <= peers->options.max_frame_bytes &&
-		   wl_peer_table_queue(&peers->table, name, &bytes);
+		   wl_peer_table_queue(&peers->table, name, &bytes, &wake);
 	wl_buf_free(&bytes);
 	if (!accepted)
 		return false;
 	ck_pr_inc_64(&sent->messages);
 	ck_pr_add_64(&sent->bytes, len);
-	peers_wake(peers);
+	if (wake)
+		peers_wake(peers);
 	return true;
 }
 
--- a/libwlnet/peer_internal.h
+++ b/libwlnet/peer_internal.h
@@ -26,6 +26,9 @@
 	/* used by the peer thread only */
 	wl_rng_t rng;
 	struct wl_link_list links;
+	struct wl_link_list touched; /* to be flushed, or closed, after the events at hand */
+	uint64_t
+		next_scan_ns; /* next check of all links for time-outs and of all peers for dials */
 	uint64_t unauthenticated;   /* accepted links with an unfinished handshake */
 	wl_event_backlog_t backlog; /* waiting for the event ring */
 };
--- a/libwlnet/peer_link.h
+++ b/libwlnet/peer_link.h
@@ -37,6 +37,8 @@
 	const char *protocol_error; /* of the peer, if that closed the link */
 	struct wl_peer *peer; /* set at the start if dialled, once the link is up if accepted */
 	TAILQ_ENTRY(wl_link) link;
+	bool touched; /* in wl_peers.touched */
+	TAILQ_ENTRY(wl_link) touched_link;
 } wl_link_t;
 
 typedef struct wl_link_options {
--- a/libwlnet/peer_loop.c
+++ b/libwlnet/peer_loop.c
@@ -25,7 +25,7 @@
 
 #include "address.h"
 
-#define TIMER_MS	       50 /* longest wait between checks of time-outs and dials */
+#define SCAN_INTERVAL_MS       50 /* between checks of all links and peers for time-outs and dials */
 #define RETRY_MS	       2  /* retry interval while the event ring is full */
 #define BACKOFF_MIN_MS	       50
 #define BACKOFF_MAX_MS	       2000
@@ -69,6 +69,14 @@
 	wl_event_backlog_push(&peers->backlog, event);
 }
 
+static void link_touch(wl_peers_t *peers, wl_link_t *link)
+{
+	if (link->touched)
+		return;
+	link->touched = true;
+	TAILQ_INSERT_TAIL(&peers->touched, link, touched_link);
+}
+
 static void link_update_events(wl_peers_t *peers, wl_link_t *link, int operation)
 {
 	bool write = link->state == WL_LINK_CONNECTING || wl_link_unsent(link) > 0;
@@ -94,6 +102,7 @@
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	TAILQ_INSERT_TAIL(&peers->links, link, link);
+	link_touch(peers, link);
 	peers->unauthenticated += !dialled;
 	if (!dialled)
 		wl_link_connected(link);
@@ -198,6 +207,7 @@
 	}
 	if (current) {
 		wl_link_fail(current, NULL);
+		link_touch(peers, current);
 		peer_down(peers, peer, now_ns);
 	}
 	peer->current = link;
@@ -231,6 +241,7 @@
 	int error = 0;
 	socklen_t len = sizeof(error);
 
+	link_touch(peers, link);
 	if (link->state == WL_LINK_CLOSED)
 		return;
 	if (link->state == WL_LINK_CONNECTING) {
@@ -307,49 +318,85 @@
 	if (link->up_ns == 0 && !link->proof.dialled)
 		peers->unauthenticated--;
 	TAILQ_REMOVE(&peers->links, link, link);
+	if (link->touched)
+		TAILQ_REMOVE(&peers->touched, link, touched_link);
 	wl_link_free(link);
 }
 
+/* Writes what the touched links have to send, and closes those that failed. */
 static void links_service(wl_peers_t *peers, uint64_t now_ns)
 {
-	wl_link_t *link = TAILQ_FIRST(&peers->links);
+	wl_link_t *link;
 
-	while (link) {
-		wl_link_t *next = TAILQ_NEXT(link, link);
-
-		link_check_timers(peers, link, now_ns);
+	while ((link = TAILQ_FIRST(&peers->touched))) {
+		TAILQ_REMOVE(&peers->touched, link, touched_link);
+		link->touched = false;
 		link_flush(peers, link, now_ns);
 		if (link->state == WL_LINK_CLOSED)
 			link_close(peers, link, now_ns);
-		link = next;
 	}
 }
 
-static void peers_dial_due(wl_peers_t *peers, uint64_t now_ns)
+static void peer_dial_due(wl_peers_t *peers, wl_peer_t *peer, uint64_t now_ns)
 {
 	wl_buf_t address = {0};
+
+	if (peer->current || peer->dialling)
+		return;
+	if (wl_peer_table_address(&peers->table, peer, &address))
+		peer->next_dial_ns = now_ns;
+	if (address.len > 0 && now_ns >= peer->next_dial_ns)
+		peer_dial(peers, peer, wl_buf_str(&address), now_ns);
+	wl_buf_free(&address);
+}
+
+/* Serves the peers for which another thread has set an address or queued a frame. */
+static void peers_take_pending(wl_peers_t *peers, uint64_t now_ns)
+{
+	wl_peer_t *peer;
+
+	while ((peer = wl_peer_table_take_pending(&peers->table))) {
+		if (peer->current)
+			link_touch(peers, peer->current);
+		peer_dial_due(peers, peer, now_ns);
+	}
+}
+
+static void peers_scan(wl_peers_t *peers, uint64_t now_ns)
+{
+	wl_link_t *link;
 	wl_peer_t *peer;
 
+	peers->next_scan_ns = now_ns + SCAN_INTERVAL_MS * WL_NS_PER_MS;
+	TAILQ_FOREACH (link, &peers->links, link) {
+		link_check_timers(peers, link, now_ns);
+		if (link->state == WL_LINK_CLOSED || wl_link_unsent(link) > 0)
+			link_touch(peers, link);
+	}
 	pthread_mutex_lock(&peers->table.lock);
 	peer = TAILQ_FIRST(&peers->table.all);
 	pthread_mutex_unlock(&peers->table.lock);
 	while (peer) {
-		if (wl_peer_table_address(&peers->table, peer, &address))
-			peer->next_dial_ns = now_ns;
-		if (address.len > 0 && !peer->current && !peer->dialling &&
-		    now_ns >= peer->next_dial_ns)
-			peer_dial(peers, peer, wl_buf_str(&address), now_ns);
+		peer_dial_due(peers, peer, now_ns);
 		pthread_mutex_lock(&peers->table.lock);
 		peer = TAILQ_NEXT(peer, link);
 		pthread_mutex_unlock(&peers->table.lock);
 	}
-	wl_buf_free(&address);
+}
+
+static int scan_wait_ms(const wl_peers_t *peers)
+{
+	uint64_t now_ns = monotonic_now_ns();
+
+	if (now_ns >= peers->next_scan_ns)
+		return 0;
+	return (int)((peers->next_scan_ns - now_ns + WL_NS_PER_MS - 1) / WL_NS_PER_MS);
 }
 
 static void peers_wait(wl_peers_t *peers)
 {
 	struct epoll_event events[EPOLL_EVENTS];
-	int count = epoll_wait(peers->epoll_fd, events, EPOLL_EVENTS, TIMER_MS);
+	int count = epoll_wait(peers->epoll_fd, events, EPOLL_EVENTS, scan_wait_ms(peers));
 	uint64_t now_ns = monotonic_now_ns();
 	uint64_t woken;
 
@@ -361,8 +408,10 @@
 		else
 			link_handle(peers, events[i].data.ptr, events[i].events, now_ns);
 	}
+	peers_take_pending(peers, now_ns);
+	if (now_ns >= peers->next_scan_ns)
+		peers_scan(peers, now_ns);
 	links_service(peers, now_ns);
-	peers_dial_due(peers, now_ns);
 }
 
 /*
--- a/libwlnet/peer_table.c
+++ b/libwlnet/peer_table.c
@@ -21,6 +21,7 @@
 	pthread_mutex_init(&table->lock, NULL);
 	wl_map_init(&table->by_name);
 	TAILQ_INIT(&table->all);
+	STAILQ_INIT(&table->pending);
 	table->max_queued = max_queued;
 	table->max_queued_bytes = max_queued_bytes;
 }
@@ -93,12 +94,27 @@
 	return peer;
 }
 
+/* Marks a peer as pending.  Returns whether the list was empty before, which the caller reports. */
+static bool peer_set_pending(wl_peer_table_t *table, wl_peer_t *peer)
+{
+	bool first = STAILQ_EMPTY(&table->pending);
+
+	if (peer->pending)
+		return false;
+	peer->pending = true;
+	STAILQ_INSERT_TAIL(&table->pending, peer, pending_link);
+	return first;
+}
+
 /*
  * wl_peer_table_set_address - set the address that a peer is dialled at
  * @address: IP:port
+ *
+ * Return: whether the peer thread must be woken.
  */
-void wl_peer_table_set_address(wl_peer_table_t *table, wl_str_t name, wl_str_t address)
+bool wl_peer_table_set_address(wl_peer_table_t *table, wl_str_t name, wl_str_t address)
 {
+	bool wake = false;
 	wl_peer_t *peer;
 
 	pthread_mutex_lock(&table->lock);
@@ -106,22 +122,45 @@
 	if (!wl_str_equal(wl_buf_str(&peer->address), address)) {
 		wl_buf_set(&peer->address, address);
 		peer->address_changed = true;
+		wake = peer_set_pending(table, peer);
 	}
 	pthread_mutex_unlock(&table->lock);
+	return wake;
+}
+
+/*
+ * wl_peer_table_take_pending - remove the first pending peer
+ *
+ * Return: a peer that may have new frames or a new address, or NULL.
+ */
+wl_peer_t *wl_peer_table_take_pending(wl_peer_table_t *table)
+{
+	wl_peer_t *peer;
+
+	pthread_mutex_lock(&table->lock);
+	peer = STAILQ_FIRST(&table->pending);
+	if (peer) {
+		STAILQ_REMOVE_HEAD(&table->pending, pending_link);
+		peer->pending = false;
+	}
+	pthread_mutex_unlock(&table->lock);
+	return peer;
 }
 
 /*
  * wl_peer_table_queue - queue a frame for a peer
  * @bytes: payload; moved from on success
+ * @wake: set to whether the peer thread must be woken
  *
  * Return: false if the link to the peer is down or its send queue is full.
  */
-bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes)
+bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool *wake)
 {
 	wl_frame_t *frame;
 	wl_peer_t *peer;
 	bool accepted;
 
+	*wake = false;
 	pthread_mutex_lock(&table->lock);
 	peer = wl_map_get(&table->by_name, name);
 	accepted = peer && peer->up && peer->queued < table->max_queued &&
@@ -133,6 +172,7 @@
 		STAILQ_INSERT_TAIL(&peer->queue, frame, link);
 		peer->queued++;
 		peer->queued_bytes += frame->bytes.len;
+		*wake = peer_set_pending(table, peer);
 	}
 	pthread_mutex_unlock(&table->lock);
 	return accepted;
--- a/libwlnet/peer_table.h
+++ b/libwlnet/peer_table.h
@@ -28,6 +28,8 @@
 	struct wl_frame_list queue;
 	uint64_t queued; /* frames */
 	uint64_t queued_bytes;
+	bool pending; /* in wl_peer_table.pending */
+	STAILQ_ENTRY(wl_peer) pending_link;
 	/* used by the peer thread only */
 	wl_link_t *current;  /* link that is up; NULL: none */
 	wl_link_t *dialling; /* dialled link that is not up yet; NULL: none */
@@ -37,11 +39,13 @@
 } wl_peer_t;
 
 TAILQ_HEAD(wl_peer_list, wl_peer);
+STAILQ_HEAD(wl_pending_peers, wl_peer);
 
 typedef struct wl_peer_table {
 	pthread_mutex_t lock;
 	wl_map_t by_name;
 	struct wl_peer_list all;
+	struct wl_pending_peers pending; /* with frames or an address new to the peer thread */
 	uint64_t max_queued;
 	uint64_t max_queued_bytes;
 } wl_peer_table_t;
@@ -49,8 +53,9 @@
 void wl_peer_table_init(wl_peer_table_t *table, uint64_t max_queued, uint64_t max_queued_bytes);
 void wl_peer_table_free(wl_peer_table_t *table);
 wl_peer_t *wl_peer_table_get(wl_peer_table_t *table, wl_str_t name);
-void wl_peer_table_set_address(wl_peer_table_t *table, wl_str_t name, wl_str_t address);
-bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes);
+bool wl_peer_table_set_address(wl_peer_table_t *table, wl_str_t name, wl_str_t address);
+bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool *wake);
+wl_peer_t *wl_peer_table_take_pending(wl_peer_table_t *table);
 wl_frame_t *wl_peer_table_pop(wl_peer_table_t *table, wl_peer_t *peer);
 void wl_peer_table_set_up(wl_peer_table_t *table, wl_peer_t *peer, bool up);
 bool wl_peer_table_address(wl_peer_table_t *table, wl_peer_t *peer, wl_buf_t *address);
