daemon: orders that a full queue rejects end as not sent at once

A replica that reads slowly fills the leader's queue to it.

Change: the event loop answers such a message in the agent's place with WL_ORDER_NOT_SENT; a renewal goes through another replica, a start is placed again.

Test: two cases of unit.sched_agents_test with full queues; without the answer they see no order within their time.

--- a/daemon/event_loop.c
+++ b/daemon/event_loop.c
@@ -97,6 +97,15 @@
 	wl_buf_set(&answer->text, WL_STR("no connection to the peer, or its send queue is full"));
 }
 
+/* The orders were not sent: tells the scheduler so, as if their agent had. */
+static void orders_reject(wl_event_loop_t *loop, const wl_action_t *action)
+{
+	wl_event_t *event = internal_event_add(loop, WL_EVENT_PEER);
+
+	wl_buf_set(&event->peer, wl_buf_str(&action->peer));
+	wl_msg_orders_reject(&action->msg.u.orders, &event->msg);
+}
+
 static void do_send(wl_event_loop_t *loop, wl_action_t *action)
 {
 	if (wl_peers_send(loop->options.peers, wl_buf_str(&action->peer), &action->msg))
@@ -104,6 +113,8 @@
 	loop->sends_refused++;
 	if (action->msg.kind == WL_MSG_REQUEST)
 		request_reject(loop, action);
+	if (action->msg.kind == WL_MSG_ORDERS)
+		orders_reject(loop, action);
 }
 
 static void do_dial(wl_event_loop_t *loop, wl_action_t *action)
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -429,3 +429,20 @@
 	wl_buf_set(&header->name, name);
 	wl_buf_set(&header->value, value);
 }
+
+/*
+ * wl_msg_orders_reject - make the answer to orders of which none was sent to its target
+ * @ordered: initialized as WL_MSG_ORDERED
+ */
+void wl_msg_orders_reject(const wl_msg_orders_t *orders, wl_msg_t *ordered)
+{
+	const wl_order_t *items = orders->orders.items;
+
+	wl_msg_init(ordered, WL_MSG_ORDERED);
+	for (size_t i = 0; i < orders->orders.count; i++) {
+		wl_order_end_t *end = wl_list_add(&wl_order_end_schema, &ordered->u.ordered.ends);
+
+		end->id = items[i].id;
+		end->outcome = WL_ORDER_NOT_SENT;
+	}
+}
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -352,5 +352,6 @@
 
 const wl_buf_t *wl_headers_find(const wl_list_t *headers, wl_str_t name);
 void wl_headers_add(wl_list_t *headers, wl_str_t name, wl_str_t value);
+void wl_msg_orders_reject(const wl_msg_orders_t *orders, wl_msg_t *ordered);
 
 #endif
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -101,6 +101,12 @@
 			log.push_back(text(action.line));
 	}
 	wl_out_free(&out);
+	while (!rejected.empty()) {
+		wl_event_t next = rejected.front();
+
+		rejected.pop_front();
+		step(&next);
+	}
 }
 
 void SchedRig::message_take(const wl_action_t &action)
@@ -117,11 +123,25 @@
 		report_to = text(action.msg.u.result.result.report_to);
 	if (action.msg.kind != WL_MSG_ORDERS)
 		return;
+	if (full_queues.count(text(action.peer))) {
+		orders_reject(action);
+		return;
+	}
 	for (size_t i = 0; i < msg.orders.count; i++)
 		orders.push_back(order_of(text(action.peer),
 					  static_cast<const wl_order_t *>(msg.orders.items)[i]));
 }
 
+void SchedRig::orders_reject(const wl_action_t &action)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, wl_buf_str(&action.peer));
+	wl_msg_orders_reject(&action.msg.u.orders, &event.msg);
+	rejected.push_back(event);
+}
+
 void SchedRig::lead(uint64_t term)
 {
 	wl_event_t event;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -7,6 +7,7 @@
 }
 
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,7 +81,9 @@
 	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
-	size_t sent_bytes_max = 0;	 /* the longest of these, encoded */
+	/* daemons whose send queue is full: orders for them are rejected */
+	std::set<std::string> full_queues;
+	size_t sent_bytes_max = 0; /* the longest of these, encoded */
 	std::vector<std::string> log;
 	std::string report_to; /* as named by the newest answer to a report */
 	wl_state_t *state = nullptr;
@@ -89,6 +92,7 @@
       private:
 	void step(wl_event_t *event);
 	void message_take(const wl_action_t &action);
+	void orders_reject(const wl_action_t &action);
 	void order_end(const SchedOrder &order, wl_order_end_t *end);
 
 	wl_chart_t *chart = nullptr;
@@ -96,6 +100,7 @@
 	wl_sched_t *sched = nullptr;
 	wl_metrics_t metrics;
 	std::deque<std::pair<uint64_t, wl_cmd_t>> proposed;
+	std::deque<wl_event_t> rejected; /* what the daemon tells the scheduler of its orders */
 	wl_cmd_t next_job = {};
 	uint64_t index = 0;
 	uint64_t sequence = 0;
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -167,6 +167,47 @@
 	EXPECT_EQ(rig.take_orders(WL_ORDER_RENEW).size(), 1u);
 }
 
+/* Without the rejection the hold would expire 4.8 s later, when the lease is nearly over. */
+TEST_F(SchedAgents, OrderThatAFullQueueRejectsIsSentThroughAnotherReplica)
+{
+	rig.agents({"s2", "s3"});
+	fill(TARGETS);
+	auto before = agents_of_holds();
+	rig.full_queues = {"s2"};
+	for (int i = 0; i < 30; i++) {
+		rig.advance(10);
+		for (const auto &hold : rig.take_orders(WL_ORDER_RENEW)) {
+			EXPECT_EQ(hold.agent, "s3");
+			rig.answer_hold(hold, {SchedRig::view(starts[hold.runner])}, {});
+			before.erase(hold.runner);
+		}
+	}
+	EXPECT_TRUE(before.empty()) << before.size() << " targets without a hold";
+}
+
+/* A start that was not sent is placed again without a look for it at the target. */
+TEST_F(SchedAgents, StartThatAFullQueueRejectsIsPlacedAgain)
+{
+	rig.agents({"s2"});
+	rig.full_queues = {"s2"};
+	rig.runner("i-1", 1000);
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.commit();
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
+	rig.full_queues.clear();
+	rig.commit();
+	rig.advance(1100);
+	rig.runner("i-1", 1000);
+	rig.advance(10);
+	rig.commit();
+	auto starts_again = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(starts_again.size(), 1u);
+	EXPECT_EQ(starts_again[0].run, 2u);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
+}
+
 TEST_F(SchedAgents, AnswerOfAReplicaWithoutTheOrderIsIgnored)
 {
 	rig.agents({"s2"});
