--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -339,12 +339,13 @@
 	uint64_t longs = options.long_jobs_per_ks * options.load_ms / 1000000;
 
 	for (uint64_t i = 0; i < options.lasting_jobs; i++)
-		load_job("feed", 1, 14, "0 1500",
+		load_job("feed", 1, options.lasting_width, "0 1500",
 			 LASTING_NS + (LOAD_NS - LASTING_NS) / 2 * i / options.lasting_jobs);
 	for (uint64_t i = 0; i < shorts; i++)
-		load_job("hold", i % 5 < 3 ? 2 : 1, 10, "540 4100", random_load_time());
+		load_job("hold", i % 5 < 3 ? 2 : 1, options.short_width, "540 4100",
+			 random_load_time());
 	for (uint64_t i = 0; i < longs; i++)
-		load_job("run", 2, 20, "2300 3500", random_load_time());
+		load_job("run", 2, options.long_width, "2300 3500", random_load_time());
 	for (uint64_t i = 0; i < options.lasting_failures; i++)
 		time.at(LOAD_NS + i * FAILURE_EVERY_NS,
 			[this, i] { fail_lasting(i * 17 % options.targets); });
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -27,10 +27,13 @@
 struct FleetOptions {
 	uint64_t seed = 1;
 	size_t targets = 350;
-	uint64_t short_jobs_per_ks = 14400; /* 1.6 steps of 10 tasks of 0.54 s */
-	uint64_t long_jobs_per_ks = 10400;  /* 2 steps of 20 tasks of 2.3 s */
-	/* jobs of 14 tasks that run until they fail, submitted before all others */
+	uint64_t short_jobs_per_ks = 14400; /* 1.6 steps of tasks of 0.54 s */
+	uint64_t short_width = 10;	    /* tasks of a step */
+	uint64_t long_jobs_per_ks = 10400;  /* 2 steps of tasks of 2.3 s */
+	uint64_t long_width = 20;
+	/* jobs of tasks that run until they fail, submitted before all others */
 	uint64_t lasting_jobs = 114;
+	uint64_t lasting_width = 14;
 	uint64_t lasting_failures = 20; /* number of failures among their tasks */
 	uint64_t load_ms = 20000;
 	uint64_t drain_ms = 14000; /* time after the load in which its tasks end */
