--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -148,10 +148,11 @@
 	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
 		   "job=" WL_STR_FMT " task=%llu.%llu.%llu run=%llu target=" WL_STR_FMT
-		   " waited_ms=%llu cpu_used=%llu",
+		   " waited_ms=%llu commit_ms=%llu cpu_used=%llu",
 		   WL_STR_ARG(job->key), (unsigned long long)order.task.occurrence,
 		   (unsigned long long)order.task.step, (unsigned long long)order.task.index,
 		   (unsigned long long)run->number, WL_STR_ARG(run->runner->key),
+		   (unsigned long long)(run->waited_ns / WL_NS_PER_MS),
 		   (unsigned long long)((now_ns - run->placed_ns) / WL_NS_PER_MS),
 		   (unsigned long long)run->runner->fit.used.cpu_millis);
 }
