sched: look only at runs that are being stopped, and reject full targets early

Change: runs with an ordered stop are in a list of their own; the lowest headroom of a target is kept from the update of its interference, and a target that it rules out is not looked at by image.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -59,6 +59,8 @@
 	wl_buf_t checkpoint;
 	TAILQ_ENTRY(wl_sched_run) link; /* in the list of its runner */
 	TAILQ_ENTRY(wl_sched_run) serving_link;
+	bool stopping; /* in wl_sched.stopping */
+	TAILQ_ENTRY(wl_sched_run) stopping_link;
 } wl_sched_run_t;
 
 TAILQ_HEAD(wl_sched_runs, wl_sched_run);
@@ -101,6 +103,7 @@
 	wl_interference_shares_t average_shares;
 	uint64_t average_updated_ns;   /* when average_shares was last updated */
 	bool interference_stale;       /* wl_sched_run.interference of its runs is outdated */
+	double headroom_least;	       /* of its serving tasks, beside the work that is there */
 	uint64_t quarantined_until_ns; /* no starts before; 0: not quarantined */
 	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
 	uint64_t failed_job; /* hash of the job of the newest one */
@@ -216,6 +219,7 @@
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
 	wl_map_t by_run;
+	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
 	struct wl_task_batch_list pending; /* by rank */
 	struct wl_sched_timed timed;	   /* jobs with occurrences that are not due yet */
 	wl_cmd_runs_start_t starts; /* collected by a placement pass and proposed at its end */
@@ -273,13 +277,15 @@
 void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, wl_cmd_runs_end_t *ends);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
 			   wl_out_t *out);
-void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
+void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
+void wl_sched_stops_tick(wl_sched_t *sched, uint64_t now_ns);
 bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
 /* tails.c */
 void wl_sched_tails_update(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   wl_out_t *out);
+uint64_t wl_sched_tail_floor(const wl_sched_t *sched, wl_sched_runner_t *runner);
 uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, wl_sched_runner_t *runner,
 				unsigned int image, uint64_t cpu_millis);
 bool wl_sched_tails_at_risk(const wl_sched_t *sched, wl_sched_runner_t *runner);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -55,9 +55,13 @@
 	if (!wl_fit_has_capacity(request, &runner->fit))
 		return false;
 	runner->fit.same_step = step->max_per_target ? same_step(runner, batch) : 0;
+	runner->fit.tail_permille = interferes ? wl_sched_tail_floor(sched, runner) : 0;
+	if (!wl_fit_allows(request, &runner->fit))
+		return false;
+	if (!interferes)
+		return true;
 	runner->fit.tail_permille =
-		interferes ? wl_sched_tail_forecast(sched, runner, batch->image, step->cpu_millis)
-			   : 0;
+		wl_sched_tail_forecast(sched, runner, batch->image, step->cpu_millis);
 	return wl_fit_allows(request, &runner->fit);
 }
 
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -300,12 +300,9 @@
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 	uint64_t last_ns = last_contact_ns(runner);
-	wl_sched_run_t *run;
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
-	TAILQ_FOREACH (run, &runner->runs, link)
-		wl_sched_run_tick(sched, now_ns, run);
 	if (needs_lease && runner->renewal_failed && now_ns > leases_expiry_ns(runner))
 		runs_expire(sched, now_ns, runner, out);
 	else if ((needs_lease || runner->ack_due) && !runner->renewal_id &&
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -116,6 +116,8 @@
 	TAILQ_REMOVE(&run->runner->runs, run, link);
 	if (run->serving)
 		TAILQ_REMOVE(&run->runner->serving, run, serving_link);
+	if (run->stopping)
+		TAILQ_REMOVE(&sched->stopping, run, stopping_link);
 	wl_buf_free(&run->text);
 	wl_buf_free(&run->job);
 	wl_buf_free(&run->checkpoint);
@@ -187,13 +189,25 @@
 	}
 }
 
+/*
+ * wl_sched_run_stop_due - note when a stop was ordered; without an answer it is repeated later
+ */
+void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns)
+{
+	run->stop_sent_ns = sent_ns;
+	if (run->stopping)
+		return;
+	run->stopping = true;
+	TAILQ_INSERT_TAIL(&sched->stopping, run, stopping_link);
+}
+
 static void stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
 	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 	wl_order_t order = {
 		.kind = WL_ORDER_STOP, .run = run->number, .timeout_ms = STOP_TIMEOUT_MS};
 
-	run->stop_sent_ns = now_ns;
+	wl_sched_run_stop_due(sched, run, now_ns);
 	if (!job)
 		return;
 	task_of(run, job, &order.task);
@@ -442,20 +456,28 @@
 		end_apply(sched, now_ns, &rows[i], out);
 }
 
-/*
- * wl_sched_run_tick - repeat an unanswered stop
- */
-void wl_sched_run_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
+static void stop_repeat(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
 	bool wanted = run->stop_wanted || run->phase == WL_RUN_UNCONFIRMED;
 
-	if (!wanted || run->stop_answered_ns || run->stop_sent_ns == 0 ||
-	    run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING)
+	if (!wanted || run->stop_answered_ns || run->phase == WL_RUN_PROPOSED ||
+	    run->phase == WL_RUN_ENDING)
 		return;
 	if (now_ns - run->stop_sent_ns >= (STOP_TIMEOUT_MS + STOP_RETRY_MS) * WL_NS_PER_MS)
 		stop_send(sched, now_ns, run);
 }
 
+/*
+ * wl_sched_stops_tick - repeat the unanswered stops
+ */
+void wl_sched_stops_tick(wl_sched_t *sched, uint64_t now_ns)
+{
+	wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &sched->stopping, stopping_link)
+		stop_repeat(sched, now_ns, run);
+}
+
 /*
  * wl_sched_run_absent - decide whether a run that a renewal answer does not list is over
  * @sent_ns: when the renewal was sent
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -49,6 +49,7 @@
 	wl_map_init(&sched->by_runner);
 	TAILQ_INIT(&sched->runners);
 	wl_map_init(&sched->by_run);
+	TAILQ_INIT(&sched->stopping);
 	TAILQ_INIT(&sched->pending);
 	TAILQ_INIT(&sched->timed);
 	wl_images_init(&sched->images);
@@ -144,7 +145,8 @@
 		known->incarnation = run->incarnation;
 		known->placed_ns = now_ns;
 		known->stop_wanted = wl_job_ended(run->job);
-		known->stop_sent_ns = known->stop_wanted ? 1 : 0; /* due at the next tick */
+		if (known->stop_wanted)
+			wl_sched_run_stop_due(sched, known, 1); /* due at the next tick */
 	}
 }
 
@@ -334,6 +336,7 @@
 {
 	wl_sched_timed_tick(sched, now_ns);
 	wl_sched_orders_expire(sched, now_ns, out);
+	wl_sched_stops_tick(sched, now_ns);
 	wl_sched_runners_tick(sched, now_ns, out);
 	wl_sched_gauges_tick(sched, now_ns);
 }
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -14,6 +14,7 @@
 
 #include "internal.h"
 
+#include <float.h>
 #include <stdlib.h>
 
 /* Permille: values above a hundred times the bound make no difference. */
@@ -111,10 +112,33 @@
 	if (!runner->interference_stale)
 		return;
 	runner->interference_stale = false;
+	runner->headroom_least = DBL_MAX;
 	images = planned_fill(runner, &planned);
-	TAILQ_FOREACH (run, &runner->serving, serving_link)
+	TAILQ_FOREACH (run, &runner->serving, serving_link) {
+		double headroom;
+
 		run->interference =
 			wl_interference_sum_of(&sched->interference, run->image, &planned, images);
+		headroom = run->baseline.headroom - run->interference;
+		if (run->baseline.at_ns && headroom < runner->headroom_least)
+			runner->headroom_least = headroom;
+	}
+}
+
+static uint64_t tail_permille(double headroom)
+{
+	return headroom > HEADROOM_MIN ? (uint64_t)(WL_PERMILLE / headroom) : FORECAST_MAX;
+}
+
+/*
+ * wl_sched_tail_floor - forecast the worst tail latency without an addition
+ *
+ * Return: permille of the bound; no addition has a lower forecast.
+ */
+uint64_t wl_sched_tail_floor(const wl_sched_t *sched, wl_sched_runner_t *runner)
+{
+	wl_sched_interference_update(sched, runner);
+	return tail_permille(runner->headroom_least);
 }
 
 /*
@@ -128,22 +152,20 @@
 {
 	double share = (double)cpu_millis / (double)runner->fit.capacity.cpu_millis;
 	const wl_sched_run_t *run;
-	uint64_t worst = 0;
+	double least = DBL_MAX;
 
 	wl_sched_interference_update(sched, runner);
 	TAILQ_FOREACH (run, &runner->serving, serving_link) {
 		double headroom;
-		uint64_t tail;
 
 		if (run->baseline.at_ns == 0)
 			continue;
 		headroom = run->baseline.headroom - run->interference -
 			   share * wl_interference_weight(&sched->interference, run->image, image);
-		tail = headroom > HEADROOM_MIN ? (uint64_t)(WL_PERMILLE / headroom) : FORECAST_MAX;
-		if (tail > worst)
-			worst = tail;
+		if (headroom < least)
+			least = headroom;
 	}
-	return worst;
+	return tail_permille(least);
 }
 
 /* The same value within one sampling interval is a re-read, not a new sample. */
