sched: a departure waits for the last answer of its target

Its last answer comes through an agent, its departure as a call of its own, which may be committed first; the end then finds no run.

Change: the departure of a target with runs is proposed once the renewal in flight is answered or lost, after 500 ms at the latest.

--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -16,9 +16,12 @@
 	wl_record_copy(&wl_result_schema, &msg->u.result.result, result);
 }
 
-/* Proposes a command, moved from. The daemon is answered once it is applied. */
-static void command_propose(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
-			    wl_cmd_t *cmd, wl_out_t *out)
+/*
+ * wl_sched_command_propose - propose a command of a daemon, which is answered once it is applied
+ * @cmd: moved from
+ */
+void wl_sched_command_propose(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
+			      wl_cmd_t *cmd, wl_out_t *out)
 {
 	wl_sched_proposal_t *proposal = wl_sched_propose(sched, now_ns, cmd, out);
 
@@ -59,7 +62,8 @@
 	wl_result_t result = {0};
 
 	if (report_check(sched, now_ns, &cmd->u.runner_put, &result)) {
-		command_propose(sched, now_ns, peer, call, cmd, out);
+		if (!wl_sched_departure_defer(sched, now_ns, peer, call, cmd))
+			wl_sched_command_propose(sched, now_ns, peer, call, cmd, out);
 	} else {
 		wl_sched_answer(out, peer, call, &result);
 		wl_cmd_free(cmd);
@@ -155,7 +159,7 @@
 		wl_sched_answer(out, peer, command->call, &result);
 		wl_cmd_free(&cmd);
 	} else {
-		command_propose(sched, now_ns, peer, command->call, &cmd, out);
+		wl_sched_command_propose(sched, now_ns, peer, command->call, &cmd, out);
 	}
 	wl_result_free(&result);
 }
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -199,6 +199,10 @@
 	TAILQ_ENTRY(wl_sched_proposal) link;
 } wl_sched_proposal_t;
 
+typedef struct wl_sched_departure wl_sched_departure_t;
+
+TAILQ_HEAD(wl_sched_departures, wl_sched_departure);
+
 struct wl_sched {
 	wl_sched_options_t options;
 	wl_jobs_t *jobs;
@@ -218,6 +222,7 @@
 	TAILQ_HEAD(wl_sched_proposals, wl_sched_proposal) proposals;
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
+	struct wl_sched_departures departures; /* deferred */
 	wl_map_t by_run;
 	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
 	struct wl_task_batch_list pending; /* by rank */
@@ -247,6 +252,15 @@
 void wl_sched_reports_received(wl_sched_t *sched, uint64_t now_ns, const wl_msg_heard_t *msg);
 void wl_sched_answer(wl_out_t *out, wl_str_t peer, uint64_t call, const wl_result_t *result);
 
+void wl_sched_command_propose(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
+			      wl_cmd_t *cmd, wl_out_t *out);
+
+/* departures.c */
+bool wl_sched_departure_defer(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
+			      wl_cmd_t *cmd);
+void wl_sched_departures_propose(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_departures_clear(wl_sched_t *sched);
+
 /* queue.c */
 void wl_sched_job_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job);
 void wl_sched_queue_sort(wl_sched_t *sched, uint64_t now_ns);
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -49,6 +49,7 @@
 	wl_map_init(&sched->by_runner);
 	TAILQ_INIT(&sched->runners);
 	wl_map_init(&sched->by_run);
+	TAILQ_INIT(&sched->departures);
 	TAILQ_INIT(&sched->stopping);
 	TAILQ_INIT(&sched->pending);
 	TAILQ_INIT(&sched->timed);
@@ -73,6 +74,7 @@
 
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_remove(sched, TAILQ_FIRST(&sched->proposals));
+	wl_sched_departures_clear(sched);
 	wl_sched_orders_clear(sched);
 	wl_sched_agents_clear(sched);
 	wl_sched_runners_clear(sched);
@@ -407,6 +409,7 @@
 	default:
 		break;
 	}
+	wl_sched_departures_propose(sched, now_ns, out);
 	if (sched->place_due && now_ns >= sched->next_pass_ns)
 		wl_sched_place(sched, now_ns, out);
 	wl_sched_agents_send(sched, out);
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -347,6 +347,44 @@
 	EXPECT_EQ(starts[0].runner, "i-2");
 }
 
+/*
+ * A target may leave when its last run has ended.  Its last answer lists that end, and passes
+ * through an agent while the departure does not.
+ */
+TEST_F(Sched, EndInTheLastAnswerOfATargetThatLeftCounts)
+{
+	SchedOrder start = start_job("j");
+	SchedOrder last = hold();
+
+	rig.runner("i-2");
+	rig.runner_left("i-1");
+	rig.advance(20);
+	rig.commit();
+	rig.answer_hold(last, {}, {SchedRig::end(start, 1, WL_END_DONE)});
+	rig.advance(10);
+	rig.commit();
+	rig.advance(1000);
+	rig.commit();
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty()) << "the task was started twice";
+	EXPECT_EQ(rig.job_state("j"), "completed");
+}
+
+/* A target that left without an answer does not keep its tasks from running elsewhere. */
+TEST_F(Sched, TasksOfATargetThatLeftWithoutAnAnswerAreRestarted)
+{
+	start_job("j");
+	hold();
+	rig.runner("i-2");
+	rig.runner_left("i-1");
+	rig.advance(600);
+	rig.commit();
+	rig.advance(10);
+	rig.commit();
+	auto starts = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(starts.size(), 1u);
+	EXPECT_EQ(starts[0].runner, "i-2");
+}
+
 TEST_F(Sched, CheckpointOfAStoppedRunIsPassedToTheNext)
 {
 	SchedOrder start = start_job("j");
