--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -35,8 +35,14 @@
  */
 void wl_sched_departures_clear(wl_sched_t *sched)
 {
-	while (!TAILQ_EMPTY(&sched->departures))
-		departure_remove(sched, TAILQ_FIRST(&sched->departures));
+	wl_sched_departure_t *departure = TAILQ_FIRST(&sched->departures);
+
+	while (departure) {
+		wl_sched_departure_t *next = TAILQ_NEXT(departure, link);
+
+		departure_remove(sched, departure);
+		departure = next;
+	}
 }
 
 static bool answer_pending(const wl_sched_t *sched, wl_str_t id)
