sched: tasks with reserved CPU do not wait for the checks of best-effort work

Cause, in part: while best-effort work of some 30 images waits for room, a pass checks each image against all 1,800 targets, and the next pass of any work comes when that cost is a tenth of the time: 27 ms and more later, at each step of each job; and each pass first looked for the largest free amounts of all targets.

Change: best-effort work is considered in full passes, which keep that share of the time; passes between them place tasks with reserved CPU only. The largest free amounts are computed when a step first asks for candidates.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -231,7 +231,9 @@
 	wl_images_t images;
 	wl_interference_t interference;
 	bool place_due;
-	uint64_t next_pass_ns;	   /* no placement pass before */
+	uint64_t next_pass_ns; /* no placement pass before */
+	bool full_pass_due;    /* best-effort work was left out since the last full pass */
+	uint64_t next_full_pass_ns;
 	uint64_t sorted_ns;	   /* when the queue was last sorted */
 	uint64_t lasting_permille; /* of the usable targets' CPU: reserved by lasting tasks */
 	uint64_t lasting_wanted_permille; /* with the pending lasting tasks whose run has ended */
@@ -272,6 +274,7 @@
 void wl_sched_timed_tick(wl_sched_t *sched, uint64_t now_ns);
 
 /* place.c */
+bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* runs.c */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -12,6 +12,9 @@
  * With a backlog on a large fleet, passes would take all CPU time. They are limited to a
  * share of it, by the cost of checking a batch against a target as measured by
  * wl-bench-jobs.
+ *
+ * Best-effort work that waits for room has a limit of its own: passes between its full
+ * passes consider only tasks with reserved CPU, which would otherwise wait for them.
  */
 #define CHECK_COST_NS	  50
 #define PASS_CPU_PERMILLE 100
@@ -72,9 +75,9 @@
 } candidate_t;
 
 typedef struct candidates {
-	candidate_t *items; /* with capacity for all targets; in the order of the targets */
+	candidate_t *items; /* with capacity for all targets, in their order; NULL: not used yet */
 	size_t count;
-	/* largest free amounts at the start of the pass; -1: no usable target */
+	/* largest free amounts when first used in the pass; -1: no usable target */
 	wl_fit_free_t free_max;
 } candidates_t;
 
@@ -82,6 +85,8 @@
 {
 	const wl_sched_runner_t *runner;
 
+	if (candidates->items)
+		return;
 	candidates->items = wl_alloc(wl_map_count(&sched->by_runner) * sizeof(*candidates->items));
 	candidates->free_max = (wl_fit_free_t){-1, -1, -1};
 	TAILQ_FOREACH (runner, &sched->runners, link)
@@ -121,6 +126,7 @@
 {
 	wl_sched_runner_t *runner;
 
+	candidates_init(sched, candidates);
 	candidates->count = 0;
 	if (!wl_fit_free_suffices(&candidates->free_max, request->step)) {
 		interference_refresh(sched, request->step);
@@ -298,7 +304,8 @@
 typedef struct pass {
 	unplaceable_need_t plain;
 	unplaceable_need_t best_effort[WL_IMAGES_MAX]; /* by image: their interference differs */
-	size_t misses;
+	bool full;				       /* considers best-effort work too */
+	size_t misses[2];			       /* by best_effort */
 	candidates_t candidates;
 } pass_t;
 
@@ -314,6 +321,11 @@
 	return step->label.len || step->max_per_target || step->gang || step->accelerators;
 }
 
+static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
+{
+	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
+}
+
 static bool is_unplaceable(pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
@@ -328,17 +340,17 @@
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
 	unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
 
-	pass->misses++;
+	pass->misses[step->best_effort]++;
 	if (is_constrained(step) ||
 	    (unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis))
 		return;
 	*unplaceable_need = (unplaceable_need_t){true, step->cpu_millis, step->memory_mib};
 }
 
-/* Time of the next pass, by the cost of this one. */
-static uint64_t next_pass_at_ns(const wl_sched_t *sched, const pass_t *pass, uint64_t now_ns)
+/* Time from which misses like those of this pass may be repeated. */
+static uint64_t next_pass_at_ns(const wl_sched_t *sched, size_t misses, uint64_t now_ns)
 {
-	uint64_t checks = pass->misses * wl_map_count(&sched->by_runner);
+	uint64_t checks = misses * wl_map_count(&sched->by_runner);
 	uint64_t pause_ns = checks * CHECK_COST_NS * WL_PERMILLE / PASS_CPU_PERMILLE;
 
 	if (pause_ns < PASS_INTERVAL_MIN_US * WL_NS_PER_US)
@@ -346,6 +358,15 @@
 	return now_ns + pause_ns;
 }
 
+/*
+ * wl_sched_place_due - whether a pass is due
+ */
+bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
+{
+	return (sched->place_due && now_ns >= sched->next_pass_ns) ||
+	       (sched->full_pass_due && now_ns >= sched->next_full_pass_ns);
+}
+
 /*
  * wl_sched_place - place the pending tasks that fit, and propose their starts
  */
@@ -355,21 +376,24 @@
 	wl_task_batch_t *batch;
 	pass_t pass = {0};
 
+	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
+	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
-	candidates_init(sched, &pass.candidates);
 	batch = TAILQ_FIRST(&sched->pending);
-	while (batch && pass.misses < MISSES_MAX) {
+	while (batch && pass.misses[false] + pass.misses[true] < MISSES_MAX) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
-		if (!is_unplaceable(&pass, batch) &&
+		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
 			miss_record(&pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
 	free(pass.candidates.items);
-	sched->next_pass_ns = next_pass_at_ns(sched, &pass, now_ns);
+	sched->next_pass_ns = next_pass_at_ns(sched, pass.misses[false], now_ns);
+	if (pass.full)
+		sched->next_full_pass_ns = next_pass_at_ns(sched, pass.misses[true], now_ns);
 	if (sched->starts.runs.count == 0)
 		return;
 	cmd.u.runs_start = sched->starts;
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -84,6 +84,7 @@
 		wl_sched_job_close(sched, job);
 	wl_list_free(&wl_run_start_schema, &sched->starts.runs);
 	sched->place_due = false;
+	sched->full_pass_due = false;
 }
 
 /*
@@ -410,7 +411,7 @@
 		break;
 	}
 	wl_sched_departures_propose(sched, now_ns, out);
-	if (sched->place_due && now_ns >= sched->next_pass_ns)
+	if (wl_sched_place_due(sched, now_ns))
 		wl_sched_place(sched, now_ns, out);
 	wl_sched_agents_send(sched, out);
 }
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -218,3 +218,40 @@
 	for (const char *shape : {"plain", "gang", "rack", "limit", "lasting", "best-effort"})
 		EXPECT_GT(starts_by_shape[shape], 100) << shape;
 }
+
+/*
+ * On a large fleet, best-effort work of many images that fits nowhere must not delay tasks with
+ * reserved CPU: they are placed at the next tick.
+ */
+TEST(Place, ReservedTasksDoNotWaitForTheChecksOfBestEffortWork)
+{
+	const size_t targets = 1800;
+	const size_t images = 30;
+	const uint64_t wait_max_ms = 10;
+	SchedRig rig;
+	uint64_t waited_ms = 0;
+
+	rig.configure("q");
+	for (size_t i = 0; i < targets; i++)
+		rig.runner("i-" + std::to_string(i));
+	for (size_t i = 0; i < images; i++) {
+		wl_step_spec_t *step = rig.job("q", "b" + std::to_string(i), {1});
+
+		step->best_effort = true;
+		step->cpu_millis = 40000;
+		wl_buf_set(&step->image, wl_str_from(("m" + std::to_string(i)).c_str()));
+		rig.submit();
+	}
+	rig.commit();
+	rig.advance(10); /* a pass checks all of them */
+	ASSERT_TRUE(rig.take_orders(WL_ORDER_START).empty());
+	rig.job("q", "r", {1});
+	rig.submit();
+	rig.commit();
+	while (rig.take_orders(WL_ORDER_START).empty() && waited_ms < 1000) {
+		rig.advance(10);
+		rig.commit();
+		waited_ms += 10;
+	}
+	EXPECT_LE(waited_ms, wait_max_ms);
+}
