tests/bench: wl-bench-jobs names why it ends

Above its limit of targets it ended with 1 and no message; so it did without a leader. It now names the argument with what was expected, and what failed.

--- a/tests/bench/jobs.c
+++ b/tests/bench/jobs.c
@@ -231,11 +231,20 @@
 
 	if (argc > 1)
 		target_count = strtoul(argv[1], NULL, 10);
-	if (target_count > TARGETS_MAX || !replicas_init(targets_receive))
+	if (target_count == 0 || target_count > TARGETS_MAX) {
+		fprintf(stderr, "wl-bench-jobs: TARGETS is %s; expected 1 to %d\n", argv[1],
+			TARGETS_MAX);
 		return 1;
+	}
+	if (!replicas_init(targets_receive)) {
+		fprintf(stderr, "wl-bench-jobs: the replicas could not be created\n");
+		return 1;
+	}
 	targets_init(target_count, answer_deliver);
-	if (!prepare(backlog))
+	if (!prepare(backlog)) {
+		fprintf(stderr, "wl-bench-jobs: no replica leads after 20 s of simulated time\n");
 		return 1;
+	}
 	leader = replicas_leader();
 	starts = targets_starts();
 	holds = targets_holds();
