--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -106,6 +106,7 @@
 
 		rejected.pop_front();
 		step(&next);
+		wl_event_free(&next);
 	}
 }
 
