--- a/libwlcore/leader/sessions.c
+++ b/libwlcore/leader/sessions.c
@@ -58,17 +58,21 @@
 	TAILQ_INSERT_TAIL(&leader->sessions, session, link);
 }
 
-/* The members have changed: views become due, unless they do not name them. */
 static void mark_views_due(wl_leader_t *leader)
 {
 	wl_leader_session_t *session;
 
-	if (!wl_state_entries_cooperate(leader->state))
-		return;
 	TAILQ_FOREACH (session, &leader->sessions, link)
 		session->view_due = true;
 }
 
+/* A member has changed: views become due, unless they do not name the members. */
+static void member_changed(wl_leader_t *leader)
+{
+	if (wl_state_entries_cooperate(leader->state))
+		mark_views_due(leader);
+}
+
 /* Matches the records to the sessions in the replicated state. */
 void wl_leader_sessions_sync(wl_leader_t *leader, uint64_t now_ns)
 {
@@ -86,7 +90,7 @@
 	TAILQ_FOREACH (known, &leader->state->sessions, link)
 		if (!wl_leader_session_find(leader, known->id))
 			session_add(leader, now_ns, known);
-	mark_views_due(leader);
+	member_changed(leader);
 	leader->counts_due = true;
 	leader->balance_due = true;
 }
@@ -120,13 +124,10 @@
  */
 void wl_leader_replicas_set(wl_leader_t *leader, const wl_list_t *names)
 {
-	wl_leader_session_t *session;
-
 	if (wl_strings_equal(&leader->replicas, names))
 		return;
 	wl_strings_set(&leader->replicas, names);
-	TAILQ_FOREACH (session, &leader->sessions, link)
-		session->view_due = true;
+	mark_views_due(leader);
 }
 
 static void session_renewed(wl_leader_t *leader, uint64_t now_ns, wl_leader_session_t *session,
@@ -143,7 +144,7 @@
 	if (session->draining == renew->draining)
 		return;
 	session->draining = renew->draining;
-	mark_views_due(leader);
+	member_changed(leader);
 }
 
 static bool open_in_flight(const wl_leader_t *leader, const wl_msg_renew_t *renew)
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -432,7 +432,7 @@
 
 /*
  * wl_msg_orders_reject - make the answer to orders of which none was sent to its target
- * @ordered: initialized as WL_MSG_ORDERED
+ * @ordered: overwritten without release
  */
 void wl_msg_orders_reject(const wl_msg_orders_t *orders, wl_msg_t *ordered)
 {
--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -13,10 +13,9 @@
 #define DEPARTURE_WAIT_MS 500
 
 struct wl_sched_departure {
-	wl_buf_t runner;
 	wl_buf_t peer; /* daemon that waits for the result */
 	uint64_t call;
-	wl_cmd_t cmd;
+	wl_cmd_t cmd; /* WL_CMD_RUNNER_PUT of the target */
 	uint64_t until_ns;
 	TAILQ_ENTRY(wl_sched_departure) link;
 };
@@ -24,7 +23,6 @@
 static void departure_remove(wl_sched_t *sched, wl_sched_departure_t *departure)
 {
 	TAILQ_REMOVE(&sched->departures, departure, link);
-	wl_buf_free(&departure->runner);
 	wl_buf_free(&departure->peer);
 	wl_cmd_free(&departure->cmd);
 	free(departure);
@@ -45,9 +43,10 @@
 	}
 }
 
-static bool answer_pending(const wl_sched_t *sched, wl_str_t id)
+static bool answer_pending(const wl_sched_t *sched, const wl_cmd_t *cmd)
 {
-	const wl_sched_runner_t *runner = wl_sched_runner_find(sched, id);
+	const wl_sched_runner_t *runner =
+		wl_sched_runner_find(sched, wl_buf_str(&cmd->u.runner_put.id));
 
 	return runner && runner->renewal_id && !TAILQ_EMPTY(&runner->runs);
 }
@@ -63,10 +62,9 @@
 {
 	wl_sched_departure_t *departure;
 
-	if (!cmd->u.runner_put.exiting || !answer_pending(sched, wl_buf_str(&cmd->u.runner_put.id)))
+	if (!cmd->u.runner_put.exiting || !answer_pending(sched, cmd))
 		return false;
 	departure = wl_alloc(sizeof(*departure));
-	wl_buf_set(&departure->runner, wl_buf_str(&cmd->u.runner_put.id));
 	wl_buf_set(&departure->peer, peer);
 	departure->call = call;
 	departure->cmd = *cmd;
@@ -89,8 +87,7 @@
 	while (departure) {
 		wl_sched_departure_t *next = TAILQ_NEXT(departure, link);
 
-		if (now_ns >= departure->until_ns ||
-		    !answer_pending(sched, wl_buf_str(&departure->runner))) {
+		if (now_ns >= departure->until_ns || !answer_pending(sched, &departure->cmd)) {
 			wl_sched_command_propose(sched, now_ns, wl_buf_str(&departure->peer),
 						 departure->call, &departure->cmd, out);
 			departure_remove(sched, departure);
