tests/support: a reset that arrives within connect() is a closed connection

Cause: where the reset arrives before connect() returns, connect() fails with ECONNRESET; the object then has no descriptor, and wait_closed() polled none until its time was over. The proxy had done what the test checks. A reset within connect() now counts as closed by the other side; ECONNREFUSED and any other failure still do not.

--- a/tests/support/tcp.cc
+++ b/tests/support/tcp.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -32,7 +33,8 @@
 } // namespace
 
 Tcp::Tcp(Tcp &&other) noexcept
-    : fd(std::exchange(other.fd, -1)), buffer(std::exchange(other.buffer, std::string()))
+    : fd(std::exchange(other.fd, -1)), buffer(std::exchange(other.buffer, std::string())),
+      reset_in_connect(std::exchange(other.reset_in_connect, false))
 {
 }
 
@@ -41,6 +43,7 @@
 	close();
 	fd = std::exchange(other.fd, -1);
 	buffer = std::exchange(other.buffer, std::string());
+	reset_in_connect = std::exchange(other.reset_in_connect, false);
 	return *this;
 }
 
@@ -56,8 +59,10 @@
 
 	if (::connect(fd, reinterpret_cast<sockaddr *>(&at), sizeof(at)) == 0)
 		return Tcp(fd);
+	Tcp failed;
+	failed.reset_in_connect = errno == ECONNRESET;
 	::close(fd);
-	return Tcp();
+	return failed;
 }
 
 bool Tcp::send(const std::string &bytes)
@@ -117,6 +122,8 @@
 {
 	auto until = Clock::now() + std::chrono::milliseconds(timeout_ms);
 
+	if (!open())
+		return reset_in_connect;
 	while (receive(remaining_ms(until)))
 		;
 	pollfd wait = {fd, POLLIN, 0};
--- a/tests/support/tcp.h
+++ b/tests/support/tcp.h
@@ -29,7 +29,10 @@
 	 */
 	std::string read_until(const std::string &delimiter, int timeout_ms = 5000);
 	std::string read_bytes(size_t count, int timeout_ms = 5000);
-	/* Whether the other side closes within the time-out. */
+	/*
+	 * Whether the other side closes within the time-out. A reset that arrives before connect()
+	 * returns counts: the other side had accepted the connection.
+	 */
 	bool wait_closed(int timeout_ms = 5000);
 	void close(bool reset = false);
 
@@ -39,6 +42,7 @@
 	bool receive(int timeout_ms);
 
 	std::string buffer;
+	bool reset_in_connect = false;
 };
 
 /* A listening socket on a port chosen by the kernel. */
