--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -71,12 +71,20 @@
 	return NULL;
 }
 
+static uint64_t next_bit(const wl_sched_t *sched)
+{
+	const wl_sched_agent_t *newest = TAILQ_LAST(&sched->agents, wl_sched_agents);
+
+	return newest ? newest->bit << 1 : 1;
+}
+
 static wl_sched_agent_t *agent_add(wl_sched_t *sched, wl_str_t name)
 {
 	wl_sched_agent_t *agent = wl_alloc(sizeof(*agent));
 
 	wl_buf_set(&agent->name, name);
 	agent->seed = wl_str_hash(name, 0);
+	agent->bit = next_bit(sched);
 	TAILQ_INSERT_TAIL(&sched->agents, agent, link);
 	return agent;
 }
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -37,11 +37,6 @@
 
 	wl_result_ok(result, 0);
 	wl_buf_set(&result->report_to, wl_sched_report_to(sched, wl_buf_str(&report->id)));
-	if (report->exiting) {
-		if (runner && report->incarnation == 0)
-			report->incarnation = runner->state->report.incarnation;
-		return runner != NULL;
-	}
 	if (sched->jobs->configured &&
 	    !wl_catalog_service(&sched->jobs->catalog, wl_buf_str(&report->service))) {
 		wl_result_fail(result, WL_E_BAD_INPUT, "service of the target is not configured");
@@ -61,9 +56,12 @@
 {
 	wl_result_t result = {0};
 
+	if (cmd->u.runner_put.exiting) {
+		wl_sched_departure_receive(sched, now_ns, peer, call, cmd, out);
+		return;
+	}
 	if (report_check(sched, now_ns, &cmd->u.runner_put, &result)) {
-		if (!wl_sched_departure_defer(sched, now_ns, peer, call, cmd))
-			wl_sched_command_propose(sched, now_ns, peer, call, cmd, out);
+		wl_sched_command_propose(sched, now_ns, peer, call, cmd, out);
 	} else {
 		wl_sched_answer(out, peer, call, &result);
 		wl_cmd_free(cmd);
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -57,6 +57,7 @@
 	bool throttle_sent;	     /* a THROTTLE order is in flight */
 	uint64_t throttled_since_ns; /* at SPEED_STALLED or below since then; 0: it is not */
 	wl_buf_t checkpoint;
+	const char *end_reason;		/* how its end is known; NULL: it is not proposed */
 	TAILQ_ENTRY(wl_sched_run) link; /* in the list of its runner */
 	TAILQ_ENTRY(wl_sched_run) serving_link;
 	bool stopping; /* in wl_sched.stopping */
@@ -108,6 +109,11 @@
 	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
 	uint64_t failed_job; /* hash of the job of the newest one */
 	bool removal_proposed;
+	const char *removal_reason;
+	wl_buf_t address; /* as of the newest committed report */
+	uint64_t lookup;  /* rises when the address or the incarnation changes */
+	/* bits of the agents that had an answer of this incarnation at this address */
+	uint64_t answered_agents;
 	TAILQ_ENTRY(wl_sched_runner) link;
 } wl_sched_runner_t;
 
@@ -157,6 +163,7 @@
 typedef struct wl_sched_agent {
 	wl_buf_t name;
 	uint64_t seed; /* seed of its rendezvous hash */
+	uint64_t bit;  /* in wl_sched_runner.answered_agents; 0: none is left */
 	bool usable;   /* reachable; the leader's own agent is the fallback and needs no flag */
 	uint64_t unusable_until_ns; /* not used before */
 	wl_list_t orders;	    /* wl_order_t; sent at the end of wl_sched_step() */
@@ -178,6 +185,7 @@
 	wl_order_kind_t kind;
 	wl_buf_t runner;
 	uint64_t incarnation; /* of the target, when the order was created */
+	uint64_t lookup;      /* wl_sched_runner.lookup at that time */
 	wl_buf_t run;	      /* key of the run; empty: the order concerns no known run */
 	uint64_t percent;     /* THROTTLE: percent of full speed */
 	uint64_t lease_ms;
@@ -258,8 +266,8 @@
 			      wl_cmd_t *cmd, wl_out_t *out);
 
 /* departures.c */
-bool wl_sched_departure_defer(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
-			      wl_cmd_t *cmd);
+void wl_sched_departure_receive(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
+				wl_cmd_t *cmd, wl_out_t *out);
 void wl_sched_departures_propose(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_departures_clear(wl_sched_t *sched);
 
@@ -291,7 +299,10 @@
 			   const wl_order_end_t *end, wl_out_t *out);
 void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
 		       wl_out_t *out);
-void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, wl_cmd_runs_end_t *ends);
+void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
+			  wl_cmd_runs_end_t *ends);
+void wl_sched_run_end_log(const wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
+			  wl_out_t *out);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
 			   wl_out_t *out);
 void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
@@ -314,7 +325,7 @@
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
 void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
-void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
 void wl_sched_renewal_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
@@ -324,6 +335,16 @@
 void wl_sched_renewal_schedule(wl_sched_runner_t *runner, uint64_t due_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* losses.c */
+void wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			  wl_out_t *out);
+void wl_sched_absent_collect(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			     uint64_t sent_ns, wl_cmd_runs_end_t *ends);
+void wl_sched_removal_propose(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			      const char *reason, const wl_sched_agent_t *agent, wl_out_t *out);
+void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			      wl_out_t *out);
+
 /* gauges.c */
 void wl_sched_gauges_tick(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_gauges_clear(wl_sched_t *sched);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -25,6 +25,7 @@
 	in_flight->key = (wl_str_t){(const char *)&in_flight->id, sizeof(in_flight->id)};
 	in_flight->kind = (wl_order_kind_t)order->kind;
 	in_flight->incarnation = runner->state->report.incarnation;
+	in_flight->lookup = runner->lookup;
 	in_flight->percent = order->percent;
 	in_flight->sent_ns = now_ns;
 	in_flight->lease_ms = order->lease_ms;
@@ -79,6 +80,15 @@
 	runner->clock_ns = now_ns;
 }
 
+/* Only the answer to a renewal names the incarnation that gave it. */
+static void agent_answered(wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
+			   const wl_order_end_t *end)
+{
+	if (in_flight->kind == WL_ORDER_RENEW && end->outcome == WL_ORDER_DONE &&
+	    end->incarnation == runner->incarnation && in_flight->lookup == runner->lookup)
+		runner->answered_agents |= in_flight->agent->bit;
+}
+
 static void lease_answered(wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
 			   const wl_order_end_t *end)
 {
@@ -95,6 +105,7 @@
 			       now_ns - in_flight->sent_ns);
 	if (runner) {
 		runner_answered(runner, now_ns, end);
+		agent_answered(runner, in_flight, end);
 		lease_answered(runner, in_flight, end);
 		if (in_flight->kind == WL_ORDER_RENEW)
 			wl_sched_renewal_answered(sched, now_ns, runner, in_flight, end, out);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -42,6 +42,23 @@
 	       EXPIRY_MARGIN_MS * WL_NS_PER_MS;
 }
 
+/* What agents had as answers says nothing of another address or incarnation. */
+static void lookup_begin(wl_sched_runner_t *runner)
+{
+	runner->lookup++;
+	runner->answered_agents = 0;
+}
+
+static void address_update(wl_sched_runner_t *runner)
+{
+	wl_str_t address = wl_buf_str(&runner->state->report.address);
+
+	if (wl_str_equal(wl_buf_str(&runner->address), address))
+		return;
+	wl_buf_set(&runner->address, address);
+	lookup_begin(runner);
+}
+
 static void fit_update(wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
@@ -94,6 +111,7 @@
 		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
 	}
 	runner->state = state;
+	address_update(runner);
 	fit_update(runner);
 	usable_update(sched, runner, now_ns);
 	return runner;
@@ -117,6 +135,7 @@
 	runner->ack_due = false;
 	runner->failures = 0;
 	runner->removal_proposed = false;
+	lookup_begin(runner);
 }
 
 /*
@@ -143,13 +162,17 @@
 	runner->clock_ns = now_ns;
 }
 
-static void runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner)
+/*
+ * wl_sched_runner_remove - release a target and its runs
+ */
+void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner)
 {
 	while (!TAILQ_EMPTY(&runner->runs))
 		wl_sched_run_remove(sched, TAILQ_FIRST(&runner->runs));
 	wl_map_remove(&sched->by_runner, runner->key);
 	TAILQ_REMOVE(&sched->runners, runner, link);
 	wl_buf_free(&runner->id);
+	wl_buf_free(&runner->address);
 	free(runner);
 }
 
@@ -159,26 +182,7 @@
 void wl_sched_runners_clear(wl_sched_t *sched)
 {
 	while (!TAILQ_EMPTY(&sched->runners))
-		runner_remove(sched, TAILQ_FIRST(&sched->runners));
-}
-
-/*
- * wl_sched_runner_departed - remove a target that has left, and queue the tasks that it ran
- */
-void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
-{
-	wl_sched_run_t *run;
-
-	while ((run = TAILQ_FIRST(&runner->runs))) {
-		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
-		uint64_t task = run->task;
-		uint64_t ended_ns = run->phase == WL_RUN_PROPOSED ? run->previous_end_ns : now_ns;
-
-		wl_sched_run_remove(sched, run);
-		if (job)
-			wl_sched_task_enqueue(sched, now_ns, job, task, ended_ns);
-	}
-	runner_remove(sched, runner);
+		wl_sched_runner_remove(sched, TAILQ_FIRST(&sched->runners));
 }
 
 /*
@@ -261,40 +265,6 @@
 							  : runner->previous_leases_expiry_ns;
 }
 
-static void runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			wl_out_t *out)
-{
-	wl_cmd_runs_end_t ends = {0};
-	wl_sched_run_t *run;
-
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
-			wl_sched_run_end_add(run, WL_END_LOST, &ends);
-	wl_out_log(out, WL_WARN, "target-lapsed",
-		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu",
-		   WL_STR_ARG(runner->key), ends.ends.count,
-		   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS),
-		   (unsigned long long)sched->options.lease_ms);
-	wl_sched_ends_propose(sched, now_ns, &ends, out);
-}
-
-static void removal_propose(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			    const char *reason, wl_out_t *out)
-{
-	wl_cmd_t cmd = {.kind = WL_CMD_RUNNER_PUT};
-
-	runner->removal_proposed = true;
-	wl_buf_set(&cmd.u.runner_put.id, runner->key);
-	cmd.u.runner_put.incarnation = runner->state->report.incarnation;
-	cmd.u.runner_put.exiting = true;
-	wl_out_log(out, WL_WARN, "target-gone",
-		   "target=" WL_STR_FMT " reason=%s answered_ms=%llu life=%llu",
-		   WL_STR_ARG(runner->key), reason,
-		   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS),
-		   (unsigned long long)runner->incarnation);
-	wl_sched_propose(sched, now_ns, &cmd, out);
-}
-
 static void runner_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			wl_out_t *out)
 {
@@ -304,7 +274,7 @@
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
 	if (needs_lease && runner->renewal_failed && now_ns > leases_expiry_ns(runner))
-		runs_expire(sched, now_ns, runner, out);
+		wl_sched_runs_expire(sched, now_ns, runner, out);
 	else if ((needs_lease || runner->ack_due) && !runner->renewal_id &&
 		 now_ns >= runner->renewal_due_ns)
 		renewal_send(sched, now_ns, runner, needs_lease);
@@ -312,7 +282,7 @@
 		last_ns = sched->leader_since_ns;
 	if (TAILQ_EMPTY(&runner->runs) && !runner->removal_proposed &&
 	    now_ns - last_ns > REMOVE_AFTER_MS * WL_NS_PER_MS)
-		removal_propose(sched, now_ns, runner, "silent", out);
+		wl_sched_removal_propose(sched, now_ns, runner, "silent", NULL, out);
 }
 
 /*
@@ -398,20 +368,10 @@
 			continue;
 		if (views[i].checkpoint.len)
 			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
-		wl_sched_run_end_add(run, (wl_run_outcome_t)views[i].outcome, ends);
+		wl_sched_run_end_add(run, (wl_run_outcome_t)views[i].outcome, "listed", ends);
 	}
 }
 
-static void absent_collect(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			   uint64_t sent_ns, wl_cmd_runs_end_t *ends)
-{
-	wl_sched_run_t *run;
-
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns))
-			wl_sched_run_end_add(run, WL_END_LOST, ends);
-}
-
 /* Ends are acknowledged to the target only once they are committed. */
 static void ends_commit(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			wl_cmd_runs_end_t *ends, wl_out_t *out)
@@ -473,7 +433,7 @@
 	if (runner->renewal_id == order->id)
 		runner->renewal_id = 0;
 	if (address_taken(runner, order, end)) {
-		removal_propose(sched, now_ns, runner, "address-taken", out);
+		wl_sched_removal_propose(sched, now_ns, runner, "address-taken", order->agent, out);
 		return;
 	}
 	if (end->outcome == WL_ORDER_AGENT_LOST) { /* says nothing about the target */
@@ -500,6 +460,6 @@
 	wl_sched_tails_update(sched, now_ns, runner, out);
 	ends_collect(sched, runner, end, &ends);
 	if (end->ends.count < ENDS_LISTED_MAX)
-		absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
+		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
 	ends_commit(sched, now_ns, runner, &ends, out);
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -233,8 +233,10 @@
 
 /*
  * wl_sched_run_end_add - add the end of a run to the ends to be committed
+ * @reason: for the log: how the leader knows of it
  */
-void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, wl_cmd_runs_end_t *ends)
+void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
+			  wl_cmd_runs_end_t *ends)
 {
 	wl_run_end_t *row = wl_list_add(&wl_run_end_schema, &ends->ends);
 
@@ -245,6 +247,7 @@
 	row->outcome = outcome;
 	wl_buf_set(&row->checkpoint, wl_buf_str(&run->checkpoint));
 	run->phase = WL_RUN_ENDING;
+	run->end_reason = reason;
 }
 
 /*
@@ -262,11 +265,11 @@
 }
 
 static void run_end_propose(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
-			    wl_run_outcome_t outcome, wl_out_t *out)
+			    wl_run_outcome_t outcome, const char *reason, wl_out_t *out)
 {
 	wl_cmd_runs_end_t ends = {0};
 
-	wl_sched_run_end_add(run, outcome, &ends);
+	wl_sched_run_end_add(run, outcome, reason, &ends);
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
@@ -287,7 +290,7 @@
 	if (outcome == WL_ORDER_UNHEALTHY || outcome == WL_ORDER_NOT_SENT ||
 	    outcome == WL_ORDER_OTHER_INCARNATION)
 		runner_quarantine(run->runner, now_ns, UNHEALTHY_QUARANTINE_MS);
-	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, out);
+	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "refused", out);
 }
 
 static void start_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
@@ -379,13 +382,19 @@
 		   FAILURES_QUARANTINE_MS);
 }
 
-static void end_log(const wl_run_end_t *end, wl_out_t *out)
+/*
+ * wl_sched_run_end_log - log the committed end of a run
+ * @reason: how the leader knows of it
+ */
+void wl_sched_run_end_log(const wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
+			  wl_out_t *out)
 {
 	wl_out_log(out, WL_INFO, "run-end",
-		   "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT " how=%s",
-		   WL_STR_ARG(wl_buf_str(&end->job)), (unsigned long long)end->task,
-		   (unsigned long long)end->run, WL_STR_ARG(wl_buf_str(&end->runner)),
-		   wl_run_outcome_names[end->outcome]);
+		   "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT
+		   " how=%s reason=%s life=%llu",
+		   WL_STR_ARG(wl_buf_str(&run->job)), (unsigned long long)run->task,
+		   (unsigned long long)run->number, WL_STR_ARG(run->runner->key),
+		   wl_run_outcome_names[outcome], reason, (unsigned long long)run->incarnation);
 }
 
 /* Stops the remaining runs of a job that has ended. */
@@ -427,7 +436,8 @@
 	if (!run)
 		return;
 	ended_ns = end->outcome == WL_END_NOT_STARTED ? run->previous_end_ns : now_ns;
-	end_log(end, out);
+	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
+			     run->end_reason ? run->end_reason : "other", out);
 	failures_count(run->runner, now_ns, end, out);
 	wl_sched_run_remove(sched, run);
 	if (!job)
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -223,8 +223,7 @@
 	}
 	if (!runner)
 		return;
-	wl_out_log(out, WL_INFO, "target-left", "target=" WL_STR_FMT, WL_STR_ARG(runner->key));
-	wl_sched_runner_departed(sched, now_ns, runner);
+	wl_sched_runner_departed(sched, now_ns, runner, out);
 }
 
 static void job_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_add_t *add,
