sched: a departure ends no run; the target is removed once it runs nothing

Cause: the commit of a departure ended all runs of the target, at most 500 ms after it was received. A target whose call is not acknowledged works on for some seconds (and also while an acknowledgement is on its way), with valid leases, and the tasks started elsewhere meanwhile. Now a target that has announced its departure gets no starts and no further leases, its runs are ordered to stop, and it is removed once it has none left: ends listed (with their checkpoints), absent, or all leases expired. The call is answered once no run is left or after 500 ms, without a commit; a leader that is lost in between leaves the runs to their leases. A start that is committed after the departure is ended as not started.

unit.sched_departure_test, 10 cases. The two that pass before guard the bound (a silent departure delays a task by a lease at most: 6000 ms / 0.98 + 300 ms) and a change of leaders.

Changed tests of unit.sched_test: their target left without having drained, which the protocol excludes; it drains first now. TasksOfATargetThatLeftAreRestarted expected a start at once, although the target had a valid lease and had listed no end; it expects none before the listed end, and one at once after it. TasksOfATargetThatLeftWithoutAnAnswerAreRestarted expected a start 600 ms after a silent departure, which is the fault itself; TaskOfATargetThatLeftInSilenceWaitsNoLongerThanItsLease takes its place and bounds the wait.

--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -57,7 +57,8 @@
 	wl_result_t result = {0};
 
 	if (cmd->u.runner_put.exiting) {
-		wl_sched_departure_receive(sched, now_ns, peer, call, cmd, out);
+		wl_sched_departure_receive(sched, now_ns, peer, call, &cmd->u.runner_put, out);
+		wl_cmd_free(cmd);
 		return;
 	}
 	if (report_check(sched, now_ns, &cmd->u.runner_put, &result)) {
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -108,6 +108,7 @@
 	uint64_t quarantined_until_ns; /* no starts before; 0: not quarantined */
 	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
 	uint64_t failed_job; /* hash of the job of the newest one */
+	bool departing;	     /* this incarnation has announced its departure */
 	bool removal_proposed;
 	const char *removal_reason;
 	wl_buf_t address; /* as of the newest committed report */
@@ -230,7 +231,7 @@
 	TAILQ_HEAD(wl_sched_proposals, wl_sched_proposal) proposals;
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
-	struct wl_sched_departures departures; /* deferred */
+	struct wl_sched_departures departures; /* not answered yet */
 	wl_map_t by_run;
 	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
 	struct wl_task_batch_list pending; /* by rank */
@@ -267,8 +268,8 @@
 
 /* departures.c */
 void wl_sched_departure_receive(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
-				wl_cmd_t *cmd, wl_out_t *out);
-void wl_sched_departures_propose(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+				const wl_runner_report_t *report, wl_out_t *out);
+void wl_sched_departures_answer(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_departures_clear(wl_sched_t *sched);
 
 /* queue.c */
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -60,7 +60,7 @@
 	wl_buf_set(&cmd.u.runner_put.id, runner->key);
 	cmd.u.runner_put.incarnation = runner->state->report.incarnation;
 	cmd.u.runner_put.exiting = true;
-	wl_out_log(out, WL_WARN, "target-gone",
+	wl_out_log(out, runner->departing ? WL_INFO : WL_WARN, "target-gone",
 		   "target=" WL_STR_FMT " reason=%s answered_ms=%llu life=%llu address=" WL_STR_FMT
 		   " agent=" WL_STR_FMT " agent_answered=%s",
 		   WL_STR_ARG(runner->key), reason,
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -81,8 +81,8 @@
 static void usable_update(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	uint64_t last_ns = last_contact_ns(runner);
-	bool usable = !runner->state->departed_ms && !runner->state->report.draining &&
-		      runner->clock_ns && last_ns &&
+	bool usable = !runner->state->departed_ms && !runner->departing &&
+		      !runner->state->report.draining && runner->clock_ns && last_ns &&
 		      now_ns - last_ns < UNREACHABLE_MS * WL_NS_PER_MS &&
 		      now_ns >= runner->quarantined_until_ns;
 
@@ -134,6 +134,7 @@
 	runner->end_proposals = 0;
 	runner->ack_due = false;
 	runner->failures = 0;
+	runner->departing = false;
 	runner->removal_proposed = false;
 	lookup_begin(runner);
 }
@@ -247,7 +248,7 @@
 	if (order.wait_ms && wl_sched_tails_at_risk(sched, runner))
 		order.wait_ms = RENEWAL_TAILS_MS;
 	order.timeout_ms = order.wait_ms + RENEWAL_TIMEOUT_MS;
-	if (runner->clock_ns && !runner->renewal_failed)
+	if (runner->clock_ns && !runner->renewal_failed && !runner->departing)
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
 	runner->ack_due = false;
 	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
@@ -273,15 +274,19 @@
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
-	if (needs_lease && runner->renewal_failed && now_ns > leases_expiry_ns(runner))
+	if (needs_lease && (runner->renewal_failed || runner->departing) &&
+	    now_ns > leases_expiry_ns(runner))
 		wl_sched_runs_expire(sched, now_ns, runner, out);
 	else if ((needs_lease || runner->ack_due) && !runner->renewal_id &&
 		 now_ns >= runner->renewal_due_ns)
 		renewal_send(sched, now_ns, runner, needs_lease);
+	if (!TAILQ_EMPTY(&runner->runs) || runner->removal_proposed)
+		return;
 	if (last_ns < sched->leader_since_ns)
 		last_ns = sched->leader_since_ns;
-	if (TAILQ_EMPTY(&runner->runs) && !runner->removal_proposed &&
-	    now_ns - last_ns > REMOVE_AFTER_MS * WL_NS_PER_MS)
+	if (runner->departing)
+		wl_sched_removal_propose(sched, now_ns, runner, "departed", NULL, out);
+	else if (now_ns - last_ns > REMOVE_AFTER_MS * WL_NS_PER_MS)
 		wl_sched_removal_propose(sched, now_ns, runner, "silent", NULL, out);
 }
 
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -159,36 +159,6 @@
 		   (unsigned long long)run->runner->fit.used.cpu_millis);
 }
 
-/*
- * wl_sched_starts_applied - send the start orders of committed starts
- *
- * If the job state rejected a start, for example because its job was cancelled meanwhile, the run
- * is removed.
- */
-void wl_sched_starts_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_start_t *cmd,
-			     wl_out_t *out)
-{
-	const wl_run_start_t *rows = cmd->runs.items;
-
-	for (size_t i = 0; i < cmd->runs.count; i++) {
-		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&rows[i].job));
-		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
-							rows[i].task, rows[i].run);
-		uint64_t previous_end_ns;
-
-		if (!run || run->phase != WL_RUN_PROPOSED)
-			continue;
-		if (job && wl_job_run(job, rows[i].task, rows[i].run)) {
-			start_send(sched, now_ns, run, job, out);
-			continue;
-		}
-		previous_end_ns = run->previous_end_ns;
-		wl_sched_run_remove(sched, run);
-		if (job)
-			wl_sched_task_enqueue(sched, now_ns, job, rows[i].task, previous_end_ns);
-	}
-}
-
 /*
  * wl_sched_run_stop_due - note when a stop was ordered; without an answer it is repeated later
  */
@@ -273,6 +243,46 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
+/* A target that leaves gets no starts, those that were chosen before its departure included. */
+static void start_committed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			    const wl_job_t *job, wl_out_t *out)
+{
+	if (run->runner->departing)
+		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "departing", out);
+	else
+		start_send(sched, now_ns, run, job, out);
+}
+
+/*
+ * wl_sched_starts_applied - send the start orders of committed starts
+ *
+ * If the job state rejected a start, for example because its job was cancelled meanwhile, the run
+ * is removed.
+ */
+void wl_sched_starts_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_start_t *cmd,
+			     wl_out_t *out)
+{
+	const wl_run_start_t *rows = cmd->runs.items;
+
+	for (size_t i = 0; i < cmd->runs.count; i++) {
+		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&rows[i].job));
+		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
+							rows[i].task, rows[i].run);
+		uint64_t previous_end_ns;
+
+		if (!run || run->phase != WL_RUN_PROPOSED)
+			continue;
+		if (job && wl_job_run(job, rows[i].task, rows[i].run)) {
+			start_committed(sched, now_ns, run, job, out);
+			continue;
+		}
+		previous_end_ns = run->previous_end_ns;
+		wl_sched_run_remove(sched, run);
+		if (job)
+			wl_sched_task_enqueue(sched, now_ns, job, rows[i].task, previous_end_ns);
+	}
+}
+
 static void runner_quarantine(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t ms)
 {
 	uint64_t until_ns = now_ns + ms * WL_NS_PER_MS;
