sched: the first report to a new leader does not undo a departure

A new leader knows no incarnation of a target until its first report or answer. A departure before that left it at zero, so that the next report of the same incarnation began a new one and ended the departing state: the target got leases again. ReportThatANewLeaderGetsAfterTheDepartureDoesNotUndoIt: failed before (hold with a lease until 12050 instead of none).

--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -57,13 +57,19 @@
 	return count;
 }
 
+/* A new leader that had no report of the target yet knows only what is committed. */
+static uint64_t known_incarnation(const wl_sched_runner_t *runner)
+{
+	return runner->incarnation ? runner->incarnation : runner->state->report.incarnation;
+}
+
 /* Return: why the departure has no effect; NULL: it has. */
 static const char *departure_check(const wl_sched_runner_t *runner,
 				   const wl_runner_report_t *report)
 {
 	if (!runner)
 		return "unknown";
-	if (report->incarnation && report->incarnation != runner->incarnation)
+	if (report->incarnation && report->incarnation != known_incarnation(runner))
 		return "other-life";
 	return NULL;
 }
@@ -97,6 +103,7 @@
 
 	if (runner->departing)
 		return;
+	runner->incarnation = known_incarnation(runner);
 	runner->departing = true;
 	runner->fit.usable = false;
 	TAILQ_FOREACH (run, &runner->runs, link)
--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -218,3 +218,16 @@
 	EXPECT_NE(wl_jobs_runner(rig.jobs, WL_STR("i-1"))->departed_ms, 0u);
 	EXPECT_EQ(rig.job_state("j"), "completed");
 }
+
+TEST_F(Departure, ReportThatANewLeaderGetsAfterTheDepartureDoesNotUndoIt)
+{
+	SchedOrder start = run_on_draining_target();
+
+	rig.follow();
+	rig.orders.clear();
+	rig.lead(2);
+	rig.runner_left("i-1");
+	drain();
+	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
+	EXPECT_EQ(hold().lease_ms, 0u);
+}
