sched: a departure that names no incarnation counts only if the known one drains

Cause: the call of a target that leaves names no incarnation, and was applied to the one that the leader knew when it decided. A call that is delayed, or sent again to another daemon, could stop and remove an incarnation that had started under the same id since. Why it works: the protocol has a target report that it drains before it leaves, acknowledged, which is after the commit of that report. A known incarnation that has not reported it did not send the call. It is acknowledged and logged (target-leave-ignored reason=not-draining); if it was right after all, silence and the leases end the runs.

Tests of unit.sched_departure_test, on the code before: CallOfAnEarlierIncarnationDoesNotStopTheRunsOfTheNext (a stop was ordered, no lease renewed), CallOfAnEarlierIncarnationDoesNotCountOnceAnAnswerNamedTheNext (the target was removed from the state).

--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -63,7 +63,19 @@
 	return runner->incarnation ? runner->incarnation : runner->state->report.incarnation;
 }
 
-/* Return: why the departure has no effect; NULL: it has. */
+/* Whether the incarnation that is known has announced that it drains, as one that leaves does. */
+static bool has_drained(const wl_sched_runner_t *runner)
+{
+	const wl_runner_report_t *report = &runner->state->report;
+
+	return report->draining && report->incarnation == known_incarnation(runner);
+}
+
+/*
+ * A call that is late or sent again may come from an earlier incarnation.
+ *
+ * Return: why the departure has no effect; NULL: it has.
+ */
 static const char *departure_check(const wl_sched_runner_t *runner,
 				   const wl_runner_report_t *report)
 {
@@ -71,6 +83,8 @@
 		return "unknown";
 	if (report->incarnation && report->incarnation != known_incarnation(runner))
 		return "other-life";
+	if (report->incarnation == 0 && !has_drained(runner))
+		return "not-draining";
 	return NULL;
 }
 
--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -231,3 +231,31 @@
 	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
 	EXPECT_EQ(hold().lease_ms, 0u);
 }
+
+TEST_F(Departure, CallOfAnEarlierIncarnationDoesNotStopTheRunsOfTheNext)
+{
+	drain();
+	rig.runner("i-1", 32000, 2);
+	SchedOrder start = start_job("j");
+
+	rig.answer_hold(hold(), {SchedRig::view(start)}, {}, 2);
+	rig.take_results();
+	rig.runner_left("i-1");
+	EXPECT_EQ(rig.take_results(), 1u);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
+	EXPECT_GT(hold().lease_ms, 0u);
+}
+
+/* The newest committed report is that of the earlier incarnation. */
+TEST_F(Departure, CallOfAnEarlierIncarnationDoesNotCountOnceAnAnswerNamedTheNext)
+{
+	run_on_draining_target();
+	rig.answer_hold(hold(), {}, {}, 2);
+	rig.take_results();
+	rig.runner_left("i-1");
+	EXPECT_EQ(rig.take_results(), 1u) << "answered at once";
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
+	rig.advance(1000);
+	rig.commit();
+	EXPECT_EQ(wl_jobs_runner(rig.jobs, WL_STR("i-1"))->departed_ms, 0u);
+}
