sched: the answer of another target proves an end only where ours had answered, or a later one starts

Cause: a 421 answer to any hold ended all runs of the target. It proves that another process answers where this agent called, which is also the case after a report of a new address that is on its way, or on a wrong path of one agent. Now it is a proof only if this agent had an answer of this incarnation at this address since the address last changed, or if another target with a later start has reported the address. Otherwise the hold has failed: its clock is not taken, no further lease is given until a hold succeeds, the agent is avoided for this target, and the runs end with their leases.

--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -400,15 +400,34 @@
 	runner->renewal_due_ns = now_ns + RENEWAL_WAIT_MS * WL_NS_PER_MS;
 }
 
+/* Whether a target that has started later has reported the address of this one. */
+static bool later_target_at_address(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+{
+	const wl_sched_runner_t *other;
+
+	TAILQ_FOREACH (other, &sched->runners, link)
+		if (other->state->report.incarnation > runner->state->report.incarnation &&
+		    wl_str_equal(wl_buf_str(&other->address), wl_buf_str(&runner->address)))
+			return true;
+	return false;
+}
+
 /*
- * Whether another target, or another incarnation of this one, answers at the address of the
- * newest committed report. The reported incarnation has then ended with all its runs.
+ * Whether the answer proves that the reported incarnation has ended with all its runs. That
+ * another target answers is a proof only if this one was at the address before, as the agent
+ * has found, or if the other one has started later.
  */
-static bool address_taken(const wl_sched_runner_t *runner, const wl_sched_order_t *order,
-			  const wl_order_end_t *end)
+static bool address_taken(const wl_sched_t *sched, const wl_sched_runner_t *runner,
+			  const wl_sched_order_t *order, const wl_order_end_t *end)
 {
-	return end->outcome == WL_ORDER_OTHER_INCARNATION && !runner->removal_proposed &&
-	       order->incarnation == runner->state->report.incarnation;
+	if (end->outcome != WL_ORDER_OTHER_INCARNATION || runner->removal_proposed)
+		return false;
+	if (order->lookup != runner->lookup ||
+	    order->incarnation != runner->state->report.incarnation ||
+	    (runner->incarnation && order->incarnation != runner->incarnation))
+		return false;
+	return (runner->answered_agents & order->agent->bit) ||
+	       later_target_at_address(sched, runner);
 }
 
 static void renewal_fail(uint64_t now_ns, wl_sched_runner_t *runner, const wl_sched_order_t *order,
@@ -420,7 +439,8 @@
 			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
 			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
 	runner->renewal_failed = true;
-	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT)
+	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
+	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		wl_sched_agent_avoid(runner, now_ns, order->agent);
 	wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
 }
@@ -437,7 +457,7 @@
 
 	if (runner->renewal_id == order->id)
 		runner->renewal_id = 0;
-	if (address_taken(runner, order, end)) {
+	if (address_taken(sched, runner, order, end)) {
 		wl_sched_removal_propose(sched, now_ns, runner, "address-taken", order->agent, out);
 		return;
 	}
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -269,7 +269,7 @@
 	cmd.kind = WL_CMD_RUNNER_PUT;
 	wl_buf_set(&report.id, str(id));
 	wl_buf_set(&report.service, WL_STR("sort"));
-	wl_buf_set(&report.address, WL_STR("10.0.0.1:80"));
+	wl_buf_set(&report.address, str(address));
 	wl_buf_set(&report.rack, str(rack));
 	wl_strings_add(&report.labels, WL_STR("a"));
 	wl_strings_add(&report.labels, str(rack));
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -78,8 +78,9 @@
 	const wl_job_t *find(const std::string &id) const;
 
 	uint64_t now = 1000000000;
-	uint64_t clock_offset_ms = 5000; /* how far every target's clock is ahead of ours */
-	uint64_t objective_ms = 0;	 /* for the queues that are configured next */
+	uint64_t clock_offset_ms = 5000;     /* how far every target's clock is ahead of ours */
+	std::string address = "10.0.0.1:80"; /* of the targets that report next */
+	uint64_t objective_ms = 0;	     /* for the queues that are configured next */
 	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
