--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -135,6 +135,9 @@
 	auto restarted = starts();
 	ASSERT_EQ(restarted.size(), 1u);
 	EXPECT_EQ(restarted[0].runner, "i-2");
+	rig.advance(10);
+	rig.commit();
+	EXPECT_NE(wl_jobs_runner(rig.jobs, WL_STR("i-1"))->departed_ms, 0u);
 }
 
 TEST_F(Departure, NoLeaseIsRenewedForATargetThatLeaves)
@@ -259,3 +262,36 @@
 	rig.commit();
 	EXPECT_EQ(wl_jobs_runner(rig.jobs, WL_STR("i-1"))->departed_ms, 0u);
 }
+
+TEST_F(Departure, GangWaitsForTheMemberOnTheTargetThatLeaves)
+{
+	wl_step_spec_t *step = rig.job("q", "g", {2});
+
+	step->gang = true;
+	step->cpu_millis = 20000;
+	rig.runner("i-2");
+	rig.submit();
+	auto members = starts();
+	ASSERT_EQ(members.size(), 2u);
+	for (const auto &one : members)
+		rig.answer(one, WL_ORDER_DONE);
+	size_t leaves = members[0].runner == "i-1" ? 0 : 1;
+	rig.advance(20);
+	auto holds = rig.take_orders(WL_ORDER_RENEW);
+	ASSERT_EQ(holds.size(), 2u);
+	size_t of_leaving = holds[0].runner == "i-1" ? 0 : 1;
+	rig.runner("i-3");
+	drain();
+	rig.runner_left("i-1");
+	rig.answer_hold(holds[1 - of_leaving], {},
+			{SchedRig::end(members[1 - leaves], 1, WL_END_STOPPED)});
+	rig.commit();
+	EXPECT_TRUE(starts().empty());
+	rig.answer_hold(holds[of_leaving], {}, {SchedRig::end(members[leaves], 1, WL_END_STOPPED)});
+	rig.commit();
+	auto restarted = starts();
+	ASSERT_EQ(restarted.size(), 2u);
+	EXPECT_EQ(restarted[0].run, restarted[1].run);
+	EXPECT_NE(restarted[0].runner, "i-1");
+	EXPECT_NE(restarted[1].runner, "i-1");
+}
