sched: a stop bars a run only on the incarnation that answered it

Cause: a start without an answer is followed by a stop, and the run ends once a stop is answered and a later list has no such run. The answer stayed valid when the target started again under its id: the new incarnation knows no stop and no epoch, its clock starts anew, and it carries out the start that is still on its way, while the task already runs elsewhere. Now a new incarnation makes the leader forget the stops sent to the one before, and the answer to a stop counts only if the order was sent to the incarnation and address that are known when it arrives. The run is stopped again, and a run that is listed instead is adopted as before.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -39,10 +39,10 @@
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
-	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
-	uint64_t answered_ns;	  /* when the newest answer about it arrived */
-	uint64_t stop_sent_ns;
-	uint64_t stop_answered_ns; /* when a stop order was answered; 0: never */
+	uint64_t previous_end_ns;  /* when the task's previous run ended; 0: there was none */
+	uint64_t answered_ns;	   /* when the newest answer about it arrived */
+	uint64_t stop_sent_ns;	   /* to the known incarnation of the target; 0: never */
+	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
 	bool stop_wanted;
 	bool listed;	  /* present in the renewal answer that is being processed */
 	uint64_t tail_ms; /* serving: newest reported tail latency */
@@ -308,6 +308,7 @@
 			   wl_out_t *out);
 void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_stops_tick(wl_sched_t *sched, uint64_t now_ns);
+void wl_sched_stops_forget(wl_sched_runner_t *runner);
 bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -136,6 +136,7 @@
 	runner->failures = 0;
 	runner->departing = false;
 	runner->removal_proposed = false;
+	wl_sched_stops_forget(runner);
 	lookup_begin(runner);
 }
 
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -364,6 +364,9 @@
 				  (wl_order_outcome_t)end->outcome);
 		return;
 	}
+	/* the answer may be that of an earlier incarnation if the order was sent to that one */
+	if (order->lookup != run->runner->lookup)
+		return;
 	if (end->outcome == WL_ORDER_DONE || end->outcome == WL_ORDER_STALE) {
 		run->stop_answered_ns = now_ns;
 		wl_sched_renewal_schedule(run->runner, now_ns);
@@ -498,6 +501,21 @@
 		stop_repeat(sched, now_ns, run);
 }
 
+/*
+ * wl_sched_stops_forget - forget the stops sent to an incarnation of a target that has ended
+ *
+ * The next one knows nothing of them, and would carry out a start that arrives late.
+ */
+void wl_sched_stops_forget(wl_sched_runner_t *runner)
+{
+	wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		run->stop_sent_ns = 0;
+		run->stop_answered_ns = 0;
+	}
+}
+
 /*
  * wl_sched_run_absent - decide whether a run that a renewal answer does not list is over
  * @sent_ns: when the renewal was sent
