sched: a run whose start got no answer outlasts that start

Cause: a run also ended while its unanswered start was still on its way, held by an agent or on the path: with the leases of its target, 2 s after the start where holds had failed before; at once on a new incarnation that had answered a stop, although that one may crash again under the same task; and at once under a new leader for a target that had started again. The next incarnation under the same id knows no epoch or stop, its clock starts anew, and it carries the start out while the task runs elsewhere. Now the leader keeps how long a start may still be carried out: its time-out and 4 s more, from the beginning of the leadership for the runs of an earlier leader. Until then such a run does not end with the leases, nor on an incarnation other than the one it was placed on. A stop that the same incarnation has answered ends it at once as before. Holds wait again for an end while only this time is to pass.

Ruled out by a test that passes before too: OtherTargetAtTheAddressEndsTheRunAtOnce. The start names the address, where the other target refuses it. unit.sched_start_test, 3 new cases that fail on the code before: LeasesThatExpireDoNotEndTheRun (started again after 2370 ms, not 5000), StopOnALaterIncarnationEndsTheRunOnceTheStartIsOver (90 ms), NewLeaderDoesNotEndTheRunAfterARestart (40 ms). What remains: the target may crash after it has answered the stop, be back within 5 s, and carry out the start then.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -11,6 +11,8 @@
 #include "throttle.h"
 #include "sched.h"
 
+#define WL_SCHED_START_TIMEOUT_MS 1000 /* several round trips, and the answer of a busy target */
+
 /* What the leader knows of a run, in addition to the replicated state. */
 typedef enum wl_run_phase {
 	WL_RUN_PROPOSED,    /* its start is proposed, not committed */
@@ -40,6 +42,7 @@
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
 	uint64_t previous_end_ns;  /* when the task's previous run ended; 0: there was none */
+	uint64_t start_over_ns;	   /* without an answer its start may be carried out until then */
 	uint64_t answered_ns;	   /* when the newest answer about it arrived */
 	uint64_t stop_sent_ns;	   /* to the known incarnation of the target; 0: never */
 	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
@@ -308,8 +311,7 @@
 			   wl_out_t *out);
 void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_stops_tick(wl_sched_t *sched, uint64_t now_ns);
-void wl_sched_stops_forget(wl_sched_runner_t *runner);
-bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns);
+void wl_sched_stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
 /* tails.c */
@@ -338,7 +340,10 @@
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* losses.c */
-void wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns);
+void wl_sched_stops_forget(wl_sched_runner_t *runner);
+bool wl_sched_run_unknown(const wl_sched_run_t *run, uint64_t now_ns);
+bool wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			  wl_out_t *out);
 void wl_sched_absent_collect(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			     uint64_t sent_ns, wl_cmd_runs_end_t *ends);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -3,22 +3,52 @@
  *
  * A run counts as ended without such a listing only if its target certainly does not have it, if
  * every lease has expired, or if the end of the target's incarnation is proved.
+ *
+ * A start without an answer may still be on its way. The incarnation that has answered a stop of
+ * the run, or an order of a later leader, refuses it; a later incarnation under the same id would
+ * carry it out.
  */
 
 #include "internal.h"
 
+/* How long after its time-out a start without an answer may still be carried out. */
+#define START_LATE_MS 4000
+
+/*
+ * wl_sched_run_start_sent - note when the start of a run was sent
+ * @sent_ns: of a run of an earlier leader: when our leadership began
+ */
+void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns)
+{
+	run->start_over_ns = sent_ns + (WL_SCHED_START_TIMEOUT_MS + START_LATE_MS) * WL_NS_PER_MS;
+}
+
+/* Whether the start of a run may be on its way to any incarnation of its target. */
+static bool start_open(const wl_sched_run_t *run, uint64_t now_ns)
+{
+	if (run->phase != WL_RUN_STARTING && run->phase != WL_RUN_UNCONFIRMED &&
+	    run->phase != WL_RUN_INHERITED)
+		return false;
+	return now_ns < run->start_over_ns;
+}
+
 /*
  * wl_sched_runs_expire - propose the ends of a target's runs, whose leases have all expired
+ *
+ * Return: whether any has ended. Runs whose start may be on its way have not.
  */
-void wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+bool wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			  wl_out_t *out)
 {
 	wl_cmd_runs_end_t ends = {0};
 	wl_sched_run_t *run;
 
 	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
+		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING &&
+		    !start_open(run, now_ns))
 			wl_sched_run_end_add(run, WL_END_LOST, "expired", &ends);
+	if (ends.ends.count == 0)
+		return false;
 	wl_out_log(out, WL_WARN, "target-lapsed",
 		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu life=%llu",
 		   WL_STR_ARG(runner->key), ends.ends.count,
@@ -26,11 +56,72 @@
 		   (unsigned long long)sched->options.lease_ms,
 		   (unsigned long long)runner->incarnation);
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
+	return true;
+}
+
+/*
+ * wl_sched_stops_forget - forget the stops sent to an incarnation of a target that has ended
+ *
+ * The next one knows nothing of them, and would carry out a start that arrives late.
+ */
+void wl_sched_stops_forget(wl_sched_runner_t *runner)
+{
+	wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		run->stop_sent_ns = 0;
+		run->stop_answered_ns = 0;
+	}
+}
+
+/* Whether another incarnation may still carry out the start that the present one refuses. */
+static bool may_start_later(const wl_sched_run_t *run, uint64_t now_ns)
+{
+	return run->incarnation != run->runner->incarnation && start_open(run, now_ns);
+}
+
+/*
+ * wl_sched_run_unknown - whether the target's next answer tells what became of a run
+ */
+bool wl_sched_run_unknown(const wl_sched_run_t *run, uint64_t now_ns)
+{
+	if (run->phase == WL_RUN_UNCONFIRMED && run->stop_answered_ns == 0)
+		return true;
+	if (run->phase != WL_RUN_UNCONFIRMED && run->phase != WL_RUN_INHERITED)
+		return false;
+	return !may_start_later(run, now_ns);
+}
+
+static bool run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns)
+{
+	switch (run->phase) {
+	case WL_RUN_CONFIRMED:
+		return run->answered_ns < sent_ns;
+	case WL_RUN_INHERITED:
+		/*
+		 * The renewal carried our epoch, so that the target refuses starts of earlier
+		 * leaders.
+		 */
+		return !may_start_later(run, now_ns);
+	case WL_RUN_UNCONFIRMED:
+		if (run->stop_answered_ns && run->stop_answered_ns < sent_ns)
+			return !may_start_later(run, now_ns);
+		if (run->stop_sent_ns == 0)
+			wl_sched_stop_send(sched, now_ns, run);
+		return false;
+	case WL_RUN_PROPOSED:
+	case WL_RUN_STARTING:
+	case WL_RUN_ENDING:
+		break;
+	}
+	return false;
 }
 
 /*
  * wl_sched_absent_collect - collect the ends of the runs that the target no longer has
  * @sent_ns: when the renewal was sent whose answer does not list them
+ *
+ * A run whose start got no answer is first ordered to stop.
  */
 void wl_sched_absent_collect(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			     uint64_t sent_ns, wl_cmd_runs_end_t *ends)
@@ -38,7 +129,7 @@
 	wl_sched_run_t *run;
 
 	TAILQ_FOREACH (run, &runner->runs, link)
-		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns))
+		if (!run->listed && run_absent(sched, now_ns, run, sent_ns))
 			wl_sched_run_end_add(run, WL_END_LOST,
 					     run->incarnation == runner->incarnation ? "absent"
 										     : "restarted",
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -207,12 +207,12 @@
 	runner->renewal_due_ns = due_ns;
 }
 
-static bool has_phase(const wl_sched_runner_t *runner, wl_run_phase_t phase)
+static bool has_unknown_run(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	const wl_sched_run_t *run;
 
 	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->phase == phase)
+		if (wl_sched_run_unknown(run, now_ns))
 			return true;
 	return false;
 }
@@ -221,10 +221,9 @@
  * Whether the target must answer the next renewal at once instead of waiting for an end, because
  * the state of the target or of a run is unknown.
  */
-static bool needs_immediate_answer(const wl_sched_runner_t *runner)
+static bool needs_immediate_answer(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return runner->clock_ns == 0 || runner->renewal_failed ||
-	       has_phase(runner, WL_RUN_UNCONFIRMED) || has_phase(runner, WL_RUN_INHERITED);
+	return runner->clock_ns == 0 || runner->renewal_failed || has_unknown_run(runner, now_ns);
 }
 
 /*
@@ -245,7 +244,8 @@
 {
 	wl_order_t order = {.kind = WL_ORDER_RENEW, .committed_ends = runner->ends_committed};
 
-	order.wait_ms = needs_lease && !needs_immediate_answer(runner) ? RENEWAL_WAIT_MS : 0;
+	order.wait_ms =
+		needs_lease && !needs_immediate_answer(runner, now_ns) ? RENEWAL_WAIT_MS : 0;
 	if (order.wait_ms && wl_sched_tails_at_risk(sched, runner))
 		order.wait_ms = RENEWAL_TAILS_MS;
 	order.timeout_ms = order.wait_ms + RENEWAL_TIMEOUT_MS;
@@ -272,14 +272,15 @@
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 	uint64_t last_ns = last_contact_ns(runner);
+	bool expired = needs_lease && (runner->renewal_failed || runner->departing) &&
+		       now_ns > leases_expiry_ns(runner);
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
-	if (needs_lease && (runner->renewal_failed || runner->departing) &&
-	    now_ns > leases_expiry_ns(runner))
-		wl_sched_runs_expire(sched, now_ns, runner, out);
-	else if ((needs_lease || runner->ack_due) && !runner->renewal_id &&
-		 now_ns >= runner->renewal_due_ns)
+	if (expired && wl_sched_runs_expire(sched, now_ns, runner, out))
+		needs_lease = wl_sched_runner_needs_lease(runner);
+	if ((needs_lease || runner->ack_due) && !runner->renewal_id &&
+	    now_ns >= runner->renewal_due_ns)
 		renewal_send(sched, now_ns, runner, needs_lease);
 	if (!TAILQ_EMPTY(&runner->runs) || runner->removal_proposed)
 		return;
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -10,9 +10,8 @@
 
 #include <stdlib.h>
 
-#define START_TIMEOUT_MS 1000 /* several round trips, and the answer of a busy target */
-#define STOP_TIMEOUT_MS	 1000
-#define STOP_RETRY_MS	 300 /* pause before an unanswered stop is sent again */
+#define STOP_TIMEOUT_MS 1000
+#define STOP_RETRY_MS	300 /* pause before an unanswered stop is sent again */
 /* After a refusal for lack of capacity: the target counts its capacity anew by then. */
 #define NO_ROOM_QUARANTINE_MS	300
 #define UNHEALTHY_QUARANTINE_MS 1000
@@ -139,13 +138,14 @@
 		.run = run->number,
 		.payload = job->record.spec.payload, /* not owned, like the fields below */
 		.checkpoint = job->tasks[run->task].checkpoint,
-		.timeout_ms = START_TIMEOUT_MS,
+		.timeout_ms = WL_SCHED_START_TIMEOUT_MS,
 	};
 
 	task_of(run, job, &order.task);
 	order.lease_ms =
 		wl_sched_runner_clock_ms(run->runner, now_ns) + sched->options.start_lease_ms;
 	run->phase = WL_RUN_STARTING;
+	wl_sched_run_start_sent(run, now_ns);
 	wl_sched_order_add(sched, now_ns, run->runner, &order, run);
 	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
@@ -171,7 +171,10 @@
 	TAILQ_INSERT_TAIL(&sched->stopping, run, stopping_link);
 }
 
-static void stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
+/*
+ * wl_sched_stop_send - order a run to stop, again if there was no answer
+ */
+void wl_sched_stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
 	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 	wl_order_t order = {
@@ -198,7 +201,7 @@
 	wl_out_log(out, WL_INFO, "run-stop", "run=" WL_STR_FMT " target=" WL_STR_FMT " reason=%s",
 		   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key), reason);
 	if (run->phase != WL_RUN_PROPOSED)
-		stop_send(sched, now_ns, run);
+		wl_sched_stop_send(sched, now_ns, run);
 }
 
 /*
@@ -320,7 +323,7 @@
 		run->phase = WL_RUN_CONFIRMED;
 		run->answered_ns = now_ns;
 		if (run->stop_wanted)
-			stop_send(sched, now_ns, run);
+			wl_sched_stop_send(sched, now_ns, run);
 		break;
 	case WL_ORDER_NO_ANSWER:
 	case WL_ORDER_AGENT_LOST:
@@ -487,7 +490,7 @@
 	    run->phase == WL_RUN_ENDING)
 		return;
 	if (now_ns - run->stop_sent_ns >= (STOP_TIMEOUT_MS + STOP_RETRY_MS) * WL_NS_PER_MS)
-		stop_send(sched, now_ns, run);
+		wl_sched_stop_send(sched, now_ns, run);
 }
 
 /*
@@ -500,50 +503,3 @@
 	TAILQ_FOREACH (run, &sched->stopping, stopping_link)
 		stop_repeat(sched, now_ns, run);
 }
-
-/*
- * wl_sched_stops_forget - forget the stops sent to an incarnation of a target that has ended
- *
- * The next one knows nothing of them, and would carry out a start that arrives late.
- */
-void wl_sched_stops_forget(wl_sched_runner_t *runner)
-{
-	wl_sched_run_t *run;
-
-	TAILQ_FOREACH (run, &runner->runs, link) {
-		run->stop_sent_ns = 0;
-		run->stop_answered_ns = 0;
-	}
-}
-
-/*
- * wl_sched_run_absent - decide whether a run that a renewal answer does not list is over
- * @sent_ns: when the renewal was sent
- *
- * Return: whether the run is over. If its start got no answer, the target is first ordered to
- * stop it.
- */
-bool wl_sched_run_absent(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, uint64_t sent_ns)
-{
-	switch (run->phase) {
-	case WL_RUN_CONFIRMED:
-		return run->answered_ns < sent_ns;
-	case WL_RUN_INHERITED:
-		/*
-		 * The renewal carried our epoch, so that the target refuses starts of earlier
-		 * leaders.
-		 */
-		return true;
-	case WL_RUN_UNCONFIRMED:
-		if (run->stop_answered_ns && run->stop_answered_ns < sent_ns)
-			return true;
-		if (run->stop_sent_ns == 0)
-			stop_send(sched, now_ns, run);
-		return false;
-	case WL_RUN_PROPOSED:
-	case WL_RUN_STARTING:
-	case WL_RUN_ENDING:
-		break;
-	}
-	return false;
-}
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -144,6 +144,7 @@
 			wl_sched_run_add(sched, runner, run->job, run->task, run->number);
 
 		known->phase = WL_RUN_INHERITED;
+		wl_sched_run_start_sent(known, now_ns);
 		known->speed_percent = WL_SPEED_UNKNOWN;
 		known->incarnation = run->incarnation;
 		known->placed_ns = now_ns;
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -10,17 +10,32 @@
 class UnansweredStart : public testing::Test
 {
       protected:
+	static constexpr uint64_t MS = 1000000;
+	static constexpr uint64_t START_OVER_MS = 5000; /* of the time-out and the delay after it */
+
+	/* i-1 has a run, and got a start without an answer; no lease of before is valid */
 	UnansweredStart()
 	{
 		rig.configure("q");
 		rig.runner("i-1");
-		rig.job("q", "j", {1});
+		for (int i = 0; i < 100; i++) {
+			rig.report_forwarded("s1", "i-1");
+			rig.advance(100);
+		}
+		kept = start_job("kept");
+		rig.answer(kept, WL_ORDER_DONE);
+		rig.answer_hold(next(WL_ORDER_RENEW), {SchedRig::view(kept)}, {});
+		since = rig.now;
+		start = start_job("j");
+	}
+
+	SchedOrder start_job(const std::string &id)
+	{
+		rig.job("q", id, {1});
 		rig.submit();
 		auto started = starts();
 		EXPECT_EQ(started.size(), 1u);
-		if (!started.empty())
-			start = started[0];
-		rig.runner("i-2");
+		return started.empty() ? SchedOrder() : started[0];
 	}
 
 	std::vector<SchedOrder> starts()
@@ -45,6 +60,16 @@
 		return {};
 	}
 
+	size_t starts_of(const std::string &task)
+	{
+		size_t count = 0;
+
+		rig.runner("i-2");
+		for (const auto &one : starts())
+			count += one.task == task;
+		return count;
+	}
+
 	/* The target starts again under its id and lists nothing. */
 	void restart(uint64_t life)
 	{
@@ -52,8 +77,28 @@
 		rig.answer_hold(next(WL_ORDER_RENEW), {}, {}, life);
 	}
 
+	/* Answers all renewals of i-1 so. Return: ms from the start to the next one; 0: none. */
+	uint64_t started_again_ms(wl_order_outcome_t outcome, uint64_t life = 1)
+	{
+		rig.runner("i-2");
+		while (rig.now - since < 3 * START_OVER_MS * MS) {
+			rig.report_forwarded("s1", "i-2");
+			for (const auto &one : rig.take_orders(WL_ORDER_RENEW))
+				if (outcome == WL_ORDER_DONE)
+					rig.answer_hold(one, {}, {}, life);
+				else
+					rig.answer(one, outcome);
+			for (const auto &one : starts())
+				if (one.task == start.task)
+					return (rig.now - since) / MS;
+		}
+		return 0;
+	}
+
 	SchedRig rig;
+	SchedOrder kept;
 	SchedOrder start;
+	uint64_t since = 0;
 };
 
 TEST_F(UnansweredStart, StopThatAnEarlierIncarnationAnsweredDoesNotEndTheRun)
@@ -62,7 +107,7 @@
 	rig.answer_hold(next(WL_ORDER_RENEW), {}, {});
 	rig.answer(next(WL_ORDER_STOP), WL_ORDER_DONE);
 	restart(2);
-	EXPECT_TRUE(starts().empty()) << "the target may still carry out the first start";
+	EXPECT_EQ(starts_of(start.task), 0u) << "the target may still carry out the first start";
 	EXPECT_EQ(next(WL_ORDER_STOP).run, start.run) << "to the new incarnation";
 }
 
@@ -74,5 +119,54 @@
 	restart(2);
 	rig.answer(stop, WL_ORDER_DONE);
 	rig.answer_hold(next(WL_ORDER_RENEW), {}, {}, 2);
-	EXPECT_TRUE(starts().empty()) << "the target may still carry out the first start";
+	EXPECT_EQ(starts_of(start.task), 0u) << "the target may still carry out the first start";
+}
+
+/* The holds of the target fail, while its reports arrive. */
+TEST_F(UnansweredStart, LeasesThatExpireDoNotEndTheRun)
+{
+	rig.answer(start, WL_ORDER_DONE);
+	for (int i = 0; i < 45; i++) {
+		rig.report_forwarded("s1", "i-1");
+		rig.advance(100);
+		for (const auto &one : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer(one, WL_ORDER_NO_ANSWER);
+	}
+	since = rig.now;
+	start = start_job("late");
+	rig.answer(start, WL_ORDER_NO_ANSWER);
+	uint64_t after_ms = started_again_ms(WL_ORDER_NO_ANSWER);
+	EXPECT_GE(after_ms, START_OVER_MS);
+	EXPECT_LT(after_ms, START_OVER_MS + 500);
+}
+
+/* The start names the address, where the other target refuses it. */
+TEST_F(UnansweredStart, OtherTargetAtTheAddressEndsTheRunAtOnce)
+{
+	rig.answer(start, WL_ORDER_NO_ANSWER);
+	rig.answer(next(WL_ORDER_RENEW), WL_ORDER_OTHER_INCARNATION);
+	EXPECT_EQ(starts_of(start.task), 1u);
+}
+
+/* A target that has crashed twice under a task may do so a third time. */
+TEST_F(UnansweredStart, StopOnALaterIncarnationEndsTheRunOnceTheStartIsOver)
+{
+	rig.answer(start, WL_ORDER_NO_ANSWER);
+	restart(2);
+	rig.answer(next(WL_ORDER_STOP), WL_ORDER_DONE);
+	uint64_t after_ms = started_again_ms(WL_ORDER_DONE, 2);
+	EXPECT_GE(after_ms, START_OVER_MS);
+	EXPECT_LT(after_ms, START_OVER_MS + 500);
+}
+
+TEST_F(UnansweredStart, NewLeaderDoesNotEndTheRunAfterARestart)
+{
+	rig.follow();
+	rig.orders.clear();
+	rig.lead(2);
+	since = rig.now;
+	restart(2);
+	uint64_t after_ms = started_again_ms(WL_ORDER_DONE, 2);
+	EXPECT_GE(after_ms, START_OVER_MS);
+	EXPECT_LT(after_ms, START_OVER_MS + 500);
 }
