sched: send no start to a target that is being removed

Cause: a start that was proposed before the removal of its target, and committed with it, was still sent. The removal then ended its run while the start was on its way. Now such a run ends as not started, as on a target that leaves.

unit.sched_start_test, NoStartIsSentToATargetThatIsBeingRemoved: failed before, the start was ordered.

--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -246,11 +246,11 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
-/* A target that leaves gets no starts, those that were chosen before its departure included. */
+/* A target that leaves or is removed gets no starts, those that were chosen before included. */
 static void start_committed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			    const wl_job_t *job, wl_out_t *out)
 {
-	if (run->runner->departing)
+	if (run->runner->departing || run->runner->removal_proposed)
 		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "departing", out);
 	else
 		start_send(sched, now_ns, run, job, out);
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -170,3 +170,16 @@
 	EXPECT_GE(after_ms, START_OVER_MS);
 	EXPECT_LT(after_ms, START_OVER_MS + 500);
 }
+
+TEST_F(UnansweredStart, NoStartIsSentToATargetThatIsBeingRemoved)
+{
+	rig.answer(start, WL_ORDER_DONE);
+	SchedOrder renewal = next(WL_ORDER_RENEW);
+	rig.job("q", "late", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.answer(renewal, WL_ORDER_OTHER_INCARNATION);
+	rig.commit();
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
+	EXPECT_EQ(starts_of("late.0.0.0"), 1u);
+}
