sched: keep what is known of an incarnation of a target in one struct

What callers saw: after a restart of a target whose last renewal had failed, the first renewal to the next incarnation granted no lease, so that its runs relied on the short lease of their start for one more round. Cause: incarnation_begin() resets fields one by one, and renewal_failed, failed_job and removal_reason were not among them. Now everything that belongs to an incarnation is in wl_sched_incarnation_t, which is replaced as a whole.

Bound for restarts: unchanged.

--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -115,10 +115,10 @@
 {
 	wl_sched_run_t *run;
 
-	if (runner->departing)
+	if (runner->known.departing)
 		return;
 	runner->incarnation = known_incarnation(runner);
-	runner->departing = true;
+	runner->known.departing = true;
 	runner->fit.usable = false;
 	TAILQ_FOREACH (run, &runner->runs, link)
 		wl_sched_run_stop(sched, now_ns, run, "departing", out);
--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -49,10 +49,10 @@
 		uint64_t clock_ms = wl_sched_runner_clock_ms(runner, now_ns);
 		uint64_t remaining_ms = 0;
 
-		if (!runner->lease_confirmed_ms || !wl_sched_runner_needs_lease(runner))
+		if (!runner->known.lease_confirmed_ms || !wl_sched_runner_needs_lease(runner))
 			continue;
-		if (runner->lease_confirmed_ms > clock_ms)
-			remaining_ms = runner->lease_confirmed_ms - clock_ms;
+		if (runner->known.lease_confirmed_ms > clock_ms)
+			remaining_ms = runner->known.lease_confirmed_ms - clock_ms;
 		over += remaining_ms == 0;
 		if (remaining_ms < least_ms)
 			least_ms = remaining_ms;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -69,6 +69,30 @@
 
 TAILQ_HEAD(wl_sched_runs, wl_sched_run);
 
+/* What the leader knows of the present incarnation of a target; nothing of it holds for the next.
+ */
+typedef struct wl_sched_incarnation {
+	uint64_t sequence; /* of its newest report */
+	/* sample of its clock: at least clock_ms when ours was clock_ns; 0: none */
+	uint64_t clock_ms;
+	uint64_t clock_ns;
+	uint64_t lease_until_ms;     /* on its clock: latest expiry that any order named */
+	uint64_t lease_confirmed_ms; /* latest expiry that an answered order named; 0: none */
+	/* the newest renewal failed: further ones request no lease, so that leases can expire */
+	bool renewal_failed;
+	uint64_t ends_committed; /* number of the newest end that is committed */
+	uint64_t ends_proposed;	 /* number of the newest end that is proposed */
+	uint64_t end_proposals;	 /* proposals of its ends in flight */
+	bool ack_due;
+	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
+	uint64_t failed_job; /* hash of the job of the newest one */
+	/* bits of the agents that had an answer of it at the present address */
+	uint64_t answered_agents;
+	bool departing; /* it has announced its departure */
+	bool removal_proposed;
+	const char *removal_reason;
+} wl_sched_incarnation_t;
+
 /*
  * What the leader knows of a target (a wl_runner_t, "runner" in names), in addition to the
  * replicated state.
@@ -80,44 +104,26 @@
 	struct wl_sched_runs runs;
 	struct wl_sched_runs serving; /* the serving ones among them */
 	wl_fit_runner_t fit;	      /* input of placement */
-	/* sample of the target's clock: at least clock_ms when ours was clock_ns; 0: none */
-	uint64_t clock_ms;
-	uint64_t clock_ns;
-	uint64_t lease_until_ms;     /* on the target's clock: latest expiry that any order named */
-	uint64_t lease_confirmed_ms; /* latest expiry that an answered order named; 0: none */
 	/* leases of earlier leaders or of an earlier incarnation may be valid until then */
 	uint64_t previous_leases_expiry_ns;
 	uint64_t lasting_millis; /* CPU reserved by lasting tasks */
 	uint64_t incarnation;	 /* as of its newest report or answer */
-	uint64_t sequence;	 /* of its newest report */
+	wl_sched_incarnation_t known;
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* newest answer to any order */
 	uint64_t renewal_id;  /* of the renewal in flight; 0: none */
 	uint64_t renewal_due_ns;
-	/* the newest renewal failed: further ones request no lease, so that leases can expire */
-	bool renewal_failed;
 	/* agent that got no answer to its newest renewal; NULL: none */
 	const struct wl_sched_agent *avoided_agent;
 	uint64_t avoided_until_ns;
-	uint64_t ends_committed; /* number of the newest end that is committed */
-	uint64_t ends_proposed;	 /* number of the newest end that is proposed */
-	uint64_t end_proposals;	 /* proposals of its ends in flight */
-	bool ack_due;
 	/* CPU shares of best-effort work by image, moving average over the tail sampling window */
 	wl_interference_shares_t average_shares;
 	uint64_t average_updated_ns;   /* when average_shares was last updated */
 	bool interference_stale;       /* wl_sched_run.interference of its runs is outdated */
 	double headroom_least;	       /* of its serving tasks, beside the work that is there */
 	uint64_t quarantined_until_ns; /* no starts before; 0: not quarantined */
-	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
-	uint64_t failed_job; /* hash of the job of the newest one */
-	bool departing;	     /* this incarnation has announced its departure */
-	bool removal_proposed;
-	const char *removal_reason;
-	wl_buf_t address; /* as of the newest committed report */
-	uint64_t lookup;  /* rises when the address or the incarnation changes */
-	/* bits of the agents that had an answer of this incarnation at this address */
-	uint64_t answered_agents;
+	wl_buf_t address;	       /* as of the newest committed report */
+	uint64_t lookup;	       /* rises when the address or the incarnation changes */
 	TAILQ_ENTRY(wl_sched_runner) link;
 } wl_sched_runner_t;
 
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -146,12 +146,12 @@
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNNER_PUT};
 
-	runner->removal_proposed = true;
-	runner->removal_reason = reason;
+	runner->known.removal_proposed = true;
+	runner->known.removal_reason = reason;
 	wl_buf_set(&cmd.u.runner_put.id, runner->key);
 	cmd.u.runner_put.incarnation = runner->state->report.incarnation;
 	cmd.u.runner_put.exiting = true;
-	wl_out_log(out, runner->departing ? WL_INFO : WL_WARN, "target-gone",
+	wl_out_log(out, runner->known.departing ? WL_INFO : WL_WARN, "target-gone",
 		   "target=" WL_STR_FMT " reason=%s answered_ms=%llu life=%llu address=" WL_STR_FMT
 		   " agent=" WL_STR_FMT " agent_answered=%s",
 		   WL_STR_ARG(runner->key), reason,
@@ -159,7 +159,7 @@
 		   (unsigned long long)runner->incarnation,
 		   WL_STR_ARG(wl_buf_str(&runner->state->report.address)),
 		   WL_STR_ARG(agent ? wl_buf_str(&agent->name) : WL_STR("-")),
-		   agent && (runner->answered_agents & agent->bit) ? "yes" : "no");
+		   agent && (runner->known.answered_agents & agent->bit) ? "yes" : "no");
 	wl_sched_propose(sched, now_ns, &cmd, out);
 }
 
@@ -169,7 +169,8 @@
 void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      wl_out_t *out)
 {
-	const char *reason = runner->removal_reason ? runner->removal_reason : "departed";
+	const char *reason =
+		runner->known.removal_reason ? runner->known.removal_reason : "departed";
 	wl_sched_run_t *run;
 
 	wl_out_log(out, WL_INFO, "target-left", "target=" WL_STR_FMT " life=%llu reason=%s",
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -41,8 +41,8 @@
 	order->runner = runner->id; /* not owned, like the address */
 	order->address = runner->state->report.address;
 	order->epoch = sched->epoch;
-	if (order->lease_ms > runner->lease_until_ms)
-		runner->lease_until_ms = order->lease_ms;
+	if (order->lease_ms > runner->known.lease_until_ms)
+		runner->known.lease_until_ms = order->lease_ms;
 	wl_sched_agent_enqueue(in_flight->agent, order);
 	if (order->kind == WL_ORDER_RENEW)
 		runner->renewal_id = in_flight->id;
@@ -74,10 +74,10 @@
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		return;
 	runner->answered_ns = now_ns;
-	if (!end->has_clock || end->clock_ms < runner->clock_ms)
+	if (!end->has_clock || end->clock_ms < runner->known.clock_ms)
 		return;
-	runner->clock_ms = end->clock_ms;
-	runner->clock_ns = now_ns;
+	runner->known.clock_ms = end->clock_ms;
+	runner->known.clock_ns = now_ns;
 }
 
 /* Only the answer to a renewal names the incarnation that gave it. */
@@ -86,14 +86,14 @@
 {
 	if (in_flight->kind == WL_ORDER_RENEW && end->outcome == WL_ORDER_DONE &&
 	    end->incarnation == runner->incarnation && in_flight->lookup == runner->lookup)
-		runner->answered_agents |= in_flight->agent->bit;
+		runner->known.answered_agents |= in_flight->agent->bit;
 }
 
 static void lease_answered(wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
 			   const wl_order_end_t *end)
 {
-	if (end->outcome == WL_ORDER_DONE && in_flight->lease_ms > runner->lease_confirmed_ms)
-		runner->lease_confirmed_ms = in_flight->lease_ms;
+	if (end->outcome == WL_ORDER_DONE && in_flight->lease_ms > runner->known.lease_confirmed_ms)
+		runner->known.lease_confirmed_ms = in_flight->lease_ms;
 }
 
 static void order_completed(wl_sched_t *sched, uint64_t now_ns, wl_sched_order_t *in_flight,
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -46,7 +46,7 @@
 static void lookup_begin(wl_sched_runner_t *runner)
 {
 	runner->lookup++;
-	runner->answered_agents = 0;
+	runner->known.answered_agents = 0;
 }
 
 static void address_update(wl_sched_runner_t *runner)
@@ -81,8 +81,8 @@
 static void usable_update(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	uint64_t last_ns = last_contact_ns(runner);
-	bool usable = !runner->state->departed_ms && !runner->departing &&
-		      !runner->state->report.draining && runner->clock_ns && last_ns &&
+	bool usable = !runner->state->departed_ms && !runner->known.departing &&
+		      !runner->state->report.draining && runner->known.clock_ns && last_ns &&
 		      now_ns - last_ns < UNREACHABLE_MS * WL_NS_PER_MS &&
 		      now_ns >= runner->quarantined_until_ns;
 
@@ -123,19 +123,8 @@
 	if (incarnation == 0 || incarnation == runner->incarnation)
 		return;
 	runner->incarnation = incarnation;
-	runner->clock_ms = 0;
-	runner->clock_ns = 0;
-	runner->lease_until_ms = 0;
-	runner->lease_confirmed_ms = 0;
+	runner->known = (wl_sched_incarnation_t){0};
 	runner->previous_leases_expiry_ns = now_ns + lease_bound_ns(sched->options.lease_max_ms);
-	runner->sequence = 0;
-	runner->ends_committed = 0;
-	runner->ends_proposed = 0;
-	runner->end_proposals = 0;
-	runner->ack_due = false;
-	runner->failures = 0;
-	runner->departing = false;
-	runner->removal_proposed = false;
 	wl_sched_stops_forget(runner);
 	lookup_begin(runner);
 }
@@ -154,14 +143,14 @@
 		incarnation_begin(sched, now_ns, runner, report->incarnation);
 		wl_sched_renewal_schedule(runner, now_ns);
 	}
-	if (report->sequence <= runner->sequence)
+	if (report->sequence <= runner->known.sequence)
 		return;
-	runner->sequence = report->sequence;
+	runner->known.sequence = report->sequence;
 	runner->reported_ns = now_ns;
-	if (report->clock_ms <= runner->clock_ms)
+	if (report->clock_ms <= runner->known.clock_ms)
 		return;
-	runner->clock_ms = report->clock_ms;
-	runner->clock_ns = now_ns;
+	runner->known.clock_ms = report->clock_ms;
+	runner->known.clock_ns = now_ns;
 }
 
 /*
@@ -195,7 +184,7 @@
  */
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return runner->clock_ms + (now_ns - runner->clock_ns) / WL_NS_PER_MS;
+	return runner->known.clock_ms + (now_ns - runner->known.clock_ns) / WL_NS_PER_MS;
 }
 
 /*
@@ -223,7 +212,8 @@
  */
 static bool needs_immediate_answer(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return runner->clock_ns == 0 || runner->renewal_failed || has_unknown_run(runner, now_ns);
+	return runner->known.clock_ns == 0 || runner->known.renewal_failed ||
+	       has_unknown_run(runner, now_ns);
 }
 
 /*
@@ -242,26 +232,26 @@
 static void renewal_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			 bool needs_lease)
 {
-	wl_order_t order = {.kind = WL_ORDER_RENEW, .committed_ends = runner->ends_committed};
+	wl_order_t order = {.kind = WL_ORDER_RENEW, .committed_ends = runner->known.ends_committed};
 
 	order.wait_ms =
 		needs_lease && !needs_immediate_answer(runner, now_ns) ? RENEWAL_WAIT_MS : 0;
 	if (order.wait_ms && wl_sched_tails_at_risk(sched, runner))
 		order.wait_ms = RENEWAL_TAILS_MS;
 	order.timeout_ms = order.wait_ms + RENEWAL_TIMEOUT_MS;
-	if (runner->clock_ns && !runner->renewal_failed && !runner->departing)
+	if (runner->known.clock_ns && !runner->known.renewal_failed && !runner->known.departing)
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
-	runner->ack_due = false;
+	runner->known.ack_due = false;
 	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
 }
 
 /* Time by which every lease that may have been granted has expired, even on a slow clock. */
 static uint64_t leases_expiry_ns(const wl_sched_runner_t *runner)
 {
-	uint64_t remaining_ms = runner->lease_until_ms > runner->clock_ms
-					? runner->lease_until_ms - runner->clock_ms
+	uint64_t remaining_ms = runner->known.lease_until_ms > runner->known.clock_ms
+					? runner->known.lease_until_ms - runner->known.clock_ms
 					: 0;
-	uint64_t own_ns = runner->clock_ns + lease_bound_ns(remaining_ms);
+	uint64_t own_ns = runner->known.clock_ns + lease_bound_ns(remaining_ms);
 
 	return own_ns > runner->previous_leases_expiry_ns ? own_ns
 							  : runner->previous_leases_expiry_ns;
@@ -272,21 +262,21 @@
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 	uint64_t last_ns = last_contact_ns(runner);
-	bool expired = needs_lease && (runner->renewal_failed || runner->departing) &&
+	bool expired = needs_lease && (runner->known.renewal_failed || runner->known.departing) &&
 		       now_ns > leases_expiry_ns(runner);
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
 	if (expired && wl_sched_runs_expire(sched, now_ns, runner, out))
 		needs_lease = wl_sched_runner_needs_lease(runner);
-	if ((needs_lease || runner->ack_due) && !runner->renewal_id &&
+	if ((needs_lease || runner->known.ack_due) && !runner->renewal_id &&
 	    now_ns >= runner->renewal_due_ns)
 		renewal_send(sched, now_ns, runner, needs_lease);
-	if (!TAILQ_EMPTY(&runner->runs) || runner->removal_proposed)
+	if (!TAILQ_EMPTY(&runner->runs) || runner->known.removal_proposed)
 		return;
 	if (last_ns < sched->leader_since_ns)
 		last_ns = sched->leader_since_ns;
-	if (runner->departing)
+	if (runner->known.departing)
 		wl_sched_removal_propose(sched, now_ns, runner, "departed", NULL, out);
 	else if (now_ns - last_ns > REMOVE_AFTER_MS * WL_NS_PER_MS)
 		wl_sched_removal_propose(sched, now_ns, runner, "silent", NULL, out);
@@ -367,9 +357,9 @@
 	for (size_t i = 0; i < end->ends.count; i++) {
 		wl_sched_run_t *run = run_of_ref(sched, &views[i].ref, views[i].run);
 
-		if (views[i].number <= runner->ends_proposed)
+		if (views[i].number <= runner->known.ends_proposed)
 			continue;
-		runner->ends_proposed = views[i].number;
+		runner->known.ends_proposed = views[i].number;
 		if (!run || run->runner != runner || run->phase == WL_RUN_ENDING ||
 		    run->phase == WL_RUN_PROPOSED)
 			continue;
@@ -387,17 +377,18 @@
 	wl_sched_proposal_t *proposal;
 
 	if (ends->ends.count == 0) {
-		if (runner->end_proposals || runner->ends_committed == runner->ends_proposed)
+		if (runner->known.end_proposals ||
+		    runner->known.ends_committed == runner->known.ends_proposed)
 			return;
-		runner->ack_due = true;
-		runner->ends_committed = runner->ends_proposed;
+		runner->known.ack_due = true;
+		runner->known.ends_committed = runner->known.ends_proposed;
 		return;
 	}
-	runner->end_proposals++;
+	runner->known.end_proposals++;
 	proposal = wl_sched_propose(sched, now_ns, &cmd, out);
 	wl_buf_set(&proposal->runner, runner->key);
 	proposal->incarnation = runner->incarnation;
-	proposal->ends_proposed = runner->ends_proposed;
+	proposal->ends_proposed = runner->known.ends_proposed;
 	/* The commit schedules a renewal too, if it completes earlier. */
 	runner->renewal_due_ns = now_ns + RENEWAL_WAIT_MS * WL_NS_PER_MS;
 }
@@ -422,25 +413,25 @@
 static bool address_taken(const wl_sched_t *sched, const wl_sched_runner_t *runner,
 			  const wl_sched_order_t *order, const wl_order_end_t *end)
 {
-	if (end->outcome != WL_ORDER_OTHER_INCARNATION || runner->removal_proposed)
+	if (end->outcome != WL_ORDER_OTHER_INCARNATION || runner->known.removal_proposed)
 		return false;
 	if (order->lookup != runner->lookup ||
 	    order->incarnation != runner->state->report.incarnation ||
 	    (runner->incarnation && order->incarnation != runner->incarnation))
 		return false;
-	return (runner->answered_agents & order->agent->bit) ||
+	return (runner->known.answered_agents & order->agent->bit) ||
 	       later_target_at_address(sched, runner);
 }
 
 static void renewal_fail(uint64_t now_ns, wl_sched_runner_t *runner, const wl_sched_order_t *order,
 			 const wl_order_end_t *end, wl_out_t *out)
 {
-	if (!runner->renewal_failed)
+	if (!runner->known.renewal_failed)
 		wl_out_log(out, WL_INFO, "target-hold-failed",
 			   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
 			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
 			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
-	runner->renewal_failed = true;
+	runner->known.renewal_failed = true;
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		wl_sched_agent_avoid(runner, now_ns, order->agent);
@@ -471,13 +462,13 @@
 		renewal_fail(now_ns, runner, order, end, out);
 		return;
 	}
-	runner->renewal_failed = false;
+	runner->known.renewal_failed = false;
 	if (end->incarnation && end->incarnation < runner->incarnation)
 		return;
 	if (end->incarnation > runner->incarnation) {
 		incarnation_begin(sched, now_ns, runner, end->incarnation);
-		runner->clock_ms = end->clock_ms;
-		runner->clock_ns = now_ns;
+		runner->known.clock_ms = end->clock_ms;
+		runner->known.clock_ns = now_ns;
 	}
 	wl_sched_renewal_schedule(runner, now_ns);
 	wl_sched_average_shares_update(runner, now_ns);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -250,7 +250,7 @@
 static void start_committed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			    const wl_job_t *job, wl_out_t *out)
 {
-	if (run->runner->departing || run->runner->removal_proposed)
+	if (run->runner->known.departing || run->runner->known.removal_proposed)
 		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "departing", out);
 	else
 		start_send(sched, now_ns, run, job, out);
@@ -386,15 +386,15 @@
 	uint64_t job = wl_str_hash(wl_buf_str(&end->job), 0);
 
 	if (end->outcome == WL_END_DONE)
-		runner->failures = 0;
-	if (end->outcome != WL_END_FAILED || runner->failed_job == job)
+		runner->known.failures = 0;
+	if (end->outcome != WL_END_FAILED || runner->known.failed_job == job)
 		return;
-	runner->failed_job = job;
-	if (++runner->failures < FAILURES_MAX)
+	runner->known.failed_job = job;
+	if (++runner->known.failures < FAILURES_MAX)
 		return;
 	runner_quarantine(runner, now_ns, FAILURES_QUARANTINE_MS);
 	wl_out_log(out, WL_WARN, "target-aside", "target=" WL_STR_FMT " failures=%llu pause_ms=%d",
-		   WL_STR_ARG(runner->key), (unsigned long long)runner->failures,
+		   WL_STR_ARG(runner->key), (unsigned long long)runner->known.failures,
 		   FAILURES_QUARANTINE_MS);
 }
 
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -296,11 +296,11 @@
 
 	if (!runner || proposal->incarnation != runner->incarnation)
 		return;
-	runner->end_proposals--;
-	if (proposal->ends_proposed <= runner->ends_committed)
+	runner->known.end_proposals--;
+	if (proposal->ends_proposed <= runner->known.ends_committed)
 		return;
-	runner->ends_committed = proposal->ends_proposed;
-	runner->ack_due = true;
+	runner->known.ends_committed = proposal->ends_proposed;
+	runner->known.ack_due = true;
 	wl_sched_renewal_schedule(runner, now_ns);
 }
 
