sched: acknowledge ends only until the target has answered

Cause: every renewal named the newest acknowledged end, also long after its acknowledgement. Ends are numbered anew in each incarnation: one that started unnoticed and took a start forgot its own end 1, listed nothing, and the run counted as absent. Now a renewal names ends only until one that named them is answered, and none while renewals fail. A target keeps its ends until they are acknowledged, so that a lost acknowledgement only delays that.

Evidence: two cases of Incarnation (EndsAcknowledgedToTheEarlierOneAreNotForgottenByTheNext, EndsAreNotAcknowledgedWhileRenewalsFail) fail on the code before (the renewal names 1 instead of 0). Remains: a renewal that names an end and is carried out seconds late, by an incarnation that has taken a late start and ended it as well. Bound for restarts: unchanged.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -80,9 +80,10 @@
 	uint64_t lease_confirmed_ms; /* latest expiry that an answered order named; 0: none */
 	/* the newest renewal failed: further ones request no lease, so that leases can expire */
 	bool renewal_failed;
-	uint64_t ends_committed; /* number of the newest end that is committed */
-	uint64_t ends_proposed;	 /* number of the newest end that is proposed */
-	uint64_t end_proposals;	 /* proposals of its ends in flight */
+	uint64_t ends_committed;    /* number of the newest end that is committed */
+	uint64_t ends_proposed;	    /* number of the newest end that is proposed */
+	uint64_t end_proposals;	    /* proposals of its ends in flight */
+	uint64_t ends_acknowledged; /* it has answered a renewal that named this number */
 	bool ack_due;
 	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
 	uint64_t failed_job; /* hash of the job of the newest one */
@@ -199,6 +200,7 @@
 	wl_buf_t run;	      /* key of the run; empty: the order concerns no known run */
 	uint64_t percent;     /* THROTTLE: percent of full speed */
 	uint64_t lease_ms;
+	uint64_t committed_ends; /* RENEW: as in the order */
 	uint64_t sent_ns;
 	uint64_t expires_ns; /* if the agent has not answered by then, the order counts as lost */
 	wl_sched_agent_t *agent;
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -29,6 +29,7 @@
 	in_flight->percent = order->percent;
 	in_flight->sent_ns = now_ns;
 	in_flight->lease_ms = order->lease_ms;
+	in_flight->committed_ends = order->committed_ends;
 	in_flight->expires_ns = now_ns + (order->timeout_ms + AGENT_ROUND_TRIP_MS) * WL_NS_PER_MS;
 	in_flight->agent = sched->dispatch->choose(sched, runner);
 	wl_buf_set(&in_flight->runner, runner->key);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -229,10 +229,22 @@
 	return false;
 }
 
+/*
+ * Number of ends to acknowledge. An incarnation that is not known yet would forget its own ends, so
+ * that ends are acknowledged only until this is answered, and not while renewals fail.
+ */
+static uint64_t ends_to_acknowledge(const wl_sched_incarnation_t *known)
+{
+	if (known->renewal_failed || known->ends_acknowledged == known->ends_committed)
+		return 0;
+	return known->ends_committed;
+}
+
 static void renewal_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			 bool needs_lease)
 {
-	wl_order_t order = {.kind = WL_ORDER_RENEW, .committed_ends = runner->known.ends_committed};
+	wl_order_t order = {.kind = WL_ORDER_RENEW,
+			    .committed_ends = ends_to_acknowledge(&runner->known)};
 
 	order.wait_ms =
 		needs_lease && !needs_immediate_answer(runner, now_ns) ? RENEWAL_WAIT_MS : 0;
@@ -470,6 +482,9 @@
 		runner->known.clock_ms = end->clock_ms;
 		runner->known.clock_ns = now_ns;
 	}
+	if (order->incarnation == runner->incarnation &&
+	    order->committed_ends > runner->known.ends_acknowledged)
+		runner->known.ends_acknowledged = order->committed_ends;
 	wl_sched_renewal_schedule(runner, now_ns);
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -49,6 +49,23 @@
 		return {};
 	}
 
+	void end_and_commit(const std::string &id)
+	{
+		SchedOrder start = start_job(id);
+
+		rig.answer(start, WL_ORDER_DONE);
+		rig.answer_hold(hold(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
+		rig.commit();
+	}
+
+	void end_and_acknowledge(const std::string &id)
+	{
+		end_and_commit(id);
+		SchedOrder acknowledging = hold();
+		EXPECT_EQ(acknowledging.seen, 1u);
+		rig.answer_hold(acknowledging, {}, {});
+	}
+
 	/* The target is back under its id; its report has arrived. */
 	void restart(uint64_t life = 2)
 	{
@@ -71,3 +88,30 @@
 	restart();
 	EXPECT_GT(hold().lease_ms, 0u);
 }
+
+/* The end of a run in the next incarnation has a number that was acknowledged to the earlier one.
+ */
+TEST_F(Incarnation, EndsAcknowledgedToTheEarlierOneAreNotForgottenByTheNext)
+{
+	end_and_acknowledge("a");
+	SchedOrder b = start_job("b");
+	rig.answer(b, WL_ORDER_DONE);
+	SchedOrder next = hold();
+	EXPECT_EQ(next.seen, 0u) << "the next incarnation forgets its end";
+	rig.answer_hold(next, {}, {SchedRig::end(b, 1, WL_END_DONE)}, 2);
+	rig.commit();
+	EXPECT_EQ(rig.job_state("b"), "completed");
+	EXPECT_TRUE(starts().empty()) << "started again after it was done";
+}
+
+TEST_F(Incarnation, EndsAreNotAcknowledgedWhileRenewalsFail)
+{
+	end_and_commit("a");
+	rig.answer(hold(), WL_ORDER_NO_ANSWER);
+	SchedOrder b = start_job("b");
+	rig.answer(b, WL_ORDER_DONE);
+	SchedOrder next = hold();
+	EXPECT_EQ(next.seen, 0u) << "the target may be a later incarnation by now";
+	rig.answer_hold(next, {SchedRig::view(b)}, {});
+	EXPECT_EQ(hold().seen, 1u);
+}
