agent, sched: an agent sends no order that was held for too long

Cause: an order names its target by the id only. An agent that was paused, or cut off from the leader, sent the orders that it found in its socket whenever it woke up; a target that has started again under its id meanwhile knows no epoch, its clock is behind the deadline, and it takes the start for a new one. Nothing told the agent how old an order was. Now the leader keeps a sample of each agent's clock, which is in every message with results and is asked for when the agent becomes usable, and an order names the time on that clock until which it may be sent: 1 s after a start, 3 s after any other, as the leader waits for its result. The agent refuses a later one as not sent, and the HTTP client checks again once it has a connection. An agent whose clock is unknown gets no starts; the leader's own agent sends them.

Tests, which need the new fields and so have no run on the code before: OrderThatArrivesTooLateIsNotSent of unit.agent_test fails without the check in the agent (the order became a call), RequestIsNotSentAfterItsTimeToSend of unit.http_client_test without the one in the client (it was sent). Ruled out by a test that passes before too: RequestIsNotSentAfterAPauseBeyondItsDeadline; the client does not send a request that waits for a connection during a pause of its thread.

--- a/libwlcore/agent/agent.h
+++ b/libwlcore/agent/agent.h
@@ -20,6 +20,6 @@
 
 wl_agent_t *wl_agent_new(const wl_agent_options_t *options);
 void wl_agent_free(wl_agent_t *agent);
-void wl_agent_step(wl_agent_t *agent, const wl_event_t *event, wl_out_t *out);
+void wl_agent_step(wl_agent_t *agent, uint64_t now_ns, const wl_event_t *event, wl_out_t *out);
 
 #endif
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -135,6 +135,7 @@
 	wl_list_t headers; /* wl_header_t */
 	wl_buf_t body;
 	uint64_t timeout_ms;
+	uint64_t send_by_ns; /* not sent later than this, monotonic time; 0: no limit */
 } wl_fetch_t;
 
 typedef struct wl_action {
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -285,6 +285,7 @@
 
 static const wl_field_t msg_ordered_fields[] = {
 	WL_FIELD_MANY(wl_msg_ordered_t, ends, &wl_order_end_schema),
+	WL_FIELD_AS("clock", wl_msg_ordered_t, clock_ms, WL_FIELD_U64),
 };
 
 static const wl_schema_t msg_ordered_schema = WL_SCHEMA(wl_msg_ordered_t, msg_ordered_fields);
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -284,11 +284,12 @@
 
 typedef struct wl_msg_orders {
 	uint64_t term;	  /* of the leader */
-	wl_list_t orders; /* wl_order_t */
+	wl_list_t orders; /* wl_order_t; empty: only the agent's clock is asked for */
 } wl_msg_orders_t;
 
 typedef struct wl_msg_ordered {
-	wl_list_t ends; /* wl_order_end_t */
+	wl_list_t ends;	   /* wl_order_end_t */
+	uint64_t clock_ms; /* the agent's, when it sent this; 0: not by the agent */
 } wl_msg_ordered_t;
 
 /* KEEPALIVES: a target report without changes. */
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -54,6 +54,7 @@
 	WL_FIELD_AS("seen", wl_order_t, committed_ends, WL_FIELD_U64),
 	WL_FIELD(wl_order_t, wait_ms, WL_FIELD_U64),
 	WL_FIELD(wl_order_t, timeout_ms, WL_FIELD_U64),
+	WL_FIELD_AS("send_by", wl_order_t, send_by_ms, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_order_schema = WL_SCHEMA(wl_order_t, order_fields);
--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -35,6 +35,7 @@
 	uint64_t committed_ends; /* RENEW: ends up to this number are committed */
 	uint64_t wait_ms; /* RENEW: the target may delay its answer this long until a run ends */
 	uint64_t timeout_ms;
+	uint64_t send_by_ms; /* not sent later than this, on the agent's clock, ms; 0: no limit */
 } wl_order_t;
 
 typedef enum wl_order_outcome {
--- a/libwlcore/node/agents.c
+++ b/libwlcore/node/agents.c
@@ -26,7 +26,7 @@
 void wl_node_agent_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
 {
 	if (node->agent)
-		wl_agent_step(node->agent, event, out);
+		wl_agent_step(node->agent, now_ns, event, out);
 	if (node->reports && event->kind == WL_EVENT_TICK)
 		wl_reports_tick(node->reports, now_ns, out);
 }
--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -113,12 +113,22 @@
 	}
 }
 
+/* Orders name the time until which they may be sent on the agent's clock. */
+static void clock_ask(const wl_sched_t *sched, wl_sched_agent_t *agent, wl_out_t *out)
+{
+	agent->clock_ms = 0;
+	agent->clock_ns = 0;
+	wl_out_send(out, wl_buf_str(&agent->name), WL_MSG_ORDERS)->u.orders.term = sched->epoch;
+}
+
 static void agent_usable_set(wl_sched_t *sched, uint64_t now_ns, wl_sched_agent_t *agent,
 			     bool usable, wl_out_t *out)
 {
 	if (agent->usable == usable)
 		return;
 	agent->usable = usable;
+	if (usable)
+		clock_ask(sched, agent, out);
 	wl_out_log(out, WL_INFO, "agent", "replica=" WL_STR_FMT " usable=%s",
 		   WL_STR_ARG(wl_buf_str(&agent->name)), usable ? "yes" : "no");
 	if (!usable)
@@ -182,6 +192,50 @@
 		runner->avoided_agent = NULL;
 }
 
+/*
+ * wl_sched_agent_answered - take a sample of an agent's clock
+ * @clock_ms: 0: none given
+ */
+void wl_sched_agent_answered(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, uint64_t clock_ms)
+{
+	wl_sched_agent_t *agent = agent_find(sched, name);
+
+	if (!agent || clock_ms == 0)
+		return;
+	agent->clock_ms = clock_ms;
+	agent->clock_ns = now_ns;
+}
+
+/*
+ * wl_sched_agent_clock_ms - estimate an agent's clock now; it is not behind the estimate
+ *
+ * Return: ms; 0: unknown.
+ */
+uint64_t wl_sched_agent_clock_ms(const wl_sched_t *sched, uint64_t now_ns,
+				 const wl_sched_agent_t *agent)
+{
+	if (agent == TAILQ_FIRST(&sched->agents))
+		return now_ns / WL_NS_PER_MS;
+	if (agent->clock_ms == 0)
+		return 0;
+	return agent->clock_ms + (now_ns - agent->clock_ns) / WL_NS_PER_MS;
+}
+
+/*
+ * wl_sched_agent_choose - choose the agent that sends an order
+ *
+ * An agent whose clock is unknown could hold a start for too long.
+ */
+wl_sched_agent_t *wl_sched_agent_choose(const wl_sched_t *sched, const wl_sched_runner_t *runner,
+					wl_order_kind_t kind)
+{
+	wl_sched_agent_t *agent = sched->dispatch->choose(sched, runner);
+
+	if (kind == WL_ORDER_START && agent->clock_ms == 0)
+		return own_agent(sched, runner);
+	return agent;
+}
+
 /*
  * wl_sched_agent_enqueue - add an order to those that are sent at the end of the step
  * @order: copied
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -177,7 +177,10 @@
 	uint64_t bit;  /* in wl_sched_runner.answered_agents; 0: none is left */
 	bool usable;   /* reachable; the leader's own agent is the fallback and needs no flag */
 	uint64_t unusable_until_ns; /* not used before */
-	wl_list_t orders;	    /* wl_order_t; sent at the end of wl_sched_step() */
+	/* sample of its clock: at least clock_ms when ours was clock_ns; 0: none */
+	uint64_t clock_ms;
+	uint64_t clock_ns;
+	wl_list_t orders; /* wl_order_t; sent at the end of wl_sched_step() */
 	TAILQ_ENTRY(wl_sched_agent) link;
 } wl_sched_agent_t;
 
@@ -382,6 +385,11 @@
 void wl_sched_agents_init(wl_sched_t *sched);
 void wl_sched_agents_clear(wl_sched_t *sched);
 void wl_sched_agent_down(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, wl_out_t *out);
+void wl_sched_agent_answered(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, uint64_t clock_ms);
+uint64_t wl_sched_agent_clock_ms(const wl_sched_t *sched, uint64_t now_ns,
+				 const wl_sched_agent_t *agent);
+wl_sched_agent_t *wl_sched_agent_choose(const wl_sched_t *sched, const wl_sched_runner_t *runner,
+					wl_order_kind_t kind);
 void wl_sched_agent_enqueue(wl_sched_agent_t *agent, const wl_order_t *order);
 void wl_sched_agents_send(wl_sched_t *sched, wl_out_t *out);
 void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns,
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -11,6 +11,18 @@
 #define AGENT_ROUND_TRIP_MS 3000
 #define EXPIRY_INTERVAL_MS  50
 
+/* The latest time for the agent to send an order, on its clock; 0: its clock is unknown. */
+static uint64_t send_by_ms(const wl_sched_t *sched, uint64_t now_ns,
+			   const wl_sched_order_t *in_flight)
+{
+	uint64_t clock_ms = wl_sched_agent_clock_ms(sched, now_ns, in_flight->agent);
+	bool start = in_flight->kind == WL_ORDER_START;
+
+	if (clock_ms == 0)
+		return 0;
+	return clock_ms + (start ? WL_SCHED_START_TIMEOUT_MS : AGENT_ROUND_TRIP_MS);
+}
+
 /*
  * wl_sched_order_add - queue an order for the agent of its target
  * @order: kind and what is specific to it; the other fields are filled in here
@@ -31,7 +43,7 @@
 	in_flight->lease_ms = order->lease_ms;
 	in_flight->committed_ends = order->committed_ends;
 	in_flight->expires_ns = now_ns + (order->timeout_ms + AGENT_ROUND_TRIP_MS) * WL_NS_PER_MS;
-	in_flight->agent = sched->dispatch->choose(sched, runner);
+	in_flight->agent = wl_sched_agent_choose(sched, runner, in_flight->kind);
 	wl_buf_set(&in_flight->runner, runner->key);
 	if (run)
 		wl_buf_set(&in_flight->run, run->key);
@@ -42,6 +54,7 @@
 	order->runner = runner->id; /* not owned, like the address */
 	order->address = runner->state->report.address;
 	order->epoch = sched->epoch;
+	order->send_by_ms = send_by_ms(sched, now_ns, in_flight);
 	if (order->lease_ms > runner->known.lease_until_ms)
 		runner->known.lease_until_ms = order->lease_ms;
 	wl_sched_agent_enqueue(in_flight->agent, order);
@@ -124,6 +137,7 @@
 {
 	const wl_order_end_t *ends = msg->ends.items;
 
+	wl_sched_agent_answered(sched, now_ns, agent, msg->clock_ms);
 	for (size_t i = 0; i < msg->ends.count; i++) {
 		wl_str_t key = {(const char *)&ends[i].id, sizeof(ends[i].id)};
 		wl_sched_order_t *in_flight = wl_map_get(&sched->orders_by_id, key);
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -452,6 +452,7 @@
 	memset(to, 0, sizeof(*to));
 	to->id = from->id;
 	to->timeout_ms = from->timeout_ms;
+	to->send_by_ns = from->send_by_ns;
 	wl_buf_set(&to->address, wl_buf_str(&from->address));
 	wl_buf_set(&to->method, wl_buf_str(&from->method));
 	wl_buf_set(&to->path, wl_buf_str(&from->path));
--- a/libwlnet/http_transfer.c
+++ b/libwlnet/http_transfer.c
@@ -8,6 +8,7 @@
 
 #include "http_transfer.h"
 
+#include <libwlbase/clock.h>
 #include <libwlbase/units.h>
 
 #include <stdlib.h>
@@ -117,6 +118,12 @@
 	wl_buf_free(&line);
 }
 
+/* A request may get its connection late: it waited in a queue, or this process was paused. */
+static bool transfer_is_late(const wl_transfer_t *transfer)
+{
+	return transfer->fetch.send_by_ns && wl_clock_ns() > transfer->fetch.send_by_ns;
+}
+
 /* Called when a connection is ready, before the request is written. */
 static int transfer_before_send(void *arg, char *peer_ip, char *own_ip, int peer_port, int own_port)
 {
@@ -126,7 +133,7 @@
 	(void)own_ip;
 	(void)peer_port;
 	(void)own_port;
-	if (transfer->fetched.sent)
+	if (transfer->fetched.sent || transfer_is_late(transfer))
 		return CURL_PREREQFUNC_ABORT;
 	transfer->fetched.sent = true;
 	if (transfer->sent)
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -33,6 +33,7 @@
 	taken.percent = order.percent;
 	taken.wait_ms = order.wait_ms;
 	taken.checkpoint = text(order.checkpoint);
+	taken.send_by_ms = order.send_by_ms;
 	return taken;
 }
 
@@ -89,8 +90,13 @@
 	wl_out_t out = {};
 
 	wl_sched_step(sched, now, event, &out);
-	for (size_t i = 0; i < out.count; i++) {
-		wl_action_t &action = out.actions[i];
+	out_take(&out);
+}
+
+void SchedRig::out_take(wl_out_t *out)
+{
+	for (size_t i = 0; i < out->count; i++) {
+		wl_action_t &action = out->actions[i];
 
 		if (action.kind == WL_ACTION_PROPOSE) {
 			proposed.emplace_back(action.tag, action.cmd);
@@ -101,7 +107,7 @@
 		if (action.kind == WL_ACTION_LOG)
 			log.push_back(text(action.line));
 	}
-	wl_out_free(&out);
+	wl_out_free(out);
 	while (!rejected.empty()) {
 		wl_event_t next = rejected.front();
 
@@ -129,6 +135,8 @@
 		orders_reject(action);
 		return;
 	}
+	if (msg.orders.count == 0 && !silent.count(text(action.peer)))
+		agent_clock(text(action.peer));
 	for (size_t i = 0; i < msg.orders.count; i++)
 		orders.push_back(order_of(text(action.peer),
 					  static_cast<const wl_order_t *>(msg.orders.items)[i]));
@@ -144,6 +152,23 @@
 	rejected.push_back(event);
 }
 
+uint64_t SchedRig::agent_clock_ms(const std::string &agent) const
+{
+	return now / MS + (agent == "s1" ? 0 : agent_offset_ms);
+}
+
+/* The agent answers with its clock. */
+void SchedRig::agent_clock(const std::string &agent)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, str(agent));
+	wl_msg_init(&event.msg, WL_MSG_ORDERED);
+	event.msg.u.ordered.clock_ms = agent_clock_ms(agent);
+	rejected.push_back(event);
+}
+
 void SchedRig::lead(uint64_t term)
 {
 	wl_event_t event;
@@ -359,6 +384,7 @@
 	wl_event_init(&event, WL_EVENT_PEER);
 	wl_buf_set(&event.peer, str(order.agent));
 	wl_msg_init(&event.msg, WL_MSG_ORDERED);
+	event.msg.u.ordered.clock_ms = agent_clock_ms(order.agent);
 	end->id = order.id;
 	end->clock_ms = now / MS + clock_offset_ms;
 	*static_cast<wl_order_end_t *>(
@@ -400,8 +426,8 @@
 	for (const auto &name : names)
 		wl_strings_add(&list, str(name));
 	wl_sched_agents_set(sched, now, &list, &out);
-	wl_out_free(&out);
 	wl_strings_free(&list);
+	out_take(&out);
 }
 
 void SchedRig::report_forwarded(const std::string &agent, const std::string &runner, uint64_t life)
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -25,6 +25,7 @@
 	uint64_t percent;
 	uint64_t wait_ms;
 	std::string checkpoint;
+	uint64_t send_by_ms; /* on the agent's clock */
 };
 
 /*
@@ -68,6 +69,7 @@
 
 	/* Value of a metric's line "NAME{LABELS}"; empty if there is no such line. */
 	std::string metric(const std::string &line) const;
+	/* These answer at once when they are asked for their clocks, unless they are in silent. */
 	void agents(const std::vector<std::string> &names);
 	void link_down(const std::string &name);
 	/* An agent has answered an unchanged report of a target and forwards it to the leader. */
@@ -86,7 +88,9 @@
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
 	/* daemons whose send queue is full: orders for them are rejected */
 	std::set<std::string> full_queues;
-	size_t sent_bytes_max = 0; /* the longest of these, encoded */
+	std::set<std::string> silent;	  /* agents */
+	uint64_t agent_offset_ms = 70000; /* how far the clocks of other replicas are ahead */
+	size_t sent_bytes_max = 0;	  /* the longest of these, encoded */
 	std::vector<std::string> log;
 	std::string report_to; /* as named by the newest answer to a report */
 	wl_state_t *state = nullptr;
@@ -94,6 +98,9 @@
 
       private:
 	void step(wl_event_t *event);
+	void out_take(wl_out_t *out);
+	void agent_clock(const std::string &agent);
+	uint64_t agent_clock_ms(const std::string &agent) const;
 	void message_take(const wl_action_t &action);
 	void orders_reject(const wl_action_t &action);
 	void order_end(const SchedOrder &order, wl_order_end_t *end);
@@ -103,7 +110,7 @@
 	wl_sched_t *sched = nullptr;
 	wl_metrics_t metrics;
 	std::deque<std::pair<uint64_t, wl_cmd_t>> proposed;
-	std::deque<wl_event_t> rejected; /* what the daemon tells the scheduler of its orders */
+	std::deque<wl_event_t> rejected; /* answers of the daemon and of agents, not sent yet */
 	wl_cmd_t next_job = {};
 	uint64_t index = 0;
 	uint64_t sequence = 0;
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -11,6 +11,7 @@
 
 namespace
 {
+constexpr uint64_t MS = 1000000;
 constexpr uint64_t TERM = 5;
 constexpr uint64_t CALLS_MAX = 8;
 
@@ -36,6 +37,7 @@
 
 struct Results {
 	std::string leader;
+	uint64_t clock_ms;
 	std::vector<std::pair<uint64_t, uint64_t>> ends; /* order, outcome */
 };
 
@@ -77,12 +79,14 @@
 	{
 		wl_out_t out = {};
 
-		wl_agent_step(agent, event, &out);
+		wl_agent_step(agent, now, event, &out);
 		for (size_t i = 0; i < out.count; i++) {
 			const wl_action_t &action = out.actions[i];
 
 			if (action.kind == WL_ACTION_FETCH)
 				fetches.emplace_back(action.fetch.id, action.fetch.body.at);
+			if (action.kind == WL_ACTION_FETCH)
+				fetch_send_by_ns = action.fetch.send_by_ns;
 			if (action.kind == WL_ACTION_SEND)
 				collect(action);
 		}
@@ -94,7 +98,7 @@
 	{
 		const wl_msg_ordered_t &msg = action.msg.u.ordered;
 		const auto *ends = static_cast<const wl_order_end_t *>(msg.ends.items);
-		Results one = {std::string(action.peer.at, action.peer.len), {}};
+		Results one = {std::string(action.peer.at, action.peer.len), msg.clock_ms, {}};
 
 		ASSERT_EQ(action.msg.kind, static_cast<uint64_t>(WL_MSG_ORDERED));
 		for (size_t i = 0; i < msg.ends.count; i++) {
@@ -123,6 +127,7 @@
 
 			order->id = id;
 			order->run = id * 10;
+			order->send_by_ms = send_by_ms;
 		}
 		step(&event);
 	}
@@ -147,10 +152,13 @@
 	}
 
 	wl_raft_t *raft = nullptr;
+	uint64_t now = 1000 * MS;
+	uint64_t send_by_ms = 0; /* of the next orders */
 	wl_metrics_t metrics;
 	wl_agent_t *agent = nullptr;
 	std::vector<std::pair<uint64_t, std::string>> fetches; /* id, body */
 	std::vector<Results> sent;
+	uint64_t fetch_send_by_ns = 0; /* of the newest one */
 };
 } // namespace
 
@@ -219,3 +227,40 @@
 	tick();
 	EXPECT_TRUE(sent.empty());
 }
+
+/* As after a pause of this process, during which the order was in its socket. */
+TEST_F(Agent, OrderThatArrivesTooLateIsNotSent)
+{
+	send_by_ms = now / MS + 1000;
+	now += 1001 * MS;
+	orders("s2", TERM, {7});
+	EXPECT_TRUE(fetches.empty());
+	tick();
+	ASSERT_EQ(sent.size(), 1u);
+	EXPECT_EQ(sent[0].ends,
+		  (std::vector<std::pair<uint64_t, uint64_t>>{{7, WL_ORDER_NOT_SENT}}));
+}
+
+TEST_F(Agent, OrderInTimeIsNotSentLaterThanItsTime)
+{
+	send_by_ms = now / MS + 1000;
+	now += 1000 * MS;
+	orders("s2", TERM, {7});
+	EXPECT_EQ(fetches.size(), 1u);
+	EXPECT_EQ(fetch_send_by_ns, send_by_ms * MS);
+}
+
+TEST_F(Agent, ClockIsToldInAnswersAndWhenAsked)
+{
+	orders("s2", TERM, {});
+	ASSERT_EQ(sent.size(), 1u);
+	EXPECT_EQ(sent[0].leader, "s2");
+	EXPECT_EQ(sent[0].clock_ms, 1000u);
+	EXPECT_TRUE(sent[0].ends.empty());
+	orders("s2", TERM, {7});
+	fetched(0, WL_ORDER_DONE);
+	now += 10 * MS;
+	tick();
+	ASSERT_EQ(sent.size(), 2u);
+	EXPECT_EQ(sent[1].clock_ms, 1010u);
+}
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -181,6 +181,55 @@
 	EXPECT_EQ(text(event->fetched.body), "abc");
 }
 
+/* The request waits for a connection, which becomes free during the pause. */
+TEST_F(HttpClient, RequestIsNotSentAfterAPauseBeyondItsDeadline)
+{
+	const uint64_t timeout_ms = 200;
+
+	ASSERT_TRUE(fetch(1, listener.address()));
+	ASSERT_TRUE(fetch(2, listener.address()));
+	Tcp tcp = listener.accept();
+	Tcp other = listener.accept();
+	tcp.read_until("\r\n\r\n");
+	ASSERT_TRUE(fetch(3, listener.address(), "POST", "", timeout_ms));
+	std::this_thread::sleep_for(std::chrono::milliseconds(timeout_ms / 4));
+	ThreadStop stop("wl-http-out");
+	tcp.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+	std::this_thread::sleep_for(std::chrono::milliseconds(2 * timeout_ms));
+	stop.resume();
+	Event first = events.next(10000);
+	Event second = events.next(10000);
+	ASSERT_TRUE(first && second);
+	const wl_fetched_t &late = first->fetched.id == 3 ? first->fetched : second->fetched;
+	EXPECT_EQ(late.id, 3u);
+	EXPECT_FALSE(late.complete);
+	EXPECT_FALSE(late.sent);
+}
+
+TEST_F(HttpClient, RequestIsNotSentAfterItsTimeToSend)
+{
+	for (int late : {1, 0}) {
+		wl_fetch_t call = {};
+
+		call.id = 1;
+		call.timeout_ms = 2000;
+		call.send_by_ns = late ? wl_clock_ns() - 1 : wl_clock_ns() + 2000 * 1000000ULL;
+		wl_buf_set(&call.address, str(listener.address()));
+		wl_buf_set(&call.method, WL_STR("POST"));
+		wl_buf_set(&call.path, WL_STR("/"));
+		ASSERT_TRUE(wl_http_client_fetch(client, &call));
+		if (late) {
+			EXPECT_FALSE(fetched(1)->fetched.sent);
+			continue;
+		}
+		Tcp tcp = listener.accept(); /* of the late call, closed */
+		tcp = listener.accept();
+		tcp.read_until("\r\n\r\n");
+		tcp.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+		EXPECT_TRUE(fetched(1)->fetched.complete);
+	}
+}
+
 TEST_F(HttpClient, TruncatedBodyIsIncomplete)
 {
 	Event event = serve_once("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -410,3 +410,56 @@
 	rig.commit();
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
 }
+
+/* A target that started again would take a start that a paused agent held for a new one. */
+TEST_F(SchedAgents, OrdersNameTheTimeUntilWhichTheirAgentMaySendThem)
+{
+	rig.agents({"s2"});
+	rig.runner("i-1", 1000);
+	rig.advance(500);
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.commit();
+	auto started = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_EQ(started[0].agent, "s2");
+	EXPECT_EQ(started[0].send_by_ms, rig.now / 1000000 + rig.agent_offset_ms + 1000);
+	rig.advance(10);
+	auto holds = rig.take_orders(WL_ORDER_RENEW);
+	ASSERT_EQ(holds.size(), 1u);
+	EXPECT_EQ(holds[0].send_by_ms, rig.now / 1000000 + rig.agent_offset_ms + 3000);
+}
+
+TEST_F(SchedAgents, AgentOfUnknownClockGetsNoStarts)
+{
+	rig.silent.insert("s2");
+	rig.agents({"s2"});
+	rig.runner("i-1", 1000);
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.commit();
+	auto started = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_EQ(started[0].agent, "s1");
+	EXPECT_EQ(started[0].send_by_ms, rig.now / 1000000 + 1000);
+}
+
+/* Its clock may have started anew. */
+TEST_F(SchedAgents, ClockOfAnAgentIsForgottenWithItsLink)
+{
+	rig.agents({"s2"});
+	rig.link_down("s2");
+	rig.silent.insert("s2");
+	rig.advance(1000);
+	rig.agents({"s2"});
+	rig.runner("i-1", 1000);
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.commit();
+	auto started = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_EQ(started[0].agent, "s1");
+}
