sched: the commit of a start decides on it, also when its target is removed before

Also a task that was never started until the next leader. Cause: the removal of a target queued the tasks of its proposed starts at once. The task was placed again before the commit of the first start had been seen, under the same run number, as the job state counts only committed starts. If the target was back by then as a new incarnation, the job state accepted the first start while the leader sent the second one: the record named another target than the one that had the run. The next leader found no run on the recorded target and started the task again while it ran. If the first start was rejected, the commit of the second found no run, and the task was neither queued nor sent. Now a proposed start is left to its commit: rejected, its task is queued; accepted for a later incarnation, its run ends as not started.

Ruled out: matching the committed start by its target alone; the second start would still be rejected for its run number, and its run be lost.

--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -165,6 +165,9 @@
 
 /*
  * wl_sched_runner_departed - remove a target that has left, and queue the tasks that it ran
+ *
+ * Proposed starts on it are decided by their commit: a task that was queued again before would be
+ * started elsewhere under the same run number.
  */
 void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      wl_out_t *out)
@@ -178,13 +181,13 @@
 	while ((run = TAILQ_FIRST(&runner->runs))) {
 		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 		uint64_t task = run->task;
-		uint64_t ended_ns = run->phase == WL_RUN_PROPOSED ? run->previous_end_ns : now_ns;
+		bool proposed = run->phase == WL_RUN_PROPOSED;
 
-		if (run->phase != WL_RUN_PROPOSED)
+		if (!proposed)
 			wl_sched_run_end_log(run, WL_END_LOST, reason, out);
 		wl_sched_run_remove(sched, run);
-		if (job)
-			wl_sched_task_enqueue(sched, now_ns, job, task, ended_ns);
+		if (job && !proposed)
+			wl_sched_task_enqueue(sched, now_ns, job, task, now_ns);
 	}
 	wl_sched_runner_remove(sched, runner);
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -256,6 +256,25 @@
 		start_send(sched, now_ns, run, job, out);
 }
 
+/*
+ * Handles a start whose run was released with its target before the commit. It was not sent: if the
+ * job state has accepted it, for a later incarnation of the target, its run ends at once.
+ */
+static void start_withdrawn(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job,
+			    const wl_run_start_t *row, wl_out_t *out)
+{
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&row->runner));
+	wl_sched_run_t *run;
+
+	if (!runner || !wl_job_run(job, row->task, row->run)) {
+		wl_sched_task_enqueue(sched, now_ns, job, row->task, row->run > 1 ? now_ns : 0);
+		return;
+	}
+	run = wl_sched_run_add(sched, runner, job, row->task, row->run);
+	run->previous_end_ns = row->run > 1 ? now_ns : 0;
+	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "withdrawn", out);
+}
+
 /*
  * wl_sched_starts_applied - send the start orders of committed starts
  *
@@ -273,6 +292,8 @@
 							rows[i].task, rows[i].run);
 		uint64_t previous_end_ns;
 
+		if (!run && job)
+			start_withdrawn(sched, now_ns, job, &rows[i], out);
 		if (!run || run->phase != WL_RUN_PROPOSED)
 			continue;
 		if (job && wl_job_run(job, rows[i].task, rows[i].run)) {
