sched: send orders only while no other replica can lead

Cause: a new leader waits from the beginning of its leadership for the leases that its predecessor may have granted. The predecessor sent orders with leases after that moment in two cases. After a pause the event loop processes up to 256 events before its next tick, in which the log would step down; an answer of before the pause commits a start, which was sent with a lease from now on. And a leader that hands over renewed leases for up to the election time-out after another replica may have been elected, if it does not hear of the election. A target that only the predecessor reaches keeps the run beyond the lease that the new leader assumes, while the task is started elsewhere. Now orders leave the scheduler only while the log's lease holds, as answers to daemons do already: a majority has answered a message sent within 90% of the election time-out, and no hand-over has begun. Otherwise they wait, until the lease holds again or the leadership ends. Deadlines are absolute times on the target's clock, so that an order that is delayed later extends nothing there.

Ruled out by the cases that pass before too: a leader that is partitioned for 1050 or 7000 ms, alone or with a follower, and frozen followers. A machine whose clock stands still while it is suspended, also CLOCK_BOOTTIME, can't tell; that is open.

--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -226,6 +226,7 @@
 	wl_sched_options_t sched = {
 		.name = node->options.name,
 		.leader = node->leader,
+		.raft = node->raft,
 		.jobs = wl_state_jobs(node->state),
 		.metrics = &node->metrics,
 		.placement = node->options.job_placement,
--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -270,11 +270,16 @@
 
 /*
  * wl_sched_agents_send - send the queued orders to their agents
+ *
+ * A new leader waits from the beginning of its leadership for the leases that its predecessor may
+ * have granted. Orders therefore wait here while another replica may lead.
  */
-void wl_sched_agents_send(wl_sched_t *sched, wl_out_t *out)
+void wl_sched_agents_send(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	wl_sched_agent_t *agent;
 
+	if (sched->options.raft && !wl_raft_lease_holds(sched->options.raft, now_ns))
+		return;
 	TAILQ_FOREACH (agent, &sched->agents, link)
 		if (agent->orders.count > 0)
 			orders_send(sched, agent, out);
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -391,7 +391,7 @@
 wl_sched_agent_t *wl_sched_agent_choose(const wl_sched_t *sched, const wl_sched_runner_t *runner,
 					wl_order_kind_t kind);
 void wl_sched_agent_enqueue(wl_sched_agent_t *agent, const wl_order_t *order);
-void wl_sched_agents_send(wl_sched_t *sched, wl_out_t *out);
+void wl_sched_agents_send(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns,
 			  const wl_sched_agent_t *agent);
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
--- a/libwlcore/sched/sched.h
+++ b/libwlcore/sched/sched.h
@@ -5,6 +5,7 @@
 #include <libwlcore/leader/leader.h>
 #include <libwlcore/model/event.h>
 #include <libwlcore/model/order.h>
+#include <libwlcore/raft/raft.h>
 
 /*
  * The job scheduler, which runs on the leader only. It chooses where tasks run, commits
@@ -18,6 +19,7 @@
 typedef struct wl_sched_options {
 	wl_str_t name;		   /* name of this daemon */
 	const wl_leader_t *leader; /* for the group's clock */
+	const wl_raft_t *raft;	   /* for the lease of the leadership; NULL: it always holds */
 	wl_jobs_t *jobs;
 	wl_metrics_t *metrics;
 	wl_str_t placement; /* here and below: name of a policy; empty: the default */
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -52,7 +52,8 @@
 
 void Fleet::replica_add(size_t place)
 {
-	replicas.push_back(std::make_unique<FleetReplica>(time, names, place, options.costs));
+	replicas.push_back(std::make_unique<FleetReplica>(time, names, place, options.costs,
+							  options.dispatch));
 	FleetReplica *replica = replicas.back().get();
 
 	replica->on_send = [this, replica](const std::string &to, const std::string &bytes) {
@@ -70,6 +71,10 @@
 			   [this, call, status, body] { request_answered(call, status, body); });
 	};
 	replica->on_log = [this, replica](const std::string &line) {
+		if (line.find("event=sched-lead ") != std::string::npos) {
+			record.epoch = std::stoull(line.substr(line.find("epoch=") + 6));
+			record.led_ns = time.now_ns;
+		}
 		if (on_log)
 			on_log(*replica, line);
 	};
@@ -170,6 +175,13 @@
 	stalled_until_ns[{other->name, one->name}] = until_ns;
 }
 
+/* Delays the messages of all others to a replica for a time. */
+void Fleet::stall_messages_to(const FleetReplica *replica, uint64_t ms)
+{
+	for (const auto &other : names)
+		stalled_until_ns[{other, replica->name}] = time.now_ns + ms * NS_PER_MS;
+}
+
 void Fleet::send(const std::string &from, const std::string &to, const std::string &bytes)
 {
 	uint64_t leaves_ns = std::max(time.now_ns, stalled_until_ns[{from, to}]);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -35,6 +35,7 @@
 	uint64_t lasting_jobs = 114;
 	uint64_t lasting_width = 14;
 	uint64_t lasting_failures = 20; /* number of failures among their tasks */
+	std::string dispatch;		/* policy that chooses the replica that sends an order */
 	uint64_t load_ms = 20000;
 	uint64_t drain_ms = 14000; /* time after the load in which its tasks end */
 	FleetCosts costs = {FLEET_EVENT_CPU_NS * 1000 / FLEET_CPU_PERMILLE,
@@ -56,6 +57,7 @@
 	FleetReplica *leader();
 	FleetReplica *follower(size_t place = 0);
 	void kill(FleetReplica *replica);
+	void stall_messages_to(const FleetReplica *replica, uint64_t ms);
 	void stall_link(const FleetReplica *one, const FleetReplica *other, uint64_t ms);
 
 	std::string summary() const;
--- a/tests/support/fleet_checks.h
+++ b/tests/support/fleet_checks.h
@@ -18,6 +18,7 @@
 	EXPECT_EQ(seen.lapsed, 0u) << fleet.summary();
 	EXPECT_EQ(seen.twice, 0u) << fleet.summary();
 	EXPECT_EQ(seen.after_done, 0u) << fleet.summary();
+	EXPECT_EQ(seen.leases_beyond, 0u) << fleet.summary();
 	EXPECT_EQ(seen.tasks_left(), 0u) << fleet.summary();
 	EXPECT_GE(seen.starts_begun * 10, seen.starts() * 9) << fleet.summary();
 }
--- a/tests/support/fleet_record.cc
+++ b/tests/support/fleet_record.cc
@@ -122,11 +122,12 @@
 		batch += item.second.accepted && !item.second.lasting;
 	}
 	text << "lapsed=" << lapsed << " longest_gap_ms=" << longest_gap_ms() << " twice=" << twice
-	     << " after_done=" << after_done << " starts=" << starts() << " begun=" << starts_begun
-	     << " late=" << starts_late << " refused=" << starts_refused
-	     << " unsent=" << starts_unsent << " tasks_left=" << tasks_left() << "/" << batch
-	     << " lasting=" << lasting << " failed=" << lasting_failed
-	     << " jobs_refused=" << jobs_refused << " room_used_most="
+	     << " after_done=" << after_done << " leases_beyond=" << leases_beyond
+	     << " starts=" << starts() << " begun=" << starts_begun << " late=" << starts_late
+	     << " refused=" << starts_refused << " unsent=" << starts_unsent
+	     << " tasks_left=" << tasks_left() << "/" << batch << " lasting=" << lasting
+	     << " failed=" << lasting_failed << " jobs_refused=" << jobs_refused
+	     << " room_used_most="
 	     << (capacity_millis ? used_max_millis * 100 / capacity_millis : 0)
 	     << "% calls=" << calls() << " by replica:";
 	for (const auto &item : calls_of)
--- a/tests/support/fleet_record.h
+++ b/tests/support/fleet_record.h
@@ -33,11 +33,15 @@
 	uint64_t lapsed = 0;	     /* runs that the target ended because its lease expired */
 	uint64_t twice = 0;	     /* starts of a task while another run of it was active */
 	uint64_t after_done = 0;     /* starts of a task after its completion was acknowledged */
-	uint64_t jobs_refused = 0;   /* jobs refused at every attempt */
+	/* orders of an earlier leader with a lease that ends later than its successor assumes */
+	uint64_t leases_beyond = 0;
+	uint64_t jobs_refused = 0; /* jobs refused at every attempt */
 	uint64_t lasting_failed = 0;
 	uint64_t used_millis = 0;
 	uint64_t used_max_millis = 0;
 	uint64_t capacity_millis = 0;
+	uint64_t epoch = 0;			  /* of the newest leadership */
+	uint64_t led_ns = 0;			  /* since when */
 	std::map<std::string, uint64_t> calls_of; /* calls to targets, by replica */
 
       private:
--- a/tests/support/fleet_replica.cc
+++ b/tests/support/fleet_replica.cc
@@ -31,9 +31,9 @@
 }
 
 FleetReplica::FleetReplica(Timeline &timeline, const std::vector<std::string> &names, size_t index,
-			   const FleetCosts &replica_costs)
+			   const FleetCosts &replica_costs, const std::string &dispatch_policy)
     : name(names[index]), time(timeline), costs(replica_costs), task_chart(chart("task")),
-      target_chart(chart("target"))
+      target_chart(chart("target")), dispatch(dispatch_policy)
 {
 	for (const auto &peer : names)
 		stores.push_back({str(peer), str(peer)});
@@ -48,6 +48,7 @@
 	options.seed = 1 + index;
 	options.saved = &saved;
 	options.dialect = &wl_platform_dialect;
+	options.job_dispatch = str(dispatch);
 	options.control_port = CONTROL_PORT;
 	options.compact_entries = LOG_ENTRIES_MAX;
 	options.task_chart = str(task_chart);
@@ -209,20 +210,22 @@
 	work();
 }
 
-/* A due tick is processed before the queued events. */
+/* A due tick is processed before the queued events, or after a batch of them. */
 void FleetReplica::decide()
 {
 	auto effects = std::make_shared<Effects>();
 	wl_event_t event;
 	wl_out_t out;
 
-	if (time.now_ns >= next_tick_ns) {
+	if (time.now_ns >= next_tick_ns && (events.empty() || batched >= batch)) {
+		batched = 0;
 		wl_event_init(&event, WL_EVENT_TICK);
 		event.wall_ms = WALL_MS + time.now_ns / NS_PER_MS;
 		next_tick_ns = time.now_ns + wl_node_tick_ns(node);
 	} else {
 		event = events.front();
 		events.pop_front();
+		batched++;
 	}
 	wl_out_init(&out);
 	wl_node_step(node, time.now_ns, &event, &out);
--- a/tests/support/fleet_replica.h
+++ b/tests/support/fleet_replica.h
@@ -36,7 +36,7 @@
 {
       public:
 	FleetReplica(Timeline &timeline, const std::vector<std::string> &names, size_t index,
-		     const FleetCosts &costs);
+		     const FleetCosts &costs, const std::string &dispatch);
 	~FleetReplica();
 	FleetReplica(const FleetReplica &) = delete;
 	FleetReplica &operator=(const FleetReplica &) = delete;
@@ -50,6 +50,7 @@
 
 	const std::string name;
 	uint64_t term = 0; /* of its leadership; 0: it does not lead */
+	size_t batch = 0;  /* queued events processed before a tick that is due */
 
 	std::function<void(const std::string &to, const std::string &bytes)> on_send;
 	std::function<void(const FleetCall &call)> on_call;
@@ -103,6 +104,7 @@
 	std::vector<wl_node_peer_t> stores;
 	std::string task_chart;
 	std::string target_chart;
+	const std::string dispatch;
 	wl_raft_saved_t saved = {};
 	wl_node_options_t options = {};
 	wl_node_t *node = nullptr;
@@ -122,6 +124,7 @@
 	uint64_t spent_ns = 0;
 	uint64_t next_tick_ns = 0;
 	uint64_t frozen_until_ns = 0;
+	size_t batched = 0; /* events processed since the last tick */
 };
 
 #endif
--- a/tests/support/fleet_target.cc
+++ b/tests/support/fleet_target.cc
@@ -7,7 +7,8 @@
 
 static const uint64_t NS_PER_MS = 1000000;
 static const uint64_t LEASE_MAX_MS = 6000;
-static const uint64_t STOP_MS = 100; /* from a stop order to the end of the run */
+static const uint64_t LEASE_MARGIN_MS = 200; /* for estimates of slow clocks */
+static const uint64_t STOP_MS = 100;	     /* from a stop order to the end of the run */
 static const uint64_t WAIT_MAX_MS = 2000;
 static const uint64_t CPU_MILLIS = 32000;
 static const uint64_t INCARNATION = 1700000000000;
@@ -24,7 +25,21 @@
 
 uint64_t FleetTarget::clock_ms() const
 {
-	return clock_first_ms + time.now_ns / NS_PER_MS * (1000 - slow_permille) / 1000;
+	return clock_ms_at(time.now_ns);
+}
+
+uint64_t FleetTarget::clock_ms_at(uint64_t ns) const
+{
+	return clock_first_ms + ns / NS_PER_MS * (1000 - slow_permille) / 1000;
+}
+
+/* Whether this target would get the order or not, as a partition could hide the new leader. */
+void FleetTarget::lease_check(const Order &order)
+{
+	uint64_t bound_ms = clock_ms_at(record.led_ns) + LEASE_MAX_MS + LEASE_MARGIN_MS;
+
+	if (order.token && order.token < record.epoch && order.deadline_ms > bound_ms)
+		record.leases_beyond++;
 }
 
 std::string FleetTarget::report()
@@ -80,6 +95,7 @@
 {
 	Order order = order_read(body);
 
+	lease_check(order);
 	if (order.token < token) {
 		record.starts_refused += path == "/-/run-start";
 		refuse(answer, "fence");
--- a/tests/support/fleet_target.h
+++ b/tests/support/fleet_target.h
@@ -61,6 +61,8 @@
 
 	static Order order_read(const std::string &body);
 	uint64_t clock_ms() const;
+	uint64_t clock_ms_at(uint64_t ns) const;
+	void lease_check(const Order &order);
 	void start(const Order &order, const Answer &answer);
 	void stop(const Order &order, const Answer &answer);
 	void hold(const Order &order, const Answer &answer);
--- a/tests/unit/fleet_faults_test.cc
+++ b/tests/unit/fleet_faults_test.cc
@@ -114,6 +114,49 @@
 	}
 }
 
+/* It processes the messages of before the freeze, with the commits in them, before its next tick.
+ */
+TEST(FleetFaults, LeaderGrantsNoLeaseAfterAFreeze)
+{
+	for (uint64_t at_ms = FAULT_MS + 4; at_ms < FAULT_MS + 64; at_ms += 8) {
+		FleetOptions options = light();
+
+		options.dispatch = "leader";
+		Fleet fleet(options);
+		fleet.at(at_ms, [&fleet] {
+			fleet.leader()->batch = 256;
+			fleet.leader()->freeze(8000);
+		});
+		fleet.simulate();
+		EXPECT_EQ(fleet.record.leases_beyond, 0u) << fleet.summary();
+		EXPECT_EQ(fleet.record.twice, 0u) << fleet.summary();
+	}
+}
+
+/* It hears nothing of the election that it has asked for. */
+TEST(FleetFaults, LeaderGrantsNoLeaseAfterItHandsOver)
+{
+	FleetOptions options = light();
+
+	options.dispatch = "leader";
+	Fleet fleet(options);
+	FleetReplica *former = nullptr;
+	fleet.on_log = [&](const FleetReplica &, const std::string &line) {
+		if (former && line.find("role=candidate") != std::string::npos)
+			fleet.stall_messages_to(former, 3000);
+	};
+	fleet.at(FAULT_MS, [&] {
+		wl_event_t event;
+
+		former = fleet.leader();
+		wl_event_init(&event, WL_EVENT_DRAIN);
+		former->event(&event);
+	});
+	fleet.simulate();
+	EXPECT_EQ(fleet.record.leases_beyond, 0u) << fleet.summary();
+	EXPECT_EQ(fleet.record.twice, 0u) << fleet.summary();
+}
+
 TEST(FleetFaults, NoRunLapsesWhenAFollowerFreezesRepeatedly)
 {
 	Fleet fleet(light());
