sched: a new leader knows the incarnations of targets from their committed reports

Cause: a new leader knew incarnation 0 until the first report or answer. A delayed report of an earlier incarnation, or one without a start time, set the clock. Orders and runs named the incarnation of the committed report, also where an answer had named a later one. Now the incarnation is that of the committed report from the first moment on, and orders and runs name the one that is known.

Evidence: three cases of Incarnation (DelayedReport..., ReportWithoutStartTime...) fail on the code before, as above.

--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -57,18 +57,12 @@
 	return count;
 }
 
-/* A new leader that had no report of the target yet knows only what is committed. */
-static uint64_t known_incarnation(const wl_sched_runner_t *runner)
-{
-	return runner->incarnation ? runner->incarnation : runner->state->report.incarnation;
-}
-
 /* Whether the incarnation that is known has announced that it drains, as one that leaves does. */
 static bool has_drained(const wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
 
-	return report->draining && report->incarnation == known_incarnation(runner);
+	return report->draining && report->incarnation == runner->incarnation;
 }
 
 /*
@@ -81,7 +75,7 @@
 {
 	if (!runner)
 		return "unknown";
-	if (report->incarnation && report->incarnation != known_incarnation(runner))
+	if (report->incarnation && report->incarnation != runner->incarnation)
 		return "other-life";
 	if (report->incarnation == 0 && !has_drained(runner))
 		return "not-draining";
@@ -117,7 +111,6 @@
 
 	if (runner->known.departing)
 		return;
-	runner->incarnation = known_incarnation(runner);
 	runner->known.departing = true;
 	runner->fit.usable = false;
 	TAILQ_FOREACH (run, &runner->runs, link)
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -36,7 +36,7 @@
 	in_flight->id = sched->next_id++;
 	in_flight->key = (wl_str_t){(const char *)&in_flight->id, sizeof(in_flight->id)};
 	in_flight->kind = (wl_order_kind_t)order->kind;
-	in_flight->incarnation = runner->state->report.incarnation;
+	in_flight->incarnation = runner->incarnation;
 	in_flight->lookup = runner->lookup;
 	in_flight->percent = order->percent;
 	in_flight->sent_ns = now_ns;
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -172,7 +172,7 @@
 	row->task = run->task;
 	row->run = run->number;
 	wl_buf_set(&row->runner, run->runner->key);
-	row->incarnation = run->runner->state->report.incarnation;
+	row->incarnation = run->incarnation;
 }
 
 /* All members of a gang get the same number, above the newest one of any member. */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -102,6 +102,7 @@
 		runner = wl_alloc(sizeof(*runner));
 		wl_buf_set(&runner->id, state->key);
 		runner->key = wl_buf_str(&runner->id);
+		runner->incarnation = state->report.incarnation;
 		runner->renewal_due_ns = now_ns;
 		runner->previous_leases_expiry_ns =
 			sched->leader_since_ns + lease_bound_ns(sched->options.lease_max_ms);
@@ -428,8 +429,7 @@
 	if (end->outcome != WL_ORDER_OTHER_INCARNATION || runner->known.removal_proposed)
 		return false;
 	if (order->lookup != runner->lookup ||
-	    order->incarnation != runner->state->report.incarnation ||
-	    (runner->incarnation && order->incarnation != runner->incarnation))
+	    order->incarnation != runner->state->report.incarnation)
 		return false;
 	return (runner->known.answered_agents & order->agent->bit) ||
 	       later_target_at_address(sched, runner);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -87,7 +87,7 @@
 	run->task = task;
 	run->number = number;
 	run->runner = runner;
-	run->incarnation = runner->state->report.incarnation;
+	run->incarnation = runner->incarnation;
 	run->best_effort = step->best_effort;
 	run->speed_percent = WL_SPEED_FULL;
 	run->lasting = step->lasting;
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -73,6 +73,32 @@
 		rig.runner("i-1", 32000, life);
 	}
 
+	void lead_again()
+	{
+		rig.follow();
+		rig.orders.clear();
+		rig.lead(2);
+	}
+
+	/* A report with the clock of the earlier incarnation. */
+	void report_late(uint64_t life)
+	{
+		rig.clock_offset_ms = OLD_CLOCK;
+		rig.runner("i-1", 32000, life);
+		rig.clock_offset_ms = NEW_CLOCK;
+	}
+
+	/* No order may name a deadline that is far ahead of the clock of the next incarnation. */
+	void expect_deadlines_by_its_clock()
+	{
+		rig.job("q", "later", {1});
+		rig.submit();
+		for (const auto &one : starts())
+			EXPECT_LE(one.lease_ms, clock_now_ms() + START_LEASE_MS);
+		for (const auto &one : rig.take_orders(WL_ORDER_RENEW))
+			EXPECT_LE(one.lease_ms, clock_now_ms() + LEASE_MS);
+	}
+
 	uint64_t clock_now_ms() const
 	{
 		return rig.now / MS + rig.clock_offset_ms;
@@ -115,3 +141,30 @@
 	rig.answer_hold(next, {SchedRig::view(b)}, {});
 	EXPECT_EQ(hold().seen, 1u);
 }
+
+TEST_F(Incarnation, DelayedReportOfTheEarlierOneDoesNotSetTheClockOfANewLeader)
+{
+	restart();
+	lead_again();
+	report_late(1);
+	expect_deadlines_by_its_clock();
+}
+
+TEST_F(Incarnation, ReportWithoutStartTimeDoesNotSetTheClockOfANewLeader)
+{
+	restart();
+	lead_again();
+	report_late(0);
+	expect_deadlines_by_its_clock();
+}
+
+TEST_F(Incarnation, DelayedReportOfTheEarlierOneDoesNotHideADepartureFromANewLeader)
+{
+	restart();
+	rig.answer(start_job("j"), WL_ORDER_DONE);
+	rig.runner("i-1", 32000, 2, "r1", true);
+	lead_again();
+	report_late(1);
+	rig.runner_left("i-1");
+	EXPECT_EQ(rig.take_orders(WL_ORDER_STOP).size(), 1u);
+}
