sched: an answer of an earlier incarnation sets no clock and proves no contact

Cause: the answer to an order that was sent to the incarnation before the known one still set the clock of the target, its time of contact and its leases. The earlier clock is ahead, so that the answers of the new incarnation were ignored from then on and each order named a lease far beyond 6 s. The target shortens such a lease to its maximum from the time at which it carries the order out, however late that is, while the leader counts 6 s from its sending. A late answer to a hold also counted as a success of the newest one. Now such an answer has no effect on what is known of the target: that of a hold names its incarnation, and any other one counts only if the address and incarnation have not changed since the order was sent.

unit.sched_start_test, LateAnswerOfAnEarlierIncarnationDoesNotSetTheClock: failed before, a lease until 82090 ms on a clock at 16090 ms.

--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -80,6 +80,15 @@
 		order_remove(sched, TAILQ_FIRST(&sched->orders));
 }
 
+/* Whether an answer may be that of an earlier incarnation, whose clock and leases have ended. */
+static bool is_outdated(const wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
+			const wl_order_end_t *end)
+{
+	if (end->incarnation)
+		return end->incarnation < runner->incarnation;
+	return in_flight->lookup != runner->lookup;
+}
+
 static void runner_answered(wl_sched_runner_t *runner, uint64_t now_ns, const wl_order_end_t *end)
 {
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
@@ -117,10 +126,12 @@
 
 	wl_sched_order_measure(sched, in_flight->kind, (wl_order_outcome_t)end->outcome,
 			       now_ns - in_flight->sent_ns);
-	if (runner) {
+	if (runner && !is_outdated(runner, in_flight, end)) {
 		runner_answered(runner, now_ns, end);
 		agent_answered(runner, in_flight, end);
 		lease_answered(runner, in_flight, end);
+	}
+	if (runner) {
 		if (in_flight->kind == WL_ORDER_RENEW)
 			wl_sched_renewal_answered(sched, now_ns, runner, in_flight, end, out);
 		else
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -474,9 +474,9 @@
 		renewal_fail(now_ns, runner, order, end, out);
 		return;
 	}
-	runner->known.renewal_failed = false;
 	if (end->incarnation && end->incarnation < runner->incarnation)
 		return;
+	runner->known.renewal_failed = false;
 	if (end->incarnation > runner->incarnation) {
 		incarnation_begin(sched, now_ns, runner, end->incarnation);
 		runner->known.clock_ms = end->clock_ms;
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -183,3 +183,21 @@
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
 	EXPECT_EQ(starts_of("late.0.0.0"), 1u);
 }
+
+/* Its clock was ahead of that of the new incarnation by a minute. */
+TEST_F(UnansweredStart, LateAnswerOfAnEarlierIncarnationDoesNotSetTheClock)
+{
+	const uint64_t ahead_ms = 60000;
+
+	rig.clock_offset_ms += ahead_ms;
+	rig.answer(start, WL_ORDER_NO_ANSWER);
+	rig.answer_hold(next(WL_ORDER_RENEW), {}, {});
+	SchedOrder stop = next(WL_ORDER_STOP);
+	rig.clock_offset_ms -= ahead_ms;
+	restart(2);
+	rig.clock_offset_ms += ahead_ms;
+	rig.answer(stop, WL_ORDER_DONE);
+	rig.clock_offset_ms -= ahead_ms;
+	rig.answer_hold(next(WL_ORDER_RENEW), {}, {}, 2);
+	EXPECT_LE(next(WL_ORDER_RENEW).lease_ms, rig.now / MS + rig.clock_offset_ms + 6000);
+}
