sched: wait for the lease of a hold that a new incarnation carried out late

Cause: the deadline of a hold is a time on the target's clock, so that a late one extends nothing, unless the target has started again under its id: its clock is far behind the deadline, and the lease is valid for the longest time from when the hold is carried out. The leader waited that time only from when it learned of the new incarnation. If that target is then out of reach, its runs were counted as lost while their lease was valid. Now the leader adds for how long an order to the incarnation before may be held: 3 s by an agent, which sends no later one, and 4 s on its path. For the first incarnation that a leader learns of it waits as before.

unit.sched_start_test, LeaseOfALateHoldOnANewIncarnationIsWaitedFor: failed before, the task was started again 6480 ms after the restart of the target, not 13 s. What remains: a hold of the earlier leader that a target carries out after a restart and after the change of leader, and that the new leader does not reach.

--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -11,16 +11,14 @@
 
 #include "internal.h"
 
-/* How long after its time-out a start without an answer may still be carried out. */
-#define START_LATE_MS 4000
-
 /*
  * wl_sched_run_start_sent - note when the start of a run was sent
  * @sent_ns: of a run of an earlier leader: when our leadership began
  */
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns)
 {
-	run->start_over_ns = sent_ns + (WL_SCHED_START_TIMEOUT_MS + START_LATE_MS) * WL_NS_PER_MS;
+	run->start_over_ns =
+		sent_ns + (WL_SCHED_START_TIMEOUT_MS + WL_SCHED_ORDER_LATE_MS) * WL_NS_PER_MS;
 }
 
 /* Whether the start of a run may be on its way to any incarnation of its target. */
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -20,7 +20,7 @@
 
 	if (clock_ms == 0)
 		return 0;
-	return clock_ms + (start ? WL_SCHED_START_TIMEOUT_MS : AGENT_ROUND_TRIP_MS);
+	return clock_ms + (start ? WL_SCHED_START_TIMEOUT_MS : WL_SCHED_AGENT_HOLD_MS);
 }
 
 /*
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -118,14 +118,28 @@
 	return runner;
 }
 
+/*
+ * Time by which the leases of a new incarnation that no order to it has granted have expired. An
+ * order to the one before may be carried out late; its lease is valid for the longest time then,
+ * as the clock of the new one is behind the expiry.
+ */
+static uint64_t foreign_leases_expiry_ns(const wl_sched_t *sched, uint64_t now_ns,
+					 const wl_sched_runner_t *runner)
+{
+	uint64_t late_ms =
+		runner->incarnation ? WL_SCHED_AGENT_HOLD_MS + WL_SCHED_ORDER_LATE_MS : 0;
+
+	return now_ns + late_ms * WL_NS_PER_MS + lease_bound_ns(sched->options.lease_max_ms);
+}
+
 static void incarnation_begin(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      uint64_t incarnation)
 {
 	if (incarnation == 0 || incarnation == runner->incarnation)
 		return;
+	runner->previous_leases_expiry_ns = foreign_leases_expiry_ns(sched, now_ns, runner);
 	runner->incarnation = incarnation;
 	runner->known = (wl_sched_incarnation_t){0};
-	runner->previous_leases_expiry_ns = now_ns + lease_bound_ns(sched->options.lease_max_ms);
 	wl_sched_stops_forget(runner);
 	lookup_begin(runner);
 }
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -201,3 +201,19 @@
 	rig.answer_hold(next(WL_ORDER_RENEW), {}, {}, 2);
 	EXPECT_LE(next(WL_ORDER_RENEW).lease_ms, rig.now / MS + rig.clock_offset_ms + 6000);
 }
+
+/* A hold that was sent to the incarnation before renews the lease of the next one. */
+TEST_F(UnansweredStart, LeaseOfALateHoldOnANewIncarnationIsWaitedFor)
+{
+	const uint64_t hold_over_ms = 7000; /* held by its agent and on its path */
+	const uint64_t lease_ms = 6000;
+
+	rig.answer(start, WL_ORDER_DONE);
+	since = rig.now;
+	restart(2);
+	start = starts().at(0);
+	rig.answer(start, WL_ORDER_DONE);
+	uint64_t after_ms = started_again_ms(WL_ORDER_NO_ANSWER);
+	EXPECT_GE(after_ms, hold_over_ms + lease_ms);
+	EXPECT_LT(after_ms, hold_over_ms + lease_ms + 1000);
+}
