sched: count a lease that an unknown incarnation may hold as the longest one

Cause: deadlines are times on the clock of one incarnation. A start, or a renewal, that the next one carries out passes the check for lateness, as its clock is smaller, and its lease is shortened only to the longest that a target grants. The leader counted 2 s. Now a run counts for the known clock only if that incarnation has listed it, or if the answer to its start had a clock that is not behind the known one. Otherwise its lease is the longest one, from the latest moment on at which an order that grants it may have been carried out. A renewal without an answer counts so for the next incarnation (7 s: held by its agent and on its path), which replaces the 7 s that each new incarnation was given. Clocks and leases move to leases.c.

UnansweredStart.LeaseOfALateHoldOnANewIncarnationIsWaitedFor named a late hold that it did not play; it plays one now, and bounds the same time. Bounds for restarts, default lease, target silent for good: run that was listed, or whose start was answered with the known clock: 6.4 s; start answered with another clock: 6.4 s after the answer; start without an answer and no sign of a later incarnation: 5 s, as before. A target that is back and answers a renewal ends its runs of before at once. Not covered: a start that is carried out late by an incarnation of which nobody hears.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -44,9 +44,12 @@
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
-	uint64_t previous_end_ns;  /* when the task's previous run ended; 0: there was none */
-	uint64_t start_over_ns;	   /* without an answer its start may be carried out until then */
-	uint64_t answered_ns;	   /* when the newest answer about it arrived */
+	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
+	uint64_t start_over_ns;	  /* without an answer its start may be carried out until then */
+	uint64_t answered_ns;	  /* when the newest answer about it arrived */
+	uint64_t listed_by;	  /* incarnation of the target that listed it; 0: none yet */
+	/* its start was answered with a clock that bounds its lease */
+	bool lease_bounded;
 	uint64_t stop_sent_ns;	   /* to the known incarnation of the target; 0: never */
 	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
 	bool stop_wanted;
@@ -81,6 +84,8 @@
 	uint64_t clock_ns;
 	uint64_t lease_until_ms;     /* on its clock: latest expiry that any order named */
 	uint64_t lease_confirmed_ms; /* latest expiry that an answered order named; 0: none */
+	/* leases by orders for earlier incarnations may be valid until then */
+	uint64_t late_leases_expiry_ns;
 	/* the newest renewal failed: further ones request no lease, so that leases can expire */
 	bool renewal_failed;
 	uint64_t ends_committed;    /* number of the newest end that is committed */
@@ -110,6 +115,8 @@
 	wl_fit_runner_t fit;	      /* input of placement */
 	/* leases of earlier leaders or of an earlier incarnation may be valid until then */
 	uint64_t previous_leases_expiry_ns;
+	/* orders with leases that got no answer may be carried out until then */
+	uint64_t late_orders_over_ns;
 	uint64_t lasting_millis; /* CPU reserved by lasting tasks */
 	uint64_t incarnation;	 /* as of its newest report or answer */
 	wl_sched_incarnation_t known;
@@ -206,8 +213,10 @@
 	wl_buf_t run;	      /* key of the run; empty: the order concerns no known run */
 	uint64_t percent;     /* THROTTLE: percent of full speed */
 	uint64_t lease_ms;
+	uint64_t clock_least_ms; /* lower bound of the incarnation's clock at that time */
 	uint64_t committed_ends; /* RENEW: as in the order */
 	uint64_t sent_ns;
+	uint64_t late_until_ns; /* without an answer it may be carried out until then */
 	uint64_t expires_ns; /* if the agent has not answered by then, the order counts as lost */
 	wl_sched_agent_t *agent;
 	TAILQ_ENTRY(wl_sched_order) link;
@@ -338,6 +347,15 @@
 void wl_sched_interference_update(const wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_average_shares_update(wl_sched_runner_t *runner, uint64_t now_ns);
 
+/* leases.c */
+uint64_t wl_sched_lease_bound_ns(uint64_t ms);
+uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
+uint64_t wl_sched_runner_clock_least_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
+uint64_t wl_sched_leases_expiry_ns(const wl_sched_runner_t *runner);
+void wl_sched_lease_order_completed(const wl_sched_t *sched, uint64_t now_ns,
+				    wl_sched_runner_t *runner, const wl_sched_order_t *order,
+				    const wl_order_end_t *end);
+
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_sync(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
@@ -345,7 +363,6 @@
 			      const wl_runner_report_t *report);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
-uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
 void wl_sched_renewal_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			       const wl_sched_order_t *order, const wl_order_end_t *end,
 			       wl_out_t *out);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -6,7 +6,8 @@
  *
  * A start without an answer may still be on its way. The incarnation that has answered a stop of
  * the run, or an order of a later leader, refuses it; a later incarnation under the same id would
- * carry it out.
+ * carry it out. The deadlines of our orders say nothing of the leases that one grants, as its
+ * clock is another one: they may be the longest that a target grants.
  */
 
 #include "internal.h"
@@ -30,10 +31,37 @@
 	return now_ns < run->start_over_ns;
 }
 
+/*
+ * Whether the lease of a run is over that neither a list of its target nor the answer to its start
+ * places on the known incarnation. A later one that has taken the start grants the longest lease.
+ * Without a sign of a later one, a start that got no answer was not carried out.
+ */
+static bool unknown_lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns)
+{
+	uint64_t late_ns = run->runner->late_orders_over_ns;
+	uint64_t start_ns = run->phase == WL_RUN_CONFIRMED ? run->answered_ns : run->start_over_ns;
+
+	if (run->phase == WL_RUN_INHERITED ||
+	    (run->phase != WL_RUN_CONFIRMED && run->incarnation == run->runner->incarnation))
+		return now_ns >= run->start_over_ns;
+	return now_ns > (late_ns > start_ns ? late_ns : start_ns) +
+				wl_sched_lease_bound_ns(sched->options.lease_max_ms);
+}
+
+/* Whether the lease of a run is over, given that those by the target's known clock are. */
+static bool lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns)
+{
+	if (run->listed_by && run->listed_by != run->runner->incarnation)
+		return true;
+	if (run->listed_by || run->lease_bounded)
+		return now_ns > run->runner->known.late_leases_expiry_ns;
+	return unknown_lease_over(sched, run, now_ns);
+}
+
 /*
  * wl_sched_runs_expire - propose the ends of a target's runs, whose leases have all expired
  *
- * Return: whether any has ended. Runs whose start may be on its way have not.
+ * Return: whether any has ended. Runs that may be on a later incarnation have not.
  */
 bool wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			  wl_out_t *out)
@@ -43,7 +71,7 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING &&
-		    !start_open(run, now_ns))
+		    lease_over(sched, run, now_ns))
 			wl_sched_run_end_add(run, WL_END_LOST, "expired", &ends);
 	if (ends.ends.count == 0)
 		return false;
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -11,16 +11,19 @@
 #define AGENT_ROUND_TRIP_MS 3000
 #define EXPIRY_INTERVAL_MS  50
 
+/* How long after its creation an agent may send an order. */
+static uint64_t hold_ms(wl_order_kind_t kind)
+{
+	return kind == WL_ORDER_START ? WL_SCHED_START_TIMEOUT_MS : WL_SCHED_AGENT_HOLD_MS;
+}
+
 /* The latest time for the agent to send an order, on its clock; 0: its clock is unknown. */
 static uint64_t send_by_ms(const wl_sched_t *sched, uint64_t now_ns,
 			   const wl_sched_order_t *in_flight)
 {
 	uint64_t clock_ms = wl_sched_agent_clock_ms(sched, now_ns, in_flight->agent);
-	bool start = in_flight->kind == WL_ORDER_START;
 
-	if (clock_ms == 0)
-		return 0;
-	return clock_ms + (start ? WL_SCHED_START_TIMEOUT_MS : WL_SCHED_AGENT_HOLD_MS);
+	return clock_ms ? clock_ms + hold_ms(in_flight->kind) : 0;
 }
 
 /*
@@ -40,7 +43,10 @@
 	in_flight->lookup = runner->lookup;
 	in_flight->percent = order->percent;
 	in_flight->sent_ns = now_ns;
+	in_flight->late_until_ns =
+		now_ns + (hold_ms(in_flight->kind) + WL_SCHED_ORDER_LATE_MS) * WL_NS_PER_MS;
 	in_flight->lease_ms = order->lease_ms;
+	in_flight->clock_least_ms = wl_sched_runner_clock_least_ms(runner, now_ns);
 	in_flight->committed_ends = order->committed_ends;
 	in_flight->expires_ns = now_ns + (order->timeout_ms + AGENT_ROUND_TRIP_MS) * WL_NS_PER_MS;
 	in_flight->agent = wl_sched_agent_choose(sched, runner, in_flight->kind);
@@ -132,6 +138,7 @@
 		lease_answered(runner, in_flight, end);
 	}
 	if (runner) {
+		wl_sched_lease_order_completed(sched, now_ns, runner, in_flight, end);
 		if (in_flight->kind == WL_ORDER_RENEW)
 			wl_sched_renewal_answered(sched, now_ns, runner, in_flight, end, out);
 		else
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -1,11 +1,8 @@
 /*
- * Targets that run tasks: their clocks, the leases of their runs and the runs that they
- * list.
+ * Targets that run tasks: the renewals of their leases and the runs that they list.
  *
  * A renewal (WL_ORDER_RENEW) renews the lease of all runs on a target. The target delays its
- * answer until a run ends or the wait is over. Lease expiries are times on the target's own
- * clock, which may be slow by CLOCK_SLOW_PERCENT. A lease counts as expired only once even
- * such a clock has passed the expiry.
+ * answer until a run ends or the wait is over.
  */
 
 #include "internal.h"
@@ -19,9 +16,7 @@
 #define RENEWAL_RETRY_MS   200	/* after a failed renewal */
 #define UNREACHABLE_MS	   3500 /* a target that was silent for longer gets no starts */
 /* A target that was silent for longer and runs nothing is removed. */
-#define REMOVE_AFTER_MS	   20000
-#define CLOCK_SLOW_PERCENT 2   /* as the contract with the targets allows */
-#define EXPIRY_MARGIN_MS   300 /* for the transit of the last order and a late timer */
+#define REMOVE_AFTER_MS 20000
 /* A target lists at most so many ends: an answer with as many may be incomplete. */
 #define ENDS_LISTED_MAX 500
 
@@ -35,13 +30,6 @@
 	return wl_map_get(&sched->by_runner, id);
 }
 
-/* Longest duration by our clock of a lease of so many ms by the target's clock. */
-static uint64_t lease_bound_ns(uint64_t ms)
-{
-	return ms * WL_NS_PER_MS * 100 / (100 - CLOCK_SLOW_PERCENT) +
-	       EXPIRY_MARGIN_MS * WL_NS_PER_MS;
-}
-
 /* What agents had as answers says nothing of another address or incarnation. */
 static void lookup_begin(wl_sched_runner_t *runner)
 {
@@ -105,7 +93,11 @@
 		runner->incarnation = state->report.incarnation;
 		runner->renewal_due_ns = now_ns;
 		runner->previous_leases_expiry_ns =
-			sched->leader_since_ns + lease_bound_ns(sched->options.lease_max_ms);
+			sched->leader_since_ns +
+			wl_sched_lease_bound_ns(sched->options.lease_max_ms);
+		runner->late_orders_over_ns =
+			sched->leader_since_ns +
+			(WL_SCHED_AGENT_HOLD_MS + WL_SCHED_ORDER_LATE_MS) * WL_NS_PER_MS;
 		TAILQ_INIT(&runner->runs);
 		TAILQ_INIT(&runner->serving);
 		wl_map_put(&sched->by_runner, runner);
@@ -118,28 +110,17 @@
 	return runner;
 }
 
-/*
- * Time by which the leases of a new incarnation that no order to it has granted have expired. An
- * order to the one before may be carried out late; its lease is valid for the longest time then,
- * as the clock of the new one is behind the expiry.
- */
-static uint64_t foreign_leases_expiry_ns(const wl_sched_t *sched, uint64_t now_ns,
-					 const wl_sched_runner_t *runner)
-{
-	uint64_t late_ms =
-		runner->incarnation ? WL_SCHED_AGENT_HOLD_MS + WL_SCHED_ORDER_LATE_MS : 0;
-
-	return now_ns + late_ms * WL_NS_PER_MS + lease_bound_ns(sched->options.lease_max_ms);
-}
-
 static void incarnation_begin(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      uint64_t incarnation)
 {
+	uint64_t lease_max_ns = wl_sched_lease_bound_ns(sched->options.lease_max_ms);
+
 	if (incarnation == 0 || incarnation == runner->incarnation)
 		return;
-	runner->previous_leases_expiry_ns = foreign_leases_expiry_ns(sched, now_ns, runner);
 	runner->incarnation = incarnation;
 	runner->known = (wl_sched_incarnation_t){0};
+	runner->previous_leases_expiry_ns = now_ns + lease_max_ns;
+	runner->known.late_leases_expiry_ns = runner->late_orders_over_ns + lease_max_ns;
 	wl_sched_stops_forget(runner);
 	lookup_begin(runner);
 }
@@ -191,17 +172,6 @@
 		wl_sched_runner_remove(sched, TAILQ_FIRST(&sched->runners));
 }
 
-/*
- * wl_sched_runner_clock_ms - estimate a target's clock now, assuming that it is not slow
- *
- * Return: ms on the target's clock. The estimate does not include the delay of the last
- * message.
- */
-uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns)
-{
-	return runner->known.clock_ms + (now_ns - runner->known.clock_ns) / WL_NS_PER_MS;
-}
-
 /*
  * wl_sched_renewal_schedule - schedule the next renewal
  * @due_ns: when to send it
@@ -272,25 +242,13 @@
 	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
 }
 
-/* Time by which every lease that may have been granted has expired, even on a slow clock. */
-static uint64_t leases_expiry_ns(const wl_sched_runner_t *runner)
-{
-	uint64_t remaining_ms = runner->known.lease_until_ms > runner->known.clock_ms
-					? runner->known.lease_until_ms - runner->known.clock_ms
-					: 0;
-	uint64_t own_ns = runner->known.clock_ns + lease_bound_ns(remaining_ms);
-
-	return own_ns > runner->previous_leases_expiry_ns ? own_ns
-							  : runner->previous_leases_expiry_ns;
-}
-
 static void runner_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			wl_out_t *out)
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 	uint64_t last_ns = last_contact_ns(runner);
 	bool expired = needs_lease && (runner->known.renewal_failed || runner->known.departing) &&
-		       now_ns > leases_expiry_ns(runner);
+		       now_ns > wl_sched_leases_expiry_ns(runner);
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
@@ -364,6 +322,7 @@
 			continue;
 		}
 		run->listed = true;
+		run->listed_by = end->incarnation;
 		if (run->first_listed_ns == 0)
 			run->first_listed_ns = now_ns;
 		run->tail_ms = views[i].load; /* the tail latency of a serving run, in ms */
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -328,8 +328,10 @@
 }
 
 static void start_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
-			   wl_order_outcome_t outcome, wl_out_t *out)
+			   const wl_sched_order_t *order, const wl_order_end_t *end, wl_out_t *out)
 {
+	wl_order_outcome_t outcome = (wl_order_outcome_t)end->outcome;
+
 	if (run->phase != WL_RUN_STARTING)
 		return;
 	if (outcome != WL_ORDER_DONE)
@@ -343,6 +345,7 @@
 		wl_sched_average_shares_update(run->runner, now_ns);
 		run->phase = WL_RUN_CONFIRMED;
 		run->answered_ns = now_ns;
+		run->lease_bounded = end->has_clock && end->clock_ms >= order->clock_least_ms;
 		if (run->stop_wanted)
 			wl_sched_stop_send(sched, now_ns, run);
 		break;
@@ -380,7 +383,7 @@
 	if (!run)
 		return;
 	if (order->kind == WL_ORDER_START) {
-		start_answered(sched, now_ns, run, (wl_order_outcome_t)end->outcome, out);
+		start_answered(sched, now_ns, run, order, end, out);
 		return;
 	}
 	if (order->kind == WL_ORDER_THROTTLE) {
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -12,6 +12,10 @@
 	static constexpr uint64_t START_LEASE_MS = 2000;
 	static constexpr uint64_t OLD_CLOCK = 500000; /* how far it is ahead of ours, ms */
 	static constexpr uint64_t NEW_CLOCK = 100;
+	/* of a slow clock, with the margin of the leader and the interval of the ticks */
+	static constexpr uint64_t LEASE_OVER_MS = LEASE_MS * 100 / 98 + 300 + 50;
+	/* how long an agent may hold a renewal, and how late it may be carried out after that */
+	static constexpr uint64_t LATE_MS = 7000;
 
 	Incarnation()
 	{
@@ -99,6 +103,51 @@
 			EXPECT_LE(one.lease_ms, clock_now_ms() + LEASE_MS);
 	}
 
+	/* The target crashes: for so long its holds fail, and nothing reaches it. */
+	void crash(uint64_t ms)
+	{
+		for (uint64_t until = rig.now + ms * MS; rig.now < until; rig.advance(10))
+			for (const auto &one : rig.take_orders(WL_ORDER_RENEW))
+				rig.answer(one, WL_ORDER_NOT_SENT);
+	}
+
+	/* A start that the next incarnation takes, whose first report is on its way. */
+	SchedOrder start_taken_by_the_next()
+	{
+		for (uint64_t i = 0; i < LATE_MS; i += 100) { /* no order of before is late now */
+			rig.report_forwarded("s1", "i-1");
+			rig.advance(100);
+		}
+		SchedOrder first = start_job("first");
+		rig.answer(first, WL_ORDER_DONE);
+		rig.answer_hold(hold(), {SchedRig::view(first)}, {});
+		crash(2000);
+		SchedOrder start = start_job("j");
+		rig.clock_offset_ms = NEW_CLOCK;
+		rig.answer(start, WL_ORDER_DONE);
+		return start;
+	}
+
+	/* i-1 is cut off. Return: ms until another target gets the task; 0: none does. */
+	uint64_t started_elsewhere_ms(const std::string &task)
+	{
+		uint64_t since = rig.now;
+
+		rig.runner("i-2");
+		while (rig.now - since < 4 * LEASE_MS * MS) {
+			rig.report_forwarded("s1", "i-2");
+			for (auto kind : {WL_ORDER_RENEW, WL_ORDER_STOP})
+				for (const auto &one : rig.take_orders(kind))
+					rig.answer(one, WL_ORDER_NO_ANSWER);
+			for (const auto &one : starts()) {
+				if (one.task == task)
+					return (rig.now - since) / MS;
+				rig.answer(one, WL_ORDER_NO_ANSWER);
+			}
+		}
+		return 0;
+	}
+
 	uint64_t clock_now_ms() const
 	{
 		return rig.now / MS + rig.clock_offset_ms;
@@ -168,3 +217,40 @@
 	rig.runner_left("i-1");
 	EXPECT_EQ(rig.take_orders(WL_ORDER_STOP).size(), 1u);
 }
+
+TEST_F(Incarnation, StartThatTheNextOneTookIsKeptForTheLongestLease)
+{
+	SchedOrder start = start_taken_by_the_next();
+	uint64_t after_ms = started_elsewhere_ms(start.task);
+	EXPECT_GE(after_ms, LEASE_MS) << "two runs of one task may overlap";
+	EXPECT_LE(after_ms, LEASE_OVER_MS);
+}
+
+/* It is carried out late, when the start that is answered before it has been. */
+TEST_F(Incarnation, RenewalForTheEarlierOneMayLengthenTheLeasesOfTheNext)
+{
+	rig.answer(start_job("first"), WL_ORDER_DONE);
+	SchedOrder late = hold();
+	EXPECT_GT(late.lease_ms, 0u);
+	restart();
+	rig.answer(late, WL_ORDER_NO_ANSWER);
+	SchedOrder renewal = hold();
+	rig.answer_hold(renewal, {}, {}, 2);
+	rig.commit();
+	auto again = starts();
+	ASSERT_EQ(again.size(), 1u);
+	rig.answer(again[0], WL_ORDER_DONE);
+	uint64_t after_ms = started_elsewhere_ms(again[0].task);
+	EXPECT_GE(after_ms, LATE_MS - 100 + LEASE_MS) << "two runs of one task may overlap";
+	EXPECT_LE(after_ms, LATE_MS + LEASE_OVER_MS);
+}
+
+TEST_F(Incarnation, StartWhoseAnswerHasTheKnownClockIsBoundedByItsLease)
+{
+	SchedOrder start = start_job("j");
+	rig.answer(start, WL_ORDER_DONE);
+	rig.answer(hold(), WL_ORDER_NO_ANSWER);
+	uint64_t after_ms = started_elsewhere_ms(start.task);
+	EXPECT_GE(after_ms, START_LEASE_MS);
+	EXPECT_LE(after_ms, LEASE_OVER_MS);
+}
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -209,7 +209,9 @@
 	const uint64_t lease_ms = 6000;
 
 	rig.answer(start, WL_ORDER_DONE);
+	SchedOrder late = next(WL_ORDER_RENEW);
 	since = rig.now;
+	rig.answer(late, WL_ORDER_NO_ANSWER);
 	restart(2);
 	start = starts().at(0);
 	rig.answer(start, WL_ORDER_DONE);
