sched: each sample of a target's clock bounds its leases

Cause: the end of the leases was reckoned from the newest sample with 300 ms on top, so that answers less than 300 ms apart kept it ahead. A renewal that must be answered at once, because the stop of a run without an answer is open, was sent again at once. Now the earliest bound of all samples holds, and such a renewal is sent again after 200 ms, or at once when the stop is answered.

Evidence: Departure.TargetThatAnswersRenewalsButNoStopDoesNotKeepItsTaskWithoutEnd and RefusedRenewalsWithAClockDoNotKeepTheRuns fail on the code before (never started again).

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -83,6 +83,7 @@
 	uint64_t clock_ms;
 	uint64_t clock_ns;
 	uint64_t lease_until_ms;     /* on its clock: latest expiry that any order named */
+	uint64_t lease_over_ns;	     /* earliest bound of that on our clock, of all samples */
 	uint64_t lease_confirmed_ms; /* latest expiry that an answered order named; 0: none */
 	/* leases by orders for earlier incarnations may be valid until then */
 	uint64_t late_leases_expiry_ns;
@@ -351,6 +352,8 @@
 uint64_t wl_sched_lease_bound_ns(uint64_t ms);
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
 uint64_t wl_sched_runner_clock_least_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
+void wl_sched_clock_sample(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t clock_ms);
+void wl_sched_lease_sent(wl_sched_runner_t *runner, uint64_t lease_ms);
 uint64_t wl_sched_leases_expiry_ns(const wl_sched_runner_t *runner);
 void wl_sched_lease_order_completed(const wl_sched_t *sched, uint64_t now_ns,
 				    wl_sched_runner_t *runner, const wl_sched_order_t *order,
--- a/libwlcore/sched/leases.c
+++ b/libwlcore/sched/leases.c
@@ -40,18 +40,53 @@
 	       (now_ns - runner->known.clock_ns) / WL_NS_PER_MS * (100 - CLOCK_SLOW_PERCENT) / 100;
 }
 
+/* When the newest lease is over by our clock, as far as the present sample tells. */
+static uint64_t lease_over_ns(const wl_sched_incarnation_t *known)
+{
+	uint64_t remaining_ms = known->lease_until_ms > known->clock_ms
+					? known->lease_until_ms - known->clock_ms
+					: 0;
+
+	return known->clock_ns + wl_sched_lease_bound_ns(remaining_ms);
+}
+
+/*
+ * wl_sched_clock_sample - record a time on the clock of the known incarnation
+ *
+ * Each sample bounds the leases, so that the earliest bound holds.
+ */
+void wl_sched_clock_sample(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t clock_ms)
+{
+	uint64_t over_ns;
+
+	if (clock_ms <= runner->known.clock_ms)
+		return;
+	runner->known.clock_ms = clock_ms;
+	runner->known.clock_ns = now_ns;
+	over_ns = lease_over_ns(&runner->known);
+	if (over_ns < runner->known.lease_over_ns)
+		runner->known.lease_over_ns = over_ns;
+}
+
+/*
+ * wl_sched_lease_sent - record the expiry that an order names
+ */
+void wl_sched_lease_sent(wl_sched_runner_t *runner, uint64_t lease_ms)
+{
+	if (lease_ms <= runner->known.lease_until_ms)
+		return;
+	runner->known.lease_until_ms = lease_ms;
+	runner->known.lease_over_ns = lease_over_ns(&runner->known);
+}
+
 /*
  * wl_sched_leases_expiry_ns - time by which every lease by the known clock has expired
  */
 uint64_t wl_sched_leases_expiry_ns(const wl_sched_runner_t *runner)
 {
-	uint64_t remaining_ms = runner->known.lease_until_ms > runner->known.clock_ms
-					? runner->known.lease_until_ms - runner->known.clock_ms
-					: 0;
-	uint64_t own_ns = runner->known.clock_ns + wl_sched_lease_bound_ns(remaining_ms);
-
-	return own_ns > runner->previous_leases_expiry_ns ? own_ns
-							  : runner->previous_leases_expiry_ns;
+	return runner->known.lease_over_ns > runner->previous_leases_expiry_ns
+		       ? runner->known.lease_over_ns
+		       : runner->previous_leases_expiry_ns;
 }
 
 /*
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -61,8 +61,7 @@
 	order->address = runner->state->report.address;
 	order->epoch = sched->epoch;
 	order->send_by_ms = send_by_ms(sched, now_ns, in_flight);
-	if (order->lease_ms > runner->known.lease_until_ms)
-		runner->known.lease_until_ms = order->lease_ms;
+	wl_sched_lease_sent(runner, order->lease_ms);
 	wl_sched_agent_enqueue(in_flight->agent, order);
 	if (order->kind == WL_ORDER_RENEW)
 		runner->renewal_id = in_flight->id;
@@ -103,10 +102,8 @@
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		return;
 	runner->answered_ns = now_ns;
-	if (!end->has_clock || end->clock_ms < runner->known.clock_ms)
-		return;
-	runner->known.clock_ms = end->clock_ms;
-	runner->known.clock_ns = now_ns;
+	if (end->has_clock)
+		wl_sched_clock_sample(runner, now_ns, end->clock_ms);
 }
 
 /* Only the answer to a renewal names the incarnation that gave it. */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -143,10 +143,7 @@
 		return;
 	runner->known.sequence = report->sequence;
 	runner->reported_ns = now_ns;
-	if (report->clock_ms <= runner->known.clock_ms)
-		return;
-	runner->known.clock_ms = report->clock_ms;
-	runner->known.clock_ns = now_ns;
+	wl_sched_clock_sample(runner, now_ns, report->clock_ms);
 }
 
 /*
@@ -452,8 +449,8 @@
 	runner->known.renewal_failed = false;
 	if (end->incarnation > runner->incarnation) {
 		incarnation_begin(sched, now_ns, runner, end->incarnation);
-		runner->known.clock_ms = end->clock_ms;
-		runner->known.clock_ns = now_ns;
+		wl_sched_clock_sample(runner, now_ns, end->clock_ms);
+		runner->answered_ns = now_ns;
 	}
 	if (order->incarnation == runner->incarnation &&
 	    order->committed_ends > runner->known.ends_acknowledged)
@@ -467,5 +464,7 @@
 	ends_collect(sched, runner, end, &ends);
 	if (end->ends.count < ENDS_LISTED_MAX)
 		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
+	if (has_unknown_run(runner, now_ns)) /* until its stop is answered */
+		wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
 	ends_commit(sched, now_ns, runner, &ends, out);
 }
--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -1,5 +1,7 @@
 #include "../support/sched_rig.h"
 
+#include <functional>
+
 #include <gtest/gtest.h>
 
 /* Targets that announce their departure, and what becomes of the runs there. */
@@ -12,6 +14,9 @@
 	/* of a slow clock, with the margin of the leader and the interval of the ticks */
 	static constexpr uint64_t LEASE_OVER_MS = LEASE_MS * 100 / 98 + 300 + 50;
 
+	/* time-out of an order, and how late it may be carried out after that */
+	static constexpr uint64_t START_LATE_MS = 5800;
+
 	Departure()
 	{
 		rig.configure("q");
@@ -82,6 +87,24 @@
 		return 0;
 	}
 
+	/* Answers all renewals so, and refuses stops, until a start is ordered; as above. */
+	uint64_t started_behind_ms(const std::function<void(const SchedOrder &)> &answer,
+				   uint64_t limit_ms)
+	{
+		uint64_t since = rig.now;
+
+		while (rig.now - since < limit_ms * MS) {
+			rig.report_forwarded("s1", "i-2");
+			for (const auto &one : rig.take_orders(WL_ORDER_RENEW))
+				answer(one);
+			for (const auto &one : rig.take_orders(WL_ORDER_STOP))
+				rig.answer(one, WL_ORDER_UNHEALTHY);
+			if (!starts().empty())
+				return (rig.now - since) / MS;
+		}
+		return 0;
+	}
+
 	SchedRig rig;
 };
 
@@ -295,3 +318,37 @@
 	EXPECT_NE(restarted[0].runner, "i-1");
 	EXPECT_NE(restarted[1].runner, "i-1");
 }
+
+TEST_F(Departure, TargetThatAnswersRenewalsButNoStopDoesNotKeepItsTaskWithoutEnd)
+{
+	rig.job("q", "j", {1});
+	rig.submit();
+	auto started = starts();
+	ASSERT_EQ(started.size(), 1u);
+	rig.answer(started[0], WL_ORDER_NO_ANSWER);
+	rig.runner("i-2");
+	drain();
+	rig.runner_left("i-1");
+	uint64_t renewals = 0;
+	uint64_t after_ms = started_behind_ms(
+		[&](const SchedOrder &renewal) {
+			renewals++;
+			rig.answer_hold(renewal, {}, {});
+		},
+		4 * LEASE_MS);
+	EXPECT_GE(after_ms, LEASE_MS) << "its start may be carried out late";
+	EXPECT_LE(after_ms, START_LATE_MS + LEASE_OVER_MS);
+	EXPECT_LE(renewals, after_ms / 100)
+		<< "an answer that settles nothing is not asked for at once";
+}
+
+TEST_F(Departure, RefusedRenewalsWithAClockDoNotKeepTheRuns)
+{
+	run_on_draining_target();
+	rig.runner_left("i-1");
+	uint64_t after_ms = started_behind_ms(
+		[&](const SchedOrder &renewal) { rig.answer(renewal, WL_ORDER_UNHEALTHY); },
+		4 * LEASE_MS);
+	EXPECT_GE(after_ms, LEASE_MS - 200);
+	EXPECT_LE(after_ms, LEASE_OVER_MS);
+}
