sched: a failure of a renewal for an earlier incarnation takes no leases from the next

Cause: such a failure counted for the known incarnation. It is sent again now, as nothing is known of the present one by it. An answer to another order than a renewal counts for the known incarnation only if its clock is not behind, besides address and incarnation.

--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -85,13 +85,17 @@
 		order_remove(sched, TAILQ_FIRST(&sched->orders));
 }
 
-/* Whether an answer may be that of an earlier incarnation, whose clock and leases have ended. */
-static bool is_outdated(const wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
-			const wl_order_end_t *end)
+/*
+ * Whether the known incarnation answered. Only the answer to a renewal names it; other orders must
+ * have been created for it, and its clock must not be behind.
+ */
+static bool known_answered(const wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
+			   const wl_order_end_t *end)
 {
 	if (end->incarnation)
-		return end->incarnation < runner->incarnation;
-	return in_flight->lookup != runner->lookup;
+		return end->incarnation == runner->incarnation;
+	return in_flight->lookup == runner->lookup &&
+	       (!end->has_clock || end->clock_ms >= in_flight->clock_least_ms);
 }
 
 static void runner_answered(wl_sched_runner_t *runner, uint64_t now_ns, const wl_order_end_t *end)
@@ -106,7 +110,6 @@
 		wl_sched_clock_sample(runner, now_ns, end->clock_ms);
 }
 
-/* Only the answer to a renewal names the incarnation that gave it. */
 static void agent_answered(wl_sched_runner_t *runner, const wl_sched_order_t *in_flight,
 			   const wl_order_end_t *end)
 {
@@ -129,7 +132,7 @@
 
 	wl_sched_order_measure(sched, in_flight->kind, (wl_order_outcome_t)end->outcome,
 			       now_ns - in_flight->sent_ns);
-	if (runner && !is_outdated(runner, in_flight, end)) {
+	if (runner && known_answered(runner, in_flight, end)) {
 		runner_answered(runner, now_ns, end);
 		agent_answered(runner, in_flight, end);
 		lease_answered(runner, in_flight, end);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -436,7 +436,10 @@
 		wl_sched_removal_propose(sched, now_ns, runner, "address-taken", order->agent, out);
 		return;
 	}
-	if (end->outcome == WL_ORDER_AGENT_LOST) { /* says nothing about the target */
+	/* says nothing about the target, or nothing about the present incarnation or address */
+	if (end->outcome == WL_ORDER_AGENT_LOST ||
+	    (end->outcome != WL_ORDER_DONE && order->lookup != runner->lookup) ||
+	    (end->incarnation && end->incarnation < runner->incarnation)) {
 		wl_sched_renewal_schedule(runner, now_ns);
 		return;
 	}
@@ -444,14 +447,12 @@
 		renewal_fail(now_ns, runner, order, end, out);
 		return;
 	}
-	if (end->incarnation && end->incarnation < runner->incarnation)
-		return;
-	runner->known.renewal_failed = false;
 	if (end->incarnation > runner->incarnation) {
 		incarnation_begin(sched, now_ns, runner, end->incarnation);
 		wl_sched_clock_sample(runner, now_ns, end->clock_ms);
 		runner->answered_ns = now_ns;
 	}
+	runner->known.renewal_failed = false;
 	if (order->incarnation == runner->incarnation &&
 	    order->committed_ends > runner->known.ends_acknowledged)
 		runner->known.ends_acknowledged = order->committed_ends;
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -254,3 +254,42 @@
 	EXPECT_GE(after_ms, START_LEASE_MS);
 	EXPECT_LE(after_ms, LEASE_OVER_MS);
 }
+
+TEST_F(Incarnation, LateAnswerOfTheEarlierOneDoesNotSetTheClockOfTheNext)
+{
+	SchedOrder start = start_job("j");
+	rig.answer(start, WL_ORDER_DONE);
+	SchedOrder late = hold();
+	restart();
+	rig.clock_offset_ms = OLD_CLOCK;
+	rig.answer_hold(late, {SchedRig::view(start)}, {});
+	rig.clock_offset_ms = NEW_CLOCK;
+	SchedOrder next = hold();
+	EXPECT_LE(next.lease_ms, clock_now_ms() + LEASE_MS);
+	rig.answer_hold(next, {}, {}, 2);
+	rig.commit();
+	expect_deadlines_by_its_clock();
+}
+
+TEST_F(Incarnation, LateAnswerOfTheEarlierOneToAStopDoesNotSetTheClockOfTheNext)
+{
+	SchedOrder start = start_job("j");
+	rig.answer(start, WL_ORDER_DONE);
+	rig.cancel("q", "j");
+	auto stops = rig.take_orders(WL_ORDER_STOP);
+	ASSERT_EQ(stops.size(), 1u);
+	restart();
+	rig.clock_offset_ms = OLD_CLOCK;
+	rig.answer(stops[0], WL_ORDER_DONE);
+	rig.clock_offset_ms = NEW_CLOCK;
+	expect_deadlines_by_its_clock();
+}
+
+TEST_F(Incarnation, LateFailureOfARenewalOfTheEarlierOneTakesNoLeasesFromTheNext)
+{
+	rig.answer(start_job("j"), WL_ORDER_DONE);
+	SchedOrder late = hold();
+	restart();
+	rig.answer(late, WL_ORDER_NO_ANSWER);
+	EXPECT_GT(hold().lease_ms, 0u);
+}
