sched: an answer to an order tells the later incarnation, whatever its start time

What callers saw (found by review): the clock of a machine is set back and its target starts again. The runs of before never ended, and the target got 2,999 renewals in 30 s. Cause: an answer of an incarnation with a smaller start time was ignored as late, without scheduling the next renewal. Now one that answers an order that was created for the known incarnation is a later one. Reports and answers of the one that it replaced are ignored. Ignored answers are followed by one renewal at once.

Evidence: Incarnation.RunsOfTheEarlierOneEndAlsoIfTheNextHasAnEarlierStartTime fails on the code before (no start); LateAnswerOfTheEarlierOneDoesNotReplaceTheNext holds before and after. Remains: reports of such an incarnation are not newer for the job state, so that a changed address or capacity is not committed. Bound for restarts after such a restart: one renewal, as after any other.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -118,8 +118,9 @@
 	uint64_t previous_leases_expiry_ns;
 	/* orders with leases that got no answer may be carried out until then */
 	uint64_t late_orders_over_ns;
-	uint64_t lasting_millis; /* CPU reserved by lasting tasks */
-	uint64_t incarnation;	 /* as of its newest report or answer */
+	uint64_t lasting_millis;     /* CPU reserved by lasting tasks */
+	uint64_t incarnation;	     /* as of its newest report or answer */
+	uint64_t former_incarnation; /* the one before; 0: none is known */
 	wl_sched_incarnation_t known;
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* newest answer to any order */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -117,6 +117,7 @@
 
 	if (incarnation == 0 || incarnation == runner->incarnation)
 		return;
+	runner->former_incarnation = runner->incarnation;
 	runner->incarnation = incarnation;
 	runner->known = (wl_sched_incarnation_t){0};
 	runner->previous_leases_expiry_ns = now_ns + lease_max_ns;
@@ -133,7 +134,8 @@
 void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report)
 {
-	if (report->incarnation < runner->incarnation || runner->state->departed_ms)
+	if (report->incarnation < runner->incarnation || runner->state->departed_ms ||
+	    (report->incarnation && report->incarnation == runner->former_incarnation))
 		return;
 	if (report->incarnation > runner->incarnation) {
 		incarnation_begin(sched, now_ns, runner, report->incarnation);
@@ -420,6 +422,18 @@
 	wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
 }
 
+/*
+ * Whether an incarnation before the known one answered. One that answers an order that was sent
+ * after the known one had started is a later one, whatever its start time.
+ */
+static bool answer_is_of_earlier(const wl_sched_runner_t *runner, const wl_sched_order_t *order,
+				 const wl_order_end_t *end)
+{
+	return end->incarnation && end->incarnation < runner->incarnation &&
+	       (end->incarnation == runner->former_incarnation ||
+		order->incarnation != runner->incarnation);
+}
+
 /*
  * wl_sched_renewal_answered - process the result of a renewal
  */
@@ -439,7 +453,7 @@
 	/* says nothing about the target, or nothing about the present incarnation or address */
 	if (end->outcome == WL_ORDER_AGENT_LOST ||
 	    (end->outcome != WL_ORDER_DONE && order->lookup != runner->lookup) ||
-	    (end->incarnation && end->incarnation < runner->incarnation)) {
+	    answer_is_of_earlier(runner, order, end)) {
 		wl_sched_renewal_schedule(runner, now_ns);
 		return;
 	}
@@ -447,7 +461,7 @@
 		renewal_fail(now_ns, runner, order, end, out);
 		return;
 	}
-	if (end->incarnation > runner->incarnation) {
+	if (end->incarnation && end->incarnation != runner->incarnation) {
 		incarnation_begin(sched, now_ns, runner, end->incarnation);
 		wl_sched_clock_sample(runner, now_ns, end->clock_ms);
 		runner->answered_ns = now_ns;
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -293,3 +293,41 @@
 	rig.answer(late, WL_ORDER_NO_ANSWER);
 	EXPECT_GT(hold().lease_ms, 0u);
 }
+
+TEST_F(Incarnation, RunsOfTheEarlierOneEndAlsoIfTheNextHasAnEarlierStartTime)
+{
+	rig.runner("i-1", 32000, 5);
+	SchedOrder start = start_job("j");
+	rig.answer(start, WL_ORDER_DONE);
+	rig.answer_hold(hold(), {SchedRig::view(start)}, {}, 5);
+	rig.clock_offset_ms = NEW_CLOCK;
+	uint64_t renewals = 0;
+	std::vector<SchedOrder> again;
+	for (int i = 0; i < 100 && again.empty(); i++) {
+		for (const auto &one : rig.take_orders(WL_ORDER_RENEW)) {
+			renewals++;
+			rig.answer_hold(one, {}, {}, 4);
+		}
+		again = starts();
+	}
+	ASSERT_EQ(again.size(), 1u);
+	EXPECT_EQ(renewals, 1u);
+	EXPECT_LE(again[0].lease_ms, clock_now_ms() + START_LEASE_MS);
+	rig.clock_offset_ms = OLD_CLOCK;
+	rig.report_forwarded("s1", "i-1", 5); /* delayed */
+	rig.clock_offset_ms = NEW_CLOCK;
+	expect_deadlines_by_its_clock();
+}
+
+TEST_F(Incarnation, LateAnswerOfTheEarlierOneDoesNotReplaceTheNext)
+{
+	SchedOrder start = start_job("j");
+	rig.answer(start, WL_ORDER_DONE);
+	SchedOrder late = hold();
+	restart();
+	rig.answer_hold(late, {SchedRig::view(start)}, {}, 1);
+	SchedOrder next = hold();
+	rig.answer_hold(next, {}, {}, 2);
+	rig.commit();
+	EXPECT_EQ(starts().size(), 1u);
+}
