sched: answer open departures when the leadership ends

What callers saw (found by review): the call of a target that leaves stayed without an answer until its time-out if the leadership ended meanwhile, and the next leader learnt nothing of the departure from it. Cause: on_follow() released open departures without an answer, where proposals are answered with "no leader", upon which the daemon sends the call to the next leader. Evidence: Departure.OpenCallIsNotDroppedWhenTheLeadershipEnds fails on the code before (0 answers).

--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -16,6 +16,21 @@
 	wl_record_copy(&wl_result_schema, &msg->u.result.result, result);
 }
 
+/*
+ * wl_sched_answer_no_leader - answer a daemon's call at the end of the leadership: the daemon sends
+ * it to the next leader
+ */
+void wl_sched_answer_no_leader(wl_out_t *out, wl_str_t peer, uint64_t call, wl_verdict_t verdict)
+{
+	wl_result_t result;
+	wl_err_t err;
+
+	wl_err_set(&err, WL_E_NO_LEADER, verdict, "leadership ended before the answer");
+	wl_result_error(&result, &err);
+	wl_sched_answer(out, peer, call, &result);
+	wl_result_free(&result);
+}
+
 /*
  * wl_sched_command_propose - propose a command of a daemon, which is answered once it is applied
  * @cmd: moved from
--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -47,6 +47,19 @@
 	}
 }
 
+/*
+ * wl_sched_departures_drop - release all departures at the end of the leadership
+ */
+void wl_sched_departures_drop(wl_sched_t *sched, wl_out_t *out)
+{
+	const wl_sched_departure_t *departure;
+
+	TAILQ_FOREACH (departure, &sched->departures, link)
+		wl_sched_answer_no_leader(out, wl_buf_str(&departure->peer), departure->call,
+					  WL_UNKNOWN);
+	wl_sched_departures_clear(sched);
+}
+
 static size_t run_count(const wl_sched_runner_t *runner)
 {
 	const wl_sched_run_t *run;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -290,6 +290,7 @@
 void wl_sched_query(wl_sched_t *sched, wl_str_t peer, const wl_msg_query_t *query, wl_out_t *out);
 void wl_sched_reports_received(wl_sched_t *sched, uint64_t now_ns, const wl_msg_heard_t *msg);
 void wl_sched_answer(wl_out_t *out, wl_str_t peer, uint64_t call, const wl_result_t *result);
+void wl_sched_answer_no_leader(wl_out_t *out, wl_str_t peer, uint64_t call, wl_verdict_t verdict);
 
 void wl_sched_command_propose(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
 			      wl_cmd_t *cmd, wl_out_t *out);
@@ -298,6 +299,7 @@
 void wl_sched_departure_receive(wl_sched_t *sched, uint64_t now_ns, wl_str_t peer, uint64_t call,
 				const wl_runner_report_t *report, wl_out_t *out);
 void wl_sched_departures_answer(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_departures_drop(wl_sched_t *sched, wl_out_t *out);
 void wl_sched_departures_clear(wl_sched_t *sched);
 
 /* queue.c */
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -177,15 +177,9 @@
 static void proposal_dropped(wl_sched_t *sched, wl_sched_proposal_t *proposal, wl_verdict_t verdict,
 			     wl_out_t *out)
 {
-	wl_result_t result;
-	wl_err_t err;
-
-	if (proposal->peer.len > 0) {
-		wl_err_set(&err, WL_E_NO_LEADER, verdict, "leadership ended before the commit");
-		wl_result_error(&result, &err);
-		wl_sched_answer(out, wl_buf_str(&proposal->peer), proposal->call, &result);
-		wl_result_free(&result);
-	}
+	if (proposal->peer.len > 0)
+		wl_sched_answer_no_leader(out, wl_buf_str(&proposal->peer), proposal->call,
+					  verdict);
 	proposal_remove(sched, proposal);
 }
 
@@ -193,6 +187,7 @@
 {
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_dropped(sched, TAILQ_FIRST(&sched->proposals), WL_UNKNOWN, out);
+	wl_sched_departures_drop(sched, out);
 	sched_clear(sched);
 	wl_sched_gauges_clear(sched);
 	sched->leading = false;
--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -352,3 +352,13 @@
 	EXPECT_GE(after_ms, LEASE_MS - 200);
 	EXPECT_LE(after_ms, LEASE_OVER_MS);
 }
+
+TEST_F(Departure, OpenCallIsNotDroppedWhenTheLeadershipEnds)
+{
+	run_on_draining_target();
+	rig.take_results();
+	rig.runner_left("i-1");
+	EXPECT_EQ(rig.take_results(), 0u);
+	rig.follow();
+	EXPECT_EQ(rig.take_results(), 1u) << "the daemon sends it to the next leader";
+}
