--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -2,7 +2,7 @@
  * Departures of targets.
  *
  * A target that announces its departure may work on for seconds, so that the announcement ends no
- * run.  The target gets no starts and no longer leases from then on, its runs are ordered to stop,
+ * run. The target gets no starts and no lease renewals from then on, its runs are ordered to stop,
  * and it is removed once it has none left: their ends are listed, or all leases have expired.
  *
  * The call is kept open for a while, so that the target can list these ends before it exits.
@@ -70,8 +70,8 @@
 	return count;
 }
 
-/* Whether the incarnation that is known has announced that it drains, as one that leaves does. */
-static bool has_drained(const wl_sched_runner_t *runner)
+/* Whether the known incarnation drains, as one that leaves does before. */
+static bool is_draining(const wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
 
@@ -90,7 +90,7 @@
 		return "unknown";
 	if (report->incarnation && report->incarnation != runner->incarnation)
 		return "other-life";
-	if (report->incarnation == 0 && !has_drained(runner))
+	if (report->incarnation == 0 && !is_draining(runner))
 		return "not-draining";
 	return NULL;
 }
--- a/tests/unit/sched_address_test.cc
+++ b/tests/unit/sched_address_test.cc
@@ -88,7 +88,7 @@
 {
 	rig.answer(hold_of_other_agent(), WL_ORDER_OTHER_INCARNATION);
 	SchedOrder next = hold();
-	EXPECT_EQ(next.agent, answered.agent) << "the agent that was led astray is avoided";
+	EXPECT_EQ(next.agent, answered.agent) << "the agent that reached another target is avoided";
 	EXPECT_EQ(next.lease_ms, 0u);
 	EXPECT_TRUE(starts().empty()) << "two runs of one task may overlap";
 	rig.answer_hold(next, {SchedRig::view(start)}, {}, LIFE);
@@ -105,20 +105,20 @@
 
 TEST_F(Address, LaterTargetThatReportsTheAddressProvesTheEnd)
 {
-	SchedOrder astray = hold_of_other_agent();
+	SchedOrder elsewhere = hold_of_other_agent();
 
 	rig.runner("i-9", 32000, LIFE + 1);
-	rig.answer(astray, WL_ORDER_OTHER_INCARNATION);
+	rig.answer(elsewhere, WL_ORDER_OTHER_INCARNATION);
 	rig.commit();
 	EXPECT_EQ(starts().size(), 1u);
 }
 
 TEST_F(Address, EarlierTargetThatReportsTheAddressProvesNothing)
 {
-	SchedOrder astray = hold_of_other_agent();
+	SchedOrder elsewhere = hold_of_other_agent();
 
 	rig.runner("i-9", 32000, LIFE - 1);
-	rig.answer(astray, WL_ORDER_OTHER_INCARNATION);
+	rig.answer(elsewhere, WL_ORDER_OTHER_INCARNATION);
 	rig.commit();
 	EXPECT_TRUE(starts().empty());
 }
--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -362,3 +362,12 @@
 	rig.follow();
 	EXPECT_EQ(rig.take_results(), 1u) << "the daemon sends it to the next leader";
 }
+
+TEST_F(Departure, CallThatNamesAnotherIncarnationHasNoEffect)
+{
+	run_on_draining_target();
+	rig.take_results();
+	rig.runner_left("i-1", 7);
+	EXPECT_EQ(rig.take_results(), 1u);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
+}
