sched: keep the call of a target that leaves open for up to 650 ms

What callers saw (found by review): a stop takes up to 400 ms, and the agents add the delay of their link and of their ticks, so that 500 ms leave little for the end to be listed. A target that exits before costs its task the rest of the lease. The entry waits 800 ms for the answer of the leader (CONTROL_TIMEOUT_MS - ANSWER_MARGIN_MS in gate.c), and the target a second. EachCallOfADepartureIsAnsweredInTime asks for no answer at 600 ms and one by 660 ms, instead of one by 510 ms; not shown on a machine. Bound for restarts: unchanged.

--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -12,8 +12,8 @@
 
 #include <stdlib.h>
 
-/* Above the delay that an agent adds, and below the time-out of the target's call. */
-#define DEPARTURE_WAIT_MS 500
+/* Above the usual stop with the delay that an agent adds, below what an entry waits for us. */
+#define DEPARTURE_WAIT_MS 650
 
 struct wl_sched_departure {
 	wl_buf_t peer; /* daemon that waits for the result */
