sched: order no start while the clock of the present incarnation is not known

What callers saw: a start that was chosen before its target started again was ordered with a deadline on no clock, if the first report of the next incarnation told none: the time of our own machine since its start. Cause: a target without a known clock is no place for a start, but a start that is committed after that was ordered all the same. Now such a run ends as not started (reason "no-clock"), and its task is placed again. Found by looking for further places of the class "of one incarnation, applied to another". Evidence: Incarnation.StartChosenBeforeIsNotOrderedWithoutTheClockOfTheNext fails on the code before (a start is ordered). Bound for restarts: unchanged.

--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -246,12 +246,19 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
-/* A target that leaves or is removed gets no starts, those that were chosen before included. */
+/*
+ * A target that leaves or is removed gets no starts, those that were chosen before included. Nor
+ * does one whose present incarnation has not told its clock yet.
+ */
 static void start_committed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			    const wl_job_t *job, wl_out_t *out)
 {
-	if (run->runner->known.departing || run->runner->known.removal_proposed)
+	const wl_sched_incarnation_t *known = &run->runner->known;
+
+	if (known->departing || known->removal_proposed)
 		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "departing", out);
+	else if (!known->clock_ns)
+		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "no-clock", out);
 	else
 		start_send(sched, now_ns, run, job, out);
 }
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -331,3 +331,18 @@
 	rig.commit();
 	EXPECT_EQ(starts().size(), 1u);
 }
+
+TEST_F(Incarnation, StartChosenBeforeIsNotOrderedWithoutTheClockOfTheNext)
+{
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10);				  /* chosen, not committed */
+	rig.clock_offset_ms = UINT64_C(0) - rig.now / MS; /* the report tells no clock */
+	rig.runner("i-1", 32000, 2);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
+	restart();
+	rig.commit();
+	auto again = starts();
+	ASSERT_EQ(again.size(), 1u);
+	EXPECT_LE(again[0].lease_ms, clock_now_ms() + START_LEASE_MS);
+}
