sched: a run is on the incarnation that its start was ordered to

What callers saw: a start that was chosen for one incarnation and ordered to the next got no answer; though the next one had answered its stop and did not list it, its task waited for 5 s, and its end was logged as "restarted". Cause: the run named the incarnation at its placement, so that the one that got the start counted as a later one. Evidence: Incarnation.StopAnsweredByTheOneThatGotTheStartEndsTheRunAtOnce fails on the code before (no start). Bound for restarts in that case: one stop and one renewal, as for any start without an answer; it was 5 s.

--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -144,6 +144,7 @@
 	task_of(run, job, &order.task);
 	order.lease_ms =
 		wl_sched_runner_clock_ms(run->runner, now_ns) + sched->options.start_lease_ms;
+	run->incarnation = run->runner->incarnation;
 	run->phase = WL_RUN_STARTING;
 	wl_sched_run_start_sent(run, now_ns);
 	wl_sched_order_add(sched, now_ns, run->runner, &order, run);
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -346,3 +346,22 @@
 	ASSERT_EQ(again.size(), 1u);
 	EXPECT_LE(again[0].lease_ms, clock_now_ms() + START_LEASE_MS);
 }
+
+TEST_F(Incarnation, StopAnsweredByTheOneThatGotTheStartEndsTheRunAtOnce)
+{
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10); /* chosen for the earlier one */
+	restart();
+	auto started = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(started.size(), 1u);
+	rig.answer(started[0], WL_ORDER_NO_ANSWER);
+	rig.answer_hold(hold(), {}, {}, 2);
+	auto stops = rig.take_orders(WL_ORDER_STOP);
+	ASSERT_EQ(stops.size(), 1u);
+	rig.answer(stops[0], WL_ORDER_DONE);
+	rig.advance(10);
+	rig.answer_hold(hold(), {}, {}, 2);
+	rig.commit();
+	EXPECT_EQ(starts().size(), 1u);
+}
