--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -24,6 +24,7 @@
 	taken.id = order.id;
 	taken.kind = static_cast<wl_order_kind_t>(order.kind);
 	taken.runner = text(order.runner);
+	taken.address = text(order.address);
 	taken.task = text(order.task.job) + "." + std::to_string(order.task.occurrence) + "." +
 		     std::to_string(order.task.step) + "." + std::to_string(order.task.index);
 	taken.run = order.run;
@@ -32,6 +33,7 @@
 	taken.seen = order.committed_ends;
 	taken.percent = order.percent;
 	taken.wait_ms = order.wait_ms;
+	taken.timeout_ms = order.timeout_ms;
 	taken.checkpoint = text(order.checkpoint);
 	taken.send_by_ms = order.send_by_ms;
 	return taken;
@@ -127,8 +129,10 @@
 	sent_bytes_max = std::max(sent_bytes_max, bytes.len);
 	wl_buf_free(&bytes);
 	sent.push_back(static_cast<wl_msg_kind_t>(action.msg.kind));
-	if (action.msg.kind == WL_MSG_RESULT)
+	if (action.msg.kind == WL_MSG_RESULT) {
 		report_to = text(action.msg.u.result.result.report_to);
+		answered.push_back(action.msg.u.result.call);
+	}
 	if (action.msg.kind != WL_MSG_ORDERS)
 		return;
 	if (full_queues.count(text(action.peer))) {
@@ -178,12 +182,13 @@
 	step(&event);
 }
 
-void SchedRig::follow()
+void SchedRig::follow(size_t committed)
 {
 	wl_event_t event;
 
 	wl_event_init(&event, WL_EVENT_FOLLOW);
 	step(&event);
+	commit(committed);
 	drop();
 }
 
@@ -196,16 +201,18 @@
 }
 
 /*
- * Commits and applies the pending proposals. New proposals that follow from them are left
- * for the next call.
+ * Commits and applies the first pending proposals. New proposals that follow from them are
+ * left for the next call.
  */
-size_t SchedRig::commit()
+size_t SchedRig::commit(size_t max)
 {
 	std::deque<std::pair<uint64_t, wl_cmd_t>> due;
-	size_t count;
+	size_t count = std::min(max, proposed.size());
 
-	due.swap(proposed);
-	count = due.size();
+	for (size_t i = 0; i < count; i++) {
+		due.push_back(proposed.front());
+		proposed.pop_front();
+	}
 	for (auto &one : due) {
 		wl_result_t result;
 		wl_event_t event;
@@ -222,29 +229,41 @@
 	return count;
 }
 
+void SchedRig::tick()
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_TICK);
+	step(&event);
+}
+
 void SchedRig::advance(uint64_t ms)
 {
 	for (uint64_t end = now + ms * MS; now < end;) {
-		wl_event_t event;
-
 		now += 10 * MS;
-		wl_event_init(&event, WL_EVENT_TICK);
-		step(&event);
+		tick();
 	}
 }
 
-void SchedRig::run_command(wl_cmd_t *cmd)
+uint64_t SchedRig::send_command(wl_cmd_t *cmd)
 {
 	wl_event_t event;
 
 	wl_event_init(&event, WL_EVENT_PEER);
 	wl_buf_set(&event.peer, WL_STR("e1"));
 	wl_msg_init(&event.msg, WL_MSG_COMMAND);
+	event.msg.u.command.call = ++calls;
 	event.msg.u.command.cmd_kind = cmd->kind;
 	wl_cmd_pack(cmd, &event.msg.u.command.cmd);
 	wl_cmd_free(cmd);
 	step(&event);
 	wl_event_free(&event);
+	return calls;
+}
+
+void SchedRig::run_command(wl_cmd_t *cmd)
+{
+	send_command(cmd);
 	commit();
 }
 
@@ -376,8 +395,13 @@
 	return taken;
 }
 
-/* Lets the agent that has the order send its result. */
 void SchedRig::order_end(const SchedOrder &order, wl_order_end_t *end)
+{
+	end->clock_ms = now / MS + clock_offset_ms;
+	complete(order, end);
+}
+
+void SchedRig::complete(const SchedOrder &order, wl_order_end_t *end)
 {
 	wl_event_t event;
 
@@ -386,7 +410,6 @@
 	wl_msg_init(&event.msg, WL_MSG_ORDERED);
 	event.msg.u.ordered.clock_ms = agent_clock_ms(order.agent);
 	end->id = order.id;
-	end->clock_ms = now / MS + clock_offset_ms;
 	*static_cast<wl_order_end_t *>(
 		wl_list_add(&wl_order_end_schema, &event.msg.u.ordered.ends)) = *end;
 	step(&event);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -17,6 +17,7 @@
 	uint64_t id;
 	wl_order_kind_t kind;
 	std::string runner;
+	std::string address;
 	std::string task; /* JOB.OCCURRENCE.STEP.INDEX */
 	uint64_t run;
 	uint64_t epoch;
@@ -24,6 +25,7 @@
 	uint64_t seen;
 	uint64_t percent;
 	uint64_t wait_ms;
+	uint64_t timeout_ms;
 	std::string checkpoint;
 	uint64_t send_by_ms; /* on the agent's clock */
 };
@@ -52,18 +54,24 @@
 	void submit();
 	void cancel(const std::string &queue, const std::string &id);
 	void run_command(wl_cmd_t *cmd);
+	/* Sends a command of the daemon e1 without a commit. Return: the number of the call. */
+	uint64_t send_command(wl_cmd_t *cmd);
 	void message(wl_msg_kind_t kind);
 
 	void advance(uint64_t ms);
-	size_t commit();
+	void tick();
+	size_t commit(size_t max = SIZE_MAX);
 	void drop();
 	void lead(uint64_t term);
-	void follow();
+	/* Of the pending proposals, the first ones may still be committed, by the next leader. */
+	void follow(size_t committed = 0);
 
 	std::vector<SchedOrder> take_orders(wl_order_kind_t kind);
 	void answer(const SchedOrder &order, wl_order_outcome_t outcome);
 	void answer_hold(const SchedOrder &order, const std::vector<wl_run_view_t> &runs,
 			 const std::vector<wl_end_view_t> &ends, uint64_t life = 1);
+	/* Lets the agent that has the order send its result, with the clock that it names. */
+	void complete(const SchedOrder &order, wl_order_end_t *end);
 	static wl_run_view_t view(const SchedOrder &start, uint64_t load = 0);
 	static wl_end_view_t end(const SchedOrder &start, uint64_t number, wl_run_outcome_t how);
 
@@ -86,6 +94,7 @@
 	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
 	std::vector<wl_msg_kind_t> sent; /* to other daemons */
+	std::vector<uint64_t> answered;	 /* calls of daemons, by number */
 	/* daemons whose send queue is full: orders for them are rejected */
 	std::set<std::string> full_queues;
 	std::set<std::string> silent;	  /* agents */
@@ -114,6 +123,7 @@
 	wl_cmd_t next_job = {};
 	uint64_t index = 0;
 	uint64_t sequence = 0;
+	uint64_t calls = 0;
 };
 
 #endif
