--- a/tests/support/sched_history.cc
+++ b/tests/support/sched_history.cc
@@ -16,8 +16,7 @@
 constexpr uint64_t SLOW_COMMIT = 3 * SECOND;
 constexpr uint64_t PAUSE = 3 * SECOND;
 constexpr uint64_t ELECTION = 2 * SECOND;
-constexpr unsigned JOBS = 5;
-constexpr uint64_t TASKS_MAX = 4;
+constexpr size_t JOBS = 5;
 constexpr size_t TRACE_LINES = 4000;
 /* The longest lease on the slowest clock, with the leader's margin. */
 constexpr uint64_t LEASE_OVER = 6000 * MS * 100 / 98 + 300 * MS;
@@ -120,18 +119,6 @@
 	note("FAILED %s", what.c_str());
 }
 
-void SchedHistory::job_submit()
-{
-	std::string id = "j" + std::to_string(++jobs);
-	std::vector<uint64_t> counts;
-
-	for (uint64_t i = 0; i <= below(STEPS); i++)
-		counts.push_back(1 + below(TASKS_MAX));
-	rig.job("q", id, counts);
-	rig.submit();
-	note("job %s", id.c_str());
-}
-
 void SchedHistory::lead()
 {
 	leading = true;
@@ -185,6 +172,7 @@
 	leader_step();
 	for (const auto &target : targets)
 		target->model.advance(rig.now);
+	gangs_step();
 	while (!events.empty() && events.begin()->first <= rig.now) {
 		auto what = std::move(events.begin()->second);
 
@@ -195,7 +183,7 @@
 	if (leading && rig.now >= paused_until_ns) {
 		rig.tick();
 		commits_step();
-		if (!quiet && jobs < JOBS && rig.now >= next_job_ns) {
+		if (!quiet && jobs.size() < JOBS && rig.now >= next_job_ns) {
 			next_job_ns = rig.now + below(6 * SECOND);
 			job_submit();
 		}
@@ -228,15 +216,7 @@
 	for (const auto &target : targets)
 		target->cut_until_ns = 0;
 	spawn("", "");
-}
-
-/* The first job that is not completed; empty: there is none. */
-std::string SchedHistory::unsettled() const
-{
-	for (unsigned i = 1; i <= jobs; i++)
-		if (rig.job_state("j" + std::to_string(i)) != "completed")
-			return "j" + std::to_string(i);
-	return "";
+	lasting_cancel();
 }
 
 /* A target that runs and has not announced its departure must not be taken for gone. */
@@ -268,7 +248,7 @@
 		step();
 	if (failure.empty() && !unsettled().empty()) {
 		conditions = "stalled";
-		fail(unsettled() + " was not completed in time: " + rig.job_state(unsettled()));
+		fail(unsettled() + " is not settled in time: " + rig.job_state(unsettled()));
 	}
 	end_ns = rig.now + LATE_MAX;
 	while (failure.empty() && rig.now < end_ns)
--- a/tests/support/sched_history.h
+++ b/tests/support/sched_history.h
@@ -73,6 +73,22 @@
 		bool answered = false;
 	};
 	using CallRef = std::shared_ptr<Call>;
+	struct Job {
+		std::string id;
+		std::vector<uint64_t> counts; /* tasks by step */
+		bool gang;		      /* each of its steps */
+		bool lasting;
+		bool cancelled;
+	};
+	/* Runs of one step of a gang with one number. */
+	struct Gang {
+		std::string step;
+		uint64_t run;
+		uint64_t size;
+		uint64_t since_ns; /* of its first member */
+		uint64_t done_ns;  /* 0: not all of its members have run together */
+		std::vector<std::pair<Target, std::string>> members; /* present, with their task */
+	};
 
 	/* sched_history.cc */
 	uint64_t below(uint64_t bound);
@@ -87,11 +103,22 @@
 	void commits_step();
 	void leader_step();
 	void lead();
-	void job_submit();
 	void faults_end();
-	std::string unsettled() const;
 	void ready_targets_check();
 
+	/* sched_history_jobs.cc */
+	void job_submit();
+	void lasting_cancel();
+	bool job_settled(const Job &job) const;
+	std::string unsettled() const;
+	size_t runs_up(const std::string &job) const;
+	bool in_gang(const std::string &task) const;
+	TargetModel::Work work_of(const std::string &task);
+	void gangs_step();
+	void gang_step(Gang *gang);
+	void gang_end(const Gang &gang, wl_run_outcome_t how);
+	Gang *gang_of(const TargetModel::Run &run);
+
 	/* sched_history_targets.cc */
 	Target spawn(const std::string &id, const std::string &address);
 	Target target_at(const std::string &address) const;
@@ -132,7 +159,8 @@
 	uint64_t commit_ns = 0; /* no commit before */
 	uint64_t paused_until_ns = 0;
 	uint64_t next_job_ns = 0;
-	unsigned jobs = 0;
+	std::vector<Job> jobs;
+	std::vector<Gang> gangs;
 	unsigned ids = 0;
 	unsigned addresses = 0;
 	uint64_t last_born_ms = 0;
--- a/tests/support/sched_history_orders.cc
+++ b/tests/support/sched_history_orders.cc
@@ -9,8 +9,6 @@
 constexpr uint64_t QUICK = 30 * MS;
 constexpr uint64_t HOLD_MAX = 10 * SECOND;
 constexpr uint64_t STOP_MAX = 400 * MS;
-constexpr uint64_t WORK_MAX = 10 * SECOND;
-constexpr uint64_t WORK_SHORT_MAX = 2 * SECOND;
 constexpr uint64_t HOLD_STEP = 20 * MS;
 } // namespace
 
@@ -110,8 +108,7 @@
 {
 	const SchedOrder &order = call->order;
 	TargetModel &model = target->model;
-	uint64_t work = chance(500) ? below(WORK_SHORT_MAX) : below(WORK_MAX);
-	bool fails = chance(30);
+	TargetModel::Work work = work_of(order.task);
 	uint64_t stopped_ns = rig.now + below(STOP_MAX);
 	Answer answer;
 
@@ -119,7 +116,7 @@
 	if (order.kind == WL_ORDER_START) {
 		bool there = model.find(order.task) && model.find(order.task)->run == order.run;
 
-		answer.outcome = model.start(rig.now, order, call->origin, {work, fails});
+		answer.outcome = model.start(rig.now, order, call->origin, work);
 		if (answer.outcome == WL_ORDER_DONE && !there)
 			start_check(call, target);
 	} else if (order.kind == WL_ORDER_STOP) {
--- a/tests/support/target_model.cc
+++ b/tests/support/target_model.cc
@@ -51,6 +51,18 @@
 		one.lapsed |= lapsed;
 }
 
+void TargetModel::end(uint64_t now, const std::string &task, wl_run_outcome_t how)
+{
+	auto found = std::find_if(runs.begin(), runs.end(),
+				  [&](const Run &run) { return run.task == task; });
+
+	if (found == runs.end())
+		return;
+	ends.push_back({++last_end, task, found->run, how, now, false});
+	bar(task, found->run);
+	runs.erase(found);
+}
+
 void TargetModel::bar(const std::string &task, uint64_t run)
 {
 	for (auto &one : bars)
--- a/tests/support/target_model.h
+++ b/tests/support/target_model.h
@@ -42,6 +42,9 @@
 	/* Ends the runs that are done, stopped or without a lease by now. */
 	void advance(uint64_t now);
 
+	/* Ends a run at once, as the members of a gang do together. */
+	void end(uint64_t now, const std::string &task, wl_run_outcome_t how);
+
 	/* Orders are carried out after advance(). */
 	wl_order_outcome_t start(uint64_t now, const SchedOrder &order, const Origin &origin,
 				 const Work &work);
