sched: acknowledge ends again after a renewal that failed

What callers saw: nothing yet. A target that ran nothing and whose acknowledgement was lost was never acknowledged again, and kept its ends. Cause: since ends are named only until their acknowledgement is answered, nothing asked for another renewal after a failed one. Evidence: unit.sched_ack_test, EndsAreAcknowledgedOnceTheTargetAnswersAgain failed on the code before (no renewal was sent).

--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -213,13 +213,19 @@
 	return false;
 }
 
+/* Whether the target has not answered yet a renewal that named its newest committed end. */
+static bool is_ack_open(const wl_sched_incarnation_t *known)
+{
+	return known->ends_acknowledged < known->ends_committed;
+}
+
 /*
  * Number of ends to acknowledge. An incarnation that is not known yet would forget its own ends, so
  * that ends are acknowledged only until this is answered, and not while renewals fail.
  */
 static uint64_t ends_to_acknowledge(const wl_sched_incarnation_t *known)
 {
-	if (known->renewal_failed || known->ends_acknowledged == known->ends_committed)
+	if (known->renewal_failed || !is_ack_open(known))
 		return 0;
 	return known->ends_committed;
 }
@@ -416,6 +422,7 @@
 			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
 			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
 	runner->known.renewal_failed = true;
+	runner->known.ack_due |= is_ack_open(&runner->known);
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		wl_sched_agent_avoid(runner, now_ns, order->agent);
@@ -470,6 +477,7 @@
 	if (order->incarnation == runner->incarnation &&
 	    order->committed_ends > runner->known.ends_acknowledged)
 		runner->known.ends_acknowledged = order->committed_ends;
+	runner->known.ack_due |= is_ack_open(&runner->known);
 	wl_sched_renewal_schedule(runner, now_ns);
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
