--- a/tests/support/sched_history_orders.cc
+++ b/tests/support/sched_history_orders.cc
@@ -38,7 +38,8 @@
 
 	call->deadline_ns = rig.now + order.timeout_ms * MS;
 	refused.outcome = WL_ORDER_NOT_SENT;
-	if (call->origin.term < agent_term[order.agent]) {
+	if (call->origin.term < agent_term[order.agent] ||
+	    (order.send_by_ms && rig.agent_clock_ms(order.agent) > order.send_by_ms)) {
 		reply(call, refused, 0);
 		return;
 	}
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -84,6 +84,7 @@
 	void report_forwarded(const std::string &agent, const std::string &runner,
 			      uint64_t life = 1);
 
+	uint64_t agent_clock_ms(const std::string &agent) const;
 	std::string job_state(const std::string &id) const;
 	const wl_job_t *find(const std::string &id) const;
 
@@ -109,7 +110,6 @@
 	void step(wl_event_t *event);
 	void out_take(wl_out_t *out);
 	void agent_clock(const std::string &agent);
-	uint64_t agent_clock_ms(const std::string &agent) const;
 	void message_take(const wl_action_t &action);
 	void orders_reject(const wl_action_t &action);
 	void order_end(const SchedOrder &order, wl_order_end_t *end);
