tests: targets restart under their ids behind frozen followers

unit.fleet_faults_test, NoTaskRunsTwiceWhenTargetsRestartBehindFrozenFollowers. Targets of the fleet can crash and start again; other tests of the fleet are unchanged.

--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -17,6 +17,7 @@
 static const uint64_t LOAD_NS = 12000 * NS_PER_MS;
 static const uint64_t ONE_WAY_DELAY_NS = 900000; /* between any two machines */
 static const uint64_t REPORT_EVERY_NS = 1500 * NS_PER_MS;
+static const uint64_t DOWN_REPORT_NS = 100 * NS_PER_MS; /* until a target that is down is asked */
 static const uint64_t CONTROL_TIMEOUT_MS = 1000;
 static const uint64_t CALLER_TIMEOUT_MS = 3000;
 static const uint64_t CALLER_RETRY_NS = 300 * NS_PER_MS;
@@ -175,6 +176,15 @@
 	stalled_until_ns[{other->name, one->name}] = until_ns;
 }
 
+/* A target crashes, and starts again under its id. */
+void Fleet::restart_target(size_t index, uint64_t down_ms)
+{
+	FleetTarget *target = targets.at(index).get();
+
+	target->crash();
+	time.after(down_ms * NS_PER_MS, [target] { target->start_again(); });
+}
+
 /* Delays the messages of all others to a replica for a time. */
 void Fleet::stall_messages_to(const FleetReplica *replica, uint64_t ms)
 {
@@ -298,6 +308,10 @@
 
 void Fleet::report(FleetTarget &target)
 {
+	if (!target.is_up()) {
+		time.after(DOWN_REPORT_NS, [this, &target] { report(target); });
+		return;
+	}
 	request(target.report_replica, WL_LISTENER_CONTROL,
 		"/-/instances/" + target.id + "/heartbeat", target.report(), CONTROL_TIMEOUT_MS,
 		[this, &target](uint64_t status, const std::string &body) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -57,6 +57,7 @@
 	FleetReplica *leader();
 	FleetReplica *follower(size_t place = 0);
 	void kill(FleetReplica *replica);
+	void restart_target(size_t index, uint64_t down_ms);
 	void stall_messages_to(const FleetReplica *replica, uint64_t ms);
 	void stall_link(const FleetReplica *one, const FleetReplica *other, uint64_t ms);
 
--- a/tests/support/fleet_target.cc
+++ b/tests/support/fleet_target.cc
@@ -18,7 +18,7 @@
 FleetTarget::FleetTarget(Timeline &timeline, FleetRecord &seen, size_t index)
     : id("i-" + std::to_string(index)), address("10.1.0.1:" + std::to_string(index)),
       time(timeline), record(seen), clock_first_ms(1000 + 7919 * index),
-      slow_permille(index % SLOW_KINDS)
+      slow_permille(index % SLOW_KINDS), life(1)
 {
 	record.capacity_millis += CPU_MILLIS;
 }
@@ -30,7 +30,9 @@
 
 uint64_t FleetTarget::clock_ms_at(uint64_t ns) const
 {
-	return clock_first_ms + ns / NS_PER_MS * (1000 - slow_permille) / 1000;
+	if (ns < clock_since_ns)
+		return 0;
+	return clock_first_ms + (ns - clock_since_ns) / NS_PER_MS * (1000 - slow_permille) / 1000;
 }
 
 /* Whether this target would get the order or not, as a partition could hide the new leader. */
@@ -51,7 +53,7 @@
 	     << R"(","zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,)"
 	     << R"("capacity":{"cpu":)" << CPU_MILLIS << R"(,"mem_mb":125000,"gpu":0},)"
 	     << R"("labels":["a","r)" << index / RACK_TARGETS << R"("],"clock_ms":)" << clock_ms()
-	     << R"(,"sequence":)" << ++sequence << R"(,"born":)" << INCARNATION << "}";
+	     << R"(,"sequence":)" << ++sequence << R"(,"born":)" << INCARNATION + life << "}";
 	return body.str();
 }
 
@@ -90,11 +92,48 @@
 			    R"("})");
 }
 
+bool FleetTarget::is_up() const
+{
+	return up;
+}
+
+/* Ends all runs. Nothing is listed or answered. */
+void FleetTarget::crash()
+{
+	up = false;
+	while (!runs.empty()) {
+		auto run = runs.begin();
+
+		used_millis -= run->second.cpu_millis;
+		record.cpu_used(-static_cast<int64_t>(run->second.cpu_millis));
+		record.run_ended(run->first, "crashed", time.now_ns);
+		runs.erase(run);
+	}
+	holds.clear();
+	ends.clear();
+	fenced.clear();
+}
+
+/* Begins an incarnation under the same id, which knows nothing of the one before. */
+void FleetTarget::start_again()
+{
+	up = true;
+	life++;
+	clock_first_ms = 0;
+	clock_since_ns = time.now_ns;
+	token = 0;
+	lease_ms = 0;
+	sequence = 0;
+	next_end = 0;
+}
+
 /* Processes an order. An order with a lower fencing token than the highest seen is refused. */
 void FleetTarget::call(const std::string &path, const std::string &body, const Answer &answer)
 {
 	Order order = order_read(body);
 
+	if (!up)
+		return;
 	lease_check(order);
 	if (order.token < token) {
 		record.starts_refused += path == "/-/run-start";
@@ -170,9 +209,11 @@
 	record.run_began(order.task, time.now_ns);
 	lease_watch();
 	if (work_ms)
-		time.after(work_ms * NS_PER_MS, [this, task = order.task, run = order.run] {
-			run_end(task, run, "done");
-		});
+		time.after(work_ms * NS_PER_MS,
+			   [this, task = order.task, run = order.run, of = life] {
+				   if (life == of)
+					   run_end(task, run, "done");
+			   });
 	accept(answer);
 }
 
@@ -185,9 +226,11 @@
 	if (present != runs.end() && present->second.number == order.run &&
 	    !present->second.stopping) {
 		present->second.stopping = true;
-		time.after(STOP_MS * NS_PER_MS, [this, task = order.task, run = order.run] {
-			run_end(task, run, "stopped");
-		});
+		time.after(STOP_MS * NS_PER_MS,
+			   [this, task = order.task, run = order.run, of = life] {
+				   if (life == of)
+					   run_end(task, run, "stopped");
+			   });
 	}
 	accept(answer);
 }
@@ -254,7 +297,7 @@
 	const char *comma = "";
 	size_t listed = 0;
 
-	body << R"({"clock_ms":)" << clock_ms() << R"(,"born":)" << INCARNATION
+	body << R"({"clock_ms":)" << clock_ms() << R"(,"born":)" << INCARNATION + life
 	     << R"(,"running":[)";
 	for (const auto &run : runs) {
 		body << comma << R"([")" << run.first << R"(",)" << run.second.number
--- a/tests/support/fleet_target.h
+++ b/tests/support/fleet_target.h
@@ -22,6 +22,9 @@
 	void call(const std::string &path, const std::string &body, const Answer &answer);
 	std::string report();
 	bool fail_lasting();
+	void crash();
+	void start_again();
+	bool is_up() const;
 
 	const std::string id;
 	const std::string address;
@@ -76,8 +79,11 @@
 
 	Timeline &time;
 	FleetRecord &record;
-	const uint64_t clock_first_ms;
+	uint64_t clock_first_ms; /* at the time clock_since_ns */
+	uint64_t clock_since_ns = 0;
 	const uint64_t slow_permille;
+	uint64_t life; /* number of its incarnation */
+	bool up = true;
 	uint64_t token = 0;
 	uint64_t lease_ms = 0; /* on the target's clock */
 	bool lease_watched = false;
--- a/tests/unit/fleet_faults_test.cc
+++ b/tests/unit/fleet_faults_test.cc
@@ -157,6 +157,33 @@
 	EXPECT_EQ(fleet.record.twice, 0u) << fleet.summary();
 }
 
+/*
+ * The followers hold starts until the runs have been stopped, and the targets have started again
+ * under their ids.
+ */
+TEST(FleetFaults, NoTaskRunsTwiceWhenTargetsRestartBehindFrozenFollowers)
+{
+	const uint64_t frozen_ms = 3000;
+	const uint64_t down_ms = 300;
+
+	for (uint64_t crash_ms : {1200, 1600, 2000}) {
+		FleetOptions options = light();
+		Fleet fleet(options);
+
+		fleet.at(FAULT_MS, [&fleet] {
+			fleet.follower(0)->freeze(frozen_ms);
+			fleet.follower(1)->freeze(frozen_ms);
+		});
+		for (size_t i = 0; i < options.targets; i += 2)
+			fleet.at(FAULT_MS + crash_ms + i,
+				 [&fleet, i] { fleet.restart_target(i, down_ms); });
+		fleet.simulate();
+		EXPECT_EQ(fleet.record.twice, 0u) << fleet.summary();
+		EXPECT_EQ(fleet.record.leases_beyond, 0u) << fleet.summary();
+		EXPECT_EQ(fleet.record.tasks_left(), 0u) << fleet.summary();
+	}
+}
+
 TEST(FleetFaults, NoRunLapsesWhenAFollowerFreezesRepeatedly)
 {
 	Fleet fleet(light());
