--- a/tests/unit/fleet_faults_test.cc
+++ b/tests/unit/fleet_faults_test.cc
@@ -184,6 +184,24 @@
 	}
 }
 
+/* Several start again after their holds have stopped, and before a start reaches them. */
+TEST(FleetFaults, NoTaskStartsAfterItsEndWhenTargetsRestart)
+{
+	FleetOptions options = light();
+
+	options.lasting_jobs = 0;
+	options.lasting_failures = 0;
+	Fleet fleet(options);
+	for (size_t round = 0; round < 5; round++)
+		for (size_t i = 0; i < options.targets; i++)
+			fleet.at(4000 + round * 3000 + i * 30,
+				 [&fleet, i] { fleet.restart_target(i, 150); });
+	fleet.simulate();
+	EXPECT_EQ(fleet.record.twice, 0u) << fleet.summary();
+	EXPECT_EQ(fleet.record.after_done, 0u) << fleet.summary();
+	EXPECT_EQ(fleet.record.tasks_left(), 0u) << fleet.summary();
+}
+
 TEST(FleetFaults, NoRunLapsesWhenAFollowerFreezesRepeatedly)
 {
 	Fleet fleet(light());
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -219,3 +219,23 @@
 	EXPECT_GE(after_ms, hold_over_ms + lease_ms);
 	EXPECT_LT(after_ms, hold_over_ms + lease_ms + 1000);
 }
+
+/* The next incarnation would forget its own ends of these numbers, before they are committed. */
+TEST_F(UnansweredStart, HoldAfterAPauseNamesNoEndsOfTheIncarnationBefore)
+{
+	rig.answer(start, WL_ORDER_DONE);
+	rig.answer_hold(
+		next(WL_ORDER_RENEW), {},
+		{SchedRig::end(start, 1, WL_END_DONE), SchedRig::end(kept, 2, WL_END_DONE)});
+	rig.commit();
+	SchedOrder hold = next(WL_ORDER_RENEW);
+	EXPECT_EQ(hold.seen, 2u);
+	rig.answer_hold(hold, {}, {});
+	rig.advance(2000);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_RENEW).empty()) << "nothing runs there";
+	rig.report_forwarded("s1", "i-1");
+	start = start_job("later");
+	rig.answer(start, WL_ORDER_DONE);
+	hold = next(WL_ORDER_RENEW);
+	EXPECT_EQ(hold.seen, 0u) << "it may have started again";
+}
