sched: tell a crash of a target from its other losses

The log said `lost` for a crash, a lapse, a departure and a cut alike, so neither the log nor the state could tell such a task from the tasks beside it.

A run ends as `crashed` if a later incarnation of its target is known, under its id or at its address, and the target had not announced its end. Silence alone, a run that is absent on the same incarnation and a run that was placed when the target was already down stay `lost`. No decision uses it yet.

The runs of a target whose address is taken now end by a command of their own, before the removal of the target, so that the ends are in the log if the leader changes in between. Such a target gets no starts between the two.

--- a/libwlcore/model/job.c
+++ b/libwlcore/model/job.c
@@ -2,8 +2,8 @@
 
 #include "job.h"
 
-const char *const wl_run_outcome_names[] = {"done",  "failed", "stopped", "lapsed", "broken",
-					    "alone", "lost",   "absent",  NULL};
+const char *const wl_run_outcome_names[] = {"done",  "failed", "stopped", "lapsed",  "broken",
+					    "alone", "lost",   "absent",  "crashed", NULL};
 
 const char *const wl_job_state_names[] = {"queued", "running",	 "completed",
 					  "failed", "cancelled", NULL};
--- a/libwlcore/model/job.h
+++ b/libwlcore/model/job.h
@@ -118,6 +118,7 @@
 	WL_END_GANG_INCOMPLETE, /* the other members of its gang did not start in time */
 	WL_END_LOST, /* its target has exited, or has been unreachable for longer than any lease */
 	WL_END_NOT_STARTED, /* it did not start and never will */
+	WL_END_CRASHED,	    /* its target crashed */
 	WL_END_OUTCOMES
 } wl_run_outcome_t;
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -109,6 +109,10 @@
 	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
 	uint64_t failed_job; /* hash of the job of the newest one */
 	bool departing;	     /* this incarnation has announced its departure */
+	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
+	/* of the incarnation before this one */
+	uint64_t previous_lost_ns;
+	bool previous_announced_end;
 	bool removal_proposed;
 	const char *removal_reason;
 	wl_buf_t address; /* as of the newest committed report */
@@ -346,6 +350,16 @@
 void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      wl_out_t *out);
 
+/* crashes.c */
+void wl_sched_crash_incarnation_end(uint64_t now_ns, wl_sched_runner_t *runner,
+				    uint64_t incarnation);
+wl_run_outcome_t wl_sched_run_loss(const wl_sched_run_t *run);
+void wl_sched_crash_restarted(uint64_t now_ns, const wl_sched_runner_t *runner,
+			      const wl_cmd_runs_end_t *ends, wl_out_t *out);
+void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				  const wl_sched_agent_t *agent, wl_out_t *out);
+void wl_sched_crash_applied(wl_sched_t *sched, const wl_run_end_t *end);
+
 /* gauges.c */
 void wl_sched_gauges_tick(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_gauges_clear(wl_sched_t *sched);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -18,7 +18,7 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
-			wl_sched_run_end_add(run, WL_END_LOST, "expired", &ends);
+			wl_sched_run_end_add(run, wl_sched_run_loss(run), "expired", &ends);
 	wl_out_log(out, WL_WARN, "target-lapsed",
 		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu life=%llu",
 		   WL_STR_ARG(runner->key), ends.ends.count,
@@ -39,7 +39,7 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns))
-			wl_sched_run_end_add(run, WL_END_LOST,
+			wl_sched_run_end_add(run, wl_sched_run_loss(run),
 					     run->incarnation == runner->incarnation ? "absent"
 										     : "restarted",
 					     ends);
@@ -56,6 +56,7 @@
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNNER_PUT};
 
 	runner->removal_proposed = true;
+	runner->fit.usable = false;
 	runner->removal_reason = reason;
 	wl_buf_set(&cmd.u.runner_put.id, runner->key);
 	cmd.u.runner_put.incarnation = runner->state->report.incarnation;
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -82,7 +82,8 @@
 {
 	uint64_t last_ns = last_contact_ns(runner);
 	bool usable = !runner->state->departed_ms && !runner->departing &&
-		      !runner->state->report.draining && runner->clock_ns && last_ns &&
+		      !runner->removal_proposed && !runner->state->report.draining &&
+		      runner->clock_ns && last_ns &&
 		      now_ns - last_ns < UNREACHABLE_MS * WL_NS_PER_MS &&
 		      now_ns >= runner->quarantined_until_ns;
 
@@ -122,6 +123,7 @@
 {
 	if (incarnation == 0 || incarnation == runner->incarnation)
 		return;
+	wl_sched_crash_incarnation_end(now_ns, runner, incarnation);
 	runner->incarnation = incarnation;
 	runner->clock_ms = 0;
 	runner->clock_ns = 0;
@@ -438,6 +440,8 @@
 			   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
 			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
 			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
+	if (!runner->unreachable_since_ns)
+		runner->unreachable_since_ns = now_ns;
 	runner->renewal_failed = true;
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
@@ -458,7 +462,7 @@
 	if (runner->renewal_id == order->id)
 		runner->renewal_id = 0;
 	if (address_taken(sched, runner, order, end)) {
-		wl_sched_removal_propose(sched, now_ns, runner, "address-taken", order->agent, out);
+		wl_sched_crash_address_taken(sched, now_ns, runner, order->agent, out);
 		return;
 	}
 	if (end->outcome == WL_ORDER_AGENT_LOST) { /* says nothing about the target */
@@ -477,6 +481,7 @@
 		runner->clock_ms = end->clock_ms;
 		runner->clock_ns = now_ns;
 	}
+	runner->unreachable_since_ns = 0;
 	wl_sched_renewal_schedule(runner, now_ns);
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
@@ -486,5 +491,6 @@
 	ends_collect(sched, runner, end, &ends);
 	if (end->ends.count < ENDS_LISTED_MAX)
 		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
+	wl_sched_crash_restarted(now_ns, runner, &ends, out);
 	ends_commit(sched, now_ns, runner, &ends, out);
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -449,6 +449,7 @@
 	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
 			     run->end_reason ? run->end_reason : "other", out);
 	failures_count(run->runner, now_ns, end, out);
+	wl_sched_crash_applied(sched, end);
 	wl_sched_run_remove(sched, run);
 	if (!job)
 		return;
--- /dev/null
+++ b/tests/unit/sched_crash_test.cc
@@ -0,0 +1,212 @@
+#include "../support/sched_rig.h"
+
+#include <algorithm>
+#include <map>
+
+#include <gtest/gtest.h>
+
+/* Crashes of targets under their runs: which loss is one, and what it does to the task. */
+
+namespace
+{
+const char *const CRASHES = "wisterialead_job_crashes_total{}";
+
+class Crash : public testing::Test
+{
+      protected:
+	static constexpr uint64_t LEASES_OVER_MS = 7000; /* longer than any lease */
+
+	struct Target {
+		uint64_t life = 0;
+		bool down = false;
+		std::vector<SchedOrder> runs;
+	};
+
+	Crash()
+	{
+		rig.configure("q");
+	}
+
+	void target(const std::string &id, const std::string &rack = "r1")
+	{
+		targets[id].life++;
+		targets[id].down = false;
+		rig.address = id + ":80";
+		rig.runner(id, 32000, targets[id].life, rack);
+	}
+
+	void job(const std::string &id, uint64_t count = 1)
+	{
+		rig.job("q", id, {count});
+		rig.submit();
+	}
+
+	/* Targets that are up carry out all orders; of others there is no answer. */
+	void carry_out(const SchedOrder &order)
+	{
+		Target &at = targets[order.runner];
+
+		if (at.down) {
+			rig.answer(order, WL_ORDER_NO_ANSWER);
+			return;
+		}
+		if (order.kind == WL_ORDER_START) {
+			at.runs.push_back(order);
+			started.push_back(order);
+		}
+		if (order.kind != WL_ORDER_RENEW) {
+			rig.answer(order, WL_ORDER_DONE);
+			return;
+		}
+		std::vector<wl_run_view_t> views;
+		for (const auto &run : at.runs)
+			views.push_back(SchedRig::view(run));
+		rig.answer_hold(order, views, {}, at.life);
+	}
+
+	void pass(uint64_t ms)
+	{
+		for (uint64_t end = rig.now + ms * 1000000; rig.now < end;) {
+			rig.advance(10);
+			rig.commit();
+			for (auto kind : {WL_ORDER_START, WL_ORDER_STOP, WL_ORDER_RENEW})
+				for (const auto &order : rig.take_orders(kind))
+					carry_out(order);
+			for (const auto &one : targets)
+				if (!one.second.down)
+					rig.report_forwarded("s1", one.first, one.second.life);
+		}
+	}
+
+	void crash(const std::string &id)
+	{
+		targets[id].down = true;
+		targets[id].runs.clear();
+		pass(100);
+	}
+
+	/* Runs that ended in a way, by the log. */
+	size_t ends(const std::string &how) const
+	{
+		return std::count_if(rig.log.begin(), rig.log.end(), [&](const std::string &line) {
+			return line.find("run-end") != std::string::npos &&
+			       line.find("how=" + how) != std::string::npos;
+		});
+	}
+
+	SchedRig rig;
+	std::map<std::string, Target> targets;
+	std::vector<SchedOrder> started;
+};
+} // namespace
+
+TEST_F(Crash, LaterIncarnationUnderTheSameIdIsACrash)
+{
+	target("a");
+	job("j", 2);
+	pass(100);
+	crash("a");
+	EXPECT_EQ(ends("crashed") + ends("lost"), 0u) << "silence alone ended the runs";
+	target("a");
+	pass(100);
+	EXPECT_EQ(ends("crashed"), 2u);
+	EXPECT_EQ(rig.metric(CRASHES), "2");
+}
+
+TEST_F(Crash, LaterTargetAtTheAddressIsACrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 2);
+	rig.advance(200);
+	for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+		rig.answer(order, WL_ORDER_OTHER_INCARNATION);
+	EXPECT_EQ(rig.commit(), 2u) << "the end and the removal";
+	EXPECT_EQ(ends("crashed"), 1u);
+	EXPECT_EQ(started.size(), 1u) << "started on the target that is gone";
+}
+
+TEST_F(Crash, EndIsCommittedBeforeTheTargetIsRemoved)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 2);
+	rig.advance(200);
+	for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+		rig.answer(order, WL_ORDER_OTHER_INCARNATION);
+	rig.commit();
+	ASSERT_EQ(ends("crashed"), 1u);
+	for (const auto &line : rig.log)
+		if (line.find("event=target-left") != std::string::npos)
+			return;
+	ADD_FAILURE() << "the target was not removed";
+}
+
+TEST_F(Crash, TargetThatDrainsAndRestartsDidNotCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	rig.runner("a", 32000, 1, "r1", true);
+	crash("a");
+	target("a");
+	pass(100);
+	EXPECT_EQ(ends("crashed"), 0u);
+	EXPECT_EQ(ends("lost"), 1u);
+}
+
+TEST_F(Crash, SilenceIsNoCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	pass(LEASES_OVER_MS);
+	EXPECT_EQ(ends("lost"), 1u);
+	EXPECT_EQ(ends("crashed"), 0u);
+}
+
+TEST_F(Crash, RunThatIsAbsentOnTheSameIncarnationIsNoCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	targets["a"].runs.clear();
+	pass(2000);
+	EXPECT_EQ(ends("lost"), 1u);
+	EXPECT_EQ(ends("crashed"), 0u);
+}
+
+TEST_F(Crash, RunPlacedOnATargetThatWasDownDidNotCrashIt)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	job("late");
+	pass(1000);
+	target("a");
+	pass(500);
+	EXPECT_EQ(ends("crashed"), 1u);
+	EXPECT_EQ(ends("lost"), 1u);
+}
+
+TEST_F(Crash, NewLeaderFindsTheCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	rig.follow();
+	targets["a"].runs.clear();
+	rig.orders.clear();
+	rig.lead(2);
+	target("a");
+	pass(100);
+	EXPECT_EQ(ends("crashed"), 1u);
+}
