job, sched: a task is given up at the third crash of a target under it

Only failed runs counted against a task.

The state counts the crashes under a task in a row; at the third its job fails, lasting and repeating ones and gangs included. A gang has one count. A listed end clears the count, of a gang only one as done or failed; a run that worked for longer than 5 s and twice the time after which the target had crashed before (60 s at most) starts it anew. A suspected task of a speculative step gets no second copy. Each crashed target has a number, so that later placements can keep the tasks of one crash apart.

A leader that changes between two crashes, or before the end is committed, changes nothing.

Seen: events task-crash and task-given-up, metrics wisterialead_job_suspects and wisterialead_job_tasks_given_up_total.

Ruled out: counting `lost` too. A lapse, a cut and a departure would fail innocent jobs.

--- a/libwlcore/job/internal.h
+++ b/libwlcore/job/internal.h
@@ -17,10 +17,18 @@
 /* runs.c */
 void wl_task_done(wl_job_t *job, uint64_t task);
 void wl_run_remove(wl_jobs_t *jobs, wl_run_t *run);
-void wl_jobs_runs_start(wl_jobs_t *jobs, const wl_cmd_runs_start_t *cmd, wl_result_t *result);
+void wl_jobs_runs_start(wl_jobs_t *jobs, const wl_cmd_runs_start_t *cmd, uint64_t clock_ms,
+			wl_result_t *result);
 void wl_jobs_runs_end(wl_jobs_t *jobs, const wl_cmd_runs_end_t *cmd, uint64_t clock_ms,
 		      wl_result_t *result);
 
+/* crashes.c */
+uint64_t wl_runner_crash(wl_jobs_t *jobs, wl_runner_t *runner, uint64_t incarnation);
+bool wl_task_crashed(wl_jobs_t *jobs, wl_job_t *job, const wl_run_end_t *end, uint64_t crash);
+void wl_task_crashes_clear(wl_jobs_t *jobs, wl_job_t *job, const wl_run_end_t *end);
+void wl_task_crashes_restore(wl_jobs_t *jobs, wl_job_t *job, uint64_t task,
+			     const wl_task_crashes_t *crashes);
+
 /* runners.c */
 void wl_runner_remove(wl_jobs_t *jobs, wl_runner_t *runner);
 void wl_runners_expire(wl_jobs_t *jobs, uint64_t clock_ms);
--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -309,6 +309,7 @@
 {
 	job->record.state = state;
 	job->record.ended_ms = clock_ms ? clock_ms : 1; /* 0: it has not ended */
+	jobs->suspects -= job->suspects;
 	TAILQ_REMOVE(&jobs->live, job, link);
 	TAILQ_INSERT_TAIL(&jobs->ended, job, link);
 }
@@ -365,11 +366,12 @@
 		row->failures = job->tasks[i].failures;
 		row->failed_run = job->tasks[i].failed_run;
 		row->done = job->tasks[i].done;
+		row->crashes = job->tasks[i].crashes;
 		wl_buf_set(&row->checkpoint, wl_buf_str(&job->tasks[i].checkpoint));
 	}
 }
 
-static void task_restore(wl_job_t *job, uint64_t task, wl_job_task_row_t *row)
+static void task_restore(wl_jobs_t *jobs, wl_job_t *job, uint64_t task, wl_job_task_row_t *row)
 {
 	wl_job_task_t *restored = &job->tasks[task];
 
@@ -377,6 +379,7 @@
 	restored->failures = row->failures;
 	restored->failed_run = row->failed_run;
 	wl_buf_move(&restored->checkpoint, &row->checkpoint);
+	wl_task_crashes_restore(jobs, job, task, &row->crashes);
 	if (row->done)
 		wl_task_done(job, task);
 }
@@ -397,7 +400,7 @@
 	job = job_insert(jobs, record);
 	complete = rows.count == job->task_count;
 	for (uint64_t i = 0; complete && i < job->task_count; i++)
-		task_restore(job, i, (wl_job_task_row_t *)rows.items + i);
+		task_restore(jobs, job, i, (wl_job_task_row_t *)rows.items + i);
 	wl_list_free(&wl_job_task_row_schema, &rows);
 	return complete ? job : NULL;
 }
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -11,6 +11,8 @@
  * runs. Only committed commands change it.
  */
 
+#define WL_TASK_CRASHES_MAX 3 /* crashes of targets under one task at which its job fails */
+
 struct wl_job;
 struct wl_runner;
 
@@ -21,6 +23,7 @@
 	uint64_t number;
 	struct wl_runner *runner;
 	uint64_t incarnation; /* of the target */
+	uint64_t started_ms;  /* when its start was committed; 0: unknown */
 	void *leader_data;    /* data of the leader */
 	TAILQ_ENTRY(wl_run) of_task;
 	TAILQ_ENTRY(wl_run) of_runner;
@@ -28,11 +31,23 @@
 
 TAILQ_HEAD(wl_run_list, wl_run);
 
+/*
+ * Crashes of targets under a task. A gang has one record, that of its first member. Each crashed
+ * target has a number, from 1 on, that is the same for all tasks whose runs ended with it.
+ */
+typedef struct wl_task_crashes {
+	uint64_t count;	 /* in a row; 0: the task is not suspected */
+	uint64_t crash;	 /* number of the newest one; 0: none */
+	uint64_t run;	 /* newest run that counted */
+	uint64_t ran_ms; /* how long that run is known to have run */
+} wl_task_crashes_t;
+
 typedef struct wl_job_task {
 	uint64_t run; /* number of its newest run; 0: none */
 	uint64_t failures;
 	uint64_t failed_run; /* newest run that counted as a failure */
 	bool done;
+	wl_task_crashes_t crashes;
 	wl_buf_t checkpoint;
 	struct wl_run_list runs; /* more than one only if the step is speculative */
 } wl_job_task_t;
@@ -51,7 +66,9 @@
 	uint64_t max_attempts;
 	uint64_t objective_ms;
 	uint64_t slack_millis;
-	wl_list_t tasks; /* wl_job_task_row_t, in snapshots only */
+	wl_list_t tasks;      /* wl_job_task_row_t, in snapshots only */
+	uint64_t crash;	      /* number of the newest crash under its tasks; 0: none */
+	uint64_t crash_count; /* crashed targets */
 } wl_job_record_t;
 
 typedef struct wl_job {
@@ -64,6 +81,7 @@
 	uint64_t *step_remaining; /* tasks not done, by occurrence and step */
 	uint64_t occurrences;
 	uint64_t remaining; /* tasks not done */
+	uint64_t suspects;  /* tasks and gangs with crashes */
 	uint64_t active;    /* runs whose end is not committed, also after the job has ended */
 	void *leader_data;  /* data of the scheduler on the leader; NULL: none */
 	TAILQ_ENTRY(wl_job) link;
@@ -76,6 +94,8 @@
 	wl_str_t key;		   /* its id */
 	wl_runner_report_t report; /* newest committed report */
 	uint64_t departed_ms;	   /* when it deregistered or was removed, ms; 0: it has not */
+	uint64_t crash;		   /* number of its newest crash; 0: none */
+	uint64_t crashed_incarnation;
 	struct wl_run_list runs;
 	TAILQ_ENTRY(wl_runner) link;
 } wl_runner_t;
@@ -95,6 +115,8 @@
 	/* when the earliest of the departed targets left; 0: none has left */
 	uint64_t earliest_departed_ms;
 	uint64_t run_count;
+	uint64_t crash_count; /* number of the newest crash of a target */
+	uint64_t suspects;    /* tasks and gangs with crashes, of jobs that have not ended */
 } wl_jobs_t;
 
 void wl_jobs_init(wl_jobs_t *jobs, uint64_t keep_ms);
@@ -107,6 +129,8 @@
 wl_runner_t *wl_jobs_runner(const wl_jobs_t *jobs, wl_str_t id);
 wl_run_t *wl_job_run(const wl_job_t *job, uint64_t task, uint64_t number);
 const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step);
+uint64_t wl_job_counted_task(const wl_job_t *job, uint64_t task);
+uint64_t wl_task_trial_ms(const wl_task_crashes_t *crashes);
 void wl_job_task_ref(const wl_job_t *job, uint64_t task, wl_task_ref_t *ref);
 bool wl_job_task_index(const wl_job_t *job, const wl_task_ref_t *ref, uint64_t *task);
 uint64_t *wl_job_step_remaining(const wl_job_t *job, uint64_t occurrence, uint64_t step);
@@ -128,11 +152,14 @@
 	uint64_t failed_run;
 	bool done;
 	wl_buf_t checkpoint;
+	wl_task_crashes_t crashes;
 } wl_job_task_row_t;
 
 typedef struct wl_runner_record {
 	wl_runner_report_t report;
 	uint64_t departed_ms;
+	uint64_t crash;
+	uint64_t crashed_incarnation;
 } wl_runner_record_t;
 
 extern const wl_schema_t wl_job_record_schema;
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -8,6 +8,10 @@
 	WL_FIELD(wl_job_task_row_t, failed_run, WL_FIELD_U64),
 	WL_FIELD(wl_job_task_row_t, done, WL_FIELD_BOOL),
 	WL_FIELD(wl_job_task_row_t, checkpoint, WL_FIELD_BYTES),
+	WL_FIELD(wl_job_task_row_t, crashes.count, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, crashes.crash, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, crashes.run, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, crashes.ran_ms, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_job_task_row_schema = WL_SCHEMA(wl_job_task_row_t, job_task_row_fields);
@@ -25,6 +29,8 @@
 	WL_FIELD(wl_job_record_t, objective_ms, WL_FIELD_U64),
 	WL_FIELD(wl_job_record_t, slack_millis, WL_FIELD_U64),
 	WL_FIELD_MANY(wl_job_record_t, tasks, &wl_job_task_row_schema),
+	WL_FIELD(wl_job_record_t, crash, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, crash_count, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_job_record_schema = WL_SCHEMA(wl_job_record_t, job_record_fields);
@@ -32,6 +38,8 @@
 static const wl_field_t runner_record_fields[] = {
 	WL_FIELD_NEST(wl_runner_record_t, report, &wl_runner_report_schema),
 	WL_FIELD_AS("left_ms", wl_runner_record_t, departed_ms, WL_FIELD_U64),
+	WL_FIELD(wl_runner_record_t, crash, WL_FIELD_U64),
+	WL_FIELD(wl_runner_record_t, crashed_incarnation, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_runner_record_schema = WL_SCHEMA(wl_runner_record_t, runner_record_fields);
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -170,7 +170,7 @@
 		wl_jobs_cancel(jobs, &cmd->u.job_cancel, clock_ms, result);
 		break;
 	case WL_CMD_RUNS_START:
-		wl_jobs_runs_start(jobs, &cmd->u.runs_start, result);
+		wl_jobs_runs_start(jobs, &cmd->u.runs_start, clock_ms, result);
 		break;
 	case WL_CMD_RUNS_END:
 		wl_jobs_runs_end(jobs, &cmd->u.runs_end, clock_ms, result);
@@ -193,6 +193,8 @@
 	wl_runner_t *runner = runner_add(jobs, &record->report);
 
 	runner->departed_ms = record->departed_ms;
+	runner->crash = record->crash;
+	runner->crashed_incarnation = record->crashed_incarnation;
 	departure_record(jobs, runner->departed_ms);
 	wl_record_free(&wl_runner_record_schema, record);
 	return runner;
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -30,8 +30,8 @@
 	free(run);
 }
 
-static void run_insert(wl_jobs_t *jobs, wl_job_t *job, wl_runner_t *runner,
-		       const wl_run_start_t *row)
+static wl_run_t *run_insert(wl_jobs_t *jobs, wl_job_t *job, wl_runner_t *runner,
+			    const wl_run_start_t *row)
 {
 	wl_run_t *run = wl_alloc(sizeof(*run));
 
@@ -40,10 +40,12 @@
 	run->number = row->run;
 	run->runner = runner;
 	run->incarnation = row->incarnation;
+	run->started_ms = row->started_ms;
 	TAILQ_INSERT_TAIL(&job->tasks[row->task].runs, run, of_task);
 	TAILQ_INSERT_TAIL(&runner->runs, run, of_runner);
 	job->active++;
 	jobs->run_count++;
+	return run;
 }
 
 /*
@@ -61,10 +63,12 @@
 	wl_job_task_ref(job, row->task, &at);
 	if (task->done || row->run <= task->run || !wl_job_step_open(job, at.occurrence, at.step))
 		return false;
-	return TAILQ_EMPTY(&task->runs) || wl_job_step(job, at.step)->speculative;
+	return TAILQ_EMPTY(&task->runs) ||
+	       (wl_job_step(job, at.step)->speculative && task->crashes.count == 0);
 }
 
-void wl_jobs_runs_start(wl_jobs_t *jobs, const wl_cmd_runs_start_t *cmd, wl_result_t *result)
+void wl_jobs_runs_start(wl_jobs_t *jobs, const wl_cmd_runs_start_t *cmd, uint64_t clock_ms,
+			wl_result_t *result)
 {
 	const wl_run_start_t *rows = cmd->runs.items;
 
@@ -74,7 +78,7 @@
 
 		if (!runner || runner->departed_ms || !start_allowed(job, &rows[i]))
 			continue;
-		run_insert(jobs, job, runner, &rows[i]);
+		run_insert(jobs, job, runner, &rows[i])->started_ms = clock_ms;
 		job->tasks[rows[i].task].run = rows[i].run;
 		if (job->record.state == WL_JOB_QUEUED)
 			job->record.state = WL_JOB_RUNNING;
@@ -105,19 +109,24 @@
 }
 
 /*
- * Counts a failed run. The members of a gang share one count, that of the first member.
+ * wl_job_counted_task - the task whose counts a task shares: in a gang, the first member
+ */
+uint64_t wl_job_counted_task(const wl_job_t *job, uint64_t task)
+{
+	wl_task_ref_t at;
+
+	wl_job_task_ref(job, task, &at);
+	return wl_job_step(job, at.step)->gang ? task - at.index : task;
+}
+
+/*
+ * Counts a failed run.
  * Return: whether the job fails.
  */
 static bool task_failed(wl_job_t *job, uint64_t task, const wl_task_ref_t *at, uint64_t run)
 {
-	wl_task_ref_t first = *at;
-	wl_job_task_t *counted = &job->tasks[task];
+	wl_job_task_t *counted = &job->tasks[wl_job_counted_task(job, task)];
 
-	if (wl_job_step(job, at->step)->gang) {
-		first.index = 0;
-		wl_job_task_index(job, &first, &task);
-		counted = &job->tasks[task];
-	}
 	if (counted->failed_run >= run)
 		return false;
 	counted->failed_run = run;
@@ -130,6 +139,8 @@
 {
 	wl_job_t *job = run->job;
 	uint64_t task = run->task;
+	bool crashed = end->outcome == WL_END_CRASHED;
+	uint64_t crash = crashed ? wl_runner_crash(jobs, run->runner, run->incarnation) : 0;
 	bool fails = false;
 	wl_task_ref_t at;
 
@@ -147,6 +158,10 @@
 	}
 	if (end->outcome == WL_END_FAILED)
 		fails = task_failed(job, task, &at, end->run);
+	if (crashed)
+		fails = wl_task_crashed(jobs, job, end, crash);
+	else
+		wl_task_crashes_clear(jobs, job, end);
 	if (fails)
 		wl_job_end(jobs, job, WL_JOB_FAILED, clock_ms);
 	else if (job->remaining == 0)
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -163,6 +163,7 @@
 	WL_FIELD(wl_run_start_t, run, WL_FIELD_U64),
 	WL_FIELD(wl_run_start_t, runner, WL_FIELD_BYTES),
 	WL_FIELD_AS("life", wl_run_start_t, incarnation, WL_FIELD_U64),
+	WL_FIELD(wl_run_start_t, started_ms, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_run_start_schema = WL_SCHEMA(wl_run_start_t, run_start_fields);
@@ -184,6 +185,7 @@
 	 .offset = offsetof(wl_run_end_t, outcome),
 	 .names = wl_run_outcome_names},
 	WL_FIELD(wl_run_end_t, checkpoint, WL_FIELD_BYTES),
+	WL_FIELD(wl_run_end_t, ran_ms, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_run_end_schema = WL_SCHEMA(wl_run_end_t, run_end_fields);
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -171,6 +171,7 @@
 	uint64_t run;  /* increases with each run of a task; the same for all members of a gang */
 	wl_buf_t runner;
 	uint64_t incarnation; /* of the target */
+	uint64_t started_ms;  /* in snapshots only: when the start was committed; 0: unknown */
 } wl_run_start_t;
 
 typedef struct wl_cmd_runs_start {
@@ -184,6 +185,7 @@
 	wl_buf_t runner;
 	uint64_t outcome;    /* wl_run_outcome_t */
 	wl_buf_t checkpoint; /* empty: none */
+	uint64_t ran_ms;     /* CRASHED: how long it is known to have run */
 } wl_run_end_t;
 
 typedef struct wl_cmd_runs_end {
--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -26,6 +26,8 @@
 	runner->previous_lost_ns =
 		runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns;
 	runner->unreachable_since_ns = 0;
+	runner->previous_heard_ns = runner->heard_ns;
+	runner->heard_ns = 0;
 }
 
 /*
@@ -39,19 +41,34 @@
 }
 
 /*
- * wl_sched_run_loss - outcome of a run that ended without a listing by its target
- *
- * Return: WL_END_CRASHED if a later incarnation of the target is known and the run was there when
- * the earlier one crashed, else WL_END_LOST.
+ * Adds the end of a run that its target did not list.
+ * @crashed: whether the incarnation crashed that it ran on
+ * @heard_ns: newest answer of that incarnation; 0: none is known
+ */
+static void end_add(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, bool crashed,
+		    uint64_t heard_ns, const char *reason, wl_cmd_runs_end_t *ends)
+{
+	bool was_heard = heard_ns && run->started_ms && run->phase != WL_RUN_UNCONFIRMED;
+	wl_run_end_t *row =
+		wl_sched_run_end_add(run, crashed ? WL_END_CRASHED : WL_END_LOST, reason, ends);
+	uint64_t heard_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - heard_ns) / WL_NS_PER_MS;
+
+	if (crashed && was_heard && heard_ms > run->started_ms)
+		row->ran_ms = heard_ms - run->started_ms;
+}
+
+/*
+ * wl_sched_run_lost_add - add the end of a run that its target does not list any more
+ * @reason: for the log
  */
-wl_run_outcome_t wl_sched_run_loss(const wl_sched_run_t *run)
+void wl_sched_run_lost_add(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			   const char *reason, wl_cmd_runs_end_t *ends)
 {
 	const wl_sched_runner_t *runner = run->runner;
+	bool crashed = run->incarnation < runner->incarnation && !runner->previous_announced_end &&
+		       run_was_there(run, runner->previous_lost_ns);
 
-	if (run->incarnation >= runner->incarnation || runner->previous_announced_end ||
-	    !run_was_there(run, runner->previous_lost_ns))
-		return WL_END_LOST;
-	return WL_END_CRASHED;
+	end_add(sched, now_ns, run, crashed, runner->previous_heard_ns, reason, ends);
 }
 
 static void crash_log(const wl_sched_runner_t *runner, uint64_t lost_ns, uint64_t now_ns,
@@ -102,8 +119,7 @@
 
 		if (run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING)
 			continue;
-		wl_sched_run_end_add(run, counts ? WL_END_CRASHED : WL_END_LOST, "address-taken",
-				     &ends);
+		end_add(sched, now_ns, run, counts, runner->heard_ns, "address-taken", &ends);
 		crashed += counts;
 	}
 	if (crashed > 0)
@@ -111,12 +127,3 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 	wl_sched_removal_propose(sched, now_ns, runner, "address-taken", agent, out);
 }
-
-/*
- * wl_sched_crash_applied - count a committed end
- */
-void wl_sched_crash_applied(wl_sched_t *sched, const wl_run_end_t *end)
-{
-	if (end->outcome == WL_END_CRASHED)
-		wl_metrics_add(sched->options.metrics, "wisterialead_job_crashes_total", "", 1);
-}
--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -71,6 +71,7 @@
 	sched->next_gauges_ns = now_ns + GAUGES_INTERVAL_MS * WL_NS_PER_MS;
 	waiting_set(sched, now_ns);
 	leases_set(sched, now_ns);
+	gauge(sched, "wisterialead_job_suspects", "", sched->jobs->suspects);
 	gauge(sched, "wisterialead_job_runs", "", wl_map_count(&sched->by_run));
 	gauge(sched, "wisterialead_job_targets", "", wl_map_count(&sched->by_runner));
 	gauge(sched, "wisterialead_jobs", "", wl_map_count(&sched->jobs->by_id));
@@ -82,11 +83,9 @@
 void wl_sched_gauges_clear(wl_sched_t *sched)
 {
 	static const char *const names[] = {
-		"wisterialead_job_lease_least_ms",
-		"wisterialead_job_leases_over",
-		"wisterialead_job_runs",
-		"wisterialead_job_targets",
-		"wisterialead_jobs",
+		"wisterialead_job_lease_least_ms", "wisterialead_job_leases_over",
+		"wisterialead_job_suspects",	   "wisterialead_job_runs",
+		"wisterialead_job_targets",	   "wisterialead_jobs",
 	};
 
 	sched->next_gauges_ns = 0;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -39,6 +39,7 @@
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
+	uint64_t started_ms; /* when its start was committed, on the group's clock; 0: unknown */
 	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
 	uint64_t answered_ns;	  /* when the newest answer about it arrived */
 	uint64_t stop_sent_ns;
@@ -110,7 +111,9 @@
 	uint64_t failed_job; /* hash of the job of the newest one */
 	bool departing;	     /* this incarnation has announced its departure */
 	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
+	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
 	/* of the incarnation before this one */
+	uint64_t previous_heard_ns;
 	uint64_t previous_lost_ns;
 	bool previous_announced_end;
 	bool removal_proposed;
@@ -212,6 +215,10 @@
 	TAILQ_ENTRY(wl_sched_proposal) link;
 } wl_sched_proposal_t;
 
+typedef struct wl_sched_crash wl_sched_crash_t;
+
+TAILQ_HEAD(wl_sched_crashes, wl_sched_crash);
+
 typedef struct wl_sched_departure wl_sched_departure_t;
 
 TAILQ_HEAD(wl_sched_departures, wl_sched_departure);
@@ -236,6 +243,8 @@
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
 	struct wl_sched_departures departures; /* not answered yet */
+	struct wl_sched_crashes crashes;       /* seen by this leader, oldest first */
+	size_t crashes_kept;
 	wl_map_t by_run;
 	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
 	struct wl_task_batch_list pending; /* by rank */
@@ -304,8 +313,8 @@
 			   const wl_order_end_t *end, wl_out_t *out);
 void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
 		       wl_out_t *out);
-void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
-			  wl_cmd_runs_end_t *ends);
+wl_run_end_t *wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome,
+				   const char *reason, wl_cmd_runs_end_t *ends);
 void wl_sched_run_end_log(const wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
 			  wl_out_t *out);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
@@ -353,12 +362,17 @@
 /* crashes.c */
 void wl_sched_crash_incarnation_end(uint64_t now_ns, wl_sched_runner_t *runner,
 				    uint64_t incarnation);
-wl_run_outcome_t wl_sched_run_loss(const wl_sched_run_t *run);
+void wl_sched_run_lost_add(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			   const char *reason, wl_cmd_runs_end_t *ends);
 void wl_sched_crash_restarted(uint64_t now_ns, const wl_sched_runner_t *runner,
 			      const wl_cmd_runs_end_t *ends, wl_out_t *out);
 void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 				  const wl_sched_agent_t *agent, wl_out_t *out);
-void wl_sched_crash_applied(wl_sched_t *sched, const wl_run_end_t *end);
+
+/* given_up.c */
+void wl_sched_crashes_clear(wl_sched_t *sched);
+void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+			    const wl_run_end_t *end, wl_out_t *out);
 
 /* gauges.c */
 void wl_sched_gauges_tick(wl_sched_t *sched, uint64_t now_ns);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -18,7 +18,7 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
-			wl_sched_run_end_add(run, wl_sched_run_loss(run), "expired", &ends);
+			wl_sched_run_lost_add(sched, now_ns, run, "expired", &ends);
 	wl_out_log(out, WL_WARN, "target-lapsed",
 		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu life=%llu",
 		   WL_STR_ARG(runner->key), ends.ends.count,
@@ -39,10 +39,10 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (!run->listed && wl_sched_run_absent(sched, now_ns, run, sent_ns))
-			wl_sched_run_end_add(run, wl_sched_run_loss(run),
-					     run->incarnation == runner->incarnation ? "absent"
-										     : "restarted",
-					     ends);
+			wl_sched_run_lost_add(sched, now_ns, run,
+					      run->incarnation == runner->incarnation ? "absent"
+										      : "restarted",
+					      ends);
 }
 
 /*
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -482,6 +482,7 @@
 		runner->clock_ns = now_ns;
 	}
 	runner->unreachable_since_ns = 0;
+	runner->heard_ns = now_ns;
 	wl_sched_renewal_schedule(runner, now_ns);
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -146,6 +146,7 @@
 	order.lease_ms =
 		wl_sched_runner_clock_ms(run->runner, now_ns) + sched->options.start_lease_ms;
 	run->phase = WL_RUN_STARTING;
+	run->started_ms = wl_sched_clock_ms(sched, now_ns);
 	wl_sched_order_add(sched, now_ns, run->runner, &order, run);
 	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
@@ -205,8 +206,8 @@
  * wl_sched_run_end_add - add the end of a run to the ends to be committed
  * @reason: for the log: how the leader knows of it
  */
-void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
-			  wl_cmd_runs_end_t *ends)
+wl_run_end_t *wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome,
+				   const char *reason, wl_cmd_runs_end_t *ends)
 {
 	wl_run_end_t *row = wl_list_add(&wl_run_end_schema, &ends->ends);
 
@@ -218,6 +219,7 @@
 	wl_buf_set(&row->checkpoint, wl_buf_str(&run->checkpoint));
 	run->phase = WL_RUN_ENDING;
 	run->end_reason = reason;
+	return row;
 }
 
 /*
@@ -449,7 +451,7 @@
 	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
 			     run->end_reason ? run->end_reason : "other", out);
 	failures_count(run->runner, now_ns, end, out);
-	wl_sched_crash_applied(sched, end);
+	wl_sched_crash_applied(sched, now_ns, run, end, out);
 	wl_sched_run_remove(sched, run);
 	if (!job)
 		return;
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -50,6 +50,7 @@
 	TAILQ_INIT(&sched->runners);
 	wl_map_init(&sched->by_run);
 	TAILQ_INIT(&sched->departures);
+	TAILQ_INIT(&sched->crashes);
 	TAILQ_INIT(&sched->stopping);
 	TAILQ_INIT(&sched->pending);
 	TAILQ_INIT(&sched->timed);
@@ -75,6 +76,7 @@
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_remove(sched, TAILQ_FIRST(&sched->proposals));
 	wl_sched_departures_clear(sched);
+	wl_sched_crashes_clear(sched);
 	wl_sched_orders_clear(sched);
 	wl_sched_agents_clear(sched);
 	wl_sched_runners_clear(sched);
@@ -147,6 +149,7 @@
 		known->speed_percent = WL_SPEED_UNKNOWN;
 		known->incarnation = run->incarnation;
 		known->placed_ns = now_ns;
+		known->started_ms = run->started_ms;
 		known->stop_wanted = wl_job_ended(run->job);
 		if (known->stop_wanted)
 			wl_sched_run_stop_due(sched, known, 1); /* due at the next tick */
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -34,6 +34,7 @@
 	uint64_t owners_index;
 	uint64_t owners_floor;
 	uint64_t items;
+	uint64_t crashes; /* of targets that run tasks */
 } head_record_t;
 
 static const wl_field_t head_fields[] = {
@@ -44,6 +45,7 @@
 	WL_FIELD(head_record_t, owners_index, WL_FIELD_U64),
 	WL_FIELD(head_record_t, owners_floor, WL_FIELD_U64),
 	WL_FIELD(head_record_t, items, WL_FIELD_U64),
+	WL_FIELD(head_record_t, crashes, WL_FIELD_U64),
 };
 
 static const wl_schema_t head_schema = WL_SCHEMA(head_record_t, head_fields);
@@ -195,7 +197,10 @@
 
 static void runner_pack(const wl_runner_t *runner, wl_buf_t *out)
 {
-	wl_runner_record_t record = {.report = runner->report, .departed_ms = runner->departed_ms};
+	wl_runner_record_t record = {.report = runner->report,
+				     .departed_ms = runner->departed_ms,
+				     .crash = runner->crash,
+				     .crashed_incarnation = runner->crashed_incarnation};
 
 	item_pack(out, ITEM_RUNNER, &wl_runner_record_schema, &record);
 }
@@ -209,7 +214,8 @@
 				      .task = run->task,
 				      .run = run->number,
 				      .runner = runner->report.id,
-				      .incarnation = run->incarnation};
+				      .incarnation = run->incarnation,
+				      .started_ms = run->started_ms};
 
 		item_pack(out, ITEM_RUN, &wl_run_start_schema, &row);
 	}
@@ -259,7 +265,8 @@
 			      .revision = state->revision,
 			      .owners_index = state->owners_index,
 			      .owners_floor = state->owners_floor,
-			      .items = items_count(state)};
+			      .items = items_count(state),
+			      .crashes = state->jobs.crash_count};
 
 	item_pack(out, ITEM_HEAD, &head_schema, &head);
 	for (size_t i = 0; i < WL_LISTS; i++)
@@ -304,6 +311,7 @@
 	state->revision = head.revision;
 	state->owners_index = head.owners_index;
 	state->owners_floor = head.owners_floor;
+	state->jobs.crash_count = head.crashes;
 	reader->expected = head.items;
 	return true;
 }
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -85,6 +85,29 @@
 		pass(100);
 	}
 
+	/* A task of the name crashes each target as soon as it has started. */
+	void back_after_crash()
+	{
+		for (auto &one : targets) {
+			bool is_guilty = std::any_of(
+				one.second.runs.begin(), one.second.runs.end(),
+				[&](const SchedOrder &run) { return guilty.count(run.task) > 0; });
+
+			if (!is_guilty)
+				continue;
+			crashes++;
+			crash(one.first);
+			target(one.first);
+		}
+	}
+
+	size_t lines(const std::string &text) const
+	{
+		return std::count_if(rig.log.begin(), rig.log.end(), [&](const std::string &line) {
+			return line.find(text) != std::string::npos;
+		});
+	}
+
 	/* Runs that ended in a way, by the log. */
 	size_t ends(const std::string &how) const
 	{
@@ -97,6 +120,8 @@
 	SchedRig rig;
 	std::map<std::string, Target> targets;
 	std::vector<SchedOrder> started;
+	std::set<std::string> guilty; /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
+	size_t crashes = 0;
 };
 } // namespace
 
@@ -210,3 +235,55 @@
 	pass(100);
 	EXPECT_EQ(ends("crashed"), 1u);
 }
+
+TEST_F(Crash, JobOfATaskThatCrashesItsTargetsFailsAfterThree)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	guilty = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 20; i++) {
+		pass(100);
+		back_after_crash();
+	}
+	EXPECT_EQ(rig.job_state("j"), "failed");
+	EXPECT_EQ(crashes, 3u);
+	EXPECT_EQ(started.size(), 3u);
+	EXPECT_EQ(lines("event=task-given-up job=j task=0.0.0 crashes=3"), 1u);
+	EXPECT_EQ(rig.metric("wisterialead_job_tasks_given_up_total{}"), "1");
+}
+
+TEST_F(Crash, LeaderThatChangesBetweenTwoCrashesKeepsTheCount)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	guilty = {"j.0.0.0"};
+	job("j");
+	for (uint64_t term = 2; term < 8; term++) {
+		pass(100);
+		back_after_crash();
+		rig.follow();
+		rig.orders.clear();
+		rig.lead(term);
+		for (const auto &one : targets)
+			rig.report_forwarded("s1", one.first, one.second.life);
+	}
+	EXPECT_EQ(rig.job_state("j"), "failed");
+	EXPECT_EQ(crashes, 3u);
+	EXPECT_EQ(started.size(), 3u);
+}
+
+TEST_F(Crash, LeaderThatChangesBeforeTheEndIsCommittedCountsTheCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	target("a");
+	rig.advance(10);
+	rig.follow();
+	rig.orders.clear();
+	rig.lead(2);
+	pass(100);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+}
