sched: targets that are lost together crash no task

A rack, a zone or the fleet that loses power looks like as many crashes, and three such losses would fail the jobs of innocent tasks.

A loss belongs to an outage if at least three targets, and at least half of those with runs in its rack, its zone or the fleet, became unreachable within 1.5 s of it: renewals that are in flight time out over one second. In an outage only the runs of a job count that had a run on each of its targets, so that a job that crashes the whole fleet at once is still found. What belongs together stays so when targets are back.

Evidence: sched_crash_test, rack and fleet without power; with outages never found, the rack's 4 runs end as crashed instead of lost, of the fleet's 16 all instead of the 8 of the wide job.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -2,15 +2,38 @@
  * Crashes of targets under their runs.
  *
  * A target has crashed if a later incarnation is known, at its id or at its address, and it had
- * not announced its end. Silence alone is no crash.
+ * not announced its end. Silence alone is no crash. In an outage only the runs of a job that had
+ * a run on each of its targets count.
  */
 
 #include "internal.h"
 
-/* Whether the target announced that it drains or leaves. */
-static bool has_announced_end(const wl_sched_runner_t *runner)
+/* How the known incarnation of a target ends if a later one is known from now on. */
+static wl_sched_incarnation_end_t incarnation_end(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return runner->departing || runner->state->report.draining;
+	return (wl_sched_incarnation_end_t){
+		.incarnation = wl_sched_known_incarnation(runner),
+		.announced = runner->departing || runner->state->report.draining,
+		.lost_ns = runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns,
+		.heard_ns = runner->heard_ns,
+	};
+}
+
+/*
+ * The incarnation that has ended if a later one is known. A new leader may find the later one
+ * committed, and runs of the earlier one.
+ */
+static uint64_t ended_incarnation(const wl_sched_runner_t *runner, uint64_t later)
+{
+	const wl_sched_run_t *run;
+	uint64_t newest = 0;
+
+	if (wl_sched_known_incarnation(runner) < later)
+		return wl_sched_known_incarnation(runner);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->incarnation < later && run->incarnation > newest)
+			newest = run->incarnation;
+	return newest;
 }
 
 /*
@@ -18,18 +41,43 @@
  *
  * Must be called before the data of the later incarnation replaces that of the known one.
  */
-void wl_sched_crash_incarnation_end(uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_crash_incarnation_end(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 				    uint64_t incarnation)
 {
-	runner->previous_announced_end =
-		runner->state->report.incarnation < incarnation && has_announced_end(runner);
-	runner->previous_lost_ns =
-		runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns;
+	uint64_t ended = ended_incarnation(runner, incarnation);
+
+	if (ended > 0)
+		wl_sched_loss_add(sched, now_ns, runner, ended);
+	runner->previous = incarnation_end(runner, now_ns);
+	runner->previous.incarnation = ended;
+	if (runner->state->report.incarnation == incarnation) /* says nothing of the one before */
+		runner->previous.announced = false;
 	runner->unreachable_since_ns = 0;
-	runner->previous_heard_ns = runner->heard_ns;
 	runner->heard_ns = 0;
 }
 
+/*
+ * wl_sched_crash_unreachable - record that renewals of a target fail
+ */
+void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	if (runner->unreachable_since_ns)
+		return;
+	runner->unreachable_since_ns = now_ns;
+	wl_sched_loss_add(sched, now_ns, runner, wl_sched_known_incarnation(runner));
+}
+
+/*
+ * wl_sched_crash_heard - record an answer to a renewal
+ */
+void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	if (runner->unreachable_since_ns)
+		wl_sched_loss_end(sched, runner);
+	runner->unreachable_since_ns = 0;
+	runner->heard_ns = now_ns;
+}
+
 /*
  * A run that was placed after the target had become unreachable was not there. When an earlier
  * leader placed it is not known.
@@ -40,62 +88,90 @@
 	       (run->phase != WL_RUN_PROPOSED && run->placed_ns < lost_ns);
 }
 
-/*
- * Adds the end of a run that its target did not list.
- * @crashed: whether the incarnation crashed that it ran on
- * @heard_ns: newest answer of that incarnation; 0: none is known
- */
-static void end_add(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, bool crashed,
-		    uint64_t heard_ns, const char *reason, wl_cmd_runs_end_t *ends)
+static bool run_crashed(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+			const wl_sched_incarnation_end_t *end)
 {
-	bool was_heard = heard_ns && run->started_ms && run->phase != WL_RUN_UNCONFIRMED;
-	wl_run_end_t *row =
-		wl_sched_run_end_add(run, crashed ? WL_END_CRASHED : WL_END_LOST, reason, ends);
-	uint64_t heard_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - heard_ns) / WL_NS_PER_MS;
+	uint64_t outage;
 
-	if (crashed && was_heard && heard_ms > run->started_ms)
-		row->ran_ms = heard_ms - run->started_ms;
+	if (end->announced || !run_was_there(run, end->lost_ns))
+		return false;
+	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
+	return outage == 0 || wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job));
+}
+
+static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+		       uint64_t heard_ns)
+{
+	uint64_t heard_ms;
+
+	if (!heard_ns || !run->started_ms || run->phase == WL_RUN_UNCONFIRMED)
+		return 0;
+	heard_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - heard_ns) / WL_NS_PER_MS;
+	return heard_ms > run->started_ms ? heard_ms - run->started_ms : 0;
+}
+
+/* Adds the end of a run that its target did not list. Return: whether the run crashed. */
+static bool end_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+		    const wl_sched_incarnation_end_t *end, const char *reason,
+		    wl_cmd_runs_end_t *ends)
+{
+	bool crashed = end && run_crashed(sched, now_ns, run, end);
+	uint64_t ran = crashed ? ran_ms(sched, now_ns, run, end->heard_ns) : 0;
+
+	wl_sched_run_end_add(run, crashed ? WL_END_CRASHED : WL_END_LOST, reason, ends)->ran_ms =
+		ran;
+	return crashed;
 }
 
 /*
  * wl_sched_run_lost_add - add the end of a run that its target does not list any more
  * @reason: for the log
  */
-void wl_sched_run_lost_add(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+void wl_sched_run_lost_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			   const char *reason, wl_cmd_runs_end_t *ends)
 {
 	const wl_sched_runner_t *runner = run->runner;
-	bool crashed = run->incarnation < runner->incarnation && !runner->previous_announced_end &&
-		       run_was_there(run, runner->previous_lost_ns);
 
-	end_add(sched, now_ns, run, crashed, runner->previous_heard_ns, reason, ends);
+	end_add(sched, now_ns, run,
+		run->incarnation < runner->incarnation ? &runner->previous : NULL, reason, ends);
 }
 
-static void crash_log(const wl_sched_runner_t *runner, uint64_t lost_ns, uint64_t now_ns,
-		      const char *reason, size_t runs, wl_out_t *out)
+static void crash_log(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+		      const wl_sched_incarnation_end_t *end, const char *reason, size_t crashed,
+		      size_t runs, wl_out_t *out)
 {
+	uint64_t outage = wl_sched_outage_find(sched, now_ns, runner->key, end->incarnation);
+
+	if (end->announced || runs == 0)
+		return;
 	wl_out_log(out, WL_WARN, "target-crash",
 		   "target=" WL_STR_FMT " life=%llu address=" WL_STR_FMT
-		   " reason=%s runs=%zu lost_ms_ago=%llu",
-		   WL_STR_ARG(runner->key), (unsigned long long)runner->state->report.incarnation,
-		   WL_STR_ARG(wl_buf_str(&runner->state->report.address)), reason, runs,
-		   (unsigned long long)((now_ns - lost_ns) / WL_NS_PER_MS));
+		   " reason=%s runs=%zu suspected=%zu outage=%llu lost_ms_ago=%llu",
+		   WL_STR_ARG(runner->key), (unsigned long long)end->incarnation,
+		   WL_STR_ARG(wl_buf_str(&runner->state->report.address)), reason, runs, crashed,
+		   (unsigned long long)outage,
+		   (unsigned long long)((now_ns - end->lost_ns) / WL_NS_PER_MS));
 }
 
 /*
  * wl_sched_crash_restarted - log the crash that a later incarnation of a target proves
- * @ends: of the runs that ended with it
+ * @ends: what was collected from its answer
  */
-void wl_sched_crash_restarted(uint64_t now_ns, const wl_sched_runner_t *runner,
+void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
 			      const wl_cmd_runs_end_t *ends, wl_out_t *out)
 {
 	const wl_run_end_t *rows = ends->ends.items;
+	const wl_sched_run_t *run;
 	size_t crashed = 0;
+	size_t runs = 0;
 
 	for (size_t i = 0; i < ends->ends.count; i++)
 		crashed += rows[i].outcome == WL_END_CRASHED;
-	if (crashed > 0)
-		crash_log(runner, runner->previous_lost_ns, now_ns, "restarted", crashed, out);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		runs += run->phase == WL_RUN_ENDING && run->incarnation < runner->incarnation;
+	if (ends->ends.count > 0)
+		crash_log(sched, now_ns, runner, &runner->previous, "restarted", crashed, runs,
+			  out);
 }
 
 /*
@@ -108,22 +184,16 @@
 void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 				  const wl_sched_agent_t *agent, wl_out_t *out)
 {
-	uint64_t lost_ns = runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns;
-	bool announced = has_announced_end(runner);
+	wl_sched_incarnation_end_t end = incarnation_end(runner, now_ns);
 	wl_cmd_runs_end_t ends = {0};
 	wl_sched_run_t *run;
 	size_t crashed = 0;
 
-	TAILQ_FOREACH (run, &runner->runs, link) {
-		bool counts = !announced && run_was_there(run, lost_ns);
-
-		if (run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING)
-			continue;
-		end_add(sched, now_ns, run, counts, runner->heard_ns, "address-taken", &ends);
-		crashed += counts;
-	}
-	if (crashed > 0)
-		crash_log(runner, lost_ns, now_ns, "address-taken", crashed, out);
+	wl_sched_loss_add(sched, now_ns, runner, end.incarnation);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
+			crashed += end_add(sched, now_ns, run, &end, "address-taken", &ends);
+	crash_log(sched, now_ns, runner, &end, "address-taken", crashed, ends.ends.count, out);
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 	wl_sched_removal_propose(sched, now_ns, runner, "address-taken", agent, out);
 }
--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -57,8 +57,12 @@
 	return count;
 }
 
-/* A new leader that had no report of the target yet knows only what is committed. */
-static uint64_t known_incarnation(const wl_sched_runner_t *runner)
+/*
+ * wl_sched_known_incarnation - newest incarnation of a target that is known
+ *
+ * A new leader that had no report of the target yet knows only what is committed.
+ */
+uint64_t wl_sched_known_incarnation(const wl_sched_runner_t *runner)
 {
 	return runner->incarnation ? runner->incarnation : runner->state->report.incarnation;
 }
@@ -68,7 +72,7 @@
 {
 	const wl_runner_report_t *report = &runner->state->report;
 
-	return report->draining && report->incarnation == known_incarnation(runner);
+	return report->draining && report->incarnation == wl_sched_known_incarnation(runner);
 }
 
 /*
@@ -81,7 +85,7 @@
 {
 	if (!runner)
 		return "unknown";
-	if (report->incarnation && report->incarnation != known_incarnation(runner))
+	if (report->incarnation && report->incarnation != wl_sched_known_incarnation(runner))
 		return "other-life";
 	if (report->incarnation == 0 && !has_drained(runner))
 		return "not-draining";
@@ -117,7 +121,7 @@
 
 	if (runner->departing)
 		return;
-	runner->incarnation = known_incarnation(runner);
+	runner->incarnation = wl_sched_known_incarnation(runner);
 	runner->departing = true;
 	runner->fit.usable = false;
 	TAILQ_FOREACH (run, &runner->runs, link)
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -67,6 +67,14 @@
 
 TAILQ_HEAD(wl_sched_runs, wl_sched_run);
 
+/* How an incarnation of a target ended, once a later one is known. */
+typedef struct wl_sched_incarnation_end {
+	uint64_t incarnation;
+	bool announced; /* that it drains or leaves */
+	uint64_t lost_ns;
+	uint64_t heard_ns; /* newest answer to a renewal; 0: there was none */
+} wl_sched_incarnation_end_t;
+
 /*
  * What the leader knows of a target (a wl_runner_t, "runner" in names), in addition to the
  * replicated state.
@@ -112,10 +120,7 @@
 	bool departing;	     /* this incarnation has announced its departure */
 	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
 	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
-	/* of the incarnation before this one */
-	uint64_t previous_heard_ns;
-	uint64_t previous_lost_ns;
-	bool previous_announced_end;
+	wl_sched_incarnation_end_t previous;
 	bool removal_proposed;
 	const char *removal_reason;
 	wl_buf_t address; /* as of the newest committed report */
@@ -215,6 +220,10 @@
 	TAILQ_ENTRY(wl_sched_proposal) link;
 } wl_sched_proposal_t;
 
+typedef struct wl_sched_loss wl_sched_loss_t;
+
+TAILQ_HEAD(wl_sched_losses, wl_sched_loss);
+
 typedef struct wl_sched_crash wl_sched_crash_t;
 
 TAILQ_HEAD(wl_sched_crashes, wl_sched_crash);
@@ -243,7 +252,9 @@
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
 	struct wl_sched_departures departures; /* not answered yet */
-	struct wl_sched_crashes crashes;       /* seen by this leader, oldest first */
+	struct wl_sched_losses losses;	       /* targets lost with their runs, oldest first */
+	uint64_t outage_count;
+	struct wl_sched_crashes crashes; /* seen by this leader, oldest first */
 	size_t crashes_kept;
 	wl_map_t by_run;
 	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
@@ -284,6 +295,7 @@
 				const wl_runner_report_t *report, wl_out_t *out);
 void wl_sched_departures_answer(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_departures_clear(wl_sched_t *sched);
+uint64_t wl_sched_known_incarnation(const wl_sched_runner_t *runner);
 
 /* queue.c */
 void wl_sched_job_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job);
@@ -337,7 +349,7 @@
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_sync(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
-void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
@@ -360,15 +372,26 @@
 			      wl_out_t *out);
 
 /* crashes.c */
-void wl_sched_crash_incarnation_end(uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_crash_incarnation_end(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 				    uint64_t incarnation);
-void wl_sched_run_lost_add(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_run_lost_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			   const char *reason, wl_cmd_runs_end_t *ends);
-void wl_sched_crash_restarted(uint64_t now_ns, const wl_sched_runner_t *runner,
+void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
 			      const wl_cmd_runs_end_t *ends, wl_out_t *out);
 void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 				  const wl_sched_agent_t *agent, wl_out_t *out);
 
+/* outages.c */
+void wl_sched_loss_add(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+		       uint64_t incarnation);
+void wl_sched_loss_end(wl_sched_t *sched, const wl_sched_runner_t *runner);
+void wl_sched_losses_clear(wl_sched_t *sched);
+uint64_t wl_sched_outage_find(wl_sched_t *sched, uint64_t now_ns, wl_str_t target,
+			      uint64_t incarnation);
+bool wl_sched_outage_spanned(const wl_sched_t *sched, uint64_t outage, wl_str_t job);
+
 /* given_up.c */
 void wl_sched_crashes_clear(wl_sched_t *sched);
 void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
--- /dev/null
+++ b/libwlcore/sched/outages.c
@@ -0,0 +1,232 @@
+/*
+ * Outages: targets that were lost together, as when a rack, a zone or the whole fleet loses power.
+ *
+ * An outage says nothing about the tasks that ran there, except of a job that had a run on each
+ * of its targets.
+ */
+
+#include "internal.h"
+
+#include <stdlib.h>
+
+/* Renewals that are in flight when power fails time out one after the other. */
+#define TOGETHER_MS	  1500
+#define OUTAGE_LOSSES_MIN 3
+#define LOSS_KEPT_MS	  60000
+
+/* A target that was lost with its runs. */
+struct wl_sched_loss {
+	wl_buf_t target;
+	uint64_t incarnation;
+	wl_buf_t rack;
+	wl_buf_t zone;
+	uint64_t since_ns;
+	uint64_t outage;    /* number of the outage that it belongs to; 0: none */
+	uint64_t judged_ns; /* when that was last decided */
+	uint64_t *jobs;	    /* hashes of the ids of the jobs that had runs there */
+	size_t job_count;
+	TAILQ_ENTRY(wl_sched_loss) link;
+};
+
+typedef enum scope {
+	SCOPE_FLEET,
+	SCOPE_ZONE,
+	SCOPE_RACK,
+	SCOPES
+} scope_t;
+
+static void loss_remove(wl_sched_t *sched, wl_sched_loss_t *loss)
+{
+	TAILQ_REMOVE(&sched->losses, loss, link);
+	wl_buf_free(&loss->target);
+	wl_buf_free(&loss->rack);
+	wl_buf_free(&loss->zone);
+	free(loss->jobs);
+	free(loss);
+}
+
+static wl_sched_loss_t *loss_find(const wl_sched_t *sched, wl_str_t target, uint64_t incarnation)
+{
+	wl_sched_loss_t *loss;
+
+	TAILQ_FOREACH (loss, &sched->losses, link)
+		if (loss->incarnation == incarnation &&
+		    wl_str_equal(wl_buf_str(&loss->target), target))
+			return loss;
+	return NULL;
+}
+
+/* Removes the losses that are older. */
+static void losses_expire(wl_sched_t *sched, uint64_t before_ns)
+{
+	wl_sched_loss_t *loss = TAILQ_FIRST(&sched->losses);
+
+	while (loss && loss->since_ns < before_ns) {
+		wl_sched_loss_t *next = TAILQ_NEXT(loss, link);
+
+		loss_remove(sched, loss);
+		loss = next;
+	}
+}
+
+/*
+ * wl_sched_losses_clear - release all losses
+ */
+void wl_sched_losses_clear(wl_sched_t *sched)
+{
+	losses_expire(sched, UINT64_MAX);
+}
+
+static bool loss_has_job(const wl_sched_loss_t *loss, uint64_t job)
+{
+	for (size_t i = 0; i < loss->job_count; i++)
+		if (loss->jobs[i] == job)
+			return true;
+	return false;
+}
+
+static void loss_jobs_set(wl_sched_loss_t *loss, const wl_sched_runner_t *runner)
+{
+	const wl_sched_run_t *run;
+	size_t capacity = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		capacity++;
+	loss->jobs = wl_alloc(capacity * sizeof(*loss->jobs));
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		uint64_t job = wl_str_hash(wl_buf_str(&run->job), 0);
+
+		if (!loss_has_job(loss, job))
+			loss->jobs[loss->job_count++] = job;
+	}
+}
+
+/*
+ * wl_sched_loss_add - record that a target is lost with its runs, unless that is recorded
+ * @incarnation: the one that is lost
+ */
+void wl_sched_loss_add(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+		       uint64_t incarnation)
+{
+	wl_sched_loss_t *loss;
+
+	if (now_ns > LOSS_KEPT_MS * WL_NS_PER_MS)
+		losses_expire(sched, now_ns - LOSS_KEPT_MS * WL_NS_PER_MS);
+	if (TAILQ_EMPTY(&runner->runs) || loss_find(sched, runner->key, incarnation))
+		return;
+	loss = wl_alloc(sizeof(*loss));
+	wl_buf_set(&loss->target, runner->key);
+	loss->incarnation = incarnation;
+	wl_buf_set(&loss->rack, wl_buf_str(&runner->state->report.rack));
+	wl_buf_set(&loss->zone, wl_buf_str(&runner->state->report.availability_zone));
+	loss->since_ns = now_ns;
+	loss_jobs_set(loss, runner);
+	TAILQ_INSERT_TAIL(&sched->losses, loss, link);
+}
+
+/*
+ * wl_sched_loss_end - forget the loss of a target that has answered again
+ */
+void wl_sched_loss_end(wl_sched_t *sched, const wl_sched_runner_t *runner)
+{
+	wl_sched_loss_t *loss = loss_find(sched, runner->key, wl_sched_known_incarnation(runner));
+
+	if (loss)
+		loss_remove(sched, loss);
+}
+
+static bool in_scope(const wl_sched_loss_t *loss, scope_t scope, const wl_buf_t *rack,
+		     const wl_buf_t *zone)
+{
+	if (scope == SCOPE_FLEET)
+		return true;
+	if (!wl_str_equal(wl_buf_str(&loss->zone), wl_buf_str(zone)))
+		return false;
+	return scope == SCOPE_ZONE || wl_str_equal(wl_buf_str(&loss->rack), wl_buf_str(rack));
+}
+
+static bool lost_together(const wl_sched_loss_t *a, const wl_sched_loss_t *b)
+{
+	uint64_t apart_ns =
+		a->since_ns > b->since_ns ? a->since_ns - b->since_ns : b->since_ns - a->since_ns;
+
+	return apart_ns <= TOGETHER_MS * WL_NS_PER_MS;
+}
+
+static bool is_lost(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+{
+	return runner->unreachable_since_ns > 0 &&
+	       loss_find(sched, runner->key, wl_sched_known_incarnation(runner));
+}
+
+/* Targets with runs that were not lost. */
+static size_t sound_count(const wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
+{
+	const wl_sched_runner_t *runner;
+	size_t count = 0;
+
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		count += !TAILQ_EMPTY(&runner->runs) &&
+			 in_scope(loss, scope, &runner->state->report.rack,
+				  &runner->state->report.availability_zone) &&
+			 !is_lost(sched, runner);
+	return count;
+}
+
+/* Whether at least half of the targets with runs in a scope were lost together with this one. */
+static bool is_outage(const wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
+{
+	const wl_sched_loss_t *other;
+	size_t lost = 0;
+
+	TAILQ_FOREACH (other, &sched->losses, link)
+		lost += lost_together(loss, other) &&
+			in_scope(loss, scope, &other->rack, &other->zone);
+	return lost >= OUTAGE_LOSSES_MIN && lost >= sound_count(sched, loss, scope);
+}
+
+static void outage_join(wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
+{
+	uint64_t number = ++sched->outage_count;
+	wl_sched_loss_t *other;
+
+	TAILQ_FOREACH (other, &sched->losses, link)
+		if (lost_together(loss, other) && in_scope(loss, scope, &other->rack, &other->zone))
+			other->outage = number;
+}
+
+/*
+ * wl_sched_outage_find - the outage in which an incarnation of a target was lost
+ *
+ * Return: its number, or 0 if the target was lost by itself. It stays the same when targets of the
+ * outage are back.
+ */
+uint64_t wl_sched_outage_find(wl_sched_t *sched, uint64_t now_ns, wl_str_t target,
+			      uint64_t incarnation)
+{
+	wl_sched_loss_t *loss = loss_find(sched, target, incarnation);
+
+	if (!loss)
+		return 0;
+	if (loss->judged_ns == now_ns)
+		return loss->outage;
+	loss->judged_ns = now_ns;
+	for (scope_t scope = SCOPE_FLEET; scope < SCOPES && !loss->outage; scope++)
+		if (is_outage(sched, loss, scope))
+			outage_join(sched, loss, scope);
+	return loss->outage;
+}
+
+/*
+ * wl_sched_outage_spanned - whether a job had a run on each target of an outage
+ */
+bool wl_sched_outage_spanned(const wl_sched_t *sched, uint64_t outage, wl_str_t job)
+{
+	uint64_t hash = wl_str_hash(job, 0);
+	const wl_sched_loss_t *loss;
+
+	TAILQ_FOREACH (loss, &sched->losses, link)
+		if (loss->outage == outage && !loss_has_job(loss, hash))
+			return false;
+	return true;
+}
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -118,12 +118,12 @@
 	return runner;
 }
 
-static void incarnation_begin(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+static void incarnation_begin(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      uint64_t incarnation)
 {
 	if (incarnation == 0 || incarnation == runner->incarnation)
 		return;
-	wl_sched_crash_incarnation_end(now_ns, runner, incarnation);
+	wl_sched_crash_incarnation_end(sched, now_ns, runner, incarnation);
 	runner->incarnation = incarnation;
 	runner->clock_ms = 0;
 	runner->clock_ns = 0;
@@ -146,7 +146,7 @@
  *
  * Reports of an earlier incarnation, or that are older than the newest one, are ignored.
  */
-void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report)
 {
 	if (report->incarnation < runner->incarnation || runner->state->departed_ms)
@@ -432,16 +432,15 @@
 	       later_target_at_address(sched, runner);
 }
 
-static void renewal_fail(uint64_t now_ns, wl_sched_runner_t *runner, const wl_sched_order_t *order,
-			 const wl_order_end_t *end, wl_out_t *out)
+static void renewal_fail(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			 const wl_sched_order_t *order, const wl_order_end_t *end, wl_out_t *out)
 {
 	if (!runner->renewal_failed)
 		wl_out_log(out, WL_INFO, "target-hold-failed",
 			   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
 			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
 			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
-	if (!runner->unreachable_since_ns)
-		runner->unreachable_since_ns = now_ns;
+	wl_sched_crash_unreachable(sched, now_ns, runner);
 	runner->renewal_failed = true;
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
@@ -470,7 +469,7 @@
 		return;
 	}
 	if (end->outcome != WL_ORDER_DONE) {
-		renewal_fail(now_ns, runner, order, end, out);
+		renewal_fail(sched, now_ns, runner, order, end, out);
 		return;
 	}
 	runner->renewal_failed = false;
@@ -481,8 +480,7 @@
 		runner->clock_ms = end->clock_ms;
 		runner->clock_ns = now_ns;
 	}
-	runner->unreachable_since_ns = 0;
-	runner->heard_ns = now_ns;
+	wl_sched_crash_heard(sched, now_ns, runner);
 	wl_sched_renewal_schedule(runner, now_ns);
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
@@ -492,6 +490,6 @@
 	ends_collect(sched, runner, end, &ends);
 	if (end->ends.count < ENDS_LISTED_MAX)
 		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
-	wl_sched_crash_restarted(now_ns, runner, &ends, out);
+	wl_sched_crash_restarted(sched, now_ns, runner, &ends, out);
 	ends_commit(sched, now_ns, runner, &ends, out);
 }
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -50,6 +50,7 @@
 	TAILQ_INIT(&sched->runners);
 	wl_map_init(&sched->by_run);
 	TAILQ_INIT(&sched->departures);
+	TAILQ_INIT(&sched->losses);
 	TAILQ_INIT(&sched->crashes);
 	TAILQ_INIT(&sched->stopping);
 	TAILQ_INIT(&sched->pending);
@@ -76,6 +77,7 @@
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_remove(sched, TAILQ_FIRST(&sched->proposals));
 	wl_sched_departures_clear(sched);
+	wl_sched_losses_clear(sched);
 	wl_sched_crashes_clear(sched);
 	wl_sched_orders_clear(sched);
 	wl_sched_agents_clear(sched);
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -31,6 +31,7 @@
 	{
 		targets[id].life++;
 		targets[id].down = false;
+		racks[id] = rack;
 		rig.address = id + ":80";
 		rig.runner(id, 32000, targets[id].life, rack);
 	}
@@ -78,11 +79,40 @@
 		}
 	}
 
+	void lose(const std::vector<std::string> &ids, uint64_t apart_ms = 0)
+	{
+		for (const auto &id : ids) {
+			targets[id].down = true;
+			targets[id].runs.clear();
+			pass(apart_ms);
+		}
+		pass(100);
+	}
 	void crash(const std::string &id)
 	{
-		targets[id].down = true;
-		targets[id].runs.clear();
+		lose({id});
+	}
+
+	/* They start again one after the other. */
+	void start_again(const std::vector<std::string> &ids, uint64_t after_ms = 3000)
+	{
+		pass(after_ms);
+		for (const auto &id : ids) {
+			target(id, racks[id]);
+			pass(300);
+		}
+	}
+
+	/* Two racks of four targets, with a job on each that is nowhere else. */
+	void two_racks()
+	{
+		for (const char *id : {"a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4"})
+			target(id, std::string("r") + id[0]);
+		for (int i = 0; i < 8; i++)
+			job("own" + std::to_string(i));
 		pass(100);
+		for (const auto &one : targets)
+			EXPECT_EQ(one.second.runs.size(), 1u);
 	}
 
 	/* A task of the name crashes each target as soon as it has started. */
@@ -119,6 +149,7 @@
 
 	SchedRig rig;
 	std::map<std::string, Target> targets;
+	std::map<std::string, std::string> racks;
 	std::vector<SchedOrder> started;
 	std::set<std::string> guilty; /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
 	size_t crashes = 0;
@@ -287,3 +318,59 @@
 	pass(100);
 	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
 }
+
+TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
+{
+	two_racks();
+	lose({"a1", "a2", "a3", "a4"});
+	start_again({"a1", "a2", "a3", "a4"});
+	EXPECT_EQ(ends("lost"), 4u);
+	EXPECT_EQ(ends("crashed"), 0u);
+}
+
+TEST_F(Crash, FleetWithoutPowerMakesOnlyTheJobSuspectedThatWasOnEachTarget)
+{
+	std::vector<std::string> all;
+
+	two_racks();
+	job("wide", 8);
+	pass(100);
+	for (const auto &one : targets)
+		all.push_back(one.first);
+	lose(all);
+	start_again(all);
+	EXPECT_EQ(ends("lost"), 8u);
+	EXPECT_EQ(ends("crashed"), 8u);
+	for (uint64_t i = 0; i < 8; i++)
+		EXPECT_EQ(rig.find("wide")->tasks[i].crashes.count, 1u);
+}
+
+TEST_F(Crash, TwoTargetsLostTogetherCrashed)
+{
+	two_racks();
+	lose({"a1", "a2"});
+	start_again({"a1", "a2"});
+	EXPECT_EQ(ends("crashed"), 2u);
+}
+
+TEST_F(Crash, TargetsLostOneAfterTheOtherCrashed)
+{
+	two_racks();
+	lose({"a1", "a2", "a3"}, 1600);
+	start_again({"a1", "a2", "a3"}, 0);
+	EXPECT_EQ(ends("crashed"), 3u);
+}
+
+TEST_F(Crash, TargetThatAnswersAgainIsNoPartOfAnOutage)
+{
+	two_racks();
+	for (const char *id : {"a1", "a2"})
+		targets[id].down = true;
+	pass(500);
+	for (const char *id : {"a1", "a2"})
+		targets[id].down = false;
+	pass(500);
+	lose({"a3"});
+	start_again({"a3"});
+	EXPECT_EQ(ends("crashed"), 1u);
+}
