sched, job: an outage is nearly all of a rack, a zone or the fleet, and counts once

And a job that is on each target of its rack would be given up when the rack loses power three times.

An outage now takes seven eighths of the targets with runs, by their last contact. Targets that were lost shortly before or after, and those that answer since before the loss, count against it, and a loss after the first one was decided is another matter. In an outage only runs count that had worked for less than 1 s, and such a crash makes a task suspected but adds nothing to a count.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -3,7 +3,7 @@
 #include "internal.h"
 
 #define TRIAL_MIN_MS 5000
-#define TRIAL_MAX_MS 60000
+#define TRIAL_MAX_MS 10000
 #define TRIAL_FACTOR 2 /* of the time after which the target crashed */
 
 /*
@@ -39,6 +39,17 @@
 	jobs->suspects += (count > 0) - before;
 }
 
+/*
+ * The count after one more crash. An outage makes a task suspected, but counts no further: it may
+ * recur.
+ */
+static uint64_t next_count(const wl_task_crashes_t *crashes, const wl_run_end_t *end)
+{
+	if (crashes->count == 0 || end->ran_ms > wl_task_trial_ms(crashes))
+		return 1;
+	return end->outage ? crashes->count : crashes->count + 1;
+}
+
 /*
  * wl_task_crashed - count the crash of a target under a task
  * @crash: number of the crash
@@ -48,19 +59,20 @@
 bool wl_task_crashed(wl_jobs_t *jobs, wl_job_t *job, const wl_run_end_t *end, uint64_t crash)
 {
 	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
-	bool was_sound = crashes->count > 0 && end->ran_ms > wl_task_trial_ms(crashes);
+	uint64_t count = next_count(crashes, end);
 
 	if (job->record.crash != crash) {
 		job->record.crash = crash;
 		job->record.crash_count++;
 	}
+	job->record.outage |= end->outage;
 	if (crashes->run >= end->run)
 		return false;
 	crashes->run = end->run;
 	crashes->crash = crash;
 	crashes->ran_ms = end->ran_ms;
-	count_set(jobs, job, crashes, was_sound ? 1 : crashes->count + 1);
-	return crashes->count >= WL_TASK_CRASHES_MAX;
+	count_set(jobs, job, crashes, count);
+	return count >= WL_TASK_CRASHES_MAX;
 }
 
 /* Members of a gang end because of each other, whatever crashed the target of one of them. */
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -69,6 +69,7 @@
 	wl_list_t tasks;      /* wl_job_task_row_t, in snapshots only */
 	uint64_t crash;	      /* number of the newest crash under its tasks; 0: none */
 	uint64_t crash_count; /* crashed targets */
+	bool outage;	      /* some crashed in an outage, and count nevertheless */
 } wl_job_record_t;
 
 typedef struct wl_job {
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -31,6 +31,7 @@
 	WL_FIELD_MANY(wl_job_record_t, tasks, &wl_job_task_row_schema),
 	WL_FIELD(wl_job_record_t, crash, WL_FIELD_U64),
 	WL_FIELD(wl_job_record_t, crash_count, WL_FIELD_U64),
+	WL_FIELD(wl_job_record_t, outage, WL_FIELD_BOOL),
 };
 
 const wl_schema_t wl_job_record_schema = WL_SCHEMA(wl_job_record_t, job_record_fields);
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -186,6 +186,7 @@
 	uint64_t outcome;    /* wl_run_outcome_t */
 	wl_buf_t checkpoint; /* empty: none */
 	uint64_t ran_ms;     /* CRASHED: how long it is known to have run */
+	bool outage;	     /* CRASHED: in an outage, which is weak evidence against its task */
 } wl_run_end_t;
 
 typedef struct wl_cmd_runs_end {
--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -2,12 +2,14 @@
  * Crashes of targets under their runs.
  *
  * A target has crashed if a later incarnation is known, at its id or at its address, and it had
- * not announced its end. Silence alone is no crash. In an outage only the runs of a job that had
- * a run on each of its targets count.
+ * not announced its end. Silence alone is no crash. In an outage only new runs count, of a job that
+ * had a run on each of its targets.
  */
 
 #include "internal.h"
 
+#define OUTAGE_NEW_MS 1000 /* a run that had worked for longer is no cause of an outage */
+
 /* How the known incarnation of a target ends if a later one is known from now on. */
 static wl_sched_incarnation_end_t incarnation_end(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
@@ -46,6 +48,8 @@
 {
 	uint64_t ended = ended_incarnation(runner, incarnation);
 
+	if (wl_sched_known_incarnation(runner) < incarnation)
+		runner->began_ns = now_ns;
 	if (ended > 0)
 		wl_sched_loss_add(sched, now_ns, runner, ended);
 	runner->previous = incarnation_end(runner, now_ns);
@@ -88,17 +92,6 @@
 	       (run->phase != WL_RUN_PROPOSED && run->placed_ns < lost_ns);
 }
 
-static bool run_crashed(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
-			const wl_sched_incarnation_end_t *end)
-{
-	uint64_t outage;
-
-	if (end->announced || !run_was_there(run, end->lost_ns))
-		return false;
-	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
-	return outage == 0 || wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job));
-}
-
 static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       uint64_t heard_ns)
 {
@@ -110,17 +103,37 @@
 	return heard_ms > run->started_ms ? heard_ms - run->started_ms : 0;
 }
 
-/* Adds the end of a run that its target did not list. Return: whether the run crashed. */
+/* Fills in the end of a run that its target did not list, if that crashed. */
+static void crash_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
+{
+	uint64_t outage;
+
+	if (end->announced || !run_was_there(run, end->lost_ns))
+		return;
+	row->ran_ms = ran_ms(sched, now_ns, run, end->heard_ns);
+	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
+	row->outage = outage > 0;
+	if (row->outage && (row->ran_ms > OUTAGE_NEW_MS ||
+			    !wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job))))
+		return;
+	row->outcome = WL_END_CRASHED;
+}
+
+/* Return: whether the run crashed. */
 static bool end_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 		    const wl_sched_incarnation_end_t *end, const char *reason,
 		    wl_cmd_runs_end_t *ends)
 {
-	bool crashed = end && run_crashed(sched, now_ns, run, end);
-	uint64_t ran = crashed ? ran_ms(sched, now_ns, run, end->heard_ns) : 0;
-
-	wl_sched_run_end_add(run, crashed ? WL_END_CRASHED : WL_END_LOST, reason, ends)->ran_ms =
-		ran;
-	return crashed;
+	wl_run_end_t found = {.outcome = WL_END_LOST};
+	wl_run_end_t *row;
+
+	if (end)
+		crash_fill(sched, now_ns, run, end, &found);
+	row = wl_sched_run_end_add(run, (wl_run_outcome_t)found.outcome, reason, ends);
+	row->ran_ms = found.ran_ms;
+	row->outage = found.outage;
+	return found.outcome == WL_END_CRASHED;
 }
 
 /*
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -118,6 +118,7 @@
 	uint64_t failures;   /* failed runs in a row, each of another job than the one before */
 	uint64_t failed_job; /* hash of the job of the newest one */
 	bool departing;	     /* this incarnation has announced its departure */
+	uint64_t began_ns;   /* when this incarnation became known; 0: under an earlier leader */
 	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
 	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
 	wl_sched_incarnation_end_t previous;
@@ -351,6 +352,7 @@
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
 void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
+uint64_t wl_sched_last_contact_ns(const wl_sched_runner_t *runner);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
--- a/libwlcore/sched/outages.c
+++ b/libwlcore/sched/outages.c
@@ -9,9 +9,11 @@
 
 #include <stdlib.h>
 
-/* Renewals that are in flight when power fails time out one after the other. */
+/* Targets report, and answer renewals, at different times within a second. */
 #define TOGETHER_MS	  1500
+#define NEARBY_MS	  4000
 #define OUTAGE_LOSSES_MIN 3
+#define OUTAGE_PERMILLE	  875 /* of the targets with runs */
 #define LOSS_KEPT_MS	  60000
 
 /* A target that was lost with its runs. */
@@ -20,10 +22,11 @@
 	uint64_t incarnation;
 	wl_buf_t rack;
 	wl_buf_t zone;
-	uint64_t since_ns;
-	uint64_t outage;    /* number of the outage that it belongs to; 0: none */
-	uint64_t judged_ns; /* when that was last decided */
-	uint64_t *jobs;	    /* hashes of the ids of the jobs that had runs there */
+	uint64_t since_ns;	  /* last contact */
+	uint64_t outage;	  /* number of the outage that it belongs to; 0: none */
+	uint64_t first_judged_ns; /* when that was first decided; 0: not yet */
+	uint64_t judged_ns;	  /* and last */
+	uint64_t *jobs;		  /* hashes of the ids of the jobs that had runs there */
 	size_t job_count;
 	TAILQ_ENTRY(wl_sched_loss) link;
 };
@@ -119,7 +122,9 @@
 	loss->incarnation = incarnation;
 	wl_buf_set(&loss->rack, wl_buf_str(&runner->state->report.rack));
 	wl_buf_set(&loss->zone, wl_buf_str(&runner->state->report.availability_zone));
-	loss->since_ns = now_ns;
+	loss->since_ns = wl_sched_last_contact_ns(runner);
+	if (loss->since_ns < sched->leader_since_ns)
+		loss->since_ns = sched->leader_since_ns;
 	loss_jobs_set(loss, runner);
 	TAILQ_INSERT_TAIL(&sched->losses, loss, link);
 }
@@ -145,18 +150,22 @@
 	return scope == SCOPE_ZONE || wl_str_equal(wl_buf_str(&loss->rack), wl_buf_str(rack));
 }
 
+/* A target that is lost after it was decided how an earlier one was lost is another matter. */
 static bool lost_together(const wl_sched_loss_t *a, const wl_sched_loss_t *b)
 {
-	uint64_t apart_ns =
-		a->since_ns > b->since_ns ? a->since_ns - b->since_ns : b->since_ns - a->since_ns;
+	const wl_sched_loss_t *first = a->since_ns < b->since_ns ? a : b;
+	const wl_sched_loss_t *second = first == a ? b : a;
 
-	return apart_ns <= TOGETHER_MS * WL_NS_PER_MS;
+	if (first->first_judged_ns && second->since_ns > first->first_judged_ns)
+		return false;
+	return second->since_ns - first->since_ns <= TOGETHER_MS * WL_NS_PER_MS;
 }
 
-static bool is_lost(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+/* Whether a target has runs, and answers since before the loss. */
+static bool is_sound(const wl_sched_runner_t *runner, const wl_sched_loss_t *loss)
 {
-	return runner->unreachable_since_ns > 0 &&
-	       loss_find(sched, runner->key, wl_sched_known_incarnation(runner));
+	return !runner->unreachable_since_ns && runner->began_ns < loss->since_ns &&
+	       !TAILQ_EMPTY(&runner->runs);
 }
 
 /* Targets with runs that were not lost. */
@@ -166,23 +175,40 @@
 	size_t count = 0;
 
 	TAILQ_FOREACH (runner, &sched->runners, link)
-		count += !TAILQ_EMPTY(&runner->runs) &&
-			 in_scope(loss, scope, &runner->state->report.rack,
+		count += in_scope(loss, scope, &runner->state->report.rack,
 				  &runner->state->report.availability_zone) &&
-			 !is_lost(sched, runner);
+			 is_sound(runner, loss);
 	return count;
 }
 
-/* Whether at least half of the targets with runs in a scope were lost together with this one. */
+/* Whether the losses are so near that no target can be part of both. */
+static bool lost_nearby(const wl_sched_loss_t *a, const wl_sched_loss_t *b)
+{
+	uint64_t first_ns = a->since_ns < b->since_ns ? a->since_ns : b->since_ns;
+	uint64_t second_ns = a->since_ns < b->since_ns ? b->since_ns : a->since_ns;
+
+	return second_ns - first_ns <= NEARBY_MS * WL_NS_PER_MS;
+}
+
+/*
+ * Whether nearly all targets with runs in a scope were lost together with this one. Targets that
+ * were lost shortly before or after say that they crashed one by one.
+ */
 static bool is_outage(const wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
 {
+	size_t others = sound_count(sched, loss, scope);
 	const wl_sched_loss_t *other;
 	size_t lost = 0;
 
-	TAILQ_FOREACH (other, &sched->losses, link)
-		lost += lost_together(loss, other) &&
-			in_scope(loss, scope, &other->rack, &other->zone);
-	return lost >= OUTAGE_LOSSES_MIN && lost >= sound_count(sched, loss, scope);
+	TAILQ_FOREACH (other, &sched->losses, link) {
+		if (!in_scope(loss, scope, &other->rack, &other->zone))
+			continue;
+		if (lost_together(loss, other))
+			lost++;
+		else
+			others += lost_nearby(loss, other);
+	}
+	return lost >= OUTAGE_LOSSES_MIN && lost * WL_PERMILLE >= (lost + others) * OUTAGE_PERMILLE;
 }
 
 static void outage_join(wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
@@ -211,6 +237,8 @@
 	if (loss->judged_ns == now_ns)
 		return loss->outage;
 	loss->judged_ns = now_ns;
+	if (!loss->first_judged_ns)
+		loss->first_judged_ns = now_ns;
 	for (scope_t scope = SCOPE_FLEET; scope < SCOPES && !loss->outage; scope++)
 		if (is_outage(sched, loss, scope))
 			outage_join(sched, loss, scope);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -71,8 +71,10 @@
 					   .accelerators = report->accelerators};
 }
 
-/* Time of the target's newest report or answer; 0: none. */
-static uint64_t last_contact_ns(const wl_sched_runner_t *runner)
+/*
+ * wl_sched_last_contact_ns - time of the target's newest report or answer; 0: none
+ */
+uint64_t wl_sched_last_contact_ns(const wl_sched_runner_t *runner)
 {
 	return runner->reported_ns > runner->answered_ns ? runner->reported_ns
 							 : runner->answered_ns;
@@ -80,7 +82,7 @@
 
 static void usable_update(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	uint64_t last_ns = last_contact_ns(runner);
+	uint64_t last_ns = wl_sched_last_contact_ns(runner);
 	bool usable = !runner->state->departed_ms && !runner->departing &&
 		      !runner->removal_proposed && !runner->state->report.draining &&
 		      runner->clock_ns && last_ns &&
@@ -104,6 +106,7 @@
 		wl_buf_set(&runner->id, state->key);
 		runner->key = wl_buf_str(&runner->id);
 		runner->renewal_due_ns = now_ns;
+		runner->began_ns = now_ns;
 		runner->previous_leases_expiry_ns =
 			sched->leader_since_ns + lease_bound_ns(sched->options.lease_max_ms);
 		TAILQ_INIT(&runner->runs);
@@ -272,7 +275,7 @@
 			wl_out_t *out)
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
-	uint64_t last_ns = last_contact_ns(runner);
+	uint64_t last_ns = wl_sched_last_contact_ns(runner);
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -143,6 +143,7 @@
 	wl_sched_runner_t *runner = wl_sched_runner_sync(sched, now_ns, state);
 	const wl_run_t *run;
 
+	runner->began_ns = 0;
 	TAILQ_FOREACH (run, &state->runs, of_runner) {
 		wl_sched_run_t *known =
 			wl_sched_run_add(sched, runner, run->job, run->task, run->number);
