sched: suspected tasks start apart, and after two crashes alone

Each crash ends all runs of its target, so that a count alone gives up tasks that stood beside several guilty ones in turn, and the tasks of one crash that are started together crash the next target together.

A run of a suspected task is on trial until its target has listed it for 5 s, or twice the time after which the target had crashed before, 10 s at most. After one crash a task starts apart from the other tasks of that crash; after two on a target without any run on trial, where least else runs, and the target gets no other start meanwhile. One task of a job at a time is alone in this way. After three crashes under a job, or an outage that it spanned, its suspected tasks start two at a time and one more for each that proves sound, so that many guilty tasks in one job do not crash the fleet again. Tasks of one crash may meet after 10 s of waiting, also the members of a gang. Without any suspect the cost is one comparison for a target.

Evidence: tests/unit/sched_suspects_test.cc, 8 tests.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -76,8 +76,10 @@
  */
 void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
 {
-	if (runner->unreachable_since_ns)
+	if (runner->unreachable_since_ns) {
 		wl_sched_loss_end(sched, runner);
+		sched->place_due = true; /* suspected tasks may start there again */
+	}
 	runner->unreachable_since_ns = 0;
 	runner->heard_ns = now_ns;
 }
--- a/libwlcore/sched/given_up.c
+++ b/libwlcore/sched/given_up.c
@@ -118,6 +118,7 @@
 		return;
 	crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
 	crash_add(sched, now_ns, run);
+	wl_sched_trial_crashed(job);
 	wl_metrics_add(sched->options.metrics, "wisterialead_job_crashes_total", "", 1);
 	wl_out_log(out, WL_WARN, "task-crash",
 		   "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -21,6 +21,14 @@
 	WL_RUN_ENDING,	    /* its end is proposed, not committed */
 } wl_run_phase_t;
 
+/* How a run on trial keeps away from others. */
+enum {
+	WL_TRIAL_NONE,
+	WL_TRIAL_APART, /* from other runs on trial after the same crash */
+	WL_TRIAL_ALONE, /* from all runs on trial; its target gets no other start */
+	WL_TRIALS
+};
+
 struct wl_sched_runner;
 struct wl_task_batch;
 
@@ -57,6 +65,10 @@
 	unsigned int speed_percent;  /* best effort: speed last ordered, percent of full speed */
 	bool throttle_sent;	     /* a THROTTLE order is in flight */
 	uint64_t throttled_since_ns; /* at SPEED_STALLED or below since then; 0: it is not */
+	uint64_t trial;		     /* WL_TRIAL_NONE: it is not on trial */
+	uint64_t trial_ms;	     /* how long the trial lasts */
+	uint64_t crash;	  /* on trial: number of the newest crash under its task; 0: none */
+	uint64_t counted; /* on trial: wl_job_counted_task() */
 	wl_buf_t checkpoint;
 	const char *end_reason;		/* how its end is known; NULL: it is not proposed */
 	TAILQ_ENTRY(wl_sched_run) link; /* in the list of its runner */
@@ -122,6 +134,7 @@
 	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
 	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
 	wl_sched_incarnation_end_t previous;
+	uint64_t trials[WL_TRIALS]; /* runs on trial */
 	bool removal_proposed;
 	const char *removal_reason;
 	wl_buf_t address; /* as of the newest committed report */
@@ -133,6 +146,14 @@
 
 TAILQ_HEAD(wl_sched_runner_list, wl_sched_runner);
 
+/* How the next task of a batch has to be placed, from the crashes under it. */
+typedef struct wl_suspicion {
+	uint64_t level; /* WL_TRIAL_NONE: it is not suspected */
+	uint64_t crash; /* number of the newest crash */
+	uint64_t counted;
+	bool relaxed; /* it has waited for so long that tasks of one crash may meet */
+} wl_suspicion_t;
+
 typedef struct wl_batch_task {
 	uint64_t task;	   /* index in the job */
 	uint64_t ended_ns; /* when its last run ended; 0: it has not run */
@@ -140,14 +161,16 @@
 
 /*
  * The pending tasks of one step of one occurrence. Tasks of a lasting step whose run has
- * ended form a batch of their own.
+ * ended form a batch of their own, and so does each suspected task.
  */
 typedef struct wl_task_batch {
 	wl_job_t *job;
 	uint64_t occurrence;
 	uint64_t step;
 	bool interrupted; /* lasting tasks whose run has ended, sorted: longest interruption last */
-	wl_batch_task_t *tasks; /* the last one is placed first */
+	bool suspect;	  /* one suspected task; released once it is placed */
+	wl_suspicion_t suspicion; /* set by a placement pass */
+	wl_batch_task_t *tasks;	  /* the last one is placed first */
 	size_t count;
 	size_t capacity;
 	unsigned int image;
@@ -157,6 +180,7 @@
 	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
 	bool queued;	    /* in wl_sched.pending */
 	TAILQ_ENTRY(wl_task_batch) link;
+	TAILQ_ENTRY(wl_task_batch) suspect_link;
 } wl_task_batch_t;
 
 TAILQ_HEAD(wl_task_batch_list, wl_task_batch);
@@ -169,6 +193,10 @@
 	uint64_t next_occurrence; /* first occurrence that is not due yet */
 	TAILQ_ENTRY(wl_sched_job) timed;
 	wl_job_t *job;
+	struct wl_task_batch_list suspects;
+	uint64_t trials[WL_TRIALS]; /* its runs on trial */
+	uint64_t sound;		    /* runs that have passed their trial since its newest crash */
+	bool proved_sound;	    /* one has passed */
 } wl_sched_job_t;
 
 TAILQ_HEAD(wl_sched_timed, wl_sched_job);
@@ -265,8 +293,9 @@
 	wl_images_t images;
 	wl_interference_t interference;
 	bool place_due;
-	uint64_t next_pass_ns; /* no placement pass before */
-	bool full_pass_due;    /* best-effort work was left out since the last full pass */
+	uint64_t next_pass_ns;	  /* no placement pass before */
+	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
+	bool full_pass_due;	  /* best-effort work was left out since the last full pass */
 	uint64_t next_full_pass_ns;
 	uint64_t sorted_ns;	   /* when the queue was last sorted */
 	uint64_t lasting_permille; /* of the usable targets' CPU: reserved by lasting tasks */
@@ -394,6 +423,20 @@
 			      uint64_t incarnation);
 bool wl_sched_outage_spanned(const wl_sched_t *sched, uint64_t outage, wl_str_t job);
 
+/* suspects.c */
+void wl_sched_trial_begin(const wl_sched_t *sched, wl_sched_run_t *run, const wl_job_t *job);
+void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run);
+void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run);
+void wl_sched_trial_crashed(const wl_job_t *job);
+void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
+void wl_sched_trials_count(const wl_sched_t *sched, wl_sched_job_t *sched_job);
+wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns);
+uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch);
+bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch);
+bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members);
+int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+			       int64_t score);
+
 /* given_up.c */
 void wl_sched_crashes_clear(wl_sched_t *sched);
 void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -55,7 +55,7 @@
 
 	if (interferes && runner->interference_stale)
 		wl_sched_interference_update(sched, runner);
-	if (!wl_fit_has_capacity(request, &runner->fit))
+	if (!wl_fit_has_capacity(request, &runner->fit) || !wl_sched_trials_allow(runner, batch))
 		return false;
 	runner->fit.same_step = step->max_per_target ? same_step(runner, batch) : 0;
 	runner->fit.tail_permille = interferes ? wl_sched_tail_floor(sched, runner) : 0;
@@ -101,7 +101,9 @@
 		return false;
 	runner->fit.other_image_millis =
 		request->step->lasting ? other_image_millis(runner, batch->image) : 0;
-	*candidate = (candidate_t){runner, sched->placement->score(request, &runner->fit)};
+	*candidate = (candidate_t){
+		runner, wl_sched_suspect_score(runner, batch,
+					       sched->placement->score(request, &runner->fit))};
 	return true;
 }
 
@@ -217,6 +219,8 @@
 
 	if (batch->count < members)
 		return false;
+	if (wl_sched_trials_wait(batch, members))
+		return true;
 	number = next_run_number(batch, batch->tasks[0].task);
 	candidates_collect(sched, batch, request, candidates);
 	while (batch->count > 0 && (best = candidates_best(candidates))) {
@@ -259,6 +263,8 @@
 	while (batch->count > 0) {
 		candidate_t *best = candidates_best(candidates);
 
+		if (wl_sched_trials_wait(batch, 1))
+			return true;
 		if (!best)
 			return false;
 		task_place(sched, now_ns, batch,
@@ -274,7 +280,10 @@
 	return true;
 }
 
-/* Return: false if a task of the batch fits on no target. */
+/*
+ * Return: false if a task of the batch fits on no target. Tasks may also have to wait for trials
+ * of their job.
+ */
 static bool batch_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			candidates_t *candidates)
 {
@@ -286,6 +295,7 @@
 		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
 	};
 
+	batch->suspicion = wl_sched_suspicion(batch, now_ns);
 	if (request.step->gang)
 		return gang_place(sched, now_ns, batch, &request, candidates);
 	return tasks_place(sched, now_ns, batch, &request, candidates);
@@ -306,6 +316,7 @@
 	unplaceable_need_t best_effort[WL_IMAGES_MAX]; /* by image: their interference differs */
 	bool full;				       /* considers best-effort work too */
 	size_t misses[2];			       /* by best_effort */
+	size_t suspect_misses;
 	candidates_t candidates;
 } pass_t;
 
@@ -323,6 +334,8 @@
 
 static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
 {
+	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
+		return false;
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
 
@@ -335,11 +348,24 @@
 	       step->memory_mib >= unplaceable_need->memory_mib;
 }
 
-static void miss_record(pass_t *pass, const wl_task_batch_t *batch)
+static void suspects_due(wl_sched_t *sched, const wl_task_batch_t *batch)
+{
+	uint64_t due_ns = wl_sched_suspects_due_ns(batch);
+
+	if (due_ns && (sched->suspects_due_ns == 0 || due_ns < sched->suspects_due_ns))
+		sched->suspects_due_ns = due_ns;
+}
+
+static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
 	unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
 
+	suspects_due(sched, batch);
+	if (batch->suspect) {
+		pass->suspect_misses++;
+		return;
+	}
 	pass->misses[step->best_effort]++;
 	if (is_constrained(step) ||
 	    (unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis))
@@ -363,6 +389,8 @@
  */
 bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
 {
+	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
+		return true;
 	return (sched->place_due && now_ns >= sched->next_pass_ns) ||
 	       (sched->full_pass_due && now_ns >= sched->next_full_pass_ns);
 }
@@ -378,6 +406,7 @@
 
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
+	sched->suspects_due_ns = 0;
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
 	batch = TAILQ_FIRST(&sched->pending);
@@ -386,12 +415,13 @@
 
 		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
-			miss_record(&pass, batch);
+			miss_record(sched, &pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
 	free(pass.candidates.items);
-	sched->next_pass_ns = next_pass_at_ns(sched, pass.misses[false], now_ns);
+	sched->next_pass_ns =
+		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, now_ns);
 	if (pass.full)
 		sched->next_full_pass_ns = next_pass_at_ns(sched, pass.misses[true], now_ns);
 	if (sched->starts.runs.count == 0)
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -88,30 +88,62 @@
 		TAILQ_INSERT_HEAD(&sched->pending, batch, link);
 }
 
+static void rack_inherit(wl_task_batch_t *batch)
+{
+	const wl_task_batch_t *first =
+		*batch_slot(batch->job, batch->occurrence, batch->step, false);
+
+	if (first)
+		wl_buf_set(&batch->rack, wl_buf_str(&first->rack));
+}
+
+static wl_task_batch_t *batch_new(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job,
+				  const wl_task_ref_t *at, bool interrupted)
+{
+	wl_task_batch_t *batch = wl_alloc(sizeof(*batch));
+
+	batch->job = job;
+	batch->occurrence = at->occurrence;
+	batch->step = at->step;
+	batch->interrupted = interrupted;
+	batch->image = wl_images_id(&sched->images, wl_buf_str(&wl_job_step(job, at->step)->image));
+	batch->ready_ns = now_ns;
+	return batch;
+}
+
 static wl_task_batch_t *batch_get(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job,
-				  uint64_t occurrence, uint64_t step, bool interrupted)
+				  const wl_task_ref_t *at, bool interrupted)
 {
-	wl_task_batch_t **slot = batch_slot(job, occurrence, step, interrupted);
+	wl_task_batch_t **slot = batch_slot(job, at->occurrence, at->step, interrupted);
 
 	if (*slot)
 		return *slot;
-	*slot = wl_alloc(sizeof(**slot));
-	(*slot)->job = job;
-	(*slot)->occurrence = occurrence;
-	(*slot)->step = step;
-	(*slot)->interrupted = interrupted;
-	(*slot)->image = wl_images_id(&sched->images, wl_buf_str(&wl_job_step(job, step)->image));
-	(*slot)->ready_ns = now_ns;
-	if (interrupted && *batch_slot(job, occurrence, step, false))
-		wl_buf_set(&(*slot)->rack,
-			   wl_buf_str(&(*batch_slot(job, occurrence, step, false))->rack));
+	*slot = batch_new(sched, now_ns, job, at, interrupted);
+	if (interrupted)
+		rack_inherit(*slot);
 	return *slot;
 }
 
+static wl_task_batch_t *batch_of_suspect(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job,
+					 const wl_task_ref_t *at, bool interrupted)
+{
+	wl_task_batch_t *batch = batch_new(sched, now_ns, job, at, interrupted);
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	batch->suspect = true;
+	rack_inherit(batch);
+	TAILQ_INSERT_TAIL(&sched_job->suspects, batch, suspect_link);
+	return batch;
+}
+
 static void batch_remove(wl_sched_t *sched, wl_task_batch_t *batch)
 {
+	wl_sched_job_t *sched_job = batch->job->leader_data;
+
 	if (batch->queued)
 		TAILQ_REMOVE(&sched->pending, batch, link);
+	if (batch->suspect)
+		TAILQ_REMOVE(&sched_job->suspects, batch, suspect_link);
 	free(batch->tasks);
 	wl_buf_free(&batch->rack);
 	free(batch);
@@ -213,6 +245,10 @@
 {
 	if (batch->count > 0)
 		return;
+	if (batch->suspect) {
+		batch_remove(sched, batch);
+		return;
+	}
 	TAILQ_REMOVE(&sched->pending, batch, link);
 	batch->queued = false;
 }
@@ -231,14 +267,18 @@
 			   uint64_t ended_ns)
 {
 	wl_batch_task_t pending = {task, ended_ns};
+	const wl_step_spec_t *step;
 	wl_task_batch_t *batch;
 	wl_task_ref_t at;
 
 	if (wl_job_ended(job) || job->tasks[task].done || !TAILQ_EMPTY(&job->tasks[task].runs))
 		return;
 	wl_job_task_ref(job, task, &at);
-	batch = batch_get(sched, now_ns, job, at.occurrence, at.step,
-			  is_interrupted(wl_job_step(job, at.step), ended_ns));
+	step = wl_job_step(job, at.step);
+	if (job->tasks[task].crashes.count > 0 && !step->gang)
+		batch = batch_of_suspect(sched, now_ns, job, &at, is_interrupted(step, ended_ns));
+	else
+		batch = batch_get(sched, now_ns, job, &at, is_interrupted(step, ended_ns));
 	batch_add(batch, &pending);
 	if (!batch->queued) {
 		batch->queued_ns = now_ns;
@@ -254,7 +294,7 @@
 	wl_task_ref_t at = {.occurrence = occurrence, .step = step};
 	uint64_t task;
 
-	batch_get(sched, now_ns, job, occurrence, step, false);
+	batch_get(sched, now_ns, job, &at, false);
 	/*
 	 * The last task added is placed first. It is not known when the runs under earlier
 	 * leaders ended: they count as ended now.
@@ -307,6 +347,8 @@
 		return;
 	sched_job = wl_alloc(sizeof(*sched_job));
 	sched_job->job = job;
+	TAILQ_INIT(&sched_job->suspects);
+	wl_sched_trials_count(sched, sched_job);
 	sched_job->critical_path_ms = critical_path_ms(job, 0, false);
 	sched_job->batches = wl_alloc(slot_count(job) * sizeof(wl_task_batch_t *));
 	job->leader_data = sched_job;
@@ -320,9 +362,17 @@
 void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job)
 {
 	wl_sched_job_t *sched_job = job->leader_data;
+	wl_task_batch_t *batch;
 
 	if (!sched_job)
 		return;
+	batch = TAILQ_FIRST(&sched_job->suspects);
+	while (batch) {
+		wl_task_batch_t *next = TAILQ_NEXT(batch, suspect_link);
+
+		batch_remove(sched, batch);
+		batch = next;
+	}
 	for (uint64_t i = 0; i < slot_count(job); i++)
 		if (sched_job->batches[i])
 			batch_remove(sched, sched_job->batches[i]);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -99,6 +99,7 @@
 				.memory_mib = step->memory_mib,
 				.accelerators = step->accelerators};
 	need_add(runner, run);
+	wl_sched_trial_begin(sched, run, job);
 	wl_map_put(&sched->by_run, run);
 	TAILQ_INSERT_TAIL(&runner->runs, run, link);
 	if (run->serving)
@@ -112,6 +113,7 @@
 void wl_sched_run_remove(wl_sched_t *sched, wl_sched_run_t *run)
 {
 	need_subtract(run->runner, run);
+	wl_sched_trial_end(sched, run);
 	wl_map_remove(&sched->by_run, run->key);
 	TAILQ_REMOVE(&run->runner->runs, run, link);
 	if (run->serving)
@@ -452,6 +454,8 @@
 			     run->end_reason ? run->end_reason : "other", out);
 	failures_count(run->runner, now_ns, end, out);
 	wl_sched_crash_applied(sched, now_ns, run, end, out);
+	if (end->outcome == WL_END_DONE)
+		wl_sched_trial_passed(sched, run);
 	wl_sched_run_remove(sched, run);
 	if (!job)
 		return;
--- /dev/null
+++ b/libwlcore/sched/suspects.c
@@ -0,0 +1,247 @@
+/*
+ * Placement of suspected tasks: those under which targets have crashed.
+ *
+ * A run of a suspected task is on trial until the target has listed it for long enough. After one
+ * crash a task keeps apart from the other tasks of that crash, so that a second crash tells which
+ * of them caused it. After two it is alone among suspected tasks, with as little other work beside
+ * it as there is, and its target gets no other start.
+ */
+
+#include "internal.h"
+
+/* Waiting time after which tasks of one crash may share a target. */
+#define APART_WAIT_MS 10000
+/*
+ * After so many crashes under a job its suspected tasks start slowly: so many at a time, and one
+ * more for each that has proved sound since the newest crash. Fewer than three lost targets are no
+ * outage, so that the crashes count. Until one has proved sound this goes for all its tasks.
+ */
+#define SLOW_START_CRASHES 3
+#define SLOW_START_TRIALS  2
+
+static const wl_task_crashes_t *crashes_of(const wl_job_t *job, uint64_t task)
+{
+	return &job->tasks[wl_job_counted_task(job, task)].crashes;
+}
+
+static uint64_t level_of(const wl_task_crashes_t *crashes)
+{
+	return crashes->count < WL_TRIAL_ALONE ? crashes->count : WL_TRIAL_ALONE;
+}
+
+static bool has_slow_start(const wl_job_t *job)
+{
+	return job->record.outage || job->record.crash_count >= SLOW_START_CRASHES;
+}
+
+static bool is_distrusted(const wl_job_t *job)
+{
+	const wl_sched_job_t *sched_job = job->leader_data;
+
+	return has_slow_start(job) && job->remaining == job->task_count && sched_job &&
+	       !sched_job->proved_sound;
+}
+
+static void trials_add(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t level,
+		       int count)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	wl_sched_job_t *sched_job = job ? job->leader_data : NULL;
+
+	run->runner->trials[level] += count;
+	if (sched_job)
+		sched_job->trials[level] += count;
+}
+
+/*
+ * wl_sched_trial_begin - put a new run on trial if its task is suspected or its job distrusted
+ */
+void wl_sched_trial_begin(const wl_sched_t *sched, wl_sched_run_t *run, const wl_job_t *job)
+{
+	const wl_task_crashes_t *crashes = crashes_of(job, run->task);
+
+	if (job->record.crash_count == 0)
+		return;
+	run->trial = level_of(crashes);
+	if (run->trial == 0 && is_distrusted(job))
+		run->trial = WL_TRIAL_APART;
+	if (run->trial == 0)
+		return;
+	run->crash = crashes->count ? crashes->crash : 0;
+	run->trial_ms = wl_task_trial_ms(crashes);
+	run->counted = wl_job_counted_task(job, run->task);
+	trials_add(sched, run, run->trial, 1);
+}
+
+/*
+ * wl_sched_trial_end - the run is no longer on trial
+ */
+void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run)
+{
+	if (run->trial == 0)
+		return;
+	trials_add(sched, run, run->trial, -1);
+	run->trial = 0;
+	sched->place_due = true;
+}
+
+/*
+ * wl_sched_trial_passed - the run has shown that its task is sound
+ */
+void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	wl_sched_job_t *sched_job = job ? job->leader_data : NULL;
+
+	if (run->trial == 0)
+		return;
+	wl_sched_trial_end(sched, run);
+	if (!sched_job)
+		return;
+	sched_job->sound++;
+	sched_job->proved_sound = true;
+}
+
+/*
+ * wl_sched_trial_listed - end the trial of a run that its target has listed for long enough
+ */
+void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
+{
+	if (run->trial && wl_sched_clock_ms(sched, now_ns) >= run->started_ms + run->trial_ms)
+		wl_sched_trial_passed(sched, run);
+}
+
+/*
+ * wl_sched_trial_crashed - start the suspected tasks of a job slowly again
+ */
+void wl_sched_trial_crashed(const wl_job_t *job)
+{
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	if (sched_job)
+		sched_job->sound = 0;
+}
+
+/*
+ * wl_sched_trials_count - count the runs of a job that are on trial when a leader takes it over
+ */
+void wl_sched_trials_count(const wl_sched_t *sched, wl_sched_job_t *sched_job)
+{
+	const wl_job_t *job = sched_job->job;
+
+	for (uint64_t i = 0; i < job->task_count && job->suspects > 0; i++) {
+		const wl_run_t *run;
+
+		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
+			const wl_sched_run_t *known =
+				wl_sched_run_find(sched, job->key, i, run->number);
+
+			if (known && known->trial)
+				sched_job->trials[known->trial]++;
+		}
+	}
+}
+
+/*
+ * wl_sched_suspicion - how the next tasks of a batch have to be placed
+ */
+wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	bool gang = wl_job_step(batch->job, batch->step)->gang;
+	wl_suspicion_t suspicion = {0};
+	const wl_task_crashes_t *crashes;
+
+	if (batch->job->suspects == 0 || batch->count == 0 || !(batch->suspect || gang))
+		return suspicion;
+	suspicion.counted = wl_job_counted_task(batch->job, batch->tasks[0].task);
+	crashes = &batch->job->tasks[suspicion.counted].crashes;
+	suspicion.level = level_of(crashes);
+	suspicion.crash = crashes->crash;
+	suspicion.relaxed = now_ns - batch->queued_ns >= APART_WAIT_MS * WL_NS_PER_MS;
+	if (gang && suspicion.relaxed && suspicion.level == WL_TRIAL_ALONE)
+		suspicion.level = WL_TRIAL_APART;
+	return suspicion;
+}
+
+/*
+ * wl_sched_suspects_due_ns - when a batch that was not placed may be placed more freely
+ *
+ * Return: 0 if waiting changes nothing.
+ */
+uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch)
+{
+	if (batch->suspicion.level == 0 || batch->suspicion.relaxed)
+		return 0;
+	return batch->queued_ns + APART_WAIT_MS * WL_NS_PER_MS;
+}
+
+/* Whether a run on trial there rules the tasks of the batch out. Members of one gang do not. */
+static bool has_conflict(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+{
+	const wl_suspicion_t *suspicion = &batch->suspicion;
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		if (run->trial == 0 || (run->counted == suspicion->counted &&
+					wl_str_equal(wl_buf_str(&run->job), batch->job->key)))
+			continue;
+		if (run->trial == WL_TRIAL_ALONE || suspicion->level == WL_TRIAL_ALONE)
+			return true;
+		if (run->crash && run->crash == suspicion->crash && !suspicion->relaxed)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * wl_sched_trials_allow - whether the runs on trial on a target let the next task of a batch join
+ *
+ * A suspected task joins no target that does not answer: it would not be known what crashed it.
+ */
+bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+{
+	if (batch->suspicion.level == 0)
+		return runner->trials[WL_TRIAL_ALONE] == 0;
+	if (runner->unreachable_since_ns)
+		return false;
+	return runner->trials[WL_TRIAL_APART] + runner->trials[WL_TRIAL_ALONE] == 0 ||
+	       !has_conflict(runner, batch);
+}
+
+/*
+ * wl_sched_trials_wait - whether tasks of a batch have to wait for other trials of their job
+ * @members: how many start together
+ */
+bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members)
+{
+	const wl_job_t *job = batch->job;
+	const wl_sched_job_t *sched_job = job->leader_data;
+	uint64_t apart = sched_job->trials[WL_TRIAL_APART];
+
+	if (job->record.crash_count == 0)
+		return false;
+	if (batch->suspicion.level == WL_TRIAL_ALONE)
+		return sched_job->trials[WL_TRIAL_ALONE] > sched_job->sound;
+	if (is_distrusted(job) && sched_job->trials[WL_TRIAL_ALONE] > 0)
+		return true;
+	if (batch->suspicion.level == 0 ? !is_distrusted(job) : !has_slow_start(job))
+		return false;
+	return apart > 0 && apart + members > SLOW_START_TRIALS + sched_job->sound;
+}
+
+/*
+ * wl_sched_suspect_score - score of a target for a suspected task
+ * @score: of the placement policy
+ */
+int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+			       int64_t score)
+{
+	const wl_sched_run_t *run;
+
+	if (batch->suspicion.level == WL_TRIAL_ALONE) {
+		score = 0;
+		TAILQ_FOREACH (run, &runner->runs, link)
+			score--;
+	}
+	return score;
+}
--- /dev/null
+++ b/tests/unit/sched_suspects_test.cc
@@ -0,0 +1,190 @@
+#include "../support/crash_targets.h"
+
+/* Where suspected tasks start: those under which targets have crashed. */
+
+namespace
+{
+class Suspects : public CrashTargets
+{
+      protected:
+	static constexpr uint64_t TRIAL_MS = 5000;
+	static constexpr uint64_t TRIAL_MAX_MS = 10000;
+
+	/* Targets of the runs of a job that started since the log of starts had so many. */
+	std::vector<std::string> targets_of(const std::string &id, size_t since = 0) const
+	{
+		std::vector<std::string> found;
+
+		for (size_t i = since; i < started.size(); i++)
+			if (started[i].task.rfind(id + ".", 0) == 0)
+				found.push_back(started[i].runner);
+		return found;
+	}
+
+	/* Return: the target on which a task starts that is on trial after two crashes. */
+	std::string after_two_crashes()
+	{
+		guilty = {"j.0.0.0"};
+		job("j");
+		while (crashes < 2) {
+			pass(100);
+			back_after_crash();
+		}
+		guilty.clear();
+		pass(100);
+		EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
+		EXPECT_EQ(started.size(), 3u);
+		return started.back().runner;
+	}
+};
+} // namespace
+
+TEST_F(Suspects, TasksOfOneCrashStartOnDifferentTargets)
+{
+	target("a");
+	job("j", 3);
+	pass(100);
+	for (const char *id : {"b", "c", "d"})
+		target(id);
+	crash("a");
+	target("a");
+	pass(100);
+	auto at = targets_of("j", 3);
+	std::set<std::string> distinct(at.begin(), at.end());
+	EXPECT_EQ(at.size(), 3u);
+	EXPECT_EQ(distinct.size(), 3u);
+}
+
+TEST_F(Suspects, TasksOfOneCrashMeetOnceTheFirstIsSound)
+{
+	target("a");
+	job("j", 2);
+	pass(100);
+	crash("a");
+	target("a");
+	pass(TRIAL_MS - 1000);
+	EXPECT_EQ(targets_of("j", 2).size(), 1u);
+	pass(1500);
+	EXPECT_EQ(targets_of("j", 2).size(), 2u);
+}
+
+TEST_F(Suspects, TasksOfDifferentCrashesMayMeet)
+{
+	target("a");
+	target("b");
+	job("j");
+	job("k");
+	pass(100);
+	ASSERT_NE(targets_of("j"), targets_of("k"));
+	crash("a");
+	target("a");
+	crash("b");
+	target("b");
+	pass(100);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	EXPECT_EQ(rig.find("k")->tasks[0].crashes.count, 1u);
+	EXPECT_EQ(targets_of("j").size() + targets_of("k").size(), 4u);
+}
+
+TEST_F(Suspects, TaskAfterTwoCrashesHasItsTargetToItself)
+{
+	for (const char *id : {"a", "b", "c"})
+		target(id);
+	std::string alone = after_two_crashes();
+	size_t before = started.size();
+	job("other", 30);
+	pass(TRIAL_MS - 1000);
+	for (const auto &at : targets_of("other", before))
+		EXPECT_NE(at, alone);
+	EXPECT_EQ(targets_of("other", before).size(), 30u);
+	pass(1500);
+	before = started.size();
+	job("later", 30);
+	pass(100);
+	auto at = targets_of("later", before);
+	EXPECT_GT(std::count(at.begin(), at.end(), alone), 0);
+}
+
+TEST_F(Suspects, NewLeaderKeepsTheTargetFree)
+{
+	for (const char *id : {"a", "b", "c"})
+		target(id);
+	std::string alone = after_two_crashes();
+	size_t before = started.size();
+	rig.follow();
+	rig.orders.clear();
+	rig.lead(2);
+	pass(100);
+	job("other", 30);
+	pass(TRIAL_MS - 1000);
+	EXPECT_EQ(targets_of("other", before).size(), 30u);
+	for (const auto &at : targets_of("other", before))
+		EXPECT_NE(at, alone);
+}
+
+TEST_F(Suspects, TaskAfterTwoCrashesStartsWhereLeastElseRuns)
+{
+	target("c");
+	rig.job("q", "j", {1})->cpu_millis = 2000;
+	rig.submit();
+	pass(100);
+	crash("c");
+	target("c");
+	pass(100);
+	crash("c");
+	pass(3600);
+	target("a");
+	target("b");
+	rig.job("q", "wide", {1})->cpu_millis = 30000;
+	rig.submit();
+	pass(100);
+	std::string wide = started.back().runner;
+	job("small", 4);
+	pass(100);
+	targets["c"].life++;
+	targets["c"].down = false;
+	rig.address = "c:80";
+	rig.runner("c", 32000, targets["c"].life, "r1", true);
+	size_t before = started.size();
+	pass(1000);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
+	EXPECT_EQ(targets_of("j", before), std::vector<std::string>{wide});
+}
+
+TEST_F(Suspects, GangWiderThanTheTargetsStartsAgain)
+{
+	target("a");
+	target("b");
+	rig.job("q", "g", {5})->gang = true;
+	rig.submit();
+	pass(100);
+	EXPECT_EQ(started.size(), 5u);
+	for (const char *id : {"a", "b"}) {
+		crash(id);
+		target(id);
+	}
+	for (auto &one : targets)
+		one.second.runs.clear();
+	pass(2 * TRIAL_MAX_MS);
+	EXPECT_EQ(started.size(), 10u);
+}
+
+/* Twelve tasks on three targets that all crash, though none of the tasks is to blame. */
+TEST_F(Suspects, InnocentTasksOfAJobRunAgainSoon)
+{
+	for (const char *id : {"a", "b", "c"})
+		target(id);
+	job("j", 12);
+	pass(1500);
+	for (const char *id : {"a", "b", "c"}) {
+		crash(id);
+		target(id);
+		pass(1000);
+	}
+	pass(4 * TRIAL_MS);
+	size_t running = 0;
+	for (const auto &one : targets)
+		running += one.second.runs.size();
+	EXPECT_EQ(running, 12u);
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
