sched: idle targets and times of contact tell an outage from many crashes

A loss counts from the last report or answer of the incarnation itself. Targets without runs count, as lost once they are silent for 2 s, and such an outage is spanned by no job. Losses elsewhere at the same moment count against an outage of a rack or a zone, and a new leader does not take what it finds for the outage of a rack. A suspected task starts on no target whose incarnation is not committed yet, as its crash might not be found.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -10,6 +10,15 @@
 
 #define OUTAGE_NEW_MS 1000 /* a run that had worked for longer is no cause of an outage */
 
+/*
+ * wl_sched_crash_contact_ns - time of the newest report, or answer to a renewal, that is known to
+ * be of the known incarnation; 0: none
+ */
+uint64_t wl_sched_crash_contact_ns(const wl_sched_runner_t *runner)
+{
+	return runner->reported_ns > runner->heard_ns ? runner->reported_ns : runner->heard_ns;
+}
+
 /* How the known incarnation of a target ends if a later one is known from now on. */
 static wl_sched_incarnation_end_t incarnation_end(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
@@ -18,6 +27,7 @@
 		.announced = runner->departing || runner->state->report.draining,
 		.lost_ns = runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns,
 		.heard_ns = runner->heard_ns,
+		.contact_ns = wl_sched_crash_contact_ns(runner),
 	};
 }
 
@@ -62,10 +72,12 @@
 
 /*
  * wl_sched_crash_unreachable - record that renewals of a target fail
+ * @sent_ns: when the renewal was sent; one to the incarnation before says nothing of the known one
  */
-void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				uint64_t sent_ns)
 {
-	if (runner->unreachable_since_ns)
+	if (runner->unreachable_since_ns || sent_ns < runner->began_ns)
 		return;
 	runner->unreachable_since_ns = now_ns;
 	wl_sched_loss_add(sched, now_ns, runner, wl_sched_known_incarnation(runner));
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -84,7 +84,8 @@
 	uint64_t incarnation;
 	bool announced; /* that it drains or leaves */
 	uint64_t lost_ns;
-	uint64_t heard_ns; /* newest answer to a renewal; 0: there was none */
+	uint64_t heard_ns;   /* newest answer to a renewal; 0: there was none */
+	uint64_t contact_ns; /* newest report or answer */
 } wl_sched_incarnation_end_t;
 
 /*
@@ -381,7 +382,6 @@
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
 void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
-uint64_t wl_sched_last_contact_ns(const wl_sched_runner_t *runner);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
@@ -403,9 +403,11 @@
 			      wl_out_t *out);
 
 /* crashes.c */
+uint64_t wl_sched_crash_contact_ns(const wl_sched_runner_t *runner);
 void wl_sched_crash_incarnation_end(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 				    uint64_t incarnation);
-void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				uint64_t sent_ns);
 void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
 void wl_sched_run_lost_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			   const char *reason, wl_cmd_runs_end_t *ends);
--- a/libwlcore/sched/outages.c
+++ b/libwlcore/sched/outages.c
@@ -12,6 +12,7 @@
 /* Targets report, and answer renewals, at different times within a second. */
 #define TOGETHER_MS	  1500
 #define NEARBY_MS	  4000
+#define SILENT_MS	  2000 /* a target that is up is heard more often */
 #define OUTAGE_LOSSES_MIN 3
 #define OUTAGE_PERMILLE	  875 /* of the targets with runs */
 #define LOSS_KEPT_MS	  60000
@@ -24,6 +25,7 @@
 	wl_buf_t zone;
 	uint64_t since_ns;	  /* last contact */
 	uint64_t outage;	  /* number of the outage that it belongs to; 0: none */
+	bool beside_idle;	  /* targets without runs were lost in that outage too */
 	uint64_t first_judged_ns; /* when that was first decided; 0: not yet */
 	uint64_t judged_ns;	  /* and last */
 	uint64_t *jobs;		  /* hashes of the ids of the jobs that had runs there */
@@ -122,7 +124,7 @@
 	loss->incarnation = incarnation;
 	wl_buf_set(&loss->rack, wl_buf_str(&runner->state->report.rack));
 	wl_buf_set(&loss->zone, wl_buf_str(&runner->state->report.availability_zone));
-	loss->since_ns = wl_sched_last_contact_ns(runner);
+	loss->since_ns = wl_sched_crash_contact_ns(runner);
 	if (loss->since_ns < sched->leader_since_ns)
 		loss->since_ns = sched->leader_since_ns;
 	loss_jobs_set(loss, runner);
@@ -161,26 +163,6 @@
 	return second->since_ns - first->since_ns <= TOGETHER_MS * WL_NS_PER_MS;
 }
 
-/* Whether a target has runs, and answers since before the loss. */
-static bool is_sound(const wl_sched_runner_t *runner, const wl_sched_loss_t *loss)
-{
-	return !runner->unreachable_since_ns && runner->began_ns < loss->since_ns &&
-	       !TAILQ_EMPTY(&runner->runs);
-}
-
-/* Targets with runs that were not lost. */
-static size_t sound_count(const wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
-{
-	const wl_sched_runner_t *runner;
-	size_t count = 0;
-
-	TAILQ_FOREACH (runner, &sched->runners, link)
-		count += in_scope(loss, scope, &runner->state->report.rack,
-				  &runner->state->report.availability_zone) &&
-			 is_sound(runner, loss);
-	return count;
-}
-
 /* Whether the losses are so near that no target can be part of both. */
 static bool lost_nearby(const wl_sched_loss_t *a, const wl_sched_loss_t *b)
 {
@@ -190,35 +172,89 @@
 	return second_ns - first_ns <= NEARBY_MS * WL_NS_PER_MS;
 }
 
-/*
- * Whether nearly all targets with runs in a scope were lost together with this one. Targets that
- * were lost shortly before or after say that they crashed one by one.
- */
-static bool is_outage(const wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
+/* What became of the targets in a scope at the time of a loss. */
+typedef struct outcomes {
+	size_t lost; /* with runs */
+	size_t idle; /* lost, without runs */
+	size_t others;
+	size_t outside; /* lost together with it outside of the scope */
+} outcomes_t;
+
+static bool is_together(uint64_t a_ns, uint64_t b_ns)
 {
-	size_t others = sound_count(sched, loss, scope);
+	return (a_ns < b_ns ? b_ns - a_ns : a_ns - b_ns) <= TOGETHER_MS * WL_NS_PER_MS;
+}
+
+/* Counts a target that has no record of a loss. */
+static void runner_count(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+			 const wl_sched_loss_t *loss, outcomes_t *outcomes)
+{
+	uint64_t contact_ns = wl_sched_crash_contact_ns(runner);
+	bool is_later = runner->began_ns > loss->since_ns;
+
+	if (contact_ns < sched->leader_since_ns)
+		contact_ns = sched->leader_since_ns;
+	if (is_later)
+		contact_ns = runner->previous.contact_ns;
+	else if (now_ns - contact_ns <= SILENT_MS * WL_NS_PER_MS)
+		outcomes->others++;
+	if ((is_later || now_ns - contact_ns > SILENT_MS * WL_NS_PER_MS) &&
+	    is_together(contact_ns, loss->since_ns) &&
+	    !loss_find(sched, runner->key,
+		       is_later ? runner->previous.incarnation
+				: wl_sched_known_incarnation(runner)))
+		outcomes->idle++;
+}
+
+/* Targets that were lost shortly before or after say that they crashed one by one. */
+static outcomes_t outcomes_count(const wl_sched_t *sched, uint64_t now_ns,
+				 const wl_sched_loss_t *loss, scope_t scope)
+{
+	const wl_sched_runner_t *runner;
 	const wl_sched_loss_t *other;
-	size_t lost = 0;
+	outcomes_t outcomes = {0};
 
 	TAILQ_FOREACH (other, &sched->losses, link) {
+		bool together = lost_together(loss, other);
+
 		if (!in_scope(loss, scope, &other->rack, &other->zone))
-			continue;
-		if (lost_together(loss, other))
-			lost++;
+			outcomes.outside += together;
+		else if (together)
+			outcomes.lost++;
 		else
-			others += lost_nearby(loss, other);
+			outcomes.others += lost_nearby(loss, other);
 	}
-	return lost >= OUTAGE_LOSSES_MIN && lost * WL_PERMILLE >= (lost + others) * OUTAGE_PERMILLE;
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		if (!runner->unreachable_since_ns &&
+		    in_scope(loss, scope, &runner->state->report.rack,
+			     &runner->state->report.availability_zone))
+			runner_count(sched, now_ns, runner, loss, &outcomes);
+	return outcomes;
 }
 
-static void outage_join(wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope)
+/* Whether nearly all targets in a scope were lost together with this one, and hardly any others. */
+static bool is_outage(const outcomes_t *outcomes)
+{
+	size_t lost = outcomes->lost + outcomes->idle;
+
+	return lost >= OUTAGE_LOSSES_MIN &&
+	       lost * WL_PERMILLE >= (lost + outcomes->others) * OUTAGE_PERMILLE &&
+	       lost * WL_PERMILLE >= (lost + outcomes->outside) * OUTAGE_PERMILLE;
+}
+
+static void outage_join(wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope,
+			const outcomes_t *outcomes)
 {
 	uint64_t number = ++sched->outage_count;
 	wl_sched_loss_t *other;
 
-	TAILQ_FOREACH (other, &sched->losses, link)
-		if (lost_together(loss, other) && in_scope(loss, scope, &other->rack, &other->zone))
-			other->outage = number;
+	TAILQ_FOREACH (other, &sched->losses, link) {
+		if (!lost_together(loss, other) ||
+		    !in_scope(loss, scope, &other->rack, &other->zone))
+			continue;
+		other->outage = number;
+		other->beside_idle = outcomes->idle > 0;
+	}
 }
 
 /*
@@ -231,17 +267,24 @@
 			      uint64_t incarnation)
 {
 	wl_sched_loss_t *loss = loss_find(sched, target, incarnation);
+	scope_t scopes = SCOPES;
 
 	if (!loss)
 		return 0;
+	/* What an earlier leader lost one by one seems to be lost together. */
+	if (loss->since_ns == sched->leader_since_ns)
+		scopes = SCOPE_RACK;
 	if (loss->judged_ns == now_ns)
 		return loss->outage;
 	loss->judged_ns = now_ns;
 	if (!loss->first_judged_ns)
 		loss->first_judged_ns = now_ns;
-	for (scope_t scope = SCOPE_FLEET; scope < SCOPES && !loss->outage; scope++)
-		if (is_outage(sched, loss, scope))
-			outage_join(sched, loss, scope);
+	for (scope_t scope = SCOPE_FLEET; scope < scopes && !loss->outage; scope++) {
+		outcomes_t outcomes = outcomes_count(sched, now_ns, loss, scope);
+
+		if (is_outage(&outcomes))
+			outage_join(sched, loss, scope, &outcomes);
+	}
 	return loss->outage;
 }
 
@@ -254,7 +297,7 @@
 	const wl_sched_loss_t *loss;
 
 	TAILQ_FOREACH (loss, &sched->losses, link)
-		if (loss->outage == outage && !loss_has_job(loss, hash))
+		if (loss->outage == outage && (loss->beside_idle || !loss_has_job(loss, hash)))
 			return false;
 	return true;
 }
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -71,10 +71,8 @@
 					   .accelerators = report->accelerators};
 }
 
-/*
- * wl_sched_last_contact_ns - time of the target's newest report or answer; 0: none
- */
-uint64_t wl_sched_last_contact_ns(const wl_sched_runner_t *runner)
+/* Time of the target's newest report or answer; 0: none. */
+static uint64_t last_contact_ns(const wl_sched_runner_t *runner)
 {
 	return runner->reported_ns > runner->answered_ns ? runner->reported_ns
 							 : runner->answered_ns;
@@ -82,7 +80,7 @@
 
 static void usable_update(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	uint64_t last_ns = wl_sched_last_contact_ns(runner);
+	uint64_t last_ns = last_contact_ns(runner);
 	bool usable = !runner->state->departed_ms && !runner->departing &&
 		      !runner->removal_proposed && !runner->state->report.draining &&
 		      runner->clock_ns && last_ns &&
@@ -275,7 +273,7 @@
 			wl_out_t *out)
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
-	uint64_t last_ns = wl_sched_last_contact_ns(runner);
+	uint64_t last_ns = last_contact_ns(runner);
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
@@ -444,7 +442,7 @@
 			   "target=" WL_STR_FMT " outcome=%s answered_ms=%llu",
 			   WL_STR_ARG(runner->key), wl_order_outcome_names[end->outcome],
 			   (unsigned long long)((now_ns - runner->answered_ns) / WL_NS_PER_MS));
-	wl_sched_crash_unreachable(sched, now_ns, runner);
+	wl_sched_crash_unreachable(sched, now_ns, runner, order->sent_ns);
 	runner->renewal_failed = true;
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -119,7 +119,7 @@
 	wl_sched_job_t *sched_job = job->leader_data;
 
 	if (sched_job)
-		sched_job->sound = 0;
+		sched_job->sound /= 2;
 }
 
 /*
@@ -196,13 +196,15 @@
 /*
  * wl_sched_trials_allow - whether the runs on trial on a target let the next task of a batch join
  *
- * A suspected task joins no target that does not answer: it would not be known what crashed it.
+ * A suspected task joins no target that does not answer, or whose incarnation is not committed yet:
+ * its crash might not be found.
  */
 bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
 {
 	if (batch->suspicion.level == 0)
 		return runner->trials[WL_TRIAL_ALONE] == 0;
-	if (runner->unreachable_since_ns)
+	if (runner->unreachable_since_ns ||
+	    wl_sched_known_incarnation(runner) > runner->state->report.incarnation)
 		return false;
 	return runner->trials[WL_TRIAL_APART] + runner->trials[WL_TRIAL_ALONE] == 0 ||
 	       !has_conflict(runner, batch);
