sched: a crash that is known only when the leases are over counts

That a later target has reported the address proves the crash as well; its runs still end only once all leases are over.

Evidence: sched_crash_test, SilentTargetWhoseAddressALaterOneReportedCrashed.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -180,6 +180,31 @@
 		   (unsigned long long)((now_ns - end->lost_ns) / WL_NS_PER_MS));
 }
 
+/*
+ * wl_sched_crash_expired - add the ends of the runs of a target whose leases have all expired
+ *
+ * That a later target has reported its address proves a crash even if none answers there now.
+ */
+void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			    wl_cmd_runs_end_t *ends, wl_out_t *out)
+{
+	bool is_replaced = wl_sched_later_target_at_address(sched, runner);
+	wl_sched_incarnation_end_t end = incarnation_end(runner, now_ns);
+	wl_sched_run_t *run;
+	size_t crashed = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		if (run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING)
+			continue;
+		if (is_replaced && run->incarnation >= runner->incarnation)
+			crashed += end_add(sched, now_ns, run, &end, "expired", ends);
+		else
+			wl_sched_run_lost_add(sched, now_ns, run, "expired", ends);
+	}
+	if (is_replaced)
+		crash_log(sched, now_ns, runner, &end, "expired", crashed, ends->ends.count, out);
+}
+
 /*
  * wl_sched_crash_restarted - log the crash that a later incarnation of a target proves
  * @ends: what was collected from its answer
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -382,6 +382,7 @@
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
 void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
+bool wl_sched_later_target_at_address(const wl_sched_t *sched, const wl_sched_runner_t *runner);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
@@ -411,6 +412,8 @@
 void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
 void wl_sched_run_lost_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			   const char *reason, wl_cmd_runs_end_t *ends);
+void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			    wl_cmd_runs_end_t *ends, wl_out_t *out);
 void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
 			      const wl_cmd_runs_end_t *ends, wl_out_t *out);
 void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -14,11 +14,8 @@
 			  wl_out_t *out)
 {
 	wl_cmd_runs_end_t ends = {0};
-	wl_sched_run_t *run;
 
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
-			wl_sched_run_lost_add(sched, now_ns, run, "expired", &ends);
+	wl_sched_crash_expired(sched, now_ns, runner, &ends, out);
 	wl_out_log(out, WL_WARN, "target-lapsed",
 		   "target=" WL_STR_FMT " runs=%zu silent_ms=%llu lease_ms=%llu life=%llu",
 		   WL_STR_ARG(runner->key), ends.ends.count,
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -404,8 +404,11 @@
 	runner->renewal_due_ns = now_ns + RENEWAL_WAIT_MS * WL_NS_PER_MS;
 }
 
-/* Whether a target that has started later has reported the address of this one. */
-static bool later_target_at_address(const wl_sched_t *sched, const wl_sched_runner_t *runner)
+/*
+ * wl_sched_later_target_at_address - whether a target that has started later has reported the
+ * address of this one
+ */
+bool wl_sched_later_target_at_address(const wl_sched_t *sched, const wl_sched_runner_t *runner)
 {
 	const wl_sched_runner_t *other;
 
@@ -431,7 +434,7 @@
 	    (runner->incarnation && order->incarnation != runner->incarnation))
 		return false;
 	return (runner->answered_agents & order->agent->bit) ||
-	       later_target_at_address(sched, runner);
+	       wl_sched_later_target_at_address(sched, runner);
 }
 
 static void renewal_fail(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -83,6 +83,20 @@
 	EXPECT_EQ(ends("crashed"), 0u);
 }
 
+TEST_F(Crash, SilentTargetWhoseAddressALaterOneReportedCrashed)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 2);
+	targets["b"].down = true;
+	pass(LEASES_OVER_MS);
+	EXPECT_EQ(ends("crashed"), 1u);
+	EXPECT_EQ(lines("event=target-crash target=a life=1 address=a:80 reason=expired"), 1u);
+}
+
 TEST_F(Crash, RunThatIsAbsentOnTheSameIncarnationIsNoCrash)
 {
 	target("a");
