sched: suspected tasks wait less for each other, and avoid targets with new runs

Lasting tasks of a wide job waited up to 18 s for the trials of others of their job (10 s each, two at a time), and were without a run for up to 31.6 s.

The slow start of a job now waits only until a run has worked for 2 s; a trial lasts 100 ms longer than what the state asks for; and a task that is to be alone avoids targets where runs have just started, as any of them may be the guilty one.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -67,6 +67,7 @@
 	uint64_t throttled_since_ns; /* at SPEED_STALLED or below since then; 0: it is not */
 	uint64_t trial;		     /* WL_TRIAL_NONE: it is not on trial */
 	uint64_t trial_ms;	     /* how long the trial lasts */
+	bool settling;	  /* on trial: other tasks of a job that starts slowly wait for it */
 	uint64_t crash;	  /* on trial: number of the newest crash under its task; 0: none */
 	uint64_t counted; /* on trial: wl_job_counted_task() */
 	wl_buf_t checkpoint;
@@ -149,6 +150,7 @@
 
 /* How the next task of a batch has to be placed, from the crashes under it. */
 typedef struct wl_suspicion {
+	uint64_t at_ns; /* when this was decided */
 	uint64_t level; /* WL_TRIAL_NONE: it is not suspected */
 	uint64_t crash; /* number of the newest crash */
 	uint64_t counted;
@@ -196,7 +198,8 @@
 	wl_job_t *job;
 	struct wl_task_batch_list suspects;
 	uint64_t trials[WL_TRIALS]; /* its runs on trial */
-	uint64_t sound;		    /* runs that have passed their trial since its newest crash */
+	uint64_t settling;	    /* of these: not listed for long enough to let others start */
+	uint64_t sound;		    /* runs that have settled; halved by each crash */
 	bool proved_sound;	    /* one has passed */
 } wl_sched_job_t;
 
@@ -429,7 +432,7 @@
 bool wl_sched_outage_spanned(const wl_sched_t *sched, uint64_t outage, wl_str_t job);
 
 /* suspects.c */
-void wl_sched_trial_begin(const wl_sched_t *sched, wl_sched_run_t *run, const wl_job_t *job);
+void wl_sched_trial_begin(wl_sched_run_t *run, const wl_job_t *job);
 void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run);
 void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run);
 void wl_sched_trial_crashed(const wl_job_t *job);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -99,7 +99,7 @@
 				.memory_mib = step->memory_mib,
 				.accelerators = step->accelerators};
 	need_add(runner, run);
-	wl_sched_trial_begin(sched, run, job);
+	wl_sched_trial_begin(run, job);
 	wl_map_put(&sched->by_run, run);
 	TAILQ_INSERT_TAIL(&runner->runs, run, link);
 	if (run->serving)
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -9,15 +9,19 @@
 
 #include "internal.h"
 
+/* A crash after the end of a trial must not count as one within it, however times are rounded. */
+#define TRIAL_MARGIN_MS 100
+#define NEW_RUN_WEIGHT	1000 /* runs that weigh as much as a new one */
 /* Waiting time after which tasks of one crash may share a target. */
 #define APART_WAIT_MS 10000
 /*
- * After so many crashes under a job its suspected tasks start slowly: so many at a time, and one
- * more for each that has proved sound since the newest crash. Fewer than three lost targets are no
+ * After so many crashes under a job its suspected tasks start slowly: so many at a time, one more
+ * for each that has settled, and half of these after a crash. Fewer than three lost targets are no
  * outage, so that the crashes count. Until one has proved sound this goes for all its tasks.
  */
 #define SLOW_START_CRASHES 3
 #define SLOW_START_TRIALS  2
+#define SETTLED_MS	   2000 /* a run that was listed after so long lets the next ones start */
 
 static const wl_task_crashes_t *crashes_of(const wl_job_t *job, uint64_t task)
 {
@@ -42,21 +46,17 @@
 	       !sched_job->proved_sound;
 }
 
-static void trials_add(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t level,
-		       int count)
+static wl_sched_job_t *sched_job_of(const wl_sched_t *sched, const wl_sched_run_t *run)
 {
 	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
-	wl_sched_job_t *sched_job = job ? job->leader_data : NULL;
 
-	run->runner->trials[level] += count;
-	if (sched_job)
-		sched_job->trials[level] += count;
+	return job ? job->leader_data : NULL;
 }
 
 /*
  * wl_sched_trial_begin - put a new run on trial if its task is suspected or its job distrusted
  */
-void wl_sched_trial_begin(const wl_sched_t *sched, wl_sched_run_t *run, const wl_job_t *job)
+void wl_sched_trial_begin(wl_sched_run_t *run, const wl_job_t *job)
 {
 	const wl_task_crashes_t *crashes = crashes_of(job, run->task);
 
@@ -68,9 +68,41 @@
 	if (run->trial == 0)
 		return;
 	run->crash = crashes->count ? crashes->crash : 0;
-	run->trial_ms = wl_task_trial_ms(crashes);
+	run->trial_ms = wl_task_trial_ms(crashes) + TRIAL_MARGIN_MS;
 	run->counted = wl_job_counted_task(job, run->task);
-	trials_add(sched, run, run->trial, 1);
+	run->settling = true;
+	run->runner->trials[run->trial]++;
+	if (!job->leader_data)
+		return;
+	((wl_sched_job_t *)job->leader_data)->trials[run->trial]++;
+	((wl_sched_job_t *)job->leader_data)->settling++;
+}
+
+/* The run has worked for long enough to let others of its job start, or has ended. */
+static void settle(wl_sched_t *sched, wl_sched_run_t *run, wl_sched_job_t *sched_job, bool is_sound)
+{
+	if (!run->settling)
+		return;
+	run->settling = false;
+	sched->place_due = true;
+	if (!sched_job)
+		return;
+	sched_job->settling--;
+	sched_job->sound += is_sound;
+}
+
+static void trial_end(wl_sched_t *sched, wl_sched_run_t *run, bool is_sound)
+{
+	wl_sched_job_t *sched_job = sched_job_of(sched, run);
+
+	settle(sched, run, sched_job, is_sound);
+	run->runner->trials[run->trial]--;
+	if (sched_job) {
+		sched_job->trials[run->trial]--;
+		sched_job->proved_sound |= is_sound;
+	}
+	run->trial = 0;
+	sched->place_due = true;
 }
 
 /*
@@ -78,11 +110,8 @@
  */
 void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run)
 {
-	if (run->trial == 0)
-		return;
-	trials_add(sched, run, run->trial, -1);
-	run->trial = 0;
-	sched->place_due = true;
+	if (run->trial)
+		trial_end(sched, run, false);
 }
 
 /*
@@ -90,25 +119,24 @@
  */
 void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run)
 {
-	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
-	wl_sched_job_t *sched_job = job ? job->leader_data : NULL;
-
-	if (run->trial == 0)
-		return;
-	wl_sched_trial_end(sched, run);
-	if (!sched_job)
-		return;
-	sched_job->sound++;
-	sched_job->proved_sound = true;
+	if (run->trial)
+		trial_end(sched, run, true);
 }
 
 /*
- * wl_sched_trial_listed - end the trial of a run that its target has listed for long enough
+ * wl_sched_trial_listed - a target lists a run, whose trial ends if that was long enough
  */
 void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
-	if (run->trial && wl_sched_clock_ms(sched, now_ns) >= run->started_ms + run->trial_ms)
-		wl_sched_trial_passed(sched, run);
+	uint64_t clock_ms;
+
+	if (run->trial == 0)
+		return;
+	clock_ms = wl_sched_clock_ms(sched, now_ns);
+	if (clock_ms >= run->started_ms + run->trial_ms)
+		trial_end(sched, run, true);
+	else if (clock_ms >= run->started_ms + SETTLED_MS)
+		settle(sched, run, sched_job_of(sched, run), true);
 }
 
 /*
@@ -136,8 +164,10 @@
 			const wl_sched_run_t *known =
 				wl_sched_run_find(sched, job->key, i, run->number);
 
-			if (known && known->trial)
-				sched_job->trials[known->trial]++;
+			if (!known || !known->trial)
+				continue;
+			sched_job->trials[known->trial]++;
+			sched_job->settling += known->settling;
 		}
 	}
 }
@@ -148,7 +178,7 @@
 wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns)
 {
 	bool gang = wl_job_step(batch->job, batch->step)->gang;
-	wl_suspicion_t suspicion = {0};
+	wl_suspicion_t suspicion = {.at_ns = now_ns};
 	const wl_task_crashes_t *crashes;
 
 	if (batch->job->suspects == 0 || batch->count == 0 || !(batch->suspect || gang))
@@ -218,7 +248,6 @@
 {
 	const wl_job_t *job = batch->job;
 	const wl_sched_job_t *sched_job = job->leader_data;
-	uint64_t apart = sched_job->trials[WL_TRIAL_APART];
 
 	if (job->record.crash_count == 0)
 		return false;
@@ -228,22 +257,27 @@
 		return true;
 	if (batch->suspicion.level == 0 ? !is_distrusted(job) : !has_slow_start(job))
 		return false;
-	return apart > 0 && apart + members > SLOW_START_TRIALS + sched_job->sound;
+	return sched_job->settling > 0 &&
+	       sched_job->settling + members > SLOW_START_TRIALS + sched_job->sound;
 }
 
 /*
  * wl_sched_suspect_score - score of a target for a suspected task
  * @score: of the placement policy
+ *
+ * A task that is to be alone goes where least else runs. New runs weigh most: any of them may crash
+ * the target, which would count against the task.
  */
 int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
 			       int64_t score)
 {
+	uint64_t new_ns = SETTLED_MS * WL_NS_PER_MS;
 	const wl_sched_run_t *run;
 
-	if (batch->suspicion.level == WL_TRIAL_ALONE) {
-		score = 0;
-		TAILQ_FOREACH (run, &runner->runs, link)
-			score--;
-	}
+	if (batch->suspicion.level != WL_TRIAL_ALONE)
+		return score;
+	score = 0;
+	TAILQ_FOREACH (run, &runner->runs, link)
+		score -= batch->suspicion.at_ns - run->placed_ns < new_ns ? NEW_RUN_WEIGHT : 1;
 	return score;
 }
