sched: a new leader knows a lower bound of how long a run has worked

A target crashed about a change of leader.

What an earlier leader started has worked at least until one lease before this leader led: the target was heard since, or the run would have ended. A task that crashes its target at once has none of that time.

Evidence: sched_crash_test, RunOfAnEarlierLeaderThatWorkedForLongStartsTheCountAnew.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -106,15 +106,24 @@
 	       (run->phase != WL_RUN_PROPOSED && run->placed_ns < lost_ns);
 }
 
+/*
+ * How long a run is known to have worked. What an earlier leader started worked at least until one
+ * lease before this one led: the target was heard since, or the run would have ended.
+ */
 static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       uint64_t heard_ns)
 {
+	uint64_t began_ms = run->started_ms;
 	uint64_t heard_ms;
 
+	if (run->phase == WL_RUN_INHERITED) {
+		heard_ns = sched->leader_since_ns;
+		began_ms += sched->options.lease_max_ms;
+	}
 	if (!heard_ns || !run->started_ms || run->phase == WL_RUN_UNCONFIRMED)
 		return 0;
 	heard_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - heard_ns) / WL_NS_PER_MS;
-	return heard_ms > run->started_ms ? heard_ms - run->started_ms : 0;
+	return heard_ms > began_ms ? heard_ms - began_ms : 0;
 }
 
 /* Fills in the end of a run that its target did not list, if that crashed. */
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -188,6 +188,23 @@
 	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
 }
 
+TEST_F(Crash, RunOfAnEarlierLeaderThatWorkedForLongStartsTheCountAnew)
+{
+	target("a");
+	job("j");
+	for (uint64_t term = 2; term < 6; term++) {
+		pass(17000); /* the longest trial and a lease */
+		rig.follow();
+		targets["a"].runs.clear();
+		rig.orders.clear();
+		rig.lead(term);
+		target("a");
+		pass(100);
+		EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	}
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
+
 TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
 {
 	two_racks();
