sched: a task after two crashes starts beside no run that has just started

Such a task now waits for a target without runs of the last 2 s. If there is none, a target is kept free of new starts for it, one in four at most.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -137,6 +137,8 @@
 	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
 	wl_sched_incarnation_end_t previous;
 	uint64_t trials[WL_TRIALS]; /* runs on trial */
+	uint64_t kept_until_ns; /* no starts but of a task that is to be alone; 0: it is not kept */
+	uint64_t kept_pass;	/* pass in which a batch counted on it */
 	bool removal_proposed;
 	const char *removal_reason;
 	wl_buf_t address; /* as of the newest committed report */
@@ -297,7 +299,8 @@
 	wl_images_t images;
 	wl_interference_t interference;
 	bool place_due;
-	uint64_t next_pass_ns;	  /* no placement pass before */
+	uint64_t next_pass_ns; /* no placement pass before */
+	uint64_t pass_count;
 	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
 	bool full_pass_due;	  /* best-effort work was left out since the last full pass */
 	uint64_t next_full_pass_ns;
@@ -344,6 +347,8 @@
 /* place.c */
 bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+bool wl_sched_runner_fits(wl_sched_t *sched, wl_sched_runner_t *runner,
+			  const wl_task_batch_t *batch, const wl_fit_request_t *request);
 
 /* runs.c */
 wl_sched_run_t *wl_sched_run_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_job_t *job,
@@ -442,6 +447,8 @@
 uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch);
 bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch);
 bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members);
+void wl_sched_targets_keep(wl_sched_t *sched, const wl_task_batch_t *batch,
+			   const wl_fit_request_t *request);
 int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
 			       int64_t score);
 
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -46,16 +46,20 @@
 	return sum;
 }
 
-/* Whether a task may start on a target. The expensive checks come last. */
-static bool runner_accepts(wl_sched_t *sched, wl_sched_runner_t *runner,
-			   const wl_task_batch_t *batch, const wl_fit_request_t *request)
+/*
+ * wl_sched_runner_fits - whether a target has room for a task, whatever is on trial there
+ *
+ * The expensive checks come last.
+ */
+bool wl_sched_runner_fits(wl_sched_t *sched, wl_sched_runner_t *runner,
+			  const wl_task_batch_t *batch, const wl_fit_request_t *request)
 {
 	const wl_step_spec_t *step = request->step;
 	bool interferes = step->best_effort && runner->fit.serving;
 
 	if (interferes && runner->interference_stale)
 		wl_sched_interference_update(sched, runner);
-	if (!wl_fit_has_capacity(request, &runner->fit) || !wl_sched_trials_allow(runner, batch))
+	if (!wl_fit_has_capacity(request, &runner->fit))
 		return false;
 	runner->fit.same_step = step->max_per_target ? same_step(runner, batch) : 0;
 	runner->fit.tail_permille = interferes ? wl_sched_tail_floor(sched, runner) : 0;
@@ -97,7 +101,8 @@
 			       const wl_task_batch_t *batch, const wl_fit_request_t *request,
 			       candidate_t *candidate)
 {
-	if (!runner_accepts(sched, runner, batch, request))
+	if (!wl_sched_trials_allow(runner, batch) ||
+	    !wl_sched_runner_fits(sched, runner, batch, request))
 		return false;
 	runner->fit.other_image_millis =
 		request->step->lasting ? other_image_millis(runner, batch->image) : 0;
@@ -294,11 +299,14 @@
 		.waited_ms = (now_ns - batch->ready_ns) / WL_NS_PER_MS,
 		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
 	};
+	bool placed;
 
 	batch->suspicion = wl_sched_suspicion(batch, now_ns);
-	if (request.step->gang)
-		return gang_place(sched, now_ns, batch, &request, candidates);
-	return tasks_place(sched, now_ns, batch, &request, candidates);
+	placed = request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
+				    : tasks_place(sched, now_ns, batch, &request, candidates);
+	if (!placed)
+		wl_sched_targets_keep(sched, batch, &request);
+	return placed;
 }
 
 /*
@@ -407,6 +415,7 @@
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
 	sched->suspects_due_ns = 0;
+	sched->pass_count++;
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
 	batch = TAILQ_FIRST(&sched->pending);
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -12,6 +12,9 @@
 /* A crash after the end of a trial must not count as one within it, however times are rounded. */
 #define TRIAL_MARGIN_MS 100
 #define NEW_RUN_WEIGHT	1000 /* runs that weigh as much as a new one */
+#define KEPT_MS		4000 /* how long a target is kept free: until its runs are not new, and longer */
+#define KEPT_SHARE	4   /* one of so many targets is kept free or has a run that is alone */
+#define RETRY_MS	200 /* while a task that is to be alone waits */
 /* Waiting time after which tasks of one crash may share a target. */
 #define APART_WAIT_MS 10000
 /*
@@ -200,11 +203,19 @@
  */
 uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch)
 {
+	if (batch->suspicion.level == WL_TRIAL_ALONE)
+		return batch->suspicion.at_ns + RETRY_MS * WL_NS_PER_MS;
 	if (batch->suspicion.level == 0 || batch->suspicion.relaxed)
 		return 0;
 	return batch->queued_ns + APART_WAIT_MS * WL_NS_PER_MS;
 }
 
+static bool is_same_gang(const wl_sched_run_t *run, const wl_task_batch_t *batch)
+{
+	return run->trial && run->counted == batch->suspicion.counted &&
+	       wl_str_equal(wl_buf_str(&run->job), batch->job->key);
+}
+
 /* Whether a run on trial there rules the tasks of the batch out. Members of one gang do not. */
 static bool has_conflict(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
 {
@@ -212,8 +223,7 @@
 	const wl_sched_run_t *run;
 
 	TAILQ_FOREACH (run, &runner->runs, link) {
-		if (run->trial == 0 || (run->counted == suspicion->counted &&
-					wl_str_equal(wl_buf_str(&run->job), batch->job->key)))
+		if (run->trial == 0 || is_same_gang(run, batch))
 			continue;
 		if (run->trial == WL_TRIAL_ALONE || suspicion->level == WL_TRIAL_ALONE)
 			return true;
@@ -223,19 +233,47 @@
 	return false;
 }
 
+static bool is_new(const wl_sched_run_t *run, uint64_t now_ns)
+{
+	return now_ns - run->placed_ns < SETTLED_MS * WL_NS_PER_MS;
+}
+
+static bool has_new_runs(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+{
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (is_new(run, batch->suspicion.at_ns) && !is_same_gang(run, batch))
+			return true;
+	return false;
+}
+
+static bool is_kept_free(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return runner->kept_until_ns > now_ns;
+}
+
 /*
  * wl_sched_trials_allow - whether the runs on trial on a target let the next task of a batch join
  *
  * A suspected task joins no target that does not answer, or whose incarnation is not committed yet:
- * its crash might not be found.
+ * its crash might not be found. One that is to be alone joins no target with new runs, any of which
+ * may crash it.
  */
 bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
 {
-	if (batch->suspicion.level == 0)
-		return runner->trials[WL_TRIAL_ALONE] == 0;
+	const wl_suspicion_t *suspicion = &batch->suspicion;
+
+	if (suspicion->level != WL_TRIAL_ALONE &&
+	    (runner->trials[WL_TRIAL_ALONE] > 0 || is_kept_free(runner, suspicion->at_ns)))
+		return false;
+	if (suspicion->level == 0)
+		return true;
 	if (runner->unreachable_since_ns ||
 	    wl_sched_known_incarnation(runner) > runner->state->report.incarnation)
 		return false;
+	if (suspicion->level == WL_TRIAL_ALONE && has_new_runs(runner, batch))
+		return false;
 	return runner->trials[WL_TRIAL_APART] + runner->trials[WL_TRIAL_ALONE] == 0 ||
 	       !has_conflict(runner, batch);
 }
@@ -271,13 +309,72 @@
 int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
 			       int64_t score)
 {
-	uint64_t new_ns = SETTLED_MS * WL_NS_PER_MS;
 	const wl_sched_run_t *run;
 
 	if (batch->suspicion.level != WL_TRIAL_ALONE)
 		return score;
 	score = 0;
 	TAILQ_FOREACH (run, &runner->runs, link)
-		score -= batch->suspicion.at_ns - run->placed_ns < new_ns ? NEW_RUN_WEIGHT : 1;
+		score -= run->trial || is_new(run, batch->suspicion.at_ns) ? NEW_RUN_WEIGHT : 1;
 	return score;
 }
+
+/* Return: whether a target that is kept free already serves the batch, or is about to. */
+static bool claim_kept(wl_sched_t *sched, const wl_task_batch_t *batch,
+		       const wl_fit_request_t *request)
+{
+	wl_sched_runner_t *runner;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		if (!is_kept_free(runner, batch->suspicion.at_ns) ||
+		    runner->kept_pass == sched->pass_count ||
+		    !wl_sched_runner_fits(sched, runner, batch, request))
+			continue;
+		runner->kept_pass = sched->pass_count;
+		return true;
+	}
+	return false;
+}
+
+static void keep_one(wl_sched_t *sched, const wl_task_batch_t *batch,
+		     const wl_fit_request_t *request)
+{
+	wl_sched_runner_t *best = NULL;
+	wl_sched_runner_t *runner;
+	int64_t best_score = 0;
+	size_t kept = 0;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		int64_t score = wl_sched_suspect_score(runner, batch, 0);
+
+		if (is_kept_free(runner, batch->suspicion.at_ns) ||
+		    runner->trials[WL_TRIAL_ALONE] > 0) {
+			kept++;
+			continue;
+		}
+		if (!wl_sched_runner_fits(sched, runner, batch, request) ||
+		    runner->unreachable_since_ns || (best && score <= best_score))
+			continue;
+		best = runner;
+		best_score = score;
+	}
+	if (!best || kept * KEPT_SHARE > wl_map_count(&sched->by_runner))
+		return;
+	best->kept_until_ns = batch->suspicion.at_ns + KEPT_MS * WL_NS_PER_MS;
+	best->kept_pass = sched->pass_count;
+}
+
+/*
+ * wl_sched_targets_keep - keep targets free of new starts for a batch whose tasks are to be alone
+ *
+ * Called when the tasks fit on no target. What runs there is no longer new after SETTLED_MS.
+ */
+void wl_sched_targets_keep(wl_sched_t *sched, const wl_task_batch_t *batch,
+			   const wl_fit_request_t *request)
+{
+	if (batch->suspicion.level != WL_TRIAL_ALONE)
+		return;
+	for (size_t i = 0; i < batch->count; i++)
+		if (!claim_kept(sched, batch, request))
+			keep_one(sched, batch, request);
+}
--- a/tests/support/crash_targets.h
+++ b/tests/support/crash_targets.h
@@ -52,6 +52,7 @@
 		if (order.kind == WL_ORDER_START) {
 			at.runs.push_back(order);
 			started.push_back(order);
+			started_ns.push_back(rig.now);
 		}
 		if (order.kind != WL_ORDER_RENEW) {
 			rig.answer(order, WL_ORDER_DONE);
@@ -149,7 +150,8 @@
 	std::map<std::string, Target> targets;
 	std::map<std::string, std::string> racks;
 	std::vector<SchedOrder> started;
-	std::set<std::string> guilty; /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
+	std::vector<uint64_t> started_ns; /* when */
+	std::set<std::string> guilty;	  /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
 	size_t crashes = 0;
 };
 
