--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -101,8 +101,9 @@
 			       const wl_task_batch_t *batch, const wl_fit_request_t *request,
 			       candidate_t *candidate)
 {
-	if (!wl_sched_trials_allow(runner, batch) ||
-	    !wl_sched_runner_fits(sched, runner, batch, request))
+	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
+		return false;
+	if (!wl_sched_runner_fits(sched, runner, batch, request))
 		return false;
 	runner->fit.other_image_millis =
 		request->step->lasting ? other_image_millis(runner, batch->image) : 0;
