--- /dev/null
+++ b/libwlcore/sched/crashes.c
@@ -0,0 +1,263 @@
+/*
+ * Crashes of targets under their runs.
+ *
+ * A target has crashed if a later incarnation is known, at its id or at its address, and it had
+ * not announced its end. Silence alone is no crash. In an outage only new runs count, of a job that
+ * had a run on each of its targets.
+ */
+
+#include "internal.h"
+
+#define OUTAGE_NEW_MS 1000 /* a run that had worked for longer is no cause of an outage */
+
+/*
+ * wl_sched_crash_contact_ns - time of the newest report, or answer to a renewal, that is known to
+ * be of the known incarnation; 0: none
+ */
+uint64_t wl_sched_crash_contact_ns(const wl_sched_runner_t *runner)
+{
+	return runner->reported_ns > runner->heard_ns ? runner->reported_ns : runner->heard_ns;
+}
+
+/* How the known incarnation of a target ends if a later one is known from now on. */
+static wl_sched_incarnation_end_t incarnation_end(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return (wl_sched_incarnation_end_t){
+		.incarnation = runner->incarnation,
+		.announced = runner->known.departing || runner->state->report.draining,
+		.lost_ns = runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns,
+		.heard_ns = runner->heard_ns,
+		.contact_ns = wl_sched_crash_contact_ns(runner),
+	};
+}
+
+/*
+ * The incarnation that has ended if a later one is known. A new leader may find the later one
+ * committed, and runs of the earlier one.
+ */
+static uint64_t ended_incarnation(const wl_sched_runner_t *runner, uint64_t later)
+{
+	const wl_sched_run_t *run;
+	uint64_t newest = 0;
+
+	if (runner->incarnation < later)
+		return runner->incarnation;
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->incarnation < later && run->incarnation > newest)
+			newest = run->incarnation;
+	return newest;
+}
+
+/*
+ * wl_sched_crash_incarnation_end - record how the known incarnation of a target has ended
+ *
+ * Must be called before the data of the later incarnation replaces that of the known one.
+ */
+void wl_sched_crash_incarnation_end(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				    uint64_t incarnation)
+{
+	uint64_t ended = ended_incarnation(runner, incarnation);
+
+	if (runner->incarnation < incarnation)
+		runner->began_ns = now_ns;
+	if (ended > 0)
+		wl_sched_loss_add(sched, now_ns, runner, ended);
+	runner->previous = incarnation_end(runner, now_ns);
+	runner->previous.incarnation = ended;
+	if (runner->state->report.incarnation == incarnation) /* says nothing of the one before */
+		runner->previous.announced = false;
+	runner->unreachable_since_ns = 0;
+	runner->heard_ns = 0;
+}
+
+/*
+ * wl_sched_crash_unreachable - record that renewals of a target fail
+ * @sent_ns: when the renewal was sent; one to the incarnation before says nothing of the known one
+ */
+void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				uint64_t sent_ns)
+{
+	if (runner->unreachable_since_ns || sent_ns < runner->began_ns)
+		return;
+	runner->unreachable_since_ns = now_ns;
+	wl_sched_loss_add(sched, now_ns, runner, runner->incarnation);
+}
+
+/*
+ * wl_sched_crash_heard - record an answer to a renewal
+ */
+void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	if (runner->unreachable_since_ns) {
+		wl_sched_loss_end(sched, runner);
+		sched->place_due = true; /* suspected tasks may start there again */
+	}
+	runner->unreachable_since_ns = 0;
+	runner->heard_ns = now_ns;
+}
+
+/*
+ * A start without an answer that was chosen after the target had become unreachable did not reach
+ * it. Nor did one whose answer is still due, as targets take longer to start again. When an earlier
+ * leader chose it is not known.
+ */
+static bool run_was_there(const wl_sched_run_t *run, uint64_t lost_ns)
+{
+	if (run->phase == WL_RUN_INHERITED || run->phase == WL_RUN_CONFIRMED)
+		return true;
+	return run->phase == WL_RUN_UNCONFIRMED && run->placed_ns <= lost_ns;
+}
+
+/*
+ * How long a run is known to have worked. What an earlier leader started worked at least until one
+ * lease before this one led: the target was heard since, or the run would have ended.
+ */
+static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+		       uint64_t heard_ns)
+{
+	uint64_t began_ms = run->started_ms;
+	uint64_t heard_ms;
+
+	if (run->phase == WL_RUN_INHERITED) {
+		heard_ns = sched->leader_since_ns;
+		began_ms += sched->options.lease_max_ms;
+	}
+	if (!heard_ns || !run->started_ms || run->phase == WL_RUN_UNCONFIRMED)
+		return 0;
+	heard_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - heard_ns) / WL_NS_PER_MS;
+	return heard_ms > began_ms ? heard_ms - began_ms : 0;
+}
+
+/* Fills in the end of a run that its target did not list, if that crashed. */
+static void crash_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
+{
+	uint64_t outage;
+
+	if (end->announced || !run_was_there(run, end->lost_ns))
+		return;
+	row->ran_ms = ran_ms(sched, now_ns, run, end->heard_ns);
+	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
+	row->outage = outage > 0;
+	if (row->outage && (row->ran_ms > OUTAGE_NEW_MS ||
+			    !wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job))))
+		return;
+	row->outcome = WL_END_CRASHED;
+}
+
+/* Return: whether the run crashed. */
+static bool end_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+		    const wl_sched_incarnation_end_t *end, const char *reason,
+		    wl_cmd_runs_end_t *ends)
+{
+	wl_run_end_t found = {.outcome = WL_END_LOST};
+	wl_run_end_t *row;
+
+	if (end)
+		crash_fill(sched, now_ns, run, end, &found);
+	row = wl_sched_run_end_add(run, (wl_run_outcome_t)found.outcome, reason, ends);
+	row->ran_ms = found.ran_ms;
+	row->outage = found.outage;
+	return found.outcome == WL_END_CRASHED;
+}
+
+/*
+ * wl_sched_run_lost_add - add the end of a run that its target does not list any more
+ * @reason: for the log
+ */
+void wl_sched_run_lost_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			   const char *reason, wl_cmd_runs_end_t *ends)
+{
+	const wl_sched_runner_t *runner = run->runner;
+
+	end_add(sched, now_ns, run,
+		run->incarnation < runner->incarnation ? &runner->previous : NULL, reason, ends);
+}
+
+static void crash_log(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+		      const wl_sched_incarnation_end_t *end, const char *reason, size_t crashed,
+		      size_t runs, wl_out_t *out)
+{
+	uint64_t outage = wl_sched_outage_find(sched, now_ns, runner->key, end->incarnation);
+
+	if (end->announced || runs == 0)
+		return;
+	wl_out_log(out, WL_WARN, "target-crash",
+		   "target=" WL_STR_FMT " life=%llu address=" WL_STR_FMT
+		   " reason=%s runs=%zu suspected=%zu outage=%llu lost_ms_ago=%llu",
+		   WL_STR_ARG(runner->key), (unsigned long long)end->incarnation,
+		   WL_STR_ARG(wl_buf_str(&runner->state->report.address)), reason, runs, crashed,
+		   (unsigned long long)outage,
+		   (unsigned long long)((now_ns - end->lost_ns) / WL_NS_PER_MS));
+}
+
+/*
+ * wl_sched_crash_expired - add the ends of the runs of a target whose leases have all expired
+ *
+ * That a later target has reported its address proves a crash even if none answers there now.
+ */
+void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			    wl_cmd_runs_end_t *ends, wl_out_t *out)
+{
+	bool is_replaced = wl_sched_later_target_at_address(sched, runner);
+	wl_sched_incarnation_end_t end = incarnation_end(runner, now_ns);
+	wl_sched_run_t *run;
+	size_t crashed = 0;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		if (run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING ||
+		    !wl_sched_lease_over(sched, run, now_ns))
+			continue;
+		if (is_replaced && run->incarnation >= runner->incarnation)
+			crashed += end_add(sched, now_ns, run, &end, "expired", ends);
+		else
+			wl_sched_run_lost_add(sched, now_ns, run, "expired", ends);
+	}
+	if (is_replaced)
+		crash_log(sched, now_ns, runner, &end, "expired", crashed, ends->ends.count, out);
+}
+
+/*
+ * wl_sched_crash_restarted - log the crash that a later incarnation of a target proves
+ * @ends: what was collected from its answer
+ */
+void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+			      const wl_cmd_runs_end_t *ends, wl_out_t *out)
+{
+	const wl_run_end_t *rows = ends->ends.items;
+	const wl_sched_run_t *run;
+	size_t crashed = 0;
+	size_t runs = 0;
+
+	for (size_t i = 0; i < ends->ends.count; i++)
+		crashed += rows[i].outcome == WL_END_CRASHED;
+	TAILQ_FOREACH (run, &runner->runs, link)
+		runs += run->phase == WL_RUN_ENDING && run->incarnation < runner->incarnation;
+	if (ends->ends.count > 0)
+		crash_log(sched, now_ns, runner, &runner->previous, "restarted", crashed, runs,
+			  out);
+}
+
+/*
+ * wl_sched_crash_address_taken - end the runs of a target whose address another one has, and
+ * remove it
+ * @agent: the agent that found it
+ *
+ * The ends are committed first, so that they count if the leader changes before the removal.
+ */
+void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				  const wl_sched_agent_t *agent, wl_out_t *out)
+{
+	wl_sched_incarnation_end_t end = incarnation_end(runner, now_ns);
+	wl_cmd_runs_end_t ends = {0};
+	wl_sched_run_t *run;
+	size_t crashed = 0;
+
+	wl_sched_loss_add(sched, now_ns, runner, end.incarnation);
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
+			crashed += end_add(sched, now_ns, run, &end, "address-taken", &ends);
+	crash_log(sched, now_ns, runner, &end, "address-taken", crashed, ends.ends.count, out);
+	wl_sched_ends_propose(sched, now_ns, &ends, out);
+	wl_sched_removal_propose(sched, now_ns, runner, "address-taken", agent, out);
+}
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -26,6 +26,14 @@
 	WL_RUN_ENDING,	    /* its end is proposed, not committed */
 } wl_run_phase_t;
 
+/* How a run on trial keeps away from others. */
+enum {
+	WL_TRIAL_NONE,
+	WL_TRIAL_APART, /* from other runs on trial after the same crash */
+	WL_TRIAL_ALONE, /* from all runs on trial; its target gets no other start */
+	WL_TRIALS
+};
+
 struct wl_sched_runner;
 struct wl_task_batch;
 
@@ -44,6 +52,7 @@
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
+	uint64_t started_ms; /* when its start was committed, on the group's clock; 0: unknown */
 	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
 	uint64_t start_over_ns;	  /* without an answer its start may be carried out until then */
 	uint64_t answered_ns;	  /* when the newest answer about it arrived */
@@ -65,6 +74,11 @@
 	unsigned int speed_percent;  /* best effort: speed last ordered, percent of full speed */
 	bool throttle_sent;	     /* a THROTTLE order is in flight */
 	uint64_t throttled_since_ns; /* at SPEED_STALLED or below since then; 0: it is not */
+	uint64_t trial;		     /* WL_TRIAL_NONE: it is not on trial */
+	uint64_t trial_ms;	     /* how long the trial lasts */
+	bool settling;	  /* on trial: other tasks of a job that starts slowly wait for it */
+	uint64_t crash;	  /* on trial: number of the newest crash under its task; 0: none */
+	uint64_t counted; /* on trial: wl_job_counted_task() */
 	wl_buf_t checkpoint;
 	const char *end_reason;		/* how its end is known; NULL: it is not proposed */
 	TAILQ_ENTRY(wl_sched_run) link; /* in the list of its runner */
@@ -103,6 +117,15 @@
 	const char *removal_reason;
 } wl_sched_incarnation_t;
 
+/* How an incarnation of a target ended, once a later one is known. */
+typedef struct wl_sched_incarnation_end {
+	uint64_t incarnation;
+	bool announced; /* that it drains or leaves */
+	uint64_t lost_ns;
+	uint64_t heard_ns;   /* newest answer to a renewal; 0: there was none */
+	uint64_t contact_ns; /* newest report or answer */
+} wl_sched_incarnation_end_t;
+
 /*
  * What the leader knows of a target (a wl_runner_t, "runner" in names), in addition to the
  * replicated state.
@@ -135,13 +158,29 @@
 	bool interference_stale;       /* wl_sched_run.interference of its runs is outdated */
 	double headroom_least;	       /* of its serving tasks, beside the work that is there */
 	uint64_t quarantined_until_ns; /* no starts before; 0: not quarantined */
-	wl_buf_t address;	       /* as of the newest committed report */
-	uint64_t lookup;	       /* rises when the address or the incarnation changes */
+	uint64_t began_ns; /* when this incarnation became known; 0: under an earlier leader */
+	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
+	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
+	wl_sched_incarnation_end_t previous;
+	uint64_t trials[WL_TRIALS]; /* runs on trial */
+	uint64_t kept_until_ns; /* no starts but of a task that is to be alone; 0: it is not kept */
+	uint64_t kept_pass;	/* pass in which a batch counted on it */
+	wl_buf_t address;	/* as of the newest committed report */
+	uint64_t lookup;	/* rises when the address or the incarnation changes */
 	TAILQ_ENTRY(wl_sched_runner) link;
 } wl_sched_runner_t;
 
 TAILQ_HEAD(wl_sched_runner_list, wl_sched_runner);
 
+/* How the next task of a batch has to be placed, from the crashes under it. */
+typedef struct wl_suspicion {
+	uint64_t at_ns; /* when this was decided */
+	uint64_t level; /* WL_TRIAL_NONE: it is not suspected */
+	uint64_t crash; /* number of the newest crash */
+	uint64_t counted;
+	bool relaxed; /* it has waited for so long that tasks of one crash may meet */
+} wl_suspicion_t;
+
 typedef struct wl_batch_task {
 	uint64_t task;	   /* index in the job */
 	uint64_t ended_ns; /* when its last run ended; 0: it has not run */
@@ -149,14 +188,16 @@
 
 /*
  * The pending tasks of one step of one occurrence. Tasks of a lasting step whose run has
- * ended form a batch of their own.
+ * ended form a batch of their own, and so does each suspected task.
  */
 typedef struct wl_task_batch {
 	wl_job_t *job;
 	uint64_t occurrence;
 	uint64_t step;
 	bool interrupted; /* lasting tasks whose run has ended, sorted: longest interruption last */
-	wl_batch_task_t *tasks; /* the last one is placed first */
+	bool suspect;	  /* one suspected task; released once it is placed */
+	wl_suspicion_t suspicion; /* set by a placement pass */
+	wl_batch_task_t *tasks;	  /* the last one is placed first */
 	size_t count;
 	size_t capacity;
 	unsigned int image;
@@ -166,6 +207,7 @@
 	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
 	bool queued;	    /* in wl_sched.pending */
 	TAILQ_ENTRY(wl_task_batch) link;
+	TAILQ_ENTRY(wl_task_batch) suspect_link;
 } wl_task_batch_t;
 
 TAILQ_HEAD(wl_task_batch_list, wl_task_batch);
@@ -178,6 +220,11 @@
 	uint64_t next_occurrence; /* first occurrence that is not due yet */
 	TAILQ_ENTRY(wl_sched_job) timed;
 	wl_job_t *job;
+	struct wl_task_batch_list suspects;
+	uint64_t trials[WL_TRIALS]; /* its runs on trial */
+	uint64_t settling;	    /* of these: not listed for long enough to let others start */
+	uint64_t sound;		    /* runs that have settled; halved by each crash */
+	bool proved_sound;	    /* one has passed */
 } wl_sched_job_t;
 
 TAILQ_HEAD(wl_sched_timed, wl_sched_job);
@@ -236,6 +283,14 @@
 	TAILQ_ENTRY(wl_sched_proposal) link;
 } wl_sched_proposal_t;
 
+typedef struct wl_sched_loss wl_sched_loss_t;
+
+TAILQ_HEAD(wl_sched_losses, wl_sched_loss);
+
+typedef struct wl_sched_crash wl_sched_crash_t;
+
+TAILQ_HEAD(wl_sched_crashes, wl_sched_crash);
+
 typedef struct wl_sched_departure wl_sched_departure_t;
 
 TAILQ_HEAD(wl_sched_departures, wl_sched_departure);
@@ -260,6 +315,10 @@
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
 	struct wl_sched_departures departures; /* not answered yet */
+	struct wl_sched_losses losses;	       /* targets lost with their runs, oldest first */
+	uint64_t outage_count;
+	struct wl_sched_crashes crashes; /* seen by this leader, oldest first */
+	size_t crashes_kept;
 	wl_map_t by_run;
 	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
 	struct wl_task_batch_list pending; /* by rank */
@@ -269,7 +328,9 @@
 	wl_interference_t interference;
 	bool place_due;
 	uint64_t next_pass_ns; /* no placement pass before */
-	bool full_pass_due;    /* best-effort work was left out since the last full pass */
+	uint64_t pass_count;
+	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
+	bool full_pass_due;	  /* best-effort work was left out since the last full pass */
 	uint64_t next_full_pass_ns;
 	uint64_t sorted_ns;	   /* when the queue was last sorted */
 	uint64_t lasting_permille; /* of the usable targets' CPU: reserved by lasting tasks */
@@ -315,6 +376,8 @@
 /* place.c */
 bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+bool wl_sched_runner_fits(wl_sched_t *sched, wl_sched_runner_t *runner,
+			  const wl_task_batch_t *batch, const wl_fit_request_t *request);
 
 /* runs.c */
 wl_sched_run_t *wl_sched_run_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_job_t *job,
@@ -330,8 +393,8 @@
 			   const wl_order_end_t *end, wl_out_t *out);
 void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
 		       wl_out_t *out);
-void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
-			  wl_cmd_runs_end_t *ends);
+wl_run_end_t *wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome,
+				   const char *reason, wl_cmd_runs_end_t *ends);
 void wl_sched_run_end_log(const wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
 			  wl_out_t *out);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
@@ -365,8 +428,9 @@
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_sync(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
-void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
+bool wl_sched_later_target_at_address(const wl_sched_t *sched, const wl_sched_runner_t *runner);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
 void wl_sched_renewal_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
@@ -379,6 +443,7 @@
 /* losses.c */
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_stops_forget(wl_sched_runner_t *runner);
+bool wl_sched_lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns);
 bool wl_sched_run_unknown(const wl_sched_run_t *run, uint64_t now_ns);
 bool wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			  wl_out_t *out);
@@ -389,6 +454,52 @@
 void wl_sched_runner_departed(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      wl_out_t *out);
 
+/* crashes.c */
+uint64_t wl_sched_crash_contact_ns(const wl_sched_runner_t *runner);
+void wl_sched_crash_incarnation_end(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				    uint64_t incarnation);
+void wl_sched_crash_unreachable(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				uint64_t sent_ns);
+void wl_sched_crash_heard(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_run_lost_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			   const char *reason, wl_cmd_runs_end_t *ends);
+void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			    wl_cmd_runs_end_t *ends, wl_out_t *out);
+void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+			      const wl_cmd_runs_end_t *ends, wl_out_t *out);
+void wl_sched_crash_address_taken(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+				  const wl_sched_agent_t *agent, wl_out_t *out);
+
+/* outages.c */
+void wl_sched_loss_add(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+		       uint64_t incarnation);
+void wl_sched_loss_end(wl_sched_t *sched, const wl_sched_runner_t *runner);
+void wl_sched_losses_clear(wl_sched_t *sched);
+uint64_t wl_sched_outage_find(wl_sched_t *sched, uint64_t now_ns, wl_str_t target,
+			      uint64_t incarnation);
+bool wl_sched_outage_spanned(const wl_sched_t *sched, uint64_t outage, wl_str_t job);
+
+/* suspects.c */
+void wl_sched_trial_begin(wl_sched_run_t *run, const wl_job_t *job);
+void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run);
+void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run);
+void wl_sched_trial_crashed(const wl_job_t *job);
+void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
+void wl_sched_trials_count(const wl_sched_t *sched, wl_sched_job_t *sched_job);
+wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns);
+uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch);
+bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch);
+bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members);
+void wl_sched_targets_keep(wl_sched_t *sched, const wl_task_batch_t *batch,
+			   const wl_fit_request_t *request);
+int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+			       int64_t score);
+
+/* given_up.c */
+void wl_sched_crashes_clear(wl_sched_t *sched);
+void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+			    const wl_run_end_t *end, wl_out_t *out);
+
 /* gauges.c */
 void wl_sched_gauges_tick(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_gauges_clear(wl_sched_t *sched);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -48,8 +48,11 @@
 				wl_sched_lease_bound_ns(sched->options.lease_max_ms);
 }
 
-/* Whether the lease of a run is over, given that those by the target's known clock are. */
-static bool lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns)
+/*
+ * wl_sched_lease_over - whether the lease of a run is over, given that those by the target's known
+ * clock are
+ */
+bool wl_sched_lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns)
 {
 	if (run->listed_by && run->listed_by != run->runner->incarnation)
 		return true;
@@ -67,12 +70,8 @@
 			  wl_out_t *out)
 {
 	wl_cmd_runs_end_t ends = {0};
-	wl_sched_run_t *run;
 
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING &&
-		    lease_over(sched, run, now_ns))
-			wl_sched_run_end_add(run, WL_END_LOST, "expired", &ends);
+	wl_sched_crash_expired(sched, now_ns, runner, &ends, out);
 	if (ends.ends.count == 0)
 		return false;
 	wl_out_log(out, WL_WARN, "target-lapsed",
@@ -156,10 +155,10 @@
 
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (!run->listed && run_absent(sched, now_ns, run, sent_ns))
-			wl_sched_run_end_add(run, WL_END_LOST,
-					     run->incarnation == runner->incarnation ? "absent"
-										     : "restarted",
-					     ends);
+			wl_sched_run_lost_add(sched, now_ns, run,
+					      run->incarnation == runner->incarnation ? "absent"
+										      : "restarted",
+					      ends);
 }
 
 /*
@@ -174,6 +173,7 @@
 
 	runner->known.removal_proposed = true;
 	runner->known.removal_reason = reason;
+	runner->fit.usable = false;
 	wl_buf_set(&cmd.u.runner_put.id, runner->key);
 	cmd.u.runner_put.incarnation = runner->state->report.incarnation;
 	cmd.u.runner_put.exiting = true;
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -46,9 +46,13 @@
 	return sum;
 }
 
-/* Whether a task may start on a target. The expensive checks come last. */
-static bool runner_accepts(wl_sched_t *sched, wl_sched_runner_t *runner,
-			   const wl_task_batch_t *batch, const wl_fit_request_t *request)
+/*
+ * wl_sched_runner_fits - whether a target has room for a task, whatever is on trial there
+ *
+ * The expensive checks come last.
+ */
+bool wl_sched_runner_fits(wl_sched_t *sched, wl_sched_runner_t *runner,
+			  const wl_task_batch_t *batch, const wl_fit_request_t *request)
 {
 	const wl_step_spec_t *step = request->step;
 	bool interferes = step->best_effort && runner->fit.serving;
@@ -97,11 +101,15 @@
 			       const wl_task_batch_t *batch, const wl_fit_request_t *request,
 			       candidate_t *candidate)
 {
-	if (!runner_accepts(sched, runner, batch, request))
+	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
+		return false;
+	if (!wl_sched_runner_fits(sched, runner, batch, request))
 		return false;
 	runner->fit.other_image_millis =
 		request->step->lasting ? other_image_millis(runner, batch->image) : 0;
-	*candidate = (candidate_t){runner, sched->placement->score(request, &runner->fit)};
+	*candidate = (candidate_t){
+		runner, wl_sched_suspect_score(runner, batch,
+					       sched->placement->score(request, &runner->fit))};
 	return true;
 }
 
@@ -217,6 +225,8 @@
 
 	if (batch->count < members)
 		return false;
+	if (wl_sched_trials_wait(batch, members))
+		return true;
 	number = next_run_number(batch, batch->tasks[0].task);
 	candidates_collect(sched, batch, request, candidates);
 	while (batch->count > 0 && (best = candidates_best(candidates))) {
@@ -259,6 +269,8 @@
 	while (batch->count > 0) {
 		candidate_t *best = candidates_best(candidates);
 
+		if (wl_sched_trials_wait(batch, 1))
+			return true;
 		if (!best)
 			return false;
 		task_place(sched, now_ns, batch,
@@ -274,7 +286,10 @@
 	return true;
 }
 
-/* Return: false if a task of the batch fits on no target. */
+/*
+ * Return: false if a task of the batch fits on no target. Tasks may also have to wait for trials
+ * of their job.
+ */
 static bool batch_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			candidates_t *candidates)
 {
@@ -285,10 +300,14 @@
 		.waited_ms = (now_ns - batch->ready_ns) / WL_NS_PER_MS,
 		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
 	};
-
-	if (request.step->gang)
-		return gang_place(sched, now_ns, batch, &request, candidates);
-	return tasks_place(sched, now_ns, batch, &request, candidates);
+	bool placed;
+
+	batch->suspicion = wl_sched_suspicion(batch, now_ns);
+	placed = request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
+				    : tasks_place(sched, now_ns, batch, &request, candidates);
+	if (!placed)
+		wl_sched_targets_keep(sched, batch, &request);
+	return placed;
 }
 
 /*
@@ -306,6 +325,7 @@
 	unplaceable_need_t best_effort[WL_IMAGES_MAX]; /* by image: their interference differs */
 	bool full;				       /* considers best-effort work too */
 	size_t misses[2];			       /* by best_effort */
+	size_t suspect_misses;
 	candidates_t candidates;
 } pass_t;
 
@@ -323,6 +343,8 @@
 
 static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
 {
+	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
+		return false;
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
 
@@ -335,11 +357,24 @@
 	       step->memory_mib >= unplaceable_need->memory_mib;
 }
 
-static void miss_record(pass_t *pass, const wl_task_batch_t *batch)
+static void suspects_due(wl_sched_t *sched, const wl_task_batch_t *batch)
+{
+	uint64_t due_ns = wl_sched_suspects_due_ns(batch);
+
+	if (due_ns && (sched->suspects_due_ns == 0 || due_ns < sched->suspects_due_ns))
+		sched->suspects_due_ns = due_ns;
+}
+
+static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
 	unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
 
+	suspects_due(sched, batch);
+	if (batch->suspect) {
+		pass->suspect_misses++;
+		return;
+	}
 	pass->misses[step->best_effort]++;
 	if (is_constrained(step) ||
 	    (unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis))
@@ -363,6 +398,8 @@
  */
 bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
 {
+	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
+		return true;
 	return (sched->place_due && now_ns >= sched->next_pass_ns) ||
 	       (sched->full_pass_due && now_ns >= sched->next_full_pass_ns);
 }
@@ -378,6 +415,8 @@
 
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
+	sched->suspects_due_ns = 0;
+	sched->pass_count++;
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
 	batch = TAILQ_FIRST(&sched->pending);
@@ -386,12 +425,13 @@
 
 		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
-			miss_record(&pass, batch);
+			miss_record(sched, &pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
 	free(pass.candidates.items);
-	sched->next_pass_ns = next_pass_at_ns(sched, pass.misses[false], now_ns);
+	sched->next_pass_ns =
+		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, now_ns);
 	if (pass.full)
 		sched->next_full_pass_ns = next_pass_at_ns(sched, pass.misses[true], now_ns);
 	if (sched->starts.runs.count == 0)
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -98,6 +98,7 @@
 				.memory_mib = step->memory_mib,
 				.accelerators = step->accelerators};
 	need_add(runner, run);
+	wl_sched_trial_begin(run, job);
 	wl_map_put(&sched->by_run, run);
 	TAILQ_INSERT_TAIL(&runner->runs, run, link);
 	if (run->serving)
@@ -111,6 +112,7 @@
 void wl_sched_run_remove(wl_sched_t *sched, wl_sched_run_t *run)
 {
 	need_subtract(run->runner, run);
+	wl_sched_trial_end(sched, run);
 	wl_map_remove(&sched->by_run, run->key);
 	TAILQ_REMOVE(&run->runner->runs, run, link);
 	if (run->serving)
@@ -147,6 +149,7 @@
 	run->incarnation = run->runner->incarnation;
 	run->phase = WL_RUN_STARTING;
 	wl_sched_run_start_sent(run, now_ns);
+	run->started_ms = wl_sched_clock_ms(sched, now_ns);
 	wl_sched_order_add(sched, now_ns, run->runner, &order, run);
 	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
@@ -209,8 +212,8 @@
  * wl_sched_run_end_add - add the end of a run to the ends to be committed
  * @reason: for the log: how the leader knows of it
  */
-void wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
-			  wl_cmd_runs_end_t *ends)
+wl_run_end_t *wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome,
+				   const char *reason, wl_cmd_runs_end_t *ends)
 {
 	wl_run_end_t *row = wl_list_add(&wl_run_end_schema, &ends->ends);
 
@@ -222,6 +225,7 @@
 	wl_buf_set(&row->checkpoint, wl_buf_str(&run->checkpoint));
 	run->phase = WL_RUN_ENDING;
 	run->end_reason = reason;
+	return row;
 }
 
 /*
@@ -487,6 +491,9 @@
 	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
 			     run->end_reason ? run->end_reason : "other", out);
 	failures_count(run->runner, now_ns, end, out);
+	wl_sched_crash_applied(sched, now_ns, run, end, out);
+	if (end->outcome == WL_END_DONE)
+		wl_sched_trial_passed(sched, run);
 	wl_sched_run_remove(sched, run);
 	if (!job)
 		return;
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -50,6 +50,8 @@
 	TAILQ_INIT(&sched->runners);
 	wl_map_init(&sched->by_run);
 	TAILQ_INIT(&sched->departures);
+	TAILQ_INIT(&sched->losses);
+	TAILQ_INIT(&sched->crashes);
 	TAILQ_INIT(&sched->stopping);
 	TAILQ_INIT(&sched->pending);
 	TAILQ_INIT(&sched->timed);
@@ -75,6 +77,8 @@
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_remove(sched, TAILQ_FIRST(&sched->proposals));
 	wl_sched_departures_clear(sched);
+	wl_sched_losses_clear(sched);
+	wl_sched_crashes_clear(sched);
 	wl_sched_orders_clear(sched);
 	wl_sched_agents_clear(sched);
 	wl_sched_runners_clear(sched);
@@ -134,24 +138,38 @@
 	return proposal;
 }
 
+/* When the start of a run was committed, on our clock; now if that is not known. */
+static uint64_t committed_ns(const wl_sched_t *sched, uint64_t now_ns, const wl_run_t *run)
+{
+	uint64_t clock_ms = wl_sched_clock_ms(sched, now_ns);
+	uint64_t age_ns = 0;
+
+	if (run->started_ms && run->started_ms < clock_ms)
+		age_ns = (clock_ms - run->started_ms) * WL_NS_PER_MS;
+	return age_ns < now_ns ? now_ns - age_ns : 0;
+}
+
 static void inherited_runs_add(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state)
 {
 	wl_sched_runner_t *runner = wl_sched_runner_sync(sched, now_ns, state);
 	const wl_run_t *run;
 
+	runner->began_ns = 0;
 	TAILQ_FOREACH (run, &state->runs, of_runner) {
 		wl_sched_run_t *known =
 			wl_sched_run_add(sched, runner, run->job, run->task, run->number);
 
 		known->phase = WL_RUN_INHERITED;
-		wl_sched_run_start_sent(known, now_ns);
+		wl_sched_run_start_sent(known, committed_ns(sched, now_ns, run));
 		known->speed_percent = WL_SPEED_UNKNOWN;
 		known->incarnation = run->incarnation;
 		known->placed_ns = now_ns;
+		known->started_ms = run->started_ms;
 		known->stop_wanted = wl_job_ended(run->job);
 		if (known->stop_wanted)
 			wl_sched_run_stop_due(sched, known, 1); /* due at the next tick */
 	}
+	wl_sched_crash_incarnation_end(sched, now_ns, runner, state->report.incarnation);
 }
 
 static void on_lead(wl_sched_t *sched, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
@@ -209,6 +227,7 @@
 
 		runner = wl_sched_runner_sync(sched, now_ns, state);
 		wl_sched_runner_reported(sched, now_ns, runner, report);
+		sched->place_due = true;
 		wl_out_log(out, WL_INFO, "target",
 			   "target=" WL_STR_FMT " new=%s service=%s rack=%s state=%s cpu=%llu",
 			   WL_STR_ARG(runner->key), is_new ? "yes" : "no", state->report.service.at,
--- /dev/null
+++ b/libwlcore/sched/suspects.c
@@ -0,0 +1,379 @@
+/*
+ * Placement of suspected tasks: those under which targets have crashed.
+ *
+ * A run of a suspected task is on trial until the target has listed it for long enough. After one
+ * crash a task keeps apart from the other tasks of that crash, so that a second crash tells which
+ * of them caused it. After two it is alone among suspected tasks, with as little other work beside
+ * it as there is, and its target gets no other start.
+ */
+
+#include "internal.h"
+
+/* A crash after the end of a trial must not count as one within it, however times are rounded. */
+#define TRIAL_MARGIN_MS 100
+#define NEW_RUN_WEIGHT	1000 /* runs that weigh as much as a new one */
+#define KEPT_MS		4000 /* how long a target is kept free: until its runs are not new, and longer */
+#define KEPT_SHARE	4   /* one of so many targets is kept free or has a run that is alone */
+#define RETRY_MS	200 /* while a task that is to be alone waits */
+/* Waiting time after which tasks of one crash may share a target. */
+#define APART_WAIT_MS 10000
+/*
+ * After so many crashes under a job its suspected tasks start slowly: so many at a time, one more
+ * for each that has settled, and half of these after a crash. Fewer than three lost targets are no
+ * outage, so that the crashes count. Until one has proved sound this goes for all its tasks.
+ */
+#define SLOW_START_CRASHES 3
+#define SLOW_START_TRIALS  2
+#define SETTLED_MS	   2000 /* a run that was listed after so long lets the next ones start */
+
+static const wl_task_crashes_t *crashes_of(const wl_job_t *job, uint64_t task)
+{
+	return &job->tasks[wl_job_counted_task(job, task)].crashes;
+}
+
+static uint64_t level_of(const wl_task_crashes_t *crashes)
+{
+	return crashes->count < WL_TRIAL_ALONE ? crashes->count : WL_TRIAL_ALONE;
+}
+
+static bool has_slow_start(const wl_job_t *job)
+{
+	return job->record.outage || job->record.crash_count >= SLOW_START_CRASHES;
+}
+
+static bool is_distrusted(const wl_job_t *job)
+{
+	const wl_sched_job_t *sched_job = job->leader_data;
+
+	return has_slow_start(job) && job->remaining == job->task_count && sched_job &&
+	       !sched_job->proved_sound;
+}
+
+static wl_sched_job_t *sched_job_of(const wl_sched_t *sched, const wl_sched_run_t *run)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+
+	return job ? job->leader_data : NULL;
+}
+
+/*
+ * wl_sched_trial_begin - put a new run on trial if its task is suspected or its job distrusted
+ */
+void wl_sched_trial_begin(wl_sched_run_t *run, const wl_job_t *job)
+{
+	const wl_task_crashes_t *crashes = crashes_of(job, run->task);
+
+	if (job->record.crash_count == 0)
+		return;
+	run->trial = level_of(crashes);
+	if (run->trial == 0 && is_distrusted(job))
+		run->trial = WL_TRIAL_APART;
+	if (run->trial == 0)
+		return;
+	run->crash = crashes->count ? crashes->crash : 0;
+	run->trial_ms = wl_task_trial_ms(crashes) + TRIAL_MARGIN_MS;
+	run->counted = wl_job_counted_task(job, run->task);
+	run->settling = true;
+	run->runner->trials[run->trial]++;
+	if (!job->leader_data)
+		return;
+	((wl_sched_job_t *)job->leader_data)->trials[run->trial]++;
+	((wl_sched_job_t *)job->leader_data)->settling++;
+}
+
+/* The run has worked for long enough to let others of its job start, or has ended. */
+static void settle(wl_sched_t *sched, wl_sched_run_t *run, wl_sched_job_t *sched_job, bool is_sound)
+{
+	if (!run->settling)
+		return;
+	run->settling = false;
+	sched->place_due = true;
+	if (!sched_job)
+		return;
+	sched_job->settling--;
+	sched_job->sound += is_sound;
+}
+
+static void trial_end(wl_sched_t *sched, wl_sched_run_t *run, bool is_sound)
+{
+	wl_sched_job_t *sched_job = sched_job_of(sched, run);
+
+	settle(sched, run, sched_job, is_sound);
+	run->runner->trials[run->trial]--;
+	if (sched_job) {
+		sched_job->trials[run->trial]--;
+		sched_job->proved_sound |= is_sound;
+	}
+	run->trial = 0;
+	sched->place_due = true;
+}
+
+/*
+ * wl_sched_trial_end - the run is no longer on trial
+ */
+void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run)
+{
+	if (run->trial)
+		trial_end(sched, run, false);
+}
+
+/*
+ * wl_sched_trial_passed - the run has shown that its task is sound
+ */
+void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run)
+{
+	if (run->trial)
+		trial_end(sched, run, true);
+}
+
+/*
+ * wl_sched_trial_listed - a target lists a run, whose trial ends if that was long enough
+ */
+void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
+{
+	uint64_t clock_ms;
+
+	if (run->trial == 0)
+		return;
+	clock_ms = wl_sched_clock_ms(sched, now_ns);
+	if (clock_ms >= run->started_ms + run->trial_ms)
+		trial_end(sched, run, true);
+	else if (clock_ms >= run->started_ms + SETTLED_MS)
+		settle(sched, run, sched_job_of(sched, run), true);
+}
+
+/*
+ * wl_sched_trial_crashed - start the suspected tasks of a job slowly again
+ */
+void wl_sched_trial_crashed(const wl_job_t *job)
+{
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	if (sched_job)
+		sched_job->sound /= 2;
+}
+
+/*
+ * wl_sched_trials_count - count the runs of a job that are on trial when a leader takes it over
+ */
+void wl_sched_trials_count(const wl_sched_t *sched, wl_sched_job_t *sched_job)
+{
+	const wl_job_t *job = sched_job->job;
+
+	for (uint64_t i = 0; i < job->task_count && job->suspects > 0; i++) {
+		const wl_run_t *run;
+
+		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
+			const wl_sched_run_t *known =
+				wl_sched_run_find(sched, job->key, i, run->number);
+
+			if (!known || !known->trial)
+				continue;
+			sched_job->trials[known->trial]++;
+			sched_job->settling += known->settling;
+		}
+	}
+}
+
+/*
+ * wl_sched_suspicion - how the next tasks of a batch have to be placed
+ */
+wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	bool gang = wl_job_step(batch->job, batch->step)->gang;
+	wl_suspicion_t suspicion = {.at_ns = now_ns};
+	const wl_task_crashes_t *crashes;
+
+	if (batch->job->suspects == 0 || batch->count == 0 || !(batch->suspect || gang))
+		return suspicion;
+	suspicion.counted = wl_job_counted_task(batch->job, batch->tasks[0].task);
+	crashes = &batch->job->tasks[suspicion.counted].crashes;
+	suspicion.level = level_of(crashes);
+	suspicion.crash = crashes->crash;
+	suspicion.relaxed = now_ns - batch->queued_ns >= APART_WAIT_MS * WL_NS_PER_MS;
+	if (gang && suspicion.relaxed && suspicion.level == WL_TRIAL_ALONE)
+		suspicion.level = WL_TRIAL_APART;
+	return suspicion;
+}
+
+/*
+ * wl_sched_suspects_due_ns - when a batch that was not placed may be placed more freely
+ *
+ * Return: 0 if waiting changes nothing.
+ */
+uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch)
+{
+	if (batch->suspicion.level == WL_TRIAL_ALONE)
+		return batch->suspicion.at_ns + RETRY_MS * WL_NS_PER_MS;
+	if (batch->suspicion.level == 0 || batch->suspicion.relaxed)
+		return 0;
+	return batch->queued_ns + APART_WAIT_MS * WL_NS_PER_MS;
+}
+
+static bool is_same_gang(const wl_sched_run_t *run, const wl_task_batch_t *batch)
+{
+	return run->trial && run->counted == batch->suspicion.counted &&
+	       wl_str_equal(wl_buf_str(&run->job), batch->job->key);
+}
+
+/* Whether a run on trial there rules the tasks of the batch out. Members of one gang do not. */
+static bool has_conflict(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+{
+	const wl_suspicion_t *suspicion = &batch->suspicion;
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		if (run->trial == 0 || is_same_gang(run, batch))
+			continue;
+		if (run->trial == WL_TRIAL_ALONE || suspicion->level == WL_TRIAL_ALONE)
+			return true;
+		if (run->crash && run->crash == suspicion->crash && !suspicion->relaxed)
+			return true;
+	}
+	return false;
+}
+
+static bool is_new(const wl_sched_run_t *run, uint64_t now_ns)
+{
+	return now_ns - run->placed_ns < SETTLED_MS * WL_NS_PER_MS;
+}
+
+static bool has_new_runs(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+{
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (is_new(run, batch->suspicion.at_ns) && !is_same_gang(run, batch))
+			return true;
+	return false;
+}
+
+static bool is_kept_free(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return runner->kept_until_ns > now_ns;
+}
+
+/*
+ * wl_sched_trials_allow - whether the runs on trial on a target let the next task of a batch join
+ *
+ * A suspected task joins no target that does not answer, or whose incarnation is not committed yet:
+ * its crash might not be found. One that is to be alone joins no target with new runs, any of which
+ * may crash it.
+ */
+bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+{
+	const wl_suspicion_t *suspicion = &batch->suspicion;
+
+	if (suspicion->level != WL_TRIAL_ALONE &&
+	    (runner->trials[WL_TRIAL_ALONE] > 0 || is_kept_free(runner, suspicion->at_ns)))
+		return false;
+	if (suspicion->level == 0)
+		return true;
+	if (runner->unreachable_since_ns || runner->incarnation > runner->state->report.incarnation)
+		return false;
+	if (suspicion->level == WL_TRIAL_ALONE && has_new_runs(runner, batch))
+		return false;
+	return runner->trials[WL_TRIAL_APART] + runner->trials[WL_TRIAL_ALONE] == 0 ||
+	       !has_conflict(runner, batch);
+}
+
+/*
+ * wl_sched_trials_wait - whether tasks of a batch have to wait for other trials of their job
+ * @members: how many start together
+ */
+bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members)
+{
+	const wl_job_t *job = batch->job;
+	const wl_sched_job_t *sched_job = job->leader_data;
+
+	if (job->record.crash_count == 0)
+		return false;
+	if (batch->suspicion.level == WL_TRIAL_ALONE)
+		return sched_job->trials[WL_TRIAL_ALONE] > sched_job->sound;
+	if (is_distrusted(job) && sched_job->trials[WL_TRIAL_ALONE] > 0)
+		return true;
+	if (batch->suspicion.level == 0 ? !is_distrusted(job) : !has_slow_start(job))
+		return false;
+	return sched_job->settling > 0 &&
+	       sched_job->settling + members > SLOW_START_TRIALS + sched_job->sound;
+}
+
+/*
+ * wl_sched_suspect_score - score of a target for a suspected task
+ * @score: of the placement policy
+ *
+ * A task that is to be alone goes where least else runs. New runs weigh most: any of them may crash
+ * the target, which would count against the task.
+ */
+int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+			       int64_t score)
+{
+	const wl_sched_run_t *run;
+
+	if (batch->suspicion.level != WL_TRIAL_ALONE)
+		return score;
+	score = 0;
+	TAILQ_FOREACH (run, &runner->runs, link)
+		score -= run->trial || is_new(run, batch->suspicion.at_ns) ? NEW_RUN_WEIGHT : 1;
+	return score;
+}
+
+/* Return: whether a target that is kept free already serves the batch, or is about to. */
+static bool claim_kept(wl_sched_t *sched, const wl_task_batch_t *batch,
+		       const wl_fit_request_t *request)
+{
+	wl_sched_runner_t *runner;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		if (!is_kept_free(runner, batch->suspicion.at_ns) ||
+		    runner->kept_pass == sched->pass_count ||
+		    !wl_sched_runner_fits(sched, runner, batch, request))
+			continue;
+		runner->kept_pass = sched->pass_count;
+		return true;
+	}
+	return false;
+}
+
+static void keep_one(wl_sched_t *sched, const wl_task_batch_t *batch,
+		     const wl_fit_request_t *request)
+{
+	wl_sched_runner_t *best = NULL;
+	wl_sched_runner_t *runner;
+	int64_t best_score = 0;
+	size_t kept = 0;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		int64_t score = wl_sched_suspect_score(runner, batch, 0);
+
+		if (is_kept_free(runner, batch->suspicion.at_ns) ||
+		    runner->trials[WL_TRIAL_ALONE] > 0) {
+			kept++;
+			continue;
+		}
+		if (!wl_sched_runner_fits(sched, runner, batch, request) ||
+		    runner->unreachable_since_ns || (best && score <= best_score))
+			continue;
+		best = runner;
+		best_score = score;
+	}
+	if (!best || kept * KEPT_SHARE > wl_map_count(&sched->by_runner))
+		return;
+	best->kept_until_ns = batch->suspicion.at_ns + KEPT_MS * WL_NS_PER_MS;
+	best->kept_pass = sched->pass_count;
+}
+
+/*
+ * wl_sched_targets_keep - keep targets free of new starts for a batch whose tasks are to be alone
+ *
+ * Called when the tasks fit on no target. What runs there is no longer new after SETTLED_MS.
+ */
+void wl_sched_targets_keep(wl_sched_t *sched, const wl_task_batch_t *batch,
+			   const wl_fit_request_t *request)
+{
+	if (batch->suspicion.level != WL_TRIAL_ALONE)
+		return;
+	for (size_t i = 0; i < batch->count; i++)
+		if (!claim_kept(sched, batch, request))
+			keep_one(sched, batch, request);
+}
--- a/tests/support/sched_history.h
+++ b/tests/support/sched_history.h
@@ -109,6 +109,7 @@
 	/* sched_history_jobs.cc */
 	void job_submit();
 	void lasting_cancel();
+	bool may_fail(const Job &job) const;
 	bool job_settled(const Job &job) const;
 	std::string unsettled() const;
 	size_t runs_up(const std::string &job) const;
@@ -134,6 +135,8 @@
 	/* sched_history_orders.cc */
 	void orders_take();
 	void agent_receive(const CallRef &call);
+	void start_lost(const SchedOrder &order);
+	void crash_count(const TargetModel &model);
 	void target_receive(const CallRef &call);
 	void execute(const CallRef &call, const Target &target);
 	Answer carry_out(const CallRef &call, const Target &target);
@@ -175,6 +178,8 @@
 	std::set<std::string> done;	     /* tasks whose end as done was acknowledged */
 	std::set<std::string> mistaken_ends; /* those acknowledged by a hold for another life */
 	std::map<std::string, uint64_t> started_ns; /* newest start of each task */
+	std::map<std::string, uint64_t>
+		crashes; /* of targets under each task, and its starts that did not arrive */
 };
 
 #endif
--- a/tests/support/sched_history_jobs.cc
+++ b/tests/support/sched_history_jobs.cc
@@ -13,6 +13,7 @@
 constexpr uint64_t ENDLESS = 1000000 * SECOND;
 constexpr uint64_t GANG_TIMEOUT = 3 * SECOND;
 constexpr uint64_t FAILS_PERMILLE = 30;
+constexpr uint64_t CRASHES_MAX = 3; /* under a task, at which its job fails */
 
 std::string job_of(const std::string &task)
 {
@@ -59,8 +60,26 @@
 	return count;
 }
 
+/* Whether as many targets have crashed under a task, or under the members of a gang, as give it up.
+ */
+bool SchedHistory::may_fail(const Job &job) const
+{
+	uint64_t most = 0;
+	uint64_t sum = 0;
+
+	for (const auto &one : crashes) {
+		if (job_of(one.first) != job.id)
+			continue;
+		most = std::max(most, one.second);
+		sum += one.second;
+	}
+	return (job.gang ? sum : most) >= CRASHES_MAX;
+}
+
 bool SchedHistory::job_settled(const Job &job) const
 {
+	if (rig.job_state(job.id) == "failed" && may_fail(job))
+		return runs_up(job.id) == 0;
 	if (job.cancelled)
 		return rig.job_state(job.id) == "cancelled" && runs_up(job.id) == 0;
 	if (job.lasting)
--- a/tests/support/sched_history_targets.cc
+++ b/tests/support/sched_history_targets.cc
@@ -1,6 +1,7 @@
 #include "sched_history.h"
 
 #include <algorithm>
+#include <cstring>
 
 namespace
 {
@@ -45,10 +46,21 @@
 	return target;
 }
 
+/* The scheduler cannot tell a run whose end it has not heard of from one that was there. */
+void SchedHistory::crash_count(const TargetModel &model)
+{
+	for (const auto &run : model.runs)
+		crashes[run.task]++;
+	for (const auto &one : model.ends)
+		crashes[one.task]++;
+}
+
 void SchedHistory::end(const Target &target, const char *why)
 {
 	note("%s ends: %s, %zu runs", target->model.id.c_str(), why, target->model.runs.size());
 	target->up = false;
+	if (strcmp(why, "crash") == 0)
+		crash_count(target->model);
 	target->model.runs.clear();
 	targets.erase(std::find(targets.begin(), targets.end(), target));
 	restart(target);
--- a/tests/unit/sched_ack_test.cc
+++ b/tests/unit/sched_ack_test.cc
@@ -67,6 +67,7 @@
 {
 	rig.answer(acknowledges, WL_ORDER_NO_ANSWER);
 	rig.answer_hold(hold(), {}, {}, 2);
+	rig.runner("i-1", 32000, 2);
 	for (int i = 0; i < 10; i++) {
 		rig.advance(10);
 		rig.commit();
--- /dev/null
+++ b/tests/unit/sched_crash_test.cc
@@ -0,0 +1,262 @@
+#include "../support/crash_targets.h"
+
+/* Crashes of targets under their runs: which loss is one, and what it does to the task. */
+
+namespace
+{
+const char *const CRASHES = "wisterialead_job_crashes_total{}";
+
+class Crash : public CrashTargets
+{
+};
+} // namespace
+
+TEST_F(Crash, LaterIncarnationUnderTheSameIdIsACrash)
+{
+	target("a");
+	job("j", 2);
+	pass(100);
+	crash("a");
+	EXPECT_EQ(ends("crashed") + ends("lost"), 0u) << "silence alone ended the runs";
+	target("a");
+	pass(100);
+	EXPECT_EQ(ends("crashed"), 2u);
+	EXPECT_EQ(rig.metric(CRASHES), "2");
+}
+
+TEST_F(Crash, LaterTargetAtTheAddressIsACrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 2);
+	rig.advance(200);
+	for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+		rig.answer(order, WL_ORDER_OTHER_INCARNATION);
+	EXPECT_EQ(rig.commit(), 2u) << "the end and the removal";
+	EXPECT_EQ(ends("crashed"), 1u);
+	EXPECT_EQ(started.size(), 1u) << "started on the target that is gone";
+}
+
+TEST_F(Crash, EndIsCommittedBeforeTheTargetIsRemoved)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 2);
+	rig.advance(200);
+	for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+		rig.answer(order, WL_ORDER_OTHER_INCARNATION);
+	rig.commit();
+	ASSERT_EQ(ends("crashed"), 1u);
+	for (const auto &line : rig.log)
+		if (line.find("event=target-left") != std::string::npos)
+			return;
+	ADD_FAILURE() << "the target was not removed";
+}
+
+TEST_F(Crash, TargetThatDrainsAndRestartsDidNotCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	rig.runner("a", 32000, 1, "r1", true);
+	crash("a");
+	target("a");
+	pass(100);
+	EXPECT_EQ(ends("crashed"), 0u);
+	EXPECT_EQ(ends("lost"), 1u);
+}
+
+TEST_F(Crash, SilenceIsNoCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	pass(LEASES_OVER_MS);
+	EXPECT_EQ(ends("lost"), 1u);
+	EXPECT_EQ(ends("crashed"), 0u);
+}
+
+TEST_F(Crash, SilentTargetWhoseAddressALaterOneReportedCrashed)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 2);
+	targets["b"].down = true;
+	pass(LEASES_OVER_MS);
+	EXPECT_EQ(ends("crashed"), 1u);
+	EXPECT_EQ(lines("event=target-crash target=a life=1 address=a:80 reason=expired"), 1u);
+}
+
+TEST_F(Crash, RunThatIsAbsentOnTheSameIncarnationIsNoCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	targets["a"].runs.clear();
+	pass(2000);
+	EXPECT_EQ(ends("lost"), 1u);
+	EXPECT_EQ(ends("crashed"), 0u);
+}
+
+TEST_F(Crash, RunPlacedOnATargetThatWasDownDidNotCrashIt)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	job("late");
+	pass(1000);
+	target("a");
+	pass(START_OVER_MS);
+	EXPECT_EQ(ends("crashed"), 1u);
+	EXPECT_EQ(ends("lost"), 1u);
+}
+
+TEST_F(Crash, NewLeaderFindsTheCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	rig.follow();
+	targets["a"].runs.clear();
+	rig.orders.clear();
+	rig.lead(2);
+	target("a");
+	pass(START_OVER_MS);
+	EXPECT_EQ(ends("crashed"), 1u);
+}
+
+TEST_F(Crash, JobOfATaskThatCrashesItsTargetsFailsAfterThree)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	guilty = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 20; i++) {
+		pass(100);
+		back_after_crash();
+	}
+	EXPECT_EQ(rig.job_state("j"), "failed");
+	EXPECT_EQ(crashes, 3u);
+	EXPECT_EQ(started.size(), 3u);
+	EXPECT_EQ(lines("event=task-given-up job=j task=0.0.0 crashes=3"), 1u);
+	EXPECT_EQ(rig.metric("wisterialead_job_tasks_given_up_total{}"), "1");
+}
+
+TEST_F(Crash, LeaderThatChangesBetweenTwoCrashesKeepsTheCount)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	guilty = {"j.0.0.0"};
+	job("j");
+	for (uint64_t term = 2; term < 8; term++) {
+		pass(START_OVER_MS);
+		back_after_crash();
+		rig.follow();
+		rig.orders.clear();
+		rig.lead(term);
+		for (const auto &one : targets)
+			rig.report_forwarded("s1", one.first, one.second.life);
+	}
+	EXPECT_EQ(rig.job_state("j"), "failed");
+	EXPECT_EQ(crashes, 3u);
+	EXPECT_EQ(started.size(), 3u);
+}
+
+TEST_F(Crash, LeaderThatChangesBeforeTheEndIsCommittedCountsTheCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	target("a");
+	rig.advance(10);
+	rig.follow();
+	rig.orders.clear();
+	rig.lead(2);
+	pass(START_OVER_MS);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+}
+
+TEST_F(Crash, RunOfAnEarlierLeaderThatWorkedForLongStartsTheCountAnew)
+{
+	target("a");
+	job("j");
+	for (uint64_t term = 2; term < 6; term++) {
+		pass(17000); /* the longest trial and a lease */
+		rig.follow();
+		targets["a"].runs.clear();
+		rig.orders.clear();
+		rig.lead(term);
+		target("a");
+		pass(100);
+		EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	}
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
+
+TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
+{
+	two_racks();
+	lose({"a1", "a2", "a3", "a4"});
+	start_again({"a1", "a2", "a3", "a4"});
+	EXPECT_EQ(ends("lost"), 4u);
+	EXPECT_EQ(ends("crashed"), 0u);
+}
+
+TEST_F(Crash, FleetWithoutPowerMakesOnlyTheJobSuspectedThatWasOnEachTarget)
+{
+	std::vector<std::string> all;
+
+	two_racks();
+	job("wide", 8);
+	pass(100);
+	for (const auto &one : targets)
+		all.push_back(one.first);
+	lose(all);
+	start_again(all);
+	EXPECT_EQ(ends("lost"), 8u);
+	EXPECT_EQ(ends("crashed"), 8u);
+	for (uint64_t i = 0; i < 8; i++)
+		EXPECT_EQ(rig.find("wide")->tasks[i].crashes.count, 1u);
+}
+
+TEST_F(Crash, TwoTargetsLostTogetherCrashed)
+{
+	two_racks();
+	lose({"a1", "a2"});
+	start_again({"a1", "a2"});
+	EXPECT_EQ(ends("crashed"), 2u);
+}
+
+TEST_F(Crash, TargetsLostOneAfterTheOtherCrashed)
+{
+	two_racks();
+	lose({"a1", "a2", "a3"}, 1600);
+	start_again({"a1", "a2", "a3"}, 0);
+	EXPECT_EQ(ends("crashed"), 3u);
+}
+
+TEST_F(Crash, TargetThatAnswersAgainIsNoPartOfAnOutage)
+{
+	two_racks();
+	for (const char *id : {"a1", "a2"})
+		targets[id].down = true;
+	pass(500);
+	for (const char *id : {"a1", "a2"})
+		targets[id].down = false;
+	pass(500);
+	lose({"a3"});
+	start_again({"a3"});
+	EXPECT_EQ(ends("crashed"), 1u);
+}
