sched: stop the runs of open starts on the next incarnation

If the target starts again within 5 s of the start, the next incarnation carries the late start out. Now the leader keeps such starts until they cannot be carried out any more, and orders their runs to stop as soon as a later incarnation or another address is known. A stop of a run that is not there keeps it from starting.

Evidence: UnansweredStart.NextIncarnationIsToldToStopARunThatTheEarlierOneRefuses fails on the code before (no stop). Remains: a start that is carried out between the start of the next incarnation and its first report, which is stopped by this order. Ruled out: giving such a start up after 5 s only, also on a target that has not crashed: the task would wait 4 s longer each time. Bound for restarts: unchanged.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -103,6 +103,10 @@
 	const char *removal_reason;
 } wl_sched_incarnation_t;
 
+typedef struct wl_sched_open_start wl_sched_open_start_t;
+
+TAILQ_HEAD(wl_sched_open_starts, wl_sched_open_start);
+
 /*
  * What the leader knows of a target (a wl_runner_t, "runner" in names), in addition to the
  * replicated state.
@@ -112,8 +116,9 @@
 	wl_buf_t id;
 	wl_runner_t *state;
 	struct wl_sched_runs runs;
-	struct wl_sched_runs serving; /* the serving ones among them */
-	wl_fit_runner_t fit;	      /* input of placement */
+	struct wl_sched_runs serving;		 /* the serving ones among them */
+	struct wl_sched_open_starts open_starts; /* of runs that have ended */
+	wl_fit_runner_t fit;			 /* input of placement */
 	/* leases of earlier leaders or of an earlier incarnation may be valid until then */
 	uint64_t previous_leases_expiry_ns;
 	/* orders with leases that got no answer may be carried out until then */
@@ -365,7 +370,7 @@
 /* runners.c */
 wl_sched_runner_t *wl_sched_runner_sync(wl_sched_t *sched, uint64_t now_ns, wl_runner_t *state);
 wl_sched_runner_t *wl_sched_runner_find(const wl_sched_t *sched, wl_str_t id);
-void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report);
 void wl_sched_runner_remove(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_runners_clear(wl_sched_t *sched);
@@ -378,6 +383,8 @@
 
 /* losses.c */
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns);
+void wl_sched_open_starts_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+void wl_sched_open_starts_clear(wl_sched_runner_t *runner);
 void wl_sched_stops_forget(wl_sched_runner_t *runner);
 bool wl_sched_run_unknown(const wl_sched_run_t *run, uint64_t now_ns);
 bool wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -12,6 +12,84 @@
 
 #include "internal.h"
 
+#include <stdlib.h>
+
+#define OPEN_START_STOP_TIMEOUT_MS 1000
+
+/* A start without an answer of a run that has ended, as its target has answered a stop of it. */
+struct wl_sched_open_start {
+	wl_task_ref_t task;
+	uint64_t run;
+	uint64_t over_ns; /* it may be carried out until then */
+	TAILQ_ENTRY(wl_sched_open_start) link;
+};
+
+static void open_start_remove(wl_sched_runner_t *runner, wl_sched_open_start_t *start)
+{
+	TAILQ_REMOVE(&runner->open_starts, start, link);
+	wl_buf_free(&start->task.job);
+	free(start);
+}
+
+static void open_starts_expire(wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	wl_sched_open_start_t *start = TAILQ_FIRST(&runner->open_starts);
+
+	while (start) {
+		wl_sched_open_start_t *next = TAILQ_NEXT(start, link);
+
+		if (now_ns >= start->over_ns)
+			open_start_remove(runner, start);
+		start = next;
+	}
+}
+
+static void open_start_add(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	wl_sched_open_start_t *start;
+
+	open_starts_expire(run->runner, now_ns);
+	if (!job)
+		return;
+	start = wl_alloc(sizeof(*start));
+	wl_job_task_ref(job, run->task, &start->task);
+	wl_buf_set(&start->task.job, wl_buf_str(&run->job));
+	start->run = run->number;
+	start->over_ns = run->start_over_ns;
+	TAILQ_INSERT_TAIL(&run->runner->open_starts, start, link);
+}
+
+/*
+ * wl_sched_open_starts_stop - stop the runs of open starts on the present incarnation
+ *
+ * A stop that the earlier incarnation answered does not keep this one from carrying out the start.
+ */
+void wl_sched_open_starts_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	const wl_sched_open_start_t *start;
+
+	open_starts_expire(runner, now_ns);
+	TAILQ_FOREACH (start, &runner->open_starts, link) {
+		wl_order_t order = {
+			.kind = WL_ORDER_STOP,
+			.task = start->task, /* not owned */
+			.run = start->run,
+			.timeout_ms = OPEN_START_STOP_TIMEOUT_MS,
+		};
+
+		wl_sched_order_add(sched, now_ns, runner, &order, NULL);
+	}
+}
+
+/*
+ * wl_sched_open_starts_clear - release the open starts of a target
+ */
+void wl_sched_open_starts_clear(wl_sched_runner_t *runner)
+{
+	open_starts_expire(runner, UINT64_MAX);
+}
+
 /*
  * wl_sched_run_start_sent - note when the start of a run was sent
  * @sent_ns: of a run of an earlier leader: when our leadership began
@@ -154,12 +232,15 @@
 {
 	wl_sched_run_t *run;
 
-	TAILQ_FOREACH (run, &runner->runs, link)
-		if (!run->listed && run_absent(sched, now_ns, run, sent_ns))
-			wl_sched_run_end_add(run, WL_END_LOST,
-					     run->incarnation == runner->incarnation ? "absent"
-										     : "restarted",
-					     ends);
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		bool same = run->incarnation == runner->incarnation;
+
+		if (run->listed || !run_absent(sched, now_ns, run, sent_ns))
+			continue;
+		if (run->phase == WL_RUN_UNCONFIRMED && start_open(run, now_ns))
+			open_start_add(sched, run, now_ns);
+		wl_sched_run_end_add(run, WL_END_LOST, same ? "absent" : "restarted", ends);
+	}
 }
 
 /*
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -37,7 +37,7 @@
 	runner->known.answered_agents = 0;
 }
 
-static void address_update(wl_sched_runner_t *runner)
+static void address_update(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
 {
 	wl_str_t address = wl_buf_str(&runner->state->report.address);
 
@@ -45,6 +45,7 @@
 		return;
 	wl_buf_set(&runner->address, address);
 	lookup_begin(runner);
+	wl_sched_open_starts_stop(sched, now_ns, runner);
 }
 
 static void fit_update(wl_sched_runner_t *runner)
@@ -100,17 +101,18 @@
 			(WL_SCHED_AGENT_HOLD_MS + WL_SCHED_ORDER_LATE_MS) * WL_NS_PER_MS;
 		TAILQ_INIT(&runner->runs);
 		TAILQ_INIT(&runner->serving);
+		TAILQ_INIT(&runner->open_starts);
 		wl_map_put(&sched->by_runner, runner);
 		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
 	}
 	runner->state = state;
-	address_update(runner);
+	address_update(sched, now_ns, runner);
 	fit_update(runner);
 	usable_update(sched, runner, now_ns);
 	return runner;
 }
 
-static void incarnation_begin(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+static void incarnation_begin(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      uint64_t incarnation)
 {
 	uint64_t lease_max_ns = wl_sched_lease_bound_ns(sched->options.lease_max_ms);
@@ -124,6 +126,7 @@
 	runner->known.late_leases_expiry_ns = runner->late_orders_over_ns + lease_max_ns;
 	wl_sched_stops_forget(runner);
 	lookup_begin(runner);
+	wl_sched_open_starts_stop(sched, now_ns, runner);
 }
 
 /*
@@ -131,7 +134,7 @@
  *
  * Reports of an earlier incarnation, or that are older than the newest one, are ignored.
  */
-void wl_sched_runner_reported(const wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+void wl_sched_runner_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			      const wl_runner_report_t *report)
 {
 	if (report->incarnation < runner->incarnation || runner->state->departed_ms ||
@@ -155,6 +158,7 @@
 {
 	while (!TAILQ_EMPTY(&runner->runs))
 		wl_sched_run_remove(sched, TAILQ_FIRST(&runner->runs));
+	wl_sched_open_starts_clear(runner);
 	wl_map_remove(&sched->by_runner, runner->key);
 	TAILQ_REMOVE(&sched->runners, runner, link);
 	wl_buf_free(&runner->id);
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -239,3 +239,24 @@
 	hold = next(WL_ORDER_RENEW);
 	EXPECT_EQ(hold.seen, 0u) << "it may have started again";
 }
+
+/* The first start may still be carried out, and the task runs elsewhere. */
+TEST_F(UnansweredStart, NextIncarnationIsToldToStopARunThatTheEarlierOneRefuses)
+{
+	rig.answer(start, WL_ORDER_NO_ANSWER);
+	rig.answer_hold(next(WL_ORDER_RENEW), {SchedRig::view(kept)}, {});
+	rig.answer(next(WL_ORDER_STOP), WL_ORDER_DONE);
+	rig.advance(10);
+	rig.answer_hold(next(WL_ORDER_RENEW), {SchedRig::view(kept)}, {});
+	EXPECT_EQ(starts_of(start.task), 1u);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
+	rig.runner("i-1", 32000, 2);
+	auto stops = rig.take_orders(WL_ORDER_STOP);
+	ASSERT_EQ(stops.size(), 1u);
+	EXPECT_EQ(stops[0].task, start.task);
+	EXPECT_EQ(stops[0].run, start.run);
+	rig.advance(START_OVER_MS);
+	rig.take_orders(WL_ORDER_STOP);
+	rig.runner("i-1", 32000, 3);
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty()) << "the start is over";
+}
