--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -271,6 +271,7 @@
 	wl_buf_set(&report.service, WL_STR("sort"));
 	wl_buf_set(&report.address, str(address));
 	wl_buf_set(&report.rack, str(rack));
+	wl_buf_set(&report.availability_zone, str(zone));
 	wl_strings_add(&report.labels, WL_STR("a"));
 	wl_strings_add(&report.labels, str(rack));
 	report.cpu_millis = cpu_millis;
