tests: capacity that shrinks and grows in the model of targets

A target of the model can change its capacity and reports it at once. It counts the starts that bring it over a capacity that the leader was told, and refuses them if its service does. Runs may take time to stop, and the log may commit late, so that reports and starts are pending together; a test on the rig may hold commits back for the same reason.

--- a/tests/support/crash_fleet.cc
+++ b/tests/support/crash_fleet.cc
@@ -21,6 +21,7 @@
 	for (size_t i = 0; i < options.targets; i++) {
 		Machine machine = {};
 
+		machine.cpu_millis = options.cpu_millis;
 		machine.address = "10.0.1." + std::to_string(i) + ":80";
 		machine.rack = "r" + std::to_string(i % options.racks);
 		machine.zone = "z" + std::to_string(i % options.racks % options.zones);
@@ -78,7 +79,8 @@
 		return;
 	rig.address = machine.address;
 	rig.zone = machine.zone;
-	rig.runner(machine.id, options.cpu_millis, machine.incarnation, machine.rack,
+	machine.known_cpu_millis = machine.cpu_millis;
+	rig.runner(machine.id, machine.cpu_millis, machine.incarnation, machine.rack,
 		   machine.draining);
 }
 
@@ -93,7 +95,7 @@
 		steps[i].lasting = work_ms == 0;
 	}
 	next_job = id;
-	next = {work_ms, false, false, rig.now, 0, "queued"};
+	next = {work_ms, cpu_millis, false, false, rig.now, 0, "queued"};
 	return steps;
 }
 
@@ -102,7 +104,9 @@
 	for (const auto &task : guilty_tasks)
 		guilty[task];
 	next.guilty = !guilty_tasks.empty();
+	rig.hold_commits = false;
 	rig.submit();
+	rig.hold_commits = options.commit_percent < 100;
 	const wl_job_t *added = rig.find(next_job);
 	if (!added) {
 		ADD_FAILURE() << "job " << next_job << " was not accepted";
@@ -127,6 +131,8 @@
 	simulate(gap_ms);
 	rig.lead(term);
 	leading = true;
+	for (auto &machine : machines)
+		machine.known_cpu_millis = 0;
 }
 
 void CrashFleet::jobs_look()
@@ -144,7 +150,8 @@
 {
 	for (uint64_t end = rig.now + ms * MS; rig.now < end;) {
 		rig.advance(TICK_MS);
-		rig.commit();
+		if (options.commit_percent == 100 || random() % 100 < options.commit_percent)
+			rig.commit();
 		for (auto &order : rig.orders)
 			EXPECT_TRUE(machine_by_id.count(order.runner)) << order.runner;
 		std::deque<SchedOrder> taken;
@@ -159,7 +166,8 @@
 		}
 		for (size_t i = 0; i < machines.size(); i++)
 			target_step(i);
-		rig.commit();
+		if (options.commit_percent == 100)
+			rig.commit();
 		if (rig.now / MS % LOOK_MS < TICK_MS)
 			jobs_look();
 	}
@@ -208,11 +216,39 @@
 		rig.answer(order, WL_ORDER_DONE);
 }
 
+uint64_t CrashFleet::used_cpu(size_t at) const
+{
+	uint64_t used = 0;
+
+	for (const auto &run : work[at].runs)
+		used += jobs.at(job_of(run.start.task)).cpu_millis;
+	return used;
+}
+
+/* Return: false if the target refuses the start. */
+bool CrashFleet::has_room(size_t at, const SchedOrder &order)
+{
+	uint64_t needed = used_cpu(at) + jobs[job_of(order.task)].cpu_millis;
+
+	starts++;
+	if (machines[at].known_cpu_millis && needed > machines[at].known_cpu_millis) {
+		starts_over++;
+		history_add("over " + machines[at].id + " start " + order.task + " used " +
+			    std::to_string(used_cpu(at)) + " capacity " +
+			    std::to_string(machines[at].cpu_millis));
+	}
+	return !options.guards || needed <= machines[at].cpu_millis;
+}
+
 void CrashFleet::start_take(size_t at, const SchedOrder &order)
 {
 	const FleetJob &job = jobs[job_of(order.task)];
 	auto guilty_one = guilty.find(order.task);
 
+	if (!has_room(at, order)) {
+		rig.answer(order, WL_ORDER_NO_CAPACITY);
+		return;
+	}
 	EXPECT_EQ(running_tasks[order.task]++, 0u) << order.task << " runs twice";
 	if (interrupted_since.count(order.task)) {
 		interrupted_max_ms = std::max(interrupted_max_ms,
@@ -296,8 +332,10 @@
 	std::vector<Run> &runs = work[at].runs;
 
 	for (size_t i = runs.size(); i-- > 0;)
-		if (runs[i].start.task == order.task && runs[i].start.run == order.run)
-			run_end(at, i, WL_END_STOPPED);
+		if (runs[i].start.task == order.task && runs[i].start.run == order.run) {
+			runs[i].end_ns = rig.now + options.stop_ms * MS;
+			runs[i].how = WL_END_STOPPED;
+		}
 	rig.answer(order, WL_ORDER_DONE);
 }
 
@@ -419,6 +457,13 @@
 			target_down(i, down_ms + random() % 1000, options.silent_power_loss);
 }
 
+void CrashFleet::resize(size_t at, uint64_t cpu_millis)
+{
+	machines[at].cpu_millis = cpu_millis;
+	if (machines[at].up)
+		target_report(at);
+}
+
 void CrashFleet::cut(size_t at, uint64_t ms)
 {
 	machines[at].cut_ns = rig.now + ms * MS;
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -15,11 +15,15 @@
 	unsigned int seed = 1;
 	/* orders to a target without power time out; otherwise they fail at once */
 	bool silent_power_loss = false;
+	bool guards = false;	       /* targets refuse work that exceeds their capacity */
+	uint64_t stop_ms = 0;	       /* that a run takes to stop */
+	uint64_t commit_percent = 100; /* chance that the log commits in a tick */
 };
 
 /* A job and what became of it. */
 struct FleetJob {
 	uint64_t work_ms; /* of each task; 0: lasting */
+	uint64_t cpu_millis;
 	bool gang;
 	bool guilty; /* one of its tasks crashes its targets */
 	uint64_t submitted_ns;
@@ -55,6 +59,8 @@
 		std::string address;
 		std::string rack;
 		std::string zone;
+		uint64_t cpu_millis;
+		uint64_t known_cpu_millis; /* as the leader was told; 0: not yet */
 		uint64_t incarnation;
 		bool up;
 		uint64_t back_ns;     /* down: when it is back */
@@ -81,6 +87,9 @@
 	void leader_change(uint64_t gap_ms, uint64_t term);
 
 	void power_off(const std::function<bool(const Machine &)> &which, uint64_t down_ms);
+	/* The target reports its new capacity at once. */
+	void resize(size_t machine, uint64_t cpu_millis);
+	uint64_t used_cpu(size_t machine) const;
 	void cut(size_t machine, uint64_t ms);
 	void depart(size_t machine, uint64_t exit_ms, uint64_t down_ms);
 	/* Return: the machine on which a task runs; -1: none */
@@ -92,6 +101,8 @@
 	std::vector<Machine> machines;
 	std::map<std::string, FleetJob> jobs;
 	std::map<std::string, GuiltyTask> guilty;
+	size_t starts = 0;
+	size_t starts_over = 0;		  /* of a capacity that the leader was told */
 	size_t crashes = 0;		  /* by guilty tasks */
 	uint64_t interrupted_max_ms = 0;  /* longest time without a run of a lasting task */
 	std::vector<std::string> history; /* starts of guilty tasks and crashes */
@@ -134,6 +145,7 @@
 	void start_take(size_t at, const SchedOrder &order);
 	void stop_take(size_t at, const SchedOrder &order);
 	void renewal_take(size_t at, const SchedOrder &order);
+	bool has_room(size_t at, const SchedOrder &order);
 	void renewals_answer(size_t at);
 	void renewal_answer(size_t at, const SchedOrder &renewal);
 	void fail_later(const SchedOrder &order);
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -220,7 +220,8 @@
 	wl_cmd_free(cmd);
 	step(&event);
 	wl_event_free(&event);
-	commit();
+	if (!hold_commits)
+		commit();
 }
 
 /* Sends an empty message of a kind, from the daemon e1. */
@@ -275,7 +276,7 @@
 	wl_strings_add(&report.labels, WL_STR("a"));
 	wl_strings_add(&report.labels, str(rack));
 	report.cpu_millis = cpu_millis;
-	report.memory_mib = 1000000;
+	report.memory_mib = memory_mib;
 	report.incarnation = life;
 	report.sequence = ++sequence;
 	report.clock_ms = now / MS + clock_offset_ms;
