sched: a report of changed capacity binds placements at once

Callers see work started on a target that has said it has no room for it (rule LIMIT), and work that waits although a target has grown.

Cause: placement used the capacity of the newest committed report. Between the receipt of a report that shrinks and its commit, starts were placed by the old figure; of two reports in flight the commit of the earlier one brought its figure back; and a commit that grew a target made no placement pass due, so that pending tasks waited for some other event.

The leader now uses the capacity of the newest report that it has received, by incarnation and sequence, and growth makes a pass due.

--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -48,6 +48,7 @@
 		return !known || wl_runner_report_is_newer(known, report);
 	}
 	wl_sched_runner_reported(sched, now_ns, runner, report);
+	wl_sched_capacity_reported(sched, runner, report);
 	return wl_runner_report_changes(runner->state, report);
 }
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -87,6 +87,9 @@
 	uint64_t lasting_millis; /* CPU reserved by lasting tasks */
 	uint64_t incarnation;	 /* as of its newest report or answer */
 	uint64_t sequence;	 /* of its newest report */
+	/* of the report that fit.capacity is from */
+	uint64_t capacity_incarnation;
+	uint64_t capacity_sequence;
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* newest answer to any order */
 	uint64_t renewal_id;  /* of the renewal in flight; 0: none */
@@ -336,6 +339,10 @@
 void wl_sched_renewal_schedule(wl_sched_runner_t *runner, uint64_t due_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* capacity.c */
+void wl_sched_capacity_reported(wl_sched_t *sched, wl_sched_runner_t *runner,
+				const wl_runner_report_t *report);
+
 /* losses.c */
 void wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			  wl_out_t *out);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -59,16 +59,14 @@
 	lookup_begin(runner);
 }
 
-static void fit_update(wl_sched_runner_t *runner)
+static void fit_update(wl_sched_t *sched, wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
 
 	runner->fit.service = wl_buf_str(&report->service);
 	runner->fit.rack = wl_buf_str(&report->rack);
 	runner->fit.labels = &report->labels;
-	runner->fit.capacity = (wl_need_t){.cpu_millis = report->cpu_millis,
-					   .memory_mib = report->memory_mib,
-					   .accelerators = report->accelerators};
+	wl_sched_capacity_reported(sched, runner, report);
 }
 
 /* Time of the target's newest report or answer; 0: none. */
@@ -112,7 +110,7 @@
 	}
 	runner->state = state;
 	address_update(runner);
-	fit_update(runner);
+	fit_update(sched, runner);
 	usable_update(sched, runner, now_ns);
 	return runner;
 }
--- /dev/null
+++ b/tests/unit/sched_capacity_test.cc
@@ -0,0 +1,129 @@
+#include "../support/crash_fleet.h"
+
+#include <gtest/gtest.h>
+
+/* Targets whose capacity shrinks and grows while they run. */
+
+class Capacity : public testing::Test
+{
+      protected:
+	static constexpr uint64_t TASK_MILLIS = 1000;
+
+	Capacity()
+	{
+		rig.configure("q");
+		rig.runner("i-1", 3 * TASK_MILLIS);
+		first = started("first", 2);
+		EXPECT_EQ(first.size(), 2u);
+		for (const auto &start : first)
+			rig.answer(start, WL_ORDER_DONE);
+		list(first, {});
+	}
+
+	std::vector<SchedOrder> starts()
+	{
+		rig.advance(50);
+		rig.commit();
+		rig.advance(50);
+		rig.commit();
+		return rig.take_orders(WL_ORDER_START);
+	}
+
+	std::vector<SchedOrder> started(const std::string &job, uint64_t count)
+	{
+		rig.job("q", job, {count});
+		rig.submit();
+		return starts();
+	}
+
+	/* The target lists its runs and ends. */
+	void list(const std::vector<SchedOrder> &runs, const std::vector<wl_end_view_t> &ends)
+	{
+		std::vector<wl_run_view_t> views;
+
+		for (const auto &run : runs)
+			views.push_back(SchedRig::view(run));
+		for (int i = 0; i < 300 && holds.empty(); i++) {
+			rig.advance(10);
+			holds = rig.take_orders(WL_ORDER_RENEW);
+		}
+		ASSERT_FALSE(holds.empty()) << "no hold order was sent";
+		rig.answer_hold(holds.back(), views, ends);
+		holds.clear();
+		rig.commit();
+	}
+
+	void resize(uint64_t tasks, const std::string &id = "i-1")
+	{
+		rig.runner(id, tasks * TASK_MILLIS);
+	}
+
+	SchedRig rig;
+	std::vector<SchedOrder> first;
+	std::vector<SchedOrder> holds;
+};
+
+TEST_F(Capacity, ShrunkTargetKeepsItsWorkAndGetsNoMore)
+{
+	resize(1);
+	EXPECT_TRUE(started("second", 1).empty());
+	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
+	list({first[0]}, {SchedRig::end(first[1], 1, WL_END_DONE)});
+	EXPECT_TRUE(starts().empty()) << "one task fills the target";
+	list({},
+	     {SchedRig::end(first[1], 1, WL_END_DONE), SchedRig::end(first[0], 2, WL_END_DONE)});
+	EXPECT_EQ(starts().size(), 1u);
+}
+
+TEST_F(Capacity, ReportBindsPlacementsBeforeItsCommit)
+{
+	rig.hold_commits = true;
+	rig.job("q", "second", {1});
+	rig.submit();
+	resize(2);
+	rig.hold_commits = false;
+	EXPECT_TRUE(starts().empty()) << "the start brings the target over its capacity";
+}
+
+TEST_F(Capacity, StoppedRunCountsUntilItsEndIsListed)
+{
+	resize(2);
+	rig.cancel("q", "first");
+	auto stops = rig.take_orders(WL_ORDER_STOP);
+	ASSERT_EQ(stops.size(), 2u);
+	for (const auto &stop : stops)
+		rig.answer(stop, WL_ORDER_DONE);
+	EXPECT_TRUE(started("second", 1).empty());
+	list({first[0]}, {SchedRig::end(first[1], 1, WL_END_STOPPED)});
+	EXPECT_EQ(starts().size(), 1u);
+}
+
+TEST_F(Capacity, GrowthIsUsedAtOnce)
+{
+	EXPECT_EQ(started("second", 2).size(), 1u);
+	resize(4);
+	EXPECT_EQ(starts().size(), 1u);
+}
+
+TEST_F(Capacity, CommitOfAnEarlierReportDoesNotUndoALaterOne)
+{
+	resize(2);
+	rig.hold_commits = true;
+	resize(3);
+	rig.job("q", "second", {1});
+	rig.submit();
+	resize(2);
+	rig.hold_commits = false;
+	EXPECT_TRUE(starts().empty());
+}
+
+TEST_F(Capacity, UnchangedReportsThroughAnotherReplicaKeepTheCapacity)
+{
+	rig.hold_commits = true;
+	resize(2);
+	rig.report_forwarded("s1", "i-1");
+	rig.job("q", "second", {1});
+	rig.submit();
+	rig.hold_commits = false;
+	EXPECT_TRUE(starts().empty());
+}
