sched: starts that are committed are not ordered where the capacity has shrunk

Cause: the choice of a target was final once it was proposed. A report received between the choice and the commit of the start had no effect on it.

A start that no longer fits beside the runs that may be on its target ends as not started once it is committed, as on a target that leaves, and its task is queued again. Starts that still fit are ordered. Of a gang none is ordered if one cannot be, as the others would wait in vain; this holds for a member on a target that leaves too. The usual case costs one comparison a start.

The model took orders that were sent before a report after the change that it reports; it delivers them first now.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -44,6 +44,7 @@
 	uint64_t stop_sent_ns;
 	uint64_t stop_answered_ns; /* when a stop order was answered; 0: never */
 	bool stop_wanted;
+	bool withheld;	  /* its start was committed and not ordered */
 	bool listed;	  /* present in the renewal answer that is being processed */
 	uint64_t tail_ms; /* serving: newest reported tail latency */
 	uint64_t tail_target_us;
@@ -342,6 +343,8 @@
 /* capacity.c */
 void wl_sched_capacity_reported(wl_sched_t *sched, wl_sched_runner_t *runner,
 				const wl_runner_report_t *report);
+const char *wl_sched_start_withheld(const wl_sched_t *sched, const wl_cmd_runs_start_t *cmd,
+				    size_t row, const wl_sched_run_t *run, const wl_job_t *job);
 
 /* losses.c */
 void wl_sched_runs_expire(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -243,19 +243,10 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
-/* A target that leaves gets no starts, those that were chosen before its departure included. */
-static void start_committed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
-			    const wl_job_t *job, wl_out_t *out)
-{
-	if (run->runner->departing)
-		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "departing", out);
-	else
-		start_send(sched, now_ns, run, job, out);
-}
-
 /*
  * wl_sched_starts_applied - send the start orders of committed starts
  *
+ * A target that leaves, or has no longer room for it, gets no start that was chosen before.
  * If the job state rejected a start, for example because its job was cancelled meanwhile, the run
  * is removed.
  */
@@ -263,17 +254,24 @@
 			     wl_out_t *out)
 {
 	const wl_run_start_t *rows = cmd->runs.items;
+	wl_cmd_runs_end_t ends = {0};
 
 	for (size_t i = 0; i < cmd->runs.count; i++) {
 		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&rows[i].job));
 		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
 							rows[i].task, rows[i].run);
+		const char *reason;
 		uint64_t previous_end_ns;
 
 		if (!run || run->phase != WL_RUN_PROPOSED)
 			continue;
 		if (job && wl_job_run(job, rows[i].task, rows[i].run)) {
-			start_committed(sched, now_ns, run, job, out);
+			reason = wl_sched_start_withheld(sched, cmd, i, run, job);
+			run->withheld = reason != NULL;
+			if (reason)
+				wl_sched_run_end_add(run, WL_END_NOT_STARTED, reason, &ends);
+			else
+				start_send(sched, now_ns, run, job, out);
 			continue;
 		}
 		previous_end_ns = run->previous_end_ns;
@@ -281,6 +279,7 @@
 		if (job)
 			wl_sched_task_enqueue(sched, now_ns, job, rows[i].task, previous_end_ns);
 	}
+	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
 static void runner_quarantine(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t ms)
--- a/tests/support/crash_fleet.cc
+++ b/tests/support/crash_fleet.cc
@@ -146,18 +146,24 @@
 	}
 }
 
+void CrashFleet::orders_take()
+{
+	std::deque<SchedOrder> taken;
+
+	taken.swap(rig.orders);
+	for (const auto &order : taken) {
+		EXPECT_TRUE(machine_by_id.count(order.runner)) << order.runner;
+		order_take(order);
+	}
+}
+
 void CrashFleet::simulate(uint64_t ms)
 {
 	for (uint64_t end = rig.now + ms * MS; rig.now < end;) {
 		rig.advance(TICK_MS);
 		if (options.commit_percent == 100 || random() % 100 < options.commit_percent)
 			rig.commit();
-		for (auto &order : rig.orders)
-			EXPECT_TRUE(machine_by_id.count(order.runner)) << order.runner;
-		std::deque<SchedOrder> taken;
-		taken.swap(rig.orders);
-		for (const auto &order : taken)
-			order_take(order);
+		orders_take();
 		while (!failing.empty() && failing.begin()->first <= rig.now) {
 			SchedOrder order = failing.begin()->second;
 
@@ -459,6 +465,8 @@
 
 void CrashFleet::resize(size_t at, uint64_t cpu_millis)
 {
+	/* The orders that were sent before the report arrive before the change. */
+	orders_take();
 	machines[at].cpu_millis = cpu_millis;
 	if (machines[at].up)
 		target_report(at);
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -141,6 +141,7 @@
 	void target_down(size_t at, uint64_t down_ms, bool silent);
 	void target_step(size_t at);
 	void crash(size_t at);
+	void orders_take();
 	void order_take(const SchedOrder &order);
 	void start_take(size_t at, const SchedOrder &order);
 	void stop_take(size_t at, const SchedOrder &order);
--- a/tests/unit/sched_capacity_test.cc
+++ b/tests/unit/sched_capacity_test.cc
@@ -85,6 +85,47 @@
 	EXPECT_TRUE(starts().empty()) << "the start brings the target over its capacity";
 }
 
+TEST_F(Capacity, StartPlacedBeforeTheReportIsNotOrdered)
+{
+	rig.job("q", "second", {1});
+	rig.submit();
+	rig.hold_commits = true;
+	rig.advance(50);
+	resize(2);
+	rig.hold_commits = false;
+	EXPECT_TRUE(starts().empty()) << "the start brings the target over its capacity";
+	resize(3);
+	EXPECT_EQ(starts().size(), 1u) << "the task is queued again";
+	EXPECT_EQ(rig.job_state("second"), "running");
+}
+
+TEST_F(Capacity, PlacedStartsThatStillFitAreOrdered)
+{
+	resize(6);
+	rig.job("q", "second", {4});
+	rig.submit();
+	rig.hold_commits = true;
+	rig.advance(50);
+	resize(4);
+	rig.hold_commits = false;
+	EXPECT_EQ(starts().size(), 2u);
+}
+
+TEST_F(Capacity, GangOfWhichAMemberNoLongerFitsIsNotOrdered)
+{
+	resize(6);
+	rig.runner("i-2", TASK_MILLIS);
+	rig.job("q", "gang", {5})->gang = true;
+	rig.submit();
+	rig.hold_commits = true;
+	rig.advance(50);
+	resize(5);
+	rig.hold_commits = false;
+	EXPECT_TRUE(starts().empty()) << "a part of a gang waits for the others in vain";
+	resize(6);
+	EXPECT_EQ(starts().size(), 5u);
+}
+
 TEST_F(Capacity, StoppedRunCountsUntilItsEndIsListed)
 {
 	resize(2);
@@ -127,3 +168,57 @@
 	rig.hold_commits = false;
 	EXPECT_TRUE(starts().empty());
 }
+
+/* The log commits late, runs take time to stop, and the leader changes. */
+static void resize_at_random(bool guards, unsigned int seed)
+{
+	constexpr uint64_t STEP_MS = 50;
+	CrashFleetOptions options;
+	options.targets = 6;
+	options.racks = 2;
+	options.cpu_millis = 16000;
+	options.guards = guards;
+	options.stop_ms = 300;
+	options.commit_percent = 30;
+	options.seed = seed;
+	CrashFleet fleet(options);
+	std::mt19937 random(seed);
+
+	fleet.job("last", {12}, 0, 2000);
+	fleet.submit();
+	for (unsigned int i = 0; i < 600; i++) {
+		if (i % 2 == 0) {
+			std::string id = "j" + std::to_string(i);
+
+			fleet.job(id, {4}, 500, 1000 + random() % 4 * 1000)->gang = i % 10 == 0;
+			fleet.submit();
+			if (random() % 8 == 0)
+				fleet.rig.cancel("q", id);
+		}
+		if (random() % 2)
+			fleet.resize(random() % options.targets, (1 + random() % 16) * 1000);
+		if (i % 200 == 150)
+			fleet.leader_change(500, 2 + i);
+		fleet.simulate(STEP_MS);
+	}
+	for (size_t i = 0; i < options.targets; i++)
+		fleet.resize(i, options.cpu_millis);
+	EXPECT_TRUE(fleet.simulate_until_ended(60000));
+	EXPECT_GE(fleet.starts, 1000u);
+	EXPECT_EQ(fleet.ended("failed"), 0u);
+	EXPECT_EQ(fleet.starts_over, 0u)
+		<< "of " << fleet.starts << ", guards " << guards << ", seed " << seed << "\n"
+		<< (fleet.history.empty() ? "" : fleet.history[0]);
+}
+
+TEST(CapacityLoad, NoStartBringsATargetOverItsCapacity)
+{
+	for (unsigned int seed : {1, 2, 3, 4})
+		resize_at_random(false, seed);
+}
+
+TEST(CapacityLoad, NoStartIsSentToATargetThatMustRefuseIt)
+{
+	for (unsigned int seed : {1, 2, 3, 4})
+		resize_at_random(true, seed);
+}
