tests: crashes among short work alone, and power loss of idle racks and under a job on every target

A crash is told from a loss of power by the other targets. Two cases make that harder: short work, where targets have no runs any more when a crash is known, and a rack that is idle but for one task. The power losses also meet a lasting job with a task on every target.

--- a/tests/unit/sched_guilty_test.cc
+++ b/tests/unit/sched_guilty_test.cc
@@ -214,6 +214,27 @@
 	       fleet.ended("completed"), (unsigned long long)fleet.interrupted_max_ms);
 }
 
+/* No target has a run for long, so that most have none when a crash is found. */
+TEST_P(Guilty, TenthOfAClassIsFoundAmongShortWorkAlone)
+{
+	CrashFleetOptions options;
+	options.seed = GetParam();
+	CrashFleet fleet(options);
+	Mix mix(fleet);
+
+	fleet.simulate(2000);
+	mix.simulate(10000, true);
+	mix.simulate(5000, false);
+	EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS));
+	EXPECT_GE(fleet.guilty.size(), 20u);
+	guilty_check(fleet);
+	innocent_check(fleet);
+	printf("seed %u, short work: guilty tasks %zu, crashes %zu, failed jobs %zu, completed "
+	       "%zu\n",
+	       options.seed, fleet.guilty.size(), fleet.crashes, fleet.ended("failed"),
+	       fleet.ended("completed"));
+}
+
 static void guilty_job_check(size_t targets, size_t racks, uint64_t tasks, unsigned int seed)
 {
 	CrashFleetOptions options;
@@ -355,6 +376,8 @@
 	Mix mix(fleet);
 	uint64_t last_ns = 0;
 
+	fleet.job("everywhere", {fleet.machines.size()}, 0, 500)->max_per_target = 1;
+	fleet.submit();
 	lasting_jobs_submit(fleet);
 	fleet.job("sweep", {192}, SWEEP_MS, 2000);
 	fleet.submit();
@@ -395,6 +418,7 @@
 	fleet.simulate(FOUND_MS);
 	EXPECT_EQ(fleet.running("last"), LASTING) << loss.name;
 	EXPECT_EQ(fleet.running("wide"), WIDE_LASTING) << loss.name;
+	EXPECT_EQ(fleet.running("everywhere"), fleet.machines.size()) << loss.name;
 	EXPECT_GE(fleet.interrupted_max_ms, CrashFleet::TICK_MS) << loss.name;
 	EXPECT_LE(fleet.interrupted_max_ms, DOWN_MS + BACK_SPREAD_MS + DELAY_MS) << loss.name;
 }
@@ -433,6 +457,31 @@
 	power_loss_check({"all, silent", anywhere, true}, 2);
 }
 
+/* All other targets of the rack are idle. */
+TEST(PowerLoss, OfTheRackOfALoneTaskThreeTimesFailsNoJob)
+{
+	for (bool silent : {false, true}) {
+		CrashFleetOptions options;
+		options.silent_power_loss = silent;
+		CrashFleet fleet(options);
+
+		fleet.simulate(2000);
+		fleet.job("lone", {1}, SWEEP_MS);
+		fleet.submit();
+		for (int i = 0; i < 3; i++) {
+			fleet.simulate(POWER_INTERVAL_MS);
+			long at = fleet.machine_of(task("lone", 0));
+			ASSERT_GE(at, 0);
+			std::string rack = fleet.machines[static_cast<size_t>(at)].rack;
+			fleet.power_off(
+				[rack](const CrashFleet::Machine &one) { return one.rack == rack; },
+				DOWN_MS);
+		}
+		EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS)) << silent;
+		EXPECT_EQ(fleet.jobs["lone"].state, "completed") << silent;
+	}
+}
+
 class NoCrash : public testing::Test
 {
       protected:
