tests: the fake target can shrink, grow, and start beyond its capacity

Capacity may change while a target runs, and some services do not guard it. The control commands shrink, grow and unguard play that; the announce reports the capacity at once, work that is there stays, and each start beyond it is counted in the record, refused or not.

--- a/tests/target/fake.c
+++ b/tests/target/fake.c
@@ -18,6 +18,7 @@
 	fake_t *fake = wl_alloc(sizeof(*fake));
 
 	fake->options = *options;
+	fake->capacity = options->capacity;
 	fake->boot = boot;
 	wl_rng_init(&fake->rng, options->seed, wl_str_hash(options->name, 0));
 	wl_map_init(&fake->barred);
@@ -111,6 +112,33 @@
 	fake_advance(fake, now_ns);
 }
 
+static uint64_t share(uint64_t amount, uint64_t permille)
+{
+	return amount * permille / WL_PERMILLE;
+}
+
+/*
+ * fake_resize - change the capacity; work that is there stays
+ * @permille: of the full capacity, rounded down
+ *
+ * The next announce reports it.
+ */
+void fake_resize(fake_t *fake, uint64_t now_ns, uint64_t permille)
+{
+	const wl_need_t *full = &fake->options.capacity;
+
+	fake_advance(fake, now_ns);
+	fake->capacity = (wl_need_t){
+		.cpu_millis = share(full->cpu_millis, permille),
+		.memory_mib = share(full->memory_mib, permille),
+		.accelerators = share(full->accelerators, permille),
+		.slots = share(full->slots, permille),
+		.connections = share(full->connections, permille),
+	};
+	fake_record(fake, now_ns, "resize", "permille=%llu starts_over=%llu",
+		    (unsigned long long)permille, (unsigned long long)fake->starts_over);
+}
+
 /*
  * fake_record - write one event line to the record
  */
@@ -229,11 +257,11 @@
 	announce->seq = fake->seq;
 	for (size_t i = 0; i < options->services->count; i++)
 		wl_strings_add(&announce->services, wl_buf_str(&services[i]));
-	announce->cpu_millis = options->capacity.cpu_millis;
-	announce->memory_mib = options->capacity.memory_mib;
-	announce->accelerators = options->capacity.accelerators;
-	announce->slots = options->capacity.slots;
-	announce->connections = options->capacity.connections;
+	announce->cpu_millis = fake->capacity.cpu_millis;
+	announce->memory_mib = fake->capacity.memory_mib;
+	announce->accelerators = fake->capacity.accelerators;
+	announce->slots = fake->capacity.slots;
+	announce->connections = fake->capacity.connections;
 	announce->state = fake->draining ? WL_ANNOUNCE_DRAINING : WL_ANNOUNCE_READY;
 	announce->usage = fake->usage;
 	announce->usage.taken_ms_ago =
--- a/tests/target/fake.h
+++ b/tests/target/fake.h
@@ -78,6 +78,9 @@
 	bool failing;
 	bool frozen;
 	bool crashed;
+	wl_need_t capacity;   /* now; options.capacity at full size */
+	bool unguarded;	      /* starts whatever it is told to start */
+	uint64_t starts_over; /* starts beyond the capacity, refused ones included */
 	TAILQ_HEAD(fake_tasks, fake_task) tasks;
 	TAILQ_HEAD(fake_requests, fake_request) requests;
 	uint64_t request_count;
@@ -95,6 +98,7 @@
 void fake_announce(fake_t *fake, uint64_t now_ns, wl_announce_t *announce);
 void fake_crash(fake_t *fake, uint64_t now_ns, uint64_t boot);
 void fake_thaw(fake_t *fake, uint64_t now_ns);
+void fake_resize(fake_t *fake, uint64_t now_ns, uint64_t permille);
 uint64_t fake_slots_used(const fake_t *fake);
 fake_task_t *fake_task_find(fake_t *fake, wl_str_t id);
 void fake_task_free(fake_t *fake, fake_task_t *task);
--- a/tests/target/fake_command.c
+++ b/tests/target/fake_command.c
@@ -90,8 +90,24 @@
 {
 	wl_need_t used = fake_used(fake);
 
-	return used.slots + 1 <= fake->options.capacity.slots &&
-	       used.accelerators + need->accelerators <= fake->options.capacity.accelerators;
+	return used.slots + 1 <= fake->capacity.slots &&
+	       used.accelerators + need->accelerators <= fake->capacity.accelerators;
+}
+
+/* Return: whether the start is refused for lack of capacity. */
+static bool over_capacity(const command_t *command)
+{
+	fake_t *fake = command->fake;
+
+	if (has_capacity(fake, &command->in->need))
+		return false;
+	fake->starts_over++;
+	fake_record(fake, command->now_ns, "start_over",
+		    "task=" WL_STR_FMT " attempt=%llu refused=%s starts_over=%llu",
+		    WL_STR_ARG(wl_buf_str(&command->in->task)),
+		    (unsigned long long)command->in->attempt, fake->unguarded ? "no" : "yes",
+		    (unsigned long long)fake->starts_over);
+	return !fake->unguarded;
 }
 
 static void task_add(const command_t *command)
@@ -139,7 +155,7 @@
 		return refuse(command, "lease is over");
 	if (command->fake->draining)
 		return refuse(command, "leaving");
-	if (!has_capacity(command->fake, &in->need))
+	if (over_capacity(command))
 		return refuse(command, "no room");
 	task_add(command);
 	return 200;
--- a/tests/target/fake_request.c
+++ b/tests/target/fake_request.c
@@ -29,9 +29,9 @@
 	if (!fake_seq_known(fake, number(call, WL_STR("Wisterialead-Boot"), 0),
 			    number(call, WL_STR("Wisterialead-Seq"), 0)))
 		return "stale announce";
-	if (fake_slots_used(fake) >= fake->options.capacity.slots)
+	if (fake_slots_used(fake) >= fake->capacity.slots)
 		return "no slot";
-	if (fake->request_count >= fake->options.capacity.connections)
+	if (fake->request_count >= fake->capacity.connections)
 		return "no connection";
 	return NULL;
 }
--- a/tests/target/fake_target_test.cc
+++ b/tests/target/fake_target_test.cc
@@ -41,6 +41,7 @@
 		fake_announce(fake, now, &out);
 		uint64_t seq = out.seq;
 		announced_tasks = out.tasks.count;
+		announced_slots = out.slots;
 		wl_record_free(&wl_announce_schema, &out);
 		return seq;
 	}
@@ -99,6 +100,7 @@
 	fake_t *fake;
 	uint64_t now = 1000 * MS;
 	size_t announced_tasks = 0;
+	uint64_t announced_slots = 0;
 	std::string answer;
 };
 
@@ -256,6 +258,40 @@
 	wl_list_free(&wl_header_schema, &headers);
 }
 
+TEST_F(FakeTarget, ShrunkTargetKeepsItsWorkAndRefusesMore)
+{
+	command("adopt", "");
+	EXPECT_EQ(start("t", 1), 200u);
+	EXPECT_EQ(start("u", 1), 200u);
+	fake_resize(fake, now, 500); /* one slot of three */
+	announce();
+	EXPECT_EQ(announced_slots, 1u);
+	EXPECT_EQ(state("t"), "running");
+	EXPECT_EQ(state("u"), "running");
+	EXPECT_EQ(task_command("stop", "t", 1), 200u);
+	EXPECT_EQ(start("v", 1), 409u);
+	EXPECT_EQ(fake->starts_over, 1u);
+	EXPECT_EQ(state("v"), "none");
+	fake_resize(fake, now, 1000);
+	announce();
+	EXPECT_EQ(announced_slots, 3u);
+	EXPECT_EQ(start("v", 1), 200u);
+	EXPECT_EQ(fake->starts_over, 1u);
+}
+
+TEST_F(FakeTarget, UnguardedTargetStartsAndCountsWhatIsOverItsCapacity)
+{
+	command("adopt", "");
+	fake->unguarded = true;
+	fake_resize(fake, now, 500);
+	EXPECT_EQ(start("t", 1), 200u);
+	EXPECT_EQ(fake->starts_over, 0u);
+	EXPECT_EQ(start("u", 1), 200u);
+	EXPECT_EQ(start("u", 1), 200u); /* sent again */
+	EXPECT_EQ(state("u"), "running");
+	EXPECT_EQ(fake->starts_over, 1u);
+}
+
 TEST_F(FakeTarget, FrozenTaskStopsWhenItsLeaseHasExpired)
 {
 	command("adopt", "");
--- a/tests/target/fake_work.c
+++ b/tests/target/fake_work.c
@@ -77,7 +77,7 @@
 
 static uint64_t load_permille(const fake_t *fake)
 {
-	uint64_t slots = fake->options.capacity.slots;
+	uint64_t slots = fake->capacity.slots;
 
 	return slots ? fake_slots_used(fake) * FULL_PERMILLE / slots : 0;
 }
--- a/tests/target/host_control.c
+++ b/tests/target/host_control.c
@@ -3,6 +3,7 @@
 #include "host_internal.h"
 
 #include <stdio.h>
+#include <string.h>
 
 static void action_leave(host_t *host, size_t index, uint64_t now)
 {
@@ -44,6 +45,29 @@
 	host->targets[index].fake->failing = true;
 }
 
+static void resize(host_t *host, size_t index, uint64_t now, uint64_t permille)
+{
+	fake_resize(host->targets[index].fake, now, permille);
+	host->targets[index].announce_ns = now;
+}
+
+static void action_grow(host_t *host, size_t index, uint64_t now)
+{
+	resize(host, index, now, WL_PERMILLE);
+}
+
+static void action_shrink(host_t *host, size_t index, uint64_t now)
+{
+	resize(host, index, now, WL_PERMILLE / 2);
+}
+
+/* The target starts whatever it is told to start, as some services do. */
+static void action_unguard(host_t *host, size_t index, uint64_t now)
+{
+	(void)now;
+	host->targets[index].fake->unguarded = true;
+}
+
 /* Clears every fault: restarts a crashed target and cancels a drain. */
 static void action_heal(host_t *host, size_t index, uint64_t now)
 {
@@ -53,6 +77,10 @@
 	action_thaw(host, index, now);
 	target->fake->failing = false;
 	target->fake->draining = false;
+	target->fake->unguarded = false;
+	if (memcmp(&target->fake->capacity, &target->fake->options.capacity,
+		   sizeof(target->fake->capacity)) != 0)
+		action_grow(host, index, now);
 	if (!target->fake->crashed)
 		return;
 	if (!target->server && !host_listen(host, index, &err)) {
@@ -68,8 +96,9 @@
 	const char *name;
 	void (*run)(host_t *host, size_t index, uint64_t now);
 } actions[] = {
-	{"crash", action_crash}, {"fail", action_fail},	  {"freeze", action_freeze},
-	{"heal", action_heal},	 {"leave", action_leave}, {"thaw", action_thaw},
+	{"crash", action_crash},   {"fail", action_fail}, {"freeze", action_freeze},
+	{"grow", action_grow},	   {"heal", action_heal}, {"leave", action_leave},
+	{"shrink", action_shrink}, {"thaw", action_thaw}, {"unguard", action_unguard},
 };
 
 static bool control_run(host_t *host, wl_str_t path, uint64_t now)
