tests: a target that shrinks keeps its work and gets no more than it has room for

The owner of a target was right before: an announce of less capacity binds the next start, batch work that no longer fits is evicted, and growth is used. Each owner script now also fails if a start would bring a target over its capacity.

--- a/tests/target/owner_run.cc
+++ b/tests/target/owner_run.cc
@@ -243,6 +243,7 @@
 		wl_need_t used = fake_used(one);
 		const fake_task_t *task;
 
+		EXPECT_EQ(one->starts_over, 0u) << name;
 		EXPECT_LE(used.slots, has.slots) << name;
 		EXPECT_LE(used.accelerators, has.accelerators) << name;
 		TAILQ_FOREACH (task, &one->tasks, link) {
--- a/tests/target/owner_words.cc
+++ b/tests/target/owner_words.cc
@@ -209,7 +209,7 @@
 	wl_event_free(&event);
 }
 
-/* fault TARGET leave|crash|freeze|thaw|fail */
+/* fault TARGET leave|crash|freeze|thaw|fail|shrink|grow */
 void OwnerRun::fault(const Words &words)
 {
 	fake_t *one = fake(words.at(1));
@@ -219,6 +219,10 @@
 		one->draining = true;
 	else if (words.at(2) == "fail")
 		one->failing = true;
+	else if (words.at(2) == "shrink")
+		fake_resize(one, script.now_ns, 500);
+	else if (words.at(2) == "grow")
+		fake_resize(one, script.now_ns, 1000);
 	else if (words.at(2) == "freeze")
 		one->frozen = true;
 	else if (words.at(2) == "thaw")
