--- a/tests/unit/sched_guilty_test.cc
+++ b/tests/unit/sched_guilty_test.cc
@@ -4,118 +4,15 @@
 
 /* Tasks that crash the targets that start them, among others. */
 
-namespace
-{
-constexpr size_t LOSSES = 3;	    /* two crashes of other tasks, and one start on a dead target */
-constexpr uint64_t WAIT_MS = 10000; /* that a suspect may wait for a place of its own */
-constexpr uint64_t UNAFFECTED_MS = 1000; /* of jobs that no crash meets, beyond their work */
-
-std::string history_of(const CrashFleet &fleet, const std::string &about)
-{
-	std::string text;
-	size_t lines = 0;
-
-	for (const auto &line : fleet.history)
-		if ((line + " ").find(" " + about + " ") != std::string::npos && lines++ < 12)
-			text += "\n  " + line;
-	return text;
-}
-
-/* Of the guilty task with the most crashes, and of all. */
-void guilty_tasks_check(const CrashFleet &fleet)
-{
-	std::string worst;
-	size_t crashes_max = 0;
-	size_t starts_after_third = 0;
-
-	for (const auto &one : fleet.guilty) {
-		starts_after_third += one.second.starts_after_third;
-		if (one.second.crashes <= crashes_max)
-			continue;
-		crashes_max = one.second.crashes;
-		worst = one.first;
-	}
-	EXPECT_GE(crashes_max, 2u) << "the load has no guilty task";
-	EXPECT_LE(crashes_max, CrashFleet::CRASHES_MAX) << worst << history_of(fleet, worst);
-	EXPECT_EQ(starts_after_third, 0u);
-}
-
-void guilty_check(const CrashFleet &fleet)
-{
-	std::string wrong;
-
-	guilty_tasks_check(fleet);
-	for (const auto &one : fleet.jobs)
-		if ((one.second.state == "failed") != one.second.guilty)
-			wrong += " " + one.first + (one.second.guilty ? " guilty " : " innocent ") +
-				 one.second.state;
-	EXPECT_EQ(wrong, "");
-	EXPECT_LE(fleet.crashes, CrashFleet::CRASHES_MAX * fleet.guilty.size());
-}
-
-void innocent_check(const CrashFleet &fleet)
-{
-	size_t count = 0;
-	size_t unaffected = 0;
-
-	for (const auto &one : fleet.jobs) {
-		const FleetJob &job = one.second;
-		uint64_t work_ms = chain_ms(fleet, one.first);
-
-		if (job.guilty)
-			continue;
-		if (job.work_ms == 0) {
-			EXPECT_EQ(fleet.rig.job_state(one.first), "running") << one.first;
-			continue;
-		}
-		EXPECT_EQ(job.state, "completed") << one.first;
-		EXPECT_LE(took_ms(job), work_ms + LOSSES * (job.work_ms + FOUND_MS) + WAIT_MS)
-			<< one.first;
-		count++;
-		unaffected += took_ms(job) <= work_ms + UNAFFECTED_MS;
-	}
-	EXPECT_GE(unaffected, count / 2);
-}
-
-/* Each lasting task runs, and none was without a run for long. */
-void lasting_check(CrashFleet &fleet)
-{
-	fleet.simulate(FOUND_MS + WAIT_MS);
-	EXPECT_EQ(fleet.running("last"), LASTING);
-	EXPECT_EQ(fleet.running("wide"), WIDE_LASTING);
-	EXPECT_LE(fleet.interrupted_max_ms, LOSSES * FOUND_MS + WAIT_MS);
-}
-} // namespace
-
 class Guilty : public testing::TestWithParam<unsigned int>
 {
 };
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Guilty, testing::Range(1u, 9u));
 
-/* With a change of leader between the first crashes and the third of most tasks. */
 TEST_P(Guilty, TenthOfAClassIsFoundAndNoOtherJobFails)
 {
-	CrashFleetOptions options;
-	options.seed = GetParam();
-	CrashFleet fleet(options);
-	Mix mix(fleet);
-
-	lasting_jobs_submit(fleet);
-	mix.simulate(5000, false);
-	mix.simulate(4000 + 300 * (options.seed % 9), true);
-	fleet.leader_change(LEADER_GAP_MS, 2);
-	mix.simulate(6000, true);
-	mix.simulate(5000, false);
-	EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS));
-	EXPECT_GE(fleet.guilty.size(), 20u);
-	guilty_check(fleet);
-	innocent_check(fleet);
-	lasting_check(fleet);
-	printf("seed %u: guilty tasks %zu, crashes %zu, failed jobs %zu, completed %zu, longest "
-	       "interruption of a lasting task %llu ms\n",
-	       options.seed, fleet.guilty.size(), fleet.crashes, fleet.ended("failed"),
-	       fleet.ended("completed"), (unsigned long long)fleet.interrupted_max_ms);
+	tenth_of_a_class_check(GetParam());
 }
 
 /* No target has a run for long, so that most have none when a crash is found. */
@@ -139,27 +36,6 @@
 	       fleet.ended("completed"));
 }
 
-/* A lasting task meets many crashes, of one guilty task after the other. */
-TEST_P(Guilty, LastingTasksAreNotGivenUpInALongSeriesOfCrashes)
-{
-	CrashFleetOptions options;
-	options.seed = GetParam();
-	CrashFleet fleet(options);
-	Mix mix(fleet);
-
-	lasting_jobs_submit(fleet);
-	mix.simulate(40000, true);
-	EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS));
-	guilty_check(fleet);
-	lasting_check(fleet);
-	EXPECT_EQ(fleet.rig.job_state("last"), "running");
-	EXPECT_EQ(fleet.rig.job_state("wide"), "running");
-	printf("seed %u, long: guilty tasks %zu, crashes %zu, failed jobs %zu, completed %zu, "
-	       "longest interruption of a lasting task %llu ms\n",
-	       options.seed, fleet.guilty.size(), fleet.crashes, fleet.ended("failed"),
-	       fleet.ended("completed"), (unsigned long long)fleet.interrupted_max_ms);
-}
-
 static void guilty_job_check(size_t targets, size_t racks, uint64_t tasks, unsigned int seed)
 {
 	CrashFleetOptions options;
