--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -62,6 +62,7 @@
 	uint64_t stop_sent_ns;	   /* to the known incarnation of the target; 0: never */
 	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
 	bool stop_wanted;
+	bool withheld;	  /* its start was committed and not ordered */
 	bool listed;	  /* present in the renewal answer that is being processed */
 	uint64_t tail_ms; /* serving: newest reported tail latency */
 	uint64_t tail_target_us;
@@ -150,6 +151,9 @@
 	uint64_t incarnation;	     /* as of its newest report or answer */
 	uint64_t former_incarnation; /* the one before; 0: none is known */
 	wl_sched_incarnation_t known;
+	/* of the report that fit.capacity is from */
+	uint64_t capacity_incarnation;
+	uint64_t capacity_sequence;
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* newest answer to any order */
 	uint64_t renewal_id;  /* of the renewal in flight; 0: none */
@@ -445,6 +449,12 @@
 void wl_sched_renewal_schedule(wl_sched_runner_t *runner, uint64_t due_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* capacity.c */
+void wl_sched_capacity_reported(wl_sched_t *sched, wl_sched_runner_t *runner,
+				const wl_runner_report_t *report);
+const char *wl_sched_start_withheld(const wl_sched_t *sched, const wl_cmd_runs_start_t *cmd,
+				    size_t row, const wl_sched_run_t *run, const wl_job_t *job);
+
 /* losses.c */
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_open_starts_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -251,23 +251,6 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
-/*
- * A target that leaves or is removed gets no starts, those that were chosen before included. Nor
- * does one whose present incarnation has not told its clock yet.
- */
-static void start_committed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
-			    const wl_job_t *job, wl_out_t *out)
-{
-	const wl_sched_incarnation_t *known = &run->runner->known;
-
-	if (known->departing || known->removal_proposed)
-		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "departing", out);
-	else if (!known->clock_ns)
-		run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "no-clock", out);
-	else
-		start_send(sched, now_ns, run, job, out);
-}
-
 /*
  * Handles a start whose run was released with its target before the commit. It was not sent: if the
  * job state has accepted it, for a later incarnation of the target, its run ends at once.
@@ -290,6 +273,7 @@
 /*
  * wl_sched_starts_applied - send the start orders of committed starts
  *
+ * A target that leaves, or has no longer room for it, gets no start that was chosen before.
  * If the job state rejected a start, for example because its job was cancelled meanwhile, the run
  * is removed.
  */
@@ -297,11 +281,13 @@
 			     wl_out_t *out)
 {
 	const wl_run_start_t *rows = cmd->runs.items;
+	wl_cmd_runs_end_t ends = {0};
 
 	for (size_t i = 0; i < cmd->runs.count; i++) {
 		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&rows[i].job));
 		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
 							rows[i].task, rows[i].run);
+		const char *reason;
 		uint64_t previous_end_ns;
 
 		if (!run && job)
@@ -309,7 +295,12 @@
 		if (!run || run->phase != WL_RUN_PROPOSED)
 			continue;
 		if (job && wl_job_run(job, rows[i].task, rows[i].run)) {
-			start_committed(sched, now_ns, run, job, out);
+			reason = wl_sched_start_withheld(sched, cmd, i, run, job);
+			run->withheld = reason != NULL;
+			if (reason)
+				wl_sched_run_end_add(run, WL_END_NOT_STARTED, reason, &ends);
+			else
+				start_send(sched, now_ns, run, job, out);
 			continue;
 		}
 		previous_end_ns = run->previous_end_ns;
@@ -317,6 +308,7 @@
 		if (job)
 			wl_sched_task_enqueue(sched, now_ns, job, rows[i].task, previous_end_ns);
 	}
+	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
 static void runner_quarantine(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t ms)
--- a/tests/support/sched_history_orders.cc
+++ b/tests/support/sched_history_orders.cc
@@ -40,6 +40,7 @@
 	refused.outcome = WL_ORDER_NOT_SENT;
 	if (call->origin.term < agent_term[order.agent] ||
 	    (order.send_by_ms && rig.agent_clock_ms(order.agent) > order.send_by_ms)) {
+		start_lost(order);
 		reply(call, refused, 0);
 		return;
 	}
