--- a/tests/support/sched_history_targets.cc
+++ b/tests/support/sched_history_targets.cc
@@ -40,6 +40,7 @@
 	last_born_ms = std::max(last_born_ms + 1, BORN_FIRST_MS + rig.now / MS);
 	auto target = std::make_shared<Process>(name, place, last_born_ms);
 	target->model.boot(rig.now, 1 + below(CLOCK_FIRST_MAX_MS), below(SLOW_MAX_PERMILLE + 1));
+	target->up_since_ns = rig.now;
 	targets.push_back(target);
 	note("%s starts at %s, life %llu", name.c_str(), place.c_str(),
 	     static_cast<unsigned long long>(last_born_ms));
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -122,6 +122,41 @@
 	EXPECT_EQ(ends("lost"), 1u);
 }
 
+TEST_F(Crash, CrashOfAnIncarnationThatWasNotCommittedIsFound)
+{
+	target("a");
+	job("j");
+	pass(100);
+	targets["a"].life = 2; /* a renewal shows it before any report */
+	targets["a"].runs.clear();
+	pass(100);
+	job("k");
+	pass(100);
+	ASSERT_EQ(started.back().task, "k.0.0.0");
+	crash("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 3);
+	targets["b"].down = true;
+	pass(2 * LEASES_OVER_MS); /* an order to the incarnation before may be late */
+	EXPECT_EQ(rig.find("k")->tasks[0].crashes.count, 1u);
+}
+
+TEST_F(Crash, RunThatIsAbsentOnAnIncarnationThatWasNotCommittedIsNoCrash)
+{
+	target("a");
+	job("j");
+	pass(100);
+	targets["a"].life = 2;
+	targets["a"].runs.clear();
+	pass(100);
+	job("k");
+	pass(100);
+	targets["a"].runs.clear();
+	pass(2000);
+	EXPECT_EQ(rig.find("k")->tasks[0].crashes.count, 0u);
+	EXPECT_GT(rig.find("k")->tasks[0].run, 1u);
+}
+
 TEST_F(Crash, NewLeaderFindsTheCrash)
 {
 	target("a");
