--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -90,7 +90,8 @@
 
 TAILQ_HEAD(wl_sched_runs, wl_sched_run);
 
-/* What the leader knows of the present incarnation of a target; nothing of it holds for the next.
+/*
+ * What the leader knows of the present incarnation of a target; nothing of it holds for the next.
  */
 typedef struct wl_sched_incarnation {
 	uint64_t sequence; /* of its newest report */
--- a/tests/unit/fleet_faults_test.cc
+++ b/tests/unit/fleet_faults_test.cc
@@ -114,8 +114,7 @@
 	}
 }
 
-/* It processes the messages of before the freeze, with the commits in them, before its next tick.
- */
+/* It processes the messages of before the freeze, and the commits in them, before its tick. */
 TEST(FleetFaults, LeaderGrantsNoLeaseAfterAFreeze)
 {
 	for (uint64_t at_ms = FAULT_MS + 4; at_ms < FAULT_MS + 64; at_ms += 8) {
