--- a/tests/support/fleet_checks.h
+++ b/tests/support/fleet_checks.h
@@ -5,6 +5,18 @@
 
 #include <gtest/gtest.h>
 
+/* A load that one replica can carry alone. */
+inline FleetOptions light()
+{
+	FleetOptions options;
+
+	options.targets = 90;
+	options.short_jobs_per_ks /= 4;
+	options.long_jobs_per_ks /= 4;
+	options.lasting_jobs /= 4;
+	return options;
+}
+
 /* Conditions that a fleet with spare capacity must meet, whatever happens to one replica. */
 inline void expect_healthy(const Fleet &fleet)
 {
--- a/tests/unit/fleet_faults_test.cc
+++ b/tests/unit/fleet_faults_test.cc
@@ -4,17 +4,6 @@
 
 namespace
 {
-FleetOptions light()
-{
-	FleetOptions options;
-
-	options.targets = 90;
-	options.short_jobs_per_ks /= 4;
-	options.long_jobs_per_ks /= 4;
-	options.lasting_jobs /= 4;
-	return options;
-}
-
 TEST(FleetFaults, NoRunLapsesWithoutAFault)
 {
 	Fleet fleet(light());
