request: tell peers of free capacity again after an answer denied it

Cause: an answer to a forwarded request carries the owner's free capacity at that moment. After a reset the reservations of the interrupted requests are kept for a while, so that the answers say 0, and the peer forwards nothing more. The owner compares its capacity at the next exchange with the rows that it sent last, not with its answers: rows sent as 8, 0 in the answers, 8 again at the exchange is no change, and nothing is sent. As the peer forwards nothing, no further answer corrects it. Requests that reach other entries wait there until a change at the owner, or the full update.

Ruled out: a leak of reservations at the owner (8 of 8 slots free during the stall), hanging HTTP calls (none open), stuck threads of the entries (all in their wait loops).

Change: a service of which a peer was told that there is no free capacity has its rows sent again at the first exchange that finds some. A peer that was told of some goes on forwarding, and learns from the answers.

--- a/libwlcore/owner/advertise.c
+++ b/libwlcore/owner/advertise.c
@@ -104,6 +104,18 @@
 		service_sum(advert, ledger, service);
 }
 
+/*
+ * wl_advert_resend - send the rows of a service again as soon as they have free capacity
+ */
+void wl_advert_resend(wl_advert_t *advert, wl_str_t service)
+{
+	wl_advert_row_t *row;
+
+	TAILQ_FOREACH (row, &advert->rows, link)
+		if (wl_str_equal(wl_buf_str(&row->now.service), service))
+			row->resend = true;
+}
+
 static bool differs(uint64_t now, uint64_t sent, uint64_t divisor)
 {
 	uint64_t step = sent / divisor;
@@ -117,7 +129,7 @@
 	const wl_room_row_t *now = &row->now;
 	const wl_room_row_t *sent = &row->sent;
 
-	return now->targets != sent->targets ||
+	return (row->resend && now->free_requests > 0) || now->targets != sent->targets ||
 	       (now->free_requests == 0) != (sent->free_requests == 0) ||
 	       differs(now->free_requests, sent->free_requests, FREE_REQUESTS_DIVISOR) ||
 	       differs(now->slowdown_permille, sent->slowdown_permille, SLOWDOWN_DIVISOR);
@@ -137,6 +149,7 @@
 		row->sent.free_requests = row->now.free_requests;
 		row->sent.targets = row->now.targets;
 		row->sent.slowdown_permille = row->now.slowdown_permille;
+		row->resend = false;
 		wl_record_copy(&wl_room_row_schema, wl_list_add(&wl_room_row_schema, rows),
 			       &row->now);
 	}
--- a/libwlcore/owner/advertise.h
+++ b/libwlcore/owner/advertise.h
@@ -19,6 +19,7 @@
 	wl_buf_t key_text;
 	wl_room_row_t now;
 	wl_room_row_t sent; /* last sent values; only the numbers are set */
+	bool resend;	    /* a peer may know less free capacity than was sent */
 	TAILQ_ENTRY(wl_advert_row) link;
 } wl_advert_row_t;
 
@@ -30,6 +31,7 @@
 void wl_advert_init(wl_advert_t *advert);
 void wl_advert_free(wl_advert_t *advert);
 void wl_advert_update(wl_advert_t *advert, const wl_ledger_t *ledger);
+void wl_advert_resend(wl_advert_t *advert, wl_str_t service);
 void wl_advert_take_changes(wl_advert_t *advert, wl_list_t *rows);
 void wl_advert_copy_all(const wl_advert_t *advert, wl_list_t *rows);
 
--- a/libwlcore/request/internal.h
+++ b/libwlcore/request/internal.h
@@ -37,6 +37,7 @@
 	wl_latency_t latency;
 	uint64_t last_offered_ns; /* time at which a target was last known to offer it */
 	uint64_t next_relief_ns;  /* earliest time of the next call to relieve pressure */
+	bool answered_full;	  /* a peer was told of no free capacity since the last exchange */
 	TAILQ_ENTRY(wl_request_service) link;
 } wl_request_service_t;
 
--- a/libwlcore/request/peer_notify.c
+++ b/libwlcore/request/peer_notify.c
@@ -73,6 +73,22 @@
 	return sent;
 }
 
+/*
+ * A peer that was told of no free capacity sends no request for the service, so that no answer
+ * corrects what it knows.
+ */
+static void resend_answered_full(wl_requests_t *requests)
+{
+	wl_request_service_t *service;
+
+	TAILQ_FOREACH (service, &requests->services, link) {
+		if (!service->answered_full)
+			continue;
+		service->answered_full = false;
+		wl_advert_resend(&requests->own_capacity, service->key);
+	}
+}
+
 static bool any_peer_needs_full_update(wl_requests_t *requests)
 {
 	const wl_list_t *list = &requests->options.view->members;
@@ -151,6 +167,7 @@
 	wl_admit_exchange(&requests->admit, now_ns, &changes.u.capacity.usage_rows,
 			  &all.u.capacity.usage_rows);
 	wl_advert_update(&requests->own_capacity, ready ? requests->options.ledger : NULL);
+	resend_answered_full(requests);
 	wl_advert_take_changes(&requests->own_capacity, &changes.u.capacity.capacity_rows);
 	wl_advert_copy_all(&requests->own_capacity, &all.u.capacity.capacity_rows);
 	exchange_schedule(requests, 0, now_ns);
--- a/libwlcore/request/reply.c
+++ b/libwlcore/request/reply.c
@@ -88,6 +88,8 @@
 	if (wl_requests_ready(requests, now_ns, &err))
 		answer->free_requests =
 			wl_router_free_requests(&requests->router, request->service->key);
+	if (answer->free_requests == 0)
+		request->service->answered_full = true;
 }
 
 /*
