request: keepalives between peers do not put off the full update

Cause: a full update that is due by time goes out only with an exchange that has something to send, and without changes that is the keepalive, due 400 ms after the last message. keepalive_send(), which runs at each tick between two exchanges, mostly comes first and starts the 400 ms anew, so that the exchange never has anything to send.

Change: a full update that is due is a reason to send.

--- a/libwlcore/request/peer_notify.c
+++ b/libwlcore/request/peer_notify.c
@@ -24,13 +24,19 @@
 	wl_requests_peer_get(requests, peer)->synced_session = 0;
 }
 
+static bool peer_needs_full_update(const wl_request_peer_t *peer, const wl_requests_t *requests,
+				   const wl_member_t *member, uint64_t now_ns)
+{
+	return peer->synced_session != member->session ||
+	       peer->synced_own_session != requests->session ||
+	       now_ns >= peer->synced_ns + FULL_UPDATE_NS;
+}
+
 /* Returns whether a peer needs a full update; if so, records it as sent at @now_ns. */
 static bool peer_mark_full_update(wl_request_peer_t *peer, const wl_requests_t *requests,
 				  const wl_member_t *member, uint64_t now_ns)
 {
-	if (peer->synced_session == member->session &&
-	    peer->synced_own_session == requests->session &&
-	    now_ns < peer->synced_ns + FULL_UPDATE_NS)
+	if (!peer_needs_full_update(peer, requests, member, now_ns))
 		return false;
 	peer->synced_session = member->session;
 	peer->synced_own_session = requests->session;
@@ -89,7 +95,7 @@
 	}
 }
 
-static bool any_peer_needs_full_update(wl_requests_t *requests)
+static bool any_peer_needs_full_update(wl_requests_t *requests, uint64_t now_ns)
 {
 	const wl_list_t *list = &requests->options.view->members;
 	const wl_member_t *members = list->items;
@@ -98,7 +104,8 @@
 		wl_str_t name = wl_buf_str(&members[i].entry);
 
 		if (!wl_str_equal(name, wl_buf_str(&requests->entry)) &&
-		    wl_requests_peer_get(requests, name)->synced_session != members[i].session)
+		    peer_needs_full_update(wl_requests_peer_get(requests, name), requests,
+					   &members[i], now_ns))
 			return true;
 	}
 	return false;
@@ -174,7 +181,7 @@
 	if (requests->session &&
 	    (changes.u.capacity.capacity_rows.count || changes.u.capacity.usage_rows.count ||
 	     now_ns >= requests->last_sent_ns + KEEPALIVE_INTERVAL_NS ||
-	     any_peer_needs_full_update(requests)))
+	     any_peer_needs_full_update(requests, now_ns)))
 		exchange_send(requests, &changes, &all, now_ns, out);
 	wl_msg_free(&changes);
 	wl_msg_free(&all);
--- a/tests/unit/request_test.cc
+++ b/tests/unit/request_test.cc
@@ -34,6 +34,7 @@
 	void session(const Script::Words &words);
 	void drain(const Script::Words &words);
 	void tick(const Script::Words &words);
+	void ticks(const Script::Words &words);
 	void repeat(const Script::Words &words);
 	void show(const Script::Words &words);
 
@@ -83,6 +84,7 @@
 	on("session", &RequestScript::session);
 	on("drain", &RequestScript::drain);
 	on("tick", &RequestScript::tick);
+	on("ticks", &RequestScript::ticks);
 	on("repeat", &RequestScript::repeat);
 	on("show", &RequestScript::show);
 }
@@ -334,6 +336,15 @@
 	part.tick();
 }
 
+/* ticks COUNT MS: COUNT ticks, MS milliseconds apart */
+void RequestScript::ticks(const Script::Words &words)
+{
+	for (uint64_t i = 0; i < number(words[1]); i++) {
+		part.now_ns += number(words[2]) * 1000000;
+		part.tick();
+	}
+}
+
 /* repeat COUNT MS: COUNT requests in sequence, each answered after MS milliseconds */
 void RequestScript::repeat(const Script::Words &words)
 {
