request: a cancelled forward gives back the capacity it was counted on

What callers see: requests wait up to 10 s at an entry whose peers have free capacity, after others were cancelled there (a caller disconnected, a hedged attempt was not needed).

Cause: a forwarded request takes one off what the entry knows of the peer, and the answer corrects it. A cancelled one gets no answer, or one that is dropped as its attempt is gone, so that one is missing until another answer or a row of the peer. If all of it was cancelled there is no other answer, and the peer sends a row only if it changed between two exchanges.

The peer may keep the reservation of the cancelled request; it then refuses the next one at once, which tells the entry of no capacity, and sends the row when there is some.

--- a/libwlcore/request/peer_capacity.c
+++ b/libwlcore/request/peer_capacity.c
@@ -192,6 +192,27 @@
 		last->free_requests += free_requests;
 }
 
+/*
+ * wl_peer_capacity_return - give back the capacity of a forwarded request that gets no answer
+ *
+ * The peer may keep it reserved for longer, and then refuses the next request.
+ */
+void wl_peer_capacity_return(wl_peer_capacity_t *capacity, wl_str_t peer, wl_str_t service)
+{
+	const wl_capacity_service_t *rows = wl_peer_capacity_service(capacity, service);
+	wl_capacity_report_t *report;
+
+	if (!rows)
+		return;
+	TAILQ_FOREACH (report, &rows->reports, link) {
+		if (report->generation != report->peer->generation ||
+		    !wl_str_equal(wl_buf_str(&report->peer->name), peer))
+			continue;
+		report->free_requests++;
+		return;
+	}
+}
+
 /*
  * wl_peer_capacity_service - find the reports of peers for a service
  *
--- a/libwlcore/request/peer_capacity.h
+++ b/libwlcore/request/peer_capacity.h
@@ -50,6 +50,7 @@
 void wl_peer_capacity_link_down(wl_peer_capacity_t *capacity, wl_str_t peer);
 void wl_peer_capacity_update_service(wl_peer_capacity_t *capacity, wl_str_t peer, wl_str_t service,
 				     uint64_t free_requests);
+void wl_peer_capacity_return(wl_peer_capacity_t *capacity, wl_str_t peer, wl_str_t service);
 wl_capacity_service_t *wl_peer_capacity_service(const wl_peer_capacity_t *capacity,
 						wl_str_t service);
 bool wl_capacity_report_valid(const wl_capacity_report_t *report, uint64_t now_ns);
--- a/libwlcore/request/send.c
+++ b/libwlcore/request/send.c
@@ -206,6 +206,8 @@
 
 	msg->u.cancel.id = attempt->node.id;
 	msg->u.cancel.session = attempt->session;
+	wl_peer_capacity_return(&requests->peer_capacity, wl_buf_str(&attempt->peer),
+				attempt->service->key);
 	wl_request_attempt_end(requests, attempt);
 }
 
