--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -109,8 +109,8 @@
 }
 
 /*
- * How long a run is known to have worked. What an earlier leader started worked at least until one
- * lease before this one led: the target was heard since, or the run would have ended.
+ * How long a run is known to have worked. What an earlier leader started most likely worked until
+ * one lease before this one led: as a rule the target was heard since, or the run would have ended.
  */
 static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       uint64_t heard_ns)
@@ -143,6 +143,9 @@
 			    !wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job))))
 		return;
 	row->outcome = WL_END_CRASHED;
+	/* An earlier leader may have missed the crash. That a run is sound is committed. */
+	if (run->phase == WL_RUN_INHERITED)
+		row->ran_ms = 0;
 }
 
 /* Return: whether the run crashed. */
@@ -174,6 +177,32 @@
 		run->incarnation < runner->incarnation ? &runner->previous : NULL, reason, ends);
 }
 
+/*
+ * wl_sched_crash_run_listed - process that a target lists a run
+ * @ends: the run is added to the sound ones if crashes count against its task and its trial is over
+ *
+ * A later leader does not know how long the run has worked.
+ */
+void wl_sched_crash_run_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			       wl_cmd_runs_end_t *ends)
+{
+	const wl_job_t *job;
+	wl_run_sound_t *row;
+
+	if (run->trial == WL_TRIAL_NONE)
+		return;
+	wl_sched_trial_listed(sched, now_ns, run);
+	if (run->trial != WL_TRIAL_NONE)
+		return;
+	job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	if (!job || job->tasks[run->counted].crashes.count == 0)
+		return;
+	row = wl_list_add(&wl_run_sound_schema, &ends->sound);
+	wl_buf_set(&row->job, wl_buf_str(&run->job));
+	row->task = run->task;
+	row->run = run->number;
+}
+
 static void crash_log(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
 		      const wl_sched_incarnation_end_t *end, const char *reason, size_t crashed,
 		      size_t runs, wl_out_t *out)
