state: give up a task by itself at the third crash of its targets

Callers saw: a restartable task of POST /v1/tasks that crashes each target that starts it was placed again after each loss, without a limit: one task took down target after target.

Cause: WL_REPORT_LOST stood for a proved restart, expired leases and a missing listing alike, and the state turned each into WL_TASK_EV_LOSE: queued again, nothing kept.

Ruled out as evidence: silence and expired leases ("target out of reach"), a run that the target no longer lists (same boot), an attempt found missing by an owner that did not adopt the boot before ("not on the target"), a drain announced by the boot before, a start that was never sent or still awaits its answer when the target is back (one sent to a target that is down ends as refused). Proof is confirm_reboot(): the target answers an adoption under another boot id than the one adopted.

Change: the owner marks such a loss as `crashed`; the task record counts crashes in a row with the constants and rule of jobs (wl_task_crashes_next(): 3 crashes; a run longer than the trial time, 5 to 10 s, starts the count anew); failed and stopped clear it, losses without proof and refusals leave it. At the third the event is give_up, and the reason says so. Lines task-crash and task-given-up, two metrics.

Weighed against outages: a table of lost targets as for jobs needs all owners' runs and contacts at the leader; left out. A crash adds up only if the run was young at it, so that an outage sets settled tasks to 1 and it takes three within seconds of the starts to give up an innocent one. Giving up later than the third crash would cost the fleet a target each time. An innocent task beside three guilty ones in turn is given up as well (way 2 of docs/design/suspects.md); not measured for tasks by themselves.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -40,14 +40,22 @@
 }
 
 /*
- * The count after one more crash. An outage makes a task suspected, but counts no further: it may
- * recur.
+ * wl_task_crashes_next - crashes in a row after one more
+ * @ran_ms: how long the run that ended with the target is known to have run
  */
-static uint64_t next_count(const wl_task_crashes_t *crashes, const wl_run_end_t *end)
+uint64_t wl_task_crashes_next(const wl_task_crashes_t *crashes, uint64_t ran_ms)
 {
-	if (crashes->count == 0 || end->ran_ms > wl_task_trial_ms(crashes))
+	if (crashes->count == 0 || ran_ms > wl_task_trial_ms(crashes))
 		return 1;
-	return end->outage ? crashes->count : crashes->count + 1;
+	return crashes->count + 1;
+}
+
+/* An outage makes a task suspected, but counts no further: it may recur. */
+static uint64_t next_count(const wl_task_crashes_t *crashes, const wl_run_end_t *end)
+{
+	uint64_t next = wl_task_crashes_next(crashes, end->ran_ms);
+
+	return end->outage && next > 1 ? crashes->count : next;
 }
 
 /*
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -11,7 +11,7 @@
  * runs. Only committed commands change it.
  */
 
-#define WL_TASK_CRASHES_MAX 3 /* crashes of targets under one task at which its job fails */
+#define WL_TASK_CRASHES_MAX 3 /* crashes of targets under one task at which it is given up */
 
 struct wl_job;
 struct wl_runner;
@@ -132,6 +132,7 @@
 const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step);
 uint64_t wl_job_counted_task(const wl_job_t *job, uint64_t task);
 uint64_t wl_task_trial_ms(const wl_task_crashes_t *crashes);
+uint64_t wl_task_crashes_next(const wl_task_crashes_t *crashes, uint64_t ran_ms);
 void wl_job_task_ref(const wl_job_t *job, uint64_t task, wl_task_ref_t *ref);
 bool wl_job_task_index(const wl_job_t *job, const wl_task_ref_t *ref, uint64_t *task);
 uint64_t *wl_job_step_remaining(const wl_job_t *job, uint64_t occurrence, uint64_t step);
--- a/libwlcore/leader/internal.h
+++ b/libwlcore/leader/internal.h
@@ -173,7 +173,8 @@
 		      const wl_cmd_task_cancel_t *cancel);
 void wl_leader_tasks_tick(wl_leader_t *leader, uint64_t now_ns, wl_out_t *out);
 void wl_leader_assigned(wl_leader_t *leader);
-void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd);
+void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd,
+			wl_out_t *out);
 void wl_leader_reports_answer(const wl_proposal_t *proposal, wl_out_t *out);
 void wl_leader_cancelled(wl_leader_t *leader, const wl_cmd_task_cancel_t *cmd);
 
@@ -200,6 +201,7 @@
 void wl_leader_count(const wl_leader_t *leader, wl_leader_counts_t *counts);
 void wl_leader_count_wait(const wl_leader_t *leader, const wl_task_t *task);
 void wl_leader_count_end(const wl_leader_t *leader, const wl_task_t *task);
+void wl_leader_count_crash(const wl_leader_t *leader, const wl_task_t *task, wl_out_t *out);
 void wl_leader_status_tick(wl_leader_t *leader, uint64_t now_ns);
 void wl_leader_status_clear(wl_leader_t *leader);
 
--- a/libwlcore/leader/leader.c
+++ b/libwlcore/leader/leader.c
@@ -262,7 +262,8 @@
 }
 
 /* Updates the leader's own data after an applied command, whoever proposed it. */
-static void update_from_command(wl_leader_t *leader, uint64_t now_ns, const wl_event_t *event)
+static void update_from_command(wl_leader_t *leader, uint64_t now_ns, const wl_event_t *event,
+				wl_out_t *out)
 {
 	const wl_cmd_t *cmd = event->cmd;
 
@@ -295,7 +296,7 @@
 		wl_leader_assigned(leader);
 		break;
 	case WL_CMD_TASK_REPORT:
-		wl_leader_reported(leader, now_ns, &cmd->u.task_report);
+		wl_leader_reported(leader, now_ns, &cmd->u.task_report, out);
 		break;
 	case WL_CMD_KEY_BEGIN:
 	case WL_CMD_KEY_END:
@@ -320,7 +321,7 @@
 {
 	wl_proposal_t *proposal = event->tag ? proposal_find(leader, event->tag) : NULL;
 
-	update_from_command(leader, now_ns, event);
+	update_from_command(leader, now_ns, event, out);
 	if (!proposal)
 		return;
 	if (proposal->kind == WL_PROPOSAL_COMMAND)
--- a/libwlcore/leader/status.c
+++ b/libwlcore/leader/status.c
@@ -55,6 +55,33 @@
 	wl_buf_free(&labels);
 }
 
+/*
+ * Counts and logs the end of a task's latest attempt if its target crashed, and that the task is
+ * given up for it.
+ */
+void wl_leader_count_crash(const wl_leader_t *leader, const wl_task_t *task, wl_out_t *out)
+{
+	const wl_task_record_t *record = &task->record;
+
+	if (record->crashes.run != record->attempt || record->crashes.count == 0)
+		return;
+	wl_metrics_add(leader->options.metrics, "wisterialead_task_crashes_total", "", 1);
+	wl_out_log(
+		out, WL_WARN, "task-crash",
+		"task=" WL_STR_FMT " attempt=%llu target=" WL_STR_FMT " in_a_row=%llu ran_ms=%llu",
+		WL_STR_ARG(task->key), (unsigned long long)record->attempt,
+		WL_STR_ARG(wl_buf_str(&record->target)), (unsigned long long)record->crashes.count,
+		(unsigned long long)record->crashes.ran_ms);
+	if (record->state != WL_TASK_FAILED)
+		return;
+	wl_metrics_add(leader->options.metrics, "wisterialead_tasks_given_up_total", "", 1);
+	wl_out_log(out, WL_ERROR, "task-given-up",
+		   "task=" WL_STR_FMT " customer=" WL_STR_FMT " kind=" WL_STR_FMT " crashes=%llu",
+		   WL_STR_ARG(task->key), WL_STR_ARG(wl_buf_str(&record->customer)),
+		   WL_STR_ARG(wl_buf_str(&record->spec.kind)),
+		   (unsigned long long)record->crashes.count);
+}
+
 static void gauge(const wl_leader_t *leader, const char *name, const char *labels, uint64_t value)
 {
 	wl_metrics_set(leader->options.metrics, name, labels, value);
--- a/libwlcore/leader/tasks.c
+++ b/libwlcore/leader/tasks.c
@@ -134,7 +134,8 @@
 }
 
 /* Updates the attempts after an applied command of reports. */
-void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd)
+void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd,
+			wl_out_t *out)
 {
 	const wl_report_t *reports = cmd->reports.items;
 
@@ -149,8 +150,10 @@
 			wl_place_suspend(leader->place, now_ns + REFUSED_HOLD_NS,
 					 wl_buf_str(&reports[i].target));
 		if (!is_placed(task, attempt->attempt)) {
-			if (task)
+			if (task) {
 				wl_leader_count_end(leader, task);
+				wl_leader_count_crash(leader, task, out);
+			}
 			wl_leader_attempt_remove(leader, attempt);
 			continue;
 		}
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -100,6 +100,7 @@
 	WL_FIELD(wl_report_t, ran_ms, WL_FIELD_U64),
 	WL_FIELD(wl_report_t, cpu_millis, WL_FIELD_U64),
 	WL_FIELD(wl_report_t, memory_mib, WL_FIELD_U64),
+	WL_FIELD(wl_report_t, crashed, WL_FIELD_BOOL),
 };
 
 const wl_schema_t wl_report_schema = WL_SCHEMA(wl_report_t, report_fields);
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -119,6 +119,7 @@
 	uint64_t ran_ms;     /* run time of the attempt, for estimates of run times */
 	uint64_t cpu_millis; /* highest use observed */
 	uint64_t memory_mib;
+	bool crashed; /* LOST: the target restarted under the attempt and had not announced it */
 } wl_report_t;
 
 typedef struct wl_cmd_task_report {
--- a/libwlcore/owner/adopt.c
+++ b/libwlcore/owner/adopt.c
@@ -64,6 +64,17 @@
 	return false;
 }
 
+/*
+ * Whether a target that has restarted crashed under an attempt, and may have done so because of
+ * it.  A start that may not have reached the target, or a restart after a drain, is no evidence.
+ */
+static bool crashed_under(const wl_owned_target_t *owned, const wl_attempt_t *attempt)
+{
+	bool was_there = attempt->phase != WL_ATTEMPT_STARTING || attempt->uncertain;
+
+	return was_there && !owned->adopted_left;
+}
+
 /*
  * The target answered with another boot id than the adopted one: whatever it
  * ran under the old boot has ended, unless the answer lists it.
@@ -80,8 +91,10 @@
 			wl_attempt_close(ctx, attempt);
 		else if (attempt->phase < WL_ATTEMPT_ENDED &&
 			 attempt->phase != WL_ATTEMPT_WAITING &&
-			 !lists_attempt(answer, wl_buf_str(&attempt->task), attempt->number))
+			 !lists_attempt(answer, wl_buf_str(&attempt->task), attempt->number)) {
+			attempt->report.crashed = crashed_under(owned, attempt);
 			wl_attempt_end(ctx, attempt, WL_REPORT_LOST, WL_STR("target restarted"));
+		}
 	}
 }
 
@@ -136,6 +149,7 @@
 	if (owned->adopted_boot && owned->adopted_boot != answer->boot)
 		confirm_reboot(ctx, owned, answer);
 	owned->adopted_boot = answer->boot;
+	owned->adopted_left = owned->leaving;
 	owned->adopt_retries = 0;
 	owned->renew_next_ns = ctx->now_ns;
 	owned->renew_seq = 0;
--- a/libwlcore/owner/announce.c
+++ b/libwlcore/owner/announce.c
@@ -74,6 +74,8 @@
 	owned->leases_ended = false;
 	owned->usage_taken_ns = age_ns < ctx->now_ns ? ctx->now_ns - age_ns : 0;
 	set_attributes(owned, announce);
+	if (owned->adopted_boot == announce->boot)
+		owned->adopted_left = owned->leaving;
 	notify_leader_of_change(ctx, announce);
 	if (owned->adopted_boot && owned->adopted_boot != announce->boot)
 		wl_owned_handle_event(ctx, owned, WL_TARGET_REBOOT);
--- a/libwlcore/owner/internal.h
+++ b/libwlcore/owner/internal.h
@@ -129,6 +129,7 @@
 	wl_need_t capacity; /* as announced */
 	bool admitted;	    /* the target's state (WL_TARGET_*) admits new work */
 	bool leaving;
+	bool adopted_left;	     /* the adopted boot announced that it drains */
 	bool overloaded;	     /* more is reserved than its capacity */
 	bool leases_ended;	     /* every lease that may have been granted has expired */
 	uint64_t inherited_requests; /* requests of earlier owners that still reserve capacity */
--- a/libwlcore/state/internal.h
+++ b/libwlcore/state/internal.h
@@ -62,8 +62,9 @@
 	wl_buf_t checkpoint;
 	wl_buf_t result;
 	wl_buf_t reason;
-	wl_buf_t digest; /* of the spec, to recognise a repeated add */
-	wl_need_t held;	 /* share of the customer's plan that the latest attempt holds */
+	wl_buf_t digest;	   /* of the spec, to recognise a repeated add */
+	wl_need_t held;		   /* share of the customer's plan that the latest attempt holds */
+	wl_task_crashes_t crashes; /* run: the attempt; crash is not used */
 } wl_task_record_t;
 
 extern const wl_schema_t wl_task_record_schema;
--- a/libwlcore/state/reports.c
+++ b/libwlcore/state/reports.c
@@ -7,6 +7,9 @@
  * was assigned can have started it.  An owner's own conclusions (lost, after
  * silence) and plans (checkpoint) are valid from the present owner only,
  * because a later owner may be renewing the task's lease.
+ *
+ * A loss with proof that the target crashed counts against the task, as the task
+ * may be what crashes it.
  */
 
 #include "internal.h"
@@ -64,6 +67,34 @@
 	return WL_TASK_EV_FAIL;
 }
 
+/* A task that is not restartable does not run again, whatever it lost its target to. */
+static wl_task_event_t lost_event(const wl_task_t *task, const wl_report_t *report)
+{
+	const wl_task_crashes_t *crashes = &task->record.crashes;
+
+	if (!task->record.spec.restartable)
+		return WL_TASK_EV_LOSE_FOR_GOOD;
+	if (report->crashed && wl_task_crashes_next(crashes, report->ran_ms) >= WL_TASK_CRASHES_MAX)
+		return WL_TASK_EV_GIVE_UP;
+	return WL_TASK_EV_LOSE;
+}
+
+static void record_crash(wl_task_t *task, const wl_report_t *report)
+{
+	wl_task_record_t *record = &task->record;
+
+	record->crashes.count = wl_task_crashes_next(&record->crashes, report->ran_ms);
+	record->crashes.run = report->attempt;
+	record->crashes.ran_ms = report->ran_ms;
+	if (record->state != WL_TASK_FAILED)
+		return;
+	wl_buf_clear(&record->reason);
+	wl_buf_printf(&record->reason,
+		      "targets crashed under it %llu times in a row, the last one was " WL_STR_FMT,
+		      (unsigned long long)record->crashes.count,
+		      WL_STR_ARG(wl_buf_str(&report->target)));
+}
+
 static void record_failure(wl_task_t *task, const wl_report_t *report)
 {
 	wl_str_t target = wl_buf_str(&report->target);
@@ -90,7 +121,7 @@
 	case WL_REPORT_STOPPED:
 		return resumable(task, report) ? WL_TASK_EV_STOP : WL_TASK_EV_STOP_FOR_GOOD;
 	case WL_REPORT_LOST:
-		return task->record.spec.restartable ? WL_TASK_EV_LOSE : WL_TASK_EV_LOSE_FOR_GOOD;
+		return lost_event(task, report);
 	case WL_REPORT_UNPLACEABLE:
 	case WL_REPORT_KINDS:
 		break;
@@ -111,6 +142,10 @@
 		wl_state_kind_add_sample(state, wl_buf_str(&task->record.spec.kind), report);
 	if (report->kind == WL_REPORT_FAILED)
 		record_failure(task, report);
+	if (report->kind == WL_REPORT_FAILED || report->kind == WL_REPORT_STOPPED)
+		task->record.crashes = (wl_task_crashes_t){0};
+	if (report->kind == WL_REPORT_LOST && report->crashed)
+		record_crash(task, report);
 	return true;
 }
 
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -82,6 +82,14 @@
 
 static const wl_schema_t target_schema = WL_SCHEMA(wl_state_target_t, target_fields);
 
+static const wl_field_t task_crashes_fields[] = {
+	WL_FIELD(wl_task_crashes_t, count, WL_FIELD_U64),
+	WL_FIELD(wl_task_crashes_t, run, WL_FIELD_U64),
+	WL_FIELD(wl_task_crashes_t, ran_ms, WL_FIELD_U64),
+};
+
+static const wl_schema_t task_crashes_schema = WL_SCHEMA(wl_task_crashes_t, task_crashes_fields);
+
 static const wl_field_t task_fields[] = {
 	WL_FIELD(wl_task_record_t, number, WL_FIELD_U64),
 	WL_FIELD(wl_task_record_t, customer, WL_FIELD_BYTES),
@@ -104,6 +112,7 @@
 	WL_FIELD(wl_task_record_t, reason, WL_FIELD_BYTES),
 	WL_FIELD(wl_task_record_t, digest, WL_FIELD_BYTES),
 	WL_FIELD_NEST(wl_task_record_t, held, &wl_need_schema),
+	WL_FIELD_NEST(wl_task_record_t, crashes, &task_crashes_schema),
 };
 
 const wl_schema_t wl_task_record_schema = WL_SCHEMA(wl_task_record_t, task_fields);
--- a/tests/integration/tasks_test.cc
+++ b/tests/integration/tasks_test.cc
@@ -62,6 +62,23 @@
 		return "";
 	}
 
+	/* Sets or clears a fault of a target. */
+	void fault(const std::string &target, const std::string &action)
+	{
+		std::string control;
+
+		ASSERT_TRUE(eventually([&] {
+			std::string log = file_read(cluster.folder + "/targets.log");
+			size_t at = log.find("control port=");
+
+			if (at != std::string::npos)
+				control = "127.0.0.1:" +
+					  log.substr(at + 13, log.find('\n', at) - at - 13);
+			return !control.empty();
+		}));
+		EXPECT_EQ(http(control, "POST", "/fake/" + target + "/" + action).status, 200u);
+	}
+
 	/* Checks that each accepted task ended and finished at most once, without parallel runs. */
 	void check(bool all_done)
 	{
@@ -149,20 +166,35 @@
 TEST_F(Tasks, TargetCrashes)
 {
 	ASSERT_NO_FATAL_FAILURE(add_many(30));
-	std::string control;
-	ASSERT_TRUE(eventually([&] {
-		std::string log = file_read(cluster.folder + "/targets.log");
-		size_t at = log.find("control port=");
-
-		if (at != std::string::npos)
-			control = "127.0.0.1:" + log.substr(at + 13, log.find('\n', at) - at - 13);
-		return !control.empty();
-	}));
-	EXPECT_EQ(http(control, "POST", "/fake/w1/crash").status, 200u);
+	ASSERT_NO_FATAL_FAILURE(fault("w1", "crash"));
 	EXPECT_TRUE(eventually([this] { return cluster.open_targets() == 1; }));
-	EXPECT_EQ(http(control, "POST", "/fake/w1/heal").status, 200u);
+	ASSERT_NO_FATAL_FAILURE(fault("w1", "heal"));
 	check(false);
 	for (const std::string &id : restartables)
 		EXPECT_EQ(state(id), "done") << id;
 }
+
+/* A task that crashes each target that starts it is given up after three of them. */
+TEST_F(Tasks, TaskThatCrashesItsTargetsIsGivenUp)
+{
+	Answer answer;
+
+	ASSERT_NO_FATAL_FAILURE(add(added++, true, 60000));
+	const std::string &id = *ids.begin();
+	for (int attempt = 1; attempt <= 3; attempt++) {
+		ASSERT_TRUE(eventually([&] {
+			answer = cluster.operator_call(*cluster.members[0], "GET",
+						       "/v1/tasks/" + id);
+			return answer.status == 200 && answer.at("state") == "running" &&
+			       answer.at("attempt") == std::to_string(attempt);
+		})) << answer.body;
+		ASSERT_NO_FATAL_FAILURE(fault(answer.at("target"), "crash"));
+		ASSERT_NO_FATAL_FAILURE(fault(answer.at("target"), "heal"));
+	}
+	EXPECT_TRUE(eventually([&] { return state(id) != "running"; }));
+	EXPECT_EQ(state(id), "failed");
+	answer = cluster.operator_call(*cluster.members[0], "GET", "/v1/tasks/" + id);
+	EXPECT_NE(answer.at("reason").find("3 times in a row"), std::string::npos) << answer.body;
+	EXPECT_EQ(Record(cluster.record_text()).begun("task_begin", "task")[id], 3);
+}
 } // namespace
--- a/tests/target/owner_run.cc
+++ b/tests/target/owner_run.cc
@@ -202,7 +202,8 @@
 				   " epoch=" + std::to_string(rows[i].epoch) +
 				   " result=" + text(rows[i].result) +
 				   " checkpoint=" + text(rows[i].checkpoint) + " reason=\"" +
-				   text(rows[i].reason) + "\"";
+				   text(rows[i].reason) + "\"" +
+				   (rows[i].crashed ? " crashed" : "");
 
 		if (printed.insert(line).second)
 			script.print("%llums %s", (unsigned long long)(script.now_ns / MS),
--- a/tests/unit/leader_script_test.cc
+++ b/tests/unit/leader_script_test.cc
@@ -305,6 +305,7 @@
 		row->epoch = target ? target->row.epoch : 0;
 	}
 	row->ran_ms = script_number(words, "ran");
+	row->crashed = script_value(words, "crashed") == "yes";
 	wl_buf_set(&row->checkpoint, str(script_value(words, "checkpoint")));
 	step(&event);
 	wl_event_free(&event);
--- a/tests/unit/state_script_test.cc
+++ b/tests/unit/state_script_test.cc
@@ -110,6 +110,7 @@
 	wl_buf_set(&one->result, str(script_value(words, "result")));
 	wl_buf_set(&one->reason, str(script_value(words, "reason")));
 	one->ran_ms = number(words, "ran");
+	one->crashed = script_value(words, "crashed") == "yes";
 	apply(words, cmd);
 }
 
--- a/tests/unit/state_test.cc
+++ b/tests/unit/state_test.cc
@@ -175,6 +175,85 @@
 	}
 }
 
+/* Takes the crashes away from the packed tasks, as they were before crashes were counted. */
+static std::string older_snapshot(const std::string &bytes)
+{
+	constexpr size_t head_bytes = 5;
+	constexpr char item_task = 5;
+	std::string older;
+
+	for (size_t at = 0, len = 0; at < bytes.size(); at += head_bytes + len) {
+		len = 0;
+		for (size_t i = 4; i > 0; i--)
+			len = len << 8 | static_cast<unsigned char>(bytes[at + i]);
+		std::string item = bytes.substr(at + head_bytes, len);
+		if (bytes[at] == item_task) {
+			wl_schema_t then = wl_task_record_schema;
+			wl_task_record_t record = {};
+			wl_buf_t packed = {};
+			wl_err_t err = {};
+
+			then.count--;
+			EXPECT_TRUE(
+				wl_record_unpack(&wl_task_record_schema, str(item), &record, &err))
+				<< err.text;
+			wl_record_pack(&then, &record, &packed);
+			item = std::string(packed.at, packed.len);
+			wl_buf_free(&packed);
+			wl_record_free(&wl_task_record_schema, &record);
+		}
+		older += bytes[at];
+		for (size_t i = 0; i < head_bytes - 1; i++)
+			older += static_cast<char>(item.size() >> (8 * i) & 0xff);
+		older += item;
+	}
+	return older;
+}
+
+/* Loses the next attempt of a task to a crash of its target, and returns its state after that. */
+static std::string crash(StateRig &rig, const std::string &id, uint64_t epoch)
+{
+	uint64_t attempt = rig.task(id)->record.attempt + 1;
+	wl_cmd_t assign = task_assign(id, attempt, "w1", epoch);
+	wl_cmd_t report = task_report(id, attempt, "w1", epoch, WL_REPORT_LOST);
+
+	static_cast<wl_report_t *>(report.u.task_report.reports.items)->crashed = true;
+	rig.apply(&assign);
+	rig.apply(&report);
+	return wl_task_state_names[rig.task(id)->record.state];
+}
+
+TEST(State, SnapshotKeepsCrashesAndAnOlderOneCountsFromZero)
+{
+	StateRig rig;
+	wl_cmd_t plans = list_put(WL_LIST_PLANS, 0, plans_json("p:1"));
+	rig.apply(&plans);
+	wl_cmd_t customers = list_put(WL_LIST_CUSTOMERS, 0, customers_json("norrlamp:p"));
+	rig.apply(&customers);
+	wl_cmd_t open = session_open("e1", 1);
+	uint64_t session = rig.apply(&open).index;
+	wl_cmd_t own = target_own("w1", session, 0);
+	uint64_t epoch = rig.apply(&own).index;
+	wl_cmd_t add = task_add("norrlamp", 1);
+	std::string id = "t" + std::to_string(rig.apply(&add).index);
+
+	EXPECT_EQ(crash(rig, id, epoch), "queued");
+	EXPECT_EQ(crash(rig, id, epoch), "queued");
+	std::string bytes = rig.pack();
+	std::string older = older_snapshot(bytes);
+	ASSERT_LT(older.size(), bytes.size());
+
+	rig.restore(bytes);
+	EXPECT_EQ(rig.pack(), bytes);
+	EXPECT_EQ(crash(rig, id, epoch), "failed");
+
+	rig.restore(older);
+	EXPECT_EQ(rig.task(id)->record.crashes.count, 0u);
+	EXPECT_EQ(crash(rig, id, epoch), "queued");
+	EXPECT_EQ(crash(rig, id, epoch), "queued");
+	EXPECT_EQ(crash(rig, id, epoch), "failed");
+}
+
 TEST(State, ViewSendsOnlyWhatChanged)
 {
 	StateRig rig;
