leader: start a task by itself apart from others after two crashes

Cause: placement did not know the count; the attempt that decides about a task started anywhere, beside others that may be what crashes the target.

Change: after two crashes a task starts only on a target with no attempt younger than 2 s and no suspected one on trial, and nothing starts beside it during its trial (5 to 10 s), so that a third crash names it. It does not hold up others of its size in the queue, searches are bounded (16 a round), and 20 s after its last assignment it is placed beside others rather than starve. A new leader takes all attempts as just started.

Ruled out: apart after the first crash already, as an outage suspects all its tasks, which would then start one a target and trial; a target kept free, as for jobs: not needed to bound the wait, left open. On a service with one target other work waits for the trial.

The bound of searches has no test.

--- a/libwlcore/leader/internal.h
+++ b/libwlcore/leader/internal.h
@@ -185,6 +185,7 @@
 wl_leader_attempt_t *wl_leader_attempt_find(const wl_leader_t *leader, wl_str_t task);
 wl_leader_attempt_t *wl_leader_attempt_add(wl_leader_t *leader, const wl_task_t *task,
 					   uint64_t number, wl_str_t target, const wl_need_t *need);
+void wl_leader_attempt_try(wl_leader_attempt_t *attempt, const wl_task_t *task, uint64_t now_ns);
 void wl_leader_attempt_remove(wl_leader_t *leader, wl_leader_attempt_t *attempt);
 void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list);
 
--- a/libwlcore/leader/placement.c
+++ b/libwlcore/leader/placement.c
@@ -13,7 +13,10 @@
 #define ROUND_INTERVAL_NS  (100 * WL_NS_PER_MS) /* between rounds when nothing changed */
 #define PAUSE_PER_TASK_NS  100000ULL /* pause after a round, per task that it considered */
 #define TOO_LARGE_DELAY_MS 10000
-#define SHORT_SEARCH_MAX   64 /* tasks at the head of a queue that are searched for short ones */
+#define FRESH_MS	   2000	 /* any attempt this young may be what crashes its target */
+#define ALONE_WAIT_MS	   20000 /* after its last assignment a task is placed beside others */
+#define ALONE_MISSES_MAX   16	 /* searches per round for a target without attempts on trial */
+#define SHORT_SEARCH_MAX   64	 /* tasks at the head of a queue that are searched for short ones */
 
 /* Returns the latest attempt of a task, or NULL if it has none. */
 wl_leader_attempt_t *wl_leader_attempt_find(const wl_leader_t *leader, wl_str_t task)
@@ -48,6 +51,24 @@
 	return attempt;
 }
 
+/* Whether one more crash of a target under a task gives it up. */
+static bool nearly_given_up(const wl_task_t *task)
+{
+	return task->record.crashes.count + 1 >= WL_TASK_CRASHES_MAX;
+}
+
+/*
+ * Puts an attempt on trial, as it may be what crashes its target.  Nothing else starts beside the
+ * one that decides whether its task is given up.
+ */
+void wl_leader_attempt_try(wl_leader_attempt_t *attempt, const wl_task_t *task, uint64_t now_ns)
+{
+	const wl_task_crashes_t *crashes = &task->record.crashes;
+	uint64_t trial_ms = crashes->count > 0 ? wl_task_trial_ms(crashes) : FRESH_MS;
+
+	wl_place_load_try(&attempt->load, now_ns + trial_ms * WL_NS_PER_MS, nearly_given_up(task));
+}
+
 /* Moves an attempt to the tail of one of the lists unsent, sent and idle. */
 void wl_leader_attempt_move(wl_leader_attempt_t *attempt, struct wl_leader_attempts *list)
 {
@@ -98,6 +119,7 @@
 	wl_cmd_task_assign_t assign;
 	wl_cmd_task_report_t reject;
 	uint64_t considered;
+	uint64_t alone_misses; /* tasks that found no target without attempts on trial */
 } round_t;
 
 /* Marks in the placement table the services for which short tasks are queued. */
@@ -123,19 +145,21 @@
 static void fill_request(const round_t *round, const wl_task_t *task, wl_place_request_t *request)
 {
 	const wl_task_spec_t *spec = &task->record.spec;
+	uint64_t clock_ms = wl_leader_clock_ms(round->leader, round->now_ns);
 
 	*request = (wl_place_request_t){.service = wl_buf_str(&spec->service),
 					.kind = wl_buf_str(&spec->kind),
 					.avoid = &task->record.failed_on,
 					.urgent = spec->work_class == WL_CLASS_URGENT,
 					.is_long = is_long(round->leader, task)};
+	request->alone =
+		nearly_given_up(task) && clock_ms < task->record.assigned_ms + ALONE_WAIT_MS;
 	request->declared = (wl_need_t){.cpu_millis = spec->cpu_millis,
 					.memory_mib = spec->memory_mib,
 					.accelerators = spec->accelerators,
 					.slots = 1};
 	wl_state_need(round->leader->state, spec, &request->need);
-	request->waited_ms =
-		wl_leader_clock_ms(round->leader, round->now_ns) - task->record.added_ms;
+	request->waited_ms = clock_ms - task->record.added_ms;
 }
 
 static void reject(round_t *round, const wl_task_t *task, wl_str_t reason)
@@ -197,6 +221,7 @@
 	assignment->epoch = choice->target->row.epoch;
 	attempt = wl_leader_attempt_add(round->leader, task, assignment->attempt,
 					choice->target->key, &choice->need);
+	wl_leader_attempt_try(attempt, task, round->now_ns);
 	attempt->proposed = true;
 	attempt->may_evict = choice->may_evict;
 }
@@ -218,6 +243,17 @@
 	return (wl_str_t){0};
 }
 
+/* A task that needs a target without attempts on trial does not hold up others of its size. */
+static void place_missed(round_t *round, wl_fair_entry_t *entry, const wl_place_request_t *request)
+{
+	if (!request->alone) {
+		wl_fair_skip(entry);
+		return;
+	}
+	round->alone_misses++;
+	wl_fair_drop(entry);
+}
+
 static void place_next(round_t *round, wl_fair_entry_t *entry)
 {
 	const wl_task_t *task = entry->next;
@@ -233,11 +269,18 @@
 		wl_fair_drop(entry);
 		return;
 	}
-	if (!wl_fair_within_plan(entry, &request.need) ||
-	    !choose_target(round, &request, &choice)) {
+	if (!wl_fair_within_plan(entry, &request.need)) {
 		wl_fair_skip(entry);
 		return;
 	}
+	if (request.alone && round->alone_misses >= ALONE_MISSES_MAX) {
+		wl_fair_drop(entry);
+		return;
+	}
+	if (!choose_target(round, &request, &choice)) {
+		place_missed(round, entry, &request);
+		return;
+	}
 	assign(round, task, &choice);
 	wl_fair_take(entry, &choice.need);
 }
--- a/libwlcore/leader/tasks.c
+++ b/libwlcore/leader/tasks.c
@@ -35,6 +35,7 @@
 		wl_place_target_get(leader->place, now_ns, task->target->key);
 		attempt = wl_leader_attempt_add(leader, task, task->record.attempt,
 						task->target->key, &task->record.held);
+		wl_leader_attempt_try(attempt, task, now_ns);
 		attempt->may_evict = task->record.spec.work_class == WL_CLASS_URGENT;
 		attempt_update(leader, attempt, task);
 	}
--- a/libwlcore/place/fair.c
+++ b/libwlcore/place/fair.c
@@ -152,7 +152,8 @@
 }
 
 /*
- * wl_fair_drop - advance past the customer's next task, which is to be refused
+ * wl_fair_drop - advance past the customer's next task alone: it is to be refused, or finds no
+ * target where others of its size may find one
  */
 void wl_fair_drop(wl_fair_entry_t *entry)
 {
--- a/libwlcore/place/place.c
+++ b/libwlcore/place/place.c
@@ -406,7 +406,8 @@
 	choice->may_evict = true;
 	if (request->urgent && place->policy->choose(place, service, &adjusted, true, choice))
 		return true;
-	if (!choice->deferred && (!adjusted.avoid || adjusted.avoid->count == 0)) {
+	if (!choice->deferred && !request->alone &&
+	    (!adjusted.avoid || adjusted.avoid->count == 0)) {
 		service->failed[class_of(request)] = true;
 		service->failed_need[class_of(request)] = request->need;
 	}
@@ -444,6 +445,19 @@
 		target->rack->long_held_milli += load->slots_milli;
 }
 
+/*
+ * wl_place_load_try - take an attempt as on trial for some time
+ * @until_ns: monotonic time
+ * @alone: no other work starts beside it meanwhile
+ */
+void wl_place_load_try(wl_place_load_t *load, uint64_t until_ns, bool alone)
+{
+	load->alone = alone;
+	load->trial_until_ns = until_ns;
+	if (alone)
+		load->target->alone_until_ns = until_ns;
+}
+
 /*
  * wl_place_load_remove - no longer count an attempt on its target
  */
@@ -458,6 +472,8 @@
 		wl_need_subtract(&target->pending, &load->need);
 	if (target->rack && load->is_long)
 		target->rack->long_held_milli -= load->slots_milli;
+	if (load->alone && target->alone_until_ns == load->trial_until_ns)
+		target->alone_until_ns = 0;
 	load->target = NULL;
 }
 
--- a/libwlcore/place/place.h
+++ b/libwlcore/place/place.h
@@ -31,6 +31,7 @@
 	wl_place_rack_t *rack;
 	uint64_t closed_ns;	     /* since when it has not been open; 0: it is open */
 	uint64_t suspended_until_ns; /* gets no work before this time, as its owner refused some */
+	uint64_t alone_until_ns;     /* gets no other work before this time */
 	TAILQ_ENTRY(wl_place_target) link;
 } wl_place_target_t;
 
@@ -40,7 +41,9 @@
 	wl_buf_t kind;
 	wl_need_t need;
 	bool is_long;
-	bool included;	      /* the offer counts it as reserved */
+	bool included; /* the offer counts it as reserved */
+	bool alone;    /* while it is on trial, no other work starts beside it */
+	uint64_t trial_until_ns;
 	uint64_t slots_milli; /* slots' worth of the resource it takes most of, thousandths */
 	TAILQ_ENTRY(wl_place_load) link;
 } wl_place_load_t;
@@ -55,6 +58,7 @@
 	uint64_t waited_ms;
 	bool urgent;
 	bool is_long;
+	bool alone;		/* only where no load is on trial, as targets crashed under it */
 	uint64_t long_permille; /* set by wl_place_choose(): share of a rack for long work */
 } wl_place_request_t;
 
@@ -90,5 +94,6 @@
 bool wl_place_too_large(const wl_place_t *place, const wl_place_request_t *request);
 void wl_place_load_add(wl_place_target_t *target, wl_place_load_t *load);
 void wl_place_load_remove(wl_place_load_t *load);
+void wl_place_load_try(wl_place_load_t *load, uint64_t until_ns, bool alone);
 
 #endif
--- a/libwlcore/place/policy.c
+++ b/libwlcore/place/policy.c
@@ -46,6 +46,16 @@
 	return rack->long_held_milli < larger(max_slots, MIN_LONG_SLOTS) * WL_SLOT_MILLI;
 }
 
+static bool has_trial(const wl_place_t *place, const wl_place_target_t *target)
+{
+	const wl_place_load_t *load;
+
+	TAILQ_FOREACH (load, &target->loads, link)
+		if (place->now_ns < load->trial_until_ns)
+			return true;
+	return false;
+}
+
 /*
  * wl_place_fits - whether a target has free capacity for a task
  * @evict: count capacity that eviction can free
@@ -57,7 +67,8 @@
 	wl_need_t available = target->row.free;
 
 	if (!target->row.available || target->row.quarantined || !target->rack ||
-	    place->now_ns < target->suspended_until_ns)
+	    place->now_ns < target->suspended_until_ns || place->now_ns < target->alone_until_ns ||
+	    (request->alone && has_trial(place, target)))
 		return false;
 	if (!wl_need_within(&request->declared, &target->row.capacity))
 		return false;
