--- a/libwlcore/leader/tasks.c
+++ b/libwlcore/leader/tasks.c
@@ -35,6 +35,7 @@
 		wl_place_target_get(leader->place, now_ns, task->target->key);
 		attempt = wl_leader_attempt_add(leader, task, task->record.attempt,
 						task->target->key, &task->record.held);
+		wl_leader_attempt_try(attempt, task, now_ns);
 		attempt->may_evict = task->record.spec.work_class == WL_CLASS_URGENT;
 		attempt_update(leader, attempt, task);
 	}
@@ -134,7 +135,8 @@
 }
 
 /* Updates the attempts after an applied command of reports. */
-void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd)
+void wl_leader_reported(wl_leader_t *leader, uint64_t now_ns, const wl_cmd_task_report_t *cmd,
+			wl_out_t *out)
 {
 	const wl_report_t *reports = cmd->reports.items;
 
@@ -149,8 +151,10 @@
 			wl_place_suspend(leader->place, now_ns + REFUSED_HOLD_NS,
 					 wl_buf_str(&reports[i].target));
 		if (!is_placed(task, attempt->attempt)) {
-			if (task)
+			if (task) {
 				wl_leader_count_end(leader, task);
+				wl_leader_count_crash(leader, task, out);
+			}
 			wl_leader_attempt_remove(leader, attempt);
 			continue;
 		}
