sched: a run's known time of work survives a second restart of its target

Callers saw an innocent job fail: a lasting task that had worked for 14 to 30 s was given up, as its crash counted as one more in a row (ran_ms=0 in task-crash).

Cause: how long a run had worked was taken from the newest answer of the incarnation that ended last. A target that restarts twice before its runs are found lost, or whose later incarnation loses its address to another target, has two ends since the run; the data of the later incarnation, which never answered, replaced that of the run's own.

Change: each run keeps when it was last listed; that is its own, whatever became of the target. The copy in the end of an incarnation goes. Runs of an earlier leader that this one has not seen listed are counted as before.

Tests: two cases in unit.sched_crash_test, both failed before (count 2 where 1 is right; the job failed). unit.sched_crash_test 22, sched_suspects 9, sched_guilty 21, job_crashes 15, sched_overlap 1, sched_held_orders 1, fleet_restarts 5 cases pass.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -26,7 +26,6 @@
 		.incarnation = runner->incarnation,
 		.announced = runner->known.departing || runner->state->report.draining,
 		.lost_ns = runner->unreachable_since_ns ? runner->unreachable_since_ns : now_ns,
-		.heard_ns = runner->heard_ns,
 		.contact_ns = wl_sched_crash_contact_ns(runner),
 	};
 }
@@ -111,21 +110,24 @@
 /*
  * How long a run is known to have worked. What an earlier leader started worked at least until one
  * lease before this one led: the target was heard since, or the run would have ended.
+ *
+ * The target may have restarted again since the incarnation of the run, so that what is known of
+ * the newest incarnations says nothing of the run.
  */
-static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
-		       uint64_t heard_ns)
+static uint64_t ran_ms(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run)
 {
+	uint64_t seen_ns = run->last_listed_ns;
 	uint64_t began_ms = run->started_ms;
-	uint64_t heard_ms;
+	uint64_t seen_ms;
 
 	if (run->phase == WL_RUN_INHERITED) {
-		heard_ns = sched->leader_since_ns;
+		seen_ns = sched->leader_since_ns;
 		began_ms += sched->options.lease_max_ms;
 	}
-	if (!heard_ns || !run->started_ms || run->phase == WL_RUN_UNCONFIRMED)
+	if (!seen_ns || !run->started_ms)
 		return 0;
-	heard_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - heard_ns) / WL_NS_PER_MS;
-	return heard_ms > began_ms ? heard_ms - began_ms : 0;
+	seen_ms = wl_sched_clock_ms(sched, now_ns) - (now_ns - seen_ns) / WL_NS_PER_MS;
+	return seen_ms > began_ms ? seen_ms - began_ms : 0;
 }
 
 /* Fills in the end of a run that its target did not list, if that crashed. */
@@ -136,7 +138,7 @@
 
 	if (end->announced || !run_was_there(run, end->lost_ns))
 		return;
-	row->ran_ms = ran_ms(sched, now_ns, run, end->heard_ns);
+	row->ran_ms = ran_ms(sched, now_ns, run);
 	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
 	row->outage = outage > 0;
 	if (row->outage && (row->ran_ms > OUTAGE_NEW_MS ||
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -68,6 +68,7 @@
 	uint64_t tail_target_us;
 	unsigned int image;		     /* id in the table of images */
 	uint64_t first_listed_ns;	     /* when a renewal answer first listed it; 0: never */
+	uint64_t last_listed_ns;	     /* when one last listed it; 0: never */
 	wl_interference_baseline_t baseline; /* serving */
 	uint64_t last_tail_ms;		     /* serving: newest tail latency used as a sample, ms */
 	double headroom;     /* serving: without best-effort work, from the newest sample alone */
@@ -124,7 +125,6 @@
 	uint64_t incarnation;
 	bool announced; /* that it drains or leaves */
 	uint64_t lost_ns;
-	uint64_t heard_ns;   /* newest answer to a renewal; 0: there was none */
 	uint64_t contact_ns; /* newest report or answer */
 } wl_sched_incarnation_end_t;
 
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -336,6 +336,7 @@
 		wl_sched_trial_listed(sched, now_ns, run);
 		if (run->first_listed_ns == 0)
 			run->first_listed_ns = now_ns;
+		run->last_listed_ns = now_ns;
 		run->tail_ms = views[i].load; /* the tail latency of a serving run, in ms */
 		if (views[i].checkpoint.len)
 			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -240,6 +240,44 @@
 	EXPECT_EQ(rig.job_state("j"), "running");
 }
 
+/* Neither restart was asked for its runs before the next one was known. */
+TEST_F(Crash, RunThatWorkedForLongStartsTheCountAnewIfItsTargetRestartsTwice)
+{
+	target("a");
+	job("j");
+	for (int i = 0; i < 3; i++) {
+		pass(12000); /* longer than the longest trial */
+		crash("a");
+		target("a");
+		target("a");
+		pass(100);
+		EXPECT_EQ(ends("crashed"), i + 1u);
+		EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	}
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
+
+TEST_F(Crash, RunThatWorkedForLongStartsTheCountAnewIfAnotherTargetHasTheAddressOfALaterOne)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	target("a");
+	pass(12000);
+	ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	crash("a");
+	target("a");
+	rig.address = "a:80";
+	rig.runner("b", 32000, 4);
+	rig.advance(200);
+	for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+		rig.answer(order, WL_ORDER_OTHER_INCARNATION);
+	rig.commit();
+	EXPECT_EQ(ends("crashed"), 2u);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+}
+
 TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
 {
 	two_racks();
