sched: a job whose runs have worked for long starts more of them after crashes

Task 28 waited 36.8 s: 32.0 s for the slow start, 4.6 s for its job's trials alone, 0.2 s for a target. Tasks after two crashes waited up to 21 s, nearly all for the one trial alone that a job may have. Each crash halves what has settled, also that of a run that had worked for long, so that the limit stays at two to four. (Not the whole trial, as was believed: tasks after one crash already wait for 2 s of it only.)

Change: a job may start one more task at a time for each four of its runs that have worked for 10 s, longer than any trial, before the crashes or after. No crash takes these away; a new leader learns them from the first lists, as starts are committed with their times. A job whose tasks all crash their targets within 10 s has none: unchanged.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -3,7 +3,6 @@
 #include "internal.h"
 
 #define TRIAL_MIN_MS 5000
-#define TRIAL_MAX_MS 10000
 #define TRIAL_FACTOR 2 /* of the time after which the target crashed */
 
 /*
@@ -15,7 +14,7 @@
 
 	if (ms < TRIAL_MIN_MS)
 		return TRIAL_MIN_MS;
-	return ms < TRIAL_MAX_MS ? ms : TRIAL_MAX_MS;
+	return ms < WL_TASK_TRIAL_MAX_MS ? ms : WL_TASK_TRIAL_MAX_MS;
 }
 
 /*
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -11,7 +11,8 @@
  * runs. Only committed commands change it.
  */
 
-#define WL_TASK_CRASHES_MAX 3 /* crashes of targets under one task at which its job fails */
+#define WL_TASK_CRASHES_MAX  3	   /* crashes of targets under one task at which its job fails */
+#define WL_TASK_TRIAL_MAX_MS 10000 /* a run that has worked for longer is on no trial */
 
 struct wl_job;
 struct wl_runner;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -79,6 +79,7 @@
 	uint64_t trial;		     /* WL_TRIAL_NONE: it is not on trial */
 	uint64_t trial_ms;	     /* how long the trial lasts */
 	bool settling;	  /* on trial: other tasks of a job that starts slowly wait for it */
+	bool proved;	  /* has worked for longer than any trial */
 	uint64_t crash;	  /* on trial: number of the newest crash under its task; 0: none */
 	uint64_t counted; /* on trial: wl_job_counted_task() */
 	wl_buf_t checkpoint;
@@ -234,7 +235,8 @@
 	uint64_t trials[WL_TRIALS]; /* its runs on trial */
 	uint64_t settling;	    /* of these: not listed for long enough to let others start */
 	uint64_t sound;		    /* runs that have settled; halved by each crash */
-	bool proved_sound;	    /* one has passed */
+	uint64_t proved;   /* runs longer than any trial, counted up to the number of tasks */
+	bool proved_sound; /* a run has passed its trial, or has been longer than any */
 } wl_sched_job_t;
 
 TAILQ_HEAD(wl_sched_timed, wl_sched_job);
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -24,6 +24,7 @@
  */
 #define SLOW_START_CRASHES 3
 #define SLOW_START_TRIALS  2
+#define PROVED_SHARE	   4	/* one more for so many runs that have been longer than any trial */
 #define SETTLED_MS	   2000 /* a run that was listed after so long lets the next ones start */
 
 static const wl_task_crashes_t *crashes_of(const wl_job_t *job, uint64_t task)
@@ -126,6 +127,18 @@
 		trial_end(sched, run, true);
 }
 
+/* The run has worked for longer than any trial, whether it was on one or not. */
+static void prove(const wl_sched_t *sched, wl_sched_run_t *run)
+{
+	wl_sched_job_t *sched_job = sched_job_of(sched, run);
+
+	run->proved = true;
+	if (!sched_job)
+		return;
+	sched_job->proved += sched_job->proved < sched_job->job->task_count;
+	sched_job->proved_sound = true;
+}
+
 /*
  * wl_sched_trial_listed - a target lists a run, whose trial ends if that was long enough
  */
@@ -133,9 +146,14 @@
 {
 	uint64_t clock_ms;
 
-	if (run->trial == 0)
+	if (run->trial == 0 && run->proved)
 		return;
 	clock_ms = wl_sched_clock_ms(sched, now_ns);
+	if (!run->proved && run->started_ms &&
+	    clock_ms >= run->started_ms + WL_TASK_TRIAL_MAX_MS + TRIAL_MARGIN_MS)
+		prove(sched, run);
+	if (run->trial == 0)
+		return;
 	if (clock_ms >= run->started_ms + run->trial_ms)
 		trial_end(sched, run, true);
 	else if (clock_ms >= run->started_ms + SETTLED_MS)
@@ -277,6 +295,12 @@
 	       !has_conflict(runner, batch);
 }
 
+/* How many more of its tasks a job may start at a time, by its runs that have worked so far. */
+static uint64_t sound_runs(const wl_sched_job_t *sched_job)
+{
+	return sched_job->sound + sched_job->proved / PROVED_SHARE;
+}
+
 /*
  * wl_sched_trials_wait - whether tasks of a batch have to wait for other trials of their job
  * @members: how many start together
@@ -289,13 +313,13 @@
 	if (job->record.crash_count == 0)
 		return false;
 	if (batch->suspicion.level == WL_TRIAL_ALONE)
-		return sched_job->trials[WL_TRIAL_ALONE] > sched_job->sound;
+		return sched_job->trials[WL_TRIAL_ALONE] > sound_runs(sched_job);
 	if (is_distrusted(job) && sched_job->trials[WL_TRIAL_ALONE] > 0)
 		return true;
 	if (batch->suspicion.level == 0 ? !is_distrusted(job) : !has_slow_start(job))
 		return false;
 	return sched_job->settling > 0 &&
-	       sched_job->settling + members > SLOW_START_TRIALS + sched_job->sound;
+	       sched_job->settling + members > SLOW_START_TRIALS + sound_runs(sched_job);
 }
 
 /*
