--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -301,6 +301,7 @@
 		pass(100);
 		EXPECT_EQ(ends("crashed"), i + 1u);
 		EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+		EXPECT_GE(rig.find("j")->tasks[0].crashes.ran_ms, 11000u);
 	}
 	EXPECT_EQ(rig.job_state("j"), "running");
 }
@@ -312,8 +313,10 @@
 	pass(100);
 	crash("a");
 	target("a");
-	pass(12000);
+	pass(100);
 	ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	pass(12000);
+	ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 0u);
 	crash("a");
 	target("a");
 	rig.address = "a:80";
@@ -324,6 +327,7 @@
 	rig.commit();
 	EXPECT_EQ(ends("crashed"), 2u);
 	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	EXPECT_GE(rig.find("j")->tasks[0].crashes.ran_ms, 11000u);
 }
 
 TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
