--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -330,6 +330,26 @@
 	EXPECT_GE(rig.find("j")->tasks[0].crashes.ran_ms, 11000u);
 }
 
+/* Its runs have ended as the leases had, and the target has not crashed. */
+TEST_F(Crash, TargetThatWasSilentAndIsBackHasNotCrashed)
+{
+	target("a");
+	job("j");
+	for (int i = 0; i < 5; i++) {
+		pass(100);
+		lose({"a"});
+		pass(LEASES_OVER_MS);
+		targets["a"].down = false;
+		pass(2000);
+	}
+	EXPECT_EQ(ends("lost"), 5u);
+	crash("a");
+	target("a");
+	pass(100);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 1u);
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
+
 TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
 {
 	two_racks();
