owner: offer a restarted target before its lost work is reported

Cause: an owner offers changes every 100 ms at the earliest, and reports losses at once, so that the leader placed with the boot of the last offer. A refusal also keeps the target free of work for 500 ms.

The case alone failed in 5 of 12 runs beside other tests; a scratch print shows in each of these, and in none of the others, that attempt 2 was refused with "target restarted".

Change: the adoption of a restarted target makes the offers due at once, before the reports of the same step, on the same link.

--- a/libwlcore/owner/adopt.c
+++ b/libwlcore/owner/adopt.c
@@ -163,6 +163,7 @@
 
 	if (owned->adopted_boot && owned->adopted_boot != answer->boot)
 		confirm_reboot(ctx, owned, answer);
+	ctx->owner->offers_due |= owned->adopted_boot && owned->adopted_boot != answer->boot;
 	owned->adopted_boot = answer->boot;
 	owned->adopted_left = owned->leaving;
 	owned->adopt_retries = 0;
--- a/libwlcore/owner/internal.h
+++ b/libwlcore/owner/internal.h
@@ -197,6 +197,7 @@
 	uint64_t previous_session_until_ns;
 	bool session_ok; /* whether the session was valid at the last check */
 	bool reports_unsent;
+	bool offers_due; /* a target has restarted: the leader is told before it places work */
 	uint64_t report_next_ns;
 	uint64_t offer_next_ns;
 	uint64_t full_offer_next_ns;
--- a/libwlcore/owner/offer.c
+++ b/libwlcore/owner/offer.c
@@ -184,6 +184,7 @@
 	wl_msg_offer_t offer = {.session = session->id};
 	wl_owned_target_t *owned;
 
+	owner->offers_due = false;
 	if (session->leader.len == 0 || !wl_session_valid(session, ctx->now_ns))
 		return;
 	offer.full = leader_changed(owner) || ctx->now_ns >= owner->full_offer_next_ns;
--- a/libwlcore/owner/owner.c
+++ b/libwlcore/owner/owner.c
@@ -237,6 +237,8 @@
 		break;
 	}
 	run_due(&ctx);
+	if (owner->offers_due)
+		wl_owner_send_offers(&ctx);
 	if (owner->reports_unsent)
 		wl_owner_send_reports(&ctx, false);
 }
