tests: modelled targets of the leader remember acknowledged and barred attempts

Cause: the model, not the product. A target refuses an attempt below or equal to one that has ended or was barred (docs/TARGETS.md); the model forgot both.

The model keeps the newest such attempt of each task and refuses starts up to it.

--- a/tests/support/leader_world.cc
+++ b/tests/support/leader_world.cc
@@ -180,7 +180,8 @@
 	uint64_t running = 0;
 	for (const auto &run : target.runs)
 		running += run.second.first == AttemptState::running;
-	if (!reachable(name) || target.epoch != assign.epoch || running >= slots) {
+	if (!reachable(name) || target.epoch != assign.epoch || running >= slots ||
+	    attempt.number <= target.barred[attempt.task]) {
 		reported.set(WL_REPORT_REFUSED);
 		return;
 	}
@@ -201,10 +202,12 @@
 		return;
 	ReportedAttempt &reported = found->second.reports[attempt];
 	auto run = targets[name].runs.find(attempt);
-	if (run == targets[name].runs.end())
+	if (run == targets[name].runs.end()) {
+		targets[name].bar(attempt);
 		reported.set(reported.committed ? reported.report : WL_REPORT_REFUSED);
-	else if (run->second.first == AttemptState::running)
+	} else if (run->second.first == AttemptState::running) {
 		run->second.first = AttemptState::stopped;
+	}
 }
 
 /*
@@ -223,6 +226,7 @@
 		run->second.first = AttemptState::stopped;
 		evictions++;
 	} else if (kind != WL_REPORT_STARTED && kind != WL_REPORT_CHECKPOINT) {
+		targets[name].bar(attempt);
 		runs.erase(run);
 	}
 }
--- a/tests/support/leader_world.h
+++ b/tests/support/leader_world.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_LEADER_WORLD_H
 #define TESTS_LEADER_WORLD_H
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -40,6 +41,15 @@
 	uint64_t epoch = 0;
 	/* state, and the end of the lease in ms */
 	std::map<Attempt, std::pair<AttemptState, uint64_t>> runs;
+	/* by task: the newest attempt whose end was acknowledged, or that was barred by a stop */
+	std::map<std::string, uint64_t> barred;
+
+	void bar(const Attempt &attempt)
+	{
+		uint64_t &newest = barred[attempt.task];
+
+		newest = std::max(newest, attempt.number);
+	}
 };
 
 /* An owner's latest report of an attempt under its present epoch. */
