sched: a lasting task has waited since its target fell silent

The bound on waiting while lasting tasks reserve most of the capacity is 4 s.

Change: the interruption of a run that was not seen to end counts from the last time its target listed it. After the leases such a task goes first at once.

Test: Crash.LastingTaskHasWaitedSinceItsTargetFellSilent; the short job was started first before. 27 programs of the scheduler, jobs, fleet and leader pass.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -399,6 +399,7 @@
 				  uint64_t number);
 void wl_sched_starts_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_start_t *cmd,
 			     wl_out_t *out);
+uint64_t wl_sched_run_lost_ns(const wl_sched_run_t *run, uint64_t now_ns);
 void wl_sched_ends_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_end_t *cmd,
 			   wl_out_t *out);
 void wl_sched_run_answered(wl_sched_t *sched, uint64_t now_ns, const wl_sched_order_t *order,
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -470,6 +470,23 @@
 	job_stop(sched, now_ns, job, wl_job_state_names[job->record.state], out);
 }
 
+/*
+ * wl_sched_run_lost_ns - since when the task of a run that was not seen to end has been without it
+ */
+uint64_t wl_sched_run_lost_ns(const wl_sched_run_t *run, uint64_t now_ns)
+{
+	return run->last_listed_ns ? run->last_listed_ns : now_ns;
+}
+
+static uint64_t run_ended_ns(const wl_sched_run_t *run, uint64_t outcome, uint64_t now_ns)
+{
+	if (outcome == WL_END_NOT_STARTED)
+		return run->previous_end_ns;
+	if (outcome == WL_END_LOST || outcome == WL_END_CRASHED)
+		return wl_sched_run_lost_ns(run, now_ns);
+	return now_ns;
+}
+
 static void end_apply(wl_sched_t *sched, uint64_t now_ns, const wl_run_end_t *end, wl_out_t *out)
 {
 	wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&end->job), end->task, end->run);
@@ -479,7 +496,7 @@
 
 	if (!run)
 		return;
-	ended_ns = end->outcome == WL_END_NOT_STARTED ? run->previous_end_ns : now_ns;
+	ended_ns = run_ended_ns(run, end->outcome, now_ns);
 	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
 			     run->end_reason ? run->end_reason : "other", out);
 	failures_count(run->runner, now_ns, end, out);
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -350,6 +350,31 @@
 	EXPECT_EQ(rig.job_state("j"), "running");
 }
 
+/* Other work waits for the only other target, which is free when all leases are over. */
+TEST_F(Crash, LastingTaskHasWaitedSinceItsTargetFellSilent)
+{
+	wl_step_spec_t *step;
+
+	rig.objective_ms = 60000;
+	rig.configure("timed");
+	step = rig.job("timed", "lasting", {1});
+	step->lasting = true;
+	step->cpu_millis = 32000;
+	target("a");
+	rig.submit();
+	pass(3000);
+	lose({"a"});
+	rig.job("timed", "short", {1})->cpu_millis = 32000;
+	rig.submit();
+	for (uint64_t ms = 0; ms < LEASES_OVER_MS && ends("lost") == 0; ms += 100)
+		pass(100);
+	ASSERT_EQ(ends("lost"), 1u);
+	target("b");
+	pass(100);
+	ASSERT_EQ(targets["b"].runs.size(), 1u);
+	EXPECT_EQ(targets["b"].runs[0].task, "lasting.0.0.0");
+}
+
 TEST_F(Crash, RackWithoutPowerMakesNoTaskSuspected)
 {
 	two_racks();
