owner: one condition for a restarted target

adopted() tested twice whether the boot is another one. confirm_reboot(), which is called in that case alone, makes the offers due. Behaviour is unchanged.

--- a/libwlcore/owner/adopt.c
+++ b/libwlcore/owner/adopt.c
@@ -85,6 +85,7 @@
 	wl_attempt_t *attempt;
 	wl_attempt_t *next;
 
+	ctx->owner->offers_due = true;
 	for (attempt = TAILQ_FIRST(&owned->attempts); attempt; attempt = next) {
 		next = TAILQ_NEXT(attempt, target_link);
 		if (attempt->phase == WL_ATTEMPT_ACKING)
@@ -163,7 +164,6 @@
 
 	if (owned->adopted_boot && owned->adopted_boot != answer->boot)
 		confirm_reboot(ctx, owned, answer);
-	ctx->owner->offers_due |= owned->adopted_boot && owned->adopted_boot != answer->boot;
 	owned->adopted_boot = answer->boot;
 	owned->adopted_left = owned->leaving;
 	owned->adopt_retries = 0;
