--- a/libwlcore/request/peer_capacity.c
+++ b/libwlcore/request/peer_capacity.c
@@ -164,6 +164,12 @@
 		lost->link_down = true;
 }
 
+static bool is_current_of(const wl_capacity_report_t *report, wl_str_t peer)
+{
+	return report->generation == report->peer->generation &&
+	       wl_str_equal(wl_buf_str(&report->peer->name), peer);
+}
+
 /*
  * wl_peer_capacity_update_service - apply the free capacity for a service reported in a peer's
  * answer
@@ -179,8 +185,7 @@
 	if (!rows)
 		return;
 	TAILQ_FOREACH (report, &rows->reports, link) {
-		if (report->generation != report->peer->generation ||
-		    !wl_str_equal(wl_buf_str(&report->peer->name), peer))
+		if (!is_current_of(report, peer))
 			continue;
 		if (report->free_requests > free_requests)
 			report->free_requests = free_requests;
@@ -205,8 +210,7 @@
 	if (!rows)
 		return;
 	TAILQ_FOREACH (report, &rows->reports, link) {
-		if (report->generation != report->peer->generation ||
-		    !wl_str_equal(wl_buf_str(&report->peer->name), peer))
+		if (!is_current_of(report, peer))
 			continue;
 		report->free_requests++;
 		return;
