--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -12,6 +12,7 @@
 #include "sched.h"
 
 #define WL_SCHED_START_TIMEOUT_MS 1000 /* several round trips, and the answer of a busy target */
+#define WL_SCHED_STOP_TIMEOUT_MS  1000
 #define WL_SCHED_AGENT_HOLD_MS	  3000 /* no agent sends an order later than this */
 /* An order without an answer may be carried out so long after its agent has sent it. */
 #define WL_SCHED_ORDER_LATE_MS 4000
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -14,8 +14,6 @@
 
 #include <stdlib.h>
 
-#define OPEN_START_STOP_TIMEOUT_MS 1000
-
 /* A start without an answer of a run that has ended, as its target has answered a stop of it. */
 struct wl_sched_open_start {
 	wl_task_ref_t task;
@@ -75,7 +73,7 @@
 			.kind = WL_ORDER_STOP,
 			.task = start->task, /* not owned */
 			.run = start->run,
-			.timeout_ms = OPEN_START_STOP_TIMEOUT_MS,
+			.timeout_ms = WL_SCHED_STOP_TIMEOUT_MS,
 		};
 
 		wl_sched_order_add(sched, now_ns, runner, &order, NULL);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -10,8 +10,7 @@
 
 #include <stdlib.h>
 
-#define STOP_TIMEOUT_MS 1000
-#define STOP_RETRY_MS	300 /* pause before an unanswered stop is sent again */
+#define STOP_RETRY_MS 300 /* pause before an unanswered stop is sent again */
 /* After a refusal for lack of capacity: the target counts its capacity anew by then. */
 #define NO_ROOM_QUARANTINE_MS	300
 #define UNHEALTHY_QUARANTINE_MS 1000
@@ -182,7 +181,7 @@
 {
 	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 	wl_order_t order = {
-		.kind = WL_ORDER_STOP, .run = run->number, .timeout_ms = STOP_TIMEOUT_MS};
+		.kind = WL_ORDER_STOP, .run = run->number, .timeout_ms = WL_SCHED_STOP_TIMEOUT_MS};
 
 	wl_sched_run_stop_due(sched, run, now_ns);
 	if (!job)
@@ -537,7 +536,7 @@
 	if (!wanted || run->stop_answered_ns || run->phase == WL_RUN_PROPOSED ||
 	    run->phase == WL_RUN_ENDING)
 		return;
-	if (now_ns - run->stop_sent_ns >= (STOP_TIMEOUT_MS + STOP_RETRY_MS) * WL_NS_PER_MS)
+	if (now_ns - run->stop_sent_ns >= (WL_SCHED_STOP_TIMEOUT_MS + STOP_RETRY_MS) * WL_NS_PER_MS)
 		wl_sched_stop_send(sched, now_ns, run);
 }
 
