tests: one wait for the next renewal, one set-up of two crashes

Six programs of the scheduler had the same loop; SchedRig::next_renewal() takes its place, with the same bound and the same failure. Two cases of unit.sched_crash_test share crash_twice(). Cases and assertions are unchanged.

--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -397,6 +397,19 @@
 	return taken;
 }
 
+SchedOrder SchedRig::next_renewal()
+{
+	for (int i = 0; i < 300; i++) {
+		auto renewals = take_orders(WL_ORDER_RENEW);
+
+		if (!renewals.empty())
+			return renewals[0];
+		advance(10);
+	}
+	ADD_FAILURE() << "no renewal was sent";
+	return {};
+}
+
 void SchedRig::order_end(const SchedOrder &order, wl_order_end_t *end)
 {
 	end->clock_ms = now / MS + clock_offset_ms;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -67,6 +67,8 @@
 	void follow(size_t committed = 0);
 
 	std::vector<SchedOrder> take_orders(wl_order_kind_t kind);
+	/* Lets time pass, up to 3 s, until a renewal is sent. */
+	SchedOrder next_renewal();
 	void answer(const SchedOrder &order, wl_order_outcome_t outcome);
 	void answer_hold(const SchedOrder &order, const std::vector<wl_run_view_t> &runs,
 			 const std::vector<wl_end_view_t> &ends, uint64_t life = 1);
--- a/tests/unit/sched_ack_test.cc
+++ b/tests/unit/sched_ack_test.cc
@@ -19,26 +19,13 @@
 		EXPECT_EQ(started.size(), 2u);
 		for (const auto &one : started)
 			rig.answer(one, WL_ORDER_DONE);
-		rig.answer_hold(hold(), {SchedRig::view(started[1])},
+		rig.answer_hold(rig.next_renewal(), {SchedRig::view(started[1])},
 				{SchedRig::end(started[0], 1, WL_END_DONE)});
 		rig.commit();
-		acknowledges = hold();
+		acknowledges = rig.next_renewal();
 		EXPECT_EQ(acknowledges.seen, 1u);
 	}
 
-	SchedOrder hold()
-	{
-		for (int i = 0; i < 300; i++) {
-			auto holds = rig.take_orders(WL_ORDER_RENEW);
-
-			if (!holds.empty())
-				return holds[0];
-			rig.advance(10);
-		}
-		ADD_FAILURE() << "no hold order was sent";
-		return {};
-	}
-
 	SchedRig rig;
 	std::vector<SchedOrder> started;
 	SchedOrder acknowledges = {};
@@ -48,16 +35,16 @@
 TEST_F(Ack, HoldAfterAFailedOneAcknowledgesNoEndOfTheNextIncarnation)
 {
 	rig.answer(acknowledges, WL_ORDER_NO_ANSWER);
-	EXPECT_EQ(hold().seen, 0u);
+	EXPECT_EQ(rig.next_renewal().seen, 0u);
 }
 
 TEST_F(Ack, EndsAreAcknowledgedOnceTheTargetAnswersAgain)
 {
 	rig.answer(acknowledges, WL_ORDER_NO_ANSWER);
-	rig.answer_hold(hold(), {},
+	rig.answer_hold(rig.next_renewal(), {},
 			{SchedRig::end(started[0], 1, WL_END_DONE),
 			 SchedRig::end(started[1], 2, WL_END_DONE)});
-	EXPECT_EQ(hold().seen, 1u) << "the second end is not committed yet";
+	EXPECT_EQ(rig.next_renewal().seen, 1u) << "the second end is not committed yet";
 	rig.commit();
 	rig.advance(10);
 	EXPECT_EQ(rig.job_state("long"), "completed");
@@ -66,12 +53,12 @@
 TEST_F(Ack, NoEndOfTheEarlierIncarnationIsAcknowledgedToTheNext)
 {
 	rig.answer(acknowledges, WL_ORDER_NO_ANSWER);
-	rig.answer_hold(hold(), {}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {}, {}, 2);
 	rig.runner("i-1", 32000, 2);
 	for (int i = 0; i < 10; i++) {
 		rig.advance(10);
 		rig.commit();
 	}
 	ASSERT_EQ(rig.take_orders(WL_ORDER_START).size(), 1u);
-	EXPECT_EQ(hold().seen, 0u);
+	EXPECT_EQ(rig.next_renewal().seen, 0u);
 }
--- a/tests/unit/sched_address_test.cc
+++ b/tests/unit/sched_address_test.cc
@@ -26,7 +26,7 @@
 			return;
 		start = started[0];
 		rig.answer(start, WL_ORDER_DONE);
-		answered = hold();
+		answered = rig.next_renewal();
 		rig.answer_hold(answered, {SchedRig::view(start)}, {}, LIFE);
 		rig.address = "10.0.0.2:80";
 		rig.runner("i-2");
@@ -40,24 +40,11 @@
 		return rig.take_orders(WL_ORDER_START);
 	}
 
-	SchedOrder hold()
-	{
-		for (int i = 0; i < 300; i++) {
-			auto holds = rig.take_orders(WL_ORDER_RENEW);
-
-			if (!holds.empty())
-				return holds[0];
-			rig.advance(10);
-		}
-		ADD_FAILURE() << "no hold order was sent";
-		return {};
-	}
-
 	/* The next hold is sent through the other agent, which has not reached the target yet. */
 	SchedOrder hold_of_other_agent()
 	{
-		rig.answer(hold(), WL_ORDER_NO_ANSWER);
-		SchedOrder next = hold();
+		rig.answer(rig.next_renewal(), WL_ORDER_NO_ANSWER);
+		SchedOrder next = rig.next_renewal();
 		EXPECT_NE(next.agent, answered.agent);
 		return next;
 	}
@@ -87,12 +74,12 @@
 TEST_F(Address, AnswerToAnAgentThatNeverReachedTheTargetEndsNoRun)
 {
 	rig.answer(hold_of_other_agent(), WL_ORDER_OTHER_INCARNATION);
-	SchedOrder next = hold();
+	SchedOrder next = rig.next_renewal();
 	EXPECT_EQ(next.agent, answered.agent) << "the agent that reached another target is avoided";
 	EXPECT_EQ(next.lease_ms, 0u);
 	EXPECT_TRUE(starts().empty()) << "two runs of one task may overlap";
 	rig.answer_hold(next, {SchedRig::view(start)}, {}, LIFE);
-	EXPECT_GT(hold().lease_ms, 0u);
+	EXPECT_GT(rig.next_renewal().lease_ms, 0u);
 }
 
 TEST_F(Address, RunsBehindSuchAnswersEndWithTheirLeases)
@@ -125,7 +112,7 @@
 
 TEST_F(Address, AnswerFromTheFormerAddressEndsNoRun)
 {
-	SchedOrder former = hold();
+	SchedOrder former = rig.next_renewal();
 
 	rig.address = "10.0.0.3:80";
 	rig.runner("i-1", 32000, LIFE);
@@ -141,7 +128,7 @@
 	rig.runner("i-9", 32000, LIFE + 1);
 	rig.lead(2);
 	rig.runner("i-9", 32000, LIFE + 1);
-	rig.answer(hold(), WL_ORDER_OTHER_INCARNATION);
+	rig.answer(rig.next_renewal(), WL_ORDER_OTHER_INCARNATION);
 	rig.commit();
 	EXPECT_EQ(starts().size(), 1u);
 }
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -9,6 +9,20 @@
 
 class Crash : public CrashTargets
 {
+      protected:
+	/* The target a crashes twice under the only task of the job j, and runs it again. */
+	void crash_twice()
+	{
+		target("a");
+		job("j");
+		for (int i = 0; i < 2; i++) {
+			pass(100);
+			crash("a");
+			target("a");
+		}
+		pass(100);
+		ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
+	}
 };
 } // namespace
 
@@ -244,15 +258,7 @@
 /* The target is gone before the new leader hears of the run. */
 TEST_F(Crash, RunThatPassedItsTrialUnderAnEarlierLeaderStartsTheCountAnew)
 {
-	target("a");
-	job("j");
-	for (int i = 0; i < 2; i++) {
-		pass(100);
-		crash("a");
-		target("a");
-	}
-	pass(100);
-	ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
+	ASSERT_NO_FATAL_FAILURE(crash_twice());
 	pass(TRIAL_OVER_MS);
 	rig.follow();
 	targets["a"].runs.clear();
@@ -267,15 +273,7 @@
 
 TEST_F(Crash, CrashCountsHoweverLongNoLeaderFoundIt)
 {
-	target("a");
-	job("j");
-	for (int i = 0; i < 2; i++) {
-		pass(100);
-		crash("a");
-		target("a");
-	}
-	pass(100);
-	ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
+	ASSERT_NO_FATAL_FAILURE(crash_twice());
 	rig.follow();
 	targets["a"].runs.clear();
 	rig.orders.clear();
--- a/tests/unit/sched_departure_test.cc
+++ b/tests/unit/sched_departure_test.cc
@@ -42,19 +42,6 @@
 		return started[0];
 	}
 
-	SchedOrder hold()
-	{
-		for (int i = 0; i < 300; i++) {
-			auto holds = rig.take_orders(WL_ORDER_RENEW);
-
-			if (!holds.empty())
-				return holds[0];
-			rig.advance(10);
-		}
-		ADD_FAILURE() << "no hold order was sent";
-		return {};
-	}
-
 	void drain()
 	{
 		rig.runner("i-1", 32000, 1, "r1", true);
@@ -65,7 +52,7 @@
 	{
 		SchedOrder start = start_job("j");
 
-		rig.answer_hold(hold(), {SchedRig::view(start)}, {});
+		rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {});
 		rig.advance(10);
 		rig.runner("i-2");
 		drain();
@@ -127,7 +114,7 @@
 TEST_F(Departure, TaskThatATargetStopsAsItLeavesStartsElsewhereAtOnceWithItsCheckpoint)
 {
 	SchedOrder start = run_on_draining_target();
-	SchedOrder open = hold();
+	SchedOrder open = rig.next_renewal();
 
 	rig.runner_left("i-1");
 	auto stops = rig.take_orders(WL_ORDER_STOP);
@@ -168,9 +155,9 @@
 	SchedOrder start = run_on_draining_target();
 
 	rig.runner_left("i-1");
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {});
 	for (int i = 0; i < 3; i++) {
-		SchedOrder next = hold();
+		SchedOrder next = rig.next_renewal();
 
 		EXPECT_EQ(next.lease_ms, 0u);
 		rig.answer_hold(next, {SchedRig::view(start)}, {});
@@ -217,13 +204,13 @@
 TEST_F(Departure, TargetThatStartsAgainAfterItsDepartureIsUsed)
 {
 	run_on_draining_target();
-	SchedOrder open = hold();
+	SchedOrder open = rig.next_renewal();
 	rig.runner_left("i-1");
 	rig.answer(open, WL_ORDER_NO_ANSWER);
 	rig.take_results();
 	rig.runner("i-1", 32000, 2);
 	EXPECT_EQ(rig.take_results(), 2u) << "the departure and the report";
-	rig.answer_hold(hold(), {}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {}, {}, 2);
 	rig.commit();
 	EXPECT_EQ(starts().size(), 1u) << "the target runs nothing of before";
 	rig.job("q", "wide", {2})->cpu_millis = 30000;
@@ -239,7 +226,7 @@
 	rig.advance(1000);
 	rig.commit();
 	EXPECT_EQ(wl_jobs_runner(rig.jobs, WL_STR("i-1"))->departed_ms, 0u);
-	rig.answer_hold(hold(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
+	rig.answer_hold(rig.next_renewal(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
 	rig.commit();
 	rig.advance(10);
 	rig.commit();
@@ -256,8 +243,8 @@
 	rig.lead(2);
 	rig.runner_left("i-1");
 	drain();
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
-	EXPECT_EQ(hold().lease_ms, 0u);
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {});
+	EXPECT_EQ(rig.next_renewal().lease_ms, 0u);
 }
 
 TEST_F(Departure, CallOfAnEarlierIncarnationDoesNotStopTheRunsOfTheNext)
@@ -266,19 +253,19 @@
 	rig.runner("i-1", 32000, 2);
 	SchedOrder start = start_job("j");
 
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {}, 2);
 	rig.take_results();
 	rig.runner_left("i-1");
 	EXPECT_EQ(rig.take_results(), 1u);
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
-	EXPECT_GT(hold().lease_ms, 0u);
+	EXPECT_GT(rig.next_renewal().lease_ms, 0u);
 }
 
 /* The newest committed report is that of the earlier incarnation. */
 TEST_F(Departure, CallOfAnEarlierIncarnationDoesNotCountOnceAnAnswerNamedTheNext)
 {
 	run_on_draining_target();
-	rig.answer_hold(hold(), {}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {}, {}, 2);
 	rig.take_results();
 	rig.runner_left("i-1");
 	EXPECT_EQ(rig.take_results(), 1u) << "answered at once";
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -40,32 +40,19 @@
 		return started.empty() ? SchedOrder{} : started[0];
 	}
 
-	SchedOrder hold()
-	{
-		for (int i = 0; i < 300; i++) {
-			auto holds = rig.take_orders(WL_ORDER_RENEW);
-
-			if (!holds.empty())
-				return holds[0];
-			rig.advance(10);
-		}
-		ADD_FAILURE() << "no hold order was sent";
-		return {};
-	}
-
 	void end_and_commit(const std::string &id)
 	{
 		SchedOrder start = start_job(id);
 
 		rig.answer(start, WL_ORDER_DONE);
-		rig.answer_hold(hold(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
+		rig.answer_hold(rig.next_renewal(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
 		rig.commit();
 	}
 
 	void end_and_acknowledge(const std::string &id)
 	{
 		end_and_commit(id);
-		SchedOrder acknowledging = hold();
+		SchedOrder acknowledging = rig.next_renewal();
 		EXPECT_EQ(acknowledging.seen, 1u);
 		rig.answer_hold(acknowledging, {}, {});
 	}
@@ -120,7 +107,7 @@
 		}
 		SchedOrder first = start_job("first");
 		rig.answer(first, WL_ORDER_DONE);
-		rig.answer_hold(hold(), {SchedRig::view(first)}, {});
+		rig.answer_hold(rig.next_renewal(), {SchedRig::view(first)}, {});
 		crash(2000);
 		SchedOrder start = start_job("j");
 		rig.clock_offset_ms = NEW_CLOCK;
@@ -159,9 +146,9 @@
 TEST_F(Incarnation, FailedRenewalOfTheEarlierOneDoesNotLeaveTheNextWithoutLeases)
 {
 	rig.answer(start_job("j"), WL_ORDER_DONE);
-	rig.answer(hold(), WL_ORDER_NO_ANSWER);
+	rig.answer(rig.next_renewal(), WL_ORDER_NO_ANSWER);
 	restart();
-	EXPECT_GT(hold().lease_ms, 0u);
+	EXPECT_GT(rig.next_renewal().lease_ms, 0u);
 }
 
 /* The end of a run in the next incarnation has a number that was acknowledged to the earlier one.
@@ -171,7 +158,7 @@
 	end_and_acknowledge("a");
 	SchedOrder b = start_job("b");
 	rig.answer(b, WL_ORDER_DONE);
-	SchedOrder next = hold();
+	SchedOrder next = rig.next_renewal();
 	EXPECT_EQ(next.seen, 0u) << "the next incarnation forgets its end";
 	rig.answer_hold(next, {}, {SchedRig::end(b, 1, WL_END_DONE)}, 2);
 	rig.commit();
@@ -182,13 +169,13 @@
 TEST_F(Incarnation, EndsAreNotAcknowledgedWhileRenewalsFail)
 {
 	end_and_commit("a");
-	rig.answer(hold(), WL_ORDER_NO_ANSWER);
+	rig.answer(rig.next_renewal(), WL_ORDER_NO_ANSWER);
 	SchedOrder b = start_job("b");
 	rig.answer(b, WL_ORDER_DONE);
-	SchedOrder next = hold();
+	SchedOrder next = rig.next_renewal();
 	EXPECT_EQ(next.seen, 0u) << "the target may be a later incarnation by now";
 	rig.answer_hold(next, {SchedRig::view(b)}, {});
-	EXPECT_EQ(hold().seen, 1u);
+	EXPECT_EQ(rig.next_renewal().seen, 1u);
 }
 
 TEST_F(Incarnation, DelayedReportOfTheEarlierOneDoesNotSetTheClockOfANewLeader)
@@ -230,11 +217,11 @@
 TEST_F(Incarnation, RenewalForTheEarlierOneMayLengthenTheLeasesOfTheNext)
 {
 	rig.answer(start_job("first"), WL_ORDER_DONE);
-	SchedOrder late = hold();
+	SchedOrder late = rig.next_renewal();
 	EXPECT_GT(late.lease_ms, 0u);
 	restart();
 	rig.answer(late, WL_ORDER_NO_ANSWER);
-	SchedOrder renewal = hold();
+	SchedOrder renewal = rig.next_renewal();
 	rig.answer_hold(renewal, {}, {}, 2);
 	rig.commit();
 	auto again = starts();
@@ -249,7 +236,7 @@
 {
 	SchedOrder start = start_job("j");
 	rig.answer(start, WL_ORDER_DONE);
-	rig.answer(hold(), WL_ORDER_NO_ANSWER);
+	rig.answer(rig.next_renewal(), WL_ORDER_NO_ANSWER);
 	uint64_t after_ms = started_elsewhere_ms(start.task);
 	EXPECT_GE(after_ms, START_LEASE_MS);
 	EXPECT_LE(after_ms, LEASE_OVER_MS);
@@ -259,12 +246,12 @@
 {
 	SchedOrder start = start_job("j");
 	rig.answer(start, WL_ORDER_DONE);
-	SchedOrder late = hold();
+	SchedOrder late = rig.next_renewal();
 	restart();
 	rig.clock_offset_ms = OLD_CLOCK;
 	rig.answer_hold(late, {SchedRig::view(start)}, {});
 	rig.clock_offset_ms = NEW_CLOCK;
-	SchedOrder next = hold();
+	SchedOrder next = rig.next_renewal();
 	EXPECT_LE(next.lease_ms, clock_now_ms() + LEASE_MS);
 	rig.answer_hold(next, {}, {}, 2);
 	rig.commit();
@@ -288,10 +275,10 @@
 TEST_F(Incarnation, LateFailureOfARenewalOfTheEarlierOneTakesNoLeasesFromTheNext)
 {
 	rig.answer(start_job("j"), WL_ORDER_DONE);
-	SchedOrder late = hold();
+	SchedOrder late = rig.next_renewal();
 	restart();
 	rig.answer(late, WL_ORDER_NO_ANSWER);
-	EXPECT_GT(hold().lease_ms, 0u);
+	EXPECT_GT(rig.next_renewal().lease_ms, 0u);
 }
 
 TEST_F(Incarnation, RunsOfTheEarlierOneEndAlsoIfTheNextHasAnEarlierStartTime)
@@ -299,7 +286,7 @@
 	rig.runner("i-1", 32000, 5);
 	SchedOrder start = start_job("j");
 	rig.answer(start, WL_ORDER_DONE);
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {}, 5);
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {}, 5);
 	rig.clock_offset_ms = NEW_CLOCK;
 	uint64_t renewals = 0;
 	std::vector<SchedOrder> again;
@@ -323,10 +310,10 @@
 {
 	SchedOrder start = start_job("j");
 	rig.answer(start, WL_ORDER_DONE);
-	SchedOrder late = hold();
+	SchedOrder late = rig.next_renewal();
 	restart();
 	rig.answer_hold(late, {SchedRig::view(start)}, {}, 1);
-	SchedOrder next = hold();
+	SchedOrder next = rig.next_renewal();
 	rig.answer_hold(next, {}, {}, 2);
 	rig.commit();
 	EXPECT_EQ(starts().size(), 1u);
@@ -356,12 +343,12 @@
 	auto started = rig.take_orders(WL_ORDER_START);
 	ASSERT_EQ(started.size(), 1u);
 	rig.answer(started[0], WL_ORDER_NO_ANSWER);
-	rig.answer_hold(hold(), {}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {}, {}, 2);
 	auto stops = rig.take_orders(WL_ORDER_STOP);
 	ASSERT_EQ(stops.size(), 1u);
 	rig.answer(stops[0], WL_ORDER_DONE);
 	rig.advance(10);
-	rig.answer_hold(hold(), {}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {}, {}, 2);
 	rig.commit();
 	EXPECT_EQ(starts().size(), 1u);
 }
--- a/tests/unit/sched_removal_test.cc
+++ b/tests/unit/sched_removal_test.cc
@@ -18,10 +18,10 @@
 		EXPECT_EQ(started.size(), 2u);
 		for (const auto &one : started)
 			rig.answer(one, WL_ORDER_DONE);
-		rig.answer_hold(hold(), {SchedRig::view(started[0]), SchedRig::view(started[1])},
-				{});
+		rig.answer_hold(rig.next_renewal(),
+				{SchedRig::view(started[0]), SchedRig::view(started[1])}, {});
 		rig.runner("i-2", 32000, 1, "r2");
-		rig.answer_hold(hold(), {SchedRig::view(started[0])},
+		rig.answer_hold(rig.next_renewal(), {SchedRig::view(started[0])},
 				{SchedRig::end(started[1], 1, WL_END_DONE)});
 		removal_propose();
 	}
@@ -29,20 +29,7 @@
 	/* Another target answers at the address, as to an agent that had answers there before. */
 	void removal_propose()
 	{
-		rig.answer(hold(), WL_ORDER_OTHER_INCARNATION);
-	}
-
-	SchedOrder hold()
-	{
-		for (int i = 0; i < 300; i++) {
-			auto holds = rig.take_orders(WL_ORDER_RENEW);
-
-			if (!holds.empty())
-				return holds[0];
-			rig.advance(10);
-		}
-		ADD_FAILURE() << "no hold order was sent";
-		return {};
+		rig.answer(rig.next_renewal(), WL_ORDER_OTHER_INCARNATION);
 	}
 
 	std::vector<SchedOrder> starts()
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -37,19 +37,6 @@
 		return rig.take_orders(WL_ORDER_START);
 	}
 
-	SchedOrder hold()
-	{
-		for (int i = 0; i < 300; i++) {
-			auto holds = rig.take_orders(WL_ORDER_RENEW);
-
-			if (!holds.empty())
-				return holds[0];
-			rig.advance(10);
-		}
-		ADD_FAILURE() << "no hold order was sent";
-		return {};
-	}
-
 	SchedRig rig;
 };
 
@@ -80,11 +67,11 @@
 {
 	SchedOrder start = start_job("j");
 
-	rig.answer_hold(hold(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
+	rig.answer_hold(rig.next_renewal(), {}, {SchedRig::end(start, 1, WL_END_DONE)});
 	EXPECT_EQ(rig.job_state("j"), "running");
 	EXPECT_EQ(rig.commit(), 1u);
 	EXPECT_EQ(rig.job_state("j"), "completed");
-	EXPECT_EQ(hold().seen, 1u);
+	EXPECT_EQ(rig.next_renewal().seen, 1u);
 }
 
 /*
@@ -98,7 +85,7 @@
 	SchedOrder start = start_job("j");
 
 	for (int i = 0; i < 3; i++) {
-		SchedOrder received = hold();
+		SchedOrder received = rig.next_renewal();
 
 		EXPECT_EQ(received.seen, 0u);
 		rig.answer_hold(received, {SchedRig::view(other)},
@@ -106,8 +93,8 @@
 		rig.advance(1500);
 	}
 	rig.commit();
-	rig.answer_hold(hold(), {SchedRig::view(other)}, {});
-	EXPECT_EQ(hold().seen, 1u);
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(other)}, {});
+	EXPECT_EQ(rig.next_renewal().seen, 1u);
 }
 
 TEST_F(Sched, NextStepOpensOnceAllTasksAreDone)
@@ -120,13 +107,13 @@
 	ASSERT_EQ(starts.size(), 2u);
 	for (const auto &start : starts)
 		rig.answer(start, WL_ORDER_DONE);
-	rig.answer_hold(hold(), {SchedRig::view(starts[1])},
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(starts[1])},
 			{SchedRig::end(starts[0], 1, WL_END_DONE)});
 	rig.commit();
 	rig.advance(10);
 	rig.commit();
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
-	rig.answer_hold(hold(), {}, {SchedRig::end(starts[1], 2, WL_END_DONE)});
+	rig.answer_hold(rig.next_renewal(), {}, {SchedRig::end(starts[1], 2, WL_END_DONE)});
 	rig.commit();
 	rig.advance(10);
 	rig.commit();
@@ -142,7 +129,8 @@
 	for (uint64_t attempt = 1; attempt <= 3; attempt++) {
 		EXPECT_EQ(start.run, attempt);
 		EXPECT_EQ(rig.job_state("j"), "running");
-		rig.answer_hold(hold(), {}, {SchedRig::end(start, attempt, WL_END_FAILED)});
+		rig.answer_hold(rig.next_renewal(), {},
+				{SchedRig::end(start, attempt, WL_END_FAILED)});
 		auto starts = next_starts();
 		if (starts.empty())
 			break;
@@ -160,7 +148,7 @@
 	rig.commit();
 	SchedOrder start = rig.take_orders(WL_ORDER_START).at(0);
 	rig.answer(start, WL_ORDER_NO_ANSWER);
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {});
 	rig.advance(500);
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty());
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
@@ -174,13 +162,13 @@
 	rig.commit();
 	SchedOrder start = rig.take_orders(WL_ORDER_START).at(0);
 	rig.answer(start, WL_ORDER_NO_ANSWER);
-	rig.answer_hold(hold(), {}, {});
+	rig.answer_hold(rig.next_renewal(), {}, {});
 	auto stops = rig.take_orders(WL_ORDER_STOP);
 	ASSERT_EQ(stops.size(), 1u);
 	EXPECT_EQ(rig.commit(), 0u) << "the run was ended before the stop was answered";
 	rig.answer(stops[0], WL_ORDER_DONE);
 	rig.advance(10);
-	rig.answer_hold(hold(), {}, {});
+	rig.answer_hold(rig.next_renewal(), {}, {});
 	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].run, 2u);
@@ -190,8 +178,8 @@
 {
 	SchedOrder start = start_job("j");
 
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
-	SchedOrder renewed = hold();
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {});
+	SchedOrder renewed = rig.next_renewal();
 	uint64_t lease_end_ms = renewed.lease_ms - rig.clock_offset_ms;
 
 	rig.answer(renewed, WL_ORDER_NO_ANSWER);
@@ -210,7 +198,7 @@
 {
 	start_job("j");
 	rig.runner("i-1", 32000, 2);
-	rig.answer_hold(hold(), {}, {}, 2);
+	rig.answer_hold(rig.next_renewal(), {}, {}, 2);
 	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].run, 2u);
@@ -224,8 +212,8 @@
 	rig.submit();
 	SchedOrder start = next_starts().at(0);
 	rig.answer(start, WL_ORDER_DONE);
-	rig.answer_hold(hold(), {SchedRig::view(start)}, {});
-	SchedOrder next = hold();
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start)}, {});
+	SchedOrder next = rig.next_renewal();
 	rig.clock_offset_ms += 1000000;
 	rig.answer(next, WL_ORDER_OTHER_INCARNATION);
 	auto restarted = next_starts();
@@ -241,7 +229,7 @@
 	rig.follow();
 	rig.take_orders(WL_ORDER_RENEW);
 	rig.lead(2);
-	SchedOrder first = hold();
+	SchedOrder first = rig.next_renewal();
 	EXPECT_EQ(first.epoch, 2u);
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_START).empty());
 	rig.answer_hold(first, {SchedRig::view(start)}, {});
@@ -261,11 +249,12 @@
 	SchedOrder kept = start_job("kept");
 	SchedOrder ended = start_job("ended");
 
-	rig.answer_hold(hold(), {SchedRig::view(kept), SchedRig::view(ended)}, {});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(kept), SchedRig::view(ended)}, {});
 	rig.follow();
 	rig.take_orders(WL_ORDER_RENEW);
 	rig.lead(2);
-	rig.answer_hold(hold(), {SchedRig::view(kept)}, {SchedRig::end(ended, 1, WL_END_DONE)});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(kept)},
+			{SchedRig::end(ended, 1, WL_END_DONE)});
 	for (int i = 0; i < 10; i++) {
 		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
 			rig.answer(order, WL_ORDER_NO_ANSWER);
@@ -283,10 +272,10 @@
 TEST_F(Sched, RunsAreNotLostWhileAHoldIsInFlight)
 {
 	SchedOrder start = start_job("j");
-	SchedOrder late = hold();
+	SchedOrder late = rig.next_renewal();
 
 	rig.answer_hold(late, {SchedRig::view(start)}, {});
-	late = hold();
+	late = rig.next_renewal();
 	rig.advance(9000);
 	EXPECT_EQ(rig.commit(), 0u);
 	rig.answer_hold(late, {}, {SchedRig::end(start, 1, WL_END_DONE)});
@@ -304,7 +293,7 @@
 	EXPECT_EQ(stops[0].task, start.task);
 	rig.answer(stops[0], WL_ORDER_DONE);
 	rig.advance(10);
-	rig.answer_hold(hold(), {}, {SchedRig::end(start, 1, WL_END_STOPPED)});
+	rig.answer_hold(rig.next_renewal(), {}, {SchedRig::end(start, 1, WL_END_STOPPED)});
 	rig.commit();
 	rig.advance(100);
 	rig.commit();
@@ -338,7 +327,7 @@
 TEST_F(Sched, TasksOfATargetThatLeftAreRestarted)
 {
 	SchedOrder start = start_job("j");
-	SchedOrder last = hold();
+	SchedOrder last = rig.next_renewal();
 
 	rig.runner("i-2");
 	rig.runner("i-1", 32000, 1, "r1", true);
@@ -357,7 +346,7 @@
 TEST_F(Sched, EndInTheLastAnswerOfATargetThatLeftCounts)
 {
 	SchedOrder start = start_job("j");
-	SchedOrder last = hold();
+	SchedOrder last = rig.next_renewal();
 
 	rig.runner("i-2");
 	rig.runner("i-1", 32000, 1, "r1", true);
@@ -379,7 +368,7 @@
 	wl_end_view_t stopped = SchedRig::end(start, 1, WL_END_STOPPED);
 
 	wl_buf_set(&stopped.checkpoint, WL_STR("c1"));
-	rig.answer_hold(hold(), {}, {stopped});
+	rig.answer_hold(rig.next_renewal(), {}, {stopped});
 	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].checkpoint, "c1");
@@ -416,7 +405,7 @@
 	rig.submit();
 	rig.job("q", "b", {1})->cpu_millis = 32000;
 	rig.submit();
-	rig.answer_hold(hold(), {}, {SchedRig::end(full, 1, WL_END_DONE)});
+	rig.answer_hold(rig.next_renewal(), {}, {SchedRig::end(full, 1, WL_END_DONE)});
 	auto starts = next_starts();
 	ASSERT_EQ(starts.size(), 1u);
 	EXPECT_EQ(starts[0].task, "b.0.0.0");
@@ -428,7 +417,7 @@
 	SchedOrder unknown = start;
 
 	unknown.task = "other.0.0.0";
-	rig.answer_hold(hold(), {SchedRig::view(start), SchedRig::view(unknown)}, {});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(start), SchedRig::view(unknown)}, {});
 	auto stops = rig.take_orders(WL_ORDER_STOP);
 	ASSERT_EQ(stops.size(), 1u);
 	EXPECT_EQ(stops[0].task, "other.0.0.0");
@@ -444,7 +433,7 @@
 	for (uint64_t number = 1; number <= 5; number++) {
 		rig.answer(start, WL_ORDER_DONE);
 		rig.answer_hold(
-			hold(), {},
+			rig.next_renewal(), {},
 			{SchedRig::end(start, number, number % 2 ? WL_END_FAILED : WL_END_DONE)});
 		auto starts = next_starts();
 		ASSERT_EQ(starts.size(), 1u) << number;
@@ -476,7 +465,7 @@
 
 	void tail(uint64_t ms)
 	{
-		rig.answer_hold(hold(), {SchedRig::view(s, ms), SchedRig::view(f)}, {});
+		rig.answer_hold(rig.next_renewal(), {SchedRig::view(s, ms), SchedRig::view(f)}, {});
 	}
 
 	SchedOrder s;
@@ -543,10 +532,11 @@
 	rig.answer(rig.take_orders(WL_ORDER_THROTTLE).at(0), WL_ORDER_DONE);
 
 	rig.cancel("q", "s");
-	rig.answer_hold(hold(), {SchedRig::view(f)}, {SchedRig::end(s, 1, WL_END_STOPPED)});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(f)},
+			{SchedRig::end(s, 1, WL_END_STOPPED)});
 	rig.commit();
 	rig.take_orders(WL_ORDER_THROTTLE);
-	rig.answer_hold(hold(), {SchedRig::view(f)}, {});
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(f)}, {});
 	auto paces = rig.take_orders(WL_ORDER_THROTTLE);
 	ASSERT_EQ(paces.size(), 1u);
 	EXPECT_EQ(paces[0].percent, 100u);
@@ -560,7 +550,7 @@
 	tail(10);
 	rig.advance(500);
 	tail(10);
-	EXPECT_EQ(hold().wait_ms, 1000u) << "the tail latency is a fifth of the bound";
+	EXPECT_EQ(rig.next_renewal().wait_ms, 1000u) << "the tail latency is a fifth of the bound";
 }
 
 TEST_F(Tails, HoldsAreShortNearTheBound)
@@ -568,7 +558,7 @@
 	begin();
 	rig.advance(500);
 	tail(45);
-	EXPECT_EQ(hold().wait_ms, 500u);
+	EXPECT_EQ(rig.next_renewal().wait_ms, 500u);
 }
 
 /* The target of the first task reports again before the second task is placed. */
