sched: an event and a gauge for jobs with nothing at work

Once a second the leader logs the job that has had nothing at work for the longest time, 3 s at least: what a task needs, on how many targets it has room, on how many of these it is allowed, the lowest forecast, and when a pass last looked at it. wisterialead_jobs_stalled counts these jobs. No decision changes.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -216,6 +216,7 @@
 	uint64_t rank; /* place in the queue: lowest first */
 	uint64_t ready_ns;
 	uint64_t queued_ns; /* since when the batch has been in the queue without a break */
+	uint64_t tried_ns;  /* when a pass last looked for targets for it */
 	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
 	bool queued;	    /* in wl_sched.pending */
 	TAILQ_ENTRY(wl_task_batch) link;
@@ -232,6 +233,8 @@
 	uint64_t next_occurrence; /* first occurrence that is not due yet */
 	TAILQ_ENTRY(wl_sched_job) timed;
 	wl_job_t *job;
+	uint64_t at_work_ns;	   /* until when a run of it was at work, or when it could begin */
+	uint64_t stalled_count_ns; /* when it was last counted as stalled */
 	struct wl_task_batch_list suspects;
 	uint64_t trials[WL_TRIALS]; /* its runs on trial */
 	uint64_t settling;	    /* of these: not listed for long enough to let others start */
@@ -349,6 +352,7 @@
 	uint64_t lasting_permille; /* of the usable targets' CPU: reserved by lasting tasks */
 	uint64_t lasting_wanted_permille; /* with the pending lasting tasks whose run has ended */
 	uint64_t next_gauges_ns;
+	uint64_t next_stalled_ns;
 	wl_metric_t *order_times[WL_ORDER_KINDS][WL_ORDER_OUTCOMES]; /* NULL: not used yet */
 	wl_metric_t *wait_times[2];				     /* by lasting */
 };
@@ -391,6 +395,13 @@
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 bool wl_sched_runner_fits(wl_sched_t *sched, wl_sched_runner_t *runner,
 			  const wl_task_batch_t *batch, const wl_fit_request_t *request);
+wl_fit_request_t wl_sched_fit_request(const wl_sched_t *sched, uint64_t now_ns,
+				      const wl_task_batch_t *batch);
+
+/* stalled.c */
+void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
+uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns);
+void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* runs.c */
 wl_sched_run_t *wl_sched_run_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_job_t *job,
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -211,6 +211,7 @@
 	if (batch->rack.len == 0)
 		wl_buf_set(&batch->rack, wl_buf_str(&runner->state->report.rack));
 	start_add(sched, run);
+	wl_sched_job_at_work(batch->job, now_ns);
 }
 
 /* Places all members of a gang, or none: a partial reservation is released. */
@@ -287,21 +288,32 @@
 }
 
 /*
- * Return: false if a task of the batch fits on no target. Tasks may also have to wait for trials
- * of their job.
+ * wl_sched_fit_request - describe a task of a batch to the placement policies
  */
-static bool batch_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
-			candidates_t *candidates)
+wl_fit_request_t wl_sched_fit_request(const wl_sched_t *sched, uint64_t now_ns,
+				      const wl_task_batch_t *batch)
 {
 	const wl_queue_t *queue =
 		wl_catalog_queue(&sched->jobs->catalog, wl_buf_str(&batch->job->record.queue));
-	wl_fit_request_t request = {
+
+	return (wl_fit_request_t){
 		.step = wl_job_step(batch->job, batch->step),
 		.waited_ms = (now_ns - batch->ready_ns) / WL_NS_PER_MS,
 		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
 	};
+}
+
+/*
+ * Return: false if a task of the batch fits on no target. Tasks may also have to wait for trials
+ * of their job.
+ */
+static bool batch_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
+			candidates_t *candidates)
+{
+	wl_fit_request_t request = wl_sched_fit_request(sched, now_ns, batch);
 	bool placed;
 
+	batch->tried_ns = now_ns;
 	batch->suspicion = wl_sched_suspicion(batch, now_ns);
 	placed = request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
 				    : tasks_place(sched, now_ns, batch, &request, candidates);
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -108,6 +108,7 @@
 	batch->interrupted = interrupted;
 	batch->image = wl_images_id(&sched->images, wl_buf_str(&wl_job_step(job, at->step)->image));
 	batch->ready_ns = now_ns;
+	batch->tried_ns = now_ns;
 	return batch;
 }
 
@@ -295,6 +296,7 @@
 	uint64_t task;
 
 	batch_get(sched, now_ns, job, &at, false);
+	wl_sched_job_at_work(job, now_ns);
 	/*
 	 * The last task added is placed first. It is not known when the runs under earlier
 	 * leaders ended: they count as ended now.
--- /dev/null
+++ b/libwlcore/sched/stalled.c
@@ -0,0 +1,107 @@
+/* Jobs with pending tasks and nothing at work: since when, and why nothing is placed. */
+
+#include "internal.h"
+
+#define STALLED_REPORT_MS  3000 /* a job counts as stalled after this time */
+#define REPORT_INTERVAL_MS 1000
+
+/* Where a task of a stalled job could run. */
+typedef struct room {
+	uint64_t targets;    /* with capacity for it */
+	uint64_t allowed;    /* of these: where the tail latency does not forbid it */
+	uint64_t least_tail; /* best effort: lowest forecast of all, permille of the bound */
+} room_t;
+
+/*
+ * wl_sched_job_at_work - note that work on a job went on until now, or may begin now
+ */
+void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns)
+{
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	if (sched_job && now_ns > sched_job->at_work_ns)
+		sched_job->at_work_ns = now_ns;
+}
+
+/*
+ * wl_sched_job_idle_ms - how long nothing of a job has been at work
+ */
+uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns)
+{
+	const wl_sched_job_t *sched_job = job->leader_data;
+
+	if (job->active > 0 || now_ns <= sched_job->at_work_ns)
+		return 0;
+	return (now_ns - sched_job->at_work_ns) / WL_NS_PER_MS;
+}
+
+static void room_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+		     const wl_fit_request_t *request, room_t *room)
+{
+	uint64_t tail = 0;
+
+	if (!wl_fit_has_capacity(request, &runner->fit))
+		return;
+	room->targets++;
+	room->allowed += wl_sched_runner_fits(sched, runner, batch, request);
+	if (request->step->best_effort && runner->fit.serving)
+		tail = wl_sched_tail_forecast(sched, runner, batch->image,
+					      request->step->cpu_millis);
+	if (tail < room->least_tail)
+		room->least_tail = tail;
+}
+
+static void stalled_log(wl_sched_t *sched, uint64_t now_ns, const wl_task_batch_t *batch,
+			uint64_t stalled, wl_out_t *out)
+{
+	wl_fit_request_t request = wl_sched_fit_request(sched, now_ns, batch);
+	room_t room = {.least_tail = UINT64_MAX};
+	wl_sched_runner_t *runner;
+
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		room_add(sched, runner, batch, &request, &room);
+	wl_out_log(out, WL_WARN, "job-stalled",
+		   "job=" WL_STR_FMT " step=%llu tasks=%llu idle_ms=%llu cpu=%llu memory_mib=%llu "
+		   "targets_with_room=%llu targets_allowed=%llu least_tail_permille=%lld "
+		   "last_try_ms=%llu stalled_jobs=%llu",
+		   WL_STR_ARG(batch->job->key), (unsigned long long)batch->step,
+		   (unsigned long long)batch->count,
+		   (unsigned long long)wl_sched_job_idle_ms(batch->job, now_ns),
+		   (unsigned long long)request.step->cpu_millis,
+		   (unsigned long long)request.step->memory_mib, (unsigned long long)room.targets,
+		   (unsigned long long)room.allowed,
+		   room.targets ? (long long)room.least_tail : -1LL,
+		   (unsigned long long)((now_ns - batch->tried_ns) / WL_NS_PER_MS),
+		   (unsigned long long)stalled);
+}
+
+/*
+ * wl_sched_stalled_tick - count the stalled jobs once a second, and log the longest stalled one
+ */
+void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
+{
+	const wl_task_batch_t *longest = NULL;
+	const wl_task_batch_t *batch;
+	uint64_t longest_ms = 0;
+	uint64_t stalled = 0;
+
+	if (now_ns < sched->next_stalled_ns)
+		return;
+	sched->next_stalled_ns = now_ns + REPORT_INTERVAL_MS * WL_NS_PER_MS;
+	TAILQ_FOREACH (batch, &sched->pending, link) {
+		wl_sched_job_t *sched_job = batch->job->leader_data;
+		uint64_t idle_ms = wl_sched_job_idle_ms(batch->job, now_ns);
+
+		if (idle_ms < STALLED_REPORT_MS)
+			continue;
+		stalled += sched_job->stalled_count_ns != now_ns;
+		sched_job->stalled_count_ns = now_ns;
+		if (idle_ms <= longest_ms)
+			continue;
+		longest = batch;
+		longest_ms = idle_ms;
+	}
+	wl_metrics_set(sched->options.metrics, "wisterialead_jobs_stalled", "", stalled);
+	if (longest)
+		stalled_log(sched, now_ns, longest, stalled, out);
+}
