sched: a stalled job runs one task in the background, whatever the forecast is

Cause: the limit on the forecast tail latency rises with the waiting time, but ends at 0.9 of the bound. A large task of an image that weighs much takes more headroom than any target with serving tasks has, so that it is forbidden everywhere, for good; smaller tasks behind it take each bit of headroom before it grows.

Ruled out: the rank (the job that waited longest was the first of its queue); a change of leader (none in that time).

A best-effort job that has had nothing at work for 2 s now gets one task placed where its forecast is lowest. It takes part like others as soon as the forecast permits it, and is stopped like them where it makes no progress, unless its job was too late to be of use. A pass that has ended after 64 misses still looks at stalled jobs.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -22,7 +22,8 @@
 #define TAIL_LIMIT_STEP_MS	10  /* waiting time that raises the limit by 1 permille */
 #define TAIL_LIMIT_MAX_PERMILLE 900
 #define TAIL_WEIGHT		20 /* CPU, millis, that weighs as much as 1 permille */
-#define OTHER_IMAGE_WEIGHT	4  /* free CPU that weighs as much as 1 CPU of another image */
+#define BACKGROUND_PENALTY	(INT64_C(1) << 30) /* above any weighted tail latency */
+#define OTHER_IMAGE_WEIGHT	4 /* free CPU that weighs as much as 1 CPU of another image */
 #define REMOTE_PENALTY		(INT64_C(1) << 40) /* above any difference in free CPU, millis */
 
 static bool has_label(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
@@ -134,7 +135,8 @@
 {
 	const wl_step_spec_t *step = request->step;
 
-	if (step->best_effort && runner->tail_permille > tail_limit_permille(request))
+	if (step->best_effort && !request->background &&
+	    runner->tail_permille > tail_limit_permille(request))
 		return false;
 	return step->max_per_target == 0 || runner->same_step < step->max_per_target;
 }
@@ -198,6 +200,8 @@
 
 	if (request->step->lasting)
 		return score_lasting(request, runner);
+	if (request->background)
+		tail += (int64_t)runner->background * BACKGROUND_PENALTY;
 	return free_millis(runner) - tail - (is_remote(request, runner) ? REMOTE_PENALTY : 0);
 }
 
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -20,7 +20,8 @@
 	uint64_t same_step;	     /* tasks of the requested step on this target */
 	/* best effort: forecast of the worst tail latency with the task, permille of the bound */
 	uint64_t tail_permille;
-	bool usable; /* reachable, not draining, not quarantined */
+	uint64_t background; /* runs in the background */
+	bool usable;	     /* reachable, not draining, not quarantined */
 } wl_fit_runner_t;
 
 /* A request to place a task. */
@@ -29,6 +30,7 @@
 	wl_str_t service;
 	wl_str_t rack;	    /* same_rack: rack of the step's first task; empty: none yet */
 	uint64_t waited_ms; /* how long the step has had pending tasks */
+	bool background;    /* best effort: no forecast tail latency forbids a target */
 } wl_fit_request_t;
 
 /*
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -49,6 +49,9 @@
 	struct wl_sched_runner *runner;
 	wl_need_t need; /* what is reserved for it */
 	bool best_effort;
+	/* best effort: placed whatever the forecast tail latency was, and slowed before others */
+	bool background;
+	bool expired; /* its job was too late to be of use when it was placed */
 	bool lasting;
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
@@ -76,7 +79,7 @@
 	double interference; /* serving: headroom lost to the best-effort work on the target */
 	unsigned int speed_percent;  /* best effort: speed last ordered, percent of full speed */
 	bool throttle_sent;	     /* a THROTTLE order is in flight */
-	uint64_t throttled_since_ns; /* at SPEED_STALLED or below since then; 0: it is not */
+	uint64_t throttled_since_ns; /* it has made no progress since then; 0: it does */
 	uint64_t trial;		     /* WL_TRIAL_NONE: it is not on trial */
 	uint64_t trial_ms;	     /* how long the trial lasts */
 	bool settling;	  /* on trial: other tasks of a job that starts slowly wait for it */
@@ -166,7 +169,8 @@
 	uint64_t avoided_until_ns;
 	/* CPU shares of best-effort work by image, moving average over the tail sampling window */
 	wl_interference_shares_t average_shares;
-	uint64_t average_updated_ns;   /* when average_shares was last updated */
+	uint64_t average_updated_ns; /* when average_shares was last updated */
+	bool promotion_due; /* a run has ended since the runs in the background were looked at */
 	bool interference_stale;       /* wl_sched_run.interference of its runs is outdated */
 	double headroom_least;	       /* of its serving tasks, beside the work that is there */
 	uint64_t quarantined_until_ns; /* no starts before; 0: not quarantined */
@@ -401,6 +405,7 @@
 /* stalled.c */
 void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
 uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns);
+bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns);
 void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* runs.c */
@@ -432,6 +437,9 @@
 /* tails.c */
 void wl_sched_tails_update(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   wl_out_t *out);
+void wl_sched_background_throttle(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+				  wl_out_t *out);
+void wl_sched_background_promote(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 uint64_t wl_sched_tail_floor(const wl_sched_t *sched, wl_sched_runner_t *runner);
 uint64_t wl_sched_tail_forecast(const wl_sched_t *sched, wl_sched_runner_t *runner,
 				unsigned int image, uint64_t cpu_millis);
--- a/libwlcore/sched/ordering.c
+++ b/libwlcore/sched/ordering.c
@@ -13,6 +13,7 @@
 #define PRIORITY_SHIFT 56
 #define PRIORITY_MAX   127
 #define STAGE_SHIFT    48 /* 8 bits for the stage, below it milliseconds */
+#define STAGE_MASK     0xff
 #define TIME_MASK      ((UINT64_C(1) << STAGE_SHIFT) - 1)
 /* A late job is of use until its age is this multiple of its allowed time. */
 #define LATE_FACTOR 3
@@ -81,6 +82,14 @@
 	return rank_of(item, STAGE_EXPIRED, item->since_ms);
 }
 
+/*
+ * wl_ordering_expired - whether a rank is that of a job whose result is of no use any more
+ */
+bool wl_ordering_expired(uint64_t rank)
+{
+	return (rank >> STAGE_SHIFT & STAGE_MASK) == STAGE_EXPIRED;
+}
+
 /* Sorted by name; the last is the default. */
 static const wl_ordering_policy_t policies[] = {
 	{"fifo", rank_fifo},
--- a/libwlcore/sched/ordering.h
+++ b/libwlcore/sched/ordering.h
@@ -30,5 +30,6 @@
 } wl_ordering_policy_t;
 
 const wl_ordering_policy_t *wl_ordering_policy_find(wl_str_t name);
+bool wl_ordering_expired(uint64_t rank);
 
 #endif
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -199,7 +199,7 @@
 }
 
 static void task_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch, uint64_t number,
-		       wl_sched_runner_t *runner)
+		       wl_sched_runner_t *runner, bool background)
 {
 	const wl_batch_task_t *pending = &batch->tasks[--batch->count];
 	wl_sched_run_t *run = wl_sched_run_add(sched, runner, batch->job, pending->task, number);
@@ -208,6 +208,9 @@
 	run->placed_ns = now_ns;
 	run->waited_ns = now_ns - batch->queued_ns;
 	run->previous_end_ns = pending->ended_ns;
+	run->background = background;
+	run->expired = wl_ordering_expired(batch->rank);
+	runner->fit.background += background;
 	if (batch->rack.len == 0)
 		wl_buf_set(&batch->rack, wl_buf_str(&runner->state->report.rack));
 	start_add(sched, run);
@@ -231,7 +234,7 @@
 	number = next_run_number(batch, batch->tasks[0].task);
 	candidates_collect(sched, batch, request, candidates);
 	while (batch->count > 0 && (best = candidates_best(candidates))) {
-		task_place(sched, now_ns, batch, number, best->runner);
+		task_place(sched, now_ns, batch, number, best->runner, request->background);
 		if (batch->count > 0)
 			candidate_update(sched, batch, request, candidates, best);
 	}
@@ -276,9 +279,14 @@
 			return false;
 		task_place(sched, now_ns, batch,
 			   next_run_number(batch, batch->tasks[batch->count - 1].task),
-			   best->runner);
+			   best->runner, request->background);
 		if (batch->count == 0)
 			break;
+		if (request->background) {
+			request->background = false;
+			candidates_collect(sched, batch, request, candidates);
+			continue;
+		}
 		if (rack_update(batch, request))
 			candidates_collect(sched, batch, request, candidates);
 		else
@@ -300,6 +308,7 @@
 		.step = wl_job_step(batch->job, batch->step),
 		.waited_ms = (now_ns - batch->ready_ns) / WL_NS_PER_MS,
 		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
+		.background = wl_sched_batch_stalled(batch, now_ns),
 	};
 }
 
@@ -333,10 +342,12 @@
 } unplaceable_need_t;
 
 typedef struct pass {
+	uint64_t now_ns;
 	unplaceable_need_t plain;
 	unplaceable_need_t best_effort[WL_IMAGES_MAX]; /* by image: their interference differs */
 	bool full;				       /* considers best-effort work too */
-	size_t misses[2];			       /* by best_effort */
+	size_t stalled_misses;
+	size_t misses[2]; /* by best_effort */
 	size_t suspect_misses;
 	candidates_t candidates;
 } pass_t;
@@ -353,10 +364,18 @@
 	return step->label.len || step->max_per_target || step->gang || step->accelerators;
 }
 
+/* Whether so many batches fitted on no target that only stalled ones are looked at. */
+static bool is_ended(const pass_t *pass)
+{
+	return pass->misses[false] + pass->misses[true] >= MISSES_MAX;
+}
+
 static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
 {
 	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
 		return false;
+	if (is_ended(pass) && !wl_sched_batch_stalled(batch, pass->now_ns))
+		return false;
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
 
@@ -365,6 +384,8 @@
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
 	const unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
 
+	if (wl_sched_batch_stalled(batch, pass->now_ns))
+		return false;
 	return unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis &&
 	       step->memory_mib >= unplaceable_need->memory_mib;
 }
@@ -387,6 +408,10 @@
 		pass->suspect_misses++;
 		return;
 	}
+	if (wl_sched_batch_stalled(batch, pass->now_ns)) {
+		pass->stalled_misses++;
+		return;
+	}
 	pass->misses[step->best_effort]++;
 	if (is_constrained(step) ||
 	    (unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis))
@@ -423,7 +448,7 @@
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
 	wl_task_batch_t *batch;
-	pass_t pass = {0};
+	pass_t pass = {.now_ns = now_ns};
 
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
@@ -431,8 +456,9 @@
 	sched->pass_count++;
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
+	wl_sched_background_promote(sched, now_ns, out);
 	batch = TAILQ_FIRST(&sched->pending);
-	while (batch && pass.misses[false] + pass.misses[true] < MISSES_MAX) {
+	while (batch && pass.stalled_misses < MISSES_MAX) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
 		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
@@ -445,7 +471,8 @@
 	sched->next_pass_ns =
 		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, now_ns);
 	if (pass.full)
-		sched->next_full_pass_ns = next_pass_at_ns(sched, pass.misses[true], now_ns);
+		sched->next_full_pass_ns =
+			next_pass_at_ns(sched, pass.misses[true] + pass.stalled_misses, now_ns);
 	if (sched->starts.runs.count == 0)
 		return;
 	cmd.u.runs_start = sched->starts;
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -65,6 +65,8 @@
 	runner->lasting_millis -= run->lasting ? run->need.cpu_millis : 0;
 	runner->fit.serving -= run->serving;
 	runner->fit.serving_millis -= run->serving ? run->need.cpu_millis : 0;
+	runner->fit.background -= run->background;
+	runner->promotion_due = true;
 	runner->interference_stale = true;
 }
 
@@ -351,6 +353,8 @@
 		run->lease_bounded = end->has_clock && end->clock_ms >= order->clock_least_ms;
 		if (run->stop_wanted)
 			wl_sched_stop_send(sched, now_ns, run);
+		else
+			wl_sched_background_throttle(sched, now_ns, run, out);
 		break;
 	case WL_ORDER_NO_ANSWER:
 	case WL_ORDER_AGENT_LOST:
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -2,6 +2,7 @@
 
 #include "internal.h"
 
+#define STALLED_MS	   2000 /* after this time a task of the job is placed where room is */
 #define STALLED_REPORT_MS  3000 /* a job counts as stalled after this time */
 #define REPORT_INTERVAL_MS 1000
 
@@ -35,6 +36,15 @@
 	return (now_ns - sched_job->at_work_ns) / WL_NS_PER_MS;
 }
 
+/*
+ * wl_sched_batch_stalled - whether the next task of a batch is placed whatever the forecast is
+ */
+bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	return wl_job_step(batch->job, batch->step)->best_effort &&
+	       wl_sched_job_idle_ms(batch->job, now_ns) >= STALLED_MS;
+}
+
 static void room_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_task_batch_t *batch,
 		     const wl_fit_request_t *request, room_t *room)
 {
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -26,13 +26,17 @@
 #define SPEED_STALLED	    20	/* percent: at or below, work progresses faster elsewhere */
 #define STALLED_MAX_MS	    500 /* longest time at SPEED_STALLED or below: two samples in a row */
 
+#define BACKGROUND_STALLED_MAX_MS 4000 /* the same for background runs of expired jobs */
+#define PROMOTION_MAX_PERMILLE	  900  /* forecast of the bound up to which they take part */
+
 #define SAMPLE_INTERVAL_MS 500 /* interval at which a target updates its tail latencies */
 /* With less headroom, a swing of the users' load may exceed the bound within a second. */
 #define HEADROOM_CRITICAL 1.7
 
 static bool takes_headroom(const wl_sched_run_t *run)
 {
-	return run->best_effort && run->phase != WL_RUN_ENDING && !run->stop_wanted;
+	return run->best_effort && !run->background && run->phase != WL_RUN_ENDING &&
+	       !run->stop_wanted;
 }
 
 static bool is_active_best_effort(const wl_sched_run_t *run)
@@ -204,6 +208,8 @@
 
 	if (!runner->fit.serving || !runner->fit.best_effort_millis)
 		return false;
+	if (runner->fit.background)
+		return true;
 	wl_sched_interference_update(sched, runner);
 	TAILQ_FOREACH (run, &runner->serving, serving_link)
 		if (run->baseline.at_ns == 0 ||
@@ -242,15 +248,29 @@
 	       (percent >= run->speed_percent + SPEED_RAISE_MIN || percent == WL_SPEED_FULL);
 }
 
+/*
+ * Whether a run makes so little progress that it had better run elsewhere. No target suits one in
+ * the background that nobody waits for: it moves only from where it stands still.
+ */
+static bool makes_no_progress(const wl_sched_run_t *run, unsigned int percent)
+{
+	return run->background && run->expired ? percent == 0 : percent <= SPEED_STALLED;
+}
+
+static uint64_t throttled_max_ms(const wl_sched_run_t *run)
+{
+	return run->background && run->expired ? BACKGROUND_STALLED_MAX_MS : STALLED_MAX_MS;
+}
+
 static void speed_update(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			 unsigned int percent, wl_out_t *out)
 {
-	if (percent > SPEED_STALLED)
+	if (!makes_no_progress(run, percent))
 		run->throttled_since_ns = 0;
 	else if (run->throttled_since_ns == 0)
 		run->throttled_since_ns = now_ns;
 	if (run->throttled_since_ns &&
-	    now_ns - run->throttled_since_ns >= STALLED_MAX_MS * WL_NS_PER_MS) {
+	    now_ns - run->throttled_since_ns >= throttled_max_ms(run) * WL_NS_PER_MS) {
 		wl_sched_run_stop(sched, now_ns, run, "tail", out);
 		return;
 	}
@@ -285,7 +305,8 @@
 		if (!is_active_best_effort(run) || run->stop_wanted)
 			continue;
 		tables->runs[tables->count] = run;
-		tables->rows[tables->count++] = (wl_throttle_run_t){run->image, share_of(run), 0};
+		tables->rows[tables->count++] = (wl_throttle_run_t){
+			.image = run->image, .share = share_of(run), .background = run->background};
 	}
 }
 
@@ -304,6 +325,53 @@
 	free(tables.runs);
 }
 
+/* Runs in the background take part like others once the forecast permits it. */
+static bool background_promote(wl_sched_t *sched, wl_sched_runner_t *runner)
+{
+	wl_sched_run_t *run;
+	bool promoted = false;
+
+	runner->promotion_due = false;
+	TAILQ_FOREACH (run, &runner->runs, link) {
+		if (!run->background || run->expired || run->phase != WL_RUN_CONFIRMED ||
+		    wl_sched_tail_forecast(sched, runner, run->image, run->need.cpu_millis) >
+			    PROMOTION_MAX_PERMILLE)
+			continue;
+		run->background = false;
+		runner->fit.background--;
+		runner->interference_stale = true;
+		promoted = true;
+	}
+	return promoted;
+}
+
+/*
+ * wl_sched_background_promote - let runs in the background take part where headroom was freed
+ *
+ * Called before a placement pass, which would give the headroom to others.
+ */
+void wl_sched_background_promote(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
+{
+	wl_sched_runner_t *runner;
+
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		if (runner->fit.background && runner->promotion_due &&
+		    background_promote(sched, runner))
+			speeds_update(sched, now_ns, runner, out);
+}
+
+/*
+ * wl_sched_background_throttle - slow a run that was placed whatever the forecast was
+ *
+ * The next sample would come only after its work has begun to disturb the serving tasks.
+ */
+void wl_sched_background_throttle(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+				  wl_out_t *out)
+{
+	if (run->runner->fit.background && run->runner->fit.serving && run->best_effort)
+		speeds_update(sched, now_ns, run->runner, out);
+}
+
 /*
  * wl_sched_tails_update - learn from new tail samples and adjust the speed of best-effort
  * work
@@ -317,6 +385,8 @@
 		if (run->listed && run->tail_ms > 0)
 			sample_learn(sched, now_ns, run);
 	runner->interference_stale = true;
+	if (runner->fit.background)
+		background_promote(sched, runner);
 	if (runner->fit.best_effort_millis)
 		speeds_update(sched, now_ns, runner, out);
 }
--- a/libwlcore/sched/throttle.h
+++ b/libwlcore/sched/throttle.h
@@ -22,6 +22,7 @@
 	unsigned int image;
 	double share;	      /* of the target's CPU, at full speed */
 	unsigned int percent; /* out: percent of full speed */
+	bool background;      /* is slowed before all others */
 } wl_throttle_run_t;
 
 void wl_throttle_choose(const wl_interference_t *interference, const wl_throttle_serving_t *serving,
