sched: forecast a tail latency by serving image

Cause: it visits every serving run of a target, each in a list node of its own.

Change: when the headroom on a target is recomputed, the least one of each serving image is kept in one array. A weight depends on the images alone, and rounding keeps the order of values, so that the least of these is the least of all runs. Every change of a headroom already marks the target as outdated.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -137,6 +137,12 @@
 
 TAILQ_HEAD(wl_sched_open_starts, wl_sched_open_start);
 
+/* Least headroom of the serving tasks of one image on a target, beside the work that is there. */
+typedef struct wl_sched_headroom {
+	double least;
+	unsigned int image;
+} wl_sched_headroom_t;
+
 /*
  * What the leader knows of a target (a wl_runner_t, "runner" in names), in addition to the
  * replicated state.
@@ -171,8 +177,11 @@
 	wl_interference_shares_t average_shares;
 	uint64_t average_updated_ns; /* when average_shares was last updated */
 	bool promotion_due; /* a run has ended since the runs in the background were looked at */
-	bool interference_stale;       /* wl_sched_run.interference of its runs is outdated */
-	double headroom_least;	       /* of its serving tasks, beside the work that is there */
+	bool interference_stale;	/* wl_sched_run.interference of its runs is outdated */
+	double headroom_least;		/* of its serving tasks, beside the work that is there */
+	wl_sched_headroom_t *headrooms; /* the same for each image of its serving tasks */
+	size_t headroom_count;
+	size_t headroom_capacity;
 	uint64_t quarantined_until_ns; /* no starts before; 0: not quarantined */
 	uint64_t began_ns; /* when this incarnation became known; 0: under an earlier leader */
 	uint64_t unreachable_since_ns; /* since when renewals fail; 0: they do not */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -164,6 +164,7 @@
 	TAILQ_REMOVE(&sched->runners, runner, link);
 	wl_buf_free(&runner->id);
 	wl_buf_free(&runner->address);
+	free(runner->headrooms);
 	free(runner);
 }
 
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -32,6 +32,7 @@
 #define SAMPLE_INTERVAL_MS 500 /* interval at which a target updates its tail latencies */
 /* With less headroom, a swing of the users' load may exceed the bound within a second. */
 #define HEADROOM_CRITICAL 1.7
+#define HEADROOMS_GROWTH  4 /* images: most targets serve fewer */
 
 static bool takes_headroom(const wl_sched_run_t *run)
 {
@@ -104,6 +105,25 @@
 	return images;
 }
 
+static void headroom_add(wl_sched_runner_t *runner, unsigned int image, double headroom)
+{
+	wl_sched_headroom_t *at = runner->headrooms;
+
+	for (size_t i = 0; i < runner->headroom_count; i++, at++) {
+		if (at->image != image)
+			continue;
+		if (headroom < at->least)
+			at->least = headroom;
+		return;
+	}
+	if (runner->headroom_count == runner->headroom_capacity) {
+		runner->headroom_capacity += HEADROOMS_GROWTH;
+		runner->headrooms = wl_realloc(
+			runner->headrooms, runner->headroom_capacity * sizeof(*runner->headrooms));
+	}
+	runner->headrooms[runner->headroom_count++] = (wl_sched_headroom_t){headroom, image};
+}
+
 /*
  * wl_sched_interference_update - recompute the headroom that a target's serving tasks lose
  */
@@ -117,14 +137,18 @@
 		return;
 	runner->interference_stale = false;
 	runner->headroom_least = DBL_MAX;
+	runner->headroom_count = 0;
 	images = planned_fill(runner, &planned);
 	TAILQ_FOREACH (run, &runner->serving, serving_link) {
 		double headroom;
 
 		run->interference =
 			wl_interference_sum_of(&sched->interference, run->image, &planned, images);
+		if (run->baseline.at_ns == 0)
+			continue;
 		headroom = run->baseline.headroom - run->interference;
-		if (run->baseline.at_ns && headroom < runner->headroom_least)
+		headroom_add(runner, run->image, headroom);
+		if (headroom < runner->headroom_least)
 			runner->headroom_least = headroom;
 	}
 }
@@ -155,17 +179,14 @@
 				unsigned int image, uint64_t cpu_millis)
 {
 	double share = (double)cpu_millis / (double)runner->fit.capacity.cpu_millis;
-	const wl_sched_run_t *run;
 	double least = DBL_MAX;
 
 	wl_sched_interference_update(sched, runner);
-	TAILQ_FOREACH (run, &runner->serving, serving_link) {
-		double headroom;
+	for (size_t i = 0; i < runner->headroom_count; i++) {
+		const wl_sched_headroom_t *at = &runner->headrooms[i];
+		double headroom = at->least - share * wl_interference_weight(&sched->interference,
+									     at->image, image);
 
-		if (run->baseline.at_ns == 0)
-			continue;
-		headroom = run->baseline.headroom - run->interference -
-			   share * wl_interference_weight(&sched->interference, run->image, image);
 		if (headroom < least)
 			least = headroom;
 	}
