sched: an index of the targets by what is free there

Cause: a look at a target without capacity costs as much as one at another: several cache lines of a large list node, after the one before has been followed.

Change: one row of 48 bytes a target holds what is free there and the lowest forecast of a tail latency; a pass walks the rows and looks at a target only if its row may suffice. Each change of a target marks its row as outdated. A row only rules out; what it lets through is checked against the target as before, in the same order, and the headroom of a target is recomputed at the same moments as before, as the weights are learnt. A full update at the beginning of each pass was ruled out: passes with few batches would cost as much as before.

--- a/libwlcore/sched/capacity.c
+++ b/libwlcore/sched/capacity.c
@@ -35,6 +35,7 @@
 	*capacity = (wl_need_t){.cpu_millis = report->cpu_millis,
 				.memory_mib = report->memory_mib,
 				.accelerators = report->accelerators};
+	wl_sched_row_outdate(sched, runner);
 }
 
 static bool is_within(const wl_need_t *used, const wl_need_t *capacity)
--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -58,10 +58,17 @@
 	       runner->used.accelerators + step->accelerators <= runner->capacity.accelerators;
 }
 
-static uint64_t tail_limit_permille(const wl_fit_request_t *request)
+/*
+ * wl_fit_tail_limit - the highest forecast tail latency at which a task may join a target
+ *
+ * Return: permille of the bound; UINT64_MAX: no forecast forbids a target.
+ */
+uint64_t wl_fit_tail_limit(const wl_fit_request_t *request)
 {
 	uint64_t most = TAIL_LIMIT_PERMILLE + request->waited_ms / TAIL_LIMIT_STEP_MS;
 
+	if (!request->step->best_effort || request->background)
+		return UINT64_MAX;
 	return most < TAIL_LIMIT_MAX_PERMILLE ? most : TAIL_LIMIT_MAX_PERMILLE;
 }
 
@@ -135,8 +142,7 @@
 {
 	const wl_step_spec_t *step = request->step;
 
-	if (step->best_effort && !request->background &&
-	    runner->tail_permille > tail_limit_permille(request))
+	if (runner->tail_permille > wl_fit_tail_limit(request))
 		return false;
 	return step->max_per_target == 0 || runner->same_step < step->max_per_target;
 }
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -53,6 +53,7 @@
 void wl_fit_free_add(wl_fit_free_t *free_max, const wl_fit_runner_t *runner);
 bool wl_fit_free_suffices(const wl_fit_free_t *free_max, const wl_step_spec_t *step);
 bool wl_fit_has_capacity(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
+uint64_t wl_fit_tail_limit(const wl_fit_request_t *request);
 bool wl_fit_allows(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 bool wl_fit_fits(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 bool wl_fit_eligible(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -155,6 +155,7 @@
 	struct wl_sched_runs serving;		 /* the serving ones among them */
 	struct wl_sched_open_starts open_starts; /* of runs that have ended */
 	wl_fit_runner_t fit;			 /* input of placement */
+	size_t row;				 /* of wl_sched.rows */
 	/* leases of earlier leaders or of an earlier incarnation may be valid until then */
 	uint64_t previous_leases_expiry_ns;
 	/* orders with leases that got no answer may be carried out until then */
@@ -197,6 +198,15 @@
 
 TAILQ_HEAD(wl_sched_runner_list, wl_sched_runner);
 
+/* What placement looks at first of a target. */
+typedef struct wl_sched_row {
+	wl_sched_runner_t *runner;
+	wl_fit_free_t free;  /* -1 in each field: it is not usable */
+	uint64_t tail_floor; /* wl_sched_tail_floor(); 0: it has no serving tasks */
+	bool free_outdated;
+	bool tail_outdated;
+} wl_sched_row_t;
+
 /* How the next task of a batch has to be placed, from the crashes under it. */
 typedef struct wl_suspicion {
 	uint64_t at_ns; /* when this was decided */
@@ -343,6 +353,9 @@
 	TAILQ_HEAD(wl_sched_proposals, wl_sched_proposal) proposals;
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
+	wl_sched_row_t *rows; /* of the runners, in their order */
+	size_t row_count;
+	bool rows_outdated;		       /* runners were added or removed */
 	struct wl_sched_departures departures; /* not answered yet */
 	struct wl_sched_losses losses;	       /* targets lost with their runs, oldest first */
 	uint64_t outage_count;
@@ -411,6 +424,15 @@
 wl_fit_request_t wl_sched_fit_request(const wl_sched_t *sched, uint64_t now_ns,
 				      const wl_task_batch_t *batch);
 
+/* rows.c */
+void wl_sched_rows_reset(wl_sched_t *sched);
+void wl_sched_rows_update(wl_sched_t *sched);
+void wl_sched_row_outdate(wl_sched_t *sched, const wl_sched_runner_t *runner);
+void wl_sched_interference_outdate(wl_sched_t *sched, wl_sched_runner_t *runner);
+void wl_sched_row_free_update(wl_sched_row_t *row);
+void wl_sched_row_tail_update(const wl_sched_t *sched, wl_sched_row_t *row);
+wl_fit_free_t wl_sched_rows_free_max(const wl_sched_t *sched);
+
 /* stalled.c */
 void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
 uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -85,16 +85,13 @@
 	wl_fit_free_t free_max;
 } candidates_t;
 
-static void candidates_init(const wl_sched_t *sched, candidates_t *candidates)
+static void candidates_init(wl_sched_t *sched, candidates_t *candidates)
 {
-	const wl_sched_runner_t *runner;
-
 	if (candidates->items)
 		return;
+	wl_sched_rows_update(sched);
 	candidates->items = wl_alloc(wl_map_count(&sched->by_runner) * sizeof(*candidates->items));
-	candidates->free_max = (wl_fit_free_t){-1, -1, -1};
-	TAILQ_FOREACH (runner, &sched->runners, link)
-		wl_fit_free_add(&candidates->free_max, &runner->fit);
+	candidates->free_max = wl_sched_rows_free_max(sched);
 }
 
 static bool candidate_evaluate(wl_sched_t *sched, wl_sched_runner_t *runner,
@@ -120,19 +117,34 @@
  */
 static void interference_refresh(wl_sched_t *sched, const wl_step_spec_t *step)
 {
-	wl_sched_runner_t *runner;
-
 	if (!step->best_effort)
 		return;
-	TAILQ_FOREACH (runner, &sched->runners, link)
-		if (runner->interference_stale && runner->fit.serving)
-			wl_sched_interference_update(sched, runner);
+	for (size_t i = 0; i < sched->row_count; i++)
+		if (sched->rows[i].tail_outdated)
+			wl_sched_row_tail_update(sched, &sched->rows[i]);
+}
+
+/*
+ * Whether a task of the batch may fit on the target of a row; false if it certainly does not. The
+ * headroom there is refreshed as if the target itself were checked.
+ */
+static bool row_may_fit(const wl_sched_t *sched, wl_sched_row_t *row, const wl_task_batch_t *batch,
+			const wl_step_spec_t *step, uint64_t tail_limit)
+{
+	if (row->free_outdated)
+		wl_sched_row_free_update(row);
+	if (step->best_effort && row->tail_outdated) {
+		if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(row->runner, batch))
+			return false;
+		wl_sched_row_tail_update(sched, row);
+	}
+	return wl_fit_free_suffices(&row->free, step) && row->tail_floor <= tail_limit;
 }
 
 static void candidates_collect(wl_sched_t *sched, const wl_task_batch_t *batch,
 			       const wl_fit_request_t *request, candidates_t *candidates)
 {
-	wl_sched_runner_t *runner;
+	uint64_t tail_limit = wl_fit_tail_limit(request);
 
 	candidates_init(sched, candidates);
 	candidates->count = 0;
@@ -140,9 +152,14 @@
 		interference_refresh(sched, request->step);
 		return;
 	}
-	TAILQ_FOREACH (runner, &sched->runners, link)
-		candidates->count += candidate_evaluate(sched, runner, batch, request,
-							&candidates->items[candidates->count]);
+	for (size_t i = 0; i < sched->row_count; i++) {
+		wl_sched_row_t *row = &sched->rows[i];
+
+		if (row_may_fit(sched, row, batch, request->step, tail_limit))
+			candidates->count +=
+				candidate_evaluate(sched, row->runner, batch, request,
+						   &candidates->items[candidates->count]);
+	}
 }
 
 /* The first candidate with the highest score, or NULL. */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -74,9 +74,11 @@
 		      now_ns - last_ns < UNREACHABLE_MS * WL_NS_PER_MS &&
 		      now_ns >= runner->quarantined_until_ns;
 
-	if (usable && !runner->fit.usable)
-		sched->place_due = true;
+	if (usable == runner->fit.usable)
+		return;
+	sched->place_due |= usable;
 	runner->fit.usable = usable;
+	wl_sched_row_outdate(sched, runner);
 }
 
 /*
@@ -104,6 +106,7 @@
 		TAILQ_INIT(&runner->open_starts);
 		wl_map_put(&sched->by_runner, runner);
 		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
+		wl_sched_rows_reset(sched);
 	}
 	runner->state = state;
 	address_update(sched, now_ns, runner);
@@ -162,6 +165,7 @@
 	wl_sched_open_starts_clear(runner);
 	wl_map_remove(&sched->by_runner, runner->key);
 	TAILQ_REMOVE(&sched->runners, runner, link);
+	wl_sched_rows_reset(sched);
 	wl_buf_free(&runner->id);
 	wl_buf_free(&runner->address);
 	free(runner->headrooms);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -44,7 +44,7 @@
 	return run;
 }
 
-static void need_add(wl_sched_runner_t *runner, const wl_sched_run_t *run)
+static void need_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_sched_run_t *run)
 {
 	runner->fit.used.cpu_millis += run->best_effort ? 0 : run->need.cpu_millis;
 	runner->fit.used.memory_mib += run->need.memory_mib;
@@ -53,10 +53,10 @@
 	runner->lasting_millis += run->lasting ? run->need.cpu_millis : 0;
 	runner->fit.serving += run->serving;
 	runner->fit.serving_millis += run->serving ? run->need.cpu_millis : 0;
-	runner->interference_stale = true;
+	wl_sched_interference_outdate(sched, runner);
 }
 
-static void need_subtract(wl_sched_runner_t *runner, const wl_sched_run_t *run)
+static void need_subtract(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_sched_run_t *run)
 {
 	runner->fit.used.cpu_millis -= run->best_effort ? 0 : run->need.cpu_millis;
 	runner->fit.used.memory_mib -= run->need.memory_mib;
@@ -67,7 +67,7 @@
 	runner->fit.serving_millis -= run->serving ? run->need.cpu_millis : 0;
 	runner->fit.background -= run->background;
 	runner->promotion_due = true;
-	runner->interference_stale = true;
+	wl_sched_interference_outdate(sched, runner);
 }
 
 /*
@@ -98,7 +98,7 @@
 	run->need = (wl_need_t){.cpu_millis = step->cpu_millis,
 				.memory_mib = step->memory_mib,
 				.accelerators = step->accelerators};
-	need_add(runner, run);
+	need_add(sched, runner, run);
 	wl_sched_trial_begin(run, job);
 	wl_map_put(&sched->by_run, run);
 	TAILQ_INSERT_TAIL(&runner->runs, run, link);
@@ -112,7 +112,7 @@
  */
 void wl_sched_run_remove(wl_sched_t *sched, wl_sched_run_t *run)
 {
-	need_subtract(run->runner, run);
+	need_subtract(sched, run->runner, run);
 	wl_sched_trial_end(sched, run);
 	wl_map_remove(&sched->by_run, run->key);
 	TAILQ_REMOVE(&run->runner->runs, run, link);
@@ -202,7 +202,7 @@
 	if (run->stop_wanted || run->phase == WL_RUN_ENDING)
 		return;
 	run->stop_wanted = true;
-	run->runner->interference_stale = true;
+	wl_sched_interference_outdate(sched, run->runner);
 	wl_out_log(out, WL_INFO, "run-stop", "run=" WL_STR_FMT " target=" WL_STR_FMT " reason=%s",
 		   WL_STR_ARG(run->key), WL_STR_ARG(run->runner->key), reason);
 	if (run->phase != WL_RUN_PROPOSED)
@@ -312,23 +312,25 @@
 	wl_sched_ends_propose(sched, now_ns, &ends, out);
 }
 
-static void runner_quarantine(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t ms)
+static void runner_quarantine(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
+			      uint64_t ms)
 {
 	uint64_t until_ns = now_ns + ms * WL_NS_PER_MS;
 
 	if (until_ns > runner->quarantined_until_ns)
 		runner->quarantined_until_ns = until_ns;
 	runner->fit.usable = false;
+	wl_sched_row_outdate(sched, runner);
 }
 
 static void start_refused(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			  wl_order_outcome_t outcome, wl_out_t *out)
 {
 	if (outcome == WL_ORDER_NO_CAPACITY)
-		runner_quarantine(run->runner, now_ns, NO_ROOM_QUARANTINE_MS);
+		runner_quarantine(sched, run->runner, now_ns, NO_ROOM_QUARANTINE_MS);
 	if (outcome == WL_ORDER_UNHEALTHY || outcome == WL_ORDER_NOT_SENT ||
 	    outcome == WL_ORDER_OTHER_INCARNATION)
-		runner_quarantine(run->runner, now_ns, UNHEALTHY_QUARANTINE_MS);
+		runner_quarantine(sched, run->runner, now_ns, UNHEALTHY_QUARANTINE_MS);
 	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "refused", out);
 }
 
@@ -411,8 +413,8 @@
  * Quarantines a target after failures in a row. Failures of a single job are no evidence
  * against the target.
  */
-static void failures_count(wl_sched_runner_t *runner, uint64_t now_ns, const wl_run_end_t *end,
-			   wl_out_t *out)
+static void failures_count(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
+			   const wl_run_end_t *end, wl_out_t *out)
 {
 	uint64_t job = wl_str_hash(wl_buf_str(&end->job), 0);
 
@@ -423,7 +425,7 @@
 	runner->known.failed_job = job;
 	if (++runner->known.failures < FAILURES_MAX)
 		return;
-	runner_quarantine(runner, now_ns, FAILURES_QUARANTINE_MS);
+	runner_quarantine(sched, runner, now_ns, FAILURES_QUARANTINE_MS);
 	wl_out_log(out, WL_WARN, "target-aside", "target=" WL_STR_FMT " failures=%llu pause_ms=%d",
 		   WL_STR_ARG(runner->key), (unsigned long long)runner->known.failures,
 		   FAILURES_QUARANTINE_MS);
@@ -502,7 +504,7 @@
 	ended_ns = run_ended_ns(run, end->outcome, now_ns);
 	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
 			     run->end_reason ? run->end_reason : "other", out);
-	failures_count(run->runner, now_ns, end, out);
+	failures_count(sched, run->runner, now_ns, end, out);
 	wl_sched_crash_applied(sched, now_ns, run, end, out);
 	if (end->outcome == WL_END_DONE)
 		wl_sched_trial_passed(sched, run);
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -107,6 +107,7 @@
 	wl_map_free(&sched->by_runner);
 	wl_map_free(&sched->by_run);
 	wl_images_free(&sched->images);
+	free(sched->rows);
 	free(sched);
 }
 
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -360,7 +360,7 @@
 			continue;
 		run->background = false;
 		runner->fit.background--;
-		runner->interference_stale = true;
+		wl_sched_interference_outdate(sched, runner);
 		promoted = true;
 	}
 	return promoted;
@@ -405,7 +405,7 @@
 	TAILQ_FOREACH (run, &runner->serving, serving_link)
 		if (run->listed && run->tail_ms > 0)
 			sample_learn(sched, now_ns, run);
-	runner->interference_stale = true;
+	wl_sched_interference_outdate(sched, runner);
 	if (runner->fit.background)
 		background_promote(sched, runner);
 	if (runner->fit.best_effort_millis)
