sched: look for runs to promote only after one has ended beside them

Change: the flag of a target is set with one of the scheduler, where runs are in the background; without it the walk is left out. A run that is placed in the background sets it too, since its target may carry the flag already.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -368,6 +368,7 @@
 	wl_cmd_runs_start_t starts; /* collected by a placement pass and proposed at its end */
 	wl_images_t images;
 	wl_interference_t interference;
+	bool promotion_due; /* that of a target may be set where runs are in the background */
 	bool place_due;
 	uint64_t next_pass_ns; /* no placement pass before */
 	uint64_t pass_count;
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -228,6 +228,7 @@
 	run->background = background;
 	run->expired = wl_ordering_expired(batch->rank);
 	runner->fit.background += background;
+	sched->promotion_due |= background;
 	if (batch->rack.len == 0)
 		wl_buf_set(&batch->rack, wl_buf_str(&runner->state->report.rack));
 	start_add(sched, run);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -67,6 +67,7 @@
 	runner->fit.serving_millis -= run->serving ? run->need.cpu_millis : 0;
 	runner->fit.background -= run->background;
 	runner->promotion_due = true;
+	sched->promotion_due |= runner->fit.background > 0;
 	wl_sched_interference_outdate(sched, runner);
 }
 
--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -375,6 +375,9 @@
 {
 	wl_sched_runner_t *runner;
 
+	if (!sched->promotion_due)
+		return;
+	sched->promotion_due = false;
 	TAILQ_FOREACH (runner, &sched->runners, link)
 		if (runner->fit.background && runner->promotion_due &&
 		    background_promote(sched, runner))
