--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -257,21 +257,32 @@
 	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
 }
 
+static void renewal_send_due(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	bool needs_lease = wl_sched_runner_needs_lease(runner);
+
+	if (needs_lease || runner->known.ack_due)
+		renewal_send(sched, now_ns, runner, needs_lease);
+}
+
+static bool leases_are_over(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return (runner->known.renewal_failed || runner->known.departing) &&
+	       now_ns > wl_sched_leases_expiry_ns(runner);
+}
+
+/* Looks at the runs only where it matters: at most ticks, a renewal is in flight. */
 static void runner_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			wl_out_t *out)
 {
-	bool needs_lease = wl_sched_runner_needs_lease(runner);
 	uint64_t last_ns = last_contact_ns(runner);
-	bool expired = needs_lease && (runner->known.renewal_failed || runner->known.departing) &&
-		       now_ns > wl_sched_leases_expiry_ns(runner);
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
-	if (expired && wl_sched_runs_expire(sched, now_ns, runner, out))
-		needs_lease = wl_sched_runner_needs_lease(runner);
-	if ((needs_lease || runner->known.ack_due) && !runner->renewal_id &&
-	    now_ns >= runner->renewal_due_ns)
-		renewal_send(sched, now_ns, runner, needs_lease);
+	if (leases_are_over(runner, now_ns) && wl_sched_runner_needs_lease(runner))
+		wl_sched_runs_expire(sched, now_ns, runner, out);
+	if (!runner->renewal_id && now_ns >= runner->renewal_due_ns)
+		renewal_send_due(sched, now_ns, runner);
 	if (!TAILQ_EMPTY(&runner->runs) || runner->known.removal_proposed)
 		return;
 	if (last_ns < sched->leader_since_ns)
