http client: release the command that wakes the thread for a stop

Cause: the stop sets `stopping` and then pushes a command that wakes the thread. A thread that is awake in between sees `stopping`, takes the commands for the last time and ends; the command is then pushed to a ring that nobody reads, and wl_ring_free() does not release items.

Evidence: a new test slows down the allocation of that command by 200 ms, through the allocation hook of the sanitizer, while a call is open (the thread then wakes up every 50 ms).

Ruled out: a lost call. Fetches are pushed before the stop, so that the thread, which reads `stopping` first and the ring after a full barrier, takes them; only the wake command comes later. The order can't be turned round either, since a thread that takes the wake command before it sees `stopping` would sleep again.

Change: the ring is drained after the join, when no thread reads it.

The other threads: peer links, the listener's watch and the disk are woken without a queue element (eventfd, or a time-out), and the logger drains its ring after it has seen the stop, with all senders gone. The event ring is drained by the daemon after all threads have ended.

--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -152,6 +152,12 @@
 		client_finish(client, transfer, CURLE_ABORTED_BY_CALLBACK, "cancelled");
 }
 
+static void command_free(command_t *command)
+{
+	wl_fetch_free(&command->fetch);
+	free(command);
+}
+
 static void client_run_commands(wl_http_client_t *client)
 {
 	command_t *command;
@@ -159,8 +165,7 @@
 	wl_ring_rearm(client->commands);
 	while ((command = wl_ring_pop(client->commands)) != NULL) {
 		client_run_command(client, command);
-		wl_fetch_free(&command->fetch);
-		free(command);
+		command_free(command);
 	}
 }
 
@@ -312,6 +317,16 @@
 	return NULL;
 }
 
+/* Only after the thread has ended: it may leave the command that wakes it for the stop. */
+static void client_free_commands(wl_http_client_t *client)
+{
+	command_t *command;
+
+	while (client->commands && (command = wl_ring_pop(client->commands)) != NULL)
+		command_free(command);
+	wl_ring_free(client->commands);
+}
+
 static void client_free(wl_http_client_t *client)
 {
 	wl_handles_free(&client->handles);
@@ -319,7 +334,7 @@
 		curl_multi_cleanup(client->multi);
 	wl_event_backlog_free(&client->backlog);
 	wl_map_free(&client->by_id);
-	wl_ring_free(client->commands);
+	client_free_commands(client);
 	if (client->epoll_fd >= 0)
 		close(client->epoll_fd);
 	free(client);
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -17,6 +17,10 @@
 
 #include <gtest/gtest.h>
 
+extern "C" __attribute__((weak)) int
+__sanitizer_install_malloc_and_free_hooks(void (*malloc_hook)(const volatile void *, size_t),
+					  void (*free_hook)(const volatile void *));
+
 namespace
 {
 class HttpClient : public ::testing::Test
@@ -85,6 +89,26 @@
 	std::string request;
 };
 
+constexpr useconds_t SLOW_ALLOCATION_US = 200000; /* several wake-ups of a thread with calls */
+thread_local bool allocations_are_slow;
+
+void allocation_wait(const volatile void *, size_t)
+{
+	if (allocations_are_slow)
+		usleep(SLOW_ALLOCATION_US);
+}
+
+void release_ignore(const volatile void *)
+{
+}
+
+/* Has no effect without a sanitizer. */
+void slow_allocations_install()
+{
+	if (__sanitizer_install_malloc_and_free_hooks)
+		__sanitizer_install_malloc_and_free_hooks(allocation_wait, release_ignore);
+}
+
 TEST_F(HttpClient, ResponseIsNotModified)
 {
 	Event event =
@@ -338,6 +362,20 @@
 	server.join();
 }
 
+/* The address sanitizer then reports a command that nobody takes as a leak. */
+TEST_F(HttpClient, StopReleasesACommandThatTheThreadDoesNotTake)
+{
+	ASSERT_TRUE(fetch(1, listener.address())); /* the thread then wakes up often */
+	Tcp tcp = listener.accept();
+	tcp.read_until("\r\n\r\n");
+	slow_allocations_install();
+	allocations_are_slow = true;
+	wl_http_client_stop(client);
+	allocations_are_slow = false;
+	client = nullptr;
+	EXPECT_EQ(text(fetched(1)->fetched.error), "stopped");
+}
+
 TEST_F(HttpClient, CancelledCallEndsOnce)
 {
 	ASSERT_TRUE(fetch(7, listener.address()));
