disk: look at the queue after the stop was seen, not before

Found by reading, while looking for the cause of the http client's leak in the other threads; no run has shown it. The thread waited for a persist in vain and then read `stopping`; a persist queued and a stop made between the two would have been neither written nor released, although a stop promises to write what is queued. Nothing would have been acknowledged wrongly, as PERSISTED follows the sync.

Change: `stopping` is read first, with a barrier, then the queue. unit_disk_test passed in 3 of 3 runs.

--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -126,12 +126,15 @@
 	wl_disk_t *disk = arg;
 	uint64_t tickets[BATCH_MAX];
 	wl_raft_persist_t *persist;
+	unsigned int stopping;
 	size_t count;
 
 	pthread_setname_np(pthread_self(), "wl-disk");
 	for (;;) {
-		persist = wl_ring_wait(disk->queue, QUEUE_WAIT_MS);
-		if (!persist && ck_pr_load_uint(&disk->stopping))
+		stopping = ck_pr_load_uint(&disk->stopping);
+		ck_pr_fence_load(); /* all persists are queued before the stop */
+		persist = wl_ring_wait(disk->queue, stopping ? 0 : QUEUE_WAIT_MS);
+		if (!persist && stopping)
 			return NULL;
 		if (!persist)
 			continue;
