http client: spread the targets over several multi handles

Cause, by perf on wl-bench-calls (1,800 targets, a hold open to each, starts beside them): two thirds of the client's samples were in walks of libcurl over all that a multi handle has. - 40%: the search for the oldest idle connection, made at the end of each call once more connections are open than may be kept; - 27%: the walk over the cache of host names (numeric addresses are in it too), made at the end of each call to drop outdated ones. At 450 targets, below the limit of connections, it was 9% in the walk over names and 7% in curl_multi_remove_handle(), which looks through the connections for one that was made without a request.

Change: 16 multi handles on the same epoll descriptor and thread; the hash of the address picks one, so that the limit of connections for each host stays exact. What a walk looks at is a sixteenth. Each handle keeps a sixteenth of the connections, the total is unchanged.

Ruled out: host names cached for ever or not at all (27% at best, and a moved name would not be seen, or each connection would resolve it); options set anew for each call (7% with the header lists, at 450 targets) and changes of epoll interest (4%).

What a caller relies on is unchanged: sent at most once, `sent`, deadlines, idle connections given up after 5 s. unit_http_client_test (21 tests plus a new one over 48 targets), unit_http_server_test and integration_target_link_test passed; unit_http_client_test passed under the address sanitizer without the new test.

--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -10,16 +10,14 @@
 
 #include "http_client.h"
 
-#include <errno.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
 #include <time.h>
-#include <unistd.h>
 
 #include <ck_pr.h>
 
+#include "http_multi.h"
 #include "http_transfer.h"
 #include "event_backlog.h"
 
@@ -28,13 +26,12 @@
 #define POLL_MS		  1000 /* longest wait while no call is open */
 #define DEADLINE_CHECK_MS 50   /* interval between deadline checks */
 #define RETRY_MS	  5    /* retry interval while the event ring is full */
-#define MAX_EVENTS	  64   /* sockets handled per epoll_wait() */
 #define CALL_CONNECT_MS	  3000 /* longest wait of wl_http_call() for a connection */
 /*
  * Idle connections kept over all hosts: two or three for each of 500 targets, and well under the
  * descriptor limit of a process.
  */
-#define MAX_IDLE_CONNECTIONS 1536
+#define MAX_CONNECTIONS_KEPT 1536
 
 TAILQ_HEAD(transfer_list, wl_transfer);
 
@@ -52,9 +49,7 @@
 	unsigned int started; /* calls started and not ended */
 	unsigned int sent;    /* those of them that have a connection */
 	/* used by the client's thread only */
-	CURLM *multi;
-	int epoll_fd;	   /* libcurl's sockets and the command ring */
-	uint64_t timer_ns; /* when the timer of libcurl expires; 0: not set */
+	wl_multis_t multis;
 	wl_map_t by_id;
 	struct transfer_list running;
 	wl_handles_t handles;
@@ -91,7 +86,7 @@
 			  const char *error)
 {
 	wl_transfer_finish(transfer, code, error);
-	curl_multi_remove_handle(client->multi, transfer->easy);
+	curl_multi_remove_handle(transfer->multi, transfer->easy);
 	wl_map_remove(&client->by_id, transfer->key);
 	ck_pr_dec_uint(&client->started);
 	if (transfer->fetched.sent)
@@ -134,7 +129,8 @@
 			monotonic_now_ns() + transfer->fetch.timeout_ms * WL_NS_PER_MS;
 	TAILQ_INSERT_TAIL(&client->running, transfer, link);
 	ck_pr_inc_uint(&client->started);
-	if (curl_multi_add_handle(client->multi, transfer->easy) != CURLM_OK)
+	transfer->multi = wl_multis_find(&client->multis, wl_buf_str(&transfer->fetch.address));
+	if (curl_multi_add_handle(transfer->multi, transfer->easy) != CURLM_OK)
 		client_finish(client, transfer, CURLE_FAILED_INIT, NULL);
 }
 
@@ -172,15 +168,11 @@
 static void client_reap(wl_http_client_t *client)
 {
 	wl_transfer_t *transfer;
-	CURLMsg *message;
-	int left;
+	CURLcode code;
+	CURL *easy;
 
-	while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
-		CURLcode code = message->data.result;
-
-		if (message->msg != CURLMSG_DONE)
-			continue;
-		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+	while ((easy = wl_multis_next_ended(&client->multis, &code)) != NULL) {
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
 		client_finish(client, transfer, code, NULL);
 	}
 }
@@ -208,81 +200,22 @@
 	}
 }
 
-/* libcurl callback: starts, changes or stops polling a socket. */
-static int socket_watch(CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
-{
-	wl_http_client_t *client = arg;
-	struct epoll_event interest = {.data.fd = fd};
-
-	(void)easy;
-	if (what == CURL_POLL_REMOVE) {
-		epoll_ctl(client->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
-		return 0;
-	}
-	interest.events =
-		(what & CURL_POLL_IN ? EPOLLIN : 0) | (what & CURL_POLL_OUT ? EPOLLOUT : 0);
-	if (epoll_ctl(client->epoll_fd, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &interest) < 0 &&
-	    errno == EEXIST)
-		epoll_ctl(client->epoll_fd, EPOLL_CTL_MOD, fd, &interest);
-	curl_multi_assign(client->multi, fd, client);
-	return 0;
-}
-
-/* libcurl callback: sets the timer; a negative time-out removes it. */
-static int timer_set(CURLM *multi, long timeout_ms, void *arg)
-{
-	wl_http_client_t *client = arg;
-
-	(void)multi;
-	client->timer_ns =
-		timeout_ms < 0 ? 0 : monotonic_now_ns() + (uint64_t)timeout_ms * WL_NS_PER_MS;
-	return 0;
-}
-
-static void client_run_timer(wl_http_client_t *client, uint64_t now_ns)
-{
-	int running;
-
-	if (client->timer_ns == 0 || now_ns < client->timer_ns)
-		return;
-	client->timer_ns = 0;
-	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-}
-
 static int client_wait_ms(const wl_http_client_t *client, uint64_t now_ns)
 {
+	uint64_t timer_ns = wl_multis_timer_ns(&client->multis);
 	uint64_t wait_ms = TAILQ_EMPTY(&client->running) ? POLL_MS : DEADLINE_CHECK_MS;
 
 	if (!wl_event_backlog_empty(&client->backlog))
 		wait_ms = RETRY_MS;
-	if (client->timer_ns == 0)
+	if (timer_ns == 0)
 		return (int)wait_ms;
-	if (client->timer_ns <= now_ns)
+	if (timer_ns <= now_ns)
 		return 0;
-	if (client->timer_ns - now_ns < wait_ms * WL_NS_PER_MS)
-		wait_ms = (client->timer_ns - now_ns + WL_NS_PER_MS - 1) / WL_NS_PER_MS;
+	if (timer_ns - now_ns < wait_ms * WL_NS_PER_MS)
+		wait_ms = (timer_ns - now_ns + WL_NS_PER_MS - 1) / WL_NS_PER_MS;
 	return (int)wait_ms;
 }
 
-/* Waits for sockets and handles them.  Return: whether all ready sockets were handled. */
-static bool client_poll_sockets(wl_http_client_t *client)
-{
-	struct epoll_event events[MAX_EVENTS];
-	int count = epoll_wait(client->epoll_fd, events, MAX_EVENTS,
-			       client_wait_ms(client, monotonic_now_ns()));
-	int running;
-
-	for (int i = 0; i < count; i++) {
-		int ready = (events[i].events & EPOLLIN ? CURL_CSELECT_IN : 0) |
-			    (events[i].events & EPOLLOUT ? CURL_CSELECT_OUT : 0) |
-			    (events[i].events & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0);
-
-		if (events[i].data.fd != wl_ring_fd(client->commands))
-			curl_multi_socket_action(client->multi, events[i].data.fd, ready, &running);
-	}
-	return count >= 0 && count < MAX_EVENTS;
-}
-
 static void client_abort(wl_http_client_t *client)
 {
 	wl_transfer_t *transfer;
@@ -301,11 +234,11 @@
 	pthread_setname_np(pthread_self(), "wl-http-out");
 	while (!ck_pr_load_uint(&client->stopping)) {
 		client_run_commands(client);
-		client_run_timer(client, monotonic_now_ns());
+		wl_multis_run_timers(&client->multis, monotonic_now_ns());
 		client_reap(client);
 		wl_event_backlog_flush(&client->backlog);
 		before_ns = monotonic_now_ns(); /* a pause after the read must not end calls */
-		all_served = client_poll_sockets(client);
+		all_served = wl_multis_poll(&client->multis, client_wait_ms(client, before_ns));
 		client_reap(client);
 		if (all_served)
 			client_check_deadlines(client, before_ns);
@@ -330,41 +263,25 @@
 static void client_free(wl_http_client_t *client)
 {
 	wl_handles_free(&client->handles);
-	if (client->multi)
-		curl_multi_cleanup(client->multi);
+	wl_multis_free(&client->multis);
 	wl_event_backlog_free(&client->backlog);
 	wl_map_free(&client->by_id);
 	client_free_commands(client);
-	if (client->epoll_fd >= 0)
-		close(client->epoll_fd);
 	free(client);
 }
 
 static bool client_open(wl_http_client_t *client, wl_err_t *err)
 {
-	struct epoll_event commands = {.events = EPOLLIN};
+	wl_multis_options_t multis = {.max_connections_per_host =
+					      client->options.max_connections_per_host,
+				      .max_connections_kept = MAX_CONNECTIONS_KEPT};
 
 	client->commands = wl_ring_new(client->options.queue_slots, err);
 	if (!client->commands)
 		return false;
-	commands.data.fd = wl_ring_fd(client->commands);
-	client->multi = curl_multi_init();
-	if (!client->multi)
-		return wl_err_set(err, WL_E_IO, WL_NOT_RUN,
-				  "HTTP client: libcurl multi handle could not be created");
-	client->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	if (client->epoll_fd < 0 ||
-	    epoll_ctl(client->epoll_fd, EPOLL_CTL_ADD, commands.data.fd, &commands) < 0)
-		return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP client: epoll: %s",
-				  strerror(errno));
-	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, socket_watch);
-	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
-	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, timer_set);
-	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
-	curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
-	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-			  (long)client->options.max_connections_per_host);
-	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS, (long)MAX_IDLE_CONNECTIONS);
+	multis.wake_fd = wl_ring_fd(client->commands);
+	if (!wl_multis_open(&client->multis, &multis, err))
+		return false;
 	if (pthread_create(&client->thread, NULL, client_main, client) == 0)
 		return true;
 	return wl_err_set(err, WL_E_IO, WL_NOT_RUN, "HTTP client: thread could not be started");
@@ -384,7 +301,7 @@
 	pthread_once(&curl_once, curl_init_once);
 	memset(client, 0, sizeof(*client));
 	client->options = *options;
-	client->epoll_fd = -1;
+	wl_multis_init(&client->multis);
 	wl_map_init(&client->by_id);
 	TAILQ_INIT(&client->running);
 	wl_event_backlog_init(&client->backlog, options->events);
--- /dev/null
+++ b/libwlnet/http_multi.h
@@ -0,0 +1,45 @@
+#ifndef WL_HTTP_MULTI_H
+#define WL_HTTP_MULTI_H
+
+#include <curl/curl.h>
+
+#include <libwlbase/err.h>
+#include <libwlbase/str.h>
+
+/*
+ * The multi handles of libcurl, on one epoll descriptor; internal to the HTTP client.
+ *
+ * libcurl walks over all connections and host names of a multi handle at the end of each call.
+ * The targets are spread over several handles, so that these walks stay short.
+ */
+
+#define WL_MULTIS 16
+
+typedef struct wl_multi {
+	CURLM *curl;
+	int epoll_fd;
+	uint32_t index;
+	uint64_t timer_ns; /* when libcurl's timer expires, on CLOCK_MONOTONIC; 0: not set */
+} wl_multi_t;
+
+typedef struct wl_multis {
+	wl_multi_t all[WL_MULTIS];
+	int epoll_fd;
+} wl_multis_t;
+
+typedef struct wl_multis_options {
+	uint64_t max_connections_per_host;
+	uint64_t max_connections_kept; /* over all hosts */
+	int wake_fd;		       /* ends a wait when it becomes readable */
+} wl_multis_options_t;
+
+void wl_multis_init(wl_multis_t *multis);
+bool wl_multis_open(wl_multis_t *multis, const wl_multis_options_t *options, wl_err_t *err);
+void wl_multis_free(wl_multis_t *multis);
+CURLM *wl_multis_find(const wl_multis_t *multis, wl_str_t address);
+uint64_t wl_multis_timer_ns(const wl_multis_t *multis);
+void wl_multis_run_timers(wl_multis_t *multis, uint64_t now_ns);
+bool wl_multis_poll(wl_multis_t *multis, int wait_ms);
+CURL *wl_multis_next_ended(wl_multis_t *multis, CURLcode *code);
+
+#endif
--- a/libwlnet/http_transfer.h
+++ b/libwlnet/http_transfer.h
@@ -21,6 +21,7 @@
 	wl_str_t key; /* over id, for wl_map_t */
 	uint64_t id;
 	CURL *easy;
+	CURLM *multi;	       /* that the handle was added to, or NULL */
 	wl_handles_t *handles; /* pool that the handle returns to, or NULL */
 	unsigned int *sent;    /* as in wl_transfer_options_t */
 	struct curl_slist *headers;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <thread>
+#include <vector>
 
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -362,6 +363,28 @@
 	server.join();
 }
 
+TEST_F(HttpClient, CallsToManyTargetsReuseTheirConnections)
+{
+	constexpr uint64_t TARGETS = 48;
+	constexpr int ROUNDS = 3;
+	std::vector<TcpListener> targets(TARGETS);
+	std::vector<Tcp> connections;
+
+	for (int round = 0; round < ROUNDS; round++) {
+		for (uint64_t id = 0; id < TARGETS; id++)
+			ASSERT_TRUE(fetch(id, targets[id].address(), "POST"));
+		for (uint64_t id = 0; id < TARGETS; id++) {
+			if (round == 0)
+				connections.push_back(targets[id].accept());
+			connections[id].read_until("\r\n\r\n");
+			connections[id].send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			EXPECT_TRUE(fetched(id)->fetched.complete) << round << " " << id;
+		}
+	}
+	for (auto &target : targets)
+		EXPECT_FALSE(target.accept(0).open());
+}
+
 /* The address sanitizer then reports a command that nobody takes as a leak. */
 TEST_F(HttpClient, StopReleasesACommandThatTheThreadDoesNotTake)
 {
