tests: a miss of one batch holds up no batch that may fit

Two failing tests: a pass that finds no target for a task skips tasks that need at least as much, although they ask for another service, or have waited for longer, so that a higher forecast of the tail latency is permitted.

--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -291,16 +291,16 @@
 	auto *queue = static_cast<wl_queue_t *>(wl_list_add(&wl_queue_schema, &catalog.queues));
 	wl_buf_set(&queue->name, str(name));
 	wl_buf_set(&queue->prefix, str("/" + name + "/"));
-	wl_buf_set(&queue->service, WL_STR("sort"));
+	wl_buf_set(&queue->service, str(service));
 	queue->timeout_ms = 3000;
 	queue->priority = priority;
 	queue->max_attempts = max_attempts;
 	queue->objective_ms = objective_ms;
 	queue->slack_millis = slack_millis;
-	if (catalog.services.count == 0) {
-		auto *service = static_cast<wl_service_t *>(
+	if (!wl_catalog_service(&catalog, str(service))) {
+		auto *added = static_cast<wl_service_t *>(
 			wl_list_add(&wl_service_schema, &catalog.services));
-		wl_buf_set(&service->name, WL_STR("sort"));
+		wl_buf_set(&added->name, str(service));
 	}
 	run_command(&cmd);
 }
@@ -313,7 +313,7 @@
 
 	cmd.kind = WL_CMD_RUNNER_PUT;
 	wl_buf_set(&report.id, str(id));
-	wl_buf_set(&report.service, WL_STR("sort"));
+	wl_buf_set(&report.service, str(service));
 	wl_buf_set(&report.address, str(address));
 	wl_buf_set(&report.rack, str(rack));
 	wl_buf_set(&report.availability_zone, str(zone));
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -94,6 +94,7 @@
 	uint64_t clock_offset_ms = 5000;     /* how far every target's clock is ahead of ours */
 	std::string address = "10.0.0.1:80"; /* of the targets that report next */
 	uint64_t memory_mib = 1000000;	     /* of these targets */
+	std::string service = "sort";	     /* of these targets, and of queues configured next */
 	bool hold_commits = false;	     /* commands stay pending until commit() */
 	std::string zone;		     /* of these targets */
 	uint64_t objective_ms = 0;	     /* for the queues that are configured next */
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -255,3 +255,101 @@
 	}
 	EXPECT_LE(waited_ms, wait_max_ms);
 }
+
+/* A task that fits on no target of its service says nothing of the targets of another one. */
+TEST(Place, TasksOfAnotherServiceAreNotHeldUpByAMiss)
+{
+	SchedRig rig;
+	std::vector<SchedOrder> starts;
+
+	rig.configure("full", 0);
+	rig.runner("i-1", 8000);
+	rig.service = "other";
+	rig.configure("free", 1);
+	rig.runner("i-2", 8000);
+	rig.job("full", "a", {2})->cpu_millis = 6000; /* one of them fits */
+	rig.submit();
+	rig.commit();
+	rig.advance(10);
+	rig.commit();
+	ASSERT_EQ(rig.take_orders(WL_ORDER_START).size(), 1u);
+	rig.job("free", "b", {1})->cpu_millis = 6000;
+	rig.submit();
+	rig.commit();
+	rig.advance(10);
+	rig.commit();
+	starts = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(starts.size(), 1u);
+	EXPECT_EQ(starts[0].runner, "i-2");
+}
+
+namespace
+{
+constexpr uint64_t BOUND_MS = 125;
+constexpr uint64_t TAIL_MS = 100; /* 800 permille of the bound */
+
+void best_effort_submit(SchedRig &rig, const std::string &queue, const std::string &id)
+{
+	wl_step_spec_t *step = rig.job(queue, id, {1});
+
+	step->best_effort = true;
+	step->cpu_millis = 32; /* takes almost no headroom */
+	step->memory_mib = 2000;
+	wl_buf_set(&step->image, WL_STR("b"));
+	rig.submit();
+}
+} // namespace
+
+/*
+ * The forecast up to which a best-effort task is placed rises while it waits: one that has just
+ * arrived, and misses it, must not hold up one of the same image that has waited.
+ */
+TEST(Place, BestEffortWorkThatHasWaitedIsNotHeldUpByAMissOfFreshWork)
+{
+	const uint64_t waited_ms = 900; /* less than what makes a job stalled */
+	SchedRig rig;
+	std::vector<SchedOrder> starts;
+	wl_step_spec_t *step;
+	SchedOrder renewal;
+
+	rig.configure("users");
+	rig.configure("fresh", 1);
+	rig.configure("old", 2);
+	rig.runner("i-1");
+	step = rig.job("users", "serve", {1});
+	step->lasting = true;
+	step->cpu_millis = 4000;
+	step->tail_target_us = BOUND_MS * 1000;
+	rig.submit();
+	rig.job("users", "fill", {1})->memory_mib = rig.memory_mib - 1000;
+	rig.submit();
+	rig.commit();
+	rig.advance(10);
+	rig.commit();
+	starts = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(starts.size(), 2u);
+	if (starts[0].task.rfind("serve", 0) != 0)
+		std::swap(starts[0], starts[1]);
+	for (const SchedOrder &start : starts)
+		rig.answer(start, WL_ORDER_DONE);
+	rig.answer_hold(rig.next_renewal(),
+			{SchedRig::view(starts[0], TAIL_MS), SchedRig::view(starts[1])}, {});
+	renewal = rig.next_renewal();
+	best_effort_submit(rig, "old", "o");
+	rig.commit();
+	for (uint64_t ms = 0; ms < waited_ms; ms += 10) {
+		rig.advance(10);
+		rig.commit();
+	}
+	ASSERT_TRUE(rig.take_orders(WL_ORDER_START).empty());
+	best_effort_submit(rig, "fresh", "f");
+	rig.commit();
+	rig.answer_hold(renewal, {SchedRig::view(starts[0], TAIL_MS)},
+			{SchedRig::end(starts[1], 1, WL_END_DONE)});
+	rig.commit();
+	rig.advance(10);
+	rig.commit();
+	starts = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(starts.size(), 1u);
+	EXPECT_EQ(starts[0].task, "o.0.0.0");
+}
