sched: skip a task only where the miss of another one proves that it misses too

A pass that found no target for a task skipped all others with at least the same need, best-effort ones by image. Two of these may fit: one of another service, whose targets are not those that were looked at, and a best-effort one that has waited for longer, for which a higher forecast of the tail latency is permitted.

Change: a miss is kept with its service, and with the lowest forecast of all targets with room that the forecast ruled out. Another task is skipped if that service is its own and if even this forecast is too high for it: forecasts rise with the need. A limit alone in place of the lowest forecast was ruled out by reasoning, as each batch that has waited a little longer would be tried, and 64 misses end a pass.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -83,6 +83,11 @@
 	size_t count;
 	/* largest free amounts when first used in the pass; -1: no usable target */
 	wl_fit_free_t free_max;
+	/*
+	 * No target with room has a lower forecast tail latency among those that it rules out;
+	 * permille of the bound, UINT64_MAX: it rules out none
+	 */
+	uint64_t least_tail;
 } candidates_t;
 
 static void candidates_init(wl_sched_t *sched, candidates_t *candidates)
@@ -94,14 +99,23 @@
 	candidates->free_max = wl_sched_rows_free_max(sched);
 }
 
+static void tail_note(candidates_t *candidates, uint64_t tail_permille)
+{
+	if (tail_permille < candidates->least_tail)
+		candidates->least_tail = tail_permille;
+}
+
 static bool candidate_evaluate(wl_sched_t *sched, wl_sched_runner_t *runner,
 			       const wl_task_batch_t *batch, const wl_fit_request_t *request,
-			       candidate_t *candidate)
+			       candidates_t *candidates, candidate_t *candidate)
 {
 	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
 		return false;
-	if (!wl_sched_runner_fits(sched, runner, batch, request))
+	if (!wl_sched_runner_fits(sched, runner, batch, request)) {
+		if (wl_fit_has_capacity(request, &runner->fit))
+			tail_note(candidates, runner->fit.tail_permille);
 		return false;
+	}
 	runner->fit.other_image_millis =
 		request->step->lasting ? other_image_millis(runner, batch->image) : 0;
 	*candidate = (candidate_t){
@@ -129,7 +143,7 @@
  * headroom there is refreshed as if the target itself were checked.
  */
 static bool row_may_fit(const wl_sched_t *sched, wl_sched_row_t *row, const wl_task_batch_t *batch,
-			const wl_step_spec_t *step, uint64_t tail_limit)
+			const wl_step_spec_t *step, uint64_t tail_limit, candidates_t *candidates)
 {
 	if (row->free_outdated)
 		wl_sched_row_free_update(row);
@@ -138,7 +152,12 @@
 			return false;
 		wl_sched_row_tail_update(sched, row);
 	}
-	return wl_fit_free_suffices(&row->free, step) && row->tail_floor <= tail_limit;
+	if (!wl_fit_free_suffices(&row->free, step))
+		return false;
+	if (row->tail_floor <= tail_limit)
+		return true;
+	tail_note(candidates, row->tail_floor);
+	return false;
 }
 
 static void candidates_collect(wl_sched_t *sched, const wl_task_batch_t *batch,
@@ -148,6 +167,7 @@
 
 	candidates_init(sched, candidates);
 	candidates->count = 0;
+	candidates->least_tail = UINT64_MAX;
 	if (!wl_fit_free_suffices(&candidates->free_max, request->step)) {
 		interference_refresh(sched, request->step);
 		return;
@@ -155,9 +175,9 @@
 	for (size_t i = 0; i < sched->row_count; i++) {
 		wl_sched_row_t *row = &sched->rows[i];
 
-		if (row_may_fit(sched, row, batch, request->step, tail_limit))
+		if (row_may_fit(sched, row, batch, request->step, tail_limit, candidates))
 			candidates->count +=
-				candidate_evaluate(sched, row->runner, batch, request,
+				candidate_evaluate(sched, row->runner, batch, request, candidates,
 						   &candidates->items[candidates->count]);
 	}
 }
@@ -183,7 +203,7 @@
 {
 	candidate_t *end = candidates->items + candidates->count;
 
-	if (candidate_evaluate(sched, candidate->runner, batch, request, candidate))
+	if (candidate_evaluate(sched, candidate->runner, batch, request, candidates, candidate))
 		return;
 	memmove(candidate, candidate + 1, (size_t)(end - candidate - 1) * sizeof(*candidate));
 	candidates->count--;
@@ -350,30 +370,46 @@
 }
 
 /*
- * Need of the task with the least CPU among those that fitted on no target in this pass. Tasks
- * that need at least as much CPU and memory are skipped.
+ * A task that fitted on no target in this pass. Tasks of its service, and of its image if they are
+ * best-effort, that need at least as much are skipped, as long as the forecast tail latency that
+ * they may have is below that of every target with room.
  */
-typedef struct unplaceable_need {
-	bool any;
+typedef struct miss {
+	wl_str_t service;
+	bool best_effort;
+	unsigned int image;
 	uint64_t cpu_millis;
 	uint64_t memory_mib;
-} unplaceable_need_t;
+	uint64_t least_tail; /* permille of the bound; UINT64_MAX: no target has room */
+} miss_t;
 
 typedef struct pass {
 	uint64_t now_ns;
-	unplaceable_need_t plain;
-	unplaceable_need_t best_effort[WL_IMAGES_MAX]; /* by image: their interference differs */
-	bool full;				       /* considers best-effort work too */
+	bool full; /* considers best-effort work too */
 	size_t stalled_misses;
 	size_t misses[2]; /* by best_effort */
 	size_t suspect_misses;
+	miss_t unplaceable[MISSES_MAX];
+	size_t unplaceable_count;
+	wl_str_t queue; /* whose service was looked up last; empty: none yet */
+	wl_str_t service;
 	candidates_t candidates;
 } pass_t;
 
-static unplaceable_need_t *unplaceable_need_of(pass_t *pass, const wl_task_batch_t *batch)
+/* The service of a batch; those of one queue mostly follow each other. */
+static wl_str_t service_of(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
-	return wl_job_step(batch->job, batch->step)->best_effort ? &pass->best_effort[batch->image]
-								 : &pass->plain;
+	wl_str_t name = wl_buf_str(&batch->job->record.queue);
+	const wl_queue_t *queue;
+
+	if (name.len && wl_str_equal(name, pass->queue))
+		return pass->service;
+	queue = wl_catalog_queue(&sched->jobs->catalog, name);
+	if (!queue)
+		return wl_buf_str(&batch->job->record.service);
+	pass->queue = name;
+	pass->service = wl_buf_str(&queue->service);
+	return pass->service;
 }
 
 /* Misses of constrained steps say nothing about other steps. */
@@ -397,15 +433,34 @@
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
 
-static bool is_unplaceable(pass_t *pass, const wl_task_batch_t *batch)
+static uint64_t waited_ms(const wl_task_batch_t *batch, uint64_t now_ns)
 {
-	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
-	const unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
+	return (now_ns - batch->ready_ns) / WL_NS_PER_MS;
+}
+
+/* Whether a task of the step and image misses too, if it is of the same service. */
+static bool misses_too(const miss_t *miss, const wl_step_spec_t *step, unsigned int image,
+		       uint64_t tail_limit)
+{
+	return step->best_effort == miss->best_effort &&
+	       (!step->best_effort || image == miss->image) &&
+	       step->cpu_millis >= miss->cpu_millis && step->memory_mib >= miss->memory_mib &&
+	       (miss->least_tail == UINT64_MAX || tail_limit < miss->least_tail);
+}
+
+static bool is_unplaceable(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+{
+	wl_fit_request_t request = {.step = wl_job_step(batch->job, batch->step),
+				    .waited_ms = waited_ms(batch, pass->now_ns)};
+	uint64_t tail_limit = wl_fit_tail_limit(&request);
 
 	if (wl_sched_batch_stalled(batch, pass->now_ns))
 		return false;
-	return unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis &&
-	       step->memory_mib >= unplaceable_need->memory_mib;
+	for (size_t i = 0; i < pass->unplaceable_count; i++)
+		if (misses_too(&pass->unplaceable[i], request.step, batch->image, tail_limit) &&
+		    wl_str_equal(pass->unplaceable[i].service, service_of(sched, pass, batch)))
+			return true;
+	return false;
 }
 
 static void suspects_due(wl_sched_t *sched, const wl_task_batch_t *batch)
@@ -419,7 +474,6 @@
 static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
-	unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
 
 	suspects_due(sched, batch);
 	if (batch->suspect) {
@@ -431,10 +485,16 @@
 		return;
 	}
 	pass->misses[step->best_effort]++;
-	if (is_constrained(step) ||
-	    (unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis))
+	if (is_constrained(step) || pass->unplaceable_count == MISSES_MAX)
 		return;
-	*unplaceable_need = (unplaceable_need_t){true, step->cpu_millis, step->memory_mib};
+	pass->unplaceable[pass->unplaceable_count++] = (miss_t){
+		.service = service_of(sched, pass, batch),
+		.best_effort = step->best_effort,
+		.image = batch->image,
+		.cpu_millis = step->cpu_millis,
+		.memory_mib = step->memory_mib,
+		.least_tail = pass->candidates.least_tail,
+	};
 }
 
 /* Time from which misses like those of this pass may be repeated. */
@@ -479,7 +539,7 @@
 	while (batch && pass.stalled_misses < MISSES_MAX) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
-		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
+		if (is_considered(&pass, batch) && !is_unplaceable(sched, &pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
 			miss_record(sched, &pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
