tests: a job that is forbidden everywhere is at work in a quiet fleet too

A fleet where nothing ends, and a best-effort job that the forecast of the tail latency forbids on both targets. A stalled job is to get a task in the background after 2 s, but passes are due only when something happens: it has no start in 3 s. As a control, a job that the forecast permits starts at once.

--- /dev/null
+++ b/tests/unit/sched_idle_job_test.cc
@@ -0,0 +1,191 @@
+#include "../support/sched_rig.h"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+/*
+ * A few targets, each with one task that serves users, and best-effort jobs that the forecast of
+ * its tail latency forbids there. An accepted job must get a task at work all the same.
+ */
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+constexpr uint64_t TICK_MS = 10;
+constexpr uint64_t CPU = 32000;
+constexpr uint64_t BOUND_MS = 125;
+constexpr uint64_t CROWDED_TAIL_MS = 120; /* forbids best-effort work however long it waits */
+constexpr uint64_t RELAXED_TAIL_MS = 30;
+constexpr uint64_t STALLED_MAX_MS = 3000;
+
+struct Start {
+	SchedOrder order;
+	uint64_t at_ms;
+};
+
+class Crowd
+{
+      public:
+	explicit Crowd(const std::vector<uint64_t> &tails)
+	{
+		rig.configure("users");
+		rig.configure("batch", 2);
+		rig.configure("plain", 3);
+		for (size_t i = 0; i < tails.size(); i++) {
+			std::string id = "i-" + std::to_string(100 + i);
+
+			targets[id].tail_ms = tails[i];
+			rig.runner(id, CPU);
+		}
+		wl_step_spec_t *step = rig.job("users", "serve", {tails.size()});
+
+		step->lasting = true;
+		step->max_per_target = 1;
+		step->cpu_millis = 4000;
+		step->tail_target_us = BOUND_MS * 1000;
+		rig.submit();
+		simulate(3000);
+	}
+
+	wl_step_spec_t *best_effort(const std::string &id, uint64_t count, uint64_t cpu)
+	{
+		wl_step_spec_t *step = rig.job("batch", id, {count});
+
+		step->cpu_millis = cpu;
+		step->best_effort = true;
+		step->estimated_ms = 2000;
+		wl_buf_set(&step->image, WL_STR("m"));
+		return step;
+	}
+
+	void simulate(uint64_t ms)
+	{
+		for (uint64_t end = rig.now + ms * MS; rig.now < end;) {
+			report();
+			rig.advance(TICK_MS);
+			rig.commit();
+			for (const auto &start : rig.take_orders(WL_ORDER_START))
+				begin(start);
+			for (const auto &order : rig.take_orders(WL_ORDER_THROTTLE))
+				rig.answer(order, WL_ORDER_DONE);
+			for (const auto &order : rig.take_orders(WL_ORDER_STOP))
+				stop(order);
+			for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+				targets[order.runner].renewal = {order};
+			for (auto &target : targets)
+				renew(target.second);
+			rig.commit();
+		}
+	}
+
+	/* Starts of a job's tasks. */
+	std::vector<Start> starts_of(const std::string &job) const
+	{
+		std::vector<Start> found;
+
+		for (const auto &start : starts)
+			if (start.order.task.compare(0, job.size() + 1, job + ".") == 0)
+				found.push_back(start);
+		return found;
+	}
+
+	uint64_t now_ms() const
+	{
+		return rig.now / MS;
+	}
+
+	SchedRig rig;
+	bool changing = false; /* capacities change ten times a second, so that passes are due */
+	size_t refusals = 0;   /* best-effort starts to refuse */
+
+      private:
+	struct Target {
+		uint64_t tail_ms;
+		std::vector<SchedOrder> runs;
+		std::vector<SchedOrder> stopped;
+		std::vector<SchedOrder> renewal;
+	};
+
+	void report()
+	{
+		if (now_ms() - reported_ms < (changing ? 100 : 1000))
+			return;
+		reported_ms = now_ms();
+		changes += changing;
+		for (const auto &target : targets)
+			rig.runner(target.first, CPU + changes % 2);
+	}
+
+	void begin(const SchedOrder &start)
+	{
+		bool serving = start.task.compare(0, 6, "serve.") == 0;
+
+		starts.push_back({start, now_ms()});
+		if (!serving && refusals > 0) {
+			refusals--;
+			rig.answer(start, WL_ORDER_NO_CAPACITY);
+			return;
+		}
+		targets[start.runner].runs.push_back(start);
+		rig.answer(start, WL_ORDER_DONE);
+	}
+
+	void stop(const SchedOrder &order)
+	{
+		Target &target = targets[order.runner];
+
+		for (size_t i = target.runs.size(); i-- > 0;) {
+			if (target.runs[i].task != order.task || target.runs[i].run != order.run)
+				continue;
+			target.stopped.push_back(target.runs[i]);
+			target.runs.erase(target.runs.begin() + static_cast<long>(i));
+		}
+		rig.answer(order, WL_ORDER_DONE);
+	}
+
+	void renew(Target &target)
+	{
+		std::vector<wl_run_view_t> views;
+		std::vector<wl_end_view_t> ends;
+
+		if (target.renewal.empty() || now_ms() % 500 != 0)
+			return;
+		for (const auto &run : target.runs)
+			views.push_back(SchedRig::view(
+				run, run.task.compare(0, 6, "serve.") == 0 ? target.tail_ms : 0));
+		for (size_t i = 0; i < target.stopped.size(); i++)
+			ends.push_back(SchedRig::end(target.stopped[i], i + 1, WL_END_STOPPED));
+		SchedOrder renewal = target.renewal[0];
+
+		target.renewal.clear();
+		rig.answer_hold(renewal, views, ends);
+	}
+
+	std::map<std::string, Target> targets;
+	std::vector<Start> starts;
+	uint64_t reported_ms = 0;
+	uint64_t changes = 0;
+};
+} // namespace
+
+TEST(SchedIdleJob, StartsAtOnceWhereTheForecastPermitsIt)
+{
+	Crowd crowd({CROWDED_TAIL_MS, RELAXED_TAIL_MS});
+
+	crowd.best_effort("j", 1, 6000);
+	crowd.rig.submit();
+	crowd.simulate(100);
+	EXPECT_EQ(crowd.starts_of("j").size(), 1u);
+}
+
+/* Nothing else happens in the fleet, as at the end of a day. */
+TEST(SchedIdleJob, IsAtWorkInAQuietFleet)
+{
+	Crowd crowd({CROWDED_TAIL_MS, CROWDED_TAIL_MS});
+
+	crowd.best_effort("j", 1, 6000);
+	crowd.rig.submit();
+	crowd.simulate(STALLED_MAX_MS);
+	EXPECT_FALSE(crowd.starts_of("j").empty());
+}
