sched: a pass is due once a job counts as stalled

Cause: a job counts as stalled after 2 s without anything at work, which only a placement pass notices, and passes are due only after events: a task was queued, a run was released, a target's report has changed. Found by reading; unit.sched_idle_job_test.

A pass now notes when the next of the jobs that wait counts as stalled. A pass is due then, within the pauses that limit the cost of passes.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -373,6 +373,7 @@
 	uint64_t next_pass_ns; /* no placement pass before */
 	uint64_t pass_count;
 	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
+	uint64_t waiting_due_ns;  /* when a task that waits may be placed more freely; 0: never */
 	bool full_pass_due;	  /* best-effort work was left out since the last full pass */
 	uint64_t next_full_pass_ns;
 	uint64_t sorted_ns;	   /* when the queue was last sorted */
@@ -438,6 +439,7 @@
 void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
 uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns);
 bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns);
+uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns);
 void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* runs.c */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -471,6 +471,14 @@
 		sched->suspects_due_ns = due_ns;
 }
 
+static void waiting_due(wl_sched_t *sched, const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	uint64_t due_ns = wl_sched_stalled_due_ns(batch, now_ns);
+
+	if (due_ns && (sched->waiting_due_ns == 0 || due_ns < sched->waiting_due_ns))
+		sched->waiting_due_ns = due_ns;
+}
+
 static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
@@ -515,6 +523,9 @@
 {
 	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
 		return true;
+	if (sched->waiting_due_ns && now_ns >= sched->waiting_due_ns &&
+	    now_ns >= sched->next_pass_ns && now_ns >= sched->next_full_pass_ns)
+		return true;
 	return (sched->place_due && now_ns >= sched->next_pass_ns) ||
 	       (sched->full_pass_due && now_ns >= sched->next_full_pass_ns);
 }
@@ -531,6 +542,7 @@
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
 	sched->suspects_due_ns = 0;
+	sched->waiting_due_ns = 0;
 	sched->pass_count++;
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
@@ -542,6 +554,7 @@
 		if (is_considered(&pass, batch) && !is_unplaceable(sched, &pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
 			miss_record(sched, &pass, batch);
+		waiting_due(sched, batch, now_ns);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -89,6 +89,7 @@
 	wl_list_free(&wl_run_start_schema, &sched->starts.runs);
 	sched->place_due = false;
 	sched->full_pass_due = false;
+	sched->waiting_due_ns = 0;
 }
 
 /*
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -45,6 +45,22 @@
 	       wl_sched_job_idle_ms(batch->job, now_ns) >= STALLED_MS;
 }
 
+/*
+ * wl_sched_stalled_due_ns - when the next task of a batch is placed whatever the forecast is
+ *
+ * Return: 0 if it is placed so already, or if that is not due to come.
+ */
+uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	const wl_sched_job_t *sched_job = batch->job->leader_data;
+
+	if (batch->count == 0 || batch->job->active > 0 ||
+	    !wl_job_step(batch->job, batch->step)->best_effort ||
+	    wl_sched_batch_stalled(batch, now_ns))
+		return 0;
+	return sched_job->at_work_ns + STALLED_MS * WL_NS_PER_MS;
+}
+
 static void room_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_task_batch_t *batch,
 		     const wl_fit_request_t *request, room_t *room)
 {
