tests: neither a refused start nor a part of a gang is work

Each placement of a task resets the time for which its job counts as idle. A job whose first start is refused has its second start 4000 ms after its acceptance (3 s wanted); a best-effort gang of three, of which one member fits by the forecast, is placed in part and released in each pass, and has no start in 3 s: it never counts as stalled, so that neither the change of placement nor the event and the gauge see it.

--- a/tests/unit/sched_idle_job_test.cc
+++ b/tests/unit/sched_idle_job_test.cc
@@ -189,3 +189,32 @@
 	crowd.simulate(STALLED_MAX_MS);
 	EXPECT_FALSE(crowd.starts_of("j").empty());
 }
+
+TEST(SchedIdleJob, RefusedStartIsNoWork)
+{
+	Crowd crowd({CROWDED_TAIL_MS, CROWDED_TAIL_MS});
+	uint64_t since_ms;
+
+	crowd.changing = true;
+	crowd.refusals = 1;
+	crowd.best_effort("j", 1, 6000);
+	crowd.rig.submit();
+	since_ms = crowd.now_ms();
+	crowd.simulate(2 * STALLED_MAX_MS);
+	ASSERT_GE(crowd.starts_of("j").size(), 2u);
+	EXPECT_LE(crowd.starts_of("j")[1].at_ms - since_ms, STALLED_MAX_MS);
+}
+
+TEST(SchedIdleJob, GangOfWhichOneMemberFitsIsNotAtWork)
+{
+	Crowd crowd({RELAXED_TAIL_MS, CROWDED_TAIL_MS, CROWDED_TAIL_MS});
+
+	crowd.changing = true;
+	wl_step_spec_t *step = crowd.best_effort("j", 3, 6000);
+
+	step->gang = true;
+	step->max_per_target = 1;
+	crowd.rig.submit();
+	crowd.simulate(STALLED_MAX_MS);
+	EXPECT_EQ(crowd.starts_of("j").size(), 3u);
+}
