sched: a run that has not begun does not end the idle time of its job

Cause: the idle time of a job began anew with each placement, also when the start was refused, withheld or rejected by the job state, and when a partial gang was released. Found by reading; unit.sched_idle_job_test.

A run remembers until when its job had been at work before it was placed, and that holds again where the run has not begun. Of several runs placed at the same time the first restores it; a run that has begun keeps the job at work whatever the others do.

Not covered: a start whose target was released before its commit, as nothing is left of the run then.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -56,6 +56,7 @@
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
+	uint64_t job_at_work_ns; /* wl_sched_job.at_work_ns before it was placed */
 	uint64_t started_ms; /* when its start was committed, on the group's clock; 0: unknown */
 	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
 	uint64_t start_over_ns;	  /* without an answer its start may be carried out until then */
@@ -437,6 +438,8 @@
 
 /* stalled.c */
 void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
+void wl_sched_job_placed(const wl_job_t *job, wl_sched_run_t *run);
+void wl_sched_job_not_started(const wl_job_t *job, const wl_sched_run_t *run);
 uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns);
 bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns);
 uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -252,7 +252,7 @@
 	if (batch->rack.len == 0)
 		wl_buf_set(&batch->rack, wl_buf_str(&runner->state->report.rack));
 	start_add(sched, run);
-	wl_sched_job_at_work(batch->job, now_ns);
+	wl_sched_job_placed(batch->job, run);
 }
 
 /* Places all members of a gang, or none: a partial reservation is released. */
@@ -280,8 +280,11 @@
 		return true;
 	rows = sched->starts.runs.items;
 	for (size_t i = sched->starts.runs.count; i-- > first_row;) {
-		wl_sched_run_remove(sched, wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
-							     rows[i].task, rows[i].run));
+		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
+							rows[i].task, rows[i].run);
+
+		wl_sched_job_not_started(batch->job, run);
+		wl_sched_run_remove(sched, run);
 		batch->count++; /* its entry is still in batch->tasks */
 		wl_record_free(&wl_run_start_schema, &rows[i]);
 	}
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -306,6 +306,8 @@
 			continue;
 		}
 		previous_end_ns = run->previous_end_ns;
+		if (job)
+			wl_sched_job_not_started(job, run);
 		wl_sched_run_remove(sched, run);
 		if (job)
 			wl_sched_task_enqueue(sched, now_ns, job, rows[i].task, previous_end_ns);
@@ -509,6 +511,8 @@
 	wl_sched_crash_applied(sched, now_ns, run, end, out);
 	if (end->outcome == WL_END_DONE)
 		wl_sched_trial_passed(sched, run);
+	if (job && end->outcome == WL_END_NOT_STARTED)
+		wl_sched_job_not_started(job, run);
 	wl_sched_run_remove(sched, run);
 	if (!job)
 		return;
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -24,6 +24,28 @@
 		sched_job->at_work_ns = now_ns;
 }
 
+/*
+ * wl_sched_job_placed - note that a run of a job was placed
+ */
+void wl_sched_job_placed(const wl_job_t *job, wl_sched_run_t *run)
+{
+	const wl_sched_job_t *sched_job = job->leader_data;
+
+	run->job_at_work_ns = sched_job->at_work_ns;
+	wl_sched_job_at_work(job, run->placed_ns);
+}
+
+/*
+ * wl_sched_job_not_started - undo wl_sched_job_placed() for a run that has never begun
+ */
+void wl_sched_job_not_started(const wl_job_t *job, const wl_sched_run_t *run)
+{
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	if (sched_job && sched_job->at_work_ns == run->placed_ns)
+		sched_job->at_work_ns = run->job_at_work_ns;
+}
+
 /*
  * wl_sched_job_idle_ms - how long nothing of a job has been at work
  */
