tests: an occurrence that opens is no work

A best-effort job with an occurrence due each 1.5 s, whose tasks the forecast forbids on both targets, has no start in 6 s. SchedRig: jobs that repeat.

--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -369,6 +369,15 @@
 	return static_cast<wl_step_spec_t *>(spec.steps.items);
 }
 
+void SchedRig::repeat(uint64_t times, uint64_t every_ms)
+{
+	wl_job_spec_t &spec = next_job.u.job_add.spec;
+
+	spec.repeat = times;
+	spec.first_ms = wl_leader_clock_ms(leader, now);
+	spec.every_ms = every_ms;
+}
+
 void SchedRig::submit()
 {
 	run_command(&next_job);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -51,6 +51,8 @@
 	size_t take_results();
 	wl_step_spec_t *job(const std::string &queue, const std::string &id,
 			    const std::vector<uint64_t> &counts, const std::string &payload = "");
+	/* Makes the prepared job repeat, from now on. */
+	void repeat(uint64_t times, uint64_t every_ms);
 	void submit();
 	void cancel(const std::string &queue, const std::string &id);
 	void run_command(wl_cmd_t *cmd);
--- a/tests/unit/sched_idle_job_test.cc
+++ b/tests/unit/sched_idle_job_test.cc
@@ -218,3 +218,15 @@
 	crowd.simulate(STALLED_MAX_MS);
 	EXPECT_EQ(crowd.starts_of("j").size(), 3u);
 }
+
+TEST(SchedIdleJob, OccurrencesThatOpenAreNoWork)
+{
+	Crowd crowd({CROWDED_TAIL_MS, CROWDED_TAIL_MS});
+
+	crowd.changing = true;
+	crowd.best_effort("j", 1, 6000);
+	crowd.rig.repeat(20, 1500);
+	crowd.rig.submit();
+	crowd.simulate(2 * STALLED_MAX_MS);
+	EXPECT_FALSE(crowd.starts_of("j").empty());
+}
