sched: the idle time of a job goes on when another occurrence opens

Cause: each occurrence and step that opens began the idle time of its job anew, also while tasks of the job were waiting already. Found by reading; unit.sched_idle_job_test.

The idle time now begins only if no task of the job is waiting.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -257,6 +257,7 @@
 	uint64_t next_occurrence; /* first occurrence that is not due yet */
 	TAILQ_ENTRY(wl_sched_job) timed;
 	wl_job_t *job;
+	size_t queued;		   /* batches in wl_sched.pending */
 	uint64_t at_work_ns;	   /* until when a run of it was at work, or when it could begin */
 	uint64_t stalled_count_ns; /* when it was last counted as stalled */
 	struct wl_task_batch_list suspects;
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -78,7 +78,9 @@
 static void batch_insert(wl_sched_t *sched, wl_task_batch_t *batch)
 {
 	wl_task_batch_t *before = TAILQ_LAST(&sched->pending, wl_task_batch_list);
+	wl_sched_job_t *sched_job = batch->job->leader_data;
 
+	sched_job->queued++;
 	batch->queued = true;
 	while (before && before->rank > batch->rank)
 		before = TAILQ_PREV(before, wl_task_batch_list, link);
@@ -88,6 +90,17 @@
 		TAILQ_INSERT_HEAD(&sched->pending, batch, link);
 }
 
+static void batch_withdraw(wl_sched_t *sched, wl_task_batch_t *batch)
+{
+	wl_sched_job_t *sched_job = batch->job->leader_data;
+
+	if (!batch->queued)
+		return;
+	sched_job->queued--;
+	batch->queued = false;
+	TAILQ_REMOVE(&sched->pending, batch, link);
+}
+
 static void rack_inherit(wl_task_batch_t *batch)
 {
 	const wl_task_batch_t *first =
@@ -141,8 +154,7 @@
 {
 	wl_sched_job_t *sched_job = batch->job->leader_data;
 
-	if (batch->queued)
-		TAILQ_REMOVE(&sched->pending, batch, link);
+	batch_withdraw(sched, batch);
 	if (batch->suspect)
 		TAILQ_REMOVE(&sched_job->suspects, batch, suspect_link);
 	free(batch->tasks);
@@ -250,8 +262,7 @@
 		batch_remove(sched, batch);
 		return;
 	}
-	TAILQ_REMOVE(&sched->pending, batch, link);
-	batch->queued = false;
+	batch_withdraw(sched, batch);
 }
 
 /* A gang waits as a whole, and is never in a batch of interrupted tasks. */
@@ -293,10 +304,12 @@
 		      uint64_t step)
 {
 	wl_task_ref_t at = {.occurrence = occurrence, .step = step};
+	const wl_sched_job_t *sched_job = job->leader_data;
 	uint64_t task;
 
 	batch_get(sched, now_ns, job, &at, false);
-	wl_sched_job_at_work(job, now_ns);
+	if (sched_job->queued == 0)
+		wl_sched_job_at_work(job, now_ns);
 	/*
 	 * The last task added is placed first. It is not known when the runs under earlier
 	 * leaders ended: they count as ended now.
