tests: jobs that fit nowhere hold nobody up

Known red, twice:

- Behind 70 stalled best-effort jobs without capacity neither a small plain job nor a small best-effort one has a start in 3 s: the pass ends after 64 misses of stalled batches.
- Behind 70 plain jobs with a label that no target has, a plain job that fits has no start in 3 s: after 64 misses a pass looks at stalled jobs only, and plain ones never count as stalled.

--- a/tests/unit/sched_idle_job_test.cc
+++ b/tests/unit/sched_idle_job_test.cc
@@ -230,3 +230,41 @@
 	crowd.simulate(2 * STALLED_MAX_MS);
 	EXPECT_FALSE(crowd.starts_of("j").empty());
 }
+
+/* Idle jobs that have no capacity hold nobody up. */
+TEST(SchedIdleJob, ManyWithoutCapacityHoldNobodyUp)
+{
+	Crowd crowd({CROWDED_TAIL_MS, CROWDED_TAIL_MS});
+
+	for (size_t i = 0; i < 70; i++) {
+		crowd.best_effort("large" + std::to_string(i), 1, CPU);
+		crowd.rig.submit();
+	}
+	crowd.simulate(STALLED_MAX_MS);
+	crowd.rig.job("plain", "p", {1});
+	crowd.rig.submit();
+	crowd.best_effort("small", 1, 6000);
+	crowd.rig.submit();
+	crowd.changing = true;
+	crowd.simulate(STALLED_MAX_MS);
+	EXPECT_FALSE(crowd.starts_of("p").empty());
+	EXPECT_FALSE(crowd.starts_of("small").empty());
+}
+
+/* Jobs that wait for a label hold nobody up. */
+TEST(SchedIdleJob, ManyThatWaitForALabelHoldNobodyUp)
+{
+	Crowd crowd({CROWDED_TAIL_MS, CROWDED_TAIL_MS});
+
+	for (size_t i = 0; i < 70; i++) {
+		wl_step_spec_t *step = crowd.rig.job("batch", "label" + std::to_string(i), {1});
+
+		wl_buf_set(&step->label, WL_STR("none"));
+		crowd.rig.submit();
+	}
+	crowd.rig.job("plain", "p", {1});
+	crowd.rig.submit();
+	crowd.changing = true;
+	crowd.simulate(STALLED_MAX_MS);
+	EXPECT_FALSE(crowd.starts_of("p").empty());
+}
