sched: after many misses a pass looks at the others in turn

Cause: a pass ended after 64 misses of stalled batches, for all others too; and after 64 misses of others it looked at stalled best-effort batches only. Since the same batches are the first in each pass, those behind were never looked at. Found by reading; unit.sched_idle_job_test.

A pass goes through the whole queue. Misses of stalled batches end nothing for the others. After 64 misses of its kind a batch is looked at if no pass has looked at it for 1 s, 64 of them a pass at most; a pass is due for these every 250 ms if nothing else happens. The pause after a pass counts these misses like others.

Limits: suspected tasks are still cut off after 64 misses; with many hundreds of such batches on a large fleet the turn takes longer than 1 s.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -5,7 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MISSES_MAX 64 /* a pass ends after so many batches that fit on no target */
+/*
+ * After so many batches that fit on no target, a pass looks only at those that no pass has looked
+ * at for UNTRIED_MAX_MS, and at as many of these. Stalled batches are counted apart.
+ */
+#define MISSES_MAX	 64
+#define UNTRIED_MAX_MS	 1000
+#define UNTRIED_RETRY_MS 250 /* pause between two passes for such batches alone */
 /* Between two passes: tasks that arrive together are committed together. */
 #define PASS_INTERVAL_MIN_US 2000
 /*
@@ -390,7 +396,8 @@
 	uint64_t now_ns;
 	bool full; /* considers best-effort work too */
 	size_t stalled_misses;
-	size_t misses[2]; /* by best_effort */
+	size_t misses[2];   /* by best_effort */
+	size_t late_misses; /* those that are looked at after MISSES_MAX; part of the others */
 	size_t suspect_misses;
 	miss_t unplaceable[MISSES_MAX];
 	size_t unplaceable_count;
@@ -421,17 +428,25 @@
 	return step->label.len || step->max_per_target || step->gang || step->accelerators;
 }
 
-/* Whether so many batches fitted on no target that only stalled ones are looked at. */
-static bool is_ended(const pass_t *pass)
+/* Whether so many batches fitted on no target that only those that have waited are looked at. */
+static bool is_ended(const pass_t *pass, const wl_task_batch_t *batch)
+{
+	return (wl_sched_batch_stalled(batch, pass->now_ns)
+			? pass->stalled_misses
+			: pass->misses[false] + pass->misses[true]) >= MISSES_MAX;
+}
+
+static uint64_t untried_due_ns(const wl_task_batch_t *batch)
 {
-	return pass->misses[false] + pass->misses[true] >= MISSES_MAX;
+	return batch->tried_ns + UNTRIED_MAX_MS * WL_NS_PER_MS;
 }
 
 static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
 {
 	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
 		return false;
-	if (is_ended(pass) && !wl_sched_batch_stalled(batch, pass->now_ns))
+	if (is_ended(pass, batch) &&
+	    (pass->late_misses >= MISSES_MAX || pass->now_ns < untried_due_ns(batch)))
 		return false;
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
@@ -474,14 +489,26 @@
 		sched->suspects_due_ns = due_ns;
 }
 
-static void waiting_due(wl_sched_t *sched, const wl_task_batch_t *batch, uint64_t now_ns)
+static void due_at(wl_sched_t *sched, uint64_t due_ns)
 {
-	uint64_t due_ns = wl_sched_stalled_due_ns(batch, now_ns);
-
-	if (due_ns && (sched->waiting_due_ns == 0 || due_ns < sched->waiting_due_ns))
+	if (sched->waiting_due_ns == 0 || due_ns < sched->waiting_due_ns)
 		sched->waiting_due_ns = due_ns;
 }
 
+/* Notes when a batch that still has tasks is to be looked at again, whatever happens until then. */
+static void waiting_due(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+{
+	uint64_t stalled_ns = wl_sched_stalled_due_ns(batch, pass->now_ns);
+	uint64_t retry_ns = pass->now_ns + UNTRIED_RETRY_MS * WL_NS_PER_MS;
+
+	if (batch->count == 0)
+		return;
+	if (stalled_ns)
+		due_at(sched, stalled_ns);
+	if (is_ended(pass, batch) && !is_unplaceable(pass, batch))
+		due_at(sched, untried_due_ns(batch) > retry_ns ? untried_due_ns(batch) : retry_ns);
+}
+
 static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
@@ -491,6 +518,7 @@
 		pass->suspect_misses++;
 		return;
 	}
+	pass->late_misses += is_ended(pass, batch);
 	if (wl_sched_batch_stalled(batch, pass->now_ns)) {
 		pass->stalled_misses++;
 		return;
@@ -551,13 +579,13 @@
 	wl_sched_queue_sort(sched, now_ns);
 	wl_sched_background_promote(sched, now_ns, out);
 	batch = TAILQ_FIRST(&sched->pending);
-	while (batch && pass.stalled_misses < MISSES_MAX) {
+	while (batch) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
 		if (is_considered(&pass, batch) && !is_unplaceable(sched, &pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
 			miss_record(sched, &pass, batch);
-		waiting_due(sched, batch, now_ns);
+		waiting_due(sched, &pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
