tests: each lasting best-effort task is at work

A job of two lasting best-effort tasks, at most one a target, on two targets, one of which the forecast forbids: the second task has no start in 9 s, since its job has one at work. The rule asks for each task that lasts by itself, whether others of its job run or not. The protocol allows steps that both last and fill; whether a site sends any has not been looked at.

--- a/tests/unit/sched_idle_job_test.cc
+++ b/tests/unit/sched_idle_job_test.cc
@@ -268,3 +268,18 @@
 	crowd.simulate(STALLED_MAX_MS);
 	EXPECT_FALSE(crowd.starts_of("p").empty());
 }
+
+/* Each lasting task has to run, whether others of its job run or not. */
+TEST(SchedIdleJob, LastingTaskIsAtWorkBesideOthersOfItsJob)
+{
+	Crowd crowd({RELAXED_TAIL_MS, CROWDED_TAIL_MS});
+
+	crowd.changing = true;
+	wl_step_spec_t *step = crowd.best_effort("j", 2, 6000);
+
+	step->lasting = true;
+	step->max_per_target = 1;
+	crowd.rig.submit();
+	crowd.simulate(3 * STALLED_MAX_MS);
+	EXPECT_GE(crowd.starts_of("j").size(), 2u);
+}
