sched: a lasting best-effort task counts as stalled by itself

Cause: a job counts as stalled as long as nothing of it is at work. Placement of lasting tasks filled targets up, whatever their tail latencies, also in the background. Found by reading; unit.sched_idle_job_test.

Of a lasting step a task is placed in the background when its batch has waited for 2 s, and 2 s since one of the batch was placed; then the targets are ranked as for other best-effort work.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -204,7 +204,7 @@
 	int64_t tail =
 		request->step->best_effort ? (int64_t)runner->tail_permille * TAIL_WEIGHT : 0;
 
-	if (request->step->lasting)
+	if (request->step->lasting && !request->background)
 		return score_lasting(request, runner);
 	if (request->background)
 		tail += (int64_t)runner->background * BACKGROUND_PENALTY;
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -249,6 +249,7 @@
 
 	run->phase = WL_RUN_PROPOSED;
 	run->placed_ns = now_ns;
+	batch->placed_ns = now_ns;
 	run->waited_ns = now_ns - batch->queued_ns;
 	run->previous_end_ns = pending->ended_ns;
 	run->background = background;
@@ -267,6 +268,7 @@
 {
 	size_t members = wl_job_step(batch->job, batch->step)->count;
 	size_t first_row = sched->starts.runs.count;
+	uint64_t placed_ns = batch->placed_ns;
 	wl_run_start_t *rows;
 	candidate_t *best;
 	uint64_t number;
@@ -295,6 +297,7 @@
 		wl_record_free(&wl_run_start_schema, &rows[i]);
 	}
 	sched->starts.runs.count = first_row;
+	batch->placed_ns = placed_ns;
 	wl_buf_clear(&batch->rack);
 	return false;
 }
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -58,13 +58,28 @@
 	return (now_ns - sched_job->at_work_ns) / WL_NS_PER_MS;
 }
 
+/*
+ * Since when nothing has been at work of the job of a batch, or of the batch itself if its tasks
+ * last: each of these has to be at work, whatever else of its job is. UINT64_MAX: something is.
+ */
+static uint64_t idle_since_ns(const wl_task_batch_t *batch)
+{
+	const wl_sched_job_t *sched_job = batch->job->leader_data;
+
+	if (wl_job_step(batch->job, batch->step)->lasting)
+		return batch->placed_ns > batch->queued_ns ? batch->placed_ns : batch->queued_ns;
+	return batch->job->active > 0 ? UINT64_MAX : sched_job->at_work_ns;
+}
+
 /*
  * wl_sched_batch_stalled - whether the next task of a batch is placed whatever the forecast is
  */
 bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns)
 {
-	return wl_job_step(batch->job, batch->step)->best_effort &&
-	       wl_sched_job_idle_ms(batch->job, now_ns) >= STALLED_MS;
+	uint64_t since_ns = idle_since_ns(batch);
+
+	return wl_job_step(batch->job, batch->step)->best_effort && now_ns > since_ns &&
+	       now_ns - since_ns >= STALLED_MS * WL_NS_PER_MS;
 }
 
 /*
@@ -74,13 +89,12 @@
  */
 uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns)
 {
-	const wl_sched_job_t *sched_job = batch->job->leader_data;
+	uint64_t since_ns = idle_since_ns(batch);
 
-	if (batch->count == 0 || batch->job->active > 0 ||
-	    !wl_job_step(batch->job, batch->step)->best_effort ||
+	if (!wl_job_step(batch->job, batch->step)->best_effort || since_ns == UINT64_MAX ||
 	    wl_sched_batch_stalled(batch, now_ns))
 		return 0;
-	return sched_job->at_work_ns + STALLED_MS * WL_NS_PER_MS;
+	return since_ns + STALLED_MS * WL_NS_PER_MS;
 }
 
 static void room_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_task_batch_t *batch,
