tests: a job is at work where other best-effort tasks use all CPU

On two targets best-effort tasks that go on reserve all CPU that our accounting leaves to best-effort work (half of the serving reservation and all that nothing reserves). A best-effort job that arrives then has no start in 3 s, nor before others end. The protocol says that the CPU of steps that fill is not counted against a target's capacity: by that a task fits twice, and 8 of 64 CPUs are in use.

--- a/tests/unit/sched_idle_job_test.cc
+++ b/tests/unit/sched_idle_job_test.cc
@@ -17,6 +17,7 @@
 constexpr uint64_t BOUND_MS = 125;
 constexpr uint64_t CROWDED_TAIL_MS = 120; /* forbids best-effort work however long it waits */
 constexpr uint64_t RELAXED_TAIL_MS = 30;
+constexpr uint64_t LOW_TAIL_MS = 10; /* permits best-effort work on all CPU */
 constexpr uint64_t STALLED_MAX_MS = 3000;
 
 struct Start {
@@ -283,3 +284,19 @@
 	crowd.simulate(3 * STALLED_MAX_MS);
 	EXPECT_GE(crowd.starts_of("j").size(), 2u);
 }
+
+/* The CPU of best-effort tasks does not count against the capacity of their target. */
+TEST(SchedIdleJob, IsAtWorkWhereOthersUseAllCpu)
+{
+	Crowd crowd({LOW_TAIL_MS, LOW_TAIL_MS});
+
+	crowd.changing = true;
+	crowd.best_effort("fill", 6, 10000);
+	crowd.rig.submit();
+	crowd.simulate(1000);
+	EXPECT_EQ(crowd.starts_of("fill").size(), 6u);
+	crowd.best_effort("j", 1, 6000);
+	crowd.rig.submit();
+	crowd.simulate(STALLED_MAX_MS);
+	EXPECT_FALSE(crowd.starts_of("j").empty());
+}
