sched: other best-effort work forbids no target to a stalled job

Cause: best_effort_fits() adds up the CPU of best-effort runs, which the protocol does not count against capacity. As a rule for good speed it is right; it has no bound in time, and a job too late to be of use is the last to get what others free. Found by reading; unit.sched_idle_job_test.

A task that is placed in the background needs memory, accelerators and a label only. The shortcut for steps for which no target has capacity asks the same.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -113,12 +113,13 @@
  *
  * Return: false if certainly none has.
  */
-bool wl_fit_free_suffices(const wl_fit_free_t *free_max, const wl_step_spec_t *step)
+bool wl_fit_free_suffices(const wl_fit_free_t *free_max, const wl_fit_request_t *request)
 {
+	const wl_step_spec_t *step = request->step;
 	int64_t cpu = step->best_effort ? free_max->best_effort_millis : free_max->cpu_millis;
 
 	return free_max->memory_mib >= 0 && step->memory_mib <= (uint64_t)free_max->memory_mib &&
-	       cpu >= 0 && step->cpu_millis <= (uint64_t)cpu;
+	       (request->background || (cpu >= 0 && step->cpu_millis <= (uint64_t)cpu));
 }
 
 /*
@@ -129,7 +130,8 @@
 {
 	const wl_step_spec_t *step = request->step;
 
-	return runner->usable && has_free(step, runner) && best_effort_fits(step, runner) &&
+	return runner->usable && has_free(step, runner) &&
+	       (request->background || best_effort_fits(step, runner)) &&
 	       wl_fit_eligible(request, runner);
 }
 
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -30,7 +30,7 @@
 	wl_str_t service;
 	wl_str_t rack;	    /* same_rack: rack of the step's first task; empty: none yet */
 	uint64_t waited_ms; /* how long the step has had pending tasks */
-	bool background;    /* best effort: no forecast tail latency forbids a target */
+	bool background;    /* best effort: neither its forecast nor others' CPU forbids a target */
 } wl_fit_request_t;
 
 /*
@@ -51,7 +51,7 @@
 
 const wl_fit_policy_t *wl_fit_policy_find(wl_str_t name);
 void wl_fit_free_add(wl_fit_free_t *free_max, const wl_fit_runner_t *runner);
-bool wl_fit_free_suffices(const wl_fit_free_t *free_max, const wl_step_spec_t *step);
+bool wl_fit_free_suffices(const wl_fit_free_t *free_max, const wl_fit_request_t *request);
 bool wl_fit_has_capacity(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 uint64_t wl_fit_tail_limit(const wl_fit_request_t *request);
 bool wl_fit_allows(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -149,16 +149,17 @@
  * headroom there is refreshed as if the target itself were checked.
  */
 static bool row_may_fit(const wl_sched_t *sched, wl_sched_row_t *row, const wl_task_batch_t *batch,
-			const wl_step_spec_t *step, uint64_t tail_limit, candidates_t *candidates)
+			const wl_fit_request_t *request, uint64_t tail_limit,
+			candidates_t *candidates)
 {
 	if (row->free_outdated)
 		wl_sched_row_free_update(row);
-	if (step->best_effort && row->tail_outdated) {
+	if (request->step->best_effort && row->tail_outdated) {
 		if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(row->runner, batch))
 			return false;
 		wl_sched_row_tail_update(sched, row);
 	}
-	if (!wl_fit_free_suffices(&row->free, step))
+	if (!wl_fit_free_suffices(&row->free, request))
 		return false;
 	if (row->tail_floor <= tail_limit)
 		return true;
@@ -174,14 +175,14 @@
 	candidates_init(sched, candidates);
 	candidates->count = 0;
 	candidates->least_tail = UINT64_MAX;
-	if (!wl_fit_free_suffices(&candidates->free_max, request->step)) {
+	if (!wl_fit_free_suffices(&candidates->free_max, request)) {
 		interference_refresh(sched, request->step);
 		return;
 	}
 	for (size_t i = 0; i < sched->row_count; i++) {
 		wl_sched_row_t *row = &sched->rows[i];
 
-		if (row_may_fit(sched, row, batch, request->step, tail_limit, candidates))
+		if (row_may_fit(sched, row, batch, request, tail_limit, candidates))
 			candidates->count +=
 				candidate_evaluate(sched, row->runner, batch, request, candidates,
 						   &candidates->items[candidates->count]);
@@ -508,7 +509,7 @@
 		return;
 	if (stalled_ns)
 		due_at(sched, stalled_ns);
-	if (is_ended(pass, batch) && !is_unplaceable(pass, batch))
+	if (is_ended(pass, batch) && !is_unplaceable(sched, pass, batch))
 		due_at(sched, untried_due_ns(batch) > retry_ns ? untried_due_ns(batch) : retry_ns);
 }
 
