--- a/libwlstore/store.c
+++ b/libwlstore/store.c
@@ -125,8 +125,8 @@
 		if (getrandom(&identity.id, sizeof(identity.id), 0) != sizeof(identity.id))
 			return wl_store_io_failed(folder_name(store), FILE_IDENTITY, "random", err);
 	store->id = identity.id;
-	return wl_checksummed_write(store->folder_fd, folder_name(store), FILE_IDENTITY,
-				    &identity_schema, &identity, err);
+	return wl_checksummed_write(store->log.write, store->folder_fd, folder_name(store),
+				    FILE_IDENTITY, &identity_schema, &identity, err);
 }
 
 static bool record_read(wl_store_t *store, const char *file, const wl_schema_t *schema,
@@ -269,8 +269,8 @@
 {
 	if (!store->vote_dirty)
 		return true;
-	if (!wl_checksummed_write(store->folder_fd, folder_name(store), FILE_VOTE, &vote_schema,
-				  &store->vote, err))
+	if (!wl_checksummed_write(store->log.write, store->folder_fd, folder_name(store), FILE_VOTE,
+				  &vote_schema, &store->vote, err))
 		return false;
 	store->vote_dirty = false;
 	return true;
@@ -292,8 +292,8 @@
 		.state = persist->snapshot,
 	};
 
-	if (!wl_checksummed_write(store->folder_fd, folder_name(store), FILE_SNAPSHOT,
-				  &snapshot_schema, &snapshot, err))
+	if (!wl_checksummed_write(store->log.write, store->folder_fd, folder_name(store),
+				  FILE_SNAPSHOT, &snapshot_schema, &snapshot, err))
 		return false;
 	return wl_store_log_compact(&store->log, persist->snapshot_index, err);
 }
@@ -302,8 +302,8 @@
 static bool write_parts(wl_store_t *store, const wl_raft_persist_t *persist, wl_err_t *err)
 {
 	if (persist->has_members &&
-	    !wl_checksummed_write(store->folder_fd, folder_name(store), FILE_GROUP,
-				  &wl_raft_members_schema, &persist->members, err))
+	    !wl_checksummed_write(store->log.write, store->folder_fd, folder_name(store),
+				  FILE_GROUP, &wl_raft_members_schema, &persist->members, err))
 		return false;
 	if (persist->has_vote) {
 		store->vote = (store_vote_t){persist->term, persist->vote};
--- a/libwlstore/store.h
+++ b/libwlstore/store.h
@@ -14,7 +14,7 @@
 typedef struct wl_store_options {
 	wl_str_t folder;
 	uint64_t segment_bytes;	      /* size at which a new segment is started; 0: default */
-	wl_store_write_at_t write_at; /* used for the log; NULL: pwrite */
+	wl_store_write_at_t write_at; /* NULL: pwrite */
 } wl_store_options_t;
 
 typedef struct wl_store wl_store_t;
--- a/libwlstore/store_file.c
+++ b/libwlstore/store_file.c
@@ -123,7 +123,7 @@
  *
  * Return: false, with errno set, on failure.
  */
-bool wl_store_replace(int folder_fd, const char *file, wl_str_t bytes)
+bool wl_store_replace(wl_store_write_at_t write_at, int folder_fd, const char *file, wl_str_t bytes)
 {
 	char temp_name[NAME_BYTES];
 	bool ok;
@@ -133,7 +133,7 @@
 	fd = openat(folder_fd, temp_name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
 	if (fd < 0)
 		return false;
-	ok = wl_store_write_all(pwrite, fd, bytes, 0) && fsync(fd) == 0;
+	ok = wl_store_write_all(write_at, fd, bytes, 0) && fsync(fd) == 0;
 	if (close(fd) != 0)
 		ok = false;
 	return ok && renameat(folder_fd, temp_name, folder_fd, file) == 0 && fsync(folder_fd) == 0;
@@ -149,8 +149,9 @@
  * wl_checksummed_write - replace a file with a checksum
  * @err: WL_E_IO or WL_E_DISK_FULL, naming the file
  */
-bool wl_checksummed_write(int folder_fd, wl_str_t folder, const char *file,
-			  const wl_schema_t *schema, const void *record, wl_err_t *err)
+bool wl_checksummed_write(wl_store_write_at_t write_at, int folder_fd, wl_str_t folder,
+			  const char *file, const wl_schema_t *schema, const void *record,
+			  wl_err_t *err)
 {
 	wl_buf_t payload = {0};
 	wl_buf_t bytes = {0};
@@ -164,7 +165,7 @@
 	head.checksum = htole64(payload_checksum(wl_buf_str(&payload)));
 	wl_buf_append(&bytes, (wl_str_t){(const char *)&head, sizeof(head)});
 	wl_buf_append(&bytes, wl_buf_str(&payload));
-	ok = wl_store_replace(folder_fd, file, wl_buf_str(&bytes));
+	ok = wl_store_replace(write_at, folder_fd, file, wl_buf_str(&bytes));
 	wl_buf_free(&payload);
 	wl_buf_free(&bytes);
 	return ok || wl_store_io_failed(folder, file, "replace", err);
--- a/libwlstore/store_log.c
+++ b/libwlstore/store_log.c
@@ -92,7 +92,8 @@
 
 	segment_close(log);
 	wl_segment_name(log->next_seq, name);
-	if (!wl_store_replace(log->folder_fd, name, (wl_str_t){(const char *)&head, sizeof(head)}))
+	if (!wl_store_replace(log->write, log->folder_fd, name,
+			      (wl_str_t){(const char *)&head, sizeof(head)}))
 		return wl_store_io_failed(log->folder, name, "create", err);
 	wl_segment_add(log, log->next_seq);
 	return wl_segment_open(log, sizeof(head), err);
--- a/tests/support/raft_bus.cc
+++ b/tests/support/raft_bus.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 
 static const uint64_t TICK_NS = 10 * MS;
+static const uint64_t FULL_RETRY_NS = 200 * MS;
 static const uint64_t MAX_DELAY_NS = 6000 * MS;
 
 static wl_str_t view(const std::string &text)
@@ -336,6 +337,10 @@
 		wl_raft_event_t event = {};
 		wl_raft_persist_t persist = at.persists.front().second;
 
+		if (try_persist && !try_persist(at, persist)) {
+			at.persists.front().first = now_ns + FULL_RETRY_NS;
+			return;
+		}
 		at.persists.pop_front();
 		at.disk->apply(persist);
 		if (on_persist)
--- a/tests/support/raft_bus.h
+++ b/tests/support/raft_bus.h
@@ -80,6 +80,8 @@
 	/* Hooks for tests that write real files in addition to the simulated disks. */
 	std::function<void(const BusNode &, const wl_raft_persist_t &)> on_persist;
 	std::function<void(const BusNode &)> on_start;
+	/* Whether a due write succeeds; it is retried after FULL_RETRY_NS until it does. */
+	std::function<bool(const BusNode &, const wl_raft_persist_t &)> try_persist;
 	std::function<void(const BusNode &)> on_crash;
 
 	uint64_t now_ns = 1000 * MS;
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -36,6 +36,13 @@
 		fs::remove_all(folder);
 	}
 
+	/* Continues with a new folder. */
+	void restart()
+	{
+		TearDown();
+		SetUp();
+	}
+
 	bool open(uint64_t segment_bytes = 0)
 	{
 		wl_store_options_t options = {};
@@ -59,8 +66,10 @@
 	/* Simulates a full disk: a write succeeds by half, the next one fails with ENOSPC. */
 	static ssize_t write_full(int fd, const void *bytes, size_t len, off_t offset)
 	{
-		if (full_writes == 0)
+		if (full_writes == 0 || writes_until_full > 0) {
+			writes_until_full -= writes_until_full > 0;
 			return pwrite(fd, bytes, len, offset);
+		}
 		full_writes--;
 		if (full_writes % 2)
 			return pwrite(fd, bytes, len / 2, offset);
@@ -173,6 +182,7 @@
 	}
 
 	static int full_writes;
+	static int writes_until_full;
 	wl_store_write_at_t write_at = nullptr;
 	std::string folder;
 	wl_store_t *store = nullptr;
@@ -183,6 +193,7 @@
 static const char *const FIRST_LOG = "log-0000000000000001";
 
 int Store::full_writes = 0;
+int Store::writes_until_full = 0;
 
 TEST_F(Store, BlankFolderGetsAnIdentityOnce)
 {
@@ -559,18 +570,34 @@
 }
 
 TEST_F(Store, WritesContinueAfterAFullDisk)
+{
+	/* The first write is of the vote, the second one of the log. */
+	for (int before = 0; before < 2; before++) {
+		restart();
+		write_at = write_full;
+		ASSERT_TRUE(open());
+		ASSERT_TRUE(found());
+		ASSERT_TRUE(write(1, 1, 1, "one"));
+		writes_until_full = before;
+		full_writes = 2;
+		EXPECT_FALSE(write(2, 2, 2, "two"));
+		EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
+		full_writes = 2;
+		EXPECT_FALSE(wl_store_sync(store, &err));
+		EXPECT_TRUE(wl_store_sync(store, &err)) << err.text;
+		ASSERT_TRUE(write(2, 3, 3, "three"));
+		ASSERT_TRUE(open()) << err.text;
+		EXPECT_EQ(saved.term, 2u);
+		EXPECT_EQ(log(), "1/1/one 2/2/two 3/2/three");
+	}
+}
+
+TEST_F(Store, BlankFolderOnAFullDiskOpensLater)
 {
 	write_at = write_full;
-	ASSERT_TRUE(open());
-	ASSERT_TRUE(found());
-	ASSERT_TRUE(write(1, 1, 1, "one"));
 	full_writes = 2;
-	EXPECT_FALSE(write(1, 2, 2, "two"));
+	EXPECT_FALSE(open());
 	EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
-	full_writes = 2;
-	EXPECT_FALSE(wl_store_sync(store, &err));
-	EXPECT_TRUE(wl_store_sync(store, &err)) << err.text;
-	ASSERT_TRUE(write(1, 3, 3, "three"));
 	ASSERT_TRUE(open()) << err.text;
-	EXPECT_EQ(log(), "1/1/one 2/1/two 3/1/three");
+	EXPECT_NE(wl_store_id(store), 0u);
 }
