store: repeat the removal of segments after a full disk

Class: an operation that is documented as repeatable after a full disk is not, as its first try changed the state by which the second one decides.

And a segment removed before a refused sync was missing at the second removal, which counts as an input error and ends the daemon.

Change: void segments are marked as covered once, and a log without an open segment keeps none; a missing file is no failure of a removal.

Evidence: EachRefusedCallIsRepeated refuses the n-th removal, rename or sync once, with and without a truncation.

--- a/libwlstore/store_log.c
+++ b/libwlstore/store_log.c
@@ -99,13 +99,17 @@
 	return wl_segment_open(log, sizeof(head), err);
 }
 
-/* Each removal is synced before the next one, so that a crash leaves no gap between segments. */
+/*
+ * Each removal is synced before the next one, so that a crash leaves no gap between segments.
+ * The file is missing already if the sync failed the last time.
+ */
 static bool segment_remove_first(wl_store_log_t *log, wl_err_t *err)
 {
 	char name[WL_SEGMENT_NAME_BYTES];
 
 	wl_segment_name(log->segments[0].seq, name);
-	if (unlinkat(log->folder_fd, name, 0) != 0 || fsync(log->folder_fd) != 0)
+	if ((unlinkat(log->folder_fd, name, 0) != 0 && errno != ENOENT) ||
+	    fsync(log->folder_fd) != 0)
 		return wl_store_io_failed(log->folder, name, "remove", err);
 	log->count--;
 	memmove(log->segments, log->segments + 1, log->count * sizeof(*log->segments));
@@ -214,26 +218,34 @@
 	return true;
 }
 
+/* Ends the log at a snapshot beyond it: what the segments hold is void. */
+static void log_empty(wl_store_log_t *log, uint64_t snapshot_index)
+{
+	wl_record_free(&wl_store_frame_schema, &log->pending);
+	log->last_index = snapshot_index;
+	log->stored_index = snapshot_index;
+	segment_close(log);
+	for (size_t i = 0; i < log->count; i++)
+		log->segments[i].last_index = 0;
+}
+
 /*
  * wl_store_log_compact - remove the segments that a durable snapshot covers
  * @snapshot_index: index of the snapshot; a log that ends before it is emptied and
  *                  continues after it
- * @err: WL_E_IO, naming the file
+ * @err: WL_E_IO, or WL_E_DISK_FULL, after which the call may be repeated
+ *
+ * The last segment stays if it is open for appending.
  */
 bool wl_store_log_compact(wl_store_log_t *log, uint64_t snapshot_index, wl_err_t *err)
 {
+	size_t kept;
+
 	log->snapshot_index = snapshot_index;
-	if (log->last_index < snapshot_index) {
-		wl_record_free(&wl_store_frame_schema, &log->pending);
-		log->last_index = snapshot_index;
-		log->stored_index = snapshot_index;
-		segment_close(log);
-		while (log->count)
-			if (!segment_remove_first(log, err))
-				return false;
-		return true;
-	}
-	while (log->count > 1 && log->segments[0].last_index <= snapshot_index)
+	if (log->last_index < snapshot_index)
+		log_empty(log, snapshot_index);
+	kept = log->fd >= 0 ? 1 : 0;
+	while (log->count > kept && log->segments[0].last_index <= snapshot_index)
 		if (!segment_remove_first(log, err))
 			return false;
 	return true;
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -3,6 +3,7 @@
 }
 
 #include <sys/resource.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -18,6 +19,41 @@
 
 namespace fs = std::filesystem;
 
+/* Calls until one is refused because the disk is full; below zero: none is. */
+static int unlinks_until_full = -1;
+static int syncs_until_full = -1;
+static int renames_until_full = -1;
+
+static bool refused(int *until_full)
+{
+	if (*until_full < 0 || (*until_full)-- > 0)
+		return false;
+	errno = ENOSPC;
+	return true;
+}
+
+/* Replaces the function of the C library, so that a test may refuse a call. */
+extern "C" int unlinkat(int folder, const char *file, int flags) noexcept
+{
+	if (refused(&unlinks_until_full))
+		return -1;
+	return static_cast<int>(syscall(SYS_unlinkat, folder, file, flags));
+}
+
+extern "C" int renameat(int from_folder, const char *from, int to_folder, const char *to) noexcept
+{
+	if (refused(&renames_until_full))
+		return -1;
+	return static_cast<int>(syscall(SYS_renameat2, from_folder, from, to_folder, to, 0));
+}
+
+extern "C" int fsync(int fd)
+{
+	if (refused(&syncs_until_full))
+		return -1;
+	return static_cast<int>(syscall(SYS_fsync, fd));
+}
+
 /* Each test has its own data folder, which is removed afterwards. */
 class Store : public testing::Test
 {
@@ -181,6 +217,38 @@
 			<< err.text;
 	}
 
+	/* Replaces a log by a snapshot, while one of the calls is refused, and opens it again. */
+	void replace_log(int *calls, int until_full, uint64_t truncate_from, int *refusals)
+	{
+		wl_raft_persist_t persist = {};
+
+		ASSERT_TRUE(open(100));
+		ASSERT_TRUE(found());
+		for (uint64_t i = 1; i <= 6; i++)
+			ASSERT_TRUE(write(1, i, i, std::string(60, 'a')));
+		ASSERT_GT(segments().size(), 2u);
+		persist.has_vote = true;
+		persist.term = 2;
+		persist.truncate_from = truncate_from;
+		persist.has_snapshot = true;
+		persist.members.group = 77;
+		persist.snapshot_index = 20;
+		persist.snapshot_term = 2;
+		wl_buf_set(&persist.snapshot, WL_STR("state"));
+		*calls = until_full;
+		while (!wl_store_write(store, &persist, &err) || !wl_store_sync(store, &err)) {
+			if (err.code != WL_E_DISK_FULL)
+				break;
+			++*refusals;
+		}
+		wl_raft_persist_free(&persist);
+		*calls = -1;
+		ASSERT_TRUE(write(2, 21, 21, "after")) << err.text;
+		ASSERT_TRUE(open(100)) << err.text;
+		EXPECT_EQ(saved.snapshot_index, 20u);
+		EXPECT_EQ(log(), "21/2/after");
+	}
+
 	static int full_writes;
 	static int writes_until_full;
 	wl_store_write_at_t write_at = nullptr;
@@ -592,6 +660,25 @@
 	}
 }
 
+/*
+ * A change that replaces a log of several segments by a snapshot is repeated after a call that a
+ * full disk refuses.
+ */
+TEST_F(Store, EachRefusedCallIsRepeated)
+{
+	int refusals = 0;
+
+	for (int *calls : {&unlinks_until_full, &syncs_until_full, &renames_until_full}) {
+		for (int run = 0; run < 30 && !HasFailure(); run++) {
+			restart();
+			SCOPED_TRACE(run);
+			replace_log(calls, run / 2, run % 2 ? 4 : 0, &refusals);
+		}
+	}
+	EXPECT_GT(refusals, 10);
+	printf("%d refusals\n", refusals);
+}
+
 TEST_F(Store, BlankFolderOnAFullDiskOpensLater)
 {
 	write_at = write_full;
