store: remove the temporary file of a refused write

Callers saw: nothing yet; found by reading. A replica could so keep its own disk full.

Change: a failed replacement removes its temporary file, and opening the store removes those of a process that was killed meanwhile (the folder's lock is held).

Evidence: RefusedWriteLeavesNoTemporaryFile fails without the change in both cases and passes with it.

--- a/libwlstore/store.c
+++ b/libwlstore/store.c
@@ -117,6 +117,15 @@
 	return true;
 }
 
+/* A process that was killed while the disk was full left files that keep its space. */
+static void temps_remove(const wl_store_t *store)
+{
+	static const char *const files[] = {FILE_IDENTITY, FILE_GROUP, FILE_VOTE, FILE_SNAPSHOT};
+
+	for (size_t i = 0; i < sizeof(files) / sizeof(files[0]); i++)
+		wl_store_temp_remove(store->folder_fd, files[i]);
+}
+
 static bool identity_make(wl_store_t *store, wl_err_t *err)
 {
 	store_identity_t identity = {0};
@@ -233,6 +242,7 @@
 		options->segment_bytes ? options->segment_bytes : SEGMENT_BYTES_DEFAULT;
 	if (folder_open(store, err)) {
 		store->log.folder_fd = store->folder_fd;
+		temps_remove(store);
 		if (files_read(store, saved, err))
 			return store;
 	}
--- a/libwlstore/store_file.c
+++ b/libwlstore/store_file.c
@@ -118,25 +118,50 @@
 	return ok;
 }
 
+static void temp_name(const char *file, char name[NAME_BYTES])
+{
+	snprintf(name, NAME_BYTES, "%s.tmp", file);
+}
+
+/*
+ * wl_store_temp_remove - remove what a failed or killed wl_store_replace() left behind
+ */
+void wl_store_temp_remove(int folder_fd, const char *file)
+{
+	char name[NAME_BYTES];
+
+	temp_name(file, name);
+	unlinkat(folder_fd, name, 0);
+}
+
 /*
  * wl_store_replace - replace the content of a file durably and atomically
  *
+ * After a failure the temporary file is removed: a full disk needs its space.
+ *
  * Return: false, with errno set, on failure.
  */
 bool wl_store_replace(wl_store_write_at_t write_at, int folder_fd, const char *file, wl_str_t bytes)
 {
-	char temp_name[NAME_BYTES];
+	char name[NAME_BYTES];
+	int cause;
 	bool ok;
 	int fd;
 
-	snprintf(temp_name, sizeof(temp_name), "%s.tmp", file);
-	fd = openat(folder_fd, temp_name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+	temp_name(file, name);
+	fd = openat(folder_fd, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
 	if (fd < 0)
 		return false;
 	ok = wl_store_write_all(write_at, fd, bytes, 0) && fsync(fd) == 0;
 	if (close(fd) != 0)
 		ok = false;
-	return ok && renameat(folder_fd, temp_name, folder_fd, file) == 0 && fsync(folder_fd) == 0;
+	ok = ok && renameat(folder_fd, name, folder_fd, file) == 0 && fsync(folder_fd) == 0;
+	if (ok)
+		return true;
+	cause = errno;
+	wl_store_temp_remove(folder_fd, file);
+	errno = cause;
+	return false;
 }
 
 /* The checksum includes the length, so that a flipped bit there is detected too. */
--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -679,6 +679,23 @@
 	printf("%d refusals\n", refusals);
 }
 
+/* What a refused write leaves behind must not take the space that later writes need. */
+TEST_F(Store, RefusedWriteLeavesNoTemporaryFile)
+{
+	write_at = write_full;
+	ASSERT_TRUE(open());
+	ASSERT_TRUE(found());
+	ASSERT_TRUE(write(1, 1, 1, "one"));
+	full_writes = 2;
+	EXPECT_FALSE(snapshot(1, 1, std::string(5000, 's')));
+	EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
+	EXPECT_FALSE(fs::exists(path("snapshot.tmp")));
+	set_content("snapshot.tmp", std::string(5000, 's'));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_FALSE(fs::exists(path("snapshot.tmp"))) << "left by a process that was killed";
+	EXPECT_EQ(log(), "1/1/one");
+}
+
 TEST_F(Store, BlankFolderOnAFullDiskOpensLater)
 {
 	write_at = write_full;
