daemon: a replica that starts on a full disk waits for room

Class: a full disk is passing everywhere but at start.

Change: opening the store is repeated every 200 ms while the disk is full, with the same two log lines, until it opens or the daemon is told to stop (exit code 1). Any other failure ends the start as before.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -118,6 +118,13 @@
 			  strerror(errno));
 }
 
+static bool daemon_wait_signal(wl_daemon_t *daemon, int timeout_ms);
+
+static bool storage_wait(void *context, int wait_ms)
+{
+	return daemon_wait_signal(context, wait_ms);
+}
+
 static bool storage_open(wl_daemon_t *daemon, wl_err_t *err)
 {
 	const wl_settings_t *s = daemon->settings;
@@ -127,8 +134,8 @@
 
 	if (!s->store)
 		return true;
-	daemon->store = wl_store_open(&store, &daemon->saved, err);
-	daemon->storage_failed = !daemon->store;
+	daemon->store = wl_disk_store_open(&store, &daemon->saved, storage_wait, daemon, err);
+	daemon->storage_failed = !daemon->store && err->code != WL_E_DISK_FULL;
 	if (!daemon->store)
 		return false;
 	disk.store = daemon->store;
--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -45,6 +45,48 @@
 	return false;
 }
 
+static void disk_full_log(const wl_err_t *err, bool *logged)
+{
+	if (!*logged)
+		wl_log_event(WL_ERROR, "disk-full", "reason=\"%s\" retry_ms=%d", err->text,
+			     DISK_FULL_RETRY_MS);
+	*logged = true;
+}
+
+static void disk_room_log(bool logged)
+{
+	if (logged)
+		wl_log_event(WL_INFO, "disk-room", "written=yes");
+}
+
+/*
+ * wl_disk_store_open - open a store, and wait for room if the disk is full
+ * @options: copied
+ * @saved: as for wl_store_open()
+ * @wait: called with @context between two attempts
+ * @err: as for wl_store_open(); WL_E_DISK_FULL if @wait returned true
+ *
+ * A blank folder needs room for the identity; a written one may need a sync.
+ *
+ * Return: the store, or NULL.
+ */
+wl_store_t *wl_disk_store_open(const wl_store_options_t *options, wl_raft_saved_t *saved,
+			       wl_disk_wait_t wait, void *context, wl_err_t *err)
+{
+	bool logged = false;
+	wl_store_t *store;
+
+	while (!(store = wl_store_open(options, saved, err))) {
+		if (err->code != WL_E_DISK_FULL)
+			return NULL;
+		disk_full_log(err, &logged);
+		if (wait(context, DISK_FULL_RETRY_MS))
+			return NULL;
+	}
+	disk_room_log(logged);
+	return store;
+}
+
 /*
  * Waits before a retry if the disk is full; returns false for any other failure or when stopping.
  * Space may be freed later, and the other replicas keep the group available in the meantime.
@@ -53,10 +95,7 @@
 {
 	if (err->code != WL_E_DISK_FULL || ck_pr_load_uint(&disk->stopping))
 		return false;
-	if (!*logged)
-		wl_log_event(WL_ERROR, "disk-full", "reason=\"%s\" retry_ms=%d", err->text,
-			     DISK_FULL_RETRY_MS);
-	*logged = true;
+	disk_full_log(err, logged);
 	poll(NULL, 0, DISK_FULL_RETRY_MS);
 	return true;
 }
@@ -68,6 +107,7 @@
 	while (!wl_store_write(disk->options.store, persist, err))
 		if (!disk_full_wait(disk, err, &logged))
 			return false;
+	disk_room_log(logged);
 	return true;
 }
 
@@ -78,8 +118,7 @@
 	while (!wl_store_sync(disk->options.store, err))
 		if (!disk_full_wait(disk, err, &logged))
 			return false;
-	if (logged)
-		wl_log_event(WL_INFO, "disk-room", "written=yes");
+	disk_room_log(logged);
 	return true;
 }
 
