tests: five nodes accept and finish work while disks are full in turn

Whole nodes (leader, scheduler, entries) on a simulated network: each of six disks in turn, the leader's twice, takes no write for 1.5 s, 0, 50 or 1000 ms apart; and a leader that dies 0.1 s after a follower's disk is full, the next leader's disk being full right after that. No job is refused, no run lapses, all tasks end.

--- a/tests/support/fleet_replica.cc
+++ b/tests/support/fleet_replica.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 static const uint64_t NS_PER_MS = 1000000;
+static const uint64_t DISK_FULL_RETRY_NS = 200 * NS_PER_MS;
 static const uint64_t SYNC_NS = 4 * NS_PER_MS;
 static const uint64_t WALL_MS = 1700000000000; /* Unix time at the start */
 static const uint16_t CONTROL_PORT = 8080;
@@ -104,6 +105,11 @@
 	time.at(frozen_until_ns, [this] { work(); });
 }
 
+void FleetReplica::fill_disk(uint64_t ms)
+{
+	disk_full_until_ns = time.now_ns + ms * NS_PER_MS;
+}
+
 /* @event: moved from */
 void FleetReplica::event(wl_event_t *event)
 {
@@ -358,15 +364,22 @@
 	if (syncing || unsynced.empty())
 		return;
 	syncing = true;
-	time.after(SYNC_NS, [this, tickets = std::exchange(unsynced, {})] {
-		syncing = false;
-		for (uint64_t ticket : tickets) {
-			wl_event_t synced;
-
-			wl_event_init(&synced, WL_EVENT_PERSISTED);
-			synced.ticket = ticket;
-			event(&synced);
-		}
-		sync();
-	});
+	time.after(SYNC_NS, [this, tickets = std::exchange(unsynced, {})] { synced(tickets); });
+}
+
+void FleetReplica::synced(const std::vector<uint64_t> &tickets)
+{
+	if (time.now_ns < disk_full_until_ns) {
+		time.after(DISK_FULL_RETRY_NS, [this, tickets] { synced(tickets); });
+		return;
+	}
+	syncing = false;
+	for (uint64_t ticket : tickets) {
+		wl_event_t synced;
+
+		wl_event_init(&synced, WL_EVENT_PERSISTED);
+		synced.ticket = ticket;
+		event(&synced);
+	}
+	sync();
 }
--- a/tests/support/fleet_replica.h
+++ b/tests/support/fleet_replica.h
@@ -44,6 +44,7 @@
 	void start();
 	void kill();
 	void freeze(uint64_t ms);
+	void fill_disk(uint64_t ms);
 	void event(wl_event_t *event);
 	bool is_up() const;
 	uint64_t busy_ns() const;
@@ -98,6 +99,7 @@
 	void log(const std::string &line);
 	void apply(const Effects &effects);
 	void sync();
+	void synced(const std::vector<uint64_t> &tickets);
 
 	Timeline &time;
 	const FleetCosts costs;
@@ -124,6 +126,7 @@
 	uint64_t spent_ns = 0;
 	uint64_t next_tick_ns = 0;
 	uint64_t frozen_until_ns = 0;
+	uint64_t disk_full_until_ns = 0;
 	size_t batched = 0; /* events processed since the last tick */
 };
 
--- a/tests/unit/fleet_faults_test.cc
+++ b/tests/unit/fleet_faults_test.cc
@@ -70,6 +70,47 @@
 	}
 }
 
+/* Work is accepted and done while each disk is full in turn, the leader's twice. */
+TEST(FleetFaults, NoWorkIsRefusedWhenDisksAreFullInTurn)
+{
+	const uint64_t full_ms = 1500;
+
+	for (uint64_t gap_ms : {0, 50, 1000}) {
+		Fleet fleet(light());
+		uint64_t at_ms = FAULT_MS - full_ms - gap_ms;
+
+		for (size_t i = 0; i < 6; i++, at_ms += full_ms + gap_ms)
+			fleet.at(at_ms, [&fleet, i] {
+				FleetReplica *replica =
+					i % 3 ? fleet.follower(i % 4) : fleet.leader();
+
+				ASSERT_NE(replica, nullptr);
+				replica->fill_disk(full_ms);
+			});
+		fleet.simulate();
+		expect_healthy(fleet);
+	}
+}
+
+/* The group elects a leader although a disk is full, and goes on when the next one is. */
+TEST(FleetFaults, NoRunLapsesWhenTheLeaderDiesBesideAFullDisk)
+{
+	const uint64_t full_ms = 3000;
+
+	for (uint64_t gap_ms : {0, 200}) {
+		Fleet fleet(light());
+
+		fleet.at(FAULT_MS, [&fleet] { fleet.follower()->fill_disk(full_ms); });
+		fleet.at(FAULT_MS + 100, [&fleet] { fleet.kill(fleet.leader()); });
+		fleet.at(FAULT_MS + full_ms + gap_ms, [&fleet] {
+			ASSERT_NE(fleet.leader(), nullptr);
+			fleet.leader()->fill_disk(full_ms);
+		});
+		fleet.simulate();
+		expect_healthy(fleet);
+	}
+}
+
 TEST(FleetFaults, NoTaskRunsTwiceWhenTheLeaderIsPartitioned)
 {
 	for (uint64_t ms : {1050, 7000}) {
