--- a/tests/unit/store_test.cc
+++ b/tests/unit/store_test.cc
@@ -3,6 +3,7 @@
 }
 
 #include <sys/resource.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -18,6 +19,41 @@
 
 namespace fs = std::filesystem;
 
+/* Calls until one is refused because the disk is full; below zero: none is. */
+static int unlinks_until_full = -1;
+static int syncs_until_full = -1;
+static int renames_until_full = -1;
+
+static bool refused(int *until_full)
+{
+	if (*until_full < 0 || (*until_full)-- > 0)
+		return false;
+	errno = ENOSPC;
+	return true;
+}
+
+/* Replaces the function of the C library, so that a test may refuse a call. */
+extern "C" int unlinkat(int folder, const char *file, int flags) noexcept
+{
+	if (refused(&unlinks_until_full))
+		return -1;
+	return static_cast<int>(syscall(SYS_unlinkat, folder, file, flags));
+}
+
+extern "C" int renameat(int from_folder, const char *from, int to_folder, const char *to) noexcept
+{
+	if (refused(&renames_until_full))
+		return -1;
+	return static_cast<int>(syscall(SYS_renameat2, from_folder, from, to_folder, to, 0));
+}
+
+extern "C" int fsync(int fd)
+{
+	if (refused(&syncs_until_full))
+		return -1;
+	return static_cast<int>(syscall(SYS_fsync, fd));
+}
+
 /* Each test has its own data folder, which is removed afterwards. */
 class Store : public testing::Test
 {
@@ -36,6 +72,13 @@
 		fs::remove_all(folder);
 	}
 
+	/* Continues with a new folder. */
+	void restart()
+	{
+		TearDown();
+		SetUp();
+	}
+
 	bool open(uint64_t segment_bytes = 0)
 	{
 		wl_store_options_t options = {};
@@ -59,8 +102,10 @@
 	/* Simulates a full disk: a write succeeds by half, the next one fails with ENOSPC. */
 	static ssize_t write_full(int fd, const void *bytes, size_t len, off_t offset)
 	{
-		if (full_writes == 0)
+		if (full_writes == 0 || writes_until_full > 0) {
+			writes_until_full -= writes_until_full > 0;
 			return pwrite(fd, bytes, len, offset);
+		}
 		full_writes--;
 		if (full_writes % 2)
 			return pwrite(fd, bytes, len / 2, offset);
@@ -172,7 +217,40 @@
 			<< err.text;
 	}
 
+	/* Replaces a log by a snapshot, while one of the calls is refused, and opens it again. */
+	void replace_log(int *calls, int until_full, uint64_t truncate_from, int *refusals)
+	{
+		wl_raft_persist_t persist = {};
+
+		ASSERT_TRUE(open(100));
+		ASSERT_TRUE(found());
+		for (uint64_t i = 1; i <= 6; i++)
+			ASSERT_TRUE(write(1, i, i, std::string(60, 'a')));
+		ASSERT_GT(segments().size(), 2u);
+		persist.has_vote = true;
+		persist.term = 2;
+		persist.truncate_from = truncate_from;
+		persist.has_snapshot = true;
+		persist.members.group = 77;
+		persist.snapshot_index = 20;
+		persist.snapshot_term = 2;
+		wl_buf_set(&persist.snapshot, WL_STR("state"));
+		*calls = until_full;
+		while (!wl_store_write(store, &persist, &err) || !wl_store_sync(store, &err)) {
+			if (err.code != WL_E_DISK_FULL)
+				break;
+			++*refusals;
+		}
+		wl_raft_persist_free(&persist);
+		*calls = -1;
+		ASSERT_TRUE(write(2, 21, 21, "after")) << err.text;
+		ASSERT_TRUE(open(100)) << err.text;
+		EXPECT_EQ(saved.snapshot_index, 20u);
+		EXPECT_EQ(log(), "21/2/after");
+	}
+
 	static int full_writes;
+	static int writes_until_full;
 	wl_store_write_at_t write_at = nullptr;
 	std::string folder;
 	wl_store_t *store = nullptr;
@@ -183,6 +261,7 @@
 static const char *const FIRST_LOG = "log-0000000000000001";
 
 int Store::full_writes = 0;
+int Store::writes_until_full = 0;
 
 TEST_F(Store, BlankFolderGetsAnIdentityOnce)
 {
@@ -559,18 +638,70 @@
 }
 
 TEST_F(Store, WritesContinueAfterAFullDisk)
+{
+	/* The first write is of the vote, the second one of the log. */
+	for (int before = 0; before < 2; before++) {
+		restart();
+		write_at = write_full;
+		ASSERT_TRUE(open());
+		ASSERT_TRUE(found());
+		ASSERT_TRUE(write(1, 1, 1, "one"));
+		writes_until_full = before;
+		full_writes = 2;
+		EXPECT_FALSE(write(2, 2, 2, "two"));
+		EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
+		full_writes = 2;
+		EXPECT_FALSE(wl_store_sync(store, &err));
+		EXPECT_TRUE(wl_store_sync(store, &err)) << err.text;
+		ASSERT_TRUE(write(2, 3, 3, "three"));
+		ASSERT_TRUE(open()) << err.text;
+		EXPECT_EQ(saved.term, 2u);
+		EXPECT_EQ(log(), "1/1/one 2/2/two 3/2/three");
+	}
+}
+
+/*
+ * A change that replaces a log of several segments by a snapshot is repeated after a call that a
+ * full disk refuses.
+ */
+TEST_F(Store, EachRefusedCallIsRepeated)
+{
+	int refusals = 0;
+
+	for (int *calls : {&unlinks_until_full, &syncs_until_full, &renames_until_full}) {
+		for (int run = 0; run < 30 && !HasFailure(); run++) {
+			restart();
+			SCOPED_TRACE(run);
+			replace_log(calls, run / 2, run % 2 ? 4 : 0, &refusals);
+		}
+	}
+	EXPECT_GT(refusals, 10);
+	printf("%d refusals\n", refusals);
+}
+
+/* What a refused write leaves behind must not take the space that later writes need. */
+TEST_F(Store, RefusedWriteLeavesNoTemporaryFile)
 {
 	write_at = write_full;
 	ASSERT_TRUE(open());
 	ASSERT_TRUE(found());
 	ASSERT_TRUE(write(1, 1, 1, "one"));
 	full_writes = 2;
-	EXPECT_FALSE(write(1, 2, 2, "two"));
+	EXPECT_FALSE(snapshot(1, 1, std::string(5000, 's')));
 	EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
+	EXPECT_FALSE(fs::exists(path("snapshot.tmp")));
+	set_content("snapshot.tmp", std::string(5000, 's'));
+	ASSERT_TRUE(open()) << err.text;
+	EXPECT_FALSE(fs::exists(path("snapshot.tmp"))) << "left by a process that was killed";
+	EXPECT_EQ(log(), "1/1/one");
+}
+
+TEST_F(Store, BlankFolderOnAFullDiskOpensLater)
+{
+	write_at = write_full;
 	full_writes = 2;
-	EXPECT_FALSE(wl_store_sync(store, &err));
-	EXPECT_TRUE(wl_store_sync(store, &err)) << err.text;
-	ASSERT_TRUE(write(1, 3, 3, "three"));
+	EXPECT_FALSE(open());
+	EXPECT_EQ(err.code, WL_E_DISK_FULL) << err.text;
 	ASSERT_TRUE(open()) << err.text;
-	EXPECT_EQ(log(), "1/1/one 2/1/two 3/1/three");
+	EXPECT_NE(wl_store_id(store), 0u);
 }
