tests: fuzz inputs with values that parsers find hard

The fuzzers changed bytes only, which rarely gives deep nesting, numbers beyond any type, ports out of range, other types, duplicate or missing keys, or lengths that lie. Other operators report processes that ended or stopped following a list for such an entry.

After the inputs with changed bytes, which a seed gives as before, the driver now runs a quarter as many with such values. It prints an input that aborts, and an input of more than 10 s is a failure.

--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -5,16 +5,21 @@
  */
 
 #include <dirent.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
-#include <libwlbase/rng.h>
-#include <libwlbase/str.h>
+#include "mutations.h"
 
 #define MAX_FILES     256
 #define MAX_MUTATIONS 8
-#define MAX_INSERT    16
+/* After RUNS inputs with changed bytes, a share of RUNS gets values that parsers find hard. */
+#define HARD_SHARE 4
+/* So much of an input that ends the process is printed. */
+#define PRINTED_BYTES 1024
+#define INPUT_MAX_S   10 /* an input that takes longer is a failure */
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -58,55 +63,46 @@
 	return corpus->count > 0;
 }
 
-static void flip(wl_buf_t *input, wl_rng_t *rng)
-{
-	unsigned char *bytes = (unsigned char *)input->at;
-
-	if (input->len)
-		bytes[wl_rng_below(rng, input->len)] ^= (unsigned char)(1u << wl_rng_below(rng, 8));
-}
-
-static void overwrite(wl_buf_t *input, wl_rng_t *rng)
-{
-	static const unsigned char values[] = {0, 1, 0x7f, 0x80, 0xff, 0xdd, 0xc6, '"', '{', ','};
-
-	if (input->len)
-		input->at[wl_rng_below(rng, input->len)] =
-			(char)values[wl_rng_below(rng, sizeof(values))];
-}
+/* The input at work, for the handler of signals. */
+static const uint8_t *current;
+static size_t current_size;
 
-static void truncate_input(wl_buf_t *input, wl_rng_t *rng)
+/* Prints the input that ends the process. */
+static void current_print(int signal)
 {
-	input->len = wl_rng_below(rng, input->len + 1);
+	size_t size = current_size < PRINTED_BYTES ? current_size : PRINTED_BYTES;
+	char text[64];
+	int len = snprintf(text, sizeof(text), "signal %d, input of %zu bytes:\n", signal,
+			   current_size);
+
+	if (write(STDERR_FILENO, text, (size_t)len) < 0 ||
+	    write(STDERR_FILENO, current, size) < 0 || write(STDERR_FILENO, "\n", 1) < 0)
+		_exit(1);
+	raise(signal);
 }
 
-static void erase(wl_buf_t *input, wl_rng_t *rng)
+static void signals_catch(void)
 {
-	size_t at = wl_rng_below(rng, input->len + 1);
-	size_t count = wl_rng_below(rng, input->len - at + 1);
+	static const int signals[] = {SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGTRAP, SIGALRM};
+	struct sigaction action = {.sa_handler = current_print,
+				   .sa_flags = (int)(SA_RESETHAND | SA_NODEFER)};
 
-	memmove(input->at + at, input->at + at + count, input->len - at - count);
-	input->len -= count;
+	for (size_t i = 0; i < sizeof(signals) / sizeof(signals[0]); i++)
+		sigaction(signals[i], &action, NULL);
 }
 
-static void repeat(wl_buf_t *input, wl_rng_t *rng)
+static void input_run(const uint8_t *data, size_t size)
 {
-	char copy[MAX_INSERT];
-	size_t at = wl_rng_below(rng, input->len + 1);
-	size_t count = wl_rng_below(rng, MAX_INSERT);
-
-	if (count > input->len - at)
-		count = input->len - at;
-	memcpy(copy, input->at + at, count);
-	wl_buf_append(input, (wl_str_t){copy, count});
+	current = data;
+	current_size = size;
+	alarm(INPUT_MAX_S);
+	LLVMFuzzerTestOneInput(data, size);
+	alarm(0);
 }
 
-typedef void (*mutation_t)(wl_buf_t *input, wl_rng_t *rng);
-
-static const mutation_t mutations[] = {flip,	       flip,  overwrite, overwrite,
-				       truncate_input, erase, repeat};
+typedef void (*mutate_t)(wl_buf_t *input, wl_rng_t *rng);
 
-static void run_one(const corpus_t *corpus, wl_rng_t *rng)
+static void run_one(const corpus_t *corpus, wl_rng_t *rng, mutate_t mutate)
 {
 	wl_buf_t input = {0};
 	size_t count = wl_rng_below(rng, MAX_MUTATIONS);
@@ -114,14 +110,15 @@
 
 	wl_buf_set(&input, wl_buf_str(&corpus->files[wl_rng_below(rng, corpus->count)]));
 	for (size_t i = 0; i < count; i++)
-		mutations[wl_rng_below(rng, sizeof(mutations) / sizeof(mutations[0]))](&input, rng);
+		mutate(&input, rng);
 
 	/* An exact allocation lets the address sanitizer see a read past the end. */
 	exact = malloc(input.len ? input.len : 1);
 	if (!exact)
 		abort();
-	memcpy(exact, input.at, input.len);
-	LLVMFuzzerTestOneInput(exact, input.len);
+	if (input.len)
+		memcpy(exact, input.at, input.len);
+	input_run(exact, input.len);
 	free(exact);
 	wl_buf_free(&input);
 }
@@ -136,14 +133,17 @@
 		fprintf(stderr, "usage: %s CORPUS-FOLDER RUNS SEED\n", argv[0]);
 		return 2;
 	}
+	signals_catch();
 	runs = strtoul(argv[2], NULL, 10);
 	wl_rng_init(&rng, strtoull(argv[3], NULL, 10), 0);
 	for (size_t i = 0; i < corpus.count; i++)
-		LLVMFuzzerTestOneInput((const uint8_t *)corpus.files[i].at, corpus.files[i].len);
+		input_run((const uint8_t *)corpus.files[i].at, corpus.files[i].len);
 	for (unsigned long i = 0; i < runs; i++)
-		run_one(&corpus, &rng);
+		run_one(&corpus, &rng, fuzz_mutate_bytes);
+	for (unsigned long i = 0; i < runs / HARD_SHARE; i++)
+		run_one(&corpus, &rng, fuzz_mutate_hard);
 	for (size_t i = 0; i < corpus.count; i++)
 		wl_buf_free(&corpus.files[i]);
-	printf("%lu inputs\n", runs);
+	printf("%lu inputs\n", corpus.count + runs + runs / HARD_SHARE);
 	return 0;
 }
