platform: refuse reports with an unusable address or number

A report of a target was accepted with any text as its address (port 0, 70000 or 99999, no port, a path, a user) and with start times, clocks and durations up to 2^63. An accepted report under the id of another target takes the place of the valid one: orders go to an address that can't be called, and with a start time of 2^63 the target's own reports count as those of an earlier incarnation. Times above 2^64 / 10^6 ms wrap where they are converted to nanoseconds. The protocol forbids it: such an entry names no target to use, and the others hold.

Class of fault: input that is of the right type, yet out of the range that later code takes for granted.

The address must be IP:port with a port from 1 to 65535, times are below the year 2100, counts below 2^53, accelerators below 2^32 as the rest of the capacity. The check of addresses is that of the options, which now share it (endpoint.c); it also refuses NUL bytes, which inet_pton() takes for the end.

A body that is no JSON, or too deep for the parser (2,048 levels), is refused as a whole, which is right for a report.

--- a/libwlbase/option.c
+++ b/libwlbase/option.c
@@ -2,17 +2,17 @@
 
 #include "option.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <argtable2.h>
 
+#include "endpoint.h"
+
 #define MAX_OPTIONS	    96
 #define MAX_REST	    64
 #define MAX_ERRORS	    16 /* parse errors that argtable keeps; only the first is reported */
 #define VARIABLE_NAME_BYTES 96
-#define PORT_MAX	    65535
 
 static void *option_at(const wl_option_t *option, void *settings)
 {
@@ -38,29 +38,6 @@
 			  option->flag, want, value);
 }
 
-static bool address_valid(wl_str_t value)
-{
-	char ip[INET6_ADDRSTRLEN + 2];
-	unsigned char parsed[16];
-	wl_str_t host;
-	wl_str_t port_text;
-	uint64_t port;
-
-	if (!wl_str_split_last(value, ':', &host, &port_text) || host.len == 0 ||
-	    host.len >= sizeof(ip))
-		return false;
-	if (!wl_str_u64(port_text, &port) || port > PORT_MAX)
-		return false;
-
-	memcpy(ip, host.at, host.len);
-	ip[host.len] = '\0';
-	if (ip[0] == '[' && ip[host.len - 1] == ']') {
-		ip[host.len - 1] = '\0';
-		return inet_pton(AF_INET6, ip + 1, parsed) == 1;
-	}
-	return inet_pton(AF_INET, ip, parsed) == 1;
-}
-
 static bool option_number(const wl_option_t *option, const char *value, uint64_t *to, wl_err_t *err)
 {
 	uint64_t max = option->max ? option->max : UINT64_MAX;
@@ -103,6 +80,7 @@
 static bool option_set(const wl_option_t *option, const char *value, void *settings, wl_err_t *err)
 {
 	void *to = option_at(option, settings);
+	uint64_t port;
 
 	switch (option->kind) {
 	case WL_OPTION_TEXT:
@@ -115,7 +93,7 @@
 	case WL_OPTION_CHOICE:
 		return option_choice(option, value, to, err);
 	case WL_OPTION_ADDRESS:
-		if (value[0] != '\0' && !address_valid(wl_str_from(value)))
+		if (value[0] != '\0' && !wl_endpoint_parse(wl_str_from(value), &port))
 			return option_error(option, "IP:port", value, err);
 		wl_buf_set(to, wl_str_from(value));
 		return true;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -132,6 +132,19 @@
 		{"\"capacity\":{\"cpu\":16000,", "\"capacity\":{"},
 		{"\"backend\":\"sort1\",", ""},
 		{"\"labels\":[", "\"labels\":\"["},
+		{"10.0.0.9:8080", "10.0.0.9:70000"},
+		{"10.0.0.9:8080", "10.0.0.9:99999"},
+		{"10.0.0.9:8080", "10.0.0.9:0"},
+		{"10.0.0.9:8080", "10.0.0.9"},
+		{"10.0.0.9:8080", "10.0.0.9:8080/path?"},
+		{"10.0.0.9:8080", "user@10.0.0.9:8080"},
+		{"1700000000000", "9223372036854775807"},
+		{"1700000000000", "1700000000000.5"},
+		{"\"clock_ms\":482113", "\"clock_ms\":9007199254740992"},
+		{"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":9007199254740992"},
+		{"\"sequence\":4", "\"sequence\":9223372036854775807"},
+		{"\"sequence\":4", "\"sequence\":1e999"},
+		{"\"sequence\":4", "\"sequence\":4,\"sequence\":5"},
 	};
 
 	for (const auto &change : changes) {
@@ -146,6 +159,16 @@
 	EXPECT_FALSE(read("POST", "/-/instances/i-7f/heartbeat", "\xff\xfe"));
 }
 
+TEST_F(Platform, ErrorOfAnInvalidReportNamesWhatIsWrong)
+{
+	std::string body = REPORT;
+
+	body.replace(body.find("8080"), 4, "70000");
+	EXPECT_FALSE(read("POST", "/-/instances/i-7f/heartbeat", body));
+	EXPECT_STREQ(err.text, "address: must be IP:port with a port from 1 to 65535, "
+			       "not 10.0.0.9:70000");
+}
+
 TEST_F(Platform, DrainingReportAndDeregistration)
 {
 	std::string body = REPORT;
