platform: keep the rows of an answer that can be read

One odd row in the lists of a target's answer made the whole answer count as none: another type, a negative load, a fractional run, an end that is called by a name we don't know. Such a row is there again in the next answer, an end until it is acknowledged, so that every renewal of that target fails. By reading the scheduler, not by a play: a renewal after a failed one carries no lease, so the target ends all its runs, and it gets no further ones while the row stands there.

Class of fault: a list is read all or nothing. The same cause was looked for in the other readers: a heartbeat is one entry and is refused alone; configurations are to be refused as a whole (PROTOCOL); lists of customers and plans and jobs are one caller's.

Now a list can be marked lenient: what is valid of an item is read, the rest counts as missing, and the error names the first that is not. The two lists of an answer are. What follows from a row that is read in part:

- A run with an odd load, percent or checkpoint is there.
- A row that names a task of ours, but no run that can be read, may be any run of it: the answer is marked as partial, and no run counts as absent by it.
Otherwise the task would be started a second time beside it.
- An end with an unknown outcome, or without a run, is acknowledged and otherwise ignored.
If the run was ours and is gone, it is found absent, which costs a start and counts against no one.
It isn't taken for the end of a run that may still be there.

The line order-answer-bad now names the row, as "running[1].percent".

Without the condition in the scheduler PartialAnswerEndsNoRun fails: the task is started again.

Open: a row whose number is large, but below 2^53, hides the ends with lower numbers until the target starts anew; they are found absent. A body that is no JSON for the parser (2,048 levels, a number out of range) counts as no answer, as a whole.

--- a/libwlbase/record.c
+++ b/libwlbase/record.c
@@ -136,33 +136,38 @@
 	return field->kind == WL_FIELD_STRINGS ? &wl_string_schema : field->schema;
 }
 
+void wl_field_free(const wl_field_t *field, void *record)
+{
+	switch (field->kind) {
+	case WL_FIELD_U64:
+	case WL_FIELD_ENUM:
+	case WL_FIELD_MILLIS:
+	case WL_FIELD_BITS:
+		*(uint64_t *)field_at(record, field) = 0;
+		break;
+	case WL_FIELD_BOOL:
+		*(bool *)field_at(record, field) = false;
+		break;
+	case WL_FIELD_BYTES:
+		wl_buf_free(field_at(record, field));
+		break;
+	case WL_FIELD_RECORD:
+		wl_record_free(field->schema, field_at(record, field));
+		break;
+	case WL_FIELD_LIST:
+	case WL_FIELD_STRINGS:
+		wl_list_free(wl_field_items(field), field_at(record, field));
+		break;
+	}
+}
+
 /*
  * wl_record_free - release the memory that a struct owns, and zero the struct
  */
 void wl_record_free(const wl_schema_t *schema, void *record)
 {
-	for (size_t i = 0; i < schema->count; i++) {
-		const wl_field_t *field = &schema->fields[i];
-
-		switch (field->kind) {
-		case WL_FIELD_U64:
-		case WL_FIELD_BOOL:
-		case WL_FIELD_ENUM:
-		case WL_FIELD_MILLIS:
-		case WL_FIELD_BITS:
-			break;
-		case WL_FIELD_BYTES:
-			wl_buf_free(field_at(record, field));
-			break;
-		case WL_FIELD_RECORD:
-			wl_record_free(field->schema, field_at(record, field));
-			break;
-		case WL_FIELD_LIST:
-		case WL_FIELD_STRINGS:
-			wl_list_free(wl_field_items(field), field_at(record, field));
-			break;
-		}
-	}
+	for (size_t i = 0; i < schema->count; i++)
+		wl_field_free(&schema->fields[i], record);
 	memset(record, 0, schema->size);
 }
 
--- a/libwlbase/record_json.c
+++ b/libwlbase/record_json.c
@@ -280,6 +280,40 @@
 	return false;
 }
 
+static bool read_member(const wl_field_t *field, const json_t *value, const path_t *path,
+			void *record, wl_err_t *err);
+
+static const json_t *member_find(const wl_schema_t *schema, const json_t *json, size_t number)
+{
+	return schema->row ? json_array_get(json, number)
+			   : json_object_get(json, schema->fields[number].name);
+}
+
+/*
+ * Reads as much of an item as is valid: the rest stays zero, so that one item does not hide the
+ * others. Returns the first error.
+ */
+static void read_lenient(const wl_schema_t *schema, const json_t *json, const path_t *path,
+			 void *record, wl_err_t *err)
+{
+	wl_err_t found = {0};
+
+	if (schema->row ? !json_is_array(json) : !json_is_object(json))
+		value_error(path, schema->row ? "a list" : "an object", &found);
+	for (size_t i = 0; i < schema->count; i++) {
+		const wl_field_t *field = &schema->fields[i];
+		wl_err_t of_member = {0};
+
+		if (read_member(field, member_find(schema, json, i), path, record, &of_member))
+			continue;
+		wl_field_free(field, record);
+		if (found.code == WL_OK)
+			found = of_member;
+	}
+	if (err && err->code == WL_OK)
+		*err = found;
+}
+
 static bool read_list(const wl_field_t *field, const json_t *json, const path_t *path,
 		      wl_list_t *to, wl_err_t *err)
 {
@@ -295,10 +329,14 @@
 		const json_t *item = json_array_get(json, i);
 		path_t at = {path, NULL, i};
 		void *record = wl_list_add(schema, to);
-		bool ok = field->kind == WL_FIELD_STRINGS
-				  ? read_text(&string_field, item, &at, record, err)
-				  : read_object(schema, item, &at, record, err);
+		bool ok = true;
 
+		if (field->lenient)
+			read_lenient(schema, item, &at, record, err);
+		else if (field->kind == WL_FIELD_STRINGS)
+			ok = read_text(&string_field, item, &at, record, err);
+		else
+			ok = read_object(schema, item, &at, record, err);
 		if (!ok)
 			return false;
 	}
@@ -373,7 +411,8 @@
 	if (!json_is_array(json))
 		return value_error(path, "a list", err);
 	for (size_t i = 0; i < schema->count; i++)
-		if (!read_member(&schema->fields[i], json_array_get(json, i), path, record, err))
+		if (!read_member(&schema->fields[i], member_find(schema, json, i), path, record,
+				 err))
 			return false;
 	return true;
 }
@@ -387,12 +426,10 @@
 		return value_error(path, "an object", err);
 	if (!schema->open && !known_keys(schema, json, path, err))
 		return false;
-	for (size_t i = 0; i < schema->count; i++) {
-		const wl_field_t *field = &schema->fields[i];
-
-		if (!read_member(field, json_object_get(json, field->name), path, record, err))
+	for (size_t i = 0; i < schema->count; i++)
+		if (!read_member(&schema->fields[i], member_find(schema, json, i), path, record,
+				 err))
 			return false;
-	}
 	return true;
 }
 
@@ -401,7 +438,8 @@
  * @text: one JSON object; missing required fields are errors, and unknown fields
  *        are too unless the schema is open
  * @record: overwritten without release; zeroed after a failure
- * @err: WL_E_BAD_INPUT, with the path of the invalid field
+ * @err: WL_E_BAD_INPUT, with the path of the invalid field; after a success set only if
+ *       something in a lenient list is invalid, otherwise cleared
  */
 bool wl_record_from_json(const wl_schema_t *schema, wl_str_t text, void *record, wl_err_t *err)
 {
@@ -410,6 +448,8 @@
 	bool ok;
 
 	memset(record, 0, schema->size);
+	if (err)
+		wl_err_clear(err);
 	if (!json)
 		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "JSON, line %d: %.160s", at.line,
 				  at.text);
--- a/libwlcore/model/dialect.h
+++ b/libwlcore/model/dialect.h
@@ -44,7 +44,7 @@
 	void (*reply_write)(wl_operation_kind_t kind, const wl_result_t *result, wl_str_t control,
 			    wl_reply_t *reply);
 	void (*order_write)(const wl_order_t *order, wl_fetch_t *fetch);
-	/* Always fills end; returns false if the answer is invalid, and err tells which part. */
+	/* Always fills end, with the valid parts; returns false if any is not, which err names. */
 	bool (*order_read)(wl_order_kind_t kind, const wl_fetched_t *fetched, wl_order_end_t *end,
 			   wl_err_t *err);
 } wl_dialect_t;
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -67,6 +67,7 @@
 	WL_FIELD_AS("life", wl_order_end_t, incarnation, WL_FIELD_U64),
 	WL_FIELD_MANY(wl_order_end_t, runs, &wl_run_view_schema),
 	WL_FIELD_MANY(wl_order_end_t, ends, &wl_end_view_schema),
+	WL_FIELD(wl_order_end_t, partial, WL_FIELD_BOOL),
 };
 
 const wl_schema_t wl_order_end_schema = WL_SCHEMA(wl_order_end_t, order_end_fields);
--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -86,6 +86,7 @@
 	uint64_t incarnation; /* RENEW; 0: none given */
 	wl_list_t runs;	      /* wl_run_view_t */
 	wl_list_t ends;	      /* wl_end_view_t */
+	bool partial;	      /* RENEW: a run that is not listed may be present all the same */
 } wl_order_end_t;
 
 extern const wl_schema_t wl_order_schema;
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -497,7 +497,7 @@
 	views_apply(sched, now_ns, runner, end, out);
 	wl_sched_tails_update(sched, now_ns, runner, out);
 	ends_collect(sched, runner, end, &ends);
-	if (end->ends.count < ENDS_LISTED_MAX)
+	if (!end->partial && end->ends.count < ENDS_LISTED_MAX)
 		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
 	if (has_unknown_run(runner, now_ns)) /* until its stop is answered */
 		wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -388,3 +388,60 @@
 	EXPECT_EQ(answered(0, "", false, true), WL_ORDER_NO_ANSWER);
 	EXPECT_EQ(answered(0, "", false, false), WL_ORDER_NOT_SENT);
 }
+
+/* An odd row leaves the others in use; the reason names it. */
+TEST_F(Platform, InvalidRowsOfAnAnswer)
+{
+	const std::pair<const char *, const char *> rows[] = {
+		{R"(["5c0e.0.1.3",2,"",-1])", "running[1].percent: "},
+		{R"(["5c0e.0.1.3",2,7,0])", "running[1].saved: "},
+		{R"([7,2,"",0])", "running[1].task: "},
+		{R"(["5c0e.0.1.3"])", "running[1].run: "},
+		{R"({"task":"5c0e.0.1.3"})", "running[1]: "},
+		{"null", "running[1]: "},
+	};
+
+	for (const auto &row : rows) {
+		std::string body =
+			std::string(R"({"clock_ms":9,"running":[["5c0e.0.1.1",1,"",0],)") +
+			row.first + R"(,["5c0e.0.1.2",1,"",0]]})";
+
+		err = {};
+		ASSERT_EQ(answered(200, body), WL_ORDER_DONE) << row.first;
+		const auto *runs = static_cast<wl_run_view_t *>(end.runs.items);
+		ASSERT_GE(end.runs.count, 2u) << row.first;
+		EXPECT_EQ(runs[0].ref.index, 1u) << row.first;
+		EXPECT_EQ(runs[end.runs.count - 1].ref.index, 2u) << row.first;
+		EXPECT_EQ(std::string(err.text).rfind(row.second, 0), 0u) << err.text;
+	}
+}
+
+TEST_F(Platform, RowThatNamesATaskButNoRunMayBeAnyRunOfIt)
+{
+	ASSERT_EQ(answered(200, R"({"running":[["5c0e.0.1.3",-2,"",0]]})"), WL_ORDER_DONE);
+	EXPECT_EQ(end.runs.count, 0u);
+	EXPECT_TRUE(end.partial);
+	ASSERT_EQ(answered(200, R"({"running":[["odd",-2,"",0],["5c0e.0.1.3",2,"",-1]]})"),
+		  WL_ORDER_DONE);
+	EXPECT_EQ(end.runs.count, 1u) << "the run is there, whatever its load";
+	EXPECT_FALSE(end.partial);
+}
+
+TEST_F(Platform, InvalidEndsOfAnAnswer)
+{
+	ASSERT_EQ(answered(200,
+			   R"({"completions":[[57,"5c0e.0.1.1",1,"failed",""],)"
+			   R"([58,"5c0e.0.1.2",1,"vanished",""],[59,"5c0e.0.1.3",-1,"done",""],)"
+			   R"(["x","5c0e.0.1.4",1,"done",""],[61,"5c0e.0.1.5",1,"done",""]]})"),
+		  WL_ORDER_DONE);
+	const auto *ends = static_cast<wl_end_view_t *>(end.ends.items);
+	ASSERT_EQ(end.ends.count, 5u);
+	EXPECT_EQ(text(ends[0].ref.job), "5c0e");
+	EXPECT_EQ(ends[0].outcome, WL_END_FAILED);
+	EXPECT_EQ(ends[1].number, 58u) << "is acknowledged";
+	EXPECT_EQ(text(ends[1].ref.job), "") << "not taken for an end that the protocol names";
+	EXPECT_EQ(text(ends[2].ref.job), "");
+	EXPECT_EQ(ends[3].number, 0u);
+	EXPECT_EQ(ends[4].number, 61u);
+	EXPECT_EQ(text(ends[4].ref.job), "5c0e");
+}
--- a/tests/unit/sched_report_test.cc
+++ b/tests/unit/sched_report_test.cc
@@ -3,7 +3,10 @@
 
 #include <gtest/gtest.h>
 
-/* A report under the id of a target that another writer sends, and what it changes. */
+/*
+ * Reports under the id of a target that another writer sends, and answers of which a part can't be
+ * read: what they change.
+ */
 
 namespace
 {
@@ -73,3 +76,34 @@
 	rig.run_command(&cmd);
 	expect_followed();
 }
+
+/* A run is not taken for absent if the answer has a row that may be of it. */
+TEST_F(Reports, PartialAnswerEndsNoRun)
+{
+	for (bool partial : {true, false}) {
+		wl_order_end_t end = {};
+
+		if (partial) {
+			rig.job("q", "j", {1});
+			rig.submit();
+			rig.advance(10);
+			rig.commit();
+			auto starts = rig.take_orders(WL_ORDER_START);
+			ASSERT_EQ(starts.size(), 1u);
+			rig.answer(starts[0], WL_ORDER_DONE);
+			rig.answer_hold(rig.next_renewal(), {SchedRig::view(starts[0])}, {}, LIFE);
+		}
+		SchedOrder renewal = rig.next_renewal();
+		end.outcome = WL_ORDER_DONE;
+		end.has_clock = true;
+		end.incarnation = LIFE;
+		end.partial = partial;
+		rig.complete(renewal, &end);
+		for (int i = 0; i < 3; i++) {
+			rig.advance(100);
+			rig.commit();
+		}
+		EXPECT_EQ(rig.take_orders(WL_ORDER_START).size(), partial ? 0u : 1u)
+			<< "a second start of the task";
+	}
+}
