err: keep control characters of input out of messages

The message of an error quotes input: the name of an unknown field, or the text near which JSON goes wrong. A new line in it ended the line of the log that has the message, so that a caller could write lines of its own making into the log ("a\nevent=stop").

Class of fault: input that is printed unchecked. The same cause was looked for in the paths and addresses that are logged: they are quoted.

wl_err_set() replaces control characters, as every error passes there. ErrorHasNoControlCharacters failed before ("a\nevent=stop\x7F: unknown field").

--- a/libwlbase/err.c
+++ b/libwlbase/err.c
@@ -5,6 +5,8 @@
 #include <stdarg.h>
 #include <stdio.h>
 
+#define DELETE 0x7f
+
 typedef struct code_row {
 	const char *name;
 	unsigned int http;
@@ -39,6 +41,14 @@
 	[WL_UNKNOWN] = "unknown",
 };
 
+/* Errors quote input, and stand in lines of logs, which they must not end. */
+static void text_clean(char *text)
+{
+	for (; *text; text++)
+		if ((unsigned char)*text < ' ' || *text == DELETE)
+			*text = '?';
+}
+
 /*
  * wl_err_set - fill an error
  * @err: the error, or NULL if the caller does not need it
@@ -59,6 +69,7 @@
 	va_start(args, format);
 	vsnprintf(err->text, sizeof(err->text), format, args);
 	va_end(args);
+	text_clean(err->text);
 	return false;
 }
 
--- a/tests/unit/record_test.cc
+++ b/tests/unit/record_test.cc
@@ -141,3 +141,17 @@
 	wl_buf_free(&sparse);
 	wl_buf_free(&again);
 }
+
+/* The message stands in a line of the log, which input must not end. */
+TEST(Record, ErrorHasNoControlCharacters)
+{
+	wl_announce_t announce;
+	wl_err_t err = {};
+
+	EXPECT_FALSE(wl_record_from_json(&wl_announce_schema,
+					 WL_STR("{\"a\\nevent=stop\\u007f\":1}"), &announce, &err));
+	EXPECT_STREQ(err.text, "a?event=stop?: unknown field");
+	EXPECT_FALSE(
+		wl_record_from_json(&wl_announce_schema, WL_STR("{\"a\001\":1}"), &announce, &err));
+	EXPECT_EQ(std::string(err.text).find('\001'), std::string::npos) << err.text;
+}
