--- a/libwlcore/owner/announce.c
+++ b/libwlcore/owner/announce.c
@@ -2,6 +2,8 @@
 
 #include "internal.h"
 
+#include <libwlbase/endpoint.h>
+
 static void set_services(wl_owned_target_t *owned, const wl_list_t *services)
 {
 	wl_target_t *target = owned->target;
@@ -138,8 +140,10 @@
 	const wl_owner_options_t *options = &ctx->owner->options;
 	const wl_owner_row_t *row;
 
-	if (!wl_record_from_json(&wl_announce_schema, wl_buf_str(&call->body), &announce, &err)) {
+	if (!wl_record_from_json(&wl_announce_schema, wl_buf_str(&call->body), &announce, &err) ||
+	    !wl_endpoint_check(wl_buf_str(&announce.address), "address", &err)) {
 		wl_out_reply_error(ctx->out, call->id, &err);
+		wl_record_free(&wl_announce_schema, &announce);
 		return;
 	}
 
--- a/libwlcore/place/policy.c
+++ b/libwlcore/place/policy.c
@@ -8,9 +8,11 @@
 
 #define MAX_CANDIDATES	     24	     /* targets that fit which are compared */
 #define NO_SLOWDOWN_PERMILLE 1000ULL /* full speed */
-#define MAX_KINDS	     16	     /* kinds that are compared on one target */
-#define MAX_DEFER_MS	     3000 /* longest wait of a batch task for a target without net loss */
-#define MIN_LONG_SLOTS	     1
+/* A target that reports more counts as slowed down by this much. */
+#define SLOWDOWN_MAX_PERMILLE 100000ULL
+#define MAX_KINDS	      16   /* kinds that are compared on one target */
+#define MAX_DEFER_MS	      3000 /* longest wait of a batch task for a target without net loss */
+#define MIN_LONG_SLOTS	      1
 
 static uint64_t larger(uint64_t a, uint64_t b)
 {
@@ -155,11 +157,12 @@
 static int64_t net_loss(const wl_place_t *place, const wl_place_target_t *target,
 			const wl_place_request_t *request, const kind_counts_t *kind_counts)
 {
-	uint64_t own = worst_slowdown(place, kind_counts, request->kind);
+	uint64_t own =
+		smaller(worst_slowdown(place, kind_counts, request->kind), SLOWDOWN_MAX_PERMILLE);
+	uint64_t present = smaller(target->row.slowdown_permille, SLOWDOWN_MAX_PERMILLE);
 	int64_t loss = 0;
 
-	own = own * larger(target->row.slowdown_permille, NO_SLOWDOWN_PERMILLE) /
-	      NO_SLOWDOWN_PERMILLE;
+	own = own * larger(present, NO_SLOWDOWN_PERMILLE) / NO_SLOWDOWN_PERMILLE;
 	for (size_t i = 0; i < kind_counts->count; i++) {
 		const kind_count_t *other = &kind_counts->kinds[i];
 		uint64_t now = worst_slowdown(place, kind_counts, other->kind);
--- a/tests/target/owner_run.cc
+++ b/tests/target/owner_run.cc
@@ -134,8 +134,8 @@
 
 void OwnerRun::take_fetch(OwnerEntry &one, const wl_fetch_t &fetch)
 {
-	OwnerCommand command = {one.name, text(fetch.address), text(fetch.path), text(fetch.body),
-				fetch.id};
+	OwnerCommand command = {one.name, target_at(text(fetch.address)), text(fetch.path),
+				text(fetch.body), fetch.id};
 	auto found = links.find(one.name + " " + command.target);
 	std::string mode = found == links.end() ? "ok" : found->second;
 
--- a/tests/target/owner_run.h
+++ b/tests/target/owner_run.h
@@ -93,6 +93,8 @@
 		   const std::string &body);
 	void send_announce(const std::string &target, const std::string &to);
 	void check();
+	const std::string &address_of(const std::string &target);
+	std::string target_at(const std::string &address) const;
 
 	Script script;
 	const wl_chart_t *chart;
@@ -109,6 +111,7 @@
 	std::vector<std::string> problems;
 	wl_list_t services = {};
 	std::deque<std::string> names;
+	std::map<std::string, std::string> addresses; /* of targets, by name */
 	uint64_t next_request = 1;
 	bool commits = true;
 	std::deque<std::pair<std::string, wl_reported_row_t>> committed;
--- a/tests/target/owner_words.cc
+++ b/tests/target/owner_words.cc
@@ -44,6 +44,22 @@
 	entries[made->name] = std::move(made);
 }
 
+/* Gives each target an address at its first use. */
+const std::string &OwnerRun::address_of(const std::string &target)
+{
+	std::string next = "10.0.0." + std::to_string(addresses.size() + 1) + ":80";
+
+	return addresses.emplace(target, next).first->second;
+}
+
+std::string OwnerRun::target_at(const std::string &address) const
+{
+	for (const auto &one : addresses)
+		if (one.second == address)
+			return one.first;
+	return "";
+}
+
 /* target NAME [slots=4] [cpu=8000] [memory=8000] [accelerators=0] */
 void OwnerRun::add_target(const Words &words)
 {
@@ -51,7 +67,7 @@
 
 	names.push_back(words.at(1));
 	options.name = str(names.back());
-	options.address = str(names.back());
+	options.address = str(address_of(names.back()));
 	options.services = &services;
 	options.capacity = {script_number(words, "cpu", 8000), script_number(words, "memory", 8000),
 			    script_number(words, "accelerators", 0),
@@ -95,7 +111,7 @@
 		wl_list_add(&wl_owner_row_schema, &msg.u.view.owners));
 	wl_buf_set(&row->target, str(words.at(2)));
 	wl_buf_set(&row->entry, str(to));
-	wl_buf_set(&row->address, str(words.at(2)));
+	wl_buf_set(&row->address, str(address_of(words.at(2))));
 	wl_strings_add(&row->services, WL_STR("sort"));
 	row->epoch = script_number(words, "epoch", 1);
 	row->session = script_number(words, "session", to == words.at(1) ? one.session.id : 99);
--- a/tests/unit/place_test.cc
+++ b/tests/unit/place_test.cc
@@ -31,7 +31,8 @@
 /* Offers a target of 8 slots, of which @free are free, and that runs @kinds: name and count. */
 static void offer(wl_place_t *place, const std::string &target, uint64_t free,
 		  const std::vector<std::pair<std::string, uint64_t>> &kinds = {},
-		  const std::string &rack = "r1", uint64_t now_ns = 1)
+		  const std::string &rack = "r1", uint64_t now_ns = 1,
+		  uint64_t slowdown_permille = 0)
 {
 	wl_offer_row_t row = {};
 
@@ -40,6 +41,7 @@
 	wl_strings_add(&row.services, WL_STR("tube-sort"));
 	row.epoch = 1;
 	row.available = true;
+	row.slowdown_permille = slowdown_permille;
 	row.capacity = {8000, 8000, 0, 8, 0};
 	row.free = {free * 1000, free * 1000, 0, free, 0};
 	for (const auto &kind : kinds) {
@@ -86,6 +88,20 @@
 	wl_place_free(place);
 }
 
+/* 2^62 * 1000 is 0 modulo 2^64, by which the speed beside the target's work was divided. */
+TEST(Place, SlowdownBeyondAnyMeasureIsOrderedBehindAll)
+{
+	wl_place_t *place = place_new("interference-fair");
+
+	for (uint64_t slowdown : {UINT64_C(1) << 62, UINT64_MAX, UINT64_C(1) << 63}) {
+		offer(place, "w1", 8, {{"sort", 1}}, "r1", 1, slowdown);
+		offer(place, "w2", 8, {{"sort", 1}}, "r1", 1, 1000);
+		wl_place_begin(place, 1);
+		EXPECT_EQ(chosen(place, request_of()), "w2") << slowdown;
+	}
+	wl_place_free(place);
+}
+
 /*
  * Long tasks may hold half of the slots of a rack, so that short work is not
  * blocked behind them.  A task that takes two slots' worth of processors counts
