--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -199,14 +199,15 @@
 /*
  * wl_jobs_restore_run - add a run from a snapshot
  *
- * Return: false if its job, task or target does not exist.
+ * Return: false if its job, task or target does not exist, or the run does already.
  */
 bool wl_jobs_restore_run(wl_jobs_t *jobs, const wl_run_start_t *row)
 {
 	wl_job_t *job = wl_jobs_find(jobs, wl_buf_str(&row->job));
 	wl_runner_t *runner = wl_jobs_runner(jobs, wl_buf_str(&row->runner));
 
-	if (!job || !runner || row->task >= job->task_count)
+	if (!job || !runner || row->task >= job->task_count ||
+	    wl_job_run(job, row->task, row->run))
 		return false;
 	run_insert(jobs, job, runner, row);
 	return true;
--- a/libwlcore/state/internal.h
+++ b/libwlcore/state/internal.h
@@ -246,6 +246,7 @@
 void wl_state_task_assign(wl_state_t *state, uint64_t index, const wl_cmd_task_assign_t *cmd,
 			  wl_result_t *result);
 bool wl_task_ended(const wl_task_t *task);
+bool wl_state_task_known(const wl_state_t *state, const wl_task_record_t *record);
 wl_task_t *wl_state_task_restore(wl_state_t *state, wl_task_record_t *record);
 void wl_state_tasks_expire(wl_state_t *state);
 void wl_state_tasks_clear(wl_state_t *state);
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -305,6 +305,12 @@
 	uint64_t expected;
 } reader_t;
 
+/* An item that is there a second time would hide or leak the first. */
+static bool item_repeated(const char *item, wl_err_t *err)
+{
+	return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN, "snapshot has a second %s", item);
+}
+
 static bool read_head(reader_t *reader, wl_str_t bytes, wl_err_t *err)
 {
 	wl_state_t *state = reader->state;
@@ -352,6 +358,10 @@
 
 	if (!wl_record_unpack(&session_schema, bytes, &record, err))
 		return false;
+	if (wl_state_session_find(reader->state, record.id)) {
+		wl_record_free(&session_schema, &record);
+		return item_repeated("session of this id", err);
+	}
 	session = wl_state_session_add(reader->state, record.id);
 	session->boot = record.boot;
 	wl_buf_move(&session->entry, &record.entry);
@@ -367,6 +377,10 @@
 
 	if (!wl_record_unpack(&target_schema, bytes, &record, err))
 		return false;
+	if (wl_state_target_find(reader->state, wl_buf_str(&record.row.target))) {
+		wl_record_free(&target_schema, &record);
+		return item_repeated("target of this name", err);
+	}
 	target = wl_state_target_add(reader->state, wl_buf_str(&record.row.target));
 	wl_record_free(&wl_owner_row_schema, &target->row);
 	target->row = record.row;
@@ -383,6 +397,10 @@
 
 	if (!wl_record_unpack(&wl_task_record_schema, bytes, &record, err))
 		return false;
+	if (wl_state_task_known(reader->state, &record)) {
+		wl_record_free(&wl_task_record_schema, &record);
+		return item_repeated("task of this number, key or nonce", err);
+	}
 	wl_state_task_restore(reader->state, &record);
 	return true;
 }
@@ -394,6 +412,15 @@
 
 	if (!wl_record_unpack(&key_schema, bytes, &record, err))
 		return false;
+	if (record.state > WL_KEY_LOST || record.verdict > WL_UNKNOWN) {
+		wl_record_free(&key_schema, &record);
+		return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
+				  "snapshot has a key in an unknown state");
+	}
+	if (wl_map_get(&reader->state->by_key, wl_buf_str(&record.text))) {
+		wl_record_free(&key_schema, &record);
+		return item_repeated("key of this text", err);
+	}
 	key = wl_state_key_restore(reader->state, wl_buf_str(&record.text), record.state);
 	key->session = record.session;
 	key->nonce = record.nonce;
@@ -414,6 +441,10 @@
 
 	if (!wl_record_unpack(&kind_schema, bytes, &record, err))
 		return false;
+	if (wl_state_kind_find(reader->state, wl_buf_str(&record.name))) {
+		wl_record_free(&kind_schema, &record);
+		return item_repeated("kind of this name", err);
+	}
 	kind = wl_state_kind_add(reader->state, wl_buf_str(&record.name));
 	kind->samples = record.samples;
 	kind->run_ms = record.run_ms;
@@ -428,6 +459,8 @@
 	wl_jobs_t *jobs = &reader->state->jobs;
 	catalog_record_t record;
 
+	if (jobs->configured)
+		return item_repeated("configuration", err);
 	if (!wl_record_unpack(&catalog_schema, bytes, &record, err))
 		return false;
 	jobs->catalog_text = record.text;
@@ -442,6 +475,10 @@
 
 	if (!wl_record_unpack(&wl_runner_record_schema, bytes, &record, err))
 		return false;
+	if (wl_jobs_runner(&reader->state->jobs, wl_buf_str(&record.report.id))) {
+		wl_record_free(&wl_runner_record_schema, &record);
+		return item_repeated("target for jobs of this id", err);
+	}
 	wl_jobs_restore_runner(&reader->state->jobs, &record);
 	return true;
 }
@@ -452,6 +489,14 @@
 
 	if (!wl_record_unpack(&wl_job_record_schema, bytes, &record, err))
 		return false;
+	if (wl_jobs_find(&reader->state->jobs, wl_buf_str(&record.id))) {
+		wl_record_free(&wl_job_record_schema, &record);
+		return item_repeated("job of this id", err);
+	}
+	if (!wl_job_spec_check(&record.spec, err)) {
+		wl_record_free(&wl_job_record_schema, &record);
+		return false;
+	}
 	return wl_jobs_restore(&reader->state->jobs, &record) ||
 	       wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN, "snapshot has a job with missing tasks");
 }
@@ -466,7 +511,7 @@
 	ok = wl_jobs_restore_run(&reader->state->jobs, &row);
 	wl_record_free(&wl_run_start_schema, &row);
 	return ok || wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
-				"snapshot has a run without its job or runner");
+				"snapshot has a run without its job or runner, or twice");
 }
 
 static bool (*const readers[ITEM_KINDS])(reader_t *, wl_str_t, wl_err_t *) = {
--- a/libwlcore/state/tasks.c
+++ b/libwlcore/state/tasks.c
@@ -122,6 +122,22 @@
 	free(task);
 }
 
+/* Whether a task has the number of a record, its nonce, or its customer and key. */
+bool wl_state_task_known(const wl_state_t *state, const wl_task_record_t *record)
+{
+	wl_buf_t text = {0};
+	bool known;
+
+	wl_buf_printf(&text, "t%llu", (unsigned long long)record->number);
+	known = wl_map_get(&state->by_task, wl_buf_str(&text));
+	key_alias(wl_buf_str(&record->customer), wl_buf_str(&record->key), &text);
+	known = known || (record->key.len && wl_map_get(&state->by_alias, wl_buf_str(&text)));
+	nonce_alias(record->nonce, &text);
+	known = known || (record->nonce && wl_map_get(&state->by_alias, wl_buf_str(&text)));
+	wl_buf_free(&text);
+	return known;
+}
+
 /*
  * Adds a new task, or one from a snapshot, from its record, which is moved from.  Its target must
  * be in the state already.
--- a/tests/unit/state_test.cc
+++ b/tests/unit/state_test.cc
@@ -282,3 +282,25 @@
 	EXPECT_EQ(view.members.count, 1u);
 	wl_record_free(&wl_msg_view_schema, &view);
 }
+
+/* Its tasks were laid out in less memory than they take, as 2^62 * 4 is 0 modulo 2^64. */
+TEST(State, SnapshotWithAJobOfTooManyTasksIsRefused)
+{
+	StateRig rig;
+	std::string bytes = rig.pack();
+	wl_job_record_t record = {};
+	wl_buf_t packed = {};
+	wl_err_t err = {};
+
+	wl_buf_set(&record.id, WL_STR("a"));
+	record.spec.repeat = UINT64_C(1) << 62;
+	static_cast<wl_step_spec_t *>(wl_list_add(&wl_step_spec_schema, &record.spec.steps))
+		->count = 4;
+	wl_record_pack(&wl_job_record_schema, &record, &packed);
+	bytes += std::string{10, static_cast<char>(packed.len), 0, 0, 0};
+	bytes.append(packed.at, packed.len);
+	EXPECT_FALSE(wl_state_unpack(rig.state, str(bytes), &err));
+	EXPECT_NE(std::string(err.text).find("tasks"), std::string::npos) << err.text;
+	wl_record_free(&wl_job_record_schema, &record);
+	wl_buf_free(&packed);
+}
