--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -236,6 +236,17 @@
 	EXPECT_EQ(write(WL_OPERATION_JOB_GET, result), R"(200 {"pending":12})");
 }
 
+/* Of a leader of another version. */
+TEST_F(Platform, UnknownJobStateIsNoAnswer)
+{
+	wl_result_t result = {};
+
+	for (uint64_t state : {uint64_t{WL_JOB_STATES}, UINT64_C(1) << 40}) {
+		result.job_state = state;
+		EXPECT_EQ(write(WL_OPERATION_JOB_GET, result), "503 ") << state;
+	}
+}
+
 TEST_F(Platform, ErrorStatusShowsWhetherTheJobMayRun)
 {
 	wl_result_t result = {};
