settings: refuse peers with port 0 and NUL bytes in the file

Both now fail with an error that names the setting or the line, and the address found. A file that is refused when it is read again leaves the settings in force, as before.

fuzz_settings reads settings files with seeds and with peers, also as a change of settings in force.

IPv6 seeds are refused as before, as a replica has its name from its seed; the error now says so.

--- a/daemon/settings_check.c
+++ b/daemon/settings_check.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <sys/stat.h>
 
-#include <libwlnet/address.h>
+#include <libwlbase/endpoint.h>
 
 #define NAME_BYTES_MAX	     64
 #define SECRET_BYTES_MIN     16
@@ -35,13 +35,13 @@
 static bool store_peer_add(wl_settings_t *settings, wl_str_t element, wl_err_t *err)
 {
 	wl_node_peer_t *store = &settings->stores[settings->store_count];
-	wl_address_t address;
 
 	if (settings->store_count == WL_STORES_MAX)
 		return setting_invalid(err, "store-peers", "at most 5 replicas");
-	if (!wl_str_split(element, '=', &store->name, &store->address) ||
-	    !name_valid(store->name) || !wl_address_parse(store->address, &address, err))
+	if (!wl_str_split(element, '=', &store->name, &store->address) || !name_valid(store->name))
 		return setting_invalid(err, "store-peers", "must be NAME=IP:port,...");
+	if (!wl_endpoint_check(store->address, "--store-peers", err))
+		return false;
 	for (size_t i = 0; i < settings->store_count; i++)
 		if (wl_str_equal(settings->stores[i].name, store->name))
 			return setting_invalid(err, "store-peers", "names a replica twice");
@@ -86,7 +86,6 @@
 static bool seeds_check(wl_settings_t *settings, wl_err_t *err)
 {
 	wl_str_t rest = wl_buf_str(&settings->store_seeds);
-	wl_address_t address;
 	wl_str_t peer_ip;
 	wl_str_t peer_port;
 	wl_str_t element;
@@ -94,8 +93,10 @@
 
 	while (rest.len > 0) {
 		wl_str_split(rest, ',', &element, &rest);
-		if (!wl_address_parse(element, &address, err) || !name_valid(address_ip(element)))
-			return setting_invalid(err, "store-seeds", "must be IP:port,...");
+		if (!wl_endpoint_check(element, "--store-seeds", err))
+			return false;
+		if (!name_valid(address_ip(element)))
+			return setting_invalid(err, "store-seeds", "must be IP:port,... of IPv4");
 		if (!wl_strings_contain(&settings->seeds, address_ip(element)))
 			wl_strings_add(&settings->seeds, address_ip(element));
 	}
--- a/libwlbase/variable.c
+++ b/libwlbase/variable.c
@@ -39,6 +39,10 @@
 		if (!wl_str_split(line, '=', &name, &value) || name.len == 0)
 			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
 					  "settings file, line %u: must be NAME=value", number);
+		if (memchr(line.at, '\0', line.len))
+			return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+					  "settings file, line %u: must be text, not NUL bytes",
+					  number);
 		wl_strings_add(&variables->names, name);
 		wl_strings_add(&variables->values, value);
 	}
--- a/tests/fuzz/mutations.c
+++ b/tests/fuzz/mutations.c
@@ -301,9 +301,30 @@
 	       lengths[wl_rng_below(rng, sizeof(lengths) / sizeof(lengths[0]))], len);
 }
 
+/* Replaces the digits after a colon, which may be a port. */
+static void port_replace(wl_buf_t *input, wl_rng_t *rng)
+{
+	static const char *const ports[] = {"0", "70000", "99999", "65536", "-1", "", "8080x"};
+	size_t start = input->len ? wl_rng_below(rng, input->len) : 0;
+
+	for (size_t i = 0; i + 1 < input->len; i++) {
+		size_t at = (start + i) % (input->len - 1);
+		size_t end = at + 1;
+
+		while (end < input->len && input->at[end] >= '0' && input->at[end] <= '9')
+			end++;
+		if (input->at[at] != ':' || end == at + 1)
+			continue;
+		splice(input, at + 1, end - at - 1,
+		       wl_str_from(ports[wl_rng_below(rng, sizeof(ports) / sizeof(ports[0]))]));
+		return;
+	}
+}
+
 static const mutation_t hard_mutations[] = {value_replace,    value_replace, value_replace,
 					    value_replace,    value_remove,  value_duplicate,
-					    length_overwrite, byte_insert,   truncate_input};
+					    length_overwrite, byte_insert,   truncate_input,
+					    port_replace,     port_replace};
 
 /*
  * fuzz_mutate_hard - give the input a value that parsers find hard
