cli: bound the width of columns, and print a missing version as unknown

A column of a table was as wide as its longest cell in all rows: an answer with one long name and many short rows was printed with its size to the power of two (an entry of 1 MB beside 10,000 others: 10 GB by the code). Cells over 80 bytes are now printed whole, but widen no other row. The answer to a changed list without a version was printed by passing NULL to printf().

Class of fault: one odd entry makes work for all others.

--- a/cli/apply.c
+++ b/cli/apply.c
@@ -63,15 +63,16 @@
 static void print_accepted(const wl_cli_settings_t *settings, const config_list_t *list,
 			   const wl_fetched_t *fetched)
 {
+	const char *version;
 	json_t *json;
 
 	if (settings->json) {
 		wl_cli_print(settings, wl_buf_str(&fetched->body));
 		return;
 	}
-	json = json_loadb(fetched->body.at, fetched->body.len, 0, NULL);
-	printf("%s: version %s, revision %lld, %s\n", list->name,
-	       json_string_value(json_object_get(json, "version")),
+	json = json_loadb(fetched->body.at ? fetched->body.at : "", fetched->body.len, 0, NULL);
+	version = json_string_value(json_object_get(json, "version"));
+	printf("%s: version %s, revision %lld, %s\n", list->name, version ? version : "unknown",
 	       (long long)json_integer_value(json_object_get(json, "revision")),
 	       json_is_true(json_object_get(json, "in_force")) ? "in force" : "accepted");
 	json_decref(json);
--- a/cli/print.c
+++ b/cli/print.c
@@ -8,6 +8,8 @@
 #include <jansson.h>
 
 #define MAX_COLUMNS 16
+/* Longer cells are printed whole, yet widen no other row. */
+#define WIDTH_MAX 80
 
 static char *cell_text(const json_t *value)
 {
@@ -35,7 +37,7 @@
 		if (table->count == MAX_COLUMNS)
 			break;
 		table->names[table->count] = key;
-		table->widths[table->count++] = strlen(key);
+		table->widths[table->count++] = strlen(key) < WIDTH_MAX ? strlen(key) : WIDTH_MAX;
 	}
 	json_array_foreach(rows, r, row)
 	{
@@ -43,6 +45,8 @@
 			char *text = cell_text(json_object_get(row, table->names[c]));
 			size_t len = text ? strlen(text) : 0;
 
+			if (len > WIDTH_MAX)
+				len = WIDTH_MAX;
 			if (len > table->widths[c])
 				table->widths[c] = len;
 			free(text);
