record: errors of JSON name what was found

An error named the field and what was expected, not what stood there: "plans[0].weight: must be a whole number, not negative". It now ends in the value found, of lists and objects only that they are one, of strings the first 40 bytes: "plans[0].weight: must be a whole number from 0 on, not -1". A limit that is exceeded is printed with the number too.

Characters beyond ASCII are printed as '?', as one that is cut off would make the message no text.

--- a/libwlbase/record_json.c
+++ b/libwlbase/record_json.c
@@ -192,10 +192,45 @@
 static bool read_object(const wl_schema_t *schema, const json_t *json, const path_t *path,
 			void *record, wl_err_t *err);
 
-static bool value_error(const path_t *path, const char *want, wl_err_t *err)
+/* Describes a value for an error message; of lists and objects only what they are. */
+static path_text_t found_text(const json_t *json)
 {
-	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: must be %s", path_text(path).at,
-			  want);
+	path_text_t text = {"null"};
+
+	switch (json_typeof(json)) {
+	case JSON_OBJECT:
+		snprintf(text.at, sizeof(text.at), "an object");
+		break;
+	case JSON_ARRAY:
+		snprintf(text.at, sizeof(text.at), "a list");
+		break;
+	case JSON_STRING:
+		snprintf(text.at, sizeof(text.at), "\"%.40s\"", json_string_value(json));
+		/* a character that is cut off is no text any more */
+		for (char *at = text.at; *at; at++)
+			if ((unsigned char)*at >= 0x80)
+				*at = '?';
+		break;
+	case JSON_INTEGER:
+		snprintf(text.at, sizeof(text.at), "%lld", (long long)json_integer_value(json));
+		break;
+	case JSON_REAL:
+		snprintf(text.at, sizeof(text.at), "%.17g", json_real_value(json));
+		break;
+	case JSON_TRUE:
+	case JSON_FALSE:
+		snprintf(text.at, sizeof(text.at), "%s", json_is_true(json) ? "true" : "false");
+		break;
+	case JSON_NULL:
+		break;
+	}
+	return text;
+}
+
+static bool value_error(const path_t *path, const char *want, const json_t *json, wl_err_t *err)
+{
+	return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: must be %s, not %s",
+			  path_text(path).at, want, found_text(json).at);
 }
 
 static bool read_text(const wl_field_t *field, const json_t *json, const path_t *path, wl_buf_t *to,
@@ -204,13 +239,14 @@
 	wl_str_t text;
 
 	if (!json_is_string(json))
-		return value_error(path, "a string", err);
+		return value_error(path, "a string", json, err);
 	text = (wl_str_t){json_string_value(json), json_string_length(json)};
 	if (text.len > wl_field_max(field))
-		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: longer than %llu bytes",
-				  path_text(path).at, (unsigned long long)wl_field_max(field));
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+				  "%s: must be at most %llu bytes, not %zu", path_text(path).at,
+				  (unsigned long long)wl_field_max(field), text.len);
 	if (field->required && text.len == 0)
-		return value_error(path, "a non-empty string", err);
+		return value_error(path, "a non-empty string", json, err);
 	wl_buf_set(to, text);
 	return true;
 }
@@ -224,10 +260,11 @@
 	/* Accepts whole reals such as 250.0; the limit keeps the conversion to integer defined. */
 	if (!json_is_number(json) || real < 0 || real > MAX_EXACT_REAL || number < 0 ||
 	    (json_is_real(json) && (double)number != real))
-		return value_error(path, "a whole number, not negative", err);
+		return value_error(path, "a whole number from 0 on", json, err);
 	if ((uint64_t)number > wl_field_max(field))
-		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: more than %llu",
-				  path_text(path).at, (unsigned long long)wl_field_max(field));
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+				  "%s: must be at most %llu, not %lld", path_text(path).at,
+				  (unsigned long long)wl_field_max(field), (long long)number);
 	*to = (uint64_t)number;
 	return true;
 }
@@ -238,9 +275,9 @@
 	double number = json_number_value(json);
 
 	if (!json_is_number(json) || number < 0)
-		return value_error(path, "a number, not negative", err);
+		return value_error(path, "a number from 0 on", json, err);
 	if (number * MILLIS > (double)(field->max ? field->max : INT64_MAX / 2))
-		return value_error(path, "a smaller number", err);
+		return value_error(path, "a smaller number", json, err);
 	*to = (uint64_t)(number * MILLIS + 0.5);
 	return true;
 }
@@ -249,13 +286,13 @@
 {
 	*to = 0;
 	if (!json_is_array(json))
-		return value_error(path, "a list", err);
+		return value_error(path, "a list", json, err);
 	for (size_t i = 0; i < json_array_size(json); i++) {
 		const json_t *item = json_array_get(json, i);
 
 		if (!json_is_integer(item) || json_integer_value(item) < 0 ||
 		    json_integer_value(item) > 63)
-			return value_error(path, "a list of whole numbers from 0 to 63", err);
+			return value_error(path, "a list of whole numbers from 0 to 63", json, err);
 		*to |= UINT64_C(1) << json_integer_value(item);
 	}
 	return true;
@@ -274,8 +311,8 @@
 		}
 		wl_buf_printf(&known, "%s%s", i ? ", " : "", field->names[i]);
 	}
-	wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: must be one of %s", path_text(path).at,
-		   known.at);
+	wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: must be one of %s, not %s",
+		   path_text(path).at, known.at, found_text(json).at);
 	wl_buf_free(&known);
 	return false;
 }
@@ -299,7 +336,7 @@
 	wl_err_t found = {0};
 
 	if (schema->row ? !json_is_array(json) : !json_is_object(json))
-		value_error(path, schema->row ? "a list" : "an object", &found);
+		value_error(path, schema->row ? "a list" : "an object", json, &found);
 	for (size_t i = 0; i < schema->count; i++) {
 		const wl_field_t *field = &schema->fields[i];
 		wl_err_t of_member = {0};
@@ -321,10 +358,11 @@
 	const wl_schema_t *schema = wl_field_items(field);
 
 	if (!json_is_array(json))
-		return value_error(path, "a list", err);
+		return value_error(path, "a list", json, err);
 	if (json_array_size(json) > wl_field_max(field))
-		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN, "%s: more than %llu items",
-				  path_text(path).at, (unsigned long long)wl_field_max(field));
+		return wl_err_set(err, WL_E_BAD_INPUT, WL_NOT_RUN,
+				  "%s: must be at most %llu items, not %zu", path_text(path).at,
+				  (unsigned long long)wl_field_max(field), json_array_size(json));
 	for (size_t i = 0; i < json_array_size(json); i++) {
 		const json_t *item = json_array_get(json, i);
 		path_t at = {path, NULL, i};
@@ -351,7 +389,7 @@
 		return read_number(field, json, path, to, err);
 	case WL_FIELD_BOOL:
 		if (!json_is_boolean(json))
-			return value_error(path, "true or false", err);
+			return value_error(path, "true or false", json, err);
 		*(bool *)to = json_is_true(json);
 		return true;
 	case WL_FIELD_BYTES:
@@ -368,7 +406,7 @@
 	case WL_FIELD_BITS:
 		return read_bits(json, path, to, err);
 	}
-	return value_error(path, "of a known kind", err);
+	return value_error(path, "of a known kind", json, err);
 }
 
 static bool known_keys(const wl_schema_t *schema, const json_t *json, const path_t *path,
@@ -409,7 +447,7 @@
 		     void *record, wl_err_t *err)
 {
 	if (!json_is_array(json))
-		return value_error(path, "a list", err);
+		return value_error(path, "a list", json, err);
 	for (size_t i = 0; i < schema->count; i++)
 		if (!read_member(&schema->fields[i], member_find(schema, json, i), path, record,
 				 err))
@@ -423,7 +461,7 @@
 	if (schema->row)
 		return read_row(schema, json, path, record, err);
 	if (!json_is_object(json))
-		return value_error(path, "an object", err);
+		return value_error(path, "an object", json, err);
 	if (!schema->open && !known_keys(schema, json, path, err))
 		return false;
 	for (size_t i = 0; i < schema->count; i++)
--- a/tests/unit/record_test.cc
+++ b/tests/unit/record_test.cc
@@ -104,7 +104,7 @@
 	EXPECT_FALSE(wl_record_from_json(&wl_plans_schema,
 					 str("{\"plans\":[{\"name\":\"reclaim\",\"weight\":-1}]}"),
 					 &plans, &err));
-	EXPECT_STREQ(err.text, "plans[0].weight: must be a whole number, not negative");
+	EXPECT_STREQ(err.text, "plans[0].weight: must be a whole number from 0 on, not -1");
 	EXPECT_FALSE(wl_record_from_json(&wl_plans_schema, str("{\"plan\":[]}"), &plans, &err));
 	EXPECT_STREQ(err.text, "plan: unknown field");
 }
