--- a/libwlbase/record.h
+++ b/libwlbase/record.h
@@ -36,7 +36,7 @@
 	const char *const *names;	/* ENUM: NULL-terminated */
 	bool required;			/* must be present in JSON input */
 	uint64_t max;			/* largest number, bytes or items; 0: the default limit */
-	bool lenient;			/* LIST, in JSON: invalid members of items count as missing */
+	bool lenient; /* LIST, in JSON: invalid members of items count as missing */
 } wl_field_t;
 
 typedef struct wl_schema {
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -206,8 +206,7 @@
 	wl_job_t *job = wl_jobs_find(jobs, wl_buf_str(&row->job));
 	wl_runner_t *runner = wl_jobs_runner(jobs, wl_buf_str(&row->runner));
 
-	if (!job || !runner || row->task >= job->task_count ||
-	    wl_job_run(job, row->task, row->run))
+	if (!job || !runner || row->task >= job->task_count || wl_job_run(job, row->task, row->run))
 		return false;
 	run_insert(jobs, job, runner, row);
 	return true;
--- a/tests/fuzz/fuzz_settings.c
+++ b/tests/fuzz/fuzz_settings.c
@@ -19,8 +19,9 @@
 
 static char folder[64];
 static int settings_fd; /* in memory: a disk takes far longer than the test */
-static char *argv[] = {"wisterialeadd",	      "--peer-secret-file", SECRET, "--chart-dir",
-		       PROJECT_DIR "/charts", "--data-dir",	    "data", NULL};
+static char charts[] = PROJECT_DIR "/charts";
+static char *argv[] = {"wisterialeadd", "--peer-secret-file", SECRET, "--chart-dir",
+		       charts,		"--data-dir",	      "data", NULL};
 static const int argc = sizeof(argv) / sizeof(argv[0]) - 1;
 
 static void settings_write(const void *bytes, size_t size)
