sched: one task at a time beyond the CPU left to best-effort work

A stalled job was placed on a target whatever the CPU of other best-effort runs there, so that with a long backlog each job of it would get a task at once, and all of them would share what CPU is left.

A target takes one such task more than our accounting leaves room for, and no second one in the background beyond it. unit.sched_idle_job_test passes as before.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -131,7 +131,8 @@
 	const wl_step_spec_t *step = request->step;
 
 	return runner->usable && has_free(step, runner) &&
-	       (request->background || best_effort_fits(step, runner)) &&
+	       (best_effort_fits(step, runner) ||
+		(request->background && runner->background == 0)) &&
 	       wl_fit_eligible(request, runner);
 }
 
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -30,7 +30,7 @@
 	wl_str_t service;
 	wl_str_t rack;	    /* same_rack: rack of the step's first task; empty: none yet */
 	uint64_t waited_ms; /* how long the step has had pending tasks */
-	bool background;    /* best effort: neither its forecast nor others' CPU forbids a target */
+	bool background;    /* best effort: no forecast forbids a target */
 } wl_fit_request_t;
 
 /*
