sched: skip stalled tasks that need what another one has missed

A miss of a stalled task says that no target of its service has room, whatever the forecasts are. Other stalled tasks of that service that need at least as much are skipped.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -389,6 +389,7 @@
  */
 typedef struct miss {
 	wl_str_t service;
+	bool background; /* no target has room, whatever the forecast */
 	bool best_effort;
 	unsigned int image;
 	uint64_t cpu_millis;
@@ -460,26 +461,30 @@
 	return (now_ns - batch->ready_ns) / WL_NS_PER_MS;
 }
 
-/* Whether a task of the step and image misses too, if it is of the same service. */
-static bool misses_too(const miss_t *miss, const wl_step_spec_t *step, unsigned int image,
+/* Whether a task of the request and image misses too, if it is of the same service. */
+static bool misses_too(const miss_t *miss, const wl_fit_request_t *request, unsigned int image,
 		       uint64_t tail_limit)
 {
-	return step->best_effort == miss->best_effort &&
-	       (!step->best_effort || image == miss->image) &&
-	       step->cpu_millis >= miss->cpu_millis && step->memory_mib >= miss->memory_mib &&
+	const wl_step_spec_t *step = request->step;
+
+	if (step->cpu_millis < miss->cpu_millis || step->memory_mib < miss->memory_mib ||
+	    step->best_effort != miss->best_effort || request->background != miss->background)
+		return false;
+	if (request->background || !step->best_effort)
+		return true;
+	return image == miss->image &&
 	       (miss->least_tail == UINT64_MAX || tail_limit < miss->least_tail);
 }
 
 static bool is_unplaceable(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	wl_fit_request_t request = {.step = wl_job_step(batch->job, batch->step),
-				    .waited_ms = waited_ms(batch, pass->now_ns)};
+				    .waited_ms = waited_ms(batch, pass->now_ns),
+				    .background = wl_sched_batch_stalled(batch, pass->now_ns)};
 	uint64_t tail_limit = wl_fit_tail_limit(&request);
 
-	if (wl_sched_batch_stalled(batch, pass->now_ns))
-		return false;
 	for (size_t i = 0; i < pass->unplaceable_count; i++)
-		if (misses_too(&pass->unplaceable[i], request.step, batch->image, tail_limit) &&
+		if (misses_too(&pass->unplaceable[i], &request, batch->image, tail_limit) &&
 		    wl_str_equal(pass->unplaceable[i].service, service_of(sched, pass, batch)))
 			return true;
 	return false;
@@ -516,6 +521,7 @@
 static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
+	bool background = wl_sched_batch_stalled(batch, pass->now_ns);
 
 	suspects_due(sched, batch);
 	if (batch->suspect) {
@@ -523,15 +529,15 @@
 		return;
 	}
 	pass->late_misses += is_ended(pass, batch);
-	if (wl_sched_batch_stalled(batch, pass->now_ns)) {
+	if (background)
 		pass->stalled_misses++;
-		return;
-	}
-	pass->misses[step->best_effort]++;
+	else
+		pass->misses[step->best_effort]++;
 	if (is_constrained(step) || pass->unplaceable_count == MISSES_MAX)
 		return;
 	pass->unplaceable[pass->unplaceable_count++] = (miss_t){
 		.service = service_of(sched, pass, batch),
+		.background = background,
 		.best_effort = step->best_effort,
 		.image = batch->image,
 		.cpu_millis = step->cpu_millis,
