sched: background work stands still beside a tail over its bound

Cause: the speed of a run in the background follows the weight of its image, and a weight that is too high makes the headroom without it look larger than it is.

Beside a serving task whose newest tail is over its bound, work in the background now stands still and takes no part, whatever the weights say.

--- a/libwlcore/sched/tails.c
+++ b/libwlcore/sched/tails.c
@@ -331,6 +331,26 @@
 	}
 }
 
+static bool is_over_bound(const wl_sched_runner_t *runner)
+{
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->serving, serving_link)
+		if (run->tail_ms * WL_US_PER_MS > run->tail_target_us)
+			return true;
+	return false;
+}
+
+/* Work in the background stands still beside a tail over its bound, whatever its weight is. */
+static void background_pause(const wl_sched_runner_t *runner, throttle_tables_t *tables)
+{
+	if (!runner->fit.background || !is_over_bound(runner))
+		return;
+	for (size_t i = 0; i < tables->count; i++)
+		if (tables->rows[i].background)
+			tables->rows[i].percent = 0;
+}
+
 static void speeds_update(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
 			  wl_out_t *out)
 {
@@ -339,6 +359,7 @@
 	tables_init(&tables, runner);
 	wl_throttle_choose(&sched->interference, tables.serving, tables.serving_count, tables.rows,
 			   tables.count);
+	background_pause(runner, &tables);
 	for (size_t i = 0; i < tables.count; i++)
 		speed_update(sched, now_ns, tables.runs[i], tables.rows[i].percent, out);
 	free(tables.serving);
@@ -353,6 +374,8 @@
 	bool promoted = false;
 
 	runner->promotion_due = false;
+	if (is_over_bound(runner))
+		return false;
 	TAILQ_FOREACH (run, &runner->runs, link) {
 		if (!run->background || run->expired || run->phase != WL_RUN_CONFIRMED ||
 		    wl_sched_tail_forecast(sched, runner, run->image, run->need.cpu_millis) >
--- a/tests/unit/sched_idle_job_test.cc
+++ b/tests/unit/sched_idle_job_test.cc
@@ -68,8 +68,10 @@
 			rig.commit();
 			for (const auto &start : rig.take_orders(WL_ORDER_START))
 				begin(start);
-			for (const auto &order : rig.take_orders(WL_ORDER_THROTTLE))
+			for (const auto &order : rig.take_orders(WL_ORDER_THROTTLE)) {
+				speeds.push_back(order.percent);
 				rig.answer(order, WL_ORDER_DONE);
+			}
 			for (const auto &order : rig.take_orders(WL_ORDER_STOP))
 				stop(order);
 			for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
@@ -91,6 +93,14 @@
 		return found;
 	}
 
+	/* Sets the tail latency of the tasks that serve users, and forgets the speeds. */
+	void tails_set(uint64_t tail_ms)
+	{
+		for (auto &target : targets)
+			target.second.tail_ms = tail_ms;
+		speeds.clear();
+	}
+
 	uint64_t now_ms() const
 	{
 		return rig.now / MS;
@@ -99,6 +109,7 @@
 	SchedRig rig;
 	bool changing = false; /* capacities change ten times a second, so that passes are due */
 	size_t refusals = 0;   /* best-effort starts to refuse */
+	std::vector<uint64_t> speeds; /* ordered, percent */
 
       private:
 	struct Target {
@@ -302,3 +313,23 @@
 	crowd.simulate(STALLED_MAX_MS);
 	EXPECT_FALSE(crowd.starts_of("j").empty());
 }
+
+/* What is known of the weight of its image may be wrong for several samples. */
+TEST(SchedIdleJob, BackgroundStandsStillBesideATailOverItsBound)
+{
+	Crowd crowd({CROWDED_TAIL_MS});
+
+	crowd.best_effort("j", 1, 6400);
+	crowd.rig.submit();
+	crowd.simulate(STALLED_MAX_MS);
+	ASSERT_EQ(crowd.starts_of("j").size(), 1u);
+	crowd.tails_set(RELAXED_TAIL_MS);
+	crowd.simulate(2000);
+	ASSERT_FALSE(crowd.speeds.empty());
+	ASSERT_EQ(crowd.speeds.back(), 100u);
+	crowd.tails_set(BOUND_MS * 5 / 4);
+	crowd.simulate(1500);
+	ASSERT_FALSE(crowd.speeds.empty());
+	for (uint64_t percent : crowd.speeds)
+		EXPECT_EQ(percent, 0u);
+}
