--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -56,6 +56,7 @@
 	bool serving;	    /* lasting, with a bound on its tail latency (tail_target_us) */
 	uint64_t waited_ns; /* from queueing to placement */
 	uint64_t placed_ns;
+	uint64_t job_at_work_ns; /* wl_sched_job.at_work_ns before it was placed */
 	uint64_t started_ms; /* when its start was committed, on the group's clock; 0: unknown */
 	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
 	uint64_t start_over_ns;	  /* without an answer its start may be carried out until then */
@@ -239,6 +240,7 @@
 	uint64_t rank; /* place in the queue: lowest first */
 	uint64_t ready_ns;
 	uint64_t queued_ns; /* since when the batch has been in the queue without a break */
+	uint64_t placed_ns; /* when a task of it was last placed; 0: never */
 	uint64_t tried_ns;  /* when a pass last looked for targets for it */
 	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
 	bool queued;	    /* in wl_sched.pending */
@@ -256,6 +258,7 @@
 	uint64_t next_occurrence; /* first occurrence that is not due yet */
 	TAILQ_ENTRY(wl_sched_job) timed;
 	wl_job_t *job;
+	size_t queued;		   /* batches in wl_sched.pending */
 	uint64_t at_work_ns;	   /* until when a run of it was at work, or when it could begin */
 	uint64_t stalled_count_ns; /* when it was last counted as stalled */
 	struct wl_task_batch_list suspects;
@@ -373,6 +376,7 @@
 	uint64_t next_pass_ns; /* no placement pass before */
 	uint64_t pass_count;
 	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
+	uint64_t waiting_due_ns;  /* when a task that waits may be placed more freely; 0: never */
 	bool full_pass_due;	  /* best-effort work was left out since the last full pass */
 	uint64_t next_full_pass_ns;
 	uint64_t sorted_ns;	   /* when the queue was last sorted */
@@ -436,8 +440,11 @@
 
 /* stalled.c */
 void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
+void wl_sched_job_placed(const wl_job_t *job, wl_sched_run_t *run);
+void wl_sched_job_not_started(const wl_job_t *job, const wl_sched_run_t *run);
 uint64_t wl_sched_job_idle_ms(const wl_job_t *job, uint64_t now_ns);
 bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns);
+uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns);
 void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* runs.c */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -5,7 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MISSES_MAX 64 /* a pass ends after so many batches that fit on no target */
+/*
+ * After so many batches that fit on no target, a pass looks only at those that no pass has looked
+ * at for UNTRIED_MAX_MS, and at as many of these. Stalled batches are counted apart.
+ */
+#define MISSES_MAX	 64
+#define UNTRIED_MAX_MS	 1000
+#define UNTRIED_RETRY_MS 250 /* pause between two passes for such batches alone */
 /* Between two passes: tasks that arrive together are committed together. */
 #define PASS_INTERVAL_MIN_US 2000
 /*
@@ -83,6 +89,11 @@
 	size_t count;
 	/* largest free amounts when first used in the pass; -1: no usable target */
 	wl_fit_free_t free_max;
+	/*
+	 * No target with room has a lower forecast tail latency among those that it rules out;
+	 * permille of the bound, UINT64_MAX: it rules out none
+	 */
+	uint64_t least_tail;
 } candidates_t;
 
 static void candidates_init(wl_sched_t *sched, candidates_t *candidates)
@@ -94,14 +105,23 @@
 	candidates->free_max = wl_sched_rows_free_max(sched);
 }
 
+static void tail_note(candidates_t *candidates, uint64_t tail_permille)
+{
+	if (tail_permille < candidates->least_tail)
+		candidates->least_tail = tail_permille;
+}
+
 static bool candidate_evaluate(wl_sched_t *sched, wl_sched_runner_t *runner,
 			       const wl_task_batch_t *batch, const wl_fit_request_t *request,
-			       candidate_t *candidate)
+			       candidates_t *candidates, candidate_t *candidate)
 {
 	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
 		return false;
-	if (!wl_sched_runner_fits(sched, runner, batch, request))
+	if (!wl_sched_runner_fits(sched, runner, batch, request)) {
+		if (wl_fit_has_capacity(request, &runner->fit))
+			tail_note(candidates, runner->fit.tail_permille);
 		return false;
+	}
 	runner->fit.other_image_millis =
 		request->step->lasting ? other_image_millis(runner, batch->image) : 0;
 	*candidate = (candidate_t){
@@ -129,16 +149,22 @@
  * headroom there is refreshed as if the target itself were checked.
  */
 static bool row_may_fit(const wl_sched_t *sched, wl_sched_row_t *row, const wl_task_batch_t *batch,
-			const wl_step_spec_t *step, uint64_t tail_limit)
+			const wl_fit_request_t *request, uint64_t tail_limit,
+			candidates_t *candidates)
 {
 	if (row->free_outdated)
 		wl_sched_row_free_update(row);
-	if (step->best_effort && row->tail_outdated) {
+	if (request->step->best_effort && row->tail_outdated) {
 		if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(row->runner, batch))
 			return false;
 		wl_sched_row_tail_update(sched, row);
 	}
-	return wl_fit_free_suffices(&row->free, step) && row->tail_floor <= tail_limit;
+	if (!wl_fit_free_suffices(&row->free, request))
+		return false;
+	if (row->tail_floor <= tail_limit)
+		return true;
+	tail_note(candidates, row->tail_floor);
+	return false;
 }
 
 static void candidates_collect(wl_sched_t *sched, const wl_task_batch_t *batch,
@@ -148,16 +174,17 @@
 
 	candidates_init(sched, candidates);
 	candidates->count = 0;
-	if (!wl_fit_free_suffices(&candidates->free_max, request->step)) {
+	candidates->least_tail = UINT64_MAX;
+	if (!wl_fit_free_suffices(&candidates->free_max, request)) {
 		interference_refresh(sched, request->step);
 		return;
 	}
 	for (size_t i = 0; i < sched->row_count; i++) {
 		wl_sched_row_t *row = &sched->rows[i];
 
-		if (row_may_fit(sched, row, batch, request->step, tail_limit))
+		if (row_may_fit(sched, row, batch, request, tail_limit, candidates))
 			candidates->count +=
-				candidate_evaluate(sched, row->runner, batch, request,
+				candidate_evaluate(sched, row->runner, batch, request, candidates,
 						   &candidates->items[candidates->count]);
 	}
 }
@@ -183,7 +210,7 @@
 {
 	candidate_t *end = candidates->items + candidates->count;
 
-	if (candidate_evaluate(sched, candidate->runner, batch, request, candidate))
+	if (candidate_evaluate(sched, candidate->runner, batch, request, candidates, candidate))
 		return;
 	memmove(candidate, candidate + 1, (size_t)(end - candidate - 1) * sizeof(*candidate));
 	candidates->count--;
@@ -223,6 +250,7 @@
 
 	run->phase = WL_RUN_PROPOSED;
 	run->placed_ns = now_ns;
+	batch->placed_ns = now_ns;
 	run->waited_ns = now_ns - batch->queued_ns;
 	run->previous_end_ns = pending->ended_ns;
 	run->background = background;
@@ -232,7 +260,7 @@
 	if (batch->rack.len == 0)
 		wl_buf_set(&batch->rack, wl_buf_str(&runner->state->report.rack));
 	start_add(sched, run);
-	wl_sched_job_at_work(batch->job, now_ns);
+	wl_sched_job_placed(batch->job, run);
 }
 
 /* Places all members of a gang, or none: a partial reservation is released. */
@@ -241,6 +269,7 @@
 {
 	size_t members = wl_job_step(batch->job, batch->step)->count;
 	size_t first_row = sched->starts.runs.count;
+	uint64_t placed_ns = batch->placed_ns;
 	wl_run_start_t *rows;
 	candidate_t *best;
 	uint64_t number;
@@ -260,12 +289,16 @@
 		return true;
 	rows = sched->starts.runs.items;
 	for (size_t i = sched->starts.runs.count; i-- > first_row;) {
-		wl_sched_run_remove(sched, wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
-							     rows[i].task, rows[i].run));
+		wl_sched_run_t *run = wl_sched_run_find(sched, wl_buf_str(&rows[i].job),
+							rows[i].task, rows[i].run);
+
+		wl_sched_job_not_started(batch->job, run);
+		wl_sched_run_remove(sched, run);
 		batch->count++; /* its entry is still in batch->tasks */
 		wl_record_free(&wl_run_start_schema, &rows[i]);
 	}
 	sched->starts.runs.count = first_row;
+	batch->placed_ns = placed_ns;
 	wl_buf_clear(&batch->rack);
 	return false;
 }
@@ -350,30 +383,48 @@
 }
 
 /*
- * Need of the task with the least CPU among those that fitted on no target in this pass. Tasks
- * that need at least as much CPU and memory are skipped.
+ * A task that fitted on no target in this pass. Tasks of its service, and of its image if they are
+ * best-effort, that need at least as much are skipped, as long as the forecast tail latency that
+ * they may have is below that of every target with room.
  */
-typedef struct unplaceable_need {
-	bool any;
+typedef struct miss {
+	wl_str_t service;
+	bool background; /* no target has room, whatever the forecast */
+	bool best_effort;
+	unsigned int image;
 	uint64_t cpu_millis;
 	uint64_t memory_mib;
-} unplaceable_need_t;
+	uint64_t least_tail; /* permille of the bound; UINT64_MAX: no target has room */
+} miss_t;
 
 typedef struct pass {
 	uint64_t now_ns;
-	unplaceable_need_t plain;
-	unplaceable_need_t best_effort[WL_IMAGES_MAX]; /* by image: their interference differs */
-	bool full;				       /* considers best-effort work too */
+	bool full; /* considers best-effort work too */
 	size_t stalled_misses;
-	size_t misses[2]; /* by best_effort */
+	size_t misses[2];   /* by best_effort */
+	size_t late_misses; /* those that are looked at after MISSES_MAX; part of the others */
 	size_t suspect_misses;
+	miss_t unplaceable[MISSES_MAX];
+	size_t unplaceable_count;
+	wl_str_t queue; /* whose service was looked up last; empty: none yet */
+	wl_str_t service;
 	candidates_t candidates;
 } pass_t;
 
-static unplaceable_need_t *unplaceable_need_of(pass_t *pass, const wl_task_batch_t *batch)
+/* The service of a batch; those of one queue mostly follow each other. */
+static wl_str_t service_of(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
-	return wl_job_step(batch->job, batch->step)->best_effort ? &pass->best_effort[batch->image]
-								 : &pass->plain;
+	wl_str_t name = wl_buf_str(&batch->job->record.queue);
+	const wl_queue_t *queue;
+
+	if (name.len && wl_str_equal(name, pass->queue))
+		return pass->service;
+	queue = wl_catalog_queue(&sched->jobs->catalog, name);
+	if (!queue)
+		return wl_buf_str(&batch->job->record.service);
+	pass->queue = name;
+	pass->service = wl_buf_str(&queue->service);
+	return pass->service;
 }
 
 /* Misses of constrained steps say nothing about other steps. */
@@ -382,30 +433,61 @@
 	return step->label.len || step->max_per_target || step->gang || step->accelerators;
 }
 
-/* Whether so many batches fitted on no target that only stalled ones are looked at. */
-static bool is_ended(const pass_t *pass)
+/* Whether so many batches fitted on no target that only those that have waited are looked at. */
+static bool is_ended(const pass_t *pass, const wl_task_batch_t *batch)
 {
-	return pass->misses[false] + pass->misses[true] >= MISSES_MAX;
+	return (wl_sched_batch_stalled(batch, pass->now_ns)
+			? pass->stalled_misses
+			: pass->misses[false] + pass->misses[true]) >= MISSES_MAX;
+}
+
+static uint64_t untried_due_ns(const wl_task_batch_t *batch)
+{
+	return batch->tried_ns + UNTRIED_MAX_MS * WL_NS_PER_MS;
 }
 
 static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
 {
 	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
 		return false;
-	if (is_ended(pass) && !wl_sched_batch_stalled(batch, pass->now_ns))
+	if (is_ended(pass, batch) &&
+	    (pass->late_misses >= MISSES_MAX || pass->now_ns < untried_due_ns(batch)))
 		return false;
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
 
-static bool is_unplaceable(pass_t *pass, const wl_task_batch_t *batch)
+static uint64_t waited_ms(const wl_task_batch_t *batch, uint64_t now_ns)
 {
-	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
-	const unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
+	return (now_ns - batch->ready_ns) / WL_NS_PER_MS;
+}
+
+/* Whether a task of the request and image misses too, if it is of the same service. */
+static bool misses_too(const miss_t *miss, const wl_fit_request_t *request, unsigned int image,
+		       uint64_t tail_limit)
+{
+	const wl_step_spec_t *step = request->step;
 
-	if (wl_sched_batch_stalled(batch, pass->now_ns))
+	if (step->cpu_millis < miss->cpu_millis || step->memory_mib < miss->memory_mib ||
+	    step->best_effort != miss->best_effort || request->background != miss->background)
 		return false;
-	return unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis &&
-	       step->memory_mib >= unplaceable_need->memory_mib;
+	if (request->background || !step->best_effort)
+		return true;
+	return image == miss->image &&
+	       (miss->least_tail == UINT64_MAX || tail_limit < miss->least_tail);
+}
+
+static bool is_unplaceable(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+{
+	wl_fit_request_t request = {.step = wl_job_step(batch->job, batch->step),
+				    .waited_ms = waited_ms(batch, pass->now_ns),
+				    .background = wl_sched_batch_stalled(batch, pass->now_ns)};
+	uint64_t tail_limit = wl_fit_tail_limit(&request);
+
+	for (size_t i = 0; i < pass->unplaceable_count; i++)
+		if (misses_too(&pass->unplaceable[i], &request, batch->image, tail_limit) &&
+		    wl_str_equal(pass->unplaceable[i].service, service_of(sched, pass, batch)))
+			return true;
+	return false;
 }
 
 static void suspects_due(wl_sched_t *sched, const wl_task_batch_t *batch)
@@ -416,25 +498,52 @@
 		sched->suspects_due_ns = due_ns;
 }
 
+static void due_at(wl_sched_t *sched, uint64_t due_ns)
+{
+	if (sched->waiting_due_ns == 0 || due_ns < sched->waiting_due_ns)
+		sched->waiting_due_ns = due_ns;
+}
+
+/* Notes when a batch that still has tasks is to be looked at again, whatever happens until then. */
+static void waiting_due(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+{
+	uint64_t stalled_ns = wl_sched_stalled_due_ns(batch, pass->now_ns);
+	uint64_t retry_ns = pass->now_ns + UNTRIED_RETRY_MS * WL_NS_PER_MS;
+
+	if (batch->count == 0)
+		return;
+	if (stalled_ns)
+		due_at(sched, stalled_ns);
+	if (is_ended(pass, batch) && !is_unplaceable(sched, pass, batch))
+		due_at(sched, untried_due_ns(batch) > retry_ns ? untried_due_ns(batch) : retry_ns);
+}
+
 static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
-	unplaceable_need_t *unplaceable_need = unplaceable_need_of(pass, batch);
+	bool background = wl_sched_batch_stalled(batch, pass->now_ns);
 
 	suspects_due(sched, batch);
 	if (batch->suspect) {
 		pass->suspect_misses++;
 		return;
 	}
-	if (wl_sched_batch_stalled(batch, pass->now_ns)) {
+	pass->late_misses += is_ended(pass, batch);
+	if (background)
 		pass->stalled_misses++;
+	else
+		pass->misses[step->best_effort]++;
+	if (is_constrained(step) || pass->unplaceable_count == MISSES_MAX)
 		return;
-	}
-	pass->misses[step->best_effort]++;
-	if (is_constrained(step) ||
-	    (unplaceable_need->any && step->cpu_millis >= unplaceable_need->cpu_millis))
-		return;
-	*unplaceable_need = (unplaceable_need_t){true, step->cpu_millis, step->memory_mib};
+	pass->unplaceable[pass->unplaceable_count++] = (miss_t){
+		.service = service_of(sched, pass, batch),
+		.background = background,
+		.best_effort = step->best_effort,
+		.image = batch->image,
+		.cpu_millis = step->cpu_millis,
+		.memory_mib = step->memory_mib,
+		.least_tail = pass->candidates.least_tail,
+	};
 }
 
 /* Time from which misses like those of this pass may be repeated. */
@@ -455,6 +564,9 @@
 {
 	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
 		return true;
+	if (sched->waiting_due_ns && now_ns >= sched->waiting_due_ns &&
+	    now_ns >= sched->next_pass_ns && now_ns >= sched->next_full_pass_ns)
+		return true;
 	return (sched->place_due && now_ns >= sched->next_pass_ns) ||
 	       (sched->full_pass_due && now_ns >= sched->next_full_pass_ns);
 }
@@ -471,17 +583,19 @@
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
 	sched->suspects_due_ns = 0;
+	sched->waiting_due_ns = 0;
 	sched->pass_count++;
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
 	wl_sched_background_promote(sched, now_ns, out);
 	batch = TAILQ_FIRST(&sched->pending);
-	while (batch && pass.stalled_misses < MISSES_MAX) {
+	while (batch) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
-		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
+		if (is_considered(&pass, batch) && !is_unplaceable(sched, &pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
 			miss_record(sched, &pass, batch);
+		waiting_due(sched, &pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -24,6 +24,28 @@
 		sched_job->at_work_ns = now_ns;
 }
 
+/*
+ * wl_sched_job_placed - note that a run of a job was placed
+ */
+void wl_sched_job_placed(const wl_job_t *job, wl_sched_run_t *run)
+{
+	const wl_sched_job_t *sched_job = job->leader_data;
+
+	run->job_at_work_ns = sched_job->at_work_ns;
+	wl_sched_job_at_work(job, run->placed_ns);
+}
+
+/*
+ * wl_sched_job_not_started - undo wl_sched_job_placed() for a run that has never begun
+ */
+void wl_sched_job_not_started(const wl_job_t *job, const wl_sched_run_t *run)
+{
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	if (sched_job && sched_job->at_work_ns == run->placed_ns)
+		sched_job->at_work_ns = run->job_at_work_ns;
+}
+
 /*
  * wl_sched_job_idle_ms - how long nothing of a job has been at work
  */
@@ -36,13 +58,43 @@
 	return (now_ns - sched_job->at_work_ns) / WL_NS_PER_MS;
 }
 
+/*
+ * Since when nothing has been at work of the job of a batch, or of the batch itself if its tasks
+ * last: each of these has to be at work, whatever else of its job is. UINT64_MAX: something is.
+ */
+static uint64_t idle_since_ns(const wl_task_batch_t *batch)
+{
+	const wl_sched_job_t *sched_job = batch->job->leader_data;
+
+	if (wl_job_step(batch->job, batch->step)->lasting)
+		return batch->placed_ns > batch->queued_ns ? batch->placed_ns : batch->queued_ns;
+	return batch->job->active > 0 ? UINT64_MAX : sched_job->at_work_ns;
+}
+
 /*
  * wl_sched_batch_stalled - whether the next task of a batch is placed whatever the forecast is
  */
 bool wl_sched_batch_stalled(const wl_task_batch_t *batch, uint64_t now_ns)
 {
-	return wl_job_step(batch->job, batch->step)->best_effort &&
-	       wl_sched_job_idle_ms(batch->job, now_ns) >= STALLED_MS;
+	uint64_t since_ns = idle_since_ns(batch);
+
+	return wl_job_step(batch->job, batch->step)->best_effort && now_ns > since_ns &&
+	       now_ns - since_ns >= STALLED_MS * WL_NS_PER_MS;
+}
+
+/*
+ * wl_sched_stalled_due_ns - when the next task of a batch is placed whatever the forecast is
+ *
+ * Return: 0 if it is placed so already, or if that is not due to come.
+ */
+uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	uint64_t since_ns = idle_since_ns(batch);
+
+	if (!wl_job_step(batch->job, batch->step)->best_effort || since_ns == UINT64_MAX ||
+	    wl_sched_batch_stalled(batch, now_ns))
+		return 0;
+	return since_ns + STALLED_MS * WL_NS_PER_MS;
 }
 
 static void room_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_task_batch_t *batch,
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -51,6 +51,8 @@
 	size_t take_results();
 	wl_step_spec_t *job(const std::string &queue, const std::string &id,
 			    const std::vector<uint64_t> &counts, const std::string &payload = "");
+	/* Makes the prepared job repeat, from now on. */
+	void repeat(uint64_t times, uint64_t every_ms);
 	void submit();
 	void cancel(const std::string &queue, const std::string &id);
 	void run_command(wl_cmd_t *cmd);
@@ -94,6 +96,7 @@
 	uint64_t clock_offset_ms = 5000;     /* how far every target's clock is ahead of ours */
 	std::string address = "10.0.0.1:80"; /* of the targets that report next */
 	uint64_t memory_mib = 1000000;	     /* of these targets */
+	std::string service = "sort";	     /* of these targets, and of queues configured next */
 	bool hold_commits = false;	     /* commands stay pending until commit() */
 	std::string zone;		     /* of these targets */
 	uint64_t objective_ms = 0;	     /* for the queues that are configured next */
