sched: job-stalled tells where forecasts permit a task

Operators would read that every target with room is allowed: since stalled jobs are placed whatever the forecast is, the description of their request says so, and the event used it. The event asks for an ordinary start again, as docs/OPERATIONS.md says.

--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -120,6 +120,7 @@
 	room_t room = {.least_tail = UINT64_MAX};
 	wl_sched_runner_t *runner;
 
+	request.background = false;
 	TAILQ_FOREACH (runner, &sched->runners, link)
 		room_add(sched, runner, batch, &request, &room);
 	wl_out_log(out, WL_WARN, "job-stalled",
