sched, http client: one waiting time of a batch; comments that say what is meant

The waiting time of a batch was computed in two places of place.c. Two constants of stalled.c were both described by the word stalled, with different times, and its head named half of what it does. The limit of connections counts those in use too.

No behaviour changes.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -346,6 +346,11 @@
 	return true;
 }
 
+static uint64_t waited_ms(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	return (now_ns - batch->ready_ns) / WL_NS_PER_MS;
+}
+
 /*
  * wl_sched_fit_request - describe a task of a batch to the placement policies
  */
@@ -357,7 +362,7 @@
 
 	return (wl_fit_request_t){
 		.step = wl_job_step(batch->job, batch->step),
-		.waited_ms = (now_ns - batch->ready_ns) / WL_NS_PER_MS,
+		.waited_ms = waited_ms(batch, now_ns),
 		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
 		.background = wl_sched_batch_stalled(batch, now_ns),
 	};
@@ -456,11 +461,6 @@
 	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
 }
 
-static uint64_t waited_ms(const wl_task_batch_t *batch, uint64_t now_ns)
-{
-	return (now_ns - batch->ready_ns) / WL_NS_PER_MS;
-}
-
 /* Whether a task of the request and image misses too, if it is of the same service. */
 static bool misses_too(const miss_t *miss, const wl_fit_request_t *request, unsigned int image,
 		       uint64_t tail_limit)
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -1,9 +1,12 @@
-/* Jobs with pending tasks and nothing at work: since when, and why nothing is placed. */
+/*
+ * Jobs with pending tasks and nothing at work: since when, when a task of them is placed in the
+ * background, and why nothing is placed.
+ */
 
 #include "internal.h"
 
-#define STALLED_MS	   2000 /* after this time a task of the job is placed where room is */
-#define STALLED_REPORT_MS  3000 /* a job counts as stalled after this time */
+#define STALLED_MS	   2000 /* without work: a task of the job is placed in the background */
+#define STALLED_REPORT_MS  3000 /* without work: the job is counted and logged */
 #define REPORT_INTERVAL_MS 1000
 
 /* Where a task of a stalled job could run. */
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -28,8 +28,8 @@
 #define RETRY_MS	  5    /* retry interval while the event ring is full */
 #define CALL_CONNECT_MS	  3000 /* longest wait of wl_http_call() for a connection */
 /*
- * Idle connections kept over all hosts: two or three for each of 500 targets, and well under the
- * descriptor limit of a process.
+ * Connections kept over all hosts, those in use included: two or three for each of 500 targets,
+ * and well under the descriptor limit of a process.
  */
 #define MAX_CONNECTIONS_KEPT 1536
 
