review: case 3, a life that is born before the one it follows is ignored

Lives of a minion are put in order by born, the time of day of their start. A minion that goes down and up while its machine's clock jumps back is taken for an earlier life of itself: its heartbeats are acknowledged and ignored, and a job that only it can run waits for over a minute in calm (LOST). Found by reading wl_runner_report_is_newer() and renewal_send_due().

--- a/review/stand/stand.cc
+++ b/review/stand/stand.cc
@@ -35,6 +35,7 @@
 constexpr uint64_t GAP_MS = 50;
 constexpr int POLL_MS = 20;
 constexpr size_t ENDS_LISTED = 500;
+constexpr uint64_t SAVE_MS = 1000;
 
 /* A JSON object that is released at the end of the block. */
 class Json
@@ -191,18 +192,18 @@
 	return all;
 }
 
-uint64_t work_of(const std::string &spec)
+/* A number of a spec such as "ms=500 cpu=1000". */
+uint64_t spec_number(const std::string &spec, const std::string &name, uint64_t missing)
 {
-	size_t at = spec.find("ms=");
+	size_t at = spec.find(name + "=");
 
-	return at == std::string::npos ? UINT64_MAX : std::stoull(spec.substr(at + 3));
+	return at == std::string::npos ? missing : std::stoull(spec.substr(at + name.size() + 1));
 }
 
-uint64_t cpu_of(const std::string &spec)
+/* The tasks of a gang's run have this in common. */
+std::string gang_of(const Run &run)
 {
-	size_t at = spec.find("cpu=");
-
-	return at == std::string::npos ? 0 : std::stoull(spec.substr(at + 4));
+	return run.task.substr(0, run.task.rfind('.')) + "/" + std::to_string(run.number);
 }
 } // namespace
 
@@ -350,6 +351,35 @@
 	}));
 }
 
+void Log::member_came(const std::string &gang, const std::string &task)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	gangs[gang].present.insert(task);
+}
+
+void Log::member_gone(const std::string &gang, bool done)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	if (done)
+		gangs[gang].done = true;
+	else if (!gangs[gang].done)
+		gangs[gang].broken = true;
+}
+
+int Log::gang_state(const std::string &gang, uint64_t members)
+{
+	std::lock_guard<std::mutex> guard(lock);
+	const Gang &state = gangs[gang];
+
+	if (state.done)
+		return 3;
+	if (state.broken)
+		return 2;
+	return state.present.size() >= members ? 1 : 0;
+}
+
 Minion::Minion(MinionOptions wanted, const Setup &setup_, Log &log_)
     : options(std::move(wanted)), setup(setup_), log(log_)
 {
@@ -384,7 +414,7 @@
 	deadline = 0;
 	next_end = 1;
 	sequence = 0;
-	born = unix_ms();
+	born = unix_ms() + ahead;
 	life_start_ms = now_ms();
 	life++;
 	listen_start();
@@ -404,6 +434,9 @@
 	up = false;
 	if (!stopping)
 		record("minion %s crashes with %zu runs", options.id.c_str(), running.size());
+	for (const auto &run : running)
+		if (run.second.gang)
+			log.member_gone(gang_of(run.second), false);
 	running.clear();
 	shutdown(listen_fd, SHUT_RDWR);
 	for (int fd : connections)
@@ -419,6 +452,15 @@
 	options.cpu = cpu;
 }
 
+void Minion::clock_step(uint64_t ahead_ms)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	ahead = ahead_ms;
+	record("machine of minion %s: time of day is %llu ms ahead", options.id.c_str(),
+	       static_cast<unsigned long long>(ahead_ms));
+}
+
 void Minion::cut(bool on)
 {
 	std::lock_guard<std::mutex> guard(lock);
@@ -555,7 +597,9 @@
 {
 	const Run &run = running[task];
 
-	ends.push_back({next_end++, task, run.number, how});
+	ends.push_back({next_end++, task, run.number, how, run.saved});
+	if (run.gang)
+		log.member_gone(gang_of(run), how == "done");
 	closed[task] = std::max(closed[task], run.number);
 	record("minion %s ends %s run %llu: %s", options.id.c_str(), task.c_str(),
 	       static_cast<unsigned long long>(run.number), how.c_str());
@@ -569,7 +613,17 @@
 	std::string task = json.text("task");
 	uint64_t number = json.number("run_id");
 	std::string spec = json.text("spec");
-	Run run = {task, number, now_ms(), work_of(spec), cpu_of(spec)};
+	Run run;
+
+	run.task = task;
+	run.number = number;
+	run.began_ms = now_ms();
+	run.work_ms = spec_number(spec, "ms", UINT64_MAX);
+	run.cpu = spec_number(spec, "cpu", 0);
+	run.gang = spec_number(spec, "gang", 0);
+	run.work_from = run.gang ? 0 : run.began_ms;
+	run.saves = spec_number(spec, "save", 0) > 0;
+	run.saved = json.text("checkpoint");
 
 	if (json.number("deadline_ms") <= clock_ms())
 		return plain(409, "late");
@@ -581,9 +635,13 @@
 	if (options.guards && used() + run.cpu > options.cpu)
 		return plain(409, "room");
 	running[task] = run;
-	log.started({now_ms(), options.id, task, number, options.kind, used(), options.cpu});
-	record("minion %s starts %s run %llu: kind %s, cpu %llu of %llu in use", options.id.c_str(),
-	       task.c_str(), static_cast<unsigned long long>(number), options.kind.c_str(),
+	if (run.gang)
+		log.member_came(gang_of(run), task);
+	log.started(
+		{now_ms(), options.id, task, number, options.kind, used(), options.cpu, run.saved});
+	record("minion %s starts %s run %llu%s%s: kind %s, cpu %llu of %llu in use",
+	       options.id.c_str(), task.c_str(), static_cast<unsigned long long>(number),
+	       run.saved.empty() ? "" : " from ", run.saved.c_str(), options.kind.c_str(),
 	       static_cast<unsigned long long>(used()),
 	       static_cast<unsigned long long>(options.cpu));
 	return plain(200, "");
@@ -610,12 +668,12 @@
 
 	for (const auto &run : running)
 		rows += (rows.empty() ? "[\"" : ",[\"") + run.first + "\"," +
-			std::to_string(run.second.number) + ",\"\",100,0]";
+			std::to_string(run.second.number) + ",\"" + run.second.saved + "\",100,0]";
 	for (const auto &end : ends)
 		if (end.number > seen && count++ < ENDS_LISTED)
 			listed += (listed.empty() ? "[" : ",[") + std::to_string(end.number) +
 				  ",\"" + end.task + "\"," + std::to_string(end.run) + ",\"" +
-				  end.how + "\",\"\"]";
+				  end.how + "\",\"" + end.saved + "\"]";
 	return "{\"clock_ms\":" + std::to_string(clock_ms()) + ",\"born\":" + std::to_string(born) +
 	       ",\"running\":[" + rows + "],\"completions\":[" + listed + "]}";
 }
@@ -664,22 +722,42 @@
 	return plain(404, "");
 }
 
+std::string Minion::run_step(Run &run)
+{
+	uint64_t now = now_ms();
+	int gang = run.gang ? log.gang_state(gang_of(run), run.gang) : 1;
+
+	if (gang == 3)
+		return "done";
+	if (gang == 2)
+		return "broken";
+	if (gang == 0)
+		return now - run.began_ms > options.gang_wait_ms ? "alone" : "";
+	if (run.work_from == 0)
+		run.work_from = now;
+	if (run.saves && now - run.work_from >= SAVE_MS)
+		run.saved = run.task + "-" + std::to_string(run.number) + "-" +
+			    std::to_string((now - run.work_from) / SAVE_MS);
+	return run.work_ms != UINT64_MAX && now - run.work_from >= run.work_ms ? "done" : "";
+}
+
 void Minion::work_loop()
 {
 	std::unique_lock<std::mutex> guard(lock);
 
 	while (!stopping) {
-		std::vector<std::string> done;
-		uint64_t now = now_ms();
+		std::vector<std::pair<std::string, std::string>> over;
 		bool lapsed = up && !running.empty() && clock_ms() > deadline;
 
-		for (const auto &run : running)
-			if (lapsed || (run.second.work_ms != UINT64_MAX &&
-				       now - run.second.began_ms >= run.second.work_ms))
-				done.push_back(run.first);
-		for (const auto &task : done)
-			end_run(task, lapsed ? "lapsed" : "done");
-		if (!done.empty())
+		for (auto &run : running) {
+			std::string how = lapsed ? "lapsed" : run_step(run.second);
+
+			if (!how.empty())
+				over.emplace_back(run.first, how);
+		}
+		for (const auto &end : over)
+			end_run(end.first, end.second);
+		if (!over.empty())
 			changed.notify_all();
 		changed.wait_for(guard, std::chrono::milliseconds(5));
 	}
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -68,6 +68,10 @@
 	uint64_t began_ms = 0;
 	uint64_t work_ms = 0; /* UINT64_MAX: it lasts */
 	uint64_t cpu = 0;
+	uint64_t gang = 0;	/* members; 0: no gang */
+	uint64_t work_from = 0; /* when it began to work; 0: it waits for its gang */
+	bool saves = false;
+	std::string saved; /* checkpoint */
 };
 
 struct End {
@@ -75,6 +79,7 @@
 	std::string task;
 	uint64_t run = 0;
 	std::string how;
+	std::string saved;
 };
 
 /* What a minion does with a start. */
@@ -92,6 +97,7 @@
 	std::string kind;  /* label of the minion in this life */
 	uint64_t used = 0; /* cpu in use with this start */
 	uint64_t capacity = 0;
+	std::string checkpoint;
 };
 
 class Log
@@ -105,7 +111,20 @@
 	/* Number of starts of tasks whose name begins so. */
 	int start_count(const std::string &prefix);
 
+	/* The run of a gang's member is there, or has gone. */
+	void member_came(const std::string &gang, const std::string &task);
+	void member_gone(const std::string &gang, bool done);
+	/* How far the gang is: 0: waits, 1: works, 2: broken, 3: done. */
+	int gang_state(const std::string &gang, uint64_t members);
+
       private:
+	struct Gang {
+		std::set<std::string> present;
+		bool broken = false;
+		bool done = false;
+	};
+
+	std::map<std::string, Gang> gangs;
 	std::mutex lock;
 	std::vector<Start> all;
 	std::map<std::pair<std::string, std::string>, int> counts;
@@ -123,11 +142,13 @@
 	uint64_t first_beat_ms = 0; /* pause between a start and the first heartbeat */
 	bool guards = true;	    /* rejects what does not fit */
 	uint64_t hold_max_ms = 6000;
+	uint64_t gang_wait_ms = 3000;
 };
 
 /*
- * A minion that speaks the pages' protocol. A spec "ms=N cpu=M" says how long its tasks work, and
- * what they take of the room; without ms they last.
+ * A minion that speaks the pages' protocol. A spec "ms=N cpu=M gang=K save=1" says how long its
+ * tasks work, what they take of the room, how many of them form a gang, and that they save their
+ * progress each second; without ms they last.
  */
 class Minion
 {
@@ -143,6 +164,8 @@
 	void restart();
 	/* Changes what the next life is. */
 	void become(const std::string &kind, uint64_t cpu);
+	/* How far the time of day is ahead on its machine from now on. */
+	void clock_step(uint64_t ahead_ms);
 	/* While it is cut off nothing reaches it and nothing leaves it; its tasks run on. */
 	void cut(bool on);
 
@@ -177,6 +200,8 @@
 	uint64_t used() const;
 	void extend(uint64_t deadline_ms);
 	void end_run(const std::string &task, const std::string &how);
+	/* How the run ends now; empty: it goes on. */
+	std::string run_step(Run &run);
 
 	MinionOptions options;
 	const Setup &setup;
@@ -188,6 +213,7 @@
 	bool is_cut = false;
 	uint64_t life = 0;
 	uint64_t born = 0;
+	uint64_t ahead = 0; /* of its machine's time of day */
 	uint64_t life_start_ms = 0;
 	uint64_t sequence = 0;
 	uint64_t fence = 0;
