--- a/review/stand/stand.cc
+++ b/review/stand/stand.cc
@@ -351,6 +351,46 @@
 	}));
 }
 
+bool Log::leaves(const std::string &task, const std::string &minion)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	if (left_count == 0 || task.compare(0, left_prefix.size(), left_prefix) != 0)
+		return false;
+	left_count--;
+	left_by.push_back(minion);
+	return true;
+}
+
+void Log::leave(const std::string &prefix, int count)
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	left_prefix = prefix;
+	left_count = count;
+}
+
+std::vector<std::string> Log::left()
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	return left_by;
+}
+
+void Log::order_counted()
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	order_count++;
+}
+
+int Log::orders()
+{
+	std::lock_guard<std::mutex> guard(lock);
+
+	return order_count;
+}
+
 void Log::member_came(const std::string &gang, const std::string &task)
 {
 	std::lock_guard<std::mutex> guard(lock);
@@ -545,8 +585,21 @@
 
 		if (!wait_while_cut(of_life))
 			break;
-		Reply reply = answer(head.substr(path, head.find(' ', path) - path),
-				     header(head, "Expected-Instance"), body, of_life);
+		std::string name = head.substr(path, head.find(' ', path) - path);
+		std::string instance = header(head, "Expected-Instance");
+
+		log.order_counted();
+		if (name == "/-/run-start" && log.leaves(Json(body).text("task"), options.id)) {
+			std::lock_guard<std::mutex> guard(lock);
+
+			record("minion %s leaves the start of %s unanswered", options.id.c_str(),
+			       Json(body).text("task").c_str());
+			threads.emplace_back([this, instance, body, of_life] {
+				carry_out_late(instance, body, of_life);
+			});
+			continue;
+		}
+		Reply reply = answer(name, instance, body, of_life);
 
 		if (reply.status == 0 || !wait_while_cut(of_life) ||
 		    !send_all(fd,
@@ -564,6 +617,16 @@
 	close(fd);
 }
 
+void Minion::carry_out_late(const std::string &instance, const std::string &body, uint64_t of_life)
+{
+	uint64_t until = now_ms() + options.late_ms;
+
+	while (now_ms() < until && !gone(of_life))
+		sleep_ms(POLL_MS);
+	if (!gone(of_life))
+		answer("/-/run-start", instance, body, of_life);
+}
+
 uint64_t Minion::clock_ms() const
 {
 	return now_ms() - life_start_ms + 1;
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -110,6 +110,14 @@
 	int ends(const std::string &task, const std::string &how);
 	/* Number of starts of tasks whose name begins so. */
 	int start_count(const std::string &prefix);
+	/* Whether a minion leaves this start unanswered, to carry it out late. */
+	bool leaves(const std::string &task, const std::string &minion);
+	/* The next so many starts of tasks whose name begins so are left. */
+	void leave(const std::string &prefix, int count);
+	/* The minions that have left one, in turn. */
+	std::vector<std::string> left();
+	void order_counted();
+	int orders();
 
 	/* The run of a gang's member is there, or has gone. */
 	void member_came(const std::string &gang, const std::string &task);
@@ -125,6 +133,10 @@
 	};
 
 	std::map<std::string, Gang> gangs;
+	std::string left_prefix;
+	int left_count = 0;
+	int order_count = 0;
+	std::vector<std::string> left_by;
 	std::mutex lock;
 	std::vector<Start> all;
 	std::map<std::pair<std::string, std::string>, int> counts;
@@ -143,6 +155,7 @@
 	bool guards = true;	    /* rejects what does not fit */
 	uint64_t hold_max_ms = 6000;
 	uint64_t gang_wait_ms = 3000;
+	uint64_t late_ms = 6000; /* until a start that was left is carried out */
 };
 
 /*
@@ -188,6 +201,8 @@
 	void work_loop();
 	bool gone(uint64_t life);
 	bool wait_while_cut(uint64_t life);
+	/* Carries out a start that was left, if the life goes on. */
+	void carry_out_late(const std::string &instance, const std::string &body, uint64_t life);
 	Reply answer(const std::string &path, const std::string &instance, const std::string &body,
 		     uint64_t life);
 	Reply run_start(const std::string &body);
