scheduler: log calls for a job that another host or path has

A call that was answered with 410, or a submission that was refused, left no trace that told a job that never existed from one that is kept but not found. The leader logs job-elsewhere for the latter. No decision changes.

--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -220,6 +220,20 @@
 	return false;
 }
 
+/*
+ * wl_jobs_elsewhere - find the job that has the id of a call's path but does not belong to the call
+ *
+ * Return: NULL if there is none.
+ */
+const wl_job_t *wl_jobs_elsewhere(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path)
+{
+	const wl_queue_t *queue;
+
+	if (wl_jobs_by_path(jobs, host, path, &queue) || !queue)
+		return NULL;
+	return wl_jobs_find(jobs, path_id(queue, path));
+}
+
 /* Derives the layout of the tasks from the record: step offsets, counts, empty tasks. */
 static void job_layout_init(wl_job_t *job)
 {
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -136,6 +136,35 @@
 	return true;
 }
 
+/* Logs a call for a job whose id is that of a job with another host or path. */
+static void job_elsewhere_log(const wl_sched_t *sched, const char *call, wl_str_t host,
+			      wl_str_t path, wl_out_t *out)
+{
+	const wl_job_t *job = wl_jobs_elsewhere(sched->jobs, host, path);
+
+	if (!job)
+		return;
+	wl_out_log(out, WL_WARN, "job-elsewhere",
+		   "job=" WL_STR_FMT " call=%s host=" WL_STR_FMT " path=" WL_STR_FMT
+		   " queue=" WL_STR_FMT " state=%s",
+		   WL_STR_ARG(job->key), call, WL_STR_ARG(host), WL_STR_ARG(path),
+		   WL_STR_ARG(wl_buf_str(&job->record.queue)),
+		   wl_job_state_names[job->record.state]);
+}
+
+static void command_elsewhere_log(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_out_t *out)
+{
+	const wl_cmd_job_add_t *add = &cmd->u.job_add;
+	const wl_cmd_job_cancel_t *cancel = &cmd->u.job_cancel;
+
+	if (cmd->kind == WL_CMD_JOB_ADD)
+		job_elsewhere_log(sched, "submit", wl_buf_str(&add->host), wl_buf_str(&add->path),
+				  out);
+	if (cmd->kind == WL_CMD_JOB_CANCEL)
+		job_elsewhere_log(sched, "cancel", wl_buf_str(&cancel->host),
+				  wl_buf_str(&cancel->path), out);
+}
+
 /* Fills in the answer to a command that needs no commit. Return: false if it needs one. */
 static bool command_is_settled(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
 {
@@ -170,6 +199,7 @@
 		command_report(sched, now_ns, peer, command->call, &cmd, out);
 		return;
 	}
+	command_elsewhere_log(sched, &cmd, out);
 	if (command_is_settled(sched, &cmd, &result)) {
 		wl_sched_answer(out, peer, command->call, &result);
 		wl_cmd_free(&cmd);
@@ -217,10 +247,14 @@
 {
 	wl_result_t result = {0};
 
-	if (query->kind == WL_QUERY_JOB)
+	if (query->kind == WL_QUERY_JOB) {
 		query_job(sched, query, &result);
-	else
+		if (result.code == WL_E_GONE)
+			job_elsewhere_log(sched, "query", wl_buf_str(&query->customer),
+					  wl_buf_str(&query->name), out);
+	} else {
 		query_catalog(sched, &result);
+	}
 	wl_sched_answer(out, peer, query->call, &result);
 	wl_result_free(&result);
 }
