jobs: find a job by the host and path of its acceptance

Cause: the state kept the name of the queue at acceptance and took it for the job's identity. All readers of that name were at fault: the search behind GET, DELETE and POST and behind the leader's handling of committed submissions and cancellings, the count of pending jobs, and the service of a task. Where the name was given to another host, that host's callers saw the job and could cancel it, and its tasks went to that route's service.

Ruled out: that the state lost the job (its id was refused as used), and the view of an entry daemon (the test has none).

A job now belongs to the host and path at which it was accepted. Its queue is what the configuration in force routes these to; while there is none, the last service holds and calls get 404. The id stays unique over all queues, as targets know tasks by it. Queues are sorted, so that assigning all jobs anew after each version stays cheap.

--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -17,6 +17,7 @@
 	memset(jobs, 0, sizeof(*jobs));
 	jobs->keep_ms = keep_ms;
 	wl_map_init(&jobs->by_id);
+	wl_map_init(&jobs->by_address);
 	TAILQ_INIT(&jobs->live);
 	TAILQ_INIT(&jobs->ended);
 	wl_map_init(&jobs->by_runner);
@@ -28,6 +29,7 @@
 	for (uint64_t i = 0; i < job->task_count; i++)
 		wl_buf_free(&job->tasks[i].checkpoint);
 	wl_record_free(&wl_job_record_schema, &job->record);
+	wl_buf_free(&job->address.text);
 	free(job->tasks);
 	free(job->step_first);
 	free(job->step_remaining);
@@ -40,6 +42,8 @@
 		while (!TAILQ_EMPTY(&job->tasks[i].runs))
 			wl_run_remove(jobs, TAILQ_FIRST(&job->tasks[i].runs));
 	wl_map_remove(&jobs->by_id, job->key);
+	if (job->address.job)
+		wl_map_remove(&jobs->by_address, job->address.key);
 	TAILQ_REMOVE(list, job, link);
 	job_free(job);
 }
@@ -60,6 +64,7 @@
 	while ((runner = TAILQ_FIRST(&jobs->runners)))
 		wl_runner_remove(jobs, runner);
 	wl_map_free(&jobs->by_id);
+	wl_map_free(&jobs->by_address);
 	wl_map_free(&jobs->by_runner);
 	wl_record_free(&wl_catalog_schema, &jobs->catalog);
 	wl_buf_free(&jobs->catalog_text);
@@ -163,14 +168,14 @@
  *
  * Scheduled (repeating) jobs are not counted.
  */
-uint64_t wl_jobs_pending(const wl_jobs_t *jobs, wl_str_t queue)
+uint64_t wl_jobs_pending(const wl_jobs_t *jobs, const wl_queue_t *queue)
 {
 	const wl_job_t *job;
 	uint64_t pending = 0;
 
 	TAILQ_FOREACH (job, &jobs->live, link)
 		pending += job->record.state == WL_JOB_QUEUED && job->record.spec.repeat == 0 &&
-			   wl_str_equal(wl_buf_str(&job->record.queue), queue);
+			   job->queue == queue;
 	return pending;
 }
 
@@ -180,24 +185,36 @@
 	return (wl_str_t){path.at + queue->prefix.len, path.len - queue->prefix.len};
 }
 
+/* The NUL keeps apart a host and path that another pair would read like. */
+static void address_text(wl_str_t host, wl_str_t path, wl_buf_t *text)
+{
+	wl_buf_set(text, host);
+	wl_buf_append(text, (wl_str_t){"", 1});
+	wl_buf_append(text, path);
+}
+
+static wl_job_t *job_by_address(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path)
+{
+	const wl_job_address_t *address;
+	wl_buf_t text = {0};
+
+	address_text(host, path, &text);
+	address = wl_map_get(&jobs->by_address, wl_buf_str(&text));
+	wl_buf_free(&text);
+	return address ? address->job : NULL;
+}
+
 /*
  * wl_jobs_by_path - find the queue and the job that a call addresses
  * @queue: set to NULL if no queue has this host and path
  *
- * Return: the job, or NULL.
+ * Return: the job, or NULL. A job without a queue is not found until its route is back.
  */
 wl_job_t *wl_jobs_by_path(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path,
 			  const wl_queue_t **queue)
 {
-	wl_job_t *job;
-
 	*queue = wl_catalog_route(&jobs->catalog, host, path);
-	if (!*queue)
-		return NULL;
-	job = wl_jobs_find(jobs, path_id(*queue, path));
-	if (!job || !wl_str_equal(wl_buf_str(&job->record.queue), wl_buf_str(&(*queue)->name)))
-		return NULL;
-	return job;
+	return *queue ? job_by_address(jobs, host, path) : NULL;
 }
 
 /*
@@ -257,6 +274,61 @@
 			*wl_job_step_remaining(job, k, i) = wl_job_step(job, i)->count;
 }
 
+/* Earlier versions kept the name of the queue instead of the address. */
+static void address_from_queue(const wl_jobs_t *jobs, wl_job_record_t *record)
+{
+	const wl_queue_t *queue = wl_catalog_queue(&jobs->catalog, wl_buf_str(&record->queue));
+
+	if (!queue)
+		return;
+	wl_buf_set(&record->host, wl_buf_str(&queue->host));
+	wl_buf_set(&record->path, wl_buf_str(&queue->prefix));
+	wl_buf_append(&record->path, wl_buf_str(&record->id));
+}
+
+/* Return: false if the address is unknown, or if another job has it. */
+static bool job_address_init(wl_jobs_t *jobs, wl_job_t *job)
+{
+	wl_job_address_t *address = &job->address;
+
+	if (job->record.path.len == 0)
+		address_from_queue(jobs, &job->record);
+	if (job->record.path.len == 0)
+		return false;
+	address_text(wl_buf_str(&job->record.host), wl_buf_str(&job->record.path), &address->text);
+	address->key = wl_buf_str(&address->text);
+	if (!wl_map_put(&jobs->by_address, address))
+		return false;
+	address->job = job;
+	return true;
+}
+
+/* Finds the queue of a job, and keeps what is to hold while no route leads to it. */
+static void job_route(wl_jobs_t *jobs, wl_job_t *job)
+{
+	job->queue = NULL;
+	if (!job->address.job && !job_address_init(jobs, job))
+		return;
+	job->queue = wl_catalog_route(&jobs->catalog, wl_buf_str(&job->record.host),
+				      wl_buf_str(&job->record.path));
+	if (!job->queue)
+		return;
+	wl_buf_set(&job->record.queue, wl_buf_str(&job->queue->name));
+	wl_buf_set(&job->record.service, wl_buf_str(&job->queue->service));
+}
+
+/*
+ * wl_jobs_catalog_changed - assign the jobs to the queues of a configuration that was replaced
+ */
+void wl_jobs_catalog_changed(wl_jobs_t *jobs)
+{
+	wl_job_t *job;
+
+	wl_catalog_sort(&jobs->catalog);
+	TAILQ_FOREACH (job, &jobs->live, link)
+		job_route(jobs, job);
+}
+
 static wl_job_t *job_insert(wl_jobs_t *jobs, wl_job_record_t *record)
 {
 	wl_job_t *job = wl_alloc(sizeof(*job));
@@ -281,10 +353,10 @@
 	};
 
 	wl_buf_set(&record.id, path_id(queue, wl_buf_str(&cmd->path)));
-	wl_buf_set(&record.queue, wl_buf_str(&queue->name));
-	wl_buf_set(&record.service, wl_buf_str(&queue->service));
+	wl_buf_set(&record.host, wl_buf_str(&cmd->host));
+	wl_buf_set(&record.path, wl_buf_str(&cmd->path));
 	wl_record_copy(&wl_job_spec_schema, &record.spec, &cmd->spec);
-	job_insert(jobs, &record);
+	job_route(jobs, job_insert(jobs, &record));
 }
 
 static bool id_valid(wl_str_t id)
@@ -306,9 +378,14 @@
 		wl_result_ok(result, 0);
 		return;
 	}
-	if (!id_valid(path_id(queue, path)) || wl_jobs_find(jobs, path_id(queue, path))) {
+	if (!id_valid(path_id(queue, path))) {
+		wl_result_fail(result, WL_E_BAD_INPUT, "job id must be 1 to %d bytes without '/'",
+			       ID_BYTES_MAX);
+		return;
+	}
+	if (wl_jobs_find(jobs, path_id(queue, path))) {
 		wl_result_fail(result, WL_E_BAD_INPUT,
-			       "job id must be 1 to 128 bytes without '/', unused in other queues");
+			       "job id must be unique: a job at another host or path has it");
 		return;
 	}
 	if (!wl_job_spec_check(&cmd->spec, &err)) {
@@ -323,6 +400,7 @@
 {
 	job->record.state = state;
 	job->record.ended_ms = clock_ms ? clock_ms : 1; /* 0: it has not ended */
+	job->queue = NULL;
 	jobs->suspects -= job->suspects;
 	TAILQ_REMOVE(&jobs->live, job, link);
 	TAILQ_INSERT_TAIL(&jobs->ended, job, link);
@@ -399,14 +477,16 @@
 }
 
 /*
- * wl_jobs_restore - add a job from a snapshot
+ * wl_jobs_restore - add a job from a snapshot, after its configuration
  * @record: moved from
  *
- * Return: the job, or NULL if the number of its tasks does not match its steps.
+ * Return: the job, or NULL if the number of its tasks does not match its steps, or if another job
+ * has its address.
  */
 wl_job_t *wl_jobs_restore(wl_jobs_t *jobs, wl_job_record_t *record)
 {
 	wl_list_t rows = record->tasks;
+	bool has_address = record->path.len > 0;
 	wl_job_t *job;
 	bool complete;
 
@@ -416,5 +496,9 @@
 	for (uint64_t i = 0; complete && i < job->task_count; i++)
 		task_restore(jobs, job, i, (wl_job_task_row_t *)rows.items + i);
 	wl_list_free(&wl_job_task_row_schema, &rows);
+	if (!job_address_init(jobs, job) && has_address)
+		return NULL;
+	if (!wl_job_ended(job))
+		job_route(jobs, job);
 	return complete ? job : NULL;
 }
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -55,14 +55,14 @@
 
 /* The committed data of a job, as stored in snapshots; the tasks are kept separately. */
 typedef struct wl_job_record {
-	wl_buf_t id;
-	wl_buf_t queue;
+	wl_buf_t id;	/* end of the path at acceptance, behind the prefix; unique over all jobs */
+	wl_buf_t queue; /* name of its queue in the last configuration that had one */
 	wl_job_spec_t spec;
 	uint64_t accepted_ms;
 	uint64_t ended_ms; /* 0: it has not ended */
 	uint64_t state;	   /* wl_job_state_t */
+	wl_buf_t service;  /* of its queue in the last configuration that had one */
 	/* of the queue's configuration, when the job was accepted */
-	wl_buf_t service;
 	uint64_t priority;
 	uint64_t max_attempts;
 	uint64_t objective_ms;
@@ -71,11 +71,28 @@
 	uint64_t crash;	      /* number of the newest crash under its tasks; 0: none */
 	uint64_t crash_count; /* crashed targets */
 	bool outage;	      /* some crashed in an outage, and count nevertheless */
+	/* the address at which it was accepted; empty: unknown, from an earlier version */
+	wl_buf_t host;
+	wl_buf_t path;
 } wl_job_record_t;
 
+/* Entry of the map of jobs by address. */
+typedef struct wl_job_address {
+	wl_str_t key; /* host and path */
+	wl_buf_t text;
+	struct wl_job *job;
+} wl_job_address_t;
+
+/*
+ * A job belongs to the host and path at which it was accepted: calls find it by these, and its
+ * queue is the one that the configuration in force routes them to. Targets know its tasks by its
+ * id.
+ */
 typedef struct wl_job {
 	wl_str_t key; /* its id */
 	wl_job_record_t record;
+	wl_job_address_t address;
+	const wl_queue_t *queue; /* in the configuration in force; NULL: none, or the job ended */
 	wl_job_task_t *tasks;
 	uint64_t task_count;
 	/* offset of each step's first task within an occurrence; one more entry for the end */
@@ -110,6 +127,7 @@
 	wl_catalog_t catalog;
 	wl_buf_t catalog_text;
 	wl_map_t by_id;
+	wl_map_t by_address;
 	struct wl_job_list live;
 	struct wl_job_list ended; /* in the order in which they ended */
 	wl_map_t by_runner;
@@ -140,7 +158,8 @@
 bool wl_job_step_open(const wl_job_t *job, uint64_t occurrence, uint64_t step);
 uint64_t wl_job_due_ms(const wl_job_t *job, uint64_t occurrence);
 bool wl_job_ended(const wl_job_t *job);
-uint64_t wl_jobs_pending(const wl_jobs_t *jobs, wl_str_t queue);
+uint64_t wl_jobs_pending(const wl_jobs_t *jobs, const wl_queue_t *queue);
+void wl_jobs_catalog_changed(wl_jobs_t *jobs);
 wl_job_t *wl_jobs_by_path(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path,
 			  const wl_queue_t **queue);
 bool wl_jobs_resolve(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, const wl_queue_t **queue,
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -32,6 +32,9 @@
 	WL_FIELD(wl_job_record_t, crash, WL_FIELD_U64),
 	WL_FIELD(wl_job_record_t, crash_count, WL_FIELD_U64),
 	WL_FIELD(wl_job_record_t, outage, WL_FIELD_BOOL),
+	/* Snapshots of earlier versions end here. */
+	WL_FIELD(wl_job_record_t, host, WL_FIELD_BYTES),
+	WL_FIELD(wl_job_record_t, path, WL_FIELD_BYTES),
 };
 
 const wl_schema_t wl_job_record_schema = WL_SCHEMA(wl_job_record_t, job_record_fields);
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -141,6 +141,7 @@
 	wl_record_copy(&wl_catalog_schema, &jobs->catalog, &cmd->catalog);
 	wl_buf_set(&jobs->catalog_text, wl_buf_str(&cmd->text));
 	jobs->configured = true;
+	wl_jobs_catalog_changed(jobs);
 	result->version = jobs->catalog.version;
 }
 
--- a/libwlcore/model/job.c
+++ b/libwlcore/model/job.c
@@ -2,6 +2,8 @@
 
 #include "job.h"
 
+#include <stdlib.h>
+
 const char *const wl_run_outcome_names[] = {"done",  "failed", "stopped", "lapsed",  "broken",
 					    "alone", "lost",   "absent",  "crashed", NULL};
 
@@ -197,24 +199,77 @@
 	return true;
 }
 
+static int queue_compare(const wl_queue_t *queue, wl_str_t host, wl_str_t prefix)
+{
+	int order = wl_str_compare(wl_buf_str(&queue->host), host);
+
+	return order ? order : wl_str_compare(wl_buf_str(&queue->prefix), prefix);
+}
+
+static int queues_order(const void *a, const void *b)
+{
+	const wl_queue_t *queue = b;
+
+	return queue_compare(a, wl_buf_str(&queue->host), wl_buf_str(&queue->prefix));
+}
+
+/*
+ * wl_catalog_sort - order the queues by host and prefix, as wl_catalog_route() expects them
+ */
+void wl_catalog_sort(wl_catalog_t *catalog)
+{
+	if (catalog->queues.count)
+		qsort(catalog->queues.items, catalog->queues.count, sizeof(wl_queue_t),
+		      queues_order);
+}
+
+/* Returns the last queue that is not ordered after a host and path; NULL: there is none. */
+static const wl_queue_t *queue_before(const wl_catalog_t *catalog, wl_str_t host, wl_str_t path)
+{
+	const wl_queue_t *queues = catalog->queues.items;
+	size_t low = 0;
+	size_t high = catalog->queues.count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (queue_compare(&queues[middle], host, path) <= 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low ? &queues[low - 1] : NULL;
+}
+
+static size_t common_length(wl_str_t a, wl_str_t b)
+{
+	size_t len = 0;
+
+	while (len < a.len && len < b.len && a.at[len] == b.at[len])
+		len++;
+	return len;
+}
+
 /*
  * wl_catalog_route - find the queue of a call: same host, longest matching prefix
+ * @catalog: sorted
  *
  * Return: NULL if there is none.
  */
 const wl_queue_t *wl_catalog_route(const wl_catalog_t *catalog, wl_str_t host, wl_str_t path)
 {
-	const wl_queue_t *queues = catalog->queues.items;
-	const wl_queue_t *best = NULL;
-
-	for (size_t i = 0; i < catalog->queues.count; i++) {
-		if (!wl_str_equal(wl_buf_str(&queues[i].host), host) ||
-		    !wl_str_starts(path, wl_buf_str(&queues[i].prefix)))
-			continue;
-		if (!best || queues[i].prefix.len > best->prefix.len)
-			best = &queues[i];
+	const wl_queue_t *queue;
+
+	while ((queue = queue_before(catalog, host, path)) &&
+	       wl_str_equal(wl_buf_str(&queue->host), host)) {
+		wl_str_t prefix = wl_buf_str(&queue->prefix);
+
+		if (wl_str_starts(path, prefix))
+			return queue;
+		/* Every shorter match is a prefix of what both have in common. */
+		path.len = common_length(path, prefix);
 	}
-	return best;
+	return NULL;
 }
 
 /*
--- a/libwlcore/model/job.h
+++ b/libwlcore/model/job.h
@@ -146,6 +146,7 @@
 uint64_t wl_job_spec_tasks(const wl_job_spec_t *spec);
 bool wl_job_spec_check(const wl_job_spec_t *spec, wl_err_t *err);
 bool wl_catalog_check(const wl_catalog_t *catalog, wl_err_t *err);
+void wl_catalog_sort(wl_catalog_t *catalog);
 const wl_queue_t *wl_catalog_route(const wl_catalog_t *catalog, wl_str_t host, wl_str_t path);
 const wl_queue_t *wl_catalog_queue(const wl_catalog_t *catalog, wl_str_t name);
 const wl_service_t *wl_catalog_service(const wl_catalog_t *catalog, wl_str_t name);
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -146,9 +146,10 @@
 		return;
 	wl_out_log(out, WL_WARN, "job-elsewhere",
 		   "job=" WL_STR_FMT " call=%s host=" WL_STR_FMT " path=" WL_STR_FMT
-		   " queue=" WL_STR_FMT " state=%s",
+		   " job_host=" WL_STR_FMT " job_path=" WL_STR_FMT " state=%s",
 		   WL_STR_ARG(job->key), call, WL_STR_ARG(host), WL_STR_ARG(path),
-		   WL_STR_ARG(wl_buf_str(&job->record.queue)),
+		   WL_STR_ARG(wl_buf_str(&job->record.host)),
+		   WL_STR_ARG(wl_buf_str(&job->record.path)),
 		   wl_job_state_names[job->record.state]);
 }
 
@@ -226,7 +227,7 @@
 	if (job)
 		result->job_state = job->record.state;
 	else
-		result->pending = wl_jobs_pending(sched->jobs, wl_buf_str(&queue->name));
+		result->pending = wl_jobs_pending(sched->jobs, queue);
 }
 
 static void query_catalog(const wl_sched_t *sched, wl_result_t *result)
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -435,8 +435,7 @@
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 bool wl_sched_runner_fits(wl_sched_t *sched, wl_sched_runner_t *runner,
 			  const wl_task_batch_t *batch, const wl_fit_request_t *request);
-wl_fit_request_t wl_sched_fit_request(const wl_sched_t *sched, uint64_t now_ns,
-				      const wl_task_batch_t *batch);
+wl_fit_request_t wl_sched_fit_request(uint64_t now_ns, const wl_task_batch_t *batch);
 
 /* rows.c */
 void wl_sched_rows_reset(wl_sched_t *sched);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -354,16 +354,12 @@
 /*
  * wl_sched_fit_request - describe a task of a batch to the placement policies
  */
-wl_fit_request_t wl_sched_fit_request(const wl_sched_t *sched, uint64_t now_ns,
-				      const wl_task_batch_t *batch)
+wl_fit_request_t wl_sched_fit_request(uint64_t now_ns, const wl_task_batch_t *batch)
 {
-	const wl_queue_t *queue =
-		wl_catalog_queue(&sched->jobs->catalog, wl_buf_str(&batch->job->record.queue));
-
 	return (wl_fit_request_t){
 		.step = wl_job_step(batch->job, batch->step),
 		.waited_ms = waited_ms(batch, now_ns),
-		.service = wl_buf_str(queue ? &queue->service : &batch->job->record.service),
+		.service = wl_buf_str(&batch->job->record.service),
 		.background = wl_sched_batch_stalled(batch, now_ns),
 	};
 }
@@ -375,7 +371,7 @@
 static bool batch_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			candidates_t *candidates)
 {
-	wl_fit_request_t request = wl_sched_fit_request(sched, now_ns, batch);
+	wl_fit_request_t request = wl_sched_fit_request(now_ns, batch);
 	bool placed;
 
 	batch->tried_ns = now_ns;
@@ -411,27 +407,9 @@
 	size_t suspect_misses;
 	miss_t unplaceable[MISSES_MAX];
 	size_t unplaceable_count;
-	wl_str_t queue; /* whose service was looked up last; empty: none yet */
-	wl_str_t service;
 	candidates_t candidates;
 } pass_t;
 
-/* The service of a batch; those of one queue mostly follow each other. */
-static wl_str_t service_of(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
-{
-	wl_str_t name = wl_buf_str(&batch->job->record.queue);
-	const wl_queue_t *queue;
-
-	if (name.len && wl_str_equal(name, pass->queue))
-		return pass->service;
-	queue = wl_catalog_queue(&sched->jobs->catalog, name);
-	if (!queue)
-		return wl_buf_str(&batch->job->record.service);
-	pass->queue = name;
-	pass->service = wl_buf_str(&queue->service);
-	return pass->service;
-}
-
 /* Misses of constrained steps say nothing about other steps. */
 static bool is_constrained(const wl_step_spec_t *step)
 {
@@ -476,16 +454,14 @@
 	       (miss->least_tail == UINT64_MAX || tail_limit < miss->least_tail);
 }
 
-static bool is_unplaceable(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+static bool is_unplaceable(const pass_t *pass, const wl_task_batch_t *batch)
 {
-	wl_fit_request_t request = {.step = wl_job_step(batch->job, batch->step),
-				    .waited_ms = waited_ms(batch, pass->now_ns),
-				    .background = wl_sched_batch_stalled(batch, pass->now_ns)};
+	wl_fit_request_t request = wl_sched_fit_request(pass->now_ns, batch);
 	uint64_t tail_limit = wl_fit_tail_limit(&request);
 
 	for (size_t i = 0; i < pass->unplaceable_count; i++)
 		if (misses_too(&pass->unplaceable[i], &request, batch->image, tail_limit) &&
-		    wl_str_equal(pass->unplaceable[i].service, service_of(sched, pass, batch)))
+		    wl_str_equal(pass->unplaceable[i].service, request.service))
 			return true;
 	return false;
 }
@@ -514,7 +490,7 @@
 		return;
 	if (stalled_ns)
 		due_at(sched, stalled_ns);
-	if (is_ended(pass, batch) && !is_unplaceable(sched, pass, batch))
+	if (is_ended(pass, batch) && !is_unplaceable(pass, batch))
 		due_at(sched, untried_due_ns(batch) > retry_ns ? untried_due_ns(batch) : retry_ns);
 }
 
@@ -536,7 +512,7 @@
 	if (is_constrained(step) || pass->unplaceable_count == MISSES_MAX)
 		return;
 	pass->unplaceable[pass->unplaceable_count++] = (miss_t){
-		.service = service_of(sched, pass, batch),
+		.service = wl_buf_str(&batch->job->record.service),
 		.background = background,
 		.best_effort = step->best_effort,
 		.image = batch->image,
@@ -592,7 +568,7 @@
 	while (batch) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
-		if (is_considered(&pass, batch) && !is_unplaceable(sched, &pass, batch) &&
+		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
 		    !batch_place(sched, now_ns, batch, &pass.candidates))
 			miss_record(sched, &pass, batch);
 		waiting_due(sched, &pass, batch);
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -119,7 +119,7 @@
 static void stalled_log(wl_sched_t *sched, uint64_t now_ns, const wl_task_batch_t *batch,
 			uint64_t stalled, wl_out_t *out)
 {
-	wl_fit_request_t request = wl_sched_fit_request(sched, now_ns, batch);
+	wl_fit_request_t request = wl_sched_fit_request(now_ns, batch);
 	room_t room = {.least_tail = UINT64_MAX};
 	wl_sched_runner_t *runner;
 
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -466,6 +466,7 @@
 	jobs->catalog_text = record.text;
 	jobs->catalog = record.catalog;
 	jobs->configured = true;
+	wl_jobs_catalog_changed(jobs);
 	return true;
 }
 
@@ -498,7 +499,8 @@
 		return false;
 	}
 	return wl_jobs_restore(&reader->state->jobs, &record) ||
-	       wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN, "snapshot has a job with missing tasks");
+	       wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
+			  "snapshot has a job with missing tasks, or two at one address");
 }
 
 static bool read_run(reader_t *reader, wl_str_t bytes, wl_err_t *err)
--- a/tests/integration/jobs_test.cc
+++ b/tests/integration/jobs_test.cc
@@ -19,11 +19,15 @@
 const char *const DAEMON = BUILD_DIR "/daemon/wisterialeadd";
 const char *const SECRET = "peer secret of the tests";
 
-const char CATALOG[] =
-	R"({"version":1,"routes":[{"name":"tube-sort","host":"queue.example",)"
-	R"("path_prefix":"/tube/","type":"unsafe","timeout_ms":5000,"target_latency_ms":60000,)"
-	R"("priority":1,"backend":"workers","max_attempts":4,"slack_factor":1.5}],)"
-	R"("services":[{"name":"workers"}],"limits":{}})";
+/* Of the given version, with the given name for the route. */
+std::string catalog(int version, const std::string &route)
+{
+	return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":")" + route +
+	       R"(","host":"queue.example",)"
+	       R"("path_prefix":"/tube/","type":"unsafe","timeout_ms":5000,"target_latency_ms":60000,)"
+	       R"("priority":1,"backend":"workers","max_attempts":4,"slack_factor":1.5}],)"
+	       R"("services":[{"name":"workers"}],"limits":{}})";
+}
 
 /* Each daemon gets its own loopback address, derived from the pid to avoid clashes between runs. */
 std::string address(int number)
@@ -101,7 +105,9 @@
 		for (int number = 1; number <= STORES + 1; number++)
 			start(number);
 		ASSERT_TRUE(eventually([&] {
-			return http(control(1), "POST", "/-/config/replace", CATALOG).status == 200;
+			return http(control(1), "POST", "/-/config/replace",
+				    catalog(1, "tube-sort"))
+				       .status == 200;
 		}));
 	}
 
@@ -235,3 +241,27 @@
 	for (const auto &task : runner.done())
 		EXPECT_EQ(task.second, 1) << task.first;
 }
+
+/*
+ * A version that renames a route leaves the jobs that were accepted there to their callers. Guards
+ * against a fault where they were answered with 410, and a cancelled one worked on.
+ */
+TEST_F(Jobs, KeepTheirCallersAcrossARenamedRoute)
+{
+	Runner runner("i-1", TASK_MS);
+
+	ASSERT_NO_FATAL_FAILURE(begin());
+	ASSERT_TRUE(submit("00000000000000a1"));
+	ASSERT_TRUE(submit("00000000000000a2"));
+	ASSERT_TRUE(eventually([&] {
+		return http(control(1), "POST", "/-/config/replace", catalog(2, "renamed"))
+			       .status == 200;
+	}));
+	EXPECT_EQ(call("GET", "00000000000000a1").status, 200);
+	EXPECT_EQ(call("GET", "").at("pending"), "2");
+	EXPECT_TRUE(submit("00000000000000a1"));
+	EXPECT_EQ(call("DELETE", "00000000000000a2").status, 200);
+	EXPECT_EQ(call("GET", "00000000000000a2").at("state"), "cancelled");
+	ASSERT_TRUE(completed(runner, "00000000000000a1")) << call("GET", "00000000000000a1").body;
+	EXPECT_EQ(runner.done().size(), static_cast<size_t>(TASKS));
+}
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -130,7 +130,10 @@
 	wl_buf_free(&bytes);
 	sent.push_back(static_cast<wl_msg_kind_t>(action.msg.kind));
 	if (action.msg.kind == WL_MSG_RESULT) {
-		report_to = text(action.msg.u.result.result.report_to);
+		const wl_result_t &one = action.msg.u.result.result;
+
+		report_to = text(one.report_to);
+		newest = {one.code, one.job_state, one.is_queue, one.pending, text(one.text)};
 		answered.push_back(action.msg.u.result.call);
 	}
 	if (action.msg.kind != WL_MSG_ORDERS)
@@ -305,6 +308,61 @@
 	run_command(&cmd);
 }
 
+void SchedRig::routes(const std::vector<SchedRoute> &list)
+{
+	wl_cmd_t cmd = {};
+	wl_catalog_t &catalog = cmd.u.catalog_put.catalog;
+
+	cmd.kind = WL_CMD_CATALOG_PUT;
+	catalog.version = jobs->catalog.version + 1;
+	for (const auto &route : list) {
+		auto *queue =
+			static_cast<wl_queue_t *>(wl_list_add(&wl_queue_schema, &catalog.queues));
+
+		wl_buf_set(&queue->name, str(route.name));
+		wl_buf_set(&queue->host, str(route.host));
+		wl_buf_set(&queue->prefix, str(route.prefix));
+		wl_buf_set(&queue->service, str(route.service));
+		queue->timeout_ms = 3000;
+		if (wl_catalog_service(&catalog, str(route.service)))
+			continue;
+		auto *added = static_cast<wl_service_t *>(
+			wl_list_add(&wl_service_schema, &catalog.services));
+		wl_buf_set(&added->name, str(route.service));
+	}
+	run_command(&cmd);
+}
+
+SchedResult SchedRig::query(const std::string &path)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_PEER);
+	wl_buf_set(&event.peer, WL_STR("e1"));
+	wl_msg_init(&event.msg, WL_MSG_QUERY);
+	event.msg.u.query.call = ++calls;
+	event.msg.u.query.kind = WL_QUERY_JOB;
+	wl_buf_set(&event.msg.u.query.customer, str(host));
+	wl_buf_set(&event.msg.u.query.name, str(path));
+	step(&event);
+	wl_event_free(&event);
+	return newest;
+}
+
+void SchedRig::reload()
+{
+	wl_buf_t bytes = {};
+	wl_buf_t again = {};
+	wl_err_t err = {};
+
+	wl_state_pack(state, &bytes);
+	ASSERT_TRUE(wl_state_unpack(state, wl_buf_str(&bytes), &err)) << err.text;
+	wl_state_pack(state, &again);
+	EXPECT_EQ(text(again), text(bytes));
+	wl_buf_free(&again);
+	wl_buf_free(&bytes);
+}
+
 void SchedRig::runner(const std::string &id, uint64_t cpu_millis, uint64_t life,
 		      const std::string &rack, bool draining)
 {
@@ -355,6 +413,7 @@
 
 	next_job = {};
 	next_job.kind = WL_CMD_JOB_ADD;
+	wl_buf_set(&next_job.u.job_add.host, str(host));
 	wl_buf_set(&next_job.u.job_add.path, str("/" + queue + "/" + id));
 	wl_buf_set(&spec.payload, str(payload));
 	for (size_t i = 0; i < counts.size(); i++) {
@@ -388,6 +447,7 @@
 	wl_cmd_t cmd = {};
 
 	cmd.kind = WL_CMD_JOB_CANCEL;
+	wl_buf_set(&cmd.u.job_cancel.host, str(host));
 	wl_buf_set(&cmd.u.job_cancel.path, str("/" + queue + "/" + id));
 	run_command(&cmd);
 }
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -30,6 +30,23 @@
 	uint64_t send_by_ms; /* on the agent's clock */
 };
 
+/* A queue of the configuration. */
+struct SchedRoute {
+	std::string name;
+	std::string host;
+	std::string prefix;
+	std::string service;
+};
+
+/* The newest answer to a call of a daemon. */
+struct SchedResult {
+	uint64_t code; /* wl_code_t */
+	uint64_t state;
+	bool is_queue;
+	uint64_t pending;
+	std::string text;
+};
+
 /*
  * A scheduler with real job state. The test simulates the log (proposals are pending until
  * commit() or drop()), the targets (orders are pending until they are answered) and the
@@ -44,6 +61,8 @@
 	SchedRig &operator=(const SchedRig &) = delete;
 
 	void configure(const std::string &queue, uint64_t priority = 0, uint64_t max_attempts = 3);
+	/* Replaces all queues. */
+	void routes(const std::vector<SchedRoute> &list);
 	void runner(const std::string &id, uint64_t cpu_millis = 32000, uint64_t life = 1,
 		    const std::string &rack = "r1", bool draining = false);
 	void runner_left(const std::string &id, uint64_t life = 0);
@@ -55,6 +74,9 @@
 	void repeat(uint64_t times, uint64_t every_ms);
 	void submit();
 	void cancel(const std::string &queue, const std::string &id);
+	SchedResult query(const std::string &path);
+	/* Replaces the state by its own snapshot. The replica must not lead. */
+	void reload();
 	void run_command(wl_cmd_t *cmd);
 	/* Sends a command of the daemon e1 without a commit. Return: the number of the call. */
 	uint64_t send_command(wl_cmd_t *cmd);
@@ -97,6 +119,8 @@
 	std::string address = "10.0.0.1:80"; /* of the targets that report next */
 	uint64_t memory_mib = 1000000;	     /* of these targets */
 	std::string service = "sort";	     /* of these targets, and of queues configured next */
+	std::string host;		     /* of the calls that follow */
+	SchedResult newest = {};	     /* of the newest call */
 	bool hold_commits = false;	     /* commands stay pending until commit() */
 	std::string zone;		     /* of these targets */
 	uint64_t objective_ms = 0;	     /* for the queues that are configured next */
