--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -70,7 +70,10 @@
 				   interrupted];
 }
 
-static uint64_t slot_count(const wl_job_t *job)
+/*
+ * wl_sched_slot_count - number of places for batches that a job has
+ */
+uint64_t wl_sched_slot_count(const wl_job_t *job)
 {
 	return 2 * job->occurrences * job->record.spec.steps.count;
 }
@@ -365,7 +368,7 @@
 	TAILQ_INIT(&sched_job->suspects);
 	wl_sched_trials_count(sched, sched_job);
 	sched_job->critical_path_ms = critical_path_ms(job, 0, false);
-	sched_job->batches = wl_alloc(slot_count(job) * sizeof(wl_task_batch_t *));
+	sched_job->batches = wl_alloc(wl_sched_slot_count(job) * sizeof(wl_task_batch_t *));
 	job->leader_data = sched_job;
 	if (!occurrences_open(sched, now_ns, sched_job))
 		TAILQ_INSERT_TAIL(&sched->timed, sched_job, timed);
@@ -388,7 +391,7 @@
 		batch_remove(sched, batch);
 		batch = next;
 	}
-	for (uint64_t i = 0; i < slot_count(job); i++)
+	for (uint64_t i = 0; i < wl_sched_slot_count(job); i++)
 		if (sched_job->batches[i])
 			batch_remove(sched, sched_job->batches[i]);
 	if (!all_due(sched_job))
--- a/tests/support/fleet_replica.cc
+++ b/tests/support/fleet_replica.cc
@@ -1,5 +1,7 @@
 #include "fleet_replica.h"
 
+#include <gtest/gtest.h>
+
 #include "events.h"
 
 extern "C" {
@@ -332,6 +334,8 @@
 			{action->reply.call, action->reply.status, text(action->reply.body)});
 		break;
 	case WL_ACTION_LOG:
+		EXPECT_EQ(text(action->line).find("event=task-unaccounted"), std::string::npos)
+			<< text(action->line);
 		log(text(action->line));
 		break;
 	case WL_ACTION_FATAL:
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -106,8 +106,11 @@
 		}
 		if (action.kind == WL_ACTION_SEND)
 			message_take(action);
-		if (action.kind == WL_ACTION_LOG)
+		if (action.kind == WL_ACTION_LOG) {
 			log.push_back(text(action.line));
+			EXPECT_EQ(log.back().find("event=task-unaccounted"), std::string::npos)
+				<< log.back();
+		}
 	}
 	wl_out_free(out);
 	while (!rejected.empty()) {
