scheduler: take the members of a gang that is done out of the queue

Callers saw nothing: no site in force has gangs, and such a member could not start. It stayed in the queue until its job ended, was counted as waiting, and each pass looked for targets for it.

Cause: the end of one member is that of all; the leader queued the members whose own runs had ended otherwise before, and nothing withdrew them.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -431,6 +431,7 @@
 void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job);
 void wl_sched_task_enqueue(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task,
 			   uint64_t ended_ns);
+void wl_sched_step_close(wl_sched_t *sched, wl_job_t *job, uint64_t occurrence, uint64_t step);
 void wl_sched_steps_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence);
 void wl_sched_timed_tick(wl_sched_t *sched, uint64_t now_ns);
 
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -323,6 +323,21 @@
 	}
 }
 
+/*
+ * wl_sched_step_close - take the tasks of a step that is done out of the queue
+ *
+ * The end of one member of a gang is that of all, also of those that wait for another run.
+ */
+void wl_sched_step_close(wl_sched_t *sched, wl_job_t *job, uint64_t occurrence, uint64_t step)
+{
+	wl_task_batch_t *batch = *batch_slot(job, occurrence, step, false);
+
+	if (!batch || batch->count == 0)
+		return;
+	batch->count = 0;
+	wl_sched_batch_dequeue_empty(sched, batch);
+}
+
 /*
  * wl_sched_steps_open - queue the tasks of each step whose dependencies are done
  */
