scheduler: log the job that has waited longest without progress

job-stalled looks at jobs without any run only, so that a job that is kept just above standstill, or whose runs nobody hears of, left no line. Once a second the leader logs the live job without a task done or a checkpoint saved for the longest time (10 s and more): its batches, its runs with the phase of the one heard of longest ago, and for its next task what rules out the target that comes furthest in the checks. No decision changes.

--- a/libwlcore/sched/audit.c
+++ b/libwlcore/sched/audit.c
@@ -34,8 +34,10 @@
 		batch_mark(batch, places);
 }
 
-/* When the leader last had reason to believe in a run. */
-static uint64_t heard_ns(const wl_sched_t *sched, const wl_sched_run_t *run)
+/*
+ * wl_sched_run_heard_ns - when the leader last had reason to believe in a run
+ */
+uint64_t wl_sched_run_heard_ns(const wl_sched_t *sched, const wl_sched_run_t *run)
 {
 	uint64_t heard = sched->leader_since_ns;
 
@@ -57,7 +59,7 @@
 
 		if (!known)
 			return "run-unknown";
-		if (now_ns > heard_ns(sched, known) + SILENT_MAX_MS * WL_NS_PER_MS)
+		if (now_ns > wl_sched_run_heard_ns(sched, known) + SILENT_MAX_MS * WL_NS_PER_MS)
 			return "run-silent";
 		(*runs)++;
 	}
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -261,6 +261,7 @@
 	size_t queued;		   /* batches in wl_sched.pending */
 	uint64_t at_work_ns;	   /* until when a run of it was at work, or when it could begin */
 	uint64_t stalled_count_ns; /* when it was last counted as stalled */
+	uint64_t progress_ns;	   /* when a task was done, or a run saved its progress */
 	uint64_t missing_since_ns; /* since when audits find a fault; 0: the last one found none */
 	struct wl_task_batch_list suspects;
 	uint64_t trials[WL_TRIALS]; /* its runs on trial */
@@ -394,6 +395,7 @@
 	uint64_t lasting_wanted_permille; /* with the pending lasting tasks whose run has ended */
 	uint64_t next_gauges_ns;
 	uint64_t next_stalled_ns;
+	uint64_t next_progress_ns;
 	uint64_t next_audit_ns;
 	uint64_t audits;
 	wl_metric_t *order_times[WL_ORDER_KINDS][WL_ORDER_OUTCOMES]; /* NULL: not used yet */
@@ -454,8 +456,13 @@
 /* audit.c */
 const char *wl_sched_job_audit(const wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job,
 			       uint64_t *task);
+uint64_t wl_sched_run_heard_ns(const wl_sched_t *sched, const wl_sched_run_t *run);
 void wl_sched_audit_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* progress.c */
+void wl_sched_job_progressed(const wl_job_t *job, uint64_t now_ns);
+void wl_sched_progress_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+
 /* stalled.c */
 void wl_sched_job_at_work(const wl_job_t *job, uint64_t now_ns);
 void wl_sched_job_placed(const wl_job_t *job, wl_sched_run_t *run);
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -380,6 +380,7 @@
 		return;
 	sched_job = wl_alloc(sizeof(*sched_job));
 	sched_job->job = job;
+	sched_job->progress_ns = now_ns;
 	TAILQ_INIT(&sched_job->suspects);
 	wl_sched_trials_count(sched, sched_job);
 	sched_job->critical_path_ms = critical_path_ms(job, 0, false);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -335,6 +335,20 @@
 	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
 }
 
+/* Keeps a checkpoint that a target lists; a newer one is progress of the job. */
+static void checkpoint_listed(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+			      wl_str_t checkpoint)
+{
+	const wl_job_t *job;
+
+	if (checkpoint.len == 0 || wl_str_equal(checkpoint, wl_buf_str(&run->checkpoint)))
+		return;
+	wl_buf_set(&run->checkpoint, checkpoint);
+	job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	if (job)
+		wl_sched_job_progressed(job, now_ns);
+}
+
 static void views_apply(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			const wl_order_end_t *end, wl_out_t *out)
 {
@@ -355,8 +369,7 @@
 			run->first_listed_ns = now_ns;
 		run->last_listed_ns = now_ns;
 		run->tail_ms = views[i].load; /* the tail latency of a serving run, in ms */
-		if (views[i].checkpoint.len)
-			wl_buf_set(&run->checkpoint, wl_buf_str(&views[i].checkpoint));
+		checkpoint_listed(sched, now_ns, run, wl_buf_str(&views[i].checkpoint));
 		if (run->phase != WL_RUN_INHERITED && run->phase != WL_RUN_UNCONFIRMED)
 			continue;
 		run->phase = WL_RUN_CONFIRMED;
