jobs: starts that were left unanswered do not fail a job

Cause: a start without an answer counted as a run that was there. The crash of a target at once leaves nothing else, but then contact ends at once too. A crash now counts towards giving the task up only if the same incarnation was not heard of for 100 ms after the start was sent, or had confirmed the run. It makes the task suspected as before.

Ruled out: counting no start without an answer (unit.sched_guilty_test: 4 crashes under a task that crashes its target 20 ms after the start, 3 allowed).

unit.sched_crash_test: StartsWithoutAnAnswerDoNotFailTheirJob failed before.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -34,6 +34,8 @@
 	uint64_t before = crashes->count > 0;
 
 	crashes->count = count;
+	if (count == 0)
+		crashes->proved = 0;
 	job->suspects += (count > 0) - before;
 	jobs->suspects += (count > 0) - before;
 }
@@ -49,12 +51,21 @@
 	return crashes->count + 1;
 }
 
-/* An outage makes a task suspected, but counts no further: it may recur. */
-static uint64_t next_count(const wl_task_crashes_t *crashes, const wl_run_end_t *end)
+/*
+ * Counts a crash. An outage makes a task suspected, but counts no further: it may recur. Nor does a
+ * run that may never have begun count towards giving the task up.
+ */
+static void crash_count(wl_jobs_t *jobs, wl_job_t *job, wl_task_crashes_t *crashes,
+			const wl_run_end_t *end)
 {
 	uint64_t next = wl_task_crashes_next(crashes, end->ran_ms);
 
-	return end->outage && next > 1 ? crashes->count : next;
+	if (next == 1)
+		crashes->proved = 0;
+	else if (end->outage)
+		return;
+	crashes->proved += !end->unconfirmed;
+	count_set(jobs, job, crashes, next);
 }
 
 /*
@@ -66,7 +77,6 @@
 bool wl_task_crashed(wl_jobs_t *jobs, wl_job_t *job, const wl_run_end_t *end, uint64_t crash)
 {
 	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
-	uint64_t count = next_count(crashes, end);
 
 	if (job->record.crash != crash) {
 		job->record.crash = crash;
@@ -77,9 +87,9 @@
 		return false;
 	crashes->run = end->run;
 	crashes->crash = crash;
+	crash_count(jobs, job, crashes, end);
 	crashes->ran_ms = end->ran_ms;
-	count_set(jobs, job, crashes, count);
-	return count >= WL_TASK_CRASHES_MAX;
+	return crashes->proved >= WL_TASK_CRASHES_MAX;
 }
 
 /* Members of a gang end because of each other, whatever crashed the target of one of them. */
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -11,7 +11,7 @@
  * runs. Only committed commands change it.
  */
 
-#define WL_TASK_CRASHES_MAX  3	   /* crashes of targets under a task at which it is given up */
+#define WL_TASK_CRASHES_MAX  3 /* proved crashes of targets under a task at which it is given up */
 #define WL_TASK_TRIAL_MAX_MS 10000 /* a run that has worked for longer is on no trial */
 
 struct wl_job;
@@ -41,6 +41,7 @@
 	uint64_t crash;	 /* number of the newest one; 0: none */
 	uint64_t run;	 /* newest run that counted */
 	uint64_t ran_ms; /* how long that run is known to have run */
+	uint64_t proved; /* of these: under runs that their target is known to have begun */
 } wl_task_crashes_t;
 
 typedef struct wl_job_task {
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -12,6 +12,7 @@
 	WL_FIELD(wl_job_task_row_t, crashes.crash, WL_FIELD_U64),
 	WL_FIELD(wl_job_task_row_t, crashes.run, WL_FIELD_U64),
 	WL_FIELD(wl_job_task_row_t, crashes.ran_ms, WL_FIELD_U64),
+	WL_FIELD(wl_job_task_row_t, crashes.proved, WL_FIELD_U64),
 };
 
 const wl_schema_t wl_job_task_row_schema = WL_SCHEMA(wl_job_task_row_t, job_task_row_fields);
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -189,6 +189,7 @@
 	WL_FIELD(wl_run_end_t, checkpoint, WL_FIELD_BYTES),
 	WL_FIELD(wl_run_end_t, ran_ms, WL_FIELD_U64),
 	WL_FIELD(wl_run_end_t, outage, WL_FIELD_BOOL),
+	WL_FIELD(wl_run_end_t, unconfirmed, WL_FIELD_BOOL),
 };
 
 const wl_schema_t wl_run_end_schema = WL_SCHEMA(wl_run_end_t, run_end_fields);
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -189,6 +189,7 @@
 	wl_buf_t checkpoint; /* empty: none */
 	uint64_t ran_ms;     /* CRASHED: how long it is known to have run */
 	bool outage;	     /* CRASHED: in an outage, which is weak evidence against its task */
+	bool unconfirmed;    /* CRASHED: nothing shows that the target had begun it */
 } wl_run_end_t;
 
 /* A run that works on, and has worked for so long that earlier crashes were not due to its task. */
--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -8,7 +8,8 @@
 
 #include "internal.h"
 
-#define OUTAGE_NEW_MS 1000 /* a run that had worked for longer is no cause of an outage */
+#define START_ANSWER_MS 100  /* several round trips; a target answers before it begins */
+#define OUTAGE_NEW_MS	1000 /* a run that had worked for longer is no cause of an outage */
 
 /*
  * wl_sched_crash_contact_ns - time of the newest report, or answer to a renewal, that is known to
@@ -107,6 +108,17 @@
 	return run->phase == WL_RUN_UNCONFIRMED && run->placed_ns <= lost_ns;
 }
 
+/*
+ * Whether the target was heard of for longer than it takes to answer a start, and neither answered
+ * that of the run nor listed it. A task that crashes its target at once leaves no such time.
+ * Nothing is known of that if the target has started twice since.
+ */
+static bool was_left(const wl_sched_run_t *run, const wl_sched_incarnation_end_t *end)
+{
+	return run->phase == WL_RUN_UNCONFIRMED && run->incarnation == end->incarnation &&
+	       end->contact_ns > run->start_sent_ns + START_ANSWER_MS * WL_NS_PER_MS;
+}
+
 /*
  * How long a run is known to have worked. What an earlier leader started most likely worked until
  * one lease before this one led: as a rule the target was heard since, or the run would have ended.
@@ -145,6 +157,7 @@
 			    !wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job))))
 		return;
 	row->outcome = WL_END_CRASHED;
+	row->unconfirmed = was_left(run, end);
 	/* An earlier leader may have missed the crash. That a run is sound is committed. */
 	if (run->phase == WL_RUN_INHERITED)
 		row->ran_ms = 0;
@@ -163,6 +176,7 @@
 	row = wl_sched_run_end_add(run, (wl_run_outcome_t)found.outcome, reason, ends);
 	row->ran_ms = found.ran_ms;
 	row->outage = found.outage;
+	row->unconfirmed = found.unconfirmed;
 	return found.outcome == WL_END_CRASHED;
 }
 
--- a/libwlcore/sched/given_up.c
+++ b/libwlcore/sched/given_up.c
@@ -91,7 +91,7 @@
 		   " task=%llu.%llu.%llu crashes=%llu crash=%llu seen=" WL_STR_FMT,
 		   WL_STR_ARG(job->key), (unsigned long long)at.occurrence,
 		   (unsigned long long)at.step, (unsigned long long)at.index,
-		   (unsigned long long)job->tasks[wl_job_counted_task(job, task)].crashes.count,
+		   (unsigned long long)job->tasks[wl_job_counted_task(job, task)].crashes.proved,
 		   (unsigned long long)job->record.crash, WL_STR_ARG(wl_buf_str(&seen)));
 	wl_buf_free(&seen);
 }
@@ -102,7 +102,7 @@
 	const wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
 
 	return job->leader_data && job->record.state == WL_JOB_FAILED &&
-	       crashes->count >= WL_TASK_CRASHES_MAX && crashes->run == end->run;
+	       crashes->proved >= WL_TASK_CRASHES_MAX && crashes->run == end->run;
 }
 
 /*
@@ -122,11 +122,11 @@
 	wl_metrics_add(sched->options.metrics, "wisterialead_job_crashes_total", "", 1);
 	wl_out_log(out, WL_WARN, "task-crash",
 		   "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT
-		   " crash=%llu in_a_row=%llu ran_ms=%llu",
+		   " crash=%llu in_a_row=%llu proved=%llu ran_ms=%llu",
 		   WL_STR_ARG(job->key), (unsigned long long)end->task,
 		   (unsigned long long)end->run, WL_STR_ARG(wl_buf_str(&end->runner)),
 		   (unsigned long long)crashes->crash, (unsigned long long)crashes->count,
-		   (unsigned long long)end->ran_ms);
+		   (unsigned long long)crashes->proved, (unsigned long long)end->ran_ms);
 	if (is_given_up(job, end))
 		task_given_up(sched, job, end->task, out);
 }
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -94,6 +94,7 @@
  */
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns)
 {
+	run->start_sent_ns = sent_ns;
 	run->start_over_ns =
 		sent_ns + (WL_SCHED_START_TIMEOUT_MS + WL_SCHED_ORDER_LATE_MS) * WL_NS_PER_MS;
 }
--- a/tests/support/crash_targets.h
+++ b/tests/support/crash_targets.h
@@ -52,6 +52,10 @@
 			rig.answer(order, WL_ORDER_NO_ANSWER);
 			return;
 		}
+		if (order.kind == WL_ORDER_START && unanswered.count(order.task) > 0) {
+			left.push_back(order);
+			return;
+		}
 		if (order.kind == WL_ORDER_START) {
 			at.runs.push_back(order);
 			started.push_back(order);
@@ -81,11 +85,25 @@
 		}
 	}
 
+	/* The connections of a target break. */
+	void left_answer(const std::string &id)
+	{
+		std::vector<SchedOrder> open;
+
+		open.swap(left);
+		for (const auto &order : open)
+			if (order.runner == id)
+				rig.answer(order, WL_ORDER_NO_ANSWER);
+			else
+				left.push_back(order);
+	}
+
 	void lose(const std::vector<std::string> &ids, uint64_t apart_ms = 0)
 	{
 		for (const auto &id : ids) {
 			targets[id].down = true;
 			targets[id].runs.clear();
+			left_answer(id);
 			pass(apart_ms);
 		}
 		pass(100);
@@ -154,6 +172,8 @@
 	std::map<std::string, std::string> racks;
 	std::vector<SchedOrder> started;
 	std::vector<uint64_t> started_ns; /* when */
+	std::set<std::string> unanswered; /* tasks whose starts get no answer and have no effect */
+	std::vector<SchedOrder> left;	  /* these starts, until their targets are lost */
 	std::set<std::string> guilty;	  /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
 	size_t crashes = 0;
 };
--- a/tests/unit/job_crashes_test.cc
+++ b/tests/unit/job_crashes_test.cc
@@ -155,10 +155,10 @@
 	std::vector<wl_field_t> fields(job.fields, job.fields + job.count);
 	std::string older;
 
-	row.count -= 4;
+	row.count -= 5;
 	runner.count -= 2;
 	run.count -= 1;
-	job.count -= 3;
+	job.count -= 5;
 	for (auto &field : fields)
 		if (field.schema == &wl_job_task_row_schema)
 			field.schema = &row;
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -203,6 +203,38 @@
 	EXPECT_EQ(rig.metric("wisterialead_job_tasks_given_up_total{}"), "1");
 }
 
+/*
+ * Guards against a job that is shown as failed although its task has never begun: each time its
+ * start is left unanswered by a target that crashes before it would carry it out.
+ */
+TEST_F(Crash, StartsWithoutAnAnswerDoNotFailTheirJob)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	unanswered = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 6; i++) {
+		for (int wait = 0; wait < 100 && left.empty(); wait++)
+			pass(100);
+		ASSERT_FALSE(left.empty()) << i;
+		std::string at = left[0].runner;
+		pass(400);
+		crash(at);
+		pass(2000);
+		target(at);
+	}
+	EXPECT_EQ(rig.job_state("j"), "running");
+	/* Three targets that are known to have begun it do fail it. */
+	unanswered.clear();
+	guilty = {"j.0.0.0"};
+	for (int i = 0; i < 200; i++) {
+		pass(100);
+		back_after_crash();
+	}
+	EXPECT_EQ(rig.job_state("j"), "failed");
+	EXPECT_EQ(started.size(), 3u);
+}
+
 TEST_F(Crash, LeaderThatChangesBetweenTwoCrashesKeepsTheCount)
 {
 	for (const char *id : {"a", "b", "c", "d"})
