jobs: count a job as pending until a target has begun a task

Cause: the count went by committed starts. One that was refused, or that reached no target, left its job counted as begun. The count now goes by what targets answer, list and end. A replica that does not know counts the job.

--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -164,7 +164,7 @@
 }
 
 /*
- * wl_jobs_pending - count the jobs of a queue of which no task has started
+ * wl_jobs_pending - count the jobs of a queue of which no target has begun a task
  *
  * Scheduled (repeating) jobs are not counted.
  */
@@ -174,8 +174,7 @@
 	uint64_t pending = 0;
 
 	TAILQ_FOREACH (job, &jobs->live, link)
-		pending += job->record.state == WL_JOB_QUEUED && job->record.spec.repeat == 0 &&
-			   job->queue == queue;
+		pending += !job->begun && job->record.spec.repeat == 0 && job->queue == queue;
 	return pending;
 }
 
@@ -471,6 +470,7 @@
 	restored->failures = row->failures;
 	restored->failed_run = row->failed_run;
 	wl_buf_move(&restored->checkpoint, &row->checkpoint);
+	job->begun |= row->done || row->failures > 0 || restored->checkpoint.len > 0;
 	wl_task_crashes_restore(jobs, job, task, &row->crashes);
 	if (row->done)
 		wl_task_done(job, task);
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -102,8 +102,13 @@
 	uint64_t occurrences;
 	uint64_t remaining; /* tasks not done */
 	uint64_t suspects;  /* tasks and gangs with crashes */
-	uint64_t active;    /* runs whose end is not committed, also after the job has ended */
-	void *leader_data;  /* data of the scheduler on the leader; NULL: none */
+	/*
+	 * A target is known to have begun a task. The leader learns of it first; a replica that
+	 * does not know counts the job as pending.
+	 */
+	bool begun;
+	uint64_t active;   /* runs whose end is not committed, also after the job has ended */
+	void *leader_data; /* data of the scheduler on the leader; NULL: none */
 	TAILQ_ENTRY(wl_job) link;
 } wl_job_t;
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -486,6 +486,7 @@
 			   wl_out_t *out);
 void wl_sched_run_answered(wl_sched_t *sched, uint64_t now_ns, const wl_sched_order_t *order,
 			   const wl_order_end_t *end, wl_out_t *out);
+void wl_sched_run_begun(const wl_sched_t *sched, const wl_sched_run_t *run);
 void wl_sched_run_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run, const char *reason,
 		       wl_out_t *out);
 wl_run_end_t *wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome,
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -374,6 +374,7 @@
 			continue;
 		run->phase = WL_RUN_CONFIRMED;
 		run->answered_ns = now_ns;
+		wl_sched_run_begun(sched, run);
 	}
 	wl_sched_ends_propose(sched, now_ns, &sound, out);
 }
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -338,6 +338,17 @@
 	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "refused", out);
 }
 
+/*
+ * wl_sched_run_begun - note that a target is known to have begun a run
+ */
+void wl_sched_run_begun(const wl_sched_t *sched, const wl_sched_run_t *run)
+{
+	wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+
+	if (job)
+		job->begun = true;
+}
+
 static void start_answered(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			   const wl_sched_order_t *order, const wl_order_end_t *end, wl_out_t *out)
 {
@@ -352,6 +363,8 @@
 			   wl_order_outcome_names[outcome]);
 	switch (outcome) {
 	case WL_ORDER_DONE:
+		wl_sched_run_begun(sched, run);
+		/* fall through */
 	case WL_ORDER_STALE: /* the target had this run before, and lists its end */
 		wl_sched_average_shares_update(run->runner, now_ns);
 		run->phase = WL_RUN_CONFIRMED;
