scheduler: labels of a target are unknown until its incarnation reports

Cause: the answer to a renewal makes a later incarnation known and usable, with the labels that the earlier one had reported. These are unknown now until the report of the later one is committed, for placement as for starts that were placed before. Rack and room stay with the machine.

--- a/libwlcore/sched/capacity.c
+++ b/libwlcore/sched/capacity.c
@@ -92,7 +92,8 @@
  * decision for the first one holds for all.
  */
 static bool gang_is_withheld(const wl_sched_t *sched, const wl_job_t *job,
-			     const wl_run_start_t *rows, size_t count, size_t row)
+			     const wl_run_start_t *rows, size_t count, size_t row,
+			     const wl_step_spec_t *step)
 {
 	if (row > 0 && is_same_gang(job, &rows[row - 1], &rows[row])) {
 		const wl_sched_run_t *previous =
@@ -105,7 +106,7 @@
 		const wl_sched_runner_t *runner =
 			wl_sched_runner_find(sched, wl_buf_str(&rows[i].runner));
 
-		if (!runner || closed_reason(runner) ||
+		if (!runner || closed_reason(runner) || !wl_fit_has_label(step, &runner->fit) ||
 		    !is_within(&runner->fit.used, &runner->fit.capacity))
 			return true;
 	}
@@ -122,12 +123,17 @@
 				    size_t row, const wl_sched_run_t *run, const wl_job_t *job)
 {
 	const wl_run_start_t *rows = cmd->runs.items;
+	const wl_step_spec_t *step;
 	wl_task_ref_t at;
 
 	wl_job_task_ref(job, run->task, &at);
 	if (closed_reason(run->runner))
 		return closed_reason(run->runner);
-	if (wl_job_step(job, at.step)->gang)
-		return gang_is_withheld(sched, job, rows, cmd->runs.count, row) ? "gang" : NULL;
+	step = wl_job_step(job, at.step);
+	if (step->gang)
+		return gang_is_withheld(sched, job, rows, cmd->runs.count, row, step) ? "gang"
+										      : NULL;
+	if (!wl_fit_has_label(step, &run->runner->fit))
+		return "label";
 	return has_room(run) ? NULL : "no-room";
 }
--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -26,9 +26,12 @@
 #define OTHER_IMAGE_WEIGHT	4 /* free CPU that weighs as much as 1 CPU of another image */
 #define REMOTE_PENALTY		(INT64_C(1) << 40) /* above any difference in free CPU, millis */
 
-static bool has_label(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
+/*
+ * wl_fit_has_label - whether a target has the label that a step requires, if it requires one
+ */
+bool wl_fit_has_label(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
 {
-	wl_str_t label = wl_buf_str(&request->step->label);
+	wl_str_t label = wl_buf_str(&step->label);
 
 	return label.len == 0 || (runner->labels && wl_strings_contain(runner->labels, label));
 }
@@ -45,7 +48,7 @@
 {
 	const wl_step_spec_t *step = request->step;
 
-	return wl_str_equal(request->service, runner->service) && has_label(request, runner) &&
+	return wl_str_equal(request->service, runner->service) && wl_fit_has_label(step, runner) &&
 	       reserved_cpu(step) <= runner->capacity.cpu_millis &&
 	       step->memory_mib <= runner->capacity.memory_mib &&
 	       step->accelerators <= runner->capacity.accelerators;
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -10,7 +10,7 @@
 typedef struct wl_fit_runner {
 	wl_str_t service;
 	wl_str_t rack;
-	const wl_list_t *labels; /* strings */
+	const wl_list_t *labels; /* strings; NULL: unknown */
 	wl_need_t capacity;
 	wl_need_t used;		     /* reserved; without the CPU of best-effort tasks */
 	uint64_t best_effort_millis; /* CPU that best-effort tasks ask for */
@@ -56,6 +56,7 @@
 uint64_t wl_fit_tail_limit(const wl_fit_request_t *request);
 bool wl_fit_allows(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 bool wl_fit_fits(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
+bool wl_fit_has_label(const wl_step_spec_t *step, const wl_fit_runner_t *runner);
 bool wl_fit_eligible(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 
 #endif
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -48,13 +48,25 @@
 	wl_sched_open_starts_stop(sched, now_ns, runner);
 }
 
+/*
+ * An incarnation may have other labels than the one before, so that they are unknown until it has
+ * reported itself. Its rack and capacity are those of its machine.
+ */
+static void labels_update(wl_sched_t *sched, wl_sched_runner_t *runner)
+{
+	const wl_runner_report_t *report = &runner->state->report;
+
+	runner->fit.labels = runner->incarnation == report->incarnation ? &report->labels : NULL;
+	sched->place_due |= runner->fit.labels != NULL;
+}
+
 static void fit_update(wl_sched_t *sched, wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
 
 	runner->fit.service = wl_buf_str(&report->service);
 	runner->fit.rack = wl_buf_str(&report->rack);
-	runner->fit.labels = &report->labels;
+	labels_update(sched, runner);
 	wl_sched_capacity_reported(sched, runner, report);
 }
 
@@ -130,6 +142,7 @@
 	runner->known.late_leases_expiry_ns = runner->late_orders_over_ns + lease_max_ns;
 	wl_sched_stops_forget(runner);
 	lookup_begin(runner);
+	labels_update(sched, runner);
 	wl_sched_open_starts_stop(sched, now_ns, runner);
 }
 
