--- a/tests/support/sched_history.cc
+++ b/tests/support/sched_history.cc
@@ -11,6 +11,7 @@
 constexpr uint64_t PERMILLE = 1000;
 constexpr uint64_t TROUBLE = 20 * SECOND; /* how long faults begin */
 constexpr uint64_t FAULT_IN_HISTORY_PERMILLE = 600;
+constexpr uint64_t RENAME_PERMILLE = 5;	   /* in each step */
 constexpr uint64_t LATE_MAX = 12 * SECOND; /* as late as anything arrives */
 constexpr uint64_t QUICK = 30 * MS;
 constexpr uint64_t REPORTED = SECOND; /* a new target has reported, and that is committed */
@@ -38,6 +39,7 @@
 	for (unsigned bit = 1; bit < FAULTS_ALL; bit <<= 1)
 		if (chance(FAULT_IN_HISTORY_PERMILLE) && (allowed & bit))
 			faults |= bit;
+	faults |= allowed & FAULT_RENAMES;
 	begin_ns = rig.now;
 	rig.agents({"s2", "s3"});
 	rig.configure("q", 0, PERMILLE);
@@ -158,6 +160,17 @@
 	on_answer.clear();
 }
 
+/* The name that the route had goes to one of another host and service. */
+void SchedHistory::route_rename()
+{
+	std::string before = "q" + std::to_string(renames++);
+	std::string now = "q" + std::to_string(renames);
+
+	note("the route is renamed to %s", now.c_str());
+	rig.routes({{now, "", "/q/", rig.service, PERMILLE},
+		    {before, "other.example", "/q/", "press", PERMILLE}});
+}
+
 void SchedHistory::commits_step()
 {
 	if (!leading || rig.now < paused_until_ns || rig.now < commit_ns)
@@ -184,6 +197,8 @@
 	if (leading && rig.now >= paused_until_ns) {
 		rig.tick();
 		commits_step();
+		if ((faults & FAULT_RENAMES) && fault(FAULT_RENAMES, RENAME_PERMILLE))
+			route_rename();
 		if (!quiet && jobs.size() < JOBS && rig.now >= next_job_ns) {
 			next_job_ns = rig.now + below(6 * SECOND);
 			job_submit();
--- a/tests/support/sched_history.h
+++ b/tests/support/sched_history.h
@@ -21,6 +21,7 @@
 	FAULT_CUTS = 1u << 9,	    /* a target is unreachable for some seconds */
 	FAULT_PAUSES = 1u << 10,    /* the leader is suspended */
 	FAULTS_ALL = (1u << 11) - 1,
+	FAULT_RENAMES = 1u << 11, /* versions rename the route of the jobs; in all histories */
 };
 
 /* A random history of the scheduler with modelled targets; deterministic for a seed. */
@@ -103,6 +104,7 @@
 	void step();
 	void commits_step();
 	void leader_step();
+	void route_rename();
 	void lead();
 	void faults_end();
 	void ready_targets_check();
@@ -161,6 +163,7 @@
 	uint64_t change_ns = 0; /* when the leadership ends */
 	uint64_t commit_ns = 0; /* no commit before */
 	uint64_t paused_until_ns = 0;
+	uint64_t renames = 0;
 	uint64_t next_job_ns = 0;
 	std::vector<Job> jobs;
 	std::vector<Gang> gangs;
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -327,6 +327,7 @@
 		wl_buf_set(&queue->prefix, str(route.prefix));
 		wl_buf_set(&queue->service, str(route.service));
 		queue->timeout_ms = 3000;
+		queue->max_attempts = route.max_attempts;
 		if (wl_catalog_service(&catalog, str(route.service)))
 			continue;
 		auto *added = static_cast<wl_service_t *>(
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -36,6 +36,7 @@
 	std::string host;
 	std::string prefix;
 	std::string service;
+	uint64_t max_attempts = 0; /* 0: the default */
 };
 
 /* The newest answer to a call of a daemon. */
