scheduler: no pass for each report, and the label check inline again

The labels of a target were set with each committed report, and each time a placement pass was made due; it is now due only when they become known. The check of a label had become a call in the innermost loop of placement.

--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -26,16 +26,6 @@
 #define OTHER_IMAGE_WEIGHT	4 /* free CPU that weighs as much as 1 CPU of another image */
 #define REMOTE_PENALTY		(INT64_C(1) << 40) /* above any difference in free CPU, millis */
 
-/*
- * wl_fit_has_label - whether a target has the label that a step requires, if it requires one
- */
-bool wl_fit_has_label(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
-{
-	wl_str_t label = wl_buf_str(&step->label);
-
-	return label.len == 0 || (runner->labels && wl_strings_contain(runner->labels, label));
-}
-
 static uint64_t reserved_cpu(const wl_step_spec_t *step)
 {
 	return step->best_effort ? 0 : step->cpu_millis;
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -56,7 +56,17 @@
 uint64_t wl_fit_tail_limit(const wl_fit_request_t *request);
 bool wl_fit_allows(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 bool wl_fit_fits(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
-bool wl_fit_has_label(const wl_step_spec_t *step, const wl_fit_runner_t *runner);
+/*
+ * Returns whether a target has the label that a step requires, if it requires one; inline because
+ * placement asks it of many targets.
+ */
+static inline bool wl_fit_has_label(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+{
+	wl_str_t label = wl_buf_str(&step->label);
+
+	return label.len == 0 || (runner->labels && wl_strings_contain(runner->labels, label));
+}
+
 bool wl_fit_eligible(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 
 #endif
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -56,9 +56,10 @@
 static void labels_update(wl_sched_t *sched, wl_sched_runner_t *runner)
 {
 	const wl_runner_report_t *report = &runner->state->report;
+	bool were_known = runner->fit.labels != NULL;
 
 	runner->fit.labels = runner->incarnation == report->incarnation ? &report->labels : NULL;
-	sched->place_due |= runner->fit.labels != NULL;
+	sched->place_due |= runner->fit.labels && !were_known;
 }
 
 static void fit_update(wl_sched_t *sched, wl_sched_runner_t *runner)
