scheduler: tell the whole story of a job that ends with runs

- job-cancel: answer, state, runs, and the daemon that took the call; job-accept names that daemon too.
- job-teardown, job-torn-down: the runs that were active when a job ended, with phase and agent, and how, when and after how many stops each ended.
A few lines a job, so that no limit omits them.
- job-runs-on, and metrics: a run that is still there 3 s after the end of its job.
- run-given-up: ends that the target has not listed, no longer among run-end.

unit.sched_teardown_test

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -27,6 +27,8 @@
 	WL_RUN_ENDING,	    /* its end is proposed, not committed */
 } wl_run_phase_t;
 
+extern const char *const wl_run_phase_names[];
+
 /* How a run on trial keeps away from others. */
 enum {
 	WL_TRIAL_NONE,
@@ -65,7 +67,10 @@
 	uint64_t listed_by;	/* incarnation of the target that listed it; 0: none yet */
 	/* its start was answered with a clock that bounds its lease */
 	bool lease_bounded;
-	uint64_t stop_sent_ns;	   /* to the known incarnation of the target; 0: never */
+	uint64_t stop_sent_ns; /* to the known incarnation of the target; 0: never */
+	uint64_t stops;	       /* stop orders sent */
+	const struct wl_sched_agent *start_agent; /* that has its start; NULL: not this leader's */
+	const struct wl_sched_agent *stop_agent;  /* that has the newest stop; NULL: none */
 	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
 	bool stop_wanted;
 	bool withheld;	  /* its start was committed and not ordered */
@@ -338,6 +343,10 @@
 
 TAILQ_HEAD(wl_sched_crashes, wl_sched_crash);
 
+typedef struct wl_sched_teardown wl_sched_teardown_t;
+
+TAILQ_HEAD(wl_sched_teardowns, wl_sched_teardown);
+
 typedef struct wl_sched_departure wl_sched_departure_t;
 
 TAILQ_HEAD(wl_sched_departures, wl_sched_departure);
@@ -379,6 +388,10 @@
 	struct wl_sched_crashes crashes; /* seen by this leader, oldest first */
 	size_t crashes_kept;
 	wl_map_t by_run;
+	wl_map_t by_ended_job;		     /* the teardowns */
+	struct wl_sched_teardowns teardowns; /* oldest first */
+	uint64_t next_teardowns_ns;
+	wl_metric_t *teardown_times;	   /* NULL: not used yet */
 	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
 	struct wl_task_batch_list pending; /* by rank */
 	struct wl_sched_timed timed;	   /* jobs with occurrences that are not due yet */
@@ -493,8 +506,8 @@
 		       wl_out_t *out);
 wl_run_end_t *wl_sched_run_end_add(wl_sched_run_t *run, wl_run_outcome_t outcome,
 				   const char *reason, wl_cmd_runs_end_t *ends);
-void wl_sched_run_end_log(const wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
-			  wl_out_t *out);
+void wl_sched_run_end_note(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+			   wl_run_outcome_t outcome, const char *reason, wl_out_t *out);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
 			   wl_out_t *out);
 void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
@@ -502,6 +515,15 @@
 void wl_sched_stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
+/* teardown.c */
+void wl_sched_teardown_begin(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job,
+			     wl_out_t *out);
+void wl_sched_teardown_run_ended(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+				 wl_run_outcome_t outcome, const char *reason, wl_out_t *out);
+void wl_sched_teardowns_inherit(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_teardowns_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_teardowns_clear(wl_sched_t *sched);
+
 /* tails.c */
 void wl_sched_tails_update(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			   wl_out_t *out);
@@ -624,8 +646,9 @@
 void wl_sched_wait_measure(wl_sched_t *sched, bool lasting, uint64_t waited_ns);
 
 /* orders.c */
-void wl_sched_order_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			wl_order_t *order, const wl_sched_run_t *run);
+const wl_sched_agent_t *wl_sched_order_add(wl_sched_t *sched, uint64_t now_ns,
+					   wl_sched_runner_t *runner, wl_order_t *order,
+					   const wl_sched_run_t *run);
 void wl_sched_orders_completed(wl_sched_t *sched, uint64_t now_ns, wl_str_t agent,
 			       const wl_msg_ordered_t *msg, wl_out_t *out);
 void wl_sched_orders_fail(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *agent,
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -292,7 +292,7 @@
 		uint64_t lost_ns = wl_sched_run_lost_ns(run, now_ns);
 
 		if (!proposed)
-			wl_sched_run_end_log(run, WL_END_LOST, reason, out);
+			wl_sched_run_end_note(sched, now_ns, run, WL_END_LOST, reason, out);
 		wl_sched_run_remove(sched, run);
 		if (job && !proposed)
 			wl_sched_task_enqueue(sched, now_ns, job, task, lost_ns);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -30,9 +30,12 @@
  * wl_sched_order_add - queue an order for the agent of its target
  * @order: kind and what is specific to it; the other fields are filled in here
  * @run: the run that it concerns; NULL: none that is known, or all of the target's
+ *
+ * Return: the agent.
  */
-void wl_sched_order_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			wl_order_t *order, const wl_sched_run_t *run)
+const wl_sched_agent_t *wl_sched_order_add(wl_sched_t *sched, uint64_t now_ns,
+					   wl_sched_runner_t *runner, wl_order_t *order,
+					   const wl_sched_run_t *run)
 {
 	wl_sched_order_t *in_flight = wl_alloc(sizeof(*in_flight));
 
@@ -65,6 +68,7 @@
 	wl_sched_agent_enqueue(in_flight->agent, order);
 	if (order->kind == WL_ORDER_RENEW)
 		runner->renewal_id = in_flight->id;
+	return in_flight->agent;
 }
 
 static void order_remove(wl_sched_t *sched, wl_sched_order_t *in_flight)
--- a/libwlcore/sched/progress.c
+++ b/libwlcore/sched/progress.c
@@ -21,9 +21,6 @@
 static const char *const stage_names[] = {"unusable", "not-eligible", "no-capacity",
 					  "tail",     "trial",	      "none"};
 
-static const char *const phase_names[] = {"proposed",  "starting",    "confirmed",
-					  "inherited", "unconfirmed", "ending"};
-
 /* What is told of the runs of a job. */
 typedef struct runs_view {
 	uint64_t count;
@@ -150,7 +147,7 @@
 		   (unsigned long long)runs.count, (unsigned long long)runs.unknown,
 		   (unsigned long long)runs.background, (unsigned long long)runs.slowest_percent,
 		   WL_STR_ARG(oldest ? oldest->key : WL_STR("none")),
-		   oldest ? phase_names[oldest->phase] : "none",
+		   oldest ? wl_run_phase_names[oldest->phase] : "none",
 		   oldest ? (unsigned long long)((now_ns - wl_sched_run_heard_ns(sched, oldest)) /
 						 WL_NS_PER_MS)
 			  : 0ULL,
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -18,6 +18,9 @@
 #define FAILURES_MAX	       3
 #define FAILURES_QUARANTINE_MS 4000
 
+const char *const wl_run_phase_names[] = {"proposed",  "starting",    "confirmed",
+					  "inherited", "unconfirmed", "ending"};
+
 static void run_text(wl_str_t job, uint64_t task, uint64_t number, wl_buf_t *text)
 {
 	wl_buf_set(text, job);
@@ -153,7 +156,7 @@
 	wl_sched_run_start_sent(run, now_ns);
 	wl_sched_takeover_started(sched, now_ns);
 	run->started_ms = wl_sched_clock_ms(sched, now_ns);
-	wl_sched_order_add(sched, now_ns, run->runner, &order, run);
+	run->start_agent = wl_sched_order_add(sched, now_ns, run->runner, &order, run);
 	wl_sched_wait_measure(sched, wl_job_step(job, order.task.step)->lasting, run->waited_ns);
 	wl_out_log(out, WL_INFO, "run-start",
 		   "job=" WL_STR_FMT " task=%llu.%llu.%llu run=%llu target=" WL_STR_FMT
@@ -191,7 +194,8 @@
 	if (!job)
 		return;
 	task_of(run, job, &order.task);
-	wl_sched_order_add(sched, now_ns, run->runner, &order, run);
+	run->stop_agent = wl_sched_order_add(sched, now_ns, run->runner, &order, run);
+	run->stops++;
 }
 
 /*
@@ -448,19 +452,33 @@
 		   FAILURES_QUARANTINE_MS);
 }
 
+/* Ends that the target has not listed have an event of their own, as the others are far more. */
+static bool end_is_listed(wl_run_outcome_t outcome)
+{
+	return outcome != WL_END_LOST && outcome != WL_END_CRASHED && outcome != WL_END_NOT_STARTED;
+}
+
 /*
- * wl_sched_run_end_log - log the committed end of a run
+ * wl_sched_run_end_note - log the committed end of a run, also for the teardown of its job
  * @reason: how the leader knows of it
  */
-void wl_sched_run_end_log(const wl_sched_run_t *run, wl_run_outcome_t outcome, const char *reason,
-			  wl_out_t *out)
+void wl_sched_run_end_note(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+			   wl_run_outcome_t outcome, const char *reason, wl_out_t *out)
 {
-	wl_out_log(out, WL_INFO, "run-end",
-		   "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT
-		   " how=%s reason=%s life=%llu",
-		   WL_STR_ARG(wl_buf_str(&run->job)), (unsigned long long)run->task,
-		   (unsigned long long)run->number, WL_STR_ARG(run->runner->key),
-		   wl_run_outcome_names[outcome], reason, (unsigned long long)run->incarnation);
+	wl_buf_t pairs = {0};
+
+	wl_buf_printf(&pairs,
+		      "job=" WL_STR_FMT " task=%llu run=%llu target=" WL_STR_FMT
+		      " how=%s reason=%s life=%llu",
+		      WL_STR_ARG(wl_buf_str(&run->job)), (unsigned long long)run->task,
+		      (unsigned long long)run->number, WL_STR_ARG(run->runner->key),
+		      wl_run_outcome_names[outcome], reason, (unsigned long long)run->incarnation);
+	if (end_is_listed(outcome))
+		wl_out_log(out, WL_INFO, "run-end", "%s", pairs.at);
+	else
+		wl_out_log(out, WL_INFO, "run-given-up", "%s", pairs.at);
+	wl_buf_free(&pairs);
+	wl_sched_teardown_run_ended(sched, now_ns, run, outcome, reason, out);
 }
 
 /* Stops the remaining runs of a job that has ended. */
@@ -489,6 +507,7 @@
 		   (unsigned long long)(job->record.ended_ms - job->record.accepted_ms),
 		   (unsigned long long)job->active);
 	wl_sched_job_close(sched, job);
+	wl_sched_teardown_begin(sched, now_ns, job, out);
 	job_stop(sched, now_ns, job, wl_job_state_names[job->record.state], out);
 }
 
@@ -519,8 +538,8 @@
 	if (!run)
 		return;
 	ended_ns = run_ended_ns(run, end->outcome, now_ns);
-	wl_sched_run_end_log(run, (wl_run_outcome_t)end->outcome,
-			     run->end_reason ? run->end_reason : "other", out);
+	wl_sched_run_end_note(sched, now_ns, run, (wl_run_outcome_t)end->outcome,
+			      run->end_reason ? run->end_reason : "other", out);
 	failures_count(sched, run->runner, now_ns, end, out);
 	wl_sched_crash_applied(sched, now_ns, run, end, out);
 	if (end->outcome == WL_END_DONE)
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -49,6 +49,8 @@
 	wl_map_init(&sched->by_runner);
 	TAILQ_INIT(&sched->runners);
 	wl_map_init(&sched->by_run);
+	wl_map_init(&sched->by_ended_job);
+	TAILQ_INIT(&sched->teardowns);
 	TAILQ_INIT(&sched->departures);
 	TAILQ_INIT(&sched->losses);
 	TAILQ_INIT(&sched->crashes);
@@ -76,6 +78,7 @@
 
 	while (!TAILQ_EMPTY(&sched->proposals))
 		proposal_remove(sched, TAILQ_FIRST(&sched->proposals));
+	wl_sched_teardowns_clear(sched);
 	wl_sched_departures_clear(sched);
 	wl_sched_losses_clear(sched);
 	wl_sched_crashes_clear(sched);
@@ -107,6 +110,7 @@
 	wl_map_free(&sched->by_tag);
 	wl_map_free(&sched->by_runner);
 	wl_map_free(&sched->by_run);
+	wl_map_free(&sched->by_ended_job);
 	wl_images_free(&sched->images);
 	free(sched->rows);
 	free(sched);
@@ -189,6 +193,7 @@
 			inherited_runs_add(sched, now_ns, runner);
 	TAILQ_FOREACH (job, &sched->jobs->live, link)
 		wl_sched_job_open(sched, now_ns, job);
+	wl_sched_teardowns_inherit(sched, now_ns, out);
 	wl_sched_takeover_begin(sched, now_ns);
 	wl_out_log(out, WL_INFO, "sched-lead", "epoch=%llu targets=%zu runs=%llu jobs=%zu",
 		   (unsigned long long)sched->epoch, wl_map_count(&sched->by_runner),
@@ -244,8 +249,9 @@
 	wl_sched_runner_departed(sched, now_ns, runner, out);
 }
 
+/* @peer: the daemon that has sent the command; empty: it is not known */
 static void job_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_add_t *add,
-			wl_out_t *out)
+			wl_str_t peer, wl_out_t *out)
 {
 	const wl_queue_t *queue;
 	wl_job_t *job = wl_jobs_by_path(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path),
@@ -254,20 +260,28 @@
 	if (!job || job->leader_data || wl_job_ended(job))
 		return;
 	wl_out_log(out, WL_INFO, "job-accept",
-		   "job=" WL_STR_FMT " queue=%s priority=%llu tasks=%llu steps=%zu",
+		   "job=" WL_STR_FMT
+		   " queue=%s priority=%llu tasks=%llu steps=%zu entry=" WL_STR_FMT,
 		   WL_STR_ARG(job->key), job->record.queue.at,
 		   (unsigned long long)job->record.priority, (unsigned long long)job->task_count,
-		   job->record.spec.steps.count);
+		   job->record.spec.steps.count, WL_STR_ARG(peer));
 	wl_sched_job_open(sched, now_ns, job);
 }
 
 static void cancel_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_cancel_t *cancel,
-			   wl_out_t *out)
+			   wl_str_t peer, const wl_result_t *result, wl_out_t *out)
 {
 	const wl_queue_t *queue;
 	wl_job_t *job = wl_jobs_by_path(sched->jobs, wl_buf_str(&cancel->host),
 					wl_buf_str(&cancel->path), &queue);
 
+	wl_out_log(out, WL_INFO, "job-cancel",
+		   "job=" WL_STR_FMT " host=" WL_STR_FMT " path=" WL_STR_FMT
+		   " code=%s state=%s runs=%llu entry=" WL_STR_FMT,
+		   WL_STR_ARG(job ? job->key : WL_STR("-")), WL_STR_ARG(wl_buf_str(&cancel->host)),
+		   WL_STR_ARG(wl_buf_str(&cancel->path)), wl_code_name((wl_code_t)result->code),
+		   job ? wl_job_state_names[job->record.state] : "-",
+		   (unsigned long long)(job ? job->active : 0), WL_STR_ARG(peer));
 	if (job && job->leader_data && wl_job_ended(job))
 		wl_sched_job_ended(sched, now_ns, job, out);
 }
@@ -281,17 +295,20 @@
 }
 
 /* Updates the leader's data after any applied command, whoever proposed it. */
-static void state_update(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_t *cmd, wl_out_t *out)
+static void state_update(wl_sched_t *sched, uint64_t now_ns, const wl_event_t *event, wl_str_t peer,
+			 wl_out_t *out)
 {
+	const wl_cmd_t *cmd = event->cmd;
+
 	switch ((wl_cmd_kind_t)cmd->kind) {
 	case WL_CMD_CATALOG_PUT:
 		catalog_applied(sched, out);
 		break;
 	case WL_CMD_JOB_ADD:
-		job_applied(sched, now_ns, &cmd->u.job_add, out);
+		job_applied(sched, now_ns, &cmd->u.job_add, peer, out);
 		break;
 	case WL_CMD_JOB_CANCEL:
-		cancel_applied(sched, now_ns, &cmd->u.job_cancel, out);
+		cancel_applied(sched, now_ns, &cmd->u.job_cancel, peer, event->result, out);
 		break;
 	case WL_CMD_RUNS_START:
 		wl_sched_starts_applied(sched, now_ns, &cmd->u.runs_start, out);
@@ -325,7 +342,8 @@
 {
 	wl_sched_proposal_t *proposal = proposal_of(sched, event->tag);
 
-	state_update(sched, now_ns, event->cmd, out);
+	state_update(sched, now_ns, event, proposal ? wl_buf_str(&proposal->peer) : WL_STR("-"),
+		     out);
 	if (!proposal)
 		return;
 	if (proposal->peer.len > 0) {
@@ -362,6 +380,7 @@
 	wl_sched_stalled_tick(sched, now_ns, out);
 	wl_sched_progress_tick(sched, now_ns, out);
 	wl_sched_audit_tick(sched, now_ns, out);
+	wl_sched_teardowns_tick(sched, now_ns, out);
 	wl_sched_takeover_tick(sched, now_ns, out);
 }
 
