jobs: a cancelling holds for a submission that arrives after it

A caller who cancels a job gets 410 if it is not known. Its submission may still be on its way: an entry without a leader holds it and sends it again for three seconds, and a network delivers it late. It was accepted then and ran to its end, though its caller had been told that there is no such job.

Cause: nothing remembers a cancelling that finds no job; the class is a decision that depends on the order in which two calls of one caller are committed, although he made them in another.

--- a/libwlcore/job/internal.h
+++ b/libwlcore/job/internal.h
@@ -14,6 +14,11 @@
 		    wl_result_t *result);
 void wl_job_end(wl_jobs_t *jobs, wl_job_t *job, wl_job_state_t state, uint64_t clock_ms);
 
+/* cancellations.c */
+void wl_job_cancellation_add(wl_jobs_t *jobs, wl_str_t address, uint64_t clock_ms);
+void wl_job_cancellations_expire(wl_jobs_t *jobs, uint64_t clock_ms);
+void wl_job_cancellations_clear(wl_jobs_t *jobs);
+
 /* runs.c */
 void wl_task_done(wl_job_t *job, uint64_t task);
 void wl_run_remove(wl_jobs_t *jobs, wl_run_t *run);
--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -18,6 +18,8 @@
 	jobs->keep_ms = keep_ms;
 	wl_map_init(&jobs->by_id);
 	wl_map_init(&jobs->by_address);
+	wl_map_init(&jobs->by_cancelled);
+	TAILQ_INIT(&jobs->cancellations);
 	TAILQ_INIT(&jobs->live);
 	TAILQ_INIT(&jobs->ended);
 	wl_map_init(&jobs->by_runner);
@@ -63,6 +65,7 @@
 		job_remove(jobs, &jobs->ended, TAILQ_FIRST(&jobs->ended));
 	while ((runner = TAILQ_FIRST(&jobs->runners)))
 		wl_runner_remove(jobs, runner);
+	wl_job_cancellations_clear(jobs);
 	wl_map_free(&jobs->by_id);
 	wl_map_free(&jobs->by_address);
 	wl_map_free(&jobs->by_runner);
@@ -192,7 +195,12 @@
 	wl_buf_append(text, path);
 }
 
-static wl_job_t *job_by_address(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path)
+/*
+ * wl_jobs_at - find the job that was accepted at a host and path, whether or not a queue has them
+ *
+ * Return: the job, or NULL.
+ */
+wl_job_t *wl_jobs_at(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path)
 {
 	const wl_job_address_t *address;
 	wl_buf_t text = {0};
@@ -213,7 +221,7 @@
 			  const wl_queue_t **queue)
 {
 	*queue = wl_catalog_route(&jobs->catalog, host, path);
-	return *queue ? job_by_address(jobs, host, path) : NULL;
+	return *queue ? wl_jobs_at(jobs, host, path) : NULL;
 }
 
 /*
@@ -236,6 +244,20 @@
 	return false;
 }
 
+/*
+ * wl_jobs_is_cancelled - whether a job that is not known has been cancelled
+ */
+bool wl_jobs_is_cancelled(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path)
+{
+	wl_buf_t text = {0};
+	bool found;
+
+	address_text(host, path, &text);
+	found = wl_map_get(&jobs->by_cancelled, wl_buf_str(&text)) != NULL;
+	wl_buf_free(&text);
+	return found;
+}
+
 /*
  * wl_jobs_elsewhere - find the job that has the id of a call's path but does not belong to the call
  *
@@ -377,6 +399,10 @@
 		wl_result_ok(result, 0);
 		return;
 	}
+	if (wl_jobs_is_cancelled(jobs, wl_buf_str(&cmd->host), path)) {
+		wl_result_fail(result, WL_E_GONE, "the job was cancelled before it was accepted");
+		return;
+	}
 	if (!id_valid(path_id(queue, path))) {
 		wl_result_fail(result, WL_E_BAD_INPUT, "job id must be 1 to %d bytes without '/'",
 			       ID_BYTES_MAX);
@@ -405,6 +431,19 @@
 	TAILQ_INSERT_TAIL(&jobs->ended, job, link);
 }
 
+/* Only an address at which a job could be accepted is worth it. */
+static void cancellation_note(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd,
+			      const wl_queue_t *queue, uint64_t clock_ms)
+{
+	wl_buf_t text = {0};
+
+	if (!id_valid(path_id(queue, wl_buf_str(&cmd->path))))
+		return;
+	address_text(wl_buf_str(&cmd->host), wl_buf_str(&cmd->path), &text);
+	wl_job_cancellation_add(jobs, wl_buf_str(&text), clock_ms);
+	wl_buf_free(&text);
+}
+
 void wl_jobs_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
 		    wl_result_t *result)
 {
@@ -415,6 +454,7 @@
 			     result))
 		return;
 	if (!job) {
+		cancellation_note(jobs, cmd, queue, clock_ms);
 		wl_result_fail(result, WL_E_GONE, "no job of the queue has this path");
 		return;
 	}
@@ -441,6 +481,7 @@
 			job_remove(jobs, &jobs->ended, job);
 		job = next;
 	}
+	wl_job_cancellations_expire(jobs, clock_ms);
 	wl_runners_expire(jobs, clock_ms);
 }
 
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -127,6 +127,20 @@
 
 TAILQ_HEAD(wl_runner_list, wl_runner);
 
+/* A cancelling of a job that was not known, as stored in snapshots. */
+typedef struct wl_job_cancellation_row {
+	wl_buf_t address; /* host and path, as in wl_job_address_t */
+	uint64_t at_ms;
+} wl_job_cancellation_row_t;
+
+typedef struct wl_job_cancellation {
+	wl_str_t key; /* the address */
+	wl_job_cancellation_row_t record;
+	TAILQ_ENTRY(wl_job_cancellation) link;
+} wl_job_cancellation_t;
+
+TAILQ_HEAD(wl_job_cancellations, wl_job_cancellation);
+
 typedef struct wl_jobs {
 	uint64_t keep_ms; /* how long an ended job is kept */
 	bool configured;
@@ -136,6 +150,8 @@
 	wl_map_t by_address;
 	struct wl_job_list live;
 	struct wl_job_list ended; /* in the order in which they ended */
+	wl_map_t by_cancelled;
+	struct wl_job_cancellations cancellations; /* oldest first */
 	wl_map_t by_runner;
 	struct wl_runner_list runners;
 	/* when the earliest of the departed targets left; 0: none has left */
@@ -166,10 +182,12 @@
 bool wl_job_ended(const wl_job_t *job);
 uint64_t wl_jobs_pending(const wl_jobs_t *jobs, const wl_queue_t *queue);
 void wl_jobs_catalog_changed(wl_jobs_t *jobs);
+wl_job_t *wl_jobs_at(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path);
 wl_job_t *wl_jobs_by_path(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path,
 			  const wl_queue_t **queue);
 bool wl_jobs_resolve(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, const wl_queue_t **queue,
 		     wl_job_t **job, wl_result_t *result);
+bool wl_jobs_is_cancelled(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path);
 const wl_job_t *wl_jobs_elsewhere(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path);
 bool wl_runner_report_is_newer(const wl_runner_t *runner, const wl_runner_report_t *report);
 bool wl_runner_report_changes(const wl_runner_t *runner, const wl_runner_report_t *report);
@@ -192,8 +210,11 @@
 } wl_runner_record_t;
 
 extern const wl_schema_t wl_job_record_schema;
+extern const wl_schema_t wl_job_cancellation_schema;
 extern const wl_schema_t wl_runner_record_schema;
 
+void wl_job_cancellations_fill(const wl_jobs_t *jobs, wl_list_t *rows);
+void wl_job_cancellations_restore(wl_jobs_t *jobs, const wl_list_t *rows);
 void wl_job_rows_fill(const wl_job_t *job, wl_job_record_t *record);
 wl_job_t *wl_jobs_restore(wl_jobs_t *jobs, wl_job_record_t *record);
 wl_runner_t *wl_jobs_restore_runner(wl_jobs_t *jobs, wl_runner_record_t *record);
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -40,6 +40,14 @@
 
 const wl_schema_t wl_job_record_schema = WL_SCHEMA(wl_job_record_t, job_record_fields);
 
+static const wl_field_t cancellation_fields[] = {
+	WL_FIELD(wl_job_cancellation_row_t, address, WL_FIELD_BYTES),
+	WL_FIELD(wl_job_cancellation_row_t, at_ms, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_job_cancellation_schema =
+	WL_SCHEMA(wl_job_cancellation_row_t, cancellation_fields);
+
 static const wl_field_t runner_record_fields[] = {
 	WL_FIELD_NEST(wl_runner_record_t, report, &wl_runner_report_schema),
 	WL_FIELD_AS("left_ms", wl_runner_record_t, departed_ms, WL_FIELD_U64),
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -251,12 +251,17 @@
 
 /* @peer: the daemon that has sent the command; empty: it is not known */
 static void job_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_add_t *add,
-			wl_str_t peer, wl_out_t *out)
+			wl_str_t peer, const wl_result_t *result, wl_out_t *out)
 {
 	const wl_queue_t *queue;
 	wl_job_t *job = wl_jobs_by_path(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path),
 					&queue);
 
+	if (result->code == WL_E_GONE)
+		wl_out_log(out, WL_INFO, "job-cancelled-before",
+			   "host=" WL_STR_FMT " path=" WL_STR_FMT " entry=" WL_STR_FMT,
+			   WL_STR_ARG(wl_buf_str(&add->host)), WL_STR_ARG(wl_buf_str(&add->path)),
+			   WL_STR_ARG(peer));
 	if (!job || job->leader_data || wl_job_ended(job))
 		return;
 	wl_out_log(out, WL_INFO, "job-accept",
@@ -305,7 +310,7 @@
 		catalog_applied(sched, out);
 		break;
 	case WL_CMD_JOB_ADD:
-		job_applied(sched, now_ns, &cmd->u.job_add, peer, out);
+		job_applied(sched, now_ns, &cmd->u.job_add, peer, event->result, out);
 		break;
 	case WL_CMD_JOB_CANCEL:
 		cancel_applied(sched, now_ns, &cmd->u.job_cancel, peer, event->result, out);
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -34,7 +34,8 @@
 	uint64_t owners_index;
 	uint64_t owners_floor;
 	uint64_t items;
-	uint64_t crashes; /* of targets that run tasks */
+	uint64_t crashes;	 /* of targets that run tasks */
+	wl_list_t cancellations; /* wl_job_cancellation_row_t */
 } head_record_t;
 
 static const wl_field_t head_fields[] = {
@@ -46,6 +47,7 @@
 	WL_FIELD(head_record_t, owners_floor, WL_FIELD_U64),
 	WL_FIELD(head_record_t, items, WL_FIELD_U64),
 	WL_FIELD(head_record_t, crashes, WL_FIELD_U64),
+	WL_FIELD_MANY(head_record_t, cancellations, &wl_job_cancellation_schema),
 };
 
 static const wl_schema_t head_schema = WL_SCHEMA(head_record_t, head_fields);
@@ -278,7 +280,9 @@
 			      .items = items_count(state),
 			      .crashes = state->jobs.crash_count};
 
+	wl_job_cancellations_fill(&state->jobs, &head.cancellations);
 	item_pack(out, ITEM_HEAD, &head_schema, &head);
+	wl_list_free(&wl_job_cancellation_schema, &head.cancellations);
 	for (size_t i = 0; i < WL_LISTS; i++)
 		item_pack(out, ITEM_LIST, &list_schema, &state->list[i]);
 	TAILQ_FOREACH (change, &state->changes, link)
@@ -318,17 +322,21 @@
 
 	if (!wl_record_unpack(&head_schema, bytes, &head, err))
 		return false;
-	if (head.format != SNAPSHOT_FORMAT)
+	if (head.format != SNAPSHOT_FORMAT) {
+		wl_record_free(&head_schema, &head);
 		return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
 				  "snapshot has unsupported format %llu",
 				  (unsigned long long)head.format);
+	}
 	state->index = head.index;
 	state->clock_ms = head.clock_ms;
 	state->revision = head.revision;
 	state->owners_index = head.owners_index;
 	state->owners_floor = head.owners_floor;
 	state->jobs.crash_count = head.crashes;
+	wl_job_cancellations_restore(&state->jobs, &head.cancellations);
 	reader->expected = head.items;
+	wl_record_free(&head_schema, &head);
 	return true;
 }
 
