jobs: end a job whose route is gone when its caller cancels it

A caller whose route a version had removed got 404 for his DELETE, and the tasks ran on until a route covered the address again, or to their end.

Cause: the cancelling searched for the job by way of the queue, although host and path identify a job without any. The leader's own search after the commit went the same way, so that it also missed the runs of a job that had lost its route by then.

The job is ended, and the answer is 410: the address serves nothing any more. A path without a route and without a job is answered with 404 as before. GET and POST stay as they were.

--- a/libwlcore/job/cancellations.c
+++ b/libwlcore/job/cancellations.c
@@ -48,7 +48,7 @@
 	wl_job_cancellation_t *first;
 
 	while ((first = TAILQ_FIRST(&jobs->cancellations)) &&
-	       clock_ms - first->record.at_ms > jobs->keep_ms)
+	       clock_ms > first->record.at_ms + jobs->keep_ms)
 		cancellation_remove(jobs, first);
 }
 
--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -444,6 +444,21 @@
 	wl_buf_free(&text);
 }
 
+/* The address of a job is not served any more, and its caller may still end it. */
+static void unrouted_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
+			    wl_result_t *result)
+{
+	wl_job_t *job = wl_jobs_at(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path));
+
+	if (!job)
+		return;
+	if (!wl_job_ended(job))
+		wl_job_end(jobs, job, WL_JOB_CANCELLED, clock_ms);
+	wl_result_free(result);
+	wl_result_fail(result, WL_E_GONE, "cancelled; no queue has this host and path any more");
+	result->verdict = WL_RAN;
+}
+
 void wl_jobs_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
 		    wl_result_t *result)
 {
@@ -451,8 +466,10 @@
 	wl_job_t *job;
 
 	if (!wl_jobs_resolve(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path), &queue, &job,
-			     result))
+			     result)) {
+		unrouted_cancel(jobs, cmd, clock_ms, result);
 		return;
+	}
 	if (!job) {
 		cancellation_note(jobs, cmd, queue, clock_ms);
 		wl_result_fail(result, WL_E_GONE, "no job of the queue has this path");
@@ -470,7 +487,7 @@
 {
 	wl_job_t *job = TAILQ_FIRST(&jobs->ended);
 
-	while (job && clock_ms - job->record.ended_ms > jobs->keep_ms) {
+	while (job && clock_ms > job->record.ended_ms + jobs->keep_ms) {
 		wl_job_t *next = TAILQ_NEXT(job, link);
 
 		/*
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -276,9 +276,8 @@
 static void cancel_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_cancel_t *cancel,
 			   wl_str_t peer, const wl_result_t *result, wl_out_t *out)
 {
-	const wl_queue_t *queue;
-	wl_job_t *job = wl_jobs_by_path(sched->jobs, wl_buf_str(&cancel->host),
-					wl_buf_str(&cancel->path), &queue);
+	wl_job_t *job =
+		wl_jobs_at(sched->jobs, wl_buf_str(&cancel->host), wl_buf_str(&cancel->path));
 
 	wl_out_log(out, WL_INFO, "job-cancel",
 		   "job=" WL_STR_FMT " host=" WL_STR_FMT " path=" WL_STR_FMT
