scheduler: repeat a stop while the target still lists the run

A task of a cancelled job works on if its stop was answered and had no effect: the leader took the answer as the last word, and never sent the stop again, although each renewal listed the run and prolonged its lease.

Cause: an order counts as carried out because it was answered, while what the target lists later says otherwise.

A run that is listed by the answer to a renewal that was sent more than 1 s after its stop was answered gets another stop.

unit.sched_stop_test: IsRepeatedWhileTheTargetListsTheRun failed before (one stop in 3 s), passes.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -513,6 +513,7 @@
 void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_stops_tick(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
+void wl_sched_stop_listed(wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_job_ended(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, wl_out_t *out);
 
 /* teardown.c */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -386,7 +386,7 @@
 }
 
 static void views_apply(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			const wl_order_end_t *end, wl_out_t *out)
+			uint64_t sent_ns, const wl_order_end_t *end, wl_out_t *out)
 {
 	const wl_run_view_t *views = end->runs.items;
 	wl_cmd_runs_end_t sound = {0};
@@ -404,6 +404,7 @@
 		if (run->first_listed_ns == 0)
 			run->first_listed_ns = now_ns;
 		run->last_listed_ns = now_ns;
+		wl_sched_stop_listed(run, sent_ns);
 		run->tail_ms = views[i].load; /* the tail latency of a serving run, in ms */
 		checkpoint_listed(sched, now_ns, run, wl_buf_str(&views[i].checkpoint));
 		if (run->phase != WL_RUN_INHERITED && run->phase != WL_RUN_UNCONFIRMED)
@@ -560,7 +561,7 @@
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
 		run->listed = false;
-	views_apply(sched, now_ns, runner, end, out);
+	views_apply(sched, now_ns, runner, order->sent_ns, end, out);
 	wl_sched_tails_update(sched, now_ns, runner, out);
 	ends_collect(sched, runner, end, &ends);
 	if (!end->partial && end->ends.count < ENDS_LISTED_MAX)
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -11,6 +11,8 @@
 #include <stdlib.h>
 
 #define STOP_RETRY_MS 300 /* pause before an unanswered stop is sent again */
+/* A run that is listed so long after the answer to its stop has not been stopped. */
+#define STOP_EFFECT_MS 1000
 /* After a refusal for lack of capacity: the target counts its capacity anew by then. */
 #define NO_ROOM_QUARANTINE_MS	300
 #define UNHEALTHY_QUARANTINE_MS 1000
@@ -579,6 +581,17 @@
 		end_apply(sched, now_ns, &rows[i], out);
 }
 
+/*
+ * wl_sched_stop_listed - note that the target lists a run, whose stop it may have answered
+ * @sent_ns: when the renewal was sent whose answer lists it
+ */
+void wl_sched_stop_listed(wl_sched_run_t *run, uint64_t sent_ns)
+{
+	if (run->stop_wanted && run->stop_answered_ns &&
+	    sent_ns > run->stop_answered_ns + STOP_EFFECT_MS * WL_NS_PER_MS)
+		run->stop_answered_ns = 0;
+}
+
 static void stop_repeat(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run)
 {
 	bool wanted = run->stop_wanted || run->phase == WL_RUN_UNCONFIRMED;
--- /dev/null
+++ b/tests/unit/sched_stop_test.cc
@@ -0,0 +1,102 @@
+#include "../support/sched_rig.h"
+
+#include <gtest/gtest.h>
+
+/* Stops whose answer is late, missing or wrong. */
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+/* The users allow 3,000 ms from a cancelling until each target must have its stop. */
+constexpr uint64_t STOP_WITHIN_MS = 3000;
+
+class SchedStop : public ::testing::Test
+{
+      protected:
+	SchedStop()
+	{
+		rig.agents({"s2", "s3"});
+		rig.configure("q");
+		rig.runner("i-1");
+	}
+
+	/* A task of a job is at work on the target. */
+	void begin()
+	{
+		rig.job("q", "j", {1});
+		rig.submit();
+		rig.advance(100);
+		rig.commit();
+		auto starts = rig.take_orders(WL_ORDER_START);
+
+		ASSERT_EQ(starts.size(), 1u);
+		run = starts[0];
+		rig.answer(run, WL_ORDER_DONE);
+	}
+
+	/*
+	 * Lets time pass; the target lists the run and its answers to renewals arrive. Answers of
+	 * a broken agent do not.
+	 */
+	void pass(uint64_t ms, const std::string &broken = "")
+	{
+		for (uint64_t passed = 0; passed < ms; passed += 20) {
+			rig.report_forwarded("s1", "i-1");
+			rig.advance(20);
+			for (const auto &order : rig.take_orders(WL_ORDER_RENEW)) {
+				if (order.agent == broken)
+					unanswered.push_back(order);
+				else
+					rig.answer_hold(order, {SchedRig::view(run)}, {});
+			}
+			for (const auto &order : rig.take_orders(WL_ORDER_STOP)) {
+				stops.push_back(order);
+				stopped_ns.push_back(rig.now);
+				if (order.agent == broken)
+					unanswered.push_back(order);
+			}
+			time_out();
+			rig.commit();
+		}
+	}
+
+	/* The agent gives an order up once its time is over. */
+	void time_out()
+	{
+		std::vector<SchedOrder> left;
+
+		for (const auto &order : unanswered) {
+			uint64_t &since = asked_ns[order.id];
+
+			since = since ? since : rig.now;
+			if (rig.now - since >= order.timeout_ms * MS)
+				rig.answer(order, WL_ORDER_NO_ANSWER);
+			else
+				left.push_back(order);
+		}
+		unanswered = left;
+	}
+
+	SchedRig rig;
+	SchedOrder run;
+	std::vector<SchedOrder> stops;
+	std::vector<uint64_t> stopped_ns;
+	std::vector<SchedOrder> unanswered;
+	std::map<uint64_t, uint64_t> asked_ns;
+};
+} // namespace
+
+/* Guards against a run that its target lists long after it has answered the stop. */
+TEST_F(SchedStop, IsRepeatedWhileTheTargetListsTheRun)
+{
+	begin();
+	rig.cancel("q", "j");
+	pass(100);
+	ASSERT_EQ(stops.size(), 1u);
+	rig.answer(stops[0], WL_ORDER_DONE);
+	pass(STOP_WITHIN_MS);
+	ASSERT_GE(stops.size(), 2u);
+	EXPECT_EQ(stops[1].task, run.task);
+	EXPECT_EQ(stops[1].run, run.run);
+	EXPECT_LE(stops.size(), 4u);
+}
