scheduler: send a stop without an answer again by another way

A replica that cannot reach a target, or is lost, kept the stops of that target: each was repeated after 1.3 s through the same replica, until a renewal happened to fail there too, or until the leader's election time-out had ruled the replica out and 1.3 s had passed. Up to 2.6 s went by before another replica had the stop, of the 3 to 4 s that callers are promised.

Cause: only renewals looked for another agent, and a stop whose agent was known to be lost still waited for its time-out.

A stop without an answer makes the leader avoid its agent for that target, as a renewal does, and is due 0.3 s after its time-out; one whose agent is lost is due at once.

unit.sched_stop_test: WithoutAnAnswerGoesThroughAnotherAgent and OfALostAgentIsSentAgainAtOnce failed before, pass.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -68,6 +68,7 @@
 	/* its start was answered with a clock that bounds its lease */
 	bool lease_bounded;
 	uint64_t stop_sent_ns; /* to the known incarnation of the target; 0: never */
+	uint64_t stop_due_ns;  /* without an answer the next one is sent then */
 	uint64_t stops;	       /* stop orders sent */
 	const struct wl_sched_agent *start_agent; /* that has its start; NULL: not this leader's */
 	const struct wl_sched_agent *stop_agent;  /* that has the newest stop; NULL: none */
@@ -510,7 +511,7 @@
 			   wl_run_outcome_t outcome, const char *reason, wl_out_t *out);
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
 			   wl_out_t *out);
-void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns);
+void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t due_ns);
 void wl_sched_stops_tick(wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_stop_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
 void wl_sched_stop_listed(wl_sched_run_t *run, uint64_t sent_ns);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -172,11 +172,11 @@
 }
 
 /*
- * wl_sched_run_stop_due - note when a stop was ordered; without an answer it is repeated later
+ * wl_sched_run_stop_due - set when the next stop is sent, if no other is answered before
  */
-void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t sent_ns)
+void wl_sched_run_stop_due(wl_sched_t *sched, wl_sched_run_t *run, uint64_t due_ns)
 {
-	run->stop_sent_ns = sent_ns;
+	run->stop_due_ns = due_ns;
 	if (run->stopping)
 		return;
 	run->stopping = true;
@@ -192,7 +192,9 @@
 	wl_order_t order = {
 		.kind = WL_ORDER_STOP, .run = run->number, .timeout_ms = WL_SCHED_STOP_TIMEOUT_MS};
 
-	wl_sched_run_stop_due(sched, run, now_ns);
+	run->stop_sent_ns = now_ns;
+	wl_sched_run_stop_due(sched, run,
+			      now_ns + (WL_SCHED_STOP_TIMEOUT_MS + STOP_RETRY_MS) * WL_NS_PER_MS);
 	if (!job)
 		return;
 	task_of(run, job, &order.task);
@@ -404,6 +406,23 @@
 	run->speed_percent = outcome == WL_ORDER_DONE ? percent : WL_SPEED_UNKNOWN;
 }
 
+/*
+ * The next stop goes through another agent if the path of this one may be broken; at once if the
+ * agent is lost.
+ */
+static void stop_failed(wl_sched_run_t *run, uint64_t now_ns, const wl_sched_order_t *order,
+			wl_order_outcome_t outcome)
+{
+	if (order->sent_ns != run->stop_sent_ns)
+		return;
+	if (outcome == WL_ORDER_NO_ANSWER || outcome == WL_ORDER_NOT_SENT ||
+	    outcome == WL_ORDER_OTHER_INCARNATION)
+		wl_sched_agent_avoid(run->runner, now_ns, order->agent);
+	run->stop_due_ns = now_ns;
+	if (outcome != WL_ORDER_AGENT_LOST)
+		run->stop_due_ns += STOP_RETRY_MS * WL_NS_PER_MS;
+}
+
 /*
  * wl_sched_run_answered - process the result of a START, THROTTLE or STOP order
  */
@@ -429,7 +448,9 @@
 	if (end->outcome == WL_ORDER_DONE || end->outcome == WL_ORDER_STALE) {
 		run->stop_answered_ns = now_ns;
 		wl_sched_renewal_schedule(run->runner, now_ns);
+		return;
 	}
+	stop_failed(run, now_ns, order, (wl_order_outcome_t)end->outcome);
 }
 
 /*
@@ -599,7 +620,7 @@
 	if (!wanted || run->stop_answered_ns || run->phase == WL_RUN_PROPOSED ||
 	    run->phase == WL_RUN_ENDING)
 		return;
-	if (now_ns - run->stop_sent_ns >= (WL_SCHED_STOP_TIMEOUT_MS + STOP_RETRY_MS) * WL_NS_PER_MS)
+	if (now_ns >= run->stop_due_ns)
 		wl_sched_stop_send(sched, now_ns, run);
 }
 
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -173,7 +173,7 @@
 		known->started_ms = run->started_ms;
 		known->stop_wanted = wl_job_ended(run->job);
 		if (known->stop_wanted)
-			wl_sched_run_stop_due(sched, known, 1); /* due at the next tick */
+			wl_sched_run_stop_due(sched, known, now_ns); /* at the next tick */
 	}
 	wl_sched_crash_incarnation_end(sched, now_ns, runner, state->report.incarnation);
 }
--- a/tests/unit/sched_stop_test.cc
+++ b/tests/unit/sched_stop_test.cc
@@ -100,3 +100,37 @@
 	EXPECT_EQ(stops[1].run, run.run);
 	EXPECT_LE(stops.size(), 4u);
 }
+
+/* Guards against a stop that is repeated through the replica that cannot reach the target. */
+TEST_F(SchedStop, WithoutAnAnswerGoesThroughAnotherAgent)
+{
+	begin();
+	std::string broken = run.agent;
+
+	pass(500);
+	rig.cancel("q", "j");
+	uint64_t cancelled_ns = rig.now;
+
+	pass(STOP_WITHIN_MS, broken);
+	ASSERT_GE(stops.size(), 2u);
+	EXPECT_EQ(stops[0].agent, broken);
+	EXPECT_NE(stops[1].agent, broken);
+	/* one order without an answer, and the pause before the next */
+	EXPECT_LE(stopped_ns[1] - cancelled_ns, 1500 * MS);
+}
+
+/* Guards against a stop that waits for its time-out although its agent is known to be lost. */
+TEST_F(SchedStop, OfALostAgentIsSentAgainAtOnce)
+{
+	begin();
+	std::string lost = run.agent;
+
+	rig.cancel("q", "j");
+	pass(20, lost);
+	ASSERT_EQ(stops.size(), 1u);
+	pass(600, lost);
+	rig.link_down(lost);
+	pass(100, lost);
+	ASSERT_EQ(stops.size(), 2u);
+	EXPECT_NE(stops[1].agent, lost);
+}
