scheduler: ask again for the list of a target whose runs are unknown

A run that a target has and the leader does not was told to stop once for each list that showed it. If nothing else ran there, no further list was asked for: a stop that got no answer was never repeated, and the run worked on until its lease was over, up to 6 s. An acknowledgement of ends that was sent meanwhile prolonged that lease.

Docs/design/jobs.md lists orders of events that leave such runs.

Such a target is asked again every second until its list has none, and a renewal extends leases only if a known run needs one.

unit.sched_stop_test: OfAnUnknownRunIsRepeatedUntilItIsGone (no further stop in 3 s) and OfAnUnknownRunDoesNotRenewItsLease failed before, pass.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -128,7 +128,8 @@
 	uint64_t failed_job; /* hash of the job of the newest one */
 	/* bits of the agents that had an answer of it at the present address */
 	uint64_t answered_agents;
-	bool departing; /* it has announced its departure */
+	bool unknown_listed; /* its newest list has runs that the leader does not know */
+	bool departing;	     /* it has announced its departure */
 	bool removal_proposed;
 	const char *removal_reason;
 } wl_sched_incarnation_t;
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -15,6 +15,7 @@
 #define RENEWAL_TIMEOUT_MS 800	/* in addition to the wait */
 #define RENEWAL_RETRY_MS   200	/* after a failed renewal */
 #define PROBE_INTERVAL_MS  1000 /* between questions which incarnation a target is */
+#define UNKNOWN_RETRY_MS   1000 /* between lists of a target on which only unknown runs are left */
 #define UNREACHABLE_MS	   3500 /* a target that was silent for longer gets no starts */
 /* A target that was silent for longer and runs nothing is removed. */
 #define REMOVE_AFTER_MS 20000
@@ -286,7 +287,8 @@
 	if (order.wait_ms && wl_sched_tails_at_risk(sched, runner))
 		order.wait_ms = RENEWAL_TAILS_MS;
 	order.timeout_ms = order.wait_ms + RENEWAL_TIMEOUT_MS;
-	if (runner->known.clock_ns && !runner->known.renewal_failed && !runner->known.departing)
+	if (needs_lease && runner->known.clock_ns && !runner->known.renewal_failed &&
+	    !runner->known.departing)
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
 	runner->known.ack_due = false;
 	runner->probe_due = false;
@@ -297,7 +299,8 @@
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 
-	if (needs_lease || runner->known.ack_due || runner->probe_due)
+	if (needs_lease || runner->known.ack_due || runner->probe_due ||
+	    runner->known.unknown_listed)
 		renewal_send(sched, now_ns, runner, needs_lease);
 }
 
@@ -395,6 +398,7 @@
 		wl_sched_run_t *run = run_of_ref(sched, &views[i].ref, views[i].run);
 
 		if (!run || run->runner != runner) {
+			runner->known.unknown_listed = true;
 			unknown_run_stop(sched, now_ns, runner, &views[i], out);
 			continue;
 		}
@@ -490,6 +494,16 @@
 	       wl_sched_later_target_at_address(sched, runner);
 }
 
+static bool only_unknown_left(const wl_sched_runner_t *runner)
+{
+	return runner->known.unknown_listed && !wl_sched_runner_needs_lease(runner);
+}
+
+static uint64_t retry_ms(const wl_sched_runner_t *runner)
+{
+	return only_unknown_left(runner) ? UNKNOWN_RETRY_MS : RENEWAL_RETRY_MS;
+}
+
 static void renewal_fail(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			 const wl_sched_order_t *order, const wl_order_end_t *end, wl_out_t *out)
 {
@@ -504,7 +518,7 @@
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		wl_sched_agent_avoid(runner, now_ns, order->agent);
-	wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
+	wl_sched_renewal_schedule(runner, now_ns + retry_ms(runner) * WL_NS_PER_MS);
 }
 
 /*
@@ -561,11 +575,14 @@
 	wl_sched_average_shares_update(runner, now_ns);
 	TAILQ_FOREACH (run, &runner->runs, link)
 		run->listed = false;
+	runner->known.unknown_listed = false;
 	views_apply(sched, now_ns, runner, order->sent_ns, end, out);
 	wl_sched_tails_update(sched, now_ns, runner, out);
 	ends_collect(sched, runner, end, &ends);
 	if (!end->partial && end->ends.count < ENDS_LISTED_MAX)
 		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
+	if (only_unknown_left(runner))
+		wl_sched_renewal_schedule(runner, now_ns + UNKNOWN_RETRY_MS * WL_NS_PER_MS);
 	if (has_unknown_run(runner, now_ns)) /* until its stop is answered */
 		wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
 	wl_sched_crash_restarted(sched, now_ns, runner, &ends, out);
--- a/tests/unit/sched_stop_test.cc
+++ b/tests/unit/sched_stop_test.cc
@@ -134,3 +134,56 @@
 	ASSERT_EQ(stops.size(), 2u);
 	EXPECT_NE(stops[1].agent, lost);
 }
+
+/* Guards against a run that its target has and the leader does not, once its stop is lost. */
+TEST_F(SchedStop, OfAnUnknownRunIsRepeatedUntilItIsGone)
+{
+	SchedOrder other;
+
+	begin();
+	other = run;
+	other.task = "elsewhere.0.0.0";
+	for (int i = 0; i < 20; i++) {
+		rig.advance(20);
+		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer_hold(order, {SchedRig::view(other)},
+					{SchedRig::end(run, 1, WL_END_DONE)});
+		rig.commit();
+	}
+	EXPECT_EQ(rig.job_state("j"), "completed");
+	ASSERT_GE(rig.take_orders(WL_ORDER_STOP).size(), 1u);
+	run = other;
+	pass(STOP_WITHIN_MS);
+	EXPECT_GE(stops.size(), 2u);
+	for (const auto &stop : stops)
+		EXPECT_EQ(stop.task, other.task);
+}
+
+/* A target that runs nothing that is known gets no longer lease for what is not. */
+TEST_F(SchedStop, OfAnUnknownRunDoesNotRenewItsLease)
+{
+	SchedOrder other;
+
+	begin();
+	other = run;
+	other.task = "elsewhere.0.0.0";
+	for (int i = 0; i < 20; i++) {
+		rig.advance(20);
+		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer_hold(order, {SchedRig::view(other)},
+					{SchedRig::end(run, 1, WL_END_DONE)});
+		rig.commit();
+	}
+	EXPECT_EQ(rig.job_state("j"), "completed");
+	size_t renewals = 0;
+
+	for (int i = 0; i < 150; i++) {
+		rig.advance(20);
+		for (const auto &order : rig.take_orders(WL_ORDER_RENEW)) {
+			renewals++;
+			EXPECT_EQ(order.lease_ms, 0u);
+			rig.answer_hold(order, {SchedRig::view(other)}, {});
+		}
+	}
+	EXPECT_GE(renewals, 2u);
+}
