--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -86,11 +86,12 @@
 		"wisterialead_job_lease_least_ms", "wisterialead_job_leases_over",
 		"wisterialead_job_suspects",	   "wisterialead_job_runs",
 		"wisterialead_job_targets",	   "wisterialead_jobs",
-		"wisterialead_jobs_stalled",
+		"wisterialead_jobs_stalled",	   "wisterialead_job_teardowns_late",
 	};
 
 	sched->next_gauges_ns = 0;
 	sched->next_stalled_ns = 0;
+	sched->next_teardowns_ns = 0;
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
 		gauge(sched, names[i], "", 0);
 	for (size_t i = 0; i < 2; i++) {
--- a/libwlcore/sched/teardown.c
+++ b/libwlcore/sched/teardown.c
@@ -156,6 +156,12 @@
 	wl_metric_observe(sched->teardown_times, took_ns);
 }
 
+static void teardown_finish(wl_sched_t *sched, uint64_t now_ns, wl_sched_teardown_t *teardown)
+{
+	teardown_measure(sched, now_ns - teardown->began_ns);
+	teardown_remove(sched, teardown);
+}
+
 /*
  * wl_sched_teardown_run_ended - note the committed end of a run
  * @reason: how the leader knows of it
@@ -172,14 +178,12 @@
 		      reason, (unsigned long long)age_ms(teardown->began_ns, now_ns),
 		      (unsigned long long)run->stops);
 	teardown->stops += run->stops;
-	teardown->left--;
+	teardown->left -= teardown->left > 0;
 	if (teardown->left > 0 && teardown->ends.len <= LIST_BYTES)
 		return;
 	ends_log(teardown, now_ns, out);
-	if (teardown->left > 0)
-		return;
-	teardown_measure(sched, now_ns - teardown->began_ns);
-	teardown_remove(sched, teardown);
+	if (teardown->left == 0)
+		teardown_finish(sched, now_ns, teardown);
 }
 
 /*
@@ -234,21 +238,36 @@
 		}
 }
 
+/* Runs that this leader does not know end without a line. */
+static bool is_over(const wl_sched_t *sched, const wl_sched_teardown_t *teardown)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, teardown->key);
+
+	return !job || job->active == 0;
+}
+
 /*
  * wl_sched_teardowns_tick - log and count the runs that stay although their job has ended
  */
 void wl_sched_teardowns_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
-	wl_sched_teardown_t *teardown;
+	wl_sched_teardown_t *teardown = TAILQ_FIRST(&sched->teardowns);
 	uint64_t late = 0;
 
 	if (now_ns < sched->next_teardowns_ns)
 		return;
 	sched->next_teardowns_ns = now_ns + TICK_MS * WL_NS_PER_MS;
-	TAILQ_FOREACH (teardown, &sched->teardowns, link) {
-		if (now_ns >= teardown->report_due_ns)
-			late_log(sched, now_ns, teardown, out);
-		late += teardown->late;
+	while (teardown) {
+		wl_sched_teardown_t *next = TAILQ_NEXT(teardown, link);
+
+		if (is_over(sched, teardown)) {
+			teardown_finish(sched, now_ns, teardown);
+		} else {
+			if (now_ns >= teardown->report_due_ns)
+				late_log(sched, now_ns, teardown, out);
+			late += teardown->late;
+		}
+		teardown = next;
 	}
 	wl_metrics_set(sched->options.metrics, "wisterialead_job_teardowns_late", "", late);
 }
