scheduler: avoid every agent that fails a target, not only the last one

With two replicas that cannot reach a target, its stops and renewals went to the one and the other by turns, and never to a third one or to the leader itself: a failure of the second made the leader forget that of the first. A cancelled task worked on until its lease was over, and so did the tasks of live jobs lapse although a path was there.

Cause: one place for the agent that a target avoids.

The leader's own agent comes last; once it fails too, all are tried again.

unit.sched_stop_agents_test: AStopIsNotBoundToTwoAgentsThatFail failed before (no stop by a third agent in 6 s), passes.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -34,7 +34,8 @@
 	TAILQ_FOREACH (agent, &sched->agents, link) {
 		uint64_t rank = wl_str_hash(runner->key, agent->seed);
 
-		if (!agent->usable || agent == runner->avoided_agent || (best && rank <= highest))
+		if (!agent->usable || (runner->avoided_agents & agent->bit) ||
+		    (best && rank <= highest))
 			continue;
 		best = agent;
 		highest = rank;
@@ -175,21 +176,27 @@
 /*
  * wl_sched_agent_avoid - avoid an agent for a target that did not answer it
  *
- * The path between the two may be broken.
+ * The path between the two may be broken. Once the leader's own agent, the last one, fails as well,
+ * each is tried again.
  */
-void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns, const wl_sched_agent_t *agent)
+void wl_sched_agent_avoid(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
+			  const wl_sched_agent_t *agent)
 {
-	runner->avoided_agent = agent;
+	if (agent == TAILQ_FIRST(&sched->agents)) {
+		runner->avoided_agents = 0;
+		return;
+	}
+	runner->avoided_agents |= agent->bit;
 	runner->avoided_until_ns = now_ns + AVOID_MS * WL_NS_PER_MS;
 }
 
 /*
- * wl_sched_agent_retry - use an avoided agent again once its time is over
+ * wl_sched_agent_retry - use the avoided agents again once their time is over
  */
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	if (now_ns >= runner->avoided_until_ns)
-		runner->avoided_agent = NULL;
+		runner->avoided_agents = 0;
 }
 
 /*
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -182,8 +182,8 @@
 	uint64_t renewal_due_ns;
 	bool probe_due; /* a renewal is due whatever runs there: its incarnation is in doubt */
 	uint64_t next_probe_ns;
-	/* agent that got no answer to its newest renewal; NULL: none */
-	const struct wl_sched_agent *avoided_agent;
+	/* bits of the agents that got no answer to a renewal or a stop */
+	uint64_t avoided_agents;
 	uint64_t avoided_until_ns;
 	/* CPU shares of best-effort work by image, moving average over the tail sampling window */
 	wl_interference_shares_t average_shares;
@@ -671,7 +671,7 @@
 					wl_order_kind_t kind);
 void wl_sched_agent_enqueue(wl_sched_agent_t *agent, const wl_order_t *order);
 void wl_sched_agents_send(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
-void wl_sched_agent_avoid(wl_sched_runner_t *runner, uint64_t now_ns,
+void wl_sched_agent_avoid(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
 			  const wl_sched_agent_t *agent);
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
 wl_str_t wl_sched_report_to(const wl_sched_t *sched, wl_str_t id);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -517,7 +517,7 @@
 	runner->known.ack_due |= is_ack_open(&runner->known);
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
-		wl_sched_agent_avoid(runner, now_ns, order->agent);
+		wl_sched_agent_avoid(sched, runner, now_ns, order->agent);
 	wl_sched_renewal_schedule(runner, now_ns + retry_ms(runner) * WL_NS_PER_MS);
 }
 
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -410,14 +410,14 @@
  * The next stop goes through another agent if the path of this one may be broken; at once if the
  * agent is lost.
  */
-static void stop_failed(wl_sched_run_t *run, uint64_t now_ns, const wl_sched_order_t *order,
-			wl_order_outcome_t outcome)
+static void stop_failed(const wl_sched_t *sched, wl_sched_run_t *run, uint64_t now_ns,
+			const wl_sched_order_t *order, wl_order_outcome_t outcome)
 {
 	if (order->sent_ns != run->stop_sent_ns)
 		return;
 	if (outcome == WL_ORDER_NO_ANSWER || outcome == WL_ORDER_NOT_SENT ||
 	    outcome == WL_ORDER_OTHER_INCARNATION)
-		wl_sched_agent_avoid(run->runner, now_ns, order->agent);
+		wl_sched_agent_avoid(sched, run->runner, now_ns, order->agent);
 	run->stop_due_ns = now_ns;
 	if (outcome != WL_ORDER_AGENT_LOST)
 		run->stop_due_ns += STOP_RETRY_MS * WL_NS_PER_MS;
@@ -450,7 +450,7 @@
 		wl_sched_renewal_schedule(run->runner, now_ns);
 		return;
 	}
-	stop_failed(run, now_ns, order, (wl_order_outcome_t)end->outcome);
+	stop_failed(sched, run, now_ns, order, (wl_order_outcome_t)end->outcome);
 }
 
 /*
