scheduler: take the result of a stop as late as it comes, or its absence

A replica that reported the failure of a stop after the next one had been sent, 0.3 s after its time-out, kept all stops of that target: a report that was not of the newest stop was dropped. And one that answered the leader otherwise and reported no results at all was never avoided, neither for stops nor for renewals. A busy replica can do either. Found by a review.

A stop that the target refuses is repeated after 1 s, not 0.3 s.

unit.sched_stop_agents_test: AStopWhoseFailureIsReportedLateGoesThroughAnotherAgent and AStopIsNotBoundToAnAgentThatSwallowsOrders failed before, pass.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -72,6 +72,7 @@
 	uint64_t stops;	       /* stop orders sent */
 	const struct wl_sched_agent *start_agent; /* that has its start; NULL: not this leader's */
 	const struct wl_sched_agent *stop_agent;  /* that has the newest stop; NULL: none */
+	bool stop_open;				  /* the result of the newest stop is not known */
 	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
 	bool stop_wanted;
 	bool withheld;	  /* its start was committed and not ordered */
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -173,6 +173,7 @@
 	TAILQ_FOREACH (run, &runner->runs, link) {
 		run->stop_sent_ns = 0;
 		run->stop_due_ns = 0;
+		run->stop_open = false;
 		run->stop_answered_ns = 0;
 	}
 }
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -170,6 +170,16 @@
 	}
 }
 
+/* An agent that is reachable and does not report is avoided, like one without an answer. */
+static void agent_expired(const wl_sched_t *sched, uint64_t now_ns,
+			  const wl_sched_order_t *in_flight)
+{
+	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&in_flight->runner));
+
+	if (runner)
+		wl_sched_agent_avoid(sched, runner, now_ns, in_flight->agent);
+}
+
 /* Fails the orders of a lost agent, or with NULL those whose agents did not answer in time. */
 static void orders_fail(wl_sched_t *sched, uint64_t now_ns, const wl_sched_agent_t *lost,
 			wl_out_t *out)
@@ -182,6 +192,8 @@
 		wl_sched_order_t *next = TAILQ_NEXT(in_flight, link);
 		bool over = now_ns >= in_flight->expires_ns && in_flight->agent != own;
 
+		if (!lost && over)
+			agent_expired(sched, now_ns, in_flight);
 		if (lost ? in_flight->agent == lost : over)
 			order_completed(sched, now_ns, in_flight, &end, out);
 		in_flight = next;
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -10,7 +10,8 @@
 
 #include <stdlib.h>
 
-#define STOP_RETRY_MS 300 /* pause before an unanswered stop is sent again */
+#define STOP_RETRY_MS	      300  /* pause before an unanswered stop is sent again */
+#define STOP_REFUSED_RETRY_MS 1000 /* pause before a refused one is */
 /* A run that is listed so long after the answer to its stop has not been stopped. */
 #define STOP_EFFECT_MS 1000
 /* After a refusal for lack of capacity: the target counts its capacity anew by then. */
@@ -199,6 +200,7 @@
 		return;
 	task_of(run, job, &order.task);
 	run->stop_agent = wl_sched_order_add(sched, now_ns, run->runner, &order, run);
+	run->stop_open = true;
 	run->stops++;
 }
 
@@ -408,19 +410,23 @@
 
 /*
  * The next stop goes through another agent if the path of this one may be broken; at once if the
- * agent is lost.
+ * agent is lost. The result of an older stop tells of its agent only.
  */
 static void stop_failed(const wl_sched_t *sched, wl_sched_run_t *run, uint64_t now_ns,
 			const wl_sched_order_t *order, wl_order_outcome_t outcome)
 {
+	uint64_t pause_ms = STOP_REFUSED_RETRY_MS;
+
+	if (outcome == WL_ORDER_NO_ANSWER || outcome == WL_ORDER_NOT_SENT) {
+		wl_sched_agent_avoid(sched, run->runner, now_ns, order->agent);
+		pause_ms = STOP_RETRY_MS;
+	}
 	if (order->sent_ns != run->stop_sent_ns)
 		return;
-	if (outcome == WL_ORDER_NO_ANSWER || outcome == WL_ORDER_NOT_SENT ||
-	    outcome == WL_ORDER_OTHER_INCARNATION)
-		wl_sched_agent_avoid(sched, run->runner, now_ns, order->agent);
-	run->stop_due_ns = now_ns;
-	if (outcome != WL_ORDER_AGENT_LOST)
-		run->stop_due_ns += STOP_RETRY_MS * WL_NS_PER_MS;
+	if (outcome == WL_ORDER_AGENT_LOST)
+		pause_ms = 0;
+	run->stop_open = false;
+	run->stop_due_ns = now_ns + pause_ms * WL_NS_PER_MS;
 }
 
 /*
@@ -447,6 +453,7 @@
 		return;
 	if (end->outcome == WL_ORDER_DONE || end->outcome == WL_ORDER_STALE) {
 		run->stop_answered_ns = now_ns;
+		run->stop_open = false;
 		wl_sched_renewal_schedule(run->runner, now_ns);
 		return;
 	}
@@ -620,8 +627,11 @@
 	if (!wanted || run->stop_answered_ns || run->phase == WL_RUN_PROPOSED ||
 	    run->phase == WL_RUN_ENDING)
 		return;
-	if (now_ns >= run->stop_due_ns)
-		wl_sched_stop_send(sched, now_ns, run);
+	if (now_ns < run->stop_due_ns)
+		return;
+	if (run->stop_open)
+		wl_sched_agent_avoid(sched, run->runner, now_ns, run->stop_agent);
+	wl_sched_stop_send(sched, now_ns, run);
 }
 
 /*
--- a/tests/unit/sched_stop_agents_test.cc
+++ b/tests/unit/sched_stop_agents_test.cc
@@ -108,3 +108,43 @@
 		others += !is_in(broken, stop.agent);
 	EXPECT_GE(others, 1u);
 }
+
+/*
+ * Guards against a stop that goes through the same agent for ever, as each failure is reported
+ * after the next stop was sent, 0.3 s after the time-out.
+ */
+TEST_F(SchedStopAgents, AStopWhoseFailureIsReportedLateGoesThroughAnotherAgent)
+{
+	begin({"s2", "s3"});
+	std::string broken = runs[0].agent;
+
+	pass(500, {}, 0, false);
+	rig.cancel("q", "j");
+	pass(2 * STOP_WITHIN_MS, {broken}, 400, false);
+	size_t others = 0;
+
+	ASSERT_GE(stops.size(), 2u);
+	for (const auto &stop : stops)
+		others += stop.agent != broken;
+	EXPECT_GE(others, 1u);
+}
+
+/*
+ * Guards against stops that a replica swallows while it answers the leader otherwise: neither
+ * their time-outs nor those of renewals make the leader choose another one.
+ */
+TEST_F(SchedStopAgents, AStopIsNotBoundToAnAgentThatSwallowsOrders)
+{
+	begin({"s2", "s3"});
+	std::string broken = runs[0].agent;
+
+	pass(500, {}, 0, true);
+	rig.cancel("q", "j");
+	pass(2 * STOP_WITHIN_MS, {broken}, 60000, true);
+	size_t others = 0;
+
+	ASSERT_GE(stops.size(), 2u);
+	for (const auto &stop : stops)
+		others += stop.agent != broken;
+	EXPECT_GE(others, 1u);
+}
