scheduler: a teardown counts only the runs that are left

Ends that were committed together with the one that ended their job were counted for the runs that were still there, so that the log said left=0 and nobody told of a run that stayed. Found by a review.

unit.sched_teardown_test: CountsOnlyTheRunsThatAreLeft failed before, passes.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -75,6 +75,7 @@
 	bool stop_open;				  /* the result of the newest stop is not known */
 	uint64_t stop_answered_ns; /* when that incarnation answered a stop order; 0: never */
 	bool stop_wanted;
+	bool torn_down;	  /* counted by the teardown of its job */
 	bool withheld;	  /* its start was committed and not ordered */
 	bool listed;	  /* present in the renewal answer that is being processed */
 	uint64_t tail_ms; /* serving: newest reported tail latency */
--- a/libwlcore/sched/teardown.c
+++ b/libwlcore/sched/teardown.c
@@ -91,14 +91,21 @@
 	wl_buf_free(&active);
 }
 
-static uint64_t known_runs(const wl_sched_t *sched, const wl_job_t *job)
+/* Marks the runs that are left, and counts those that the leader knows. */
+static uint64_t runs_mark(const wl_sched_t *sched, const wl_job_t *job)
 {
 	uint64_t count = 0;
 	const wl_run_t *run;
 
 	for (uint64_t i = 0; i < job->task_count; i++)
-		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task)
-			count += wl_sched_run_find(sched, job->key, i, run->number) != NULL;
+		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
+			wl_sched_run_t *known = wl_sched_run_find(sched, job->key, i, run->number);
+
+			if (!known)
+				continue;
+			known->torn_down = true;
+			count++;
+		}
 	return count;
 }
 
@@ -107,11 +114,12 @@
  */
 void wl_sched_teardown_begin(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job, wl_out_t *out)
 {
-	uint64_t known = job->active ? known_runs(sched, job) : 0;
 	wl_sched_teardown_t *teardown;
+	uint64_t known;
 
 	if (job->active == 0 || wl_map_get(&sched->by_ended_job, job->key))
 		return;
+	known = runs_mark(sched, job);
 	teardown = wl_alloc(sizeof(*teardown));
 	wl_buf_set(&teardown->job, job->key);
 	teardown->key = wl_buf_str(&teardown->job);
@@ -171,14 +179,14 @@
 {
 	wl_sched_teardown_t *teardown = wl_map_get(&sched->by_ended_job, wl_buf_str(&run->job));
 
-	if (!teardown)
+	if (!teardown || !run->torn_down)
 		return;
 	run_name(run, &teardown->ends);
 	wl_buf_printf(&teardown->ends, ":%s,%s,%llums,stops:%llu", wl_run_outcome_names[outcome],
 		      reason, (unsigned long long)age_ms(teardown->began_ns, now_ns),
 		      (unsigned long long)run->stops);
 	teardown->stops += run->stops;
-	teardown->left -= teardown->left > 0;
+	teardown->left--;
 	if (teardown->left > 0 && teardown->ends.len <= LIST_BYTES)
 		return;
 	ends_log(teardown, now_ns, out);
--- a/tests/unit/sched_teardown_test.cc
+++ b/tests/unit/sched_teardown_test.cc
@@ -138,3 +138,31 @@
 	EXPECT_EQ(count("run-given-up", "reason=refused"), 1u);
 	EXPECT_EQ(count("run-end", "how=done reason=listed"), 1u);
 }
+
+/* Guards against a run that nobody tells of, as ends of the commit that ended the job count for it.
+ */
+TEST_F(SchedTeardown, CountsOnlyTheRunsThatAreLeft)
+{
+	rig.configure("q", 0, 1);
+	std::vector<SchedOrder> starts = start("j", 3);
+
+	ASSERT_EQ(starts.size(), 3u);
+	for (const auto &run : starts)
+		rig.answer(run, WL_ORDER_DONE);
+	rig.answer_hold(rig.next_renewal(), {SchedRig::view(starts[2])},
+			{SchedRig::end(starts[0], 1, WL_END_FAILED),
+			 SchedRig::end(starts[1], 2, WL_END_DONE)});
+	rig.commit();
+	ASSERT_EQ(rig.job_state("j"), "failed");
+	EXPECT_EQ(count("job-teardown", "job=j state=failed runs=1 "), 1u);
+	EXPECT_EQ(count("job-torn-down", " left=0 "), 0u);
+	for (int i = 0; i < 40; i++) {
+		rig.advance(100);
+		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer_hold(order, {SchedRig::view(starts[2])}, {});
+		for (const auto &order : rig.take_orders(WL_ORDER_STOP))
+			rig.answer(order, WL_ORDER_NO_ANSWER);
+	}
+	EXPECT_EQ(count("job-runs-on", "job=j state=failed "), 1u);
+	EXPECT_EQ(rig.metric("wisterialead_job_teardowns_late{}"), "1");
+}
