scheduler: look for a start that the next incarnation may carry out late

A start without an answer whose run has ended, as its target had answered a stop, may still be carried out by the next incarnation of that target. The stop that is meant for it was sent once; if that was lost, and nothing else ran there, nobody asked for a list, and a cancelled task worked on until the longest lease was over. Found by a review. A start of an earlier leader was not noted at all.

As long as such a start may be carried out, the list of a later incarnation is asked for every second; what it shows is stopped.

unit.sched_stop_test: SchedStopNext.IsRepeatedUntilNoStartCanComeAnyMore failed before (one stop and no list in 3 s), passes.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -577,6 +577,7 @@
 /* losses.c */
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_open_starts_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+bool wl_sched_open_starts_remain(wl_sched_runner_t *runner, uint64_t now_ns);
 void wl_sched_open_starts_clear(wl_sched_runner_t *runner);
 void wl_sched_stops_forget(wl_sched_runner_t *runner);
 bool wl_sched_lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -18,7 +18,8 @@
 struct wl_sched_open_start {
 	wl_task_ref_t task;
 	uint64_t run;
-	uint64_t over_ns; /* it may be carried out until then */
+	uint64_t incarnation; /* of the target, when the run ended */
+	uint64_t over_ns;     /* it may be carried out until then */
 	TAILQ_ENTRY(wl_sched_open_start) link;
 };
 
@@ -54,6 +55,7 @@
 	wl_job_task_ref(job, run->task, &start->task);
 	wl_buf_set(&start->task.job, wl_buf_str(&run->job));
 	start->run = run->number;
+	start->incarnation = run->runner->incarnation;
 	start->over_ns = run->start_over_ns;
 	TAILQ_INSERT_TAIL(&run->runner->open_starts, start, link);
 }
@@ -80,6 +82,23 @@
 	}
 }
 
+/*
+ * wl_sched_open_starts_remain - whether the present incarnation of a target may carry out a start
+ * of a run that has ended
+ *
+ * The one that was ordered to stop the run, and is still up, refuses it.
+ */
+bool wl_sched_open_starts_remain(wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	const wl_sched_open_start_t *start;
+
+	open_starts_expire(runner, now_ns);
+	TAILQ_FOREACH (start, &runner->open_starts, link)
+		if (start->incarnation != runner->incarnation)
+			return true;
+	return false;
+}
+
 /*
  * wl_sched_open_starts_clear - release the open starts of a target
  */
@@ -237,7 +256,7 @@
 
 		if (run->listed || !run_absent(sched, now_ns, run, sent_ns))
 			continue;
-		if (run->phase == WL_RUN_UNCONFIRMED && start_open(run, now_ns))
+		if (start_open(run, now_ns))
 			open_start_add(sched, run, now_ns);
 		wl_sched_run_lost_add(sched, now_ns, run, same ? "absent" : "restarted", ends);
 	}
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -15,7 +15,7 @@
 #define RENEWAL_TIMEOUT_MS 800	/* in addition to the wait */
 #define RENEWAL_RETRY_MS   200	/* after a failed renewal */
 #define PROBE_INTERVAL_MS  1000 /* between questions which incarnation a target is */
-#define UNKNOWN_RETRY_MS   1000 /* between lists of a target on which only unknown runs are left */
+#define UNKNOWN_RETRY_MS   1000 /* between lists of a target that only unknown runs may be on */
 #define UNREACHABLE_MS	   3500 /* a target that was silent for longer gets no starts */
 /* A target that was silent for longer and runs nothing is removed. */
 #define REMOVE_AFTER_MS 20000
@@ -295,12 +295,18 @@
 	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
 }
 
+/* Whether the target has runs that the leader does not know, or may get one by a late start. */
+static bool may_have_unknown(wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return runner->known.unknown_listed || wl_sched_open_starts_remain(runner, now_ns);
+}
+
 static void renewal_send_due(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 
 	if (needs_lease || runner->known.ack_due || runner->probe_due ||
-	    runner->known.unknown_listed)
+	    may_have_unknown(runner, now_ns))
 		renewal_send(sched, now_ns, runner, needs_lease);
 }
 
@@ -494,14 +500,14 @@
 	       wl_sched_later_target_at_address(sched, runner);
 }
 
-static bool only_unknown_left(const wl_sched_runner_t *runner)
+static bool only_unknown_left(wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return runner->known.unknown_listed && !wl_sched_runner_needs_lease(runner);
+	return may_have_unknown(runner, now_ns) && !wl_sched_runner_needs_lease(runner);
 }
 
-static uint64_t retry_ms(const wl_sched_runner_t *runner)
+static uint64_t retry_ms(wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return only_unknown_left(runner) ? UNKNOWN_RETRY_MS : RENEWAL_RETRY_MS;
+	return only_unknown_left(runner, now_ns) ? UNKNOWN_RETRY_MS : RENEWAL_RETRY_MS;
 }
 
 static void renewal_fail(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
@@ -518,7 +524,7 @@
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		wl_sched_agent_avoid(sched, runner, now_ns, order->agent);
-	wl_sched_renewal_schedule(runner, now_ns + retry_ms(runner) * WL_NS_PER_MS);
+	wl_sched_renewal_schedule(runner, now_ns + retry_ms(runner, now_ns) * WL_NS_PER_MS);
 }
 
 /*
@@ -581,7 +587,7 @@
 	ends_collect(sched, runner, end, &ends);
 	if (!end->partial && end->ends.count < ENDS_LISTED_MAX)
 		wl_sched_absent_collect(sched, now_ns, runner, order->sent_ns, &ends);
-	if (only_unknown_left(runner))
+	if (only_unknown_left(runner, now_ns))
 		wl_sched_renewal_schedule(runner, now_ns + UNKNOWN_RETRY_MS * WL_NS_PER_MS);
 	if (has_unknown_run(runner, now_ns)) /* until its stop is answered */
 		wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
--- a/tests/unit/sched_stop_test.cc
+++ b/tests/unit/sched_stop_test.cc
@@ -187,3 +187,53 @@
 	}
 	EXPECT_GE(renewals, 2u);
 }
+
+/*
+ * Guards against a start that is carried out late by the next incarnation of a target that runs
+ * nothing else: the stop that is meant for it is lost, and nobody looks whether the run is there.
+ */
+TEST(SchedStopNext, IsRepeatedUntilNoStartCanComeAnyMore)
+{
+	SchedRig rig;
+	std::vector<SchedOrder> runs;
+	std::vector<SchedOrder> stops;
+
+	rig.agents({"s2", "s3"});
+	rig.configure("q");
+	rig.runner("i-1");
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(100);
+	rig.commit();
+	runs = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(runs.size(), 1u);
+	rig.answer(runs[0], WL_ORDER_NO_ANSWER);
+	rig.cancel("q", "j");
+	for (int i = 0; i < 40 && rig.find("j")->active > 0; i++) {
+		rig.advance(20);
+		for (const auto &order : rig.take_orders(WL_ORDER_STOP))
+			rig.answer(order, WL_ORDER_DONE);
+		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer_hold(order, {}, {});
+		rig.commit();
+	}
+	ASSERT_EQ(rig.find("j")->active, 0u);
+	rig.runner("i-1", 32000, 2);
+	size_t looks = 0;
+
+	for (int i = 0; i < 150; i++) {
+		rig.report_forwarded("s2", "i-1", 2);
+		rig.advance(20);
+		for (const auto &order : rig.take_orders(WL_ORDER_STOP)) {
+			stops.push_back(order);
+			rig.answer(order, WL_ORDER_NO_ANSWER);
+		}
+		for (const auto &order : rig.take_orders(WL_ORDER_RENEW)) {
+			looks++;
+			rig.answer_hold(order, {SchedRig::view(runs[0])}, {}, 2);
+		}
+	}
+	ASSERT_GE(stops.size(), 1u);
+	EXPECT_EQ(stops[0].task, runs[0].task);
+	EXPECT_GE(stops.size() + looks, 2u);
+}
