tests: random histories that cancel jobs at any time

The random histories of the scheduler cancelled only lasting jobs, and only once all faults were over.

FAULT_CANCELS adds callers that repeat their submissions and cancellings until they are answered, so that each may overtake the other; agents that are cut off (what is on its way is lost, the link is down after 3 s), replaced or suspended; versions that remove the route and bring it back; and times of calm between the faults, which the rule needs to be judged.

A history fails if a start is ordered after the acknowledgement, if a target has a run 4.4 s after it (8.4 s after a start that was carried out late) with 4 s without a disruption before that moment, or if a run or a late teardown is left at the end.

--- a/tests/support/sched_history.cc
+++ b/tests/support/sched_history.cc
@@ -10,6 +10,7 @@
 constexpr uint64_t STEP = 20 * MS;
 constexpr uint64_t PERMILLE = 1000;
 constexpr uint64_t TROUBLE = 20 * SECOND; /* how long faults begin */
+constexpr uint64_t TROUBLE_CANCELS = 30 * SECOND;
 constexpr uint64_t FAULT_IN_HISTORY_PERMILLE = 600;
 constexpr uint64_t RENAME_PERMILLE = 5;	   /* in each step */
 constexpr uint64_t LATE_MAX = 12 * SECOND; /* as late as anything arrives */
@@ -19,6 +20,7 @@
 constexpr uint64_t PAUSE = 3 * SECOND;
 constexpr uint64_t ELECTION = 2 * SECOND;
 constexpr size_t JOBS = 5;
+constexpr size_t JOBS_CANCELS = 10;
 constexpr size_t TRACE_LINES = 4000;
 /* The longest lease on the slowest clock, with the leader's margin. */
 constexpr uint64_t LEASE_OVER = 6000 * MS * 100 / 98 + 300 * MS;
@@ -39,10 +41,11 @@
 	for (unsigned bit = 1; bit < FAULTS_ALL; bit <<= 1)
 		if (chance(FAULT_IN_HISTORY_PERMILLE) && (allowed & bit))
 			faults |= bit;
-	faults |= allowed & FAULT_RENAMES;
+	faults |= allowed & (FAULT_RENAMES | FAULT_CANCELS);
 	begin_ns = rig.now;
 	rig.agents({"s2", "s3"});
 	rig.configure("q", 0, PERMILLE);
+	rig.hold_commits = faults & FAULT_CANCELS;
 	change_ns = begin_ns + (3 + below(8)) * SECOND;
 	for (int i = 0; i < 3; i++)
 		spawn("", "");
@@ -68,7 +71,7 @@
 
 bool SchedHistory::fault(HistoryFault which, uint64_t permille)
 {
-	return chance(permille) && !quiet && (faults & which);
+	return chance(permille) && !quiet && !calm && (faults & which);
 }
 
 uint64_t SchedHistory::delay_ns()
@@ -127,11 +130,12 @@
 	leading = true;
 	note("leader of term %llu", static_cast<unsigned long long>(++term));
 	rig.lead(term);
-	rig.agents({"s2", "s3"});
+	agents_reached();
 	for (const char *agent : {"s1", "s2", "s3"})
-		at(rig.now + below(SECOND), [this, agent, known = term] {
-			agent_term[agent] = std::max(agent_term[agent], known);
-		});
+		at(std::max(rig.now, agent_cut_ns[agent]) + below(SECOND),
+		   [this, agent, known = term] {
+			   agent_term[agent] = std::max(agent_term[agent], known);
+		   });
 }
 
 void SchedHistory::leader_step()
@@ -183,6 +187,8 @@
 void SchedHistory::step()
 {
 	rig.now += STEP;
+	if (faults & FAULT_CANCELS)
+		cancels_step();
 	leader_step();
 	for (const auto &target : targets)
 		target->model.advance(rig.now);
@@ -199,7 +205,8 @@
 		commits_step();
 		if ((faults & FAULT_RENAMES) && fault(FAULT_RENAMES, RENAME_PERMILLE))
 			route_rename();
-		if (!quiet && jobs.size() < JOBS && rig.now >= next_job_ns) {
+		if (!quiet && jobs.size() < (faults & FAULT_CANCELS ? JOBS_CANCELS : JOBS) &&
+		    rig.now >= next_job_ns) {
 			next_job_ns = rig.now + below(6 * SECOND);
 			job_submit();
 		}
@@ -214,11 +221,14 @@
 		on_answer.erase(call);
 	}
 	rig.answered.clear();
+	rig.codes.clear();
 	rig.sent.clear();
 	for (const auto &line : rig.log)
 		note("  log: %s", line.c_str());
 	if (traced)
 		rig.log.clear();
+	if (faults & FAULT_CANCELS)
+		cancels_check();
 }
 
 void SchedHistory::faults_end()
@@ -229,6 +239,8 @@
 	lead_ns = std::min(lead_ns, rig.now);
 	commit_ns = 0;
 	paused_until_ns = 0;
+	agent_cut_ns.clear();
+	disturbed_ns = rig.now;
 	for (const auto &target : targets)
 		target->cut_until_ns = 0;
 	spawn("", "");
@@ -254,7 +266,7 @@
 
 void SchedHistory::play()
 {
-	uint64_t end_ns = begin_ns + TROUBLE;
+	uint64_t end_ns = begin_ns + (faults & FAULT_CANCELS ? TROUBLE_CANCELS : TROUBLE);
 
 	while (failure.empty() && rig.now < end_ns)
 		step();
@@ -271,4 +283,6 @@
 		step();
 	if (failure.empty())
 		ready_targets_check();
+	if (failure.empty() && (faults & FAULT_CANCELS))
+		cancels_end_check();
 }
--- a/tests/support/sched_history.h
+++ b/tests/support/sched_history.h
@@ -22,6 +22,8 @@
 	FAULT_PAUSES = 1u << 10,    /* the leader is suspended */
 	FAULTS_ALL = (1u << 11) - 1,
 	FAULT_RENAMES = 1u << 11, /* versions rename the route of the jobs; in all histories */
+	/* jobs are cancelled at any time, agents cut off, routes removed; in all histories */
+	FAULT_CANCELS = 1u << 12,
 };
 
 /* A random history of the scheduler with modelled targets; deterministic for a seed. */
@@ -51,12 +53,13 @@
 		uint64_t next_report_ns = 0;
 		uint64_t sequence = 0;
 		bool draining = false;
-		bool leaving = false;	 /* its departure was sent */
-		uint64_t leave_ns = 0;	 /* when it will send its departure; 0: not known */
-		uint64_t resend_ns = 0;	 /* when it sends the departure again */
-		uint64_t give_up_ns = 0; /* when it exits without an acknowledgement */
-		bool misled = false;	 /* another target answered an order for it */
-		bool mistaken = false;	 /* an earlier incarnation's departure arrived late */
+		bool leaving = false;	   /* its departure was sent */
+		uint64_t leave_ns = 0;	   /* when it will send its departure; 0: not known */
+		uint64_t resend_ns = 0;	   /* when it sends the departure again */
+		uint64_t give_up_ns = 0;   /* when it exits without an acknowledgement */
+		bool misled = false;	   /* another target answered an order for it */
+		bool mistaken = false;	   /* an earlier incarnation's departure arrived late */
+		uint64_t disturbed_ns = 0; /* until then, orders or answers were late or lost */
 	};
 	using Target = std::shared_ptr<Process>;
 	struct Answer {
@@ -72,6 +75,8 @@
 		SchedOrder order;
 		TargetModel::Origin origin = {};
 		uint64_t deadline_ns = 0;
+		uint64_t received_ns = 0; /* by the agent */
+		uint64_t link = 0;	  /* connections of the agent that were lost before */
 		bool answered = false;
 	};
 	using CallRef = std::shared_ptr<Call>;
@@ -81,6 +86,11 @@
 		bool gang;		      /* each of its steps */
 		bool lasting;
 		bool cancelled;
+		/* with FAULT_CANCELS */
+		bool submitted = false;	   /* its submission was answered */
+		uint64_t submit_ns = 0;	   /* when it is sent, again without an answer */
+		uint64_t cancel_ns = 0;	   /* the same of its cancelling; 0: none */
+		uint64_t cancelled_ns = 0; /* when that was acknowledged; 0: not yet */
 	};
 	/* Runs of one step of a gang with one number. */
 	struct Gang {
@@ -111,6 +121,7 @@
 
 	/* sched_history_jobs.cc */
 	void job_submit();
+	uint64_t job_send(const Job &job);
 	void lasting_cancel();
 	bool may_fail(const Job &job) const;
 	bool job_settled(const Job &job) const;
@@ -123,6 +134,26 @@
 	void gang_end(const Gang &gang, wl_run_outcome_t how);
 	Gang *gang_of(const TargetModel::Run &run);
 
+	/* sched_history_cancels.cc */
+	void cancels_step();
+	void calm_step();
+	void route_step();
+	void agents_step();
+	void agent_cut(const std::string &agent, uint64_t ns, bool noticed);
+	void agents_reached();
+	void callers_step();
+	void submission_send(size_t job);
+	void cancel_send(size_t job);
+	bool ended(const Job &job) const;
+	void start_ordered_check(const SchedOrder &order);
+	void start_note(const CallRef &call, const Target &target);
+	void disturb(const Target &target, uint64_t until_ns);
+	uint64_t answer_delay_ns(const CallRef &call);
+	bool is_calm(const Target &target) const;
+	void cancels_check();
+	void cancelled_run_check(const Target &target, const TargetModel::Run &run);
+	void cancels_end_check();
+
 	/* sched_history_targets.cc */
 	Target spawn(const std::string &id, const std::string &address);
 	Target target_at(const std::string &address) const;
@@ -155,6 +186,9 @@
 	unsigned faults;
 	bool traced;
 	bool quiet = false; /* no new faults */
+	bool calm = false;  /* no new faults for a while */
+	uint64_t calm_change_ns = 0;
+	uint64_t disturbed_ns = 0; /* until then, something was disturbed for all targets */
 	SchedRig rig;
 	uint64_t begin_ns;
 	uint64_t term = 1;
@@ -176,6 +210,10 @@
 	std::map<std::string, uint64_t> agent_held_ns;	   /* agents that are suspended, until */
 	std::map<std::string, uint64_t> agent_answered_ns; /* newest message on the link */
 	std::map<std::string, uint64_t> agent_term;
+	std::map<std::string, uint64_t> agent_cut_ns;  /* agents that are cut off, until */
+	std::map<std::string, uint64_t> agent_lost_ns; /* when the leader notices it */
+	std::map<std::string, uint64_t> agent_link;    /* connections that were lost */
+	std::map<std::string, uint64_t> late_starts;   /* when late starts were carried out */
 	std::string misled_agent;
 	std::string misled_address;
 	std::set<std::string> done;	     /* tasks whose end as done was acknowledged */
--- a/tests/support/sched_history_jobs.cc
+++ b/tests/support/sched_history_jobs.cc
@@ -13,6 +13,9 @@
 constexpr uint64_t ENDLESS = 1000000 * SECOND;
 constexpr uint64_t GANG_TIMEOUT = 3 * SECOND;
 constexpr uint64_t FAILS_PERMILLE = 30;
+constexpr uint64_t CANCELLED_PERMILLE = 700;
+constexpr uint64_t CANCEL_SOON = 200 * MS; /* its submission may be on its way */
+constexpr uint64_t CANCEL_LATER = 8 * SECOND;
 constexpr uint64_t CRASHES_MAX = 3; /* under a task, at which its job fails */
 
 std::string job_of(const std::string &task)
@@ -24,19 +27,36 @@
 void SchedHistory::job_submit()
 {
 	uint64_t kind = below(10);
-	Job job = {"j" + std::to_string(jobs.size() + 1), {}, kind < 2, kind == 2, false};
+	uint64_t lasting_max = faults & FAULT_CANCELS ? 5 : 2;
+	Job job = {"j" + std::to_string(jobs.size() + 1),
+		   {},
+		   kind < 2,
+		   kind >= 2 && kind <= lasting_max,
+		   false};
 
 	for (uint64_t i = 0; i <= below(STEPS_MAX) && !(i && job.lasting); i++)
 		job.counts.push_back(1 + below(TASKS_MAX));
+	if (faults & FAULT_CANCELS) {
+		job.submit_ns = rig.now;
+		if (chance(CANCELLED_PERMILLE))
+			job.cancel_ns = rig.now + below(chance(300) ? CANCEL_SOON : CANCEL_LATER);
+	} else {
+		job_send(job);
+	}
+	jobs.push_back(job);
+	note("job %s%s%s", job.id.c_str(), job.gang ? ", a gang" : "",
+	     job.lasting ? ", lasting" : "");
+}
+
+uint64_t SchedHistory::job_send(const Job &job)
+{
 	wl_step_spec_t *steps = rig.job("q", job.id, job.counts);
+
 	for (size_t i = 0; i < job.counts.size(); i++) {
 		steps[i].gang = job.gang;
 		steps[i].lasting = job.lasting;
 	}
-	rig.submit();
-	jobs.push_back(job);
-	note("job %s%s%s", job.id.c_str(), job.gang ? ", a gang" : "",
-	     job.lasting ? ", lasting" : "");
+	return rig.submit();
 }
 
 void SchedHistory::lasting_cancel()
@@ -45,8 +65,12 @@
 		lead();
 	for (auto &job : jobs) {
 		job.cancelled = job.lasting && chance(500);
-		if (job.cancelled)
+		if (!job.cancelled)
+			continue;
+		if (!(faults & FAULT_CANCELS))
 			rig.cancel("q", job.id);
+		else if (!job.cancel_ns)
+			job.cancel_ns = rig.now;
 	}
 }
 
@@ -80,6 +104,8 @@
 {
 	if (rig.job_state(job.id) == "failed" && may_fail(job))
 		return runs_up(job.id) == 0;
+	if ((faults & FAULT_CANCELS) && (!job.submitted || job.cancel_ns))
+		return job.submitted && ended(job) && runs_up(job.id) == 0;
 	if (job.cancelled)
 		return rig.job_state(job.id) == "cancelled" && runs_up(job.id) == 0;
 	if (job.lasting)
--- a/tests/support/sched_history_orders.cc
+++ b/tests/support/sched_history_orders.cc
@@ -25,6 +25,9 @@
 		/* the scheduler cannot tell one that does not arrive from one that crashes */
 		crashes[order.task] += order.kind == WL_ORDER_START;
 		call->origin = {term, known ? known->report.incarnation : 0};
+		call->link = agent_link[order.agent];
+		if (order.kind == WL_ORDER_START)
+			start_ordered_check(order);
 		if (fault(FAULT_HELD, 5))
 			agent_held_ns[order.agent] = rig.now + below(HOLD_MAX);
 		when = std::max(when, agent_held_ns[order.agent]);
@@ -38,6 +41,9 @@
 	Answer refused;
 	const SchedOrder &order = call->order;
 
+	if (call->link != agent_link[order.agent] || rig.now < agent_cut_ns[order.agent])
+		return;
+	call->received_ns = rig.now;
 	call->deadline_ns = rig.now + order.timeout_ms * MS;
 	refused.outcome = WL_ORDER_NOT_SENT;
 	if (call->origin.term < agent_term[order.agent] ||
@@ -57,8 +63,10 @@
 
 	answer.outcome = WL_ORDER_OTHER_INCARNATION;
 	if (order.agent == misled_agent && order.address == misled_address) {
-		if (target)
+		if (target) {
 			target->misled = true;
+			disturb(target, rig.now);
+		}
 		reply(call, answer, below(QUICK));
 		return;
 	}
@@ -75,10 +83,14 @@
 	}
 	answer.outcome = WL_ORDER_UNHEALTHY;
 	if (fault(FAULT_LOST, 10)) {
+		disturb(target, rig.now);
 		reply(call, answer, below(QUICK));
 		return;
 	}
-	at(rig.now + delay_ns(), [this, call, target] { execute(call, target); });
+	uint64_t when = rig.now + delay_ns();
+	if (when > rig.now + QUICK)
+		disturb(target, when);
+	at(when, [this, call, target] { execute(call, target); });
 }
 
 /* A process that has ended takes the orders with it that it had received. */
@@ -105,7 +117,7 @@
 	if (order.kind == WL_ORDER_RENEW && answer.outcome == WL_ORDER_DONE)
 		hold_answer(call, target, rig.now + order.wait_ms * MS, target->model.ends.size());
 	else
-		reply(call, answer, delay_ns());
+		reply(call, answer, answer_delay_ns(call));
 }
 
 SchedHistory::Answer SchedHistory::carry_out(const CallRef &call, const Target &target)
@@ -121,8 +133,10 @@
 		bool there = model.find(order.task) && model.find(order.task)->run == order.run;
 
 		answer.outcome = model.start(rig.now, order, call->origin, work);
-		if (answer.outcome == WL_ORDER_DONE && !there)
+		if (answer.outcome == WL_ORDER_DONE && !there) {
+			start_note(call, target);
 			start_check(call, target);
+		}
 	} else if (order.kind == WL_ORDER_STOP) {
 		answer.outcome = model.stop(order, stopped_ns);
 	} else {
@@ -227,14 +241,16 @@
 	answer.runs = model.runs;
 	answer.ends = model.ends;
 	if (rig.now >= target->cut_until_ns)
-		reply(call, answer, delay_ns());
+		reply(call, answer, answer_delay_ns(call));
 }
 
 /* The agent has the answer after a delay, unless it has given up by then. */
 void SchedHistory::reply(const CallRef &call, const Answer &answer, uint64_t delay)
 {
-	if (answer.has_clock && fault(FAULT_LOST, 80))
+	if (answer.has_clock && fault(FAULT_LOST, 80)) {
+		disturb(target_at(call->order.address), rig.now);
 		return;
+	}
 	at(rig.now + delay, [this, call, answer] {
 		uint64_t &newest_ns = agent_answered_ns[call->order.agent];
 
@@ -242,7 +258,9 @@
 			return;
 		call->answered = true;
 		newest_ns = std::max(newest_ns, rig.now + below(QUICK));
-		to_leader(newest_ns, [this, call, answer] { deliver(call, answer); });
+		if (call->link == agent_link[call->order.agent] &&
+		    rig.now >= agent_cut_ns[call->order.agent])
+			to_leader(newest_ns, [this, call, answer] { deliver(call, answer); });
 	});
 }
 
--- a/tests/support/sched_history_targets.cc
+++ b/tests/support/sched_history_targets.cc
@@ -146,8 +146,12 @@
 		cmd.u.runner_put.exiting = true;
 		uint64_t call = rig.send_command(&cmd);
 		note("departure of %s reaches the leader", id.c_str());
-		for (const auto &other : targets)
-			other->mistaken |= other->model.id == id && other != target;
+		for (const auto &other : targets) {
+			if (other->model.id != id || other == target)
+				continue;
+			other->mistaken = true;
+			disturb(other, rig.now);
+		}
 		when_answered(call, [this, target] {
 			if (target->up)
 				end(target, "departure acknowledged");
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -138,6 +138,7 @@
 		report_to = text(one.report_to);
 		newest = {one.code, one.job_state, one.is_queue, one.pending, text(one.text)};
 		answered.push_back(action.msg.u.result.call);
+		codes[answered.back()] = one.code;
 	}
 	if (action.msg.kind != WL_MSG_ORDERS)
 		return;
@@ -267,11 +268,13 @@
 	return calls;
 }
 
-void SchedRig::run_command(wl_cmd_t *cmd)
+uint64_t SchedRig::run_command(wl_cmd_t *cmd)
 {
-	send_command(cmd);
+	uint64_t call = send_command(cmd);
+
 	if (!hold_commits)
 		commit();
+	return call;
 }
 
 /* Sends an empty message of a kind, from the daemon e1. */
@@ -441,19 +444,19 @@
 	spec.every_ms = every_ms;
 }
 
-void SchedRig::submit()
+uint64_t SchedRig::submit()
 {
-	run_command(&next_job);
+	return run_command(&next_job);
 }
 
-void SchedRig::cancel(const std::string &queue, const std::string &id)
+uint64_t SchedRig::cancel(const std::string &queue, const std::string &id)
 {
 	wl_cmd_t cmd = {};
 
 	cmd.kind = WL_CMD_JOB_CANCEL;
 	wl_buf_set(&cmd.u.job_cancel.host, str(host));
 	wl_buf_set(&cmd.u.job_cancel.path, str("/" + queue + "/" + id));
-	run_command(&cmd);
+	return run_command(&cmd);
 }
 
 std::vector<SchedOrder> SchedRig::take_orders(wl_order_kind_t kind)
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -7,6 +7,7 @@
 }
 
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -73,12 +74,13 @@
 			    const std::vector<uint64_t> &counts, const std::string &payload = "");
 	/* Makes the prepared job repeat, from now on. */
 	void repeat(uint64_t times, uint64_t every_ms);
-	void submit();
-	void cancel(const std::string &queue, const std::string &id);
+	/* Sends the prepared job. Return: the number of the call, as for commands. */
+	uint64_t submit();
+	uint64_t cancel(const std::string &queue, const std::string &id);
 	SchedResult query(const std::string &path);
 	/* Replaces the state by its own snapshot. The replica must not lead. */
 	void reload();
-	void run_command(wl_cmd_t *cmd);
+	uint64_t run_command(wl_cmd_t *cmd);
 	/* Sends a command of the daemon e1 without a commit. Return: the number of the call. */
 	uint64_t send_command(wl_cmd_t *cmd);
 	void message(wl_msg_kind_t kind);
@@ -127,8 +129,9 @@
 	uint64_t objective_ms = 0;	     /* for the queues that are configured next */
 	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
-	std::vector<wl_msg_kind_t> sent; /* to other daemons */
-	std::vector<uint64_t> answered;	 /* calls of daemons, by number */
+	std::vector<wl_msg_kind_t> sent;    /* to other daemons */
+	std::vector<uint64_t> answered;	    /* calls of daemons, by number */
+	std::map<uint64_t, uint64_t> codes; /* wl_code_t of these */
 	/* daemons whose send queue is full: orders for them are rejected */
 	std::set<std::string> full_queues;
 	std::set<std::string> silent;	  /* agents */
