scheduler: no suspected task starts beside a run that was just stopped

Cause: the target is looked at for new runs, any of which may crash it, and a run that has ended is not among them. One that ended within 2 s of its placement and was not done counts now until then; its next incarnation starts clean.

unit.sched_suspects_test: TaskAfterTwoCrashesStartsBesideNoRunThatWasJustStopped fails without the rule. All unit.sched tests but the known red unit.sched_late_crash_test pass.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -68,6 +68,7 @@
 		runner->previous.announced = false;
 	runner->unreachable_since_ns = 0;
 	runner->heard_ns = 0;
+	runner->stopped_new_ns = 0;
 }
 
 /*
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -201,6 +201,7 @@
 	uint64_t heard_ns;	       /* newest answer of this incarnation to a renewal */
 	wl_sched_incarnation_end_t previous;
 	uint64_t trials[WL_TRIALS]; /* runs on trial */
+	uint64_t stopped_new_ns; /* when a run was last placed here that ended new and not done */
 	uint64_t kept_until_ns; /* no starts but of a task that is to be alone; 0: it is not kept */
 	uint64_t kept_pass;	/* pass in which a batch counted on it */
 	wl_buf_t address;	/* as of the newest committed report */
@@ -622,6 +623,7 @@
 void wl_sched_trial_begin(wl_sched_run_t *run, const wl_job_t *job);
 void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run);
 void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run);
+void wl_sched_trial_ended(wl_sched_run_t *run, uint64_t now_ns, const wl_run_end_t *end);
 void wl_sched_trial_crashed(const wl_job_t *job);
 void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
 void wl_sched_trials_count(const wl_sched_t *sched, wl_sched_job_t *sched_job);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -566,6 +566,7 @@
 			      run->end_reason ? run->end_reason : "other", out);
 	failures_count(sched, run->runner, now_ns, end, out);
 	wl_sched_crash_applied(sched, now_ns, run, end, out);
+	wl_sched_trial_ended(run, now_ns, end);
 	if (end->outcome == WL_END_DONE)
 		wl_sched_trial_passed(sched, run);
 	if (job && end->outcome == WL_END_NOT_STARTED)
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -256,10 +256,23 @@
 	return now_ns - run->placed_ns < SETTLED_MS * WL_NS_PER_MS;
 }
 
+/*
+ * wl_sched_trial_ended - note a run that has ended new and not done: it may have harmed its target
+ */
+void wl_sched_trial_ended(wl_sched_run_t *run, uint64_t now_ns, const wl_run_end_t *end)
+{
+	if (end->outcome != WL_END_DONE && run->incarnation == run->runner->incarnation &&
+	    is_new(run, now_ns))
+		run->runner->stopped_new_ns = run->placed_ns;
+}
+
 static bool has_new_runs(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
 {
+	uint64_t stopped_ns = runner->stopped_new_ns;
 	const wl_sched_run_t *run;
 
+	if (stopped_ns && batch->suspicion.at_ns - stopped_ns < SETTLED_MS * WL_NS_PER_MS)
+		return true;
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (is_new(run, batch->suspicion.at_ns) && !is_same_gang(run, batch))
 			return true;
--- a/tests/unit/sched_suspects_test.cc
+++ b/tests/unit/sched_suspects_test.cc
@@ -184,6 +184,37 @@
 		}
 }
 
+/* It may have harmed the target, whose crash would count against the other task. */
+TEST_F(Suspects, TaskAfterTwoCrashesStartsBesideNoRunThatWasJustStopped)
+{
+	target("a");
+	job("j");
+	for (int i = 0; i < 2; i++) {
+		pass(100);
+		crash("a");
+		if (i == 0)
+			target("a");
+	}
+	target("b");
+	job("stopped");
+	pass(100);
+	ASSERT_EQ(targets_of("stopped"), std::vector<std::string>{"b"});
+	size_t before = started.size();
+	rig.cancel("q", "stopped");
+	targets["b"].runs.clear();
+	pass(200);
+	ASSERT_EQ(ends("lost"), 1u) << "it has not ended";
+	targets["a"].life++;
+	targets["a"].down = false;
+	rig.address = "a:80";
+	rig.runner("a", 32000, targets["a"].life, "r1", true);
+	pass(1000);
+	EXPECT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
+	EXPECT_EQ(started.size(), before);
+	pass(1000);
+	EXPECT_EQ(targets_of("j", before), std::vector<std::string>{"b"});
+}
+
 TEST_F(Suspects, GangWiderThanTheTargetsStartsAgain)
 {
 	target("a");
