jobs: count crashes of targets that are back after the leases of their runs

Cause: silence is no crash, so that the runs end as lost when their leases are over, and nothing counts when a later incarnation proves the crash.

A later incarnation, at the target's id or address, proves the crash, and a sign of the same one disproves it. New: such a crash makes its task suspected only, as the task has started again beside others before it was known; under a run that was alone on trial, which has two crashes before, it gives the task up.

Why it works: what fails a job is the crash of a target on which no other task can have done it, as with crashes that are known at once.

Partial: targets back after 14 s and more are found late, a change of leader forgets what it took for lost.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -53,7 +53,8 @@
 
 /*
  * Counts a crash. An outage makes a task suspected, but counts no further: it may recur. Nor does a
- * run that may never have begun count towards giving the task up.
+ * run that may never have begun count towards giving the task up. The task of a late crash has
+ * started again before it was known, beside others: only one that was alone gives it up.
  */
 static void crash_count(wl_jobs_t *jobs, wl_job_t *job, wl_task_crashes_t *crashes,
 			const wl_run_end_t *end)
@@ -65,6 +66,8 @@
 	else if (end->outage)
 		return;
 	crashes->proved += !end->unconfirmed;
+	if (end->alone)
+		crashes->proved = WL_TASK_CRASHES_MAX;
 	count_set(jobs, job, crashes, next);
 }
 
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -217,6 +217,25 @@
 	}
 }
 
+/* Counts crashes under runs that have ended as lost, as the crash was not known yet. */
+static void runs_crashed_late(wl_jobs_t *jobs, const wl_list_t *late, uint64_t clock_ms)
+{
+	const wl_run_end_t *rows = late->items;
+
+	for (size_t i = 0; i < late->count; i++) {
+		wl_job_t *job = wl_jobs_find(jobs, wl_buf_str(&rows[i].job));
+		wl_runner_t *runner = wl_jobs_runner(jobs, wl_buf_str(&rows[i].runner));
+		uint64_t crash;
+
+		if (!job || !runner || wl_job_ended(job) || rows[i].task >= job->task_count ||
+		    job->tasks[rows[i].task].done)
+			continue;
+		crash = wl_runner_crash(jobs, runner, rows[i].incarnation);
+		if (wl_task_crashed(jobs, job, &rows[i], crash))
+			wl_job_end(jobs, job, WL_JOB_FAILED, clock_ms);
+	}
+}
+
 void wl_jobs_runs_end(wl_jobs_t *jobs, const wl_cmd_runs_end_t *cmd, uint64_t clock_ms,
 		      wl_result_t *result)
 {
@@ -231,6 +250,7 @@
 	}
 	runs_sound(jobs, &cmd->sound);
 	runs_doubt(jobs, &cmd->doubts);
+	runs_crashed_late(jobs, &cmd->late, clock_ms);
 	wl_result_ok(result, 0);
 }
 
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -192,6 +192,9 @@
 	uint64_t ran_ms;     /* CRASHED: how long it is known to have run */
 	bool outage;	     /* CRASHED: in an outage, which is weak evidence against its task */
 	bool unconfirmed;    /* CRASHED: nothing shows that the target had begun it */
+	/* of late crashes only */
+	uint64_t incarnation; /* of the target */
+	bool alone;	      /* it was on trial alone */
 } wl_run_end_t;
 
 /* A run that works on, and has worked for so long that earlier crashes were not due to its task. */
@@ -213,6 +216,7 @@
 	wl_list_t ends;	  /* wl_run_end_t */
 	wl_list_t sound;  /* wl_run_sound_t */
 	wl_list_t doubts; /* wl_run_doubt_t */
+	wl_list_t late;	  /* wl_run_end_t: crashes of runs that had been taken for lost */
 } wl_cmd_runs_end_t;
 
 typedef struct wl_cmd {
--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -62,6 +62,7 @@
 		runner->began_ns = now_ns;
 	if (ended > 0)
 		wl_sched_loss_add(sched, now_ns, runner, ended);
+	sched->lapse_proved |= !TAILQ_EMPTY(&runner->lapses);
 	runner->previous = incarnation_end(runner, now_ns);
 	runner->previous.incarnation = ended;
 	if (runner->state->report.incarnation == incarnation) /* says nothing of the one before */
@@ -95,6 +96,7 @@
 	}
 	runner->unreachable_since_ns = 0;
 	runner->heard_ns = now_ns;
+	wl_sched_lapses_heard(runner);
 }
 
 /*
@@ -152,6 +154,27 @@
 	return seen_ms > began_ms ? seen_ms - began_ms : 0;
 }
 
+/* Whether the crash of a target in an outage says nothing of a run that was there. */
+static bool outage_explains(wl_sched_t *sched, uint64_t outage, wl_str_t job, uint64_t ran_ms)
+{
+	return outage && (ran_ms > OUTAGE_NEW_MS || !wl_sched_outage_spanned(sched, outage, job));
+}
+
+/*
+ * wl_sched_crash_late - judge the crash of a target under a run that was taken for lost
+ * @row: its end; the outage is filled in
+ *
+ * Return: whether it counts.
+ */
+bool wl_sched_crash_late(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+			 wl_run_end_t *row)
+{
+	uint64_t outage = wl_sched_outage_find(sched, now_ns, runner->key, row->incarnation);
+
+	row->outage = outage > 0;
+	return !outage_explains(sched, outage, wl_buf_str(&row->job), row->ran_ms);
+}
+
 /* Fills in the end of a run that its target did not list, if that crashed. */
 static void crash_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
@@ -163,8 +186,7 @@
 	row->ran_ms = ran_ms(sched, now_ns, run);
 	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
 	row->outage = outage > 0;
-	if (row->outage && (row->ran_ms > OUTAGE_NEW_MS ||
-			    !wl_sched_outage_spanned(sched, outage, wl_buf_str(&run->job))))
+	if (outage_explains(sched, outage, wl_buf_str(&run->job), row->ran_ms))
 		return;
 	row->outcome = WL_END_CRASHED;
 	row->unconfirmed = was_left(run, end) || may_be_unsent(run);
@@ -277,6 +299,18 @@
 		   (unsigned long long)((now_ns - end->lost_ns) / WL_NS_PER_MS));
 }
 
+/* Keeps the end of a run on a silent target, whose crash may be proved later. */
+static void lapse_keep(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+		       const wl_sched_incarnation_end_t *end)
+{
+	bool is_known = run->phase != WL_RUN_INHERITED;
+
+	if (!end->announced && run->incarnation == end->incarnation &&
+	    run_was_there(run, end->lost_ns))
+		wl_sched_lapse_add(run, now_ns, is_known ? ran_ms(sched, now_ns, run) : 0,
+				   !was_left(run, end) && !may_be_unsent(run));
+}
+
 /*
  * wl_sched_crash_expired - add the ends of the runs of a target whose leases have all expired
  *
@@ -294,10 +328,12 @@
 		if (run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING ||
 		    !wl_sched_lease_over(sched, run, now_ns))
 			continue;
-		if (is_replaced && run->incarnation >= runner->incarnation)
+		if (is_replaced && run->incarnation >= runner->incarnation) {
 			crashed += end_add(sched, now_ns, run, &end, "expired", ends);
-		else
-			wl_sched_run_lost_add(sched, now_ns, run, "expired", ends);
+			continue;
+		}
+		lapse_keep(sched, now_ns, run, &end);
+		wl_sched_run_lost_add(sched, now_ns, run, "expired", ends);
 	}
 	if (is_replaced)
 		crash_log(sched, now_ns, runner, &end, "expired", crashed, ends->ends.count, out);
--- a/libwlcore/sched/given_up.c
+++ b/libwlcore/sched/given_up.c
@@ -42,15 +42,15 @@
 	}
 }
 
-static void crash_add(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run)
+static void crash_add(wl_sched_t *sched, uint64_t now_ns, wl_str_t address, const wl_run_end_t *end)
 {
 	wl_sched_crash_t *crash = wl_alloc(sizeof(*crash));
 
-	wl_buf_set(&crash->job, wl_buf_str(&run->job));
-	crash->task = run->task;
-	crash->run = run->number;
-	wl_buf_set(&crash->target, run->runner->key);
-	wl_buf_set(&crash->address, wl_buf_str(&run->runner->address));
+	wl_buf_set(&crash->job, wl_buf_str(&end->job));
+	crash->task = end->task;
+	crash->run = end->run;
+	wl_buf_set(&crash->target, wl_buf_str(&end->runner));
+	wl_buf_set(&crash->address, address);
 	crash->at_ms = wl_sched_clock_ms(sched, now_ns);
 	TAILQ_INSERT_TAIL(&sched->crashes, crash, link);
 	if (++sched->crashes_kept > CRASHES_KEPT_MAX)
@@ -107,8 +107,9 @@
 
 /*
  * wl_sched_crash_applied - process the committed end of a run whose target crashed
+ * @address: of the target
  */
-void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, wl_str_t address,
 			    const wl_run_end_t *end, wl_out_t *out)
 {
 	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&end->job));
@@ -117,7 +118,7 @@
 	if (end->outcome != WL_END_CRASHED || !job)
 		return;
 	crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
-	crash_add(sched, now_ns, run);
+	crash_add(sched, now_ns, address, end);
 	wl_sched_trial_crashed(job);
 	wl_metrics_add(sched->options.metrics, "wisterialead_job_crashes_total", "", 1);
 	wl_out_log(out, WL_WARN, "task-crash",
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -147,6 +147,10 @@
 
 TAILQ_HEAD(wl_sched_open_starts, wl_sched_open_start);
 
+typedef struct wl_sched_lapse wl_sched_lapse_t;
+
+TAILQ_HEAD(wl_sched_lapses, wl_sched_lapse);
+
 /* Least headroom of the serving tasks of one image on a target, beside the work that is there. */
 typedef struct wl_sched_headroom {
 	double least;
@@ -164,6 +168,7 @@
 	struct wl_sched_runs runs;
 	struct wl_sched_runs serving;		 /* the serving ones among them */
 	struct wl_sched_open_starts open_starts; /* of runs that have ended */
+	struct wl_sched_lapses lapses;		 /* ends of runs whose leases had expired */
 	wl_fit_runner_t fit;			 /* input of placement */
 	size_t row;				 /* of wl_sched.rows */
 	/* leases of earlier leaders or of an earlier incarnation may be valid until then */
@@ -405,6 +410,7 @@
 	wl_interference_t interference;
 	bool promotion_due; /* that of a target may be set where runs are in the background */
 	bool place_due;
+	bool lapse_proved;     /* a crash under runs taken for lost is to be proposed */
 	uint64_t next_pass_ns; /* no placement pass before */
 	uint64_t pass_count;
 	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
@@ -579,6 +585,12 @@
 void wl_sched_run_start_sent(wl_sched_run_t *run, uint64_t sent_ns);
 void wl_sched_open_starts_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
 void wl_sched_open_starts_clear(wl_sched_runner_t *runner);
+void wl_sched_lapse_add(wl_sched_run_t *run, uint64_t now_ns, uint64_t ran_ms, bool begun);
+void wl_sched_lapses_heard(wl_sched_runner_t *runner);
+void wl_sched_lapses_clear(wl_sched_runner_t *runner);
+void wl_sched_lapses_prove(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_lapses_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			  wl_out_t *out);
 void wl_sched_stops_forget(wl_sched_runner_t *runner);
 bool wl_sched_lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns);
 bool wl_sched_run_unknown(const wl_sched_run_t *run, uint64_t now_ns);
@@ -603,6 +615,8 @@
 void wl_sched_crash_run_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			       wl_cmd_runs_end_t *ends);
 void wl_sched_crash_doubts_commit(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+bool wl_sched_crash_late(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
+			 wl_run_end_t *row);
 void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			    wl_cmd_runs_end_t *ends, wl_out_t *out);
 void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
@@ -638,7 +652,7 @@
 
 /* given_up.c */
 void wl_sched_crashes_clear(wl_sched_t *sched);
-void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+void wl_sched_crash_applied(wl_sched_t *sched, uint64_t now_ns, wl_str_t address,
 			    const wl_run_end_t *end, wl_out_t *out);
 
 /* takeover.c */
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -249,7 +249,8 @@
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_END, .u.runs_end = *ends};
 
 	*ends = (wl_cmd_runs_end_t){0};
-	if (cmd.u.runs_end.ends.count + cmd.u.runs_end.sound.count + cmd.u.runs_end.doubts.count >
+	if (cmd.u.runs_end.ends.count + cmd.u.runs_end.sound.count + cmd.u.runs_end.doubts.count +
+		    cmd.u.runs_end.late.count >
 	    0)
 		wl_sched_propose(sched, now_ns, &cmd, out);
 }
@@ -565,7 +566,7 @@
 	wl_sched_run_end_note(sched, now_ns, run, (wl_run_outcome_t)end->outcome,
 			      run->end_reason ? run->end_reason : "other", out);
 	failures_count(sched, run->runner, now_ns, end, out);
-	wl_sched_crash_applied(sched, now_ns, run, end, out);
+	wl_sched_crash_applied(sched, now_ns, wl_buf_str(&run->runner->address), end, out);
 	wl_sched_trial_ended(run, now_ns, end);
 	if (end->outcome == WL_END_DONE)
 		wl_sched_trial_passed(sched, run);
@@ -591,6 +592,19 @@
 	wl_sched_steps_open(sched, now_ns, job, at.occurrence);
 }
 
+static void late_apply(wl_sched_t *sched, uint64_t now_ns, const wl_run_end_t *end, wl_out_t *out)
+{
+	const wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&end->runner));
+	wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&end->job));
+
+	if (!job || !job->leader_data)
+		return;
+	wl_sched_crash_applied(sched, now_ns, runner ? wl_buf_str(&runner->address) : (wl_str_t){0},
+			       end, out);
+	if (wl_job_ended(job))
+		wl_sched_job_ended(sched, now_ns, job, out);
+}
+
 /*
  * wl_sched_ends_applied - process committed ends: release capacity, queue tasks again,
  * open steps
@@ -599,9 +613,12 @@
 			   wl_out_t *out)
 {
 	const wl_run_end_t *rows = cmd->ends.items;
+	const wl_run_end_t *late = cmd->late.items;
 
 	for (size_t i = 0; i < cmd->ends.count; i++)
 		end_apply(sched, now_ns, &rows[i], out);
+	for (size_t i = 0; i < cmd->late.count; i++)
+		late_apply(sched, now_ns, &late[i], out);
 }
 
 /*
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -458,6 +458,7 @@
 		break;
 	}
 	wl_sched_departures_answer(sched, now_ns, out);
+	wl_sched_lapses_prove(sched, now_ns, out);
 	if (wl_sched_place_due(sched, now_ns))
 		wl_sched_place(sched, now_ns, out);
 	wl_sched_agents_send(sched, now_ns, out);
--- a/tests/support/crash_fleet.cc
+++ b/tests/support/crash_fleet.cc
@@ -432,7 +432,7 @@
 	machines[at].crashes++;
 	history_add("crash " + machines[at].id + " runs " + std::to_string(work[at].runs.size()) +
 		    " guilty" + names);
-	target_down(at, BACK_MS, false);
+	target_down(at, options.back_ms, false);
 }
 
 void CrashFleet::target_step(size_t at)
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -19,6 +19,7 @@
 	uint64_t stop_ms = 0;	       /* that a run takes to stop */
 	uint64_t lost_percent = 0;     /* of the answers to starts and stops */
 	uint64_t commit_percent = 100; /* chance that the log commits in a tick */
+	uint64_t back_ms = 3300;       /* that a crashed target is down */
 };
 
 /* A job and what became of it. */
@@ -42,7 +43,7 @@
 /*
  * Targets on a scheduler rig that keep leases, list their runs and ends, and report once a second.
  * A guilty task crashes its target CRASH_MS after it started there, which ends everything there.
- * A crashed target is back after BACK_MS, with its id or with another one.
+ * A crashed target is back after some seconds, with its id or with another one.
  */
 class CrashFleet
 {
@@ -50,7 +51,7 @@
 	static constexpr uint64_t MS = 1000000;
 	static constexpr uint64_t TICK_MS = 10;
 	static constexpr uint64_t CRASH_MS = 20;
-	static constexpr uint64_t BACK_MS = 3300;
+	static constexpr uint64_t BACK_MS = 3300; /* as by default */
 	static constexpr uint64_t REPORT_MS = 1000;
 	static constexpr size_t CRASHES_MAX = 3; /* under a guilty task */
 
--- a/tests/unit/sched_unsent_test.cc
+++ b/tests/unit/sched_unsent_test.cc
@@ -88,6 +88,36 @@
 	give_up_check(3);
 }
 
+/* Its target is silent until all leases are over, and the run was to be alone there. */
+TEST_F(Unsent, CrashThatIsProvedLateGivesNoTaskUp)
+{
+	target("a");
+	job("j");
+	for (int i = 0; i < 2; i++) {
+		pass(100);
+		crash("a");
+		if (i == 0)
+			target("a");
+	}
+	targets["a"].life++;
+	targets["a"].down = false;
+	rig.runner("a", 32000, targets["a"].life, "r1", true);
+	pass(3000);
+	ASSERT_EQ(counted().count, 2u);
+	rig.runner("a", 32000, targets["a"].life);
+	targets["a"].down = true;
+	rig.advance(10);
+	follow(1);
+	ASSERT_NE(wl_job_run(rig.find("j"), 0, 3), nullptr) << "not committed";
+	rig.lead(2);
+	pass(2 * LEASES_OVER_MS);
+	EXPECT_EQ(ends("lost"), 1u);
+	target("a");
+	pass(START_OVER_MS);
+	EXPECT_EQ(counted().count, 3u);
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
+
 TEST_F(Unsent, StartThatItsOwnLeaderCommittedIsProved)
 {
 	target("a");
