tests: a cancelling that overtakes its submission, on real daemons

A submission lies in the socket of an entry that is suspended; the caller cancels the job at another entry, is told 410, and the entry continues. The submission must be answered with 410, and no task may start.

The simulated target lists a stopped run as ended, as targets do, and keeps its starts and the times of ends.

--- a/tests/integration/jobs_test.cc
+++ b/tests/integration/jobs_test.cc
@@ -4,7 +4,10 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <chrono>
 #include <filesystem>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -13,6 +16,7 @@
 namespace
 {
 constexpr int STORES = 3;
+constexpr int ENTRIES = 2; /* the second one only if a test needs it */
 constexpr int TASKS = 12;
 constexpr uint64_t TASK_MS = 150;
 
@@ -39,6 +43,73 @@
 	       std::to_string(1 + pid % values) + "." + std::to_string(number);
 }
 
+/* Targets that send heartbeats to all stores but one that is suspended. */
+class Targets
+{
+      public:
+	Targets(size_t count, uint64_t task_ms, uint64_t stop_ms)
+	{
+		for (size_t i = 0; i < count; i++)
+			runners.push_back(std::make_unique<Runner>("i-" + std::to_string(i + 1),
+								   task_ms, stop_ms));
+		reporting = std::thread([this] { report(); });
+	}
+
+	~Targets()
+	{
+		ending = true;
+		reporting.join();
+	}
+
+	Targets(const Targets &) = delete;
+	Targets &operator=(const Targets &) = delete;
+
+	size_t started(const std::string &job)
+	{
+		size_t count = 0;
+
+		for (auto &runner : runners)
+			count += runner->started(job);
+		return count;
+	}
+
+	size_t running(const std::string &job)
+	{
+		size_t count = 0;
+
+		for (auto &runner : runners)
+			count += runner->running_now(job);
+		return count;
+	}
+
+	Runner::Time last_end(const std::string &job)
+	{
+		Runner::Time last;
+
+		for (auto &runner : runners)
+			last = std::max(last, runner->last_end(job));
+		return last;
+	}
+
+	std::atomic<int> suspended{0};
+
+      private:
+	void report()
+	{
+		constexpr auto every = std::chrono::milliseconds(300);
+
+		for (; !ending; std::this_thread::sleep_for(every))
+			for (int number = 1; number <= STORES; number++)
+				for (auto &runner : runners)
+					if (number != suspended && !ending)
+						runner->report(address(number) + ":8081");
+	}
+
+	std::vector<std::unique_ptr<Runner>> runners;
+	std::atomic<bool> ending{false};
+	std::thread reporting;
+};
+
 class Jobs : public testing::Test
 {
       protected:
@@ -60,7 +131,7 @@
 		std::filesystem::remove_all(folder);
 	}
 
-	/* The last daemon is an entry, the others are stores. */
+	/* The first daemons are stores, the others are entries. */
 	void start(int number)
 	{
 		bool store = number <= STORES;
@@ -100,9 +171,9 @@
 	}
 
 	/* Starts all daemons and waits until the configuration is in force. */
-	void begin()
+	void begin(int entries = 1)
 	{
-		for (int number = 1; number <= STORES + 1; number++)
+		for (int number = 1; number <= STORES + entries; number++)
 			start(number);
 		ASSERT_TRUE(eventually([&] {
 			return http(control(1), "POST", "/-/config/replace",
@@ -117,22 +188,24 @@
 	}
 
 	static Answer call(const std::string &method, const std::string &job,
-			   const std::string &body = "")
+			   const std::string &body = "", int number = STORES + 1)
 	{
-		return http(address(STORES + 1) + ":8080", method, "/tube/" + job, body,
+		return http(address(number) + ":8080", method, "/tube/" + job, body,
 			    {{"Host", "queue.example"}, {"Request-Deadline-Ms", "5000"}});
 	}
 
+	static std::string job_body(int cpu_millis = 500)
+	{
+		return R"({"spec":"words","steps":[{"count":)" + std::to_string(TASKS) +
+		       R"(,"cpu":)" + std::to_string(cpu_millis) +
+		       R"(,"mem_mb":256,"estimated_ms":150}]})";
+	}
+
 	/* Sends a job until it is accepted; repeats have the same id and create no second job. */
-	static bool submit(const std::string &job)
+	static bool submit(const std::string &job, int cpu_millis = 500)
 	{
-		return eventually([&] {
-			return call("POST", job,
-				    R"({"spec":"words","steps":[{"count":)" +
-					    std::to_string(TASKS) +
-					    R"(,"cpu":500,"mem_mb":256,"estimated_ms":150}]})")
-				       .status == 200;
-		});
+		return eventually(
+			[&] { return call("POST", job, job_body(cpu_millis)).status == 200; });
 	}
 
 	/* Sends heartbeats of the target to every running store until the job is completed. */
@@ -169,7 +242,7 @@
 	}
 
 	std::string folder;
-	Process daemons[STORES + 1];
+	Process daemons[STORES + ENTRIES];
 };
 } // namespace
 
@@ -265,3 +338,35 @@
 	ASSERT_TRUE(completed(runner, "00000000000000a1")) << call("GET", "00000000000000a1").body;
 	EXPECT_EQ(runner.done().size(), static_cast<size_t>(TASKS));
 }
+
+/* Guards against a fault where the job was accepted and ran after its caller had been told 410. */
+TEST_F(Jobs, StayCancelledWhenTheSubmissionArrivesLater)
+{
+	const std::string job = "00000000000000b1";
+	const std::string body = job_body();
+	Targets targets(2, TASK_MS, 0);
+
+	ASSERT_NO_FATAL_FAILURE(begin(2));
+	ASSERT_TRUE(submit("00000000000000a1"));
+	ASSERT_TRUE(eventually(
+		[&] { return call("GET", "00000000000000a1").at("state") == "completed"; }));
+
+	/* The submission lies in the socket of the entry, which reads it once it continues. */
+	ASSERT_TRUE(daemons[STORES].suspend());
+	Tcp late = Tcp::connect(8080, address(STORES + 1));
+	ASSERT_TRUE(late.open());
+	ASSERT_TRUE(late.send("POST /tube/" + job +
+			      " HTTP/1.1\r\nHost: queue.example\r\nRequest-Deadline-Ms: 5000\r\n"
+			      "Content-Length: " +
+			      std::to_string(body.size()) + "\r\n\r\n" + body));
+	EXPECT_EQ(call("DELETE", job, "", STORES + 2).status, 410u);
+	daemons[STORES].signal(SIGCONT);
+	EXPECT_EQ(late.read_until("\r\n", 10000).substr(0, 12), "HTTP/1.1 410");
+	EXPECT_EQ(call("GET", job).status, 410u);
+
+	/* A later job has run, so that this one would have been started. */
+	ASSERT_TRUE(submit("00000000000000a2"));
+	ASSERT_TRUE(eventually(
+		[&] { return call("GET", "00000000000000a2").at("state") == "completed"; }));
+	EXPECT_EQ(targets.started(job), 0u);
+}
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -50,6 +50,15 @@
 		::kill(pid, number);
 }
 
+bool Process::suspend() const
+{
+	siginfo_t state = {};
+
+	signal(SIGSTOP);
+	return waitid(P_PID, static_cast<id_t>(pid), &state, WSTOPPED) == 0 &&
+	       state.si_code == CLD_STOPPED;
+}
+
 int Process::wait(int timeout_ms)
 {
 	pollfd ended = {pid_fd, POLLIN, 0};
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -18,6 +18,8 @@
 	/* Appends standard output and standard error to the log file. */
 	void start(const std::vector<std::string> &args, const std::string &log_path);
 	void signal(int number) const;
+	/* Sends SIGSTOP and waits until all threads have stopped. */
+	bool suspend() const;
 	/* Returns the exit code, 128 + n after signal n, or -1 if it runs after the timeout. */
 	int wait(int timeout_ms);
 	/* Sends SIGKILL and waits for the exit. */
--- a/tests/support/runner.cc
+++ b/tests/support/runner.cc
@@ -41,6 +41,11 @@
 	return found.empty() ? 0 : std::stoull(found);
 }
 
+bool is_of_job(const std::string &task, const std::string &job)
+{
+	return task.find(job) != std::string::npos;
+}
+
 std::string message(int status, const std::string &body)
 {
 	return "HTTP/1.1 " + std::to_string(status) +
@@ -49,8 +54,8 @@
 }
 } // namespace
 
-Runner::Runner(std::string wanted, uint64_t task_ms)
-    : name(std::move(wanted)), task_time(task_ms), start_time(Clock::now()),
+Runner::Runner(std::string wanted, uint64_t task_ms, uint64_t stop_ms)
+    : name(std::move(wanted)), task_time(task_ms), stop_time(stop_ms), start_time(Clock::now()),
       start_unix_ms(
 	      static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
 					    std::chrono::system_clock::now().time_since_epoch())
@@ -105,6 +110,31 @@
 	return done_counts;
 }
 
+size_t Runner::started(const std::string &job)
+{
+	std::lock_guard<std::mutex> guard(lock);
+	return std::count_if(starts.begin(), starts.end(),
+			     [&](const std::string &task) { return is_of_job(task, job); });
+}
+
+size_t Runner::running_now(const std::string &job)
+{
+	std::lock_guard<std::mutex> guard(lock);
+	return std::count_if(running.begin(), running.end(),
+			     [&](const auto &run) { return is_of_job(run.first, job); });
+}
+
+Runner::Time Runner::last_end(const std::string &job)
+{
+	std::lock_guard<std::mutex> guard(lock);
+	Time last;
+
+	for (const auto &end : end_times)
+		if (is_of_job(end.first, job))
+			last = std::max(last, end.second);
+	return last;
+}
+
 uint64_t Runner::token()
 {
 	std::lock_guard<std::mutex> guard(lock);
@@ -167,7 +197,7 @@
 		if (end.number > seen)
 			completions += (completions.empty() ? "[" : ",[") +
 				       std::to_string(end.number) + ",\"" + end.task + "\"," +
-				       std::to_string(end.run) + R"(,"done",""])";
+				       std::to_string(end.run) + R"(,")" + end.how + R"(",""])";
 	return R"({"clock_ms":)" + std::to_string(clock_ms()) + R"(,"born":)" +
 	       std::to_string(start_unix_ms) + R"(,"running":[)" + rows + R"(],"completions":[)" +
 	       completions + "]}";
@@ -183,8 +213,21 @@
 {
 	std::string task = json_field(body, "task");
 
-	if (!running.count(task))
+	if (!running.count(task)) {
 		running[task] = {number(body, "run_id"), Clock::now() + task_time};
+		starts.push_back(task);
+	}
+	return accepted();
+}
+
+std::string Runner::stop(const std::string &body)
+{
+	auto run = running.find(json_field(body, "task"));
+
+	if (run != running.end() && !run->second.stopping) {
+		run->second.stopping = true;
+		run->second.ends = std::min(run->second.ends, Clock::now() + stop_time);
+	}
 	return accepted();
 }
 
@@ -199,10 +242,8 @@
 	highest_token = token_now;
 	if (path == "/-/run-start")
 		return start(body);
-	if (path == "/-/run-stop") {
-		running.erase(json_field(body, "task"));
-		return accepted();
-	}
+	if (path == "/-/run-stop")
+		return stop(body);
 	if (path != "/-/hold")
 		return message(404, "{}");
 	ended.wait_for(guard, std::chrono::milliseconds(number(body, "wait_ms")),
@@ -223,8 +264,11 @@
 				run++;
 				continue;
 			}
-			ends.push_back({ends.size() + 1, run->first, run->second.number});
-			done_counts[run->first]++;
+			ends.push_back({ends.size() + 1, run->first, run->second.number,
+					run->second.stopping ? "stopped" : "done"});
+			end_times.emplace_back(run->first, Clock::now());
+			if (!run->second.stopping)
+				done_counts[run->first]++;
 			run = running.erase(run);
 			any = true;
 		}
--- a/tests/support/runner.h
+++ b/tests/support/runner.h
@@ -22,7 +22,10 @@
 class Runner
 {
       public:
-	Runner(std::string name, uint64_t task_ms);
+	using Time = std::chrono::steady_clock::time_point;
+
+	/* @stop_ms: from a stop order to the end of the task */
+	Runner(std::string name, uint64_t task_ms, uint64_t stop_ms = 0);
 	~Runner();
 	Runner(const Runner &) = delete;
 	Runner &operator=(const Runner &) = delete;
@@ -32,18 +35,25 @@
 
 	/* Number of completions by task. */
 	std::map<std::string, int> done();
+	/* Number of starts of the tasks of a job. */
+	size_t started(const std::string &job);
+	size_t running_now(const std::string &job);
+	/* When the last task of a job ended; the zero time if none has. */
+	Time last_end(const std::string &job);
 	/* The highest fencing token received. */
 	uint64_t token();
 
       private:
 	struct Run {
 		uint64_t number = 0;
-		std::chrono::steady_clock::time_point ends;
+		Time ends;
+		bool stopping = false;
 	};
 	struct End {
 		uint64_t number = 0;
 		std::string task;
 		uint64_t run = 0;
+		std::string how;
 	};
 
 	bool is_stopping();
@@ -52,12 +62,14 @@
 	std::string answer(const std::string &path, const std::string &body);
 	std::string accepted() const;
 	std::string start(const std::string &body);
+	std::string stop(const std::string &body);
 	std::string poll_answer(uint64_t seen);
 	void run_tasks();
 	uint64_t clock_ms() const;
 
 	const std::string name;
 	const std::chrono::milliseconds task_time;
+	const std::chrono::milliseconds stop_time;
 	const std::chrono::steady_clock::time_point start_time;
 	const uint64_t start_unix_ms;
 	TcpListener listener;
@@ -67,6 +79,8 @@
 	std::map<std::string, Run> running;
 	std::vector<End> ends;
 	std::map<std::string, int> done_counts;
+	std::vector<std::string> starts; /* tasks */
+	std::vector<std::pair<std::string, Time>> end_times;
 	uint64_t highest_token = 0;
 	uint64_t sequence = 0;
 	std::list<std::thread> connections;
--- a/tests/support/tcp.cc
+++ b/tests/support/tcp.cc
@@ -52,11 +52,12 @@
 	close();
 }
 
-Tcp Tcp::connect(uint16_t port)
+Tcp Tcp::connect(uint16_t port, const std::string &ip)
 {
 	sockaddr_in at = loopback(port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+	inet_pton(AF_INET, ip.c_str(), &at.sin_addr);
 	if (::connect(fd, reinterpret_cast<sockaddr *>(&at), sizeof(at)) == 0)
 		return Tcp(fd);
 	Tcp failed;
--- a/tests/support/tcp.h
+++ b/tests/support/tcp.h
@@ -17,7 +17,7 @@
 	Tcp &operator=(const Tcp &) = delete;
 	~Tcp();
 
-	static Tcp connect(uint16_t port);
+	static Tcp connect(uint16_t port, const std::string &ip = "127.0.0.1");
 	bool open() const
 	{
 		return fd >= 0;
