--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -176,6 +176,13 @@
 	stalled_until_ns[{other->name, one->name}] = until_ns;
 }
 
+void Fleet::cut(const FleetReplica *replica, uint64_t ms)
+{
+	for (auto &other : replicas)
+		if (other.get() != replica)
+			stall_link(replica, other.get(), ms);
+}
+
 /* A target crashes, and starts again under its id. */
 void Fleet::restart_target(size_t index, uint64_t down_ms)
 {
@@ -267,14 +274,15 @@
 
 /* A call of a caller, an operator or a target. The status is 0 if there is no answer in time. */
 void Fleet::request(size_t place, wl_listener_t listener, const std::string &path,
-		    const std::string &body, uint64_t timeout_ms, const Answer &answer)
+		    const std::string &body, uint64_t timeout_ms, const Answer &answer,
+		    const char *method)
 {
 	uint64_t id = next_call++;
 	auto time_out = [this, id] { request_answered(id, 0, ""); };
 
 	requests[id] = answer;
 	time.after(timeout_ms * NS_PER_MS, time_out);
-	time.after(ONE_WAY_DELAY_NS, [this, id, place, listener, path, body, time_out] {
+	time.after(ONE_WAY_DELAY_NS, [this, id, place, listener, path, body, time_out, method] {
 		wl_event_t event;
 
 		if (!replicas[place]->is_up()) {
@@ -284,7 +292,7 @@
 		wl_event_init(&event, WL_EVENT_CALL);
 		event.call.id = id;
 		event.call.listener = listener;
-		wl_buf_set(&event.call.method, str("POST"));
+		wl_buf_set(&event.call.method, str(method));
 		wl_buf_set(&event.call.path, str(path));
 		wl_buf_set(&event.call.body, str(body));
 		wl_headers_add(&event.call.headers, WL_STR("Host"), str(HOST));
@@ -407,6 +415,25 @@
 	body << "]}";
 	*job = {id, queue, body.str(), std::vector<uint64_t>(steps, width), work_ms == 0};
 	time.at(due_ns, [this, job] { submit(job); });
+	if (options.cancel_percent && random() % 100 < options.cancel_percent)
+		time.at(due_ns + random() % (options.cancel_within_ms * NS_PER_MS),
+			[this, job] { cancel(job); });
+}
+
+/* Repeats the call until it is acknowledged. The job is not submitted again. */
+void Fleet::cancel(const std::shared_ptr<Job> &job)
+{
+	job->given_up = true;
+	request(
+		any_replica(), WL_LISTENER_CALLER, "/" + job->queue + "/" + job->id, "",
+		CALLER_TIMEOUT_MS,
+		[this, job](uint64_t status, const std::string &) {
+			if (status == 200 || status == 410)
+				record.job_cancelled(job->id, time.now_ns);
+			else
+				time.after(CALLER_RETRY_NS, [this, job] { cancel(job); });
+		},
+		"DELETE");
 }
 
 void Fleet::submit(const std::shared_ptr<Job> &job)
@@ -417,6 +444,8 @@
 			if (status == 200)
 				record.job_accepted(job->id, job->widths, job->lasting,
 						    time.now_ns);
+			else if (job->given_up)
+				return;
 			else if (job->attempts < CALLER_ATTEMPTS)
 				time.after(CALLER_RETRY_NS, [this, job] { submit(job); });
 			else
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -34,8 +34,10 @@
 	/* jobs of tasks that run until they fail, submitted before all others */
 	uint64_t lasting_jobs = 114;
 	uint64_t lasting_width = 14;
-	uint64_t lasting_failures = 20; /* number of failures among their tasks */
-	std::string dispatch;		/* policy that chooses the replica that sends an order */
+	uint64_t lasting_failures = 20;	  /* number of failures among their tasks */
+	uint64_t cancel_percent = 0;	  /* of the jobs */
+	uint64_t cancel_within_ms = 6000; /* after the submission */
+	std::string dispatch;		  /* policy that chooses the replica that sends an order */
 	uint64_t load_ms = 20000;
 	uint64_t drain_ms = 14000; /* time after the load in which its tasks end */
 	FleetCosts costs = {FLEET_EVENT_CPU_NS * 1000 / FLEET_CPU_PERMILLE,
@@ -59,6 +61,8 @@
 	void kill(FleetReplica *replica);
 	void restart_target(size_t index, uint64_t down_ms);
 	void stall_messages_to(const FleetReplica *replica, uint64_t ms);
+	/* Delays all messages between a replica and the others. */
+	void cut(const FleetReplica *replica, uint64_t ms);
 	void stall_link(const FleetReplica *one, const FleetReplica *other, uint64_t ms);
 
 	std::string summary() const;
@@ -78,6 +82,7 @@
 		std::vector<uint64_t> widths;
 		bool lasting;
 		uint64_t attempts = 0;
+		bool given_up = false; /* by its caller, who cancels it */
 	};
 
 	void replica_add(size_t place);
@@ -90,7 +95,8 @@
 	void call_ended(const std::string &from, uint64_t id, uint64_t status,
 			const std::string &body);
 	void request(size_t place, wl_listener_t listener, const std::string &path,
-		     const std::string &body, uint64_t timeout_ms, const Answer &answer);
+		     const std::string &body, uint64_t timeout_ms, const Answer &answer,
+		     const char *method = "POST");
 	void request_answered(uint64_t call, uint64_t status, const std::string &body);
 	size_t any_replica();
 	void configure();
@@ -101,6 +107,7 @@
 	void load_job(const char *queue, uint64_t widths, uint64_t width, const char *spec,
 		      uint64_t due_ns);
 	void submit(const std::shared_ptr<Job> &job);
+	void cancel(const std::shared_ptr<Job> &job);
 	void fail_lasting(size_t target);
 
 	const FleetOptions options;
--- a/tests/support/fleet_record.cc
+++ b/tests/support/fleet_record.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 
 static const uint64_t NS_PER_MS = 1000000;
+static const uint64_t DISTURBED_MS = 4000; /* that a disturbance counts after its end */
 
 void FleetRecord::job_accepted(const std::string &job, const std::vector<uint64_t> &widths,
 			       bool lasting, uint64_t now_ns)
@@ -27,10 +28,43 @@
 		task.gap_ns = std::max(task.gap_ns, now_ns - task.idle_ns);
 }
 
+/* The job of a task, if it is cancelled. */
+FleetRecord::Cancelled *FleetRecord::cancelled_find(const std::string &task)
+{
+	auto found = cancelled.empty() ? cancelled.end()
+				       : cancelled.find(task.substr(0, task.find('.')));
+
+	return found == cancelled.end() ? nullptr : &found->second;
+}
+
+void FleetRecord::disturbed(uint64_t until_ns)
+{
+	disturbed_until_ns = std::max(disturbed_until_ns, until_ns);
+}
+
+void FleetRecord::job_cancelled(const std::string &job, uint64_t now_ns)
+{
+	Cancelled &added = cancelled[job];
+	const std::string prefix = job + ".";
+
+	added.at_ns = now_ns;
+	added.disturbed =
+		disturbed_until_ns && now_ns < disturbed_until_ns + DISTURBED_MS * NS_PER_MS;
+	for (auto it = tasks.lower_bound(prefix);
+	     it != tasks.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it)
+		added.running += it->second.running;
+	added.running_then = added.running;
+}
+
 void FleetRecord::run_began(const std::string &name, uint64_t now_ns)
 {
 	Task &task = tasks[name];
+	Cancelled *of = cancelled_find(name);
 
+	if (of) {
+		of->running++;
+		of->began++;
+	}
 	starts_begun++;
 	after_done += task.done_seen;
 	if (task.running++ > 0)
@@ -42,7 +76,12 @@
 void FleetRecord::run_ended(const std::string &name, const std::string &how, uint64_t now_ns)
 {
 	Task &task = tasks[name];
+	Cancelled *of = cancelled_find(name);
 
+	if (of) {
+		of->running--;
+		of->last_ns = now_ns;
+	}
 	lapsed += how == "lapsed";
 	task.done = task.done || how == "done";
 	if (--task.running == 0)
@@ -67,6 +106,9 @@
 	for (auto &item : tasks)
 		if (item.second.running == 0)
 			gap_end(item.second, now_ns);
+	for (auto &item : cancelled)
+		if (item.second.running > 0)
+			item.second.last_ns = now_ns;
 }
 
 uint64_t FleetRecord::longest_gap_ms() const
--- a/tests/support/fleet_record.h
+++ b/tests/support/fleet_record.h
@@ -17,6 +17,9 @@
 	void run_ended(const std::string &task, const std::string &how, uint64_t now_ns);
 	void end_seen(const std::string &task, const std::string &how);
 	void cpu_used(int64_t change_millis);
+	/* A replica or target is disturbed until then. */
+	void disturbed(uint64_t until_ns);
+	void job_cancelled(const std::string &job, uint64_t now_ns);
 	void close(uint64_t now_ns);
 
 	uint64_t longest_gap_ms() const;
@@ -26,6 +29,18 @@
 	uint64_t calls_max() const;
 	std::string summary() const;
 
+	/* A job whose cancelling was acknowledged. */
+	struct Cancelled {
+		uint64_t at_ns = 0;
+		size_t running = 0;	 /* tasks on targets */
+		size_t running_then = 0; /* at the acknowledgement */
+		size_t began = 0;	 /* after the acknowledgement */
+		uint64_t last_ns = 0;	 /* newest time with a task on a target; 0: none since */
+		bool disturbed = false;	 /* shortly before the acknowledgement */
+	};
+
+	std::map<std::string, Cancelled> cancelled;
+
 	uint64_t starts_begun = 0;
 	uint64_t starts_late = 0;    /* refused because the lease had expired */
 	uint64_t starts_refused = 0; /* refused for any other reason */
@@ -56,8 +71,10 @@
 	};
 
 	static void gap_end(Task &task, uint64_t now_ns);
+	Cancelled *cancelled_find(const std::string &task);
 
 	std::map<std::string, Task> tasks;
+	uint64_t disturbed_until_ns = 0;
 };
 
 #endif
