tests: a cancelled job beside a suspended agent, on real daemons

Three stores, 12 targets: a follower that is an agent is suspended for 5 s, before it is given starts of a job or once a task has begun, and the job is cancelled at once. All tasks must have ended 3,400 ms after the acknowledgement, and none may start once the follower continues.

Where a commit takes a second (the disk of this machine stalled for up to 9 s, commit_ms=9284), the leader gives the agent up before the starts; the play is repeated then.

--- a/tests/integration/jobs_test.cc
+++ b/tests/integration/jobs_test.cc
@@ -219,6 +219,33 @@
 		});
 	}
 
+	/* Whether a store has been given starts of a job that has ended, by the leader's log. */
+	bool has_starts(int number, const std::string &job)
+	{
+		std::string log = file_read(daemons[leader() - 1].log);
+		size_t from = 0;
+
+		while ((from = log.find("event=job-teardown ", from)) != std::string::npos) {
+			std::string line = log.substr(from, log.find('\n', from) - from);
+
+			from += line.size();
+			if (line.find(job) != std::string::npos &&
+			    line.find("by:" + address(number)) != std::string::npos)
+				return true;
+		}
+		return false;
+	}
+
+	/* Whether the leader gives orders to a replica, by its log. */
+	bool is_usable(int number)
+	{
+		std::string log = file_read(daemons[leader() - 1].log);
+		std::string mark = "event=agent replica=" + address(number) + " usable=";
+		size_t at = log.rfind(mark);
+
+		return at != std::string::npos && log.compare(at + mark.size(), 3, "yes") == 0;
+	}
+
 	/* The daemon that logged the highest leader term; 0 if there is none yet. */
 	int leader()
 	{
@@ -370,3 +397,127 @@
 		[&] { return call("GET", "00000000000000a2").at("state") == "completed"; }));
 	EXPECT_EQ(targets.started(job), 0u);
 }
+
+/* A follower that sends starts is suspended before these (true), or once a task has begun. */
+class JobsWithASuspendedAgent : public Jobs, public testing::WithParamInterface<bool>
+{
+      protected:
+	using Clock = std::chrono::steady_clock;
+
+	static constexpr auto BOUND = std::chrono::milliseconds(3400); /* with the time to stop */
+	static constexpr auto SUSPENSION = std::chrono::milliseconds(5000);
+	static constexpr uint64_t STOP_MS = 350; /* users allow 400 ms */
+	static constexpr uint64_t LONG_MS = 60000;
+	static constexpr int MOST_OF_A_TARGET = 6000; /* processors of a task, millis */
+
+	JobsWithASuspendedAgent() : targets(TASKS, LONG_MS, STOP_MS)
+	{
+	}
+
+	/* Each target has a task of the job. */
+	bool fill(const std::string &job)
+	{
+		return submit(job, MOST_OF_A_TARGET) &&
+		       eventually([&] { return targets.running(job) == TASKS; });
+	}
+
+	/* Cancels a job until that is acknowledged, and checks when its last task ended. */
+	void cancel(const std::string &job, Runner::Time until = Runner::Time())
+	{
+		ASSERT_TRUE(eventually([&] { return call("DELETE", job).status == 200; }));
+		auto acknowledged = Clock::now();
+
+		ASSERT_TRUE(eventually(
+			[&] { return targets.running(job) == 0 && Clock::now() > until; }));
+		auto took = targets.last_end(job) - acknowledged;
+		EXPECT_LE(took, BOUND) << job;
+		printf("%s: %zu starts, last end %lld ms after the cancelling\n", job.c_str(),
+		       targets.started(job),
+		       static_cast<long long>(
+			       std::chrono::duration_cast<std::chrono::milliseconds>(took)
+				       .count()));
+	}
+
+	/* Targets keep their agent, so a first job tells who sends starts. */
+	void agent_find(const std::string &job)
+	{
+		agent = 0;
+		ASSERT_TRUE(fill(job));
+		ASSERT_NO_FATAL_FAILURE(cancel(job));
+		for (int number = 1; number <= STORES; number++)
+			if (number != leader() && has_starts(number, job))
+				agent = number;
+		ASSERT_NE(agent, 0) << "no follower has sent a start";
+	}
+
+	/* The cancelling of a job that was never submitted is committed, and answered with 410. */
+	static bool commits_fast()
+	{
+		constexpr auto fast = std::chrono::milliseconds(100);
+		auto begin = Clock::now();
+
+		return call("DELETE", "00000000000000d1").status == 410 &&
+		       Clock::now() < begin + fast;
+	}
+
+	void suspend()
+	{
+		targets.suspended = agent;
+		suspended = Clock::now();
+		ASSERT_TRUE(daemons[agent - 1].suspend());
+	}
+
+	void resume()
+	{
+		daemons[agent - 1].signal(SIGCONT);
+		targets.suspended = 0;
+	}
+
+	void cancel_beside_suspension(const std::string &job, bool before)
+	{
+		if (before) {
+			ASSERT_TRUE(eventually(commits_fast));
+			ASSERT_NO_FATAL_FAILURE(suspend());
+		}
+		ASSERT_TRUE(submit(job, MOST_OF_A_TARGET));
+		ASSERT_TRUE(eventually([&] { return targets.started(job) > 0; }));
+		if (!before) {
+			ASSERT_NO_FATAL_FAILURE(suspend());
+		}
+		ASSERT_NO_FATAL_FAILURE(cancel(job, suspended + SUSPENSION));
+	}
+
+	Targets targets;
+	int agent = 0;
+	Runner::Time suspended;
+};
+
+INSTANTIATE_TEST_SUITE_P(Order, JobsWithASuspendedAgent, testing::Bool());
+
+/* Repeated if a commit took so long that the leader had given up the agent before the starts. */
+TEST_P(JobsWithASuspendedAgent, EndInTimeWhenCancelled)
+{
+	bool had_starts = false;
+
+	ASSERT_NO_FATAL_FAILURE(begin());
+	for (char play = '1'; play <= '5' && !had_starts; play++) {
+		const std::string first = std::string("00000000000000a") + play;
+		const std::string job = std::string("00000000000000b") + play;
+		const std::string next = std::string("00000000000000c") + play;
+
+		ASSERT_NO_FATAL_FAILURE(agent_find(first));
+		ASSERT_NO_FATAL_FAILURE(cancel_beside_suspension(job, GetParam()));
+		size_t starts = targets.started(job);
+		had_starts = has_starts(agent, job);
+
+		/* What was left for it precedes its return as an agent, and the new work. */
+		EXPECT_FALSE(is_usable(agent));
+		resume();
+		ASSERT_TRUE(eventually([&] { return is_usable(agent); }));
+		ASSERT_TRUE(fill(next));
+		EXPECT_EQ(targets.started(job), starts);
+		EXPECT_EQ(targets.running(job), 0u);
+		ASSERT_NO_FATAL_FAILURE(cancel(next));
+	}
+	EXPECT_TRUE(had_starts) << "the suspended replica was given no start";
+}
