--- a/tests/support/runner.h
+++ b/tests/support/runner.h
@@ -77,6 +77,7 @@
 	std::condition_variable ended;
 	bool stopping = false;
 	std::map<std::string, Run> running;
+	std::map<std::string, uint64_t> barred; /* newest run of a task that was stopped or ended */
 	std::vector<End> ends;
 	std::map<std::string, int> done_counts;
 	std::vector<std::string> starts; /* tasks */
