--- a/libwlcore/sched/lapses.c
+++ b/libwlcore/sched/lapses.c
@@ -68,8 +68,14 @@
  */
 void wl_sched_lapses_clear(wl_sched_runner_t *runner)
 {
-	while (!TAILQ_EMPTY(&runner->lapses))
-		lapse_remove(runner, TAILQ_FIRST(&runner->lapses));
+	wl_sched_lapse_t *lapse = TAILQ_FIRST(&runner->lapses);
+
+	while (lapse) {
+		wl_sched_lapse_t *next = TAILQ_NEXT(lapse, link);
+
+		lapse_remove(runner, lapse);
+		lapse = next;
+	}
 }
 
 /*
