--- a/tests/support/sched_history.h
+++ b/tests/support/sched_history.h
@@ -138,9 +138,11 @@
 	void cancels_step();
 	void calm_step();
 	void route_step();
+	void agent_trouble();
 	void agents_step();
 	void agent_cut(const std::string &agent, uint64_t ns, bool noticed);
 	void agents_reached();
+	void cancel_near();
 	void callers_step();
 	void submission_send(size_t job);
 	void cancel_send(size_t job);
@@ -152,6 +154,7 @@
 	bool is_calm(const Target &target) const;
 	void cancels_check();
 	void cancelled_run_check(const Target &target, const TargetModel::Run &run);
+	bool teardown_late() const;
 	void cancels_end_check();
 
 	/* sched_history_targets.cc */
--- a/tests/support/sched_history_targets.cc
+++ b/tests/support/sched_history_targets.cc
@@ -163,17 +163,20 @@
 {
 	if (targets.size() > TARGETS_MIN && fault(FAULT_CRASHES, 4)) {
 		end(target, "crash");
+		cancel_near();
 		return;
 	}
 	if (!target->draining && fault(FAULT_DEPARTURES, 4)) {
 		target->draining = true;
 		target->next_report_ns = rig.now;
 		note("%s drains", target->model.id.c_str());
+		cancel_near();
 	}
 	if (rig.now >= target->cut_until_ns + CUT_PAUSE && fault(FAULT_CUTS, 4)) {
 		target->cut_until_ns = rig.now + below(CUT_MAX);
 		note("%s is unreachable for %llu ms", target->model.id.c_str(),
 		     static_cast<unsigned long long>((target->cut_until_ns - rig.now) / MS));
+		cancel_near();
 	}
 }
 
