scheduler: use the job state's own test of a listed end

The log of run ends wrote again which outcomes a target lists: the function of libwlcore/job/runs.c serves both now. No change of behaviour.

--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -173,6 +173,7 @@
 
 wl_job_t *wl_jobs_find(const wl_jobs_t *jobs, wl_str_t id);
 wl_runner_t *wl_jobs_runner(const wl_jobs_t *jobs, wl_str_t id);
+bool wl_run_end_is_listed(wl_run_outcome_t outcome);
 wl_run_t *wl_job_run(const wl_job_t *job, uint64_t task, uint64_t number);
 const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step);
 uint64_t wl_job_counted_task(const wl_job_t *job, uint64_t task);
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -138,8 +138,10 @@
 	       counted->failures >= job->record.max_attempts;
 }
 
-/* Whether the target listed the end of a run, and so had begun it. */
-static bool end_is_listed(wl_run_outcome_t outcome)
+/*
+ * wl_run_end_is_listed - whether the target listed the end of a run, and so had begun it
+ */
+bool wl_run_end_is_listed(wl_run_outcome_t outcome)
 {
 	switch (outcome) {
 	case WL_END_DONE:
@@ -171,7 +173,7 @@
 	if (end->checkpoint.len)
 		wl_buf_set(&job->tasks[task].checkpoint, wl_buf_str(&end->checkpoint));
 	wl_run_remove(jobs, run);
-	job->begun |= end_is_listed((wl_run_outcome_t)end->outcome);
+	job->begun |= wl_run_end_is_listed((wl_run_outcome_t)end->outcome);
 	if (wl_job_ended(job))
 		return;
 	if (end->outcome == WL_END_DONE && !wl_job_step(job, at.step)->lasting) {
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -484,12 +484,6 @@
 		   FAILURES_QUARANTINE_MS);
 }
 
-/* Ends that the target has not listed have an event of their own, as the others are far more. */
-static bool end_is_listed(wl_run_outcome_t outcome)
-{
-	return outcome != WL_END_LOST && outcome != WL_END_CRASHED && outcome != WL_END_NOT_STARTED;
-}
-
 /*
  * wl_sched_run_end_note - log the committed end of a run, also for the teardown of its job
  * @reason: how the leader knows of it
@@ -505,7 +499,8 @@
 		      WL_STR_ARG(wl_buf_str(&run->job)), (unsigned long long)run->task,
 		      (unsigned long long)run->number, WL_STR_ARG(run->runner->key),
 		      wl_run_outcome_names[outcome], reason, (unsigned long long)run->incarnation);
-	if (end_is_listed(outcome))
+	/* an event of their own for the others, as they are far fewer */
+	if (wl_run_end_is_listed(outcome))
 		wl_out_log(out, WL_INFO, "run-end", "%s", pairs.at);
 	else
 		wl_out_log(out, WL_INFO, "run-given-up", "%s", pairs.at);
