jobs: cancel by the address alone; the route decides the answer only

The cancelling of a job without a route was a case of its own beside the search by way of the queue, with a second copy of the end of the job and an error that was made, released and replaced. Host and path identify the job, so that it is looked up by these first. No change of behaviour: unit.sched_cancel_test and unit.sched_routes_test pass unchanged.

--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -444,32 +444,16 @@
 	wl_buf_free(&text);
 }
 
-/* The address of a job is not served any more, and its caller may still end it. */
-static void unrouted_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
-			    wl_result_t *result)
-{
-	wl_job_t *job = wl_jobs_at(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path));
-
-	if (!job)
-		return;
-	if (!wl_job_ended(job))
-		wl_job_end(jobs, job, WL_JOB_CANCELLED, clock_ms);
-	wl_result_free(result);
-	wl_result_fail(result, WL_E_GONE, "cancelled; no queue has this host and path any more");
-	result->verdict = WL_RAN;
-}
-
 void wl_jobs_cancel(wl_jobs_t *jobs, const wl_cmd_job_cancel_t *cmd, uint64_t clock_ms,
 		    wl_result_t *result)
 {
+	wl_str_t host = wl_buf_str(&cmd->host);
+	wl_str_t path = wl_buf_str(&cmd->path);
+	wl_job_t *job = wl_jobs_at(jobs, host, path);
 	const wl_queue_t *queue;
-	wl_job_t *job;
 
-	if (!wl_jobs_resolve(jobs, wl_buf_str(&cmd->host), wl_buf_str(&cmd->path), &queue, &job,
-			     result)) {
-		unrouted_cancel(jobs, cmd, clock_ms, result);
+	if (!job && !wl_jobs_resolve(jobs, host, path, &queue, &job, result))
 		return;
-	}
 	if (!job) {
 		cancellation_note(jobs, cmd, queue, clock_ms);
 		wl_result_fail(result, WL_E_GONE, "no job of the queue has this path");
@@ -477,7 +461,12 @@
 	}
 	if (!wl_job_ended(job))
 		wl_job_end(jobs, job, WL_JOB_CANCELLED, clock_ms);
-	wl_result_ok(result, 0);
+	if (wl_catalog_route(&jobs->catalog, host, path)) {
+		wl_result_ok(result, 0);
+		return;
+	}
+	wl_result_fail(result, WL_E_GONE, "cancelled; no queue has this host and path any more");
+	result->verdict = WL_RAN;
 }
 
 /*
