--- a/tests/unit/sched_stop_test.cc
+++ b/tests/unit/sched_stop_test.cc
@@ -34,6 +34,25 @@
 		rig.answer(run, WL_ORDER_DONE);
 	}
 
+	/* The target's own work is done, and it lists a run that the leader does not know. */
+	SchedOrder leave_unknown()
+	{
+		SchedOrder other;
+
+		begin();
+		other = run;
+		other.task = "elsewhere.0.0.0";
+		for (int i = 0; i < 20; i++) {
+			rig.advance(20);
+			for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
+				rig.answer_hold(order, {SchedRig::view(other)},
+						{SchedRig::end(run, 1, WL_END_DONE)});
+			rig.commit();
+		}
+		EXPECT_EQ(rig.job_state("j"), "completed");
+		return other;
+	}
+
 	/*
 	 * Lets time pass; the target lists the run and its answers to renewals arrive. Answers of
 	 * a broken agent do not.
@@ -138,19 +157,8 @@
 /* Guards against a run that its target has and the leader does not, once its stop is lost. */
 TEST_F(SchedStop, OfAnUnknownRunIsRepeatedUntilItIsGone)
 {
-	SchedOrder other;
+	SchedOrder other = leave_unknown();
 
-	begin();
-	other = run;
-	other.task = "elsewhere.0.0.0";
-	for (int i = 0; i < 20; i++) {
-		rig.advance(20);
-		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
-			rig.answer_hold(order, {SchedRig::view(other)},
-					{SchedRig::end(run, 1, WL_END_DONE)});
-		rig.commit();
-	}
-	EXPECT_EQ(rig.job_state("j"), "completed");
 	ASSERT_GE(rig.take_orders(WL_ORDER_STOP).size(), 1u);
 	run = other;
 	pass(STOP_WITHIN_MS);
@@ -162,19 +170,8 @@
 /* A target that runs nothing that is known gets no longer lease for what is not. */
 TEST_F(SchedStop, OfAnUnknownRunDoesNotRenewItsLease)
 {
-	SchedOrder other;
+	SchedOrder other = leave_unknown();
 
-	begin();
-	other = run;
-	other.task = "elsewhere.0.0.0";
-	for (int i = 0; i < 20; i++) {
-		rig.advance(20);
-		for (const auto &order : rig.take_orders(WL_ORDER_RENEW))
-			rig.answer_hold(order, {SchedRig::view(other)},
-					{SchedRig::end(run, 1, WL_END_DONE)});
-		rig.commit();
-	}
-	EXPECT_EQ(rig.job_state("j"), "completed");
 	size_t renewals = 0;
 
 	for (int i = 0; i < 150; i++) {
