scheduler: one walk over the runs of a job that the leader knows

Stopping a job, marking, listing and reporting its runs each walked tasks and runs by nested loops of their own: wl_sched_job_runs_next() serves the four. A late report looks at no more runs than it logs, and the tick finds a job once.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -501,7 +501,15 @@
 uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns);
 void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* Position in the runs of a job that the leader knows; begins with the job alone. */
+typedef struct wl_sched_job_runs {
+	const wl_job_t *job;
+	uint64_t task;
+	const wl_run_t *run; /* the newest one that was looked at; NULL: none of this task */
+} wl_sched_job_runs_t;
+
 /* runs.c */
+wl_sched_run_t *wl_sched_job_runs_next(const wl_sched_t *sched, wl_sched_job_runs_t *at);
 wl_sched_run_t *wl_sched_run_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_job_t *job,
 				 uint64_t task, uint64_t number);
 void wl_sched_run_remove(wl_sched_t *sched, wl_sched_run_t *run);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -50,6 +50,31 @@
 	return run;
 }
 
+/*
+ * wl_sched_job_runs_next - go to the next run of a job that the leader knows, by tasks
+ *
+ * Return: the run, or NULL after the last one.
+ */
+wl_sched_run_t *wl_sched_job_runs_next(const wl_sched_t *sched, wl_sched_job_runs_t *at)
+{
+	const wl_job_t *job = at->job;
+
+	while (job->active > 0 && at->task < job->task_count) {
+		wl_sched_run_t *known;
+
+		at->run = at->run ? TAILQ_NEXT(at->run, of_task)
+				  : TAILQ_FIRST(&job->tasks[at->task].runs);
+		if (!at->run) {
+			at->task++;
+			continue;
+		}
+		known = wl_sched_run_find(sched, job->key, at->task, at->run->number);
+		if (known)
+			return known;
+	}
+	return NULL;
+}
+
 static void need_add(wl_sched_t *sched, wl_sched_runner_t *runner, const wl_sched_run_t *run)
 {
 	runner->fit.used.cpu_millis += run->best_effort ? 0 : run->need.cpu_millis;
@@ -509,19 +534,14 @@
 }
 
 /* Stops the remaining runs of a job that has ended. */
-static void job_stop(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, const char *reason,
+static void job_stop(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job, const char *reason,
 		     wl_out_t *out)
 {
-	for (uint64_t i = 0; i < job->task_count && job->active > 0; i++) {
-		const wl_run_t *run;
-
-		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
-			wl_sched_run_t *known = wl_sched_run_find(sched, job->key, i, run->number);
+	wl_sched_job_runs_t at = {.job = job};
+	wl_sched_run_t *run;
 
-			if (known)
-				wl_sched_run_stop(sched, now_ns, known, reason, out);
-		}
-	}
+	while ((run = wl_sched_job_runs_next(sched, &at)))
+		wl_sched_run_stop(sched, now_ns, run, reason, out);
 }
 
 /*
--- a/libwlcore/sched/teardown.c
+++ b/libwlcore/sched/teardown.c
@@ -11,11 +11,11 @@
 
 #include <stdlib.h>
 
-#define TICK_MS	      500
-#define LATE_MS	      3000 /* two stops without an answer, and the stop itself */
-#define LIST_BYTES    700  /* runs of a line are listed up to this length */
-#define RUNS_LOGGED   64   /* of those that are late, in one report */
-#define OWNER_UNKNOWN "-"
+#define TICK_MS	    500
+#define LATE_MS	    3000 /* two stops without an answer, and the stop itself */
+#define LIST_BYTES  700	 /* runs of a line are listed up to this length */
+#define RUNS_LOGGED 64	 /* of those that are late, in one report */
+#define AGENT_NONE  "-"
 
 struct wl_sched_teardown {
 	wl_str_t key; /* over job */
@@ -39,7 +39,7 @@
 
 static wl_str_t agent_name(const wl_sched_agent_t *agent)
 {
-	return agent ? wl_buf_str(&agent->name) : WL_STR(OWNER_UNKNOWN);
+	return agent ? wl_buf_str(&agent->name) : WL_STR(AGENT_NONE);
 }
 
 /* Appends "TASK/RUN@TARGET". */
@@ -67,45 +67,35 @@
 static void runs_log(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_teardown_t *teardown,
 		     const wl_job_t *job, wl_out_t *out)
 {
+	uint64_t unknown = job->active - teardown->runs;
+	wl_sched_job_runs_t at = {.job = job};
 	wl_buf_t active = {0};
 	uint64_t part = 0;
-	const wl_run_t *run;
-
-	for (uint64_t i = 0; i < job->task_count; i++)
-		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
-			const wl_sched_run_t *known =
-				wl_sched_run_find(sched, job->key, i, run->number);
-
-			if (!known)
-				continue;
-			if (active.len > LIST_BYTES)
-				active_log(teardown, job->active - teardown->runs, ++part, &active,
-					   out);
-			run_name(known, &active);
-			wl_buf_printf(&active, ":%s,%llums,by:" WL_STR_FMT,
-				      wl_run_phase_names[known->phase],
-				      (unsigned long long)age_ms(known->start_sent_ns, now_ns),
-				      WL_STR_ARG(agent_name(known->start_agent)));
-		}
-	active_log(teardown, job->active - teardown->runs, ++part, &active, out);
+	const wl_sched_run_t *run;
+
+	while ((run = wl_sched_job_runs_next(sched, &at))) {
+		if (active.len > LIST_BYTES)
+			active_log(teardown, unknown, ++part, &active, out);
+		run_name(run, &active);
+		wl_buf_printf(&active, ":%s,%llums,by:" WL_STR_FMT, wl_run_phase_names[run->phase],
+			      (unsigned long long)age_ms(run->start_sent_ns, now_ns),
+			      WL_STR_ARG(agent_name(run->start_agent)));
+	}
+	active_log(teardown, unknown, ++part, &active, out);
 	wl_buf_free(&active);
 }
 
 /* Marks the runs that are left, and counts those that the leader knows. */
 static uint64_t runs_mark(const wl_sched_t *sched, const wl_job_t *job)
 {
+	wl_sched_job_runs_t at = {.job = job};
 	uint64_t count = 0;
-	const wl_run_t *run;
-
-	for (uint64_t i = 0; i < job->task_count; i++)
-		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
-			wl_sched_run_t *known = wl_sched_run_find(sched, job->key, i, run->number);
+	wl_sched_run_t *run;
 
-			if (!known)
-				continue;
-			known->torn_down = true;
-			count++;
-		}
+	while ((run = wl_sched_job_runs_next(sched, &at))) {
+		run->torn_down = true;
+		count++;
+	}
 	return count;
 }
 
@@ -156,17 +146,12 @@
 	wl_buf_clear(&teardown->ends);
 }
 
-static void teardown_measure(wl_sched_t *sched, uint64_t took_ns)
+static void teardown_finish(wl_sched_t *sched, uint64_t now_ns, wl_sched_teardown_t *teardown)
 {
 	if (!sched->teardown_times)
 		sched->teardown_times = wl_metrics_find(sched->options.metrics,
 							"wisterialead_job_teardown_seconds", "");
-	wl_metric_observe(sched->teardown_times, took_ns);
-}
-
-static void teardown_finish(wl_sched_t *sched, uint64_t now_ns, wl_sched_teardown_t *teardown)
-{
-	teardown_measure(sched, now_ns - teardown->began_ns);
+	wl_metric_observe(sched->teardown_times, now_ns - teardown->began_ns);
 	teardown_remove(sched, teardown);
 }
 
@@ -224,34 +209,20 @@
 		   (unsigned long long)age_ms(run->stop_answered_ns, now_ns));
 }
 
-static void late_log(wl_sched_t *sched, uint64_t now_ns, wl_sched_teardown_t *teardown,
-		     wl_out_t *out)
+static void late_log(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job,
+		     wl_sched_teardown_t *teardown, wl_out_t *out)
 {
-	const wl_job_t *job = wl_jobs_find(sched->jobs, teardown->key);
-	const wl_run_t *run;
+	wl_sched_job_runs_t at = {.job = job};
 	unsigned int logged = 0;
+	const wl_sched_run_t *run;
 
 	if (!teardown->late)
 		wl_metrics_add(sched->options.metrics, "wisterialead_job_teardowns_late_total", "",
 			       1);
 	teardown->late = true;
 	teardown->report_due_ns = now_ns + LATE_MS * WL_NS_PER_MS;
-	for (uint64_t i = 0; job && i < job->task_count; i++)
-		TAILQ_FOREACH (run, &job->tasks[i].runs, of_task) {
-			const wl_sched_run_t *known =
-				wl_sched_run_find(sched, job->key, i, run->number);
-
-			if (known && logged++ < RUNS_LOGGED)
-				late_run_log(teardown, now_ns, known, out);
-		}
-}
-
-/* Runs that this leader does not know end without a line. */
-static bool is_over(const wl_sched_t *sched, const wl_sched_teardown_t *teardown)
-{
-	const wl_job_t *job = wl_jobs_find(sched->jobs, teardown->key);
-
-	return !job || job->active == 0;
+	while (logged++ < RUNS_LOGGED && (run = wl_sched_job_runs_next(sched, &at)))
+		late_run_log(teardown, now_ns, run, out);
 }
 
 /*
@@ -266,13 +237,15 @@
 		return;
 	sched->next_teardowns_ns = now_ns + TICK_MS * WL_NS_PER_MS;
 	while (teardown) {
+		const wl_job_t *job = wl_jobs_find(sched->jobs, teardown->key);
 		wl_sched_teardown_t *next = TAILQ_NEXT(teardown, link);
 
-		if (is_over(sched, teardown)) {
+		/* runs that this leader does not know end without a line */
+		if (!job || job->active == 0) {
 			teardown_finish(sched, now_ns, teardown);
 		} else {
 			if (now_ns >= teardown->report_due_ns)
-				late_log(sched, now_ns, teardown, out);
+				late_log(sched, now_ns, job, teardown, out);
 			late += teardown->late;
 		}
 		teardown = next;
