state: remember every call that ended before its key began

Callers saw 409 for a key that nobody used until the session of the entry ended: the call that held the key had ended long before.

Cause: the command that ends a call with "not run" may be committed before the one that begins its key. The state remembered that in the key itself, and only if there was no such key: one call of a key at a time. After an earlier call of the same key, beside one that runs, or after a later one, the late beginning was accepted, and nobody was left to end it.

Keys have two lists now and are never fresh.

Ruled out: giving each key a list of nonces, which grows with the repeats of one caller and is searched on each of them.

--- a/libwlcore/state/internal.h
+++ b/libwlcore/state/internal.h
@@ -140,7 +140,7 @@
 	wl_buf_t digest;
 	uint64_t session;
 	uint64_t nonce;
-	uint64_t state; /* wl_key_state_t; FRESH: its request did not run, another one may */
+	uint64_t state; /* wl_key_state_t; never FRESH */
 	uint64_t ended_ms;
 	uint64_t verdict;
 	uint64_t status;
@@ -151,6 +151,20 @@
 
 TAILQ_HEAD(wl_state_keys, wl_state_key);
 
+typedef struct wl_state_ended_call_row {
+	wl_buf_t id; /* customer, key and nonce */
+	uint64_t ended_ms;
+} wl_state_ended_call_row_t;
+
+/* A call with a key that has ended without its request. */
+typedef struct wl_state_ended_call {
+	wl_str_t key;
+	wl_state_ended_call_row_t row;
+	TAILQ_ENTRY(wl_state_ended_call) link;
+} wl_state_ended_call_t;
+
+extern const wl_schema_t wl_state_ended_call_schema;
+
 /* Measured resource use of a kind of task: moving averages, each sample weighs one eighth. */
 typedef struct wl_state_kind {
 	wl_str_t key;
@@ -199,7 +213,8 @@
 	wl_map_t by_key;
 	struct wl_state_keys keys_running;
 	struct wl_state_keys keys_ended;
-	struct wl_state_keys keys_freed;
+	wl_map_t by_ended_call;
+	TAILQ_HEAD(wl_state_ended_calls, wl_state_ended_call) ended_calls; /* oldest first */
 
 	wl_map_t by_kind;
 	TAILQ_HEAD(wl_state_kinds, wl_state_kind) kinds;
@@ -278,6 +293,14 @@
 void wl_state_need(const wl_state_t *state, const wl_task_spec_t *spec, wl_need_t *need);
 uint64_t wl_state_expected_ms(const wl_state_t *state, const wl_task_spec_t *spec);
 
+/* ended_calls.c */
+bool wl_state_ended_call_add(wl_state_t *state, wl_str_t key, uint64_t nonce, uint64_t ended_ms);
+bool wl_state_ended_call_known(const wl_state_t *state, wl_str_t key, uint64_t nonce);
+void wl_state_ended_calls_expire(wl_state_t *state);
+void wl_state_ended_calls_clear(wl_state_t *state);
+void wl_state_ended_calls_fill(const wl_state_t *state, wl_list_t *rows);
+void wl_state_ended_calls_restore(wl_state_t *state, const wl_list_t *rows);
+
 /* keys.c */
 void wl_state_key_begin(wl_state_t *state, const wl_cmd_key_begin_t *cmd, wl_result_t *result);
 void wl_state_key_end(wl_state_t *state, const wl_cmd_key_end_t *cmd, wl_result_t *result);
--- a/libwlcore/state/keys.c
+++ b/libwlcore/state/keys.c
@@ -8,7 +8,6 @@
 #include <stdlib.h>
 
 #define KEY_BODY_MAX_BYTES 65536
-#define FREED_KEEP_MS	   600000 /* longer than a command can be delayed */
 
 static void key_text(wl_str_t customer, wl_str_t key, wl_buf_t *text)
 {
@@ -31,8 +30,6 @@
 
 static struct wl_state_keys *key_list(wl_state_t *state, const wl_state_key_t *key)
 {
-	if (key->state == WL_KEY_FRESH)
-		return &state->keys_freed;
 	return key->state == WL_KEY_RUNNING ? &state->keys_running : &state->keys_ended;
 }
 
@@ -85,50 +82,43 @@
 	wl_buf_set(&result->body, wl_buf_str(&key->body));
 }
 
-/* Marks a key as running; adds it if it is new.  A freed key has no data of its earlier run. */
-static void key_start(wl_state_t *state, wl_state_key_t *key, const wl_cmd_key_begin_t *cmd)
+static void key_start(wl_state_t *state, wl_str_t text, const wl_cmd_key_begin_t *cmd,
+		      wl_result_t *result)
 {
-	wl_buf_t text = {0};
+	wl_state_key_t *key;
 
-	if (key) {
-		key_set_state(state, key, WL_KEY_RUNNING);
-	} else {
-		key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
-		key = wl_state_key_restore(state, wl_buf_str(&text), WL_KEY_RUNNING);
-		wl_buf_free(&text);
+	if (!wl_state_session_find(state, cmd->session)) {
+		wl_result_fail(result, WL_E_NO_SESSION, "session %llu has ended",
+			       (unsigned long long)cmd->session);
+		return;
 	}
+	key = wl_state_key_restore(state, text, WL_KEY_RUNNING);
 	wl_buf_set(&key->digest, wl_buf_str(&cmd->digest));
 	key->session = cmd->session;
 	key->nonce = cmd->nonce;
+	wl_result_ok(result, 0);
+	result->key_state = WL_KEY_FRESH;
 }
 
 /* Begins the only run of a key, or answers with the state of the run that was begun before. */
 void wl_state_key_begin(wl_state_t *state, const wl_cmd_key_begin_t *cmd, wl_result_t *result)
 {
 	wl_state_key_t *key = key_find(state, &cmd->customer, &cmd->key);
-	bool freed = key && key->state == WL_KEY_FRESH;
+	wl_buf_t text = {0};
+	bool has_ended;
 
-	if (freed && key->nonce == cmd->nonce) {
+	key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
+	has_ended = wl_state_ended_call_known(state, wl_buf_str(&text), cmd->nonce);
+	if (has_ended)
 		wl_result_fail(result, WL_E_STALE,
 			       "the call that began this key has already ended");
-		return;
-	}
-	if (key && !freed && !wl_str_equal(wl_buf_str(&key->digest), wl_buf_str(&cmd->digest))) {
+	else if (key && !wl_str_equal(wl_buf_str(&key->digest), wl_buf_str(&cmd->digest)))
 		wl_result_fail(result, WL_E_CONFLICT, "the key was used for a different request");
-		return;
-	}
-	if (key && !freed) {
+	else if (key)
 		key_answer(key, cmd->nonce, result);
-		return;
-	}
-	if (!wl_state_session_find(state, cmd->session)) {
-		wl_result_fail(result, WL_E_NO_SESSION, "session %llu has ended",
-			       (unsigned long long)cmd->session);
-		return;
-	}
-	key_start(state, key, cmd);
-	wl_result_ok(result, 0);
-	result->key_state = WL_KEY_FRESH;
+	else
+		key_start(state, wl_buf_str(&text), cmd, result);
+	wl_buf_free(&text);
 }
 
 static void key_store_outcome(wl_state_t *state, wl_state_key_t *key, const wl_cmd_key_end_t *cmd)
@@ -144,20 +134,16 @@
 	key_set_state(state, key, WL_KEY_DONE);
 }
 
-/*
- * Handles an end whose begin was not applied.  The begin may be delayed, so the nonce is kept as
- * that of a freed key: wl_state_key_begin() then rejects the late command.
- */
-static void key_block_begin(wl_state_t *state, const wl_cmd_key_end_t *cmd)
+/* Remembers a call that has ended without its request; another one may begin its key. */
+static void key_free(wl_state_t *state, wl_state_key_t *key, const wl_cmd_key_end_t *cmd)
 {
-	wl_state_key_t *key;
 	wl_buf_t text = {0};
 
 	key_text(wl_buf_str(&cmd->customer), wl_buf_str(&cmd->key), &text);
-	key = wl_state_key_restore(state, wl_buf_str(&text), WL_KEY_FRESH);
+	wl_state_ended_call_add(state, wl_buf_str(&text), cmd->nonce, state->clock_ms);
 	wl_buf_free(&text);
-	key->nonce = cmd->nonce;
-	key->ended_ms = state->clock_ms;
+	if (key)
+		key_drop(state, key);
 }
 
 /*
@@ -168,20 +154,18 @@
 void wl_state_key_end(wl_state_t *state, const wl_cmd_key_end_t *cmd, wl_result_t *result)
 {
 	wl_state_key_t *key = key_find(state, &cmd->customer, &cmd->key);
+	bool began = key && key->nonce == cmd->nonce;
 
-	if (key && key->nonce != cmd->nonce) {
+	if (key && !began)
 		wl_result_fail(result, WL_E_STALE, "the key was begun by another call");
+	else
+		wl_result_ok(result, 0);
+	if (began && key->state == WL_KEY_DONE)
 		return;
-	}
-	if (!key && cmd->verdict == WL_NOT_RUN)
-		key_block_begin(state, cmd);
-	if (key && key->state != WL_KEY_DONE && key->state != WL_KEY_FRESH) {
-		if (cmd->verdict == WL_NOT_RUN)
-			key_set_state(state, key, WL_KEY_FRESH);
-		else
-			key_store_outcome(state, key, cmd);
-	}
-	wl_result_ok(result, 0);
+	if (cmd->verdict == WL_NOT_RUN)
+		key_free(state, began ? key : NULL, cmd);
+	else if (began)
+		key_store_outcome(state, key, cmd);
 }
 
 /* Marks the running keys of an ended session as lost, since no outcome will be reported. */
@@ -197,19 +181,15 @@
 	}
 }
 
-static void expire(wl_state_t *state, struct wl_state_keys *keys, uint64_t keep_ms)
+/* Removes keys whose retention has passed. */
+void wl_state_keys_expire(wl_state_t *state)
 {
 	wl_state_key_t *key;
 
-	while ((key = TAILQ_FIRST(keys)) && key->ended_ms + keep_ms <= state->clock_ms)
+	while ((key = TAILQ_FIRST(&state->keys_ended)) &&
+	       key->ended_ms + state->options.key_keep_ms <= state->clock_ms)
 		key_drop(state, key);
-}
-
-/* Removes keys whose retention has passed. */
-void wl_state_keys_expire(wl_state_t *state)
-{
-	expire(state, &state->keys_ended, state->options.key_keep_ms);
-	expire(state, &state->keys_freed, FREED_KEEP_MS);
+	wl_state_ended_calls_expire(state);
 }
 
 static void list_clear(wl_state_t *state, struct wl_state_keys *keys)
@@ -222,6 +202,5 @@
 {
 	list_clear(state, &state->keys_running);
 	list_clear(state, &state->keys_ended);
-	list_clear(state, &state->keys_freed);
 	wl_map_free(&state->by_key);
 }
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -36,6 +36,7 @@
 	uint64_t items;
 	uint64_t crashes;	 /* of targets that run tasks */
 	wl_list_t cancellations; /* wl_job_cancellation_row_t */
+	wl_list_t ended_calls;	 /* wl_state_ended_call_row_t */
 } head_record_t;
 
 static const wl_field_t head_fields[] = {
@@ -48,6 +49,7 @@
 	WL_FIELD(head_record_t, items, WL_FIELD_U64),
 	WL_FIELD(head_record_t, crashes, WL_FIELD_U64),
 	WL_FIELD_MANY(head_record_t, cancellations, &wl_job_cancellation_schema),
+	WL_FIELD_MANY(head_record_t, ended_calls, &wl_state_ended_call_schema),
 };
 
 static const wl_schema_t head_schema = WL_SCHEMA(head_record_t, head_fields);
@@ -282,8 +284,10 @@
 			      .crashes = state->jobs.crash_count};
 
 	wl_job_cancellations_fill(&state->jobs, &head.cancellations);
+	wl_state_ended_calls_fill(state, &head.ended_calls);
 	item_pack(out, ITEM_HEAD, &head_schema, &head);
 	wl_list_free(&wl_job_cancellation_schema, &head.cancellations);
+	wl_list_free(&wl_state_ended_call_schema, &head.ended_calls);
 	for (size_t i = 0; i < WL_LISTS; i++)
 		item_pack(out, ITEM_LIST, &list_schema, &state->list[i]);
 	TAILQ_FOREACH (change, &state->changes, link)
@@ -296,7 +300,6 @@
 	tasks_pack(&state->ended, out);
 	keys_pack(&state->keys_running, out);
 	keys_pack(&state->keys_ended, out);
-	keys_pack(&state->keys_freed, out);
 	TAILQ_FOREACH (kind, &state->kinds, link)
 		item_pack(out, ITEM_KIND, &kind_schema, kind);
 	jobs_pack(&state->jobs, out);
@@ -336,6 +339,7 @@
 	state->owners_floor = head.owners_floor;
 	state->jobs.crash_count = head.crashes;
 	wl_job_cancellations_restore(&state->jobs, &head.cancellations);
+	wl_state_ended_calls_restore(state, &head.ended_calls);
 	reader->expected = head.items;
 	wl_record_free(&head_schema, &head);
 	return true;
@@ -414,6 +418,16 @@
 	return true;
 }
 
+/* Earlier versions stored the last call that had ended as a fresh key. */
+static bool read_fresh_key(reader_t *reader, wl_state_key_t *record, wl_err_t *err)
+{
+	bool added = wl_state_ended_call_add(reader->state, wl_buf_str(&record->text),
+					     record->nonce, record->ended_ms);
+
+	wl_record_free(&key_schema, record);
+	return added || item_repeated("key of this text", err);
+}
+
 static bool read_key(reader_t *reader, wl_str_t bytes, wl_err_t *err)
 {
 	wl_state_key_t record;
@@ -426,6 +440,8 @@
 		return wl_err_set(err, WL_E_DAMAGED, WL_NOT_RUN,
 				  "snapshot has a key in an unknown state");
 	}
+	if (record.state == WL_KEY_FRESH)
+		return read_fresh_key(reader, &record, err);
 	if (wl_map_get(&reader->state->by_key, wl_buf_str(&record.text))) {
 		wl_record_free(&key_schema, &record);
 		return item_repeated("key of this text", err);
--- a/libwlcore/state/state.c
+++ b/libwlcore/state/state.c
@@ -39,7 +39,8 @@
 	wl_map_init(&state->by_key);
 	TAILQ_INIT(&state->keys_running);
 	TAILQ_INIT(&state->keys_ended);
-	TAILQ_INIT(&state->keys_freed);
+	wl_map_init(&state->by_ended_call);
+	TAILQ_INIT(&state->ended_calls);
 	wl_map_init(&state->by_kind);
 	TAILQ_INIT(&state->kinds);
 	wl_jobs_init(&state->jobs, state->options.job_keep_ms);
@@ -54,6 +55,7 @@
 	wl_state_targets_clear(state);
 	wl_state_sessions_clear(state);
 	wl_state_keys_clear(state);
+	wl_state_ended_calls_clear(state);
 	wl_state_kinds_clear(state);
 	wl_jobs_clear(&state->jobs);
 	wl_state_changes_clear(state);
