scheduler: keep what was lost on silent targets in the state

Callers saw a task crash target after target: one that is back only after the leases of its runs had its crash counted by the leader that had taken the runs for lost, and by no other. A change of leader forgot it, and so did the removal of the target, 20 s after its last sign.

Cause: the ends were kept with the leader's data of the target. The proof itself is not late: it is proposed in the step that learns of the later incarnation, before placement. What is late are the starts in between: a task is free after some 7 s, and has crashed two more targets when one is back after 14 s.

The end of a run says that its target is silent, a later command that the matter is over: the crash is proved, or the incarnation has given a sign of life, which counts for a removed target and for one that leaves, too. An outage is judged as the leases end, by the leader that saw the targets go; runs that it explains are not kept, so that no later leader counts them.

The leader learns of proofs by events (a report that changes an id or an address, an answer of another incarnation, the commit of the ends, its election) and compares no addresses at each tick any more.

Ruled out: keeping them with the task (needs an index by target and address) or with the target in the state (its row is removed or taken over).

--- a/libwlcore/job/internal.h
+++ b/libwlcore/job/internal.h
@@ -19,6 +19,13 @@
 void wl_job_cancellations_expire(wl_jobs_t *jobs, uint64_t clock_ms);
 void wl_job_cancellations_clear(wl_jobs_t *jobs);
 
+/* lapses.c */
+void wl_lapse_end_add(wl_jobs_t *jobs, const wl_runner_t *runner, const wl_run_end_t *end,
+		      uint64_t clock_ms);
+void wl_lapses_over(wl_jobs_t *jobs, const wl_list_t *over);
+void wl_lapses_expire(wl_jobs_t *jobs, uint64_t clock_ms);
+void wl_lapses_clear(wl_jobs_t *jobs);
+
 /* runs.c */
 void wl_task_done(wl_job_t *job, uint64_t task);
 void wl_run_remove(wl_jobs_t *jobs, wl_run_t *run);
--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -20,6 +20,8 @@
 	wl_map_init(&jobs->by_address);
 	wl_map_init(&jobs->by_cancelled);
 	TAILQ_INIT(&jobs->cancellations);
+	wl_map_init(&jobs->by_lapsed);
+	TAILQ_INIT(&jobs->lapses);
 	TAILQ_INIT(&jobs->live);
 	TAILQ_INIT(&jobs->ended);
 	wl_map_init(&jobs->by_runner);
@@ -66,6 +68,7 @@
 	while ((runner = TAILQ_FIRST(&jobs->runners)))
 		wl_runner_remove(jobs, runner);
 	wl_job_cancellations_clear(jobs);
+	wl_lapses_clear(jobs);
 	wl_map_free(&jobs->by_id);
 	wl_map_free(&jobs->by_address);
 	wl_map_free(&jobs->by_runner);
@@ -470,7 +473,7 @@
 }
 
 /*
- * wl_jobs_expire - remove the ended jobs and the departed targets whose retention time is over
+ * wl_jobs_expire - remove what is kept for a time only, once that is over
  */
 void wl_jobs_expire(wl_jobs_t *jobs, uint64_t clock_ms)
 {
@@ -488,6 +491,7 @@
 		job = next;
 	}
 	wl_job_cancellations_expire(jobs, clock_ms);
+	wl_lapses_expire(jobs, clock_ms);
 	wl_runners_expire(jobs, clock_ms);
 }
 
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -144,6 +144,35 @@
 
 TAILQ_HEAD(wl_job_cancellations, wl_job_cancellation);
 
+/*
+ * The runs of a silent incarnation of a target that have ended as lost, as stored in snapshots. If
+ * it has crashed, a later incarnation proves that afterwards.
+ */
+typedef struct wl_lapse_row {
+	wl_buf_t runner;
+	uint64_t incarnation;
+	wl_buf_t address; /* of the target, as it had reported */
+	uint64_t at_ms;	  /* when the newest of the runs ended */
+	wl_list_t ends;	  /* wl_run_end_t */
+} wl_lapse_row_t;
+
+/* What the leader knows of a lapse. */
+typedef enum wl_lapse_state {
+	WL_LAPSE_OPEN,
+	WL_LAPSE_CRASHED,
+	WL_LAPSE_UP,	 /* the target has not crashed */
+	WL_LAPSE_SETTLED /* either is proposed */
+} wl_lapse_state_t;
+
+typedef struct wl_lapse {
+	wl_str_t key; /* id of the target */
+	wl_lapse_row_t record;
+	wl_lapse_state_t state; /* the leader's, not replicated */
+	TAILQ_ENTRY(wl_lapse) link;
+} wl_lapse_t;
+
+TAILQ_HEAD(wl_lapses, wl_lapse);
+
 typedef struct wl_jobs {
 	uint64_t keep_ms; /* how long an ended job is kept */
 	bool configured;
@@ -155,6 +184,9 @@
 	struct wl_job_list ended; /* in the order in which they ended */
 	wl_map_t by_cancelled;
 	struct wl_job_cancellations cancellations; /* oldest first */
+	wl_map_t by_lapsed;
+	struct wl_lapses lapses; /* of the oldest newest end first */
+	size_t lapsed_ends;
 	wl_map_t by_runner;
 	struct wl_runner_list runners;
 	/* when the earliest of the departed targets left; 0: none has left */
@@ -173,6 +205,7 @@
 
 wl_job_t *wl_jobs_find(const wl_jobs_t *jobs, wl_str_t id);
 wl_runner_t *wl_jobs_runner(const wl_jobs_t *jobs, wl_str_t id);
+wl_lapse_t *wl_jobs_lapse(const wl_jobs_t *jobs, wl_str_t runner);
 bool wl_run_end_is_listed(wl_run_outcome_t outcome);
 wl_run_t *wl_job_run(const wl_job_t *job, uint64_t task, uint64_t number);
 const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step);
@@ -216,11 +249,14 @@
 
 extern const wl_schema_t wl_job_record_schema;
 extern const wl_schema_t wl_job_cancellation_schema;
+extern const wl_schema_t wl_lapse_row_schema;
 extern const wl_schema_t wl_runner_record_schema;
 extern const wl_schema_t wl_run_record_schema;
 
 void wl_job_cancellations_fill(const wl_jobs_t *jobs, wl_list_t *rows);
 void wl_job_cancellations_restore(wl_jobs_t *jobs, const wl_list_t *rows);
+void wl_lapses_fill(const wl_jobs_t *jobs, wl_list_t *rows);
+void wl_lapses_restore(wl_jobs_t *jobs, const wl_list_t *rows);
 void wl_job_rows_fill(const wl_job_t *job, wl_job_record_t *record);
 wl_job_t *wl_jobs_restore(wl_jobs_t *jobs, wl_job_record_t *record);
 wl_runner_t *wl_jobs_restore_runner(wl_jobs_t *jobs, wl_runner_record_t *record);
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -48,6 +48,16 @@
 const wl_schema_t wl_job_cancellation_schema =
 	WL_SCHEMA(wl_job_cancellation_row_t, cancellation_fields);
 
+static const wl_field_t lapse_row_fields[] = {
+	WL_FIELD(wl_lapse_row_t, runner, WL_FIELD_BYTES),
+	WL_FIELD(wl_lapse_row_t, incarnation, WL_FIELD_U64),
+	WL_FIELD(wl_lapse_row_t, address, WL_FIELD_BYTES),
+	WL_FIELD(wl_lapse_row_t, at_ms, WL_FIELD_U64),
+	WL_FIELD_MANY(wl_lapse_row_t, ends, &wl_run_end_schema),
+};
+
+const wl_schema_t wl_lapse_row_schema = WL_SCHEMA(wl_lapse_row_t, lapse_row_fields);
+
 static const wl_field_t runner_record_fields[] = {
 	WL_FIELD_NEST(wl_runner_record_t, report, &wl_runner_report_schema),
 	WL_FIELD_AS("left_ms", wl_runner_record_t, departed_ms, WL_FIELD_U64),
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -172,6 +172,8 @@
 	wl_job_task_ref(job, task, &at);
 	if (end->checkpoint.len)
 		wl_buf_set(&job->tasks[task].checkpoint, wl_buf_str(&end->checkpoint));
+	if (end->silent && !wl_job_ended(job))
+		wl_lapse_end_add(jobs, run->runner, end, clock_ms);
 	wl_run_remove(jobs, run);
 	job->begun |= wl_run_end_is_listed((wl_run_outcome_t)end->outcome);
 	if (wl_job_ended(job))
@@ -253,6 +255,7 @@
 	runs_sound(jobs, &cmd->sound);
 	runs_doubt(jobs, &cmd->doubts);
 	runs_crashed_late(jobs, &cmd->late, clock_ms);
+	wl_lapses_over(jobs, &cmd->lapses_over);
 	wl_result_ok(result, 0);
 }
 
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -192,6 +192,7 @@
 	WL_FIELD(wl_run_end_t, unconfirmed, WL_FIELD_BOOL),
 	WL_FIELD(wl_run_end_t, incarnation, WL_FIELD_U64),
 	WL_FIELD(wl_run_end_t, alone, WL_FIELD_BOOL),
+	WL_FIELD(wl_run_end_t, silent, WL_FIELD_BOOL),
 };
 
 const wl_schema_t wl_run_end_schema = WL_SCHEMA(wl_run_end_t, run_end_fields);
@@ -213,11 +214,19 @@
 
 const wl_schema_t wl_run_doubt_schema = WL_SCHEMA(wl_run_doubt_t, run_doubt_fields);
 
+static const wl_field_t lapse_over_fields[] = {
+	WL_FIELD(wl_lapse_over_t, runner, WL_FIELD_BYTES),
+	WL_FIELD(wl_lapse_over_t, incarnation, WL_FIELD_U64),
+};
+
+const wl_schema_t wl_lapse_over_schema = WL_SCHEMA(wl_lapse_over_t, lapse_over_fields);
+
 static const wl_field_t cmd_runs_end_fields[] = {
 	WL_FIELD_MANY(wl_cmd_runs_end_t, ends, &wl_run_end_schema),
 	WL_FIELD_MANY(wl_cmd_runs_end_t, sound, &wl_run_sound_schema),
 	WL_FIELD_MANY(wl_cmd_runs_end_t, doubts, &wl_run_doubt_schema),
 	WL_FIELD_MANY(wl_cmd_runs_end_t, late, &wl_run_end_schema),
+	WL_FIELD_MANY(wl_cmd_runs_end_t, lapses_over, &wl_lapse_over_schema),
 };
 
 static const wl_schema_t cmd_runs_end_schema = WL_SCHEMA(wl_cmd_runs_end_t, cmd_runs_end_fields);
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -192,9 +192,10 @@
 	uint64_t ran_ms;     /* CRASHED: how long it is known to have run */
 	bool outage;	     /* CRASHED: in an outage, which is weak evidence against its task */
 	bool unconfirmed;    /* CRASHED: nothing shows that the target had begun it */
-	/* of late crashes only */
+	/* of late crashes, and of runs on silent targets */
 	uint64_t incarnation; /* of the target */
 	bool alone;	      /* it was on trial alone */
+	bool silent;	      /* LOST: its target is silent, and may have crashed */
 } wl_run_end_t;
 
 /* A run that works on, and has worked for so long that earlier crashes were not due to its task. */
@@ -212,11 +213,18 @@
 	bool over; /* the target has it */
 } wl_run_doubt_t;
 
+/* A silent incarnation of a target of which it is known now whether it has crashed. */
+typedef struct wl_lapse_over {
+	wl_buf_t runner;
+	uint64_t incarnation;
+} wl_lapse_over_t;
+
 typedef struct wl_cmd_runs_end {
-	wl_list_t ends;	  /* wl_run_end_t */
-	wl_list_t sound;  /* wl_run_sound_t */
-	wl_list_t doubts; /* wl_run_doubt_t */
-	wl_list_t late;	  /* wl_run_end_t: crashes of runs that had been taken for lost */
+	wl_list_t ends;	       /* wl_run_end_t */
+	wl_list_t sound;       /* wl_run_sound_t */
+	wl_list_t doubts;      /* wl_run_doubt_t */
+	wl_list_t late;	       /* wl_run_end_t: crashes of runs that had been taken for lost */
+	wl_list_t lapses_over; /* wl_lapse_over_t */
 } wl_cmd_runs_end_t;
 
 typedef struct wl_cmd {
@@ -273,6 +281,7 @@
 extern const wl_schema_t wl_run_end_schema;
 extern const wl_schema_t wl_run_sound_schema;
 extern const wl_schema_t wl_run_doubt_schema;
+extern const wl_schema_t wl_lapse_over_schema;
 extern const wl_schema_t wl_report_schema;
 extern const wl_schema_t wl_assignment_schema;
 extern const wl_schema_t wl_result_schema;
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -73,6 +73,7 @@
 	if (!runner) {
 		const wl_runner_t *known = wl_jobs_runner(sched->jobs, wl_buf_str(&report->id));
 
+		wl_sched_lapse_heard(sched, wl_buf_str(&report->id), report->incarnation);
 		return !known || wl_runner_report_is_newer(known, report);
 	}
 	wl_sched_runner_reported(sched, now_ns, runner, report);
@@ -120,6 +121,9 @@
 
 		if (runner)
 			wl_sched_runner_reported(sched, now_ns, runner, &report);
+		else
+			wl_sched_lapse_heard(sched, wl_buf_str(&rows[i].runner),
+					     report.incarnation);
 	}
 }
 
--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -62,7 +62,7 @@
 		runner->began_ns = now_ns;
 	if (ended > 0)
 		wl_sched_loss_add(sched, now_ns, runner, ended);
-	sched->lapse_proved |= !TAILQ_EMPTY(&runner->lapses);
+	wl_sched_lapse_ended(sched, runner, incarnation);
 	runner->previous = incarnation_end(runner, now_ns);
 	runner->previous.incarnation = ended;
 	if (runner->state->report.incarnation == incarnation) /* says nothing of the one before */
@@ -96,7 +96,7 @@
 	}
 	runner->unreachable_since_ns = 0;
 	runner->heard_ns = now_ns;
-	wl_sched_lapses_heard(runner);
+	wl_sched_lapse_heard(sched, runner->key, runner->incarnation);
 }
 
 /*
@@ -164,14 +164,16 @@
  * wl_sched_crash_late - judge the crash of a target under a run that was taken for lost
  * @row: its end; the outage is filled in
  *
+ * An earlier leader has judged its own losses when the run ended.
+ *
  * Return: whether it counts.
  */
-bool wl_sched_crash_late(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
-			 wl_run_end_t *row)
+bool wl_sched_crash_late(wl_sched_t *sched, uint64_t now_ns, wl_run_end_t *row)
 {
-	uint64_t outage = wl_sched_outage_find(sched, now_ns, runner->key, row->incarnation);
+	uint64_t outage =
+		wl_sched_outage_find(sched, now_ns, wl_buf_str(&row->runner), row->incarnation);
 
-	row->outage = outage > 0;
+	row->outage |= outage > 0;
 	return !outage_explains(sched, outage, wl_buf_str(&row->job), row->ran_ms);
 }
 
@@ -195,20 +197,30 @@
 		row->ran_ms = 0;
 }
 
+static void row_add(wl_sched_run_t *run, const wl_run_end_t *found, const char *reason,
+		    wl_cmd_runs_end_t *ends)
+{
+	wl_run_end_t *row =
+		wl_sched_run_end_add(run, (wl_run_outcome_t)found->outcome, reason, ends);
+
+	row->ran_ms = found->ran_ms;
+	row->outage = found->outage;
+	row->unconfirmed = found->unconfirmed;
+	row->incarnation = found->incarnation;
+	row->alone = found->alone;
+	row->silent = found->silent;
+}
+
 /* Return: whether the run crashed. */
 static bool end_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 		    const wl_sched_incarnation_end_t *end, const char *reason,
 		    wl_cmd_runs_end_t *ends)
 {
 	wl_run_end_t found = {.outcome = WL_END_LOST};
-	wl_run_end_t *row;
 
 	if (end)
 		crash_fill(sched, now_ns, run, end, &found);
-	row = wl_sched_run_end_add(run, (wl_run_outcome_t)found.outcome, reason, ends);
-	row->ran_ms = found.ran_ms;
-	row->outage = found.outage;
-	row->unconfirmed = found.unconfirmed;
+	row_add(run, &found, reason, ends);
 	return found.outcome == WL_END_CRASHED;
 }
 
@@ -299,16 +311,35 @@
 		   (unsigned long long)((now_ns - end->lost_ns) / WL_NS_PER_MS));
 }
 
-/* Keeps the end of a run on a silent target, whose crash may be proved later. */
-static void lapse_keep(const wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
-		       const wl_sched_incarnation_end_t *end)
+/* Fills in the end of a run on a silent target, if a crash of that may be proved later. */
+static void lapse_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
+		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
+{
+	bool begun = !was_left(run, end) && !may_be_unsent(run);
+
+	if (end->announced || run->incarnation != end->incarnation ||
+	    !run_was_there(run, end->lost_ns))
+		return;
+	wl_buf_set(&row->job, wl_buf_str(&run->job));
+	wl_buf_set(&row->runner, run->runner->key);
+	row->incarnation = run->incarnation;
+	row->ran_ms = run->phase != WL_RUN_INHERITED ? ran_ms(sched, now_ns, run) : 0;
+	row->unconfirmed = true;
+	row->alone = begun && run->trial == WL_TRIAL_ALONE;
+	row->silent = wl_sched_crash_late(sched, now_ns, row);
+}
+
+static void lapse_add(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
+		      const wl_sched_incarnation_end_t *end, wl_cmd_runs_end_t *ends)
 {
-	bool is_known = run->phase != WL_RUN_INHERITED;
+	wl_run_end_t found = {.outcome = WL_END_LOST};
 
-	if (!end->announced && run->incarnation == end->incarnation &&
-	    run_was_there(run, end->lost_ns))
-		wl_sched_lapse_add(run, now_ns, is_known ? ran_ms(sched, now_ns, run) : 0,
-				   !was_left(run, end) && !may_be_unsent(run));
+	lapse_fill(sched, now_ns, run, end, &found);
+	if (found.silent)
+		row_add(run, &found, "expired", ends);
+	else
+		wl_sched_run_lost_add(sched, now_ns, run, "expired", ends);
+	wl_record_free(&wl_run_end_schema, &found);
 }
 
 /*
@@ -332,8 +363,7 @@
 			crashed += end_add(sched, now_ns, run, &end, "expired", ends);
 			continue;
 		}
-		lapse_keep(sched, now_ns, run, &end);
-		wl_sched_run_lost_add(sched, now_ns, run, "expired", ends);
+		lapse_add(sched, now_ns, run, &end, ends);
 	}
 	if (is_replaced)
 		crash_log(sched, now_ns, runner, &end, "expired", crashed, ends->ends.count, out);
@@ -376,6 +406,8 @@
 	size_t crashed = 0;
 
 	wl_sched_loss_add(sched, now_ns, runner, end.incarnation);
+	if (!end.announced)
+		wl_sched_lapse_crashed(sched, runner);
 	TAILQ_FOREACH (run, &runner->runs, link)
 		if (run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING)
 			crashed += end_add(sched, now_ns, run, &end, "address-taken", &ends);
--- a/libwlcore/sched/departures.c
+++ b/libwlcore/sched/departures.c
@@ -145,6 +145,10 @@
 
 	if (runner)
 		departure_log(runner, report, out);
+	if (report->incarnation)
+		wl_sched_lapse_heard(sched, id, report->incarnation);
+	else if (runner && is_draining(runner))
+		wl_sched_lapse_heard(sched, id, runner->incarnation);
 	if (ignored) {
 		wl_out_log(out, WL_INFO, "target-leave-ignored", "target=" WL_STR_FMT " reason=%s",
 			   WL_STR_ARG(id), ignored);
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -149,10 +149,6 @@
 
 TAILQ_HEAD(wl_sched_open_starts, wl_sched_open_start);
 
-typedef struct wl_sched_lapse wl_sched_lapse_t;
-
-TAILQ_HEAD(wl_sched_lapses, wl_sched_lapse);
-
 /* Least headroom of the serving tasks of one image on a target, beside the work that is there. */
 typedef struct wl_sched_headroom {
 	double least;
@@ -170,7 +166,6 @@
 	struct wl_sched_runs runs;
 	struct wl_sched_runs serving;		 /* the serving ones among them */
 	struct wl_sched_open_starts open_starts; /* of runs that have ended */
-	struct wl_sched_lapses lapses;		 /* ends of runs whose leases had expired */
 	wl_fit_runner_t fit;			 /* input of placement */
 	size_t row;				 /* of wl_sched.rows */
 	/* leases of earlier leaders or of an earlier incarnation may be valid until then */
@@ -412,7 +407,7 @@
 	wl_interference_t interference;
 	bool promotion_due; /* that of a target may be set where runs are in the background */
 	bool place_due;
-	bool lapse_proved;     /* a crash under runs taken for lost is to be proposed */
+	bool lapse_known;      /* whether a silent target has crashed is to be proposed */
 	uint64_t next_pass_ns; /* no placement pass before */
 	uint64_t pass_count;
 	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
@@ -596,12 +591,13 @@
 void wl_sched_open_starts_stop(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
 bool wl_sched_open_starts_remain(wl_sched_runner_t *runner, uint64_t now_ns);
 void wl_sched_open_starts_clear(wl_sched_runner_t *runner);
-void wl_sched_lapse_add(wl_sched_run_t *run, uint64_t now_ns, uint64_t ran_ms, bool begun);
-void wl_sched_lapses_heard(wl_sched_runner_t *runner);
-void wl_sched_lapses_clear(wl_sched_runner_t *runner);
-void wl_sched_lapses_prove(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
-void wl_sched_lapses_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
-			  wl_out_t *out);
+void wl_sched_lapses_inherit(wl_sched_t *sched);
+void wl_sched_lapse_heard(wl_sched_t *sched, wl_str_t runner, uint64_t incarnation);
+void wl_sched_lapse_ended(wl_sched_t *sched, const wl_sched_runner_t *runner, uint64_t later);
+void wl_sched_lapse_crashed(wl_sched_t *sched, const wl_sched_runner_t *runner);
+void wl_sched_lapses_reported(wl_sched_t *sched, const wl_runner_t *runner);
+void wl_sched_lapses_committed(wl_sched_t *sched, const wl_list_t *ends);
+void wl_sched_lapses_settle(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_stops_forget(wl_sched_runner_t *runner);
 bool wl_sched_lease_over(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns);
 bool wl_sched_run_unknown(const wl_sched_run_t *run, uint64_t now_ns);
@@ -626,8 +622,7 @@
 void wl_sched_crash_run_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run,
 			       wl_cmd_runs_end_t *ends);
 void wl_sched_crash_doubts_commit(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
-bool wl_sched_crash_late(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
-			 wl_run_end_t *row);
+bool wl_sched_crash_late(wl_sched_t *sched, uint64_t now_ns, wl_run_end_t *row);
 void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			    wl_cmd_runs_end_t *ends, wl_out_t *out);
 void wl_sched_crash_restarted(wl_sched_t *sched, uint64_t now_ns, const wl_sched_runner_t *runner,
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -119,7 +119,6 @@
 		TAILQ_INIT(&runner->runs);
 		TAILQ_INIT(&runner->serving);
 		TAILQ_INIT(&runner->open_starts);
-		TAILQ_INIT(&runner->lapses);
 		wl_map_put(&sched->by_runner, runner);
 		TAILQ_INSERT_TAIL(&sched->runners, runner, link);
 		wl_sched_rows_reset(sched);
@@ -189,7 +188,7 @@
 		return;
 	runner->known.sequence = report->sequence;
 	runner->reported_ns = now_ns;
-	wl_sched_lapses_heard(runner);
+	wl_sched_lapse_heard(sched, runner->key, runner->incarnation);
 	wl_sched_clock_sample(runner, now_ns, report->clock_ms);
 }
 
@@ -201,7 +200,6 @@
 	while (!TAILQ_EMPTY(&runner->runs))
 		wl_sched_run_remove(sched, TAILQ_FIRST(&runner->runs));
 	wl_sched_open_starts_clear(runner);
-	wl_sched_lapses_clear(runner);
 	wl_map_remove(&sched->by_runner, runner->key);
 	TAILQ_REMOVE(&sched->runners, runner, link);
 	wl_sched_rows_reset(sched);
@@ -327,7 +325,6 @@
 
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
-	wl_sched_lapses_tick(sched, now_ns, runner, out);
 	if (leases_are_over(runner, now_ns) && wl_sched_runner_needs_lease(runner))
 		wl_sched_runs_expire(sched, now_ns, runner, out);
 	if (!runner->renewal_id && now_ns >= runner->renewal_due_ns)
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -267,7 +267,7 @@
 }
 
 /*
- * wl_sched_ends_propose - propose the ends of runs, which runs are sound, and doubts about runs
+ * wl_sched_ends_propose - propose a command if it says anything of runs
  * @ends: moved from
  */
 void wl_sched_ends_propose(wl_sched_t *sched, uint64_t now_ns, wl_cmd_runs_end_t *ends,
@@ -277,7 +277,7 @@
 
 	*ends = (wl_cmd_runs_end_t){0};
 	if (cmd.u.runs_end.ends.count + cmd.u.runs_end.sound.count + cmd.u.runs_end.doubts.count +
-		    cmd.u.runs_end.late.count >
+		    cmd.u.runs_end.late.count + cmd.u.runs_end.lapses_over.count >
 	    0)
 		wl_sched_propose(sched, now_ns, &cmd, out);
 }
@@ -641,6 +641,7 @@
 		end_apply(sched, now_ns, &rows[i], out);
 	for (size_t i = 0; i < cmd->late.count; i++)
 		late_apply(sched, now_ns, &late[i], out);
+	wl_sched_lapses_committed(sched, &cmd->ends);
 }
 
 /*
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -193,6 +193,7 @@
 	TAILQ_FOREACH (runner, &sched->jobs->runners, link)
 		if (!runner->departed_ms)
 			inherited_runs_add(sched, now_ns, runner);
+	wl_sched_lapses_inherit(sched);
 	TAILQ_FOREACH (job, &sched->jobs->live, link)
 		wl_sched_job_open(sched, now_ns, job);
 	wl_sched_teardowns_inherit(sched, now_ns, out);
@@ -238,6 +239,7 @@
 
 		runner = wl_sched_runner_sync(sched, now_ns, state);
 		wl_sched_runner_reported(sched, now_ns, runner, report);
+		wl_sched_lapses_reported(sched, state);
 		sched->place_due = true;
 		wl_out_log(out, WL_INFO, "target",
 			   "target=" WL_STR_FMT " new=%s service=%s rack=%s state=%s cpu=%llu",
@@ -458,7 +460,7 @@
 		break;
 	}
 	wl_sched_departures_answer(sched, now_ns, out);
-	wl_sched_lapses_prove(sched, now_ns, out);
+	wl_sched_lapses_settle(sched, now_ns, out);
 	if (wl_sched_place_due(sched, now_ns))
 		wl_sched_place(sched, now_ns, out);
 	wl_sched_agents_send(sched, now_ns, out);
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -37,6 +37,7 @@
 	uint64_t crashes;	 /* of targets that run tasks */
 	wl_list_t cancellations; /* wl_job_cancellation_row_t */
 	wl_list_t ended_calls;	 /* wl_state_ended_call_row_t */
+	wl_list_t lapses;	 /* wl_lapse_row_t */
 } head_record_t;
 
 static const wl_field_t head_fields[] = {
@@ -50,6 +51,7 @@
 	WL_FIELD(head_record_t, crashes, WL_FIELD_U64),
 	WL_FIELD_MANY(head_record_t, cancellations, &wl_job_cancellation_schema),
 	WL_FIELD_MANY(head_record_t, ended_calls, &wl_state_ended_call_schema),
+	WL_FIELD_MANY(head_record_t, lapses, &wl_lapse_row_schema),
 };
 
 static const wl_schema_t head_schema = WL_SCHEMA(head_record_t, head_fields);
@@ -285,9 +287,11 @@
 
 	wl_job_cancellations_fill(&state->jobs, &head.cancellations);
 	wl_state_ended_calls_fill(state, &head.ended_calls);
+	wl_lapses_fill(&state->jobs, &head.lapses);
 	item_pack(out, ITEM_HEAD, &head_schema, &head);
 	wl_list_free(&wl_job_cancellation_schema, &head.cancellations);
 	wl_list_free(&wl_state_ended_call_schema, &head.ended_calls);
+	wl_list_free(&wl_lapse_row_schema, &head.lapses);
 	for (size_t i = 0; i < WL_LISTS; i++)
 		item_pack(out, ITEM_LIST, &list_schema, &state->list[i]);
 	TAILQ_FOREACH (change, &state->changes, link)
@@ -340,6 +344,7 @@
 	state->jobs.crash_count = head.crashes;
 	wl_job_cancellations_restore(&state->jobs, &head.cancellations);
 	wl_state_ended_calls_restore(state, &head.ended_calls);
+	wl_lapses_restore(&state->jobs, &head.lapses);
 	reader->expected = head.items;
 	wl_record_free(&head_schema, &head);
 	return true;
--- a/tests/unit/job_crashes_test.cc
+++ b/tests/unit/job_crashes_test.cc
@@ -93,6 +93,25 @@
 		rig.apply(&cmd);
 	}
 
+	/* The run is lost as its target is silent. */
+	void lapse(uint64_t task, uint64_t run, const std::string &target)
+	{
+		wl_cmd_t cmd = {};
+
+		start(task, run, target);
+		cmd.kind = WL_CMD_RUNS_END;
+		auto *row = static_cast<wl_run_end_t *>(
+			wl_list_add(&wl_run_end_schema, &cmd.u.runs_end.ends));
+		wl_buf_set(&row->job, WL_STR("j"));
+		row->task = task;
+		row->run = run;
+		wl_buf_set(&row->runner, str(target));
+		row->outcome = WL_END_LOST;
+		row->silent = true;
+		row->incarnation = 1;
+		rig.apply(&cmd);
+	}
+
 	void sound(uint64_t task, uint64_t run)
 	{
 		wl_cmd_t cmd = {};
@@ -492,3 +511,20 @@
 		run(0, i, "b", WL_END_CRASHED);
 	EXPECT_EQ(state(), "failed");
 }
+
+TEST_F(JobCrashes, OldestLapseGivesWayToOneTooMany)
+{
+	constexpr uint64_t ENDS_MAX = 16384;
+	wl_jobs_t *jobs = wl_state_jobs(rig.state);
+
+	job(ENDS_MAX + 1);
+	submit();
+	for (uint64_t i = 0; i < ENDS_MAX; i++)
+		lapse(i, 1, i < 2 ? "a" : "b");
+	EXPECT_NE(wl_jobs_lapse(jobs, WL_STR("a")), nullptr);
+	lapse(ENDS_MAX, 1, "c");
+	EXPECT_EQ(wl_jobs_lapse(jobs, WL_STR("a")), nullptr);
+	EXPECT_EQ(wl_jobs_lapse(jobs, WL_STR("b"))->record.ends.count, ENDS_MAX - 2);
+	EXPECT_EQ(wl_jobs_lapse(jobs, WL_STR("c"))->record.ends.count, 1u);
+	EXPECT_EQ(jobs->lapsed_ends, ENDS_MAX - 1);
+}
