scheduler: send a renewal that its agent holds up by another way

A replica that is slow and not silent kept the renewals of its targets: no other one was sent until the result came, at most 4.8 s later, when the lease was nearly over. Runs of live jobs lapsed beside it.

Cause: only a result, or its absence after the time-out of the order and 3 s, made the leader choose another agent. An agent whose delay is below that was never avoided, and each of its renewals reached the target late, with an expiry counted from a clock that was as old as the delay.

An agent has to report within 0.4 s of the time-out of a renewal, 2.2 s after it was sent. If it does not, the renewal goes through another replica, whose answer is asked for at once, and the agent is avoided for that target. The bound follows from the lease: if the renewal before was answered just in time (2.2 s), and two agents hold this one up (2.2 s and 1.2 s), the third one still has it 5.6 s after the last expiry was named, of 6 s. With 0.53 s it would be over.

The repeat names the expiry that was named before, so that a silent target is taken for lost as early as without it, and acknowledges no ends. Of renewals of which a later one was answered the result is ignored, and a failure also while a later one is on its way.

Extra calls are bounded: a renewal is repeated at the earliest when the next one would be due anyway, only through a replica that is not avoided, never by the leader's own agent, which cannot carry the targets of another one, and not for 0.4 s after the leader stood still itself.

LeaderThatStoodStillRepeatsNoRenewal failed with the test of the standstill taken out; FailureOfTheHeldOneAfterItsAnswerIsIgnored and ListOfTheHeldOneAfterItsAnswerIsIgnored with that of the superseded results taken out.

Tried and dropped: the leader's own agent as a last way. sched_agents.OrderOfASilentReplicaExpires fails with it: it has one other replica, and no renewal before that one's order is over.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -190,6 +190,26 @@
 	runner->avoided_until_ns = now_ns + AVOID_MS * WL_NS_PER_MS;
 }
 
+/*
+ * wl_sched_agent_replaceable - whether another replica can take the place of a target's agent
+ *
+ * The leader's own agent does not: it cannot carry the targets of a slow one besides its decisions.
+ */
+bool wl_sched_agent_replaceable(const wl_sched_t *sched, const wl_sched_runner_t *runner,
+				const wl_sched_agent_t *agent)
+{
+	const wl_sched_agent_t *own = TAILQ_FIRST(&sched->agents);
+	const wl_sched_agent_t *other;
+
+	if (agent == own)
+		return false;
+	TAILQ_FOREACH (other, &sched->agents, link)
+		if (other != own && other != agent && other->usable &&
+		    !(runner->avoided_agents & other->bit))
+			return true;
+	return false;
+}
+
 /*
  * wl_sched_agent_retry - use the avoided agents again once their time is over
  */
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -186,8 +186,10 @@
 	uint64_t capacity_sequence;
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* newest answer to any order */
-	uint64_t renewal_id;  /* of the renewal in flight; 0: none */
+	uint64_t renewal_id;  /* of the newest renewal in flight; 0: none */
 	uint64_t renewal_due_ns;
+	uint64_t renewal_overdue_ns;  /* its agent holds it up if it has not reported by then */
+	uint64_t renewal_answered_id; /* of the newest renewal that was answered */
 	bool probe_due; /* a renewal is due whatever runs there: its incarnation is in doubt */
 	uint64_t next_probe_ns;
 	/* bits of the agents that got no answer to a renewal or a stop */
@@ -386,6 +388,9 @@
 	wl_map_t orders_by_id;
 	TAILQ_HEAD(wl_sched_orders, wl_sched_order) orders; /* in the order of their creation */
 	uint64_t next_expiry_ns;
+	uint64_t ticked_ns; /* newest tick of the targets */
+	uint64_t
+		caught_up_ns; /* results that came while the leader stood still are known by then */
 	struct wl_sched_agents agents; /* the leader's own agent is first */
 	wl_map_t by_tag;
 	TAILQ_HEAD(wl_sched_proposals, wl_sched_proposal) proposals;
@@ -688,6 +693,7 @@
 			  wl_out_t *out);
 void wl_sched_orders_expire(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_orders_clear(wl_sched_t *sched);
+const wl_sched_agent_t *wl_sched_order_agent(const wl_sched_t *sched, uint64_t id);
 
 /* agents.c */
 const wl_dispatch_policy_t *wl_dispatch_policy_find(wl_str_t name);
@@ -703,6 +709,8 @@
 void wl_sched_agents_send(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_agent_avoid(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
 			  const wl_sched_agent_t *agent);
+bool wl_sched_agent_replaceable(const wl_sched_t *sched, const wl_sched_runner_t *runner,
+				const wl_sched_agent_t *agent);
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
 wl_str_t wl_sched_report_to(const wl_sched_t *sched, wl_str_t id);
 
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -89,6 +89,19 @@
 		order_remove(sched, TAILQ_FIRST(&sched->orders));
 }
 
+/*
+ * wl_sched_order_agent - agent that has an order in flight
+ *
+ * Return: the agent, or NULL if the order is not in flight.
+ */
+const wl_sched_agent_t *wl_sched_order_agent(const wl_sched_t *sched, uint64_t id)
+{
+	const wl_sched_order_t *in_flight =
+		wl_map_get(&sched->orders_by_id, (wl_str_t){(const char *)&id, sizeof(id)});
+
+	return in_flight ? in_flight->agent : NULL;
+}
+
 /*
  * Whether the known incarnation answered. Only the answer to a renewal names it; other orders must
  * have been created for it, and its clock must not be behind.
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -14,6 +14,8 @@
 #define RENEWAL_TAILS_MS   500
 #define RENEWAL_TIMEOUT_MS 800	/* in addition to the wait */
 #define RENEWAL_RETRY_MS   200	/* after a failed renewal */
+#define RENEWAL_REPORT_MS  400	/* for an agent to report, in addition to the time-out */
+#define STANDSTILL_MS	   200	/* after a longer pause between ticks results may wait to be read */
 #define PROBE_INTERVAL_MS  1000 /* between questions which incarnation a target is */
 #define UNKNOWN_RETRY_MS   1000 /* between lists of a target that only unknown runs may be on */
 #define UNREACHABLE_MS	   3500 /* a target that was silent for longer gets no starts */
@@ -279,23 +281,61 @@
 	return known->ends_committed;
 }
 
+static bool may_request_lease(const wl_sched_runner_t *runner)
+{
+	return runner->known.clock_ns && !runner->known.renewal_failed && !runner->known.departing;
+}
+
+static void renewal_order(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			  wl_order_t *order)
+{
+	order->kind = WL_ORDER_RENEW;
+	order->timeout_ms = order->wait_ms + RENEWAL_TIMEOUT_MS;
+	runner->probe_due = false;
+	runner->renewal_overdue_ns =
+		now_ns + (order->timeout_ms + RENEWAL_REPORT_MS) * WL_NS_PER_MS;
+	wl_sched_order_add(sched, now_ns, runner, order, NULL);
+}
+
 static void renewal_send(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			 bool needs_lease)
 {
-	wl_order_t order = {.kind = WL_ORDER_RENEW,
-			    .committed_ends = ends_to_acknowledge(&runner->known)};
+	wl_order_t order = {.committed_ends = ends_to_acknowledge(&runner->known)};
 
 	order.wait_ms =
 		needs_lease && !needs_immediate_answer(runner, now_ns) ? RENEWAL_WAIT_MS : 0;
 	if (order.wait_ms && wl_sched_tails_at_risk(sched, runner))
 		order.wait_ms = RENEWAL_TAILS_MS;
-	order.timeout_ms = order.wait_ms + RENEWAL_TIMEOUT_MS;
-	if (needs_lease && runner->known.clock_ns && !runner->known.renewal_failed &&
-	    !runner->known.departing)
+	if (needs_lease && may_request_lease(runner))
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
 	runner->known.ack_due = false;
-	runner->probe_due = false;
-	wl_sched_order_add(sched, now_ns, runner, &order, NULL);
+	renewal_order(sched, now_ns, runner, &order);
+}
+
+/* Whether the agent of the renewal in flight holds it up, and another replica can send it. */
+static bool renewal_held_up(const wl_sched_t *sched, uint64_t now_ns,
+			    const wl_sched_runner_t *runner)
+{
+	return runner->renewal_id && now_ns >= runner->renewal_overdue_ns &&
+	       now_ns >= sched->caught_up_ns &&
+	       wl_sched_agent_replaceable(sched, runner,
+					  wl_sched_order_agent(sched, runner->renewal_id));
+}
+
+/*
+ * Sends a renewal that an agent holds up through another one. It names no later expiry than those
+ * before, so that the lease of a silent target ends as early as without it, and acknowledges
+ * nothing.
+ */
+static void renewal_repeat(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
+{
+	wl_order_t order = {0};
+
+	wl_sched_agent_avoid(sched, runner, now_ns,
+			     wl_sched_order_agent(sched, runner->renewal_id));
+	if (wl_sched_runner_needs_lease(runner) && may_request_lease(runner))
+		order.lease_ms = runner->known.lease_until_ms;
+	renewal_order(sched, now_ns, runner, &order);
 }
 
 /* Whether the target has runs that the leader does not know, or may get one by a late start. */
@@ -332,6 +372,8 @@
 		wl_sched_runs_expire(sched, now_ns, runner, out);
 	if (!runner->renewal_id && now_ns >= runner->renewal_due_ns)
 		renewal_send_due(sched, now_ns, runner);
+	else if (renewal_held_up(sched, now_ns, runner))
+		renewal_repeat(sched, now_ns, runner);
 	if (!TAILQ_EMPTY(&runner->runs) || runner->known.removal_proposed)
 		return;
 	if (last_ns < sched->leader_since_ns)
@@ -350,6 +392,9 @@
 {
 	wl_sched_runner_t *runner;
 
+	if (now_ns - sched->ticked_ns > STANDSTILL_MS * WL_NS_PER_MS)
+		sched->caught_up_ns = now_ns + RENEWAL_REPORT_MS * WL_NS_PER_MS;
+	sched->ticked_ns = now_ns;
 	TAILQ_FOREACH (runner, &sched->runners, link)
 		runner_tick(sched, now_ns, runner, out);
 }
@@ -543,6 +588,17 @@
 		order->incarnation != runner->incarnation);
 }
 
+/*
+ * Whether the result of a renewal says less than that of a later one: it was answered before, or
+ * this one failed where that one may not.
+ */
+static bool renewal_superseded(const wl_sched_runner_t *runner, const wl_sched_order_t *order,
+			       const wl_order_end_t *end)
+{
+	return order->id < runner->renewal_answered_id ||
+	       (order->id != runner->renewal_id && end->outcome != WL_ORDER_DONE);
+}
+
 /*
  * wl_sched_renewal_answered - process the result of a renewal
  */
@@ -553,6 +609,10 @@
 	wl_cmd_runs_end_t ends = {0};
 	wl_sched_run_t *run;
 
+	if (renewal_superseded(runner, order, end)) {
+		wl_sched_agent_avoid(sched, runner, now_ns, order->agent);
+		return;
+	}
 	if (runner->renewal_id == order->id)
 		runner->renewal_id = 0;
 	if (address_taken(sched, runner, order, end)) {
@@ -576,6 +636,7 @@
 		runner->answered_ns = now_ns;
 	}
 	runner->known.renewal_failed = false;
+	runner->renewal_answered_id = order->id;
 	if (order->incarnation == runner->incarnation &&
 	    order->committed_ends > runner->known.ends_acknowledged)
 		runner->known.ends_acknowledged = order->committed_ends;
