tests: an entry is with the next leader within a second, known red

Cause: an entry gives a leader up that was silent for 1.7 s and asks the other replicas. One that has not begun an election still names the silent leader, and this counts as an answer of that leader: the entry waits for 1.7 s more.

Product code is not changed here.

--- /dev/null
+++ b/tests/unit/session_test.cc
@@ -0,0 +1,120 @@
+extern "C" {
+#include <libwlcore/node/session.h>
+}
+
+#include <cstring>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+constexpr uint64_t MS = 1000000;
+constexpr uint64_t STEP_MS = 10;
+constexpr uint64_t LOST_MS = 10000;	/* when the leader falls silent */
+constexpr uint64_t ELECTED_MS = 1200;	/* from then until another one leads */
+constexpr uint64_t FOUND_MAX_MS = 1000; /* from then until the entry knows it */
+constexpr uint64_t GROUP = 1;
+
+/* An entry's session beside five replicas, of which s1 leads first, then s2. */
+class Entry
+{
+      public:
+	/* @first_ms: time of the first renewal */
+	explicit Entry(uint64_t first_ms) : now_ms(first_ms)
+	{
+		wl_session_options_t options = {};
+
+		options.entry = wl_str_from("e1");
+		options.boot = 1;
+		options.stores = stores;
+		options.store_count = 5;
+		wl_session_init(&session, &options, now_ms * MS);
+	}
+
+	~Entry()
+	{
+		wl_session_free(&session);
+	}
+
+	/* Returns from when on the session is with s2, in ms after s2 led. */
+	uint64_t play()
+	{
+		wl_event_t tick;
+
+		while (leader() != "s2") {
+			wl_event_init(&tick, WL_EVENT_TICK);
+			step(&tick);
+			now_ms += STEP_MS;
+			if (now_ms > LOST_MS + 60000)
+				break;
+		}
+		return now_ms - LOST_MS - ELECTED_MS;
+	}
+
+      private:
+	std::string leader() const
+	{
+		wl_str_t name = wl_buf_str(&session.leader);
+
+		return {name.at, name.len};
+	}
+
+	/* Who leads, as the followers know it: they have not given s1 up before the election. */
+	std::string known_leader() const
+	{
+		return now_ms < LOST_MS + ELECTED_MS ? "s1" : "s2";
+	}
+
+	void step(wl_event_t *event)
+	{
+		wl_out_t out = {};
+
+		wl_session_step(&session, &view, now_ms * MS, event, &out);
+		wl_event_free(event);
+		for (size_t i = 0; i < out.count; i++)
+			if (out.actions[i].kind == WL_ACTION_SEND)
+				answer(out.actions[i]);
+		wl_out_free(&out);
+	}
+
+	void answer(const wl_action_t &sent)
+	{
+		wl_str_t to = wl_buf_str(&sent.peer);
+		std::string peer(to.at, to.len);
+		wl_event_t event;
+
+		if (peer == "s1" && now_ms >= LOST_MS)
+			return;
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_msg_init(&event.msg, WL_MSG_RENEWED);
+		wl_buf_set(&event.peer, to);
+		wl_msg_renewed_t &renewed = event.msg.u.renewed;
+		renewed.boot = 1;
+		renewed.group = GROUP;
+		renewed.sent_ns = now_ms * MS;
+		renewed.session = 7;
+		renewed.validity_ms = 5000;
+		renewed.code = peer == known_leader() ? WL_OK : WL_E_NO_LEADER;
+		if (peer != known_leader())
+			wl_buf_set(&renewed.leader, wl_str_from(known_leader().c_str()));
+		step(&event);
+	}
+
+	const wl_str_t stores[5] = {WL_STR("s1"), WL_STR("s2"), WL_STR("s3"), WL_STR("s4"),
+				    WL_STR("s5")};
+	wl_session_t session;
+	wl_view_t view = {};
+	uint64_t now_ms;
+};
+} // namespace
+
+/* Guards against entries that wait for a silent leader since a follower has named it. */
+TEST(Session, IsWithTheNextLeaderWithinASecond)
+{
+	for (uint64_t first_ms = 1; first_ms < 1000; first_ms += 50) {
+		Entry entry(first_ms);
+
+		EXPECT_LE(entry.play(), FOUND_MAX_MS) << "first renewal at " << first_ms << " ms";
+	}
+}
