scheduler: a start that stays open until its target crashes later was left

Callers may see a job fail although its task has never begun: its starts were left unanswered by three targets that crashed 0.4 s later, and nothing was heard of these in between.

Cause: a start without an answer is known to have been left only if the target was heard of more than 100 ms after it. Between two reports, with a renewal open, a target is heard of less often. Suspected by reading; StartsThatAreOpenUntilTheTargetCrashesLaterDoNotFailTheirJob of unit.sched_crash_test shows it (failed at the third crash before, six leave the job running now).

A target answers a start before it begins the task, and the connection of the start breaks when it crashes. One that was open for more than 300 ms and broke before the order timed out was left. As before, such a crash makes its task suspected and does not count towards giving it up.

Weighed: a guilty task whose start is held up for 0.3 s on its way, and whose answer is lost, is started once more for each such crash. Starts that break at once, or time out, count as before; two cases guard that (they passed before). Not counting any of them fails unit.sched_guilty_test, as found earlier.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -9,6 +9,7 @@
 #include "internal.h"
 
 #define START_ANSWER_MS 100  /* several round trips; a target answers before it begins */
+#define START_BROKEN_MS 300  /* the same, with the way of the news to the leader */
 #define OUTAGE_NEW_MS	1000 /* a run that had worked for longer is no cause of an outage */
 
 /*
@@ -112,14 +113,30 @@
 }
 
 /*
- * Whether the target was heard of for longer than it takes to answer a start, and neither answered
- * that of the run nor listed it. A task that crashes its target at once leaves no such time.
- * Nothing is known of that if the target has started twice since.
+ * Whether the connection of a start was open for longer than it takes to answer it. One that broke
+ * before the order timed out broke with the target: that was up until then.
+ */
+static bool start_was_open(const wl_sched_run_t *run)
+{
+	uint64_t open_ns = run->start_failed_ns - run->start_sent_ns;
+
+	return run->start_failed_ns > run->start_sent_ns &&
+	       open_ns > START_BROKEN_MS * WL_NS_PER_MS &&
+	       open_ns < WL_SCHED_START_TIMEOUT_MS * WL_NS_PER_MS;
+}
+
+/*
+ * Whether the target was up for longer than it takes to answer a start, and neither answered that
+ * of the run nor listed it. A task that crashes its target at once leaves no such time. What is
+ * heard of a target says nothing of that if it has started twice since.
  */
 static bool was_left(const wl_sched_run_t *run, const wl_sched_incarnation_end_t *end)
 {
-	return run->phase == WL_RUN_UNCONFIRMED && run->incarnation == end->incarnation &&
-	       end->contact_ns > run->start_sent_ns + START_ANSWER_MS * WL_NS_PER_MS;
+	if (run->phase != WL_RUN_UNCONFIRMED)
+		return false;
+	return start_was_open(run) ||
+	       (run->incarnation == end->incarnation &&
+		end->contact_ns > run->start_sent_ns + START_ANSWER_MS * WL_NS_PER_MS);
 }
 
 /*
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -62,9 +62,10 @@
 	uint64_t started_ms; /* when its start was committed, on the group's clock; 0: unknown */
 	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
 	uint64_t start_sent_ns;
-	uint64_t start_over_ns; /* without an answer its start may be carried out until then */
-	uint64_t answered_ns;	/* when the newest answer about it arrived */
-	uint64_t listed_by;	/* incarnation of the target that listed it; 0: none yet */
+	uint64_t start_failed_ns; /* when its start ended without an answer; 0: it has not */
+	uint64_t start_over_ns;	  /* without an answer its start may be carried out until then */
+	uint64_t answered_ns;	  /* when the newest answer about it arrived */
+	uint64_t listed_by;	  /* incarnation of the target that listed it; 0: none yet */
 	/* its start was answered with a clock that bounds its lease */
 	bool lease_bounded;
 	uint64_t stop_sent_ns; /* to the known incarnation of the target; 0: never */
--- a/tests/support/crash_targets.h
+++ b/tests/support/crash_targets.h
@@ -52,7 +52,8 @@
 			rig.answer(order, WL_ORDER_NO_ANSWER);
 			return;
 		}
-		if (order.kind == WL_ORDER_START && unanswered.count(order.task) > 0) {
+		if ((order.kind == WL_ORDER_START && unanswered.count(order.task) > 0) ||
+		    (order.kind == WL_ORDER_RENEW && quiet.count(order.runner) > 0)) {
 			left.push_back(order);
 			return;
 		}
@@ -80,7 +81,7 @@
 				for (const auto &order : rig.take_orders(kind))
 					carry_out(order);
 			for (const auto &one : targets)
-				if (!one.second.down)
+				if (!one.second.down && quiet.count(one.first) == 0)
 					rig.report_forwarded("s1", one.first, one.second.life);
 		}
 	}
@@ -174,8 +175,9 @@
 	std::vector<SchedOrder> started;
 	std::vector<uint64_t> started_ns; /* when */
 	std::set<std::string> unanswered; /* tasks whose starts get no answer and have no effect */
-	std::vector<SchedOrder> left;	  /* these starts, until their targets are lost */
-	std::set<std::string> guilty;	  /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
+	std::set<std::string> quiet; /* targets that are up, report nothing and answer no renewal */
+	std::vector<SchedOrder> left; /* these orders, until their targets are lost */
+	std::set<std::string> guilty; /* tasks, as JOB.OCCURRENCE.STEP.INDEX */
 	size_t crashes = 0;
 };
 
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -235,6 +235,75 @@
 	EXPECT_EQ(started.size(), 3u);
 }
 
+/* Nothing is heard of the target after the start, until its connections break. */
+TEST_F(Crash, StartsThatAreOpenUntilTheTargetCrashesLaterDoNotFailTheirJob)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	unanswered = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 6; i++) {
+		for (int wait = 0; wait < 1000 && left.empty(); wait++)
+			pass(10);
+		ASSERT_FALSE(left.empty()) << i;
+		std::string at = left[0].runner;
+		quiet = {at};
+		pass(400);
+		crash(at);
+		quiet.clear();
+		pass(2000);
+		target(at);
+	}
+	EXPECT_EQ(rig.job_state("j"), "running");
+	EXPECT_GT(rig.find("j")->tasks[0].crashes.count, 0u);
+}
+
+/* They begin without an answer that arrives, as their targets crash at once. */
+TEST_F(Crash, StartsThatBreakAtOnceFailTheirJob)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	unanswered = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 3; i++) {
+		for (int wait = 0; wait < 1000 && left.empty(); wait++)
+			pass(10);
+		ASSERT_FALSE(left.empty()) << i;
+		std::string at = left[0].runner;
+		quiet = {at};
+		pass(100);
+		crash(at);
+		quiet.clear();
+		pass(2000);
+		target(at);
+	}
+	pass(START_OVER_MS);
+	EXPECT_EQ(rig.job_state("j"), "failed");
+}
+
+/* It may have crashed at once: its power is lost, and no connection breaks. */
+TEST_F(Crash, StartsThatTimeOutFailTheirJob)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	unanswered = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 3; i++) {
+		for (int wait = 0; wait < 1000 && left.empty(); wait++)
+			pass(10);
+		ASSERT_FALSE(left.empty()) << i;
+		std::string at = left[0].runner;
+		quiet = {at};
+		pass(left[0].timeout_ms);
+		crash(at);
+		quiet.clear();
+		pass(2000);
+		target(at);
+	}
+	pass(START_OVER_MS);
+	EXPECT_EQ(rig.job_state("j"), "failed");
+}
+
 TEST_F(Crash, LeaderThatChangesBetweenTwoCrashesKeepsTheCount)
 {
 	for (const char *id : {"a", "b", "c", "d"})
