scheduler: ignore clocks in answers that took long to arrive

Where a slow replica was the only other one, leases of its targets ended while each renewal was answered: with results that came 3.5 s late, runs lapsed beside it.

Cause: the clock in the newest answer replaced the one known before even if it had become older on its way. The expiry of the next renewal was counted from it, so that the lease was shorter by the delay.

A sample that is more than 0.2 s behind the lower bound that the present sample gives is ignored. Both are lower bounds, so that the higher one holds; bounds of leases already took the earliest of all samples. A sample without delay is never behind, as a target's clock is slow by 2 % at most; one of a later incarnation is always the first of that.

unit.sched_slow_agents_test: NoRunLapsesBesideTheOnlyAgentWhoseResultsAreLate failed before, passes.

--- a/libwlcore/sched/leases.c
+++ b/libwlcore/sched/leases.c
@@ -10,6 +10,8 @@
 
 #define CLOCK_SLOW_PERCENT 2   /* as the contract with the targets allows */
 #define EXPIRY_MARGIN_MS   300 /* for the transit of the last order and a late timer */
+/* A sample that is so far behind the known bound of the clock comes from a late message. */
+#define SAMPLE_LATE_MS 200
 
 /*
  * wl_sched_lease_bound_ns - longest duration by our clock of a lease of so many ms by the target's
@@ -50,16 +52,23 @@
 	return known->clock_ns + wl_sched_lease_bound_ns(remaining_ms);
 }
 
+static bool sample_late(const wl_sched_runner_t *runner, uint64_t now_ns, uint64_t clock_ms)
+{
+	return runner->known.clock_ns &&
+	       clock_ms + SAMPLE_LATE_MS < wl_sched_runner_clock_least_ms(runner, now_ns);
+}
+
 /*
  * wl_sched_clock_sample - record a time on the clock of the known incarnation
  *
- * Each sample bounds the leases, so that the earliest bound holds.
+ * Each sample bounds the leases, so that the earliest bound holds. One that took long to arrive is
+ * worse than the present one: the next lease would be shorter by its delay.
  */
 void wl_sched_clock_sample(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t clock_ms)
 {
 	uint64_t over_ns;
 
-	if (clock_ms <= runner->known.clock_ms)
+	if (clock_ms <= runner->known.clock_ms || sample_late(runner, now_ns, clock_ms))
 		return;
 	runner->known.clock_ms = clock_ms;
 	runner->known.clock_ns = now_ns;
--- a/tests/unit/sched_slow_agents_test.cc
+++ b/tests/unit/sched_slow_agents_test.cc
@@ -272,6 +272,16 @@
 	EXPECT_TRUE(twice.empty());
 }
 
+/* Guards against leases that a late result shortens, as its clock is taken for the present one. */
+TEST_F(SchedSlowAgents, NoRunLapsesBesideTheOnlyAgentWhoseResultsAreLate)
+{
+	begin(24, {"s2"});
+	slow["s2"] = {0, 3500};
+	pass(40000);
+	EXPECT_EQ(lapsed.size(), 0u) << lapsed[0];
+	EXPECT_TRUE(twice.empty());
+}
+
 INSTANTIATE_TEST_SUITE_P(Delays, SchedSlowAgent,
 			 ::testing::Values(Delay{2000, 0}, Delay{2900, 0}, Delay{3500, 0},
 					   Delay{5000, 0}, Delay{0, 2000}, Delay{0, 3500},
