log: wait for a descriptor that does not block

Cause: the logger writes up to 32 KiB at once, and dropped the rest of a batch, also half a line, when the descriptor had no room. Standard error does not block if another process has set the open file so.

It waits up to a second for room now. Once that was in vain the next lines do not wait, so that a reader that is gone delays a stop by a second at most; lines that are dropped are counted with those that the ring had no room for.

--- a/libwlbase/log.c
+++ b/libwlbase/log.c
@@ -8,6 +8,7 @@
 #include "log.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -22,10 +23,11 @@
 #include "log_limit.h"
 #include "ring.h"
 
-#define LOG_SLOTS   4096
-#define LOG_POLL_MS 200		/* longest wait for a line; wl_log_stop() may take as long */
-#define WRITE_BYTES (32U << 10) /* lines are collected up to this size, then written at once */
-#define EVENT_KEY   "event="
+#define LOG_SLOTS     4096
+#define LOG_POLL_MS   200	  /* longest wait for a line; wl_log_stop() may take as long */
+#define WRITE_BYTES   (32U << 10) /* lines are collected up to this size, then written at once */
+#define WRITE_WAIT_MS 1000	  /* longest wait for a descriptor that does not block */
+#define EVENT_KEY     "event="
 
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
 
@@ -33,9 +35,10 @@
 	wl_ring_t *ring;
 	pthread_t thread;
 	int fd;
+	bool stuck; /* the last wait for it was in vain: the next lines do not wait */
 	unsigned int min_level;
 	unsigned int running;
-	uint64_t dropped;     /* the ring was full */
+	uint64_t dropped;     /* the ring was full, or the lines could not be written */
 	uint64_t omitted;     /* above the limit of their event */
 	pthread_mutex_t lock; /* protects limit */
 	wl_log_limit_t limit;
@@ -44,6 +47,26 @@
 
 static logger_t logger = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
+/* Whether a write that failed can be tried again; waits until then. */
+static bool write_again(int error)
+{
+	struct pollfd writable = {.fd = logger.fd, .events = POLLOUT};
+
+	if (error == EINTR)
+		return true;
+	if (error != EAGAIN)
+		return false;
+	logger.stuck = poll(&writable, 1, logger.stuck ? 0 : WRITE_WAIT_MS) <= 0;
+	return !logger.stuck;
+}
+
+static void lines_drop(const char *at, size_t len)
+{
+	for (size_t i = 0; i < len; i++)
+		if (at[i] == '\n')
+			ck_pr_inc_64(&logger.dropped);
+}
+
 static void log_write(const wl_buf_t *line)
 {
 	size_t done = 0;
@@ -51,11 +74,12 @@
 	while (done < line->len) {
 		ssize_t n = write(logger.fd, line->at + done, line->len - done);
 
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n <= 0)
+		if (n > 0) {
+			done += (size_t)n;
+		} else if (n == 0 || !write_again(errno)) {
+			lines_drop(line->at + done, line->len - done);
 			return;
-		done += (size_t)n;
+		}
 	}
 }
 
@@ -247,7 +271,8 @@
 }
 
 /*
- * wl_log_dropped - get the number of lines dropped because the ring was full
+ * wl_log_dropped - get the number of lines dropped because the ring was full, or that could not be
+ * written
  */
 uint64_t wl_log_dropped(void)
 {
--- a/tests/unit/base_test.cc
+++ b/tests/unit/base_test.cc
@@ -12,6 +12,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -284,6 +285,38 @@
 	wl_buf_free(&quoted);
 }
 
+/* Guards against lines that are lost, or cut off, since the reader is slow and writes don't block.
+ */
+TEST(Log, WritesAllLinesToAPipeThatDoesNotBlock)
+{
+	constexpr int LINES = 2000;
+	int ends[2];
+	std::string text;
+	wl_err_t err = {};
+
+	ASSERT_EQ(pipe(ends), 0);
+	ASSERT_EQ(fcntl(ends[1], F_SETFL, O_NONBLOCK), 0);
+	ASSERT_GT(fcntl(ends[1], F_SETPIPE_SZ, 4096), 0);
+	ASSERT_TRUE(wl_log_start(ends[1], WL_INFO, wl_str_from("e1"), &err));
+	for (int i = 0; i < LINES; i++)
+		wl_log_event(WL_ERROR, "counted", "i=%d", i);
+	std::thread reader([&text, &ends] {
+		char bytes[1024];
+
+		for (ssize_t n; (n = read(ends[0], bytes, sizeof(bytes))) > 0;)
+			text.append(bytes, static_cast<size_t>(n));
+	});
+	wl_log_stop();
+	close(ends[1]);
+	reader.join();
+	close(ends[0]);
+	EXPECT_EQ(wl_log_dropped(), 0u);
+	EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), LINES);
+	for (int i = 0; i < LINES; i++)
+		EXPECT_NE(text.find(" event=counted i=" + std::to_string(i) + "\n"),
+			  std::string::npos);
+}
+
 TEST(Str, SplitsAtTheLastOccurrence)
 {
 	wl_str_t head;
