gate: log refused calls with host and path of their job

An operator with the id of a job that a caller complains about could not find the refusal: call-refused named the operation and the reason only, and an entry logs many of them in the same second.

The line ends with the address of the job. It comes last, as lines are cut at 1,024 bytes. Gate.RefusalsAreLoggedWithHostAndPath failed before.

--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -23,6 +23,7 @@
 	uint64_t id;  /* id of the call to the leader, from WL_PART_ID() */
 	uint64_t call;
 	wl_operation_kind_t kind;
+	wl_buf_t address; /* host and path of the job that the call is about */
 	uint64_t sent_ns;
 	TAILQ_ENTRY(wl_gate_pending_call) link;
 } wl_gate_pending_call_t;
@@ -54,6 +55,7 @@
 {
 	wl_map_remove(&gate->by_id, pending->key);
 	TAILQ_REMOVE(&gate->pending_calls, pending, link);
+	wl_buf_free(&pending->address);
 	free(pending);
 }
 
@@ -109,14 +111,16 @@
 }
 
 static uint64_t pending_call_add(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
-				 wl_operation_kind_t kind)
+				 const wl_operation_t *operation)
 {
 	wl_gate_pending_call_t *pending = wl_alloc(sizeof(*pending));
 
 	pending->id = WL_PART_ID(WL_PART_GATE, gate->next_id++);
 	pending->key = (wl_str_t){(const char *)&pending->id, sizeof(pending->id)};
 	pending->call = call->id;
-	pending->kind = kind;
+	pending->kind = operation->kind;
+	wl_buf_set(&pending->address, wl_buf_str(&operation->host));
+	wl_buf_append(&pending->address, wl_buf_str(&operation->path));
 	pending->sent_ns = now_ns;
 	wl_map_put(&gate->by_id, pending);
 	TAILQ_INSERT_TAIL(&gate->pending_calls, pending, link);
@@ -174,7 +178,7 @@
 			      wl_operation_t *operation, wl_out_t *out)
 {
 	uint64_t until_ns = deadline_ns(call, operation, now_ns);
-	uint64_t id = pending_call_add(gate, now_ns, call, operation->kind);
+	uint64_t id = pending_call_add(gate, now_ns, call, operation);
 	wl_msg_query_t *query;
 	wl_cmd_t cmd = {0};
 
@@ -228,6 +232,23 @@
 	wl_operation_free(&operation);
 }
 
+static void refusal_log(const wl_gate_pending_call_t *pending, const wl_result_t *result,
+			wl_out_t *out)
+{
+	wl_buf_t address = {0};
+
+	if (pending->address.len > 0) {
+		wl_buf_append(&address, WL_STR(" address="));
+		wl_log_quote(&address, wl_buf_str(&pending->address));
+	}
+	wl_out_log(out, WL_INFO, "call-refused",
+		   "operation=%s code=%s verdict=%s reason=\"" WL_STR_FMT "\"" WL_STR_FMT,
+		   wl_operation_names[pending->kind], wl_code_name((wl_code_t)result->code),
+		   wl_verdict_name((wl_verdict_t)result->verdict),
+		   WL_STR_ARG(wl_buf_str(&result->text)), WL_STR_ARG(wl_buf_str(&address)));
+	wl_buf_free(&address);
+}
+
 static void gate_result(wl_gate_t *gate, uint64_t id, const wl_result_t *result, wl_out_t *out)
 {
 	wl_gate_pending_call_t *pending =
@@ -236,11 +257,7 @@
 	if (!pending)
 		return;
 	if (result->code != WL_OK && result->code != WL_E_GONE)
-		wl_out_log(out, WL_INFO, "call-refused",
-			   "operation=%s code=%s verdict=%s reason=\"" WL_STR_FMT "\"",
-			   wl_operation_names[pending->kind], wl_code_name((wl_code_t)result->code),
-			   wl_verdict_name((wl_verdict_t)result->verdict),
-			   WL_STR_ARG(wl_buf_str(&result->text)));
+		refusal_log(pending, result, out);
 	if (pending->kind == WL_OPERATION_RUNNER_REPORT && result->code == WL_OK &&
 	    gate->options.report_acknowledged)
 		gate->options.report_acknowledged(gate->options.context, pending->sent_ns);
--- a/tests/unit/gate_test.cc
+++ b/tests/unit/gate_test.cc
@@ -117,6 +117,17 @@
 		return "";
 	}
 
+	/* Lines that were logged since the last event. */
+	std::string logged() const
+	{
+		std::string lines;
+
+		for (size_t i = 0; i < out.count; i++)
+			if (out.actions[i].kind == WL_ACTION_LOG)
+				lines += text(out.actions[i].line) + "\n";
+		return lines;
+	}
+
 	static std::string text(const wl_buf_t &buf)
 	{
 		return std::string(buf.at ? buf.at : "", buf.len);
@@ -172,6 +183,17 @@
 	EXPECT_EQ(answered(), R"(400 {"error":"bad-input"})");
 }
 
+/* Guards against refused calls that can't be found by the job that a caller complains about. */
+TEST_F(Gate, RefusalsAreLoggedWithHostAndPath)
+{
+	result(call("POST", "/q/a=1", JOB), WL_E_NO_LEADER, WL_NOT_RUN);
+	EXPECT_EQ(logged(), "event=call-refused operation=job-add code=no-leader verdict=not-run "
+			    "reason=\"\" address=\"queue.example/q/a=1\"\n");
+	result(call("GET", "/q/1", ""), WL_E_NOT_FOUND, WL_NOT_RUN);
+	EXPECT_EQ(logged(), "event=call-refused operation=job-get code=not-found verdict=not-run "
+			    "reason=\"\" address=queue.example/q/1\n");
+}
+
 TEST_F(Gate, IgnoresADuplicateResult)
 {
 	uint64_t id = call("POST", "/q/1", JOB);
