tests: silent targets make nobody guilty under later leaders

The table of lapses outlives the leader, so that a target that was only cut off must not pass for a crashed one under any later leader.

--- a/tests/unit/sched_late_guilty_test.cc
+++ b/tests/unit/sched_late_guilty_test.cc
@@ -45,4 +45,40 @@
 	printf("seed %u: guilty tasks %zu, crashes %zu, at most %zu of a task\n", options.seed,
 	       fleet.guilty.size(), fleet.crashes, crashes_max);
 }
+
+class Cut : public testing::TestWithParam<unsigned int>
+{
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Cut, testing::Range(1u, 5u));
+
+/* Targets are cut off for 6 to 30 s, while the leader changes. */
+TEST_P(Cut, TargetsThatAreSilentMakeNobodyGuiltyUnderLaterLeaders)
+{
+	CrashFleetOptions options;
+	options.seed = GetParam();
+	CrashFleet fleet(options);
+	std::mt19937 random(options.seed);
+	Mix mix(fleet);
+	size_t crashes = 0;
+	size_t lost = 0;
+
+	lasting_jobs_submit(fleet);
+	for (uint64_t round = 0; round < 4; round++) {
+		for (int i = 0; i < 3; i++)
+			fleet.cut(random() % options.targets, 6000 + random() % 24000);
+		mix.simulate(7000, false);
+		fleet.leader_change(LEADER_GAP_MS, round + 2);
+		mix.simulate(2000, false);
+	}
+	EXPECT_TRUE(fleet.simulate_until_ended(2 * LIMIT_MS));
+	for (const auto &line : fleet.rig.log) {
+		crashes += line.find("event=task-crash ") != std::string::npos;
+		lost += line.find("how=lost") != std::string::npos;
+	}
+	EXPECT_GE(lost, 10u);
+	EXPECT_EQ(crashes, 0u);
+	for (const auto &one : fleet.jobs)
+		EXPECT_NE(fleet.rig.job_state(one.first), "failed") << one.first;
+}
 } // namespace
