--- a/tests/unit/sched_slow_agents_test.cc
+++ b/tests/unit/sched_slow_agents_test.cc
@@ -414,3 +414,19 @@
 	EXPECT_GE(rig.now / MS, held_until_ms);
 	EXPECT_LE(rig.now / MS, held_until_ms + 500);
 }
+
+/* Guards against a new leader that learns of its runs late, as their list is held up. */
+TEST_F(SchedRepeatedRenewal, FirstOneOfANewLeaderIsRepeatedToo)
+{
+	rig.follow();
+	rig.lead(2);
+	rig.agents(OTHERS);
+	rig.orders.clear();
+	uint64_t began_ns = rig.now;
+	SchedOrder first = rig.next_renewal();
+	SchedOrder second = rig.next_renewal();
+
+	EXPECT_NE(second.agent, first.agent);
+	EXPECT_EQ(second.lease_ms, 0u);
+	EXPECT_LE(rig.now - began_ns, 1300 * MS);
+}
