bench: wl-bench-jobs up to 10,000 targets, and the cost of an idle tick

The tool ended above 2,000 targets (with a message since; before that without a word), and its stand-ins called abort() without one when a table of fixed size was full: 65,536 messages under way, as many answers. Both tables now grow, the limit is 10,000 targets, and a target with more than 512 runs ends the tool with a message.

A last column, idle_tick_ns, is the processor time of a tick of the leader at the time of the one before, the mean of 1,000; the tool fails if such a tick does anything.

--- a/tests/bench/jobs.c
+++ b/tests/bench/jobs.c
@@ -5,7 +5,8 @@
  *
  * Usage: wl-bench-jobs [TARGETS [STARTS_PER_S [BACKLOG_TASKS [CORES_MAX]]]]
  * Prints CSV about the leader.  Its processor time includes packing and unpacking of messages, but
- * not the calls to targets.  Fails if the leader uses more than CORES_MAX.
+ * not the calls to targets; that of a tick with nothing due is measured at the end.  Fails if the
+ * leader uses more than CORES_MAX.
  */
 
 #include <stdio.h>
@@ -258,14 +259,15 @@
 	starts = targets_starts() - starts;
 	cpu_ns = replicas_cpu_ns(leader);
 	cores = (double)cpu_ns / (RUN_MS * WL_NS_PER_MS);
-	printf("targets,starts,holds,running,us_a_start,cores,kb_sent,lines,digest\n");
-	printf("%zu,%llu,%llu,%llu,%.1f,%.4f,%llu,%llu,%016llx\n", target_count,
+	printf("targets,starts,holds,running,us_a_start,cores,kb_sent,lines,digest,idle_tick_ns\n");
+	printf("%zu,%llu,%llu,%llu,%.1f,%.4f,%llu,%llu,%016llx,%llu\n", target_count,
 	       (unsigned long long)starts, (unsigned long long)(targets_holds() - holds),
 	       (unsigned long long)targets_running(),
 	       (double)cpu_ns / 1000 / (double)(starts ? starts : 1), cores,
 	       (unsigned long long)(replicas_sent_bytes(leader) / 1024),
 	       (unsigned long long)replicas_log_lines(leader),
-	       (unsigned long long)replicas_calls_digest());
+	       (unsigned long long)replicas_calls_digest(),
+	       (unsigned long long)replicas_idle_tick_ns(leader));
 	replicas_free();
 	targets_free();
 	if (cores_max <= 0 || cores <= cores_max)
--- a/tests/bench/replicas.c
+++ b/tests/bench/replicas.c
@@ -11,8 +11,9 @@
 #include <libwlcore/node/node.h>
 #include <platform/platform.h>
 
-#define TICK_NS	       (10 * WL_NS_PER_MS)
-#define DELIVERIES_MAX 65536
+#define TICK_NS			(10 * WL_NS_PER_MS)
+#define IDLE_TICKS		1000 /* of which the mean is taken */
+#define DELIVERIES_CAPACITY_MIN 1024
 
 /* A packed message to a replica, or the completion of a sync of its disk. */
 typedef struct delivery {
@@ -32,8 +33,9 @@
 } replica_t;
 
 static replica_t replicas[REPLICAS];
-static delivery_t deliveries[DELIVERIES_MAX];
+static delivery_t *deliveries;
 static size_t delivery_count;
+static size_t delivery_capacity;
 static replicas_fetch_t on_fetch;
 static size_t leader = REPLICAS;
 static uint64_t now_ns = 5 * WL_NS_PER_S;
@@ -58,8 +60,11 @@
 
 static delivery_t *delivery_add(size_t from, size_t to)
 {
-	if (delivery_count == DELIVERIES_MAX)
-		abort();
+	if (delivery_count == delivery_capacity) {
+		delivery_capacity =
+			delivery_capacity ? 2 * delivery_capacity : DELIVERIES_CAPACITY_MIN;
+		deliveries = wl_realloc(deliveries, delivery_capacity * sizeof(*deliveries));
+	}
 	deliveries[delivery_count] = (delivery_t){.from = from, .to = to};
 	return &deliveries[delivery_count++];
 }
@@ -145,12 +150,24 @@
 {
 	size_t count = delivery_count;
 
-	for (size_t i = 0; i < count; i++)
-		delivery_complete(&deliveries[i]);
+	for (size_t i = 0; i < count; i++) {
+		delivery_t delivery = deliveries[i]; /* its step may add others and move them */
+
+		delivery_complete(&delivery);
+	}
 	memmove(deliveries, deliveries + count, (delivery_count - count) * sizeof(*deliveries));
 	delivery_count -= count;
 }
 
+static void tick(size_t node)
+{
+	wl_event_t event;
+
+	wl_event_init(&event, WL_EVENT_TICK);
+	event.wall_ms = now_ns / WL_NS_PER_MS;
+	step(node, &event);
+}
+
 void replicas_advance(uint64_t ns)
 {
 	now_ns += ns;
@@ -158,13 +175,40 @@
 	if (now_ns - last_tick_ns < TICK_NS)
 		return;
 	last_tick_ns = now_ns;
-	for (size_t i = 0; i < REPLICAS; i++) {
-		wl_event_t event;
+	for (size_t i = 0; i < REPLICAS; i++)
+		tick(i);
+}
 
-		wl_event_init(&event, WL_EVENT_TICK);
-		event.wall_ms = now_ns / WL_NS_PER_MS;
-		step(i, &event);
+/* A tick at the time of the one before finds nothing due. Return: whether it did nothing. */
+static bool idle_tick(size_t node)
+{
+	wl_event_t event;
+	wl_out_t out;
+	bool idle;
+
+	wl_event_init(&event, WL_EVENT_TICK);
+	event.wall_ms = now_ns / WL_NS_PER_MS;
+	wl_out_init(&out);
+	wl_node_step(replicas[node].node, now_ns, &event, &out);
+	idle = out.count == 0;
+	wl_out_free(&out);
+	wl_event_free(&event);
+	return idle;
+}
+
+uint64_t replicas_idle_tick_ns(size_t node)
+{
+	uint64_t before;
+
+	tick(node);
+	before = cpu_ns();
+	for (int i = 0; i < IDLE_TICKS; i++) {
+		if (!idle_tick(node)) {
+			fprintf(stderr, "wl-bench-jobs: a tick did something with nothing due\n");
+			exit(1);
+		}
 	}
+	return (cpu_ns() - before) / IDLE_TICKS;
 }
 
 void replicas_call(size_t node, wl_listener_t listener, const char *method, const char *path,
@@ -249,6 +293,7 @@
 		wl_node_free(replicas[i].node);
 	for (size_t i = 0; i < delivery_count; i++)
 		wl_buf_free(&deliveries[i].bytes);
+	free(deliveries);
 }
 
 uint64_t replicas_now_ns(void)
--- a/tests/bench/replicas.h
+++ b/tests/bench/replicas.h
@@ -21,7 +21,8 @@
 uint64_t replicas_cpu_ns(size_t node);
 uint64_t replicas_sent_bytes(size_t node);
 uint64_t replicas_log_lines(size_t node);
-uint64_t replicas_calls_digest(void); /* hash of all replicas' HTTP calls, in order */
+uint64_t replicas_calls_digest(void);	     /* hash of all replicas' HTTP calls, in order */
+uint64_t replicas_idle_tick_ns(size_t node); /* processor time of a tick with nothing due */
 void replicas_reset_counters(void);
 
 #endif
--- a/tests/bench/targets.c
+++ b/tests/bench/targets.c
@@ -2,13 +2,14 @@
 
 #include "targets.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <libwlbase/units.h>
 
 #define RUNS_MAX		512
-#define PENDING_MAX		65536
+#define PENDING_CAPACITY_MIN	1024
 #define TAIL_BASE_MS		40 /* tail latency of a serving task that runs alone */
 #define TAIL_PER_BEST_EFFORT_MS 3  /* added for each best-effort task on the target */
 #define TAIL_NOISE_MS		8
@@ -39,8 +40,9 @@
 static target_t *targets;
 static size_t target_count;
 static targets_on_answer_t on_answer;
-static pending_t pending[PENDING_MAX];
+static pending_t *pending;
 static size_t pending_count;
+static size_t pending_capacity;
 static uint64_t starts;
 static uint64_t holds;
 static uint32_t noise = 1;
@@ -55,6 +57,7 @@
 void targets_free(void)
 {
 	free(targets);
+	free(pending);
 }
 
 uint64_t targets_starts(void)
@@ -91,8 +94,10 @@
 	uint64_t run_ms = number_after(fetch->body.at, "run_ms=");
 	run_t *run = &target->runs[target->count];
 
-	if (target->count == RUNS_MAX)
-		abort();
+	if (target->count == RUNS_MAX) {
+		fprintf(stderr, "wl-bench-jobs: a target has more than %d runs\n", RUNS_MAX);
+		exit(1);
+	}
 	memset(run, 0, sizeof(*run));
 	memcpy(run->name, name, strcspn(name, "\""));
 	run->number = number_after(fetch->body.at, "\"run_id\":");
@@ -123,6 +128,15 @@
 	target->acked_end = acked_end;
 }
 
+static void pending_add(uint64_t id, size_t node)
+{
+	if (pending_count == pending_capacity) {
+		pending_capacity = pending_capacity ? 2 * pending_capacity : PENDING_CAPACITY_MIN;
+		pending = wl_realloc(pending, pending_capacity * sizeof(*pending));
+	}
+	pending[pending_count++] = (pending_t){id, node};
+}
+
 void targets_receive(size_t node, const wl_fetch_t *fetch, uint64_t now_ns)
 {
 	target_t *target = &targets[strtoul(strchr(fetch->address.at, ':') + 1, NULL, 10)];
@@ -140,9 +154,7 @@
 		run_start(target, fetch, now_ns);
 	else if (strstr(fetch->path.at, "stop"))
 		run_stop(target, fetch, now_ns);
-	if (pending_count == PENDING_MAX)
-		abort();
-	pending[pending_count++] = (pending_t){fetch->id, node};
+	pending_add(fetch->id, node);
 }
 
 static void runs_end(target_t *target, uint64_t now_ns)
--- a/tests/bench/targets.h
+++ b/tests/bench/targets.h
@@ -5,7 +5,7 @@
 
 /* Simulated targets, which start each task that they receive and answer at once. */
 
-#define TARGETS_MAX 2000
+#define TARGETS_MAX 10000
 
 /* Called for each answer; the body is valid only during the call. */
 typedef void (*targets_on_answer_t)(size_t node, uint64_t id, wl_str_t body);
