--- a/libwlcore/sched/forecast.h
+++ b/libwlcore/sched/forecast.h
@@ -51,7 +51,6 @@
 
 extern const char *const wl_forecast_verdict_names[];
 
-void wl_forecast_add(wl_forecast_t *forecast, const wl_forecast_job_t *job);
 /* Which submitted jobs are refused. The policies are interchangeable. */
 typedef struct wl_forecast_policy {
 	const char *name;
@@ -61,6 +60,7 @@
 } wl_forecast_policy_t;
 
 const wl_forecast_policy_t *wl_forecast_policy_find(wl_str_t name);
+void wl_forecast_add(wl_forecast_t *forecast, const wl_forecast_job_t *job);
 wl_forecast_verdict_t wl_forecast_decide(const wl_forecast_t *forecast,
 					 const wl_forecast_job_t *job, bool fits);
 uint64_t wl_forecast_wait_ms(const wl_forecast_t *forecast, const wl_forecast_job_t *job);
