jobs: a late crash says nothing of a task that was sound since

Callers could see a job fail whose task is sound: its run was alone on a target that fell silent, a later run worked past its trial, and then the target came back within a minute. The crash that this proves gave the task up, as its run had been alone.

Cause: that a task is sound cleared its count and left no trace of the run that showed it, so that the crash of an earlier run counted afterwards. Since lapses are kept in the state such a crash is found for a minute; before, the record mostly went with the target.

The number of the run is kept now, with which earlier ones are passed over as after a later crash.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -113,8 +113,12 @@
 {
 	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
 
-	if (crashes->count > 0 && shows_sound(job, end))
+	if (!shows_sound(job, end))
+		return;
+	if (crashes->count > 0)
 		count_set(jobs, job, crashes, 0);
+	if (crashes->run < end->run)
+		crashes->run = end->run;
 }
 
 /*
@@ -126,8 +130,11 @@
 {
 	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, sound->task)].crashes;
 
-	if (crashes->count > 0 && crashes->run < sound->run)
+	if (crashes->run >= sound->run)
+		return;
+	if (crashes->count > 0)
 		count_set(jobs, job, crashes, 0);
+	crashes->run = sound->run - 1; /* late crashes of earlier runs do not count */
 }
 
 /*
--- a/tests/unit/sched_late_crash_test.cc
+++ b/tests/unit/sched_late_crash_test.cc
@@ -266,4 +266,32 @@
 		EXPECT_EQ(counted("own" + std::to_string(i)).count, 0u) << i;
 	EXPECT_EQ(ends("crashed"), 0u);
 }
+
+/*
+ * The third target was cut off, and starts again once a later run has worked for longer than its
+ * trial: that shows that the task is sound, whatever ended the target.
+ */
+TEST_F(LateCrash, TaskThatWasSoundSinceIsNotGivenUp)
+{
+	target("a");
+	job("j");
+	for (int i = 0; i < 2; i++) {
+		pass(2000);
+		crash("a");
+		target("a");
+	}
+	pass(2000);
+	ASSERT_EQ(counted().count, 2u);
+	ASSERT_EQ(started.size(), 3u);
+	lose({"a"});
+	pass(2 * LEASES_OVER_MS);
+	ASSERT_EQ(lapses(), 1u);
+	target("b");
+	pass(30000);
+	ASSERT_EQ(started.size(), 4u);
+	ASSERT_EQ(counted().count, 0u) << "the run on b has worked for long enough";
+	target("a");
+	pass(100);
+	EXPECT_EQ(rig.job_state("j"), "running");
+}
 } // namespace
