sched: a job waits until the tasks ahead have started, not ended

Cause: the forecast counted the whole work ahead over the rate. The job waits only until the last of it has started, when each task at work may still need its whole time.

--- a/libwlcore/sched/forecast.c
+++ b/libwlcore/sched/forecast.c
@@ -77,12 +77,23 @@
 	return work_ms * WL_PERMILLE / rate_millis;
 }
 
-/* Whether a job may end by a time if the work ahead of it is done as fast as it may be. */
-static bool may_end(const wl_forecast_t *forecast, uint64_t ahead_ms, uint64_t path_ms,
-		    uint64_t end_ms)
+/* How long the work ahead of a job takes if it is done as fast as it may be. */
+static uint64_t least_ms(const wl_forecast_t *forecast, uint64_t ahead_ms)
 {
-	uint64_t wait_ms = duration_ms(ahead_ms, RATE_MARGIN * forecast->rate_millis);
+	return duration_ms(ahead_ms, RATE_MARGIN * forecast->rate_millis);
+}
 
+/* The same until its tasks have started: each of them may still need its whole time. */
+static uint64_t least_start_ms(const wl_forecast_t *forecast, uint64_t ahead_ms)
+{
+	uint64_t end_ms = least_ms(forecast, ahead_ms);
+
+	return end_ms > forecast->longest_ms ? end_ms - forecast->longest_ms : 0;
+}
+
+static bool may_end(const wl_forecast_t *forecast, uint64_t wait_ms, uint64_t path_ms,
+		    uint64_t end_ms)
+{
 	return forecast->now_ms + wait_ms + path_ms <= end_ms;
 }
 
@@ -96,11 +107,14 @@
 {
 	if (forecast->rate_millis == 0)
 		return;
+	if (job->path_ms > forecast->longest_ms)
+		forecast->longest_ms = job->path_ms;
 	if (job->deadline_ms == 0 ||
-	    may_end(forecast, forecast->on_time_work_ms, job->path_ms, job->on_time_ms))
+	    may_end(forecast, least_ms(forecast, forecast->on_time_work_ms), job->path_ms,
+		    job->on_time_ms))
 		forecast->on_time_work_ms += job->work_ms;
-	if (job->deadline_ms == 0 ||
-	    may_end(forecast, forecast->late_work_ms, job->path_ms, job->deadline_ms))
+	if (job->deadline_ms == 0 || may_end(forecast, least_ms(forecast, forecast->late_work_ms),
+					     job->path_ms, job->deadline_ms))
 		forecast->late_work_ms += job->work_ms;
 }
 
@@ -118,8 +132,10 @@
 	if (forecast->now_ms + job->path_ms > job->deadline_ms)
 		return WL_FORECAST_PATH;
 	if (forecast->rate_millis == 0 ||
-	    may_end(forecast, forecast->on_time_work_ms, job->path_ms, job->on_time_ms) ||
-	    may_end(forecast, forecast->late_work_ms, job->path_ms, job->deadline_ms))
+	    may_end(forecast, least_start_ms(forecast, forecast->on_time_work_ms), job->path_ms,
+		    job->on_time_ms) ||
+	    may_end(forecast, least_start_ms(forecast, forecast->late_work_ms), job->path_ms,
+		    job->deadline_ms))
 		return WL_FORECAST_POSSIBLE;
 	return WL_FORECAST_BACKLOG;
 }
--- a/libwlcore/sched/forecast.h
+++ b/libwlcore/sched/forecast.h
@@ -39,6 +39,7 @@
 	uint64_t rate_millis;	  /* 0: unknown */
 	uint64_t on_time_work_ms; /* ahead of a job that is on time */
 	uint64_t late_work_ms;	  /* ahead of a job that is late and still of use */
+	uint64_t longest_ms;	  /* a task ahead of it takes so long at most */
 } wl_forecast_t;
 
 typedef enum wl_forecast_verdict {
