session: ignore redirections older than the last grant

An entry that had found its new leader went back to the silent one: a replica that is slow had named that, and its answer came after the grant.

A redirection counts only if it answers a renewal that was sent no earlier than the last one that was granted.

--- a/libwlcore/node/session.c
+++ b/libwlcore/node/session.c
@@ -123,6 +123,8 @@
 	if (until_ns > session->valid_until_ns)
 		session->valid_until_ns = until_ns;
 	session->last_answer_ns = now_ns;
+	if (renewed->sent_ns > session->granted_sent_ns)
+		session->granted_sent_ns = renewed->sent_ns;
 	wl_buf_set(&session->leader, peer);
 	wl_buf_clear(&session->silent);
 }
@@ -131,6 +133,8 @@
 static void session_redirected(wl_session_t *session, const wl_msg_renewed_t *renewed,
 			       uint64_t now_ns)
 {
+	if (renewed->sent_ns < session->granted_sent_ns)
+		return;
 	wl_buf_clear(&session->leader);
 	if (renewed->leader.len == 0 ||
 	    wl_str_equal(wl_buf_str(&renewed->leader), wl_buf_str(&session->silent)))
--- a/libwlcore/node/session.h
+++ b/libwlcore/node/session.h
@@ -22,6 +22,7 @@
 	uint64_t valid_until_ns;
 	uint64_t next_renew_ns;
 	uint64_t last_answer_ns;
+	uint64_t granted_sent_ns; /* when the newest renewal that was granted was sent */
 	size_t next_store;
 	wl_buf_t leader; /* name; empty: not known */
 	wl_buf_t silent; /* the last leader, if it has not answered; followed only if it grants */
--- a/tests/unit/session_test.cc
+++ b/tests/unit/session_test.cc
@@ -136,3 +136,54 @@
 		EXPECT_LE(entry.play(), FOUND_MAX_MS) << "first renewal at " << first_ms << " ms";
 	}
 }
+
+/*
+ * Guards against entries that leave their leader for a silent one, which a replica has named whose
+ * answer took longer than those of the others.
+ */
+TEST(Session, StaysWithItsLeaderAfterALateRedirection)
+{
+	const wl_str_t stores[3] = {WL_STR("s2"), WL_STR("s3"), WL_STR("s4")};
+	wl_session_options_t options = {};
+	wl_session_t session;
+	wl_view_t view = {};
+	wl_event_t event;
+	wl_out_t out = {};
+	auto answer = [&](const char *peer, uint64_t sent_ms, uint64_t at_ms, const char *leader) {
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_msg_init(&event.msg, WL_MSG_RENEWED);
+		wl_buf_set(&event.peer, wl_str_from(peer));
+		event.msg.u.renewed.boot = 1;
+		event.msg.u.renewed.group = GROUP;
+		event.msg.u.renewed.sent_ns = sent_ms * MS;
+		event.msg.u.renewed.session = 7;
+		event.msg.u.renewed.validity_ms = 5000;
+		event.msg.u.renewed.code = leader ? WL_E_NO_LEADER : WL_OK;
+		if (leader)
+			wl_buf_set(&event.msg.u.renewed.leader, wl_str_from(leader));
+		wl_session_step(&session, &view, at_ms * MS, &event, &out);
+		wl_event_free(&event);
+		wl_out_free(&out);
+		out = {};
+	};
+
+	options.entry = wl_str_from("e1");
+	options.boot = 1;
+	options.stores = stores;
+	options.store_count = 3;
+	wl_session_init(&session, &options, 1000 * MS);
+	answer("s1", 1000, 1001, nullptr);
+	for (uint64_t now_ms = 1001; now_ms <= 3300; now_ms += STEP_MS) {
+		wl_event_init(&event, WL_EVENT_TICK);
+		wl_session_step(&session, &view, now_ms * MS, &event, &out);
+		wl_event_free(&event);
+		wl_out_free(&out);
+		out = {};
+	}
+	ASSERT_EQ(session.leader.len, 0u) << "s1 is silent";
+	answer("s4", 3201, 3310, "s2");
+	answer("s2", 3310, 3320, nullptr);
+	answer("s3", 3101, 3400, "s1");
+	EXPECT_STREQ(session.leader.at, "s2");
+	wl_session_free(&session);
+}
