--- a/libwlbase/log.c
+++ b/libwlbase/log.c
@@ -75,6 +75,7 @@
 		ssize_t n = write(logger.fd, line->at + done, line->len - done);
 
 		if (n > 0) {
+			logger.stuck = false;
 			done += (size_t)n;
 		} else if (n == 0 || !write_again(errno)) {
 			lines_drop(line->at + done, line->len - done);
--- a/tests/unit/base_test.cc
+++ b/tests/unit/base_test.cc
@@ -10,9 +10,12 @@
 }
 
 #include <fcntl.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -293,6 +296,7 @@
 	int ends[2];
 	std::string text;
 	wl_err_t err = {};
+	uint64_t dropped = wl_log_dropped();
 
 	ASSERT_EQ(pipe(ends), 0);
 	ASSERT_EQ(fcntl(ends[1], F_SETFL, O_NONBLOCK), 0);
@@ -310,13 +314,67 @@
 	close(ends[1]);
 	reader.join();
 	close(ends[0]);
-	EXPECT_EQ(wl_log_dropped(), 0u);
+	EXPECT_EQ(wl_log_dropped(), dropped);
 	EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), LINES);
 	for (int i = 0; i < LINES; i++)
 		EXPECT_NE(text.find(" event=counted i=" + std::to_string(i) + "\n"),
 			  std::string::npos);
 }
 
+/* Waits until a condition holds, at most 10 s. */
+template <typename Condition> static void wait_until(Condition condition)
+{
+	for (int i = 0; i < 1000 && !condition(); i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(10));
+}
+
+/* Guards against a reader that stood still once, and costs lines for as long as it is slow. */
+TEST(Log, WritesAllLinesOnceAReaderThatStoodStillReadsAgain)
+{
+	constexpr int LINES = 2000;
+	int ends[2];
+	std::string text;
+	std::atomic<size_t> received{0};
+	wl_err_t err = {};
+	uint64_t dropped = wl_log_dropped();
+
+	ASSERT_EQ(pipe(ends), 0);
+	ASSERT_EQ(fcntl(ends[1], F_SETFL, O_NONBLOCK), 0);
+	ASSERT_GT(fcntl(ends[1], F_SETPIPE_SZ, 4096), 0);
+	ASSERT_TRUE(wl_log_start(ends[1], WL_INFO, wl_str_from("e1"), &err));
+	for (int i = 0; i < 200; i++)
+		wl_log_event(WL_ERROR, "lost", "i=%d", i);
+	wait_until([dropped] { return wl_log_dropped() > dropped; });
+	ASSERT_GT(wl_log_dropped(), dropped);
+	std::thread reader([&text, &ends, &received] {
+		char bytes[1024];
+
+		for (ssize_t n; (n = read(ends[0], bytes, sizeof(bytes))) > 0;) {
+			text.append(bytes, static_cast<size_t>(n));
+			received += static_cast<size_t>(n);
+		}
+	});
+	wait_until([&ends] {
+		int unread = 0;
+
+		return ioctl(ends[0], FIONREAD, &unread) == 0 && unread == 0;
+	});
+	size_t before = received;
+	wl_log_event(WL_ERROR, "again", "i=%d", 0);
+	wait_until([&received, before] { return received > before; });
+	dropped = wl_log_dropped();
+	for (int i = 0; i < LINES; i++)
+		wl_log_event(WL_ERROR, "counted", "i=%d", i);
+	wl_log_stop();
+	close(ends[1]);
+	reader.join();
+	close(ends[0]);
+	EXPECT_NE(text.find(" event=again i=0\n"), std::string::npos);
+	EXPECT_EQ(wl_log_dropped(), dropped);
+	EXPECT_NE(text.find(" event=counted i=" + std::to_string(LINES - 1) + "\n"),
+		  std::string::npos);
+}
+
 TEST(Str, SplitsAtTheLastOccurrence)
 {
 	wl_str_t head;
