scheduler: late answers don't set the clock of an agent back

A result that came 2 s late set the estimate of its agent's clock back, and the next start named a time to send it by that had passed: the agent would not send it.

A clock that is asked for anew, as after a lost link, has no sample before.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -220,14 +220,15 @@
 }
 
 /*
- * wl_sched_agent_answered - take a sample of an agent's clock
+ * wl_sched_agent_answered - take a sample of an agent's clock, unless it took long to arrive
  * @clock_ms: 0: none given
  */
 void wl_sched_agent_answered(wl_sched_t *sched, uint64_t now_ns, wl_str_t name, uint64_t clock_ms)
 {
 	wl_sched_agent_t *agent = agent_find(sched, name);
 
-	if (!agent || clock_ms == 0)
+	if (!agent || clock_ms == 0 ||
+	    wl_sched_clock_sample_late(agent->clock_ms, agent->clock_ns, now_ns, clock_ms))
 		return;
 	agent->clock_ms = clock_ms;
 	agent->clock_ns = now_ns;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -63,7 +63,7 @@
 	uint64_t started_ms; /* when its start was committed, on the group's clock; 0: unknown */
 	uint64_t previous_end_ns; /* when the task's previous run ended; 0: there was none */
 	uint64_t start_sent_ns;
-	uint64_t start_failed_ns; /* when its start ended without an answer; 0: it has not */
+	uint64_t start_failed_ns; /* when its start ended without an answer; 0: not known */
 	uint64_t start_over_ns;	  /* without an answer its start may be carried out until then */
 	uint64_t answered_ns;	  /* when the newest answer about it arrived */
 	uint64_t listed_by;	  /* incarnation of the target that listed it; 0: none yet */
@@ -591,6 +591,8 @@
 uint64_t wl_sched_lease_bound_ns(uint64_t ms);
 uint64_t wl_sched_runner_clock_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
 uint64_t wl_sched_runner_clock_least_ms(const wl_sched_runner_t *runner, uint64_t now_ns);
+bool wl_sched_clock_sample_late(uint64_t known_ms, uint64_t known_ns, uint64_t now_ns,
+				uint64_t clock_ms);
 void wl_sched_clock_sample(wl_sched_runner_t *runner, uint64_t now_ns, uint64_t clock_ms);
 void wl_sched_lease_sent(wl_sched_runner_t *runner, uint64_t lease_ms);
 uint64_t wl_sched_leases_expiry_ns(const wl_sched_runner_t *runner);
@@ -611,6 +613,7 @@
 			       wl_out_t *out);
 bool wl_sched_runner_needs_lease(const wl_sched_runner_t *runner);
 void wl_sched_renewal_schedule(wl_sched_runner_t *runner, uint64_t due_ns);
+bool wl_sched_stood_still(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
 /* capacity.c */
--- a/libwlcore/sched/leases.c
+++ b/libwlcore/sched/leases.c
@@ -33,13 +33,28 @@
 	return runner->known.clock_ms + (now_ns - runner->known.clock_ns) / WL_NS_PER_MS;
 }
 
+static uint64_t clock_least_ms(uint64_t known_ms, uint64_t known_ns, uint64_t now_ns)
+{
+	return known_ms + (now_ns - known_ns) / WL_NS_PER_MS * (100 - CLOCK_SLOW_PERCENT) / 100;
+}
+
 /*
  * wl_sched_runner_clock_least_ms - lower bound of a target's clock now, which may be slow
  */
 uint64_t wl_sched_runner_clock_least_ms(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return runner->known.clock_ms +
-	       (now_ns - runner->known.clock_ns) / WL_NS_PER_MS * (100 - CLOCK_SLOW_PERCENT) / 100;
+	return clock_least_ms(runner->known.clock_ms, runner->known.clock_ns, now_ns);
+}
+
+/*
+ * wl_sched_clock_sample_late - whether a sample of a clock took long to arrive
+ * @known_ms: the present sample
+ * @known_ns: when it arrived; 0: there is none
+ */
+bool wl_sched_clock_sample_late(uint64_t known_ms, uint64_t known_ns, uint64_t now_ns,
+				uint64_t clock_ms)
+{
+	return known_ns && clock_ms + SAMPLE_LATE_MS < clock_least_ms(known_ms, known_ns, now_ns);
 }
 
 /* When the newest lease is over by our clock, as far as the present sample tells. */
@@ -52,12 +67,6 @@
 	return known->clock_ns + wl_sched_lease_bound_ns(remaining_ms);
 }
 
-static bool sample_late(const wl_sched_runner_t *runner, uint64_t now_ns, uint64_t clock_ms)
-{
-	return runner->known.clock_ns &&
-	       clock_ms + SAMPLE_LATE_MS < wl_sched_runner_clock_least_ms(runner, now_ns);
-}
-
 /*
  * wl_sched_clock_sample - record a time on the clock of the known incarnation
  *
@@ -68,7 +77,9 @@
 {
 	uint64_t over_ns;
 
-	if (clock_ms <= runner->known.clock_ms || sample_late(runner, now_ns, clock_ms))
+	if (clock_ms <= runner->known.clock_ms ||
+	    wl_sched_clock_sample_late(runner->known.clock_ms, runner->known.clock_ns, now_ns,
+				       clock_ms))
 		return;
 	runner->known.clock_ms = clock_ms;
 	runner->known.clock_ns = now_ns;
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -431,6 +431,33 @@
 	EXPECT_EQ(holds[0].send_by_ms, rig.now / 1000000 + rig.agent_offset_ms + 3000);
 }
 
+/* A result that took long to arrive says less of the agent's clock than the one before. */
+TEST_F(SchedAgents, LateResultDoesNotSetTheClockOfAnAgentBack)
+{
+	rig.agents({"s2"});
+	rig.runner("i-0", 10000);
+	rig.job("q", "j", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.commit();
+	auto started = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(started.size(), 1u);
+	ASSERT_EQ(started[0].agent, "s2");
+	ASSERT_EQ(started[0].send_by_ms, rig.now / 1000000 + rig.agent_offset_ms + 1000);
+	rig.advance(300);
+	rig.agent_offset_ms -= 2000;
+	rig.answer(started[0], WL_ORDER_DONE);
+	rig.agent_offset_ms += 2000;
+	rig.job("q", "k", {1});
+	rig.submit();
+	rig.advance(10);
+	rig.commit();
+	started = rig.take_orders(WL_ORDER_START);
+	ASSERT_EQ(started.size(), 1u);
+	EXPECT_EQ(started[0].agent, "s2");
+	EXPECT_GT(started[0].send_by_ms, rig.now / 1000000 + rig.agent_offset_ms);
+}
+
 TEST_F(SchedAgents, AgentOfUnknownClockGetsNoStarts)
 {
 	rig.silent.insert("s2");
