scheduler: a leader that stood still can't tell how long starts were open

A task that crashes its targets at once was not given up if the leader stood still for 0.5 s meanwhile: the starts seemed to have been open for that long, as if their targets had left them.

--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -315,7 +315,7 @@
 			    const wl_sched_runner_t *runner)
 {
 	return runner->renewal_id && now_ns >= runner->renewal_overdue_ns &&
-	       now_ns >= sched->caught_up_ns &&
+	       !wl_sched_stood_still(sched, now_ns) &&
 	       wl_sched_agent_replaceable(sched, runner,
 					  wl_sched_order_agent(sched, runner->renewal_id));
 }
@@ -381,6 +381,19 @@
 		wl_sched_removal_propose(sched, now_ns, runner, "silent", NULL, out);
 }
 
+static bool pause_is_long(const wl_sched_t *sched, uint64_t now_ns)
+{
+	return now_ns - sched->ticked_ns > STANDSTILL_MS * WL_NS_PER_MS;
+}
+
+/*
+ * wl_sched_stood_still - whether what is known now may have come long before
+ */
+bool wl_sched_stood_still(const wl_sched_t *sched, uint64_t now_ns)
+{
+	return now_ns < sched->caught_up_ns || pause_is_long(sched, now_ns);
+}
+
 /*
  * wl_sched_runners_tick - send the renewals that are due, expire leases, remove silent
  * targets
@@ -389,7 +402,7 @@
 {
 	wl_sched_runner_t *runner;
 
-	if (now_ns - sched->ticked_ns > STANDSTILL_MS * WL_NS_PER_MS)
+	if (pause_is_long(sched, now_ns))
 		sched->caught_up_ns = now_ns + RENEWAL_REPORT_MS * WL_NS_PER_MS;
 	sched->ticked_ns = now_ns;
 	TAILQ_FOREACH (runner, &sched->runners, link)
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -413,7 +413,7 @@
 			wl_sched_background_throttle(sched, now_ns, run, out);
 		break;
 	case WL_ORDER_NO_ANSWER:
-		run->start_failed_ns = now_ns;
+		run->start_failed_ns = wl_sched_stood_still(sched, now_ns) ? 0 : now_ns;
 		/* fall through */
 	case WL_ORDER_AGENT_LOST:
 		run->phase = WL_RUN_UNCONFIRMED;
--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -281,6 +281,28 @@
 	EXPECT_EQ(rig.job_state("j"), "failed");
 }
 
+/* The leader hears of it only once it works on, and cannot tell how long they were open. */
+TEST_F(Crash, StartsThatBreakAtOnceWhileTheLeaderStandsStillFailTheirJob)
+{
+	for (const char *id : {"a", "b", "c", "d"})
+		target(id);
+	unanswered = {"j.0.0.0"};
+	job("j");
+	for (int i = 0; i < 3; i++) {
+		for (int wait = 0; wait < 1000 && left.empty(); wait++)
+			pass(10);
+		ASSERT_FALSE(left.empty()) << i;
+		std::string at = left[0].runner;
+		rig.now += 500 * 1000000ULL;
+		rig.tick();
+		crash(at);
+		pass(2000);
+		target(at);
+	}
+	pass(START_OVER_MS);
+	EXPECT_EQ(rig.job_state("j"), "failed");
+}
+
 /* It may have crashed at once: its power is lost, and no connection breaks. */
 TEST_F(Crash, StartsThatTimeOutFailTheirJob)
 {
