scheduler: a start that nothing can carry out any more needs no stop

Callers saw a task wait for 31 s for its first run: its start had got no answer from a target that was down, and that then restarted every few seconds. task-unaccounted (run-silent) names it.

Cause: a run whose start got no answer ends once one incarnation has answered a stop of it, and then a list. The next incarnation makes the leader forget that answer, however long the start has been over. With each one ending before both have arrived, the run is held until the target stays away for all leases, counted from the newest renewal.

Now such a run ends with the first list of an incarnation that became known after its start was over (1 s at the agent and 4 s on the way). No incarnation that began so late can have received it. The present one is still stopped if it became known before.

Ruled out: to end it by any list asked for after those 5 s. Not covered: an incarnation that nobody hears of for 5 s after it has received the start, and that carries it out later still.

--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -227,6 +227,9 @@
 		 */
 		return !may_start_later(run, now_ns);
 	case WL_RUN_UNCONFIRMED:
+		/* this incarnation has begun since the start could be carried out */
+		if (run->runner->began_ns >= run->start_over_ns)
+			return true;
 		if (run->stop_answered_ns && run->stop_answered_ns < sent_ns)
 			return !may_start_later(run, now_ns);
 		if (run->stop_sent_ns == 0)
@@ -244,7 +247,8 @@
  * wl_sched_absent_collect - collect the ends of the runs that the target no longer has
  * @sent_ns: when the renewal was sent whose answer does not list them
  *
- * A run whose start got no answer is first ordered to stop.
+ * A run whose start got no answer is first ordered to stop, unless the incarnation has begun too
+ * late to carry the start out.
  */
 void wl_sched_absent_collect(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			     uint64_t sent_ns, wl_cmd_runs_end_t *ends)
--- a/tests/unit/sched_start_test.cc
+++ b/tests/unit/sched_start_test.cc
@@ -267,3 +267,19 @@
 	rig.runner("i-1", 32000, 3);
 	EXPECT_TRUE(rig.take_orders(WL_ORDER_STOP).empty()) << "the start is over";
 }
+
+/* The target crashes each time before it has answered a stop and a list after that. */
+TEST_F(UnansweredStart, IncarnationThatBeginsOnceTheStartIsOverEndsTheRunWithoutAStop)
+{
+	rig.answer(start, WL_ORDER_NO_ANSWER);
+	restart(2);
+	EXPECT_EQ(starts_of(start.task), 0u) << "the target may still carry out the first start";
+	while (rig.now - since < START_OVER_MS * MS) {
+		rig.report_forwarded("s1", "i-2");
+		rig.advance(100);
+		for (const auto &one : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer(one, WL_ORDER_NO_ANSWER);
+	}
+	restart(3);
+	EXPECT_EQ(starts_of(start.task), 1u);
+}
