tests: a target that announced its end has not crashed, known red

Cause: that a target drains stands in its newest report only, which the next incarnation's replaces, while runs of the one before are open. The same without a change of leader if the next incarnation ends unheard: the end of the newest one is taken for that of the run's own.

--- a/tests/unit/sched_late_crash_test.cc
+++ b/tests/unit/sched_late_crash_test.cc
@@ -148,6 +148,20 @@
 	EXPECT_EQ(counted().count, 1u);
 }
 
+/* Its runs have not ended by then; unit.sched_announced_end_test has the same after a drain. */
+TEST_F(LateCrash, LeaderCountsItThatFindsALaterIncarnation)
+{
+	target("a");
+	job("j");
+	pass(100);
+	crash("a");
+	target("a");
+	follow();
+	rig.lead(2);
+	pass(START_OVER_MS);
+	EXPECT_EQ(counted().count, 1u);
+}
+
 TEST_F(LateCrash, TaskIsGivenUpThoughTheLeaderChangesWhileItsTargetIsSilent)
 {
 	target("a");
