--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -404,7 +404,7 @@
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
 	uint64_t newest_lookup; /* of all runners */
-	wl_sched_row_t *rows; /* of the runners, in their order */
+	wl_sched_row_t *rows;	/* of the runners, in their order */
 	size_t row_count;
 	bool rows_outdated;		       /* runners were added or removed */
 	struct wl_sched_departures departures; /* not answered yet */
