sched: look at targets and queue only for jobs that may be refused

Each submission walked all targets to see whether a step fits, and the waiting work, although a job without a deadline (it lasts, repeats, is wide, or its queue has no slack) is accepted whatever they show. The deadline is found first now.

--- a/libwlcore/sched/acceptance.c
+++ b/libwlcore/sched/acceptance.c
@@ -386,8 +386,10 @@
 
 	if (!queue || !wl_job_spec_check(&add->spec, &err))
 		return WL_FORECAST_POSSIBLE;
+	job = job_forecast(sched, &add->spec, queue, wl_sched_clock_ms(sched, now_ns));
+	if (job.deadline_ms == 0)
+		return WL_FORECAST_POSSIBLE;
 	queue_forecast(sched, now_ns, queue, largest_step(&add->spec), &forecast);
-	job = job_forecast(sched, &add->spec, queue, forecast.now_ms);
 	verdict = sched->acceptance->decide(&forecast, &job,
 					    spec_fits(sched, now_ns, &add->spec, queue));
 	if (verdict != WL_FORECAST_POSSIBLE)
