--- a/tests/unit/sched_crash_test.cc
+++ b/tests/unit/sched_crash_test.cc
@@ -1,5 +1,7 @@
 #include "../support/crash_targets.h"
 
+#include <functional>
+
 /* Crashes of targets under their runs: which loss is one, and what it does to the task. */
 
 namespace
@@ -23,6 +25,31 @@
 		pass(100);
 		ASSERT_EQ(rig.find("j")->tasks[0].crashes.count, 2u);
 	}
+
+	/*
+	 * The only task of the job j is started some times, each on a target that leaves the start
+	 * unanswered and then crashes.
+	 * @before_crash: what happens between the start and the crash
+	 */
+	void crash_under_left_starts(int times,
+				     const std::function<void(const SchedOrder &)> &before_crash)
+	{
+		for (const char *id : {"a", "b", "c", "d"})
+			target(id);
+		unanswered = {"j.0.0.0"};
+		job("j");
+		for (int i = 0; i < times; i++) {
+			for (int wait = 0; wait < 1000 && left.empty(); wait++)
+				pass(10);
+			ASSERT_FALSE(left.empty()) << i;
+			SchedOrder start = left[0];
+			before_crash(start);
+			crash(start.runner);
+			quiet.clear();
+			pass(2000);
+			target(start.runner);
+		}
+	}
 };
 } // namespace
 
@@ -238,22 +265,10 @@
 /* Nothing is heard of the target after the start, until its connections break. */
 TEST_F(Crash, StartsThatAreOpenUntilTheTargetCrashesLaterDoNotFailTheirJob)
 {
-	for (const char *id : {"a", "b", "c", "d"})
-		target(id);
-	unanswered = {"j.0.0.0"};
-	job("j");
-	for (int i = 0; i < 6; i++) {
-		for (int wait = 0; wait < 1000 && left.empty(); wait++)
-			pass(10);
-		ASSERT_FALSE(left.empty()) << i;
-		std::string at = left[0].runner;
-		quiet = {at};
+	crash_under_left_starts(6, [this](const SchedOrder &start) {
+		quiet = {start.runner};
 		pass(400);
-		crash(at);
-		quiet.clear();
-		pass(2000);
-		target(at);
-	}
+	});
 	EXPECT_EQ(rig.job_state("j"), "running");
 	EXPECT_GT(rig.find("j")->tasks[0].crashes.count, 0u);
 }
@@ -261,22 +276,10 @@
 /* They begin without an answer that arrives, as their targets crash at once. */
 TEST_F(Crash, StartsThatBreakAtOnceFailTheirJob)
 {
-	for (const char *id : {"a", "b", "c", "d"})
-		target(id);
-	unanswered = {"j.0.0.0"};
-	job("j");
-	for (int i = 0; i < 3; i++) {
-		for (int wait = 0; wait < 1000 && left.empty(); wait++)
-			pass(10);
-		ASSERT_FALSE(left.empty()) << i;
-		std::string at = left[0].runner;
-		quiet = {at};
+	crash_under_left_starts(3, [this](const SchedOrder &start) {
+		quiet = {start.runner};
 		pass(100);
-		crash(at);
-		quiet.clear();
-		pass(2000);
-		target(at);
-	}
+	});
 	pass(START_OVER_MS);
 	EXPECT_EQ(rig.job_state("j"), "failed");
 }
@@ -284,21 +287,10 @@
 /* The leader hears of it only once it works on, and cannot tell how long they were open. */
 TEST_F(Crash, StartsThatBreakAtOnceWhileTheLeaderStandsStillFailTheirJob)
 {
-	for (const char *id : {"a", "b", "c", "d"})
-		target(id);
-	unanswered = {"j.0.0.0"};
-	job("j");
-	for (int i = 0; i < 3; i++) {
-		for (int wait = 0; wait < 1000 && left.empty(); wait++)
-			pass(10);
-		ASSERT_FALSE(left.empty()) << i;
-		std::string at = left[0].runner;
+	crash_under_left_starts(3, [this](const SchedOrder &) {
 		rig.now += 500 * 1000000ULL;
 		rig.tick();
-		crash(at);
-		pass(2000);
-		target(at);
-	}
+	});
 	pass(START_OVER_MS);
 	EXPECT_EQ(rig.job_state("j"), "failed");
 }
@@ -306,22 +298,10 @@
 /* It may have crashed at once: its power is lost, and no connection breaks. */
 TEST_F(Crash, StartsThatTimeOutFailTheirJob)
 {
-	for (const char *id : {"a", "b", "c", "d"})
-		target(id);
-	unanswered = {"j.0.0.0"};
-	job("j");
-	for (int i = 0; i < 3; i++) {
-		for (int wait = 0; wait < 1000 && left.empty(); wait++)
-			pass(10);
-		ASSERT_FALSE(left.empty()) << i;
-		std::string at = left[0].runner;
-		quiet = {at};
-		pass(left[0].timeout_ms);
-		crash(at);
-		quiet.clear();
-		pass(2000);
-		target(at);
-	}
+	crash_under_left_starts(3, [this](const SchedOrder &start) {
+		quiet = {start.runner};
+		pass(start.timeout_ms);
+	});
 	pass(START_OVER_MS);
 	EXPECT_EQ(rig.job_state("j"), "failed");
 }
