review: a late hold makes a restarted minion forget an end, and its task runs twice

A hold that acknowledges an end gets no answer and is carried out by the minion's next incarnation, whose end of the same number was not listed yet; its task is done and is started again.

--- a/review/rig-2/worker.c
+++ b/review/rig-2/worker.c
@@ -11,14 +11,17 @@
  * A minion whose FOLDER has the file "grey-ID" fails the runs that work there, after as many ms
  * of work as the file says. Members of a gang meet in FOLDER.
  *
+ * Orders that are carried out late: a minion whose FOLDER has the file "late-ack-ID" leaves the
+ * next hold that names an end without an answer and keeps it in "held-ID"; with "late-hold-ID" it
+ * does so with the next hold that it gets while something runs, and carries that one out LATE_MS
+ * later. With "replay-ID" it carries out the one in "held-ID", also if it has started anew since.
+ *
  * A checkpoint is the work done in ms, as 8 hexadecimal digits, and 8 more that are different for
  * each member: the value of any member stands for the same point of the work of all.
  */
 
 #include "http.h"
 
-#include <dirent.h>
-#include <errno.h>
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -37,6 +40,7 @@
 #define GANG_TIMEOUT_MS 3000
 #define TICK_MS		10
 #define CLOCK_START_MS	1000
+#define LATE_MS		5000
 #define CPU_MILLIS	32000
 #define MEMORY_MIB	128000
 #define LISTED_MAX	500
@@ -102,6 +106,8 @@
 	char *cores[CORES_MAX];
 	size_t core_count;
 	char beat_to[HTTP_TEXT_MAX]; /* named by the system; empty: none */
+	json_t *late;		     /* a hold that is carried out late; NULL: none */
+	int64_t late_at_ms;	     /* when, on the own clock */
 } worker = {.lock = PTHREAD_MUTEX_INITIALIZER, .ended = PTHREAD_COND_INITIALIZER};
 
 static int64_t unix_ms(void)
@@ -273,6 +279,20 @@
 	pthread_cond_broadcast(&worker.ended);
 }
 
+static void own_path(const char *kind, char *path, size_t size)
+{
+	snprintf(path, size, "%s/%s-%s", worker.args[ARG_FOLDER], kind, worker.args[ARG_ID]);
+}
+
+/* Removes a file of this minion. Returns whether it was there. */
+static bool own_take(const char *kind)
+{
+	char path[1024];
+
+	own_path(kind, path, sizeof(path));
+	return unlink(path) == 0;
+}
+
 /* Ms of work after which runs here fail; 0: they do not. */
 static int64_t grey_ms(void)
 {
@@ -280,7 +300,7 @@
 	long long ms = 0;
 	FILE *in;
 
-	snprintf(path, sizeof(path), "%s/grey-%s", worker.args[ARG_FOLDER], worker.args[ARG_ID]);
+	own_path("grey", path, sizeof(path));
 	in = fopen(path, "re");
 	if (!in)
 		return 0;
@@ -334,6 +354,27 @@
 	return "done";
 }
 
+static void hold_carry_out(const json_t *body);
+
+static void late_tick(void)
+{
+	char path[1024];
+	json_t *body;
+
+	if (worker.late && clock_ms() >= worker.late_at_ms) {
+		hold_carry_out(worker.late);
+		json_decref(worker.late);
+		worker.late = NULL;
+	}
+	if (!own_take("replay"))
+		return;
+	own_path("held", path, sizeof(path));
+	body = json_load_file(path, 0, NULL);
+	if (body)
+		hold_carry_out(body);
+	json_decref(body);
+}
+
 static void *tick_main(void *arg)
 {
 	(void)arg;
@@ -341,6 +382,7 @@
 		int64_t grey = grey_ms();
 
 		pthread_mutex_lock(&worker.lock);
+		late_tick();
 		for (size_t i = worker.run_count; i-- > 0;) {
 			bool lapsed = clock_ms() >= worker.lease_until;
 			const char *how = lapsed ? "lapsed" : run_tick(&worker.runs[i], grey);
@@ -532,8 +574,41 @@
 			 "completions", ends);
 }
 
+/* A hold that was delayed: nobody waits for its answer any more. */
+static void hold_carry_out(const json_t *body)
+{
+	bool taken = fence_take(body);
+
+	record("late hold last_seen=%lld taken=%s", (long long)number_of(body, "last_seen"),
+	       taken ? "yes" : "no");
+	if (!taken)
+		return;
+	lease_take(number_of(body, "deadline_ms"));
+	ends_forget(number_of(body, "last_seen"));
+}
+
+/* Returns whether the hold is left without an answer and is carried out later. */
+static bool hold_delay(const json_t *body)
+{
+	char path[1024];
+
+	if (number_of(body, "last_seen") > 0 && own_take("late-ack")) {
+		own_path("held", path, sizeof(path));
+		json_dump_file(body, path, JSON_COMPACT);
+	} else if (worker.run_count > 0 && !worker.late && own_take("late-hold")) {
+		worker.late = json_deep_copy(body);
+		worker.late_at_ms = clock_ms() + LATE_MS;
+	} else {
+		return false;
+	}
+	record("unanswered hold last_seen=%lld", (long long)number_of(body, "last_seen"));
+	return true;
+}
+
 static void on_hold(int fd, const json_t *body)
 {
+	if (hold_delay(body))
+		return;
 	if (!fence_take(body)) {
 		refuse(fd, "fence");
 		return;
