sched: report the tasks that no placement pass considers

The metric wisterialead_job_unconsidered_ms and the event tasks-unconsidered name the tasks that were not considered for longest.

A batch that is queued again counts as considered when it is queued, not when a pass last saw its earlier tasks.

--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -83,10 +83,11 @@
 void wl_sched_gauges_clear(wl_sched_t *sched)
 {
 	static const char *const names[] = {
-		"wisterialead_job_lease_least_ms", "wisterialead_job_leases_over",
-		"wisterialead_job_suspects",	   "wisterialead_job_runs",
-		"wisterialead_job_targets",	   "wisterialead_jobs",
-		"wisterialead_jobs_stalled",	   "wisterialead_job_teardowns_late",
+		"wisterialead_job_lease_least_ms",  "wisterialead_job_leases_over",
+		"wisterialead_job_suspects",	    "wisterialead_job_runs",
+		"wisterialead_job_targets",	    "wisterialead_jobs",
+		"wisterialead_jobs_stalled",	    "wisterialead_job_teardowns_late",
+		"wisterialead_job_unconsidered_ms",
 	};
 
 	sched->next_gauges_ns = 0;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -259,7 +259,7 @@
 	uint64_t ready_ns;
 	uint64_t queued_ns; /* since when the batch has been in the queue without a break */
 	uint64_t placed_ns; /* when a task of it was last placed; 0: never */
-	uint64_t tried_ns;  /* when a pass last looked for targets for it */
+	uint64_t tried_ns;  /* when a pass last considered it; since queued_ns none: the same */
 	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
 	bool queued;	    /* in wl_sched.pending */
 	TAILQ_ENTRY(wl_task_batch) link;
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -156,7 +156,6 @@
 	batch->interrupted = interrupted;
 	batch->image = wl_images_id(&sched->images, wl_buf_str(&wl_job_step(job, at->step)->image));
 	batch->ready_ns = now_ns;
-	batch->tried_ns = now_ns;
 	return batch;
 }
 
@@ -329,6 +328,7 @@
 	batch_add(batch, &pending);
 	if (!batch->queued) {
 		batch->queued_ns = now_ns;
+		batch->tried_ns = now_ns;
 		batch->rank = batch_rank(sched, batch, now_ns);
 		batch_insert(sched, batch);
 	}
--- a/libwlcore/sched/stalled.c
+++ b/libwlcore/sched/stalled.c
@@ -1,12 +1,13 @@
 /*
  * Jobs with pending tasks and nothing at work: since when, when a task of them is placed in the
- * background, and why nothing is placed.
+ * background, and why nothing is placed. Pending tasks that no placement pass has considered.
  */
 
 #include "internal.h"
 
 #define STALLED_MS	   2000 /* without work: a task of the job is placed in the background */
 #define STALLED_REPORT_MS  3000 /* without work: the job is counted and logged */
+#define UNCONSIDERED_MS	   3000 /* without a look of a placement pass: the tasks are logged */
 #define REPORT_INTERVAL_MS 1000
 
 /* Where a task of a stalled job could run. */
@@ -141,15 +142,41 @@
 		   (unsigned long long)stalled);
 }
 
+static uint64_t unconsidered_ms(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	return batch ? (now_ns - batch->tried_ns) / WL_NS_PER_MS : 0;
+}
+
+/* Reports the batch that no placement pass has considered for longest. */
+static void unconsidered_report(wl_sched_t *sched, uint64_t now_ns, const wl_task_batch_t *batch,
+				uint64_t batches, wl_out_t *out)
+{
+	uint64_t age_ms = unconsidered_ms(batch, now_ns);
+
+	wl_metrics_set(sched->options.metrics, "wisterialead_job_unconsidered_ms", "", age_ms);
+	if (age_ms < UNCONSIDERED_MS)
+		return;
+	wl_out_log(out, WL_WARN, "tasks-unconsidered",
+		   "job=" WL_STR_FMT " priority=%llu step=%llu tasks=%llu waited_ms=%llu "
+		   "unconsidered_ms=%llu batches=%llu",
+		   WL_STR_ARG(batch->job->key), (unsigned long long)batch->job->record.priority,
+		   (unsigned long long)batch->step, (unsigned long long)batch->count,
+		   (unsigned long long)((now_ns - batch->queued_ns) / WL_NS_PER_MS),
+		   (unsigned long long)age_ms, (unsigned long long)batches);
+}
+
 /*
- * wl_sched_stalled_tick - count the stalled jobs once a second, and log the longest stalled one
+ * wl_sched_stalled_tick - count the stalled jobs once a second, and log the longest stalled one and
+ * the tasks that no placement pass has considered for longest
  */
 void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	const wl_task_batch_t *longest = NULL;
+	const wl_task_batch_t *unconsidered = NULL;
 	const wl_task_batch_t *batch;
 	uint64_t longest_ms = 0;
 	uint64_t stalled = 0;
+	uint64_t batches = 0;
 
 	if (now_ns < sched->next_stalled_ns)
 		return;
@@ -158,6 +185,9 @@
 		wl_sched_job_t *sched_job = batch->job->leader_data;
 		uint64_t idle_ms = wl_sched_job_idle_ms(batch->job, now_ns);
 
+		batches++;
+		if (!unconsidered || batch->tried_ns < unconsidered->tried_ns)
+			unconsidered = batch;
 		if (idle_ms < STALLED_REPORT_MS)
 			continue;
 		stalled += sched_job->stalled_count_ns != now_ns;
@@ -170,4 +200,5 @@
 	wl_metrics_set(sched->options.metrics, "wisterialead_jobs_stalled", "", stalled);
 	if (longest)
 		stalled_log(sched, now_ns, longest, stalled, out);
+	unconsidered_report(sched, now_ns, unconsidered, batches, out);
 }
