sched: consider every waiting task in turn, whatever waits before it

Cause: after 64 misses a pass considered batches that no pass had seen for 1 s, at most 64, in the order of ranks. With four passes a second the first 320 were due again before a later one was reached. Misses of steps with a label, accelerators, a gang or a limit a target ruled out no equal step, so that 300 jobs were 600 misses.

Batches have a second order, by when a pass last considered them. What the order of ranks does not reach is taken from there, the longest first, so each one comes round; suspected tasks, which had no late looks, too. The budget is the estimated cost of the looks, not their number: a miss costs from next to nothing to 90 us at 1,800 targets. Passes for such batches come each 50 ms instead of 250, within the passes' share of the processor. Misses of constrained steps rule out steps that require as much; a label that no usable target has needs one search a pass.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -263,6 +263,7 @@
 	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
 	bool queued;	    /* in wl_sched.pending */
 	TAILQ_ENTRY(wl_task_batch) link;
+	TAILQ_ENTRY(wl_task_batch) tried_link;
 	TAILQ_ENTRY(wl_task_batch) suspect_link;
 } wl_task_batch_t;
 
@@ -416,10 +417,11 @@
 	wl_map_t by_ended_job;		     /* the teardowns */
 	struct wl_sched_teardowns teardowns; /* oldest first */
 	uint64_t next_teardowns_ns;
-	wl_metric_t *teardown_times;	   /* NULL: not used yet */
-	struct wl_sched_runs stopping;	   /* a stop was ordered, or is due for an inherited run */
-	struct wl_task_batch_list pending; /* by rank */
-	struct wl_sched_timed timed;	   /* jobs with occurrences that are not due yet */
+	wl_metric_t *teardown_times;	    /* NULL: not used yet */
+	struct wl_sched_runs stopping;	    /* a stop was ordered, or is due for an inherited run */
+	struct wl_task_batch_list pending;  /* by rank */
+	struct wl_task_batch_list by_tried; /* the same, by tried_ns */
+	struct wl_sched_timed timed;	    /* jobs with occurrences that are not due yet */
 	wl_cmd_runs_start_t starts; /* collected by a placement pass and proposed at its end */
 	wl_images_t images;
 	wl_interference_t interference;
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -6,12 +6,15 @@
 #include <string.h>
 
 /*
- * After so many batches that fit on no target, a pass looks only at those that no pass has looked
- * at for UNTRIED_MAX_MS, and at as many of these. Stalled batches are counted apart.
+ * After so many batches that fit on no target, a pass leaves the order of ranks: it considers the
+ * batches that no pass has considered for UNTRIED_MAX_MS, the longest first, for LATE_COST_MAX_NS.
+ * So each batch is considered again and again, however many wait before it. Stalled batches are
+ * counted apart.
  */
 #define MISSES_MAX	 64
 #define UNTRIED_MAX_MS	 1000
-#define UNTRIED_RETRY_MS 250 /* pause between two passes for such batches alone */
+#define LATE_COST_MAX_NS (5 * WL_NS_PER_MS)
+#define UNTRIED_RETRY_MS 50 /* pause between two passes for such batches alone */
 /* Between two passes: tasks that arrive together are committed together. */
 #define PASS_INTERVAL_MIN_US 2000
 /*
@@ -23,6 +26,8 @@
  * passes consider only tasks with reserved CPU, which would otherwise wait for them.
  */
 #define CHECK_COST_NS	  50
+#define ROW_COST_NS	  3   /* of a target that its row rules out */
+#define BATCH_COST_NS	  500 /* of a batch that needs no look at targets */
 #define PASS_CPU_PERMILLE 100
 
 static uint64_t same_step(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
@@ -94,6 +99,8 @@
 	 * permille of the bound, UINT64_MAX: it rules out none
 	 */
 	uint64_t least_tail;
+	bool limited;	  /* max_per_target ruled out a target with room */
+	uint64_t cost_ns; /* estimated, of all looks at targets in the pass */
 } candidates_t;
 
 static void candidates_init(wl_sched_t *sched, candidates_t *candidates)
@@ -115,11 +122,14 @@
 			       const wl_task_batch_t *batch, const wl_fit_request_t *request,
 			       candidates_t *candidates, candidate_t *candidate)
 {
+	candidates->cost_ns += CHECK_COST_NS;
 	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
 		return false;
 	if (!wl_sched_runner_fits(sched, runner, batch, request)) {
-		if (wl_fit_has_capacity(request, &runner->fit))
-			tail_note(candidates, runner->fit.tail_permille);
+		if (!wl_fit_has_capacity(request, &runner->fit))
+			return false;
+		tail_note(candidates, runner->fit.tail_permille);
+		candidates->limited |= request->step->max_per_target > 0;
 		return false;
 	}
 	runner->fit.other_image_millis =
@@ -175,10 +185,12 @@
 	candidates_init(sched, candidates);
 	candidates->count = 0;
 	candidates->least_tail = UINT64_MAX;
+	candidates->limited = false;
 	if (!wl_fit_free_suffices(&candidates->free_max, request)) {
 		interference_refresh(sched, request->step);
 		return;
 	}
+	candidates->cost_ns += sched->row_count * ROW_COST_NS;
 	for (size_t i = 0; i < sched->row_count; i++) {
 		wl_sched_row_t *row = &sched->rows[i];
 
@@ -263,7 +275,10 @@
 	wl_sched_job_placed(batch->job, run);
 }
 
-/* Places all members of a gang, or none: a partial reservation is released. */
+/*
+ * Places all members of a gang, or none: a partial reservation is released. A gang of which members
+ * still run waits for these.
+ */
 static bool gang_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 		       const wl_fit_request_t *request, candidates_t *candidates)
 {
@@ -275,7 +290,7 @@
 	uint64_t number;
 
 	if (batch->count < members)
-		return false;
+		return true;
 	if (wl_sched_trials_wait(batch, members))
 		return true;
 	number = next_run_number(batch, batch->tasks[0].task);
@@ -365,8 +380,8 @@
 }
 
 /*
- * Return: false if a task of the batch fits on no target. Tasks may also have to wait for trials
- * of their job.
+ * Return: false if a task of the batch fits on no target. Tasks may also have to wait for other
+ * runs of their job.
  */
 static bool batch_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			candidates_t *candidates)
@@ -374,7 +389,6 @@
 	wl_fit_request_t request = wl_sched_fit_request(now_ns, batch);
 	bool placed;
 
-	batch->tried_ns = now_ns;
 	batch->suspicion = wl_sched_suspicion(batch, now_ns);
 	placed = request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
 				    : tasks_place(sched, now_ns, batch, &request, candidates);
@@ -384,17 +398,18 @@
 }
 
 /*
- * A task that fitted on no target in this pass. Tasks of its service, and of its image if they are
- * best-effort, that need at least as much are skipped, as long as the forecast tail latency that
- * they may have is below that of every target with room.
+ * A batch that fitted on no target in this pass. Batches of its service, and of its image if they
+ * are best-effort, that need at least as much are skipped, as long as the forecast tail latency
+ * that they may have is below that of every target with room.
  */
 typedef struct miss {
 	wl_str_t service;
+	wl_str_t label;	 /* empty: it requires none */
 	bool background; /* no target has room, whatever the forecast */
 	bool best_effort;
 	unsigned int image;
-	uint64_t cpu_millis;
-	uint64_t memory_mib;
+	uint64_t members;    /* tasks that must start together */
+	wl_need_t need;	     /* of each */
 	uint64_t least_tail; /* permille of the bound; UINT64_MAX: no target has room */
 } miss_t;
 
@@ -402,23 +417,19 @@
 	uint64_t now_ns;
 	bool full; /* considers best-effort work too */
 	size_t stalled_misses;
-	size_t misses[2];   /* by best_effort */
-	size_t late_misses; /* those that are looked at after MISSES_MAX; part of the others */
+	size_t misses[2]; /* by best_effort */
 	size_t suspect_misses;
+	bool late; /* considers the batches that wait for it longest; no more misses are counted */
 	miss_t unplaceable[MISSES_MAX];
 	size_t unplaceable_count;
 	candidates_t candidates;
 } pass_t;
 
-/* Misses of constrained steps say nothing about other steps. */
-static bool is_constrained(const wl_step_spec_t *step)
-{
-	return step->label.len || step->max_per_target || step->gang || step->accelerators;
-}
-
-/* Whether so many batches fitted on no target that only those that have waited are looked at. */
+/* Whether so many batches fitted on no target that this one is not considered by its rank. */
 static bool is_ended(const pass_t *pass, const wl_task_batch_t *batch)
 {
+	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
+		return true;
 	return (wl_sched_batch_stalled(batch, pass->now_ns)
 			? pass->stalled_misses
 			: pass->misses[false] + pass->misses[true]) >= MISSES_MAX;
@@ -429,25 +440,29 @@
 	return batch->tried_ns + UNTRIED_MAX_MS * WL_NS_PER_MS;
 }
 
-static bool is_considered(const pass_t *pass, const wl_task_batch_t *batch)
+/* Best-effort work is considered by full passes only. */
+static bool is_left_out(const pass_t *pass, const wl_task_batch_t *batch)
 {
-	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
-		return false;
-	if (is_ended(pass, batch) &&
-	    (pass->late_misses >= MISSES_MAX || pass->now_ns < untried_due_ns(batch)))
-		return false;
-	return pass->full || !wl_job_step(batch->job, batch->step)->best_effort;
+	return !pass->full && wl_job_step(batch->job, batch->step)->best_effort;
+}
+
+static uint64_t members_of(const wl_step_spec_t *step)
+{
+	return step->gang ? step->count : 1;
 }
 
-/* Whether a task of the request and image misses too, if it is of the same service. */
+/* Whether a batch of the request and image misses too, if it is of the same service. */
 static bool misses_too(const miss_t *miss, const wl_fit_request_t *request, unsigned int image,
 		       uint64_t tail_limit)
 {
 	const wl_step_spec_t *step = request->step;
 
-	if (step->cpu_millis < miss->cpu_millis || step->memory_mib < miss->memory_mib ||
+	if (step->cpu_millis < miss->need.cpu_millis || step->memory_mib < miss->need.memory_mib ||
+	    step->accelerators < miss->need.accelerators || members_of(step) < miss->members ||
 	    step->best_effort != miss->best_effort || request->background != miss->background)
 		return false;
+	if (miss->label.len && !wl_str_equal(miss->label, wl_buf_str(&step->label)))
+		return false;
 	if (request->background || !step->best_effort)
 		return true;
 	return image == miss->image &&
@@ -480,53 +495,154 @@
 		sched->waiting_due_ns = due_ns;
 }
 
-/* Notes when a batch that still has tasks is to be looked at again, whatever happens until then. */
-static void waiting_due(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+/* Notes when the next task of a batch may be placed whatever the forecast is. */
+static void stalled_due(wl_sched_t *sched, const pass_t *pass, const wl_task_batch_t *batch)
 {
-	uint64_t stalled_ns = wl_sched_stalled_due_ns(batch, pass->now_ns);
+	uint64_t due_ns = wl_sched_stalled_due_ns(batch, pass->now_ns);
+
+	if (batch->count > 0 && due_ns)
+		due_at(sched, due_ns);
+}
+
+/* Notes when the batches that this pass has not considered are due. */
+static void untried_due(wl_sched_t *sched, const pass_t *pass)
+{
+	const wl_task_batch_t *longest = TAILQ_FIRST(&sched->by_tried);
 	uint64_t retry_ns = pass->now_ns + UNTRIED_RETRY_MS * WL_NS_PER_MS;
 
-	if (batch->count == 0)
+	if (longest && longest->tried_ns < pass->now_ns)
+		due_at(sched,
+		       untried_due_ns(longest) > retry_ns ? untried_due_ns(longest) : retry_ns);
+}
+
+/* Whether no usable target of the service has the label that the step requires. */
+static bool is_label_lost(const wl_sched_t *sched, const wl_fit_request_t *request)
+{
+	const wl_sched_runner_t *runner;
+
+	if (request->step->label.len == 0)
+		return false;
+	TAILQ_FOREACH (runner, &sched->runners, link)
+		if (runner->fit.usable && wl_str_equal(runner->fit.service, request->service) &&
+		    wl_fit_has_label(request->step, &runner->fit))
+			return false;
+	return true;
+}
+
+/*
+ * Whether the miss of a batch tells of others: it does not if the runs of its own job or the trials
+ * of its tasks ruled targets out. The members of a best-effort gang add to the forecasts.
+ */
+static bool is_telling(const pass_t *pass, const wl_task_batch_t *batch)
+{
+	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
+
+	if (pass->candidates.limited || batch->suspicion.level != WL_TRIAL_NONE)
+		return false;
+	return !step->gang || !step->best_effort || pass->candidates.least_tail == UINT64_MAX;
+}
+
+static void unplaceable_add(const wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
+{
+	wl_fit_request_t request = wl_sched_fit_request(pass->now_ns, batch);
+	const wl_step_spec_t *step = request.step;
+	miss_t *miss;
+
+	if (pass->unplaceable_count == MISSES_MAX || !is_telling(pass, batch))
+		return;
+	miss = &pass->unplaceable[pass->unplaceable_count++];
+	*miss = (miss_t){
+		.service = request.service,
+		.label = wl_buf_str(&step->label),
+		.background = request.background,
+		.best_effort = step->best_effort,
+		.image = batch->image,
+		.members = 1,
+		.least_tail = pass->candidates.least_tail,
+	};
+	if (is_label_lost(sched, &request))
 		return;
-	if (stalled_ns)
-		due_at(sched, stalled_ns);
-	if (is_ended(pass, batch) && !is_unplaceable(pass, batch))
-		due_at(sched, untried_due_ns(batch) > retry_ns ? untried_due_ns(batch) : retry_ns);
+	miss->members = members_of(step);
+	miss->need = (wl_need_t){.cpu_millis = step->cpu_millis,
+				 .memory_mib = step->memory_mib,
+				 .accelerators = step->accelerators};
 }
 
 static void miss_record(wl_sched_t *sched, pass_t *pass, const wl_task_batch_t *batch)
 {
 	const wl_step_spec_t *step = wl_job_step(batch->job, batch->step);
-	bool background = wl_sched_batch_stalled(batch, pass->now_ns);
 
 	suspects_due(sched, batch);
-	if (batch->suspect) {
-		pass->suspect_misses++;
+	if (!batch->suspect)
+		unplaceable_add(sched, pass, batch);
+	if (pass->late)
 		return;
-	}
-	pass->late_misses += is_ended(pass, batch);
-	if (background)
+	if (batch->suspect)
+		pass->suspect_misses++;
+	else if (wl_sched_batch_stalled(batch, pass->now_ns))
 		pass->stalled_misses++;
 	else
 		pass->misses[step->best_effort]++;
-	if (is_constrained(step) || pass->unplaceable_count == MISSES_MAX)
-		return;
-	pass->unplaceable[pass->unplaceable_count++] = (miss_t){
-		.service = wl_buf_str(&batch->job->record.service),
-		.background = background,
-		.best_effort = step->best_effort,
-		.image = batch->image,
-		.cpu_millis = step->cpu_millis,
-		.memory_mib = step->memory_mib,
-		.least_tail = pass->candidates.least_tail,
-	};
 }
 
-/* Time from which misses like those of this pass may be repeated. */
-static uint64_t next_pass_at_ns(const wl_sched_t *sched, size_t misses, uint64_t now_ns)
+static void batch_consider(wl_sched_t *sched, pass_t *pass, wl_task_batch_t *batch)
+{
+	batch->tried_ns = pass->now_ns;
+	TAILQ_REMOVE(&sched->by_tried, batch, tried_link);
+	TAILQ_INSERT_TAIL(&sched->by_tried, batch, tried_link);
+	if (!is_unplaceable(pass, batch) &&
+	    !batch_place(sched, pass->now_ns, batch, &pass->candidates))
+		miss_record(sched, pass, batch);
+}
+
+static void consider_by_rank(wl_sched_t *sched, pass_t *pass)
+{
+	wl_task_batch_t *batch = TAILQ_FIRST(&sched->pending);
+
+	while (batch) {
+		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
+
+		if (!is_left_out(pass, batch) &&
+		    (!is_ended(pass, batch) || is_unplaceable(pass, batch)))
+			batch_consider(sched, pass, batch);
+		stalled_due(sched, pass, batch);
+		wl_sched_batch_dequeue_empty(sched, batch);
+		batch = next;
+	}
+}
+
+/*
+ * Considers the batches that were not reached, the one that has waited for it longest first.
+ *
+ * Return: the estimated cost, ns.
+ */
+static uint64_t consider_late(wl_sched_t *sched, pass_t *pass)
+{
+	wl_task_batch_t *batch = TAILQ_FIRST(&sched->by_tried);
+	uint64_t before_ns = pass->candidates.cost_ns;
+	uint64_t cost_ns = 0;
+
+	pass->late = true;
+	while (batch && pass->now_ns >= untried_due_ns(batch) && cost_ns < LATE_COST_MAX_NS) {
+		wl_task_batch_t *next = TAILQ_NEXT(batch, tried_link);
+
+		if (!is_left_out(pass, batch)) {
+			batch_consider(sched, pass, batch);
+			wl_sched_batch_dequeue_empty(sched, batch);
+			pass->candidates.cost_ns += BATCH_COST_NS;
+		}
+		cost_ns = pass->candidates.cost_ns - before_ns;
+		batch = next;
+	}
+	return cost_ns;
+}
+
+/* Time from which misses like those of this pass, and looks of that cost, may be repeated. */
+static uint64_t next_pass_at_ns(const wl_sched_t *sched, size_t misses, uint64_t cost_ns,
+				uint64_t now_ns)
 {
 	uint64_t checks = misses * wl_map_count(&sched->by_runner);
-	uint64_t pause_ns = checks * CHECK_COST_NS * WL_PERMILLE / PASS_CPU_PERMILLE;
+	uint64_t pause_ns = (checks * CHECK_COST_NS + cost_ns) * WL_PERMILLE / PASS_CPU_PERMILLE;
 
 	if (pause_ns < PASS_INTERVAL_MIN_US * WL_NS_PER_US)
 		pause_ns = PASS_INTERVAL_MIN_US * WL_NS_PER_US;
@@ -553,8 +669,8 @@
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
-	wl_task_batch_t *batch;
 	pass_t pass = {.now_ns = now_ns};
+	uint64_t late_ns;
 
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
@@ -564,23 +680,15 @@
 	sched->full_pass_due = !pass.full;
 	wl_sched_queue_sort(sched, now_ns);
 	wl_sched_background_promote(sched, now_ns, out);
-	batch = TAILQ_FIRST(&sched->pending);
-	while (batch) {
-		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
-
-		if (is_considered(&pass, batch) && !is_unplaceable(&pass, batch) &&
-		    !batch_place(sched, now_ns, batch, &pass.candidates))
-			miss_record(sched, &pass, batch);
-		waiting_due(sched, &pass, batch);
-		wl_sched_batch_dequeue_empty(sched, batch);
-		batch = next;
-	}
+	consider_by_rank(sched, &pass);
+	late_ns = consider_late(sched, &pass);
+	untried_due(sched, &pass);
 	free(pass.candidates.items);
 	sched->next_pass_ns =
-		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, now_ns);
+		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, late_ns, now_ns);
 	if (pass.full)
 		sched->next_full_pass_ns =
-			next_pass_at_ns(sched, pass.misses[true] + pass.stalled_misses, now_ns);
+			next_pass_at_ns(sched, pass.misses[true] + pass.stalled_misses, 0, now_ns);
 	if (sched->starts.runs.count == 0)
 		return;
 	cmd.u.runs_start = sched->starts;
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -117,6 +117,7 @@
 
 	sched_job->queued++;
 	batch->queued = true;
+	TAILQ_INSERT_TAIL(&sched->by_tried, batch, tried_link);
 	while (before && before->rank > batch->rank)
 		before = TAILQ_PREV(before, wl_task_batch_list, link);
 	if (before)
@@ -134,6 +135,7 @@
 	sched_job->queued--;
 	batch->queued = false;
 	TAILQ_REMOVE(&sched->pending, batch, link);
+	TAILQ_REMOVE(&sched->by_tried, batch, tried_link);
 }
 
 static void rack_inherit(wl_task_batch_t *batch)
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -58,6 +58,7 @@
 	TAILQ_INIT(&sched->crashes);
 	TAILQ_INIT(&sched->stopping);
 	TAILQ_INIT(&sched->pending);
+	TAILQ_INIT(&sched->by_tried);
 	TAILQ_INIT(&sched->timed);
 	wl_sched_acceptance_init(sched);
 	wl_images_init(&sched->images);
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -60,6 +60,7 @@
 			target.fit.usable = true;
 			target.fit.service = wl_buf_str(&state->report.service);
 			target.fit.rack = str(target.rack);
+			target.fit.labels = &state->report.labels;
 			target.fit.capacity.memory_mib = state->report.memory_mib;
 		}
 	}
@@ -86,16 +87,19 @@
 
 	void submit(const std::string &id)
 	{
-		static const char *const shapes[] = {"plain", "gang",	 "rack",
-						     "limit", "lasting", "best-effort"};
-		std::string shape = shapes[random() % 6];
+		static const char *const shapes[] = {"plain",	    "gang",	 "rack",
+						     "limit",	    "label",	 "lasting",
+						     "best-effort", "label-gang"};
+		std::string shape = shapes[random() % 8];
 		wl_step_spec_t *step = rig.job("q", id, {1 + random() % 12});
 		std::string image = "m" + std::to_string(random() % 3);
 
 		step->cpu_millis = 1000 * (1 + random() % 8);
 		step->memory_mib = 10;
 		wl_buf_set(&step->image, str(image));
-		step->gang = shape == "gang";
+		step->gang = shape == "gang" || shape == "label-gang";
+		if (shape == "label" || shape == "label-gang")
+			wl_buf_set(&step->label, str("r" + std::to_string(random() % (RACKS + 1))));
 		step->same_rack = shape == "rack";
 		step->max_per_target = shape == "limit" ? 1 + random() % 2 : 0;
 		step->lasting = shape == "lasting";
@@ -119,17 +123,36 @@
 			pending_check(job, shape);
 	}
 
-	/*
-	 * Pending tasks fit on no target. Gangs are skipped, since they wait for capacity
-	 * for all members.
-	 */
+	/* How many tasks of a step that is not best-effort fit at the same time. */
+	uint64_t room_for(const wl_step_spec_t *step, const std::string &job)
+	{
+		wl_fit_request_t request = {step, targets[0].fit.service, {}, 0, false};
+		uint64_t room = 0;
+
+		for (Target &target : targets) {
+			wl_fit_runner_t after = target.fit;
+
+			after.same_step = target.tasks[job];
+			while (wl_fit_fits(&request, &after)) {
+				after.used.cpu_millis += step->cpu_millis;
+				after.used.memory_mib += step->memory_mib;
+				room++;
+			}
+		}
+		return room;
+	}
+
+	/* Pending tasks fit on no target, and gangs have no room for all members. */
 	void pending_check(const std::string &job, const std::string &shape)
 	{
 		const wl_step_spec_t *step = wl_job_step(rig.find(job), 0);
 
-		if (shape == "gang" || started[job] == step->count)
+		if (started[job] == step->count)
 			return;
-		ASSERT_EQ(best_for(step, job), -1) << job << " " << shape;
+		if (step->gang)
+			ASSERT_LT(room_for(step, job), step->count) << job << " " << shape;
+		else
+			ASSERT_EQ(best_for(step, job), -1) << job << " " << shape;
 		unplaced++;
 	}
 
@@ -215,7 +238,8 @@
 		unplaced += placement.unplaced;
 	}
 	EXPECT_GT(unplaced, 100);
-	for (const char *shape : {"plain", "gang", "rack", "limit", "lasting", "best-effort"})
+	for (const char *shape :
+	     {"plain", "gang", "rack", "limit", "label", "lasting", "best-effort", "label-gang"})
 		EXPECT_GT(starts_by_shape[shape], 100) << shape;
 }
 
