raft: forget replicas that were not heard of for a minute

Cause: a replica keeps up to 32 names and ignores the probe of one whose name is not kept. It forgot only names that the settings had named and that never probed, so every newcomer kept a place as long as the process lived.

A replica that is neither in the settings nor a member is forgotten when it was not heard of for a minute, and gives its place before if the table is full and it was not heard of within two election time-outs. So seeds, members and fresh newcomers keep their places in a flood of names, and a removed replica that comes back is known by its probe.

An ignored probe left no trace; probe-ignored and two metrics tell now.

--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -63,6 +63,8 @@
 	const char *role; /* last logged role, with its term and leader */
 	uint64_t role_term;
 	wl_buf_t role_leader;
+	size_t known_replicas; /* as reported last, and so is the next */
+	uint64_t probes_ignored;
 	uint64_t next_seek_ns;	       /* next search for replicas to dial */
 	uint64_t next_no_group_log_ns; /* next log line about belonging to no group */
 
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -321,6 +321,23 @@
 		raft_event(node, now_ns, &raft, out);
 }
 
+/* Reports the replicas known by name, and those that found no place among them. */
+static void known_report(wl_node_t *node, wl_out_t *out)
+{
+	uint64_t ignored = wl_raft_probes_ignored(node->raft);
+	size_t known = wl_raft_known_count(node->raft);
+
+	if (known != node->known_replicas)
+		wl_metrics_set(&node->metrics, "wisterialead_known_replicas", "", known);
+	node->known_replicas = known;
+	if (ignored == node->probes_ignored)
+		return;
+	wl_metrics_set(&node->metrics, "wisterialead_probes_ignored_total", "", ignored);
+	wl_out_log(out, WL_WARN, "probe-ignored", "ignored=%llu known=%zu",
+		   (unsigned long long)ignored, known);
+	node->probes_ignored = ignored;
+}
+
 /*
  * wl_node_raft_tick - run the timers of the log
  * @now_ns: monotonic time, nanoseconds
@@ -332,6 +349,7 @@
 	if (!node->raft)
 		return;
 	raft_event(node, now_ns, &event, out);
+	known_report(node, out);
 	if (node->options.replica_port && wl_raft_discovering(node->raft, now_ns) &&
 	    now_ns >= node->next_seek_ns) {
 		node->next_seek_ns = now_ns + SEEK_INTERVAL_MS * WL_NS_PER_MS;
--- a/libwlcore/raft/found.c
+++ b/libwlcore/raft/found.c
@@ -142,6 +142,7 @@
 	if (now_ns < raft->probe_at_ns)
 		return;
 	raft->probe_at_ns = now_ns + raft->heartbeat_ns;
+	wl_raft_known_expire(raft, now_ns);
 
 	if (!blank(raft)) {
 		if (wl_raft_last_index(raft) == 0 && lowest_name(raft))
@@ -178,7 +179,7 @@
  */
 void wl_raft_on_probe(wl_raft_t *raft, uint64_t now_ns, wl_str_t name, wl_raft_msg_t *msg)
 {
-	wl_raft_known_t *known = wl_raft_known_add(raft, name);
+	wl_raft_known_t *known = wl_raft_known_add(raft, now_ns, name);
 	wl_raft_msg_t answer = {.kind = WL_RAFT_PROBED, .to = msg->from, .round = msg->round};
 
 	if (!known || !wl_str_equal(name, wl_buf_str(&msg->name)))
@@ -186,6 +187,7 @@
 	if (!msg->blank && msg->group != raft->members.group)
 		return;
 	known->probe = (wl_raft_contact_t){msg->from, msg->blank, now_ns};
+	known->heard_ns = now_ns;
 	answer.blank = blank(raft);
 	if (raft->max_voters && !blank(raft))
 		wl_record_copy(&wl_raft_members_schema, &answer.members, &raft->members);
@@ -195,7 +197,7 @@
 }
 
 /* Only the leader admits members, and it may not be among the replicas of the settings. */
-static void learn_members(wl_raft_t *raft, const wl_raft_members_t *members)
+static void learn_members(wl_raft_t *raft, uint64_t now_ns, const wl_raft_members_t *members)
 {
 	if (!blank(raft) && raft->members.group != members->group)
 		return;
@@ -203,7 +205,7 @@
 		wl_str_t name = wl_buf_str(&wl_raft_member_at(members, i)->name);
 
 		if (!wl_str_equal(name, wl_buf_str(&raft->name)))
-			wl_raft_known_add(raft, name);
+			wl_raft_known_add(raft, now_ns, name);
 	}
 }
 
@@ -217,8 +219,9 @@
 	if (!known || msg->round != raft->probe_round)
 		return;
 	known->answer = (wl_raft_contact_t){msg->from, msg->blank, now_ns};
+	known->heard_ns = now_ns;
 	if (!msg->blank)
-		learn_members(raft, &msg->members);
+		learn_members(raft, now_ns, &msg->members);
 }
 
 static bool record_lists(const wl_raft_t *raft, const wl_raft_members_t *record)
--- a/libwlcore/raft/internal.h
+++ b/libwlcore/raft/internal.h
@@ -55,6 +55,7 @@
 	bool seed;		  /* named in the settings */
 	wl_raft_contact_t probe;  /* its latest probe */
 	wl_raft_contact_t answer; /* its latest answer to a probe sent since this process started */
+	uint64_t heard_ns;	  /* newest of both; when it became known, until there is one */
 	bool replace; /* an operator requested the replacement of the member of this name */
 } wl_raft_known_t;
 
@@ -145,6 +146,7 @@
 	wl_raft_known_t *known;
 	size_t known_count;
 	size_t known_capacity;
+	uint64_t probes_ignored; /* for want of a place among the known replicas */
 	uint64_t probe_at_ns;
 	uint64_t probe_round;
 };
@@ -185,7 +187,8 @@
 uint64_t wl_raft_quorum_value(const wl_raft_t *raft,
 			      uint64_t (*value)(const wl_raft_t *raft, const wl_raft_peer_t *peer));
 wl_raft_known_t *wl_raft_known_find(const wl_raft_t *raft, wl_str_t name);
-wl_raft_known_t *wl_raft_known_add(wl_raft_t *raft, wl_str_t name);
+wl_raft_known_t *wl_raft_known_add(wl_raft_t *raft, uint64_t now_ns, wl_str_t name);
+void wl_raft_known_expire(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_members_tick(wl_raft_t *raft, uint64_t now_ns);
 void wl_raft_replace(wl_raft_t *raft, wl_str_t name);
 
--- a/libwlcore/raft/members.c
+++ b/libwlcore/raft/members.c
@@ -12,10 +12,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KNOWN_FRESH_ELECTIONS 2	 /* election timeouts; a new replica's probe must be as recent */
-#define MAX_MEMBERS	      9	 /* voters and learners; further replicas wait */
-#define MAX_KNOWN	      32 /* limit of replicas kept by name */
-#define REACHABLE_HEARTBEATS  2	 /* heartbeat intervals within which a reachable member answers */
+#include <libwlbase/units.h>
+
+#define KNOWN_FRESH_ELECTIONS 2	    /* election timeouts; a new replica's probe must be as recent */
+#define MAX_MEMBERS	      9	    /* voters and learners; further replicas wait */
+#define MAX_KNOWN	      32    /* limit of replicas kept by name */
+#define KNOWN_LIFE_MS	      60000 /* a replica that was not heard of for so long is forgotten */
+#define REACHABLE_HEARTBEATS  2 /* heartbeat intervals within which a reachable member answers */
 
 /*
  * wl_raft_member_at - the member at a position of a list
@@ -187,19 +190,89 @@
 	return known;
 }
 
+static void known_remove(wl_raft_t *raft, wl_raft_known_t *known)
+{
+	wl_buf_free(&known->name);
+	*known = raft->known[--raft->known_count];
+}
+
+static bool is_member_name(const wl_raft_t *raft, wl_str_t name)
+{
+	for (size_t i = 0; i < raft->members.members.count; i++)
+		if (wl_str_equal(wl_buf_str(&wl_raft_member_at(&raft->members, i)->name), name))
+			return true;
+	return false;
+}
+
+/*
+ * Whether a replica may be forgotten after so long without a word of it. The group is found again
+ * through the seeds and the members; a replica that probes introduces itself.
+ */
+static bool is_forgettable(const wl_raft_t *raft, const wl_raft_known_t *known, uint64_t now_ns,
+			   uint64_t silent_ns)
+{
+	return !known->seed && now_ns - known->heard_ns > silent_ns &&
+	       !is_member_name(raft, wl_buf_str(&known->name));
+}
+
+static uint64_t fresh_ns(const wl_raft_t *raft)
+{
+	return KNOWN_FRESH_ELECTIONS * raft->election_ns;
+}
+
+/* Forgets the replica that was heard of longest ago. Return: whether there was one to forget. */
+static bool known_displace(wl_raft_t *raft, uint64_t now_ns)
+{
+	wl_raft_known_t *longest = NULL;
+
+	for (size_t i = 0; i < raft->known_count; i++) {
+		wl_raft_known_t *known = &raft->known[i];
+
+		if (is_forgettable(raft, known, now_ns, fresh_ns(raft)) &&
+		    (!longest || known->heard_ns < longest->heard_ns))
+			longest = known;
+	}
+	if (longest)
+		known_remove(raft, longest);
+	return longest != NULL;
+}
+
+/*
+ * wl_raft_known_expire - forget the replicas that were not heard of for KNOWN_LIFE_MS
+ */
+void wl_raft_known_expire(wl_raft_t *raft, uint64_t now_ns)
+{
+	for (size_t i = 0; i < raft->known_count;) {
+		wl_raft_known_t *known = &raft->known[i];
+
+		if (is_forgettable(raft, known, now_ns, KNOWN_LIFE_MS * WL_NS_PER_MS))
+			known_remove(raft, known);
+		else
+			i++;
+	}
+}
+
 /*
  * wl_raft_known_add - add a replica to the known ones
  *
+ * At MAX_KNOWN it takes the place of the one that was heard of longest ago.
+ *
  * Return: the replica, or NULL if it is not known and either only replicas named in the
- * settings are admitted (max_voters is 0) or MAX_KNOWN replicas are known.
+ * settings are admitted (max_voters is 0) or none of the known ones may be forgotten.
  */
-wl_raft_known_t *wl_raft_known_add(wl_raft_t *raft, wl_str_t name)
+wl_raft_known_t *wl_raft_known_add(wl_raft_t *raft, uint64_t now_ns, wl_str_t name)
 {
 	wl_raft_known_t *known = wl_raft_known_find(raft, name);
 
-	if (known || raft->max_voters == 0 || raft->known_count >= MAX_KNOWN)
+	if (known || raft->max_voters == 0)
 		return known;
-	return known_new(raft, name);
+	if (raft->known_count >= MAX_KNOWN && !known_displace(raft, now_ns)) {
+		raft->probes_ignored++;
+		return NULL;
+	}
+	known = known_new(raft, name);
+	known->heard_ns = now_ns;
+	return known;
 }
 
 /* Removes replicas that the settings no longer name and that have not probed. */
@@ -212,8 +285,7 @@
 			i++;
 			continue;
 		}
-		wl_buf_free(&known->name);
-		*known = raft->known[--raft->known_count];
+		known_remove(raft, known);
 	}
 }
 
@@ -262,6 +334,22 @@
 			wl_strings_add(names, wl_buf_str(&raft->known[i].name));
 }
 
+/*
+ * wl_raft_known_count - number of replicas known by name
+ */
+size_t wl_raft_known_count(const wl_raft_t *raft)
+{
+	return raft->known_count;
+}
+
+/*
+ * wl_raft_probes_ignored - how often a replica was ignored because MAX_KNOWN others are known
+ */
+uint64_t wl_raft_probes_ignored(const wl_raft_t *raft)
+{
+	return raft->probes_ignored;
+}
+
 static void members_propose(wl_raft_t *raft, uint64_t now_ns, wl_raft_members_t *members)
 {
 	wl_buf_t data = {0};
@@ -460,13 +548,11 @@
 
 static bool admit_newcomer(wl_raft_t *raft, uint64_t now_ns)
 {
-	uint64_t fresh_ns = KNOWN_FRESH_ELECTIONS * raft->election_ns;
-
 	for (size_t i = 0; i < raft->known_count; i++) {
 		wl_raft_known_t *known = &raft->known[i];
 
 		if (!may_admit(raft, known) || !known->probe.received_ns ||
-		    now_ns - known->probe.received_ns > fresh_ns ||
+		    now_ns - known->probe.received_ns > fresh_ns(raft) ||
 		    wl_raft_peer_find(raft, known->probe.id) ||
 		    wl_str_equal(wl_buf_str(&known->name), wl_buf_str(&raft->name)))
 			continue;
--- a/libwlcore/raft/raft.h
+++ b/libwlcore/raft/raft.h
@@ -123,6 +123,8 @@
 uint64_t wl_raft_commit_index(const wl_raft_t *raft);
 wl_str_t wl_raft_leader_name(const wl_raft_t *raft);
 bool wl_raft_discovering(const wl_raft_t *raft, uint64_t now_ns);
+size_t wl_raft_known_count(const wl_raft_t *raft);
+uint64_t wl_raft_probes_ignored(const wl_raft_t *raft);
 void wl_raft_known_names(const wl_raft_t *raft, wl_list_t *names);
 void wl_raft_reachable_names(const wl_raft_t *raft, uint64_t now_ns, wl_list_t *names);
 void wl_raft_member_names(const wl_raft_t *raft, wl_list_t *names);
--- a/tests/unit/raft_seeds_test.cc
+++ b/tests/unit/raft_seeds_test.cc
@@ -10,9 +10,16 @@
 class RaftSeeds : public testing::Test
 {
       protected:
+	static constexpr size_t LATER = 240; /* replicas that start later */
+	static constexpr uint64_t KNOWN_LIFE_MS = 60000;
+
 	RaftSeeds() : bus(7)
 	{
-		bus.add({"a", "b", "c", "d", "e", "f", "g"});
+		std::vector<std::string> names = {"a", "b", "c", "d", "e", "f", "g"};
+
+		for (size_t i = 0; i < LATER; i++)
+			names.push_back(later(i));
+		bus.add(names);
 		bus.seeds = {"a", "b", "c"};
 		bus.max_voters = 5;
 		bus.replace_ms = 2000;
@@ -46,6 +53,47 @@
 		return learners.empty() ? voters : voters + "+" + learners;
 	}
 
+	/* Two replicas are lost for good, and two empty ones with other names come. */
+	void replace_two(size_t pair)
+	{
+		for (size_t i = 2 * pair; i < 2 * pair + 2; i++)
+			bus.crash(i < 2 ? std::string(1, static_cast<char>('d' + i))
+					: later(i - 2));
+		bus.run(1000);
+		for (size_t i = 2 * pair; i < 2 * pair + 2; i++)
+			bus.start(later(i));
+		bus.run(4000);
+	}
+
+	static std::string later(size_t i)
+	{
+		return "r" + std::to_string(i);
+	}
+
+	bool is_member(const std::string &name)
+	{
+		wl_list_t names = {};
+		bool found;
+
+		if (bus.leader().empty())
+			return false;
+		wl_raft_member_names(bus.node(bus.leader()).raft, &names);
+		found = wl_strings_contain(&names, {name.data(), name.size()});
+		wl_strings_free(&names);
+		return found;
+	}
+
+	size_t known_count(const std::string &name)
+	{
+		wl_list_t names = {};
+		size_t count;
+
+		wl_raft_known_names(bus.node(name).raft, &names);
+		count = names.count;
+		wl_strings_free(&names);
+		return count;
+	}
+
 	RaftBus bus;
 };
 
@@ -174,3 +222,85 @@
 	bus.run(2000);
 	EXPECT_NE(members().find('f'), std::string::npos) << members();
 }
+
+/* Guards against a leader that admits no more replicas after 28 with other names. */
+TEST_F(RaftSeeds, ReplacementsGoOnUnderOneLeader)
+{
+	start("abcde");
+	bus.run(1500);
+	std::string first = bus.leader();
+
+	while (first == "d" || first == "e") {
+		bus.crash(first);
+		bus.run(3000);
+		bus.start(first);
+		bus.run(1000);
+		first = bus.leader();
+	}
+	for (size_t pair = 0; pair < LATER / 2; pair++) {
+		replace_two(pair);
+		ASSERT_TRUE(is_member(later(2 * pair))) << pair;
+		ASSERT_TRUE(is_member(later(2 * pair + 1))) << pair;
+	}
+	EXPECT_EQ(bus.leader(), first);
+	bus.run(KNOWN_LIFE_MS + 1000);
+	EXPECT_LE(known_count(first), 4u) << "two seeds and the two newest";
+	EXPECT_EQ(bus.fault, "");
+}
+
+/* The same while each pair of replacements comes beside the loss of the leader for a while. */
+TEST_F(RaftSeeds, ReplacementsGoOnUnderChangingLeaders)
+{
+	start("abcde");
+	bus.run(1500);
+	for (size_t pair = 0; pair < LATER / 2; pair++) {
+		std::string leader = bus.leader();
+
+		replace_two(pair);
+		if (leader.size() == 1 && leader < "d") {
+			bus.crash(leader);
+			bus.run(1000);
+			bus.start(leader);
+			bus.run(1000);
+		}
+		ASSERT_TRUE(is_member(later(2 * pair))) << pair;
+		ASSERT_TRUE(is_member(later(2 * pair + 1))) << pair;
+	}
+	EXPECT_EQ(bus.groups.size(), 1u);
+	EXPECT_EQ(bus.fault, "");
+}
+
+/* Many replicas ask to join at once and go again; the next one must still be heard. */
+TEST_F(RaftSeeds, FloodOfNewcomersDoesNotKeepALaterOneOut)
+{
+	start("abcde");
+	bus.run(1500);
+	for (size_t i = 0; i < 60; i++)
+		bus.start(later(i));
+	bus.run(5000);
+	EXPECT_GT(wl_raft_probes_ignored(bus.node(bus.leader()).raft), 0u);
+	for (size_t i = 0; i < 60; i++)
+		bus.crash(later(i));
+	bus.crash("d");
+	bus.run(5000);
+	start("f");
+	bus.run(5000);
+	EXPECT_TRUE(is_member("f")) << members();
+	EXPECT_FALSE(is_member("d")) << members();
+	EXPECT_EQ(bus.fault, "");
+}
+
+/* A removed replica keeps the group's log: it may join again however long it was away. */
+TEST_F(RaftSeeds, ReplicaThatWasForgottenRejoins)
+{
+	start("abcdef");
+	bus.run(2000);
+	for (const char *other : {"a", "b", "d", "e", "f"})
+		bus.cut("c", other);
+	bus.run(2 * KNOWN_LIFE_MS);
+	ASSERT_FALSE(is_member("c")) << members();
+	bus.heal();
+	bus.run(3000);
+	EXPECT_TRUE(is_member("c")) << members();
+	EXPECT_EQ(bus.fault, "");
+}
