sched: an agent that is gone gives its bit to a later one

A leader that has seen 64 replicas come and go could not tell those that followed apart: they had no bit in the masks of a target. One of them that reaches no target was not avoided, so that the lease of a run there ended (6,000 ms without a renewal in the test), and no answer through it counted as contact at the present address.

Cause: agents were only ever added, and the bit of the next one is that of the last one shifted.

With no bit left, the agent that has been unusable for longest becomes that of the new replica; runs and targets forget it. Orders in flight there had failed when it became unusable.

unit.sched_agents_test: TargetIsCalledThroughAnotherReplicaAfterManyWereReplaced failed before; RunIsStoppedAfterItsAgentWasReplaced covers the references.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -72,6 +72,7 @@
 	return NULL;
 }
 
+/* Return: 0 if the masks have no bit left. */
 static uint64_t next_bit(const wl_sched_t *sched)
 {
 	const wl_sched_agent_t *newest = TAILQ_LAST(&sched->agents, wl_sched_agents);
@@ -79,15 +80,59 @@
 	return newest ? newest->bit << 1 : 1;
 }
 
-static wl_sched_agent_t *agent_add(wl_sched_t *sched, wl_str_t name)
+static void agent_name_set(wl_sched_agent_t *agent, wl_str_t name)
 {
-	wl_sched_agent_t *agent = wl_alloc(sizeof(*agent));
-
 	wl_buf_set(&agent->name, name);
 	agent->seed = wl_str_hash(name, 0);
+}
+
+static void agent_add(wl_sched_t *sched, wl_str_t name)
+{
+	wl_sched_agent_t *agent = wl_alloc(sizeof(*agent));
+
+	agent_name_set(agent, name);
 	agent->bit = next_bit(sched);
 	TAILQ_INSERT_TAIL(&sched->agents, agent, link);
-	return agent;
+}
+
+static void run_forget_agent(wl_sched_run_t *run, const wl_sched_agent_t *agent)
+{
+	if (run->start_agent == agent)
+		run->start_agent = NULL;
+	if (run->stop_agent != agent)
+		return;
+	run->stop_agent = NULL;
+	run->stop_open = false;
+}
+
+/* Makes an agent without orders in flight that of another replica. */
+static void agent_reuse(wl_sched_t *sched, wl_sched_agent_t *agent, wl_str_t name)
+{
+	wl_sched_runner_t *runner;
+	wl_sched_run_t *run;
+
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		runner->avoided_agents &= ~agent->bit;
+		runner->known.answered_agents &= ~agent->bit;
+		TAILQ_FOREACH (run, &runner->runs, link)
+			run_forget_agent(run, agent);
+	}
+	wl_list_free(&wl_order_schema, &agent->orders);
+	agent_name_set(agent, name);
+	agent->unusable_until_ns = 0;
+}
+
+/* Return: the agent that has been unusable for longest, and is none of the given ones. */
+static wl_sched_agent_t *longest_unusable(const wl_sched_t *sched, const wl_list_t *names)
+{
+	wl_sched_agent_t *agent = TAILQ_FIRST(&sched->agents);
+	wl_sched_agent_t *longest = NULL;
+
+	while ((agent = TAILQ_NEXT(agent, link)))
+		if (!agent->usable && !wl_strings_contain(names, wl_buf_str(&agent->name)) &&
+		    (!longest || agent->unusable_since_ns < longest->unusable_since_ns))
+			longest = agent;
+	return longest;
 }
 
 /*
@@ -128,6 +173,7 @@
 	if (agent->usable == usable)
 		return;
 	agent->usable = usable;
+	agent->unusable_since_ns = now_ns;
 	if (usable)
 		clock_ask(sched, agent, out);
 	wl_out_log(out, WL_INFO, "agent", "replica=" WL_STR_FMT " usable=%s",
@@ -136,6 +182,17 @@
 		wl_sched_orders_fail(sched, now_ns, agent, out);
 }
 
+/* A replica that was replaced does not come back: one that has been gone for long gives its bit. */
+static void agent_admit(wl_sched_t *sched, const wl_list_t *names, wl_str_t name)
+{
+	wl_sched_agent_t *gone = next_bit(sched) ? NULL : longest_unusable(sched, names);
+
+	if (gone)
+		agent_reuse(sched, gone, name);
+	else
+		agent_add(sched, name);
+}
+
 /*
  * wl_sched_agents_set - set the other replicas that are reachable
  * @names: strings
@@ -151,7 +208,7 @@
 		return;
 	for (size_t i = 0; i < names->count; i++)
 		if (!agent_find(sched, wl_buf_str(&items[i])))
-			agent_add(sched, wl_buf_str(&items[i]));
+			agent_admit(sched, names, wl_buf_str(&items[i]));
 	agent = TAILQ_FIRST(&sched->agents);
 	while ((agent = TAILQ_NEXT(agent, link)))
 		agent_usable_set(sched, now_ns, agent,
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -296,8 +296,9 @@
 typedef struct wl_sched_agent {
 	wl_buf_t name;
 	uint64_t seed; /* seed of its rendezvous hash */
-	uint64_t bit;  /* in wl_sched_runner.answered_agents; 0: none is left */
+	uint64_t bit;  /* its own in wl_sched_runner.answered_agents and avoided_agents */
 	bool usable;   /* reachable; the leader's own agent is the fallback and needs no flag */
+	uint64_t unusable_since_ns; /* if it is not usable; 0: it never was */
 	uint64_t unusable_until_ns; /* not used before */
 	/* sample of its clock: at least clock_ms when ours was clock_ns; 0: none */
 	uint64_t clock_ms;
--- a/tests/unit/sched_agents_test.cc
+++ b/tests/unit/sched_agents_test.cc
@@ -56,6 +56,36 @@
 		return agents;
 	}
 
+	/* The agent of the only target gets no answers of it; another one keeps its lease up. */
+	void agent_without_answers()
+	{
+		rig.advance(10);
+		auto holds = rig.take_orders(WL_ORDER_RENEW);
+		ASSERT_EQ(holds.size(), 1u);
+		std::string unreachable_from = holds[0].agent;
+		uint64_t renewed_ms = rig.now / 1000000;
+
+		for (int i = 0; i < 1000; i++) {
+			if (!holds.empty() && holds[0].agent != unreachable_from) {
+				if (holds[0].lease_ms)
+					renewed_ms = rig.now / 1000000;
+				rig.answer_hold(holds[0], {SchedRig::view(starts["i-0"])}, {});
+				holds.clear();
+			}
+			rig.advance(10);
+			if (!holds.empty() && i % 180 == 179) {
+				rig.answer(holds[0], WL_ORDER_NO_ANSWER);
+				holds.clear();
+			}
+			auto taken = rig.take_orders(WL_ORDER_RENEW);
+			holds.insert(holds.end(), taken.begin(), taken.end());
+			EXPECT_LT(rig.now / 1000000 - renewed_ms, 6000u) << "the lease has expired";
+			if (HasFailure())
+				return;
+		}
+		EXPECT_EQ(rig.job_state("j"), "running");
+	}
+
 	SchedRig rig;
 	std::map<std::string, SchedOrder> starts;
 };
@@ -298,31 +328,42 @@
 {
 	rig.agents({"s2", "s3"});
 	fill(1);
-	rig.advance(10);
-	auto holds = rig.take_orders(WL_ORDER_RENEW);
-	ASSERT_EQ(holds.size(), 1u);
-	std::string unreachable_from = holds[0].agent;
-	uint64_t renewed_ms = rig.now / 1000000;
-
-	for (int i = 0; i < 1000; i++) {
-		if (!holds.empty() && holds[0].agent != unreachable_from) {
-			if (holds[0].lease_ms)
-				renewed_ms = rig.now / 1000000;
-			rig.answer_hold(holds[0], {SchedRig::view(starts["i-0"])}, {});
-			holds.clear();
-		}
+	agent_without_answers();
+}
+
+/*
+ * Guards against agents that can't be told apart: a leader that has seen many replicas come and go
+ * must still avoid the one that reaches no target.
+ */
+TEST_F(SchedAgents, TargetIsCalledThroughAnotherReplicaAfterManyWereReplaced)
+{
+	for (int i = 0; i < 200; i++) {
+		rig.agents({"s2-" + std::to_string(i), "s3-" + std::to_string(i)});
 		rig.advance(10);
-		if (!holds.empty() && i % 180 == 179) {
-			rig.answer(holds[0], WL_ORDER_NO_ANSWER);
-			holds.clear();
-		}
-		auto taken = rig.take_orders(WL_ORDER_RENEW);
-		holds.insert(holds.end(), taken.begin(), taken.end());
-		EXPECT_LT(rig.now / 1000000 - renewed_ms, 6000u) << "the lease has expired";
-		if (HasFailure())
-			return;
 	}
-	EXPECT_EQ(rig.job_state("j"), "running");
+	rig.agents({"s2", "s3"});
+	fill(1);
+	agent_without_answers();
+}
+
+/* The replica that had the newest stop of a run is gone for good, and others came after it. */
+TEST_F(SchedAgents, RunIsStoppedAfterItsAgentWasReplaced)
+{
+	rig.agents({"s2"});
+	fill(1);
+	rig.advance(10);
+	rig.cancel("q", "j");
+	rig.advance(10);
+	rig.commit();
+	auto stops = rig.take_orders(WL_ORDER_STOP);
+	ASSERT_EQ(stops.size(), 1u);
+	EXPECT_EQ(stops[0].agent, "s2");
+	for (int i = 0; i < 200; i++)
+		rig.agents({"s3-" + std::to_string(i)});
+	rig.advance(1500);
+	stops = rig.take_orders(WL_ORDER_STOP);
+	ASSERT_FALSE(stops.empty());
+	EXPECT_EQ(stops.front().agent, "s3-199");
 }
 
 /* The peer link drops a message that is longer than a frame. */
