net: daemons that are gone are no longer dialled

A daemon dialled each replica and entry that it had ever known, at least every few seconds for as long as it ran, and kept a peer for each that had ever linked to it.

A name that leaves the known replicas and the entries with a session is no longer dialled; an existing link stays. The peer thread removes peers without a link, an address and work. wisterialead_daemon_peers tells how many are left.

unit.node_test: SeedThatWasReplacedIsNoLongerDialled failed before. unit.peer_test: 100 dialled and 20 linked peers stayed before, none now.

--- a/daemon/gauges.c
+++ b/daemon/gauges.c
@@ -104,6 +104,7 @@
 	wl_gauges_add(gauges, "wisterialead_daemon_calls_refused_total", "", refused);
 	wl_gauges_add(gauges, "wisterialead_daemon_peers_refused_total", "",
 		      wl_peers_refused(sources->peers));
+	wl_gauges_add(gauges, "wisterialead_daemon_peers", "", wl_peers_known(sources->peers));
 	wl_gauges_add(gauges, "wisterialead_daemon_log_dropped_total", "", wl_log_dropped());
 	wl_gauges_add(gauges, "wisterialead_daemon_log_omitted_total", "", wl_log_omitted());
 	wl_gauges_add(gauges, "wisterialead_daemon_events_waiting", "",
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -84,6 +84,7 @@
 };
 
 bool wl_node_is_store(const wl_node_t *node, wl_str_t name);
+void wl_node_undial(const wl_node_t *node, wl_str_t name, wl_out_t *out);
 void wl_node_dial(wl_out_t *out, wl_str_t name, wl_str_t address);
 void wl_node_leader_hint(wl_node_t *node, wl_str_t name, wl_out_t *out);
 void wl_node_seeds_set(wl_node_t *node, const wl_list_t *seeds, wl_out_t *out);
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -102,7 +102,7 @@
 
 /*
  * wl_node_dial - add an action to keep a connection to a daemon
- * @address: IP:port of its peer listener
+ * @address: IP:port of its peer listener; empty: the connection is not made anew once it has ended
  */
 void wl_node_dial(wl_out_t *out, wl_str_t name, wl_str_t address)
 {
@@ -120,6 +120,24 @@
 	return wl_strings_contain(&node->replicas, name);
 }
 
+/*
+ * wl_node_undial - stop dialling a daemon that is neither a known replica nor an entry with a
+ * session
+ */
+void wl_node_undial(const wl_node_t *node, wl_str_t name, wl_out_t *out)
+{
+	if (!wl_node_is_store(node, name) && !wl_view_member(&node->view, name))
+		wl_node_dial(out, name, WL_STR(""));
+}
+
+static void member_names(const wl_node_t *node, wl_list_t *names)
+{
+	const wl_member_t *members = node->view.members.items;
+
+	for (size_t i = 0; i < node->view.members.count; i++)
+		wl_strings_add(names, wl_buf_str(&members[i].entry));
+}
+
 /* Dials entries at the addresses in their sessions; replicas are dialled as the settings say. */
 static void dial_members(wl_node_t *node, wl_out_t *out)
 {
@@ -137,11 +155,14 @@
 {
 	wl_event_t changed;
 	uint64_t revision = node->view.revision;
+	wl_list_t before = {0};
 	wl_err_t err;
 
+	member_names(node, &before);
 	if (!wl_view_apply(&node->view, &event->msg.u.view, &err)) {
 		wl_out_log(out, WL_DEBUG, "view-refused", "from=" WL_STR_FMT " reason=\"%s\"",
 			   WL_STR_ARG(wl_buf_str(&event->peer)), err.text);
+		wl_strings_free(&before);
 		return;
 	}
 	if (node->view.revision != revision)
@@ -150,6 +171,9 @@
 			   (unsigned long long)node->view.customers_version,
 			   (unsigned long long)node->view.plans_version);
 	wl_node_replicas_update(node, out);
+	for (size_t i = 0; i < before.count; i++)
+		wl_node_undial(node, wl_buf_str((const wl_buf_t *)before.items + i), out);
+	wl_strings_free(&before);
 	dial_members(node, out);
 	wl_event_init(&changed, WL_EVENT_VIEW);
 	wl_session_step(&node->session, &node->view, now_ns, &changed, out);
--- a/libwlcore/node/replicas.c
+++ b/libwlcore/node/replicas.c
@@ -71,6 +71,7 @@
  */
 void wl_node_replicas_update(wl_node_t *node, wl_out_t *out)
 {
+	wl_list_t before = node->replicas;
 	wl_list_t names = {0};
 
 	replicas_collect(node, &names);
@@ -78,9 +79,11 @@
 		wl_strings_free(&names);
 		return;
 	}
-	wl_strings_free(&node->replicas);
 	node->replicas = names;
 	session_set_replicas(node);
+	for (size_t i = 0; i < before.count; i++)
+		wl_node_undial(node, wl_buf_str((const wl_buf_t *)before.items + i), out);
+	wl_strings_free(&before);
 	if (node->options.replica_port == 0) {
 		stores_dial(node, out);
 		return;
--- a/libwlnet/peer.c
+++ b/libwlnet/peer.c
@@ -178,6 +178,14 @@
 	return peers->port;
 }
 
+/*
+ * wl_peers_known - number of peers that are linked or dialled, or were until a moment ago
+ */
+size_t wl_peers_known(wl_peers_t *peers)
+{
+	return wl_peer_table_count(&peers->table);
+}
+
 /*
  * wl_peers_refused - number of links refused at the limit of unfinished handshakes or
  * closed because of a protocol error of the peer
--- a/libwlnet/peer.h
+++ b/libwlnet/peer.h
@@ -41,6 +41,7 @@
 void wl_peers_sent(const wl_peers_t *peers, size_t kind, wl_peer_sent_t *sent);
 void wl_peers_stop(wl_peers_t *peers);
 uint16_t wl_peers_port(const wl_peers_t *peers);
+size_t wl_peers_known(wl_peers_t *peers);
 uint64_t wl_peers_refused(const wl_peers_t *peers);
 
 #endif
--- a/libwlnet/peer_loop.c
+++ b/libwlnet/peer_loop.c
@@ -378,6 +378,10 @@
 	pthread_mutex_unlock(&peers->table.lock);
 	while (peer) {
 		peer_dial_due(peers, peer, now_ns);
+		if (!peer->current && !peer->dialling) {
+			peer = wl_peer_table_release(&peers->table, peer);
+			continue;
+		}
 		pthread_mutex_lock(&peers->table.lock);
 		peer = TAILQ_NEXT(peer, link);
 		pthread_mutex_unlock(&peers->table.lock);
--- a/libwlnet/peer_table.c
+++ b/libwlnet/peer_table.c
@@ -47,6 +47,14 @@
 	peer->queued_bytes = 0;
 }
 
+static void peer_free(wl_peer_t *peer)
+{
+	queue_clear(peer);
+	wl_buf_free(&peer->name);
+	wl_buf_free(&peer->address);
+	free(peer);
+}
+
 /*
  * wl_peer_table_free - release a table that no other thread uses
  */
@@ -56,10 +64,7 @@
 
 	while ((peer = TAILQ_FIRST(&table->all)) != NULL) {
 		TAILQ_REMOVE(&table->all, peer, link);
-		queue_clear(peer);
-		wl_buf_free(&peer->name);
-		wl_buf_free(&peer->address);
-		free(peer);
+		peer_free(peer);
 	}
 	wl_map_free(&table->by_name);
 	pthread_mutex_destroy(&table->lock);
@@ -147,6 +152,42 @@
 	return peer;
 }
 
+/*
+ * wl_peer_table_release - remove a peer that is not dialled, without a link and without work
+ *
+ * Called by the peer thread for a peer to which it has no link. Return: the next peer, or NULL.
+ */
+wl_peer_t *wl_peer_table_release(wl_peer_table_t *table, wl_peer_t *peer)
+{
+	wl_peer_t *next;
+	bool unused;
+
+	pthread_mutex_lock(&table->lock);
+	next = TAILQ_NEXT(peer, link);
+	unused = peer->address.len == 0 && !peer->up && !peer->pending;
+	if (unused) {
+		wl_map_remove(&table->by_name, peer->key);
+		TAILQ_REMOVE(&table->all, peer, link);
+	}
+	pthread_mutex_unlock(&table->lock);
+	if (unused)
+		peer_free(peer);
+	return next;
+}
+
+/*
+ * wl_peer_table_count - number of peers
+ */
+size_t wl_peer_table_count(wl_peer_table_t *table)
+{
+	size_t count;
+
+	pthread_mutex_lock(&table->lock);
+	count = wl_map_count(&table->by_name);
+	pthread_mutex_unlock(&table->lock);
+	return count;
+}
+
 /*
  * wl_peer_table_queue - queue a frame for a peer
  * @bytes: payload; moved from on success
--- a/libwlnet/peer_table.h
+++ b/libwlnet/peer_table.h
@@ -55,6 +55,8 @@
 wl_peer_t *wl_peer_table_get(wl_peer_table_t *table, wl_str_t name);
 bool wl_peer_table_set_address(wl_peer_table_t *table, wl_str_t name, wl_str_t address);
 bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool *wake);
+wl_peer_t *wl_peer_table_release(wl_peer_table_t *table, wl_peer_t *peer);
+size_t wl_peer_table_count(wl_peer_table_t *table);
 wl_peer_t *wl_peer_table_take_pending(wl_peer_table_t *table);
 wl_frame_t *wl_peer_table_pop(wl_peer_table_t *table, wl_peer_t *peer);
 void wl_peer_table_set_up(wl_peer_table_t *table, wl_peer_t *peer, bool up);
--- a/tests/unit/node_test.cc
+++ b/tests/unit/node_test.cc
@@ -164,58 +164,107 @@
 	std::vector<std::string> announces_to;
 };
 
-/*
- * After a restart an entry knows only the seeds.  If a seed names a leader that is not a seed, the
- * entry must dial it.
- */
-TEST(NodeWithSeeds, LeaderNamedByASeedIsDialled)
+/* An entry whose settings name seeds. Collects what it dials: "ADDRESS", or "-NAME": no longer. */
+class NodeWithSeeds : public testing::Test
 {
-	std::string task = chart("task");
-	std::string target = chart("target");
-	wl_node_options_t options = {};
-	wl_list_t seeds = {};
-	wl_err_t err = {};
-	std::vector<std::string> dialled;
-	uint64_t now = 1000 * MS;
+      protected:
+	NodeWithSeeds()
+	{
+		wl_node_options_t options = {};
+		wl_list_t seeds = {};
+		wl_err_t err = {};
+
+		wl_strings_add(&seeds, WL_STR("10.0.0.1"));
+		options.name = wl_str_from("10.0.0.5");
+		options.availability_zone = wl_str_from("a");
+		options.peer_address = wl_str_from("10.0.0.5:7720");
+		options.entry = true;
+		options.seeds = &seeds;
+		options.replica_port = 7720;
+		options.boot = 1;
+		options.task_chart = {task.data(), task.size()};
+		options.target_chart = {target.data(), target.size()};
+		node = wl_node_new(&options, now, &err);
+		EXPECT_NE(node, nullptr) << err.text;
+		wl_strings_free(&seeds);
+	}
+
+	~NodeWithSeeds() override
+	{
+		wl_node_free(node);
+	}
 
-	wl_strings_add(&seeds, WL_STR("10.0.0.1"));
-	options.name = wl_str_from("10.0.0.5");
-	options.availability_zone = wl_str_from("a");
-	options.peer_address = wl_str_from("10.0.0.5:7720");
-	options.entry = true;
-	options.seeds = &seeds;
-	options.replica_port = 7720;
-	options.boot = 1;
-	options.task_chart = {task.data(), task.size()};
-	options.target_chart = {target.data(), target.size()};
-	wl_node_t *node = wl_node_new(&options, now, &err);
-	ASSERT_NE(node, nullptr) << err.text;
-
-	for (bool redirected : {false, true}) {
+	void step(wl_event_t *event)
+	{
 		wl_out_t out = {};
-		wl_event_t event;
 
-		wl_event_init(&event, redirected ? WL_EVENT_PEER : WL_EVENT_TICK);
-		if (redirected) {
-			wl_msg_init(&event.msg, WL_MSG_RENEWED);
-			wl_buf_set(&event.peer, WL_STR("10.0.0.1"));
-			event.msg.u.renewed.boot = 1;
-			event.msg.u.renewed.code = WL_E_NO_LEADER;
-			wl_buf_set(&event.msg.u.renewed.leader, WL_STR("10.0.0.9"));
+		wl_node_step(node, now, event, &out);
+		for (size_t i = 0; i < out.count; i++) {
+			const wl_action_t &action = out.actions[i];
+
+			if (action.kind != WL_ACTION_DIAL)
+				continue;
+			dialled.push_back(action.address.len ? std::string(action.address.at)
+							     : "-" + std::string(action.peer.at));
 		}
-		wl_node_step(node, now, &event, &out);
-		for (size_t i = 0; i < out.count; i++)
-			if (out.actions[i].kind == WL_ACTION_DIAL)
-				dialled.emplace_back(out.actions[i].address.at);
 		wl_out_free(&out);
-		wl_event_free(&event);
+		wl_event_free(event);
 	}
+
+	void tick()
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_TICK);
+		step(&event);
+	}
+
+	/* The seed names the leader. */
+	void redirect(const char *leader)
+	{
+		wl_event_t event;
+
+		wl_event_init(&event, WL_EVENT_PEER);
+		wl_msg_init(&event.msg, WL_MSG_RENEWED);
+		wl_buf_set(&event.peer, WL_STR("10.0.0.1"));
+		event.msg.u.renewed.boot = 1;
+		event.msg.u.renewed.code = WL_E_NO_LEADER;
+		wl_buf_set(&event.msg.u.renewed.leader, wl_str_from(leader));
+		step(&event);
+	}
+
+	std::string task = chart("task");
+	std::string target = chart("target");
+	uint64_t now = 1000 * MS;
+	wl_node_t *node = nullptr;
+	std::vector<std::string> dialled;
+};
+} // namespace
+
+/*
+ * After a restart an entry knows only the seeds.  If a seed names a leader that is not a seed, the
+ * entry must dial it.
+ */
+TEST_F(NodeWithSeeds, LeaderNamedByASeedIsDialled)
+{
+	tick();
+	redirect("10.0.0.9");
 	EXPECT_EQ(dialled,
 		  (std::vector<std::string>{"10.0.0.1:7720", "10.0.0.1:7720", "10.0.0.9:7720"}));
-	wl_node_free(node);
-	wl_strings_free(&seeds);
 }
-} // namespace
+
+/* Guards against replicas that are dialled for ever after they were replaced. */
+TEST_F(NodeWithSeeds, SeedThatWasReplacedIsNoLongerDialled)
+{
+	wl_event_t event;
+
+	tick();
+	dialled.clear();
+	wl_event_init(&event, WL_EVENT_SEEDS);
+	wl_strings_add(&event.names, WL_STR("10.0.0.2"));
+	step(&event);
+	EXPECT_EQ(dialled, (std::vector<std::string>{"-10.0.0.1", "10.0.0.2:7720"}));
+}
 
 /*
  * Draining waits until other entries own the targets, unless all others are draining too; then it
--- a/tests/unit/peer_test.cc
+++ b/tests/unit/peer_test.cc
@@ -259,6 +259,49 @@
 	EXPECT_EQ(b->got, 2u);
 }
 
+/* Daemons that were replaced must not be dialled, nor kept, for as long as this one runs. */
+TEST(Peer, PeersThatAreGoneAreForgotten)
+{
+	Daemon a("a");
+
+	for (int i = 0; i < 100; i++)
+		a.dial("gone" + std::to_string(i), "127.0.0.1:1");
+	EXPECT_EQ(wl_peers_known(a.peers), 100u);
+	for (int i = 0; i < 100; i++)
+		a.dial("gone" + std::to_string(i), "");
+	for (int i = 0; i < 20; i++) {
+		Daemon in("in" + std::to_string(i));
+
+		in.dial(a);
+		ASSERT_EQ(in.next(), WL_EVENT_PEER_UP);
+	}
+	for (int i = 0; i < 5000 && wl_peers_known(a.peers) > 0; i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(1));
+	EXPECT_EQ(wl_peers_known(a.peers), 0u);
+}
+
+/* A link outlives the end of dialling; once it is down it stays down. */
+TEST(Peer, PeerThatIsNoLongerDialledKeepsItsLink)
+{
+	Daemon a("a");
+	auto b = std::make_unique<Daemon>("b");
+	std::string address = b->address();
+
+	a.dial(*b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+	a.dial("b", "");
+	std::this_thread::sleep_for(std::chrono::milliseconds(200));
+	EXPECT_TRUE(a.send("b", 1));
+	b.reset();
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_DOWN);
+	for (int i = 0; i < 5000 && wl_peers_known(a.peers) > 0; i++)
+		std::this_thread::sleep_for(std::chrono::milliseconds(1));
+	EXPECT_EQ(wl_peers_known(a.peers), 0u);
+	b = std::make_unique<Daemon>("b");
+	a.dial(*b);
+	ASSERT_EQ(a.next(), WL_EVENT_PEER_UP);
+}
+
 TEST(Peer, SilentLinkIsReplaced)
 {
 	Daemon a("a");
