--- a/daemon/event_loop.c
+++ b/daemon/event_loop.c
@@ -25,6 +25,7 @@
 
 #define GAUGE_INTERVAL_NS WL_NS_PER_S
 #define BATCH_MAX	  256 /* events processed before the clock is checked for a tick */
+#define STEP_SLOW_MS	  200 /* a step that takes longer is logged: heartbeats wait for it */
 
 typedef struct internal_event {
 	wl_event_t event;
@@ -240,11 +241,19 @@
 
 static void loop_step(wl_event_loop_t *loop, wl_event_t *event)
 {
+	const char *name = wl_node_event_name(event->kind);
+	uint64_t began_ns = wl_clock_ns();
+	uint64_t ms;
+
 	if (ck_pr_load_uint(&loop->outcome) == WL_OUTCOME_FATAL)
 		return;
-	wl_node_step(loop->options.node, wl_clock_ns(), event, &loop->out);
+	wl_node_step(loop->options.node, began_ns, event, &loop->out);
 	for (size_t i = 0; i < loop->out.count; i++)
 		do_action(loop, &loop->out.actions[i]);
+	ms = (wl_clock_ns() - began_ns) / WL_NS_PER_MS;
+	if (ms >= STEP_SLOW_MS)
+		wl_log_event(WL_WARN, "step-slow", "kind=%s ms=%llu actions=%zu", name,
+			     (unsigned long long)ms, loop->out.count);
 	wl_out_clear(&loop->out);
 }
 
--- a/libwlcore/node/measure.c
+++ b/libwlcore/node/measure.c
@@ -14,6 +14,14 @@
 	[WL_EVENT_SEEDS] = "seeds",
 };
 
+/*
+ * wl_node_event_name - name of an event's kind, for logs
+ */
+const char *wl_node_event_name(wl_event_kind_t kind)
+{
+	return event_names[kind] ? event_names[kind] : "other";
+}
+
 static uint64_t elapsed_ns(uint64_t from_ns, uint64_t to_ns)
 {
 	return to_ns > from_ns ? to_ns - from_ns : 0;
--- a/libwlcore/node/node.h
+++ b/libwlcore/node/node.h
@@ -71,6 +71,7 @@
 
 wl_node_t *wl_node_new(const wl_node_options_t *options, uint64_t now_ns, wl_err_t *err);
 void wl_node_free(wl_node_t *node);
+const char *wl_node_event_name(wl_event_kind_t kind);
 void wl_node_step(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 uint64_t wl_node_tick_ns(const wl_node_t *node);
 
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -101,6 +101,7 @@
 	uint64_t least_tail;
 	bool limited;	  /* max_per_target ruled out a target with room */
 	uint64_t cost_ns; /* estimated, of all looks at targets in the pass */
+	uint64_t checks;  /* targets checked in the pass, without those that their rows rule out */
 } candidates_t;
 
 static void candidates_init(wl_sched_t *sched, candidates_t *candidates)
@@ -123,6 +124,7 @@
 			       candidates_t *candidates, candidate_t *candidate)
 {
 	candidates->cost_ns += CHECK_COST_NS;
+	candidates->checks++;
 	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
 		return false;
 	if (!wl_sched_runner_fits(sched, runner, batch, request)) {
@@ -684,6 +686,8 @@
 	late_ns = consider_late(sched, &pass);
 	untried_due(sched, &pass);
 	free(pass.candidates.items);
+	wl_metrics_add(sched->options.metrics, "wisterialead_job_target_checks_total", "",
+		       pass.candidates.checks);
 	sched->next_pass_ns =
 		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, late_ns, now_ns);
 	if (pass.full)
