sched: no search for tasks that wait for others of their job

Cause: a task of a job under which targets have crashed may have to wait for runs on trial. tasks_place() looked for its target first and asked then; what it found was thrown away, and no miss was counted, so that nothing bounded the passes. With 3,200 such tasks on 2,130 targets one pass made 2.8 million checks and took 0.8 s of processor, 1.4 s on the site's cores, each time that anything happened. The election time-out is 1 s.

Whether the task has to wait is asked first: that needs no targets.

Evidence: unit.sched_suspects_test, TasksThatWaitForTrialsOfTheirJobNeedNoChecks: 324,600 checks before, at most 10,000 now.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -336,20 +336,20 @@
 static bool tasks_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			wl_fit_request_t *request, candidates_t *candidates)
 {
+	if (wl_sched_trials_wait(batch, 1))
+		return true;
 	request->rack = wl_buf_str(&batch->rack);
 	candidates_collect(sched, batch, request, candidates);
-	while (batch->count > 0) {
+	for (;;) {
 		candidate_t *best = candidates_best(candidates);
 
-		if (wl_sched_trials_wait(batch, 1))
-			return true;
 		if (!best)
 			return false;
 		task_place(sched, now_ns, batch,
 			   next_run_number(batch, batch->tasks[batch->count - 1].task),
 			   best->runner, request->background);
-		if (batch->count == 0)
-			break;
+		if (batch->count == 0 || wl_sched_trials_wait(batch, 1))
+			return true;
 		if (request->background) {
 			request->background = false;
 			candidates_collect(sched, batch, request, candidates);
@@ -360,7 +360,6 @@
 		else
 			candidate_update(sched, batch, request, candidates, best);
 	}
-	return true;
 }
 
 static uint64_t waited_ms(const wl_task_batch_t *batch, uint64_t now_ns)
--- a/tests/unit/sched_suspects_test.cc
+++ b/tests/unit/sched_suspects_test.cc
@@ -21,6 +21,33 @@
 		return found;
 	}
 
+	uint64_t checks() const
+	{
+		std::string value = rig.metric("wisterialead_job_target_checks_total{}");
+
+		return value.empty() ? 0 : std::stoul(value);
+	}
+
+	/* Crashes a fifth of the targets one after the other; they start again. */
+	void crash_a_fifth(size_t count)
+	{
+		for (size_t i = 0; i < count; i += 5) {
+			crash(numbered(i));
+			target(numbered(i), "r" + std::to_string(i % 7));
+		}
+	}
+
+	void targets_add(size_t count)
+	{
+		for (size_t i = 0; i < count; i++)
+			target(numbered(i), "r" + std::to_string(i % 7));
+	}
+
+	static std::string numbered(size_t i)
+	{
+		return "t" + std::to_string(1000 + i);
+	}
+
 	/* Return: the target on which a task starts that is on trial after two crashes. */
 	std::string after_two_crashes()
 	{
@@ -252,3 +279,27 @@
 	EXPECT_EQ(running, 12u);
 	EXPECT_EQ(rig.job_state("j"), "running");
 }
+
+/*
+ * Guards against passes that look for a target for each task, though it waits for other tasks of
+ * its job: after many crashes a leader was busy with them for longer than the election time-out.
+ */
+TEST_F(Suspects, TasksThatWaitForTrialsOfTheirJobNeedNoChecks)
+{
+	const size_t count = 50;
+	const size_t jobs = 100;
+
+	targets_add(count);
+	job("j", 8 * count);
+	pass(1500);
+	crash_a_fifth(count);
+	EXPECT_GT(rig.find("j")->suspects, count);
+	uint64_t before = checks();
+	for (size_t i = 0; i < jobs; i++) {
+		rig.job("q", "n" + std::to_string(i), {1});
+		rig.submit();
+		pass(10);
+	}
+	EXPECT_GT(rig.find("j")->suspects, count);
+	EXPECT_LE(checks() - before, 2 * jobs * count) << "twice those of the jobs alone";
+}
