sched: a pass of placement ends after 25 ms of checks

A pass whose looks at targets have cost 25 ms by estimate leaves the rest to the next one, which is due at once; events are handled between them.

unit.sched_place_test, ABurstOfJobsIsPlacedInSeveralPasses: failed before.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -15,6 +15,8 @@
 #define UNTRIED_MAX_MS	 1000
 #define LATE_COST_MAX_NS (5 * WL_NS_PER_MS)
 #define UNTRIED_RETRY_MS 50 /* pause between two passes for such batches alone */
+/* A pass that has cost so much leaves the rest to the next one: other events must not wait. */
+#define RANK_COST_MAX_NS (25 * WL_NS_PER_MS)
 /* Between two passes: tasks that arrive together are committed together. */
 #define PASS_INTERVAL_MIN_US 2000
 /*
@@ -600,7 +602,7 @@
 {
 	wl_task_batch_t *batch = TAILQ_FIRST(&sched->pending);
 
-	while (batch) {
+	while (batch && pass->candidates.cost_ns < RANK_COST_MAX_NS) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
 		if (!is_left_out(pass, batch) &&
@@ -610,6 +612,10 @@
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
+	if (!batch)
+		return;
+	sched->place_due = true;
+	sched->full_pass_due |= pass->full;
 }
 
 /*
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -280,6 +280,40 @@
 	EXPECT_LE(waited_ms, wait_max_ms);
 }
 
+/*
+ * A burst that would take one pass for longer than heartbeats can wait is placed by several, with
+ * other events between them.
+ */
+TEST(Place, ABurstOfJobsIsPlacedInSeveralPasses)
+{
+	const uint64_t targets = 1000;
+	const uint64_t jobs = 2000;
+	const uint64_t checks_max = 500000 + targets; /* 25 ms by estimate, and the last job */
+	const int ticks_max = 8;
+	SchedRig rig;
+	uint64_t before = 0;
+	size_t started = 0;
+	int ticks = 0;
+
+	rig.configure("q");
+	for (uint64_t i = 0; i < targets; i++)
+		rig.runner("i-" + std::to_string(i));
+	for (uint64_t i = 0; i < jobs; i++) {
+		rig.job("q", "j" + std::to_string(i), {1});
+		rig.submit();
+	}
+	while (started < jobs && ticks < ticks_max) {
+		rig.advance(10);
+		ticks++;
+		uint64_t checks = std::stoul(rig.metric("wisterialead_job_target_checks_total{}"));
+		EXPECT_LE(checks - before, checks_max) << "tick " << ticks;
+		before = checks;
+		rig.commit();
+		started += rig.take_orders(WL_ORDER_START).size();
+	}
+	EXPECT_EQ(started, jobs) << "in " << ticks << " ticks";
+}
+
 /* A task that fits on no target of its service says nothing of the targets of another one. */
 TEST(Place, TasksOfAnotherServiceAreNotHeldUpByAMiss)
 {
