sched: orders carry an epoch for each incarnation of their target

Cause: the number of an acknowledged end holds for one incarnation, and nothing in the order told which.

The epoch of an order is the term of the leader, shifted by 32 bits, and a number that rises with each incarnation of the target that the leader gets to know. Targets refuse orders below the highest epoch that they have received, so that an incarnation refuses what was meant for the ones before it from its first order on, before which it has no ends.

Evidence: unit.sched_incarnation_test, two cases failed before.

--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -18,13 +18,18 @@
 	WL_ORDER_KINDS
 } wl_order_kind_t;
 
+#define WL_ORDER_EPOCH_TERM_SHIFT 32 /* bits of an epoch below the term */
+
 typedef struct wl_order {
 	uint64_t id;   /* unique across all leaders, not 0; also in the order's result */
 	uint64_t kind; /* wl_order_kind_t */
 	wl_buf_t runner;
 	wl_buf_t address;
-	uint64_t epoch; /* term of the leader; targets ignore orders below the highest epoch
-			   received */
+	/*
+	 * Rises with the leader's term and with each incarnation of the target; targets ignore
+	 * orders below the highest epoch received.
+	 */
+	uint64_t epoch;
 	/* The lease's expiry, not its length: a time on the target's clock, ms; 0: no lease. */
 	uint64_t lease_ms;
 	wl_task_ref_t task; /* START, STOP, THROTTLE */
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -98,7 +98,7 @@
 	bool settling;	  /* on trial: other tasks of a job that starts slowly wait for it */
 	bool proved;	  /* has worked for longer than any trial */
 	uint64_t crash;	  /* on trial: number of the newest crash under its task; 0: none */
-	uint64_t counted; /* on trial: wl_job_counted_task() */
+	uint64_t counted; /* on trial: wl_job_shared_task() */
 	wl_buf_t checkpoint;
 	const char *end_reason;		/* how its end is known; NULL: it is not proposed */
 	TAILQ_ENTRY(wl_sched_run) link; /* in the list of its runner */
@@ -212,6 +212,7 @@
 	uint64_t kept_pass;	/* pass in which a batch counted on it */
 	wl_buf_t address;	/* as of the newest committed report */
 	uint64_t lookup;	/* another one for each address and incarnation */
+	uint64_t fence;		/* in the epoch of its orders: a higher one for each incarnation */
 	TAILQ_ENTRY(wl_sched_runner) link;
 } wl_sched_runner_t;
 
@@ -406,6 +407,7 @@
 	wl_map_t by_runner;
 	struct wl_sched_runner_list runners;
 	uint64_t newest_lookup; /* of all runners */
+	uint64_t newest_fence;	/* of all runners */
 	wl_sched_row_t *rows;	/* of the runners, in their order */
 	size_t row_count;
 	bool rows_outdated;		       /* runners were added or removed */
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -62,7 +62,7 @@
 	order->id = in_flight->id;
 	order->runner = runner->id; /* not owned, like the address */
 	order->address = runner->state->report.address;
-	order->epoch = sched->epoch;
+	order->epoch = sched->epoch << WL_ORDER_EPOCH_TERM_SHIFT | runner->fence;
 	order->send_by_ms = send_by_ms(sched, now_ns, in_flight);
 	wl_sched_lease_sent(runner, order->lease_ms);
 	wl_sched_agent_enqueue(in_flight->agent, order);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -44,6 +44,16 @@
 	runner->known.answered_agents = 0;
 }
 
+/*
+ * An incarnation refuses orders for the ones before it once it has received its first order. A
+ * renewal that is carried out late would make it forget ends that it has not listed yet, as each
+ * incarnation numbers its ends anew.
+ */
+static void fence_raise(wl_sched_t *sched, wl_sched_runner_t *runner)
+{
+	runner->fence = ++sched->newest_fence;
+}
+
 static void address_update(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner)
 {
 	wl_str_t address = wl_buf_str(&runner->state->report.address);
@@ -113,6 +123,7 @@
 		wl_buf_set(&runner->id, state->key);
 		runner->key = wl_buf_str(&runner->id);
 		runner->incarnation = state->report.incarnation;
+		fence_raise(sched, runner);
 		runner->renewal_due_ns = now_ns;
 		runner->began_ns = now_ns;
 		runner->previous_leases_expiry_ns =
@@ -146,6 +157,7 @@
 	runner->former_incarnation = runner->incarnation;
 	runner->incarnation = incarnation;
 	runner->known = (wl_sched_incarnation_t){0};
+	fence_raise(sched, runner);
 	if (incarnation < runner->capacity_incarnation)
 		runner->capacity_incarnation = 0;
 	runner->previous_leases_expiry_ns = now_ns + lease_max_ns;
--- a/tests/unit/sched_incarnation_test.cc
+++ b/tests/unit/sched_incarnation_test.cc
@@ -166,6 +166,42 @@
 	EXPECT_TRUE(starts().empty()) << "started again after it was done";
 }
 
+/*
+ * A renewal that acknowledges ends gets no answer, and is carried out by the next incarnation,
+ * which would forget an end that it has not listed: it refuses it, by its epoch, from its first
+ * order on.
+ */
+TEST_F(Incarnation, LateAcknowledgementOfTheEarlierOneIsRefusedByTheNext)
+{
+	end_and_commit("a");
+	SchedOrder late = rig.next_renewal();
+	ASSERT_EQ(late.seen, 1u);
+	restart();
+	rig.answer(late, WL_ORDER_NO_ANSWER);
+	SchedOrder b = start_job("b");
+	EXPECT_GT(b.epoch, late.epoch);
+	SchedOrder renewal = rig.next_renewal();
+	EXPECT_EQ(renewal.epoch, b.epoch);
+	restart(3);
+	EXPECT_GT(start_job("c").epoch, b.epoch);
+}
+
+/* The same for a target that was removed before it came back, and for a later leader. */
+TEST_F(Incarnation, EpochsRiseAcrossRemovalsAndLeaders)
+{
+	SchedOrder first = start_job("a");
+
+	rig.runner_left("i-1", 1);
+	rig.commit();
+	rig.advance(100);
+	restart();
+	SchedOrder second = start_job("b");
+	EXPECT_GT(second.epoch, first.epoch);
+	lead_again();
+	rig.runner("i-1", 32000, 2);
+	EXPECT_GT(rig.next_renewal().epoch, second.epoch);
+}
+
 TEST_F(Incarnation, EndsAreNotAcknowledgedWhileRenewalsFail)
 {
 	end_and_commit("a");
