jobs: a gang has one checkpoint

Cause: the state kept a checkpoint for each task, and a start took that of its own. All members of a run must carry the same value; that of any member holds for the gang.

The newest checkpoint of any member is kept at the first one, as the failures and crashes of the gang are, and all members start from it.

unit.sched_test, MembersOfAGangGoOnFromOneCheckpoint, failed before.

--- a/libwlcore/job/crashes.c
+++ b/libwlcore/job/crashes.c
@@ -79,7 +79,7 @@
  */
 bool wl_task_crashed(wl_jobs_t *jobs, wl_job_t *job, const wl_run_end_t *end, uint64_t crash)
 {
-	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
+	wl_task_crashes_t *crashes = &job->tasks[wl_job_shared_task(job, end->task)].crashes;
 
 	if (job->record.crash != crash) {
 		job->record.crash = crash;
@@ -111,7 +111,7 @@
  */
 void wl_task_crashes_clear(wl_jobs_t *jobs, wl_job_t *job, const wl_run_end_t *end)
 {
-	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
+	wl_task_crashes_t *crashes = &job->tasks[wl_job_shared_task(job, end->task)].crashes;
 
 	if (!shows_sound(job, end))
 		return;
@@ -128,7 +128,7 @@
  */
 void wl_task_sound(wl_jobs_t *jobs, wl_job_t *job, const wl_run_sound_t *sound)
 {
-	wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, sound->task)].crashes;
+	wl_task_crashes_t *crashes = &job->tasks[wl_job_shared_task(job, sound->task)].crashes;
 
 	if (crashes->run >= sound->run)
 		return;
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -53,7 +53,7 @@
 	uint64_t failed_run; /* newest run that counted as a failure */
 	bool done;
 	wl_task_crashes_t crashes;
-	wl_buf_t checkpoint;
+	wl_buf_t checkpoint;	 /* newest; of a gang: at its first member, for all */
 	struct wl_run_list runs; /* more than one only if the step is speculative */
 } wl_job_task_t;
 
@@ -209,7 +209,7 @@
 bool wl_run_end_is_listed(wl_run_outcome_t outcome);
 wl_run_t *wl_job_run(const wl_job_t *job, uint64_t task, uint64_t number);
 const wl_step_spec_t *wl_job_step(const wl_job_t *job, uint64_t step);
-uint64_t wl_job_counted_task(const wl_job_t *job, uint64_t task);
+uint64_t wl_job_shared_task(const wl_job_t *job, uint64_t task);
 uint64_t wl_task_trial_ms(const wl_task_crashes_t *crashes);
 uint64_t wl_task_crashes_next(const wl_task_crashes_t *crashes, uint64_t ran_ms);
 void wl_job_task_ref(const wl_job_t *job, uint64_t task, wl_task_ref_t *ref);
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -112,9 +112,10 @@
 }
 
 /*
- * wl_job_counted_task - the task whose counts a task shares: in a gang, the first member
+ * wl_job_shared_task - the task whose counts and checkpoint a task shares: in a gang, the first
+ * member
  */
-uint64_t wl_job_counted_task(const wl_job_t *job, uint64_t task)
+uint64_t wl_job_shared_task(const wl_job_t *job, uint64_t task)
 {
 	wl_task_ref_t at;
 
@@ -128,7 +129,7 @@
  */
 static bool task_failed(wl_job_t *job, uint64_t task, const wl_task_ref_t *at, uint64_t run)
 {
-	wl_job_task_t *counted = &job->tasks[wl_job_counted_task(job, task)];
+	wl_job_task_t *counted = &job->tasks[wl_job_shared_task(job, task)];
 
 	if (counted->failed_run >= run)
 		return false;
@@ -171,7 +172,8 @@
 
 	wl_job_task_ref(job, task, &at);
 	if (end->checkpoint.len)
-		wl_buf_set(&job->tasks[task].checkpoint, wl_buf_str(&end->checkpoint));
+		wl_buf_set(&job->tasks[wl_job_shared_task(job, task)].checkpoint,
+			   wl_buf_str(&end->checkpoint));
 	if (end->silent && !wl_job_ended(job))
 		wl_lapse_end_add(jobs, run->runner, end, clock_ms);
 	wl_run_remove(jobs, run);
--- a/libwlcore/sched/given_up.c
+++ b/libwlcore/sched/given_up.c
@@ -60,12 +60,12 @@
 /* "RUN:TARGET:MS" for each crash under the task that this leader has seen. */
 static void seen_append(const wl_sched_t *sched, const wl_job_t *job, uint64_t task, wl_buf_t *text)
 {
-	uint64_t counted = wl_job_counted_task(job, task);
+	uint64_t counted = wl_job_shared_task(job, task);
 	const wl_sched_crash_t *crash;
 
 	TAILQ_FOREACH (crash, &sched->crashes, link) {
 		if (!wl_str_equal(wl_buf_str(&crash->job), job->key) ||
-		    wl_job_counted_task(job, crash->task) != counted)
+		    wl_job_shared_task(job, crash->task) != counted)
 			continue;
 		if (text->len > 0)
 			wl_buf_append(text, WL_STR(","));
@@ -91,7 +91,7 @@
 		   " task=%llu.%llu.%llu crashes=%llu crash=%llu seen=" WL_STR_FMT,
 		   WL_STR_ARG(job->key), (unsigned long long)at.occurrence,
 		   (unsigned long long)at.step, (unsigned long long)at.index,
-		   (unsigned long long)job->tasks[wl_job_counted_task(job, task)].crashes.proved,
+		   (unsigned long long)job->tasks[wl_job_shared_task(job, task)].crashes.proved,
 		   (unsigned long long)job->record.crash, WL_STR_ARG(wl_buf_str(&seen)));
 	wl_buf_free(&seen);
 }
@@ -99,7 +99,7 @@
 /* Whether this end made the job fail. */
 static bool is_given_up(const wl_job_t *job, const wl_run_end_t *end)
 {
-	const wl_task_crashes_t *crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
+	const wl_task_crashes_t *crashes = &job->tasks[wl_job_shared_task(job, end->task)].crashes;
 
 	return job->leader_data && job->record.state == WL_JOB_FAILED &&
 	       crashes->proved >= WL_TASK_CRASHES_MAX && crashes->run == end->run;
@@ -117,7 +117,7 @@
 
 	if (end->outcome != WL_END_CRASHED || !job)
 		return;
-	crashes = &job->tasks[wl_job_counted_task(job, end->task)].crashes;
+	crashes = &job->tasks[wl_job_shared_task(job, end->task)].crashes;
 	crash_add(sched, now_ns, address, end);
 	wl_sched_trial_crashed(job);
 	wl_metrics_add(sched->options.metrics, "wisterialead_job_crashes_total", "", 1);
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -172,7 +172,7 @@
 		.kind = WL_ORDER_START,
 		.run = run->number,
 		.payload = job->record.spec.payload, /* not owned, like the fields below */
-		.checkpoint = job->tasks[run->task].checkpoint,
+		.checkpoint = job->tasks[wl_job_shared_task(job, run->task)].checkpoint,
 		.timeout_ms = WL_SCHED_START_TIMEOUT_MS,
 	};
 
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -29,7 +29,7 @@
 
 static const wl_task_crashes_t *crashes_of(const wl_job_t *job, uint64_t task)
 {
-	return &job->tasks[wl_job_counted_task(job, task)].crashes;
+	return &job->tasks[wl_job_shared_task(job, task)].crashes;
 }
 
 static uint64_t level_of(const wl_task_crashes_t *crashes)
@@ -73,7 +73,7 @@
 		return;
 	run->crash = crashes->count ? crashes->crash : 0;
 	run->trial_ms = wl_task_trial_ms(crashes) + TRIAL_MARGIN_MS;
-	run->counted = wl_job_counted_task(job, run->task);
+	run->counted = wl_job_shared_task(job, run->task);
 	run->settling = true;
 	run->runner->trials[run->trial]++;
 	if (!job->leader_data)
@@ -204,7 +204,7 @@
 
 	if (batch->job->suspects == 0 || batch->count == 0 || !(batch->suspect || gang))
 		return suspicion;
-	suspicion.counted = wl_job_counted_task(batch->job, batch->tasks[0].task);
+	suspicion.counted = wl_job_shared_task(batch->job, batch->tasks[0].task);
 	crashes = &batch->job->tasks[suspicion.counted].crashes;
 	suspicion.level = level_of(crashes);
 	suspicion.crash = crashes->crash;
--- a/tests/unit/sched_test.cc
+++ b/tests/unit/sched_test.cc
@@ -390,6 +390,47 @@
 	EXPECT_EQ(rig.take_orders(WL_ORDER_START).size(), 3u);
 }
 
+/*
+ * Guards against a gang whose members go on from different checkpoints: they never work together
+ * again, and each run of it ends with a member alone.
+ */
+TEST_F(Sched, MembersOfAGangGoOnFromOneCheckpoint)
+{
+	const char *const saved[] = {"a3", "b2", ""};
+	wl_step_spec_t *step = rig.job("q", "j", {3});
+	std::vector<wl_end_view_t> ends;
+
+	step->gang = true;
+	rig.submit();
+	auto starts = next_starts();
+	ASSERT_EQ(starts.size(), 3u);
+	for (size_t i = 0; i < 3; i++) {
+		rig.answer(starts[i], WL_ORDER_DONE);
+		ends.push_back(
+			SchedRig::end(starts[i], i + 1, i ? WL_END_GANG_BROKEN : WL_END_FAILED));
+		wl_buf_set(&ends[i].checkpoint, wl_str_from(saved[i]));
+	}
+	rig.answer_hold(rig.next_renewal(), {}, ends);
+	starts = next_starts();
+	ASSERT_EQ(starts.size(), 3u);
+	for (const auto &start : starts)
+		EXPECT_EQ(start.checkpoint, "b2") << start.task;
+	rig.follow();
+	rig.orders.clear();
+	rig.reload();
+	rig.lead(2);
+	rig.runner("i-1", 32000, 2);
+	starts.clear();
+	for (int i = 0; i < 1000 && starts.empty(); i++) {
+		for (const auto &renewal : rig.take_orders(WL_ORDER_RENEW))
+			rig.answer_hold(renewal, {}, {}, 2);
+		starts = next_starts();
+	}
+	ASSERT_EQ(starts.size(), 3u);
+	for (const auto &start : starts)
+		EXPECT_EQ(start.checkpoint, "b2") << start.task;
+}
+
 TEST_F(Sched, UrgentQueueGoesFirst)
 {
 	rig.configure("late", 5);
