jobs: a run keeps that its target has announced to drain

Cause: that a target drains was in its newest report alone, which that of the next incarnation replaces.

--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -28,6 +28,7 @@
 	uint64_t start_index; /* of its start in the log; 0: it is from a snapshot */
 	/* a later leader than its own committed its start: it may never have been ordered */
 	bool doubtful;
+	bool announced;	   /* its incarnation of the target has announced that it drains */
 	void *leader_data; /* data of the leader */
 	TAILQ_ENTRY(wl_run) of_task;
 	TAILQ_ENTRY(wl_run) of_runner;
--- a/libwlcore/job/record.c
+++ b/libwlcore/job/record.c
@@ -75,6 +75,7 @@
 	WL_FIELD_AS("life", wl_run_start_t, incarnation, WL_FIELD_U64),
 	WL_FIELD(wl_run_start_t, started_ms, WL_FIELD_U64),
 	WL_FIELD(wl_run_start_t, doubtful, WL_FIELD_BOOL),
+	WL_FIELD(wl_run_start_t, announced, WL_FIELD_BOOL),
 };
 
 const wl_schema_t wl_run_record_schema = WL_SCHEMA(wl_run_start_t, run_record_fields);
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -109,6 +109,15 @@
 	runs_clear(jobs, runner);
 }
 
+/* The next incarnation's reports say nothing of how this one ends, so its runs keep that. */
+static void runs_announced(wl_runner_t *runner)
+{
+	wl_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, of_runner)
+		run->announced |= run->incarnation == runner->report.incarnation;
+}
+
 void wl_jobs_runner_put(wl_jobs_t *jobs, const wl_runner_report_t *report, uint64_t clock_ms,
 			wl_result_t *result)
 {
@@ -130,6 +139,8 @@
 	wl_record_copy(&wl_runner_report_schema, &runner->report, report);
 	runner->key = wl_buf_str(&runner->report.id);
 	runner->departed_ms = 0;
+	if (report->draining)
+		runs_announced(runner);
 }
 
 static void catalog_put(wl_jobs_t *jobs, const wl_cmd_catalog_put_t *cmd, wl_result_t *result)
--- a/libwlcore/job/runs.c
+++ b/libwlcore/job/runs.c
@@ -41,6 +41,8 @@
 	run->runner = runner;
 	run->incarnation = row->incarnation;
 	run->started_ms = row->started_ms;
+	run->announced = row->announced || (runner->report.draining &&
+					    runner->report.incarnation == row->incarnation);
 	TAILQ_INSERT_TAIL(&job->tasks[row->task].runs, run, of_task);
 	TAILQ_INSERT_TAIL(&runner->runs, run, of_runner);
 	job->active++;
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -175,7 +175,8 @@
 	uint64_t incarnation; /* of the target */
 	/* in snapshots only */
 	uint64_t started_ms; /* when the start was committed; 0: unknown */
-	bool doubtful;	     /* as in wl_run_t */
+	bool doubtful;	     /* as in wl_run_t, and so is the next */
+	bool announced;
 } wl_run_start_t;
 
 typedef struct wl_cmd_runs_start {
--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -194,13 +194,23 @@
 	return !outage_explains(sched, outage, wl_buf_str(&row->job), row->ran_ms);
 }
 
+/* Whether the incarnation of a run has announced its end. */
+static bool is_announced(const wl_sched_t *sched, const wl_sched_run_t *run,
+			 const wl_sched_incarnation_end_t *end)
+{
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
+	const wl_run_t *committed = job ? wl_job_run(job, run->task, run->number) : NULL;
+
+	return end->announced || (committed && committed->announced);
+}
+
 /* Fills in the end of a run that its target did not list, if that crashed. */
 static void crash_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
 {
 	uint64_t outage;
 
-	if (end->announced || !run_was_there(run, end->lost_ns))
+	if (is_announced(sched, run, end) || !run_was_there(run, end->lost_ns))
 		return;
 	row->ran_ms = ran_ms(sched, now_ns, run);
 	outage = wl_sched_outage_find(sched, now_ns, run->runner->key, end->incarnation);
@@ -334,7 +344,7 @@
 {
 	bool begun = !was_left(run, end) && !may_be_unsent(run);
 
-	if (end->announced || run->incarnation != end->incarnation ||
+	if (is_announced(sched, run, end) || run->incarnation != end->incarnation ||
 	    !run_was_there(run, end->lost_ns))
 		return;
 	wl_buf_set(&row->job, wl_buf_str(&run->job));
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -232,7 +232,8 @@
 				      .runner = runner->report.id,
 				      .incarnation = run->incarnation,
 				      .started_ms = run->started_ms,
-				      .doubtful = run->doubtful};
+				      .doubtful = run->doubtful,
+				      .announced = run->announced};
 
 		item_pack(out, ITEM_RUN, &wl_run_record_schema, &row);
 	}
