sched: only what was placed ends a pass by its cost

By reading: beyond some 4,500 targets the misses that a pass may have cost more than the 25 ms after which it leaves the rest to the next one, which would have been due at once, for good. The limit counts the batches that were placed, so that each pass that it ends has made progress.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -15,8 +15,11 @@
 #define UNTRIED_MAX_MS	 1000
 #define LATE_COST_MAX_NS (5 * WL_NS_PER_MS)
 #define UNTRIED_RETRY_MS 50 /* pause between two passes for such batches alone */
-/* A pass that has cost so much leaves the rest to the next one: other events must not wait. */
-#define RANK_COST_MAX_NS (25 * WL_NS_PER_MS)
+/*
+ * A pass in which the batches that were placed have cost so much leaves the rest to the next one:
+ * other events must not wait. What misses cost is limited by MISSES_MAX.
+ */
+#define PLACED_COST_MAX_NS (25 * WL_NS_PER_MS)
 /* Between two passes: tasks that arrive together are committed together. */
 #define PASS_INTERVAL_MIN_US 2000
 /*
@@ -423,6 +426,7 @@
 	size_t misses[2]; /* by best_effort */
 	size_t suspect_misses;
 	bool late; /* considers the batches that wait for it longest; no more misses are counted */
+	uint64_t placed_cost_ns; /* estimated, of the batches that did not miss */
 	miss_t unplaceable[MISSES_MAX];
 	size_t unplaceable_count;
 	candidates_t candidates;
@@ -590,11 +594,16 @@
 
 static void batch_consider(wl_sched_t *sched, pass_t *pass, wl_task_batch_t *batch)
 {
+	uint64_t before_ns = pass->candidates.cost_ns;
+
 	batch->tried_ns = pass->now_ns;
 	TAILQ_REMOVE(&sched->by_tried, batch, tried_link);
 	TAILQ_INSERT_TAIL(&sched->by_tried, batch, tried_link);
-	if (!is_unplaceable(pass, batch) &&
-	    !batch_place(sched, pass->now_ns, batch, &pass->candidates))
+	if (is_unplaceable(pass, batch))
+		return;
+	if (batch_place(sched, pass->now_ns, batch, &pass->candidates))
+		pass->placed_cost_ns += pass->candidates.cost_ns - before_ns;
+	else
 		miss_record(sched, pass, batch);
 }
 
@@ -602,7 +611,7 @@
 {
 	wl_task_batch_t *batch = TAILQ_FIRST(&sched->pending);
 
-	while (batch && pass->candidates.cost_ns < RANK_COST_MAX_NS) {
+	while (batch && pass->placed_cost_ns < PLACED_COST_MAX_NS) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
 		if (!is_left_out(pass, batch) &&
