--- a/tests/unit/sched_waiting_test.cc
+++ b/tests/unit/sched_waiting_test.cc
@@ -90,6 +90,18 @@
 		return found;
 	}
 
+	/* 600 jobs wait for the label, for which nothing is free; another job starts at once. */
+	void expect_no_delay_by(const std::string &label)
+	{
+		for (int i = 0; i < 600; i++) {
+			label_set(rig.job("urgent", "w" + std::to_string(i), {1}), label);
+			rig.submit();
+		}
+		EXPECT_EQ(starts_within(3000, 1), 0u);
+		submit_fitting("j");
+		EXPECT_EQ(starts_within(NEXT_PASS_MS, 1), 1u);
+	}
+
 	SchedRig rig;
 };
 } // namespace
@@ -97,13 +109,7 @@
 /* A job of a less urgent queue, while 600 jobs wait for a label that no target has any more. */
 TEST_F(Waiting, EqualStepsOfALostLabelDelayNobody)
 {
-	for (int i = 0; i < 600; i++) {
-		label_set(rig.job("urgent", "w" + std::to_string(i), {1}), "lost");
-		rig.submit();
-	}
-	EXPECT_EQ(starts_within(3000, 1), 0u);
-	submit_fitting("j");
-	EXPECT_EQ(starts_within(NEXT_PASS_MS, 1), 1u);
+	expect_no_delay_by("lost");
 }
 
 /* A label that targets have, but none of them has room: one miss tells of all equal steps. */
@@ -113,13 +119,7 @@
 	label_set(rig.job("urgent", "busy", {1}), "b");
 	rig.submit();
 	EXPECT_EQ(starts_within(NEXT_PASS_MS, 1), 1u);
-	for (int i = 0; i < 600; i++) {
-		label_set(rig.job("urgent", "w" + std::to_string(i), {1}), "b");
-		rig.submit();
-	}
-	EXPECT_EQ(starts_within(3000, 1), 0u);
-	submit_fitting("j");
-	EXPECT_EQ(starts_within(NEXT_PASS_MS, 1), 1u);
+	expect_no_delay_by("b");
 }
 
 /* Waiting steps that say nothing of each other: each is considered in turn. */
