sched: report lasting tasks without a run and what holds them up

Neither log nor metrics told how long a lasting task is without a run after the loss of its target, nor which of the reasons to wait kept it: a trial of another task, a trial by itself, the slow start of its job, room, a start without an answer, or a target that is silent.

task-interrupted names it for each task without a run for 4 s, and wisterialead_job_tasks_interrupted counts them by reason; wisterialead_job_interruption_seconds has all interruptions.

--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -93,6 +93,7 @@
 	sched->next_gauges_ns = 0;
 	sched->next_stalled_ns = 0;
 	sched->next_teardowns_ns = 0;
+	wl_sched_interruptions_clear(sched);
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
 		gauge(sched, names[i], "", 0);
 	for (size_t i = 0; i < 2; i++) {
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -227,6 +227,16 @@
 	bool tail_outdated;
 } wl_sched_row_t;
 
+/* What kept a batch waiting when a pass last considered it. */
+typedef enum wl_hold {
+	WL_HOLD_NONE,  /* no pass has considered it */
+	WL_HOLD_ROOM,  /* no target has room for the next task */
+	WL_HOLD_APART, /* runs on trial rule out targets that may have room */
+	WL_HOLD_ALONE, /* another task of the job is on trial by itself */
+	WL_HOLD_SLOW,  /* the job starts slowly after crashes */
+	WL_HOLDS
+} wl_hold_t;
+
 /* How the next task of a batch has to be placed, from the crashes under it. */
 typedef struct wl_suspicion {
 	uint64_t at_ns; /* when this was decided */
@@ -252,7 +262,8 @@
 	bool interrupted; /* lasting tasks whose run has ended, sorted: longest interruption last */
 	bool suspect;	  /* one suspected task; released once it is placed */
 	wl_suspicion_t suspicion; /* set by a placement pass */
-	wl_batch_task_t *tasks;	  /* the last one is placed first */
+	wl_hold_t hold;
+	wl_batch_task_t *tasks; /* the last one is placed first */
 	size_t count;
 	size_t capacity;
 	unsigned int image;
@@ -442,6 +453,7 @@
 	uint64_t lasting_wanted_permille; /* with the pending lasting tasks whose run has ended */
 	uint64_t next_gauges_ns;
 	uint64_t next_stalled_ns;
+	uint64_t next_interruptions_ns;
 	uint64_t next_progress_ns;
 	uint64_t next_audit_ns;
 	uint64_t next_acceptance_ns;
@@ -452,6 +464,7 @@
 	uint64_t audits;
 	wl_metric_t *order_times[WL_ORDER_KINDS][WL_ORDER_OUTCOMES]; /* NULL: not used yet */
 	wl_metric_t *wait_times[2];				     /* by lasting */
+	wl_metric_t *interruption_times;			     /* NULL: not used yet */
 };
 
 /* sched.c */
@@ -535,6 +548,11 @@
 uint64_t wl_sched_stalled_due_ns(const wl_task_batch_t *batch, uint64_t now_ns);
 void wl_sched_stalled_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* interruptions.c */
+void wl_sched_interruption_measure(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run);
+void wl_sched_interruptions_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_interruptions_clear(wl_sched_t *sched);
+
 /* Position in the runs of a job that the leader knows; begins with the job alone. */
 typedef struct wl_sched_job_runs {
 	const wl_job_t *job;
@@ -692,7 +710,7 @@
 wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns);
 uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch);
 bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch);
-bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members);
+wl_hold_t wl_sched_trials_hold(const wl_task_batch_t *batch, uint64_t members);
 void wl_sched_targets_keep(wl_sched_t *sched, const wl_task_batch_t *batch,
 			   const wl_fit_request_t *request);
 int64_t wl_sched_suspect_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -105,6 +105,7 @@
 	 */
 	uint64_t least_tail;
 	bool limited;	  /* max_per_target ruled out a target with room */
+	bool on_trial;	  /* runs on trial ruled out a target that may have room */
 	uint64_t cost_ns; /* estimated, of all looks at targets in the pass */
 	uint64_t checks;  /* targets checked in the pass, without those that their rows rule out */
 } candidates_t;
@@ -130,8 +131,10 @@
 {
 	candidates->cost_ns += CHECK_COST_NS;
 	candidates->checks++;
-	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch))
+	if (sched->jobs->suspects > 0 && !wl_sched_trials_allow(runner, batch)) {
+		candidates->on_trial = true;
 		return false;
+	}
 	if (!wl_sched_runner_fits(sched, runner, batch, request)) {
 		if (!wl_fit_has_capacity(request, &runner->fit))
 			return false;
@@ -193,6 +196,7 @@
 	candidates->count = 0;
 	candidates->least_tail = UINT64_MAX;
 	candidates->limited = false;
+	candidates->on_trial = false;
 	if (!wl_fit_free_suffices(&candidates->free_max, request)) {
 		interference_refresh(sched, request->step);
 		return;
@@ -282,6 +286,17 @@
 	wl_sched_job_placed(batch->job, run);
 }
 
+/* Whether trials of its job hold up the batch. */
+static bool trials_wait(wl_task_batch_t *batch, uint64_t members)
+{
+	wl_hold_t hold = wl_sched_trials_hold(batch, members);
+
+	if (hold == WL_HOLD_NONE)
+		return false;
+	batch->hold = hold;
+	return true;
+}
+
 /*
  * Places all members of a gang, or none: a partial reservation is released. A gang of which members
  * still run waits for these.
@@ -298,7 +313,7 @@
 
 	if (batch->count < members)
 		return true;
-	if (wl_sched_trials_wait(batch, members))
+	if (trials_wait(batch, members))
 		return true;
 	number = next_run_number(batch, batch->tasks[0].task);
 	candidates_collect(sched, batch, request, candidates);
@@ -341,7 +356,7 @@
 static bool tasks_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			wl_fit_request_t *request, candidates_t *candidates)
 {
-	if (wl_sched_trials_wait(batch, 1))
+	if (trials_wait(batch, 1))
 		return true;
 	request->rack = wl_buf_str(&batch->rack);
 	candidates_collect(sched, batch, request, candidates);
@@ -353,7 +368,7 @@
 		task_place(sched, now_ns, batch,
 			   next_run_number(batch, batch->tasks[batch->count - 1].task),
 			   best->runner, request->background);
-		if (batch->count == 0 || wl_sched_trials_wait(batch, 1))
+		if (batch->count == 0 || trials_wait(batch, 1))
 			return true;
 		if (request->background) {
 			request->background = false;
@@ -398,9 +413,11 @@
 	batch->suspicion = wl_sched_suspicion(batch, now_ns);
 	placed = request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
 				    : tasks_place(sched, now_ns, batch, &request, candidates);
-	if (!placed)
-		wl_sched_targets_keep(sched, batch, &request);
-	return placed;
+	if (placed)
+		return true;
+	batch->hold = candidates->on_trial ? WL_HOLD_APART : WL_HOLD_ROOM;
+	wl_sched_targets_keep(sched, batch, &request);
+	return false;
 }
 
 /*
@@ -599,8 +616,10 @@
 	batch->tried_ns = pass->now_ns;
 	TAILQ_REMOVE(&sched->by_tried, batch, tried_link);
 	TAILQ_INSERT_TAIL(&sched->by_tried, batch, tried_link);
-	if (is_unplaceable(pass, batch))
+	if (is_unplaceable(pass, batch)) {
+		batch->hold = WL_HOLD_ROOM;
 		return;
+	}
 	if (batch_place(sched, pass->now_ns, batch, &pass->candidates))
 		pass->placed_cost_ns += pass->candidates.cost_ns - before_ns;
 	else
--- a/libwlcore/sched/progress.c
+++ b/libwlcore/sched/progress.c
@@ -116,7 +116,7 @@
 		   (unsigned long long)batch->count, (unsigned long long)request.step->cpu_millis,
 		   (unsigned long long)request.step->memory_mib, batch->suspect ? "yes" : "no",
 		   (unsigned long long)batch->suspicion.level,
-		   wl_sched_trials_wait(batch, 1) ? "yes" : "no", request.background ? "yes" : "no",
+		   wl_sched_trials_hold(batch, 1) ? "yes" : "no", request.background ? "yes" : "no",
 		   (unsigned long long)((now_ns - batch->tried_ns) / WL_NS_PER_MS),
 		   WL_STR_ARG(best ? best->key : WL_STR("none")), stage_names[furthest],
 		   (unsigned long long)targets[FIT_UNUSABLE],
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -485,8 +485,10 @@
 		run->listed = true;
 		run->listed_by = end->incarnation;
 		wl_sched_crash_run_listed(sched, now_ns, run, &sound);
-		if (run->first_listed_ns == 0)
+		if (run->first_listed_ns == 0) {
 			run->first_listed_ns = now_ns;
+			wl_sched_interruption_measure(sched, now_ns, run);
+		}
 		run->last_listed_ns = now_ns;
 		wl_sched_stop_listed(run, sent_ns);
 		run->tail_ms = views[i].load; /* the tail latency of a serving run, in ms */
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -315,24 +315,29 @@
 }
 
 /*
- * wl_sched_trials_wait - whether tasks of a batch have to wait for other trials of their job
+ * wl_sched_trials_hold - whether tasks of a batch have to wait for other trials of their job
  * @members: how many start together
+ *
+ * Return: WL_HOLD_ALONE or WL_HOLD_SLOW, or WL_HOLD_NONE if they need not wait.
  */
-bool wl_sched_trials_wait(const wl_task_batch_t *batch, uint64_t members)
+wl_hold_t wl_sched_trials_hold(const wl_task_batch_t *batch, uint64_t members)
 {
 	const wl_job_t *job = batch->job;
 	const wl_sched_job_t *sched_job = job->leader_data;
 
 	if (job->record.crash_count == 0)
-		return false;
+		return WL_HOLD_NONE;
 	if (batch->suspicion.level == WL_TRIAL_ALONE)
-		return sched_job->trials[WL_TRIAL_ALONE] > sound_runs(sched_job);
+		return sched_job->trials[WL_TRIAL_ALONE] > sound_runs(sched_job) ? WL_HOLD_ALONE
+										 : WL_HOLD_NONE;
 	if (is_distrusted(job) && sched_job->trials[WL_TRIAL_ALONE] > 0)
-		return true;
+		return WL_HOLD_ALONE;
 	if (batch->suspicion.level == 0 ? !is_distrusted(job) : !has_slow_start(job))
-		return false;
-	return sched_job->settling > 0 &&
-	       sched_job->settling + members > SLOW_START_TRIALS + sound_runs(sched_job);
+		return WL_HOLD_NONE;
+	if (sched_job->settling == 0 ||
+	    sched_job->settling + members <= SLOW_START_TRIALS + sound_runs(sched_job))
+		return WL_HOLD_NONE;
+	return WL_HOLD_SLOW;
 }
 
 /*
--- a/tests/unit/sched_suspects_test.cc
+++ b/tests/unit/sched_suspects_test.cc
@@ -303,3 +303,35 @@
 	EXPECT_GT(rig.find("j")->suspects, count);
 	EXPECT_LE(checks() - before, 2 * jobs * count) << "twice those of the jobs alone";
 }
+
+/* Guards against lasting tasks that are without a run while nothing tells what holds them up. */
+TEST_F(Suspects, LastingTaskThatIsHeldUpIsReported)
+{
+	target("a");
+	rig.job("q", "j", {2})->lasting = true;
+	rig.submit();
+	pass(1500);
+	crash("a");
+	target("a");
+	pass(3500);
+	EXPECT_EQ(lines("event=task-interrupted"), 0u);
+	pass(1200);
+	EXPECT_GE(lines("event=task-interrupted job=j"), 1u);
+	EXPECT_GE(lines("hold=apart target=- crashes=1"), 1u);
+	pass(2 * TRIAL_MAX_MS);
+	EXPECT_EQ(rig.metric("wisterialead_job_tasks_interrupted{hold=\"apart\"}"), "0");
+	EXPECT_EQ(rig.metric("wisterialead_job_interruption_seconds_count{}"), "2");
+}
+
+TEST_F(Suspects, LastingTaskWithoutRoomIsReported)
+{
+	target("a");
+	rig.job("q", "j", {1})->lasting = true;
+	rig.submit();
+	pass(1500);
+	crash("a");
+	pass(LEASES_OVER_MS + 5000);
+	EXPECT_GE(lines("hold=silent target=a"), 1u);
+	EXPECT_GE(lines("hold=room target=-"), 1u);
+	EXPECT_EQ(rig.metric("wisterialead_job_tasks_interrupted{hold=\"room\"}"), "1");
+}
