sched: trials hold up lasting tasks for 5 s at most

Users expect a run within 6 s, and at most 3 s more.

Cause: a suspected task keeps apart from the others of its crash for up to 10 s, is alone after two crashes, one of its job at a time, and its job starts slowly after three. None of these waits knew how long the task had been without a run. A new leader, which does not know when runs under earlier leaders ended, began to count anew.

A lasting task that has been without a run for 5 s waits for no trial. It is alone after two crashes where that is possible at once; else it shares a target, one without such trials if there is room, and a crash there does not count towards giving it up, as it does not tell the guilty task. Nor does one under a gang that shares its target. Runs that a new leader never hears of are taken to have ended half a lease before it led.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -208,6 +208,7 @@
 static void crash_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
 {
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 	uint64_t outage;
 
 	if (is_announced(sched, run, end) || !run_was_there(run, end->lost_ns))
@@ -218,7 +219,8 @@
 	if (outage_explains(sched, outage, wl_buf_str(&run->job), row->ran_ms))
 		return;
 	row->outcome = WL_END_CRASHED;
-	row->unconfirmed = was_left(run, end) || may_be_unsent(run);
+	row->unconfirmed = was_left(run, end) || may_be_unsent(run) ||
+			   (job && wl_sched_trial_shared(run, job));
 	/* An earlier leader may have missed the crash. That a run is sound is committed. */
 	if (run->phase == WL_RUN_INHERITED)
 		row->ran_ms = 0;
@@ -342,6 +344,7 @@
 static void lapse_fill(wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run,
 		       const wl_sched_incarnation_end_t *end, wl_run_end_t *row)
 {
+	const wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 	bool begun = !was_left(run, end) && !may_be_unsent(run);
 
 	if (is_announced(sched, run, end) || run->incarnation != end->incarnation ||
@@ -352,7 +355,8 @@
 	row->incarnation = run->incarnation;
 	row->ran_ms = run->phase != WL_RUN_INHERITED ? ran_ms(sched, now_ns, run) : 0;
 	row->unconfirmed = true;
-	row->alone = begun && run->trial == WL_TRIAL_ALONE;
+	row->alone =
+		begun && run->trial == WL_TRIAL_ALONE && job && !wl_sched_trial_shared(run, job);
 	row->silent = wl_sched_crash_late(sched, now_ns, row);
 }
 
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -244,6 +244,7 @@
 	uint64_t crash; /* number of the newest crash */
 	uint64_t counted;
 	bool relaxed; /* it has waited for so long that tasks of one crash may meet */
+	bool urgent;  /* it has been without a run for so long that it waits for no trial */
 } wl_suspicion_t;
 
 typedef struct wl_batch_task {
@@ -569,7 +570,8 @@
 				  uint64_t number);
 void wl_sched_starts_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_start_t *cmd,
 			     wl_out_t *out);
-uint64_t wl_sched_run_lost_ns(const wl_sched_run_t *run, uint64_t now_ns);
+uint64_t wl_sched_run_lost_ns(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns);
+uint64_t wl_sched_inherited_end_ns(const wl_sched_t *sched);
 void wl_sched_ends_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_runs_end_t *cmd,
 			   wl_out_t *out);
 void wl_sched_run_answered(wl_sched_t *sched, uint64_t now_ns, const wl_sched_order_t *order,
@@ -701,6 +703,7 @@
 
 /* suspects.c */
 void wl_sched_trial_begin(wl_sched_run_t *run, const wl_job_t *job);
+void wl_sched_trial_share(wl_sched_run_t *run, const wl_job_t *job);
 void wl_sched_trial_end(wl_sched_t *sched, wl_sched_run_t *run);
 void wl_sched_trial_passed(wl_sched_t *sched, wl_sched_run_t *run);
 void wl_sched_trial_ended(wl_sched_run_t *run, uint64_t now_ns, const wl_run_end_t *end);
@@ -708,6 +711,9 @@
 void wl_sched_trial_listed(wl_sched_t *sched, uint64_t now_ns, wl_sched_run_t *run);
 void wl_sched_trials_count(const wl_sched_t *sched, wl_sched_job_t *sched_job);
 wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns);
+bool wl_sched_suspicion_share(wl_task_batch_t *batch);
+bool wl_sched_trial_shared(const wl_sched_run_t *run, const wl_job_t *job);
+uint64_t wl_sched_urgent_due_ns(const wl_task_batch_t *batch, uint64_t now_ns);
 uint64_t wl_sched_suspects_due_ns(const wl_task_batch_t *batch);
 bool wl_sched_trials_allow(const wl_sched_runner_t *runner, const wl_task_batch_t *batch);
 wl_hold_t wl_sched_trials_hold(const wl_task_batch_t *batch, uint64_t members);
--- a/libwlcore/sched/losses.c
+++ b/libwlcore/sched/losses.c
@@ -314,7 +314,7 @@
 		wl_job_t *job = wl_jobs_find(sched->jobs, wl_buf_str(&run->job));
 		uint64_t task = run->task;
 		bool proposed = run->phase == WL_RUN_PROPOSED;
-		uint64_t lost_ns = wl_sched_run_lost_ns(run, now_ns);
+		uint64_t lost_ns = wl_sched_run_lost_ns(sched, run, now_ns);
 
 		if (!proposed)
 			wl_sched_run_end_note(sched, now_ns, run, WL_END_LOST, reason, out);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -273,6 +273,8 @@
 
 	run->phase = WL_RUN_PROPOSED;
 	run->placed_ns = now_ns;
+	if (batch->suspicion.urgent && batch->suspicion.level == WL_TRIAL_APART)
+		wl_sched_trial_share(run, batch->job);
 	batch->placed_ns = now_ns;
 	run->waited_ns = now_ns - batch->queued_ns;
 	run->previous_end_ns = pending->ended_ns;
@@ -400,6 +402,11 @@
 	};
 }
 
+static uint64_t members_of(const wl_step_spec_t *step)
+{
+	return step->gang ? step->count : 1;
+}
+
 /*
  * Return: false if a task of the batch fits on no target. Tasks may also have to wait for other
  * runs of their job.
@@ -408,13 +415,15 @@
 			candidates_t *candidates)
 {
 	wl_fit_request_t request = wl_sched_fit_request(now_ns, batch);
-	bool placed;
 
 	batch->suspicion = wl_sched_suspicion(batch, now_ns);
-	placed = request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
-				    : tasks_place(sched, now_ns, batch, &request, candidates);
-	if (placed)
-		return true;
+	if (wl_sched_trials_hold(batch, members_of(request.step)) != WL_HOLD_NONE)
+		wl_sched_suspicion_share(batch);
+	do {
+		if (request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
+				       : tasks_place(sched, now_ns, batch, &request, candidates))
+			return true;
+	} while (wl_sched_suspicion_share(batch));
 	batch->hold = candidates->on_trial ? WL_HOLD_APART : WL_HOLD_ROOM;
 	wl_sched_targets_keep(sched, batch, &request);
 	return false;
@@ -470,11 +479,6 @@
 	return !pass->full && wl_job_step(batch->job, batch->step)->best_effort;
 }
 
-static uint64_t members_of(const wl_step_spec_t *step)
-{
-	return step->gang ? step->count : 1;
-}
-
 /* Whether a batch of the request and image misses too, if it is of the same service. */
 static bool misses_too(const miss_t *miss, const wl_fit_request_t *request, unsigned int image,
 		       uint64_t tail_limit)
@@ -528,6 +532,15 @@
 		due_at(sched, due_ns);
 }
 
+/* Notes when the next task of a batch that trials hold up waits for them no longer. */
+static void urgent_due(wl_sched_t *sched, const pass_t *pass, const wl_task_batch_t *batch)
+{
+	uint64_t due_ns = wl_sched_urgent_due_ns(batch, pass->now_ns);
+
+	if (batch->hold != WL_HOLD_NONE && batch->hold != WL_HOLD_ROOM && due_ns)
+		due_at(sched, due_ns);
+}
+
 /* Notes when the batches that this pass has not considered are due. */
 static void untried_due(wl_sched_t *sched, const pass_t *pass)
 {
@@ -637,6 +650,7 @@
 		    (!is_ended(pass, batch) || is_unplaceable(pass, batch)))
 			batch_consider(sched, pass, batch);
 		stalled_due(sched, pass, batch);
+		urgent_due(sched, pass, batch);
 		wl_sched_batch_dequeue_empty(sched, batch);
 		batch = next;
 	}
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -331,6 +331,7 @@
 	if (!batch->queued) {
 		batch->queued_ns = now_ns;
 		batch->tried_ns = now_ns;
+		batch->hold = WL_HOLD_NONE;
 		batch->rank = batch_rank(sched, batch, now_ns);
 		batch_insert(sched, batch);
 	}
@@ -347,13 +348,11 @@
 	batch_get(sched, now_ns, job, &at, false);
 	if (sched_job->queued == 0)
 		wl_sched_job_at_work(job, now_ns);
-	/*
-	 * The last task added is placed first. It is not known when the runs under earlier
-	 * leaders ended: they count as ended now.
-	 */
+	/* The last task added is placed first. A task has run under an earlier leader only. */
 	for (at.index = wl_job_step(job, step)->count; at.index-- > 0;) {
 		wl_job_task_index(job, &at, &task);
-		wl_sched_task_enqueue(sched, now_ns, job, task, job->tasks[task].run ? now_ns : 0);
+		wl_sched_task_enqueue(sched, now_ns, job, task,
+				      job->tasks[task].run ? wl_sched_inherited_end_ns(sched) : 0);
 	}
 }
 
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -302,11 +302,12 @@
 	wl_sched_run_t *run;
 
 	if (!runner || !wl_job_run(job, row->task, row->run)) {
-		wl_sched_task_enqueue(sched, now_ns, job, row->task, row->run > 1 ? now_ns : 0);
+		wl_sched_task_enqueue(sched, now_ns, job, row->task,
+				      row->run > 1 ? wl_sched_inherited_end_ns(sched) : 0);
 		return;
 	}
 	run = wl_sched_run_add(sched, runner, job, row->task, row->run);
-	run->previous_end_ns = row->run > 1 ? now_ns : 0;
+	run->previous_end_ns = row->run > 1 ? wl_sched_inherited_end_ns(sched) : 0;
 	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "withdrawn", out);
 }
 
@@ -562,18 +563,39 @@
 
 /*
  * wl_sched_run_lost_ns - since when the task of a run that was not seen to end has been without it
+ *
+ * A lasting task whose run was never listed has been without one since its run before.
  */
-uint64_t wl_sched_run_lost_ns(const wl_sched_run_t *run, uint64_t now_ns)
+uint64_t wl_sched_run_lost_ns(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t now_ns)
 {
-	return run->last_listed_ns ? run->last_listed_ns : now_ns;
+	if (run->last_listed_ns)
+		return run->last_listed_ns;
+	if (!run->lasting)
+		return now_ns;
+	if (run->previous_end_ns)
+		return run->previous_end_ns;
+	return run->start_agent ? run->placed_ns : wl_sched_inherited_end_ns(sched);
+}
+
+/*
+ * wl_sched_inherited_end_ns - when a run that this leader never heard of is taken to have ended
+ *
+ * The leader before would have ended it after one lease of silence.
+ */
+uint64_t wl_sched_inherited_end_ns(const wl_sched_t *sched)
+{
+	uint64_t silent_ns = sched->options.lease_max_ms * WL_NS_PER_MS / 2;
+
+	return sched->leader_since_ns > silent_ns ? sched->leader_since_ns - silent_ns : 1;
 }
 
-static uint64_t run_ended_ns(const wl_sched_run_t *run, uint64_t outcome, uint64_t now_ns)
+static uint64_t run_ended_ns(const wl_sched_t *sched, const wl_sched_run_t *run, uint64_t outcome,
+			     uint64_t now_ns)
 {
 	if (outcome == WL_END_NOT_STARTED)
 		return run->previous_end_ns;
 	if (outcome == WL_END_LOST || outcome == WL_END_CRASHED)
-		return wl_sched_run_lost_ns(run, now_ns);
+		return wl_sched_run_lost_ns(sched, run, now_ns);
 	return now_ns;
 }
 
@@ -586,7 +608,7 @@
 
 	if (!run)
 		return;
-	ended_ns = run_ended_ns(run, end->outcome, now_ns);
+	ended_ns = run_ended_ns(sched, run, end->outcome, now_ns);
 	wl_sched_run_end_note(sched, now_ns, run, (wl_run_outcome_t)end->outcome,
 			      run->end_reason ? run->end_reason : "other", out);
 	failures_count(sched, run->runner, now_ns, end, out);
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -5,6 +5,10 @@
  * crash a task keeps apart from the other tasks of that crash, so that a second crash tells which
  * of them caused it. After two it is alone among suspected tasks, with as little other work beside
  * it as there is, and its target gets no other start.
+ *
+ * A lasting task that has been without a run for INTERRUPTED_MAX_MS waits for no trial any more: it
+ * is alone where that is possible at once, and shares a target otherwise. A crash there counts no
+ * further, as it would not tell which task caused it.
  */
 
 #include "internal.h"
@@ -12,11 +16,18 @@
 /* A crash after the end of a trial must not count as one within it, however times are rounded. */
 #define TRIAL_MARGIN_MS 100
 #define NEW_RUN_WEIGHT	1000 /* runs that weigh as much as a new one */
-#define KEPT_MS		4000 /* how long a target is kept free: until its runs are not new, and longer */
-#define KEPT_SHARE	4   /* one of so many targets is kept free or has a run that is alone */
-#define RETRY_MS	200 /* while a task that is to be alone waits */
+/* Exceeds any difference between scores of a placement policy. */
+#define SHARED_TRIAL_COST (INT64_C(1) << 56)
+#define KEPT_MS		  4000 /* how long a target is kept free: until its runs are not new, and longer */
+#define KEPT_SHARE	  4   /* one of so many targets is kept free or has a run that is alone */
+#define RETRY_MS	  200 /* while a task that is to be alone waits */
 /* Waiting time after which tasks of one crash may share a target. */
 #define APART_WAIT_MS 10000
+/*
+ * A lasting task is to run again 6 s after its last run. A start that gets no answer takes 1 s of
+ * these.
+ */
+#define INTERRUPTED_MAX_MS 5000
 /*
  * After so many crashes under a job its suspected tasks start slowly: so many at a time, one more
  * for each that has settled, and half of these after a crash. Fewer than three lost targets are no
@@ -57,6 +68,19 @@
 	return job ? job->leader_data : NULL;
 }
 
+/*
+ * When the next task of a batch no longer waits for trials, though it is suspected or its job
+ * distrusted; UINT64_MAX: such a time is not set.
+ */
+static uint64_t urgent_ns(const wl_task_batch_t *batch)
+{
+	uint64_t ended_ns = batch->count > 0 ? batch->tasks[batch->count - 1].ended_ns : 0;
+
+	if (ended_ns == 0 || !wl_job_step(batch->job, batch->step)->lasting)
+		return UINT64_MAX;
+	return ended_ns + INTERRUPTED_MAX_MS * WL_NS_PER_MS;
+}
+
 /*
  * wl_sched_trial_begin - put a new run on trial if its task is suspected or its job distrusted
  */
@@ -109,6 +133,22 @@
 	sched->place_due = true;
 }
 
+/*
+ * wl_sched_trial_share - let a run that is to be alone on trial share its target all the same
+ */
+void wl_sched_trial_share(wl_sched_run_t *run, const wl_job_t *job)
+{
+	wl_sched_job_t *sched_job = job->leader_data;
+
+	if (run->trial != WL_TRIAL_ALONE)
+		return;
+	run->trial = WL_TRIAL_APART;
+	run->runner->trials[WL_TRIAL_ALONE]--;
+	run->runner->trials[WL_TRIAL_APART]++;
+	sched_job->trials[WL_TRIAL_ALONE]--;
+	sched_job->trials[WL_TRIAL_APART]++;
+}
+
 /*
  * wl_sched_trial_end - the run is no longer on trial
  */
@@ -199,7 +239,7 @@
 wl_suspicion_t wl_sched_suspicion(const wl_task_batch_t *batch, uint64_t now_ns)
 {
 	bool gang = wl_job_step(batch->job, batch->step)->gang;
-	wl_suspicion_t suspicion = {.at_ns = now_ns};
+	wl_suspicion_t suspicion = {.at_ns = now_ns, .urgent = now_ns >= urgent_ns(batch)};
 	const wl_task_crashes_t *crashes;
 
 	if (batch->job->suspects == 0 || batch->count == 0 || !(batch->suspect || gang))
@@ -208,12 +248,51 @@
 	crashes = &batch->job->tasks[suspicion.counted].crashes;
 	suspicion.level = level_of(crashes);
 	suspicion.crash = crashes->crash;
-	suspicion.relaxed = now_ns - batch->queued_ns >= APART_WAIT_MS * WL_NS_PER_MS;
+	suspicion.relaxed =
+		suspicion.urgent || now_ns - batch->queued_ns >= APART_WAIT_MS * WL_NS_PER_MS;
 	if (gang && suspicion.relaxed && suspicion.level == WL_TRIAL_ALONE)
 		suspicion.level = WL_TRIAL_APART;
 	return suspicion;
 }
 
+static bool is_kept_free(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return runner->kept_until_ns > now_ns;
+}
+
+/* Whether the target is left to a task that is to be alone there. */
+static bool is_reserved(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return runner->trials[WL_TRIAL_ALONE] > 0 || is_kept_free(runner, now_ns);
+}
+
+/*
+ * wl_sched_suspicion_share - let an urgent task that is to be alone share a target
+ *
+ * Return: false if it need not, or may not.
+ */
+bool wl_sched_suspicion_share(wl_task_batch_t *batch)
+{
+	wl_suspicion_t *suspicion = &batch->suspicion;
+
+	if (!suspicion->urgent || suspicion->level != WL_TRIAL_ALONE)
+		return false;
+	suspicion->level = WL_TRIAL_APART;
+	return true;
+}
+
+/*
+ * wl_sched_urgent_due_ns - when the next task of a batch no longer waits for trials
+ *
+ * Return: 0 if that is not due to come.
+ */
+uint64_t wl_sched_urgent_due_ns(const wl_task_batch_t *batch, uint64_t now_ns)
+{
+	uint64_t due_ns = urgent_ns(batch);
+
+	return due_ns == UINT64_MAX || due_ns <= now_ns ? 0 : due_ns;
+}
+
 /*
  * wl_sched_suspects_due_ns - when a batch that was not placed may be placed more freely
  *
@@ -234,8 +313,12 @@
 	       wl_str_equal(wl_buf_str(&run->job), batch->job->key);
 }
 
-/* Whether a run on trial there rules the tasks of the batch out. Members of one gang do not. */
-static bool has_conflict(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
+/*
+ * Whether a run on trial there is to be kept apart from the tasks of the batch. Members of one gang
+ * are not.
+ */
+static bool has_conflict(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+			 bool relaxed)
 {
 	const wl_suspicion_t *suspicion = &batch->suspicion;
 	const wl_sched_run_t *run;
@@ -245,7 +328,7 @@
 			continue;
 		if (run->trial == WL_TRIAL_ALONE || suspicion->level == WL_TRIAL_ALONE)
 			return true;
-		if (run->crash && run->crash == suspicion->crash && !suspicion->relaxed)
+		if (run->crash && run->crash == suspicion->crash && !relaxed)
 			return true;
 	}
 	return false;
@@ -256,6 +339,47 @@
 	return now_ns - run->placed_ns < SETTLED_MS * WL_NS_PER_MS;
 }
 
+static bool is_of_gang(const wl_sched_run_t *run, const wl_sched_run_t *other)
+{
+	return other->trial && other->counted == run->counted &&
+	       wl_str_equal(wl_buf_str(&other->job), wl_buf_str(&run->job));
+}
+
+/* Whether a run has been placed beside one that was to be alone. */
+static bool is_beside(const wl_sched_run_t *run, const wl_sched_run_t *other, bool gang)
+{
+	if (other == run || other->incarnation != run->incarnation ||
+	    other->started_ms + SETTLED_MS <= run->started_ms)
+		return false;
+	return !gang || (other->trial && !is_of_gang(run, other));
+}
+
+/*
+ * wl_sched_trial_shared - whether a run that was to be alone on trial shared its target
+ *
+ * An urgent lasting task does, and a gang that has waited for long may. What an earlier leader has
+ * placed is told by the runs that are about as new.
+ */
+bool wl_sched_trial_shared(const wl_sched_run_t *run, const wl_job_t *job)
+{
+	const wl_sched_run_t *other;
+	wl_task_ref_t at;
+	bool gang;
+
+	if (run->trial == 0 || level_of(crashes_of(job, run->task)) != WL_TRIAL_ALONE)
+		return false;
+	if (run->trial != WL_TRIAL_ALONE)
+		return true;
+	wl_job_task_ref(job, run->task, &at);
+	gang = wl_job_step(job, at.step)->gang;
+	if (!run->lasting && !gang)
+		return false;
+	TAILQ_FOREACH (other, &run->runner->runs, link)
+		if (is_beside(run, other, gang))
+			return true;
+	return false;
+}
+
 /*
  * wl_sched_trial_ended - note a run that has ended new and not done: it may have harmed its target
  */
@@ -279,9 +403,9 @@
 	return false;
 }
 
-static bool is_kept_free(const wl_sched_runner_t *runner, uint64_t now_ns)
+static bool has_trials(const wl_sched_runner_t *runner)
 {
-	return runner->kept_until_ns > now_ns;
+	return runner->trials[WL_TRIAL_APART] + runner->trials[WL_TRIAL_ALONE] > 0;
 }
 
 /*
@@ -295,17 +419,17 @@
 {
 	const wl_suspicion_t *suspicion = &batch->suspicion;
 
-	if (suspicion->level != WL_TRIAL_ALONE &&
-	    (runner->trials[WL_TRIAL_ALONE] > 0 || is_kept_free(runner, suspicion->at_ns)))
+	if (suspicion->level != WL_TRIAL_ALONE && is_reserved(runner, suspicion->at_ns))
 		return false;
 	if (suspicion->level == 0)
 		return true;
 	if (runner->unreachable_since_ns || runner->incarnation > runner->state->report.incarnation)
 		return false;
+	if (suspicion->urgent && suspicion->level != WL_TRIAL_ALONE)
+		return true;
 	if (suspicion->level == WL_TRIAL_ALONE && has_new_runs(runner, batch))
 		return false;
-	return runner->trials[WL_TRIAL_APART] + runner->trials[WL_TRIAL_ALONE] == 0 ||
-	       !has_conflict(runner, batch);
+	return !has_trials(runner) || !has_conflict(runner, batch, suspicion->relaxed);
 }
 
 /* How many more of its tasks a job may start at a time, by its runs that have worked so far. */
@@ -330,6 +454,8 @@
 	if (batch->suspicion.level == WL_TRIAL_ALONE)
 		return sched_job->trials[WL_TRIAL_ALONE] > sound_runs(sched_job) ? WL_HOLD_ALONE
 										 : WL_HOLD_NONE;
+	if (batch->suspicion.at_ns >= urgent_ns(batch))
+		return WL_HOLD_NONE;
 	if (is_distrusted(job) && sched_job->trials[WL_TRIAL_ALONE] > 0)
 		return WL_HOLD_ALONE;
 	if (batch->suspicion.level == 0 ? !is_distrusted(job) : !has_slow_start(job))
@@ -340,6 +466,15 @@
 	return WL_HOLD_SLOW;
 }
 
+/* An urgent task shares a target with runs on trial only if no other one has room. */
+static int64_t urgent_score(const wl_sched_runner_t *runner, const wl_task_batch_t *batch,
+			    int64_t score)
+{
+	bool shares = has_trials(runner) && has_conflict(runner, batch, false);
+
+	return shares ? score - SHARED_TRIAL_COST : score;
+}
+
 /*
  * wl_sched_suspect_score - score of a target for a suspected task
  * @score: of the placement policy
@@ -353,7 +488,7 @@
 	const wl_sched_run_t *run;
 
 	if (batch->suspicion.level != WL_TRIAL_ALONE)
-		return score;
+		return batch->suspicion.urgent ? urgent_score(runner, batch, score) : score;
 	score = 0;
 	TAILQ_FOREACH (run, &runner->runs, link)
 		score -= run->trial || is_new(run, batch->suspicion.at_ns) ? NEW_RUN_WEIGHT : 1;
