daemon: ticks and messages between replicas go before other events

Cause: the event loop took up to 256 events before it looked whether a tick was due, and messages of replicas waited behind all others. On a busy leader each event may begin a pass of placement, so that it sent no heartbeat and read no answer for seconds: it was deposed at 17.9, 21.2 and 26.4 s, and found out only at 34.5 s that it no longer led.

A tick that is due goes before the events that wait, and messages between replicas and what the disk has synced go before other events. tick-late reports a tick that is 200 ms late.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -289,6 +289,7 @@
 	wl_event_loop_options_t options = {
 		.node = daemon->node,
 		.events = daemon->events,
+		.queue_slots = (uint32_t)daemon->settings->queue_slots,
 		.peers = daemon->peers,
 		.client = daemon->client,
 		.caller = daemon->caller,
--- a/daemon/event_loop.c
+++ b/daemon/event_loop.c
@@ -1,12 +1,16 @@
 /*
  * The event loop: takes events from the ring, steps the node and executes its actions.
  *
+ * Ticks come first: heartbeats are sent and the election timer is checked on time, however many
+ * events wait.
+ *
  * An action that cannot be executed at once does not block the loop: the node receives an event
  * that reports the failure, ahead of the events in the ring.  Persists are the exception: the
  * loop queues them in order until the disk thread accepts them.
  */
 
 #include "event_loop.h"
+#include "feed.h"
 #include "gauges.h"
 
 #include <errno.h>
@@ -24,8 +28,9 @@
 #include <libwlbase/units.h>
 
 #define GAUGE_INTERVAL_NS WL_NS_PER_S
-#define BATCH_MAX	  256 /* events processed before the clock is checked for a tick */
 #define STEP_SLOW_MS	  200 /* a step that takes longer is logged: heartbeats wait for it */
+#define TICK_LATE_MS	  200 /* a tick that is later is logged */
+#define URGENT_MAX	  64  /* events between the time of a tick and the tick */
 
 typedef struct internal_event {
 	wl_event_t event;
@@ -44,6 +49,8 @@
 	unsigned int draining;
 	unsigned int outcome;
 	/* used by the loop thread only */
+	wl_feed_t *feed;
+	uint64_t stepped_ns; /* when the newest step ended */
 	bool drain_delivered;
 	uint64_t next_tick_ns;
 	uint64_t next_gauge_ns;
@@ -250,7 +257,8 @@
 	wl_node_step(loop->options.node, began_ns, event, &loop->out);
 	for (size_t i = 0; i < loop->out.count; i++)
 		do_action(loop, &loop->out.actions[i]);
-	ms = (wl_clock_ns() - began_ns) / WL_NS_PER_MS;
+	loop->stepped_ns = wl_clock_ns();
+	ms = (loop->stepped_ns - began_ns) / WL_NS_PER_MS;
 	if (ms >= STEP_SLOW_MS)
 		wl_log_event(WL_WARN, "step-slow", "kind=%s ms=%llu actions=%zu", name,
 			     (unsigned long long)ms, loop->out.count);
@@ -278,6 +286,7 @@
 	wl_gauges_add(&gauges, "wisterialead_daemon_sends_refused_total", "", loop->sends_refused);
 	wl_gauges_add(&gauges, "wisterialead_daemon_fetches_refused_total", "",
 		      loop->fetches_refused);
+	wl_gauges_add(&gauges, "wisterialead_daemon_events_waiting", "", wl_feed_count(loop->feed));
 	if (loop->options.disk)
 		wl_gauges_add(&gauges, "wisterialead_daemon_persists_late_total", "",
 			      loop->persists_deferred);
@@ -291,8 +300,12 @@
 static void loop_tick(wl_event_loop_t *loop, uint64_t now_ns)
 {
 	uint64_t due_ns = loop->next_tick_ns;
+	uint64_t late_ms = due_ns ? (now_ns - due_ns) / WL_NS_PER_MS : 0;
 	wl_event_t tick;
 
+	if (late_ms >= TICK_LATE_MS)
+		wl_log_event(WL_WARN, "tick-late", "ms=%llu waiting=%u",
+			     (unsigned long long)late_ms, wl_feed_count(loop->feed));
 	loop->next_tick_ns = now_ns + wl_node_tick_ns(loop->options.node);
 	if (loop->options.disk && wl_disk_failed(loop->options.disk))
 		outcome_set(loop, WL_OUTCOME_FATAL);
@@ -318,16 +331,31 @@
 	return (int)((loop->next_tick_ns - now_ns + WL_NS_PER_MS - 1) / WL_NS_PER_MS);
 }
 
+static void event_take(wl_event_loop_t *loop, wl_event_t *event)
+{
+	loop_step(loop, event);
+	wl_event_free(event);
+	free(event);
+	internal_events_step(loop);
+}
+
+/* A heartbeat that has arrived counts before the election timer is checked. */
+static void urgent_events(wl_event_loop_t *loop)
+{
+	wl_event_t *event;
+
+	for (int i = 0; i < URGENT_MAX && (event = wl_feed_pop_urgent(loop->feed)); i++)
+		event_take(loop, event);
+}
+
+/* Takes events until a tick is due, or none is left. */
 static void loop_events(wl_event_loop_t *loop)
 {
-	wl_event_t *event = wl_ring_wait(loop->options.events, wait_ms(loop, wl_clock_ns()));
-
-	for (int i = 0; event; i++) {
-		loop_step(loop, event);
-		wl_event_free(event);
-		free(event);
-		internal_events_step(loop);
-		event = i < BATCH_MAX ? wl_ring_pop(loop->options.events) : NULL;
+	wl_event_t *event = wl_feed_wait(loop->feed, wait_ms(loop, wl_clock_ns()));
+
+	while (event) {
+		event_take(loop, event);
+		event = wl_feed_next(loop->feed, loop->stepped_ns, loop->next_tick_ns);
 	}
 }
 
@@ -342,8 +370,10 @@
 		if (loop->options.disk)
 			deferred_persists_retry(loop);
 		now_ns = wl_clock_ns();
-		if (now_ns >= loop->next_tick_ns)
-			loop_tick(loop, now_ns);
+		if (now_ns < loop->next_tick_ns)
+			continue;
+		urgent_events(loop);
+		loop_tick(loop, wl_clock_ns());
 	}
 	return NULL;
 }
@@ -361,12 +391,14 @@
 
 	memset(loop, 0, sizeof(*loop));
 	loop->options = *options;
+	loop->feed = wl_feed_new(options->events, options->queue_slots);
 	wl_out_init(&loop->out);
 	STAILQ_INIT(&loop->internal_events);
 	STAILQ_INIT(&loop->deferred_persists);
 	if (pthread_create(&loop->thread, NULL, loop_main, loop) == 0)
 		return loop;
 	wl_err_set(err, WL_E_IO, WL_NOT_RUN, "event loop: pthread_create failed");
+	wl_feed_free(loop->feed);
 	free(loop);
 	return NULL;
 }
@@ -412,5 +444,6 @@
 		free(deferred);
 	}
 	wl_out_free(&loop->out);
+	wl_feed_free(loop->feed);
 	free(loop);
 }
--- a/daemon/event_loop.h
+++ b/daemon/event_loop.h
@@ -26,6 +26,7 @@
 typedef struct wl_event_loop_options {
 	wl_node_t *node;
 	wl_ring_t *events;
+	uint32_t queue_slots; /* events that are taken from it ahead */
 	wl_peers_t *peers;
 	wl_http_client_t *client;
 	wl_http_server_t *caller; /* NULL without the role entry */
--- a/daemon/gauges.c
+++ b/daemon/gauges.c
@@ -107,8 +107,6 @@
 	wl_gauges_add(gauges, "wisterialead_daemon_peers", "", wl_peers_known(sources->peers));
 	wl_gauges_add(gauges, "wisterialead_daemon_log_dropped_total", "", wl_log_dropped());
 	wl_gauges_add(gauges, "wisterialead_daemon_log_omitted_total", "", wl_log_omitted());
-	wl_gauges_add(gauges, "wisterialead_daemon_events_waiting", "",
-		      wl_ring_count(sources->events));
 	wl_http_client_usage(sources->client, &used);
 	processor_collect(gauges, used.processor_ms);
 	wl_gauges_add(gauges, "wisterialead_daemon_http_connections_opened_total", "",
