sched: passes of placement end by what they cost, and take half of the time

Cause: what a pass may cost was estimated, 50 ns a target. And where no task missed there was no pause after it: each event began the next pass.

The scheduler is given a clock to measure costs by. A pass ends when what it has placed, or what it has missed, took 25 ms, and the next one begins when other events had as much time. Without a clock nothing changes.

unit.sched_place_test, PassesTakeHalfOfTheTimeThatIsMeasured: without the clock all 200 jobs were placed in one pass that would take 200 ms.

--- a/daemon/settings_node.c
+++ b/daemon/settings_node.c
@@ -2,6 +2,8 @@
 
 #include "settings.h"
 
+#include <libwlbase/clock.h>
+
 #define LEAST_SHARE 4 /* targets get at least one of so many descriptors */
 
 /*
@@ -72,5 +74,6 @@
 		.task_keep_ms = s->task_keep_ms,
 		.compact_entries = s->compact_entries,
 		.seed = s->seed,
+		.cost_clock_ns = wl_clock_ns,
 	};
 }
--- a/libwlcore/node/node.h
+++ b/libwlcore/node/node.h
@@ -65,6 +65,7 @@
 	uint64_t task_keep_ms;
 	uint64_t compact_entries;
 	uint64_t seed;
+	uint64_t (*cost_clock_ns)(void); /* as in wl_sched_options_t */
 } wl_node_options_t;
 
 typedef struct wl_node wl_node_t;
--- a/libwlcore/node/store.c
+++ b/libwlcore/node/store.c
@@ -232,6 +232,7 @@
 		.metrics = &node->metrics,
 		.placement = node->options.job_placement,
 		.dispatch = node->options.job_dispatch,
+		.cost_clock_ns = node->options.cost_clock_ns,
 	};
 	wl_agent_options_t agent = {
 		.dialect = node->options.dialect,
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -442,8 +442,9 @@
 	wl_interference_t interference;
 	bool promotion_due; /* that of a target may be set where runs are in the background */
 	bool place_due;
-	bool lapse_known;      /* whether a silent target has crashed is to be proposed */
-	uint64_t next_pass_ns; /* no placement pass before */
+	bool lapse_known;	 /* whether a silent target has crashed is to be proposed */
+	uint64_t next_pass_ns;	 /* no placement pass before */
+	uint64_t pause_until_ns; /* none of any kind */
 	uint64_t pass_count;
 	uint64_t suspects_due_ns; /* when a suspected task may be placed more freely; 0: never */
 	uint64_t waiting_due_ns;  /* when a task that waits may be placed more freely; 0: never */
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -17,9 +17,11 @@
 #define UNTRIED_RETRY_MS 50 /* pause between two passes for such batches alone */
 /*
  * A pass in which the batches that were placed have cost so much leaves the rest to the next one:
- * other events must not wait. What misses cost is limited by MISSES_MAX.
+ * other events must not wait. One in which the others have considers no more of those that wait.
  */
 #define PLACED_COST_MAX_NS (25 * WL_NS_PER_MS)
+#define MISSED_COST_MAX_NS (25 * WL_NS_PER_MS)
+#define PASS_SHARE	   2 /* passes take one of so many parts of the time */
 /* Between two passes: tasks that arrive together are committed together. */
 #define PASS_INTERVAL_MIN_US 2000
 /*
@@ -452,15 +454,28 @@
 	size_t misses[2]; /* by best_effort */
 	size_t suspect_misses;
 	bool late; /* considers the batches that wait for it longest; no more misses are counted */
-	uint64_t placed_cost_ns; /* estimated, of the batches that did not miss */
+	uint64_t placed_cost_ns; /* of the batches that did not miss */
+	uint64_t missed_cost_ns; /* of those that did */
 	miss_t unplaceable[MISSES_MAX];
 	size_t unplaceable_count;
 	candidates_t candidates;
 } pass_t;
 
-/* Whether so many batches fitted on no target that this one is not considered by its rank. */
+/* Grows by what the pass costs, ns: by the clock, or estimated. */
+static uint64_t cost_ns(const wl_sched_t *sched, const pass_t *pass)
+{
+	return sched->options.cost_clock_ns ? sched->options.cost_clock_ns()
+					    : pass->candidates.cost_ns;
+}
+
+/*
+ * Whether so many batches fitted on no target, or cost so much, that this one is not considered by
+ * its rank.
+ */
 static bool is_ended(const pass_t *pass, const wl_task_batch_t *batch)
 {
+	if (pass->missed_cost_ns >= MISSED_COST_MAX_NS)
+		return true;
 	if (batch->suspect && pass->suspect_misses >= MISSES_MAX)
 		return true;
 	return (wl_sched_batch_stalled(batch, pass->now_ns)
@@ -624,7 +639,7 @@
 
 static void batch_consider(wl_sched_t *sched, pass_t *pass, wl_task_batch_t *batch)
 {
-	uint64_t before_ns = pass->candidates.cost_ns;
+	uint64_t before_ns = cost_ns(sched, pass);
 
 	batch->tried_ns = pass->now_ns;
 	TAILQ_REMOVE(&sched->by_tried, batch, tried_link);
@@ -633,10 +648,12 @@
 		batch->hold = WL_HOLD_ROOM;
 		return;
 	}
-	if (batch_place(sched, pass->now_ns, batch, &pass->candidates))
-		pass->placed_cost_ns += pass->candidates.cost_ns - before_ns;
-	else
-		miss_record(sched, pass, batch);
+	if (batch_place(sched, pass->now_ns, batch, &pass->candidates)) {
+		pass->placed_cost_ns += cost_ns(sched, pass) - before_ns;
+		return;
+	}
+	miss_record(sched, pass, batch);
+	pass->missed_cost_ns += cost_ns(sched, pass) - before_ns;
 }
 
 static void consider_by_rank(wl_sched_t *sched, pass_t *pass)
@@ -663,16 +680,16 @@
 /*
  * Considers the batches that were not reached, the one that has waited for it longest first.
  *
- * Return: the estimated cost, ns.
+ * Return: the cost, ns.
  */
 static uint64_t consider_late(wl_sched_t *sched, pass_t *pass)
 {
 	wl_task_batch_t *batch = TAILQ_FIRST(&sched->by_tried);
-	uint64_t before_ns = pass->candidates.cost_ns;
-	uint64_t cost_ns = 0;
+	uint64_t before_ns = cost_ns(sched, pass);
+	uint64_t late_ns = 0;
 
 	pass->late = true;
-	while (batch && pass->now_ns >= untried_due_ns(batch) && cost_ns < LATE_COST_MAX_NS) {
+	while (batch && pass->now_ns >= untried_due_ns(batch) && late_ns < LATE_COST_MAX_NS) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, tried_link);
 
 		if (!is_left_out(pass, batch)) {
@@ -680,10 +697,10 @@
 			wl_sched_batch_dequeue_empty(sched, batch);
 			pass->candidates.cost_ns += BATCH_COST_NS;
 		}
-		cost_ns = pass->candidates.cost_ns - before_ns;
+		late_ns = cost_ns(sched, pass) - before_ns;
 		batch = next;
 	}
-	return cost_ns;
+	return late_ns;
 }
 
 /* Time from which misses like those of this pass, and looks of that cost, may be repeated. */
@@ -698,11 +715,20 @@
 	return now_ns + pause_ns;
 }
 
+/* Other events get their part of the time that is measured. */
+static void pause_set(wl_sched_t *sched, uint64_t now_ns, uint64_t pass_ns)
+{
+	if (sched->options.cost_clock_ns)
+		sched->pause_until_ns = now_ns + pass_ns * PASS_SHARE;
+}
+
 /*
  * wl_sched_place_due - whether a pass is due
  */
 bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
 {
+	if (now_ns < sched->pause_until_ns)
+		return false;
 	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
 		return true;
 	if (sched->waiting_due_ns && now_ns >= sched->waiting_due_ns &&
@@ -719,6 +745,7 @@
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
 	pass_t pass = {.now_ns = now_ns};
+	uint64_t began_ns = cost_ns(sched, &pass);
 	uint64_t late_ns;
 
 	pass.full = now_ns >= sched->next_full_pass_ns;
@@ -737,6 +764,7 @@
 		       pass.candidates.checks);
 	sched->next_pass_ns =
 		next_pass_at_ns(sched, pass.misses[false] + pass.suspect_misses, late_ns, now_ns);
+	pause_set(sched, now_ns, cost_ns(sched, &pass) - began_ns);
 	if (pass.full)
 		sched->next_full_pass_ns =
 			next_pass_at_ns(sched, pass.misses[true] + pass.stalled_misses, 0, now_ns);
--- a/libwlcore/sched/sched.h
+++ b/libwlcore/sched/sched.h
@@ -30,6 +30,8 @@
 	uint64_t lease_max_ms; /* longest lease that a target grants */
 	uint64_t start_lease_ms;
 	uint64_t stop_ms; /* longest time that a target takes to stop a run */
+	/* measures what placement costs, ns; NULL: that is estimated */
+	uint64_t (*cost_clock_ns)(void);
 } wl_sched_options_t;
 
 typedef struct wl_sched wl_sched_t;
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -45,7 +45,7 @@
 }
 } // namespace
 
-SchedRig::SchedRig(const std::string &acceptance)
+SchedRig::SchedRig(const std::string &acceptance, uint64_t (*cost_clock_ns)(void))
 {
 	std::ifstream in(PROJECT_DIR "/charts/task.json");
 	std::stringstream chart_text;
@@ -72,6 +72,7 @@
 	options.jobs = jobs;
 	options.metrics = &metrics;
 	options.acceptance = str(acceptance);
+	options.cost_clock_ns = cost_clock_ns;
 	sched = wl_sched_new(&options, &err);
 	EXPECT_NE(sched, nullptr) << err.text;
 	lead(1);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -58,8 +58,12 @@
 class SchedRig
 {
       public:
-	/* @acceptance: policy of this name; empty: the default */
-	explicit SchedRig(const std::string &acceptance = "");
+	/*
+	 * @acceptance: policy of this name; empty: the default
+	 * @cost_clock_ns: as in wl_sched_options_t
+	 */
+	explicit SchedRig(const std::string &acceptance = "",
+			  uint64_t (*cost_clock_ns)(void) = nullptr);
 	~SchedRig();
 	SchedRig(const SchedRig &) = delete;
 	SchedRig &operator=(const SchedRig &) = delete;
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -314,6 +314,52 @@
 	EXPECT_EQ(started, jobs) << "in " << ticks << " ticks";
 }
 
+namespace
+{
+constexpr uint64_t READING_NS = 500000; /* each reading of the clock finds it later by this */
+uint64_t cost_ns;
+
+uint64_t cost_clock_ns(void)
+{
+	cost_ns += READING_NS;
+	return cost_ns;
+}
+} // namespace
+
+/*
+ * A pass ends by what it costs on the machine that it runs on, and others follow at a distance:
+ * estimates were twelve times too low, and a busy leader had no time for its heartbeats.
+ */
+TEST(Place, PassesTakeHalfOfTheTimeThatIsMeasured)
+{
+	const uint64_t jobs = 200;
+	const uint64_t pass_max = 25 * 1000000 / READING_NS + 1;
+	const uint64_t ticks_max = 2 * jobs * READING_NS * 2 / 10000000 + 10;
+	SchedRig rig("", cost_clock_ns);
+	uint64_t pause_ticks = 0;
+	size_t started = 0;
+	uint64_t ticks = 0;
+
+	rig.configure("q");
+	for (int i = 0; i < 10; i++)
+		rig.runner("i-" + std::to_string(i));
+	rig.hold_commits = true;
+	for (uint64_t i = 0; i < jobs; i++) {
+		rig.job("q", "j" + std::to_string(i), {1});
+		rig.submit();
+	}
+	for (; started < jobs && ticks < ticks_max; ticks++) {
+		rig.advance(10);
+		rig.commit();
+		size_t now = rig.take_orders(WL_ORDER_START).size();
+		EXPECT_LE(now, pass_max);
+		pause_ticks += now == 0;
+		started += now;
+	}
+	EXPECT_EQ(started, jobs) << "in " << ticks << " ticks";
+	EXPECT_GE(pause_ticks, 2u);
+}
+
 /* A task that fits on no target of its service says nothing of the targets of another one. */
 TEST(Place, TasksOfAnotherServiceAreNotHeldUpByAMiss)
 {
