sched: a suspected task is compared with 64 targets, not with all

Each suspected task is a batch of its own, and placement compared each with every target that has room: 300 to 550 checks a start after the loss of 37% of 1,800 targets.

64 candidates are enough to choose from, and the search begins elsewhere for each task. Steps that prefer a rack are compared with all targets as ever.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -37,6 +37,11 @@
 #define BATCH_COST_NS	  500 /* of a batch that needs no look at targets */
 #define PASS_CPU_PERMILLE 100
 
+/* Targets of which the best one is taken for a suspected task. */
+#define CANDIDATES_SUSPECT 64
+/* Distance of the targets at which the searches for two tasks begin. */
+#define ROWS_APART 97
+
 static uint64_t same_step(const wl_sched_runner_t *runner, const wl_task_batch_t *batch)
 {
 	const wl_sched_run_t *run;
@@ -189,9 +194,31 @@
 	return false;
 }
 
+/*
+ * How many candidates suffice. Each suspected task is a batch of its own: after many crashes a full
+ * search for each would take all time.
+ */
+static size_t candidates_wanted(const wl_task_batch_t *batch, const wl_fit_request_t *request)
+{
+	if (!batch->suspect || request->step->same_rack || request->step->data_rack.len)
+		return SIZE_MAX;
+	return CANDIDATES_SUSPECT;
+}
+
+/* Where the search begins: elsewhere for each task that takes the first candidates. */
+static size_t first_row(const wl_sched_t *sched, const wl_task_batch_t *batch, size_t wanted)
+{
+	if (wanted == SIZE_MAX || sched->row_count == 0)
+		return 0;
+	return (size_t)(batch->tasks[batch->count - 1].task * ROWS_APART + sched->pass_count) %
+	       sched->row_count;
+}
+
 static void candidates_collect(wl_sched_t *sched, const wl_task_batch_t *batch,
 			       const wl_fit_request_t *request, candidates_t *candidates)
 {
+	size_t wanted = candidates_wanted(batch, request);
+	size_t first = first_row(sched, batch, wanted);
 	uint64_t tail_limit = wl_fit_tail_limit(request);
 
 	candidates_init(sched, candidates);
@@ -204,8 +231,8 @@
 		return;
 	}
 	candidates->cost_ns += sched->row_count * ROW_COST_NS;
-	for (size_t i = 0; i < sched->row_count; i++) {
-		wl_sched_row_t *row = &sched->rows[i];
+	for (size_t i = 0; i < sched->row_count && candidates->count < wanted; i++) {
+		wl_sched_row_t *row = &sched->rows[(first + i) % sched->row_count];
 
 		if (row_may_fit(sched, row, batch, request, tail_limit, candidates))
 			candidates->count +=
--- a/tests/unit/sched_suspects_test.cc
+++ b/tests/unit/sched_suspects_test.cc
@@ -335,3 +335,25 @@
 	EXPECT_GE(lines("hold=room target=-"), 1u);
 	EXPECT_EQ(rig.metric("wisterialead_job_tasks_interrupted{hold=\"room\"}"), "1");
 }
+
+/*
+ * Guards against a full search for each suspected task: after the loss of many targets a leader was
+ * busy with that for seconds.
+ */
+TEST_F(Suspects, SuspectedTasksAreNotComparedWithAllTargets)
+{
+	const size_t count = 400;
+	const size_t crashed = count / 5;
+
+	targets_add(count);
+	for (size_t i = 0; i < count; i++)
+		job("j" + std::to_string(i));
+	pass(1500);
+	size_t before = started.size();
+	EXPECT_EQ(before, count);
+	uint64_t checks_before = checks();
+	crash_a_fifth(count);
+	pass(1000);
+	EXPECT_EQ(started.size() - before, crashed);
+	EXPECT_LE(checks() - checks_before, 100 * crashed);
+}
