sched: judging a loss ends once the other targets can't matter

Whether a lost target is part of an outage was decided by a look at all targets and losses, for the fleet, its zone and its rack, and after most losses for the log alone. After the loss of hundreds of targets one step judges dozens.

The count ends as soon as the targets that are left could not make it an outage; the verdict is the same. Announced ends and those without runs are not judged for the log.

The tests of outages pass unchanged.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -327,10 +327,11 @@
 		      const wl_sched_incarnation_end_t *end, const char *reason, size_t crashed,
 		      size_t runs, wl_out_t *out)
 {
-	uint64_t outage = wl_sched_outage_find(sched, now_ns, runner->key, end->incarnation);
+	uint64_t outage;
 
 	if (end->announced || runs == 0)
 		return;
+	outage = wl_sched_outage_find(sched, now_ns, runner->key, end->incarnation);
 	wl_out_log(out, WL_WARN, "target-crash",
 		   "target=" WL_STR_FMT " life=%llu address=" WL_STR_FMT
 		   " reason=%s runs=%zu suspected=%zu outage=%llu lost_ms_ago=%llu",
--- a/libwlcore/sched/outages.c
+++ b/libwlcore/sched/outages.c
@@ -205,11 +205,34 @@
 		outcomes->idle++;
 }
 
-/* Targets that were lost shortly before or after say that they crashed one by one. */
+/* Whether nearly all targets in a scope were lost together with this one, and hardly any others. */
+static bool is_outage(const outcomes_t *outcomes)
+{
+	size_t lost = outcomes->lost + outcomes->idle;
+
+	return lost >= OUTAGE_LOSSES_MIN &&
+	       lost * WL_PERMILLE >= (lost + outcomes->others) * OUTAGE_PERMILLE &&
+	       lost * WL_PERMILLE >= (lost + outcomes->outside) * OUTAGE_PERMILLE;
+}
+
+/* Whether it would be one if all targets that are not counted yet were lost too. */
+static bool may_be_outage(const outcomes_t *outcomes, size_t uncounted)
+{
+	outcomes_t most = *outcomes;
+
+	most.idle += uncounted;
+	return is_outage(&most);
+}
+
+/*
+ * Targets that were lost shortly before or after say that they crashed one by one. Ends once the
+ * others can't matter: a step may judge hundreds of losses.
+ */
 static outcomes_t outcomes_count(const wl_sched_t *sched, uint64_t now_ns,
 				 const wl_sched_loss_t *loss, scope_t scope)
 {
 	const wl_sched_runner_t *runner;
+	size_t uncounted = wl_map_count(&sched->by_runner);
 	const wl_sched_loss_t *other;
 	outcomes_t outcomes = {0};
 
@@ -223,24 +246,18 @@
 		else
 			outcomes.others += lost_nearby(loss, other);
 	}
-	TAILQ_FOREACH (runner, &sched->runners, link)
+	TAILQ_FOREACH (runner, &sched->runners, link) {
+		if (!may_be_outage(&outcomes, uncounted))
+			break;
+		uncounted--;
 		if (!runner->unreachable_since_ns &&
 		    in_scope(loss, scope, &runner->state->report.rack,
 			     &runner->state->report.availability_zone))
 			runner_count(sched, now_ns, runner, loss, &outcomes);
+	}
 	return outcomes;
 }
 
-/* Whether nearly all targets in a scope were lost together with this one, and hardly any others. */
-static bool is_outage(const outcomes_t *outcomes)
-{
-	size_t lost = outcomes->lost + outcomes->idle;
-
-	return lost >= OUTAGE_LOSSES_MIN &&
-	       lost * WL_PERMILLE >= (lost + outcomes->others) * OUTAGE_PERMILLE &&
-	       lost * WL_PERMILLE >= (lost + outcomes->outside) * OUTAGE_PERMILLE;
-}
-
 static void outage_join(wl_sched_t *sched, const wl_sched_loss_t *loss, scope_t scope,
 			const outcomes_t *outcomes)
 {
