net: messages between replicas overtake others on their link

Frames between replicas have a list of their own in the send queue, which is sent first. The limits of the queue hold for both together.

--- a/libwlnet/peer.c
+++ b/libwlnet/peer.c
@@ -121,7 +121,8 @@
 /*
  * wl_peers_send - queue a message to a daemon, from any thread
  *
- * An accepted message is lost only if a PEER_DOWN event follows.
+ * An accepted message is lost only if a PEER_DOWN event follows. Messages between replicas overtake
+ * others that wait.
  *
  * Return: false if the link is down, the queue is full or the message too long.
  */
@@ -135,8 +136,9 @@
 
 	wl_msg_pack(msg, &bytes);
 	len = bytes.len;
-	accepted = len + WL_TAG_BYTES <= peers->options.max_frame_bytes &&
-		   wl_peer_table_queue(&peers->table, name, &bytes, &wake);
+	accepted =
+		len + WL_TAG_BYTES <= peers->options.max_frame_bytes &&
+		wl_peer_table_queue(&peers->table, name, &bytes, msg->kind == WL_MSG_RAFT, &wake);
 	wl_buf_free(&bytes);
 	if (!accepted)
 		return false;
--- a/libwlnet/peer_table.c
+++ b/libwlnet/peer_table.c
@@ -35,16 +35,25 @@
 	free(frame);
 }
 
+static wl_frame_t *frame_pop(wl_peer_t *peer)
+{
+	struct wl_frame_list *list = STAILQ_EMPTY(&peer->urgent) ? &peer->queue : &peer->urgent;
+	wl_frame_t *frame = STAILQ_FIRST(list);
+
+	if (!frame)
+		return NULL;
+	STAILQ_REMOVE_HEAD(list, link);
+	peer->queued--;
+	peer->queued_bytes -= frame->bytes.len;
+	return frame;
+}
+
 static void queue_clear(wl_peer_t *peer)
 {
 	wl_frame_t *frame;
 
-	while ((frame = STAILQ_FIRST(&peer->queue)) != NULL) {
-		STAILQ_REMOVE_HEAD(&peer->queue, link);
+	while ((frame = frame_pop(peer)) != NULL)
 		wl_frame_free(frame);
-	}
-	peer->queued = 0;
-	peer->queued_bytes = 0;
 }
 
 static void peer_free(wl_peer_t *peer)
@@ -80,6 +89,7 @@
 	memset(peer, 0, sizeof(*peer));
 	wl_buf_set(&peer->name, name);
 	peer->key = wl_buf_str(&peer->name);
+	STAILQ_INIT(&peer->urgent);
 	STAILQ_INIT(&peer->queue);
 	wl_map_put(&table->by_name, peer);
 	TAILQ_INSERT_TAIL(&table->all, peer, link);
@@ -191,11 +201,13 @@
 /*
  * wl_peer_table_queue - queue a frame for a peer
  * @bytes: payload; moved from on success
+ * @urgent: it is sent before those that are not
  * @wake: set to whether the peer thread must be woken
  *
  * Return: false if the link to the peer is down or its send queue is full.
  */
-bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool *wake)
+bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool urgent,
+			 bool *wake)
 {
 	wl_frame_t *frame;
 	wl_peer_t *peer;
@@ -210,7 +222,7 @@
 		frame = wl_alloc(sizeof(*frame));
 		frame->bytes = *bytes;
 		*bytes = (wl_buf_t){0};
-		STAILQ_INSERT_TAIL(&peer->queue, frame, link);
+		STAILQ_INSERT_TAIL(urgent ? &peer->urgent : &peer->queue, frame, link);
 		peer->queued++;
 		peer->queued_bytes += frame->bytes.len;
 		*wake = peer_set_pending(table, peer);
@@ -220,7 +232,7 @@
 }
 
 /*
- * wl_peer_table_pop - remove the oldest frame from the send queue of a peer
+ * wl_peer_table_pop - remove the next frame from the send queue of a peer
  *
  * Return: the frame, which the caller releases, or NULL if the queue is empty.
  */
@@ -229,12 +241,7 @@
 	wl_frame_t *frame;
 
 	pthread_mutex_lock(&table->lock);
-	frame = STAILQ_FIRST(&peer->queue);
-	if (frame) {
-		STAILQ_REMOVE_HEAD(&peer->queue, link);
-		peer->queued--;
-		peer->queued_bytes -= frame->bytes.len;
-	}
+	frame = frame_pop(peer);
 	pthread_mutex_unlock(&table->lock);
 	return frame;
 }
--- a/libwlnet/peer_table.h
+++ b/libwlnet/peer_table.h
@@ -25,8 +25,9 @@
 	wl_buf_t address; /* empty: do not dial */
 	bool address_changed;
 	bool up;
+	struct wl_frame_list urgent; /* sent before those in queue */
 	struct wl_frame_list queue;
-	uint64_t queued; /* frames */
+	uint64_t queued; /* frames, of both */
 	uint64_t queued_bytes;
 	bool pending; /* in wl_peer_table.pending */
 	STAILQ_ENTRY(wl_peer) pending_link;
@@ -54,7 +55,8 @@
 void wl_peer_table_free(wl_peer_table_t *table);
 wl_peer_t *wl_peer_table_get(wl_peer_table_t *table, wl_str_t name);
 bool wl_peer_table_set_address(wl_peer_table_t *table, wl_str_t name, wl_str_t address);
-bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool *wake);
+bool wl_peer_table_queue(wl_peer_table_t *table, wl_str_t name, wl_buf_t *bytes, bool urgent,
+			 bool *wake);
 wl_peer_t *wl_peer_table_release(wl_peer_table_t *table, wl_peer_t *peer);
 size_t wl_peer_table_count(wl_peer_table_t *table);
 wl_peer_t *wl_peer_table_take_pending(wl_peer_table_t *table);
