sched, tests: one check for members of a gang, one step for long series of crashes

Whether a run is of a gang was written twice. Whether trials of its job hold up a batch was asked twice for each batch; the first time matters for urgent ones only. Tests keep their assertions; two repeated steps are functions now. Comments that told how a value was chosen are gone: a start without an answer takes 1 s of the 6 s within which a lasting task is to run again.

--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -446,7 +446,8 @@
 	wl_fit_request_t request = wl_sched_fit_request(now_ns, batch);
 
 	batch->suspicion = wl_sched_suspicion(batch, now_ns);
-	if (wl_sched_trials_hold(batch, members_of(request.step)) != WL_HOLD_NONE)
+	if (batch->suspicion.urgent &&
+	    wl_sched_trials_hold(batch, members_of(request.step)) != WL_HOLD_NONE)
 		wl_sched_suspicion_share(batch);
 	do {
 		if (request.step->gang ? gang_place(sched, now_ns, batch, &request, candidates)
--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -23,10 +23,7 @@
 #define RETRY_MS	  200 /* while a task that is to be alone waits */
 /* Waiting time after which tasks of one crash may share a target. */
 #define APART_WAIT_MS 10000
-/*
- * A lasting task is to run again 6 s after its last run. A start that gets no answer takes 1 s of
- * these.
- */
+/* Time without a run after which a lasting task waits for no trial. */
 #define INTERRUPTED_MAX_MS 5000
 /*
  * After so many crashes under a job its suspected tasks start slowly: so many at a time, one more
@@ -307,10 +304,14 @@
 	return batch->queued_ns + APART_WAIT_MS * WL_NS_PER_MS;
 }
 
+static bool is_of_gang(const wl_sched_run_t *run, wl_str_t job, uint64_t counted)
+{
+	return run->trial && run->counted == counted && wl_str_equal(wl_buf_str(&run->job), job);
+}
+
 static bool is_same_gang(const wl_sched_run_t *run, const wl_task_batch_t *batch)
 {
-	return run->trial && run->counted == batch->suspicion.counted &&
-	       wl_str_equal(wl_buf_str(&run->job), batch->job->key);
+	return is_of_gang(run, batch->job->key, batch->suspicion.counted);
 }
 
 /*
@@ -339,19 +340,13 @@
 	return now_ns - run->placed_ns < SETTLED_MS * WL_NS_PER_MS;
 }
 
-static bool is_of_gang(const wl_sched_run_t *run, const wl_sched_run_t *other)
-{
-	return other->trial && other->counted == run->counted &&
-	       wl_str_equal(wl_buf_str(&other->job), wl_buf_str(&run->job));
-}
-
 /* Whether a run has been placed beside one that was to be alone. */
 static bool is_beside(const wl_sched_run_t *run, const wl_sched_run_t *other, bool gang)
 {
 	if (other == run || other->incarnation != run->incarnation ||
 	    other->started_ms + SETTLED_MS <= run->started_ms)
 		return false;
-	return !gang || (other->trial && !is_of_gang(run, other));
+	return !gang || (other->trial && !is_of_gang(other, wl_buf_str(&run->job), run->counted));
 }
 
 /*
--- a/tests/support/crash_load.h
+++ b/tests/support/crash_load.h
@@ -200,6 +200,17 @@
 	guilty_check(fleet);
 }
 
+/* Tasks crash their targets for 40 s, one after the other. */
+inline void long_series_simulate(CrashFleet &fleet)
+{
+	Mix mix(fleet);
+
+	lasting_jobs_submit(fleet);
+	mix.simulate(40000, true);
+	EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS));
+	guilty_check(fleet);
+}
+
 inline void tenth_of_a_class_check(unsigned int seed)
 {
 	CrashFleetOptions options;
--- a/tests/unit/sched_guilty_gang_test.cc
+++ b/tests/unit/sched_guilty_gang_test.cc
@@ -7,10 +7,6 @@
 	CrashFleetOptions options;
 	options.seed = 37;
 	CrashFleet fleet(options);
-	Mix mix(fleet);
 
-	lasting_jobs_submit(fleet);
-	mix.simulate(40000, true);
-	EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS));
-	guilty_check(fleet);
+	long_series_simulate(fleet);
 }
--- a/tests/unit/sched_guilty_long_test.cc
+++ b/tests/unit/sched_guilty_long_test.cc
@@ -28,12 +28,8 @@
 	CrashFleetOptions options;
 	options.seed = GetParam();
 	CrashFleet fleet(options);
-	Mix mix(fleet);
 
-	lasting_jobs_submit(fleet);
-	mix.simulate(40000, true);
-	EXPECT_TRUE(fleet.simulate_until_ended(LIMIT_MS));
-	guilty_check(fleet);
+	long_series_simulate(fleet);
 	lasting_check(fleet);
 	EXPECT_EQ(fleet.rig.job_state("last"), "running");
 	EXPECT_EQ(fleet.rig.job_state("wide"), "running");
--- a/tests/unit/sched_interruption_test.cc
+++ b/tests/unit/sched_interruption_test.cc
@@ -1,6 +1,6 @@
 #include "../support/crash_load.h"
 
-#include <algorithm>
+#include <memory>
 
 /*
  * How long lasting tasks are without a run after targets were lost under them, though none of them
@@ -54,6 +54,17 @@
 			loss.down_ms);
 	}
 
+	void lose_twice(uint64_t apart_ms, uint64_t offset)
+	{
+		Loss loss;
+		auto fleet = fleet_of(loss);
+
+		lose(*fleet, loss);
+		fleet->simulate(apart_ms);
+		lose(*fleet, loss, offset);
+		check(*fleet, loss);
+	}
+
 	void check(CrashFleet &fleet, const Loss &loss)
 	{
 		fleet.simulate(SETTLED_MS);
@@ -127,24 +138,12 @@
 /* The second loss finds runs on trial: their tasks have two crashes in a row. */
 TEST_P(Interruption, OfTasksOnAThirdOfTheTargetsTwice)
 {
-	Loss loss;
-	auto fleet = fleet_of(loss);
-
-	lose(*fleet, loss);
-	fleet->simulate(9000);
-	lose(*fleet, loss, 3);
-	check(*fleet, loss);
+	lose_twice(9000, 3);
 }
 
 TEST_P(Interruption, OfTasksThatAreLostAgainAtOnce)
 {
-	Loss loss;
-	auto fleet = fleet_of(loss);
-
-	lose(*fleet, loss);
-	fleet->simulate(6500);
-	lose(*fleet, loss);
-	check(*fleet, loss);
+	lose_twice(6500, 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Interruption, testing::Range(1u, 9u));
--- a/tests/unit/sched_place_test.cc
+++ b/tests/unit/sched_place_test.cc
@@ -326,10 +326,7 @@
 }
 } // namespace
 
-/*
- * A pass ends by what it costs on the machine that it runs on, and others follow at a distance:
- * estimates were twelve times too low, and a busy leader had no time for its heartbeats.
- */
+/* Guards against passes that leave a busy leader no time for its heartbeats. */
 TEST(Place, PassesTakeHalfOfTheTimeThatIsMeasured)
 {
 	const uint64_t jobs = 200;
