sched: crashes of a gang beside new runs don't count against it

Cause: a gang that has waited 10 s to be alone joins targets with other new runs. Its crash there counted as proof unless one of these runs was on trial, though a task that crashes for the first time is on none. Now any other run that is about as new takes the proof away, as for lasting tasks.

--- a/libwlcore/sched/suspects.c
+++ b/libwlcore/sched/suspects.c
@@ -346,7 +346,7 @@
 	if (other == run || other->incarnation != run->incarnation ||
 	    other->started_ms + SETTLED_MS <= run->started_ms)
 		return false;
-	return !gang || (other->trial && !is_of_gang(other, wl_buf_str(&run->job), run->counted));
+	return !gang || !is_of_gang(other, wl_buf_str(&run->job), run->counted);
 }
 
 /*
