evacuation: zones that get no new work, and targets that warm up

The leader places nothing there, and withholds starts that are committed and not ordered yet. What runs there ends by itself and keeps its lease. When the zone is taken back, each target waits for its next report, and one that warms up gets work last, and a share of its CPU that rises with the warm-up; reservations of lasting tasks count in full. Operators: wisteriactl evacuate ZONE [--withdraw], /v1/evacuations, status; unknown zones get 404.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -34,6 +34,7 @@
 	wl_buf_t customer;
 	uint64_t max;	  /* tasks */
 	wl_buf_t replace; /* members */
+	bool withdraw;	  /* evacuate */
 	wl_buf_t service; /* load */
 	wl_buf_t path;
 	wl_buf_t method;
@@ -78,6 +79,7 @@
 wl_exit_t wl_cmd_apply(const wl_cli_settings_t *settings, const char **words, size_t count);
 wl_exit_t wl_cmd_diff(const wl_cli_settings_t *settings, const char **words, size_t count);
 wl_exit_t wl_cmd_drain(const wl_cli_settings_t *settings, const char **words, size_t count);
+wl_exit_t wl_cmd_evacuate(const wl_cli_settings_t *settings, const char **words, size_t count);
 wl_exit_t wl_cmd_get(const wl_cli_settings_t *settings, const char **words, size_t count);
 wl_exit_t wl_cmd_load(const wl_cli_settings_t *settings, const char **words, size_t count);
 wl_exit_t wl_cmd_members(const wl_cli_settings_t *settings, const char **words, size_t count);
--- a/cli/show.c
+++ b/cli/show.c
@@ -1,4 +1,4 @@
-/* Commands that print an answer: get, members, status, targets, tasks, drain. */
+/* Commands that print an answer: get, members, status, targets, tasks, drain, evacuate. */
 
 #include "cli.h"
 
@@ -17,10 +17,10 @@
 	return code;
 }
 
-static wl_exit_t post(const wl_cli_settings_t *settings, const char *path, wl_str_t body,
-		      uint64_t expected_status)
+static wl_exit_t change(const wl_cli_settings_t *settings, const char *method, const char *path,
+			wl_str_t body, uint64_t expected_status)
 {
-	wl_cli_call_t call = {.method = "POST", .body = body};
+	wl_cli_call_t call = {.method = method, .body = body};
 	wl_fetched_t fetched;
 	wl_exit_t code;
 
@@ -76,11 +76,29 @@
 		return show(settings, "/v1/members");
 	wl_buf_printf(&body, "{\"replace\":\"" WL_STR_FMT "\"}",
 		      WL_STR_ARG(wl_buf_str(&settings->replace)));
-	code = post(settings, "/v1/members", wl_buf_str(&body), 200);
+	code = change(settings, "POST", "/v1/members", wl_buf_str(&body), 200);
 	wl_buf_free(&body);
 	return code;
 }
 
+/*
+ * wl_cmd_evacuate - give an availability zone no new work, or take it back into use
+ */
+wl_exit_t wl_cmd_evacuate(const wl_cli_settings_t *settings, const char **words, size_t count)
+{
+	wl_buf_t path = {0};
+	wl_exit_t code;
+
+	if (count != 1) {
+		fprintf(stderr, "wisteriactl: usage: evacuate ZONE [--withdraw]\n");
+		return WL_EXIT_USAGE;
+	}
+	wl_buf_printf(&path, "/v1/evacuations/%s", words[0]);
+	code = change(settings, settings->withdraw ? "DELETE" : "PUT", path.at, WL_STR(""), 200);
+	wl_buf_free(&path);
+	return code;
+}
+
 /*
  * wl_cmd_status - print the leader's view of the system
  */
@@ -132,5 +150,5 @@
 		fprintf(stderr, "wisteriactl: drain takes one --server, the daemon to stop\n");
 		return WL_EXIT_USAGE;
 	}
-	return post(settings, "/v1/drain", WL_STR(""), 202);
+	return change(settings, "POST", "/v1/drain", WL_STR(""), 202);
 }
--- a/libwlcore/api/api.c
+++ b/libwlcore/api/api.c
@@ -11,8 +11,9 @@
 #include <libwlbase/units.h>
 #include <libwlcore/api/auth.h>
 
-#define MAX_TASKS  10000 /* per answer */
-#define API_STREAM 0x617069
+#define MAX_TASKS      10000 /* per answer */
+#define MAX_ZONE_BYTES 128
+#define API_STREAM     0x617069
 
 typedef enum access {
 	ACCESS_ANY,
@@ -225,6 +226,46 @@
 	wl_record_free(&replace_schema, &body);
 }
 
+static void evacuations(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+			wl_out_t *out)
+{
+	query_leader(api, now_ns, call, WL_QUERY_EVACUATIONS, arg, out);
+}
+
+static void evacuation_command(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t zone,
+			       bool withdrawn, wl_out_t *out)
+{
+	wl_cmd_t cmd = {.kind = WL_CMD_ZONE_EVACUATE, .u.zone_evacuate.withdrawn = withdrawn};
+	wl_api_pending_call_t *pending;
+	wl_err_t err;
+
+	if (zone.len > MAX_ZONE_BYTES) {
+		wl_err_set(&err, WL_E_BAD_INPUT, WL_NOT_RUN,
+			   "availability zone: expected at most %d bytes, found %zu",
+			   MAX_ZONE_BYTES, zone.len);
+		wl_out_reply_error(out, call->id, &err);
+		return;
+	}
+	wl_buf_set(&cmd.u.zone_evacuate.availability_zone, zone);
+	pending = wl_api_pending_call_add(api, call, WL_API_PENDING_FORWARD);
+	wl_out_leader_command(out, pending->id, &cmd, now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
+	wl_cmd_free(&cmd);
+}
+
+/* PUT /v1/evacuations/ZONE */
+static void evacuation_begin(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+			     wl_out_t *out)
+{
+	evacuation_command(api, now_ns, call, arg, false, out);
+}
+
+/* DELETE /v1/evacuations/ZONE */
+static void evacuation_end(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
+			   wl_out_t *out)
+{
+	evacuation_command(api, now_ns, call, arg, true, out);
+}
+
 static void drain(wl_api_t *api, uint64_t now_ns, const wl_call_t *call, wl_str_t arg,
 		  wl_out_t *out)
 {
@@ -242,6 +283,9 @@
 	{"GET", "/v1/config/*", ON_CONTROL, ACCESS_OPERATOR, wl_api_list_get},
 	{"PUT", "/v1/config/*", ON_CONTROL, ACCESS_OPERATOR, wl_api_list_put},
 	{"POST", "/v1/drain", ON_CONTROL, ACCESS_OPERATOR, drain},
+	{"GET", "/v1/evacuations", ON_CONTROL, ACCESS_OPERATOR, evacuations},
+	{"DELETE", "/v1/evacuations/*", ON_CONTROL, ACCESS_OPERATOR, evacuation_end},
+	{"PUT", "/v1/evacuations/*", ON_CONTROL, ACCESS_OPERATOR, evacuation_begin},
 	{"GET", "/v1/members", ON_CONTROL, ACCESS_OPERATOR, members},
 	{"POST", "/v1/members", ON_CONTROL, ACCESS_OPERATOR, replace},
 	{"GET", "/v1/status", ON_CONTROL, ACCESS_OPERATOR, status},
--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -165,6 +165,11 @@
 		cmd->u.runner_put = operation->report;
 		operation->report = (wl_runner_report_t){0};
 		return true;
+	case WL_OPERATION_ZONE_EVACUATE:
+		cmd->kind = WL_CMD_ZONE_EVACUATE;
+		cmd->u.zone_evacuate = operation->evacuation;
+		operation->evacuation = (wl_cmd_zone_evacuate_t){0};
+		return true;
 	case WL_OPERATION_NONE:
 	case WL_OPERATION_READY:
 	case WL_OPERATION_JOB_GET:
--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -74,6 +74,7 @@
 	wl_map_free(&jobs->by_runner);
 	wl_record_free(&wl_catalog_schema, &jobs->catalog);
 	wl_buf_free(&jobs->catalog_text);
+	wl_list_free(&wl_evacuation_schema, &jobs->evacuations);
 }
 
 /*
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -4,11 +4,12 @@
 #include <sys/queue.h>
 
 #include <libwlbase/map.h>
+#include <libwlcore/evacuation/evacuations.h>
 #include <libwlcore/model/cmd.h>
 
 /*
- * The replicated job state: the configuration, the targets that run tasks, jobs and their
- * runs. Only committed commands change it.
+ * The replicated job state: the configuration, evacuated zones, the targets that run tasks, jobs
+ * and their runs. Only committed commands change it.
  */
 
 #define WL_TASK_CRASHES_MAX  3 /* proved crashes of targets under a task at which it is given up */
@@ -179,6 +180,7 @@
 	bool configured;
 	wl_catalog_t catalog;
 	wl_buf_t catalog_text;
+	wl_list_t evacuations; /* wl_evacuation_t */
 	wl_map_t by_id;
 	wl_map_t by_address;
 	struct wl_job_list live;
--- a/libwlcore/job/runners.c
+++ b/libwlcore/job/runners.c
@@ -87,6 +87,7 @@
 	return a->incarnation != b->incarnation || a->draining != b->draining ||
 	       a->exiting != b->exiting || a->cpu_millis != b->cpu_millis ||
 	       a->memory_mib != b->memory_mib || a->accelerators != b->accelerators ||
+	       (a->warmup_ms > 0) != (b->warmup_ms > 0) ||
 	       !wl_str_equal(wl_buf_str(&a->address), wl_buf_str(&b->address)) ||
 	       !wl_str_equal(wl_buf_str(&a->service), wl_buf_str(&b->service)) ||
 	       !wl_str_equal(wl_buf_str(&a->machine), wl_buf_str(&b->machine)) ||
@@ -162,7 +163,7 @@
  */
 bool wl_jobs_handles(uint64_t cmd_kind)
 {
-	return cmd_kind >= WL_CMD_CATALOG_PUT && cmd_kind <= WL_CMD_RUNNER_PUT;
+	return cmd_kind >= WL_CMD_CATALOG_PUT && cmd_kind <= WL_CMD_ZONE_EVACUATE;
 }
 
 /*
@@ -191,6 +192,10 @@
 	case WL_CMD_RUNNER_PUT:
 		wl_jobs_runner_put(jobs, &cmd->u.runner_put, clock_ms, result);
 		break;
+	case WL_CMD_ZONE_EVACUATE:
+		wl_evacuation_apply(&jobs->evacuations, &cmd->u.zone_evacuate, clock_ms,
+				    jobs->index, result);
+		break;
 	default:
 		wl_result_fail(result, WL_E_BAD_INPUT, "command does not belong to the job state");
 		break;
--- a/libwlcore/leader/leader.c
+++ b/libwlcore/leader/leader.c
@@ -117,6 +117,19 @@
 	return leader->clock_base_ms + (now_ns - leader->leading_since_ns) / WL_NS_PER_MS;
 }
 
+/*
+ * wl_leader_has_zone - whether an entry with a session is in an availability zone
+ */
+bool wl_leader_has_zone(const wl_leader_t *leader, wl_str_t availability_zone)
+{
+	const wl_leader_session_t *session;
+
+	TAILQ_FOREACH (session, &leader->sessions, link)
+		if (wl_str_equal(wl_buf_str(&session->availability_zone), availability_zone))
+			return true;
+	return false;
+}
+
 /* Proposes a command, which is moved from, and tracks it until it is committed or dropped. */
 wl_proposal_t *wl_leader_propose(wl_leader_t *leader, uint64_t now_ns, wl_proposal_kind_t kind,
 				 wl_cmd_t *cmd, wl_out_t *out)
@@ -306,6 +319,7 @@
 	case WL_CMD_RUNS_START:
 	case WL_CMD_RUNS_END:
 	case WL_CMD_RUNNER_PUT:
+	case WL_CMD_ZONE_EVACUATE:
 	case WL_CMD_NONE:
 	case WL_CMD_KINDS:
 		break;
--- a/libwlcore/leader/leader.h
+++ b/libwlcore/leader/leader.h
@@ -30,6 +30,7 @@
 void wl_leader_free(wl_leader_t *leader);
 void wl_leader_replicas_set(wl_leader_t *leader, const wl_list_t *names);
 uint64_t wl_leader_clock_ms(const wl_leader_t *leader, uint64_t now_ns);
+bool wl_leader_has_zone(const wl_leader_t *leader, wl_str_t availability_zone);
 void wl_leader_step(wl_leader_t *leader, uint64_t now_ns, const wl_event_t *event, wl_out_t *out);
 
 #endif
--- a/libwlcore/leader/query.c
+++ b/libwlcore/leader/query.c
@@ -11,7 +11,9 @@
  *   STATUS   {"leader", "term", "group", "revision", "in_force", "customers_version",
  *            "plans_version", "sessions", "targets", "targets_without_owner", "queued_urgent",
  *            "queued_batch", "placed", "ended", "entries": [{"entry", "session", "address",
- *            "availability_zone", "draining", "revision", "owned", "heard_ms_ago"}]}
+ *            "availability_zone", "draining", "revision", "owned", "heard_ms_ago"}],
+ *            "evacuations": as below}
+ *   EVACUATIONS  {"evacuations": [{"availability_zone", "since_ms", "revision"}]}
  */
 
 #include "internal.h"
@@ -128,7 +130,8 @@
 	uint64_t queued_batch;
 	uint64_t placed;
 	uint64_t ended;
-	wl_list_t entries; /* member_view_t */
+	wl_list_t entries;     /* member_view_t */
+	wl_list_t evacuations; /* wl_evacuation_t */
 } status_view_t;
 
 static const wl_field_t status_fields[] = {
@@ -147,10 +150,21 @@
 	WL_FIELD(status_view_t, placed, WL_FIELD_U64),
 	WL_FIELD(status_view_t, ended, WL_FIELD_U64),
 	WL_FIELD_MANY(status_view_t, entries, &member_schema),
+	WL_FIELD_MANY(status_view_t, evacuations, &wl_evacuation_schema),
 };
 
 static const wl_schema_t status_schema = WL_SCHEMA(status_view_t, status_fields);
 
+typedef struct evacuations_view {
+	wl_list_t evacuations; /* wl_evacuation_t */
+} evacuations_view_t;
+
+static const wl_field_t evacuations_fields[] = {
+	WL_FIELD_MANY(evacuations_view_t, evacuations, &wl_evacuation_schema),
+};
+
+static const wl_schema_t evacuations_schema = WL_SCHEMA(evacuations_view_t, evacuations_fields);
+
 static void append_item(wl_buf_t *body, bool *first, const wl_schema_t *schema, void *view)
 {
 	if (!*first)
@@ -328,6 +342,26 @@
 		member_view(leader, session, now_ns, wl_list_add(&member_schema, entries));
 }
 
+static void evacuations_add(const wl_leader_t *leader, wl_list_t *evacuations)
+{
+	const wl_list_t *zones = &leader->state->jobs.evacuations;
+
+	for (size_t i = 0; i < zones->count; i++)
+		wl_record_copy(&wl_evacuation_schema,
+			       wl_list_add(&wl_evacuation_schema, evacuations),
+			       (const wl_evacuation_t *)zones->items + i);
+}
+
+static void query_evacuations(const wl_leader_t *leader, wl_result_t *result)
+{
+	evacuations_view_t view = {0};
+	bool first = true;
+
+	wl_result_ok(result, wl_state_revision(leader->state));
+	evacuations_add(leader, &view.evacuations);
+	append_item(&result->body, &first, &evacuations_schema, &view);
+}
+
 static void query_status(const wl_leader_t *leader, uint64_t now_ns, wl_result_t *result)
 {
 	status_view_t view = {.term = leader->term,
@@ -350,6 +384,7 @@
 	view.placed = counts.placed;
 	view.ended = counts.ended;
 	entries_add(leader, now_ns, &view.entries);
+	evacuations_add(leader, &view.evacuations);
 	append_item(&result->body, &first, &status_schema, &view);
 }
 
@@ -386,6 +421,9 @@
 	case WL_QUERY_IN_FORCE:
 		query_in_force(leader, query->number, result);
 		return;
+	case WL_QUERY_EVACUATIONS:
+		query_evacuations(leader, result);
+		return;
 	case WL_QUERY_MEMBERS:
 	case WL_QUERY_REPLACE:
 	case WL_QUERY_JOB:
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -143,6 +143,14 @@
 static const wl_schema_t cmd_catalog_put_schema =
 	WL_SCHEMA(wl_cmd_catalog_put_t, cmd_catalog_put_fields);
 
+static const wl_field_t cmd_zone_evacuate_fields[] = {
+	WL_FIELD(wl_cmd_zone_evacuate_t, availability_zone, WL_FIELD_BYTES),
+	WL_FIELD(wl_cmd_zone_evacuate_t, withdrawn, WL_FIELD_BOOL),
+};
+
+static const wl_schema_t cmd_zone_evacuate_schema =
+	WL_SCHEMA(wl_cmd_zone_evacuate_t, cmd_zone_evacuate_fields);
+
 static const wl_field_t cmd_job_add_fields[] = {
 	WL_FIELD(wl_cmd_job_add_t, host, WL_FIELD_BYTES),
 	WL_FIELD(wl_cmd_job_add_t, path, WL_FIELD_BYTES),
@@ -274,6 +282,7 @@
 	[WL_CMD_RUNS_START] = {"runs-start", &cmd_runs_start_schema},
 	[WL_CMD_RUNS_END] = {"runs-end", &cmd_runs_end_schema},
 	[WL_CMD_RUNNER_PUT] = {"runner-put", &wl_runner_report_schema},
+	[WL_CMD_ZONE_EVACUATE] = {"zone-evacuate", &cmd_zone_evacuate_schema},
 };
 
 /* Header in front of the command's record. */
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -25,6 +25,7 @@
 	WL_CMD_RUNS_START,
 	WL_CMD_RUNS_END,
 	WL_CMD_RUNNER_PUT,
+	WL_CMD_ZONE_EVACUATE,
 	WL_CMD_KINDS
 } wl_cmd_kind_t;
 
@@ -166,6 +167,12 @@
 	wl_buf_t path;
 } wl_cmd_job_cancel_t;
 
+/* Evacuates an availability zone, or withdraws that; the latest one for a zone is in force. */
+typedef struct wl_cmd_zone_evacuate {
+	wl_buf_t availability_zone;
+	bool withdrawn;
+} wl_cmd_zone_evacuate_t;
+
 /* Committed before the start order is sent, so that every later leader has the run. */
 typedef struct wl_run_start {
 	wl_buf_t job;
@@ -249,6 +256,7 @@
 		wl_cmd_runs_start_t runs_start;
 		wl_cmd_runs_end_t runs_end;
 		wl_runner_report_t runner_put;
+		wl_cmd_zone_evacuate_t zone_evacuate;
 	} u;
 } wl_cmd_t;
 
--- a/libwlcore/model/dialect.h
+++ b/libwlcore/model/dialect.h
@@ -20,6 +20,7 @@
 	WL_OPERATION_CATALOG_PUT,
 	WL_OPERATION_CATALOG_GET,
 	WL_OPERATION_RUNNER_REPORT,
+	WL_OPERATION_ZONE_EVACUATE,
 } wl_operation_kind_t;
 
 extern const char *const wl_operation_names[];
@@ -27,13 +28,14 @@
 /* A parsed call. */
 typedef struct wl_operation {
 	wl_operation_kind_t kind;
-	uint64_t timeout_ms;	   /* time that the caller waits; 0: none given */
-	wl_buf_t host;		   /* JOB_* */
-	wl_buf_t path;		   /* JOB_* */
-	wl_job_spec_t spec;	   /* JOB_ADD */
-	wl_catalog_t catalog;	   /* CATALOG_PUT */
-	wl_buf_t text;		   /* CATALOG_PUT: as received */
-	wl_runner_report_t report; /* RUNNER_REPORT */
+	uint64_t timeout_ms;		   /* time that the caller waits; 0: none given */
+	wl_buf_t host;			   /* JOB_* */
+	wl_buf_t path;			   /* JOB_* */
+	wl_job_spec_t spec;		   /* JOB_ADD */
+	wl_catalog_t catalog;		   /* CATALOG_PUT */
+	wl_buf_t text;			   /* CATALOG_PUT: as received */
+	wl_runner_report_t report;	   /* RUNNER_REPORT */
+	wl_cmd_zone_evacuate_t evacuation; /* ZONE_EVACUATE */
 } wl_operation_t;
 
 typedef struct wl_dialect {
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -124,6 +124,7 @@
 	WL_QUERY_REPLACE,  /* name: daemon whose lost replica may be replaced */
 	WL_QUERY_JOB,	   /* customer: host; name: path of a job or of its queue */
 	WL_QUERY_CATALOG,  /* body: the configuration as it was sent */
+	WL_QUERY_EVACUATIONS,
 } wl_query_kind_t;
 
 typedef struct wl_msg_query {
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -3,8 +3,8 @@
 #include "dialect.h"
 
 const char *const wl_operation_names[] = {
-	"none",	       "ready",	      "job-add",       "job-get", "job-cancel",
-	"catalog-put", "catalog-get", "runner-report", NULL,
+	"none",	       "ready",	      "job-add",       "job-get",	"job-cancel",
+	"catalog-put", "catalog-get", "runner-report", "zone-evacuate", NULL,
 };
 
 const char *const wl_order_kind_names[] = {"start", "stop", "hold", "pace", NULL};
@@ -83,5 +83,6 @@
 	wl_record_free(&wl_job_spec_schema, &operation->spec);
 	wl_record_free(&wl_catalog_schema, &operation->catalog);
 	wl_record_free(&wl_runner_report_schema, &operation->report);
+	wl_buf_free(&operation->evacuation.availability_zone);
 	operation->kind = WL_OPERATION_NONE;
 }
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -82,6 +82,7 @@
 	if (report->incarnation && report->incarnation == runner->former_incarnation)
 		return false;
 	wl_sched_capacity_reported(sched, runner, report);
+	wl_sched_warmup_reported(sched, now_ns, runner, report);
 	report->supersedes = superseded(runner, report);
 	return wl_runner_report_changes(runner->state, report);
 }
@@ -188,6 +189,22 @@
 				  wl_buf_str(&cancel->path), out);
 }
 
+/*
+ * Nothing is settled without a commit but a zone that does not exist: the same order may have been
+ * overtaken by another one that is not committed yet.
+ */
+static bool zone_is_settled(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
+{
+	wl_str_t zone = wl_buf_str(&cmd->u.zone_evacuate.availability_zone);
+
+	if (wl_sched_zone_known(sched, zone))
+		return false;
+	wl_result_fail(result, WL_E_NOT_FOUND,
+		       "availability zone \"" WL_STR_FMT "\": no target and no entry is in it",
+		       WL_STR_ARG(zone));
+	return true;
+}
+
 /* Fills in the answer to a command that needs no commit. Return: false if it needs one. */
 static bool command_is_settled(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
 {
@@ -197,6 +214,8 @@
 		return job_is_settled(sched, cmd, result);
 	if (cmd->kind == WL_CMD_JOB_CANCEL)
 		return false;
+	if (cmd->kind == WL_CMD_ZONE_EVACUATE)
+		return zone_is_settled(sched, cmd, result);
 	wl_result_fail(result, WL_E_BAD_INPUT, "%s: daemons may not send this command",
 		       wl_cmd_name(cmd->kind));
 	return true;
--- a/libwlcore/sched/capacity.c
+++ b/libwlcore/sched/capacity.c
@@ -72,6 +72,8 @@
 {
 	if (runner->known.departing || runner->known.removal_proposed)
 		return "departing";
+	if (runner->evacuated)
+		return "evacuated";
 	return runner->known.clock_ns ? NULL : "no-clock";
 }
 
--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -25,6 +25,7 @@
 #define BACKGROUND_PENALTY	(INT64_C(1) << 30) /* above any weighted tail latency */
 #define OTHER_IMAGE_WEIGHT	4 /* free CPU that weighs as much as 1 CPU of another image */
 #define REMOTE_PENALTY		(INT64_C(1) << 40) /* above any difference in free CPU, millis */
+#define WARMUP_PENALTY		(INT64_C(1) << 36) /* above any difference on one rack */
 
 static uint64_t reserved_cpu(const wl_step_spec_t *step)
 {
@@ -44,9 +45,18 @@
 	       step->accelerators <= runner->capacity.accelerators;
 }
 
+/* CPU of the target that tasks of the step may use. */
+static uint64_t usable_cpu(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
+{
+	return runner->capacity.cpu_millis - (step->lasting ? 0 : runner->warmup_millis);
+}
+
 static bool has_free(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
 {
-	return runner->used.cpu_millis + reserved_cpu(step) <= runner->capacity.cpu_millis &&
+	uint64_t cpu = reserved_cpu(step);
+
+	return (cpu == 0 || runner->used.cpu_millis + cpu <= usable_cpu(step, runner)) &&
+	       runner->used.cpu_millis + cpu <= runner->capacity.cpu_millis &&
 	       runner->used.memory_mib + step->memory_mib <= runner->capacity.memory_mib &&
 	       runner->used.accelerators + step->accelerators <= runner->capacity.accelerators;
 }
@@ -76,7 +86,7 @@
 static bool best_effort_fits(const wl_step_spec_t *step, const wl_fit_runner_t *runner)
 {
 	return !step->best_effort ||
-	       best_effort_taken(runner) + step->cpu_millis <= runner->capacity.cpu_millis;
+	       best_effort_taken(runner) + step->cpu_millis <= usable_cpu(step, runner);
 }
 
 static void raise_max(int64_t *most, uint64_t capacity, uint64_t taken)
@@ -167,10 +177,17 @@
 	       !wl_str_equal(request->rack, runner->rack);
 }
 
+/* What a target costs that makes tasks slower. */
+static int64_t slowness(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
+{
+	return (is_remote(request, runner) ? REMOTE_PENALTY : 0) +
+	       (runner->warmup_millis ? WARMUP_PENALTY : 0);
+}
+
 /* Fills targets up, so that free capacity for wide tasks remains on others. */
 static int64_t score_best_fit(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
 {
-	return -free_millis(runner) - (is_remote(request, runner) ? REMOTE_PENALTY : 0);
+	return -free_millis(runner) - slowness(request, runner);
 }
 
 static int64_t score_first_fit(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
@@ -204,7 +221,7 @@
 		return score_lasting(request, runner);
 	if (request->background)
 		tail += (int64_t)runner->background * BACKGROUND_PENALTY;
-	return free_millis(runner) - tail - (is_remote(request, runner) ? REMOTE_PENALTY : 0);
+	return free_millis(runner) - tail - slowness(request, runner);
 }
 
 /* Sorted by name; the last is the default. */
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -20,8 +20,9 @@
 	uint64_t same_step;	     /* tasks of the requested step on this target */
 	/* best effort: forecast of the worst tail latency with the task, permille of the bound */
 	uint64_t tail_permille;
-	uint64_t background; /* runs in the background */
-	bool usable;	     /* reachable, not draining, not quarantined */
+	uint64_t background;	/* runs in the background */
+	uint64_t warmup_millis; /* CPU withheld from short tasks while it warms up; 0: it is warm */
+	bool usable;		/* reachable, not draining, not quarantined */
 } wl_fit_runner_t;
 
 /* A request to place a task. */
--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -71,6 +71,7 @@
 	sched->next_gauges_ns = now_ns + GAUGES_INTERVAL_MS * WL_NS_PER_MS;
 	waiting_set(sched, now_ns);
 	leases_set(sched, now_ns);
+	wl_sched_zones_measure(sched);
 	gauge(sched, "wisterialead_job_suspects", "", sched->jobs->suspects);
 	gauge(sched, "wisterialead_job_runs", "", wl_map_count(&sched->by_run));
 	gauge(sched, "wisterialead_job_targets", "", wl_map_count(&sched->by_runner));
@@ -94,6 +95,7 @@
 	sched->next_stalled_ns = 0;
 	sched->next_teardowns_ns = 0;
 	wl_sched_interruptions_clear(sched);
+	wl_sched_zones_clear(sched);
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
 		gauge(sched, names[i], "", 0);
 	for (size_t i = 0; i < 2; i++) {
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlbase/units.h>
+#include <libwlcore/evacuation/warmup.h>
 
 #include "fit.h"
 #include "forecast.h"
@@ -174,6 +175,9 @@
 	uint64_t previous_leases_expiry_ns;
 	/* orders with leases that got no answer may be carried out until then */
 	uint64_t late_orders_over_ns;
+	bool evacuated;	      /* its availability zone is */
+	uint64_t reopened_ns; /* when the zone was taken back; 0: it was not */
+	wl_warmup_t warmup;
 	uint64_t lasting_millis;     /* CPU reserved by lasting tasks */
 	uint64_t incarnation;	     /* as of its newest report or answer */
 	uint64_t former_incarnation; /* the one before; 0: none is known */
@@ -643,6 +647,18 @@
 bool wl_sched_stood_still(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* zones.c */
+void wl_sched_runner_zone_update(wl_sched_t *sched, wl_sched_runner_t *runner);
+void wl_sched_warmup_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
+			      const wl_runner_report_t *report);
+void wl_sched_warmup_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
+bool wl_sched_zone_closed(const wl_sched_runner_t *runner, uint64_t now_ns);
+bool wl_sched_zone_known(const wl_sched_t *sched, wl_str_t zone);
+void wl_sched_zone_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_zone_evacuate_t *cmd,
+			   const wl_result_t *result, wl_out_t *out);
+void wl_sched_zones_measure(const wl_sched_t *sched);
+void wl_sched_zones_clear(const wl_sched_t *sched);
+
 /* capacity.c */
 void wl_sched_capacity_reported(wl_sched_t *sched, wl_sched_runner_t *runner,
 				const wl_runner_report_t *report);
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -86,6 +86,7 @@
 	runner->fit.rack = wl_buf_str(&report->rack);
 	labels_update(sched, runner);
 	wl_sched_capacity_reported(sched, runner, report);
+	wl_sched_runner_zone_update(sched, runner);
 }
 
 /* Time of the target's newest report or answer; 0: none. */
@@ -100,7 +101,7 @@
 	uint64_t last_ns = last_contact_ns(runner);
 	bool usable = !runner->state->departed_ms && !runner->known.departing &&
 		      !runner->known.removal_proposed && !runner->state->report.draining &&
-		      runner->known.clock_ns && last_ns &&
+		      !wl_sched_zone_closed(runner, now_ns) && runner->known.clock_ns && last_ns &&
 		      now_ns - last_ns < UNREACHABLE_MS * WL_NS_PER_MS &&
 		      now_ns >= runner->quarantined_until_ns;
 
@@ -132,6 +133,7 @@
 		runner->late_orders_over_ns =
 			sched->leader_since_ns +
 			(WL_SCHED_AGENT_HOLD_MS + WL_SCHED_ORDER_LATE_MS) * WL_NS_PER_MS;
+		wl_warmup_report(&runner->warmup, now_ns, state->report.warmup_ms);
 		TAILQ_INIT(&runner->runs);
 		TAILQ_INIT(&runner->serving);
 		TAILQ_INIT(&runner->open_starts);
@@ -157,6 +159,7 @@
 	runner->former_incarnation = runner->incarnation;
 	runner->incarnation = incarnation;
 	runner->known = (wl_sched_incarnation_t){0};
+	runner->warmup = (wl_warmup_t){0};
 	fence_raise(sched, runner);
 	if (incarnation < runner->capacity_incarnation)
 		runner->capacity_incarnation = 0;
@@ -378,6 +381,7 @@
 {
 	uint64_t last_ns = last_contact_ns(runner);
 
+	wl_sched_warmup_tick(sched, now_ns, runner);
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
 	if (leases_are_over(runner, now_ns) && wl_sched_runner_needs_lease(runner))
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -333,6 +333,9 @@
 	case WL_CMD_RUNNER_PUT:
 		runner_applied(sched, now_ns, &cmd->u.runner_put, out);
 		break;
+	case WL_CMD_ZONE_EVACUATE:
+		wl_sched_zone_applied(sched, now_ns, &cmd->u.zone_evacuate, event->result, out);
+		break;
 	default:
 		break;
 	}
--- a/libwlcore/state/snapshot.c
+++ b/libwlcore/state/snapshot.c
@@ -38,6 +38,7 @@
 	wl_list_t cancellations; /* wl_job_cancellation_row_t */
 	wl_list_t ended_calls;	 /* wl_state_ended_call_row_t */
 	wl_list_t lapses;	 /* wl_lapse_row_t */
+	wl_list_t evacuations;	 /* wl_evacuation_t */
 } head_record_t;
 
 static const wl_field_t head_fields[] = {
@@ -52,6 +53,7 @@
 	WL_FIELD_MANY(head_record_t, cancellations, &wl_job_cancellation_schema),
 	WL_FIELD_MANY(head_record_t, ended_calls, &wl_state_ended_call_schema),
 	WL_FIELD_MANY(head_record_t, lapses, &wl_lapse_row_schema),
+	WL_FIELD_MANY(head_record_t, evacuations, &wl_evacuation_schema),
 };
 
 static const wl_schema_t head_schema = WL_SCHEMA(head_record_t, head_fields);
@@ -284,7 +286,9 @@
 			      .owners_index = state->owners_index,
 			      .owners_floor = state->owners_floor,
 			      .items = items_count(state),
-			      .crashes = state->jobs.crash_count};
+			      .crashes = state->jobs.crash_count,
+			      /* shared with the state, and not freed here */
+			      .evacuations = state->jobs.evacuations};
 
 	wl_job_cancellations_fill(&state->jobs, &head.cancellations);
 	wl_state_ended_calls_fill(state, &head.ended_calls);
@@ -346,6 +350,8 @@
 	wl_job_cancellations_restore(&state->jobs, &head.cancellations);
 	wl_state_ended_calls_restore(state, &head.ended_calls);
 	wl_lapses_restore(&state->jobs, &head.lapses);
+	state->jobs.evacuations = head.evacuations;
+	head.evacuations = (wl_list_t){0};
 	reader->expected = head.items;
 	wl_record_free(&head_schema, &head);
 	return true;
--- a/tests/fuzz/fuzz_call.c
+++ b/tests/fuzz/fuzz_call.c
@@ -134,6 +134,9 @@
 	case WL_OPERATION_CATALOG_PUT:
 		check_packed(&wl_catalog_schema, &operation->catalog);
 		break;
+	case WL_OPERATION_ZONE_EVACUATE:
+		FUZZ_CHECK(operation->evacuation.availability_zone.len > 0);
+		break;
 	case WL_OPERATION_JOB_ADD:
 		check_packed(&wl_job_spec_schema, &operation->spec);
 		break;
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -395,6 +395,17 @@
 	report.sequence = ++sequence;
 	report.clock_ms = now / MS + clock_offset_ms;
 	report.draining = draining;
+	report.warmup_ms = warmup_ms;
+	run_command(&cmd);
+}
+
+void SchedRig::evacuate(const std::string &availability_zone, bool withdrawn)
+{
+	wl_cmd_t cmd = {};
+
+	cmd.kind = WL_CMD_ZONE_EVACUATE;
+	wl_buf_set(&cmd.u.zone_evacuate.availability_zone, str(availability_zone));
+	cmd.u.zone_evacuate.withdrawn = withdrawn;
 	run_command(&cmd);
 }
 
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -74,6 +74,7 @@
 	void runner(const std::string &id, uint64_t cpu_millis = 32000, uint64_t life = 1,
 		    const std::string &rack = "r1", bool draining = false);
 	void runner_left(const std::string &id, uint64_t life = 0);
+	void evacuate(const std::string &availability_zone, bool withdrawn = false);
 	/* Calls of daemons that were answered since the last look. */
 	size_t take_results();
 	wl_step_spec_t *job(const std::string &queue, const std::string &id,
@@ -132,6 +133,7 @@
 	SchedResult newest = {};	     /* of the newest call */
 	bool hold_commits = false;	     /* commands stay pending until commit() */
 	std::string zone;		     /* of these targets */
+	uint64_t warmup_ms = 0;		     /* as these targets report next */
 	uint64_t objective_ms = 0;	     /* for the queues that are configured next */
 	uint64_t slack_millis = 0;
 	std::deque<SchedOrder> orders;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -177,6 +177,13 @@
 	ASSERT_TRUE(read("POST", "/-/instances/i-7f/heartbeat", body)) << err.text;
 	EXPECT_TRUE(operation.report.draining);
 	EXPECT_EQ(operation.report.remaining_ms, 2400u);
+	ASSERT_TRUE(read("POST", "/-/evacuations/koping/start", ""));
+	EXPECT_EQ(operation.kind, WL_OPERATION_ZONE_EVACUATE);
+	EXPECT_EQ(text(operation.evacuation.availability_zone), "koping");
+	EXPECT_FALSE(operation.evacuation.withdrawn);
+	ASSERT_TRUE(read("POST", "/-/evacuations/koping/finish", ""));
+	EXPECT_TRUE(operation.evacuation.withdrawn);
+	EXPECT_FALSE(read("POST", "/-/evacuations/" + std::string(200, 'z') + "/start", ""));
 	ASSERT_TRUE(read("POST", "/-/instances/i-7f/deregister", ""));
 	EXPECT_EQ(operation.kind, WL_OPERATION_RUNNER_REPORT);
 	EXPECT_TRUE(operation.report.exiting);
