intake: an account of the memory that callers hold

What operators saw: callers that nobody controls ended a process for lack of memory, with many bodies of legal size that stop short of their end, chunks, and bodies over the limit.

Cause: max_body_bytes times max_connections is more than the memory of an entry, and nothing counted what all connections hold together. A refused body was kept while its rest was discarded. Connections without headers held all of max_connections until their time-out.

Each listener has an account: buffers, bodies, answers. Small requests and new connections have a reserve. Refusals are 503 and not-run.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -22,6 +22,7 @@
 #include <sys/eventfd.h>
 #include <sys/random.h>
 #include <sys/resource.h>
+#include <sys/sysinfo.h>
 #include <sys/signalfd.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -220,6 +221,20 @@
 	return daemon->node != NULL;
 }
 
+/* Memory that this process may use. */
+static uint64_t machine_bytes(void)
+{
+	struct rlimit limit;
+	struct sysinfo info;
+	uint64_t bytes = UINT64_MAX;
+
+	if (sysinfo(&info) == 0)
+		bytes = (uint64_t)info.totalram * info.mem_unit;
+	if (getrlimit(RLIMIT_AS, &limit) == 0 && limit.rlim_cur < bytes)
+		bytes = limit.rlim_cur;
+	return bytes;
+}
+
 typedef struct listener_config {
 	const wl_buf_t *listen;
 	uint64_t connections;
@@ -240,6 +255,7 @@
 		.max_body_bytes = s->max_body_bytes,
 		.max_header_bytes = s->max_header_bytes,
 		.max_connections = configs[listener].connections,
+		.intake_bytes = wl_settings_intake_bytes(s, listener, machine_bytes()),
 		.idle_ms = s->http_idle_ms,
 		.events = daemon->events,
 		.first_call = configs[listener].first_call,
--- a/daemon/event_loop.c
+++ b/daemon/event_loop.c
@@ -57,6 +57,7 @@
 	uint64_t sends_refused;
 	uint64_t fetches_refused;
 	uint64_t persists_deferred;
+	uint64_t intake_turned_away; /* connections closed and requests refused for lack of room */
 	wl_out_t out;
 	STAILQ_HEAD(, internal_event) internal_events;
 	STAILQ_HEAD(, deferred_persist) deferred_persists;
@@ -277,6 +278,38 @@
 	}
 }
 
+static void intake_add(wl_http_server_t *server, wl_http_intake_t *sum)
+{
+	wl_http_intake_t intake;
+
+	if (!server)
+		return;
+	wl_http_server_intake(server, &intake);
+	sum->bytes += intake.bytes;
+	sum->connections += intake.connections;
+	sum->refused += intake.refused;
+	for (size_t i = 0; i < WL_INTAKE_PHASES; i++)
+		sum->closed[i] += intake.closed[i];
+}
+
+/* Logs, once an interval, that the listeners have turned callers away for lack of room. */
+static void intake_report(wl_event_loop_t *loop)
+{
+	wl_http_intake_t sum = {0};
+	uint64_t turned_away;
+
+	intake_add(loop->options.caller, &sum);
+	intake_add(loop->options.control, &sum);
+	turned_away = sum.refused;
+	for (size_t i = 0; i < WL_INTAKE_PHASES; i++)
+		turned_away += sum.closed[i];
+	if (turned_away > loop->intake_turned_away)
+		wl_log_event(WL_WARN, "intake-full", "turned_away=%llu bytes=%llu connections=%llu",
+			     (unsigned long long)(turned_away - loop->intake_turned_away),
+			     (unsigned long long)sum.bytes, (unsigned long long)sum.connections);
+	loop->intake_turned_away = turned_away;
+}
+
 static void gauges_report(wl_event_loop_t *loop)
 {
 	wl_gauges_t gauges;
@@ -316,6 +349,7 @@
 	if (now_ns >= loop->next_gauge_ns) {
 		loop->next_gauge_ns = now_ns + GAUGE_INTERVAL_NS;
 		gauges_report(loop);
+		intake_report(loop);
 	}
 	wl_event_init(&tick, WL_EVENT_TICK);
 	tick.made_ns = due_ns;
--- a/daemon/gauges.c
+++ b/daemon/gauges.c
@@ -88,6 +88,39 @@
 		      "thread=\"http-out\"", client_ms);
 }
 
+typedef struct intake_labels {
+	const char *listener;
+	const char *closed[WL_INTAKE_PHASES];
+} intake_labels_t;
+
+#define CLOSED(listener_, phase_) "listener=\"" listener_ "\",phase=\"" phase_ "\""
+
+static const intake_labels_t intake_labels[] = {
+	[WL_LISTENER_CALLER] = {"listener=\"caller\"",
+				{CLOSED("caller", "idle"), CLOSED("caller", "reading"),
+				 CLOSED("caller", "whole"), CLOSED("caller", "answering")}},
+	[WL_LISTENER_CONTROL] = {"listener=\"control\"",
+				 {CLOSED("control", "idle"), CLOSED("control", "reading"),
+				  CLOSED("control", "whole"), CLOSED("control", "answering")}},
+};
+
+static void intake_collect(wl_gauges_t *gauges, wl_listener_t listener, wl_http_server_t *server)
+{
+	const intake_labels_t *labels = &intake_labels[listener];
+	wl_http_intake_t intake;
+
+	wl_http_server_intake(server, &intake);
+	wl_gauges_add(gauges, "wisterialead_intake_bytes", labels->listener, intake.bytes);
+	wl_gauges_add(gauges, "wisterialead_intake_connections", labels->listener,
+		      intake.connections);
+	wl_gauges_add(gauges, "wisterialead_intake_refused_total", labels->listener,
+		      intake.refused);
+	for (size_t i = 0; i < WL_INTAKE_PHASES; i++)
+		if (intake.closed[i])
+			wl_gauges_add(gauges, "wisterialead_intake_closed_total", labels->closed[i],
+				      intake.closed[i]);
+}
+
 /*
  * wl_gauges_collect - append the counters of the daemon's threads
  * @sources: what is read; its disk and caller may be NULL
@@ -99,8 +132,11 @@
 	uint64_t refused = wl_http_server_refused(sources->control);
 	wl_http_usage_t used;
 
-	if (sources->caller)
+	intake_collect(gauges, WL_LISTENER_CONTROL, sources->control);
+	if (sources->caller) {
 		refused += wl_http_server_refused(sources->caller);
+		intake_collect(gauges, WL_LISTENER_CALLER, sources->caller);
+	}
 	wl_gauges_add(gauges, "wisterialead_daemon_calls_refused_total", "", refused);
 	wl_gauges_add(gauges, "wisterialead_daemon_peers_refused_total", "",
 		      wl_peers_refused(sources->peers));
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -139,6 +139,8 @@
 	       "longest body of a target's response"),
 	NUMBER("max-connections", max_connections, "4096", "connections", 1, 1000000,
 	       "open connections of each HTTP listener"),
+	NUMBER("intake-mib", intake_mib, "0", "MiB", 0, 1024 * KIB,
+	       "memory for requests being received or answered; 0: by the machine's memory"),
 	NUMBER("max-target-connections", max_target_connections, "72", "connections", 1, 10000,
 	       "open connections to each target"),
 	NUMBER("max-frame-bytes", max_frame_bytes, "16777216", "bytes", 64 * KIB, GIB,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -70,6 +70,7 @@
 	uint64_t max_header_bytes;
 	uint64_t max_response_bytes;
 	uint64_t max_connections;
+	uint64_t intake_mib; /* 0: by the machine's memory */
 	uint64_t max_target_connections;
 	uint64_t max_frame_bytes;
 	uint64_t max_peer_queue_bytes;
@@ -106,6 +107,8 @@
 void wl_settings_changes(const wl_settings_t *before, const wl_settings_t *after, wl_buf_t *names);
 bool wl_settings_check(wl_settings_t *settings, wl_err_t *err);
 bool wl_settings_load(wl_settings_t *settings, wl_err_t *err);
+uint64_t wl_settings_intake_bytes(const wl_settings_t *s, wl_listener_t listener,
+				  uint64_t machine_bytes);
 uint64_t wl_settings_target_connections(const wl_settings_t *s, uint64_t descriptors);
 void wl_settings_node_options(const wl_settings_t *s, wl_node_options_t *o);
 void wl_settings_print(const wl_settings_t *settings);
--- a/daemon/settings_node.c
+++ b/daemon/settings_node.c
@@ -5,6 +5,37 @@
 #include <libwlbase/clock.h>
 
 #define LEAST_SHARE 4 /* targets get at least one of so many descriptors */
+#define MIB_BYTES   (UINT64_C(1) << 20)
+/* Of the machine's memory: what is received is copied on its way, and the state grows beside it. */
+#define INTAKE_MEMORY_SHARE 4
+#define INTAKE_MAX_BYTES    (1024 * MIB_BYTES)
+#define INTAKE_LEAST_BODIES 2 /* each listener has room for so many of the longest bodies */
+
+/* Share of each listener, in eighths: callers are many, and must not take the part of targets. */
+static const uint64_t intake_eighths[] = {
+	[WL_LISTENER_CALLER] = 5,
+	[WL_LISTENER_CONTROL] = 3,
+	[WL_LISTENER_METRICS] = 0,
+};
+
+/*
+ * wl_settings_intake_bytes - memory for requests that a listener receives or answers
+ * @machine_bytes: memory of the machine
+ */
+uint64_t wl_settings_intake_bytes(const wl_settings_t *s, wl_listener_t listener,
+				  uint64_t machine_bytes)
+{
+	uint64_t least = INTAKE_LEAST_BODIES * (s->max_body_bytes + s->max_header_bytes);
+	uint64_t all = machine_bytes / INTAKE_MEMORY_SHARE;
+	uint64_t share;
+
+	if (all > INTAKE_MAX_BYTES)
+		all = INTAKE_MAX_BYTES;
+	if (s->intake_mib)
+		all = s->intake_mib * MIB_BYTES;
+	share = all / 8 * intake_eighths[listener];
+	return share > least ? share : least;
+}
 
 /*
  * wl_settings_target_connections - share of the descriptors that connections to targets may use
--- a/libwlcore/sched/zones.c
+++ b/libwlcore/sched/zones.c
@@ -87,6 +87,7 @@
 {
 	wl_str_t zone = wl_buf_str(&cmd->availability_zone);
 	wl_sched_runner_t *runner;
+	wl_buf_t pairs = {0};
 	size_t targets = 0;
 	size_t runs = 0;
 
@@ -107,9 +108,13 @@
 		runner->fit.usable = false;
 		wl_sched_row_outdate(sched, runner);
 	}
-	wl_out_log(out, WL_INFO, cmd->withdrawn ? "zone-reopened" : "zone-evacuated",
-		   "availability_zone=" WL_STR_FMT " revision=%llu targets=%zu runs=%zu",
-		   WL_STR_ARG(zone), (unsigned long long)result->index, targets, runs);
+	wl_buf_printf(&pairs, "availability_zone=" WL_STR_FMT " revision=%llu targets=%zu runs=%zu",
+		      WL_STR_ARG(zone), (unsigned long long)result->index, targets, runs);
+	if (cmd->withdrawn)
+		wl_out_log(out, WL_INFO, "zone-reopened", "%s", pairs.at);
+	else
+		wl_out_log(out, WL_INFO, "zone-evacuated", "%s", pairs.at);
+	wl_buf_free(&pairs);
 }
 
 static void gauge(const wl_sched_t *sched, const char *name, uint64_t value)
--- a/libwlnet/http_exchange.h
+++ b/libwlnet/http_exchange.h
@@ -9,6 +9,12 @@
 
 /* One HTTP request and its response; internal to the HTTP server. */
 
+/* A connection of the listener. */
+typedef struct wl_http_connection {
+	wl_intake_connection_t intake; /* first, so that both have the same address */
+	int fd;
+} wl_http_connection_t;
+
 typedef enum wl_exchange_state {
 	WL_EXCHANGE_READING,   /* headers and body are being received */
 	WL_EXCHANGE_WAITING,   /* connection suspended, CALL event published */
@@ -22,6 +28,7 @@
 	uint64_t id;  /* 0: not published yet */
 	wl_exchange_state_t state;
 	struct MHD_Connection *connection;
+	wl_http_connection_t *held_by;
 	wl_call_t call;
 	wl_reply_t reply;
 	bool headers_read;  /* the headers were processed */
--- a/libwlnet/http_server.c
+++ b/libwlnet/http_server.c
@@ -16,6 +16,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "address.h"
@@ -24,8 +25,10 @@
 
 #define MAX_DISCARD_BYTES \
 	(1 << 20) /* read past the body limit, so that the client receives the refusal */
-#define POOL_SPARE_BYTES 8192 /* memory of a connection beside twice the header limit */
-#define RETRY_MS	 5    /* retry interval while the event ring is full */
+#define POOL_SPARE_BYTES 8192	    /* memory of a connection beside twice the header limit */
+#define RETRY_MS	 5	    /* retry interval while the event ring is full */
+#define SMALL_BYTES	 (16 << 10) /* requests that may use the reserve of the intake */
+#define HELD_STEP_BYTES	 4096	    /* what a body holds is counted in such steps */
 
 TAILQ_HEAD(exchange_list, wl_exchange);
 
@@ -42,6 +45,8 @@
 	struct exchange_list all;
 	uint64_t open;
 	uint64_t refused;
+	wl_intake_t intake;
+	uint64_t intake_refused;
 	bool quiescing;
 	bool stopping;
 };
@@ -53,11 +58,70 @@
 	return strlen(text);
 }
 
+/*
+ * Gives connections up until there is room.  They are shut down, so that the library closes them;
+ * it uses the descriptor until it reports that.
+ */
+static bool room_make(wl_http_server_t *server, wl_intake_connection_t *wanting, uint64_t bytes)
+{
+	uint64_t now_ns = wl_clock_ns();
+
+	while (!wl_intake_has_room(&server->intake, wanting, bytes)) {
+		wl_intake_connection_t *chosen = wl_intake_choose(&server->intake, now_ns);
+
+		if (!chosen || chosen == wanting)
+			return false;
+		wl_intake_give_up(&server->intake, chosen);
+		shutdown(((wl_http_connection_t *)chosen)->fd, SHUT_RDWR);
+	}
+	return true;
+}
+
+/* As long as too few connections are left for new callers. */
+static void connections_thin(wl_http_server_t *server)
+{
+	uint64_t now_ns = wl_clock_ns();
+	wl_intake_connection_t *chosen;
+
+	while (wl_intake_is_crowded(&server->intake) &&
+	       (chosen = wl_intake_choose(&server->intake, now_ns))) {
+		wl_intake_give_up(&server->intake, chosen);
+		shutdown(((wl_http_connection_t *)chosen)->fd, SHUT_RDWR);
+	}
+}
+
+static void connection_changed(void *arg, struct MHD_Connection *connection, void **context,
+			       enum MHD_ConnectionNotificationCode change)
+{
+	wl_http_server_t *server = arg;
+	wl_http_connection_t *held = *context;
+
+	if (change == MHD_CONNECTION_NOTIFY_STARTED) {
+		held = wl_alloc(sizeof(*held));
+		held->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+				   ->connect_fd;
+		*context = held;
+		pthread_mutex_lock(&server->lock);
+		wl_intake_open(&server->intake, &held->intake, wl_clock_ns());
+		connections_thin(server);
+		pthread_mutex_unlock(&server->lock);
+		return;
+	}
+	pthread_mutex_lock(&server->lock);
+	wl_intake_close(&server->intake, &held->intake);
+	pthread_mutex_unlock(&server->lock);
+	*context = NULL;
+	free(held);
+}
+
 static void *exchange_open(void *arg, const char *uri, struct MHD_Connection *connection)
 {
 	wl_http_server_t *server = arg;
 	wl_exchange_t *exchange = wl_exchange_new(uri, connection);
 
+	exchange->held_by = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+				    ->socket_context;
+
 	pthread_mutex_lock(&server->lock);
 	TAILQ_INSERT_TAIL(&server->all, exchange, link);
 	server->open++;
@@ -123,9 +187,11 @@
 	bool stopping;
 
 	pthread_mutex_lock(&server->lock);
-	stopping = server->stopping;
+	stopping = server->stopping || exchange->held_by->intake.closing;
 	if (!stopping) {
 		exchange->state = WL_EXCHANGE_WAITING;
+		wl_intake_phase_set(&server->intake, &exchange->held_by->intake, WL_INTAKE_WHOLE,
+				    wl_clock_ns());
 		MHD_suspend_connection(exchange->connection);
 		watch_connection(server, exchange);
 		wl_map_put(&server->waiting, exchange);
@@ -155,6 +221,8 @@
 	pthread_mutex_lock(&server->lock);
 	close = server->quiescing;
 	exchange->state = WL_EXCHANGE_QUEUED;
+	wl_intake_phase_set(&server->intake, &exchange->held_by->intake, WL_INTAKE_ANSWERING,
+			    wl_clock_ns());
 	pthread_mutex_unlock(&server->lock);
 
 	response = wl_exchange_response(exchange, close);
@@ -194,6 +262,37 @@
 	return exchange_queue(server, exchange);
 }
 
+/* Return: whether there is room for a body of so many bytes, of which the last were received. */
+static bool body_hold(wl_http_server_t *server, wl_exchange_t *exchange, uint64_t bytes)
+{
+	wl_intake_connection_t *held = &exchange->held_by->intake;
+	uint64_t counted = (bytes + HELD_STEP_BYTES - 1) / HELD_STEP_BYTES * HELD_STEP_BYTES;
+	bool has_room;
+
+	if (held->phase == WL_INTAKE_READING && counted == held->bytes)
+		return true;
+	pthread_mutex_lock(&server->lock);
+	wl_intake_phase_set(&server->intake, held, WL_INTAKE_READING, wl_clock_ns());
+	has_room = !held->closing && room_make(server, held, counted);
+	if (has_room)
+		wl_intake_hold(&server->intake, held, counted);
+	else
+		server->intake_refused += !held->closing;
+	pthread_mutex_unlock(&server->lock);
+	return has_room;
+}
+
+/* The rest of a refused body is read, so that the client receives the refusal, and not kept. */
+static void body_discard(wl_http_server_t *server, wl_exchange_t *exchange)
+{
+	if (exchange->call.body.capacity == 0)
+		return;
+	wl_buf_free(&exchange->call.body);
+	pthread_mutex_lock(&server->lock);
+	wl_intake_hold(&server->intake, &exchange->held_by->intake, 0);
+	pthread_mutex_unlock(&server->lock);
+}
+
 static enum MHD_Result exchange_read(wl_http_server_t *server, wl_exchange_t *exchange,
 				     const char *data, size_t *len)
 {
@@ -203,10 +302,13 @@
 	*len = 0;
 	if (body->len + taken > server->options.max_body_bytes)
 		exchange->refusal = WL_E_TOO_LARGE;
+	else if (exchange->refusal == WL_OK && !body_hold(server, exchange, body->len + taken))
+		exchange->refusal = WL_E_OVERLOADED;
 	if (exchange->refusal == WL_OK) {
 		wl_buf_append(body, (wl_str_t){data, taken});
 		return MHD_YES;
 	}
+	body_discard(server, exchange);
 	exchange->discarded += taken;
 	return exchange->discarded <= server->options.max_body_bytes + MAX_DISCARD_BYTES ? MHD_YES
 											 : MHD_NO;
@@ -244,7 +346,9 @@
 	}
 	if (exchange->refusal == WL_OK)
 		return exchange_publish(server, exchange);
-	wl_exchange_refuse(exchange, exchange->refusal, "body is too large");
+	wl_exchange_refuse(exchange, exchange->refusal,
+			   exchange->refusal == WL_E_TOO_LARGE ? "body is too large"
+							       : "no memory for more requests");
 	return exchange_queue(server, exchange);
 }
 
@@ -264,6 +368,9 @@
 	unanswered = wl_map_remove(&server->waiting, exchange->key) != NULL;
 	TAILQ_REMOVE(&server->all, exchange, link);
 	server->open--;
+	wl_intake_hold(&server->intake, &exchange->held_by->intake, 0);
+	wl_intake_phase_set(&server->intake, &exchange->held_by->intake, WL_INTAKE_IDLE,
+			    wl_clock_ns());
 	pthread_mutex_unlock(&server->lock);
 	if (unanswered)
 		event_push_abandoned(server, exchange->id);
@@ -312,8 +419,8 @@
 		MHD_OPTION_CONNECTION_TIMEOUT, idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)(2 * options->max_header_bytes + POOL_SPARE_BYTES),
 		MHD_OPTION_UNESCAPE_CALLBACK, uri_keep_escaped, NULL, MHD_OPTION_URI_LOG_CALLBACK,
-		exchange_open, server, MHD_OPTION_NOTIFY_COMPLETED, exchange_completed, server,
-		MHD_OPTION_END);
+		exchange_open, server, MHD_OPTION_NOTIFY_CONNECTION, connection_changed, server,
+		MHD_OPTION_NOTIFY_COMPLETED, exchange_completed, server, MHD_OPTION_END);
 	if (server->daemon)
 		return true;
 	return wl_err_set(err, WL_E_IO, WL_NOT_RUN,
@@ -331,6 +438,19 @@
 	free(server);
 }
 
+static void intake_init(wl_http_server_t *server)
+{
+	const wl_http_server_options_t *options = &server->options;
+	wl_intake_options_t intake = {
+		.limit_bytes = options->intake_bytes ? options->intake_bytes : UINT64_MAX,
+		.small_bytes = SMALL_BYTES,
+		.connection_bytes = options->max_header_bytes + POOL_SPARE_BYTES / 2,
+		.max_connections = options->max_connections,
+	};
+
+	wl_intake_init(&server->intake, &intake);
+}
+
 /*
  * wl_http_server_start - open the listener and start its threads
  * @options: the ring must outlive the server; the listen text need not outlive the call
@@ -346,6 +466,7 @@
 	server->options = *options;
 	server->next_call = options->first_call;
 	server->listen_fd = -1;
+	intake_init(server);
 	pthread_mutex_init(&server->lock, NULL);
 	wl_map_init(&server->waiting);
 	TAILQ_INIT(&server->all);
@@ -371,6 +492,9 @@
 		exchange->reply = *reply;
 		memset(reply, 0, sizeof(*reply));
 		exchange->state = WL_EXCHANGE_ANSWERED;
+		wl_intake_hold(&server->intake, &exchange->held_by->intake,
+			       exchange->reply.body.len);
+		connections_thin(server);
 		MHD_resume_connection(exchange->connection);
 	}
 	pthread_mutex_unlock(&server->lock);
@@ -462,3 +586,16 @@
 	pthread_mutex_unlock(&server->lock);
 	return refused;
 }
+
+/*
+ * wl_http_server_intake - what the connections hold
+ */
+void wl_http_server_intake(wl_http_server_t *server, wl_http_intake_t *intake)
+{
+	pthread_mutex_lock(&server->lock);
+	intake->bytes = server->intake.bytes;
+	intake->connections = server->intake.count;
+	memcpy(intake->closed, server->intake.closed, sizeof(intake->closed));
+	intake->refused = server->intake_refused;
+	pthread_mutex_unlock(&server->lock);
+}
--- a/libwlnet/http_server.h
+++ b/libwlnet/http_server.h
@@ -2,6 +2,7 @@
 #define WL_HTTP_SERVER_H
 
 #include <libwlbase/ring.h>
+#include <libwlcore/intake/intake.h>
 #include <libwlcore/model/event.h>
 
 /*
@@ -18,14 +19,23 @@
 	uint64_t max_body_bytes;
 	uint64_t max_header_bytes;
 	uint64_t max_connections;
-	uint64_t idle_ms;    /* idle time that closes a connection, rounded up to seconds */
-	wl_ring_t *events;   /* receives wl_event_t *: CALL, CALL_ABANDONED */
-	uint64_t first_call; /* id of the first call; call_step is added for each next one */
+	uint64_t intake_bytes; /* limit of what its connections hold; 0: none */
+	uint64_t idle_ms;      /* idle time that closes a connection, rounded up to seconds */
+	wl_ring_t *events;     /* receives wl_event_t *: CALL, CALL_ABANDONED */
+	uint64_t first_call;   /* id of the first call; call_step is added for each next one */
 	uint64_t call_step;
 } wl_http_server_options_t;
 
 typedef struct wl_http_server wl_http_server_t;
 
+/* What the connections of a listener hold, and what became of those that held too much. */
+typedef struct wl_http_intake {
+	uint64_t bytes;
+	uint64_t connections;
+	uint64_t closed[WL_INTAKE_PHASES]; /* by the phase of their request */
+	uint64_t refused;		   /* requests, for lack of room */
+} wl_http_intake_t;
+
 wl_http_server_t *wl_http_server_start(const wl_http_server_options_t *options, wl_err_t *err);
 void wl_http_server_reply(wl_http_server_t *server, wl_reply_t *reply);
 void wl_http_server_quiesce(wl_http_server_t *server);
@@ -33,5 +43,6 @@
 uint16_t wl_http_server_port(const wl_http_server_t *server);
 uint64_t wl_http_server_open_calls(wl_http_server_t *server);
 uint64_t wl_http_server_refused(wl_http_server_t *server);
+void wl_http_server_intake(wl_http_server_t *server, wl_http_intake_t *intake);
 
 #endif
