--- a/libwlcore/sched/gauges.c
+++ b/libwlcore/sched/gauges.c
@@ -96,6 +96,7 @@
 	sched->next_teardowns_ns = 0;
 	wl_sched_interruptions_clear(sched);
 	wl_sched_zones_clear(sched);
+	wl_sched_usage_clear(sched);
 	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
 		gauge(sched, names[i], "", 0);
 	for (size_t i = 0; i < 2; i++) {
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -397,6 +397,22 @@
 	uint64_t next_check_ns;
 } wl_sched_takeover_t;
 
+/* What CPU and memory are reserved for. */
+typedef enum wl_sched_use {
+	WL_SCHED_USE_LASTING,
+	WL_SCHED_USE_SHORT,
+	WL_SCHED_USE_BEST_EFFORT,
+	WL_SCHED_USE_BACKGROUND, /* best effort, placed whatever the forecast was */
+	WL_SCHED_USES
+} wl_sched_use_t;
+
+/* Of all usable targets; CPU of best-effort tasks is asked for, not reserved. */
+typedef struct wl_sched_usage {
+	wl_need_t capacity;
+	wl_need_t used[WL_SCHED_USES];
+	wl_need_t waiting[WL_SCHED_USES];
+} wl_sched_usage_t;
+
 struct wl_sched {
 	wl_sched_options_t options;
 	wl_jobs_t *jobs;
@@ -458,6 +474,7 @@
 	uint64_t lasting_permille; /* of the usable targets' CPU: reserved by lasting tasks */
 	uint64_t lasting_wanted_permille; /* with the pending lasting tasks whose run has ended */
 	uint64_t next_gauges_ns;
+	uint64_t next_usage_ns;
 	uint64_t next_stalled_ns;
 	uint64_t next_interruptions_ns;
 	uint64_t next_progress_ns;
@@ -647,6 +664,11 @@
 bool wl_sched_stood_still(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* usage.c */
+void wl_sched_usage(const wl_sched_t *sched, wl_sched_usage_t *usage);
+void wl_sched_usage_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
+void wl_sched_usage_clear(wl_sched_t *sched);
+
 /* zones.c */
 void wl_sched_runner_zone_update(wl_sched_t *sched, wl_sched_runner_t *runner);
 void wl_sched_warmup_reported(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -395,6 +395,7 @@
 	wl_sched_stops_tick(sched, now_ns);
 	wl_sched_runners_tick(sched, now_ns, out);
 	wl_sched_gauges_tick(sched, now_ns);
+	wl_sched_usage_tick(sched, now_ns, out);
 	wl_sched_stalled_tick(sched, now_ns, out);
 	wl_sched_interruptions_tick(sched, now_ns, out);
 	wl_sched_progress_tick(sched, now_ns, out);
