contention: keep CPU for short urgent work beside lasting tasks

Cause: lasting tasks that have not run yet were placed whenever no short task waited at that moment. Each holds its CPU for a minute, over many crests of the demand, and what is left lies in pieces too small.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include <libwlbase/units.h>
+#include <libwlcore/contention/reserve.h>
 #include <libwlcore/evacuation/warmup.h>
 
 #include "fit.h"
@@ -233,11 +234,12 @@
 
 /* What kept a batch waiting when a pass last considered it. */
 typedef enum wl_hold {
-	WL_HOLD_NONE,  /* no pass has considered it */
-	WL_HOLD_ROOM,  /* no target has room for the next task */
-	WL_HOLD_APART, /* runs on trial rule out targets that may have room */
-	WL_HOLD_ALONE, /* another task of the job is on trial by itself */
-	WL_HOLD_SLOW,  /* the job starts slowly after crashes */
+	WL_HOLD_NONE,	 /* no pass has considered it */
+	WL_HOLD_ROOM,	 /* no target has room for the next task */
+	WL_HOLD_APART,	 /* runs on trial rule out targets that may have room */
+	WL_HOLD_ALONE,	 /* another task of the job is on trial by itself */
+	WL_HOLD_SLOW,	 /* the job starts slowly after crashes */
+	WL_HOLD_RESERVE, /* what is free is kept for short work */
 	WL_HOLDS
 } wl_hold_t;
 
@@ -369,6 +371,10 @@
 
 TAILQ_HEAD(wl_sched_classes, wl_sched_class);
 
+typedef struct wl_sched_reserve wl_sched_reserve_t;
+
+TAILQ_HEAD(wl_sched_reserves, wl_sched_reserve);
+
 typedef struct wl_sched_refusal wl_sched_refusal_t;
 
 TAILQ_HEAD(wl_sched_refusals, wl_sched_refusal);
@@ -475,6 +481,8 @@
 	uint64_t lasting_wanted_permille; /* with the pending lasting tasks whose run has ended */
 	uint64_t next_gauges_ns;
 	uint64_t next_usage_ns;
+	uint64_t next_reserves_ns;
+	struct wl_sched_reserves reserves; /* of the services */
 	uint64_t next_stalled_ns;
 	uint64_t next_interruptions_ns;
 	uint64_t next_progress_ns;
@@ -664,6 +672,11 @@
 bool wl_sched_stood_still(const wl_sched_t *sched, uint64_t now_ns);
 void wl_sched_runners_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 
+/* reserves.c */
+void wl_sched_reserves_tick(wl_sched_t *sched, uint64_t now_ns);
+bool wl_sched_reserve_holds(wl_sched_t *sched, uint64_t now_ns, const wl_task_batch_t *batch);
+void wl_sched_reserves_clear(wl_sched_t *sched);
+
 /* usage.c */
 void wl_sched_usage(const wl_sched_t *sched, wl_sched_usage_t *usage);
 void wl_sched_usage_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -328,6 +328,15 @@
 	return true;
 }
 
+/* Whether what is free is kept for short work. */
+static bool reserve_waits(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch)
+{
+	if (!wl_sched_reserve_holds(sched, now_ns, batch))
+		return false;
+	batch->hold = WL_HOLD_RESERVE;
+	return true;
+}
+
 /*
  * Places all members of a gang, or none: a partial reservation is released. A gang of which members
  * still run waits for these.
@@ -387,7 +396,7 @@
 static bool tasks_place(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
 			wl_fit_request_t *request, candidates_t *candidates)
 {
-	if (trials_wait(batch, 1))
+	if (trials_wait(batch, 1) || reserve_waits(sched, now_ns, batch))
 		return true;
 	request->rack = wl_buf_str(&batch->rack);
 	candidates_collect(sched, batch, request, candidates);
@@ -399,7 +408,8 @@
 		task_place(sched, now_ns, batch,
 			   next_run_number(batch, batch->tasks[batch->count - 1].task),
 			   best->runner, request->background);
-		if (batch->count == 0 || trials_wait(batch, 1))
+		if (batch->count == 0 || trials_wait(batch, 1) ||
+		    reserve_waits(sched, now_ns, batch))
 			return true;
 		if (request->background) {
 			request->background = false;
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -61,6 +61,7 @@
 	TAILQ_INIT(&sched->by_tried);
 	TAILQ_INIT(&sched->timed);
 	wl_sched_acceptance_init(sched);
+	TAILQ_INIT(&sched->reserves);
 	wl_images_init(&sched->images);
 	wl_interference_init(&sched->interference);
 	return sched;
@@ -85,6 +86,7 @@
 	wl_sched_teardowns_clear(sched);
 	wl_sched_departures_clear(sched);
 	wl_sched_acceptance_clear(sched);
+	wl_sched_reserves_clear(sched);
 	wl_sched_losses_clear(sched);
 	wl_sched_crashes_clear(sched);
 	wl_sched_orders_clear(sched);
@@ -396,6 +398,7 @@
 	wl_sched_runners_tick(sched, now_ns, out);
 	wl_sched_gauges_tick(sched, now_ns);
 	wl_sched_usage_tick(sched, now_ns, out);
+	wl_sched_reserves_tick(sched, now_ns);
 	wl_sched_stalled_tick(sched, now_ns, out);
 	wl_sched_interruptions_tick(sched, now_ns, out);
 	wl_sched_progress_tick(sched, now_ns, out);
