contention: jobs that will probably be late fall behind before they start

Cause: the queue serves jobs first that can still be on time, by estimates that are off by a half to nine tenths and know nothing of pacing. A job counted as on time until it began too late, and took the room of one that could have been.

The time of steps, from the first start to the last end, is learnt as the 75 of 100 quantile by estimate, by service and by best effort or not, and used for what is left of a job.

--- a/libwlcore/sched/acceptance.c
+++ b/libwlcore/sched/acceptance.c
@@ -27,6 +27,7 @@
 	bool best_effort;
 	bool waiting; /* while the queue is looked at: some of its work waits */
 	wl_drain_t drain;
+	wl_stretch_t stretch;
 	TAILQ_ENTRY(wl_sched_class) link;
 };
 
@@ -115,6 +116,41 @@
 		wl_drain_done(&class->drain, now_ns / WL_NS_PER_MS, work_ms(spec, 1));
 }
 
+/* The class of most of a job's work. */
+static bool job_is_best_effort(const wl_job_t *job)
+{
+	return wl_job_step(job, 0)->best_effort;
+}
+
+/*
+ * wl_sched_step_took - note how long a step took, from its first start to its last end
+ */
+void wl_sched_step_took(wl_sched_t *sched, const wl_job_t *job, uint64_t step, uint64_t took_ms)
+{
+	const wl_step_spec_t *spec = wl_job_step(job, step);
+
+	if (!spec->lasting && !spec->gang)
+		wl_stretch_learn(
+			&class_get(sched, wl_buf_str(&job->record.service), spec->best_effort)
+				 ->stretch,
+			spec->estimated_ms, took_ms);
+}
+
+/*
+ * wl_sched_expected_ms - how long a chain of a job's steps is expected to take
+ * @path_ms: by their estimates
+ */
+uint64_t wl_sched_expected_ms(const wl_sched_t *sched, const wl_job_t *job, uint64_t path_ms)
+{
+	const wl_sched_class_t *class;
+
+	TAILQ_FOREACH (class, &sched->classes, link)
+		if (class->best_effort == job_is_best_effort(job) &&
+		    wl_str_equal(wl_buf_str(&class->service), wl_buf_str(&job->record.service)))
+			return wl_stretch_apply(&class->stretch, path_ms);
+	return path_ms;
+}
+
 static bool is_in_force(const wl_sched_refusal_t *refusal, uint64_t now_ns)
 {
 	return now_ns < refusal->refused_ns + REFUSED_MS * WL_NS_PER_MS;
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -5,6 +5,7 @@
 
 #include <libwlbase/units.h>
 #include <libwlcore/contention/reserve.h>
+#include <libwlcore/contention/stretch.h>
 #include <libwlcore/evacuation/warmup.h>
 
 #include "fit.h"
@@ -276,11 +277,12 @@
 	unsigned int image;
 	uint64_t rank; /* place in the queue: lowest first */
 	uint64_t ready_ns;
-	uint64_t queued_ns; /* since when the batch has been in the queue without a break */
-	uint64_t placed_ns; /* when a task of it was last placed; 0: never */
-	uint64_t tried_ns;  /* when a pass last considered it; since queued_ns none: the same */
-	wl_buf_t rack;	    /* rack of its first placed task; empty: none yet */
-	bool queued;	    /* in wl_sched.pending */
+	uint64_t queued_ns;	  /* since when the batch has been in the queue without a break */
+	uint64_t first_placed_ns; /* when a task of it was first placed; 0: never */
+	uint64_t placed_ns;	  /* when one was last placed; 0: never */
+	uint64_t tried_ns; /* when a pass last considered it; since queued_ns none: the same */
+	wl_buf_t rack;	   /* rack of its first placed task; empty: none yet */
+	bool queued;	   /* in wl_sched.pending */
 	TAILQ_ENTRY(wl_task_batch) link;
 	TAILQ_ENTRY(wl_task_batch) tried_link;
 	TAILQ_ENTRY(wl_task_batch) suspect_link;
@@ -526,6 +528,8 @@
 void wl_sched_acceptance_init(wl_sched_t *sched);
 void wl_sched_acceptance_clear(wl_sched_t *sched);
 void wl_sched_work_done(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job, uint64_t step);
+void wl_sched_step_took(wl_sched_t *sched, const wl_job_t *job, uint64_t step, uint64_t took_ms);
+uint64_t wl_sched_expected_ms(const wl_sched_t *sched, const wl_job_t *job, uint64_t path_ms);
 void wl_sched_acceptance_tick(wl_sched_t *sched, uint64_t now_ns);
 bool wl_sched_job_refused(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_add_t *add,
 			  wl_result_t *result, wl_out_t *out);
@@ -540,7 +544,8 @@
 void wl_sched_job_close(wl_sched_t *sched, wl_job_t *job);
 void wl_sched_task_enqueue(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t task,
 			   uint64_t ended_ns);
-void wl_sched_step_close(wl_sched_t *sched, wl_job_t *job, uint64_t occurrence, uint64_t step);
+void wl_sched_step_close(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence,
+			 uint64_t step);
 void wl_sched_steps_open(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence);
 void wl_sched_timed_tick(wl_sched_t *sched, uint64_t now_ns);
 
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -305,6 +305,8 @@
 	if (batch->suspicion.urgent && batch->suspicion.level == WL_TRIAL_APART)
 		wl_sched_trial_share(run, batch->job);
 	batch->placed_ns = now_ns;
+	if (batch->first_placed_ns == 0)
+		batch->first_placed_ns = now_ns;
 	run->waited_ns = now_ns - batch->queued_ns;
 	run->previous_end_ns = pending->ended_ns;
 	run->background = background;
--- a/libwlcore/sched/queue.c
+++ b/libwlcore/sched/queue.c
@@ -78,7 +78,8 @@
 	wl_ordering_item_t item = {
 		.priority = job->record.priority,
 		.since_ms = since_ms(batch),
-		.remaining_ms = path_left_ms(job, batch->occurrence),
+		.remaining_ms =
+			wl_sched_expected_ms(sched, job, path_left_ms(job, batch->occurrence)),
 		.lasting_permille = sched->lasting_permille,
 		.lasting_wanted_permille = sched->lasting_wanted_permille,
 		.lasting = wl_job_step(job, batch->step)->lasting,
@@ -361,10 +362,14 @@
  *
  * The end of one member of a gang is that of all, also of those that wait for another run.
  */
-void wl_sched_step_close(wl_sched_t *sched, wl_job_t *job, uint64_t occurrence, uint64_t step)
+void wl_sched_step_close(wl_sched_t *sched, uint64_t now_ns, wl_job_t *job, uint64_t occurrence,
+			 uint64_t step)
 {
 	wl_task_batch_t *batch = *batch_slot(job, occurrence, step, false);
 
+	if (batch && batch->first_placed_ns)
+		wl_sched_step_took(sched, job, step,
+				   (now_ns - batch->first_placed_ns) / WL_NS_PER_MS);
 	if (!batch || batch->count == 0)
 		return;
 	batch->count = 0;
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -636,7 +636,7 @@
 	wl_sched_task_enqueue(sched, now_ns, job, end->task, ended_ns);
 	if (*wl_job_step_remaining(job, at.occurrence, at.step) > 0)
 		return;
-	wl_sched_step_close(sched, job, at.occurrence, at.step);
+	wl_sched_step_close(sched, now_ns, job, at.occurrence, at.step);
 	wl_sched_steps_open(sched, now_ns, job, at.occurrence);
 }
 
