locality: decide how long a wait for a near place pays

Tasks ran elsewhere whenever the rack of their data, or of their step, was full at that moment, and took two or three times as long there.

A task waits for up to a quarter of what a start elsewhere loses, by learnt run times, if enough near places are expected to be free by then for all that wait; tasks for which there are too few start elsewhere at once. 2 s at most; lasting tasks never. docs/design/waiting-near.md has the ways weighed, docs/design/contention.md what waits for what.

--- a/libwlcore/sched/acceptance.c
+++ b/libwlcore/sched/acceptance.c
@@ -28,6 +28,7 @@
 	bool waiting; /* while the queue is looked at: some of its work waits */
 	wl_drain_t drain;
 	wl_stretch_t stretch;
+	wl_locality_t locality;
 	TAILQ_ENTRY(wl_sched_class) link;
 };
 
@@ -116,6 +117,14 @@
 		wl_drain_done(&class->drain, now_ns / WL_NS_PER_MS, work_ms(spec, 1));
 }
 
+/*
+ * wl_sched_locality - what is known of run times near data and elsewhere
+ */
+wl_locality_t *wl_sched_locality(wl_sched_t *sched, wl_str_t service, bool best_effort)
+{
+	return &class_get(sched, service, best_effort)->locality;
+}
+
 /* The class of most of a job's work. */
 static bool job_is_best_effort(const wl_job_t *job)
 {
--- a/libwlcore/sched/fit.c
+++ b/libwlcore/sched/fit.c
@@ -167,7 +167,11 @@
 	       (int64_t)runner->best_effort_millis;
 }
 
-static bool is_remote(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
+/*
+ * wl_fit_is_remote - whether a task would be slower there: away from its data, or from its step's
+ * first task
+ */
+bool wl_fit_is_remote(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
 {
 	wl_str_t data = wl_buf_str(&request->step->data_rack);
 
@@ -180,7 +184,7 @@
 /* What a target costs that makes tasks slower. */
 static int64_t slowness(const wl_fit_request_t *request, const wl_fit_runner_t *runner)
 {
-	return (is_remote(request, runner) ? REMOTE_PENALTY : 0) +
+	return (wl_fit_is_remote(request, runner) ? REMOTE_PENALTY : 0) +
 	       (runner->warmup_millis ? WARMUP_PENALTY : 0);
 }
 
--- a/libwlcore/sched/fit.h
+++ b/libwlcore/sched/fit.h
@@ -68,6 +68,7 @@
 	return label.len == 0 || (runner->labels && wl_strings_contain(runner->labels, label));
 }
 
+bool wl_fit_is_remote(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 bool wl_fit_eligible(const wl_fit_request_t *request, const wl_fit_runner_t *runner);
 
 #endif
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -7,6 +7,7 @@
 #include <libwlcore/contention/reserve.h>
 #include <libwlcore/contention/stretch.h>
 #include <libwlcore/evacuation/warmup.h>
+#include <libwlcore/locality/wait.h>
 
 #include "fit.h"
 #include "forecast.h"
@@ -241,6 +242,7 @@
 	WL_HOLD_ALONE,	 /* another task of the job is on trial by itself */
 	WL_HOLD_SLOW,	 /* the job starts slowly after crashes */
 	WL_HOLD_RESERVE, /* what is free is kept for short work */
+	WL_HOLD_NEAR,	 /* it waits for a place near its data or its group */
 	WL_HOLDS
 } wl_hold_t;
 
@@ -277,7 +279,8 @@
 	unsigned int image;
 	uint64_t rank; /* place in the queue: lowest first */
 	uint64_t ready_ns;
-	uint64_t queued_ns;	  /* since when the batch has been in the queue without a break */
+	uint64_t queued_ns;    /* since when the batch has been in the queue without a break */
+	uint64_t far_since_ns; /* the next task waits for a place near since then; 0: none does */
 	uint64_t first_placed_ns; /* when a task of it was first placed; 0: never */
 	uint64_t placed_ns;	  /* when one was last placed; 0: never */
 	uint64_t tried_ns; /* when a pass last considered it; since queued_ns none: the same */
@@ -529,6 +532,7 @@
 void wl_sched_acceptance_clear(wl_sched_t *sched);
 void wl_sched_work_done(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job, uint64_t step);
 void wl_sched_step_took(wl_sched_t *sched, const wl_job_t *job, uint64_t step, uint64_t took_ms);
+wl_locality_t *wl_sched_locality(wl_sched_t *sched, wl_str_t service, bool best_effort);
 uint64_t wl_sched_expected_ms(const wl_sched_t *sched, const wl_job_t *job, uint64_t path_ms);
 void wl_sched_acceptance_tick(wl_sched_t *sched, uint64_t now_ns);
 bool wl_sched_job_refused(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_job_add_t *add,
@@ -682,6 +686,13 @@
 bool wl_sched_reserve_holds(wl_sched_t *sched, uint64_t now_ns, const wl_task_batch_t *batch);
 void wl_sched_reserves_clear(wl_sched_t *sched);
 
+/* nearness.c */
+uint64_t wl_sched_wait_near(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
+			    const wl_fit_request_t *request);
+void wl_sched_near_placed(wl_sched_t *sched, wl_task_batch_t *batch, bool near);
+void wl_sched_near_learn(wl_sched_t *sched, uint64_t now_ns, const wl_job_t *job,
+			 const wl_sched_run_t *run);
+
 /* usage.c */
 void wl_sched_usage(const wl_sched_t *sched, wl_sched_usage_t *usage);
 void wl_sched_usage_tick(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
--- a/libwlcore/sched/interruptions.c
+++ b/libwlcore/sched/interruptions.c
@@ -20,7 +20,8 @@
 	[WL_HOLD_NONE] = "unconsidered", [WL_HOLD_ROOM] = "room",
 	[WL_HOLD_APART] = "apart",	 [WL_HOLD_ALONE] = "alone",
 	[WL_HOLD_SLOW] = "slow-start",	 [WL_HOLD_RESERVE] = "reserve",
-	[HOLD_START] = "start",		 [HOLD_SILENT] = "silent",
+	[WL_HOLD_NEAR] = "near",	 [HOLD_START] = "start",
+	[HOLD_SILENT] = "silent",
 };
 
 typedef struct report {
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -339,6 +339,33 @@
 	return true;
 }
 
+/* Notes when a batch that waits is to be considered at the latest. */
+static void due_at(wl_sched_t *sched, uint64_t due_ns)
+{
+	if (sched->waiting_due_ns == 0 || due_ns < sched->waiting_due_ns)
+		sched->waiting_due_ns = due_ns;
+}
+
+/*
+ * Whether the next task waits for a place near its data or group, as its best target is not near;
+ * counts it as placed if it does not.
+ */
+static bool near_waits(wl_sched_t *sched, uint64_t now_ns, wl_task_batch_t *batch,
+		       const wl_fit_request_t *request, const candidate_t *best)
+{
+	bool remote = wl_fit_is_remote(request, &best->runner->fit);
+	uint64_t until_ns = remote ? wl_sched_wait_near(sched, now_ns, batch, request) : 0;
+
+	if (until_ns) {
+		batch->hold = WL_HOLD_NEAR;
+		due_at(sched, until_ns);
+		return true;
+	}
+	if (request->step->data_rack.len || (request->step->same_rack && request->rack.len))
+		wl_sched_near_placed(sched, batch, !remote);
+	return false;
+}
+
 /*
  * Places all members of a gang, or none: a partial reservation is released. A gang of which members
  * still run waits for these.
@@ -407,6 +434,8 @@
 
 		if (!best)
 			return false;
+		if (near_waits(sched, now_ns, batch, request, best))
+			return true;
 		task_place(sched, now_ns, batch,
 			   next_run_number(batch, batch->tasks[batch->count - 1].task),
 			   best->runner, request->background);
@@ -572,12 +601,6 @@
 		sched->suspects_due_ns = due_ns;
 }
 
-static void due_at(wl_sched_t *sched, uint64_t due_ns)
-{
-	if (sched->waiting_due_ns == 0 || due_ns < sched->waiting_due_ns)
-		sched->waiting_due_ns = due_ns;
-}
-
 /* Notes when the next task of a batch may be placed whatever the forecast is. */
 static void stalled_due(wl_sched_t *sched, const pass_t *pass, const wl_task_batch_t *batch)
 {
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -616,6 +616,8 @@
 	wl_sched_trial_ended(run, now_ns, end);
 	if (end->outcome == WL_END_DONE)
 		wl_sched_trial_passed(sched, run);
+	if (job && end->outcome == WL_END_DONE)
+		wl_sched_near_learn(sched, now_ns, job, run);
 	if (job && end->outcome == WL_END_NOT_STARTED)
 		wl_sched_job_not_started(job, run);
 	wl_sched_run_remove(sched, run);
