contention: hold nothing back while less than half of a service is in use

A new lasting task could wait, for up to 24 s, where lasting tasks have just under half of a service, the demand of short work was high and is gone, so that less than half is in use: users expect accepted work to be at work then within 3 s. Ticks look at a warm target's warm-up no more.

--- a/libwlcore/contention/reserve.c
+++ b/libwlcore/contention/reserve.c
@@ -10,7 +10,10 @@
 #include <libwlbase/units.h>
 
 #define MARGIN_PERMILLE 1250
-/* A backlog says little of the demand beyond: lasting tasks keep a part of the fleet. */
+/*
+ * Nothing is held back while less than this share is in use, and lasting tasks keep as much beside
+ * any backlog: it says little of the demand to come.
+ */
 #define SHARE_MAX_PERMILLE 500
 
 static uint64_t bucket_of(uint64_t now_ns)
@@ -58,6 +61,8 @@
 	uint64_t kept = wl_reserve_millis(reserve, now_ns);
 	uint64_t most = use->capacity_millis * SHARE_MAX_PERMILLE / WL_PERMILLE;
 
+	if (use->lasting_millis + use->short_millis < most)
+		return use->lasting_millis + use->short_millis + cpu_millis <= use->capacity_millis;
 	if (kept > most)
 		kept = most;
 	if (kept < use->short_millis)
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -381,7 +381,8 @@
 {
 	uint64_t last_ns = last_contact_ns(runner);
 
-	wl_sched_warmup_tick(sched, now_ns, runner);
+	if (runner->fit.warmup_millis)
+		wl_sched_warmup_tick(sched, now_ns, runner);
 	usable_update(sched, runner, now_ns);
 	wl_sched_agent_retry(runner, now_ns);
 	if (leases_are_over(runner, now_ns) && wl_sched_runner_needs_lease(runner))
