base: senders of a ring do not wait for each other

Cause: ck_ring publishes items of several senders in the order in which their slots were reserved. A sender that is preempted in between makes all others spin for it; these are preempted while they spin, and are waited for in turn. On one processor it goes on for as long as two senders have something to send: each push costs a time slice.

Why it works: a slot is reserved by compare-and-swap and its item stored in it; the receiver stops at a slot without an item, and the sender that stores it wakes the receiver. No sender reads what another one publishes.

--- a/libwlbase/ring.c
+++ b/libwlbase/ring.c
@@ -1,4 +1,11 @@
-/* Bounded ring of pointers, based on Concurrency Kit, with an eventfd that wakes the receiver. */
+/*
+ * Bounded ring of pointers, based on Concurrency Kit, with an eventfd that wakes the receiver.
+ *
+ * A sender reserves a slot and then stores its item there; the receiver stops at a slot without an
+ * item.  Senders never wait for each other, as they do with ck_ring: one that is preempted between
+ * the two steps, on a processor that it shares with the others, would make each of them spin for
+ * a time slice, within which it is preempted in turn.
+ */
 
 #include "ring.h"
 
@@ -9,34 +16,18 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <ck_md.h>
 #include <ck_pr.h>
-#include <ck_ring.h>
 
 /*
  * Concurrency Kit orders memory accesses by inline assembly, which the thread
  * sanitizer cannot see.  The annotations tell the sanitizer that a push of an item
- * happens before its pop, and to ignore accesses to the slots of the ring.
+ * happens before its pop.
  */
 #ifdef __SANITIZE_THREAD__
-void AnnotateIgnoreReadsBegin(const char *file, int line);
-void AnnotateIgnoreReadsEnd(const char *file, int line);
-void AnnotateIgnoreWritesBegin(const char *file, int line);
-void AnnotateIgnoreWritesEnd(const char *file, int line);
 void __tsan_acquire(void *at);
 void __tsan_release(void *at);
 
-static void slots_begin(void)
-{
-	AnnotateIgnoreReadsBegin(__FILE__, __LINE__);
-	AnnotateIgnoreWritesBegin(__FILE__, __LINE__);
-}
-
-static void slots_end(void)
-{
-	AnnotateIgnoreWritesEnd(__FILE__, __LINE__);
-	AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
-}
-
 static void item_release(void *item)
 {
 	__tsan_release(item);
@@ -47,14 +38,6 @@
 	__tsan_acquire(item);
 }
 #else
-static void slots_begin(void)
-{
-}
-
-static void slots_end(void)
-{
-}
-
 static void item_release(void *item)
 {
 	(void)item;
@@ -67,10 +50,13 @@
 #endif
 
 struct wl_ring {
-	struct ck_ring ring;
-	struct ck_ring_buffer *buffer;
-	uint32_t slots;
+	unsigned int reserved; /* by senders; slots are numbered from 0, and wrap around */
+	char senders_only[CK_MD_CACHELINE - sizeof(unsigned int)];
+	unsigned int taken;  /* by the receiver */
 	unsigned int asleep; /* 1: the next push must write to the descriptor */
+	char receiver_only[CK_MD_CACHELINE - 2 * sizeof(unsigned int)];
+	void **items; /* NULL: free, or reserved and not stored yet */
+	uint32_t slots;
 	int fd;
 };
 
@@ -98,11 +84,10 @@
 	}
 
 	ring = wl_alloc(sizeof(*ring));
-	ring->buffer = wl_alloc(slots * sizeof(*ring->buffer));
+	ring->items = wl_alloc(slots * sizeof(*ring->items));
 	ring->slots = slots;
 	ring->asleep = 1;
 	ring->fd = fd;
-	ck_ring_init(&ring->ring, slots);
 	return ring;
 }
 
@@ -114,26 +99,50 @@
 	if (!ring)
 		return;
 	close(ring->fd);
-	free(ring->buffer);
+	free(ring->items);
 	free(ring);
 }
 
+/* Return: false if the ring is full. */
+static bool slot_reserve(wl_ring_t *ring, unsigned int *slot)
+{
+	unsigned int at = ck_pr_load_uint(&ring->reserved);
+
+	for (;;) {
+		unsigned int seen = at;
+
+		ck_pr_fence_load();
+		if (at - ck_pr_load_uint(&ring->taken) < ring->slots - 1) {
+			if (ck_pr_cas_uint_value(&ring->reserved, at, at + 1, &at))
+				break;
+			continue;
+		}
+		/* Full, unless the receiver took items that were reserved after the first load. */
+		ck_pr_fence_load();
+		at = ck_pr_load_uint(&ring->reserved);
+		if (at == seen)
+			return false;
+	}
+	*slot = at & (ring->slots - 1);
+	return true;
+}
+
 /*
- * wl_ring_push - append an item; thread-safe
+ * wl_ring_push - append an item; thread-safe, and never waits for another sender
+ * @item: not NULL
  *
  * Return: false if the ring is full; the caller then keeps the item.
  */
 bool wl_ring_push(wl_ring_t *ring, void *item)
 {
 	uint64_t one = 1;
-	bool taken;
+	unsigned int slot;
 
-	item_release(item);
-	slots_begin();
-	taken = ck_ring_enqueue_mpsc(&ring->ring, ring->buffer, item);
-	slots_end();
-	if (!taken)
+	if (!slot_reserve(ring, &slot))
 		return false;
+	item_release(item);
+	ck_pr_fence_release();
+	ck_pr_store_ptr(&ring->items[slot], item);
 	ck_pr_fence_memory();
 	if (ck_pr_load_uint(&ring->asleep) == 0)
 		return true;
@@ -147,18 +156,19 @@
 /*
  * wl_ring_pop - remove the oldest item; only for the receiver's thread
  *
- * Return: the oldest item, or NULL if there is none.
+ * Return: the oldest item, or NULL if there is none, or if its sender has not stored it yet.
  */
 void *wl_ring_pop(wl_ring_t *ring)
 {
-	void *item;
-	bool taken;
+	void **slot = &ring->items[ring->taken & (ring->slots - 1)];
+	void *item = ck_pr_load_ptr(slot);
 
-	slots_begin();
-	taken = ck_ring_dequeue_mpsc(&ring->ring, ring->buffer, &item);
-	slots_end();
-	if (!taken)
+	if (!item)
 		return NULL;
+	ck_pr_fence_acquire();
+	ck_pr_store_ptr(slot, NULL);
+	ck_pr_fence_release();
+	ck_pr_store_uint(&ring->taken, ring->taken + 1);
 	item_acquire(item);
 	return item;
 }
@@ -209,11 +219,14 @@
 }
 
 /*
- * wl_ring_count - get the current number of items in the ring
+ * wl_ring_count - get the current number of items in the ring, with those being stored
  */
 uint32_t wl_ring_count(const wl_ring_t *ring)
 {
-	return ck_ring_size(&ring->ring);
+	unsigned int taken = ck_pr_load_uint(&ring->taken);
+
+	ck_pr_fence_load();
+	return ck_pr_load_uint(&ring->reserved) - taken;
 }
 
 /*
@@ -221,5 +234,7 @@
  */
 uint32_t wl_ring_room(const wl_ring_t *ring)
 {
-	return ring->slots - 1 - ck_ring_size(&ring->ring);
+	uint32_t count = wl_ring_count(ring);
+
+	return count < ring->slots - 1 ? ring->slots - 1 - count : 0;
 }
