sched: orders that an agent holds up are no failures of the target

Cause: "not sent" stood for a target that could not be reached and for an order that was never tried: held by its agent for too long, no room for another call, a full queue to the agent. A renewal of the latter sort counted as failed. Once the leases were over by the clock, which they are when renewals are held up, all runs of the target were taken for lost without it having been asked; their ends were listed afterwards.

Why it works: an order that was never tried ends as "held", which says nothing of the target. The renewal is sent again, and the runs are judged by what the target answers, or by its silence. As all slow agents were avoided until only the leader's own was left, which held the orders longest, a slow agent is now avoided only for another replica.

--- a/daemon/event_loop.c
+++ b/daemon/event_loop.c
@@ -157,6 +157,7 @@
 	loop->fetches_refused++;
 	event = internal_event_add(loop, WL_EVENT_FETCHED);
 	event->fetched.id = action->fetch.id;
+	event->fetched.held = true;
 	wl_buf_set(&event->fetched.error, WL_STR("overloaded"));
 }
 
--- a/libwlcore/agent/agent.c
+++ b/libwlcore/agent/agent.c
@@ -109,7 +109,7 @@
 			 const wl_order_t *order, wl_out_t *out)
 {
 	wl_metrics_add(agent->options.metrics, "wisterialead_agent_refused_total", "", 1);
-	end_add(agent, now_ns, leader, order->id, out)->outcome = WL_ORDER_NOT_SENT;
+	end_add(agent, now_ns, leader, order->id, out)->outcome = WL_ORDER_HELD;
 }
 
 static void order_send(wl_agent_t *agent, wl_str_t leader, const wl_order_t *order, wl_out_t *out)
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -53,6 +53,7 @@
 typedef struct wl_fetched {
 	uint64_t id;
 	bool sent;     /* some byte of the request may have been sent; false: certainly not-run */
+	bool held;     /* not sent for lack of time or room here: says nothing of the server */
 	bool complete; /* the response was received completely */
 	uint64_t status;
 	wl_list_t headers; /* wl_header_t */
--- a/libwlcore/model/msg.c
+++ b/libwlcore/model/msg.c
@@ -446,6 +446,6 @@
 		wl_order_end_t *end = wl_list_add(&wl_order_end_schema, &ordered->u.ordered.ends);
 
 		end->id = items[i].id;
-		end->outcome = WL_ORDER_NOT_SENT;
+		end->outcome = WL_ORDER_HELD;
 	}
 }
--- a/libwlcore/model/order.c
+++ b/libwlcore/model/order.c
@@ -11,7 +11,7 @@
 
 const char *const wl_order_outcome_names[] = {
 	"done",	     "not-sent",   "no-answer", "fenced",  "old",	 "late", "no-room",
-	"no-ticket", "other-life", "unhealthy", "refused", "agent-lost", NULL,
+	"no-ticket", "other-life", "unhealthy", "refused", "agent-lost", "held", NULL,
 };
 
 static const wl_field_t run_view_fields[] = {
--- a/libwlcore/model/order.h
+++ b/libwlcore/model/order.h
@@ -45,7 +45,7 @@
 
 typedef enum wl_order_outcome {
 	WL_ORDER_DONE,
-	WL_ORDER_NOT_SENT,	/* no byte was sent */
+	WL_ORDER_NOT_SENT,	/* no byte was sent, as the target could not be reached */
 	WL_ORDER_NO_ANSWER,	/* the order may be carried out, also at a later time */
 	WL_ORDER_FENCED,	/* the target has received a higher epoch */
 	WL_ORDER_STALE,		/* this run, or a later one, has ended or was stopped there */
@@ -56,6 +56,7 @@
 	WL_ORDER_UNHEALTHY,	    /* overloaded or unavailable; the order was not carried out */
 	WL_ORDER_REFUSED,	    /* the order itself is invalid */
 	WL_ORDER_AGENT_LOST, /* its agent is unreachable: it may be carried out, also later */
+	WL_ORDER_HELD,	     /* no byte was sent, for reasons that say nothing of the target */
 	WL_ORDER_OUTCOMES
 } wl_order_outcome_t;
 
--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -267,6 +267,21 @@
 	return false;
 }
 
+/*
+ * wl_sched_agent_slow - avoid an agent that holds orders up, if another replica can take its place
+ *
+ * If all are slow, the leader's own agent would take over their targets, and slow the decisions
+ * down: each is tried again instead.
+ */
+void wl_sched_agent_slow(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
+			 const wl_sched_agent_t *agent)
+{
+	if (wl_sched_agent_replaceable(sched, runner, agent))
+		wl_sched_agent_avoid(sched, runner, now_ns, agent);
+	else
+		runner->avoided_agents = 0;
+}
+
 /*
  * wl_sched_agent_retry - use the avoided agents again once their time is over
  */
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -833,6 +833,8 @@
 void wl_sched_agents_send(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out);
 void wl_sched_agent_avoid(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
 			  const wl_sched_agent_t *agent);
+void wl_sched_agent_slow(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
+			 const wl_sched_agent_t *agent);
 bool wl_sched_agent_replaceable(const wl_sched_t *sched, const wl_sched_runner_t *runner,
 				const wl_sched_agent_t *agent);
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -118,7 +118,7 @@
 static void runner_answered(wl_sched_runner_t *runner, uint64_t now_ns, const wl_order_end_t *end)
 {
 	if (end->outcome == WL_ORDER_NO_ANSWER || end->outcome == WL_ORDER_NOT_SENT ||
-	    end->outcome == WL_ORDER_AGENT_LOST ||
+	    end->outcome == WL_ORDER_AGENT_LOST || end->outcome == WL_ORDER_HELD ||
 	    /* another target answered, whose clock is unrelated */
 	    end->outcome == WL_ORDER_OTHER_INCARNATION)
 		return;
@@ -183,14 +183,14 @@
 	}
 }
 
-/* An agent that is reachable and does not report is avoided, like one without an answer. */
+/* An agent that is reachable and does not report is avoided, if another replica can help out. */
 static void agent_expired(const wl_sched_t *sched, uint64_t now_ns,
 			  const wl_sched_order_t *in_flight)
 {
 	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&in_flight->runner));
 
 	if (runner)
-		wl_sched_agent_avoid(sched, runner, now_ns, in_flight->agent);
+		wl_sched_agent_slow(sched, runner, now_ns, in_flight->agent);
 }
 
 /* Fails the orders of a lost agent, or with NULL those whose agents did not answer in time. */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -658,6 +658,11 @@
 		wl_sched_renewal_schedule(runner, now_ns);
 		return;
 	}
+	if (end->outcome == WL_ORDER_HELD) {
+		wl_sched_agent_slow(sched, runner, now_ns, order->agent);
+		wl_sched_renewal_schedule(runner, now_ns + RENEWAL_RETRY_MS * WL_NS_PER_MS);
+		return;
+	}
 	if (end->outcome != WL_ORDER_DONE) {
 		renewal_fail(sched, now_ns, runner, order, end, out);
 		return;
--- a/libwlcore/sched/runs.c
+++ b/libwlcore/sched/runs.c
@@ -371,7 +371,7 @@
 	if (outcome == WL_ORDER_NO_CAPACITY)
 		runner_quarantine(sched, run->runner, now_ns, NO_ROOM_QUARANTINE_MS);
 	if (outcome == WL_ORDER_UNHEALTHY || outcome == WL_ORDER_NOT_SENT ||
-	    outcome == WL_ORDER_OTHER_INCARNATION)
+	    outcome == WL_ORDER_HELD || outcome == WL_ORDER_OTHER_INCARNATION)
 		runner_quarantine(sched, run->runner, now_ns, UNHEALTHY_QUARANTINE_MS);
 	run_end_propose(sched, now_ns, run, WL_END_NOT_STARTED, "refused", out);
 }
@@ -450,6 +450,9 @@
 	if (outcome == WL_ORDER_NO_ANSWER || outcome == WL_ORDER_NOT_SENT) {
 		wl_sched_agent_avoid(sched, run->runner, now_ns, order->agent);
 		pause_ms = STOP_RETRY_MS;
+	} else if (outcome == WL_ORDER_HELD) {
+		wl_sched_agent_slow(sched, run->runner, now_ns, order->agent);
+		pause_ms = STOP_RETRY_MS;
 	}
 	if (order->sent_ns != run->stop_sent_ns)
 		return;
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -106,6 +106,15 @@
 	client_report(client, &fetched);
 }
 
+/* Reports a call that waited here for so long that it may not be sent any more. */
+static void client_report_held(wl_http_client_t *client, uint64_t id)
+{
+	wl_fetched_t fetched = {.id = id, .held = true};
+
+	wl_buf_set(&fetched.error, WL_STR("held for too long"));
+	client_report(client, &fetched);
+}
+
 static void client_start_call(wl_http_client_t *client, wl_fetch_t *fetch)
 {
 	uint64_t now_ns = monotonic_now_ns();
@@ -143,7 +152,10 @@
 	wl_transfer_t *transfer;
 
 	if (!command->cancel) {
-		client_start_call(client, &command->fetch);
+		if (wl_fetch_is_late(&command->fetch))
+			client_report_held(client, command->fetch.id);
+		else
+			client_start_call(client, &command->fetch);
 		return;
 	}
 	transfer = wl_map_get(&client->by_id, key);
--- a/libwlnet/http_transfer.c
+++ b/libwlnet/http_transfer.c
@@ -118,10 +118,14 @@
 	wl_buf_free(&line);
 }
 
-/* A request may get its connection late: it waited in a queue, or this process was paused. */
-static bool transfer_is_late(const wl_transfer_t *transfer)
+/*
+ * wl_fetch_is_late - whether a request may not be sent any more
+ *
+ * It may get its connection late: it waited in a queue, or this process was paused.
+ */
+bool wl_fetch_is_late(const wl_fetch_t *fetch)
 {
-	return transfer->fetch.send_by_ns && wl_clock_ns() > transfer->fetch.send_by_ns;
+	return fetch->send_by_ns && wl_clock_ns() > fetch->send_by_ns;
 }
 
 /* Called when a connection is ready, before the request is written. */
@@ -133,7 +137,8 @@
 	(void)own_ip;
 	(void)peer_port;
 	(void)own_port;
-	if (transfer->fetched.sent || transfer_is_late(transfer))
+	transfer->fetched.held = !transfer->fetched.sent && wl_fetch_is_late(&transfer->fetch);
+	if (transfer->fetched.sent || transfer->fetched.held)
 		return CURL_PREREQFUNC_ABORT;
 	transfer->fetched.sent = true;
 	if (transfer->sent)
--- a/libwlnet/http_transfer.h
+++ b/libwlnet/http_transfer.h
@@ -43,6 +43,7 @@
 	bool keep_addresses;   /* do not look for expired entries of the address cache */
 } wl_transfer_options_t;
 
+bool wl_fetch_is_late(const wl_fetch_t *fetch);
 wl_transfer_t *wl_transfer_new(wl_fetch_t *fetch, const wl_transfer_options_t *options,
 			       wl_err_t *err);
 void wl_transfer_finish(wl_transfer_t *transfer, CURLcode code, const char *error);
