sched: search for a later target only once a run is lost

Cause: in each tick, for each target whose leases are over and that still has runs, all targets were searched for one that has started later at the same address, before it was known whether any run could be taken for lost. Runs whose starts may still arrive can't, for up to 13 s.

Why it works: the search is made only when it is used, once for each target.

--- a/libwlcore/sched/crashes.c
+++ b/libwlcore/sched/crashes.c
@@ -374,6 +374,23 @@
 	wl_record_free(&wl_run_end_schema, &found);
 }
 
+static bool has_expired(const wl_sched_t *sched, uint64_t now_ns, const wl_sched_run_t *run)
+{
+	return run->phase != WL_RUN_PROPOSED && run->phase != WL_RUN_ENDING &&
+	       wl_sched_lease_over(sched, run, now_ns);
+}
+
+static bool any_has_expired(const wl_sched_t *sched, uint64_t now_ns,
+			    const wl_sched_runner_t *runner)
+{
+	const wl_sched_run_t *run;
+
+	TAILQ_FOREACH (run, &runner->runs, link)
+		if (has_expired(sched, now_ns, run))
+			return true;
+	return false;
+}
+
 /*
  * wl_sched_crash_expired - add the ends of the runs of a target whose leases have all expired
  *
@@ -382,14 +399,16 @@
 void wl_sched_crash_expired(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
 			    wl_cmd_runs_end_t *ends, wl_out_t *out)
 {
-	bool is_replaced = wl_sched_later_target_at_address(sched, runner);
 	wl_sched_incarnation_end_t end = incarnation_end(runner, now_ns);
 	wl_sched_run_t *run;
 	size_t crashed = 0;
+	bool is_replaced;
 
+	if (!any_has_expired(sched, now_ns, runner))
+		return; /* as in most ticks: the search below is for all targets */
+	is_replaced = wl_sched_later_target_at_address(sched, runner);
 	TAILQ_FOREACH (run, &runner->runs, link) {
-		if (run->phase == WL_RUN_PROPOSED || run->phase == WL_RUN_ENDING ||
-		    !wl_sched_lease_over(sched, run, now_ns))
+		if (!has_expired(sched, now_ns, run))
 			continue;
 		if (is_replaced && run->incarnation >= runner->incarnation) {
 			crashed += end_add(sched, now_ns, run, &end, "expired", ends);
