agent, gate: reports without a change wait for the leader's answer to one

Cause: a replica answers a report itself only within a second of a forwarded one that the leader has answered. A leader that needs longer got the reports of all targets, and was further behind for it. So did one just elected.

Why it works: while one is on its way, others without a change wait in the gate; ten a second are forwarded by each replica. When the leader answers one, those that wait are answered; after 800 ms they are refused, as before. Reports with a change go to the leader at once, as before.

Tests: two in unit.reports_test and three in unit.gate_test, of parts that did not exist before; WithChangesGoToTheLeader is stricter.

--- a/libwlcore/agent/reports.c
+++ b/libwlcore/agent/reports.c
@@ -5,6 +5,9 @@
  * leader receives one message for many of them. They are answered here only for a limited time
  * after this replica forwarded a report that the leader answered. Messages from the leader alone
  * do not prove that ours reach it, as the path may fail in one direction only.
+ *
+ * While the leader has not answered one, the others wait: a leader that is behind would get the
+ * reports of all targets, and fall further behind.
  */
 
 #include "reports.h"
@@ -16,14 +19,16 @@
 
 #define FLUSH_MS_DEFAULT	   50
 #define FORWARDED_VALID_MS_DEFAULT 1000 /* after forwarding; the shortest election timeout */
+#define FORWARD_INTERVAL_MS	   100	/* between reports without a change that are forwarded */
 
 struct wl_reports {
 	wl_reports_options_t options;
 	bool leader_answered; /* the leader has answered a forwarded report */
 	/* when the newest report that the leader answered was forwarded */
 	uint64_t answered_sent_ns;
-	uint64_t flush_ns; /* time of the next message, if reports are pending */
-	wl_list_t pending; /* wl_heard_row_t, not sent yet */
+	uint64_t next_forward_ns; /* of a report without a change */
+	uint64_t flush_ns;	  /* time of the next message, if reports are pending */
+	wl_list_t pending;	  /* wl_heard_row_t, not sent yet */
 };
 
 /*
@@ -76,19 +81,10 @@
 	return !wl_runner_report_changes(runner, report);
 }
 
-/*
- * wl_reports_acknowledge - add a report to the next message to the leader, if this replica may
- * answer it itself
- *
- * Return: whether this replica may answer it.
- */
-bool wl_reports_acknowledge(wl_reports_t *reports, uint64_t now_ns,
-			    const wl_runner_report_t *report)
+static void acknowledge(wl_reports_t *reports, uint64_t now_ns, const wl_runner_report_t *report)
 {
 	wl_heard_row_t *row;
 
-	if (!may_answer_locally(reports, now_ns) || !needs_no_commit(reports->options.jobs, report))
-		return false;
 	if (reports->pending.count == 0)
 		reports->flush_ns = now_ns + reports->options.flush_ms * WL_NS_PER_MS;
 	row = wl_list_add(&wl_heard_row_schema, &reports->pending);
@@ -97,7 +93,26 @@
 	row->sequence = report->sequence;
 	row->clock_ms = report->clock_ms;
 	wl_metrics_add(reports->options.metrics, "wisterialead_agent_reports_total", "", 1);
-	return true;
+}
+
+/*
+ * wl_reports_route - choose what becomes of a report, and add it to the next message to the leader
+ * if this replica may answer it itself
+ */
+wl_report_route_t wl_reports_route(wl_reports_t *reports, uint64_t now_ns,
+				   const wl_runner_report_t *report)
+{
+	if (wl_raft_is_leader(reports->options.raft) ||
+	    !needs_no_commit(reports->options.jobs, report))
+		return WL_REPORT_FORWARD;
+	if (may_answer_locally(reports, now_ns)) {
+		acknowledge(reports, now_ns, report);
+		return WL_REPORT_KNOWN;
+	}
+	if (now_ns < reports->next_forward_ns)
+		return WL_REPORT_WAIT;
+	reports->next_forward_ns = now_ns + FORWARD_INTERVAL_MS * WL_NS_PER_MS;
+	return WL_REPORT_FORWARD;
 }
 
 /*
--- a/libwlcore/agent/reports.h
+++ b/libwlcore/agent/reports.h
@@ -17,12 +17,19 @@
 	uint64_t forwarded_valid_ms;
 } wl_reports_options_t;
 
+/* What becomes of a report at a replica. */
+typedef enum wl_report_route {
+	WL_REPORT_FORWARD, /* the leader has to answer it */
+	WL_REPORT_KNOWN,   /* answered here; the leader will hear of it */
+	WL_REPORT_WAIT	   /* judged again once the leader has answered one that was forwarded */
+} wl_report_route_t;
+
 typedef struct wl_reports wl_reports_t;
 
 wl_reports_t *wl_reports_new(const wl_reports_options_t *options);
 void wl_reports_free(wl_reports_t *reports);
-bool wl_reports_acknowledge(wl_reports_t *reports, uint64_t now_ns,
-			    const wl_runner_report_t *report);
+wl_report_route_t wl_reports_route(wl_reports_t *reports, uint64_t now_ns,
+				   const wl_runner_report_t *report);
 void wl_reports_leader_answered(wl_reports_t *reports, uint64_t sent_ns);
 void wl_reports_tick(wl_reports_t *reports, uint64_t now_ns, wl_out_t *out);
 
--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -28,12 +28,22 @@
 	TAILQ_ENTRY(wl_gate_pending_call) link;
 } wl_gate_pending_call_t;
 
+/* A target's report that waits until the leader has answered another one. */
+typedef struct wl_gate_report {
+	wl_call_t call; /* without its body */
+	wl_operation_t operation;
+	uint64_t until_ns;
+	TAILQ_ENTRY(wl_gate_report) link;
+} wl_gate_report_t;
+
 struct wl_gate {
 	wl_gate_options_t options;
 	uint64_t next_id;
 	bool draining;
 	wl_map_t by_id;
 	TAILQ_HEAD(wl_gate_pending_calls, wl_gate_pending_call) pending_calls;
+	TAILQ_HEAD(wl_gate_reports, wl_gate_report) reports; /* that wait, oldest first */
+	size_t reports_waiting;
 };
 
 /*
@@ -48,6 +58,7 @@
 	gate->next_id = 1;
 	wl_map_init(&gate->by_id);
 	TAILQ_INIT(&gate->pending_calls);
+	TAILQ_INIT(&gate->reports);
 	return gate;
 }
 
@@ -59,6 +70,14 @@
 	free(pending);
 }
 
+static void report_remove(wl_gate_t *gate, wl_gate_report_t *waiting)
+{
+	TAILQ_REMOVE(&gate->reports, waiting, link);
+	gate->reports_waiting--;
+	wl_operation_free(&waiting->operation);
+	free(waiting);
+}
+
 /*
  * wl_gate_free - free the gate; waiting calls are not answered
  */
@@ -68,6 +87,8 @@
 		return;
 	while (!TAILQ_EMPTY(&gate->pending_calls))
 		pending_call_remove(gate, TAILQ_FIRST(&gate->pending_calls));
+	while (!TAILQ_EMPTY(&gate->reports))
+		report_remove(gate, TAILQ_FIRST(&gate->reports));
 	wl_map_free(&gate->by_id);
 	free(gate);
 }
@@ -180,9 +201,8 @@
 }
 
 static void operation_forward(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
-			      wl_operation_t *operation, wl_out_t *out)
+			      wl_operation_t *operation, uint64_t until_ns, wl_out_t *out)
 {
-	uint64_t until_ns = deadline_ns(call, operation, now_ns);
 	uint64_t id = pending_call_add(gate, now_ns, call, operation);
 	wl_msg_query_t *query;
 	wl_cmd_t cmd = {0};
@@ -200,11 +220,45 @@
 	wl_buf_move(&query->name, &operation->path);
 }
 
-/* Returns whether a call is a target's report whose content the leader knows already. */
-static bool report_known(const wl_gate_t *gate, uint64_t now_ns, const wl_operation_t *operation)
+static void report_wait(wl_gate_t *gate, const wl_call_t *call, wl_operation_t *operation,
+			uint64_t until_ns)
+{
+	wl_gate_report_t *waiting = wl_alloc(sizeof(*waiting));
+
+	waiting->call.id = call->id;
+	waiting->call.listener = call->listener;
+	waiting->operation = *operation;
+	*operation = (wl_operation_t){0};
+	waiting->until_ns = until_ns;
+	TAILQ_INSERT_TAIL(&gate->reports, waiting, link);
+	gate->reports_waiting++;
+}
+
+static wl_report_route_t report_route(const wl_gate_t *gate, uint64_t now_ns,
+				      const wl_operation_t *operation)
 {
-	return operation->kind == WL_OPERATION_RUNNER_REPORT && gate->options.report_known &&
-	       gate->options.report_known(gate->options.context, now_ns, &operation->report);
+	if (operation->kind != WL_OPERATION_RUNNER_REPORT || !gate->options.report_route)
+		return WL_REPORT_FORWARD;
+	return gate->options.report_route(gate->options.context, now_ns, &operation->report);
+}
+
+/* @operation: moved from unless it is answered at once */
+static void operation_serve(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
+			    wl_operation_t *operation, wl_out_t *out)
+{
+	uint64_t until_ns = deadline_ns(call, operation, now_ns);
+
+	switch (report_route(gate, now_ns, operation)) {
+	case WL_REPORT_FORWARD:
+		operation_forward(gate, now_ns, call, operation, until_ns, out);
+		return;
+	case WL_REPORT_KNOWN:
+		reply_code(gate, operation->kind, call->id, WL_OK, out);
+		return;
+	case WL_REPORT_WAIT:
+		report_wait(gate, call, operation, until_ns);
+		return;
+	}
 }
 
 static void call_invalid(wl_gate_t *gate, const wl_call_t *call, wl_operation_kind_t kind,
@@ -230,10 +284,8 @@
 		reply_code(gate, operation.kind, call->id, WL_E_NOT_FOUND, out);
 	else if (operation.kind == WL_OPERATION_READY)
 		reply_ready(gate, now_ns, call, out);
-	else if (report_known(gate, now_ns, &operation))
-		reply_code(gate, operation.kind, call->id, WL_OK, out);
 	else
-		operation_forward(gate, now_ns, call, &operation, out);
+		operation_serve(gate, now_ns, call, &operation, out);
 	wl_operation_free(&operation);
 }
 
@@ -254,7 +306,50 @@
 	wl_buf_free(&address);
 }
 
-static void gate_result(wl_gate_t *gate, uint64_t id, const wl_result_t *result, wl_out_t *out)
+static void report_expire(wl_gate_t *gate, wl_gate_report_t *waiting, wl_out_t *out)
+{
+	wl_result_t result = {0};
+	wl_err_t err;
+
+	wl_err_set(&err, WL_E_NO_LEADER, WL_NOT_RUN, "the leader answered no report in time");
+	wl_result_error(&result, &err);
+	wl_metrics_add(gate->options.metrics, "wisterialead_gate_reports_late_total", "", 1);
+	reply(gate, waiting->operation.kind, waiting->call.id, &result, out);
+	wl_result_free(&result);
+	report_remove(gate, waiting);
+}
+
+/* Return: whether the report waits no longer. */
+static bool report_retry(wl_gate_t *gate, uint64_t now_ns, wl_gate_report_t *waiting, wl_out_t *out)
+{
+	wl_report_route_t route = report_route(gate, now_ns, &waiting->operation);
+
+	if (route == WL_REPORT_WAIT)
+		return false;
+	if (route == WL_REPORT_KNOWN)
+		reply_code(gate, waiting->operation.kind, waiting->call.id, WL_OK, out);
+	else
+		operation_forward(gate, now_ns, &waiting->call, &waiting->operation,
+				  waiting->until_ns, out);
+	report_remove(gate, waiting);
+	return true;
+}
+
+/* Ends the reports that have waited for too long, and serves the others as far as possible. */
+static void reports_retry(wl_gate_t *gate, uint64_t now_ns, wl_out_t *out)
+{
+	wl_gate_report_t *waiting;
+
+	while ((waiting = TAILQ_FIRST(&gate->reports))) {
+		if (now_ns >= waiting->until_ns)
+			report_expire(gate, waiting, out);
+		else if (!report_retry(gate, now_ns, waiting, out))
+			return;
+	}
+}
+
+static void gate_result(wl_gate_t *gate, uint64_t now_ns, uint64_t id, const wl_result_t *result,
+			wl_out_t *out)
 {
 	wl_gate_pending_call_t *pending =
 		wl_map_get(&gate->by_id, (wl_str_t){(const char *)&id, sizeof(id)});
@@ -268,12 +363,13 @@
 		gate->options.report_acknowledged(gate->options.context, pending->sent_ns);
 	reply(gate, pending->kind, pending->call, result, out);
 	pending_call_remove(gate, pending);
+	reports_retry(gate, now_ns, out);
 }
 
 /*
  * wl_gate_step - handle an event
  * @now_ns: monotonic time, nanoseconds
- * @event: CALL, or RESULT of a call with WL_PART_GATE; others are ignored
+ * @event: CALL, TICK, or RESULT of a call with WL_PART_GATE; others are ignored
  * @out: actions are added
  */
 void wl_gate_step(wl_gate_t *gate, uint64_t now_ns, wl_event_t *event, wl_out_t *out)
@@ -281,7 +377,9 @@
 	if (event->kind == WL_EVENT_CALL)
 		gate_call(gate, now_ns, &event->call, out);
 	else if (event->kind == WL_EVENT_RESULT)
-		gate_result(gate, event->tag, event->result, out);
+		gate_result(gate, now_ns, event->tag, event->result, out);
+	else if (event->kind == WL_EVENT_TICK)
+		reports_retry(gate, now_ns, out);
 }
 
 /*
@@ -297,5 +395,5 @@
  */
 size_t wl_gate_open(const wl_gate_t *gate)
 {
-	return wl_map_count(&gate->by_id);
+	return wl_map_count(&gate->by_id) + gate->reports_waiting;
 }
--- a/libwlcore/gate/gate.h
+++ b/libwlcore/gate/gate.h
@@ -1,6 +1,7 @@
 #ifndef WL_GATE_H
 #define WL_GATE_H
 
+#include <libwlcore/agent/reports.h>
 #include <libwlcore/model/dialect.h>
 #include <libwlcore/node/session.h>
 
@@ -12,11 +13,9 @@
 	wl_metrics_t *metrics;
 	bool entry;	       /* an entry is ready only with a valid session */
 	uint16_t control_port; /* port of all replicas' control listeners; 0: not sent to targets */
-	/*
-	 * Returns whether the leader knows the content of a report already, so that the gate
-	 * acknowledges it; NULL: all reports go to the leader.
-	 */
-	bool (*report_known)(void *context, uint64_t now_ns, const wl_runner_report_t *report);
+	/* Chooses what becomes of a target's report; NULL: all go to the leader. */
+	wl_report_route_t (*report_route)(void *context, uint64_t now_ns,
+					  const wl_runner_report_t *report);
 	/* Called when the leader acknowledged a report sent to it at @sent_ns; may be NULL. */
 	void (*report_acknowledged)(void *context, uint64_t sent_ns);
 	void *context; /* argument of both callbacks */
--- a/libwlcore/node/agents.c
+++ b/libwlcore/node/agents.c
@@ -32,15 +32,16 @@
 }
 
 /*
- * wl_node_report_known - whether this replica can answer a target's report without the leader
+ * wl_node_report_route - choose what becomes of a target's report
  * @context: the node
  * @now_ns: monotonic time, nanoseconds
  */
-bool wl_node_report_known(void *context, uint64_t now_ns, const wl_runner_report_t *report)
+wl_report_route_t wl_node_report_route(void *context, uint64_t now_ns,
+				       const wl_runner_report_t *report)
 {
 	wl_node_t *node = context;
 
-	return node->reports && wl_reports_acknowledge(node->reports, now_ns, report);
+	return node->reports ? wl_reports_route(node->reports, now_ns, report) : WL_REPORT_FORWARD;
 }
 
 /*
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -99,7 +99,8 @@
 void wl_node_transfer_leadership(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_agents_update(wl_node_t *node, uint64_t now_ns, wl_out_t *out);
 void wl_node_agent_event(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
-bool wl_node_report_known(void *context, uint64_t now_ns, const wl_runner_report_t *report);
+wl_report_route_t wl_node_report_route(void *context, uint64_t now_ns,
+				       const wl_runner_report_t *report);
 void wl_node_report_acknowledged(void *context, uint64_t sent_ns);
 void wl_node_link_down(wl_node_t *node, uint64_t now_ns, wl_event_t *event, wl_out_t *out);
 void wl_node_measure_event(wl_node_t *node, uint64_t now_ns, const wl_event_t *event);
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -152,7 +152,7 @@
 		.metrics = &node->metrics,
 		.entry = node->options.entry,
 		.control_port = node->options.control_port,
-		.report_known = wl_node_report_known,
+		.report_route = wl_node_report_route,
 		.report_acknowledged = wl_node_report_acknowledged,
 		.context = node,
 	};
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -343,6 +343,8 @@
 		wl_requests_step(node->requests, now_ns, event, out);
 	}
 	wl_api_step(node->api, now_ns, event, out);
+	if (node->gate)
+		wl_gate_step(node->gate, now_ns, event, out);
 	while (wl_calls_expire(&node->calls, now_ns, &outcome))
 		call_ended(node, now_ns, &outcome, out);
 	wl_calls_resend(&node->calls, node_leader(node), now_ns, out);
--- a/tests/unit/gate_test.cc
+++ b/tests/unit/gate_test.cc
@@ -34,8 +34,8 @@
 		options.metrics = &metrics;
 		options.entry = true;
 		options.control_port = 8081;
-		options.report_known = [](void *context, uint64_t, const wl_runner_report_t *) {
-			return static_cast<Gate *>(context)->known;
+		options.report_route = [](void *context, uint64_t, const wl_runner_report_t *) {
+			return static_cast<Gate *>(context)->route;
 		};
 		options.report_acknowledged = [](void *context, uint64_t sent_ns) {
 			static_cast<Gate *>(context)->acknowledged_ns = sent_ns;
@@ -102,6 +102,16 @@
 		wl_result_free(&answer);
 	}
 
+	void tick(uint64_t now_ns)
+	{
+		auto event = std::make_unique<wl_event_t>();
+
+		wl_event_init(event.get(), WL_EVENT_TICK);
+		wl_out_clear(&out);
+		wl_gate_step(gate, now_ns, event.get(), &out);
+		wl_event_free(event.get());
+	}
+
 	/* "STATUS BODY after RETRY-AFTER" of the answer; empty if there is none. */
 	std::string answered() const
 	{
@@ -138,7 +148,7 @@
 	wl_gate_t *gate = nullptr;
 	wl_out_t out = {};
 	uint64_t deadline_ns = 0;
-	bool known = false; /* result of report_known */
+	wl_report_route_t route = WL_REPORT_FORWARD;
 	uint64_t acknowledged_ns = 0;
 };
 } // namespace
@@ -215,13 +225,55 @@
 
 TEST_F(Gate, AnswersAKnownReportWithoutTheLeader)
 {
-	known = true;
+	route = WL_REPORT_KNOWN;
 	EXPECT_EQ(call("POST", "/-/instances/i-7f3a91c2/heartbeat", BEAT, WL_LISTENER_CONTROL), 0u);
 	EXPECT_EQ(answered(), "200 {}");
 	EXPECT_EQ(wl_gate_open(gate), 0u);
 	EXPECT_NE(call("GET", "/-/config/read", "", WL_LISTENER_CONTROL), 0u) << "not a report";
 }
 
+TEST_F(Gate, ReportThatWaitsIsAnsweredOnceTheLeaderHasAnsweredAnother)
+{
+	uint64_t id = call("POST", "/-/instances/i-2/heartbeat", BEAT, WL_LISTENER_CONTROL);
+
+	route = WL_REPORT_WAIT;
+	EXPECT_EQ(call("POST", "/-/instances/i-1/heartbeat", BEAT, WL_LISTENER_CONTROL), 0u);
+	EXPECT_EQ(answered(), "");
+	EXPECT_EQ(wl_gate_open(gate), 2u);
+	tick(NOW + 100 * MS);
+	EXPECT_EQ(out.count, 0u);
+	route = WL_REPORT_KNOWN;
+	result(id, WL_OK, WL_RAN, "10.0.0.4");
+	ASSERT_EQ(out.count, 2u);
+	EXPECT_EQ(answered(), R"(200 {"heartbeat_url":"10.0.0.4:8081"})");
+	EXPECT_EQ(out.actions[1].reply.status, 200);
+	EXPECT_EQ(wl_gate_open(gate), 0u);
+}
+
+TEST_F(Gate, ReportThatWaitsIsForwardedOnceThatIsItsTurn)
+{
+	route = WL_REPORT_WAIT;
+	call("POST", "/-/instances/i-1/heartbeat", BEAT, WL_LISTENER_CONTROL);
+	route = WL_REPORT_FORWARD;
+	tick(NOW + 100 * MS);
+	ASSERT_EQ(out.count, 1u);
+	ASSERT_EQ(out.actions[0].kind, WL_ACTION_LEADER_CALL);
+	EXPECT_EQ(out.actions[0].deadline_ns, NOW + 800 * MS) << "from when it came";
+	EXPECT_EQ(wl_gate_open(gate), 1u);
+}
+
+/* Guards against calls that are held until their callers give up. */
+TEST_F(Gate, ReportThatWaitsIsRefusedInTime)
+{
+	route = WL_REPORT_WAIT;
+	call("POST", "/-/instances/i-1/heartbeat", BEAT, WL_LISTENER_CONTROL);
+	tick(NOW + 799 * MS);
+	EXPECT_EQ(answered(), "");
+	tick(NOW + 800 * MS);
+	EXPECT_EQ(answered().substr(0, 3), "503");
+	EXPECT_EQ(wl_gate_open(gate), 0u);
+}
+
 TEST_F(Gate, NotifiesWhenTheLeaderAcknowledgedAReport)
 {
 	uint64_t id = call("POST", "/-/instances/i-7f3a91c2/heartbeat", BEAT, WL_LISTENER_CONTROL);
--- a/tests/unit/reports_test.cc
+++ b/tests/unit/reports_test.cc
@@ -87,9 +87,22 @@
 		wl_cmd_free(&cmd);
 	}
 
+	wl_report_route_t route(const wl_runner_report_t *made)
+	{
+		return wl_reports_route(reports, now, made);
+	}
+
+	bool forwarded(wl_runner_report_t made)
+	{
+		bool answer = route(&made) == WL_REPORT_FORWARD;
+
+		wl_record_free(&wl_runner_report_schema, &made);
+		return answer;
+	}
+
 	bool acknowledged(wl_runner_report_t made)
 	{
-		bool answer = wl_reports_acknowledge(reports, now, &made);
+		bool answer = route(&made) == WL_REPORT_KNOWN;
 
 		wl_record_free(&wl_runner_report_schema, &made);
 		return answer;
@@ -184,13 +197,13 @@
 	wl_buf_set(&moved.address, WL_STR("10.0.0.2:80"));
 	larger.cpu_millis = 1;
 	leader_answers();
-	EXPECT_FALSE(acknowledged(report("i-9", 1)));
-	EXPECT_FALSE(acknowledged(drains));
-	EXPECT_FALSE(acknowledged(leaves));
-	EXPECT_FALSE(acknowledged(restarted));
-	EXPECT_FALSE(acknowledged(earlier));
-	EXPECT_FALSE(acknowledged(moved));
-	EXPECT_FALSE(acknowledged(larger));
+	EXPECT_TRUE(forwarded(report("i-9", 1)));
+	EXPECT_TRUE(forwarded(drains));
+	EXPECT_TRUE(forwarded(leaves));
+	EXPECT_TRUE(forwarded(restarted));
+	EXPECT_TRUE(forwarded(earlier));
+	EXPECT_TRUE(forwarded(moved));
+	EXPECT_TRUE(forwarded(larger));
 	now += 100 * MS;
 	EXPECT_TRUE(sent_messages().empty());
 }
@@ -260,3 +273,32 @@
 	leader_answers();
 	EXPECT_TRUE(sent_messages().empty());
 }
+
+/* Regression: a leader that was behind got the reports of all targets, and fell further behind. */
+TEST_F(Reports, WithoutChangesWaitForTheAnswerToOneThatWasForwarded)
+{
+	wl_runner_report_t drains = report("i-1", 2);
+
+	drains.draining = true;
+	heartbeat();
+	EXPECT_TRUE(forwarded(report("i-0", 2)));
+	for (int i = 0; i < 100; i++) {
+		wl_runner_report_t another = report("i-1", 2);
+
+		EXPECT_EQ(route(&another), WL_REPORT_WAIT);
+		wl_record_free(&wl_runner_report_schema, &another);
+	}
+	EXPECT_TRUE(forwarded(drains)) << "has a change";
+	wl_reports_leader_answered(reports, now);
+	EXPECT_TRUE(acknowledged(report("i-1", 2)));
+}
+
+/* Guards against replicas that ask a leader no more after one report was lost on its way. */
+TEST_F(Reports, OneIsForwardedAgainAfterSomeTime)
+{
+	heartbeat();
+	EXPECT_TRUE(forwarded(report("i-0", 2)));
+	EXPECT_FALSE(forwarded(report("i-0", 2)));
+	now += 100 * MS;
+	EXPECT_TRUE(forwarded(report("i-0", 2)));
+}
