sched: place no more starts than the agents can carry

Cause: placement was bounded by what it costs the leader. Starts that agents have no processor time for are held until they are late; each costs two commits on all replicas, and its task is placed again at once: 1,500 to 5,000 refused starts a second.

Why it works: starts in flight at an agent are bounded, so that their rate follows the time that it takes; the bound is halved when starts are held up, and rises by one with each that is not.

--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -16,6 +16,13 @@
 #define RECONNECT_DELAY_MS 1000 /* an agent whose link went down is not used for this time */
 /* A message with payloads of this size gets no further orders. */
 #define MESSAGE_BYTES_SOFT_MAX (1024UL * 1024)
+/*
+ * START orders in flight at an agent.  An agent that is slower gets fewer a second by that, and one
+ * that holds them up gets half as many, and one more for each that it has sent.
+ */
+#define STARTS_MAX	  256
+#define STARTS_MIN	  8
+#define STARTS_CUT_MIN_MS 200 /* between two cuts: those in flight were sent before the first */
 /* For how long an agent that got no answer of a target is avoided for that target. */
 #define AVOID_MS 10000
 
@@ -282,6 +289,67 @@
 		runner->avoided_agents = 0;
 }
 
+static unsigned int starts_max(const wl_sched_agent_t *agent)
+{
+	return STARTS_MAX - agent->starts_less;
+}
+
+/*
+ * wl_sched_agent_start_sent - count a START order that an agent gets
+ */
+void wl_sched_agent_start_sent(wl_sched_agent_t *agent)
+{
+	agent->starts++;
+}
+
+/*
+ * wl_sched_agent_start_ended - count the result of a START order, and learn how many an agent can
+ * carry
+ */
+void wl_sched_agent_start_ended(wl_sched_agent_t *agent, uint64_t now_ns,
+				wl_order_outcome_t outcome)
+{
+	unsigned int max = starts_max(agent);
+
+	agent->starts--;
+	if (outcome != WL_ORDER_HELD && outcome != WL_ORDER_AGENT_LOST) {
+		agent->starts_less -= agent->starts_less > 0;
+		return;
+	}
+	if (now_ns < agent->starts_cut_ns + STARTS_CUT_MIN_MS * WL_NS_PER_MS)
+		return;
+	agent->starts_cut_ns = now_ns;
+	agent->starts_less = STARTS_MAX - (max / 2 > STARTS_MIN ? max / 2 : STARTS_MIN);
+}
+
+static size_t agent_room(const wl_sched_agent_t *agent)
+{
+	return agent->starts < starts_max(agent) ? starts_max(agent) - agent->starts : 0;
+}
+
+/*
+ * wl_sched_starts_room - how many more starts the agents can carry
+ *
+ * Starts that agents hold up end unsent, and cost two commits each.
+ */
+size_t wl_sched_starts_room(const wl_sched_t *sched)
+{
+	const wl_sched_agent_t *own = TAILQ_FIRST(&sched->agents);
+	const wl_sched_agent_t *agent;
+	bool has_other = false;
+	size_t room = 0;
+
+	TAILQ_FOREACH (agent, &sched->agents, link) {
+		if (agent == own || !agent->usable)
+			continue;
+		has_other = true;
+		room += agent_room(agent);
+	}
+	if (!has_other)
+		room = agent_room(own);
+	return room > sched->starts_proposed ? room - sched->starts_proposed : 0;
+}
+
 /*
  * wl_sched_agent_retry - use the avoided agents again once their time is over
  */
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -327,7 +327,10 @@
 	/* sample of its clock: at least clock_ms when ours was clock_ns; 0: none */
 	uint64_t clock_ms;
 	uint64_t clock_ns;
-	wl_list_t orders; /* wl_order_t; sent at the end of wl_sched_step() */
+	wl_list_t orders;	  /* wl_order_t; sent at the end of wl_sched_step() */
+	unsigned int starts;	  /* START orders in flight */
+	unsigned int starts_less; /* by so many fewer than the most may be in flight */
+	uint64_t starts_cut_ns;	  /* when that was last raised */
 	TAILQ_ENTRY(wl_sched_agent) link;
 } wl_sched_agent_t;
 
@@ -369,6 +372,7 @@
 	uint64_t incarnation;	/* incarnation of that target */
 	uint64_t ends_proposed; /* ends of runs: number of the newest one */
 	uint64_t address;	/* submission: wl_sched_address_hash(); 0: another command */
+	size_t starts;		/* of runs */
 	TAILQ_ENTRY(wl_sched_proposal) link;
 } wl_sched_proposal_t;
 
@@ -471,7 +475,8 @@
 	wl_cmd_runs_start_t starts; /* collected by a placement pass and proposed at its end */
 	wl_images_t images;
 	wl_interference_t interference;
-	bool promotion_due; /* that of a target may be set where runs are in the background */
+	bool promotion_due;	/* that of a target may be set where runs are in the background */
+	size_t starts_proposed; /* runs whose start is not committed yet */
 	bool place_due;
 	bool lapse_known;	 /* whether a silent target has crashed is to be proposed */
 	uint64_t next_pass_ns;	 /* no placement pass before */
@@ -835,6 +840,10 @@
 			  const wl_sched_agent_t *agent);
 void wl_sched_agent_slow(const wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns,
 			 const wl_sched_agent_t *agent);
+void wl_sched_agent_start_sent(wl_sched_agent_t *agent);
+void wl_sched_agent_start_ended(wl_sched_agent_t *agent, uint64_t now_ns,
+				wl_order_outcome_t outcome);
+size_t wl_sched_starts_room(const wl_sched_t *sched);
 bool wl_sched_agent_replaceable(const wl_sched_t *sched, const wl_sched_runner_t *runner,
 				const wl_sched_agent_t *agent);
 void wl_sched_agent_retry(wl_sched_runner_t *runner, uint64_t now_ns);
--- a/libwlcore/sched/orders.c
+++ b/libwlcore/sched/orders.c
@@ -53,6 +53,8 @@
 	in_flight->committed_ends = order->committed_ends;
 	in_flight->expires_ns = now_ns + (order->timeout_ms + AGENT_ROUND_TRIP_MS) * WL_NS_PER_MS;
 	in_flight->agent = wl_sched_agent_choose(sched, runner, in_flight->kind);
+	if (in_flight->kind == WL_ORDER_START)
+		wl_sched_agent_start_sent(in_flight->agent);
 	wl_buf_set(&in_flight->runner, runner->key);
 	if (run)
 		wl_buf_set(&in_flight->run, run->key);
@@ -147,6 +149,9 @@
 {
 	wl_sched_runner_t *runner = wl_sched_runner_find(sched, wl_buf_str(&in_flight->runner));
 
+	if (in_flight->kind == WL_ORDER_START)
+		wl_sched_agent_start_ended(in_flight->agent, now_ns,
+					   (wl_order_outcome_t)end->outcome);
 	wl_sched_order_measure(sched, in_flight->kind, (wl_order_outcome_t)end->outcome,
 			       now_ns - in_flight->sent_ns);
 	if (runner && known_answered(runner, in_flight, end)) {
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -517,6 +517,7 @@
 } miss_t;
 
 typedef struct pass {
+	size_t starts_room; /* starts that agents can carry beyond those in flight */
 	uint64_t now_ns;
 	bool full; /* considers best-effort work too */
 	size_t stalled_misses;
@@ -719,11 +720,17 @@
 	pass->missed_cost_ns += cost_ns(sched, pass) - before_ns;
 }
 
+/* Whether agents can carry more starts than those that this pass has placed. */
+static bool has_room(const wl_sched_t *sched, const pass_t *pass)
+{
+	return sched->starts.runs.count < pass->starts_room;
+}
+
 static void consider_by_rank(wl_sched_t *sched, pass_t *pass)
 {
 	wl_task_batch_t *batch = TAILQ_FIRST(&sched->pending);
 
-	while (batch && pass->placed_cost_ns < PLACED_COST_MAX_NS) {
+	while (batch && pass->placed_cost_ns < PLACED_COST_MAX_NS && has_room(sched, pass)) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, link);
 
 		if (!is_left_out(pass, batch) &&
@@ -752,7 +759,8 @@
 	uint64_t late_ns = 0;
 
 	pass->late = true;
-	while (batch && pass->now_ns >= untried_due_ns(batch) && late_ns < LATE_COST_MAX_NS) {
+	while (batch && pass->now_ns >= untried_due_ns(batch) && late_ns < LATE_COST_MAX_NS &&
+	       has_room(sched, pass)) {
 		wl_task_batch_t *next = TAILQ_NEXT(batch, tried_link);
 
 		if (!is_left_out(pass, batch)) {
@@ -790,7 +798,7 @@
  */
 bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
 {
-	if (now_ns < sched->pause_until_ns)
+	if (now_ns < sched->pause_until_ns || wl_sched_starts_room(sched) == 0)
 		return false;
 	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
 		return true;
@@ -807,9 +815,11 @@
 void wl_sched_place(wl_sched_t *sched, uint64_t now_ns, wl_out_t *out)
 {
 	wl_cmd_t cmd = {.kind = WL_CMD_RUNS_START};
-	pass_t pass = {.now_ns = now_ns};
+	pass_t pass = {.now_ns = now_ns, .starts_room = wl_sched_starts_room(sched)};
 	uint64_t began_ns = cost_ns(sched, &pass);
+	wl_sched_proposal_t *proposal;
 	uint64_t late_ns;
+	size_t starts;
 
 	pass.full = now_ns >= sched->next_full_pass_ns;
 	sched->place_due = false;
@@ -833,7 +843,10 @@
 			next_pass_at_ns(sched, pass.misses[true] + pass.stalled_misses, 0, now_ns);
 	if (sched->starts.runs.count == 0)
 		return;
+	starts = sched->starts.runs.count;
 	cmd.u.runs_start = sched->starts;
 	sched->starts = (wl_cmd_runs_start_t){0};
-	wl_sched_propose(sched, now_ns, &cmd, out);
+	proposal = wl_sched_propose(sched, now_ns, &cmd, out);
+	proposal->starts = starts;
+	sched->starts_proposed += starts;
 }
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -69,6 +69,7 @@
 
 static void proposal_remove(wl_sched_t *sched, wl_sched_proposal_t *proposal)
 {
+	sched->starts_proposed -= proposal->starts;
 	wl_map_remove(&sched->by_tag, proposal->key);
 	TAILQ_REMOVE(&sched->proposals, proposal, link);
 	wl_buf_free(&proposal->peer);
