--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -83,12 +83,19 @@
  */
 void wl_gate_free(wl_gate_t *gate)
 {
+	wl_gate_report_t *waiting;
+
 	if (!gate)
 		return;
 	while (!TAILQ_EMPTY(&gate->pending_calls))
 		pending_call_remove(gate, TAILQ_FIRST(&gate->pending_calls));
-	while (!TAILQ_EMPTY(&gate->reports))
-		report_remove(gate, TAILQ_FIRST(&gate->reports));
+	waiting = TAILQ_FIRST(&gate->reports);
+	while (waiting) {
+		wl_gate_report_t *next = TAILQ_NEXT(waiting, link);
+
+		report_remove(gate, waiting);
+		waiting = next;
+	}
 	wl_map_free(&gate->by_id);
 	free(gate);
 }
@@ -338,13 +345,16 @@
 /* Ends the reports that have waited for too long, and serves the others as far as possible. */
 static void reports_retry(wl_gate_t *gate, uint64_t now_ns, wl_out_t *out)
 {
-	wl_gate_report_t *waiting;
+	wl_gate_report_t *waiting = TAILQ_FIRST(&gate->reports);
+
+	while (waiting) {
+		wl_gate_report_t *next = TAILQ_NEXT(waiting, link);
 
-	while ((waiting = TAILQ_FIRST(&gate->reports))) {
 		if (now_ns >= waiting->until_ns)
 			report_expire(gate, waiting, out);
 		else if (!report_retry(gate, now_ns, waiting, out))
 			return;
+		waiting = next;
 	}
 }
 
