--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -30,7 +30,7 @@
 
 /* A target's report that waits until the leader has answered another one. */
 typedef struct wl_gate_report {
-	wl_call_t call; /* without its body */
+	uint64_t call;
 	wl_operation_t operation;
 	uint64_t until_ns;
 	TAILQ_ENTRY(wl_gate_report) link;
@@ -138,14 +138,14 @@
 	reply_code(gate, WL_OPERATION_READY, call->id, ready ? WL_OK : WL_E_NO_SESSION, out);
 }
 
-static uint64_t pending_call_add(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
+static uint64_t pending_call_add(wl_gate_t *gate, uint64_t now_ns, uint64_t call,
 				 const wl_operation_t *operation)
 {
 	wl_gate_pending_call_t *pending = wl_alloc(sizeof(*pending));
 
 	pending->id = WL_PART_ID(WL_PART_GATE, gate->next_id++);
 	pending->key = (wl_str_t){(const char *)&pending->id, sizeof(pending->id)};
-	pending->call = call->id;
+	pending->call = call;
 	pending->kind = operation->kind;
 	wl_buf_set(&pending->address, wl_buf_str(&operation->host));
 	wl_buf_append(&pending->address, wl_buf_str(&operation->path));
@@ -207,7 +207,7 @@
 	return false;
 }
 
-static void operation_forward(wl_gate_t *gate, uint64_t now_ns, const wl_call_t *call,
+static void operation_forward(wl_gate_t *gate, uint64_t now_ns, uint64_t call,
 			      wl_operation_t *operation, uint64_t until_ns, wl_out_t *out)
 {
 	uint64_t id = pending_call_add(gate, now_ns, call, operation);
@@ -227,13 +227,12 @@
 	wl_buf_move(&query->name, &operation->path);
 }
 
-static void report_wait(wl_gate_t *gate, const wl_call_t *call, wl_operation_t *operation,
+static void report_wait(wl_gate_t *gate, uint64_t call, wl_operation_t *operation,
 			uint64_t until_ns)
 {
 	wl_gate_report_t *waiting = wl_alloc(sizeof(*waiting));
 
-	waiting->call.id = call->id;
-	waiting->call.listener = call->listener;
+	waiting->call = call;
 	waiting->operation = *operation;
 	*operation = (wl_operation_t){0};
 	waiting->until_ns = until_ns;
@@ -257,13 +256,13 @@
 
 	switch (report_route(gate, now_ns, operation)) {
 	case WL_REPORT_FORWARD:
-		operation_forward(gate, now_ns, call, operation, until_ns, out);
+		operation_forward(gate, now_ns, call->id, operation, until_ns, out);
 		return;
 	case WL_REPORT_KNOWN:
 		reply_code(gate, operation->kind, call->id, WL_OK, out);
 		return;
 	case WL_REPORT_WAIT:
-		report_wait(gate, call, operation, until_ns);
+		report_wait(gate, call->id, operation, until_ns);
 		return;
 	}
 }
@@ -321,7 +320,7 @@
 	wl_err_set(&err, WL_E_NO_LEADER, WL_NOT_RUN, "the leader answered no report in time");
 	wl_result_error(&result, &err);
 	wl_metrics_add(gate->options.metrics, "wisterialead_gate_reports_late_total", "", 1);
-	reply(gate, waiting->operation.kind, waiting->call.id, &result, out);
+	reply(gate, waiting->operation.kind, waiting->call, &result, out);
 	wl_result_free(&result);
 	report_remove(gate, waiting);
 }
@@ -334,9 +333,9 @@
 	if (route == WL_REPORT_WAIT)
 		return false;
 	if (route == WL_REPORT_KNOWN)
-		reply_code(gate, waiting->operation.kind, waiting->call.id, WL_OK, out);
+		reply_code(gate, waiting->operation.kind, waiting->call, WL_OK, out);
 	else
-		operation_forward(gate, now_ns, &waiting->call, &waiting->operation,
+		operation_forward(gate, now_ns, waiting->call, &waiting->operation,
 				  waiting->until_ns, out);
 	report_remove(gate, waiting);
 	return true;
--- a/libwlcore/sched/agents.c
+++ b/libwlcore/sched/agents.c
@@ -91,6 +91,7 @@
 {
 	wl_buf_set(&agent->name, name);
 	agent->seed = wl_str_hash(name, 0);
+	agent->starts_max = STARTS_MAX;
 }
 
 static void agent_add(wl_sched_t *sched, wl_str_t name)
@@ -289,11 +290,6 @@
 		runner->avoided_agents = 0;
 }
 
-static unsigned int starts_max(const wl_sched_agent_t *agent)
-{
-	return STARTS_MAX - agent->starts_less;
-}
-
 /*
  * wl_sched_agent_start_sent - count a START order that an agent gets
  */
@@ -309,22 +305,22 @@
 void wl_sched_agent_start_ended(wl_sched_agent_t *agent, uint64_t now_ns,
 				wl_order_outcome_t outcome)
 {
-	unsigned int max = starts_max(agent);
-
 	agent->starts--;
 	if (outcome != WL_ORDER_HELD && outcome != WL_ORDER_AGENT_LOST) {
-		agent->starts_less -= agent->starts_less > 0;
+		agent->starts_max += agent->starts_max < STARTS_MAX;
 		return;
 	}
 	if (now_ns < agent->starts_cut_ns + STARTS_CUT_MIN_MS * WL_NS_PER_MS)
 		return;
 	agent->starts_cut_ns = now_ns;
-	agent->starts_less = STARTS_MAX - (max / 2 > STARTS_MIN ? max / 2 : STARTS_MIN);
+	agent->starts_max /= 2;
+	if (agent->starts_max < STARTS_MIN)
+		agent->starts_max = STARTS_MIN;
 }
 
 static size_t agent_room(const wl_sched_agent_t *agent)
 {
-	return agent->starts < starts_max(agent) ? starts_max(agent) - agent->starts : 0;
+	return agent->starts < agent->starts_max ? agent->starts_max - agent->starts : 0;
 }
 
 /*
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -327,10 +327,10 @@
 	/* sample of its clock: at least clock_ms when ours was clock_ns; 0: none */
 	uint64_t clock_ms;
 	uint64_t clock_ns;
-	wl_list_t orders;	  /* wl_order_t; sent at the end of wl_sched_step() */
-	unsigned int starts;	  /* START orders in flight */
-	unsigned int starts_less; /* by so many fewer than the most may be in flight */
-	uint64_t starts_cut_ns;	  /* when that was last raised */
+	wl_list_t orders;	 /* wl_order_t; sent at the end of wl_sched_step() */
+	unsigned int starts;	 /* START orders in flight */
+	unsigned int starts_max; /* for how many it has room */
+	uint64_t starts_cut_ns;	 /* when that was last lowered */
 	TAILQ_ENTRY(wl_sched_agent) link;
 } wl_sched_agent_t;
 
--- a/libwlcore/sched/place.c
+++ b/libwlcore/sched/place.c
@@ -517,9 +517,9 @@
 } miss_t;
 
 typedef struct pass {
-	size_t starts_room; /* starts that agents can carry beyond those in flight */
 	uint64_t now_ns;
-	bool full; /* considers best-effort work too */
+	size_t starts_room; /* starts that agents can carry beyond those in flight */
+	bool full;	    /* considers best-effort work too */
 	size_t stalled_misses;
 	size_t misses[2]; /* by best_effort */
 	size_t suspect_misses;
@@ -793,12 +793,9 @@
 		sched->pause_until_ns = now_ns + pass_ns * PASS_SHARE;
 }
 
-/*
- * wl_sched_place_due - whether a pass is due
- */
-bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
+static bool pass_is_due(const wl_sched_t *sched, uint64_t now_ns)
 {
-	if (now_ns < sched->pause_until_ns || wl_sched_starts_room(sched) == 0)
+	if (now_ns < sched->pause_until_ns)
 		return false;
 	if (sched->suspects_due_ns && now_ns >= sched->suspects_due_ns)
 		return true;
@@ -809,6 +806,14 @@
 	       (sched->full_pass_due && now_ns >= sched->next_full_pass_ns);
 }
 
+/*
+ * wl_sched_place_due - whether a pass is due, and agents have room for the starts
+ */
+bool wl_sched_place_due(const wl_sched_t *sched, uint64_t now_ns)
+{
+	return pass_is_due(sched, now_ns) && wl_sched_starts_room(sched) > 0;
+}
+
 /*
  * wl_sched_place - place the pending tasks that fit, and propose their starts
  */
--- a/libwlnet/http_client.c
+++ b/libwlnet/http_client.c
@@ -97,24 +97,15 @@
 	wl_transfer_free(transfer);
 }
 
-/* Reports a call that could not be started. */
-static void client_report_error(wl_http_client_t *client, uint64_t id, const char *error)
+/* Reports a call that could not be started, or that has been held here for too long. */
+static void client_report_error(wl_http_client_t *client, uint64_t id, bool held, const char *error)
 {
-	wl_fetched_t fetched = {.id = id};
+	wl_fetched_t fetched = {.id = id, .held = held};
 
 	wl_buf_set(&fetched.error, wl_str_from(error));
 	client_report(client, &fetched);
 }
 
-/* Reports a call that waited here for so long that it may not be sent any more. */
-static void client_report_held(wl_http_client_t *client, uint64_t id)
-{
-	wl_fetched_t fetched = {.id = id, .held = true};
-
-	wl_buf_set(&fetched.error, WL_STR("held for too long"));
-	client_report(client, &fetched);
-}
-
 static void client_start_call(wl_http_client_t *client, wl_fetch_t *fetch)
 {
 	uint64_t now_ns = monotonic_now_ns();
@@ -129,12 +120,12 @@
 	wl_transfer_t *transfer = wl_transfer_new(fetch, &options, &err);
 
 	if (!transfer) {
-		client_report_error(client, id, err.text);
+		client_report_error(client, id, false, err.text);
 		return;
 	}
 	if (!wl_map_put(&client->by_id, transfer)) {
 		wl_transfer_free(transfer);
-		client_report_error(client, id, "id is in use");
+		client_report_error(client, id, false, "id is in use");
 		return;
 	}
 	if (transfer->fetch.timeout_ms)
@@ -153,7 +144,7 @@
 
 	if (!command->cancel) {
 		if (wl_fetch_is_late(&command->fetch))
-			client_report_held(client, command->fetch.id);
+			client_report_error(client, command->fetch.id, true, "held for too long");
 		else
 			client_start_call(client, &command->fetch);
 		return;
--- a/tests/unit/sched_slow_agents_test.cc
+++ b/tests/unit/sched_slow_agents_test.cc
@@ -334,8 +334,8 @@
 	EXPECT_EQ(agents_of_renewals, before);
 }
 
-/* A target with one run; its renewal is held up and has been sent again through another agent. */
-class SchedRepeatedRenewal : public ::testing::Test
+/* A target with one run. */
+class SchedOneRun : public ::testing::Test
 {
       protected:
 	void SetUp() override
@@ -349,13 +349,24 @@
 		rig.commit();
 		run = rig.take_orders(WL_ORDER_START).at(0);
 		rig.answer(run, WL_ORDER_DONE);
+	}
+
+	SchedRig rig;
+	SchedOrder run;
+};
+
+/* Its renewal is held up and has been sent again through another agent. */
+class SchedRepeatedRenewal : public SchedOneRun
+{
+      protected:
+	void SetUp() override
+	{
+		SchedOneRun::SetUp();
 		held = rig.next_renewal();
 		repeat = rig.next_renewal();
 		ASSERT_NE(held.agent, repeat.agent);
 	}
 
-	SchedRig rig;
-	SchedOrder run;
 	SchedOrder held;
 	SchedOrder repeat;
 };
@@ -431,22 +442,14 @@
 	EXPECT_LE(rig.now - began_ns, 1300 * MS);
 }
 
-/* A target with one run, whose renewals no agent sends in time. */
-class SchedHeldRenewals : public ::testing::Test
+/* No agent sends its renewals in time; another target has room for the task. */
+class SchedHeldRenewals : public SchedOneRun
 {
       protected:
 	void SetUp() override
 	{
-		rig.agents(OTHERS);
-		rig.configure("q");
-		rig.runner("i-1", 1000);
+		SchedOneRun::SetUp();
 		rig.runner("i-2", 1000);
-		rig.job("q", "j", {1});
-		rig.submit();
-		rig.advance(10);
-		rig.commit();
-		run = rig.take_orders(WL_ORDER_START).at(0);
-		rig.answer(run, WL_ORDER_DONE);
 	}
 
 	/* Return: the agents that had renewals of the target. */
@@ -465,9 +468,6 @@
 		}
 		return agents;
 	}
-
-	SchedRig rig;
-	SchedOrder run;
 };
 
 /* Regression: a run was taken for lost, and started again, that had ended before anyone asked. */
--- a/tests/unit/sched_starts_test.cc
+++ b/tests/unit/sched_starts_test.cc
@@ -12,8 +12,8 @@
 const std::vector<std::string> OTHERS = {"s2", "s3", "s4", "s5"};
 constexpr size_t TASKS = 8000;
 constexpr size_t JOB_TASKS = 20;
-constexpr size_t IN_FLIGHT_MAX = 256; /* of an agent */
-constexpr size_t PASS_MAX = 1000;     /* starts that one pass may add */
+constexpr size_t IN_FLIGHT_MAX = 256; /* of an agent; placement goes on while any has fewer */
+constexpr size_t UNEVEN_MAX = 1000;   /* by which agents with more targets exceed that */
 
 class SchedStarts : public ::testing::Test
 {
@@ -63,7 +63,7 @@
 	for (const auto &start : sent)
 		by_agent[start.agent]++;
 	EXPECT_GE(sent.size(), IN_FLIGHT_MAX * OTHERS.size());
-	EXPECT_LE(sent.size(), IN_FLIGHT_MAX * OTHERS.size() + PASS_MAX);
+	EXPECT_LE(sent.size(), IN_FLIGHT_MAX * OTHERS.size() + UNEVEN_MAX);
 	EXPECT_EQ(by_agent.size(), OTHERS.size());
 	answer(sent, WL_ORDER_DONE);
 	EXPECT_GE(pass(100).size(), IN_FLIGHT_MAX * OTHERS.size());
