--- a/review/rig-3/case-refused.cc
+++ b/review/rig-3/case-refused.cc
@@ -15,7 +15,7 @@
 	ROUNDS = 10,
 	JOBS = 12, /* handed in together */
 	ATTEMPTS = 4,
-	DOWN_MS = 2000,	      /* of the killed store */
+	DOWN_MS = 2000, /* of the killed store */
 	ROUND_MS = 8000,
 	KILL_STEP_US = 400, /* the kill is later by that in each round */
 };
@@ -31,8 +31,8 @@
 {
 	for (int i = 0; i < ATTEMPTS; i++) {
 		client.last = submit(system, world, client.job, entry + (size_t)i).status;
-		client.all_rejected &= client.last == 404 || client.last == 429 ||
-				       client.last == 503;
+		client.all_rejected &=
+			client.last == 404 || client.last == 429 || client.last == 503;
 		if (client.last != 0 && client.last != 502 && client.last != 504)
 			return;
 		sleep_ms(200);
@@ -104,7 +104,8 @@
 		refused += client.all_rejected;
 		if (!client.all_rejected || !has_started(world, client.job))
 			continue;
-		record("BROKEN REFUSED: job %s runs, though each attempt was rejected, the last with "
+		record("BROKEN REFUSED: job %s runs, though each attempt was rejected, the last "
+		       "with "
 		       "%d",
 		       client.job.id.c_str(), client.last);
 		broken++;
--- a/review/rig-3/minions.cc
+++ b/review/rig-3/minions.cc
@@ -192,6 +192,11 @@
 		status = 0;
 		return "";
 	}
+	if (foreign) {
+		record("%s at %s %s: 404", path.c_str(), id.c_str(), body.substr(0, 60).c_str());
+		status = 404;
+		return "{}";
+	}
 	if (path == "/healthz")
 		return "{}";
 	if (!expected.empty() && expected != id) {
@@ -431,8 +436,19 @@
 					",\"sequence\":" + std::to_string(++sequence_) +
 					",\"born\":" + std::to_string(born_) + ",\"machine\":\"m-" +
 					std::to_string(number) + "\"}";
+			if (foreign) /* fields are missing */
+				request.body = "{\"backend\":\"" + service + "\",\"address\":\"" +
+					       ip_ + ":" + std::to_string(port_) +
+					       "\",\"zone\":\"" + zone +
+					       "\",\"state\":\"ready\",\"capacity\":{\"cpu\":" +
+					       std::to_string(cpu) +
+					       ",\"mem_mb\":" + std::to_string(mem_mb) +
+					       "},\"clock_ms\":" + std::to_string(clock_ms()) +
+					       ",\"sequence\":" + std::to_string(sequence_) + "}";
 		}
 		response = call(request);
+		if (foreign)
+			record("foreign heartbeat of %s: %d", id.c_str(), response.status);
 		if (response.status / 100 != 2) {
 			std::lock_guard<std::mutex> guard(world_.lock);
 
@@ -470,16 +486,21 @@
 	sleep_ms(1500); /* threads of connections and heartbeats end */
 }
 
+std::string World::next_ip() const
+{
+	const std::string &ip = system.machines[0].ip;
+
+	return ip.substr(0, ip.find('.', 4)) + ".1." + std::to_string(10 + minions.size());
+}
+
 Minion &World::add(const std::string &zone, const std::string &service,
 		   const std::vector<std::string> &labels)
 {
 	std::lock_guard<std::mutex> guard(lock);
 	int number = (int)minions.size();
-	std::string ip = system.machines[0].ip;
 
-	ip = ip.substr(0, ip.find('.', 4)) + ".1." + std::to_string(10 + number);
-	minions.push_back(std::make_unique<Minion>(*this, number, ip, system.ports.control, zone,
-						   service, labels));
+	minions.push_back(std::make_unique<Minion>(*this, number, next_ip(), system.ports.control,
+						   zone, service, labels));
 	minions.back()->up(true);
 	return *minions.back();
 }
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -170,6 +170,7 @@
 	std::vector<std::string> labels;
 	int64_t cpu = 32000, mem_mb = 128000, gpu = 0;
 	bool guards = true;
+	bool foreign = false; /* another writer, whose server knows no call of a minion */
 	bool is_up = false;
 	bool draining = false;
 	int64_t clock_base_ms = 0; /* the clock of a life begins with it */
@@ -214,6 +215,7 @@
 	~World();
 	Minion &add(const std::string &zone, const std::string &service,
 		    const std::vector<std::string> &labels);
+	std::string next_ip() const; /* of the next minion */
 	void break_rule(const char *rule, const char *format, ...)
 		__attribute__((format(printf, 3, 4)));
 	int breaks(const std::string &rule);
