--- a/review/rig-3/minions.cc
+++ b/review/rig-3/minions.cc
@@ -46,12 +46,25 @@
 	       (reason.empty() ? "" : ",\"reason\":\"" + reason + "\"") + "}";
 }
 
+/* Called with the world's lock. */
+void Minion::go_dark()
+{
+	record("minion %d %s loses its power with %zu runs", number, id.c_str(), runs.size());
+	is_up = false;
+	is_dark_ = true;
+	runs.clear();
+	ends.clear();
+}
+
 /* Begins a life. Called with the world's lock. */
 void Minion::up(bool new_id)
 {
 	struct sockaddr_in at = {};
 	int one = 1;
 
+	if (is_dark_)
+		sockets_close();
+	is_dark_ = false;
 	if (new_id || id.empty())
 		id = "i-" + rig::new_id().substr(0, 10);
 	life_++;
@@ -82,6 +95,14 @@
 	std::thread(&Minion::beat_loop, this, life_).detach();
 }
 
+void Minion::sockets_close()
+{
+	shutdown(listen_fd_, SHUT_RDWR);
+	close(listen_fd_);
+	for (int fd : connections_)
+		shutdown(fd, SHUT_RDWR);
+}
+
 /* Ends a life without a word. Called with the world's lock. */
 void Minion::crash()
 {
@@ -89,10 +110,7 @@
 		return;
 	is_up = false;
 	record("minion %d %s crashes with %zu runs", number, id.c_str(), runs.size());
-	shutdown(listen_fd_, SHUT_RDWR);
-	close(listen_fd_);
-	for (int fd : connections_)
-		shutdown(fd, SHUT_RDWR);
+	sockets_close();
 	runs.clear();
 	ends.clear();
 }
@@ -103,7 +121,7 @@
 		int connection = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
 		std::lock_guard<std::mutex> guard(world_.lock);
 
-		if (!is_up || life != life_) {
+		if (life != life_ || (!is_up && !is_dark_)) {
 			if (connection >= 0)
 				close(connection);
 			return;
@@ -208,6 +226,17 @@
 		status = 400;
 		return clock_json("");
 	}
+	if (path == "/-/run-start" && world_.dark_left > 0 &&
+	    text_of(json, "task").rfind(world_.dark_job, 0) == 0) {
+		record("minion %d %s: start of %s run %lld arrives", number, id.c_str(),
+		       text_of(json, "task").c_str(), (long long)number_of(json, "run_id"));
+		world_.dark_left--;
+		world_.dark_minion = this;
+		go_dark();
+		json_decref(json);
+		status = 0;
+		return "";
+	}
 	if (path == "/-/run-start" && !late && world_.late_start_ms > 0 &&
 	    (world_.late_job.empty() || text_of(json, "task").rfind(world_.late_job, 0) == 0)) {
 		int64_t delay = world_.late_start_ms;
@@ -490,7 +519,7 @@
 {
 	const std::string &ip = system.machines[0].ip;
 
-	return ip.substr(0, ip.find('.', 4)) + ".1." + std::to_string(10 + minions.size());
+	return ip.substr(0, ip.rfind('.') + 1) + std::to_string(100 + minions.size());
 }
 
 Minion &World::add(const std::string &zone, const std::string &service,
--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -204,7 +204,8 @@
     : root_(root), folder_(folder)
 {
 	std::random_device random;
-	int net = 16 + (int)(random() % 200);
+	std::string net = "127." + std::to_string(16 + getpid() % 200) + "." +
+			  std::to_string(getpid() / 200 % 250) + ".";
 	int base;
 
 	do
@@ -216,7 +217,7 @@
 		Machine machine;
 
 		machine.role = i < stores ? "store" : "entry";
-		machine.ip = "127." + std::to_string(net) + ".0." + std::to_string(10 + i);
+		machine.ip = net + std::to_string(10 + i);
 		machine.zone = zones[(size_t)i % zones.size()];
 		machine.command = deploy_command(root, machine.role);
 		machine.folder = folder + "/" + machine.role + std::to_string(i);
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -163,6 +163,7 @@
 	       const std::string &service, const std::vector<std::string> &labels);
 	void up(bool new_id);
 	void crash();
+	void go_dark(); /* crashes without a sign: its connections stay silent */
 	void drain();
 	std::string id;
 	std::string zone;
@@ -180,6 +181,7 @@
 
       private:
 	friend class World;
+	void sockets_close();
 	void listen_loop(int fd, int life);
 	void connection_loop(int fd, int life);
 	void beat_loop(int life);
@@ -195,6 +197,7 @@
 	std::string ip_;
 	int port_;
 	int life_ = 0;
+	bool is_dark_ = false;
 	int listen_fd_ = -1;
 	std::set<int> connections_;
 	int64_t born_ = 0;
@@ -233,6 +236,10 @@
 	int late_start_ms = 0;
 	std::string late_job;	       /* only a start of this job; empty: any */
 	Minion *late_minion = nullptr; /* the one whose start is late */
+	/* Minions that are to lose their power as a start of this job arrives. */
+	std::string dark_job;
+	int dark_left = 0;
+	Minion *dark_minion = nullptr;
 	int starts = 0;
 	int late_orders = 0;
 	void tick();
