--- a/review/rig-3/case-unanswered.cc
+++ b/review/rig-3/case-unanswered.cc
@@ -7,7 +7,7 @@
 using namespace rig;
 
 enum {
-	MINIONS = 12,
+	MINIONS = 13,
 	CRASHES = 4,
 	OTHERS = 60, /* jobs beside */
 	DOWN_MS = 2200,
--- a/review/rig-3/minions.cc
+++ b/review/rig-3/minions.cc
@@ -376,7 +376,7 @@
 
 	runs.erase(task);
 	barred_[task] = std::max(barred_[task], run.number);
-	ends.push_back({next_end_++, task, run.number, how, now_ms()});
+	ends.push_back({next_end_++, task, run.number, how, now_ms(), false});
 	record("minion %d %s: %s run %lld ends %s", number, id.c_str(), task.c_str(),
 	       (long long)run.number, how.c_str());
 	if (how == "done" && !seen.done) {
@@ -402,7 +402,9 @@
 		const End &end = ends.front();
 		TaskSeen &task = world_.tasks[end.task];
 
-		if (end.how == "done" && !task.done_noted) {
+		if (end.how == "done" && !end.lapsed && !task.done_noted) {
+			record("minion %d %s: the end of %s run %lld is taken note of", number,
+			       id.c_str(), end.task.c_str(), (long long)end.run);
 			task.done_noted = true;
 			task.noted_ms = now_ms();
 			if (task.started < 0)
@@ -649,6 +651,8 @@
 		for (auto &run : minion->runs)
 			names.push_back(run.first);
 		if (minion->clock_ms() > minion->lease_until_) {
+			for (End &end : minion->ends)
+				end.lapsed = true;
 			for (const std::string &name : names)
 				minion->end_run(name, "lapsed");
 			continue;
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -135,6 +135,7 @@
 	int64_t run;
 	std::string how;
 	int64_t at_ms;
+	bool lapsed; /* the lease has lapsed before the end was taken note of */
 };
 
 /* A start that a minion has begun. */
