sched: send each incarnation of a target an order once it is heard of

Cause: an incarnation refuses orders for the ones before it from its first order on, by its epoch, and an idle one got no order. The stop of the start is remembered for 5 s, and by no later leader.

Now a renewal goes to each incarnation as soon as it is heard of, whatever runs there, and again until one is answered; a new leader sends one to each target. That needs no memory of the start and no clock.

--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -138,6 +138,8 @@
 	/* bits of the agents that had an answer of it at the present address */
 	uint64_t answered_agents;
 	bool unknown_listed; /* its newest list has runs that the leader does not know */
+	/* it has answered an order with its fence, and refuses those for earlier incarnations */
+	bool fenced;
 	bool departing;	     /* it has announced its departure */
 	bool removal_proposed;
 	const char *removal_reason;
@@ -191,6 +193,7 @@
 	uint64_t reported_ns;
 	uint64_t answered_ns; /* newest answer to any order */
 	uint64_t renewal_id;  /* of the newest renewal in flight; 0: none */
+	bool renewal_idle;    /* the newest renewal was sent while no run needed a lease */
 	uint64_t renewal_due_ns;
 	uint64_t renewal_overdue_ns;  /* its agent holds it up if it has not reported by then */
 	uint64_t renewal_answered_id; /* of the newest renewal that was answered */
--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -46,8 +46,8 @@
 
 /*
  * An incarnation refuses orders for the ones before it once it has received its first order. A
- * renewal that is carried out late would make it forget ends that it has not listed yet, as each
- * incarnation numbers its ends anew.
+ * start that is carried out late would run a task again. A renewal would make it forget ends that
+ * it has not listed yet, as each incarnation numbers its ends anew.
  */
 static void fence_raise(wl_sched_t *sched, wl_sched_runner_t *runner)
 {
@@ -96,14 +96,18 @@
 							 : runner->answered_ns;
 }
 
+static bool is_silent(const wl_sched_runner_t *runner, uint64_t now_ns)
+{
+	return now_ns - last_contact_ns(runner) >= UNREACHABLE_MS * WL_NS_PER_MS;
+}
+
 static void usable_update(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	uint64_t last_ns = last_contact_ns(runner);
 	bool usable = !runner->state->departed_ms && !runner->known.departing &&
 		      !runner->known.removal_proposed && !runner->state->report.draining &&
 		      !wl_sched_zone_closed(runner, now_ns) && runner->known.clock_ns && last_ns &&
-		      now_ns - last_ns < UNREACHABLE_MS * WL_NS_PER_MS &&
-		      now_ns >= runner->quarantined_until_ns;
+		      !is_silent(runner, now_ns) && now_ns >= runner->quarantined_until_ns;
 
 	if (usable == runner->fit.usable)
 		return;
@@ -167,6 +171,7 @@
 	runner->known.late_leases_expiry_ns = runner->late_orders_over_ns + lease_max_ns;
 	wl_sched_stops_forget(runner);
 	lookup_begin(sched, runner);
+	runner->renewal_id = 0; /* the one in flight says nothing of this incarnation */
 	labels_update(sched, runner);
 	wl_sched_open_starts_stop(sched, now_ns, runner);
 }
@@ -264,7 +269,7 @@
 static bool needs_immediate_answer(const wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	return runner->known.clock_ns == 0 || runner->known.renewal_failed ||
-	       has_unknown_run(runner, now_ns);
+	       !runner->known.fenced || has_unknown_run(runner, now_ns);
 }
 
 /*
@@ -325,9 +330,18 @@
 	if (needs_lease && may_request_lease(runner))
 		order.lease_ms = wl_sched_runner_clock_ms(runner, now_ns) + sched->options.lease_ms;
 	runner->known.ack_due = false;
+	runner->renewal_idle = !needs_lease;
 	renewal_order(sched, now_ns, runner, &order);
 }
 
+/* Whether a renewal is in flight that also renews the leases of the runs that are there now. */
+static bool is_renewal_open(const wl_sched_runner_t *runner)
+{
+	if (!runner->renewal_id)
+		return false;
+	return !runner->renewal_idle || !wl_sched_runner_needs_lease(runner);
+}
+
 /* Whether the agent of the renewal in flight holds it up, and another replica can send it. */
 static bool renewal_held_up(const wl_sched_t *sched, uint64_t now_ns,
 			    const wl_sched_runner_t *runner)
@@ -364,7 +378,7 @@
 {
 	bool needs_lease = wl_sched_runner_needs_lease(runner);
 
-	if (needs_lease || runner->known.ack_due || runner->probe_due ||
+	if (needs_lease || runner->known.ack_due || runner->probe_due || !runner->known.fenced ||
 	    may_have_unknown(runner, now_ns))
 		renewal_send(sched, now_ns, runner, needs_lease);
 }
@@ -387,7 +401,7 @@
 	wl_sched_agent_retry(runner, now_ns);
 	if (leases_are_over(runner, now_ns) && wl_sched_runner_needs_lease(runner))
 		wl_sched_runs_expire(sched, now_ns, runner, out);
-	if (!runner->renewal_id && now_ns >= runner->renewal_due_ns)
+	if (now_ns >= runner->renewal_due_ns && !is_renewal_open(runner))
 		renewal_send_due(sched, now_ns, runner);
 	else if (renewal_held_up(sched, now_ns, runner))
 		renewal_repeat(sched, now_ns, runner);
@@ -588,7 +602,10 @@
 
 static uint64_t retry_ms(wl_sched_runner_t *runner, uint64_t now_ns)
 {
-	return only_unknown_left(runner, now_ns) ? UNKNOWN_RETRY_MS : RENEWAL_RETRY_MS;
+	if (wl_sched_runner_needs_lease(runner))
+		return RENEWAL_RETRY_MS;
+	return may_have_unknown(runner, now_ns) || is_silent(runner, now_ns) ? UNKNOWN_RETRY_MS
+									     : RENEWAL_RETRY_MS;
 }
 
 static void renewal_fail(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner,
@@ -642,7 +659,8 @@
 	wl_sched_run_t *run;
 
 	if (renewal_superseded(runner, order, end)) {
-		wl_sched_agent_avoid(sched, runner, now_ns, order->agent);
+		if (order->lookup == runner->lookup)
+			wl_sched_agent_avoid(sched, runner, now_ns, order->agent);
 		return;
 	}
 	if (runner->renewal_id == order->id)
@@ -673,6 +691,7 @@
 		runner->answered_ns = now_ns;
 	}
 	runner->known.renewal_failed = false;
+	runner->known.fenced |= order->lookup == runner->lookup;
 	runner->renewal_answered_id = order->id;
 	if (order->incarnation == runner->incarnation &&
 	    order->committed_ends > runner->known.ends_acknowledged)
--- a/tests/support/crash_fleet.cc
+++ b/tests/support/crash_fleet.cc
@@ -17,6 +17,7 @@
 
 CrashFleet::CrashFleet(const CrashFleetOptions &of) : options(of), random(of.seed)
 {
+	rig.first_renewals_answered = false;
 	rig.configure("q");
 	for (size_t i = 0; i < options.targets; i++) {
 		Machine machine = {};
--- a/tests/support/crash_targets.h
+++ b/tests/support/crash_targets.h
@@ -25,6 +25,7 @@
 
 	CrashTargets()
 	{
+		rig.first_renewals_answered = false;
 		rig.configure("q");
 	}
 
--- a/tests/support/sched_history.cc
+++ b/tests/support/sched_history.cc
@@ -43,6 +43,7 @@
 			faults |= bit;
 	faults |= allowed & (FAULT_RENAMES | FAULT_CANCELS);
 	begin_ns = rig.now;
+	rig.first_renewals_answered = false;
 	rig.agents({"s2", "s3"});
 	rig.configure("q", 0, PERMILLE);
 	rig.hold_commits = faults & FAULT_CANCELS;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -142,7 +142,12 @@
 	std::map<uint64_t, uint64_t> codes; /* wl_code_t of these */
 	/* daemons whose send queue is full: orders for them are rejected */
 	std::set<std::string> full_queues;
-	std::set<std::string> silent;	  /* agents */
+	std::set<std::string> silent; /* agents */
+	/*
+	 * Targets without runs answer the first renewal of each incarnation, and these are not in
+	 * orders.
+	 */
+	bool first_renewals_answered = true;
 	uint64_t agent_offset_ms = 70000; /* how far the clocks of other replicas are ahead */
 	size_t sent_bytes_max = 0;	  /* the longest of these, encoded */
 	std::vector<std::string> log;
@@ -154,6 +159,7 @@
 	void step(wl_event_t *event);
 	void out_take(wl_out_t *out);
 	void agent_clock(const std::string &agent);
+	bool first_renewal_answer(const SchedOrder &order);
 	void message_take(const wl_action_t &action);
 	void orders_reject(const wl_action_t &action);
 	void order_end(const SchedOrder &order, wl_order_end_t *end);
@@ -164,6 +170,7 @@
 	wl_metrics_t metrics;
 	std::deque<std::pair<uint64_t, wl_cmd_t>> proposed;
 	std::deque<wl_event_t> rejected; /* answers of the daemon and of agents, not sent yet */
+	std::map<std::string, uint64_t> epochs; /* highest one of the orders to each target */
 	wl_cmd_t next_job = {};
 	uint64_t index = 0;
 	uint64_t elected_index = 0; /* of the newest command when the leader was elected */
--- a/tests/unit/sched_clock_back_test.cc
+++ b/tests/unit/sched_clock_back_test.cc
@@ -17,9 +17,13 @@
 
 	ClockBack()
 	{
+		rig.first_renewals_answered = false; /* pass() does, as the incarnation that is up */
 		rig.agents({"s1"});
 		rig.configure("q");
 		rig.runner("i-1", 32000, BEFORE);
+		pass(1000, BEFORE);
+		EXPECT_EQ(renewals, 1u) << "the first order of an incarnation";
+		renewals = 0;
 		pass(2000, BEFORE);
 	}
 
