jobs: look a submitted job up before its route

Cause: wl_jobs_resolve() asks for the queue first, before the proposal and when the command is applied. The job belongs to the host and path at which it was accepted, and is found by these without a route.

wl_jobs_accepted() is asked first in both places. With a route the answer is success, as before; without one an error with the verdict "ran", which the platform's dialect writes as 504: 404, 429 and 503 say there that the job never runs, and a success would be one of a route that is not in force. Reading a job keeps asking for the route first.

--- a/libwlcore/job/jobs.c
+++ b/libwlcore/job/jobs.c
@@ -389,6 +389,24 @@
 	return id.len > 0 && id.len <= ID_BYTES_MAX && !memchr(id.at, '/', id.len);
 }
 
+/*
+ * wl_jobs_accepted - whether a submission is of a job that was accepted before
+ * @result: filled in if it is; without a route an error, whose verdict tells that the job runs
+ */
+bool wl_jobs_accepted(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, wl_result_t *result)
+{
+	if (!wl_jobs_at(jobs, host, path))
+		return false;
+	if (wl_catalog_route(&jobs->catalog, host, path)) {
+		wl_result_ok(result, 0);
+		return true;
+	}
+	wl_result_fail(result, WL_E_NOT_FOUND,
+		       "the job was accepted; no queue has this host and path any more");
+	result->verdict = WL_RAN;
+	return true;
+}
+
 void wl_jobs_add(wl_jobs_t *jobs, const wl_cmd_job_add_t *cmd, uint64_t clock_ms,
 		 wl_result_t *result)
 {
@@ -397,12 +415,9 @@
 	wl_job_t *job;
 	wl_err_t err;
 
-	if (!wl_jobs_resolve(jobs, wl_buf_str(&cmd->host), path, &queue, &job, result))
+	if (wl_jobs_accepted(jobs, wl_buf_str(&cmd->host), path, result) ||
+	    !wl_jobs_resolve(jobs, wl_buf_str(&cmd->host), path, &queue, &job, result))
 		return;
-	if (job) {
-		wl_result_ok(result, 0);
-		return;
-	}
 	if (wl_jobs_is_cancelled(jobs, wl_buf_str(&cmd->host), path)) {
 		wl_result_fail(result, WL_E_GONE, "the job was cancelled before it was accepted");
 		return;
--- a/libwlcore/job/jobs.h
+++ b/libwlcore/job/jobs.h
@@ -228,6 +228,7 @@
 			  const wl_queue_t **queue);
 bool wl_jobs_resolve(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, const wl_queue_t **queue,
 		     wl_job_t **job, wl_result_t *result);
+bool wl_jobs_accepted(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path, wl_result_t *result);
 bool wl_jobs_is_cancelled(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path);
 const wl_job_t *wl_jobs_elsewhere(const wl_jobs_t *jobs, wl_str_t host, wl_str_t path);
 bool wl_runner_report_is_newer(const wl_runner_t *runner, const wl_runner_report_t *report);
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -144,19 +144,17 @@
 	return true;
 }
 
+/* A job that is known comes before its route: an earlier copy of the submission may be committed.
+ */
 static bool job_is_settled(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
 {
-	const wl_cmd_job_add_t *add = &cmd->u.job_add;
+	wl_str_t host = wl_buf_str(&cmd->u.job_add.host);
+	wl_str_t path = wl_buf_str(&cmd->u.job_add.path);
 	const wl_queue_t *queue;
 	wl_job_t *job;
 
-	if (!wl_jobs_resolve(sched->jobs, wl_buf_str(&add->host), wl_buf_str(&add->path), &queue,
-			     &job, result))
-		return true;
-	if (!job)
-		return false;
-	wl_result_ok(result, 0);
-	return true;
+	return wl_jobs_accepted(sched->jobs, host, path, result) ||
+	       !wl_jobs_resolve(sched->jobs, host, path, &queue, &job, result);
 }
 
 /* Logs a call for a job whose id is that of a job with another host or path. */
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -48,6 +48,7 @@
 	uint64_t pending;
 	std::string text;
 	uint64_t retry_ms;
+	uint64_t verdict; /* wl_verdict_t */
 };
 
 /*
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -274,6 +274,11 @@
 	EXPECT_EQ(write(WL_OPERATION_JOB_GET, result).substr(0, 3), "410");
 	result.code = WL_E_BAD_INPUT;
 	EXPECT_EQ(write(WL_OPERATION_CATALOG_PUT, result).substr(0, 3), "400");
+	result.verdict = WL_RAN; /* accepted before its route was removed */
+	result.code = WL_E_NOT_FOUND;
+	EXPECT_EQ(write(WL_OPERATION_JOB_ADD, result).substr(0, 3), "504");
+	result.code = WL_E_GONE;
+	EXPECT_EQ(write(WL_OPERATION_JOB_CANCEL, result).substr(0, 3), "410");
 }
 
 const char CATALOG[] =
