node: count the refusal of a command only if no later copy was sent

A caller could be told that its job does not run although it does: the entry sends a submission again to a new leader, or after a second, and the first answer ended the call, whichever copy it belonged to. If the first copy was refused for want of a route, the answer is late, and the route is there when the second copy arrives, that one is accepted.

Each copy has an id of its own on the wire now; a refusal of an earlier one is passed over.

--- a/libwlcore/node/calls.c
+++ b/libwlcore/node/calls.c
@@ -2,7 +2,8 @@
  * Calls to the leader.
  *
  * Commands are idempotent, so a call without an answer is sent again: to the
- * same leader after RESEND_MS, to a new leader at once.
+ * same leader after RESEND_MS, to a new leader at once.  Each copy has an id of
+ * its own on the wire: that one copy was refused says nothing of later ones.
  */
 
 #include "calls.h"
@@ -15,6 +16,8 @@
 #define RESEND_MS 1000
 #define RETRY_MS  100
 
+#define COPIES 256 /* ids of a call; the last one is used for all further copies */
+
 /*
  * wl_calls_init - initialize an empty set of calls
  * @boot: first wire id; random at each start of the daemon, so that the answer
@@ -22,7 +25,7 @@
  */
 void wl_calls_init(wl_calls_t *calls, uint64_t boot)
 {
-	calls->next_wire_id = boot;
+	calls->next_wire_id = boot / COPIES * COPIES;
 	wl_map_init(&calls->by_wire_id);
 	TAILQ_INIT(&calls->open);
 }
@@ -48,11 +51,19 @@
 	wl_map_free(&calls->by_wire_id);
 }
 
+static uint64_t *msg_call(wl_msg_t *msg)
+{
+	return msg->kind == WL_MSG_COMMAND ? &msg->u.command.call : &msg->u.query.call;
+}
+
 static void call_send(wl_leader_call_t *call, wl_str_t leader, uint64_t now_ns, wl_out_t *out)
 {
 	call->resend_ns = now_ns + (leader.len ? RESEND_MS : RETRY_MS) * WL_NS_PER_MS;
 	if (leader.len == 0)
 		return;
+	if (call->sent && call->copy < COPIES - 1)
+		call->copy++;
+	*msg_call(&call->msg) = call->wire_id + call->copy;
 	wl_msg_copy(wl_out_send(out, leader, WL_MSG_NONE), &call->msg);
 	wl_buf_set(&call->leader, leader);
 	call->sent = true;
@@ -68,14 +79,12 @@
 		  wl_out_t *out)
 {
 	wl_leader_call_t *call = wl_alloc(sizeof(*call));
-	uint64_t *id;
 
 	call->msg = action->msg;
 	wl_msg_init(&action->msg, WL_MSG_NONE);
-	id = call->msg.kind == WL_MSG_COMMAND ? &call->msg.u.command.call : &call->msg.u.query.call;
-	call->id = *id;
-	call->wire_id = calls->next_wire_id++;
-	*id = call->wire_id;
+	call->id = *msg_call(&call->msg);
+	call->wire_id = calls->next_wire_id;
+	calls->next_wire_id += COPIES;
 	call->deadline_ns = action->deadline_ns;
 	call->key = (wl_str_t){(const char *)&call->wire_id, sizeof(call->wire_id)};
 	wl_map_put(&calls->by_wire_id, call);
@@ -83,6 +92,13 @@
 	call_send(call, leader, now_ns, out);
 }
 
+/* Whether a command was refused to a copy of the call after which others were sent. */
+static bool is_refusal_of_earlier_copy(const wl_leader_call_t *call, const wl_msg_result_t *answer)
+{
+	return call->msg.kind == WL_MSG_COMMAND && answer->result.code != WL_OK &&
+	       answer->result.verdict == WL_NOT_RUN && answer->call % COPIES < call->copy;
+}
+
 /*
  * wl_calls_answer - process an answer to a call
  * @answer: its result is moved from if the call ends
@@ -91,14 +107,16 @@
  *
  * Return: whether a call ended.  An answer that matches no open call is
  * ignored; after one of a daemon that does not lead, the call is retried.
+ * A refusal of an earlier copy is ignored, as a later one may be accepted.
  */
 bool wl_calls_answer(wl_calls_t *calls, wl_msg_result_t *answer, uint64_t now_ns,
 		     wl_call_outcome_t *outcome)
 {
-	wl_str_t key = {(const char *)&answer->call, sizeof(answer->call)};
-	wl_leader_call_t *call = wl_map_get(&calls->by_wire_id, key);
+	uint64_t wire_id = answer->call / COPIES * COPIES;
+	wl_leader_call_t *call =
+		wl_map_get(&calls->by_wire_id, (wl_str_t){(const char *)&wire_id, sizeof(wire_id)});
 
-	if (!call)
+	if (!call || is_refusal_of_earlier_copy(call, answer))
 		return false;
 	if (answer->result.code == WL_E_NO_LEADER) {
 		call->resend_ns = now_ns + RETRY_MS * WL_NS_PER_MS;
--- a/libwlcore/node/calls.h
+++ b/libwlcore/node/calls.h
@@ -9,7 +9,8 @@
 
 typedef struct wl_leader_call {
 	wl_str_t key;	  /* the bytes of wire_id */
-	uint64_t wire_id; /* not used by an earlier start of the daemon */
+	uint64_t wire_id; /* of its first copy; not used by an earlier start of the daemon */
+	uint64_t copy;	  /* number of the copy sent last, from 0 */
 	uint64_t id;	  /* WL_PART_ID() of the caller */
 	uint64_t deadline_ns;
 	uint64_t resend_ns;
