evacuation: refuse orders that waited while others overtook them

Cause: what an order for a zone means depends on when it is committed, and nothing tied that to the time for which its caller waits. The gate counts a call's time from when it reads it.

The daemon now asks the leader for the zone's basis, then looks whether the caller's connection is open in both directions, then sends the order with that basis, and the leader proposes it only if it still names it: another one for each leader, and after each order for the zone. What the caller orders elsewhere comes after it has closed the connection, so after the basis was named, whatever stood still and for how long. An order that was overtaken gets no clear answer, as a copy of it may have been carried out. The same holds for /v1/evacuations.

--- a/bench/harness.c
+++ b/bench/harness.c
@@ -153,6 +153,7 @@
 	case WL_ACTION_FATAL:
 		fprintf(stderr, "fatal: " WL_STR_FMT "\n", WL_STR_ARG(wl_buf_str(&action->line)));
 		exit(1);
+	case WL_ACTION_CALLER_CHECK:
 	case WL_ACTION_DIAL:
 	case WL_ACTION_FETCH_CANCEL:
 	case WL_ACTION_PROPOSE:
--- a/daemon/event_loop.c
+++ b/daemon/event_loop.c
@@ -148,6 +148,15 @@
 		wl_http_server_reply(server, &action->reply);
 }
 
+static void do_caller_check(wl_event_loop_t *loop, const wl_action_t *action)
+{
+	wl_http_server_t *server = server_by_call(loop, action->caller);
+	bool present = server && wl_http_server_caller_waits(server, action->caller);
+
+	internal_event_add(loop, present ? WL_EVENT_CALL_PRESENT : WL_EVENT_CALL_ABANDONED)
+		->call.id = action->caller;
+}
+
 static void do_fetch(wl_event_loop_t *loop, wl_action_t *action)
 {
 	wl_event_t *event;
@@ -224,6 +233,9 @@
 	case WL_ACTION_REPLY:
 		do_reply(loop, action);
 		return;
+	case WL_ACTION_CALLER_CHECK:
+		do_caller_check(loop, action);
+		return;
 	case WL_ACTION_FETCH:
 		do_fetch(loop, action);
 		return;
--- a/libwlcore/api/api.c
+++ b/libwlcore/api/api.c
@@ -248,7 +248,8 @@
 	}
 	wl_buf_set(&cmd.u.zone_evacuate.availability_zone, zone);
 	pending = wl_api_pending_call_add(api, call, WL_API_PENDING_FORWARD);
-	wl_out_leader_command(out, pending->id, &cmd, now_ns + WL_API_CALL_MS * WL_NS_PER_MS);
+	wl_out_leader_conditional(out, pending->id, &cmd, now_ns + WL_API_CALL_MS * WL_NS_PER_MS,
+				  call->id);
 	wl_cmd_free(&cmd);
 }
 
--- a/libwlcore/gate/gate.c
+++ b/libwlcore/gate/gate.c
@@ -215,7 +215,10 @@
 	wl_cmd_t cmd = {0};
 
 	if (operation_to_command(operation, &cmd)) {
-		wl_out_leader_command(out, id, &cmd, until_ns);
+		if (cmd.kind == WL_CMD_ZONE_EVACUATE)
+			wl_out_leader_conditional(out, id, &cmd, until_ns, call);
+		else
+			wl_out_leader_command(out, id, &cmd, until_ns);
 		wl_cmd_free(&cmd);
 		return;
 	}
--- a/libwlcore/leader/query.c
+++ b/libwlcore/leader/query.c
@@ -428,6 +428,7 @@
 	case WL_QUERY_REPLACE:
 	case WL_QUERY_JOB:
 	case WL_QUERY_CATALOG:
+	case WL_QUERY_ZONE_BASIS:
 		break;
 	}
 	wl_result_fail(result, WL_E_BAD_INPUT, "the leader does not serve this kind of query");
--- a/libwlcore/model/cmd.c
+++ b/libwlcore/model/cmd.c
@@ -146,6 +146,7 @@
 static const wl_field_t cmd_zone_evacuate_fields[] = {
 	WL_FIELD(wl_cmd_zone_evacuate_t, availability_zone, WL_FIELD_BYTES),
 	WL_FIELD(wl_cmd_zone_evacuate_t, withdrawn, WL_FIELD_BOOL),
+	WL_FIELD(wl_cmd_zone_evacuate_t, basis, WL_FIELD_U64),
 };
 
 static const wl_schema_t cmd_zone_evacuate_schema =
--- a/libwlcore/model/cmd.h
+++ b/libwlcore/model/cmd.h
@@ -171,6 +171,7 @@
 typedef struct wl_cmd_zone_evacuate {
 	wl_buf_t availability_zone;
 	bool withdrawn;
+	uint64_t basis; /* valid only if the leader still names it; 0: valid in any case */
 } wl_cmd_zone_evacuate_t;
 
 /* Committed before the start order is sent, so that every later leader has the run. */
--- a/libwlcore/model/event.c
+++ b/libwlcore/model/event.c
@@ -225,6 +225,28 @@
 	wl_cmd_pack(cmd, &action->msg.u.command.cmd);
 }
 
+/*
+ * wl_out_leader_conditional - send a command to the leader unless another one for the same object
+ * comes between; ends in one RESULT event
+ * @call, @cmd, @deadline_ns: as for wl_out_leader_command()
+ * @caller: id of the HTTP call that orders it; its caller must still be there
+ */
+void wl_out_leader_conditional(wl_out_t *out, uint64_t call, const wl_cmd_t *cmd,
+			       uint64_t deadline_ns, uint64_t caller)
+{
+	wl_out_leader_command(out, call, cmd, deadline_ns);
+	out->actions[out->count - 1].caller = caller;
+}
+
+/*
+ * wl_out_caller_check - ask whether the caller of an HTTP call is still there; ends in a
+ * CALL_PRESENT or CALL_ABANDONED event
+ */
+void wl_out_caller_check(wl_out_t *out, uint64_t caller)
+{
+	wl_out_add(out, WL_ACTION_CALLER_CHECK)->caller = caller;
+}
+
 /*
  * wl_out_leader_query - send a query to the leader; ends in one RESULT event
  * @call, @deadline_ns: as for wl_out_leader_command()
--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -16,6 +16,7 @@
 	WL_EVENT_PEER_DOWN,	 /* messages sent over the link may be lost */
 	WL_EVENT_CALL,		 /* an HTTP request */
 	WL_EVENT_CALL_ABANDONED, /* the caller closed the connection */
+	WL_EVENT_CALL_PRESENT,	 /* it has not: answer to CALLER_CHECK */
 	WL_EVENT_FETCHED,	 /* an outgoing HTTP call has ended */
 	WL_EVENT_PERSISTED,
 	WL_EVENT_DRAIN, /* planned stop */
@@ -74,7 +75,7 @@
 	uint64_t made_ns;     /* time of creation; TICK: time when it was due; 0: none given */
 	wl_buf_t peer;	      /* PEER, PEER_UP, PEER_DOWN: daemon name */
 	wl_msg_t msg;	      /* PEER */
-	wl_call_t call;	      /* CALL; CALL_ABANDONED: id only */
+	wl_call_t call;	      /* CALL; CALL_ABANDONED, CALL_PRESENT: id only */
 	wl_fetched_t fetched; /* FETCHED */
 	uint64_t ticket;      /* PERSISTED */
 	uint64_t wall_ms;     /* TICK, LEAD: Unix time, ms; 0: unknown */
@@ -92,10 +93,11 @@
 } wl_event_t;
 
 typedef enum wl_action_kind {
-	WL_ACTION_SEND,	 /* send msg to a daemon by name */
-	WL_ACTION_DIAL,	 /* keep a link to this daemon at this address */
-	WL_ACTION_REPLY, /* to an HTTP call */
-	WL_ACTION_FETCH, /* make an HTTP call */
+	WL_ACTION_SEND,		/* send msg to a daemon by name */
+	WL_ACTION_DIAL,		/* keep a link to this daemon at this address */
+	WL_ACTION_REPLY,	/* to an HTTP call */
+	WL_ACTION_CALLER_CHECK, /* whether the caller of an HTTP call still waits for the answer */
+	WL_ACTION_FETCH,	/* make an HTTP call */
 	WL_ACTION_FETCH_CANCEL,
 	WL_ACTION_PERSIST,
 	WL_ACTION_PROPOSE,     /* from the leader component to the log */
@@ -113,6 +115,7 @@
 	WL_PART_NODE = 4,
 	WL_PART_AGENT = 5,
 	WL_PART_GATE = 6,
+	WL_PART_CONDITIONAL = 7,
 } wl_part_t;
 
 #define WL_PART_SHIFT	    56
@@ -150,8 +153,11 @@
 	wl_cmd_t cmd;	      /* PROPOSE */
 	uint64_t tag;	      /* PROPOSE */
 	uint64_t deadline_ns; /* LEADER_CALL */
-	wl_level_t level;     /* LOG */
-	wl_buf_t line;	      /* LOG: key=value pairs; EXIT, FATAL: reason */
+	/* CALLER_CHECK; LEADER_CALL: the command is conditional, for this HTTP call; 0: it is not
+	 */
+	uint64_t caller;
+	wl_level_t level; /* LOG */
+	wl_buf_t line;	  /* LOG: key=value pairs; EXIT, FATAL: reason */
 } wl_action_t;
 
 typedef struct wl_out {
@@ -177,6 +183,9 @@
 void wl_out_reply_error(wl_out_t *out, uint64_t call, const wl_err_t *err);
 void wl_out_propose(wl_out_t *out, wl_cmd_t *cmd, uint64_t tag);
 void wl_out_leader_command(wl_out_t *out, uint64_t call, const wl_cmd_t *cmd, uint64_t deadline_ns);
+void wl_out_leader_conditional(wl_out_t *out, uint64_t call, const wl_cmd_t *cmd,
+			       uint64_t deadline_ns, uint64_t caller);
+void wl_out_caller_check(wl_out_t *out, uint64_t caller);
 wl_msg_query_t *wl_out_leader_query(wl_out_t *out, uint64_t call, wl_query_kind_t kind,
 				    uint64_t deadline_ns);
 void wl_out_log(wl_out_t *out, wl_level_t level, const char *event, const char *pairs, ...)
--- a/libwlcore/model/msg.h
+++ b/libwlcore/model/msg.h
@@ -125,6 +125,7 @@
 	WL_QUERY_JOB,	   /* customer: host; name: path of a job or of its queue */
 	WL_QUERY_CATALOG,  /* body: the configuration as it was sent */
 	WL_QUERY_EVACUATIONS,
+	WL_QUERY_ZONE_BASIS, /* name: availability zone; index: basis of the next order for it */
 } wl_query_kind_t;
 
 typedef struct wl_msg_query {
--- a/libwlcore/node/internal.h
+++ b/libwlcore/node/internal.h
@@ -9,6 +9,7 @@
 #include <libwlcore/api/auth.h>
 #include <libwlcore/gate/gate.h>
 #include <libwlcore/node/calls.h>
+#include <libwlcore/node/conditional.h>
 #include <libwlcore/leader/leader.h>
 #include <libwlcore/node/node.h>
 #include <libwlcore/owner/owner.h>
@@ -72,6 +73,7 @@
 	wl_gate_t *gate;  /* NULL without a dialect */
 	uint64_t wall_ms; /* Unix time at the last tick */
 	wl_calls_t calls;
+	wl_conditionals_t conditionals;
 
 	uint64_t drain_started_ns; /* when draining started; 0: not draining */
 	bool session_ending;
--- a/libwlcore/node/measure.c
+++ b/libwlcore/node/measure.c
@@ -7,10 +7,15 @@
 #define LABELS_BYTES 48
 
 static const char *const event_names[WL_EVENT_KINDS] = {
-	[WL_EVENT_TICK] = "tick",	[WL_EVENT_PEER] = "peer",
-	[WL_EVENT_PEER_UP] = "peer-up", [WL_EVENT_PEER_DOWN] = "peer-down",
-	[WL_EVENT_CALL] = "call",	[WL_EVENT_CALL_ABANDONED] = "call-gone",
-	[WL_EVENT_FETCHED] = "fetched", [WL_EVENT_PERSISTED] = "persisted",
+	[WL_EVENT_TICK] = "tick",
+	[WL_EVENT_PEER] = "peer",
+	[WL_EVENT_PEER_UP] = "peer-up",
+	[WL_EVENT_PEER_DOWN] = "peer-down",
+	[WL_EVENT_CALL] = "call",
+	[WL_EVENT_CALL_ABANDONED] = "call-gone",
+	[WL_EVENT_CALL_PRESENT] = "call-present",
+	[WL_EVENT_FETCHED] = "fetched",
+	[WL_EVENT_PERSISTED] = "persisted",
 	[WL_EVENT_SEEDS] = "seeds",
 };
 
--- a/libwlcore/node/new.c
+++ b/libwlcore/node/new.c
@@ -183,6 +183,7 @@
 	wl_metrics_init(&node->metrics);
 	wl_view_init(&node->view);
 	wl_calls_init(&node->calls, options->boot);
+	wl_conditionals_init(&node->conditionals);
 	node_make_session(node, now_ns);
 	node_make_api(node);
 	node_make_gate(node);
@@ -231,6 +232,7 @@
 	wl_api_free(node->api);
 	wl_gate_free(node->gate);
 	wl_calls_free(&node->calls);
+	wl_conditionals_free(&node->conditionals);
 	wl_start_times_free(&node->measures.proposed);
 	wl_session_free(&node->session);
 	wl_view_free(&node->view);
--- a/libwlcore/node/node.c
+++ b/libwlcore/node/node.c
@@ -41,6 +41,25 @@
 	return wl_buf_str(&node->session.leader);
 }
 
+static void call_ended(wl_node_t *node, uint64_t now_ns, wl_call_outcome_t *outcome, wl_out_t *out);
+
+static void basis_received(wl_node_t *node, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+{
+	wl_call_outcome_t outcome;
+
+	if (wl_conditionals_basis(&node->conditionals, event, &outcome, out))
+		call_ended(node, now_ns, &outcome, out);
+}
+
+static void caller_checked(wl_node_t *node, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
+{
+	wl_call_outcome_t outcome;
+
+	if (wl_conditionals_caller(&node->conditionals, event->call.id,
+				   event->kind == WL_EVENT_CALL_PRESENT, &outcome, out))
+		call_ended(node, now_ns, &outcome, out);
+}
+
 static void call_ended(wl_node_t *node, uint64_t now_ns, wl_call_outcome_t *outcome, wl_out_t *out)
 {
 	wl_event_t event;
@@ -64,6 +83,9 @@
 	case WL_PART_GATE:
 		wl_gate_step(node->gate, now_ns, &event, out);
 		break;
+	case WL_PART_CONDITIONAL:
+		basis_received(node, now_ns, &event, out);
+		break;
 	case WL_PART_AGENT: /* makes no calls to the leader */
 		break;
 	}
@@ -88,6 +110,11 @@
 			wl_action_free(action);
 			continue;
 		}
+		if (action->kind == WL_ACTION_LEADER_CALL && action->caller) {
+			wl_conditionals_add(&node->conditionals, action, &node->deferred);
+			wl_action_free(action);
+			continue;
+		}
 		if (action->kind == WL_ACTION_LEADER_CALL) {
 			wl_calls_add(&node->calls, action, node_leader(node), now_ns,
 				     &node->deferred);
@@ -384,9 +411,13 @@
 		link_changed(node, now_ns, event, out);
 		return;
 	case WL_EVENT_CALL_ABANDONED:
+		caller_checked(node, now_ns, event, out);
 		if (node->options.entry)
 			wl_requests_step(node->requests, now_ns, event, out);
 		return;
+	case WL_EVENT_CALL_PRESENT:
+		caller_checked(node, now_ns, event, out);
+		return;
 	case WL_EVENT_CALL:
 		node_call(node, now_ns, event, out);
 		return;
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -188,19 +188,30 @@
 }
 
 /*
- * Nothing is settled without a commit but a zone that does not exist: the same order may have been
- * overtaken by another one that is not committed yet.
+ * Only a zone that does not exist, and an order that was overtaken, are settled without a commit:
+ * the same order again may have been overtaken by another one that is not committed yet.
  */
 static bool zone_is_settled(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
 {
 	wl_str_t zone = wl_buf_str(&cmd->u.zone_evacuate.availability_zone);
 
-	if (wl_sched_zone_known(sched, zone))
-		return false;
-	wl_result_fail(result, WL_E_NOT_FOUND,
-		       "availability zone \"" WL_STR_FMT "\": no target and no entry is in it",
-		       WL_STR_ARG(zone));
-	return true;
+	if (!wl_sched_zone_known(sched, zone)) {
+		wl_result_fail(result, WL_E_NOT_FOUND,
+			       "availability zone \"" WL_STR_FMT
+			       "\": no target and no entry is in it",
+			       WL_STR_ARG(zone));
+		return true;
+	}
+	if (cmd->u.zone_evacuate.basis &&
+	    cmd->u.zone_evacuate.basis != wl_sched_zone_basis(sched, zone)) {
+		wl_result_fail(result, WL_E_OVERLOADED,
+			       "availability zone \"" WL_STR_FMT
+			       "\": another order, or another leader, came between",
+			       WL_STR_ARG(zone));
+		result->verdict = WL_UNKNOWN; /* a copy of this one may have come before */
+		return true;
+	}
+	return false;
 }
 
 /* Fills in the answer to a command that needs no commit. Return: false if it needs one. */
@@ -246,6 +257,9 @@
 		wl_sched_answer(out, peer, command->call, &result);
 		wl_cmd_free(&cmd);
 	} else {
+		if (cmd.kind == WL_CMD_ZONE_EVACUATE)
+			wl_sched_zone_ordered(sched,
+					      wl_buf_str(&cmd.u.zone_evacuate.availability_zone));
 		wl_sched_command_propose(sched, now_ns, peer, command->call, &cmd, out);
 	}
 	wl_result_free(&result);
@@ -294,6 +308,8 @@
 		if (result.code == WL_E_GONE)
 			job_elsewhere_log(sched, "query", wl_buf_str(&query->customer),
 					  wl_buf_str(&query->name), out);
+	} else if (query->kind == WL_QUERY_ZONE_BASIS) {
+		wl_result_ok(&result, wl_sched_zone_basis(sched, wl_buf_str(&query->name)));
 	} else {
 		query_catalog(sched, &result);
 	}
--- a/libwlcore/sched/internal.h
+++ b/libwlcore/sched/internal.h
@@ -140,7 +140,7 @@
 	bool unknown_listed; /* its newest list has runs that the leader does not know */
 	/* it has answered an order with its fence, and refuses those for earlier incarnations */
 	bool fenced;
-	bool departing;	     /* it has announced its departure */
+	bool departing; /* it has announced its departure */
 	bool removal_proposed;
 	const char *removal_reason;
 } wl_sched_incarnation_t;
@@ -407,6 +407,10 @@
 
 TAILQ_HEAD(wl_sched_departures, wl_sched_departure);
 
+typedef struct wl_sched_zone_order wl_sched_zone_order_t;
+
+TAILQ_HEAD(wl_sched_zone_orders, wl_sched_zone_order);
+
 /* Progress of a new leader, for the log. */
 typedef struct wl_sched_takeover {
 	bool open;		 /* not logged yet */
@@ -496,6 +500,7 @@
 	uint64_t next_usage_ns;
 	uint64_t next_reserves_ns;
 	struct wl_sched_reserves reserves; /* of the services */
+	struct wl_sched_zone_orders zone_orders;
 	uint64_t next_stalled_ns;
 	uint64_t next_interruptions_ns;
 	uint64_t next_progress_ns;
@@ -712,6 +717,9 @@
 			      const wl_runner_report_t *report);
 void wl_sched_warmup_tick(wl_sched_t *sched, uint64_t now_ns, wl_sched_runner_t *runner);
 bool wl_sched_zone_closed(const wl_sched_runner_t *runner, uint64_t now_ns);
+uint64_t wl_sched_zone_basis(const wl_sched_t *sched, wl_str_t zone);
+void wl_sched_zone_ordered(wl_sched_t *sched, wl_str_t zone);
+void wl_sched_zone_orders_clear(wl_sched_t *sched);
 bool wl_sched_zone_known(const wl_sched_t *sched, wl_str_t zone);
 void wl_sched_zone_applied(wl_sched_t *sched, uint64_t now_ns, const wl_cmd_zone_evacuate_t *cmd,
 			   const wl_result_t *result, wl_out_t *out);
--- a/libwlcore/sched/sched.c
+++ b/libwlcore/sched/sched.c
@@ -60,6 +60,7 @@
 	TAILQ_INIT(&sched->pending);
 	TAILQ_INIT(&sched->by_tried);
 	TAILQ_INIT(&sched->timed);
+	TAILQ_INIT(&sched->zone_orders);
 	wl_sched_acceptance_init(sched);
 	TAILQ_INIT(&sched->reserves);
 	wl_images_init(&sched->images);
@@ -88,6 +89,7 @@
 	wl_sched_departures_clear(sched);
 	wl_sched_acceptance_clear(sched);
 	wl_sched_reserves_clear(sched);
+	wl_sched_zone_orders_clear(sched);
 	wl_sched_losses_clear(sched);
 	wl_sched_crashes_clear(sched);
 	wl_sched_orders_clear(sched);
@@ -423,7 +425,8 @@
 	if (msg->kind == WL_MSG_ORDERED || msg->kind == WL_MSG_KEEPALIVES)
 		return true;
 	return msg->kind == WL_MSG_QUERY &&
-	       (msg->u.query.kind == WL_QUERY_JOB || msg->u.query.kind == WL_QUERY_CATALOG);
+	       (msg->u.query.kind == WL_QUERY_JOB || msg->u.query.kind == WL_QUERY_CATALOG ||
+		msg->u.query.kind == WL_QUERY_ZONE_BASIS);
 }
 
 static void on_peer(wl_sched_t *sched, uint64_t now_ns, const wl_event_t *event, wl_out_t *out)
--- a/libwlcore/sched/zones.c
+++ b/libwlcore/sched/zones.c
@@ -9,9 +9,13 @@
 
 #include "internal.h"
 
+#include <stdlib.h>
+
 /* Above the interval between two reports of a target. */
 #define REOPENED_REPORT_MS 1500
 
+#define ZONE_BASIS_TERM_SHIFT 32 /* the term of the leader is above the number of the order */
+
 static wl_str_t zone_of(const wl_sched_runner_t *runner)
 {
 	return wl_buf_str(&runner->state->report.availability_zone);
@@ -63,6 +67,65 @@
 	wl_sched_row_outdate(sched, runner);
 }
 
+/* The newest order for a zone that this leader has proposed. */
+struct wl_sched_zone_order {
+	wl_buf_t zone;
+	uint64_t number;
+	TAILQ_ENTRY(wl_sched_zone_order) link;
+};
+
+static wl_sched_zone_order_t *zone_order_find(const wl_sched_t *sched, wl_str_t zone)
+{
+	wl_sched_zone_order_t *order;
+
+	TAILQ_FOREACH (order, &sched->zone_orders, link)
+		if (wl_str_equal(wl_buf_str(&order->zone), zone))
+			return order;
+	return NULL;
+}
+
+/*
+ * wl_sched_zone_basis - basis of the next order for an availability zone
+ *
+ * Another one for each leader, and after each order for the zone that it has proposed. A leader has
+ * applied what was committed before it, so that an order cannot be older than its basis.
+ */
+uint64_t wl_sched_zone_basis(const wl_sched_t *sched, wl_str_t zone)
+{
+	const wl_sched_zone_order_t *order = zone_order_find(sched, zone);
+
+	return sched->epoch << ZONE_BASIS_TERM_SHIFT | (order ? order->number : 0);
+}
+
+/*
+ * wl_sched_zone_ordered - note that an order for an availability zone is being proposed
+ */
+void wl_sched_zone_ordered(wl_sched_t *sched, wl_str_t zone)
+{
+	wl_sched_zone_order_t *order = zone_order_find(sched, zone);
+
+	if (!order) {
+		order = wl_alloc(sizeof(*order));
+		wl_buf_set(&order->zone, zone);
+		TAILQ_INSERT_TAIL(&sched->zone_orders, order, link);
+	}
+	order->number++;
+}
+
+/*
+ * wl_sched_zone_orders_clear - forget the orders of this leader
+ */
+void wl_sched_zone_orders_clear(wl_sched_t *sched)
+{
+	wl_sched_zone_order_t *order;
+
+	while ((order = TAILQ_FIRST(&sched->zone_orders))) {
+		TAILQ_REMOVE(&sched->zone_orders, order, link);
+		wl_buf_free(&order->zone);
+		free(order);
+	}
+}
+
 /*
  * wl_sched_zone_known - whether anything is known of an availability zone
  */
--- a/libwlnet/http_server.c
+++ b/libwlnet/http_server.c
@@ -13,6 +13,7 @@
 #include <libwlbase/clock.h>
 #include <libwlbase/units.h>
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -504,6 +505,27 @@
 	memset(reply, 0, sizeof(*reply));
 }
 
+/*
+ * wl_http_server_caller_waits - whether the client of a call still waits for its answer
+ *
+ * Return: false if the connection is closed in either direction, or the call is not open. What the
+ * client's host has not told yet, for example behind a broken link, is not known.
+ */
+bool wl_http_server_caller_waits(wl_http_server_t *server, uint64_t call)
+{
+	struct pollfd state = {.events = POLLRDHUP};
+	wl_exchange_t *exchange;
+
+	pthread_mutex_lock(&server->lock);
+	exchange = wl_map_get(&server->waiting, (wl_str_t){(const char *)&call, sizeof(call)});
+	if (exchange)
+		state.fd = exchange->held_by->fd;
+	if (exchange && poll(&state, 1, 0) != 0)
+		exchange = NULL;
+	pthread_mutex_unlock(&server->lock);
+	return exchange != NULL;
+}
+
 /*
  * wl_http_server_quiesce - accept no new connections; open ones are closed after their response
  */
--- a/libwlnet/http_server.h
+++ b/libwlnet/http_server.h
@@ -38,6 +38,7 @@
 
 wl_http_server_t *wl_http_server_start(const wl_http_server_options_t *options, wl_err_t *err);
 void wl_http_server_reply(wl_http_server_t *server, wl_reply_t *reply);
+bool wl_http_server_caller_waits(wl_http_server_t *server, uint64_t call);
 void wl_http_server_quiesce(wl_http_server_t *server);
 void wl_http_server_stop(wl_http_server_t *server);
 uint16_t wl_http_server_port(const wl_http_server_t *server);
--- a/tests/support/fleet_replica.cc
+++ b/tests/support/fleet_replica.cc
@@ -333,6 +333,9 @@
 		effects->replies.push_back(
 			{action->reply.call, action->reply.status, text(action->reply.body)});
 		break;
+	case WL_ACTION_CALLER_CHECK:
+		effects->checks.push_back(action->caller);
+		break;
 	case WL_ACTION_LOG:
 		EXPECT_EQ(text(action->line).find("event=task-unaccounted"), std::string::npos)
 			<< text(action->line);
@@ -355,6 +358,13 @@
 	sync();
 	for (const auto &reply : effects.replies)
 		on_reply(reply.call, reply.status, reply.body);
+	for (uint64_t caller : effects.checks) {
+		wl_event_t present;
+
+		wl_event_init(&present, WL_EVENT_CALL_PRESENT);
+		present.call.id = caller;
+		event(&present);
+	}
 	if (!effects.calls.empty())
 		wake(CALL);
 	calls.insert(calls.end(), effects.calls.begin(), effects.calls.end());
--- a/tests/support/fleet_replica.h
+++ b/tests/support/fleet_replica.h
@@ -72,6 +72,7 @@
 			std::string body;
 		};
 		std::vector<Reply> replies;
+		std::vector<uint64_t> checks; /* of callers, which all wait */
 	};
 
 	/* Each thread processes its queue in order. */
--- a/tests/support/sched_rig.cc
+++ b/tests/support/sched_rig.cc
@@ -138,8 +138,8 @@
 		const wl_result_t &one = action.msg.u.result.result;
 
 		report_to = text(one.report_to);
-		newest = {one.code,    one.job_state,  one.is_queue,
-			  one.pending, text(one.text), one.retry_ms, one.verdict};
+		newest = {one.code,	  one.job_state, one.is_queue, one.pending,
+			  text(one.text), one.retry_ms,	 one.verdict,  one.index};
 		answered.push_back(action.msg.u.result.call);
 		codes[answered.back()] = one.code;
 	}
@@ -375,7 +375,7 @@
 	run_command(&cmd);
 }
 
-SchedResult SchedRig::query(const std::string &path)
+SchedResult SchedRig::ask(wl_query_kind_t kind, const std::string &name)
 {
 	wl_event_t event;
 
@@ -383,14 +383,24 @@
 	wl_buf_set(&event.peer, WL_STR("e1"));
 	wl_msg_init(&event.msg, WL_MSG_QUERY);
 	event.msg.u.query.call = ++calls;
-	event.msg.u.query.kind = WL_QUERY_JOB;
+	event.msg.u.query.kind = kind;
 	wl_buf_set(&event.msg.u.query.customer, str(host));
-	wl_buf_set(&event.msg.u.query.name, str(path));
+	wl_buf_set(&event.msg.u.query.name, str(name));
 	step(&event);
 	wl_event_free(&event);
 	return newest;
 }
 
+SchedResult SchedRig::query(const std::string &path)
+{
+	return ask(WL_QUERY_JOB, path);
+}
+
+uint64_t SchedRig::zone_basis(const std::string &availability_zone)
+{
+	return ask(WL_QUERY_ZONE_BASIS, availability_zone).index;
+}
+
 void SchedRig::reload()
 {
 	wl_buf_t bytes = {};
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -49,6 +49,7 @@
 	std::string text;
 	uint64_t retry_ms;
 	uint64_t verdict; /* wl_verdict_t */
+	uint64_t index;
 };
 
 /*
@@ -86,6 +87,7 @@
 	uint64_t submit();
 	uint64_t cancel(const std::string &queue, const std::string &id);
 	SchedResult query(const std::string &path);
+	uint64_t zone_basis(const std::string &availability_zone);
 	/* Replaces the state by its own snapshot. The replica must not lead. */
 	void reload();
 	uint64_t run_command(wl_cmd_t *cmd);
@@ -157,6 +159,7 @@
 	wl_jobs_t *jobs = nullptr;
 
       private:
+	SchedResult ask(wl_query_kind_t kind, const std::string &name);
 	void step(wl_event_t *event);
 	void out_take(wl_out_t *out);
 	void agent_clock(const std::string &agent);
--- a/tests/support/tcp.cc
+++ b/tests/support/tcp.cc
@@ -132,6 +132,11 @@
 	return poll(&wait, 1, 0) > 0 && recv(fd, &byte, 1, MSG_DONTWAIT) <= 0;
 }
 
+void Tcp::close_write()
+{
+	shutdown(fd, SHUT_WR);
+}
+
 void Tcp::close(bool reset)
 {
 	linger abortive = {1, 0};
--- a/tests/support/tcp.h
+++ b/tests/support/tcp.h
@@ -35,6 +35,8 @@
 	 */
 	bool wait_closed(int timeout_ms = 5000);
 	void close(bool reset = false);
+	/* Sends no more, and may still receive. */
+	void close_write();
 
 	int fd;
 
--- a/tests/unit/gate_test.cc
+++ b/tests/unit/gate_test.cc
@@ -250,6 +250,14 @@
 	EXPECT_EQ(wl_gate_open(gate), 0u);
 }
 
+TEST_F(Gate, OrderForAZoneNeedsItsCaller)
+{
+	ASSERT_NE(call("POST", "/-/evacuations/a/start", "", WL_LISTENER_CONTROL), 0u);
+	EXPECT_EQ(out.actions[0].caller, 11u);
+	ASSERT_NE(call("POST", "/jobs/5c0e7a21d94b36f8", JOB), 0u);
+	EXPECT_EQ(out.actions[0].caller, 0u);
+}
+
 TEST_F(Gate, ReportThatWaitsIsForwardedOnceThatIsItsTurn)
 {
 	route = WL_REPORT_WAIT;
--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -247,6 +247,27 @@
 	EXPECT_TRUE(contains(response(again), "fine"));
 }
 
+/* Guards against orders of callers that have gone on to another daemon. */
+TEST_F(HttpServer, CallerWaitsUntilItClosesEitherDirection)
+{
+	start(events);
+	for (bool half : {false, true}) {
+		Tcp tcp = Tcp::connect(port);
+		tcp.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		Event call = events.next();
+		ASSERT_TRUE(call);
+		EXPECT_TRUE(wl_http_server_caller_waits(server, call->call.id));
+		if (half)
+			tcp.close_write();
+		else
+			tcp.close();
+		EXPECT_FALSE(wl_http_server_caller_waits(server, call->call.id));
+		ASSERT_TRUE(events.next()); /* abandoned */
+		EXPECT_FALSE(wl_http_server_caller_waits(server, call->call.id));
+	}
+	EXPECT_FALSE(wl_http_server_caller_waits(server, 12345));
+}
+
 TEST_F(HttpServer, QuiescingFinishesOpenCalls)
 {
 	start(events);
--- a/tests/unit/sched_clock_back_test.cc
+++ b/tests/unit/sched_clock_back_test.cc
@@ -17,7 +17,8 @@
 
 	ClockBack()
 	{
-		rig.first_renewals_answered = false; /* pass() does, as the incarnation that is up */
+		rig.first_renewals_answered =
+			false; /* pass() does, as the incarnation that is up */
 		rig.agents({"s1"});
 		rig.configure("q");
 		rig.runner("i-1", 32000, BEFORE);
