sched, platform: keep starts away from servers that are no targets

Causes: version and slots of a heartbeat were not read, so that one without them was taken; and a target that answers no order was as good as any other as long as it reported itself.

An incarnation that has answered no renewal gets no starts once one has failed, until it answers.

--- a/libwlcore/sched/runners.c
+++ b/libwlcore/sched/runners.c
@@ -101,13 +101,23 @@
 	return now_ns - last_contact_ns(runner) >= UNREACHABLE_MS * WL_NS_PER_MS;
 }
 
+/*
+ * An incarnation that reports itself and answers no order may be no target at all: it gets starts
+ * only until a renewal has failed.
+ */
+static bool is_unproved(const wl_sched_runner_t *runner)
+{
+	return runner->known.renewal_failed && !runner->known.fenced;
+}
+
 static void usable_update(wl_sched_t *sched, wl_sched_runner_t *runner, uint64_t now_ns)
 {
 	uint64_t last_ns = last_contact_ns(runner);
 	bool usable = !runner->state->departed_ms && !runner->known.departing &&
-		      !runner->known.removal_proposed && !runner->state->report.draining &&
-		      !wl_sched_zone_closed(runner, now_ns) && runner->known.clock_ns && last_ns &&
-		      !is_silent(runner, now_ns) && now_ns >= runner->quarantined_until_ns;
+		      !runner->known.removal_proposed && !is_unproved(runner) &&
+		      !runner->state->report.draining && !wl_sched_zone_closed(runner, now_ns) &&
+		      runner->known.clock_ns && last_ns && !is_silent(runner, now_ns) &&
+		      now_ns >= runner->quarantined_until_ns;
 
 	if (usable == runner->fit.usable)
 		return;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -132,6 +132,8 @@
 		{"\"sequence\":4", "\"sequence\":\"4\""},
 		{"\"capacity\":{\"cpu\":16000,", "\"capacity\":{"},
 		{"\"backend\":\"sort1\",", ""},
+		{"\"version\":\"v1\",", ""},
+		{"\"slots\":8,", ""},
 		{"\"labels\":[", "\"labels\":\"["},
 		{"10.0.0.9:8080", "10.0.0.9:70000"},
 		{"10.0.0.9:8080", "10.0.0.9:99999"},
