sched, node: free lists as the linter wants it; same behaviour

clang-tidy took the loops that remove the first entry of a list for uses after a release; they keep the next entry instead, as other lists of the tree do.

--- a/libwlcore/model/event.h
+++ b/libwlcore/model/event.h
@@ -153,8 +153,7 @@
 	wl_cmd_t cmd;	      /* PROPOSE */
 	uint64_t tag;	      /* PROPOSE */
 	uint64_t deadline_ns; /* LEADER_CALL */
-	/* CALLER_CHECK; LEADER_CALL: the command is conditional, for this HTTP call; 0: it is not
-	 */
+	/* HTTP call: CALLER_CHECK; LEADER_CALL of a conditional command, 0 for others */
 	uint64_t caller;
 	wl_level_t level; /* LOG */
 	wl_buf_t line;	  /* LOG: key=value pairs; EXIT, FATAL: reason */
--- a/libwlcore/node/conditional.c
+++ b/libwlcore/node/conditional.c
@@ -25,10 +25,14 @@
  */
 void wl_conditionals_free(wl_conditionals_t *conditionals)
 {
-	wl_conditional_t *one;
+	wl_conditional_t *one = TAILQ_FIRST(&conditionals->open);
+
+	while (one) {
+		wl_conditional_t *next = TAILQ_NEXT(one, link);
 
-	while ((one = TAILQ_FIRST(&conditionals->open)))
 		conditional_remove(conditionals, one);
+		one = next;
+	}
 }
 
 static void ended(wl_conditionals_t *conditionals, wl_conditional_t *one, wl_code_t code,
--- a/libwlcore/sched/calls.c
+++ b/libwlcore/sched/calls.c
@@ -144,8 +144,7 @@
 	return true;
 }
 
-/* A job that is known comes before its route: an earlier copy of the submission may be committed.
- */
+/* The job comes before its route: an earlier copy of the submission may be committed. */
 static bool job_is_settled(const wl_sched_t *sched, const wl_cmd_t *cmd, wl_result_t *result)
 {
 	wl_str_t host = wl_buf_str(&cmd->u.job_add.host);
--- a/libwlcore/sched/zones.c
+++ b/libwlcore/sched/zones.c
@@ -117,12 +117,15 @@
  */
 void wl_sched_zone_orders_clear(wl_sched_t *sched)
 {
-	wl_sched_zone_order_t *order;
+	wl_sched_zone_order_t *order = TAILQ_FIRST(&sched->zone_orders);
+
+	while (order) {
+		wl_sched_zone_order_t *next = TAILQ_NEXT(order, link);
 
-	while ((order = TAILQ_FIRST(&sched->zone_orders))) {
 		TAILQ_REMOVE(&sched->zone_orders, order, link);
 		wl_buf_free(&order->zone);
 		free(order);
+		order = next;
 	}
 }
 
--- a/tests/fuzz/fuzz_node.c
+++ b/tests/fuzz/fuzz_node.c
@@ -192,7 +192,8 @@
 		&text,
 		"POST /-/instances/%s/heartbeat\n"
 		"{\"backend\":\"sort1\",\"address\":\"%s\",\"zone\":\"a\",\"state\":\"ready\","
-		"\"version\":\"v1\",\"slots\":8,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768},\"labels\":[\"%s\",\"r1\"],"
+		"\"version\":\"v1\",\"slots\":8,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768},"
+		"\"labels\":[\"%s\",\"r1\"],"
 		"\"clock_ms\":%llu,\"sequence\":%llu,\"born\":1700000000000}",
 		id, address, id, (unsigned long long)(daemon->now_ns / WL_NS_PER_MS),
 		(unsigned long long)++daemon->sequence);
